Workspace, base package and the interfaces of wire and platform

Errors that carry step and peer, settings that report every problem at once, JSON log lines through log4c, counters, request ids with home zone and shard, handle tables.

--- /dev/null
+++ b/src/base/log.c
@@ -0,0 +1,177 @@
+#include "coltsfootstile/log.h"
+
+#include <glib.h>
+#include <jansson.h>
+#include <log4c.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "coltsfootstile/clock.h"
+
+#define CATEGORY_NAME "coltsfootstile"
+#define LAYOUT_NAME "coltsfootstile_json"
+#define APPENDER_NAME "stderr"
+
+const char *const colt_log_level_string[]
+    = { "error", "warning", "info", "debug" };
+
+static const int priority_of_level[]
+    = { LOG4C_PRIORITY_ERROR, LOG4C_PRIORITY_WARN, LOG4C_PRIORITY_INFO,
+        LOG4C_PRIORITY_DEBUG };
+
+static const char *format_line_ (const log4c_layout_t *layout,
+                                 const log4c_logging_event_t *event);
+static char *build_line_ (enum ColtLogLevel level,
+                          const char *module,
+                          const struct ColtLogContext *context,
+                          const char *message);
+static void set_string_ (json_t *line, const char *name, const char *value);
+static void format_time_ (char *text, size_t size);
+
+static const log4c_layout_type_t json_layout = { LAYOUT_NAME, format_line_ };
+static log4c_category_t *category;
+
+bool
+colt_log_open (enum ColtLogLevel level, struct ColtError *error)
+{
+  log4c_layout_t *layout;
+  log4c_appender_t *appender;
+
+  log4c_layout_type_set (&json_layout);
+  if (log4c_init () != 0)
+    return colt_error_set (error, COLT_ERROR_SYSTEM, COLT_STEP_SETTINGS, NULL,
+                           "log4c can't be initialised");
+  layout = log4c_layout_get (LAYOUT_NAME);
+  log4c_layout_set_type (layout, &json_layout);
+  appender = log4c_appender_get (APPENDER_NAME);
+  log4c_appender_set_layout (appender, layout);
+  category = log4c_category_get (CATEGORY_NAME);
+  log4c_category_set_appender (category, appender);
+  log4c_category_set_additivity (category, 0);
+  log4c_category_set_priority (category, priority_of_level[level]);
+  return true;
+}
+
+void
+colt_log_close (void)
+{
+  if (category == NULL)
+    return;
+  category = NULL;
+  log4c_fini ();
+}
+
+bool
+colt_log_parse_level (const char *name, enum ColtLogLevel *level)
+{
+  int i;
+
+  for (i = COLT_LOG_ERROR; i <= COLT_LOG_DEBUG; i++)
+    if (strcmp (name, colt_log_level_string[i]) == 0)
+      {
+        *level = (enum ColtLogLevel)i;
+        return true;
+      }
+  return false;
+}
+
+void
+colt_log (enum ColtLogLevel level,
+          const char *module,
+          const struct ColtLogContext *context,
+          const char *format,
+          ...)
+{
+  va_list args;
+  char message[1024];
+  char *line;
+
+  if (category == NULL
+      || !log4c_category_is_priority_enabled (category,
+                                              priority_of_level[level]))
+    return;
+  va_start (args, format);
+  vsnprintf (message, sizeof message, format, args);
+  va_end (args);
+  line = build_line_ (level, module, context, message);
+  log4c_category_log (category, priority_of_level[level], "%s", line);
+  free (line);
+}
+
+void
+colt_log_error (enum ColtLogLevel level,
+                const char *module,
+                const char *what,
+                const struct ColtError *error)
+{
+  struct ColtLogContext context = { error->step, NULL, NULL };
+
+  if (error->peer[0] != '\0')
+    context.peer = error->peer;
+  colt_log (level, module, &context, "%s: %s (%s)", what, error->message,
+            colt_error_code_string[error->code]);
+}
+
+static const char *
+format_line_ (const log4c_layout_t *layout, const log4c_logging_event_t *event)
+{
+  static char *line;
+
+  (void)layout;
+  g_free (line);
+  line = g_strconcat (event->evt_msg, "\n", NULL);
+  return line;
+}
+
+static char *
+build_line_ (enum ColtLogLevel level,
+             const char *module,
+             const struct ColtLogContext *context,
+             const char *message)
+{
+  json_t *line = json_object ();
+  char when[40];
+  char id[COLT_ID_TEXT_SIZE];
+  char *text;
+
+  format_time_ (when, sizeof when);
+  set_string_ (line, "time", when);
+  set_string_ (line, "level", colt_log_level_string[level]);
+  set_string_ (line, "module", module);
+  if (context != NULL && context->step != COLT_STEP_NONE)
+    set_string_ (line, "step", colt_step_string[context->step]);
+  if (context != NULL && context->peer != NULL)
+    set_string_ (line, "peer", context->peer);
+  if (context != NULL && context->request != NULL)
+    set_string_ (line, "request", colt_id_format (context->request, id));
+  set_string_ (line, "message", message);
+  text = json_dumps (line, JSON_COMPACT);
+  json_decref (line);
+  return text;
+}
+
+static void
+set_string_ (json_t *line, const char *name, const char *value)
+{
+  json_t *text = json_string (value);
+
+  if (text == NULL)
+    text = json_string ("(not UTF-8)");
+  json_object_set_new (line, name, text);
+}
+
+static void
+format_time_ (char *text, size_t size)
+{
+  int64_t now_us = colt_clock_wall_us ();
+  time_t seconds = (time_t)(now_us / COLT_US_PER_S);
+  struct tm parts;
+  char date[24];
+
+  gmtime_r (&seconds, &parts);
+  strftime (date, sizeof date, "%Y-%m-%dT%H:%M:%S", &parts);
+  snprintf (text, size, "%s.%06dZ", date, (int)(now_us % COLT_US_PER_S));
+}
