--- /dev/null
+++ b/include/coltsfootstile/quota.h
@@ -0,0 +1,110 @@
+/**
+ * \file
+ * \brief Amounts that a team's upper limit counts, and how they are divided.
+ *
+ * A limit counts running tasks and, where the bundle says so, cores and
+ * accelerators. Each dimension may be unlimited.
+ */
+#ifndef COLTSFOOTSTILE_QUOTA_H
+#define COLTSFOOTSTILE_QUOTA_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/** An amount that stands for no limit; any other is 0 or more. */
+#define COLT_QUOTA_UNLIMITED INT64_MAX
+/** Highest amount that is a number. */
+#define COLT_QUOTA_MAX (INT64_C (1) << 48)
+
+/** The dimensions of a limit. */
+enum ColtQuotaDimension
+{
+  COLT_QUOTA_TASKS,        /**< running tasks */
+  COLT_QUOTA_CORES,        /**< thousandths of a core */
+  COLT_QUOTA_ACCELERATORS, /**< whole accelerators */
+  COLT_QUOTA_COUNT         /**< number of dimensions, not a dimension */
+};
+
+/** Names of enum ColtQuotaDimension, indexed by it. */
+extern const char *const colt_quota_dimension_string[];
+
+/** An amount in each dimension, 0 to COLT_QUOTA_MAX or unlimited. */
+struct ColtQuotaAmount
+{
+  int64_t amount[COLT_QUOTA_COUNT];
+};
+
+/** What one place has of a team and what it waits for. */
+struct ColtQuotaNeed
+{
+  struct ColtQuotaAmount base; /**< kept in any case, for it already runs */
+  struct ColtQuotaAmount unit; /**< what the next waiting task needs */
+  int64_t count;               /**< tasks that wait */
+};
+
+/** Returns whether every dimension is a number in range or unlimited. */
+bool colt_quota_valid (const struct ColtQuotaAmount *amount);
+
+/** Returns whether every dimension is 0. */
+bool colt_quota_is_zero (const struct ColtQuotaAmount *amount);
+
+/** Returns whether two amounts are the same. */
+bool colt_quota_equal (const struct ColtQuotaAmount *a,
+                       const struct ColtQuotaAmount *b);
+
+/** Adds \a more to \a sum; unlimited stays unlimited, sums saturate. */
+void colt_quota_add (struct ColtQuotaAmount *sum,
+                     const struct ColtQuotaAmount *more);
+
+/** Subtracts \a less from \a sum, not below 0; unlimited stays unlimited. */
+void colt_quota_subtract (struct ColtQuotaAmount *sum,
+                          const struct ColtQuotaAmount *less);
+
+/** Lowers each dimension of \a least to at most that of \a other. */
+void colt_quota_lower (struct ColtQuotaAmount *least,
+                       const struct ColtQuotaAmount *other);
+
+/** Raises each dimension of \a most to at least that of \a other. */
+void colt_quota_raise (struct ColtQuotaAmount *most,
+                       const struct ColtQuotaAmount *other);
+
+/** Returns whether \a amount is at most \a bound in every dimension. */
+bool colt_quota_within (const struct ColtQuotaAmount *amount,
+                        const struct ColtQuotaAmount *bound);
+
+/**
+ * Divides a whole number by weights with Jefferson's divisor method. The
+ * parts sum to \a total, and a larger total never makes a part smaller.
+ *
+ * \param total    0 to COLT_QUOTA_MAX
+ * \param weights  0 to COLT_QUOTA_MAX each; if all are 0 they count as equal
+ * \param count    number of parts, at least 1
+ * \param first    index of the part that wins ties, wrapping around
+ * \param parts    receives the parts
+ */
+void colt_quota_apportion (int64_t total,
+                           const int64_t *weights,
+                           size_t count,
+                           size_t first,
+                           int64_t *parts);
+
+/**
+ * Divides what is free among places that wait, in whole tasks, so that the
+ * place that gets least gets as much as can be. Whole tasks keep dimensions
+ * together: no place gets cores without the task that uses them.
+ *
+ * \param total    what all places together may have
+ * \param needs    the places
+ * \param count    how many
+ * \param first    index of the place served first, wrapping around
+ * \param granted  receives base and what was added, for each place
+ * \return         tasks that could not be served
+ */
+int64_t colt_quota_fill (const struct ColtQuotaAmount *total,
+                         const struct ColtQuotaNeed *needs,
+                         size_t count,
+                         size_t first,
+                         struct ColtQuotaAmount *granted);
+
+#endif
