--- /dev/null
+++ b/src/lease/private/calls.h
@@ -0,0 +1,62 @@
+/**
+ * \file
+ * \brief The open calls of a lease.
+ */
+#ifndef COLTSFOOTSTILE_LEASE_CALLS_H
+#define COLTSFOOTSTILE_LEASE_CALLS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/** What a call is for. */
+enum ColtLeaseCallKind
+{
+  COLT_LEASE_CALL_ACQUIRE,
+  COLT_LEASE_CALL_INVENTORY,
+  COLT_LEASE_CALL_RENEW,
+  COLT_LEASE_CALL_RELEASE,
+  COLT_LEASE_CALL_CLIENT,
+  COLT_LEASE_CALL_KIND_COUNT /**< number of kinds, not a kind */
+};
+
+/** An open call. */
+struct ColtLeaseCall
+{
+  uint64_t number;
+  enum ColtLeaseCallKind kind;
+  uint64_t epoch;
+  bool echoes;        /**< carries a token */
+  int64_t sent;       /**< when it was sent */
+  int64_t token_sent; /**< when the call was sent that brought the token */
+};
+
+/** A set of open calls. */
+struct ColtLeaseCalls;
+
+/** Creates an empty set. */
+struct ColtLeaseCalls *colt_lease_calls_create (void);
+
+/** Destroys a set. */
+void colt_lease_calls_destroy (struct ColtLeaseCalls *calls);
+
+/** Adds a call, whose number is filled in, and returns the number. */
+uint64_t colt_lease_calls_add (struct ColtLeaseCalls *calls,
+                               struct ColtLeaseCall *call);
+
+/** Removes a call and fills in \a call; returns false if it isn't open. */
+bool colt_lease_calls_take (struct ColtLeaseCalls *calls,
+                            uint64_t number,
+                            struct ColtLeaseCall *call);
+
+/** Counts the calls of a kind. */
+size_t colt_lease_calls_count (const struct ColtLeaseCalls *calls,
+                               enum ColtLeaseCallKind kind);
+
+/** Counts the client's calls that carry a token. */
+size_t colt_lease_calls_changes (const struct ColtLeaseCalls *calls);
+
+/** Forgets all calls; their ends will be ignored. */
+void colt_lease_calls_clear (struct ColtLeaseCalls *calls);
+
+#endif
