--- a/include/coltsfootstile/shard.h
+++ b/include/coltsfootstile/shard.h
@@ -31,6 +31,9 @@
   int64_t silence_ms;     /**< a session counts without its lead's word */
   int64_t task_lease_ms;  /**< lease of tasks */
   int64_t forget_ms;      /**< a view not heard of again is forgotten */
+  int64_t partial_ms;     /**< a recount that lacks only servers which nobody
+                           * has held for so long goes active without them;
+                           * 0: it waits until nothing can run there */
   int64_t drift_permille; /**< margin for drifting clocks */
 };
 
@@ -161,9 +164,8 @@
 
 /**
  * Returns whether a session of this epoch is open here on a server whose lease
- * runs. Then no higher epoch of the shard has finished a recount, unless the
- * lead and this instance have been cut off together from most of the zone.
- * A lead that asks after it has decided may answer "not run".
+ * runs. If colt_shard_lead_is_active() also holds on this instance, no other
+ * lead of the shard is active, so that it may answer "not run" at once.
  */
 bool colt_shard_owner_proves (struct ColtShardOwner *owner,
                               uint32_t shard,
@@ -237,8 +239,12 @@
    * server (of the same shard and owner, if the server is 0). Comes before
    * active(), and for a server that joins late before joined(). */
   void (*report) (void *client, const struct ColtShardReport *report);
-  /** The recount is complete: this instance leads the shard. */
-  void (*active) (void *client, uint32_t shard, uint64_t epoch);
+  /** The recount is complete: this instance leads the shard. If \a lacking
+   * isn't 0 (only with partial_ms), tasks unknown to the lead may still run on
+   * so many servers: nothing that is not certainly new may be started, and
+   * teams count as filling these servers, until each has joined or is written
+   * off. */
+  void (*active) (void *client, uint32_t shard, uint64_t epoch, size_t lacking);
   /** This instance no longer leads the shard, or gave its recount up. */
   void (*lost) (void *client,
                 uint32_t shard,
@@ -333,6 +339,16 @@
                                 uint32_t *owner,
                                 uint64_t *server_epoch);
 
+/**
+ * Returns whether an owner has confirmed an active shard's session after
+ * \a since. Then no other lead of the shard was active at that time, so that
+ * what was decided by then was decided by its only lead.
+ */
+bool colt_shard_lead_proved_since (const struct ColtShardLead *lead,
+                                   uint32_t shard,
+                                   int64_t since,
+                                   int64_t now);
+
 /** Returns the state of a shard. */
 enum ColtShardState colt_shard_lead_state (const struct ColtShardLead *lead,
                                            uint32_t shard);
@@ -345,7 +361,8 @@
 uint32_t colt_shard_lead_choice (const struct ColtShardLead *lead,
                                  uint32_t shard);
 
-/** Returns how many servers a shard's recount lacks or has out of session. */
+/** Returns how many servers a shard's recount lacks or has out of session and
+ * not written off. */
 size_t colt_shard_lead_missing (const struct ColtShardLead *lead,
                                 uint32_t shard);
 
--- a/include/coltsfootstile/shard_messages.h
+++ b/include/coltsfootstile/shard_messages.h
@@ -105,6 +105,7 @@
   uint64_t owner_incarnation; /**< of the owner that gave the version */
   uint64_t version;           /**< newest heard */
   int64_t echo;               /**< newest stamp heard, 0: none */
+  uint64_t shards;            /**< bit N: most of the zone backs the lead */
   uint64_t view_hash;         /**< of the servers that the lead counts */
   const uint32_t *view;       /**< these servers, if the owner lacks them */
   size_t view_count;
