--- /dev/null
+++ b/standin/app.c
@@ -0,0 +1,165 @@
+#include "app.h"
+
+#include <argtable2.h>
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+struct ColtStandinParser
+{
+  struct arg_lit *help;
+  struct arg_end *end;
+  void **table; /* one entry an option, then help and end */
+  size_t count;
+};
+
+enum
+{
+  PROBLEM_MAX = 20
+};
+
+static void build_parser_ (struct ColtStandinParser *parser,
+                           const struct ColtStandinOption *options,
+                           size_t count);
+static void take_values_ (const struct ColtStandinParser *parser,
+                          const struct ColtStandinOption *options);
+static void print_help_ (const struct ColtStandinParser *parser,
+                         const char *program);
+static void stop_ (evutil_socket_t fd, short what, void *data);
+
+enum ColtStandinStart
+colt_standin_parse (int argc,
+                    char **argv,
+                    const struct ColtStandinOption *options,
+                    size_t count)
+{
+  struct ColtStandinParser parser;
+  enum ColtStandinStart start = COLT_STANDIN_GO;
+  int problems;
+
+  build_parser_ (&parser, options, count);
+  problems = arg_parse (argc, argv, parser.table);
+  if (parser.help->count > 0)
+    {
+      print_help_ (&parser, argv[0]);
+      start = COLT_STANDIN_DONE;
+    }
+  else if (problems > 0)
+    {
+      arg_print_errors (stderr, parser.end, argv[0]);
+      start = COLT_STANDIN_BAD;
+    }
+  else
+    take_values_ (&parser, options);
+  arg_freetable (parser.table, count + 2);
+  g_free (parser.table);
+  return start;
+}
+
+json_t *
+colt_standin_load (const char *path, struct ColtError *error)
+{
+  json_error_t problem;
+  json_t *json = json_load_file (path, 0, &problem);
+
+  if (json == NULL)
+    colt_error_set (error, COLT_ERROR_INVALID, COLT_STEP_SETTINGS, path,
+                    "line %d: %s", problem.line, problem.text);
+  return json;
+}
+
+void
+colt_standin_run (struct event_base *base, int64_t max_seconds)
+{
+  struct event *on_term = evsignal_new (base, SIGTERM, stop_, base);
+  struct event *on_int = evsignal_new (base, SIGINT, stop_, base);
+  struct event *on_end = evtimer_new (base, stop_, base);
+  struct timeval end = { max_seconds, 0 };
+
+  evsignal_add (on_term, NULL);
+  evsignal_add (on_int, NULL);
+  evtimer_add (on_end, &end);
+  puts ("ready");
+  fflush (stdout);
+  event_base_dispatch (base);
+  event_free (on_term);
+  event_free (on_int);
+  event_free (on_end);
+}
+
+int
+colt_standin_fail (const struct ColtError *error)
+{
+  char line[COLT_ERROR_PEER_SIZE + COLT_ERROR_MESSAGE_SIZE];
+
+  fprintf (stderr, "%s\n", colt_error_format (error, line, sizeof line));
+  return 1;
+}
+
+static void
+build_parser_ (struct ColtStandinParser *parser,
+               const struct ColtStandinOption *options,
+               size_t count)
+{
+  size_t i;
+
+  parser->count = count;
+  parser->table = g_new0 (void *, count + 2);
+  for (i = 0; i < count; i++)
+    {
+      const struct ColtStandinOption *option = &options[i];
+
+      if (option->text != NULL)
+        parser->table[i] = arg_strn (NULL, option->name, option->value,
+                                     option->required, 1, option->help);
+      else
+        parser->table[i]
+            = arg_intn (NULL, option->name, option->value, 0, 1, option->help);
+    }
+  parser->help = arg_lit0 (NULL, "help", "print this help and exit");
+  parser->end = arg_end (PROBLEM_MAX);
+  parser->table[count] = parser->help;
+  parser->table[count + 1] = parser->end;
+}
+
+static void
+take_values_ (const struct ColtStandinParser *parser,
+              const struct ColtStandinOption *options)
+{
+  size_t i;
+
+  for (i = 0; i < parser->count; i++)
+    {
+      if (options[i].text != NULL)
+        {
+          const struct arg_str *text = parser->table[i];
+
+          if (text->count > 0)
+            *options[i].text = text->sval[0];
+        }
+      else
+        {
+          const struct arg_int *number = parser->table[i];
+
+          if (number->count > 0)
+            *options[i].number = number->ival[0];
+        }
+    }
+}
+
+static void
+print_help_ (const struct ColtStandinParser *parser, const char *program)
+{
+  printf ("Usage: %s", program);
+  arg_print_syntax (stdout, parser->table, "\n");
+  arg_print_glossary (stdout, parser->table, "  %-28s %s\n");
+}
+
+static void
+stop_ (evutil_socket_t fd, short what, void *data)
+{
+  (void)fd;
+  (void)what;
+  event_base_loopbreak (data);
+}
--- /dev/null
+++ b/standin/http.c
@@ -0,0 +1,506 @@
+#include "http.h"
+
+#include <assert.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+#include <event2/util.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+#include <sys/socket.h>
+
+#include "coltsfootstile/clock.h"
+
+#define BODY_MAX (16 * 1024 * 1024)
+#define IDLE_TIMEOUT_S 600
+#define RANDOM_SEED 1
+#define CONTROL_PATH "/control"
+
+enum
+{
+  STATUS_OK = 200,
+  STATUS_UNAVAILABLE = 503
+};
+
+struct ColtStandinPeer
+{
+  struct ColtStandinHttp *http;
+  struct evhttp_connection *connection;
+  bool silent;
+};
+
+struct ColtStandinCall
+{
+  struct ColtStandinHttp *http;
+  struct ColtStandinPeer *peer; /* NULL once it is closed */
+  struct evhttp_request *request;
+  struct evkeyvalq query;
+  json_t *body;
+  bool control;
+  bool held; /* never to be answered */
+  int status;
+  char *text; /* answer that waits for its delay */
+  struct event *timer;
+};
+
+struct ColtStandinHttp
+{
+  struct event_base *base;
+  struct evhttp *evhttp;
+  struct evhttp_bound_socket *socket;
+  ColtStandinHandler handler;
+  void *client;
+  ColtStandinHandler control_handler;
+  void *control_client;
+  uint32_t connection_max;
+  struct ColtStandinFaults faults;
+  GHashTable *peers; /* evhttp_connection to ColtStandinPeer */
+  GHashTable *calls; /* set of ColtStandinCall */
+  GRand *random;
+};
+
+static void take_request_ (struct evhttp_request *request, void *data);
+static struct ColtStandinPeer *
+find_peer_ (struct ColtStandinHttp *http, struct evhttp_connection *connection);
+static void forget_peer_ (struct evhttp_connection *connection, void *data);
+static struct ColtStandinCall *create_call_ (struct ColtStandinHttp *http,
+                                             struct evhttp_request *request);
+static void destroy_call_ (struct ColtStandinCall *call);
+static void read_body_ (struct ColtStandinCall *call);
+static void dispatch_ (struct ColtStandinCall *call);
+static void hold_ (struct ColtStandinCall *call);
+static void reset_ (struct ColtStandinCall *call);
+static void send_ (struct ColtStandinCall *call);
+static void send_later_ (evutil_socket_t fd, short what, void *data);
+static void abort_connection_ (struct evhttp_connection *connection);
+static void switch_flag_ (const json_t *object, const char *key, bool *flag);
+static void
+switch_number_ (const json_t *object, const char *key, int64_t *number);
+
+struct ColtStandinHttp *
+colt_standin_http_create (struct event_base *base,
+                          ColtStandinHandler handler,
+                          void *client)
+{
+  struct ColtStandinHttp *http = g_new0 (struct ColtStandinHttp, 1);
+
+  http->base = base;
+  http->handler = handler;
+  http->client = client;
+  http->connection_max = UINT32_MAX;
+  http->peers = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  http->calls = g_hash_table_new (NULL, NULL);
+  http->random = g_rand_new_with_seed (RANDOM_SEED);
+  http->evhttp = evhttp_new (base);
+  evhttp_set_gencb (http->evhttp, take_request_, http);
+  evhttp_set_timeout (http->evhttp, IDLE_TIMEOUT_S);
+  evhttp_set_max_body_size (http->evhttp, BODY_MAX);
+  evhttp_set_default_content_type (http->evhttp, "application/json");
+  return http;
+}
+
+void
+colt_standin_http_destroy (struct ColtStandinHttp *http)
+{
+  GHashTableIter iter;
+  gpointer call;
+
+  if (http == NULL)
+    return;
+  evhttp_free (http->evhttp);
+  g_hash_table_iter_init (&iter, http->calls);
+  while (g_hash_table_iter_next (&iter, &call, NULL))
+    {
+      g_hash_table_iter_steal (&iter);
+      destroy_call_ (call);
+    }
+  g_hash_table_unref (http->calls);
+  g_hash_table_unref (http->peers);
+  g_rand_free (http->random);
+  g_free (http);
+}
+
+void
+colt_standin_http_set_control (struct ColtStandinHttp *http,
+                               ColtStandinHandler handler,
+                               void *client)
+{
+  http->control_handler = handler;
+  http->control_client = client;
+}
+
+void
+colt_standin_http_set_connection_max (struct ColtStandinHttp *http,
+                                      uint32_t count)
+{
+  http->connection_max = count;
+}
+
+bool
+colt_standin_http_listen (struct ColtStandinHttp *http,
+                          const char *address,
+                          struct ColtError *error)
+{
+  const char *colon = strrchr (address, ':');
+  char host[COLT_ERROR_PEER_SIZE];
+
+  if (colon == NULL || (size_t)(colon - address) >= sizeof host)
+    return colt_error_set (error, COLT_ERROR_INVALID, COLT_STEP_LISTEN, address,
+                           "an address is written IP:PORT");
+  memcpy (host, address, (size_t)(colon - address));
+  host[colon - address] = '\0';
+  http->socket = evhttp_bind_socket_with_handle (
+      http->evhttp, host, (uint16_t)strtoul (colon + 1, NULL, 10));
+  if (http->socket == NULL)
+    return colt_error_set (error, COLT_ERROR_SYSTEM, COLT_STEP_LISTEN, address,
+                           "the address can't be bound");
+  return true;
+}
+
+uint16_t
+colt_standin_http_port (const struct ColtStandinHttp *http)
+{
+  struct sockaddr_in name;
+  socklen_t size = sizeof name;
+
+  if (http->socket == NULL)
+    return 0;
+  memset (&name, 0, sizeof name);
+  getsockname (evhttp_bound_socket_get_fd (http->socket),
+               (struct sockaddr *)&name, &size);
+  return ntohs (name.sin_port);
+}
+
+void
+colt_standin_http_close (struct ColtStandinHttp *http)
+{
+  GHashTableIter iter;
+  gpointer connection;
+
+  if (http->socket != NULL)
+    evhttp_del_accept_socket (http->evhttp, http->socket);
+  http->socket = NULL;
+  g_hash_table_iter_init (&iter, http->peers);
+  while (g_hash_table_iter_next (&iter, &connection, NULL))
+    abort_connection_ (connection);
+}
+
+void
+colt_standin_http_silence (struct ColtStandinHttp *http)
+{
+  GHashTableIter iter;
+  gpointer peer;
+
+  g_hash_table_iter_init (&iter, http->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &peer))
+    ((struct ColtStandinPeer *)peer)->silent = true;
+}
+
+struct ColtStandinFaults *
+colt_standin_http_faults (struct ColtStandinHttp *http)
+{
+  return &http->faults;
+}
+
+void
+colt_standin_http_switch (struct ColtStandinHttp *http, const json_t *object)
+{
+  struct ColtStandinFaults *faults = &http->faults;
+
+  switch_flag_ (object, "down", &faults->down);
+  switch_flag_ (object, "silent", &faults->silent);
+  switch_number_ (object, "slow_ms", &faults->delay_ms);
+  switch_number_ (object, "answer_delay_ms", &faults->delay_ms);
+  switch_number_ (object, "lose_answers_permille", &faults->lose_permille);
+  if (json_is_true (json_object_get (object, "silence_connections")))
+    colt_standin_http_silence (http);
+}
+
+uint32_t
+colt_standin_http_connections (const struct ColtStandinHttp *http)
+{
+  return g_hash_table_size (http->peers);
+}
+
+bool
+colt_standin_call_is (const struct ColtStandinCall *call,
+                      const char *method,
+                      const char *path)
+{
+  bool post = evhttp_request_get_command (call->request) == EVHTTP_REQ_POST;
+  const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri (call->request);
+
+  return post == (strcmp (method, "POST") == 0)
+         && strcmp (evhttp_uri_get_path (uri), path) == 0;
+}
+
+const char *
+colt_standin_call_path_after (const struct ColtStandinCall *call,
+                              const char *prefix)
+{
+  const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri (call->request);
+  const char *path = evhttp_uri_get_path (uri);
+
+  if (strncmp (path, prefix, strlen (prefix)) != 0)
+    return NULL;
+  return path + strlen (prefix);
+}
+
+int64_t
+colt_standin_call_number (const struct ColtStandinCall *call,
+                          const char *key,
+                          int64_t fallback)
+{
+  const char *text = evhttp_find_header (&call->query, key);
+
+  return text != NULL ? strtoll (text, NULL, 10) : fallback;
+}
+
+bool
+colt_standin_call_has (const struct ColtStandinCall *call, const char *key)
+{
+  return evhttp_find_header (&call->query, key) != NULL;
+}
+
+const json_t *
+colt_standin_call_body (const struct ColtStandinCall *call)
+{
+  return json_is_object (call->body) ? call->body : NULL;
+}
+
+void
+colt_standin_call_reply (struct ColtStandinCall *call, int status, json_t *body)
+{
+  struct ColtStandinHttp *http = call->http;
+  struct timeval delay;
+
+  assert (call->text == NULL && !call->held);
+  call->status = status;
+  call->text = json_dumps (body, JSON_COMPACT);
+  json_decref (body);
+  if (call->control || http->faults.delay_ms == 0)
+    {
+      send_ (call);
+      return;
+    }
+  delay.tv_sec = http->faults.delay_ms / 1000;
+  delay.tv_usec = http->faults.delay_ms % 1000 * COLT_US_PER_MS;
+  call->timer = evtimer_new (http->base, send_later_, call);
+  evtimer_add (call->timer, &delay);
+}
+
+void
+colt_standin_call_refuse (struct ColtStandinCall *call,
+                          int status,
+                          const char *reason)
+{
+  colt_standin_call_reply (call, status, json_pack ("{s:s}", "error", reason));
+}
+
+static void
+take_request_ (struct evhttp_request *request, void *data)
+{
+  struct ColtStandinHttp *http = data;
+  struct ColtStandinCall *call = create_call_ (http, request);
+
+  if (call->control)
+    http->control_handler (http->control_client, call);
+  else if (call->peer == NULL)
+    {
+      evhttp_add_header (evhttp_request_get_output_headers (request),
+                         "Connection", "close");
+      colt_standin_call_refuse (call, STATUS_UNAVAILABLE, "connections");
+    }
+  else if (call->peer->silent || http->faults.silent)
+    hold_ (call);
+  else if (http->faults.down)
+    colt_standin_call_refuse (call, STATUS_UNAVAILABLE, "down");
+  else
+    dispatch_ (call);
+}
+
+static struct ColtStandinPeer *
+find_peer_ (struct ColtStandinHttp *http, struct evhttp_connection *connection)
+{
+  struct ColtStandinPeer *peer = g_hash_table_lookup (http->peers, connection);
+
+  if (peer != NULL)
+    return peer;
+  if (g_hash_table_size (http->peers) >= http->connection_max)
+    return NULL;
+  peer = g_new0 (struct ColtStandinPeer, 1);
+  peer->http = http;
+  peer->connection = connection;
+  g_hash_table_insert (http->peers, connection, peer);
+  evhttp_connection_set_closecb (connection, forget_peer_, peer);
+  return peer;
+}
+
+/* A call that was held ends with its connection. A request that is still
+ * attached to the connection is freed with it. */
+static void
+forget_peer_ (struct evhttp_connection *connection, void *data)
+{
+  struct ColtStandinPeer *peer = data;
+  struct ColtStandinHttp *http = peer->http;
+  GHashTableIter iter;
+  gpointer item;
+
+  g_hash_table_iter_init (&iter, http->calls);
+  while (g_hash_table_iter_next (&iter, &item, NULL))
+    {
+      struct ColtStandinCall *call = item;
+
+      if (call->peer != peer)
+        continue;
+      call->peer = NULL;
+      if (evhttp_request_get_connection (call->request) != NULL)
+        call->request = NULL;
+      if (!call->held)
+        continue;
+      g_hash_table_iter_steal (&iter);
+      destroy_call_ (call);
+    }
+  g_hash_table_remove (http->peers, connection);
+}
+
+static struct ColtStandinCall *
+create_call_ (struct ColtStandinHttp *http, struct evhttp_request *request)
+{
+  struct ColtStandinCall *call = g_new0 (struct ColtStandinCall, 1);
+  const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri (request);
+  const char *query = evhttp_uri_get_query (uri);
+
+  call->http = http;
+  call->request = request;
+  TAILQ_INIT (&call->query);
+  if (query != NULL)
+    evhttp_parse_query_str (query, &call->query);
+  read_body_ (call);
+  call->control = http->control_handler != NULL
+                  && strcmp (evhttp_uri_get_path (uri), CONTROL_PATH) == 0;
+  call->peer = find_peer_ (http, evhttp_request_get_connection (request));
+  g_hash_table_add (http->calls, call);
+  return call;
+}
+
+/* A request that has lost its connection belongs to the call. */
+static void
+destroy_call_ (struct ColtStandinCall *call)
+{
+  if (call->request != NULL
+      && evhttp_request_get_connection (call->request) == NULL)
+    evhttp_request_free (call->request);
+  if (call->timer != NULL)
+    event_free (call->timer);
+  evhttp_clear_headers (&call->query);
+  json_decref (call->body);
+  free (call->text);
+  g_free (call);
+}
+
+static void
+read_body_ (struct ColtStandinCall *call)
+{
+  struct evbuffer *input = evhttp_request_get_input_buffer (call->request);
+  size_t size = evbuffer_get_length (input);
+
+  if (size > 0)
+    call->body
+        = json_loadb ((const char *)evbuffer_pullup (input, -1), size, 0, NULL);
+}
+
+static void
+dispatch_ (struct ColtStandinCall *call)
+{
+  if (evhttp_request_get_command (call->request) == EVHTTP_REQ_POST
+      && !json_is_object (call->body))
+    {
+      colt_standin_call_refuse (call, 400, "the body is no JSON object");
+      return;
+    }
+  call->http->handler (call->http->client, call);
+}
+
+static void
+hold_ (struct ColtStandinCall *call)
+{
+  call->held = true;
+}
+
+/* Closes the connection in place of an answer. */
+static void
+reset_ (struct ColtStandinCall *call)
+{
+  call->held = true;
+  abort_connection_ (call->peer->connection);
+}
+
+static void
+send_ (struct ColtStandinCall *call)
+{
+  struct ColtStandinHttp *http = call->http;
+  struct evbuffer *output;
+
+  if (!call->control && call->peer != NULL)
+    {
+      if (call->peer->silent)
+        {
+          hold_ (call);
+          return;
+        }
+      if (g_rand_int_range (http->random, 0, 1000) < http->faults.lose_permille)
+        {
+          reset_ (call);
+          return;
+        }
+    }
+  if (call->request != NULL)
+    {
+      output = evhttp_request_get_output_buffer (call->request);
+      evbuffer_add (output, call->text, strlen (call->text));
+      evhttp_send_reply (call->request, call->status, NULL, NULL);
+      call->request = NULL;
+    }
+  g_hash_table_remove (http->calls, call);
+  destroy_call_ (call);
+}
+
+static void
+send_later_ (evutil_socket_t fd, short what, void *data)
+{
+  (void)fd;
+  (void)what;
+  send_ (data);
+}
+
+/* The loop then sees the end of the stream and frees the connection. */
+static void
+abort_connection_ (struct evhttp_connection *connection)
+{
+  struct bufferevent *stream = evhttp_connection_get_bufferevent (connection);
+
+  shutdown (bufferevent_getfd (stream), SHUT_RDWR);
+}
+
+static void
+switch_flag_ (const json_t *object, const char *key, bool *flag)
+{
+  const json_t *value = json_object_get (object, key);
+
+  if (json_is_boolean (value))
+    *flag = json_is_true (value);
+}
+
+static void
+switch_number_ (const json_t *object, const char *key, int64_t *number)
+{
+  const json_t *value = json_object_get (object, key);
+
+  if (json_is_integer (value))
+    *number = json_integer_value (value);
+}
