--- a/standin/app.c
+++ b/standin/app.c
@@ -77,6 +77,7 @@
   struct event *on_end = evtimer_new (base, stop_, base);
   struct timeval end = { max_seconds, 0 };
 
+  signal (SIGPIPE, SIG_IGN);
   evsignal_add (on_term, NULL);
   evsignal_add (on_int, NULL);
   evtimer_add (on_end, &end);
