--- a/include/coltsfootstile/http_client.h
+++ b/include/coltsfootstile/http_client.h
@@ -4,7 +4,8 @@
  *
  * The client tells apart a call that was certainly not sent from one whose
  * answer was lost. It never sends a call twice. A call that fails closes the
- * connection, so that the next one opens a new one.
+ * connection, so that the next one opens a new one. The process must ignore
+ * SIGPIPE.
  */
 #ifndef COLTSFOOTSTILE_HTTP_CLIENT_H
 #define COLTSFOOTSTILE_HTTP_CLIENT_H
--- a/include/coltsfootstile/log_service.h
+++ b/include/coltsfootstile/log_service.h
@@ -134,8 +134,10 @@
 enum ColtLogAddStatus
 {
   COLT_LOG_ADD_QUEUED,
-  COLT_LOG_ADD_FULL,     /**< too many records or bytes wait */
-  COLT_LOG_ADD_TOO_LARGE /**< over COLT_LOG_RECORD_MAX */
+  COLT_LOG_ADD_FULL,      /**< too many records or bytes wait */
+  COLT_LOG_ADD_TOO_LARGE, /**< over COLT_LOG_RECORD_MAX */
+  COLT_LOG_ADD_PENDING    /**< a record with this id is on its way already;
+                               the new one is dropped without a call */
 };
 
 /** Names of enum ColtLogAddStatus, indexed by it. */
@@ -203,6 +205,9 @@
                                            ColtLogWriteDone done,
                                            void *client);
 
+/** Ends all records as given up. */
+void colt_log_writer_abandon (struct ColtLogWriter *writer);
+
 /**
  * Gives up what is past its deadline and makes the next append, if it is time.
  *
@@ -244,6 +249,8 @@
 {
   /** Takes a record; the body is valid during the call only. */
   void (*record) (void *client, const struct ColtLogItem *item);
+  /** Takes a record whose id was seen before. May be NULL. */
+  void (*duplicate) (void *client, const struct ColtLogItem *item);
   /** Retention has overtaken the reader: offsets from \a expected up to, and
    * without, \a first are lost. May be NULL. */
   void (*gap) (void *client, uint64_t expected, uint64_t first);
--- /dev/null
+++ b/src/platform/http_client.c
@@ -0,0 +1,442 @@
+#include "coltsfootstile/http_client.h"
+
+#include <assert.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "coltsfootstile/clock.h"
+
+#define HEADERS_MAX (16 * 1024)
+/* evhttp's own timeout only backs up the call's. */
+#define BACKUP_TIMEOUT_S 10
+
+struct ColtHttpCall
+{
+  char *path;
+  char *body;
+  uint32_t timeout_ms;
+  int64_t sent_us;
+  ColtHttpDone done;
+  void *client;
+};
+
+struct ColtHttpClient
+{
+  struct event_base *base;
+  char *address;
+  char *host;
+  uint16_t port;
+  size_t answer_max;
+  uint32_t queue_max;
+  GQueue waiting; /* of struct ColtHttpCall */
+  GQueue turned_away;
+  struct ColtHttpCall *open;
+  struct evhttp_connection *connection;
+  bool dispatched; /* something of the open call was written */
+  bool ended;      /* the open call has an answer */
+  bool closing;
+  enum evhttp_request_error problem;
+  bool has_problem;
+  struct ColtHttpAnswer answer;
+  char *answer_body;
+  struct event *timer;
+  struct event *finish;
+  uint64_t connections;
+};
+
+const char *const colt_http_result_string[]
+    = { "answered", "not_sent", "unknown" };
+
+static void free_call_ (struct ColtHttpCall *call);
+static void end_call_ (struct ColtHttpCall *call,
+                       const struct ColtHttpAnswer *answer);
+static void end_unsent_ (struct ColtHttpClient *http,
+                         struct ColtHttpCall *call,
+                         enum ColtErrorCode code,
+                         const char *reason);
+static void start_next_ (struct ColtHttpClient *http);
+static bool open_connection_ (struct ColtHttpClient *http);
+static void close_connection_ (struct ColtHttpClient *http);
+static bool send_ (struct ColtHttpClient *http);
+static void take_output_ (struct evbuffer *buffer,
+                          const struct evbuffer_cb_info *info,
+                          void *client);
+static void take_problem_ (enum evhttp_request_error problem, void *client);
+static void take_answer_ (struct evhttp_request *request, void *client);
+static bool is_whole_ (struct evhttp_request *request, size_t size);
+static void fail_open_ (struct ColtHttpClient *http,
+                        enum ColtErrorCode code,
+                        const char *reason);
+static void take_timeout_ (evutil_socket_t fd, short what, void *client);
+static void take_finish_ (evutil_socket_t fd, short what, void *client);
+static void take_answer_body_ (struct ColtHttpClient *http,
+                               struct evhttp_request *request,
+                               size_t size);
+
+struct ColtHttpClient *
+colt_http_client_create (struct event_base *base,
+                         const char *address,
+                         size_t answer_max,
+                         uint32_t queue_max)
+{
+  struct ColtHttpClient *http = g_new0 (struct ColtHttpClient, 1);
+  const char *colon = strrchr (address, ':');
+
+  assert (colon != NULL);
+  http->base = base;
+  http->address = g_strdup (address);
+  http->host = g_strndup (address, colon - address);
+  http->port = (uint16_t)strtoul (colon + 1, NULL, 10);
+  http->answer_max = answer_max;
+  http->queue_max = queue_max;
+  g_queue_init (&http->waiting);
+  g_queue_init (&http->turned_away);
+  http->timer = event_new (base, -1, 0, take_timeout_, http);
+  http->finish = event_new (base, -1, 0, take_finish_, http);
+  return http;
+}
+
+void
+colt_http_client_destroy (struct ColtHttpClient *http)
+{
+  if (http == NULL)
+    return;
+  http->closing = true;
+  colt_http_client_cancel (http);
+  event_free (http->timer);
+  event_free (http->finish);
+  g_free (http->address);
+  g_free (http->host);
+  g_free (http);
+}
+
+void
+colt_http_client_call (struct ColtHttpClient *http,
+                       const char *path,
+                       const char *body,
+                       uint32_t timeout_ms,
+                       ColtHttpDone done,
+                       void *client)
+{
+  struct ColtHttpCall *call = g_new0 (struct ColtHttpCall, 1);
+
+  assert (!http->closing && timeout_ms > 0);
+  call->path = g_strdup (path);
+  call->body = g_strdup (body);
+  call->timeout_ms = timeout_ms;
+  call->done = done;
+  call->client = client;
+  if (http->open != NULL && http->waiting.length >= http->queue_max)
+    {
+      g_queue_push_tail (&http->turned_away, call);
+      event_active (http->finish, 0, 0);
+      return;
+    }
+  g_queue_push_tail (&http->waiting, call);
+  if (http->open == NULL)
+    start_next_ (http);
+}
+
+void
+colt_http_client_cancel (struct ColtHttpClient *http)
+{
+  struct ColtHttpClient stopped = *http;
+  struct ColtHttpCall *call;
+
+  close_connection_ (http);
+  event_del (http->timer);
+  event_del (http->finish);
+  http->open = NULL;
+  http->ended = false;
+  http->answer_body = NULL;
+  g_queue_init (&http->waiting);
+  g_queue_init (&http->turned_away);
+  stopped.finish = NULL;
+  stopped.address = g_strdup (http->address);
+  if (stopped.open != NULL)
+    {
+      if (!stopped.ended)
+        fail_open_ (&stopped, COLT_ERROR_TIMEOUT, "the call was cancelled");
+      end_call_ (stopped.open, &stopped.answer);
+    }
+  while ((call = g_queue_pop_head (&stopped.waiting)) != NULL)
+    end_unsent_ (&stopped, call, COLT_ERROR_UNREACHABLE,
+                 "the call was cancelled");
+  while ((call = g_queue_pop_head (&stopped.turned_away)) != NULL)
+    end_unsent_ (&stopped, call, COLT_ERROR_EXHAUSTED, "too many calls wait");
+  g_free (stopped.answer_body);
+  g_free (stopped.address);
+}
+
+uint32_t
+colt_http_client_pending (const struct ColtHttpClient *http)
+{
+  return http->waiting.length + (http->open != NULL ? 1 : 0);
+}
+
+uint64_t
+colt_http_client_connections (const struct ColtHttpClient *http)
+{
+  return http->connections;
+}
+
+static void
+free_call_ (struct ColtHttpCall *call)
+{
+  g_free (call->path);
+  g_free (call->body);
+  g_free (call);
+}
+
+static void
+end_call_ (struct ColtHttpCall *call, const struct ColtHttpAnswer *answer)
+{
+  ColtHttpDone done = call->done;
+  void *client = call->client;
+
+  free_call_ (call);
+  done (client, answer);
+}
+
+static void
+end_unsent_ (struct ColtHttpClient *http,
+             struct ColtHttpCall *call,
+             enum ColtErrorCode code,
+             const char *reason)
+{
+  struct ColtHttpAnswer answer = { 0 };
+
+  answer.result = COLT_HTTP_NOT_SENT;
+  answer.sent_us = colt_clock_monotonic_us ();
+  colt_error_set (&answer.error, code, COLT_STEP_SEND, http->address, "%s",
+                  reason);
+  end_call_ (call, &answer);
+}
+
+static void
+start_next_ (struct ColtHttpClient *http)
+{
+  struct timeval timeout;
+
+  http->open = g_queue_pop_head (&http->waiting);
+  http->ended = false;
+  http->dispatched = false;
+  http->has_problem = false;
+  if (http->open == NULL)
+    return;
+  memset (&http->answer, 0, sizeof http->answer);
+  http->open->sent_us = colt_clock_monotonic_us ();
+  timeout.tv_sec = http->open->timeout_ms / 1000;
+  timeout.tv_usec = http->open->timeout_ms % 1000 * 1000;
+  event_add (http->timer, &timeout);
+  if ((http->connection == NULL && !open_connection_ (http)) || !send_ (http))
+    fail_open_ (http, COLT_ERROR_SYSTEM, "the call can't be made");
+}
+
+static bool
+open_connection_ (struct ColtHttpClient *http)
+{
+  struct bufferevent *bufferevent;
+
+  http->connection
+      = evhttp_connection_base_new (http->base, NULL, http->host, http->port);
+  if (http->connection == NULL)
+    return false;
+  http->connections++;
+  bufferevent = evhttp_connection_get_bufferevent (http->connection);
+  evbuffer_add_cb (bufferevent_get_output (bufferevent), take_output_, http);
+  evhttp_connection_set_max_headers_size (http->connection, HEADERS_MAX);
+  evhttp_connection_set_max_body_size (http->connection,
+                                       (ev_ssize_t)http->answer_max);
+  evhttp_connection_set_retries (http->connection, 0);
+  return true;
+}
+
+static void
+close_connection_ (struct ColtHttpClient *http)
+{
+  struct evhttp_connection *connection = http->connection;
+
+  if (connection == NULL)
+    return;
+  http->connection = NULL;
+  evbuffer_remove_cb (
+      bufferevent_get_output (evhttp_connection_get_bufferevent (connection)),
+      take_output_, http);
+  evhttp_connection_free (connection);
+}
+
+static bool
+send_ (struct ColtHttpClient *http)
+{
+  struct ColtHttpCall *call = http->open;
+  struct evhttp_request *request = evhttp_request_new (take_answer_, http);
+  struct evkeyvalq *headers;
+
+  if (request == NULL)
+    return false;
+  evhttp_request_set_error_cb (request, take_problem_);
+  headers = evhttp_request_get_output_headers (request);
+  evhttp_add_header (headers, "Host", http->address);
+  if (call->body != NULL)
+    {
+      evhttp_add_header (headers, "Content-Type", "application/json");
+      evbuffer_add (evhttp_request_get_output_buffer (request), call->body,
+                    strlen (call->body));
+    }
+  evhttp_connection_set_timeout (
+      http->connection, (int)(call->timeout_ms / 1000 + BACKUP_TIMEOUT_S));
+  return evhttp_make_request (
+             http->connection, request,
+             call->body != NULL ? EVHTTP_REQ_POST : EVHTTP_REQ_GET, call->path)
+         == 0;
+}
+
+/* evhttp fills the output only once the connection stands. */
+static void
+take_output_ (struct evbuffer *buffer,
+              const struct evbuffer_cb_info *info,
+              void *client)
+{
+  struct ColtHttpClient *http = client;
+
+  (void)buffer;
+  if (info->n_added > 0)
+    http->dispatched = true;
+}
+
+static void
+take_problem_ (enum evhttp_request_error problem, void *client)
+{
+  struct ColtHttpClient *http = client;
+
+  http->problem = problem;
+  http->has_problem = true;
+}
+
+static void
+take_answer_ (struct evhttp_request *request, void *client)
+{
+  struct ColtHttpClient *http = client;
+  size_t size;
+
+  if (request == NULL || evhttp_request_get_response_code (request) == 0)
+    {
+      if (http->has_problem && http->problem == EVREQ_HTTP_DATA_TOO_LONG)
+        fail_open_ (http, COLT_ERROR_EXHAUSTED, "the answer is too large");
+      else if (http->has_problem && http->problem == EVREQ_HTTP_TIMEOUT)
+        fail_open_ (http, COLT_ERROR_TIMEOUT, "no answer in time");
+      else
+        fail_open_ (http, COLT_ERROR_TRUNCATED, "the connection broke");
+      return;
+    }
+  size = evbuffer_get_length (evhttp_request_get_input_buffer (request));
+  if (!is_whole_ (request, size))
+    {
+      fail_open_ (http, COLT_ERROR_TRUNCATED, "the answer is not whole");
+      return;
+    }
+  take_answer_body_ (http, request, size);
+}
+
+static bool
+is_whole_ (struct evhttp_request *request, size_t size)
+{
+  struct evkeyvalq *headers = evhttp_request_get_input_headers (request);
+  const char *length = evhttp_find_header (headers, "Content-Length");
+  const char *coding = evhttp_find_header (headers, "Transfer-Encoding");
+
+  if (coding != NULL && g_ascii_strcasecmp (coding, "chunked") == 0)
+    return true;
+  return length != NULL && g_ascii_strtoull (length, NULL, 10) == size;
+}
+
+static void
+take_answer_body_ (struct ColtHttpClient *http,
+                   struct evhttp_request *request,
+                   size_t size)
+{
+  struct evbuffer *input = evhttp_request_get_input_buffer (request);
+
+  http->answer_body = g_malloc (size + 1);
+  evbuffer_remove (input, http->answer_body, size);
+  http->answer_body[size] = '\0';
+  http->answer.result = COLT_HTTP_ANSWERED;
+  http->answer.status = evhttp_request_get_response_code (request);
+  http->answer.sent_us = http->open->sent_us;
+  http->answer.body = http->answer_body;
+  http->answer.size = size;
+  http->ended = true;
+  event_active (http->finish, 0, 0);
+}
+
+static void
+fail_open_ (struct ColtHttpClient *http,
+            enum ColtErrorCode code,
+            const char *reason)
+{
+  struct ColtHttpAnswer *answer = &http->answer;
+
+  memset (answer, 0, sizeof *answer);
+  answer->sent_us = http->open->sent_us;
+  answer->result = http->dispatched ? COLT_HTTP_UNKNOWN : COLT_HTTP_NOT_SENT;
+  if (http->dispatched)
+    colt_error_set (&answer->error, code, COLT_STEP_RECEIVE, http->address,
+                    "%s", reason);
+  else
+    colt_error_set (&answer->error, COLT_ERROR_UNREACHABLE, COLT_STEP_CONNECT,
+                    http->address, "no connection: %s", reason);
+  http->ended = true;
+  if (http->finish != NULL)
+    event_active (http->finish, 0, 0);
+}
+
+static void
+take_timeout_ (evutil_socket_t fd, short what, void *client)
+{
+  struct ColtHttpClient *http = client;
+
+  (void)fd;
+  (void)what;
+  if (http->open == NULL || http->ended)
+    return;
+  fail_open_ (http, COLT_ERROR_TIMEOUT, "no answer in time");
+  close_connection_ (http);
+}
+
+/* Runs outside evhttp's own callbacks, so that the connection may be freed. */
+static void
+take_finish_ (evutil_socket_t fd, short what, void *client)
+{
+  struct ColtHttpClient *http = client;
+  struct ColtHttpCall *call = g_queue_pop_head (&http->turned_away);
+  struct ColtHttpAnswer answer;
+  char *body;
+
+  (void)fd;
+  (void)what;
+  if (call != NULL)
+    {
+      event_active (http->finish, 0, 0);
+      end_unsent_ (http, call, COLT_ERROR_EXHAUSTED, "too many calls wait");
+      return;
+    }
+  if (!http->ended)
+    return;
+  call = http->open;
+  answer = http->answer;
+  body = http->answer_body;
+  http->answer_body = NULL;
+  event_del (http->timer);
+  if (answer.result != COLT_HTTP_ANSWERED)
+    close_connection_ (http);
+  start_next_ (http);
+  end_call_ (call, &answer);
+  g_free (body);
+}
--- /dev/null
+++ b/src/platform/log_client.c
@@ -0,0 +1,303 @@
+#include <assert.h>
+#include <event2/event.h>
+#include <glib.h>
+#include <sodium.h>
+
+#include "coltsfootstile/clock.h"
+#include "coltsfootstile/log.h"
+#include "coltsfootstile/log_service.h"
+
+#define MODULE "platform"
+
+struct ColtLogClient
+{
+  struct event_base *base;
+  struct ColtLogDriver *driver;
+  struct ColtLogWriter *writer;
+  struct ColtLogReader *reader;
+  struct ColtLogReaderHandler own_handler;
+  const struct ColtLogReaderHandler *handler;
+  void *client;
+  void (*progress) (void *client);
+  void *progress_client;
+  struct event *timer;
+  bool started;
+  bool closing;
+  bool append_failing; /* logged once, until an append succeeds */
+  bool read_failing;
+};
+
+static uint32_t random_ (void *client);
+static void take_record_ (void *client, const struct ColtLogItem *item);
+static void take_duplicate_ (void *client, const struct ColtLogItem *item);
+static void take_gap_ (void *client, uint64_t expected, uint64_t first);
+static void
+take_skipped_ (void *client, uint64_t offset, const struct ColtError *error);
+static void take_timer_ (evutil_socket_t fd, short what, void *client);
+static void pump_ (struct ColtLogClient *log);
+static void pump_reader_ (struct ColtLogClient *log, int64_t now_us);
+static void pump_writer_ (struct ColtLogClient *log, int64_t now_us);
+static void set_timer_ (struct ColtLogClient *log);
+static void take_append_ (void *client,
+                          enum ColtLogResult result,
+                          uint64_t offset,
+                          const struct ColtError *error);
+static void take_read_ (void *client,
+                        const struct ColtLogPage *page,
+                        const struct ColtError *error);
+static void
+report_ (bool *failing, const char *what, const struct ColtError *error);
+
+struct ColtLogClient *
+colt_log_client_create (struct event_base *base,
+                        struct ColtLogDriver *driver,
+                        uint32_t instance,
+                        uint64_t from,
+                        const struct ColtLogReaderHandler *handler,
+                        void *client)
+{
+  struct ColtLogClient *log = g_new0 (struct ColtLogClient, 1);
+
+  log->base = base;
+  log->driver = driver;
+  log->handler = handler;
+  log->client = client;
+  log->own_handler.record = take_record_;
+  log->own_handler.duplicate = take_duplicate_;
+  log->own_handler.gap = take_gap_;
+  log->own_handler.skipped = take_skipped_;
+  log->writer = colt_log_writer_create (instance, random_, NULL);
+  log->reader
+      = colt_log_reader_create (from, &log->own_handler, log, random_, NULL);
+  log->timer = event_new (base, -1, 0, take_timer_, log);
+  return log;
+}
+
+void
+colt_log_client_destroy (struct ColtLogClient *log)
+{
+  if (log == NULL)
+    return;
+  log->closing = true;
+  log->driver->destroy (log->driver);
+  colt_log_writer_abandon (log->writer);
+  colt_log_writer_destroy (log->writer);
+  colt_log_reader_destroy (log->reader);
+  event_free (log->timer);
+  g_free (log);
+}
+
+void
+colt_log_client_start (struct ColtLogClient *log)
+{
+  log->started = true;
+  event_active (log->timer, 0, 0);
+}
+
+void
+colt_log_client_set_progress (struct ColtLogClient *log,
+                              void (*progress) (void *client),
+                              void *client)
+{
+  log->progress = progress;
+  log->progress_client = client;
+}
+
+void
+colt_log_client_set_instances (struct ColtLogClient *log, uint32_t count)
+{
+  colt_log_writer_set_instances (log->writer, count);
+}
+
+enum ColtLogAddStatus
+colt_log_client_add (struct ColtLogClient *log,
+                     const struct ColtLogItem *item,
+                     int64_t deadline_us,
+                     ColtLogWriteDone done,
+                     void *client)
+{
+  enum ColtLogAddStatus status;
+
+  assert (!log->closing);
+  status = colt_log_writer_add (log->writer, item, deadline_us, done, client);
+  if (status == COLT_LOG_ADD_QUEUED && log->started)
+    event_active (log->timer, 0, 0);
+  return status;
+}
+
+int64_t
+colt_log_client_fresh_us (const struct ColtLogClient *log)
+{
+  return colt_log_reader_fresh_us (log->reader);
+}
+
+uint64_t
+colt_log_client_offset (const struct ColtLogClient *log)
+{
+  return colt_log_reader_offset (log->reader);
+}
+
+void
+colt_log_client_get_stats (const struct ColtLogClient *log,
+                           struct ColtLogWriterStats *writer,
+                           struct ColtLogReaderStats *reader)
+{
+  if (writer != NULL)
+    colt_log_writer_get_stats (log->writer, writer);
+  if (reader != NULL)
+    colt_log_reader_get_stats (log->reader, reader);
+}
+
+static uint32_t
+random_ (void *client)
+{
+  (void)client;
+  return randombytes_random ();
+}
+
+static void
+take_record_ (void *client, const struct ColtLogItem *item)
+{
+  struct ColtLogClient *log = client;
+
+  colt_log_writer_see_record (log->writer, &item->id, item->offset);
+  log->handler->record (log->client, item);
+}
+
+static void
+take_duplicate_ (void *client, const struct ColtLogItem *item)
+{
+  struct ColtLogClient *log = client;
+
+  colt_log_writer_see_record (log->writer, &item->id, item->offset);
+  if (log->handler->duplicate != NULL)
+    log->handler->duplicate (log->client, item);
+}
+
+static void
+take_gap_ (void *client, uint64_t expected, uint64_t first)
+{
+  struct ColtLogClient *log = client;
+
+  if (log->handler->gap != NULL)
+    log->handler->gap (log->client, expected, first);
+}
+
+static void
+take_skipped_ (void *client, uint64_t offset, const struct ColtError *error)
+{
+  struct ColtLogClient *log = client;
+
+  colt_log_error (COLT_LOG_ERROR, MODULE, "an append is skipped", error);
+  if (log->handler->skipped != NULL)
+    log->handler->skipped (log->client, offset, error);
+}
+
+static void
+take_timer_ (evutil_socket_t fd, short what, void *client)
+{
+  (void)fd;
+  (void)what;
+  pump_ (client);
+}
+
+static void
+pump_ (struct ColtLogClient *log)
+{
+  int64_t now_us = colt_clock_monotonic_us ();
+
+  if (log->closing || !log->started)
+    return;
+  pump_reader_ (log, now_us);
+  pump_writer_ (log, now_us);
+  set_timer_ (log);
+}
+
+static void
+pump_reader_ (struct ColtLogClient *log, int64_t now_us)
+{
+  struct ColtLogReadCall call;
+
+  if (colt_log_reader_next (log->reader, now_us, &call))
+    log->driver->read (log->driver, call.from, call.max, call.wait_ms,
+                       take_read_, log);
+}
+
+static void
+pump_writer_ (struct ColtLogClient *log, int64_t now_us)
+{
+  size_t size;
+  const uint8_t *body = colt_log_writer_process (log->writer, now_us, &size);
+
+  if (body != NULL)
+    log->driver->append (log->driver, body, size, take_append_, log);
+}
+
+static void
+set_timer_ (struct ColtLogClient *log)
+{
+  int64_t wake_us = MIN (colt_log_writer_wake_us (log->writer),
+                         colt_log_reader_wake_us (log->reader));
+  int64_t delay_us;
+  struct timeval delay;
+
+  event_del (log->timer);
+  if (wake_us == COLT_TIME_NEVER)
+    return;
+  delay_us = wake_us == INT64_MIN ? 0 : wake_us - colt_clock_monotonic_us ();
+  delay_us = MAX (delay_us, 0);
+  delay.tv_sec = delay_us / COLT_US_PER_S;
+  delay.tv_usec = delay_us % COLT_US_PER_S;
+  event_add (log->timer, &delay);
+}
+
+static void
+take_append_ (void *client,
+              enum ColtLogResult result,
+              uint64_t offset,
+              const struct ColtError *error)
+{
+  struct ColtLogClient *log = client;
+
+  if (log->closing)
+    return;
+  if (result != COLT_LOG_THROTTLED)
+    report_ (&log->append_failing, "appends to the log fail", error);
+  colt_log_writer_appended (log->writer, colt_clock_monotonic_us (), result,
+                            offset);
+  pump_ (log);
+}
+
+static void
+take_read_ (void *client,
+            const struct ColtLogPage *page,
+            const struct ColtError *error)
+{
+  struct ColtLogClient *log = client;
+  struct ColtError problem = { 0 };
+
+  if (log->closing)
+    return;
+  if (!colt_log_reader_take (log->reader, colt_clock_monotonic_us (), page,
+                             &problem))
+    error = &problem;
+  report_ (&log->read_failing, "reads of the log fail", error);
+  colt_log_writer_see_fresh (log->writer,
+                             colt_log_reader_fresh_us (log->reader));
+  if (log->progress != NULL)
+    log->progress (log->progress_client);
+  pump_ (log);
+}
+
+/* Logs when it begins and when it ends, not each time. */
+static void
+report_ (bool *failing, const char *what, const struct ColtError *error)
+{
+  if (*failing == (error != NULL))
+    return;
+  *failing = error != NULL;
+  if (error != NULL)
+    colt_log_error (COLT_LOG_WARNING, MODULE, what, error);
+  else
+    colt_log (COLT_LOG_INFO, MODULE, NULL, "%s no longer", what);
+}
--- /dev/null
+++ b/src/platform/log_http.c
@@ -0,0 +1,172 @@
+#include <event2/event.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <stdlib.h>
+
+#include "coltsfootstile/http_client.h"
+#include "coltsfootstile/json.h"
+#include "coltsfootstile/log_service.h"
+#include "log_json.h"
+
+#define APPEND_TIMEOUT_MS 3000u
+#define READ_TIMEOUT_MS 3000u
+#define ANSWER_MAX ((size_t)16 * 1024 * 1024)
+#define STATUS_OK 200
+#define STATUS_TOO_MANY 429
+#define STATUS_UNAVAILABLE 503
+
+struct ColtLogHttp
+{
+  struct ColtLogDriver driver;
+  char *address;
+  struct ColtHttpClient *append_http;
+  struct ColtHttpClient *read_http;
+  ColtLogAppendDone append_done;
+  void *append_client;
+  ColtLogReadDone read_done;
+  void *read_client;
+};
+
+static void append_ (struct ColtLogDriver *driver,
+                     const uint8_t *body,
+                     size_t size,
+                     ColtLogAppendDone done,
+                     void *client);
+static void take_append_ (void *client, const struct ColtHttpAnswer *answer);
+static void read_ (struct ColtLogDriver *driver,
+                   uint64_t from,
+                   uint32_t max,
+                   uint32_t wait_ms,
+                   ColtLogReadDone done,
+                   void *client);
+static void take_read_ (void *client, const struct ColtHttpAnswer *answer);
+static void cancel_ (struct ColtLogDriver *driver);
+static void destroy_ (struct ColtLogDriver *driver);
+static enum ColtLogResult result_of_status_ (int status);
+
+struct ColtLogDriver *
+colt_log_http_create (struct event_base *base, const char *address)
+{
+  struct ColtLogHttp *log = g_new0 (struct ColtLogHttp, 1);
+
+  log->driver.append = append_;
+  log->driver.read = read_;
+  log->driver.cancel = cancel_;
+  log->driver.destroy = destroy_;
+  log->address = g_strdup (address);
+  log->append_http = colt_http_client_create (base, address, ANSWER_MAX, 1);
+  log->read_http = colt_http_client_create (base, address, ANSWER_MAX, 1);
+  return &log->driver;
+}
+
+static void
+append_ (struct ColtLogDriver *driver,
+         const uint8_t *body,
+         size_t size,
+         ColtLogAppendDone done,
+         void *client)
+{
+  struct ColtLogHttp *log = (struct ColtLogHttp *)driver;
+  char *text = colt_log_json_encode_append (body, size);
+
+  log->append_done = done;
+  log->append_client = client;
+  colt_http_client_call (log->append_http, "/v1/records", text,
+                         APPEND_TIMEOUT_MS, take_append_, log);
+  free (text);
+}
+
+static void
+take_append_ (void *client, const struct ColtHttpAnswer *answer)
+{
+  struct ColtLogHttp *log = client;
+  struct ColtError error = answer->error;
+  const struct ColtJsonContext context = { log->address, &error };
+  enum ColtLogResult result = COLT_LOG_REFUSED;
+  uint64_t offset = 0;
+
+  if (answer->result == COLT_HTTP_UNKNOWN)
+    result = COLT_LOG_UNKNOWN;
+  if (answer->result == COLT_HTTP_ANSWERED)
+    result = result_of_status_ (answer->status);
+  if (answer->result == COLT_HTTP_ANSWERED && result != COLT_LOG_APPENDED)
+    colt_error_set (&error, COLT_ERROR_REFUSED, COLT_STEP_APPEND, log->address,
+                    "status %d", answer->status);
+  if (result == COLT_LOG_APPENDED
+      && !colt_log_json_decode_append (&context, answer->body, answer->size,
+                                       &offset))
+    result = COLT_LOG_UNKNOWN;
+  log->append_done (log->append_client, result, offset,
+                    result == COLT_LOG_APPENDED ? NULL : &error);
+}
+
+static void
+read_ (struct ColtLogDriver *driver,
+       uint64_t from,
+       uint32_t max,
+       uint32_t wait_ms,
+       ColtLogReadDone done,
+       void *client)
+{
+  struct ColtLogHttp *log = (struct ColtLogHttp *)driver;
+  char *path = g_strdup_printf ("/v1/records?from=%" PRIu64 "&max=%" PRIu32
+                                "&wait_ms=%" PRIu32,
+                                from, max, wait_ms);
+
+  log->read_done = done;
+  log->read_client = client;
+  colt_http_client_call (log->read_http, path, NULL, wait_ms + READ_TIMEOUT_MS,
+                         take_read_, log);
+  g_free (path);
+}
+
+static void
+take_read_ (void *client, const struct ColtHttpAnswer *answer)
+{
+  struct ColtLogHttp *log = client;
+  struct ColtError error = answer->error;
+  const struct ColtJsonContext context = { log->address, &error };
+  struct ColtLogJsonPage *page = NULL;
+
+  if (answer->result == COLT_HTTP_ANSWERED && answer->status == STATUS_OK)
+    page = colt_log_json_decode_page (&context, answer->body, answer->size);
+  else if (answer->result == COLT_HTTP_ANSWERED)
+    colt_error_set (&error, COLT_ERROR_REFUSED, COLT_STEP_READ, log->address,
+                    "status %d", answer->status);
+  log->read_done (log->read_client, page != NULL ? &page->page : NULL,
+                  page != NULL ? NULL : &error);
+  colt_log_json_free_page (page);
+}
+
+static void
+cancel_ (struct ColtLogDriver *driver)
+{
+  struct ColtLogHttp *log = (struct ColtLogHttp *)driver;
+
+  colt_http_client_cancel (log->append_http);
+  colt_http_client_cancel (log->read_http);
+}
+
+static void
+destroy_ (struct ColtLogDriver *driver)
+{
+  struct ColtLogHttp *log = (struct ColtLogHttp *)driver;
+
+  colt_http_client_destroy (log->append_http);
+  colt_http_client_destroy (log->read_http);
+  g_free (log->address);
+  g_free (log);
+}
+
+/* A status that may come from behind the log leaves the append unknown. */
+static enum ColtLogResult
+result_of_status_ (int status)
+{
+  if (status == STATUS_OK)
+    return COLT_LOG_APPENDED;
+  if (status == STATUS_TOO_MANY)
+    return COLT_LOG_THROTTLED;
+  if (status == STATUS_UNAVAILABLE || (status >= 400 && status < 500))
+    return COLT_LOG_REFUSED;
+  return COLT_LOG_UNKNOWN;
+}
--- /dev/null
+++ b/src/platform/log_writer.c
@@ -0,0 +1,500 @@
+#include <assert.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "backoff.h"
+#include "coltsfootstile/clock.h"
+#include "coltsfootstile/log_service.h"
+
+#define BACKOFF_FIRST_US (100 * COLT_US_PER_MS)
+#define BACKOFF_LIMIT_US (5 * COLT_US_PER_S)
+/* Appends over the rate stretch the interval up to so many times. */
+#define SLOWDOWN_MAX 16u
+/* Bytes that a record takes in a batch beside its body, at most. */
+#define RECORD_OVERHEAD 64u
+
+enum ColtLogPlace
+{
+  COLT_LOG_WAITING,
+  COLT_LOG_IN_FLIGHT,
+  COLT_LOG_UNANSWERED /* sent without an answer, until the reader caught up */
+};
+
+struct ColtLogQueued
+{
+  struct ColtLogItem item; /* owns its body */
+  enum ColtLogPlace place;
+  int64_t deadline_us;
+  int64_t unanswered_us;
+  bool maybe_written;
+  bool seen;
+  ColtLogWriteDone done;
+  void *client;
+};
+
+struct ColtLogWriter
+{
+  uint32_t instance;
+  ColtLogRandom random;
+  void *random_client;
+  uint32_t instances;
+  uint32_t slowdown;
+  uint32_t failures;
+  int64_t next_us;
+  int64_t earliest_deadline_us; /* at the latest; a bound for the search */
+  GQueue waiting;
+  GQueue in_flight;
+  GQueue unanswered;
+  GHashTable *by_id;
+  bool open;
+  size_t queued_bytes;
+  uint8_t *batch;
+  struct ColtLogWriterStats stats;
+};
+
+const char *const colt_log_result_string[]
+    = { "appended", "throttled", "refused", "unknown" };
+const char *const colt_log_write_result_string[]
+    = { "done", "not_done", "uncertain" };
+const char *const colt_log_add_status_string[]
+    = { "queued", "full", "too_large", "pending" };
+
+static struct ColtLogQueued *make_queued_ (const struct ColtLogItem *item,
+                                           int64_t deadline_us,
+                                           ColtLogWriteDone done,
+                                           void *client);
+static void free_queued_ (void *data);
+static void move_ (struct ColtLogWriter *writer,
+                   struct ColtLogQueued *queued,
+                   enum ColtLogPlace place);
+static void push_back_ (struct ColtLogWriter *writer, GQueue *from);
+static GQueue *queue_of_ (struct ColtLogWriter *writer,
+                          enum ColtLogPlace place);
+static void end_ (struct ColtLogWriter *writer,
+                  struct ColtLogQueued *queued,
+                  enum ColtLogWriteResult result,
+                  uint64_t offset);
+static void give_up_ (struct ColtLogWriter *writer,
+                      struct ColtLogQueued *queued);
+static void give_up_late_ (struct ColtLogWriter *writer, int64_t now_us);
+static void
+collect_late_ (GQueue *queue, int64_t now_us, int64_t *earliest, GQueue *late);
+static uint8_t *build_batch_ (struct ColtLogWriter *writer, size_t *size);
+static int64_t interval_us_ (const struct ColtLogWriter *writer);
+static void
+end_written_ (struct ColtLogWriter *writer, int64_t now_us, uint64_t offset);
+static void keep_unanswered_ (struct ColtLogWriter *writer, int64_t now_us);
+static void back_off_ (struct ColtLogWriter *writer, int64_t now_us);
+static void slow_down_ (struct ColtLogWriter *writer, int64_t now_us);
+
+struct ColtLogWriter *
+colt_log_writer_create (uint32_t instance, ColtLogRandom random, void *client)
+{
+  struct ColtLogWriter *writer = g_new0 (struct ColtLogWriter, 1);
+
+  writer->instance = instance;
+  writer->random = random;
+  writer->random_client = client;
+  writer->instances = 1;
+  writer->slowdown = 1;
+  writer->next_us = INT64_MIN;
+  writer->earliest_deadline_us = COLT_TIME_NEVER;
+  g_queue_init (&writer->waiting);
+  g_queue_init (&writer->in_flight);
+  g_queue_init (&writer->unanswered);
+  writer->by_id = g_hash_table_new_full (
+      colt_id_table_hash, colt_id_table_equal, NULL, free_queued_);
+  return writer;
+}
+
+void
+colt_log_writer_destroy (struct ColtLogWriter *writer)
+{
+  if (writer == NULL)
+    return;
+  g_queue_clear (&writer->waiting);
+  g_queue_clear (&writer->in_flight);
+  g_queue_clear (&writer->unanswered);
+  g_hash_table_unref (writer->by_id);
+  free (writer->batch);
+  g_free (writer);
+}
+
+void
+colt_log_writer_set_instances (struct ColtLogWriter *writer, uint32_t count)
+{
+  assert (count > 0);
+  writer->instances = count;
+}
+
+enum ColtLogAddStatus
+colt_log_writer_add (struct ColtLogWriter *writer,
+                     const struct ColtLogItem *item,
+                     int64_t deadline_us,
+                     ColtLogWriteDone done,
+                     void *client)
+{
+  struct ColtLogQueued *queued;
+
+  if (item->size > COLT_LOG_RECORD_MAX)
+    return COLT_LOG_ADD_TOO_LARGE;
+  if (g_hash_table_contains (writer->by_id, &item->id))
+    return COLT_LOG_ADD_PENDING;
+  if (g_hash_table_size (writer->by_id) >= COLT_LOG_QUEUE_RECORDS_MAX
+      || writer->queued_bytes + item->size > COLT_LOG_QUEUE_BYTES_MAX)
+    return COLT_LOG_ADD_FULL;
+  queued = make_queued_ (item, deadline_us, done, client);
+  g_hash_table_insert (writer->by_id, &queued->item.id, queued);
+  g_queue_push_tail (&writer->waiting, queued);
+  writer->queued_bytes += item->size;
+  writer->earliest_deadline_us
+      = MIN (writer->earliest_deadline_us, deadline_us);
+  return COLT_LOG_ADD_QUEUED;
+}
+
+void
+colt_log_writer_abandon (struct ColtLogWriter *writer)
+{
+  GQueue all = G_QUEUE_INIT;
+  GQueue *const queues[]
+      = { &writer->in_flight, &writer->unanswered, &writer->waiting };
+  struct ColtLogQueued *queued;
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (queues); i++)
+    while ((queued = g_queue_pop_head (queues[i])) != NULL)
+      {
+        queued->maybe_written |= queued->place != COLT_LOG_WAITING;
+        g_queue_push_tail (&all, queued);
+      }
+  writer->open = false;
+  while ((queued = g_queue_pop_head (&all)) != NULL)
+    give_up_ (writer, queued);
+}
+
+const uint8_t *
+colt_log_writer_process (struct ColtLogWriter *writer,
+                         int64_t now_us,
+                         size_t *size)
+{
+  give_up_late_ (writer, now_us);
+  if (writer->open || writer->waiting.length == 0 || now_us < writer->next_us)
+    return NULL;
+  free (writer->batch);
+  writer->batch = build_batch_ (writer, size);
+  writer->open = true;
+  writer->next_us = now_us + interval_us_ (writer);
+  return writer->batch;
+}
+
+int64_t
+colt_log_writer_wake_us (const struct ColtLogWriter *writer)
+{
+  int64_t wake = COLT_TIME_NEVER;
+
+  if (writer->waiting.length + writer->unanswered.length > 0)
+    wake = writer->earliest_deadline_us;
+  if (!writer->open && writer->waiting.length > 0)
+    wake = MIN (wake, writer->next_us);
+  return wake;
+}
+
+void
+colt_log_writer_appended (struct ColtLogWriter *writer,
+                          int64_t now_us,
+                          enum ColtLogResult result,
+                          uint64_t offset)
+{
+  assert (writer->open);
+  writer->open = false;
+  switch (result)
+    {
+    case COLT_LOG_APPENDED:
+      end_written_ (writer, now_us, offset);
+      break;
+    case COLT_LOG_THROTTLED:
+      writer->stats.throttled++;
+      push_back_ (writer, &writer->in_flight);
+      slow_down_ (writer, now_us);
+      break;
+    case COLT_LOG_REFUSED:
+      writer->stats.refused++;
+      push_back_ (writer, &writer->in_flight);
+      back_off_ (writer, now_us);
+      break;
+    case COLT_LOG_UNKNOWN:
+      writer->stats.unknown++;
+      keep_unanswered_ (writer, now_us);
+      back_off_ (writer, now_us);
+      break;
+    }
+}
+
+void
+colt_log_writer_see_record (struct ColtLogWriter *writer,
+                            const struct ColtId *id,
+                            uint64_t offset)
+{
+  struct ColtLogQueued *queued = g_hash_table_lookup (writer->by_id, id);
+
+  if (queued == NULL || queued->seen)
+    return;
+  queued->seen = true;
+  queued->item.offset = offset;
+  if (queued->place == COLT_LOG_IN_FLIGHT)
+    return;
+  g_queue_remove (queue_of_ (writer, queued->place), queued);
+  writer->stats.found++;
+  end_ (writer, queued, COLT_LOG_WRITE_DONE, offset);
+}
+
+void
+colt_log_writer_see_fresh (struct ColtLogWriter *writer, int64_t fresh_us)
+{
+  GQueue again = G_QUEUE_INIT;
+  struct ColtLogQueued *queued;
+
+  while ((queued = g_queue_peek_head (&writer->unanswered)) != NULL
+         && queued->unanswered_us <= fresh_us)
+    g_queue_push_tail (&again, g_queue_pop_head (&writer->unanswered));
+  push_back_ (writer, &again);
+}
+
+void
+colt_log_writer_get_stats (const struct ColtLogWriter *writer,
+                           struct ColtLogWriterStats *stats)
+{
+  *stats = writer->stats;
+  stats->queued = g_hash_table_size (writer->by_id);
+  stats->queued_bytes = writer->queued_bytes;
+  stats->interval_us = interval_us_ (writer);
+  stats->next_us = writer->next_us;
+  stats->in_flight = writer->open;
+  stats->uncertain = writer->unanswered.length;
+}
+
+static struct ColtLogQueued *
+make_queued_ (const struct ColtLogItem *item,
+              int64_t deadline_us,
+              ColtLogWriteDone done,
+              void *client)
+{
+  struct ColtLogQueued *queued = g_new0 (struct ColtLogQueued, 1);
+
+  queued->item = *item;
+  queued->item.body = g_memdup2 (item->body, item->size);
+  queued->deadline_us = deadline_us;
+  queued->done = done;
+  queued->client = client;
+  return queued;
+}
+
+static void
+free_queued_ (void *data)
+{
+  struct ColtLogQueued *queued = data;
+
+  g_free ((void *)queued->item.body);
+  g_free (queued);
+}
+
+static void
+move_ (struct ColtLogWriter *writer,
+       struct ColtLogQueued *queued,
+       enum ColtLogPlace place)
+{
+  queued->place = place;
+  g_queue_push_tail (queue_of_ (writer, place), queued);
+}
+
+/* Puts records back to the head of those that wait, in their order. */
+static void
+push_back_ (struct ColtLogWriter *writer, GQueue *from)
+{
+  struct ColtLogQueued *queued;
+  GQueue found = G_QUEUE_INIT;
+
+  while ((queued = g_queue_pop_tail (from)) != NULL)
+    {
+      queued->place = COLT_LOG_WAITING;
+      if (queued->seen)
+        g_queue_push_head (&found, queued);
+      else
+        g_queue_push_head (&writer->waiting, queued);
+    }
+  while ((queued = g_queue_pop_head (&found)) != NULL)
+    end_ (writer, queued, COLT_LOG_WRITE_DONE, queued->item.offset);
+}
+
+static GQueue *
+queue_of_ (struct ColtLogWriter *writer, enum ColtLogPlace place)
+{
+  if (place == COLT_LOG_WAITING)
+    return &writer->waiting;
+  return place == COLT_LOG_IN_FLIGHT ? &writer->in_flight : &writer->unanswered;
+}
+
+/* The record is in no queue any more. */
+static void
+end_ (struct ColtLogWriter *writer,
+      struct ColtLogQueued *queued,
+      enum ColtLogWriteResult result,
+      uint64_t offset)
+{
+  ColtLogWriteDone done = queued->done;
+  void *client = queued->client;
+
+  writer->queued_bytes -= queued->item.size;
+  if (result == COLT_LOG_WRITE_DONE)
+    writer->stats.records++;
+  else
+    writer->stats.given_up++;
+  g_hash_table_remove (writer->by_id, &queued->item.id);
+  if (done != NULL)
+    done (client, result, offset);
+}
+
+static void
+give_up_ (struct ColtLogWriter *writer, struct ColtLogQueued *queued)
+{
+  end_ (writer, queued,
+        queued->maybe_written ? COLT_LOG_WRITE_UNCERTAIN
+                              : COLT_LOG_WRITE_NOT_DONE,
+        0);
+}
+
+static void
+give_up_late_ (struct ColtLogWriter *writer, int64_t now_us)
+{
+  GQueue late = G_QUEUE_INIT;
+  int64_t earliest = COLT_TIME_NEVER;
+  struct ColtLogQueued *queued;
+  GList *link;
+
+  if (now_us < writer->earliest_deadline_us)
+    return;
+  collect_late_ (&writer->waiting, now_us, &earliest, &late);
+  collect_late_ (&writer->unanswered, now_us, &earliest, &late);
+  for (link = writer->in_flight.head; link != NULL; link = link->next)
+    {
+      queued = link->data;
+      earliest = MIN (earliest, queued->deadline_us);
+    }
+  writer->earliest_deadline_us = earliest;
+  while ((queued = g_queue_pop_head (&late)) != NULL)
+    give_up_ (writer, queued);
+}
+
+static void
+collect_late_ (GQueue *queue, int64_t now_us, int64_t *earliest, GQueue *late)
+{
+  GList *link = queue->head;
+
+  while (link != NULL)
+    {
+      GList *next = link->next;
+      struct ColtLogQueued *queued = link->data;
+
+      if (queued->deadline_us <= now_us)
+        {
+          g_queue_delete_link (queue, link);
+          g_queue_push_tail (late, queued);
+        }
+      else
+        *earliest = MIN (*earliest, queued->deadline_us);
+      link = next;
+    }
+}
+
+static uint8_t *
+build_batch_ (struct ColtLogWriter *writer, size_t *size)
+{
+  GArray *items = g_array_new (FALSE, FALSE, sizeof (struct ColtLogItem));
+  struct ColtLogQueued *queued;
+  size_t bytes = 0;
+  uint8_t *body;
+
+  while ((queued = g_queue_peek_head (&writer->waiting)) != NULL
+         && items->len < COLT_LOG_BATCH_RECORDS_MAX)
+    {
+      bytes += queued->item.size + RECORD_OVERHEAD;
+      if (items->len > 0 && bytes > COLT_LOG_BATCH_MAX)
+        break;
+      g_queue_pop_head (&writer->waiting);
+      move_ (writer, queued, COLT_LOG_IN_FLIGHT);
+      g_array_append_val (items, queued->item);
+    }
+  body = colt_log_batch_encode (writer->instance,
+                                (const struct ColtLogItem *)items->data,
+                                items->len, size);
+  g_array_unref (items);
+  return body;
+}
+
+static int64_t
+interval_us_ (const struct ColtLogWriter *writer)
+{
+  return COLT_US_PER_S * writer->instances / COLT_LOG_FLEET_APPENDS_PER_S
+         * writer->slowdown;
+}
+
+static void
+end_written_ (struct ColtLogWriter *writer, int64_t now_us, uint64_t offset)
+{
+  GQueue written = writer->in_flight;
+  struct ColtLogQueued *queued;
+
+  g_queue_init (&writer->in_flight);
+  writer->stats.appends++;
+  writer->failures = 0;
+  if (writer->slowdown > 1)
+    writer->slowdown--;
+  writer->next_us = MIN (writer->next_us, now_us + interval_us_ (writer));
+  while ((queued = g_queue_pop_head (&written)) != NULL)
+    end_ (writer, queued, COLT_LOG_WRITE_DONE,
+          queued->seen ? queued->item.offset : offset);
+}
+
+static void
+keep_unanswered_ (struct ColtLogWriter *writer, int64_t now_us)
+{
+  GQueue unanswered = writer->in_flight;
+  struct ColtLogQueued *queued;
+
+  g_queue_init (&writer->in_flight);
+  while ((queued = g_queue_pop_head (&unanswered)) != NULL)
+    {
+      queued->maybe_written = true;
+      queued->unanswered_us = now_us;
+      if (!queued->seen)
+        {
+          move_ (writer, queued, COLT_LOG_UNANSWERED);
+          continue;
+        }
+      writer->stats.found++;
+      end_ (writer, queued, COLT_LOG_WRITE_DONE, queued->item.offset);
+    }
+}
+
+static void
+back_off_ (struct ColtLogWriter *writer, int64_t now_us)
+{
+  int64_t delay;
+
+  writer->failures++;
+  delay = colt_backoff_us (writer->failures, BACKOFF_FIRST_US, BACKOFF_LIMIT_US,
+                           writer->random (writer->random_client));
+  writer->next_us = MAX (writer->next_us, now_us + delay);
+}
+
+static void
+slow_down_ (struct ColtLogWriter *writer, int64_t now_us)
+{
+  int64_t interval;
+
+  writer->slowdown = MIN (writer->slowdown * 2, SLOWDOWN_MAX);
+  interval = interval_us_ (writer);
+  writer->next_us = now_us + interval / 2
+                    + writer->random (writer->random_client) % interval;
+}
--- /dev/null
+++ b/src/test_platform/fake_http.c
@@ -0,0 +1,202 @@
+#include "fake_http.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <string.h>
+
+struct ColtFakeStep
+{
+  enum ColtFakeAct act;
+  int status;
+  char *body;
+};
+
+struct ColtFakeHttp
+{
+  struct event_base *base;
+  struct evconnlistener *listener;
+  GPtrArray *connections; /* of struct bufferevent */
+  GQueue script;          /* of struct ColtFakeStep */
+  GPtrArray *requests;
+  char address[32];
+};
+
+static void free_connection_ (void *connection);
+static void free_step_ (void *data);
+static void accept_ (struct evconnlistener *listener,
+                     evutil_socket_t fd,
+                     struct sockaddr *peer,
+                     int size,
+                     void *client);
+static void read_ (struct bufferevent *connection, void *client);
+static char *take_request_ (struct evbuffer *input);
+static void act_ (struct ColtFakeHttp *fake, struct bufferevent *connection);
+
+struct ColtFakeHttp *
+colt_fake_http_create (struct event_base *base)
+{
+  struct ColtFakeHttp *fake = g_new0 (struct ColtFakeHttp, 1);
+  struct sockaddr_in address = { 0 };
+  socklen_t size = sizeof address;
+
+  fake->base = base;
+  fake->connections = g_ptr_array_new_with_free_func (free_connection_);
+  fake->requests = g_ptr_array_new_with_free_func (g_free);
+  g_queue_init (&fake->script);
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  fake->listener
+      = evconnlistener_new_bind (base, accept_, fake, LEV_OPT_CLOSE_ON_FREE, 8,
+                                 (struct sockaddr *)&address, sizeof address);
+  g_assert_nonnull (fake->listener);
+  getsockname (evconnlistener_get_fd (fake->listener),
+               (struct sockaddr *)&address, &size);
+  g_snprintf (fake->address, sizeof fake->address, "127.0.0.1:%u",
+              ntohs (address.sin_port));
+  return fake;
+}
+
+void
+colt_fake_http_destroy (struct ColtFakeHttp *fake)
+{
+  evconnlistener_free (fake->listener);
+  g_ptr_array_unref (fake->connections);
+  g_ptr_array_unref (fake->requests);
+  g_queue_clear_full (&fake->script, free_step_);
+  g_free (fake);
+}
+
+const char *
+colt_fake_http_address (const struct ColtFakeHttp *fake)
+{
+  return fake->address;
+}
+
+void
+colt_fake_http_push (struct ColtFakeHttp *fake,
+                     enum ColtFakeAct act,
+                     int status,
+                     const char *body)
+{
+  struct ColtFakeStep *step = g_new0 (struct ColtFakeStep, 1);
+
+  step->act = act;
+  step->status = status;
+  step->body = g_strdup (body);
+  g_queue_push_tail (&fake->script, step);
+}
+
+const char *
+colt_fake_http_request (const struct ColtFakeHttp *fake, guint index)
+{
+  return index < fake->requests->len ? g_ptr_array_index (fake->requests, index)
+                                     : NULL;
+}
+
+guint
+colt_fake_http_connections (const struct ColtFakeHttp *fake)
+{
+  return fake->connections->len;
+}
+
+static void
+free_connection_ (void *connection)
+{
+  bufferevent_free (connection);
+}
+
+static void
+free_step_ (void *data)
+{
+  struct ColtFakeStep *step = data;
+
+  g_free (step->body);
+  g_free (step);
+}
+
+static void
+accept_ (struct evconnlistener *listener,
+         evutil_socket_t fd,
+         struct sockaddr *peer,
+         int size,
+         void *client)
+{
+  struct ColtFakeHttp *fake = client;
+  struct bufferevent *connection
+      = bufferevent_socket_new (fake->base, fd, BEV_OPT_CLOSE_ON_FREE);
+
+  (void)listener;
+  (void)peer;
+  (void)size;
+  bufferevent_setcb (connection, read_, NULL, NULL, fake);
+  bufferevent_enable (connection, EV_READ | EV_WRITE);
+  g_ptr_array_add (fake->connections, connection);
+}
+
+static void
+read_ (struct bufferevent *connection, void *client)
+{
+  struct ColtFakeHttp *fake = client;
+  char *request;
+
+  while ((request = take_request_ (bufferevent_get_input (connection))) != NULL)
+    {
+      g_ptr_array_add (fake->requests, request);
+      act_ (fake, connection);
+    }
+}
+
+static char *
+take_request_ (struct evbuffer *input)
+{
+  struct evbuffer_ptr end = evbuffer_search (input, "\r\n\r\n", 4, NULL);
+  const char *length;
+  size_t size;
+  char *text;
+
+  if (end.pos < 0)
+    return NULL;
+  size = (size_t)end.pos + 4;
+  text = g_strndup ((const char *)evbuffer_pullup (input, (ev_ssize_t)size),
+                    size);
+  length = strstr (text, "Content-Length: ");
+  if (length != NULL)
+    size += g_ascii_strtoull (length + strlen ("Content-Length: "), NULL, 10);
+  g_free (text);
+  if (evbuffer_get_length (input) < size)
+    return NULL;
+  text = g_malloc0 (size + 1);
+  evbuffer_remove (input, text, size);
+  return text;
+}
+
+static void
+act_ (struct ColtFakeHttp *fake, struct bufferevent *connection)
+{
+  struct ColtFakeStep *step = g_queue_pop_head (&fake->script);
+  struct evbuffer *output = bufferevent_get_output (connection);
+  size_t length;
+
+  if (step == NULL)
+    return;
+  length = step->body != NULL ? strlen (step->body) : 0;
+  if (step->act == COLT_FAKE_TRUNCATE)
+    length++;
+  if (step->act != COLT_FAKE_CLOSE && step->act != COLT_FAKE_SILENT)
+    {
+      evbuffer_add_printf (output, "HTTP/1.1 %d Status\r\n", step->status);
+      if (step->act != COLT_FAKE_UNBOUNDED)
+        evbuffer_add_printf (output, "Content-Length: %zu\r\n", length);
+      evbuffer_add_printf (output, "\r\n%s",
+                           step->body != NULL ? step->body : "");
+    }
+  if (step->act != COLT_FAKE_ANSWER && step->act != COLT_FAKE_SILENT)
+    {
+      bufferevent_flush (connection, EV_WRITE, BEV_FLUSH);
+      evbuffer_write (output, bufferevent_getfd (connection));
+      shutdown (bufferevent_getfd (connection), SHUT_RDWR);
+    }
+  free_step_ (step);
+}
--- /dev/null
+++ b/src/test_platform/test_http.c
@@ -0,0 +1,302 @@
+#include <event2/event.h>
+#include <glib.h>
+#include <string.h>
+
+#include "coltsfootstile/http_client.h"
+#include "coltsfootstile/log_service.h"
+#include "fake_http.h"
+#include "tests.h"
+
+struct ColtHttpSeen
+{
+  guint count;
+  enum ColtHttpResult result;
+  int status;
+  char body[64];
+  struct ColtError error;
+};
+
+struct ColtHttpFixture
+{
+  struct event_base *base;
+  struct ColtFakeHttp *fake;
+  struct ColtHttpClient *http;
+  struct ColtHttpSeen seen;
+};
+
+static void
+set_up (struct ColtHttpFixture *fixture, gconstpointer data)
+{
+  (void)data;
+  fixture->base = event_base_new ();
+  fixture->fake = colt_fake_http_create (fixture->base);
+  fixture->http = colt_http_client_create (
+      fixture->base, colt_fake_http_address (fixture->fake), 32, 1);
+}
+
+static void
+tear_down (struct ColtHttpFixture *fixture, gconstpointer data)
+{
+  (void)data;
+  colt_http_client_destroy (fixture->http);
+  colt_fake_http_destroy (fixture->fake);
+  event_base_free (fixture->base);
+}
+
+static void
+take (void *client, const struct ColtHttpAnswer *answer)
+{
+  struct ColtHttpSeen *seen = client;
+
+  seen->count++;
+  seen->result = answer->result;
+  seen->status = answer->status;
+  seen->error = answer->error;
+  if (answer->body != NULL)
+    g_strlcpy (seen->body, answer->body, sizeof seen->body);
+}
+
+static void
+call (struct ColtHttpFixture *fixture, guint timeout_ms)
+{
+  guint before = fixture->seen.count;
+
+  colt_http_client_call (fixture->http, "/x", NULL, timeout_ms, take,
+                         &fixture->seen);
+  g_assert_cmpuint (fixture->seen.count, ==, before);
+  while (fixture->seen.count == before)
+    event_base_loop (fixture->base, EVLOOP_ONCE);
+}
+
+static void
+test_answers_share_a_connection (struct ColtHttpFixture *fixture,
+                                 gconstpointer data)
+{
+  (void)data;
+  colt_fake_http_push (fixture->fake, COLT_FAKE_ANSWER, 200, "one");
+  colt_fake_http_push (fixture->fake, COLT_FAKE_ANSWER, 503, "two");
+  call (fixture, 10000);
+  g_assert_cmpstr (fixture->seen.body, ==, "one");
+  call (fixture, 10000);
+  g_assert_cmpint (fixture->seen.result, ==, COLT_HTTP_ANSWERED);
+  g_assert_cmpint (fixture->seen.status, ==, 503);
+  g_assert_cmpuint (colt_fake_http_connections (fixture->fake), ==, 1);
+}
+
+static void
+test_incomplete_answers_are_unknown (struct ColtHttpFixture *fixture,
+                                     gconstpointer data)
+{
+  static const enum ColtFakeAct acts[]
+      = { COLT_FAKE_TRUNCATE, COLT_FAKE_UNBOUNDED, COLT_FAKE_CLOSE };
+  gsize i;
+
+  (void)data;
+  for (i = 0; i < G_N_ELEMENTS (acts); i++)
+    {
+      colt_fake_http_push (fixture->fake, acts[i], 200, "part");
+      call (fixture, 10000);
+      g_assert_cmpint (fixture->seen.result, ==, COLT_HTTP_UNKNOWN);
+      g_assert_cmpint (fixture->seen.error.code, ==, COLT_ERROR_TRUNCATED);
+      g_assert_cmpstr (fixture->seen.error.peer, ==,
+                       colt_fake_http_address (fixture->fake));
+      g_assert_cmpstr (fixture->seen.body, ==, "");
+    }
+}
+
+static void
+test_large_answer_is_unknown (struct ColtHttpFixture *fixture,
+                              gconstpointer data)
+{
+  (void)data;
+  colt_fake_http_push (fixture->fake, COLT_FAKE_ANSWER, 200,
+                       "this body is longer than thirty-two bytes");
+  call (fixture, 10000);
+  g_assert_cmpint (fixture->seen.result, ==, COLT_HTTP_UNKNOWN);
+  g_assert_cmpint (fixture->seen.error.code, ==, COLT_ERROR_EXHAUSTED);
+}
+
+static void
+test_silent_connection_is_replaced (struct ColtHttpFixture *fixture,
+                                    gconstpointer data)
+{
+  (void)data;
+  colt_fake_http_push (fixture->fake, COLT_FAKE_ANSWER, 200, "one");
+  colt_fake_http_push (fixture->fake, COLT_FAKE_SILENT, 0, NULL);
+  colt_fake_http_push (fixture->fake, COLT_FAKE_ANSWER, 200, "three");
+  call (fixture, 10000);
+  call (fixture, 20);
+  g_assert_cmpint (fixture->seen.result, ==, COLT_HTTP_UNKNOWN);
+  g_assert_cmpint (fixture->seen.error.code, ==, COLT_ERROR_TIMEOUT);
+  call (fixture, 10000);
+  g_assert_cmpint (fixture->seen.result, ==, COLT_HTTP_ANSWERED);
+  g_assert_cmpstr (fixture->seen.body, ==, "three");
+  g_assert_cmpuint (colt_fake_http_connections (fixture->fake), ==, 2);
+}
+
+static void
+test_closed_port_is_not_sent (struct ColtHttpFixture *fixture,
+                              gconstpointer data)
+{
+  (void)data;
+  colt_fake_http_destroy (fixture->fake);
+  call (fixture, 10000);
+  g_assert_cmpint (fixture->seen.result, ==, COLT_HTTP_NOT_SENT);
+  g_assert_cmpint (fixture->seen.error.code, ==, COLT_ERROR_UNREACHABLE);
+  fixture->fake = colt_fake_http_create (fixture->base);
+}
+
+static void
+test_full_queue_turns_away (struct ColtHttpFixture *fixture, gconstpointer data)
+{
+  struct ColtHttpSeen others = { 0 };
+
+  (void)data;
+  colt_http_client_call (fixture->http, "/1", NULL, 10000, take, &others);
+  colt_http_client_call (fixture->http, "/2", NULL, 10000, take, &others);
+  call (fixture, 10000);
+  g_assert_cmpint (fixture->seen.result, ==, COLT_HTTP_NOT_SENT);
+  g_assert_cmpint (fixture->seen.error.code, ==, COLT_ERROR_EXHAUSTED);
+  g_assert_cmpuint (colt_http_client_pending (fixture->http), ==, 2);
+  colt_http_client_cancel (fixture->http);
+  g_assert_cmpuint (others.count, ==, 2);
+}
+
+struct ColtAppendSeen
+{
+  guint count;
+  enum ColtLogResult result;
+  guint64 offset;
+};
+
+static void
+take_append (void *client,
+             enum ColtLogResult result,
+             uint64_t offset,
+             const struct ColtError *error)
+{
+  struct ColtAppendSeen *seen = client;
+
+  seen->count++;
+  seen->result = result;
+  seen->offset = offset;
+  g_assert_true ((error == NULL) == (result == COLT_LOG_APPENDED));
+}
+
+static void
+test_append_results (struct ColtHttpFixture *fixture, gconstpointer data)
+{
+  static const struct
+  {
+    enum ColtFakeAct act;
+    int status;
+    const char *body;
+    enum ColtLogResult result;
+  } cases[] = {
+    { COLT_FAKE_ANSWER, 200, "{\"offset\":7}", COLT_LOG_APPENDED },
+    { COLT_FAKE_ANSWER, 200, "{\"offset\":\"7\"}", COLT_LOG_UNKNOWN },
+    { COLT_FAKE_TRUNCATE, 200, "{\"offset\":7}", COLT_LOG_UNKNOWN },
+    { COLT_FAKE_CLOSE, 0, NULL, COLT_LOG_UNKNOWN },
+    { COLT_FAKE_ANSWER, 429, "{}", COLT_LOG_THROTTLED },
+    { COLT_FAKE_ANSWER, 503, "{}", COLT_LOG_REFUSED },
+    { COLT_FAKE_ANSWER, 400, "{}", COLT_LOG_REFUSED },
+    { COLT_FAKE_ANSWER, 504, "{}", COLT_LOG_UNKNOWN },
+  };
+  struct ColtLogDriver *driver = colt_log_http_create (
+      fixture->base, colt_fake_http_address (fixture->fake));
+  struct ColtAppendSeen seen = { 0 };
+  guint i;
+
+  (void)data;
+  for (i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      colt_fake_http_push (fixture->fake, cases[i].act, cases[i].status,
+                           cases[i].body);
+      driver->append (driver, (const uint8_t *)"ab", 2, take_append, &seen);
+      while (seen.count == i)
+        event_base_loop (fixture->base, EVLOOP_ONCE);
+      g_assert_cmpint (seen.result, ==, cases[i].result);
+    }
+  g_assert_nonnull (strstr (colt_fake_http_request (fixture->fake, 0),
+                            "\r\n\r\n{\"body\":\"YWI=\"}"));
+  driver->destroy (driver);
+}
+
+struct ColtReadSeen
+{
+  guint count;
+  bool good;
+  guint64 head;
+  gsize records;
+};
+
+static void
+take_read (void *client,
+           const struct ColtLogPage *page,
+           const struct ColtError *error)
+{
+  struct ColtReadSeen *seen = client;
+
+  seen->count++;
+  seen->good = page != NULL;
+  if (page == NULL)
+    {
+      g_assert_cmpint (error->code, !=, COLT_ERROR_NONE);
+      return;
+    }
+  seen->head = page->head;
+  seen->records = page->count;
+}
+
+static void
+test_read_results (struct ColtHttpFixture *fixture, gconstpointer data)
+{
+  static const char *const bad[] = {
+    "{\"first\":0,\"head\":2}",
+    "{\"first\":0,\"head\":-1,\"records\":[]}",
+    "{\"first\":0,\"head\":2,\"records\":[{\"offset\":1,\"body\":\"*\"}]}",
+    "{\"first\":0,\"head\":2,\"records\":[7]}",
+    "[]",
+    "{",
+  };
+  struct ColtLogDriver *driver = colt_log_http_create (
+      fixture->base, colt_fake_http_address (fixture->fake));
+  struct ColtReadSeen seen = { 0 };
+  guint i;
+
+  (void)data;
+  colt_fake_http_push (fixture->fake, COLT_FAKE_ANSWER, 200,
+                       "{\"first\":0,\"head\":2,\"records\":[{\"offset\":1,"
+                       "\"body\":\"YWI=\"}]}");
+  for (i = 0; i < G_N_ELEMENTS (bad); i++)
+    colt_fake_http_push (fixture->fake, COLT_FAKE_ANSWER, 200, bad[i]);
+  for (i = 0; i <= G_N_ELEMENTS (bad); i++)
+    {
+      driver->read (driver, 1, 9, 0, take_read, &seen);
+      while (seen.count == i)
+        event_base_loop (fixture->base, EVLOOP_ONCE);
+      g_assert_cmpint (seen.good, ==, i == 0);
+    }
+  g_assert_cmpuint (seen.head, ==, 2);
+  g_assert_cmpuint (seen.records, ==, 1);
+  g_assert_true (g_str_has_prefix (colt_fake_http_request (fixture->fake, 0),
+                                   "GET /v1/records?from=1&max=9&wait_ms=0 "));
+  driver->destroy (driver);
+}
+
+#define ADD(path, test)                                                        \
+  g_test_add ("/platform/http/" path, struct ColtHttpFixture, NULL, set_up,    \
+              test, tear_down)
+
+void
+add_http_tests (void)
+{
+  ADD ("keep-alive", test_answers_share_a_connection);
+  ADD ("incomplete", test_incomplete_answers_are_unknown);
+  ADD ("large", test_large_answer_is_unknown);
+  ADD ("silent", test_silent_connection_is_replaced);
+  ADD ("closed-port", test_closed_port_is_not_sent);
+  ADD ("queue", test_full_queue_turns_away);
+  ADD ("append", test_append_results);
+  ADD ("read", test_read_results);
+}
--- /dev/null
+++ b/src/test_platform/tests.h
@@ -0,0 +1,14 @@
+/**
+ * \file
+ * \brief Groups of the platform's tests.
+ */
+#ifndef COLT_TEST_PLATFORM_TESTS_H
+#define COLT_TEST_PLATFORM_TESTS_H
+
+void add_http_tests (void);
+void add_writer_tests (void);
+void add_reader_tests (void);
+void add_list_tests (void);
+void add_log_client_tests (void);
+
+#endif
