Bundles: parsing, signatures, the chain of versions, keys and freshness

Operators need versions that every instance agrees on without a store of the project's own. A bundle is read from INI as a whole, its canonical text is hashed and signed, and a fold of the log's records decides which version is in force. Keys are known by hash, and a withdrawal is for good. Freshness is a pure rule over own reads and peers' words.

--- a/include/coltsfootstile/bundle.h
+++ b/include/coltsfootstile/bundle.h
@@ -34,7 +34,7 @@
 /** Most operator keys in a bundle. */
 #define COLT_BUNDLE_OPERATORS_MAX 16u
 /** Largest bundle text in bytes. */
-#define COLT_BUNDLE_TEXT_MAX (2u * 1024 * 1024)
+#define COLT_BUNDLE_TEXT_MAX (1024u * 1024)
 /** Size of an organisation's title in bytes, with the final zero. */
 #define COLT_BUNDLE_TITLE_SIZE 96
 
@@ -151,7 +151,8 @@
 /** A line of a bundle that is wrong. */
 struct ColtProblem
 {
-  int line;         /**< from 1; 0 when no single line is at fault */
+  int line;         /**< from 1, for a section that of its first key; 0 when no
+                         single line is at fault */
   char reason[224]; /**< one line of plain English */
 };
 
--- a/include/coltsfootstile/freshness.h
+++ b/include/coltsfootstile/freshness.h
@@ -42,7 +42,8 @@
                              COLT_TIME_NEVER if there was none */
   uint64_t next_offset; /**< everything before this has been read */
   bool read_failing;    /**< the last read of the log failed or timed out */
-  bool has_bundle;      /**< a bundle is in force here */
+  bool has_bundle;      /**< a bundle is in force here, and the fold waits for
+                             no snapshot */
   uint32_t zones;       /**< bit N: zone N is in the bundle */
   const struct ColtFreshnessWord *words; /**< the newest of each peer */
   size_t word_count;
--- a/include/coltsfootstile/keyring.h
+++ b/include/coltsfootstile/keyring.h
@@ -14,7 +14,7 @@
 
 /** Keys given and withdrawn by records that are kept; at this number no more
  * are given, while withdrawals are still taken. */
-#define COLT_KEYRING_RECORDS_MAX 65536u
+#define COLT_KEYRING_RECORDS_MAX 16384u
 /** Longest secret that is looked at, in bytes. */
 #define COLT_SECRET_MAX 256u
 /** Random bytes of a new secret. */
--- /dev/null
+++ b/src/bundle/freshness.c
@@ -0,0 +1,164 @@
+#include "coltsfootstile/freshness.h"
+
+#include "coltsfootstile/clock.h"
+#include "coltsfootstile/guard.h"
+
+#define BOUND_US (COLT_FRESHNESS_BOUND_MS * COLT_US_PER_MS)
+
+const char *const colt_freshness_string[]
+    = { "read",     "peer",        "no_publisher", "no_bundle",   "behind",
+        "log_slow", "zone_silent", "zone_parted",  "zone_reading" };
+
+static bool is_recent_ (const struct ColtFreshnessInput *input,
+                        int64_t time_us);
+static int64_t word_as_of_ (const struct ColtFreshnessWord *word);
+static int64_t latest_as_of_ (const struct ColtFreshnessInput *input,
+                              bool *behind);
+static enum ColtFreshness judge_zones_ (const struct ColtFreshnessInput *input);
+static enum ColtFreshness judge_zone_ (const struct ColtFreshnessInput *input,
+                                       uint32_t zone);
+static enum ColtFreshness judge_words_ (const struct ColtFreshnessInput *input);
+
+bool
+colt_freshness_is_fresh (enum ColtFreshness freshness)
+{
+  return freshness == COLT_FRESH_READ || freshness == COLT_FRESH_PEER
+         || freshness == COLT_FRESH_NO_PUBLISHER
+         || !colt_guard_on (COLT_GUARD_FRESHNESS);
+}
+
+enum ColtFreshness
+colt_freshness_decide (const struct ColtFreshnessInput *input,
+                       int64_t *as_of_us)
+{
+  bool behind = false;
+  int64_t as_of = latest_as_of_ (input, &behind);
+
+  if (as_of_us != NULL)
+    *as_of_us = as_of;
+  if (!input->has_bundle)
+    return COLT_STALE_NO_BUNDLE;
+  if (is_recent_ (input, input->read_us))
+    return COLT_FRESH_READ;
+  if (is_recent_ (input, as_of))
+    return COLT_FRESH_PEER;
+  if (behind)
+    return COLT_STALE_BEHIND;
+  if (!input->read_failing)
+    return COLT_STALE_LOG_SLOW;
+  return judge_zones_ (input);
+}
+
+uint32_t
+colt_freshness_zones_heard (const struct ColtFreshnessInput *input)
+{
+  uint32_t heard = 1u << input->self_zone;
+  size_t i;
+
+  for (i = 0; i < input->word_count; i++)
+    if (is_recent_ (input, input->words[i].asked_us))
+      heard |= 1u << input->words[i].zone;
+  return heard;
+}
+
+bool
+colt_freshness_log_unreachable (const struct ColtFreshnessInput *input)
+{
+  size_t i;
+
+  if (!input->read_failing || is_recent_ (input, input->read_us))
+    return false;
+  for (i = 0; i < input->word_count; i++)
+    if (is_recent_ (input, word_as_of_ (&input->words[i])))
+      return false;
+  return true;
+}
+
+static bool
+is_recent_ (const struct ColtFreshnessInput *input, int64_t time_us)
+{
+  return time_us != COLT_TIME_NEVER && input->now_us - time_us <= BOUND_US;
+}
+
+/* The peer answered after it was asked, so its knowledge is at least as new
+   as its age counted back from the asking. */
+static int64_t
+word_as_of_ (const struct ColtFreshnessWord *word)
+{
+  if (word->age_us == COLT_TIME_NEVER || word->age_us < 0)
+    return COLT_TIME_NEVER;
+  return word->asked_us - word->age_us;
+}
+
+static int64_t
+latest_as_of_ (const struct ColtFreshnessInput *input, bool *behind)
+{
+  int64_t latest = input->read_us;
+  size_t i;
+
+  for (i = 0; i < input->word_count; i++)
+    {
+      const struct ColtFreshnessWord *word = &input->words[i];
+      int64_t as_of = word_as_of_ (word);
+
+      if (as_of == COLT_TIME_NEVER)
+        continue;
+      if (word->next_offset > input->next_offset)
+        *behind = *behind || is_recent_ (input, as_of);
+      else if (latest == COLT_TIME_NEVER || as_of > latest)
+        latest = as_of;
+    }
+  return latest;
+}
+
+/* Fresh only if nobody can have published: every zone hears every other, and
+   none of them can reach the log. */
+static enum ColtFreshness
+judge_zones_ (const struct ColtFreshnessInput *input)
+{
+  enum ColtFreshness result = judge_words_ (input);
+  uint32_t zone;
+
+  for (zone = 1; result == COLT_FRESH_NO_PUBLISHER && zone < 32; zone++)
+    if ((input->zones >> zone & 1) != 0 && zone != input->self_zone)
+      result = judge_zone_ (input, zone);
+  return result;
+}
+
+static enum ColtFreshness
+judge_words_ (const struct ColtFreshnessInput *input)
+{
+  size_t i;
+
+  for (i = 0; i < input->word_count; i++)
+    {
+      const struct ColtFreshnessWord *word = &input->words[i];
+
+      if (!is_recent_ (input, word->asked_us))
+        continue;
+      if (!word->log_unreachable)
+        return COLT_STALE_ZONE_READING;
+      if (word->next_offset > input->next_offset)
+        return COLT_STALE_BEHIND;
+    }
+  return COLT_FRESH_NO_PUBLISHER;
+}
+
+static enum ColtFreshness
+judge_zone_ (const struct ColtFreshnessInput *input, uint32_t zone)
+{
+  bool heard = false;
+  size_t i;
+
+  for (i = 0; i < input->word_count; i++)
+    {
+      const struct ColtFreshnessWord *word = &input->words[i];
+
+      if (word->zone != zone || !is_recent_ (input, word->asked_us))
+        continue;
+      heard = true;
+      if ((word->zones_heard & input->zones) == input->zones)
+        return COLT_FRESH_NO_PUBLISHER;
+    }
+  return heard ? COLT_STALE_ZONE_PARTED : COLT_STALE_ZONE_SILENT;
+}
--- /dev/null
+++ b/src/bundle/private/chain_internal.h
@@ -0,0 +1,56 @@
+/**
+ * \file
+ * \brief State of the chain, shared by its files.
+ */
+#ifndef CHAIN_INTERNAL_H
+#define CHAIN_INTERNAL_H
+
+#include "bundle_record.h"
+#include "coltsfootstile/bundle_chain.h"
+#include "keyring_internal.h"
+
+/** A version of the past, or the one in force. */
+struct ColtChainPast
+{
+  struct ColtHash hash;
+  int64_t version;
+};
+
+struct ColtChain
+{
+  GArray *bootstrap; /* of struct ColtOperatorKey */
+  struct ColtKeyring *keyring;
+  struct ColtBundle *bundle;  /* in force, or NULL */
+  struct ColtBundleLink link; /* of the bundle in force */
+  GArray *path;               /* of struct ColtBundleLink */
+  GArray *history;            /* of struct ColtChainPast, oldest first */
+  struct ColtLogPosition bundle_position;
+  uint64_t next_offset;
+  struct ColtLogPosition last; /* last record taken */
+  bool has_last;
+  uint64_t first_offset; /* oldest one that the log keeps */
+  bool needs_snapshot;
+  uint64_t snapshot_offset;
+  GBytes *extra; /* of the last snapshot taken up, or NULL */
+  uint64_t generation;
+};
+
+/** Empties a state; what came from the settings stays. */
+void colt_chain_clear_state (struct ColtChain *chain);
+
+/** Takes a COLT_RECORD_SNAPSHOT from the log or a peer. */
+void colt_chain_adopt (struct ColtChain *chain,
+                       const uint8_t *body,
+                       size_t size,
+                       struct ColtChainVerdict *verdict);
+
+/** Returns whether two sets of operators are the same. */
+bool colt_operators_equal (const GArray *a, const GArray *b);
+
+/** Frees the links of a path. */
+void colt_path_unref (GArray *path);
+
+/** Creates an empty path. */
+GArray *colt_path_create (void);
+
+#endif
--- /dev/null
+++ b/src/test_bundle/test_parse.c
@@ -0,0 +1,272 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "test_bundle.h"
+
+/* A piece of the good text, what takes its place, and the problem expected. */
+struct ColtBadCase
+{
+  const char *good;
+  const char *bad;
+  int line;
+  const char *reason;
+};
+
+static const struct ColtBadCase bad_cases[] = {
+  { "version = 1\n", "version = one\n", 2,
+    "[bundle] version: \"one\" is no whole number" },
+  { "version = 1\n", "version = 0\n", 2,
+    "[bundle] version: 0 is not in 1 to 1000000000" },
+  { "version = 1\n", "version = 2\n", 2,
+    "[bundle] parent: only version 1 has none" },
+  { "version = 1\n", "", 2, "[bundle] version: is required" },
+  { "parent = none\n", "parent = 00ff\n", 3,
+    "[bundle] parent: is not 64 hexadecimal digits 0-9a-f" },
+  { "operator = ", "operator = x", 4,
+    "[bundle] operator: is not 64 hexadecimal digits 0-9a-f" },
+  { "title = Hire & Co\n", "title =\n", 6,
+    "[organisation hire] title: is empty" },
+  { "title = Hire & Co\n", "title = H\xc3\xa9\n", 6,
+    "[organisation hire] title: has other than printable ASCII characters, "
+    "or a \";\"" },
+  { "[team quotes]\norganisation = hire\n",
+    "[team quotes]\norganisation = lost\n", 8,
+    "[team quotes] organisation: there is no [organisation lost]" },
+  { "[team quotes]\n", "[team Quotes]\n", 8,
+    "[team Quotes]: \"Quotes\" is no name: 1 to 47 of a-z, 0-9 and \"-\" are" },
+  { "[team quotes]\n",
+    "[team "
+    "quotes-quotes-quotes-quotes-quotes-quotes-abcd"
+    "]\n",
+    8,
+    "[team quotes-quotes-quotes-quotes-quotes-quotes-ab]: the section's name "
+    "is longer than 48" },
+  { "[team quotes]\n", "[crew quotes]\n", 8,
+    "[crew quotes]: is no section of a bundle" },
+  { "weight = 3\n", "weight = -3\n", 9,
+    "[team quotes] weight: -3 is not in 1 to 1000000" },
+  { "weight = 3\n", "weight = 3\nweight = 4\n", 10,
+    "[team quotes] weight: stands twice" },
+  { "weight = 3\n", "weigth = 3\n", 9, "[team quotes] has no key \"weigth\"" },
+  { "weight = 3\n", "weight\n", 9,
+    "line 9 is neither a [section], a key = value nor a comment" },
+  { "limit_cores_milli = 64000\n", "limit_cores_milli = much\n", 15,
+    "[team renders] limit_cores_milli: \"much\" is no whole number" },
+  { "team = quotes\nhash", "team = nobody\nhash", 19,
+    "[key quotes-web] team: there is no [team nobody]" },
+  { "hash = 1111", "hash = 111g", 20,
+    "[key quotes-web] hash: is not 64 hexadecimal digits 0-9a-f" },
+  { "open = no\n", "open = maybe\n", 23,
+    "[queue quotes] open: \"maybe\" is neither yes nor no" },
+  { "max_waiting = 50\n", "max_waiting = 50000000\n", 24,
+    "[queue quotes] max_waiting: 50000000 is not in 0 to 1000000" },
+  { "policy = fastest\n", "policy = best\n", 30,
+    "[work interactive] policy: \"best\" is none of pack, spread, balance and "
+    "fastest" },
+  { "[work gang]\n", "[work game]\n", 44,
+    "[work game]: \"game\" is no kind of work" },
+  { "[work gang]\n", "[work service]\n", 44,
+    "[work service]: the section stands twice" },
+  { "[zone 2]\n", "[zone 16]\n", 48,
+    "[zone 16]: zones are numbered from 1 to 15" },
+  { "[zone 2]\n", "[zone 02]\n", 48,
+    "[zone 02]: zones are numbered from 1 to 15" },
+  { "[zone 1]\n", "[zone 2]\n", 50, "[zone 2] region: stands twice" },
+  { "[queue public]\n", "[queue quotes]\n", 26,
+    "[queue quotes] team: stands twice" },
+};
+
+static char *
+good_text (void)
+{
+  struct ColtOperatorPair operators[] = { test_operator (1) };
+
+  return test_text (1, NULL, operators, 1, test_body);
+}
+
+static char *
+replace_first (const char *text, const char *old, const char *new)
+{
+  const char *at = strstr (text, old);
+
+  g_assert_nonnull (at);
+  return g_strdup_printf ("%.*s%s%s", (int)(at - text), text, new,
+                          at + strlen (old));
+}
+
+static bool
+has_problem (const struct ColtProblems *problems, int line, const char *reason)
+{
+  size_t i;
+
+  for (i = 0; i < colt_problems_count (problems); i++)
+    {
+      const struct ColtProblem *problem = colt_problems_get (problems, i);
+
+      if (problem->line == line && strcmp (problem->reason, reason) == 0)
+        return true;
+    }
+  for (i = 0; i < colt_problems_count (problems); i++)
+    g_test_message ("%d: %s", colt_problems_get (problems, i)->line,
+                    colt_problems_get (problems, i)->reason);
+  return false;
+}
+
+static void
+test_reads_values (void)
+{
+  char *text = good_text ();
+  struct ColtBundle *bundle = colt_bundle_parse (text, NULL, NULL);
+  const struct ColtBundleTeam *team;
+  const struct ColtBundleQueue *queue;
+
+  g_assert_nonnull (bundle);
+  g_assert_cmpint (colt_bundle_version (bundle), ==, 1);
+  g_assert_cmpuint (colt_bundle_team_count (bundle), ==, 2);
+  team = colt_bundle_team (bundle, colt_bundle_find_team (bundle, "renders"));
+  g_assert_cmpint (team->limit_cores_milli, ==, 64000);
+  g_assert_cmpint (team->retries_per_minute, ==, 5);
+  team = colt_bundle_team (bundle, colt_bundle_find_team (bundle, "quotes"));
+  g_assert_cmpint (team->limit_accelerators, ==, COLT_BUNDLE_NO_LIMIT);
+  g_assert_cmpint (team->retries_per_minute, ==, 60);
+  queue = colt_bundle_queue (bundle, colt_bundle_find_queue (bundle, "public"));
+  g_assert_true (queue->open);
+  g_assert_cmpstr (colt_bundle_team (bundle, queue->team.index)->name, ==,
+                   "renders");
+  g_assert_cmpuint (colt_bundle_find_team (bundle, "none"), ==,
+                    COLT_BUNDLE_NO_INDEX);
+  g_assert_cmpint (colt_bundle_work (bundle, COLT_WORK_SERVICE)->policy, ==,
+                   COLT_POLICY_SPREAD);
+  g_assert_true (colt_bundle_work (bundle, COLT_WORK_SERVICE)->checkpoint);
+  g_assert_cmpuint (colt_bundle_zone (bundle, 0)->number, ==, 1);
+  g_assert_cmpuint (colt_bundle_zone (bundle, 1)->number, ==, 2);
+  colt_bundle_destroy (bundle);
+  g_free (text);
+}
+
+static void
+test_bad_lines (void)
+{
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (bad_cases); i++)
+    {
+      const struct ColtBadCase *bad = &bad_cases[i];
+      struct ColtProblems *problems = colt_problems_create ();
+      char *good = good_text ();
+      char *text = replace_first (good, bad->good, bad->bad);
+      struct ColtError error;
+
+      g_assert_null (colt_bundle_parse (text, problems, &error));
+      g_assert_cmpint (error.code, ==, COLT_ERROR_INVALID);
+      g_assert_true (has_problem (problems, bad->line, bad->reason));
+      colt_problems_destroy (problems);
+      g_free (text);
+      g_free (good);
+    }
+}
+
+static void
+test_all_problems_at_once (void)
+{
+  struct ColtProblems *problems = colt_problems_create ();
+
+  g_assert_null (colt_bundle_parse ("a = 1\n[bundle]\nversion = x\n"
+                                    "[team t]\nweight = 0\n",
+                                    problems, NULL));
+  g_assert_true (
+      has_problem (problems, 1, "[]: stands before the first section"));
+  g_assert_true (
+      has_problem (problems, 3, "[bundle] version: \"x\" is no whole number"));
+  g_assert_true (has_problem (problems, 3, "[bundle] operator: is required"));
+  g_assert_true (
+      has_problem (problems, 5, "[team t] weight: 0 is not in 1 to 1000000"));
+  g_assert_true (
+      has_problem (problems, 5, "[team t] limit_tasks: is required"));
+  g_assert_true (has_problem (problems, 0, "there is no [work gang] section"));
+  g_assert_true (has_problem (problems, 0, "there is no [zone N] section"));
+  colt_problems_destroy (problems);
+}
+
+static void
+test_order_does_not_change_hash (void)
+{
+  char *text = good_text ();
+  char *shuffled = replace_first (text,
+                                  "[organisation hire]\ntitle = Hire & "
+                                  "Co\n",
+                                  "");
+  char *other = g_strconcat ("; a comment\n[organisation hire]\n"
+                             "title=Hire & Co\n\n",
+                             shuffled, NULL);
+  struct ColtBundle *a = colt_bundle_parse (text, NULL, NULL);
+  struct ColtBundle *b = colt_bundle_parse (other, NULL, NULL);
+  struct ColtBundle *c = colt_bundle_parse (colt_bundle_text (a), NULL, NULL);
+
+  g_assert_cmpstr (colt_bundle_text (a), ==, colt_bundle_text (b));
+  g_assert_true (colt_hash_equal (colt_bundle_hash (a), colt_bundle_hash (b)));
+  g_assert_cmpstr (colt_bundle_text (a), ==, colt_bundle_text (c));
+  colt_bundle_destroy (a);
+  colt_bundle_destroy (b);
+  colt_bundle_destroy (c);
+  g_free (other);
+  g_free (shuffled);
+  g_free (text);
+}
+
+static void
+test_signed_text_round_trip (void)
+{
+  struct ColtOperatorPair pair = test_operator (1);
+  char *text = good_text ();
+  struct ColtBundle *bundle = colt_bundle_parse (text, NULL, NULL);
+  struct ColtBundle *back;
+  struct ColtSignature signature;
+  char *signed_text;
+
+  g_assert_null (colt_bundle_signature (bundle));
+  colt_bundle_sign (bundle, &pair, &signature);
+  signed_text = colt_bundle_signed_text (bundle, &signature);
+  back = colt_bundle_parse (signed_text, NULL, NULL);
+  g_assert_true (
+      colt_sign_verify (colt_bundle_signature (back), COLT_SIGN_BUNDLE,
+                        colt_bundle_hash (back)->bytes, COLT_HASH_SIZE));
+  g_assert_false (
+      colt_sign_verify (colt_bundle_signature (back), COLT_SIGN_KEY_WITHDRAW,
+                        colt_bundle_hash (back)->bytes, COLT_HASH_SIZE));
+  g_assert_cmpstr (colt_bundle_text (back), ==, colt_bundle_text (bundle));
+  colt_bundle_destroy (back);
+  colt_bundle_destroy (bundle);
+  free (signed_text);
+  g_free (text);
+}
+
+static void
+test_two_keys_with_one_hash (void)
+{
+  struct ColtProblems *problems = colt_problems_create ();
+  char *good = good_text ();
+  char *text = g_strconcat (good,
+                            "[key z]\nteam = quotes\nhash = "
+                            "11111111111111111111111111111111"
+                            "11111111111111111111111111111111\n",
+                            NULL);
+
+  g_assert_null (colt_bundle_parse (text, problems, NULL));
+  g_assert_true (has_problem (problems, 52,
+                              "[key z] hash: is that of [key quotes-web] too"));
+  colt_problems_destroy (problems);
+  g_free (text);
+  g_free (good);
+}
+
+void
+test_add_parse (void)
+{
+  g_test_add_func ("/bundle/parse/values", test_reads_values);
+  g_test_add_func ("/bundle/parse/bad_lines", test_bad_lines);
+  g_test_add_func ("/bundle/parse/all_problems", test_all_problems_at_once);
+  g_test_add_func ("/bundle/parse/order", test_order_does_not_change_hash);
+  g_test_add_func ("/bundle/parse/signed_text", test_signed_text_round_trip);
+  g_test_add_func ("/bundle/parse/one_hash", test_two_keys_with_one_hash);
+}
