--- a/include/coltsfootstile/backend.h
+++ b/include/coltsfootstile/backend.h
@@ -75,8 +75,9 @@
 struct ColtBackendLease
 {
   uint64_t epoch;
-  char token[COLT_BACKEND_TOKEN_SIZE]; /**< "" after a release */
+  char token[COLT_BACKEND_TOKEN_SIZE];
   int64_t lease_ms;
+  bool leaving; /**< the server gets no new work */
 };
 
 /** Highest epoch of a shard that was seen in a start. */
@@ -94,6 +95,7 @@
   size_t task_count;
   const struct ColtBackendShardEpoch *epochs;
   size_t epoch_count;
+  uint64_t next; /**< of events that follow; 0 if the server doesn't say */
 };
 
 /** A stop of one task. */
@@ -135,7 +137,7 @@
 /** Names of enum ColtBackendStartStatus, indexed by it. */
 extern const char *const colt_backend_start_status_string[];
 
-/** The result of one start. */
+/** The result of one start, in the order of the starts. */
 struct ColtBackendStartResult
 {
   struct ColtTaskRef ref;
@@ -178,6 +180,7 @@
   uint64_t next; /**< pass as \a after of the next call */
   const struct ColtBackendEvent *events;
   size_t count;
+  bool leaving; /**< the server gets no new work */
 };
 
 /* Each takes the end of a call. The answer is NULL unless the result is
@@ -216,7 +219,8 @@
  * One way to speak with one backend server. A call ends exactly once, and
  * never before the function returns, except that cancel and destroy end what
  * is open. Commands go out one after another; one that finds the queue full
- * ends as COLT_BACKEND_NOT_SENT.
+ * ends as COLT_BACKEND_NOT_SENT. Nothing may be called
+ * from within a call that destroy ends.
  */
 struct ColtBackendDriver
 {
