--- /dev/null
+++ b/standin/relay_link.c
@@ -0,0 +1,271 @@
+#include "relay_link.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <glib.h>
+
+#include "coltsfootstile/clock.h"
+
+/* Bytes on the way in one direction above which no more are read. */
+#define PRESSURE_BYTES (1024 * 1024)
+/* Bytes read at a time. */
+#define READ_BYTES (256 * 1024)
+
+enum
+{
+  CALLER,
+  TARGET,
+  END_COUNT
+};
+
+struct ColtRelayChunk
+{
+  int64_t due_us;
+  struct evbuffer *bytes;
+};
+
+/* One direction, named by the end that it reads from. */
+struct ColtRelayPipe
+{
+  struct ColtRelayLink *link;
+  struct bufferevent *from;
+  struct bufferevent *to;
+  GQueue chunks; /* of struct ColtRelayChunk, by due time */
+  size_t queued_bytes;
+  struct event *timer;
+  bool ended; /* the end it reads from has closed */
+};
+
+struct ColtRelayLink
+{
+  const struct ColtRelayPath *path;
+  struct bufferevent *ends[END_COUNT];
+  struct ColtRelayPipe pipes[END_COUNT];
+  bool connecting; /* or connected */
+  bool silent;
+};
+
+static void open_pipe_ (struct ColtRelayLink *link, int from, int to);
+static void close_pipe_ (struct ColtRelayPipe *pipe);
+static bool stalled_ (const struct ColtRelayLink *link);
+static void connect_ (struct ColtRelayLink *link);
+static void take_bytes_ (struct bufferevent *end, void *data);
+static void take_drained_ (struct bufferevent *end, void *data);
+static void take_event_ (struct bufferevent *end, short what, void *data);
+static void pass_chunks_ (struct ColtRelayPipe *pipe);
+static void pass_later_ (evutil_socket_t fd, short what, void *data);
+static void update_reading_ (struct ColtRelayPipe *pipe);
+static bool finish_ (struct ColtRelayPipe *pipe);
+static void free_chunk_ (gpointer data);
+
+struct ColtRelayLink *
+colt_relay_link_create (const struct ColtRelayPath *path, evutil_socket_t fd)
+{
+  struct ColtRelayLink *link = g_new0 (struct ColtRelayLink, 1);
+
+  link->path = path;
+  link->ends[CALLER]
+      = bufferevent_socket_new (path->base, fd, BEV_OPT_CLOSE_ON_FREE);
+  link->ends[TARGET]
+      = bufferevent_socket_new (path->base, -1, BEV_OPT_CLOSE_ON_FREE);
+  open_pipe_ (link, CALLER, TARGET);
+  open_pipe_ (link, TARGET, CALLER);
+  colt_relay_link_update (link);
+  return link;
+}
+
+void
+colt_relay_link_destroy (struct ColtRelayLink *link)
+{
+  if (link == NULL)
+    return;
+  close_pipe_ (&link->pipes[CALLER]);
+  close_pipe_ (&link->pipes[TARGET]);
+  bufferevent_free (link->ends[CALLER]);
+  bufferevent_free (link->ends[TARGET]);
+  g_free (link);
+}
+
+void
+colt_relay_link_update (struct ColtRelayLink *link)
+{
+  int i;
+
+  if (stalled_ (link))
+    {
+      for (i = 0; i < END_COUNT; i++)
+        {
+          bufferevent_disable (link->ends[i], EV_READ | EV_WRITE);
+          evtimer_del (link->pipes[i].timer);
+        }
+      return;
+    }
+  for (i = 0; i < END_COUNT; i++)
+    bufferevent_enable (link->ends[i], EV_READ | EV_WRITE);
+  if (!link->connecting)
+    connect_ (link);
+  for (i = 0; i < END_COUNT; i++)
+    pass_chunks_ (&link->pipes[i]);
+}
+
+void
+colt_relay_link_silence (struct ColtRelayLink *link)
+{
+  link->silent = true;
+  colt_relay_link_update (link);
+}
+
+static void
+open_pipe_ (struct ColtRelayLink *link, int from, int to)
+{
+  struct ColtRelayPipe *pipe = &link->pipes[from];
+
+  pipe->link = link;
+  pipe->from = link->ends[from];
+  pipe->to = link->ends[to];
+  g_queue_init (&pipe->chunks);
+  pipe->timer = evtimer_new (link->path->base, pass_later_, pipe);
+  bufferevent_setcb (pipe->from, take_bytes_, take_drained_, take_event_, pipe);
+  bufferevent_setwatermark (pipe->from, EV_READ, 0, READ_BYTES);
+}
+
+static void
+close_pipe_ (struct ColtRelayPipe *pipe)
+{
+  event_free (pipe->timer);
+  g_queue_clear_full (&pipe->chunks, free_chunk_);
+}
+
+static bool
+stalled_ (const struct ColtRelayLink *link)
+{
+  return link->silent || link->path->cut;
+}
+
+/* A refusal shows as an event of the end. */
+static void
+connect_ (struct ColtRelayLink *link)
+{
+  link->connecting = true;
+  bufferevent_socket_connect (link->ends[TARGET],
+                              (const struct sockaddr *)&link->path->target,
+                              (int)link->path->target_size);
+}
+
+static void
+take_bytes_ (struct bufferevent *end, void *data)
+{
+  struct ColtRelayPipe *pipe = data;
+  struct ColtRelayChunk *chunk;
+
+  if (stalled_ (pipe->link))
+    return;
+  chunk = g_new0 (struct ColtRelayChunk, 1);
+  chunk->due_us = colt_clock_monotonic_us () + pipe->link->path->delay_us;
+  chunk->bytes = evbuffer_new ();
+  bufferevent_read_buffer (end, chunk->bytes);
+  pipe->queued_bytes += evbuffer_get_length (chunk->bytes);
+  g_queue_push_tail (&pipe->chunks, chunk);
+  pass_chunks_ (pipe);
+}
+
+/* All that was written to this end has left, so that the other end may go on
+ * or be closed. */
+static void
+take_drained_ (struct bufferevent *end, void *data)
+{
+  struct ColtRelayPipe *pipe = data;
+  struct ColtRelayLink *link = pipe->link;
+  struct ColtRelayPipe *other
+      = &link->pipes[pipe == &link->pipes[CALLER] ? TARGET : CALLER];
+
+  (void)end;
+  if (!finish_ (other))
+    update_reading_ (other);
+}
+
+static void
+take_event_ (struct bufferevent *end, short what, void *data)
+{
+  struct ColtRelayPipe *pipe = data;
+
+  (void)end;
+  if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0)
+    return;
+  pipe->ended = true;
+  finish_ (pipe);
+}
+
+static void
+pass_chunks_ (struct ColtRelayPipe *pipe)
+{
+  const struct ColtRelayChunk *chunk = g_queue_peek_head (&pipe->chunks);
+  int64_t now_us = colt_clock_monotonic_us ();
+  struct timeval delay;
+
+  while (chunk != NULL && chunk->due_us <= now_us)
+    {
+      pipe->queued_bytes -= evbuffer_get_length (chunk->bytes);
+      bufferevent_write_buffer (pipe->to, chunk->bytes);
+      free_chunk_ (g_queue_pop_head (&pipe->chunks));
+      chunk = g_queue_peek_head (&pipe->chunks);
+    }
+  if (chunk != NULL)
+    {
+      delay.tv_sec = (chunk->due_us - now_us) / COLT_US_PER_S;
+      delay.tv_usec = (chunk->due_us - now_us) % COLT_US_PER_S;
+      evtimer_add (pipe->timer, &delay);
+    }
+  update_reading_ (pipe);
+}
+
+static void
+pass_later_ (evutil_socket_t fd, short what, void *data)
+{
+  struct ColtRelayPipe *pipe = data;
+
+  (void)fd;
+  (void)what;
+  pass_chunks_ (pipe);
+  finish_ (pipe);
+}
+
+static void
+update_reading_ (struct ColtRelayPipe *pipe)
+{
+  struct evbuffer *output = bufferevent_get_output (pipe->to);
+  size_t bytes = pipe->queued_bytes + evbuffer_get_length (output);
+
+  if (stalled_ (pipe->link) || pipe->ended)
+    return;
+  if (bytes > PRESSURE_BYTES)
+    bufferevent_disable (pipe->from, EV_READ);
+  else
+    bufferevent_enable (pipe->from, EV_READ);
+}
+
+/* Closes the link once all bytes of an end that closed have been passed on.
+ * Returns whether the link is gone. */
+static bool
+finish_ (struct ColtRelayPipe *pipe)
+{
+  struct ColtRelayLink *link = pipe->link;
+  struct evbuffer *output = bufferevent_get_output (pipe->to);
+
+  if (!pipe->ended || !g_queue_is_empty (&pipe->chunks))
+    return false;
+  if (evbuffer_get_length (output) > 0)
+    return false;
+  link->path->closed (link->path->client, link);
+  colt_relay_link_destroy (link);
+  return true;
+}
+
+static void
+free_chunk_ (gpointer data)
+{
+  struct ColtRelayChunk *chunk = data;
+
+  evbuffer_free (chunk->bytes);
+  g_free (chunk);
+}
--- /dev/null
+++ b/standin/standin_relay.c
@@ -0,0 +1,403 @@
+#include <errno.h>
+#include <event2/listener.h>
+#include <glib.h>
+#include <string.h>
+
+#include "app.h"
+#include "coltsfootstile/clock.h"
+#include "http.h"
+#include "recorder.h"
+#include "relay_link.h"
+
+#define BACKLOG 128
+#define NAME_SIZE 32
+#define ANY_NAME "*"
+
+enum
+{
+  STATUS_OK = 200,
+  STATUS_INVALID = 400,
+  STATUS_NOT_FOUND = 404
+};
+
+struct ColtRelayOptions
+{
+  const char *control;
+  const char *file;
+  const char *record;
+  int64_t max_seconds;
+};
+
+struct ColtRelayRoute
+{
+  char from[NAME_SIZE];
+  char to[NAME_SIZE];
+  struct ColtRelayPath path;
+  struct evconnlistener *listener;
+  GHashTable *links; /* set of struct ColtRelayLink */
+};
+
+struct ColtRelayService
+{
+  struct event_base *base;
+  struct ColtStandinHttp *control;
+  struct ColtStandinRecorder *recorder;
+  GPtrArray *routes; /* of struct ColtRelayRoute */
+};
+
+/* Changes a route as a control request says. */
+typedef void (*ColtRelayChange) (struct ColtRelayRoute *route,
+                                 const json_t *body);
+
+struct ColtRelayCommand
+{
+  const char *key; /* whose value is the pair of names */
+  ColtRelayChange change;
+};
+
+static int run_ (const struct ColtRelayOptions *options);
+static bool open_ (struct ColtRelayService *service,
+                   const struct ColtRelayOptions *options,
+                   struct ColtError *error);
+static void close_ (struct ColtRelayService *service);
+static bool add_routes_ (struct ColtRelayService *service,
+                         const json_t *items,
+                         const char *file,
+                         struct ColtError *error);
+static bool open_route_ (struct ColtRelayService *service,
+                         const json_t *item,
+                         struct ColtError *error);
+static void destroy_route_ (gpointer data);
+static void accept_ (struct evconnlistener *listener,
+                     evutil_socket_t fd,
+                     struct sockaddr *address,
+                     int size,
+                     void *data);
+static void forget_link_ (void *client, struct ColtRelayLink *link);
+static void refuse_ (void *client, struct ColtStandinCall *call);
+static void take_control_ (void *client, struct ColtStandinCall *call);
+static bool apply_ (struct ColtRelayService *service,
+                    const struct ColtRelayCommand *command,
+                    const json_t *body);
+static void cut_ (struct ColtRelayRoute *route, const json_t *body);
+static void heal_ (struct ColtRelayRoute *route, const json_t *body);
+static void silence_ (struct ColtRelayRoute *route, const json_t *body);
+static void delay_ (struct ColtRelayRoute *route, const json_t *body);
+static void update_links_ (struct ColtRelayRoute *route);
+static bool copy_name_ (char name[NAME_SIZE], const json_t *value);
+static bool matches_ (const char *pattern, const char *name);
+static bool parse_address_ (const char *text,
+                            struct sockaddr_storage *address,
+                            socklen_t *size);
+
+static const struct ColtRelayCommand commands[] = {
+  { "cut", cut_ },
+  { "heal", heal_ },
+  { "silence", silence_ },
+  { "pair", delay_ },
+};
+
+int
+main (int argc, char **argv)
+{
+  struct ColtRelayOptions options = { NULL, NULL, NULL, 600 };
+  const struct ColtStandinOption table[] = {
+    { "file", "FILE", "the routes, in JSON", true, &options.file, NULL },
+    { "control", "IP:PORT", "address at which cuts are switched", true,
+      &options.control, NULL },
+    { "record", "FILE", "where to write records as JSON lines", false,
+      &options.record, NULL },
+    { "max-seconds", "N", "seconds after which to exit (600)", false, NULL,
+      &options.max_seconds },
+  };
+
+  switch (colt_standin_parse (argc, argv, table, G_N_ELEMENTS (table)))
+    {
+    case COLT_STANDIN_DONE:
+      return 0;
+    case COLT_STANDIN_BAD:
+      return 2;
+    case COLT_STANDIN_GO:
+      break;
+    }
+  return run_ (&options);
+}
+
+static int
+run_ (const struct ColtRelayOptions *options)
+{
+  struct ColtRelayService service = { 0 };
+  struct ColtError error = { 0 };
+  int status = 0;
+
+  service.base = event_base_new ();
+  if (open_ (&service, options, &error))
+    colt_standin_run (service.base, options->max_seconds);
+  else
+    status = colt_standin_fail (&error);
+  close_ (&service);
+  event_base_free (service.base);
+  return status;
+}
+
+static bool
+open_ (struct ColtRelayService *service,
+       const struct ColtRelayOptions *options,
+       struct ColtError *error)
+{
+  json_t *items;
+  bool done;
+
+  service->routes = g_ptr_array_new_with_free_func (destroy_route_);
+  service->control = colt_standin_http_create (service->base, refuse_, service);
+  colt_standin_http_set_control (service->control, take_control_, service);
+  service->recorder
+      = colt_standin_recorder_create (service->base, options->record, error);
+  if (service->recorder == NULL)
+    return false;
+  if (!colt_standin_http_listen (service->control, options->control, error))
+    return false;
+  items = colt_standin_load (options->file, error);
+  if (items == NULL)
+    return false;
+  done = add_routes_ (service, items, options->file, error);
+  json_decref (items);
+  return done;
+}
+
+static void
+close_ (struct ColtRelayService *service)
+{
+  g_ptr_array_unref (service->routes);
+  colt_standin_http_destroy (service->control);
+  colt_standin_recorder_destroy (service->recorder);
+}
+
+static bool
+add_routes_ (struct ColtRelayService *service,
+             const json_t *items,
+             const char *file,
+             struct ColtError *error)
+{
+  json_t *item;
+  size_t i;
+
+  if (!json_is_array (items))
+    return colt_error_set (error, COLT_ERROR_INVALID, COLT_STEP_SETTINGS, file,
+                           "no array of routes");
+  json_array_foreach (
+      items, i, item) if (!open_route_ (service, item, error)) return false;
+  return true;
+}
+
+static bool
+open_route_ (struct ColtRelayService *service,
+             const json_t *item,
+             struct ColtError *error)
+{
+  const char *listen = json_string_value (json_object_get (item, "listen"));
+  const char *target = json_string_value (json_object_get (item, "target"));
+  struct ColtRelayRoute *route = g_new0 (struct ColtRelayRoute, 1);
+  struct sockaddr_storage address;
+  socklen_t size;
+
+  g_ptr_array_add (service->routes, route);
+  route->links = g_hash_table_new (NULL, NULL);
+  route->path.base = service->base;
+  route->path.closed = forget_link_;
+  route->path.client = route;
+  if (!parse_address_ (listen, &address, &size)
+      || !parse_address_ (target, &route->path.target, &route->path.target_size)
+      || !copy_name_ (route->from, json_object_get (item, "from"))
+      || !copy_name_ (route->to, json_object_get (item, "to")))
+    return colt_error_set (error, COLT_ERROR_INVALID, COLT_STEP_SETTINGS,
+                           listen, "a route has listen, target, from and to");
+  route->listener = evconnlistener_new_bind (
+      service->base, accept_, route,
+      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+      BACKLOG, (const struct sockaddr *)&address, (int)size);
+  if (route->listener == NULL)
+    return colt_error_set (error, COLT_ERROR_SYSTEM, COLT_STEP_LISTEN, listen,
+                           "%s", strerror (errno));
+  return true;
+}
+
+static void
+destroy_route_ (gpointer data)
+{
+  struct ColtRelayRoute *route = data;
+  GHashTableIter iter;
+  gpointer link;
+
+  g_hash_table_iter_init (&iter, route->links);
+  while (g_hash_table_iter_next (&iter, &link, NULL))
+    colt_relay_link_destroy (link);
+  g_hash_table_unref (route->links);
+  if (route->listener != NULL)
+    evconnlistener_free (route->listener);
+  g_free (route);
+}
+
+static void
+accept_ (struct evconnlistener *listener,
+         evutil_socket_t fd,
+         struct sockaddr *address,
+         int size,
+         void *data)
+{
+  struct ColtRelayRoute *route = data;
+
+  (void)listener;
+  (void)address;
+  (void)size;
+  g_hash_table_add (route->links, colt_relay_link_create (&route->path, fd));
+}
+
+static void
+forget_link_ (void *client, struct ColtRelayLink *link)
+{
+  struct ColtRelayRoute *route = client;
+
+  g_hash_table_remove (route->links, link);
+}
+
+static void
+refuse_ (void *client, struct ColtStandinCall *call)
+{
+  (void)client;
+  colt_standin_call_refuse (call, STATUS_NOT_FOUND, "no such call");
+}
+
+static void
+take_control_ (void *client, struct ColtStandinCall *call)
+{
+  struct ColtRelayService *service = client;
+  const json_t *body = colt_standin_call_body (call);
+  bool done = false;
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (commands); i++)
+    if (json_object_get (body, commands[i].key) != NULL)
+      done = apply_ (service, &commands[i], body);
+  if (!done)
+    {
+      colt_standin_call_refuse (call, STATUS_INVALID,
+                                "no pair of names that a route has");
+      return;
+    }
+  colt_standin_recorder_write (
+      service->recorder, colt_clock_monotonic_us (),
+      json_pack ("{s:s,s:O}", "event", "control", "change", body));
+  colt_standin_call_reply (call, STATUS_OK, json_object ());
+}
+
+/* Returns whether a route was found. */
+static bool
+apply_ (struct ColtRelayService *service,
+        const struct ColtRelayCommand *command,
+        const json_t *body)
+{
+  const json_t *pair = json_object_get (body, command->key);
+  char names[2][NAME_SIZE];
+  bool found = false;
+  guint i;
+
+  if (!copy_name_ (names[0], json_array_get (pair, 0))
+      || !copy_name_ (names[1], json_array_get (pair, 1)))
+    return false;
+  for (i = 0; i < service->routes->len; i++)
+    {
+      struct ColtRelayRoute *route = g_ptr_array_index (service->routes, i);
+
+      if ((matches_ (names[0], route->from) && matches_ (names[1], route->to))
+          || (matches_ (names[1], route->from)
+              && matches_ (names[0], route->to)))
+        {
+          command->change (route, body);
+          found = true;
+        }
+    }
+  return found;
+}
+
+static void
+cut_ (struct ColtRelayRoute *route, const json_t *body)
+{
+  (void)body;
+  route->path.cut = true;
+  update_links_ (route);
+}
+
+static void
+heal_ (struct ColtRelayRoute *route, const json_t *body)
+{
+  (void)body;
+  route->path.cut = false;
+  update_links_ (route);
+}
+
+static void
+silence_ (struct ColtRelayRoute *route, const json_t *body)
+{
+  GHashTableIter iter;
+  gpointer link;
+
+  (void)body;
+  g_hash_table_iter_init (&iter, route->links);
+  while (g_hash_table_iter_next (&iter, &link, NULL))
+    colt_relay_link_silence (link);
+}
+
+static void
+delay_ (struct ColtRelayRoute *route, const json_t *body)
+{
+  const json_t *delay = json_object_get (body, "delay_ms");
+
+  route->path.delay_us = json_integer_value (delay) * COLT_US_PER_MS;
+}
+
+static void
+update_links_ (struct ColtRelayRoute *route)
+{
+  GHashTableIter iter;
+  gpointer link;
+
+  g_hash_table_iter_init (&iter, route->links);
+  while (g_hash_table_iter_next (&iter, &link, NULL))
+    colt_relay_link_update (link);
+}
+
+/* Zones may be written as numbers. */
+static bool
+copy_name_ (char name[NAME_SIZE], const json_t *value)
+{
+  if (json_is_integer (value))
+    g_snprintf (name, NAME_SIZE, "%" G_GINT64_FORMAT,
+                (gint64)json_integer_value (value));
+  else if (json_is_string (value))
+    g_strlcpy (name, json_string_value (value), NAME_SIZE);
+  else
+    return false;
+  return true;
+}
+
+static bool
+matches_ (const char *pattern, const char *name)
+{
+  return strcmp (pattern, ANY_NAME) == 0 || strcmp (pattern, name) == 0;
+}
+
+static bool
+parse_address_ (const char *text,
+                struct sockaddr_storage *address,
+                socklen_t *size)
+{
+  int length = sizeof *address;
+
+  if (text == NULL
+      || evutil_parse_sockaddr_port (text, (struct sockaddr *)address, &length)
+             != 0)
+    return false;
+  *size = (socklen_t)length;
+  return true;
+}
