Tests of the stand-ins; the batches of a backend server in a file of their own

The tests cover the lease and its tokens, shard epochs, duplicate starts, lapsing, limits, usage, retention, the log's retention and append cap, and the faults of the HTTP part. They found an empty payload read through a null pointer, which is mended.

--- /dev/null
+++ b/src/test_standin/tests.h
@@ -0,0 +1,9 @@
+#ifndef COLT_TEST_STANDIN_H
+#define COLT_TEST_STANDIN_H
+
+void add_server_tests (void);
+void add_task_tests (void);
+void add_log_tests (void);
+void add_http_tests (void);
+
+#endif
--- a/standin/answer.c
+++ b/standin/answer.c
@@ -27,7 +27,7 @@
                             size_t size,
                             struct ColtStandinPayload *payload)
 {
-  const uint8_t *end = text + size;
+  const uint8_t *end = size > 0 ? text + size : text;
 
   memset (payload, 0, sizeof *payload);
   payload->cores_milli = -1;
