--- a/include/coltsfootstile/bundle.h
+++ b/include/coltsfootstile/bundle.h
@@ -26,15 +26,15 @@
 /** Most organisations in a bundle. */
 #define COLT_BUNDLE_ORGANISATIONS_MAX 256u
 /** Most keys in a bundle. */
-#define COLT_BUNDLE_KEYS_MAX 4096u
+#define COLT_BUNDLE_KEYS_MAX 2048u
 /** Most queues in a bundle. */
 #define COLT_BUNDLE_QUEUES_MAX 2048u
 /** Most zones in a bundle. */
 #define COLT_BUNDLE_ZONES_MAX COLT_ZONE_MAX
 /** Most operator keys in a bundle. */
 #define COLT_BUNDLE_OPERATORS_MAX 16u
-/** Largest bundle text in bytes. */
-#define COLT_BUNDLE_TEXT_MAX (1024u * 1024)
+/** Largest bundle text in bytes; a snapshot must fit into a log record. */
+#define COLT_BUNDLE_TEXT_MAX (384u * 1024)
 /** Size of an organisation's title in bytes, with the final zero. */
 #define COLT_BUNDLE_TITLE_SIZE 96
 
--- a/include/coltsfootstile/keyring.h
+++ b/include/coltsfootstile/keyring.h
@@ -12,9 +12,11 @@
 #include "coltsfootstile/bundle.h"
 #include "coltsfootstile/bundle_sign.h"
 
-/** Keys given and withdrawn by records that are kept; at this number no more
- * are given, while withdrawals are still taken. */
-#define COLT_KEYRING_RECORDS_MAX 16384u
+/** Most keys that are given by records and not withdrawn. */
+#define COLT_KEYRING_GIVEN_MAX 1024u
+/** Withdrawn keys at which no more keys are given; withdrawals are always
+ * taken. */
+#define COLT_KEYRING_WITHDRAWN_MAX 8192u
 /** Longest secret that is looked at, in bytes. */
 #define COLT_SECRET_MAX 256u
 /** Random bytes of a new secret. */
--- a/src/bundle/bundle.pb-c.h
+++ b/src/bundle/bundle.pb-c.h
@@ -195,7 +195,7 @@
   size_t n_given;
   ProtobufCBinaryData *given;
   /*
-   * KeyRecord
+   * hashes: they can only refuse work
    */
   size_t n_withdrawn;
   ProtobufCBinaryData *withdrawn;
--- a/src/bundle/bundle_parse.c
+++ b/src/bundle/bundle_parse.c
@@ -521,12 +521,13 @@
   const GArray *entities = bundle->entities[target];
   const char *word = colt_bundle_sections[target].word;
   size_t size = colt_bundle_sections[target].size;
-  const char *found;
+  const char *found = NULL;
 
   if (ref->name[0] == '\0')
     return;
-  found = bsearch (ref->name, entities->data, entities->len, size,
-                   compare_names_);
+  if (entities->len > 0)
+    found = bsearch (ref->name, entities->data, entities->len, size,
+                     compare_names_);
   if (found != NULL)
     {
       ref->index = (uint32_t)((found - entities->data) / size);
--- a/src/bundle/chain.c
+++ b/src/bundle/chain.c
@@ -6,10 +6,6 @@
 
 #include "coltsfootstile/guard.h"
 
-/* Logs begin at offset 0 or 1; a higher first offset means that records have
-   been dropped. */
-#define LOG_ORIGIN_MAX 1u
-
 const char *const colt_chain_status_string[]
     = { "accepted",  "duplicate", "conflict", "old",    "orphan", "unsigned",
         "malformed", "mismatch",  "refused",  "reread", "gap",    "ignored" };
@@ -134,10 +130,9 @@
     chain->snapshot_offset = UINT64_MAX;
   if (first <= chain->next_offset)
     return !chain->needs_snapshot;
-  if (first > LOG_ORIGIN_MAX)
-    chain->needs_snapshot = true;
+  chain->needs_snapshot = true;
   chain->next_offset = first;
-  return !chain->needs_snapshot;
+  return false;
 }
 
 uint64_t
--- a/src/bundle/freshness.c
+++ b/src/bundle/freshness.c
@@ -77,7 +77,7 @@
 static bool
 is_recent_ (const struct ColtFreshnessInput *input, int64_t time_us)
 {
-  return time_us != COLT_TIME_NEVER && input->now_us - time_us <= BOUND_US;
+  return time_us != COLT_TIME_NEVER && time_us >= input->now_us - BOUND_US;
 }
 
 /* The peer answered after it was asked, so its knowledge is at least as new
@@ -93,7 +93,8 @@
 static int64_t
 latest_as_of_ (const struct ColtFreshnessInput *input, bool *behind)
 {
-  int64_t latest = input->read_us;
+  int64_t latest
+      = input->read_us == INT64_MIN ? COLT_TIME_NEVER : input->read_us;
   size_t i;
 
   for (i = 0; i < input->word_count; i++)
--- a/src/bundle/keyring.c
+++ b/src/bundle/keyring.c
@@ -17,7 +17,7 @@
   char name[COLT_NAME_SIZE];
   char team[COLT_NAME_SIZE];
   bool relayed; /* a withdrawal that has not been read in the log yet */
-  GBytes *body;
+  GBytes *body; /* of a grant: its record; of a withdrawal: the hash */
 };
 
 struct ColtKeyring
@@ -54,7 +54,6 @@
 static void add_withdrawn_ (struct ColtKeyring *keyring,
                             struct ColtKeyEntry *entry,
                             bool relayed);
-static guint count_records_ (const struct ColtKeyring *keyring);
 static enum ColtChainStatus admit_ (const struct ColtKeyring *keyring,
                                     const struct ColtKeyEntry *entry,
                                     struct ColtError *error);
@@ -165,6 +164,8 @@
   else if (!verify_ (entry, COLT_SIGN_KEY_WITHDRAW, &signature, check, client,
                      error))
     status = COLT_CHAIN_UNSIGNED;
+  if (status == COLT_CHAIN_ACCEPTED && !relayed)
+    g_hash_table_remove (keyring->given, &entry->hash);
   if (status == COLT_CHAIN_ACCEPTED)
     add_withdrawn_ (keyring, entry, relayed);
   else
@@ -172,6 +173,22 @@
   return status;
 }
 
+bool
+colt_keyring_restore_withdrawn (struct ColtKeyring *keyring,
+                                const uint8_t *hash,
+                                size_t size)
+{
+  struct ColtKeyEntry *entry;
+
+  if (size != COLT_HASH_SIZE)
+    return false;
+  entry = g_new0 (struct ColtKeyEntry, 1);
+  memcpy (entry->hash.bytes, hash, size);
+  entry->body = g_bytes_new (hash, size);
+  add_withdrawn_ (keyring, entry, false);
+  return true;
+}
+
 bool
 colt_keyring_restore_given (struct ColtKeyring *keyring,
                             const uint8_t *body,
@@ -391,7 +408,6 @@
   if (record == NULL)
     return NULL;
   entry = g_new0 (struct ColtKeyEntry, 1);
-  entry->body = g_bytes_new (body, size);
   good = colt_bytes_read (&record->hash, entry->hash.bytes, COLT_HASH_SIZE)
          && colt_bytes_read (&record->operator_key,
                              signature->operator_key.bytes,
@@ -399,6 +415,9 @@
          && colt_bytes_read (&record->signature, signature->bytes,
                              COLT_SIGNATURE_SIZE)
          && take_names_ (entry, record);
+  entry->body = entry->name[0] != '\0'
+                    ? g_bytes_new (body, size)
+                    : g_bytes_new (entry->hash.bytes, COLT_HASH_SIZE);
   colt__key_record__free_unpacked (record, NULL);
   if (good)
     return entry;
@@ -481,13 +500,6 @@
   g_hash_table_replace (keyring->withdrawn, &entry->hash, entry);
 }
 
-static guint
-count_records_ (const struct ColtKeyring *keyring)
-{
-  return g_hash_table_size (keyring->given)
-         + g_hash_table_size (keyring->withdrawn) - keyring->relayed_count;
-}
-
 static enum ColtChainStatus
 admit_ (const struct ColtKeyring *keyring,
         const struct ColtKeyEntry *entry,
@@ -505,8 +517,11 @@
   else if (colt_bundle_find_team (keyring->bundle, entry->team)
            == COLT_BUNDLE_NO_INDEX)
     reason = "the bundle in force has no such team";
-  else if (count_records_ (keyring) >= COLT_KEYRING_RECORDS_MAX)
+  else if (g_hash_table_size (keyring->given) >= COLT_KEYRING_GIVEN_MAX)
     reason = "there are too many keys";
+  else if (g_hash_table_size (keyring->withdrawn) - keyring->relayed_count
+           >= COLT_KEYRING_WITHDRAWN_MAX)
+    reason = "there are too many withdrawn keys";
   if (reason == NULL)
     return COLT_CHAIN_ACCEPTED;
   colt_error_set (error, COLT_ERROR_REFUSED, COLT_STEP_CHECK, NULL, "%s",
--- a/src/bundle/private/keyring_internal.h
+++ b/src/bundle/private/keyring_internal.h
@@ -40,8 +40,8 @@
                                             const void *client,
                                             struct ColtError *error);
 
-/** Adds the bodies of the grants and withdrawals that were read in the log,
- * as GBytes that are borrowed, ordered by hash. */
+/** Adds the bodies of the grants and the hashes of the withdrawals that were
+ * read in the log, as GBytes that are borrowed, ordered by hash. */
 void colt_keyring_collect (const struct ColtKeyring *keyring,
                            GPtrArray *given,
                            GPtrArray *withdrawn);
@@ -50,6 +50,11 @@
 void colt_keyring_merge_withdrawn (struct ColtKeyring *keyring,
                                    const struct ColtKeyring *other);
 
+/** Takes a withdrawal out of a snapshot; returns false if it is no hash. */
+bool colt_keyring_restore_withdrawn (struct ColtKeyring *keyring,
+                                     const uint8_t *hash,
+                                     size_t size);
+
 /** Takes a grant out of a snapshot: its team may be gone by now. */
 bool colt_keyring_restore_given (struct ColtKeyring *keyring,
                                  const uint8_t *body,
--- a/src/bundle/snapshot.c
+++ b/src/bundle/snapshot.c
@@ -384,8 +384,7 @@
 read_keys_ (const Colt__BundleSnapshot *message, const GArray *path)
 {
   struct ColtKeyring *keyring = colt_keyring_create ();
-  bool good = message->n_given + message->n_withdrawn
-              <= 2 * (size_t)COLT_KEYRING_RECORDS_MAX;
+  bool good = message->n_given <= COLT_KEYRING_GIVEN_MAX;
   size_t i;
 
   for (i = 0; good && i < message->n_given; i++)
@@ -393,10 +392,8 @@
                                        message->given[i].len,
                                        path_has_operator_, path);
   for (i = 0; good && i < message->n_withdrawn; i++)
-    good = colt_keyring_withdraw (keyring, message->withdrawn[i].data,
-                                  message->withdrawn[i].len, false,
-                                  path_has_operator_, path, NULL)
-           == COLT_CHAIN_ACCEPTED;
+    good = colt_keyring_restore_withdrawn (keyring, message->withdrawn[i].data,
+                                           message->withdrawn[i].len);
   if (good)
     return keyring;
   colt_keyring_destroy (keyring);
--- a/src/test_bundle/test_keyring.c
+++ b/src/test_bundle/test_keyring.c
@@ -81,6 +81,25 @@
   return colt_keyring_check (colt_chain_keyring (fixture->chain), secret, team);
 }
 
+/* Decides on the secret as an instance would that knows only a snapshot. */
+static enum ColtKeyState
+check_by_snapshot (struct ColtKeyFixture *fixture)
+{
+  struct ColtChain *other = colt_chain_create (&fixture->pair.key, 1);
+  struct ColtChainVerdict verdict;
+  enum ColtKeyState state;
+  uint32_t team;
+  size_t size;
+  uint8_t *body = colt_chain_encode_snapshot (fixture->chain, NULL, 0, &size);
+
+  colt_chain_take_snapshot (other, body, size, &verdict);
+  g_assert_cmpint (verdict.status, ==, COLT_CHAIN_REREAD);
+  state = colt_keyring_check (colt_chain_keyring (other), secret, &team);
+  colt_chain_destroy (other);
+  free (body);
+  return state;
+}
+
 static void
 test_give_and_withdraw (struct ColtKeyFixture *fixture, gconstpointer data)
 {
@@ -119,8 +138,6 @@
 test_relayed_in_any_order (struct ColtKeyFixture *fixture, gconstpointer data)
 {
   uint32_t team;
-  size_t with_log;
-  size_t size;
 
   (void)data;
   g_assert_cmpint (relay (fixture, &fixture->pair), ==, COLT_CHAIN_ACCEPTED);
@@ -129,10 +146,10 @@
   g_assert_cmpint (give (fixture, "renders", &fixture->pair), ==,
                    COLT_CHAIN_ACCEPTED);
   g_assert_cmpint (check (fixture, &team), ==, COLT_KEY_WITHDRAWN);
-  free (colt_chain_encode_snapshot (fixture->chain, NULL, 0, &size));
+  /* A snapshot holds what the log says up to its offset, and no more. */
+  g_assert_cmpint (check_by_snapshot (fixture), ==, COLT_KEY_LIVE);
   g_assert_cmpint (withdraw (fixture, &fixture->pair), ==, COLT_CHAIN_ACCEPTED);
-  free (colt_chain_encode_snapshot (fixture->chain, NULL, 0, &with_log));
-  g_assert_cmpuint (with_log, >, size);
+  g_assert_cmpint (check_by_snapshot (fixture), ==, COLT_KEY_WITHDRAWN);
   g_assert_cmpint (relay (fixture, &fixture->pair), ==, COLT_CHAIN_DUPLICATE);
   g_assert_cmpuint (
       colt_keyring_withdrawn_count (colt_chain_keyring (fixture->chain)), ==,
