State of the bundle's fold as JSON; what a reader owes the fold

A reader that skips records by id would make instances that began to read at different offsets disagree: a version that was an orphan at its first offset may count at its second. The header says so.

--- a/include/coltsfootstile/bundle_chain.h
+++ b/include/coltsfootstile/bundle_chain.h
@@ -9,7 +9,15 @@
  * checked against operator keys from the settings instead.
  *
  * The fold does no I/O. It also holds the keyring, whose records are part of
- * the same stream.
+ * the same stream. Its reader has to
+ * - call colt_chain_set_first() with the oldest offset that the log keeps;
+ * - call colt_chain_advance() with a record's offset, when everything before
+ *   it has been read, and then colt_chain_take();
+ * - hand over every record, also one whose id was read before: the fold
+ *   finds duplicates by their content. A version that was an orphan when it
+ *   was read first may count the second time, and an instance that began to
+ *   read between the two has seen only the second;
+ * - read on from colt_chain_next_offset() after COLT_CHAIN_REREAD.
  */
 #ifndef COLTSFOOTSTILE_BUNDLE_CHAIN_H
 #define COLTSFOOTSTILE_BUNDLE_CHAIN_H
--- a/src/test_bundle/test_chain.c
+++ b/src/test_bundle/test_chain.c
@@ -1,5 +1,6 @@
 #include <stdlib.h>
 
+#include "coltsfootstile/bundle_dump.h"
 #include "test_bundle.h"
 
 /* A fold, two operators and versions 1 and 2, of which 1 is in force. */
@@ -251,6 +252,23 @@
   g_free (text);
 }
 
+static void
+test_dump (struct ColtChainFixture *fixture, gconstpointer data)
+{
+  json_t *dump = colt_chain_dump (fixture->chain);
+  char hex[COLT_HASH_TEXT_SIZE];
+
+  (void)data;
+  g_assert_cmpint (json_integer_value (json_object_get (dump, "version")), ==,
+                   1);
+  g_assert_cmpstr (json_string_value (json_object_get (dump, "hash")), ==,
+                   colt_hash_format (colt_bundle_hash (fixture->first), hex));
+  g_assert_cmpuint (json_array_size (json_object_get (dump, "keys")), ==, 1);
+  g_assert_cmpuint (json_array_size (json_object_get (dump, "operators")), ==,
+                    2);
+  json_decref (dump);
+}
+
 static void
 test_malformed_record (struct ColtChainFixture *fixture, gconstpointer data)
 {
@@ -286,4 +304,5 @@
   ADD ("delta", test_deltas);
   ADD ("delta_mismatch", test_delta_to_another_text);
   ADD ("malformed", test_malformed_record);
+  ADD ("dump", test_dump);
 }
