Log: adaptive timeouts, deadlines of open appends, notes for operators

A silent connection held appends up for 3 s, and a record in an open append outlived its deadline. Timeouts now start at 1 s and follow the answers up to 8 s; a record ends as uncertain at its deadline. A closed connection discards what the system holds unsent, so that a lost call doesn't arrive long after.

--- a/include/coltsfootstile/log_service.h
+++ b/include/coltsfootstile/log_service.h
@@ -173,7 +173,11 @@
   uint64_t given_up;   /**< records past their deadline */
 };
 
-/** Collects records into appends. */
+/**
+ * Collects records into appends. Records of one writer may reach the log in
+ * another order than they were added in; who needs an order waits for the end
+ * of the first. A writer must not be destroyed from within a call it makes.
+ */
 struct ColtLogWriter;
 
 /**
@@ -328,6 +332,13 @@
                            const struct ColtLogPage *page,
                            struct ColtError *error);
 
+/**
+ * Makes the reader skip an id as if it had seen it. A reader that starts from
+ * a snapshot learns in this way which records the snapshot holds already.
+ */
+void colt_log_reader_remember (struct ColtLogReader *reader,
+                               const struct ColtId *id);
+
 /**
  * Returns a time at which everything then on the log is known to have been
  * read, INT64_MIN if never. It is the time at which the last read that reached
@@ -383,6 +394,10 @@
                                            ColtLogWriteDone done,
                                            void *client);
 
+/** Makes the reader skip an id, see colt_log_reader_remember(). */
+void colt_log_client_remember (struct ColtLogClient *log,
+                               const struct ColtId *id);
+
 /** Returns the freshness, see colt_log_reader_fresh_us(). */
 int64_t colt_log_client_fresh_us (const struct ColtLogClient *log);
 
--- a/src/platform/http_client.c
+++ b/src/platform/http_client.c
@@ -9,6 +9,7 @@
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "coltsfootstile/clock.h"
 
@@ -41,6 +42,7 @@
   bool dispatched; /* something of the open call was written */
   bool ended;      /* the open call has an answer */
   bool closing;
+  bool drop; /* the server closes the connection after this answer */
   enum evhttp_request_error problem;
   bool has_problem;
   struct ColtHttpAnswer answer;
@@ -70,6 +72,7 @@
 static void take_problem_ (enum evhttp_request_error problem, void *client);
 static void take_answer_ (struct evhttp_request *request, void *client);
 static bool is_whole_ (struct evhttp_request *request, size_t size);
+static bool is_last_ (struct evhttp_request *request);
 static void fail_open_ (struct ColtHttpClient *http,
                         enum ColtErrorCode code,
                         const char *reason);
@@ -228,6 +231,7 @@
   http->ended = false;
   http->dispatched = false;
   http->has_problem = false;
+  http->drop = false;
   if (http->open == NULL)
     return;
   memset (&http->answer, 0, sizeof http->answer);
@@ -258,17 +262,22 @@
   return true;
 }
 
+/* What the system still holds unsent is discarded, so that a lost call doesn't
+ * reach the server long after. */
 static void
 close_connection_ (struct ColtHttpClient *http)
 {
+  const struct linger discard = { 1, 0 };
   struct evhttp_connection *connection = http->connection;
+  struct bufferevent *bufferevent;
 
   if (connection == NULL)
     return;
   http->connection = NULL;
-  evbuffer_remove_cb (
-      bufferevent_get_output (evhttp_connection_get_bufferevent (connection)),
-      take_output_, http);
+  bufferevent = evhttp_connection_get_bufferevent (connection);
+  evbuffer_remove_cb (bufferevent_get_output (bufferevent), take_output_, http);
+  setsockopt (bufferevent_getfd (bufferevent), SOL_SOCKET, SO_LINGER, &discard,
+              sizeof discard);
   evhttp_connection_free (connection);
 }
 
@@ -342,6 +351,7 @@
       fail_open_ (http, COLT_ERROR_TRUNCATED, "the answer is not whole");
       return;
     }
+  http->drop = is_last_ (request);
   take_answer_body_ (http, request, size);
 }
 
@@ -357,6 +367,15 @@
   return length != NULL && g_ascii_strtoull (length, NULL, 10) == size;
 }
 
+static bool
+is_last_ (struct evhttp_request *request)
+{
+  const char *value = evhttp_find_header (
+      evhttp_request_get_input_headers (request), "Connection");
+
+  return value != NULL && g_ascii_strcasecmp (value, "close") == 0;
+}
+
 static void
 take_answer_body_ (struct ColtHttpClient *http,
                    struct evhttp_request *request,
@@ -434,7 +453,7 @@
   body = http->answer_body;
   http->answer_body = NULL;
   event_del (http->timer);
-  if (answer.result != COLT_HTTP_ANSWERED)
+  if (answer.result != COLT_HTTP_ANSWERED || http->drop)
     close_connection_ (http);
   start_next_ (http);
   end_call_ (call, &answer);
--- a/src/platform/log_client.c
+++ b/src/platform/log_client.c
@@ -125,6 +125,12 @@
   return status;
 }
 
+void
+colt_log_client_remember (struct ColtLogClient *log, const struct ColtId *id)
+{
+  colt_log_reader_remember (log->reader, id);
+}
+
 int64_t
 colt_log_client_fresh_us (const struct ColtLogClient *log)
 {
--- a/src/platform/log_http.c
+++ b/src/platform/log_http.c
@@ -3,13 +3,16 @@
 #include <inttypes.h>
 #include <stdlib.h>
 
+#include "coltsfootstile/clock.h"
 #include "coltsfootstile/http_client.h"
 #include "coltsfootstile/json.h"
 #include "coltsfootstile/log_service.h"
 #include "log_json.h"
+#include "timeout.h"
 
-#define APPEND_TIMEOUT_MS 3000u
-#define READ_TIMEOUT_MS 3000u
+/* Timeouts of an append, and of a read beyond its wait. */
+#define TIMEOUT_LEAST_MS 1000u
+#define TIMEOUT_MOST_MS 8000u
 #define ANSWER_MAX ((size_t)16 * 1024 * 1024)
 #define STATUS_OK 200
 #define STATUS_TOO_MANY 429
@@ -21,6 +24,9 @@
   char *address;
   struct ColtHttpClient *append_http;
   struct ColtHttpClient *read_http;
+  struct ColtTimeout append_timeout;
+  struct ColtTimeout read_timeout;
+  uint32_t wait_ms; /* of the open read */
   ColtLogAppendDone append_done;
   void *append_client;
   ColtLogReadDone read_done;
@@ -43,6 +49,9 @@
 static void cancel_ (struct ColtLogDriver *driver);
 static void destroy_ (struct ColtLogDriver *driver);
 static enum ColtLogResult result_of_status_ (int status);
+static void follow_ (struct ColtTimeout *timeout,
+                     const struct ColtHttpAnswer *answer,
+                     uint32_t wait_ms);
 
 struct ColtLogDriver *
 colt_log_http_create (struct event_base *base, const char *address)
@@ -56,6 +65,8 @@
   log->address = g_strdup (address);
   log->append_http = colt_http_client_create (base, address, ANSWER_MAX, 1);
   log->read_http = colt_http_client_create (base, address, ANSWER_MAX, 1);
+  colt_timeout_init (&log->append_timeout, TIMEOUT_LEAST_MS, TIMEOUT_MOST_MS);
+  colt_timeout_init (&log->read_timeout, TIMEOUT_LEAST_MS, TIMEOUT_MOST_MS);
   return &log->driver;
 }
 
@@ -72,7 +83,7 @@
   log->append_done = done;
   log->append_client = client;
   colt_http_client_call (log->append_http, "/v1/records", text,
-                         APPEND_TIMEOUT_MS, take_append_, log);
+                         log->append_timeout.now_ms, take_append_, log);
   free (text);
 }
 
@@ -85,6 +96,7 @@
   enum ColtLogResult result = COLT_LOG_REFUSED;
   uint64_t offset = 0;
 
+  follow_ (&log->append_timeout, answer, 0);
   if (answer->result == COLT_HTTP_UNKNOWN)
     result = COLT_LOG_UNKNOWN;
   if (answer->result == COLT_HTTP_ANSWERED)
@@ -113,10 +125,11 @@
                                 "&wait_ms=%" PRIu32,
                                 from, max, wait_ms);
 
+  log->wait_ms = wait_ms;
   log->read_done = done;
   log->read_client = client;
-  colt_http_client_call (log->read_http, path, NULL, wait_ms + READ_TIMEOUT_MS,
-                         take_read_, log);
+  colt_http_client_call (log->read_http, path, NULL,
+                         wait_ms + log->read_timeout.now_ms, take_read_, log);
   g_free (path);
 }
 
@@ -128,6 +141,7 @@
   const struct ColtJsonContext context = { log->address, &error };
   struct ColtLogJsonPage *page = NULL;
 
+  follow_ (&log->read_timeout, answer, log->wait_ms);
   if (answer->result == COLT_HTTP_ANSWERED && answer->status == STATUS_OK)
     page = colt_log_json_decode_page (&context, answer->body, answer->size);
   else if (answer->result == COLT_HTTP_ANSWERED)
@@ -170,3 +184,16 @@
     return COLT_LOG_REFUSED;
   return COLT_LOG_UNKNOWN;
 }
+
+static void
+follow_ (struct ColtTimeout *timeout,
+         const struct ColtHttpAnswer *answer,
+         uint32_t wait_ms)
+{
+  int64_t took_us = colt_clock_monotonic_us () - answer->sent_us;
+
+  if (answer->result == COLT_HTTP_ANSWERED)
+    colt_timeout_answered (timeout, took_us / COLT_US_PER_MS - wait_ms);
+  else if (answer->error.code == COLT_ERROR_TIMEOUT)
+    colt_timeout_lost (timeout);
+}
--- a/src/platform/log_reader.c
+++ b/src/platform/log_reader.c
@@ -130,6 +130,13 @@
   return true;
 }
 
+void
+colt_log_reader_remember (struct ColtLogReader *reader, const struct ColtId *id)
+{
+  if (!g_hash_table_contains (reader->seen_set, id))
+    remember_ (reader, id);
+}
+
 int64_t
 colt_log_reader_fresh_us (const struct ColtLogReader *reader)
 {
--- a/src/platform/log_writer.c
+++ b/src/platform/log_writer.c
@@ -164,10 +164,7 @@
 
   for (i = 0; i < G_N_ELEMENTS (queues); i++)
     while ((queued = g_queue_pop_head (queues[i])) != NULL)
-      {
-        queued->maybe_written |= queued->place != COLT_LOG_WAITING;
-        g_queue_push_tail (&all, queued);
-      }
+      g_queue_push_tail (&all, queued);
   writer->open = false;
   while ((queued = g_queue_pop_head (&all)) != NULL)
     give_up_ (writer, queued);
@@ -193,7 +190,7 @@
 {
   int64_t wake = COLT_TIME_NEVER;
 
-  if (writer->waiting.length + writer->unanswered.length > 0)
+  if (g_hash_table_size (writer->by_id) > 0)
     wake = writer->earliest_deadline_us;
   if (!writer->open && writer->waiting.length > 0)
     wake = MIN (wake, writer->next_us);
@@ -358,10 +355,13 @@
 static void
 give_up_ (struct ColtLogWriter *writer, struct ColtLogQueued *queued)
 {
-  end_ (writer, queued,
-        queued->maybe_written ? COLT_LOG_WRITE_UNCERTAIN
-                              : COLT_LOG_WRITE_NOT_DONE,
-        0);
+  enum ColtLogWriteResult result = COLT_LOG_WRITE_NOT_DONE;
+
+  if (queued->maybe_written || queued->place != COLT_LOG_WAITING)
+    result = COLT_LOG_WRITE_UNCERTAIN;
+  if (queued->seen)
+    result = COLT_LOG_WRITE_DONE;
+  end_ (writer, queued, result, queued->seen ? queued->item.offset : 0);
 }
 
 static void
@@ -370,17 +370,12 @@
   GQueue late = G_QUEUE_INIT;
   int64_t earliest = COLT_TIME_NEVER;
   struct ColtLogQueued *queued;
-  GList *link;
 
   if (now_us < writer->earliest_deadline_us)
     return;
   collect_late_ (&writer->waiting, now_us, &earliest, &late);
+  collect_late_ (&writer->in_flight, now_us, &earliest, &late);
   collect_late_ (&writer->unanswered, now_us, &earliest, &late);
-  for (link = writer->in_flight.head; link != NULL; link = link->next)
-    {
-      queued = link->data;
-      earliest = MIN (earliest, queued->deadline_us);
-    }
   writer->earliest_deadline_us = earliest;
   while ((queued = g_queue_pop_head (&late)) != NULL)
     give_up_ (writer, queued);
--- a/src/test_platform/test_reader.c
+++ b/src/test_platform/test_reader.c
@@ -115,6 +115,18 @@
   g_assert_cmpuint (stats.duplicates, ==, 1);
 }
 
+static void
+test_remembered_id_is_skipped (struct ColtReaderFixture *fixture,
+                               gconstpointer data)
+{
+  struct ColtId id = { { 1 } };
+
+  (void)data;
+  colt_log_reader_remember (fixture->reader, &id);
+  g_assert_true (take (fixture, 0, 0, 1, 0, "12"));
+  g_assert_cmpstr (fixture->seen->str, ==, "2@0.1 ");
+}
+
 static void
 test_empty_poll_is_fresh (struct ColtReaderFixture *fixture, gconstpointer data)
 {
@@ -180,6 +192,7 @@
 add_reader_tests (void)
 {
   ADD ("order", test_order_and_duplicates);
+  ADD ("remembered", test_remembered_id_is_skipped);
   ADD ("empty", test_empty_poll_is_fresh);
   ADD ("gap", test_gap_is_reported);
   ADD ("bad-pages", test_bad_pages_are_failures);
--- a/src/test_platform/test_writer.c
+++ b/src/test_platform/test_writer.c
@@ -5,6 +5,7 @@
 #include "coltsfootstile/clock.h"
 #include "coltsfootstile/log_service.h"
 #include "tests.h"
+#include "timeout.h"
 
 struct ColtEnds
 {
@@ -219,6 +220,47 @@
   colt_log_writer_destroy (writer);
 }
 
+static void
+test_deadline_passes_in_flight (void)
+{
+  struct ColtLogWriter *writer = colt_log_writer_create (1, no_jitter, NULL);
+  struct ColtEnds ends = { 0 };
+  struct ColtLogItem second = make_item (2);
+
+  add (writer, 1, 1000, &ends);
+  add (writer, 2, 2000, &ends);
+  g_assert_cmpuint (process (writer, 0), ==, 2);
+  g_assert_cmpint (colt_log_writer_wake_us (writer), ==, 1000);
+  g_assert_cmpuint (process (writer, 1000), ==, 0);
+  g_assert_cmpuint (ends.count[COLT_LOG_WRITE_UNCERTAIN], ==, 1);
+  colt_log_writer_see_record (writer, &second.id, 4);
+  g_assert_cmpuint (process (writer, 2000), ==, 0);
+  g_assert_cmpuint (ends.count[COLT_LOG_WRITE_DONE], ==, 1);
+  g_assert_cmpuint (ends.offset, ==, 4);
+  colt_log_writer_appended (writer, 3000, COLT_LOG_APPENDED, 4);
+  g_assert_cmpuint (ends.count[COLT_LOG_WRITE_DONE], ==, 1);
+  g_assert_cmpint (colt_log_writer_wake_us (writer), ==, COLT_TIME_NEVER);
+  colt_log_writer_destroy (writer);
+}
+
+static void
+test_timeout_follows_answers (void)
+{
+  struct ColtTimeout timeout;
+
+  colt_timeout_init (&timeout, 1000, 8000);
+  colt_timeout_lost (&timeout);
+  g_assert_cmpuint (timeout.now_ms, ==, 2000);
+  colt_timeout_lost (&timeout);
+  colt_timeout_answered (&timeout, 2100);
+  g_assert_cmpuint (timeout.now_ms, ==, 6300);
+  colt_timeout_lost (&timeout);
+  colt_timeout_lost (&timeout);
+  g_assert_cmpuint (timeout.now_ms, ==, 8000);
+  colt_timeout_answered (&timeout, -5);
+  g_assert_cmpuint (timeout.now_ms, ==, 1000);
+}
+
 static void
 test_queue_is_bounded (void)
 {
@@ -257,5 +299,8 @@
   g_test_add_func ("/platform/writer/throttled",
                    test_throttled_writer_slows_down);
   g_test_add_func ("/platform/writer/giving-up", test_giving_up_is_true);
+  g_test_add_func ("/platform/writer/in-flight",
+                   test_deadline_passes_in_flight);
+  g_test_add_func ("/platform/writer/timeout", test_timeout_follows_answers);
   g_test_add_func ("/platform/writer/bounds", test_queue_is_bounded);
 }
