HTTP client: methods, headers and Retry-After

The operators' and callers' tool needs DELETE, a key in a header and the server's word on when to come back; GET and POST go through the same call.

--- a/include/coltsfootstile/http_client.h
+++ b/include/coltsfootstile/http_client.h
@@ -29,14 +29,45 @@
 /** Names of enum ColtHttpResult, indexed by it. */
 extern const char *const colt_http_result_string[];
 
+/** Size in bytes of a Retry-After header that is kept, with the final zero. */
+#define COLT_HTTP_RETRY_AFTER_SIZE 16
+
+/** What a call asks for. */
+enum ColtHttpMethod
+{
+  COLT_HTTP_GET,
+  COLT_HTTP_POST,
+  COLT_HTTP_DELETE
+};
+
+/** A header of a call. */
+struct ColtHttpHeader
+{
+  const char *name;
+  const char *value; /**< NULL: the header is left out */
+};
+
+/** A call; everything is copied. */
+struct ColtHttpRequest
+{
+  enum ColtHttpMethod method;
+  const char *path;                     /**< with its query */
+  const struct ColtHttpHeader *headers; /**< besides Host and Content-Type */
+  size_t header_count;
+  const char *body;    /**< JSON text, or NULL */
+  uint32_t timeout_ms; /**< from sending until the call counts as lost, at
+                            least 1 */
+};
+
 /** How a call ended, with its answer. */
 struct ColtHttpAnswer
 {
   enum ColtHttpResult result;
-  int status;             /**< 0 unless COLT_HTTP_ANSWERED */
-  int64_t sent_us;        /**< monotonic time before sending */
-  const char *body;       /**< with a final zero; NULL unless answered */
-  size_t size;            /**< without the final zero */
+  int status;       /**< 0 unless COLT_HTTP_ANSWERED */
+  int64_t sent_us;  /**< monotonic time before sending */
+  const char *body; /**< with a final zero; NULL unless answered */
+  size_t size;      /**< without the final zero */
+  char retry_after[COLT_HTTP_RETRY_AFTER_SIZE]; /**< "" when there is none */
   struct ColtError error; /**< unless COLT_HTTP_ANSWERED */
 };
 
@@ -79,6 +110,16 @@
                             ColtHttpDone done,
                             void *client);
 
+/**
+ * Calls the server with a method and headers.
+ *
+ * \param done  called exactly once, never before this returns
+ */
+void colt_http_client_send (struct ColtHttpClient *http,
+                            const struct ColtHttpRequest *request,
+                            ColtHttpDone done,
+                            void *client);
+
 /** Ends open calls and closes the connection. */
 void colt_http_client_cancel (struct ColtHttpClient *http);
 
--- a/src/platform/http_client.c
+++ b/src/platform/http_client.c
@@ -19,7 +19,9 @@
 
 struct ColtHttpCall
 {
+  enum evhttp_cmd_type method;
   char *path;
+  GPtrArray *headers; /* of name, value, name... */
   char *body;
   uint32_t timeout_ms;
   int64_t sent_us;
@@ -55,6 +57,10 @@
 const char *const colt_http_result_string[]
     = { "answered", "not_sent", "unknown" };
 
+static const enum evhttp_cmd_type methods[]
+    = { EVHTTP_REQ_GET, EVHTTP_REQ_POST, EVHTTP_REQ_DELETE };
+
+static GPtrArray *copy_headers_ (const struct ColtHttpRequest *request);
 static void free_call_ (struct ColtHttpCall *call);
 static void end_call_ (struct ColtHttpCall *call,
                        const struct ColtHttpAnswer *answer);
@@ -126,13 +132,30 @@
                        uint32_t timeout_ms,
                        ColtHttpDone done,
                        void *client)
+{
+  const struct ColtHttpRequest request
+      = { .method = body != NULL ? COLT_HTTP_POST : COLT_HTTP_GET,
+          .path = path,
+          .body = body,
+          .timeout_ms = timeout_ms };
+
+  colt_http_client_send (http, &request, done, client);
+}
+
+void
+colt_http_client_send (struct ColtHttpClient *http,
+                       const struct ColtHttpRequest *request,
+                       ColtHttpDone done,
+                       void *client)
 {
   struct ColtHttpCall *call = g_new0 (struct ColtHttpCall, 1);
 
-  assert (!http->closing && timeout_ms > 0);
-  call->path = g_strdup (path);
-  call->body = g_strdup (body);
-  call->timeout_ms = timeout_ms;
+  assert (!http->closing && request->timeout_ms > 0);
+  call->method = methods[request->method];
+  call->path = g_strdup (request->path);
+  call->headers = copy_headers_ (request);
+  call->body = g_strdup (request->body);
+  call->timeout_ms = request->timeout_ms;
   call->done = done;
   call->client = client;
   if (http->open != NULL && http->waiting.length >= http->queue_max)
@@ -189,9 +212,25 @@
   return http->connections;
 }
 
+static GPtrArray *
+copy_headers_ (const struct ColtHttpRequest *request)
+{
+  GPtrArray *headers = g_ptr_array_new_with_free_func (g_free);
+  size_t i;
+
+  for (i = 0; i < request->header_count; i++)
+    if (request->headers[i].value != NULL)
+      {
+        g_ptr_array_add (headers, g_strdup (request->headers[i].name));
+        g_ptr_array_add (headers, g_strdup (request->headers[i].value));
+      }
+  return headers;
+}
+
 static void
 free_call_ (struct ColtHttpCall *call)
 {
+  g_ptr_array_unref (call->headers);
   g_free (call->path);
   g_free (call->body);
   g_free (call);
@@ -287,12 +326,16 @@
   struct ColtHttpCall *call = http->open;
   struct evhttp_request *request = evhttp_request_new (take_answer_, http);
   struct evkeyvalq *headers;
+  guint i;
 
   if (request == NULL)
     return false;
   evhttp_request_set_error_cb (request, take_problem_);
   headers = evhttp_request_get_output_headers (request);
   evhttp_add_header (headers, "Host", http->address);
+  for (i = 0; i < call->headers->len; i += 2)
+    evhttp_add_header (headers, g_ptr_array_index (call->headers, i),
+                       g_ptr_array_index (call->headers, i + 1));
   if (call->body != NULL)
     {
       evhttp_add_header (headers, "Content-Type", "application/json");
@@ -301,9 +344,8 @@
     }
   evhttp_connection_set_timeout (
       http->connection, (int)(call->timeout_ms / 1000 + BACKUP_TIMEOUT_S));
-  return evhttp_make_request (
-             http->connection, request,
-             call->body != NULL ? EVHTTP_REQ_POST : EVHTTP_REQ_GET, call->path)
+  return evhttp_make_request (http->connection, request, call->method,
+                              call->path)
          == 0;
 }
 
@@ -382,11 +424,15 @@
                    size_t size)
 {
   struct evbuffer *input = evhttp_request_get_input_buffer (request);
+  const char *retry_after = evhttp_find_header (
+      evhttp_request_get_input_headers (request), "Retry-After");
 
   http->answer_body = g_malloc (size + 1);
   evbuffer_remove (input, http->answer_body, size);
   http->answer_body[size] = '\0';
   http->answer.result = COLT_HTTP_ANSWERED;
+  g_strlcpy (http->answer.retry_after, retry_after != NULL ? retry_after : "",
+             sizeof http->answer.retry_after);
   http->answer.status = evhttp_request_get_response_code (request);
   http->answer.sent_us = http->open->sent_us;
   http->answer.body = http->answer_body;
--- a/src/test_platform/test_http.c
+++ b/src/test_platform/test_http.c
@@ -68,6 +68,29 @@
     event_base_loop (fixture->base, EVLOOP_ONCE);
 }
 
+static void
+test_method_and_headers (struct ColtHttpFixture *fixture, gconstpointer data)
+{
+  const struct ColtHttpHeader headers[]
+      = { { "Authorization", "Bearer x" }, { "Request-Id", NULL } };
+  const struct ColtHttpRequest request = { .method = COLT_HTTP_DELETE,
+                                           .path = "/y",
+                                           .headers = headers,
+                                           .header_count = 2,
+                                           .timeout_ms = 10000 };
+  const char *seen;
+
+  (void)data;
+  colt_fake_http_push (fixture->fake, COLT_FAKE_ANSWER, 200, "gone");
+  colt_http_client_send (fixture->http, &request, take, &fixture->seen);
+  while (fixture->seen.count == 0)
+    event_base_loop (fixture->base, EVLOOP_ONCE);
+  seen = colt_fake_http_request (fixture->fake, 0);
+  g_assert_true (g_str_has_prefix (seen, "DELETE /y HTTP/1.1\r\n"));
+  g_assert_nonnull (strstr (seen, "\r\nAuthorization: Bearer x\r\n"));
+  g_assert_null (strstr (seen, "Request-Id"));
+}
+
 static void
 test_answers_share_a_connection (struct ColtHttpFixture *fixture,
                                  gconstpointer data)
@@ -292,6 +315,7 @@
 add_http_tests (void)
 {
   ADD ("keep-alive", test_answers_share_a_connection);
+  ADD ("method", test_method_and_headers);
   ADD ("incomplete", test_incomplete_answers_are_unknown);
   ADD ("large", test_large_answer_is_unknown);
   ADD ("silent", test_silent_connection_is_replaced);
