Backend server driver and stand-in are tested against each other

Answers of the stand-in keep results below 4 MB, so that an inventory stays within what a client takes.

--- a/src/test_standin/test_standin.c
+++ b/src/test_standin/test_standin.c
@@ -10,5 +10,6 @@
   add_task_tests ();
   add_log_tests ();
   add_http_tests ();
+  add_backend_tests ();
   return g_test_run ();
 }
--- a/src/test_standin/tests.h
+++ b/src/test_standin/tests.h
@@ -5,5 +5,6 @@
 void add_task_tests (void);
 void add_log_tests (void);
 void add_http_tests (void);
+void add_backend_tests (void);
 
 #endif
--- a/standin/backend_server.c
+++ b/standin/backend_server.c
@@ -11,6 +11,8 @@
 #define CONNECTION_MAX 64
 #define WAIT_MAX_MS 60000
 #define EVENTS_MAX 1000
+/* Results in one answer, in bytes; the last may go over it. */
+#define RESULT_BYTES_MAX (4 * 1024 * 1024)
 /* Ended tasks whose result stands in the inventory. */
 #define INVENTORY_RESULT_US (30 * COLT_US_PER_S)
 /* Ends are taken together that are due within this time. */
@@ -49,7 +51,8 @@
 {
   json_t *items;
   int64_t now_us;
-  int64_t last;
+  int64_t last;         /* event */
+  int64_t result_bytes; /* so far */
 };
 
 typedef void (*ColtStandinCallHandler) (struct ColtStandinBackend *backend,
@@ -91,6 +94,9 @@
                     int64_t now_us,
                     enum ColtStandinAccess access);
 static json_t *encode_shard_epochs_ (const struct ColtStandinServer *server);
+static json_t *add_item_ (struct ColtStandinCollector *collector,
+                          const struct ColtStandinTask *task,
+                          bool result);
 static void collect_task_ (void *client, const struct ColtStandinTask *task);
 static bool collect_event_ (void *client, const struct ColtStandinEvent *event);
 static bool answer_poll_ (struct ColtStandinBackend *backend,
@@ -164,6 +170,12 @@
   return colt_standin_http_listen (backend->http, backend->address, error);
 }
 
+uint16_t
+colt_standin_backend_port (const struct ColtStandinBackend *backend)
+{
+  return colt_standin_http_port (backend->http);
+}
+
 bool
 colt_standin_backend_switch (struct ColtStandinBackend *backend,
                              const json_t *change,
@@ -286,7 +298,7 @@
   struct ColtStandinServer *server = backend->server;
   uint64_t epoch = (uint64_t)colt_standin_call_number (call, "epoch", 0);
   int64_t token = colt_standin_call_number (call, "token", 0);
-  struct ColtStandinCollector collector = { NULL, now_us, 0 };
+  struct ColtStandinCollector collector = { NULL, now_us, 0, 0 };
 
   if (!admit_ (backend, call, now_us,
                colt_standin_server_enter (server, now_us, epoch, token, 0)))
@@ -434,6 +446,21 @@
   return array;
 }
 
+/* Returns the item, which the collector owns. */
+static json_t *
+add_item_ (struct ColtStandinCollector *collector,
+           const struct ColtStandinTask *task,
+           bool result)
+{
+  json_t *item = colt_standin_encode_task (task, collector->now_us, result);
+
+  if (result)
+    collector->result_bytes
+        += json_integer_value (json_object_get (item, "result_size"));
+  json_array_append_new (collector->items, item);
+  return item;
+}
+
 static void
 collect_task_ (void *client, const struct ColtStandinTask *task)
 {
@@ -441,9 +468,8 @@
   bool recent = task->end_us != COLT_TIME_NEVER
                 && task->end_us + INVENTORY_RESULT_US > collector->now_us;
 
-  json_array_append_new (
-      collector->items,
-      colt_standin_encode_task (task, collector->now_us, recent));
+  add_item_ (collector, task,
+             recent && collector->result_bytes < RESULT_BYTES_MAX);
 }
 
 static bool
@@ -451,8 +477,7 @@
 {
   struct ColtStandinCollector *collector = client;
   bool ended = event->kind != COLT_STANDIN_EVENT_USAGE;
-  json_t *item
-      = colt_standin_encode_task (event->task, collector->now_us, ended);
+  json_t *item = add_item_ (collector, event->task, ended);
 
   json_object_set_new (item, "seq", json_integer (event->seq));
   json_object_set (item, "work_kind", json_object_get (item, "kind"));
@@ -460,9 +485,9 @@
                        json_string (colt_standin_event_string[event->kind]));
   json_object_set_new (item, "usage",
                        colt_standin_encode_resources (&event->usage));
-  json_array_append_new (collector->items, item);
   collector->last = event->seq;
-  return json_array_size (collector->items) < EVENTS_MAX;
+  return json_array_size (collector->items) < EVENTS_MAX
+         && collector->result_bytes < RESULT_BYTES_MAX;
 }
 
 /* Returns whether the poll has been answered. */
@@ -473,7 +498,7 @@
 {
   struct ColtStandinServer *server = backend->server;
   struct ColtStandinEvents *events = colt_standin_server_events (server);
-  struct ColtStandinCollector collector = { NULL, now_us, poll->after };
+  struct ColtStandinCollector collector = { NULL, now_us, poll->after, 0 };
 
   if (!admit_ (backend, poll->call, now_us,
                colt_standin_server_enter (server, now_us, poll->epoch, 0, 0)))
--- a/standin/backend_server.h
+++ b/standin/backend_server.h
@@ -36,6 +36,9 @@
 bool colt_standin_backend_listen (struct ColtStandinBackend *backend,
                                   struct ColtError *error);
 
+/** Returns the port listened at, 0 if none. */
+uint16_t colt_standin_backend_port (const struct ColtStandinBackend *backend);
+
 /** Switches the faults that an object names; see docs/STANDINS.md. */
 bool colt_standin_backend_switch (struct ColtStandinBackend *backend,
                                   const json_t *change,
--- a/standin/server_json.c
+++ b/standin/server_json.c
@@ -112,10 +112,11 @@
   json_object_set_new (object, "usage",
                        colt_standin_encode_resources (&task->usage));
   set_number_ (object, "run_ms", (end_us - task->start_us) / COLT_US_PER_MS);
-  set_number_ (object, "exit", task->exit_status);
   if (task->state == COLT_TASK_RUNNING)
     set_number_ (object, "lease_remaining_ms",
                  (task->lease_us - now_us) / COLT_US_PER_MS);
+  else
+    set_number_ (object, "exit", task->exit_status);
   add_result_ (object, task, result);
   return object;
 }
