--- a/src/test_standin/test_standin.c
+++ b/src/test_standin/test_standin.c
@@ -10,6 +10,7 @@
   add_task_tests ();
   add_log_tests ();
   add_http_tests ();
+  add_changes_tests ();
   add_relay_tests ();
   add_backend_tests ();
   return g_test_run ();
--- a/src/test_standin/tests.h
+++ b/src/test_standin/tests.h
@@ -5,6 +5,7 @@
 void add_task_tests (void);
 void add_log_tests (void);
 void add_http_tests (void);
+void add_changes_tests (void);
 void add_relay_tests (void);
 void add_backend_tests (void);
 
--- a/standin/answer.c
+++ b/standin/answer.c
@@ -9,6 +9,7 @@
 #define HEAD_FORMAT "answer %s seed %" PRIu64 " "
 #define CHECKSUM_FORMAT " %016" PRIx64 "\n"
 #define CHECKSUM_SIZE 18
+#define NUMBER_MAX INT64_C (1000000000000)
 #define KEY_SIZE 16
 #define VALUE_SIZE 24
 
@@ -18,6 +19,7 @@
 static void take_field_ (const char *key,
                          const char *value,
                          struct ColtStandinPayload *payload);
+static int64_t read_number_ (const char *text);
 static void
 copy_text_ (char *to, size_t size, const uint8_t *from, size_t length);
 static void fill_ (uint8_t *to, size_t size, const char *task, uint64_t seed);
@@ -34,8 +36,6 @@
   payload->memory_mb = -1;
   while (text < end)
     text = read_field_ (text, end, payload);
-  if (payload->bytes < 0)
-    payload->bytes = 0;
   if (payload->bytes > COLT_STANDIN_ANSWER_FILLER_MAX)
     payload->bytes = COLT_STANDIN_ANSWER_FILLER_MAX;
 }
@@ -103,7 +103,7 @@
              const char *value,
              struct ColtStandinPayload *payload)
 {
-  int64_t number = strtoll (value, NULL, 10);
+  int64_t number = read_number_ (value);
 
   if (strcmp (key, "run_ms") == 0)
     payload->run_ms = number;
@@ -123,6 +123,16 @@
     payload->forever = number != 0;
 }
 
+static int64_t
+read_number_ (const char *text)
+{
+  int64_t number = strtoll (text, NULL, 10);
+
+  if (number < 0)
+    return 0;
+  return number < NUMBER_MAX ? number : NUMBER_MAX;
+}
+
 static void
 copy_text_ (char *to, size_t size, const uint8_t *from, size_t length)
 {
--- a/standin/backend_server.c
+++ b/standin/backend_server.c
@@ -260,7 +260,7 @@
   struct ColtStandinServer *server = backend->server;
   const json_t *body = colt_standin_call_body (call);
   const struct ColtStandinLease *lease = colt_standin_server_lease (server);
-  int64_t length_us = number_ (body, "lease_ms") * COLT_US_PER_MS;
+  int64_t length_us = colt_standin_decode_us (body, "lease_ms");
   bool release = json_is_true (json_object_get (body, "release"));
   enum ColtStandinAccess access;
 
@@ -324,7 +324,7 @@
   struct ColtStandinServer *server = backend->server;
   const json_t *body = colt_standin_call_body (call);
   int64_t token = number_ (body, "token");
-  int64_t renew_ms = number_ (body, "renew_ms");
+  int64_t renew_us = colt_standin_decode_us (body, "renew_ms");
   json_t *answer;
 
   if (token <= 0)
@@ -335,10 +335,10 @@
   if (!admit_ (backend, call, now_us,
                colt_standin_server_enter (
                    server, now_us, (uint64_t)number_ (body, "epoch"), token,
-                   number_ (body, "lease_ms") * COLT_US_PER_MS)))
+                   colt_standin_decode_us (body, "lease_ms"))))
     return;
-  if (renew_ms > 0)
-    colt_standin_server_renew_tasks (server, token, renew_ms * COLT_US_PER_MS);
+  if (renew_us > 0)
+    colt_standin_server_renew_tasks (server, token, renew_us);
   answer = colt_standin_apply_changes (server, body, token, now_us);
   json_object_set_new (
       answer, "token",
@@ -403,7 +403,7 @@
     return COLT_STANDIN_FENCED;
   return colt_standin_server_enter (
       server, now_us, (uint64_t)number_ (body, "epoch"),
-      number_ (body, "token"), number_ (body, "lease_ms") * COLT_US_PER_MS);
+      number_ (body, "token"), colt_standin_decode_us (body, "lease_ms"));
 }
 
 /* Refuses the call unless the caller holds the lease. */
--- a/standin/http.c
+++ b/standin/http.c
@@ -18,6 +18,8 @@
 #define BODY_MAX (16 * 1024 * 1024)
 #define IDLE_TIMEOUT_S 600
 #define RANDOM_SEED 1
+/* Milliseconds or thousandths. */
+#define FAULT_NUMBER_MAX 3600000
 #define CONTROL_PATH "/control"
 
 enum
@@ -502,5 +504,5 @@
   const json_t *value = json_object_get (object, key);
 
   if (json_is_integer (value))
-    *number = json_integer_value (value);
+    *number = CLAMP (json_integer_value (value), 0, FAULT_NUMBER_MAX);
 }
--- a/standin/server_json.c
+++ b/standin/server_json.c
@@ -6,6 +6,10 @@
 
 #include "coltsfootstile/clock.h"
 
+/* Numbers beyond these are no sane request. */
+#define ATTEMPT_MAX 10000
+#define AMOUNT_MAX INT64_C (1000000000000)
+#define DURATION_MAX_MS INT64_C (86400000)
 #define CHECKPOINT_FORMAT "done_ms=%" G_GINT64_FORMAT
 
 static int64_t number_ (const json_t *object, const char *key);
@@ -37,12 +41,19 @@
   int i;
 
   for (i = 0; i < COLT_RESOURCE_COUNT; i++)
-    resources->amount[i] = MAX (number_ (object, colt_resource_string[i]), 0);
+    resources->amount[i]
+        = CLAMP (number_ (object, colt_resource_string[i]), 0, AMOUNT_MAX);
   if (json_object_get (object, colt_resource_string[COLT_RESOURCE_SLOTS])
       == NULL)
     resources->amount[COLT_RESOURCE_SLOTS] = 1;
 }
 
+int64_t
+colt_standin_decode_us (const json_t *object, const char *key)
+{
+  return CLAMP (number_ (object, key), 0, DURATION_MAX_MS) * COLT_US_PER_MS;
+}
+
 void
 colt_standin_encode_ref (json_t *object, const struct ColtTaskRef *ref)
 {
@@ -58,7 +69,7 @@
   const char *name = json_string_value (json_object_get (object, "task"));
   int64_t attempt = number_ (object, "attempt");
 
-  if (name == NULL || attempt < 1 || attempt > INT32_MAX)
+  if (name == NULL || attempt < 1 || attempt > ATTEMPT_MAX)
     return false;
   if (!colt_task_parse (name, ref, NULL))
     return false;
@@ -84,7 +95,8 @@
     return false;
   start->shard = (uint32_t)shard;
   start->shard_epoch = (uint64_t)number_ (object, "shard_epoch");
-  start->lease_ms = number_ (object, "lease_ms");
+  start->lease_ms
+      = colt_standin_decode_us (object, "lease_ms") / COLT_US_PER_MS;
   g_strlcpy (start->team, team, sizeof start->team);
   colt_standin_decode_resources (json_object_get (object, "limit"),
                                  &start->limit);
--- a/standin/server_json.h
+++ b/standin/server_json.h
@@ -16,6 +16,9 @@
 void colt_standin_decode_resources (const json_t *object,
                                     struct ColtResources *resources);
 
+/** Decodes a duration in milliseconds, 0 to a day; returns microseconds. */
+int64_t colt_standin_decode_us (const json_t *object, const char *key);
+
 /** Encodes the name of an attempt into an object. */
 void colt_standin_encode_ref (json_t *object, const struct ColtTaskRef *ref);
 
--- a/standin/standin_relay.c
+++ b/standin/standin_relay.c
@@ -10,6 +10,7 @@
 #include "relay_link.h"
 
 #define BACKLOG 128
+#define DELAY_MAX_MS 3600000
 #define NAME_SIZE 32
 #define ANY_NAME "*"
 
@@ -353,7 +354,8 @@
 {
   const json_t *delay = json_object_get (body, "delay_ms");
 
-  route->path.delay_us = json_integer_value (delay) * COLT_US_PER_MS;
+  route->path.delay_us
+      = CLAMP (json_integer_value (delay), 0, DELAY_MAX_MS) * COLT_US_PER_MS;
 }
 
 static void
