Log writer: records read back are done at once, stuck appends are cancelled

A record waited for its append's answer even when the reader had met it, and the next append waited for the timeout of a lost answer. Records are now done when they are read back, and an append with nothing left is cancelled 100 ms later. An append takes up to 2048 records, so that a slow log carries more.

--- a/include/coltsfootstile/log_service.h
+++ b/include/coltsfootstile/log_service.h
@@ -24,7 +24,7 @@
 /** Largest body of one record in bytes. */
 #define COLT_LOG_RECORD_MAX (COLT_LOG_BATCH_MAX - 1024u)
 /** Most records in one append. */
-#define COLT_LOG_BATCH_RECORDS_MAX 512u
+#define COLT_LOG_BATCH_RECORDS_MAX 2048u
 /** Records that may wait in one writer. */
 #define COLT_LOG_QUEUE_RECORDS_MAX 8192u
 /** Bytes of bodies that may wait in one writer. */
@@ -98,6 +98,8 @@
                 void *client);
   /** Ends open calls and closes the connections. */
   void (*cancel) (struct ColtLogDriver *driver);
+  /** Ends an open append and closes its connection. */
+  void (*cancel_append) (struct ColtLogDriver *driver);
   /** Frees the driver. */
   void (*destroy) (struct ColtLogDriver *driver);
 };
@@ -169,7 +171,7 @@
   uint64_t throttled;  /**< appends over the rate */
   uint64_t refused;    /**< appends turned away */
   uint64_t unknown;    /**< appends without an answer */
-  uint64_t found;      /**< records found by id after such an append */
+  uint64_t found;      /**< records read back before an answer came */
   uint64_t given_up;   /**< records past their deadline */
 };
 
@@ -231,8 +233,16 @@
                                enum ColtLogResult result,
                                uint64_t offset);
 
+/**
+ * Returns whether the open append has nothing left to say and is to be
+ * cancelled: its records have been read back, but no answer comes.
+ */
+bool colt_log_writer_is_stuck (const struct ColtLogWriter *writer,
+                               int64_t now_us);
+
 /** Tells that a reader has seen a record. */
 void colt_log_writer_see_record (struct ColtLogWriter *writer,
+                                 int64_t now_us,
                                  const struct ColtId *id,
                                  uint64_t offset);
 
--- a/src/platform/log_client.c
+++ b/src/platform/log_client.c
@@ -166,7 +166,8 @@
 {
   struct ColtLogClient *log = client;
 
-  colt_log_writer_see_record (log->writer, &item->id, item->offset);
+  colt_log_writer_see_record (log->writer, colt_clock_monotonic_us (),
+                              &item->id, item->offset);
   log->handler->record (log->client, item);
 }
 
@@ -175,7 +176,8 @@
 {
   struct ColtLogClient *log = client;
 
-  colt_log_writer_see_record (log->writer, &item->id, item->offset);
+  colt_log_writer_see_record (log->writer, colt_clock_monotonic_us (),
+                              &item->id, item->offset);
   if (log->handler->duplicate != NULL)
     log->handler->duplicate (log->client, item);
 }
@@ -232,9 +234,15 @@
 static void
 pump_writer_ (struct ColtLogClient *log, int64_t now_us)
 {
+  const uint8_t *body;
   size_t size;
-  const uint8_t *body = colt_log_writer_process (log->writer, now_us, &size);
 
+  if (colt_log_writer_is_stuck (log->writer, now_us))
+    {
+      log->driver->cancel_append (log->driver);
+      return;
+    }
+  body = colt_log_writer_process (log->writer, now_us, &size);
   if (body != NULL)
     log->driver->append (log->driver, body, size, take_append_, log);
 }
--- a/src/platform/log_http.c
+++ b/src/platform/log_http.c
@@ -47,6 +47,7 @@
                    void *client);
 static void take_read_ (void *client, const struct ColtHttpAnswer *answer);
 static void cancel_ (struct ColtLogDriver *driver);
+static void cancel_append_ (struct ColtLogDriver *driver);
 static void destroy_ (struct ColtLogDriver *driver);
 static enum ColtLogResult result_of_status_ (int status);
 static void follow_ (struct ColtTimeout *timeout,
@@ -61,6 +62,7 @@
   log->driver.append = append_;
   log->driver.read = read_;
   log->driver.cancel = cancel_;
+  log->driver.cancel_append = cancel_append_;
   log->driver.destroy = destroy_;
   log->address = g_strdup (address);
   log->append_http = colt_http_client_create (base, address, ANSWER_MAX, 1);
@@ -161,6 +163,12 @@
   colt_http_client_cancel (log->read_http);
 }
 
+static void
+cancel_append_ (struct ColtLogDriver *driver)
+{
+  colt_http_client_cancel (((struct ColtLogHttp *)driver)->append_http);
+}
+
 static void
 destroy_ (struct ColtLogDriver *driver)
 {
--- a/src/platform/log_writer.c
+++ b/src/platform/log_writer.c
@@ -11,6 +11,8 @@
 #define BACKOFF_LIMIT_US (5 * COLT_US_PER_S)
 /* Appends over the rate stretch the interval up to so many times. */
 #define SLOWDOWN_MAX 16u
+/* How long an append whose records were read back may lack its answer. */
+#define STUCK_US (100 * COLT_US_PER_MS)
 /* Bytes that a record takes in a batch beside its body, at most. */
 #define RECORD_OVERHEAD 64u
 
@@ -28,7 +30,6 @@
   int64_t deadline_us;
   int64_t unanswered_us;
   bool maybe_written;
-  bool seen;
   ColtLogWriteDone done;
   void *client;
 };
@@ -48,6 +49,7 @@
   GQueue unanswered;
   GHashTable *by_id;
   bool open;
+  int64_t settled_us; /* when all of the open append had been read back */
   size_t queued_bytes;
   uint8_t *batch;
   struct ColtLogWriterStats stats;
@@ -99,6 +101,7 @@
   writer->instances = 1;
   writer->slowdown = 1;
   writer->next_us = INT64_MIN;
+  writer->settled_us = COLT_TIME_NEVER;
   writer->earliest_deadline_us = COLT_TIME_NEVER;
   g_queue_init (&writer->waiting);
   g_queue_init (&writer->in_flight);
@@ -181,6 +184,7 @@
   free (writer->batch);
   writer->batch = build_batch_ (writer, size);
   writer->open = true;
+  writer->settled_us = COLT_TIME_NEVER;
   writer->next_us = now_us + interval_us_ (writer);
   return writer->batch;
 }
@@ -192,6 +196,8 @@
 
   if (g_hash_table_size (writer->by_id) > 0)
     wake = writer->earliest_deadline_us;
+  if (writer->open && writer->settled_us != COLT_TIME_NEVER)
+    wake = MIN (wake, writer->settled_us + STUCK_US);
   if (!writer->open && writer->waiting.length > 0)
     wake = MIN (wake, writer->next_us);
   return wake;
@@ -222,26 +228,33 @@
       break;
     case COLT_LOG_UNKNOWN:
       writer->stats.unknown++;
+      if (writer->in_flight.length > 0)
+        back_off_ (writer, now_us);
       keep_unanswered_ (writer, now_us);
-      back_off_ (writer, now_us);
       break;
     }
 }
 
+bool
+colt_log_writer_is_stuck (const struct ColtLogWriter *writer, int64_t now_us)
+{
+  return writer->open && writer->settled_us != COLT_TIME_NEVER
+         && now_us >= writer->settled_us + STUCK_US;
+}
+
 void
 colt_log_writer_see_record (struct ColtLogWriter *writer,
+                            int64_t now_us,
                             const struct ColtId *id,
                             uint64_t offset)
 {
   struct ColtLogQueued *queued = g_hash_table_lookup (writer->by_id, id);
 
-  if (queued == NULL || queued->seen)
-    return;
-  queued->seen = true;
-  queued->item.offset = offset;
-  if (queued->place == COLT_LOG_IN_FLIGHT)
+  if (queued == NULL)
     return;
   g_queue_remove (queue_of_ (writer, queued->place), queued);
+  if (queued->place == COLT_LOG_IN_FLIGHT && writer->in_flight.length == 0)
+    writer->settled_us = now_us;
   writer->stats.found++;
   end_ (writer, queued, COLT_LOG_WRITE_DONE, offset);
 }
@@ -310,18 +323,12 @@
 push_back_ (struct ColtLogWriter *writer, GQueue *from)
 {
   struct ColtLogQueued *queued;
-  GQueue found = G_QUEUE_INIT;
 
   while ((queued = g_queue_pop_tail (from)) != NULL)
     {
       queued->place = COLT_LOG_WAITING;
-      if (queued->seen)
-        g_queue_push_head (&found, queued);
-      else
-        g_queue_push_head (&writer->waiting, queued);
+      g_queue_push_head (&writer->waiting, queued);
     }
-  while ((queued = g_queue_pop_head (&found)) != NULL)
-    end_ (writer, queued, COLT_LOG_WRITE_DONE, queued->item.offset);
 }
 
 static GQueue *
@@ -359,9 +366,7 @@
 
   if (queued->maybe_written || queued->place != COLT_LOG_WAITING)
     result = COLT_LOG_WRITE_UNCERTAIN;
-  if (queued->seen)
-    result = COLT_LOG_WRITE_DONE;
-  end_ (writer, queued, result, queued->seen ? queued->item.offset : 0);
+  end_ (writer, queued, result, 0);
 }
 
 static void
@@ -447,28 +452,19 @@
     writer->slowdown--;
   writer->next_us = MIN (writer->next_us, now_us + interval_us_ (writer));
   while ((queued = g_queue_pop_head (&written)) != NULL)
-    end_ (writer, queued, COLT_LOG_WRITE_DONE,
-          queued->seen ? queued->item.offset : offset);
+    end_ (writer, queued, COLT_LOG_WRITE_DONE, offset);
 }
 
 static void
 keep_unanswered_ (struct ColtLogWriter *writer, int64_t now_us)
 {
-  GQueue unanswered = writer->in_flight;
   struct ColtLogQueued *queued;
 
-  g_queue_init (&writer->in_flight);
-  while ((queued = g_queue_pop_head (&unanswered)) != NULL)
+  while ((queued = g_queue_pop_head (&writer->in_flight)) != NULL)
     {
       queued->maybe_written = true;
       queued->unanswered_us = now_us;
-      if (!queued->seen)
-        {
-          move_ (writer, queued, COLT_LOG_UNANSWERED);
-          continue;
-        }
-      writer->stats.found++;
-      end_ (writer, queued, COLT_LOG_WRITE_DONE, queued->item.offset);
+      move_ (writer, queued, COLT_LOG_UNANSWERED);
     }
 }
 
