--- /dev/null
+++ b/src/test_shard/zone_model.c
@@ -0,0 +1,542 @@
+#include "zone_internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TICK_US MS (100)
+#define VIEW_LAG_US MS (300)
+#define SETTLED_US MS (1500)
+#define STEPS_AT_ONCE_MAX 20000
+#define PPM 1000000
+
+static void set_views_ (struct ColtZone *zone);
+static bool is_seen_ (const struct ColtZoneInstance *instance,
+                      const struct ColtZoneInstance *other);
+static bool others_have_settled_ (const struct ColtZoneInstance *instance);
+static void free_event_ (gpointer data);
+static struct ColtZoneEvent *take_due_ (struct ColtZone *zone);
+static int64_t next_time_ (const struct ColtZone *zone, int64_t until);
+static void handle_ (struct ColtZone *zone, struct ColtZoneEvent *event);
+static void tick_ (struct ColtZone *zone);
+
+struct ColtZone *
+colt_zone_create (const struct ColtZonePlan *plan)
+{
+  struct ColtZone *zone = g_new0 (struct ColtZone, 1);
+  int i;
+
+  zone->plan = *plan;
+  zone->random = g_rand_new_with_seed (plan->seed);
+  zone->now = COLT_US_PER_S;
+  zone->next_tick = zone->now;
+  zone->last_incarnation = 1000;
+  zone->events = g_ptr_array_new_with_free_func (free_event_);
+  for (i = 1; i <= plan->servers; i++)
+    zone->servers[i] = colt_zone_server_create (
+        g_rand_int_range (zone->random, -plan->drift_ppm, plan->drift_ppm + 1));
+  for (i = 1; i <= plan->instances; i++)
+    {
+      zone->instances[i].zone = zone;
+      zone->instances[i].number = (uint32_t)i;
+      colt_zone_boot (&zone->instances[i]);
+      zone->instances[i].changed_at = -VIEW_LAG_US;
+    }
+  set_views_ (zone);
+  return zone;
+}
+
+void
+colt_zone_destroy (struct ColtZone *zone)
+{
+  int i;
+
+  for (i = 1; i <= zone->plan.instances; i++)
+    if (zone->instances[i].is_alive)
+      colt_zone_halt (&zone->instances[i]);
+  for (i = 1; i <= zone->plan.servers; i++)
+    colt_zone_server_destroy (zone->servers[i]);
+  g_ptr_array_unref (zone->events);
+  g_rand_free (zone->random);
+  g_free (zone);
+}
+
+void
+colt_zone_run (struct ColtZone *zone, int64_t ms)
+{
+  int64_t until = zone->now + MS (ms);
+  int64_t last = zone->now;
+  int steps = 0;
+
+  while (zone->now < until)
+    {
+      struct ColtZoneEvent *event;
+      int i;
+
+      zone->now = next_time_ (zone, until);
+      steps = zone->now == last ? steps + 1 : 0;
+      last = zone->now;
+      if (steps > STEPS_AT_ONCE_MAX)
+        colt_zone_broken (zone, "time stands still");
+      colt_zone_check (zone);
+      if (zone->now >= zone->next_tick)
+        tick_ (zone);
+      event = take_due_ (zone);
+      if (event != NULL)
+        {
+          handle_ (zone, event);
+          free_event_ (event);
+        }
+      for (i = 1; i <= zone->plan.instances; i++)
+        colt_zone_process (&zone->instances[i]);
+      colt_zone_check (zone);
+    }
+}
+
+void
+colt_zone_kill (struct ColtZone *zone, uint32_t instance)
+{
+  if (zone->instances[instance].is_alive)
+    colt_zone_halt (&zone->instances[instance]);
+}
+
+void
+colt_zone_start (struct ColtZone *zone, uint32_t instance)
+{
+  if (!zone->instances[instance].is_alive)
+    colt_zone_boot (&zone->instances[instance]);
+  set_views_ (zone);
+}
+
+void
+colt_zone_pause (struct ColtZone *zone, uint32_t instance, int64_t ms)
+{
+  zone->instances[instance].paused_until = zone->now + MS (ms);
+}
+
+void
+colt_zone_stop (struct ColtZone *zone, uint32_t instance)
+{
+  struct ColtZoneInstance *it = &zone->instances[instance];
+  uint32_t heir = instance % (uint32_t)zone->plan.instances + 1;
+  int i;
+
+  it->is_stopping = true;
+  set_views_ (zone);
+  colt_shard_lead_stop (it->lead);
+  for (i = 1; i <= zone->plan.servers; i++)
+    colt_server_lease_stop (it->leases[i], heir,
+                            colt_zone_local (it, zone->now));
+}
+
+void
+colt_zone_kill_server (struct ColtZone *zone, uint32_t server)
+{
+  colt_zone_server_kill (zone->servers[server], zone->now);
+}
+
+void
+colt_zone_silence_server (struct ColtZone *zone, uint32_t server, int64_t ms)
+{
+  colt_zone_server_silence (zone->servers[server], zone->now + MS (ms));
+}
+
+void
+colt_zone_set_blind (struct ColtZone *zone, uint32_t instance, bool blind)
+{
+  zone->instances[instance].is_blind = blind;
+  set_views_ (zone);
+}
+
+int64_t
+colt_zone_now_ms (const struct ColtZone *zone)
+{
+  return zone->now / COLT_US_PER_MS;
+}
+
+uint32_t
+colt_zone_holder (struct ColtZone *zone, uint32_t server)
+{
+  int i;
+
+  for (i = 1; i <= zone->plan.instances; i++)
+    {
+      const struct ColtZoneInstance *instance = &zone->instances[i];
+
+      if (instance->is_alive
+          && colt_server_lease_may_start (
+              instance->leases[server], colt_zone_local (instance, zone->now)))
+        return instance->number;
+    }
+  return 0;
+}
+
+uint32_t
+colt_zone_lead (const struct ColtZone *zone, uint32_t shard)
+{
+  return zone->latest[shard].instance;
+}
+
+int
+colt_zone_count_led (struct ColtZone *zone)
+{
+  uint32_t shard;
+  int count = 0;
+  int i;
+
+  for (shard = 0; shard < COLT_SHARD_COUNT; shard++)
+    for (i = 1; i <= zone->plan.instances; i++)
+      {
+        const struct ColtZoneInstance *instance = &zone->instances[i];
+
+        if (instance->is_alive && instance->lead != NULL
+            && colt_shard_lead_epoch (instance->lead, shard)
+                   == zone->latest[shard].epoch
+            && colt_shard_lead_is_active (
+                instance->lead, shard, colt_zone_local (instance, zone->now)))
+          count++;
+      }
+  return count;
+}
+
+int64_t
+colt_zone_count_starts (const struct ColtZone *zone)
+{
+  return zone->starts;
+}
+
+int64_t
+colt_zone_count_lapsed (const struct ColtZone *zone)
+{
+  int64_t count = 0;
+  int i;
+
+  for (i = 1; i <= zone->plan.servers; i++)
+    count += colt_zone_server_count_lapsed (zone->servers[i], zone->now);
+  return count;
+}
+
+int64_t
+colt_zone_count_recounts (const struct ColtZone *zone)
+{
+  return zone->recounts;
+}
+
+int64_t
+colt_zone_count_confirm_bytes (const struct ColtZone *zone)
+{
+  return zone->confirm_bytes;
+}
+
+struct ColtShardLead *
+colt_zone_get_lead (struct ColtZone *zone, uint32_t instance)
+{
+  return zone->instances[instance].lead;
+}
+
+struct ColtShardOwner *
+colt_zone_get_owner (struct ColtZone *zone, uint32_t instance)
+{
+  return zone->instances[instance].owner;
+}
+
+int64_t
+colt_zone_local (const struct ColtZoneInstance *instance, int64_t now)
+{
+  return instance->offset + now + now * instance->ppm / PPM;
+}
+
+int64_t
+colt_zone_real (const struct ColtZoneInstance *instance, int64_t local)
+{
+  int64_t now;
+
+  if (local == COLT_TIME_NEVER)
+    return COLT_TIME_NEVER;
+  now = (int64_t)((double)(local - instance->offset) * PPM
+                  / (PPM + (double)instance->ppm))
+        - 2;
+  while (colt_zone_local (instance, now) < local)
+    now++;
+  return now;
+}
+
+bool
+colt_zone_draw (struct ColtZone *zone, int permille)
+{
+  return permille > 0 && g_rand_int_range (zone->random, 0, 1000) < permille;
+}
+
+void
+colt_zone_broken (const struct ColtZone *zone, const char *what)
+{
+  fprintf (stderr, "seed %u, %" PRId64 " us: %s\n", zone->plan.seed, zone->now,
+           what);
+  abort ();
+}
+
+void
+colt_zone_post (struct ColtZone *zone, const struct ColtZoneEvent *event)
+{
+  int64_t delay = g_rand_int_range (zone->random, 200, 3000);
+  const struct ColtZonePlan *plan = &zone->plan;
+
+  if (colt_zone_draw (zone, plan->lost))
+    return;
+  if (colt_zone_draw (zone, plan->delayed))
+    delay = g_rand_int_range (zone->random, 3000, MS (2000));
+  colt_zone_schedule (zone, event, delay);
+  if (colt_zone_draw (zone, plan->doubled))
+    colt_zone_schedule (zone, event,
+                        g_rand_int_range (zone->random, 200, MS (2500)));
+}
+
+void
+colt_zone_schedule (struct ColtZone *zone,
+                    const struct ColtZoneEvent *event,
+                    int64_t delay)
+{
+  struct ColtZoneEvent *copy = g_memdup2 (event, sizeof *event);
+
+  copy->at = zone->now + delay;
+  copy->order = ++zone->last_order;
+  if (event->body != NULL)
+    copy->body = g_memdup2 (event->body, event->size);
+  if (event->answer.tasks != NULL)
+    copy->answer.tasks = g_array_ref (event->answer.tasks);
+  g_ptr_array_add (zone->events, copy);
+}
+
+static void
+free_event_ (gpointer data)
+{
+  struct ColtZoneEvent *event = data;
+
+  g_free (event->body);
+  if (event->answer.tasks != NULL)
+    g_array_unref (event->answer.tasks);
+  g_free (event);
+}
+
+static struct ColtZoneEvent *
+take_due_ (struct ColtZone *zone)
+{
+  struct ColtZoneEvent *best = NULL;
+  guint i;
+
+  for (i = 0; i < zone->events->len; i++)
+    {
+      struct ColtZoneEvent *event = g_ptr_array_index (zone->events, i);
+
+      if (event->at <= zone->now
+          && (best == NULL || event->at < best->at
+              || (event->at == best->at && event->order < best->order)))
+        best = event;
+    }
+  if (best == NULL)
+    return NULL;
+  g_ptr_array_set_free_func (zone->events, NULL);
+  g_ptr_array_remove_fast (zone->events, best);
+  g_ptr_array_set_free_func (zone->events, free_event_);
+  return best;
+}
+
+/* The last moment of each lease is looked at as well: there a holder that
+ * believes too long is caught. */
+static int64_t
+next_time_ (const struct ColtZone *zone, int64_t until)
+{
+  int64_t next = MIN (until, zone->next_tick);
+  guint i;
+  int j;
+
+  for (i = 0; i < zone->events->len; i++)
+    {
+      const struct ColtZoneEvent *event = g_ptr_array_index (zone->events, i);
+
+      next = MIN (next, event->at);
+    }
+  for (i = 1; i <= (guint)zone->plan.instances; i++)
+    {
+      const struct ColtZoneInstance *instance = &zone->instances[i];
+
+      next = MIN (next, colt_zone_wake_time (instance));
+      for (j = 1; instance->is_alive && j <= zone->plan.servers; j++)
+        {
+          int64_t end = colt_server_lease_end (instance->leases[j]);
+          int64_t last = end > 0 ? colt_zone_real (instance, end) - 1 : 0;
+
+          if (last > zone->now)
+            next = MIN (next, last);
+        }
+    }
+  return MAX (next, zone->now);
+}
+
+static void
+handle_ (struct ColtZone *zone, struct ColtZoneEvent *event)
+{
+  struct ColtZoneInstance *instance = &zone->instances[event->instance];
+
+  if (event->kind == EVENT_RESTART)
+    {
+      colt_zone_start (zone, event->instance);
+      return;
+    }
+  if (event->kind == EVENT_SEE_ALL)
+    {
+      instance->is_blind = false;
+      set_views_ (zone);
+      return;
+    }
+  if (event->kind == EVENT_TO_SERVER)
+    {
+      struct ColtZoneServerModel *server = zone->servers[event->call.server];
+
+      if (!colt_zone_server_call (server, zone->now, &event->call,
+                                  &event->answer))
+        return;
+      if (event->answer.landed != NULL)
+        colt_zone_check_landing (zone, event->answer.landed);
+      zone->starts += event->answer.landed != NULL;
+      event->kind = EVENT_FROM_SERVER;
+      colt_zone_post (zone, event);
+      return;
+    }
+  if (!instance->is_alive
+      || (event->incarnation != 0
+          && event->incarnation != instance->incarnation))
+    return;
+  if (instance->paused_until > zone->now)
+    {
+      colt_zone_schedule (zone, event, instance->paused_until - zone->now);
+      return;
+    }
+  if (event->kind == EVENT_FROM_SERVER)
+    colt_zone_take_answer (instance, event);
+  else if (event->kind == EVENT_CALL_TIMEOUT)
+    colt_server_lease_failed (instance->leases[event->call.server],
+                              event->call.number,
+                              colt_zone_local (instance, zone->now));
+  else
+    colt_zone_take_message (instance, event);
+}
+
+static void
+tick_ (struct ColtZone *zone)
+{
+  int survivor = g_rand_int_range (zone->random, 0, zone->plan.instances + 1);
+  bool massacre = colt_zone_draw (zone, zone->plan.massacres);
+  int i;
+
+  zone->next_tick = zone->now + TICK_US;
+  for (i = 1; i <= zone->plan.instances; i++)
+    {
+      struct ColtZoneInstance *instance = &zone->instances[i];
+      struct ColtZoneEvent event = { 0 };
+
+      event.instance = instance->number;
+      if (colt_zone_draw (zone, 100))
+        instance->lists_last = true;
+      if (!instance->is_alive)
+        continue;
+      if ((massacre && i != survivor)
+          || colt_zone_draw (zone, zone->plan.deaths))
+        {
+          colt_zone_kill (zone, instance->number);
+          event.kind = EVENT_RESTART;
+          colt_zone_schedule (
+              zone, &event,
+              g_rand_int_range (zone->random, MS (50), MS (1500)));
+        }
+      else if (colt_zone_draw (zone, zone->plan.pauses))
+        colt_zone_pause (zone, instance->number,
+                         g_rand_int_range (zone->random, 20, 1500));
+      else if (colt_zone_draw (zone, zone->plan.blind))
+        {
+          instance->is_blind = true;
+          event.kind = EVENT_SEE_ALL;
+          colt_zone_schedule (
+              zone, &event,
+              g_rand_int_range (zone->random, MS (300), MS (2000)));
+        }
+    }
+  for (i = 1; i <= zone->plan.servers; i++)
+    if (colt_zone_draw (zone, zone->plan.server_deaths))
+      colt_zone_kill_server (zone, (uint32_t)i);
+  set_views_ (zone);
+}
+
+/* Others notice a start or a death only after a while. */
+static void
+set_views_ (struct ColtZone *zone)
+{
+  uint32_t members[COLT_ZONE_INSTANCES];
+  uint32_t servers[COLT_ZONE_SERVERS];
+  size_t count;
+  int i;
+  int j;
+
+  for (i = 1; i <= zone->plan.instances; i++)
+    {
+      struct ColtZoneInstance *instance = &zone->instances[i];
+      int64_t now = colt_zone_local (instance, zone->now);
+
+      if (!instance->is_alive || instance->paused_until > zone->now)
+        continue;
+      count = 0;
+      for (j = 1; j <= zone->plan.instances; j++)
+        {
+          const struct ColtZoneInstance *other = &zone->instances[j];
+
+          if (is_seen_ (instance, other))
+            members[count++] = other->number;
+        }
+      for (j = 0; j < zone->plan.servers; j++)
+        {
+          servers[j] = (uint32_t)j + 1;
+          colt_server_lease_set_members (instance->leases[j + 1], members,
+                                         count, now);
+        }
+      if (instance->lead == NULL)
+        continue;
+      instance->lists_last |= !others_have_settled_ (instance);
+      colt_shard_lead_set_servers (
+          instance->lead, servers,
+          (size_t)zone->plan.servers - (instance->lists_last ? 0 : 1), now);
+      colt_shard_lead_set_members (instance->lead, members, count, now);
+    }
+}
+
+static bool
+is_seen_ (const struct ColtZoneInstance *instance,
+          const struct ColtZoneInstance *other)
+{
+  int64_t seen_at = other->changed_at + VIEW_LAG_US;
+
+  if (other->is_stopping)
+    return false;
+  if (instance == other)
+    return true;
+  return !instance->is_blind
+         && other->is_alive == (instance->zone->now >= seen_at);
+}
+
+/* A list that lacks a server is made up for by what others know; when all of
+ * them are new, nobody knows. */
+static bool
+others_have_settled_ (const struct ColtZoneInstance *instance)
+{
+  const struct ColtZone *zone = instance->zone;
+  int i;
+
+  for (i = 1; i <= zone->plan.instances; i++)
+    {
+      const struct ColtZoneInstance *other = &zone->instances[i];
+
+      if (other != instance && other->is_alive
+          && zone->now >= other->changed_at + SETTLED_US)
+        return true;
+    }
+  return false;
+}
--- /dev/null
+++ b/src/test_shard/zone_server.c
@@ -0,0 +1,319 @@
+#include "zone_server.h"
+
+#include <string.h>
+
+#include "coltsfootstile/clock.h"
+
+#define PPM 1000000
+#define LEASE_US (400 * COLT_US_PER_MS)
+#define TASK_LEASE_US (COLT_ZONE_TASK_LEASE_MS * COLT_US_PER_MS)
+#define TASK_RUN_US (3 * COLT_US_PER_S)
+
+struct ColtZoneServerModel
+{
+  int64_t ppm;
+  bool is_dead;
+  int64_t silent_until;
+  uint64_t epoch;
+  uint32_t owner;
+  int64_t lease_end; /* by its own clock */
+  GArray *issues;    /* of tokens, which are numbered from 1 */
+  GArray *tasks;     /* of struct ColtZoneTask */
+  int64_t lapsed;
+  uint64_t shard_epochs[COLT_SHARD_COUNT];
+};
+
+static int64_t local_ (const struct ColtZoneServerModel *server, int64_t now);
+static void end_tasks_ (struct ColtZoneServerModel *server, int64_t now);
+static struct ColtZoneTask *task_at_ (struct ColtZoneServerModel *server,
+                                      guint index);
+static struct ColtZoneTask *find_task_ (struct ColtZoneServerModel *server,
+                                        uint32_t number);
+static int64_t issued_ (const struct ColtZoneServerModel *server, int token);
+static bool acquire_ (struct ColtZoneServerModel *server,
+                      const struct ColtZoneCall *call,
+                      int64_t local);
+static void start_ (struct ColtZoneServerModel *server,
+                    const struct ColtZoneCall *call,
+                    int64_t local,
+                    struct ColtZoneAnswer *answer);
+static void renew_tasks_ (struct ColtZoneServerModel *server,
+                          const struct ColtZoneCall *call);
+static void list_ (struct ColtZoneServerModel *server,
+                   struct ColtZoneAnswer *answer);
+
+struct ColtZoneServerModel *
+colt_zone_server_create (int64_t ppm)
+{
+  struct ColtZoneServerModel *server = g_new0 (struct ColtZoneServerModel, 1);
+
+  server->ppm = ppm;
+  server->issues = g_array_new (FALSE, TRUE, sizeof (int64_t));
+  server->tasks = g_array_new (FALSE, TRUE, sizeof (struct ColtZoneTask));
+  return server;
+}
+
+void
+colt_zone_server_destroy (struct ColtZoneServerModel *server)
+{
+  g_array_unref (server->issues);
+  g_array_unref (server->tasks);
+  g_free (server);
+}
+
+void
+colt_zone_server_kill (struct ColtZoneServerModel *server, int64_t now)
+{
+  guint i;
+
+  end_tasks_ (server, now);
+  server->is_dead = true;
+  for (i = 0; i < server->tasks->len; i++)
+    task_at_ (server, i)->is_running = false;
+}
+
+void
+colt_zone_server_silence (struct ColtZoneServerModel *server, int64_t until)
+{
+  server->silent_until = until;
+}
+
+bool
+colt_zone_server_call (struct ColtZoneServerModel *server,
+                       int64_t now,
+                       const struct ColtZoneCall *call,
+                       struct ColtZoneAnswer *answer)
+{
+  int64_t local = local_ (server, now);
+  bool is_holder = server->owner == call->owner && server->epoch == call->epoch
+                   && local < server->lease_end;
+
+  if (server->is_dead || now < server->silent_until)
+    return false;
+  end_tasks_ (server, now);
+  memset (answer, 0, sizeof *answer);
+  if (call->kind == COLT_ZONE_ACQUIRE ? !acquire_ (server, call, local)
+                                      : !is_holder)
+    {
+      answer->is_fenced = true;
+      answer->fence.epoch = server->epoch;
+      answer->fence.owner = server->owner;
+      answer->fence.remaining_ms
+          = MAX (server->lease_end - local, 0) / COLT_US_PER_MS;
+      return true;
+    }
+  if (call->token > 0 && call->kind != COLT_ZONE_RELEASE)
+    server->lease_end
+        = MAX (server->lease_end, issued_ (server, call->token) + LEASE_US);
+  if (call->kind == COLT_ZONE_RELEASE)
+    server->lease_end = 0;
+  else if (call->kind == COLT_ZONE_START)
+    start_ (server, call, local, answer);
+  else if (call->kind == COLT_ZONE_RENEW_TASKS)
+    renew_tasks_ (server, call);
+  else if (call->kind == COLT_ZONE_INVENTORY)
+    list_ (server, answer);
+  g_array_append_val (server->issues, local);
+  answer->token = (int)server->issues->len;
+  return true;
+}
+
+bool
+colt_zone_server_is_held (struct ColtZoneServerModel *server,
+                          int64_t now,
+                          uint32_t owner,
+                          uint64_t epoch)
+{
+  return server->is_dead
+         || (server->owner == owner && server->epoch == epoch
+             && local_ (server, now) < server->lease_end);
+}
+
+bool
+colt_zone_server_has_ended (struct ColtZoneServerModel *server, uint32_t task)
+{
+  const struct ColtZoneTask *found = find_task_ (server, task);
+
+  return found != NULL && !found->is_running;
+}
+
+int
+colt_zone_server_count_running (struct ColtZoneServerModel *server,
+                                int64_t now,
+                                uint32_t shard)
+{
+  int count = 0;
+  guint i;
+
+  end_tasks_ (server, now);
+  for (i = 0; i < server->tasks->len; i++)
+    if (task_at_ (server, i)->is_running
+        && task_at_ (server, i)->shard == shard)
+      count++;
+  return count;
+}
+
+int64_t
+colt_zone_server_count_lapsed (struct ColtZoneServerModel *server, int64_t now)
+{
+  end_tasks_ (server, now);
+  return server->lapsed;
+}
+
+bool
+colt_zone_server_is_covered (struct ColtZoneServerModel *server,
+                             int64_t now,
+                             uint32_t shard,
+                             GHashTable *reported)
+{
+  guint i;
+
+  end_tasks_ (server, now);
+  for (i = 0; i < server->tasks->len; i++)
+    {
+      const struct ColtZoneTask *task = task_at_ (server, i);
+
+      if (task->is_running && task->shard == shard
+          && (reported == NULL
+              || !g_hash_table_contains (reported,
+                                         GUINT_TO_POINTER (task->number))))
+        return false;
+    }
+  return true;
+}
+
+struct ColtTaskRef
+colt_zone_task_ref (uint32_t number)
+{
+  uint8_t random[10] = { 0 };
+  struct ColtTaskRef ref = { { { 0 } }, 0, 1 };
+
+  memcpy (random, &number, sizeof number);
+  ref.request = colt_id_mint (1, 1, random);
+  return ref;
+}
+
+uint32_t
+colt_zone_task_number (const struct ColtTaskRef *ref)
+{
+  uint32_t number;
+
+  memcpy (&number, ref->request.bytes + COLT_ID_SIZE - 10, sizeof number);
+  return number;
+}
+
+static int64_t
+local_ (const struct ColtZoneServerModel *server, int64_t now)
+{
+  return now + now * server->ppm / PPM;
+}
+
+static void
+end_tasks_ (struct ColtZoneServerModel *server, int64_t now)
+{
+  int64_t local = local_ (server, now);
+  guint i;
+
+  for (i = 0; i < server->tasks->len; i++)
+    {
+      struct ColtZoneTask *task = task_at_ (server, i);
+
+      if (!task->is_running
+          || (local < task->lease_end && local < task->finish))
+        continue;
+      task->is_running = false;
+      if (local < task->finish)
+        server->lapsed++;
+    }
+}
+
+static struct ColtZoneTask *
+task_at_ (struct ColtZoneServerModel *server, guint index)
+{
+  return &g_array_index (server->tasks, struct ColtZoneTask, index);
+}
+
+static struct ColtZoneTask *
+find_task_ (struct ColtZoneServerModel *server, uint32_t number)
+{
+  guint i;
+
+  for (i = 0; i < server->tasks->len; i++)
+    if (task_at_ (server, i)->number == number)
+      return task_at_ (server, i);
+  return NULL;
+}
+
+static int64_t
+issued_ (const struct ColtZoneServerModel *server, int token)
+{
+  return g_array_index (server->issues, int64_t, token - 1);
+}
+
+static bool
+acquire_ (struct ColtZoneServerModel *server,
+          const struct ColtZoneCall *call,
+          int64_t local)
+{
+  if (local < server->lease_end || call->epoch <= server->epoch)
+    return false;
+  server->epoch = call->epoch;
+  server->owner = call->owner;
+  server->lease_end = local + LEASE_US;
+  return true;
+}
+
+static void
+start_ (struct ColtZoneServerModel *server,
+        const struct ColtZoneCall *call,
+        int64_t local,
+        struct ColtZoneAnswer *answer)
+{
+  struct ColtZoneTask task = call->task;
+
+  if (find_task_ (server, task.number) != NULL
+      || task.epoch < server->shard_epochs[task.shard])
+    return;
+  task.server = call->server;
+  task.lease_end = issued_ (server, call->token) + TASK_LEASE_US;
+  task.finish = local + TASK_RUN_US;
+  task.is_running = local < task.lease_end;
+  if (!task.is_running)
+    return;
+  server->shard_epochs[task.shard] = task.epoch;
+  g_array_append_val (server->tasks, task);
+  answer->landed = task_at_ (server, server->tasks->len - 1);
+}
+
+static void
+renew_tasks_ (struct ColtZoneServerModel *server,
+              const struct ColtZoneCall *call)
+{
+  int64_t end = issued_ (server, call->token) + TASK_LEASE_US;
+  guint i;
+
+  for (i = 0; i < server->tasks->len; i++)
+    {
+      struct ColtZoneTask *task = task_at_ (server, i);
+
+      if (task->is_running && (call->shards >> task->shard & 1) != 0)
+        task->lease_end = MAX (task->lease_end, end);
+    }
+}
+
+static void
+list_ (struct ColtZoneServerModel *server, struct ColtZoneAnswer *answer)
+{
+  uint32_t shard;
+  guint i;
+
+  answer->tasks = g_array_new (FALSE, TRUE, sizeof (struct ColtZoneTask));
+  for (i = 0; i < server->tasks->len; i++)
+    if (task_at_ (server, i)->is_running)
+      g_array_append_val (answer->tasks, *task_at_ (server, i));
+  for (shard = 0; shard < COLT_SHARD_COUNT; shard++)
+    {
+      answer->epochs[shard].shard = shard;
+      answer->epochs[shard].epoch = server->shard_epochs[shard];
+    }
+}
