--- a/include/coltsfootstile/request.h
+++ b/include/coltsfootstile/request.h
@@ -80,7 +80,8 @@
   bool uncertain;         /**< ended without its end being seen */
   int exit_status;
   int64_t run_ms;
-  uint8_t *result; /**< NULL when there is none or it was dropped */
+  bool result_known; /**< false until the result came, or once dropped */
+  uint8_t *result;
   size_t result_size;
 };
 
@@ -227,7 +228,8 @@
                             const struct ColtTaskRef *ref,
                             int64_t now_us);
 
-/** An attempt has ended; one that is not the newest is ignored. */
+/** An attempt has ended; one that is not the newest is ignored. For an attempt
+ * whose end is known already, a result that was missing is filled in. */
 void colt_requests_ended (struct ColtRequests *requests,
                           const struct ColtTaskReport *report,
                           int64_t now_us);
--- /dev/null
+++ b/src/request/request_messages.c
@@ -0,0 +1,254 @@
+#include "coltsfootstile/request_messages.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "coltsfootstile/clock.h"
+
+static ColtAnswerTaskWord *make_task_word_ (const struct ColtRequestTask *task,
+                                            uint32_t index);
+static bool read_name_ (const char *text, char name[COLT_NAME_SIZE]);
+
+void
+colt_ref_fill (struct ColtRefBuffer *buffer, const struct ColtTaskRef *ref)
+{
+  colt_ref_word__init (&buffer->word);
+  memcpy (buffer->request, ref->request.bytes, COLT_ID_SIZE);
+  buffer->word.request.data = buffer->request;
+  buffer->word.request.len = COLT_ID_SIZE;
+  buffer->word.index = ref->index;
+  buffer->word.attempt = ref->attempt;
+}
+
+bool
+colt_ref_read (const ColtRefWord *word, struct ColtTaskRef *ref)
+{
+  if (word == NULL || !colt_id_read (&word->request, &ref->request))
+    return false;
+  if (word->index >= COLT_TASKS_PER_REQUEST_MAX || word->attempt == 0)
+    return false;
+  ref->index = word->index;
+  ref->attempt = word->attempt;
+  return true;
+}
+
+ProtobufCBinaryData
+colt_id_fill (const struct ColtId *id)
+{
+  ProtobufCBinaryData data = { COLT_ID_SIZE, (uint8_t *)id->bytes };
+
+  return data;
+}
+
+bool
+colt_id_read (const ProtobufCBinaryData *data, struct ColtId *id)
+{
+  if (data->len != COLT_ID_SIZE)
+    return false;
+  memcpy (id->bytes, data->data, COLT_ID_SIZE);
+  if (colt_id_zone (id) < 1 || colt_id_zone (id) > COLT_ZONE_MAX)
+    return false;
+  return colt_id_kind (id) == COLT_ID_MINTED
+         || colt_id_kind (id) == COLT_ID_HASHED;
+}
+
+void
+colt_resources_fill (struct ColtResourcesBuffer *buffer,
+                     const struct ColtResources *resources)
+{
+  colt_resources_word__init (&buffer->word);
+  memcpy (buffer->amounts, resources->amount, sizeof buffer->amounts);
+  buffer->word.amounts = buffer->amounts;
+  buffer->word.n_amounts = COLT_RESOURCE_COUNT;
+}
+
+bool
+colt_resources_read (const ColtResourcesWord *word,
+                     struct ColtResources *resources)
+{
+  int i;
+
+  if (word == NULL || word->n_amounts != COLT_RESOURCE_COUNT)
+    return false;
+  for (i = 0; i < COLT_RESOURCE_COUNT; i++)
+    {
+      if (word->amounts[i] < 0)
+        return false;
+      resources->amount[i] = word->amounts[i];
+    }
+  return true;
+}
+
+void
+colt_report_fill (struct ColtReportBuffer *buffer,
+                  const struct ColtTaskReport *report)
+{
+  colt_report_word__init (&buffer->word);
+  colt_ref_fill (&buffer->ref, &report->ref);
+  colt_resources_fill (&buffer->limit, &report->limit);
+  colt_resources_fill (&buffer->usage, &report->usage);
+  memcpy (buffer->team, report->team, sizeof buffer->team);
+  buffer->word.ref = &buffer->ref.word;
+  buffer->word.shard = report->shard;
+  buffer->word.shard_epoch = report->shard_epoch;
+  buffer->word.team = buffer->team;
+  buffer->word.kind = report->kind;
+  buffer->word.state = report->state;
+  buffer->word.limit = &buffer->limit.word;
+  buffer->word.usage = &buffer->usage.word;
+  buffer->word.run_ms = report->run_ms;
+  buffer->word.exit_status = report->exit_status;
+  buffer->word.result.data = (uint8_t *)report->result;
+  buffer->word.result.len = report->result_size;
+  buffer->word.result_known = report->result != NULL;
+}
+
+bool
+colt_report_read (const ColtReportWord *word, struct ColtTaskReport *report)
+{
+  static const uint8_t empty[1];
+
+  if (word == NULL || !colt_ref_read (word->ref, &report->ref))
+    return false;
+  if (!colt_resources_read (word->limit, &report->limit)
+      || !colt_resources_read (word->usage, &report->usage))
+    return false;
+  if (!read_name_ (word->team, report->team))
+    return false;
+  if (word->shard >= COLT_SHARD_COUNT || word->kind >= COLT_WORK_KIND_COUNT
+      || word->state > COLT_TASK_STOPPED)
+    return false;
+  report->shard = word->shard;
+  report->shard_epoch = word->shard_epoch;
+  report->kind = (enum ColtWorkKind)word->kind;
+  report->state = (enum ColtTaskState)word->state;
+  report->run_ms = word->run_ms;
+  report->exit_status = word->exit_status;
+  report->result = word->result.data;
+  report->result_size = word->result.len;
+  if (word->result_known && report->result == NULL)
+    report->result = empty;
+  return true;
+}
+
+void
+colt_spec_fill (struct ColtSpecBuffer *buffer,
+                const struct ColtRequestSpec *spec,
+                int64_t now_us)
+{
+  colt_spec_word__init (&buffer->word);
+  colt_resources_fill (&buffer->demand, &spec->demand);
+  buffer->word.team = (char *)spec->team;
+  buffer->word.queue = (char *)spec->queue;
+  buffer->word.kind = spec->kind;
+  buffer->word.demand = &buffer->demand.word;
+  buffer->word.tasks = spec->tasks;
+  buffer->word.idempotent = spec->idempotent;
+  buffer->word.urgent = spec->urgent;
+  buffer->word.durable = spec->durable;
+  buffer->word.max_attempts = spec->max_attempts;
+  buffer->word.run_ms = spec->run_ms;
+  buffer->word.deadline_left_ms = -1;
+  if (spec->deadline_us != COLT_TIME_NEVER)
+    buffer->word.deadline_left_ms
+        = MAX (spec->deadline_us - now_us, 0) / COLT_US_PER_MS;
+  buffer->word.payload.data = (uint8_t *)spec->payload;
+  buffer->word.payload.len = spec->payload_size;
+}
+
+bool
+colt_spec_read (const ColtSpecWord *word,
+                struct ColtRequestSpec *spec,
+                int64_t now_us)
+{
+  if (word == NULL || !read_name_ (word->team, spec->team)
+      || !read_name_ (word->queue, spec->queue)
+      || !colt_resources_read (word->demand, &spec->demand))
+    return false;
+  if (word->kind >= COLT_WORK_KIND_COUNT || word->tasks < 1
+      || word->tasks > COLT_TASKS_PER_REQUEST_MAX || word->max_attempts < 1
+      || word->payload.len > COLT_PAYLOAD_MAX)
+    return false;
+  spec->kind = (enum ColtWorkKind)word->kind;
+  spec->tasks = word->tasks;
+  spec->idempotent = word->idempotent;
+  spec->urgent = word->urgent;
+  spec->durable = word->durable;
+  spec->max_attempts = word->max_attempts;
+  spec->run_ms = word->run_ms;
+  spec->deadline_us = COLT_TIME_NEVER;
+  if (word->deadline_left_ms >= 0 && word->deadline_left_ms < INT64_MAX / 2000)
+    spec->deadline_us = now_us + word->deadline_left_ms * COLT_US_PER_MS;
+  spec->payload = word->payload.data;
+  spec->payload_size = word->payload.len;
+  return true;
+}
+
+ColtAnswerWord *
+colt_answer_make (const struct ColtRequest *request)
+{
+  ColtAnswerWord *word = malloc (sizeof *word);
+  uint32_t i;
+
+  colt_answer_word__init (word);
+  word->id.data = malloc (COLT_ID_SIZE);
+  word->id.len = COLT_ID_SIZE;
+  memcpy (word->id.data, request->id.bytes, COLT_ID_SIZE);
+  word->outcome = request->outcome;
+  word->reason = request->reason;
+  word->waited_ms = -1;
+  if (request->started_us >= 0)
+    word->waited_ms
+        = (request->started_us - request->arrived_us) / COLT_US_PER_MS;
+  word->team = strdup (request->spec.team);
+  word->n_tasks = request->spec.tasks;
+  word->tasks = malloc (request->spec.tasks * sizeof *word->tasks);
+  for (i = 0; i < request->spec.tasks; i++)
+    word->tasks[i] = make_task_word_ (&request->tasks[i], i);
+  return word;
+}
+
+uint8_t *
+colt_message_pack (const ProtobufCMessage *message, size_t *size)
+{
+  uint8_t *body;
+
+  *size = protobuf_c_message_get_packed_size (message);
+  body = malloc (*size + 1);
+  protobuf_c_message_pack (message, body);
+  return body;
+}
+
+static ColtAnswerTaskWord *
+make_task_word_ (const struct ColtRequestTask *task, uint32_t index)
+{
+  ColtAnswerTaskWord *word = malloc (sizeof *word);
+
+  colt_answer_task_word__init (word);
+  word->index = index;
+  word->state = task->end;
+  word->stage = task->state;
+  word->ended = task->state == COLT_REQUEST_TASK_ENDED;
+  word->uncertain = task->uncertain;
+  word->exit_status = task->exit_status;
+  word->run_ms = task->run_ms;
+  word->attempts = task->runs;
+  word->server = task->server;
+  if (task->result_size > 0)
+    {
+      word->result.data = malloc (task->result_size);
+      word->result.len = task->result_size;
+      memcpy (word->result.data, task->result, task->result_size);
+    }
+  return word;
+}
+
+static bool
+read_name_ (const char *text, char name[COLT_NAME_SIZE])
+{
+  if (strlen (text) >= COLT_NAME_SIZE)
+    return false;
+  g_strlcpy (name, text, COLT_NAME_SIZE);
+  return true;
+}
--- a/src/request/requests.c
+++ b/src/request/requests.c
@@ -365,6 +365,9 @@
 
   if (task == NULL || report->state == COLT_TASK_RUNNING)
     return;
+  if (task->state == COLT_REQUEST_TASK_ENDED && !task->result_known
+      && task->end == report->state && report->result != NULL)
+    take_report_ (requests, request, task, report);
   if (task->state != COLT_REQUEST_TASK_SENT
       && task->state != COLT_REQUEST_TASK_RUNNING)
     return;
@@ -913,6 +916,7 @@
   task->end = report->state;
   task->exit_status = report->exit_status;
   task->run_ms = report->run_ms;
+  task->result_known = report->result != NULL;
   task->result = g_memdup2 (report->result, report->result_size);
   task->result_size = report->result_size;
   requests->stats.result_bytes += report->result_size;
@@ -928,6 +932,7 @@
       requests->stats.result_bytes -= request->tasks[i].result_size;
       g_clear_pointer (&request->tasks[i].result, g_free);
       request->tasks[i].result_size = 0;
+      request->tasks[i].result_known = false;
     }
 }
 
