--- a/include/coltsfootstile/request.pb-c.h
+++ b/include/coltsfootstile/request.pb-c.h
@@ -41,6 +41,7 @@
 typedef struct ColtDigestServer ColtDigestServer;
 typedef struct ColtDigestTeam ColtDigestTeam;
 typedef struct ColtDigestWord ColtDigestWord;
+typedef struct ColtHintWord ColtHintWord;
 
 
 /* --- enums --- */
@@ -469,6 +470,20 @@
     , 0,NULL, 0,NULL, 0,NULL }
 
 
+/*
+ * Owner to heir: a server was given up.
+ */
+struct  ColtHintWord
+{
+  ProtobufCMessage base;
+  uint32_t server;
+  uint64_t epoch;
+};
+#define COLT_HINT_WORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&colt_hint_word__descriptor) \
+    , 0, 0 }
+
+
 /* ColtResourcesWord methods */
 void   colt_resources_word__init
                      (ColtResourcesWord         *message);
@@ -963,6 +978,25 @@
 void   colt_digest_word__free_unpacked
                      (ColtDigestWord *message,
                       ProtobufCAllocator *allocator);
+/* ColtHintWord methods */
+void   colt_hint_word__init
+                     (ColtHintWord         *message);
+size_t colt_hint_word__get_packed_size
+                     (const ColtHintWord   *message);
+size_t colt_hint_word__pack
+                     (const ColtHintWord   *message,
+                      uint8_t             *out);
+size_t colt_hint_word__pack_to_buffer
+                     (const ColtHintWord   *message,
+                      ProtobufCBuffer     *buffer);
+ColtHintWord *
+       colt_hint_word__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   colt_hint_word__free_unpacked
+                     (ColtHintWord *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*ColtResourcesWord_Closure)
@@ -1043,6 +1077,9 @@
 typedef void (*ColtDigestWord_Closure)
                  (const ColtDigestWord *message,
                   void *closure_data);
+typedef void (*ColtHintWord_Closure)
+                 (const ColtHintWord *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1075,6 +1112,7 @@
 extern const ProtobufCMessageDescriptor colt_digest_server__descriptor;
 extern const ProtobufCMessageDescriptor colt_digest_team__descriptor;
 extern const ProtobufCMessageDescriptor colt_digest_word__descriptor;
+extern const ProtobufCMessageDescriptor colt_hint_word__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/include/coltsfootstile/request_messages.h
+++ b/include/coltsfootstile/request_messages.h
@@ -24,7 +24,8 @@
   COLT_WIRE_PLACE_EVENTS,
   COLT_WIRE_PLACE_STOP,
   COLT_WIRE_PLACE_QUERY,
-  COLT_WIRE_PLACE_DIGEST
+  COLT_WIRE_PLACE_DIGEST,
+  COLT_WIRE_PLACE_HINT /**< a server was given up; ColtHintWord */
 };
 
 /** What happened to a task at its owner. */
--- a/src/request/request.pb-c.c
+++ b/src/request/request.pb-c.c
@@ -1177,6 +1177,51 @@
   assert(message->base.descriptor == &colt_digest_word__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   colt_hint_word__init
+                     (ColtHintWord         *message)
+{
+  static const ColtHintWord init_value = COLT_HINT_WORD__INIT;
+  *message = init_value;
+}
+size_t colt_hint_word__get_packed_size
+                     (const ColtHintWord *message)
+{
+  assert(message->base.descriptor == &colt_hint_word__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t colt_hint_word__pack
+                     (const ColtHintWord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &colt_hint_word__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t colt_hint_word__pack_to_buffer
+                     (const ColtHintWord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &colt_hint_word__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+ColtHintWord *
+       colt_hint_word__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (ColtHintWord *)
+     protobuf_c_message_unpack (&colt_hint_word__descriptor,
+                                allocator, len, data);
+}
+void   colt_hint_word__free_unpacked
+                     (ColtHintWord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &colt_hint_word__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor colt_resources_word__field_descriptors[1] =
 {
   {
@@ -3166,3 +3211,54 @@
   (ProtobufCMessageInit) colt_digest_word__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor colt_hint_word__field_descriptors[2] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ColtHintWord, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ColtHintWord, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned colt_hint_word__field_indices_by_name[] = {
+  1,   /* field[1] = epoch */
+  0,   /* field[0] = server */
+};
+static const ProtobufCIntRange colt_hint_word__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor colt_hint_word__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ColtHintWord",
+  "ColtHintWord",
+  "ColtHintWord",
+  "",
+  sizeof(ColtHintWord),
+  2,
+  colt_hint_word__field_descriptors,
+  colt_hint_word__field_indices_by_name,
+  1,  colt_hint_word__number_ranges,
+  (ProtobufCMessageInit) colt_hint_word__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
