--- a/include/coltsfootstile/owner.h
+++ b/include/coltsfootstile/owner.h
@@ -40,12 +40,12 @@
 /** Where a task stands at its owner. */
 enum ColtOwnerTaskState
 {
-  COLT_OWNER_TASK_QUEUED,  /**< accepted, not yet sent to the server */
-  COLT_OWNER_TASK_SENT,    /**< a change that starts it is open */
-  COLT_OWNER_TASK_UNSURE,  /**< that change had no answer */
+  COLT_OWNER_TASK_QUEUED, /**< accepted, not yet sent to the server */
+  COLT_OWNER_TASK_SENT,   /**< a change that starts it is open */
+  COLT_OWNER_TASK_UNSURE, /**< that change had no answer */
   COLT_OWNER_TASK_RUNNING,
   COLT_OWNER_TASK_ENDED,
-  COLT_OWNER_TASK_NEVER    /**< it never ran and never will */
+  COLT_OWNER_TASK_NEVER /**< it never ran and never will */
 };
 
 /** Names of enum ColtOwnerTaskState, indexed by it. */
@@ -74,7 +74,8 @@
 void colt_owner_destroy (struct ColtOwner *owner);
 
 /** Sets the credits that starts are charged to; NULL for no limits. */
-void colt_owner_set_credits (struct ColtOwner *owner, struct ColtCreditHolder *credits);
+void colt_owner_set_credits (struct ColtOwner *owner,
+                             struct ColtCreditHolder *credits);
 
 /** Takes the zone's backend servers from the platform's list. */
 void colt_owner_set_servers (struct ColtOwner *owner,
@@ -82,19 +83,25 @@
                              size_t count);
 
 /** Takes the zone's members that may own servers. */
-void colt_owner_set_members (struct ColtOwner *owner, const uint32_t *members, size_t count);
+void colt_owner_set_members (struct ColtOwner *owner,
+                             const uint32_t *members,
+                             size_t count);
 
 /** Returns the owner's side of the shards, for messages of leads. */
 struct ColtShardOwner *colt_owner_shards (struct ColtOwner *owner);
 
 /** A lead's open was granted: task events of the shard go to it now. */
-void colt_owner_set_lead (struct ColtOwner *owner, uint32_t shard, uint32_t instance);
+void colt_owner_set_lead (struct ColtOwner *owner,
+                          uint32_t shard,
+                          uint32_t instance);
 
 /** Another instance has given up a server. */
 void colt_owner_hint (struct ColtOwner *owner, uint32_t server, uint64_t epoch);
 
 /** Stops to take work and gives every server up, for \a heirs to take. */
-void colt_owner_stop (struct ColtOwner *owner, const uint32_t *heirs, size_t heir_count);
+void colt_owner_stop (struct ColtOwner *owner,
+                      const uint32_t *heirs,
+                      size_t heir_count);
 
 /** Returns whether nothing is held and every event has been told. */
 bool colt_owner_stopped (const struct ColtOwner *owner);
@@ -120,9 +127,9 @@
 };
 
 /** Calls \a visit for each server, in ascending order. */
-void colt_owner_visit_servers (const struct ColtOwner *owner,
-                               void (*visit) (void *client,
-                                              const struct ColtOwnedServerInfo *info),
-                               void *client);
+void colt_owner_visit_servers (
+    const struct ColtOwner *owner,
+    void (*visit) (void *client, const struct ColtOwnedServerInfo *info),
+    void *client);
 
 #endif
--- a/include/coltsfootstile/request.h
+++ b/include/coltsfootstile/request.h
@@ -178,6 +178,7 @@
 /**
  * Takes a request.
  *
+ * \param fresh   the id is certainly new: nobody has ever forwarded it
  * \param waiter  instance that waits for the answer, 0 for none
  * \param wall_s  wall-clock seconds, to judge the age of the id
  * \param reason  set unless accepted or known
@@ -185,6 +186,7 @@
 enum ColtSubmitStatus colt_requests_submit (struct ColtRequests *requests,
                                             const struct ColtId *id,
                                             const struct ColtRequestSpec *spec,
+                                            bool fresh,
                                             uint32_t waiter,
                                             uint32_t wall_s,
                                             int64_t now_us,
@@ -235,10 +237,11 @@
                           int64_t now_us);
 
 /**
- * A backend server has a new owner, whose inventory is complete: attempts
- * sent at a lower epoch that it doesn't name never ran, or were lost.
+ * A backend server has a new owner, whose inventory for a shard is complete:
+ * attempts sent at a lower epoch that it doesn't name never ran, or were lost.
  */
 void colt_requests_server_reported (struct ColtRequests *requests,
+                                    uint32_t shard,
                                     uint32_t server,
                                     uint64_t server_epoch,
                                     const struct ColtTaskReport *reports,
@@ -247,6 +250,7 @@
 
 /** A backend server is gone, and the leases of its tasks have lapsed. */
 void colt_requests_server_gone (struct ColtRequests *requests,
+                                uint32_t shard,
                                 uint32_t server,
                                 int64_t now_us);
 
--- a/include/coltsfootstile/request.pb-c.h
+++ b/include/coltsfootstile/request.pb-c.h
@@ -132,10 +132,14 @@
    * the gate wants the answer
    */
   protobuf_c_boolean waits;
+  /*
+   * the gate minted the id and has not forwarded it before
+   */
+  protobuf_c_boolean fresh;
 };
 #define COLT_SUBMIT_WORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&colt_submit_word__descriptor) \
-    , {0,NULL}, NULL, 0 }
+    , {0,NULL}, NULL, 0, 0 }
 
 
 struct  ColtAnswerTaskWord
@@ -194,14 +198,10 @@
   uint32_t status;
   uint32_t reason;
   uint32_t retry_after_ms;
-  /*
-   * of a request that is known
-   */
-  ColtAnswerWord *answer;
 };
 #define COLT_SUBMIT_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&colt_submit_reply__descriptor) \
-    , 0, 0, 0, NULL }
+    , 0, 0, 0 }
 
 
 /*
--- /dev/null
+++ b/src/home/home.c
@@ -0,0 +1,203 @@
+#include "coltsfootstile/home.h"
+
+#include "coltsfootstile/clock.h"
+#include "home_private.h"
+
+/* Time between two looks at what is due. */
+#define TICK_US (20 * COLT_US_PER_MS)
+
+static void add_counters_ (struct ColtHome *home);
+static void on_timer_ (evutil_socket_t fd, short what, void *arg);
+static void on_lead_timer_ (evutil_socket_t fd, short what, void *arg);
+
+struct ColtHome *
+colt_home_create (const struct ColtHomeParts *parts,
+                  const struct ColtHomeClient *calls,
+                  void *client)
+{
+  struct ColtHome *home = g_new0 (struct ColtHome, 1);
+  const struct timeval tick = { 0, TICK_US };
+  struct ColtShardTimes times;
+  unsigned shard;
+
+  home->parts = *parts;
+  home->calls = calls;
+  home->client = client;
+  colt_shard_times_default (&times);
+  home->lead = colt_shard_lead_create (parts->instance, parts->incarnation,
+                                       &times, &colt_home_shard_client, home);
+  home->requests = colt_requests_create (&colt_home_request_calls, home);
+  home->placement = colt_placement_create (parts->seed);
+  home->random = g_rand_new_with_seed ((guint32)parts->seed);
+  home->budgets
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  home->budget_rates
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  for (shard = 0; shard < COLT_SHARD_COUNT; shard++)
+    {
+      struct ColtShardIntake *intake = &home->intakes[shard];
+
+      intake->reports
+          = g_array_new (FALSE, FALSE, sizeof (struct ColtTaskReport));
+      intake->servers = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+      intake->server_epochs = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+    }
+  g_queue_init (&home->unproved);
+  add_counters_ (home);
+  colt_home_set_shard_handlers (home);
+  colt_home_set_submit_handlers (home);
+  colt_home_set_place_handlers (home);
+  home->timer = event_new (parts->base, -1, EV_PERSIST, on_timer_, home);
+  home->lead_timer = evtimer_new (parts->base, on_lead_timer_, home);
+  event_add (home->timer, &tick);
+  colt_home_arm_lead (home);
+  return home;
+}
+
+void
+colt_home_destroy (struct ColtHome *home)
+{
+  unsigned shard;
+
+  if (home == NULL)
+    return;
+  event_free (home->timer);
+  event_free (home->lead_timer);
+  event_free (home->dispatch);
+  colt_requests_destroy (home->requests);
+  colt_placement_destroy (home->placement);
+  colt_shard_lead_destroy (home->lead);
+  for (shard = 0; shard < COLT_SHARD_COUNT; shard++)
+    {
+      g_array_unref (home->intakes[shard].reports);
+      g_array_unref (home->intakes[shard].servers);
+      g_array_unref (home->intakes[shard].server_epochs);
+    }
+  g_queue_clear_full (&home->unproved, g_free);
+  g_hash_table_unref (home->budgets);
+  g_hash_table_unref (home->budget_rates);
+  g_rand_free (home->random);
+  g_free (home);
+}
+
+void
+colt_home_set_members (struct ColtHome *home,
+                       const uint32_t *members,
+                       size_t count)
+{
+  if (home->stopping)
+    return;
+  colt_shard_lead_set_members (home->lead, members, count,
+                               colt_clock_monotonic_us ());
+  colt_home_arm_lead (home);
+}
+
+void
+colt_home_set_servers (struct ColtHome *home,
+                       const uint32_t *servers,
+                       size_t count)
+{
+  colt_shard_lead_set_servers (home->lead, servers, count,
+                               colt_clock_monotonic_us ());
+  colt_home_arm_lead (home);
+}
+
+void
+colt_home_set_bundle (struct ColtHome *home, const struct ColtBundle *bundle)
+{
+  colt_placement_set_bundle (home->placement, bundle);
+  colt_home_set_budgets (home, bundle);
+}
+
+void
+colt_home_stop (struct ColtHome *home)
+{
+  home->stopping = true;
+  colt_shard_lead_stop (home->lead);
+}
+
+bool
+colt_home_stopped (const struct ColtHome *home)
+{
+  return home->stopping && home->open_answers == 0;
+}
+
+const struct ColtRequests *
+colt_home_requests (const struct ColtHome *home)
+{
+  return home->requests;
+}
+
+const struct ColtShardLead *
+colt_home_shards (const struct ColtHome *home)
+{
+  return home->lead;
+}
+
+const struct ColtPlacement *
+colt_home_placement (const struct ColtHome *home)
+{
+  return home->placement;
+}
+
+static void
+add_counters_ (struct ColtHome *home)
+{
+  struct ColtCounters *counters = home->parts.counters;
+  struct ColtHomeCounters *handles = &home->counters;
+
+  handles->submitted = colt_counters_add (
+      counters, COLT_COUNTER_TOTAL, "home_accepted_total", "Requests taken.");
+  handles->refused = colt_counters_add (
+      counters, COLT_COUNTER_TOTAL, "home_refused_total", "Requests refused.");
+  handles->placed
+      = colt_counters_add (counters, COLT_COUNTER_TOTAL, "home_placed_total",
+                           "Starts sent to owners.");
+  handles->bounced
+      = colt_counters_add (counters, COLT_COUNTER_TOTAL, "home_bounced_total",
+                           "Starts that owners refused.");
+  handles->answered
+      = colt_counters_add (counters, COLT_COUNTER_TOTAL, "home_answered_total",
+                           "Answers sent to gates.");
+  handles->shards_won = colt_counters_add (
+      counters, COLT_COUNTER_TOTAL, "home_shards_won_total",
+      "Times that a shard's recount was completed.");
+  handles->shards_lost = colt_counters_add (counters, COLT_COUNTER_TOTAL,
+                                            "home_shards_lost_total",
+                                            "Times that a shard was given up.");
+  handles->queries
+      = colt_counters_add (counters, COLT_COUNTER_TOTAL, "home_queries_total",
+                           "Questions about attempts in doubt.");
+  handles->starts
+      = colt_counters_add (counters, COLT_COUNTER_TOTAL, "home_started_total",
+                           "Requests whose first task has started.");
+  handles->wait_ms
+      = colt_counters_add (counters, COLT_COUNTER_TOTAL, "home_wait_ms_total",
+                           "Time until the first start, in milliseconds.");
+}
+
+static void
+on_timer_ (evutil_socket_t fd, short what, void *arg)
+{
+  struct ColtHome *home = arg;
+  int64_t now_us = colt_clock_monotonic_us ();
+
+  (void)fd;
+  (void)what;
+  colt_requests_step (home->requests, now_us);
+  colt_home_reconcile (home, now_us);
+  colt_home_answer_unproved (home, now_us);
+  if (colt_placement_waiting (home->placement) > 0)
+    colt_home_dispatch (home);
+}
+
+static void
+on_lead_timer_ (evutil_socket_t fd, short what, void *arg)
+{
+  struct ColtHome *home = arg;
+
+  (void)fd;
+  (void)what;
+  colt_shard_lead_process (home->lead, colt_clock_monotonic_us ());
+  colt_home_arm_lead (home);
+}
--- /dev/null
+++ b/src/home/home_answer.c
@@ -0,0 +1,132 @@
+#include <stdlib.h>
+
+#include "coltsfootstile/clock.h"
+#include "home_private.h"
+
+/* Until a gate has to have taken an answer, in ms; it asks again itself. */
+#define ANSWER_TIMEOUT_MS 1000
+
+/* A refusal that waits for the proof that no other lead was active. */
+struct ColtUnproved
+{
+  struct ColtId id;
+  int64_t decided_us;
+};
+
+static void send_ (struct ColtHome *home, const struct ColtRequest *request);
+static void on_told_ (void *client,
+                      enum ColtWireResult result,
+                      const uint8_t *body,
+                      size_t size);
+static bool lacks_results_ (const struct ColtRequest *request);
+
+void
+colt_home_answer (struct ColtHome *home, const struct ColtRequest *request)
+{
+  int64_t now_us = colt_clock_monotonic_us ();
+
+  if (request->waiter_count == 0)
+    return;
+  if (lacks_results_ (request))
+    {
+      colt_home_fetch_results (home, request);
+      return;
+    }
+  if (request->outcome == COLT_OUTCOME_NOT_RUN
+      && !colt_home_proves (home, &request->id, now_us))
+    {
+      struct ColtUnproved *unproved = g_new0 (struct ColtUnproved, 1);
+
+      unproved->id = request->id;
+      unproved->decided_us = now_us;
+      g_queue_push_tail (&home->unproved, unproved);
+      return;
+    }
+  send_ (home, request);
+}
+
+void
+colt_home_answer_unproved (struct ColtHome *home, int64_t now_us)
+{
+  guint count = g_queue_get_length (&home->unproved);
+
+  while (count-- > 0)
+    {
+      struct ColtUnproved *unproved = g_queue_pop_head (&home->unproved);
+      const struct ColtRequest *request
+          = colt_requests_find (home->requests, &unproved->id);
+      uint32_t shard = colt_id_shard (&unproved->id);
+
+      if (request == NULL)
+        g_free (unproved);
+      else if (colt_shard_lead_proved_since (home->lead, shard,
+                                             unproved->decided_us, now_us))
+        {
+          send_ (home, request);
+          g_free (unproved);
+        }
+      else
+        g_queue_push_tail (&home->unproved, unproved);
+    }
+}
+
+bool
+colt_home_proves (struct ColtHome *home,
+                  const struct ColtId *id,
+                  int64_t now_us)
+{
+  uint32_t shard = colt_id_shard (id);
+
+  return colt_shard_lead_is_active (home->lead, shard, now_us)
+         && colt_shard_owner_proves (
+             colt_owner_shards (home->parts.owner), shard,
+             colt_shard_lead_epoch (home->lead, shard), now_us);
+}
+
+static void
+send_ (struct ColtHome *home, const struct ColtRequest *request)
+{
+  ColtAnswerWord *word = colt_answer_make (request);
+  uint8_t *body;
+  size_t size;
+  unsigned i;
+
+  body = colt_message_pack (&word->base, &size);
+  for (i = 0; i < request->waiter_count; i++)
+    {
+      home->open_answers++;
+      colt_wire_call (home->parts.wire, request->waiters[i],
+                      COLT_WIRE_REQUEST_ANSWER, body, size, ANSWER_TIMEOUT_MS,
+                      on_told_, home);
+    }
+  colt_counters_count (home->parts.counters, home->counters.answered, 1);
+  free (body);
+  colt_answer_word__free_unpacked (word, NULL);
+}
+
+static void
+on_told_ (void *client,
+          enum ColtWireResult result,
+          const uint8_t *body,
+          size_t size)
+{
+  struct ColtHome *home = client;
+
+  (void)result;
+  (void)body;
+  (void)size;
+  home->open_answers--;
+}
+
+static bool
+lacks_results_ (const struct ColtRequest *request)
+{
+  uint32_t i;
+
+  if (request->outcome != COLT_OUTCOME_DONE)
+    return false;
+  for (i = 0; i < request->spec.tasks; i++)
+    if (!request->tasks[i].result_known)
+      return true;
+  return false;
+}
--- /dev/null
+++ b/src/home/home_shards.c
@@ -0,0 +1,455 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "coltsfootstile/clock.h"
+#include "coltsfootstile/log.h"
+#include "home_private.h"
+
+#define MODULE "home"
+
+/* Until an owner has to have answered an open or a confirm, in ms. */
+#define SHARD_TIMEOUT_MS 800
+
+/* An open or a confirm on its way to an owner. */
+struct ColtShardCall
+{
+  struct ColtHome *home;
+  bool confirms;
+};
+
+/* A message of this instance to itself. */
+struct ColtLocalShardCall
+{
+  struct ColtHome *home;
+  bool confirms;
+  uint8_t *body;
+  size_t size;
+};
+
+/* Durable requests of a shard that are being taken up again. */
+struct ColtShardLoad
+{
+  struct ColtHome *home;
+  int64_t now_us;
+};
+
+static void
+send_open_ (void *client, uint32_t owner, const struct ColtShardOpen *open);
+static void send_confirm_ (void *client,
+                           uint32_t owner,
+                           const struct ColtShardConfirm *confirm);
+static void send_ (struct ColtHome *home,
+                   uint32_t owner,
+                   bool confirms,
+                   uint8_t *body,
+                   size_t size);
+static void on_local_ (evutil_socket_t fd, short what, void *arg);
+static void on_reply_ (void *client,
+                       enum ColtWireResult result,
+                       const uint8_t *body,
+                       size_t size);
+static void take_reply_ (struct ColtHome *home,
+                         bool confirms,
+                         const uint8_t *body,
+                         size_t size);
+static void on_open_ (void *client,
+                      const struct ColtWireOrigin *origin,
+                      const uint8_t *body,
+                      size_t size);
+static void on_confirm_ (void *client,
+                         const struct ColtWireOrigin *origin,
+                         const uint8_t *body,
+                         size_t size);
+static uint8_t *answer_open_ (struct ColtHome *home,
+                              const uint8_t *body,
+                              size_t size,
+                              size_t *answer_size);
+static uint8_t *answer_confirm_ (struct ColtHome *home,
+                                 const uint8_t *body,
+                                 size_t size,
+                                 size_t *answer_size);
+static void opening_ (void *client, uint32_t shard, uint64_t epoch);
+static void report_ (void *client, const struct ColtShardReport *report);
+static void replace_reports_ (struct ColtShardIntake *intake,
+                              const struct ColtShardReport *report);
+static void
+active_ (void *client, uint32_t shard, uint64_t epoch, size_t lacking);
+static void load_one_ (void *client,
+                       const struct ColtId *id,
+                       const struct ColtRequestSpec *spec);
+static void
+lost_ (void *client, uint32_t shard, uint64_t epoch, enum ColtShardLoss loss);
+static void joined_ (void *client,
+                     uint32_t shard,
+                     uint32_t server,
+                     uint32_t owner,
+                     uint64_t server_epoch);
+static void parted_ (void *client, uint32_t shard, uint32_t server);
+static void written_off_ (void *client, uint32_t shard, uint32_t server);
+
+const struct ColtShardLeadClient colt_home_shard_client
+    = { send_open_, send_confirm_, opening_, report_,     active_,
+        lost_,      joined_,       parted_,  written_off_ };
+
+void
+colt_home_set_shard_handlers (struct ColtHome *home)
+{
+  colt_wire_set_handler (home->parts.wire, COLT_WIRE_SHARD_OPEN, on_open_,
+                         home);
+  colt_wire_set_handler (home->parts.wire, COLT_WIRE_SHARD_CONFIRM, on_confirm_,
+                         home);
+}
+
+void
+colt_home_arm_lead (struct ColtHome *home)
+{
+  int64_t wait_us
+      = colt_shard_lead_wake_time (home->lead) - colt_clock_monotonic_us ();
+  struct timeval delay;
+
+  wait_us = CLAMP (wait_us, 1000, COLT_US_PER_S);
+  delay.tv_sec = wait_us / COLT_US_PER_S;
+  delay.tv_usec = wait_us % COLT_US_PER_S;
+  evtimer_add (home->lead_timer, &delay);
+}
+
+void
+colt_home_clear_intake (struct ColtShardIntake *intake)
+{
+  g_array_set_size (intake->reports, 0);
+  g_array_set_size (intake->servers, 0);
+  g_array_set_size (intake->server_epochs, 0);
+}
+
+static void
+send_open_ (void *client, uint32_t owner, const struct ColtShardOpen *open)
+{
+  size_t size;
+  uint8_t *body = colt_shard_open_pack (open, &size);
+
+  send_ (client, owner, false, body, size);
+}
+
+static void
+send_confirm_ (void *client,
+               uint32_t owner,
+               const struct ColtShardConfirm *confirm)
+{
+  size_t size;
+  uint8_t *body = colt_shard_confirm_pack (confirm, &size);
+
+  send_ (client, owner, true, body, size);
+}
+
+static void
+send_ (struct ColtHome *home,
+       uint32_t owner,
+       bool confirms,
+       uint8_t *body,
+       size_t size)
+{
+  const struct timeval now = { 0, 0 };
+  struct ColtShardCall *call;
+
+  if (owner == home->parts.instance)
+    {
+      struct ColtLocalShardCall *local = g_new0 (struct ColtLocalShardCall, 1);
+
+      local->home = home;
+      local->confirms = confirms;
+      local->body = body;
+      local->size = size;
+      event_base_once (home->parts.base, -1, EV_TIMEOUT, on_local_, local,
+                       &now);
+      return;
+    }
+  call = g_new0 (struct ColtShardCall, 1);
+  call->home = home;
+  call->confirms = confirms;
+  colt_wire_call (home->parts.wire, owner,
+                  confirms ? COLT_WIRE_SHARD_CONFIRM : COLT_WIRE_SHARD_OPEN,
+                  body, size, SHARD_TIMEOUT_MS, on_reply_, call);
+  free (body);
+}
+
+static void
+on_local_ (evutil_socket_t fd, short what, void *arg)
+{
+  struct ColtLocalShardCall *local = arg;
+  uint8_t *answer;
+  size_t size;
+
+  (void)fd;
+  (void)what;
+  answer = local->confirms
+               ? answer_confirm_ (local->home, local->body, local->size, &size)
+               : answer_open_ (local->home, local->body, local->size, &size);
+  if (answer != NULL)
+    take_reply_ (local->home, local->confirms, answer, size);
+  free (answer);
+  free (local->body);
+  g_free (local);
+}
+
+static void
+on_reply_ (void *client,
+           enum ColtWireResult result,
+           const uint8_t *body,
+           size_t size)
+{
+  struct ColtShardCall *call = client;
+
+  if (result == COLT_WIRE_REPLIED)
+    take_reply_ (call->home, call->confirms, body, size);
+  g_free (call);
+}
+
+static void
+take_reply_ (struct ColtHome *home,
+             bool confirms,
+             const uint8_t *body,
+             size_t size)
+{
+  int64_t now_us = colt_clock_monotonic_us ();
+  struct ColtShardConfirmed confirmed;
+  struct ColtShardOpened opened;
+  struct ColtError error;
+
+  if (confirms && colt_shard_confirmed_unpack (body, size, &confirmed, &error))
+    {
+      colt_shard_lead_confirmed (home->lead, &confirmed, now_us);
+      colt_shard_confirmed_clear (&confirmed);
+    }
+  else if (!confirms && colt_shard_opened_unpack (body, size, &opened, &error))
+    {
+      colt_shard_lead_opened (home->lead, &opened, now_us);
+      colt_shard_opened_clear (&opened);
+    }
+  else
+    colt_log_error (COLT_LOG_WARNING, MODULE, "bad answer of an owner", &error);
+  colt_home_arm_lead (home);
+}
+
+static void
+on_open_ (void *client,
+          const struct ColtWireOrigin *origin,
+          const uint8_t *body,
+          size_t size)
+{
+  struct ColtHome *home = client;
+  size_t answer_size;
+  uint8_t *answer = answer_open_ (home, body, size, &answer_size);
+
+  if (answer != NULL)
+    colt_wire_reply (home->parts.wire, origin, answer, answer_size);
+  free (answer);
+}
+
+static void
+on_confirm_ (void *client,
+             const struct ColtWireOrigin *origin,
+             const uint8_t *body,
+             size_t size)
+{
+  struct ColtHome *home = client;
+  size_t answer_size;
+  uint8_t *answer = answer_confirm_ (home, body, size, &answer_size);
+
+  if (answer != NULL)
+    colt_wire_reply (home->parts.wire, origin, answer, answer_size);
+  free (answer);
+}
+
+static uint8_t *
+answer_open_ (struct ColtHome *home,
+              const uint8_t *body,
+              size_t size,
+              size_t *answer_size)
+{
+  struct ColtShardOwner *owner = colt_owner_shards (home->parts.owner);
+  struct ColtShardOpen open;
+  struct ColtShardOpened opened = { 0 };
+  struct ColtError error;
+  uint8_t *answer;
+  size_t i;
+
+  if (!colt_shard_open_unpack (body, size, &open, &error))
+    {
+      colt_log_error (COLT_LOG_WARNING, MODULE, "bad open of a lead", &error);
+      return NULL;
+    }
+  colt_shard_owner_open (owner, &open, &opened, colt_clock_monotonic_us ());
+  answer = colt_shard_opened_pack (&opened, answer_size);
+  for (i = 0; i < open.epoch_count; i++)
+    if (colt_shard_owner_promised (owner, open.epochs[i].shard)
+        == open.epochs[i].epoch)
+      colt_owner_set_lead (home->parts.owner, open.epochs[i].shard, open.lead);
+  colt_shard_opened_clear (&opened);
+  colt_shard_open_clear (&open);
+  return answer;
+}
+
+static uint8_t *
+answer_confirm_ (struct ColtHome *home,
+                 const uint8_t *body,
+                 size_t size,
+                 size_t *answer_size)
+{
+  struct ColtShardConfirm confirm;
+  struct ColtShardConfirmed confirmed = { 0 };
+  struct ColtError error;
+  uint8_t *answer;
+
+  if (!colt_shard_confirm_unpack (body, size, &confirm, &error))
+    {
+      colt_log_error (COLT_LOG_WARNING, MODULE, "bad confirm of a lead",
+                      &error);
+      return NULL;
+    }
+  colt_shard_owner_confirm (colt_owner_shards (home->parts.owner), &confirm,
+                            &confirmed, colt_clock_monotonic_us ());
+  answer = colt_shard_confirmed_pack (&confirmed, answer_size);
+  colt_shard_confirmed_clear (&confirmed);
+  colt_shard_confirm_clear (&confirm);
+  return answer;
+}
+
+static void
+opening_ (void *client, uint32_t shard, uint64_t epoch)
+{
+  struct ColtHome *home = client;
+
+  (void)epoch;
+  colt_home_clear_intake (&home->intakes[shard]);
+}
+
+static void
+report_ (void *client, const struct ColtShardReport *report)
+{
+  struct ColtHome *home = client;
+
+  replace_reports_ (&home->intakes[report->shard], report);
+}
+
+static void
+replace_reports_ (struct ColtShardIntake *intake,
+                  const struct ColtShardReport *report)
+{
+  guint i = 0;
+  size_t t;
+
+  while (i < intake->servers->len)
+    {
+      if (g_array_index (intake->servers, uint32_t, i) != report->server)
+        {
+          i++;
+          continue;
+        }
+      g_array_remove_index_fast (intake->reports, i);
+      g_array_remove_index_fast (intake->servers, i);
+      g_array_remove_index_fast (intake->server_epochs, i);
+    }
+  for (t = 0; t < report->task_count; t++)
+    {
+      g_array_append_vals (intake->reports, report->tasks[t], 1);
+      g_array_append_val (intake->servers, report->server);
+      g_array_append_val (intake->server_epochs, report->server_epoch);
+    }
+}
+
+static void
+active_ (void *client, uint32_t shard, uint64_t epoch, size_t lacking)
+{
+  struct ColtHome *home = client;
+  struct ColtShardIntake *intake = &home->intakes[shard];
+  struct ColtShardLoad load = { home, colt_clock_monotonic_us () };
+
+  colt_log (COLT_LOG_INFO, MODULE, NULL,
+            "leads shard %u at epoch %" G_GUINT64_FORMAT
+            ", %u tasks recovered, %zu "
+            "backend servers lacking",
+            shard, epoch, intake->reports->len, lacking);
+  colt_requests_open_shard (
+      home->requests, shard, epoch,
+      (const struct ColtTaskReport *)intake->reports->data,
+      (const uint32_t *)intake->servers->data,
+      (const uint64_t *)intake->server_epochs->data, intake->reports->len,
+      home->known_since_s[shard], load.now_us);
+  colt_home_clear_intake (intake);
+  colt_counters_count (home->parts.counters, home->counters.shards_won, 1);
+  home->calls->load (home->client, shard, load_one_, &load);
+  home->calls->team_shard (home->client, shard, epoch, true);
+}
+
+static void
+load_one_ (void *client,
+           const struct ColtId *id,
+           const struct ColtRequestSpec *spec)
+{
+  struct ColtShardLoad *load = client;
+  enum ColtReason reason;
+
+  colt_requests_submit (load->home->requests, id, spec, false, 0,
+                        (uint32_t)(colt_clock_wall_us () / COLT_US_PER_S),
+                        load->now_us, &reason);
+}
+
+static void
+lost_ (void *client, uint32_t shard, uint64_t epoch, enum ColtShardLoss loss)
+{
+  struct ColtHome *home = client;
+
+  colt_log (COLT_LOG_INFO, MODULE, NULL,
+            "no longer leads shard %u at epoch %" G_GUINT64_FORMAT ": %s",
+            shard, epoch, colt_shard_loss_string[loss]);
+  colt_counters_count (home->parts.counters, home->counters.shards_lost, 1);
+  home->calls->team_shard (home->client, shard, epoch, false);
+  colt_requests_close_shard (home->requests, shard);
+  colt_home_clear_intake (&home->intakes[shard]);
+}
+
+static void
+joined_ (void *client,
+         uint32_t shard,
+         uint32_t server,
+         uint32_t owner,
+         uint64_t server_epoch)
+{
+  struct ColtHome *home = client;
+  struct ColtShardIntake *intake = &home->intakes[shard];
+  GArray *reports = g_array_new (FALSE, FALSE, sizeof (struct ColtTaskReport));
+  guint i;
+
+  (void)owner;
+  for (i = 0; i < intake->servers->len; i++)
+    if (g_array_index (intake->servers, uint32_t, i) == server)
+      g_array_append_val (
+          reports, g_array_index (intake->reports, struct ColtTaskReport, i));
+  colt_requests_server_reported (home->requests, shard, server, server_epoch,
+                                 (const struct ColtTaskReport *)reports->data,
+                                 reports->len, colt_clock_monotonic_us ());
+  g_array_unref (reports);
+  colt_home_clear_intake (intake);
+  colt_home_dispatch_soon (home);
+}
+
+static void
+parted_ (void *client, uint32_t shard, uint32_t server)
+{
+  (void)client;
+  colt_log (COLT_LOG_DEBUG, MODULE, NULL,
+            "session of shard %u on backend server %u closed", shard, server);
+}
+
+static void
+written_off_ (void *client, uint32_t shard, uint32_t server)
+{
+  struct ColtHome *home = client;
+
+  colt_log (COLT_LOG_WARNING, MODULE, NULL,
+            "backend server %u is written off for shard %u", server, shard);
+  colt_requests_server_gone (home->requests, shard, server,
+                             colt_clock_monotonic_us ());
+  colt_placement_remove_server (home->placement, server);
+  home->calls->written_off (home->client, server);
+}
--- /dev/null
+++ b/src/home/home_submit.c
@@ -0,0 +1,302 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "coltsfootstile/clock.h"
+#include "home_private.h"
+
+/* When a caller that was turned away may try again, in ms. */
+#define RETRY_AFTER_MS 1000
+
+/* A submission that waits until it is on the log. */
+struct ColtStoring
+{
+  struct ColtHome *home;
+  struct ColtWireOrigin origin;
+  uint8_t *body;
+  size_t size;
+};
+
+static void on_submit_ (void *client,
+                        const struct ColtWireOrigin *origin,
+                        const uint8_t *body,
+                        size_t size);
+static void submit_ (struct ColtHome *home,
+                     const struct ColtWireOrigin *origin,
+                     const ColtSubmitWord *word,
+                     bool stored);
+static bool must_wait_ (struct ColtHome *home,
+                        const struct ColtId *id,
+                        bool fresh,
+                        int64_t now_us);
+static void store_ (struct ColtHome *home,
+                    const struct ColtWireOrigin *origin,
+                    const ColtSubmitWord *word,
+                    const struct ColtId *id,
+                    const struct ColtRequestSpec *spec);
+static void on_stored_ (void *client, bool stored, bool certain);
+static void reply_ (struct ColtHome *home,
+                    const struct ColtWireOrigin *origin,
+                    enum ColtSubmitStatus status,
+                    enum ColtReason reason,
+                    const struct ColtRequest *known);
+static void on_attach_ (void *client,
+                        const struct ColtWireOrigin *origin,
+                        const uint8_t *body,
+                        size_t size);
+static void attach_one_ (struct ColtHome *home,
+                         const struct ColtWireOrigin *origin,
+                         const struct ColtId *id,
+                         bool waits,
+                         GPtrArray *answers,
+                         GPtrArray *unknown,
+                         bool *not_lead);
+static void on_cancel_ (void *client,
+                        const struct ColtWireOrigin *origin,
+                        const uint8_t *body,
+                        size_t size);
+static void free_answer_ (gpointer data);
+
+void
+colt_home_set_submit_handlers (struct ColtHome *home)
+{
+  struct ColtWire *wire = home->parts.wire;
+
+  colt_wire_set_handler (wire, COLT_WIRE_REQUEST_SUBMIT, on_submit_, home);
+  colt_wire_set_handler (wire, COLT_WIRE_REQUEST_ATTACH, on_attach_, home);
+  colt_wire_set_handler (wire, COLT_WIRE_REQUEST_CANCEL, on_cancel_, home);
+}
+
+static void
+on_submit_ (void *client,
+            const struct ColtWireOrigin *origin,
+            const uint8_t *body,
+            size_t size)
+{
+  struct ColtHome *home = client;
+  ColtSubmitWord *word = colt_submit_word__unpack (NULL, size, body);
+
+  if (word == NULL)
+    return;
+  submit_ (home, origin, word, false);
+  colt_submit_word__free_unpacked (word, NULL);
+}
+
+static void
+submit_ (struct ColtHome *home,
+         const struct ColtWireOrigin *origin,
+         const ColtSubmitWord *word,
+         bool stored)
+{
+  int64_t now_us = colt_clock_monotonic_us ();
+  enum ColtReason reason = COLT_REASON_BAD_REQUEST;
+  enum ColtSubmitStatus status = COLT_SUBMIT_NOT_RUN;
+  const struct ColtRequest *known = NULL;
+  struct ColtRequestSpec spec = { 0 };
+  struct ColtId id;
+
+  if (!colt_id_read (&word->id, &id)
+      || !colt_spec_read (word->spec, &spec, now_us))
+    {
+      reply_ (home, origin, status, reason, NULL);
+      return;
+    }
+  known = colt_requests_find (home->requests, &id);
+  if (known == NULL && must_wait_ (home, &id, word->fresh, now_us))
+    {
+      reply_ (home, origin, COLT_SUBMIT_NOT_LEAD, COLT_REASON_NONE, NULL);
+      return;
+    }
+  if (known == NULL && spec.durable && !stored)
+    {
+      store_ (home, origin, word, &id, &spec);
+      return;
+    }
+  status = colt_requests_submit (
+      home->requests, &id, &spec, word->fresh,
+      word->waits ? origin->instance : 0,
+      (uint32_t)(colt_clock_wall_us () / COLT_US_PER_S), now_us, &reason);
+  if (status == COLT_SUBMIT_NOT_RUN && !colt_home_proves (home, &id, now_us))
+    status = COLT_SUBMIT_NOT_LEAD;
+  if (status == COLT_SUBMIT_ACCEPTED)
+    colt_counters_count (home->parts.counters, home->counters.submitted, 1);
+  else if (status != COLT_SUBMIT_KNOWN)
+    colt_counters_count (home->parts.counters, home->counters.refused, 1);
+  known = colt_requests_find (home->requests, &id);
+  reply_ (home, origin, status, reason, known);
+  colt_home_dispatch_soon (home);
+}
+
+/*
+ * While servers are missing from the recount, an id that may have been used
+ * before may belong to a task that runs on one of them.
+ */
+static bool
+must_wait_ (struct ColtHome *home,
+            const struct ColtId *id,
+            bool fresh,
+            int64_t now_us)
+{
+  uint32_t shard = colt_id_shard (id);
+
+  if (home->stopping || !colt_shard_lead_is_active (home->lead, shard, now_us))
+    return true;
+  return !fresh && colt_shard_lead_missing (home->lead, shard) > 0;
+}
+
+static void
+store_ (struct ColtHome *home,
+        const struct ColtWireOrigin *origin,
+        const ColtSubmitWord *word,
+        const struct ColtId *id,
+        const struct ColtRequestSpec *spec)
+{
+  struct ColtStoring *storing = g_new0 (struct ColtStoring, 1);
+
+  storing->home = home;
+  storing->origin = *origin;
+  storing->body = colt_message_pack (&word->base, &storing->size);
+  home->calls->store (home->client, id, spec, on_stored_, storing);
+}
+
+static void
+on_stored_ (void *client, bool stored, bool certain)
+{
+  struct ColtStoring *storing = client;
+  ColtSubmitWord *word
+      = colt_submit_word__unpack (NULL, storing->size, storing->body);
+
+  if (stored)
+    submit_ (storing->home, &storing->origin, word, true);
+  else
+    reply_ (storing->home, &storing->origin,
+            certain ? COLT_SUBMIT_NOT_RUN : COLT_SUBMIT_UNKNOWN,
+            COLT_REASON_LOG_DOWN, NULL);
+  colt_submit_word__free_unpacked (word, NULL);
+  free (storing->body);
+  g_free (storing);
+}
+
+static void
+reply_ (struct ColtHome *home,
+        const struct ColtWireOrigin *origin,
+        enum ColtSubmitStatus status,
+        enum ColtReason reason,
+        const struct ColtRequest *known)
+{
+  ColtSubmitReply reply = COLT_SUBMIT_REPLY__INIT;
+  uint8_t *body;
+  size_t size;
+
+  reply.status = status;
+  reply.reason = reason;
+  if (colt_reason_is_transient (reason))
+    reply.retry_after_ms = RETRY_AFTER_MS;
+  if (status == COLT_SUBMIT_KNOWN && known != NULL
+      && known->outcome != COLT_OUTCOME_PENDING)
+    colt_home_answer (home, known);
+  body = colt_message_pack (&reply.base, &size);
+  colt_wire_reply (home->parts.wire, origin, body, size);
+  free (body);
+}
+
+static void
+on_attach_ (void *client,
+            const struct ColtWireOrigin *origin,
+            const uint8_t *body,
+            size_t size)
+{
+  struct ColtHome *home = client;
+  ColtAttachWord *word = colt_attach_word__unpack (NULL, size, body);
+  ColtAttachReply reply = COLT_ATTACH_REPLY__INIT;
+  GPtrArray *answers = g_ptr_array_new_with_free_func (free_answer_);
+  GPtrArray *unknown = g_ptr_array_new_with_free_func (g_free);
+  ProtobufCBinaryData *ids;
+  bool not_lead = false;
+  uint8_t *packed;
+  size_t i;
+
+  for (i = 0; word != NULL && i < word->n_ids; i++)
+    {
+      struct ColtId id;
+
+      if (colt_id_read (&word->ids[i], &id))
+        attach_one_ (home, origin, &id, word->waits, answers, unknown,
+                     &not_lead);
+    }
+  ids = g_new0 (ProtobufCBinaryData, unknown->len + 1);
+  for (i = 0; i < unknown->len; i++)
+    ids[i] = colt_id_fill (g_ptr_array_index (unknown, i));
+  reply.not_lead = not_lead;
+  reply.answers = (ColtAnswerWord **)answers->pdata;
+  reply.n_answers = answers->len;
+  reply.unknown = ids;
+  reply.n_unknown = unknown->len;
+  packed = colt_message_pack (&reply.base, &size);
+  colt_wire_reply (home->parts.wire, origin, packed, size);
+  free (packed);
+  g_free (ids);
+  g_ptr_array_unref (answers);
+  g_ptr_array_unref (unknown);
+  if (word != NULL)
+    colt_attach_word__free_unpacked (word, NULL);
+}
+
+/* A request that has ended is answered by the usual way, with its results. */
+static void
+attach_one_ (struct ColtHome *home,
+             const struct ColtWireOrigin *origin,
+             const struct ColtId *id,
+             bool waits,
+             GPtrArray *answers,
+             GPtrArray *unknown,
+             bool *not_lead)
+{
+  int64_t now_us = colt_clock_monotonic_us ();
+  const struct ColtRequest *request = colt_requests_find (home->requests, id);
+
+  if (!colt_shard_lead_is_active (home->lead, colt_id_shard (id), now_us))
+    {
+      *not_lead = true;
+      return;
+    }
+  if (request == NULL)
+    {
+      g_ptr_array_add (unknown, g_memdup2 (id, sizeof *id));
+      return;
+    }
+  if (waits)
+    colt_requests_add_waiter (home->requests, id, origin->instance);
+  if (waits && request->outcome != COLT_OUTCOME_PENDING)
+    colt_home_answer (home, request);
+  if (!waits)
+    g_ptr_array_add (answers, colt_answer_make (request));
+}
+
+static void
+on_cancel_ (void *client,
+            const struct ColtWireOrigin *origin,
+            const uint8_t *body,
+            size_t size)
+{
+  struct ColtHome *home = client;
+  ColtCancelWord *word = colt_cancel_word__unpack (NULL, size, body);
+  size_t i;
+
+  if (word == NULL)
+    return;
+  for (i = 0; i < word->n_ids; i++)
+    {
+      struct ColtId id;
+
+      if (colt_id_read (&word->ids[i], &id))
+        colt_requests_cancel (home->requests, &id, colt_clock_monotonic_us ());
+    }
+  colt_wire_reply (home->parts.wire, origin, NULL, 0);
+  colt_cancel_word__free_unpacked (word, NULL);
+}
+
+static void
+free_answer_ (gpointer data)
+{
+  colt_answer_word__free_unpacked (data, NULL);
+}
--- /dev/null
+++ b/src/home/private/home_private.h
@@ -0,0 +1,93 @@
+/**
+ * \file
+ * \brief What the files of the home share.
+ */
+#ifndef COLTSFOOTSTILE_HOME_PRIVATE_H
+#define COLTSFOOTSTILE_HOME_PRIVATE_H
+
+#include <event2/event.h>
+#include <glib.h>
+
+#include "coltsfootstile/home.h"
+#include "coltsfootstile/request_messages.h"
+
+struct ColtHomeCounters
+{
+  uint32_t submitted;
+  uint32_t refused;
+  uint32_t placed;
+  uint32_t bounced;
+  uint32_t answered;
+  uint32_t shards_won;
+  uint32_t shards_lost;
+  uint32_t queries;
+  uint32_t wait_ms;
+  uint32_t starts;
+};
+
+/** What is reported of a shard while it is recounted. */
+struct ColtShardIntake
+{
+  GArray *reports;       /**< of struct ColtTaskReport, without results */
+  GArray *servers;       /**< of uint32_t, one for each report */
+  GArray *server_epochs; /**< of uint64_t, one for each report */
+};
+
+struct ColtHome
+{
+  struct ColtHomeParts parts;
+  const struct ColtHomeClient *calls;
+  void *client;
+  struct ColtShardLead *lead;
+  struct ColtRequests *requests;
+  struct ColtPlacement *placement;
+  struct ColtShardIntake intakes[COLT_SHARD_COUNT];
+  uint32_t known_since_s[COLT_SHARD_COUNT];
+  struct event *timer;
+  struct event *lead_timer;
+  struct event *dispatch;
+  bool stopping;
+  unsigned open_answers;
+  int64_t reconcile_us;
+  unsigned reconcile_round;
+  GQueue unproved;          /**< of struct ColtUnproved */
+  GHashTable *budgets;      /**< team -> struct ColtRetryBudget */
+  GHashTable *budget_rates; /**< team -> retries a minute */
+  GRand *random;
+  struct ColtHomeCounters counters;
+};
+
+/* home_shards.c: the shards' messages, both sides */
+void colt_home_set_shard_handlers (struct ColtHome *home);
+extern const struct ColtShardLeadClient colt_home_shard_client;
+void colt_home_arm_lead (struct ColtHome *home);
+void colt_home_clear_intake (struct ColtShardIntake *intake);
+
+/* home_submit.c: what gates ask */
+void colt_home_set_submit_handlers (struct ColtHome *home);
+
+/* home_place.c: what owners are asked, and what they tell */
+void colt_home_set_place_handlers (struct ColtHome *home);
+extern const struct ColtRequestCalls colt_home_request_calls;
+void colt_home_dispatch_soon (struct ColtHome *home);
+void colt_home_dispatch (struct ColtHome *home);
+
+/* home_query.c: attempts whose state is in doubt */
+void colt_home_reconcile (struct ColtHome *home, int64_t now_us);
+void colt_home_fetch_results (struct ColtHome *home,
+                              const struct ColtRequest *request);
+
+/* home_answer.c: what gates are told */
+void colt_home_answer (struct ColtHome *home,
+                       const struct ColtRequest *request);
+void colt_home_answer_unproved (struct ColtHome *home, int64_t now_us);
+bool colt_home_proves (struct ColtHome *home,
+                       const struct ColtId *id,
+                       int64_t now_us);
+
+/* home_budget.c: retries of teams */
+bool colt_home_take_retry (void *client, const char *team, int64_t now_us);
+void colt_home_set_budgets (struct ColtHome *home,
+                            const struct ColtBundle *bundle);
+
+#endif
--- a/src/owner/home_link.c
+++ b/src/owner/home_link.c
@@ -29,13 +29,15 @@
   GQueue events;
 };
 
-static struct ColtHomeLink *find_link_ (struct ColtOwner *owner, uint32_t instance);
+static struct ColtHomeLink *find_link_ (struct ColtOwner *owner,
+                                        uint32_t instance);
 static void queue_ (struct ColtOwner *owner, struct ColtPendingEvent *event);
 static void bound_queue_ (struct ColtHomeLink *link);
 static void schedule_ (struct ColtHomeLink *link);
 static void on_flush_ (evutil_socket_t fd, short what, void *arg);
 static void flush_ (struct ColtHomeLink *link);
-static void take_batch_ (struct ColtHomeLink *link, struct ColtEventsSent *sent);
+static void take_batch_ (struct ColtHomeLink *link,
+                         struct ColtEventsSent *sent);
 static uint8_t *pack_batch_ (const struct ColtEventsSent *sent, size_t *size);
 static void on_taken_ (void *client,
                        enum ColtWireResult result,
@@ -80,7 +82,8 @@
     {
       struct ColtHomeLink *link = value;
 
-      if (link->in_flight || g_queue_is_empty (&link->queue) || now_us < link->retry_us)
+      if (link->in_flight || g_queue_is_empty (&link->queue)
+          || now_us < link->retry_us)
         continue;
       while ((event = g_queue_pop_head (&link->queue)) != NULL)
         g_queue_push_tail (&moved, event);
@@ -101,7 +104,8 @@
     {
       const struct ColtHomeLink *link = value;
 
-      count += g_queue_get_length ((GQueue *)&link->queue) + (link->in_flight ? 1 : 0);
+      count += g_queue_get_length ((GQueue *)&link->queue)
+               + (link->in_flight ? 1 : 0);
     }
   return count;
 }
@@ -135,7 +139,8 @@
 static void
 queue_ (struct ColtOwner *owner, struct ColtPendingEvent *event)
 {
-  struct ColtHomeLink *link = find_link_ (owner, owner->leads[event->report.shard]);
+  struct ColtHomeLink *link
+      = find_link_ (owner, owner->leads[event->report.shard]);
 
   g_queue_push_tail (&link->queue, event);
   bound_queue_ (link);
@@ -158,7 +163,8 @@
   if (link->flush_queued || link->in_flight || link->instance == 0)
     return;
   link->flush_queued = true;
-  event_base_once (link->owner->parts.base, -1, EV_TIMEOUT, on_flush_, link, &soon);
+  event_base_once (link->owner->parts.base, -1, EV_TIMEOUT, on_flush_, link,
+                   &soon);
 }
 
 static void
@@ -186,8 +192,9 @@
   take_batch_ (link, sent);
   body = pack_batch_ (sent, &size);
   link->in_flight = true;
-  colt_wire_call (link->owner->parts.wire, link->instance, COLT_WIRE_PLACE_EVENTS, body,
-                  size, EVENTS_TIMEOUT_MS, on_taken_, sent);
+  colt_wire_call (link->owner->parts.wire, link->instance,
+                  COLT_WIRE_PLACE_EVENTS, body, size, EVENTS_TIMEOUT_MS,
+                  on_taken_, sent);
   free (body);
 }
 
@@ -197,7 +204,8 @@
   size_t bytes = 0;
   struct ColtPendingEvent *event;
 
-  while (g_queue_get_length (&sent->events) < EVENTS_MAX && bytes < EVENT_BYTES_MAX
+  while (g_queue_get_length (&sent->events) < EVENTS_MAX
+         && bytes < EVENT_BYTES_MAX
          && (event = g_queue_pop_head (&link->queue)) != NULL)
     {
       bytes += event->report.result_size;
--- a/src/owner/owned_server.c
+++ b/src/owner/owned_server.c
@@ -19,12 +19,15 @@
 
 static void on_acquire_ (void *client, uint64_t call, uint64_t epoch);
 static void on_take_inventory_ (void *client, uint64_t call, uint64_t epoch);
-static void on_renew_ (void *client, uint64_t call, uint64_t epoch, const char *token);
-static void on_release_ (void *client, uint64_t call, uint64_t epoch, const char *token);
+static void
+on_renew_ (void *client, uint64_t call, uint64_t epoch, const char *token);
+static void
+on_release_ (void *client, uint64_t call, uint64_t epoch, const char *token);
 static void on_held_ (void *client, uint64_t epoch);
 static void on_lost_ (void *client, uint64_t epoch, enum ColtLeaseLoss loss);
 static void on_handed_over_ (void *client, uint64_t epoch, uint32_t heir);
-static struct ColtLeaseCallEnd *open_end_ (struct ColtOwnedServer *server, uint64_t call);
+static struct ColtLeaseCallEnd *open_end_ (struct ColtOwnedServer *server,
+                                           uint64_t call);
 static void on_acquired_ (void *client,
                           const struct ColtBackendStatus *status,
                           const struct ColtBackendLease *lease);
@@ -42,18 +45,21 @@
                            const struct ColtBackendInventory *inventory);
 static void take_inventory_ (struct ColtOwnedServer *server,
                              const struct ColtBackendInventory *inventory);
-static void take_task_ (struct ColtOwnedServer *server, const struct ColtTaskReport *report);
+static void take_task_ (struct ColtOwnedServer *server,
+                        const struct ColtTaskReport *report);
 static void forget_tasks_ (struct ColtOwnedServer *server);
 static void refuse_queue_ (struct ColtOwnedServer *server);
 static void on_timer_ (evutil_socket_t fd, short what, void *arg);
-static void charge_credits_ (struct ColtOwner *owner, struct ColtOwnerTask *task);
+static void charge_credits_ (struct ColtOwner *owner,
+                             struct ColtOwnerTask *task);
 
 static const struct ColtLeaseClient lease_client
-    = { on_acquire_, on_take_inventory_, on_renew_, on_release_,
+    = { on_acquire_, on_take_inventory_, on_renew_,      on_release_,
         on_held_,    on_lost_,           on_handed_over_ };
 
 struct ColtOwnedServer *
-colt_owned_server_create (struct ColtOwner *owner, const struct ColtListServer *listed)
+colt_owned_server_create (struct ColtOwner *owner,
+                          const struct ColtListServer *listed)
 {
   struct ColtOwnedServer *server = g_new0 (struct ColtOwnedServer, 1);
   struct ColtLeaseTimes times;
@@ -63,12 +69,14 @@
   server->id = listed->id;
   server->rack = listed->rack;
   g_strlcpy (server->address, listed->address, sizeof server->address);
-  server->driver = owner->parts.factory (owner->parts.factory_client, listed->address);
+  server->driver
+      = owner->parts.factory (owner->parts.factory_client, listed->address);
   colt_lease_times_default (&times);
-  server->lease = colt_server_lease_create (listed->id, owner->parts.instance, &times,
-                                            &lease_client, server);
+  server->lease = colt_server_lease_create (listed->id, owner->parts.instance,
+                                            &times, &lease_client, server);
   server->timer = evtimer_new (owner->parts.base, on_timer_, server);
-  server->resizes = g_array_new (FALSE, FALSE, sizeof (struct ColtBackendResize));
+  server->resizes
+      = g_array_new (FALSE, FALSE, sizeof (struct ColtBackendResize));
   server->speed_permille = COLT_SPEED_NORMAL;
   for (shard = 0; shard < COLT_SHARD_COUNT; shard++)
     g_queue_init (&server->shards[shard]);
@@ -104,7 +112,8 @@
 }
 
 bool
-colt_owned_server_takes_work (const struct ColtOwnedServer *server, int64_t now_us)
+colt_owned_server_takes_work (const struct ColtOwnedServer *server,
+                              int64_t now_us)
 {
   return !server->leaving && !server->owner->stopping
          && colt_server_lease_may_start (server->lease, now_us);
@@ -120,7 +129,8 @@
 }
 
 void
-colt_owned_server_charge (struct ColtOwnedServer *server, struct ColtOwnerTask *task)
+colt_owned_server_charge (struct ColtOwnedServer *server,
+                          struct ColtOwnerTask *task)
 {
   if (task->charged)
     return;
@@ -130,7 +140,8 @@
 }
 
 void
-colt_owned_server_discharge (struct ColtOwnedServer *server, struct ColtOwnerTask *task)
+colt_owned_server_discharge (struct ColtOwnedServer *server,
+                             struct ColtOwnerTask *task)
 {
   struct ColtOwner *owner = server->owner;
   struct ColtQuotaAmount amount
@@ -144,7 +155,8 @@
       server->digest_due = true;
     }
   if (task->credited && owner->credits != NULL)
-    colt_credit_holder_give (owner->credits, colt_owner_tasks_team (owner->tasks, task),
+    colt_credit_holder_give (owner->credits,
+                             colt_owner_tasks_team (owner->tasks, task),
                              server->id, &amount);
   task->credited = false;
 }
@@ -173,7 +185,8 @@
   struct ColtOwnedServer *server = client;
 
   server->driver->acquire (server->driver, server->owner->parts.instance, epoch,
-                           COLT_SERVER_LEASE_MS, on_acquired_, open_end_ (server, call));
+                           COLT_SERVER_LEASE_MS, on_acquired_,
+                           open_end_ (server, call));
 }
 
 /* The description comes first, for what the server holds in all. */
@@ -184,7 +197,8 @@
 
   (void)epoch;
   server->inventory_call = call;
-  server->driver->describe (server->driver, on_described_, open_end_ (server, call));
+  server->driver->describe (server->driver, on_described_,
+                            open_end_ (server, call));
 }
 
 static void
@@ -192,8 +206,9 @@
 {
   struct ColtOwnedServer *server = client;
 
-  server->driver->renew (server->driver, server->owner->parts.instance, epoch, token,
-                         COLT_SERVER_LEASE_MS, on_renewed_, open_end_ (server, call));
+  server->driver->renew (server->driver, server->owner->parts.instance, epoch,
+                         token, COLT_SERVER_LEASE_MS, on_renewed_,
+                         open_end_ (server, call));
 }
 
 static void
@@ -201,8 +216,8 @@
 {
   struct ColtOwnedServer *server = client;
 
-  server->driver->release (server->driver, server->owner->parts.instance, epoch, token,
-                           on_released_, open_end_ (server, call));
+  server->driver->release (server->driver, server->owner->parts.instance, epoch,
+                           token, on_released_, open_end_ (server, call));
 }
 
 static void
@@ -211,8 +226,9 @@
   struct ColtOwnedServer *server = client;
   struct ColtOwner *owner = server->owner;
 
-  colt_log (COLT_LOG_INFO, MODULE, NULL, "holds backend server %u at epoch %" G_GUINT64_FORMAT,
-            server->id, epoch);
+  colt_log (COLT_LOG_INFO, MODULE, NULL,
+            "holds backend server %u at epoch %" G_GUINT64_FORMAT, server->id,
+            epoch);
   colt_counters_count (owner->parts.counters, owner->counters.takeovers, 1);
   if (owner->credits != NULL)
     colt_credit_holder_hold_server (owner->credits, server->id, epoch);
@@ -226,8 +242,10 @@
   struct ColtOwnedServer *server = client;
   struct ColtOwner *owner = server->owner;
 
-  colt_log (loss == COLT_LEASE_LOSS_RELEASED ? COLT_LOG_INFO : COLT_LOG_WARNING, MODULE,
-            NULL, "no longer holds backend server %u at epoch %" G_GUINT64_FORMAT ": %s",
+  colt_log (loss == COLT_LEASE_LOSS_RELEASED ? COLT_LOG_INFO : COLT_LOG_WARNING,
+            MODULE, NULL,
+            "no longer holds backend server %u at epoch %" G_GUINT64_FORMAT
+            ": %s",
             server->id, epoch, colt_lease_loss_string[loss]);
   colt_counters_count (owner->parts.counters, owner->counters.lost, 1);
   colt_shard_owner_server_lost (owner->shard_owner, server->id);
@@ -252,7 +270,8 @@
   word.server = server->id;
   word.epoch = epoch;
   body = colt_message_pack (&word.base, &size);
-  colt_wire_send (server->owner->parts.wire, heir, COLT_WIRE_PLACE_HINT, body, size);
+  colt_wire_send (server->owner->parts.wire, heir, COLT_WIRE_PLACE_HINT, body,
+                  size);
   free (body);
 }
 
@@ -307,7 +326,8 @@
   int64_t now_us = colt_clock_monotonic_us ();
 
   (void)lease;
-  if (status->result == COLT_BACKEND_OK || status->result == COLT_BACKEND_FENCED)
+  if (status->result == COLT_BACKEND_OK
+      || status->result == COLT_BACKEND_FENCED)
     colt_server_lease_released (server->lease, end->call, now_us);
   else
     colt_server_lease_failed (server->lease, end->call, now_us);
@@ -341,7 +361,8 @@
     }
   if (status->result == COLT_BACKEND_OK)
     {
-      server->driver->inventory (server->driver, colt_server_lease_epoch (server->lease),
+      server->driver->inventory (server->driver,
+                                 colt_server_lease_epoch (server->lease),
                                  on_inventory_, end);
       return;
     }
@@ -364,10 +385,12 @@
       && server->inventory_call == end->call)
     {
       take_inventory_ (server, inventory);
-      colt_server_lease_inventory_done (server->lease, end->call, inventory->token, now_us);
+      colt_server_lease_inventory_done (server->lease, end->call,
+                                        inventory->token, now_us);
       if (colt_server_lease_state (server->lease) == COLT_LEASE_HELD)
         {
-          GArray *epochs = g_array_new (FALSE, FALSE, sizeof (struct ColtShardEpoch));
+          GArray *epochs
+              = g_array_new (FALSE, FALSE, sizeof (struct ColtShardEpoch));
           size_t i;
 
           for (i = 0; i < inventory->epoch_count; i++)
@@ -377,10 +400,10 @@
 
               g_array_append_val (epochs, epoch);
             }
-          colt_shard_owner_server_held (server->owner->shard_owner, server->id,
-                                        colt_server_lease_epoch (server->lease),
-                                        (const struct ColtShardEpoch *)epochs->data,
-                                        epochs->len, now_us);
+          colt_shard_owner_server_held (
+              server->owner->shard_owner, server->id,
+              colt_server_lease_epoch (server->lease),
+              (const struct ColtShardEpoch *)epochs->data, epochs->len, now_us);
           g_array_unref (epochs);
           colt_owned_server_listen (server);
           colt_owned_server_flush (server);
@@ -395,7 +418,8 @@
 }
 
 static void
-take_inventory_ (struct ColtOwnedServer *server, const struct ColtBackendInventory *inventory)
+take_inventory_ (struct ColtOwnedServer *server,
+                 const struct ColtBackendInventory *inventory)
 {
   size_t i;
 
@@ -409,7 +433,8 @@
 take_task_ (struct ColtOwnedServer *server, const struct ColtTaskReport *report)
 {
   struct ColtOwner *owner = server->owner;
-  struct ColtOwnerTask *task = colt_owner_tasks_find (owner->tasks, &report->ref);
+  struct ColtOwnerTask *task
+      = colt_owner_tasks_find (owner->tasks, &report->ref);
 
   if (task != NULL)
     colt_owner_tasks_remove (owner->tasks, task);
@@ -444,7 +469,8 @@
 
   if (owner->credits == NULL)
     return;
-  colt_credit_holder_adopt (owner->credits, colt_owner_tasks_team (owner->tasks, task),
+  colt_credit_holder_adopt (owner->credits,
+                            colt_owner_tasks_team (owner->tasks, task),
                             task->server->id, &amount);
   task->credited = true;
 }
@@ -498,7 +524,8 @@
       && now_us - server->described_us >= DESCRIBE_INTERVAL_US)
     {
       server->describing = true;
-      server->driver->describe (server->driver, on_described_, open_end_ (server, 0));
+      server->driver->describe (server->driver, on_described_,
+                                open_end_ (server, 0));
     }
   colt_owned_server_look_up_unsure (server);
   colt_owned_server_listen (server);
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -16,7 +16,8 @@
 static void add_counters_ (struct ColtOwner *owner);
 static gint compare_ids_ (gconstpointer a, gconstpointer b, gpointer data);
 static void free_server_ (gpointer data);
-static bool server_valid_ (void *client, uint32_t server, uint64_t epoch, int64_t now);
+static bool
+server_valid_ (void *client, uint32_t server, uint64_t epoch, int64_t now);
 static void collect_ (void *client,
                       uint32_t shard,
                       uint32_t server,
@@ -66,13 +67,14 @@
 
   owner->parts = *parts;
   colt_shard_times_default (&times);
-  owner->shard_owner = colt_shard_owner_create (parts->instance, parts->incarnation,
-                                                &times, &shard_client, owner);
+  owner->shard_owner = colt_shard_owner_create (
+      parts->instance, parts->incarnation, &times, &shard_client, owner);
   owner->tasks = colt_owner_tasks_create ();
   owner->servers = g_tree_new_full (compare_ids_, NULL, NULL, free_server_);
   owner->homes = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL,
                                         colt_home_link_free);
-  owner->team_waiting = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  owner->team_waiting
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   owner->gone = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   add_counters_ (owner);
   colt_owner_set_handlers (owner);
@@ -97,7 +99,8 @@
 }
 
 void
-colt_owner_set_credits (struct ColtOwner *owner, struct ColtCreditHolder *credits)
+colt_owner_set_credits (struct ColtOwner *owner,
+                        struct ColtCreditHolder *credits)
 {
   owner->credits = credits;
 }
@@ -122,7 +125,8 @@
       if (server == NULL)
         {
           server = colt_owned_server_create (owner, &servers[i]);
-          g_tree_insert (owner->servers, GUINT_TO_POINTER (servers[i].id), server);
+          g_tree_insert (owner->servers, GUINT_TO_POINTER (servers[i].id),
+                         server);
           colt_server_lease_set_members (server->lease, owner->members,
                                          owner->member_count,
                                          colt_clock_monotonic_us ());
@@ -142,7 +146,9 @@
 }
 
 void
-colt_owner_set_members (struct ColtOwner *owner, const uint32_t *members, size_t count)
+colt_owner_set_members (struct ColtOwner *owner,
+                        const uint32_t *members,
+                        size_t count)
 {
   owner->member_count = MIN (count, G_N_ELEMENTS (owner->members));
   memcpy (owner->members, members, owner->member_count * sizeof *members);
@@ -175,7 +181,9 @@
 }
 
 void
-colt_owner_stop (struct ColtOwner *owner, const uint32_t *heirs, size_t heir_count)
+colt_owner_stop (struct ColtOwner *owner,
+                 const uint32_t *heirs,
+                 size_t heir_count)
 {
   struct ColtHeirs all = { heirs, heir_count, colt_clock_monotonic_us () };
 
@@ -221,10 +229,10 @@
 }
 
 void
-colt_owner_visit_servers (const struct ColtOwner *owner,
-                          void (*visit) (void *client,
-                                         const struct ColtOwnedServerInfo *info),
-                          void *client)
+colt_owner_visit_servers (
+    const struct ColtOwner *owner,
+    void (*visit) (void *client, const struct ColtOwnedServerInfo *info),
+    void *client)
 {
   struct ColtVisit all = { visit, client };
 
@@ -236,7 +244,8 @@
                          const char *team,
                          const struct ColtQuotaAmount *unit)
 {
-  struct ColtTeamWaiting *waiting = g_hash_table_lookup (owner->team_waiting, team);
+  struct ColtTeamWaiting *waiting
+      = g_hash_table_lookup (owner->team_waiting, team);
 
   if (waiting == NULL)
     {
@@ -254,25 +263,26 @@
   struct ColtCounters *counters = owner->parts.counters;
   struct ColtOwnerCounters *handles = &owner->counters;
 
-  handles->accepted = colt_counters_add (counters, COLT_COUNTER_TOTAL,
-                                         "owner_accepted_total",
-                                         "Starts taken over from homes.");
-  handles->refused = colt_counters_add (counters, COLT_COUNTER_TOTAL,
-                                        "owner_refused_total",
-                                        "Starts refused; they never ran.");
-  handles->started = colt_counters_add (counters, COLT_COUNTER_TOTAL,
-                                        "owner_started_total",
-                                        "Tasks started on backend servers.");
-  handles->ended = colt_counters_add (counters, COLT_COUNTER_TOTAL, "owner_ended_total",
-                                      "Tasks whose end was seen.");
-  handles->failed = colt_counters_add (counters, COLT_COUNTER_TOTAL,
-                                       "owner_failed_total", "Tasks that failed.");
-  handles->fenced = colt_counters_add (counters, COLT_COUNTER_TOTAL,
-                                       "owner_fenced_total",
-                                       "Starts outside a session or of an old epoch.");
-  handles->unsure = colt_counters_add (counters, COLT_COUNTER_TOTAL,
-                                       "owner_unsure_total",
-                                       "Starts whose answer was lost.");
+  handles->accepted
+      = colt_counters_add (counters, COLT_COUNTER_TOTAL, "owner_accepted_total",
+                           "Starts taken over from homes.");
+  handles->refused
+      = colt_counters_add (counters, COLT_COUNTER_TOTAL, "owner_refused_total",
+                           "Starts refused; they never ran.");
+  handles->started
+      = colt_counters_add (counters, COLT_COUNTER_TOTAL, "owner_started_total",
+                           "Tasks started on backend servers.");
+  handles->ended
+      = colt_counters_add (counters, COLT_COUNTER_TOTAL, "owner_ended_total",
+                           "Tasks whose end was seen.");
+  handles->failed = colt_counters_add (
+      counters, COLT_COUNTER_TOTAL, "owner_failed_total", "Tasks that failed.");
+  handles->fenced
+      = colt_counters_add (counters, COLT_COUNTER_TOTAL, "owner_fenced_total",
+                           "Starts outside a session or of an old epoch.");
+  handles->unsure
+      = colt_counters_add (counters, COLT_COUNTER_TOTAL, "owner_unsure_total",
+                           "Starts whose answer was lost.");
   handles->takeovers = colt_counters_add (counters, COLT_COUNTER_TOTAL,
                                           "owner_leases_taken_total",
                                           "Leases on backend servers taken.");
@@ -362,7 +372,8 @@
   if (now_us < owner->forget_us)
     return;
   owner->forget_us = now_us + FORGET_INTERVAL_US;
-  colt_owner_tasks_forget (owner->tasks, now_us - COLT_OWNER_MEMORY_S * COLT_US_PER_S);
+  colt_owner_tasks_forget (owner->tasks,
+                           now_us - COLT_OWNER_MEMORY_S * COLT_US_PER_S);
 }
 
 static gboolean
@@ -387,8 +398,8 @@
     return FALSE;
   server->leaving = true;
   server->digest_due = true;
-  if (state == COLT_LEASE_NONE && server->events_call == 0 && server->change == NULL
-      && !server->describing)
+  if (state == COLT_LEASE_NONE && server->events_call == 0
+      && server->change == NULL && !server->describing)
     g_ptr_array_add (data, key);
   return FALSE;
 }
@@ -400,7 +411,8 @@
   struct ColtOwner *owner = data;
 
   (void)key;
-  colt_server_lease_set_members (server->lease, owner->members, owner->member_count,
+  colt_server_lease_set_members (server->lease, owner->members,
+                                 owner->member_count,
                                  colt_clock_monotonic_us ());
   colt_owned_server_arm (server);
   return FALSE;
@@ -412,8 +424,8 @@
   struct ColtOwnedServer *server = value;
   const struct ColtHeirs *heirs = data;
   uint32_t heir = colt_rendezvous_choose (
-      colt_rendezvous_key (COLT_RENDEZVOUS_SERVER, server->id), heirs->instances,
-      heirs->count);
+      colt_rendezvous_key (COLT_RENDEZVOUS_SERVER, server->id),
+      heirs->instances, heirs->count);
 
   (void)key;
   colt_server_lease_stop (server->lease, heir, heirs->now_us);
--- a/src/owner/owner_change.c
+++ b/src/owner/owner_change.c
@@ -95,7 +95,8 @@
 }
 
 void
-colt_owned_server_queue_stop (struct ColtOwnedServer *server, struct ColtOwnerTask *task)
+colt_owned_server_queue_stop (struct ColtOwnedServer *server,
+                              struct ColtOwnerTask *task)
 {
   if (task->stopping)
     return;
@@ -128,7 +129,8 @@
 static bool
 renewal_due_ (const struct ColtOwnedServer *server, int64_t now_us)
 {
-  return server->running > 0 && now_us - server->renewed_us >= COLT_TASK_RENEW_US;
+  return server->running > 0
+         && now_us - server->renewed_us >= COLT_TASK_RENEW_US;
 }
 
 static void
@@ -229,11 +231,14 @@
 }
 
 static void
-take_result_ (struct ColtOwner *owner, const struct ColtBackendStartResult *result)
+take_result_ (struct ColtOwner *owner,
+              const struct ColtBackendStartResult *result)
 {
-  struct ColtOwnerTask *task = colt_owner_tasks_find (owner->tasks, &result->ref);
+  struct ColtOwnerTask *task
+      = colt_owner_tasks_find (owner->tasks, &result->ref);
 
-  if (task == NULL || task->server == NULL || task->state != COLT_OWNER_TASK_SENT)
+  if (task == NULL || task->server == NULL
+      || task->state != COLT_OWNER_TASK_SENT)
     return;
   switch (result->status)
     {
@@ -251,19 +256,23 @@
 
 /* A change without an answer may have started its tasks. */
 static void
-take_failure_ (struct ColtPendingChange *change, const struct ColtBackendStatus *status)
+take_failure_ (struct ColtPendingChange *change,
+               const struct ColtBackendStatus *status)
 {
   struct ColtOwner *owner = change->server->owner;
   bool unsure = status->result == COLT_BACKEND_UNKNOWN;
   guint i;
 
-  colt_log_error (COLT_LOG_WARNING, MODULE, "a batch of changes failed", &status->error);
+  colt_log_error (COLT_LOG_WARNING, MODULE, "a batch of changes failed",
+                  &status->error);
   for (i = 0; i < change->refs->len; i++)
     {
-      const struct ColtTaskRef *ref = &g_array_index (change->refs, struct ColtTaskRef, i);
+      const struct ColtTaskRef *ref
+          = &g_array_index (change->refs, struct ColtTaskRef, i);
       struct ColtOwnerTask *task = colt_owner_tasks_find (owner->tasks, ref);
 
-      if (task == NULL || task->server == NULL || task->state != COLT_OWNER_TASK_SENT)
+      if (task == NULL || task->server == NULL
+          || task->state != COLT_OWNER_TASK_SENT)
         continue;
       if (!unsure)
         {
@@ -280,7 +289,8 @@
 {
   task->state = COLT_OWNER_TASK_UNSURE;
   task->maybe_sent = true;
-  g_queue_push_tail (&task->server->unsure, g_memdup2 (&task->ref, sizeof task->ref));
+  g_queue_push_tail (&task->server->unsure,
+                     g_memdup2 (&task->ref, sizeof task->ref));
 }
 
 /*
@@ -294,10 +304,12 @@
 {
   struct ColtLookUp *look_up = client;
   struct ColtOwner *owner = look_up->owner;
-  struct ColtOwnerTask *task = colt_owner_tasks_find (owner->tasks, &look_up->ref);
+  struct ColtOwnerTask *task
+      = colt_owner_tasks_find (owner->tasks, &look_up->ref);
 
   g_free (look_up);
-  if (task == NULL || task->server == NULL || task->state != COLT_OWNER_TASK_UNSURE)
+  if (task == NULL || task->server == NULL
+      || task->state != COLT_OWNER_TASK_UNSURE)
     return;
   if (status->result != COLT_BACKEND_OK)
     make_unsure_ (task);
--- a/src/owner/owner_digest.c
+++ b/src/owner/owner_digest.c
@@ -25,7 +25,8 @@
 void
 colt_owner_send_digest (struct ColtOwner *owner, int64_t now_us, bool whole)
 {
-  struct ColtDigestBuild build = { g_ptr_array_new_with_free_func (g_free), now_us, whole };
+  struct ColtDigestBuild build
+      = { g_ptr_array_new_with_free_func (g_free), now_us, whole };
   ColtDigestWord word = COLT_DIGEST_WORD__INIT;
 
   g_tree_foreach (owner->servers, add_server_, &build);
@@ -64,7 +65,8 @@
   buffer->word.capacity = &buffer->capacity.word;
   buffer->word.free = &buffer->free.word;
   buffer->word.leaving = !colt_owned_server_takes_work (server, build->now_us);
-  buffer->word.probation_permille = colt_owned_server_probation (server, build->now_us);
+  buffer->word.probation_permille
+      = colt_owned_server_probation (server, build->now_us);
   buffer->word.speed_permille = server->speed_permille;
   g_ptr_array_add (build->servers, buffer);
   return FALSE;
@@ -79,7 +81,7 @@
 
   body = colt_message_pack (&word->base, &size);
   for (i = 0; i < owner->member_count; i++)
-    colt_wire_send (owner->parts.wire, owner->members[i], COLT_WIRE_PLACE_DIGEST, body,
-                    size);
+    colt_wire_send (owner->parts.wire, owner->members[i],
+                    COLT_WIRE_PLACE_DIGEST, body, size);
   free (body);
 }
--- a/src/owner/owner_events.c
+++ b/src/owner/owner_events.c
@@ -23,7 +23,8 @@
 static void on_events_ (void *client,
                         const struct ColtBackendStatus *status,
                         const struct ColtBackendEvents *events);
-static void take_event_ (struct ColtOwnedServer *server, const struct ColtBackendEvent *event);
+static void take_event_ (struct ColtOwnedServer *server,
+                         const struct ColtBackendEvent *event);
 static void take_usage_ (struct ColtOwnedServer *server,
                          struct ColtOwnerTask *task,
                          const struct ColtTaskReport *report);
@@ -35,13 +36,15 @@
   int64_t now_us = colt_clock_monotonic_us ();
   struct ColtEventsCall *call;
 
-  if (server->events_call != 0 || !colt_server_lease_may_start (server->lease, now_us))
+  if (server->events_call != 0
+      || !colt_server_lease_may_start (server->lease, now_us))
     return;
   call = g_new0 (struct ColtEventsCall, 1);
   call->server = server;
   call->call = colt_server_lease_open_call (server->lease, false, now_us);
   server->events_call = call->call;
-  server->driver->events (server->driver, colt_server_lease_epoch (server->lease),
+  server->driver->events (server->driver,
+                          colt_server_lease_epoch (server->lease),
                           server->next_event, EVENTS_WAIT_MS, on_events_, call);
 }
 
@@ -84,7 +87,8 @@
   colt_owned_server_judge (server, report, task->ended_us);
   told.shard = task->shard;
   told.shard_epoch = task->shard_epoch;
-  colt_owner_tell (owner, &told, COLT_TASK_EVENT_ENDED, server->id, COLT_REFUSAL_NO_ROOM);
+  colt_owner_tell (owner, &told, COLT_TASK_EVENT_ENDED, server->id,
+                   COLT_REFUSAL_NO_ROOM);
 }
 
 void
@@ -97,7 +101,8 @@
   colt_owned_server_discharge (task->server, task);
   colt_counters_count (owner->parts.counters, owner->counters.refused, 1);
   colt_owner_task_report (owner->tasks, task, &report);
-  colt_owner_tell (owner, &report, COLT_TASK_EVENT_REFUSED, task->server->id, refusal);
+  colt_owner_tell (owner, &report, COLT_TASK_EVENT_REFUSED, task->server->id,
+                   refusal);
   task->state = COLT_OWNER_TASK_NEVER;
   task->ended_us = colt_clock_monotonic_us ();
   drop_payload_ (task);
@@ -131,12 +136,15 @@
 }
 
 static void
-take_event_ (struct ColtOwnedServer *server, const struct ColtBackendEvent *event)
+take_event_ (struct ColtOwnedServer *server,
+             const struct ColtBackendEvent *event)
 {
   struct ColtOwner *owner = server->owner;
-  struct ColtOwnerTask *task = colt_owner_tasks_find (owner->tasks, &event->task.ref);
+  struct ColtOwnerTask *task
+      = colt_owner_tasks_find (owner->tasks, &event->task.ref);
 
-  if (task == NULL || task->server != server || task->state >= COLT_OWNER_TASK_ENDED)
+  if (task == NULL || task->server != server
+      || task->state >= COLT_OWNER_TASK_ENDED)
     return;
   if (event->kind == COLT_BACKEND_EVENT_USAGE)
     {
@@ -164,9 +172,11 @@
 
   task->usage = report->usage;
   task->run_ms = report->run_ms;
-  if (task->usage.amount[memory] * 1000 < task->limit.amount[memory] * RESIZE_AT_PERMILLE)
+  if (task->usage.amount[memory] * 1000
+      < task->limit.amount[memory] * RESIZE_AT_PERMILLE)
     return;
-  more = MIN (task->limit.amount[memory] * RESIZE_BY_PERMILLE / 1000, free.amount[memory]);
+  more = MIN (task->limit.amount[memory] * RESIZE_BY_PERMILLE / 1000,
+              free.amount[memory]);
   if (more <= 0 || !task->charged)
     return;
   server->reserved.amount[memory] += more;
--- a/src/owner/owner_health.c
+++ b/src/owner/owner_health.c
@@ -27,22 +27,27 @@
   if (report->state == COLT_TASK_STOPPED)
     return;
   server->failures++;
-  if (server->failures < PROBATION_FAILURES || now_us < server->probation_until_us)
+  if (server->failures < PROBATION_FAILURES
+      || now_us < server->probation_until_us)
     return;
   server->probation_us = server->probation_us == 0
                              ? PROBATION_FIRST_US
                              : MIN (2 * server->probation_us, PROBATION_MAX_US);
   server->probation_until_us = now_us + server->probation_us;
   server->digest_due = true;
-  colt_log (COLT_LOG_WARNING, MODULE, NULL,
-            "backend server %u is on probation for %d ms after %u failures in a row",
-            server->id, (int)(server->probation_us / COLT_US_PER_MS), server->failures);
+  colt_log (
+      COLT_LOG_WARNING, MODULE, NULL,
+      "backend server %u is on probation for %d ms after %u failures in a row",
+      server->id, (int)(server->probation_us / COLT_US_PER_MS),
+      server->failures);
 }
 
 uint32_t
-colt_owned_server_probation (const struct ColtOwnedServer *server, int64_t now_us)
+colt_owned_server_probation (const struct ColtOwnedServer *server,
+                             int64_t now_us)
 {
   if (now_us < server->probation_until_us)
     return 0;
-  return server->failures >= PROBATION_FAILURES ? PROBATION_TRIAL_PERMILLE : 1000;
+  return server->failures >= PROBATION_FAILURES ? PROBATION_TRIAL_PERMILLE
+                                                : 1000;
 }
--- a/src/owner/owner_place.c
+++ b/src/owner/owner_place.c
@@ -55,7 +55,8 @@
 static ColtQueryResult *make_result_ (struct ColtOwner *owner,
                                       const ColtQueryItem *item,
                                       struct ColtTaskRef *ref);
-static void set_report_ (ColtQueryResult *result, const struct ColtTaskReport *report);
+static void set_report_ (ColtQueryResult *result,
+                         const struct ColtTaskReport *report);
 static void fetch_result_ (struct ColtOpenQuery *query,
                            ColtQueryResult *result,
                            const struct ColtTaskRef *ref);
@@ -67,7 +68,8 @@
                       const struct ColtWireOrigin *origin,
                       const uint8_t *body,
                       size_t size);
-static struct ColtOwnedServer *find_server_ (const struct ColtOwner *owner, uint32_t id);
+static struct ColtOwnedServer *find_server_ (const struct ColtOwner *owner,
+                                             uint32_t id);
 
 void
 colt_owner_set_handlers (struct ColtOwner *owner)
@@ -131,8 +133,10 @@
   struct ColtResources demand;
   struct ColtTaskRef ref;
 
-  if (!colt_ref_read (start->ref, &ref) || !colt_resources_read (start->demand, &demand)
-      || strlen (start->team) >= COLT_NAME_SIZE || start->kind >= COLT_WORK_KIND_COUNT
+  if (!colt_ref_read (start->ref, &ref)
+      || !colt_resources_read (start->demand, &demand)
+      || strlen (start->team) >= COLT_NAME_SIZE
+      || start->kind >= COLT_WORK_KIND_COUNT
       || start->shard != colt_id_shard (&ref.request))
     return false;
   task = colt_owner_tasks_find (owner->tasks, &ref);
@@ -143,7 +147,8 @@
       remember_refusal_ (owner, start, &ref);
       return false;
     }
-  task = colt_owner_tasks_add (owner->tasks, server, &ref, start->team, start->shard);
+  task = colt_owner_tasks_add (owner->tasks, server, &ref, start->team,
+                               start->shard);
   task->shard_epoch = start->shard_epoch;
   task->kind = (enum ColtWorkKind)start->kind;
   task->limit = demand;
@@ -175,8 +180,9 @@
   *refusal = COLT_REFUSAL_FENCED;
   if (server == NULL || owner->stopping)
     return false;
-  if (colt_shard_owner_check_start (owner->shard_owner, start->shard, start->shard_epoch,
-                                    start->server, start->server_epoch, now_us)
+  if (colt_shard_owner_check_start (owner->shard_owner, start->shard,
+                                    start->shard_epoch, start->server,
+                                    start->server_epoch, now_us)
       != COLT_SHARD_GOOD)
     {
       colt_counters_count (owner->parts.counters, owner->counters.fenced, 1);
@@ -206,7 +212,8 @@
 
   if (owner->credits == NULL)
     return true;
-  if (colt_credit_holder_take (owner->credits, start->team, start->server, &amount))
+  if (colt_credit_holder_take (owner->credits, start->team, start->server,
+                               &amount))
     return true;
   colt_owner_note_waiting (owner, start->team, &amount);
   return false;
@@ -218,8 +225,8 @@
                    const ColtPlaceStart *start,
                    const struct ColtTaskRef *ref)
 {
-  struct ColtOwnerTask *task
-      = colt_owner_tasks_add (owner->tasks, NULL, ref, start->team, start->shard);
+  struct ColtOwnerTask *task = colt_owner_tasks_add (owner->tasks, NULL, ref,
+                                                     start->team, start->shard);
 
   task->state = COLT_OWNER_TASK_NEVER;
   task->ended_us = colt_clock_monotonic_us ();
@@ -246,7 +253,8 @@
       if (!colt_ref_read (word->items[i]->ref, &ref))
         continue;
       task = colt_owner_tasks_find (owner->tasks, &ref);
-      if (task == NULL || task->server == NULL || task->state >= COLT_OWNER_TASK_ENDED)
+      if (task == NULL || task->server == NULL
+          || task->state >= COLT_OWNER_TASK_ENDED)
         continue;
       colt_owned_server_queue_stop (task->server, task);
       if (task->server != NULL)
@@ -301,7 +309,8 @@
   struct ColtOwnerTask *task = colt_owner_tasks_find (owner->tasks, ref);
   struct ColtOwnedServer *server = find_server_ (owner, item->server);
 
-  if (server == NULL || colt_server_lease_state (server->lease) != COLT_LEASE_HELD
+  if (server == NULL
+      || colt_server_lease_state (server->lease) != COLT_LEASE_HELD
       || colt_server_lease_epoch (server->lease) < item->server_epoch)
     return COLT_QUERY_NOT_OWNER;
   if (task == NULL)
@@ -327,7 +336,9 @@
 }
 
 static ColtQueryResult *
-make_result_ (struct ColtOwner *owner, const ColtQueryItem *item, struct ColtTaskRef *ref)
+make_result_ (struct ColtOwner *owner,
+              const ColtQueryItem *item,
+              struct ColtTaskRef *ref)
 {
   ColtQueryResult *result;
   struct ColtOwnerTask *task;
@@ -416,7 +427,8 @@
   colt_wire_reply (query->owner->parts.wire, &query->origin, body, size);
   free (body);
   for (i = 0; i < query->results->len; i++)
-    colt_query_result__free_unpacked (g_ptr_array_index (query->results, i), NULL);
+    colt_query_result__free_unpacked (g_ptr_array_index (query->results, i),
+                                      NULL);
   g_ptr_array_unref (query->results);
   g_free (query);
 }
--- a/src/owner/owner_tasks.c
+++ b/src/owner/owner_tasks.c
@@ -27,7 +27,8 @@
 {
   struct ColtOwnerTasks *tasks = g_new0 (struct ColtOwnerTasks, 1);
 
-  tasks->table = g_hash_table_new_full (hash_ref_, equal_ref_, NULL, free_task_);
+  tasks->table
+      = g_hash_table_new_full (hash_ref_, equal_ref_, NULL, free_task_);
   g_queue_init (&tasks->ends);
   tasks->teams = g_ptr_array_new_with_free_func (g_free);
   tasks->team_numbers = g_hash_table_new (g_str_hash, g_str_equal);
@@ -47,7 +48,8 @@
 }
 
 struct ColtOwnerTask *
-colt_owner_tasks_find (const struct ColtOwnerTasks *tasks, const struct ColtTaskRef *ref)
+colt_owner_tasks_find (const struct ColtOwnerTasks *tasks,
+                       const struct ColtTaskRef *ref)
 {
   return g_hash_table_lookup (tasks->table, ref);
 }
@@ -73,7 +75,8 @@
 }
 
 void
-colt_owner_tasks_remove (struct ColtOwnerTasks *tasks, struct ColtOwnerTask *task)
+colt_owner_tasks_remove (struct ColtOwnerTasks *tasks,
+                         struct ColtOwnerTask *task)
 {
   if (task->server != NULL)
     g_queue_unlink (&task->server->shards[task->shard], &task->link);
@@ -81,7 +84,8 @@
 }
 
 const char *
-colt_owner_tasks_team (const struct ColtOwnerTasks *tasks, const struct ColtOwnerTask *task)
+colt_owner_tasks_team (const struct ColtOwnerTasks *tasks,
+                       const struct ColtOwnerTask *task)
 {
   return g_ptr_array_index (tasks->teams, task->team);
 }
@@ -91,7 +95,8 @@
 {
   struct ColtEndNote *note;
 
-  while ((note = g_queue_peek_head (&tasks->ends)) != NULL && note->ended_us < before_us)
+  while ((note = g_queue_peek_head (&tasks->ends)) != NULL
+         && note->ended_us < before_us)
     {
       struct ColtOwnerTask *task = colt_owner_tasks_find (tasks, &note->ref);
 
@@ -102,7 +107,8 @@
 }
 
 void
-colt_owner_tasks_note_end (struct ColtOwnerTasks *tasks, const struct ColtOwnerTask *task)
+colt_owner_tasks_note_end (struct ColtOwnerTasks *tasks,
+                           const struct ColtOwnerTask *task)
 {
   struct ColtEndNote *note = g_new0 (struct ColtEndNote, 1);
 
@@ -126,9 +132,11 @@
   report->ref = task->ref;
   report->shard = task->shard;
   report->shard_epoch = task->shard_epoch;
-  g_strlcpy (report->team, colt_owner_tasks_team (tasks, task), sizeof report->team);
+  g_strlcpy (report->team, colt_owner_tasks_team (tasks, task),
+             sizeof report->team);
   report->kind = task->kind;
-  report->state = task->state == COLT_OWNER_TASK_ENDED ? task->end : COLT_TASK_RUNNING;
+  report->state
+      = task->state == COLT_OWNER_TASK_ENDED ? task->end : COLT_TASK_RUNNING;
   report->limit = task->limit;
   report->usage = task->usage;
   report->run_ms = task->run_ms;
@@ -141,7 +149,8 @@
   const struct ColtTaskRef *ref = key;
 
   return (guint)XXH3_64bits_withSeed (ref->request.bytes, COLT_ID_SIZE,
-                                      (uint64_t)ref->index << 32 | ref->attempt);
+                                      (uint64_t)ref->index << 32
+                                          | ref->attempt);
 }
 
 static gboolean
@@ -159,7 +168,8 @@
   if (g_hash_table_lookup_extended (tasks->team_numbers, team, NULL, &number))
     return GPOINTER_TO_UINT (number);
   name = g_strdup (team);
-  g_hash_table_insert (tasks->team_numbers, name, GUINT_TO_POINTER (tasks->teams->len));
+  g_hash_table_insert (tasks->team_numbers, name,
+                       GUINT_TO_POINTER (tasks->teams->len));
   g_ptr_array_add (tasks->teams, name);
   return tasks->teams->len - 1;
 }
--- a/src/owner/private/owner_private.h
+++ b/src/owner/private/owner_private.h
@@ -50,13 +50,15 @@
                                             const struct ColtTaskRef *ref,
                                             const char *team,
                                             uint32_t shard);
-void colt_owner_tasks_remove (struct ColtOwnerTasks *tasks, struct ColtOwnerTask *task);
+void colt_owner_tasks_remove (struct ColtOwnerTasks *tasks,
+                              struct ColtOwnerTask *task);
 const char *colt_owner_tasks_team (const struct ColtOwnerTasks *tasks,
                                    const struct ColtOwnerTask *task);
 /** Forgets tasks that ended before a time. */
 void colt_owner_tasks_forget (struct ColtOwnerTasks *tasks, int64_t before_us);
 /** Remembers that a task has ended, for colt_owner_tasks_forget(). */
-void colt_owner_tasks_note_end (struct ColtOwnerTasks *tasks, const struct ColtOwnerTask *task);
+void colt_owner_tasks_note_end (struct ColtOwnerTasks *tasks,
+                                const struct ColtOwnerTask *task);
 size_t colt_owner_tasks_count (const struct ColtOwnerTasks *tasks);
 /** Fills a report of a task, without a result. */
 void colt_owner_task_report (const struct ColtOwnerTasks *tasks,
@@ -90,7 +92,7 @@
   uint64_t next_event;
   int64_t renewed_us; /**< when tasks' leases were last renewed */
   int64_t described_us;
-  uint32_t failures;  /**< tasks that failed in a row */
+  uint32_t failures; /**< tasks that failed in a row */
   int64_t probation_until_us;
   int64_t probation_us; /**< length of the last probation */
   uint32_t speed_permille;
@@ -142,16 +144,21 @@
 };
 
 /* owned_server.c */
-struct ColtOwnedServer *colt_owned_server_create (struct ColtOwner *owner,
-                                                  const struct ColtListServer *listed);
+struct ColtOwnedServer *
+colt_owned_server_create (struct ColtOwner *owner,
+                          const struct ColtListServer *listed);
 void colt_owned_server_destroy (struct ColtOwnedServer *server);
 void colt_owned_server_arm (struct ColtOwnedServer *server);
-bool colt_owned_server_takes_work (const struct ColtOwnedServer *server, int64_t now_us);
-struct ColtResources colt_owned_server_free (const struct ColtOwnedServer *server);
+bool colt_owned_server_takes_work (const struct ColtOwnedServer *server,
+                                   int64_t now_us);
+struct ColtResources
+colt_owned_server_free (const struct ColtOwnedServer *server);
 /** Charges a running or starting task to ledger and credits. */
-void colt_owned_server_charge (struct ColtOwnedServer *server, struct ColtOwnerTask *task);
+void colt_owned_server_charge (struct ColtOwnedServer *server,
+                               struct ColtOwnerTask *task);
 /** Takes the charges back. */
-void colt_owned_server_discharge (struct ColtOwnedServer *server, struct ColtOwnerTask *task);
+void colt_owned_server_discharge (struct ColtOwnedServer *server,
+                                  struct ColtOwnerTask *task);
 /** Passes the end of a call under the lease on; returns whether it was good. */
 bool colt_owned_server_end_call (struct ColtOwnedServer *server,
                                  uint64_t call,
@@ -163,7 +170,8 @@
 void colt_owned_server_flush (struct ColtOwnedServer *server);
 /** Forgets the open change; its tasks stay as they are. */
 void colt_owned_server_drop_change (struct ColtOwnedServer *server);
-void colt_owned_server_queue_stop (struct ColtOwnedServer *server, struct ColtOwnerTask *task);
+void colt_owned_server_queue_stop (struct ColtOwnedServer *server,
+                                   struct ColtOwnerTask *task);
 /** Asks the server for the tasks whose start had no answer. */
 void colt_owned_server_look_up_unsure (struct ColtOwnedServer *server);
 
@@ -177,7 +185,8 @@
 void colt_owner_refuse_task (struct ColtOwner *owner,
                              struct ColtOwnerTask *task,
                              enum ColtPlacementRefusal refusal);
-void colt_owner_start_task (struct ColtOwner *owner, struct ColtOwnerTask *task);
+void colt_owner_start_task (struct ColtOwner *owner,
+                            struct ColtOwnerTask *task);
 
 /* home_link.c */
 void colt_owner_tell (struct ColtOwner *owner,
@@ -200,12 +209,14 @@
 void colt_owner_set_handlers (struct ColtOwner *owner);
 
 /* owner_digest.c */
-void colt_owner_send_digest (struct ColtOwner *owner, int64_t now_us, bool whole);
+void
+colt_owner_send_digest (struct ColtOwner *owner, int64_t now_us, bool whole);
 
 /* owner_health.c */
 void colt_owned_server_judge (struct ColtOwnedServer *server,
                               const struct ColtTaskReport *report,
                               int64_t now_us);
-uint32_t colt_owned_server_probation (const struct ColtOwnedServer *server, int64_t now_us);
+uint32_t colt_owned_server_probation (const struct ColtOwnedServer *server,
+                                      int64_t now_us);
 
 #endif
--- a/src/request/request.pb-c.c
+++ b/src/request/request.pb-c.c
@@ -1686,7 +1686,7 @@
   (ProtobufCMessageInit) colt_spec_word__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor colt_submit_word__field_descriptors[3] =
+static const ProtobufCFieldDescriptor colt_submit_word__field_descriptors[4] =
 {
   {
     "id",
@@ -1724,8 +1724,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "fresh",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(ColtSubmitWord, fresh),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned colt_submit_word__field_indices_by_name[] = {
+  3,   /* field[3] = fresh */
   0,   /* field[0] = id */
   1,   /* field[1] = spec */
   2,   /* field[2] = waits */
@@ -1733,7 +1746,7 @@
 static const ProtobufCIntRange colt_submit_word__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor colt_submit_word__descriptor =
 {
@@ -1743,7 +1756,7 @@
   "ColtSubmitWord",
   "",
   sizeof(ColtSubmitWord),
-  3,
+  4,
   colt_submit_word__field_descriptors,
   colt_submit_word__field_indices_by_name,
   1,  colt_submit_word__number_ranges,
@@ -2008,7 +2021,7 @@
   (ProtobufCMessageInit) colt_answer_word__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor colt_submit_reply__field_descriptors[4] =
+static const ProtobufCFieldDescriptor colt_submit_reply__field_descriptors[3] =
 {
   {
     "status",
@@ -2046,21 +2059,8 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "answer",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(ColtSubmitReply, answer),
-    &colt_answer_word__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned colt_submit_reply__field_indices_by_name[] = {
-  3,   /* field[3] = answer */
   1,   /* field[1] = reason */
   2,   /* field[2] = retry_after_ms */
   0,   /* field[0] = status */
@@ -2068,7 +2068,7 @@
 static const ProtobufCIntRange colt_submit_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor colt_submit_reply__descriptor =
 {
@@ -2078,7 +2078,7 @@
   "ColtSubmitReply",
   "",
   sizeof(ColtSubmitReply),
-  4,
+  3,
   colt_submit_reply__field_descriptors,
   colt_submit_reply__field_indices_by_name,
   1,  colt_submit_reply__number_ranges,
--- a/src/request/requests.c
+++ b/src/request/requests.c
@@ -69,6 +69,7 @@
 static enum ColtSubmitStatus judge_new_ (const struct ColtRequests *requests,
                                          const struct ColtId *id,
                                          const struct ColtRequestSpec *spec,
+                                         bool fresh,
                                          uint32_t wall_s,
                                          int64_t now_us,
                                          enum ColtReason *reason);
@@ -122,6 +123,7 @@
                         const struct ColtTimer *timer,
                         int64_t now_us);
 static GPtrArray *collect_on_server_ (struct ColtRequests *requests,
+                                      uint32_t shard,
                                       uint32_t server,
                                       uint64_t below_epoch);
 static const struct ColtTaskReport *
@@ -217,6 +219,7 @@
 colt_requests_submit (struct ColtRequests *requests,
                       const struct ColtId *id,
                       const struct ColtRequestSpec *spec,
+                      bool fresh,
                       uint32_t waiter,
                       uint32_t wall_s,
                       int64_t now_us,
@@ -242,7 +245,7 @@
       colt_requests_add_waiter (requests, id, waiter);
       return COLT_SUBMIT_KNOWN;
     }
-  status = judge_new_ (requests, id, spec, wall_s, now_us, reason);
+  status = judge_new_ (requests, id, spec, fresh, wall_s, now_us, reason);
   if (status != COLT_SUBMIT_ACCEPTED)
     return status;
   request = create_request_ (requests, id, spec, now_us);
@@ -386,13 +389,15 @@
 
 void
 colt_requests_server_reported (struct ColtRequests *requests,
+                               uint32_t shard,
                                uint32_t server,
                                uint64_t server_epoch,
                                const struct ColtTaskReport *reports,
                                size_t count,
                                int64_t now_us)
 {
-  GPtrArray *affected = collect_on_server_ (requests, server, server_epoch);
+  GPtrArray *affected
+      = collect_on_server_ (requests, shard, server, server_epoch);
   guint i;
 
   for (i = 0; i < affected->len; i++)
@@ -422,10 +427,12 @@
 
 void
 colt_requests_server_gone (struct ColtRequests *requests,
+                           uint32_t shard,
                            uint32_t server,
                            int64_t now_us)
 {
-  GPtrArray *affected = collect_on_server_ (requests, server, UINT64_MAX);
+  GPtrArray *affected
+      = collect_on_server_ (requests, shard, server, UINT64_MAX);
   guint i;
 
   for (i = 0; i < affected->len; i++)
@@ -662,6 +669,7 @@
 judge_new_ (const struct ColtRequests *requests,
             const struct ColtId *id,
             const struct ColtRequestSpec *spec,
+            bool fresh,
             uint32_t wall_s,
             int64_t now_us,
             enum ColtReason *reason)
@@ -1001,6 +1009,7 @@
 /* Returns references to the attempts on a server at a lower epoch. */
 static GPtrArray *
 collect_on_server_ (struct ColtRequests *requests,
+                    uint32_t shard,
                     uint32_t server,
                     uint64_t below_epoch)
 {
@@ -1014,6 +1023,8 @@
       const struct ColtRequest *request = value;
       uint32_t i;
 
+      if (colt_id_shard (&request->id) != shard)
+        continue;
       for (i = 0; i < request->spec.tasks; i++)
         {
           const struct ColtRequestTask *task = &request->tasks[i];
