--- /dev/null
+++ b/src/admission/gate.c
@@ -0,0 +1,146 @@
+#include "coltsfootstile/gate.h"
+
+#include <errno.h>
+#include <event2/http.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "coltsfootstile/clock.h"
+#include "gate_private.h"
+
+/* Time between two looks at what is due. */
+#define TICK_US (20 * COLT_US_PER_MS)
+
+static void add_counters_ (struct ColtGate *gate);
+static void on_timer_ (evutil_socket_t fd, short what, void *arg);
+
+struct ColtGate *
+colt_gate_create (const struct ColtGateParts *parts,
+                  const struct ColtGateClient *calls,
+                  void *client)
+{
+  struct ColtGate *gate = g_new0 (struct ColtGate, 1);
+  const struct timeval tick = { 0, TICK_US };
+
+  gate->parts = *parts;
+  gate->calls = calls;
+  gate->client = client;
+  gate->pending = g_hash_table_new_full (
+      colt_id_table_hash, colt_id_table_equal, NULL, colt_pending_free);
+  gate->minted = g_hash_table_new (colt_id_table_hash, colt_id_table_equal);
+  g_queue_init (&gate->minted_order);
+  gate->http = evhttp_new (parts->base);
+  evhttp_set_max_headers_size (gate->http, COLT_GATE_HEADERS_MAX);
+  evhttp_set_max_body_size (gate->http, COLT_GATE_BODY_MAX);
+  evhttp_set_timeout (gate->http, COLT_GATE_IDLE_S);
+  evhttp_set_allowed_methods (gate->http, EVHTTP_REQ_GET | EVHTTP_REQ_POST
+                                              | EVHTTP_REQ_DELETE);
+  evhttp_set_gencb (gate->http, colt_gate_route, gate);
+  add_counters_ (gate);
+  colt_gate_set_handlers (gate);
+  gate->timer = event_new (parts->base, -1, EV_PERSIST, on_timer_, gate);
+  event_add (gate->timer, &tick);
+  return gate;
+}
+
+void
+colt_gate_destroy (struct ColtGate *gate)
+{
+  if (gate == NULL)
+    return;
+  colt_gate_abandon (gate);
+  event_free (gate->timer);
+  evhttp_free (gate->http);
+  g_hash_table_unref (gate->pending);
+  g_hash_table_unref (gate->minted);
+  g_queue_clear_full (&gate->minted_order, g_free);
+  g_free (gate);
+}
+
+bool
+colt_gate_listen (struct ColtGate *gate,
+                  const char *address,
+                  struct ColtError *error)
+{
+  const char *colon = strrchr (address, ':');
+  char host[64];
+
+  if (colon == NULL || (size_t)(colon - address) >= sizeof host)
+    return colt_error_set (error, COLT_ERROR_INVALID, COLT_STEP_LISTEN, address,
+                           "not ADDRESS:PORT");
+  g_strlcpy (host, address, (gsize)(colon - address) + 1);
+  gate->socket = evhttp_bind_socket_with_handle (
+      gate->http, host, (uint16_t)strtoul (colon + 1, NULL, 10));
+  if (gate->socket == NULL)
+    return colt_error_set (error, COLT_ERROR_SYSTEM, COLT_STEP_LISTEN, address,
+                           "can't listen: %s", strerror (errno));
+  return true;
+}
+
+void
+colt_gate_stop (struct ColtGate *gate)
+{
+  gate->stopping = true;
+  if (gate->socket != NULL)
+    evhttp_del_accept_socket (gate->http, gate->socket);
+  gate->socket = NULL;
+}
+
+size_t
+colt_gate_open_count (const struct ColtGate *gate)
+{
+  return g_hash_table_size (gate->pending);
+}
+
+void
+colt_gate_abandon (struct ColtGate *gate)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  for (;;)
+    {
+      g_hash_table_iter_init (&iter, gate->pending);
+      if (!g_hash_table_iter_next (&iter, NULL, &value))
+        return;
+      colt_gate_settle (value, COLT_OUTCOME_UNKNOWN, COLT_REASON_STOPPING,
+                        NULL);
+    }
+}
+
+static void
+add_counters_ (struct ColtGate *gate)
+{
+  struct ColtCounters *counters = gate->parts.counters;
+  struct ColtGateCounters *handles = &gate->counters;
+
+  handles->requests
+      = colt_counters_add (counters, COLT_COUNTER_TOTAL, "gate_requests_total",
+                           "Requests that callers handed in.");
+  handles->bad
+      = colt_counters_add (counters, COLT_COUNTER_TOTAL, "gate_bad_total",
+                           "Requests that were malformed.");
+  handles->done
+      = colt_counters_add (counters, COLT_COUNTER_TOTAL, "gate_done_total",
+                           "Requests answered as done or accepted.");
+  handles->failed
+      = colt_counters_add (counters, COLT_COUNTER_TOTAL, "gate_failed_total",
+                           "Requests answered as failed.");
+  handles->not_run
+      = colt_counters_add (counters, COLT_COUNTER_TOTAL, "gate_not_run_total",
+                           "Requests answered as not run.");
+  handles->unknown
+      = colt_counters_add (counters, COLT_COUNTER_TOTAL, "gate_unknown_total",
+                           "Requests answered as unknown.");
+  handles->cancelled
+      = colt_counters_add (counters, COLT_COUNTER_TOTAL, "gate_cancelled_total",
+                           "Requests answered as cancelled.");
+}
+
+static void
+on_timer_ (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  colt_gate_step (arg, colt_clock_monotonic_us ());
+}
--- a/src/request/requests.c
+++ b/src/request/requests.c
@@ -688,7 +688,8 @@
       *reason = COLT_REASON_EXPIRED_ID;
       return COLT_SUBMIT_UNKNOWN;
     }
-  if (!spec->idempotent && minted_s <= shard->known_since_s + COLT_CLOCK_SKEW_S)
+  if (!spec->idempotent && !fresh
+      && minted_s <= shard->known_since_s + COLT_CLOCK_SKEW_S)
     {
       *reason = COLT_REASON_HISTORY_LOST;
       return COLT_SUBMIT_UNKNOWN;
