--- /dev/null
+++ b/src/coltsfootstile/instance_bundles.c
@@ -0,0 +1,389 @@
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "coltsfootstile/clock.h"
+#include "coltsfootstile/log.h"
+#include "coltsfootstile/record.h"
+#include "instance.h"
+
+#define MODULE "bundle"
+
+/* Time between two decisions on a snapshot. */
+#define SNAPSHOT_INTERVAL_US (1 * COLT_US_PER_S)
+/* A peer's word that is older than this counts no more. */
+#define WORD_MEMORY_US (5 * COLT_US_PER_S)
+/* Size of a freshness word: age, offset, zones heard, flags. */
+#define WORD_SIZE 21u
+
+struct ColtInstanceBundles
+{
+  struct ColtInstance *instance;
+  struct ColtChain *chain;
+  uint64_t generation; /* that the other duties know */
+  GArray *words;       /* of struct ColtFreshnessWord, one a peer */
+  enum ColtFreshness freshness;
+  int64_t as_of_us;
+  int64_t snapshot_us; /* when the next decision is due */
+  int64_t snapshot_read_us;
+  int64_t snapshot_due_us;
+  uint64_t first_offset;
+  int64_t in_force_us; /* when the bundle came into force here */
+};
+
+static size_t fill_word_ (void *client, uint8_t body[COLT_PIGGYBACK_MAX]);
+static void take_word_ (void *client,
+                        uint32_t instance,
+                        int64_t asked_us,
+                        const uint8_t *body,
+                        size_t size);
+static void store_u64_ (uint8_t *at, uint64_t value);
+static uint64_t load_u64_ (const uint8_t *at);
+static void fill_input_ (const struct ColtInstanceBundles *bundles,
+                         struct ColtFreshnessInput *input);
+static void decide_ (struct ColtInstanceBundles *bundles);
+static void spread_ (struct ColtInstanceBundles *bundles);
+static void snapshot_ (struct ColtInstanceBundles *bundles, int64_t now_us);
+static void append_snapshot_ (struct ColtInstanceBundles *bundles);
+
+struct ColtInstanceBundles *
+colt_instance_bundles_create (struct ColtInstance *instance, struct ColtError *error)
+{
+  struct ColtInstanceBundles *bundles;
+  struct ColtOperatorKey keys[COLT_BUNDLE_OPERATORS_MAX];
+  size_t count = colt_settings_count (instance->settings, "trust", "operator");
+  size_t i;
+
+  if (count < 1 || count > COLT_BUNDLE_OPERATORS_MAX)
+    {
+      colt_error_set (error, COLT_ERROR_INVALID, COLT_STEP_SETTINGS, NULL,
+                      "[trust] operator: 1 to %u keys are needed",
+                      COLT_BUNDLE_OPERATORS_MAX);
+      return NULL;
+    }
+  for (i = 0; i < count; i++)
+    if (!colt_operator_key_parse (
+            colt_settings_item (instance->settings, "trust", "operator", i), &keys[i]))
+      {
+        colt_error_set (error, COLT_ERROR_INVALID, COLT_STEP_SETTINGS, NULL,
+                        "[trust] operator: a public key has 64 hexadecimal digits");
+        return NULL;
+      }
+  bundles = g_new0 (struct ColtInstanceBundles, 1);
+  bundles->instance = instance;
+  bundles->chain = colt_chain_create (keys, count);
+  bundles->words = g_array_new (FALSE, FALSE, sizeof (struct ColtFreshnessWord));
+  bundles->freshness = COLT_STALE_NO_BUNDLE;
+  bundles->as_of_us = COLT_TIME_NEVER;
+  bundles->snapshot_read_us = colt_clock_monotonic_us ();
+  bundles->snapshot_due_us = COLT_TIME_NEVER;
+  colt_membership_link_set_topic (instance->link, COLT_PIGGYBACK_FRESHNESS, fill_word_,
+                                  take_word_, bundles);
+  return bundles;
+}
+
+void
+colt_instance_bundles_destroy (struct ColtInstanceBundles *bundles)
+{
+  if (bundles == NULL)
+    return;
+  colt_chain_destroy (bundles->chain);
+  g_array_unref (bundles->words);
+  g_free (bundles);
+}
+
+void
+colt_instance_bundles_take (struct ColtInstanceBundles *bundles,
+                            const struct ColtLogItem *item)
+{
+  struct ColtLogPosition position = { item->offset, item->index };
+  struct ColtChainVerdict verdict;
+
+  colt_chain_take (bundles->chain, position, item->kind, item->body, item->size,
+                   &verdict);
+  if (item->kind == COLT_RECORD_SNAPSHOT)
+    bundles->snapshot_read_us = colt_clock_monotonic_us ();
+  if (verdict.status == COLT_CHAIN_IGNORED)
+    return;
+  if (verdict.status == COLT_CHAIN_ACCEPTED || verdict.status == COLT_CHAIN_DUPLICATE)
+    colt_log (COLT_LOG_INFO, MODULE, NULL, "record at offset %" G_GUINT64_FORMAT ": %s",
+              item->offset, colt_chain_status_string[verdict.status]);
+  else
+    colt_log_error (COLT_LOG_WARNING, MODULE,
+                    colt_chain_status_string[verdict.status], &verdict.error);
+  spread_ (bundles);
+}
+
+void
+colt_instance_bundles_gap (struct ColtInstanceBundles *bundles, uint64_t first)
+{
+  bundles->first_offset = first;
+  if (!colt_chain_set_first (bundles->chain, first))
+    colt_log (COLT_LOG_WARNING, MODULE, NULL,
+              "records before offset %" G_GUINT64_FORMAT
+              " are lost; waiting for a snapshot",
+              first);
+}
+
+void
+colt_instance_bundles_step (struct ColtInstanceBundles *bundles, int64_t now_us)
+{
+  colt_chain_advance (bundles->chain, colt_log_client_offset (bundles->instance->log));
+  decide_ (bundles);
+  if (now_us < bundles->snapshot_us)
+    return;
+  bundles->snapshot_us = now_us + SNAPSHOT_INTERVAL_US;
+  snapshot_ (bundles, now_us);
+}
+
+const struct ColtBundle *
+colt_instance_bundle (void *client)
+{
+  const struct ColtInstance *instance = client;
+
+  return colt_chain_bundle (instance->bundles->chain);
+}
+
+const struct ColtKeyring *
+colt_instance_keyring (void *client)
+{
+  const struct ColtInstance *instance = client;
+
+  return colt_chain_keyring (instance->bundles->chain);
+}
+
+bool
+colt_instance_fresh (void *client)
+{
+  const struct ColtInstance *instance = client;
+
+  decide_ (instance->bundles);
+  return colt_freshness_is_fresh (instance->bundles->freshness);
+}
+
+json_t *
+colt_instance_bundles_dump (const struct ColtInstanceBundles *bundles)
+{
+  const struct ColtBundle *bundle = colt_chain_bundle (bundles->chain);
+  const struct ColtKeyring *keyring = colt_chain_keyring (bundles->chain);
+  int64_t now_us = colt_clock_monotonic_us ();
+  json_t *dump = json_object ();
+  char text[COLT_HASH_TEXT_SIZE];
+
+  json_object_set_new (dump, "zone", json_integer (bundles->instance->zone));
+  json_object_set_new (dump, "version",
+                       json_integer (bundle != NULL ? colt_bundle_version (bundle) : 0));
+  if (bundle != NULL)
+    {
+      json_object_set_new (
+          dump, "hash",
+          json_string (colt_hash_format (colt_bundle_hash (bundle), text)));
+      json_object_set_new (
+          dump, "offset",
+          json_integer ((json_int_t)colt_chain_bundle_position (bundles->chain).offset));
+      json_object_set_new (
+          dump, "in_force_ms",
+          json_integer ((now_us - bundles->in_force_us) / COLT_US_PER_MS));
+    }
+  json_object_set_new (
+      dump, "next_offset",
+      json_integer ((json_int_t)colt_chain_next_offset (bundles->chain)));
+  json_object_set_new (dump, "needs_snapshot",
+                       json_boolean (colt_chain_needs_snapshot (bundles->chain)));
+  json_object_set_new (dump, "freshness",
+                       json_string (colt_freshness_string[bundles->freshness]));
+  if (bundles->as_of_us != COLT_TIME_NEVER)
+    json_object_set_new (dump, "freshness_age_ms",
+                         json_integer ((now_us - bundles->as_of_us) / COLT_US_PER_MS));
+  json_object_set_new (
+      dump, "keys_live", json_integer ((json_int_t)colt_keyring_live_count (keyring)));
+  json_object_set_new (
+      dump, "keys_withdrawn",
+      json_integer ((json_int_t)colt_keyring_withdrawn_count (keyring)));
+  return dump;
+}
+
+static size_t
+fill_word_ (void *client, uint8_t body[COLT_PIGGYBACK_MAX])
+{
+  struct ColtInstanceBundles *bundles = client;
+  struct ColtFreshnessInput input;
+  int64_t age_us = COLT_TIME_NEVER;
+
+  decide_ (bundles);
+  fill_input_ (bundles, &input);
+  if (bundles->as_of_us != COLT_TIME_NEVER)
+    age_us = input.now_us - bundles->as_of_us;
+  store_u64_ (body, (uint64_t)age_us);
+  store_u64_ (body + 8, input.next_offset);
+  body[16] = (uint8_t)(colt_freshness_zones_heard (&input) >> 8);
+  body[17] = (uint8_t)colt_freshness_zones_heard (&input);
+  body[18] = colt_freshness_log_unreachable (&input);
+  body[19] = (uint8_t)(bundles->instance->zone);
+  body[20] = 0;
+  return WORD_SIZE;
+}
+
+static void
+take_word_ (void *client,
+            uint32_t instance,
+            int64_t asked_us,
+            const uint8_t *body,
+            size_t size)
+{
+  struct ColtInstanceBundles *bundles = client;
+  struct ColtFreshnessWord word = { 0 };
+  guint i;
+
+  if (asked_us < 0 || size != WORD_SIZE || body[19] < 1 || body[19] > COLT_ZONE_MAX)
+    return;
+  word.instance = instance;
+  word.zone = body[19];
+  word.asked_us = asked_us;
+  word.age_us = (int64_t)load_u64_ (body);
+  word.next_offset = load_u64_ (body + 8);
+  word.zones_heard = (uint32_t)body[16] << 8 | body[17];
+  word.log_unreachable = body[18] != 0;
+  if (word.age_us < 0)
+    return;
+  for (i = 0; i < bundles->words->len; i++)
+    {
+      struct ColtFreshnessWord *known
+          = &g_array_index (bundles->words, struct ColtFreshnessWord, i);
+
+      if (known->instance == instance)
+        {
+          *known = word;
+          return;
+        }
+    }
+  g_array_append_val (bundles->words, word);
+}
+
+static void
+store_u64_ (uint8_t *at, uint64_t value)
+{
+  value = GUINT64_TO_BE (value);
+  memcpy (at, &value, sizeof value);
+}
+
+static uint64_t
+load_u64_ (const uint8_t *at)
+{
+  uint64_t value;
+
+  memcpy (&value, at, sizeof value);
+  return GUINT64_FROM_BE (value);
+}
+
+static void
+fill_input_ (const struct ColtInstanceBundles *bundles, struct ColtFreshnessInput *input)
+{
+  const struct ColtBundle *bundle = colt_chain_bundle (bundles->chain);
+  struct ColtLogReaderStats stats;
+  uint32_t i;
+
+  memset (input, 0, sizeof *input);
+  colt_log_client_get_stats (bundles->instance->log, NULL, &stats);
+  input->now_us = colt_clock_monotonic_us ();
+  input->self_zone = bundles->instance->zone;
+  input->read_us = stats.fresh_us == INT64_MIN ? COLT_TIME_NEVER : stats.fresh_us;
+  input->next_offset = colt_log_client_offset (bundles->instance->log);
+  input->read_failing = stats.failing;
+  input->has_bundle = bundle != NULL;
+  for (i = 0; bundle != NULL && i < colt_bundle_zone_count (bundle); i++)
+    input->zones |= 1u << colt_bundle_zone (bundle, i)->number;
+  input->words = (const struct ColtFreshnessWord *)bundles->words->data;
+  input->word_count = bundles->words->len;
+}
+
+static void
+decide_ (struct ColtInstanceBundles *bundles)
+{
+  struct ColtFreshnessInput input;
+  guint i = 0;
+
+  fill_input_ (bundles, &input);
+  while (i < bundles->words->len)
+    {
+      const struct ColtFreshnessWord *word
+          = &g_array_index (bundles->words, struct ColtFreshnessWord, i);
+
+      if (input.now_us - word->asked_us > WORD_MEMORY_US)
+        g_array_remove_index_fast (bundles->words, i);
+      else
+        i++;
+    }
+  input.word_count = bundles->words->len;
+  bundles->freshness = colt_freshness_decide (&input, &bundles->as_of_us);
+}
+
+/* Gives a new bundle to the duties that act on it. */
+static void
+spread_ (struct ColtInstanceBundles *bundles)
+{
+  const struct ColtBundle *bundle = colt_chain_bundle (bundles->chain);
+  uint64_t generation = colt_chain_generation (bundles->chain);
+
+  if (generation == bundles->generation || bundle == NULL)
+    return;
+  bundles->generation = generation;
+  bundles->in_force_us = colt_clock_monotonic_us ();
+  colt_home_set_bundle (bundles->instance->home, bundle);
+}
+
+static void
+snapshot_ (struct ColtInstanceBundles *bundles, int64_t now_us)
+{
+  struct ColtInstance *instance = bundles->instance;
+  struct ColtSnapshotState state = { 0 };
+  uint32_t live[COLT_DIGEST_MAX];
+
+  if (colt_chain_bundle (bundles->chain) == NULL
+      || colt_chain_needs_snapshot (bundles->chain))
+    return;
+  state.now_us = now_us;
+  state.retention_us
+      = colt_settings_integer (instance->settings, "platform", "log_retention_s")
+        * COLT_US_PER_S;
+  state.last_us = bundles->snapshot_read_us;
+  state.last_offset = colt_chain_snapshot_offset (bundles->chain);
+  state.first_offset = bundles->first_offset;
+  state.next_offset = colt_chain_next_offset (bundles->chain);
+  state.due_since_us = bundles->snapshot_due_us;
+  state.live = live;
+  state.live_count
+      = colt_membership_eligible (instance->membership, 0, live, COLT_DIGEST_MAX);
+  state.self = instance->number;
+  if (!colt_snapshot_due (&state))
+    {
+      bundles->snapshot_due_us = COLT_TIME_NEVER;
+      return;
+    }
+  if (bundles->snapshot_due_us == COLT_TIME_NEVER)
+    bundles->snapshot_due_us = now_us;
+  state.due_since_us = bundles->snapshot_due_us;
+  if (colt_snapshot_is_mine (&state))
+    append_snapshot_ (bundles);
+}
+
+static void
+append_snapshot_ (struct ColtInstanceBundles *bundles)
+{
+  struct ColtLogItem item = { 0 };
+  size_t size;
+  uint8_t *body = colt_chain_encode_snapshot (bundles->chain, NULL, 0, &size);
+
+  if (body == NULL)
+    return;
+  item.kind = COLT_RECORD_SNAPSHOT;
+  randombytes_buf (item.id.bytes, sizeof item.id.bytes);
+  item.body = body;
+  item.size = size;
+  colt_log_client_add (bundles->instance->log, &item,
+                       colt_clock_monotonic_us () + SNAPSHOT_INTERVAL_US * 10, NULL,
+                       NULL);
+  bundles->snapshot_due_us = COLT_TIME_NEVER;
+  bundles->snapshot_read_us = colt_clock_monotonic_us ();
+  free (body);
+}
--- /dev/null
+++ b/src/coltsfootstile/instance_members.c
@@ -0,0 +1,99 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "coltsfootstile/clock.h"
+#include "coltsfootstile/log.h"
+#include "coltsfootstile/rendezvous.h"
+#include "instance.h"
+
+#define MODULE "members"
+
+/* Members of a zone that are looked at. */
+#define MEMBERS_MAX 128u
+
+void
+colt_instance_take_list (void *client, const struct ColtInstanceList *list)
+{
+  struct ColtInstance *instance = client;
+  int64_t now_us = colt_clock_monotonic_us ();
+  GArray *servers = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  size_t i;
+
+  for (i = 0; i < list->entry_count; i++)
+    if (list->entries[i].state == COLT_LIST_LIVE)
+      colt_membership_add (instance->membership, list->entries[i].id,
+                           list->entries[i].zone, list->entries[i].address, now_us);
+  for (i = 0; i < list->server_count; i++)
+    if (list->servers[i].zone == instance->zone)
+      g_array_append_val (servers, list->servers[i].id);
+  colt_owner_set_servers (instance->owner, list->servers, list->server_count);
+  colt_home_set_servers (instance->home, (const uint32_t *)servers->data, servers->len);
+  g_array_unref (servers);
+}
+
+void
+colt_instance_member_changed (void *client, const struct ColtMember *member)
+{
+  struct ColtInstance *instance = client;
+  char text[64];
+  struct ColtLogContext context = { COLT_STEP_NONE, text, NULL };
+
+  snprintf (text, sizeof text, "%u (%s)", member->instance, member->address);
+  colt_log (COLT_LOG_INFO, MODULE, &context, "instance %u of zone %u is %s",
+            member->instance, member->zone, colt_member_state_string[member->state]);
+  colt_instance_spread_members (instance);
+}
+
+void
+colt_instance_spread_members (struct ColtInstance *instance)
+{
+  uint32_t members[MEMBERS_MAX];
+  size_t count = colt_membership_eligible (instance->membership, instance->zone, members,
+                                           MEMBERS_MAX);
+
+  if (instance->owner == NULL || instance->home == NULL)
+    return;
+  colt_owner_set_members (instance->owner, members, count);
+  colt_home_set_members (instance->home, members, count);
+  if (instance->log == NULL)
+    return;
+  count = colt_membership_eligible (instance->membership, 0, members, MEMBERS_MAX);
+  colt_log_client_set_instances (instance->log, count > 0 ? (uint32_t)count : 1);
+}
+
+/* Each line is "NUMBER ZONE ADDRESS:PORT"; the settings were checked. */
+void
+colt_instance_add_peers (struct ColtInstance *instance)
+{
+  size_t count = colt_settings_count (instance->settings, "instance", "peer");
+  int64_t now_us = colt_clock_monotonic_us ();
+  size_t i;
+
+  for (i = 0; i < count; i++)
+    {
+      char **words = g_strsplit_set (
+          colt_settings_item (instance->settings, "instance", "peer", i), " \t", 3);
+
+      if (g_strv_length (words) == 3)
+        colt_membership_add (instance->membership,
+                             (uint32_t)g_ascii_strtoull (words[0], NULL, 10),
+                             (uint32_t)g_ascii_strtoull (words[1], NULL, 10),
+                             g_strstrip (words[2]), now_us);
+      else
+        colt_log (COLT_LOG_ERROR, MODULE, NULL,
+                  "ignoring a peer that is not \"NUMBER ZONE ADDRESS:PORT\"");
+      g_strfreev (words);
+    }
+}
+
+uint32_t
+colt_instance_lead_of (void *client, uint32_t zone, uint32_t shard)
+{
+  struct ColtInstance *instance = client;
+  uint32_t members[MEMBERS_MAX];
+  size_t count
+      = colt_membership_eligible (instance->membership, zone, members, MEMBERS_MAX);
+
+  return colt_rendezvous_choose (colt_rendezvous_key (COLT_RENDEZVOUS_SHARD, shard),
+                                 members, count);
+}
--- /dev/null
+++ b/src/coltsfootstile/private/instance.h
@@ -0,0 +1,114 @@
+/**
+ * \file
+ * \brief One entry instance: every duty on one event loop.
+ */
+#ifndef COLTSFOOTSTILE_INSTANCE_H
+#define COLTSFOOTSTILE_INSTANCE_H
+
+#include <event2/event.h>
+#include <event2/http.h>
+#include <glib.h>
+#include <jansson.h>
+
+#include "coltsfootstile/bundle_chain.h"
+#include "coltsfootstile/counters.h"
+#include "coltsfootstile/freshness.h"
+#include "coltsfootstile/gate.h"
+#include "coltsfootstile/home.h"
+#include "coltsfootstile/instance_list.h"
+#include "coltsfootstile/log_service.h"
+#include "coltsfootstile/membership_link.h"
+#include "coltsfootstile/owner.h"
+#include "coltsfootstile/settings.h"
+#include "coltsfootstile/wire.h"
+
+struct ColtInstanceBundles;
+struct ColtInstanceJobs;
+struct ColtInstanceLimits;
+
+/** How an instance stands. */
+enum ColtInstanceState
+{
+  COLT_INSTANCE_STARTING, /**< no bundle is in force here yet */
+  COLT_INSTANCE_READY,
+  COLT_INSTANCE_STOPPING  /**< hands over; takes nothing new */
+};
+
+/** Names of enum ColtInstanceState, indexed by it. */
+extern const char *const colt_instance_state_string[];
+
+/** An instance. */
+struct ColtInstance
+{
+  struct event_base *base;
+  const struct ColtSettings *settings;
+  uint32_t number;
+  uint32_t zone;
+  uint64_t incarnation;
+  struct ColtCounters *counters;
+  struct ColtWire *wire;
+  struct ColtMembership *membership;
+  struct ColtMembershipLink *link;
+  struct ColtListPoller *list;
+  struct ColtLogClient *log;
+  struct ColtInstanceBundles *bundles;
+  struct ColtInstanceJobs *jobs;
+  struct ColtInstanceLimits *limits;
+  struct ColtOwner *owner;
+  struct ColtHome *home;
+  struct ColtGate *gate;
+  struct event *timer;
+  bool stopping;
+  bool stopped_duties; /**< homes and owners have been told to stop */
+  int64_t stop_us;     /**< when the stop began */
+};
+
+/* instance.c */
+
+/**
+ * Creates an instance from checked settings, which must outlive it.
+ *
+ * \return NULL with an error if an address can't be bound or a key is wrong
+ */
+struct ColtInstance *colt_instance_create (struct event_base *base,
+                                           const struct ColtSettings *settings,
+                                           struct ColtError *error);
+/** Destroys an instance; NULL is allowed. */
+void colt_instance_destroy (struct ColtInstance *instance);
+/** Begins a planned stop; the loop ends when all is handed over. */
+void colt_instance_stop (struct ColtInstance *instance);
+enum ColtInstanceState colt_instance_state (const struct ColtInstance *instance);
+
+/* instance_members.c: members and servers, from membership and the list */
+void colt_instance_take_list (void *client, const struct ColtInstanceList *list);
+void colt_instance_member_changed (void *client, const struct ColtMember *member);
+void colt_instance_add_peers (struct ColtInstance *instance);
+uint32_t colt_instance_lead_of (void *client, uint32_t zone, uint32_t shard);
+/** Tells all duties who is there. */
+void colt_instance_spread_members (struct ColtInstance *instance);
+
+/* instance_bundles.c: the bundle in force, keys and freshness */
+struct ColtInstanceBundles *colt_instance_bundles_create (struct ColtInstance *instance,
+                                                          struct ColtError *error);
+void colt_instance_bundles_destroy (struct ColtInstanceBundles *bundles);
+void colt_instance_bundles_take (struct ColtInstanceBundles *bundles,
+                                 const struct ColtLogItem *item);
+void colt_instance_bundles_gap (struct ColtInstanceBundles *bundles, uint64_t first);
+void colt_instance_bundles_step (struct ColtInstanceBundles *bundles, int64_t now_us);
+const struct ColtBundle *colt_instance_bundle (void *client);
+const struct ColtKeyring *colt_instance_keyring (void *client);
+bool colt_instance_fresh (void *client);
+json_t *colt_instance_bundles_dump (const struct ColtInstanceBundles *bundles);
+
+/* instance_jobs.c: work accepted for later */
+struct ColtInstanceJobs *colt_instance_jobs_create (struct ColtInstance *instance);
+void colt_instance_jobs_destroy (struct ColtInstanceJobs *jobs);
+void colt_instance_jobs_take (struct ColtInstanceJobs *jobs, const struct ColtLogItem *item);
+void colt_instance_jobs_step (struct ColtInstanceJobs *jobs, int64_t now_us);
+size_t colt_instance_jobs_count (const struct ColtInstanceJobs *jobs);
+extern const struct ColtHomeClient colt_instance_home_client;
+
+/* instance_state.c: dumps, counters and health over HTTP */
+bool colt_instance_serve (void *client, struct evhttp_request *http, const char *path);
+
+#endif
