--- a/src/backend/backend_decode.c
+++ b/src/backend/backend_decode.c
@@ -168,7 +168,10 @@
          && get_tasks_ (decoder, &context, root, out)
          && get_shard_epochs_ (decoder, &context, root, out)
          && (json_object_get (root, "next") == NULL
-             || colt_json_get_u64 (&context, root, "next", &out->next));
+             || colt_json_get_u64 (&context, root, "next", &out->next))
+         && (json_object_get (root, "memory_ms") == NULL
+             || colt_json_get_integer (&context, root, "memory_ms", 0, INT64_MAX,
+                                       &out->memory_ms));
   json_decref (root);
   return good;
 }
