--- a/include/coltsfootstile/backend.h
+++ b/include/coltsfootstile/backend.h
@@ -95,7 +95,8 @@
   size_t task_count;
   const struct ColtBackendShardEpoch *epochs;
   size_t epoch_count;
-  uint64_t next; /**< of events that follow; 0 if the server doesn't say */
+  uint64_t next;     /**< of events that follow; 0 if the server doesn't say */
+  int64_t memory_ms; /**< how far back the server remembers, 0 if unknown */
 };
 
 /** A stop of one task. */
--- a/include/coltsfootstile/log_service.h
+++ b/include/coltsfootstile/log_service.h
@@ -293,6 +293,7 @@
   uint64_t skipped;    /**< appends that could not be decoded */
   uint64_t gaps;       /**< times that retention overtook the reader */
   uint64_t failures;   /**< reads that failed */
+  bool failing;        /**< the last read failed */
 };
 
 /** Follows the log. */
--- a/include/coltsfootstile/request.h
+++ b/include/coltsfootstile/request.h
@@ -156,7 +156,9 @@
  *
  * \param epoch          the shard's epoch
  * \param reports        every task of the shard that runs or ended lately
- * \param known_since_s  wall-clock second since which the reports are complete
+ *
+ * The reports count as complete for no time at all until
+ * colt_requests_set_known_since() says more.
  */
 void colt_requests_open_shard (struct ColtRequests *requests,
                                uint32_t shard,
@@ -165,9 +167,16 @@
                                const uint32_t *servers,
                                const uint64_t *server_epochs,
                                size_t count,
-                               uint32_t known_since_s,
                                int64_t now_us);
 
+/**
+ * Sets the wall-clock second since which a shard's reports are complete: a
+ * non-idempotent request with an older id may have run without a trace.
+ */
+void colt_requests_set_known_since (struct ColtRequests *requests,
+                                    uint32_t shard,
+                                    uint32_t known_since_s);
+
 /** Stops to answer for a shard and forgets its requests. */
 void colt_requests_close_shard (struct ColtRequests *requests, uint32_t shard);
 
--- a/include/coltsfootstile/request.pb-c.h
+++ b/include/coltsfootstile/request.pb-c.h
@@ -429,10 +429,14 @@
   protobuf_c_boolean leaving;
   uint32_t probation_permille;
   uint32_t speed_permille;
+  /*
+   * wall clock: the server remembers all since
+   */
+  uint32_t known_since_s;
 };
 #define COLT_DIGEST_SERVER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&colt_digest_server__descriptor) \
-    , 0, 0, 0, NULL, NULL, 0, 0, 0 }
+    , 0, 0, 0, NULL, NULL, 0, 0, 0, 0 }
 
 
 struct  ColtDigestTeam
--- a/src/backend/backend_decode.c
+++ b/src/backend/backend_decode.c
@@ -170,8 +170,8 @@
          && (json_object_get (root, "next") == NULL
              || colt_json_get_u64 (&context, root, "next", &out->next))
          && (json_object_get (root, "memory_ms") == NULL
-             || colt_json_get_integer (&context, root, "memory_ms", 0, INT64_MAX,
-                                       &out->memory_ms));
+             || colt_json_get_integer (&context, root, "memory_ms", 0,
+                                       INT64_MAX, &out->memory_ms));
   json_decref (root);
   return good;
 }
--- a/src/coltsfootstile/instance_bundles.c
+++ b/src/coltsfootstile/instance_bundles.c
@@ -47,7 +47,8 @@
 static void append_snapshot_ (struct ColtInstanceBundles *bundles);
 
 struct ColtInstanceBundles *
-colt_instance_bundles_create (struct ColtInstance *instance, struct ColtError *error)
+colt_instance_bundles_create (struct ColtInstance *instance,
+                              struct ColtError *error)
 {
   struct ColtInstanceBundles *bundles;
   struct ColtOperatorKey keys[COLT_BUNDLE_OPERATORS_MAX];
@@ -63,22 +64,25 @@
     }
   for (i = 0; i < count; i++)
     if (!colt_operator_key_parse (
-            colt_settings_item (instance->settings, "trust", "operator", i), &keys[i]))
+            colt_settings_item (instance->settings, "trust", "operator", i),
+            &keys[i]))
       {
-        colt_error_set (error, COLT_ERROR_INVALID, COLT_STEP_SETTINGS, NULL,
-                        "[trust] operator: a public key has 64 hexadecimal digits");
+        colt_error_set (
+            error, COLT_ERROR_INVALID, COLT_STEP_SETTINGS, NULL,
+            "[trust] operator: a public key has 64 hexadecimal digits");
         return NULL;
       }
   bundles = g_new0 (struct ColtInstanceBundles, 1);
   bundles->instance = instance;
   bundles->chain = colt_chain_create (keys, count);
-  bundles->words = g_array_new (FALSE, FALSE, sizeof (struct ColtFreshnessWord));
+  bundles->words
+      = g_array_new (FALSE, FALSE, sizeof (struct ColtFreshnessWord));
   bundles->freshness = COLT_STALE_NO_BUNDLE;
   bundles->as_of_us = COLT_TIME_NEVER;
   bundles->snapshot_read_us = colt_clock_monotonic_us ();
   bundles->snapshot_due_us = COLT_TIME_NEVER;
-  colt_membership_link_set_topic (instance->link, COLT_PIGGYBACK_FRESHNESS, fill_word_,
-                                  take_word_, bundles);
+  colt_membership_link_set_topic (instance->link, COLT_PIGGYBACK_FRESHNESS,
+                                  fill_word_, take_word_, bundles);
   return bundles;
 }
 
@@ -105,9 +109,11 @@
     bundles->snapshot_read_us = colt_clock_monotonic_us ();
   if (verdict.status == COLT_CHAIN_IGNORED)
     return;
-  if (verdict.status == COLT_CHAIN_ACCEPTED || verdict.status == COLT_CHAIN_DUPLICATE)
-    colt_log (COLT_LOG_INFO, MODULE, NULL, "record at offset %" G_GUINT64_FORMAT ": %s",
-              item->offset, colt_chain_status_string[verdict.status]);
+  if (verdict.status == COLT_CHAIN_ACCEPTED
+      || verdict.status == COLT_CHAIN_DUPLICATE)
+    colt_log (COLT_LOG_INFO, MODULE, NULL,
+              "record at offset %" G_GUINT64_FORMAT ": %s", item->offset,
+              colt_chain_status_string[verdict.status]);
   else
     colt_log_error (COLT_LOG_WARNING, MODULE,
                     colt_chain_status_string[verdict.status], &verdict.error);
@@ -128,7 +134,8 @@
 void
 colt_instance_bundles_step (struct ColtInstanceBundles *bundles, int64_t now_us)
 {
-  colt_chain_advance (bundles->chain, colt_log_client_offset (bundles->instance->log));
+  colt_chain_advance (bundles->chain,
+                      colt_log_client_offset (bundles->instance->log));
   decide_ (bundles);
   if (now_us < bundles->snapshot_us)
     return;
@@ -171,8 +178,9 @@
   char text[COLT_HASH_TEXT_SIZE];
 
   json_object_set_new (dump, "zone", json_integer (bundles->instance->zone));
-  json_object_set_new (dump, "version",
-                       json_integer (bundle != NULL ? colt_bundle_version (bundle) : 0));
+  json_object_set_new (
+      dump, "version",
+      json_integer (bundle != NULL ? colt_bundle_version (bundle) : 0));
   if (bundle != NULL)
     {
       json_object_set_new (
@@ -180,7 +188,8 @@
           json_string (colt_hash_format (colt_bundle_hash (bundle), text)));
       json_object_set_new (
           dump, "offset",
-          json_integer ((json_int_t)colt_chain_bundle_position (bundles->chain).offset));
+          json_integer (
+              (json_int_t)colt_chain_bundle_position (bundles->chain).offset));
       json_object_set_new (
           dump, "in_force_ms",
           json_integer ((now_us - bundles->in_force_us) / COLT_US_PER_MS));
@@ -188,15 +197,18 @@
   json_object_set_new (
       dump, "next_offset",
       json_integer ((json_int_t)colt_chain_next_offset (bundles->chain)));
-  json_object_set_new (dump, "needs_snapshot",
-                       json_boolean (colt_chain_needs_snapshot (bundles->chain)));
+  json_object_set_new (
+      dump, "needs_snapshot",
+      json_boolean (colt_chain_needs_snapshot (bundles->chain)));
   json_object_set_new (dump, "freshness",
                        json_string (colt_freshness_string[bundles->freshness]));
   if (bundles->as_of_us != COLT_TIME_NEVER)
-    json_object_set_new (dump, "freshness_age_ms",
-                         json_integer ((now_us - bundles->as_of_us) / COLT_US_PER_MS));
+    json_object_set_new (
+        dump, "freshness_age_ms",
+        json_integer ((now_us - bundles->as_of_us) / COLT_US_PER_MS));
   json_object_set_new (
-      dump, "keys_live", json_integer ((json_int_t)colt_keyring_live_count (keyring)));
+      dump, "keys_live",
+      json_integer ((json_int_t)colt_keyring_live_count (keyring)));
   json_object_set_new (
       dump, "keys_withdrawn",
       json_integer ((json_int_t)colt_keyring_withdrawn_count (keyring)));
@@ -235,7 +247,8 @@
   struct ColtFreshnessWord word = { 0 };
   guint i;
 
-  if (asked_us < 0 || size != WORD_SIZE || body[19] < 1 || body[19] > COLT_ZONE_MAX)
+  if (asked_us < 0 || size != WORD_SIZE || body[19] < 1
+      || body[19] > COLT_ZONE_MAX)
     return;
   word.instance = instance;
   word.zone = body[19];
@@ -277,7 +290,8 @@
 }
 
 static void
-fill_input_ (const struct ColtInstanceBundles *bundles, struct ColtFreshnessInput *input)
+fill_input_ (const struct ColtInstanceBundles *bundles,
+             struct ColtFreshnessInput *input)
 {
   const struct ColtBundle *bundle = colt_chain_bundle (bundles->chain);
   struct ColtLogReaderStats stats;
@@ -287,7 +301,8 @@
   colt_log_client_get_stats (bundles->instance->log, NULL, &stats);
   input->now_us = colt_clock_monotonic_us ();
   input->self_zone = bundles->instance->zone;
-  input->read_us = stats.fresh_us == INT64_MIN ? COLT_TIME_NEVER : stats.fresh_us;
+  input->read_us
+      = stats.fresh_us == INT64_MIN ? COLT_TIME_NEVER : stats.fresh_us;
   input->next_offset = colt_log_client_offset (bundles->instance->log);
   input->read_failing = stats.failing;
   input->has_bundle = bundle != NULL;
@@ -343,17 +358,17 @@
       || colt_chain_needs_snapshot (bundles->chain))
     return;
   state.now_us = now_us;
-  state.retention_us
-      = colt_settings_integer (instance->settings, "platform", "log_retention_s")
-        * COLT_US_PER_S;
+  state.retention_us = colt_settings_integer (instance->settings, "platform",
+                                              "log_retention_s")
+                       * COLT_US_PER_S;
   state.last_us = bundles->snapshot_read_us;
   state.last_offset = colt_chain_snapshot_offset (bundles->chain);
   state.first_offset = bundles->first_offset;
   state.next_offset = colt_chain_next_offset (bundles->chain);
   state.due_since_us = bundles->snapshot_due_us;
   state.live = live;
-  state.live_count
-      = colt_membership_eligible (instance->membership, 0, live, COLT_DIGEST_MAX);
+  state.live_count = colt_membership_eligible (instance->membership, 0, live,
+                                               COLT_DIGEST_MAX);
   state.self = instance->number;
   if (!colt_snapshot_due (&state))
     {
@@ -381,8 +396,8 @@
   item.body = body;
   item.size = size;
   colt_log_client_add (bundles->instance->log, &item,
-                       colt_clock_monotonic_us () + SNAPSHOT_INTERVAL_US * 10, NULL,
-                       NULL);
+                       colt_clock_monotonic_us () + SNAPSHOT_INTERVAL_US * 10,
+                       NULL, NULL);
   bundles->snapshot_due_us = COLT_TIME_NEVER;
   bundles->snapshot_read_us = colt_clock_monotonic_us ();
   free (body);
--- a/src/coltsfootstile/instance_members.c
+++ b/src/coltsfootstile/instance_members.c
@@ -22,12 +22,14 @@
   for (i = 0; i < list->entry_count; i++)
     if (list->entries[i].state == COLT_LIST_LIVE)
       colt_membership_add (instance->membership, list->entries[i].id,
-                           list->entries[i].zone, list->entries[i].address, now_us);
+                           list->entries[i].zone, list->entries[i].address,
+                           now_us);
   for (i = 0; i < list->server_count; i++)
     if (list->servers[i].zone == instance->zone)
       g_array_append_val (servers, list->servers[i].id);
   colt_owner_set_servers (instance->owner, list->servers, list->server_count);
-  colt_home_set_servers (instance->home, (const uint32_t *)servers->data, servers->len);
+  colt_home_set_servers (instance->home, (const uint32_t *)servers->data,
+                         servers->len);
   g_array_unref (servers);
 }
 
@@ -40,7 +42,8 @@
 
   snprintf (text, sizeof text, "%u (%s)", member->instance, member->address);
   colt_log (COLT_LOG_INFO, MODULE, &context, "instance %u of zone %u is %s",
-            member->instance, member->zone, colt_member_state_string[member->state]);
+            member->instance, member->zone,
+            colt_member_state_string[member->state]);
   colt_instance_spread_members (instance);
 }
 
@@ -48,8 +51,8 @@
 colt_instance_spread_members (struct ColtInstance *instance)
 {
   uint32_t members[MEMBERS_MAX];
-  size_t count = colt_membership_eligible (instance->membership, instance->zone, members,
-                                           MEMBERS_MAX);
+  size_t count = colt_membership_eligible (instance->membership, instance->zone,
+                                           members, MEMBERS_MAX);
 
   if (instance->owner == NULL || instance->home == NULL)
     return;
@@ -57,8 +60,10 @@
   colt_home_set_members (instance->home, members, count);
   if (instance->log == NULL)
     return;
-  count = colt_membership_eligible (instance->membership, 0, members, MEMBERS_MAX);
-  colt_log_client_set_instances (instance->log, count > 0 ? (uint32_t)count : 1);
+  count = colt_membership_eligible (instance->membership, 0, members,
+                                    MEMBERS_MAX);
+  colt_log_client_set_instances (instance->log,
+                                 count > 0 ? (uint32_t)count : 1);
 }
 
 /* Each line is "NUMBER ZONE ADDRESS:PORT"; the settings were checked. */
@@ -72,7 +77,8 @@
   for (i = 0; i < count; i++)
     {
       char **words = g_strsplit_set (
-          colt_settings_item (instance->settings, "instance", "peer", i), " \t", 3);
+          colt_settings_item (instance->settings, "instance", "peer", i), " \t",
+          3);
 
       if (g_strv_length (words) == 3)
         colt_membership_add (instance->membership,
@@ -91,9 +97,9 @@
 {
   struct ColtInstance *instance = client;
   uint32_t members[MEMBERS_MAX];
-  size_t count
-      = colt_membership_eligible (instance->membership, zone, members, MEMBERS_MAX);
+  size_t count = colt_membership_eligible (instance->membership, zone, members,
+                                           MEMBERS_MAX);
 
-  return colt_rendezvous_choose (colt_rendezvous_key (COLT_RENDEZVOUS_SHARD, shard),
-                                 members, count);
+  return colt_rendezvous_choose (
+      colt_rendezvous_key (COLT_RENDEZVOUS_SHARD, shard), members, count);
 }
--- a/src/coltsfootstile/private/instance.h
+++ b/src/coltsfootstile/private/instance.h
@@ -31,7 +31,7 @@
 {
   COLT_INSTANCE_STARTING, /**< no bundle is in force here yet */
   COLT_INSTANCE_READY,
-  COLT_INSTANCE_STOPPING  /**< hands over; takes nothing new */
+  COLT_INSTANCE_STOPPING /**< hands over; takes nothing new */
 };
 
 /** Names of enum ColtInstanceState, indexed by it. */
@@ -77,38 +77,48 @@
 void colt_instance_destroy (struct ColtInstance *instance);
 /** Begins a planned stop; the loop ends when all is handed over. */
 void colt_instance_stop (struct ColtInstance *instance);
-enum ColtInstanceState colt_instance_state (const struct ColtInstance *instance);
+enum ColtInstanceState
+colt_instance_state (const struct ColtInstance *instance);
 
 /* instance_members.c: members and servers, from membership and the list */
-void colt_instance_take_list (void *client, const struct ColtInstanceList *list);
-void colt_instance_member_changed (void *client, const struct ColtMember *member);
+void colt_instance_take_list (void *client,
+                              const struct ColtInstanceList *list);
+void colt_instance_member_changed (void *client,
+                                   const struct ColtMember *member);
 void colt_instance_add_peers (struct ColtInstance *instance);
 uint32_t colt_instance_lead_of (void *client, uint32_t zone, uint32_t shard);
 /** Tells all duties who is there. */
 void colt_instance_spread_members (struct ColtInstance *instance);
 
 /* instance_bundles.c: the bundle in force, keys and freshness */
-struct ColtInstanceBundles *colt_instance_bundles_create (struct ColtInstance *instance,
-                                                          struct ColtError *error);
+struct ColtInstanceBundles *
+colt_instance_bundles_create (struct ColtInstance *instance,
+                              struct ColtError *error);
 void colt_instance_bundles_destroy (struct ColtInstanceBundles *bundles);
 void colt_instance_bundles_take (struct ColtInstanceBundles *bundles,
                                  const struct ColtLogItem *item);
-void colt_instance_bundles_gap (struct ColtInstanceBundles *bundles, uint64_t first);
-void colt_instance_bundles_step (struct ColtInstanceBundles *bundles, int64_t now_us);
+void colt_instance_bundles_gap (struct ColtInstanceBundles *bundles,
+                                uint64_t first);
+void colt_instance_bundles_step (struct ColtInstanceBundles *bundles,
+                                 int64_t now_us);
 const struct ColtBundle *colt_instance_bundle (void *client);
 const struct ColtKeyring *colt_instance_keyring (void *client);
 bool colt_instance_fresh (void *client);
 json_t *colt_instance_bundles_dump (const struct ColtInstanceBundles *bundles);
 
 /* instance_jobs.c: work accepted for later */
-struct ColtInstanceJobs *colt_instance_jobs_create (struct ColtInstance *instance);
+struct ColtInstanceJobs *
+colt_instance_jobs_create (struct ColtInstance *instance);
 void colt_instance_jobs_destroy (struct ColtInstanceJobs *jobs);
-void colt_instance_jobs_take (struct ColtInstanceJobs *jobs, const struct ColtLogItem *item);
+void colt_instance_jobs_take (struct ColtInstanceJobs *jobs,
+                              const struct ColtLogItem *item);
 void colt_instance_jobs_step (struct ColtInstanceJobs *jobs, int64_t now_us);
 size_t colt_instance_jobs_count (const struct ColtInstanceJobs *jobs);
 extern const struct ColtHomeClient colt_instance_home_client;
 
 /* instance_state.c: dumps, counters and health over HTTP */
-bool colt_instance_serve (void *client, struct evhttp_request *http, const char *path);
+bool colt_instance_serve (void *client,
+                          struct evhttp_request *http,
+                          const char *path);
 
 #endif
--- a/src/home/home.c
+++ b/src/home/home.c
@@ -43,6 +43,7 @@
       intake->server_epochs = g_array_new (FALSE, FALSE, sizeof (uint64_t));
     }
   g_queue_init (&home->unproved);
+  home->memories = g_hash_table_new (g_direct_hash, g_direct_equal);
   add_counters_ (home);
   colt_home_set_shard_handlers (home);
   colt_home_set_submit_handlers (home);
@@ -74,6 +75,8 @@
       g_array_unref (home->intakes[shard].server_epochs);
     }
   g_queue_clear_full (&home->unproved, g_free);
+  g_hash_table_unref (home->memories);
+  g_free (home->servers);
   g_hash_table_unref (home->budgets);
   g_hash_table_unref (home->budget_rates);
   g_rand_free (home->random);
@@ -97,6 +100,9 @@
                        const uint32_t *servers,
                        size_t count)
 {
+  g_free (home->servers);
+  home->servers = g_memdup2 (servers, count * sizeof *servers);
+  home->server_count = count;
   colt_shard_lead_set_servers (home->lead, servers, count,
                                colt_clock_monotonic_us ());
   colt_home_arm_lead (home);
@@ -185,6 +191,7 @@
   (void)fd;
   (void)what;
   colt_requests_step (home->requests, now_us);
+  colt_home_learn_histories (home);
   colt_home_reconcile (home, now_us);
   colt_home_answer_unproved (home, now_us);
   if (colt_placement_waiting (home->placement) > 0)
--- a/src/home/home_place.c
+++ b/src/home/home_place.c
@@ -498,6 +498,8 @@
   digest.probation_permille = word->probation_permille;
   digest.speed_permille = word->speed_permille;
   colt_placement_set_server (home->placement, &digest, now_us);
+  g_hash_table_insert (home->memories, GUINT_TO_POINTER (word->server),
+                       GUINT_TO_POINTER (word->known_since_s));
 }
 
 static void
--- a/src/home/home_shards.c
+++ b/src/home/home_shards.c
@@ -362,7 +362,7 @@
 {
   struct ColtHome *home = client;
   struct ColtShardIntake *intake = &home->intakes[shard];
-  struct ColtShardLoad load = { home, colt_clock_monotonic_us () };
+  int64_t now_us = colt_clock_monotonic_us ();
 
   colt_log (COLT_LOG_INFO, MODULE, NULL,
             "leads shard %u at epoch %" G_GUINT64_FORMAT
@@ -377,10 +377,44 @@
       home->known_since_s[shard], load.now_us);
   colt_home_clear_intake (intake);
   colt_counters_count (home->parts.counters, home->counters.shards_won, 1);
-  home->calls->load (home->client, shard, load_one_, &load);
+  home->history_known[shard] = false;
+  colt_home_learn_histories (home);
   home->calls->team_shard (home->client, shard, epoch, true);
 }
 
+/*
+ * A shard's history reaches back as far as the memory of every server of the
+ * zone. Work on the log is taken up again once that is known.
+ */
+void
+colt_home_learn_histories (struct ColtHome *home)
+{
+  struct ColtShardLoad load = { home, colt_clock_monotonic_us () };
+  uint32_t since_s = 0;
+  uint32_t shard;
+  size_t i;
+
+  for (i = 0; i < home->server_count; i++)
+    {
+      gpointer value;
+
+      if (!g_hash_table_lookup_extended (home->memories,
+                                         GUINT_TO_POINTER (home->servers[i]),
+                                         NULL, &value))
+        return;
+      since_s = MAX (since_s, GPOINTER_TO_UINT (value));
+    }
+  for (shard = 0; shard < COLT_SHARD_COUNT; shard++)
+    {
+      if (home->history_known[shard]
+          || colt_requests_shard_epoch (home->requests, shard) == 0)
+        continue;
+      home->history_known[shard] = true;
+      colt_requests_set_known_since (home->requests, shard, since_s);
+      home->calls->load (home->client, shard, load_one_, &load);
+    }
+}
+
 static void
 load_one_ (void *client,
            const struct ColtId *id,
@@ -450,6 +484,9 @@
             "backend server %u is written off for shard %u", server, shard);
   colt_requests_server_gone (home->requests, shard, server,
                              colt_clock_monotonic_us ());
+  g_hash_table_insert (
+      home->memories, GUINT_TO_POINTER (server),
+      GUINT_TO_POINTER ((guint)(colt_clock_wall_us () / COLT_US_PER_S)));
   colt_placement_remove_server (home->placement, server);
   home->calls->written_off (home->client, server);
 }
--- a/src/home/home_submit.c
+++ b/src/home/home_submit.c
@@ -140,7 +140,10 @@
 
   if (home->stopping || !colt_shard_lead_is_active (home->lead, shard, now_us))
     return true;
-  return !fresh && colt_shard_lead_missing (home->lead, shard) > 0;
+  if (fresh)
+    return false;
+  return !home->history_known[shard]
+         || colt_shard_lead_missing (home->lead, shard) > 0;
 }
 
 static void
--- a/src/home/private/home_private.h
+++ b/src/home/private/home_private.h
@@ -42,7 +42,10 @@
   struct ColtRequests *requests;
   struct ColtPlacement *placement;
   struct ColtShardIntake intakes[COLT_SHARD_COUNT];
-  uint32_t known_since_s[COLT_SHARD_COUNT];
+  bool history_known[COLT_SHARD_COUNT]; /**< what servers remember is known */
+  GHashTable *memories; /**< server -> wall-clock second, all known since */
+  uint32_t *servers;    /**< of the zone */
+  size_t server_count;
   struct event *timer;
   struct event *lead_timer;
   struct event *dispatch;
@@ -62,6 +65,8 @@
 extern const struct ColtShardLeadClient colt_home_shard_client;
 void colt_home_arm_lead (struct ColtHome *home);
 void colt_home_clear_intake (struct ColtShardIntake *intake);
+/** Settles what is remembered of shards that have become active. */
+void colt_home_learn_histories (struct ColtHome *home);
 
 /* home_submit.c: what gates ask */
 void colt_home_set_submit_handlers (struct ColtHome *home);
--- a/src/owner/owned_server.c
+++ b/src/owner/owned_server.c
@@ -427,6 +427,10 @@
   memset (&server->reserved, 0, sizeof server->reserved);
   for (i = 0; i < inventory->task_count; i++)
     take_task_ (server, &inventory->tasks[i]);
+  server->next_event = inventory->next;
+  server->known_since_s = (uint32_t)((colt_clock_wall_us () / COLT_US_PER_MS
+                                      - inventory->memory_ms)
+                                     / 1000);
 }
 
 static void
--- a/src/owner/owner_digest.c
+++ b/src/owner/owner_digest.c
@@ -67,6 +67,7 @@
   buffer->word.leaving = !colt_owned_server_takes_work (server, build->now_us);
   buffer->word.probation_permille
       = colt_owned_server_probation (server, build->now_us);
+  buffer->word.known_since_s = server->known_since_s;
   buffer->word.speed_permille = server->speed_permille;
   g_ptr_array_add (build->servers, buffer);
   return FALSE;
--- a/src/owner/private/owner_private.h
+++ b/src/owner/private/owner_private.h
@@ -96,6 +96,7 @@
   int64_t probation_until_us;
   int64_t probation_us; /**< length of the last probation */
   uint32_t speed_permille;
+  uint32_t known_since_s; /**< wall clock: the server remembers all since */
   bool digest_due;
 };
 
--- a/src/placement/placement.c
+++ b/src/placement/placement.c
@@ -208,7 +208,8 @@
 }
 
 size_t
-colt_placement_team_waiting (const struct ColtPlacement *placement, const char *team)
+colt_placement_team_waiting (const struct ColtPlacement *placement,
+                             const char *team)
 {
   const GList *link;
   size_t count = 0;
@@ -239,10 +240,10 @@
 }
 
 void
-colt_placement_visit_servers (const struct ColtPlacement *placement,
-                              void (*visit) (void *client,
-                                             const struct ColtServerDigest *digest),
-                              void *client)
+colt_placement_visit_servers (
+    const struct ColtPlacement *placement,
+    void (*visit) (void *client, const struct ColtServerDigest *digest),
+    void *client)
 {
   struct ColtServerVisit all = { visit, client };
 
--- a/src/platform/log_reader.c
+++ b/src/platform/log_reader.c
@@ -116,6 +116,7 @@
       return false;
     }
   reader->failures = 0;
+  reader->stats.failing = false;
   reader->max = MIN (reader->max * 2, COLT_LOG_READ_MAX);
   reader->head = page->head;
   if (page->first > reader->next)
@@ -192,6 +193,7 @@
 fail_ (struct ColtLogReader *reader, int64_t now_us)
 {
   reader->stats.failures++;
+  reader->stats.failing = true;
   reader->failures++;
   reader->max = MAX (reader->max / 2, 1);
   reader->wake_us
--- a/src/request/request.pb-c.c
+++ b/src/request/request.pb-c.c
@@ -2967,7 +2967,7 @@
   (ProtobufCMessageInit) colt_query_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor colt_digest_server__field_descriptors[8] =
+static const ProtobufCFieldDescriptor colt_digest_server__field_descriptors[9] =
 {
   {
     "server",
@@ -3065,11 +3065,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "known_since_s",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ColtDigestServer, known_since_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned colt_digest_server__field_indices_by_name[] = {
   3,   /* field[3] = capacity */
   1,   /* field[1] = epoch */
   4,   /* field[4] = free */
+  8,   /* field[8] = known_since_s */
   5,   /* field[5] = leaving */
   6,   /* field[6] = probation_permille */
   2,   /* field[2] = rack */
@@ -3079,7 +3092,7 @@
 static const ProtobufCIntRange colt_digest_server__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor colt_digest_server__descriptor =
 {
@@ -3089,7 +3102,7 @@
   "ColtDigestServer",
   "",
   sizeof(ColtDigestServer),
-  8,
+  9,
   colt_digest_server__field_descriptors,
   colt_digest_server__field_indices_by_name,
   1,  colt_digest_server__number_ranges,
--- a/src/request/requests.c
+++ b/src/request/requests.c
@@ -172,7 +172,6 @@
                           const uint32_t *servers,
                           const uint64_t *server_epochs,
                           size_t count,
-                          uint32_t known_since_s,
                           int64_t now_us)
 {
   size_t i;
@@ -180,12 +179,21 @@
   assert (shard < COLT_SHARD_COUNT && epoch > 0);
   colt_requests_close_shard (requests, shard);
   requests->shards[shard].epoch = epoch;
-  requests->shards[shard].known_since_s = known_since_s;
+  requests->shards[shard].known_since_s = UINT32_MAX;
   for (i = 0; i < count; i++)
     if (colt_id_shard (&reports[i].ref.request) == shard)
       recover_ (requests, &reports[i], servers[i], server_epochs[i], now_us);
 }
 
+void
+colt_requests_set_known_since (struct ColtRequests *requests,
+                               uint32_t shard,
+                               uint32_t known_since_s)
+{
+  assert (shard < COLT_SHARD_COUNT);
+  requests->shards[shard].known_since_s = known_since_s;
+}
+
 void
 colt_requests_close_shard (struct ColtRequests *requests, uint32_t shard)
 {
@@ -689,7 +697,7 @@
       return COLT_SUBMIT_UNKNOWN;
     }
   if (!spec->idempotent && !fresh
-      && minted_s <= shard->known_since_s + COLT_CLOCK_SKEW_S)
+      && minted_s <= (uint64_t)shard->known_since_s + COLT_CLOCK_SKEW_S)
     {
       *reason = COLT_REASON_HISTORY_LOST;
       return COLT_SUBMIT_UNKNOWN;
--- a/src/test_standin/test_changes.c
+++ b/src/test_standin/test_changes.c
@@ -14,7 +14,7 @@
   const struct ColtStandinServerSpec spec
       = { 1, 1, 1, { { 4000, 1000, 0, 2, 64 } }, 1.0, 1000000 };
   struct ColtStandinServer *server
-      = colt_standin_server_create (&spec, NULL, NULL);
+      = colt_standin_server_create (&spec, 0, NULL, NULL);
   json_t *changes = json_loads (text, 0, NULL);
   json_t *answer;
 
--- a/src/test_standin/test_server.c
+++ b/src/test_standin/test_server.c
@@ -43,7 +43,7 @@
       = { 1, 1, 1, { { 4000, 1000, 0, 2, 64 } }, 1.0, 1000 * MS };
 
   (void)data;
-  fixture->server = colt_standin_server_create (&spec, observe, fixture);
+  fixture->server = colt_standin_server_create (&spec, 0, observe, fixture);
 }
 
 static void
--- a/standin/backend_server.c
+++ b/standin/backend_server.c
@@ -136,7 +136,8 @@
   backend->base = base;
   backend->recorder = recorder;
   backend->address = g_strdup (address);
-  backend->server = colt_standin_server_create (spec, observe_, backend);
+  backend->server = colt_standin_server_create (
+      spec, colt_clock_monotonic_us (), observe_, backend);
   backend->http = colt_standin_http_create (base, take_call_, backend);
   colt_standin_http_set_connection_max (backend->http, CONNECTION_MAX);
   backend->timer = evtimer_new (base, advance_, backend);
--- a/standin/server_state.c
+++ b/standin/server_state.c
@@ -31,6 +31,7 @@
   struct ColtResources used;
   bool leaving;
   bool fail_all;
+  int64_t born_us;      /* what came before is not remembered */
   uint32_t attempt_max; /* highest attempt seen of any task */
   GHashTable *tasks;    /* set of struct ColtStandinTask, owned */
   GPtrArray *running;   /* of borrowed tasks */
@@ -73,12 +74,14 @@
 
 struct ColtStandinServer *
 colt_standin_server_create (const struct ColtStandinServerSpec *spec,
+                            int64_t now_us,
                             ColtStandinObserver observer,
                             void *client)
 {
   struct ColtStandinServer *server = g_new0 (struct ColtStandinServer, 1);
 
   server->spec = *spec;
+  server->born_us = now_us;
   server->observer = observer;
   server->client = client;
   server->tasks
@@ -119,6 +122,15 @@
   return server->shard_epochs;
 }
 
+int64_t
+colt_standin_server_memory_ms (const struct ColtStandinServer *server,
+                               int64_t now_us)
+{
+  int64_t memory_ms = (now_us - server->born_us) / COLT_US_PER_MS;
+
+  return MIN (memory_ms, COLT_TASK_RETENTION_S * 1000);
+}
+
 bool
 colt_standin_server_leaving (const struct ColtStandinServer *server)
 {
@@ -379,6 +391,7 @@
       notify_ (server, COLT_STANDIN_ENDED, now_us, task, REASON_DOWN);
     }
   clear_ (server);
+  server->born_us = now_us;
 }
 
 static guint
--- a/standin/server_state.h
+++ b/standin/server_state.h
@@ -100,6 +100,7 @@
 /** Creates a server; the observer may be NULL. */
 struct ColtStandinServer *
 colt_standin_server_create (const struct ColtStandinServerSpec *spec,
+                            int64_t now_us,
                             ColtStandinObserver observer,
                             void *client);
 
@@ -118,6 +119,10 @@
 const uint64_t *
 colt_standin_server_shard_epochs (const struct ColtStandinServer *server);
 
+/** Returns how far back the server remembers, in milliseconds. */
+int64_t colt_standin_server_memory_ms (const struct ColtStandinServer *server,
+                                       int64_t now_us);
+
 /** Returns whether the server is leaving. */
 bool colt_standin_server_leaving (const struct ColtStandinServer *server);
 
