--- a/src/home/home_shards.c
+++ b/src/home/home_shards.c
@@ -374,7 +374,7 @@
       (const struct ColtTaskReport *)intake->reports->data,
       (const uint32_t *)intake->servers->data,
       (const uint64_t *)intake->server_epochs->data, intake->reports->len,
-      home->known_since_s[shard], load.now_us);
+      now_us);
   colt_home_clear_intake (intake);
   colt_counters_count (home->parts.counters, home->counters.shards_won, 1);
   home->history_known[shard] = false;
