Shards: tests, and seats are looked through only when something changed

A confirmation that nothing has changed cost a pass over every shard and every server of the zone. Seats are now counted by owner, and the pass is made only after a change or when a wait is over.

A lead whose sessions are all closed has been replaced; the oracle holds it to nothing any more.

--- a/src/shard/lead.c
+++ b/src/shard/lead.c
@@ -27,6 +27,8 @@
 };
 
 static void advance_ (struct ColtShardLead *lead, int64_t now);
+static void begin_wanted_ (struct ColtShardLead *lead, int64_t now);
+static void refresh_ (struct ColtShardLead *lead, int64_t now);
 static void advance_shard_ (struct ColtShardLead *lead,
                             struct ColtLedShard *shard,
                             int64_t now);
@@ -35,10 +37,8 @@
                         const struct ColtLedShard *shard);
 static void begin_ (struct ColtShardLead *lead, struct ColtLedShard *shard);
 static void check_recount_ (struct ColtShardLead *lead,
-                            struct ColtLedShard *shard,
-                            int64_t now);
-static void
-activate_ (struct ColtShardLead *lead, struct ColtLedShard *shard, int64_t now);
+                            struct ColtLedShard *shard);
+static void activate_ (struct ColtShardLead *lead, struct ColtLedShard *shard);
 static void lose_ (struct ColtShardLead *lead,
                    struct ColtLedShard *shard,
                    enum ColtShardLoss loss,
@@ -86,6 +86,7 @@
   lead->client = client;
   lead->peers = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL,
                                        colt_lead_peer_free);
+  lead->next_refresh = COLT_TIME_NEVER;
   lead->servers
       = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
   for (i = 0; i < COLT_SHARD_COUNT; i++)
@@ -131,6 +132,7 @@
     lead->shards[i].choice = colt_rendezvous_choose (
         colt_rendezvous_key (COLT_RENDEZVOUS_SHARD, (uint32_t)i), members,
         count);
+  lead->is_dirty = true;
   advance_ (lead, now);
 }
 
@@ -149,6 +151,7 @@
     ((struct ColtZoneServer *)value)->is_listed = false;
   for (i = 0; i < count; i++)
     colt_lead_server (lead, servers[i], now)->is_listed = true;
+  lead->is_dirty = true;
   advance_ (lead, now);
 }
 
@@ -180,8 +183,10 @@
                               opened->server_count))
     return;
   peer->answered = MAX (peer->answered, peer->open_sent);
+  lead->is_dirty = true;
   for (i = 0; i < opened->known_count; i++)
     colt_lead_server (lead, opened->known[i], now);
+  colt_lead_expire (lead, now);
   colt_lead_index (lead, now);
   take_promises_ (lead, opened->epochs, opened->epoch_count, now);
   peer = colt_lead_find_peer (lead, opened->owner);
@@ -210,6 +215,7 @@
                                  confirmed->version, confirmed->stamp,
                                  confirmed->servers, confirmed->server_count))
     return;
+  lead->is_dirty |= !confirmed->unchanged;
   peer->stamp = confirmed->stamp;
   peer->wants_view = confirmed->want_view;
   take_promises_ (lead, confirmed->epochs, confirmed->epoch_count, now);
@@ -240,7 +246,7 @@
 int64_t
 colt_shard_lead_wake_time (const struct ColtShardLead *lead)
 {
-  int64_t due = COLT_TIME_NEVER;
+  int64_t due = lead->next_refresh;
   GHashTableIter iter;
   gpointer value;
   uint32_t i;
@@ -343,38 +349,78 @@
 colt_shard_lead_missing (const struct ColtShardLead *lead, uint32_t shard)
 {
   assert (shard < COLT_SHARD_COUNT);
-  return colt_lead_count_out (lead, &lead->shards[shard], false, 0);
+  return lead->shards[shard].out;
 }
 
+/* Seats are looked through only when something has changed; an answer that
+ * nothing has costs no more than the peers and shards. */
 static void
 advance_ (struct ColtShardLead *lead, int64_t now)
 {
+  uint64_t urgent;
   uint32_t i;
 
-  colt_lead_index (lead, now);
+  colt_lead_expire (lead, now);
+  begin_wanted_ (lead, now);
+  if (lead->is_dirty || now >= lead->next_refresh)
+    refresh_ (lead, now);
   for (i = 0; i < COLT_SHARD_COUNT; i++)
-    advance_shard_ (lead, &lead->shards[i], now);
+    if (lead->shards[i].state != COLT_SHARD_FOLLOWING)
+      advance_shard_ (lead, &lead->shards[i], now);
+  if (lead->is_dirty)
+    refresh_ (lead, now);
+  urgent = find_urgent_ (lead);
   colt_lead_send_opens (lead, now);
-  colt_lead_send_confirms (lead, find_urgent_ (lead), now);
+  colt_lead_send_confirms (lead, urgent, now);
 }
 
 static void
-advance_shard_ (struct ColtShardLead *lead,
-                struct ColtLedShard *shard,
-                int64_t now)
+begin_wanted_ (struct ColtShardLead *lead, int64_t now)
 {
-  if (shard->state == COLT_SHARD_FOLLOWING)
+  uint32_t i;
+
+  for (i = 0; i < COLT_SHARD_COUNT; i++)
     {
-      if (is_wanted_ (lead, shard) && now >= shard->next_try)
+      struct ColtLedShard *shard = &lead->shards[i];
+
+      if (shard->state == COLT_SHARD_FOLLOWING && is_wanted_ (lead, shard)
+          && now >= shard->next_try)
         begin_ (lead, shard);
-      return;
     }
-  colt_lead_refresh_seats (lead, shard, now);
-  colt_lead_count_majority (lead, shard, now);
+}
+
+static void
+refresh_ (struct ColtShardLead *lead, int64_t now)
+{
+  uint32_t i;
+
+  lead->is_dirty = false;
+  lead->next_refresh = COLT_TIME_NEVER;
+  colt_lead_index (lead, now);
+  for (i = 0; i < COLT_SHARD_COUNT; i++)
+    {
+      struct ColtLedShard *shard = &lead->shards[i];
+
+      if (shard->state == COLT_SHARD_FOLLOWING)
+        continue;
+      colt_lead_refresh_seats (lead, shard);
+      colt_lead_count_majority (lead, shard, now);
+      colt_lead_write_off (lead, shard, now);
+    }
+  colt_lead_find_needs (lead);
+}
+
+static void
+advance_shard_ (struct ColtShardLead *lead,
+                struct ColtLedShard *shard,
+                int64_t now)
+{
+  if (colt_lead_count_majority (lead, shard, now))
+    colt_lead_write_off (lead, shard, now);
   if (shard->state != COLT_SHARD_ACTIVE)
     {
       if (is_wanted_ (lead, shard))
-        check_recount_ (lead, shard, now);
+        check_recount_ (lead, shard);
       else
         lose_ (lead, shard, COLT_SHARD_LOSS_CHOICE, now);
     }
@@ -418,18 +464,16 @@
   shard->state = COLT_SHARD_OPENING;
   shard->majority_since = COLT_TIME_NEVER;
   g_hash_table_remove_all (shard->seats);
+  lead->is_dirty = true;
   lead->table->opening (lead->client, shard->shard, shard->epoch);
 }
 
 /* All answers must be there, and must still hold after the last of them came:
  * a server may have changed its owner in between. */
 static void
-check_recount_ (struct ColtShardLead *lead,
-                struct ColtLedShard *shard,
-                int64_t now)
+check_recount_ (struct ColtShardLead *lead, struct ColtLedShard *shard)
 {
-  if (shard->majority_since == COLT_TIME_NEVER
-      || colt_lead_count_out (lead, shard, true, now) > 0)
+  if (shard->majority_since == COLT_TIME_NEVER || shard->out > shard->lacking)
     {
       shard->state = COLT_SHARD_OPENING;
       return;
@@ -440,17 +484,16 @@
       shard->check_round = lead->last_round + 1;
     }
   if (colt_lead_is_checked (lead, shard))
-    activate_ (lead, shard, now);
+    activate_ (lead, shard);
 }
 
 static void
-activate_ (struct ColtShardLead *lead, struct ColtLedShard *shard, int64_t now)
+activate_ (struct ColtShardLead *lead, struct ColtLedShard *shard)
 {
   shard->state = COLT_SHARD_ACTIVE;
   shard->refusals = 0;
   colt_lead_join_all (shard);
-  lead->table->active (lead->client, shard->shard, shard->epoch,
-                       colt_lead_count_out (lead, shard, false, now));
+  lead->table->active (lead->client, shard->shard, shard->epoch, shard->out);
 }
 
 static void
@@ -466,7 +509,9 @@
   shard->majority_since = COLT_TIME_NEVER;
   shard->backed_until = 0;
   shard->next_try = next_try;
+  shard->out = 0;
   g_hash_table_remove_all (shard->seats);
+  lead->is_dirty = true;
   lead->table->lost (lead->client, shard->shard, epoch, loss);
 }
 
--- a/src/shard/lead_peer.c
+++ b/src/shard/lead_peer.c
@@ -12,7 +12,6 @@
                          const struct ColtLeadPeer *peer,
                          int64_t now);
 static void drop_servers_ (struct ColtShardLead *lead, int64_t now);
-static void find_needs_ (struct ColtShardLead *lead);
 static void
 send_open_ (struct ColtShardLead *lead, struct ColtLeadPeer *peer, int64_t now);
 static uint64_t find_granted_ (const struct ColtShardLead *lead,
@@ -93,6 +92,27 @@
   return true;
 }
 
+void
+colt_lead_expire (struct ColtShardLead *lead, int64_t now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, lead->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct ColtLeadPeer *peer = value;
+
+      if (peer->is_known && now >= colt_lead_peer_expiry (lead, peer))
+        {
+          forget_claims_ (peer);
+          lead->is_dirty = true;
+        }
+      if (!peer->is_member && !peer->is_known)
+        g_hash_table_iter_remove (&iter);
+    }
+}
+
 void
 colt_lead_index (struct ColtShardLead *lead, int64_t now)
 {
@@ -107,16 +127,7 @@
     }
   g_hash_table_iter_init (&iter, lead->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct ColtLeadPeer *peer = value;
-
-      if (now >= colt_lead_peer_expiry (lead, peer))
-        forget_claims_ (peer);
-      if (!peer->is_member && !peer->is_known)
-        g_hash_table_iter_remove (&iter);
-      else
-        index_peer_ (lead, peer, now);
-    }
+    index_peer_ (lead, value, now);
   drop_servers_ (lead, now);
 }
 
@@ -135,13 +146,50 @@
   return zone_server;
 }
 
+/* A peer is asked for each shard that it has not granted, and again for
+ * servers that it came to hold later. */
+void
+colt_lead_find_needs (struct ColtShardLead *lead)
+{
+  GHashTableIter peers;
+  GHashTableIter servers;
+  gpointer value;
+  uint32_t shard;
+
+  g_hash_table_iter_init (&peers, lead->peers);
+  while (g_hash_table_iter_next (&peers, NULL, &value))
+    ((struct ColtLeadPeer *)value)->needed = 0;
+  for (shard = 0; shard < COLT_SHARD_COUNT; shard++)
+    {
+      const struct ColtLedShard *led = &lead->shards[shard];
+      uint64_t bit = UINT64_C (1) << shard;
+
+      if (led->state == COLT_SHARD_FOLLOWING)
+        continue;
+      g_hash_table_iter_init (&peers, lead->peers);
+      while (g_hash_table_iter_next (&peers, NULL, &value))
+        if (((struct ColtLeadPeer *)value)->granted[shard] != led->epoch)
+          ((struct ColtLeadPeer *)value)->needed |= bit;
+      g_hash_table_iter_init (&servers, lead->servers);
+      while (g_hash_table_iter_next (&servers, NULL, &value))
+        {
+          const struct ColtZoneServer *server = value;
+          const struct ColtSeat *seat
+              = colt_lead_find_seat (led, server->server);
+
+          if (server->holder != 0
+              && (seat == NULL || seat->status == COLT_SEAT_OUT))
+            colt_lead_find_peer (lead, server->holder)->needed |= bit;
+        }
+    }
+}
+
 void
 colt_lead_send_opens (struct ColtShardLead *lead, int64_t now)
 {
   GHashTableIter iter;
   gpointer value;
 
-  find_needs_ (lead);
   g_hash_table_iter_init (&iter, lead->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -230,6 +278,7 @@
 static void
 drop_servers_ (struct ColtShardLead *lead, int64_t now)
 {
+  int64_t wait = colt_shard_write_off_us (&lead->times);
   GHashTableIter iter;
   gpointer value;
 
@@ -245,47 +294,10 @@
         server->unclaimed = now;
       if (server->holder != 0 || server->is_listed)
         lead->server_count++;
-      else if (now
-               >= server->unclaimed + colt_shard_write_off_us (&lead->times))
+      else if (now >= server->unclaimed + wait)
         g_hash_table_iter_remove (&iter);
-    }
-}
-
-/* A peer is asked for each shard that it has not granted, and again for
- * servers that it came to hold later. */
-static void
-find_needs_ (struct ColtShardLead *lead)
-{
-  GHashTableIter peers;
-  GHashTableIter servers;
-  gpointer value;
-  uint32_t shard;
-
-  g_hash_table_iter_init (&peers, lead->peers);
-  while (g_hash_table_iter_next (&peers, NULL, &value))
-    ((struct ColtLeadPeer *)value)->needed = 0;
-  for (shard = 0; shard < COLT_SHARD_COUNT; shard++)
-    {
-      const struct ColtLedShard *led = &lead->shards[shard];
-      uint64_t bit = UINT64_C (1) << shard;
-
-      if (led->state == COLT_SHARD_FOLLOWING)
-        continue;
-      g_hash_table_iter_init (&peers, lead->peers);
-      while (g_hash_table_iter_next (&peers, NULL, &value))
-        if (((struct ColtLeadPeer *)value)->granted[shard] != led->epoch)
-          ((struct ColtLeadPeer *)value)->needed |= bit;
-      g_hash_table_iter_init (&servers, lead->servers);
-      while (g_hash_table_iter_next (&servers, NULL, &value))
-        {
-          const struct ColtZoneServer *server = value;
-          const struct ColtSeat *seat
-              = colt_lead_find_seat (led, server->server);
-
-          if (server->holder != 0
-              && (seat == NULL || seat->status == COLT_SEAT_OUT))
-            colt_lead_find_peer (lead, server->holder)->needed |= bit;
-        }
+      else
+        lead->next_refresh = MIN (lead->next_refresh, server->unclaimed + wait);
     }
 }
 
--- a/src/shard/private/lead.h
+++ b/src/shard/private/lead.h
@@ -25,6 +25,7 @@
   GHashTable *claims; /**< by server, of struct ColtShardServer */
   uint64_t granted[COLT_SHARD_COUNT]; /**< epochs that it promised to us */
   uint64_t needed;                    /**< bit N: open shard N there */
+  uint32_t backing[COLT_SHARD_COUNT]; /**< seats there that back us */
 
   uint64_t open_round; /**< that is open, 0: none */
   int64_t open_sent;
@@ -80,6 +81,9 @@
   int64_t backed_until;   /**< while active */
   int64_t next_try;       /**< of a new epoch */
   uint32_t refusals;      /**< in a row */
+  size_t out;             /**< servers without a seat, not written off */
+  size_t lacking;         /**< those that a partial recount goes without */
+  size_t pending;         /**< while active: seats to be checked */
   GHashTable *seats;      /**< by server, of struct ColtSeat */
 };
 
@@ -92,9 +96,11 @@
   void *client;
   bool is_stopped;
   uint64_t last_round;
-  GHashTable *peers;   /**< by instance, of struct ColtLeadPeer */
-  GHashTable *servers; /**< by number, of struct ColtZoneServer */
-  size_t server_count; /**< listed or claimed: most of these is a majority */
+  GHashTable *peers;    /**< by instance, of struct ColtLeadPeer */
+  GHashTable *servers;  /**< by number, of struct ColtZoneServer */
+  size_t server_count;  /**< listed or claimed: most of these is a majority */
+  bool is_dirty;        /**< seats have to be looked through */
+  int64_t next_refresh; /**< when they have to be in any case */
   struct ColtLedShard shards[COLT_SHARD_COUNT];
 };
 
@@ -118,8 +124,12 @@
                             int64_t stamp,
                             const struct ColtShardServer *servers,
                             size_t count);
-/** Forgets peers whose answers have expired, and finds who holds what. */
+/** Forgets peers whose answers have expired. */
+void colt_lead_expire (struct ColtShardLead *lead, int64_t now);
+/** Finds who holds what. */
 void colt_lead_index (struct ColtShardLead *lead, int64_t now);
+/** Finds what each peer has to be asked for. */
+void colt_lead_find_needs (struct ColtShardLead *lead);
 /** Returns a server, which is made if there is none. */
 struct ColtZoneServer *
 colt_lead_server (struct ColtShardLead *lead, uint32_t server, int64_t now);
@@ -141,20 +151,18 @@
 /** Returns a seat or NULL. */
 const struct ColtSeat *colt_lead_find_seat (const struct ColtLedShard *shard,
                                             uint32_t server);
-/** Closes seats whose sessions are closed, and writes servers off. */
+/** Closes seats whose sessions are closed, and counts those that are left. */
 void colt_lead_refresh_seats (struct ColtShardLead *lead,
-                              struct ColtLedShard *shard,
-                              int64_t now);
-/** Finds whether most servers are with us, and until when. */
-void colt_lead_count_majority (struct ColtShardLead *lead,
+                              struct ColtLedShard *shard);
+/** Finds whether most servers are with us, and until when; returns whether
+ * that has changed. */
+bool colt_lead_count_majority (struct ColtShardLead *lead,
                                struct ColtLedShard *shard,
                                int64_t now);
-/** Counts servers that are out; \a may_lack leaves those out that a partial
- * recount goes without. */
-size_t colt_lead_count_out (const struct ColtShardLead *lead,
-                            const struct ColtLedShard *shard,
-                            bool may_lack,
-                            int64_t now);
+/** Writes servers off, and counts those that are out. */
+void colt_lead_write_off (struct ColtShardLead *lead,
+                          struct ColtLedShard *shard,
+                          int64_t now);
 /** Returns whether all granted seats have been confirmed since a round. */
 bool colt_lead_is_checked (const struct ColtShardLead *lead,
                            const struct ColtLedShard *shard);
--- a/src/test_shard/zone_instance.c
+++ b/src/test_shard/zone_instance.c
@@ -214,6 +214,8 @@
   int64_t now = colt_zone_local (instance, zone->now);
   int server;
 
+  if (!colt_zone_is_backed (instance, shard, epoch))
+    return;
   if (lacking > 0 && zone->plan.partial_ms == 0)
     colt_zone_broken (zone,
                       "a recount lacks servers though none may be lacking");
@@ -247,10 +249,14 @@
               uint32_t owner,
               uint64_t server_epoch)
 {
+  struct ColtZoneInstance *instance = client;
+
   (void)owner;
   (void)server_epoch;
-  colt_zone_check_reported (client, shard, server,
-                            "a late report missed a task");
+  if (colt_zone_is_backed (instance, shard,
+                           colt_shard_lead_epoch (instance->lead, shard)))
+    colt_zone_check_reported (client, shard, server,
+                              "a late report missed a task");
 }
 
 static void
@@ -266,9 +272,11 @@
 {
   struct ColtZoneInstance *instance = client;
 
-  if (colt_zone_server_count_running (instance->zone->servers[server],
-                                      instance->zone->now, shard)
-      > 0)
+  if (colt_zone_is_backed (instance, shard,
+                           colt_shard_lead_epoch (instance->lead, shard))
+      && colt_zone_server_count_running (instance->zone->servers[server],
+                                         instance->zone->now, shard)
+             > 0)
     colt_zone_broken (instance->zone,
                       "a server was written off that runs a task");
 }
--- a/src/test_shard/zone_oracle.c
+++ b/src/test_shard/zone_oracle.c
@@ -60,6 +60,26 @@
     }
 }
 
+bool
+colt_zone_is_backed (struct ColtZoneInstance *instance,
+                     uint32_t shard,
+                     uint64_t epoch)
+{
+  struct ColtZone *zone = instance->zone;
+  int i;
+
+  for (i = 1; i <= zone->plan.instances; i++)
+    {
+      struct ColtZoneInstance *owner = &zone->instances[i];
+
+      if (owner->is_alive
+          && colt_shard_owner_proves (owner->owner, shard, epoch,
+                                      colt_zone_local (owner, zone->now)))
+        return true;
+    }
+  return false;
+}
+
 void
 colt_zone_check_reported (struct ColtZoneInstance *instance,
                           uint32_t shard,
