--- /dev/null
+++ b/src/coltsfootstilectl/cmd_state.c
@@ -0,0 +1,131 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ctl.h"
+
+static enum ColtCtlExit run_dump_ (int argc, char **argv);
+static enum ColtCtlExit run_counters_ (int argc, char **argv);
+static enum ColtCtlExit
+get_ (const char *entry, const char *path, bool json, char **text);
+static json_t *read_counters_ (const char *text);
+
+const struct ColtCtlCommand colt_ctl_state_commands[]
+    = { { "", "dump", "print the state of an entry instance", run_dump_ },
+        { "", "counters", "print the counters of an entry instance",
+          run_counters_ },
+        { NULL, NULL, NULL, NULL } };
+
+static enum ColtCtlExit
+run_dump_ (int argc, char **argv)
+{
+  const char *entry = NULL;
+  const char *duty = NULL;
+  const struct ColtCtlOption options[]
+      = { { COLT_CTL_ADDRESS, "entry", "IP:PORT", "an entry instance", true,
+            &entry },
+          { COLT_CTL_TEXT, NULL, "DUTY",
+            "bundle, log, leases, shards, requests, peers, quota or servers "
+            "(all)",
+            false, &duty } };
+  const struct ColtCtlSyntax syntax
+      = { "coltsfootstilectl dump", "print the state of an entry instance",
+          options, 2 };
+  enum ColtCtlExit exit_code;
+  json_t *state;
+  char *path;
+  char *text;
+  bool json;
+
+  if (!colt_ctl_parse (&syntax, argc, argv, &json, &exit_code))
+    return exit_code;
+  if (duty != NULL && !colt_name_valid (duty))
+    return colt_ctl_fail_text (json, COLT_CTL_USAGE, "\"%s\" is no duty", duty);
+  path = duty != NULL ? g_strconcat ("/v1/state/", duty, NULL)
+                      : g_strdup ("/v1/state");
+  exit_code = get_ (entry, path, json, &text);
+  g_free (path);
+  if (exit_code != COLT_CTL_OK)
+    return exit_code;
+  state = json_loads (text, 0, NULL);
+  if (state == NULL)
+    exit_code
+        = colt_ctl_fail_text (json, COLT_CTL_REFUSED, "the answer is no JSON");
+  else
+    {
+      json_dumpf (state, stdout, json ? JSON_COMPACT : JSON_INDENT (2));
+      putchar ('\n');
+    }
+  json_decref (state);
+  g_free (text);
+  return exit_code;
+}
+
+static enum ColtCtlExit
+run_counters_ (int argc, char **argv)
+{
+  const char *entry = NULL;
+  const struct ColtCtlOption options[]
+      = { { COLT_CTL_ADDRESS, "entry", "IP:PORT", "an entry instance", true,
+            &entry } };
+  const struct ColtCtlSyntax syntax
+      = { "coltsfootstilectl counters",
+          "print the counters of an entry instance", options, 1 };
+  enum ColtCtlExit exit_code;
+  char *text;
+  bool json;
+
+  if (!colt_ctl_parse (&syntax, argc, argv, &json, &exit_code))
+    return exit_code;
+  exit_code = get_ (entry, "/metrics", json, &text);
+  if (exit_code != COLT_CTL_OK)
+    return exit_code;
+  if (json)
+    colt_ctl_print (true, read_counters_ (text));
+  else
+    fputs (text, stdout);
+  g_free (text);
+  return COLT_CTL_OK;
+}
+
+static enum ColtCtlExit
+get_ (const char *entry, const char *path, bool json, char **text)
+{
+  const struct ColtHttpRequest request = { .method = COLT_HTTP_GET,
+                                           .path = path,
+                                           .timeout_ms = COLT_CTL_CALL_MS };
+  struct ColtCtlAnswer answer;
+  enum ColtCtlExit exit_code = COLT_CTL_OK;
+
+  colt_ctl_call (entry, &request, &answer);
+  if (answer.result != COLT_HTTP_ANSWERED)
+    exit_code = colt_ctl_fail (json, COLT_CTL_UNREACHABLE, &answer.error);
+  else if (answer.status != 200)
+    exit_code = colt_ctl_fail_text (json, COLT_CTL_REFUSED, "%s%s: status %d",
+                                    entry, path, answer.status);
+  *text = exit_code == COLT_CTL_OK ? g_strdup (answer.text) : NULL;
+  colt_ctl_answer_clear (&answer);
+  return exit_code;
+}
+
+/* Lines of "name value"; others are comments. */
+static json_t *
+read_counters_ (const char *text)
+{
+  json_t *counters = json_object ();
+  char **lines = g_strsplit (text, "\n", -1);
+  size_t i;
+
+  for (i = 0; lines[i] != NULL; i++)
+    {
+      char *space = strrchr (lines[i], ' ');
+
+      if (lines[i][0] == '#' || space == NULL)
+        continue;
+      *space = '\0';
+      json_object_set_new (counters, lines[i],
+                           json_integer (strtoll (space + 1, NULL, 10)));
+    }
+  g_strfreev (lines);
+  return counters;
+}
--- /dev/null
+++ b/src/coltsfootstilectl/main.c
@@ -0,0 +1,96 @@
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "ctl.h"
+
+#ifndef COLT_VERSION
+#define COLT_VERSION "unknown"
+#endif
+
+static const struct ColtCtlCommand *const tables[]
+    = { colt_ctl_bundle_commands, colt_ctl_keygen_commands,
+        colt_ctl_roll_commands,   colt_ctl_key_commands,
+        colt_ctl_task_commands,   colt_ctl_state_commands,
+        colt_ctl_load_commands };
+
+static const struct ColtCtlCommand *
+find_command_ (int argc, char **argv, int *used);
+static bool
+match_ (const struct ColtCtlCommand *command, int argc, char **argv, int *used);
+static void print_help_ (FILE *file);
+
+int
+main (int argc, char **argv)
+{
+  const struct ColtCtlCommand *command;
+  struct ColtError error;
+  int used = 0;
+
+  signal (SIGPIPE, SIG_IGN);
+  if (!colt_sign_init (&error))
+    return colt_ctl_fail (false, COLT_CTL_REFUSED, &error);
+  if (argc > 1 && strcmp (argv[1], "--help") == 0)
+    {
+      print_help_ (stdout);
+      return COLT_CTL_OK;
+    }
+  if (argc > 1 && strcmp (argv[1], "--version") == 0)
+    {
+      puts ("coltsfootstilectl " COLT_VERSION);
+      return COLT_CTL_OK;
+    }
+  command = find_command_ (argc, argv, &used);
+  if (command != NULL)
+    return (int)command->run (argc - used, argv + used);
+  print_help_ (stderr);
+  return COLT_CTL_USAGE;
+}
+
+static const struct ColtCtlCommand *
+find_command_ (int argc, char **argv, int *used)
+{
+  size_t i;
+  const struct ColtCtlCommand *command;
+
+  for (i = 0; i < G_N_ELEMENTS (tables); i++)
+    for (command = tables[i]; command->run != NULL; command++)
+      if (match_ (command, argc, argv, used))
+        return command;
+  return NULL;
+}
+
+/* The last word of the command takes the place of the program's name. */
+static bool
+match_ (const struct ColtCtlCommand *command, int argc, char **argv, int *used)
+{
+  bool grouped = command->group[0] != '\0';
+
+  *used = grouped ? 2 : 1;
+  if (argc <= *used)
+    return false;
+  return (!grouped || strcmp (argv[1], command->group) == 0)
+         && strcmp (argv[*used], command->name) == 0;
+}
+
+static void
+print_help_ (FILE *file)
+{
+  size_t i;
+  const struct ColtCtlCommand *command;
+
+  fprintf (file, "Usage: coltsfootstilectl COMMAND [OPTIONS]\n"
+                 "       coltsfootstilectl COMMAND --help\n"
+                 "       coltsfootstilectl --version\n\nCommands:\n");
+  for (i = 0; i < G_N_ELEMENTS (tables); i++)
+    for (command = tables[i]; command->run != NULL; command++)
+      {
+        char *words = g_strconcat (command->group, " ", command->name, NULL);
+
+        fprintf (file, "  %-16s %s\n", g_strstrip (words), command->summary);
+        g_free (words);
+      }
+  fprintf (file, "\nExit codes: 0 ok, 1 refused or not run, 2 wrong usage, "
+                 "3 outcome unknown,\n4 unreachable, 5 conflict.\n");
+}
