--- a/fuzz/fuzz_bundle_text.c
+++ b/fuzz/fuzz_bundle_text.c
@@ -114,7 +114,7 @@
   colt_chain_advance (chain, 1);
   colt_chain_set_first (chain, 50);
   colt_chain_take_snapshot (chain, body, size, &verdict);
-  g_assert_true (verdict.status != COLT_CHAIN_REREAD
+  g_assert_true (verdict.status != COLT_CHAIN_ADOPTED
                  || colt_chain_next_offset (chain) >= 50);
   colt_chain_destroy (chain);
 }
--- a/include/coltsfootstile/bundle_chain.h
+++ b/include/coltsfootstile/bundle_chain.h
@@ -10,14 +10,16 @@
  *
  * The fold does no I/O. It also holds the keyring, whose records are part of
  * the same stream. Its reader has to
- * - call colt_chain_set_first() with the oldest offset that the log keeps;
- * - call colt_chain_advance() with a record's offset, when everything before
- *   it has been read, and then colt_chain_take();
- * - hand over every record, also one whose id was read before: the fold
- *   finds duplicates by their content. A version that was an orphan when it
+ * - call colt_chain_set_first() when the log no longer keeps what is to be
+ *   read next;
+ * - hand over every record in order, also one whose id was read before: the
+ * fold finds duplicates by their content. A version that was an orphan when it
  *   was read first may count the second time, and an instance that began to
  *   read between the two has seen only the second;
- * - read on from colt_chain_next_offset() after COLT_CHAIN_REREAD.
+ * - call colt_chain_advance() when everything before an offset has been read.
+ *
+ * A fold that has lost records keeps what it reads until a snapshot comes, and
+ * then takes what follows the snapshot's offset.
  */
 #ifndef COLTSFOOTSTILE_BUNDLE_CHAIN_H
 #define COLTSFOOTSTILE_BUNDLE_CHAIN_H
@@ -49,8 +51,7 @@
   COLT_CHAIN_MALFORMED,   /**< it can't be decoded, or its bundle is wrong */
   COLT_CHAIN_MISMATCH,    /**< the result's hash is not the one it names */
   COLT_CHAIN_REFUSED,     /**< a key that is withdrawn or given elsewhere */
-  COLT_CHAIN_REREAD,      /**< a snapshot was taken up; read on from
-                               colt_chain_next_offset() */
+  COLT_CHAIN_ADOPTED,     /**< a snapshot was taken up */
   COLT_CHAIN_GAP,         /**< a snapshot whose following records are lost */
   COLT_CHAIN_IGNORED,     /**< not a kind of this fold, or needless */
   COLT_CHAIN_STATUS_COUNT /**< number of statuses, not a status */
@@ -70,6 +71,9 @@
   struct ColtError error; /**< reason, unless accepted */
 };
 
+/** Bytes of records that a fold keeps while it waits for a snapshot. */
+#define COLT_CHAIN_KEPT_BYTES_MAX (4u * 1024 * 1024)
+
 /** The fold. */
 struct ColtChain;
 
@@ -86,8 +90,8 @@
 void colt_chain_destroy (struct ColtChain *chain);
 
 /**
- * Takes a record. One that stands at or before the last position taken is
- * a duplicate without effect.
+ * Takes a record, after all that stand before it. One that stands at or before
+ * the last position taken is a duplicate without effect.
  *
  * \param kind  enum ColtRecordKind; others than BUNDLE, KEY_GIVE,
  *              KEY_WITHDRAW and SNAPSHOT are ignored, but move the position
@@ -101,7 +105,7 @@
 
 /**
  * Tells the fold that everything before an offset has been read, also where
- * no record of this fold stood. Must not be called with a gap before it.
+ * no record of this fold stood.
  */
 void colt_chain_advance (struct ColtChain *chain, uint64_t next_offset);
 
@@ -165,6 +169,20 @@
                                size_t size,
                                struct ColtChainVerdict *verdict);
 
+/**
+ * Calls \a visit for the records that were kept while waiting for the snapshot
+ * taken up last, and that follow it, in order: for other folds, after they have
+ * taken up their state from colt_chain_snapshot_extra(). Records about jobs are
+ * not kept. Valid until the next call of colt_chain_take().
+ */
+void colt_chain_visit_kept (const struct ColtChain *chain,
+                            void (*visit) (void *client,
+                                           struct ColtLogPosition position,
+                                           uint32_t kind,
+                                           const uint8_t *body,
+                                           size_t size),
+                            void *client);
+
 /**
  * Returns the other folds' state in the snapshot that was taken up last, or
  * NULL. It lives until the next one.
--- a/src/bundle/chain.c
+++ b/src/bundle/chain.c
@@ -7,8 +7,8 @@
 #include "coltsfootstile/guard.h"
 
 const char *const colt_chain_status_string[]
-    = { "accepted",  "duplicate", "conflict", "old",    "orphan", "unsigned",
-        "malformed", "mismatch",  "refused",  "reread", "gap",    "ignored" };
+    = { "accepted",  "duplicate", "conflict", "old",     "orphan", "unsigned",
+        "malformed", "mismatch",  "refused",  "adopted", "gap",    "ignored" };
 
 static bool check_position_ (struct ColtChain *chain,
                              struct ColtLogPosition position,
@@ -81,6 +81,7 @@
   if (chain == NULL)
     return;
   colt_chain_clear_state (chain);
+  colt_chain_drop_kept (chain);
   colt_keyring_destroy (chain->keyring);
   colt_path_unref (chain->path);
   g_array_unref (chain->history);
@@ -98,16 +99,30 @@
                  struct ColtChainVerdict *verdict)
 {
   memset (verdict, 0, sizeof *verdict);
+  if (!chain->needs_snapshot)
+    colt_chain_drop_kept (chain);
   if (!check_position_ (chain, position, verdict))
     return;
   if (kind == COLT_RECORD_SNAPSHOT)
+    take_snapshot_ (chain, position.offset, body, size, verdict);
+  else if (chain->needs_snapshot)
     {
-      take_snapshot_ (chain, position.offset, body, size, verdict);
-      return;
+      colt_chain_keep (chain, position, kind, body, size);
+      set_verdict_ (verdict, COLT_CHAIN_IGNORED, "a snapshot is needed first");
     }
-  if (chain->needs_snapshot)
-    set_verdict_ (verdict, COLT_CHAIN_IGNORED, "a snapshot is needed first");
-  else if (kind == COLT_RECORD_BUNDLE)
+  else
+    colt_chain_apply (chain, position, kind, body, size, verdict);
+}
+
+void
+colt_chain_apply (struct ColtChain *chain,
+                  struct ColtLogPosition position,
+                  uint32_t kind,
+                  const uint8_t *body,
+                  size_t size,
+                  struct ColtChainVerdict *verdict)
+{
+  if (kind == COLT_RECORD_BUNDLE)
     take_bundle_ (chain, position, body, size, verdict);
   else if (kind == COLT_RECORD_KEY_GIVE || kind == COLT_RECORD_KEY_WITHDRAW)
     take_key_ (chain, kind, body, size, false, verdict);
@@ -125,14 +140,16 @@
 bool
 colt_chain_set_first (struct ColtChain *chain, uint64_t first)
 {
-  chain->first_offset = first;
   if (chain->snapshot_offset < first)
     chain->snapshot_offset = UINT64_MAX;
-  if (first <= chain->next_offset)
-    return !chain->needs_snapshot;
-  chain->needs_snapshot = true;
-  chain->next_offset = first;
-  return false;
+  if (first > chain->next_offset)
+    {
+      colt_chain_drop_kept (chain);
+      chain->needs_snapshot = true;
+      chain->readable_from = first;
+      chain->next_offset = first;
+    }
+  return !chain->needs_snapshot;
 }
 
 uint64_t
@@ -232,14 +249,7 @@
       set_verdict_ (verdict, COLT_CHAIN_DUPLICATE, "it has been read before");
       return false;
     }
-  if (position.offset > chain->next_offset)
-    {
-      verdict->status = COLT_CHAIN_GAP;
-      colt_error_set (&verdict->error, COLT_ERROR_INVALID, COLT_STEP_READ, NULL,
-                      "offset %" PRIu64 " must be read before %" PRIu64,
-                      chain->next_offset, position.offset);
-      return false;
-    }
+  chain->next_offset = position.offset;
   chain->last = position;
   chain->has_last = true;
   return true;
@@ -454,7 +464,7 @@
   else
     set_verdict_ (verdict, COLT_CHAIN_IGNORED, "the state is whole");
   if (verdict->status == COLT_CHAIN_IGNORED
-      || verdict->status == COLT_CHAIN_REREAD)
+      || verdict->status == COLT_CHAIN_ADOPTED)
     chain->snapshot_offset = offset;
 }
 
--- a/src/bundle/private/chain_internal.h
+++ b/src/bundle/private/chain_internal.h
@@ -16,6 +16,14 @@
   int64_t version;
 };
 
+/** A record that is kept until a snapshot comes. */
+struct ColtChainKept
+{
+  struct ColtLogPosition position;
+  uint32_t kind;
+  GBytes *body;
+};
+
 struct ColtChain
 {
   GArray *bootstrap; /* of struct ColtOperatorKey */
@@ -28,8 +36,10 @@
   uint64_t next_offset;
   struct ColtLogPosition last; /* last record taken */
   bool has_last;
-  uint64_t first_offset; /* oldest one that the log keeps */
+  uint64_t readable_from; /* all records from here on are kept or taken */
   bool needs_snapshot;
+  GQueue kept; /* of struct ColtChainKept, oldest first */
+  size_t kept_bytes;
   uint64_t snapshot_offset;
   GBytes *extra; /* of the last snapshot taken up, or NULL */
   uint64_t generation;
@@ -44,6 +54,27 @@
                        size_t size,
                        struct ColtChainVerdict *verdict);
 
+/** Keeps a record; forgets the oldest ones when there are too many. */
+void colt_chain_keep (struct ColtChain *chain,
+                      struct ColtLogPosition position,
+                      uint32_t kind,
+                      const uint8_t *body,
+                      size_t size);
+
+/** Takes the kept records that stand at or behind an offset, drops others. */
+void colt_chain_replay (struct ColtChain *chain, uint64_t offset);
+
+/** Drops all kept records. */
+void colt_chain_drop_kept (struct ColtChain *chain);
+
+/** Takes a record of this fold whose position has been checked. */
+void colt_chain_apply (struct ColtChain *chain,
+                       struct ColtLogPosition position,
+                       uint32_t kind,
+                       const uint8_t *body,
+                       size_t size,
+                       struct ColtChainVerdict *verdict);
+
 /** Returns whether two sets of operators are the same. */
 bool colt_operators_equal (const GArray *a, const GArray *b);
 
--- a/src/bundle/snapshot.c
+++ b/src/bundle/snapshot.c
@@ -252,7 +252,8 @@
       colt_path_unref (chain->path);
       chain->history = g_array_ref (history);
       chain->path = g_array_ref (path);
-      verdict->status = COLT_CHAIN_REREAD;
+      colt_chain_replay (chain, message->next_offset);
+      verdict->status = COLT_CHAIN_ADOPTED;
     }
   else
     {
@@ -330,10 +331,10 @@
   const char *reason = NULL;
 
   verdict->status = COLT_CHAIN_ACCEPTED;
-  if (message->next_offset < chain->first_offset)
+  if (chain->needs_snapshot && message->next_offset < chain->readable_from)
     {
       verdict->status = COLT_CHAIN_GAP;
-      reason = "records behind the snapshot are no longer kept";
+      reason = "records that follow the snapshot are lost";
     }
   else if (!chain->needs_snapshot && message->next_offset <= chain->next_offset)
     {
@@ -430,8 +431,8 @@
   chain->link = *link;
   chain->bundle_position.offset = message->bundle_offset;
   chain->bundle_position.index = message->bundle_index;
-  chain->next_offset = message->next_offset;
-  chain->has_last = false;
+  if (message->next_offset > chain->next_offset)
+    chain->next_offset = message->next_offset;
   chain->needs_snapshot = false;
   g_clear_pointer (&chain->extra, g_bytes_unref);
   chain->extra = g_bytes_new (message->extra.data, message->extra.len);
