Placement: shares, indexes of servers, gangs, reservations, learning

The placement was a first-come-first-served choice of a random server. It now decides by dominant shares, the bundle's policies and indexes of what servers have free, and says early what it will not place. The home refuses what is given up, if it never ran.

--- a/include/coltsfootstile/placement.h
+++ b/include/coltsfootstile/placement.h
@@ -22,6 +22,12 @@
 /** Speed of a server that runs work in the declared time, in thousandths. */
 #define COLT_SPEED_NORMAL 1000
 
+/** How long the set of servers must not have grown before a task counts as
+ * larger than all, in microseconds. */
+#define COLT_PLACEMENT_SETTLED_US INT64_C (5000000)
+/** Tasks that may wait in one placement. */
+#define COLT_PLACEMENT_WAITING_MAX 65536u
+
 /** What an owner tells of a backend server. */
 struct ColtServerDigest
 {
@@ -117,11 +123,39 @@
                     const struct ColtPlacementTask *task,
                     int64_t now_us);
 
-/** Removes a task that waits; one that does not is ignored. */
+/**
+ * Removes a task that waits. One that was placed is forgotten: its team no
+ * longer counts it, its server's next digest tells of its room.
+ */
 void colt_placement_remove (struct ColtPlacement *placement,
                             const struct ColtId *request,
                             uint32_t index);
 
+/**
+ * Forgets a request with all its tasks, those that were placed included: it
+ * has ended, or another instance answers for it now.
+ */
+void colt_placement_forget (struct ColtPlacement *placement,
+                            const struct ColtId *request,
+                            uint32_t tasks);
+
+/** Forgets the placed tasks of a shard that another instance leads now. */
+void colt_placement_forget_shard (struct ColtPlacement *placement,
+                                  uint32_t shard);
+
+/**
+ * Takes a task that waited and was given up: its deadline can't be kept any
+ * more, no known server is large enough, or it made room in a full queue for a
+ * team with less in it. Tasks are given up in colt_placement_add() and
+ * colt_placement_next().
+ *
+ * \param status  why; never COLT_PLACEMENT_QUEUED
+ * \return false if there is none
+ */
+bool colt_placement_take_shed (struct ColtPlacement *placement,
+                               struct ColtPlacementTask *task,
+                               enum ColtPlacementStatus *status);
+
 /**
  * Makes the next decision. The task no longer waits afterwards.
  *
--- a/include/coltsfootstile/request.h
+++ b/include/coltsfootstile/request.h
@@ -206,6 +206,17 @@
                            const struct ColtId *id,
                            int64_t now_us);
 
+/**
+ * Ends a request as COLT_OUTCOME_NOT_RUN that no server will be found for.
+ *
+ * \return false, with nothing done, if it has ended or is unknown, or if a
+ *         task of it was sent, runs, or ever ran
+ */
+bool colt_requests_refuse_waiting (struct ColtRequests *requests,
+                                   const struct ColtId *id,
+                                   enum ColtReason reason,
+                                   int64_t now_us);
+
 /** Finds a request, or returns NULL; valid until the next call. */
 const struct ColtRequest *
 colt_requests_find (const struct ColtRequests *requests,
--- a/src/home/home.c
+++ b/src/home/home.c
@@ -42,6 +42,7 @@
       intake->servers = g_array_new (FALSE, FALSE, sizeof (uint32_t));
       intake->server_epochs = g_array_new (FALSE, FALSE, sizeof (uint64_t));
     }
+  home->rejected = g_array_new (FALSE, FALSE, sizeof (struct ColtRejected));
   g_queue_init (&home->unproved);
   home->memories = g_hash_table_new (g_direct_hash, g_direct_equal);
   add_counters_ (home);
@@ -74,6 +75,7 @@
       g_array_unref (home->intakes[shard].servers);
       g_array_unref (home->intakes[shard].server_epochs);
     }
+  g_array_unref (home->rejected);
   g_queue_clear_full (&home->unproved, g_free);
   g_hash_table_unref (home->memories);
   g_free (home->servers);
@@ -194,7 +196,7 @@
   colt_home_learn_histories (home);
   colt_home_reconcile (home, now_us);
   colt_home_answer_unproved (home, now_us);
-  if (colt_placement_waiting (home->placement) > 0)
+  if (colt_placement_waiting (home->placement) > 0 || home->rejected->len > 0)
     colt_home_dispatch (home);
 }
 
--- a/src/home/home_place.c
+++ b/src/home/home_place.c
@@ -43,9 +43,6 @@
 on_stop_ (void *client, const struct ColtRequest *request, uint32_t index);
 static void on_ended_ (void *client, const struct ColtRequest *request);
 static uint32_t random_ (void *client);
-static void fill_task_ (const struct ColtRequest *request,
-                        uint32_t index,
-                        struct ColtPlacementTask *task);
 static void on_dispatch_ (evutil_socket_t fd, short what, void *arg);
 static bool send_choice_ (struct ColtHome *home,
                           const struct ColtPlacementChoice *choice,
@@ -123,8 +120,10 @@
   gpointer key;
   gpointer value;
 
+  colt_home_refuse_rejected (home, now_us);
   while (colt_placement_next (home->placement, now_us, &choice))
     send_choice_ (home, &choice, batches, now_us);
+  colt_home_refuse_rejected (home, now_us);
   g_hash_table_iter_init (&iter, batches);
   while (g_hash_table_iter_next (&iter, &key, &value))
     {
@@ -139,9 +138,13 @@
 {
   struct ColtHome *home = client;
   struct ColtPlacementTask task;
+  enum ColtPlacementStatus status;
 
-  fill_task_ (request, index, &task);
-  colt_placement_add (home->placement, &task, colt_clock_monotonic_us ());
+  colt_home_fill_task (request, index, &task);
+  status
+      = colt_placement_add (home->placement, &task, colt_clock_monotonic_us ());
+  if (status != COLT_PLACEMENT_QUEUED)
+    colt_home_reject (home, &request->id, index, status);
   colt_home_dispatch_soon (home);
 }
 
@@ -186,6 +189,7 @@
 {
   struct ColtHome *home = client;
 
+  colt_placement_forget (home->placement, &request->id, request->spec.tasks);
   if (request->spec.durable)
     home->calls->stored_end (home->client, &request->id, request->outcome);
   colt_home_answer (home, request);
@@ -199,10 +203,10 @@
   return g_rand_int (home->random);
 }
 
-static void
-fill_task_ (const struct ColtRequest *request,
-            uint32_t index,
-            struct ColtPlacementTask *task)
+void
+colt_home_fill_task (const struct ColtRequest *request,
+                     uint32_t index,
+                     struct ColtPlacementTask *task)
 {
   const struct ColtRequestSpec *spec = &request->spec;
 
@@ -237,26 +241,35 @@
 {
   const struct ColtRequest *request
       = colt_requests_find (home->requests, &choice->request);
+  enum ColtPlacementStatus status;
   struct ColtPlacementTask task;
   struct ColtTaskRef ref;
   uint64_t server_epoch;
   uint32_t owner;
 
   if (request == NULL || choice->index >= request->spec.tasks)
-    return false;
+    {
+      colt_placement_remove (home->placement, &choice->request, choice->index);
+      return false;
+    }
   if (!colt_shard_lead_may_start (home->lead, colt_id_shard (&choice->request),
                                   choice->server, now_us, &owner,
                                   &server_epoch))
     {
-      fill_task_ (request, choice->index, &task);
+      colt_home_fill_task (request, choice->index, &task);
       colt_placement_refused (home->placement, &task, choice->server,
                               COLT_REFUSAL_FENCED, now_us);
-      colt_placement_add (home->placement, &task, now_us);
+      status = colt_placement_add (home->placement, &task, now_us);
+      if (status != COLT_PLACEMENT_QUEUED)
+        colt_home_reject (home, &choice->request, choice->index, status);
       return false;
     }
   if (!colt_requests_send (home->requests, &choice->request, choice->index,
                            choice->server, server_epoch, &ref))
-    return false;
+    {
+      colt_placement_remove (home->placement, &choice->request, choice->index);
+      return false;
+    }
   add_to_batch_ (
       home, batches, owner,
       make_start_ (home, request, &ref, choice->server, server_epoch));
@@ -386,7 +399,7 @@
   colt_counters_count (home->parts.counters, home->counters.bounced, 1);
   if (request != NULL && ref->index < request->spec.tasks)
     {
-      fill_task_ (request, ref->index, &task);
+      colt_home_fill_task (request, ref->index, &task);
       colt_placement_refused (
           home->placement, &task, server,
           refusal <= COLT_REFUSAL_FENCED ? refusal : COLT_REFUSAL_FENCED,
@@ -445,7 +458,7 @@
         return;
       if (request != NULL && ref.index < request->spec.tasks)
         {
-          fill_task_ (request, ref.index, &task);
+          colt_home_fill_task (request, ref.index, &task);
           colt_placement_ended (home->placement, &task, event->server, &report,
                                 now_us);
         }
--- a/src/home/home_shards.c
+++ b/src/home/home_shards.c
@@ -439,6 +439,7 @@
   colt_counters_count (home->parts.counters, home->counters.shards_lost, 1);
   home->calls->team_shard (home->client, shard, epoch, false);
   colt_requests_close_shard (home->requests, shard);
+  colt_placement_forget_shard (home->placement, shard);
   colt_home_clear_intake (&home->intakes[shard]);
 }
 
--- a/src/home/private/home_private.h
+++ b/src/home/private/home_private.h
@@ -53,6 +53,7 @@
   unsigned open_answers;
   int64_t reconcile_us;
   unsigned reconcile_round;
+  GArray *rejected;         /**< of struct ColtRejected */
   GQueue unproved;          /**< of struct ColtUnproved */
   GHashTable *budgets;      /**< team -> struct ColtRetryBudget */
   GHashTable *budget_rates; /**< team -> retries a minute */
@@ -77,6 +78,26 @@
 void colt_home_dispatch_soon (struct ColtHome *home);
 void colt_home_dispatch (struct ColtHome *home);
 
+void colt_home_fill_task (const struct ColtRequest *request,
+                          uint32_t index,
+                          struct ColtPlacementTask *task);
+
+/* home_refuse.c: tasks that the placement doesn't take or gives up */
+struct ColtRejected
+{
+  struct ColtId request;
+  uint32_t index;
+  enum ColtPlacementStatus status;
+  int64_t due_us; /**< when it is looked at */
+};
+/** Notes a task that the placement did not take; nothing is ended yet. */
+void colt_home_reject (struct ColtHome *home,
+                       const struct ColtId *request,
+                       uint32_t index,
+                       enum ColtPlacementStatus status);
+/** Refuses what was rejected or given up. */
+void colt_home_refuse_rejected (struct ColtHome *home, int64_t now_us);
+
 /* home_query.c: attempts whose state is in doubt */
 void colt_home_reconcile (struct ColtHome *home, int64_t now_us);
 void colt_home_fetch_results (struct ColtHome *home,
--- a/src/placement/placement.c
+++ b/src/placement/placement.c
@@ -1,22 +1,29 @@
 #include "coltsfootstile/placement.h"
 
-#include <glib.h>
 #include <string.h>
 
-#include "coltsfootstile/clock.h"
+#include "placement_private.h"
 
-struct ColtPlacement
-{
-  GRand *random;
-  GTree *servers; /* id -> struct ColtServerDigest */
-  GQueue waiting; /* of struct ColtPlacementTask */
-  GHashTable *index;
+static const struct ColtWorkRule default_rules[COLT_WORK_KIND_COUNT] = {
+  [COLT_WORK_INTERACTIVE] = { COLT_POLICY_FASTEST, 7 },
+  [COLT_WORK_SERVICE] = { COLT_POLICY_SPREAD, 5 },
+  [COLT_WORK_BATCH] = { COLT_POLICY_PACK, 1 },
+  [COLT_WORK_GANG] = { COLT_POLICY_PACK, 2 },
 };
 
-static gint compare_ids_ (gconstpointer a, gconstpointer b, gpointer data);
+static void free_waiting_ (struct ColtPlacement *placement);
+static bool drop_choice_ (struct ColtPlacement *placement,
+                          const struct ColtId *request,
+                          uint32_t index);
+static void limit_free_ (struct ColtPlacement *placement,
+                         struct ColtPlacementServer *server,
+                         const struct ColtResources *demand);
+static void close_server_ (struct ColtPlacement *placement,
+                           struct ColtPlacementServer *server);
 
 const char *const colt_placement_status_string[]
     = { "queued", "never_fits", "too_late", "full" };
+
 const char *const colt_placement_refusal_string[]
     = { "no_room", "no_credit", "leaving", "fenced" };
 
@@ -24,21 +31,75 @@
 colt_placement_create (uint64_t seed)
 {
   struct ColtPlacement *placement = g_new0 (struct ColtPlacement, 1);
-
-  placement->random = g_rand_new_with_seed ((guint32)seed);
-  placement->servers = g_tree_new_full (compare_ids_, NULL, NULL, g_free);
-  g_queue_init (&placement->waiting);
+  guint32 seeds[] = { (guint32)seed, (guint32)(seed >> 32) };
+  unsigned i;
+
+  placement->random = g_rand_new_with_seed_array (seeds, G_N_ELEMENTS (seeds));
+  placement->generation = 1;
+  placement->wake_us = COLT_TIME_NEVER;
+  memcpy (placement->rules, default_rules, sizeof default_rules);
+  placement->servers = g_hash_table_new (g_direct_hash, g_direct_equal);
+  for (i = 0; i < COLT_GROUP_COUNT; i++)
+    placement->groups[i] = colt_fit_tree_create (COLT_TREE_USABLE);
+  placement->reserve = colt_fit_tree_create (COLT_TREE_RESERVE);
+  for (i = 0; i < COLT_SERVER_CLASS_COUNT; i++)
+    placement->capacities[i] = colt_fit_tree_create (COLT_TREE_CAPACITY);
+  placement->teams
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, colt_teams_free);
+  placement->weights
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  for (i = 0; i < COLT_LEVEL_COUNT; i++)
+    placement->orders[i] = g_sequence_new (NULL);
+  placement->waiting = g_hash_table_new_full (colt_task_key_hash,
+                                              colt_task_key_equal, NULL, NULL);
+  placement->gangs = g_hash_table_new_full (
+      colt_id_table_hash, colt_id_table_equal, NULL, colt_gangs_free);
+  placement->placed
+      = g_hash_table_new (colt_task_key_hash, colt_task_key_equal);
+  placement->spread
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  placement->reservations = g_ptr_array_new ();
+  g_queue_init (&placement->choices);
+  g_queue_init (&placement->shed);
   return placement;
 }
 
 void
 colt_placement_destroy (struct ColtPlacement *placement)
 {
+  GHashTableIter iter;
+  gpointer value;
+  unsigned i;
+
   if (placement == NULL)
     return;
+  while (placement->reservations->len > 0)
+    colt_reservations_drop (placement, placement->reservations->pdata[0]);
+  free_waiting_ (placement);
+  g_hash_table_iter_init (&iter, placement->servers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    colt_servers_free (placement, value);
+  g_hash_table_iter_init (&iter, placement->placed);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_free (value);
+  g_hash_table_unref (placement->placed);
+  g_hash_table_unref (placement->spread);
+  g_hash_table_unref (placement->servers);
+  g_hash_table_unref (placement->gangs);
+  g_hash_table_unref (placement->waiting);
+  g_hash_table_unref (placement->teams);
+  g_hash_table_unref (placement->weights);
+  for (i = 0; i < COLT_LEVEL_COUNT; i++)
+    g_sequence_free (placement->orders[i]);
+  for (i = 0; i < COLT_GROUP_COUNT; i++)
+    colt_fit_tree_destroy (placement->groups[i]);
+  colt_fit_tree_destroy (placement->reserve);
+  for (i = 0; i < COLT_SERVER_CLASS_COUNT; i++)
+    colt_fit_tree_destroy (placement->capacities[i]);
+  g_ptr_array_unref (placement->reservations);
+  g_queue_clear_full (&placement->choices, g_free);
+  g_queue_clear_full (&placement->shed, g_free);
   g_rand_free (placement->random);
-  g_tree_unref (placement->servers);
-  g_queue_clear_full (&placement->waiting, g_free);
   g_free (placement);
 }
 
@@ -46,24 +107,37 @@
 colt_placement_set_bundle (struct ColtPlacement *placement,
                            const struct ColtBundle *bundle)
 {
-  (void)placement;
-  (void)bundle;
-}
+  GHashTableIter iter;
+  gpointer value;
+  uint32_t i;
 
-void
-colt_placement_set_server (struct ColtPlacement *placement,
-                           const struct ColtServerDigest *digest,
-                           int64_t now_us)
-{
-  (void)now_us;
-  g_tree_replace (placement->servers, GUINT_TO_POINTER (digest->server),
-                  g_memdup2 (digest, sizeof *digest));
-}
+  g_hash_table_remove_all (placement->weights);
+  for (i = 0; i < colt_bundle_team_count (bundle); i++)
+    {
+      const struct ColtBundleTeam *team = colt_bundle_team (bundle, i);
 
-void
-colt_placement_remove_server (struct ColtPlacement *placement, uint32_t server)
-{
-  g_tree_remove (placement->servers, GUINT_TO_POINTER (server));
+      g_hash_table_insert (placement->weights, g_strdup (team->name),
+                           g_memdup2 (&team->weight, sizeof team->weight));
+    }
+  g_hash_table_iter_init (&iter, placement->teams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct ColtPlacementTeam *team = value;
+      const int64_t *weight
+          = g_hash_table_lookup (placement->weights, team->name);
+
+      team->weight = weight != NULL ? *weight : 1;
+    }
+  for (i = 0; i < COLT_WORK_KIND_COUNT; i++)
+    {
+      const struct ColtBundleWork *work
+          = colt_bundle_work (bundle, (enum ColtWorkKind)i);
+
+      placement->rules[i].policy = work->policy;
+      placement->rules[i].priority = work->priority;
+    }
+  placement->shares_stale = true;
+  placement->generation++;
 }
 
 enum ColtPlacementStatus
@@ -71,9 +145,13 @@
                     const struct ColtPlacementTask *task,
                     int64_t now_us)
 {
-  (void)now_us;
-  g_queue_push_tail (&placement->waiting, g_memdup2 (task, sizeof *task));
-  return COLT_PLACEMENT_QUEUED;
+  enum ColtPlacementStatus status;
+
+  colt_placement_remove (placement, &task->request, task->index);
+  status = colt_admission_judge (placement, task, now_us);
+  if (status == COLT_PLACEMENT_QUEUED)
+    colt_queue_add (placement, task, now_us);
+  return status;
 }
 
 void
@@ -81,42 +159,50 @@
                        const struct ColtId *request,
                        uint32_t index)
 {
-  GList *link;
+  struct ColtWaiting *waiting = colt_queue_find (placement, request, index);
+  struct ColtPlacedTask *placed;
+  struct ColtReservation *reservation;
 
-  for (link = placement->waiting.head; link != NULL; link = link->next)
+  if (waiting != NULL)
     {
-      const struct ColtPlacementTask *task = link->data;
-
-      if (task->index != index || !colt_id_equal (&task->request, request))
-        continue;
-      g_free (link->data);
-      g_queue_delete_link (&placement->waiting, link);
+      reservation = colt_reservations_find (placement, request);
+      if (reservation != NULL)
+        colt_reservations_drop (placement, reservation);
+      colt_queue_remove (placement, waiting);
       return;
     }
+  placed = colt_placed_find (placement, request, index);
+  if (placed != NULL)
+    colt_placed_remove (placement, placed,
+                        !drop_choice_ (placement, request, index));
 }
 
-struct ColtSearch
+void
+colt_placement_forget (struct ColtPlacement *placement,
+                       const struct ColtId *request,
+                       uint32_t tasks)
 {
-  GRand *random;
-  const struct ColtPlacementTask *task;
-  struct ColtServerDigest *found;
-  int seen;
-};
+  uint32_t i;
+
+  for (i = 0; i < tasks; i++)
+    colt_placement_remove (placement, request, i);
+}
 
-static gboolean
-consider_ (gpointer key, gpointer value, gpointer data)
+void
+colt_placement_forget_shard (struct ColtPlacement *placement, uint32_t shard)
 {
-  struct ColtServerDigest *digest = value;
-  struct ColtSearch *search = data;
-
-  (void)key;
-  if (digest->leaving || digest->probation_permille == 0
-      || !colt_resources_fit (&search->task->demand, &digest->free))
-    return FALSE;
-  search->seen++;
-  if (g_rand_int_range (search->random, 0, search->seen) == 0)
-    search->found = digest;
-  return FALSE;
+  GPtrArray *found = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+  guint i;
+
+  g_hash_table_iter_init (&iter, placement->placed);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (colt_id_shard (&((struct ColtPlacedTask *)value)->request) == shard)
+      g_ptr_array_add (found, value);
+  for (i = 0; i < found->len; i++)
+    colt_placed_remove (placement, g_ptr_array_index (found, i), true);
+  g_ptr_array_unref (found);
 }
 
 bool
@@ -124,51 +210,64 @@
                      int64_t now_us,
                      struct ColtPlacementChoice *choice)
 {
-  GList *link;
-  int looked = 0;
-
-  (void)now_us;
-  for (link = placement->waiting.head; link != NULL && looked < 64;
-       link = link->next, looked++)
-    {
-      struct ColtPlacementTask *task = link->data;
-      struct ColtSearch search = { placement->random, task, NULL, 0 };
+  struct ColtPlacementChoice *next;
+
+  if (g_queue_is_empty (&placement->choices)
+      && !colt_decide (placement, now_us))
+    return false;
+  next = g_queue_pop_head (&placement->choices);
+  *choice = *next;
+  g_free (next);
+  return true;
+}
 
-      g_tree_foreach (placement->servers, consider_, &search);
-      if (search.found == NULL)
-        continue;
-      colt_resources_subtract (&search.found->free, &task->demand);
-      choice->request = task->request;
-      choice->index = task->index;
-      choice->server = search.found->server;
-      g_free (task);
-      g_queue_delete_link (&placement->waiting, link);
-      return true;
-    }
-  return false;
+bool
+colt_placement_take_shed (struct ColtPlacement *placement,
+                          struct ColtPlacementTask *task,
+                          enum ColtPlacementStatus *status)
+{
+  struct ColtShedTask *shed = g_queue_pop_head (&placement->shed);
+
+  if (shed == NULL)
+    return false;
+  *task = shed->task;
+  *status = shed->status;
+  g_free (shed);
+  return true;
 }
 
 int64_t
 colt_placement_wake_us (const struct ColtPlacement *placement)
 {
-  (void)placement;
-  return COLT_TIME_NEVER;
+  return g_queue_is_empty ((GQueue *)&placement->choices) ? placement->wake_us
+                                                          : 0;
 }
 
 void
 colt_placement_refused (struct ColtPlacement *placement,
                         const struct ColtPlacementTask *task,
-                        uint32_t server,
+                        uint32_t id,
                         enum ColtPlacementRefusal refusal,
                         int64_t now_us)
 {
-  struct ColtServerDigest *digest
-      = g_tree_lookup (placement->servers, GUINT_TO_POINTER (server));
+  struct ColtPlacementServer *server = colt_servers_find (placement, id);
+  struct ColtPlacedTask *placed
+      = colt_placed_find (placement, &task->request, task->index);
 
-  (void)task;
-  (void)now_us;
-  if (digest != NULL && refusal != COLT_REFUSAL_NO_CREDIT)
-    memset (&digest->free, 0, sizeof digest->free);
+  if (placed != NULL && placed->server == id)
+    colt_placed_remove (placement, placed, false);
+  if (refusal == COLT_REFUSAL_NO_CREDIT)
+    {
+      colt_teams_park (placement, colt_teams_get (placement, task->team),
+                       now_us);
+      return;
+    }
+  if (server == NULL)
+    return;
+  if (refusal == COLT_REFUSAL_NO_ROOM)
+    limit_free_ (placement, server, &task->demand);
+  else
+    close_server_ (placement, server);
 }
 
 void
@@ -178,84 +277,87 @@
                       const struct ColtTaskReport *report,
                       int64_t now_us)
 {
-  struct ColtServerDigest *digest
-      = g_tree_lookup (placement->servers, GUINT_TO_POINTER (server));
+  struct ColtPlacedTask *placed
+      = colt_placed_find (placement, &task->request, task->index);
 
-  (void)report;
-  (void)now_us;
-  if (digest != NULL)
-    colt_resources_add (&digest->free, &task->demand);
-}
-
-void
-colt_placement_set_team_usage (struct ColtPlacement *placement,
-                               uint32_t instance,
-                               const char *team,
-                               const struct ColtResources *running,
-                               int64_t now_us)
-{
-  (void)placement;
-  (void)instance;
-  (void)team;
-  (void)running;
   (void)now_us;
+  colt_learn (colt_teams_get (placement, task->team),
+              colt_servers_find (placement, server), task, report);
+  if (placed != NULL && placed->server == server)
+    colt_placed_remove (placement, placed, false);
 }
 
 size_t
 colt_placement_waiting (const struct ColtPlacement *placement)
 {
-  return g_queue_get_length ((GQueue *)&placement->waiting);
+  return g_hash_table_size (placement->waiting);
 }
 
 size_t
 colt_placement_team_waiting (const struct ColtPlacement *placement,
-                             const char *team)
+                             const char *name)
 {
-  const GList *link;
+  const struct ColtPlacementTeam *team = colt_teams_find (placement, name);
   size_t count = 0;
+  int level;
 
-  for (link = placement->waiting.head; link != NULL; link = link->next)
-    {
-      const struct ColtPlacementTask *task = link->data;
-
-      count += strcmp (task->team, team) == 0;
-    }
+  for (level = 0; team != NULL && level < COLT_LEVEL_COUNT; level++)
+    count += team->waiting[level];
   return count;
 }
 
-struct ColtServerVisit
+static void
+free_waiting_ (struct ColtPlacement *placement)
 {
-  void (*visit) (void *client, const struct ColtServerDigest *digest);
-  void *client;
-};
+  GHashTableIter iter;
+  gpointer value;
 
-static gboolean
-visit_one_ (gpointer key, gpointer value, gpointer data)
+  g_hash_table_iter_init (&iter, placement->waiting);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_free (value);
+}
+
+/* Takes back a choice that has not been handed out. */
+static bool
+drop_choice_ (struct ColtPlacement *placement,
+              const struct ColtId *request,
+              uint32_t index)
 {
-  const struct ColtServerVisit *visit = data;
+  GList *link;
 
-  (void)key;
-  visit->visit (visit->client, value);
-  return FALSE;
+  for (link = placement->choices.head; link != NULL; link = link->next)
+    {
+      const struct ColtPlacementChoice *choice = link->data;
+
+      if (choice->index != index || !colt_id_equal (&choice->request, request))
+        continue;
+      g_free (link->data);
+      g_queue_delete_link (&placement->choices, link);
+      return true;
+    }
+  return false;
 }
 
-void
-colt_placement_visit_servers (
-    const struct ColtPlacement *placement,
-    void (*visit) (void *client, const struct ColtServerDigest *digest),
-    void *client)
+/* The server has less than was thought, in which resource is not known. */
+static void
+limit_free_ (struct ColtPlacement *placement,
+             struct ColtPlacementServer *server,
+             const struct ColtResources *demand)
 {
-  struct ColtServerVisit all = { visit, client };
+  int64_t *free = server->digest.free.amount;
+  int i;
 
-  g_tree_foreach (placement->servers, visit_one_, &all);
+  for (i = 0; i < COLT_RESOURCE_COUNT; i++)
+    if (demand->amount[i] > 0)
+      free[i] = MIN (free[i], demand->amount[i] / 2);
+  colt_servers_index (placement, server, false);
 }
 
-static gint
-compare_ids_ (gconstpointer a, gconstpointer b, gpointer data)
+static void
+close_server_ (struct ColtPlacement *placement,
+               struct ColtPlacementServer *server)
 {
-  guint first = GPOINTER_TO_UINT (a);
-  guint second = GPOINTER_TO_UINT (b);
-
-  (void)data;
-  return (first > second) - (first < second);
+  server->closed = true;
+  colt_reservations_drop_server (placement, server);
+  colt_servers_index (placement, server, false);
 }
--- /dev/null
+++ b/src/placement/queue.c
@@ -0,0 +1,178 @@
+#include "placement_private.h"
+
+/* Sizes of tasks in steps of the power of two, from these. */
+#define CLASS_CORES 250
+#define CLASS_MEMORY 512
+#define CLASS_STEPS 8
+#define CLASS_ACCELERATORS 16
+
+static uint32_t size_class_ (const struct ColtPlacementTask *task);
+static uint32_t steps_ (int64_t amount, int64_t unit);
+static struct ColtLane *get_lane_ (struct ColtPlacementTeam *team,
+                                   const struct ColtPlacementTask *task);
+static gint compare_waiting_ (gconstpointer a, gconstpointer b, gpointer data);
+static void put_in_lane_ (struct ColtWaiting *waiting);
+static void unblock_ (struct ColtLane *lane);
+
+struct ColtWaiting *
+colt_queue_find (const struct ColtPlacement *placement,
+                 const struct ColtId *request,
+                 uint32_t index)
+{
+  struct ColtTaskKey key;
+
+  key.request = *request;
+  key.index = index;
+  return g_hash_table_lookup (placement->waiting, &key);
+}
+
+void
+colt_queue_add (struct ColtPlacement *placement,
+                const struct ColtPlacementTask *task,
+                int64_t now_us)
+{
+  struct ColtPlacementTeam *team = colt_teams_get (placement, task->team);
+  struct ColtWaiting *waiting = g_new0 (struct ColtWaiting, 1);
+  struct ColtLearnedWork *work;
+
+  waiting->task = *task;
+  waiting->added_us = now_us;
+  if (task->kind == COLT_WORK_GANG && task->tasks > 1)
+    colt_gangs_add (placement, waiting, now_us);
+  if (waiting->lane == NULL)
+    waiting->lane = get_lane_ (team, task);
+  team = waiting->lane->team;
+  work = &team->work[waiting->lane->kind];
+  if (waiting->gang == NULL
+      || g_ptr_array_index (waiting->gang->members, 0) == waiting)
+    put_in_lane_ (waiting);
+  unblock_ (waiting->lane);
+  g_hash_table_insert (placement->waiting, waiting, waiting);
+  if (work->waiting++ == 0)
+    work->last_start_us = now_us;
+  colt_teams_add_waiting (placement, team, waiting->lane->level, 1);
+}
+
+void
+colt_queue_remove (struct ColtPlacement *placement, struct ColtWaiting *waiting)
+{
+  struct ColtLane *lane = waiting->lane;
+  struct ColtPlacementTeam *team = lane->team;
+  struct ColtWaiting *heir = NULL;
+
+  g_hash_table_remove (placement->waiting, waiting);
+  team->work[lane->kind].waiting--;
+  colt_teams_add_waiting (placement, team, lane->level, -1);
+  if (waiting->gang != NULL)
+    heir = colt_gangs_remove (placement, waiting);
+  if (waiting->place != NULL)
+    {
+      unblock_ (lane);
+      g_sequence_remove (waiting->place);
+      if (heir != NULL)
+        put_in_lane_ (heir);
+    }
+  g_free (waiting);
+  if (g_sequence_is_empty (lane->tasks))
+    g_ptr_array_remove_fast (team->lanes, lane);
+}
+
+struct ColtWaiting *
+colt_lane_head (const struct ColtLane *lane)
+{
+  return g_sequence_get (g_sequence_get_begin_iter (lane->tasks));
+}
+
+int64_t
+colt_lane_key (const struct ColtPlacement *placement,
+               const struct ColtLane *lane)
+{
+  return colt_lane_head (lane)->task.arrived_us
+         - placement->rules[lane->kind].priority * COLT_PRIORITY_STEP_US;
+}
+
+void
+colt_lane_free (gpointer data)
+{
+  struct ColtLane *lane = data;
+
+  g_sequence_free (lane->tasks);
+  g_free (lane);
+}
+
+static uint32_t
+size_class_ (const struct ColtPlacementTask *task)
+{
+  const int64_t *amount = task->demand.amount;
+  uint32_t size = MAX (steps_ (amount[COLT_RESOURCE_CORES], CLASS_CORES),
+                       steps_ (amount[COLT_RESOURCE_MEMORY], CLASS_MEMORY));
+
+  return (uint32_t)MIN (amount[COLT_RESOURCE_ACCELERATORS], CLASS_ACCELERATORS)
+             * (CLASS_STEPS + 1)
+         + size;
+}
+
+static uint32_t
+steps_ (int64_t amount, int64_t unit)
+{
+  uint32_t steps = 0;
+
+  while (steps < CLASS_STEPS && unit < amount)
+    {
+      unit *= 2;
+      steps++;
+    }
+  return steps;
+}
+
+static struct ColtLane *
+get_lane_ (struct ColtPlacementTeam *team, const struct ColtPlacementTask *task)
+{
+  enum ColtLevel level = task->urgent ? COLT_LEVEL_URGENT : COLT_LEVEL_ORDINARY;
+  uint32_t size_class = size_class_ (task);
+  struct ColtLane *lane;
+  guint i;
+
+  for (i = 0; i < team->lanes->len; i++)
+    {
+      lane = g_ptr_array_index (team->lanes, i);
+      if (lane->kind == task->kind && lane->level == level
+          && lane->size_class == size_class)
+        return lane;
+    }
+  lane = g_new0 (struct ColtLane, 1);
+  lane->team = team;
+  lane->kind = task->kind;
+  lane->level = level;
+  lane->size_class = size_class;
+  lane->tasks = g_sequence_new (NULL);
+  g_ptr_array_add (team->lanes, lane);
+  return lane;
+}
+
+static gint
+compare_waiting_ (gconstpointer a, gconstpointer b, gpointer data)
+{
+  const struct ColtWaiting *first = a;
+  const struct ColtWaiting *second = b;
+
+  (void)data;
+  return (first->task.arrived_us > second->task.arrived_us)
+         - (first->task.arrived_us < second->task.arrived_us);
+}
+
+static void
+put_in_lane_ (struct ColtWaiting *waiting)
+{
+  waiting->place = g_sequence_insert_sorted (waiting->lane->tasks, waiting,
+                                             compare_waiting_, NULL);
+}
+
+/* The head has changed, so that it has to be tried. */
+static void
+unblock_ (struct ColtLane *lane)
+{
+  lane->blocked = 0;
+  lane->retry_us = 0;
+  lane->team->blocked[lane->level] = 0;
+}
--- /dev/null
+++ b/src/placement/reservations.c
@@ -0,0 +1,330 @@
+#include <stdlib.h>
+
+#include "placement_private.h"
+
+/* Reservations at a time: one for so many servers, within these bounds. */
+#define SERVERS_PER_RESERVATION 12u
+#define RESERVATIONS_MAX 8u
+/* How long a reservation is held, and how long its team then has none. */
+#define HOLD_US (30 * COLT_US_PER_S)
+#define PAUSE_US (10 * COLT_US_PER_S)
+/* How long a task waits before servers are kept for it. */
+#define PATIENCE_US (100 * COLT_US_PER_MS)
+/* A task is large from this part of an average server on. */
+#define LARGE_PART 4
+/* Kept servers that a short task looks at. */
+#define BACKFILL_SERVERS_MAX 16u
+/* Placed tasks of a server that are looked at to foretell its free amounts. */
+#define RELEASES_MAX 64u
+/* What an expected run time is multiplied by where it must not be exceeded. */
+#define SAFETY 1.5
+
+static bool deserves_ (const struct ColtSearch *search);
+static bool is_large_ (const struct ColtSearch *search);
+static uint32_t tasks_waiting_ (const struct ColtSearch *search);
+static struct ColtPlacementServer *
+choose_server_ (const struct ColtSearch *search, int64_t *ready_us);
+static bool foretell_ (const struct ColtPlacementServer *server,
+                       const struct ColtResources *demand,
+                       int64_t now_us,
+                       int64_t *ready_us);
+static uint32_t holds_ (const struct ColtPlacementServer *server,
+                        const struct ColtResources *demand);
+static gint compare_ends_ (gconstpointer a, gconstpointer b);
+static bool leaves_in_time_ (const struct ColtSearch *search,
+                             const struct ColtPlacementServer *server,
+                             int64_t ready_us);
+
+void
+colt_reservations_make (struct ColtSearch *search)
+{
+  struct ColtPlacement *placement = search->placement;
+  struct ColtReservation *reservation;
+  uint32_t missing = tasks_waiting_ (search);
+  uint32_t limit = g_hash_table_size (placement->servers);
+
+  if (!deserves_ (search))
+    return;
+  reservation = g_new0 (struct ColtReservation, 1);
+  reservation->request = search->task->request;
+  reservation->team = colt_teams_get (placement, search->task->team);
+  reservation->servers = g_ptr_array_new ();
+  reservation->until_us = search->now_us + HOLD_US;
+  g_ptr_array_add (placement->reservations, reservation);
+  while (missing > 0 && reservation->servers->len < limit)
+    {
+      int64_t ready_us = search->now_us;
+      struct ColtPlacementServer *server = choose_server_ (search, &ready_us);
+
+      if (server == NULL)
+        break;
+      server->reservation = reservation;
+      g_ptr_array_add (reservation->servers, server);
+      reservation->ready_us = MAX (reservation->ready_us, ready_us);
+      colt_servers_index (placement, server, false);
+      missing -= MIN (missing, holds_ (server, &search->demand));
+    }
+  if (missing > 0)
+    colt_reservations_drop (placement, reservation);
+}
+
+struct ColtReservation *
+colt_reservations_find (const struct ColtPlacement *placement,
+                        const struct ColtId *request)
+{
+  guint i;
+
+  for (i = 0; i < placement->reservations->len; i++)
+    {
+      struct ColtReservation *reservation
+          = g_ptr_array_index (placement->reservations, i);
+
+      if (colt_id_equal (&reservation->request, request))
+        return reservation;
+    }
+  return NULL;
+}
+
+void
+colt_reservations_drop (struct ColtPlacement *placement,
+                        struct ColtReservation *reservation)
+{
+  guint i;
+
+  g_ptr_array_remove_fast (placement->reservations, reservation);
+  for (i = 0; i < reservation->servers->len; i++)
+    {
+      struct ColtPlacementServer *server
+          = g_ptr_array_index (reservation->servers, i);
+
+      server->reservation = NULL;
+      colt_servers_index (placement, server, true);
+    }
+  g_ptr_array_unref (reservation->servers);
+  g_free (reservation);
+}
+
+void
+colt_reservations_drop_server (struct ColtPlacement *placement,
+                               struct ColtPlacementServer *server)
+{
+  if (server->reservation != NULL)
+    colt_reservations_drop (placement, server->reservation);
+}
+
+void
+colt_reservations_expire (struct ColtPlacement *placement, int64_t now_us)
+{
+  guint i = 0;
+
+  while (i < placement->reservations->len)
+    {
+      struct ColtReservation *reservation
+          = g_ptr_array_index (placement->reservations, i);
+
+      if (now_us < reservation->until_us)
+        {
+          placement->wake_us = MIN (placement->wake_us, reservation->until_us);
+          i++;
+          continue;
+        }
+      reservation->team->reserve_after_us = now_us + PAUSE_US;
+      colt_reservations_drop (placement, reservation);
+    }
+}
+
+struct ColtPlacementServer *
+colt_reservations_backfill (struct ColtSearch *search)
+{
+  const struct ColtPlacement *placement = search->placement;
+  guint i;
+  guint j;
+
+  if (search->run_ms <= 0)
+    return NULL;
+  for (i = 0; i < placement->reservations->len; i++)
+    {
+      const struct ColtReservation *reservation
+          = g_ptr_array_index (placement->reservations, i);
+      guint count = MIN (reservation->servers->len, BACKFILL_SERVERS_MAX);
+
+      for (j = 0; j < count; j++)
+        {
+          struct ColtPlacementServer *server
+              = g_ptr_array_index (reservation->servers, j);
+
+          if (colt_servers_take_work (server)
+              && server->digest.server != search->task->avoid
+              && colt_resources_fit (&search->demand, &server->usable)
+              && leaves_in_time_ (search, server, reservation->ready_us))
+            return server;
+        }
+    }
+  return NULL;
+}
+
+static bool
+deserves_ (const struct ColtSearch *search)
+{
+  const struct ColtPlacement *placement = search->placement;
+  uint32_t servers = g_hash_table_size (placement->servers);
+  uint32_t most
+      = CLAMP (servers / SERVERS_PER_RESERVATION, 1, RESERVATIONS_MAX);
+  guint i;
+
+  if (placement->reservations->len >= most
+      || search->now_us < search->team->reserve_after_us
+      || search->now_us < search->task->arrived_us + PATIENCE_US
+      || !is_large_ (search))
+    return false;
+  for (i = 0; i < placement->reservations->len; i++)
+    {
+      const struct ColtReservation *reservation
+          = g_ptr_array_index (placement->reservations, i);
+
+      if (reservation->team == search->team
+          || colt_id_equal (&reservation->request, &search->task->request))
+        return false;
+    }
+  return true;
+}
+
+static bool
+is_large_ (const struct ColtSearch *search)
+{
+  const int64_t *demand = search->demand.amount;
+  const int64_t *total = search->placement->total.amount;
+  int64_t servers = g_hash_table_size (search->placement->servers);
+  int i;
+
+  if (search->task->urgent || search->task->kind == COLT_WORK_GANG
+      || demand[COLT_RESOURCE_ACCELERATORS] > 1)
+    return true;
+  for (i = 0; i < COLT_RESOURCE_ACCELERATORS; i++)
+    if (demand[i] * servers * LARGE_PART > total[i])
+      return true;
+  return false;
+}
+
+static uint32_t
+tasks_waiting_ (const struct ColtSearch *search)
+{
+  const struct ColtGang *gang
+      = g_hash_table_lookup (search->placement->gangs, &search->task->request);
+
+  return gang != NULL ? gang->members->len : 1;
+}
+
+/* Of a sample of servers that are large enough, the one that is expected to
+ * have room first. */
+static struct ColtPlacementServer *
+choose_server_ (const struct ColtSearch *search, int64_t *ready_us)
+{
+  const struct ColtPlacement *placement = search->placement;
+  const struct ColtFitTree *tree
+      = placement->capacities[colt_search_class (search)];
+  uint32_t count = colt_fit_tree_count (tree);
+  bool all = count <= 2 * COLT_CANDIDATES_MAX;
+  struct ColtPlacementServer *best = NULL;
+  bool best_known = false;
+  uint32_t from = 0;
+  unsigned i;
+
+  for (i = 0; i < 2 * COLT_CANDIDATES_MAX; i++)
+    {
+      int64_t time_us = search->now_us;
+      struct ColtPlacementServer *server;
+      bool known;
+
+      if (!all)
+        from = g_rand_int (placement->random) % count;
+      server = colt_fit_tree_find (tree, &search->demand, from,
+                                   COLT_FIT_NODES_MAX);
+      if (server == NULL)
+        break;
+      from = server->positions[COLT_TREE_CAPACITY] + 1;
+      if (server->reservation != NULL || !colt_servers_take_work (server))
+        continue;
+      known = foretell_ (server, &search->demand, search->now_us, &time_us);
+      if (best != NULL
+          && (best_known > known
+              || (best_known == known && time_us >= *ready_us)))
+        continue;
+      best = server;
+      best_known = known;
+      *ready_us = time_us;
+    }
+  if (best != NULL && !best_known)
+    *ready_us = search->now_us;
+  return best;
+}
+
+/* Says when a server has room, if only tasks with a known end are in the way;
+ * otherwise sets a time that orders servers by how full they are. */
+static bool
+foretell_ (const struct ColtPlacementServer *server,
+           const struct ColtResources *demand,
+           int64_t now_us,
+           int64_t *ready_us)
+{
+  const struct ColtPlacedTask *releases[RELEASES_MAX];
+  struct ColtResources free = server->digest.free;
+  const struct ColtPlacedTask *placed;
+  size_t count = 0;
+  size_t i;
+
+  *ready_us = now_us;
+  if (colt_resources_fit (demand, &free))
+    return true;
+  for (placed = server->placed; placed != NULL && count < RELEASES_MAX;
+       placed = placed->next)
+    if (placed->end_us != COLT_TIME_NEVER)
+      releases[count++] = placed;
+  qsort (releases, count, sizeof releases[0], compare_ends_);
+  for (i = 0; i < count; i++)
+    {
+      colt_resources_add (&free, &releases[i]->declared);
+      *ready_us = MAX (now_us, releases[i]->end_us);
+      if (colt_resources_fit (demand, &free))
+        return true;
+    }
+  for (i = 0; i < COLT_RESOURCE_COUNT; i++)
+    *ready_us += demand->amount[i] > free.amount[i] ? COLT_US_PER_S : 0;
+  return false;
+}
+
+/* How many tasks of a demand an empty server holds. */
+static uint32_t
+holds_ (const struct ColtPlacementServer *server,
+        const struct ColtResources *demand)
+{
+  int64_t count = COLT_TASKS_PER_REQUEST_MAX;
+  int i;
+
+  for (i = 0; i < COLT_RESOURCE_COUNT; i++)
+    if (demand->amount[i] > 0)
+      count
+          = MIN (count, server->digest.capacity.amount[i] / demand->amount[i]);
+  return (uint32_t)MAX (count, 1);
+}
+
+static gint
+compare_ends_ (gconstpointer a, gconstpointer b)
+{
+  const struct ColtPlacedTask *first = *(gconstpointer const *)a;
+  const struct ColtPlacedTask *second = *(gconstpointer const *)b;
+
+  return (first->end_us > second->end_us) - (first->end_us < second->end_us);
+}
+
+static bool
+leaves_in_time_ (const struct ColtSearch *search,
+                 const struct ColtPlacementServer *server,
+                 int64_t ready_us)
+{
+  double speed = colt_learned_speed (server, search->task->kind);
+  double run_us = search->run_ms * SAFETY * COLT_SPEED_NORMAL / speed
+                  * (double)COLT_US_PER_MS;
+
+  return search->now_us + (int64_t)run_us <= ready_us;
+}
--- /dev/null
+++ b/src/placement/search.c
@@ -0,0 +1,207 @@
+#include "placement_private.h"
+
+/* How long a task stays away from the server where it failed. */
+#define AVOID_US (2 * COLT_US_PER_S)
+
+/* The best server that was seen so far. */
+struct ColtBest
+{
+  struct ColtSearch *search;
+  const struct ColtPolicy *policy;
+  struct ColtPlacementServer *server;
+  double cost;
+  unsigned seen;
+};
+
+static void search_plain_ (struct ColtBest *best);
+static void search_accelerated_ (struct ColtBest *best, int64_t accelerators);
+static void look_at_ (struct ColtBest *best, const struct ColtFitTree *tree);
+static void consider_ (struct ColtBest *best,
+                       struct ColtPlacementServer *server);
+static bool is_allowed_ (const struct ColtSearch *search,
+                         const struct ColtPlacementServer *server);
+static bool leaves_accelerators_ (const struct ColtSearch *search,
+                                  const struct ColtPlacementServer *server);
+static void search_reservation_ (struct ColtBest *best);
+
+struct ColtPlacementServer *
+colt_search_server (struct ColtSearch *search)
+{
+  struct ColtPlacement *placement = search->placement;
+  const struct ColtPlacementTask *task = search->task;
+  struct ColtBest best
+      = { search, &colt_policies[placement->rules[task->kind].policy], NULL, 0,
+          0 };
+  int64_t accelerators = search->demand.amount[COLT_RESOURCE_ACCELERATORS];
+
+  if (placement->searches > 0)
+    placement->searches--;
+  search_reservation_ (&best);
+  if (best.server != NULL)
+    return best.server;
+  if (accelerators == 0)
+    search_plain_ (&best);
+  if (best.server == NULL)
+    search_accelerated_ (&best, accelerators);
+  if (best.server == NULL && task->urgent)
+    look_at_ (&best, placement->reserve);
+  if (best.server == NULL)
+    return colt_reservations_backfill (search);
+  return best.server;
+}
+
+enum ColtServerClass
+colt_search_class (const struct ColtSearch *search)
+{
+  if (search->demand.amount[COLT_RESOURCE_ACCELERATORS] == 0
+      && colt_servers_hold (search->placement, COLT_SERVERS_PLAIN,
+                            &search->demand))
+    return COLT_SERVERS_PLAIN;
+  return COLT_SERVERS_ACCELERATED;
+}
+
+static void
+search_plain_ (struct ColtBest *best)
+{
+  const struct ColtPlacement *placement = best->search->placement;
+  unsigned i;
+
+  for (i = 0; i < COLT_GROUP_PLAIN_COUNT; i++)
+    {
+      unsigned group
+          = best->policy->emptiest_first ? COLT_GROUP_PLAIN_COUNT - 1 - i : i;
+
+      look_at_ (best, placement->groups[group]);
+      if (best->server != NULL && !best->policy->across_groups)
+        return;
+      if (best->seen >= COLT_CANDIDATES_MAX)
+        return;
+    }
+}
+
+/* The fewest free accelerators that are enough keep the others together. */
+static void
+search_accelerated_ (struct ColtBest *best, int64_t accelerators)
+{
+  const struct ColtPlacement *placement = best->search->placement;
+  int64_t i = MIN (accelerators, (int64_t)COLT_GROUP_ACCELERATED_COUNT - 1);
+
+  for (; i < COLT_GROUP_ACCELERATED_COUNT && best->server == NULL; i++)
+    look_at_ (best, placement->groups[COLT_GROUP_PLAIN_COUNT + i]);
+}
+
+/* Looks at all servers of a small tree, and at a sample of a large one. */
+static void
+look_at_ (struct ColtBest *best, const struct ColtFitTree *tree)
+{
+  GRand *random = best->search->placement->random;
+  uint32_t count = colt_fit_tree_count (tree);
+  bool all = count <= 2 * COLT_CANDIDATES_MAX;
+  uint32_t from = 0;
+  unsigned i;
+
+  if (count == 0)
+    return;
+  for (i = 0; i < 2 * COLT_CANDIDATES_MAX; i++)
+    {
+      struct ColtPlacementServer *server;
+
+      if (!all)
+        from = g_rand_int (random) % count;
+      server = colt_fit_tree_find (tree, &best->search->demand, from,
+                                   COLT_FIT_NODES_MAX);
+      if (server == NULL && !all && from > 0)
+        server = colt_fit_tree_find (tree, &best->search->demand, 0,
+                                     COLT_FIT_NODES_MAX);
+      if (server == NULL)
+        return;
+      consider_ (best, server);
+      if (!all && best->seen >= COLT_CANDIDATES_MAX)
+        return;
+      from = server->positions[tree == best->search->placement->reserve
+                                   ? COLT_TREE_RESERVE
+                                   : COLT_TREE_USABLE]
+             + 1;
+    }
+}
+
+static void
+consider_ (struct ColtBest *best, struct ColtPlacementServer *server)
+{
+  double cost;
+
+  if (!is_allowed_ (best->search, server))
+    return;
+  cost = best->policy->cost (best->search, server);
+  best->seen++;
+  if (best->server != NULL && cost >= best->cost)
+    return;
+  best->server = server;
+  best->cost = cost;
+}
+
+static bool
+is_allowed_ (const struct ColtSearch *search,
+             const struct ColtPlacementServer *server)
+{
+  const struct ColtPlacementTask *task = search->task;
+  uint32_t probation = server->digest.probation_permille;
+
+  if (server->digest.server == task->avoid
+      && search->now_us < task->arrived_us + AVOID_US)
+    return false;
+  if (probation < 1000
+      && g_rand_int (search->placement->random) % 1000 >= probation)
+    return false;
+  return task->urgent || leaves_accelerators_ (search, server)
+         || colt_search_class (search) == COLT_SERVERS_ACCELERATED;
+}
+
+/* Work without accelerators may use a server that has some only as far as
+ * each free accelerator keeps a slot and half of its part of cores and
+ * memory. */
+static bool
+leaves_accelerators_ (const struct ColtSearch *search,
+                      const struct ColtPlacementServer *server)
+{
+  static const enum ColtResource shared[]
+      = { COLT_RESOURCE_CORES, COLT_RESOURCE_MEMORY };
+  const int64_t *capacity = server->digest.capacity.amount;
+  const int64_t *free = server->digest.free.amount;
+  const int64_t *demand = search->demand.amount;
+  int64_t accelerators = free[COLT_RESOURCE_ACCELERATORS];
+  size_t i;
+
+  if (demand[COLT_RESOURCE_ACCELERATORS] > 0
+      || capacity[COLT_RESOURCE_ACCELERATORS] == 0)
+    return true;
+  if (free[COLT_RESOURCE_SLOTS] - demand[COLT_RESOURCE_SLOTS] < accelerators)
+    return false;
+  for (i = 0; i < G_N_ELEMENTS (shared); i++)
+    if ((free[shared[i]] - demand[shared[i]]) * 2
+            * capacity[COLT_RESOURCE_ACCELERATORS]
+        < accelerators * capacity[shared[i]])
+      return false;
+  return true;
+}
+
+static void
+search_reservation_ (struct ColtBest *best)
+{
+  struct ColtSearch *search = best->search;
+  const struct ColtReservation *reservation
+      = colt_reservations_find (search->placement, &search->task->request);
+  guint i;
+
+  if (reservation == NULL)
+    return;
+  for (i = 0; i < reservation->servers->len; i++)
+    {
+      struct ColtPlacementServer *server
+          = g_ptr_array_index (reservation->servers, i);
+
+      if (colt_servers_take_work (server)
+          && colt_resources_fit (&search->demand, &server->digest.free))
+        consider_ (best, server);
+    }
+}
--- a/src/request/requests.c
+++ b/src/request/requests.c
@@ -107,6 +107,7 @@
                       enum ColtReason reason,
                       int64_t now_us);
 static bool ever_ran_ (const struct ColtRequest *request);
+static bool is_in_flight_ (const struct ColtRequest *request);
 static void take_report_ (struct ColtRequests *requests,
                           struct ColtRequest *request,
                           struct ColtRequestTask *task,
@@ -279,6 +280,21 @@
   abandon_ (requests, request, COLT_REASON_CANCELLED, now_us);
 }
 
+bool
+colt_requests_refuse_waiting (struct ColtRequests *requests,
+                              const struct ColtId *id,
+                              enum ColtReason reason,
+                              int64_t now_us)
+{
+  struct ColtRequest *request = find_ (requests, id);
+
+  if (request == NULL || request->outcome != COLT_OUTCOME_PENDING
+      || request->recovered || ever_ran_ (request) || is_in_flight_ (request))
+    return false;
+  abandon_ (requests, request, reason, now_us);
+  return true;
+}
+
 const struct ColtRequest *
 colt_requests_find (const struct ColtRequests *requests,
                     const struct ColtId *id)
@@ -921,6 +937,18 @@
   return false;
 }
 
+static bool
+is_in_flight_ (const struct ColtRequest *request)
+{
+  uint32_t i;
+
+  for (i = 0; i < request->spec.tasks; i++)
+    if (request->tasks[i].state == COLT_REQUEST_TASK_SENT
+        || request->tasks[i].state == COLT_REQUEST_TASK_RUNNING)
+      return true;
+  return false;
+}
+
 static void
 take_report_ (struct ColtRequests *requests,
               struct ColtRequest *request,
