Limits over zones: fold of the log, credits, transfers

A team's upper limit holds over all zones while records, leads, owners and zones come and go. Zones use the least of their entitlements over the offsets at which some zone may still stand; compliance is kept for each shard of teams, with single teams as exceptions, so that one team which runs too much does not hold up the others. Credits are ceilings with sequence numbers; an owner counts with the highest it may still act on. Servers that change hands count at the old owner until the lead counts them at the new one.

A zone complies with an offset only if it runs no more than the least over the offsets still possible, not only than at that offset itself: otherwise a zone that skips an offset lets another one use a raise made there.

The tests drive three zones with messages lost, doubled and reordered; after each start the sum of what runs is compared with the limit at the lowest offset any zone stands at.

--- a/include/coltsfootstile/credits.h
+++ b/include/coltsfootstile/credits.h
@@ -42,11 +42,14 @@
 /** Names of enum ColtCreditLeadState, indexed by it. */
 extern const char *const colt_credit_lead_state_string[];
 
-/** Sends a grant to its owner; the message is the caller's afterwards not. */
+/** Sends a grant to its owner; the message is valid during the call. */
 typedef void (*ColtCreditGrantFunc) (void *context,
                                      const struct ColtCreditGrant *grant);
 
-/** Sends a report to the lead of its shard at its epoch. */
+/**
+ * Sends a report to the lead of its shard at its epoch; the message is valid
+ * during the call.
+ */
 typedef void (*ColtCreditReportFunc) (void *context,
                                       const struct ColtCreditReport *report);
 
@@ -138,7 +141,7 @@
  * Gets what runs and waits of each team of the shard, as last reported, for a
  * demand digest.
  *
- * \param demands  GArray is not used here: receives the count of entries
+ * \param count    receives the number of entries
  * \return         array to be freed with free(), NULL if there is none
  */
 struct ColtDemand *colt_credit_lead_demands (const struct ColtCreditLead *lead,
--- a/include/coltsfootstile/entitlement.h
+++ b/include/coltsfootstile/entitlement.h
@@ -14,9 +14,9 @@
  * each zone and shard of teams, with exceptions for single teams; it only
  * grows, and is exchanged between entry instances.
  *
- * Offsets here are those at which some entitlement changed. The offset 0 is
- * that of no record; the first record of the log counts as 1 or more, so a
- * caller passes the log's offset plus 1.
+ * A zone that complies with the last change of a shard's teams complies with
+ * all later offsets up to the next change. The offset 0 is that of no record:
+ * a caller passes the log's offset plus 1.
  */
 #ifndef COLTSFOOTSTILE_ENTITLEMENT_H
 #define COLTSFOOTSTILE_ENTITLEMENT_H
@@ -28,7 +28,7 @@
 #include "coltsfootstile/task.h"
 
 /** How many offsets behind its base a transfer record is still valid. */
-#define COLT_TRANSFER_WINDOW 4096u
+#define COLT_TRANSFER_WINDOW 16384u
 /** Steps kept of a team, zone and dimension; more are merged downwards. */
 #define COLT_ENTITLEMENT_STEPS_MAX 64u
 
@@ -68,9 +68,11 @@
  * and the old limit, which is never negative. A lowered limit shrinks the
  * entitlements in proportion to themselves, by the same method. A removed
  * zone's entitlements are divided among the others; an added zone starts
- * with none unless nothing else changes hands: it gets its part of later
+ * with none of the teams that are there already: it gets its part of later
  * raises, and transfers. A team that the bundle lacks has none.
  *
+ * All records of one offset are to be applied before anything else is asked.
+ *
  * \param offset  of the record, at least that of the record before
  * \param bundle  a bundle that has passed its own checks
  */
@@ -92,9 +94,22 @@
                                   uint64_t offset,
                                   const struct ColtQuotaTransfer *transfer);
 
+/** States that the log was read up to an offset; a lower one does nothing. */
+void colt_entitlements_reach (struct ColtEntitlements *entitlements,
+                              uint64_t offset);
+
+/** Returns the offset up to which the log was read. */
+uint64_t
+colt_entitlements_position (const struct ColtEntitlements *entitlements);
+
 /** Returns the offset at which an entitlement last changed, 0 if none did. */
 uint64_t colt_entitlements_offset (const struct ColtEntitlements *entitlements);
 
+/** Returns the offset at which one of the shard's teams last changed. */
+uint64_t
+colt_entitlements_shard_offset (const struct ColtEntitlements *entitlements,
+                                uint32_t shard);
+
 /** Returns whether the team is in the bundle in force. */
 bool colt_entitlements_has_team (const struct ColtEntitlements *entitlements,
                                  const char *team);
@@ -119,9 +134,7 @@
                                uint32_t zone,
                                struct ColtQuotaAmount *amount);
 
-/**
- * Returns whether the zone may stop using the last change of the team: whether
- * every zone is known to comply with the team's last change.
+/** Returns whether every zone is known to comply with the team's last change.
  */
 bool colt_entitlements_settled (const struct ColtEntitlements *entitlements,
                                 const char *team);
--- a/include/coltsfootstile/quota_messages.h
+++ b/include/coltsfootstile/quota_messages.h
@@ -30,7 +30,7 @@
 struct ColtQuotaTransfer
 {
   struct ColtId id; /**< makes the record idempotent; the record's own id */
-  uint64_t base;    /**< fold's offset where it was planned */
+  uint64_t base;    /**< offset up to which the planner had read the log */
   struct ColtQuotaMove *moves;
   size_t move_count;
 };
--- /dev/null
+++ b/src/quota/credit_holder_report.c
@@ -0,0 +1,298 @@
+#include <string.h>
+
+#include "credit_holder_private.h"
+
+/* Least time between reports that only tell how many tasks run, in us. */
+#define DRIFT_PERIOD_US 1000000
+
+struct ColtReportDraft
+{
+  const struct ColtCreditHolder *holder;
+  uint32_t shard;
+  bool full;
+  GArray *states; /* of struct ColtCreditState */
+  GArray *held;   /* of struct ColtServerEpoch */
+  GArray *lost;   /* of struct ColtServerEpoch */
+};
+
+static void tidy_ (struct ColtCreditHolder *holder);
+static void mark_due_ (struct ColtCreditHolder *holder,
+                       int64_t now_us,
+                       bool due[COLT_SHARD_COUNT]);
+static bool session_due_ (const struct ColtHolderSession *session,
+                          int64_t now_us);
+static bool team_due_ (const struct ColtHolderSession *session,
+                       const struct ColtHolderTeam *team,
+                       int64_t now_us);
+static bool has_lost_ (const struct ColtHolderTeam *team);
+static void
+report_shard_ (struct ColtCreditHolder *holder, uint32_t shard, int64_t now_us);
+static void collect_teams_ (struct ColtReportDraft *draft, uint64_t sequence);
+static void collect_servers_ (struct ColtReportDraft *draft);
+static void collect_lost_ (const struct ColtHolderTeam *team, GArray *lost);
+static void add_state_ (struct ColtReportDraft *draft,
+                        struct ColtHolderTeam *team,
+                        uint64_t sequence);
+static void send_ (struct ColtReportDraft *draft, uint64_t sequence);
+
+void
+colt_holder_report_ (struct ColtCreditHolder *holder, int64_t now_us)
+{
+  bool due[COLT_SHARD_COUNT] = { false };
+  uint32_t shard;
+
+  tidy_ (holder);
+  mark_due_ (holder, now_us, due);
+  for (shard = 0; shard < COLT_SHARD_COUNT; shard++)
+    if (due[shard])
+      report_shard_ (holder, shard, now_us);
+}
+
+void
+colt_holder_acknowledge_ (struct ColtCreditHolder *holder,
+                          uint32_t shard,
+                          uint64_t sequence)
+{
+  struct ColtHolderSession *session = &holder->sessions[shard];
+  GHashTableIter iter;
+  gpointer value;
+
+  if (!session->sent || session->sent_sequence != sequence)
+    return;
+  session->sent = false;
+  session->full = false;
+  session->promise_known = session->sent_promise;
+  g_hash_table_iter_init (&iter, holder->teams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct ColtHolderTeam *team = value;
+
+      if (team->shard == shard && team->sent == sequence)
+        team->urgent = false;
+    }
+  g_hash_table_iter_init (&iter, holder->servers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct ColtHolderServer *server = value;
+
+      if (server->added < sequence)
+        server->pending &= ~(UINT64_C (1) << shard);
+    }
+}
+
+/* Forgets teams of which there is nothing and of which the lead knows that. */
+static void
+tidy_ (struct ColtCreditHolder *holder)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, holder->teams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct ColtHolderTeam *team = value;
+      struct ColtHolderSession *session = &holder->sessions[team->shard];
+
+      if (team->urgent || team->waiting > 0 || team->parts->len > 0
+          || !colt_quota_is_zero (&team->running)
+          || !colt_quota_is_zero (&team->ceiling))
+        continue;
+      session->floor = MAX (session->floor, team->sequence);
+      g_hash_table_iter_remove (&iter);
+    }
+}
+
+static void
+mark_due_ (struct ColtCreditHolder *holder,
+           int64_t now_us,
+           bool due[COLT_SHARD_COUNT])
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint64_t pending = 0;
+  uint32_t shard;
+
+  g_hash_table_iter_init (&iter, holder->servers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    pending |= ((const struct ColtHolderServer *)value)->pending;
+  for (shard = 0; shard < COLT_SHARD_COUNT; shard++)
+    {
+      const struct ColtHolderSession *session = &holder->sessions[shard];
+      bool told = (pending >> shard & 1) == 0;
+
+      due[shard]
+          = session_due_ (session, now_us)
+            || (!told && session->open
+                && (!session->sent
+                    || now_us - session->sent_us >= COLT_CREDIT_RETRY_US));
+    }
+  g_hash_table_iter_init (&iter, holder->teams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct ColtHolderTeam *team = value;
+
+      if (team_due_ (&holder->sessions[team->shard], team, now_us))
+        due[team->shard] = true;
+    }
+}
+
+static bool
+session_due_ (const struct ColtHolderSession *session, int64_t now_us)
+{
+  if (!session->open)
+    return false;
+  if (session->owed)
+    return true;
+  return session->full
+         && (!session->sent
+             || now_us - session->sent_us >= COLT_CREDIT_RETRY_US);
+}
+
+static bool
+team_due_ (const struct ColtHolderSession *session,
+           const struct ColtHolderTeam *team,
+           int64_t now_us)
+{
+  int64_t age = now_us - session->sent_us;
+
+  if (!session->open)
+    return false;
+  if (team->urgent && team->sent == 0)
+    return true;
+  if (team->urgent && age >= COLT_CREDIT_RETRY_US)
+    return true;
+  if (team->drifted && age >= DRIFT_PERIOD_US)
+    return true;
+  return has_lost_ (team) && age >= COLT_CREDIT_RETRY_US;
+}
+
+static bool
+has_lost_ (const struct ColtHolderTeam *team)
+{
+  size_t i;
+
+  for (i = 0; i < team->parts->len; i++)
+    if (g_array_index (team->parts, struct ColtHolderPart, i).lost)
+      return true;
+  return false;
+}
+
+/* A report carries every change that the lead is not known to know, so that
+ * a server taken over and the tasks found there arrive together. */
+static void
+report_shard_ (struct ColtCreditHolder *holder, uint32_t shard, int64_t now_us)
+{
+  struct ColtHolderSession *session = &holder->sessions[shard];
+  struct ColtReportDraft draft = { holder, shard, session->full };
+  uint64_t sequence = ++holder->sequence;
+
+  draft.states = g_array_new (FALSE, TRUE, sizeof (struct ColtCreditState));
+  draft.held = g_array_new (FALSE, TRUE, sizeof (struct ColtServerEpoch));
+  draft.lost = g_array_new (FALSE, TRUE, sizeof (struct ColtServerEpoch));
+  collect_teams_ (&draft, sequence);
+  collect_servers_ (&draft);
+  session->sent = true;
+  session->sent_sequence = sequence;
+  session->sent_promise = session->promise;
+  session->sent_us = now_us;
+  session->owed = false;
+  send_ (&draft, sequence);
+  g_array_unref (draft.states);
+  g_array_unref (draft.held);
+  g_array_unref (draft.lost);
+}
+
+static void
+collect_teams_ (struct ColtReportDraft *draft, uint64_t sequence)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, draft->holder->teams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct ColtHolderTeam *team = value;
+
+      if (team->shard != draft->shard)
+        continue;
+      collect_lost_ (team, draft->lost);
+      if (draft->full || team->urgent || team->drifted)
+        add_state_ (draft, team, sequence);
+    }
+}
+
+static void
+collect_servers_ (struct ColtReportDraft *draft)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, draft->holder->servers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct ColtHolderServer *server = value;
+      struct ColtServerEpoch held = { server->server, server->epoch };
+
+      if (!draft->full && (server->pending >> draft->shard & 1) == 0)
+        continue;
+      g_array_append_val (draft->held, held);
+    }
+}
+
+static void
+collect_lost_ (const struct ColtHolderTeam *team, GArray *lost)
+{
+  size_t i;
+
+  for (i = 0; i < team->parts->len; i++)
+    {
+      const struct ColtHolderPart *part
+          = &g_array_index (team->parts, struct ColtHolderPart, i);
+      struct ColtServerEpoch entry = { part->server, part->epoch };
+
+      if (part->lost)
+        g_array_append_val (lost, entry);
+    }
+}
+
+static void
+add_state_ (struct ColtReportDraft *draft,
+            struct ColtHolderTeam *team,
+            uint64_t sequence)
+{
+  struct ColtCreditState state = { 0 };
+
+  g_strlcpy (state.team, team->name, sizeof state.team);
+  state.sequence = team->sequence;
+  state.ceiling = team->ceiling;
+  state.running = team->running;
+  state.unit = team->unit;
+  state.waiting = team->waiting;
+  g_array_append_val (draft->states, state);
+  team->sent = sequence;
+  team->drifted = false;
+  team->reported_waiting = team->waiting;
+  team->reported_running = team->running.amount[COLT_QUOTA_TASKS];
+}
+
+static void
+send_ (struct ColtReportDraft *draft, uint64_t sequence)
+{
+  const struct ColtHolderSession *session
+      = &draft->holder->sessions[draft->shard];
+  struct ColtCreditReport report = { 0 };
+
+  report.owner = draft->holder->owner;
+  report.shard = draft->shard;
+  report.epoch = session->epoch;
+  report.sequence = sequence;
+  report.promise = session->promise;
+  report.full = draft->full;
+  report.states = (struct ColtCreditState *)(void *)draft->states->data;
+  report.state_count = draft->states->len;
+  report.held = (struct ColtServerEpoch *)(void *)draft->held->data;
+  report.held_count = draft->held->len;
+  report.lost = (struct ColtServerEpoch *)(void *)draft->lost->data;
+  report.lost_count = draft->lost->len;
+  draft->holder->send (draft->holder->context, &report);
+}
--- /dev/null
+++ b/src/test_quota/world.c
@@ -0,0 +1,959 @@
+#include "world.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define FIRST_EPOCH 1
+#define SETTLE_STEP_US 50000
+#define ALL_INSTANCES (WORLD_ZONES * WORLD_INSTANCES)
+
+struct ColtWorldRecord
+{
+  bool bundle;
+  unsigned zone_mask;
+  struct ColtQuotaAmount limits[WORLD_TEAMS];
+  struct ColtQuotaTransfer transfer;
+  struct ColtQuotaMove move;
+};
+
+struct ColtWorldInstance
+{
+  bool alive;
+  uint64_t owner;
+  struct ColtEntitlements *fold;
+  struct ColtCreditHolder *holder;
+  uint64_t held[WORLD_SERVERS];  /* epoch at which it last held it */
+  bool unnoticed[WORLD_SERVERS]; /* has lost it and doesn't know */
+};
+
+/* An owner that is gone but may still be counted. */
+struct ColtWorldGone
+{
+  uint64_t owner;
+  uint64_t held[WORLD_SERVERS];
+};
+
+struct ColtWorldTask
+{
+  int team;
+  struct ColtQuotaAmount amount;
+};
+
+struct ColtWorldServer
+{
+  int owner; /* instance, -1: none */
+  uint64_t epoch;
+  GArray *tasks; /* of struct ColtWorldTask */
+};
+
+struct ColtWorldLead
+{
+  struct ColtCreditLead *lead;
+  uint64_t epoch;
+  int instance;
+};
+
+struct ColtWorldZone
+{
+  bool cut;
+  uint64_t epoch;
+  struct ColtWorldInstance instances[WORLD_INSTANCES];
+  struct ColtWorldServer servers[WORLD_SERVERS];
+  struct ColtWorldLead leads[WORLD_LEADS];
+  GArray *gone; /* of struct ColtWorldGone */
+  uint64_t complied[WORLD_TEAMS];
+};
+
+struct ColtWorldMessage
+{
+  int zone;
+  bool grant;
+  uint8_t *bytes;
+  size_t size;
+};
+
+struct ColtWorld
+{
+  char teams[WORLD_TEAMS][COLT_NAME_SIZE];
+  struct ColtWorldZone zones[WORLD_ZONES];
+  struct ColtWorldRecord records[WORLD_RECORDS];
+  int record_count;
+  bool log_up;
+  GArray *messages; /* of struct ColtWorldMessage */
+  uint64_t next_owner;
+  int64_t now_us;
+  int sending_zone;
+  struct ColtEntitlements *reference;
+};
+
+static void name_teams_ (struct ColtWorld *world);
+static void send_report_ (void *context, const struct ColtCreditReport *report);
+static void send_grant_ (void *context, const struct ColtCreditGrant *grant);
+static void push_message_ (struct ColtWorld *world,
+                           bool grant,
+                           uint8_t *bytes,
+                           size_t size);
+static void free_message_ (gpointer message);
+static void boot_ (struct ColtWorld *world,
+                   int zone,
+                   int instance,
+                   struct ColtEntitlements *fold,
+                   uint64_t floor);
+static void
+apply_ (struct ColtWorld *world, struct ColtEntitlements *fold, int record);
+static bool learn_ (struct ColtWorld *world,
+                    int zone,
+                    struct ColtEntitlements **fold,
+                    uint64_t *floor);
+static struct ColtEntitlements *copy_ (const struct ColtEntitlements *fold);
+static void observe_ (struct ColtWorld *world);
+static uint64_t stands_at_ (const struct ColtWorld *world, int zone, int team);
+static void check_ (struct ColtWorld *world, int team);
+static void settle_zone_ (struct ColtWorld *world, int zone);
+static void receive_ (struct ColtWorld *world,
+                      const struct ColtWorldMessage *message);
+
+struct ColtWorld *
+world_create (void)
+{
+  struct ColtWorld *world = g_new0 (struct ColtWorld, 1);
+  int zone;
+  int i;
+
+  name_teams_ (world);
+  world->log_up = true;
+  world->messages = g_array_new (FALSE, TRUE, sizeof (struct ColtWorldMessage));
+  g_array_set_clear_func (world->messages, free_message_);
+  world->reference = colt_entitlements_create ();
+  for (zone = 0; zone < WORLD_ZONES; zone++)
+    {
+      struct ColtWorldZone *entry = &world->zones[zone];
+
+      entry->epoch = FIRST_EPOCH;
+      entry->gone = g_array_new (FALSE, TRUE, sizeof (struct ColtWorldGone));
+      for (i = 0; i < WORLD_SERVERS; i++)
+        {
+          entry->servers[i].owner = -1;
+          entry->servers[i].tasks
+              = g_array_new (FALSE, TRUE, sizeof (struct ColtWorldTask));
+        }
+      for (i = 0; i < WORLD_INSTANCES; i++)
+        boot_ (world, zone, i, colt_entitlements_create (), 0);
+      for (i = 0; i < WORLD_SERVERS; i++)
+        world_take_over (world, zone, i, i % WORLD_INSTANCES);
+    }
+  return world;
+}
+
+void
+world_destroy (struct ColtWorld *world)
+{
+  int zone;
+  int i;
+
+  for (zone = 0; zone < WORLD_ZONES; zone++)
+    {
+      struct ColtWorldZone *entry = &world->zones[zone];
+
+      for (i = 0; i < WORLD_LEADS; i++)
+        world_depose (world, zone, i);
+      for (i = 0; i < WORLD_INSTANCES; i++)
+        {
+          colt_credit_holder_destroy (entry->instances[i].holder);
+          colt_entitlements_destroy (entry->instances[i].fold);
+        }
+      for (i = 0; i < WORLD_SERVERS; i++)
+        g_array_unref (entry->servers[i].tasks);
+      g_array_unref (entry->gone);
+    }
+  colt_entitlements_destroy (world->reference);
+  g_array_unref (world->messages);
+  g_free (world);
+}
+
+const char *
+world_team (const struct ColtWorld *world, int team)
+{
+  return world->teams[team];
+}
+
+bool
+world_append_bundle (struct ColtWorld *world,
+                     const struct ColtQuotaAmount limits[WORLD_TEAMS],
+                     unsigned zone_mask)
+{
+  struct ColtWorldRecord *record;
+
+  if (!world->log_up || world->record_count == WORLD_RECORDS)
+    return false;
+  record = &world->records[world->record_count++];
+  record->bundle = true;
+  record->zone_mask = zone_mask;
+  memcpy (record->limits, limits, sizeof record->limits);
+  apply_ (world, world->reference, world->record_count - 1);
+  return true;
+}
+
+bool
+world_append_transfer (struct ColtWorld *world,
+                       int team,
+                       uint32_t from,
+                       uint32_t to,
+                       const struct ColtQuotaAmount *amount)
+{
+  struct ColtWorldRecord *record;
+
+  if (!world->log_up || world->record_count == WORLD_RECORDS)
+    return false;
+  record = &world->records[world->record_count++];
+  record->transfer.id.bytes[0] = (uint8_t)world->record_count;
+  record->transfer.base = 0;
+  record->transfer.moves = &record->move;
+  record->transfer.move_count = 1;
+  g_strlcpy (record->move.team, world->teams[team], sizeof record->move.team);
+  record->move.from = from;
+  record->move.to = to;
+  record->move.amount = *amount;
+  apply_ (world, world->reference, world->record_count - 1);
+  return true;
+}
+
+bool
+world_append_again (struct ColtWorld *world, int record)
+{
+  if (!world->log_up || world->record_count == WORLD_RECORDS
+      || record >= world->record_count)
+    return false;
+  world->records[world->record_count] = world->records[record];
+  if (!world->records[record].bundle)
+    world->records[world->record_count].transfer.moves
+        = &world->records[world->record_count].move;
+  world->record_count++;
+  apply_ (world, world->reference, world->record_count - 1);
+  return true;
+}
+
+int
+world_records (const struct ColtWorld *world)
+{
+  return world->record_count;
+}
+
+void
+world_set_log (struct ColtWorld *world, bool up)
+{
+  world->log_up = up;
+}
+
+bool
+world_read (struct ColtWorld *world, int zone, int instance)
+{
+  struct ColtWorldInstance *reader = &world->zones[zone].instances[instance];
+  uint64_t position;
+
+  if (!reader->alive || !world->log_up || world->zones[zone].cut)
+    return false;
+  position = colt_entitlements_position (reader->fold);
+  if (position >= (uint64_t)world->record_count)
+    return false;
+  apply_ (world, reader->fold, (int)position);
+  return true;
+}
+
+void
+world_kill (struct ColtWorld *world, int zone, int instance)
+{
+  struct ColtWorldZone *entry = &world->zones[zone];
+  struct ColtWorldInstance *victim = &entry->instances[instance];
+  struct ColtWorldGone gone;
+  int i;
+
+  if (!victim->alive)
+    return;
+  for (i = 0; i < WORLD_LEADS; i++)
+    if (entry->leads[i].lead != NULL && entry->leads[i].instance == instance)
+      world_depose (world, zone, i);
+  gone.owner = victim->owner;
+  memcpy (gone.held, victim->held, sizeof gone.held);
+  g_array_append_val (entry->gone, gone);
+  for (i = 0; i < WORLD_SERVERS; i++)
+    if (entry->servers[i].owner == instance)
+      entry->servers[i].owner = -1;
+  colt_credit_holder_destroy (victim->holder);
+  colt_entitlements_destroy (victim->fold);
+  memset (victim, 0, sizeof *victim);
+}
+
+void
+world_start (struct ColtWorld *world, int zone, int instance)
+{
+  struct ColtEntitlements *fold;
+  uint64_t floor;
+  int i;
+
+  if (world->zones[zone].instances[instance].alive
+      || !learn_ (world, zone, &fold, &floor))
+    return;
+  boot_ (world, zone, instance, fold, floor);
+  for (i = 0; i < WORLD_LEADS; i++)
+    if (world->zones[zone].leads[i].lead != NULL)
+      colt_credit_lead_add_owner (world->zones[zone].leads[i].lead,
+                                  world->zones[zone].instances[instance].owner);
+}
+
+void
+world_cut (struct ColtWorld *world, int zone, bool cut)
+{
+  world->zones[zone].cut = cut;
+}
+
+void
+world_gossip (struct ColtWorld *world,
+              int from_zone,
+              int from,
+              int to_zone,
+              int to)
+{
+  const struct ColtWorldInstance *teller
+      = &world->zones[from_zone].instances[from];
+  struct ColtWorldInstance *hearer = &world->zones[to_zone].instances[to];
+  struct ColtComplianceVector *vector;
+  struct ColtComplianceVector *read;
+  uint8_t *bytes;
+  size_t size;
+  size_t i;
+
+  if (!teller->alive || !hearer->alive || teller == hearer)
+    return;
+  if (from_zone != to_zone
+      && (world->zones[from_zone].cut || world->zones[to_zone].cut))
+    return;
+  vector = colt_entitlements_compliance (teller->fold, 0);
+  bytes = colt_compliance_vector_pack (vector, &size);
+  read = colt_compliance_vector_unpack (bytes, size, NULL);
+  g_assert (read != NULL);
+  for (i = 0; i < read->entry_count; i++)
+    colt_entitlements_comply (hearer->fold, &read->entries[i]);
+  free (bytes);
+  colt_compliance_vector_destroy (vector);
+  colt_compliance_vector_destroy (read);
+}
+
+struct ColtEntitlements *
+world_fold (struct ColtWorld *world, int zone, int instance)
+{
+  return world->zones[zone].instances[instance].fold;
+}
+
+struct ColtCreditHolder *
+world_holder (struct ColtWorld *world, int zone, int instance)
+{
+  return world->zones[zone].instances[instance].holder;
+}
+
+/* A lead covers every server: none may be without an owner that lives. */
+void
+world_elect (struct ColtWorld *world, int zone, int instance)
+{
+  struct ColtWorldZone *entry = &world->zones[zone];
+  struct ColtWorldLead *slot = NULL;
+  int i;
+
+  if (!entry->instances[instance].alive)
+    return;
+  for (i = 0; i < WORLD_SERVERS; i++)
+    if (entry->servers[i].owner < 0)
+      return;
+  for (i = 0; i < WORLD_LEADS; i++)
+    if (entry->leads[i].lead == NULL)
+      slot = &entry->leads[i];
+  if (slot == NULL)
+    return;
+  slot->epoch = entry->epoch++;
+  slot->instance = instance;
+  slot->lead = colt_credit_lead_create (
+      (uint32_t)zone + 1, colt_team_shard (world->teams[0]), slot->epoch,
+      entry->instances[instance].fold, send_grant_, world);
+  for (i = 0; i < WORLD_INSTANCES; i++)
+    if (entry->instances[i].alive)
+      colt_credit_lead_add_owner (slot->lead, entry->instances[i].owner);
+}
+
+void
+world_depose (struct ColtWorld *world, int zone, int lead)
+{
+  struct ColtWorldLead *slot = &world->zones[zone].leads[lead];
+
+  colt_credit_lead_destroy (slot->lead);
+  memset (slot, 0, sizeof *slot);
+}
+
+void
+world_process_lead (struct ColtWorld *world, int zone, int lead)
+{
+  struct ColtWorldLead *slot = &world->zones[zone].leads[lead];
+
+  if (slot->lead == NULL)
+    return;
+  world->sending_zone = zone;
+  colt_credit_lead_process (slot->lead, world->now_us);
+  observe_ (world);
+}
+
+/* Lets a lead forget owners that are gone and whose servers are counted. */
+void
+world_admit (struct ColtWorld *world, int zone, int lead)
+{
+  struct ColtWorldZone *entry = &world->zones[zone];
+  struct ColtCreditLead *counter = entry->leads[lead].lead;
+  size_t i;
+  int server;
+
+  if (counter == NULL)
+    return;
+  for (i = 0; i < entry->gone->len; i++)
+    {
+      const struct ColtWorldGone *gone
+          = &g_array_index (entry->gone, struct ColtWorldGone, i);
+      bool counted = true;
+
+      for (server = 0; server < WORLD_SERVERS; server++)
+        if (gone->held[server] > 0
+            && !colt_credit_lead_counts_server (counter, (uint32_t)server + 1,
+                                                gone->held[server]))
+          counted = false;
+      if (counted)
+        colt_credit_lead_remove_owner (counter, gone->owner);
+    }
+}
+
+const struct ColtCreditLead *
+world_lead (const struct ColtWorld *world, int zone, int lead)
+{
+  return world->zones[zone].leads[lead].lead;
+}
+
+size_t
+world_messages (const struct ColtWorld *world)
+{
+  return world->messages->len;
+}
+
+void
+world_deliver (struct ColtWorld *world, size_t index, bool keep)
+{
+  struct ColtWorldMessage message;
+
+  if (index >= world->messages->len)
+    return;
+  message = g_array_index (world->messages, struct ColtWorldMessage, index);
+  message.bytes = g_memdup2 (message.bytes, message.size + 1);
+  if (!keep)
+    world_lose (world, index);
+  receive_ (world, &message);
+  g_free (message.bytes);
+}
+
+void
+world_lose (struct ColtWorld *world, size_t index)
+{
+  if (index < world->messages->len)
+    g_array_remove_index (world->messages, (guint)index);
+}
+
+void
+world_wait (struct ColtWorld *world, int zone, int instance, int team, int n)
+{
+  const struct ColtQuotaAmount unit = { { 1, 1, 0 } };
+  struct ColtWorldInstance *owner = &world->zones[zone].instances[instance];
+
+  if (owner->alive)
+    colt_credit_holder_set_waiting (owner->holder, world->teams[team], n,
+                                    &unit);
+}
+
+bool
+world_run (struct ColtWorld *world,
+           int zone,
+           int instance,
+           int server,
+           int team,
+           int64_t cores)
+{
+  struct ColtWorldInstance *owner = &world->zones[zone].instances[instance];
+  struct ColtWorldServer *target = &world->zones[zone].servers[server];
+  struct ColtWorldTask task = { team, { { 1, cores, 0 } } };
+
+  if (!owner->alive || owner->held[server] == 0)
+    return false;
+  if (!colt_credit_holder_take (owner->holder, world->teams[team],
+                                (uint32_t)server + 1, &task.amount))
+    return false;
+  if (target->owner != instance)
+    {
+      colt_credit_holder_give (owner->holder, world->teams[team],
+                               (uint32_t)server + 1, &task.amount);
+      return false;
+    }
+  g_array_append_val (target->tasks, task);
+  check_ (world, team);
+  return true;
+}
+
+bool
+world_end (struct ColtWorld *world, int zone, int server, int index)
+{
+  struct ColtWorldServer *target = &world->zones[zone].servers[server];
+  struct ColtWorldTask task;
+
+  if (index >= (int)target->tasks->len)
+    return false;
+  task = g_array_index (target->tasks, struct ColtWorldTask, index);
+  g_array_remove_index (target->tasks, (guint)index);
+  if (target->owner >= 0)
+    colt_credit_holder_give (world->zones[zone].instances[target->owner].holder,
+                             world->teams[task.team], (uint32_t)server + 1,
+                             &task.amount);
+  return true;
+}
+
+void
+world_take_over (struct ColtWorld *world, int zone, int server, int instance)
+{
+  struct ColtWorldZone *entry = &world->zones[zone];
+  struct ColtWorldInstance *taker = &entry->instances[instance];
+  struct ColtWorldServer *target = &entry->servers[server];
+  guint i;
+
+  if (!taker->alive || target->owner == instance || taker->unnoticed[server])
+    return;
+  if (target->owner >= 0)
+    entry->instances[target->owner].unnoticed[server] = true;
+  target->owner = instance;
+  taker->held[server] = ++target->epoch;
+  for (i = 0; i < target->tasks->len; i++)
+    {
+      const struct ColtWorldTask *task
+          = &g_array_index (target->tasks, struct ColtWorldTask, i);
+
+      colt_credit_holder_adopt (taker->holder, world->teams[task->team],
+                                (uint32_t)server + 1, &task->amount);
+    }
+  colt_credit_holder_hold_server (taker->holder, (uint32_t)server + 1,
+                                  target->epoch);
+}
+
+/* Tells an instance of the servers that it has lost. */
+void
+world_notice (struct ColtWorld *world, int zone, int instance)
+{
+  struct ColtWorldInstance *owner = &world->zones[zone].instances[instance];
+  int server;
+
+  for (server = 0; owner->alive && server < WORLD_SERVERS; server++)
+    if (owner->unnoticed[server])
+      {
+        owner->unnoticed[server] = false;
+        colt_credit_holder_lose_server (owner->holder, (uint32_t)server + 1);
+      }
+}
+
+void
+world_process_holder (struct ColtWorld *world, int zone, int instance)
+{
+  struct ColtWorldInstance *owner = &world->zones[zone].instances[instance];
+
+  if (!owner->alive)
+    return;
+  world->sending_zone = zone;
+  colt_credit_holder_process (owner->holder, world->now_us);
+}
+
+int64_t
+world_running (const struct ColtWorld *world, int zone, int team)
+{
+  int64_t running = 0;
+  int z;
+  int server;
+  guint i;
+
+  for (z = 0; z < WORLD_ZONES; z++)
+    for (server = 0; server < WORLD_SERVERS; server++)
+      {
+        const GArray *tasks = world->zones[z].servers[server].tasks;
+
+        for (i = 0; (zone < 0 || z == zone) && i < tasks->len; i++)
+          running += g_array_index (tasks, struct ColtWorldTask, i).team == team
+                         ? 1
+                         : 0;
+      }
+  return running;
+}
+
+void
+world_settle (struct ColtWorld *world, int rounds)
+{
+  int round;
+  int zone;
+  int i;
+
+  for (round = 0; round < rounds; round++)
+    {
+      world->now_us += SETTLE_STEP_US;
+      for (zone = 0; zone < WORLD_ZONES; zone++)
+        settle_zone_ (world, zone);
+      while (world_messages (world) > 0)
+        world_deliver (world, 0, false);
+      for (i = 0; i < ALL_INSTANCES; i++)
+        {
+          int from = i % ALL_INSTANCES;
+          int to = (i + 1) % ALL_INSTANCES;
+
+          world_gossip (world, from / WORLD_INSTANCES, from % WORLD_INSTANCES,
+                        to / WORLD_INSTANCES, to % WORLD_INSTANCES);
+        }
+    }
+}
+
+void
+world_pass (struct ColtWorld *world, int64_t microseconds)
+{
+  world->now_us += microseconds;
+}
+
+int64_t
+world_now (const struct ColtWorld *world)
+{
+  return world->now_us;
+}
+
+void
+world_bound (struct ColtWorld *world, int team, struct ColtQuotaAmount *bound)
+{
+  uint64_t lowest = UINT64_MAX;
+  bool appeared = false;
+  int record;
+  int zone;
+
+  observe_ (world);
+  for (zone = 0; zone < WORLD_ZONES; zone++)
+    lowest = MIN (lowest, stands_at_ (world, zone, team));
+  memset (bound, 0, sizeof *bound);
+  for (record = 0; record < world->record_count; record++)
+    {
+      if (!world->records[record].bundle)
+        continue;
+      if ((uint64_t)record + 1 > lowest && appeared)
+        break;
+      *bound = world->records[record].limits[team];
+      appeared = true;
+    }
+}
+
+void
+world_check_folds (struct ColtWorld *world)
+{
+  int team;
+  uint32_t zone;
+  int i;
+
+  for (team = 0; team < WORLD_TEAMS; team++)
+    {
+      struct ColtQuotaAmount sum = { { 0 } };
+      struct ColtQuotaAmount limit;
+
+      for (zone = 1; zone <= WORLD_ZONES; zone++)
+        {
+          struct ColtQuotaAmount amount;
+
+          colt_entitlements_get (world->reference, world->teams[team], zone,
+                                 &amount);
+          colt_quota_add (&sum, &amount);
+        }
+      colt_entitlements_limit (world->reference, world->teams[team], &limit);
+      for (i = 0; i < COLT_QUOTA_COUNT; i++)
+        if (sum.amount[i] != limit.amount[i])
+          abort ();
+    }
+}
+
+static void
+name_teams_ (struct ColtWorld *world)
+{
+  uint32_t shard = 0;
+  int found = 0;
+  int i;
+
+  for (i = 0; found < WORLD_TEAMS; i++)
+    {
+      g_snprintf (world->teams[found], COLT_NAME_SIZE, "team%d", i);
+      if (found == 0)
+        shard = colt_team_shard (world->teams[0]);
+      found += colt_team_shard (world->teams[found]) == shard ? 1 : 0;
+    }
+}
+
+static void
+send_report_ (void *context, const struct ColtCreditReport *report)
+{
+  size_t size;
+  uint8_t *bytes = colt_credit_report_pack (report, &size);
+
+  push_message_ (context, false, bytes, size);
+}
+
+static void
+send_grant_ (void *context, const struct ColtCreditGrant *grant)
+{
+  size_t size;
+  uint8_t *bytes = colt_credit_grant_pack (grant, &size);
+
+  push_message_ (context, true, bytes, size);
+}
+
+static void
+push_message_ (struct ColtWorld *world, bool grant, uint8_t *bytes, size_t size)
+{
+  struct ColtWorldMessage message = { world->sending_zone, grant, bytes, size };
+
+  g_array_append_val (world->messages, message);
+}
+
+static void
+free_message_ (gpointer message)
+{
+  free (((struct ColtWorldMessage *)message)->bytes);
+}
+
+static void
+boot_ (struct ColtWorld *world,
+       int zone,
+       int instance,
+       struct ColtEntitlements *fold,
+       uint64_t floor)
+{
+  struct ColtWorldInstance *fresh = &world->zones[zone].instances[instance];
+
+  memset (fresh, 0, sizeof *fresh);
+  fresh->alive = true;
+  fresh->owner = ++world->next_owner;
+  fresh->fold = fold;
+  fresh->holder
+      = colt_credit_holder_create (fresh->owner, floor, send_report_, world);
+}
+
+static void
+apply_ (struct ColtWorld *world, struct ColtEntitlements *fold, int record)
+{
+  const struct ColtWorldRecord *entry = &world->records[record];
+  struct ColtQuotaTeam teams[WORLD_TEAMS];
+  uint32_t zones[WORLD_ZONES];
+  struct ColtQuotaBundle bundle = { zones, NULL, 0, teams, WORLD_TEAMS };
+  int i;
+
+  if (!entry->bundle)
+    {
+      colt_entitlements_apply_transfer (fold, (uint64_t)record + 1,
+                                        &entry->transfer);
+      return;
+    }
+  for (i = 0; i < WORLD_ZONES; i++)
+    if (entry->zone_mask >> i & 1)
+      zones[bundle.zone_count++] = (uint32_t)i + 1;
+  for (i = 0; i < WORLD_TEAMS; i++)
+    {
+      memcpy (teams[i].team, world->teams[i], COLT_NAME_SIZE);
+      teams[i].limit = entry->limits[i];
+    }
+  colt_entitlements_apply_bundle (fold, (uint64_t)record + 1, &bundle);
+}
+
+/* A new instance reads the log to its head. With the log out of reach it takes
+ * the newest state of all zones, if it hears all of them. */
+static bool
+learn_ (struct ColtWorld *world,
+        int zone,
+        struct ColtEntitlements **fold,
+        uint64_t *floor)
+{
+  const struct ColtEntitlements *newest = NULL;
+  int z;
+  int i;
+
+  if (world->log_up && !world->zones[zone].cut)
+    {
+      *fold = colt_entitlements_create ();
+      for (i = 0; i < world->record_count; i++)
+        apply_ (world, *fold, i);
+      *floor = (uint64_t)world->record_count;
+      return true;
+    }
+  for (z = 0; z < WORLD_ZONES; z++)
+    {
+      bool heard = false;
+
+      for (i = 0; i < WORLD_INSTANCES; i++)
+        {
+          const struct ColtWorldInstance *peer = &world->zones[z].instances[i];
+
+          if (!peer->alive)
+            continue;
+          heard = true;
+          if (newest == NULL
+              || colt_entitlements_position (peer->fold)
+                     > colt_entitlements_position (newest))
+            newest = peer->fold;
+        }
+      if (world->zones[z].cut || (!heard && z != zone))
+        return false;
+    }
+  if (newest == NULL)
+    return false;
+  *fold = copy_ (newest);
+  *floor = colt_entitlements_position (newest);
+  return true;
+}
+
+static struct ColtEntitlements *
+copy_ (const struct ColtEntitlements *fold)
+{
+  size_t size;
+  uint8_t *bytes = colt_entitlements_pack (fold, &size);
+  struct ColtEntitlements *copy = colt_entitlements_unpack (bytes, size, NULL);
+
+  g_assert (copy != NULL);
+  free (bytes);
+  return copy;
+}
+
+/* Keeps the highest offset that each zone was ever said to comply with. */
+static void
+observe_ (struct ColtWorld *world)
+{
+  int zone;
+  int z;
+  int i;
+  int team;
+
+  for (zone = 0; zone < WORLD_ZONES; zone++)
+    for (z = 0; z < WORLD_ZONES; z++)
+      for (i = 0; i < WORLD_INSTANCES; i++)
+        for (team = 0; team < WORLD_TEAMS; team++)
+          if (world->zones[z].instances[i].alive)
+            {
+              uint64_t known = colt_entitlements_complied (
+                  world->zones[z].instances[i].fold, (uint32_t)zone + 1,
+                  world->teams[team]);
+              uint64_t *highest = &world->zones[zone].complied[team];
+
+              *highest = MAX (*highest, known);
+            }
+}
+
+/* A zone that no bundle names where it stands runs nothing until one does. */
+static uint64_t
+stands_at_ (const struct ColtWorld *world, int zone, int team)
+{
+  uint64_t stand = world->zones[zone].complied[team];
+  bool present = false;
+  int record;
+
+  for (record = 0; record < world->record_count; record++)
+    {
+      bool named = world->records[record].zone_mask >> zone & 1;
+
+      if (!world->records[record].bundle)
+        continue;
+      if ((uint64_t)record + 1 <= stand)
+        present = named;
+      else if (!present && named)
+        return (uint64_t)record;
+      else if (present)
+        return stand;
+    }
+  return present ? stand : UINT64_MAX;
+}
+
+/* After a start: what runs is within the limit at the lowest offset. */
+static void
+check_ (struct ColtWorld *world, int team)
+{
+  struct ColtQuotaAmount running = { { 0 } };
+  struct ColtQuotaAmount bound;
+  int zone;
+  int server;
+  guint i;
+
+  for (zone = 0; zone < WORLD_ZONES; zone++)
+    for (server = 0; server < WORLD_SERVERS; server++)
+      {
+        const GArray *tasks = world->zones[zone].servers[server].tasks;
+
+        for (i = 0; i < tasks->len; i++)
+          {
+            const struct ColtWorldTask *task
+                = &g_array_index (tasks, struct ColtWorldTask, i);
+
+            if (task->team == team)
+              colt_quota_add (&running, &task->amount);
+          }
+      }
+  world_bound (world, team, &bound);
+  if (!colt_quota_within (&running, &bound))
+    {
+      fprintf (stderr, "%s runs above its limit: %ld > %ld\n",
+               world->teams[team], (long)running.amount[COLT_QUOTA_TASKS],
+               (long)bound.amount[COLT_QUOTA_TASKS]);
+      abort ();
+    }
+}
+
+static void
+settle_zone_ (struct ColtWorld *world, int zone)
+{
+  struct ColtWorldZone *entry = &world->zones[zone];
+  int i;
+
+  for (i = 0; i < WORLD_INSTANCES; i++)
+    {
+      while (world_read (world, zone, i))
+        continue;
+      world_notice (world, zone, i);
+    }
+  for (i = 0; i < WORLD_LEADS; i++)
+    {
+      world_admit (world, zone, i);
+      world_process_lead (world, zone, i);
+    }
+  for (i = 0; i < WORLD_INSTANCES; i++)
+    world_process_holder (world, zone, i);
+  (void)entry;
+}
+
+static void
+receive_ (struct ColtWorld *world, const struct ColtWorldMessage *message)
+{
+  struct ColtWorldZone *zone = &world->zones[message->zone];
+  struct ColtCreditGrant *grant;
+  struct ColtCreditReport *report;
+  int i;
+
+  if (message->grant)
+    {
+      grant = colt_credit_grant_unpack (message->bytes, message->size, NULL);
+      g_assert (grant != NULL);
+      for (i = 0; i < WORLD_INSTANCES; i++)
+        if (zone->instances[i].alive
+            && zone->instances[i].owner == grant->owner)
+          colt_credit_holder_receive (zone->instances[i].holder, grant, NULL);
+      colt_credit_grant_destroy (grant);
+      return;
+    }
+  report = colt_credit_report_unpack (message->bytes, message->size, NULL);
+  g_assert (report != NULL);
+  for (i = 0; i < WORLD_LEADS; i++)
+    if (zone->leads[i].lead != NULL && zone->leads[i].epoch == report->epoch)
+      colt_credit_lead_receive (zone->leads[i].lead, report, NULL);
+  colt_credit_report_destroy (report);
+}
