Shards: a lead proves itself only by a session that it has checked

A session that was opened late says nothing until it has been checked by a fresh confirmation of most servers, so an owner alone can't tell whether a lead is the only one: with many owners lost at once, an older lead found its late session open while a newer one was active. The proof is asked of the lead, and credits name a server as starts do.

A recount now also waits, for a lease at most, for members that hold nothing: they may have made a higher promise, or know of a server that the list of a new instance lacks.

--- a/include/coltsfootstile/shard.h
+++ b/include/coltsfootstile/shard.h
@@ -139,7 +139,10 @@
                                struct ColtShardConfirmed *confirmed,
                                int64_t now);
 
-/** Checks a start. */
+/**
+ * Checks a start, or a credit: one that belongs to the owner as a whole names
+ * any of the owner's servers for which colt_shard_lead_may_start() holds.
+ */
 enum ColtShardCheck colt_shard_owner_check_start (struct ColtShardOwner *owner,
                                                   uint32_t shard,
                                                   uint64_t shard_epoch,
@@ -147,12 +150,6 @@
                                                   uint64_t server_epoch,
                                                   int64_t now);
 
-/** Checks a credit, which belongs to the owner and not to one server. */
-enum ColtShardCheck colt_shard_owner_check_credit (struct ColtShardOwner *owner,
-                                                   uint32_t shard,
-                                                   uint64_t shard_epoch,
-                                                   int64_t now);
-
 /**
  * Returns whether the tasks of a shard on a server may be renewed. If not,
  * they must be stopped before the next renewal of that server's tasks.
@@ -162,16 +159,6 @@
                                  uint32_t server,
                                  int64_t now);
 
-/**
- * Returns whether a session of this epoch is open here on a server whose lease
- * runs. If colt_shard_lead_is_active() also holds on this instance, no other
- * lead of the shard is active, so that it may answer "not run" at once.
- */
-bool colt_shard_owner_proves (struct ColtShardOwner *owner,
-                              uint32_t shard,
-                              uint64_t shard_epoch,
-                              int64_t now);
-
 /** Returns the highest epoch promised for a shard, 0 if none. */
 uint64_t colt_shard_owner_promised (const struct ColtShardOwner *owner,
                                     uint32_t shard);
@@ -339,6 +326,19 @@
                                 uint32_t *owner,
                                 uint64_t *server_epoch);
 
+/**
+ * Returns whether this instance is certainly the only lead of a shard right
+ * now, so that it may answer "not run" at once: it leads the shard, and the
+ * session on a server that this instance owns itself is open. False says
+ * nothing; colt_shard_lead_proved_since() can tell later.
+ *
+ * \param owner  this instance's own
+ */
+bool colt_shard_lead_proves (const struct ColtShardLead *lead,
+                             struct ColtShardOwner *owner,
+                             uint32_t shard,
+                             int64_t now);
+
 /**
  * Returns whether an owner has confirmed an active shard's session after
  * \a since. Then no other lead of the shard was active at that time, so that
--- a/src/shard/lead.c
+++ b/src/shard/lead.c
@@ -35,9 +35,14 @@
 static uint64_t find_urgent_ (struct ColtShardLead *lead);
 static bool is_wanted_ (const struct ColtShardLead *lead,
                         const struct ColtLedShard *shard);
-static void begin_ (struct ColtShardLead *lead, struct ColtLedShard *shard);
+static void
+begin_ (struct ColtShardLead *lead, struct ColtLedShard *shard, int64_t now);
 static void check_recount_ (struct ColtShardLead *lead,
-                            struct ColtLedShard *shard);
+                            struct ColtLedShard *shard,
+                            int64_t now);
+static bool waits_for_members_ (const struct ColtShardLead *lead,
+                                const struct ColtLedShard *shard,
+                                int64_t now);
 static void activate_ (struct ColtShardLead *lead, struct ColtLedShard *shard);
 static void lose_ (struct ColtShardLead *lead,
                    struct ColtLedShard *shard,
@@ -300,6 +305,33 @@
   return true;
 }
 
+bool
+colt_shard_lead_proves (const struct ColtShardLead *lead,
+                        struct ColtShardOwner *owner,
+                        uint32_t shard,
+                        int64_t now)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  if (!colt_shard_lead_is_active (lead, shard, now))
+    return false;
+  g_hash_table_iter_init (&iter, lead->shards[shard].seats);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      const struct ColtSeat *seat = value;
+
+      if (seat->status == COLT_SEAT_JOINED && seat->owner == lead->instance
+          && colt_shard_owner_check_start (
+                 owner, shard, lead->shards[shard].epoch,
+                 GPOINTER_TO_UINT (key), seat->server_epoch, now)
+                 == COLT_SHARD_GOOD)
+        return true;
+    }
+  return false;
+}
+
 bool
 colt_shard_lead_proved_since (const struct ColtShardLead *lead,
                               uint32_t shard,
@@ -385,7 +417,7 @@
 
       if (shard->state == COLT_SHARD_FOLLOWING && is_wanted_ (lead, shard)
           && now >= shard->next_try)
-        begin_ (lead, shard);
+        begin_ (lead, shard, now);
     }
 }
 
@@ -406,6 +438,8 @@
       colt_lead_refresh_seats (lead, shard);
       colt_lead_count_majority (lead, shard, now);
       colt_lead_write_off (lead, shard, now);
+      if (now < shard->waits_until)
+        lead->next_refresh = MIN (lead->next_refresh, shard->waits_until);
     }
   colt_lead_find_needs (lead);
 }
@@ -420,7 +454,7 @@
   if (shard->state != COLT_SHARD_ACTIVE)
     {
       if (is_wanted_ (lead, shard))
-        check_recount_ (lead, shard);
+        check_recount_ (lead, shard, now);
       else
         lose_ (lead, shard, COLT_SHARD_LOSS_CHOICE, now);
     }
@@ -454,7 +488,7 @@
 }
 
 static void
-begin_ (struct ColtShardLead *lead, struct ColtLedShard *shard)
+begin_ (struct ColtShardLead *lead, struct ColtLedShard *shard, int64_t now)
 {
   uint64_t counter = (shard->heard >> INSTANCE_BITS) + 1;
 
@@ -462,6 +496,7 @@
   shard->epoch = counter << INSTANCE_BITS | lead->instance;
   shard->heard = shard->epoch;
   shard->state = COLT_SHARD_OPENING;
+  shard->waits_until = now + colt_shard_lease_us (&lead->times);
   shard->majority_since = COLT_TIME_NEVER;
   g_hash_table_remove_all (shard->seats);
   lead->is_dirty = true;
@@ -471,9 +506,12 @@
 /* All answers must be there, and must still hold after the last of them came:
  * a server may have changed its owner in between. */
 static void
-check_recount_ (struct ColtShardLead *lead, struct ColtLedShard *shard)
+check_recount_ (struct ColtShardLead *lead,
+                struct ColtLedShard *shard,
+                int64_t now)
 {
-  if (shard->majority_since == COLT_TIME_NEVER || shard->out > shard->lacking)
+  if (shard->majority_since == COLT_TIME_NEVER || shard->out > shard->lacking
+      || waits_for_members_ (lead, shard, now))
     {
       shard->state = COLT_SHARD_OPENING;
       return;
@@ -487,6 +525,29 @@
     activate_ (lead, shard);
 }
 
+/* A member that holds nothing may have made a higher promise, or know of a
+ * server that we don't; but it may also be dead. */
+static bool
+waits_for_members_ (const struct ColtShardLead *lead,
+                    const struct ColtLedShard *shard,
+                    int64_t now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (now >= shard->waits_until)
+    return false;
+  g_hash_table_iter_init (&iter, lead->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct ColtLeadPeer *peer = value;
+
+      if (peer->is_member && peer->granted[shard->shard] != shard->epoch)
+        return true;
+    }
+  return false;
+}
+
 static void
 activate_ (struct ColtShardLead *lead, struct ColtLedShard *shard)
 {
--- a/src/shard/lead_peer.c
+++ b/src/shard/lead_peer.c
@@ -158,7 +158,12 @@
 
   g_hash_table_iter_init (&peers, lead->peers);
   while (g_hash_table_iter_next (&peers, NULL, &value))
-    ((struct ColtLeadPeer *)value)->needed = 0;
+    {
+      struct ColtLeadPeer *peer = value;
+
+      peer->needed = 0;
+      peer->granted_bits = find_granted_ (lead, peer);
+    }
   for (shard = 0; shard < COLT_SHARD_COUNT; shard++)
     {
       const struct ColtLedShard *led = &lead->shards[shard];
@@ -234,7 +239,7 @@
 
   if (peer->open_round != 0)
     due = MIN (due, retry_time_ (lead, peer->open_sent));
-  if (find_granted_ (lead, peer) != 0)
+  if (peer->granted_bits != 0)
     due = MIN (due, peer->confirm_round != 0
                         ? retry_time_ (lead, peer->confirm_sent)
                         : peer->next_confirm);
@@ -345,7 +350,7 @@
                  uint64_t urgent,
                  int64_t now)
 {
-  if (find_granted_ (lead, peer) == 0)
+  if (peer->granted_bits == 0)
     return false;
   if (peer->confirm_round != 0 && now < retry_time_ (lead, peer->confirm_sent))
     return peer->confirm_round < urgent;
--- a/src/shard/owner.c
+++ b/src/shard/owner.c
@@ -277,26 +277,6 @@
   return COLT_SHARD_GOOD;
 }
 
-enum ColtShardCheck
-colt_shard_owner_check_credit (struct ColtShardOwner *owner,
-                               uint32_t shard,
-                               uint64_t shard_epoch,
-                               int64_t now)
-{
-  const struct ColtPromise *promise = &owner->promises[shard];
-
-  assert (shard < COLT_SHARD_COUNT);
-  if (shard_epoch < promise->epoch && colt_guard_on (COLT_GUARD_SHARD_PROMISE))
-    return COLT_SHARD_PROMISED;
-  if (!colt_guard_on (COLT_GUARD_SESSION))
-    return COLT_SHARD_GOOD;
-  if (!colt_shard_owner_proves (owner, shard, shard_epoch, now))
-    return COLT_SHARD_NO_SESSION;
-  if (!is_heard_ (owner, promise->session_heard, now))
-    return COLT_SHARD_SILENT;
-  return COLT_SHARD_GOOD;
-}
-
 bool
 colt_shard_owner_may_renew (struct ColtShardOwner *owner,
                             uint32_t shard,
@@ -312,28 +292,6 @@
          || is_heard_ (owner, owned->held_at, now);
 }
 
-bool
-colt_shard_owner_proves (struct ColtShardOwner *owner,
-                         uint32_t shard,
-                         uint64_t shard_epoch,
-                         int64_t now)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  assert (shard < COLT_SHARD_COUNT);
-  drop_lapsed_ (owner, now);
-  g_hash_table_iter_init (&iter, owner->servers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct ColtOwnedServer *owned = value;
-
-      if (shard_epoch != 0 && owned->sessions[shard] == shard_epoch)
-        return true;
-    }
-  return false;
-}
-
 uint64_t
 colt_shard_owner_promised (const struct ColtShardOwner *owner, uint32_t shard)
 {
--- a/src/shard/private/lead.h
+++ b/src/shard/private/lead.h
@@ -25,6 +25,7 @@
   GHashTable *claims; /**< by server, of struct ColtShardServer */
   uint64_t granted[COLT_SHARD_COUNT]; /**< epochs that it promised to us */
   uint64_t needed;                    /**< bit N: open shard N there */
+  uint64_t granted_bits;              /**< bit N: shard N in its epoch */
   uint32_t backing[COLT_SHARD_COUNT]; /**< seats there that back us */
 
   uint64_t open_round; /**< that is open, 0: none */
@@ -74,6 +75,7 @@
   uint32_t shard;
   enum ColtShardState state;
   uint64_t epoch;         /**< 0 while following */
+  int64_t waits_until;    /**< for members that hold nothing, while opening */
   uint64_t heard;         /**< highest epoch heard of, our own included */
   uint32_t choice;        /**< instance that should lead it */
   uint64_t check_round;   /**< while checking: as since in a seat */
--- a/src/test_shard/test_owner.c
+++ b/src/test_shard/test_owner.c
@@ -167,8 +167,6 @@
   g_assert_cmpint (check_ (owner, epoch, MS (11)), ==, COLT_SHARD_SILENT);
   confirm_ (owner, 1, 70, 0, MS (10), MS (12));
   g_assert_cmpint (check_ (owner, epoch, MS (13)), ==, COLT_SHARD_GOOD);
-  g_assert_cmpint (colt_shard_owner_check_credit (owner, SHARD, epoch, MS (13)),
-                   ==, COLT_SHARD_GOOD);
   g_assert_cmpint (colt_shard_owner_check_start (owner, SHARD, epoch, SERVER,
                                                  SERVER_EPOCH + 1, MS (13)),
                    ==, COLT_SHARD_SERVER_EPOCH);
@@ -197,7 +195,6 @@
   g_assert_cmpint (colt_shard_owner_check_start (owner, SHARD, epoch, SERVER,
                                                  SERVER_EPOCH + 1, MS (15)),
                    ==, COLT_SHARD_NO_SESSION);
-  g_assert_false (colt_shard_owner_proves (owner, SHARD, epoch, MS (15)));
   colt_shard_owner_destroy (owner);
 }
 
--- a/src/test_shard/zone_instance.c
+++ b/src/test_shard/zone_instance.c
@@ -214,7 +214,7 @@
   int64_t now = colt_zone_local (instance, zone->now);
   int server;
 
-  if (!colt_zone_is_backed (instance, shard, epoch))
+  if (!colt_zone_is_backed (instance, shard))
     return;
   if (lacking > 0 && zone->plan.partial_ms == 0)
     colt_zone_broken (zone,
@@ -253,8 +253,7 @@
 
   (void)owner;
   (void)server_epoch;
-  if (colt_zone_is_backed (instance, shard,
-                           colt_shard_lead_epoch (instance->lead, shard)))
+  if (colt_zone_is_backed (instance, shard))
     colt_zone_check_reported (client, shard, server,
                               "a late report missed a task");
 }
@@ -272,8 +271,7 @@
 {
   struct ColtZoneInstance *instance = client;
 
-  if (colt_zone_is_backed (instance, shard,
-                           colt_shard_lead_epoch (instance->lead, shard))
+  if (colt_zone_is_backed (instance, shard)
       && colt_zone_server_count_running (instance->zone->servers[server],
                                          instance->zone->now, shard)
              > 0)
--- a/src/test_shard/zone_internal.h
+++ b/src/test_shard/zone_internal.h
@@ -143,12 +143,10 @@
 
 /** Checks what must hold at any moment. */
 void colt_zone_check (struct ColtZone *zone);
-/** Returns whether a session of a lead is open anywhere. A lead without one
- * has been replaced and will find out; what it believes until then does no
- * harm. */
-bool colt_zone_is_backed (struct ColtZoneInstance *instance,
-                          uint32_t shard,
-                          uint64_t epoch);
+/** Returns whether a lead is the newest, or a session of it is open anywhere.
+ * One that is neither has been replaced and will find out; what it believes
+ * until then does no harm. */
+bool colt_zone_is_backed (struct ColtZoneInstance *instance, uint32_t shard);
 /** Checks that a lead knows all that runs for a shard on a server. */
 void colt_zone_check_reported (struct ColtZoneInstance *instance,
                                uint32_t shard,
--- a/src/test_shard/zone_model.c
+++ b/src/test_shard/zone_model.c
@@ -522,8 +522,8 @@
          && other->is_alive == (instance->zone->now >= seen_at);
 }
 
-/* A list that lacks a server is made up for by what others know; when all of
- * them are new, nobody knows. */
+/* A list that lacks a server is made up for by what others know, if they can
+ * be asked. */
 static bool
 others_have_settled_ (const struct ColtZoneInstance *instance)
 {
@@ -535,6 +535,7 @@
       const struct ColtZoneInstance *other = &zone->instances[i];
 
       if (other != instance && other->is_alive
+          && other->paused_until <= zone->now && is_seen_ (instance, other)
           && zone->now >= other->changed_at + SETTLED_US)
         return true;
     }
--- a/src/test_shard/zone_oracle.c
+++ b/src/test_shard/zone_oracle.c
@@ -54,27 +54,38 @@
         continue;
       epoch = colt_shard_lead_epoch (instance->lead, shard);
       if (epoch != zone->latest[shard].epoch
-          && colt_shard_owner_proves (instance->owner, shard, epoch, now))
+          && colt_shard_lead_proves (instance->lead, instance->owner, shard,
+                                     now))
         colt_zone_broken (zone,
                           "a lead that was replaced proves that it leads");
     }
 }
 
 bool
-colt_zone_is_backed (struct ColtZoneInstance *instance,
-                     uint32_t shard,
-                     uint64_t epoch)
+colt_zone_is_backed (struct ColtZoneInstance *instance, uint32_t shard)
 {
   struct ColtZone *zone = instance->zone;
-  int i;
+  uint64_t epoch = colt_shard_lead_epoch (instance->lead, shard);
+  int64_t now = colt_zone_local (instance, zone->now);
+  int server;
 
-  for (i = 1; i <= zone->plan.instances; i++)
+  if (epoch > zone->latest[shard].epoch)
+    return true;
+  for (server = 1; server <= zone->plan.servers; server++)
     {
-      struct ColtZoneInstance *owner = &zone->instances[i];
+      struct ColtZoneInstance *owner;
+      uint64_t server_epoch;
+      uint32_t number;
 
+      if (!colt_shard_lead_may_start (instance->lead, shard, (uint32_t)server,
+                                      now, &number, &server_epoch))
+        continue;
+      owner = &zone->instances[number];
       if (owner->is_alive
-          && colt_shard_owner_proves (owner->owner, shard, epoch,
-                                      colt_zone_local (owner, zone->now)))
+          && colt_shard_owner_check_start (owner->owner, shard, epoch,
+                                           (uint32_t)server, server_epoch,
+                                           colt_zone_local (owner, zone->now))
+                 == COLT_SHARD_GOOD)
         return true;
     }
   return false;
--- a/src/test_shard/zone_server.c
+++ b/src/test_shard/zone_server.c
@@ -16,9 +16,10 @@
   int64_t silent_until;
   uint64_t epoch;
   uint32_t owner;
-  int64_t lease_end; /* by its own clock */
-  GArray *issues;    /* of tokens, which are numbered from 1 */
-  GArray *tasks;     /* of struct ColtZoneTask */
+  int64_t lease_end;  /* by its own clock */
+  GArray *issues;     /* of tokens, which are numbered from 1 */
+  GPtrArray *running; /* of struct ColtZoneTask */
+  GHashTable *tasks;  /* by number, of struct ColtZoneTask */
   int64_t lapsed;
   uint64_t shard_epochs[COLT_SHARD_COUNT];
 };
@@ -49,7 +50,9 @@
 
   server->ppm = ppm;
   server->issues = g_array_new (FALSE, TRUE, sizeof (int64_t));
-  server->tasks = g_array_new (FALSE, TRUE, sizeof (struct ColtZoneTask));
+  server->running = g_ptr_array_new ();
+  server->tasks
+      = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
   return server;
 }
 
@@ -57,7 +60,8 @@
 colt_zone_server_destroy (struct ColtZoneServerModel *server)
 {
   g_array_unref (server->issues);
-  g_array_unref (server->tasks);
+  g_ptr_array_unref (server->running);
+  g_hash_table_unref (server->tasks);
   g_free (server);
 }
 
@@ -68,8 +72,9 @@
 
   end_tasks_ (server, now);
   server->is_dead = true;
-  for (i = 0; i < server->tasks->len; i++)
+  for (i = 0; i < server->running->len; i++)
     task_at_ (server, i)->is_running = false;
+  g_ptr_array_set_size (server->running, 0);
 }
 
 void
@@ -146,9 +151,8 @@
   guint i;
 
   end_tasks_ (server, now);
-  for (i = 0; i < server->tasks->len; i++)
-    if (task_at_ (server, i)->is_running
-        && task_at_ (server, i)->shard == shard)
+  for (i = 0; i < server->running->len; i++)
+    if (task_at_ (server, i)->shard == shard)
       count++;
   return count;
 }
@@ -169,11 +173,11 @@
   guint i;
 
   end_tasks_ (server, now);
-  for (i = 0; i < server->tasks->len; i++)
+  for (i = 0; i < server->running->len; i++)
     {
       const struct ColtZoneTask *task = task_at_ (server, i);
 
-      if (task->is_running && task->shard == shard
+      if (task->shard == shard
           && (reported == NULL
               || !g_hash_table_contains (reported,
                                          GUINT_TO_POINTER (task->number))))
@@ -212,36 +216,34 @@
 end_tasks_ (struct ColtZoneServerModel *server, int64_t now)
 {
   int64_t local = local_ (server, now);
-  guint i;
+  guint i = 0;
 
-  for (i = 0; i < server->tasks->len; i++)
+  while (i < server->running->len)
     {
       struct ColtZoneTask *task = task_at_ (server, i);
 
-      if (!task->is_running
-          || (local < task->lease_end && local < task->finish))
-        continue;
+      if (local < task->lease_end && local < task->finish)
+        {
+          i++;
+          continue;
+        }
       task->is_running = false;
       if (local < task->finish)
         server->lapsed++;
+      g_ptr_array_remove_index_fast (server->running, i);
     }
 }
 
 static struct ColtZoneTask *
 task_at_ (struct ColtZoneServerModel *server, guint index)
 {
-  return &g_array_index (server->tasks, struct ColtZoneTask, index);
+  return g_ptr_array_index (server->running, index);
 }
 
 static struct ColtZoneTask *
 find_task_ (struct ColtZoneServerModel *server, uint32_t number)
 {
-  guint i;
-
-  for (i = 0; i < server->tasks->len; i++)
-    if (task_at_ (server, i)->number == number)
-      return task_at_ (server, i);
-  return NULL;
+  return g_hash_table_lookup (server->tasks, GUINT_TO_POINTER (number));
 }
 
 static int64_t
@@ -281,8 +283,10 @@
   if (!task.is_running)
     return;
   server->shard_epochs[task.shard] = task.epoch;
-  g_array_append_val (server->tasks, task);
-  answer->landed = task_at_ (server, server->tasks->len - 1);
+  answer->landed = g_memdup2 (&task, sizeof task);
+  g_ptr_array_add (server->running, (gpointer)answer->landed);
+  g_hash_table_insert (server->tasks, GUINT_TO_POINTER (task.number),
+                       (gpointer)answer->landed);
 }
 
 static void
@@ -292,11 +296,11 @@
   int64_t end = issued_ (server, call->token) + TASK_LEASE_US;
   guint i;
 
-  for (i = 0; i < server->tasks->len; i++)
+  for (i = 0; i < server->running->len; i++)
     {
       struct ColtZoneTask *task = task_at_ (server, i);
 
-      if (task->is_running && (call->shards >> task->shard & 1) != 0)
+      if ((call->shards >> task->shard & 1) != 0)
         task->lease_end = MAX (task->lease_end, end);
     }
 }
@@ -308,9 +312,8 @@
   guint i;
 
   answer->tasks = g_array_new (FALSE, TRUE, sizeof (struct ColtZoneTask));
-  for (i = 0; i < server->tasks->len; i++)
-    if (task_at_ (server, i)->is_running)
-      g_array_append_val (answer->tasks, *task_at_ (server, i));
+  for (i = 0; i < server->running->len; i++)
+    g_array_append_val (answer->tasks, *task_at_ (server, i));
   for (shard = 0; shard < COLT_SHARD_COUNT; shard++)
     {
       answer->epochs[shard].shard = shard;
