--- a/src/bundle/bundle_parse.c
+++ b/src/bundle/bundle_parse.c
@@ -217,7 +217,7 @@
 static void
 begin_section_ (struct ColtBuilder *builder, const char *section, int line)
 {
-  const char *name;
+  const char *name = "";
   char *reason;
   int type = find_section_ (section, &name);
 
