--- a/src/home/home_answer.c
+++ b/src/home/home_answer.c
@@ -77,10 +77,8 @@
 {
   uint32_t shard = colt_id_shard (id);
 
-  return colt_shard_lead_is_active (home->lead, shard, now_us)
-         && colt_shard_owner_proves (
-             colt_owner_shards (home->parts.owner), shard,
-             colt_shard_lead_epoch (home->lead, shard), now_us);
+  return colt_shard_lead_proves (
+      home->lead, colt_owner_shards (home->parts.owner), shard, now_us);
 }
 
 static void
