--- a/src/test_bundle/test_snapshot.c
+++ b/src/test_bundle/test_snapshot.c
@@ -22,6 +22,7 @@
 static void
 set_up (struct ColtSnapshotFixture *fixture, gconstpointer data)
 {
+  uint8_t *body;
   size_t size;
   int i;
 
@@ -40,11 +41,10 @@
                        ==, COLT_CHAIN_ACCEPTED);
     }
   fixture->withdrawn = colt_secret_hash ("gone");
+  body = colt_key_withdraw_encode (&fixture->withdrawn, &fixture->operators[1],
+                                   &size);
   g_assert_cmpint (
-      test_take_body (fixture->chain, 4, COLT_RECORD_KEY_WITHDRAW,
-                      colt_key_withdraw_encode (&fixture->withdrawn,
-                                                &fixture->operators[1], &size),
-                      size),
+      test_take_body (fixture->chain, 4, COLT_RECORD_KEY_WITHDRAW, body, size),
       ==, COLT_CHAIN_ACCEPTED);
   fixture->body = colt_chain_encode_snapshot (
       fixture->chain, (const uint8_t *)"quota", 5, &fixture->size);
