Limits: offsets that every zone has read past no longer count

A limit lowered by mistake and put right left teams that ran more than the low value locked out until they had shrunk to it: a zone could comply only within the least over all offsets in between. Compliance exceptions now carry the highest offset the zone was ever said to comply with for the team; offsets above it and below what all zones have read are left out of the least.

--- a/include/coltsfootstile/quota_messages.h
+++ b/include/coltsfootstile/quota_messages.h
@@ -35,19 +35,23 @@
   size_t move_count;
 };
 
-/** A team for which a zone complies with a lower offset than with others. */
+/**
+ * A team for which a zone complies with a lower offset than with others: with
+ * one from \a offset to \a highest.
+ */
 struct ColtComplianceException
 {
   char team[COLT_NAME_SIZE];
-  uint64_t offset;
+  uint64_t offset;  /**< complies at least with this one */
+  uint64_t highest; /**< was never said to comply with a higher one */
 };
 
 /** What a zone complies with, for the teams of one shard. */
 struct ColtCompliance
 {
   uint32_t zone;
-  uint32_t shard; /**< below COLT_SHARD_COUNT */
-  uint64_t offset;
+  uint32_t shard;  /**< below COLT_SHARD_COUNT */
+  uint64_t offset; /**< also computes no credits below it any more */
   struct ColtComplianceException *exceptions;
   size_t exception_count;
 };
--- a/src/quota/credit_lead.c
+++ b/src/quota/credit_lead.c
@@ -131,6 +131,8 @@
   for (i = 0; i < report->held_count; i++)
     take_held_ (lead, &report->held[i]);
   answer_lost_ (lead, owner, report);
+  if (!owner->counted)
+    lead->before = MAX (lead->before, report->promise);
   owner->promise = MAX (owner->promise, report->promise);
   owner->counted = true;
   g_array_append_val (owner->acks, report->sequence);
@@ -487,6 +489,8 @@
       g_strlcpy (exception->team, team->name, sizeof exception->team);
       exception->offset = colt_entitlements_complied (lead->entitlements,
                                                       lead->zone, team->name);
+      exception->highest = MAX (exception->offset, lead->before);
+      exception->highest = MIN (exception->highest, compliance->offset);
     }
 }
 
--- a/src/quota/entitlement.c
+++ b/src/quota/entitlement.c
@@ -79,7 +79,7 @@
       colt_id_table_hash, colt_id_table_equal, NULL, g_free);
   for (i = 0; i < ZONE_SLOTS; i++)
     entitlements->exceptions[i]
-        = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+        = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   return entitlements;
 }
 
@@ -227,17 +227,17 @@
 {
   const struct ColtEntitlementTeam *found
       = colt_entitlement_team_ (entitlements, team);
-  uint64_t lowest;
+  struct ColtEntitlementWindow window;
   int i;
 
   colt_entitlements_get (entitlements, team, zone, amount);
   if (found == NULL || found->zones[zone] == NULL
       || !colt_guard_on (COLT_GUARD_LEAST_OVER_OFFSETS))
     return;
-  lowest = colt_entitlement_lowest_ (entitlements, found);
+  colt_entitlement_window_ (entitlements, found, &window);
   for (i = 0; i < COLT_QUOTA_COUNT; i++)
     amount->amount[i]
-        = colt_entitlement_least_ (&found->zones[zone][i], lowest);
+        = colt_entitlement_least_ (&found->zones[zone][i], &window);
 }
 
 bool
--- a/src/quota/entitlement_compliance.c
+++ b/src/quota/entitlement_compliance.c
@@ -3,19 +3,19 @@
 
 #include "entitlement_private.h"
 
-static uint64_t offset_in_ (const struct ColtCompliance *compliance,
-                            const char *team);
+static const struct ColtComplianceException *
+find_listed_ (const struct ColtCompliance *compliance, const char *team);
 static bool merge_known_ (struct ColtEntitlements *entitlements,
                           const struct ColtCompliance *compliance,
+                          uint64_t before,
                           uint64_t base);
 static void merge_listed_ (struct ColtEntitlements *entitlements,
                            const struct ColtCompliance *compliance,
                            uint64_t before,
                            uint64_t base);
-static void set_exception_ (struct ColtEntitlements *entitlements,
-                            uint32_t zone,
-                            const char *team,
-                            uint64_t offset);
+static bool zone_counts_ (const struct ColtEntitlements *entitlements,
+                          uint32_t zone,
+                          const struct ColtEntitlementTeam *team);
 static void list_entry_ (const struct ColtEntitlements *entitlements,
                          uint32_t zone,
                          uint32_t shard,
@@ -35,7 +35,7 @@
   before = entitlements->complied[zone][shard];
   base = MAX (before, compliance->offset);
   news = base > before;
-  if (merge_known_ (entitlements, compliance, base))
+  if (merge_known_ (entitlements, compliance, before, base))
     news = true;
   merge_listed_ (entitlements, compliance, before, base);
   entitlements->complied[zone][shard] = base;
@@ -49,12 +49,12 @@
                             uint32_t zone,
                             const char *team)
 {
-  const uint64_t *exception;
+  const struct ColtComplianceException *exception;
 
   assert (zone <= COLT_ZONE_MAX);
   exception = g_hash_table_lookup (entitlements->exceptions[zone], team);
   if (exception != NULL)
-    return *exception;
+    return exception->offset;
   return entitlements->complied[zone][colt_team_shard (team)];
 }
 
@@ -100,65 +100,108 @@
   return vector;
 }
 
-uint64_t
-colt_entitlement_lowest_ (const struct ColtEntitlements *entitlements,
-                          const struct ColtEntitlementTeam *team)
+/* Offsets below all zones' bases are out for good but where a zone is an
+ * exception: nobody computes credits there any more. */
+void
+colt_entitlement_window_ (const struct ColtEntitlements *entitlements,
+                          const struct ColtEntitlementTeam *team,
+                          struct ColtEntitlementWindow *window)
 {
-  uint64_t lowest = UINT64_MAX;
+  uint64_t read = UINT64_MAX;
   uint32_t zone;
 
+  window->count = 0;
   for (zone = 1; zone < ZONE_SLOTS; zone++)
     {
-      const struct ColtEntitlementZone *entry = &entitlements->zones[zone];
-      uint64_t offset;
+      const struct ColtComplianceException *exception
+          = g_hash_table_lookup (entitlements->exceptions[zone], team->name);
+      struct ColtEntitlementSpan span;
 
-      if (!entry->present && entry->removed == 0)
+      if (!zone_counts_ (entitlements, zone, team))
         continue;
-      offset = colt_entitlements_complied (entitlements, zone, team->name);
-      if (!entry->present && offset >= entry->removed)
+      read = MIN (read, entitlements->complied[zone][team->shard]);
+      if (exception == NULL)
         continue;
-      lowest = MIN (lowest, offset);
+      span.first = exception->offset;
+      span.last = exception->highest;
+      window->spans[window->count++] = span;
     }
+  window->spans[window->count].first = read;
+  window->spans[window->count++].last = UINT64_MAX;
+}
+
+uint64_t
+colt_entitlement_lowest_ (const struct ColtEntitlements *entitlements,
+                          const struct ColtEntitlementTeam *team)
+{
+  uint64_t lowest = UINT64_MAX;
+  uint32_t zone;
+
+  for (zone = 1; zone < ZONE_SLOTS; zone++)
+    if (zone_counts_ (entitlements, zone, team))
+      lowest = MIN (
+          lowest, colt_entitlements_complied (entitlements, zone, team->name));
   return lowest;
 }
 
-static uint64_t
-offset_in_ (const struct ColtCompliance *compliance, const char *team)
+/* A removed zone counts until it complies with its removal. */
+static bool
+zone_counts_ (const struct ColtEntitlements *entitlements,
+              uint32_t zone,
+              const struct ColtEntitlementTeam *team)
+{
+  const struct ColtEntitlementZone *entry = &entitlements->zones[zone];
+
+  if (entry->present || entry->removed == 0)
+    return entry->present;
+  return colt_entitlements_complied (entitlements, zone, team->name)
+         < entry->removed;
+}
+
+static const struct ColtComplianceException *
+find_listed_ (const struct ColtCompliance *compliance, const char *team)
 {
   size_t i;
 
   for (i = 0; i < compliance->exception_count; i++)
     if (strcmp (compliance->exceptions[i].team, team) == 0)
-      return compliance->exceptions[i].offset;
-  return compliance->offset;
+      return &compliance->exceptions[i];
+  return NULL;
 }
 
 /* Raises the exceptions known so far; drops those that reach the base. */
 static bool
 merge_known_ (struct ColtEntitlements *entitlements,
               const struct ColtCompliance *compliance,
+              uint64_t before,
               uint64_t base)
 {
   GHashTableIter iter;
-  gpointer key;
   gpointer value;
   bool news = false;
 
   g_hash_table_iter_init (&iter, entitlements->exceptions[compliance->zone]);
-  while (g_hash_table_iter_next (&iter, &key, &value))
+  while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      uint64_t *offset = value;
+      struct ColtComplianceException *known = value;
+      const struct ColtComplianceException *listed;
       uint64_t stated;
 
-      if (colt_team_shard (key) != compliance->shard)
+      if (colt_team_shard (known->team) != compliance->shard)
         continue;
-      stated = offset_in_ (compliance, key);
-      if (stated > *offset)
+      listed = find_listed_ (compliance, known->team);
+      stated = listed == NULL ? compliance->offset : listed->offset;
+      if (stated > known->offset)
         {
-          *offset = stated;
+          known->offset = stated;
           news = true;
         }
-      if (*offset >= base)
+      if (listed != NULL && compliance->offset > before)
+        known->highest = listed->highest;
+      else if (listed != NULL && compliance->offset == before)
+        known->highest = MIN (known->highest, listed->highest);
+      known->highest = MAX (known->highest, known->offset);
+      if (known->offset >= base)
         g_hash_table_iter_remove (&iter);
     }
   return news;
@@ -171,35 +214,25 @@
                uint64_t before,
                uint64_t base)
 {
-  uint32_t zone = compliance->zone;
+  GHashTable *exceptions = entitlements->exceptions[compliance->zone];
   size_t i;
 
   for (i = 0; i < compliance->exception_count; i++)
     {
-      const struct ColtComplianceException *exception
-          = &compliance->exceptions[i];
-      uint64_t offset = MAX (before, exception->offset);
+      struct ColtComplianceException *added;
+      const struct ColtComplianceException *listed = &compliance->exceptions[i];
 
-      if (offset >= base
-          || g_hash_table_contains (entitlements->exceptions[zone],
-                                    exception->team))
+      if (MAX (before, listed->offset) >= base
+          || g_hash_table_contains (exceptions, listed->team))
         continue;
-      set_exception_ (entitlements, zone, exception->team, offset);
+      added = g_new (struct ColtComplianceException, 1);
+      *added = *listed;
+      added->offset = MAX (before, listed->offset);
+      added->highest = MAX (added->offset, listed->highest);
+      g_hash_table_replace (exceptions, added->team, added);
     }
 }
 
-static void
-set_exception_ (struct ColtEntitlements *entitlements,
-                uint32_t zone,
-                const char *team,
-                uint64_t offset)
-{
-  uint64_t *value = g_new (uint64_t, 1);
-
-  *value = offset;
-  g_hash_table_replace (entitlements->exceptions[zone], g_strdup (team), value);
-}
-
 static void
 list_entry_ (const struct ColtEntitlements *entitlements,
              uint32_t zone,
@@ -208,7 +241,6 @@
 {
   GHashTable *exceptions = entitlements->exceptions[zone];
   GHashTableIter iter;
-  gpointer key;
   gpointer value;
 
   entry->zone = zone;
@@ -217,17 +249,15 @@
   entry->exceptions = NULL;
   entry->exception_count = 0;
   g_hash_table_iter_init (&iter, exceptions);
-  while (g_hash_table_iter_next (&iter, &key, &value))
+  while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      struct ColtComplianceException *exception;
+      const struct ColtComplianceException *exception = value;
 
-      if (colt_team_shard (key) != shard)
+      if (colt_team_shard (exception->team) != shard)
         continue;
       if (entry->exceptions == NULL)
         entry->exceptions = g_new0 (struct ColtComplianceException,
                                     g_hash_table_size (exceptions));
-      exception = &entry->exceptions[entry->exception_count++];
-      g_strlcpy (exception->team, key, sizeof exception->team);
-      exception->offset = *(const uint64_t *)value;
+      entry->exceptions[entry->exception_count++] = *exception;
     }
 }
--- a/src/quota/entitlement_history.c
+++ b/src/quota/entitlement_history.c
@@ -2,6 +2,10 @@
 
 #include "entitlement_private.h"
 
+static bool counts_ (const struct ColtEntitlementHistory *history,
+                     uint16_t index,
+                     const struct ColtEntitlementWindow *window);
+
 /* Drops the steps that end at or below the lowest offset. */
 void
 colt_entitlement_trim_ (struct ColtEntitlementHistory *history, uint64_t lowest)
@@ -17,7 +21,7 @@
            history->count * sizeof *history->steps);
 }
 
-/* Keeps the least value from each offset on: larger ones before it go. */
+/* Steps beyond the most that are kept are merged to the lower value. */
 void
 colt_entitlement_push_ (struct ColtEntitlementHistory *history,
                         uint64_t offset,
@@ -25,11 +29,12 @@
 {
   struct ColtEntitlementStep step = { offset, value };
 
-  while (history->count > 0
-         && history->steps[history->count - 1].value >= value)
-    step.start = history->steps[--history->count].start;
+  if (history->count > 0 && history->steps[history->count - 1].start == offset)
+    history->count--;
   if (history->count == COLT_ENTITLEMENT_STEPS_MAX)
     {
+      history->steps[0].value
+          = MIN (history->steps[0].value, history->steps[1].value);
       memmove (history->steps + 1, history->steps + 2,
                (history->count - 2) * sizeof *history->steps);
       history->count--;
@@ -45,13 +50,29 @@
 
 int64_t
 colt_entitlement_least_ (const struct ColtEntitlementHistory *history,
-                         uint64_t lowest)
+                         const struct ColtEntitlementWindow *window)
+{
+  int64_t least = history->current;
+  uint16_t i;
+
+  for (i = 0; i + 1 < history->count; i++)
+    if (history->steps[i].value < least && counts_ (history, i, window))
+      least = history->steps[i].value;
+  return least;
+}
+
+/* Whether a step holds at some offset of the window. */
+static bool
+counts_ (const struct ColtEntitlementHistory *history,
+         uint16_t index,
+         const struct ColtEntitlementWindow *window)
 {
-  uint16_t at = history->count;
+  uint64_t start = index == 0 ? 0 : history->steps[index].start;
+  uint64_t end = history->steps[index + 1].start;
+  size_t i;
 
-  if (at == 0)
-    return 0;
-  while (at > 1 && history->steps[at - 1].start > lowest)
-    at--;
-  return history->steps[at - 1].value;
+  for (i = 0; i < window->count; i++)
+    if (start <= window->spans[i].last && end > window->spans[i].first)
+      return true;
+  return false;
 }
--- a/src/quota/entitlement_state.c
+++ b/src/quota/entitlement_state.c
@@ -347,10 +347,10 @@
 
       step->start = message->steps[i]->start;
       step->value = decode_ (message->steps[i]->value);
-      if (step->value <= before || step->start > entitlements->changed
+      if (step->value < 0 || step->start > entitlements->changed
           || (step->value > COLT_QUOTA_MAX
               && step->value != COLT_QUOTA_UNLIMITED)
-          || (i > 0 && step->start < step[-1].start))
+          || (i > 0 && step->start <= step[-1].start))
         return false;
       before = step->value;
       history->count++;
--- a/src/quota/message_pack.c
+++ b/src/quota/message_pack.c
@@ -267,6 +267,7 @@
       colt_compliance_exception_msg__init (message->exceptions[i]);
       message->exceptions[i]->team = entry->exceptions[i].team;
       message->exceptions[i]->offset = entry->exceptions[i].offset;
+      message->exceptions[i]->highest = entry->exceptions[i].highest;
     }
 }
 
--- a/src/quota/message_unpack.c
+++ b/src/quota/message_unpack.c
@@ -215,10 +215,12 @@
       const ColtComplianceExceptionMsg *exception = message->exceptions[i];
 
       if (!colt_message_read_name_ (exception->team, entry->exceptions[i].team)
-          || exception->offset > message->offset
+          || exception->offset > exception->highest
+          || exception->highest > message->offset
           || colt_team_shard (exception->team) != message->shard)
         return false;
       entry->exceptions[i].offset = exception->offset;
+      entry->exceptions[i].highest = exception->highest;
     }
   return true;
 }
--- a/src/quota/private/credit_lead_private.h
+++ b/src/quota/private/credit_lead_private.h
@@ -59,6 +59,7 @@
   GHashTable *servers; /* number -> struct ColtServerEpoch, owned */
   uint64_t sequence;
   uint64_t complied;
+  uint64_t before; /* other leads stated compliance with no higher offset */
 };
 
 /* What the owner counts with: the most it may run, or what it runs. */
--- a/src/quota/private/entitlement_private.h
+++ b/src/quota/private/entitlement_private.h
@@ -8,14 +8,14 @@
 
 #define ZONE_SLOTS (COLT_ZONE_MAX + 1)
 
-/* The least value over all offsets from any in [start, next step) on. */
+/* Holds from its start up to the next step's. */
 struct ColtEntitlementStep
 {
   uint64_t start;
   int64_t value;
 };
 
-/* Entitlement in one dimension; values of steps strictly increase. */
+/* Entitlement in one dimension; the first step also holds before its start. */
 struct ColtEntitlementHistory
 {
   int64_t current;
@@ -54,10 +54,24 @@
   uint64_t shard_changed[COLT_SHARD_COUNT]; /* the same by shard of teams */
   uint64_t complied[ZONE_SLOTS][COLT_SHARD_COUNT];
   uint64_t learned[ZONE_SLOTS][COLT_SHARD_COUNT]; /* versions */
-  GHashTable *exceptions[ZONE_SLOTS];             /* name -> uint64_t */
+  GHashTable *exceptions[ZONE_SLOTS]; /* name -> ColtComplianceException */
   uint64_t version;
 };
 
+/* Offsets from first to last. */
+struct ColtEntitlementSpan
+{
+  uint64_t first;
+  uint64_t last;
+};
+
+/* The offsets that zones may still stand at for a team. */
+struct ColtEntitlementWindow
+{
+  struct ColtEntitlementSpan spans[ZONE_SLOTS + 1];
+  size_t count;
+};
+
 /* A transfer record that was applied. */
 struct ColtEntitlementRecord
 {
@@ -72,9 +86,9 @@
 void colt_entitlement_push_ (struct ColtEntitlementHistory *history,
                              uint64_t offset,
                              int64_t value);
-/* The least value from the lowest offset on. */
+/* The least value over the offsets that count. */
 int64_t colt_entitlement_least_ (const struct ColtEntitlementHistory *history,
-                                 uint64_t lowest);
+                                 const struct ColtEntitlementWindow *window);
 
 struct ColtEntitlementTeam *
 colt_entitlement_team_ (const struct ColtEntitlements *entitlements,
@@ -87,6 +101,11 @@
                                  const struct ColtId *id,
                                  uint64_t base);
 
+/* Finds the offsets that any zone may still stand at for the team. */
+void colt_entitlement_window_ (const struct ColtEntitlements *entitlements,
+                               const struct ColtEntitlementTeam *team,
+                               struct ColtEntitlementWindow *window);
+
 /* The lowest offset that any zone may still stand at for the team. */
 uint64_t colt_entitlement_lowest_ (const struct ColtEntitlements *entitlements,
                                    const struct ColtEntitlementTeam *team);
--- a/src/quota/private/quota.pb-c.h
+++ b/src/quota/private/quota.pb-c.h
@@ -90,10 +90,11 @@
   ProtobufCMessage base;
   char *team;
   uint64_t offset;
+  uint64_t highest;
 };
 #define COLT_COMPLIANCE_EXCEPTION_MSG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&colt_compliance_exception_msg__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  ColtComplianceMsg
--- a/src/quota/quota.pb-c.c
+++ b/src/quota/quota.pb-c.c
@@ -1067,7 +1067,7 @@
   (ProtobufCMessageInit) colt_quota_transfer_msg__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor colt_compliance_exception_msg__field_descriptors[2] =
+static const ProtobufCFieldDescriptor colt_compliance_exception_msg__field_descriptors[3] =
 {
   {
     "team",
@@ -1093,15 +1093,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "highest",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ColtComplianceExceptionMsg, highest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned colt_compliance_exception_msg__field_indices_by_name[] = {
+  2,   /* field[2] = highest */
   1,   /* field[1] = offset */
   0,   /* field[0] = team */
 };
 static const ProtobufCIntRange colt_compliance_exception_msg__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor colt_compliance_exception_msg__descriptor =
 {
@@ -1111,7 +1124,7 @@
   "ColtComplianceExceptionMsg",
   "",
   sizeof(ColtComplianceExceptionMsg),
-  2,
+  3,
   colt_compliance_exception_msg__field_descriptors,
   colt_compliance_exception_msg__field_indices_by_name,
   1,  colt_compliance_exception_msg__number_ranges,
--- a/src/test_quota/test_quota.c
+++ b/src/test_quota/test_quota.c
@@ -141,6 +141,20 @@
   world_destroy (world);
 }
 
+/* A limit lowered by mistake and put right: nobody stays locked out. */
+static void
+test_lower_and_raise (void)
+{
+  struct ColtWorld *world = create_ (9);
+
+  g_assert_cmpint (work_all_ (world, 9), ==, 9);
+  append_limit_ (world, 3);
+  append_limit_ (world, 12);
+  world_settle (world, ROUNDS);
+  g_assert_cmpint (work_all_ (world, 12), ==, 3);
+  world_destroy (world);
+}
+
 static void
 test_transfer_twice (void)
 {
@@ -499,6 +513,7 @@
   g_test_add_func ("/quota/lower-while-full", test_lower_while_full);
   g_test_add_func ("/quota/raise", test_raise);
   g_test_add_func ("/quota/raise-waits", test_raise_waits_for_all_zones);
+  g_test_add_func ("/quota/lower-and-raise", test_lower_and_raise);
   g_test_add_func ("/quota/transfer-twice", test_transfer_twice);
   g_test_add_func ("/quota/transfer-while-used", test_transfer_while_used);
   g_test_add_func ("/quota/lower-during-cut", test_lower_during_cut);
