Zone model: a lead keeps count of the starts it has sent itself

A report of a server that joins again within an epoch can't settle starts of that same epoch which are still under way; the interface says so now.

--- a/include/coltsfootstile/shard.h
+++ b/include/coltsfootstile/shard.h
@@ -224,7 +224,9 @@
   void (*opening) (void *client, uint32_t shard, uint64_t epoch);
   /** What runs on a server; replaces any earlier report of the same shard and
    * server (of the same shard and owner, if the server is 0). Comes before
-   * active(), and for a server that joins late before joined(). */
+   * active(), and for a server that joins late before joined(). It says
+   * nothing of starts that this lead has sent itself in this epoch and has no
+   * answer to: they may still arrive. */
   void (*report) (void *client, const struct ColtShardReport *report);
   /** The recount is complete: this instance leads the shard. If \a lacking
    * isn't 0 (only with partial_ms), tasks unknown to the lead may still run on
--- a/src/test_shard/zone_instance.c
+++ b/src/test_shard/zone_instance.c
@@ -187,6 +187,8 @@
     {
       g_clear_pointer (&instance->reports[shard][server], g_hash_table_unref);
     }
+  g_clear_pointer (&instance->sent[shard], g_hash_table_unref);
+  instance->sent[shard] = g_hash_table_new (g_direct_hash, g_direct_equal);
 }
 
 static void
@@ -345,6 +347,10 @@
           g_clear_pointer (&instance->reports[shard][i], g_hash_table_unref);
         }
     }
+  for (shard = 0; shard < COLT_SHARD_COUNT; shard++)
+    {
+      g_clear_pointer (&instance->sent[shard], g_hash_table_unref);
+    }
   g_clear_pointer (&instance->owner, colt_shard_owner_destroy);
   g_clear_pointer (&instance->lead, colt_shard_lead_destroy);
 }
@@ -593,8 +599,7 @@
   event.start.ref = colt_zone_task_ref (++zone->last_task);
   event.start.shard = shard;
   event.start.shard_epoch = colt_shard_lead_epoch (instance->lead, shard);
-  g_hash_table_add (instance->reports[shard][server],
-                    GUINT_TO_POINTER (zone->last_task));
+  g_hash_table_add (instance->sent[shard], GUINT_TO_POINTER (zone->last_task));
   colt_zone_post (zone, &event);
 }
 
--- a/src/test_shard/zone_internal.h
+++ b/src/test_shard/zone_internal.h
@@ -78,6 +78,7 @@
   struct ColtShardOwner *owner;
   struct ColtShardLead *lead;
   GHashTable *reports[COLT_SHARD_COUNT][COLT_ZONE_SERVERS + 1]; /* of tasks */
+  GHashTable *sent[COLT_SHARD_COUNT]; /* tasks started in this epoch */
 };
 
 struct ColtZoneLeader
--- a/src/test_shard/zone_oracle.c
+++ b/src/test_shard/zone_oracle.c
@@ -101,7 +101,7 @@
   GHashTable *reported = instance->reports[shard][server];
 
   if (!colt_zone_server_is_covered (zone->servers[server], zone->now, shard,
-                                    reported))
+                                    reported, instance->sent[shard]))
     colt_zone_broken (zone, what);
 }
 
--- a/src/test_shard/zone_server.c
+++ b/src/test_shard/zone_server.c
@@ -30,6 +30,7 @@
                                       guint index);
 static struct ColtZoneTask *find_task_ (struct ColtZoneServerModel *server,
                                         uint32_t number);
+static bool is_in_ (GHashTable *tasks, uint32_t number);
 static int64_t issued_ (const struct ColtZoneServerModel *server, int token);
 static bool acquire_ (struct ColtZoneServerModel *server,
                       const struct ColtZoneCall *call,
@@ -168,7 +169,8 @@
 colt_zone_server_is_covered (struct ColtZoneServerModel *server,
                              int64_t now,
                              uint32_t shard,
-                             GHashTable *reported)
+                             GHashTable *reported,
+                             GHashTable *sent)
 {
   guint i;
 
@@ -177,10 +179,8 @@
     {
       const struct ColtZoneTask *task = task_at_ (server, i);
 
-      if (task->shard == shard
-          && (reported == NULL
-              || !g_hash_table_contains (reported,
-                                         GUINT_TO_POINTER (task->number))))
+      if (task->shard == shard && !is_in_ (reported, task->number)
+          && !is_in_ (sent, task->number))
         return false;
     }
   return true;
@@ -246,6 +246,13 @@
   return g_hash_table_lookup (server->tasks, GUINT_TO_POINTER (number));
 }
 
+static bool
+is_in_ (GHashTable *tasks, uint32_t number)
+{
+  return tasks != NULL
+         && g_hash_table_contains (tasks, GUINT_TO_POINTER (number));
+}
+
 static int64_t
 issued_ (const struct ColtZoneServerModel *server, int token)
 {
--- a/src/test_shard/zone_server.h
+++ b/src/test_shard/zone_server.h
@@ -92,12 +92,13 @@
 /** Counts tasks whose leases ran out. */
 int64_t colt_zone_server_count_lapsed (struct ColtZoneServerModel *server,
                                        int64_t now);
-/** Returns whether all running tasks of a shard are in \a reported, a set of
- * numbers or NULL. */
+/** Returns whether all running tasks of a shard are in one of two sets of
+ * numbers, which may be NULL. */
 bool colt_zone_server_is_covered (struct ColtZoneServerModel *server,
                                   int64_t now,
                                   uint32_t shard,
-                                  GHashTable *reported);
+                                  GHashTable *reported,
+                                  GHashTable *sent);
 /** Returns the reference of a task number. */
 struct ColtTaskRef colt_zone_task_ref (uint32_t number);
 /** Returns the number of a task reference. */
