Shards: servers whose tasks a lead can't know, apart from those out of session

A home held back every id that might have been used before while any server was out of session, so a server that died after the recount stopped them for as long as its tasks could run. Only servers that have not joined in the present epoch can run tasks that the lead doesn't know.

--- a/include/coltsfootstile/shard.h
+++ b/include/coltsfootstile/shard.h
@@ -363,6 +363,13 @@
 uint32_t colt_shard_lead_choice (const struct ColtShardLead *lead,
                                  uint32_t shard);
 
+/** Returns how many servers may run tasks of a shard that the lead has never
+ * been told of: they have not joined in this epoch, and are not written off.
+ * A server that joined and is out of session again doesn't count, since only
+ * this lead has started anything there. */
+size_t colt_shard_lead_unknown (const struct ColtShardLead *lead,
+                                uint32_t shard);
+
 /** Returns how many servers a shard's recount lacks or has out of session and
  * not written off. */
 size_t colt_shard_lead_missing (const struct ColtShardLead *lead,
--- a/src/home/home_submit.c
+++ b/src/home/home_submit.c
@@ -143,7 +143,7 @@
   if (fresh)
     return false;
   return !home->history_known[shard]
-         || colt_shard_lead_missing (home->lead, shard) > 0;
+         || colt_shard_lead_unknown (home->lead, shard) > 0;
 }
 
 static void
--- a/src/shard/lead.c
+++ b/src/shard/lead.c
@@ -18,14 +18,6 @@
 const char *const colt_shard_loss_string[]
     = { "refused", "unconfirmed", "choice", "stopped" };
 
-/* The reports of one shard and server within an answer. */
-struct ColtReportGroup
-{
-  uint64_t key; /* shard << 32 | server */
-  GPtrArray *tasks;
-  GPtrArray *teams;
-};
-
 static void advance_ (struct ColtShardLead *lead, int64_t now);
 static void begin_wanted_ (struct ColtShardLead *lead, int64_t now);
 static void refresh_ (struct ColtShardLead *lead, int64_t now);
@@ -54,23 +46,6 @@
                             const struct ColtShardEpoch *epochs,
                             size_t count,
                             int64_t now);
-static void take_grants_ (struct ColtShardLead *lead,
-                          struct ColtLeadPeer *peer,
-                          const struct ColtShardOpened *opened);
-static void take_grant_ (struct ColtShardLead *lead,
-                         struct ColtLeadPeer *peer,
-                         struct ColtLedShard *shard,
-                         const struct ColtShardOpened *opened,
-                         GHashTable *groups);
-static GHashTable *group_reports_ (const struct ColtShardOpened *opened);
-static struct ColtReportGroup *
-find_group_ (GHashTable *groups, uint32_t shard, uint32_t server);
-static void free_group_ (gpointer data);
-static void report_ (struct ColtShardLead *lead,
-                     uint32_t shard,
-                     uint32_t owner,
-                     const struct ColtShardServer *server,
-                     GHashTable *groups);
 
 struct ColtShardLead *
 colt_shard_lead_create (uint32_t instance,
@@ -196,7 +171,7 @@
   take_promises_ (lead, opened->epochs, opened->epoch_count, now);
   peer = colt_lead_find_peer (lead, opened->owner);
   if (peer != NULL && peer->is_known)
-    take_grants_ (lead, peer, opened);
+    colt_lead_take_grants (lead, peer, opened);
   advance_ (lead, now);
 }
 
@@ -384,6 +359,15 @@
   return lead->shards[shard].out;
 }
 
+size_t
+colt_shard_lead_unknown (const struct ColtShardLead *lead, uint32_t shard)
+{
+  assert (shard < COLT_SHARD_COUNT);
+  if (lead->shards[shard].out == 0 && lead->shards[shard].pending == 0)
+    return 0;
+  return colt_lead_count_unknown (&lead->shards[shard]);
+}
+
 /* Seats are looked through only when something has changed; an answer that
  * nothing has costs no more than the peers and shards. */
 static void
@@ -608,128 +592,3 @@
       shard->refusals++;
     }
 }
-
-static void
-take_grants_ (struct ColtShardLead *lead,
-              struct ColtLeadPeer *peer,
-              const struct ColtShardOpened *opened)
-{
-  GHashTable *groups = group_reports_ (opened);
-  size_t i;
-
-  for (i = 0; i < opened->epoch_count; i++)
-    {
-      struct ColtLedShard *shard = &lead->shards[opened->epochs[i].shard];
-
-      if (shard->state != COLT_SHARD_FOLLOWING
-          && opened->epochs[i].epoch == shard->epoch)
-        take_grant_ (lead, peer, shard, opened, groups);
-    }
-  g_hash_table_unref (groups);
-}
-
-static void
-take_grant_ (struct ColtShardLead *lead,
-             struct ColtLeadPeer *peer,
-             struct ColtLedShard *shard,
-             const struct ColtShardOpened *opened,
-             GHashTable *groups)
-{
-  const struct ColtShardServer none = { 0 };
-  size_t i;
-
-  if (peer->granted[shard->shard] != shard->epoch)
-    report_ (lead, shard->shard, peer->instance, &none, groups);
-  peer->granted[shard->shard] = shard->epoch;
-  for (i = 0; i < opened->server_count; i++)
-    {
-      const struct ColtShardServer *server = &opened->servers[i];
-      struct ColtSeat *seat = colt_lead_seat (shard, server->server);
-
-      if ((server->shards >> shard->shard & 1) == 0)
-        continue;
-      if ((seat->status == COLT_SEAT_GRANTED
-           || seat->status == COLT_SEAT_JOINED)
-          && seat->owner == peer->instance
-          && seat->server_epoch == server->epoch)
-        continue;
-      seat->status = COLT_SEAT_GRANTED;
-      seat->owner = peer->instance;
-      seat->server_epoch = server->epoch;
-      seat->since = lead->last_round + 1;
-      report_ (lead, shard->shard, peer->instance, server, groups);
-    }
-}
-
-static GHashTable *
-group_reports_ (const struct ColtShardOpened *opened)
-{
-  GHashTable *groups
-      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_group_);
-  size_t i;
-
-  for (i = 0; i < opened->task_count; i++)
-    {
-      const struct ColtShardTask *task = &opened->tasks[i];
-
-      g_ptr_array_add (
-          find_group_ (groups, task->report.shard, task->server)->tasks,
-          (gpointer)&task->report);
-    }
-  for (i = 0; i < opened->team_count; i++)
-    {
-      const struct ColtTeamCount *team = &opened->teams[i];
-
-      g_ptr_array_add (find_group_ (groups, team->shard, team->server)->teams,
-                       (gpointer)team);
-    }
-  return groups;
-}
-
-static struct ColtReportGroup *
-find_group_ (GHashTable *groups, uint32_t shard, uint32_t server)
-{
-  uint64_t key = (uint64_t)shard << 32 | server;
-  struct ColtReportGroup *group = g_hash_table_lookup (groups, &key);
-
-  if (group != NULL)
-    return group;
-  group = g_new0 (struct ColtReportGroup, 1);
-  group->key = key;
-  group->tasks = g_ptr_array_new ();
-  group->teams = g_ptr_array_new ();
-  g_hash_table_insert (groups, &group->key, group);
-  return group;
-}
-
-static void
-free_group_ (gpointer data)
-{
-  struct ColtReportGroup *group = data;
-
-  g_ptr_array_unref (group->tasks);
-  g_ptr_array_unref (group->teams);
-  g_free (group);
-}
-
-static void
-report_ (struct ColtShardLead *lead,
-         uint32_t shard,
-         uint32_t owner,
-         const struct ColtShardServer *server,
-         GHashTable *groups)
-{
-  const struct ColtReportGroup *group
-      = find_group_ (groups, shard, server->server);
-  struct ColtShardReport report = { 0 };
-
-  report.shard = shard;
-  report.server = server->server;
-  report.server_epoch = server->epoch;
-  report.owner = owner;
-  report.tasks = (const struct ColtTaskReport *const *)group->tasks->pdata;
-  report.task_count = group->tasks->len;
-  report.teams = (const struct ColtTeamCount *const *)group->teams->pdata;
-  report.team_count = group->teams->len;
-  lead->table->report (lead->client, &report);
-}
--- a/src/shard/lead_seats.c
+++ b/src/shard/lead_seats.c
@@ -105,6 +105,24 @@
     }
 }
 
+size_t
+colt_lead_count_unknown (const struct ColtLedShard *shard)
+{
+  GHashTableIter iter;
+  gpointer value;
+  size_t count = 0;
+
+  g_hash_table_iter_init (&iter, shard->seats);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct ColtSeat *seat = value;
+
+      if (!seat->was_joined && seat->status != COLT_SEAT_WRITTEN_OFF)
+        count++;
+    }
+  return count;
+}
+
 bool
 colt_lead_is_checked (const struct ColtShardLead *lead,
                       const struct ColtLedShard *shard)
@@ -135,8 +153,10 @@
     {
       struct ColtSeat *seat = value;
 
-      if (seat->status == COLT_SEAT_GRANTED)
-        seat->status = COLT_SEAT_JOINED;
+      if (seat->status != COLT_SEAT_GRANTED)
+        continue;
+      seat->status = COLT_SEAT_JOINED;
+      seat->was_joined = true;
     }
 }
 
@@ -167,6 +187,7 @@
           continue;
         }
       seat->status = COLT_SEAT_JOINED;
+      seat->was_joined = true;
       shard->pending--;
       peer->backing[shard->shard]++;
       lead->table->joined (lead->client, shard->shard, GPOINTER_TO_UINT (key),
--- a/src/shard/private/lead.h
+++ b/src/shard/private/lead.h
@@ -66,7 +66,8 @@
   enum ColtSeatStatus status;
   uint32_t owner;
   uint64_t server_epoch;
-  uint64_t since; /**< a confirm of this round or later is fresh enough */
+  bool was_joined; /**< what ran there is known */
+  uint64_t since;  /**< a confirm of this round or later is fresh enough */
 };
 
 /** A shard. */
@@ -146,6 +147,13 @@
 int64_t colt_lead_peer_wake_time (const struct ColtShardLead *lead,
                                   const struct ColtLeadPeer *peer);
 
+/* lead_grants.c */
+
+/** Takes the grants of an answer, and reports what runs there. */
+void colt_lead_take_grants (struct ColtShardLead *lead,
+                            struct ColtLeadPeer *peer,
+                            const struct ColtShardOpened *opened);
+
 /* lead_seats.c */
 
 /** Returns a seat, which is made if there is none. */
@@ -165,6 +173,8 @@
 void colt_lead_write_off (struct ColtShardLead *lead,
                           struct ColtLedShard *shard,
                           int64_t now);
+/** Counts servers that have never joined and are not written off. */
+size_t colt_lead_count_unknown (const struct ColtLedShard *shard);
 /** Returns whether all granted seats have been confirmed since a round. */
 bool colt_lead_is_checked (const struct ColtShardLead *lead,
                            const struct ColtLedShard *shard);
--- a/src/test_shard/test_shard.c
+++ b/src/test_shard/test_shard.c
@@ -40,6 +40,13 @@
   g_assert_cmpint (colt_zone_count_starts (zone), >, starts + 20);
 }
 
+static size_t
+count_unknown_ (struct ColtZone *zone, uint32_t shard)
+{
+  return colt_shard_lead_unknown (
+      colt_zone_get_lead (zone, colt_zone_lead (zone, shard)), shard);
+}
+
 static void
 test_zone_comes_up (void)
 {
@@ -158,11 +165,15 @@
 {
   struct ColtZonePlan plan = quiet_plan_ ();
   struct ColtZone *zone = create_running_ (&plan);
+  const struct ColtShardLead *lead;
   int64_t recounts = colt_zone_count_recounts (zone);
 
   colt_zone_silence_server (zone, 2, 800);
-  colt_zone_run (zone, 500);
+  colt_zone_run (zone, 700);
   g_assert_cmpuint (colt_zone_holder (zone, 2), ==, 0);
+  lead = colt_zone_get_lead (zone, colt_zone_lead (zone, 0));
+  g_assert_cmpuint (colt_shard_lead_missing (lead, 0), ==, 1);
+  g_assert_cmpuint (colt_shard_lead_unknown (lead, 0), ==, 0);
   colt_zone_run (zone, 3000);
   assert_serves_ (zone, &plan);
   g_assert_cmpint (colt_zone_count_recounts (zone), ==, recounts);
@@ -191,13 +202,19 @@
 {
   struct ColtZonePlan plan = quiet_plan_ ();
   struct ColtZone *zone;
+  uint32_t shard = 0;
 
   plan.partial_ms = 500;
   zone = create_running_ (&plan);
+  while (colt_zone_lead (zone, shard) != 1)
+    shard++;
   colt_zone_kill_server (zone, 4);
   colt_zone_kill (zone, 1);
   colt_zone_run (zone, 2000);
   g_assert_cmpint (colt_zone_count_led (zone), ==, COLT_SHARD_COUNT);
+  g_assert_cmpuint (count_unknown_ (zone, shard), ==, 1);
+  colt_zone_run (zone, 3500);
+  g_assert_cmpuint (count_unknown_ (zone, shard), ==, 0);
   colt_zone_destroy (zone);
 }
 
