--- a/fuzz/fuzz_bundle_chain.c
+++ b/fuzz/fuzz_bundle_chain.c
@@ -351,6 +351,17 @@
 
   if (colt_chain_needs_snapshot (peer))
     return;
+  body
+      = colt_chain_encode_update (peer, colt_chain_next_offset (reader), &size);
+  if (body != NULL && draw_ (world, 2) == 0)
+    {
+      colt_chain_take_update (reader, body, size, &verdict);
+      g_assert_true (verdict.status == COLT_CHAIN_ACCEPTED
+                     || verdict.status == COLT_CHAIN_GAP);
+      free (body);
+      return;
+    }
+  free (body);
   body = colt_chain_encode_snapshot (peer, NULL, 0, &size);
   if (body == NULL)
     return;
--- a/fuzz/fuzz_bundle_text.c
+++ b/fuzz/fuzz_bundle_text.c
@@ -113,6 +113,7 @@
   colt_chain_take_relayed (chain, body, size, &verdict);
   colt_chain_advance (chain, 1);
   colt_chain_set_first (chain, 50);
+  colt_chain_take_update (chain, body, size, &verdict);
   colt_chain_take_snapshot (chain, body, size, &verdict);
   g_assert_true (verdict.status != COLT_CHAIN_ADOPTED
                  || colt_chain_next_offset (chain) >= 50);
--- a/include/coltsfootstile/bundle_chain.h
+++ b/include/coltsfootstile/bundle_chain.h
@@ -183,6 +183,31 @@
                                            size_t size),
                             void *client);
 
+/** Bytes of changes that a fold remembers for its peers. */
+#define COLT_CHAIN_CHANGES_BYTES_MAX (1024u * 1024)
+
+/**
+ * Encodes what took effect from an offset on, for a peer that can't read the
+ * log itself.
+ *
+ * \return to be freed with free(); NULL if it is no longer remembered, or
+ *         nothing has been read beyond \a from
+ */
+uint8_t *colt_chain_encode_update (const struct ColtChain *chain,
+                                   uint64_t from,
+                                   size_t *size);
+
+/**
+ * Takes a peer's update. What the log's reader brings later is then
+ * a duplicate, and colt_chain_next_offset() is that of the peer.
+ *
+ * \param verdict  COLT_CHAIN_ACCEPTED if the fold is further on now
+ */
+void colt_chain_take_update (struct ColtChain *chain,
+                             const uint8_t *body,
+                             size_t size,
+                             struct ColtChainVerdict *verdict);
+
 /**
  * Returns the other folds' state in the snapshot that was taken up last, or
  * NULL. It lives until the next one.
--- a/include/coltsfootstile/freshness.h
+++ b/include/coltsfootstile/freshness.h
@@ -40,7 +40,8 @@
   uint32_t self_zone;
   int64_t read_us;      /**< when the last up-to-date read was sent;
                              COLT_TIME_NEVER or INT64_MIN if there was none */
-  uint64_t next_offset; /**< everything before this has been read */
+  uint64_t next_offset; /**< colt_chain_next_offset(): everything before it
+                             has been read */
   bool read_failing;    /**< the last read of the log failed or timed out */
   bool has_bundle;      /**< a bundle is in force here, and the fold waits for
                              no snapshot */
--- a/src/bundle/bundle.pb-c.c
+++ b/src/bundle/bundle.pb-c.c
@@ -322,6 +322,186 @@
   assert(message->base.descriptor == &colt__bundle_snapshot__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   colt__bundle_change__init
+                     (Colt__BundleChange         *message)
+{
+  static const Colt__BundleChange init_value = COLT__BUNDLE_CHANGE__INIT;
+  *message = init_value;
+}
+size_t colt__bundle_change__get_packed_size
+                     (const Colt__BundleChange *message)
+{
+  assert(message->base.descriptor == &colt__bundle_change__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t colt__bundle_change__pack
+                     (const Colt__BundleChange *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &colt__bundle_change__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t colt__bundle_change__pack_to_buffer
+                     (const Colt__BundleChange *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &colt__bundle_change__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Colt__BundleChange *
+       colt__bundle_change__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Colt__BundleChange *)
+     protobuf_c_message_unpack (&colt__bundle_change__descriptor,
+                                allocator, len, data);
+}
+void   colt__bundle_change__free_unpacked
+                     (Colt__BundleChange *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &colt__bundle_change__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   colt__bundle_update__init
+                     (Colt__BundleUpdate         *message)
+{
+  static const Colt__BundleUpdate init_value = COLT__BUNDLE_UPDATE__INIT;
+  *message = init_value;
+}
+size_t colt__bundle_update__get_packed_size
+                     (const Colt__BundleUpdate *message)
+{
+  assert(message->base.descriptor == &colt__bundle_update__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t colt__bundle_update__pack
+                     (const Colt__BundleUpdate *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &colt__bundle_update__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t colt__bundle_update__pack_to_buffer
+                     (const Colt__BundleUpdate *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &colt__bundle_update__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Colt__BundleUpdate *
+       colt__bundle_update__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Colt__BundleUpdate *)
+     protobuf_c_message_unpack (&colt__bundle_update__descriptor,
+                                allocator, len, data);
+}
+void   colt__bundle_update__free_unpacked
+                     (Colt__BundleUpdate *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &colt__bundle_update__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   colt__bundle_pull__init
+                     (Colt__BundlePull         *message)
+{
+  static const Colt__BundlePull init_value = COLT__BUNDLE_PULL__INIT;
+  *message = init_value;
+}
+size_t colt__bundle_pull__get_packed_size
+                     (const Colt__BundlePull *message)
+{
+  assert(message->base.descriptor == &colt__bundle_pull__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t colt__bundle_pull__pack
+                     (const Colt__BundlePull *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &colt__bundle_pull__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t colt__bundle_pull__pack_to_buffer
+                     (const Colt__BundlePull *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &colt__bundle_pull__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Colt__BundlePull *
+       colt__bundle_pull__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Colt__BundlePull *)
+     protobuf_c_message_unpack (&colt__bundle_pull__descriptor,
+                                allocator, len, data);
+}
+void   colt__bundle_pull__free_unpacked
+                     (Colt__BundlePull *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &colt__bundle_pull__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   colt__bundle_pulled__init
+                     (Colt__BundlePulled         *message)
+{
+  static const Colt__BundlePulled init_value = COLT__BUNDLE_PULLED__INIT;
+  *message = init_value;
+}
+size_t colt__bundle_pulled__get_packed_size
+                     (const Colt__BundlePulled *message)
+{
+  assert(message->base.descriptor == &colt__bundle_pulled__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t colt__bundle_pulled__pack
+                     (const Colt__BundlePulled *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &colt__bundle_pulled__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t colt__bundle_pulled__pack_to_buffer
+                     (const Colt__BundlePulled *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &colt__bundle_pulled__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Colt__BundlePulled *
+       colt__bundle_pulled__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Colt__BundlePulled *)
+     protobuf_c_message_unpack (&colt__bundle_pulled__descriptor,
+                                allocator, len, data);
+}
+void   colt__bundle_pulled__free_unpacked
+                     (Colt__BundlePulled *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &colt__bundle_pulled__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor colt__bundle_link__field_descriptors[4] =
 {
   {
@@ -861,3 +1041,246 @@
   (ProtobufCMessageInit) colt__bundle_snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor colt__bundle_change__field_descriptors[4] =
+{
+  {
+    "offset",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Colt__BundleChange, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Colt__BundleChange, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Colt__BundleChange, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Colt__BundleChange, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned colt__bundle_change__field_indices_by_name[] = {
+  3,   /* field[3] = body */
+  1,   /* field[1] = index */
+  2,   /* field[2] = kind */
+  0,   /* field[0] = offset */
+};
+static const ProtobufCIntRange colt__bundle_change__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor colt__bundle_change__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "colt.BundleChange",
+  "BundleChange",
+  "Colt__BundleChange",
+  "colt",
+  sizeof(Colt__BundleChange),
+  4,
+  colt__bundle_change__field_descriptors,
+  colt__bundle_change__field_indices_by_name,
+  1,  colt__bundle_change__number_ranges,
+  (ProtobufCMessageInit) colt__bundle_change__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor colt__bundle_update__field_descriptors[3] =
+{
+  {
+    "from",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Colt__BundleUpdate, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "next_offset",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Colt__BundleUpdate, next_offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "changes",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Colt__BundleUpdate, n_changes),
+    offsetof(Colt__BundleUpdate, changes),
+    &colt__bundle_change__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned colt__bundle_update__field_indices_by_name[] = {
+  2,   /* field[2] = changes */
+  0,   /* field[0] = from */
+  1,   /* field[1] = next_offset */
+};
+static const ProtobufCIntRange colt__bundle_update__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor colt__bundle_update__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "colt.BundleUpdate",
+  "BundleUpdate",
+  "Colt__BundleUpdate",
+  "colt",
+  sizeof(Colt__BundleUpdate),
+  3,
+  colt__bundle_update__field_descriptors,
+  colt__bundle_update__field_indices_by_name,
+  1,  colt__bundle_update__number_ranges,
+  (ProtobufCMessageInit) colt__bundle_update__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor colt__bundle_pull__field_descriptors[2] =
+{
+  {
+    "from",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Colt__BundlePull, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "whole",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Colt__BundlePull, whole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned colt__bundle_pull__field_indices_by_name[] = {
+  0,   /* field[0] = from */
+  1,   /* field[1] = whole */
+};
+static const ProtobufCIntRange colt__bundle_pull__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor colt__bundle_pull__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "colt.BundlePull",
+  "BundlePull",
+  "Colt__BundlePull",
+  "colt",
+  sizeof(Colt__BundlePull),
+  2,
+  colt__bundle_pull__field_descriptors,
+  colt__bundle_pull__field_indices_by_name,
+  1,  colt__bundle_pull__number_ranges,
+  (ProtobufCMessageInit) colt__bundle_pull__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor colt__bundle_pulled__field_descriptors[2] =
+{
+  {
+    "update",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Colt__BundlePulled, content_case),
+    offsetof(Colt__BundlePulled, update),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "snapshot",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Colt__BundlePulled, content_case),
+    offsetof(Colt__BundlePulled, snapshot),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned colt__bundle_pulled__field_indices_by_name[] = {
+  1,   /* field[1] = snapshot */
+  0,   /* field[0] = update */
+};
+static const ProtobufCIntRange colt__bundle_pulled__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor colt__bundle_pulled__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "colt.BundlePulled",
+  "BundlePulled",
+  "Colt__BundlePulled",
+  "colt",
+  sizeof(Colt__BundlePulled),
+  2,
+  colt__bundle_pulled__field_descriptors,
+  colt__bundle_pulled__field_indices_by_name,
+  1,  colt__bundle_pulled__number_ranges,
+  (ProtobufCMessageInit) colt__bundle_pulled__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/bundle/bundle.pb-c.h
+++ b/src/bundle/bundle.pb-c.h
@@ -22,6 +22,10 @@
 typedef struct Colt__BundlePast Colt__BundlePast;
 typedef struct Colt__BundleSnapshotEnvelope Colt__BundleSnapshotEnvelope;
 typedef struct Colt__BundleSnapshot Colt__BundleSnapshot;
+typedef struct Colt__BundleChange Colt__BundleChange;
+typedef struct Colt__BundleUpdate Colt__BundleUpdate;
+typedef struct Colt__BundlePull Colt__BundlePull;
+typedef struct Colt__BundlePulled Colt__BundlePulled;
 
 
 /* --- enums --- */
@@ -209,6 +213,88 @@
     , 0, 0,NULL, NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, {0,NULL} }
 
 
+/*
+ * A record that took effect.
+ */
+struct  Colt__BundleChange
+{
+  ProtobufCMessage base;
+  uint64_t offset;
+  uint32_t index;
+  uint32_t kind;
+  ProtobufCBinaryData body;
+};
+#define COLT__BUNDLE_CHANGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&colt__bundle_change__descriptor) \
+    , 0, 0, 0, {0,NULL} }
+
+
+/*
+ * What took effect between two offsets.
+ */
+struct  Colt__BundleUpdate
+{
+  ProtobufCMessage base;
+  uint64_t from;
+  /*
+   * everything before it is contained
+   */
+  uint64_t next_offset;
+  size_t n_changes;
+  Colt__BundleChange **changes;
+};
+#define COLT__BUNDLE_UPDATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&colt__bundle_update__descriptor) \
+    , 0, 0, 0,NULL }
+
+
+/*
+ * Asks a peer for what it has read from an offset on.
+ */
+struct  Colt__BundlePull
+{
+  ProtobufCMessage base;
+  uint64_t from;
+  /*
+   * a snapshot is needed
+   */
+  protobuf_c_boolean whole;
+};
+#define COLT__BUNDLE_PULL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&colt__bundle_pull__descriptor) \
+    , 0, 0 }
+
+
+typedef enum {
+  COLT__BUNDLE_PULLED__CONTENT__NOT_SET = 0,
+  COLT__BUNDLE_PULLED__CONTENT_UPDATE = 1,
+  COLT__BUNDLE_PULLED__CONTENT_SNAPSHOT = 2
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(COLT__BUNDLE_PULLED__CONTENT__CASE)
+} Colt__BundlePulled__ContentCase;
+
+/*
+ * The answer; empty when the peer has nothing better.
+ */
+struct  Colt__BundlePulled
+{
+  ProtobufCMessage base;
+  Colt__BundlePulled__ContentCase content_case;
+  union {
+    /*
+     * BundleUpdate
+     */
+    ProtobufCBinaryData update;
+    /*
+     * BundleSnapshotEnvelope
+     */
+    ProtobufCBinaryData snapshot;
+  };
+};
+#define COLT__BUNDLE_PULLED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&colt__bundle_pulled__descriptor) \
+    , COLT__BUNDLE_PULLED__CONTENT__NOT_SET, {0} }
+
+
 /* Colt__BundleLink methods */
 void   colt__bundle_link__init
                      (Colt__BundleLink         *message);
@@ -342,6 +428,82 @@
 void   colt__bundle_snapshot__free_unpacked
                      (Colt__BundleSnapshot *message,
                       ProtobufCAllocator *allocator);
+/* Colt__BundleChange methods */
+void   colt__bundle_change__init
+                     (Colt__BundleChange         *message);
+size_t colt__bundle_change__get_packed_size
+                     (const Colt__BundleChange   *message);
+size_t colt__bundle_change__pack
+                     (const Colt__BundleChange   *message,
+                      uint8_t             *out);
+size_t colt__bundle_change__pack_to_buffer
+                     (const Colt__BundleChange   *message,
+                      ProtobufCBuffer     *buffer);
+Colt__BundleChange *
+       colt__bundle_change__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   colt__bundle_change__free_unpacked
+                     (Colt__BundleChange *message,
+                      ProtobufCAllocator *allocator);
+/* Colt__BundleUpdate methods */
+void   colt__bundle_update__init
+                     (Colt__BundleUpdate         *message);
+size_t colt__bundle_update__get_packed_size
+                     (const Colt__BundleUpdate   *message);
+size_t colt__bundle_update__pack
+                     (const Colt__BundleUpdate   *message,
+                      uint8_t             *out);
+size_t colt__bundle_update__pack_to_buffer
+                     (const Colt__BundleUpdate   *message,
+                      ProtobufCBuffer     *buffer);
+Colt__BundleUpdate *
+       colt__bundle_update__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   colt__bundle_update__free_unpacked
+                     (Colt__BundleUpdate *message,
+                      ProtobufCAllocator *allocator);
+/* Colt__BundlePull methods */
+void   colt__bundle_pull__init
+                     (Colt__BundlePull         *message);
+size_t colt__bundle_pull__get_packed_size
+                     (const Colt__BundlePull   *message);
+size_t colt__bundle_pull__pack
+                     (const Colt__BundlePull   *message,
+                      uint8_t             *out);
+size_t colt__bundle_pull__pack_to_buffer
+                     (const Colt__BundlePull   *message,
+                      ProtobufCBuffer     *buffer);
+Colt__BundlePull *
+       colt__bundle_pull__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   colt__bundle_pull__free_unpacked
+                     (Colt__BundlePull *message,
+                      ProtobufCAllocator *allocator);
+/* Colt__BundlePulled methods */
+void   colt__bundle_pulled__init
+                     (Colt__BundlePulled         *message);
+size_t colt__bundle_pulled__get_packed_size
+                     (const Colt__BundlePulled   *message);
+size_t colt__bundle_pulled__pack
+                     (const Colt__BundlePulled   *message,
+                      uint8_t             *out);
+size_t colt__bundle_pulled__pack_to_buffer
+                     (const Colt__BundlePulled   *message,
+                      ProtobufCBuffer     *buffer);
+Colt__BundlePulled *
+       colt__bundle_pulled__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   colt__bundle_pulled__free_unpacked
+                     (Colt__BundlePulled *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Colt__BundleLink_Closure)
@@ -365,6 +527,18 @@
 typedef void (*Colt__BundleSnapshot_Closure)
                  (const Colt__BundleSnapshot *message,
                   void *closure_data);
+typedef void (*Colt__BundleChange_Closure)
+                 (const Colt__BundleChange *message,
+                  void *closure_data);
+typedef void (*Colt__BundleUpdate_Closure)
+                 (const Colt__BundleUpdate *message,
+                  void *closure_data);
+typedef void (*Colt__BundlePull_Closure)
+                 (const Colt__BundlePull *message,
+                  void *closure_data);
+typedef void (*Colt__BundlePulled_Closure)
+                 (const Colt__BundlePulled *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -378,6 +552,10 @@
 extern const ProtobufCMessageDescriptor colt__bundle_past__descriptor;
 extern const ProtobufCMessageDescriptor colt__bundle_snapshot_envelope__descriptor;
 extern const ProtobufCMessageDescriptor colt__bundle_snapshot__descriptor;
+extern const ProtobufCMessageDescriptor colt__bundle_change__descriptor;
+extern const ProtobufCMessageDescriptor colt__bundle_update__descriptor;
+extern const ProtobufCMessageDescriptor colt__bundle_pull__descriptor;
+extern const ProtobufCMessageDescriptor colt__bundle_pulled__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/bundle/chain.c
+++ b/src/bundle/chain.c
@@ -82,6 +82,7 @@
     return;
   colt_chain_clear_state (chain);
   colt_chain_drop_kept (chain);
+  colt_chain_forget_changes (chain, 0);
   colt_keyring_destroy (chain->keyring);
   colt_path_unref (chain->path);
   g_array_unref (chain->history);
@@ -128,6 +129,8 @@
     take_key_ (chain, kind, body, size, false, verdict);
   else
     set_verdict_ (verdict, COLT_CHAIN_IGNORED, "of another fold");
+  if (verdict->status == COLT_CHAIN_ACCEPTED)
+    colt_chain_remember (chain, position, kind, body, size);
 }
 
 void
--- a/src/bundle/private/chain_internal.h
+++ b/src/bundle/private/chain_internal.h
@@ -40,6 +40,9 @@
   bool needs_snapshot;
   GQueue kept; /* of struct ColtChainKept, oldest first */
   size_t kept_bytes;
+  GQueue changes; /* of struct ColtChainKept: what took effect */
+  size_t changes_bytes;
+  uint64_t changes_from; /* none is missing from here on */
   uint64_t snapshot_offset;
   GBytes *extra; /* of the last snapshot taken up, or NULL */
   uint64_t generation;
@@ -67,6 +70,16 @@
 /** Drops all kept records. */
 void colt_chain_drop_kept (struct ColtChain *chain);
 
+/** Remembers a record that took effect, for peers. */
+void colt_chain_remember (struct ColtChain *chain,
+                          struct ColtLogPosition position,
+                          uint32_t kind,
+                          const uint8_t *body,
+                          size_t size);
+
+/** Forgets the changes before \a from, which is not in the past. */
+void colt_chain_forget_changes (struct ColtChain *chain, uint64_t from);
+
 /** Takes a record of this fold whose position has been checked. */
 void colt_chain_apply (struct ColtChain *chain,
                        struct ColtLogPosition position,
--- a/src/bundle/snapshot.c
+++ b/src/bundle/snapshot.c
@@ -434,6 +434,7 @@
   if (message->next_offset > chain->next_offset)
     chain->next_offset = message->next_offset;
   chain->needs_snapshot = false;
+  colt_chain_forget_changes (chain, message->next_offset);
   g_clear_pointer (&chain->extra, g_bytes_unref);
   chain->extra = g_bytes_new (message->extra.data, message->extra.len);
   chain->generation++;
--- a/src/test_bundle/test_bundle.c
+++ b/src/test_bundle/test_bundle.c
@@ -149,5 +149,6 @@
   test_add_snapshot ();
   test_add_keyring ();
   test_add_freshness ();
+  test_add_peers ();
   return g_test_run ();
 }
--- a/src/test_bundle/test_bundle.h
+++ b/src/test_bundle/test_bundle.h
@@ -51,5 +51,6 @@
 void test_add_snapshot (void);
 void test_add_keyring (void);
 void test_add_freshness (void);
+void test_add_peers (void);
 
 #endif
--- a/src/test_bundle/test_chain.c
+++ b/src/test_bundle/test_chain.c
@@ -254,6 +254,38 @@
   g_free (text);
 }
 
+static void
+test_update_from_peer (struct ColtChainFixture *fixture, gconstpointer data)
+{
+  struct ColtChain *peer = colt_chain_create (&fixture->operators[0].key, 1);
+  uint8_t *body;
+  size_t size;
+
+  (void)data;
+  test_take (peer, 0, fixture->first, NULL, &fixture->operators[0],
+             &fixture->verdict);
+  g_assert_null (colt_chain_encode_update (peer, 1, &size));
+  test_take (peer, 3, fixture->second, fixture->first, &fixture->operators[0],
+             &fixture->verdict);
+  colt_chain_advance (peer, 9);
+  body = colt_chain_encode_update (peer, 1, &size);
+  colt_chain_take_update (fixture->chain, body, size, &fixture->verdict);
+  g_assert_cmpint (fixture->verdict.status, ==, COLT_CHAIN_ACCEPTED);
+  assert_in_force (fixture, fixture->second);
+  g_assert_cmpuint (colt_chain_next_offset (fixture->chain), ==, 9);
+  g_assert_cmpuint (colt_chain_bundle_position (fixture->chain).offset, ==, 3);
+  colt_chain_take_update (fixture->chain, body, size, &fixture->verdict);
+  g_assert_cmpint (fixture->verdict.status, ==, COLT_CHAIN_DUPLICATE);
+  /* One that has read less than the update builds on. */
+  colt_chain_destroy (fixture->chain);
+  fixture->chain = colt_chain_create (&fixture->operators[0].key, 1);
+  colt_chain_take_update (fixture->chain, body, size, &fixture->verdict);
+  g_assert_cmpint (fixture->verdict.status, ==, COLT_CHAIN_GAP);
+  g_assert_null (colt_chain_bundle (fixture->chain));
+  free (body);
+  colt_chain_destroy (peer);
+}
+
 static void
 test_dump (struct ColtChainFixture *fixture, gconstpointer data)
 {
@@ -306,5 +338,6 @@
   ADD ("delta", test_deltas);
   ADD ("delta_mismatch", test_delta_to_another_text);
   ADD ("malformed", test_malformed_record);
+  ADD ("update", test_update_from_peer);
   ADD ("dump", test_dump);
 }
