--- a/src/coltsfootstilectl/cmd_task.c
+++ b/src/coltsfootstilectl/cmd_task.c
@@ -113,8 +113,9 @@
             &work->idempotent },
           { COLT_CTL_FLAG, "urgent", NULL, "goes before other work", false,
             &work->urgent },
-          { COLT_CTL_FLAG, "async", NULL, "do not wait for the work's end",
-            false, &given.async },
+          { COLT_CTL_FLAG, "async", NULL,
+            "do not wait for the work's end; always so for a service", false,
+            &given.async },
           { COLT_CTL_TEXT, "payload", "TEXT", "what the tasks get", false,
             &given.payload_text },
           { COLT_CTL_TEXT, "payload-file", "FILE", "the same from a file",
@@ -230,7 +231,10 @@
 
   if (exit_code != COLT_CTL_OK)
     return exit_code;
-  options->work.wait = !options->async;
+  options->work.wait
+      = !options->async
+        && strcmp (options->work.kind, colt_work_kind_string[COLT_WORK_SERVICE])
+               != 0;
   options->work.payload = options->payload_text;
   if (options->payload_text != NULL)
     options->work.payload_size = strlen (options->payload_text);
