--- /dev/null
+++ b/src/coltsfootstile/instance_jobs.c
@@ -0,0 +1,363 @@
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "coltsfootstile/clock.h"
+#include "coltsfootstile/log.h"
+#include "coltsfootstile/record.h"
+#include "coltsfootstile/request_messages.h"
+#include "instance.h"
+#include "job.pb-c.h"
+
+#define MODULE "jobs"
+
+/* How long a caller waits for work to become durable, in microseconds. */
+#define STORE_PATIENCE_US (3 * COLT_US_PER_S)
+/* Time between two looks for jobs that retention may drop soon. */
+#define RENEW_INTERVAL_US (1 * COLT_US_PER_S)
+/* Jobs whose records are appended anew in one look. */
+#define RENEW_MAX 64u
+/* Ends that are remembered, so that a job is not taken up from an old copy. */
+#define ENDS_MAX 65536u
+
+/* Work accepted for later whose home is this zone. */
+struct ColtJob
+{
+  struct ColtId id;
+  uint8_t *body; /* packed ColtJobWord */
+  size_t size;
+  int64_t appended_us; /* when its newest record was read or written */
+};
+
+struct ColtInstanceJobs
+{
+  struct ColtInstance *instance;
+  GHashTable *open;  /* of struct ColtJob, by id */
+  GHashTable *ended; /* of struct ColtId */
+  GQueue ended_order;
+  int64_t renew_us;
+};
+
+/* A job that is being stored. */
+struct ColtJobStoring
+{
+  void (*done) (void *client, bool stored, bool certain);
+  void *client;
+};
+
+static void take_job_ (struct ColtInstanceJobs *jobs, const struct ColtLogItem *item);
+static void take_end_ (struct ColtInstanceJobs *jobs, const struct ColtLogItem *item);
+static void store_ (void *client,
+                    const struct ColtId *id,
+                    const struct ColtRequestSpec *spec,
+                    void (*done) (void *done_client, bool stored, bool certain),
+                    void *done_client);
+static uint8_t *pack_job_ (const struct ColtId *id,
+                           const struct ColtRequestSpec *spec,
+                           size_t *size);
+static void on_stored_ (void *client, enum ColtLogWriteResult result, uint64_t offset);
+static void store_end_ (void *client, const struct ColtId *id, enum ColtOutcome outcome);
+static void load_ (void *client,
+                   uint32_t shard,
+                   void (*take) (void *take_client,
+                                 const struct ColtId *id,
+                                 const struct ColtRequestSpec *spec),
+                   void *take_client);
+static void load_one_ (const struct ColtJob *job,
+                       void (*take) (void *take_client,
+                                     const struct ColtId *id,
+                                     const struct ColtRequestSpec *spec),
+                       void *take_client);
+static void team_shard_ (void *client, uint32_t shard, uint64_t epoch, bool led);
+static void written_off_ (void *client, uint32_t server);
+static bool renew_ (struct ColtInstanceJobs *jobs, struct ColtJob *job, int64_t now_us);
+static void free_job_ (gpointer data);
+
+const struct ColtHomeClient colt_instance_home_client
+    = { team_shard_, written_off_, store_, store_end_, load_ };
+
+struct ColtInstanceJobs *
+colt_instance_jobs_create (struct ColtInstance *instance)
+{
+  struct ColtInstanceJobs *jobs = g_new0 (struct ColtInstanceJobs, 1);
+
+  jobs->instance = instance;
+  jobs->open
+      = g_hash_table_new_full (colt_id_table_hash, colt_id_table_equal, NULL, free_job_);
+  jobs->ended = g_hash_table_new (colt_id_table_hash, colt_id_table_equal);
+  g_queue_init (&jobs->ended_order);
+  return jobs;
+}
+
+void
+colt_instance_jobs_destroy (struct ColtInstanceJobs *jobs)
+{
+  if (jobs == NULL)
+    return;
+  g_hash_table_unref (jobs->open);
+  g_hash_table_unref (jobs->ended);
+  g_queue_clear_full (&jobs->ended_order, g_free);
+  g_free (jobs);
+}
+
+void
+colt_instance_jobs_take (struct ColtInstanceJobs *jobs, const struct ColtLogItem *item)
+{
+  if (item->kind == COLT_RECORD_JOB)
+    take_job_ (jobs, item);
+  else if (item->kind == COLT_RECORD_JOB_END)
+    take_end_ (jobs, item);
+}
+
+void
+colt_instance_jobs_step (struct ColtInstanceJobs *jobs, int64_t now_us)
+{
+  unsigned renewed = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (now_us < jobs->renew_us)
+    return;
+  jobs->renew_us = now_us + RENEW_INTERVAL_US;
+  g_hash_table_iter_init (&iter, jobs->open);
+  while (renewed < RENEW_MAX && g_hash_table_iter_next (&iter, NULL, &value))
+    if (renew_ (jobs, value, now_us))
+      renewed++;
+}
+
+size_t
+colt_instance_jobs_count (const struct ColtInstanceJobs *jobs)
+{
+  return g_hash_table_size (jobs->open);
+}
+
+static void
+take_job_ (struct ColtInstanceJobs *jobs, const struct ColtLogItem *item)
+{
+  ColtJobWord *word = colt_job_word__unpack (NULL, item->size, item->body);
+  struct ColtJob *job;
+  struct ColtId id;
+
+  if (word == NULL || !colt_id_read (&word->id, &id))
+    {
+      colt_log (COLT_LOG_WARNING, MODULE, NULL,
+                "skipping a malformed job at offset %" G_GUINT64_FORMAT, item->offset);
+      if (word != NULL)
+        colt_job_word__free_unpacked (word, NULL);
+      return;
+    }
+  colt_job_word__free_unpacked (word, NULL);
+  if (colt_id_zone (&id) != jobs->instance->zone
+      || g_hash_table_contains (jobs->ended, &id))
+    return;
+  job = g_new0 (struct ColtJob, 1);
+  job->id = id;
+  job->body = g_memdup2 (item->body, item->size);
+  job->size = item->size;
+  job->appended_us = colt_clock_monotonic_us ();
+  g_hash_table_replace (jobs->open, &job->id, job);
+}
+
+static void
+take_end_ (struct ColtInstanceJobs *jobs, const struct ColtLogItem *item)
+{
+  ColtJobEndWord *word = colt_job_end_word__unpack (NULL, item->size, item->body);
+  struct ColtId *copy;
+  struct ColtId id;
+
+  if (word == NULL)
+    return;
+  if (colt_id_read (&word->id, &id) && colt_id_zone (&id) == jobs->instance->zone)
+    {
+      g_hash_table_remove (jobs->open, &id);
+      if (!g_hash_table_contains (jobs->ended, &id))
+        {
+          copy = g_memdup2 (&id, sizeof id);
+          g_hash_table_add (jobs->ended, copy);
+          g_queue_push_tail (&jobs->ended_order, copy);
+        }
+    }
+  while (g_queue_get_length (&jobs->ended_order) > ENDS_MAX)
+    {
+      copy = g_queue_pop_head (&jobs->ended_order);
+      g_hash_table_remove (jobs->ended, copy);
+      g_free (copy);
+    }
+  colt_job_end_word__free_unpacked (word, NULL);
+}
+
+static void
+store_ (void *client,
+        const struct ColtId *id,
+        const struct ColtRequestSpec *spec,
+        void (*done) (void *done_client, bool stored, bool certain),
+        void *done_client)
+{
+  struct ColtInstance *instance = client;
+  struct ColtJobStoring *storing = g_new0 (struct ColtJobStoring, 1);
+  struct ColtLogItem item = { 0 };
+  uint8_t *body = pack_job_ (id, spec, &item.size);
+
+  storing->done = done;
+  storing->client = done_client;
+  item.kind = COLT_RECORD_JOB;
+  randombytes_buf (item.id.bytes, sizeof item.id.bytes);
+  item.body = body;
+  if (colt_log_client_add (instance->log, &item,
+                           colt_clock_monotonic_us () + STORE_PATIENCE_US, on_stored_,
+                           storing)
+      != COLT_LOG_ADD_QUEUED)
+    on_stored_ (storing, COLT_LOG_WRITE_NOT_DONE, 0);
+  free (body);
+}
+
+static uint8_t *
+pack_job_ (const struct ColtId *id, const struct ColtRequestSpec *spec, size_t *size)
+{
+  int64_t now_us = colt_clock_monotonic_us ();
+  ColtJobWord word = COLT_JOB_WORD__INIT;
+  struct ColtSpecBuffer buffer;
+  uint8_t *packed;
+  uint8_t *body;
+
+  colt_spec_fill (&buffer, spec, now_us);
+  buffer.word.deadline_left_ms = -1;
+  packed = colt_message_pack (&buffer.word.base, &word.spec.len);
+  word.spec.data = packed;
+  word.id = colt_id_fill (id);
+  if (spec->deadline_us != COLT_TIME_NEVER)
+    word.deadline_wall_ms
+        = (colt_clock_wall_us () + spec->deadline_us - now_us) / COLT_US_PER_MS;
+  body = colt_message_pack (&word.base, size);
+  free (packed);
+  return body;
+}
+
+static void
+on_stored_ (void *client, enum ColtLogWriteResult result, uint64_t offset)
+{
+  struct ColtJobStoring *storing = client;
+
+  (void)offset;
+  storing->done (storing->client, result == COLT_LOG_WRITE_DONE,
+                 result != COLT_LOG_WRITE_UNCERTAIN);
+  g_free (storing);
+}
+
+static void
+store_end_ (void *client, const struct ColtId *id, enum ColtOutcome outcome)
+{
+  struct ColtInstance *instance = client;
+  ColtJobEndWord word = COLT_JOB_END_WORD__INIT;
+  struct ColtLogItem item = { 0 };
+  uint8_t *body;
+
+  word.id = colt_id_fill (id);
+  word.outcome = outcome;
+  body = colt_message_pack (&word.base, &item.size);
+  item.kind = COLT_RECORD_JOB_END;
+  randombytes_buf (item.id.bytes, sizeof item.id.bytes);
+  item.body = body;
+  if (colt_log_client_add (instance->log, &item, COLT_TIME_NEVER, NULL, NULL)
+      != COLT_LOG_ADD_QUEUED)
+    colt_log (COLT_LOG_ERROR, MODULE, NULL, "the end of a job could not be queued");
+  free (body);
+}
+
+static void
+load_ (void *client,
+       uint32_t shard,
+       void (*take) (void *take_client,
+                     const struct ColtId *id,
+                     const struct ColtRequestSpec *spec),
+       void *take_client)
+{
+  struct ColtInstance *instance = client;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, instance->jobs->open);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct ColtJob *job = value;
+
+      if (colt_id_shard (&job->id) == shard)
+        load_one_ (job, take, take_client);
+    }
+}
+
+static void
+load_one_ (const struct ColtJob *job,
+           void (*take) (void *take_client,
+                         const struct ColtId *id,
+                         const struct ColtRequestSpec *spec),
+           void *take_client)
+{
+  ColtJobWord *word = colt_job_word__unpack (NULL, job->size, job->body);
+  ColtSpecWord *spec_word
+      = colt_spec_word__unpack (NULL, word->spec.len, word->spec.data);
+  int64_t now_us = colt_clock_monotonic_us ();
+  struct ColtRequestSpec spec = { 0 };
+
+  if (spec_word != NULL && colt_spec_read (spec_word, &spec, now_us))
+    {
+      if (word->deadline_wall_ms > 0)
+        spec.deadline_us = now_us + word->deadline_wall_ms * COLT_US_PER_MS
+                           - colt_clock_wall_us ();
+      take (take_client, &job->id, &spec);
+    }
+  if (spec_word != NULL)
+    colt_spec_word__free_unpacked (spec_word, NULL);
+  colt_job_word__free_unpacked (word, NULL);
+}
+
+static void
+team_shard_ (void *client, uint32_t shard, uint64_t epoch, bool led)
+{
+  (void)client;
+  (void)shard;
+  (void)epoch;
+  (void)led;
+}
+
+static void
+written_off_ (void *client, uint32_t server)
+{
+  (void)client;
+  (void)server;
+}
+
+/* A job that this instance leads is appended anew at half of the retention. */
+static bool
+renew_ (struct ColtInstanceJobs *jobs, struct ColtJob *job, int64_t now_us)
+{
+  struct ColtInstance *instance = jobs->instance;
+  int64_t retention_us
+      = colt_settings_integer (instance->settings, "platform", "log_retention_s")
+        * COLT_US_PER_S;
+  struct ColtLogItem item = { 0 };
+
+  if (now_us - job->appended_us < retention_us / 2)
+    return false;
+  if (colt_requests_shard_epoch (colt_home_requests (instance->home),
+                                 colt_id_shard (&job->id))
+      == 0)
+    return false;
+  item.kind = COLT_RECORD_JOB;
+  randombytes_buf (item.id.bytes, sizeof item.id.bytes);
+  item.body = job->body;
+  item.size = job->size;
+  if (colt_log_client_add (instance->log, &item, now_us + STORE_PATIENCE_US, NULL, NULL)
+      == COLT_LOG_ADD_QUEUED)
+    job->appended_us = now_us;
+  return true;
+}
+
+static void
+free_job_ (gpointer data)
+{
+  struct ColtJob *job = data;
+
+  g_free (job->body);
+  g_free (job);
+}
