--- a/src/coltsfootstile/instance.c
+++ b/src/coltsfootstile/instance.c
@@ -16,25 +16,30 @@
 #define DRAIN_PERMILLE 500
 
 static void set_identity_ (struct ColtInstance *instance);
-static bool create_parts_ (struct ColtInstance *instance, struct ColtError *error);
+static bool create_parts_ (struct ColtInstance *instance,
+                           struct ColtError *error);
 static bool listen_ (struct ColtInstance *instance, struct ColtError *error);
-static struct ColtBackendDriver *make_backend_ (void *client, const char *address);
+static struct ColtBackendDriver *make_backend_ (void *client,
+                                                const char *address);
 static bool ever_fits_ (void *client, const struct ColtResources *demand);
 static void take_record_ (void *client, const struct ColtLogItem *item);
 static void take_gap_ (void *client, uint64_t expected, uint64_t first);
-static void skip_append_ (void *client, uint64_t offset, const struct ColtError *error);
+static void
+skip_append_ (void *client, uint64_t offset, const struct ColtError *error);
 static void on_timer_ (evutil_socket_t fd, short what, void *arg);
 static void step_stop_ (struct ColtInstance *instance, int64_t now_us);
 static void hand_over_ (struct ColtInstance *instance);
 
-const char *const colt_instance_state_string[] = { "starting", "ready", "stopping" };
+const char *const colt_instance_state_string[]
+    = { "starting", "ready", "stopping" };
 
 static const struct ColtLogReaderHandler log_handler
-    = { take_record_, take_gap_, skip_append_ };
+    = { take_record_, NULL, take_gap_, skip_append_ };
 
 static const struct ColtGateClient gate_client
-    = { colt_instance_bundle,  colt_instance_keyring, colt_instance_fresh,
-        colt_instance_lead_of, ever_fits_,            colt_instance_serve };
+    = { colt_instance_bundle, colt_instance_keyring,
+        colt_instance_fresh,  colt_instance_lead_of,
+        ever_fits_,           colt_instance_serve };
 
 struct ColtInstance *
 colt_instance_create (struct event_base *base,
@@ -100,8 +105,9 @@
 {
   if (instance->stopping)
     return COLT_INSTANCE_STOPPING;
-  return colt_instance_bundle ((void *)instance) != NULL ? COLT_INSTANCE_READY
-                                                         : COLT_INSTANCE_STARTING;
+  return colt_instance_bundle ((void *)instance) != NULL
+             ? COLT_INSTANCE_READY
+             : COLT_INSTANCE_STARTING;
 }
 
 static void
@@ -109,8 +115,10 @@
 {
   const struct ColtSettings *settings = instance->settings;
 
-  instance->number = (uint32_t)colt_settings_integer (settings, "instance", "number");
-  instance->zone = (uint32_t)colt_settings_integer (settings, "instance", "zone");
+  instance->number
+      = (uint32_t)colt_settings_integer (settings, "instance", "number");
+  instance->zone
+      = (uint32_t)colt_settings_integer (settings, "instance", "zone");
   instance->incarnation = (uint64_t)(colt_clock_wall_us () / COLT_US_PER_MS);
 }
 
@@ -119,15 +127,16 @@
 {
   const struct ColtSettings *settings = instance->settings;
   struct event_base *base = instance->base;
-  struct ColtMember self = { instance->number, instance->zone, instance->incarnation,
-                             COLT_MEMBER_ALIVE, "" };
+  struct ColtMember self = { instance->number, instance->zone,
+                             instance->incarnation, COLT_MEMBER_ALIVE, "" };
   struct ColtOwnerParts owner = { 0 };
   struct ColtHomeParts home = { 0 };
   struct ColtGateParts gate = { 0 };
 
   g_strlcpy (self.address, colt_settings_string (settings, "instance", "wire"),
              sizeof self.address);
-  instance->wire = colt_wire_create (base, instance->number, instance->incarnation);
+  instance->wire
+      = colt_wire_create (base, instance->number, instance->incarnation);
   colt_wire_set_peer (instance->wire, instance->number, self.address);
   instance->membership = colt_membership_create (&self);
   instance->link
@@ -154,7 +163,8 @@
   home.incarnation = instance->incarnation;
   home.zone = instance->zone;
   home.seed = instance->incarnation ^ ((uint64_t)instance->number << 48);
-  instance->home = colt_home_create (&home, &colt_instance_home_client, instance);
+  instance->home
+      = colt_home_create (&home, &colt_instance_home_client, instance);
   gate.base = base;
   gate.wire = instance->wire;
   gate.counters = instance->counters;
@@ -162,13 +172,17 @@
   gate.zone = instance->zone;
   instance->gate = colt_gate_create (&gate, &gate_client, instance);
   instance->log = colt_log_client_create (
-      base, colt_log_http_create (base, colt_settings_string (settings, "platform", "log")),
+      base,
+      colt_log_http_create (base,
+                            colt_settings_string (settings, "platform", "log")),
       instance->number, 0, &log_handler, instance);
   instance->list = colt_list_poller_create (
       base,
-      colt_list_http_create (base, colt_settings_string (settings, "platform", "list")),
+      colt_list_http_create (
+          base, colt_settings_string (settings, "platform", "list")),
       instance->zone,
-      (uint32_t)colt_settings_integer (settings, "platform", "list_interval_ms"),
+      (uint32_t)colt_settings_integer (settings, "platform",
+                                       "list_interval_ms"),
       colt_instance_take_list, instance);
   return true;
 }
@@ -176,12 +190,14 @@
 static bool
 listen_ (struct ColtInstance *instance, struct ColtError *error)
 {
-  return colt_wire_listen (instance->wire,
-                           colt_settings_string (instance->settings, "instance", "wire"),
-                           error)
+  return colt_wire_listen (
+             instance->wire,
+             colt_settings_string (instance->settings, "instance", "wire"),
+             error)
          && colt_gate_listen (
              instance->gate,
-             colt_settings_string (instance->settings, "instance", "http"), error);
+             colt_settings_string (instance->settings, "instance", "http"),
+             error);
 }
 
 static struct ColtBackendDriver *
@@ -218,8 +234,8 @@
   struct ColtInstance *instance = client;
   struct ColtFitSearch search = { demand, false, false };
 
-  colt_placement_visit_servers (colt_home_placement (instance->home), consider_server_,
-                                &search);
+  colt_placement_visit_servers (colt_home_placement (instance->home),
+                                consider_server_, &search);
   return !search.any || search.fits;
 }
 
@@ -249,7 +265,8 @@
 {
   (void)client;
   (void)offset;
-  colt_log_error (COLT_LOG_WARNING, MODULE, "skipping an append of the log", error);
+  colt_log_error (COLT_LOG_WARNING, MODULE, "skipping an append of the log",
+                  error);
 }
 
 static void
@@ -270,8 +287,9 @@
 static void
 step_stop_ (struct ColtInstance *instance, int64_t now_us)
 {
-  int64_t grace_us = colt_settings_integer (instance->settings, "instance", "grace_ms")
-                     * COLT_US_PER_MS;
+  int64_t grace_us
+      = colt_settings_integer (instance->settings, "instance", "grace_ms")
+        * COLT_US_PER_MS;
   int64_t spent_us = now_us - instance->stop_us;
 
   if (!instance->stopped_duties
@@ -296,8 +314,8 @@
   instance->stopped_duties = true;
   colt_membership_leave (instance->membership);
   colt_membership_link_announce (instance->link);
-  count = colt_membership_eligible (instance->membership, instance->zone, members,
-                                    COLT_DIGEST_MAX);
+  count = colt_membership_eligible (instance->membership, instance->zone,
+                                    members, COLT_DIGEST_MAX);
   colt_home_stop (instance->home);
   colt_owner_stop (instance->owner, members, count);
 }
--- a/src/coltsfootstile/instance_jobs.c
+++ b/src/coltsfootstile/instance_jobs.c
@@ -45,8 +45,10 @@
   void *client;
 };
 
-static void take_job_ (struct ColtInstanceJobs *jobs, const struct ColtLogItem *item);
-static void take_end_ (struct ColtInstanceJobs *jobs, const struct ColtLogItem *item);
+static void take_job_ (struct ColtInstanceJobs *jobs,
+                       const struct ColtLogItem *item);
+static void take_end_ (struct ColtInstanceJobs *jobs,
+                       const struct ColtLogItem *item);
 static void store_ (void *client,
                     const struct ColtId *id,
                     const struct ColtRequestSpec *spec,
@@ -55,8 +57,10 @@
 static uint8_t *pack_job_ (const struct ColtId *id,
                            const struct ColtRequestSpec *spec,
                            size_t *size);
-static void on_stored_ (void *client, enum ColtLogWriteResult result, uint64_t offset);
-static void store_end_ (void *client, const struct ColtId *id, enum ColtOutcome outcome);
+static void
+on_stored_ (void *client, enum ColtLogWriteResult result, uint64_t offset);
+static void
+store_end_ (void *client, const struct ColtId *id, enum ColtOutcome outcome);
 static void load_ (void *client,
                    uint32_t shard,
                    void (*take) (void *take_client,
@@ -68,9 +72,11 @@
                                      const struct ColtId *id,
                                      const struct ColtRequestSpec *spec),
                        void *take_client);
-static void team_shard_ (void *client, uint32_t shard, uint64_t epoch, bool led);
+static void
+team_shard_ (void *client, uint32_t shard, uint64_t epoch, bool led);
 static void written_off_ (void *client, uint32_t server);
-static bool renew_ (struct ColtInstanceJobs *jobs, struct ColtJob *job, int64_t now_us);
+static bool
+renew_ (struct ColtInstanceJobs *jobs, struct ColtJob *job, int64_t now_us);
 static void free_job_ (gpointer data);
 
 const struct ColtHomeClient colt_instance_home_client
@@ -82,8 +88,8 @@
   struct ColtInstanceJobs *jobs = g_new0 (struct ColtInstanceJobs, 1);
 
   jobs->instance = instance;
-  jobs->open
-      = g_hash_table_new_full (colt_id_table_hash, colt_id_table_equal, NULL, free_job_);
+  jobs->open = g_hash_table_new_full (colt_id_table_hash, colt_id_table_equal,
+                                      NULL, free_job_);
   jobs->ended = g_hash_table_new (colt_id_table_hash, colt_id_table_equal);
   g_queue_init (&jobs->ended_order);
   return jobs;
@@ -101,7 +107,8 @@
 }
 
 void
-colt_instance_jobs_take (struct ColtInstanceJobs *jobs, const struct ColtLogItem *item)
+colt_instance_jobs_take (struct ColtInstanceJobs *jobs,
+                         const struct ColtLogItem *item)
 {
   if (item->kind == COLT_RECORD_JOB)
     take_job_ (jobs, item);
@@ -141,7 +148,8 @@
   if (word == NULL || !colt_id_read (&word->id, &id))
     {
       colt_log (COLT_LOG_WARNING, MODULE, NULL,
-                "skipping a malformed job at offset %" G_GUINT64_FORMAT, item->offset);
+                "skipping a malformed job at offset %" G_GUINT64_FORMAT,
+                item->offset);
       if (word != NULL)
         colt_job_word__free_unpacked (word, NULL);
       return;
@@ -161,13 +169,15 @@
 static void
 take_end_ (struct ColtInstanceJobs *jobs, const struct ColtLogItem *item)
 {
-  ColtJobEndWord *word = colt_job_end_word__unpack (NULL, item->size, item->body);
+  ColtJobEndWord *word
+      = colt_job_end_word__unpack (NULL, item->size, item->body);
   struct ColtId *copy;
   struct ColtId id;
 
   if (word == NULL)
     return;
-  if (colt_id_read (&word->id, &id) && colt_id_zone (&id) == jobs->instance->zone)
+  if (colt_id_read (&word->id, &id)
+      && colt_id_zone (&id) == jobs->instance->zone)
     {
       g_hash_table_remove (jobs->open, &id);
       if (!g_hash_table_contains (jobs->ended, &id))
@@ -204,15 +214,17 @@
   randombytes_buf (item.id.bytes, sizeof item.id.bytes);
   item.body = body;
   if (colt_log_client_add (instance->log, &item,
-                           colt_clock_monotonic_us () + STORE_PATIENCE_US, on_stored_,
-                           storing)
+                           colt_clock_monotonic_us () + STORE_PATIENCE_US,
+                           on_stored_, storing)
       != COLT_LOG_ADD_QUEUED)
     on_stored_ (storing, COLT_LOG_WRITE_NOT_DONE, 0);
   free (body);
 }
 
 static uint8_t *
-pack_job_ (const struct ColtId *id, const struct ColtRequestSpec *spec, size_t *size)
+pack_job_ (const struct ColtId *id,
+           const struct ColtRequestSpec *spec,
+           size_t *size)
 {
   int64_t now_us = colt_clock_monotonic_us ();
   ColtJobWord word = COLT_JOB_WORD__INIT;
@@ -260,7 +272,8 @@
   item.body = body;
   if (colt_log_client_add (instance->log, &item, COLT_TIME_NEVER, NULL, NULL)
       != COLT_LOG_ADD_QUEUED)
-    colt_log (COLT_LOG_ERROR, MODULE, NULL, "the end of a job could not be queued");
+    colt_log (COLT_LOG_ERROR, MODULE, NULL,
+              "the end of a job could not be queued");
   free (body);
 }
 
@@ -332,9 +345,9 @@
 renew_ (struct ColtInstanceJobs *jobs, struct ColtJob *job, int64_t now_us)
 {
   struct ColtInstance *instance = jobs->instance;
-  int64_t retention_us
-      = colt_settings_integer (instance->settings, "platform", "log_retention_s")
-        * COLT_US_PER_S;
+  int64_t retention_us = colt_settings_integer (instance->settings, "platform",
+                                                "log_retention_s")
+                         * COLT_US_PER_S;
   struct ColtLogItem item = { 0 };
 
   if (now_us - job->appended_us < retention_us / 2)
@@ -347,7 +360,8 @@
   randombytes_buf (item.id.bytes, sizeof item.id.bytes);
   item.body = job->body;
   item.size = job->size;
-  if (colt_log_client_add (instance->log, &item, now_us + STORE_PATIENCE_US, NULL, NULL)
+  if (colt_log_client_add (instance->log, &item, now_us + STORE_PATIENCE_US,
+                           NULL, NULL)
       == COLT_LOG_ADD_QUEUED)
     job->appended_us = now_us;
   return true;
--- a/src/coltsfootstile/instance_state.c
+++ b/src/coltsfootstile/instance_state.c
@@ -46,7 +46,9 @@
 };
 
 bool
-colt_instance_serve (void *client, struct evhttp_request *http, const char *path)
+colt_instance_serve (void *client,
+                     struct evhttp_request *http,
+                     const char *path)
 {
   struct ColtInstance *instance = client;
   size_t i;
@@ -62,7 +64,8 @@
   if (strcmp (path, "/v1/health") == 0)
     {
       send_json_ (http,
-                  colt_instance_state (instance) == COLT_INSTANCE_READY ? 200 : 503,
+                  colt_instance_state (instance) == COLT_INSTANCE_READY ? 200
+                                                                        : 503,
                   dump_instance_ (instance));
       return true;
     }
@@ -87,11 +90,12 @@
 dump_instance_ (struct ColtInstance *instance)
 {
   return json_pack (
-      "{s:I,s:I,s:I,s:s,s:I,s:s}", "number", (json_int_t)instance->number, "zone",
-      (json_int_t)instance->zone, "incarnation", (json_int_t)instance->incarnation,
-      "state", colt_instance_state_string[colt_instance_state (instance)],
-      "open_callers", (json_int_t)colt_gate_open_count (instance->gate), "version",
-      COLT_VERSION);
+      "{s:I,s:I,s:I,s:s,s:I,s:s}", "number", (json_int_t)instance->number,
+      "zone", (json_int_t)instance->zone, "incarnation",
+      (json_int_t)instance->incarnation, "state",
+      colt_instance_state_string[colt_instance_state (instance)],
+      "open_callers", (json_int_t)colt_gate_open_count (instance->gate),
+      "version", COLT_VERSION);
 }
 
 static json_t *
@@ -107,14 +111,14 @@
   struct ColtLogReaderStats reader;
 
   colt_log_client_get_stats (instance->log, &writer, &reader);
-  return json_pack ("{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:b,s:I}", "next",
-                    (json_int_t)reader.next, "head", (json_int_t)reader.head,
-                    "records_read", (json_int_t)reader.records, "duplicates",
-                    (json_int_t)reader.duplicates, "read_failures",
-                    (json_int_t)reader.failures, "appends", (json_int_t)writer.appends,
-                    "records_written", (json_int_t)writer.records, "queued",
-                    (json_int_t)writer.queued, "read_failing", (int)reader.failing,
-                    "jobs_open", (json_int_t)colt_instance_jobs_count (instance->jobs));
+  return json_pack (
+      "{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:b,s:I}", "next",
+      (json_int_t)reader.next, "head", (json_int_t)reader.head, "records_read",
+      (json_int_t)reader.records, "duplicates", (json_int_t)reader.duplicates,
+      "read_failures", (json_int_t)reader.failures, "appends",
+      (json_int_t)writer.appends, "records_written", (json_int_t)writer.records,
+      "queued", (json_int_t)writer.queued, "read_failing", (int)reader.failing,
+      "jobs_open", (json_int_t)colt_instance_jobs_count (instance->jobs));
 }
 
 static json_t *
@@ -124,11 +128,12 @@
   struct ColtListPollerStats stats;
 
   colt_list_poller_get_stats (instance->list, &stats);
-  return json_pack ("{s:I,s:I,s:I,s:I,s:I}", "version",
-                    (json_int_t)(list != NULL ? list->version : 0), "entries",
-                    (json_int_t)(list != NULL ? list->entry_count : 0), "servers",
-                    (json_int_t)(list != NULL ? list->server_count : 0), "fetches",
-                    (json_int_t)stats.fetches, "failures", (json_int_t)stats.failures);
+  return json_pack (
+      "{s:I,s:I,s:I,s:I,s:I}", "version",
+      (json_int_t)(list != NULL ? list->version : 0), "entries",
+      (json_int_t)(list != NULL ? list->entry_count : 0), "servers",
+      (json_int_t)(list != NULL ? list->server_count : 0), "fetches",
+      (json_int_t)stats.fetches, "failures", (json_int_t)stats.failures);
 }
 
 static json_t *
@@ -155,8 +160,8 @@
           colt_shard_state_string[colt_shard_lead_state (lead, shard)], "epoch",
           (json_int_t)colt_shard_lead_epoch (lead, shard), "missing",
           (json_int_t)colt_shard_lead_missing (lead, shard), "promised",
-          (json_int_t)colt_shard_owner_promised (colt_owner_shards (instance->owner),
-                                                 shard));
+          (json_int_t)colt_shard_owner_promised (
+              colt_owner_shards (instance->owner), shard));
 
       json_array_append_new (items, item);
     }
@@ -172,12 +177,12 @@
 
   colt_requests_get_stats (requests, &stats);
   colt_requests_visit (requests, add_request_, items);
-  return json_pack ("{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:o}", "open", (json_int_t)stats.open,
-                    "waiting", (json_int_t)stats.waiting, "sent",
-                    (json_int_t)stats.sent, "running", (json_int_t)stats.running,
-                    "kept", (json_int_t)stats.kept, "payload_bytes",
-                    (json_int_t)stats.payload_bytes, "result_bytes",
-                    (json_int_t)stats.result_bytes, "items", items);
+  return json_pack (
+      "{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:o}", "open", (json_int_t)stats.open,
+      "waiting", (json_int_t)stats.waiting, "sent", (json_int_t)stats.sent,
+      "running", (json_int_t)stats.running, "kept", (json_int_t)stats.kept,
+      "payload_bytes", (json_int_t)stats.payload_bytes, "result_bytes",
+      (json_int_t)stats.result_bytes, "items", items);
 }
 
 static json_t *
@@ -194,8 +199,8 @@
 {
   json_t *items = json_array ();
 
-  colt_placement_visit_servers (colt_home_placement (instance->home), add_server_,
-                                items);
+  colt_placement_visit_servers (colt_home_placement (instance->home),
+                                add_server_, items);
   return items;
 }
 
@@ -221,14 +226,16 @@
   int64_t left_us = info->lease_end_us - colt_clock_monotonic_us ();
   json_t *item = json_pack (
       "{s:I,s:s,s:I,s:s,s:I,s:I,s:I,s:o,s:o,s:b,s:I,s:I,s:I,s:I}", "server",
-      (json_int_t)info->server, "address", info->address, "rack", (json_int_t)info->rack,
-      "state", colt_lease_state_string[info->state], "epoch", (json_int_t)info->epoch,
-      "holder", (json_int_t)info->holder, "lease_left_ms",
-      (json_int_t)(info->lease_end_us > 0 ? left_us / COLT_US_PER_MS : 0), "capacity",
-      make_resources_ (&info->capacity), "free", make_resources_ (&info->free),
-      "leaving", (int)info->leaving, "running", (json_int_t)info->running, "queued",
-      (json_int_t)info->queued, "probation_permille",
-      (json_int_t)info->probation_permille, "failures", (json_int_t)info->failures);
+      (json_int_t)info->server, "address", info->address, "rack",
+      (json_int_t)info->rack, "state", colt_lease_state_string[info->state],
+      "epoch", (json_int_t)info->epoch, "holder", (json_int_t)info->holder,
+      "lease_left_ms",
+      (json_int_t)(info->lease_end_us > 0 ? left_us / COLT_US_PER_MS : 0),
+      "capacity", make_resources_ (&info->capacity), "free",
+      make_resources_ (&info->free), "leaving", (int)info->leaving, "running",
+      (json_int_t)info->running, "queued", (json_int_t)info->queued,
+      "probation_permille", (json_int_t)info->probation_permille, "failures",
+      (json_int_t)info->failures);
 
   json_array_append_new (client, item);
 }
@@ -242,13 +249,13 @@
       || request->outcome != COLT_OUTCOME_PENDING)
     return;
   json_array_append_new (
-      client,
-      json_pack ("{s:s,s:s,s:s,s:I,s:I,s:b}", "id", colt_id_format (&request->id, text),
-                 "team", request->spec.team, "kind",
-                 colt_work_kind_string[request->spec.kind], "tasks",
-                 (json_int_t)request->spec.tasks, "open_tasks",
-                 (json_int_t)request->open_tasks, "recovered",
-                 (int)request->recovered));
+      client, json_pack ("{s:s,s:s,s:s,s:I,s:I,s:b}", "id",
+                         colt_id_format (&request->id, text), "team",
+                         request->spec.team, "kind",
+                         colt_work_kind_string[request->spec.kind], "tasks",
+                         (json_int_t)request->spec.tasks, "open_tasks",
+                         (json_int_t)request->open_tasks, "recovered",
+                         (int)request->recovered));
 }
 
 static void
@@ -256,10 +263,10 @@
 {
   json_array_append_new (
       client, json_pack ("{s:I,s:I,s:s,s:s,s:I}", "instance",
-                         (json_int_t)member->instance, "zone", (json_int_t)member->zone,
-                         "address", member->address, "state",
-                         colt_member_state_string[member->state], "incarnation",
-                         (json_int_t)member->incarnation));
+                         (json_int_t)member->instance, "zone",
+                         (json_int_t)member->zone, "address", member->address,
+                         "state", colt_member_state_string[member->state],
+                         "incarnation", (json_int_t)member->incarnation));
 }
 
 static void
@@ -269,8 +276,9 @@
       client,
       json_pack ("{s:I,s:I,s:I,s:I,s:o,s:b,s:I,s:I}", "server",
                  (json_int_t)digest->server, "owner", (json_int_t)digest->owner,
-                 "epoch", (json_int_t)digest->epoch, "rack", (json_int_t)digest->rack,
-                 "free", make_resources_ (&digest->free), "leaving",
+                 "epoch", (json_int_t)digest->epoch, "rack",
+                 (json_int_t)digest->rack, "free",
+                 make_resources_ (&digest->free), "leaving",
                  (int)digest->leaving, "probation_permille",
                  (json_int_t)digest->probation_permille, "speed_permille",
                  (json_int_t)digest->speed_permille));
@@ -310,12 +318,16 @@
 }
 
 static void
-send_text_ (struct evhttp_request *http, int code, const char *type, const char *text)
+send_text_ (struct evhttp_request *http,
+            int code,
+            const char *type,
+            const char *text)
 {
   struct evbuffer *buffer = evbuffer_new ();
 
   evbuffer_add (buffer, text, strlen (text));
-  evhttp_add_header (evhttp_request_get_output_headers (http), "Content-Type", type);
+  evhttp_add_header (evhttp_request_get_output_headers (http), "Content-Type",
+                     type);
   evhttp_send_reply (http, code, NULL, buffer);
   evbuffer_free (buffer);
 }
--- a/src/coltsfootstile/main.c
+++ b/src/coltsfootstile/main.c
@@ -34,10 +34,12 @@
 run_arguments_ (int argc, char **argv)
 {
   struct arg_lit *help = arg_lit0 ("h", "help", "print this help and exit");
-  struct arg_lit *version = arg_lit0 (NULL, "version", "print the version and exit");
+  struct arg_lit *version
+      = arg_lit0 (NULL, "version", "print the version and exit");
   struct arg_lit *check
       = arg_lit0 (NULL, "check-settings", "check the settings and exit");
-  struct arg_file *file = arg_file0 ("s", "settings", "FILE", "settings in INI");
+  struct arg_file *file
+      = arg_file0 ("s", "settings", "FILE", "settings in INI");
   struct arg_end *end = arg_end (20);
   void *table[] = { help, version, check, file, end };
   int errors = arg_parse (argc, argv, table);
@@ -89,7 +91,8 @@
   size_t i;
 
   for (i = 0; i < colt_settings_problem_count (settings); i++)
-    fprintf (stderr, "coltsfootstile: %s\n", colt_settings_problem (settings, i));
+    fprintf (stderr, "coltsfootstile: %s\n",
+             colt_settings_problem (settings, i));
 }
 
 /* Checks what the table of settings can't say. */
@@ -105,13 +108,14 @@
 
   if (!colt_log_parse_level (level_name, &level))
     {
-      fprintf (stderr, "coltsfootstile: %s: [log] level: \"%s\" is no level\n", path,
-               level_name);
+      fprintf (stderr, "coltsfootstile: %s: [log] level: \"%s\" is no level\n",
+               path, level_name);
       good = false;
     }
   if (keys == 0)
     {
-      fprintf (stderr, "coltsfootstile: %s: [trust] operator: is required\n", path);
+      fprintf (stderr, "coltsfootstile: %s: [trust] operator: is required\n",
+               path);
       good = false;
     }
   for (i = 0; i < keys; i++)
@@ -120,10 +124,11 @@
 
       if (colt_operator_key_parse (text, &key))
         continue;
-      fprintf (stderr,
-               "coltsfootstile: %s: [trust] operator: \"%s\" is not 64 hexadecimal "
-               "digits\n",
-               path, text);
+      fprintf (
+          stderr,
+          "coltsfootstile: %s: [trust] operator: \"%s\" is not 64 hexadecimal "
+          "digits\n",
+          path, text);
       good = false;
     }
   return good;
@@ -141,7 +146,8 @@
   char line[512];
 
   signal (SIGPIPE, SIG_IGN);
-  colt_log_parse_level (colt_settings_string (settings, "log", "level"), &level);
+  colt_log_parse_level (colt_settings_string (settings, "log", "level"),
+                        &level);
   if (!colt_log_open (level, &error) || !colt_sign_init (&error))
     {
       fprintf (stderr, "coltsfootstile: %s\n",
