--- /dev/null
+++ b/scripts/demo/fleet.py
@@ -0,0 +1,153 @@
+"""Starts, watches and ends the processes of the demo, each by its id."""
+
+import json
+import os
+import signal
+import subprocess
+import time
+import urllib.error
+import urllib.request
+
+from . import topology
+
+READY_TIMEOUT_S = 20
+STOP_TIMEOUT_S = 12
+
+
+def http(method, address, path, body=None, timeout=5):
+    """Makes one HTTP call and returns the JSON answer, or None."""
+    data = None if body is None else json.dumps(body).encode()
+    request = urllib.request.Request(f"http://{address}{path}", data=data, method=method)
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as answer:
+            return json.loads(answer.read() or b"{}")
+    except (OSError, ValueError, urllib.error.URLError):
+        return None
+
+
+class Fleet:
+    """The processes of one run."""
+
+    def __init__(self, build, folder, max_seconds):
+        self.build = build
+        self.folder = folder
+        self.max_seconds = max_seconds
+        self.processes = {}
+        self.commands = {}
+
+    def spawn(self, name, command):
+        log = open(os.path.join(self.folder, f"{name}.log"), "ab")
+        self.commands[name] = command
+        self.processes[name] = subprocess.Popen(
+            command, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+        log.close()
+
+    def standin(self, program, *arguments):
+        return [os.path.join(self.build, "standin", program),
+                "--max-seconds", str(self.max_seconds), *arguments]
+
+    def start_platform(self, servers):
+        folder = self.folder
+        listing = topology.write_json(folder, "list.json", topology.make_list(servers))
+        routes = topology.write_json(folder, "relay.json", topology.make_routes())
+        self.spawn("log", self.standin(
+            "standin_log", "--listen", topology.LOG,
+            "--record", os.path.join(folder, "log.jsonl")))
+        self.spawn("list", self.standin(
+            "standin_list", "--listen", topology.LIST, "--file", listing))
+        self.spawn("relay", self.standin(
+            "standin_relay", "--control", topology.RELAY_CONTROL, "--file", routes))
+        for zone in topology.ZONES:
+            path = topology.write_json(
+                folder, f"servers-{zone}.json",
+                [server for server in servers if server["zone"] == zone])
+            self.spawn(f"backend-{zone}", self.standin(
+                "standin_backend", "--control", topology.BACKEND_CONTROL[zone],
+                "--file", path,
+                "--record", os.path.join(folder, f"backend-{zone}.jsonl")))
+
+    def entry_name(self, number):
+        return f"entry-{number}"
+
+    def start_entry(self, number, settings):
+        program = os.path.join(self.build, "src", "coltsfootstile", "coltsfootstile")
+        self.spawn(self.entry_name(number), [program, "--settings", settings])
+
+    def restart_entry(self, number):
+        name = self.entry_name(number)
+        self.spawn(name, self.commands[name])
+
+    def signal_entry(self, number, what):
+        process = self.processes[self.entry_name(number)]
+        if process.poll() is None:
+            process.send_signal(what)
+
+    def kill_entry(self, number):
+        process = self.processes[self.entry_name(number)]
+        process.kill()
+        process.wait()
+
+    def control(self, address, change):
+        return http("POST", address, "/control", change)
+
+    def control_server(self, server, change):
+        return self.control(topology.BACKEND_CONTROL[server["zone"]],
+                            dict(change, server=server["id"]))
+
+    def wait_ready(self, check, what, timeout=READY_TIMEOUT_S):
+        end = time.monotonic() + timeout
+        while time.monotonic() < end:
+            if check():
+                return
+            time.sleep(0.1)
+        raise RuntimeError(f"{what} did not get ready within {timeout} s")
+
+    def entry_state(self, number, duty):
+        return http("GET", topology.entry_http(number), f"/v1/state/{duty}")
+
+    def alive(self, name):
+        process = self.processes.get(name)
+        return process is not None and process.poll() is None
+
+    def cpu_seconds(self, name):
+        """Processor time that a live process has used."""
+        try:
+            with open(f"/proc/{self.processes[name].pid}/stat", encoding="ascii") as file:
+                fields = file.read().rsplit(")", 1)[1].split()
+            return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+        except (OSError, IndexError):
+            return None
+
+    def rss_mb(self, name):
+        try:
+            with open(f"/proc/{self.processes[name].pid}/status", encoding="ascii") as file:
+                for line in file:
+                    if line.startswith("VmHWM:"):
+                        return int(line.split()[1]) / 1024
+        except OSError:
+            pass
+        return 0.0
+
+    def stop(self):
+        """Ends every process that this run started; returns odd exit codes."""
+        odd = {}
+        entries = [n for n in self.processes if n.startswith("entry-")]
+        others = [n for n in self.processes if not n.startswith("entry-")]
+        for names in (entries, others):
+            for name in names:
+                process = self.processes[name]
+                if process.poll() is None:
+                    process.send_signal(signal.SIGCONT)
+                    process.terminate()
+            end = time.monotonic() + STOP_TIMEOUT_S
+            for name in names:
+                process = self.processes[name]
+                try:
+                    code = process.wait(max(0.1, end - time.monotonic()))
+                except subprocess.TimeoutExpired:
+                    process.kill()
+                    process.wait()
+                    code = "killed"
+                if code not in (0, -signal.SIGKILL):
+                    odd[name] = code
+        return odd
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -13,7 +13,7 @@
 
 #define CATEGORY_NAME "coltsfootstile"
 #define LAYOUT_NAME "coltsfootstile_json"
-#define APPENDER_NAME "stderr"
+#define APPENDER_NAME "coltsfootstile_stderr"
 
 const char *const colt_log_level_string[]
     = { "error", "warning", "info", "debug" };
@@ -24,6 +24,8 @@
 
 static const char *format_line_ (const log4c_layout_t *layout,
                                  const log4c_logging_event_t *event);
+static int append_line_ (log4c_appender_t *appender,
+                         const log4c_logging_event_t *event);
 static char *build_line_ (enum ColtLogLevel level,
                           const char *module,
                           const struct ColtLogContext *context,
@@ -31,6 +33,9 @@
 static void set_string_ (json_t *line, const char *name, const char *value);
 static void format_time_ (char *text, size_t size);
 
+/* log4c's own stream appenders put a name before each line. */
+static const log4c_appender_type_t line_appender
+    = { "coltsfootstile_line", NULL, append_line_, NULL };
 static const log4c_layout_type_t json_layout = { LAYOUT_NAME, format_line_ };
 static log4c_category_t *category;
 
@@ -41,12 +46,14 @@
   log4c_appender_t *appender;
 
   log4c_layout_type_set (&json_layout);
+  log4c_appender_type_set (&line_appender);
   if (log4c_init () != 0)
     return colt_error_set (error, COLT_ERROR_SYSTEM, COLT_STEP_SETTINGS, NULL,
                            "log4c can't be initialised");
   layout = log4c_layout_get (LAYOUT_NAME);
   log4c_layout_set_type (layout, &json_layout);
   appender = log4c_appender_get (APPENDER_NAME);
+  log4c_appender_set_type (appender, &line_appender);
   log4c_appender_set_layout (appender, layout);
   category = log4c_category_get (CATEGORY_NAME);
   log4c_category_set_appender (category, appender);
@@ -126,6 +133,13 @@
   return line;
 }
 
+static int
+append_line_ (log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+  (void)appender;
+  return fputs (event->evt_rendered_msg, stderr) < 0 ? -1 : 0;
+}
+
 static char *
 build_line_ (enum ColtLogLevel level,
              const char *module,
--- a/src/home/home_shards.c
+++ b/src/home/home_shards.c
@@ -7,6 +7,9 @@
 
 #define MODULE "home"
 
+/* How long a message to this instance itself takes, so that others get their
+ * turn, in microseconds. */
+#define LOCAL_DELAY_US 500
 /* Until an owner has to have answered an open or a confirm, in ms. */
 #define SHARD_TIMEOUT_MS 800
 
@@ -148,7 +151,7 @@
        uint8_t *body,
        size_t size)
 {
-  const struct timeval now = { 0, 0 };
+  const struct timeval delay = { 0, LOCAL_DELAY_US };
   struct ColtShardCall *call;
 
   if (owner == home->parts.instance)
@@ -160,7 +163,7 @@
       local->body = body;
       local->size = size;
       event_base_once (home->parts.base, -1, EV_TIMEOUT, on_local_, local,
-                       &now);
+                       &delay);
       return;
     }
   call = g_new0 (struct ColtShardCall, 1);
