Demo: platform stand-ins, eight entry instances, mixed load and faults

The whole path runs: a bundle is rolled through the log, callers' requests are placed by the owners of backend servers, run under leases, and are answered.

--- /dev/null
+++ b/scripts/demo/faults.py
@@ -0,0 +1,149 @@
+"""Faults of the demo. Each begins at a third of the load and is healed later."""
+
+import signal
+import time
+
+from . import topology
+
+
+def now_us():
+    return time.clock_gettime_ns(time.CLOCK_MONOTONIC) // 1000
+
+
+class Fault:
+    """One fault: `begin` and `end` are called once each."""
+
+    def __init__(self, run):
+        self.run = run
+        self.fleet = run.fleet
+
+    def begin(self):
+        raise NotImplementedError
+
+    def end(self):
+        pass
+
+
+class KillEntry(Fault):
+    def begin(self):
+        self.number = self.run.rng.choice(topology.ENTRIES)[0]
+        self.fleet.kill_entry(self.number)
+
+    def end(self):
+        self.fleet.restart_entry(self.number)
+
+
+class PauseEntry(Fault):
+    def begin(self):
+        self.number = self.run.rng.choice(topology.ENTRIES)[0]
+        self.fleet.signal_entry(self.number, signal.SIGSTOP)
+
+    def end(self):
+        self.fleet.signal_entry(self.number, signal.SIGCONT)
+
+
+class CutZone(Fault):
+    def begin(self):
+        self.zone = self.run.rng.choice(topology.ZONES)
+        self.set("cut")
+        self.record = {"zone": self.zone, "from_us": now_us()}
+        self.run.history["cuts"].append(self.record)
+
+    def end(self):
+        self.set("heal")
+        self.record["to_us"] = now_us()
+
+    def set(self, what):
+        for other in [*topology.ZONES, "platform"]:
+            if other != self.zone:
+                self.fleet.control(topology.RELAY_CONTROL, {what: [self.zone, other]})
+
+
+class LogOutage(Fault):
+    def begin(self):
+        self.fleet.control(topology.LOG, {"down": True})
+
+    def end(self):
+        self.fleet.control(topology.LOG, {"down": False})
+
+
+class LogLostAnswers(Fault):
+    def begin(self):
+        self.fleet.control(topology.LOG, {"lose_answers_permille": 300})
+
+    def end(self):
+        self.fleet.control(topology.LOG, {"lose_answers_permille": 0})
+
+
+class SilentConnections(Fault):
+    """Connections that are open go silent; new ones work."""
+
+    def begin(self):
+        self.fleet.control(topology.LOG, {"silence_connections": True})
+        self.fleet.control(topology.RELAY_CONTROL, {"silence": ["*", "*"]})
+        for server in self.run.rng.sample(self.run.servers, 8):
+            self.fleet.control_server(server, {"silent": True})
+
+
+class KillServer(Fault):
+    def begin(self):
+        self.server = self.run.rng.choice(self.run.servers)
+        self.record = {"server": self.server["id"], "from_us": now_us()}
+        self.run.history["killed"].append(self.record)
+        self.fleet.control_server(self.server, {"down": True})
+
+    def end(self):
+        self.fleet.control_server(self.server, {"down": False})
+        self.record["to_us"] = now_us()
+
+
+class SlowServer(Fault):
+    def begin(self):
+        self.server = self.run.rng.choice(self.run.servers)
+        self.fleet.control_server(self.server, {"speed": 0.1})
+
+    def end(self):
+        self.fleet.control_server(self.server, {"speed": self.server["speed"]})
+
+
+class FailingServer(Fault):
+    def begin(self):
+        self.server = self.run.rng.choice(self.run.servers)
+        self.fleet.control_server(self.server, {"fail_all": True})
+
+    def end(self):
+        self.fleet.control_server(self.server, {"fail_all": False})
+
+
+class LeavingServer(Fault):
+    def begin(self):
+        server = self.run.rng.choice(self.run.servers)
+        self.fleet.control_server(server, {"leaving": True})
+        self.fleet.control(topology.LIST, {"server": server["id"], "state": "leaving"})
+        self.run.history["leaving"].append({"server": server["id"], "t_us": now_us()})
+
+
+class WithdrawKey(Fault):
+    def begin(self):
+        self.run.withdraw_key()
+
+
+class RollBundle(Fault):
+    def begin(self):
+        self.run.roll_next()
+
+
+FAULTS = {
+    "kill-entry": KillEntry,
+    "pause-entry": PauseEntry,
+    "cut-zone": CutZone,
+    "log-outage": LogOutage,
+    "log-lost-answers": LogLostAnswers,
+    "silent-connections": SilentConnections,
+    "kill-server": KillServer,
+    "slow-server": SlowServer,
+    "failing-server": FailingServer,
+    "leaving-server": LeavingServer,
+    "withdraw-key": WithdrawKey,
+    "roll-bundle": RollBundle,
+}
--- /dev/null
+++ b/scripts/demo/run.py
@@ -0,0 +1,313 @@
+"""One run of the demo: platform, eight entry instances, load, verdict."""
+
+import argparse
+import json
+import os
+import random
+import shutil
+import subprocess
+import sys
+import time
+
+from . import faults, fleet, topology, workload
+
+START_RATIO = 0.33
+HEAL_RATIO = 0.66
+DRAIN_S = 25
+REST_S = 3
+
+
+class Run:
+    """The state of one run."""
+
+    def __init__(self, options):
+        self.options = options
+        self.rng = random.Random(options.seed)
+        self.folder = os.path.join(options.run_dir, f"demo-{os.getpid()}")
+        shutil.rmtree(self.folder, ignore_errors=True)
+        os.makedirs(self.folder)
+        self.fleet = fleet.Fleet(options.build, self.folder,
+                                 options.seconds + DRAIN_S + 120)
+        self.servers = topology.make_servers(options.deployment, self.rng)
+        self.history = {"servers": self.servers, "teams": [], "limits": [], "keys": [],
+                        "leaving": [], "killed": [], "rolls": [], "cuts": []}
+        self.keys = {}
+        self.bundle = os.path.join(self.folder, "bundle-1.ini")
+        self.operator = os.path.join(self.folder, "operator.key")
+        self.pending = []
+        self.result = {}
+
+    # Operator's work.
+
+    def ctl(self, *arguments):
+        program = os.path.join(self.options.build, "src", "coltsfootstilectl",
+                               "coltsfootstilectl")
+        return [program, *arguments]
+
+    def run_ctl(self, *arguments):
+        done = subprocess.run(self.ctl(*arguments), capture_output=True, text=True,
+                              timeout=60, check=False)
+        if done.returncode != 0:
+            raise RuntimeError(f"{' '.join(arguments[:2])} failed: "
+                               f"{done.stdout.strip()} {done.stderr.strip()}")
+        return done.stdout
+
+    def entries(self):
+        return [option for number, _ in topology.ENTRIES
+                for option in ("--entry", topology.entry_http(number))]
+
+    def make_keys(self):
+        deployment = self.options.deployment
+        self.run_ctl("keygen", "operator", "--seed", f"demo:{deployment}:operator-1",
+                     "--out", self.operator)
+        for team in workload.teams(deployment):
+            path = os.path.join(self.folder, f"{team}.key")
+            self.run_ctl("keygen", "caller", "--seed", f"demo:{deployment}:{team}",
+                         "--out", path)
+            self.keys[team] = path
+
+    def read_bundle(self):
+        """Takes teams and operators from the deployment's bundle."""
+        shutil.copy(os.path.join("examples", f"{self.options.deployment}.ini"), self.bundle)
+        self.operators = []
+        team = None
+        with open(self.bundle, encoding="utf-8") as file:
+            for line in file:
+                line = line.strip()
+                if line.startswith("[team "):
+                    team = {"name": line[6:-1]}
+                    self.history["teams"].append(team)
+                elif line.startswith("["):
+                    team = None
+                key, _, value = (part.strip() for part in line.partition("="))
+                if key == "operator":
+                    self.operators.append(value)
+                elif team is not None and (key == "weight" or key.startswith("limit_")):
+                    team[key] = int(value)
+
+    def roll(self, path, parent=None):
+        began = time.monotonic()
+        extra = ["--parent", parent] if parent else []
+        self.run_ctl("roll", "--log", topology.LOG, *self.entries(), "--key", self.operator,
+                     *extra, path)
+        return (time.monotonic() - began) * 1000
+
+    def roll_next(self):
+        """Rolls a second version, with one team's limit lowered."""
+        path = os.path.join(self.folder, "bundle-2.ini")
+        digest = self.run_ctl("bundle", "hash", self.bundle).split()[0]
+        team = self.history["teams"][0]
+        limit = team["limit_tasks"] // 2
+        text = []
+        inside = False
+        with open(self.bundle, encoding="utf-8") as file:
+            for line in file:
+                if line.startswith("["):
+                    inside = line.strip() == f"[team {team['name']}]"
+                if line.startswith("version ="):
+                    line = "version = 2\n"
+                elif line.startswith("parent ="):
+                    line = f"parent = {digest}\n"
+                elif inside and line.startswith("limit_tasks"):
+                    line = f"limit_tasks = {limit}\n"
+                text.append(line)
+        with open(path, "w", encoding="utf-8") as file:
+            file.writelines(text)
+        command = self.ctl("roll", "--log", topology.LOG, *self.entries(), "--key",
+                           self.operator, "--parent", self.bundle, path, "--json")
+        began = time.monotonic()
+        began_us = faults.now_us()
+        self.pending.append(("roll", began, subprocess.Popen(
+            command, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True)))
+        self.history["rolls"].append({"t_us": began_us, "version": 2})
+        self.history["limits"].append({"t_us": began_us, "team": team["name"],
+                                       "limit_tasks": limit})
+
+    def withdraw_key(self):
+        team = workload.WITHDRAWN_TEAM[self.options.deployment]
+        self.history["keys"].append({"team": team, "withdrawn_us": faults.now_us()})
+        command = self.ctl("key", "withdraw", "--log", topology.LOG, *self.entries(),
+                           "--operator", self.operator, "--secret-file", self.keys[team],
+                           "--json")
+        self.pending.append(("withdraw", time.monotonic(), subprocess.Popen(
+            command, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True)))
+
+    # The run itself.
+
+    def start(self):
+        self.make_keys()
+        self.read_bundle()
+        self.fleet.start_platform(self.servers)
+        self.fleet.wait_ready(
+            lambda: fleet.http("GET", topology.LIST, "/v1/instances?zone=1"), "the platform")
+        for number, zone in topology.ENTRIES:
+            settings = topology.write_settings(self.folder, number, zone, self.operators,
+                                               self.options.log_level)
+            self.fleet.start_entry(number, settings)
+        self.fleet.wait_ready(self.all_held, "the entry instances")
+        self.result["bundle_force_ms"] = round(self.roll(self.bundle), 1)
+        self.fleet.wait_ready(self.all_led, "the shards")
+
+    def all_held(self):
+        held = 0
+        for number, _ in topology.ENTRIES:
+            leases = self.fleet.entry_state(number, "leases")
+            if leases is None:
+                return False
+            held += sum(lease["state"] == "held" for lease in leases)
+        return held == len(self.servers)
+
+    def all_led(self):
+        active = 0
+        for number, _ in topology.ENTRIES:
+            shards = self.fleet.entry_state(number, "shards")
+            if shards is None:
+                return False
+            active += sum(shard["state"] == "active" for shard in shards)
+        return active == 64 * len(topology.ZONES)
+
+    def measure(self):
+        """Returns processor seconds and wire bytes of each live instance."""
+        figures = {}
+        for number, _ in topology.ENTRIES:
+            name = self.fleet.entry_name(number)
+            wire = self.fleet.entry_state(number, "wire")
+            if self.fleet.alive(name) and wire is not None:
+                figures[number] = (self.fleet.cpu_seconds(name),
+                                   wire["bytes_sent"] + wire["bytes_received"])
+        return figures
+
+    def measure_rest(self):
+        before = self.measure()
+        time.sleep(REST_S)
+        after = self.measure()
+        both = [n for n in before if n in after]
+        self.result["control_cpu_percent"] = round(
+            max(100 * (after[n][0] - before[n][0]) / REST_S for n in both), 2)
+        self.result["control_bytes_per_second"] = round(
+            max((after[n][1] - before[n][1]) / REST_S for n in both))
+
+    def load(self):
+        """Drives the load, with the faults in its middle."""
+        options = self.options
+        plan = workload.write_plan(self.folder, options.deployment, self.keys)
+        self.callers = os.path.join(self.folder, "callers.jsonl")
+        command = self.ctl("load", *self.entries(), "--plan", plan, "--record", self.callers,
+                           "--seed", str(options.seed), "--rate", str(options.rate),
+                           "--seconds", str(options.seconds), "--drain-s", str(DRAIN_S),
+                           "--json")
+        chosen = [faults.FAULTS[name](self) for name in options.fault]
+        self.history["measure_from_us"] = faults.now_us()
+        began = time.monotonic()
+        with open(os.path.join(self.folder, "load.log"), "wb") as log:
+            tool = subprocess.Popen(command, stdout=log, stderr=log)
+        self.fleet.processes["load"] = tool
+        self.sleep_until(began + options.seconds * START_RATIO)
+        for fault in chosen:
+            fault.begin()
+        self.sleep_until(began + options.seconds * HEAL_RATIO)
+        for fault in chosen:
+            fault.end()
+        self.sleep_until(began + options.seconds)
+        self.history["measure_to_us"] = faults.now_us()
+        tool.wait(DRAIN_S + 30)
+
+    @staticmethod
+    def sleep_until(end):
+        time.sleep(max(0.0, end - time.monotonic()))
+
+    def finish_commands(self):
+        for what, began, process in self.pending:
+            output, _ = process.communicate(timeout=60)
+            self.result.setdefault("commands", []).append(
+                {"command": what, "exit": process.returncode,
+                 "output": output.strip()[-500:]})
+
+    def judge(self):
+        """Calls the history checker on the records of the run."""
+        history = topology.write_json(self.folder, "run.json", self.history)
+        program = os.path.join(self.options.build, "src", "history",
+                               "coltsfootstile_history")
+        records = [os.path.join(self.folder, f"backend-{zone}.jsonl")
+                   for zone in topology.ZONES]
+        done = subprocess.run(
+            [program, "--run", history, "--callers", self.callers,
+             "--log", os.path.join(self.folder, "log.jsonl"),
+             *[option for path in records for option in ("--servers", path)]],
+            capture_output=True, text=True, timeout=300, check=False)
+        if done.returncode not in (0, 1):
+            raise RuntimeError(f"the history checker failed: {done.stderr.strip()}")
+        self.result.update(json.loads(done.stdout))
+        return done.returncode == 0
+
+
+FIELDS = ("accepted", "answered", "refused", "unknown", "lost", "doubled", "wrong_answer",
+          "overcommitted", "over_limit", "late_key", "late_leaving", "false_not_run",
+          "wait_p50_ms", "wait_p99_ms", "starts_per_second", "packing", "share_error",
+          "control_cpu_percent", "control_bytes_per_second", "rss_mb_max",
+          "bundle_force_ms")
+
+
+def parse(arguments):
+    parser = argparse.ArgumentParser(prog="scripts/demo.sh", description=__doc__)
+    parser.add_argument("--deployment", choices=sorted(topology.FLEETS), default="hangwell")
+    parser.add_argument("--seconds", type=int, default=20, help="length of the load")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--rate", type=int, default=300, help="requests a second")
+    parser.add_argument("--fault", default="", help="NAME[,NAME]: " + ", ".join(faults.FAULTS))
+    parser.add_argument("--json", metavar="FILE", help="where to write the figures")
+    parser.add_argument("--keep", action="store_true", help="keep the run's folder")
+    parser.add_argument("--log-level", default="info")
+    parser.add_argument("--build", default="build/release")
+    parser.add_argument("--run-dir", default="run")
+    options = parser.parse_args(arguments)
+    options.fault = [name for name in options.fault.split(",") if name]
+    for name in options.fault:
+        if name not in faults.FAULTS:
+            parser.error(f"there is no fault {name}")
+    if options.seconds < 3 or options.rate < 1:
+        parser.error("--seconds is at least 3 and --rate at least 1")
+    return options
+
+
+def print_table(run, kept):
+    print(f"{run.options.deployment}, {len(run.servers)} backend servers, "
+          f"{len(topology.ENTRIES)} entry instances, seed {run.options.seed}, "
+          f"fault {','.join(run.options.fault) or 'none'}")
+    for field in FIELDS:
+        print(f"  {field:26} {run.result.get(field)}")
+    for command in run.result.get("commands", []):
+        print(f"  {command['command']:26} exit {command['exit']}: {command['output'][:160]}")
+    for name, code in run.result.get("odd_exits", {}).items():
+        print(f"  {name:26} ended with {code}")
+    print("  every promise was kept" if kept else "  A PROMISE WAS BROKEN")
+
+
+def main(arguments):
+    options = parse(arguments)
+    run = Run(options)
+    kept = False
+    try:
+        run.start()
+        run.measure_rest()
+        run.load()
+        run.finish_commands()
+        run.result["rss_mb_max"] = round(
+            max(run.fleet.rss_mb(run.fleet.entry_name(n)) for n, _ in topology.ENTRIES), 1)
+    finally:
+        odd = run.fleet.stop()
+    run.result["odd_exits"] = odd
+    kept = run.judge() and not odd
+    print_table(run, kept)
+    if options.json:
+        with open(options.json, "w", encoding="utf-8") as file:
+            json.dump(run.result, file, indent=1)
+    if not options.keep and kept:
+        shutil.rmtree(run.folder)
+    else:
+        print(f"  records are in {run.folder}")
+    return 0 if kept else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/src/coltsfootstile/instance_bundles.c
+++ b/src/coltsfootstile/instance_bundles.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "coltsfootstile/bundle_dump.h"
 #include "coltsfootstile/clock.h"
 #include "coltsfootstile/log.h"
 #include "coltsfootstile/record.h"
@@ -171,47 +172,22 @@
 json_t *
 colt_instance_bundles_dump (const struct ColtInstanceBundles *bundles)
 {
-  const struct ColtBundle *bundle = colt_chain_bundle (bundles->chain);
-  const struct ColtKeyring *keyring = colt_chain_keyring (bundles->chain);
+  json_t *dump = colt_chain_dump (bundles->chain);
   int64_t now_us = colt_clock_monotonic_us ();
-  json_t *dump = json_object ();
-  char text[COLT_HASH_TEXT_SIZE];
 
   json_object_set_new (dump, "zone", json_integer (bundles->instance->zone));
-  json_object_set_new (
-      dump, "version",
-      json_integer (bundle != NULL ? colt_bundle_version (bundle) : 0));
-  if (bundle != NULL)
-    {
-      json_object_set_new (
-          dump, "hash",
-          json_string (colt_hash_format (colt_bundle_hash (bundle), text)));
-      json_object_set_new (
-          dump, "offset",
-          json_integer (
-              (json_int_t)colt_chain_bundle_position (bundles->chain).offset));
-      json_object_set_new (
-          dump, "in_force_ms",
-          json_integer ((now_us - bundles->in_force_us) / COLT_US_PER_MS));
-    }
-  json_object_set_new (
-      dump, "next_offset",
-      json_integer ((json_int_t)colt_chain_next_offset (bundles->chain)));
-  json_object_set_new (
-      dump, "needs_snapshot",
-      json_boolean (colt_chain_needs_snapshot (bundles->chain)));
+  json_object_set_new (dump, "instance",
+                       json_integer (bundles->instance->number));
+  if (colt_chain_bundle (bundles->chain) != NULL)
+    json_object_set_new (
+        dump, "in_force_ms",
+        json_integer ((now_us - bundles->in_force_us) / COLT_US_PER_MS));
   json_object_set_new (dump, "freshness",
                        json_string (colt_freshness_string[bundles->freshness]));
   if (bundles->as_of_us != COLT_TIME_NEVER)
     json_object_set_new (
         dump, "freshness_age_ms",
         json_integer ((now_us - bundles->as_of_us) / COLT_US_PER_MS));
-  json_object_set_new (
-      dump, "keys_live",
-      json_integer ((json_int_t)colt_keyring_live_count (keyring)));
-  json_object_set_new (
-      dump, "keys_withdrawn",
-      json_integer ((json_int_t)colt_keyring_withdrawn_count (keyring)));
   return dump;
 }
 
