--- a/fuzz/fuzz_quota.c
+++ b/fuzz/fuzz_quota.c
@@ -92,6 +92,11 @@
     case 6:
       world_start (world, zone, instance);
       break;
+    case 7:
+    case 8:
+    case 9:
+      world_pause (world, zone, instance, take_ (input, 2) > 0);
+      break;
     default:
       world_take_over (world, zone, take_ (input, WORLD_SERVERS), instance);
       break;
@@ -208,6 +213,13 @@
     case 1:
       world_deliver (world, index, true);
       break;
+    case 4:
+      world_keep (world, index);
+      break;
+    case 5:
+      if (take_ (input, 4) == 0)
+        world_release (world);
+      break;
     case 2:
       world_settle (world, 1 + take_ (input, 4));
       break;
@@ -226,8 +238,8 @@
   int op = take_ (input, 8);
   int kind = take_ (input, 32);
 
-  if (kind == 0)
-    step_platform_ (world, input, op);
+  if (kind <= 1)
+    step_platform_ (world, input, op + take_ (input, 7));
   else if (kind <= 4)
     step_zone_ (world, input, op);
   else if (kind <= 16)
--- a/src/test_quota/test_quota.c
+++ b/src/test_quota/test_quota.c
@@ -407,26 +407,25 @@
   world_destroy (world);
 }
 
-/* Lets one zone's lead and owners talk; the first messages stay in flight. */
+/* Settles, and keeps a copy of all that is sent meanwhile. */
 static void
-talk_ (struct ColtWorld *world, int lead, size_t kept, bool keep)
+settle_keeping_ (struct ColtWorld *world, int zone, int lead)
 {
-  size_t at;
+  int round;
   int i;
+  size_t at;
 
-  world_pass (world, COLT_CREDIT_RETRY_US);
-  for (i = 0; i < WORLD_INSTANCES; i++)
-    world_process_holder (world, 0, i);
-  for (at = kept; keep && at < world_messages (world); at++)
-    world_deliver (world, at, true);
-  while (!keep && world_messages (world) > kept)
-    world_deliver (world, kept, false);
-  at = keep ? world_messages (world) : kept;
-  world_process_lead (world, 0, lead);
-  for (; keep && at < world_messages (world); at++)
-    world_deliver (world, at, true);
-  while (!keep && world_messages (world) > kept)
-    world_deliver (world, kept, false);
+  for (round = 0; round < 6; round++)
+    {
+      world_pass (world, COLT_CREDIT_RETRY_US);
+      for (i = 0; i < WORLD_INSTANCES; i++)
+        world_process_holder (world, zone, i);
+      world_process_lead (world, zone, lead);
+      for (at = 0; at < world_messages (world); at++)
+        world_keep (world, at);
+      while (world_messages (world) > 0)
+        world_deliver (world, 0, false);
+    }
 }
 
 /* Grants of a lead that was replaced arrive late. */
@@ -434,27 +433,70 @@
 test_late_grant_of_old_lead (void)
 {
   struct ColtWorld *world = create_ (3);
-  size_t kept;
-  int i;
 
   run_in_turn_ (world, 9);
   world_wait (world, 0, 1, 0, 1);
-  for (i = 0; i < 4; i++)
-    talk_ (world, 1, world_messages (world), true);
-  kept = world_messages (world);
+  settle_keeping_ (world, 0, 1);
   world_wait (world, 0, 1, 0, 0);
   world_elect (world, 0, 2);
   world_depose (world, 0, 1);
   world_wait (world, 0, 2, 0, 1);
-  for (i = 0; i < 8; i++)
-    talk_ (world, 0, kept, false);
+  world_settle (world, ROUNDS);
   g_assert_true (world_run (world, 0, 2, 2, 0, 0));
-  for (; kept > 0; kept--)
-    world_deliver (world, 0, false);
+  world_release (world);
   g_assert_false (world_run (world, 0, 1, 1, 0, 0));
   world_destroy (world);
 }
 
+/* A report from before a server was taken over arrives after it. */
+static void
+test_late_report (void)
+{
+  struct ColtWorld *world = create_ (9);
+
+  run_in_turn_ (world, 3);
+  world_wait (world, 0, 2, 0, 1);
+  settle_keeping_ (world, 0, 1);
+  world_wait (world, 0, 2, 0, 0);
+  g_assert_cmpint (work_ (world, 0, 3), ==, 3);
+  world_take_over (world, 0, 1, 2);
+  world_settle (world, ROUNDS);
+  world_release (world);
+  world_wait (world, 0, 0, 0, 3);
+  world_settle (world, ROUNDS);
+  g_assert_false (world_run (world, 0, 0, 0, 0, 0));
+  world_destroy (world);
+}
+
+/* A zone that skips an offset runs too much for those that stand there. */
+static void
+test_skipped_offset (void)
+{
+  struct ColtWorld *world = create_ (12);
+  const struct ColtQuotaAmount three = { { 3, 0, 0 } };
+  int zone;
+  int i;
+
+  g_assert_cmpint (work_ (world, 0, 4), ==, 4);
+  g_assert_true (world_append_transfer (world, 0, 1, 2, &three));
+  g_assert_true (world_append_transfer (world, 0, 2, 1, &three));
+  for (zone = 0; zone < WORLD_ZONES; zone++)
+    for (i = 0; i < WORLD_INSTANCES; i++)
+      {
+        g_assert_true (world_read (world, zone, i));
+        if (zone == 0)
+          g_assert_true (world_read (world, zone, i));
+      }
+  world_set_log (world, false);
+  g_assert_cmpint (work_ (world, 1, 9), ==, 4);
+  g_assert_cmpint (work_ (world, 2, 9), ==, 4);
+  world_set_log (world, true);
+  world_settle (world, ROUNDS);
+  end_ (world, 0, 1);
+  g_assert_cmpint (work_ (world, 0, 4), ==, 1);
+  world_destroy (world);
+}
+
 static void
 test_session_ends (void)
 {
@@ -526,6 +568,8 @@
   g_test_add_func ("/quota/idle-spare-moves", test_idle_spare_moves);
   g_test_add_func ("/quota/owners-take-turns", test_owners_take_turns);
   g_test_add_func ("/quota/late-grant", test_late_grant_of_old_lead);
+  g_test_add_func ("/quota/late-report", test_late_report);
+  g_test_add_func ("/quota/skipped-offset", test_skipped_offset);
   g_test_add_func ("/quota/session-ends", test_session_ends);
   g_test_add_func ("/quota/silence", test_silence_at_rest);
   test_fold_add ();
--- a/src/test_quota/world.c
+++ b/src/test_quota/world.c
@@ -20,6 +20,7 @@
 struct ColtWorldInstance
 {
   bool alive;
+  bool paused; /* left out by world_settle() */
   uint64_t owner;
   struct ColtEntitlements *fold;
   struct ColtCreditHolder *holder;
@@ -69,6 +70,7 @@
 {
   int zone;
   bool grant;
+  uint64_t to; /* owner of a grant, epoch of a report */
   uint8_t *bytes;
   size_t size;
 };
@@ -81,6 +83,7 @@
   int record_count;
   bool log_up;
   GArray *messages; /* of struct ColtWorldMessage */
+  GArray *kept;     /* the same, delayed for long */
   uint64_t next_owner;
   int64_t now_us;
   int sending_zone;
@@ -92,6 +95,7 @@
 static void send_grant_ (void *context, const struct ColtCreditGrant *grant);
 static void push_message_ (struct ColtWorld *world,
                            bool grant,
+                           uint64_t to,
                            uint8_t *bytes,
                            size_t size);
 static void free_message_ (gpointer message);
@@ -111,6 +115,9 @@
 static uint64_t stands_at_ (const struct ColtWorld *world, int zone, int team);
 static void check_ (struct ColtWorld *world, int team);
 static void settle_zone_ (struct ColtWorld *world, int zone);
+static void deliver_all_ (struct ColtWorld *world);
+static bool is_paused_ (const struct ColtWorld *world,
+                        const struct ColtWorldMessage *message);
 static void receive_ (struct ColtWorld *world,
                       const struct ColtWorldMessage *message);
 
@@ -125,6 +132,8 @@
   world->log_up = true;
   world->messages = g_array_new (FALSE, TRUE, sizeof (struct ColtWorldMessage));
   g_array_set_clear_func (world->messages, free_message_);
+  world->kept = g_array_new (FALSE, TRUE, sizeof (struct ColtWorldMessage));
+  g_array_set_clear_func (world->kept, free_message_);
   world->reference = colt_entitlements_create ();
   for (zone = 0; zone < WORLD_ZONES; zone++)
     {
@@ -169,6 +178,7 @@
     }
   colt_entitlements_destroy (world->reference);
   g_array_unref (world->messages);
+  g_array_unref (world->kept);
   g_free (world);
 }
 
@@ -302,6 +312,12 @@
                                   world->zones[zone].instances[instance].owner);
 }
 
+void
+world_pause (struct ColtWorld *world, int zone, int instance, bool paused)
+{
+  world->zones[zone].instances[instance].paused = paused;
+}
+
 void
 world_cut (struct ColtWorld *world, int zone, bool cut)
 {
@@ -455,6 +471,28 @@
   g_free (message.bytes);
 }
 
+void
+world_keep (struct ColtWorld *world, size_t index)
+{
+  struct ColtWorldMessage copy;
+
+  if (index >= world->messages->len)
+    return;
+  copy = g_array_index (world->messages, struct ColtWorldMessage, index);
+  copy.bytes = g_memdup2 (copy.bytes, copy.size + 1);
+  g_array_append_val (world->kept, copy);
+}
+
+void
+world_release (struct ColtWorld *world)
+{
+  guint i;
+
+  for (i = 0; i < world->kept->len; i++)
+    receive_ (world, &g_array_index (world->kept, struct ColtWorldMessage, i));
+  g_array_set_size (world->kept, 0);
+}
+
 void
 world_lose (struct ColtWorld *world, size_t index)
 {
@@ -603,8 +641,7 @@
       world->now_us += SETTLE_STEP_US;
       for (zone = 0; zone < WORLD_ZONES; zone++)
         settle_zone_ (world, zone);
-      while (world_messages (world) > 0)
-        world_deliver (world, 0, false);
+      deliver_all_ (world);
       for (i = 0; i < ALL_INSTANCES; i++)
         {
           int from = i % ALL_INSTANCES;
@@ -700,7 +737,7 @@
   size_t size;
   uint8_t *bytes = colt_credit_report_pack (report, &size);
 
-  push_message_ (context, false, bytes, size);
+  push_message_ (context, false, report->epoch, bytes, size);
 }
 
 static void
@@ -709,13 +746,18 @@
   size_t size;
   uint8_t *bytes = colt_credit_grant_pack (grant, &size);
 
-  push_message_ (context, true, bytes, size);
+  push_message_ (context, true, grant->owner, bytes, size);
 }
 
 static void
-push_message_ (struct ColtWorld *world, bool grant, uint8_t *bytes, size_t size)
+push_message_ (struct ColtWorld *world,
+               bool grant,
+               uint64_t to,
+               uint8_t *bytes,
+               size_t size)
 {
-  struct ColtWorldMessage message = { world->sending_zone, grant, bytes, size };
+  struct ColtWorldMessage message
+      = { world->sending_zone, grant, to, bytes, size };
 
   g_array_append_val (world->messages, message);
 }
@@ -917,18 +959,50 @@
 
   for (i = 0; i < WORLD_INSTANCES; i++)
     {
+      if (entry->instances[i].paused)
+        continue;
       while (world_read (world, zone, i))
         continue;
       world_notice (world, zone, i);
+      world_process_holder (world, zone, i);
     }
   for (i = 0; i < WORLD_LEADS; i++)
     {
+      if (entry->leads[i].lead == NULL
+          || entry->instances[entry->leads[i].instance].paused)
+        continue;
       world_admit (world, zone, i);
       world_process_lead (world, zone, i);
     }
-  for (i = 0; i < WORLD_INSTANCES; i++)
-    world_process_holder (world, zone, i);
-  (void)entry;
+}
+
+static void
+deliver_all_ (struct ColtWorld *world)
+{
+  size_t at = 0;
+
+  while (at < world_messages (world))
+    if (is_paused_ (world, &g_array_index (world->messages,
+                                           struct ColtWorldMessage, at)))
+      at++;
+    else
+      world_deliver (world, at, false);
+}
+
+static bool
+is_paused_ (const struct ColtWorld *world,
+            const struct ColtWorldMessage *message)
+{
+  const struct ColtWorldZone *zone = &world->zones[message->zone];
+  int i;
+
+  for (i = 0; message->grant && i < WORLD_INSTANCES; i++)
+    if (zone->instances[i].owner == message->to)
+      return zone->instances[i].paused;
+  for (i = 0; !message->grant && i < WORLD_LEADS; i++)
+    if (zone->leads[i].lead != NULL && zone->leads[i].epoch == message->to)
+      return zone->instances[zone->leads[i].instance].paused;
+  return false;
 }
 
 static void
--- a/src/test_quota/world.h
+++ b/src/test_quota/world.h
@@ -55,6 +55,8 @@
 void world_kill (struct ColtWorld *world, int zone, int instance);
 void world_start (struct ColtWorld *world, int zone, int instance);
 void world_cut (struct ColtWorld *world, int zone, bool cut);
+/** world_settle() leaves a paused instance and messages to it alone. */
+void world_pause (struct ColtWorld *world, int zone, int instance, bool paused);
 void world_gossip (struct ColtWorld *world,
                    int from_zone,
                    int from,
@@ -81,6 +83,9 @@
 size_t world_messages (const struct ColtWorld *world);
 void world_deliver (struct ColtWorld *world, size_t index, bool keep);
 void world_lose (struct ColtWorld *world, size_t index);
+/** Keeps a copy of a message that arrives at world_release() as well. */
+void world_keep (struct ColtWorld *world, size_t index);
+void world_release (struct ColtWorld *world);
 /**@}*/
 
 /** \name Servers and tasks */
