Limits: credits go with the tasks of a server that changes hands

Found by the fuzz target: an owner that lost a server to another one dropped its tasks once the lead counted them there, and its ceiling then had spare credits for as many again; without a lead to recall them it started them, above the limit. The credits of the tasks now leave with the server, also from a ceiling that the lead computed before it knew, and the tasks count apart until their new owner's report is in.

--- a/include/coltsfootstile/quota_messages.h
+++ b/include/coltsfootstile/quota_messages.h
@@ -76,9 +76,10 @@
   char team[COLT_NAME_SIZE];
   uint64_t sequence;              /**< of the newest grant taken, 0: none */
   struct ColtQuotaAmount ceiling; /**< credits held, used and spare */
-  struct ColtQuotaAmount running;
-  struct ColtQuotaAmount unit; /**< what the next waiting task needs */
-  int64_t waiting;             /**< tasks that wait for credits */
+  struct ColtQuotaAmount running; /**< on servers held */
+  struct ColtQuotaAmount lost;    /**< on servers lost, not counted elsewhere */
+  struct ColtQuotaAmount unit;    /**< what the next waiting task needs */
+  int64_t waiting;                /**< tasks that wait for credits */
 };
 
 /** From an owner to the lead of a shard. */
@@ -103,6 +104,7 @@
 {
   char team[COLT_NAME_SIZE];
   uint64_t sequence; /**< grows with each change of the lead */
+  uint64_t seen;     /**< report that the lead knew of the team */
   struct ColtQuotaAmount ceiling;
 };
 
--- a/src/quota/credit_holder.c
+++ b/src/quota/credit_holder.c
@@ -109,7 +109,9 @@
   if (!colt_quota_within (&entry->running, &entry->ceiling))
     colt_holder_touch_ (entry);
   colt_quota_subtract (&part->amount, demand);
-  colt_quota_subtract (&entry->running, demand);
+  colt_quota_subtract (part->lost ? &entry->lost : &entry->running, demand);
+  if (part->lost)
+    colt_holder_touch_ (entry);
   if (colt_quota_is_zero (&part->amount))
     drop_part_ (
         entry,
@@ -292,8 +294,10 @@
   const struct ColtHolderTeam *entry = find_team_ (holder, team);
 
   memset (running, 0, sizeof *running);
-  if (entry != NULL)
-    *running = entry->running;
+  if (entry == NULL)
+    return;
+  *running = entry->running;
+  colt_quota_add (running, &entry->lost);
 }
 
 uint64_t
@@ -387,7 +391,8 @@
   const struct ColtHolderPart *part
       = &g_array_index (team->parts, struct ColtHolderPart, index);
 
-  colt_quota_subtract (&team->running, &part->amount);
+  colt_quota_subtract (part->lost ? &team->lost : &team->running,
+                       &part->amount);
   g_array_remove_index_fast (team->parts, index);
   colt_holder_touch_ (team);
 }
@@ -491,6 +496,9 @@
     return;
   team->sequence = item->sequence;
   team->ceiling = item->ceiling;
+  if (team->moved_report > 0 && item->seen >= team->moved_report)
+    memset (&team->moved, 0, sizeof team->moved);
+  colt_quota_subtract (&team->ceiling, &team->moved);
   colt_holder_touch_ (team);
 }
 
@@ -520,14 +528,23 @@
     }
 }
 
+/* The credits of the tasks go with them: the spare ones don't get more. */
 static void
 lose_parts_ (struct ColtHolderTeam *team, uint32_t server, uint64_t epoch)
 {
   struct ColtHolderPart *part = find_part_ (team, server, false);
+  struct ColtQuotaAmount spare;
 
   if (part == NULL)
     return;
+  spare_ (team, &spare);
   part->lost = true;
   part->epoch = epoch;
+  colt_quota_subtract (&team->running, &part->amount);
+  colt_quota_add (&team->lost, &part->amount);
+  colt_quota_add (&team->moved, &part->amount);
+  team->moved_report = 0;
+  colt_quota_add (&spare, &team->running);
+  colt_quota_lower (&team->ceiling, &spare);
   colt_holder_touch_ (team);
 }
--- a/src/quota/credit_holder_report.c
+++ b/src/quota/credit_holder_report.c
@@ -266,9 +266,12 @@
   state.sequence = team->sequence;
   state.ceiling = team->ceiling;
   state.running = team->running;
+  state.lost = team->lost;
   state.unit = team->unit;
   state.waiting = team->waiting;
   g_array_append_val (draft->states, state);
+  if (team->moved_report == 0)
+    team->moved_report = sequence;
   team->sent = sequence;
   team->drifted = false;
   team->reported_waiting = team->waiting;
--- a/src/quota/credit_lead.c
+++ b/src/quota/credit_lead.c
@@ -335,6 +335,7 @@
     return;
   entry->version = report->sequence;
   entry->running = state->running;
+  entry->lost = state->lost;
   entry->unit = state->unit;
   entry->waiting = state->waiting;
   entry->applied = state->sequence;
--- a/src/quota/credit_lead_send.c
+++ b/src/quota/credit_lead_send.c
@@ -116,6 +116,7 @@
       entry->sent_us = now_us;
       g_strlcpy (item.team, team->name, sizeof item.team);
       item.sequence = entry->sequence;
+      item.seen = entry->version;
       item.ceiling = entry->ceiling;
       g_array_append_val (items, item);
     }
--- a/src/quota/credit_team.c
+++ b/src/quota/credit_team.c
@@ -47,6 +47,7 @@
 {
   *counted = entry->peak;
   colt_quota_raise (counted, &entry->running);
+  colt_quota_add (counted, &entry->lost);
 }
 
 void
@@ -117,6 +118,7 @@
 
       if (entry->applied >= entry->first && entry->waiting == 0
           && colt_quota_is_zero (&entry->running)
+          && colt_quota_is_zero (&entry->lost)
           && colt_quota_is_zero (&entry->peak))
         g_array_remove_index_fast (team->entries, i--);
     }
--- a/src/quota/message_pack.c
+++ b/src/quota/message_pack.c
@@ -108,6 +108,7 @@
       colt_credit_item_msg__init (message.items[i]);
       message.items[i]->team = (char *)item->team;
       message.items[i]->sequence = item->sequence;
+      message.items[i]->seen = item->seen;
       message.items[i]->ceiling = colt_message_amount_ (&pool, &item->ceiling);
     }
   message.n_settled = grant->settled_count;
@@ -281,6 +282,7 @@
   message->sequence = state->sequence;
   message->ceiling = colt_message_amount_ (pool, &state->ceiling);
   message->running = colt_message_amount_ (pool, &state->running);
+  message->lost = colt_message_amount_ (pool, &state->lost);
   message->unit = colt_message_amount_ (pool, &state->unit);
   message->waiting = state->waiting;
 }
--- a/src/quota/message_unpack.c
+++ b/src/quota/message_unpack.c
@@ -234,6 +234,7 @@
          && message->waiting >= 0 && message->waiting <= COLT_QUOTA_MAX
          && colt_message_read_amount_ (message->ceiling, &state->ceiling)
          && read_finite_ (message->running, &state->running)
+         && read_finite_ (message->lost, &state->lost)
          && read_finite_ (message->unit, &state->unit);
 }
 
@@ -241,6 +242,7 @@
 read_item_ (const ColtCreditItemMsg *message, struct ColtCreditItem *item)
 {
   item->sequence = message->sequence;
+  item->seen = message->seen;
   return colt_message_read_name_ (message->team, item->team)
          && message->sequence > 0
          && colt_message_read_amount_ (message->ceiling, &item->ceiling);
--- a/src/quota/private/credit_holder_private.h
+++ b/src/quota/private/credit_holder_private.h
@@ -19,10 +19,13 @@
 {
   char name[COLT_NAME_SIZE];
   uint32_t shard;
-  GArray *parts; /* of struct ColtHolderPart */
-  struct ColtQuotaAmount running;
+  GArray *parts;                  /* of struct ColtHolderPart */
+  struct ColtQuotaAmount running; /* on servers held */
+  struct ColtQuotaAmount lost;    /* on servers lost */
   struct ColtQuotaAmount ceiling;
-  struct ColtQuotaAmount unit; /* what the next task, or the last one, needs */
+  struct ColtQuotaAmount moved; /* credits that went with servers lost, */
+  uint64_t moved_report;        /* as told by this report, 0: none yet */
+  struct ColtQuotaAmount unit;  /* what the next task, or the last one, needs */
   int64_t waiting;
   uint64_t sequence; /* of the newest grant taken */
   bool urgent;       /* something changed that the lead has to know */
--- a/src/quota/private/credit_lead_private.h
+++ b/src/quota/private/credit_lead_private.h
@@ -19,6 +19,7 @@
   struct ColtQuotaAmount ceiling; /* the newest */
   struct ColtQuotaAmount peak;    /* the highest that it may still act on */
   struct ColtQuotaAmount running;
+  struct ColtQuotaAmount lost; /* runs on servers that the owner lost */
   struct ColtQuotaAmount unit;
   int64_t waiting;
   struct ColtQuotaAmount share; /* fair part while not all can be served */
--- a/src/quota/private/quota.pb-c.h
+++ b/src/quota/private/quota.pb-c.h
@@ -142,10 +142,11 @@
   ColtQuotaAmountMsg *running;
   ColtQuotaAmountMsg *unit;
   int64_t waiting;
+  ColtQuotaAmountMsg *lost;
 };
 #define COLT_CREDIT_STATE_MSG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&colt_credit_state_msg__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, NULL, NULL, NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, NULL, NULL, NULL, 0, NULL }
 
 
 /*
@@ -178,10 +179,11 @@
   char *team;
   uint64_t sequence;
   ColtQuotaAmountMsg *ceiling;
+  uint64_t seen;
 };
 #define COLT_CREDIT_ITEM_MSG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&colt_credit_item_msg__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, NULL }
+    , (char *)protobuf_c_empty_string, 0, NULL, 0 }
 
 
 /*
--- a/src/quota/quota.pb-c.c
+++ b/src/quota/quota.pb-c.c
@@ -1297,7 +1297,7 @@
   (ProtobufCMessageInit) colt_server_epoch_msg__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor colt_credit_state_msg__field_descriptors[6] =
+static const ProtobufCFieldDescriptor colt_credit_state_msg__field_descriptors[7] =
 {
   {
     "team",
@@ -1371,9 +1371,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lost",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(ColtCreditStateMsg, lost),
+    &colt_quota_amount_msg__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned colt_credit_state_msg__field_indices_by_name[] = {
   2,   /* field[2] = ceiling */
+  6,   /* field[6] = lost */
   3,   /* field[3] = running */
   1,   /* field[1] = sequence */
   0,   /* field[0] = team */
@@ -1383,7 +1396,7 @@
 static const ProtobufCIntRange colt_credit_state_msg__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor colt_credit_state_msg__descriptor =
 {
@@ -1393,7 +1406,7 @@
   "ColtCreditStateMsg",
   "",
   sizeof(ColtCreditStateMsg),
-  6,
+  7,
   colt_credit_state_msg__field_descriptors,
   colt_credit_state_msg__field_indices_by_name,
   1,  colt_credit_state_msg__number_ranges,
@@ -1542,7 +1555,7 @@
   (ProtobufCMessageInit) colt_credit_report_msg__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor colt_credit_item_msg__field_descriptors[3] =
+static const ProtobufCFieldDescriptor colt_credit_item_msg__field_descriptors[4] =
 {
   {
     "team",
@@ -1580,16 +1593,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "seen",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ColtCreditItemMsg, seen),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned colt_credit_item_msg__field_indices_by_name[] = {
   2,   /* field[2] = ceiling */
+  3,   /* field[3] = seen */
   1,   /* field[1] = sequence */
   0,   /* field[0] = team */
 };
 static const ProtobufCIntRange colt_credit_item_msg__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor colt_credit_item_msg__descriptor =
 {
@@ -1599,7 +1625,7 @@
   "ColtCreditItemMsg",
   "",
   sizeof(ColtCreditItemMsg),
-  3,
+  4,
   colt_credit_item_msg__field_descriptors,
   colt_credit_item_msg__field_indices_by_name,
   1,  colt_credit_item_msg__number_ranges,
--- a/src/test_quota/test_quota.c
+++ b/src/test_quota/test_quota.c
@@ -371,6 +371,29 @@
     }
 }
 
+/* A task's credit goes with its server: the old owner can't use it again. */
+static void
+test_credits_move_with_server (void)
+{
+  struct ColtWorld *world = create_ (9);
+
+  g_assert_cmpint (work_ (world, 0, 3), ==, 3);
+  world_take_over (world, 0, 1, 2);
+  world_settle (world, ROUNDS);
+  world_depose (world, 0, 1);
+  g_assert_false (world_run (world, 0, 1, 1, 0, 0));
+  world_take_over (world, 0, 0, 1);
+  g_assert_false (world_run (world, 0, 1, 0, 0, 0));
+  world_elect (world, 0, 0);
+  world_settle (world, ROUNDS);
+  end_ (world, 0, 1);
+  world_wait (world, 0, 1, 0, 2);
+  world_settle (world, ROUNDS);
+  g_assert_true (world_run (world, 0, 1, 0, 0, 0));
+  g_assert_false (world_run (world, 0, 1, 0, 0, 0));
+  world_destroy (world);
+}
+
 /* Spare credits that lie idle go to the owner whose work waits. */
 static void
 test_idle_spare_moves (void)
@@ -565,6 +588,7 @@
   g_test_add_func ("/quota/zone-replaced", test_zone_replaced);
   g_test_add_func ("/quota/adopt", test_adopt);
   g_test_add_func ("/quota/server-moves", test_server_moves);
+  g_test_add_func ("/quota/credits-move", test_credits_move_with_server);
   g_test_add_func ("/quota/idle-spare-moves", test_idle_spare_moves);
   g_test_add_func ("/quota/owners-take-turns", test_owners_take_turns);
   g_test_add_func ("/quota/late-grant", test_late_grant_of_old_lead);
