--- a/src/test_quota/test_quota.c
+++ b/src/test_quota/test_quota.c
@@ -476,6 +476,7 @@
 test_late_report (void)
 {
   struct ColtWorld *world = create_ (9);
+  int round;
 
   run_in_turn_ (world, 3);
   world_wait (world, 0, 2, 0, 1);
@@ -486,8 +487,38 @@
   world_settle (world, ROUNDS);
   world_release (world);
   world_wait (world, 0, 0, 0, 3);
+  for (round = 0; round < ROUNDS; round++)
+    {
+      world_settle (world, 1);
+      g_assert_false (world_run (world, 0, 0, 0, 0, 0));
+    }
+  world_destroy (world);
+}
+
+/* A recall that has not arrived: its credits can't go to another owner. */
+static void
+test_recall_under_way (void)
+{
+  struct ColtWorld *world = create_ (9);
+  int i;
+
+  world_wait (world, 0, 1, 0, 3);
+  world_settle (world, ROUNDS);
+  world_wait (world, 0, 1, 0, 0);
+  world_settle (world, ROUNDS);
+  world_pause (world, 0, 1, true);
+  world_wait (world, 0, 2, 0, 3);
+  world_settle (world, ROUNDS);
+  g_assert_cmpuint (world_messages (world), >, 0);
+  world_wait (world, 0, 1, 0, 3);
+  world_process_holder (world, 0, 1);
+  world_settle (world, ROUNDS);
+  for (i = 0; i < 3; i++)
+    g_assert_true (world_run (world, 0, 1, 1, 0, 0));
+  g_assert_false (world_run (world, 0, 2, 2, 0, 0));
+  world_pause (world, 0, 1, false);
   world_settle (world, ROUNDS);
-  g_assert_false (world_run (world, 0, 0, 0, 0, 0));
+  g_assert_false (world_run (world, 0, 2, 2, 0, 0));
   world_destroy (world);
 }
 
@@ -593,6 +624,7 @@
   g_test_add_func ("/quota/owners-take-turns", test_owners_take_turns);
   g_test_add_func ("/quota/late-grant", test_late_grant_of_old_lead);
   g_test_add_func ("/quota/late-report", test_late_report);
+  g_test_add_func ("/quota/recall-under-way", test_recall_under_way);
   g_test_add_func ("/quota/skipped-offset", test_skipped_offset);
   g_test_add_func ("/quota/session-ends", test_session_ends);
   g_test_add_func ("/quota/silence", test_silence_at_rest);
