Requests: the table is split by duty

Finding and recovering requests, what an attempt's news do, a task's steps and timers now stand in a file each, behind a private header. Behaviour is unchanged.

--- /dev/null
+++ b/src/request/request_attempts.c
@@ -0,0 +1,220 @@
+#include "requests_private.h"
+
+static GPtrArray *collect_on_server_ (struct ColtRequests *requests,
+                                      uint32_t shard,
+                                      uint32_t server,
+                                      uint64_t below_epoch);
+static const struct ColtTaskReport *
+find_report_ (const struct ColtTaskReport *reports,
+              size_t count,
+              const struct ColtRequest *request,
+              uint32_t index);
+
+bool
+colt_requests_send (struct ColtRequests *requests,
+                    const struct ColtId *id,
+                    uint32_t index,
+                    uint32_t server,
+                    uint64_t server_epoch,
+                    struct ColtTaskRef *ref)
+{
+  struct ColtRequest *request = colt_requests_lookup (requests, id);
+  struct ColtRequestTask *task;
+
+  if (request == NULL || index >= request->spec.tasks)
+    return false;
+  task = &request->tasks[index];
+  if (task->state != COLT_REQUEST_TASK_WAITING)
+    return false;
+  colt_requests_set_state (requests, request, index, COLT_REQUEST_TASK_SENT);
+  task->attempt++;
+  task->server = server;
+  task->server_epoch = server_epoch;
+  ref->request = *id;
+  ref->index = index;
+  ref->attempt = task->attempt;
+  return true;
+}
+
+void
+colt_requests_refused (struct ColtRequests *requests,
+                       const struct ColtTaskRef *ref,
+                       int64_t now_us)
+{
+  struct ColtRequest *request;
+  struct ColtRequestTask *task
+      = colt_requests_find_attempt (requests, ref, &request);
+
+  if (task == NULL || task->state != COLT_REQUEST_TASK_SENT)
+    return;
+  if (request->cancelled || request->expired)
+    {
+      task->end = COLT_TASK_STOPPED;
+      colt_requests_end_task (requests, request, ref->index, now_us);
+      return;
+    }
+  colt_requests_make_ready (requests, request, ref->index);
+}
+
+void
+colt_requests_started (struct ColtRequests *requests,
+                       const struct ColtTaskRef *ref,
+                       int64_t now_us)
+{
+  struct ColtRequest *request;
+  struct ColtRequestTask *task
+      = colt_requests_find_attempt (requests, ref, &request);
+
+  if (task == NULL || task->state != COLT_REQUEST_TASK_SENT)
+    return;
+  colt_requests_set_state (requests, request, ref->index,
+                           COLT_REQUEST_TASK_RUNNING);
+  task->runs++;
+  if (request->started_us < 0)
+    request->started_us = now_us;
+}
+
+void
+colt_requests_ended (struct ColtRequests *requests,
+                     const struct ColtTaskReport *report,
+                     int64_t now_us)
+{
+  struct ColtRequest *request;
+  struct ColtRequestTask *task
+      = colt_requests_find_attempt (requests, &report->ref, &request);
+
+  if (task == NULL || report->state == COLT_TASK_RUNNING)
+    return;
+  if (task->state == COLT_REQUEST_TASK_ENDED && !task->result_known
+      && task->end == report->state && report->result != NULL)
+    colt_requests_take_report (requests, request, task, report);
+  if (task->state != COLT_REQUEST_TASK_SENT
+      && task->state != COLT_REQUEST_TASK_RUNNING)
+    return;
+  if (task->state == COLT_REQUEST_TASK_SENT)
+    task->runs++;
+  if (request->started_us < 0)
+    request->started_us = now_us;
+  colt_requests_take_report (requests, request, task, report);
+  if (report->state == COLT_TASK_LAPSED && !request->cancelled
+      && !request->expired)
+    colt_requests_lose_task (requests, request, report->ref.index, now_us);
+  else if (report->state == COLT_TASK_FINISHED
+           || !colt_requests_retry (requests, request, report->ref.index,
+                                    now_us))
+    colt_requests_end_task (requests, request, report->ref.index, now_us);
+}
+
+void
+colt_requests_server_reported (struct ColtRequests *requests,
+                               uint32_t shard,
+                               uint32_t server,
+                               uint64_t server_epoch,
+                               const struct ColtTaskReport *reports,
+                               size_t count,
+                               int64_t now_us)
+{
+  GPtrArray *affected
+      = collect_on_server_ (requests, shard, server, server_epoch);
+  guint i;
+
+  for (i = 0; i < affected->len; i++)
+    {
+      struct ColtTaskRef *ref = g_ptr_array_index (affected, i);
+      struct ColtRequest *request;
+      struct ColtRequestTask *task
+          = colt_requests_find_attempt (requests, ref, &request);
+      const struct ColtTaskReport *report;
+
+      if (task == NULL)
+        continue;
+      report = find_report_ (reports, count, request, ref->index);
+      if (report == NULL && task->state == COLT_REQUEST_TASK_SENT)
+        colt_requests_refused (requests, ref, now_us);
+      else if (report == NULL)
+        colt_requests_lose_task (requests, request, ref->index, now_us);
+      else if (report->state == COLT_TASK_RUNNING)
+        {
+          colt_requests_started (requests, ref, now_us);
+          task->server_epoch = server_epoch;
+        }
+      else
+        colt_requests_ended (requests, report, now_us);
+    }
+  g_ptr_array_unref (affected);
+}
+
+void
+colt_requests_server_gone (struct ColtRequests *requests,
+                           uint32_t shard,
+                           uint32_t server,
+                           int64_t now_us)
+{
+  GPtrArray *affected
+      = collect_on_server_ (requests, shard, server, UINT64_MAX);
+  guint i;
+
+  for (i = 0; i < affected->len; i++)
+    {
+      struct ColtTaskRef *ref = g_ptr_array_index (affected, i);
+      struct ColtRequest *request;
+      struct ColtRequestTask *task
+          = colt_requests_find_attempt (requests, ref, &request);
+
+      if (task == NULL)
+        continue;
+      if (task->state == COLT_REQUEST_TASK_SENT)
+        task->runs++;
+      colt_requests_lose_task (requests, request, ref->index, now_us);
+    }
+  g_ptr_array_unref (affected);
+}
+
+/* Returns references to the attempts on a server at a lower epoch. */
+static GPtrArray *
+collect_on_server_ (struct ColtRequests *requests,
+                    uint32_t shard,
+                    uint32_t server,
+                    uint64_t below_epoch)
+{
+  GPtrArray *found = g_ptr_array_new_with_free_func (g_free);
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, requests->table);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct ColtRequest *request = value;
+      uint32_t i;
+
+      if (colt_id_shard (&request->id) != shard)
+        continue;
+      for (i = 0; i < request->spec.tasks; i++)
+        {
+          const struct ColtRequestTask *task = &request->tasks[i];
+          struct ColtTaskRef ref = { request->id, i, task->attempt };
+
+          if (task->server == server && task->server_epoch < below_epoch
+              && (task->state == COLT_REQUEST_TASK_SENT
+                  || task->state == COLT_REQUEST_TASK_RUNNING))
+            g_ptr_array_add (found, g_memdup2 (&ref, sizeof ref));
+        }
+    }
+  return found;
+}
+
+static const struct ColtTaskReport *
+find_report_ (const struct ColtTaskReport *reports,
+              size_t count,
+              const struct ColtRequest *request,
+              uint32_t index)
+{
+  const struct ColtTaskRef ref
+      = { request->id, index, request->tasks[index].attempt };
+  size_t i;
+
+  for (i = 0; i < count; i++)
+    if (colt_task_equal (&reports[i].ref, &ref))
+      return &reports[i];
+  return NULL;
+}
--- /dev/null
+++ b/src/request/request_table.c
@@ -0,0 +1,179 @@
+#include <string.h>
+#include <xxhash.h>
+
+#include "requests_private.h"
+
+static void grow_ (struct ColtRequests *requests,
+                   struct ColtRequest *request,
+                   uint32_t tasks);
+
+struct ColtRequest *
+colt_requests_lookup (const struct ColtRequests *requests,
+                      const struct ColtId *id)
+{
+  return g_hash_table_lookup (requests->table, id);
+}
+
+struct ColtRequestTask *
+colt_requests_find_attempt (const struct ColtRequests *requests,
+                            const struct ColtTaskRef *ref,
+                            struct ColtRequest **request)
+{
+  *request = colt_requests_lookup (requests, &ref->request);
+  if (*request == NULL || ref->index >= (*request)->spec.tasks)
+    return NULL;
+  if ((*request)->tasks[ref->index].attempt != ref->attempt)
+    return NULL;
+  return &(*request)->tasks[ref->index];
+}
+
+struct ColtRequest *
+colt_requests_add (struct ColtRequests *requests,
+                   const struct ColtId *id,
+                   const struct ColtRequestSpec *spec,
+                   int64_t now_us)
+{
+  struct ColtRequest *request = g_new0 (struct ColtRequest, 1);
+
+  request->id = *id;
+  request->spec = *spec;
+  request->spec.payload = g_memdup2 (spec->payload, spec->payload_size);
+  request->fingerprint = colt_request_fingerprint (spec);
+  request->arrived_us = now_us;
+  request->started_us = -1;
+  request->tasks = g_new0 (struct ColtRequestTask, spec->tasks);
+  request->open_tasks = spec->tasks;
+  requests->stats.open++;
+  requests->stats.waiting += spec->tasks;
+  requests->stats.payload_bytes += spec->payload_size;
+  g_hash_table_insert (requests->table, &request->id, request);
+  return request;
+}
+
+void
+colt_requests_free (struct ColtRequests *requests, struct ColtRequest *request)
+{
+  uint32_t i;
+
+  for (i = 0; i < request->spec.tasks; i++)
+    {
+      uint32_t *counter
+          = colt_requests_state_counter (requests, request->tasks[i].state);
+
+      if (request->tasks[i].state == COLT_REQUEST_TASK_WAITING
+          && request->outcome == COLT_OUTCOME_PENDING)
+        requests->calls->unready (requests->client, request, i);
+      if (counter != NULL)
+        (*counter)--;
+    }
+  colt_requests_drop_results (requests, request);
+  if (request->outcome == COLT_OUTCOME_PENDING)
+    requests->stats.open--;
+  requests->stats.payload_bytes -= request->spec.payload_size;
+  g_free ((void *)request->spec.payload);
+  g_free (request->tasks);
+  g_free (request);
+}
+
+void
+colt_requests_recover (struct ColtRequests *requests,
+                       const struct ColtTaskReport *report,
+                       uint32_t server,
+                       uint64_t server_epoch,
+                       int64_t now_us)
+{
+  struct ColtRequest *request
+      = colt_requests_lookup (requests, &report->ref.request);
+  struct ColtRequestSpec spec = { 0 };
+  struct ColtRequestTask *task;
+
+  if (report->ref.index >= COLT_TASKS_PER_REQUEST_MAX)
+    return;
+  if (request == NULL)
+    {
+      g_strlcpy (spec.team, report->team, sizeof spec.team);
+      spec.kind = report->kind;
+      spec.demand = report->limit;
+      spec.tasks = report->ref.index + 1;
+      spec.max_attempts = 1;
+      spec.deadline_us = COLT_TIME_NEVER;
+      request
+          = colt_requests_add (requests, &report->ref.request, &spec, now_us);
+      request->recovered = true;
+      request->started_us = now_us;
+    }
+  grow_ (requests, request, report->ref.index + 1);
+  task = &request->tasks[report->ref.index];
+  if (task->attempt >= report->ref.attempt)
+    return;
+  task->attempt = report->ref.attempt;
+  task->runs = report->ref.attempt;
+  task->server = server;
+  task->server_epoch = server_epoch;
+  if (report->state == COLT_TASK_RUNNING)
+    {
+      colt_requests_set_state (requests, request, report->ref.index,
+                               COLT_REQUEST_TASK_RUNNING);
+      return;
+    }
+  colt_requests_take_report (requests, request, task, report);
+  if (task->state != COLT_REQUEST_TASK_ENDED)
+    {
+      colt_requests_set_state (requests, request, report->ref.index,
+                               COLT_REQUEST_TASK_ENDED);
+      request->open_tasks--;
+    }
+}
+
+void
+colt_requests_adopt (struct ColtRequests *requests,
+                     struct ColtRequest *request,
+                     const struct ColtRequestSpec *spec,
+                     int64_t now_us)
+{
+  uint32_t i;
+
+  if (spec->tasks < request->spec.tasks
+      || request->outcome != COLT_OUTCOME_PENDING)
+    return;
+  grow_ (requests, request, spec->tasks);
+  requests->stats.payload_bytes += spec->payload_size;
+  g_free ((void *)request->spec.payload);
+  request->spec = *spec;
+  request->spec.payload = g_memdup2 (spec->payload, spec->payload_size);
+  request->fingerprint = colt_request_fingerprint (spec);
+  request->recovered = false;
+  if (spec->deadline_us != COLT_TIME_NEVER)
+    colt_requests_add_timer (requests, spec->deadline_us, &request->id, 0,
+                             TIMER_DEADLINE);
+  for (i = 0; i < spec->tasks; i++)
+    if (request->tasks[i].state == COLT_REQUEST_TASK_WAITING)
+      requests->calls->ready (requests->client, request, i);
+  colt_requests_judge (requests, request, now_us);
+}
+
+static void
+grow_ (struct ColtRequests *requests,
+       struct ColtRequest *request,
+       uint32_t tasks)
+{
+  uint32_t old = request->spec.tasks;
+
+  if (tasks <= old)
+    return;
+  request->tasks = g_renew (struct ColtRequestTask, request->tasks, tasks);
+  memset (request->tasks + old, 0, (tasks - old) * sizeof *request->tasks);
+  request->spec.tasks = tasks;
+  request->open_tasks += tasks - old;
+  requests->stats.waiting += tasks - old;
+}
+
+uint64_t
+colt_request_fingerprint (const struct ColtRequestSpec *spec)
+{
+  const uint64_t words[] = { spec->kind, spec->tasks, spec->idempotent };
+  uint64_t hash = XXH3_64bits (spec->payload, spec->payload_size);
+
+  hash = XXH3_64bits_withSeed (words, sizeof words, hash);
+  return XXH3_64bits_withSeed (spec->team, strlen (spec->team), hash);
+}
