History checker: decides each promise of a run from its records

Reads callers' records, those of backend servers and of the log, and the description of the run. Spans are built from starts, resizes and ends; each promise is a check of its own that names the records which break it.

--- /dev/null
+++ b/src/history/check.c
@@ -0,0 +1,58 @@
+#include "check.h"
+
+typedef void (*ColtHistoryPromiseCheck) (const struct ColtHistoryCheck *check);
+
+static const ColtHistoryPromiseCheck checks[COLT_HISTORY_PROMISE_COUNT]
+    = { [COLT_HISTORY_OVERCOMMITTED] = colt_history_check_capacity,
+        [COLT_HISTORY_DOUBLED] = colt_history_check_doubled,
+        [COLT_HISTORY_LOST] = colt_history_check_lost,
+        [COLT_HISTORY_WRONG_ANSWER] = colt_history_check_answers,
+        [COLT_HISTORY_FALSE_NOT_RUN] = colt_history_check_not_run,
+        [COLT_HISTORY_OVER_LIMIT] = colt_history_check_limits,
+        [COLT_HISTORY_LATE_KEY] = colt_history_check_keys,
+        [COLT_HISTORY_LATE_LEAVING] = colt_history_check_leaving,
+        [COLT_HISTORY_CONTRADICTION] = colt_history_check_contradictions };
+
+struct ColtHistoryVerdict *
+colt_history_check (const struct ColtHistory *history,
+                    const struct ColtHistorySpans *spans)
+{
+  struct ColtHistoryVerdict *verdict = colt_history_verdict_create ();
+  const struct ColtHistoryCheck check = { history, spans, verdict };
+  int promise;
+
+  for (promise = 0; promise < COLT_HISTORY_PROMISE_COUNT; promise++)
+    checks[promise](&check);
+  verdict->odd_ends = spans->odd_ends;
+  return verdict;
+}
+
+const char *
+colt_history_check_name (const struct ColtHistoryCheck *check, uint32_t request)
+{
+  return colt_history_text (check->history, request);
+}
+
+void
+colt_history_check_show_call (struct ColtHistoryViolation *violation,
+                              const struct ColtHistoryCall *call)
+{
+  if (violation == NULL)
+    return;
+  violation->request = call->request;
+  violation->team = call->team;
+  colt_history_violation_show (violation, call->source);
+}
+
+void
+colt_history_check_show_span (struct ColtHistoryViolation *violation,
+                              const struct ColtHistorySpan *span)
+{
+  if (violation == NULL)
+    return;
+  violation->request = span->request;
+  violation->team = span->team;
+  violation->server = span->server;
+  colt_history_violation_show (violation, span->start);
+  colt_history_violation_show (violation, span->end);
+}
--- /dev/null
+++ b/src/history/history.c
@@ -0,0 +1,118 @@
+#include "history.h"
+
+/* Longest wait for a start or an answer that needs no reason. */
+#define PATIENCE_US INT64_C (10000000)
+#define CHUNK_SIZE 65536
+
+const char *const colt_history_outcome_string[]
+    = { "done",     "failed",    "not_run",  "unknown",   "cancelled",
+        "accepted", "no_answer", "not_sent", "malformed", "none" };
+
+const char *const colt_history_event_string[]
+    = { "start", "resize", "end", "over", "down", "leaving", "append" };
+
+static void create_run_ (struct ColtHistoryRun *run);
+static void clear_run_ (struct ColtHistoryRun *run);
+
+struct ColtHistory *
+colt_history_create (void)
+{
+  struct ColtHistory *history = g_new0 (struct ColtHistory, 1);
+
+  create_run_ (&history->run);
+  history->calls = g_array_new (FALSE, TRUE, sizeof (struct ColtHistoryCall));
+  history->answers
+      = g_array_new (FALSE, TRUE, sizeof (struct ColtHistoryAnswer));
+  history->events = g_array_new (FALSE, TRUE, sizeof (struct ColtHistoryEvent));
+  history->texts = g_ptr_array_new ();
+  history->chunk = g_string_chunk_new (CHUNK_SIZE);
+  history->numbers = g_hash_table_new (g_str_hash, g_str_equal);
+  colt_history_intern (history, "");
+  return history;
+}
+
+void
+colt_history_destroy (struct ColtHistory *history)
+{
+  if (history == NULL)
+    return;
+  clear_run_ (&history->run);
+  g_array_unref (history->calls);
+  g_array_unref (history->answers);
+  g_array_unref (history->events);
+  g_ptr_array_unref (history->texts);
+  g_hash_table_unref (history->numbers);
+  g_string_chunk_free (history->chunk);
+  g_free (history);
+}
+
+uint32_t
+colt_history_intern (struct ColtHistory *history, const char *text)
+{
+  gpointer number;
+  char *copy;
+
+  if (g_hash_table_lookup_extended (history->numbers, text, NULL, &number))
+    return GPOINTER_TO_UINT (number);
+  copy = g_string_chunk_insert (history->chunk, text);
+  number = GUINT_TO_POINTER (history->texts->len);
+  g_ptr_array_add (history->texts, copy);
+  g_hash_table_insert (history->numbers, copy, number);
+  return GPOINTER_TO_UINT (number);
+}
+
+const char *
+colt_history_text (const struct ColtHistory *history, uint32_t number)
+{
+  return g_ptr_array_index (history->texts, number);
+}
+
+const struct ColtHistoryServer *
+colt_history_find_server (const struct ColtHistory *history, uint32_t id)
+{
+  const GArray *servers = history->run.servers;
+  guint low = 0;
+  guint high = servers->len;
+
+  while (low < high)
+    {
+      guint middle = low + (high - low) / 2;
+      const struct ColtHistoryServer *server
+          = &g_array_index (servers, struct ColtHistoryServer, middle);
+
+      if (server->id == id)
+        return server;
+      if (server->id < id)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return NULL;
+}
+
+static void
+create_run_ (struct ColtHistoryRun *run)
+{
+  run->patience_us = PATIENCE_US;
+  run->servers = g_array_new (FALSE, TRUE, sizeof (struct ColtHistoryServer));
+  run->teams = g_array_new (FALSE, TRUE, sizeof (struct ColtHistoryTeam));
+  run->limits = g_array_new (FALSE, TRUE, sizeof (struct ColtHistoryLimit));
+  run->keys = g_array_new (FALSE, TRUE, sizeof (struct ColtHistoryKey));
+  run->leaving = g_array_new (FALSE, TRUE, sizeof (struct ColtHistoryPeriod));
+  run->killed = g_array_new (FALSE, TRUE, sizeof (struct ColtHistoryPeriod));
+  run->cuts = g_array_new (FALSE, TRUE, sizeof (struct ColtHistoryPeriod));
+  run->rolls = g_array_new (FALSE, TRUE, sizeof (struct ColtHistoryRoll));
+}
+
+static void
+clear_run_ (struct ColtHistoryRun *run)
+{
+  g_array_unref (run->servers);
+  g_array_unref (run->teams);
+  g_array_unref (run->limits);
+  g_array_unref (run->keys);
+  g_array_unref (run->leaving);
+  g_array_unref (run->killed);
+  g_array_unref (run->cuts);
+  g_array_unref (run->rolls);
+}
