Shards: answers that come late under load still count

A lead took the answer to its newest confirmation only. With answers slower than the retry, as under overload, none would have counted and the lead would have resigned. Answers to the last four are taken, each by its own sending time, and an owner that is slow to report gets more time before it is asked again.

--- a/src/shard/lead.c
+++ b/src/shard/lead.c
@@ -158,6 +158,7 @@
       || peer->open_round != opened->round)
     return;
   peer->open_round = 0;
+  peer->open_failures = 0;
   if (!colt_lead_peer_update (peer, opened->incarnation, opened->version,
                               opened->stamp, opened->servers,
                               opened->server_count))
@@ -181,11 +182,10 @@
                            int64_t now)
 {
   struct ColtLeadPeer *peer = colt_lead_find_peer (lead, confirmed->owner);
+  int64_t sent;
 
-  if (peer == NULL || peer->confirm_round == 0
-      || peer->confirm_round != confirmed->round)
+  if (peer == NULL || !colt_lead_close_confirm (peer, confirmed->round, &sent))
     return;
-  peer->confirm_round = 0;
   if (confirmed->unchanged
       && (!peer->is_known || confirmed->version != peer->version
           || confirmed->incarnation != peer->incarnation))
@@ -199,10 +199,10 @@
   peer->stamp = confirmed->stamp;
   peer->wants_view = confirmed->want_view;
   take_promises_ (lead, confirmed->epochs, confirmed->epoch_count, now);
-  peer->answered = MAX (peer->answered, peer->confirm_sent);
+  peer->answered = MAX (peer->answered, sent);
   if (!confirmed->want_view)
     {
-      peer->confirmed = peer->confirm_sent;
+      peer->confirmed = sent;
       peer->confirmed_round = confirmed->round;
     }
   advance_ (lead, now);
--- a/src/shard/lead_peer.c
+++ b/src/shard/lead_peer.c
@@ -6,6 +6,7 @@
 #include "view.h"
 
 #define SHARDS_PER_OPEN_MAX 16u
+#define OPEN_DOUBLINGS_MAX 2u
 
 static void forget_claims_ (struct ColtLeadPeer *peer);
 static void index_peer_ (struct ColtShardLead *lead,
@@ -26,6 +27,8 @@
                            int64_t now);
 static GArray *build_view_ (const struct ColtShardLead *lead, int64_t now);
 static int64_t retry_time_ (const struct ColtShardLead *lead, int64_t sent);
+static int64_t open_retry_time_ (const struct ColtShardLead *lead,
+                                 const struct ColtLeadPeer *peer);
 
 struct ColtLeadPeer *
 colt_lead_peer (struct ColtShardLead *lead, uint32_t instance)
@@ -92,6 +95,28 @@
   return true;
 }
 
+bool
+colt_lead_close_confirm (struct ColtLeadPeer *peer,
+                         uint64_t round,
+                         int64_t *sent)
+{
+  bool found = false;
+  uint32_t i;
+
+  for (i = 0; i < COLT_LEAD_CONFIRMS_MAX; i++)
+    if (round != 0 && peer->confirms[i].round == round)
+      {
+        *sent = peer->confirms[i].sent;
+        found = true;
+      }
+  for (i = 0; found && i < COLT_LEAD_CONFIRMS_MAX; i++)
+    if (peer->confirms[i].round <= round)
+      peer->confirms[i].round = 0;
+  if (found && peer->confirm_round <= round)
+    peer->confirm_round = 0;
+  return found;
+}
+
 void
 colt_lead_expire (struct ColtShardLead *lead, int64_t now)
 {
@@ -200,8 +225,11 @@
     {
       struct ColtLeadPeer *peer = value;
 
-      if (peer->open_round != 0 && now >= retry_time_ (lead, peer->open_sent))
-        peer->open_round = 0;
+      if (peer->open_round != 0 && now >= open_retry_time_ (lead, peer))
+        {
+          peer->open_round = 0;
+          peer->open_failures++;
+        }
       if (peer->needed != 0 && peer->open_round == 0)
         send_open_ (lead, peer, now);
     }
@@ -238,7 +266,7 @@
   int64_t due = COLT_TIME_NEVER;
 
   if (peer->open_round != 0)
-    due = MIN (due, retry_time_ (lead, peer->open_sent));
+    due = MIN (due, open_retry_time_ (lead, peer));
   if (peer->granted_bits != 0)
     due = MIN (due, peer->confirm_round != 0
                         ? retry_time_ (lead, peer->confirm_sent)
@@ -382,6 +410,9 @@
       confirm.view = (const uint32_t *)(const void *)view->data;
       confirm.view_count = view->len;
     }
+  peer->confirms[peer->next_slot].round = confirm.round;
+  peer->confirms[peer->next_slot].sent = now;
+  peer->next_slot = (peer->next_slot + 1) % COLT_LEAD_CONFIRMS_MAX;
   peer->confirm_round = confirm.round;
   peer->confirm_sent = now;
   peer->next_confirm = now + lead->times.confirm_ms * COLT_US_PER_MS;
@@ -417,3 +448,14 @@
 {
   return sent + lead->times.retry_ms * COLT_US_PER_MS;
 }
+
+/* An owner with much to report gets more time for it. */
+static int64_t
+open_retry_time_ (const struct ColtShardLead *lead,
+                  const struct ColtLeadPeer *peer)
+{
+  uint32_t doublings = MIN (peer->open_failures, OPEN_DOUBLINGS_MAX);
+
+  return peer->open_sent
+         + ((lead->times.retry_ms * COLT_US_PER_MS) << doublings);
+}
--- a/src/shard/private/lead.h
+++ b/src/shard/private/lead.h
@@ -13,6 +13,16 @@
 
 #include "coltsfootstile/shard.h"
 
+/** Confirms to one peer whose answers are still taken. */
+#define COLT_LEAD_CONFIRMS_MAX 4u
+
+/** A confirm that has been sent. */
+struct ColtLeadConfirm
+{
+  uint64_t round; /**< 0: answered */
+  int64_t sent;
+};
+
 /** What the lead knows of one instance. */
 struct ColtLeadPeer
 {
@@ -30,7 +40,10 @@
 
   uint64_t open_round; /**< that is open, 0: none */
   int64_t open_sent;
-  uint64_t confirm_round; /**< that is open, 0: none */
+  uint32_t open_failures; /**< opens in a row without an answer */
+  struct ColtLeadConfirm confirms[COLT_LEAD_CONFIRMS_MAX];
+  uint32_t next_slot;     /**< of confirms */
+  uint64_t confirm_round; /**< the newest, if it is open; 0: it isn't */
   int64_t confirm_sent;
   int64_t next_confirm;
   bool wants_view;
@@ -127,6 +140,11 @@
                             int64_t stamp,
                             const struct ColtShardServer *servers,
                             size_t count);
+/** Takes a confirm's answer: finds when it was sent, and closes it with all
+ * earlier ones. Returns false if it isn't open. */
+bool colt_lead_close_confirm (struct ColtLeadPeer *peer,
+                              uint64_t round,
+                              int64_t *sent);
 /** Forgets peers whose answers have expired. */
 void colt_lead_expire (struct ColtShardLead *lead, int64_t now);
 /** Finds who holds what. */
