Requests: work that a new lead can't know of is not run again

Four faults of a takeover, found by reading and now under test: - a server that the recount lacked and that joined later told of tasks that were dropped, so the same non-idempotent id could start again; - tasks of a partly recovered non-idempotent request that left no trace were started even where the reports couldn't be complete; - a newer running attempt reported after an older ended one broke the count of open tasks, so the request never ended; - work for later with an id past retention was taken once more. Recovered requests that nobody asks for are dropped after retention and no longer fill the bound on open requests. An id that another team or kind of work used is a mismatch for recovered requests too.

--- a/include/coltsfootstile/request.h
+++ b/include/coltsfootstile/request.h
@@ -201,6 +201,15 @@
                                             int64_t now_us,
                                             enum ColtReason *reason);
 
+/**
+ * Returns whether non-idempotent work has an id so old that the request may
+ * have run and been forgotten. Work that a caller hands in for later must be
+ * judged by this before it is put on the log; work taken from there need not.
+ */
+bool colt_request_expired (const struct ColtId *id,
+                           const struct ColtRequestSpec *spec,
+                           uint32_t wall_s);
+
 /** Cancels a request; does nothing if it has ended or is unknown. */
 void colt_requests_cancel (struct ColtRequests *requests,
                            const struct ColtId *id,
@@ -259,6 +268,7 @@
 /**
  * A backend server has a new owner, whose inventory for a shard is complete:
  * attempts sent at a lower epoch that it doesn't name never ran, or were lost.
+ * Tasks of requests that the table doesn't know are recovered.
  */
 void colt_requests_server_reported (struct ColtRequests *requests,
                                     uint32_t shard,
@@ -281,6 +291,7 @@
 struct ColtRequestStats
 {
   uint32_t open;
+  uint32_t recovered; /**< of the open ones, those known from servers alone */
   uint32_t waiting;
   uint32_t sent;
   uint32_t running;
--- a/src/home/home_submit.c
+++ b/src/home/home_submit.c
@@ -101,11 +101,19 @@
       return;
     }
   known = colt_requests_find (home->requests, &id);
-  if (known == NULL && must_wait_ (home, &id, word->fresh, now_us))
+  if ((known == NULL || known->recovered)
+      && must_wait_ (home, &id, word->fresh, now_us))
     {
       reply_ (home, origin, COLT_SUBMIT_NOT_LEAD, COLT_REASON_NONE, NULL);
       return;
     }
+  if (known == NULL && spec.durable && !stored
+      && colt_request_expired (
+          &id, &spec, (uint32_t)(colt_clock_wall_us () / COLT_US_PER_S)))
+    {
+      reply_ (home, origin, COLT_SUBMIT_UNKNOWN, COLT_REASON_EXPIRED_ID, NULL);
+      return;
+    }
   if (known == NULL && spec.durable && !stored)
     {
       store_ (home, origin, word, &id, &spec);
--- a/src/request/private/requests_private.h
+++ b/src/request/private/requests_private.h
@@ -42,6 +42,12 @@
   struct ColtRequestStats stats;
 };
 
+/* requests.c */
+/** Returns whether non-idempotent work may have run without a trace here. */
+bool colt_requests_may_lack (const struct ColtRequests *requests,
+                             const struct ColtId *id,
+                             const struct ColtRequestSpec *spec);
+
 /* request_table.c */
 /** Finds a request, or returns NULL. */
 struct ColtRequest *colt_requests_lookup (const struct ColtRequests *requests,
@@ -131,5 +137,10 @@
                               const struct ColtId *id,
                               uint32_t index,
                               enum ColtTimerKind kind);
+/** Plans to drop what is known of a request that ended, or was recovered, now.
+ */
+void colt_requests_plan_forgetting (struct ColtRequests *requests,
+                                    struct ColtRequest *request,
+                                    int64_t now_us);
 
 #endif
--- a/src/request/request_attempts.c
+++ b/src/request/request_attempts.c
@@ -1,5 +1,11 @@
 #include "requests_private.h"
 
+static void recover_late_ (struct ColtRequests *requests,
+                           uint32_t shard,
+                           const struct ColtTaskReport *report,
+                           uint32_t server,
+                           uint64_t server_epoch,
+                           int64_t now_us);
 static GPtrArray *collect_on_server_ (struct ColtRequests *requests,
                                       uint32_t shard,
                                       uint32_t server,
@@ -142,6 +148,8 @@
         colt_requests_ended (requests, report, now_us);
     }
   g_ptr_array_unref (affected);
+  for (i = 0; i < count; i++)
+    recover_late_ (requests, shard, &reports[i], server, server_epoch, now_us);
 }
 
 void
@@ -170,6 +178,25 @@
   g_ptr_array_unref (affected);
 }
 
+/* A server that the recount lacked may run what the table never heard of. */
+static void
+recover_late_ (struct ColtRequests *requests,
+               uint32_t shard,
+               const struct ColtTaskReport *report,
+               uint32_t server,
+               uint64_t server_epoch,
+               int64_t now_us)
+{
+  const struct ColtRequest *request
+      = colt_requests_lookup (requests, &report->ref.request);
+
+  if (requests->shards[shard].epoch == 0
+      || colt_id_shard (&report->ref.request) != shard)
+    return;
+  if (request == NULL || request->recovered)
+    colt_requests_recover (requests, report, server, server_epoch, now_us);
+}
+
 /* Returns references to the attempts on a server at a lower epoch. */
 static GPtrArray *
 collect_on_server_ (struct ColtRequests *requests,
--- a/src/request/request_steps.c
+++ b/src/request/request_steps.c
@@ -97,6 +97,8 @@
   enum ColtReason reason = COLT_REASON_NONE;
   uint32_t i;
 
+  if (request->recovered)
+    colt_requests_plan_forgetting (requests, request, now_us);
   if (request->open_tasks > 0 || request->outcome != COLT_OUTCOME_PENDING
       || request->recovered)
     return;
@@ -246,7 +248,6 @@
 {
   request->outcome = outcome;
   request->reason = reason;
-  request->ended_us = now_us;
   requests->stats.open--;
   requests->stats.payload_bytes -= request->spec.payload_size;
   g_free ((void *)request->spec.payload);
@@ -255,8 +256,6 @@
   colt_requests_add_timer (requests,
                            now_us + COLT_RESULT_RETENTION_S * COLT_US_PER_S,
                            &request->id, 0, TIMER_DROP_RESULT);
-  colt_requests_add_timer (requests,
-                           now_us + COLT_REQUEST_RETENTION_S * COLT_US_PER_S,
-                           &request->id, 0, TIMER_FORGET);
+  colt_requests_plan_forgetting (requests, request, now_us);
   requests->calls->ended (requests->client, request);
 }
--- a/src/request/request_table.c
+++ b/src/request/request_table.c
@@ -3,6 +3,10 @@
 
 #include "requests_private.h"
 
+static void begin_or_lose_ (struct ColtRequests *requests,
+                            struct ColtRequest *request,
+                            uint32_t index,
+                            bool may_lack);
 static void grow_ (struct ColtRequests *requests,
                    struct ColtRequest *request,
                    uint32_t tasks);
@@ -69,6 +73,8 @@
   colt_requests_drop_results (requests, request);
   if (request->outcome == COLT_OUTCOME_PENDING)
     requests->stats.open--;
+  if (request->recovered)
+    requests->stats.recovered--;
   requests->stats.payload_bytes -= request->spec.payload_size;
   g_free ((void *)request->spec.payload);
   g_free (request->tasks);
@@ -101,6 +107,8 @@
           = colt_requests_add (requests, &report->ref.request, &spec, now_us);
       request->recovered = true;
       request->started_us = now_us;
+      requests->stats.recovered++;
+      colt_requests_plan_forgetting (requests, request, now_us);
     }
   grow_ (requests, request, report->ref.index + 1);
   task = &request->tasks[report->ref.index];
@@ -112,6 +120,8 @@
   task->server_epoch = server_epoch;
   if (report->state == COLT_TASK_RUNNING)
     {
+      if (task->state == COLT_REQUEST_TASK_ENDED)
+        request->open_tasks++;
       colt_requests_set_state (requests, request, report->ref.index,
                                COLT_REQUEST_TASK_RUNNING);
       return;
@@ -131,11 +141,9 @@
                      const struct ColtRequestSpec *spec,
                      int64_t now_us)
 {
+  bool may_lack = colt_requests_may_lack (requests, &request->id, spec);
   uint32_t i;
 
-  if (spec->tasks < request->spec.tasks
-      || request->outcome != COLT_OUTCOME_PENDING)
-    return;
   grow_ (requests, request, spec->tasks);
   requests->stats.payload_bytes += spec->payload_size;
   g_free ((void *)request->spec.payload);
@@ -143,15 +151,37 @@
   request->spec.payload = g_memdup2 (spec->payload, spec->payload_size);
   request->fingerprint = colt_request_fingerprint (spec);
   request->recovered = false;
+  requests->stats.recovered--;
   if (spec->deadline_us != COLT_TIME_NEVER)
     colt_requests_add_timer (requests, spec->deadline_us, &request->id, 0,
                              TIMER_DEADLINE);
   for (i = 0; i < spec->tasks; i++)
     if (request->tasks[i].state == COLT_REQUEST_TASK_WAITING)
-      requests->calls->ready (requests->client, request, i);
+      begin_or_lose_ (requests, request, i, may_lack);
   colt_requests_judge (requests, request, now_us);
 }
 
+/* A task that left no trace may have run if the reports can't be complete. */
+static void
+begin_or_lose_ (struct ColtRequests *requests,
+                struct ColtRequest *request,
+                uint32_t index,
+                bool may_lack)
+{
+  struct ColtRequestTask *task = &request->tasks[index];
+
+  if (!may_lack)
+    {
+      requests->calls->ready (requests->client, request, index);
+      return;
+    }
+  task->end = COLT_TASK_LAPSED;
+  task->uncertain = true;
+  task->runs++;
+  colt_requests_set_state (requests, request, index, COLT_REQUEST_TASK_ENDED);
+  request->open_tasks--;
+}
+
 static void
 grow_ (struct ColtRequests *requests,
        struct ColtRequest *request,
--- a/src/request/request_timers.c
+++ b/src/request/request_timers.c
@@ -1,8 +1,11 @@
 #include "requests_private.h"
 
+#define RETENTION_US (COLT_REQUEST_RETENTION_S * COLT_US_PER_S)
+
 static void run_timer_ (struct ColtRequests *requests,
                         const struct ColtTimer *timer,
                         int64_t now_us);
+static bool may_forget_ (const struct ColtRequest *request, int64_t now_us);
 static gint compare_timers_ (gconstpointer a, gconstpointer b, gpointer data);
 
 void
@@ -38,6 +41,16 @@
   g_sequence_insert_sorted (requests->timers, timer, compare_timers_, NULL);
 }
 
+void
+colt_requests_plan_forgetting (struct ColtRequests *requests,
+                               struct ColtRequest *request,
+                               int64_t now_us)
+{
+  request->ended_us = now_us;
+  colt_requests_add_timer (requests, now_us + RETENTION_US, &request->id, 0,
+                           TIMER_FORGET);
+}
+
 static void
 run_timer_ (struct ColtRequests *requests,
             const struct ColtTimer *timer,
@@ -65,7 +78,7 @@
       colt_requests_drop_results (requests, request);
       return;
     case TIMER_FORGET:
-      if (request->outcome == COLT_OUTCOME_PENDING)
+      if (!may_forget_ (request, now_us))
         return;
       g_hash_table_remove (requests->table, &request->id);
       colt_requests_free (requests, request);
@@ -73,6 +86,17 @@
     }
 }
 
+/* Nobody may ever complete a request that was recovered. */
+static bool
+may_forget_ (const struct ColtRequest *request, int64_t now_us)
+{
+  if (now_us < request->ended_us + RETENTION_US)
+    return false;
+  if (request->recovered)
+    return !colt_request_is_in_flight (request);
+  return request->outcome != COLT_OUTCOME_PENDING;
+}
+
 static gint
 compare_timers_ (gconstpointer a, gconstpointer b, gpointer data)
 {
--- a/src/request/requests.c
+++ b/src/request/requests.c
@@ -1,6 +1,7 @@
 #include "coltsfootstile/request.h"
 
 #include <assert.h>
+#include <string.h>
 
 #include "requests_private.h"
 
@@ -106,6 +107,29 @@
   return requests->shards[shard].epoch;
 }
 
+bool
+colt_request_expired (const struct ColtId *id,
+                      const struct ColtRequestSpec *spec,
+                      uint32_t wall_s)
+{
+  uint64_t forgotten_s
+      = (uint64_t)colt_id_minted_s (id) + COLT_REQUEST_RETENTION_S;
+
+  return !spec->idempotent
+         && forgotten_s <= (uint64_t)wall_s + COLT_CLOCK_SKEW_S;
+}
+
+bool
+colt_requests_may_lack (const struct ColtRequests *requests,
+                        const struct ColtId *id,
+                        const struct ColtRequestSpec *spec)
+{
+  uint64_t known_since_s = requests->shards[colt_id_shard (id)].known_since_s;
+
+  return !spec->idempotent
+         && colt_id_minted_s (id) <= known_since_s + COLT_CLOCK_SKEW_S;
+}
+
 enum ColtSubmitStatus
 colt_requests_submit (struct ColtRequests *requests,
                       const struct ColtId *id,
@@ -126,7 +150,7 @@
     return COLT_SUBMIT_NOT_LEAD;
   if (request != NULL)
     {
-      if (!request->recovered && !matches_ (request, spec))
+      if (!matches_ (request, spec))
         {
           *reason = COLT_REASON_MISMATCH;
           return COLT_SUBMIT_NOT_RUN;
@@ -235,22 +259,17 @@
             int64_t now_us,
             enum ColtReason *reason)
 {
-  const struct ColtRequestShard *shard = &requests->shards[colt_id_shard (id)];
-  uint32_t minted_s = colt_id_minted_s (id);
-
   if (!spec->idempotent && colt_id_kind (id) != COLT_ID_MINTED)
     {
       *reason = COLT_REASON_NEEDS_MINTED_ID;
       return COLT_SUBMIT_NOT_RUN;
     }
-  if (!spec->idempotent && !spec->durable
-      && minted_s + COLT_REQUEST_RETENTION_S <= wall_s + COLT_CLOCK_SKEW_S)
+  if (!spec->durable && colt_request_expired (id, spec, wall_s))
     {
       *reason = COLT_REASON_EXPIRED_ID;
       return COLT_SUBMIT_UNKNOWN;
     }
-  if (!spec->idempotent && !fresh
-      && minted_s <= (uint64_t)shard->known_since_s + COLT_CLOCK_SKEW_S)
+  if (!fresh && colt_requests_may_lack (requests, id, spec))
     {
       *reason = COLT_REASON_HISTORY_LOST;
       return COLT_SUBMIT_UNKNOWN;
@@ -258,7 +277,8 @@
   *reason = COLT_REASON_NONE;
   if (spec->deadline_us <= now_us)
     *reason = COLT_REASON_DEADLINE;
-  else if (requests->stats.open >= COLT_REQUEST_OPEN_MAX
+  else if (requests->stats.open - requests->stats.recovered
+               >= COLT_REQUEST_OPEN_MAX
            || requests->stats.payload_bytes + spec->payload_size
                   > COLT_REQUEST_BYTES_MAX)
     *reason = COLT_REASON_OVERLOADED;
@@ -269,5 +289,9 @@
 static bool
 matches_ (const struct ColtRequest *request, const struct ColtRequestSpec *spec)
 {
+  if (request->recovered)
+    return strcmp (request->spec.team, spec->team) == 0
+           && request->spec.kind == spec->kind
+           && request->spec.tasks <= spec->tasks;
   return request->fingerprint == colt_request_fingerprint (spec);
 }
--- /dev/null
+++ b/src/test_request/table_fixture.c
@@ -0,0 +1,229 @@
+#include "table_fixture.h"
+
+static char *
+name (const struct ColtRequest *request, uint32_t index)
+{
+  char text[COLT_ID_TEXT_SIZE];
+
+  return g_strdup_printf ("%s-%u", colt_id_format (&request->id, text), index);
+}
+
+static void
+on_ready (void *client, const struct ColtRequest *request, uint32_t index)
+{
+  struct ColtTableFixture *fixture = client;
+
+  fixture->ready_count++;
+  g_assert_true (g_hash_table_add (fixture->ready, name (request, index)));
+}
+
+static void
+on_unready (void *client, const struct ColtRequest *request, uint32_t index)
+{
+  struct ColtTableFixture *fixture = client;
+  char *key = name (request, index);
+
+  fixture->unready_count++;
+  g_hash_table_remove (fixture->ready, key);
+  g_free (key);
+}
+
+static void
+on_stop (void *client, const struct ColtRequest *request, uint32_t index)
+{
+  struct ColtTableFixture *fixture = client;
+
+  g_assert_cmpuint (request->tasks[index].server, ==, TEST_SERVER);
+  fixture->stop_count++;
+}
+
+static void
+on_ended (void *client, const struct ColtRequest *request)
+{
+  struct ColtTableFixture *fixture = client;
+
+  fixture->ended_count++;
+  fixture->outcome = request->outcome;
+  fixture->reason = request->reason;
+}
+
+static bool
+take_retry (void *client, const char *team, int64_t now_us)
+{
+  struct ColtTableFixture *fixture = client;
+
+  g_assert_cmpstr (team, ==, "quotes");
+  g_assert_cmpint (now_us, ==, fixture->now_us);
+  if (fixture->retries == 0)
+    return false;
+  fixture->retries--;
+  return true;
+}
+
+static uint32_t
+draw (void *client)
+{
+  const struct ColtTableFixture *fixture = client;
+
+  return fixture->random;
+}
+
+static const struct ColtRequestCalls calls
+    = { on_ready, on_unready, on_stop, on_ended, take_retry, draw };
+
+void
+table_set_up (struct ColtTableFixture *fixture, gconstpointer data)
+{
+  uint32_t shard;
+
+  (void)data;
+  fixture->requests = colt_requests_create (&calls, fixture);
+  fixture->ready
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  fixture->retries = 100;
+  fixture->now_us = COLT_US_PER_S;
+  for (shard = 0; shard < COLT_SHARD_COUNT; shard++)
+    {
+      colt_requests_open_shard (fixture->requests, shard, 1, NULL, NULL, NULL,
+                                0, fixture->now_us);
+      colt_requests_set_known_since (fixture->requests, shard, 0);
+    }
+}
+
+void
+table_tear_down (struct ColtTableFixture *fixture, gconstpointer data)
+{
+  (void)data;
+  colt_requests_destroy (fixture->requests);
+  g_hash_table_unref (fixture->ready);
+}
+
+struct ColtId
+table_id (uint8_t number)
+{
+  const uint8_t random[10] = { number, 1, 2, 3, 4, 5, 6, 7, 8, 9 };
+
+  return colt_id_mint (1, TEST_WALL_S, random);
+}
+
+struct ColtRequestSpec
+table_spec (bool idempotent)
+{
+  struct ColtRequestSpec spec = { .team = "quotes",
+                                  .queue = "quotes",
+                                  .tasks = 1,
+                                  .idempotent = idempotent,
+                                  .max_attempts = idempotent ? 3 : 1,
+                                  .deadline_us = COLT_TIME_NEVER,
+                                  .payload = (const uint8_t *)"work",
+                                  .payload_size = 4 };
+
+  return spec;
+}
+
+enum ColtSubmitStatus
+table_submit (struct ColtTableFixture *fixture,
+              const struct ColtId *id,
+              const struct ColtRequestSpec *spec)
+{
+  enum ColtReason reason;
+
+  return colt_requests_submit (fixture->requests, id, spec, true, 1,
+                               TEST_WALL_S, fixture->now_us, &reason);
+}
+
+enum ColtSubmitStatus
+table_submit_again (struct ColtTableFixture *fixture,
+                    const struct ColtId *id,
+                    const struct ColtRequestSpec *spec,
+                    uint32_t wall_s,
+                    enum ColtReason *reason)
+{
+  return colt_requests_submit (fixture->requests, id, spec, false, 2, wall_s,
+                               fixture->now_us, reason);
+}
+
+struct ColtTaskRef
+table_send (struct ColtTableFixture *fixture,
+            const struct ColtId *id,
+            uint32_t index)
+{
+  char text[COLT_ID_TEXT_SIZE];
+  char *key = g_strdup_printf ("%s-%u", colt_id_format (id, text), index);
+  struct ColtTaskRef ref;
+
+  g_assert_true (g_hash_table_remove (fixture->ready, key));
+  g_free (key);
+  g_assert_true (colt_requests_send (fixture->requests, id, index, TEST_SERVER,
+                                     TEST_SERVER_EPOCH, &ref));
+  return ref;
+}
+
+struct ColtTaskReport
+table_report (const struct ColtTaskRef *ref, enum ColtTaskState state)
+{
+  struct ColtTaskReport report
+      = { .ref = *ref, .team = "quotes", .state = state, .run_ms = 5 };
+
+  if (state != COLT_TASK_RUNNING)
+    {
+      report.result = (const uint8_t *)"answer";
+      report.result_size = 6;
+    }
+  return report;
+}
+
+void
+table_end (struct ColtTableFixture *fixture,
+           const struct ColtTaskRef *ref,
+           enum ColtTaskState state)
+{
+  struct ColtTaskReport report = table_report (ref, state);
+
+  colt_requests_ended (fixture->requests, &report, fixture->now_us);
+}
+
+void
+table_pass (struct ColtTableFixture *fixture, int64_t span_us)
+{
+  fixture->now_us += span_us;
+  colt_requests_step (fixture->requests, fixture->now_us);
+}
+
+void
+table_take_over (struct ColtTableFixture *fixture,
+                 const struct ColtId *id,
+                 const struct ColtTaskReport *reports,
+                 size_t count,
+                 uint32_t known_since_s)
+{
+  uint32_t shard = colt_id_shard (id);
+  uint32_t *servers = g_new (uint32_t, count + 1);
+  uint64_t *epochs = g_new (uint64_t, count + 1);
+  size_t i;
+
+  for (i = 0; i < count; i++)
+    {
+      servers[i] = TEST_SERVER;
+      epochs[i] = TEST_SERVER_EPOCH;
+    }
+  colt_requests_open_shard (fixture->requests, shard, 2, reports, servers,
+                            epochs, count, fixture->now_us);
+  colt_requests_set_known_since (fixture->requests, shard, known_since_s);
+  g_free (servers);
+  g_free (epochs);
+}
+
+void
+table_assert_idle (struct ColtTableFixture *fixture)
+{
+  struct ColtRequestStats stats;
+
+  colt_requests_get_stats (fixture->requests, &stats);
+  g_assert_cmpuint (stats.open, ==, 0);
+  g_assert_cmpuint (stats.recovered, ==, 0);
+  g_assert_cmpuint (stats.waiting, ==, 0);
+  g_assert_cmpuint (stats.sent, ==, 0);
+  g_assert_cmpuint (stats.running, ==, 0);
+  g_assert_cmpuint (stats.payload_bytes, ==, 0);
+}
--- /dev/null
+++ b/src/test_request/test_recovery.c
@@ -0,0 +1,192 @@
+#include "table_fixture.h"
+
+static void
+test_running_is_not_started_again (struct ColtTableFixture *fixture,
+                                   gconstpointer data)
+{
+  struct ColtRequestSpec spec = table_spec (false);
+  struct ColtId id = table_id (1);
+  const struct ColtTaskRef ref = { id, 0, 1 };
+  struct ColtTaskReport report = table_report (&ref, COLT_TASK_RUNNING);
+  enum ColtReason reason;
+
+  (void)data;
+  table_take_over (fixture, &id, &report, 1, 0);
+  g_assert_true (colt_requests_find (fixture->requests, &id)->recovered);
+  g_assert_cmpint (
+      table_submit_again (fixture, &id, &spec, TEST_WALL_S, &reason), ==,
+      COLT_SUBMIT_KNOWN);
+  g_assert_cmpuint (fixture->ready_count, ==, 0);
+  table_end (fixture, &ref, COLT_TASK_FINISHED);
+  g_assert_cmpuint (fixture->ended_count, ==, 1);
+  g_assert_cmpint (fixture->outcome, ==, COLT_OUTCOME_DONE);
+  table_assert_idle (fixture);
+}
+
+static void
+test_end_is_answered (struct ColtTableFixture *fixture, gconstpointer data)
+{
+  struct ColtRequestSpec spec = table_spec (false);
+  struct ColtId id = table_id (1);
+  const struct ColtTaskRef ref = { id, 0, 1 };
+  struct ColtTaskReport report = table_report (&ref, COLT_TASK_FINISHED);
+  enum ColtReason reason;
+
+  (void)data;
+  table_take_over (fixture, &id, &report, 1, TEST_WALL_S);
+  table_submit_again (fixture, &id, &spec, TEST_WALL_S, &reason);
+  g_assert_cmpuint (fixture->ended_count, ==, 1);
+  g_assert_cmpint (fixture->outcome, ==, COLT_OUTCOME_DONE);
+}
+
+/* The reports may come in any order; the newest attempt counts. */
+static void
+test_newest_attempt_counts (struct ColtTableFixture *fixture,
+                            gconstpointer data)
+{
+  struct ColtRequestSpec spec = table_spec (true);
+  struct ColtId id = table_id (1);
+  const struct ColtTaskRef first = { id, 0, 1 };
+  const struct ColtTaskRef second = { id, 0, 2 };
+  struct ColtTaskReport reports[]
+      = { table_report (&first, COLT_TASK_FAILED),
+          table_report (&second, COLT_TASK_RUNNING) };
+  struct ColtTaskReport swapped[] = { reports[1], reports[0] };
+  enum ColtReason reason;
+
+  table_take_over (fixture, &id, data == NULL ? reports : swapped, 2, 0);
+  table_submit_again (fixture, &id, &spec, TEST_WALL_S, &reason);
+  g_assert_cmpuint (fixture->ended_count, ==, 0);
+  table_end (fixture, &second, COLT_TASK_FINISHED);
+  g_assert_cmpuint (fixture->ended_count, ==, 1);
+  g_assert_cmpint (fixture->outcome, ==, COLT_OUTCOME_DONE);
+  table_assert_idle (fixture);
+}
+
+static void
+test_history_lost (struct ColtTableFixture *fixture, gconstpointer data)
+{
+  struct ColtRequestSpec spec = table_spec (false);
+  struct ColtRequestSpec idempotent = table_spec (true);
+  struct ColtId id = table_id (1);
+  enum ColtReason reason;
+
+  (void)data;
+  table_take_over (fixture, &id, NULL, 0, TEST_WALL_S - COLT_CLOCK_SKEW_S);
+  g_assert_cmpint (
+      table_submit_again (fixture, &id, &spec, TEST_WALL_S, &reason), ==,
+      COLT_SUBMIT_UNKNOWN);
+  g_assert_cmpint (reason, ==, COLT_REASON_HISTORY_LOST);
+  g_assert_cmpint (
+      table_submit_again (fixture, &id, &idempotent, TEST_WALL_S, &reason), ==,
+      COLT_SUBMIT_ACCEPTED);
+}
+
+/* One task's server still tells of it; the other task's is gone. */
+static void
+test_traceless_task_is_not_started (struct ColtTableFixture *fixture,
+                                    gconstpointer data)
+{
+  bool complete = GPOINTER_TO_INT (data);
+  struct ColtRequestSpec spec = table_spec (false);
+  struct ColtId id = table_id (1);
+  const struct ColtTaskRef ref = { id, 0, 1 };
+  struct ColtTaskReport report = table_report (&ref, COLT_TASK_RUNNING);
+  enum ColtReason reason;
+
+  spec.tasks = 2;
+  table_take_over (fixture, &id, &report, 1, complete ? 0 : TEST_WALL_S);
+  g_assert_cmpint (
+      table_submit_again (fixture, &id, &spec, TEST_WALL_S, &reason), ==,
+      COLT_SUBMIT_KNOWN);
+  g_assert_cmpuint (fixture->ready_count, ==, complete ? 1 : 0);
+  if (complete)
+    return;
+  table_end (fixture, &ref, COLT_TASK_FINISHED);
+  g_assert_cmpuint (fixture->ended_count, ==, 1);
+  g_assert_cmpint (fixture->outcome, ==, COLT_OUTCOME_UNKNOWN);
+  table_assert_idle (fixture);
+}
+
+static void
+test_late_server_is_recovered (struct ColtTableFixture *fixture,
+                               gconstpointer data)
+{
+  struct ColtRequestSpec spec = table_spec (false);
+  struct ColtId id = table_id (1);
+  const struct ColtTaskRef ref = { id, 0, 1 };
+  struct ColtTaskReport report = table_report (&ref, COLT_TASK_RUNNING);
+  enum ColtReason reason;
+
+  (void)data;
+  table_take_over (fixture, &id, NULL, 0, 0);
+  colt_requests_server_reported (fixture->requests, colt_id_shard (&id),
+                                 TEST_SERVER, TEST_SERVER_EPOCH, &report, 1,
+                                 fixture->now_us);
+  g_assert_cmpint (
+      table_submit_again (fixture, &id, &spec, TEST_WALL_S, &reason), ==,
+      COLT_SUBMIT_KNOWN);
+  g_assert_cmpuint (fixture->ready_count, ==, 0);
+}
+
+static void
+test_other_team_is_a_mismatch (struct ColtTableFixture *fixture,
+                               gconstpointer data)
+{
+  struct ColtRequestSpec spec = table_spec (false);
+  struct ColtId id = table_id (1);
+  const struct ColtTaskRef ref = { id, 0, 1 };
+  struct ColtTaskReport report = table_report (&ref, COLT_TASK_RUNNING);
+  enum ColtReason reason;
+
+  (void)data;
+  g_strlcpy (spec.team, "renders", sizeof spec.team);
+  table_take_over (fixture, &id, &report, 1, 0);
+  g_assert_cmpint (
+      table_submit_again (fixture, &id, &spec, TEST_WALL_S, &reason), ==,
+      COLT_SUBMIT_NOT_RUN);
+  g_assert_cmpint (reason, ==, COLT_REASON_MISMATCH);
+  g_assert_true (colt_requests_find (fixture->requests, &id)->recovered);
+}
+
+/* Nobody asks for what was recovered: it is dropped once it has ended. */
+static void
+test_recovered_is_forgotten (struct ColtTableFixture *fixture,
+                             gconstpointer data)
+{
+  struct ColtId id = table_id (1);
+  const struct ColtTaskRef ref = { id, 0, 1 };
+  struct ColtTaskReport report = table_report (&ref, COLT_TASK_RUNNING);
+
+  (void)data;
+  table_take_over (fixture, &id, &report, 1, 0);
+  table_pass (fixture, COLT_REQUEST_RETENTION_S * COLT_US_PER_S);
+  g_assert_nonnull (colt_requests_find (fixture->requests, &id));
+  table_end (fixture, &ref, COLT_TASK_FINISHED);
+  table_pass (fixture, COLT_REQUEST_RETENTION_S * COLT_US_PER_S - 1);
+  g_assert_nonnull (colt_requests_find (fixture->requests, &id));
+  table_pass (fixture, 1);
+  g_assert_null (colt_requests_find (fixture->requests, &id));
+  table_assert_idle (fixture);
+}
+
+#define ADD(path, data, test)                                                  \
+  g_test_add ("/request/recovery/" path, struct ColtTableFixture, data,        \
+              table_set_up, test, table_tear_down)
+
+void
+test_add_recovery (void)
+{
+  ADD ("running", NULL, test_running_is_not_started_again);
+  ADD ("ended", NULL, test_end_is_answered);
+  ADD ("newest-attempt/ordered", NULL, test_newest_attempt_counts);
+  ADD ("newest-attempt/swapped", "", test_newest_attempt_counts);
+  ADD ("history-lost", NULL, test_history_lost);
+  ADD ("traceless/complete", GINT_TO_POINTER (1),
+       test_traceless_task_is_not_started);
+  ADD ("traceless/incomplete", GINT_TO_POINTER (0),
+       test_traceless_task_is_not_started);
+  ADD ("late-server", NULL, test_late_server_is_recovered);
+  ADD ("other-team", NULL, test_other_team_is_a_mismatch);
+  ADD ("forgotten", NULL, test_recovered_is_forgotten);
+}
