--- a/include/coltsfootstile/home.h
+++ b/include/coltsfootstile/home.h
@@ -41,6 +41,12 @@
 {
   /** A team's shard is led here now, or no longer. */
   void (*team_shard) (void *client, uint32_t shard, uint64_t epoch, bool led);
+  /** An owner has answered for a server in a recount of a shard. */
+  void (*seated) (void *client,
+                  uint32_t shard,
+                  uint32_t server,
+                  uint32_t owner,
+                  uint64_t server_epoch);
   /** Nobody reaches a server, and nothing can run there any more. */
   void (*written_off) (void *client, uint32_t server);
   /** Makes a request durable; \a done is called once, with whether it is on
--- a/include/coltsfootstile/owner.h
+++ b/include/coltsfootstile/owner.h
@@ -73,7 +73,7 @@
 /** Destroys an owner; NULL is allowed. */
 void colt_owner_destroy (struct ColtOwner *owner);
 
-/** Sets the credits that starts are charged to; NULL for no limits. */
+/** Sets the credits that starts are charged to; none may start without them. */
 void colt_owner_set_credits (struct ColtOwner *owner,
                              struct ColtCreditHolder *credits);
 
--- a/scripts/demo/run.py
+++ b/scripts/demo/run.py
@@ -144,10 +144,15 @@
             settings = topology.write_settings(self.folder, number, zone, self.operators,
                                                self.options.log_level)
             self.fleet.start_entry(number, settings)
-        self.fleet.wait_ready(self.all_held, "the entry instances")
+        self.fleet.wait_ready(self.all_up, "the entry instances")
         self.result["bundle_force_ms"] = round(self.roll(self.bundle), 1)
+        self.fleet.wait_ready(self.all_held, "the leases")
         self.fleet.wait_ready(self.all_led, "the shards")
 
+    def all_up(self):
+        return all(self.fleet.entry_state(number, "bundle") is not None
+                   for number, _ in topology.ENTRIES)
+
     def all_held(self):
         held = 0
         for number, _ in topology.ENTRIES:
--- a/src/coltsfootstile/instance.c
+++ b/src/coltsfootstile/instance.c
@@ -23,6 +23,7 @@
                                                 const char *address);
 static bool ever_fits_ (void *client, const struct ColtResources *demand);
 static void take_record_ (void *client, const struct ColtLogItem *item);
+static void take_duplicate_ (void *client, const struct ColtLogItem *item);
 static void take_gap_ (void *client, uint64_t expected, uint64_t first);
 static void
 skip_append_ (void *client, uint64_t offset, const struct ColtError *error);
@@ -34,7 +35,7 @@
     = { "starting", "ready", "stopping" };
 
 static const struct ColtLogReaderHandler log_handler
-    = { take_record_, NULL, take_gap_, skip_append_ };
+    = { take_record_, take_duplicate_, take_gap_, skip_append_ };
 
 static const struct ColtGateClient gate_client
     = { colt_instance_bundle, colt_instance_keyring,
@@ -81,6 +82,7 @@
   colt_wire_destroy (instance->wire);
   colt_home_destroy (instance->home);
   colt_owner_destroy (instance->owner);
+  colt_instance_limits_destroy (instance->limits);
   colt_instance_jobs_destroy (instance->jobs);
   colt_instance_bundles_destroy (instance->bundles);
   colt_membership_link_destroy (instance->link);
@@ -146,6 +148,7 @@
   if (instance->bundles == NULL)
     return false;
   instance->jobs = colt_instance_jobs_create (instance);
+  instance->limits = colt_instance_limits_create (instance);
   owner.base = base;
   owner.wire = instance->wire;
   owner.counters = instance->counters;
@@ -245,9 +248,20 @@
   struct ColtInstance *instance = client;
 
   colt_instance_bundles_take (instance->bundles, item);
+  colt_instance_limits_take (instance->limits, item);
   colt_instance_jobs_take (instance->jobs, item);
 }
 
+/* The folds judge for themselves, so that all of them see the same records. */
+static void
+take_duplicate_ (void *client, const struct ColtLogItem *item)
+{
+  struct ColtInstance *instance = client;
+
+  colt_instance_bundles_take (instance->bundles, item);
+  colt_instance_limits_take (instance->limits, item);
+}
+
 static void
 take_gap_ (void *client, uint64_t expected, uint64_t first)
 {
@@ -258,6 +272,7 @@
             " to %" G_GUINT64_FORMAT,
             expected, first - 1);
   colt_instance_bundles_gap (instance->bundles, first);
+  colt_instance_limits_gap (instance->limits, first);
 }
 
 static void
@@ -278,6 +293,7 @@
   (void)fd;
   (void)what;
   colt_instance_bundles_step (instance->bundles, now_us);
+  colt_instance_limits_step (instance->limits, now_us);
   colt_instance_jobs_step (instance->jobs, now_us);
   if (instance->stopping)
     step_stop_ (instance, now_us);
--- a/src/coltsfootstile/instance_bundles.c
+++ b/src/coltsfootstile/instance_bundles.c
@@ -279,9 +279,10 @@
   input->self_zone = bundles->instance->zone;
   input->read_us
       = stats.fresh_us == INT64_MIN ? COLT_TIME_NEVER : stats.fresh_us;
-  input->next_offset = colt_log_client_offset (bundles->instance->log);
+  input->next_offset = colt_chain_next_offset (bundles->chain);
   input->read_failing = stats.failing;
-  input->has_bundle = bundle != NULL;
+  input->has_bundle
+      = bundle != NULL && !colt_chain_needs_snapshot (bundles->chain);
   for (i = 0; bundle != NULL && i < colt_bundle_zone_count (bundle); i++)
     input->zones |= 1u << colt_bundle_zone (bundle, i)->number;
   input->words = (const struct ColtFreshnessWord *)bundles->words->data;
@@ -363,8 +364,16 @@
 {
   struct ColtLogItem item = { 0 };
   size_t size;
-  uint8_t *body = colt_chain_encode_snapshot (bundles->chain, NULL, 0, &size);
-
+  size_t extra_size = 0;
+  uint8_t *extra = colt_instance_limits_pack (
+      bundles->instance->limits, colt_chain_next_offset (bundles->chain),
+      &extra_size);
+  uint8_t *body = NULL;
+
+  if (extra != NULL)
+    body
+        = colt_chain_encode_snapshot (bundles->chain, extra, extra_size, &size);
+  free (extra);
   if (body == NULL)
     return;
   item.kind = COLT_RECORD_SNAPSHOT;
--- a/src/coltsfootstile/instance_jobs.c
+++ b/src/coltsfootstile/instance_jobs.c
@@ -74,13 +74,18 @@
                        void *take_client);
 static void
 team_shard_ (void *client, uint32_t shard, uint64_t epoch, bool led);
+static void seated_ (void *client,
+                     uint32_t shard,
+                     uint32_t server,
+                     uint32_t owner,
+                     uint64_t server_epoch);
 static void written_off_ (void *client, uint32_t server);
 static bool
 renew_ (struct ColtInstanceJobs *jobs, struct ColtJob *job, int64_t now_us);
 static void free_job_ (gpointer data);
 
 const struct ColtHomeClient colt_instance_home_client
-    = { team_shard_, written_off_, store_, store_end_, load_ };
+    = { team_shard_, seated_, written_off_, store_, store_end_, load_ };
 
 struct ColtInstanceJobs *
 colt_instance_jobs_create (struct ColtInstance *instance)
@@ -327,17 +332,30 @@
 static void
 team_shard_ (void *client, uint32_t shard, uint64_t epoch, bool led)
 {
-  (void)client;
-  (void)shard;
-  (void)epoch;
-  (void)led;
+  struct ColtInstance *instance = client;
+
+  colt_instance_limits_lead (instance->limits, shard, epoch, led);
+}
+
+static void
+seated_ (void *client,
+         uint32_t shard,
+         uint32_t server,
+         uint32_t owner,
+         uint64_t server_epoch)
+{
+  struct ColtInstance *instance = client;
+
+  colt_instance_limits_seat (instance->limits, shard, server, owner,
+                             server_epoch);
 }
 
 static void
 written_off_ (void *client, uint32_t server)
 {
-  (void)client;
-  (void)server;
+  struct ColtInstance *instance = client;
+
+  colt_instance_limits_written_off (instance->limits, server);
 }
 
 /* A job that this instance leads is appended anew at half of the retention. */
--- a/src/coltsfootstile/instance_members.c
+++ b/src/coltsfootstile/instance_members.c
@@ -16,7 +16,6 @@
 {
   struct ColtInstance *instance = client;
   int64_t now_us = colt_clock_monotonic_us ();
-  GArray *servers = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   size_t i;
 
   for (i = 0; i < list->entry_count; i++)
@@ -24,6 +23,19 @@
       colt_membership_add (instance->membership, list->entries[i].id,
                            list->entries[i].zone, list->entries[i].address,
                            now_us);
+  colt_instance_spread_servers (instance);
+}
+
+void
+colt_instance_spread_servers (struct ColtInstance *instance)
+{
+  const struct ColtInstanceList *list = colt_list_poller_get (instance->list);
+  GArray *servers;
+  size_t i;
+
+  if (list == NULL || !colt_instance_limits_ready (instance->limits))
+    return;
+  servers = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   for (i = 0; i < list->server_count; i++)
     if (list->servers[i].zone == instance->zone)
       g_array_append_val (servers, list->servers[i].id);
--- a/src/coltsfootstile/instance_state.c
+++ b/src/coltsfootstile/instance_state.c
@@ -25,6 +25,7 @@
 static json_t *dump_peers_ (struct ColtInstance *instance);
 static json_t *dump_servers_ (struct ColtInstance *instance);
 static json_t *dump_wire_ (struct ColtInstance *instance);
+static json_t *dump_quota_ (struct ColtInstance *instance);
 static void add_lease_ (void *client, const struct ColtOwnedServerInfo *info);
 static void add_request_ (void *client, const struct ColtRequest *request);
 static void add_peer_ (void *client, const struct ColtMember *member);
@@ -43,6 +44,7 @@
   { "leases", dump_leases_ },     { "shards", dump_shards_ },
   { "requests", dump_requests_ }, { "peers", dump_peers_ },
   { "servers", dump_servers_ },   { "wire", dump_wire_ },
+  { "quota", dump_quota_ },
 };
 
 bool
@@ -220,6 +222,12 @@
                     (json_int_t)stats.open_calls);
 }
 
+static json_t *
+dump_quota_ (struct ColtInstance *instance)
+{
+  return colt_instance_limits_dump (instance->limits);
+}
+
 static void
 add_lease_ (void *client, const struct ColtOwnedServerInfo *info)
 {
--- /dev/null
+++ b/src/coltsfootstile/limits_demand.c
@@ -0,0 +1,185 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "coltsfootstile/clock.h"
+#include "coltsfootstile/rendezvous.h"
+#include "instance_limits.h"
+
+/* Time between two digests of a zone's demand. */
+#define DIGEST_INTERVAL_US (400 * COLT_US_PER_MS)
+/* Members of a zone that are looked at. */
+#define MEMBERS_MAX 128u
+
+static void on_part_ (void *client,
+                      const struct ColtWireOrigin *origin,
+                      const uint8_t *body,
+                      size_t size);
+static void on_digest_ (void *client,
+                        const struct ColtWireOrigin *origin,
+                        const uint8_t *body,
+                        size_t size);
+static void send_parts_ (struct ColtInstanceLimits *limits, uint32_t planner);
+static void send_digest_ (struct ColtInstanceLimits *limits, int64_t now_us);
+static struct ColtDemandDigest *join_parts_ (struct ColtInstanceLimits *limits);
+static uint32_t planner_of_ (const struct ColtInstanceLimits *limits,
+                             uint32_t zone);
+
+void
+colt_limits_set_demand_handlers (struct ColtInstanceLimits *limits)
+{
+  struct ColtWire *wire = limits->instance->wire;
+
+  colt_wire_set_handler (wire, COLT_WIRE_LIMITS_PART, on_part_, limits);
+  colt_wire_set_handler (wire, COLT_WIRE_LIMITS_DIGEST, on_digest_, limits);
+}
+
+void
+colt_limits_step_demand (struct ColtInstanceLimits *limits, int64_t now_us)
+{
+  uint32_t planner = planner_of_ (limits, limits->instance->zone);
+
+  if (now_us < limits->digest_us || planner == 0)
+    return;
+  limits->digest_us = now_us + DIGEST_INTERVAL_US;
+  send_parts_ (limits, planner);
+  if (planner == limits->instance->number)
+    send_digest_ (limits, now_us);
+  else
+    g_hash_table_remove_all (limits->parts);
+}
+
+void
+colt_limits_free_part (gpointer data)
+{
+  colt_demand_digest_destroy (data);
+}
+
+/* A part stands for one shard; its zone field carries the shard's number. */
+static void
+on_part_ (void *client,
+          const struct ColtWireOrigin *origin,
+          const uint8_t *body,
+          size_t size)
+{
+  struct ColtInstanceLimits *limits = client;
+  struct ColtError error;
+  struct ColtDemandDigest *part;
+  uint32_t shard;
+
+  (void)origin;
+  if (size < 2 || body[0] >= COLT_SHARD_COUNT)
+    return;
+  shard = body[0];
+  part = colt_demand_digest_unpack (body + 1, size - 1, &error);
+  if (part != NULL)
+    g_hash_table_replace (limits->parts, GUINT_TO_POINTER (shard + 1), part);
+}
+
+static void
+on_digest_ (void *client,
+            const struct ColtWireOrigin *origin,
+            const uint8_t *body,
+            size_t size)
+{
+  struct ColtInstanceLimits *limits = client;
+  struct ColtError error;
+  struct ColtDemandDigest *digest
+      = colt_demand_digest_unpack (body, size, &error);
+
+  (void)origin;
+  if (digest == NULL)
+    return;
+  colt_transfer_planner_receive (limits->planner, digest,
+                                 colt_clock_monotonic_us ());
+  colt_demand_digest_destroy (digest);
+}
+
+static void
+send_parts_ (struct ColtInstanceLimits *limits, uint32_t planner)
+{
+  uint32_t shard;
+
+  for (shard = 0; shard < COLT_SHARD_COUNT; shard++)
+    {
+      struct ColtLimitsShard *led = &limits->shards[shard];
+      struct ColtDemandDigest part = { 0 };
+      uint8_t *framed;
+      uint8_t *body;
+      size_t size;
+
+      if (led->lead == NULL)
+        continue;
+      part.zone = limits->instance->zone;
+      part.sequence = 1;
+      part.demands = colt_credit_lead_demands (led->lead, &part.demand_count);
+      if (part.demand_count == 0 && !led->demanded)
+        continue;
+      led->demanded = part.demand_count > 0;
+      body = colt_demand_digest_pack (&part, &size);
+      framed = g_malloc (size + 1);
+      framed[0] = (uint8_t)shard;
+      memcpy (framed + 1, body, size);
+      colt_wire_send (limits->instance->wire, planner, COLT_WIRE_LIMITS_PART,
+                      framed, size + 1);
+      g_free (framed);
+      free (body);
+      free (part.demands);
+    }
+}
+
+static void
+send_digest_ (struct ColtInstanceLimits *limits, int64_t now_us)
+{
+  struct ColtDemandDigest *digest = join_parts_ (limits);
+  size_t zone_count;
+  const uint32_t *zones = colt_entitlements_zones (limits->fold, &zone_count);
+  size_t size;
+  uint8_t *body = colt_demand_digest_pack (digest, &size);
+  size_t i;
+
+  colt_transfer_planner_receive (limits->planner, digest, now_us);
+  for (i = 0; i < zone_count; i++)
+    if (zones[i] != limits->instance->zone)
+      colt_wire_send (limits->instance->wire, planner_of_ (limits, zones[i]),
+                      COLT_WIRE_LIMITS_DIGEST, body, size);
+  free (body);
+  colt_demand_digest_destroy (digest);
+}
+
+static struct ColtDemandDigest *
+join_parts_ (struct ColtInstanceLimits *limits)
+{
+  struct ColtDemandDigest *digest;
+  GHashTableIter iter;
+  gpointer value;
+  size_t count = 0;
+
+  g_hash_table_iter_init (&iter, limits->parts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    count += ((const struct ColtDemandDigest *)value)->demand_count;
+  digest = colt_demand_digest_create (count);
+  digest->zone = limits->instance->zone;
+  digest->sequence = (uint64_t)(colt_clock_wall_us () / COLT_US_PER_MS);
+  count = 0;
+  g_hash_table_iter_init (&iter, limits->parts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct ColtDemandDigest *part = value;
+
+      memcpy (digest->demands + count, part->demands,
+              part->demand_count * sizeof *part->demands);
+      count += part->demand_count;
+    }
+  return digest;
+}
+
+static uint32_t
+planner_of_ (const struct ColtInstanceLimits *limits, uint32_t zone)
+{
+  uint32_t members[MEMBERS_MAX];
+  size_t count = colt_membership_eligible (limits->instance->membership, zone,
+                                           members, MEMBERS_MAX);
+
+  return colt_rendezvous_choose (
+      colt_rendezvous_key (COLT_RENDEZVOUS_ZONE, zone), members, count);
+}
--- a/src/coltsfootstile/private/instance.h
+++ b/src/coltsfootstile/private/instance.h
@@ -87,6 +87,8 @@
                                    const struct ColtMember *member);
 void colt_instance_add_peers (struct ColtInstance *instance);
 uint32_t colt_instance_lead_of (void *client, uint32_t zone, uint32_t shard);
+/** Gives the platform's servers to the duties, once they can take them. */
+void colt_instance_spread_servers (struct ColtInstance *instance);
 /** Tells all duties who is there. */
 void colt_instance_spread_members (struct ColtInstance *instance);
 
@@ -116,6 +118,35 @@
 size_t colt_instance_jobs_count (const struct ColtInstanceJobs *jobs);
 extern const struct ColtHomeClient colt_instance_home_client;
 
+/* instance_limits.c: teams' upper limits */
+struct ColtInstanceLimits *
+colt_instance_limits_create (struct ColtInstance *instance);
+void colt_instance_limits_destroy (struct ColtInstanceLimits *limits);
+void colt_instance_limits_take (struct ColtInstanceLimits *limits,
+                                const struct ColtLogItem *item);
+void colt_instance_limits_gap (struct ColtInstanceLimits *limits,
+                               uint64_t first);
+void colt_instance_limits_step (struct ColtInstanceLimits *limits,
+                                int64_t now_us);
+/** Returns whether this instance may own servers: credits can be counted. */
+bool colt_instance_limits_ready (const struct ColtInstanceLimits *limits);
+/** Returns the packed fold if it stands at an offset, or NULL. */
+uint8_t *colt_instance_limits_pack (const struct ColtInstanceLimits *limits,
+                                    uint64_t next_offset,
+                                    size_t *size);
+void colt_instance_limits_lead (struct ColtInstanceLimits *limits,
+                                uint32_t shard,
+                                uint64_t epoch,
+                                bool led);
+void colt_instance_limits_seat (struct ColtInstanceLimits *limits,
+                                uint32_t shard,
+                                uint32_t server,
+                                uint32_t owner,
+                                uint64_t server_epoch);
+void colt_instance_limits_written_off (struct ColtInstanceLimits *limits,
+                                       uint32_t server);
+json_t *colt_instance_limits_dump (const struct ColtInstanceLimits *limits);
+
 /* instance_state.c: dumps, counters and health over HTTP */
 bool colt_instance_serve (void *client,
                           struct evhttp_request *http,
--- a/src/home/home_shards.c
+++ b/src/home/home_shards.c
@@ -332,6 +332,9 @@
   struct ColtHome *home = client;
 
   replace_reports_ (&home->intakes[report->shard], report);
+  if (report->server != 0)
+    home->calls->seated (home->client, report->shard, report->server,
+                         report->owner, report->server_epoch);
 }
 
 static void
--- a/src/owner/owner_place.c
+++ b/src/owner/owner_place.c
@@ -211,7 +211,7 @@
             demand->amount[COLT_RESOURCE_ACCELERATORS] } };
 
   if (owner->credits == NULL)
-    return true;
+    return false;
   if (colt_credit_holder_take (owner->credits, start->team, start->server,
                                &amount))
     return true;
