--- a/include/coltsfootstile/owner.h
+++ b/include/coltsfootstile/owner.h
@@ -77,6 +77,9 @@
 void colt_owner_set_credits (struct ColtOwner *owner,
                              struct ColtCreditHolder *credits);
 
+/** Credits have come: starts what waits for them. */
+void colt_owner_credits_came (struct ColtOwner *owner);
+
 /** Takes the zone's backend servers from the platform's list. */
 void colt_owner_set_servers (struct ColtOwner *owner,
                              const struct ColtListServer *servers,
--- a/scripts/demo/run.py
+++ b/scripts/demo/run.py
@@ -242,7 +242,8 @@
             capture_output=True, text=True, timeout=300, check=False)
         if done.returncode not in (0, 1):
             raise RuntimeError(f"the history checker failed: {done.stderr.strip()}")
-        self.result.update(json.loads(done.stdout))
+        for name, value in json.loads(done.stdout).items():
+            self.result.setdefault(name, value)
         return done.returncode == 0
 
 
--- a/src/owner/owned_server.c
+++ b/src/owner/owned_server.c
@@ -489,6 +489,7 @@
   struct ColtOwner *owner = server->owner;
   unsigned shard;
 
+  colt_owner_refuse_credit (owner, server);
   for (shard = 0; shard < COLT_SHARD_COUNT; shard++)
     while (!g_queue_is_empty (&server->shards[shard]))
       {
@@ -510,6 +511,7 @@
 {
   struct ColtOwnerTask *task;
 
+  colt_owner_refuse_credit (server->owner, server);
   while ((task = g_queue_pop_head (&server->queue)) != NULL)
     if (!task->maybe_sent)
       colt_owner_refuse_task (server->owner, task, COLT_REFUSAL_FENCED);
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -29,7 +29,6 @@
 static gboolean set_members_ (gpointer key, gpointer value, gpointer data);
 static gboolean stop_server_ (gpointer key, gpointer value, gpointer data);
 static gboolean count_held_ (gpointer key, gpointer value, gpointer data);
-static void tell_waiting_ (struct ColtOwner *owner);
 
 const char *const colt_owner_task_state_string[]
     = { "queued", "sent", "unsure", "running", "ended", "never" };
@@ -50,14 +49,6 @@
   int64_t now_us;
 };
 
-/* Work of a team that was turned away for want of credits. */
-struct ColtTeamWaiting
-{
-  struct ColtQuotaAmount unit;
-  int64_t count;
-  int64_t noted_us;
-};
-
 struct ColtOwner *
 colt_owner_create (const struct ColtOwnerParts *parts)
 {
@@ -73,8 +64,7 @@
   owner->servers = g_tree_new_full (compare_ids_, NULL, NULL, free_server_);
   owner->homes = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL,
                                         colt_home_link_free);
-  owner->team_waiting
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  g_queue_init (&owner->wants_credit);
   owner->gone = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   add_counters_ (owner);
   colt_owner_set_handlers (owner);
@@ -91,7 +81,7 @@
   event_free (owner->timer);
   g_tree_unref (owner->servers);
   g_hash_table_unref (owner->homes);
-  g_hash_table_unref (owner->team_waiting);
+  g_queue_clear (&owner->wants_credit);
   colt_owner_tasks_destroy (owner->tasks);
   colt_shard_owner_destroy (owner->shard_owner);
   g_array_unref (owner->gone);
@@ -239,24 +229,6 @@
   g_tree_foreach (owner->servers, visit_server_, &all);
 }
 
-void
-colt_owner_note_waiting (struct ColtOwner *owner,
-                         const char *team,
-                         const struct ColtQuotaAmount *unit)
-{
-  struct ColtTeamWaiting *waiting
-      = g_hash_table_lookup (owner->team_waiting, team);
-
-  if (waiting == NULL)
-    {
-      waiting = g_new0 (struct ColtTeamWaiting, 1);
-      g_hash_table_insert (owner->team_waiting, g_strdup (team), waiting);
-    }
-  waiting->unit = *unit;
-  waiting->count++;
-  waiting->noted_us = colt_clock_monotonic_us ();
-}
-
 static void
 add_counters_ (struct ColtOwner *owner)
 {
@@ -363,10 +335,8 @@
   (void)fd;
   (void)what;
   if (whole)
-    {
-      owner->digest_us = now_us + WHOLE_DIGEST_US;
-      tell_waiting_ (owner);
-    }
+    owner->digest_us = now_us + WHOLE_DIGEST_US;
+  colt_owner_expire_credit (owner, now_us);
   colt_owner_send_digest (owner, now_us, whole);
   colt_owner_retry_homes (owner, now_us);
   if (now_us < owner->forget_us)
@@ -445,27 +415,3 @@
     (*held)++;
   return FALSE;
 }
-
-/* Tells the credits what was turned away within the last period. */
-static void
-tell_waiting_ (struct ColtOwner *owner)
-{
-  GHashTableIter iter;
-  gpointer key;
-  gpointer value;
-
-  if (owner->credits == NULL)
-    return;
-  g_hash_table_iter_init (&iter, owner->team_waiting);
-  while (g_hash_table_iter_next (&iter, &key, &value))
-    {
-      struct ColtTeamWaiting *waiting = value;
-
-      colt_credit_holder_set_waiting (owner->credits, key, waiting->count,
-                                      &waiting->unit);
-      if (waiting->count == 0)
-        g_hash_table_iter_remove (&iter);
-      else
-        waiting->count = 0;
-    }
-}
--- a/src/owner/owner_change.c
+++ b/src/owner/owner_change.c
@@ -104,6 +104,7 @@
   if (task->state == COLT_OWNER_TASK_QUEUED && !task->maybe_sent)
     {
       g_queue_remove (&server->queue, task);
+      colt_owner_unwant_credit (server->owner, task);
       colt_owner_refuse_task (server->owner, task, COLT_REFUSAL_LEAVING);
       return;
     }
--- a/src/owner/owner_place.c
+++ b/src/owner/owner_place.c
@@ -35,9 +35,6 @@
                     const struct ColtTaskRef *ref,
                     const struct ColtResources *demand,
                     enum ColtPlacementRefusal *refusal);
-static bool take_credits_ (struct ColtOwner *owner,
-                           const ColtPlaceStart *start,
-                           const struct ColtResources *demand);
 static void remember_refusal_ (struct ColtOwner *owner,
                                const ColtPlaceStart *start,
                                const struct ColtTaskRef *ref);
@@ -155,8 +152,13 @@
   task->state = COLT_OWNER_TASK_QUEUED;
   task->payload = g_memdup2 (start->payload.data, start->payload.len);
   task->payload_size = start->payload.len;
-  task->credited = owner->credits != NULL;
+  task->accepted_us = colt_clock_monotonic_us ();
   colt_owned_server_charge (server, task);
+  if (!colt_owner_take_credits (owner, task))
+    {
+      colt_owner_want_credit (owner, task);
+      return true;
+    }
   if (start->urgent)
     g_queue_push_head (&server->queue, task);
   else
@@ -198,25 +200,7 @@
       || g_queue_get_length (&server->queue) >= COLT_SERVER_QUEUE_MAX)
     return false;
   *refusal = COLT_REFUSAL_NO_CREDIT;
-  return take_credits_ (owner, start, demand);
-}
-
-static bool
-take_credits_ (struct ColtOwner *owner,
-               const ColtPlaceStart *start,
-               const struct ColtResources *demand)
-{
-  const struct ColtQuotaAmount amount
-      = { { 1, demand->amount[COLT_RESOURCE_CORES],
-            demand->amount[COLT_RESOURCE_ACCELERATORS] } };
-
-  if (owner->credits == NULL)
-    return false;
-  if (colt_credit_holder_take (owner->credits, start->team, start->server,
-                               &amount))
-    return true;
-  colt_owner_note_waiting (owner, start->team, &amount);
-  return false;
+  return colt_owner_may_want_credit (owner, start->team);
 }
 
 /* A copy of the start that comes late must not run what was refused. */
--- a/src/owner/private/owner_private.h
+++ b/src/owner/private/owner_private.h
@@ -24,10 +24,12 @@
   enum ColtTaskState end; /**< once ended */
   bool charged;           /**< counted in the server's ledger */
   bool credited;          /**< counted in the team's credits */
+  bool wants_credit;      /**< accepted, but lacks credits */
   bool stopping;          /**< a stop is queued or was sent */
   bool maybe_sent;        /**< an earlier copy of the start had no answer */
   int exit_status;
   int64_t run_ms;
+  int64_t accepted_us;
   int64_t started_us;
   int64_t ended_us; /**< ended, or known never to run */
   struct ColtResources limit;
@@ -135,7 +137,7 @@
   uint32_t leads[COLT_SHARD_COUNT];
   uint32_t members[128];
   size_t member_count;
-  GHashTable *team_waiting; /**< team -> refused for want of credits */
+  GQueue wants_credit; /**< tasks accepted that lack credits, oldest first */
   struct event *timer;
   int64_t digest_us;
   int64_t forget_us;
@@ -200,11 +202,24 @@
 size_t colt_owner_untold (const struct ColtOwner *owner);
 void colt_home_link_free (gpointer data);
 
-/* owner.c */
-/** Notes a start that was refused for want of credits. */
-void colt_owner_note_waiting (struct ColtOwner *owner,
-                              const char *team,
-                              const struct ColtQuotaAmount *unit);
+/* owner_credit.c */
+/** Takes credits for a task; returns false if there are not enough. */
+bool colt_owner_take_credits (struct ColtOwner *owner,
+                              struct ColtOwnerTask *task);
+/** Returns whether one more task of a team may wait for credits. */
+bool colt_owner_may_want_credit (const struct ColtOwner *owner,
+                                 const char *team);
+/** Lets a task wait for credits that the lead is asked for. */
+void colt_owner_want_credit (struct ColtOwner *owner,
+                             struct ColtOwnerTask *task);
+/** Takes a task out of the wait. */
+void colt_owner_unwant_credit (struct ColtOwner *owner,
+                               struct ColtOwnerTask *task);
+/** Refuses what has waited for too long. */
+void colt_owner_expire_credit (struct ColtOwner *owner, int64_t now_us);
+/** Refuses what waits on a server that is lost. */
+void colt_owner_refuse_credit (struct ColtOwner *owner,
+                               const struct ColtOwnedServer *server);
 
 /* owner_place.c */
 void colt_owner_set_handlers (struct ColtOwner *owner);
