--- a/src/history/check.c
+++ b/src/history/check.c
@@ -24,6 +24,7 @@
   for (promise = 0; promise < COLT_HISTORY_PROMISE_COUNT; promise++)
     checks[promise](&check);
   verdict->odd_ends = spans->odd_ends;
+  verdict->unseen_resizes = spans->unseen_resizes;
   return verdict;
 }
 
--- a/src/history/check_lost.c
+++ b/src/history/check_lost.c
@@ -1,4 +1,7 @@
+#include <string.h>
+
 #include "check.h"
+#include "coltsfootstile/reason.h"
 #include "team_limits.h"
 #include "timeline.h"
 
@@ -29,6 +32,8 @@
                          const struct ColtHistoryCall *call);
 static const char *check_open_ (const struct ColtLostCheck *lost,
                                 const struct ColtHistoryCall *call);
+static bool forgotten_ (const struct ColtLostCheck *lost,
+                        const struct ColtHistoryCall *call);
 static int64_t last_end_ (const struct ColtHistoryCheck *check,
                           const struct ColtHistoryCall *call,
                           uint32_t *started);
@@ -122,6 +127,8 @@
   else if (call->outcome == COLT_HISTORY_ACCEPTED
            || call->outcome == COLT_HISTORY_NO_ANSWER)
     what = check_open_ (lost, call);
+  else if (forgotten_ (lost, call))
+    what = "was accepted for later and forgotten";
   if (what != NULL)
     report_ (lost, call, what);
 }
@@ -152,7 +159,7 @@
 
   if (call->request != 0)
     end_us = last_end_ (lost->check, call, &started);
-  if (end_us > call->answered_us - patience_us)
+  if (started > 0 && end_us > call->answered_us - patience_us)
     return NULL;
   if (call->answered_us - call->sent_us < patience_us)
     {
@@ -170,6 +177,29 @@
                      : "never started";
 }
 
+/* Work accepted for later may only end unrun by its deadline or on the caller's
+ * word. */
+static bool
+forgotten_ (const struct ColtLostCheck *lost,
+            const struct ColtHistoryCall *call)
+{
+  static const enum ColtReason allowed[]
+      = { COLT_REASON_DEADLINE, COLT_REASON_CANCELLED };
+  const char *reason = colt_history_text (lost->check->history, call->reason);
+  size_t i;
+
+  if (call->wait || call->accepted_us == 0 || call->request == 0
+      || lost->check->spans->ranges[call->request].count > 0)
+    return false;
+  if (call->outcome != COLT_HISTORY_NOT_RUN
+      && call->outcome != COLT_HISTORY_UNKNOWN)
+    return false;
+  for (i = 0; i < G_N_ELEMENTS (allowed); i++)
+    if (strcmp (reason, colt_reason_string[allowed[i]]) == 0)
+      return false;
+  return true;
+}
+
 /* Returns the latest end of its tasks, and how many of them have started. */
 static int64_t
 last_end_ (const struct ColtHistoryCheck *check,
--- a/src/history/history.h
+++ b/src/history/history.h
@@ -66,6 +66,7 @@
   int64_t accepted_us; /**< 0: never */
   int64_t answered_us; /**< when the caller had its answer or gave up */
   enum ColtHistoryOutcome outcome;
+  uint32_t reason;    /**< text: code of a refusal */
   guint first_answer; /**< in the answers of the history */
   guint answer_count;
   struct ColtHistorySource source;
@@ -152,7 +153,7 @@
 struct ColtHistoryRoll
 {
   int64_t t_us;
-  int64_t in_force_us; /**< latest of all zones */
+  int64_t in_force_us; /**< latest of all zones, 0 if none told */
 };
 
 /** What the run was told to be. */
--- a/src/history/measures.c
+++ b/src/history/measures.c
@@ -300,11 +300,14 @@
   const GArray *rolls = history->run.rolls;
   guint i;
 
+  measures->bundle_force_ms = -1;
   for (i = 0; i < rolls->len; i++)
     {
       const struct ColtHistoryRoll *roll
           = &g_array_index (rolls, struct ColtHistoryRoll, i);
 
+      if (roll->in_force_us == 0)
+        continue;
       measures->bundle_force_ms
           = MAX (measures->bundle_force_ms,
                  (double)(roll->in_force_us - roll->t_us) / COLT_US_PER_MS);
--- a/src/history/measures.h
+++ b/src/history/measures.h
@@ -40,7 +40,7 @@
   uint64_t cut_answers[COLT_HISTORY_ZONE_MAX + 1]; /**< by zone */
   uint64_t appends;
   uint64_t appends_per_second_max;
-  double bundle_force_ms; /**< slowest roll, 0 if there was none */
+  double bundle_force_ms; /**< slowest roll, -1 if no zone told its time */
 };
 
 /** Measures a run. */
--- a/src/history/reader.c
+++ b/src/history/reader.c
@@ -114,7 +114,8 @@
          && read_text_ (history, context, object, "team", &call->team)
          && read_text_ (history, context, object, "request_id", &call->request)
          && read_text_ (history, context, object, "payload", &call->payload)
-         && read_text_ (history, context, object, "entry", &call->entry);
+         && read_text_ (history, context, object, "entry", &call->entry)
+         && read_text_ (history, context, object, "reason", &call->reason);
 }
 
 static bool
--- a/src/history/report.c
+++ b/src/history/report.c
@@ -92,6 +92,8 @@
                        json_integer ((json_int_t)verdict->over_computed));
   json_object_set_new (report, "odd_ends",
                        json_integer ((json_int_t)verdict->odd_ends));
+  json_object_set_new (report, "unseen_resizes",
+                       json_integer ((json_int_t)verdict->unseen_resizes));
 }
 
 static void
@@ -147,8 +149,9 @@
   json_object_set_new (
       report, "share_team",
       json_string (colt_history_text (history, measures->share_team)));
-  json_object_set_new (report, "bundle_force_ms",
-                       json_real (measures->bundle_force_ms));
+  if (measures->bundle_force_ms >= 0)
+    json_object_set_new (report, "bundle_force_ms",
+                         json_real (measures->bundle_force_ms));
   json_object_set_new (report, "answers_during_cuts",
                        make_cut_answers_ (history, measures));
 }
--- a/src/history/run_reader.c
+++ b/src/history/run_reader.c
@@ -312,7 +312,7 @@
   return true;
 }
 
-/* A zone without a time counts as late as the others. */
+/* A zone without a time is left out. */
 static bool
 read_roll_ (struct ColtHistory *history,
             const struct ColtJsonContext *context,
@@ -325,7 +325,6 @@
 
   if (!read_time_ (context, item, "t_us", -1, &roll.t_us))
     return false;
-  roll.in_force_us = roll.t_us;
   json_object_foreach (zones, zone, value) if (json_is_number (value))
       roll.in_force_us
       = MAX (roll.in_force_us, (int64_t)json_number_value (value));
--- a/src/history/spans.c
+++ b/src/history/spans.c
@@ -1,5 +1,7 @@
 #include "spans.h"
 
+#include <string.h>
+
 struct ColtSpanBuilder
 {
   const struct ColtHistory *history;
@@ -206,6 +208,8 @@
   struct ColtHistoryPiece *piece = &g_array_index (
       spans->pieces, struct ColtHistoryPiece, spans->pieces->len - 1);
 
+  if (memcmp (&piece->limit, &event->limit, sizeof piece->limit) != 0)
+    spans->unseen_resizes++;
   span->end_us = event->t_us;
   span->ended = true;
   span->state = event->state;
--- a/src/history/spans.h
+++ b/src/history/spans.h
@@ -48,6 +48,7 @@
   GArray *pieces;                  /**< of struct ColtHistoryPiece */
   struct ColtHistoryRange *ranges; /**< by number of the request's text */
   uint64_t odd_ends;               /**< ends without a start */
+  uint64_t unseen_resizes;         /**< ends with another limit than before */
   int64_t last_us;                 /**< latest time on record */
 };
 
--- a/src/history/verdict.h
+++ b/src/history/verdict.h
@@ -48,10 +48,12 @@
 struct ColtHistoryVerdict
 {
   uint64_t counts[COLT_HISTORY_PROMISE_COUNT];
-  GPtrArray *listed;      /**< of struct ColtHistoryViolation, owned */
-  uint64_t over_records;  /**< excesses that the servers recorded */
-  uint64_t over_computed; /**< starts and resizes above the capacity */
-  uint64_t odd_ends;      /**< ends without a start */
+  GPtrArray *listed;       /**< of struct ColtHistoryViolation, owned */
+  uint64_t over_records;   /**< excesses that the servers recorded */
+  uint64_t over_computed;  /**< starts and resizes above the capacity */
+  uint64_t odd_ends;       /**< ends without a start */
+  uint64_t unseen_resizes; /**< tasks that ended with another limit than the
+                                records show */
 };
 
 /** Creates a verdict without violations. */
