--- a/fuzz/fuzz_quota.c
+++ b/fuzz/fuzz_quota.c
@@ -1,6 +1,8 @@
 /* Credits, compliance and transfers in any order, with messages lost, doubled
  * and reordered, owners and leads that die, servers that change hands, zones
  * cut off and a log that is down. The world checks each start. */
+#include <stdlib.h>
+
 #include "world.h"
 
 /* Bytes that a run takes: the input, then a walk seeded by it. */
@@ -8,6 +10,9 @@
 #define MULTIPLIER UINT64_C (6364136223846793005)
 #define INCREMENT UINT64_C (1442695040888963407)
 
+/* Rounds that all messages and promises need after the last fault. */
+#define HEAL_ROUNDS 24
+
 struct ColtInput
 {
   const uint8_t *bytes;
@@ -248,6 +253,74 @@
     step_messages_ (world, input, op);
 }
 
+static void
+require_ (bool condition)
+{
+  if (!condition)
+    abort ();
+}
+
+/* Ends all faults and all tasks, and lets one new lead a zone settle. */
+static void
+heal_ (struct ColtWorld *world)
+{
+  int zone;
+  int i;
+
+  world_set_log (world, true);
+  for (zone = 0; zone < WORLD_ZONES; zone++)
+    world_cut (world, zone, false);
+  for (zone = 0; zone < WORLD_ZONES; zone++)
+    {
+      for (i = 0; i < WORLD_LEADS; i++)
+        world_depose (world, zone, i);
+      for (i = 0; i < WORLD_INSTANCES; i++)
+        {
+          world_start (world, zone, i);
+          world_pause (world, zone, i, false);
+          world_notice (world, zone, i);
+          world_wait (world, zone, i, 0, 0);
+          world_wait (world, zone, i, 1, 0);
+        }
+      for (i = 0; i < WORLD_SERVERS; i++)
+        world_take_over (world, zone, i, i);
+      for (i = 0; i < WORLD_SERVERS; i++)
+        while (world_end (world, zone, i, 0))
+          continue;
+      for (i = 0; i < WORLD_INSTANCES; i++)
+        world_notice (world, zone, i);
+      world_elect (world, zone, 0);
+    }
+  world_settle (world, HEAL_ROUNDS);
+}
+
+/* With no faults left every zone may use all of its entitlements, and an
+ * owner whose work waits gets them. */
+static void
+check_all_usable_ (struct ColtWorld *world, int team)
+{
+  const struct ColtEntitlements *fold = world_fold (world, 0, 0);
+  const char *name = world_team (world, team);
+  int zone;
+
+  for (zone = 0; zone < WORLD_ZONES; zone++)
+    {
+      struct ColtQuotaAmount has;
+      struct ColtQuotaAmount usable;
+      int64_t started = 0;
+
+      colt_entitlements_get (fold, name, (uint32_t)zone + 1, &has);
+      colt_entitlements_usable (fold, name, (uint32_t)zone + 1, &usable);
+      require_ (colt_quota_equal (&has, &usable));
+      world_wait (world, zone, 1, team, 9);
+      world_settle (world, HEAL_ROUNDS);
+      while (started < 9 && world_run (world, zone, 1, 1, team, 0))
+        started++;
+      if (has.amount[COLT_QUOTA_CORES] >= has.amount[COLT_QUOTA_TASKS])
+        require_ (started == has.amount[COLT_QUOTA_TASKS]);
+    }
+}
+
 int LLVMFuzzerTestOneInput (const uint8_t *bytes, size_t size);
 
 int
@@ -262,6 +335,9 @@
     world_elect (world, zone, zone % WORLD_INSTANCES);
   while (input.taken < RUN_BYTES || input.size > 0)
     step_ (world, &input);
+  heal_ (world);
+  check_all_usable_ (world, 0);
+  check_all_usable_ (world, 1);
   world_check_folds (world);
   world_destroy (world);
   return 0;
--- a/include/coltsfootstile/entitlement.h
+++ b/include/coltsfootstile/entitlement.h
@@ -30,7 +30,7 @@
 /** How many offsets behind its base a transfer record is still valid. */
 #define COLT_TRANSFER_WINDOW 16384u
 /** Steps kept of a team, zone and dimension; more are merged downwards. */
-#define COLT_ENTITLEMENT_STEPS_MAX 64u
+#define COLT_ENTITLEMENT_STEPS_MAX 32u
 
 /** The limit of a team in a bundle. */
 struct ColtQuotaTeam
--- a/src/quota/credit_lead.c
+++ b/src/quota/credit_lead.c
@@ -3,6 +3,7 @@
 
 #include "coltsfootstile/guard.h"
 #include "credit_lead_private.h"
+#include "entitlement_private.h"
 
 static void destroy_team_ (gpointer data);
 static void destroy_owner_ (gpointer data);
@@ -24,6 +25,8 @@
                           struct ColtLeadOwner *owner,
                           const struct ColtCreditReport *report);
 static void update_state_ (struct ColtCreditLead *lead);
+static bool is_busy_ (const struct ColtCreditLead *lead);
+static bool is_team_busy_ (const struct ColtLeadTeam *team);
 static void divide_ (struct ColtCreditLead *lead, int64_t now_us);
 static void state_compliance_ (struct ColtCreditLead *lead);
 static bool all_promised_ (const struct ColtCreditLead *lead, uint64_t offset);
@@ -51,6 +54,7 @@
   lead->epoch = epoch;
   lead->entitlements = entitlements;
   lead->send = send;
+  lead->busy = true;
   lead->context = context;
   lead->owners = g_ptr_array_new_with_free_func (destroy_owner_);
   lead->teams
@@ -84,6 +88,7 @@
   entry->acks = g_array_new (FALSE, TRUE, sizeof (uint64_t));
   entry->settled = g_array_new (FALSE, TRUE, sizeof (struct ColtServerEpoch));
   g_ptr_array_add (lead->owners, entry);
+  lead->busy = true;
   update_state_ (lead);
 }
 
@@ -96,6 +101,7 @@
     return;
   remove_entries_ (lead, owner);
   g_ptr_array_remove_fast (lead->owners, entry);
+  lead->busy = true;
   update_state_ (lead);
 }
 
@@ -135,6 +141,7 @@
     lead->before = MAX (lead->before, report->promise);
   owner->promise = MAX (owner->promise, report->promise);
   owner->counted = true;
+  lead->busy = true;
   g_array_append_val (owner->acks, report->sequence);
   update_state_ (lead);
   return true;
@@ -143,6 +150,13 @@
 void
 colt_credit_lead_process (struct ColtCreditLead *lead, int64_t now_us)
 {
+  uint64_t offset
+      = colt_entitlements_shard_offset (lead->entitlements, lead->shard);
+  uint64_t version
+      = colt_entitlement_version_ (lead->entitlements, lead->shard);
+
+  if (!lead->busy && lead->decided == offset && lead->version == version)
+    return;
   update_state_ (lead);
   if (lead->state == COLT_CREDIT_LEAD_ACTIVE)
     {
@@ -150,6 +164,9 @@
       state_compliance_ (lead);
     }
   colt_lead_send_ (lead, now_us);
+  lead->decided = offset;
+  lead->version = version;
+  lead->busy = is_busy_ (lead);
 }
 
 void
@@ -408,6 +425,40 @@
     lead->state = COLT_CREDIT_LEAD_ACTIVE;
 }
 
+static bool
+is_busy_ (const struct ColtCreditLead *lead)
+{
+  uint64_t offset
+      = colt_entitlements_shard_offset (lead->entitlements, lead->shard);
+  GHashTableIter iter;
+  gpointer value;
+
+  if (lead->state != COLT_CREDIT_LEAD_ACTIVE || !all_promised_ (lead, offset))
+    return true;
+  g_hash_table_iter_init (&iter, lead->teams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (is_team_busy_ (value))
+      return true;
+  return false;
+}
+
+/* Work waits, the team is over its part, or a ceiling was not taken yet. */
+static bool
+is_team_busy_ (const struct ColtLeadTeam *team)
+{
+  size_t i;
+
+  for (i = 0; i < team->entries->len; i++)
+    {
+      const struct ColtLeadEntry *entry
+          = &g_array_index (team->entries, struct ColtLeadEntry, i);
+
+      if (entry->waiting > 0 || entry->applied < entry->first)
+        return true;
+    }
+  return team->over;
+}
+
 static void
 divide_ (struct ColtCreditLead *lead, int64_t now_us)
 {
--- a/src/quota/entitlement_compliance.c
+++ b/src/quota/entitlement_compliance.c
@@ -74,6 +74,18 @@
   return entitlements->version;
 }
 
+uint64_t
+colt_entitlement_version_ (const struct ColtEntitlements *entitlements,
+                           uint32_t shard)
+{
+  uint64_t version = 0;
+  uint32_t zone;
+
+  for (zone = 1; zone < ZONE_SLOTS; zone++)
+    version = MAX (version, entitlements->learned[zone][shard]);
+  return version;
+}
+
 struct ColtComplianceVector *
 colt_entitlements_compliance (const struct ColtEntitlements *entitlements,
                               uint64_t since)
--- a/src/quota/private/credit_lead_private.h
+++ b/src/quota/private/credit_lead_private.h
@@ -60,7 +60,10 @@
   GHashTable *servers; /* number -> struct ColtServerEpoch, owned */
   uint64_t sequence;
   uint64_t complied;
-  uint64_t before; /* other leads stated compliance with no higher offset */
+  bool busy;        /* something is to be decided or was not answered */
+  uint64_t version; /* compliance that was decided upon */
+  uint64_t decided; /* offset that was decided upon */
+  uint64_t before;  /* other leads stated compliance with no higher offset */
 };
 
 /* What the owner counts with: the most it may run, or what it runs. */
--- a/src/quota/private/entitlement_private.h
+++ b/src/quota/private/entitlement_private.h
@@ -96,6 +96,9 @@
 struct ColtEntitlementTeam *
 colt_entitlement_add_team_ (struct ColtEntitlements *entitlements,
                             const char *name);
+/* Grows whenever the compliance of some zone for the shard does. */
+uint64_t colt_entitlement_version_ (const struct ColtEntitlements *entitlements,
+                                    uint32_t shard);
 void colt_entitlement_list_zones_ (struct ColtEntitlements *entitlements);
 void colt_entitlement_remember_ (struct ColtEntitlements *entitlements,
                                  const struct ColtId *id,
