--- a/src/history/check_lost.c
+++ b/src/history/check_lost.c
@@ -5,6 +5,11 @@
 #include "team_limits.h"
 #include "timeline.h"
 
+/* Calls after which a caller gives up. */
+#define CALLS_MAX 20
+/* Callers that stop with the load do so within this time. */
+#define LOAD_STOP_US COLT_US_PER_S
+
 /* Requests of one class of the load. */
 struct ColtClassView
 {
@@ -32,6 +37,8 @@
                          const struct ColtHistoryCall *call);
 static const char *check_open_ (const struct ColtLostCheck *lost,
                                 const struct ColtHistoryCall *call);
+static bool given_up_ (const struct ColtLostCheck *lost,
+                       const struct ColtHistoryCall *call);
 static bool forgotten_ (const struct ColtLostCheck *lost,
                         const struct ColtHistoryCall *call);
 static int64_t last_end_ (const struct ColtHistoryCheck *check,
@@ -157,16 +164,14 @@
   int64_t end_us = 0;
   uint32_t started = 0;
 
+  if (given_up_ (lost, call))
+    return "got no answer and was given up";
   if (call->request != 0)
     end_us = last_end_ (lost->check, call, &started);
   if (started > 0 && end_us > call->answered_us - patience_us)
     return NULL;
   if (call->answered_us - call->sent_us < patience_us)
-    {
-      if (call->answered_us + patience_us / 2 > lost->last_us)
-        return NULL;
-      return "got no answer and was given up";
-    }
+    return NULL;
   if (started >= call->tasks)
     return "has ended, and its answer never came";
   if (call->deadline_ms > 0 && deadline_us < call->answered_us)
@@ -177,6 +182,15 @@
                      : "never started";
 }
 
+/* Whether its caller stopped asking before the load stopped. */
+static bool
+given_up_ (const struct ColtLostCheck *lost, const struct ColtHistoryCall *call)
+{
+  return call->outcome == COLT_HISTORY_NO_ANSWER
+         && (call->calls >= CALLS_MAX
+             || call->answered_us + LOAD_STOP_US < lost->last_us);
+}
+
 /* Work accepted for later may only end unrun by its deadline or on the caller's
  * word. */
 static bool
--- a/src/history/history.h
+++ b/src/history/history.h
@@ -61,6 +61,7 @@
   bool urgent;
   bool wait; /**< the answer came with the work's end */
   uint32_t tasks;
+  uint32_t calls;      /**< of the last step: submission or follow-up */
   int64_t deadline_ms; /**< 0: the bundle's */
   int64_t sent_us;
   int64_t accepted_us; /**< 0: never */
--- a/src/history/reader.c
+++ b/src/history/reader.c
@@ -125,8 +125,9 @@
 {
   int64_t tasks;
 
-  if (!colt_json_get_integer (context, object, "tasks", 1,
-                              COLT_TASKS_PER_REQUEST_MAX, &tasks)
+  if (!colt_json_get_u32 (context, object, "calls", 0, &call->calls)
+      || !colt_json_get_integer (context, object, "tasks", 1,
+                                 COLT_TASKS_PER_REQUEST_MAX, &tasks)
       || !colt_json_get_integer (context, object, "deadline_ms", 0,
                                  INT64_MAX / 1000000, &call->deadline_ms)
       || !colt_json_get_integer (context, object, "sent_us", 0, INT64_MAX / 2,
--- a/src/test_history/test_lost.c
+++ b/src/test_history/test_lost.c
@@ -74,6 +74,10 @@
   story_call (story, 1, 1000, 5000, COLT_HISTORY_NO_ANSWER);
   open_call_ (story, 2, LOAD_END_MS - 1000, COLT_HISTORY_ACCEPTED);
   story_expect (story, COLT_HISTORY_LOST, 1, "was given up");
+  open_call_ (story, 3, LOAD_END_MS - 100, COLT_HISTORY_NO_ANSWER)->calls = 20;
+  story_expect (story, COLT_HISTORY_LOST, 2, "was given up");
+  story_start (story, 1500, 1, 1, 1);
+  story_expect (story, COLT_HISTORY_LOST, 2, "was given up");
   story_destroy (story);
 }
 
