--- a/include/coltsfootstile/home.h
+++ b/include/coltsfootstile/home.h
@@ -90,6 +90,9 @@
                             const uint32_t *servers,
                             size_t count);
 
+/** Returns how many backend servers the zone has. */
+size_t colt_home_server_count (const struct ColtHome *home);
+
 /** Takes the bundle in force. */
 void colt_home_set_bundle (struct ColtHome *home,
                            const struct ColtBundle *bundle);
--- a/scripts/demo/topology.py
+++ b/scripts/demo/topology.py
@@ -7,10 +7,12 @@
 ENTRIES = ((1, 1), (2, 1), (3, 1), (4, 2), (5, 2), (6, 2), (7, 3), (8, 3))
 WIRE_PORT = 7000
 HTTP_PORT = 8080
-LOG = "127.100.0.1:8500"
-LIST = "127.100.0.2:8500"
-BACKEND_CONTROL = {1: "127.100.0.3:8600", 2: "127.100.0.4:8600", 3: "127.100.0.5:8600"}
-RELAY_CONTROL = "127.100.0.6:8600"
+# Runs with unlike slots use unlike addresses, so that they can go side by side.
+SLOT = int(os.environ.get("COLT_DEMO_SLOT", "0"))
+LOG = f"127.100.{SLOT}.1:8500"
+LIST = f"127.100.{SLOT}.2:8500"
+BACKEND_CONTROL = {zone: f"127.100.{SLOT}.{2 + zone}:8600" for zone in ZONES}
+RELAY_CONTROL = f"127.100.{SLOT}.6:8600"
 SLOTS = 8
 CONNECTIONS = 64
 
@@ -22,7 +24,7 @@
 
 
 def entry_host(number, zone):
-    return f"127.{zone}.0.{number}"
+    return f"127.{zone + 10 * SLOT}.0.{number}"
 
 
 def entry_http(number):
@@ -43,7 +45,7 @@
                 "id": number,
                 "zone": zone,
                 "rack": rack,
-                "address": f"127.{zone}.1.{number}:8000",
+                "address": f"127.{zone + 10 * SLOT}.1.{number}:8000",
                 "speed": round(rng.uniform(0.6, 1.4), 2),
                 "capacity": {
                     "cores_milli": cores * 1000,
@@ -57,7 +59,7 @@
 
 
 def relay_address(from_zone, number):
-    return f"127.{110 + from_zone}.0.{number}:{WIRE_PORT}"
+    return f"127.{110 + from_zone}.{SLOT}.{number}:{WIRE_PORT}"
 
 
 def make_routes():
@@ -79,7 +81,7 @@
 
 
 def platform_address(zone, service):
-    return f"127.{120 + zone}.0.{1 if service == 'log' else 2}:8500"
+    return f"127.{120 + zone}.{SLOT}.{1 if service == 'log' else 2}:8500"
 
 
 def make_list(servers):
--- a/src/coltsfootstile/instance.c
+++ b/src/coltsfootstile/instance.c
@@ -217,7 +217,7 @@
 struct ColtFitSearch
 {
   const struct ColtResources *demand;
-  bool any;
+  size_t known;
   bool fits;
 };
 
@@ -226,20 +226,21 @@
 {
   struct ColtFitSearch *search = client;
 
-  search->any = true;
+  search->known++;
   search->fits |= colt_resources_fit (search->demand, &digest->capacity);
 }
 
-/* What no server of this zone could ever hold may still fit in another. */
+/* Says no only while every server of the zone is known. */
 static bool
 ever_fits_ (void *client, const struct ColtResources *demand)
 {
   struct ColtInstance *instance = client;
-  struct ColtFitSearch search = { demand, false, false };
+  struct ColtFitSearch search = { demand, 0, false };
 
   colt_placement_visit_servers (colt_home_placement (instance->home),
                                 consider_server_, &search);
-  return !search.any || search.fits;
+  return search.fits || search.known == 0
+         || search.known < colt_home_server_count (instance->home);
 }
 
 static void
--- a/src/home/home.c
+++ b/src/home/home.c
@@ -110,6 +110,12 @@
   colt_home_arm_lead (home);
 }
 
+size_t
+colt_home_server_count (const struct ColtHome *home)
+{
+  return home->server_count;
+}
+
 void
 colt_home_set_bundle (struct ColtHome *home, const struct ColtBundle *bundle)
 {
--- a/src/request/requests.c
+++ b/src/request/requests.c
@@ -277,8 +277,8 @@
   *reason = COLT_REASON_NONE;
   if (spec->deadline_us <= now_us)
     *reason = COLT_REASON_DEADLINE;
-  else if (requests->stats.open - requests->stats.recovered
-               >= COLT_REQUEST_OPEN_MAX
+  else if (requests->stats.open
+               >= requests->stats.recovered + COLT_REQUEST_OPEN_MAX
            || requests->stats.payload_bytes + spec->payload_size
                   > COLT_REQUEST_BYTES_MAX)
     *reason = COLT_REASON_OVERLOADED;
