--- a/fuzz/fuzz_shard.c
+++ b/fuzz/fuzz_shard.c
@@ -30,6 +30,7 @@
   plan.deaths = take_ (data, size, 7, 4) * 10;
   plan.massacres = take_ (data, size, 8, 4) * 20;
   plan.blind = take_ (data, size, 9, 4) * 20;
+  plan.cuts = take_ (data, size, 11, 4) * 10;
   plan.server_deaths = take_ (data, size, 10, 4) == 3 ? 5 : 0;
   zone = colt_zone_create (&plan);
   colt_zone_run (zone, RUN_MS);
--- a/src/shard/messages_unpack.c
+++ b/src/shard/messages_unpack.c
@@ -6,6 +6,7 @@
 #include "shard.pb-c.h"
 
 #define INSTANCE_MAX 65535u
+#define EPOCH_MAX (UINT64_MAX >> 1)
 
 static bool bad_ (struct ColtError *error, const char *what);
 static bool is_instance_ (uint32_t number);
@@ -226,7 +227,7 @@
       uint32_t shard = packed[i]->shard;
 
       if (shard >= COLT_SHARD_COUNT || (seen >> shard & 1) != 0
-          || packed[i]->epoch == 0)
+          || packed[i]->epoch == 0 || packed[i]->epoch > EPOCH_MAX)
         return false;
       seen |= UINT64_C (1) << shard;
       list[i].shard = shard;
--- a/src/test_shard/test_shard.c
+++ b/src/test_shard/test_shard.c
@@ -197,6 +197,25 @@
   colt_zone_destroy (zone);
 }
 
+/* The servers of an owner that is cut off are written off, and its tasks have
+ * lapsed by then, though it reaches the servers all the time. */
+static void
+test_owner_is_cut_off (void)
+{
+  struct ColtZonePlan plan = quiet_plan_ ();
+  struct ColtZone *zone;
+
+  plan.instances = 4;
+  zone = create_running_ (&plan);
+  colt_zone_cut (zone, colt_zone_holder (zone, 1), 5000);
+  colt_zone_run (zone, 4900);
+  g_assert_cmpint (colt_zone_count_led (zone), ==, COLT_SHARD_COUNT);
+  g_assert_cmpint (colt_zone_count_lapsed (zone), >, 0);
+  colt_zone_run (zone, 3000);
+  assert_serves_ (zone, &plan);
+  colt_zone_destroy (zone);
+}
+
 static void
 test_partial_takeover_does_not_wait (void)
 {
@@ -266,6 +285,7 @@
   g_test_add_func ("/zone/two-believe-they-lead", test_two_believe_they_lead);
   g_test_add_func ("/zone/silent-server", test_server_goes_silent_for_a_while);
   g_test_add_func ("/zone/dead-server", test_takeover_waits_for_a_dead_server);
+  g_test_add_func ("/zone/cut-off", test_owner_is_cut_off);
   g_test_add_func ("/zone/partial-takeover",
                    test_partial_takeover_does_not_wait);
   g_test_add_func ("/zone/planned-stop", test_planned_stop_hands_over);
--- a/src/test_shard/zone_internal.h
+++ b/src/test_shard/zone_internal.h
@@ -67,6 +67,7 @@
   uint64_t incarnation;
   int64_t changed_at; /* when it started or died */
   int64_t paused_until;
+  int64_t cut_until;
   int64_t offset;
   int64_t ppm;
   int64_t next_start;
--- a/src/test_shard/zone_model.c
+++ b/src/test_shard/zone_model.c
@@ -13,6 +13,7 @@
 static void set_views_ (struct ColtZone *zone);
 static bool is_seen_ (const struct ColtZoneInstance *instance,
                       const struct ColtZoneInstance *other);
+static bool is_cut_ (const struct ColtZone *zone, uint32_t instance);
 static bool others_have_settled_ (const struct ColtZoneInstance *instance);
 static void free_event_ (gpointer data);
 static struct ColtZoneEvent *take_due_ (struct ColtZone *zone);
@@ -114,6 +115,12 @@
   zone->instances[instance].paused_until = zone->now + MS (ms);
 }
 
+void
+colt_zone_cut (struct ColtZone *zone, uint32_t instance, int64_t ms)
+{
+  zone->instances[instance].cut_until = zone->now + MS (ms);
+}
+
 void
 colt_zone_stop (struct ColtZone *zone, uint32_t instance)
 {
@@ -283,6 +290,9 @@
 
   if (colt_zone_draw (zone, plan->lost))
     return;
+  if (event->kind == EVENT_PEER && event->from != event->instance
+      && (is_cut_ (zone, event->from) || is_cut_ (zone, event->instance)))
+    return;
   if (colt_zone_draw (zone, plan->delayed))
     delay = g_rand_int_range (zone->random, 3000, MS (2000));
   colt_zone_schedule (zone, event, delay);
@@ -452,6 +462,9 @@
       else if (colt_zone_draw (zone, zone->plan.pauses))
         colt_zone_pause (zone, instance->number,
                          g_rand_int_range (zone->random, 20, 1500));
+      else if (colt_zone_draw (zone, zone->plan.cuts))
+        colt_zone_cut (zone, instance->number,
+                       g_rand_int_range (zone->random, 200, 5000));
       else if (colt_zone_draw (zone, zone->plan.blind))
         {
           instance->is_blind = true;
@@ -518,10 +531,17 @@
     return false;
   if (instance == other)
     return true;
-  return !instance->is_blind
+  return !instance->is_blind && !is_cut_ (instance->zone, instance->number)
+         && !is_cut_ (instance->zone, other->number)
          && other->is_alive == (instance->zone->now >= seen_at);
 }
 
+static bool
+is_cut_ (const struct ColtZone *zone, uint32_t instance)
+{
+  return zone->instances[instance].cut_until > zone->now;
+}
+
 /* A list that lacks a server is made up for by what others know, if they can
  * be asked. */
 static bool
--- a/src/test_shard/zone_model.h
+++ b/src/test_shard/zone_model.h
@@ -38,6 +38,7 @@
   int pauses;         /**< an instance pauses, each 100 ms */
   int deaths;         /**< an instance dies, each 100 ms */
   int massacres;      /**< all but one die at once, each 100 ms */
+  int cuts;           /**< an instance loses the others, each 100 ms */
   int blind;          /**< an instance misses another in its view */
   int server_deaths;  /**< a server dies, each 100 ms */
 };
@@ -63,6 +64,9 @@
 /** Pauses an instance: it reads its messages when it wakes. */
 void colt_zone_pause (struct ColtZone *zone, uint32_t instance, int64_t ms);
 
+/** Cuts an instance off from the others, but not from the servers. */
+void colt_zone_cut (struct ColtZone *zone, uint32_t instance, int64_t ms);
+
 /** Stops an instance as planned: its leads resign, its leases are released. */
 void colt_zone_stop (struct ColtZone *zone, uint32_t instance);
 
