--- a/src/test_shard/zone_server.c
+++ b/src/test_shard/zone_server.c
@@ -7,7 +7,7 @@
 #define PPM 1000000
 #define LEASE_US (400 * COLT_US_PER_MS)
 #define TASK_LEASE_US (COLT_ZONE_TASK_LEASE_MS * COLT_US_PER_MS)
-#define TASK_RUN_US (3 * COLT_US_PER_S)
+#define TASK_RUN_US (8 * COLT_US_PER_S)
 
 struct ColtZoneServerModel
 {
