--- a/include/coltsfootstile/credits.h
+++ b/include/coltsfootstile/credits.h
@@ -93,7 +93,8 @@
 void colt_credit_lead_add_owner (struct ColtCreditLead *lead, uint64_t owner);
 
 /**
- * Forgets an owner for good. The caller makes sure that its leases have
+ * Forgets an owner for good; it can be added again only to a lead with a
+ * higher epoch. The caller makes sure that its leases have
  * lapsed, and that each server it held has since been counted by the new
  * owner's report, or the leases of the tasks there have lapsed.
  */
@@ -242,7 +243,9 @@
 
 /**
  * Ends the session with a shard's lead: unused credits end with it. The shard
- * epoch and the promise stay.
+ * epoch and the promise stay; only a lead with a higher epoch opens another
+ * one. To be called for every shard before anything else when the process
+ * finds that its server leases have lapsed, since leads may have removed it.
  */
 void colt_credit_holder_end_session (struct ColtCreditHolder *holder,
                                      uint32_t shard);
--- a/src/quota/credit_lead.c
+++ b/src/quota/credit_lead.c
@@ -27,7 +27,7 @@
 static void update_state_ (struct ColtCreditLead *lead);
 static bool is_busy_ (const struct ColtCreditLead *lead);
 static bool is_team_busy_ (const struct ColtLeadTeam *team);
-static void divide_ (struct ColtCreditLead *lead, int64_t now_us);
+static void divide_ (struct ColtCreditLead *lead, int64_t now_us, bool all);
 static void state_compliance_ (struct ColtCreditLead *lead);
 static bool all_promised_ (const struct ColtCreditLead *lead, uint64_t offset);
 static void list_over_ (const struct ColtCreditLead *lead,
@@ -160,7 +160,8 @@
   update_state_ (lead);
   if (lead->state == COLT_CREDIT_LEAD_ACTIVE)
     {
-      divide_ (lead, now_us);
+      divide_ (lead, now_us,
+               lead->decided != offset || lead->version != version);
       state_compliance_ (lead);
     }
   colt_lead_send_ (lead, now_us);
@@ -333,6 +334,7 @@
       struct ColtLeadTeam *team = value;
       size_t i;
 
+      team->dirty = true;
       for (i = 0; i < team->entries->len; i++)
         if (g_array_index (team->entries, struct ColtLeadEntry, i).owner
             == owner)
@@ -345,17 +347,19 @@
              const struct ColtCreditReport *report,
              const struct ColtCreditState *state)
 {
-  struct ColtLeadEntry *entry
-      = add_entry_ (add_team_ (lead, state->team), report->owner);
+  struct ColtLeadTeam *team = add_team_ (lead, state->team);
+  struct ColtLeadEntry *entry = add_entry_ (team, report->owner);
 
   if (report->sequence <= entry->version)
     return;
+  team->dirty = true;
   entry->version = report->sequence;
   entry->running = state->running;
   entry->lost = state->lost;
   entry->unit = state->unit;
   entry->waiting = state->waiting;
   entry->applied = state->sequence;
+  lead->sequence = MAX (lead->sequence, state->sequence);
   if (entry->sequence == 0)
     entry->first = entry->sequence = state->sequence;
   if (state->sequence < entry->first)
@@ -460,7 +464,7 @@
 }
 
 static void
-divide_ (struct ColtCreditLead *lead, int64_t now_us)
+divide_ (struct ColtCreditLead *lead, int64_t now_us, bool all)
 {
   GHashTableIter iter;
   gpointer value;
@@ -471,6 +475,8 @@
       struct ColtLeadTeam *team = value;
       struct ColtQuotaAmount usable;
 
+      if (!all && colt_lead_team_rests_ (team, now_us))
+        continue;
       colt_entitlements_usable (lead->entitlements, team->name, lead->zone,
                                 &usable);
       colt_lead_team_divide_ (team, &usable, now_us, &lead->sequence);
@@ -490,7 +496,7 @@
       = colt_entitlements_shard_offset (lead->entitlements, lead->shard);
   struct ColtCompliance compliance = { 0 };
 
-  if (offset == 0
+  if (offset == 0 || (lead->complied >= offset && lead->exceptions == 0)
       || (colt_guard_on (COLT_GUARD_COMPLIANCE)
           && !all_promised_ (lead, offset)))
     return;
@@ -500,7 +506,8 @@
   if (colt_guard_on (COLT_GUARD_COMPLIANCE))
     list_over_ (lead, &compliance);
   colt_entitlements_comply (lead->entitlements, &compliance);
-  lead->complied = MAX (lead->complied, offset);
+  lead->complied = offset;
+  lead->exceptions = compliance.exception_count;
   g_free (compliance.exceptions);
 }
 
--- a/src/quota/credit_team.c
+++ b/src/quota/credit_team.c
@@ -79,6 +79,7 @@
     return;
   colt_lead_team_counted_ (team, &counted);
   team->over = !colt_quota_within (&counted, usable);
+  team->dirty = false;
   division.needs = g_new0 (struct ColtQuotaNeed, division.count);
   division.targets = g_new0 (struct ColtQuotaAmount, division.count);
   if (!team->balanced || now_us - team->balanced_us >= REBALANCE_US)
@@ -107,6 +108,13 @@
   entry->due = true;
 }
 
+bool
+colt_lead_team_rests_ (const struct ColtLeadTeam *team, int64_t now_us)
+{
+  return !team->dirty && team->balanced
+         && now_us - team->balanced_us < REBALANCE_US;
+}
+
 void
 colt_lead_team_tidy_ (struct ColtLeadTeam *team)
 {
--- a/src/quota/private/credit_lead_private.h
+++ b/src/quota/private/credit_lead_private.h
@@ -33,6 +33,7 @@
   bool balanced;
   int64_t balanced_us; /* when it was last divided from nothing */
   bool over;           /* counted above what the zone may use */
+  bool dirty;          /* an owner's state changed since the last division */
 };
 
 struct ColtLeadOwner
@@ -60,10 +61,11 @@
   GHashTable *servers; /* number -> struct ColtServerEpoch, owned */
   uint64_t sequence;
   uint64_t complied;
-  bool busy;        /* something is to be decided or was not answered */
-  uint64_t version; /* compliance that was decided upon */
-  uint64_t decided; /* offset that was decided upon */
-  uint64_t before;  /* other leads stated compliance with no higher offset */
+  size_t exceptions; /* teams left out when compliance was stated last */
+  bool busy;         /* something is to be decided or was not answered */
+  uint64_t version;  /* compliance that was decided upon */
+  uint64_t decided;  /* offset that was decided upon */
+  uint64_t before;   /* other leads stated compliance with no higher offset */
 };
 
 /* What the owner counts with: the most it may run, or what it runs. */
@@ -85,6 +87,9 @@
                            const struct ColtQuotaAmount *ceiling,
                            uint64_t *sequence);
 
+/* Whether nothing has changed by which the team would be divided anew. */
+bool colt_lead_team_rests_ (const struct ColtLeadTeam *team, int64_t now_us);
+
 /* Drops entries of a team that hold nothing. */
 void colt_lead_team_tidy_ (struct ColtLeadTeam *team);
 
--- a/src/test_quota/world.c
+++ b/src/test_quota/world.c
@@ -1,104 +1,11 @@
-#include "world.h"
+#include "world_private.h"
 
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define FIRST_EPOCH 1
-#define SETTLE_STEP_US 50000
-#define ALL_INSTANCES (WORLD_ZONES * WORLD_INSTANCES)
-
-struct ColtWorldRecord
-{
-  bool bundle;
-  unsigned zone_mask;
-  struct ColtQuotaAmount limits[WORLD_TEAMS];
-  struct ColtQuotaTransfer transfer;
-  struct ColtQuotaMove move;
-};
-
-struct ColtWorldInstance
-{
-  bool alive;
-  bool paused; /* left out by world_settle() */
-  uint64_t owner;
-  struct ColtEntitlements *fold;
-  struct ColtCreditHolder *holder;
-  uint64_t held[WORLD_SERVERS];  /* epoch at which it last held it */
-  bool unnoticed[WORLD_SERVERS]; /* has lost it and doesn't know */
-};
-
-/* An owner that is gone but may still be counted. */
-struct ColtWorldGone
-{
-  uint64_t owner;
-  uint64_t held[WORLD_SERVERS];
-};
-
-struct ColtWorldTask
-{
-  int team;
-  struct ColtQuotaAmount amount;
-};
-
-struct ColtWorldServer
-{
-  int owner; /* instance, -1: none */
-  uint64_t epoch;
-  GArray *tasks; /* of struct ColtWorldTask */
-};
-
-struct ColtWorldLead
-{
-  struct ColtCreditLead *lead;
-  uint64_t epoch;
-  int instance;
-};
-
-struct ColtWorldZone
-{
-  bool cut;
-  uint64_t epoch;
-  struct ColtWorldInstance instances[WORLD_INSTANCES];
-  struct ColtWorldServer servers[WORLD_SERVERS];
-  struct ColtWorldLead leads[WORLD_LEADS];
-  GArray *gone; /* of struct ColtWorldGone */
-  uint64_t complied[WORLD_TEAMS];
-};
-
-struct ColtWorldMessage
-{
-  int zone;
-  bool grant;
-  uint64_t to; /* owner of a grant, epoch of a report */
-  uint8_t *bytes;
-  size_t size;
-};
-
-struct ColtWorld
-{
-  char teams[WORLD_TEAMS][COLT_NAME_SIZE];
-  struct ColtWorldZone zones[WORLD_ZONES];
-  struct ColtWorldRecord records[WORLD_RECORDS];
-  int record_count;
-  bool log_up;
-  GArray *messages; /* of struct ColtWorldMessage */
-  GArray *kept;     /* the same, delayed for long */
-  uint64_t next_owner;
-  int64_t now_us;
-  int sending_zone;
-  struct ColtEntitlements *reference;
-};
 
 static void name_teams_ (struct ColtWorld *world);
-static void send_report_ (void *context, const struct ColtCreditReport *report);
-static void send_grant_ (void *context, const struct ColtCreditGrant *grant);
-static void push_message_ (struct ColtWorld *world,
-                           bool grant,
-                           uint64_t to,
-                           uint8_t *bytes,
-                           size_t size);
-static void free_message_ (gpointer message);
 static void boot_ (struct ColtWorld *world,
                    int zone,
                    int instance,
@@ -111,15 +18,6 @@
                     struct ColtEntitlements **fold,
                     uint64_t *floor);
 static struct ColtEntitlements *copy_ (const struct ColtEntitlements *fold);
-static void observe_ (struct ColtWorld *world);
-static uint64_t stands_at_ (const struct ColtWorld *world, int zone, int team);
-static void check_ (struct ColtWorld *world, int team);
-static void settle_zone_ (struct ColtWorld *world, int zone);
-static void deliver_all_ (struct ColtWorld *world);
-static bool is_paused_ (const struct ColtWorld *world,
-                        const struct ColtWorldMessage *message);
-static void receive_ (struct ColtWorld *world,
-                      const struct ColtWorldMessage *message);
 
 struct ColtWorld *
 world_create (void)
@@ -131,9 +29,9 @@
   name_teams_ (world);
   world->log_up = true;
   world->messages = g_array_new (FALSE, TRUE, sizeof (struct ColtWorldMessage));
-  g_array_set_clear_func (world->messages, free_message_);
+  g_array_set_clear_func (world->messages, world_free_message_);
   world->kept = g_array_new (FALSE, TRUE, sizeof (struct ColtWorldMessage));
-  g_array_set_clear_func (world->kept, free_message_);
+  g_array_set_clear_func (world->kept, world_free_message_);
   world->reference = colt_entitlements_create ();
   for (zone = 0; zone < WORLD_ZONES; zone++)
     {
@@ -390,7 +288,7 @@
   slot->instance = instance;
   slot->lead = colt_credit_lead_create (
       (uint32_t)zone + 1, colt_team_shard (world->teams[0]), slot->epoch,
-      entry->instances[instance].fold, send_grant_, world);
+      entry->instances[instance].fold, world_send_grant_, world);
   for (i = 0; i < WORLD_INSTANCES; i++)
     if (entry->instances[i].alive)
       colt_credit_lead_add_owner (slot->lead, entry->instances[i].owner);
@@ -414,7 +312,7 @@
     return;
   world->sending_zone = zone;
   colt_credit_lead_process (slot->lead, world->now_us);
-  observe_ (world);
+  world_observe_ (world);
 }
 
 /* Lets a lead forget owners that are gone and whose servers are counted. */
@@ -450,56 +348,6 @@
   return world->zones[zone].leads[lead].lead;
 }
 
-size_t
-world_messages (const struct ColtWorld *world)
-{
-  return world->messages->len;
-}
-
-void
-world_deliver (struct ColtWorld *world, size_t index, bool keep)
-{
-  struct ColtWorldMessage message;
-
-  if (index >= world->messages->len)
-    return;
-  message = g_array_index (world->messages, struct ColtWorldMessage, index);
-  message.bytes = g_memdup2 (message.bytes, message.size + 1);
-  if (!keep)
-    world_lose (world, index);
-  receive_ (world, &message);
-  g_free (message.bytes);
-}
-
-void
-world_keep (struct ColtWorld *world, size_t index)
-{
-  struct ColtWorldMessage copy;
-
-  if (index >= world->messages->len)
-    return;
-  copy = g_array_index (world->messages, struct ColtWorldMessage, index);
-  copy.bytes = g_memdup2 (copy.bytes, copy.size + 1);
-  g_array_append_val (world->kept, copy);
-}
-
-void
-world_release (struct ColtWorld *world)
-{
-  guint i;
-
-  for (i = 0; i < world->kept->len; i++)
-    receive_ (world, &g_array_index (world->kept, struct ColtWorldMessage, i));
-  g_array_set_size (world->kept, 0);
-}
-
-void
-world_lose (struct ColtWorld *world, size_t index)
-{
-  if (index < world->messages->len)
-    g_array_remove_index (world->messages, (guint)index);
-}
-
 void
 world_wait (struct ColtWorld *world, int zone, int instance, int team, int n)
 {
@@ -535,7 +383,7 @@
       return false;
     }
   g_array_append_val (target->tasks, task);
-  check_ (world, team);
+  world_check_ (world, team);
   return true;
 }
 
@@ -608,51 +456,6 @@
   colt_credit_holder_process (owner->holder, world->now_us);
 }
 
-int64_t
-world_running (const struct ColtWorld *world, int zone, int team)
-{
-  int64_t running = 0;
-  int z;
-  int server;
-  guint i;
-
-  for (z = 0; z < WORLD_ZONES; z++)
-    for (server = 0; server < WORLD_SERVERS; server++)
-      {
-        const GArray *tasks = world->zones[z].servers[server].tasks;
-
-        for (i = 0; (zone < 0 || z == zone) && i < tasks->len; i++)
-          running += g_array_index (tasks, struct ColtWorldTask, i).team == team
-                         ? 1
-                         : 0;
-      }
-  return running;
-}
-
-void
-world_settle (struct ColtWorld *world, int rounds)
-{
-  int round;
-  int zone;
-  int i;
-
-  for (round = 0; round < rounds; round++)
-    {
-      world->now_us += SETTLE_STEP_US;
-      for (zone = 0; zone < WORLD_ZONES; zone++)
-        settle_zone_ (world, zone);
-      deliver_all_ (world);
-      for (i = 0; i < ALL_INSTANCES; i++)
-        {
-          int from = i % ALL_INSTANCES;
-          int to = (i + 1) % ALL_INSTANCES;
-
-          world_gossip (world, from / WORLD_INSTANCES, from % WORLD_INSTANCES,
-                        to / WORLD_INSTANCES, to % WORLD_INSTANCES);
-        }
-    }
-}
-
 void
 world_pass (struct ColtWorld *world, int64_t microseconds)
 {
@@ -665,56 +468,6 @@
   return world->now_us;
 }
 
-void
-world_bound (struct ColtWorld *world, int team, struct ColtQuotaAmount *bound)
-{
-  uint64_t lowest = UINT64_MAX;
-  bool appeared = false;
-  int record;
-  int zone;
-
-  observe_ (world);
-  for (zone = 0; zone < WORLD_ZONES; zone++)
-    lowest = MIN (lowest, stands_at_ (world, zone, team));
-  memset (bound, 0, sizeof *bound);
-  for (record = 0; record < world->record_count; record++)
-    {
-      if (!world->records[record].bundle)
-        continue;
-      if ((uint64_t)record + 1 > lowest && appeared)
-        break;
-      *bound = world->records[record].limits[team];
-      appeared = true;
-    }
-}
-
-void
-world_check_folds (struct ColtWorld *world)
-{
-  int team;
-  uint32_t zone;
-  int i;
-
-  for (team = 0; team < WORLD_TEAMS; team++)
-    {
-      struct ColtQuotaAmount sum = { { 0 } };
-      struct ColtQuotaAmount limit;
-
-      for (zone = 1; zone <= WORLD_ZONES; zone++)
-        {
-          struct ColtQuotaAmount amount;
-
-          colt_entitlements_get (world->reference, world->teams[team], zone,
-                                 &amount);
-          colt_quota_add (&sum, &amount);
-        }
-      colt_entitlements_limit (world->reference, world->teams[team], &limit);
-      for (i = 0; i < COLT_QUOTA_COUNT; i++)
-        if (sum.amount[i] != limit.amount[i])
-          abort ();
-    }
-}
-
 static void
 name_teams_ (struct ColtWorld *world)
 {
@@ -731,43 +484,6 @@
     }
 }
 
-static void
-send_report_ (void *context, const struct ColtCreditReport *report)
-{
-  size_t size;
-  uint8_t *bytes = colt_credit_report_pack (report, &size);
-
-  push_message_ (context, false, report->epoch, bytes, size);
-}
-
-static void
-send_grant_ (void *context, const struct ColtCreditGrant *grant)
-{
-  size_t size;
-  uint8_t *bytes = colt_credit_grant_pack (grant, &size);
-
-  push_message_ (context, true, grant->owner, bytes, size);
-}
-
-static void
-push_message_ (struct ColtWorld *world,
-               bool grant,
-               uint64_t to,
-               uint8_t *bytes,
-               size_t size)
-{
-  struct ColtWorldMessage message
-      = { world->sending_zone, grant, to, bytes, size };
-
-  g_array_append_val (world->messages, message);
-}
-
-static void
-free_message_ (gpointer message)
-{
-  free (((struct ColtWorldMessage *)message)->bytes);
-}
-
 static void
 boot_ (struct ColtWorld *world,
        int zone,
@@ -781,8 +497,8 @@
   fresh->alive = true;
   fresh->owner = ++world->next_owner;
   fresh->fold = fold;
-  fresh->holder
-      = colt_credit_holder_create (fresh->owner, floor, send_report_, world);
+  fresh->holder = colt_credit_holder_create (fresh->owner, floor,
+                                             world_send_report_, world);
 }
 
 static void
@@ -868,166 +584,3 @@
   free (bytes);
   return copy;
 }
-
-/* Keeps the highest offset that each zone was ever said to comply with. */
-static void
-observe_ (struct ColtWorld *world)
-{
-  int zone;
-  int z;
-  int i;
-  int team;
-
-  for (zone = 0; zone < WORLD_ZONES; zone++)
-    for (z = 0; z < WORLD_ZONES; z++)
-      for (i = 0; i < WORLD_INSTANCES; i++)
-        for (team = 0; team < WORLD_TEAMS; team++)
-          if (world->zones[z].instances[i].alive)
-            {
-              uint64_t known = colt_entitlements_complied (
-                  world->zones[z].instances[i].fold, (uint32_t)zone + 1,
-                  world->teams[team]);
-              uint64_t *highest = &world->zones[zone].complied[team];
-
-              *highest = MAX (*highest, known);
-            }
-}
-
-/* A zone that no bundle names where it stands runs nothing until one does. */
-static uint64_t
-stands_at_ (const struct ColtWorld *world, int zone, int team)
-{
-  uint64_t stand = world->zones[zone].complied[team];
-  bool present = false;
-  int record;
-
-  for (record = 0; record < world->record_count; record++)
-    {
-      bool named = world->records[record].zone_mask >> zone & 1;
-
-      if (!world->records[record].bundle)
-        continue;
-      if ((uint64_t)record + 1 <= stand)
-        present = named;
-      else if (!present && named)
-        return (uint64_t)record;
-      else if (present)
-        return stand;
-    }
-  return present ? stand : UINT64_MAX;
-}
-
-/* After a start: what runs is within the limit at the lowest offset. */
-static void
-check_ (struct ColtWorld *world, int team)
-{
-  struct ColtQuotaAmount running = { { 0 } };
-  struct ColtQuotaAmount bound;
-  int zone;
-  int server;
-  guint i;
-
-  for (zone = 0; zone < WORLD_ZONES; zone++)
-    for (server = 0; server < WORLD_SERVERS; server++)
-      {
-        const GArray *tasks = world->zones[zone].servers[server].tasks;
-
-        for (i = 0; i < tasks->len; i++)
-          {
-            const struct ColtWorldTask *task
-                = &g_array_index (tasks, struct ColtWorldTask, i);
-
-            if (task->team == team)
-              colt_quota_add (&running, &task->amount);
-          }
-      }
-  world_bound (world, team, &bound);
-  if (!colt_quota_within (&running, &bound))
-    {
-      fprintf (stderr, "%s runs above its limit: %ld > %ld\n",
-               world->teams[team], (long)running.amount[COLT_QUOTA_TASKS],
-               (long)bound.amount[COLT_QUOTA_TASKS]);
-      abort ();
-    }
-}
-
-static void
-settle_zone_ (struct ColtWorld *world, int zone)
-{
-  struct ColtWorldZone *entry = &world->zones[zone];
-  int i;
-
-  for (i = 0; i < WORLD_INSTANCES; i++)
-    {
-      if (entry->instances[i].paused)
-        continue;
-      while (world_read (world, zone, i))
-        continue;
-      world_notice (world, zone, i);
-      world_process_holder (world, zone, i);
-    }
-  for (i = 0; i < WORLD_LEADS; i++)
-    {
-      if (entry->leads[i].lead == NULL
-          || entry->instances[entry->leads[i].instance].paused)
-        continue;
-      world_admit (world, zone, i);
-      world_process_lead (world, zone, i);
-    }
-}
-
-static void
-deliver_all_ (struct ColtWorld *world)
-{
-  size_t at = 0;
-
-  while (at < world_messages (world))
-    if (is_paused_ (world, &g_array_index (world->messages,
-                                           struct ColtWorldMessage, at)))
-      at++;
-    else
-      world_deliver (world, at, false);
-}
-
-static bool
-is_paused_ (const struct ColtWorld *world,
-            const struct ColtWorldMessage *message)
-{
-  const struct ColtWorldZone *zone = &world->zones[message->zone];
-  int i;
-
-  for (i = 0; message->grant && i < WORLD_INSTANCES; i++)
-    if (zone->instances[i].owner == message->to)
-      return zone->instances[i].paused;
-  for (i = 0; !message->grant && i < WORLD_LEADS; i++)
-    if (zone->leads[i].lead != NULL && zone->leads[i].epoch == message->to)
-      return zone->instances[zone->leads[i].instance].paused;
-  return false;
-}
-
-static void
-receive_ (struct ColtWorld *world, const struct ColtWorldMessage *message)
-{
-  struct ColtWorldZone *zone = &world->zones[message->zone];
-  struct ColtCreditGrant *grant;
-  struct ColtCreditReport *report;
-  int i;
-
-  if (message->grant)
-    {
-      grant = colt_credit_grant_unpack (message->bytes, message->size, NULL);
-      g_assert (grant != NULL);
-      for (i = 0; i < WORLD_INSTANCES; i++)
-        if (zone->instances[i].alive
-            && zone->instances[i].owner == grant->owner)
-          colt_credit_holder_receive (zone->instances[i].holder, grant, NULL);
-      colt_credit_grant_destroy (grant);
-      return;
-    }
-  report = colt_credit_report_unpack (message->bytes, message->size, NULL);
-  g_assert (report != NULL);
-  for (i = 0; i < WORLD_LEADS; i++)
-    if (zone->leads[i].lead != NULL && zone->leads[i].epoch == report->epoch)
-      colt_credit_lead_receive (zone->leads[i].lead, report, NULL);
-  colt_credit_report_destroy (report);
-}
