Durable work is offered to its lead until it is taken up; peers' bundles and withdrawals

Cause: a lead took work up from the log once, when it became active, and dropped what it had to refuse while backend servers were unaccounted for; work that another lead had stored just before was never offered. Change: open work is offered each second and when it is read. A link that is given up is forgotten before its calls end, so that a retry from the end of a call opens a new one. Bundles and withdrawals also come from peers while the log is out of reach.

--- a/include/coltsfootstile/home.h
+++ b/include/coltsfootstile/home.h
@@ -97,6 +97,15 @@
 void colt_home_set_bundle (struct ColtHome *home,
                            const struct ColtBundle *bundle);
 
+/**
+ * Offers a durable request that was read in the log. It is taken up if its
+ * shard is led here, it isn't known yet, and every server of the zone is
+ * accounted for; otherwise it has to be offered again.
+ */
+void colt_home_offer (struct ColtHome *home,
+                      const struct ColtId *id,
+                      const struct ColtRequestSpec *spec);
+
 /** Resigns from all shards and takes no more requests. */
 void colt_home_stop (struct ColtHome *home);
 
--- a/src/coltsfootstile/instance_bundles.c
+++ b/src/coltsfootstile/instance_bundles.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "coltsfootstile/bundle_dump.h"
+#include "coltsfootstile/bundle_peers.h"
 #include "coltsfootstile/clock.h"
 #include "coltsfootstile/log.h"
 #include "coltsfootstile/record.h"
@@ -14,6 +15,8 @@
 #define SNAPSHOT_INTERVAL_US (1 * COLT_US_PER_S)
 /* A peer's word that is older than this counts no more. */
 #define WORD_MEMORY_US (5 * COLT_US_PER_S)
+/* Instances of each other zone that a withdrawal is pushed to. */
+#define PUSH_REMOTE_MAX 2u
 /* Size of a freshness word: age, offset, zones heard, flags. */
 #define WORD_SIZE 21u
 
@@ -21,6 +24,8 @@
 {
   struct ColtInstance *instance;
   struct ColtChain *chain;
+  struct ColtBundlePeers *peers;
+  unsigned turn;       /* of the peer to pull from */
   uint64_t generation; /* that the other duties know */
   GArray *words;       /* of struct ColtFreshnessWord, one a peer */
   enum ColtFreshness freshness;
@@ -43,10 +48,17 @@
 static void fill_input_ (const struct ColtInstanceBundles *bundles,
                          struct ColtFreshnessInput *input);
 static void decide_ (struct ColtInstanceBundles *bundles);
+static uint32_t choose_peer_ (void *client);
+static size_t choose_targets_ (void *client, uint32_t *instances, size_t max);
+static void on_changed_ (void *client);
+static uint8_t *pack_limits_ (void *client, uint64_t next_offset, size_t *size);
 static void spread_ (struct ColtInstanceBundles *bundles);
 static void snapshot_ (struct ColtInstanceBundles *bundles, int64_t now_us);
 static void append_snapshot_ (struct ColtInstanceBundles *bundles);
 
+static const struct ColtBundlePeersCalls peers_calls
+    = { choose_peer_, choose_targets_, on_changed_, pack_limits_ };
+
 struct ColtInstanceBundles *
 colt_instance_bundles_create (struct ColtInstance *instance,
                               struct ColtError *error)
@@ -76,6 +88,8 @@
   bundles = g_new0 (struct ColtInstanceBundles, 1);
   bundles->instance = instance;
   bundles->chain = colt_chain_create (keys, count);
+  bundles->peers = colt_bundle_peers_create (instance->wire, bundles->chain,
+                                             &peers_calls, bundles);
   bundles->words
       = g_array_new (FALSE, FALSE, sizeof (struct ColtFreshnessWord));
   bundles->freshness = COLT_STALE_NO_BUNDLE;
@@ -92,6 +106,7 @@
 {
   if (bundles == NULL)
     return;
+  colt_bundle_peers_destroy (bundles->peers);
   colt_chain_destroy (bundles->chain);
   g_array_unref (bundles->words);
   g_free (bundles);
@@ -110,6 +125,9 @@
     bundles->snapshot_read_us = colt_clock_monotonic_us ();
   if (verdict.status == COLT_CHAIN_IGNORED)
     return;
+  if (verdict.status == COLT_CHAIN_ACCEPTED
+      && item->kind == COLT_RECORD_KEY_WITHDRAW)
+    colt_bundle_peers_push (bundles->peers, item->body, item->size);
   if (verdict.status == COLT_CHAIN_ACCEPTED
       || verdict.status == COLT_CHAIN_DUPLICATE)
     colt_log (COLT_LOG_INFO, MODULE, NULL,
@@ -138,6 +156,10 @@
   colt_chain_advance (bundles->chain,
                       colt_log_client_offset (bundles->instance->log));
   decide_ (bundles);
+  colt_bundle_peers_step (
+      bundles->peers, now_us,
+      now_us - colt_log_client_fresh_us (bundles->instance->log)
+          < COLT_FRESHNESS_BOUND_MS * COLT_US_PER_MS);
   if (now_us < bundles->snapshot_us)
     return;
   bundles->snapshot_us = now_us + SNAPSHOT_INTERVAL_US;
@@ -310,6 +332,78 @@
   bundles->freshness = colt_freshness_decide (&input, &bundles->as_of_us);
 }
 
+/* The peer that is known to have read furthest, or any other in turn. */
+static uint32_t
+choose_peer_ (void *client)
+{
+  struct ColtInstanceBundles *bundles = client;
+  uint64_t next = colt_chain_next_offset (bundles->chain);
+  uint32_t live[COLT_DIGEST_MAX];
+  uint32_t best = 0;
+  size_t count;
+  guint i;
+
+  for (i = 0; i < bundles->words->len; i++)
+    {
+      const struct ColtFreshnessWord *word
+          = &g_array_index (bundles->words, struct ColtFreshnessWord, i);
+
+      if (word->next_offset <= next)
+        continue;
+      next = word->next_offset;
+      best = word->instance;
+    }
+  bundles->turn++;
+  if (best != 0 && bundles->turn % 2 == 0)
+    return best;
+  count = colt_membership_eligible (bundles->instance->membership, 0, live,
+                                    COLT_DIGEST_MAX);
+  if (count < 2)
+    return 0;
+  best = live[bundles->turn % count];
+  return best != bundles->instance->number ? best
+                                           : live[(bundles->turn + 1) % count];
+}
+
+static size_t
+choose_targets_ (void *client, uint32_t *instances, size_t max)
+{
+  struct ColtInstanceBundles *bundles = client;
+  uint32_t live[COLT_DIGEST_MAX];
+  size_t count = 0;
+  uint32_t zone;
+
+  for (zone = 1; zone <= COLT_ZONE_MAX; zone++)
+    {
+      size_t found = colt_membership_eligible (bundles->instance->membership,
+                                               zone, live, COLT_DIGEST_MAX);
+      size_t wanted = zone == bundles->instance->zone ? found : PUSH_REMOTE_MAX;
+      size_t i;
+
+      for (i = 0; i < found && i < wanted && count < max; i++)
+        if (live[i] != bundles->instance->number)
+          instances[count++] = live[i];
+    }
+  return count;
+}
+
+static void
+on_changed_ (void *client)
+{
+  spread_ (client);
+}
+
+static uint8_t *
+pack_limits_ (void *client, uint64_t next_offset, size_t *size)
+{
+  struct ColtInstanceBundles *bundles = client;
+
+  if (bundles->instance->limits == NULL)
+    return NULL;
+  return colt_instance_limits_pack (bundles->instance->limits, next_offset,
+                                    size);
+}
+
 /* Gives a new bundle to the duties that act on it. */
 static void
 spread_ (struct ColtInstanceBundles *bundles)
--- a/src/coltsfootstile/instance_jobs.c
+++ b/src/coltsfootstile/instance_jobs.c
@@ -13,7 +13,8 @@
 
 /* How long a caller waits for work to become durable, in microseconds. */
 #define STORE_PATIENCE_US (3 * COLT_US_PER_S)
-/* Time between two looks for jobs that retention may drop soon. */
+/* Time between two looks for jobs that no lead has taken up, or that retention
+ * may drop soon. */
 #define RENEW_INTERVAL_US (1 * COLT_US_PER_S)
 /* Jobs whose records are appended anew in one look. */
 #define RENEW_MAX 64u
@@ -47,6 +48,9 @@
 
 static void take_job_ (struct ColtInstanceJobs *jobs,
                        const struct ColtLogItem *item);
+static void offer_ (void *client,
+                    const struct ColtId *id,
+                    const struct ColtRequestSpec *spec);
 static void take_end_ (struct ColtInstanceJobs *jobs,
                        const struct ColtLogItem *item);
 static void store_ (void *client,
@@ -82,6 +86,8 @@
 static void written_off_ (void *client, uint32_t server);
 static bool
 renew_ (struct ColtInstanceJobs *jobs, struct ColtJob *job, int64_t now_us);
+static bool is_led_ (const struct ColtInstanceJobs *jobs,
+                     const struct ColtJob *job);
 static void free_job_ (gpointer data);
 
 const struct ColtHomeClient colt_instance_home_client
@@ -132,9 +138,14 @@
     return;
   jobs->renew_us = now_us + RENEW_INTERVAL_US;
   g_hash_table_iter_init (&iter, jobs->open);
-  while (renewed < RENEW_MAX && g_hash_table_iter_next (&iter, NULL, &value))
-    if (renew_ (jobs, value, now_us))
-      renewed++;
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      if (!is_led_ (jobs, value))
+        continue;
+      load_one_ (value, offer_, jobs->instance->home);
+      if (renewed < RENEW_MAX && renew_ (jobs, value, now_us))
+        renewed++;
+    }
 }
 
 size_t
@@ -169,6 +180,16 @@
   job->size = item->size;
   job->appended_us = colt_clock_monotonic_us ();
   g_hash_table_replace (jobs->open, &job->id, job);
+  load_one_ (job, offer_, jobs->instance->home);
+}
+
+/* A lead may read of work that another lead stored just before it. */
+static void
+offer_ (void *client,
+        const struct ColtId *id,
+        const struct ColtRequestSpec *spec)
+{
+  colt_home_offer (client, id, spec);
 }
 
 static void
@@ -311,12 +332,14 @@
                          const struct ColtRequestSpec *spec),
            void *take_client)
 {
-  ColtJobWord *word = colt_job_word__unpack (NULL, job->size, job->body);
-  ColtSpecWord *spec_word
-      = colt_spec_word__unpack (NULL, word->spec.len, word->spec.data);
+  ColtJobWord *word;
+  ColtSpecWord *spec_word;
   int64_t now_us = colt_clock_monotonic_us ();
   struct ColtRequestSpec spec = { 0 };
 
+  word = colt_job_word__unpack (NULL, job->size, job->body);
+  spec_word = colt_spec_word__unpack (NULL, word->spec.len, word->spec.data);
+
   if (spec_word != NULL && colt_spec_read (spec_word, &spec, now_us))
     {
       if (word->deadline_wall_ms > 0)
@@ -358,6 +381,14 @@
   colt_instance_limits_written_off (instance->limits, server);
 }
 
+static bool
+is_led_ (const struct ColtInstanceJobs *jobs, const struct ColtJob *job)
+{
+  return colt_requests_shard_epoch (colt_home_requests (jobs->instance->home),
+                                    colt_id_shard (&job->id))
+         != 0;
+}
+
 /* A job that this instance leads is appended anew at half of the retention. */
 static bool
 renew_ (struct ColtInstanceJobs *jobs, struct ColtJob *job, int64_t now_us)
@@ -370,10 +401,6 @@
 
   if (now_us - job->appended_us < retention_us / 2)
     return false;
-  if (colt_requests_shard_epoch (colt_home_requests (instance->home),
-                                 colt_id_shard (&job->id))
-      == 0)
-    return false;
   item.kind = COLT_RECORD_JOB;
   randombytes_buf (item.id.bytes, sizeof item.id.bytes);
   item.body = job->body;
--- a/src/home/home_shards.c
+++ b/src/home/home_shards.c
@@ -392,6 +392,32 @@
  * A shard's history reaches back as far as the memory of every server of the
  * zone. Work on the log is taken up again once that is known.
  */
+void
+colt_home_offer (struct ColtHome *home,
+                 const struct ColtId *id,
+                 const struct ColtRequestSpec *spec)
+{
+  const struct ColtRequest *known = colt_requests_find (home->requests, id);
+  uint32_t shard = colt_id_shard (id);
+  enum ColtSubmitStatus status;
+  enum ColtReason reason;
+
+  if (known != NULL && !known->recovered)
+    return;
+  if (!home->history_known[shard]
+      || colt_requests_shard_epoch (home->requests, shard) == 0
+      || colt_shard_lead_unknown (home->lead, shard) > 0)
+    return;
+  status
+      = colt_requests_submit (home->requests, id, spec, false, 0,
+                              (uint32_t)(colt_clock_wall_us () / COLT_US_PER_S),
+                              colt_clock_monotonic_us (), &reason);
+  if (status == COLT_SUBMIT_UNKNOWN)
+    home->calls->stored_end (home->client, id, COLT_OUTCOME_UNKNOWN);
+  else if (status == COLT_SUBMIT_NOT_RUN && reason == COLT_REASON_DEADLINE)
+    home->calls->stored_end (home->client, id, COLT_OUTCOME_NOT_RUN);
+}
+
 void
 colt_home_learn_histories (struct ColtHome *home)
 {
@@ -427,11 +453,8 @@
            const struct ColtRequestSpec *spec)
 {
   struct ColtShardLoad *load = client;
-  enum ColtReason reason;
 
-  colt_requests_submit (load->home->requests, id, spec, false, 0,
-                        (uint32_t)(colt_clock_wall_us () / COLT_US_PER_S),
-                        load->now_us, &reason);
+  colt_home_offer (load->home, id, spec);
 }
 
 static void
--- a/src/wire/wire.c
+++ b/src/wire/wire.c
@@ -76,6 +76,8 @@
 
 static struct ColtWireLink *
 add_link_ (struct ColtWire *wire, uint32_t instance, bool dialled);
+static void forget_link_ (struct ColtWire *wire,
+                          const struct ColtWireLink *link);
 static void drop_link_ (struct ColtWireLink *link);
 static struct ColtWireLink *dial_ (struct ColtWire *wire,
                                    struct ColtWirePeer *peer);
@@ -288,11 +290,21 @@
   return link;
 }
 
+/* The next call to the peer opens a new connection. */
+static void
+forget_link_ (struct ColtWire *wire, const struct ColtWireLink *link)
+{
+  struct ColtWirePeer *peer
+      = g_hash_table_lookup (wire->peers, GUINT_TO_POINTER (link->instance));
+
+  if (peer != NULL && peer->link == link->handle)
+    peer->link = COLT_HANDLE_NONE;
+}
+
 static void
 drop_link_ (struct ColtWireLink *link)
 {
   struct ColtWire *wire;
-  struct ColtWirePeer *peer;
   enum ColtWireResult result;
   uint64_t handle;
 
@@ -302,9 +314,7 @@
   handle = link->handle;
   result = colt_connection_established (link->connection) ? COLT_WIRE_BROKEN
                                                           : COLT_WIRE_NOT_SENT;
-  peer = g_hash_table_lookup (wire->peers, GUINT_TO_POINTER (link->instance));
-  if (peer != NULL && peer->link == handle)
-    peer->link = COLT_HANDLE_NONE;
+  forget_link_ (wire, link);
   colt_connection_destroy (link->connection);
   colt_table_remove (wire->links, handle);
   end_calls_of_ (wire, handle, result);
@@ -428,7 +438,8 @@
 {
   struct ColtWireCall *call = arg;
   struct ColtWire *wire = call->wire;
-  struct ColtWireLink *link = colt_table_get (wire->links, call->link);
+  uint64_t handle = call->link;
+  struct ColtWireLink *link = colt_table_get (wire->links, handle);
   enum ColtWireResult result = COLT_WIRE_TIMED_OUT;
   bool silent;
 
@@ -440,9 +451,11 @@
            && (result == COLT_WIRE_NOT_SENT
                || colt_connection_last_received (link->connection)
                       < call->sent_us);
+  if (silent)
+    forget_link_ (wire, link);
   end_call_ (call, result, NULL, 0);
   if (silent)
-    drop_link_ (link);
+    drop_link_ (colt_table_get (wire->links, handle));
 }
 
 static bool
