Placement: order of lanes by size, bounded debts, gangs that keep room

Each release of room tried every waiting lane of every team again, so that a decision at 5,200 servers and 370 teams cost 18 times as much as at 48 and 6. Learned speeds and run times drifted apart together and refused work as too late; run times are now learned over all servers, as logarithms. A gang keeps the room it has found for a bounded time. A blocked large task was never looked at again before its room was free; it now has a server kept.

--- a/src/placement/admission.c
+++ b/src/placement/admission.c
@@ -63,7 +63,7 @@
                          const struct ColtPlacementTask *task,
                          int64_t now_us)
 {
-  double run_ms = colt_learned_late_run_ms (team, task);
+  double run_ms = colt_learned_short_run_ms (team, task);
 
   return task->deadline_us != COLT_TIME_NEVER
          && now_us + (int64_t)(run_ms * (double)COLT_US_PER_MS)
@@ -75,13 +75,10 @@
                      struct ColtWaiting *waiting,
                      enum ColtPlacementStatus status)
 {
-  struct ColtReservation *reservation
-      = colt_reservations_find (placement, &waiting->task.request);
   struct ColtGang *gang = waiting->gang;
   guint others = gang != NULL ? gang->members->len - 1 : 0;
 
-  if (reservation != NULL)
-    colt_reservations_drop (placement, reservation);
+  colt_reservations_drop_request (placement, &waiting->task.request);
   for (; others > 0; others--)
     shed_one_ (placement, g_ptr_array_index (gang->members, others), status);
   if (gang != NULL)
@@ -188,6 +185,6 @@
       || work->intervals < INTERVALS_SEEN_MIN || work->waiting == 0)
     return false;
   slack_us = (double)(task->deadline_us - now_us)
-             - colt_learned_late_run_ms (team, task) * (double)COLT_US_PER_MS;
+             - colt_learned_run_ms (team, task) * (double)COLT_US_PER_MS;
   return work->waiting * work->interval_us * 100 > slack_us * WAIT_PERCENT;
 }
--- a/src/placement/decide.c
+++ b/src/placement/decide.c
@@ -4,6 +4,8 @@
 
 /* Searches in one step, so that a decision takes a bounded time. */
 #define SEARCHES_MAX 256u
+/* When a large task that found no room is tried again in any case. */
+#define LARGE_RETRY_US (250 * COLT_US_PER_MS)
 /* How long a gang that found no room is left alone. */
 #define GANG_RETRY_US (10 * COLT_US_PER_MS)
 
@@ -16,18 +18,6 @@
   TRY_SHED     /* given up; the order may have changed */
 };
 
-static enum ColtTry try_level_ (struct ColtPlacement *placement,
-                                enum ColtLevel level,
-                                int64_t now_us);
-static enum ColtTry try_team_ (struct ColtPlacement *placement,
-                               struct ColtPlacementTeam *team,
-                               enum ColtLevel level,
-                               int64_t now_us);
-static struct ColtLane *choose_lane_ (struct ColtPlacement *placement,
-                                      const struct ColtPlacementTeam *team,
-                                      enum ColtLevel level,
-                                      int64_t now_us,
-                                      bool *later);
 static enum ColtTry try_lane_ (struct ColtPlacement *placement,
                                struct ColtLane *lane,
                                int64_t now_us);
@@ -62,25 +52,38 @@
 bool
 colt_decide (struct ColtPlacement *placement, int64_t now_us)
 {
-  int level;
+  struct ColtLane *lane;
 
   placement->searches = SEARCHES_MAX;
   placement->wake_us = COLT_TIME_NEVER;
   colt_reservations_expire (placement, now_us);
+  colt_gangs_expire (placement, now_us);
+  colt_buckets_resume (placement, now_us);
   if (placement->shares_stale)
     colt_teams_reorder_all (placement);
   placement->shares_stale = false;
-  for (level = 0; level < COLT_LEVEL_COUNT; level++)
+  colt_teams_balance (placement, now_us);
+  while ((lane = colt_buckets_choose (placement, now_us)) != NULL)
     {
-      enum ColtTry result;
+      enum ColtTry result = TRY_LATER;
 
-      do
-        result = try_level_ (placement, (enum ColtLevel)level, now_us);
-      while (result == TRY_SHED);
+      if (placement->searches == 0)
+        {
+          wake_at_ (placement, now_us);
+          return false;
+        }
+      if (now_us < lane->team->parked_until_us)
+        lane->retry_us = lane->team->parked_until_us;
+      else
+        result = try_lane_ (placement, lane, now_us);
       if (result == TRY_PLACED)
         return true;
-      if (result == TRY_LATER)
-        break;
+      if (result == TRY_BLOCKED)
+        lane->blocked = placement->generation;
+      if (result != TRY_LATER)
+        continue;
+      wake_at_ (placement, lane->retry_us);
+      colt_buckets_defer (placement, lane, lane->retry_us);
     }
   return false;
 }
@@ -91,110 +94,20 @@
                       int64_t now_us)
 {
   struct ColtPlacementChoice *choice = g_new0 (struct ColtPlacementChoice, 1);
-  struct ColtReservation *reservation
-      = colt_reservations_find (placement, &waiting->task.request);
+  struct ColtPlacedTask *placed = colt_placed_find (
+      placement, &waiting->task.request, waiting->task.index);
 
-  if (reservation != NULL)
-    colt_reservations_drop (placement, reservation);
+  colt_reservations_drop_request (placement, &waiting->task.request);
+  waiting->lane->team->reserve_pause_us = 0;
   choice->request = waiting->task.request;
   choice->index = waiting->task.index;
-  choice->server
-      = colt_placed_find (placement, &choice->request, choice->index)->server;
+  choice->server = placed->server;
+  colt_placed_set_held (placed, false);
   g_queue_push_tail (&placement->choices, choice);
   colt_learn_start (waiting->lane->team, waiting->lane->kind, now_us);
   colt_queue_remove (placement, waiting);
 }
 
-/* Teams come in the order of their shares. */
-static enum ColtTry
-try_level_ (struct ColtPlacement *placement,
-            enum ColtLevel level,
-            int64_t now_us)
-{
-  GSequenceIter *iter = g_sequence_get_begin_iter (placement->orders[level]);
-
-  for (; !g_sequence_iter_is_end (iter); iter = g_sequence_iter_next (iter))
-    {
-      struct ColtPlacementTeam *team = g_sequence_get (iter);
-      enum ColtTry result;
-
-      if (now_us < team->parked_until_us)
-        {
-          wake_at_ (placement, team->parked_until_us);
-          continue;
-        }
-      if (team->blocked[level] == placement->generation)
-        continue;
-      result = try_team_ (placement, team, level, now_us);
-      if (result == TRY_PLACED || result == TRY_SHED)
-        return result;
-      if (placement->searches == 0)
-        {
-          wake_at_ (placement, now_us);
-          return TRY_LATER;
-        }
-      if (result == TRY_BLOCKED)
-        team->blocked[level] = placement->generation;
-    }
-  return TRY_BLOCKED;
-}
-
-static enum ColtTry
-try_team_ (struct ColtPlacement *placement,
-           struct ColtPlacementTeam *team,
-           enum ColtLevel level,
-           int64_t now_us)
-{
-  struct ColtLane *lane;
-  bool later = false;
-
-  while ((lane = choose_lane_ (placement, team, level, now_us, &later)) != NULL
-         && placement->searches > 0)
-    {
-      enum ColtTry result = try_lane_ (placement, lane, now_us);
-
-      if (result == TRY_PLACED || result == TRY_SHED)
-        return result;
-      if (result == TRY_BLOCKED)
-        lane->blocked = placement->generation;
-    }
-  return later ? TRY_LATER : TRY_BLOCKED;
-}
-
-/* The lane whose head comes first, of those that may be tried now. */
-static struct ColtLane *
-choose_lane_ (struct ColtPlacement *placement,
-              const struct ColtPlacementTeam *team,
-              enum ColtLevel level,
-              int64_t now_us,
-              bool *later)
-{
-  struct ColtLane *first = NULL;
-  int64_t first_key = INT64_MAX;
-  guint i;
-
-  for (i = 0; i < team->lanes->len; i++)
-    {
-      struct ColtLane *lane = g_ptr_array_index (team->lanes, i);
-      int64_t key;
-
-      if (lane->level != level || lane->blocked == placement->generation)
-        continue;
-      if (now_us < lane->retry_us)
-        {
-          wake_at_ (placement, lane->retry_us);
-          *later = true;
-          continue;
-        }
-      key = colt_lane_key (placement, lane);
-      if (first != NULL && key >= first_key)
-        continue;
-      first = lane;
-      first_key = key;
-    }
-  return first;
-}
-
 static enum ColtTry
 try_lane_ (struct ColtPlacement *placement,
            struct ColtLane *lane,
@@ -253,7 +166,8 @@
       colt_decide_hand_out (placement, waiting, now_us);
       return TRY_PLACED;
     }
-  colt_reservations_make (&search);
+  waiting->lane->large = colt_reservations_make (&search);
+  waiting->lane->retry_us = now_us + LARGE_RETRY_US;
   if (waiting->task.avoid == 0)
     return TRY_BLOCKED;
   waiting->lane->retry_us = now_us + GANG_RETRY_US;
--- a/src/placement/learning.c
+++ b/src/placement/learning.c
@@ -1,3 +1,5 @@
+#include <math.h>
+
 #include "placement_private.h"
 
 /* Weight of a new observation. */
@@ -29,20 +31,20 @@
   if (task->kind == COLT_WORK_SERVICE)
     return 0;
   if (task->run_ms > 0 && work->declared_seen >= WORK_SEEN_MIN)
-    return (double)task->run_ms * work->run_ratio;
+    return (double)task->run_ms * exp (work->log_ratio);
   if (task->run_ms > 0)
     return (double)task->run_ms;
-  return work->seen >= WORK_SEEN_MIN ? work->run_ms : 0;
+  return work->seen >= WORK_SEEN_MIN ? exp (work->log_run_ms) : 0;
 }
 
 double
-colt_learned_late_run_ms (const struct ColtPlacementTeam *team,
-                          const struct ColtPlacementTask *task)
+colt_learned_short_run_ms (const struct ColtPlacementTeam *team,
+                           const struct ColtPlacementTask *task)
 {
   const struct ColtLearnedWork *work = &team->work[task->kind];
   double run_ms = colt_learned_run_ms (team, task);
 
-  return work->seen >= WORK_SEEN_MIN ? run_ms * (1 + work->deviation) : run_ms;
+  return work->seen >= WORK_SEEN_MIN ? run_ms / (1 + work->deviation) : run_ms;
 }
 
 struct ColtResources
@@ -68,7 +70,8 @@
   double told = server->digest.speed_permille;
 
   if (server->speeds[kind].seen >= SPEED_SEEN_MIN)
-    return server->speeds[kind].permille;
+    return CLAMP (COLT_SPEED_NORMAL * exp (server->speeds[kind].log_speed),
+                  SPEED_MIN, SPEED_MAX);
   return told > 0 ? CLAMP (told, SPEED_MIN, SPEED_MAX) : COLT_SPEED_NORMAL;
 }
 
@@ -81,34 +84,27 @@
   struct ColtLearnedWork *work = &team->work[task->kind];
   double expected_ms = colt_learned_run_ms (team, task);
   double run_ms = (double)MAX (report->run_ms, 1);
-  double speed = COLT_SPEED_NORMAL;
 
   if (report->state != COLT_TASK_FINISHED || task->kind == COLT_WORK_SERVICE)
     return;
-  if (server != NULL)
+  if (server != NULL && expected_ms > 0 && work->seen >= WORK_SEEN_MIN)
     {
-      struct ColtSpeed *learned = &server->speeds[task->kind];
-
-      speed = colt_learned_speed (server, task->kind);
-      if (expected_ms > 0 && work->seen >= WORK_SEEN_MIN)
-        learn_ (&learned->permille,
-                CLAMP (expected_ms / run_ms * COLT_SPEED_NORMAL, SPEED_MIN,
-                       SPEED_MAX),
-                learned->seen++, LEARNING_RATE);
+      struct ColtSpeed *speed = &server->speeds[task->kind];
+
+      learn_ (&speed->log_speed, log (expected_ms / run_ms), speed->seen++,
+              LEARNING_RATE);
     }
-  run_ms *= speed / COLT_SPEED_NORMAL;
   if (expected_ms > 0)
     learn_ (&work->deviation, ABS (run_ms - expected_ms) / expected_ms,
             work->seen, LEARNING_RATE);
-  learn_ (&work->run_ms, run_ms, work->seen, LEARNING_RATE);
+  learn_ (&work->log_run_ms, log (run_ms), work->seen, LEARNING_RATE);
   learn_ (&work->cores_ratio, ratio_of_ (report, task, COLT_RESOURCE_CORES),
           work->seen, LEARNING_RATE);
   learn_ (&work->memory_ratio, ratio_of_ (report, task, COLT_RESOURCE_MEMORY),
           work->seen, LEARNING_RATE);
   work->seen++;
   if (task->run_ms > 0)
-    learn_ (&work->run_ratio,
-            CLAMP (run_ms / (double)task->run_ms, RATIO_MIN, RATIO_MAX),
+    learn_ (&work->log_ratio, log (run_ms / (double)task->run_ms),
             work->declared_seen++, LEARNING_RATE);
 }
 
--- a/src/placement/placed.c
+++ b/src/placement/placed.c
@@ -52,6 +52,9 @@
   colt_resources_subtract (&server->digest.free, &placed->expected);
   colt_servers_index (placement, server, false);
   colt_resources_add (&team->own, &placed->declared);
+  placed->high = colt_teams_is_high (placement, placed->kind);
+  if (placed->high)
+    colt_resources_add (&team->high, &placed->declared);
   colt_teams_reorder (placement, team);
 }
 
@@ -74,9 +77,12 @@
 {
   struct ColtPlacementTeam *team = placed->team;
 
+  colt_placed_set_held (placed, false);
   g_hash_table_remove (placement->placed, placed);
   count_spread_ (placement, placed, -1);
   colt_resources_subtract (&team->own, &placed->declared);
+  if (placed->high)
+    colt_resources_subtract (&team->high, &placed->declared);
   colt_teams_reorder (placement, team);
   if (placed->on != NULL && !keep_room)
     give_back_ (placement, placed);
@@ -84,6 +90,27 @@
   g_free (placed);
 }
 
+void
+colt_placed_set_held (struct ColtPlacedTask *placed, bool held)
+{
+  struct ColtPlacementServer *server = placed->on;
+
+  if (placed->held == held)
+    return;
+  placed->held = held;
+  if (server == NULL)
+    return;
+  placed->digest = server->digests;
+  if (held)
+    {
+      server->held_tasks++;
+      colt_resources_add (&server->held, &placed->expected);
+      return;
+    }
+  server->held_tasks--;
+  colt_resources_subtract (&server->held, &placed->expected);
+}
+
 void
 colt_placed_leave_server (struct ColtPlacementServer *server)
 {
--- a/src/placement/placement.c
+++ b/src/placement/placement.c
@@ -36,6 +36,7 @@
 
   placement->random = g_rand_new_with_seed_array (seeds, G_N_ELEMENTS (seeds));
   placement->generation = 1;
+  placement->full_share = 1;
   placement->wake_us = COLT_TIME_NEVER;
   memcpy (placement->rules, default_rules, sizeof default_rules);
   placement->servers = g_hash_table_new (g_direct_hash, g_direct_equal);
@@ -48,8 +49,8 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, colt_teams_free);
   placement->weights
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  for (i = 0; i < COLT_LEVEL_COUNT; i++)
-    placement->orders[i] = g_sequence_new (NULL);
+  placement->buckets = g_ptr_array_new_with_free_func (colt_buckets_free);
+  placement->deferred = g_sequence_new (NULL);
   placement->waiting = g_hash_table_new_full (colt_task_key_hash,
                                               colt_task_key_equal, NULL, NULL);
   placement->gangs = g_hash_table_new_full (
@@ -89,8 +90,8 @@
   g_hash_table_unref (placement->waiting);
   g_hash_table_unref (placement->teams);
   g_hash_table_unref (placement->weights);
-  for (i = 0; i < COLT_LEVEL_COUNT; i++)
-    g_sequence_free (placement->orders[i]);
+  g_ptr_array_unref (placement->buckets);
+  g_sequence_free (placement->deferred);
   for (i = 0; i < COLT_GROUP_COUNT; i++)
     colt_fit_tree_destroy (placement->groups[i]);
   colt_fit_tree_destroy (placement->reserve);
@@ -137,7 +138,7 @@
       placement->rules[i].priority = work->priority;
     }
   placement->shares_stale = true;
-  placement->generation++;
+  placement->generation += COLT_GAINS_MAX;
 }
 
 enum ColtPlacementStatus
@@ -161,13 +162,10 @@
 {
   struct ColtWaiting *waiting = colt_queue_find (placement, request, index);
   struct ColtPlacedTask *placed;
-  struct ColtReservation *reservation;
 
   if (waiting != NULL)
     {
-      reservation = colt_reservations_find (placement, request);
-      if (reservation != NULL)
-        colt_reservations_drop (placement, reservation);
+      colt_reservations_drop_request (placement, request);
       colt_queue_remove (placement, waiting);
       return;
     }
@@ -359,5 +357,7 @@
 {
   server->closed = true;
   colt_reservations_drop_server (placement, server);
+  if (server->held_tasks > 0)
+    colt_gangs_release (placement, placement->holder);
   colt_servers_index (placement, server, false);
 }
--- a/src/placement/private/placement_private.h
+++ b/src/placement/private/placement_private.h
@@ -19,6 +19,8 @@
 #define COLT_GROUP_COUNT (COLT_GROUP_PLAIN_COUNT + COLT_GROUP_ACCELERATED_COUNT)
 /** Servers that a search compares. */
 #define COLT_CANDIDATES_MAX 24u
+/** Gains of servers that are remembered. */
+#define COLT_GAINS_MAX 64u
 /** Head start in the queue that a step of priority is worth. */
 #define COLT_PRIORITY_STEP_US (5 * COLT_US_PER_S)
 
@@ -30,6 +32,10 @@
   COLT_SERVER_CLASS_COUNT /**< number of classes, not a class */
 };
 
+/** Kinds of work from this priority on go before the rest, as long as they
+ * alone stay within their team's share. */
+#define COLT_PRIORITY_HIGH 5
+
 /** Work that goes first, and the rest. */
 enum ColtLevel
 {
@@ -50,6 +56,8 @@
   uint32_t server;
   uint32_t rack;
   enum ColtWorkKind kind;
+  bool high; /**< of a kind with a high priority */
+  bool held; /**< not handed out: its gang waits for more room */
   struct ColtPlacementTeam *team;
   struct ColtResources declared;
   struct ColtResources expected;
@@ -60,10 +68,10 @@
   struct ColtPlacedTask *next; /**< on the same server */
 };
 
-/** Speed of a server for a kind of work, in thousandths. */
+/** Speed of a server for a kind of work. */
 struct ColtSpeed
 {
-  double permille;
+  double log_speed; /**< mean logarithm, 0 for normal speed */
   unsigned seen;
 };
 
@@ -74,6 +82,8 @@
   uint64_t digests;               /**< how many have come */
   struct ColtResources usable;    /**< free for ordinary work */
   bool closed;                    /**< takes nothing until its next digest */
+  unsigned held_tasks;            /**< of a gang that waits for more room */
+  struct ColtResources held;      /**< by these; its owner doesn't know */
   struct ColtFitTree *group;      /**< NULL: takes no work */
   uint32_t positions[COLT_TREE_USE_COUNT];
   struct ColtSpeed speeds[COLT_WORK_KIND_COUNT];
@@ -84,8 +94,8 @@
 /** What is learned of a team's work of a kind. */
 struct ColtLearnedWork
 {
-  double run_ms;       /**< mean, at normal speed */
-  double run_ratio;    /**< real to declared run time */
+  double log_run_ms;   /**< mean logarithm, over all servers */
+  double log_ratio;    /**< mean logarithm of real to declared run time */
   double deviation;    /**< mean absolute, as part of the run time */
   double cores_ratio;  /**< used to declared */
   double memory_ratio; /**< used to declared */
@@ -111,9 +121,27 @@
   enum ColtWorkKind kind;
   enum ColtLevel level;
   uint32_t size_class;
-  GSequence *tasks; /**< of struct ColtWaiting, by arrival */
-  uint64_t blocked; /**< generation at which its head found no server */
-  int64_t retry_us; /**< not tried before */
+  GSequence *tasks;         /**< of struct ColtWaiting, by arrival */
+  uint64_t blocked;         /**< generation at which its head found no server */
+  struct ColtWaiting *head; /**< the task that goes first */
+  bool high;                /**< of a kind with a high priority */
+  int64_t key;              /**< of its head, as colt_lane_key() has it */
+  struct ColtBucket *bucket;
+  GSequenceIter *order;    /**< in its bucket, NULL while deferred */
+  GSequenceIter *deferred; /**< NULL unless deferred */
+  int64_t retry_us;        /**< until when it is deferred */
+  bool large;              /**< its head may have a server kept */
+  bool moving;
+};
+
+/** Lanes of all teams with tasks of like size. */
+struct ColtBucket
+{
+  enum ColtLevel level;
+  uint32_t size_class;
+  GSequence *lanes; /**< of struct ColtLane, by the shares of their teams */
+  uint64_t blocked; /**< generation at which no lane of it was open */
+  int64_t retry_us; /**< when a large head is tried nevertheless */
 };
 
 /** Tasks that wait to be placed together. */
@@ -123,6 +151,8 @@
   GPtrArray *members; /**< of struct ColtWaiting */
   uint32_t tasks;     /**< of the whole request */
   int64_t since_us;   /**< when its first task was added */
+  uint32_t held;      /**< members that have a server, from the first */
+  int64_t hold_until_us;
 };
 
 /** A task that waits. */
@@ -143,25 +173,28 @@
   int64_t weight;
   struct ColtResources own;
   struct ColtResources others;
-  GHashTable *reports; /**< instance -> struct ColtUsageReport */
-  double share;        /**< dominant share by weight */
+  GHashTable *reports;       /**< instance -> struct ColtUsageReport */
+  struct ColtResources high; /**< part of own that has a high priority */
+  double share;              /**< dominant share by weight */
+  double debt;               /**< what it is owed of its share, within bounds */
+  double order;              /**< share less debt: the lowest goes first */
+  bool high_first; /**< its work of high priority goes before others' */
   GPtrArray *lanes;
-  GSequenceIter *places[COLT_LEVEL_COUNT]; /**< NULL: nothing waits */
   uint32_t waiting[COLT_LEVEL_COUNT];
-  uint64_t blocked[COLT_LEVEL_COUNT];
   int64_t parked_until_us;
   int64_t backoff_us;
-  int64_t reserve_after_us; /**< no reservation before */
+  int64_t reserve_after_us; /**< keeps no servers before */
+  int64_t reserve_pause_us; /**< doubles with each attempt in vain */
   struct ColtLearnedWork work[COLT_WORK_KIND_COUNT];
 };
 
-/** Servers that are kept for a task or a gang that found no room. */
+/** A server that is kept for a task that found no room. */
 struct ColtReservation
 {
   struct ColtId request;
   struct ColtPlacementTeam *team;
-  GPtrArray *servers; /**< of struct ColtPlacementServer */
-  int64_t ready_us;   /**< expected; other work must end before */
+  struct ColtPlacementServer *server;
+  int64_t ready_us; /**< expected; other work must end before */
   int64_t until_us;
 };
 
@@ -192,17 +225,25 @@
   int64_t grown_us;           /**< when the last new server came */
   struct ColtResources total; /**< capacity of all servers */
   bool shares_stale;          /**< the total or a weight has changed */
+  int64_t balanced_us;        /**< last colt_teams_balance() */
+  double full_share;          /**< of weight 1, if active teams share all */
+  struct ColtGang *holder;    /**< gang that keeps room, or NULL */
 
   GHashTable *teams; /**< name -> struct ColtPlacementTeam */
   uint32_t next_team;
-  GSequence *orders[COLT_LEVEL_COUNT]; /**< of teams, by share */
-  GHashTable *weights;                 /**< name -> int64_t, of the bundle */
+  GHashTable *weights; /**< name -> int64_t, of the bundle */
+
+  GPtrArray *buckets;  /**< of struct ColtBucket */
+  GSequence *deferred; /**< of struct ColtLane, by time */
+  /** What servers had free that gained, by generation. */
+  struct ColtResources gains[COLT_GAINS_MAX];
 
   GHashTable *waiting; /**< task -> struct ColtWaiting */
   GHashTable *gangs;   /**< request -> struct ColtGang */
   GHashTable *placed;  /**< task -> struct ColtPlacedTask */
   GHashTable *spread;  /**< team and rack or server -> count */
   GPtrArray *reservations;
+  int64_t reserve_after_us; /**< no further reservation before */
   GQueue choices; /**< of struct ColtPlacementChoice, to be handed out */
   GQueue shed;    /**< of struct ColtShedTask */
   int64_t wake_us;
@@ -255,8 +296,9 @@
 /* learning.c: run times, sizes and speeds */
 double colt_learned_run_ms (const struct ColtPlacementTeam *team,
                             const struct ColtPlacementTask *task);
-double colt_learned_late_run_ms (const struct ColtPlacementTeam *team,
-                                 const struct ColtPlacementTask *task);
+/** A run time that the task may well stay below. */
+double colt_learned_short_run_ms (const struct ColtPlacementTeam *team,
+                                  const struct ColtPlacementTask *task);
 struct ColtResources colt_learned_demand (const struct ColtPlacementTeam *team,
                                           const struct ColtPlacementTask *task);
 double colt_learned_speed (const struct ColtPlacementServer *server,
@@ -278,15 +320,36 @@
 void colt_teams_reorder (struct ColtPlacement *placement,
                          struct ColtPlacementTeam *team);
 void colt_teams_reorder_all (struct ColtPlacement *placement);
-void colt_teams_add_waiting (struct ColtPlacement *placement,
-                             struct ColtPlacementTeam *team,
-                             enum ColtLevel level,
-                             int change);
+/** From time to time: settles what teams are owed. */
+void colt_teams_balance (struct ColtPlacement *placement, int64_t now_us);
+bool colt_teams_is_high (const struct ColtPlacement *placement,
+                         enum ColtWorkKind kind);
 void colt_teams_park (struct ColtPlacement *placement,
                       struct ColtPlacementTeam *team,
                       int64_t now_us);
+/** A team kept servers in vain; it keeps none for a while. */
+void colt_teams_pause (struct ColtPlacementTeam *team, int64_t now_us);
 void colt_teams_free (gpointer data);
 
+/* buckets.c: the order in which lanes are tried */
+void colt_buckets_add (struct ColtPlacement *placement, struct ColtLane *lane);
+void colt_buckets_remove (struct ColtLane *lane);
+/** Sets a team's place in the order. */
+void colt_buckets_set_order (struct ColtPlacementTeam *team,
+                             double order,
+                             bool high_first);
+void colt_buckets_defer (struct ColtPlacement *placement,
+                         struct ColtLane *lane,
+                         int64_t until_us);
+void colt_buckets_resume (struct ColtPlacement *placement, int64_t now_us);
+/** A server has more free than before. */
+void colt_buckets_gain (struct ColtPlacement *placement,
+                        const struct ColtResources *free);
+/** Returns the lane to be tried next, or NULL if all are blocked. */
+struct ColtLane *colt_buckets_choose (struct ColtPlacement *placement,
+                                      int64_t now_us);
+void colt_buckets_free (gpointer data);
+
 /* placed.c: tasks that were placed here */
 void colt_placed_add (struct ColtPlacement *placement,
                       const struct ColtSearch *search,
@@ -298,6 +361,8 @@
 void colt_placed_remove (struct ColtPlacement *placement,
                          struct ColtPlacedTask *placed,
                          bool keep_room);
+/** Marks a task whose gang waits for more room, until it is handed out. */
+void colt_placed_set_held (struct ColtPlacedTask *placed, bool held);
 void colt_placed_leave_server (struct ColtPlacementServer *server);
 /** Tasks of a team on a rack or on a server that are to be spread. */
 unsigned colt_spread_on_rack (const struct ColtPlacement *placement,
@@ -337,15 +402,21 @@
 bool colt_gangs_place (struct ColtPlacement *placement,
                        struct ColtWaiting *waiting,
                        int64_t now_us);
+/** Lets go what a gang has kept for too long. */
+void colt_gangs_expire (struct ColtPlacement *placement, int64_t now_us);
+/** Lets go what a gang keeps, before it is tried from the beginning. */
+void colt_gangs_release (struct ColtPlacement *placement,
+                         struct ColtGang *gang);
 void colt_gangs_free (gpointer data);
 
 /* reservations.c: servers kept for what found no room */
-void colt_reservations_make (struct ColtSearch *search);
-struct ColtReservation *
-colt_reservations_find (const struct ColtPlacement *placement,
-                        const struct ColtId *request);
+/** Keeps a server for a task; returns whether it may have one, now or later. */
+bool colt_reservations_make (struct ColtSearch *search);
 void colt_reservations_drop (struct ColtPlacement *placement,
                              struct ColtReservation *reservation);
+/** Drops what is kept for a request. */
+void colt_reservations_drop_request (struct ColtPlacement *placement,
+                                     const struct ColtId *request);
 void colt_reservations_drop_server (struct ColtPlacement *placement,
                                     struct ColtPlacementServer *server);
 void colt_reservations_expire (struct ColtPlacement *placement, int64_t now_us);
--- a/src/placement/queue.c
+++ b/src/placement/queue.c
@@ -1,3 +1,5 @@
+#include <assert.h>
+
 #include "placement_private.h"
 
 /* Sizes of tasks in steps of the power of two, from these. */
@@ -12,7 +14,7 @@
                                    const struct ColtPlacementTask *task);
 static gint compare_waiting_ (gconstpointer a, gconstpointer b, gpointer data);
 static void put_in_lane_ (struct ColtWaiting *waiting);
-static void unblock_ (struct ColtLane *lane);
+static void refresh_ (struct ColtPlacement *placement, struct ColtLane *lane);
 
 struct ColtWaiting *
 colt_queue_find (const struct ColtPlacement *placement,
@@ -46,11 +48,11 @@
   if (waiting->gang == NULL
       || g_ptr_array_index (waiting->gang->members, 0) == waiting)
     put_in_lane_ (waiting);
-  unblock_ (waiting->lane);
   g_hash_table_insert (placement->waiting, waiting, waiting);
   if (work->waiting++ == 0)
     work->last_start_us = now_us;
-  colt_teams_add_waiting (placement, team, waiting->lane->level, 1);
+  team->waiting[waiting->lane->level]++;
+  refresh_ (placement, waiting->lane);
 }
 
 void
@@ -62,25 +64,29 @@
 
   g_hash_table_remove (placement->waiting, waiting);
   team->work[lane->kind].waiting--;
-  colt_teams_add_waiting (placement, team, lane->level, -1);
+  team->waiting[lane->level]--;
   if (waiting->gang != NULL)
     heir = colt_gangs_remove (placement, waiting);
+  if (lane->head == waiting)
+    lane->head = heir;
   if (waiting->place != NULL)
+    g_sequence_remove (waiting->place);
+  if (waiting->place != NULL && heir != NULL)
+    put_in_lane_ (heir);
+  g_free (waiting);
+  if (!g_sequence_is_empty (lane->tasks))
     {
-      unblock_ (lane);
-      g_sequence_remove (waiting->place);
-      if (heir != NULL)
-        put_in_lane_ (heir);
+      refresh_ (placement, lane);
+      return;
     }
-  g_free (waiting);
-  if (g_sequence_is_empty (lane->tasks))
-    g_ptr_array_remove_fast (team->lanes, lane);
+  colt_buckets_remove (lane);
+  g_ptr_array_remove_fast (team->lanes, lane);
 }
 
 struct ColtWaiting *
 colt_lane_head (const struct ColtLane *lane)
 {
-  return g_sequence_get (g_sequence_get_begin_iter (lane->tasks));
+  return lane->head;
 }
 
 int64_t
@@ -168,11 +174,19 @@
                                              compare_waiting_, NULL);
 }
 
-/* The head has changed, so that it has to be tried. */
+/* If another task is at the head, it has to be tried. */
 static void
-unblock_ (struct ColtLane *lane)
+refresh_ (struct ColtPlacement *placement, struct ColtLane *lane)
 {
+  struct ColtWaiting *head
+      = g_sequence_get (g_sequence_get_begin_iter (lane->tasks));
+
+  assert (head != NULL);
+  if (lane->head == head && head->gang == NULL)
+    return;
+  lane->head = head;
   lane->blocked = 0;
-  lane->retry_us = 0;
-  lane->team->blocked[lane->level] = 0;
+  lane->large = false;
+  colt_buckets_remove (lane);
+  colt_buckets_add (placement, lane);
 }
--- a/src/placement/reservations.c
+++ b/src/placement/reservations.c
@@ -5,103 +5,93 @@
 /* Reservations at a time: one for so many servers, within these bounds. */
 #define SERVERS_PER_RESERVATION 12u
 #define RESERVATIONS_MAX 8u
-/* How long a reservation is held, and how long its team then has none. */
-#define HOLD_US (30 * COLT_US_PER_S)
-#define PAUSE_US (10 * COLT_US_PER_S)
+/* How long a reservation is held: twice as long as is foretold, within
+ * bounds; or this long, if nothing can be foretold. */
+#define HOLD_MIN_US (30 * COLT_US_PER_S)
+#define HOLD_MAX_US (300 * COLT_US_PER_S)
+#define HOLD_UNKNOWN_US (120 * COLT_US_PER_S)
+/* Time between two reservations, for what it costs to choose a server. */
+#define INTERVAL_US (20 * COLT_US_PER_MS)
 /* How long a task waits before servers are kept for it. */
 #define PATIENCE_US (100 * COLT_US_PER_MS)
 /* A task is large from this part of an average server on. */
 #define LARGE_PART 4
-/* Kept servers that a short task looks at. */
-#define BACKFILL_SERVERS_MAX 16u
 /* Placed tasks of a server that are looked at to foretell its free amounts. */
 #define RELEASES_MAX 64u
 /* What an expected run time is multiplied by where it must not be exceeded. */
 #define SAFETY 1.5
 
 static bool deserves_ (const struct ColtSearch *search);
+static bool is_gang_of_ (const struct ColtSearch *search,
+                         const struct ColtReservation *reservation);
 static bool is_large_ (const struct ColtSearch *search);
-static uint32_t tasks_waiting_ (const struct ColtSearch *search);
 static struct ColtPlacementServer *
 choose_server_ (const struct ColtSearch *search, int64_t *ready_us);
 static bool foretell_ (const struct ColtPlacementServer *server,
                        const struct ColtResources *demand,
                        int64_t now_us,
                        int64_t *ready_us);
-static uint32_t holds_ (const struct ColtPlacementServer *server,
-                        const struct ColtResources *demand);
 static gint compare_ends_ (gconstpointer a, gconstpointer b);
 static bool leaves_in_time_ (const struct ColtSearch *search,
                              const struct ColtPlacementServer *server,
                              int64_t ready_us);
 
-void
+bool
 colt_reservations_make (struct ColtSearch *search)
 {
   struct ColtPlacement *placement = search->placement;
+  struct ColtPlacementServer *server;
   struct ColtReservation *reservation;
-  uint32_t missing = tasks_waiting_ (search);
-  uint32_t limit = g_hash_table_size (placement->servers);
+  int64_t ready_us = search->now_us;
 
+  if (!is_large_ (search))
+    return false;
   if (!deserves_ (search))
-    return;
+    return true;
+  placement->reserve_after_us = search->now_us + INTERVAL_US;
+  server = choose_server_ (search, &ready_us);
+  if (server == NULL)
+    return true;
   reservation = g_new0 (struct ColtReservation, 1);
   reservation->request = search->task->request;
   reservation->team = colt_teams_get (placement, search->task->team);
-  reservation->servers = g_ptr_array_new ();
-  reservation->until_us = search->now_us + HOLD_US;
+  reservation->server = server;
+  reservation->ready_us = ready_us;
+  reservation->until_us
+      = search->now_us
+        + (ready_us > search->now_us ? CLAMP (2 * (ready_us - search->now_us),
+                                              HOLD_MIN_US, HOLD_MAX_US)
+                                     : HOLD_UNKNOWN_US);
   g_ptr_array_add (placement->reservations, reservation);
-  while (missing > 0 && reservation->servers->len < limit)
-    {
-      int64_t ready_us = search->now_us;
-      struct ColtPlacementServer *server = choose_server_ (search, &ready_us);
-
-      if (server == NULL)
-        break;
-      server->reservation = reservation;
-      g_ptr_array_add (reservation->servers, server);
-      reservation->ready_us = MAX (reservation->ready_us, ready_us);
-      colt_servers_index (placement, server, false);
-      missing -= MIN (missing, holds_ (server, &search->demand));
-    }
-  if (missing > 0)
-    colt_reservations_drop (placement, reservation);
+  server->reservation = reservation;
+  colt_servers_index (placement, server, false);
+  return true;
 }
 
-struct ColtReservation *
-colt_reservations_find (const struct ColtPlacement *placement,
-                        const struct ColtId *request)
+void
+colt_reservations_drop (struct ColtPlacement *placement,
+                        struct ColtReservation *reservation)
 {
-  guint i;
-
-  for (i = 0; i < placement->reservations->len; i++)
-    {
-      struct ColtReservation *reservation
-          = g_ptr_array_index (placement->reservations, i);
-
-      if (colt_id_equal (&reservation->request, request))
-        return reservation;
-    }
-  return NULL;
+  g_ptr_array_remove_fast (placement->reservations, reservation);
+  reservation->server->reservation = NULL;
+  colt_servers_index (placement, reservation->server, true);
+  g_free (reservation);
 }
 
 void
-colt_reservations_drop (struct ColtPlacement *placement,
-                        struct ColtReservation *reservation)
+colt_reservations_drop_request (struct ColtPlacement *placement,
+                                const struct ColtId *request)
 {
-  guint i;
+  guint i = placement->reservations->len;
 
-  g_ptr_array_remove_fast (placement->reservations, reservation);
-  for (i = 0; i < reservation->servers->len; i++)
+  while (i-- > 0)
     {
-      struct ColtPlacementServer *server
-          = g_ptr_array_index (reservation->servers, i);
+      struct ColtReservation *reservation
+          = g_ptr_array_index (placement->reservations, i);
 
-      server->reservation = NULL;
-      colt_servers_index (placement, server, true);
+      if (colt_id_equal (&reservation->request, request))
+        colt_reservations_drop (placement, reservation);
     }
-  g_ptr_array_unref (reservation->servers);
-  g_free (reservation);
 }
 
 void
@@ -128,7 +118,7 @@
           i++;
           continue;
         }
-      reservation->team->reserve_after_us = now_us + PAUSE_US;
+      colt_teams_pause (reservation->team, now_us);
       colt_reservations_drop (placement, reservation);
     }
 }
@@ -138,7 +128,6 @@
 {
   const struct ColtPlacement *placement = search->placement;
   guint i;
-  guint j;
 
   if (search->run_ms <= 0)
     return NULL;
@@ -146,19 +135,13 @@
     {
       const struct ColtReservation *reservation
           = g_ptr_array_index (placement->reservations, i);
-      guint count = MIN (reservation->servers->len, BACKFILL_SERVERS_MAX);
+      struct ColtPlacementServer *server = reservation->server;
 
-      for (j = 0; j < count; j++)
-        {
-          struct ColtPlacementServer *server
-              = g_ptr_array_index (reservation->servers, j);
-
-          if (colt_servers_take_work (server)
-              && server->digest.server != search->task->avoid
-              && colt_resources_fit (&search->demand, &server->usable)
-              && leaves_in_time_ (search, server, reservation->ready_us))
-            return server;
-        }
+      if (colt_servers_take_work (server)
+          && server->digest.server != search->task->avoid
+          && colt_resources_fit (&search->demand, &server->usable)
+          && leaves_in_time_ (search, server, reservation->ready_us))
+        return server;
     }
   return NULL;
 }
@@ -167,15 +150,14 @@
 deserves_ (const struct ColtSearch *search)
 {
   const struct ColtPlacement *placement = search->placement;
-  uint32_t servers = g_hash_table_size (placement->servers);
-  uint32_t most
-      = CLAMP (servers / SERVERS_PER_RESERVATION, 1, RESERVATIONS_MAX);
+  enum ColtServerClass of = colt_search_class (search);
+  uint32_t servers = colt_fit_tree_count (placement->capacities[of]);
+  uint32_t count = 0;
   guint i;
 
-  if (placement->reservations->len >= most
+  if (search->now_us < placement->reserve_after_us
       || search->now_us < search->team->reserve_after_us
-      || search->now_us < search->task->arrived_us + PATIENCE_US
-      || !is_large_ (search))
+      || search->now_us < search->task->arrived_us + PATIENCE_US)
     return false;
   for (i = 0; i < placement->reservations->len; i++)
     {
@@ -183,10 +165,20 @@
           = g_ptr_array_index (placement->reservations, i);
 
       if (reservation->team == search->team
-          || colt_id_equal (&reservation->request, &search->task->request))
+          && !is_gang_of_ (search, reservation))
         return false;
+      count += colt_servers_class (&reservation->server->digest.capacity) == of;
     }
-  return true;
+  return count < CLAMP (servers / SERVERS_PER_RESERVATION, 1, RESERVATIONS_MAX);
+}
+
+/* A gang may have several servers kept. */
+static bool
+is_gang_of_ (const struct ColtSearch *search,
+             const struct ColtReservation *reservation)
+{
+  return search->task->kind == COLT_WORK_GANG
+         && colt_id_equal (&reservation->request, &search->task->request);
 }
 
 static bool
@@ -206,15 +198,6 @@
   return false;
 }
 
-static uint32_t
-tasks_waiting_ (const struct ColtSearch *search)
-{
-  const struct ColtGang *gang
-      = g_hash_table_lookup (search->placement->gangs, &search->task->request);
-
-  return gang != NULL ? gang->members->len : 1;
-}
-
 /* Of a sample of servers that are large enough, the one that is expected to
  * have room first. */
 static struct ColtPlacementServer *
@@ -293,21 +276,6 @@
   return false;
 }
 
-/* How many tasks of a demand an empty server holds. */
-static uint32_t
-holds_ (const struct ColtPlacementServer *server,
-        const struct ColtResources *demand)
-{
-  int64_t count = COLT_TASKS_PER_REQUEST_MAX;
-  int i;
-
-  for (i = 0; i < COLT_RESOURCE_COUNT; i++)
-    if (demand->amount[i] > 0)
-      count
-          = MIN (count, server->digest.capacity.amount[i] / demand->amount[i]);
-  return (uint32_t)MAX (count, 1);
-}
-
 static gint
 compare_ends_ (gconstpointer a, gconstpointer b)
 {
--- a/src/placement/search.c
+++ b/src/placement/search.c
@@ -3,6 +3,9 @@
 /* How long a task stays away from the server where it failed. */
 #define AVOID_US (2 * COLT_US_PER_S)
 
+/* Work that ends so soon may stand in the way of accelerators. */
+#define SHORT_MS 5000.0
+
 /* The best server that was seen so far. */
 struct ColtBest
 {
@@ -20,6 +23,7 @@
                        struct ColtPlacementServer *server);
 static bool is_allowed_ (const struct ColtSearch *search,
                          const struct ColtPlacementServer *server);
+static bool is_short_ (const struct ColtSearch *search);
 static bool leaves_accelerators_ (const struct ColtSearch *search,
                                   const struct ColtPlacementServer *server);
 static void search_reservation_ (struct ColtBest *best);
@@ -153,12 +157,19 @@
   if (probation < 1000
       && g_rand_int (search->placement->random) % 1000 >= probation)
     return false;
-  return task->urgent || leaves_accelerators_ (search, server)
+  return task->urgent || is_short_ (search)
+         || leaves_accelerators_ (search, server)
          || colt_search_class (search) == COLT_SERVERS_ACCELERATED;
 }
 
-/* Work without accelerators may use a server that has some only as far as
- * each free accelerator keeps a slot and half of its part of cores and
+static bool
+is_short_ (const struct ColtSearch *search)
+{
+  return search->run_ms > 0 && search->run_ms <= SHORT_MS;
+}
+
+/* Longer work without accelerators may use a server that has some only as far
+ * as each free accelerator keeps a slot and half of its part of cores and
  * memory. */
 static bool
 leaves_accelerators_ (const struct ColtSearch *search,
@@ -188,20 +199,19 @@
 static void
 search_reservation_ (struct ColtBest *best)
 {
-  struct ColtSearch *search = best->search;
-  const struct ColtReservation *reservation
-      = colt_reservations_find (search->placement, &search->task->request);
+  const struct ColtSearch *search = best->search;
+  const GPtrArray *reservations = search->placement->reservations;
   guint i;
 
-  if (reservation == NULL)
-    return;
-  for (i = 0; i < reservation->servers->len; i++)
+  for (i = 0; i < reservations->len; i++)
     {
-      struct ColtPlacementServer *server
-          = g_ptr_array_index (reservation->servers, i);
-
-      if (colt_servers_take_work (server)
-          && colt_resources_fit (&search->demand, &server->digest.free))
-        consider_ (best, server);
+      const struct ColtReservation *reservation
+          = g_ptr_array_index (reservations, i);
+
+      if (colt_id_equal (&reservation->request, &search->task->request)
+          && colt_servers_take_work (reservation->server)
+          && colt_resources_fit (&search->demand,
+                                 &reservation->server->digest.free))
+        consider_ (best, reservation->server);
     }
 }
--- a/src/placement/servers.c
+++ b/src/placement/servers.c
@@ -13,6 +13,7 @@
 static void set_capacity_ (struct ColtPlacement *placement,
                            struct ColtPlacementServer *server,
                            const struct ColtResources *capacity);
+static bool keeps_held_ (const struct ColtPlacementServer *server);
 static void unindex_ (struct ColtPlacement *placement,
                       struct ColtPlacementServer *server);
 static bool keeps_reserve_ (const struct ColtPlacementServer *server);
@@ -78,7 +79,7 @@
   if (colt_servers_take_work (server) && server->reservation == NULL)
     group = choose_group_ (placement, server);
   if (more)
-    placement->generation++;
+    colt_buckets_gain (placement, &server->digest.free);
   if (group != NULL && group == server->group)
     {
       colt_fit_tree_update (group, server, &server->usable);
@@ -138,8 +139,11 @@
   server->digest = *digest;
   server->digests++;
   server->closed = false;
+  colt_resources_subtract (&server->digest.free, &server->held);
   if (!colt_servers_take_work (server))
     colt_reservations_drop_server (placement, server);
+  if (server->held_tasks > 0 && !keeps_held_ (server))
+    colt_gangs_release (placement, placement->holder);
   colt_servers_index (placement, server,
                       !was_open || digest->probation_permille < 1000
                           || !colt_resources_fit (&digest->free, &before));
@@ -153,6 +157,8 @@
   if (server == NULL)
     return;
   colt_reservations_drop_server (placement, server);
+  if (server->held_tasks > 0)
+    colt_gangs_release (placement, placement->holder);
   g_hash_table_remove (placement->servers, GUINT_TO_POINTER (id));
   colt_servers_free (placement, server);
   placement->shares_stale = true;
@@ -213,6 +219,16 @@
                      server, capacity);
 }
 
+/* Whether a server has still got what a gang keeps on it. */
+static bool
+keeps_held_ (const struct ColtPlacementServer *server)
+{
+  static const struct ColtResources none = { { 0 } };
+
+  return colt_servers_take_work (server)
+         && colt_resources_fit (&none, &server->digest.free);
+}
+
 /* Servers without accelerators go by the resource they have least left of,
  * others by their free accelerators. */
 static struct ColtFitTree *
--- a/src/placement/teams.c
+++ b/src/placement/teams.c
@@ -5,6 +5,15 @@
 /* The first back-off of a team without credits; each that follows doubles. */
 #define BACKOFF_FIRST_US (50 * COLT_US_PER_MS)
 #define BACKOFF_MAX_US (2 * COLT_US_PER_S)
+/* Time between two settlements of what teams are owed. */
+#define BALANCE_US (500 * COLT_US_PER_MS)
+/* Time in which a lack counts as much as it is large. */
+#define DEBT_TIME_US (10 * COLT_US_PER_S)
+/* Most that a team is owed or owes, as part of its share. */
+#define DEBT_PART 0.5
+/* How long a team keeps no servers after it kept some in vain. */
+#define PAUSE_FIRST_US (10 * COLT_US_PER_S)
+#define PAUSE_MAX_US (640 * COLT_US_PER_S)
 /* How long another instance's word on a team counts. */
 #define REPORT_LIFE_US (10 * COLT_US_PER_S)
 
@@ -15,9 +24,15 @@
   int64_t time_us;
 };
 
+static double dominant_ (const struct ColtPlacement *placement,
+                         const struct ColtResources *used);
 static double measure_share_ (const struct ColtPlacement *placement,
                               const struct ColtPlacementTeam *team);
-static gint compare_teams_ (gconstpointer a, gconstpointer b, gpointer data);
+static bool high_fits_ (const struct ColtPlacement *placement,
+                        const struct ColtPlacementTeam *team);
+static bool is_busy_ (const struct ColtPlacementTeam *team);
+static void
+settle_debt_ (struct ColtPlacementTeam *team, double level, int64_t elapsed_us);
 static void drop_old_reports_ (struct ColtPlacementTeam *team, int64_t now_us);
 
 struct ColtPlacementTeam *
@@ -60,12 +75,9 @@
 colt_teams_reorder (struct ColtPlacement *placement,
                     struct ColtPlacementTeam *team)
 {
-  int level;
-
   team->share = measure_share_ (placement, team);
-  for (level = 0; level < COLT_LEVEL_COUNT; level++)
-    if (team->places[level] != NULL)
-      g_sequence_sort_changed (team->places[level], compare_teams_, NULL);
+  colt_buckets_set_order (team, team->share - team->debt,
+                          high_fits_ (placement, team));
 }
 
 void
@@ -73,40 +85,57 @@
 {
   GHashTableIter iter;
   gpointer value;
-  int level;
 
   g_hash_table_iter_init (&iter, placement->teams);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct ColtPlacementTeam *team = value;
-
-      team->share = measure_share_ (placement, team);
-    }
-  for (level = 0; level < COLT_LEVEL_COUNT; level++)
-    g_sequence_sort (placement->orders[level], compare_teams_, NULL);
+    colt_teams_reorder (placement, value);
 }
 
+/* Tasks come in large pieces, so that a team is above or below its share most
+ * of the time. A busy team is owed what it lacked lately, within bounds; an
+ * idle one is owed nothing. */
 void
-colt_teams_add_waiting (struct ColtPlacement *placement,
-                        struct ColtPlacementTeam *team,
-                        enum ColtLevel level,
-                        int change)
+colt_teams_balance (struct ColtPlacement *placement, int64_t now_us)
 {
-  team->waiting[level] += change;
-  if (team->waiting[level] > 0 && team->places[level] == NULL)
+  int64_t elapsed_us = now_us - placement->balanced_us;
+  double weights = 0;
+  double active = 0;
+  double shares = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (elapsed_us < BALANCE_US)
+    return;
+  placement->balanced_us = now_us;
+  g_hash_table_iter_init (&iter, placement->teams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      team->share = measure_share_ (placement, team);
-      team->places[level] = g_sequence_insert_sorted (
-          placement->orders[level], team, compare_teams_, NULL);
-      return;
+      const struct ColtPlacementTeam *team = value;
+
+      if (is_busy_ (team) || team->share > 0)
+        active += (double)team->weight;
+      if (!is_busy_ (team))
+        continue;
+      weights += (double)team->weight;
+      shares += team->share * (double)team->weight;
     }
-  if (team->waiting[level] == 0 && team->places[level] != NULL)
+  placement->full_share = active > 0 ? 1 / active : 1;
+  g_hash_table_iter_init (&iter, placement->teams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      g_sequence_remove (team->places[level]);
-      team->places[level] = NULL;
+      settle_debt_ (value, weights > 0 ? shares / weights : 0,
+                    MIN (elapsed_us, DEBT_TIME_US));
+      colt_teams_reorder (placement, value);
     }
 }
 
+bool
+colt_teams_is_high (const struct ColtPlacement *placement,
+                    enum ColtWorkKind kind)
+{
+  return placement->rules[kind].priority >= COLT_PRIORITY_HIGH;
+}
+
 void
 colt_teams_park (struct ColtPlacement *placement,
                  struct ColtPlacementTeam *team,
@@ -121,6 +150,15 @@
                           + g_rand_int (placement->random) % team->backoff_us;
 }
 
+void
+colt_teams_pause (struct ColtPlacementTeam *team, int64_t now_us)
+{
+  team->reserve_pause_us = team->reserve_pause_us == 0
+                               ? PAUSE_FIRST_US
+                               : MIN (2 * team->reserve_pause_us, PAUSE_MAX_US);
+  team->reserve_after_us = now_us + team->reserve_pause_us;
+}
+
 void
 colt_placement_set_team_usage (struct ColtPlacement *placement,
                                uint32_t instance,
@@ -158,31 +196,59 @@
 }
 
 static double
-measure_share_ (const struct ColtPlacement *placement,
-                const struct ColtPlacementTeam *team)
+dominant_ (const struct ColtPlacement *placement,
+           const struct ColtResources *used)
 {
   double share = 0;
   int i;
 
   for (i = 0; i < COLT_RESOURCE_COUNT; i++)
-    {
-      int64_t used = team->own.amount[i] + team->others.amount[i];
-      int64_t total = placement->total.amount[i];
+    if (placement->total.amount[i] > 0)
+      share = MAX (share, (double)used->amount[i]
+                              / (double)placement->total.amount[i]);
+  return share;
+}
 
-      if (total > 0)
-        share = MAX (share, (double)used / (double)total);
-    }
-  return share / (double)team->weight;
+static double
+measure_share_ (const struct ColtPlacement *placement,
+                const struct ColtPlacementTeam *team)
+{
+  struct ColtResources used = team->own;
+
+  colt_resources_add (&used, &team->others);
+  return dominant_ (placement, &used) / (double)team->weight;
 }
 
-static gint
-compare_teams_ (gconstpointer a, gconstpointer b, gpointer data)
+/* Whether the team's work of high priority alone stays within its share. What
+ * runs by other instances is taken to be of the same mixture. */
+static bool
+high_fits_ (const struct ColtPlacement *placement,
+            const struct ColtPlacementTeam *team)
 {
-  const struct ColtPlacementTeam *first = a;
-  const struct ColtPlacementTeam *second = b;
+  double own = dominant_ (placement, &team->own);
+  double high = dominant_ (placement, &team->high);
 
-  (void)data;
-  if (first->share != second->share)
-    return first->share < second->share ? -1 : 1;
-  return (first->number > second->number) - (first->number < second->number);
+  if (own <= 0)
+    return true;
+  return team->share * high / own <= placement->full_share;
+}
+
+static bool
+is_busy_ (const struct ColtPlacementTeam *team)
+{
+  return team->waiting[COLT_LEVEL_ORDINARY] > 0;
+}
+
+static void
+settle_debt_ (struct ColtPlacementTeam *team, double level, int64_t elapsed_us)
+{
+  double bound = DEBT_PART * level;
+
+  if (!is_busy_ (team))
+    {
+      team->debt = 0;
+      return;
+    }
+  team->debt += (level - team->share) * (double)elapsed_us / DEBT_TIME_US;
+  team->debt = CLAMP (team->debt, -bound, bound);
 }
