Requests: news of an attempt names the epoch under which it was sent

The next lead of a shard counts attempts from 1 where no server tells of earlier ones, so a late refusal of the earlier lead's attempt 1 was taken for its own, and a non-idempotent task that ran was sent once more. Events, replies and queries now carry the shard epoch, and a task remembers it.

--- a/include/coltsfootstile/request.h
+++ b/include/coltsfootstile/request.h
@@ -72,9 +72,10 @@
 struct ColtRequestTask
 {
   enum ColtRequestTaskState state;
-  uint32_t attempt; /**< newest, 0 before the first */
-  uint32_t runs;    /**< attempts that ran or may have run */
-  uint32_t server;  /**< of the newest attempt */
+  uint32_t attempt;     /**< newest, 0 before the first */
+  uint32_t runs;        /**< attempts that ran or may have run */
+  uint32_t server;      /**< of the newest attempt */
+  uint64_t shard_epoch; /**< under which the newest attempt was sent */
   uint64_t server_epoch;
   enum ColtTaskState end; /**< once ended */
   bool uncertain;         /**< ended without its end being seen */
@@ -92,6 +93,7 @@
   struct ColtRequestSpec spec; /**< the payload belongs to the request */
   uint64_t fingerprint;        /**< of the caller's words */
   bool recovered;              /**< known from backend servers alone */
+  bool doubtful; /**< an earlier lead may have run it and left no trace */
   bool cancelled;
   bool expired; /**< its deadline passed while it ran */
   enum ColtOutcome outcome;
@@ -216,7 +218,8 @@
                            int64_t now_us);
 
 /**
- * Ends a request as COLT_OUTCOME_NOT_RUN that no server will be found for.
+ * Ends a request that no server will be found for, as COLT_OUTCOME_NOT_RUN or,
+ * if an earlier lead may have run it, as COLT_OUTCOME_UNKNOWN.
  *
  * \return false, with nothing done, if it has ended or is unknown, or if a
  *         task of it was sent, runs, or ever ran
@@ -249,17 +252,25 @@
                          uint64_t server_epoch,
                          struct ColtTaskRef *ref);
 
-/** An attempt was refused: it never ran and never will. */
+/**
+ * An attempt was refused: it never ran and never will.
+ *
+ * \param shard_epoch  under which the attempt was sent: the next lead of the
+ *                     shard may count attempts anew
+ */
 void colt_requests_refused (struct ColtRequests *requests,
                             const struct ColtTaskRef *ref,
+                            uint64_t shard_epoch,
                             int64_t now_us);
 
-/** An attempt runs. */
+/** An attempt that was sent under \a shard_epoch runs. */
 void colt_requests_started (struct ColtRequests *requests,
                             const struct ColtTaskRef *ref,
+                            uint64_t shard_epoch,
                             int64_t now_us);
 
-/** An attempt has ended; one that is not the newest is ignored. For an attempt
+/** An attempt has ended; one that is not the newest by its number and shard
+ * epoch is ignored. For an attempt
  * whose end is known already, a result that was missing is filled in. */
 void colt_requests_ended (struct ColtRequests *requests,
                           const struct ColtTaskReport *report,
--- a/include/coltsfootstile/request.pb-c.h
+++ b/include/coltsfootstile/request.pb-c.h
@@ -323,10 +323,14 @@
   ColtReportWord *report;
   uint32_t server;
   uint32_t refusal;
+  /*
+   * under which the attempt was sent
+   */
+  uint64_t shard_epoch;
 };
 #define COLT_TASK_EVENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&colt_task_event__descriptor) \
-    , NULL, 0, NULL, 0, 0 }
+    , NULL, 0, NULL, 0, 0, 0 }
 
 
 /*
--- a/src/home/home_place.c
+++ b/src/home/home_place.c
@@ -66,6 +66,7 @@
                         size_t size);
 static void take_refusal_ (struct ColtHome *home,
                            const struct ColtTaskRef *ref,
+                           uint64_t shard_epoch,
                            uint32_t server,
                            enum ColtPlacementRefusal refusal,
                            int64_t now_us);
@@ -369,13 +370,13 @@
       struct ColtTaskRef ref;
 
       if (result == COLT_WIRE_NOT_SENT)
-        take_refusal_ (home, &start->sent, start->server, COLT_REFUSAL_FENCED,
-                       now_us);
+        take_refusal_ (home, &start->sent, start->word.shard_epoch,
+                       start->server, COLT_REFUSAL_FENCED, now_us);
       else if (reply != NULL && i < reply->n_results
                && !reply->results[i]->accepted
                && colt_ref_read (reply->results[i]->ref, &ref)
                && colt_task_equal (&ref, &start->sent))
-        take_refusal_ (home, &ref, start->server,
+        take_refusal_ (home, &ref, start->word.shard_epoch, start->server,
                        (enum ColtPlacementRefusal)reply->results[i]->refusal,
                        now_us);
     }
@@ -388,6 +389,7 @@
 static void
 take_refusal_ (struct ColtHome *home,
                const struct ColtTaskRef *ref,
+               uint64_t shard_epoch,
                uint32_t server,
                enum ColtPlacementRefusal refusal,
                int64_t now_us)
@@ -405,7 +407,7 @@
           refusal <= COLT_REFUSAL_FENCED ? refusal : COLT_REFUSAL_FENCED,
           now_us);
     }
-  colt_requests_refused (home->requests, ref, now_us);
+  colt_requests_refused (home->requests, ref, shard_epoch, now_us);
 }
 
 static void
@@ -447,10 +449,10 @@
           colt_counters_count (home->parts.counters, home->counters.wait_ms,
                                (now_us - request->arrived_us) / COLT_US_PER_MS);
         }
-      colt_requests_started (home->requests, &ref, now_us);
+      colt_requests_started (home->requests, &ref, event->shard_epoch, now_us);
       return;
     case COLT_TASK_EVENT_REFUSED:
-      take_refusal_ (home, &ref, event->server,
+      take_refusal_ (home, &ref, event->shard_epoch, event->server,
                      (enum ColtPlacementRefusal)event->refusal, now_us);
       return;
     case COLT_TASK_EVENT_ENDED:
--- a/src/home/home_query.c
+++ b/src/home/home_query.c
@@ -13,17 +13,25 @@
 /* Until an owner has to have answered, in ms. */
 #define QUERY_TIMEOUT_MS 2000
 
+/* An attempt that was asked for, and under which epoch it was sent. */
+struct ColtAskedAttempt
+{
+  struct ColtTaskRef ref;
+  uint64_t shard_epoch;
+};
+
 /* A query on its way. */
 struct ColtHomeQuery
 {
   struct ColtHome *home;
+  GArray *asked; /* of struct ColtAskedAttempt */
   bool for_results;
 };
 
 /* Attempts to ask one owner for. */
 struct ColtQueryBatch
 {
-  GArray *refs;    /* of struct ColtTaskRef */
+  GArray *refs;    /* of struct ColtAskedAttempt */
   GArray *servers; /* of uint32_t */
   GArray *epochs;  /* of uint64_t */
 };
@@ -51,6 +59,7 @@
                        const uint8_t *body,
                        size_t size);
 static void take_result_ (struct ColtHome *home,
+                          const struct ColtAskedAttempt *asked,
                           const ColtQueryResult *result,
                           bool for_results,
                           int64_t now_us);
@@ -140,7 +149,8 @@
       uint32_t index)
 {
   const struct ColtRequestTask *task = &request->tasks[index];
-  const struct ColtTaskRef ref = { request->id, index, task->attempt };
+  const struct ColtAskedAttempt asked
+      = { { request->id, index, task->attempt }, task->shard_epoch };
   struct ColtQueryBatch *batch;
   uint64_t epoch;
   uint32_t owner;
@@ -150,7 +160,7 @@
                                   reconcile->now_us, &owner, &epoch))
     return;
   batch = find_batch_ (reconcile->batches, owner);
-  g_array_append_val (batch->refs, ref);
+  g_array_append_val (batch->refs, asked);
   g_array_append_val (batch->servers, task->server);
   g_array_append_val (batch->epochs, epoch);
 }
@@ -176,7 +186,8 @@
     {
       colt_query_item__init (&items[i]);
       colt_ref_fill (
-          &refs[i], &g_array_index (batch->refs, struct ColtTaskRef, from + i));
+          &refs[i],
+          &g_array_index (batch->refs, struct ColtAskedAttempt, from + i).ref);
       items[i].ref = &refs[i].word;
       items[i].server = g_array_index (batch->servers, uint32_t, from + i);
       items[i].server_epoch = g_array_index (batch->epochs, uint64_t, from + i);
@@ -187,6 +198,10 @@
   word.want_results = for_results;
   query->home = home;
   query->for_results = for_results;
+  query->asked = g_array_new (FALSE, FALSE, sizeof (struct ColtAskedAttempt));
+  g_array_append_vals (
+      query->asked, &g_array_index (batch->refs, struct ColtAskedAttempt, from),
+      count);
   body = colt_message_pack (&word.base, &size);
   colt_wire_call (home->parts.wire, owner, COLT_WIRE_PLACE_QUERY, body, size,
                   QUERY_TIMEOUT_MS, on_reply_, query);
@@ -210,15 +225,20 @@
 
   if (result == COLT_WIRE_REPLIED)
     reply = colt_query_reply__unpack (NULL, size, body);
-  for (i = 0; reply != NULL && i < reply->n_results; i++)
-    take_result_ (query->home, reply->results[i], query->for_results, now_us);
+  for (i = 0; reply != NULL && i < reply->n_results && i < query->asked->len;
+       i++)
+    take_result_ (query->home,
+                  &g_array_index (query->asked, struct ColtAskedAttempt, i),
+                  reply->results[i], query->for_results, now_us);
   if (reply != NULL)
     colt_query_reply__free_unpacked (reply, NULL);
+  g_array_unref (query->asked);
   g_free (query);
 }
 
 static void
 take_result_ (struct ColtHome *home,
+              const struct ColtAskedAttempt *asked,
               const ColtQueryResult *result,
               bool for_results,
               int64_t now_us)
@@ -227,15 +247,16 @@
   struct ColtTaskReport report;
   struct ColtTaskRef ref;
 
-  if (!colt_ref_read (result->ref, &ref))
+  if (!colt_ref_read (result->ref, &ref)
+      || !colt_task_equal (&ref, &asked->ref))
     return;
   switch (result->stage)
     {
     case COLT_QUERY_NEVER:
-      colt_requests_refused (home->requests, &ref, now_us);
+      colt_requests_refused (home->requests, &ref, asked->shard_epoch, now_us);
       return;
     case COLT_QUERY_RUNNING:
-      colt_requests_started (home->requests, &ref, now_us);
+      colt_requests_started (home->requests, &ref, asked->shard_epoch, now_us);
       return;
     case COLT_QUERY_ENDED:
       if (!colt_report_read (result->report, &report))
@@ -271,7 +292,7 @@
   if (batch != NULL)
     return batch;
   batch = g_new0 (struct ColtQueryBatch, 1);
-  batch->refs = g_array_new (FALSE, FALSE, sizeof (struct ColtTaskRef));
+  batch->refs = g_array_new (FALSE, FALSE, sizeof (struct ColtAskedAttempt));
   batch->servers = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   batch->epochs = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   g_hash_table_insert (batches, GUINT_TO_POINTER (owner), batch);
--- a/src/owner/home_link.c
+++ b/src/owner/home_link.c
@@ -235,6 +235,7 @@
       words[i].ref = &refs[i].word;
       words[i].kind = event->kind;
       words[i].server = event->server;
+      words[i].shard_epoch = event->report.shard_epoch;
       words[i].refusal = event->refusal;
       if (event->kind == COLT_TASK_EVENT_ENDED)
         {
--- a/src/request/private/requests_private.h
+++ b/src/request/private/requests_private.h
@@ -52,10 +52,12 @@
 /** Finds a request, or returns NULL. */
 struct ColtRequest *colt_requests_lookup (const struct ColtRequests *requests,
                                           const struct ColtId *id);
-/** Finds a task if the reference names its newest attempt, or returns NULL. */
+/** Finds a task if the reference and the epoch under which it was sent name its
+ * newest attempt, or returns NULL. */
 struct ColtRequestTask *
 colt_requests_find_attempt (const struct ColtRequests *requests,
                             const struct ColtTaskRef *ref,
+                            uint64_t shard_epoch,
                             struct ColtRequest **request);
 /** Adds a request whose tasks all wait; nothing is told. */
 struct ColtRequest *colt_requests_add (struct ColtRequests *requests,
--- a/src/request/request.pb-c.c
+++ b/src/request/request.pb-c.c
@@ -2533,7 +2533,7 @@
   (ProtobufCMessageInit) colt_place_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor colt_task_event__field_descriptors[5] =
+static const ProtobufCFieldDescriptor colt_task_event__field_descriptors[6] =
 {
   {
     "ref",
@@ -2595,6 +2595,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "shard_epoch",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ColtTaskEvent, shard_epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned colt_task_event__field_indices_by_name[] = {
   1,   /* field[1] = kind */
@@ -2602,11 +2614,12 @@
   4,   /* field[4] = refusal */
   2,   /* field[2] = report */
   3,   /* field[3] = server */
+  5,   /* field[5] = shard_epoch */
 };
 static const ProtobufCIntRange colt_task_event__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor colt_task_event__descriptor =
 {
@@ -2616,7 +2629,7 @@
   "ColtTaskEvent",
   "",
   sizeof(ColtTaskEvent),
-  5,
+  6,
   colt_task_event__field_descriptors,
   colt_task_event__field_indices_by_name,
   1,  colt_task_event__number_ranges,
--- a/src/request/request_attempts.c
+++ b/src/request/request_attempts.c
@@ -1,5 +1,12 @@
 #include "requests_private.h"
 
+/* An attempt that was sent, and under which epoch of its shard. */
+struct ColtSentAttempt
+{
+  struct ColtTaskRef ref;
+  uint64_t shard_epoch;
+};
+
 static void recover_late_ (struct ColtRequests *requests,
                            uint32_t shard,
                            const struct ColtTaskReport *report,
@@ -34,6 +41,7 @@
     return false;
   colt_requests_set_state (requests, request, index, COLT_REQUEST_TASK_SENT);
   task->attempt++;
+  task->shard_epoch = requests->shards[colt_id_shard (id)].epoch;
   task->server = server;
   task->server_epoch = server_epoch;
   ref->request = *id;
@@ -45,11 +53,12 @@
 void
 colt_requests_refused (struct ColtRequests *requests,
                        const struct ColtTaskRef *ref,
+                       uint64_t shard_epoch,
                        int64_t now_us)
 {
   struct ColtRequest *request;
   struct ColtRequestTask *task
-      = colt_requests_find_attempt (requests, ref, &request);
+      = colt_requests_find_attempt (requests, ref, shard_epoch, &request);
 
   if (task == NULL || task->state != COLT_REQUEST_TASK_SENT)
     return;
@@ -65,11 +74,12 @@
 void
 colt_requests_started (struct ColtRequests *requests,
                        const struct ColtTaskRef *ref,
+                       uint64_t shard_epoch,
                        int64_t now_us)
 {
   struct ColtRequest *request;
   struct ColtRequestTask *task
-      = colt_requests_find_attempt (requests, ref, &request);
+      = colt_requests_find_attempt (requests, ref, shard_epoch, &request);
 
   if (task == NULL || task->state != COLT_REQUEST_TASK_SENT)
     return;
@@ -86,8 +96,8 @@
                      int64_t now_us)
 {
   struct ColtRequest *request;
-  struct ColtRequestTask *task
-      = colt_requests_find_attempt (requests, &report->ref, &request);
+  struct ColtRequestTask *task = colt_requests_find_attempt (
+      requests, &report->ref, report->shard_epoch, &request);
 
   if (task == NULL || report->state == COLT_TASK_RUNNING)
     return;
@@ -126,22 +136,23 @@
 
   for (i = 0; i < affected->len; i++)
     {
-      struct ColtTaskRef *ref = g_ptr_array_index (affected, i);
+      const struct ColtSentAttempt *sent = g_ptr_array_index (affected, i);
+      const struct ColtTaskRef *ref = &sent->ref;
       struct ColtRequest *request;
-      struct ColtRequestTask *task
-          = colt_requests_find_attempt (requests, ref, &request);
+      struct ColtRequestTask *task = colt_requests_find_attempt (
+          requests, ref, sent->shard_epoch, &request);
       const struct ColtTaskReport *report;
 
       if (task == NULL)
         continue;
       report = find_report_ (reports, count, request, ref->index);
       if (report == NULL && task->state == COLT_REQUEST_TASK_SENT)
-        colt_requests_refused (requests, ref, now_us);
+        colt_requests_refused (requests, ref, sent->shard_epoch, now_us);
       else if (report == NULL)
         colt_requests_lose_task (requests, request, ref->index, now_us);
       else if (report->state == COLT_TASK_RUNNING)
         {
-          colt_requests_started (requests, ref, now_us);
+          colt_requests_started (requests, ref, sent->shard_epoch, now_us);
           task->server_epoch = server_epoch;
         }
       else
@@ -164,10 +175,11 @@
 
   for (i = 0; i < affected->len; i++)
     {
-      struct ColtTaskRef *ref = g_ptr_array_index (affected, i);
+      const struct ColtSentAttempt *sent = g_ptr_array_index (affected, i);
+      const struct ColtTaskRef *ref = &sent->ref;
       struct ColtRequest *request;
-      struct ColtRequestTask *task
-          = colt_requests_find_attempt (requests, ref, &request);
+      struct ColtRequestTask *task = colt_requests_find_attempt (
+          requests, ref, sent->shard_epoch, &request);
 
       if (task == NULL)
         continue;
@@ -219,12 +231,13 @@
       for (i = 0; i < request->spec.tasks; i++)
         {
           const struct ColtRequestTask *task = &request->tasks[i];
-          struct ColtTaskRef ref = { request->id, i, task->attempt };
+          const struct ColtSentAttempt sent
+              = { { request->id, i, task->attempt }, task->shard_epoch };
 
           if (task->server == server && task->server_epoch < below_epoch
               && (task->state == COLT_REQUEST_TASK_SENT
                   || task->state == COLT_REQUEST_TASK_RUNNING))
-            g_ptr_array_add (found, g_memdup2 (&ref, sizeof ref));
+            g_ptr_array_add (found, g_memdup2 (&sent, sizeof sent));
         }
     }
   return found;
@@ -236,12 +249,13 @@
               const struct ColtRequest *request,
               uint32_t index)
 {
-  const struct ColtTaskRef ref
-      = { request->id, index, request->tasks[index].attempt };
+  const struct ColtRequestTask *task = &request->tasks[index];
+  const struct ColtTaskRef ref = { request->id, index, task->attempt };
   size_t i;
 
   for (i = 0; i < count; i++)
-    if (colt_task_equal (&reports[i].ref, &ref))
+    if (colt_task_equal (&reports[i].ref, &ref)
+        && reports[i].shard_epoch == task->shard_epoch)
       return &reports[i];
   return NULL;
 }
--- a/src/request/request_steps.c
+++ b/src/request/request_steps.c
@@ -155,7 +155,10 @@
         }
     }
   if (!in_flight && !colt_request_ever_ran (request))
-    end_request_ (requests, request, COLT_OUTCOME_NOT_RUN, reason, now_us);
+    end_request_ (requests, request,
+                  request->doubtful ? COLT_OUTCOME_UNKNOWN
+                                    : COLT_OUTCOME_NOT_RUN,
+                  reason, now_us);
   else if (reason == COLT_REASON_DEADLINE)
     end_request_ (requests, request,
                   in_flight ? COLT_OUTCOME_UNKNOWN : COLT_OUTCOME_FAILED,
--- a/src/request/request_table.c
+++ b/src/request/request_table.c
@@ -3,6 +3,8 @@
 
 #include "requests_private.h"
 
+static bool is_newer_ (const struct ColtRequestTask *task,
+                       const struct ColtTaskReport *report);
 static void begin_or_lose_ (struct ColtRequests *requests,
                             struct ColtRequest *request,
                             uint32_t index,
@@ -21,14 +23,18 @@
 struct ColtRequestTask *
 colt_requests_find_attempt (const struct ColtRequests *requests,
                             const struct ColtTaskRef *ref,
+                            uint64_t shard_epoch,
                             struct ColtRequest **request)
 {
+  struct ColtRequestTask *task;
+
   *request = colt_requests_lookup (requests, &ref->request);
   if (*request == NULL || ref->index >= (*request)->spec.tasks)
     return NULL;
-  if ((*request)->tasks[ref->index].attempt != ref->attempt)
+  task = &(*request)->tasks[ref->index];
+  if (task->attempt != ref->attempt || task->shard_epoch != shard_epoch)
     return NULL;
-  return &(*request)->tasks[ref->index];
+  return task;
 }
 
 struct ColtRequest *
@@ -112,10 +118,11 @@
     }
   grow_ (requests, request, report->ref.index + 1);
   task = &request->tasks[report->ref.index];
-  if (task->attempt >= report->ref.attempt)
+  if (!is_newer_ (task, report))
     return;
   task->attempt = report->ref.attempt;
   task->runs = report->ref.attempt;
+  task->shard_epoch = report->shard_epoch;
   task->server = server;
   task->server_epoch = server_epoch;
   if (report->state == COLT_TASK_RUNNING)
@@ -158,7 +165,20 @@
   for (i = 0; i < spec->tasks; i++)
     if (request->tasks[i].state == COLT_REQUEST_TASK_WAITING)
       begin_or_lose_ (requests, request, i, may_lack);
-  colt_requests_judge (requests, request, now_us);
+  if (request->cancelled)
+    colt_requests_abandon (requests, request, COLT_REASON_CANCELLED, now_us);
+  else
+    colt_requests_judge (requests, request, now_us);
+}
+
+/* A lead that knows of no attempt counts from 1, at a higher epoch. */
+static bool
+is_newer_ (const struct ColtRequestTask *task,
+           const struct ColtTaskReport *report)
+{
+  if (report->shard_epoch != task->shard_epoch)
+    return report->shard_epoch > task->shard_epoch;
+  return report->ref.attempt > task->attempt;
 }
 
 /* A task that left no trace may have run if the reports can't be complete. */
--- a/src/request/request_timers.c
+++ b/src/request/request_timers.c
@@ -63,7 +63,7 @@
   switch (timer->kind)
     {
     case TIMER_DEADLINE:
-      if (request->outcome != COLT_OUTCOME_PENDING)
+      if (request->outcome != COLT_OUTCOME_PENDING || request->recovered)
         return;
       request->expired = true;
       colt_requests_abandon (requests, request, COLT_REASON_DEADLINE, now_us);
--- a/src/request/requests.c
+++ b/src/request/requests.c
@@ -12,6 +12,12 @@
                                          uint32_t wall_s,
                                          int64_t now_us,
                                          enum ColtReason *reason);
+static bool is_old_ (const struct ColtId *id, uint32_t wall_s);
+static bool may_have_run_ (const struct ColtRequests *requests,
+                           const struct ColtId *id,
+                           uint32_t wall_s);
+static bool history_lacks_ (const struct ColtRequests *requests,
+                            const struct ColtId *id);
 static bool matches_ (const struct ColtRequest *request,
                       const struct ColtRequestSpec *spec);
 
@@ -112,11 +118,7 @@
                       const struct ColtRequestSpec *spec,
                       uint32_t wall_s)
 {
-  uint64_t forgotten_s
-      = (uint64_t)colt_id_minted_s (id) + COLT_REQUEST_RETENTION_S;
-
-  return !spec->idempotent
-         && forgotten_s <= (uint64_t)wall_s + COLT_CLOCK_SKEW_S;
+  return !spec->idempotent && is_old_ (id, wall_s);
 }
 
 bool
@@ -124,10 +126,7 @@
                         const struct ColtId *id,
                         const struct ColtRequestSpec *spec)
 {
-  uint64_t known_since_s = requests->shards[colt_id_shard (id)].known_since_s;
-
-  return !spec->idempotent
-         && colt_id_minted_s (id) <= known_since_s + COLT_CLOCK_SKEW_S;
+  return !spec->idempotent && history_lacks_ (requests, id);
 }
 
 enum ColtSubmitStatus
@@ -164,6 +163,7 @@
   if (status != COLT_SUBMIT_ACCEPTED)
     return status;
   request = colt_requests_add (requests, id, spec, now_us);
+  request->doubtful = !fresh && may_have_run_ (requests, id, wall_s);
   colt_requests_add_waiter (requests, id, waiter);
   if (spec->deadline_us != COLT_TIME_NEVER)
     colt_requests_add_timer (requests, spec->deadline_us, id, 0,
@@ -282,8 +282,38 @@
            || requests->stats.payload_bytes + spec->payload_size
                   > COLT_REQUEST_BYTES_MAX)
     *reason = COLT_REASON_OVERLOADED;
-  return *reason == COLT_REASON_NONE ? COLT_SUBMIT_ACCEPTED
-                                     : COLT_SUBMIT_NOT_RUN;
+  if (*reason == COLT_REASON_NONE)
+    return COLT_SUBMIT_ACCEPTED;
+  return !fresh && may_have_run_ (requests, id, wall_s) ? COLT_SUBMIT_UNKNOWN
+                                                        : COLT_SUBMIT_NOT_RUN;
+}
+
+/* Returns whether what was done under an id may be forgotten by now. */
+static bool
+is_old_ (const struct ColtId *id, uint32_t wall_s)
+{
+  uint64_t forgotten_s
+      = (uint64_t)colt_id_minted_s (id) + COLT_REQUEST_RETENTION_S;
+
+  return forgotten_s <= (uint64_t)wall_s + COLT_CLOCK_SKEW_S;
+}
+
+/* Returns whether an unknown request may have run under an id that was used. */
+static bool
+may_have_run_ (const struct ColtRequests *requests,
+               const struct ColtId *id,
+               uint32_t wall_s)
+{
+  return is_old_ (id, wall_s) || history_lacks_ (requests, id);
+}
+
+/* Returns whether the reports may lack what was done under an id. */
+static bool
+history_lacks_ (const struct ColtRequests *requests, const struct ColtId *id)
+{
+  uint64_t known_since_s = requests->shards[colt_id_shard (id)].known_since_s;
+
+  return colt_id_minted_s (id) <= known_since_s + COLT_CLOCK_SKEW_S;
 }
 
 static bool
--- a/src/test_request/table_fixture.c
+++ b/src/test_request/table_fixture.c
@@ -84,8 +84,8 @@
   fixture->now_us = COLT_US_PER_S;
   for (shard = 0; shard < COLT_SHARD_COUNT; shard++)
     {
-      colt_requests_open_shard (fixture->requests, shard, 1, NULL, NULL, NULL,
-                                0, fixture->now_us);
+      colt_requests_open_shard (fixture->requests, shard, TEST_SHARD_EPOCH,
+                                NULL, NULL, NULL, 0, fixture->now_us);
       colt_requests_set_known_since (fixture->requests, shard, 0);
     }
 }
@@ -162,8 +162,11 @@
 struct ColtTaskReport
 table_report (const struct ColtTaskRef *ref, enum ColtTaskState state)
 {
-  struct ColtTaskReport report
-      = { .ref = *ref, .team = "quotes", .state = state, .run_ms = 5 };
+  struct ColtTaskReport report = { .ref = *ref,
+                                   .shard_epoch = TEST_SHARD_EPOCH,
+                                   .team = "quotes",
+                                   .state = state,
+                                   .run_ms = 5 };
 
   if (state != COLT_TASK_RUNNING)
     {
@@ -207,8 +210,8 @@
       servers[i] = TEST_SERVER;
       epochs[i] = TEST_SERVER_EPOCH;
     }
-  colt_requests_open_shard (fixture->requests, shard, 2, reports, servers,
-                            epochs, count, fixture->now_us);
+  colt_requests_open_shard (fixture->requests, shard, TEST_SHARD_EPOCH + 1,
+                            reports, servers, epochs, count, fixture->now_us);
   colt_requests_set_known_since (fixture->requests, shard, known_since_s);
   g_free (servers);
   g_free (epochs);
--- a/src/test_request/table_fixture.h
+++ b/src/test_request/table_fixture.h
@@ -14,6 +14,8 @@
 #define TEST_WALL_S 100000u
 /** Backend server that the tests send to. */
 #define TEST_SERVER 7u
+/** Epoch of each shard, until table_take_over() opens it at the next. */
+#define TEST_SHARD_EPOCH 1u
 /** Epoch of that server. */
 #define TEST_SERVER_EPOCH 3u
 
--- a/src/test_request/test_recovery.c
+++ b/src/test_request/test_recovery.c
@@ -82,6 +82,39 @@
       COLT_SUBMIT_ACCEPTED);
 }
 
+static void
+test_not_run_only_if_known (struct ColtTableFixture *fixture,
+                            gconstpointer data)
+{
+  bool complete = GPOINTER_TO_INT (data);
+  struct ColtRequestSpec spec = table_spec (true);
+  struct ColtId id = table_id (1);
+  enum ColtReason reason;
+
+  table_take_over (fixture, &id, NULL, 0, complete ? 0 : TEST_WALL_S);
+  table_submit_again (fixture, &id, &spec, TEST_WALL_S, &reason);
+  colt_requests_cancel (fixture->requests, &id, fixture->now_us);
+  g_assert_cmpint (fixture->outcome, ==,
+                   complete ? COLT_OUTCOME_NOT_RUN : COLT_OUTCOME_UNKNOWN);
+}
+
+static void
+test_refusal_without_history (struct ColtTableFixture *fixture,
+                              gconstpointer data)
+{
+  bool complete = GPOINTER_TO_INT (data);
+  struct ColtRequestSpec spec = table_spec (true);
+  struct ColtId id = table_id (1);
+  enum ColtReason reason;
+
+  spec.deadline_us = fixture->now_us;
+  table_take_over (fixture, &id, NULL, 0, complete ? 0 : TEST_WALL_S);
+  g_assert_cmpint (
+      table_submit_again (fixture, &id, &spec, TEST_WALL_S, &reason), ==,
+      complete ? COLT_SUBMIT_NOT_RUN : COLT_SUBMIT_UNKNOWN);
+  g_assert_cmpint (reason, ==, COLT_REASON_DEADLINE);
+}
+
 /* One task's server still tells of it; the other task's is gone. */
 static void
 test_traceless_task_is_not_started (struct ColtTableFixture *fixture,
@@ -149,6 +182,37 @@
   g_assert_true (colt_requests_find (fixture->requests, &id)->recovered);
 }
 
+/* Attempts are counted anew where nothing is known of earlier ones. */
+static void
+test_news_of_an_earlier_lead (struct ColtTableFixture *fixture,
+                              gconstpointer data)
+{
+  struct ColtRequestSpec spec = table_spec (false);
+  struct ColtId id = table_id (1);
+  struct ColtTaskRef early;
+  struct ColtTaskRef late;
+  const struct ColtRequestTask *task;
+  enum ColtReason reason;
+
+  (void)data;
+  table_submit (fixture, &id, &spec);
+  early = table_send (fixture, &id, 0);
+  table_take_over (fixture, &id, NULL, 0, 0);
+  table_submit_again (fixture, &id, &spec, TEST_WALL_S, &reason);
+  late = table_send (fixture, &id, 0);
+  g_assert_true (colt_task_equal (&early, &late));
+  colt_requests_refused (fixture->requests, &early, TEST_SHARD_EPOCH,
+                         fixture->now_us);
+  colt_requests_started (fixture->requests, &early, TEST_SHARD_EPOCH,
+                         fixture->now_us);
+  table_end (fixture, &early, COLT_TASK_FAILED);
+  task = &colt_requests_find (fixture->requests, &id)->tasks[0];
+  g_assert_cmpint (task->state, ==, COLT_REQUEST_TASK_SENT);
+  colt_requests_refused (fixture->requests, &late, TEST_SHARD_EPOCH + 1,
+                         fixture->now_us);
+  g_assert_cmpint (task->state, ==, COLT_REQUEST_TASK_WAITING);
+}
+
 /* Nobody asks for what was recovered: it is dropped once it has ended. */
 static void
 test_recovered_is_forgotten (struct ColtTableFixture *fixture,
@@ -182,11 +246,16 @@
   ADD ("newest-attempt/ordered", NULL, test_newest_attempt_counts);
   ADD ("newest-attempt/swapped", "", test_newest_attempt_counts);
   ADD ("history-lost", NULL, test_history_lost);
+  ADD ("not-run/complete", GINT_TO_POINTER (1), test_not_run_only_if_known);
+  ADD ("not-run/incomplete", GINT_TO_POINTER (0), test_not_run_only_if_known);
+  ADD ("refusal/complete", GINT_TO_POINTER (1), test_refusal_without_history);
+  ADD ("refusal/incomplete", GINT_TO_POINTER (0), test_refusal_without_history);
   ADD ("traceless/complete", GINT_TO_POINTER (1),
        test_traceless_task_is_not_started);
   ADD ("traceless/incomplete", GINT_TO_POINTER (0),
        test_traceless_task_is_not_started);
   ADD ("late-server", NULL, test_late_server_is_recovered);
   ADD ("other-team", NULL, test_other_team_is_a_mismatch);
+  ADD ("earlier-lead", NULL, test_news_of_an_earlier_lead);
   ADD ("forgotten", NULL, test_recovered_is_forgotten);
 }
--- a/src/test_request/test_request.c
+++ b/src/test_request/test_request.c
@@ -12,7 +12,8 @@
   g_assert_cmpint (table_submit (fixture, &id, &spec), ==,
                    COLT_SUBMIT_ACCEPTED);
   ref = table_send (fixture, &id, 0);
-  colt_requests_started (fixture->requests, &ref, fixture->now_us);
+  colt_requests_started (fixture->requests, &ref, TEST_SHARD_EPOCH,
+                         fixture->now_us);
   g_assert_cmpuint (fixture->ended_count, ==, 0);
   table_end (fixture, &ref, COLT_TASK_FINISHED);
   g_assert_cmpuint (fixture->ended_count, ==, 1);
@@ -83,7 +84,8 @@
   (void)data;
   table_submit (fixture, &id, &spec);
   ref = table_send (fixture, &id, 0);
-  colt_requests_refused (fixture->requests, &ref, fixture->now_us);
+  colt_requests_refused (fixture->requests, &ref, TEST_SHARD_EPOCH,
+                         fixture->now_us);
   second = table_send (fixture, &id, 0);
   g_assert_cmpuint (second.attempt, ==, 2);
   table_end (fixture, &ref, COLT_TASK_FAILED); /* late, of the first */
@@ -169,13 +171,15 @@
   if (!g_str_equal (stage, "waiting"))
     ref = table_send (fixture, &id, 0);
   if (g_str_equal (stage, "running"))
-    colt_requests_started (fixture->requests, &ref, fixture->now_us);
+    colt_requests_started (fixture->requests, &ref, TEST_SHARD_EPOCH,
+                           fixture->now_us);
   if (g_str_equal (stage, "delayed"))
     table_end (fixture, &ref, COLT_TASK_FAILED);
   colt_requests_cancel (fixture->requests, &id, fixture->now_us);
   colt_requests_cancel (fixture->requests, &id, fixture->now_us);
   if (g_str_equal (stage, "sent"))
-    colt_requests_refused (fixture->requests, &ref, fixture->now_us);
+    colt_requests_refused (fixture->requests, &ref, TEST_SHARD_EPOCH,
+                           fixture->now_us);
   if (g_str_equal (stage, "running"))
     {
       g_assert_cmpuint (fixture->stop_count, ==, 1);
@@ -205,7 +209,8 @@
   if (!g_str_equal (stage, "waiting"))
     ref = table_send (fixture, &id, 0);
   if (g_str_equal (stage, "running"))
-    colt_requests_started (fixture->requests, &ref, fixture->now_us);
+    colt_requests_started (fixture->requests, &ref, TEST_SHARD_EPOCH,
+                           fixture->now_us);
   table_pass (fixture, COLT_US_PER_S - 1);
   g_assert_cmpuint (fixture->ended_count, ==, 0);
   table_pass (fixture, 1);
