--- a/fuzz/fuzz_requests.c
+++ b/fuzz/fuzz_requests.c
@@ -498,13 +498,13 @@
 static void
 create_ (struct ColtWorld *world)
 {
-  uint8_t i;
+  uint32_t i;
 
   world->requests = colt_requests_create (&calls, world);
   world->retries = FULL_RETRIES;
   for (i = 0; i < IDS; i++)
     {
-      const uint8_t random[10] = { i, 3, 5 };
+      const uint8_t random[10] = { (uint8_t)i, 3, 5 };
       struct ColtRequestSpec *spec = &world->ids[i].spec;
 
       world->ids[i].id = colt_id_mint (1, WALL_S, random);
