--- a/cmake/ColtPackage.cmake
+++ b/cmake/ColtPackage.cmake
@@ -56,6 +56,7 @@
   endforeach()
   list(APPEND PC_REQUIRES ${P_REQUIRES})
   list(JOIN PC_REQUIRES " " PC_REQUIRES)
+  file(RELATIVE_PATH PC_PREFIX /${CMAKE_INSTALL_LIBDIR}/pkgconfig /)
   configure_file(${CMAKE_SOURCE_DIR}/cmake/package.pc.in
                  ${CMAKE_CURRENT_BINARY_DIR}/${PC_NAME}.pc @ONLY)
   install(FILES ${CMAKE_CURRENT_BINARY_DIR}/${PC_NAME}.pc
