Gate: a request is not joined with another of the same id

A second caller with the id of an open request got that one's answer, whatever it had asked for itself. Team, kind, tasks and payload are compared now, as the home does.

--- a/src/admission/gate_pending.c
+++ b/src/admission/gate_pending.c
@@ -30,6 +30,8 @@
   struct ColtGate *gate;
 };
 
+static bool matches_ (const struct ColtPending *pending,
+                      const struct ColtRequestSpec *spec);
 static void add_caller_ (struct ColtPending *pending,
                          struct evhttp_request *http);
 static void on_caller_gone_ (struct evhttp_connection *connection, void *arg);
@@ -72,6 +74,11 @@
       = g_hash_table_lookup (gate->pending, &request->id);
   int64_t now_us = colt_clock_monotonic_us ();
 
+  if (pending != NULL && !matches_ (pending, &request->spec))
+    {
+      colt_gate_reply_refusal (http, &request->id, true, COLT_REASON_MISMATCH);
+      return;
+    }
   if (pending != NULL)
     {
       add_caller_ (pending, http);
@@ -167,6 +174,18 @@
   g_free (pending);
 }
 
+/* Tells requests apart that use one id by mistake. */
+static bool
+matches_ (const struct ColtPending *pending, const struct ColtRequestSpec *spec)
+{
+  const struct ColtRequestSpec *first = &pending->spec;
+
+  return strcmp (first->team, spec->team) == 0 && first->kind == spec->kind
+         && first->tasks == spec->tasks && first->idempotent == spec->idempotent
+         && first->payload_size == spec->payload_size
+         && memcmp (first->payload, spec->payload, spec->payload_size) == 0;
+}
+
 static void
 add_caller_ (struct ColtPending *pending, struct evhttp_request *http)
 {
