--- a/include/coltsfootstile/membership.h
+++ b/include/coltsfootstile/membership.h
@@ -25,6 +25,8 @@
 #define COLT_PROBE_FAILURES 2u
 /** Time a suspected peer has to refute, in microseconds. */
 #define COLT_SUSPICION_US INT64_C (750000)
+/** A step that is so late was held up itself, and blames nobody for it. */
+#define COLT_MEMBER_STALL_US INT64_C (400000)
 /** Time a dead or departed peer is remembered, in microseconds. */
 #define COLT_MEMBER_MEMORY_US INT64_C (60000000)
 /** Members of other zones that one digest carries at most. */
--- a/scripts/demo/run.py
+++ b/scripts/demo/run.py
@@ -14,6 +14,7 @@
 START_RATIO = 0.33
 HEAL_RATIO = 0.66
 DRAIN_S = 25
+REST_SETTLE_S = 4
 REST_S = 3
 
 
@@ -183,10 +184,13 @@
         return figures
 
     def measure_rest(self):
+        time.sleep(REST_SETTLE_S)
         before = self.measure()
         time.sleep(REST_S)
         after = self.measure()
         both = [n for n in before if n in after]
+        if not both:
+            raise RuntimeError("no entry instance answers at rest")
         self.result["control_cpu_percent"] = round(
             max(100 * (after[n][0] - before[n][0]) / REST_S for n in both), 2)
         self.result["control_bytes_per_second"] = round(
--- a/src/coltsfootstile/instance.c
+++ b/src/coltsfootstile/instance.c
@@ -12,6 +12,8 @@
 
 /* Time between two looks at what is due. */
 #define TICK_US (50 * COLT_US_PER_MS)
+/* A tick that is so late is counted and logged. */
+#define STALL_US (250 * COLT_US_PER_MS)
 /* Share of the grace time left to callers before duties are handed over. */
 #define DRAIN_PERMILLE 500
 
@@ -27,6 +29,7 @@
 static void take_gap_ (void *client, uint64_t expected, uint64_t first);
 static void
 skip_append_ (void *client, uint64_t offset, const struct ColtError *error);
+static void note_stall_ (struct ColtInstance *instance, int64_t now_us);
 static void on_timer_ (evutil_socket_t fd, short what, void *arg);
 static void step_stop_ (struct ColtInstance *instance, int64_t now_us);
 static void hand_over_ (struct ColtInstance *instance);
@@ -54,6 +57,9 @@
   instance->settings = settings;
   set_identity_ (instance);
   instance->counters = colt_counters_create ();
+  instance->stalls = colt_counters_add (
+      instance->counters, COLT_COUNTER_TOTAL, "instance_stalls_total",
+      "Times that the event loop was held up.");
   if (!create_parts_ (instance, error) || !listen_ (instance, error))
     {
       colt_instance_destroy (instance);
@@ -293,6 +299,7 @@
 
   (void)fd;
   (void)what;
+  note_stall_ (instance, now_us);
   colt_instance_bundles_step (instance->bundles, now_us);
   colt_instance_limits_step (instance->limits, now_us);
   colt_instance_jobs_step (instance->jobs, now_us);
@@ -300,6 +307,22 @@
     step_stop_ (instance, now_us);
 }
 
+/* The loop was held up: by a long callback, a pause or a lack of processor. */
+static void
+note_stall_ (struct ColtInstance *instance, int64_t now_us)
+{
+  int64_t late_us = now_us - instance->ticked_us - TICK_US;
+
+  if (instance->ticked_us > 0 && late_us >= STALL_US)
+    {
+      colt_counters_count (instance->counters, instance->stalls, 1);
+      colt_log (COLT_LOG_WARNING, MODULE, NULL,
+                "the event loop was held up for %d ms",
+                (int)(late_us / COLT_US_PER_MS));
+    }
+  instance->ticked_us = now_us;
+}
+
 /* First callers get their answers, then leads and leases are handed over. */
 static void
 step_stop_ (struct ColtInstance *instance, int64_t now_us)
--- a/src/coltsfootstile/private/instance.h
+++ b/src/coltsfootstile/private/instance.h
@@ -58,6 +58,8 @@
   struct ColtHome *home;
   struct ColtGate *gate;
   struct event *timer;
+  int64_t ticked_us; /**< when the timer last ran */
+  uint32_t stalls;   /**< counter of late ticks */
   bool stopping;
   bool stopped_duties; /**< homes and owners have been told to stop */
   int64_t stop_us;     /**< when the stop began */
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -23,6 +23,7 @@
   const struct ColtMembershipCalls *calls;
   void *client;
   int64_t next_round_us;
+  int64_t stepped_us;   /* when the last step was */
   uint32_t remote_turn; /* next remote member to tell of */
   unsigned round;
   int64_t heard_us[COLT_ZONE_MAX + 1];
@@ -42,6 +43,7 @@
                         struct ColtMemberEntry *entry,
                         enum ColtMemberState state,
                         int64_t now_us);
+static void forgive_ (struct ColtMembership *membership, int64_t now_us);
 static void judge_ (struct ColtMembership *membership, int64_t now_us);
 static void probe_ring_ (struct ColtMembership *membership);
 static void probe_zone_ (struct ColtMembership *membership, uint32_t zone);
@@ -124,6 +126,10 @@
 {
   uint32_t zone;
 
+  if (membership->stepped_us > 0
+      && now_us - membership->stepped_us >= COLT_MEMBER_STALL_US)
+    forgive_ (membership, now_us);
+  membership->stepped_us = now_us;
   judge_ (membership, now_us);
   if (now_us < membership->next_round_us)
     return;
@@ -382,6 +388,23 @@
   membership->calls->changed (membership->client, &entry->member);
 }
 
+/* Answers may have come that this instance has not read yet. */
+static void
+forgive_ (struct ColtMembership *membership, int64_t now_us)
+{
+  guint i;
+
+  for (i = 0; i < membership->entries->len; i++)
+    {
+      struct ColtMemberEntry *entry
+          = &g_array_index (membership->entries, struct ColtMemberEntry, i);
+
+      entry->failures = 0;
+      if (entry->member.state == COLT_MEMBER_SUSPECT)
+        entry->changed_us = now_us;
+    }
+}
+
 /* Suspects that did not refute are dead; the dead are forgotten in time. */
 static void
 judge_ (struct ColtMembership *membership, int64_t now_us)
--- a/src/test_membership/test_membership.c
+++ b/src/test_membership/test_membership.c
@@ -216,6 +216,27 @@
   destroy_fleet (fleet);
 }
 
+static void
+test_own_stall_blames_nobody (void)
+{
+  struct ColtFleet *fleet = create_fleet ();
+  uint32_t i;
+
+  run (fleet, 3 * COLT_US_PER_S);
+  colt_membership_probe_failed (fleet->nodes[1], 4, fleet->now_us);
+  colt_membership_probe_failed (fleet->nodes[1], 4, fleet->now_us);
+  g_assert_cmpint (colt_membership_find (fleet->nodes[1], 4)->state, ==,
+                   COLT_MEMBER_SUSPECT);
+  fleet->now_us += 5 * COLT_US_PER_S;
+  colt_membership_step (fleet->nodes[1], fleet->now_us);
+  g_assert_cmpint (colt_membership_find (fleet->nodes[1], 4)->state, ==,
+                   COLT_MEMBER_SUSPECT);
+  run (fleet, 3 * COLT_US_PER_S);
+  for (i = 1; i <= NODES; i++)
+    g_assert_cmpuint (count_eligible (fleet, i, 0), ==, NODES);
+  destroy_fleet (fleet);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -227,5 +248,6 @@
   g_test_add_func ("/membership/pause", test_paused_instance_comes_back);
   g_test_add_func ("/membership/leave", test_leaving_instance_is_not_eligible);
   g_test_add_func ("/membership/cut", test_cut_zone_keeps_its_own_members);
+  g_test_add_func ("/membership/own_stall", test_own_stall_blames_nobody);
   return g_test_run ();
 }
