Status of work that ended under an earlier lead

Cause: a new lead knew them from backend servers alone, and their records on the log said that they had ended, so that nothing completed them. Change: the outcome on the log settles them; what isn't on the log is shown as unknown.

--- a/include/coltsfootstile/home.h
+++ b/include/coltsfootstile/home.h
@@ -60,6 +60,10 @@
   void (*stored_end) (void *client,
                       const struct ColtId *id,
                       enum ColtOutcome outcome);
+  /** Returns whether a durable request is known to have ended, and how. */
+  bool (*stored_outcome) (void *client,
+                          const struct ColtId *id,
+                          enum ColtOutcome *outcome);
   /** Calls \a take for each durable request of a shard that has not ended. */
   void (*load) (void *client,
                 uint32_t shard,
--- a/include/coltsfootstile/request.h
+++ b/include/coltsfootstile/request.h
@@ -212,6 +212,15 @@
                            const struct ColtRequestSpec *spec,
                            uint32_t wall_s);
 
+/**
+ * Ends a request that is known from backend servers alone and has no task that
+ * runs, with the outcome that an earlier lead has made durable.
+ */
+void colt_requests_conclude (struct ColtRequests *requests,
+                             const struct ColtId *id,
+                             enum ColtOutcome outcome,
+                             int64_t now_us);
+
 /** Cancels a request; does nothing if it has ended or is unknown. */
 void colt_requests_cancel (struct ColtRequests *requests,
                            const struct ColtId *id,
--- a/src/coltsfootstile/instance_jobs.c
+++ b/src/coltsfootstile/instance_jobs.c
@@ -30,11 +30,18 @@
   int64_t appended_us; /* when its newest record was read or written */
 };
 
+/* How such work has ended. */
+struct ColtJobEnd
+{
+  struct ColtId id;
+  enum ColtOutcome outcome;
+};
+
 struct ColtInstanceJobs
 {
   struct ColtInstance *instance;
   GHashTable *open;  /* of struct ColtJob, by id */
-  GHashTable *ended; /* of struct ColtId */
+  GHashTable *ended; /* of struct ColtJobEnd, by id */
   GQueue ended_order;
   int64_t renew_us;
 };
@@ -53,6 +60,12 @@
                     const struct ColtRequestSpec *spec);
 static void take_end_ (struct ColtInstanceJobs *jobs,
                        const struct ColtLogItem *item);
+static void remember_end_ (struct ColtInstanceJobs *jobs,
+                           const struct ColtId *id,
+                           enum ColtOutcome outcome);
+static bool stored_outcome_ (void *client,
+                             const struct ColtId *id,
+                             enum ColtOutcome *outcome);
 static void store_ (void *client,
                     const struct ColtId *id,
                     const struct ColtRequestSpec *spec,
@@ -91,7 +104,8 @@
 static void free_job_ (gpointer data);
 
 const struct ColtHomeClient colt_instance_home_client
-    = { team_shard_, seated_, written_off_, store_, store_end_, load_ };
+    = { team_shard_, seated_,         written_off_, store_,
+        store_end_,  stored_outcome_, load_ };
 
 struct ColtInstanceJobs *
 colt_instance_jobs_create (struct ColtInstance *instance)
@@ -197,31 +211,56 @@
 {
   ColtJobEndWord *word
       = colt_job_end_word__unpack (NULL, item->size, item->body);
-  struct ColtId *copy;
   struct ColtId id;
 
   if (word == NULL)
     return;
   if (colt_id_read (&word->id, &id)
-      && colt_id_zone (&id) == jobs->instance->zone)
+      && colt_id_zone (&id) == jobs->instance->zone
+      && word->outcome < COLT_OUTCOME_COUNT)
     {
       g_hash_table_remove (jobs->open, &id);
-      if (!g_hash_table_contains (jobs->ended, &id))
-        {
-          copy = g_memdup2 (&id, sizeof id);
-          g_hash_table_add (jobs->ended, copy);
-          g_queue_push_tail (&jobs->ended_order, copy);
-        }
-    }
-  while (g_queue_get_length (&jobs->ended_order) > ENDS_MAX)
-    {
-      copy = g_queue_pop_head (&jobs->ended_order);
-      g_hash_table_remove (jobs->ended, copy);
-      g_free (copy);
+      remember_end_ (jobs, &id, (enum ColtOutcome)word->outcome);
     }
   colt_job_end_word__free_unpacked (word, NULL);
 }
 
+static void
+remember_end_ (struct ColtInstanceJobs *jobs,
+               const struct ColtId *id,
+               enum ColtOutcome outcome)
+{
+  struct ColtJobEnd *end;
+
+  if (g_hash_table_contains (jobs->ended, id))
+    return;
+  end = g_new0 (struct ColtJobEnd, 1);
+  end->id = *id;
+  end->outcome = outcome;
+  g_hash_table_insert (jobs->ended, &end->id, end);
+  g_queue_push_tail (&jobs->ended_order, end);
+  if (g_queue_get_length (&jobs->ended_order) <= ENDS_MAX)
+    return;
+  end = g_queue_pop_head (&jobs->ended_order);
+  g_hash_table_remove (jobs->ended, &end->id);
+  g_free (end);
+}
+
+static bool
+stored_outcome_ (void *client,
+                 const struct ColtId *id,
+                 enum ColtOutcome *outcome)
+{
+  struct ColtInstance *instance = client;
+  const struct ColtJobEnd *end
+      = g_hash_table_lookup (instance->jobs->ended, id);
+
+  if (end == NULL)
+    return false;
+  *outcome = end->outcome;
+  return true;
+}
+
 static void
 store_ (void *client,
         const struct ColtId *id,
--- a/src/home/home_answer.c
+++ b/src/home/home_answer.c
@@ -18,7 +18,6 @@
                       enum ColtWireResult result,
                       const uint8_t *body,
                       size_t size);
-static bool lacks_results_ (const struct ColtRequest *request);
 
 void
 colt_home_answer (struct ColtHome *home, const struct ColtRequest *request)
@@ -27,7 +26,7 @@
 
   if (request->waiter_count == 0)
     return;
-  if (lacks_results_ (request))
+  if (colt_home_lacks_results (request))
     {
       colt_home_fetch_results (home, request);
       return;
@@ -81,6 +80,19 @@
       home->lead, colt_owner_shards (home->parts.owner), shard, now_us);
 }
 
+bool
+colt_home_lacks_results (const struct ColtRequest *request)
+{
+  uint32_t i;
+
+  if (request->outcome != COLT_OUTCOME_DONE)
+    return false;
+  for (i = 0; i < request->spec.tasks; i++)
+    if (!request->tasks[i].result_known)
+      return true;
+  return false;
+}
+
 static void
 send_ (struct ColtHome *home, const struct ColtRequest *request)
 {
@@ -115,16 +127,3 @@
   (void)size;
   home->open_answers--;
 }
-
-static bool
-lacks_results_ (const struct ColtRequest *request)
-{
-  uint32_t i;
-
-  if (request->outcome != COLT_OUTCOME_DONE)
-    return false;
-  for (i = 0; i < request->spec.tasks; i++)
-    if (!request->tasks[i].result_known)
-      return true;
-  return false;
-}
--- a/src/home/home_submit.c
+++ b/src/home/home_submit.c
@@ -50,6 +50,10 @@
                          GPtrArray *answers,
                          GPtrArray *unknown,
                          bool *not_lead);
+static void conclude_ (struct ColtHome *home,
+                       const struct ColtRequest *request,
+                       int64_t now_us);
+static ColtAnswerWord *make_status_ (const struct ColtRequest *request);
 static void on_cancel_ (void *client,
                         const struct ColtWireOrigin *origin,
                         const uint8_t *body,
@@ -275,12 +279,45 @@
       g_ptr_array_add (unknown, g_memdup2 (id, sizeof *id));
       return;
     }
+  conclude_ (home, request, now_us);
   if (waits)
     colt_requests_add_waiter (home->requests, id, origin->instance);
   if (waits && request->outcome != COLT_OUTCOME_PENDING)
     colt_home_answer (home, request);
-  if (!waits)
-    g_ptr_array_add (answers, colt_answer_make (request));
+  else if (!waits && colt_home_lacks_results (request))
+    {
+      colt_home_fetch_results (home, request);
+      *not_lead = true;
+    }
+  else if (!waits)
+    g_ptr_array_add (answers, make_status_ (request));
+}
+
+/* Work that ended under another lead: its outcome may be on the log. */
+static void
+conclude_ (struct ColtHome *home,
+           const struct ColtRequest *request,
+           int64_t now_us)
+{
+  const struct ColtId id = request->id;
+  enum ColtOutcome outcome;
+
+  if (request->recovered && request->open_tasks == 0
+      && home->calls->stored_outcome (home->client, &id, &outcome))
+    colt_requests_conclude (home->requests, &id, outcome, now_us);
+}
+
+/* All that is known of it has ended, but not whether that was all of it. */
+static ColtAnswerWord *
+make_status_ (const struct ColtRequest *request)
+{
+  ColtAnswerWord *word = colt_answer_make (request);
+
+  if (!request->recovered || request->open_tasks > 0)
+    return word;
+  word->outcome = COLT_OUTCOME_UNKNOWN;
+  word->reason = COLT_REASON_HISTORY_LOST;
+  return word;
 }
 
 static void
--- a/src/home/private/home_private.h
+++ b/src/home/private/home_private.h
@@ -106,6 +106,8 @@
 /* home_answer.c: what gates are told */
 void colt_home_answer (struct ColtHome *home,
                        const struct ColtRequest *request);
+/** Returns whether a request is done and some result has to be fetched. */
+bool colt_home_lacks_results (const struct ColtRequest *request);
 void colt_home_answer_unproved (struct ColtHome *home, int64_t now_us);
 bool colt_home_proves (struct ColtHome *home,
                        const struct ColtId *id,
--- a/src/request/private/requests_private.h
+++ b/src/request/private/requests_private.h
@@ -145,4 +145,11 @@
                                     struct ColtRequest *request,
                                     int64_t now_us);
 
+/** Ends a request, and tells the client. */
+void colt_requests_end (struct ColtRequests *requests,
+                        struct ColtRequest *request,
+                        enum ColtOutcome outcome,
+                        enum ColtReason reason,
+                        int64_t now_us);
+
 #endif
--- a/src/request/request_steps.c
+++ b/src/request/request_steps.c
@@ -1,10 +1,25 @@
 #include "requests_private.h"
 
-static void end_request_ (struct ColtRequests *requests,
-                          struct ColtRequest *request,
-                          enum ColtOutcome outcome,
-                          enum ColtReason reason,
-                          int64_t now_us);
+void
+colt_requests_end (struct ColtRequests *requests,
+                   struct ColtRequest *request,
+                   enum ColtOutcome outcome,
+                   enum ColtReason reason,
+                   int64_t now_us)
+{
+  request->outcome = outcome;
+  request->reason = reason;
+  requests->stats.open--;
+  requests->stats.payload_bytes -= request->spec.payload_size;
+  g_free ((void *)request->spec.payload);
+  request->spec.payload = NULL;
+  request->spec.payload_size = 0;
+  colt_requests_add_timer (requests,
+                           now_us + COLT_RESULT_RETENTION_S * COLT_US_PER_S,
+                           &request->id, 0, TIMER_DROP_RESULT);
+  colt_requests_plan_forgetting (requests, request, now_us);
+  requests->calls->ended (requests->client, request);
+}
 
 void
 colt_requests_set_state (struct ColtRequests *requests,
@@ -122,7 +137,7 @@
       outcome = COLT_OUTCOME_CANCELLED;
       reason = COLT_REASON_CANCELLED;
     }
-  end_request_ (requests, request, outcome, reason, now_us);
+  colt_requests_end (requests, request, outcome, reason, now_us);
 }
 
 void
@@ -155,14 +170,14 @@
         }
     }
   if (!in_flight && !colt_request_ever_ran (request))
-    end_request_ (requests, request,
-                  request->doubtful ? COLT_OUTCOME_UNKNOWN
-                                    : COLT_OUTCOME_NOT_RUN,
-                  reason, now_us);
+    colt_requests_end (requests, request,
+                       request->doubtful ? COLT_OUTCOME_UNKNOWN
+                                         : COLT_OUTCOME_NOT_RUN,
+                       reason, now_us);
   else if (reason == COLT_REASON_DEADLINE)
-    end_request_ (requests, request,
-                  in_flight ? COLT_OUTCOME_UNKNOWN : COLT_OUTCOME_FAILED,
-                  reason, now_us);
+    colt_requests_end (requests, request,
+                       in_flight ? COLT_OUTCOME_UNKNOWN : COLT_OUTCOME_FAILED,
+                       reason, now_us);
   else
     colt_requests_judge (requests, request, now_us);
 }
@@ -241,24 +256,3 @@
     }
   return NULL;
 }
-
-static void
-end_request_ (struct ColtRequests *requests,
-              struct ColtRequest *request,
-              enum ColtOutcome outcome,
-              enum ColtReason reason,
-              int64_t now_us)
-{
-  request->outcome = outcome;
-  request->reason = reason;
-  requests->stats.open--;
-  requests->stats.payload_bytes -= request->spec.payload_size;
-  g_free ((void *)request->spec.payload);
-  request->spec.payload = NULL;
-  request->spec.payload_size = 0;
-  colt_requests_add_timer (requests,
-                           now_us + COLT_RESULT_RETENTION_S * COLT_US_PER_S,
-                           &request->id, 0, TIMER_DROP_RESULT);
-  colt_requests_plan_forgetting (requests, request, now_us);
-  requests->calls->ended (requests->client, request);
-}
--- a/src/request/requests.c
+++ b/src/request/requests.c
@@ -173,6 +173,22 @@
   return COLT_SUBMIT_ACCEPTED;
 }
 
+void
+colt_requests_conclude (struct ColtRequests *requests,
+                        const struct ColtId *id,
+                        enum ColtOutcome outcome,
+                        int64_t now_us)
+{
+  struct ColtRequest *request = colt_requests_lookup (requests, id);
+
+  if (request == NULL || !request->recovered || request->open_tasks > 0
+      || request->outcome != COLT_OUTCOME_PENDING)
+    return;
+  request->recovered = false;
+  requests->stats.recovered--;
+  colt_requests_end (requests, request, outcome, COLT_REASON_NONE, now_us);
+}
+
 void
 colt_requests_cancel (struct ColtRequests *requests,
                       const struct ColtId *id,
