Stand-in backend server: record new limits of tasks

The history checker reads records of the event resize and computes with them what a server's tasks may use, but the stand-in wrote none, so that each raised limit was counted as a resize that nobody saw. It now writes one before any record of a capacity that is exceeded.

--- a/src/test_standin/test_server.c
+++ b/src/test_standin/test_server.c
@@ -258,6 +258,7 @@
   g_assert_cmpint (
       colt_standin_server_resize (fixture->server, 2000, &second, &large), ==,
       COLT_STANDIN_OUTCOME_RESIZED);
+  g_assert_cmpint (fixture->notices[COLT_STANDIN_RESIZED], ==, 1);
   g_assert_cmpint (fixture->notices[COLT_STANDIN_OVER], ==, 1);
   g_assert_cmpint (
       start_task (fixture, 3000, token, make_start (3, 1, "forever=1")), ==,
--- a/standin/server_state.c
+++ b/standin/server_state.c
@@ -14,8 +14,8 @@
 #define REASON_DOWN "down"
 
 const char *const colt_standin_notice_string[]
-    = { "start", "end",     "duplicate", "refuse", "over",
-        "lease", "release", "leaving",   "down" };
+    = { "start", "end",   "resize",  "duplicate", "refuse",
+        "over",  "lease", "release", "leaving",   "down" };
 
 const char *const colt_standin_outcome_string[]
     = { "started", "duplicate", "refused", "stopped",
@@ -283,6 +283,7 @@
   colt_resources_subtract (&server->used, &task->run.limit);
   colt_standin_run_set_limit (&task->run, limit, now_us);
   colt_resources_add (&server->used, limit);
+  notify_ (server, COLT_STANDIN_RESIZED, now_us, task, NULL);
   check_capacity_ (server, now_us, task);
   return COLT_STANDIN_OUTCOME_RESIZED;
 }
--- a/standin/server_state.h
+++ b/standin/server_state.h
@@ -61,6 +61,7 @@
 {
   COLT_STANDIN_STARTED,
   COLT_STANDIN_ENDED,
+  COLT_STANDIN_RESIZED, /**< a task has a new limit */
   COLT_STANDIN_DUPLICATE,
   COLT_STANDIN_REFUSED,     /**< a start; the task has no run */
   COLT_STANDIN_OVER,        /**< limits exceed the capacity by this task */
