--- a/scripts/demo/faults.py
+++ b/scripts/demo/faults.py
@@ -33,6 +33,20 @@
         self.fleet.restart_entry(self.number)
 
 
+class StopEntry(Fault):
+    """A planned stop under load; it has to end with status 0 in its grace time."""
+
+    def begin(self):
+        self.number = self.run.rng.choice(topology.ENTRIES)[0]
+        self.fleet.signal_entry(self.number, signal.SIGTERM)
+
+    def end(self):
+        code = self.fleet.wait_entry(self.number)
+        if code != 0:
+            self.run.result.setdefault("unplanned_ends", {})[str(self.number)] = code
+        self.fleet.restart_entry(self.number)
+
+
 class PauseEntry(Fault):
     def begin(self):
         self.number = self.run.rng.choice(topology.ENTRIES)[0]
@@ -135,6 +149,7 @@
 
 FAULTS = {
     "kill-entry": KillEntry,
+    "stop-entry": StopEntry,
     "pause-entry": PauseEntry,
     "cut-zone": CutZone,
     "log-outage": LogOutage,
--- a/scripts/demo/fleet.py
+++ b/scripts/demo/fleet.py
@@ -82,6 +82,16 @@
         if process.poll() is None:
             process.send_signal(what)
 
+    def wait_entry(self, number):
+        """Waits for the end of an instance and returns its status."""
+        process = self.processes[self.entry_name(number)]
+        try:
+            return process.wait(STOP_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
+            return "killed"
+
     def kill_entry(self, number):
         process = self.processes[self.entry_name(number)]
         process.kill()
--- a/scripts/demo/run.py
+++ b/scripts/demo/run.py
@@ -307,7 +307,7 @@
     finally:
         odd = run.fleet.stop()
     run.result["odd_exits"] = odd
-    kept = run.judge() and not odd
+    kept = run.judge() and not odd and not run.result.get("unplanned_ends")
     print_table(run, kept)
     if options.json:
         with open(options.json, "w", encoding="utf-8") as file:
