Takeover goes on without servers that nobody holds; credits wait for them

Cause: a recount waited 30.6 s for a server that is dead, and held back every request of the shard. Change: it goes on after 4 s for requests that are certainly new; credits of the shard's teams are granted only when every server has joined or is written off, and every owner's process is known.

--- a/src/coltsfootstile/instance_limits.c
+++ b/src/coltsfootstile/instance_limits.c
@@ -152,15 +152,18 @@
   return colt_entitlements_pack (limits->fold, size);
 }
 
+/*
+ * Tasks may run on servers that a recount lacks. Credits are granted only when
+ * each of them has joined or is written off.
+ */
 void
 colt_instance_limits_lead (struct ColtInstanceLimits *limits,
                            uint32_t shard,
                            uint64_t epoch,
                            bool led)
 {
-  if (led)
-    colt_limits_open (limits, shard, epoch);
-  else
+  limits->shards[shard].wanted = led ? epoch : 0;
+  if (!led)
     colt_limits_close (limits, shard);
 }
 
--- a/src/coltsfootstile/limits_credits.c
+++ b/src/coltsfootstile/limits_credits.c
@@ -24,7 +24,9 @@
                           const struct ColtCreditReport *report);
 static struct ColtLimitsOwner *add_owner_ (struct ColtLimitsShard *shard,
                                            uint64_t process);
+static bool knows_processes_ (const struct ColtLimitsShard *shard);
 static void seat_owners_ (struct ColtLimitsShard *shard);
+static void process_ (struct ColtLimitsShard *shard, int64_t now_us);
 static void remove_dead_owners_ (struct ColtLimitsShard *shard, int64_t now_us);
 static bool is_replaced_ (struct ColtLimitsShard *shard,
                           const struct ColtLimitsOwner *owner,
@@ -99,11 +101,17 @@
     {
       struct ColtLimitsShard *led = &limits->shards[shard];
 
+      if (led->wanted != 0 && knows_processes_ (led)
+          && colt_shard_lead_unknown (colt_home_shards (limits->instance->home),
+                                      shard)
+                 == 0)
+        {
+          colt_limits_open (limits, shard, led->wanted);
+          led->wanted = 0;
+        }
       if (led->lead == NULL)
         continue;
-      seat_owners_ (led);
-      remove_dead_owners_ (led, now_us);
-      colt_credit_lead_process (led->lead, now_us);
+      process_ (led, now_us);
     }
   if (limits->holder != NULL)
     colt_credit_holder_process (limits->holder, now_us);
@@ -250,7 +258,7 @@
   if (led->lead != NULL && colt_credit_lead_receive (led->lead, report, &error))
     {
       note_report_ (led, report);
-      colt_credit_lead_process (led->lead, colt_clock_monotonic_us ());
+      process_ (led, colt_clock_monotonic_us ());
     }
   colt_credit_report_destroy (report);
 }
@@ -286,6 +294,37 @@
   return owner;
 }
 
+/* Returns whether it is known which process answered for each server. */
+static bool
+knows_processes_ (const struct ColtLimitsShard *shard)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (shard->servers == NULL)
+    return true;
+  g_hash_table_iter_init (&iter, shard->servers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct ColtLimitsSeat *seat = value;
+
+      if (colt_limits_process_of (shard->limits, seat->instance) == 0)
+        return false;
+    }
+  return true;
+}
+
+/* A lead that doesn't know an owner yet grants nothing. */
+static void
+process_ (struct ColtLimitsShard *shard, int64_t now_us)
+{
+  if (!knows_processes_ (shard))
+    return;
+  seat_owners_ (shard);
+  remove_dead_owners_ (shard, now_us);
+  colt_credit_lead_process (shard->lead, now_us);
+}
+
 /* Every owner that has answered for a server of the zone is counted. */
 static void
 seat_owners_ (struct ColtLimitsShard *shard)
--- a/src/coltsfootstile/private/instance_limits.h
+++ b/src/coltsfootstile/private/instance_limits.h
@@ -28,7 +28,8 @@
 {
   struct ColtInstanceLimits *limits;
   uint32_t shard;
-  uint64_t epoch; /**< 0: not led here */
+  uint64_t epoch;  /**< 0: not led here */
+  uint64_t wanted; /**< led at this epoch, but servers are unaccounted for */
   struct ColtCreditLead *lead;
   GHashTable *servers; /**< server -> struct ColtLimitsSeat */
   GHashTable *owners;  /**< process -> struct ColtLimitsOwner */
--- a/src/home/home.c
+++ b/src/home/home.c
@@ -3,6 +3,8 @@
 #include "coltsfootstile/clock.h"
 #include "home_private.h"
 
+/* A recount goes on without servers that nobody has held for so long, in ms. */
+#define PARTIAL_MS 4000
 /* Time between two looks at what is due. */
 #define TICK_US (20 * COLT_US_PER_MS)
 
@@ -24,6 +26,7 @@
   home->calls = calls;
   home->client = client;
   colt_shard_times_default (&times);
+  times.partial_ms = PARTIAL_MS;
   home->lead = colt_shard_lead_create (parts->instance, parts->incarnation,
                                        &times, &colt_home_shard_client, home);
   home->requests = colt_requests_create (&colt_home_request_calls, home);
