--- a/include/coltsfootstile/request.h
+++ b/include/coltsfootstile/request.h
@@ -91,7 +91,7 @@
 {
   struct ColtId id;
   struct ColtRequestSpec spec; /**< the payload belongs to the request */
-  uint64_t fingerprint;        /**< of the caller's words */
+  uint64_t fingerprint;        /**< of the caller's words, if known */
   bool recovered;              /**< known from backend servers alone */
   bool doubtful; /**< an earlier lead may have run it and left no trace */
   bool cancelled;
--- a/src/request/private/requests_private.h
+++ b/src/request/private/requests_private.h
@@ -10,6 +10,9 @@
 #include "coltsfootstile/clock.h"
 #include "coltsfootstile/request.h"
 
+/* Fingerprint of a request known from backend servers alone. */
+#define COLT_FINGERPRINT_NONE UINT64_C (0)
+
 enum ColtTimerKind
 {
   TIMER_DEADLINE,
--- a/src/request/request_table.c
+++ b/src/request/request_table.c
@@ -112,6 +112,7 @@
       request
           = colt_requests_add (requests, &report->ref.request, &spec, now_us);
       request->recovered = true;
+      request->fingerprint = COLT_FINGERPRINT_NONE;
       request->started_us = now_us;
       requests->stats.recovered++;
       colt_requests_plan_forgetting (requests, request, now_us);
--- a/src/request/requests.c
+++ b/src/request/requests.c
@@ -335,7 +335,7 @@
 static bool
 matches_ (const struct ColtRequest *request, const struct ColtRequestSpec *spec)
 {
-  if (request->recovered)
+  if (request->fingerprint == COLT_FINGERPRINT_NONE)
     return strcmp (request->spec.team, spec->team) == 0
            && request->spec.kind == spec->kind
            && request->spec.tasks <= spec->tasks;
--- a/src/test_request/test_recovery.c
+++ b/src/test_request/test_recovery.c
@@ -182,6 +182,31 @@
   g_assert_true (colt_requests_find (fixture->requests, &id)->recovered);
 }
 
+/* The log tells how it ended; its caller may still ask with its own words. */
+static void
+test_concluded_is_known (struct ColtTableFixture *fixture, gconstpointer data)
+{
+  struct ColtRequestSpec spec = table_spec (false);
+  struct ColtId id = table_id (1);
+  const struct ColtTaskRef ref = { id, 0, 1 };
+  struct ColtTaskReport report = table_report (&ref, COLT_TASK_STOPPED);
+  enum ColtReason reason;
+
+  (void)data;
+  table_take_over (fixture, &id, &report, 1, 0);
+  colt_requests_conclude (fixture->requests, &id, COLT_OUTCOME_CANCELLED,
+                          fixture->now_us);
+  g_assert_cmpuint (fixture->ended_count, ==, 1);
+  g_assert_cmpint (
+      table_submit_again (fixture, &id, &spec, TEST_WALL_S, &reason), ==,
+      COLT_SUBMIT_KNOWN);
+  g_assert_cmpint (colt_requests_find (fixture->requests, &id)->outcome, ==,
+                   COLT_OUTCOME_CANCELLED);
+  g_assert_cmpuint (fixture->ended_count, ==, 1);
+  g_assert_cmpuint (fixture->ready_count, ==, 0);
+  table_assert_idle (fixture);
+}
+
 /* Attempts are counted anew where nothing is known of earlier ones. */
 static void
 test_news_of_an_earlier_lead (struct ColtTableFixture *fixture,
@@ -256,6 +281,7 @@
        test_traceless_task_is_not_started);
   ADD ("late-server", NULL, test_late_server_is_recovered);
   ADD ("other-team", NULL, test_other_team_is_a_mismatch);
+  ADD ("concluded", NULL, test_concluded_is_known);
   ADD ("earlier-lead", NULL, test_news_of_an_earlier_lead);
   ADD ("forgotten", NULL, test_recovered_is_forgotten);
 }
