Results of ended requests are bounded in bytes; pages are checked against the code

COLT_RESULT_BYTES_MAX was named and never kept: results stayed for 60 s whatever their size. Beyond it those that ended first are dropped now, and are fetched from their servers if asked for. A bound on connections of the gate that nothing kept is no longer named; HTTP's library has none to set. The pages for callers and for settings have to list every reason, outcome and setting.

--- a/include/coltsfootstile/gate.h
+++ b/include/coltsfootstile/gate.h
@@ -30,8 +30,6 @@
 #define COLT_GATE_IDLE_S 60
 /** Requests that one gate holds open at most. */
 #define COLT_GATE_OPEN_MAX 10000u
-/** Connections that one gate holds at most. */
-#define COLT_GATE_CONNECTIONS_MAX 4096u
 /** Longest deadline that a caller may set, in milliseconds. */
 #define COLT_DEADLINE_MAX_MS INT64_C (3600000)
 /** Deadline of a waiting caller when neither it nor the bundle sets one. */
--- a/include/coltsfootstile/request.h
+++ b/include/coltsfootstile/request.h
@@ -26,7 +26,8 @@
 #define COLT_REQUEST_OPEN_MAX 20000u
 /** Bytes of payloads that one instance holds at most. */
 #define COLT_REQUEST_BYTES_MAX (16u * 1024 * 1024)
-/** Bytes of results that one instance holds at most. */
+/** Bytes of results of ended requests that one instance holds at most; beyond
+ * it those that ended first are dropped, and fetched again when asked for. */
 #define COLT_RESULT_BYTES_MAX (8u * 1024 * 1024)
 /** Largest payload of a request in bytes. */
 #define COLT_PAYLOAD_MAX (256u * 1024)
--- a/src/admission/private/gate_private.h
+++ b/src/admission/private/gate_private.h
@@ -61,7 +61,6 @@
   GQueue minted_order; /**< of struct ColtId */
   struct event *timer;
   int64_t attach_us;
-  unsigned connections;
   bool stopping;
   struct ColtGateCounters counters;
 };
--- a/src/request/private/requests_private.h
+++ b/src/request/private/requests_private.h
@@ -148,6 +148,10 @@
                                     struct ColtRequest *request,
                                     int64_t now_us);
 
+/** Drops the results of the requests that ended first while there are too
+ * many bytes of them. */
+void colt_requests_bound_results (struct ColtRequests *requests);
+
 /** Ends a request, and tells the client. */
 void colt_requests_end (struct ColtRequests *requests,
                         struct ColtRequest *request,
--- a/src/request/request_steps.c
+++ b/src/request/request_steps.c
@@ -19,6 +19,7 @@
                            &request->id, 0, TIMER_DROP_RESULT);
   colt_requests_plan_forgetting (requests, request, now_us);
   requests->calls->ended (requests->client, request);
+  colt_requests_bound_results (requests);
 }
 
 void
--- a/src/request/request_timers.c
+++ b/src/request/request_timers.c
@@ -51,6 +51,23 @@
                            TIMER_FORGET);
 }
 
+void
+colt_requests_bound_results (struct ColtRequests *requests)
+{
+  GSequenceIter *iter = g_sequence_get_begin_iter (requests->timers);
+
+  while (requests->stats.result_bytes > COLT_RESULT_BYTES_MAX
+         && !g_sequence_iter_is_end (iter))
+    {
+      const struct ColtTimer *timer = g_sequence_get (iter);
+      struct ColtRequest *request = colt_requests_lookup (requests, &timer->id);
+
+      iter = g_sequence_iter_next (iter);
+      if (timer->kind == TIMER_DROP_RESULT && request != NULL)
+        colt_requests_drop_results (requests, request);
+    }
+}
+
 static void
 run_timer_ (struct ColtRequests *requests,
             const struct ColtTimer *timer,
--- a/src/test_daemon/test_daemon.c
+++ b/src/test_daemon/test_daemon.c
@@ -138,6 +138,26 @@
     }
 }
 
+/* The page lists each setting in a row of its table. */
+static void
+test_page_has_every_setting (void)
+{
+  char *page = NULL;
+  size_t i;
+
+  g_assert_true (g_file_get_contents (SETTINGS_PAGE, &page, NULL, NULL));
+  for (i = 0; i < colt_daemon_setting_count; i++)
+    {
+      const struct ColtSettingSpec *spec = &colt_daemon_settings[i];
+      char *row
+          = g_strdup_printf ("\n| `%s` | `%s` |", spec->section, spec->key);
+
+      g_assert_nonnull (strstr (page, row));
+      g_free (row);
+    }
+  g_free (page);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -146,6 +166,7 @@
   g_test_add_func ("/daemon/bounds", test_bounds);
   g_test_add_func ("/daemon/unknown-and-repeated", test_unknown_and_repeated);
   g_test_add_func ("/daemon/every-problem", test_every_problem_at_once);
+  g_test_add_func ("/daemon/page", test_page_has_every_setting);
   g_test_add_func ("/daemon/help", test_every_setting_has_help);
   return g_test_run ();
 }
--- a/src/test_request/test_request.c
+++ b/src/test_request/test_request.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "table_fixture.h"
 
 static void
@@ -358,6 +360,43 @@
   g_assert_null (colt_requests_find (fixture->requests, &id));
 }
 
+static void
+test_oldest_results_give_way (struct ColtTableFixture *fixture,
+                              gconstpointer data)
+{
+  const unsigned count = COLT_RESULT_BYTES_MAX / COLT_PAYLOAD_MAX + 2;
+  uint8_t *result = g_malloc0 (COLT_PAYLOAD_MAX);
+  struct ColtRequestSpec spec = table_spec (true);
+  struct ColtRequestStats stats;
+  struct ColtId id;
+  unsigned i;
+
+  (void)data;
+  for (i = 0; i < count; i++)
+    {
+      struct ColtTaskReport report;
+      struct ColtTaskRef ref;
+
+      id = table_id ((uint8_t)i);
+      table_submit (fixture, &id, &spec);
+      ref = table_send (fixture, &id, 0);
+      report = table_report (&ref, COLT_TASK_FINISHED);
+      report.result = result;
+      report.result_size = COLT_PAYLOAD_MAX;
+      colt_requests_ended (fixture->requests, &report, ++fixture->now_us);
+    }
+  colt_requests_get_stats (fixture->requests, &stats);
+  g_assert_cmpuint (stats.result_bytes, ==, COLT_RESULT_BYTES_MAX);
+  for (i = 0; i < count; i++)
+    {
+      id = table_id ((uint8_t)i);
+      g_assert_true (
+          colt_requests_find (fixture->requests, &id)->tasks[0].result_known
+          == (i >= 2));
+    }
+  g_free (result);
+}
+
 static void
 test_old_and_hashed_ids (struct ColtTableFixture *fixture, gconstpointer data)
 {
@@ -384,6 +423,32 @@
       COLT_SUBMIT_ACCEPTED);
 }
 
+/* The callers' page explains each outcome and reason. */
+static void
+test_page_has_every_reason (void)
+{
+  char *page = NULL;
+  int i;
+
+  g_assert_true (g_file_get_contents (API_PAGE, &page, NULL, NULL));
+  for (i = COLT_REASON_NONE + 1; i < COLT_REASON_COUNT; i++)
+    {
+      char *name = g_strdup_printf ("`%s`", colt_reason_string[i]);
+
+      g_assert_nonnull (strstr (page, name));
+      g_assert_cmpuint (strlen (colt_reason_text[i]), >, 0);
+      g_free (name);
+    }
+  for (i = COLT_OUTCOME_PENDING + 1; i < COLT_OUTCOME_COUNT; i++)
+    {
+      char *row = g_strdup_printf ("\n| `%s` |", colt_outcome_string[i]);
+
+      g_assert_nonnull (strstr (page, row));
+      g_free (row);
+    }
+  g_free (page);
+}
+
 #define ADD(path, data, test)                                                  \
   g_test_add ("/request/" path, struct ColtTableFixture, data, table_set_up,   \
               test, table_tear_down)
@@ -419,7 +484,9 @@
   ADD ("refuse-waiting", NULL, test_refuse_waiting);
   ADD ("bounds", NULL, test_bounds);
   ADD ("dropped", NULL, test_results_and_requests_are_dropped);
+  ADD ("oldest-results-give-way", NULL, test_oldest_results_give_way);
   ADD ("old-and-hashed-ids", NULL, test_old_and_hashed_ids);
+  g_test_add_func ("/request/page", test_page_has_every_reason);
   test_add_recovery ();
   return g_test_run ();
 }
