--- a/src/placement/reservations.c
+++ b/src/placement/reservations.c
@@ -14,8 +14,9 @@
 #define INTERVAL_US (20 * COLT_US_PER_MS)
 /* How long a task waits before servers are kept for it. */
 #define PATIENCE_US (100 * COLT_US_PER_MS)
-/* A task is large from this part of an average server on. */
+/* A task is large from these parts of an average server on. */
 #define LARGE_PART 4
+#define LARGE_ACCELERATORS_PART 2
 /* Placed tasks of a server that are looked at to foretell its free amounts. */
 #define RELEASES_MAX 64u
 /* What an expected run time is multiplied by where it must not be exceeded. */
@@ -184,13 +185,17 @@
 static bool
 is_large_ (const struct ColtSearch *search)
 {
+  const struct ColtPlacement *placement = search->placement;
   const int64_t *demand = search->demand.amount;
-  const int64_t *total = search->placement->total.amount;
-  int64_t servers = g_hash_table_size (search->placement->servers);
+  const int64_t *total = placement->total.amount;
+  const enum ColtResource scarce = COLT_RESOURCE_ACCELERATORS;
+  int64_t servers = g_hash_table_size (placement->servers);
+  int64_t accelerated
+      = colt_fit_tree_count (placement->capacities[COLT_SERVERS_ACCELERATED]);
   int i;
 
-  if (search->task->urgent || search->task->kind == COLT_WORK_GANG
-      || demand[COLT_RESOURCE_ACCELERATORS] > 1)
+  if (search->task->urgent
+      || demand[scarce] * accelerated * LARGE_ACCELERATORS_PART > total[scarce])
     return true;
   for (i = 0; i < COLT_RESOURCE_ACCELERATORS; i++)
     if (demand[i] * servers * LARGE_PART > total[i])
