--- a/src/placement/buckets.c
+++ b/src/placement/buckets.c
@@ -12,6 +12,7 @@
 static bool is_open_ (const struct ColtPlacement *placement,
                       struct ColtLane *lane,
                       int64_t now_us);
+static bool goes_first_ (const struct ColtLane *lane);
 static gint compare_lanes_ (gconstpointer a, gconstpointer b, gpointer data);
 static gint compare_retries_ (gconstpointer a, gconstpointer b, gpointer data);
 
@@ -59,6 +60,21 @@
     }
 }
 
+void
+colt_buckets_set_claims (struct ColtPlacement *placement,
+                         struct ColtLane *lane,
+                         bool claims)
+{
+  bool ordered = lane->order != NULL;
+
+  if (lane->claims == claims)
+    return;
+  g_clear_pointer (&lane->order, g_sequence_remove);
+  lane->claims = claims;
+  if (ordered)
+    colt_buckets_add (placement, lane);
+}
+
 void
 colt_buckets_defer (struct ColtPlacement *placement,
                     struct ColtLane *lane,
@@ -214,14 +230,19 @@
   return false;
 }
 
+static bool
+goes_first_ (const struct ColtLane *lane)
+{
+  return lane->claims || (lane->high && lane->team->high_first);
+}
+
 static gint
 compare_lanes_ (gconstpointer a, gconstpointer b, gpointer data)
 {
   const struct ColtLane *first = a;
   const struct ColtLane *second = b;
   const struct ColtPlacementTeam *teams[] = { first->team, second->team };
-  bool high[] = { first->high && teams[0]->high_first,
-                  second->high && teams[1]->high_first };
+  bool high[] = { goes_first_ (first), goes_first_ (second) };
 
   (void)data;
   if (high[0] != high[1])
--- a/src/placement/gangs.c
+++ b/src/placement/gangs.c
@@ -17,7 +17,7 @@
                    struct ColtGang *gang,
                    guint count,
                    int64_t now_us);
-static struct ColtPlacementTeam *team_of_ (const struct ColtGang *gang);
+static struct ColtLane *lane_of_ (const struct ColtGang *gang);
 
 void
 colt_gangs_add (struct ColtPlacement *placement,
@@ -104,6 +104,7 @@
   gang->held = 0;
   if (placement->holder == gang)
     placement->holder = NULL;
+  colt_buckets_set_claims (placement, waiting->lane, false);
   members = g_ptr_array_copy (gang->members, NULL, NULL);
   for (i = 0; i < members->len; i++)
     colt_decide_hand_out (placement, g_ptr_array_index (members, i), now_us);
@@ -118,7 +119,7 @@
 
   if (gang == NULL || now_us < gang->hold_until_us)
     return;
-  colt_teams_pause (team_of_ (gang), now_us);
+  colt_teams_pause (lane_of_ (gang)->team, now_us);
   colt_gangs_release (placement, gang);
 }
 
@@ -137,8 +138,10 @@
                           false);
     }
   gang->held = 0;
-  if (placement->holder == gang)
-    placement->holder = NULL;
+  if (placement->holder != gang)
+    return;
+  placement->holder = NULL;
+  colt_buckets_set_claims (placement, lane_of_ (gang), false);
 }
 
 void
@@ -185,7 +188,7 @@
   if (placement->holder != NULL)
     return placement->holder == gang;
   return now_us >= gang->since_us + PATIENCE_US
-         && now_us >= team_of_ (gang)->reserve_after_us;
+         && now_us >= lane_of_ (gang)->team->reserve_after_us;
 }
 
 static void
@@ -200,11 +203,11 @@
     colt_reservations_drop_request (placement, &gang->request);
   placement->holder = gang;
   gang->held = count;
+  colt_buckets_set_claims (placement, lane_of_ (gang), true);
 }
 
-static struct ColtPlacementTeam *
-team_of_ (const struct ColtGang *gang)
+static struct ColtLane *
+lane_of_ (const struct ColtGang *gang)
 {
-  return ((struct ColtWaiting *)g_ptr_array_index (gang->members, 0))
-      ->lane->team;
+  return ((struct ColtWaiting *)g_ptr_array_index (gang->members, 0))->lane;
 }
--- a/src/placement/private/placement_private.h
+++ b/src/placement/private/placement_private.h
@@ -131,6 +131,7 @@
   GSequenceIter *deferred; /**< NULL unless deferred */
   int64_t retry_us;        /**< until when it is deferred */
   bool large;              /**< its head may have a server kept */
+  bool claims;             /**< its gang keeps room: it goes first */
   bool moving;
 };
 
@@ -338,6 +339,10 @@
 void colt_buckets_set_order (struct ColtPlacementTeam *team,
                              double order,
                              bool high_first);
+/** Sets whether a lane goes first because its gang keeps room. */
+void colt_buckets_set_claims (struct ColtPlacement *placement,
+                              struct ColtLane *lane,
+                              bool claims);
 void colt_buckets_defer (struct ColtPlacement *placement,
                          struct ColtLane *lane,
                          int64_t until_us);
