--- a/src/placement/private/placement_private.h
+++ b/src/placement/private/placement_private.h
@@ -17,8 +17,10 @@
 #define COLT_GROUP_ACCELERATED_COUNT 9u
 /** All groups: the plain ones come first. */
 #define COLT_GROUP_COUNT (COLT_GROUP_PLAIN_COUNT + COLT_GROUP_ACCELERATED_COUNT)
-/** Servers that a search compares. */
-#define COLT_CANDIDATES_MAX 24u
+/** Servers that a search draws from a large group to compare them. */
+#define COLT_CANDIDATES_MAX 12u
+/** Servers of a group that is looked at as a whole. */
+#define COLT_WHOLE_GROUP_MAX 48u
 /** Gains of servers that are remembered. */
 #define COLT_GAINS_MAX 64u
 /** Head start in the queue that a step of priority is worth. */
--- a/src/placement/reservations.c
+++ b/src/placement/reservations.c
@@ -212,13 +212,13 @@
   const struct ColtFitTree *tree
       = placement->capacities[colt_search_class (search)];
   uint32_t count = colt_fit_tree_count (tree);
-  bool all = count <= 2 * COLT_CANDIDATES_MAX;
+  bool all = count <= COLT_WHOLE_GROUP_MAX;
   struct ColtPlacementServer *best = NULL;
   bool best_known = false;
   uint32_t from = 0;
   unsigned i;
 
-  for (i = 0; i < 2 * COLT_CANDIDATES_MAX; i++)
+  for (i = 0; i < (all ? COLT_WHOLE_GROUP_MAX : COLT_CANDIDATES_MAX); i++)
     {
       int64_t time_us = search->now_us;
       struct ColtPlacementServer *server;
--- a/src/placement/search.c
+++ b/src/placement/search.c
@@ -100,13 +100,13 @@
 {
   GRand *random = best->search->placement->random;
   uint32_t count = colt_fit_tree_count (tree);
-  bool all = count <= 2 * COLT_CANDIDATES_MAX;
+  bool all = count <= COLT_WHOLE_GROUP_MAX;
   uint32_t from = 0;
   unsigned i;
 
   if (count == 0)
     return;
-  for (i = 0; i < 2 * COLT_CANDIDATES_MAX; i++)
+  for (i = 0; i < COLT_WHOLE_GROUP_MAX; i++)
     {
       struct ColtPlacementServer *server;
 
