--- a/src/coltsfootstile/instance_state.c
+++ b/src/coltsfootstile/instance_state.c
@@ -180,9 +180,10 @@
   colt_requests_get_stats (requests, &stats);
   colt_requests_visit (requests, add_request_, items);
   return json_pack (
-      "{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:o}", "open", (json_int_t)stats.open,
-      "waiting", (json_int_t)stats.waiting, "sent", (json_int_t)stats.sent,
-      "running", (json_int_t)stats.running, "kept", (json_int_t)stats.kept,
+      "{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:o}", "open", (json_int_t)stats.open,
+      "recovered", (json_int_t)stats.recovered, "waiting",
+      (json_int_t)stats.waiting, "sent", (json_int_t)stats.sent, "running",
+      (json_int_t)stats.running, "kept", (json_int_t)stats.kept,
       "payload_bytes", (json_int_t)stats.payload_bytes, "result_bytes",
       (json_int_t)stats.result_bytes, "items", items);
 }
