--- a/src/placement/search.c
+++ b/src/placement/search.c
@@ -24,6 +24,7 @@
 static bool is_allowed_ (const struct ColtSearch *search,
                          const struct ColtPlacementServer *server);
 static bool is_short_ (const struct ColtSearch *search);
+static bool may_use_reserve_ (const struct ColtSearch *search);
 static bool leaves_accelerators_ (const struct ColtSearch *search,
                                   const struct ColtPlacementServer *server);
 static void search_reservation_ (struct ColtBest *best);
@@ -47,7 +48,7 @@
     search_plain_ (&best);
   if (best.server == NULL)
     search_accelerated_ (&best, accelerators);
-  if (best.server == NULL && task->urgent)
+  if (best.server == NULL && may_use_reserve_ (search))
     look_at_ (&best, placement->reserve);
   if (best.server == NULL)
     return colt_reservations_backfill (search);
@@ -168,6 +169,17 @@
   return search->run_ms > 0 && search->run_ms <= SHORT_MS;
 }
 
+/* Short work of high priority gives its place back soon. */
+static bool
+may_use_reserve_ (const struct ColtSearch *search)
+{
+  enum ColtWorkKind kind = search->task->kind;
+
+  return search->task->urgent
+         || (is_short_ (search)
+             && colt_teams_is_high (search->placement, kind));
+}
+
 /* Longer work without accelerators may use a server that has some only as far
  * as each free accelerator keeps a slot and half of its part of cores and
  * memory. */
