Owner: a second copy's failure refuses nothing, and stops are not lost

Tests of the owner on a real loop, with a backend server in the test's own process whose answers the test scripts, found three faults:

- A start without an answer that the server did not know was sent again, and if that second copy was not sent or was fenced, the home was told that the attempt never ran.
The first copy may still arrive, or have arrived.
Such a task now counts as unsure: it is looked up again, or goes without a word when the lease is lost.
- A stop whose batch was lost was never sent again, and the task's mark kept any later stop from being queued, also those of tasks that may not be renewed.
Stops of a failed batch now go out with the next one.
- A stop that reached the server before the copy of the start that ran had no effect.
It is now sent again once the task is known to run.

After a failed batch the next one waits 100 ms instead of following at once, which with a server that refuses connections turned the loop without pause until the lease lapsed. Look-ups come as soon.

--- a/src/owner/owner_change.c
+++ b/src/owner/owner_change.c
@@ -6,12 +6,16 @@
 
 #define MODULE "owner"
 
+/* After a change has failed, before the next one and the look-ups. */
+#define RETRY_US (100 * COLT_US_PER_MS)
+
 /* A batch of changes on its way to a server. */
 struct ColtPendingChange
 {
   struct ColtOwnedServer *server; /* NULL once the lease is lost */
   uint64_t call;
-  GArray *refs; /* of struct ColtTaskRef: what it starts */
+  GArray *refs;  /* of struct ColtTaskRef: what it starts */
+  GArray *stops; /* of struct ColtBackendStop */
   bool renews;
   int64_t sent_us;
 };
@@ -38,6 +42,9 @@
 static void on_looked_up_ (void *client,
                            const struct ColtBackendStatus *status,
                            const struct ColtTaskReport *report);
+static void take_running_ (struct ColtOwner *owner, struct ColtOwnerTask *task);
+static void push_stop_ (struct ColtOwnerTask *task);
+static void repeat_stops_ (const struct ColtPendingChange *change);
 static void free_change_ (struct ColtPendingChange *change);
 
 void
@@ -48,7 +55,6 @@
   struct ColtPendingChange *pending;
   bool renews = renewal_due_ (server, now_us);
   GArray *starts;
-  GArray *stops;
   uint64_t call;
 
   if (server->change != NULL)
@@ -69,20 +75,19 @@
   pending->refs = g_array_new (FALSE, FALSE, sizeof (struct ColtTaskRef));
   server->change = pending;
   starts = take_starts_ (server, pending->refs);
-  stops = take_stops_ (server);
+  pending->stops = take_stops_ (server);
   change.epoch = colt_server_lease_epoch (server->lease);
   change.token = colt_server_lease_token (server->lease);
   change.starts = (const struct ColtTaskStart *)starts->data;
   change.start_count = starts->len;
-  change.stops = (const struct ColtBackendStop *)stops->data;
-  change.stop_count = stops->len;
+  change.stops = (const struct ColtBackendStop *)pending->stops->data;
+  change.stop_count = pending->stops->len;
   change.resizes = (const struct ColtBackendResize *)server->resizes->data;
   change.resize_count = server->resizes->len;
   change.renew_ms = renews ? COLT_TASK_LEASE_MS : 0;
   server->driver->change (server->driver, &change, on_changed_, pending);
   g_array_set_size (server->resizes, 0);
   g_array_unref (starts);
-  g_array_unref (stops);
 }
 
 void
@@ -108,7 +113,7 @@
       colt_owner_refuse_task (server->owner, task, COLT_REFUSAL_LEAVING);
       return;
     }
-  g_queue_push_tail (&server->stops, g_memdup2 (&task->ref, sizeof task->ref));
+  push_stop_ (task);
 }
 
 void
@@ -208,6 +213,7 @@
 {
   struct ColtPendingChange *change = client;
   struct ColtOwnedServer *server = change->server;
+  const struct timeval retry = { 0, RETRY_US };
   size_t i;
 
   if (server == NULL)
@@ -228,7 +234,10 @@
   colt_owned_server_end_call (server, change->call, status,
                               changed != NULL ? changed->token : "");
   free_change_ (change);
-  colt_owned_server_flush (server);
+  if (status->result == COLT_BACKEND_OK)
+    colt_owned_server_flush (server);
+  else
+    evtimer_add (server->timer, &retry);
 }
 
 static void
@@ -244,7 +253,7 @@
   switch (result->status)
     {
     case COLT_BACKEND_STARTED:
-      colt_owner_start_task (owner, task);
+      take_running_ (owner, task);
       return;
     case COLT_BACKEND_DUPLICATE:
       make_unsure_ (task);
@@ -255,7 +264,8 @@
     }
 }
 
-/* A change without an answer may have started its tasks. */
+/* A change without an answer may have started its tasks, and a failure of a
+ * second copy of a start says nothing of the first. */
 static void
 take_failure_ (struct ColtPendingChange *change,
                const struct ColtBackendStatus *status)
@@ -275,7 +285,7 @@
       if (task == NULL || task->server == NULL
           || task->state != COLT_OWNER_TASK_SENT)
         continue;
-      if (!unsure)
+      if (!unsure && !task->maybe_sent)
         {
           colt_owner_refuse_task (owner, task, COLT_REFUSAL_FENCED);
           continue;
@@ -283,6 +293,7 @@
       colt_counters_count (owner->parts.counters, owner->counters.unsure, 1);
       make_unsure_ (task);
     }
+  repeat_stops_ (change);
 }
 
 static void
@@ -319,11 +330,47 @@
       task->state = COLT_OWNER_TASK_QUEUED;
       g_queue_push_tail (&task->server->queue, task);
     }
+  else if (report->state == COLT_TASK_RUNNING)
+    take_running_ (owner, task);
   else
     {
       colt_owner_start_task (owner, task);
-      if (report->state != COLT_TASK_RUNNING)
-        colt_owner_end_task (owner, task, report);
+      colt_owner_end_task (owner, task, report);
+    }
+}
+
+/* A stop that came before the start found nothing to stop. */
+static void
+take_running_ (struct ColtOwner *owner, struct ColtOwnerTask *task)
+{
+  colt_owner_start_task (owner, task);
+  if (task->stopping)
+    push_stop_ (task);
+}
+
+static void
+push_stop_ (struct ColtOwnerTask *task)
+{
+  g_queue_push_tail (&task->server->stops,
+                     g_memdup2 (&task->ref, sizeof task->ref));
+}
+
+/* Stops may be repeated, for a task that has ended takes none. */
+static void
+repeat_stops_ (const struct ColtPendingChange *change)
+{
+  guint i;
+
+  for (i = 0; i < change->stops->len; i++)
+    {
+      const struct ColtBackendStop *stop
+          = &g_array_index (change->stops, struct ColtBackendStop, i);
+      struct ColtOwnerTask *task
+          = colt_owner_tasks_find (change->server->owner->tasks, &stop->ref);
+
+      if (task != NULL && task->server == change->server
+          && task->state < COLT_OWNER_TASK_ENDED)
+        push_stop_ (task);
     }
 }
 
@@ -331,5 +378,6 @@
 free_change_ (struct ColtPendingChange *change)
 {
   g_array_unref (change->refs);
+  g_array_unref (change->stops);
   g_free (change);
 }
--- /dev/null
+++ b/src/test_owner/harness.c
@@ -0,0 +1,460 @@
+#include "harness.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "coltsfootstile/clock.h"
+
+#define INCARNATION 500u
+#define LEAD_INCARNATION 70u
+#define CREDIT_OWNER 77u
+#define CALL_TIMEOUT_MS 20000u
+#define GIVE_UP_US (60 * COLT_US_PER_S)
+
+/* Finds a port that nothing listens on. */
+static void
+choose_address_ (char *text, size_t size)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  socklen_t length = sizeof address;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  g_assert_cmpint (bind (fd, (struct sockaddr *)&address, sizeof address), ==,
+                   0);
+  getsockname (fd, (struct sockaddr *)&address, &length);
+  close (fd);
+  g_snprintf (text, size, "127.0.0.1:%u", ntohs (address.sin_port));
+}
+
+static struct ColtBackendDriver *
+make_driver_ (void *client, const char *address)
+{
+  struct ColtOwnerFixture *fixture = client;
+
+  (void)address;
+  return &fixture->server->driver;
+}
+
+static void
+drop_report_ (void *context, const struct ColtCreditReport *report)
+{
+  (void)context;
+  (void)report;
+}
+
+static void
+take_event_ (struct ColtFakeHome *home, const ColtTaskEvent *event)
+{
+  struct ColtToldEvent told = { 0 };
+
+  g_assert_true (colt_ref_read (event->ref, &told.ref));
+  told.kind = (enum ColtTaskEventKind)event->kind;
+  told.refusal = (enum ColtPlacementRefusal)event->refusal;
+  if (event->report != NULL)
+    {
+      struct ColtTaskReport report;
+
+      g_assert_true (colt_report_read (event->report, &report));
+      told.state = report.state;
+      told.has_result = report.result != NULL;
+    }
+  g_array_append_val (home->told, told);
+}
+
+static void
+on_events_ (void *client,
+            const struct ColtWireOrigin *origin,
+            const uint8_t *body,
+            size_t size)
+{
+  struct ColtFakeHome *home = client;
+  ColtEventsWord *word = colt_events_word__unpack (NULL, size, body);
+  size_t i;
+
+  g_assert_nonnull (word);
+  if (home->deaf)
+    home->unheard++;
+  else
+    {
+      for (i = 0; i < word->n_events; i++)
+        take_event_ (home, word->events[i]);
+      colt_wire_reply (home->wire, origin, NULL, 0);
+    }
+  colt_events_word__free_unpacked (word, NULL);
+}
+
+static void
+open_home_ (struct ColtOwnerFixture *fixture,
+            struct ColtFakeHome *home,
+            uint32_t instance,
+            const char *owner_address)
+{
+  char address[32];
+
+  choose_address_ (address, sizeof address);
+  home->told = g_array_new (FALSE, FALSE, sizeof (struct ColtToldEvent));
+  home->wire = colt_wire_create (fixture->base, instance, 1);
+  colt_wire_set_handler (home->wire, COLT_WIRE_PLACE_EVENTS, on_events_, home);
+  g_assert_true (colt_wire_listen (home->wire, address, NULL));
+  colt_wire_set_peer (home->wire, OWNER_INSTANCE, owner_address);
+  colt_wire_set_peer (fixture->wire, instance, address);
+}
+
+void
+colt_owner_set_up (struct ColtOwnerFixture *fixture, gconstpointer data)
+{
+  const struct ColtListServer listed
+      = { SERVER_ID, 1, 1, "127.0.0.1:1", COLT_LIST_LIVE };
+  const uint32_t member = OWNER_INSTANCE;
+  struct ColtOwnerParts parts = { 0 };
+  char address[32];
+
+  (void)data;
+  choose_address_ (address, sizeof address);
+  fixture->give_up_us = colt_clock_monotonic_us () + GIVE_UP_US;
+  fixture->base = event_base_new ();
+  fixture->wire = colt_wire_create (fixture->base, OWNER_INSTANCE, 1);
+  fixture->counters = colt_counters_create ();
+  fixture->server = colt_fake_server_create (fixture->base, SERVER_ID);
+  fixture->credits
+      = colt_credit_holder_create (CREDIT_OWNER, 0, drop_report_, fixture);
+  parts.base = fixture->base;
+  parts.wire = fixture->wire;
+  parts.counters = fixture->counters;
+  parts.instance = OWNER_INSTANCE;
+  parts.incarnation = INCARNATION;
+  parts.zone = 1;
+  parts.factory = make_driver_;
+  parts.factory_client = fixture;
+  fixture->owner = colt_owner_create (&parts);
+  colt_owner_set_credits (fixture->owner, fixture->credits);
+  g_assert_true (colt_wire_listen (fixture->wire, address, NULL));
+  open_home_ (fixture, &fixture->home, HOME_INSTANCE, address);
+  open_home_ (fixture, &fixture->other_home, OTHER_HOME_INSTANCE, address);
+  colt_owner_set_members (fixture->owner, &member, 1);
+  colt_owner_set_servers (fixture->owner, &listed, 1);
+  RUN_UNTIL (fixture,
+             colt_owner_server_info (fixture).state == COLT_LEASE_HELD);
+  colt_owner_open_sessions (fixture);
+  colt_owner_grant (fixture, 100);
+}
+
+void
+colt_owner_tear_down (struct ColtOwnerFixture *fixture, gconstpointer data)
+{
+  (void)data;
+  colt_wire_destroy (fixture->home.wire);
+  colt_wire_destroy (fixture->other_home.wire);
+  colt_wire_destroy (fixture->wire);
+  colt_owner_destroy (fixture->owner);
+  colt_credit_holder_destroy (fixture->credits);
+  colt_fake_server_destroy (fixture->server);
+  colt_counters_destroy (fixture->counters);
+  event_base_free (fixture->base);
+  g_array_unref (fixture->home.told);
+  g_array_unref (fixture->other_home.told);
+}
+
+void
+colt_owner_turn (struct ColtOwnerFixture *fixture)
+{
+  g_assert_cmpint (colt_clock_monotonic_us (), <, fixture->give_up_us);
+  event_base_loop (fixture->base, EVLOOP_ONCE);
+}
+
+void
+colt_owner_open_sessions (struct ColtOwnerFixture *fixture)
+{
+  struct ColtShardOwner *shards = colt_owner_shards (fixture->owner);
+  struct ColtShardEpoch asked[COLT_SHARD_COUNT];
+  struct ColtShardOpen open
+      = { HOME_INSTANCE, LEAD_INCARNATION, 1, asked, COLT_SHARD_COUNT };
+  const uint32_t view = SERVER_ID;
+  struct ColtShardConfirm confirm = { 0 };
+  struct ColtShardOpened opened;
+  struct ColtShardConfirmed confirmed;
+  uint32_t shard;
+
+  fixture->shard_epoch = ++fixture->epoch_counter << 16 | HOME_INSTANCE;
+  for (shard = 0; shard < COLT_SHARD_COUNT; shard++)
+    {
+      asked[shard].shard = shard;
+      asked[shard].epoch = fixture->shard_epoch;
+      colt_owner_set_lead (fixture->owner, shard, HOME_INSTANCE);
+    }
+  colt_shard_owner_open (shards, &open, &opened, colt_clock_monotonic_us ());
+  confirm.lead = HOME_INSTANCE;
+  confirm.incarnation = LEAD_INCARNATION;
+  confirm.owner_incarnation = INCARNATION;
+  confirm.version = opened.version;
+  confirm.echo = opened.stamp;
+  confirm.shards = UINT64_MAX;
+  confirm.view = &view;
+  confirm.view_count = 1;
+  colt_shard_opened_clear (&opened);
+  colt_shard_owner_confirm (shards, &confirm, &confirmed,
+                            colt_clock_monotonic_us ());
+  colt_shard_confirmed_clear (&confirmed);
+}
+
+void
+colt_owner_grant (struct ColtOwnerFixture *fixture, int64_t tasks)
+{
+  struct ColtCreditGrant *grant = colt_credit_grant_create (0, 1, 0);
+
+  grant->owner = CREDIT_OWNER;
+  grant->shard = colt_team_shard (TEAM);
+  grant->epoch = fixture->shard_epoch;
+  grant->recount = true;
+  g_strlcpy (grant->items[0].team, TEAM, sizeof grant->items[0].team);
+  grant->items[0].sequence = ++fixture->credit_sequence;
+  grant->items[0].ceiling.amount[COLT_QUOTA_TASKS] = tasks;
+  grant->items[0].ceiling.amount[COLT_QUOTA_CORES] = COLT_QUOTA_UNLIMITED;
+  grant->items[0].ceiling.amount[COLT_QUOTA_ACCELERATORS]
+      = COLT_QUOTA_UNLIMITED;
+  g_assert_true (colt_credit_holder_receive (fixture->credits, grant, NULL));
+  colt_credit_grant_destroy (grant);
+  colt_owner_credits_came (fixture->owner);
+}
+
+static void
+keep_info_ (void *client, const struct ColtOwnedServerInfo *info)
+{
+  *(struct ColtOwnedServerInfo *)client = *info;
+}
+
+struct ColtOwnedServerInfo
+colt_owner_server_info (const struct ColtOwnerFixture *fixture)
+{
+  struct ColtOwnedServerInfo info = { 0 };
+
+  colt_owner_visit_servers (fixture->owner, keep_info_, &info);
+  return info;
+}
+
+struct ColtTaskRef
+colt_owner_ref (uint8_t number)
+{
+  const uint8_t random[10] = { number };
+  struct ColtTaskRef ref = { colt_id_mint (1, 1000, random), 0, 1 };
+
+  return ref;
+}
+
+struct ColtResources
+colt_owner_demand (void)
+{
+  const struct ColtResources demand = { { 500, 100, 0, 1, 1 } };
+
+  return demand;
+}
+
+static void
+on_placed_ (void *client,
+            enum ColtWireResult result,
+            const uint8_t *body,
+            size_t size)
+{
+  struct ColtHomeCall *call = client;
+  ColtPlaceReply *reply;
+
+  call->done = true;
+  call->result = result;
+  if (result != COLT_WIRE_REPLIED)
+    return;
+  reply = colt_place_reply__unpack (NULL, size, body);
+  g_assert_nonnull (reply);
+  g_assert_cmpuint (reply->n_results, ==, 1);
+  call->accepted = reply->results[0]->accepted;
+  call->refusal = (enum ColtPlacementRefusal)reply->results[0]->refusal;
+  colt_place_reply__free_unpacked (reply, NULL);
+}
+
+static void
+call_ (struct ColtOwnerFixture *fixture,
+       uint32_t kind,
+       const ProtobufCMessage *message,
+       ColtWireReply reply,
+       struct ColtHomeCall *call)
+{
+  size_t size;
+  uint8_t *body = colt_message_pack (message, &size);
+
+  colt_wire_call (fixture->home.wire, OWNER_INSTANCE, kind, body, size,
+                  CALL_TIMEOUT_MS, reply, call);
+  free (body);
+  RUN_UNTIL (fixture, call->done);
+  g_assert_cmpint (call->result, ==, COLT_WIRE_REPLIED);
+}
+
+struct ColtHomeCall
+colt_owner_place (struct ColtOwnerFixture *fixture,
+                  const struct ColtTaskRef *ref,
+                  const struct ColtResources *demand)
+{
+  struct ColtHomeCall call = { 0 };
+  ColtPlaceWord word = COLT_PLACE_WORD__INIT;
+  ColtPlaceStart start = COLT_PLACE_START__INIT;
+  ColtPlaceStart *starts = &start;
+  struct ColtRefBuffer named;
+  struct ColtResourcesBuffer wanted;
+
+  colt_ref_fill (&named, ref);
+  colt_resources_fill (&wanted, demand);
+  start.ref = &named.word;
+  start.shard = colt_id_shard (&ref->request);
+  start.shard_epoch = fixture->shard_epoch;
+  start.server = SERVER_ID;
+  start.server_epoch = colt_owner_server_info (fixture).epoch;
+  start.team = (char *)TEAM;
+  start.kind = COLT_WORK_BATCH;
+  start.demand = &wanted.word;
+  word.starts = &starts;
+  word.n_starts = 1;
+  call_ (fixture, COLT_WIRE_PLACE, &word.base, on_placed_, &call);
+  return call;
+}
+
+void
+colt_owner_place_good (struct ColtOwnerFixture *fixture,
+                       const struct ColtTaskRef *ref)
+{
+  const struct ColtResources demand = colt_owner_demand ();
+
+  g_assert_true (colt_owner_place (fixture, ref, &demand).accepted);
+}
+
+static void
+on_stopped_ (void *client,
+             enum ColtWireResult result,
+             const uint8_t *body,
+             size_t size)
+{
+  struct ColtHomeCall *call = client;
+
+  (void)body;
+  (void)size;
+  call->done = true;
+  call->result = result;
+}
+
+void
+colt_owner_ask_stop (struct ColtOwnerFixture *fixture,
+                     const struct ColtTaskRef *ref)
+{
+  struct ColtHomeCall call = { 0 };
+  ColtStopWord word = COLT_STOP_WORD__INIT;
+  ColtStopItem item = COLT_STOP_ITEM__INIT;
+  ColtStopItem *items = &item;
+  struct ColtRefBuffer named;
+
+  colt_ref_fill (&named, ref);
+  item.ref = &named.word;
+  item.server = SERVER_ID;
+  word.items = &items;
+  word.n_items = 1;
+  call_ (fixture, COLT_WIRE_PLACE_STOP, &word.base, on_stopped_, &call);
+}
+
+static void
+on_answered_ (void *client,
+              enum ColtWireResult result,
+              const uint8_t *body,
+              size_t size)
+{
+  struct ColtHomeCall *call = client;
+  ColtQueryReply *reply;
+
+  call->done = true;
+  call->result = result;
+  if (result != COLT_WIRE_REPLIED)
+    return;
+  reply = colt_query_reply__unpack (NULL, size, body);
+  g_assert_nonnull (reply);
+  g_assert_cmpuint (reply->n_results, ==, 1);
+  call->stage = (enum ColtQueryStage)reply->results[0]->stage;
+  call->has_result = reply->results[0]->report != NULL
+                     && reply->results[0]->report->result_known;
+  colt_query_reply__free_unpacked (reply, NULL);
+}
+
+struct ColtHomeCall
+colt_owner_query (struct ColtOwnerFixture *fixture,
+                  const struct ColtTaskRef *ref,
+                  bool want_result)
+{
+  struct ColtHomeCall call = { 0 };
+  ColtQueryWord word = COLT_QUERY_WORD__INIT;
+  ColtQueryItem item = COLT_QUERY_ITEM__INIT;
+  ColtQueryItem *items = &item;
+  struct ColtRefBuffer named;
+
+  colt_ref_fill (&named, ref);
+  item.ref = &named.word;
+  item.server = SERVER_ID;
+  item.server_epoch = colt_owner_server_info (fixture).epoch;
+  word.items = &items;
+  word.n_items = 1;
+  word.want_results = want_result;
+  call_ (fixture, COLT_WIRE_PLACE_QUERY, &word.base, on_answered_, &call);
+  return call;
+}
+
+unsigned
+colt_owner_told (const struct ColtFakeHome *home,
+                 const struct ColtTaskRef *ref,
+                 enum ColtTaskEventKind kind)
+{
+  unsigned count = 0;
+  guint i;
+
+  for (i = 0; i < home->told->len; i++)
+    {
+      const struct ColtToldEvent *told
+          = &g_array_index (home->told, struct ColtToldEvent, i);
+
+      count += told->kind == kind && colt_task_equal (&told->ref, ref);
+    }
+  return count;
+}
+
+const struct ColtToldEvent *
+colt_owner_last_told (const struct ColtFakeHome *home,
+                      const struct ColtTaskRef *ref)
+{
+  guint i;
+
+  for (i = home->told->len; i > 0; i--)
+    {
+      const struct ColtToldEvent *told
+          = &g_array_index (home->told, struct ColtToldEvent, i - 1);
+
+      if (colt_task_equal (&told->ref, ref))
+        return told;
+    }
+  return NULL;
+}
+
+int
+colt_owner_effects (const struct ColtOwnerFixture *fixture,
+                    const struct ColtTaskRef *ref)
+{
+  const struct ColtFakeTask *task
+      = colt_fake_server_find (fixture->server, ref);
+
+  return task == NULL ? 0 : task->effects;
+}
+
+void
+colt_owner_add_test (const char *path,
+                     void (*test) (struct ColtOwnerFixture *fixture,
+                                   gconstpointer data))
+{
+  g_test_add (path, struct ColtOwnerFixture, NULL, colt_owner_set_up, test,
+              colt_owner_tear_down);
+}
