Home: tests on a real loop; messages to itself end with it

The home had no tests of its own. An owner and a gate that the test plays now check what is placed, asked, answered and stored (18 tests).

They found that an open or confirm of an instance to itself was a one-time event that nobody could take back: it leaked, and would have run on a home that was destroyed.

--- a/src/home/home.c
+++ b/src/home/home.c
@@ -47,6 +47,7 @@
     }
   home->rejected = g_array_new (FALSE, FALSE, sizeof (struct ColtRejected));
   g_queue_init (&home->unproved);
+  g_queue_init (&home->local_calls);
   home->memories = g_hash_table_new (g_direct_hash, g_direct_equal);
   add_counters_ (home);
   colt_home_set_shard_handlers (home);
@@ -69,6 +70,7 @@
   event_free (home->timer);
   event_free (home->lead_timer);
   event_free (home->dispatch);
+  colt_home_drop_local_calls (home);
   colt_requests_destroy (home->requests);
   colt_placement_destroy (home->placement);
   colt_shard_lead_destroy (home->lead);
--- a/src/home/home_shards.c
+++ b/src/home/home_shards.c
@@ -24,6 +24,7 @@
 struct ColtLocalShardCall
 {
   struct ColtHome *home;
+  struct event *timer;
   bool confirms;
   uint8_t *body;
   size_t size;
@@ -47,6 +48,7 @@
                    uint8_t *body,
                    size_t size);
 static void on_local_ (evutil_socket_t fd, short what, void *arg);
+static void free_local_ (gpointer data);
 static void on_reply_ (void *client,
                        enum ColtWireResult result,
                        const uint8_t *body,
@@ -116,6 +118,12 @@
   evtimer_add (home->lead_timer, &delay);
 }
 
+void
+colt_home_drop_local_calls (struct ColtHome *home)
+{
+  g_queue_clear_full (&home->local_calls, free_local_);
+}
+
 void
 colt_home_clear_intake (struct ColtShardIntake *intake)
 {
@@ -162,8 +170,9 @@
       local->confirms = confirms;
       local->body = body;
       local->size = size;
-      event_base_once (home->parts.base, -1, EV_TIMEOUT, on_local_, local,
-                       &delay);
+      local->timer = evtimer_new (home->parts.base, on_local_, local);
+      evtimer_add (local->timer, &delay);
+      g_queue_push_tail (&home->local_calls, local);
       return;
     }
   call = g_new0 (struct ColtShardCall, 1);
@@ -190,6 +199,16 @@
   if (answer != NULL)
     take_reply_ (local->home, local->confirms, answer, size);
   free (answer);
+  g_queue_remove (&local->home->local_calls, local);
+  free_local_ (local);
+}
+
+static void
+free_local_ (gpointer data)
+{
+  struct ColtLocalShardCall *local = data;
+
+  event_free (local->timer);
   free (local->body);
   g_free (local);
 }
--- a/src/home/private/home_private.h
+++ b/src/home/private/home_private.h
@@ -51,6 +51,7 @@
   struct event *dispatch;
   bool stopping;
   unsigned open_answers;
+  GQueue local_calls; /**< messages of this instance to itself */
   int64_t reconcile_us;
   unsigned reconcile_round;
   GArray *rejected;         /**< of struct ColtRejected */
@@ -65,6 +66,8 @@
 void colt_home_set_shard_handlers (struct ColtHome *home);
 extern const struct ColtShardLeadClient colt_home_shard_client;
 void colt_home_arm_lead (struct ColtHome *home);
+/** Drops the messages of this instance to itself. */
+void colt_home_drop_local_calls (struct ColtHome *home);
 void colt_home_clear_intake (struct ColtShardIntake *intake);
 /** Settles what is remembered of shards that have become active. */
 void colt_home_learn_histories (struct ColtHome *home);
--- /dev/null
+++ b/src/test_home/harness.c
@@ -0,0 +1,694 @@
+#include "harness.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "coltsfootstile/clock.h"
+
+#define INCARNATION 500u
+#define CALL_TIMEOUT_MS 20000u
+#define GIVE_UP_US (60 * COLT_US_PER_S)
+
+static const char result_text[] = "done";
+
+/* Finds a port that nothing listens on. */
+static void
+choose_address_ (char *text, size_t size)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  socklen_t length = sizeof address;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  g_assert_cmpint (bind (fd, (struct sockaddr *)&address, sizeof address), ==,
+                   0);
+  getsockname (fd, (struct sockaddr *)&address, &length);
+  close (fd);
+  g_snprintf (text, size, "127.0.0.1:%u", ntohs (address.sin_port));
+}
+
+static bool
+server_valid_ (void *client, uint32_t server, uint64_t epoch, int64_t now)
+{
+  (void)client;
+  (void)now;
+  return server == SERVER_ID && epoch == SERVER_EPOCH;
+}
+
+static void
+collect_ (void *client,
+          uint32_t shard,
+          uint32_t server,
+          struct ColtShardReports *reports)
+{
+  (void)client;
+  (void)shard;
+  (void)server;
+  (void)reports;
+}
+
+static void
+promised_ (void *client, uint32_t shard, uint64_t epoch)
+{
+  (void)client;
+  (void)shard;
+  (void)epoch;
+}
+
+static const struct ColtShardOwnerClient shard_client
+    = { server_valid_, collect_, promised_ };
+
+static void
+on_open_ (void *client,
+          const struct ColtWireOrigin *origin,
+          const uint8_t *body,
+          size_t size)
+{
+  struct ColtHomeFixture *fixture = client;
+  struct ColtShardOpened opened;
+  struct ColtShardOpen open;
+  uint8_t *answer;
+
+  g_assert_true (colt_shard_open_unpack (body, size, &open, NULL));
+  colt_shard_owner_open (fixture->shards, &open, &opened,
+                         colt_clock_monotonic_us ());
+  answer = colt_shard_opened_pack (&opened, &size);
+  colt_wire_reply (fixture->owner_wire, origin, answer, size);
+  free (answer);
+  colt_shard_opened_clear (&opened);
+  colt_shard_open_clear (&open);
+}
+
+static void
+on_confirm_ (void *client,
+             const struct ColtWireOrigin *origin,
+             const uint8_t *body,
+             size_t size)
+{
+  struct ColtHomeFixture *fixture = client;
+  struct ColtShardConfirmed confirmed;
+  struct ColtShardConfirm confirm;
+  uint8_t *answer;
+
+  g_assert_true (colt_shard_confirm_unpack (body, size, &confirm, NULL));
+  colt_shard_owner_confirm (fixture->shards, &confirm, &confirmed,
+                            colt_clock_monotonic_us ());
+  answer = colt_shard_confirmed_pack (&confirmed, &size);
+  colt_wire_reply (fixture->owner_wire, origin, answer, size);
+  free (answer);
+  colt_shard_confirmed_clear (&confirmed);
+  colt_shard_confirm_clear (&confirm);
+}
+
+static void
+fill_report_ (const struct ColtAskedStart *start,
+              bool with_result,
+              struct ColtTaskReport *report)
+{
+  memset (report, 0, sizeof *report);
+  report->ref = start->ref;
+  report->shard = colt_id_shard (&start->ref.request);
+  report->shard_epoch = start->shard_epoch;
+  report->state = COLT_TASK_FINISHED;
+  if (!with_result)
+    return;
+  report->result = (const uint8_t *)result_text;
+  report->result_size = strlen (result_text);
+}
+
+void
+colt_home_tell (struct ColtHomeFixture *fixture,
+                const struct ColtAskedStart *start,
+                enum ColtTaskEventKind kind)
+{
+  ColtEventsWord word = COLT_EVENTS_WORD__INIT;
+  ColtTaskEvent event = COLT_TASK_EVENT__INIT;
+  ColtTaskEvent *events = &event;
+  struct ColtReportBuffer reported;
+  struct ColtTaskReport report;
+  struct ColtRefBuffer ref;
+  uint8_t *body;
+  size_t size;
+
+  fill_report_ (start, !fixture->forgets_results, &report);
+  colt_ref_fill (&ref, &start->ref);
+  colt_report_fill (&reported, &report);
+  event.ref = &ref.word;
+  event.kind = kind;
+  event.server = SERVER_ID;
+  event.shard_epoch = start->shard_epoch;
+  event.refusal = COLT_REFUSAL_FENCED;
+  if (kind == COLT_TASK_EVENT_ENDED)
+    event.report = &reported.word;
+  word.events = &events;
+  word.n_events = 1;
+  body = colt_message_pack (&word.base, &size);
+  colt_wire_send (fixture->owner_wire, HOME_INSTANCE, COLT_WIRE_PLACE_EVENTS,
+                  body, size);
+  free (body);
+}
+
+static void
+reply_placed_ (struct ColtHomeFixture *fixture,
+               const struct ColtWireOrigin *origin,
+               const ColtPlaceWord *word)
+{
+  ColtPlaceReply reply = COLT_PLACE_REPLY__INIT;
+  ColtPlaceResult *results = g_new0 (ColtPlaceResult, word->n_starts);
+  ColtPlaceResult **list = g_new0 (ColtPlaceResult *, word->n_starts);
+  uint8_t *body;
+  size_t size;
+  size_t i;
+
+  for (i = 0; i < word->n_starts; i++)
+    {
+      colt_place_result__init (&results[i]);
+      results[i].ref = word->starts[i]->ref;
+      results[i].accepted = fixture->mode != COLT_OWNER_REFUSES;
+      results[i].refusal = fixture->refusal;
+      list[i] = &results[i];
+    }
+  reply.results = list;
+  reply.n_results = word->n_starts;
+  body = colt_message_pack (&reply.base, &size);
+  colt_wire_reply (fixture->owner_wire, origin, body, size);
+  free (body);
+  g_free (list);
+  g_free (results);
+}
+
+static void
+on_place_ (void *client,
+           const struct ColtWireOrigin *origin,
+           const uint8_t *body,
+           size_t size)
+{
+  struct ColtHomeFixture *fixture = client;
+  ColtPlaceWord *word = colt_place_word__unpack (NULL, size, body);
+  size_t i;
+
+  g_assert_nonnull (word);
+  for (i = 0; i < word->n_starts; i++)
+    {
+      struct ColtAskedStart start;
+
+      g_assert_true (colt_ref_read (word->starts[i]->ref, &start.ref));
+      start.shard_epoch = word->starts[i]->shard_epoch;
+      g_assert_cmpuint (word->starts[i]->server, ==, SERVER_ID);
+      g_assert_cmpuint (word->starts[i]->server_epoch, ==, SERVER_EPOCH);
+      g_array_append_val (fixture->asked, start);
+      if (fixture->mode == COLT_OWNER_ENDS_FIRST)
+        {
+          colt_home_tell (fixture, &start, COLT_TASK_EVENT_STARTED);
+          colt_home_tell (fixture, &start, COLT_TASK_EVENT_ENDED);
+        }
+    }
+  if (fixture->mode != COLT_OWNER_KEEPS_SILENT)
+    reply_placed_ (fixture, origin, word);
+  colt_place_word__free_unpacked (word, NULL);
+}
+
+static const struct ColtAskedStart *
+find_asked_ (const struct ColtHomeFixture *fixture,
+             const struct ColtTaskRef *ref)
+{
+  guint i;
+
+  for (i = 0; i < fixture->asked->len; i++)
+    if (colt_task_equal (&colt_home_asked (fixture, i)->ref, ref))
+      return colt_home_asked (fixture, i);
+  return NULL;
+}
+
+static void
+on_query_ (void *client,
+           const struct ColtWireOrigin *origin,
+           const uint8_t *body,
+           size_t size)
+{
+  struct ColtHomeFixture *fixture = client;
+  ColtQueryWord *word = colt_query_word__unpack (NULL, size, body);
+  ColtQueryReply reply = COLT_QUERY_REPLY__INIT;
+  ColtQueryResult result = COLT_QUERY_RESULT__INIT;
+  ColtQueryResult *results = &result;
+  struct ColtReportBuffer reported;
+  struct ColtTaskReport report;
+  struct ColtTaskRef ref;
+  uint8_t *answer;
+
+  g_assert_nonnull (word);
+  g_assert_cmpuint (word->n_items, ==, 1);
+  fixture->queries++;
+  g_assert_true (colt_ref_read (word->items[0]->ref, &ref));
+  g_assert_nonnull (find_asked_ (fixture, &ref));
+  fill_report_ (find_asked_ (fixture, &ref), word->want_results, &report);
+  colt_report_fill (&reported, &report);
+  result.ref = word->items[0]->ref;
+  result.stage = fixture->stage;
+  if (fixture->stage == COLT_QUERY_ENDED)
+    result.report = &reported.word;
+  reply.results = &results;
+  reply.n_results = 1;
+  answer = colt_message_pack (&reply.base, &size);
+  colt_wire_reply (fixture->owner_wire, origin, answer, size);
+  free (answer);
+  colt_query_word__free_unpacked (word, NULL);
+}
+
+static void
+on_stop_ (void *client,
+          const struct ColtWireOrigin *origin,
+          const uint8_t *body,
+          size_t size)
+{
+  struct ColtHomeFixture *fixture = client;
+
+  (void)origin;
+  (void)body;
+  (void)size;
+  fixture->stops++;
+}
+
+static void
+on_answer_ (void *client,
+            const struct ColtWireOrigin *origin,
+            const uint8_t *body,
+            size_t size)
+{
+  struct ColtHomeFixture *fixture = client;
+  ColtAnswerWord *word = colt_answer_word__unpack (NULL, size, body);
+
+  g_assert_nonnull (word);
+  fixture->answers++;
+  fixture->outcome = (enum ColtOutcome)word->outcome;
+  fixture->reason = (enum ColtReason)word->reason;
+  g_byte_array_set_size (fixture->result, 0);
+  if (word->n_tasks > 0)
+    g_byte_array_append (fixture->result, word->tasks[0]->result.data,
+                         (guint)word->tasks[0]->result.len);
+  colt_wire_reply (fixture->gate_wire, origin, NULL, 0);
+  colt_answer_word__free_unpacked (word, NULL);
+}
+
+static void
+team_shard_ (void *client, uint32_t shard, uint64_t epoch, bool led)
+{
+  (void)client;
+  (void)shard;
+  (void)epoch;
+  (void)led;
+}
+
+static void
+seated_ (void *client,
+         uint32_t shard,
+         uint32_t server,
+         uint32_t owner,
+         uint64_t server_epoch)
+{
+  (void)client;
+  (void)shard;
+  (void)server;
+  (void)owner;
+  (void)server_epoch;
+}
+
+static void
+written_off_ (void *client, uint32_t server)
+{
+  (void)client;
+  (void)server;
+}
+
+static void
+store_ (void *client,
+        const struct ColtId *id,
+        const struct ColtRequestSpec *spec,
+        void (*done) (void *done_client, bool stored, bool certain),
+        void *done_client)
+{
+  struct ColtHomeFixture *fixture = client;
+
+  (void)id;
+  g_assert_true (spec->durable);
+  fixture->stored = done;
+  fixture->stored_client = done_client;
+}
+
+static void
+stored_end_ (void *client, const struct ColtId *id, enum ColtOutcome outcome)
+{
+  struct ColtHomeFixture *fixture = client;
+
+  (void)id;
+  (void)outcome;
+  fixture->stored_ends++;
+}
+
+static bool
+stored_outcome_ (void *client,
+                 const struct ColtId *id,
+                 enum ColtOutcome *outcome)
+{
+  (void)client;
+  (void)id;
+  (void)outcome;
+  return false;
+}
+
+static void
+load_ (void *client,
+       uint32_t shard,
+       void (*take) (void *take_client,
+                     const struct ColtId *id,
+                     const struct ColtRequestSpec *spec),
+       void *take_client)
+{
+  (void)client;
+  (void)shard;
+  (void)take;
+  (void)take_client;
+}
+
+static const struct ColtHomeClient home_client
+    = { team_shard_, seated_,         written_off_, store_,
+        stored_end_, stored_outcome_, load_ };
+
+static struct ColtBackendDriver *
+make_no_driver_ (void *client, const char *address)
+{
+  (void)client;
+  (void)address;
+  g_assert_not_reached ();
+}
+
+static void
+create_home_ (struct ColtHomeFixture *fixture)
+{
+  struct ColtOwnerParts owner_parts = { 0 };
+  struct ColtHomeParts parts = { 0 };
+
+  owner_parts.base = fixture->base;
+  owner_parts.wire = fixture->wire;
+  owner_parts.counters = fixture->counters;
+  owner_parts.instance = HOME_INSTANCE;
+  owner_parts.incarnation = INCARNATION;
+  owner_parts.zone = 1;
+  owner_parts.factory = make_no_driver_;
+  fixture->own = colt_owner_create (&owner_parts);
+  parts.base = fixture->base;
+  parts.wire = fixture->wire;
+  parts.counters = fixture->counters;
+  parts.owner = fixture->own;
+  parts.instance = HOME_INSTANCE;
+  parts.incarnation = INCARNATION;
+  parts.zone = 1;
+  parts.seed = 1;
+  fixture->home = colt_home_create (&parts, &home_client, fixture);
+}
+
+static void
+create_owner_ (struct ColtHomeFixture *fixture)
+{
+  struct ColtShardTimes times;
+
+  colt_shard_times_default (&times);
+  fixture->shards = colt_shard_owner_create (OWNER_INSTANCE, INCARNATION,
+                                             &times, &shard_client, fixture);
+  colt_shard_owner_server_held (fixture->shards, SERVER_ID, SERVER_EPOCH, NULL,
+                                0, colt_clock_monotonic_us ());
+  colt_wire_set_handler (fixture->owner_wire, COLT_WIRE_SHARD_OPEN, on_open_,
+                         fixture);
+  colt_wire_set_handler (fixture->owner_wire, COLT_WIRE_SHARD_CONFIRM,
+                         on_confirm_, fixture);
+  colt_wire_set_handler (fixture->owner_wire, COLT_WIRE_PLACE, on_place_,
+                         fixture);
+  colt_wire_set_handler (fixture->owner_wire, COLT_WIRE_PLACE_QUERY, on_query_,
+                         fixture);
+  colt_wire_set_handler (fixture->owner_wire, COLT_WIRE_PLACE_STOP, on_stop_,
+                         fixture);
+  colt_wire_set_handler (fixture->gate_wire, COLT_WIRE_REQUEST_ANSWER,
+                         on_answer_, fixture);
+}
+
+static void
+connect_ (struct ColtHomeFixture *fixture)
+{
+  struct ColtWire *wires[]
+      = { fixture->wire, fixture->owner_wire, fixture->gate_wire };
+  char addresses[G_N_ELEMENTS (wires)][32];
+  size_t i;
+  size_t j;
+
+  for (i = 0; i < G_N_ELEMENTS (wires); i++)
+    {
+      choose_address_ (addresses[i], sizeof addresses[i]);
+      g_assert_true (colt_wire_listen (wires[i], addresses[i], NULL));
+    }
+  for (i = 0; i < G_N_ELEMENTS (wires); i++)
+    for (j = 0; j < G_N_ELEMENTS (wires); j++)
+      if (i != j)
+        colt_wire_set_peer (wires[i], (uint32_t)j + 1, addresses[j]);
+}
+
+static void
+send_digest_ (struct ColtHomeFixture *fixture)
+{
+  static const struct ColtResources capacity = { { 4000, 1000, 1, 4, 8 } };
+  ColtDigestWord word = COLT_DIGEST_WORD__INIT;
+  ColtDigestServer server = COLT_DIGEST_SERVER__INIT;
+  ColtDigestServer *servers = &server;
+  struct ColtResourcesBuffer all;
+  uint8_t *body;
+  size_t size;
+
+  colt_resources_fill (&all, &capacity);
+  server.server = SERVER_ID;
+  server.epoch = SERVER_EPOCH;
+  server.rack = 1;
+  server.capacity = &all.word;
+  server.free = &all.word;
+  server.probation_permille = 1000;
+  server.speed_permille = COLT_SPEED_NORMAL;
+  server.known_since_s = 1;
+  word.servers = &servers;
+  word.n_servers = 1;
+  body = colt_message_pack (&word.base, &size);
+  colt_wire_send (fixture->owner_wire, HOME_INSTANCE, COLT_WIRE_PLACE_DIGEST,
+                  body, size);
+  free (body);
+}
+
+/* Owners tell of their servers again and again. */
+static void
+on_digest_due_ (evutil_socket_t fd, short what, void *data)
+{
+  (void)fd;
+  (void)what;
+  send_digest_ (data);
+}
+
+static bool
+leads_all_ (const struct ColtHomeFixture *fixture)
+{
+  const struct ColtShardLead *lead = colt_home_shards (fixture->home);
+  uint32_t shard;
+
+  for (shard = 0; shard < COLT_SHARD_COUNT; shard++)
+    if (colt_shard_lead_choice (lead, shard) == HOME_INSTANCE
+        && !colt_shard_lead_is_active (lead, shard, colt_clock_monotonic_us ()))
+      return false;
+  return true;
+}
+
+void
+colt_home_set_up (struct ColtHomeFixture *fixture, gconstpointer data)
+{
+  const uint32_t members[] = { HOME_INSTANCE, OWNER_INSTANCE };
+  const uint32_t server = SERVER_ID;
+  const struct timeval digest_interval = { 0, 100000 };
+
+  (void)data;
+  fixture->give_up_us = colt_clock_monotonic_us () + GIVE_UP_US;
+  fixture->base = event_base_new ();
+  fixture->counters = colt_counters_create ();
+  fixture->wire = colt_wire_create (fixture->base, HOME_INSTANCE, 1);
+  fixture->owner_wire = colt_wire_create (fixture->base, OWNER_INSTANCE, 1);
+  fixture->gate_wire = colt_wire_create (fixture->base, GATE_INSTANCE, 1);
+  fixture->asked = g_array_new (FALSE, FALSE, sizeof (struct ColtAskedStart));
+  fixture->result = g_byte_array_new ();
+  create_home_ (fixture);
+  create_owner_ (fixture);
+  connect_ (fixture);
+  colt_home_set_servers (fixture->home, &server, 1);
+  colt_home_set_members (fixture->home, members, G_N_ELEMENTS (members));
+  RUN_UNTIL (fixture, leads_all_ (fixture));
+  fixture->digest_timer
+      = event_new (fixture->base, -1, EV_PERSIST, on_digest_due_, fixture);
+  event_add (fixture->digest_timer, &digest_interval);
+  RUN_UNTIL (fixture,
+             colt_wire_received (fixture->wire, COLT_WIRE_PLACE_DIGEST) > 0);
+}
+
+void
+colt_home_tear_down (struct ColtHomeFixture *fixture, gconstpointer data)
+{
+  (void)data;
+  event_free (fixture->digest_timer);
+  colt_wire_destroy (fixture->wire);
+  colt_wire_destroy (fixture->owner_wire);
+  colt_wire_destroy (fixture->gate_wire);
+  colt_home_destroy (fixture->home);
+  colt_owner_destroy (fixture->own);
+  colt_shard_owner_destroy (fixture->shards);
+  colt_counters_destroy (fixture->counters);
+  event_base_free (fixture->base);
+  g_array_unref (fixture->asked);
+  g_byte_array_unref (fixture->result);
+}
+
+void
+colt_home_turn (struct ColtHomeFixture *fixture)
+{
+  g_assert_cmpint (colt_clock_monotonic_us (), <, fixture->give_up_us);
+  event_base_loop (fixture->base, EVLOOP_ONCE);
+}
+
+static struct ColtId
+find_id_ (struct ColtHomeFixture *fixture, uint32_t lead)
+{
+  const struct ColtShardLead *shards = colt_home_shards (fixture->home);
+  uint32_t wall_s = (uint32_t)(colt_clock_wall_us () / COLT_US_PER_S);
+  struct ColtId id;
+
+  do
+    {
+      const uint8_t random[10] = { ++fixture->next_id };
+
+      id = colt_id_mint (1, wall_s, random);
+    }
+  while (colt_shard_lead_choice (shards, colt_id_shard (&id)) != lead);
+  return id;
+}
+
+struct ColtId
+colt_home_id (struct ColtHomeFixture *fixture)
+{
+  return find_id_ (fixture, HOME_INSTANCE);
+}
+
+struct ColtId
+colt_home_foreign_id (struct ColtHomeFixture *fixture)
+{
+  return find_id_ (fixture, OWNER_INSTANCE);
+}
+
+struct ColtRequestSpec
+colt_home_spec (void)
+{
+  struct ColtRequestSpec spec = { 0 };
+  const struct ColtResources demand = { { 500, 100, 0, 1, 1 } };
+
+  g_strlcpy (spec.team, "team", sizeof spec.team);
+  g_strlcpy (spec.queue, "queue", sizeof spec.queue);
+  spec.kind = COLT_WORK_INTERACTIVE;
+  spec.demand = demand;
+  spec.tasks = 1;
+  spec.max_attempts = 1;
+  spec.deadline_us = COLT_TIME_NEVER;
+  return spec;
+}
+
+static void
+on_submitted_ (void *client,
+               enum ColtWireResult result,
+               const uint8_t *body,
+               size_t size)
+{
+  struct ColtSubmitted *submitted = client;
+  ColtSubmitReply *reply;
+
+  g_assert_cmpint (result, ==, COLT_WIRE_REPLIED);
+  reply = colt_submit_reply__unpack (NULL, size, body);
+  g_assert_nonnull (reply);
+  submitted->done = true;
+  submitted->status = (enum ColtSubmitStatus)reply->status;
+  submitted->reason = (enum ColtReason)reply->reason;
+  colt_submit_reply__free_unpacked (reply, NULL);
+}
+
+void
+colt_home_send_submit (struct ColtHomeFixture *fixture,
+                       const struct ColtId *id,
+                       const struct ColtRequestSpec *spec,
+                       struct ColtSubmitted *submitted)
+{
+  ColtSubmitWord word = COLT_SUBMIT_WORD__INIT;
+  struct ColtSpecBuffer buffer;
+  uint8_t *body;
+  size_t size;
+
+  memset (submitted, 0, sizeof *submitted);
+  colt_spec_fill (&buffer, spec, colt_clock_monotonic_us ());
+  word.id = colt_id_fill (id);
+  word.spec = &buffer.word;
+  word.waits = true;
+  word.fresh = true;
+  body = colt_message_pack (&word.base, &size);
+  colt_wire_call (fixture->gate_wire, HOME_INSTANCE, COLT_WIRE_REQUEST_SUBMIT,
+                  body, size, CALL_TIMEOUT_MS, on_submitted_, submitted);
+  free (body);
+}
+
+struct ColtSubmitted
+colt_home_submit (struct ColtHomeFixture *fixture,
+                  const struct ColtId *id,
+                  const struct ColtRequestSpec *spec)
+{
+  struct ColtSubmitted submitted;
+
+  colt_home_send_submit (fixture, id, spec, &submitted);
+  RUN_UNTIL (fixture, submitted.done);
+  return submitted;
+}
+
+static void
+on_cancelled_ (void *client,
+               enum ColtWireResult result,
+               const uint8_t *body,
+               size_t size)
+{
+  (void)body;
+  (void)size;
+  g_assert_cmpint (result, ==, COLT_WIRE_REPLIED);
+  *(bool *)client = true;
+}
+
+void
+colt_home_cancel (struct ColtHomeFixture *fixture, const struct ColtId *id)
+{
+  ColtCancelWord word = COLT_CANCEL_WORD__INIT;
+  ProtobufCBinaryData ids = colt_id_fill (id);
+  bool done = false;
+  uint8_t *body;
+  size_t size;
+
+  word.ids = &ids;
+  word.n_ids = 1;
+  body = colt_message_pack (&word.base, &size);
+  colt_wire_call (fixture->gate_wire, HOME_INSTANCE, COLT_WIRE_REQUEST_CANCEL,
+                  body, size, CALL_TIMEOUT_MS, on_cancelled_, &done);
+  free (body);
+  RUN_UNTIL (fixture, done);
+}
+
+const struct ColtAskedStart *
+colt_home_asked (const struct ColtHomeFixture *fixture, guint index)
+{
+  g_assert_cmpuint (index, <, fixture->asked->len);
+  return &g_array_index (fixture->asked, struct ColtAskedStart, index);
+}
--- /dev/null
+++ b/src/test_home/test_home.c
@@ -0,0 +1,327 @@
+#include "harness.h"
+
+#include <string.h>
+
+#include "coltsfootstile/clock.h"
+
+static struct ColtId
+submit_good_ (struct ColtHomeFixture *fixture)
+{
+  const struct ColtRequestSpec spec = colt_home_spec ();
+  struct ColtId id = colt_home_id (fixture);
+
+  g_assert_cmpint (colt_home_submit (fixture, &id, &spec).status, ==,
+                   COLT_SUBMIT_ACCEPTED);
+  return id;
+}
+
+static void
+expect_done_ (struct ColtHomeFixture *fixture)
+{
+  RUN_UNTIL (fixture, fixture->answers > 0);
+  g_assert_cmpint (fixture->outcome, ==, COLT_OUTCOME_DONE);
+  g_assert_cmpmem (fixture->result->data, fixture->result->len, "done", 4);
+}
+
+static void
+test_waiter_gets_the_result (struct ColtHomeFixture *fixture,
+                             gconstpointer data)
+{
+  struct ColtAskedStart start;
+
+  (void)data;
+  submit_good_ (fixture);
+  RUN_UNTIL (fixture, fixture->asked->len == 1);
+  start = *colt_home_asked (fixture, 0);
+  colt_home_tell (fixture, &start, COLT_TASK_EVENT_STARTED);
+  colt_home_tell (fixture, &start, COLT_TASK_EVENT_ENDED);
+  colt_home_tell (fixture, &start, COLT_TASK_EVENT_ENDED);
+  expect_done_ (fixture);
+  RUN_UNTIL (fixture,
+             colt_wire_received (fixture->wire, COLT_WIRE_PLACE_EVENTS) == 3);
+  g_assert_cmpuint (fixture->answers, ==, 1);
+  g_assert_cmpuint (fixture->asked->len, ==, 1);
+}
+
+static void
+test_end_may_overtake_the_reply (struct ColtHomeFixture *fixture,
+                                 gconstpointer data)
+{
+  (void)data;
+  fixture->mode = COLT_OWNER_ENDS_FIRST;
+  submit_good_ (fixture);
+  expect_done_ (fixture);
+  g_assert_cmpuint (fixture->asked->len, ==, 1);
+}
+
+/* A refused attempt never ran: the task, which may run once, goes again. */
+static void
+test_refused_start_is_placed_again (struct ColtHomeFixture *fixture,
+                                    gconstpointer data)
+{
+  static const enum ColtPlacementRefusal refusals[]
+      = { COLT_REFUSAL_NO_ROOM, COLT_REFUSAL_NO_CREDIT, COLT_REFUSAL_LEAVING,
+          COLT_REFUSAL_FENCED };
+
+  fixture->mode = COLT_OWNER_REFUSES;
+  fixture->refusal = refusals[GPOINTER_TO_UINT (data)];
+  submit_good_ (fixture);
+  RUN_UNTIL (fixture, fixture->asked->len >= 1);
+  fixture->mode = COLT_OWNER_ENDS_FIRST;
+  expect_done_ (fixture);
+  g_assert_false (colt_task_equal (
+      &colt_home_asked (fixture, 0)->ref,
+      &colt_home_asked (fixture, fixture->asked->len - 1)->ref));
+}
+
+/* Without an answer the owner is asked, and nothing is started meanwhile. */
+static void
+test_silent_owner_is_asked (struct ColtHomeFixture *fixture, gconstpointer data)
+{
+  (void)data;
+  fixture->mode = COLT_OWNER_KEEPS_SILENT;
+  fixture->stage = COLT_QUERY_STARTING;
+  submit_good_ (fixture);
+  RUN_UNTIL (fixture, fixture->queries >= 2);
+  g_assert_cmpuint (fixture->asked->len, ==, 1);
+  fixture->forgets_results = true;
+  fixture->stage = COLT_QUERY_ENDED;
+  expect_done_ (fixture);
+  g_assert_cmpuint (fixture->asked->len, ==, 1);
+}
+
+static void
+test_never_ran_is_placed_again (struct ColtHomeFixture *fixture,
+                                gconstpointer data)
+{
+  (void)data;
+  fixture->mode = COLT_OWNER_KEEPS_SILENT;
+  fixture->stage = COLT_QUERY_NEVER;
+  submit_good_ (fixture);
+  RUN_UNTIL (fixture, fixture->queries >= 1);
+  fixture->mode = COLT_OWNER_ENDS_FIRST;
+  expect_done_ (fixture);
+  g_assert_cmpuint (fixture->asked->len, >=, 2);
+}
+
+static void
+test_missing_result_is_fetched (struct ColtHomeFixture *fixture,
+                                gconstpointer data)
+{
+  (void)data;
+  fixture->forgets_results = true;
+  fixture->stage = COLT_QUERY_ENDED;
+  fixture->mode = COLT_OWNER_ENDS_FIRST;
+  submit_good_ (fixture);
+  expect_done_ (fixture);
+  g_assert_cmpuint (fixture->queries, >=, 1);
+  g_assert_cmpuint (fixture->answers, ==, 1);
+}
+
+static void
+test_cancel_stops_what_runs (struct ColtHomeFixture *fixture,
+                             gconstpointer data)
+{
+  struct ColtId id;
+
+  (void)data;
+  id = submit_good_ (fixture);
+  RUN_UNTIL (fixture, fixture->asked->len == 1);
+  colt_home_tell (fixture, colt_home_asked (fixture, 0),
+                  COLT_TASK_EVENT_STARTED);
+  RUN_UNTIL (fixture,
+             colt_wire_received (fixture->wire, COLT_WIRE_PLACE_EVENTS) == 1);
+  colt_home_cancel (fixture, &id);
+  RUN_UNTIL (fixture, fixture->stops > 0);
+  g_assert_cmpuint (fixture->asked->len, ==, 1);
+}
+
+static void
+test_foreign_shard_is_not_taken (struct ColtHomeFixture *fixture,
+                                 gconstpointer data)
+{
+  const struct ColtRequestSpec spec = colt_home_spec ();
+  struct ColtId id = colt_home_foreign_id (fixture);
+
+  (void)data;
+  g_assert_cmpint (colt_home_submit (fixture, &id, &spec).status, ==,
+                   COLT_SUBMIT_NOT_LEAD);
+  g_assert_cmpuint (fixture->asked->len, ==, 0);
+}
+
+static void
+test_stopping_home_takes_nothing (struct ColtHomeFixture *fixture,
+                                  gconstpointer data)
+{
+  const struct ColtRequestSpec spec = colt_home_spec ();
+  struct ColtId id = colt_home_id (fixture);
+
+  (void)data;
+  colt_home_stop (fixture->home);
+  g_assert_cmpint (colt_home_submit (fixture, &id, &spec).status, ==,
+                   COLT_SUBMIT_NOT_LEAD);
+  RUN_UNTIL (fixture, colt_home_stopped (fixture->home));
+}
+
+/* Work for later runs only once it is on the log. */
+static void
+test_durable_work_is_stored_first (struct ColtHomeFixture *fixture,
+                                   gconstpointer data)
+{
+  struct ColtRequestSpec spec = colt_home_spec ();
+  struct ColtId id = colt_home_id (fixture);
+  struct ColtSubmitted submitted;
+
+  (void)data;
+  spec.durable = true;
+  fixture->mode = COLT_OWNER_ENDS_FIRST;
+  colt_home_send_submit (fixture, &id, &spec, &submitted);
+  RUN_UNTIL (fixture, fixture->stored != NULL);
+  g_assert_false (submitted.done);
+  g_assert_cmpuint (fixture->asked->len, ==, 0);
+  fixture->stored (fixture->stored_client, true, true);
+  RUN_UNTIL (fixture, submitted.done);
+  g_assert_cmpint (submitted.status, ==, COLT_SUBMIT_ACCEPTED);
+  expect_done_ (fixture);
+  g_assert_cmpuint (fixture->stored_ends, ==, 1);
+}
+
+static void
+check_not_stored_ (struct ColtHomeFixture *fixture,
+                   bool certain,
+                   enum ColtSubmitStatus status)
+{
+  struct ColtRequestSpec spec = colt_home_spec ();
+  struct ColtId id = colt_home_id (fixture);
+  struct ColtSubmitted submitted;
+
+  spec.durable = true;
+  colt_home_send_submit (fixture, &id, &spec, &submitted);
+  RUN_UNTIL (fixture, fixture->stored != NULL);
+  fixture->stored (fixture->stored_client, false, certain);
+  RUN_UNTIL (fixture, submitted.done);
+  g_assert_cmpint (submitted.status, ==, status);
+  g_assert_cmpint (submitted.reason, ==, COLT_REASON_LOG_DOWN);
+  g_assert_null (colt_requests_find (colt_home_requests (fixture->home), &id));
+  g_assert_cmpuint (fixture->asked->len, ==, 0);
+}
+
+static void
+test_certainly_not_stored_is_not_run (struct ColtHomeFixture *fixture,
+                                      gconstpointer data)
+{
+  (void)data;
+  check_not_stored_ (fixture, true, COLT_SUBMIT_NOT_RUN);
+}
+
+static void
+test_perhaps_stored_is_unknown (struct ColtHomeFixture *fixture,
+                                gconstpointer data)
+{
+  (void)data;
+  check_not_stored_ (fixture, false, COLT_SUBMIT_UNKNOWN);
+}
+
+static void
+test_offered_work_runs_once (struct ColtHomeFixture *fixture,
+                             gconstpointer data)
+{
+  struct ColtRequestSpec spec = colt_home_spec ();
+  struct ColtId id = colt_home_id (fixture);
+
+  (void)data;
+  spec.durable = true;
+  fixture->mode = COLT_OWNER_ENDS_FIRST;
+  RUN_UNTIL (fixture, colt_shard_lead_unknown (colt_home_shards (fixture->home),
+                                               colt_id_shard (&id))
+                          == 0);
+  while (colt_requests_find (colt_home_requests (fixture->home), &id) == NULL)
+    {
+      colt_home_offer (fixture->home, &id, &spec);
+      colt_home_turn (fixture);
+    }
+  colt_home_offer (fixture->home, &id, &spec);
+  RUN_UNTIL (fixture, fixture->stored_ends > 0);
+  colt_home_offer (fixture->home, &id, &spec);
+  colt_home_turn (fixture);
+  g_assert_cmpuint (fixture->asked->len, ==, 1);
+  g_assert_cmpuint (fixture->stored_ends, ==, 1);
+}
+
+/* The same id twice: one run, and each waiting gate is told. */
+static void
+test_known_request_is_not_run_twice (struct ColtHomeFixture *fixture,
+                                     gconstpointer data)
+{
+  const struct ColtRequestSpec spec = colt_home_spec ();
+  struct ColtId id;
+
+  (void)data;
+  fixture->mode = COLT_OWNER_ENDS_FIRST;
+  id = submit_good_ (fixture);
+  expect_done_ (fixture);
+  g_assert_cmpint (colt_home_submit (fixture, &id, &spec).status, ==,
+                   COLT_SUBMIT_KNOWN);
+  RUN_UNTIL (fixture, fixture->answers == 2);
+  expect_done_ (fixture);
+  g_assert_cmpuint (fixture->asked->len, ==, 1);
+}
+
+/* A deadline passes before any owner takes the task: nothing ran, and the gate
+ * hears it once an owner has confirmed the lead after the decision. */
+static void
+test_late_task_is_not_run (struct ColtHomeFixture *fixture, gconstpointer data)
+{
+  struct ColtRequestSpec spec = colt_home_spec ();
+  struct ColtId id = colt_home_id (fixture);
+  const struct ColtRequest *request;
+
+  (void)data;
+  fixture->mode = COLT_OWNER_REFUSES;
+  fixture->refusal = COLT_REFUSAL_NO_ROOM;
+  spec.deadline_us = colt_clock_monotonic_us () + 500 * COLT_US_PER_MS;
+  g_assert_cmpint (colt_home_submit (fixture, &id, &spec).status, ==,
+                   COLT_SUBMIT_ACCEPTED);
+  RUN_UNTIL (fixture, fixture->answers > 0);
+  g_assert_cmpint (fixture->outcome, ==, COLT_OUTCOME_NOT_RUN);
+  g_assert_cmpint (fixture->reason, ==, COLT_REASON_DEADLINE);
+  request = colt_requests_find (colt_home_requests (fixture->home), &id);
+  g_assert_nonnull (request);
+  g_assert_true (colt_shard_lead_proved_since (
+      colt_home_shards (fixture->home), colt_id_shard (&id), request->ended_us,
+      colt_clock_monotonic_us ()));
+}
+
+static void
+add_ (const char *path,
+      void (*test) (struct ColtHomeFixture *fixture, gconstpointer data),
+      unsigned number)
+{
+  g_test_add (path, struct ColtHomeFixture, GUINT_TO_POINTER (number),
+              colt_home_set_up, test, colt_home_tear_down);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  add_ ("/home/answer/result", test_waiter_gets_the_result, 0);
+  add_ ("/home/answer/overtakes", test_end_may_overtake_the_reply, 0);
+  add_ ("/home/answer/fetched", test_missing_result_is_fetched, 0);
+  add_ ("/home/answer/known", test_known_request_is_not_run_twice, 0);
+  add_ ("/home/answer/not_run", test_late_task_is_not_run, 0);
+  add_ ("/home/place/no_room", test_refused_start_is_placed_again, 0);
+  add_ ("/home/place/no_credit", test_refused_start_is_placed_again, 1);
+  add_ ("/home/place/leaving", test_refused_start_is_placed_again, 2);
+  add_ ("/home/place/fenced", test_refused_start_is_placed_again, 3);
+  add_ ("/home/place/silent", test_silent_owner_is_asked, 0);
+  add_ ("/home/place/never", test_never_ran_is_placed_again, 0);
+  add_ ("/home/cancel", test_cancel_stops_what_runs, 0);
+  add_ ("/home/submit/foreign", test_foreign_shard_is_not_taken, 0);
+  add_ ("/home/submit/stopping", test_stopping_home_takes_nothing, 0);
+  add_ ("/home/durable/stored", test_durable_work_is_stored_first, 0);
+  add_ ("/home/durable/not_stored", test_certainly_not_stored_is_not_run, 0);
+  add_ ("/home/durable/uncertain", test_perhaps_stored_is_unknown, 0);
+  add_ ("/home/durable/offer", test_offered_work_runs_once, 0);
+  return g_test_run ();
+}
