Homes tell each other what teams run; a queue's bound is kept; demo measures the load's cost

Shares were divided by what each home alone runs. A queue's max_waiting is divided over the homes by the shards they lead; above it work is refused as queue_full, not run.

--- a/scripts/demo/run.py
+++ b/scripts/demo/run.py
@@ -207,6 +207,7 @@
                            "--json")
         chosen = [faults.FAULTS[name](self) for name in options.fault]
         self.history["measure_from_us"] = faults.now_us()
+        before = self.measure()
         began = time.monotonic()
         with open(os.path.join(self.folder, "load.log"), "wb") as log:
             tool = subprocess.Popen(command, stdout=log, stderr=log)
@@ -219,8 +220,19 @@
             fault.end()
         self.sleep_until(began + options.seconds)
         self.history["measure_to_us"] = faults.now_us()
+        self.note_load(before, self.measure(), time.monotonic() - began)
         tool.wait(DRAIN_S + 30)
 
+    def note_load(self, before, after, seconds):
+        """Mean of the instances that lived through the whole load."""
+        both = [n for n in before if n in after and after[n][0] >= before[n][0]]
+        if not both:
+            return
+        self.result["load_cpu_percent"] = round(
+            sum(100 * (after[n][0] - before[n][0]) for n in both) / seconds / len(both), 2)
+        self.result["load_bytes_per_second"] = round(
+            sum(after[n][1] - before[n][1] for n in both) / seconds / len(both))
+
     @staticmethod
     def sleep_until(end):
         time.sleep(max(0.0, end - time.monotonic()))
@@ -254,7 +266,8 @@
 FIELDS = ("accepted", "answered", "refused", "unknown", "lost", "doubled", "wrong_answer",
           "overcommitted", "over_limit", "late_key", "late_leaving", "false_not_run",
           "wait_p50_ms", "wait_p99_ms", "starts_per_second", "packing", "share_error",
-          "control_cpu_percent", "control_bytes_per_second", "rss_mb_max",
+          "control_cpu_percent", "control_bytes_per_second", "load_cpu_percent",
+          "load_bytes_per_second", "rss_mb_max",
           "bundle_force_ms")
 
 
--- a/src/home/home.c
+++ b/src/home/home.c
@@ -32,6 +32,12 @@
   home->requests = colt_requests_create (&colt_home_request_calls, home);
   home->placement = colt_placement_create (parts->seed);
   home->random = g_rand_new_with_seed ((guint32)parts->seed);
+  home->team_usage
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  home->queue_waiting
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  home->queue_bounds
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   home->budgets
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   home->budget_rates
@@ -84,6 +90,10 @@
   g_queue_clear_full (&home->unproved, g_free);
   g_hash_table_unref (home->memories);
   g_free (home->servers);
+  g_hash_table_unref (home->team_usage);
+  g_hash_table_unref (home->queue_waiting);
+  g_hash_table_unref (home->queue_bounds);
+  g_free (home->members);
   g_hash_table_unref (home->budgets);
   g_hash_table_unref (home->budget_rates);
   g_rand_free (home->random);
@@ -97,6 +107,9 @@
 {
   if (home->stopping)
     return;
+  g_free (home->members);
+  home->members = g_memdup2 (members, count * sizeof *members);
+  home->member_count = count;
   colt_shard_lead_set_members (home->lead, members, count,
                                colt_clock_monotonic_us ());
   colt_home_arm_lead (home);
@@ -126,6 +139,7 @@
 {
   colt_placement_set_bundle (home->placement, bundle);
   colt_home_set_budgets (home, bundle);
+  colt_home_set_queue_bounds (home, bundle);
 }
 
 void
@@ -205,6 +219,7 @@
   (void)what;
   colt_requests_step (home->requests, now_us);
   colt_home_learn_histories (home);
+  colt_home_count_usage (home, now_us);
   colt_home_reconcile (home, now_us);
   colt_home_answer_unproved (home, now_us);
   if (colt_placement_waiting (home->placement) > 0 || home->rejected->len > 0)
--- a/src/home/home_place.c
+++ b/src/home/home_place.c
@@ -486,6 +486,8 @@
     return;
   for (i = 0; i < word->n_servers; i++)
     take_digest_server_ (home, word->servers[i], origin->instance, now_us);
+  for (i = 0; i < word->n_teams; i++)
+    colt_home_take_usage (home, origin->instance, word->teams[i], now_us);
   for (i = 0; i < word->n_gone; i++)
     colt_placement_remove_server (home->placement, word->gone[i]);
   colt_digest_word__free_unpacked (word, NULL);
--- a/src/home/home_submit.c
+++ b/src/home/home_submit.c
@@ -24,6 +24,10 @@
                      const struct ColtWireOrigin *origin,
                      const ColtSubmitWord *word,
                      bool stored);
+static void refuse_full_ (struct ColtHome *home,
+                          const struct ColtWireOrigin *origin,
+                          const struct ColtId *id,
+                          int64_t now_us);
 static bool must_wait_ (struct ColtHome *home,
                         const struct ColtId *id,
                         bool fresh,
@@ -118,6 +122,11 @@
       reply_ (home, origin, COLT_SUBMIT_UNKNOWN, COLT_REASON_EXPIRED_ID, NULL);
       return;
     }
+  if (known == NULL && !stored && colt_home_queue_full (home, spec.queue))
+    {
+      refuse_full_ (home, origin, &id, now_us);
+      return;
+    }
   if (known == NULL && spec.durable && !stored)
     {
       store_ (home, origin, word, &id, &spec);
@@ -129,6 +138,8 @@
       (uint32_t)(colt_clock_wall_us () / COLT_US_PER_S), now_us, &reason);
   if (status == COLT_SUBMIT_NOT_RUN && !colt_home_proves (home, &id, now_us))
     status = COLT_SUBMIT_NOT_LEAD;
+  if (status == COLT_SUBMIT_ACCEPTED)
+    colt_home_note_waiting (home, spec.queue);
   if (status == COLT_SUBMIT_ACCEPTED)
     colt_counters_count (home->parts.counters, home->counters.submitted, 1);
   else if (status != COLT_SUBMIT_KNOWN)
@@ -138,6 +149,21 @@
   colt_home_dispatch_soon (home);
 }
 
+static void
+refuse_full_ (struct ColtHome *home,
+              const struct ColtWireOrigin *origin,
+              const struct ColtId *id,
+              int64_t now_us)
+{
+  enum ColtSubmitStatus status = COLT_SUBMIT_NOT_RUN;
+
+  if (!colt_home_proves (home, id, now_us))
+    status = COLT_SUBMIT_NOT_LEAD;
+  else
+    colt_counters_count (home->parts.counters, home->counters.refused, 1);
+  reply_ (home, origin, status, COLT_REASON_QUEUE_FULL, NULL);
+}
+
 /*
  * While servers are missing from the recount, an id that may have been used
  * before may belong to a task that runs on one of them.
--- a/src/home/private/home_private.h
+++ b/src/home/private/home_private.h
@@ -54,8 +54,14 @@
   GQueue local_calls; /**< messages of this instance to itself */
   int64_t reconcile_us;
   unsigned reconcile_round;
-  GArray *rejected;         /**< of struct ColtRejected */
-  GQueue unproved;          /**< of struct ColtUnproved */
+  GArray *rejected;  /**< of struct ColtRejected */
+  GQueue unproved;   /**< of struct ColtUnproved */
+  uint32_t *members; /**< of the zone that may lead */
+  size_t member_count;
+  GHashTable *team_usage;    /**< team -> struct ColtTeamUsage */
+  GHashTable *queue_waiting; /**< queue -> requests that wait here */
+  GHashTable *queue_bounds;  /**< queue -> requests that may wait in the zone */
+  int64_t usage_us;
   GHashTable *budgets;      /**< team -> struct ColtRetryBudget */
   GHashTable *budget_rates; /**< team -> retries a minute */
   GRand *random;
@@ -116,6 +122,19 @@
                        const struct ColtId *id,
                        int64_t now_us);
 
+/* home_usage.c: what runs and waits here */
+void colt_home_count_usage (struct ColtHome *home, int64_t now_us);
+/** Takes what another home of the zone runs of a team. */
+void colt_home_take_usage (struct ColtHome *home,
+                           uint32_t instance,
+                           const ColtDigestTeam *word,
+                           int64_t now_us);
+/** Returns whether this home's part of a queue's bound is reached. */
+bool colt_home_queue_full (struct ColtHome *home, const char *queue);
+void colt_home_note_waiting (struct ColtHome *home, const char *queue);
+void colt_home_set_queue_bounds (struct ColtHome *home,
+                                 const struct ColtBundle *bundle);
+
 /* home_budget.c: retries of teams */
 bool colt_home_take_retry (void *client, const char *team, int64_t now_us);
 void colt_home_set_budgets (struct ColtHome *home,
