Home: servers that join a shard together keep their reports apart

Trace: servers 2 and others went back to the restarted instance at the same moment; the reports of all came in, the first server joined, and taking it in cleared the reports of the others; the task on server 2 counted as lost and was started again. Ruled out: the lease (epochs 2 and 3 followed by a release), the shard (one epoch throughout). Change: a server that joins takes only its own reports away.

--- a/src/home/home_shards.c
+++ b/src/home/home_shards.c
@@ -74,6 +74,7 @@
                                  size_t size,
                                  size_t *answer_size);
 static void opening_ (void *client, uint32_t shard, uint64_t epoch);
+static void drop_reports_ (struct ColtShardIntake *intake, uint32_t server);
 static void report_ (void *client, const struct ColtShardReport *report);
 static void replace_reports_ (struct ColtShardIntake *intake,
                               const struct ColtShardReport *report);
@@ -360,12 +361,25 @@
 replace_reports_ (struct ColtShardIntake *intake,
                   const struct ColtShardReport *report)
 {
-  guint i = 0;
   size_t t;
 
+  drop_reports_ (intake, report->server);
+  for (t = 0; t < report->task_count; t++)
+    {
+      g_array_append_vals (intake->reports, report->tasks[t], 1);
+      g_array_append_val (intake->servers, report->server);
+      g_array_append_val (intake->server_epochs, report->server_epoch);
+    }
+}
+
+static void
+drop_reports_ (struct ColtShardIntake *intake, uint32_t server)
+{
+  guint i = 0;
+
   while (i < intake->servers->len)
     {
-      if (g_array_index (intake->servers, uint32_t, i) != report->server)
+      if (g_array_index (intake->servers, uint32_t, i) != server)
         {
           i++;
           continue;
@@ -374,12 +388,6 @@
       g_array_remove_index_fast (intake->servers, i);
       g_array_remove_index_fast (intake->server_epochs, i);
     }
-  for (t = 0; t < report->task_count; t++)
-    {
-      g_array_append_vals (intake->reports, report->tasks[t], 1);
-      g_array_append_val (intake->servers, report->server);
-      g_array_append_val (intake->server_epochs, report->server_epoch);
-    }
 }
 
 static void
@@ -512,7 +520,7 @@
                                  (const struct ColtTaskReport *)reports->data,
                                  reports->len, colt_clock_monotonic_us ());
   g_array_unref (reports);
-  colt_home_clear_intake (intake);
+  drop_reports_ (intake, server);
   colt_home_dispatch_soon (home);
 }
 
