--- a/src/home/home.c
+++ b/src/home/home.c
@@ -43,14 +43,7 @@
   home->budget_rates
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   for (shard = 0; shard < COLT_SHARD_COUNT; shard++)
-    {
-      struct ColtShardIntake *intake = &home->intakes[shard];
-
-      intake->reports
-          = g_array_new (FALSE, FALSE, sizeof (struct ColtTaskReport));
-      intake->servers = g_array_new (FALSE, FALSE, sizeof (uint32_t));
-      intake->server_epochs = g_array_new (FALSE, FALSE, sizeof (uint64_t));
-    }
+    colt_shard_intake_init (&home->intakes[shard]);
   home->rejected = g_array_new (FALSE, FALSE, sizeof (struct ColtRejected));
   g_queue_init (&home->unproved);
   g_queue_init (&home->local_calls);
@@ -81,11 +74,7 @@
   colt_placement_destroy (home->placement);
   colt_shard_lead_destroy (home->lead);
   for (shard = 0; shard < COLT_SHARD_COUNT; shard++)
-    {
-      g_array_unref (home->intakes[shard].reports);
-      g_array_unref (home->intakes[shard].servers);
-      g_array_unref (home->intakes[shard].server_epochs);
-    }
+    colt_shard_intake_clear (&home->intakes[shard]);
   g_array_unref (home->rejected);
   g_queue_clear_full (&home->unproved, g_free);
   g_hash_table_unref (home->memories);
--- a/src/home/home_shards.c
+++ b/src/home/home_shards.c
@@ -74,10 +74,7 @@
                                  size_t size,
                                  size_t *answer_size);
 static void opening_ (void *client, uint32_t shard, uint64_t epoch);
-static void drop_reports_ (struct ColtShardIntake *intake, uint32_t server);
 static void report_ (void *client, const struct ColtShardReport *report);
-static void replace_reports_ (struct ColtShardIntake *intake,
-                              const struct ColtShardReport *report);
 static void
 active_ (void *client, uint32_t shard, uint64_t epoch, size_t lacking);
 static void load_one_ (void *client,
@@ -125,14 +122,6 @@
   g_queue_clear_full (&home->local_calls, free_local_);
 }
 
-void
-colt_home_clear_intake (struct ColtShardIntake *intake)
-{
-  g_array_set_size (intake->reports, 0);
-  g_array_set_size (intake->servers, 0);
-  g_array_set_size (intake->server_epochs, 0);
-}
-
 static void
 send_open_ (void *client, uint32_t owner, const struct ColtShardOpen *open)
 {
@@ -343,7 +332,7 @@
   struct ColtHome *home = client;
 
   (void)epoch;
-  colt_home_clear_intake (&home->intakes[shard]);
+  colt_shard_intake_empty (&home->intakes[shard]);
 }
 
 static void
@@ -351,45 +340,12 @@
 {
   struct ColtHome *home = client;
 
-  replace_reports_ (&home->intakes[report->shard], report);
+  colt_shard_intake_replace (&home->intakes[report->shard], report);
   if (report->server != 0)
     home->calls->seated (home->client, report->shard, report->server,
                          report->owner, report->server_epoch);
 }
 
-static void
-replace_reports_ (struct ColtShardIntake *intake,
-                  const struct ColtShardReport *report)
-{
-  size_t t;
-
-  drop_reports_ (intake, report->server);
-  for (t = 0; t < report->task_count; t++)
-    {
-      g_array_append_vals (intake->reports, report->tasks[t], 1);
-      g_array_append_val (intake->servers, report->server);
-      g_array_append_val (intake->server_epochs, report->server_epoch);
-    }
-}
-
-static void
-drop_reports_ (struct ColtShardIntake *intake, uint32_t server)
-{
-  guint i = 0;
-
-  while (i < intake->servers->len)
-    {
-      if (g_array_index (intake->servers, uint32_t, i) != server)
-        {
-          i++;
-          continue;
-        }
-      g_array_remove_index_fast (intake->reports, i);
-      g_array_remove_index_fast (intake->servers, i);
-      g_array_remove_index_fast (intake->server_epochs, i);
-    }
-}
-
 static void
 active_ (void *client, uint32_t shard, uint64_t epoch, size_t lacking)
 {
@@ -408,7 +364,7 @@
       (const uint32_t *)intake->servers->data,
       (const uint64_t *)intake->server_epochs->data, intake->reports->len,
       now_us);
-  colt_home_clear_intake (intake);
+  colt_shard_intake_empty (intake);
   colt_counters_count (home->parts.counters, home->counters.shards_won, 1);
   home->history_known[shard] = false;
   colt_home_learn_histories (home);
@@ -496,7 +452,7 @@
   home->calls->team_shard (home->client, shard, epoch, false);
   colt_requests_close_shard (home->requests, shard);
   colt_placement_forget_shard (home->placement, shard);
-  colt_home_clear_intake (&home->intakes[shard]);
+  colt_shard_intake_empty (&home->intakes[shard]);
 }
 
 static void
@@ -507,20 +463,13 @@
          uint64_t server_epoch)
 {
   struct ColtHome *home = client;
-  struct ColtShardIntake *intake = &home->intakes[shard];
-  GArray *reports = g_array_new (FALSE, FALSE, sizeof (struct ColtTaskReport));
-  guint i;
+  GArray *reports = colt_shard_intake_steal (&home->intakes[shard], server);
 
   (void)owner;
-  for (i = 0; i < intake->servers->len; i++)
-    if (g_array_index (intake->servers, uint32_t, i) == server)
-      g_array_append_val (
-          reports, g_array_index (intake->reports, struct ColtTaskReport, i));
   colt_requests_server_reported (home->requests, shard, server, server_epoch,
                                  (const struct ColtTaskReport *)reports->data,
                                  reports->len, colt_clock_monotonic_us ());
   g_array_unref (reports);
-  drop_reports_ (intake, server);
   colt_home_dispatch_soon (home);
 }
 
--- a/src/home/private/home_private.h
+++ b/src/home/private/home_private.h
@@ -10,6 +10,7 @@
 
 #include "coltsfootstile/home.h"
 #include "coltsfootstile/request_messages.h"
+#include "shard_intake.h"
 
 struct ColtHomeCounters
 {
@@ -25,14 +26,6 @@
   uint32_t starts;
 };
 
-/** What is reported of a shard while it is recounted. */
-struct ColtShardIntake
-{
-  GArray *reports;       /**< of struct ColtTaskReport, without results */
-  GArray *servers;       /**< of uint32_t, one for each report */
-  GArray *server_epochs; /**< of uint64_t, one for each report */
-};
-
 struct ColtHome
 {
   struct ColtHomeParts parts;
@@ -74,7 +67,6 @@
 void colt_home_arm_lead (struct ColtHome *home);
 /** Drops the messages of this instance to itself. */
 void colt_home_drop_local_calls (struct ColtHome *home);
-void colt_home_clear_intake (struct ColtShardIntake *intake);
 /** Settles what is remembered of shards that have become active. */
 void colt_home_learn_histories (struct ColtHome *home);
 
