Owner: a home link's flush ends with the link

It was a one-time event that nobody could take back, so that it would have run on a link that was freed, if the loop went on after the owner's end. The link has an event of its own now.

--- a/src/owner/home_link.c
+++ b/src/owner/home_link.c
@@ -115,6 +115,7 @@
 {
   struct ColtHomeLink *link = data;
 
+  event_free (link->flush);
   g_queue_clear_full (&link->queue, free_event_);
   g_free (link);
 }
@@ -130,6 +131,7 @@
   link = g_new0 (struct ColtHomeLink, 1);
   link->owner = owner;
   link->instance = instance;
+  link->flush = evtimer_new (owner->parts.base, on_flush_, link);
   g_queue_init (&link->queue);
   g_hash_table_insert (owner->homes, GUINT_TO_POINTER (instance), link);
   return link;
@@ -160,11 +162,10 @@
 {
   const struct timeval soon = { 0, 0 };
 
-  if (link->flush_queued || link->in_flight || link->instance == 0)
+  if (evtimer_pending (link->flush, NULL) || link->in_flight
+      || link->instance == 0)
     return;
-  link->flush_queued = true;
-  event_base_once (link->owner->parts.base, -1, EV_TIMEOUT, on_flush_, link,
-                   &soon);
+  evtimer_add (link->flush, &soon);
 }
 
 static void
@@ -174,7 +175,6 @@
 
   (void)fd;
   (void)what;
-  link->flush_queued = false;
   if (!link->in_flight && !g_queue_is_empty (&link->queue)
       && colt_clock_monotonic_us () >= link->retry_us)
     flush_ (link);
--- a/src/owner/private/owner_private.h
+++ b/src/owner/private/owner_private.h
@@ -109,7 +109,7 @@
   uint32_t instance;
   GQueue queue; /**< of struct ColtPendingEvent */
   bool in_flight;
-  bool flush_queued;
+  struct event *flush;
   int64_t retry_us;
 };
 
