Owner: a larger limit whose batch was lost is sent again

The owner had the limit reserved while the server kept the task to the old one, and asked no more, for the task could not reach 90 % of the new limit. The test waited without end for the resize before; it comes now.

--- a/src/owner/owner_change.c
+++ b/src/owner/owner_change.c
@@ -14,8 +14,9 @@
 {
   struct ColtOwnedServer *server; /* NULL once the lease is lost */
   uint64_t call;
-  GArray *refs;  /* of struct ColtTaskRef: what it starts */
-  GArray *stops; /* of struct ColtBackendStop */
+  GArray *refs;    /* of struct ColtTaskRef: what it starts */
+  GArray *stops;   /* of struct ColtBackendStop */
+  GArray *resizes; /* of struct ColtBackendResize */
   bool renews;
   int64_t sent_us;
 };
@@ -45,6 +46,7 @@
 static void take_running_ (struct ColtOwner *owner, struct ColtOwnerTask *task);
 static void push_stop_ (struct ColtOwnerTask *task);
 static void repeat_stops_ (const struct ColtPendingChange *change);
+static void repeat_resizes_ (const struct ColtPendingChange *change);
 static void free_change_ (struct ColtPendingChange *change);
 
 void
@@ -76,17 +78,19 @@
   server->change = pending;
   starts = take_starts_ (server, pending->refs);
   pending->stops = take_stops_ (server);
+  pending->resizes = server->resizes;
+  server->resizes
+      = g_array_new (FALSE, FALSE, sizeof (struct ColtBackendResize));
   change.epoch = colt_server_lease_epoch (server->lease);
   change.token = colt_server_lease_token (server->lease);
   change.starts = (const struct ColtTaskStart *)starts->data;
   change.start_count = starts->len;
   change.stops = (const struct ColtBackendStop *)pending->stops->data;
   change.stop_count = pending->stops->len;
-  change.resizes = (const struct ColtBackendResize *)server->resizes->data;
-  change.resize_count = server->resizes->len;
+  change.resizes = (const struct ColtBackendResize *)pending->resizes->data;
+  change.resize_count = pending->resizes->len;
   change.renew_ms = renews ? COLT_TASK_LEASE_MS : 0;
   server->driver->change (server->driver, &change, on_changed_, pending);
-  g_array_set_size (server->resizes, 0);
   g_array_unref (starts);
 }
 
@@ -294,6 +298,7 @@
       make_unsure_ (task);
     }
   repeat_stops_ (change);
+  repeat_resizes_ (change);
 }
 
 static void
@@ -374,10 +379,32 @@
     }
 }
 
+/* With the limit of now, for that may have grown meanwhile. */
+static void
+repeat_resizes_ (const struct ColtPendingChange *change)
+{
+  guint i;
+
+  for (i = 0; i < change->resizes->len; i++)
+    {
+      struct ColtBackendResize resize
+          = g_array_index (change->resizes, struct ColtBackendResize, i);
+      const struct ColtOwnerTask *task
+          = colt_owner_tasks_find (change->server->owner->tasks, &resize.ref);
+
+      if (task == NULL || task->server != change->server
+          || task->state != COLT_OWNER_TASK_RUNNING)
+        continue;
+      resize.limit = task->limit;
+      g_array_append_val (change->server->resizes, resize);
+    }
+}
+
 static void
 free_change_ (struct ColtPendingChange *change)
 {
   g_array_unref (change->refs);
   g_array_unref (change->stops);
+  g_array_unref (change->resizes);
   g_free (change);
 }
--- a/src/test_owner/test_room.c
+++ b/src/test_owner/test_room.c
@@ -80,6 +80,29 @@
       0);
 }
 
+static void
+test_lost_resize_is_sent_again (struct ColtOwnerFixture *fixture,
+                                gconstpointer data)
+{
+  struct ColtTaskRef ref = colt_owner_ref (1);
+  struct ColtTaskReport report;
+
+  (void)data;
+  colt_owner_place_good (fixture, &ref);
+  RUN_UNTIL (fixture,
+             colt_owner_told (&fixture->home, &ref, COLT_TASK_EVENT_STARTED));
+  colt_fake_server_plan (fixture->server, COLT_FAKE_CALL_LOST);
+  report = colt_fake_server_find (fixture->server, &ref)->report;
+  report.usage.amount[COLT_RESOURCE_MEMORY] = 95;
+  colt_fake_server_emit (fixture->server, COLT_BACKEND_EVENT_USAGE, &report, 1);
+  RUN_UNTIL (fixture, fixture->server->resizes->len > 0);
+  g_assert_cmpint (
+      g_array_index (fixture->server->resizes, struct ColtBackendResize, 0)
+          .limit.amount[COLT_RESOURCE_MEMORY],
+      ==, 125);
+  g_assert_cmpuint (fixture->server->changes, ==, 3);
+}
+
 static void
 test_leaving_server_takes_nothing (struct ColtOwnerFixture *fixture,
                                    gconstpointer data)
@@ -160,6 +183,8 @@
   colt_owner_add_test ("/owner/room/end", test_room_returns_with_the_end);
   colt_owner_add_test ("/owner/room/resize",
                        test_resize_stays_in_the_free_room);
+  colt_owner_add_test ("/owner/room/lost_resize",
+                       test_lost_resize_is_sent_again);
   colt_owner_add_test ("/owner/room/leaving",
                        test_leaving_server_takes_nothing);
   colt_owner_add_test ("/owner/credit/wait", test_start_waits_for_credits);
