--- a/include/coltsfootstile/owner.h
+++ b/include/coltsfootstile/owner.h
@@ -33,10 +33,6 @@
 /** Time between two renewals of a server's tasks, in microseconds. */
 #define COLT_TASK_RENEW_US INT64_C (2500000)
 
-/** Makes the client of one backend server. */
-typedef struct ColtBackendDriver *(*ColtBackendFactory) (void *client,
-                                                         const char *address);
-
 /** Where a task stands at its owner. */
 enum ColtOwnerTaskState
 {
@@ -60,7 +56,8 @@
   uint32_t instance;
   uint64_t incarnation;
   uint32_t zone;
-  ColtBackendFactory factory;
+  /** Makes the client of one backend server. */
+  struct ColtBackendDriver *(*factory) (void *client, const char *address);
   void *factory_client;
 };
 
--- a/src/coltsfootstilectl/private/ctl.h
+++ b/src/coltsfootstilectl/private/ctl.h
@@ -178,15 +178,13 @@
   COLT_CTL_NOT_TAKEN /**< read, and refused */
 };
 
-/** Judges the state of an entry instance. */
-typedef enum ColtCtlEffect (*ColtCtlJudge) (void *client, const json_t *state);
-
 /** What is waited for. */
 struct ColtCtlWait
 {
   const GPtrArray *entries; /**< addresses */
   uint32_t timeout_ms;
-  ColtCtlJudge judge;
+  /** Judges the state of an entry instance. */
+  enum ColtCtlEffect (*judge) (void *client, const json_t *state);
   void *client;
 };
 
