--- a/src/coltsfootstile/daemon_settings.c
+++ b/src/coltsfootstile/daemon_settings.c
@@ -1,9 +1,17 @@
 #include "daemon_settings.h"
 
+#include <event2/util.h>
+#include <inttypes.h>
+#include <netinet/in.h>
+#include <stdio.h>
+
 #include "coltsfootstile/id.h"
 
+/* Highest number of an instance. */
+#define NUMBER_MAX 65535
+
 const struct ColtSettingSpec colt_daemon_settings[] = {
-  { "instance", "number", COLT_SETTING_INTEGER, NULL, 1, 65535, false,
+  { "instance", "number", COLT_SETTING_INTEGER, NULL, 1, NUMBER_MAX, false,
     "this instance's number, unlike any other's" },
   { "instance", "zone", COLT_SETTING_INTEGER, NULL, 1, COLT_ZONE_MAX, false,
     "the availability zone's number" },
@@ -33,3 +41,30 @@
 
 const size_t colt_daemon_setting_count
     = sizeof colt_daemon_settings / sizeof colt_daemon_settings[0];
+
+bool
+colt_daemon_parse_peer (const char *text,
+                        struct ColtPeerSetting *peer,
+                        struct ColtError *error)
+{
+  struct sockaddr_in address;
+  int size = sizeof address;
+  char rest;
+
+  if (sscanf (text, "%" SCNu32 " %" SCNu32 " %31s %c", &peer->number,
+              &peer->zone, peer->address, &rest)
+      != 3)
+    return colt_error_set (error, COLT_ERROR_INVALID, COLT_STEP_SETTINGS, NULL,
+                           "\"%s\" is not NUMBER ZONE ADDRESS:PORT", text);
+  if (peer->number < 1 || peer->number > NUMBER_MAX || peer->zone < 1
+      || peer->zone > COLT_ZONE_MAX)
+    return colt_error_set (error, COLT_ERROR_INVALID, COLT_STEP_SETTINGS, NULL,
+                           "\"%s\" has a number or a zone out of range", text);
+  if (evutil_parse_sockaddr_port (peer->address, (struct sockaddr *)&address,
+                                  &size)
+          != 0
+      || address.sin_family != AF_INET || address.sin_port == 0)
+    return colt_error_set (error, COLT_ERROR_INVALID, COLT_STEP_SETTINGS, NULL,
+                           "\"%s\" has no ADDRESS:PORT", text);
+  return true;
+}
--- a/src/coltsfootstile/instance_members.c
+++ b/src/coltsfootstile/instance_members.c
@@ -4,6 +4,7 @@
 #include "coltsfootstile/clock.h"
 #include "coltsfootstile/log.h"
 #include "coltsfootstile/rendezvous.h"
+#include "daemon_settings.h"
 #include "instance.h"
 
 #define MODULE "members"
@@ -78,7 +79,6 @@
                                  count > 0 ? (uint32_t)count : 1);
 }
 
-/* Each line is "NUMBER ZONE ADDRESS:PORT"; the settings were checked. */
 void
 colt_instance_add_peers (struct ColtInstance *instance)
 {
@@ -88,19 +88,13 @@
 
   for (i = 0; i < count; i++)
     {
-      char **words = g_strsplit_set (
-          colt_settings_item (instance->settings, "instance", "peer", i), " \t",
-          3);
-
-      if (g_strv_length (words) == 3)
-        colt_membership_add (instance->membership,
-                             (uint32_t)g_ascii_strtoull (words[0], NULL, 10),
-                             (uint32_t)g_ascii_strtoull (words[1], NULL, 10),
-                             g_strstrip (words[2]), now_us);
-      else
-        colt_log (COLT_LOG_ERROR, MODULE, NULL,
-                  "ignoring a peer that is not \"NUMBER ZONE ADDRESS:PORT\"");
-      g_strfreev (words);
+      struct ColtPeerSetting peer;
+
+      if (colt_daemon_parse_peer (
+              colt_settings_item (instance->settings, "instance", "peer", i),
+              &peer, NULL))
+        colt_membership_add (instance->membership, peer.number, peer.zone,
+                             peer.address, now_us);
     }
 }
 
--- a/src/coltsfootstile/main.c
+++ b/src/coltsfootstile/main.c
@@ -21,6 +21,8 @@
 static int run_file_ (const char *path, bool check_only);
 static void print_problems_ (const struct ColtSettings *settings);
 static bool check_more_ (const struct ColtSettings *settings, const char *path);
+static bool check_peers_ (const struct ColtSettings *settings,
+                          const char *path);
 static int run_instance_ (const struct ColtSettings *settings);
 static void on_signal_ (evutil_socket_t signal_number, short what, void *arg);
 
@@ -131,6 +133,28 @@
           path, text);
       good = false;
     }
+  return check_peers_ (settings, path) && good;
+}
+
+static bool
+check_peers_ (const struct ColtSettings *settings, const char *path)
+{
+  size_t count = colt_settings_count (settings, "instance", "peer");
+  struct ColtPeerSetting peer;
+  struct ColtError error;
+  bool good = true;
+  size_t i;
+
+  for (i = 0; i < count; i++)
+    {
+      if (colt_daemon_parse_peer (
+              colt_settings_item (settings, "instance", "peer", i), &peer,
+              &error))
+        continue;
+      fprintf (stderr, "coltsfootstile: %s: [instance] peer: %s\n", path,
+               error.message);
+      good = false;
+    }
   return good;
 }
 
