Freshness: other zones are asked more often while the log can't be read

Cause: the rule for a log that nobody reaches needs the newest word of every peer in other zones, and each was asked every 1.5 s; after the outage the reader waited up to 2 s before its next read. Change: two members of each other zone a round while the own reading isn't fresh; reads are tried again after 500 ms at most.

--- a/include/coltsfootstile/membership.h
+++ b/include/coltsfootstile/membership.h
@@ -15,6 +15,8 @@
 
 /** Time between two rounds of probes, in microseconds. */
 #define COLT_PROBE_INTERVAL_US INT64_C (250000)
+/** Members of each other zone that are probed a round while it is urgent. */
+#define COLT_PROBE_URGENT_PEERS 2u
 /** Time after which a probe counts as failed, in milliseconds. */
 #define COLT_PROBE_TIMEOUT_MS 400u
 /** Peers of its own zone that an instance probes in a round. */
@@ -98,6 +100,13 @@
 /** Probes and judges; to be called at least every COLT_PROBE_INTERVAL_US. */
 void colt_membership_step (struct ColtMembership *membership, int64_t now_us);
 
+/**
+ * Asks other zones more often, for what rides on the probes: every round
+ * COLT_PROBE_URGENT_PEERS members of each, instead of one every other round.
+ */
+void colt_membership_set_urgent (struct ColtMembership *membership,
+                                 bool urgent);
+
 /** A probe was answered. */
 void colt_membership_probe_answered (struct ColtMembership *membership,
                                      uint32_t instance,
--- a/src/coltsfootstile/instance_bundles.c
+++ b/src/coltsfootstile/instance_bundles.c
@@ -160,6 +160,10 @@
       bundles->peers, now_us,
       now_us - colt_log_client_fresh_us (bundles->instance->log)
           < COLT_FRESHNESS_BOUND_MS * COLT_US_PER_MS);
+  colt_membership_set_urgent (bundles->instance->membership,
+                              bundles->freshness != COLT_FRESH_READ
+                                  && colt_chain_bundle (bundles->chain)
+                                         != NULL);
   if (now_us < bundles->snapshot_us)
     return;
   bundles->snapshot_us = now_us + SNAPSHOT_INTERVAL_US;
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -26,6 +26,8 @@
   int64_t stepped_us;   /* when the last step was */
   uint32_t remote_turn; /* next remote member to tell of */
   unsigned round;
+  bool urgent;                       /* other zones are asked more often */
+  unsigned turns[COLT_ZONE_MAX + 1]; /* of the member to probe in a zone */
   int64_t heard_us[COLT_ZONE_MAX + 1];
 };
 
@@ -125,6 +127,7 @@
 colt_membership_step (struct ColtMembership *membership, int64_t now_us)
 {
   uint32_t zone;
+  unsigned i;
 
   if (membership->stepped_us > 0
       && now_us - membership->stepped_us >= COLT_MEMBER_STALL_US)
@@ -136,11 +139,18 @@
   membership->next_round_us = now_us + COLT_PROBE_INTERVAL_US;
   membership->round++;
   probe_ring_ (membership);
-  if (membership->round % COLT_PROBE_REMOTE_ROUNDS != 0)
+  if (!membership->urgent && membership->round % COLT_PROBE_REMOTE_ROUNDS != 0)
     return;
   for (zone = 1; zone <= COLT_ZONE_MAX; zone++)
     if (zone != membership->self_zone)
-      probe_zone_ (membership, zone);
+      for (i = 0; i < (membership->urgent ? COLT_PROBE_URGENT_PEERS : 1); i++)
+        probe_zone_ (membership, zone);
+}
+
+void
+colt_membership_set_urgent (struct ColtMembership *membership, bool urgent)
+{
+  membership->urgent = urgent;
 }
 
 void
@@ -465,7 +475,7 @@
 probe_zone_ (struct ColtMembership *membership, uint32_t zone)
 {
   guint total = membership->entries->len;
-  guint first = membership->round / COLT_PROBE_REMOTE_ROUNDS + membership->self;
+  guint first = membership->turns[zone] + membership->self;
   guint count = 0;
   guint i;
 
@@ -476,6 +486,7 @@
   if (count == 0)
     return;
   first %= count;
+  membership->turns[zone]++;
   for (i = 0; i < total; i++)
     {
       struct ColtMemberEntry *entry
--- a/src/platform/log_reader.c
+++ b/src/platform/log_reader.c
@@ -7,7 +7,7 @@
 #include "coltsfootstile/log_service.h"
 
 #define BACKOFF_FIRST_US (50 * COLT_US_PER_MS)
-#define BACKOFF_LIMIT_US (2 * COLT_US_PER_S)
+#define BACKOFF_LIMIT_US (500 * COLT_US_PER_MS)
 /* Least time between two reads at the head, so that appends gather. */
 #define PACE_US (20 * COLT_US_PER_MS)
 
--- a/src/test_membership/test_membership.c
+++ b/src/test_membership/test_membership.c
@@ -216,6 +216,34 @@
   destroy_fleet (fleet);
 }
 
+/* Every member of every other zone is asked within half a second. */
+static void
+test_urgent_asks_all (void)
+{
+  struct ColtFleet *fleet = create_fleet ();
+  bool asked[NODES + 1] = { false };
+  uint32_t i;
+  size_t p;
+
+  run (fleet, 3 * COLT_US_PER_S);
+  colt_membership_set_urgent (fleet->nodes[1], true);
+  for (i = 0; i < 2; i++)
+    {
+      fleet->pending_count = 0;
+      fleet->now_us += COLT_PROBE_INTERVAL_US;
+      colt_membership_step (fleet->nodes[1], fleet->now_us);
+      for (p = 0; p < fleet->pending_count; p++)
+        {
+          asked[fleet->pending[p][1]] = true;
+          exchange (fleet, 1, fleet->pending[p][1]);
+        }
+    }
+  for (i = 2; i <= NODES; i++)
+    if (zone_of (i) != zone_of (1))
+      g_assert_true (asked[i]);
+  destroy_fleet (fleet);
+}
+
 static void
 test_own_stall_blames_nobody (void)
 {
@@ -248,6 +276,7 @@
   g_test_add_func ("/membership/pause", test_paused_instance_comes_back);
   g_test_add_func ("/membership/leave", test_leaving_instance_is_not_eligible);
   g_test_add_func ("/membership/cut", test_cut_zone_keeps_its_own_members);
+  g_test_add_func ("/membership/urgent", test_urgent_asks_all);
   g_test_add_func ("/membership/own_stall", test_own_stall_blames_nobody);
   return g_test_run ();
 }
