--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -12,6 +12,7 @@
   unsigned failures;  /* probes that failed in a row */
   int64_t changed_us; /* when the state last changed */
   bool probing;       /* a probe is under way */
+  uint64_t probed;    /* number of the last probe, 0 before the first */
   bool listed;        /* the address is the list's */
 };
 
@@ -26,8 +27,8 @@
   int64_t stepped_us;   /* when the last step was */
   uint32_t remote_turn; /* next remote member to tell of */
   unsigned round;
-  bool urgent;                       /* other zones are asked more often */
-  unsigned turns[COLT_ZONE_MAX + 1]; /* of the member to probe in a zone */
+  bool urgent;     /* other zones are asked more often */
+  uint64_t probes; /* made so far */
   int64_t heard_us[COLT_ZONE_MAX + 1];
 };
 
@@ -328,7 +329,7 @@
             const struct ColtMember *member,
             int64_t now_us)
 {
-  struct ColtMemberEntry entry = { *member, 0, now_us, false, false };
+  struct ColtMemberEntry entry = { *member, 0, now_us, false, 0, false };
   guint at = 0;
 
   while (at < membership->entries->len
@@ -468,43 +469,37 @@
 }
 
 /*
- * Probes one member of another zone, each in its turn, so that a link cut to
- * one member does not hide the zone.
+ * Probes the member of another zone that was not probed for longest, so that
+ * a link cut to one member does not hide the zone. Instances begin at unlike
+ * places.
  */
 static void
 probe_zone_ (struct ColtMembership *membership, uint32_t zone)
 {
   guint total = membership->entries->len;
-  guint first = membership->turns[zone] + membership->self;
-  guint count = 0;
+  struct ColtMemberEntry *oldest = NULL;
   guint i;
 
-  for (i = 0; i < total; i++)
-    count += wants_probe_ (
-        membership,
-        &g_array_index (membership->entries, struct ColtMemberEntry, i), zone);
-  if (count == 0)
-    return;
-  first %= count;
-  membership->turns[zone]++;
+  assert (total > 0);
   for (i = 0; i < total; i++)
     {
       struct ColtMemberEntry *entry
-          = &g_array_index (membership->entries, struct ColtMemberEntry, i);
+          = &g_array_index (membership->entries, struct ColtMemberEntry,
+                            (membership->self + i) % total);
 
-      if (!wants_probe_ (membership, entry, zone))
-        continue;
-      if (first-- > 0)
-        continue;
-      probe_ (membership, entry);
-      return;
+      if (wants_probe_ (membership, entry, zone)
+          && (oldest == NULL || entry->probed < oldest->probed))
+        oldest = entry;
     }
+  if (oldest != NULL)
+    probe_ (membership, oldest);
 }
 
 static void
 probe_ (struct ColtMembership *membership, struct ColtMemberEntry *entry)
 {
   entry->probing = true;
+  entry->probed = ++membership->probes;
   membership->calls->probe (membership->client, entry->member.instance);
 }
 
