--- a/src/coltsfootstile/instance_members.c
+++ b/src/coltsfootstile/instance_members.c
@@ -57,6 +57,8 @@
   colt_log (COLT_LOG_INFO, MODULE, &context, "instance %u of zone %u is %s",
             member->instance, member->zone,
             colt_member_state_string[member->state]);
+  if (instance->limits != NULL && member->state == COLT_MEMBER_ALIVE)
+    colt_instance_limits_tell_all (instance->limits);
   colt_instance_spread_members (instance);
 }
 
--- a/src/coltsfootstile/limits_spread.c
+++ b/src/coltsfootstile/limits_spread.c
@@ -6,10 +6,10 @@
 
 /* How long news of compliance are told to whoever is probed. */
 #define NEWS_PERIOD_US (1500 * COLT_US_PER_MS)
-/* Time between two tellings of everything, for instances that are new. */
-#define WHOLE_PERIOD_US (6 * COLT_US_PER_S)
+/* Time between two tellings of everything; new instances are told at once. */
+#define WHOLE_PERIOD_US (30 * COLT_US_PER_S)
 /* How long everything is told then. */
-#define WHOLE_LENGTH_US (300 * COLT_US_PER_MS)
+#define WHOLE_LENGTH_US (600 * COLT_US_PER_MS)
 
 static size_t fill_compliance_ (void *client, uint8_t body[COLT_PIGGYBACK_MAX]);
 static void take_compliance_ (void *client,
@@ -48,6 +48,12 @@
     limits->tell_all_us = now_us + WHOLE_PERIOD_US;
 }
 
+void
+colt_instance_limits_tell_all (struct ColtInstanceLimits *limits)
+{
+  limits->tell_all_us = colt_clock_monotonic_us ();
+}
+
 /* What does not fit into one telling is told by the next ones. */
 static size_t
 fill_compliance_ (void *client, uint8_t body[COLT_PIGGYBACK_MAX])
--- a/src/coltsfootstile/private/instance.h
+++ b/src/coltsfootstile/private/instance.h
@@ -147,6 +147,8 @@
                                 uint64_t server_epoch);
 void colt_instance_limits_written_off (struct ColtInstanceLimits *limits,
                                        uint32_t server);
+/** Tells peers all that is known of compliance, for one that is new. */
+void colt_instance_limits_tell_all (struct ColtInstanceLimits *limits);
 json_t *colt_instance_limits_dump (const struct ColtInstanceLimits *limits);
 
 /* instance_state.c: dumps, counters and health over HTTP */
--- a/src/owner/owned_server.c
+++ b/src/owner/owned_server.c
@@ -8,7 +8,7 @@
 #define MODULE "owner"
 
 /* Time between two descriptions of a server that is held. */
-#define DESCRIBE_INTERVAL_US (1 * COLT_US_PER_S)
+#define DESCRIBE_INTERVAL_US (2 * COLT_US_PER_S)
 
 /* A call whose end belongs to the lease. */
 struct ColtLeaseCallEnd
--- a/src/owner/owner_events.c
+++ b/src/owner/owner_events.c
@@ -7,7 +7,7 @@
 #define MODULE "owner"
 
 /* How long a server holds back an answer when there are no events, in ms. */
-#define EVENTS_WAIT_MS 1000
+#define EVENTS_WAIT_MS 2000
 
 /* A task's limit on memory is raised when it uses this much of it. */
 #define RESIZE_AT_PERMILLE 900
