--- a/src/owner/owned_server.c
+++ b/src/owner/owned_server.c
@@ -50,8 +50,6 @@
 static void forget_tasks_ (struct ColtOwnedServer *server);
 static void refuse_queue_ (struct ColtOwnedServer *server);
 static void on_timer_ (evutil_socket_t fd, short what, void *arg);
-static void charge_credits_ (struct ColtOwner *owner,
-                             struct ColtOwnerTask *task);
 
 static const struct ColtLeaseClient lease_client
     = { on_acquire_, on_take_inventory_, on_renew_,      on_release_,
@@ -143,22 +141,13 @@
 colt_owned_server_discharge (struct ColtOwnedServer *server,
                              struct ColtOwnerTask *task)
 {
-  struct ColtOwner *owner = server->owner;
-  struct ColtQuotaAmount amount
-      = { { 1, task->limit.amount[COLT_RESOURCE_CORES],
-            task->limit.amount[COLT_RESOURCE_ACCELERATORS] } };
-
   if (task->charged)
     {
       task->charged = false;
       colt_resources_subtract (&server->reserved, &task->limit);
       server->digest_due = true;
     }
-  if (task->credited && owner->credits != NULL)
-    colt_credit_holder_give (owner->credits,
-                             colt_owner_tasks_team (owner->tasks, task),
-                             server->id, &amount);
-  task->credited = false;
+  colt_owner_give_credits (server->owner, task);
 }
 
 bool
@@ -454,7 +443,7 @@
       task->state = COLT_OWNER_TASK_RUNNING;
       server->running++;
       colt_owned_server_charge (server, task);
-      charge_credits_ (owner, task);
+      colt_owner_adopt_credits (owner, task);
       return;
     }
   task->state = COLT_OWNER_TASK_ENDED;
@@ -464,21 +453,6 @@
   colt_owner_tasks_note_end (owner->tasks, task);
 }
 
-static void
-charge_credits_ (struct ColtOwner *owner, struct ColtOwnerTask *task)
-{
-  struct ColtQuotaAmount amount
-      = { { 1, task->limit.amount[COLT_RESOURCE_CORES],
-            task->limit.amount[COLT_RESOURCE_ACCELERATORS] } };
-
-  if (owner->credits == NULL)
-    return;
-  colt_credit_holder_adopt (owner->credits,
-                            colt_owner_tasks_team (owner->tasks, task),
-                            task->server->id, &amount);
-  task->credited = true;
-}
-
 /*
  * What the server's next owner will answer for is dropped here. Credits of
  * these tasks stay counted until the lead says that the new owner has them.
--- a/src/owner/owner_credit.c
+++ b/src/owner/owner_credit.c
@@ -28,6 +28,31 @@
   return task->credited;
 }
 
+void
+colt_owner_adopt_credits (struct ColtOwner *owner, struct ColtOwnerTask *task)
+{
+  const struct ColtQuotaAmount amount = amount_of_ (task);
+
+  if (owner->credits == NULL)
+    return;
+  colt_credit_holder_adopt (owner->credits,
+                            colt_owner_tasks_team (owner->tasks, task),
+                            task->server->id, &amount);
+  task->credited = true;
+}
+
+void
+colt_owner_give_credits (struct ColtOwner *owner, struct ColtOwnerTask *task)
+{
+  const struct ColtQuotaAmount amount = amount_of_ (task);
+
+  if (task->credited && owner->credits != NULL)
+    colt_credit_holder_give (owner->credits,
+                             colt_owner_tasks_team (owner->tasks, task),
+                             task->server->id, &amount);
+  task->credited = false;
+}
+
 bool
 colt_owner_may_want_credit (const struct ColtOwner *owner, const char *team)
 {
--- a/src/owner/private/owner_private.h
+++ b/src/owner/private/owner_private.h
@@ -206,6 +206,12 @@
 /** Takes credits for a task; returns false if there are not enough. */
 bool colt_owner_take_credits (struct ColtOwner *owner,
                               struct ColtOwnerTask *task);
+/** Counts a task that runs on a server taken over. */
+void colt_owner_adopt_credits (struct ColtOwner *owner,
+                               struct ColtOwnerTask *task);
+/** Gives the credits of a task back, if it has any. */
+void colt_owner_give_credits (struct ColtOwner *owner,
+                              struct ColtOwnerTask *task);
 /** Returns whether one more task of a team may wait for credits. */
 bool colt_owner_may_want_credit (const struct ColtOwner *owner,
                                  const char *team);
