Limits: an instance that has lost every lease takes credits anew, as another process

Cause, found by reading: a lead may give an owner's credits to others once each of its servers is counted elsewhere; an owner that was only paused kept its spare credits until the lead spoke to it again, and could have used them on a server that it had just taken. Change: with no lease left it goes on as a new process without credits; a lead forgets a process only while every server of the zone is in session with another one.

--- a/include/coltsfootstile/owner.h
+++ b/include/coltsfootstile/owner.h
@@ -59,6 +59,10 @@
   /** Makes the client of one backend server. */
   struct ColtBackendDriver *(*factory) (void *client, const char *address);
   void *factory_client;
+  /** No lease runs any more: others may have taken everything over, and the
+   * credits of this process may count no more. May be NULL. */
+  void (*bare) (void *client);
+  void *bare_client;
 };
 
 /** The owner. */
--- a/src/coltsfootstile/instance.c
+++ b/src/coltsfootstile/instance.c
@@ -163,6 +163,8 @@
   owner.zone = instance->zone;
   owner.factory = make_backend_;
   owner.factory_client = instance;
+  owner.bare = colt_instance_limits_bare;
+  owner.bare_client = instance;
   instance->owner = colt_owner_create (&owner);
   home.base = base;
   home.wire = instance->wire;
--- a/src/coltsfootstile/limits_credits.c
+++ b/src/coltsfootstile/limits_credits.c
@@ -31,6 +31,8 @@
 static bool is_replaced_ (struct ColtLimitsShard *shard,
                           const struct ColtLimitsOwner *owner,
                           int64_t now_us);
+static bool holds_nothing_ (const struct ColtLimitsShard *shard,
+                            uint64_t process);
 static uint32_t instance_of_ (uint64_t process);
 static void free_owner_ (gpointer data);
 static gboolean hash_equal_u64_ (gconstpointer a, gconstpointer b);
@@ -117,6 +119,29 @@
     colt_credit_holder_process (limits->holder, now_us);
 }
 
+/*
+ * Leads may have given this instance's credits to others. It goes on as a new
+ * process, which has none; the old one's tasks count until their servers do
+ * elsewhere.
+ */
+void
+colt_instance_limits_bare (void *client)
+{
+  struct ColtInstance *instance = client;
+  struct ColtInstanceLimits *limits = instance->limits;
+
+  if (limits->holder == NULL)
+    return;
+  colt_log (COLT_LOG_INFO, MODULE, NULL,
+            "no lease is left; credits are taken anew as another process");
+  colt_credit_holder_destroy (limits->holder);
+  limits->renewals++;
+  limits->holder = colt_credit_holder_create (
+      colt_limits_process_of (limits, instance->number),
+      colt_log_client_offset (instance->log), send_report_, limits);
+  colt_owner_set_credits (instance->owner, limits->holder);
+}
+
 uint64_t
 colt_limits_process_of (const struct ColtInstanceLimits *limits,
                         uint32_t instance)
@@ -124,7 +149,7 @@
   const uint64_t *process;
 
   if (instance == limits->instance->number)
-    return limits->instance->incarnation << 16 | instance;
+    return (limits->instance->incarnation + limits->renewals) << 16 | instance;
   process
       = g_hash_table_lookup (limits->processes, GUINT_TO_POINTER (instance));
   return process != NULL ? *process : 0;
@@ -400,6 +425,8 @@
     return false;
   if (now_us - owner->heard_us < OWNER_SILENCE_US)
     return false;
+  if (!holds_nothing_ (shard, owner->process))
+    return false;
   g_hash_table_iter_init (&iter, owner->servers);
   while (g_hash_table_iter_next (&iter, &key, &value))
     if (!colt_credit_lead_counts_server (shard->lead, GPOINTER_TO_UINT (key),
@@ -408,6 +435,28 @@
   return true;
 }
 
+/* Every server of the zone is in session with some other process. */
+static bool
+holds_nothing_ (const struct ColtLimitsShard *shard, uint64_t process)
+{
+  const struct ColtInstance *instance = shard->limits->instance;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (colt_shard_lead_missing (colt_home_shards (instance->home), shard->shard)
+      > 0)
+    return false;
+  g_hash_table_iter_init (&iter, shard->servers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct ColtLimitsSeat *seat = value;
+
+      if (colt_limits_process_of (shard->limits, seat->instance) == process)
+        return false;
+    }
+  return true;
+}
+
 static uint32_t
 instance_of_ (uint64_t process)
 {
--- a/src/coltsfootstile/private/instance.h
+++ b/src/coltsfootstile/private/instance.h
@@ -130,6 +130,8 @@
                                uint64_t first);
 void colt_instance_limits_step (struct ColtInstanceLimits *limits,
                                 int64_t now_us);
+/** This instance holds no server any more: its credits are void. */
+void colt_instance_limits_bare (void *client);
 /** Returns whether this instance may own servers: credits can be counted. */
 bool colt_instance_limits_ready (const struct ColtInstanceLimits *limits);
 /** Returns the packed fold if it stands at an offset, or NULL. */
--- a/src/coltsfootstile/private/instance_limits.h
+++ b/src/coltsfootstile/private/instance_limits.h
@@ -59,6 +59,7 @@
   struct ColtChain *chain; /**< read from the log alone */
   struct ColtEntitlements *fold;
   struct ColtCreditHolder *holder; /**< NULL until the log's head was read */
+  uint64_t renewals; /**< processes that this instance has been before */
   struct ColtTransferPlanner *planner;
   struct ColtLimitsShard shards[COLT_SHARD_COUNT];
   uint32_t lead_of[COLT_SHARD_COUNT]; /**< instance that opened the session */
--- a/src/owner/owned_server.c
+++ b/src/owner/owned_server.c
@@ -244,6 +244,9 @@
     colt_credit_holder_lose_server (owner->credits, server->id);
   colt_owned_server_drop_change (server);
   g_array_append_val (owner->gone, server->id);
+  if (owner->parts.bare != NULL && !owner->stopping
+      && !colt_owner_holds_any (owner, colt_clock_monotonic_us ()))
+    owner->parts.bare (owner->parts.bare_client);
 }
 
 static void
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -229,6 +229,32 @@
   g_tree_foreach (owner->servers, visit_server_, &all);
 }
 
+struct ColtHolding
+{
+  int64_t now_us;
+  bool any;
+};
+
+static gboolean
+look_at_lease_ (gpointer key, gpointer value, gpointer data)
+{
+  const struct ColtOwnedServer *server = value;
+  struct ColtHolding *holding = data;
+
+  (void)key;
+  holding->any = colt_server_lease_runs (server->lease, holding->now_us);
+  return holding->any;
+}
+
+bool
+colt_owner_holds_any (const struct ColtOwner *owner, int64_t now_us)
+{
+  struct ColtHolding holding = { now_us, false };
+
+  g_tree_foreach (owner->servers, look_at_lease_, &holding);
+  return holding.any;
+}
+
 static void
 add_counters_ (struct ColtOwner *owner)
 {
--- a/src/owner/private/owner_private.h
+++ b/src/owner/private/owner_private.h
@@ -202,6 +202,10 @@
 size_t colt_owner_untold (const struct ColtOwner *owner);
 void colt_home_link_free (gpointer data);
 
+/* owner.c */
+/** Returns whether the lease of any server runs. */
+bool colt_owner_holds_any (const struct ColtOwner *owner, int64_t now_us);
+
 /* owner_credit.c */
 /** Takes credits for a task; returns false if there are not enough. */
 bool colt_owner_take_credits (struct ColtOwner *owner,
--- a/src/test_owner/harness.c
+++ b/src/test_owner/harness.c
@@ -31,6 +31,14 @@
   g_snprintf (text, size, "127.0.0.1:%u", ntohs (address.sin_port));
 }
 
+static void
+note_bare_ (void *client)
+{
+  struct ColtOwnerFixture *fixture = client;
+
+  fixture->bare++;
+}
+
 static struct ColtBackendDriver *
 make_driver_ (void *client, const char *address)
 {
@@ -131,6 +139,8 @@
   parts.zone = 1;
   parts.factory = make_driver_;
   parts.factory_client = fixture;
+  parts.bare = note_bare_;
+  parts.bare_client = fixture;
   fixture->owner = colt_owner_create (&parts);
   colt_owner_set_credits (fixture->owner, fixture->credits);
   g_assert_true (colt_wire_listen (fixture->wire, address, NULL));
--- a/src/test_owner/harness.h
+++ b/src/test_owner/harness.h
@@ -41,6 +41,7 @@
   struct ColtWire *wire;
   struct ColtCounters *counters;
   struct ColtCreditHolder *credits;
+  unsigned bare; /* times that no lease was left */
   struct ColtOwner *owner;
   struct ColtFakeServer *server;
   struct ColtFakeHome home;
--- a/src/test_owner/test_starts.c
+++ b/src/test_owner/test_starts.c
@@ -193,11 +193,13 @@
   fixture->server->holds_changes = true;
   colt_owner_place_good (fixture, &sent);
   colt_owner_place_good (fixture, &queued);
+  g_assert_cmpuint (fixture->bare, ==, 0);
   fixture->server->lease_fate = COLT_FAKE_FENCED;
   RUN_UNTIL (fixture, colt_owner_told (&fixture->home, &queued,
                                        COLT_TASK_EVENT_REFUSED));
   RUN_UNTIL (fixture,
              colt_owner_server_info (fixture).state != COLT_LEASE_HELD);
+  g_assert_cmpuint (fixture->bare, >, 0);
   colt_fake_server_let_through (fixture->server);
   RUN_UNTIL (fixture, fixture->server->changes == 1);
   g_assert_null (colt_owner_last_told (&fixture->home, &sent));
