Home: refusals wait for their proof; work on the log is never refused as not run

Cause, found with the test of a full queue: a home without a session of its own could never prove that it was the only lead, and told gates to ask again without end. A refusal now waits up to 1 s for an owner's word. Found by reading: work that was stored and then refused for its deadline or the home's bound was told as not run, though a later lead may take it up from the log; it is told as accepted.

--- a/src/home/home.c
+++ b/src/home/home.c
@@ -46,6 +46,7 @@
     colt_shard_intake_init (&home->intakes[shard]);
   home->rejected = g_array_new (FALSE, FALSE, sizeof (struct ColtRejected));
   g_queue_init (&home->unproved);
+  g_queue_init (&home->unproved_replies);
   g_queue_init (&home->local_calls);
   home->memories = g_hash_table_new (g_direct_hash, g_direct_equal);
   add_counters_ (home);
@@ -77,6 +78,7 @@
     colt_shard_intake_clear (&home->intakes[shard]);
   g_array_unref (home->rejected);
   g_queue_clear_full (&home->unproved, g_free);
+  g_queue_clear_full (&home->unproved_replies, g_free);
   g_hash_table_unref (home->memories);
   g_free (home->servers);
   g_hash_table_unref (home->team_usage);
@@ -211,6 +213,7 @@
   colt_home_count_usage (home, now_us);
   colt_home_reconcile (home, now_us);
   colt_home_answer_unproved (home, now_us);
+  colt_home_reply_unproved (home, now_us);
   if (colt_placement_waiting (home->placement) > 0 || home->rejected->len > 0)
     colt_home_dispatch (home);
 }
--- a/src/home/home_submit.c
+++ b/src/home/home_submit.c
@@ -7,6 +7,18 @@
 /* When a caller that was turned away may try again, in ms. */
 #define RETRY_AFTER_MS 1000
 
+/* How long a refusal waits for its proof, in microseconds. */
+#define PROOF_PATIENCE_US (1 * COLT_US_PER_S)
+
+/* A refusal that waits for the proof that no other lead was active. */
+struct ColtUnprovedReply
+{
+  struct ColtWireOrigin origin;
+  struct ColtId id;
+  enum ColtReason reason;
+  int64_t decided_us;
+};
+
 /* A submission that waits until it is on the log. */
 struct ColtStoring
 {
@@ -24,10 +36,14 @@
                      const struct ColtWireOrigin *origin,
                      const ColtSubmitWord *word,
                      bool stored);
-static void refuse_full_ (struct ColtHome *home,
-                          const struct ColtWireOrigin *origin,
-                          const struct ColtId *id,
-                          int64_t now_us);
+static void refuse_ (struct ColtHome *home,
+                     const struct ColtWireOrigin *origin,
+                     const struct ColtId *id,
+                     enum ColtReason reason,
+                     int64_t now_us);
+static bool settle_ (struct ColtHome *home,
+                     const struct ColtUnprovedReply *unproved,
+                     int64_t now_us);
 static bool must_wait_ (struct ColtHome *home,
                         const struct ColtId *id,
                         bool fresh,
@@ -89,6 +105,8 @@
   colt_submit_word__free_unpacked (word, NULL);
 }
 
+/* What is on the log may run later, so that it is never refused as not run: it
+ * is offered again. */
 static void
 submit_ (struct ColtHome *home,
          const struct ColtWireOrigin *origin,
@@ -124,7 +142,8 @@
     }
   if (known == NULL && !stored && colt_home_queue_full (home, spec.queue))
     {
-      refuse_full_ (home, origin, &id, now_us);
+      colt_counters_count (home->parts.counters, home->counters.refused, 1);
+      refuse_ (home, origin, &id, COLT_REASON_QUEUE_FULL, now_us);
       return;
     }
   if (known == NULL && spec.durable && !stored)
@@ -136,32 +155,82 @@
       home->requests, &id, &spec, word->fresh,
       word->waits ? origin->instance : 0,
       (uint32_t)(colt_clock_wall_us () / COLT_US_PER_S), now_us, &reason);
-  if (status == COLT_SUBMIT_NOT_RUN && !colt_home_proves (home, &id, now_us))
-    status = COLT_SUBMIT_NOT_LEAD;
   if (status == COLT_SUBMIT_ACCEPTED)
     colt_home_note_waiting (home, spec.queue);
   if (status == COLT_SUBMIT_ACCEPTED)
     colt_counters_count (home->parts.counters, home->counters.submitted, 1);
   else if (status != COLT_SUBMIT_KNOWN)
     colt_counters_count (home->parts.counters, home->counters.refused, 1);
+  if (status == COLT_SUBMIT_NOT_RUN && stored)
+    status = COLT_SUBMIT_ACCEPTED;
+  if (status == COLT_SUBMIT_NOT_RUN)
+    {
+      refuse_ (home, origin, &id, reason, now_us);
+      return;
+    }
   known = colt_requests_find (home->requests, &id);
   reply_ (home, origin, status, reason, known);
   colt_home_dispatch_soon (home);
 }
 
+/* "Not run" is said only with the proof that no other lead was active. */
 static void
-refuse_full_ (struct ColtHome *home,
-              const struct ColtWireOrigin *origin,
-              const struct ColtId *id,
-              int64_t now_us)
+refuse_ (struct ColtHome *home,
+         const struct ColtWireOrigin *origin,
+         const struct ColtId *id,
+         enum ColtReason reason,
+         int64_t now_us)
 {
-  enum ColtSubmitStatus status = COLT_SUBMIT_NOT_RUN;
+  struct ColtUnprovedReply *unproved;
+
+  if (colt_home_proves (home, id, now_us))
+    {
+      reply_ (home, origin, COLT_SUBMIT_NOT_RUN, reason, NULL);
+      return;
+    }
+  unproved = g_new0 (struct ColtUnprovedReply, 1);
+  unproved->origin = *origin;
+  unproved->id = *id;
+  unproved->reason = reason;
+  unproved->decided_us = now_us;
+  g_queue_push_tail (&home->unproved_replies, unproved);
+}
+
+void
+colt_home_reply_unproved (struct ColtHome *home, int64_t now_us)
+{
+  guint count = g_queue_get_length (&home->unproved_replies);
+
+  while (count-- > 0)
+    {
+      struct ColtUnprovedReply *unproved
+          = g_queue_pop_head (&home->unproved_replies);
+
+      if (!settle_ (home, unproved, now_us))
+        {
+          g_queue_push_tail (&home->unproved_replies, unproved);
+          continue;
+        }
+      g_free (unproved);
+    }
+}
 
-  if (!colt_home_proves (home, id, now_us))
-    status = COLT_SUBMIT_NOT_LEAD;
+/* Returns whether the gate has been told: the refusal, or to ask again. */
+static bool
+settle_ (struct ColtHome *home,
+         const struct ColtUnprovedReply *unproved,
+         int64_t now_us)
+{
+  if (colt_shard_lead_proved_since (home->lead, colt_id_shard (&unproved->id),
+                                    unproved->decided_us, now_us))
+    reply_ (home, &unproved->origin, COLT_SUBMIT_NOT_RUN, unproved->reason,
+            NULL);
+  else if (now_us - unproved->decided_us >= PROOF_PATIENCE_US)
+    reply_ (home, &unproved->origin, COLT_SUBMIT_NOT_LEAD, COLT_REASON_NONE,
+            NULL);
   else
-    colt_counters_count (home->parts.counters, home->counters.refused, 1);
-  reply_ (home, origin, status, COLT_REASON_QUEUE_FULL, NULL);
+    return false;
+  return true;
 }
 
 /*
--- a/src/home/private/home_private.h
+++ b/src/home/private/home_private.h
@@ -47,9 +47,10 @@
   GQueue local_calls; /**< messages of this instance to itself */
   int64_t reconcile_us;
   unsigned reconcile_round;
-  GArray *rejected;  /**< of struct ColtRejected */
-  GQueue unproved;   /**< of struct ColtUnproved */
-  uint32_t *members; /**< of the zone that may lead */
+  GArray *rejected;        /**< of struct ColtRejected */
+  GQueue unproved;         /**< of struct ColtUnproved */
+  GQueue unproved_replies; /**< of struct ColtUnprovedReply */
+  uint32_t *members;       /**< of the zone that may lead */
   size_t member_count;
   GHashTable *team_usage;    /**< team -> struct ColtTeamUsage */
   GHashTable *queue_waiting; /**< queue -> requests that wait here */
@@ -72,6 +73,8 @@
 
 /* home_submit.c: what gates ask */
 void colt_home_set_submit_handlers (struct ColtHome *home);
+/** Refuses what was proved meanwhile to be refused by the only lead. */
+void colt_home_reply_unproved (struct ColtHome *home, int64_t now_us);
 
 /* home_place.c: what owners are asked, and what they tell */
 void colt_home_set_place_handlers (struct ColtHome *home);
--- a/src/test_home/test_home.c
+++ b/src/test_home/test_home.c
@@ -187,6 +187,28 @@
   g_assert_cmpuint (fixture->stored_ends, ==, 1);
 }
 
+/* Its record on the log may be taken up by any later lead: "not run" would be
+ * a promise that nobody keeps. */
+static void
+test_stored_work_is_never_not_run (struct ColtHomeFixture *fixture,
+                                   gconstpointer data)
+{
+  struct ColtRequestSpec spec = colt_home_spec ();
+  struct ColtId id = colt_home_id (fixture);
+  struct ColtSubmitted submitted;
+
+  (void)data;
+  spec.durable = true;
+  spec.deadline_us = colt_clock_monotonic_us () + 100 * COLT_US_PER_MS;
+  colt_home_send_submit (fixture, &id, &spec, &submitted);
+  RUN_UNTIL (fixture, fixture->stored != NULL);
+  RUN_UNTIL (fixture, colt_clock_monotonic_us () > spec.deadline_us);
+  fixture->stored (fixture->stored_client, true, true);
+  RUN_UNTIL (fixture, submitted.done);
+  g_assert_cmpint (submitted.status, ==, COLT_SUBMIT_ACCEPTED);
+  g_assert_cmpuint (fixture->asked->len, ==, 0);
+}
+
 static void
 check_not_stored_ (struct ColtHomeFixture *fixture,
                    bool certain,
@@ -293,6 +315,65 @@
       colt_clock_monotonic_us ()));
 }
 
+static struct ColtBundle *
+make_bundle_ (void)
+{
+  static const char *const kinds[]
+      = { "interactive", "service", "batch", "gang" };
+  GString *text
+      = g_string_new ("[bundle]\nversion = 1\nparent = none\noperator = ");
+  struct ColtBundle *bundle;
+  size_t i;
+
+  for (i = 0; i < 64; i++)
+    g_string_append_c (text, 'a');
+  g_string_append (text,
+                   "\n[organisation hire]\ntitle = Hire\n"
+                   "[team team]\norganisation = hire\nweight = 1\n"
+                   "limit_tasks = 100\nretries_per_minute = 10\n"
+                   "[queue queue]\nteam = team\nopen = yes\nmax_waiting = 3\n");
+  for (i = 0; i < G_N_ELEMENTS (kinds); i++)
+    g_string_append_printf (text,
+                            "[work %s]\npolicy = pack\npriority = 1\n"
+                            "max_attempts = 1\ncheckpoint = no\n",
+                            kinds[i]);
+  g_string_append (text, "[zone 1]\nregion = west\n");
+  bundle = colt_bundle_parse (text->str, NULL, NULL);
+  g_assert_nonnull (bundle);
+  g_string_free (text, TRUE);
+  return bundle;
+}
+
+/* Work that finds its queue's bound reached is refused at once, and what was
+ * taken before goes on. */
+static void
+test_full_queue_refuses (struct ColtHomeFixture *fixture, gconstpointer data)
+{
+  const struct ColtRequestSpec spec = colt_home_spec ();
+  struct ColtBundle *bundle = make_bundle_ ();
+  unsigned accepted = 0;
+  unsigned full = 0;
+  int i;
+
+  (void)data;
+  fixture->mode = COLT_OWNER_REFUSES;
+  fixture->refusal = COLT_REFUSAL_NO_ROOM;
+  colt_home_set_bundle (fixture->home, bundle);
+  for (i = 0; i < 8; i++)
+    {
+      struct ColtId id = colt_home_id (fixture);
+      struct ColtSubmitted submitted = colt_home_submit (fixture, &id, &spec);
+
+      accepted += submitted.status == COLT_SUBMIT_ACCEPTED;
+      full += submitted.status == COLT_SUBMIT_NOT_RUN
+              && submitted.reason == COLT_REASON_QUEUE_FULL;
+    }
+  g_assert_cmpuint (accepted, >=, 1);
+  g_assert_cmpuint (accepted, <=, 3);
+  g_assert_cmpuint (accepted + full, ==, 8);
+  colt_bundle_destroy (bundle);
+}
+
 static void
 add_ (const char *path,
       void (*test) (struct ColtHomeFixture *fixture, gconstpointer data),
@@ -307,6 +388,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   add_ ("/home/answer/result", test_waiter_gets_the_result, 0);
+  add_ ("/home/submit/queue_full", test_full_queue_refuses, 0);
   add_ ("/home/answer/overtakes", test_end_may_overtake_the_reply, 0);
   add_ ("/home/answer/fetched", test_missing_result_is_fetched, 0);
   add_ ("/home/answer/known", test_known_request_is_not_run_twice, 0);
@@ -323,6 +405,7 @@
   add_ ("/home/durable/stored", test_durable_work_is_stored_first, 0);
   add_ ("/home/durable/not_stored", test_certainly_not_stored_is_not_run, 0);
   add_ ("/home/durable/uncertain", test_perhaps_stored_is_unknown, 0);
+  add_ ("/home/durable/late", test_stored_work_is_never_not_run, 0);
   add_ ("/home/durable/offer", test_offered_work_runs_once, 0);
   return g_test_run ();
 }
