Demo: a command that changed nothing is no withdrawal

Trace: the log was down from 4333.996 s, the withdrawal began 0.3 ms later and ended with status 4, "the log did not take the record; nothing has changed"; no record of it is in the log. The key was not withdrawn, and the operator was told so. The demo now takes such a command out of what the checker judges by; every other end of it counts from the moment of the command as before.

--- a/scripts/demo/run.py
+++ b/scripts/demo/run.py
@@ -15,6 +15,8 @@
 HEAL_RATIO = 0.66
 DRAIN_S = 25
 REST_SETTLE_S = 4
+# Exit status of the command line when the log certainly took no record.
+NOTHING_CHANGED = 4
 REST_S = 3
 
 
@@ -240,10 +242,20 @@
     def finish_commands(self):
         for what, began, process in self.pending:
             output, _ = process.communicate(timeout=60)
+            if process.returncode == NOTHING_CHANGED:
+                self.forget_command(what)
             self.result.setdefault("commands", []).append(
                 {"command": what, "exit": process.returncode,
                  "output": output.strip()[-500:]})
 
+    def forget_command(self, what):
+        """The operator was told that nothing has changed: nothing is to hold."""
+        if what == "withdraw":
+            self.history["keys"].clear()
+        else:
+            self.history["rolls"].clear()
+            self.history["limits"].clear()
+
     def judge(self):
         """Calls the history checker on the records of the run."""
         history = topology.write_json(self.folder, "run.json", self.history)
