Gate: a bound on callers' connections

A connection counts from its first call on; one above the bound is refused and closed. What is told when a caller goes away hangs on the connection's entry, in place of a callback that each duty set for itself.

--- a/include/coltsfootstile/gate.h
+++ b/include/coltsfootstile/gate.h
@@ -30,6 +30,9 @@
 #define COLT_GATE_IDLE_S 60
 /** Requests that one gate holds open at most. */
 #define COLT_GATE_OPEN_MAX 10000u
+/** Connections of callers that one gate serves at most; one more gets a refusal
+ * to its first request. */
+#define COLT_GATE_CONNECTIONS_MAX 4096u
 /** Longest deadline that a caller may set, in milliseconds. */
 #define COLT_DEADLINE_MAX_MS INT64_C (3600000)
 /** Deadline of a waiting caller when neither it nor the bundle sets one. */
@@ -43,6 +46,7 @@
   struct ColtCounters *counters;
   uint32_t instance;
   uint32_t zone;
+  uint32_t connections_max; /**< 0: COLT_GATE_CONNECTIONS_MAX */
 };
 
 /** What a gate asks of the rest of the instance. */
--- a/src/admission/gate.c
+++ b/src/admission/gate.c
@@ -28,6 +28,7 @@
   gate->pending = g_hash_table_new_full (
       colt_id_table_hash, colt_id_table_equal, NULL, colt_pending_free);
   gate->minted = g_hash_table_new (colt_id_table_hash, colt_id_table_equal);
+  gate->connections = g_hash_table_new (g_direct_hash, g_direct_equal);
   g_queue_init (&gate->minted_order);
   gate->http = evhttp_new (parts->base);
   evhttp_set_max_headers_size (gate->http, COLT_GATE_HEADERS_MAX);
@@ -51,6 +52,7 @@
   colt_gate_abandon (gate);
   event_free (gate->timer);
   evhttp_free (gate->http);
+  g_hash_table_unref (gate->connections);
   g_hash_table_unref (gate->pending);
   g_hash_table_unref (gate->minted);
   g_queue_clear_full (&gate->minted_order, g_free);
--- /dev/null
+++ b/src/admission/gate_connections.c
@@ -0,0 +1,86 @@
+#include "gate_private.h"
+
+/* A caller's connection, from its first request on. */
+struct ColtGateConnection
+{
+  struct ColtGate *gate;
+  struct evhttp_connection *connection;
+  void (*gone) (void *client); /* NULL while nothing is under way */
+  void *client;
+};
+
+static uint32_t bound_of_ (const struct ColtGate *gate);
+static struct ColtGateConnection *find_ (struct ColtGate *gate,
+                                         struct evhttp_request *http);
+static void on_closed_ (struct evhttp_connection *connection, void *arg);
+
+bool
+colt_gate_admit_connection (struct ColtGate *gate, struct evhttp_request *http)
+{
+  struct ColtGateConnection *entry = find_ (gate, http);
+
+  if (entry != NULL)
+    return true;
+  if (g_hash_table_size (gate->connections) >= bound_of_ (gate))
+    {
+      evhttp_add_header (evhttp_request_get_output_headers (http), "Connection",
+                         "close");
+      colt_gate_reply_error (http, 503, COLT_REASON_OVERLOADED,
+                             "Too many connections are open here.");
+      return false;
+    }
+  entry = g_new0 (struct ColtGateConnection, 1);
+  entry->gate = gate;
+  entry->connection = evhttp_request_get_connection (http);
+  g_hash_table_insert (gate->connections, entry->connection, entry);
+  evhttp_connection_set_closecb (entry->connection, on_closed_, entry);
+  return true;
+}
+
+void
+colt_gate_watch (struct ColtGate *gate,
+                 struct evhttp_request *http,
+                 void (*gone) (void *client),
+                 void *client)
+{
+  struct ColtGateConnection *entry = find_ (gate, http);
+
+  if (entry == NULL)
+    return;
+  entry->gone = gone;
+  entry->client = client;
+}
+
+void
+colt_gate_unwatch (struct ColtGate *gate, struct evhttp_request *http)
+{
+  colt_gate_watch (gate, http, NULL, NULL);
+}
+
+static uint32_t
+bound_of_ (const struct ColtGate *gate)
+{
+  return gate->parts.connections_max != 0 ? gate->parts.connections_max
+                                          : COLT_GATE_CONNECTIONS_MAX;
+}
+
+static struct ColtGateConnection *
+find_ (struct ColtGate *gate, struct evhttp_request *http)
+{
+  return g_hash_table_lookup (gate->connections,
+                              evhttp_request_get_connection (http));
+}
+
+static void
+on_closed_ (struct evhttp_connection *connection, void *arg)
+{
+  struct ColtGateConnection *entry = arg;
+  void (*gone) (void *client) = entry->gone;
+  void *client = entry->client;
+
+  evhttp_connection_set_closecb (connection, NULL, NULL);
+  g_hash_table_remove (entry->gate->connections, connection);
+  g_free (entry);
+  if (gone != NULL)
+    gone (client);
+}
--- a/src/admission/gate_http.c
+++ b/src/admission/gate_http.c
@@ -14,6 +14,8 @@
   const char *path = evhttp_uri_get_path (evhttp_request_get_evhttp_uri (http));
   enum evhttp_cmd_type method = evhttp_request_get_command (http);
 
+  if (!colt_gate_admit_connection (gate, http))
+    return;
   if (path == NULL)
     path = "/";
   if (strcmp (path, "/v1/request-ids") == 0 && method == EVHTTP_REQ_POST)
--- a/src/admission/gate_pending.c
+++ b/src/admission/gate_pending.c
@@ -34,7 +34,7 @@
                       const struct ColtRequestSpec *spec);
 static void add_caller_ (struct ColtPending *pending,
                          struct evhttp_request *http);
-static void on_caller_gone_ (struct evhttp_connection *connection, void *arg);
+static void on_caller_gone_ (void *client);
 static void submit_ (struct ColtPending *pending, int64_t now_us);
 static void on_submitted_ (void *client,
                            enum ColtWireResult result,
@@ -153,8 +153,7 @@
       caller->pending = NULL;
       if (http != NULL)
         {
-          evhttp_connection_set_closecb (evhttp_request_get_connection (http),
-                                         NULL, NULL);
+          colt_gate_unwatch (gate, http);
           colt_gate_reply_outcome (gate, http, &pending->id, outcome, reason,
                                    answer);
         }
@@ -194,17 +193,15 @@
   caller->request = http;
   caller->pending = pending;
   g_ptr_array_add (pending->callers, caller);
-  evhttp_connection_set_closecb (evhttp_request_get_connection (http),
-                                 on_caller_gone_, caller);
+  colt_gate_watch (pending->gate, http, on_caller_gone_, caller);
 }
 
 /* The request goes on; there is only nobody to tell. */
 static void
-on_caller_gone_ (struct evhttp_connection *connection, void *arg)
+on_caller_gone_ (void *client)
 {
-  struct ColtGateCaller *caller = arg;
+  struct ColtGateCaller *caller = client;
 
-  (void)connection;
   caller->request = NULL;
 }
 
--- a/src/admission/gate_status.c
+++ b/src/admission/gate_status.c
@@ -22,7 +22,7 @@
   struct event *timer;
 };
 
-static void on_caller_gone_ (struct evhttp_connection *connection, void *arg);
+static void on_caller_gone_ (void *client);
 static void ask_ (struct ColtStatusCall *call);
 static void ask_later_ (struct ColtStatusCall *call);
 static void on_timer_ (evutil_socket_t fd, short what, void *arg);
@@ -50,17 +50,15 @@
   call->id = *id;
   call->cancels = cancels;
   call->timer = evtimer_new (gate->parts.base, on_timer_, call);
-  evhttp_connection_set_closecb (evhttp_request_get_connection (http),
-                                 on_caller_gone_, call);
+  colt_gate_watch (gate, http, on_caller_gone_, call);
   ask_ (call);
 }
 
 static void
-on_caller_gone_ (struct evhttp_connection *connection, void *arg)
+on_caller_gone_ (void *client)
 {
-  struct ColtStatusCall *call = arg;
+  struct ColtStatusCall *call = client;
 
-  (void)connection;
   call->http = NULL;
 }
 
@@ -162,8 +160,7 @@
 
   if (http != NULL)
     {
-      evhttp_connection_set_closecb (evhttp_request_get_connection (http), NULL,
-                                     NULL);
+      colt_gate_unwatch (call->gate, http);
       if (answer != NULL && answer->outcome < COLT_OUTCOME_COUNT
           && answer->reason < COLT_REASON_COUNT)
         colt_gate_reply_outcome (call->gate, http, &call->id,
--- a/src/admission/private/gate_private.h
+++ b/src/admission/private/gate_private.h
@@ -56,9 +56,10 @@
   void *client;
   struct evhttp *http;
   struct evhttp_bound_socket *socket;
-  GHashTable *pending; /**< of struct ColtPending, by id */
-  GHashTable *minted;  /**< ids minted here and not yet used -> time */
-  GQueue minted_order; /**< of struct ColtId */
+  GHashTable *pending;     /**< of struct ColtPending, by id */
+  GHashTable *connections; /**< evhttp_connection -> its entry */
+  GHashTable *minted;      /**< ids minted here and not yet used -> time */
+  GQueue minted_order;     /**< of struct ColtId */
   struct event *timer;
   int64_t attach_us;
   bool stopping;
@@ -81,6 +82,18 @@
 /* gate_http.c: routes */
 void colt_gate_route (struct evhttp_request *request, void *arg);
 
+/* gate_connections.c: callers' connections */
+/** Returns whether a request's connection is served; refuses it otherwise. */
+bool colt_gate_admit_connection (struct ColtGate *gate,
+                                 struct evhttp_request *http);
+/** Tells \a gone when the caller closes the connection of a request. */
+void colt_gate_watch (struct ColtGate *gate,
+                      struct evhttp_request *http,
+                      void (*gone) (void *client),
+                      void *client);
+/** Ends that; must come before the answer. */
+void colt_gate_unwatch (struct ColtGate *gate, struct evhttp_request *http);
+
 /* gate_parse.c: from HTTP to a request */
 bool colt_gate_parse (struct evhttp_request *http,
                       struct ColtGateRequest *request,
--- a/src/test_admission/gate_fixture.c
+++ b/src/test_admission/gate_fixture.c
@@ -243,6 +243,7 @@
   parts.counters = fixture->counters;
   parts.instance = GATE;
   parts.zone = ZONE;
+  parts.connections_max = TEST_CONNECTIONS_MAX;
   fixture->gate = colt_gate_create (&parts, &gate_calls, fixture);
   g_snprintf (home, sizeof home, "127.0.0.1:%u", free_port ());
   g_assert_true (colt_wire_listen (fixture->home, home, NULL));
--- a/src/test_admission/gate_fixture.h
+++ b/src/test_admission/gate_fixture.h
@@ -17,6 +17,9 @@
 /** Secret of a key of another team. */
 #define TEST_OTHER_SECRET "another secret"
 
+/** Connections that the gate of the fixture serves. */
+#define TEST_CONNECTIONS_MAX 3u
+
 /** An answer as it came. */
 struct ColtGateReply
 {
--- a/src/test_admission/test_admission.c
+++ b/src/test_admission/test_admission.c
@@ -1,4 +1,9 @@
+#include <event2/event.h>
+#include <event2/util.h>
+#include <netinet/in.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "coltsfootstile/bundle_sign.h"
 #include "gate_fixture.h"
@@ -298,6 +303,53 @@
   g_test_add ("/admission/" path, struct ColtGateFixture, NULL, gate_set_up,   \
               test, gate_tear_down)
 
+/* Opens a connection that asks once and stays open; returns its socket. */
+static int
+hold_connection (struct ColtGateFixture *fixture)
+{
+  static const char bytes[] = "GET /v1/none HTTP/1.1\r\nHost: gate\r\n\r\n";
+  struct sockaddr_in address;
+  int size = sizeof address;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  char answer[16];
+
+  evutil_parse_sockaddr_port (fixture->address, (struct sockaddr *)&address,
+                              &size);
+  g_assert_cmpint (connect (fd, (struct sockaddr *)&address, sizeof address),
+                   ==, 0);
+  g_assert_cmpint (write (fd, bytes, sizeof bytes - 1), ==, sizeof bytes - 1);
+  while (recv (fd, answer, sizeof answer, MSG_DONTWAIT) <= 0)
+    event_base_loop (fixture->base, EVLOOP_ONCE);
+  return fd;
+}
+
+/* Above the bound a connection is refused; one that closes makes room. */
+static void
+test_connections_are_bounded (struct ColtGateFixture *fixture,
+                              gconstpointer data)
+{
+  int held[TEST_CONNECTIONS_MAX];
+  struct ColtGateReply reply;
+  unsigned i;
+
+  (void)data;
+  for (i = 0; i < TEST_CONNECTIONS_MAX; i++)
+    held[i] = hold_connection (fixture);
+  gate_assert (gate_ask (fixture, "GET", "/v1/none"), 503, "not_run",
+               "overloaded");
+  close (held[0]);
+  do
+    {
+      reply = gate_ask (fixture, "GET", "/v1/none");
+      i = (unsigned)reply.status;
+      gate_reply_clear (&reply);
+    }
+  while (i == 503);
+  g_assert_cmpuint (i, ==, 404);
+  for (i = 1; i < TEST_CONNECTIONS_MAX; i++)
+    close (held[i]);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -317,5 +369,7 @@
   ADD ("caller-goes-away", test_caller_goes_away);
   ADD ("no-lead", test_no_lead);
   ADD ("stop", test_stop);
+  g_test_add ("/admission/connections", struct ColtGateFixture, NULL,
+              gate_set_up, test_connections_are_bounded, gate_tear_down);
   return g_test_run ();
 }
