One place for a failed call of a lease, and for choosing a member of a zone

The end of an acquisition, of an inventory and of other calls each told the lease of a fence or a failure in the same lines; leads of shards and planners of zones were chosen by the same look at the members. What begins when a server is held is a function of its own.

--- a/src/coltsfootstile/instance_members.c
+++ b/src/coltsfootstile/instance_members.c
@@ -103,11 +103,18 @@
 uint32_t
 colt_instance_lead_of (void *client, uint32_t zone, uint32_t shard)
 {
-  struct ColtInstance *instance = client;
+  return colt_instance_choose (
+      client, zone, colt_rendezvous_key (COLT_RENDEZVOUS_SHARD, shard));
+}
+
+uint32_t
+colt_instance_choose (const struct ColtInstance *instance,
+                      uint32_t zone,
+                      uint64_t key)
+{
   uint32_t members[MEMBERS_MAX];
   size_t count = colt_membership_eligible (instance->membership, zone, members,
                                            MEMBERS_MAX);
 
-  return colt_rendezvous_choose (
-      colt_rendezvous_key (COLT_RENDEZVOUS_SHARD, shard), members, count);
+  return colt_rendezvous_choose (key, members, count);
 }
--- a/src/coltsfootstile/limits_demand.c
+++ b/src/coltsfootstile/limits_demand.c
@@ -7,8 +7,6 @@
 
 /* Time between two digests of a zone's demand. */
 #define DIGEST_INTERVAL_US (400 * COLT_US_PER_MS)
-/* Members of a zone that are looked at. */
-#define MEMBERS_MAX 128u
 
 static void on_part_ (void *client,
                       const struct ColtWireOrigin *origin,
@@ -176,10 +174,6 @@
 static uint32_t
 planner_of_ (const struct ColtInstanceLimits *limits, uint32_t zone)
 {
-  uint32_t members[MEMBERS_MAX];
-  size_t count = colt_membership_eligible (limits->instance->membership, zone,
-                                           members, MEMBERS_MAX);
-
-  return colt_rendezvous_choose (
-      colt_rendezvous_key (COLT_RENDEZVOUS_ZONE, zone), members, count);
+  return colt_instance_choose (
+      limits->instance, zone, colt_rendezvous_key (COLT_RENDEZVOUS_ZONE, zone));
 }
--- a/src/coltsfootstile/private/instance.h
+++ b/src/coltsfootstile/private/instance.h
@@ -89,6 +89,10 @@
                                    const struct ColtMember *member);
 void colt_instance_add_peers (struct ColtInstance *instance);
 uint32_t colt_instance_lead_of (void *client, uint32_t zone, uint32_t shard);
+/** Returns the live member of a zone that a rendezvous key chooses, 0: none. */
+uint32_t colt_instance_choose (const struct ColtInstance *instance,
+                               uint32_t zone,
+                               uint64_t key);
 /** Gives the platform's servers to the duties, once they can take them. */
 void colt_instance_spread_servers (struct ColtInstance *instance);
 /** Tells all duties who is there. */
--- a/src/owner/owned_server.c
+++ b/src/owner/owned_server.c
@@ -43,6 +43,13 @@
 static void on_inventory_ (void *client,
                            const struct ColtBackendStatus *status,
                            const struct ColtBackendInventory *inventory);
+static void fail_call_ (struct ColtOwnedServer *server,
+                        uint64_t call,
+                        const struct ColtBackendStatus *status,
+                        int64_t now_us);
+static void begin_holding_ (struct ColtOwnedServer *server,
+                            const struct ColtBackendInventory *inventory,
+                            int64_t now_us);
 static void take_inventory_ (struct ColtOwnedServer *server,
                              const struct ColtBackendInventory *inventory);
 static void take_task_ (struct ColtOwnedServer *server,
@@ -160,10 +167,8 @@
 
   if (status->result == COLT_BACKEND_OK)
     colt_server_lease_renewed (server->lease, call, token, now_us);
-  else if (status->result == COLT_BACKEND_FENCED)
-    colt_server_lease_fenced (server->lease, call, &status->fence, now_us);
   else
-    colt_server_lease_failed (server->lease, call, now_us);
+    fail_call_ (server, call, status, now_us);
   colt_owned_server_arm (server);
   return status->result == COLT_BACKEND_OK;
 }
@@ -288,10 +293,8 @@
 
   if (status->result == COLT_BACKEND_OK)
     colt_server_lease_acquired (server->lease, end->call, lease->token, now_us);
-  else if (status->result == COLT_BACKEND_FENCED)
-    colt_server_lease_fenced (server->lease, end->call, &status->fence, now_us);
   else
-    colt_server_lease_failed (server->lease, end->call, now_us);
+    fail_call_ (server, end->call, status, now_us);
   colt_owned_server_arm (server);
   g_free (end);
 }
@@ -380,35 +383,51 @@
       colt_server_lease_inventory_done (server->lease, end->call,
                                         inventory->token, now_us);
       if (colt_server_lease_state (server->lease) == COLT_LEASE_HELD)
-        {
-          GArray *epochs
-              = g_array_new (FALSE, FALSE, sizeof (struct ColtShardEpoch));
-          size_t i;
-
-          for (i = 0; i < inventory->epoch_count; i++)
-            {
-              struct ColtShardEpoch epoch
-                  = { inventory->epochs[i].shard, inventory->epochs[i].epoch };
-
-              g_array_append_val (epochs, epoch);
-            }
-          colt_shard_owner_server_held (
-              server->owner->shard_owner, server->id,
-              colt_server_lease_epoch (server->lease),
-              (const struct ColtShardEpoch *)epochs->data, epochs->len, now_us);
-          g_array_unref (epochs);
-          colt_owned_server_listen (server);
-          colt_owned_server_flush (server);
-        }
+        begin_holding_ (server, inventory, now_us);
     }
-  else if (status->result == COLT_BACKEND_FENCED)
-    colt_server_lease_fenced (server->lease, end->call, &status->fence, now_us);
   else
-    colt_server_lease_failed (server->lease, end->call, now_us);
+    fail_call_ (server, end->call, status, now_us);
   colt_owned_server_arm (server);
   g_free (end);
 }
 
+/* The lease is fenced, or the call came to nothing. */
+static void
+fail_call_ (struct ColtOwnedServer *server,
+            uint64_t call,
+            const struct ColtBackendStatus *status,
+            int64_t now_us)
+{
+  if (status->result == COLT_BACKEND_FENCED)
+    colt_server_lease_fenced (server->lease, call, &status->fence, now_us);
+  else
+    colt_server_lease_failed (server->lease, call, now_us);
+}
+
+static void
+begin_holding_ (struct ColtOwnedServer *server,
+                const struct ColtBackendInventory *inventory,
+                int64_t now_us)
+{
+  GArray *epochs = g_array_new (FALSE, FALSE, sizeof (struct ColtShardEpoch));
+  size_t i;
+
+  for (i = 0; i < inventory->epoch_count; i++)
+    {
+      struct ColtShardEpoch epoch
+          = { inventory->epochs[i].shard, inventory->epochs[i].epoch };
+
+      g_array_append_val (epochs, epoch);
+    }
+  colt_shard_owner_server_held (server->owner->shard_owner, server->id,
+                                colt_server_lease_epoch (server->lease),
+                                (const struct ColtShardEpoch *)epochs->data,
+                                epochs->len, now_us);
+  g_array_unref (epochs);
+  colt_owned_server_listen (server);
+  colt_owned_server_flush (server);
+}
+
 static void
 take_inventory_ (struct ColtOwnedServer *server,
                  const struct ColtBackendInventory *inventory)
