--- a/include/coltsfootstile/http_client.h
+++ b/include/coltsfootstile/http_client.h
@@ -55,6 +55,7 @@
   const struct ColtHttpHeader *headers; /**< besides Host and Content-Type */
   size_t header_count;
   const char *body;    /**< JSON text, or NULL */
+  size_t body_size;    /**< of a body that is bytes instead; 0: it is text */
   uint32_t timeout_ms; /**< from sending until the call counts as lost, at
                             least 1 */
 };
--- a/include/coltsfootstile/log.h
+++ b/include/coltsfootstile/log.h
@@ -44,6 +44,9 @@
 /** Ends logging; what is logged later is dropped. */
 void colt_log_close (void);
 
+/** Changes the level of an open log. */
+void colt_log_set_level (enum ColtLogLevel level);
+
 /** Finds the level of a name; returns false if there is none. */
 bool colt_log_parse_level (const char *name, enum ColtLogLevel *level);
 
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -71,6 +71,13 @@
   log4c_fini ();
 }
 
+void
+colt_log_set_level (enum ColtLogLevel level)
+{
+  if (category != NULL)
+    log4c_category_set_priority (category, priority_of_level[level]);
+}
+
 bool
 colt_log_parse_level (const char *name, enum ColtLogLevel *level)
 {
--- /dev/null
+++ b/src/cell/cell.c
@@ -0,0 +1,327 @@
+#include <string.h>
+
+#include "cell_private.h"
+
+/* Jobs that may wait or run at once; each takes a few kilobytes. */
+#define JOBS_MAX 20000u
+
+const char *const colt_job_state_string[]
+    = { "queued", "running", "completed", "failed", "cancelled" };
+const char *const colt_run_end_string[]
+    = { "done", "failed", "stopped", "lapsed", "broken", "alone" };
+const char *const colt_start_result_string[]
+    = { "taken", "no_room", "bad_ticket", "stale",    "late",   "fenced",
+        "busy",  "invalid", "gone",       "not_sent", "unknown" };
+const char *const colt_submit_result_string[]
+    = { "new", "pending", "known", "invalid", "no_queue", "too_late", "full" };
+
+static void free_queue_ (gpointer data);
+static void free_organisation_ (gpointer data);
+static void free_pool_ (gpointer data);
+static void update_queues_ (struct ColtCell *cell, struct ColtFleet *fleet);
+static void update_organisations_ (struct ColtCell *cell,
+                                   const struct ColtFleet *fleet);
+static void
+forget_jobs_ (struct ColtCell *cell, int64_t now_us, int64_t wall_ms);
+static void retry_stops_ (struct ColtCell *cell, int64_t now_us);
+
+struct ColtCell *
+colt_cell_create (const struct ColtCellOps *ops,
+                  void *client,
+                  const struct ColtCellLimits *limits,
+                  uint32_t generation)
+{
+  struct ColtCell *cell = g_new0 (struct ColtCell, 1);
+
+  cell->ops = ops;
+  cell->client = client;
+  cell->limits = *limits;
+  cell->generation = generation;
+  cell->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                      colt_cell_free_job);
+  cell->queues
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_queue_);
+  cell->organisations = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                               free_organisation_);
+  cell->servers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                         colt_cell_free_server);
+  cell->pools
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_pool_);
+  cell->open = g_ptr_array_new ();
+  cell->dirty = g_ptr_array_new ();
+  cell->batch = g_ptr_array_new ();
+  cell->scheduled = g_ptr_array_new ();
+  g_queue_init (&cell->ended);
+  return cell;
+}
+
+void
+colt_cell_destroy (struct ColtCell *cell)
+{
+  GHashTableIter i;
+  gpointer value;
+
+  if (cell == NULL)
+    return;
+  g_hash_table_iter_init (&i, cell->servers);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    g_ptr_array_foreach (((struct ColtCellServer *)value)->runs,
+                         (GFunc)(void (*) (void))g_free, NULL);
+  g_queue_clear (&cell->ended);
+  g_ptr_array_unref (cell->open);
+  g_ptr_array_unref (cell->dirty);
+  g_ptr_array_unref (cell->batch);
+  g_ptr_array_unref (cell->scheduled);
+  g_hash_table_unref (cell->jobs);
+  g_hash_table_unref (cell->servers);
+  g_hash_table_unref (cell->pools);
+  g_hash_table_unref (cell->organisations);
+  g_hash_table_unref (cell->queues);
+  colt_fleet_unref (cell->fleet);
+  g_free (cell);
+}
+
+void
+colt_cell_set_fleet (struct ColtCell *cell, struct ColtFleet *fleet)
+{
+  guint i;
+
+  colt_fleet_ref (fleet);
+  colt_fleet_unref (cell->fleet);
+  cell->fleet = fleet;
+  update_queues_ (cell, fleet);
+  update_organisations_ (cell, fleet);
+  for (i = 0; i < fleet->services->len; i++)
+    {
+      const struct ColtServiceConfig *service
+          = g_ptr_array_index (fleet->services, i);
+
+      colt_cell_get_pool (cell, service->name)->guards_room
+          = service->guards_room;
+    }
+}
+
+enum ColtSubmitResult
+colt_cell_submit (struct ColtCell *cell, ColtJobSpec *spec, int64_t now_us)
+{
+  struct ColtCellJob *job = colt_cell_find_job (cell, spec->id);
+  struct ColtCellQueue *queue;
+
+  if (job != NULL && !job->dropped)
+    return job->durable ? COLT_SUBMIT_KNOWN : COLT_SUBMIT_PENDING;
+  if (strlen (spec->id) != COLT_JOB_ID_LENGTH
+      || !colt_cell_is_spec_valid (spec))
+    return COLT_SUBMIT_INVALID;
+  queue = g_hash_table_lookup (cell->queues, spec->queue);
+  if (queue == NULL || !queue->listed)
+    return COLT_SUBMIT_NO_QUEUE;
+  if (job != NULL || g_hash_table_size (cell->jobs) >= JOBS_MAX)
+    return COLT_SUBMIT_FULL;
+  job = colt_cell_build_job (cell, spec);
+  job->accepted_us = now_us;
+  job->dirty_spec = true;
+  colt_cell_mark_dirty (cell, job);
+  return COLT_SUBMIT_NEW;
+}
+
+bool
+colt_cell_cancel (struct ColtCell *cell, const char *id, int64_t now_us)
+{
+  struct ColtCellJob *job = colt_cell_find_job (cell, id);
+
+  if (job == NULL || job->dropped)
+    return false;
+  if (!colt_cell_is_ended (job))
+    colt_cell_end_job (cell, job, COLT_JOB_CANCELLED, now_us);
+  return true;
+}
+
+bool
+colt_cell_withdraw (struct ColtCell *cell, const char *id)
+{
+  struct ColtCellJob *job = colt_cell_find_job (cell, id);
+
+  if (job == NULL || job->durable || job->in_batch || job->spec_stored)
+    return false;
+  g_ptr_array_remove_fast (cell->dirty, job);
+  g_ptr_array_remove_fast (cell->scheduled, job);
+  g_queue_remove (&cell->ended, job);
+  g_hash_table_remove (cell->jobs, job->id);
+  return true;
+}
+
+bool
+colt_cell_is_durable (const struct ColtCell *cell, const char *id)
+{
+  const struct ColtCellJob *job = colt_cell_find_job (cell, id);
+
+  return job != NULL && job->durable && !job->dropped;
+}
+
+bool
+colt_cell_state (const struct ColtCell *cell,
+                 const char *id,
+                 enum ColtJobState *state)
+{
+  const struct ColtCellJob *job = colt_cell_find_job (cell, id);
+
+  if (job == NULL || job->dropped)
+    return false;
+  *state = job->state;
+  if (colt_cell_is_ended (job) && job->shown != job->state)
+    *state = job->begun ? COLT_JOB_RUNNING : COLT_JOB_QUEUED;
+  return true;
+}
+
+uint64_t
+colt_cell_waiting (const struct ColtCell *cell, const char *name)
+{
+  const struct ColtCellQueue *queue = g_hash_table_lookup (cell->queues, name);
+
+  return queue != NULL ? queue->waiting : 0;
+}
+
+void
+colt_cell_tick (struct ColtCell *cell, int64_t now_us, int64_t wall_ms)
+{
+  guint i;
+
+  cell->wall_ms = wall_ms;
+  colt_cell_check_settled (cell, now_us);
+  retry_stops_ (cell, now_us);
+  for (i = 0; i < cell->scheduled->len; i++)
+    colt_cell_open_steps (cell, g_ptr_array_index (cell->scheduled, i),
+                          wall_ms);
+  forget_jobs_ (cell, now_us, wall_ms);
+}
+
+bool
+colt_cell_is_settled (const struct ColtCell *cell)
+{
+  return cell->settled;
+}
+
+void
+colt_cell_get_stats (const struct ColtCell *cell, struct ColtCellStats *stats)
+{
+  *stats = cell->stats;
+  stats->jobs = g_hash_table_size (cell->jobs);
+  stats->open_steps = cell->open->len;
+  stats->servers = g_hash_table_size (cell->servers);
+}
+
+static void
+free_queue_ (gpointer data)
+{
+  struct ColtCellQueue *queue = data;
+
+  colt_fleet_unref (queue->fleet);
+  g_free (queue->name);
+  g_free (queue);
+}
+
+static void
+free_organisation_ (gpointer data)
+{
+  struct ColtCellOrganisation *organisation = data;
+
+  g_free (organisation->name);
+  g_free (organisation);
+}
+
+static void
+free_pool_ (gpointer data)
+{
+  struct ColtCellPool *pool = data;
+
+  g_ptr_array_unref (pool->servers);
+  g_free (pool->name);
+  g_free (pool);
+}
+
+/* A queue that was removed takes nothing new; its jobs go on. */
+static void
+update_queues_ (struct ColtCell *cell, struct ColtFleet *fleet)
+{
+  GHashTableIter i;
+  gpointer value;
+  guint q;
+
+  g_hash_table_iter_init (&i, cell->queues);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    ((struct ColtCellQueue *)value)->listed = false;
+  for (q = 0; q < fleet->queues->len; q++)
+    {
+      const struct ColtQueueConfig *config
+          = g_ptr_array_index (fleet->queues, q);
+      struct ColtCellQueue *queue = colt_cell_get_queue (cell, config->name);
+
+      colt_fleet_unref (queue->fleet);
+      queue->fleet = colt_fleet_ref (fleet);
+      queue->config = config;
+      queue->listed = true;
+    }
+}
+
+static void
+update_organisations_ (struct ColtCell *cell, const struct ColtFleet *fleet)
+{
+  guint i;
+
+  for (i = 0; i < fleet->organisations->len; i++)
+    {
+      const struct ColtOrganisation *config
+          = g_ptr_array_index (fleet->organisations, i);
+      struct ColtCellOrganisation *organisation
+          = colt_cell_get_organisation (cell, config->name);
+
+      organisation->weight = config->weight;
+      organisation->maximum = config->maximum;
+    }
+}
+
+static void
+retry_stops_ (struct ColtCell *cell, int64_t now_us)
+{
+  GHashTableIter i;
+  gpointer value;
+  guint r;
+
+  g_hash_table_iter_init (&i, cell->servers);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    {
+      struct ColtCellServer *server = value;
+
+      for (r = 0; !server->dark && r < server->runs->len; r++)
+        {
+          struct ColtCellRun *run = g_ptr_array_index (server->runs, r);
+
+          if (run->state == RUN_STOPPING && !run->stop_answered)
+            colt_cell_stop_run (cell, run, now_us);
+        }
+    }
+}
+
+static void
+forget_jobs_ (struct ColtCell *cell, int64_t now_us, int64_t wall_ms)
+{
+  GList *link = cell->ended.head;
+
+  (void)wall_ms;
+  while (link != NULL)
+    {
+      struct ColtCellJob *job = link->data;
+      GList *next = link->next;
+
+      if (job->live == 0 && !job->dirty && !job->in_batch)
+        colt_cell_drop_spec (job);
+      if (now_us - job->ended_us > cell->limits.status_us && job->live == 0
+          && !job->dropped)
+        {
+          job->dropped = true;
+          g_queue_delete_link (&cell->ended, link);
+          colt_cell_mark_dirty (cell, job);
+        }
+      link = next;
+    }
+}
--- /dev/null
+++ b/src/cell/cell_jobs.c
@@ -0,0 +1,341 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cell_private.h"
+
+static bool is_step_valid_ (const ColtJobSpec *spec, size_t number);
+static void build_step_ (struct ColtCellStep *step,
+                         struct ColtCellJob *job,
+                         uint32_t number,
+                         uint32_t occurrence,
+                         uint32_t first_index);
+static bool may_open_ (const struct ColtCellJob *job,
+                       const struct ColtCellStep *step,
+                       int64_t wall_ms);
+static void free_advice_ (gpointer data);
+
+bool
+colt_cell_is_spec_valid (const ColtJobSpec *spec)
+{
+  uint64_t tasks = 0;
+  size_t i;
+
+  if (spec->n_steps == 0 || spec->n_steps > COLT_JOB_TASKS_MAX)
+    return false;
+  for (i = 0; i < spec->n_steps; i++)
+    {
+      if (!is_step_valid_ (spec, i))
+        return false;
+      tasks += spec->steps[i]->count;
+    }
+  tasks *= MAX (spec->repetitions, 1);
+  return tasks > 0 && tasks <= COLT_JOB_TASKS_MAX;
+}
+
+struct ColtCellJob *
+colt_cell_build_job (struct ColtCell *cell, ColtJobSpec *spec)
+{
+  struct ColtCellJob *job = g_new0 (struct ColtCellJob, 1);
+  uint32_t occurrences = MAX (spec->repetitions, 1);
+  uint32_t index = 0;
+  uint32_t i;
+
+  g_strlcpy (job->id, spec->id, sizeof job->id);
+  job->queue = colt_cell_get_queue (cell, spec->queue);
+  job->organisation = colt_cell_get_organisation (cell, spec->organisation);
+  job->spec = spec;
+  job->order = cell->next_order++;
+  job->step_count = occurrences * (uint32_t)spec->n_steps;
+  job->steps = g_new0 (struct ColtCellStep, job->step_count);
+  for (i = 0; i < job->step_count; i++)
+    {
+      build_step_ (&job->steps[i], job, i % (uint32_t)spec->n_steps,
+                   i / (uint32_t)spec->n_steps, index);
+      index += job->steps[i].spec->count;
+    }
+  job->task_count = index;
+  g_hash_table_insert (cell->jobs, job->id, job);
+  if (spec->repetitions > 0)
+    g_ptr_array_add (cell->scheduled, job);
+  return job;
+}
+
+/* Frees what only a job with tasks to run needs. */
+void
+colt_cell_drop_spec (struct ColtCellJob *job)
+{
+  uint32_t i;
+  uint32_t t;
+
+  if (job->spec == NULL)
+    return;
+  for (i = 0; i < job->step_count; i++)
+    {
+      for (t = 0; t < job->steps[i].spec->count; t++)
+        g_free (job->steps[i].tasks[t].checkpoint);
+      g_free (job->steps[i].tasks);
+      g_clear_pointer (&job->steps[i].advice, g_hash_table_unref);
+    }
+  g_clear_pointer (&job->steps, g_free);
+  job->step_count = 0;
+  colt_job_spec__free_unpacked (job->spec, NULL);
+  job->spec = NULL;
+}
+
+void
+colt_cell_free_job (gpointer data)
+{
+  struct ColtCellJob *job = data;
+
+  colt_cell_drop_spec (job);
+  g_free (job);
+}
+
+void
+colt_cell_mark_dirty (struct ColtCell *cell, struct ColtCellJob *job)
+{
+  if (job->dirty)
+    return;
+  job->dirty = true;
+  g_ptr_array_add (cell->dirty, job);
+}
+
+bool
+colt_cell_is_ended (const struct ColtCellJob *job)
+{
+  return job->state == COLT_JOB_COMPLETED || job->state == COLT_JOB_FAILED
+         || job->state == COLT_JOB_CANCELLED;
+}
+
+void
+colt_cell_end_job (struct ColtCell *cell,
+                   struct ColtCellJob *job,
+                   enum ColtJobState state,
+                   int64_t now_us)
+{
+  uint32_t i;
+
+  job->state = state;
+  job->ended_us = now_us;
+  job->ended_wall_ms = 0;
+  colt_cell_count_waiting (job);
+  colt_cell_mark_dirty (cell, job);
+  g_queue_push_tail (&cell->ended, job);
+  g_ptr_array_remove_fast (cell->scheduled, job);
+  for (i = 0; i < job->step_count; i++)
+    colt_cell_stop_step (cell, &job->steps[i], now_us);
+  cell->ops->decided (cell->client, job->id, "job ended",
+                      colt_job_state_string[state]);
+}
+
+/* Lists the steps whose turn has come. */
+void
+colt_cell_open_steps (struct ColtCell *cell,
+                      struct ColtCellJob *job,
+                      int64_t wall_ms)
+{
+  uint32_t i;
+
+  if (!job->durable || colt_cell_is_ended (job))
+    return;
+  for (i = 0; i < job->step_count; i++)
+    {
+      struct ColtCellStep *step = &job->steps[i];
+
+      if (step->open || step->waiting == 0 || !may_open_ (job, step, wall_ms))
+        continue;
+      step->open = true;
+      g_ptr_array_add (cell->open, step);
+    }
+}
+
+void
+colt_cell_task_done (struct ColtCell *cell,
+                     struct ColtCellTask *task,
+                     int64_t now_us)
+{
+  struct ColtCellStep *step = task->step;
+  struct ColtCellJob *job = step->job;
+
+  if (task->done)
+    return;
+  task->done = true;
+  if (task->current == NULL)
+    step->waiting--;
+  step->done++;
+  g_clear_pointer (&task->checkpoint, g_free);
+  colt_cell_mark_dirty (cell, job);
+  if (step->done < step->spec->count || colt_cell_is_ended (job))
+    return;
+  job->steps_done++;
+  if (job->steps_done == job->step_count)
+    colt_cell_end_job (cell, job, COLT_JOB_COMPLETED, now_us);
+  else
+    colt_cell_open_steps (cell, job, cell->wall_ms);
+}
+
+/* Keeps its queue's count of jobs without a start. */
+void
+colt_cell_count_waiting (struct ColtCellJob *job)
+{
+  bool waits = job->durable && !job->begun && !colt_cell_is_ended (job);
+
+  if (waits == job->counted)
+    return;
+  job->counted = waits;
+  if (waits)
+    job->queue->waiting++;
+  else
+    job->queue->waiting--;
+}
+
+struct ColtCellJob *
+colt_cell_find_job (const struct ColtCell *cell, const char *id)
+{
+  return g_hash_table_lookup (cell->jobs, id);
+}
+
+struct ColtCellStep *
+colt_cell_find_step (const struct ColtCell *cell, const char *name)
+{
+  char id[COLT_JOB_ID_LENGTH + 1];
+  struct ColtCellJob *job;
+  unsigned occurrence;
+  unsigned number;
+  uint64_t place;
+
+  if (sscanf (name, "%16[^.].%u.%u", id, &occurrence, &number) != 3)
+    return NULL;
+  job = colt_cell_find_job (cell, id);
+  if (job == NULL || job->spec == NULL || number >= job->spec->n_steps)
+    return NULL;
+  place = (uint64_t)occurrence * job->spec->n_steps + number;
+  return place < job->step_count ? &job->steps[place] : NULL;
+}
+
+struct ColtCellTask *
+colt_cell_find_task (const struct ColtCell *cell, const char *name)
+{
+  struct ColtCellStep *step = colt_cell_find_step (cell, name);
+  const char *dot = strrchr (name, '.');
+  unsigned long index;
+
+  if (step == NULL || dot == NULL)
+    return NULL;
+  index = strtoul (dot + 1, NULL, 10);
+  return index < step->spec->count ? &step->tasks[index] : NULL;
+}
+
+void
+colt_cell_name_task (const struct ColtCellTask *task, char name[TASK_NAME_SIZE])
+{
+  const struct ColtCellStep *step = task->step;
+
+  snprintf (name, TASK_NAME_SIZE, "%s.%u.%u.%u", step->job->id,
+            step->occurrence, step->number, task->index);
+}
+
+struct ColtCellQueue *
+colt_cell_get_queue (struct ColtCell *cell, const char *name)
+{
+  struct ColtCellQueue *queue = g_hash_table_lookup (cell->queues, name);
+
+  if (queue == NULL)
+    {
+      queue = g_new0 (struct ColtCellQueue, 1);
+      queue->name = g_strdup (name);
+      g_hash_table_insert (cell->queues, queue->name, queue);
+    }
+  return queue;
+}
+
+struct ColtCellOrganisation *
+colt_cell_get_organisation (struct ColtCell *cell, const char *name)
+{
+  struct ColtCellOrganisation *organisation
+      = g_hash_table_lookup (cell->organisations, name);
+
+  if (organisation == NULL)
+    {
+      organisation = g_new0 (struct ColtCellOrganisation, 1);
+      organisation->name = g_strdup (name);
+      g_hash_table_insert (cell->organisations, organisation->name,
+                           organisation);
+    }
+  return organisation;
+}
+
+static bool
+is_step_valid_ (const ColtJobSpec *spec, size_t number)
+{
+  const ColtJobStep *step = spec->steps[number];
+  size_t i;
+
+  if (step->count == 0 || step->count > COLT_JOB_TASKS_MAX)
+    return false;
+  for (i = 0; i < step->n_after; i++)
+    if (step->after[i] >= number)
+      return false;
+  return true;
+}
+
+static void
+build_step_ (struct ColtCellStep *step,
+             struct ColtCellJob *job,
+             uint32_t number,
+             uint32_t occurrence,
+             uint32_t first_index)
+{
+  const ColtJobStep *spec = job->spec->steps[number];
+  uint32_t i;
+
+  step->job = job;
+  step->spec = spec;
+  step->number = number;
+  step->occurrence = occurrence;
+  step->first_index = first_index;
+  step->waiting = spec->count;
+  step->demand.amount[COLT_RESOURCE_CORES] = spec->fills ? 0 : spec->cpu_milli;
+  step->demand.amount[COLT_RESOURCE_MEMORY] = spec->memory_mb;
+  step->demand.amount[COLT_RESOURCE_ACCELERATORS] = spec->accelerators;
+  step->tasks = g_new0 (struct ColtCellTask, spec->count);
+  for (i = 0; i < spec->count; i++)
+    {
+      step->tasks[i].step = step;
+      step->tasks[i].index = i;
+    }
+  step->advice = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL,
+                                        free_advice_);
+}
+
+static bool
+may_open_ (const struct ColtCellJob *job,
+           const struct ColtCellStep *step,
+           int64_t wall_ms)
+{
+  const ColtJobSpec *spec = job->spec;
+  const struct ColtCellStep *first
+      = &job->steps[step->occurrence * spec->n_steps];
+  size_t i;
+
+  for (i = 0; i < step->spec->n_after; i++)
+    {
+      const struct ColtCellStep *before = &first[step->spec->after[i]];
+
+      if (before->done < before->spec->count)
+        return false;
+    }
+  return spec->repetitions == 0
+         || wall_ms >= spec->initial_delay_ms
+                           + (int64_t)step->occurrence * spec->interval_ms;
+}
+
+static void
+free_advice_ (gpointer data)
+{
+  struct ColtCellAdvice *advice = data;
+
+  g_free (advice->ticket);
+  g_free (advice);
+}
--- /dev/null
+++ b/src/cell/cell_place.c
@@ -0,0 +1,499 @@
+#include <string.h>
+
+#include "cell_private.h"
+
+/* Runs that one lead may number for a task; the next lead's begin above. */
+#define RUNS_PER_LEAD 1000u
+/* A ticket that is about to end isn't used: an order may take this long. */
+#define TICKET_MARGIN_US (150 * COLT_US_PER_MS)
+/* Pause before advice is asked again for a step that got none it can use. */
+#define ADVICE_PAUSE_US (100 * COLT_US_PER_MS)
+/* Starts of one task that a server on probation gets at a time. */
+#define PROBATION_RUNS 1
+
+struct ColtChoice
+{
+  struct ColtCellServer *server;
+  double score;
+};
+
+static void sweep_open_ (struct ColtCell *cell);
+static int compare_steps_ (gconstpointer a, gconstpointer b);
+static uint32_t priority_of_ (const struct ColtCellStep *step);
+static void
+place_step_ (struct ColtCell *cell, struct ColtCellStep *step, int64_t now_us);
+static void place_tasks_ (struct ColtCell *cell,
+                          struct ColtCellStep *step,
+                          struct ColtCellPool *pool,
+                          int64_t now_us);
+static void place_gang_ (struct ColtCell *cell,
+                         struct ColtCellStep *step,
+                         struct ColtCellPool *pool,
+                         int64_t now_us);
+static bool within_limit_ (const struct ColtCell *cell,
+                           const struct ColtCellStep *step,
+                           uint32_t tasks);
+static bool is_usable_ (const struct ColtCellServer *server, int64_t now_us);
+static bool allows_ (const struct ColtCellStep *step,
+                     const struct ColtCellServer *server);
+static bool fits_ (const struct ColtCellStep *step,
+                   const struct ColtCellServer *server);
+static uint32_t count_of_step_ (const struct ColtCellServer *server,
+                                const struct ColtCellStep *step);
+static const struct ColtCellAdvice *
+find_ticket_ (const struct ColtCellStep *step,
+              struct ColtCellServer *server,
+              int64_t now_us);
+static struct ColtCellServer *choose_ (const struct ColtCellStep *step,
+                                       const struct ColtCellTask *task,
+                                       const struct ColtCellPool *pool,
+                                       const char *rack,
+                                       int64_t now_us);
+static double score_ (const struct ColtCellStep *step,
+                      const struct ColtCellTask *task,
+                      const struct ColtCellServer *server);
+static void start_ (struct ColtCell *cell,
+                    struct ColtCellTask *task,
+                    struct ColtCellServer *server,
+                    uint32_t number,
+                    int64_t now_us);
+static uint32_t next_run_ (const struct ColtCell *cell,
+                           const struct ColtCellTask *task);
+static void ask_advice_ (struct ColtCell *cell,
+                         struct ColtCellStep *step,
+                         struct ColtCellPool *pool,
+                         int64_t now_us);
+static int compare_choices_ (gconstpointer a, gconstpointer b);
+
+void
+colt_cell_place (struct ColtCell *cell, int64_t now_us, int64_t wall_ms)
+{
+  guint i;
+
+  cell->wall_ms = wall_ms;
+  sweep_open_ (cell);
+  g_ptr_array_sort (cell->open, compare_steps_);
+  for (i = 0; i < cell->open->len; i++)
+    place_step_ (cell, g_ptr_array_index (cell->open, i), now_us);
+}
+
+void
+colt_cell_advised (struct ColtCell *cell,
+                   const char *step_name,
+                   const char *const *asked,
+                   size_t asked_count,
+                   const ColtAdviceReply *reply,
+                   int64_t now_us)
+{
+  struct ColtCellStep *step = colt_cell_find_step (cell, step_name);
+  size_t i;
+
+  if (step == NULL)
+    return;
+  step->advice_pending = false;
+  if (reply == NULL || !reply->answered)
+    {
+      step->advice_from_us = now_us + ADVICE_PAUSE_US;
+      return;
+    }
+  for (i = 0; i < asked_count; i++)
+    {
+      struct ColtCellServer *server = colt_cell_find_server (cell, asked[i]);
+      struct ColtCellAdvice *advice;
+
+      if (server == NULL)
+        continue;
+      advice = g_hash_table_lookup (step->advice, server);
+      if (advice == NULL)
+        {
+          advice = g_new0 (struct ColtCellAdvice, 1);
+          g_hash_table_insert (step->advice, server, advice);
+        }
+      advice->good = false;
+      advice->born_ms = server->born_ms;
+    }
+  for (i = 0; i < reply->n_tickets; i++)
+    {
+      struct ColtCellServer *server
+          = colt_cell_find_server (cell, reply->tickets[i]->server);
+      struct ColtCellAdvice *advice
+          = server != NULL ? g_hash_table_lookup (step->advice, server) : NULL;
+
+      if (advice == NULL)
+        continue;
+      advice->good = true;
+      g_free (advice->ticket);
+      advice->ticket = g_strdup (reply->tickets[i]->ticket);
+      advice->valid_until_us
+          = now_us + (int64_t)reply->valid_ms * COLT_US_PER_MS;
+    }
+  if (reply->n_tickets == 0)
+    step->advice_from_us = now_us + ADVICE_PAUSE_US;
+}
+
+/* Removes steps that have nothing to start. */
+static void
+sweep_open_ (struct ColtCell *cell)
+{
+  guint kept = 0;
+  guint i;
+
+  for (i = 0; i < cell->open->len; i++)
+    {
+      struct ColtCellStep *step = g_ptr_array_index (cell->open, i);
+
+      if (step->waiting == 0 || colt_cell_is_ended (step->job))
+        step->open = false;
+      else
+        cell->open->pdata[kept++] = step;
+    }
+  g_ptr_array_set_size (cell->open, (gint)kept);
+}
+
+static int
+compare_steps_ (gconstpointer a, gconstpointer b)
+{
+  const struct ColtCellStep *left = *(struct ColtCellStep *const *)a;
+  const struct ColtCellStep *right = *(struct ColtCellStep *const *)b;
+  uint32_t left_priority = priority_of_ (left);
+  uint32_t right_priority = priority_of_ (right);
+
+  if (left->spec->lasting != right->spec->lasting)
+    return left->spec->lasting ? -1 : 1;
+  if (left_priority != right_priority)
+    return left_priority < right_priority ? -1 : 1;
+  if (left->job->order != right->job->order)
+    return left->job->order < right->job->order ? -1 : 1;
+  return left->number < right->number ? -1 : 1;
+}
+
+static uint32_t
+priority_of_ (const struct ColtCellStep *step)
+{
+  const struct ColtQueueConfig *config = step->job->queue->config;
+
+  return config != NULL ? config->priority : UINT32_MAX;
+}
+
+static void
+place_step_ (struct ColtCell *cell, struct ColtCellStep *step, int64_t now_us)
+{
+  const struct ColtQueueConfig *config = step->job->queue->config;
+  struct ColtCellPool *pool;
+
+  if (config == NULL || step->waiting == 0 || now_us < step->not_before_us
+      || (step->job->inherited && !cell->settled)
+      || colt_cell_is_ended (step->job))
+    return;
+  pool = g_hash_table_lookup (cell->pools, config->service);
+  if (pool == NULL)
+    return;
+  if (step->spec->gang)
+    place_gang_ (cell, step, pool, now_us);
+  else
+    place_tasks_ (cell, step, pool, now_us);
+}
+
+static void
+place_tasks_ (struct ColtCell *cell,
+              struct ColtCellStep *step,
+              struct ColtCellPool *pool,
+              int64_t now_us)
+{
+  uint32_t i;
+
+  for (i = 0; i < step->spec->count && step->waiting > 0; i++)
+    {
+      struct ColtCellTask *task = &step->tasks[i];
+      struct ColtCellServer *server;
+
+      if (task->done || task->current != NULL)
+        continue;
+      if (!within_limit_ (cell, step, 1))
+        return;
+      server = choose_ (step, task, pool, NULL, now_us);
+      if (server == NULL)
+        {
+          ask_advice_ (cell, step, pool, now_us);
+          return;
+        }
+      start_ (cell, task, server, next_run_ (cell, task), now_us);
+    }
+}
+
+/* All tasks of a gang start together: room is taken for each in turn, and
+ * given back if one doesn't fit. */
+static void
+place_gang_ (struct ColtCell *cell,
+             struct ColtCellStep *step,
+             struct ColtCellPool *pool,
+             int64_t now_us)
+{
+  uint32_t count = step->spec->count;
+  struct ColtCellServer **servers;
+  uint32_t number = 0;
+  uint32_t placed = 0;
+  uint32_t i;
+
+  if (step->live > 0)
+    {
+      colt_cell_stop_step (cell, step, now_us);
+      return;
+    }
+  if (step->done > 0 || !within_limit_ (cell, step, count))
+    return;
+  servers = g_new0 (struct ColtCellServer *, count);
+  for (placed = 0; placed < count; placed++)
+    {
+      servers[placed]
+          = choose_ (step, &step->tasks[placed], pool, NULL, now_us);
+      if (servers[placed] == NULL)
+        break;
+      colt_resources_add (&servers[placed]->used, &step->demand);
+      number = MAX (number, next_run_ (cell, &step->tasks[placed]));
+    }
+  for (i = 0; i < placed; i++)
+    colt_resources_subtract (&servers[i]->used, &step->demand);
+  if (placed == count)
+    for (i = 0; i < count; i++)
+      start_ (cell, &step->tasks[i], servers[i], number, now_us);
+  else
+    ask_advice_ (cell, step, pool, now_us);
+  g_free (servers);
+}
+
+/* An amount of 0 in a limit means that there is none. */
+static bool
+within_limit_ (const struct ColtCell *cell,
+               const struct ColtCellStep *step,
+               uint32_t tasks)
+{
+  const struct ColtCellOrganisation *organisation = step->job->organisation;
+  int r;
+
+  for (r = 0; r < COLT_RESOURCE_COUNT; r++)
+    {
+      int64_t wanted
+          = organisation->used.amount[r] + tasks * step->demand.amount[r];
+
+      if (!cell->settled && !step->job->inherited)
+        wanted += MAX (organisation->unknown.amount[r], 0);
+      if (organisation->maximum.amount[r] > 0
+          && wanted > organisation->maximum.amount[r])
+        return false;
+    }
+  return true;
+}
+
+static bool
+is_usable_ (const struct ColtCellServer *server, int64_t now_us)
+{
+  if (!server->listed || !server->ready || !server->reported || server->dark
+      || server->foreign > 0 || !server->in_roster)
+    return false;
+  if (now_us < server->avoid_until_us)
+    return false;
+  return server->probations == 0 || server->runs->len < PROBATION_RUNS;
+}
+
+static bool
+allows_ (const struct ColtCellStep *step, const struct ColtCellServer *server)
+{
+  const char *label = step->spec->required_label;
+
+  if (label[0] != '\0'
+      && (server->labels == NULL
+          || !g_strv_contains ((const char *const *)server->labels, label)))
+    return false;
+  return step->spec->max_per_server == 0
+         || count_of_step_ (server, step) < step->spec->max_per_server;
+}
+
+static bool
+fits_ (const struct ColtCellStep *step, const struct ColtCellServer *server)
+{
+  int r;
+
+  for (r = 0; r <= COLT_RESOURCE_ACCELERATORS; r++)
+    if (step->demand.amount[r] > 0
+        && server->used.amount[r] + step->demand.amount[r]
+               > server->room.amount[r])
+      return false;
+  return true;
+}
+
+static uint32_t
+count_of_step_ (const struct ColtCellServer *server,
+                const struct ColtCellStep *step)
+{
+  uint32_t count = 0;
+  guint i;
+
+  for (i = 0; i < server->runs->len; i++)
+    {
+      const struct ColtCellRun *run = g_ptr_array_index (server->runs, i);
+
+      if (run->task->step == step)
+        count++;
+    }
+  return count;
+}
+
+static const struct ColtCellAdvice *
+find_ticket_ (const struct ColtCellStep *step,
+              struct ColtCellServer *server,
+              int64_t now_us)
+{
+  const struct ColtCellAdvice *advice
+      = g_hash_table_lookup (step->advice, server);
+
+  if (advice == NULL || !advice->good || advice->born_ms != server->born_ms
+      || advice->valid_until_us < now_us + TICKET_MARGIN_US)
+    return NULL;
+  return advice;
+}
+
+static struct ColtCellServer *
+choose_ (const struct ColtCellStep *step,
+         const struct ColtCellTask *task,
+         const struct ColtCellPool *pool,
+         const char *rack,
+         int64_t now_us)
+{
+  struct ColtChoice best = { NULL, 0 };
+  bool advised = step->job->queue->config->advised;
+  guint i;
+
+  for (i = 0; i < pool->servers->len; i++)
+    {
+      struct ColtCellServer *server = g_ptr_array_index (pool->servers, i);
+      double score;
+
+      if (!is_usable_ (server, now_us) || !fits_ (step, server)
+          || (rack != NULL && g_strcmp0 (rack, server->rack) != 0)
+          || !allows_ (step, server)
+          || (advised && find_ticket_ (step, server, now_us) == NULL))
+        continue;
+      score = score_ (step, task, server);
+      if (best.server == NULL || score > best.score)
+        {
+          best.server = server;
+          best.score = score;
+        }
+    }
+  return best.server;
+}
+
+/* Prefers the data's rack, another server than the one that had the task
+ * before, and the fullest server, so that room for wide tasks stays. */
+static double
+score_ (const struct ColtCellStep *step,
+        const struct ColtCellTask *task,
+        const struct ColtCellServer *server)
+{
+  double score = 0;
+  int r;
+
+  for (r = 0; r <= COLT_RESOURCE_ACCELERATORS; r++)
+    if (server->room.amount[r] > 0)
+      score += (double)server->used.amount[r] / (double)server->room.amount[r];
+  if (step->spec->data_rack[0] != '\0'
+      && g_strcmp0 (step->spec->data_rack, server->rack) == 0)
+    score += 10;
+  if (task->last_server == server)
+    score -= 5;
+  return score;
+}
+
+static void
+start_ (struct ColtCell *cell,
+        struct ColtCellTask *task,
+        struct ColtCellServer *server,
+        uint32_t number,
+        int64_t now_us)
+{
+  struct ColtCellStep *step = task->step;
+  const struct ColtCellAdvice *advice = find_ticket_ (step, server, now_us);
+  char name[TASK_NAME_SIZE];
+  struct ColtStartOrder order = { 0 };
+
+  colt_cell_add_run (cell, task, server, number, now_us);
+  colt_cell_name_task (task, name);
+  order.server = server->id;
+  order.task = name;
+  order.run = number;
+  order.payload = step->job->spec->payload;
+  order.checkpoint = task->checkpoint != NULL ? task->checkpoint : "";
+  order.ticket = advice != NULL ? advice->ticket : NULL;
+  cell->ops->start (cell->client, &order);
+}
+
+static uint32_t
+next_run_ (const struct ColtCell *cell, const struct ColtCellTask *task)
+{
+  uint32_t base
+      = task->step->job->inherited ? cell->generation * RUNS_PER_LEAD : 0;
+
+  return MAX (task->last_run, base) + 1;
+}
+
+/* Asks for servers that could take a task now, those known to be good first;
+ * a server's fitness for a step never changes in one life of it. */
+static void
+ask_advice_ (struct ColtCell *cell,
+             struct ColtCellStep *step,
+             struct ColtCellPool *pool,
+             int64_t now_us)
+{
+  GArray *choices;
+  GPtrArray *names;
+  char name[TASK_NAME_SIZE];
+  guint i;
+
+  if (!step->job->queue->config->advised || step->advice_pending
+      || now_us < step->advice_from_us)
+    return;
+  choices = g_array_new (FALSE, FALSE, sizeof (struct ColtChoice));
+  for (i = 0; i < pool->servers->len; i++)
+    {
+      struct ColtChoice choice = { g_ptr_array_index (pool->servers, i), 0 };
+      const struct ColtCellAdvice *advice
+          = g_hash_table_lookup (step->advice, choice.server);
+      bool known = advice != NULL && advice->born_ms == choice.server->born_ms;
+
+      if (!is_usable_ (choice.server, now_us) || !allows_ (step, choice.server)
+          || !fits_ (step, choice.server) || (known && !advice->good)
+          || find_ticket_ (step, choice.server, now_us) != NULL)
+        continue;
+      choice.score = known ? 10 : 0;
+      choice.score
+          += (double)(choice.server->room.amount[COLT_RESOURCE_CORES]
+                      - choice.server->used.amount[COLT_RESOURCE_CORES])
+             / (double)(choice.server->room.amount[COLT_RESOURCE_CORES] + 1);
+      g_array_append_val (choices, choice);
+    }
+  g_array_sort (choices, compare_choices_);
+  names = g_ptr_array_new ();
+  for (i = 0; i < MIN (choices->len, cell->limits.servers_asked); i++)
+    g_ptr_array_add (names,
+                     g_array_index (choices, struct ColtChoice, i).server->id);
+  g_snprintf (name, sizeof name, "%s.%u.%u", step->job->id, step->occurrence,
+              step->number);
+  if (names->len > 0
+      && cell->ops->advise (cell->client, name,
+                            (const char *const *)names->pdata, names->len))
+    step->advice_pending = true;
+  g_ptr_array_unref (names);
+  g_array_unref (choices);
+}
+
+static int
+compare_choices_ (gconstpointer a, gconstpointer b)
+{
+  const struct ColtChoice *left = a;
+  const struct ColtChoice *right = b;
+
+  if (left->score == right->score)
+    return 0;
+  return left->score > right->score ? -1 : 1;
+}
--- /dev/null
+++ b/src/cell/cell_records.c
@@ -0,0 +1,449 @@
+#include <string.h>
+
+#include "cell_private.h"
+
+/* Keys of records: a letter for their kind and the job's id. */
+#define SPEC_KEY 's'
+#define PROGRESS_KEY 'p'
+#define ROSTER_KEY "roster"
+
+static bool load_spec_ (struct ColtCell *cell,
+                        const uint8_t *value,
+                        size_t size,
+                        int64_t now_us);
+static bool load_progress_ (struct ColtCell *cell,
+                            const uint8_t *value,
+                            size_t size,
+                            int64_t now_us,
+                            int64_t wall_ms);
+static void
+load_roster_ (struct ColtCell *cell, const uint8_t *value, size_t size);
+static void apply_progress_ (struct ColtCell *cell,
+                             struct ColtCellJob *job,
+                             const ColtJobProgress *progress,
+                             int64_t now_us);
+static void apply_task_ (struct ColtCellJob *job,
+                         const ColtTaskProgress *progress);
+static void count_unknown_ (struct ColtCellJob *job);
+static size_t
+add_job_records_ (GArray *records, struct ColtCellJob *job, int64_t wall_ms);
+static size_t
+add_record_ (GArray *records, char kind, const char *id, ProtobufCMessage *m);
+static size_t add_progress_ (GArray *records, const struct ColtCellJob *job);
+static size_t add_roster_ (struct ColtCell *cell, GArray *records);
+static bool has_progress_ (const struct ColtCellTask *task);
+static void commit_job_ (struct ColtCell *cell, struct ColtCellJob *job);
+static void free_record_ (gpointer data);
+
+bool
+colt_cell_load (struct ColtCell *cell,
+                const char *key,
+                const uint8_t *value,
+                size_t size,
+                int64_t now_us,
+                int64_t wall_ms)
+{
+  if (key[0] == SPEC_KEY)
+    return load_spec_ (cell, value, size, now_us);
+  if (key[0] == PROGRESS_KEY)
+    return load_progress_ (cell, value, size, now_us, wall_ms);
+  if (strcmp (key, ROSTER_KEY) == 0)
+    load_roster_ (cell, value, size);
+  return true;
+}
+
+void
+colt_cell_loaded (struct ColtCell *cell, int64_t settled_us)
+{
+  GHashTableIter i;
+  gpointer value;
+
+  cell->settled_us = settled_us;
+  g_hash_table_iter_init (&i, cell->jobs);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    {
+      struct ColtCellJob *job = value;
+
+      job->inherited = true;
+      colt_cell_count_waiting (job);
+      colt_cell_open_steps (cell, job, cell->wall_ms);
+      count_unknown_ (job);
+    }
+  colt_cell_check_settled (cell, 0);
+}
+
+GArray *
+colt_cell_take_records (struct ColtCell *cell,
+                        size_t bytes_max,
+                        int64_t wall_ms)
+{
+  GArray *records = g_array_new (FALSE, FALSE, sizeof (struct ColtCellRecord));
+  size_t bytes = 0;
+
+  g_array_set_clear_func (records, free_record_);
+  if (cell->dirty_roster)
+    bytes += add_roster_ (cell, records);
+  while (cell->dirty->len > 0 && bytes < bytes_max)
+    {
+      struct ColtCellJob *job
+          = g_ptr_array_remove_index (cell->dirty, cell->dirty->len - 1);
+
+      job->dirty = false;
+      job->in_batch = true;
+      g_ptr_array_add (cell->batch, job);
+      bytes += add_job_records_ (records, job, wall_ms);
+    }
+  return records;
+}
+
+void
+colt_cell_free_records (GArray *records)
+{
+  g_array_unref (records);
+}
+
+void
+colt_cell_committed (struct ColtCell *cell, int64_t now_us)
+{
+  guint i;
+
+  (void)now_us;
+  if (cell->roster_in_batch)
+    {
+      GHashTableIter servers;
+      gpointer value;
+
+      cell->roster_in_batch = false;
+      g_hash_table_iter_init (&servers, cell->servers);
+      while (g_hash_table_iter_next (&servers, NULL, &value))
+        {
+          struct ColtCellServer *server = value;
+
+          if (server->wants_roster)
+            server->in_roster = true;
+          server->wants_roster = false;
+        }
+    }
+  for (i = 0; i < cell->batch->len; i++)
+    commit_job_ (cell, g_ptr_array_index (cell->batch, i));
+  g_ptr_array_set_size (cell->batch, 0);
+}
+
+bool
+colt_cell_is_dirty (const struct ColtCell *cell)
+{
+  return cell->dirty->len > 0 || cell->dirty_roster;
+}
+
+void
+colt_cell_want_roster (struct ColtCell *cell, struct ColtCellServer *server)
+{
+  if (server->in_roster || server->wants_roster || cell->roster_in_batch)
+    return;
+  server->wants_roster = true;
+  cell->dirty_roster = true;
+}
+
+static bool
+load_spec_ (struct ColtCell *cell,
+            const uint8_t *value,
+            size_t size,
+            int64_t now_us)
+{
+  ColtJobSpec *spec = colt_job_spec__unpack (NULL, size, value);
+  struct ColtCellJob *job;
+
+  if (spec == NULL || !colt_cell_is_spec_valid (spec)
+      || strlen (spec->id) != COLT_JOB_ID_LENGTH
+      || colt_cell_find_job (cell, spec->id) != NULL)
+    {
+      if (spec != NULL)
+        colt_job_spec__free_unpacked (spec, NULL);
+      return false;
+    }
+  job = colt_cell_build_job (cell, spec);
+  job->durable = true;
+  job->spec_stored = true;
+  job->accepted_us = now_us;
+  return true;
+}
+
+/* Records of progress are loaded after those of specifications. */
+static bool
+load_progress_ (struct ColtCell *cell,
+                const uint8_t *value,
+                size_t size,
+                int64_t now_us,
+                int64_t wall_ms)
+{
+  ColtJobProgress *progress = colt_job_progress__unpack (NULL, size, value);
+  struct ColtCellJob *job;
+
+  if (progress == NULL || strlen (progress->id) != COLT_JOB_ID_LENGTH
+      || progress->state > COLT_JOB_CANCELLED)
+    {
+      if (progress != NULL)
+        colt_job_progress__free_unpacked (progress, NULL);
+      return false;
+    }
+  job = colt_cell_find_job (cell, progress->id);
+  if (job == NULL)
+    {
+      job = g_new0 (struct ColtCellJob, 1);
+      g_strlcpy (job->id, progress->id, sizeof job->id);
+      job->queue = colt_cell_get_queue (cell, progress->queue);
+      job->organisation
+          = colt_cell_get_organisation (cell, progress->organisation);
+      job->durable = true;
+      g_hash_table_insert (cell->jobs, job->id, job);
+    }
+  job->state = (enum ColtJobState)progress->state;
+  job->shown = job->state;
+  job->begun = progress->begun;
+  if (colt_cell_is_ended (job))
+    {
+      int64_t age_us = (wall_ms - progress->ended_wall_ms) * COLT_US_PER_MS;
+
+      job->ended_wall_ms = progress->ended_wall_ms;
+      job->ended_us = now_us - CLAMP (age_us, 0, cell->limits.status_us);
+      g_queue_push_tail (&cell->ended, job);
+      g_ptr_array_remove_fast (cell->scheduled, job);
+    }
+  apply_progress_ (cell, job, progress, now_us);
+  colt_job_progress__free_unpacked (progress, NULL);
+  return true;
+}
+
+static void
+load_roster_ (struct ColtCell *cell, const uint8_t *value, size_t size)
+{
+  ColtRoster *roster = colt_roster__unpack (NULL, size, value);
+  size_t i;
+
+  for (i = 0; roster != NULL && i < roster->n_servers; i++)
+    {
+      struct ColtCellServer *server
+          = colt_cell_get_server (cell, roster->servers[i]);
+
+      server->awaited = true;
+      server->in_roster = true;
+    }
+  if (roster != NULL)
+    colt_roster__free_unpacked (roster, NULL);
+}
+
+static void
+apply_progress_ (struct ColtCell *cell,
+                 struct ColtCellJob *job,
+                 const ColtJobProgress *progress,
+                 int64_t now_us)
+{
+  size_t i;
+  uint32_t s;
+
+  (void)cell;
+  (void)now_us;
+  if (job->spec == NULL)
+    return;
+  for (i = 0; i < progress->n_tasks; i++)
+    apply_task_ (job, progress->tasks[i]);
+  job->steps_done = 0;
+  for (s = 0; s < job->step_count; s++)
+    if (job->steps[s].done == job->steps[s].spec->count)
+      job->steps_done++;
+}
+
+static void
+apply_task_ (struct ColtCellJob *job, const ColtTaskProgress *progress)
+{
+  struct ColtCellTask *task;
+  uint32_t s = 0;
+
+  if (progress->index >= job->task_count)
+    return;
+  while (progress->index
+         >= job->steps[s].first_index + job->steps[s].spec->count)
+    s++;
+  task = &job->steps[s].tasks[progress->index - job->steps[s].first_index];
+  task->failures = progress->failures;
+  task->last_run = progress->last_run;
+  if (progress->checkpoint[0] != '\0')
+    task->checkpoint = g_strdup (progress->checkpoint);
+  if (!progress->done || task->done)
+    return;
+  task->done = true;
+  job->steps[s].done++;
+  job->steps[s].waiting--;
+}
+
+/* Tasks whose turn has come may run under an earlier lead's orders. */
+static void
+count_unknown_ (struct ColtCellJob *job)
+{
+  uint32_t s;
+  uint32_t t;
+
+  for (s = 0; s < job->step_count; s++)
+    for (t = 0; job->steps[s].open && t < job->steps[s].waiting; t++)
+      colt_resources_add (&job->organisation->unknown, &job->steps[s].demand);
+}
+
+static size_t
+add_job_records_ (GArray *records, struct ColtCellJob *job, int64_t wall_ms)
+{
+  size_t bytes = 0;
+
+  if (job->dropped)
+    {
+      bytes += add_record_ (records, PROGRESS_KEY, job->id, NULL);
+      if (job->spec_stored)
+        bytes += add_record_ (records, SPEC_KEY, job->id, NULL);
+      return bytes;
+    }
+  if (colt_cell_is_ended (job))
+    {
+      if (job->ended_wall_ms == 0)
+        job->ended_wall_ms = wall_ms;
+      if (job->spec_stored)
+        bytes += add_record_ (records, SPEC_KEY, job->id, NULL);
+      job->spec_stored = false;
+    }
+  else if (job->dirty_spec)
+    {
+      bytes += add_record_ (records, SPEC_KEY, job->id, &job->spec->base);
+      job->dirty_spec = false;
+      job->spec_stored = true;
+    }
+  if (job->begun || colt_cell_is_ended (job))
+    bytes += add_progress_ (records, job);
+  return bytes;
+}
+
+static size_t
+add_record_ (GArray *records,
+             char kind,
+             const char *id,
+             ProtobufCMessage *message)
+{
+  struct ColtCellRecord record = { 0 };
+
+  record.key = g_strdup_printf ("%c%s", kind, id);
+  if (message != NULL)
+    {
+      record.size = protobuf_c_message_get_packed_size (message);
+      record.value = g_malloc (record.size + 1);
+      protobuf_c_message_pack (message, record.value);
+    }
+  g_array_append_val (records, record);
+  return record.size + strlen (record.key);
+}
+
+static size_t
+add_progress_ (GArray *records, const struct ColtCellJob *job)
+{
+  ColtJobProgress progress = COLT_JOB_PROGRESS__INIT;
+  GArray *tasks = g_array_new (FALSE, FALSE, sizeof (ColtTaskProgress));
+  GPtrArray *pointers = g_ptr_array_new ();
+  size_t bytes;
+  uint32_t s;
+  uint32_t t;
+  guint i;
+
+  progress.id = (char *)job->id;
+  progress.organisation = job->organisation->name;
+  progress.queue = job->queue->name;
+  progress.state = job->state;
+  progress.begun = job->begun;
+  progress.ended_wall_ms = job->ended_wall_ms;
+  for (s = 0; s < job->step_count && !colt_cell_is_ended (job); s++)
+    for (t = 0; t < job->steps[s].spec->count; t++)
+      {
+        const struct ColtCellTask *task = &job->steps[s].tasks[t];
+        ColtTaskProgress entry = COLT_TASK_PROGRESS__INIT;
+
+        if (!has_progress_ (task))
+          continue;
+        entry.index = job->steps[s].first_index + t;
+        entry.done = task->done;
+        entry.failures = task->failures;
+        entry.last_run
+            = task->current != NULL ? task->last_run - 1 : task->last_run;
+        if (task->checkpoint != NULL)
+          entry.checkpoint = task->checkpoint;
+        g_array_append_val (tasks, entry);
+      }
+  for (i = 0; i < tasks->len; i++)
+    g_ptr_array_add (pointers, &g_array_index (tasks, ColtTaskProgress, i));
+  progress.n_tasks = pointers->len;
+  progress.tasks = (ColtTaskProgress **)pointers->pdata;
+  bytes = add_record_ (records, PROGRESS_KEY, job->id, &progress.base);
+  g_ptr_array_unref (pointers);
+  g_array_unref (tasks);
+  return bytes;
+}
+
+static size_t
+add_roster_ (struct ColtCell *cell, GArray *records)
+{
+  ColtRoster roster = COLT_ROSTER__INIT;
+  GPtrArray *names = g_ptr_array_new ();
+  struct ColtCellRecord record = { 0 };
+  GHashTableIter i;
+  gpointer value;
+
+  g_hash_table_iter_init (&i, cell->servers);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    {
+      struct ColtCellServer *server = value;
+
+      if (server->wants_roster || (server->in_roster && server->listed)
+          || server->awaited || server->runs->len > 0)
+        g_ptr_array_add (names, server->id);
+      else
+        server->in_roster = false;
+    }
+  roster.n_servers = names->len;
+  roster.servers = (char **)names->pdata;
+  record.key = g_strdup (ROSTER_KEY);
+  record.size = colt_roster__get_packed_size (&roster);
+  record.value = g_malloc (record.size + 1);
+  colt_roster__pack (&roster, record.value);
+  g_array_append_val (records, record);
+  g_ptr_array_unref (names);
+  cell->dirty_roster = false;
+  cell->roster_in_batch = true;
+  return record.size;
+}
+
+static bool
+has_progress_ (const struct ColtCellTask *task)
+{
+  return task->done || task->failures > 0 || task->last_run > 0
+         || task->checkpoint != NULL;
+}
+
+static void
+commit_job_ (struct ColtCell *cell, struct ColtCellJob *job)
+{
+  job->in_batch = false;
+  if (job->dropped)
+    {
+      if (!job->dirty)
+        g_hash_table_remove (cell->jobs, job->id);
+      return;
+    }
+  job->durable = true;
+  if (!job->dirty)
+    job->shown = job->state;
+  colt_cell_count_waiting (job);
+  colt_cell_open_steps (cell, job, cell->wall_ms);
+}
+
+static void
+free_record_ (gpointer data)
+{
+  struct ColtCellRecord *record = data;
+
+  g_free (record->key);
+  g_free (record->value);
+}
--- /dev/null
+++ b/src/cell/cell_runs.c
@@ -0,0 +1,250 @@
+#include <string.h>
+
+#include "cell_private.h"
+
+/* A task that failed is tried again after this time, so that one which fails
+ * at once doesn't use up its attempts on one bad server. */
+#define RETRY_DELAY_US (20 * COLT_US_PER_MS)
+/* Failures of different tasks in a row that put a server on probation. */
+#define FAILURES_TO_AVOID 3
+/* First probation of a server; each further one is twice as long. */
+#define PROBATION_US (2 * COLT_US_PER_S)
+#define PROBATIONS_DOUBLED_MAX 4
+
+static void unlink_run_ (struct ColtCellRun *run);
+static void note_end_of_server_ (struct ColtCell *cell,
+                                 struct ColtCellServer *server,
+                                 const struct ColtCellTask *task,
+                                 enum ColtRunEnd how,
+                                 int64_t now_us);
+static void keep_checkpoint_ (struct ColtCellTask *task, const char *text);
+static void
+requeue_ (struct ColtCell *cell, struct ColtCellTask *task, int64_t now_us);
+static void
+end_gang_ (struct ColtCell *cell, struct ColtCellStep *step, int64_t now_us);
+
+struct ColtCellRun *
+colt_cell_add_run (struct ColtCell *cell,
+                   struct ColtCellTask *task,
+                   struct ColtCellServer *server,
+                   uint32_t number,
+                   int64_t now_us)
+{
+  struct ColtCellRun *run = g_new0 (struct ColtCellRun, 1);
+  struct ColtCellStep *step = task->step;
+  struct ColtCellJob *job = step->job;
+
+  run->task = task;
+  run->server = server;
+  run->run = number;
+  run->state = RUN_STARTING;
+  run->ordered_us = now_us;
+  run->demand = step->demand;
+  g_ptr_array_add (server->runs, run);
+  colt_resources_add (&server->used, &run->demand);
+  colt_resources_add (&job->organisation->used, &run->demand);
+  task->current = run;
+  task->last_run = number;
+  step->waiting--;
+  step->live++;
+  job->live++;
+  cell->stats.runs++;
+  if (!job->begun)
+    {
+      job->begun = true;
+      if (!colt_cell_is_ended (job))
+        job->state = COLT_JOB_RUNNING;
+      colt_cell_count_waiting (job);
+    }
+  return run;
+}
+
+void
+colt_cell_end_run (struct ColtCell *cell,
+                   struct ColtCellRun *run,
+                   enum ColtRunEnd how,
+                   const char *checkpoint,
+                   int64_t now_us)
+{
+  struct ColtCellTask *task = run->task;
+  struct ColtCellStep *step = task->step;
+  struct ColtCellJob *job = step->job;
+  struct ColtCellServer *server = run->server;
+  uint32_t number = run->run;
+
+  unlink_run_ (run);
+  cell->stats.runs--;
+  cell->stats.ended[how]++;
+  keep_checkpoint_ (task, checkpoint);
+  note_end_of_server_ (cell, server, task, how, now_us);
+  if (how == COLT_RUN_DONE && !step->spec->lasting)
+    {
+      if (step->spec->gang)
+        end_gang_ (cell, step, now_us);
+      else
+        colt_cell_task_done (cell, task, now_us);
+      return;
+    }
+  if (task->done || colt_cell_is_ended (job))
+    {
+      colt_cell_mark_dirty (cell, job);
+      return;
+    }
+  if (how == COLT_RUN_FAILED || how == COLT_RUN_DONE)
+    colt_cell_count_failure (cell, task, number, now_us);
+  colt_cell_mark_dirty (cell, job);
+  if (colt_cell_is_ended (job))
+    return;
+  if (step->spec->gang)
+    colt_cell_stop_step (cell, step, now_us);
+  requeue_ (cell, task, now_us);
+}
+
+/* A gang's failure counts once a run, for all of its tasks. */
+void
+colt_cell_count_failure (struct ColtCell *cell,
+                         struct ColtCellTask *task,
+                         uint32_t number,
+                         int64_t now_us)
+{
+  struct ColtCellStep *step = task->step;
+  struct ColtCellJob *job = step->job;
+  struct ColtCellTask *counted = step->spec->gang ? &step->tasks[0] : task;
+
+  if (step->spec->lasting)
+    return;
+  if (step->spec->gang)
+    {
+      if (step->gang_run == number)
+        return;
+      step->gang_run = number;
+    }
+  counted->failures++;
+  colt_cell_mark_dirty (cell, job);
+  if (job->queue->config != NULL
+      && counted->failures >= job->queue->config->max_attempts)
+    colt_cell_end_job (cell, job, COLT_JOB_FAILED, now_us);
+}
+
+void
+colt_cell_stop_run (struct ColtCell *cell,
+                    struct ColtCellRun *run,
+                    int64_t now_us)
+{
+  char name[TASK_NAME_SIZE];
+
+  run->state = RUN_STOPPING;
+  run->settled = false;
+  if (run->stop_sent_us != 0
+      && now_us - run->stop_sent_us < cell->limits.stop_retry_us)
+    return;
+  run->stop_sent_us = now_us;
+  colt_cell_name_task (run->task, name);
+  cell->ops->stop (cell->client, run->server->id, name, run->run);
+}
+
+void
+colt_cell_stop_step (struct ColtCell *cell,
+                     struct ColtCellStep *step,
+                     int64_t now_us)
+{
+  uint32_t i;
+
+  for (i = 0; i < step->spec->count && step->live > 0; i++)
+    {
+      struct ColtCellRun *run = step->tasks[i].current;
+
+      if (run != NULL && run->state != RUN_STOPPING && !step->tasks[i].done)
+        colt_cell_stop_run (cell, run, now_us);
+    }
+}
+
+static void
+unlink_run_ (struct ColtCellRun *run)
+{
+  struct ColtCellTask *task = run->task;
+  struct ColtCellStep *step = task->step;
+
+  g_ptr_array_remove_fast (run->server->runs, run);
+  colt_resources_subtract (&run->server->used, &run->demand);
+  colt_resources_subtract (&step->job->organisation->used, &run->demand);
+  task->current = NULL;
+  task->last_server = run->server;
+  step->live--;
+  step->job->live--;
+  if (!task->done)
+    step->waiting++;
+  g_free (run);
+}
+
+/* A server that fails everything is avoided, longer each time. */
+static void
+note_end_of_server_ (struct ColtCell *cell,
+                     struct ColtCellServer *server,
+                     const struct ColtCellTask *task,
+                     enum ColtRunEnd how,
+                     int64_t now_us)
+{
+  if (how == COLT_RUN_DONE)
+    {
+      server->failures_in_row = 0;
+      server->probations = 0;
+      server->avoid_until_us = 0;
+    }
+  if (how != COLT_RUN_FAILED || task->failures > 1)
+    return;
+  server->failures_in_row++;
+  if (server->failures_in_row < FAILURES_TO_AVOID
+      || now_us < server->avoid_until_us)
+    return;
+  server->avoid_until_us = now_us + (PROBATION_US << server->probations);
+  server->probations = MIN (server->probations + 1, PROBATIONS_DOUBLED_MAX);
+  server->failures_in_row = FAILURES_TO_AVOID - 1;
+  cell->ops->decided (cell->client, NULL, "server avoided", server->id);
+}
+
+static void
+keep_checkpoint_ (struct ColtCellTask *task, const char *text)
+{
+  struct ColtCellStep *step = task->step;
+  uint32_t i;
+
+  if (text == NULL || text[0] == '\0' || task->done)
+    return;
+  if (!step->spec->gang)
+    {
+      g_free (task->checkpoint);
+      task->checkpoint = g_strdup (text);
+      return;
+    }
+  for (i = 0; i < step->spec->count; i++)
+    {
+      g_free (step->tasks[i].checkpoint);
+      step->tasks[i].checkpoint = g_strdup (text);
+    }
+}
+
+static void
+requeue_ (struct ColtCell *cell, struct ColtCellTask *task, int64_t now_us)
+{
+  struct ColtCellStep *step = task->step;
+
+  task->waiting_since_us = now_us;
+  if (step->not_before_us < now_us + RETRY_DELAY_US && !step->spec->lasting)
+    step->not_before_us = now_us + RETRY_DELAY_US;
+  colt_cell_open_steps (cell, step->job, cell->wall_ms);
+}
+
+/* One end of a gang's task as done stands for all of them. */
+static void
+end_gang_ (struct ColtCell *cell, struct ColtCellStep *step, int64_t now_us)
+{
+  struct ColtCellJob *job = step->job;
+  uint32_t count = step->spec->count;
+  uint32_t i;
+
+  /* The job may end with the last task, but its steps stay until its runs
+   * have ended. */
+  for (i = 0; i < count && !colt_cell_is_ended (job); i++)
+    colt_cell_task_done (cell, &step->tasks[i], now_us);
+}
--- /dev/null
+++ b/src/cell/cell_servers.c
@@ -0,0 +1,444 @@
+#include <string.h>
+
+#include "cell_private.h"
+
+/* Time without orders after a server said that a start doesn't fit: its lists
+ * have been read anew by then. */
+#define NO_ROOM_PAUSE_US (500 * COLT_US_PER_MS)
+/* Pause after a server said that it is unhealthy. */
+#define BUSY_PAUSE_US (1000 * COLT_US_PER_MS)
+/* Pause of a step whose ticket was turned down. */
+#define TICKET_PAUSE_US (10 * COLT_US_PER_MS)
+
+/* Labels that name a rack contain a dash; the others name a kind. */
+#define RACK_MARK '-'
+
+static void set_labels_ (struct ColtCellServer *server,
+                         const char *const *labels);
+static bool is_same_run_ (const struct ColtCellTask *task,
+                          const struct ColtCellServer *server,
+                          uint32_t run);
+static void take_finished_ (struct ColtCell *cell,
+                            struct ColtCellServer *server,
+                            const struct ColtFinishedEntry *entry,
+                            int64_t now_us);
+static void take_running_ (struct ColtCell *cell,
+                           struct ColtCellServer *server,
+                           const struct ColtRunningEntry *entry,
+                           GHashTable *listed,
+                           int64_t now_us);
+static struct ColtCellRun *adopt_ (struct ColtCell *cell,
+                                   struct ColtCellServer *server,
+                                   struct ColtCellTask *task,
+                                   uint32_t number,
+                                   int64_t now_us);
+static void end_unlisted_ (struct ColtCell *cell,
+                           struct ColtCellServer *server,
+                           GHashTable *listed,
+                           uint64_t asked,
+                           int64_t now_us);
+static void drop_advice_ (struct ColtCell *cell,
+                          struct ColtCellStep *step,
+                          struct ColtCellServer *server);
+
+struct ColtCellServer *
+colt_cell_find_server (const struct ColtCell *cell, const char *id)
+{
+  return g_hash_table_lookup (cell->servers, id);
+}
+
+struct ColtCellServer *
+colt_cell_get_server (struct ColtCell *cell, const char *id)
+{
+  struct ColtCellServer *server = colt_cell_find_server (cell, id);
+
+  if (server != NULL)
+    return server;
+  server = g_new0 (struct ColtCellServer, 1);
+  server->id = g_strdup (id);
+  server->runs = g_ptr_array_new ();
+  g_hash_table_insert (cell->servers, server->id, server);
+  return server;
+}
+
+struct ColtCellPool *
+colt_cell_get_pool (struct ColtCell *cell, const char *service)
+{
+  struct ColtCellPool *pool = g_hash_table_lookup (cell->pools, service);
+
+  if (pool == NULL)
+    {
+      pool = g_new0 (struct ColtCellPool, 1);
+      pool->name = g_strdup (service);
+      pool->servers = g_ptr_array_new ();
+      g_hash_table_insert (cell->pools, pool->name, pool);
+    }
+  return pool;
+}
+
+void
+colt_cell_free_server (gpointer data)
+{
+  struct ColtCellServer *server = data;
+
+  g_ptr_array_unref (server->runs);
+  g_strfreev (server->labels);
+  g_free (server->rack);
+  g_free (server->zone);
+  g_free (server->address);
+  g_free (server->id);
+  g_free (server);
+}
+
+void
+colt_cell_set_server (struct ColtCell *cell,
+                      const struct ColtServerEntry *entry,
+                      int64_t now_us)
+{
+  struct ColtCellServer *server = colt_cell_get_server (cell, entry->id);
+  struct ColtCellPool *pool = colt_cell_get_pool (cell, entry->service);
+
+  if (entry->born_ms != 0 && server->born_ms != 0
+      && entry->born_ms > server->born_ms)
+    colt_cell_emptied (cell, entry->id, now_us);
+  if (entry->born_ms > server->born_ms)
+    server->born_ms = entry->born_ms;
+  if (server->pool != pool)
+    {
+      if (server->pool != NULL)
+        g_ptr_array_remove_fast (server->pool->servers, server);
+      server->pool = pool;
+      g_ptr_array_add (pool->servers, server);
+    }
+  g_free (server->address);
+  server->address = g_strdup (entry->address);
+  g_free (server->zone);
+  server->zone = g_strdup (entry->zone);
+  server->room = entry->room;
+  server->ready = entry->ready;
+  server->listed = true;
+  set_labels_ (server, entry->labels);
+}
+
+void
+colt_cell_unlist_server (struct ColtCell *cell, const char *id)
+{
+  struct ColtCellServer *server = colt_cell_find_server (cell, id);
+
+  if (server != NULL)
+    server->listed = false;
+}
+
+bool
+colt_cell_report (struct ColtCell *cell,
+                  const char *id,
+                  const struct ColtServerReport *report,
+                  int64_t now_us)
+{
+  struct ColtCellServer *server = colt_cell_find_server (cell, id);
+  GHashTable *listed;
+  size_t i;
+
+  if (server == NULL)
+    return false;
+  listed = g_hash_table_new (g_direct_hash, g_direct_equal);
+  server->foreign = 0;
+  for (i = 0; i < report->finished_count; i++)
+    take_finished_ (cell, server, &report->finished[i], now_us);
+  for (i = 0; i < report->running_count; i++)
+    take_running_ (cell, server, &report->running[i], listed, now_us);
+  end_unlisted_ (cell, server, listed, report->asked, now_us);
+  g_hash_table_unref (listed);
+  server->dark = false;
+  server->reported = true;
+  colt_cell_want_roster (cell, server);
+  if (server->awaited)
+    {
+      server->awaited = false;
+      colt_cell_check_settled (cell, now_us);
+    }
+  return true;
+}
+
+void
+colt_cell_started (struct ColtCell *cell,
+                   const char *server_id,
+                   const char *task_name,
+                   uint32_t number,
+                   enum ColtStartResult result,
+                   uint64_t asked,
+                   int64_t now_us)
+{
+  struct ColtCellServer *server = colt_cell_find_server (cell, server_id);
+  struct ColtCellTask *task = colt_cell_find_task (cell, task_name);
+
+  if (result != COLT_START_TAKEN)
+    cell->stats.refused_starts++;
+  if (server == NULL || task == NULL || !is_same_run_ (task, server, number))
+    return;
+  switch (result)
+    {
+    case COLT_START_TAKEN:
+      cell->stats.started++;
+      if (task->current->state != RUN_STARTING)
+        return;
+      task->current->settled = true;
+      task->current->settled_from = asked;
+      return;
+    case COLT_START_NO_ROOM:
+      server->avoid_until_us
+          = MAX (server->avoid_until_us, now_us + NO_ROOM_PAUSE_US);
+      break;
+    case COLT_START_BAD_TICKET:
+      drop_advice_ (cell, task->step, server);
+      task->step->not_before_us = now_us + TICKET_PAUSE_US;
+      break;
+    case COLT_START_BUSY:
+      server->avoid_until_us
+          = MAX (server->avoid_until_us, now_us + BUSY_PAUSE_US);
+      break;
+    case COLT_START_NOT_SENT:
+    case COLT_START_INVALID:
+    case COLT_START_STALE:
+    case COLT_START_LATE:
+    case COLT_START_FENCED:
+      break;
+    case COLT_START_GONE:
+      colt_cell_emptied (cell, server_id, now_us);
+      server->dark = true;
+      return;
+    case COLT_START_UNKNOWN:
+      /* It may be carried out yet: the stop settles that. */
+      colt_cell_stop_run (cell, task->current, now_us);
+      return;
+    }
+  colt_cell_end_run (cell, task->current, COLT_RUN_STOPPED, NULL, now_us);
+}
+
+void
+colt_cell_stopped (struct ColtCell *cell,
+                   const char *server_id,
+                   const char *task_name,
+                   uint32_t number,
+                   bool answered,
+                   uint64_t asked,
+                   int64_t now_us)
+{
+  struct ColtCellServer *server = colt_cell_find_server (cell, server_id);
+  struct ColtCellTask *task = colt_cell_find_task (cell, task_name);
+
+  (void)now_us;
+  if (server == NULL || task == NULL || !is_same_run_ (task, server, number)
+      || task->current->state != RUN_STOPPING || !answered)
+    return;
+  task->current->stop_answered = true;
+  if (!task->current->settled)
+    {
+      task->current->settled = true;
+      task->current->settled_from = asked;
+    }
+}
+
+void
+colt_cell_set_dark (struct ColtCell *cell, const char *id)
+{
+  struct ColtCellServer *server = colt_cell_find_server (cell, id);
+
+  if (server != NULL)
+    server->dark = true;
+}
+
+void
+colt_cell_emptied (struct ColtCell *cell, const char *id, int64_t now_us)
+{
+  struct ColtCellServer *server = colt_cell_find_server (cell, id);
+
+  if (server == NULL)
+    return;
+  while (server->runs->len > 0)
+    colt_cell_end_run (cell, g_ptr_array_index (server->runs, 0),
+                       COLT_RUN_LAPSED, NULL, now_us);
+  server->reported = false;
+  server->foreign = 0;
+  if (server->awaited)
+    {
+      server->awaited = false;
+      colt_cell_check_settled (cell, now_us);
+    }
+}
+
+size_t
+colt_cell_runs_on (const struct ColtCell *cell, const char *id)
+{
+  const struct ColtCellServer *server = colt_cell_find_server (cell, id);
+
+  return server != NULL ? server->runs->len + server->foreign : 0;
+}
+
+/* Earlier leads' orders are accounted for once each server that may have had
+ * one has reported, or their leases must have ended. */
+void
+colt_cell_check_settled (struct ColtCell *cell, int64_t now_us)
+{
+  GHashTableIter i;
+  gpointer value;
+
+  if (cell->settled)
+    return;
+  g_hash_table_iter_init (&i, cell->servers);
+  while (now_us < cell->settled_us && g_hash_table_iter_next (&i, NULL, &value))
+    if (((struct ColtCellServer *)value)->awaited)
+      return;
+  cell->settled = true;
+  g_hash_table_iter_init (&i, cell->organisations);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    memset (&((struct ColtCellOrganisation *)value)->unknown, 0,
+            sizeof (struct ColtResources));
+  cell->ops->decided (cell->client, NULL, "earlier orders are accounted for",
+                      "");
+}
+
+static void
+set_labels_ (struct ColtCellServer *server, const char *const *labels)
+{
+  size_t i;
+
+  g_strfreev (server->labels);
+  server->labels = g_strdupv ((char **)labels);
+  g_clear_pointer (&server->rack, g_free);
+  for (i = 0; labels != NULL && labels[i] != NULL; i++)
+    if (strchr (labels[i], RACK_MARK) != NULL)
+      server->rack = g_strdup (labels[i]);
+}
+
+static bool
+is_same_run_ (const struct ColtCellTask *task,
+              const struct ColtCellServer *server,
+              uint32_t run)
+{
+  return task->current != NULL && task->current->server == server
+         && task->current->run == run;
+}
+
+/* An end of a run that isn't followed, reported by a server that an earlier
+ * lead used, counts unless the earlier lead has counted it. */
+static void
+take_finished_ (struct ColtCell *cell,
+                struct ColtCellServer *server,
+                const struct ColtFinishedEntry *entry,
+                int64_t now_us)
+{
+  struct ColtCellTask *task = colt_cell_find_task (cell, entry->task);
+  struct ColtCellRun *run;
+
+  if (task == NULL || task->done)
+    {
+      if (task != NULL && is_same_run_ (task, server, entry->run))
+        colt_cell_end_run (cell, task->current, entry->how, NULL, now_us);
+      return;
+    }
+  if (is_same_run_ (task, server, entry->run))
+    {
+      colt_cell_end_run (cell, task->current, entry->how, entry->checkpoint,
+                         now_us);
+      return;
+    }
+  if (task->current != NULL || entry->run <= task->last_run
+      || colt_cell_is_ended (task->step->job))
+    return;
+  run = adopt_ (cell, server, task, entry->run, now_us);
+  colt_cell_end_run (cell, run, entry->how, entry->checkpoint, now_us);
+}
+
+static void
+take_running_ (struct ColtCell *cell,
+               struct ColtCellServer *server,
+               const struct ColtRunningEntry *entry,
+               GHashTable *listed,
+               int64_t now_us)
+{
+  struct ColtCellTask *task = colt_cell_find_task (cell, entry->task);
+  struct ColtCellRun *run;
+
+  if (task != NULL && task->current == NULL && !task->done
+      && entry->run > task->last_run && !colt_cell_is_ended (task->step->job))
+    adopt_ (cell, server, task, entry->run, now_us);
+  if (task == NULL || !is_same_run_ (task, server, entry->run))
+    {
+      server->foreign++;
+      cell->ops->stop (cell->client, server->id, entry->task, entry->run);
+      return;
+    }
+  run = task->current;
+  g_hash_table_add (listed, run);
+  if (run->confirmed_us == 0)
+    run->confirmed_us = now_us;
+  if (run->state == RUN_STARTING)
+    run->state = RUN_RUNNING;
+  if (!task->done && entry->checkpoint[0] != '\0'
+      && g_strcmp0 (task->checkpoint, entry->checkpoint) != 0)
+    {
+      g_free (task->checkpoint);
+      task->checkpoint = g_strdup (entry->checkpoint);
+    }
+}
+
+static struct ColtCellRun *
+adopt_ (struct ColtCell *cell,
+        struct ColtCellServer *server,
+        struct ColtCellTask *task,
+        uint32_t number,
+        int64_t now_us)
+{
+  struct ColtCellRun *run
+      = colt_cell_add_run (cell, task, server, number, now_us);
+  struct ColtCellOrganisation *organisation = task->step->job->organisation;
+
+  run->state = RUN_RUNNING;
+  run->settled = true;
+  run->settled_from = 0;
+  run->confirmed_us = now_us;
+  if (!cell->settled && task->step->job->inherited)
+    colt_resources_subtract (&organisation->unknown, &run->demand);
+  return run;
+}
+
+/* What was certainly ordered, or certainly stopped, before the server was
+ * asked, and isn't listed, doesn't run there. */
+static void
+end_unlisted_ (struct ColtCell *cell,
+               struct ColtCellServer *server,
+               GHashTable *listed,
+               uint64_t asked,
+               int64_t now_us)
+{
+  guint i = server->runs->len;
+
+  while (i-- > 0)
+    {
+      struct ColtCellRun *run;
+
+      if (i >= server->runs->len)
+        continue;
+      run = g_ptr_array_index (server->runs, i);
+      if (!run->settled || asked < run->settled_from
+          || g_hash_table_contains (listed, run))
+        continue;
+      colt_cell_end_run (cell, run,
+                         run->state == RUN_STOPPING ? COLT_RUN_STOPPED
+                                                    : COLT_RUN_LAPSED,
+                         NULL, now_us);
+    }
+}
+
+static void
+drop_advice_ (struct ColtCell *cell,
+              struct ColtCellStep *step,
+              struct ColtCellServer *server)
+{
+  struct ColtCellAdvice *advice = g_hash_table_lookup (step->advice, server);
+
+  (void)cell;
+  if (advice != NULL)
+    advice->valid_until_us = 0;
+}
--- /dev/null
+++ b/src/cell/private/cell_private.h
@@ -0,0 +1,257 @@
+/* Tables of a cell; shared by the files of this package only. */
+#ifndef COLT_CELL_PRIVATE_H
+#define COLT_CELL_PRIVATE_H
+
+#include <glib.h>
+
+#include "coltsfootstile/cell.h"
+#include "coltsfootstile/clock.h"
+
+/* Size of a task's name: id, occurrence, step and index. */
+#define TASK_NAME_SIZE 64
+
+struct ColtCellJob;
+struct ColtCellStep;
+struct ColtCellTask;
+
+/* A queue, kept as long as the cell, also after it was removed. */
+struct ColtCellQueue
+{
+  char *name;
+  const struct ColtQueueConfig *config; /* of the newest fleet that has it */
+  struct ColtFleet *fleet;              /* holds config */
+  bool listed;
+  uint64_t waiting; /* durable jobs without a start */
+};
+
+struct ColtCellOrganisation
+{
+  char *name;
+  double weight;
+  struct ColtResources maximum;
+  struct ColtResources used;
+  struct ColtResources unknown; /* may run under an earlier lead's orders */
+};
+
+enum ColtCellRunState
+{
+  RUN_STARTING, /* ordered, not confirmed */
+  RUN_RUNNING,
+  RUN_STOPPING
+};
+
+/* A run that is, or may be, on a server. */
+struct ColtCellRun
+{
+  struct ColtCellTask *task;
+  struct ColtCellServer *server;
+  uint32_t run;
+  enum ColtCellRunState state;
+  bool settled;          /* the order and the stop, if any, were answered */
+  uint64_t settled_from; /* a report asked for from here on tells for sure */
+  int64_t ordered_us;
+  int64_t confirmed_us; /* 0: not seen running */
+  int64_t stop_sent_us; /* 0: no stop under way */
+  bool stop_answered;
+  struct ColtResources demand;
+};
+
+struct ColtCellTask
+{
+  struct ColtCellStep *step;
+  uint32_t index; /* in its step */
+  uint32_t failures;
+  uint32_t last_run; /* highest run that has ended or was numbered */
+  bool done;
+  char *checkpoint;            /* NULL: none */
+  struct ColtCellRun *current; /* NULL: waits, or is done */
+  struct ColtCellServer *last_server;
+  int64_t waiting_since_us;
+};
+
+/* Which server may run a step. */
+struct ColtCellAdvice
+{
+  bool good;
+  char *ticket;
+  int64_t valid_until_us;
+  int64_t born_ms;
+};
+
+struct ColtCellStep
+{
+  struct ColtCellJob *job;
+  const ColtJobStep *spec;
+  uint32_t number;
+  uint32_t occurrence;
+  uint32_t first_index; /* of its first task, over the whole job */
+  struct ColtCellTask *tasks;
+  uint32_t waiting; /* tasks that are neither done nor have a run */
+  uint32_t live;    /* tasks with a run */
+  uint32_t done;
+  bool open; /* in the cell's list of steps that may start */
+  struct ColtResources demand;
+  GHashTable *advice; /* struct ColtCellServer -> struct ColtCellAdvice */
+  bool advice_pending;
+  int64_t advice_from_us; /* no call for advice before this time */
+  int64_t not_before_us;  /* no start before this time */
+  uint32_t gang_run;      /* run whose failure was counted last */
+};
+
+struct ColtCellJob
+{
+  char id[COLT_JOB_ID_LENGTH + 1];
+  struct ColtCellQueue *queue;
+  struct ColtCellOrganisation *organisation;
+  ColtJobSpec *spec; /* NULL once it has ended and nothing runs */
+  struct ColtCellStep *steps;
+  uint32_t step_count; /* over all occurrences */
+  uint32_t task_count;
+  uint32_t live; /* runs */
+  uint32_t steps_done;
+  enum ColtJobState state;
+  enum ColtJobState shown; /* the last that is durable */
+  bool begun;
+  bool counted; /* in its queue's waiting jobs */
+  bool inherited;
+  bool durable;     /* its specification is */
+  bool spec_stored; /* a record with it may stand in the log */
+  bool dirty_spec;
+  bool dirty;
+  bool in_batch;
+  bool dropped; /* its records are to be removed */
+  int64_t accepted_us;
+  int64_t ended_us;
+  int64_t ended_wall_ms;
+  uint64_t order; /* of arrival */
+};
+
+struct ColtCellServer
+{
+  char *id;
+  char *address;
+  char *zone;
+  char *rack;
+  char **labels;
+  struct ColtCellPool *pool;
+  bool listed;
+  bool ready;
+  bool reported; /* by this incarnation to this lead */
+  bool dark;
+  bool awaited;   /* an earlier lead's work may be on it */
+  bool in_roster; /* its name is durable in the roster */
+  bool wants_roster;
+  int64_t born_ms;
+  struct ColtResources room;
+  struct ColtResources used;
+  GPtrArray *runs;  /* of struct ColtCellRun */
+  uint32_t foreign; /* runs listed that aren't ours */
+  uint32_t failures_in_row;
+  uint32_t probations;
+  int64_t avoid_until_us;
+  uint32_t tested; /* runs allowed while it is on probation */
+};
+
+/* The servers of one service. */
+struct ColtCellPool
+{
+  char *name;
+  bool guards_room;
+  GPtrArray *servers; /* of struct ColtCellServer */
+};
+
+struct ColtCell
+{
+  const struct ColtCellOps *ops;
+  void *client;
+  struct ColtCellLimits limits;
+  uint32_t generation;
+  struct ColtFleet *fleet;
+  GHashTable *jobs;          /* id -> struct ColtCellJob */
+  GHashTable *queues;        /* name -> struct ColtCellQueue */
+  GHashTable *organisations; /* name -> struct ColtCellOrganisation */
+  GHashTable *servers;       /* id -> struct ColtCellServer */
+  GHashTable *pools;         /* service -> struct ColtCellPool */
+  GPtrArray *open;           /* of struct ColtCellStep */
+  GPtrArray *dirty;          /* of struct ColtCellJob */
+  GPtrArray *batch;          /* of struct ColtCellJob */
+  GPtrArray *scheduled;      /* jobs with occurrences that may not be due yet */
+  GQueue ended;              /* of struct ColtCellJob, oldest first */
+  bool dirty_roster;
+  bool roster_in_batch;
+  bool settled;
+  int64_t settled_us;
+  int64_t wall_ms; /* as told last */
+  uint64_t next_order;
+  struct ColtCellStats stats;
+};
+
+/* cell_jobs.c */
+struct ColtCellJob *colt_cell_find_job (const struct ColtCell *cell,
+                                        const char *id);
+struct ColtCellJob *colt_cell_build_job (struct ColtCell *cell,
+                                         ColtJobSpec *spec);
+bool colt_cell_is_spec_valid (const ColtJobSpec *spec);
+void colt_cell_free_job (gpointer data);
+void colt_cell_drop_spec (struct ColtCellJob *job);
+void colt_cell_mark_dirty (struct ColtCell *cell, struct ColtCellJob *job);
+bool colt_cell_is_ended (const struct ColtCellJob *job);
+void colt_cell_end_job (struct ColtCell *cell,
+                        struct ColtCellJob *job,
+                        enum ColtJobState state,
+                        int64_t now_us);
+void colt_cell_open_steps (struct ColtCell *cell,
+                           struct ColtCellJob *job,
+                           int64_t wall_ms);
+void colt_cell_task_done (struct ColtCell *cell,
+                          struct ColtCellTask *task,
+                          int64_t now_us);
+void colt_cell_count_waiting (struct ColtCellJob *job);
+struct ColtCellTask *colt_cell_find_task (const struct ColtCell *cell,
+                                          const char *name);
+void colt_cell_name_task (const struct ColtCellTask *task,
+                          char name[TASK_NAME_SIZE]);
+struct ColtCellStep *colt_cell_find_step (const struct ColtCell *cell,
+                                          const char *name);
+struct ColtCellQueue *colt_cell_get_queue (struct ColtCell *cell,
+                                           const char *name);
+struct ColtCellOrganisation *colt_cell_get_organisation (struct ColtCell *cell,
+                                                         const char *name);
+
+/* cell_runs.c */
+struct ColtCellRun *colt_cell_add_run (struct ColtCell *cell,
+                                       struct ColtCellTask *task,
+                                       struct ColtCellServer *server,
+                                       uint32_t run,
+                                       int64_t now_us);
+void colt_cell_end_run (struct ColtCell *cell,
+                        struct ColtCellRun *run,
+                        enum ColtRunEnd how,
+                        const char *checkpoint,
+                        int64_t now_us);
+void colt_cell_stop_run (struct ColtCell *cell,
+                         struct ColtCellRun *run,
+                         int64_t now_us);
+void colt_cell_stop_step (struct ColtCell *cell,
+                          struct ColtCellStep *step,
+                          int64_t now_us);
+void colt_cell_count_failure (struct ColtCell *cell,
+                              struct ColtCellTask *task,
+                              uint32_t run,
+                              int64_t now_us);
+
+/* cell_servers.c */
+struct ColtCellServer *colt_cell_find_server (const struct ColtCell *cell,
+                                              const char *id);
+struct ColtCellServer *colt_cell_get_server (struct ColtCell *cell,
+                                             const char *id);
+struct ColtCellPool *colt_cell_get_pool (struct ColtCell *cell,
+                                         const char *service);
+void colt_cell_free_server (gpointer data);
+void colt_cell_check_settled (struct ColtCell *cell, int64_t now_us);
+
+/* cell_records.c */
+void colt_cell_want_roster (struct ColtCell *cell,
+                            struct ColtCellServer *server);
+
+#endif
--- /dev/null
+++ b/src/coltsfootstile/cell_main.c
@@ -0,0 +1,210 @@
+#include "cell_main.h"
+
+#include <event2/event.h>
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "coltsfootstile/adapter.h"
+#include "coltsfootstile/log.h"
+#include "coltsfootstile/scheduler.h"
+#include "coltsfootstile/settings.h"
+
+#define MODULE "daemon"
+/* Where the settings are when no file is named. */
+#define SETTINGS_VARIABLE "COLTSFOOTSTILE_NODE_FILE"
+
+/* Exit statuses. */
+enum
+{
+  STATUS_OK = 0,
+  STATUS_FAILED = 1,
+  STATUS_USAGE = 2
+};
+
+struct ColtCellProcess
+{
+  struct event_base *base;
+  struct ColtScheduler *scheduler;
+  const char *path;
+};
+
+static const struct ColtSettingSpec specs[]
+    = { { "instance", "name", COLT_SETTING_STRING, NULL, 0, 0, false,
+          "name of this instance" },
+        { "instance", "zone", COLT_SETTING_STRING, NULL, 0, 0, false,
+          "availability zone of this instance" },
+        { "instance", "internal", COLT_SETTING_ADDRESS, NULL, 0, 0, false,
+          "listens here for the other instances" },
+        { "listen", "callers", COLT_SETTING_ADDRESS, NULL, 0, 0, false,
+          "listens here for callers" },
+        { "listen", "readiness", COLT_SETTING_ADDRESS, NULL, 0, 0, false,
+          "listens here for the balancer's probes" },
+        { "listen", "state", COLT_SETTING_STRING, "", 0, 0, false,
+          "listens here for operators: /metrics" },
+        { "services", "log", COLT_SETTING_ADDRESS, NULL, 0, 0, false,
+          "address of the log service" },
+        { "services", "adviser", COLT_SETTING_STRING, "", 0, 0, false,
+          "address of the placement adviser; empty: none" },
+        { "bounds", "lease_max_ms", COLT_SETTING_INTEGER, NULL, 1000, 600000,
+          false, "longest lease that backend servers give, in milliseconds" },
+        { "bounds", "stop_ms", COLT_SETTING_INTEGER, "1000", 0, 600000, false,
+          "longest time that a task takes to stop, in milliseconds" },
+        { "bounds", "status_s", COLT_SETTING_INTEGER, "120", 1, 86400, false,
+          "how long an ended job's state is shown, in seconds" },
+        { "bounds", "grace_s", COLT_SETTING_INTEGER, "6", 1, 600, false,
+          "time to stop in good order, in seconds" },
+        { "bounds", "log_keep_s", COLT_SETTING_INTEGER, "20", 1, 8640000, false,
+          "how long the log keeps records, in seconds" },
+        { "log", "level", COLT_SETTING_STRING, "info", 0, 0, false,
+          "error, warning, info or debug" } };
+
+static int run_ (const struct ColtSettings *settings, const char *path);
+static bool open_log_ (const struct ColtSettings *settings);
+static void fill_ (const struct ColtSettings *settings,
+                   struct ColtSchedulerSettings *scheduler,
+                   struct ColtAdapterSettings *adapter);
+static void take_stop_ (evutil_socket_t number, short what, void *arg);
+static void take_reload_ (evutil_socket_t number, short what, void *arg);
+
+int
+colt_cell_main (const char *path, bool check_only)
+{
+  struct ColtSettings *settings
+      = colt_settings_create (specs, G_N_ELEMENTS (specs));
+  int status = STATUS_USAGE;
+  size_t i;
+
+  if (path == NULL)
+    path = getenv (SETTINGS_VARIABLE);
+  if (path == NULL)
+    fprintf (stderr, "coltsfootstile: --settings FILE is required\n");
+  else if (colt_settings_read (settings, path, NULL))
+    status = check_only ? STATUS_OK : run_ (settings, path);
+  for (i = 0; i < colt_settings_problem_count (settings); i++)
+    fprintf (stderr, "coltsfootstile: %s\n",
+             colt_settings_problem (settings, i));
+  colt_settings_destroy (settings);
+  return status;
+}
+
+static int
+run_ (const struct ColtSettings *settings, const char *path)
+{
+  struct ColtCellProcess process = { event_base_new (), NULL, path };
+  struct ColtSchedulerSettings scheduler_settings;
+  struct ColtAdapterSettings adapter_settings;
+  struct ColtPorts ports = { 0 };
+  struct ColtAdapter *adapter;
+  struct event *signals[3];
+  struct ColtError error = { 0 };
+  int status = STATUS_FAILED;
+  size_t i;
+
+  signal (SIGPIPE, SIG_IGN);
+  if (!open_log_ (settings))
+    return STATUS_USAGE;
+  fill_ (settings, &scheduler_settings, &adapter_settings);
+  adapter = colt_adapter_create (process.base, &adapter_settings, &ports);
+  process.scheduler = colt_scheduler_create (process.base, &ports,
+                                             &scheduler_settings, &error);
+  if (process.scheduler == NULL)
+    colt_log_error (COLT_LOG_ERROR, MODULE, "the instance can't start", &error);
+  else
+    {
+      signals[0] = evsignal_new (process.base, SIGTERM, take_stop_, &process);
+      signals[1] = evsignal_new (process.base, SIGINT, take_stop_, &process);
+      signals[2] = evsignal_new (process.base, SIGHUP, take_reload_, &process);
+      for (i = 0; i < G_N_ELEMENTS (signals); i++)
+        event_add (signals[i], NULL);
+      event_base_dispatch (process.base);
+      for (i = 0; i < G_N_ELEMENTS (signals); i++)
+        event_free (signals[i]);
+      colt_scheduler_destroy (process.scheduler);
+      colt_log (COLT_LOG_INFO, MODULE, NULL, "stopped");
+      status = STATUS_OK;
+    }
+  colt_adapter_destroy (adapter);
+  event_base_free (process.base);
+  colt_log_close ();
+  return status;
+}
+
+static bool
+open_log_ (const struct ColtSettings *settings)
+{
+  const char *name = colt_settings_string (settings, "log", "level");
+  enum ColtLogLevel level;
+  struct ColtError error;
+
+  if (!colt_log_parse_level (name, &level))
+    {
+      fprintf (stderr, "coltsfootstile: [log] level: \"%s\" is no level\n",
+               name);
+      return false;
+    }
+  return colt_log_open (level, &error);
+}
+
+static void
+fill_ (const struct ColtSettings *settings,
+       struct ColtSchedulerSettings *scheduler,
+       struct ColtAdapterSettings *adapter)
+{
+  scheduler->name = colt_settings_string (settings, "instance", "name");
+  scheduler->zone = colt_settings_string (settings, "instance", "zone");
+  scheduler->internal = colt_settings_string (settings, "instance", "internal");
+  scheduler->lease_max_ms
+      = (uint32_t)colt_settings_integer (settings, "bounds", "lease_max_ms");
+  scheduler->stop_ms
+      = (uint32_t)colt_settings_integer (settings, "bounds", "stop_ms");
+  scheduler->status_s
+      = (uint32_t)colt_settings_integer (settings, "bounds", "status_s");
+  scheduler->grace_ms
+      = (uint32_t)colt_settings_integer (settings, "bounds", "grace_s") * 1000;
+  scheduler->keep_s
+      = (uint32_t)colt_settings_integer (settings, "bounds", "log_keep_s");
+  adapter->callers = colt_settings_string (settings, "listen", "callers");
+  adapter->readiness = colt_settings_string (settings, "listen", "readiness");
+  adapter->state = colt_settings_string (settings, "listen", "state");
+  adapter->log = colt_settings_string (settings, "services", "log");
+  adapter->adviser = colt_settings_string (settings, "services", "adviser");
+}
+
+static void
+take_stop_ (evutil_socket_t number, short what, void *arg)
+{
+  struct ColtCellProcess *process = arg;
+
+  (void)number;
+  (void)what;
+  colt_scheduler_stop (process->scheduler);
+}
+
+/* The addresses and bounds of a running process don't change; a file that
+ * can't be read is reported, and the settings in force stay. */
+static void
+take_reload_ (evutil_socket_t number, short what, void *arg)
+{
+  const struct ColtCellProcess *process = arg;
+  struct ColtSettings *settings
+      = colt_settings_create (specs, G_N_ELEMENTS (specs));
+  enum ColtLogLevel level;
+
+  (void)number;
+  (void)what;
+  if (colt_settings_read (settings, process->path, NULL)
+      && colt_log_parse_level (colt_settings_string (settings, "log", "level"),
+                               &level))
+    {
+      colt_log_set_level (level);
+      colt_log (COLT_LOG_INFO, MODULE, NULL,
+                "settings were read again; the log's level is %s",
+                colt_log_level_string[level]);
+    }
+  else
+    colt_log (COLT_LOG_ERROR, MODULE, NULL,
+              "settings can't be read again; those in force stay");
+  colt_settings_destroy (settings);
+}
--- a/src/coltsfootstile/main.c
+++ b/src/coltsfootstile/main.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "cell_main.h"
 #include "coltsfootstile/log.h"
 #include "daemon_settings.h"
 #include "instance.h"
@@ -40,10 +41,12 @@
       = arg_lit0 (NULL, "version", "print the version and exit");
   struct arg_lit *check
       = arg_lit0 (NULL, "check-settings", "check the settings and exit");
+  struct arg_lit *cell = arg_lit0 (
+      NULL, "cell", "take part in a cell on the platform of the settings");
   struct arg_file *file
       = arg_file0 ("s", "settings", "FILE", "settings in INI");
   struct arg_end *end = arg_end (20);
-  void *table[] = { help, version, check, file, end };
+  void *table[] = { help, version, check, cell, file, end };
   int errors = arg_parse (argc, argv, table);
   int status = STATUS_OK;
 
@@ -61,6 +64,9 @@
       arg_print_errors (stderr, end, "coltsfootstile");
       status = STATUS_USAGE;
     }
+  else if (cell->count > 0)
+    status = colt_cell_main (file->count > 0 ? file->filename[0] : NULL,
+                             check->count > 0);
   else if (file->count == 0)
     {
       fprintf (stderr, "coltsfootstile: --settings FILE is required\n");
--- a/src/platform/http_client.c
+++ b/src/platform/http_client.c
@@ -23,6 +23,8 @@
   char *path;
   GPtrArray *headers; /* of name, value, name... */
   char *body;
+  size_t body_size;
+  bool binary;
   uint32_t timeout_ms;
   int64_t sent_us;
   ColtHttpDone done;
@@ -154,7 +156,11 @@
   call->method = methods[request->method];
   call->path = g_strdup (request->path);
   call->headers = copy_headers_ (request);
-  call->body = g_strdup (request->body);
+  call->binary = request->body_size > 0;
+  call->body_size = request->body_size;
+  if (request->body != NULL && !call->binary)
+    call->body_size = strlen (request->body);
+  call->body = g_memdup2 (request->body, call->body_size);
   call->timeout_ms = request->timeout_ms;
   call->done = done;
   call->client = client;
@@ -336,11 +342,13 @@
   for (i = 0; i < call->headers->len; i += 2)
     evhttp_add_header (headers, g_ptr_array_index (call->headers, i),
                        g_ptr_array_index (call->headers, i + 1));
-  if (call->body != NULL)
+  if (call->body != NULL || call->method == EVHTTP_REQ_POST)
     {
-      evhttp_add_header (headers, "Content-Type", "application/json");
+      evhttp_add_header (headers, "Content-Type",
+                         call->binary ? "application/octet-stream"
+                                      : "application/json");
       evbuffer_add (evhttp_request_get_output_buffer (request), call->body,
-                    strlen (call->body));
+                    call->body_size);
     }
   evhttp_connection_set_timeout (
       http->connection, (int)(call->timeout_ms / 1000 + BACKUP_TIMEOUT_S));
--- /dev/null
+++ b/src/scheduler/commit.c
@@ -0,0 +1,251 @@
+#include "scheduler_private.h"
+
+/* Changes are gathered this long, unless a caller waits for them. */
+#define LINGER_MS 60
+/* Pause after a call that had no effect. */
+#define RETRY_MS 100
+/* An answer of the log is lost after this time. */
+#define CALL_TIMEOUT_MS 1500
+/* Bytes of one append; the log takes 2 MB. */
+#define BATCH_BYTES (512u * 1024)
+/* Name under which all leads write, so that the log fences earlier ones. */
+#define PRODUCER "lead"
+#define MODULE "commit"
+
+struct ColtWaiter
+{
+  ColtCommitDone done;
+  void *client;
+};
+
+struct ColtCommit
+{
+  const struct ColtPorts *ports;
+  struct ColtCell *cell;
+  struct ColtLogChannel *channel;
+  struct event *timer;
+  struct ColtCommitClient client;
+  uint64_t term;
+  uint64_t sequence;
+  GArray *records; /* of the batch on its way; NULL: none */
+  GArray *waiters; /* for what is dirty now */
+  GArray *batch_waiters;
+  int64_t batch_us; /* when the batch was first sent */
+  bool sent;        /* a call is open */
+  bool failing;
+  bool fenced;
+};
+
+static void on_timer_ (evutil_socket_t fd, short what, void *arg);
+static void schedule_ (struct ColtCommit *commit, uint32_t after_ms);
+static void send_ (struct ColtCommit *commit);
+static void take_answer_ (void *client, const struct ColtLogAnswer *answer);
+static void end_batch_ (struct ColtCommit *commit);
+static void tell_ (GArray *waiters, bool durable);
+
+struct ColtCommit *
+colt_commit_create (struct event_base *base,
+                    const struct ColtPorts *ports,
+                    struct ColtCell *cell,
+                    uint64_t term,
+                    const struct ColtCommitClient *client)
+{
+  struct ColtCommit *commit = g_new0 (struct ColtCommit, 1);
+
+  commit->ports = ports;
+  commit->cell = cell;
+  commit->term = term;
+  commit->client = *client;
+  commit->channel = ports->log_open (ports->adapter);
+  commit->timer = event_new (base, -1, 0, on_timer_, commit);
+  commit->waiters = g_array_new (FALSE, FALSE, sizeof (struct ColtWaiter));
+  commit->batch_waiters
+      = g_array_new (FALSE, FALSE, sizeof (struct ColtWaiter));
+  return commit;
+}
+
+void
+colt_commit_destroy (struct ColtCommit *commit)
+{
+  if (commit == NULL)
+    return;
+  event_free (commit->timer);
+  commit->fenced = true;
+  commit->ports->log_close (commit->channel);
+  if (commit->records != NULL)
+    colt_cell_free_records (commit->records);
+  tell_ (commit->batch_waiters, false);
+  tell_ (commit->waiters, false);
+  g_free (commit);
+}
+
+void
+colt_commit_soon (struct ColtCommit *commit, uint32_t within_ms)
+{
+  struct timeval due;
+  struct timeval now;
+
+  if (commit->records != NULL)
+    return;
+  if (event_pending (commit->timer, EV_TIMEOUT, &due))
+    {
+      event_base_gettimeofday_cached (event_get_base (commit->timer), &now);
+      timersub (&due, &now, &due);
+      if (due.tv_sec * 1000 + due.tv_usec / 1000 <= (long)within_ms)
+        return;
+    }
+  schedule_ (commit, within_ms);
+}
+
+void
+colt_commit_wait (struct ColtCommit *commit, ColtCommitDone done, void *client)
+{
+  const struct ColtWaiter waiter = { done, client };
+
+  g_array_append_val (commit->waiters, waiter);
+  colt_commit_soon (commit, LINGER_MS);
+}
+
+int64_t
+colt_commit_age_us (const struct ColtCommit *commit)
+{
+  return commit->records != NULL ? colt_clock_monotonic_us () - commit->batch_us
+                                 : 0;
+}
+
+static void
+schedule_ (struct ColtCommit *commit, uint32_t after_ms)
+{
+  const struct timeval when
+      = { after_ms / 1000, (suseconds_t)(after_ms % 1000) * 1000 };
+
+  event_add (commit->timer, &when);
+}
+
+static void
+on_timer_ (evutil_socket_t fd, short what, void *arg)
+{
+  struct ColtCommit *commit = arg;
+  GArray *waiters = commit->batch_waiters;
+
+  (void)fd;
+  (void)what;
+  if (commit->sent || commit->fenced)
+    return;
+  if (commit->records == NULL)
+    {
+      commit->records = colt_cell_take_records (
+          commit->cell, BATCH_BYTES, colt_clock_wall_us () / COLT_US_PER_MS);
+      commit->batch_us = colt_clock_monotonic_us ();
+      /* What didn't fit into this batch keeps its waiters waiting. */
+      if (!colt_cell_is_dirty (commit->cell))
+        {
+          commit->batch_waiters = commit->waiters;
+          commit->waiters = waiters;
+        }
+      if (commit->records->len == 0)
+        {
+          end_batch_ (commit);
+          return;
+        }
+      commit->sequence++;
+    }
+  send_ (commit);
+}
+
+static void
+send_ (struct ColtCommit *commit)
+{
+  struct ColtLogAppend append = { 0 };
+  struct ColtLogRecord *records
+      = g_new0 (struct ColtLogRecord, commit->records->len);
+  guint i;
+
+  for (i = 0; i < commit->records->len; i++)
+    {
+      const struct ColtCellRecord *record
+          = &g_array_index (commit->records, struct ColtCellRecord, i);
+
+      records[i].key = record->key;
+      records[i].value = record->value;
+      records[i].size = record->size;
+    }
+  append.topic = COLT_TOPIC_JOBS;
+  append.records = records;
+  append.count = commit->records->len;
+  append.producer = PRODUCER;
+  append.epoch = commit->term;
+  append.sequence = commit->sequence;
+  append.timeout_ms = CALL_TIMEOUT_MS;
+  commit->sent = true;
+  commit->ports->log_append (commit->channel, &append, take_answer_, commit);
+  g_free (records);
+}
+
+/* The same batch is sent under the same number until its end is known. */
+static void
+take_answer_ (void *client, const struct ColtLogAnswer *answer)
+{
+  struct ColtCommit *commit = client;
+
+  commit->sent = false;
+  if (commit->fenced)
+    return;
+  switch (answer->outcome)
+    {
+    case COLT_LOG_DONE:
+      if (commit->failing)
+        colt_log (COLT_LOG_INFO, MODULE, NULL, "the log takes records again");
+      commit->failing = false;
+      end_batch_ (commit);
+      return;
+    case COLT_LOG_FENCED:
+    case COLT_LOG_SEQUENCE:
+    case COLT_LOG_CONFLICT:
+    case COLT_LOG_INVALID:
+      colt_log (COLT_LOG_ERROR, MODULE, NULL, "a batch was refused: %s %s",
+                colt_log_outcome_string[answer->outcome],
+                answer->error.message);
+      commit->fenced = true;
+      commit->client.fenced (commit->client.client);
+      return;
+    default:
+      if (!commit->failing)
+        colt_log (
+            COLT_LOG_WARNING, MODULE, NULL, "a batch waits for the log: %s %s",
+            colt_log_outcome_string[answer->outcome], answer->error.message);
+      commit->failing = true;
+      schedule_ (commit, RETRY_MS);
+    }
+}
+
+static void
+end_batch_ (struct ColtCommit *commit)
+{
+  GArray *waiters = commit->batch_waiters;
+
+  colt_cell_free_records (commit->records);
+  commit->records = NULL;
+  colt_cell_committed (commit->cell, colt_clock_monotonic_us ());
+  commit->batch_waiters
+      = g_array_new (FALSE, FALSE, sizeof (struct ColtWaiter));
+  tell_ (waiters, true);
+  commit->client.committed (commit->client.client);
+  if (colt_cell_is_dirty (commit->cell) || commit->waiters->len > 0)
+    colt_commit_soon (commit, LINGER_MS);
+}
+
+static void
+tell_ (GArray *waiters, bool durable)
+{
+  guint i;
+
+  for (i = 0; i < waiters->len; i++)
+    {
+      const struct ColtWaiter waiter
+          = g_array_index (waiters, struct ColtWaiter, i);
+
+      waiter.done (waiter.client, durable);
+    }
+  g_array_unref (waiters);
+}
--- /dev/null
+++ b/src/scheduler/members.c
@@ -0,0 +1,162 @@
+#include "members.h"
+
+#include <glib.h>
+
+#include "coltsfootstile/clock.h"
+
+/* A member is in touch this long after a beat: two beats may be lost. */
+#define FRESH_US (1300 * COLT_US_PER_MS)
+/* A member that hasn't been heard of for this long is forgotten. */
+#define FORGET_US (60 * COLT_US_PER_S)
+/* A member that reached the log this recently isn't cut off from it: reads
+ * wait up to four seconds for a record. */
+#define LOG_DOWN_MS 2500
+/* An adviser's call that failed keeps it out for this long. */
+#define ADVISER_PAUSE_US (1000 * COLT_US_PER_MS)
+/* Calls for advice that one member may have open. */
+#define ADVICE_AT_ONCE 1
+
+struct ColtMember
+{
+  uint32_t instance;
+  int64_t beat_us;
+  uint32_t log_age_ms;
+  uint32_t advising;
+  int64_t avoid_until_us;
+  int64_t advised_us;
+};
+
+struct ColtMembers
+{
+  GArray *members; /* of struct ColtMember; the first is the instance itself */
+};
+
+static struct ColtMember *find_ (const struct ColtMembers *members,
+                                 uint32_t instance);
+
+struct ColtMembers *
+colt_members_create (void)
+{
+  struct ColtMembers *members = g_new0 (struct ColtMembers, 1);
+  struct ColtMember self = { 0 };
+
+  members->members = g_array_new (FALSE, TRUE, sizeof (struct ColtMember));
+  self.instance = COLT_MEMBERS_SELF;
+  g_array_append_val (members->members, self);
+  return members;
+}
+
+void
+colt_members_destroy (struct ColtMembers *members)
+{
+  if (members == NULL)
+    return;
+  g_array_unref (members->members);
+  g_free (members);
+}
+
+void
+colt_members_note (struct ColtMembers *members,
+                   uint32_t instance,
+                   uint32_t log_age_ms,
+                   int64_t now_us)
+{
+  struct ColtMember *member = find_ (members, instance);
+  struct ColtMember added = { 0 };
+
+  if (member == NULL)
+    {
+      added.instance = instance;
+      g_array_append_val (members->members, added);
+      member = find_ (members, instance);
+    }
+  member->beat_us = now_us;
+  member->log_age_ms = log_age_ms;
+}
+
+bool
+colt_members_log_is_down (const struct ColtMembers *members, int64_t now_us)
+{
+  guint known = 1;
+  guint down = 1;
+  guint i;
+
+  for (i = 1; i < members->members->len; i++)
+    {
+      const struct ColtMember *member
+          = &g_array_index (members->members, struct ColtMember, i);
+      int64_t silent_us = now_us - member->beat_us;
+
+      if (silent_us > FORGET_US)
+        continue;
+      known++;
+      if (silent_us > FRESH_US)
+        continue;
+      if (member->log_age_ms < LOG_DOWN_MS)
+        return false;
+      down++;
+    }
+  return down * 2 > known;
+}
+
+uint32_t
+colt_members_take_adviser (struct ColtMembers *members, int64_t now_us)
+{
+  struct ColtMember *best = NULL;
+  guint i;
+
+  for (i = 0; i < members->members->len; i++)
+    {
+      struct ColtMember *member
+          = &g_array_index (members->members, struct ColtMember, i);
+
+      if ((i > 0 && now_us - member->beat_us > FRESH_US)
+          || member->advising >= ADVICE_AT_ONCE
+          || now_us < member->avoid_until_us)
+        continue;
+      if (best == NULL || member->advised_us < best->advised_us)
+        best = member;
+    }
+  if (best == NULL)
+    return 0;
+  best->advising++;
+  best->advised_us = now_us;
+  return best->instance;
+}
+
+void
+colt_members_give_adviser (struct ColtMembers *members,
+                           uint32_t instance,
+                           int64_t now_us,
+                           bool answered)
+{
+  struct ColtMember *member = find_ (members, instance);
+
+  if (member == NULL)
+    return;
+  if (member->advising > 0)
+    member->advising--;
+  if (!answered)
+    member->avoid_until_us = now_us + ADVISER_PAUSE_US;
+}
+
+void
+colt_members_clear_advice (struct ColtMembers *members)
+{
+  guint i;
+
+  for (i = 0; i < members->members->len; i++)
+    g_array_index (members->members, struct ColtMember, i).avoid_until_us = 0;
+}
+
+static struct ColtMember *
+find_ (const struct ColtMembers *members, uint32_t instance)
+{
+  guint i;
+
+  for (i = 0; i < members->members->len; i++)
+    if (g_array_index (members->members, struct ColtMember, i).instance
+        == instance)
+      return &g_array_index (members->members, struct ColtMember, i);
+  return NULL;
+}
--- /dev/null
+++ b/src/scheduler/scheduler.c
@@ -0,0 +1,957 @@
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "coltsfootstile/counters.h"
+#include "members.h"
+#include "scheduler_private.h"
+
+/* Period of telling the lead that this instance is there. */
+#define BEAT_MS 400
+/* A beat without an answer is lost after this time. */
+#define BEAT_TIMEOUT_MS 800
+/* Pause before a caller's request is handed to the lead again. */
+#define RETRY_MS 60
+/* One try of handing a request to the lead. */
+#define CALL_TIMEOUT_MS 2000
+/* How long a request waits for a lead before it is turned away: a lead that
+ * stops in good order is replaced within this. */
+#define NO_LEAD_PATIENCE_MS 350
+/* When a caller is told to come back while there is no lead: a silent lead is
+ * replaced within this. */
+#define NO_LEAD_RETRY_AFTER_MS 1500
+/* Time kept of a caller's patience for the answer's way. */
+#define ANSWER_MARGIN_MS 150
+#define DEFAULT_PATIENCE_MS 3000
+/* A call for advice is lost after this time; the adviser takes up to a second
+ * for one call, and the calls of one instance wait for each other. */
+#define ADVICE_TIMEOUT_MS 2500
+/* A stopping instance serves at least this long, until the balancer has seen
+ * that it isn't ready. */
+#define STOP_SERVING_MS 2600
+/* Time kept of the grace for ending the process. */
+#define STOP_MARGIN_MS 700
+#define STOP_CHECK_MS 50
+#define MODULE "scheduler"
+
+enum ColtMetric
+{
+  METRIC_REQUESTS,
+  METRIC_FORWARDED,
+  METRIC_TURNED_AWAY,
+  METRIC_UNCERTAIN,
+  METRIC_ADVICE_CALLS,
+  METRIC_TERM,
+  METRIC_LEADS,
+  METRIC_COUNT
+};
+
+struct ColtMetricName
+{
+  enum ColtCounterKind kind;
+  const char *name;
+  const char *help;
+};
+
+struct ColtScheduler
+{
+  struct event_base *base;
+  const struct ColtPorts *ports;
+  struct ColtSchedulerSettings settings;
+  uint32_t instance; /* the internal address as a number */
+  struct ColtWire *wire;
+  struct ColtWatch *config;
+  struct ColtElection *election;
+  struct ColtLead *lead; /* while this instance leads */
+  struct ColtFleet *fleet;
+  struct ColtMembers *members;
+  struct ColtAdviserChannel *adviser;
+  struct event *beat;
+  struct event *stop;
+  struct ColtCounters *counters;
+  uint32_t metrics[METRIC_COUNT];
+  GHashTable *counts;  /* queue -> waiting jobs, as the lead told */
+  GPtrArray *requests; /* of struct ColtRequest */
+  uint32_t lead_instance;
+  bool stopping;
+  int64_t stopping_us;
+};
+
+/* A caller's request on its way. */
+struct ColtRequest
+{
+  struct ColtScheduler *scheduler;
+  struct ColtCallerHandle *handle;
+  enum ColtCallerKind kind;
+  char *host;
+  char *path;
+  char *key;
+  char *body;
+  size_t size;
+  int64_t arrived_us;
+  int64_t deadline_us;
+  bool maybe_done; /* a lead may have acted on it */
+  ColtJobSpec *spec;
+  struct event *timer;
+};
+
+/* A message of another instance that waits for its answer. */
+struct ColtForeignCall
+{
+  struct ColtScheduler *scheduler;
+  struct ColtWireOrigin origin;
+  ColtAdviceCall *advice;
+};
+
+static const struct ColtMetricName metric_names[METRIC_COUNT]
+    = { { COLT_COUNTER_TOTAL, "scheduler_requests", "Requests of callers" },
+        { COLT_COUNTER_TOTAL, "scheduler_forwarded",
+          "Requests handed to another instance" },
+        { COLT_COUNTER_TOTAL, "scheduler_turned_away",
+          "Requests answered as not taken" },
+        { COLT_COUNTER_TOTAL, "scheduler_uncertain",
+          "Requests whose effect isn't known" },
+        { COLT_COUNTER_TOTAL, "scheduler_advice_calls", "Calls for advice" },
+        { COLT_COUNTER_GAUGE, "scheduler_term", "Highest term seen" },
+        { COLT_COUNTER_GAUGE, "scheduler_leads", "1 while it leads" } };
+
+static void take_config_ (void *client, const struct ColtLogRecord *record);
+static void take_elected_ (void *client, uint64_t term);
+static void take_deposed_ (void *client);
+static void take_changed_ (void *client);
+static void take_lead_fenced_ (void *client);
+static bool take_advise_ (void *client, const ColtAdviceCall *call);
+static void on_beat_ (evutil_socket_t fd, short what, void *arg);
+static void confirm_lead_ (struct ColtScheduler *scheduler, int64_t now_us);
+static void take_beat_reply_ (void *client,
+                              enum ColtWireResult result,
+                              const uint8_t *body,
+                              size_t size);
+static void take_beat_ (void *client,
+                        const struct ColtWireOrigin *origin,
+                        const uint8_t *body,
+                        size_t size);
+static void take_foreign_call_ (void *client,
+                                const struct ColtWireOrigin *origin,
+                                const uint8_t *body,
+                                size_t size);
+static void take_foreign_reply_ (void *client, const ColtCallerReply *reply);
+static void take_advice_call_ (void *client,
+                               const struct ColtWireOrigin *origin,
+                               const uint8_t *body,
+                               size_t size);
+static void take_advice_ (void *client, const ColtAdviceReply *reply);
+static void take_own_advice_ (void *client, const ColtAdviceReply *reply);
+static void take_member_advice_ (void *client,
+                                 enum ColtWireResult result,
+                                 const uint8_t *body,
+                                 size_t size);
+static ColtAdviceCall *copy_advice_ (const ColtAdviceCall *call);
+static void handle_ (void *client,
+                     const struct ColtCallerRequest *request,
+                     struct ColtCallerHandle *handle);
+static void try_ (evutil_socket_t fd, short what, void *arg);
+static bool prepare_ (struct ColtRequest *request,
+                      ColtCallerCall *call,
+                      struct ColtCallerAnswer *answer);
+static bool is_id_ (const char *text);
+static uint64_t waiting_of_ (const struct ColtScheduler *scheduler,
+                             const char *queue);
+static void hand_over_ (struct ColtRequest *request, ColtCallerCall *call);
+static void take_reply_ (void *client,
+                         enum ColtWireResult result,
+                         const uint8_t *body,
+                         size_t size);
+static void take_lead_reply_ (void *client, const ColtCallerReply *reply);
+static void try_again_ (struct ColtRequest *request);
+static void end_ (struct ColtRequest *request,
+                  const struct ColtCallerAnswer *answer);
+static void end_with_ (struct ColtRequest *request,
+                       enum ColtAnswerKind kind,
+                       uint32_t retry_after_ms);
+static void free_request_ (struct ColtRequest *request);
+static bool is_ready_ (void *client);
+static char *describe_ (void *client, const char *path);
+static void on_stop_ (evutil_socket_t fd, short what, void *arg);
+static uint32_t instance_of_ (const char *address);
+static bool start_wire_ (struct ColtScheduler *scheduler,
+                         struct ColtError *error);
+static void add_timer_ (struct event *timer, uint32_t after_ms);
+
+struct ColtScheduler *
+colt_scheduler_create (struct event_base *base,
+                       const struct ColtPorts *ports,
+                       const struct ColtSchedulerSettings *settings,
+                       struct ColtError *error)
+{
+  struct ColtScheduler *scheduler = g_new0 (struct ColtScheduler, 1);
+  const struct ColtCallerServer server
+      = { handle_, is_ready_, describe_, scheduler };
+  const struct ColtElectionClient election
+      = { take_elected_, take_deposed_, take_changed_, scheduler };
+  const struct ColtWatchClient config = { take_config_, NULL, scheduler };
+  int i;
+
+  scheduler->base = base;
+  scheduler->ports = ports;
+  scheduler->settings = *settings;
+  scheduler->instance = instance_of_ (settings->internal);
+  scheduler->counters = colt_counters_create ();
+  for (i = 0; i < METRIC_COUNT; i++)
+    scheduler->metrics[i]
+        = colt_counters_add (scheduler->counters, metric_names[i].kind,
+                             metric_names[i].name, metric_names[i].help);
+  scheduler->counts
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  scheduler->requests = g_ptr_array_new ();
+  scheduler->members = colt_members_create ();
+  scheduler->beat = event_new (base, -1, EV_PERSIST, on_beat_, scheduler);
+  scheduler->stop = event_new (base, -1, EV_PERSIST, on_stop_, scheduler);
+  if (!start_wire_ (scheduler, error)
+      || !ports->listen (ports->adapter, &server, error))
+    {
+      colt_scheduler_destroy (scheduler);
+      return NULL;
+    }
+  scheduler->adviser = ports->adviser_open (ports->adapter);
+  scheduler->config
+      = colt_watch_create (base, ports, COLT_TOPIC_OPERATOR, 0, &config);
+  scheduler->election
+      = colt_election_create (base, ports, &scheduler->settings, &election);
+  add_timer_ (scheduler->beat, BEAT_MS);
+  colt_log (COLT_LOG_INFO, MODULE, NULL, "%s in zone %s has started",
+            settings->name, settings->zone);
+  return scheduler;
+}
+
+void
+colt_scheduler_destroy (struct ColtScheduler *scheduler)
+{
+  if (scheduler == NULL)
+    return;
+  colt_lead_destroy (scheduler->lead);
+  scheduler->lead = NULL;
+  colt_election_destroy (scheduler->election);
+  colt_watch_destroy (scheduler->config);
+  while (scheduler->requests->len > 0)
+    end_with_ (g_ptr_array_index (scheduler->requests, 0),
+               COLT_ANSWER_UNCERTAIN, 0);
+  colt_wire_destroy (scheduler->wire);
+  if (scheduler->adviser != NULL)
+    scheduler->ports->adviser_close (scheduler->adviser);
+  event_free (scheduler->beat);
+  event_free (scheduler->stop);
+  colt_members_destroy (scheduler->members);
+  colt_counters_destroy (scheduler->counters);
+  g_hash_table_unref (scheduler->counts);
+  g_ptr_array_unref (scheduler->requests);
+  colt_fleet_unref (scheduler->fleet);
+  g_free (scheduler);
+}
+
+void
+colt_scheduler_stop (struct ColtScheduler *scheduler)
+{
+  if (scheduler->stopping)
+    return;
+  scheduler->stopping = true;
+  scheduler->stopping_us = colt_clock_monotonic_us ();
+  colt_log (COLT_LOG_INFO, MODULE, NULL, "stops; %u requests are open",
+            scheduler->requests->len);
+  colt_election_leave (scheduler->election);
+  add_timer_ (scheduler->stop, STOP_CHECK_MS);
+}
+
+static bool
+start_wire_ (struct ColtScheduler *scheduler, struct ColtError *error)
+{
+  scheduler->wire = colt_wire_create (scheduler->base, scheduler->instance,
+                                      (uint64_t)colt_clock_wall_us ());
+  colt_wire_set_handler (scheduler->wire, MESSAGE_BEAT, take_beat_, scheduler);
+  colt_wire_set_handler (scheduler->wire, MESSAGE_CALLER, take_foreign_call_,
+                         scheduler);
+  colt_wire_set_handler (scheduler->wire, MESSAGE_ADVICE, take_advice_call_,
+                         scheduler);
+  return colt_wire_listen (scheduler->wire, scheduler->settings.internal,
+                           error);
+}
+
+/* A configuration never goes back to an earlier version. */
+static void
+take_config_ (void *client, const struct ColtLogRecord *record)
+{
+  struct ColtScheduler *scheduler = client;
+  struct ColtError error = { 0 };
+  struct ColtFleet *fleet;
+
+  if (record->value == NULL)
+    return;
+  fleet = scheduler->ports->decode_fleet (scheduler->ports->adapter, record,
+                                          &error);
+  if (fleet == NULL)
+    {
+      if (error.code != COLT_ERROR_NONE)
+        colt_log_error (COLT_LOG_ERROR, MODULE, "a configuration can't be used",
+                        &error);
+      return;
+    }
+  if (scheduler->fleet != NULL && fleet->version <= scheduler->fleet->version)
+    {
+      colt_fleet_unref (fleet);
+      return;
+    }
+  colt_log (COLT_LOG_INFO, MODULE, NULL, "configuration %lld is in force",
+            (long long)fleet->version);
+  colt_fleet_unref (scheduler->fleet);
+  scheduler->fleet = fleet;
+  if (scheduler->lead != NULL)
+    colt_lead_set_fleet (scheduler->lead, fleet);
+}
+
+static void
+take_elected_ (void *client, uint64_t term)
+{
+  struct ColtScheduler *scheduler = client;
+  const struct ColtLeadClient lead_client
+      = { take_lead_fenced_, take_advise_, scheduler };
+
+  scheduler->lead = colt_lead_create (scheduler->base, scheduler->ports,
+                                      &scheduler->settings, term, &lead_client);
+  if (scheduler->fleet != NULL)
+    colt_lead_set_fleet (scheduler->lead, scheduler->fleet);
+  confirm_lead_ (scheduler, colt_clock_monotonic_us ());
+}
+
+static void
+take_deposed_ (void *client)
+{
+  struct ColtScheduler *scheduler = client;
+  struct ColtLead *lead = scheduler->lead;
+
+  scheduler->lead = NULL;
+  colt_members_clear_advice (scheduler->members);
+  colt_lead_destroy (lead);
+}
+
+static void
+take_changed_ (void *client)
+{
+  struct ColtScheduler *scheduler = client;
+
+  if (!scheduler->stopping)
+    on_beat_ (-1, 0, scheduler);
+}
+
+static void
+take_lead_fenced_ (void *client)
+{
+  struct ColtScheduler *scheduler = client;
+
+  colt_election_fenced (scheduler->election);
+}
+
+/* Calls for advice wait for each other on one instance, so they are spread
+ * over all of them. */
+static bool
+take_advise_ (void *client, const ColtAdviceCall *call)
+{
+  struct ColtScheduler *scheduler = client;
+  int64_t now_us = colt_clock_monotonic_us ();
+  uint32_t member = colt_members_take_adviser (scheduler->members, now_us);
+  struct ColtForeignCall *open;
+  uint8_t *body;
+  size_t size;
+
+  if (member == 0)
+    return false;
+  colt_counters_count (scheduler->counters,
+                       scheduler->metrics[METRIC_ADVICE_CALLS], 1);
+  open = g_new0 (struct ColtForeignCall, 1);
+  open->scheduler = scheduler;
+  open->advice = copy_advice_ (call);
+  open->origin.instance = member;
+  if (member == COLT_MEMBERS_SELF)
+    {
+      scheduler->ports->advise (
+          scheduler->adviser, call->step, (const char *const *)call->servers,
+          call->n_servers, ADVICE_TIMEOUT_MS, take_own_advice_, open);
+      return true;
+    }
+  size = colt_advice_call__get_packed_size (call);
+  body = g_malloc (size);
+  colt_advice_call__pack (call, body);
+  colt_wire_call (scheduler->wire, member, MESSAGE_ADVICE, body, size,
+                  ADVICE_TIMEOUT_MS, take_member_advice_, open);
+  g_free (body);
+  return true;
+}
+
+static void
+take_own_advice_ (void *client, const ColtAdviceReply *reply)
+{
+  struct ColtForeignCall *open = client;
+  struct ColtScheduler *scheduler = open->scheduler;
+
+  colt_members_give_adviser (scheduler->members, open->origin.instance,
+                             colt_clock_monotonic_us (), reply != NULL);
+  if (scheduler->lead != NULL)
+    colt_lead_take_advice (scheduler->lead, open->advice, reply);
+  colt_advice_call__free_unpacked (open->advice, NULL);
+  g_free (open);
+}
+
+static void
+take_member_advice_ (void *client,
+                     enum ColtWireResult result,
+                     const uint8_t *body,
+                     size_t size)
+{
+  ColtAdviceReply *reply = result == COLT_WIRE_REPLIED
+                               ? colt_advice_reply__unpack (NULL, size, body)
+                               : NULL;
+
+  take_own_advice_ (client, reply);
+  if (reply != NULL)
+    colt_advice_reply__free_unpacked (reply, NULL);
+}
+
+static ColtAdviceCall *
+copy_advice_ (const ColtAdviceCall *call)
+{
+  size_t size = colt_advice_call__get_packed_size (call);
+  uint8_t *body = g_malloc (size);
+  ColtAdviceCall *copy;
+
+  colt_advice_call__pack (call, body);
+  copy = colt_advice_call__unpack (NULL, size, body);
+  g_free (body);
+  return copy;
+}
+
+static void
+on_beat_ (evutil_socket_t fd, short what, void *arg)
+{
+  struct ColtScheduler *scheduler = arg;
+  const char *address = colt_election_lead (scheduler->election);
+  int64_t now_us = colt_clock_monotonic_us ();
+  int64_t age_us = now_us - colt_election_reached_us (scheduler->election);
+  ColtBeat beat = COLT_BEAT__INIT;
+  uint8_t body[64];
+  uint32_t lead;
+
+  (void)fd;
+  (void)what;
+  if (scheduler->lead != NULL)
+    {
+      confirm_lead_ (scheduler, now_us);
+      return;
+    }
+  if (address == NULL)
+    return;
+  lead = instance_of_ (address);
+  if (lead == scheduler->instance)
+    return;
+  colt_wire_set_peer (scheduler->wire, lead, address);
+  scheduler->lead_instance = lead;
+  beat.term = colt_election_term (scheduler->election);
+  beat.log_age_ms = (uint32_t)MIN (age_us / COLT_US_PER_MS, UINT32_MAX / 2);
+  colt_wire_call (scheduler->wire, lead, MESSAGE_BEAT, body,
+                  colt_beat__pack (&beat, body), BEAT_TIMEOUT_MS,
+                  take_beat_reply_, scheduler);
+}
+
+/* While most instances can't reach the log either, nobody can have claimed
+ * the lead. */
+static void
+confirm_lead_ (struct ColtScheduler *scheduler, int64_t now_us)
+{
+  int64_t until_us = colt_election_confirmed_us (scheduler->election);
+
+  if (colt_members_log_is_down (scheduler->members, now_us))
+    until_us = now_us;
+  colt_lead_set_confirmed (scheduler->lead, until_us);
+}
+
+static void
+take_beat_reply_ (void *client,
+                  enum ColtWireResult result,
+                  const uint8_t *body,
+                  size_t size)
+{
+  struct ColtScheduler *scheduler = client;
+  ColtBeatReply *reply;
+  size_t i;
+
+  if (result != COLT_WIRE_REPLIED)
+    return;
+  reply = colt_beat_reply__unpack (NULL, size, body);
+  if (reply == NULL)
+    return;
+  if (reply->leads)
+    g_hash_table_remove_all (scheduler->counts);
+  for (i = 0; reply->leads && i < reply->n_counts; i++)
+    g_hash_table_insert (scheduler->counts, g_strdup (reply->counts[i]->queue),
+                         GSIZE_TO_POINTER ((gsize)reply->counts[i]->waiting));
+  colt_beat_reply__free_unpacked (reply, NULL);
+}
+
+static void
+take_beat_ (void *client,
+            const struct ColtWireOrigin *origin,
+            const uint8_t *body,
+            size_t size)
+{
+  struct ColtScheduler *scheduler = client;
+  ColtBeat *beat = colt_beat__unpack (NULL, size, body);
+  ColtBeatReply reply = COLT_BEAT_REPLY__INIT;
+  GPtrArray *counts = g_ptr_array_new_with_free_func (g_free);
+  uint8_t *out;
+  guint i;
+
+  if (beat != NULL)
+    {
+      const struct in_addr ip = { htonl (origin->instance) };
+      const char *port = strrchr (scheduler->settings.internal, ':');
+      char address[COLT_ERROR_PEER_SIZE];
+
+      g_snprintf (address, sizeof address, "%s%s", inet_ntoa (ip), port);
+      colt_wire_set_peer (scheduler->wire, origin->instance, address);
+      colt_members_note (scheduler->members, origin->instance, beat->log_age_ms,
+                         colt_clock_monotonic_us ());
+      colt_beat__free_unpacked (beat, NULL);
+    }
+  reply.term = colt_election_term (scheduler->election);
+  reply.leads
+      = scheduler->lead != NULL && colt_lead_is_serving (scheduler->lead);
+  for (i = 0; reply.leads && scheduler->fleet != NULL
+              && i < scheduler->fleet->queues->len;
+       i++)
+    {
+      const struct ColtQueueConfig *queue
+          = g_ptr_array_index (scheduler->fleet->queues, i);
+      ColtQueueCount *count = g_new0 (ColtQueueCount, 1);
+
+      colt_queue_count__init (count);
+      count->queue = queue->name;
+      count->waiting
+          = colt_cell_waiting (colt_lead_cell (scheduler->lead), queue->name);
+      g_ptr_array_add (counts, count);
+    }
+  reply.n_counts = counts->len;
+  reply.counts = (ColtQueueCount **)counts->pdata;
+  out = g_malloc (colt_beat_reply__get_packed_size (&reply) + 1);
+  colt_wire_reply (scheduler->wire, origin, out,
+                   colt_beat_reply__pack (&reply, out));
+  g_free (out);
+  g_ptr_array_unref (counts);
+}
+
+static void
+take_foreign_call_ (void *client,
+                    const struct ColtWireOrigin *origin,
+                    const uint8_t *body,
+                    size_t size)
+{
+  struct ColtScheduler *scheduler = client;
+  ColtCallerCall *call = colt_caller_call__unpack (NULL, size, body);
+  struct ColtForeignCall *open = g_new0 (struct ColtForeignCall, 1);
+  ColtCallerReply again = COLT_CALLER_REPLY__INIT;
+
+  open->scheduler = scheduler;
+  open->origin = *origin;
+  if (call == NULL || scheduler->lead == NULL)
+    {
+      again.try_again = true;
+      take_foreign_reply_ (open, &again);
+    }
+  else
+    colt_lead_call (scheduler->lead, call, take_foreign_reply_, open);
+  if (call != NULL)
+    colt_caller_call__free_unpacked (call, NULL);
+}
+
+static void
+take_foreign_reply_ (void *client, const ColtCallerReply *reply)
+{
+  struct ColtForeignCall *open = client;
+  uint8_t body[64];
+
+  colt_wire_reply (open->scheduler->wire, &open->origin, body,
+                   colt_caller_reply__pack (reply, body));
+  g_free (open);
+}
+
+static void
+take_advice_call_ (void *client,
+                   const struct ColtWireOrigin *origin,
+                   const uint8_t *body,
+                   size_t size)
+{
+  struct ColtScheduler *scheduler = client;
+  ColtAdviceCall *call = colt_advice_call__unpack (NULL, size, body);
+  struct ColtForeignCall *open = g_new0 (struct ColtForeignCall, 1);
+
+  open->scheduler = scheduler;
+  open->origin = *origin;
+  if (call == NULL)
+    {
+      take_advice_ (open, NULL);
+      return;
+    }
+  scheduler->ports->advise (scheduler->adviser, call->step,
+                            (const char *const *)call->servers, call->n_servers,
+                            ADVICE_TIMEOUT_MS, take_advice_, open);
+  colt_advice_call__free_unpacked (call, NULL);
+}
+
+static void
+take_advice_ (void *client, const ColtAdviceReply *reply)
+{
+  const ColtAdviceReply none = COLT_ADVICE_REPLY__INIT;
+  struct ColtForeignCall *open = client;
+  const ColtAdviceReply *told = reply != NULL ? reply : &none;
+  uint8_t *body = g_malloc (colt_advice_reply__get_packed_size (told) + 1);
+
+  colt_wire_reply (open->scheduler->wire, &open->origin, body,
+                   colt_advice_reply__pack (told, body));
+  g_free (body);
+  g_free (open);
+}
+
+static void
+handle_ (void *client,
+         const struct ColtCallerRequest *caller,
+         struct ColtCallerHandle *handle)
+{
+  struct ColtScheduler *scheduler = client;
+  struct ColtRequest *request = g_new0 (struct ColtRequest, 1);
+  uint32_t patience_ms
+      = caller->patience_ms > 0 ? caller->patience_ms : DEFAULT_PATIENCE_MS;
+
+  colt_counters_count (scheduler->counters, scheduler->metrics[METRIC_REQUESTS],
+                       1);
+  request->scheduler = scheduler;
+  request->handle = handle;
+  request->kind = caller->kind;
+  request->host = g_strdup (caller->host);
+  request->path = g_strdup (caller->path);
+  request->key = g_strdup (caller->key);
+  request->body = g_memdup2 (caller->body, caller->size);
+  request->size = caller->size;
+  request->arrived_us = colt_clock_monotonic_us ();
+  request->deadline_us
+      = request->arrived_us
+        + (int64_t)(patience_ms - MIN (patience_ms, ANSWER_MARGIN_MS))
+              * COLT_US_PER_MS;
+  request->timer = event_new (scheduler->base, -1, 0, try_, request);
+  g_ptr_array_add (scheduler->requests, request);
+  try_ (-1, 0, request);
+}
+
+/* Each try looks at the newest configuration and the newest lead. */
+static void
+try_ (evutil_socket_t fd, short what, void *arg)
+{
+  struct ColtRequest *request = arg;
+  ColtCallerCall call = COLT_CALLER_CALL__INIT;
+  struct ColtCallerAnswer answer = { 0 };
+
+  (void)fd;
+  (void)what;
+  if (prepare_ (request, &call, &answer))
+    hand_over_ (request, &call);
+  else
+    end_ (request, &answer);
+}
+
+/* Returns false if the answer is known without the lead. */
+static bool
+prepare_ (struct ColtRequest *request,
+          ColtCallerCall *call,
+          struct ColtCallerAnswer *answer)
+{
+  struct ColtScheduler *scheduler = request->scheduler;
+  const struct ColtFleet *fleet = scheduler->fleet;
+  const struct ColtQueueConfig *queue;
+  const struct ColtOrganisation *organisation;
+  const char *id;
+
+  answer->kind = COLT_ANSWER_NOT_TAKEN;
+  answer->retry_after_ms = NO_LEAD_RETRY_AFTER_MS;
+  if (fleet == NULL)
+    return false;
+  queue = colt_fleet_route (fleet, request->host, request->path);
+  answer->kind = COLT_ANSWER_NO_QUEUE;
+  answer->retry_after_ms = 0;
+  if (queue == NULL)
+    return false;
+  organisation = colt_fleet_organisation_of (fleet, request->key);
+  answer->kind = COLT_ANSWER_UNAUTHORIZED;
+  if (organisation == NULL && !queue->open)
+    return false;
+  id = request->path + strlen (queue->prefix);
+  answer->waiting = waiting_of_ (scheduler, queue->name);
+  answer->kind = COLT_ANSWER_COUNT;
+  if (id[0] == '\0' && request->kind == COLT_CALLER_STATE)
+    return false;
+  answer->kind = request->kind == COLT_CALLER_SUBMIT ? COLT_ANSWER_INVALID
+                                                     : COLT_ANSWER_NO_JOB;
+  if (!is_id_ (id))
+    return false;
+  if (request->kind == COLT_CALLER_SUBMIT && request->spec == NULL)
+    {
+      struct ColtError error;
+
+      request->spec = scheduler->ports->decode_job (
+          scheduler->ports->adapter, request->body, request->size, &error);
+      if (request->spec == NULL)
+        {
+          colt_log_error (COLT_LOG_INFO, MODULE, "a job can't be read", &error);
+          return false;
+        }
+    }
+  call->kind = request->kind;
+  call->id = (char *)id;
+  call->organisation = organisation != NULL ? organisation->name : "";
+  call->queue = queue->name;
+  call->spec = request->spec;
+  return true;
+}
+
+static bool
+is_id_ (const char *text)
+{
+  return strlen (text) == COLT_JOB_ID_LENGTH
+         && strspn (text, "0123456789abcdefABCDEF") == COLT_JOB_ID_LENGTH;
+}
+
+static uint64_t
+waiting_of_ (const struct ColtScheduler *scheduler, const char *queue)
+{
+  if (scheduler->lead != NULL)
+    return colt_cell_waiting (colt_lead_cell (scheduler->lead), queue);
+  return GPOINTER_TO_SIZE (g_hash_table_lookup (scheduler->counts, queue));
+}
+
+static void
+hand_over_ (struct ColtRequest *request, ColtCallerCall *call)
+{
+  struct ColtScheduler *scheduler = request->scheduler;
+  const char *address = colt_election_lead (scheduler->election);
+  int64_t left_us = request->deadline_us - colt_clock_monotonic_us ();
+  uint8_t *body;
+  size_t size;
+
+  if (address == NULL || left_us <= 0)
+    {
+      try_again_ (request);
+      return;
+    }
+  call->patience_ms = (uint32_t)(left_us / COLT_US_PER_MS) + 1;
+  if (call->spec != NULL)
+    {
+      /* The strings stay the caller's, but for the time of packing. */
+      call->spec->id = call->id;
+      call->spec->organisation = call->organisation;
+      call->spec->queue = call->queue;
+    }
+  size = colt_caller_call__get_packed_size (call);
+  body = g_malloc (size);
+  colt_caller_call__pack (call, body);
+  if (call->spec != NULL)
+    {
+      call->spec->id = (char *)protobuf_c_empty_string;
+      call->spec->organisation = (char *)protobuf_c_empty_string;
+      call->spec->queue = (char *)protobuf_c_empty_string;
+    }
+  if (scheduler->lead != NULL)
+    {
+      ColtCallerCall *copy = colt_caller_call__unpack (NULL, size, body);
+
+      colt_lead_call (scheduler->lead, copy, take_lead_reply_, request);
+      colt_caller_call__free_unpacked (copy, NULL);
+    }
+  else
+    {
+      uint32_t lead = instance_of_ (address);
+
+      colt_counters_count (scheduler->counters,
+                           scheduler->metrics[METRIC_FORWARDED], 1);
+      colt_wire_set_peer (scheduler->wire, lead, address);
+      colt_wire_call (scheduler->wire, lead, MESSAGE_CALLER, body, size,
+                      MIN (CALL_TIMEOUT_MS, call->patience_ms), take_reply_,
+                      request);
+    }
+  g_free (body);
+}
+
+static void
+take_reply_ (void *client,
+             enum ColtWireResult result,
+             const uint8_t *body,
+             size_t size)
+{
+  struct ColtRequest *request = client;
+  ColtCallerReply *reply;
+
+  if (result == COLT_WIRE_TIMED_OUT || result == COLT_WIRE_BROKEN)
+    request->maybe_done = true;
+  if (result != COLT_WIRE_REPLIED)
+    {
+      try_again_ (request);
+      return;
+    }
+  reply = colt_caller_reply__unpack (NULL, size, body);
+  if (reply == NULL)
+    {
+      request->maybe_done = true;
+      try_again_ (request);
+      return;
+    }
+  take_lead_reply_ (request, reply);
+  colt_caller_reply__free_unpacked (reply, NULL);
+}
+
+static void
+take_lead_reply_ (void *client, const ColtCallerReply *reply)
+{
+  struct ColtRequest *request = client;
+  struct ColtCallerAnswer answer = { 0 };
+
+  if (reply->try_again)
+    {
+      try_again_ (request);
+      return;
+    }
+  answer.kind = (enum ColtAnswerKind)reply->answer;
+  answer.state = (enum ColtJobState)reply->state;
+  answer.retry_after_ms = reply->retry_after_ms;
+  /* An earlier try may have been taken by another lead. */
+  if (request->maybe_done && request->kind == COLT_CALLER_SUBMIT
+      && (answer.kind == COLT_ANSWER_NOT_TAKEN
+          || answer.kind == COLT_ANSWER_LIMITED))
+    answer.kind = COLT_ANSWER_UNCERTAIN;
+  end_ (request, &answer);
+}
+
+/* A request that no lead has seen is turned away soon; one that a lead may
+ * have acted on is tried while its caller waits. */
+static void
+try_again_ (struct ColtRequest *request)
+{
+  int64_t now_us = colt_clock_monotonic_us ();
+
+  if (now_us >= request->deadline_us && request->maybe_done)
+    end_with_ (request, COLT_ANSWER_UNCERTAIN, NO_LEAD_RETRY_AFTER_MS);
+  else if (!request->maybe_done
+           && now_us - request->arrived_us
+                  > NO_LEAD_PATIENCE_MS * COLT_US_PER_MS)
+    end_with_ (request, COLT_ANSWER_NOT_TAKEN, NO_LEAD_RETRY_AFTER_MS);
+  else
+    add_timer_ (request->timer, RETRY_MS);
+}
+
+static void
+end_with_ (struct ColtRequest *request,
+           enum ColtAnswerKind kind,
+           uint32_t retry_after_ms)
+{
+  struct ColtCallerAnswer answer = { 0 };
+
+  answer.kind = kind;
+  answer.retry_after_ms = retry_after_ms;
+  end_ (request, &answer);
+}
+
+static void
+end_ (struct ColtRequest *request, const struct ColtCallerAnswer *answer)
+{
+  struct ColtScheduler *scheduler = request->scheduler;
+
+  if (answer->kind == COLT_ANSWER_NOT_TAKEN
+      || answer->kind == COLT_ANSWER_LIMITED)
+    colt_counters_count (scheduler->counters,
+                         scheduler->metrics[METRIC_TURNED_AWAY], 1);
+  if (answer->kind == COLT_ANSWER_UNCERTAIN)
+    colt_counters_count (scheduler->counters,
+                         scheduler->metrics[METRIC_UNCERTAIN], 1);
+  scheduler->ports->answer (request->handle, answer);
+  g_ptr_array_remove_fast (scheduler->requests, request);
+  free_request_ (request);
+}
+
+static void
+free_request_ (struct ColtRequest *request)
+{
+  event_free (request->timer);
+  if (request->spec != NULL)
+    colt_job_spec__free_unpacked (request->spec, NULL);
+  g_free (request->host);
+  g_free (request->path);
+  g_free (request->key);
+  g_free (request->body);
+  g_free (request);
+}
+
+static bool
+is_ready_ (void *client)
+{
+  const struct ColtScheduler *scheduler = client;
+
+  return scheduler->fleet != NULL && !scheduler->stopping;
+}
+
+static char *
+describe_ (void *client, const char *path)
+{
+  struct ColtScheduler *scheduler = client;
+
+  if (strcmp (path, "/metrics") != 0)
+    return NULL;
+  colt_counters_set (scheduler->counters, scheduler->metrics[METRIC_TERM],
+                     (int64_t)colt_election_term (scheduler->election));
+  colt_counters_set (scheduler->counters, scheduler->metrics[METRIC_LEADS],
+                     scheduler->lead != NULL);
+  return colt_counters_format (scheduler->counters);
+}
+
+static void
+on_stop_ (evutil_socket_t fd, short what, void *arg)
+{
+  struct ColtScheduler *scheduler = arg;
+  int64_t since_ms
+      = (colt_clock_monotonic_us () - scheduler->stopping_us) / COLT_US_PER_MS;
+
+  (void)fd;
+  (void)what;
+  if (since_ms < STOP_SERVING_MS)
+    return;
+  scheduler->ports->stop_listening (scheduler->ports->adapter);
+  if (scheduler->requests->len == 0
+      || since_ms + STOP_MARGIN_MS > scheduler->settings.grace_ms)
+    event_base_loopbreak (scheduler->base);
+}
+
+static uint32_t
+instance_of_ (const char *address)
+{
+  char ip[COLT_ERROR_PEER_SIZE];
+  char *colon;
+  struct in_addr parsed;
+
+  g_strlcpy (ip, address, sizeof ip);
+  colon = strrchr (ip, ':');
+  if (colon != NULL)
+    *colon = '\0';
+  return inet_pton (AF_INET, ip, &parsed) == 1 ? ntohl (parsed.s_addr) : 1;
+}
+
+static void
+add_timer_ (struct event *timer, uint32_t after_ms)
+{
+  const struct timeval when
+      = { after_ms / 1000, (suseconds_t)(after_ms % 1000) * 1000 };
+
+  event_add (timer, &when);
+}
