Advice is shared among queues; configurations are read often; earlier failures count once

Ruled out: room or limits counted wrongly (dumped, equal to the runs), lost calls (all were answered), slow servers (orders take 3 ms). Calls now name all servers that may prove good, are made only if one with room isn't known to be bad, pause after calls that let nothing start, and are shared among queues.

Each failure of an earlier lead's run now counts once, whatever the order.

--- a/include/coltsfootstile/cell.h
+++ b/include/coltsfootstile/cell.h
@@ -305,6 +305,9 @@
 /** Returns how many runs a server has, or may have. */
 size_t colt_cell_runs_on (const struct ColtCell *cell, const char *server);
 
+/** Tells how many calls for advice can be open at once. */
+void colt_cell_set_advisers (struct ColtCell *cell, uint32_t count);
+
 /** Takes advice; \a answered is false if there was none. */
 void colt_cell_advised (struct ColtCell *cell,
                         const char *step,
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -48,6 +48,9 @@
   cell->pools
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_pool_);
   cell->open = g_ptr_array_new ();
+  cell->askers = g_ptr_array_new ();
+  cell->asking = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  cell->advisers = 1;
   cell->dirty = g_ptr_array_new ();
   cell->batch = g_ptr_array_new ();
   cell->scheduled = g_ptr_array_new ();
@@ -69,6 +72,8 @@
                          (GFunc)(void (*) (void))g_free, NULL);
   g_queue_clear (&cell->ended);
   g_ptr_array_unref (cell->open);
+  g_ptr_array_unref (cell->askers);
+  g_hash_table_unref (cell->asking);
   g_ptr_array_unref (cell->dirty);
   g_ptr_array_unref (cell->batch);
   g_ptr_array_unref (cell->scheduled);
--- a/src/cell/cell_jobs.c
+++ b/src/cell/cell_jobs.c
@@ -73,7 +73,10 @@
   for (i = 0; i < job->step_count; i++)
     {
       for (t = 0; t < job->steps[i].spec->count; t++)
-        g_free (job->steps[i].tasks[t].checkpoint);
+        {
+          g_free (job->steps[i].tasks[t].checkpoint);
+          g_clear_pointer (&job->steps[i].tasks[t].counted, g_array_unref);
+        }
       g_free (job->steps[i].tasks);
       g_clear_pointer (&job->steps[i].advice, g_hash_table_unref);
     }
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -2,12 +2,6 @@
 
 #include "cell_private.h"
 
-/* Runs that one lead may number for a task; the next lead's begin above. */
-#define RUNS_PER_LEAD 1000u
-/* A ticket that is about to end isn't used: an order may take this long. */
-#define TICKET_MARGIN_US (150 * COLT_US_PER_MS)
-/* Pause before advice is asked again for a step that got none it can use. */
-#define ADVICE_PAUSE_US (100 * COLT_US_PER_MS)
 /* Starts of one task that a server on probation gets at a time. */
 #define PROBATION_RUNS 1
 
@@ -17,6 +11,13 @@
   double score;
 };
 
+static const char *const hold_string_[]
+    = { "none",    "no service", "paused",     "unsettled", "limit",
+        "no room", "advice",     "no adviser", "gang" };
+
+static void hold_ (struct ColtCell *cell,
+                   struct ColtCellStep *step,
+                   enum ColtCellHold held);
 static void sweep_open_ (struct ColtCell *cell);
 static int compare_steps_ (gconstpointer a, gconstpointer b);
 static uint32_t priority_of_ (const struct ColtCellStep *step);
@@ -33,17 +34,8 @@
 static bool within_limit_ (const struct ColtCell *cell,
                            const struct ColtCellStep *step,
                            uint32_t tasks);
-static bool is_usable_ (const struct ColtCellServer *server, int64_t now_us);
-static bool allows_ (const struct ColtCellStep *step,
-                     const struct ColtCellServer *server);
-static bool fits_ (const struct ColtCellStep *step,
-                   const struct ColtCellServer *server);
 static uint32_t count_of_step_ (const struct ColtCellServer *server,
                                 const struct ColtCellStep *step);
-static const struct ColtCellAdvice *
-find_ticket_ (const struct ColtCellStep *step,
-              struct ColtCellServer *server,
-              int64_t now_us);
 static struct ColtCellServer *choose_ (const struct ColtCellStep *step,
                                        const struct ColtCellTask *task,
                                        const struct ColtCellPool *pool,
@@ -59,11 +51,6 @@
                     int64_t now_us);
 static uint32_t next_run_ (const struct ColtCell *cell,
                            const struct ColtCellTask *task);
-static void ask_advice_ (struct ColtCell *cell,
-                         struct ColtCellStep *step,
-                         struct ColtCellPool *pool,
-                         int64_t now_us);
-static int compare_choices_ (gconstpointer a, gconstpointer b);
 
 void
 colt_cell_place (struct ColtCell *cell, int64_t now_us, int64_t wall_ms)
@@ -75,60 +62,7 @@
   g_ptr_array_sort (cell->open, compare_steps_);
   for (i = 0; i < cell->open->len; i++)
     place_step_ (cell, g_ptr_array_index (cell->open, i), now_us);
-}
-
-void
-colt_cell_advised (struct ColtCell *cell,
-                   const char *step_name,
-                   const char *const *asked,
-                   size_t asked_count,
-                   const ColtAdviceReply *reply,
-                   int64_t now_us)
-{
-  struct ColtCellStep *step = colt_cell_find_step (cell, step_name);
-  size_t i;
-
-  if (step == NULL)
-    return;
-  step->advice_pending = false;
-  if (reply == NULL || !reply->answered)
-    {
-      step->advice_from_us = now_us + ADVICE_PAUSE_US;
-      return;
-    }
-  for (i = 0; i < asked_count; i++)
-    {
-      struct ColtCellServer *server = colt_cell_find_server (cell, asked[i]);
-      struct ColtCellAdvice *advice;
-
-      if (server == NULL)
-        continue;
-      advice = g_hash_table_lookup (step->advice, server);
-      if (advice == NULL)
-        {
-          advice = g_new0 (struct ColtCellAdvice, 1);
-          g_hash_table_insert (step->advice, server, advice);
-        }
-      advice->good = false;
-      advice->born_ms = server->born_ms;
-    }
-  for (i = 0; i < reply->n_tickets; i++)
-    {
-      struct ColtCellServer *server
-          = colt_cell_find_server (cell, reply->tickets[i]->server);
-      struct ColtCellAdvice *advice
-          = server != NULL ? g_hash_table_lookup (step->advice, server) : NULL;
-
-      if (advice == NULL)
-        continue;
-      advice->good = true;
-      g_free (advice->ticket);
-      advice->ticket = g_strdup (reply->tickets[i]->ticket);
-      advice->valid_until_us
-          = now_us + (int64_t)reply->valid_ms * COLT_US_PER_MS;
-    }
-  if (reply->n_tickets == 0)
-    step->advice_from_us = now_us + ADVICE_PAUSE_US;
+  colt_cell_ask_advice (cell, now_us);
 }
 
 /* Removes steps that have nothing to start. */
@@ -179,21 +113,38 @@
 place_step_ (struct ColtCell *cell, struct ColtCellStep *step, int64_t now_us)
 {
   const struct ColtQueueConfig *config = step->job->queue->config;
-  struct ColtCellPool *pool;
+  struct ColtCellPool *pool = NULL;
 
-  if (config == NULL || step->waiting == 0 || now_us < step->not_before_us
-      || (step->job->inherited && !cell->settled)
-      || colt_cell_is_ended (step->job))
+  if (step->waiting == 0 || colt_cell_is_ended (step->job))
     return;
-  pool = g_hash_table_lookup (cell->pools, config->service);
+  if (config != NULL)
+    pool = g_hash_table_lookup (cell->pools, config->service);
   if (pool == NULL)
-    return;
-  if (step->spec->gang)
+    hold_ (cell, step, HOLD_NO_SERVICE);
+  else if (now_us < step->not_before_us)
+    hold_ (cell, step, HOLD_PAUSED);
+  else if (step->job->inherited && !cell->settled)
+    hold_ (cell, step, HOLD_UNSETTLED);
+  else if (step->spec->gang)
     place_gang_ (cell, step, pool, now_us);
   else
     place_tasks_ (cell, step, pool, now_us);
 }
 
+/* The reasons why a job waits stand in the log, each once. */
+static void
+hold_ (struct ColtCell *cell, struct ColtCellStep *step, enum ColtCellHold held)
+{
+  char detail[TASK_NAME_SIZE];
+
+  if (step->held == held)
+    return;
+  step->held = held;
+  g_snprintf (detail, sizeof detail, "%u.%u: %s, %u tasks", step->occurrence,
+              step->number, hold_string_[held], step->waiting);
+  cell->ops->decided (cell->client, step->job->id, "step held", detail);
+}
+
 static void
 place_tasks_ (struct ColtCell *cell,
               struct ColtCellStep *step,
@@ -210,11 +161,14 @@
       if (task->done || task->current != NULL)
         continue;
       if (!within_limit_ (cell, step, 1))
-        return;
+        {
+          hold_ (cell, step, HOLD_LIMIT);
+          return;
+        }
       server = choose_ (step, task, pool, NULL, now_us);
       if (server == NULL)
         {
-          ask_advice_ (cell, step, pool, now_us);
+          hold_ (cell, step, colt_cell_want_advice (cell, step, pool, now_us));
           return;
         }
       start_ (cell, task, server, next_run_ (cell, task), now_us);
@@ -232,16 +186,20 @@
   uint32_t count = step->spec->count;
   struct ColtCellServer **servers;
   uint32_t number = 0;
-  uint32_t placed = 0;
+  uint32_t placed;
   uint32_t i;
 
-  if (step->live > 0)
+  if (step->live > 0 || step->done > 0)
     {
       colt_cell_stop_step (cell, step, now_us);
+      hold_ (cell, step, HOLD_GANG);
+      return;
+    }
+  if (!within_limit_ (cell, step, count))
+    {
+      hold_ (cell, step, HOLD_LIMIT);
       return;
     }
-  if (step->done > 0 || !within_limit_ (cell, step, count))
-    return;
   servers = g_new0 (struct ColtCellServer *, count);
   for (placed = 0; placed < count; placed++)
     {
@@ -258,7 +216,7 @@
     for (i = 0; i < count; i++)
       start_ (cell, &step->tasks[i], servers[i], number, now_us);
   else
-    ask_advice_ (cell, step, pool, now_us);
+    hold_ (cell, step, colt_cell_want_advice (cell, step, pool, now_us));
   g_free (servers);
 }
 
@@ -285,8 +243,8 @@
   return true;
 }
 
-static bool
-is_usable_ (const struct ColtCellServer *server, int64_t now_us)
+bool
+colt_cell_is_usable (const struct ColtCellServer *server, int64_t now_us)
 {
   if (!server->listed || !server->ready || !server->reported || server->dark
       || server->foreign > 0 || !server->in_roster)
@@ -296,8 +254,9 @@
   return server->probations == 0 || server->runs->len < PROBATION_RUNS;
 }
 
-static bool
-allows_ (const struct ColtCellStep *step, const struct ColtCellServer *server)
+bool
+colt_cell_allows (const struct ColtCellStep *step,
+                  const struct ColtCellServer *server)
 {
   const char *label = step->spec->required_label;
 
@@ -309,8 +268,9 @@
          || count_of_step_ (server, step) < step->spec->max_per_server;
 }
 
-static bool
-fits_ (const struct ColtCellStep *step, const struct ColtCellServer *server)
+bool
+colt_cell_fits (const struct ColtCellStep *step,
+                const struct ColtCellServer *server)
 {
   int r;
 
@@ -339,20 +299,6 @@
   return count;
 }
 
-static const struct ColtCellAdvice *
-find_ticket_ (const struct ColtCellStep *step,
-              struct ColtCellServer *server,
-              int64_t now_us)
-{
-  const struct ColtCellAdvice *advice
-      = g_hash_table_lookup (step->advice, server);
-
-  if (advice == NULL || !advice->good || advice->born_ms != server->born_ms
-      || advice->valid_until_us < now_us + TICKET_MARGIN_US)
-    return NULL;
-  return advice;
-}
-
 static struct ColtCellServer *
 choose_ (const struct ColtCellStep *step,
          const struct ColtCellTask *task,
@@ -369,10 +315,11 @@
       struct ColtCellServer *server = g_ptr_array_index (pool->servers, i);
       double score;
 
-      if (!is_usable_ (server, now_us) || !fits_ (step, server)
+      if (!colt_cell_is_usable (server, now_us)
+          || !colt_cell_fits (step, server)
           || (rack != NULL && g_strcmp0 (rack, server->rack) != 0)
-          || !allows_ (step, server)
-          || (advised && find_ticket_ (step, server, now_us) == NULL))
+          || !colt_cell_allows (step, server)
+          || (advised && colt_cell_find_ticket (step, server, now_us) == NULL))
         continue;
       score = score_ (step, task, server);
       if (best.server == NULL || score > best.score)
@@ -413,11 +360,14 @@
         int64_t now_us)
 {
   struct ColtCellStep *step = task->step;
-  const struct ColtCellAdvice *advice = find_ticket_ (step, server, now_us);
+  const struct ColtCellAdvice *advice
+      = colt_cell_find_ticket (step, server, now_us);
   char name[TASK_NAME_SIZE];
   struct ColtStartOrder order = { 0 };
 
   colt_cell_add_run (cell, task, server, number, now_us);
+  step->advice_calls = 0;
+  step->advice_from_us = 0;
   colt_cell_name_task (task, name);
   order.server = server->id;
   order.task = name;
@@ -431,69 +381,9 @@
 static uint32_t
 next_run_ (const struct ColtCell *cell, const struct ColtCellTask *task)
 {
-  uint32_t base
-      = task->step->job->inherited ? cell->generation * RUNS_PER_LEAD : 0;
+  uint32_t base = task->step->job->inherited
+                      ? cell->generation * COLT_CELL_RUNS_PER_LEAD
+                      : 0;
 
   return MAX (task->last_run, base) + 1;
 }
-
-/* Asks for servers that could take a task now, those known to be good first;
- * a server's fitness for a step never changes in one life of it. */
-static void
-ask_advice_ (struct ColtCell *cell,
-             struct ColtCellStep *step,
-             struct ColtCellPool *pool,
-             int64_t now_us)
-{
-  GArray *choices;
-  GPtrArray *names;
-  char name[TASK_NAME_SIZE];
-  guint i;
-
-  if (!step->job->queue->config->advised || step->advice_pending
-      || now_us < step->advice_from_us)
-    return;
-  choices = g_array_new (FALSE, FALSE, sizeof (struct ColtChoice));
-  for (i = 0; i < pool->servers->len; i++)
-    {
-      struct ColtChoice choice = { g_ptr_array_index (pool->servers, i), 0 };
-      const struct ColtCellAdvice *advice
-          = g_hash_table_lookup (step->advice, choice.server);
-      bool known = advice != NULL && advice->born_ms == choice.server->born_ms;
-
-      if (!is_usable_ (choice.server, now_us) || !allows_ (step, choice.server)
-          || !fits_ (step, choice.server) || (known && !advice->good)
-          || find_ticket_ (step, choice.server, now_us) != NULL)
-        continue;
-      choice.score = known ? 10 : 0;
-      choice.score
-          += (double)(choice.server->room.amount[COLT_RESOURCE_CORES]
-                      - choice.server->used.amount[COLT_RESOURCE_CORES])
-             / (double)(choice.server->room.amount[COLT_RESOURCE_CORES] + 1);
-      g_array_append_val (choices, choice);
-    }
-  g_array_sort (choices, compare_choices_);
-  names = g_ptr_array_new ();
-  for (i = 0; i < MIN (choices->len, cell->limits.servers_asked); i++)
-    g_ptr_array_add (names,
-                     g_array_index (choices, struct ColtChoice, i).server->id);
-  g_snprintf (name, sizeof name, "%s.%u.%u", step->job->id, step->occurrence,
-              step->number);
-  if (names->len > 0
-      && cell->ops->advise (cell->client, name,
-                            (const char *const *)names->pdata, names->len))
-    step->advice_pending = true;
-  g_ptr_array_unref (names);
-  g_array_unref (choices);
-}
-
-static int
-compare_choices_ (gconstpointer a, gconstpointer b)
-{
-  const struct ColtChoice *left = a;
-  const struct ColtChoice *right = b;
-
-  if (left->score == right->score)
-    return 0;
-  return left->score > right->score ? -1 : 1;
-}
--- a/src/cell/cell_records.c
+++ b/src/cell/cell_records.c
@@ -267,6 +267,7 @@
   task = &job->steps[s].tasks[progress->index - job->steps[s].first_index];
   task->failures = progress->failures;
   task->last_run = progress->last_run;
+  task->recorded_run = progress->last_run;
   if (progress->checkpoint[0] != '\0')
     task->checkpoint = g_strdup (progress->checkpoint);
   if (!progress->done || task->done)
--- a/src/cell/cell_runs.c
+++ b/src/cell/cell_runs.c
@@ -11,6 +11,9 @@
 #define PROBATION_US (2 * COLT_US_PER_S)
 #define PROBATIONS_DOUBLED_MAX 4
 
+static bool is_of_earlier_lead_ (const struct ColtCell *cell,
+                                 const struct ColtCellTask *task,
+                                 uint32_t number);
 static void unlink_run_ (struct ColtCellRun *run);
 static void note_end_of_server_ (struct ColtCell *cell,
                                  struct ColtCellServer *server,
@@ -90,7 +93,9 @@
       colt_cell_mark_dirty (cell, job);
       return;
     }
-  if (how == COLT_RUN_FAILED || how == COLT_RUN_DONE)
+  if (how == COLT_RUN_FAILED && is_of_earlier_lead_ (cell, task, number))
+    colt_cell_count_earlier_failure (cell, task, number, now_us);
+  else if (how == COLT_RUN_FAILED || how == COLT_RUN_DONE)
     colt_cell_count_failure (cell, task, number, now_us);
   colt_cell_mark_dirty (cell, job);
   if (colt_cell_is_ended (job))
@@ -126,6 +131,28 @@
     colt_cell_end_job (cell, job, COLT_JOB_FAILED, now_us);
 }
 
+/* Ends that an earlier lead's servers list come in any order, and each comes
+ * again until it is durable; those up to the last record are counted in it. */
+void
+colt_cell_count_earlier_failure (struct ColtCell *cell,
+                                 struct ColtCellTask *task,
+                                 uint32_t number,
+                                 int64_t now_us)
+{
+  guint i;
+
+  if (!is_of_earlier_lead_ (cell, task, number))
+    return;
+  if (task->counted == NULL)
+    task->counted = g_array_new (FALSE, FALSE, sizeof number);
+  for (i = 0; i < task->counted->len; i++)
+    if (g_array_index (task->counted, uint32_t, i) == number)
+      return;
+  g_array_append_val (task->counted, number);
+  task->last_run = MAX (task->last_run, number);
+  colt_cell_count_failure (cell, task, number, now_us);
+}
+
 void
 colt_cell_stop_run (struct ColtCell *cell,
                     struct ColtCellRun *run,
@@ -159,6 +186,15 @@
     }
 }
 
+static bool
+is_of_earlier_lead_ (const struct ColtCell *cell,
+                     const struct ColtCellTask *task,
+                     uint32_t number)
+{
+  return task->step->job->inherited && number > task->recorded_run
+         && number <= cell->generation * COLT_CELL_RUNS_PER_LEAD;
+}
+
 static void
 unlink_run_ (struct ColtCellRun *run)
 {
--- a/src/cell/cell_servers.c
+++ b/src/cell/cell_servers.c
@@ -343,8 +343,14 @@
                          now_us);
       return;
     }
-  if (task->current != NULL || entry->run <= task->last_run
-      || colt_cell_is_ended (task->step->job))
+  if (colt_cell_is_ended (task->step->job))
+    return;
+  if (entry->how == COLT_RUN_FAILED)
+    {
+      colt_cell_count_earlier_failure (cell, task, entry->run, now_us);
+      return;
+    }
+  if (task->current != NULL || entry->run <= task->last_run)
     return;
   run = adopt_ (cell, server, task, entry->run, now_us);
   colt_cell_end_run (cell, run, entry->how, entry->checkpoint, now_us);
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -10,6 +10,9 @@
 /* Size of a task's name: id, occurrence, step and index. */
 #define TASK_NAME_SIZE 64
 
+/* Runs that one lead may number for a task; the next lead's begin above. */
+#define COLT_CELL_RUNS_PER_LEAD 1000u
+
 struct ColtCellJob;
 struct ColtCellStep;
 struct ColtCellTask;
@@ -22,6 +25,7 @@
   struct ColtFleet *fleet;              /* holds config */
   bool listed;
   uint64_t waiting; /* durable jobs without a start */
+  uint32_t asking;  /* calls for advice that are open */
 };
 
 struct ColtCellOrganisation
@@ -33,6 +37,20 @@
   struct ColtResources unknown; /* may run under an earlier lead's orders */
 };
 
+/* Why a step whose turn has come doesn't start now. */
+enum ColtCellHold
+{
+  HOLD_NONE,
+  HOLD_NO_SERVICE, /* its service has no servers */
+  HOLD_PAUSED,     /* a start failed a moment ago */
+  HOLD_UNSETTLED,  /* an earlier lead's orders may still be carried out */
+  HOLD_LIMIT,      /* its organisation runs as much as it may */
+  HOLD_NO_ROOM,    /* no server that may take it has room */
+  HOLD_ADVICE,     /* advice is awaited */
+  HOLD_NO_ADVISER, /* every adviser is busy */
+  HOLD_GANG        /* an earlier run of its gang has to end first */
+};
+
 enum ColtCellRunState
 {
   RUN_STARTING, /* ordered, not confirmed */
@@ -61,7 +79,9 @@
   struct ColtCellStep *step;
   uint32_t index; /* in its step */
   uint32_t failures;
-  uint32_t last_run; /* highest run that has ended or was numbered */
+  uint32_t last_run;     /* highest run that has ended or was numbered */
+  uint32_t recorded_run; /* ends up to it are in the record that was loaded */
+  GArray *counted;       /* failures of earlier leads' runs; may be NULL */
   bool done;
   char *checkpoint;            /* NULL: none */
   struct ColtCellRun *current; /* NULL: waits, or is done */
@@ -94,8 +114,10 @@
   GHashTable *advice; /* struct ColtCellServer -> struct ColtCellAdvice */
   bool advice_pending;
   int64_t advice_from_us; /* no call for advice before this time */
+  uint32_t advice_calls;  /* without a start since, for the pause */
   int64_t not_before_us;  /* no start before this time */
   uint32_t gang_run;      /* run whose failure was counted last */
+  enum ColtCellHold held; /* at the last pass */
 };
 
 struct ColtCellJob
@@ -173,15 +195,19 @@
   GHashTable *servers;       /* id -> struct ColtCellServer */
   GHashTable *pools;         /* service -> struct ColtCellPool */
   GPtrArray *open;           /* of struct ColtCellStep */
-  GPtrArray *dirty;          /* of struct ColtCellJob */
-  GPtrArray *batch;          /* of struct ColtCellJob */
-  GPtrArray *scheduled;      /* jobs with occurrences that may not be due yet */
-  GQueue ended;              /* of struct ColtCellJob, oldest first */
+  GPtrArray *askers;         /* steps that want advice in this pass */
+  GHashTable *asking;        /* name of a step -> struct ColtCellQueue */
+  uint32_t advisers;
+  GPtrArray *dirty;     /* of struct ColtCellJob */
+  GPtrArray *batch;     /* of struct ColtCellJob */
+  GPtrArray *scheduled; /* jobs with occurrences that may not be due yet */
+  GQueue ended;         /* of struct ColtCellJob, oldest first */
   bool dirty_roster;
   bool roster_in_batch;
   bool settled;
   int64_t settled_us;
   int64_t wall_ms; /* as told last */
+  int64_t now_us;  /* of the pass */
   uint64_t next_order;
   struct ColtCellStats stats;
 };
@@ -235,6 +261,10 @@
 void colt_cell_stop_step (struct ColtCell *cell,
                           struct ColtCellStep *step,
                           int64_t now_us);
+void colt_cell_count_earlier_failure (struct ColtCell *cell,
+                                      struct ColtCellTask *task,
+                                      uint32_t run,
+                                      int64_t now_us);
 void colt_cell_count_failure (struct ColtCell *cell,
                               struct ColtCellTask *task,
                               uint32_t run,
@@ -250,6 +280,24 @@
 void colt_cell_free_server (gpointer data);
 void colt_cell_check_settled (struct ColtCell *cell, int64_t now_us);
 
+/* cell_place.c */
+bool colt_cell_is_usable (const struct ColtCellServer *server, int64_t now_us);
+bool colt_cell_allows (const struct ColtCellStep *step,
+                       const struct ColtCellServer *server);
+bool colt_cell_fits (const struct ColtCellStep *step,
+                     const struct ColtCellServer *server);
+
+/* cell_advice.c */
+const struct ColtCellAdvice *
+colt_cell_find_ticket (const struct ColtCellStep *step,
+                       struct ColtCellServer *server,
+                       int64_t now_us);
+enum ColtCellHold colt_cell_want_advice (struct ColtCell *cell,
+                                         struct ColtCellStep *step,
+                                         struct ColtCellPool *pool,
+                                         int64_t now_us);
+void colt_cell_ask_advice (struct ColtCell *cell, int64_t now_us);
+
 /* cell_records.c */
 void colt_cell_want_roster (struct ColtCell *cell,
                             struct ColtCellServer *server);
--- a/src/scheduler/election.c
+++ b/src/scheduler/election.c
@@ -13,6 +13,8 @@
 /* An answer of the log is lost after this time. */
 #define CALL_TIMEOUT_MS 700
 #define CHECK_MS 50
+/* A lead's renewals come more often than this. */
+#define READ_WAIT_MS 1500
 #define LEAD_KEY "lead"
 #define MODULE "election"
 
@@ -70,6 +72,7 @@
 {
   const struct ColtWatchClient watch_client
       = { take_record_, take_synced_, NULL };
+  const struct ColtWatchTimes times = { READ_WAIT_MS, 0 };
   const struct timeval period = { 0, CHECK_MS * 1000 };
   struct ColtElection *election = g_new0 (struct ColtElection, 1);
   struct ColtWatchClient own = watch_client;
@@ -83,7 +86,8 @@
   election->spread_us
       = (int64_t)randombytes_uniform (SPREAD_MS) * COLT_US_PER_MS;
   election->channel = ports->log_open (ports->adapter);
-  election->watch = colt_watch_create (base, ports, COLT_TOPIC_LEAD, 0, &own);
+  election->watch
+      = colt_watch_create (base, ports, COLT_TOPIC_LEAD, &times, &own);
   election->timer = event_new (base, -1, EV_PERSIST, check_, election);
   event_add (election->timer, &period);
   return election;
--- a/src/scheduler/lead.c
+++ b/src/scheduler/lead.c
@@ -11,6 +11,7 @@
 /* The servers' records are read this often: they change every second or so,
  * and draining has to be seen within two seconds. */
 #define SERVERS_PAUSE_MS 300
+#define SERVERS_WAIT_MS 1000
 /* With a batch this old, new jobs are turned away at once. */
 #define BATCH_STUCK_US (1200 * COLT_US_PER_MS)
 /* When a caller is told to come back while the log doesn't answer. */
@@ -518,6 +519,7 @@
 {
   const struct ColtWatchClient watch_client
       = { take_server_record_, take_servers_synced_, lead };
+  const struct ColtWatchTimes times = { SERVERS_WAIT_MS, SERVERS_PAUSE_MS };
   int64_t now_us = colt_clock_monotonic_us ();
   int64_t lease_ms = MIN (LEASE_MS, lead->settings->lease_max_ms);
   guint i;
@@ -540,9 +542,8 @@
                         + (lease_ms + lease_ms / 20 + SETTLE_SLACK_MS)
                               * COLT_US_PER_MS);
   lead->phase = PHASE_SERVING;
-  lead->servers
-      = colt_watch_create (lead->base, lead->ports, COLT_TOPIC_SERVERS,
-                           SERVERS_PAUSE_MS, &watch_client);
+  lead->servers = colt_watch_create (lead->base, lead->ports,
+                                     COLT_TOPIC_SERVERS, &times, &watch_client);
   colt_log (COLT_LOG_INFO, MODULE, NULL, "serves; %llu records were loaded",
             (unsigned long long)lead->loaded);
 }
--- a/src/scheduler/members.c
+++ b/src/scheduler/members.c
@@ -124,6 +124,23 @@
   return best->instance;
 }
 
+uint32_t
+colt_members_count_advisers (const struct ColtMembers *members, int64_t now_us)
+{
+  uint32_t count = 0;
+  guint i;
+
+  for (i = 0; i < members->members->len; i++)
+    {
+      const struct ColtMember *member
+          = &g_array_index (members->members, struct ColtMember, i);
+
+      if (i == 0 || now_us - member->beat_us <= FRESH_US)
+        count += ADVICE_AT_ONCE;
+    }
+  return count;
+}
+
 void
 colt_members_give_adviser (struct ColtMembers *members,
                            uint32_t instance,
--- a/src/scheduler/private/members.h
+++ b/src/scheduler/private/members.h
@@ -24,6 +24,9 @@
 /* Takes an instance that has no call for advice open; 0 if there is none. */
 uint32_t colt_members_take_adviser (struct ColtMembers *members,
                                     int64_t now_us);
+/* Returns how many calls for advice can be open at once. */
+uint32_t colt_members_count_advisers (const struct ColtMembers *members,
+                                      int64_t now_us);
 /* Its call has ended; one that failed is left out for a while. */
 void colt_members_give_adviser (struct ColtMembers *members,
                                 uint32_t instance,
--- a/src/scheduler/private/scheduler_private.h
+++ b/src/scheduler/private/scheduler_private.h
@@ -11,10 +11,6 @@
 #include "coltsfootstile/scheduler.h"
 #include "coltsfootstile/wire.h"
 
-/* Longest wait of a read for new records, in milliseconds; the log allows
- * 30,000, and a connection that went silent is noticed within this. */
-#define LOG_WAIT_MS 4000
-
 /* Kinds of messages between instances. */
 enum
 {
@@ -36,10 +32,17 @@
   void *client;
 };
 
+struct ColtWatchTimes
+{
+  uint32_t wait_ms;  /* longest wait of a read; a connection that has gone
+                        silent is noticed soon after it */
+  uint32_t pause_ms; /* between an answer with records and the next read */
+};
+
 struct ColtWatch *colt_watch_create (struct event_base *base,
                                      const struct ColtPorts *ports,
                                      enum ColtTopic topic,
-                                     uint32_t pause_ms,
+                                     const struct ColtWatchTimes *times,
                                      const struct ColtWatchClient *client);
 void colt_watch_destroy (struct ColtWatch *watch);
 /* Where the topic ended, as far as it was read. */
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -33,6 +33,9 @@
 /* Time kept of the grace for ending the process. */
 #define STOP_MARGIN_MS 700
 #define STOP_CHECK_MS 50
+/* A configuration is in force within two seconds, also when the connection
+ * it should have come by has gone silent. */
+#define CONFIG_WAIT_MS 600
 #define MODULE "scheduler"
 
 enum ColtMetric
@@ -191,6 +194,7 @@
   const struct ColtElectionClient election
       = { take_elected_, take_deposed_, take_changed_, scheduler };
   const struct ColtWatchClient config = { take_config_, NULL, scheduler };
+  const struct ColtWatchTimes times = { CONFIG_WAIT_MS, 0 };
   int i;
 
   scheduler->base = base;
@@ -216,7 +220,7 @@
     }
   scheduler->adviser = ports->adviser_open (ports->adapter);
   scheduler->config
-      = colt_watch_create (base, ports, COLT_TOPIC_OPERATOR, 0, &config);
+      = colt_watch_create (base, ports, COLT_TOPIC_OPERATOR, &times, &config);
   scheduler->election
       = colt_election_create (base, ports, &scheduler->settings, &election);
   add_timer_ (scheduler->beat, BEAT_MS);
@@ -471,6 +475,9 @@
   if (colt_members_log_is_down (scheduler->members, now_us))
     until_us = now_us;
   colt_lead_set_confirmed (scheduler->lead, until_us);
+  colt_cell_set_advisers (
+      colt_lead_cell (scheduler->lead),
+      colt_members_count_advisers (scheduler->members, now_us));
 }
 
 static void
--- a/src/scheduler/watch.c
+++ b/src/scheduler/watch.c
@@ -10,7 +10,7 @@
   struct ColtLogChannel *channel;
   struct event *timer;
   enum ColtTopic topic;
-  uint32_t pause_ms;
+  struct ColtWatchTimes times;
   struct ColtWatchClient client;
   bool synced;
   bool busy;
@@ -33,14 +33,14 @@
 colt_watch_create (struct event_base *base,
                    const struct ColtPorts *ports,
                    enum ColtTopic topic,
-                   uint32_t pause_ms,
+                   const struct ColtWatchTimes *times,
                    const struct ColtWatchClient *client)
 {
   struct ColtWatch *watch = g_new0 (struct ColtWatch, 1);
 
   watch->ports = ports;
   watch->topic = topic;
-  watch->pause_ms = pause_ms;
+  watch->times = *times;
   watch->client = *client;
   watch->channel = ports->log_open (ports->adapter);
   watch->timer = event_new (base, -1, 0, read_, watch);
@@ -107,7 +107,7 @@
   watch->busy = true;
   if (watch->synced)
     watch->ports->log_read (watch->channel, watch->topic, watch->end,
-                            LOG_WAIT_MS, take_records_, watch);
+                            watch->times.wait_ms, take_records_, watch);
   else
     watch->ports->log_newest (watch->channel, watch->topic, watch->after,
                               take_page_, watch);
@@ -164,7 +164,7 @@
       watch->end = answer->records[i].offset + 1;
       watch->client.record (watch->client.client, &answer->records[i]);
     }
-  again_ (watch, watch->pause_ms);
+  again_ (watch, answer->count > 0 ? watch->times.pause_ms : 0);
 }
 
 static bool
