--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -313,6 +313,8 @@
   GList *link = cell->ended.head;
 
   (void)wall_ms;
+  /* Steps of a job that has ended may still be listed. */
+  colt_cell_sweep_open (cell);
   while (link != NULL)
     {
       struct ColtCellJob *job = link->data;
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -18,7 +18,6 @@
 static void hold_ (struct ColtCell *cell,
                    struct ColtCellStep *step,
                    enum ColtCellHold held);
-static void sweep_open_ (struct ColtCell *cell);
 static int compare_steps_ (gconstpointer a, gconstpointer b);
 static uint32_t priority_of_ (const struct ColtCellStep *step);
 static void
@@ -58,7 +57,7 @@
   guint i;
 
   cell->wall_ms = wall_ms;
-  sweep_open_ (cell);
+  colt_cell_sweep_open (cell);
   g_ptr_array_sort (cell->open, compare_steps_);
   for (i = 0; i < cell->open->len; i++)
     place_step_ (cell, g_ptr_array_index (cell->open, i), now_us);
@@ -66,8 +65,8 @@
 }
 
 /* Removes steps that have nothing to start. */
-static void
-sweep_open_ (struct ColtCell *cell)
+void
+colt_cell_sweep_open (struct ColtCell *cell)
 {
   guint kept = 0;
   guint i;
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -281,6 +281,7 @@
 void colt_cell_check_settled (struct ColtCell *cell, int64_t now_us);
 
 /* cell_place.c */
+void colt_cell_sweep_open (struct ColtCell *cell);
 bool colt_cell_is_usable (const struct ColtCellServer *server, int64_t now_us);
 bool colt_cell_allows (const struct ColtCellStep *step,
                        const struct ColtCellServer *server);
--- a/src/scheduler/server_link.c
+++ b/src/scheduler/server_link.c
@@ -57,7 +57,9 @@
   bool has_clock;
   int64_t clock_ms;
   int64_t clock_us;
-  int64_t until_ms; /* latest end of a lease that was sent */
+  int64_t until_ms;        /* latest end of a lease that was sent */
+  int64_t look_before_ms;  /* until_ms before the look on its way */
+  int64_t order_before_ms; /* and before the order on its way */
 };
 
 static void look_ (struct ColtServerLink *link, size_t runs, int64_t now_us);
@@ -208,7 +210,9 @@
 
   look.token = link->bounds.token;
   look.taken_note = link->taken_note;
-  look.until_ms = runs > 0 ? renew_until_ms_ (link, now_us) : 0;
+  link->look_before_ms = link->until_ms;
+  if (runs > 0 && link->failures < FAILURES_TO_DARK)
+    look.until_ms = renew_until_ms_ (link, now_us);
   look.wait_ms
       = runs > 0 && link->reported && link->failures == 0 ? LOOK_WAIT_MS : 0;
   look.timeout_ms = look.wait_ms + LOOK_SLACK_MS;
@@ -266,6 +270,9 @@
 {
   int64_t pause_us = DARK_PAUSE_US << MIN (link->failures, 2);
 
+  /* What was never sent has renewed nothing. */
+  if (answer->result == COLT_START_NOT_SENT)
+    link->until_ms = link->look_before_ms;
   link->failures++;
   link->next_look_us = answer->received_us
                        + (link->failures < FAILURES_TO_DARK
@@ -367,6 +374,7 @@
                                 take_order_, link);
       return;
     }
+  link->order_before_ms = link->until_ms;
   start.server = link->id;
   start.task = order->task;
   start.run = order->run;
@@ -394,6 +402,8 @@
     forget_life_ (link);
   if (order->start)
     {
+      if (answer->result == COLT_START_NOT_SENT)
+        link->until_ms = link->order_before_ms;
       if (answer->result != COLT_START_TAKEN)
         colt_log (COLT_LOG_INFO, MODULE, NULL,
                   "start of %s run %u on %s: %s %s", order->task, order->run,
