Order of steps by objective, share and arrival

Steps now rank by whether their job can meet its objective, is beyond its organisation's rate, or comes too late; while a queue is behind, the jobs that came last go first. Durations are learned by queue, servers' slowness from the tasks of one step.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -124,6 +124,7 @@
     return COLT_SUBMIT_FULL;
   job = colt_cell_build_job (cell, spec);
   job->accepted_us = now_us;
+  job->excess = colt_cell_is_excess (job->organisation, now_us);
   job->dirty_spec = true;
   colt_cell_mark_dirty (cell, job);
   return COLT_SUBMIT_NEW;
--- a/src/cell/cell_advice.c
+++ b/src/cell/cell_advice.c
@@ -256,7 +256,7 @@
   GArray *choices;
   GPtrArray *names;
   char name[TASK_NAME_SIZE];
-  bool free_adviser;
+  bool is_free;
   guint count;
   guint i;
 
@@ -271,8 +271,12 @@
                      g_array_index (choices, struct ColtChoice, i).server->id);
   g_snprintf (name, sizeof name, "%s.%u.%u", step->job->id, step->occurrence,
               step->number);
-  step->advice_pending = cell->ops->advise (
-      cell->client, name, (const char *const *)names->pdata, names->len);
+  /* Starts later in the pass may have taken the last room. */
+  is_free = names->len == 0
+            || cell->ops->advise (cell->client, name,
+                                  (const char *const *)names->pdata,
+                                  names->len);
+  step->advice_pending = is_free && names->len > 0;
   if (step->advice_pending)
     {
       queue->asking++;
@@ -280,7 +284,7 @@
     }
   g_ptr_array_unref (names);
   g_array_unref (choices);
-  return free_adviser;
+  return is_free;
 }
 
 /* Calls that a step's queue may have open. */
--- a/src/cell/cell_jobs.c
+++ b/src/cell/cell_jobs.c
@@ -10,6 +10,7 @@
                          uint32_t number,
                          uint32_t occurrence,
                          uint32_t first_index);
+static void measure_steps_ (struct ColtCellJob *job);
 static bool may_open_ (const struct ColtCellJob *job,
                        const struct ColtCellStep *step,
                        int64_t wall_ms);
@@ -54,6 +55,7 @@
                    i / (uint32_t)spec->n_steps, index);
       index += job->steps[i].spec->count;
     }
+  measure_steps_ (job);
   job->task_count = index;
   g_hash_table_insert (cell->jobs, job->id, job);
   if (spec->repetitions > 0)
@@ -312,6 +314,39 @@
                                         free_advice_);
 }
 
+/* Steps come after those that they name, so one pass each way will do. */
+static void
+measure_steps_ (struct ColtCellJob *job)
+{
+  size_t count = job->spec->n_steps;
+  uint32_t i;
+
+  for (i = 0; i < job->step_count; i++)
+    {
+      struct ColtCellStep *step = &job->steps[i];
+      size_t a;
+
+      for (a = 0; a < step->spec->n_after; a++)
+        step->depth = MAX (
+            step->depth,
+            job->steps[step->occurrence * count + step->spec->after[a]].depth
+                + 1);
+    }
+  for (i = job->step_count; i-- > 0;)
+    {
+      struct ColtCellStep *step = &job->steps[i];
+      size_t a;
+
+      for (a = 0; a < step->spec->n_after; a++)
+        {
+          struct ColtCellStep *before
+              = &job->steps[step->occurrence * count + step->spec->after[a]];
+
+          before->height = MAX (before->height, step->height + 1);
+        }
+    }
+}
+
 static bool
 may_open_ (const struct ColtCellJob *job,
            const struct ColtCellStep *step,
--- /dev/null
+++ b/src/cell/cell_order.c
@@ -0,0 +1,169 @@
+#include <math.h>
+
+#include "cell_private.h"
+
+/* Part of a new duration in a queue's running mean: about the last fifty. */
+#define DURATION_WEIGHT 0.02
+/* Part of a new duration in a server's running slowness: about the last ten. */
+#define SLOWNESS_WEIGHT 0.1
+/* A server isn't taken for more than this many times slower or faster. */
+#define SLOWNESS_MAX 3.0
+/* Servers that one call for advice is reckoned with in an objective. */
+#define ADVISED_SERVERS 30
+/* A job that ends within this many times its objective is late, but served. */
+#define LATE_FACTOR 3
+/* An estimate of what remains is off; a job isn't given up on for less. */
+#define REMAINING_PART 0.7
+/* What an organisation may hand in at once beyond its rate: this many seconds
+ * of it. */
+#define BURST_S 2.0
+
+static int64_t chain_us_ (const struct ColtCellJob *job);
+static int64_t longest_from_ (const struct ColtCellJob *job,
+                              const struct ColtCellStep *step);
+static int64_t step_us_ (const struct ColtCellStep *step);
+static void learn_slowness_ (struct ColtCellStep *step,
+                             struct ColtCellServer *server,
+                             double duration_us);
+
+void
+colt_cell_note_duration (const struct ColtCellRun *run, int64_t now_us)
+{
+  struct ColtCellStep *step = run->task->step;
+  struct ColtCellQueue *queue = step->job->queue;
+  double duration_us = (double)(now_us - run->taken_us);
+
+  if (run->taken_us == 0 || run->resumed || duration_us <= 0)
+    return;
+  if (queue->task_us <= 0)
+    queue->task_us = duration_us;
+  queue->task_us += DURATION_WEIGHT * (duration_us - queue->task_us);
+  if (!step->spec->gang)
+    learn_slowness_ (step, run->server, duration_us);
+}
+
+double
+colt_cell_slowness (const struct ColtCellServer *server)
+{
+  return exp (server->log_slowness);
+}
+
+/* The objective of a job from its arrival: its longest chain of work on a
+ * sound server, with one call for advice a step. */
+int64_t
+colt_cell_objective_us (const struct ColtCellJob *job)
+{
+  const struct ColtQueueConfig *config = job->queue->config;
+
+  if (config == NULL)
+    return 0;
+  return (int64_t)(config->stretch * (double)chain_us_ (job))
+         + (int64_t)config->target_ms * COLT_US_PER_MS;
+}
+
+/* An organisation is owed service for as many jobs a second as its weight
+ * says; what it hands in beyond that comes after what others are owed. */
+bool
+colt_cell_is_excess (struct ColtCellOrganisation *organisation, int64_t now_us)
+{
+  double rate = organisation->weight;
+
+  if (rate <= 0)
+    return false;
+  if (organisation->credit_us == 0)
+    organisation->credit = rate * BURST_S;
+  else
+    organisation->credit
+        += rate * (double)(now_us - organisation->credit_us) / COLT_US_PER_S;
+  organisation->credit_us = now_us;
+  organisation->credit = MIN (organisation->credit, rate * BURST_S);
+  if (organisation->credit < 1)
+    return true;
+  organisation->credit -= 1;
+  return false;
+}
+
+void
+colt_cell_rank (struct ColtCellStep *step, int64_t now_us)
+{
+  struct ColtCellJob *job = step->job;
+  int64_t objective_us = colt_cell_objective_us (job);
+  int64_t age_us = now_us - job->accepted_us;
+  int64_t left_us
+      = (int64_t)(REMAINING_PART * (double)longest_from_ (job, step));
+
+  if (step->spec->lasting)
+    step->rank = RANK_LASTING;
+  else if (age_us + left_us > LATE_FACTOR * objective_us)
+    step->rank = RANK_WORTHLESS;
+  else if (age_us + left_us > objective_us)
+    step->rank = RANK_LATE;
+  else
+    step->rank = job->excess ? RANK_EXCESS : RANK_TIMELY;
+  if (step->rank == RANK_LATE && job->excess)
+    step->rank = RANK_WORTHLESS;
+  if (step->rank == RANK_LATE || step->rank == RANK_WORTHLESS)
+    job->queue->behind = true;
+}
+
+static int64_t
+chain_us_ (const struct ColtCellJob *job)
+{
+  const struct ColtQueueConfig *config = job->queue->config;
+  double advice_us
+      = config->advised
+            ? (config->advice_ms + ADVISED_SERVERS * config->advice_each_ms)
+                  * COLT_US_PER_MS
+            : 0;
+  int64_t longest_us = 0;
+  uint32_t depth = 0;
+  size_t i;
+
+  for (i = 0; i < job->spec->n_steps; i++)
+    {
+      if (job->steps[i].depth == 0)
+        longest_us = MAX (longest_us, longest_from_ (job, &job->steps[i]));
+      depth = MAX (depth, job->steps[i].depth + 1);
+    }
+  return longest_us + (int64_t)advice_us * depth;
+}
+
+/* Steps have their successors' longest chain beneath them, counted in steps. */
+static int64_t
+longest_from_ (const struct ColtCellJob *job, const struct ColtCellStep *step)
+{
+  (void)job;
+  return (int64_t)(step->height + 1) * step_us_ (step);
+}
+
+/* Until a queue's tasks are known the caller's estimate has to do. */
+static int64_t
+step_us_ (const struct ColtCellStep *step)
+{
+  const struct ColtCellQueue *queue = step->job->queue;
+
+  if (queue->task_us > 0)
+    return (int64_t)queue->task_us;
+  return (int64_t)step->spec->estimate_ms * COLT_US_PER_MS;
+}
+
+/* Tasks of one step take about the same time on equal servers: a server is
+ * slow if its tasks take longer than the step's others would there. */
+static void
+learn_slowness_ (struct ColtCellStep *step,
+                 struct ColtCellServer *server,
+                 double duration_us)
+{
+  double normal = log (duration_us) - server->log_slowness;
+
+  if (step->ended > 0)
+    {
+      double error = normal - step->log_sum / step->ended;
+
+      server->log_slowness
+          = CLAMP (server->log_slowness + SLOWNESS_WEIGHT * error,
+                   -log (SLOWNESS_MAX), log (SLOWNESS_MAX));
+    }
+  step->log_sum += normal;
+  step->ended++;
+}
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -18,6 +18,7 @@
 static void hold_ (struct ColtCell *cell,
                    struct ColtCellStep *step,
                    enum ColtCellHold held);
+static void rank_steps_ (struct ColtCell *cell, int64_t now_us);
 static int compare_steps_ (gconstpointer a, gconstpointer b);
 static uint32_t priority_of_ (const struct ColtCellStep *step);
 static void
@@ -58,6 +59,7 @@
 
   cell->wall_ms = wall_ms;
   colt_cell_sweep_open (cell);
+  rank_steps_ (cell, now_us);
   g_ptr_array_sort (cell->open, compare_steps_);
   for (i = 0; i < cell->open->len; i++)
     place_step_ (cell, g_ptr_array_index (cell->open, i), now_us);
@@ -83,6 +85,26 @@
   g_ptr_array_set_size (cell->open, (gint)kept);
 }
 
+static void
+rank_steps_ (struct ColtCell *cell, int64_t now_us)
+{
+  GHashTableIter q;
+  gpointer value;
+  guint i;
+
+  g_hash_table_iter_init (&q, cell->queues);
+  while (g_hash_table_iter_next (&q, NULL, &value))
+    ((struct ColtCellQueue *)value)->behind = false;
+  for (i = 0; i < cell->open->len; i++)
+    colt_cell_rank (g_ptr_array_index (cell->open, i), now_us);
+  g_hash_table_iter_init (&q, cell->queues);
+  while (g_hash_table_iter_next (&q, NULL, &value))
+    ((struct ColtCellQueue *)value)->was_behind
+        = ((struct ColtCellQueue *)value)->behind;
+}
+
+/* What has begun goes on; while a queue is behind, the jobs that came last
+ * have the best chance to meet their objective. */
 static int
 compare_steps_ (gconstpointer a, gconstpointer b)
 {
@@ -90,14 +112,20 @@
   const struct ColtCellStep *right = *(struct ColtCellStep *const *)b;
   uint32_t left_priority = priority_of_ (left);
   uint32_t right_priority = priority_of_ (right);
+  int order = left->job->order < right->job->order ? -1 : 1;
 
-  if (left->spec->lasting != right->spec->lasting)
-    return left->spec->lasting ? -1 : 1;
+  if (left->rank != right->rank)
+    return left->rank < right->rank ? -1 : 1;
   if (left_priority != right_priority)
     return left_priority < right_priority ? -1 : 1;
-  if (left->job->order != right->job->order)
-    return left->job->order < right->job->order ? -1 : 1;
-  return left->number < right->number ? -1 : 1;
+  if (left->job->begun != right->job->begun)
+    return left->job->begun ? -1 : 1;
+  if (left->job == right->job)
+    return left->number < right->number ? -1 : 1;
+  if (!left->job->begun && left->job->queue == right->job->queue
+      && left->job->queue->was_behind)
+    return -order;
+  return order;
 }
 
 static uint32_t
--- a/src/cell/cell_records.c
+++ b/src/cell/cell_records.c
@@ -10,7 +10,8 @@
 static bool load_spec_ (struct ColtCell *cell,
                         const uint8_t *value,
                         size_t size,
-                        int64_t now_us);
+                        int64_t now_us,
+                        int64_t wall_ms);
 static bool load_progress_ (struct ColtCell *cell,
                             const uint8_t *value,
                             size_t size,
@@ -44,7 +45,7 @@
                 int64_t wall_ms)
 {
   if (key[0] == SPEC_KEY)
-    return load_spec_ (cell, value, size, now_us);
+    return load_spec_ (cell, value, size, now_us, wall_ms);
   if (key[0] == PROGRESS_KEY)
     return load_progress_ (cell, value, size, now_us, wall_ms);
   if (strcmp (key, ROSTER_KEY) == 0)
@@ -148,7 +149,8 @@
 load_spec_ (struct ColtCell *cell,
             const uint8_t *value,
             size_t size,
-            int64_t now_us)
+            int64_t now_us,
+            int64_t wall_ms)
 {
   ColtJobSpec *spec = colt_job_spec__unpack (NULL, size, value);
   struct ColtCellJob *job;
@@ -164,7 +166,8 @@
   job = colt_cell_build_job (cell, spec);
   job->durable = true;
   job->spec_stored = true;
-  job->accepted_us = now_us;
+  job->accepted_us
+      = now_us - MAX (wall_ms - spec->accepted_wall_ms, 0) * COLT_US_PER_MS;
   return true;
 }
 
--- a/src/cell/cell_runs.c
+++ b/src/cell/cell_runs.c
@@ -42,6 +42,7 @@
   run->run = number;
   run->state = RUN_STARTING;
   run->ordered_us = now_us;
+  run->resumed = task->checkpoint != NULL;
   run->demand = step->demand;
   g_ptr_array_add (server->runs, run);
   colt_resources_add (&server->used, &run->demand);
@@ -75,6 +76,8 @@
   struct ColtCellServer *server = run->server;
   uint32_t number = run->run;
 
+  if (how == COLT_RUN_DONE)
+    colt_cell_note_duration (run, now_us);
   unlink_run_ (run);
   cell->stats.runs--;
   cell->stats.ended[how]++;
--- a/src/cell/cell_servers.c
+++ b/src/cell/cell_servers.c
@@ -182,6 +182,7 @@
       cell->stats.started++;
       if (task->current->state != RUN_STARTING)
         return;
+      task->current->taken_us = now_us;
       task->current->settled = true;
       task->current->settled_from = asked;
       return;
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -26,6 +26,9 @@
   bool listed;
   uint64_t waiting; /* durable jobs without a start */
   uint32_t asking;  /* calls for advice that are open */
+  double task_us;   /* mean duration of a task; 0: not known */
+  bool behind;      /* some of its jobs miss their objective */
+  bool was_behind;  /* at the pass before */
 };
 
 struct ColtCellOrganisation
@@ -35,6 +38,8 @@
   struct ColtResources maximum;
   struct ColtResources used;
   struct ColtResources unknown; /* may run under an earlier lead's orders */
+  double credit; /* jobs that it may hand in now within its share */
+  int64_t credit_us;
 };
 
 /* Why a step whose turn has come doesn't start now. */
@@ -51,6 +56,16 @@
   HOLD_GANG        /* an earlier run of its gang has to end first */
 };
 
+/* In which order steps get room. */
+enum ColtCellRank
+{
+  RANK_LASTING,  /* what lasts serves its own users */
+  RANK_TIMELY,   /* can meet its objective */
+  RANK_EXCESS,   /* could, but its organisation asks for more than its share */
+  RANK_LATE,     /* can't, but is of some use yet */
+  RANK_WORTHLESS /* comes too late to be of use */
+};
+
 enum ColtCellRunState
 {
   RUN_STARTING, /* ordered, not confirmed */
@@ -68,6 +83,8 @@
   bool settled;          /* the order and the stop, if any, were answered */
   uint64_t settled_from; /* a report asked for from here on tells for sure */
   int64_t ordered_us;
+  int64_t taken_us;     /* when its start was answered; 0: it wasn't */
+  bool resumed;         /* from a checkpoint */
   int64_t confirmed_us; /* 0: not seen running */
   int64_t stop_sent_us; /* 0: no stop under way */
   bool stop_answered;
@@ -105,6 +122,8 @@
   uint32_t number;
   uint32_t occurrence;
   uint32_t first_index; /* of its first task, over the whole job */
+  uint32_t depth;       /* steps before it, on the longest way */
+  uint32_t height;      /* steps after it, on the longest way */
   struct ColtCellTask *tasks;
   uint32_t waiting; /* tasks that are neither done nor have a run */
   uint32_t live;    /* tasks with a run */
@@ -118,6 +137,9 @@
   int64_t not_before_us;  /* no start before this time */
   uint32_t gang_run;      /* run whose failure was counted last */
   enum ColtCellHold held; /* at the last pass */
+  enum ColtCellRank rank; /* in this pass */
+  uint32_t ended;         /* tasks whose duration is in log_sum */
+  double log_sum;         /* of durations on a server of slowness 1 */
 };
 
 struct ColtCellJob
@@ -136,6 +158,7 @@
   bool begun;
   bool counted; /* in its queue's waiting jobs */
   bool inherited;
+  bool excess;      /* beyond its organisation's share when it came */
   bool durable;     /* its specification is */
   bool spec_stored; /* a record with it may stand in the log */
   bool dirty_spec;
@@ -171,7 +194,7 @@
   uint32_t failures_in_row;
   uint32_t probations;
   int64_t avoid_until_us;
-  uint32_t tested; /* runs allowed while it is on probation */
+  double log_slowness; /* of its duration against others' */
 };
 
 /* The servers of one service. */
@@ -299,6 +322,14 @@
                                          int64_t now_us);
 void colt_cell_ask_advice (struct ColtCell *cell, int64_t now_us);
 
+/* cell_order.c */
+void colt_cell_note_duration (const struct ColtCellRun *run, int64_t now_us);
+double colt_cell_slowness (const struct ColtCellServer *server);
+int64_t colt_cell_objective_us (const struct ColtCellJob *job);
+bool colt_cell_is_excess (struct ColtCellOrganisation *organisation,
+                          int64_t now_us);
+void colt_cell_rank (struct ColtCellStep *step, int64_t now_us);
+
 /* cell_records.c */
 void colt_cell_want_roster (struct ColtCell *cell,
                             struct ColtCellServer *server);
