Fast servers for tight objectives; advice while a job is made durable; shorter waits

Servers differ by more than two times in speed, and each job waited for the log before advice was asked, up to 60 ms for the report of an end and as long for its batch.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -127,6 +127,8 @@
   job->excess = colt_cell_is_excess (job->organisation, now_us);
   job->dirty_spec = true;
   colt_cell_mark_dirty (cell, job);
+  /* Advice can be had while the job is made durable. */
+  colt_cell_open_steps (cell, job, cell->wall_ms);
   return COLT_SUBMIT_NEW;
 }
 
@@ -146,9 +148,13 @@
 colt_cell_withdraw (struct ColtCell *cell, const char *id)
 {
   struct ColtCellJob *job = colt_cell_find_job (cell, id);
+  uint32_t i;
 
   if (job == NULL || job->durable || job->in_batch || job->spec_stored)
     return false;
+  for (i = 0; i < job->step_count; i++)
+    if (job->steps[i].open)
+      g_ptr_array_remove_fast (cell->open, &job->steps[i]);
   g_ptr_array_remove_fast (cell->dirty, job);
   g_ptr_array_remove_fast (cell->scheduled, job);
   g_queue_remove (&cell->ended, job);
--- a/src/cell/cell_advice.c
+++ b/src/cell/cell_advice.c
@@ -272,10 +272,10 @@
   g_snprintf (name, sizeof name, "%s.%u.%u", step->job->id, step->occurrence,
               step->number);
   /* Starts later in the pass may have taken the last room. */
-  is_free = names->len == 0
-            || cell->ops->advise (cell->client, name,
-                                  (const char *const *)names->pdata,
-                                  names->len);
+  is_free
+      = names->len == 0
+        || cell->ops->advise (cell->client, name,
+                              (const char *const *)names->pdata, names->len);
   step->advice_pending = is_free && names->len > 0;
   if (step->advice_pending)
     {
--- a/src/cell/cell_jobs.c
+++ b/src/cell/cell_jobs.c
@@ -142,7 +142,7 @@
 {
   uint32_t i;
 
-  if (!job->durable || colt_cell_is_ended (job))
+  if (colt_cell_is_ended (job))
     return;
   for (i = 0; i < job->step_count; i++)
     {
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -5,6 +5,10 @@
 /* Starts of one task that a server on probation gets at a time. */
 #define PROBATION_RUNS 1
 
+/* What a server's slowness counts against its fullness, for an objective of
+ * just the chain of work. */
+#define SPEED_VALUE 10.0
+
 struct ColtChoice
 {
   struct ColtCellServer *server;
@@ -152,6 +156,8 @@
     hold_ (cell, step, HOLD_PAUSED);
   else if (step->job->inherited && !cell->settled)
     hold_ (cell, step, HOLD_UNSETTLED);
+  else if (!step->job->durable)
+    hold_ (cell, step, colt_cell_want_advice (cell, step, pool, now_us));
   else if (step->spec->gang)
     place_gang_ (cell, step, pool, now_us);
   else
@@ -359,13 +365,16 @@
 }
 
 /* Prefers the data's rack, another server than the one that had the task
- * before, and the fullest server, so that room for wide tasks stays. */
+ * before, a fast server the more the tighter the objective is, and the fullest
+ * server, so that room for wide tasks stays. */
 static double
 score_ (const struct ColtCellStep *step,
         const struct ColtCellTask *task,
         const struct ColtCellServer *server)
 {
-  double score = 0;
+  double stretch = MAX (step->job->queue->config->stretch, 1);
+  double score
+      = -SPEED_VALUE / (stretch * stretch) * (colt_cell_slowness (server) - 1);
   int r;
 
   for (r = 0; r <= COLT_RESOURCE_ACCELERATORS; r++)
--- a/src/scheduler/commit.c
+++ b/src/scheduler/commit.c
@@ -1,7 +1,7 @@
 #include "scheduler_private.h"
 
 /* Changes are gathered this long, unless a caller waits for them. */
-#define LINGER_MS 60
+#define LINGER_MS 25
 /* Pause after a call that had no effect. */
 #define RETRY_MS 100
 /* An answer of the log is lost after this time. */
--- a/src/scheduler/lead.c
+++ b/src/scheduler/lead.c
@@ -7,7 +7,7 @@
 /* Shortest time between two passes of placement. */
 #define PLACE_PAUSE_MS 8
 /* Changes are made durable within this time when a caller waits. */
-#define CALLER_LINGER_MS 15
+#define CALLER_LINGER_MS 8
 /* The servers' records are read this often: they change every second or so,
  * and draining has to be seen within two seconds. */
 #define SERVERS_PAUSE_MS 300
--- a/src/scheduler/server_link.c
+++ b/src/scheduler/server_link.c
@@ -8,7 +8,7 @@
 #define LOOK_SLACK_MS 600
 /* Time between the answer of a look and the next one, in which further ends
  * gather. */
-#define LOOK_PAUSE_US (60 * COLT_US_PER_MS)
+#define LOOK_PAUSE_US (25 * COLT_US_PER_MS)
 /* Time between looks at a server that can't be reached. */
 #define DARK_PAUSE_US (300 * COLT_US_PER_MS)
 #define DARK_PAUSE_MAX_US (1200 * COLT_US_PER_MS)
