--- a/src/cell/cell_jobs.c
+++ b/src/cell/cell_jobs.c
@@ -119,8 +119,20 @@
                    enum ColtJobState state,
                    int64_t now_us)
 {
+  char detail[2 * TASK_NAME_SIZE];
   uint32_t i;
 
+  g_snprintf (detail, sizeof detail,
+              "%s after %lld ms, first start %lld ms, objective %lld ms, %s",
+              colt_job_state_string[state],
+              (long long)((now_us - job->accepted_us) / COLT_US_PER_MS),
+              (long long)(job->begun_us > 0 ? (job->begun_us - job->accepted_us)
+                                                  / COLT_US_PER_MS
+                                            : -1),
+              (long long)(job->spec != NULL
+                              ? colt_cell_objective_us (job) / COLT_US_PER_MS
+                              : 0),
+              job->queue->name);
   job->state = state;
   job->ended_us = now_us;
   job->ended_wall_ms = 0;
@@ -130,8 +142,7 @@
   g_ptr_array_remove_fast (cell->scheduled, job);
   for (i = 0; i < job->step_count; i++)
     colt_cell_stop_step (cell, &job->steps[i], now_us);
-  cell->ops->decided (cell->client, job->id, "job ended",
-                      colt_job_state_string[state]);
+  cell->ops->decided (cell->client, job->id, "job ended", detail);
 }
 
 /* Lists the steps whose turn has come. */
--- a/src/cell/cell_runs.c
+++ b/src/cell/cell_runs.c
@@ -56,6 +56,7 @@
   if (!job->begun)
     {
       job->begun = true;
+      job->begun_us = now_us;
       if (!colt_cell_is_ended (job))
         job->state = COLT_JOB_RUNNING;
       colt_cell_count_waiting (job);
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -166,6 +166,7 @@
   bool in_batch;
   bool dropped; /* its records are to be removed */
   int64_t accepted_us;
+  int64_t begun_us; /* first start under this lead; 0: none */
   int64_t ended_us;
   int64_t ended_wall_ms;
   uint64_t order; /* of arrival */
