A start is ordered once its server is on record; the roster of servers goes

A task's server now stands in the log before its start is ordered, so only tasks on record for an unreachable server wait. The roster, which held all servers ever used, is needless.

--- a/include/coltsfootstile/cell.h
+++ b/include/coltsfootstile/cell.h
@@ -340,6 +340,9 @@
 /** Returns whether something waits to be made durable. */
 bool colt_cell_is_dirty (const struct ColtCell *cell);
 
+/** Returns whether starts wait for a batch. */
+bool colt_cell_is_urgent (const struct ColtCell *cell);
+
 /** Returns whether the servers of earlier leads are accounted for. */
 bool colt_cell_is_settled (const struct ColtCell *cell);
 
--- a/include/coltsfootstile/cell.pb-c.h
+++ b/include/coltsfootstile/cell.pb-c.h
@@ -20,7 +20,6 @@
 typedef struct ColtTaskProgress ColtTaskProgress;
 typedef struct ColtJobProgress ColtJobProgress;
 typedef struct ColtLeadRecord ColtLeadRecord;
-typedef struct ColtRoster ColtRoster;
 typedef struct ColtCallerCall ColtCallerCall;
 typedef struct ColtCallerReply ColtCallerReply;
 typedef struct ColtQueueCount ColtQueueCount;
@@ -124,10 +123,14 @@
   uint32_t failures;
   uint32_t last_run;
   char *checkpoint;
+  /*
+   * it may run there; empty: nowhere
+   */
+  char *server;
 };
 #define COLT_TASK_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&colt_task_progress__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -179,20 +182,6 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
-/*
- * Backend servers that have had work and may still run it.
- */
-struct  ColtRoster
-{
-  ProtobufCMessage base;
-  size_t n_servers;
-  char **servers;
-};
-#define COLT_ROSTER__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&colt_roster__descriptor) \
-    , 0,NULL }
-
-
 /*
  * A caller's request on its way to the lead.
  */
@@ -409,25 +398,6 @@
 void   colt_lead_record__free_unpacked
                      (ColtLeadRecord *message,
                       ProtobufCAllocator *allocator);
-/* ColtRoster methods */
-void   colt_roster__init
-                     (ColtRoster         *message);
-size_t colt_roster__get_packed_size
-                     (const ColtRoster   *message);
-size_t colt_roster__pack
-                     (const ColtRoster   *message,
-                      uint8_t             *out);
-size_t colt_roster__pack_to_buffer
-                     (const ColtRoster   *message,
-                      ProtobufCBuffer     *buffer);
-ColtRoster *
-       colt_roster__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   colt_roster__free_unpacked
-                     (ColtRoster *message,
-                      ProtobufCAllocator *allocator);
 /* ColtCallerCall methods */
 void   colt_caller_call__init
                      (ColtCallerCall         *message);
@@ -597,9 +567,6 @@
 typedef void (*ColtLeadRecord_Closure)
                  (const ColtLeadRecord *message,
                   void *closure_data);
-typedef void (*ColtRoster_Closure)
-                 (const ColtRoster *message,
-                  void *closure_data);
 typedef void (*ColtCallerCall_Closure)
                  (const ColtCallerCall *message,
                   void *closure_data);
@@ -635,7 +602,6 @@
 extern const ProtobufCMessageDescriptor colt_task_progress__descriptor;
 extern const ProtobufCMessageDescriptor colt_job_progress__descriptor;
 extern const ProtobufCMessageDescriptor colt_lead_record__descriptor;
-extern const ProtobufCMessageDescriptor colt_roster__descriptor;
 extern const ProtobufCMessageDescriptor colt_caller_call__descriptor;
 extern const ProtobufCMessageDescriptor colt_caller_reply__descriptor;
 extern const ProtobufCMessageDescriptor colt_queue_count__descriptor;
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -152,6 +152,10 @@
 
   if (job == NULL || job->durable || job->in_batch || job->spec_stored)
     return false;
+  for (i = 0; i < job->step_count; i++)
+    colt_cell_stop_step (cell, &job->steps[i], job->accepted_us);
+  if (job->live > 0)
+    return false;
   for (i = 0; i < job->step_count; i++)
     if (job->steps[i].open)
       g_ptr_array_remove_fast (cell->open, &job->steps[i]);
--- a/src/cell/cell.pb-c.c
+++ b/src/cell/cell.pb-c.c
@@ -232,51 +232,6 @@
   assert(message->base.descriptor == &colt_lead_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   colt_roster__init
-                     (ColtRoster         *message)
-{
-  static const ColtRoster init_value = COLT_ROSTER__INIT;
-  *message = init_value;
-}
-size_t colt_roster__get_packed_size
-                     (const ColtRoster *message)
-{
-  assert(message->base.descriptor == &colt_roster__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t colt_roster__pack
-                     (const ColtRoster *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &colt_roster__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t colt_roster__pack_to_buffer
-                     (const ColtRoster *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &colt_roster__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-ColtRoster *
-       colt_roster__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (ColtRoster *)
-     protobuf_c_message_unpack (&colt_roster__descriptor,
-                                allocator, len, data);
-}
-void   colt_roster__free_unpacked
-                     (ColtRoster *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &colt_roster__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
 void   colt_caller_call__init
                      (ColtCallerCall         *message)
 {
@@ -1038,7 +993,7 @@
   (ProtobufCMessageInit) colt_job_spec__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor colt_task_progress__field_descriptors[5] =
+static const ProtobufCFieldDescriptor colt_task_progress__field_descriptors[6] =
 {
   {
     "index",
@@ -1100,6 +1055,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "server",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(ColtTaskProgress, server),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned colt_task_progress__field_indices_by_name[] = {
   4,   /* field[4] = checkpoint */
@@ -1107,11 +1074,12 @@
   2,   /* field[2] = failures */
   0,   /* field[0] = index */
   3,   /* field[3] = last_run */
+  5,   /* field[5] = server */
 };
 static const ProtobufCIntRange colt_task_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor colt_task_progress__descriptor =
 {
@@ -1121,7 +1089,7 @@
   "ColtTaskProgress",
   "",
   sizeof(ColtTaskProgress),
-  5,
+  6,
   colt_task_progress__field_descriptors,
   colt_task_progress__field_indices_by_name,
   1,  colt_task_progress__number_ranges,
@@ -1334,44 +1302,6 @@
   (ProtobufCMessageInit) colt_lead_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor colt_roster__field_descriptors[1] =
-{
-  {
-    "servers",
-    1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(ColtRoster, n_servers),
-    offsetof(ColtRoster, servers),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned colt_roster__field_indices_by_name[] = {
-  0,   /* field[0] = servers */
-};
-static const ProtobufCIntRange colt_roster__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
-};
-const ProtobufCMessageDescriptor colt_roster__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "ColtRoster",
-  "ColtRoster",
-  "ColtRoster",
-  "",
-  sizeof(ColtRoster),
-  1,
-  colt_roster__field_descriptors,
-  colt_roster__field_indices_by_name,
-  1,  colt_roster__number_ranges,
-  (ProtobufCMessageInit) colt_roster__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
 static const ProtobufCFieldDescriptor colt_caller_call__field_descriptors[6] =
 {
   {
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -48,11 +48,11 @@
 static double score_ (const struct ColtCellStep *step,
                       const struct ColtCellTask *task,
                       const struct ColtCellServer *server);
-static void start_ (struct ColtCell *cell,
-                    struct ColtCellTask *task,
-                    struct ColtCellServer *server,
-                    uint32_t number,
-                    int64_t now_us);
+static void plan_ (struct ColtCell *cell,
+                   struct ColtCellTask *task,
+                   struct ColtCellServer *server,
+                   uint32_t number,
+                   int64_t now_us);
 static uint32_t next_run_ (const struct ColtCell *cell,
                            const struct ColtCellTask *task);
 
@@ -154,10 +154,6 @@
     hold_ (cell, step, HOLD_NO_SERVICE);
   else if (now_us < step->not_before_us)
     hold_ (cell, step, HOLD_PAUSED);
-  else if (step->job->inherited && !cell->settled)
-    hold_ (cell, step, HOLD_UNSETTLED);
-  else if (!step->job->durable)
-    hold_ (cell, step, colt_cell_want_advice (cell, step, pool, now_us));
   else if (step->spec->gang)
     place_gang_ (cell, step, pool, now_us);
   else
@@ -193,6 +189,11 @@
 
       if (task->done || task->current != NULL)
         continue;
+      if (colt_cell_is_held (cell, task))
+        {
+          hold_ (cell, step, HOLD_UNSETTLED);
+          continue;
+        }
       if (!within_limit_ (cell, step, 1))
         {
           hold_ (cell, step, HOLD_LIMIT);
@@ -204,7 +205,7 @@
           hold_ (cell, step, colt_cell_want_advice (cell, step, pool, now_us));
           return;
         }
-      start_ (cell, task, server, next_run_ (cell, task), now_us);
+      plan_ (cell, task, server, next_run_ (cell, task), now_us);
     }
 }
 
@@ -228,6 +229,12 @@
       hold_ (cell, step, HOLD_GANG);
       return;
     }
+  for (i = 0; i < count; i++)
+    if (colt_cell_is_held (cell, &step->tasks[i]))
+      {
+        hold_ (cell, step, HOLD_UNSETTLED);
+        return;
+      }
   if (!within_limit_ (cell, step, count))
     {
       hold_ (cell, step, HOLD_LIMIT);
@@ -247,7 +254,7 @@
     colt_resources_subtract (&servers[i]->used, &step->demand);
   if (placed == count)
     for (i = 0; i < count; i++)
-      start_ (cell, &step->tasks[i], servers[i], number, now_us);
+      plan_ (cell, &step->tasks[i], servers[i], number, now_us);
   else
     hold_ (cell, step, colt_cell_want_advice (cell, step, pool, now_us));
   g_free (servers);
@@ -267,7 +274,7 @@
       int64_t wanted
           = organisation->used.amount[r] + tasks * step->demand.amount[r];
 
-      if (!cell->settled && !step->job->inherited)
+      if (!cell->settled)
         wanted += MAX (organisation->unknown.amount[r], 0);
       if (organisation->maximum.amount[r] > 0
           && wanted > organisation->maximum.amount[r])
@@ -280,7 +287,7 @@
 colt_cell_is_usable (const struct ColtCellServer *server, int64_t now_us)
 {
   if (!server->listed || !server->ready || !server->reported || server->dark
-      || server->foreign > 0 || !server->in_roster)
+      || server->foreign > 0)
     return false;
   if (now_us < server->avoid_until_us)
     return false;
@@ -388,32 +395,57 @@
   return score;
 }
 
+/* A start is ordered once a later lead would know where the task may run. */
 static void
-start_ (struct ColtCell *cell,
-        struct ColtCellTask *task,
-        struct ColtCellServer *server,
-        uint32_t number,
-        int64_t now_us)
+plan_ (struct ColtCell *cell,
+       struct ColtCellTask *task,
+       struct ColtCellServer *server,
+       uint32_t number,
+       int64_t now_us)
+{
+  colt_cell_add_run (cell, task, server, number, now_us);
+  task->held_by = NULL;
+  task->step->advice_calls = 0;
+  task->step->advice_from_us = 0;
+}
+
+void
+colt_cell_order_run (struct ColtCell *cell,
+                     struct ColtCellRun *run,
+                     int64_t now_us)
 {
+  struct ColtCellTask *task = run->task;
   struct ColtCellStep *step = task->step;
   const struct ColtCellAdvice *advice
-      = colt_cell_find_ticket (step, server, now_us);
+      = colt_cell_find_ticket (step, run->server, now_us);
   char name[TASK_NAME_SIZE];
   struct ColtStartOrder order = { 0 };
 
-  colt_cell_add_run (cell, task, server, number, now_us);
-  step->advice_calls = 0;
-  step->advice_from_us = 0;
+  if (!run->server->reported || run->server->dark || !run->server->ready
+      || (advice == NULL && step->job->queue->config->advised))
+    {
+      colt_cell_end_run (cell, run, COLT_RUN_STOPPED, NULL, now_us);
+      return;
+    }
+  run->state = RUN_STARTING;
+  run->ordered_us = now_us;
   colt_cell_name_task (task, name);
-  order.server = server->id;
+  order.server = run->server->id;
   order.task = name;
-  order.run = number;
+  order.run = run->run;
   order.payload = step->job->spec->payload;
   order.checkpoint = task->checkpoint != NULL ? task->checkpoint : "";
   order.ticket = advice != NULL ? advice->ticket : NULL;
   cell->ops->start (cell->client, &order);
 }
 
+/* An earlier lead's order for it may be carried out yet. */
+bool
+colt_cell_is_held (const struct ColtCell *cell, const struct ColtCellTask *task)
+{
+  return !cell->settled && task->held_by != NULL && task->held_by->awaited;
+}
+
 static uint32_t
 next_run_ (const struct ColtCell *cell, const struct ColtCellTask *task)
 {
--- a/src/cell/cell_records.c
+++ b/src/cell/cell_records.c
@@ -5,7 +5,6 @@
 /* Keys of records: a letter for their kind and the job's id. */
 #define SPEC_KEY 's'
 #define PROGRESS_KEY 'p'
-#define ROSTER_KEY "roster"
 
 static bool load_spec_ (struct ColtCell *cell,
                         const uint8_t *value,
@@ -17,23 +16,31 @@
                             size_t size,
                             int64_t now_us,
                             int64_t wall_ms);
-static void
-load_roster_ (struct ColtCell *cell, const uint8_t *value, size_t size);
 static void apply_progress_ (struct ColtCell *cell,
                              struct ColtCellJob *job,
                              const ColtJobProgress *progress,
                              int64_t now_us);
-static void apply_task_ (struct ColtCellJob *job,
+static void apply_task_ (struct ColtCell *cell,
+                         struct ColtCellJob *job,
                          const ColtTaskProgress *progress);
 static void count_unknown_ (struct ColtCellJob *job);
-static size_t
-add_job_records_ (GArray *records, struct ColtCellJob *job, int64_t wall_ms);
-static size_t
-add_record_ (GArray *records, char kind, const char *id, ProtobufCMessage *m);
-static size_t add_progress_ (GArray *records, const struct ColtCellJob *job);
-static size_t add_roster_ (struct ColtCell *cell, GArray *records);
+static size_t add_job_records_ (struct ColtCell *cell,
+                                GArray *records,
+                                struct ColtCellJob *job,
+                                int64_t wall_ms);
+static size_t add_record_ (GArray *records,
+                           char kind,
+                           const char *id,
+                           ProtobufCMessage *message);
+static size_t add_progress_ (struct ColtCell *cell,
+                             GArray *records,
+                             const struct ColtCellJob *job);
+static void record_run_ (struct ColtCell *cell, struct ColtCellRun *run);
 static bool has_progress_ (const struct ColtCellTask *task);
-static void commit_job_ (struct ColtCell *cell, struct ColtCellJob *job);
+static void
+commit_job_ (struct ColtCell *cell, struct ColtCellJob *job, int64_t now_us);
+static void
+order_runs_ (struct ColtCell *cell, struct ColtCellJob *job, int64_t now_us);
 static void free_record_ (gpointer data);
 
 bool
@@ -48,8 +55,6 @@
     return load_spec_ (cell, value, size, now_us, wall_ms);
   if (key[0] == PROGRESS_KEY)
     return load_progress_ (cell, value, size, now_us, wall_ms);
-  if (strcmp (key, ROSTER_KEY) == 0)
-    load_roster_ (cell, value, size);
   return true;
 }
 
@@ -82,8 +87,6 @@
   size_t bytes = 0;
 
   g_array_set_clear_func (records, free_record_);
-  if (cell->dirty_roster)
-    bytes += add_roster_ (cell, records);
   while (cell->dirty->len > 0 && bytes < bytes_max)
     {
       struct ColtCellJob *job
@@ -92,7 +95,7 @@
       job->dirty = false;
       job->in_batch = true;
       g_ptr_array_add (cell->batch, job);
-      bytes += add_job_records_ (records, job, wall_ms);
+      bytes += add_job_records_ (cell, records, job, wall_ms);
     }
   return records;
 }
@@ -106,43 +109,25 @@
 void
 colt_cell_committed (struct ColtCell *cell, int64_t now_us)
 {
+  GPtrArray *batch = cell->batch;
   guint i;
 
-  (void)now_us;
-  if (cell->roster_in_batch)
-    {
-      GHashTableIter servers;
-      gpointer value;
-
-      cell->roster_in_batch = false;
-      g_hash_table_iter_init (&servers, cell->servers);
-      while (g_hash_table_iter_next (&servers, NULL, &value))
-        {
-          struct ColtCellServer *server = value;
-
-          if (server->wants_roster)
-            server->in_roster = true;
-          server->wants_roster = false;
-        }
-    }
-  for (i = 0; i < cell->batch->len; i++)
-    commit_job_ (cell, g_ptr_array_index (cell->batch, i));
-  g_ptr_array_set_size (cell->batch, 0);
+  cell->batch = g_ptr_array_new ();
+  for (i = 0; i < batch->len; i++)
+    commit_job_ (cell, g_ptr_array_index (batch, i), now_us);
+  g_ptr_array_unref (batch);
 }
 
 bool
 colt_cell_is_dirty (const struct ColtCell *cell)
 {
-  return cell->dirty->len > 0 || cell->dirty_roster;
+  return cell->dirty->len > 0;
 }
 
-void
-colt_cell_want_roster (struct ColtCell *cell, struct ColtCellServer *server)
+bool
+colt_cell_is_urgent (const struct ColtCell *cell)
 {
-  if (server->in_roster || server->wants_roster || cell->roster_in_batch)
-    return;
-  server->wants_roster = true;
-  cell->dirty_roster = true;
+  return cell->planned > 0;
 }
 
 static bool
@@ -217,24 +202,6 @@
   return true;
 }
 
-static void
-load_roster_ (struct ColtCell *cell, const uint8_t *value, size_t size)
-{
-  ColtRoster *roster = colt_roster__unpack (NULL, size, value);
-  size_t i;
-
-  for (i = 0; roster != NULL && i < roster->n_servers; i++)
-    {
-      struct ColtCellServer *server
-          = colt_cell_get_server (cell, roster->servers[i]);
-
-      server->awaited = true;
-      server->in_roster = true;
-    }
-  if (roster != NULL)
-    colt_roster__free_unpacked (roster, NULL);
-}
-
 static void
 apply_progress_ (struct ColtCell *cell,
                  struct ColtCellJob *job,
@@ -244,12 +211,11 @@
   size_t i;
   uint32_t s;
 
-  (void)cell;
   (void)now_us;
   if (job->spec == NULL)
     return;
   for (i = 0; i < progress->n_tasks; i++)
-    apply_task_ (job, progress->tasks[i]);
+    apply_task_ (cell, job, progress->tasks[i]);
   job->steps_done = 0;
   for (s = 0; s < job->step_count; s++)
     if (job->steps[s].done == job->steps[s].spec->count)
@@ -257,7 +223,9 @@
 }
 
 static void
-apply_task_ (struct ColtCellJob *job, const ColtTaskProgress *progress)
+apply_task_ (struct ColtCell *cell,
+             struct ColtCellJob *job,
+             const ColtTaskProgress *progress)
 {
   struct ColtCellTask *task;
   uint32_t s = 0;
@@ -273,6 +241,11 @@
   task->recorded_run = progress->last_run;
   if (progress->checkpoint[0] != '\0')
     task->checkpoint = g_strdup (progress->checkpoint);
+  if (progress->server[0] != '\0' && !progress->done)
+    {
+      task->held_by = colt_cell_get_server (cell, progress->server);
+      task->held_by->awaited = true;
+    }
   if (!progress->done || task->done)
     return;
   task->done = true;
@@ -280,7 +253,7 @@
   job->steps[s].waiting--;
 }
 
-/* Tasks whose turn has come may run under an earlier lead's orders. */
+/* Tasks that may run under an earlier lead's orders. */
 static void
 count_unknown_ (struct ColtCellJob *job)
 {
@@ -288,12 +261,16 @@
   uint32_t t;
 
   for (s = 0; s < job->step_count; s++)
-    for (t = 0; job->steps[s].open && t < job->steps[s].waiting; t++)
-      colt_resources_add (&job->organisation->unknown, &job->steps[s].demand);
+    for (t = 0; t < job->steps[s].spec->count; t++)
+      if (job->steps[s].tasks[t].held_by != NULL)
+        colt_resources_add (&job->organisation->unknown, &job->steps[s].demand);
 }
 
 static size_t
-add_job_records_ (GArray *records, struct ColtCellJob *job, int64_t wall_ms)
+add_job_records_ (struct ColtCell *cell,
+                  GArray *records,
+                  struct ColtCellJob *job,
+                  int64_t wall_ms)
 {
   bool fresh = job->dirty_spec && !job->begun;
   size_t bytes = 0;
@@ -320,7 +297,7 @@
       job->spec_stored = true;
     }
   if (!fresh || colt_cell_is_ended (job))
-    bytes += add_progress_ (records, job);
+    bytes += add_progress_ (cell, records, job);
   return bytes;
 }
 
@@ -344,7 +321,9 @@
 }
 
 static size_t
-add_progress_ (GArray *records, const struct ColtCellJob *job)
+add_progress_ (struct ColtCell *cell,
+               GArray *records,
+               const struct ColtCellJob *job)
 {
   ColtJobProgress progress = COLT_JOB_PROGRESS__INIT;
   GArray *tasks = g_array_new (FALSE, FALSE, sizeof (ColtTaskProgress));
@@ -375,6 +354,13 @@
             = task->current != NULL ? task->last_run - 1 : task->last_run;
         if (task->checkpoint != NULL)
           entry.checkpoint = task->checkpoint;
+        if (task->current != NULL)
+          {
+            entry.server = task->current->server->id;
+            record_run_ (cell, task->current);
+          }
+        else if (colt_cell_is_held (cell, task))
+          entry.server = task->held_by->id;
         g_array_append_val (tasks, entry);
       }
   for (i = 0; i < tasks->len; i++)
@@ -387,48 +373,24 @@
   return bytes;
 }
 
-static size_t
-add_roster_ (struct ColtCell *cell, GArray *records)
+static void
+record_run_ (struct ColtCell *cell, struct ColtCellRun *run)
 {
-  ColtRoster roster = COLT_ROSTER__INIT;
-  GPtrArray *names = g_ptr_array_new ();
-  struct ColtCellRecord record = { 0 };
-  GHashTableIter i;
-  gpointer value;
-
-  g_hash_table_iter_init (&i, cell->servers);
-  while (g_hash_table_iter_next (&i, NULL, &value))
-    {
-      struct ColtCellServer *server = value;
-
-      if (server->wants_roster || (server->in_roster && server->listed)
-          || server->awaited || server->runs->len > 0)
-        g_ptr_array_add (names, server->id);
-      else
-        server->in_roster = false;
-    }
-  roster.n_servers = names->len;
-  roster.servers = (char **)names->pdata;
-  record.key = g_strdup (ROSTER_KEY);
-  record.size = colt_roster__get_packed_size (&roster);
-  record.value = g_malloc (record.size + 1);
-  colt_roster__pack (&roster, record.value);
-  g_array_append_val (records, record);
-  g_ptr_array_unref (names);
-  cell->dirty_roster = false;
-  cell->roster_in_batch = true;
-  return record.size;
+  if (run->state != RUN_PLANNED || run->recorded)
+    return;
+  run->recorded = true;
+  cell->planned--;
 }
 
 static bool
 has_progress_ (const struct ColtCellTask *task)
 {
-  return task->done || task->failures > 0 || task->last_run > 0
-         || task->checkpoint != NULL;
+  return task->done || task->current != NULL || task->failures > 0
+         || task->last_run > 0 || task->checkpoint != NULL;
 }
 
 static void
-commit_job_ (struct ColtCell *cell, struct ColtCellJob *job)
+commit_job_ (struct ColtCell *cell, struct ColtCellJob *job, int64_t now_us)
 {
   job->in_batch = false;
   if (job->dropped)
@@ -438,12 +400,29 @@
       return;
     }
   job->durable = true;
+  order_runs_ (cell, job, now_us);
   if (!job->dirty)
     job->shown = job->state;
   colt_cell_count_waiting (job);
   colt_cell_open_steps (cell, job, cell->wall_ms);
 }
 
+static void
+order_runs_ (struct ColtCell *cell, struct ColtCellJob *job, int64_t now_us)
+{
+  uint32_t s;
+  uint32_t t;
+
+  for (s = 0; s < job->step_count; s++)
+    for (t = 0; t < job->steps[s].spec->count; t++)
+      {
+        struct ColtCellRun *run = job->steps[s].tasks[t].current;
+
+        if (run != NULL && run->state == RUN_PLANNED && run->recorded)
+          colt_cell_order_run (cell, run, now_us);
+      }
+}
+
 static void
 free_record_ (gpointer data)
 {
--- a/src/cell/cell_runs.c
+++ b/src/cell/cell_runs.c
@@ -40,7 +40,8 @@
   run->task = task;
   run->server = server;
   run->run = number;
-  run->state = RUN_STARTING;
+  run->state = RUN_PLANNED;
+  cell->planned++;
   run->ordered_us = now_us;
   run->resumed = task->checkpoint != NULL;
   run->demand = step->demand;
@@ -53,6 +54,7 @@
   step->live++;
   job->live++;
   cell->stats.runs++;
+  colt_cell_mark_dirty (cell, job);
   if (!job->begun)
     {
       job->begun = true;
@@ -79,6 +81,8 @@
 
   if (how == COLT_RUN_DONE)
     colt_cell_note_duration (run, now_us);
+  if (run->state == RUN_PLANNED && !run->recorded)
+    cell->planned--;
   unlink_run_ (run);
   cell->stats.runs--;
   cell->stats.ended[how]++;
@@ -170,6 +174,11 @@
 {
   char name[TASK_NAME_SIZE];
 
+  if (run->state == RUN_PLANNED)
+    {
+      colt_cell_end_run (cell, run, COLT_RUN_STOPPED, NULL, now_us);
+      return;
+    }
   run->state = RUN_STOPPING;
   if (run->stop_answered
       || (run->stop_sent_us != 0
--- a/src/cell/cell_servers.c
+++ b/src/cell/cell_servers.c
@@ -151,7 +151,6 @@
   g_hash_table_unref (listed);
   server->dark = false;
   server->reported = true;
-  colt_cell_want_roster (cell, server);
   if (server->awaited)
     {
       server->awaited = false;
@@ -380,7 +379,7 @@
   g_hash_table_add (listed, run);
   if (run->confirmed_us == 0)
     run->confirmed_us = now_us;
-  if (run->state == RUN_STARTING)
+  if (run->state <= RUN_STARTING)
     run->state = RUN_RUNNING;
   if (!task->done && entry->checkpoint[0] != '\0'
       && g_strcmp0 (task->checkpoint, entry->checkpoint) != 0)
@@ -402,10 +401,11 @@
   struct ColtCellOrganisation *organisation = task->step->job->organisation;
 
   run->state = RUN_RUNNING;
+  cell->planned--;
   run->settled = true;
   run->settled_from = 0;
   run->confirmed_us = now_us;
-  if (!cell->settled && task->step->job->inherited)
+  if (!cell->settled && task->held_by != NULL)
     colt_resources_subtract (&organisation->unknown, &run->demand);
   return run;
 }
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -68,6 +68,7 @@
 
 enum ColtCellRunState
 {
+  RUN_PLANNED,  /* to be ordered once its record is durable */
   RUN_STARTING, /* ordered, not confirmed */
   RUN_RUNNING,
   RUN_STOPPING
@@ -80,6 +81,7 @@
   struct ColtCellServer *server;
   uint32_t run;
   enum ColtCellRunState state;
+  bool recorded;         /* the batch on its way has it */
   bool settled;          /* the order and the stop, if any, were answered */
   uint64_t settled_from; /* a report asked for from here on tells for sure */
   int64_t ordered_us;
@@ -103,6 +105,7 @@
   char *checkpoint;            /* NULL: none */
   struct ColtCellRun *current; /* NULL: waits, or is done */
   struct ColtCellServer *last_server;
+  struct ColtCellServer *held_by; /* an earlier lead ordered it there */
   int64_t waiting_since_us;
 };
 
@@ -184,9 +187,7 @@
   bool ready;
   bool reported; /* by this incarnation to this lead */
   bool dark;
-  bool awaited;   /* an earlier lead's work may be on it */
-  bool in_roster; /* its name is durable in the roster */
-  bool wants_roster;
+  bool awaited; /* an earlier lead's work may be on it */
   int64_t born_ms;
   struct ColtResources room;
   struct ColtResources used;
@@ -226,8 +227,7 @@
   GPtrArray *batch;     /* of struct ColtCellJob */
   GPtrArray *scheduled; /* jobs with occurrences that may not be due yet */
   GQueue ended;         /* of struct ColtCellJob, oldest first */
-  bool dirty_roster;
-  bool roster_in_batch;
+  uint32_t planned;     /* runs whose record isn't in a batch yet */
   bool settled;
   int64_t settled_us;
   int64_t wall_ms; /* as told last */
@@ -305,6 +305,11 @@
 void colt_cell_check_settled (struct ColtCell *cell, int64_t now_us);
 
 /* cell_place.c */
+void colt_cell_order_run (struct ColtCell *cell,
+                          struct ColtCellRun *run,
+                          int64_t now_us);
+bool colt_cell_is_held (const struct ColtCell *cell,
+                        const struct ColtCellTask *task);
 void colt_cell_sweep_open (struct ColtCell *cell);
 bool colt_cell_is_usable (const struct ColtCellServer *server, int64_t now_us);
 bool colt_cell_allows (const struct ColtCellStep *step,
@@ -331,8 +336,4 @@
                           int64_t now_us);
 void colt_cell_rank (struct ColtCellStep *step, int64_t now_us);
 
-/* cell_records.c */
-void colt_cell_want_roster (struct ColtCell *cell,
-                            struct ColtCellServer *server);
-
 #endif
--- a/src/scheduler/commit.c
+++ b/src/scheduler/commit.c
@@ -2,6 +2,8 @@
 
 /* Changes are gathered this long, unless a caller waits for them. */
 #define LINGER_MS 25
+/* Starts wait for their record; those of one pass of placement gather. */
+#define URGENT_LINGER_MS 2
 /* Pause after a call that had no effect. */
 #define RETRY_MS 100
 /* An answer of the log is lost after this time. */
@@ -34,6 +36,7 @@
   bool sent;        /* a call is open */
   bool failing;
   bool fenced;
+  uint32_t next_ms; /* when the batch after the one on its way is wanted */
 };
 
 static void on_timer_ (evutil_socket_t fd, short what, void *arg);
@@ -55,6 +58,7 @@
   commit->ports = ports;
   commit->cell = cell;
   commit->term = term;
+  commit->next_ms = LINGER_MS;
   commit->client = *client;
   commit->channel = ports->log_open (ports->adapter);
   commit->timer = event_new (base, -1, 0, on_timer_, commit);
@@ -86,7 +90,10 @@
   struct timeval now;
 
   if (commit->records != NULL)
-    return;
+    {
+      commit->next_ms = MIN (commit->next_ms, within_ms);
+      return;
+    }
   if (event_pending (commit->timer, EV_TIMEOUT, &due))
     {
       event_base_gettimeofday_cached (event_get_base (commit->timer), &now);
@@ -231,8 +238,11 @@
       = g_array_new (FALSE, FALSE, sizeof (struct ColtWaiter));
   tell_ (waiters, true);
   commit->client.committed (commit->client.client);
+  if (colt_cell_is_urgent (commit->cell))
+    commit->next_ms = MIN (commit->next_ms, URGENT_LINGER_MS);
   if (colt_cell_is_dirty (commit->cell) || commit->waiters->len > 0)
-    colt_commit_soon (commit, LINGER_MS);
+    colt_commit_soon (commit, commit->next_ms);
+  commit->next_ms = LINGER_MS;
 }
 
 static void
--- a/src/scheduler/lead.c
+++ b/src/scheduler/lead.c
@@ -8,6 +8,8 @@
 #define PLACE_PAUSE_MS 8
 /* Changes are made durable within this time when a caller waits. */
 #define CALLER_LINGER_MS 8
+/* Starts are made durable within this time. */
+#define PLAN_LINGER_MS 2
 /* The servers' records are read this often: they change every second or so,
  * and draining has to be seen within two seconds. */
 #define SERVERS_PAUSE_MS 300
@@ -385,6 +387,8 @@
     return;
   colt_cell_place (lead->cell, colt_clock_monotonic_us (),
                    colt_clock_wall_us () / COLT_US_PER_MS);
+  if (colt_cell_is_urgent (lead->cell))
+    colt_commit_soon (lead->commit, PLAN_LINGER_MS);
 }
 
 static void
