Servers' slowness is learned from whole steps

Dumped, every server of the pool stood at the bound of three times slower: each end was compared with the tasks of its step that had ended before it, which are the fast ones.

--- a/src/cell/cell_advice.c
+++ b/src/cell/cell_advice.c
@@ -328,6 +328,7 @@
         choice.score += 2;
       if (known)
         choice.score += 4;
+      choice.score -= MIN (colt_cell_slowness (choice.server), 2);
       g_array_append_val (choices, choice);
     }
   g_array_sort (choices, compare_choices_);
--- a/src/cell/cell_jobs.c
+++ b/src/cell/cell_jobs.c
@@ -185,6 +185,7 @@
   if (step->done < step->spec->count || colt_cell_is_ended (job))
     return;
   job->steps_done++;
+  colt_cell_note_step (step);
   if (job->steps_done == job->step_count)
     colt_cell_end_job (cell, job, COLT_JOB_COMPLETED, now_us);
   else
--- a/src/cell/cell_order.c
+++ b/src/cell/cell_order.c
@@ -22,9 +22,7 @@
 static int64_t longest_from_ (const struct ColtCellJob *job,
                               const struct ColtCellStep *step);
 static int64_t step_us_ (const struct ColtCellStep *step);
-static void learn_slowness_ (struct ColtCellStep *step,
-                             struct ColtCellServer *server,
-                             double duration_us);
+static void learn_slowness_ (struct ColtCellStep *step);
 
 void
 colt_cell_note_duration (const struct ColtCellRun *run, int64_t now_us)
@@ -38,8 +36,14 @@
   if (queue->task_us <= 0)
     queue->task_us = duration_us;
   queue->task_us += DURATION_WEIGHT * (duration_us - queue->task_us);
+  run->task->duration_us = now_us - run->taken_us;
+}
+
+void
+colt_cell_note_step (struct ColtCellStep *step)
+{
   if (!step->spec->gang)
-    learn_slowness_ (step, run->server, duration_us);
+    learn_slowness_ (step);
 }
 
 double
@@ -148,22 +152,32 @@
 }
 
 /* Tasks of one step take about the same time on equal servers: a server is
- * slow if its tasks take longer than the step's others would there. */
+ * slow if its tasks take longer than the step's others would there. Only whole
+ * steps are compared, as those that end first aren't the mean of all. */
 static void
-learn_slowness_ (struct ColtCellStep *step,
-                 struct ColtCellServer *server,
-                 double duration_us)
+learn_slowness_ (struct ColtCellStep *step)
 {
-  double normal = log (duration_us) - server->log_slowness;
-
-  if (step->ended > 0)
-    {
-      double error = normal - step->log_sum / step->ended;
-
-      server->log_slowness
-          = CLAMP (server->log_slowness + SLOWNESS_WEIGHT * error,
-                   -log (SLOWNESS_MAX), log (SLOWNESS_MAX));
-    }
-  step->log_sum += normal;
-  step->ended++;
+  uint32_t count = step->spec->count;
+  double sum = 0;
+  uint32_t known = 0;
+  uint32_t i;
+
+  for (i = 0; i < count; i++)
+    if (step->tasks[i].duration_us > 0)
+      {
+        sum += log ((double)step->tasks[i].duration_us)
+               - step->tasks[i].last_server->log_slowness;
+        known++;
+      }
+  for (i = 0; i < count && known > 1; i++)
+    if (step->tasks[i].duration_us > 0)
+      {
+        struct ColtCellServer *server = step->tasks[i].last_server;
+        double error = log ((double)step->tasks[i].duration_us)
+                       - server->log_slowness - sum / known;
+
+        server->log_slowness
+            = CLAMP (server->log_slowness + SLOWNESS_WEIGHT * error,
+                     -log (SLOWNESS_MAX), log (SLOWNESS_MAX));
+      }
 }
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -7,7 +7,7 @@
 
 /* What a server's slowness counts against its fullness, for an objective of
  * just the chain of work. */
-#define SPEED_VALUE 10.0
+#define SPEED_VALUE 30.0
 
 struct ColtChoice
 {
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -107,6 +107,7 @@
   struct ColtCellServer *last_server;
   struct ColtCellServer *held_by; /* an earlier lead ordered it there */
   int64_t waiting_since_us;
+  int64_t duration_us; /* of its run that was done; 0: not known */
 };
 
 /* Which server may run a step. */
@@ -141,8 +142,6 @@
   uint32_t gang_run;      /* run whose failure was counted last */
   enum ColtCellHold held; /* at the last pass */
   enum ColtCellRank rank; /* in this pass */
-  uint32_t ended;         /* tasks whose duration is in log_sum */
-  double log_sum;         /* of durations on a server of slowness 1 */
 };
 
 struct ColtCellJob
@@ -330,6 +329,7 @@
 
 /* cell_order.c */
 void colt_cell_note_duration (const struct ColtCellRun *run, int64_t now_us);
+void colt_cell_note_step (struct ColtCellStep *step);
 double colt_cell_slowness (const struct ColtCellServer *server);
 int64_t colt_cell_objective_us (const struct ColtCellJob *job);
 bool colt_cell_is_excess (struct ColtCellOrganisation *organisation,
