A silent lead is replaced sooner, one that has ended at once

Instances now claim after 1.5 s of silence, and after 0.6 s if the lead's process refuses connections or answers that it doesn't lead (a cut is silent, so it doesn't look like that).

--- a/include/coltsfootstile/cell.pb-c.h
+++ b/include/coltsfootstile/cell.pb-c.h
@@ -258,13 +258,17 @@
 {
   ProtobufCMessage base;
   uint64_t term;
+  /*
+   * and has its jobs loaded
+   */
   protobuf_c_boolean leads;
   size_t n_counts;
   ColtQueueCount **counts;
+  protobuf_c_boolean is_lead;
 };
 #define COLT_BEAT_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&colt_beat_reply__descriptor) \
-    , 0, 0, 0,NULL }
+    , 0, 0, 0,NULL, 0 }
 
 
 struct  ColtAdviceCall
--- a/src/cell/cell.pb-c.c
+++ b/src/cell/cell.pb-c.c
@@ -1597,7 +1597,7 @@
   (ProtobufCMessageInit) colt_beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor colt_beat_reply__field_descriptors[3] =
+static const ProtobufCFieldDescriptor colt_beat_reply__field_descriptors[4] =
 {
   {
     "term",
@@ -1635,16 +1635,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "is_lead",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(ColtBeatReply, is_lead),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned colt_beat_reply__field_indices_by_name[] = {
   2,   /* field[2] = counts */
+  3,   /* field[3] = is_lead */
   1,   /* field[1] = leads */
   0,   /* field[0] = term */
 };
 static const ProtobufCIntRange colt_beat_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor colt_beat_reply__descriptor =
 {
@@ -1654,7 +1667,7 @@
   "ColtBeatReply",
   "",
   sizeof(ColtBeatReply),
-  3,
+  4,
   colt_beat_reply__field_descriptors,
   colt_beat_reply__field_indices_by_name,
   1,  colt_beat_reply__number_ranges,
--- a/src/scheduler/election.c
+++ b/src/scheduler/election.c
@@ -4,14 +4,16 @@
 #include "scheduler_private.h"
 
 /* How often the claim is renewed. */
-#define RENEW_US (400 * COLT_US_PER_MS)
+#define RENEW_US (300 * COLT_US_PER_MS)
 /* Time without a renewal after which another instance claims the next term;
- * allows for three renewals that are lost in a row. */
-#define SILENCE_US (2000 * COLT_US_PER_MS)
+ * allows for two renewals that are lost in a row. */
+#define SILENCE_US (1500 * COLT_US_PER_MS)
+/* The same, when the lead's process has closed its connections. */
+#define SUSPECT_SILENCE_US (600 * COLT_US_PER_MS)
 /* Instances that see the silence at the same time spread their claims. */
-#define SPREAD_MS 300
+#define SPREAD_MS 200
 /* An answer of the log is lost after this time. */
-#define CALL_TIMEOUT_MS 700
+#define CALL_TIMEOUT_MS 500
 #define CHECK_MS 50
 /* A lead's renewals come more often than this. */
 #define READ_WAIT_MS 1500
@@ -44,6 +46,7 @@
   bool fenced;
   bool busy;
   bool vacant;
+  bool suspect;    /* the lead's process seems to have ended */
   int64_t end;     /* where the topic must end for an append */
   int64_t seen_us; /* last sign of the lead */
   int64_t spread_us;
@@ -124,6 +127,12 @@
   election->fenced = true;
 }
 
+void
+colt_election_suspect (struct ColtElection *election, bool suspect)
+{
+  election->suspect = suspect;
+}
+
 bool
 colt_election_leads (const struct ColtElection *election)
 {
@@ -179,6 +188,8 @@
     changed = false;
   else
     {
+      if (lead->term > election->term)
+        election->suspect = false;
       election->term = lead->term;
       election->vacant = lead->vacant;
       g_strlcpy (election->lead_name, lead->instance,
@@ -237,7 +248,9 @@
   quiet_from_us = MAX (election->seen_us, steady_us);
   if (election->vacant || election->term == 0)
     quiet_from_us -= SILENCE_US;
-  if (now_us - quiet_from_us < SILENCE_US + election->spread_us)
+  if (now_us - quiet_from_us
+      < (election->suspect ? SUSPECT_SILENCE_US : SILENCE_US)
+            + election->spread_us)
     return;
   colt_log (COLT_LOG_INFO, MODULE, NULL, "term %llu is claimed: %s",
             (unsigned long long)(election->term + 1),
--- a/src/scheduler/private/scheduler_private.h
+++ b/src/scheduler/private/scheduler_private.h
@@ -79,6 +79,8 @@
 void colt_election_leave (struct ColtElection *election);
 /* A later term was seen somewhere. */
 void colt_election_fenced (struct ColtElection *election);
+/* Whether the lead's process seems to have ended; a claim comes sooner then. */
+void colt_election_suspect (struct ColtElection *election, bool suspect);
 bool colt_election_leads (const struct ColtElection *election);
 uint64_t colt_election_term (const struct ColtElection *election);
 /* ADDRESS:PORT of the lead; NULL when there is none. */
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -8,7 +8,7 @@
 #include "scheduler_private.h"
 
 /* Period of telling the lead that this instance is there. */
-#define BEAT_MS 400
+#define BEAT_MS 250
 /* A beat without an answer is lost after this time. */
 #define BEAT_TIMEOUT_MS 800
 /* Pause before a caller's request is handed to the lead again. */
@@ -490,11 +490,16 @@
   ColtBeatReply *reply;
   size_t i;
 
+  /* A cut is silent; a process that has ended refuses connections, or has
+   * been started again and doesn't lead. */
+  if (result == COLT_WIRE_NOT_SENT || result == COLT_WIRE_BROKEN)
+    colt_election_suspect (scheduler->election, true);
   if (result != COLT_WIRE_REPLIED)
     return;
   reply = colt_beat_reply__unpack (NULL, size, body);
   if (reply == NULL)
     return;
+  colt_election_suspect (scheduler->election, !reply->is_lead);
   if (reply->leads)
     g_hash_table_remove_all (scheduler->counts);
   for (i = 0; reply->leads && i < reply->n_counts; i++)
@@ -529,6 +534,7 @@
       colt_beat__free_unpacked (beat, NULL);
     }
   reply.term = colt_election_term (scheduler->election);
+  reply.is_lead = scheduler->lead != NULL;
   reply.leads
       = scheduler->lead != NULL && colt_lead_is_serving (scheduler->lead);
   for (i = 0; reply.leads && scheduler->fleet != NULL
