--- a/src/cell/cell_records.c
+++ b/src/cell/cell_records.c
@@ -385,8 +385,9 @@
 static bool
 has_progress_ (const struct ColtCellTask *task)
 {
-  return task->done || task->current != NULL || task->failures > 0
-         || task->last_run > 0 || task->checkpoint != NULL;
+  return task->done || task->current != NULL || task->held_by != NULL
+         || task->failures > 0 || task->last_run > 0
+         || task->checkpoint != NULL;
 }
 
 static void
--- a/src/test_cell/test_cell.c
+++ b/src/test_cell/test_cell.c
@@ -89,6 +89,20 @@
   play (&plan);
 }
 
+/* A lead that follows before the one before it knew all servers. */
+static void
+test_lead_changes_in_cuts (void)
+{
+  const struct ColtWorldPlan plan = { .seed = 24,
+                                      .servers = 5,
+                                      .jobs = 60,
+                                      .steps = 1500,
+                                      .cuts = 0.004,
+                                      .lead_changes = 0.01 };
+
+  play (&plan);
+}
+
 static void
 test_everything (void)
 {
@@ -117,6 +131,8 @@
   g_test_add_func ("/cell/world/crashing-servers", test_crashing_servers);
   g_test_add_func ("/cell/world/cut-servers", test_cut_servers);
   g_test_add_func ("/cell/world/lead-changes", test_lead_changes);
+  g_test_add_func ("/cell/world/lead-changes-in-cuts",
+                   test_lead_changes_in_cuts);
   g_test_add_func ("/cell/world/everything", test_everything);
   return g_test_run ();
 }
