Stronger instances lead

A claim now waits the longer the weaker the instance, and a lead yields to one in touch that is twice as strong. Ruled out: the store (its calls were answered in time).

--- a/include/coltsfootstile/cell.pb-c.h
+++ b/include/coltsfootstile/cell.pb-c.h
@@ -248,10 +248,11 @@
    * since the log was last reached
    */
   uint32_t log_age_ms;
+  uint32_t strength_milli;
 };
 #define COLT_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&colt_beat__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 struct  ColtBeatReply
--- a/include/coltsfootstile/scheduler.h
+++ b/include/coltsfootstile/scheduler.h
@@ -25,6 +25,9 @@
   const char *name;
   const char *zone;
   const char *internal; /**< IP:PORT for the other instances */
+  /** How much work it can lead: the cores it may use, bounded by its link;
+   * above 0. */
+  double strength;
   uint32_t lease_max_ms;
   uint32_t stop_ms;
   uint32_t status_s;
--- a/src/cell/cell.pb-c.c
+++ b/src/cell/cell.pb-c.c
@@ -1533,7 +1533,7 @@
   (ProtobufCMessageInit) colt_queue_count__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor colt_beat__field_descriptors[3] =
+static const ProtobufCFieldDescriptor colt_beat__field_descriptors[4] =
 {
   {
     "term",
@@ -1571,16 +1571,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "strength_milli",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ColtBeat, strength_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned colt_beat__field_indices_by_name[] = {
   2,   /* field[2] = log_age_ms */
   1,   /* field[1] = log_reached */
+  3,   /* field[3] = strength_milli */
   0,   /* field[0] = term */
 };
 static const ProtobufCIntRange colt_beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor colt_beat__descriptor =
 {
@@ -1590,7 +1603,7 @@
   "ColtBeat",
   "",
   sizeof(ColtBeat),
-  3,
+  4,
   colt_beat__field_descriptors,
   colt_beat__field_indices_by_name,
   1,  colt_beat__number_ranges,
--- a/src/coltsfootstile/cell_main.c
+++ b/src/coltsfootstile/cell_main.c
@@ -14,6 +14,11 @@
 #define MODULE "daemon"
 /* Where the settings are when no file is named. */
 #define SETTINGS_VARIABLE "COLTSFOOTSTILE_NODE_FILE"
+/* Bandwidth that a lead with a whole core makes use of. */
+#define LEAD_LINK_MBPS 100.0
+
+/* Stands for a share or bandwidth that can't be read. */
+#define NUMBER_LEAST 0.01
 
 /* Exit statuses. */
 enum
@@ -37,6 +42,12 @@
           "availability zone of this instance" },
         { "instance", "internal", COLT_SETTING_ADDRESS, NULL, 0, 0, false,
           "listens here for the other instances" },
+        { "instance", "cpu_share", COLT_SETTING_STRING, "1", 0, 0, false,
+          "part of a core that this instance may use, a decimal number" },
+        { "instance", "cores", COLT_SETTING_STRING, "1", 0, 0, false,
+          "cores of that share, a decimal number" },
+        { "instance", "link_mbps", COLT_SETTING_STRING, "1000", 0, 0, false,
+          "bandwidth of this instance's link in Mbit/s, a decimal number" },
         { "listen", "callers", COLT_SETTING_ADDRESS, NULL, 0, 0, false,
           "listens here for callers" },
         { "listen", "readiness", COLT_SETTING_ADDRESS, NULL, 0, 0, false,
@@ -65,6 +76,17 @@
 static void fill_ (const struct ColtSettings *settings,
                    struct ColtSchedulerSettings *scheduler,
                    struct ColtAdapterSettings *adapter);
+/* A number that makes no sense stands for a weak instance. */
+static double
+number_ (const struct ColtSettings *settings, const char *key)
+{
+  double value
+      = g_ascii_strtod (colt_settings_string (settings, "instance", key), NULL);
+
+  return value > 0 ? value : NUMBER_LEAST;
+}
+
+static double number_ (const struct ColtSettings *settings, const char *key);
 static void take_stop_ (evutil_socket_t number, short what, void *arg);
 static void take_reload_ (evutil_socket_t number, short what, void *arg);
 
@@ -155,6 +177,9 @@
   scheduler->name = colt_settings_string (settings, "instance", "name");
   scheduler->zone = colt_settings_string (settings, "instance", "zone");
   scheduler->internal = colt_settings_string (settings, "instance", "internal");
+  scheduler->strength
+      = MIN (number_ (settings, "cpu_share") * number_ (settings, "cores"),
+             number_ (settings, "link_mbps") / LEAD_LINK_MBPS);
   scheduler->lease_max_ms
       = (uint32_t)colt_settings_integer (settings, "bounds", "lease_max_ms");
   scheduler->stop_ms
--- a/src/scheduler/election.c
+++ b/src/scheduler/election.c
@@ -11,7 +11,11 @@
 /* The same, when the lead's process has closed its connections. */
 #define SUSPECT_SILENCE_US (600 * COLT_US_PER_MS)
 /* Instances that see the silence at the same time spread their claims. */
-#define SPREAD_MS 200
+#define SPREAD_MS 100
+/* Stronger instances claim first: an instance with one core waits this long,
+ * one with less longer. */
+#define STRENGTH_MS 30.0
+#define STRENGTH_DELAY_MAX_MS 600.0
 /* An answer of the log is lost after this time. */
 #define CALL_TIMEOUT_MS 500
 #define CHECK_MS 50
@@ -46,6 +50,7 @@
   bool fenced;
   bool busy;
   bool vacant;
+  bool yields;     /* leaves the lead to a stronger instance */
   bool suspect;    /* the lead's process seems to have ended */
   int64_t end;     /* where the topic must end for an append */
   int64_t seen_us; /* last sign of the lead */
@@ -64,6 +69,7 @@
 static void take_renewal_ (void *client, const struct ColtLogAnswer *answer);
 static void take_claim_ (void *client, const struct ColtLogAnswer *answer);
 static void take_leave_ (void *client, const struct ColtLogAnswer *answer);
+static int64_t claim_delay_us_ (const struct ColtElection *election);
 static void become_lead_ (struct ColtElection *election, uint64_t term);
 static void step_down_ (struct ColtElection *election);
 
@@ -86,8 +92,7 @@
   election->client = *client;
   election->incarnation = (uint64_t)colt_clock_wall_us ();
   election->seen_us = colt_clock_monotonic_us ();
-  election->spread_us
-      = (int64_t)randombytes_uniform (SPREAD_MS) * COLT_US_PER_MS;
+  election->spread_us = claim_delay_us_ (election);
   election->channel = ports->log_open (ports->adapter);
   election->watch
       = colt_watch_create (base, ports, COLT_TOPIC_LEAD, &times, &own);
@@ -121,6 +126,17 @@
     election->role = ROLE_GONE;
 }
 
+void
+colt_election_yield (struct ColtElection *election)
+{
+  if (election->role != ROLE_LEAD)
+    return;
+  colt_log (COLT_LOG_INFO, MODULE, NULL,
+            "leaves the lead to a stronger instance");
+  election->yields = true;
+  colt_election_leave (election);
+}
+
 void
 colt_election_fenced (struct ColtElection *election)
 {
@@ -320,8 +336,7 @@
   struct ColtElection *election = client;
 
   election->busy = false;
-  election->spread_us
-      = (int64_t)randombytes_uniform (SPREAD_MS) * COLT_US_PER_MS;
+  election->spread_us = claim_delay_us_ (election);
   if (answer->outcome == COLT_LOG_DONE)
     {
       election->end = MAX (election->end, answer->end);
@@ -344,7 +359,19 @@
   if (election->role != ROLE_LEAVING)
     return;
   step_down_ (election);
-  election->role = ROLE_GONE;
+  if (!election->yields)
+    election->role = ROLE_GONE;
+  election->yields = false;
+}
+
+static int64_t
+claim_delay_us_ (const struct ColtElection *election)
+{
+  double delay_ms
+      = MIN (STRENGTH_MS / election->settings->strength, STRENGTH_DELAY_MAX_MS);
+
+  return ((int64_t)delay_ms + (int64_t)randombytes_uniform (SPREAD_MS))
+         * COLT_US_PER_MS;
 }
 
 static void
--- a/src/scheduler/members.c
+++ b/src/scheduler/members.c
@@ -21,6 +21,7 @@
   uint32_t instance;
   int64_t beat_us;
   uint32_t log_age_ms;
+  double strength;
   uint32_t advising;
   int64_t avoid_until_us;
   int64_t advised_us;
@@ -59,6 +60,7 @@
 colt_members_note (struct ColtMembers *members,
                    uint32_t instance,
                    uint32_t log_age_ms,
+                   double strength,
                    int64_t now_us)
 {
   struct ColtMember *member = find_ (members, instance);
@@ -72,6 +74,25 @@
     }
   member->beat_us = now_us;
   member->log_age_ms = log_age_ms;
+  member->strength = strength;
+}
+
+double
+colt_members_strongest (const struct ColtMembers *members, int64_t now_us)
+{
+  double strongest = 0;
+  guint i;
+
+  for (i = 1; i < members->members->len; i++)
+    {
+      const struct ColtMember *member
+          = &g_array_index (members->members, struct ColtMember, i);
+
+      if (now_us - member->beat_us <= FRESH_US
+          && member->log_age_ms < LOG_DOWN_MS)
+        strongest = MAX (strongest, member->strength);
+    }
+  return strongest;
 }
 
 bool
--- a/src/scheduler/private/members.h
+++ b/src/scheduler/private/members.h
@@ -16,7 +16,11 @@
 void colt_members_note (struct ColtMembers *members,
                         uint32_t instance,
                         uint32_t log_age_ms,
+                        double strength,
                         int64_t now_us);
+/* Strength of the strongest member in touch that reaches the log. */
+double colt_members_strongest (const struct ColtMembers *members,
+                               int64_t now_us);
 /* Whether most known instances are in touch and none of these reaches the
  * log. */
 bool colt_members_log_is_down (const struct ColtMembers *members,
--- a/src/scheduler/private/scheduler_private.h
+++ b/src/scheduler/private/scheduler_private.h
@@ -77,6 +77,8 @@
 void colt_election_destroy (struct ColtElection *election);
 /* Gives up the lead, or stops taking part. */
 void colt_election_leave (struct ColtElection *election);
+/* Gives up the lead, to be claimed by whoever is stronger. */
+void colt_election_yield (struct ColtElection *election);
 /* A later term was seen somewhere. */
 void colt_election_fenced (struct ColtElection *election);
 /* Whether the lead's process seems to have ended; a claim comes sooner then. */
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -36,6 +36,10 @@
 /* A configuration is in force within two seconds, also when the connection
  * it should have come by has gone silent. */
 #define CONFIG_WAIT_MS 600
+/* A lead yields to an instance this many times stronger, once it has led this
+ * long. */
+#define YIELD_FACTOR 2.0
+#define YIELD_AFTER_US (2 * COLT_US_PER_S)
 #define MODULE "scheduler"
 
 enum ColtMetric
@@ -77,6 +81,7 @@
   GHashTable *counts;  /* queue -> waiting jobs, as the lead told */
   GPtrArray *requests; /* of struct ColtRequest */
   uint32_t lead_instance;
+  int64_t elected_us;
   bool stopping;
   int64_t stopping_us;
 };
@@ -126,7 +131,22 @@
 static void take_lead_fenced_ (void *client);
 static bool take_advise_ (void *client, const ColtAdviceCall *call);
 static void on_beat_ (evutil_socket_t fd, short what, void *arg);
+static void yield_if_weak_ (struct ColtScheduler *scheduler, int64_t now_us);
 static void confirm_lead_ (struct ColtScheduler *scheduler, int64_t now_us);
+/* A change of the lead costs less than a second; a weak lead costs more the
+ * whole time. */
+static void
+yield_if_weak_ (struct ColtScheduler *scheduler, int64_t now_us)
+{
+  if (!colt_lead_is_serving (scheduler->lead)
+      || !colt_cell_is_settled (colt_lead_cell (scheduler->lead))
+      || now_us - scheduler->elected_us < YIELD_AFTER_US)
+    return;
+  if (colt_members_strongest (scheduler->members, now_us)
+      >= YIELD_FACTOR * scheduler->settings.strength)
+    colt_election_yield (scheduler->election);
+}
+
 static void take_beat_reply_ (void *client,
                               enum ColtWireResult result,
                               const uint8_t *body,
@@ -324,7 +344,8 @@
                                       &scheduler->settings, term, &lead_client);
   if (scheduler->fleet != NULL)
     colt_lead_set_fleet (scheduler->lead, scheduler->fleet);
-  confirm_lead_ (scheduler, colt_clock_monotonic_us ());
+  scheduler->elected_us = colt_clock_monotonic_us ();
+  confirm_lead_ (scheduler, scheduler->elected_us);
 }
 
 static void
@@ -449,6 +470,7 @@
   if (scheduler->lead != NULL)
     {
       confirm_lead_ (scheduler, now_us);
+      yield_if_weak_ (scheduler, now_us);
       return;
     }
   if (address == NULL)
@@ -459,6 +481,7 @@
   colt_wire_set_peer (scheduler->wire, lead, address);
   scheduler->lead_instance = lead;
   beat.term = colt_election_term (scheduler->election);
+  beat.strength_milli = (uint32_t)(scheduler->settings.strength * 1000);
   beat.log_age_ms = (uint32_t)MIN (age_us / COLT_US_PER_MS, UINT32_MAX / 2);
   colt_wire_call (scheduler->wire, lead, MESSAGE_BEAT, body,
                   colt_beat__pack (&beat, body), BEAT_TIMEOUT_MS,
@@ -530,6 +553,7 @@
       g_snprintf (address, sizeof address, "%s%s", inet_ntoa (ip), port);
       colt_wire_set_peer (scheduler->wire, origin->instance, address);
       colt_members_note (scheduler->members, origin->instance, beat->log_age_ms,
+                         beat->strength_milli / 1000.0,
                          colt_clock_monotonic_us ());
       colt_beat__free_unpacked (beat, NULL);
     }
