A lead that the log turns away is replaced at once; callers come back after a second; fewer looks at servers with lax work

Cause: a lead whose calls the log refuses (platform_down for its machine) stayed for 1.5 s, since its connections stood; callers were told to come back after two seconds, of the three that they have.

--- a/include/coltsfootstile/cell.h
+++ b/include/coltsfootstile/cell.h
@@ -308,6 +308,9 @@
 /** Tells how many calls for advice can be open at once. */
 void colt_cell_set_advisers (struct ColtCell *cell, uint32_t count);
 
+/** Returns whether a server runs work with little time beyond its chain. */
+bool colt_cell_is_tight (const struct ColtCell *cell, const char *server);
+
 /** Takes advice; \a answered is false if there was none. */
 void colt_cell_advised (struct ColtCell *cell,
                         const char *step,
--- a/include/coltsfootstile/cell.pb-c.h
+++ b/include/coltsfootstile/cell.pb-c.h
@@ -265,6 +265,9 @@
   protobuf_c_boolean leads;
   size_t n_counts;
   ColtQueueCount **counts;
+  /*
+   * and the log takes its renewals
+   */
   protobuf_c_boolean is_lead;
 };
 #define COLT_BEAT_REPLY__INIT \
--- a/src/cell/cell_order.c
+++ b/src/cell/cell_order.c
@@ -17,6 +17,8 @@
 /* What an organisation may hand in at once beyond its rate: this many seconds
  * of it. */
 #define BURST_S 2.0
+/* With an objective of this many times its chain of work a job has time. */
+#define LAX_STRETCH 3.0
 
 static int64_t chain_us_ (const struct ColtCellJob *job);
 static int64_t longest_from_ (const struct ColtCellJob *job,
@@ -110,6 +112,26 @@
     job->queue->behind = true;
 }
 
+bool
+colt_cell_is_tight (const struct ColtCell *cell, const char *id)
+{
+  const struct ColtCellServer *server = colt_cell_find_server (cell, id);
+  guint i;
+
+  for (i = 0; server != NULL && i < server->runs->len; i++)
+    {
+      const struct ColtCellRun *run = g_ptr_array_index (server->runs, i);
+      const struct ColtCellStep *step = run->task->step;
+      const struct ColtQueueConfig *config = step->job->queue->config;
+
+      if (run->state == RUN_STOPPING
+          || (!step->spec->lasting && config != NULL
+              && config->stretch < LAX_STRETCH))
+        return true;
+    }
+  return false;
+}
+
 static int64_t
 chain_us_ (const struct ColtCellJob *job)
 {
--- a/src/scheduler/election.c
+++ b/src/scheduler/election.c
@@ -50,6 +50,7 @@
   bool fenced;
   bool busy;
   bool vacant;
+  bool refused;    /* the log turned away the last renewal */
   bool yields;     /* leaves the lead to a stronger instance */
   bool suspect;    /* the lead's process seems to have ended */
   int64_t end;     /* where the topic must end for an append */
@@ -149,6 +150,12 @@
   election->suspect = suspect;
 }
 
+bool
+colt_election_is_refused (const struct ColtElection *election)
+{
+  return election->refused;
+}
+
 bool
 colt_election_leads (const struct ColtElection *election)
 {
@@ -315,6 +322,7 @@
   struct ColtElection *election = client;
 
   election->busy = false;
+  election->refused = answer->outcome == COLT_LOG_NOT_DONE;
   if (answer->outcome == COLT_LOG_DONE)
     {
       election->confirmed_us = answer->sent_us;
@@ -380,6 +388,7 @@
   election->role = ROLE_LEAD;
   election->term = term;
   election->vacant = false;
+  election->refused = false;
   election->sent_us = 0;
   if (election->confirmed_us == 0)
     election->confirmed_us = colt_clock_monotonic_us ();
--- a/src/scheduler/lead.c
+++ b/src/scheduler/lead.c
@@ -17,7 +17,7 @@
 /* With a batch this old, new jobs are turned away at once. */
 #define BATCH_STUCK_US (1200 * COLT_US_PER_MS)
 /* When a caller is told to come back while the log doesn't answer. */
-#define LOG_RETRY_AFTER_MS 2000
+#define LOG_RETRY_AFTER_MS 1000
 /* When a caller is told to come back while the cell is full. */
 #define FULL_RETRY_AFTER_MS 5000
 /* Time kept of a caller's patience for the answer's way. */
@@ -134,6 +134,7 @@
 static void take_fenced_ (void *client, struct ColtServerLink *link);
 static int64_t renewable_until_us_ (void *client);
 static size_t runs_on_ (void *client, const char *server);
+static bool is_tight_ (void *client, const char *server);
 static void take_committed_ (void *client);
 static void take_log_fenced_ (void *client);
 static void take_ends_durable_ (void *client, bool durable);
@@ -598,9 +599,9 @@
   struct ColtLead *lead = client;
   struct ColtServerLink *link = g_hash_table_lookup (lead->links, entry->id);
   const struct ColtServerLinkClient link_client
-      = { take_report_,        take_started_, take_stopped_,
-          take_dark_,          take_emptied_, take_fenced_,
-          renewable_until_us_, runs_on_,      lead };
+      = { take_report_,  take_started_, take_stopped_,       take_dark_,
+          take_emptied_, take_fenced_,  renewable_until_us_, runs_on_,
+          is_tight_,     lead };
   const struct ColtServerLinkBounds bounds
       = { lead->term, MIN (LEASE_MS, lead->settings->lease_max_ms) };
 
@@ -742,6 +743,14 @@
   return colt_cell_runs_on (lead->cell, server);
 }
 
+static bool
+is_tight_ (void *client, const char *server)
+{
+  const struct ColtLead *lead = client;
+
+  return colt_cell_is_tight (lead->cell, server);
+}
+
 static void
 take_committed_ (void *client)
 {
--- a/src/scheduler/private/scheduler_private.h
+++ b/src/scheduler/private/scheduler_private.h
@@ -83,6 +83,8 @@
 void colt_election_fenced (struct ColtElection *election);
 /* Whether the lead's process seems to have ended; a claim comes sooner then. */
 void colt_election_suspect (struct ColtElection *election, bool suspect);
+/* Whether the log turned away the last renewal. */
+bool colt_election_is_refused (const struct ColtElection *election);
 bool colt_election_leads (const struct ColtElection *election);
 uint64_t colt_election_term (const struct ColtElection *election);
 /* ADDRESS:PORT of the lead; NULL when there is none. */
@@ -150,6 +152,8 @@
   /* Until when leases may be renewed, on the monotonic clock. */
   int64_t (*renewable_until_us) (void *client);
   size_t (*runs_on) (void *client, const char *server);
+  /* Whether it runs something whose end is waited for. */
+  bool (*is_tight) (void *client, const char *server);
   void *client;
 };
 
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -18,9 +18,9 @@
 /* How long a request waits for a lead before it is turned away: a lead that
  * stops in good order is replaced within this. */
 #define NO_LEAD_PATIENCE_MS 350
-/* When a caller is told to come back while there is no lead: a silent lead is
- * replaced within this. */
-#define NO_LEAD_RETRY_AFTER_MS 1500
+/* When a caller is told to come back while there is no lead: one that has ended
+ * is replaced within this, a silent one soon after. */
+#define NO_LEAD_RETRY_AFTER_MS 1000
 /* Time kept of a caller's patience for the answer's way. */
 #define ANSWER_MARGIN_MS 150
 #define DEFAULT_PATIENCE_MS 3000
@@ -558,7 +558,8 @@
       colt_beat__free_unpacked (beat, NULL);
     }
   reply.term = colt_election_term (scheduler->election);
-  reply.is_lead = scheduler->lead != NULL;
+  reply.is_lead = scheduler->lead != NULL
+                  && !colt_election_is_refused (scheduler->election);
   reply.leads
       = scheduler->lead != NULL && colt_lead_is_serving (scheduler->lead);
   for (i = 0; reply.leads && scheduler->fleet != NULL
--- a/src/scheduler/server_link.c
+++ b/src/scheduler/server_link.c
@@ -7,8 +7,9 @@
 /* A look counts as lost this long after it should have been answered. */
 #define LOOK_SLACK_MS 600
 /* Time between the answer of a look and the next one, in which further ends
- * gather. */
+ * gather: for a server that runs what is tight, and for others. */
 #define LOOK_PAUSE_US (25 * COLT_US_PER_MS)
+#define LAX_LOOK_PAUSE_US (150 * COLT_US_PER_MS)
 /* Time between looks at a server that can't be reached. */
 #define DARK_PAUSE_US (300 * COLT_US_PER_MS)
 #define DARK_PAUSE_MAX_US (1200 * COLT_US_PER_MS)
@@ -259,9 +260,12 @@
   link->taken_note_sent = MAX (link->taken_note_sent, link->taken_note_open);
   link->failures = 0;
   link->reported = true;
-  link->next_look_us = answer->received_us + LOOK_PAUSE_US;
   report.asked = link->asked;
   link->client.reported (link->client.client, link, &report);
+  link->next_look_us = answer->received_us
+                       + (link->client.is_tight (link->client.client, link->id)
+                              ? LOOK_PAUSE_US
+                              : LAX_LOOK_PAUSE_US);
 }
 
 static void
