Events with request ids, metrics with histograms, state dump

Log lines go to standard output, never block and are bounded at 400 a second; each decision on a request is an event with its id, term and configuration.

--- a/include/coltsfootstile/cell.h
+++ b/include/coltsfootstile/cell.h
@@ -361,6 +361,10 @@
   uint64_t refused_starts;
 };
 
+/** Returns servers, organisations and waiting steps as JSON, to be freed with
+ * free(). */
+char *colt_cell_dump (const struct ColtCell *cell);
+
 /** Reads the numbers. */
 void colt_cell_get_stats (const struct ColtCell *cell,
                           struct ColtCellStats *stats);
--- /dev/null
+++ b/include/coltsfootstile/histogram.h
@@ -0,0 +1,35 @@
+/**
+ * \file
+ * \brief Histograms of durations, in the customary exposition format.
+ */
+#ifndef COLTSFOOTSTILE_HISTOGRAM_H
+#define COLTSFOOTSTILE_HISTOGRAM_H
+
+#include <stdint.h>
+
+/** A histogram of durations between a millisecond and a minute. */
+struct ColtHistogram;
+
+/**
+ * Creates an empty histogram.
+ *
+ * \param name  "module_what_ms", without the project's prefix
+ * \param help  one line of plain English
+ */
+struct ColtHistogram *colt_histogram_create (const char *name,
+                                             const char *help);
+
+/** Destroys a histogram; NULL is allowed. */
+void colt_histogram_destroy (struct ColtHistogram *histogram);
+
+/** Adds a duration in milliseconds; one that is out of range counts at its
+ * end. */
+void colt_histogram_add (struct ColtHistogram *histogram, double value_ms);
+
+/** Returns how many durations were added. */
+uint64_t colt_histogram_count (const struct ColtHistogram *histogram);
+
+/** Returns a histogram as text, to be freed with free(). */
+char *colt_histogram_format (const struct ColtHistogram *histogram);
+
+#endif
--- a/include/coltsfootstile/log.h
+++ b/include/coltsfootstile/log.h
@@ -1,9 +1,14 @@
 /**
  * \file
- * \brief Structured logs: one JSON object a line, on standard error.
+ * \brief Structured logs: one JSON object a line, on standard output.
  *
  * A line has the fields time, level, module, step, peer, request and message;
- * those without a value are left out. Output goes through log4c.
+ * those without a value are left out. An event has its own fields in place of
+ * a message. Output goes through log4c.
+ *
+ * Logging never blocks: lines that standard output doesn't take at once, or
+ * beyond COLT_LOG_LINES_PER_S, are dropped and counted; a line tells how many.
+ * Errors and warnings are only dropped when they can't be written.
  */
 #ifndef COLTSFOOTSTILE_LOG_H
 #define COLTSFOOTSTILE_LOG_H
@@ -63,6 +68,34 @@
                const char *format,
                ...) __attribute__ ((format (printf, 4, 5)));
 
+/** Lines of the levels info and debug that are written in a second. */
+#define COLT_LOG_LINES_PER_S 400
+
+/** A field of an event: a text, or a number if the text is NULL. */
+struct ColtLogField
+{
+  const char *name;
+  const char *text;
+  int64_t number;
+};
+
+/** Returns whether lines of a level are written. */
+bool colt_log_is_on (enum ColtLogLevel level);
+
+/**
+ * Logs an event.
+ *
+ * \param event    what has happened, in a few words that don't vary
+ * \param request  the request it is about; NULL or "" when there is none
+ * \param fields   the decision's inputs, their age or version, the outcome
+ */
+void colt_log_event (enum ColtLogLevel level,
+                     const char *module,
+                     const char *event,
+                     const char *request,
+                     const struct ColtLogField *fields,
+                     size_t count);
+
 /** Logs an error with its step and peer, behind \a what and a colon. */
 void colt_log_error (enum ColtLogLevel level,
                      const char *module,
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -3,17 +3,21 @@
 #include <glib.h>
 #include <jansson.h>
 #include <log4c.h>
+#include <poll.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #include "coltsfootstile/clock.h"
 
 #define CATEGORY_NAME "coltsfootstile"
 #define LAYOUT_NAME "coltsfootstile_json"
-#define APPENDER_NAME "coltsfootstile_stderr"
+#define APPENDER_NAME "coltsfootstile_stdout"
+/* Lines that may be written at once after a pause. */
+#define BURST_LINES (2 * COLT_LOG_LINES_PER_S)
 
 const char *const colt_log_level_string[]
     = { "error", "warning", "info", "debug" };
@@ -26,10 +30,14 @@
                                  const log4c_logging_event_t *event);
 static int append_line_ (log4c_appender_t *appender,
                          const log4c_logging_event_t *event);
-static char *build_line_ (enum ColtLogLevel level,
-                          const char *module,
-                          const struct ColtLogContext *context,
-                          const char *message);
+static int write_out_ (const char *text);
+static bool take_turn_ (enum ColtLogLevel level);
+static void write_ (enum ColtLogLevel level, json_t *line);
+static json_t *begin_line_ (enum ColtLogLevel level, const char *module);
+static json_t *build_line_ (enum ColtLogLevel level,
+                            const char *module,
+                            const struct ColtLogContext *context,
+                            const char *message);
 static void set_string_ (json_t *line, const char *name, const char *value);
 static void format_time_ (char *text, size_t size);
 
@@ -39,6 +47,11 @@
 static const log4c_layout_type_t json_layout = { LAYOUT_NAME, format_line_ };
 static log4c_category_t *category;
 
+/* What bounds the log. */
+static double lines_left = BURST_LINES;
+static int64_t lines_us;
+static uint64_t dropped;
+
 bool
 colt_log_open (enum ColtLogLevel level, struct ColtError *error)
 {
@@ -101,18 +114,47 @@
 {
   va_list args;
   char message[1024];
-  char *line;
 
-  if (category == NULL
-      || !log4c_category_is_priority_enabled (category,
-                                              priority_of_level[level]))
+  if (!colt_log_is_on (level) || !take_turn_ (level))
     return;
   va_start (args, format);
   vsnprintf (message, sizeof message, format, args);
   va_end (args);
-  line = build_line_ (level, module, context, message);
-  log4c_category_log (category, priority_of_level[level], "%s", line);
-  free (line);
+  write_ (level, build_line_ (level, module, context, message));
+}
+
+bool
+colt_log_is_on (enum ColtLogLevel level)
+{
+  return category != NULL
+         && log4c_category_is_priority_enabled (category,
+                                                priority_of_level[level]);
+}
+
+void
+colt_log_event (enum ColtLogLevel level,
+                const char *module,
+                const char *event,
+                const char *request,
+                const struct ColtLogField *fields,
+                size_t count)
+{
+  json_t *line;
+  size_t i;
+
+  if (!colt_log_is_on (level) || !take_turn_ (level))
+    return;
+  line = begin_line_ (level, module);
+  set_string_ (line, "event", event);
+  if (request != NULL && request[0] != '\0')
+    set_string_ (line, "request", request);
+  for (i = 0; i < count; i++)
+    if (fields[i].text != NULL)
+      set_string_ (line, fields[i].name, fields[i].text);
+    else
+      json_object_set_new (line, fields[i].name,
+                           json_integer (fields[i].number));
+  write_ (level, line);
 }
 
 void
@@ -144,24 +186,84 @@
 append_line_ (log4c_appender_t *appender, const log4c_logging_event_t *event)
 {
   (void)appender;
-  return fputs (event->evt_rendered_msg, stderr) < 0 ? -1 : 0;
+  return write_out_ (event->evt_rendered_msg);
 }
 
-static char *
-build_line_ (enum ColtLogLevel level,
-             const char *module,
-             const struct ColtLogContext *context,
-             const char *message)
+/* A reader that has stopped must not stop the process. */
+static int
+write_out_ (const char *text)
+{
+  struct pollfd out = { STDOUT_FILENO, POLLOUT, 0 };
+  size_t size = strlen (text);
+
+  if (poll (&out, 1, 0) == 1 && (out.revents & POLLOUT) != 0
+      && write (STDOUT_FILENO, text, size) == (ssize_t)size)
+    return 0;
+  dropped++;
+  return -1;
+}
+
+static bool
+take_turn_ (enum ColtLogLevel level)
+{
+  int64_t now_us = colt_clock_monotonic_us ();
+
+  if (level <= COLT_LOG_WARNING)
+    return true;
+  lines_left
+      += (double)(now_us - lines_us) * COLT_LOG_LINES_PER_S / COLT_US_PER_S;
+  lines_us = now_us;
+  if (lines_left > BURST_LINES)
+    lines_left = BURST_LINES;
+  if (lines_left < 1)
+    {
+      dropped++;
+      return false;
+    }
+  lines_left -= 1;
+  return true;
+}
+
+/* Tells of lines that were dropped as soon as one gets through again. */
+static void
+write_ (enum ColtLogLevel level, json_t *line)
+{
+  char *text;
+
+  if (dropped > 0)
+    {
+      json_object_set_new (line, "dropped_lines",
+                           json_integer ((json_int_t)dropped));
+      dropped = 0;
+    }
+  text = json_dumps (line, JSON_COMPACT);
+  json_decref (line);
+  log4c_category_log (category, priority_of_level[level], "%s", text);
+  free (text);
+}
+
+static json_t *
+begin_line_ (enum ColtLogLevel level, const char *module)
 {
   json_t *line = json_object ();
   char when[40];
-  char id[COLT_ID_TEXT_SIZE];
-  char *text;
 
   format_time_ (when, sizeof when);
   set_string_ (line, "time", when);
   set_string_ (line, "level", colt_log_level_string[level]);
   set_string_ (line, "module", module);
+  return line;
+}
+
+static json_t *
+build_line_ (enum ColtLogLevel level,
+             const char *module,
+             const struct ColtLogContext *context,
+             const char *message)
+{
+  json_t *line = begin_line_ (level, module);
+  char id[COLT_ID_TEXT_SIZE];
+
   if (context != NULL && context->step != COLT_STEP_NONE)
     set_string_ (line, "step", colt_step_string[context->step]);
   if (context != NULL && context->peer != NULL)
@@ -169,9 +271,7 @@
   if (context != NULL && context->request != NULL)
     set_string_ (line, "request", colt_id_format (context->request, id));
   set_string_ (line, "message", message);
-  text = json_dumps (line, JSON_COMPACT);
-  json_decref (line);
-  return text;
+  return line;
 }
 
 static void
--- /dev/null
+++ b/src/cell/cell_dump.c
@@ -0,0 +1,107 @@
+#include <jansson.h>
+#include <string.h>
+
+#include "cell_private.h"
+
+static json_t *dump_server_ (const struct ColtCellServer *server);
+static json_t *dump_step_ (const struct ColtCellStep *step);
+static json_t *dump_organisation_ (const struct ColtCellOrganisation *org);
+static json_t *dump_amounts_ (const struct ColtResources *amounts);
+
+char *
+colt_cell_dump (const struct ColtCell *cell)
+{
+  json_t *root = json_object ();
+  json_t *servers = json_array ();
+  json_t *steps = json_array ();
+  json_t *organisations = json_array ();
+  GHashTableIter i;
+  gpointer value;
+  char *text;
+  guint s;
+
+  g_hash_table_iter_init (&i, cell->servers);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    json_array_append_new (servers, dump_server_ (value));
+  g_hash_table_iter_init (&i, cell->organisations);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    json_array_append_new (organisations, dump_organisation_ (value));
+  for (s = 0; s < cell->open->len; s++)
+    json_array_append_new (steps,
+                           dump_step_ (g_ptr_array_index (cell->open, s)));
+  json_object_set_new (root, "generation", json_integer (cell->generation));
+  json_object_set_new (root, "settled", json_boolean (cell->settled));
+  json_object_set_new (root, "servers", servers);
+  json_object_set_new (root, "organisations", organisations);
+  json_object_set_new (root, "open_steps", steps);
+  text = json_dumps (root, JSON_COMPACT);
+  json_decref (root);
+  return text;
+}
+
+static json_t *
+dump_server_ (const struct ColtCellServer *server)
+{
+  json_t *object = json_object ();
+
+  json_object_set_new (object, "id", json_string (server->id));
+  json_object_set_new (
+      object, "service",
+      json_string (server->pool != NULL ? server->pool->name : ""));
+  json_object_set_new (object, "listed", json_boolean (server->listed));
+  json_object_set_new (object, "ready", json_boolean (server->ready));
+  json_object_set_new (object, "reported", json_boolean (server->reported));
+  json_object_set_new (object, "dark", json_boolean (server->dark));
+  json_object_set_new (object, "awaited", json_boolean (server->awaited));
+  json_object_set_new (object, "runs", json_integer (server->runs->len));
+  json_object_set_new (object, "foreign_runs", json_integer (server->foreign));
+  json_object_set_new (object, "probations", json_integer (server->probations));
+  json_object_set_new (object, "slowness",
+                       json_real (colt_cell_slowness (server)));
+  json_object_set_new (object, "room", dump_amounts_ (&server->room));
+  json_object_set_new (object, "used", dump_amounts_ (&server->used));
+  return object;
+}
+
+static json_t *
+dump_step_ (const struct ColtCellStep *step)
+{
+  json_t *object = json_object ();
+
+  json_object_set_new (object, "request", json_string (step->job->id));
+  json_object_set_new (object, "queue", json_string (step->job->queue->name));
+  json_object_set_new (object, "organisation",
+                       json_string (step->job->organisation->name));
+  json_object_set_new (object, "occurrence", json_integer (step->occurrence));
+  json_object_set_new (object, "step", json_integer (step->number));
+  json_object_set_new (object, "waiting_tasks", json_integer (step->waiting));
+  json_object_set_new (object, "running_tasks", json_integer (step->live));
+  json_object_set_new (object, "rank",
+                       json_string (colt_cell_rank_string[step->rank]));
+  json_object_set_new (object, "held",
+                       json_string (colt_cell_hold_string[step->held]));
+  return object;
+}
+
+static json_t *
+dump_organisation_ (const struct ColtCellOrganisation *org)
+{
+  json_t *object = json_object ();
+
+  json_object_set_new (object, "name", json_string (org->name));
+  json_object_set_new (object, "weight", json_real (org->weight));
+  json_object_set_new (object, "used", dump_amounts_ (&org->used));
+  json_object_set_new (object, "maximum", dump_amounts_ (&org->maximum));
+  return object;
+}
+
+static json_t *
+dump_amounts_ (const struct ColtResources *amounts)
+{
+  json_t *list = json_array ();
+  int r;
+
+  for (r = 0; r <= COLT_RESOURCE_ACCELERATORS; r++)
+    json_array_append_new (list, json_integer (amounts->amount[r]));
+  return list;
+}
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -9,16 +9,23 @@
  * just the chain of work. */
 #define SPEED_VALUE 30.0
 
+/* Length of the text that tells servers of a step's tasks; more are cut. */
+#define PLAN_TEXT_MAX 400
+
 struct ColtChoice
 {
   struct ColtCellServer *server;
   double score;
 };
 
-static const char *const hold_string_[]
+const char *const colt_cell_hold_string[]
     = { "none",    "no service", "paused",     "unsettled", "limit",
         "no room", "advice",     "no adviser", "gang" };
 
+const char *const colt_cell_rank_string[]
+    = { "lasting", "timely", "excess", "late", "worthless" };
+
+static bool is_for_advice_ (enum ColtCellHold held);
 static void hold_ (struct ColtCell *cell,
                    struct ColtCellStep *step,
                    enum ColtCellHold held);
@@ -53,6 +60,9 @@
                    struct ColtCellServer *server,
                    uint32_t number,
                    int64_t now_us);
+static void note_plan_ (GString *plan, const struct ColtCellTask *task);
+static void
+tell_plan_ (struct ColtCell *cell, struct ColtCellStep *step, GString *plan);
 static uint32_t next_run_ (const struct ColtCell *cell,
                            const struct ColtCellTask *task);
 
@@ -160,17 +170,26 @@
     place_tasks_ (cell, step, pool, now_us);
 }
 
+static bool
+is_for_advice_ (enum ColtCellHold held)
+{
+  return held == HOLD_ADVICE || held == HOLD_NO_ADVISER;
+}
+
 /* The reasons why a job waits stand in the log, each once. */
 static void
 hold_ (struct ColtCell *cell, struct ColtCellStep *step, enum ColtCellHold held)
 {
   char detail[TASK_NAME_SIZE];
 
-  if (step->held == held)
-    return;
+  bool same = step->held == held
+              || (is_for_advice_ (step->held) && is_for_advice_ (held));
+
   step->held = held;
+  if (same)
+    return;
   g_snprintf (detail, sizeof detail, "%u.%u: %s, %u tasks", step->occurrence,
-              step->number, hold_string_[held], step->waiting);
+              step->number, colt_cell_hold_string[held], step->waiting);
   cell->ops->decided (cell->client, step->job->id, "step held", detail);
 }
 
@@ -180,6 +199,7 @@
               struct ColtCellPool *pool,
               int64_t now_us)
 {
+  GString *plan = g_string_new (NULL);
   uint32_t i;
 
   for (i = 0; i < step->spec->count && step->waiting > 0; i++)
@@ -197,16 +217,18 @@
       if (!within_limit_ (cell, step, 1))
         {
           hold_ (cell, step, HOLD_LIMIT);
-          return;
+          break;
         }
       server = choose_ (step, task, pool, NULL, now_us);
       if (server == NULL)
         {
           hold_ (cell, step, colt_cell_want_advice (cell, step, pool, now_us));
-          return;
+          break;
         }
       plan_ (cell, task, server, next_run_ (cell, task), now_us);
+      note_plan_ (plan, task);
     }
+  tell_plan_ (cell, step, plan);
 }
 
 /* All tasks of a gang start together: room is taken for each in turn, and
@@ -253,8 +275,16 @@
   for (i = 0; i < placed; i++)
     colt_resources_subtract (&servers[i]->used, &step->demand);
   if (placed == count)
-    for (i = 0; i < count; i++)
-      plan_ (cell, &step->tasks[i], servers[i], number, now_us);
+    {
+      GString *plan = g_string_new (NULL);
+
+      for (i = 0; i < count; i++)
+        {
+          plan_ (cell, &step->tasks[i], servers[i], number, now_us);
+          note_plan_ (plan, &step->tasks[i]);
+        }
+      tell_plan_ (cell, step, plan);
+    }
   else
     hold_ (cell, step, colt_cell_want_advice (cell, step, pool, now_us));
   g_free (servers);
@@ -409,6 +439,32 @@
   task->step->advice_from_us = 0;
 }
 
+static void
+note_plan_ (GString *plan, const struct ColtCellTask *task)
+{
+  if (plan->len < PLAN_TEXT_MAX)
+    g_string_append_printf (plan, " %u@%s/%u", task->index,
+                            task->current->server->id, task->current->run);
+}
+
+/* One line for all tasks of a step that were given a server in a pass. */
+static void
+tell_plan_ (struct ColtCell *cell, struct ColtCellStep *step, GString *plan)
+{
+  char *detail;
+
+  if (plan->len > 0)
+    {
+      step->held = HOLD_NONE;
+      detail = g_strdup_printf ("%u.%u, %s, %u wait:%s", step->occurrence,
+                                step->number, colt_cell_rank_string[step->rank],
+                                step->waiting, plan->str);
+      cell->ops->decided (cell->client, step->job->id, "tasks planned", detail);
+      g_free (detail);
+    }
+  g_string_free (plan, TRUE);
+}
+
 void
 colt_cell_order_run (struct ColtCell *cell,
                      struct ColtCellRun *run,
--- a/src/cell/cell_runs.c
+++ b/src/cell/cell_runs.c
@@ -14,6 +14,11 @@
 static bool is_of_earlier_lead_ (const struct ColtCell *cell,
                                  const struct ColtCellTask *task,
                                  uint32_t number);
+static void tell_end_ (struct ColtCell *cell,
+                       const struct ColtCellTask *task,
+                       const struct ColtCellServer *server,
+                       uint32_t number,
+                       enum ColtRunEnd how);
 static void unlink_run_ (struct ColtCellRun *run);
 static void note_end_of_server_ (struct ColtCell *cell,
                                  struct ColtCellServer *server,
@@ -101,6 +106,8 @@
       colt_cell_mark_dirty (cell, job);
       return;
     }
+  if (how != COLT_RUN_FAILED)
+    tell_end_ (cell, task, server, number, how);
   if (how == COLT_RUN_FAILED && is_of_earlier_lead_ (cell, task, number))
     colt_cell_count_earlier_failure (cell, task, number, now_us);
   else if (how == COLT_RUN_FAILED || how == COLT_RUN_DONE)
@@ -113,6 +120,21 @@
   requeue_ (cell, task, now_us);
 }
 
+static void
+tell_end_ (struct ColtCell *cell,
+           const struct ColtCellTask *task,
+           const struct ColtCellServer *server,
+           uint32_t number,
+           enum ColtRunEnd how)
+{
+  char detail[2 * TASK_NAME_SIZE];
+
+  g_snprintf (detail, sizeof detail, "%u.%u.%u: run %u on %s, %s",
+              task->step->occurrence, task->step->number, task->index, number,
+              server->id, colt_run_end_string[how]);
+  cell->ops->decided (cell->client, task->step->job->id, "run ended", detail);
+}
+
 /* A gang's failure counts once a run, for all of its tasks. */
 void
 colt_cell_count_failure (struct ColtCell *cell,
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -66,6 +66,10 @@
   RANK_WORTHLESS /* comes too late to be of use */
 };
 
+/* Names of the two, indexed by them. */
+extern const char *const colt_cell_hold_string[];
+extern const char *const colt_cell_rank_string[];
+
 enum ColtCellRunState
 {
   RUN_PLANNED,  /* to be ordered once its record is durable */
--- a/src/scheduler/commit.c
+++ b/src/scheduler/commit.c
@@ -27,6 +27,7 @@
   struct ColtLogChannel *channel;
   struct event *timer;
   struct ColtCommitClient client;
+  struct ColtMetrics *metrics;
   uint64_t term;
   uint64_t sequence;
   GArray *records; /* of the batch on its way; NULL: none */
@@ -51,13 +52,15 @@
                     const struct ColtPorts *ports,
                     struct ColtCell *cell,
                     uint64_t term,
-                    const struct ColtCommitClient *client)
+                    const struct ColtCommitClient *client,
+                    struct ColtMetrics *metrics)
 {
   struct ColtCommit *commit = g_new0 (struct ColtCommit, 1);
 
   commit->ports = ports;
   commit->cell = cell;
   commit->term = term;
+  commit->metrics = metrics;
   commit->next_ms = LINGER_MS;
   commit->client = *client;
   commit->channel = ports->log_open (ports->adapter);
@@ -204,6 +207,8 @@
       if (commit->failing)
         colt_log (COLT_LOG_INFO, MODULE, NULL, "the log takes records again");
       commit->failing = false;
+      colt_metrics_time (commit->metrics, TIMING_COMMIT,
+                         colt_clock_monotonic_us () - commit->batch_us);
       end_batch_ (commit);
       return;
     case COLT_LOG_FENCED:
--- a/src/scheduler/lead.c
+++ b/src/scheduler/lead.c
@@ -82,6 +82,7 @@
   int64_t confirmed_until_us;
   bool closing;
   uint64_t loaded;
+  int64_t config_version;
 };
 
 static void start_op_ (void *client, const struct ColtStartOrder *order);
@@ -173,7 +174,8 @@
                   const struct ColtPorts *ports,
                   const struct ColtSchedulerSettings *settings,
                   uint64_t term,
-                  const struct ColtLeadClient *client)
+                  const struct ColtLeadClient *client,
+                  struct ColtMetrics *metrics)
 {
   const struct timeval period = { 0, TICK_MS * 1000 };
   struct ColtLead *lead = g_new0 (struct ColtLead, 1);
@@ -191,8 +193,8 @@
   lead->term = term;
   lead->created_us = colt_clock_monotonic_us ();
   lead->cell = colt_cell_create (&cell_ops, lead, &limits, (uint32_t)term);
-  lead->commit
-      = colt_commit_create (base, ports, lead->cell, term, &commit_client);
+  lead->commit = colt_commit_create (base, ports, lead->cell, term,
+                                     &commit_client, metrics);
   lead->channel = ports->log_open (ports->adapter);
   lead->links
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_link_);
@@ -241,6 +243,7 @@
 void
 colt_lead_set_fleet (struct ColtLead *lead, struct ColtFleet *fleet)
 {
+  lead->config_version = fleet->version;
   colt_cell_set_fleet (lead->cell, fleet);
   place_soon_ (lead);
 }
@@ -350,9 +353,14 @@
              const char *what,
              const char *detail)
 {
-  (void)client;
-  colt_log (COLT_LOG_INFO, MODULE, NULL, "%s: %s %s", what, detail,
-            job != NULL ? job : "");
+  const struct ColtLead *lead = client;
+  const struct ColtLogField fields[]
+      = { { "detail", detail, 0 },
+          { "term", NULL, (int64_t)lead->term },
+          { "config", NULL, lead->config_version } };
+
+  colt_log_event (COLT_LOG_INFO, MODULE, what, job, fields,
+                  G_N_ELEMENTS (fields));
 }
 
 static void
--- a/src/scheduler/private/scheduler_private.h
+++ b/src/scheduler/private/scheduler_private.h
@@ -10,6 +10,7 @@
 #include "coltsfootstile/ports.h"
 #include "coltsfootstile/scheduler.h"
 #include "coltsfootstile/wire.h"
+#include "metrics.h"
 
 /* Kinds of messages between instances. */
 enum
@@ -110,7 +111,8 @@
                                        const struct ColtPorts *ports,
                                        struct ColtCell *cell,
                                        uint64_t term,
-                                       const struct ColtCommitClient *client);
+                                       const struct ColtCommitClient *client,
+                                       struct ColtMetrics *metrics);
 void colt_commit_destroy (struct ColtCommit *commit);
 /* Flushes what is dirty soon. */
 void colt_commit_soon (struct ColtCommit *commit, uint32_t within_ms);
@@ -206,7 +208,8 @@
                                    const struct ColtPorts *ports,
                                    const struct ColtSchedulerSettings *settings,
                                    uint64_t term,
-                                   const struct ColtLeadClient *client);
+                                   const struct ColtLeadClient *client,
+                                   struct ColtMetrics *metrics);
 void colt_lead_destroy (struct ColtLead *lead);
 void colt_lead_set_fleet (struct ColtLead *lead, struct ColtFleet *fleet);
 /* Until when it is sure to be the only lead. */
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -3,8 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "coltsfootstile/counters.h"
 #include "members.h"
+#include "metrics.h"
 #include "scheduler_private.h"
 
 /* Period of telling the lead that this instance is there. */
@@ -42,25 +42,6 @@
 #define YIELD_AFTER_US (2 * COLT_US_PER_S)
 #define MODULE "scheduler"
 
-enum ColtMetric
-{
-  METRIC_REQUESTS,
-  METRIC_FORWARDED,
-  METRIC_TURNED_AWAY,
-  METRIC_UNCERTAIN,
-  METRIC_ADVICE_CALLS,
-  METRIC_TERM,
-  METRIC_LEADS,
-  METRIC_COUNT
-};
-
-struct ColtMetricName
-{
-  enum ColtCounterKind kind;
-  const char *name;
-  const char *help;
-};
-
 struct ColtScheduler
 {
   struct event_base *base;
@@ -76,8 +57,7 @@
   struct ColtAdviserChannel *adviser;
   struct event *beat;
   struct event *stop;
-  struct ColtCounters *counters;
-  uint32_t metrics[METRIC_COUNT];
+  struct ColtMetrics *metrics;
   GHashTable *counts;  /* queue -> waiting jobs, as the lead told */
   GPtrArray *requests; /* of struct ColtRequest */
   uint32_t lead_instance;
@@ -99,6 +79,7 @@
   size_t size;
   int64_t arrived_us;
   int64_t deadline_us;
+  uint32_t tries;
   bool maybe_done; /* a lead may have acted on it */
   ColtJobSpec *spec;
   struct event *timer;
@@ -110,21 +91,12 @@
   struct ColtScheduler *scheduler;
   struct ColtWireOrigin origin;
   ColtAdviceCall *advice;
+  int64_t sent_us;
 };
 
-static const struct ColtMetricName metric_names[METRIC_COUNT]
-    = { { COLT_COUNTER_TOTAL, "scheduler_requests", "Requests of callers" },
-        { COLT_COUNTER_TOTAL, "scheduler_forwarded",
-          "Requests handed to another instance" },
-        { COLT_COUNTER_TOTAL, "scheduler_turned_away",
-          "Requests answered as not taken" },
-        { COLT_COUNTER_TOTAL, "scheduler_uncertain",
-          "Requests whose effect isn't known" },
-        { COLT_COUNTER_TOTAL, "scheduler_advice_calls", "Calls for advice" },
-        { COLT_COUNTER_GAUGE, "scheduler_term", "Highest term seen" },
-        { COLT_COUNTER_GAUGE, "scheduler_leads", "1 while it leads" } };
-
 static void take_config_ (void *client, const struct ColtLogRecord *record);
+static void tell_config_ (const struct ColtScheduler *scheduler,
+                          const struct ColtFleet *fleet);
 static void take_elected_ (void *client, uint64_t term);
 static void take_deposed_ (void *client);
 static void take_changed_ (void *client);
@@ -193,9 +165,12 @@
 static void end_with_ (struct ColtRequest *request,
                        enum ColtAnswerKind kind,
                        uint32_t retry_after_ms);
+static void tell_answer_ (const struct ColtRequest *request,
+                          const struct ColtCallerAnswer *answer);
 static void free_request_ (struct ColtRequest *request);
 static bool is_ready_ (void *client);
 static char *describe_ (void *client, const char *path);
+static char *dump_state_ (const struct ColtScheduler *scheduler);
 static void on_stop_ (evutil_socket_t fd, short what, void *arg);
 static uint32_t instance_of_ (const char *address);
 static bool start_wire_ (struct ColtScheduler *scheduler,
@@ -215,17 +190,12 @@
       = { take_elected_, take_deposed_, take_changed_, scheduler };
   const struct ColtWatchClient config = { take_config_, NULL, scheduler };
   const struct ColtWatchTimes times = { CONFIG_WAIT_MS, 0 };
-  int i;
 
   scheduler->base = base;
   scheduler->ports = ports;
   scheduler->settings = *settings;
   scheduler->instance = instance_of_ (settings->internal);
-  scheduler->counters = colt_counters_create ();
-  for (i = 0; i < METRIC_COUNT; i++)
-    scheduler->metrics[i]
-        = colt_counters_add (scheduler->counters, metric_names[i].kind,
-                             metric_names[i].name, metric_names[i].help);
+  scheduler->metrics = colt_metrics_create ();
   scheduler->counts
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   scheduler->requests = g_ptr_array_new ();
@@ -267,7 +237,7 @@
   event_free (scheduler->beat);
   event_free (scheduler->stop);
   colt_members_destroy (scheduler->members);
-  colt_counters_destroy (scheduler->counters);
+  colt_metrics_destroy (scheduler->metrics);
   g_hash_table_unref (scheduler->counts);
   g_ptr_array_unref (scheduler->requests);
   colt_fleet_unref (scheduler->fleet);
@@ -325,14 +295,28 @@
       colt_fleet_unref (fleet);
       return;
     }
-  colt_log (COLT_LOG_INFO, MODULE, NULL, "configuration %lld is in force",
-            (long long)fleet->version);
+  tell_config_ (scheduler, fleet);
   colt_fleet_unref (scheduler->fleet);
   scheduler->fleet = fleet;
   if (scheduler->lead != NULL)
     colt_lead_set_fleet (scheduler->lead, fleet);
 }
 
+static void
+tell_config_ (const struct ColtScheduler *scheduler,
+              const struct ColtFleet *fleet)
+{
+  const struct ColtLogField fields[]
+      = { { "version", NULL, fleet->version },
+          { "previous", NULL,
+            scheduler->fleet != NULL ? scheduler->fleet->version : 0 },
+          { "queues", NULL, fleet->queues->len },
+          { "organisations", NULL, fleet->organisations->len } };
+
+  colt_log_event (COLT_LOG_INFO, MODULE, "configuration in force", NULL, fields,
+                  G_N_ELEMENTS (fields));
+}
+
 static void
 take_elected_ (void *client, uint64_t term)
 {
@@ -341,9 +325,11 @@
       = { take_lead_fenced_, take_advise_, scheduler };
 
   scheduler->lead = colt_lead_create (scheduler->base, scheduler->ports,
-                                      &scheduler->settings, term, &lead_client);
+                                      &scheduler->settings, term, &lead_client,
+                                      scheduler->metrics);
   if (scheduler->fleet != NULL)
     colt_lead_set_fleet (scheduler->lead, scheduler->fleet);
+  colt_metrics_count (scheduler->metrics, METRIC_ELECTED);
   scheduler->elected_us = colt_clock_monotonic_us ();
   confirm_lead_ (scheduler, scheduler->elected_us);
 }
@@ -390,12 +376,12 @@
 
   if (member == 0)
     return false;
-  colt_counters_count (scheduler->counters,
-                       scheduler->metrics[METRIC_ADVICE_CALLS], 1);
+  colt_metrics_count (scheduler->metrics, METRIC_ADVICE_CALLS);
   open = g_new0 (struct ColtForeignCall, 1);
   open->scheduler = scheduler;
   open->advice = copy_advice_ (call);
   open->origin.instance = member;
+  open->sent_us = now_us;
   if (member == COLT_MEMBERS_SELF)
     {
       scheduler->ports->advise (
@@ -418,6 +404,8 @@
   struct ColtForeignCall *open = client;
   struct ColtScheduler *scheduler = open->scheduler;
 
+  colt_metrics_time (scheduler->metrics, TIMING_ADVICE,
+                     colt_clock_monotonic_us () - open->sent_us);
   colt_members_give_adviser (scheduler->members, open->origin.instance,
                              colt_clock_monotonic_us (), reply != NULL);
   if (scheduler->lead != NULL)
@@ -667,8 +655,7 @@
   uint32_t patience_ms
       = caller->patience_ms > 0 ? caller->patience_ms : DEFAULT_PATIENCE_MS;
 
-  colt_counters_count (scheduler->counters, scheduler->metrics[METRIC_REQUESTS],
-                       1);
+  colt_metrics_count (scheduler->metrics, METRIC_REQUESTS);
   request->scheduler = scheduler;
   request->handle = handle;
   request->kind = caller->kind;
@@ -697,6 +684,7 @@
 
   (void)fd;
   (void)what;
+  request->tries++;
   if (prepare_ (request, &call, &answer))
     hand_over_ (request, &call);
   else
@@ -814,8 +802,7 @@
     {
       uint32_t lead = instance_of_ (address);
 
-      colt_counters_count (scheduler->counters,
-                           scheduler->metrics[METRIC_FORWARDED], 1);
+      colt_metrics_count (scheduler->metrics, METRIC_FORWARDED);
       colt_wire_set_peer (scheduler->wire, lead, address);
       colt_wire_call (scheduler->wire, lead, MESSAGE_CALLER, body, size,
                       MIN (CALL_TIMEOUT_MS, call->patience_ms), take_reply_,
@@ -909,16 +896,46 @@
 
   if (answer->kind == COLT_ANSWER_NOT_TAKEN
       || answer->kind == COLT_ANSWER_LIMITED)
-    colt_counters_count (scheduler->counters,
-                         scheduler->metrics[METRIC_TURNED_AWAY], 1);
+    colt_metrics_count (scheduler->metrics, METRIC_TURNED_AWAY);
   if (answer->kind == COLT_ANSWER_UNCERTAIN)
-    colt_counters_count (scheduler->counters,
-                         scheduler->metrics[METRIC_UNCERTAIN], 1);
+    colt_metrics_count (scheduler->metrics, METRIC_UNCERTAIN);
+  tell_answer_ (request, answer);
   scheduler->ports->answer (request->handle, answer);
   g_ptr_array_remove_fast (scheduler->requests, request);
   free_request_ (request);
 }
 
+static void
+tell_answer_ (const struct ColtRequest *request,
+              const struct ColtCallerAnswer *answer)
+{
+  static const char *const kinds[] = { "submit", "state", "cancel" };
+  const struct ColtScheduler *scheduler = request->scheduler;
+  const char *slash = strrchr (request->path, '/');
+  const char *lead = colt_election_lead (scheduler->election);
+  int64_t took_us = colt_clock_monotonic_us () - request->arrived_us;
+  const struct ColtLogField fields[] = {
+    { "kind", kinds[request->kind], 0 },
+    { "answer", colt_answer_kind_string[answer->kind], 0 },
+    { "state",
+      answer->kind == COLT_ANSWER_STATE ? colt_job_state_string[answer->state]
+                                        : "",
+      0 },
+    { "took_ms", NULL, took_us / COLT_US_PER_MS },
+    { "tries", NULL, request->tries },
+    { "lead", lead != NULL ? lead : "", 0 },
+    { "term", NULL, (int64_t)colt_election_term (scheduler->election) },
+    { "config", NULL, scheduler->fleet != NULL ? scheduler->fleet->version : 0 }
+  };
+
+  colt_metrics_time (scheduler->metrics, TIMING_ANSWER, took_us);
+  if (request->kind == COLT_CALLER_STATE && answer->kind <= COLT_ANSWER_COUNT)
+    return;
+  colt_log_event (COLT_LOG_INFO, MODULE, "answered",
+                  slash != NULL ? slash + 1 : "", fields,
+                  G_N_ELEMENTS (fields));
+}
+
 static void
 free_request_ (struct ColtRequest *request)
 {
@@ -944,14 +961,44 @@
 describe_ (void *client, const char *path)
 {
   struct ColtScheduler *scheduler = client;
+  struct ColtCellStats stats;
 
+  if (strcmp (path, "/state") == 0)
+    return dump_state_ (scheduler);
   if (strcmp (path, "/metrics") != 0)
     return NULL;
-  colt_counters_set (scheduler->counters, scheduler->metrics[METRIC_TERM],
-                     (int64_t)colt_election_term (scheduler->election));
-  colt_counters_set (scheduler->counters, scheduler->metrics[METRIC_LEADS],
-                     scheduler->lead != NULL);
-  return colt_counters_format (scheduler->counters);
+  if (scheduler->lead != NULL)
+    colt_cell_get_stats (colt_lead_cell (scheduler->lead), &stats);
+  colt_metrics_set_cell (scheduler->metrics,
+                         scheduler->lead != NULL ? &stats : NULL);
+  colt_metrics_set (scheduler->metrics, METRIC_TERM,
+                    (int64_t)colt_election_term (scheduler->election));
+  colt_metrics_set (scheduler->metrics, METRIC_LEADS, scheduler->lead != NULL);
+  colt_metrics_set (scheduler->metrics, METRIC_CONFIG_VERSION,
+                    scheduler->fleet != NULL ? scheduler->fleet->version : 0);
+  colt_metrics_set (scheduler->metrics, METRIC_LOG_AGE_MS,
+                    (colt_clock_monotonic_us ()
+                     - colt_election_reached_us (scheduler->election))
+                        / COLT_US_PER_MS);
+  return colt_metrics_format (scheduler->metrics);
+}
+
+/* The state of the cell, or who leads it. */
+static char *
+dump_state_ (const struct ColtScheduler *scheduler)
+{
+  const char *address = colt_election_lead (scheduler->election);
+  char *text;
+  char *copy;
+
+  if (scheduler->lead != NULL)
+    return colt_cell_dump (colt_lead_cell (scheduler->lead));
+  text = g_strdup_printf (
+      "{\"lead\":\"%s\",\"term\":%llu}", address != NULL ? address : "",
+      (unsigned long long)colt_election_term (scheduler->election));
+  copy = strdup (text);
+  g_free (text);
+  return copy;
 }
 
 static void
--- a/src/scheduler/server_link.c
+++ b/src/scheduler/server_link.c
@@ -258,6 +258,9 @@
   take_incarnation_ (link, answer->born_ms);
   take_clock_ (link, answer);
   link->taken_note_sent = MAX (link->taken_note_sent, link->taken_note_open);
+  if (link->failures >= FAILURES_TO_DARK)
+    colt_log (COLT_LOG_INFO, MODULE, NULL, "server %s can be reached again",
+              link->id);
   link->failures = 0;
   link->reported = true;
   report.asked = link->asked;
