--- a/src/scheduler/election.c
+++ b/src/scheduler/election.c
@@ -275,8 +275,8 @@
       < (election->suspect ? SUSPECT_SILENCE_US : SILENCE_US)
             + election->spread_us)
     return;
-  colt_log (COLT_LOG_INFO, MODULE, NULL, "term %llu is claimed: %s",
-            (unsigned long long)(election->term + 1),
+  colt_log (COLT_LOG_INFO, MODULE, NULL,
+            "term %" G_GUINT64_FORMAT " is claimed: %s", election->term + 1,
             election->term == 0 ? "there was no lead"
             : election->vacant  ? "the lead has left"
                                 : "the lead has been silent");
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -229,7 +229,7 @@
   colt_election_destroy (scheduler->election);
   colt_watch_destroy (scheduler->config);
   while (scheduler->requests->len > 0)
-    end_with_ (g_ptr_array_index (scheduler->requests, 0),
+    end_with_ (g_ptr_array_remove_index_fast (scheduler->requests, 0),
                COLT_ANSWER_UNCERTAIN, 0);
   colt_wire_destroy (scheduler->wire);
   if (scheduler->adviser != NULL)
--- a/src/test_cell/world.c
+++ b/src/test_cell/world.c
@@ -338,6 +338,7 @@
   struct ColtWorldRun *run;
   guint i;
 
+  g_assert (server != NULL);
   if (order->token < server->token)
     return COLT_START_FENCED;
   server->token = order->token;
@@ -389,6 +390,7 @@
   struct ColtWorldServer *server = order->server;
   guint i;
 
+  g_assert (server != NULL);
   if (order->token < server->token)
     return;
   server->token = order->token;
@@ -444,8 +446,12 @@
   if (order->lead != world->generation)
     return;
   if (order->kind == ORDER_ADVICE)
-    answer_advice (world, order);
-  else if (order->kind == ORDER_START)
+    {
+      answer_advice (world, order);
+      return;
+    }
+  g_assert (order->server != NULL);
+  if (order->kind == ORDER_START)
     colt_cell_started (world->cell, order->server->id, order->task, order->run,
                        order->answered ? order->result : COLT_START_UNKNOWN,
                        order->server->asked + 1, world->now_us);
