A start without an answer is looked for before it is stopped; slowness is learned sooner

The server's lists now tell, by a look at once; only a run that isn't there is stopped. The first few steps that a server takes part in count more for its slowness.

--- a/src/cell/cell_order.c
+++ b/src/cell/cell_order.c
@@ -198,8 +198,10 @@
         double error = log ((double)step->tasks[i].duration_us)
                        - server->log_slowness - sum / known;
 
-        server->log_slowness
-            = CLAMP (server->log_slowness + SLOWNESS_WEIGHT * error,
-                     -log (SLOWNESS_MAX), log (SLOWNESS_MAX));
+        server->measured++;
+        server->log_slowness = CLAMP (
+            server->log_slowness
+                + MAX (SLOWNESS_WEIGHT, 0.5 / server->measured) * error,
+            -log (SLOWNESS_MAX), log (SLOWNESS_MAX));
       }
 }
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -63,6 +63,7 @@
 static void note_plan_ (GString *plan, const struct ColtCellTask *task);
 static void
 tell_plan_ (struct ColtCell *cell, struct ColtCellStep *step, GString *plan);
+static double fullness_ (const struct ColtCellServer *server);
 static uint32_t next_run_ (const struct ColtCell *cell,
                            const struct ColtCellTask *task);
 
@@ -290,6 +291,19 @@
   g_free (servers);
 }
 
+/* Sum of the parts of a server's room that are used. */
+static double
+fullness_ (const struct ColtCellServer *server)
+{
+  double sum = 0;
+  int r;
+
+  for (r = 0; r <= COLT_RESOURCE_ACCELERATORS; r++)
+    if (server->room.amount[r] > 0)
+      sum += (double)server->used.amount[r] / (double)server->room.amount[r];
+  return sum;
+}
+
 /* An amount of 0 in a limit means that there is none. */
 static bool
 within_limit_ (const struct ColtCell *cell,
@@ -412,11 +426,8 @@
   double stretch = MAX (step->job->queue->config->stretch, 1);
   double score
       = -SPEED_VALUE / (stretch * stretch) * (colt_cell_slowness (server) - 1);
-  int r;
 
-  for (r = 0; r <= COLT_RESOURCE_ACCELERATORS; r++)
-    if (server->room.amount[r] > 0)
-      score += (double)server->used.amount[r] / (double)server->room.amount[r];
+  score += fullness_ (server);
   if (step->spec->data_rack[0] != '\0'
       && g_strcmp0 (step->spec->data_rack, server->rack) == 0)
     score += 10;
--- a/src/cell/cell_servers.c
+++ b/src/cell/cell_servers.c
@@ -208,8 +208,9 @@
       server->dark = true;
       return;
     case COLT_START_UNKNOWN:
-      /* It may be carried out yet: the stop settles that. */
-      colt_cell_stop_run (cell, task->current, now_us);
+      /* It was carried out as a rule; the server's lists tell. */
+      task->current->doubted = true;
+      task->current->settled_from = asked;
       return;
     }
   colt_cell_end_run (cell, task->current, COLT_RUN_STOPPED, NULL, now_us);
@@ -381,6 +382,12 @@
     run->confirmed_us = now_us;
   if (run->state <= RUN_STARTING)
     run->state = RUN_RUNNING;
+  if (run->doubted)
+    {
+      run->doubted = false;
+      run->settled = true;
+      run->taken_us = run->ordered_us;
+    }
   if (!task->done && entry->checkpoint[0] != '\0'
       && g_strcmp0 (task->checkpoint, entry->checkpoint) != 0)
     {
@@ -428,6 +435,14 @@
       if (i >= server->runs->len)
         continue;
       run = g_ptr_array_index (server->runs, i);
+      if (run->doubted && asked >= run->settled_from
+          && !g_hash_table_contains (listed, run))
+        {
+          /* It may be carried out yet: a stop settles that. */
+          run->doubted = false;
+          colt_cell_stop_run (cell, run, now_us);
+          continue;
+        }
       if (!run->settled || asked < run->settled_from
           || g_hash_table_contains (listed, run))
         continue;
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -86,6 +86,7 @@
   uint32_t run;
   enum ColtCellRunState state;
   bool recorded;         /* the batch on its way has it */
+  bool doubted;          /* its start wasn't answered: the next lists tell */
   bool settled;          /* the order and the stop, if any, were answered */
   uint64_t settled_from; /* a report asked for from here on tells for sure */
   int64_t ordered_us;
@@ -200,6 +201,7 @@
   uint32_t probations;
   int64_t avoid_until_us;
   double log_slowness; /* of its duration against others' */
+  uint32_t measured;   /* tasks that log_slowness was learned from */
 };
 
 /* The servers of one service. */
--- a/src/scheduler/server_link.c
+++ b/src/scheduler/server_link.c
@@ -16,7 +16,7 @@
 /* Looks that fail in a row before a server gets no more work. */
 #define FAILURES_TO_DARK 2
 /* An order is answered within milliseconds, or its answer is lost. */
-#define ORDER_TIMEOUT_MS 500
+#define ORDER_TIMEOUT_MS 250
 /* A server's clock may run this much slower than ours. */
 #define CLOCK_SLOWEST 0.98
 /* Beyond a lease's computed end, for what the computation leaves out. */
@@ -50,6 +50,8 @@
   bool reported;
   uint32_t failures;
   uint64_t asked; /* looks sent so far */
+  uint64_t aside_asked;
+  uint64_t look_asked; /* number of the look that is open */
   int64_t next_look_us;
   int64_t born_ms;
   uint64_t taken_note;      /* durable ends */
@@ -76,6 +78,9 @@
 static int64_t lapse_us_ (const struct ColtServerLink *link);
 static void send_next_ (struct ColtServerLink *link);
 static void take_order_ (void *client, const struct ColtServerAnswer *answer);
+static void look_aside_ (struct ColtServerLink *link);
+static void take_look_aside_ (void *client,
+                              const struct ColtServerAnswer *answer);
 static void free_order_ (struct ColtServerOrder *order);
 static void forget_life_ (struct ColtServerLink *link);
 
@@ -219,6 +224,7 @@
   look.timeout_ms = look.wait_ms + LOOK_SLACK_MS;
   link->taken_note_open = link->taken_note;
   link->asked++;
+  link->look_asked = link->asked;
   link->looking = true;
   link->ports->server_look (link->looks, &look, take_look_, link);
 }
@@ -263,7 +269,7 @@
               link->id);
   link->failures = 0;
   link->reported = true;
-  report.asked = link->asked;
+  report.asked = link->look_asked;
   link->client.reported (link->client.client, link, &report);
   link->next_look_us = answer->received_us
                        + (link->client.is_tight (link->client.client, link->id)
@@ -418,6 +424,8 @@
                   answer->error.message);
       link->client.started (link->client.client, link, order->task, order->run,
                             answer->result, link->asked + 1);
+      if (answer->result == COLT_START_UNKNOWN)
+        look_aside_ (link);
     }
   else
     link->client.stopped (link->client.client, link, order->task, order->run,
@@ -429,6 +437,34 @@
   send_next_ (link);
 }
 
+/* Whether a start was carried out is known from the lists; the look that is
+ * open may wait for a second yet. */
+static void
+look_aside_ (struct ColtServerLink *link)
+{
+  struct ColtServerLook look = { 0 };
+
+  look.token = link->bounds.token;
+  look.taken_note = link->taken_note;
+  look.timeout_ms = ORDER_TIMEOUT_MS;
+  link->asked++;
+  link->aside_asked = link->asked;
+  link->ports->server_look (link->orders, &look, take_look_aside_, link);
+}
+
+static void
+take_look_aside_ (void *client, const struct ColtServerAnswer *answer)
+{
+  struct ColtServerLink *link = client;
+  struct ColtServerReport report = answer->report;
+
+  if (link->closing || answer->result != COLT_START_TAKEN
+      || answer->born_ms != link->born_ms)
+    return;
+  report.asked = link->aside_asked;
+  link->client.reported (link->client.client, link, &report);
+}
+
 static void
 free_order_ (struct ColtServerOrder *order)
 {
