--- a/src/scheduler/election.c
+++ b/src/scheduler/election.c
@@ -68,6 +68,7 @@
                      bool vacant,
                      ColtLogCallDone done);
 static void take_renewal_ (void *client, const struct ColtLogAnswer *answer);
+static void take_probe_ (void *client, const struct ColtLogAnswer *answer);
 static void take_claim_ (void *client, const struct ColtLogAnswer *answer);
 static void take_leave_ (void *client, const struct ColtLogAnswer *answer);
 static int64_t claim_delay_us_ (const struct ColtElection *election);
@@ -280,7 +281,26 @@
             election->term == 0 ? "there was no lead"
             : election->vacant  ? "the lead has left"
                                 : "the lead has been silent");
+  /* A claim whose answer is lost would leave no lead until it is read. */
   election->seen_us = now_us;
+  election->busy = true;
+  election->ports->log_read (election->channel, COLT_TOPIC_LEAD, election->end,
+                             0, take_probe_, election);
+}
+
+static void
+take_probe_ (void *client, const struct ColtLogAnswer *answer)
+{
+  struct ColtElection *election = client;
+
+  election->busy = false;
+  if (election->role != ROLE_FOLLOWER)
+    return;
+  if (answer->outcome != COLT_LOG_DONE || answer->count > 0)
+    {
+      colt_watch_hurry (election->watch);
+      return;
+    }
   election->claimed = election->term + 1;
   append_ (election, election->claimed, false, take_claim_);
 }
