--- a/src/test_scheduler/fake_ports.c
+++ b/src/test_scheduler/fake_ports.c
@@ -7,6 +7,8 @@
 #define ANSWER_MS 2
 /* Reads wait less here than a log would. */
 #define POLL_MS 5
+/* An answer of a silent log counts as lost this long after its time. */
+#define SILENT_US (600 * COLT_US_PER_MS)
 
 struct ColtLogChannel
 {
@@ -93,7 +95,17 @@
 
   (void)fd;
   (void)what;
-  if (call->reads && call->fake->fault == FAULT_DOWN)
+  if (call->reads && call->fake->fault == FAULT_SILENT)
+    {
+      if (colt_clock_monotonic_us () < call->until_us + SILENT_US)
+        {
+          g_array_unref (records);
+          after (call->fake, POLL_MS, answer, call);
+          return;
+        }
+      call->answer.outcome = COLT_LOG_UNKNOWN;
+    }
+  else if (call->reads && call->fake->fault == FAULT_DOWN)
     call->answer.outcome = COLT_LOG_NOT_DONE;
   else if (call->reads && !call->newest
            && call->from < call->fake->first[call->topic])
@@ -174,7 +186,7 @@
           g_array_append_val (fake->topics[append->topic], record);
         }
       call->answer.end = fake->topics[append->topic]->len;
-      if (fake->fault == FAULT_LOST)
+      if (fake->fault == FAULT_LOST || fake->fault == FAULT_SILENT)
         call->answer.outcome = COLT_LOG_UNKNOWN;
     }
   after (fake, ANSWER_MS, answer, call);
--- a/src/test_scheduler/fake_ports.h
+++ b/src/test_scheduler/fake_ports.h
@@ -14,7 +14,8 @@
   FAULT_REFUSED,  /* certainly without effect */
   FAULT_LOST,     /* takes effect, the answer is lost */
   FAULT_VANISHED, /* has no effect, the answer is lost */
-  FAULT_DOWN      /* reads are refused as well */
+  FAULT_DOWN,     /* reads are refused as well */
+  FAULT_SILENT    /* appends as lost; reads aren't answered in time */
 };
 
 struct ColtFakePorts
--- a/src/test_scheduler/test_scheduler.c
+++ b/src/test_scheduler/test_scheduler.c
@@ -159,6 +159,38 @@
   colt_fake_ports_destroy (fake);
 }
 
+/* A claim in a silent log could take effect without being known. */
+static void
+test_election_silent_log (void)
+{
+  struct ColtFakePorts *fake = colt_fake_ports_create ();
+  const struct ColtSchedulerSettings settings
+      = { .name = "one", .internal = "127.0.0.1:1", .strength = 1 };
+  ColtLeadRecord lead = COLT_LEAD_RECORD__INIT;
+  struct ColtSeen seen = { 0 };
+  struct ColtElection *election;
+  char value[64] = { 0 };
+
+  lead.instance = "other";
+  lead.address = "127.0.0.9:1";
+  lead.term = 3;
+  lead.incarnation = 1;
+  colt_lead_record__pack (&lead, (uint8_t *)value);
+  colt_fake_ports_put (fake, COLT_TOPIC_LEAD, "lead", value);
+  election = elect (fake, &settings, &seen);
+  colt_fake_ports_run (fake, 100);
+  g_assert_cmpstr (colt_election_lead (election), ==, "127.0.0.9:1");
+  fake->fault = FAULT_SILENT;
+  colt_fake_ports_run (fake, 2600);
+  g_assert_cmpuint (fake->appends, ==, 0);
+  fake->fault = FAULT_NONE;
+  colt_fake_ports_run (fake, 3500);
+  g_assert_cmpuint (seen.elected, ==, 1);
+  g_assert_cmpuint (seen.term, ==, 4);
+  colt_election_destroy (election);
+  colt_fake_ports_destroy (fake);
+}
+
 static void
 op_start (void *client, const struct ColtStartOrder *order)
 {
@@ -576,6 +608,7 @@
                    test_election_stronger_leads);
   g_test_add_func ("/scheduler/election/lost-answers",
                    test_election_lost_answers);
+  g_test_add_func ("/scheduler/election/silent-log", test_election_silent_log);
   g_test_add_func ("/scheduler/commit/lost-answer", test_commit_lost_answer);
   g_test_add_func ("/scheduler/commit/fenced", test_commit_fenced);
   g_test_add_func ("/scheduler/link/lease-ends", test_link_lease_ends);
