A lead that starts anew claims at once; requests wait a little longer for the next one

Cause: when all instances were killed or lost power, the next lead had to see 0.6 s of silence though its own record told that it had led itself; and requests were turned away after 0.35 s when the lead was replaced in 0.5.

--- a/src/scheduler/election.c
+++ b/src/scheduler/election.c
@@ -151,6 +151,12 @@
   election->suspect = suspect;
 }
 
+bool
+colt_election_is_suspect (const struct ColtElection *election)
+{
+  return election->suspect;
+}
+
 bool
 colt_election_is_refused (const struct ColtElection *election)
 {
@@ -207,6 +213,10 @@
       return;
     }
   election->seen_us = colt_clock_monotonic_us ();
+  /* A process before this one led: nobody else will renew its claim. */
+  if (strcmp (lead->instance, election->settings->name) == 0
+      && lead->incarnation < election->incarnation)
+    lead->vacant = true;
   changed = lead->term != election->term || lead->vacant != election->vacant;
   if (lead->term < election->term)
     changed = false;
--- a/src/scheduler/private/scheduler_private.h
+++ b/src/scheduler/private/scheduler_private.h
@@ -84,6 +84,7 @@
 void colt_election_fenced (struct ColtElection *election);
 /* Whether the lead's process seems to have ended; a claim comes sooner then. */
 void colt_election_suspect (struct ColtElection *election, bool suspect);
+bool colt_election_is_suspect (const struct ColtElection *election);
 /* Whether the log turned away the last renewal. */
 bool colt_election_is_refused (const struct ColtElection *election);
 bool colt_election_leads (const struct ColtElection *election);
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -18,6 +18,8 @@
 /* How long a request waits for a lead before it is turned away: a lead that
  * stops in good order is replaced within this. */
 #define NO_LEAD_PATIENCE_MS 350
+/* The same, when the lead's process has ended: it is replaced within this. */
+#define ENDED_LEAD_PATIENCE_MS 700
 /* When a caller is told to come back while there is no lead: one that has ended
  * is replaced within this, a silent one soon after. */
 #define NO_LEAD_RETRY_AFTER_MS 1000
@@ -866,12 +868,14 @@
 try_again_ (struct ColtRequest *request)
 {
   int64_t now_us = colt_clock_monotonic_us ();
+  int64_t patience_ms = colt_election_is_suspect (request->scheduler->election)
+                            ? ENDED_LEAD_PATIENCE_MS
+                            : NO_LEAD_PATIENCE_MS;
 
   if (now_us >= request->deadline_us && request->maybe_done)
     end_with_ (request, COLT_ANSWER_UNCERTAIN, NO_LEAD_RETRY_AFTER_MS);
   else if (!request->maybe_done
-           && now_us - request->arrived_us
-                  > NO_LEAD_PATIENCE_MS * COLT_US_PER_MS)
+           && now_us - request->arrived_us > patience_ms * COLT_US_PER_MS)
     end_with_ (request, COLT_ANSWER_NOT_TAKEN, NO_LEAD_RETRY_AFTER_MS);
   else
     add_timer_ (request->timer, RETRY_MS);
--- a/src/test_scheduler/fake_ports.c
+++ b/src/test_scheduler/fake_ports.c
@@ -23,6 +23,8 @@
 struct ColtFakeCall
 {
   struct ColtFakePorts *fake;
+  struct ColtLogChannel *channel;
+  bool closed; /* it ended with its channel */
   ColtLogCallDone done;
   void *client;
   struct ColtLogAnswer answer;
@@ -62,12 +64,34 @@
   return channel;
 }
 
+/* Calls of a channel end with it. */
 static void
 log_close (struct ColtLogChannel *channel)
 {
+  GList *calls = g_hash_table_get_keys (channel->fake->log_calls);
+  GList *link;
+
+  for (link = calls; link != NULL; link = link->next)
+    {
+      struct ColtFakeCall *call = link->data;
+
+      if (call->channel != channel || call->closed)
+        continue;
+      call->closed = true;
+      call->answer.outcome = COLT_LOG_UNKNOWN;
+      call->done (call->client, &call->answer);
+    }
+  g_list_free (calls);
   g_free (channel);
 }
 
+static void
+forget (struct ColtFakeCall *call)
+{
+  g_hash_table_remove (call->fake->log_calls, call);
+  g_hash_table_remove (call->fake->calls, call);
+}
+
 static void
 add_records (struct ColtFakeCall *call, GArray *records)
 {
@@ -95,6 +119,12 @@
 
   (void)fd;
   (void)what;
+  if (call->closed)
+    {
+      g_array_unref (records);
+      forget (call);
+      return;
+    }
   if (call->reads && call->fake->fault == FAULT_SILENT)
     {
       if (colt_clock_monotonic_us () < call->until_us + SILENT_US)
@@ -126,7 +156,7 @@
   call->answer.count = records->len;
   call->done (call->client, &call->answer);
   g_array_unref (records);
-  g_hash_table_remove (call->fake->calls, call);
+  forget (call);
 }
 
 static enum ColtLogOutcome
@@ -159,6 +189,8 @@
 
   fake->appends++;
   call->fake = fake;
+  call->channel = channel;
+  g_hash_table_add (fake->log_calls, call);
   call->done = done;
   call->client = client;
   call->topic = append->topic;
@@ -203,6 +235,8 @@
   struct ColtFakeCall *call = g_new0 (struct ColtFakeCall, 1);
 
   call->fake = channel->fake;
+  call->channel = channel;
+  g_hash_table_add (channel->fake->log_calls, call);
   call->done = done;
   call->client = client;
   call->topic = topic;
@@ -224,6 +258,8 @@
 
   (void)after_key;
   call->fake = channel->fake;
+  call->channel = channel;
+  g_hash_table_add (channel->fake->log_calls, call);
   call->done = done;
   call->client = client;
   call->topic = topic;
@@ -336,6 +372,7 @@
   int i;
 
   fake->base = event_base_new ();
+  fake->log_calls = g_hash_table_new (g_direct_hash, g_direct_equal);
   fake->calls
       = g_hash_table_new_full (g_direct_hash, g_direct_equal, g_free, NULL);
   for (i = 0; i <= COLT_TOPIC_JOBS; i++)
@@ -365,6 +402,7 @@
   int i;
 
   event_base_free (fake->base);
+  g_hash_table_unref (fake->log_calls);
   g_hash_table_unref (fake->calls);
   for (i = 0; i <= COLT_TOPIC_JOBS; i++)
     g_array_unref (fake->topics[i]);
--- a/src/test_scheduler/fake_ports.h
+++ b/src/test_scheduler/fake_ports.h
@@ -33,7 +33,8 @@
   struct ColtServerLook last_look;
   uint32_t looks;
   uint32_t starts;
-  GHashTable *calls; /* that wait for their answer */
+  GHashTable *calls;     /* that wait for their answer */
+  GHashTable *log_calls; /* those of them that go to the log */
 };
 
 struct ColtFakeRecord
--- a/src/test_scheduler/test_scheduler.c
+++ b/src/test_scheduler/test_scheduler.c
@@ -191,6 +191,28 @@
   colt_fake_ports_destroy (fake);
 }
 
+/* A lead that starts anew knows that its former process doesn't lead. */
+static void
+test_election_restarted_lead (void)
+{
+  struct ColtFakePorts *fake = colt_fake_ports_create ();
+  const struct ColtSchedulerSettings settings
+      = { .name = "one", .internal = "127.0.0.1:1", .strength = 1 };
+  struct ColtSeen first = { 0 };
+  struct ColtSeen second = { 0 };
+  struct ColtElection *election = elect (fake, &settings, &first);
+
+  colt_fake_ports_run (fake, 400);
+  g_assert_cmpuint (first.elected, ==, 1);
+  colt_election_destroy (election);
+  election = elect (fake, &settings, &second);
+  colt_fake_ports_run (fake, 400);
+  g_assert_cmpuint (second.elected, ==, 1);
+  g_assert_cmpuint (second.term, ==, 2);
+  colt_election_destroy (election);
+  colt_fake_ports_destroy (fake);
+}
+
 static void
 op_start (void *client, const struct ColtStartOrder *order)
 {
@@ -608,6 +630,8 @@
                    test_election_stronger_leads);
   g_test_add_func ("/scheduler/election/lost-answers",
                    test_election_lost_answers);
+  g_test_add_func ("/scheduler/election/restarted-lead",
+                   test_election_restarted_lead);
   g_test_add_func ("/scheduler/election/silent-log", test_election_silent_log);
   g_test_add_func ("/scheduler/commit/lost-answer", test_commit_lost_answer);
   g_test_add_func ("/scheduler/commit/fenced", test_commit_fenced);
