--- a/include/coltsfootstile/cell.h
+++ b/include/coltsfootstile/cell.h
@@ -173,7 +173,6 @@
 {
   int64_t status_us;      /**< how long an ended job's state is kept */
   int64_t stop_retry_us;  /**< until an unanswered stop is sent again */
-  int64_t early_us;       /**< nothing; starts are never before their time */
   uint32_t servers_asked; /**< servers named in one call for advice */
 };
 
@@ -224,10 +223,11 @@
 void colt_cell_loaded (struct ColtCell *cell, int64_t settled_us);
 
 /**
- * Hands in a job. The cell takes over \a spec unless it returns
- * COLT_SUBMIT_NEW's opposite: then the caller keeps it.
+ * Hands in a job.
  *
- * \return what became of it; only after COLT_SUBMIT_NEW it is the cell's
+ * \param spec  as unpacked by protobuf-c; the cell's after COLT_SUBMIT_NEW, the
+ *              caller's otherwise
+ * \return what became of it
  */
 enum ColtSubmitResult
 colt_cell_submit (struct ColtCell *cell, ColtJobSpec *spec, int64_t now_us);
--- a/include/coltsfootstile/scheduler.h
+++ b/include/coltsfootstile/scheduler.h
@@ -29,10 +29,8 @@
    * above 0. */
   double strength;
   uint32_t lease_max_ms;
-  uint32_t stop_ms;
   uint32_t status_s;
   uint32_t grace_ms;
-  uint32_t keep_s; /**< how long the log keeps old records */
 };
 
 /** An instance. */
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -21,8 +21,7 @@
 static void update_queues_ (struct ColtCell *cell, struct ColtFleet *fleet);
 static void update_organisations_ (struct ColtCell *cell,
                                    const struct ColtFleet *fleet);
-static void
-forget_jobs_ (struct ColtCell *cell, int64_t now_us, int64_t wall_ms);
+static void forget_jobs_ (struct ColtCell *cell, int64_t now_us);
 static void retry_stops_ (struct ColtCell *cell, int64_t now_us);
 
 struct ColtCell *
@@ -208,7 +207,7 @@
   for (i = 0; i < cell->scheduled->len; i++)
     colt_cell_open_steps (cell, g_ptr_array_index (cell->scheduled, i),
                           wall_ms);
-  forget_jobs_ (cell, now_us, wall_ms);
+  forget_jobs_ (cell, now_us);
 }
 
 bool
@@ -319,11 +318,10 @@
 }
 
 static void
-forget_jobs_ (struct ColtCell *cell, int64_t now_us, int64_t wall_ms)
+forget_jobs_ (struct ColtCell *cell, int64_t now_us)
 {
   GList *link = cell->ended.head;
 
-  (void)wall_ms;
   /* Steps of a job that has ended may still be listed. */
   colt_cell_sweep_open (cell);
   while (link != NULL)
--- a/src/cell/cell_order.c
+++ b/src/cell/cell_order.c
@@ -21,8 +21,7 @@
 #define LAX_STRETCH 3.0
 
 static int64_t chain_us_ (const struct ColtCellJob *job);
-static int64_t longest_from_ (const struct ColtCellJob *job,
-                              const struct ColtCellStep *step);
+static int64_t longest_from_ (const struct ColtCellStep *step);
 static int64_t step_us_ (const struct ColtCellStep *step);
 static void learn_slowness_ (struct ColtCellStep *step);
 
@@ -95,8 +94,7 @@
   struct ColtCellJob *job = step->job;
   int64_t objective_us = colt_cell_objective_us (job);
   int64_t age_us = now_us - job->accepted_us;
-  int64_t left_us
-      = (int64_t)(REMAINING_PART * (double)longest_from_ (job, step));
+  int64_t left_us = (int64_t)(REMAINING_PART * (double)longest_from_ (step));
 
   if (step->spec->lasting)
     step->rank = RANK_LASTING;
@@ -148,7 +146,7 @@
   for (i = 0; i < job->spec->n_steps; i++)
     {
       if (job->steps[i].depth == 0)
-        longest_us = MAX (longest_us, longest_from_ (job, &job->steps[i]));
+        longest_us = MAX (longest_us, longest_from_ (&job->steps[i]));
       depth = MAX (depth, job->steps[i].depth + 1);
     }
   return longest_us + (int64_t)advice_us * depth;
@@ -156,9 +154,8 @@
 
 /* Steps have their successors' longest chain beneath them, counted in steps. */
 static int64_t
-longest_from_ (const struct ColtCellJob *job, const struct ColtCellStep *step)
+longest_from_ (const struct ColtCellStep *step)
 {
-  (void)job;
   return (int64_t)(step->height + 1) * step_us_ (step);
 }
 
--- a/src/cell/cell_records.c
+++ b/src/cell/cell_records.c
@@ -18,8 +18,7 @@
                             int64_t wall_ms);
 static void apply_progress_ (struct ColtCell *cell,
                              struct ColtCellJob *job,
-                             const ColtJobProgress *progress,
-                             int64_t now_us);
+                             const ColtJobProgress *progress);
 static void apply_task_ (struct ColtCell *cell,
                          struct ColtCellJob *job,
                          const ColtTaskProgress *progress);
@@ -197,7 +196,7 @@
       g_queue_push_tail (&cell->ended, job);
       g_ptr_array_remove_fast (cell->scheduled, job);
     }
-  apply_progress_ (cell, job, progress, now_us);
+  apply_progress_ (cell, job, progress);
   colt_job_progress__free_unpacked (progress, NULL);
   return true;
 }
@@ -205,13 +204,11 @@
 static void
 apply_progress_ (struct ColtCell *cell,
                  struct ColtCellJob *job,
-                 const ColtJobProgress *progress,
-                 int64_t now_us)
+                 const ColtJobProgress *progress)
 {
   size_t i;
   uint32_t s;
 
-  (void)now_us;
   if (job->spec == NULL)
     return;
   for (i = 0; i < progress->n_tasks; i++)
--- a/src/cell/cell_servers.c
+++ b/src/cell/cell_servers.c
@@ -37,8 +37,7 @@
                            GHashTable *listed,
                            uint64_t asked,
                            int64_t now_us);
-static void drop_advice_ (struct ColtCell *cell,
-                          struct ColtCellStep *step,
+static void drop_advice_ (struct ColtCellStep *step,
                           struct ColtCellServer *server);
 
 struct ColtCellServer *
@@ -190,7 +189,7 @@
           = MAX (server->avoid_until_us, now_us + NO_ROOM_PAUSE_US);
       break;
     case COLT_START_BAD_TICKET:
-      drop_advice_ (cell, task->step, server);
+      drop_advice_ (task->step, server);
       task->step->not_before_us = now_us + TICKET_PAUSE_US;
       break;
     case COLT_START_BUSY:
@@ -454,13 +453,10 @@
 }
 
 static void
-drop_advice_ (struct ColtCell *cell,
-              struct ColtCellStep *step,
-              struct ColtCellServer *server)
+drop_advice_ (struct ColtCellStep *step, struct ColtCellServer *server)
 {
   struct ColtCellAdvice *advice = g_hash_table_lookup (step->advice, server);
 
-  (void)cell;
   if (advice != NULL)
     advice->valid_until_us = 0;
 }
--- a/src/coltsfootstile/cell_main.c
+++ b/src/coltsfootstile/cell_main.c
@@ -60,14 +60,10 @@
           "address of the placement adviser; empty: none" },
         { "bounds", "lease_max_ms", COLT_SETTING_INTEGER, NULL, 1000, 600000,
           false, "longest lease that backend servers give, in milliseconds" },
-        { "bounds", "stop_ms", COLT_SETTING_INTEGER, "1000", 0, 600000, false,
-          "longest time that a task takes to stop, in milliseconds" },
         { "bounds", "status_s", COLT_SETTING_INTEGER, "120", 1, 86400, false,
           "how long an ended job's state is shown, in seconds" },
         { "bounds", "grace_s", COLT_SETTING_INTEGER, "6", 1, 600, false,
           "time to stop in good order, in seconds" },
-        { "bounds", "log_keep_s", COLT_SETTING_INTEGER, "20", 1, 8640000, false,
-          "how long the log keeps records, in seconds" },
         { "log", "level", COLT_SETTING_STRING, "info", 0, 0, false,
           "error, warning, info or debug" } };
 
@@ -182,14 +178,10 @@
              number_ (settings, "link_mbps") / LEAD_LINK_MBPS);
   scheduler->lease_max_ms
       = (uint32_t)colt_settings_integer (settings, "bounds", "lease_max_ms");
-  scheduler->stop_ms
-      = (uint32_t)colt_settings_integer (settings, "bounds", "stop_ms");
   scheduler->status_s
       = (uint32_t)colt_settings_integer (settings, "bounds", "status_s");
   scheduler->grace_ms
       = (uint32_t)colt_settings_integer (settings, "bounds", "grace_s") * 1000;
-  scheduler->keep_s
-      = (uint32_t)colt_settings_integer (settings, "bounds", "log_keep_s");
   adapter->callers = colt_settings_string (settings, "listen", "callers");
   adapter->readiness = colt_settings_string (settings, "listen", "readiness");
   adapter->state = colt_settings_string (settings, "listen", "state");
--- a/src/test_cell/world.c
+++ b/src/test_cell/world.c
@@ -758,7 +758,7 @@
 change_lead (struct ColtWorld *world)
 {
   const struct ColtCellLimits limits
-      = { 3600 * COLT_US_PER_S, 800 * COLT_US_PER_MS, 0, 30 };
+      = { 3600 * COLT_US_PER_S, 800 * COLT_US_PER_MS, 30 };
   uint32_t s;
 
   if (world->batch != NULL)
--- a/src/test_cell_load/test_load.c
+++ b/src/test_cell_load/test_load.c
@@ -92,7 +92,7 @@
 static struct ColtLoad *
 make_load (void)
 {
-  const struct ColtCellLimits limits = { 60 * COLT_US_PER_S, 800 * MS, 0, 30 };
+  const struct ColtCellLimits limits = { 60 * COLT_US_PER_S, 800 * MS, 30 };
   struct ColtLoad *load = g_new0 (struct ColtLoad, 1);
   struct ColtFleet *fleet = colt_fleet_create ();
 
