--- a/src/scheduler/lead.c
+++ b/src/scheduler/lead.c
@@ -1,29 +1,17 @@
 #include <string.h>
 
-#include "scheduler_private.h"
+#include "lead_private.h"
 
 /* Period of looking for what is due. */
 #define TICK_MS 25
 /* Shortest time between two passes of placement. */
 #define PLACE_PAUSE_MS 8
-/* Changes are made durable within this time when a caller waits. */
-#define CALLER_LINGER_MS 8
 /* Starts are made durable within this time. */
 #define PLAN_LINGER_MS 2
 /* The servers' records are read this often: they change every second or so,
  * and draining has to be seen within two seconds. */
 #define SERVERS_PAUSE_MS 300
 #define SERVERS_WAIT_MS 1000
-/* With a batch this old, new jobs are turned away at once. */
-#define BATCH_STUCK_US (1200 * COLT_US_PER_MS)
-/* When a caller is told to come back while the log doesn't answer. */
-#define LOG_RETRY_AFTER_MS 1000
-/* When a caller is told to come back while the cell is full. */
-#define FULL_RETRY_AFTER_MS 5000
-/* Time kept of a caller's patience for the answer's way. */
-#define ANSWER_MARGIN_MS 250
-/* Patience of a caller that doesn't tell. */
-#define DEFAULT_PATIENCE_MS 3000
 /* Leases of servers last this long, or as long as servers allow: a lead that
  * dies is replaced well within it, and work of a server that is lost starts
  * elsewhere after it. */
@@ -34,55 +22,15 @@
 #define STOP_RETRY_US (800 * COLT_US_PER_MS)
 /* Servers named in one call for advice. */
 #define SERVERS_ASKED 30
-/* An answer of the log is lost after this time. */
-#define CALL_TIMEOUT_MS 1500
-#define RETRY_MS 150
 #define MODULE "lead"
 
-enum ColtLeadPhase
-{
-  PHASE_FENCING, /* earlier leads' appends are shut out */
-  PHASE_LOADING,
-  PHASE_SERVING
-};
-
-/* A call that waits for a batch. */
-struct ColtLeadCall
+/* The ends of one report, until they are durable. */
+struct ColtLeadEnds
 {
   struct ColtLead *lead;
-  enum ColtCallerKind kind;
-  char id[COLT_JOB_ID_LENGTH + 1];
-  ColtLeadReply reply;
-  void *client;
-  int64_t deadline_us;
-  bool replied;
-};
-
-struct ColtLead
-{
-  const struct ColtPorts *ports;
-  const struct ColtSchedulerSettings *settings;
-  struct ColtLeadClient client;
-  struct event_base *base;
-  uint64_t term;
-  enum ColtLeadPhase phase;
-  int64_t created_us;
-  struct ColtCell *cell;
-  struct ColtCommit *commit;
-  struct ColtWatch *servers;
-  struct ColtLogChannel *channel; /* for loading */
-  struct event *timer;
-  struct event *place;
-  struct event *retry;
-  GHashTable *links;  /* id -> struct ColtServerLink */
-  GHashTable *seen;   /* ids listed since the servers were read anew */
-  GPtrArray *calls;   /* of struct ColtLeadCall */
-  GPtrArray *loading; /* records of progress, until all jobs are loaded */
-  char *after;
-  int64_t confirmed_until_us;
-  bool closing;
-  uint64_t loaded;
-  int64_t config_version;
+  char *server;
+  int64_t born_ms;
+  uint64_t number;
 };
 
 static void start_op_ (void *client, const struct ColtStartOrder *order);
@@ -98,18 +46,7 @@
                          const char *detail);
 static void on_tick_ (evutil_socket_t fd, short what, void *arg);
 static void on_place_ (evutil_socket_t fd, short what, void *arg);
-static void on_retry_ (evutil_socket_t fd, short what, void *arg);
-static void retry_later_ (struct ColtLead *lead);
 static void place_soon_ (struct ColtLead *lead);
-static void fence_ (struct ColtLead *lead);
-static void take_fence_ (void *client, const struct ColtLogAnswer *answer);
-static void load_ (struct ColtLead *lead);
-static void take_page_ (void *client, const struct ColtLogAnswer *answer);
-static void load_record_ (struct ColtLead *lead,
-                          const char *key,
-                          const uint8_t *value,
-                          size_t size);
-static void serve_ (struct ColtLead *lead);
 static void take_server_record_ (void *client,
                                  const struct ColtLogRecord *record);
 static void take_servers_synced_ (void *client);
@@ -118,6 +55,7 @@
 static void take_report_ (void *client,
                           struct ColtServerLink *link,
                           const struct ColtServerReport *report);
+static void take_ends_durable_ (void *client, bool durable);
 static void take_started_ (void *client,
                            struct ColtServerLink *link,
                            const char *task,
@@ -138,37 +76,11 @@
 static bool is_tight_ (void *client, const char *server);
 static void take_committed_ (void *client);
 static void take_log_fenced_ (void *client);
-static void take_ends_durable_ (void *client, bool durable);
-static void submit_ (struct ColtLead *lead,
-                     ColtCallerCall *call,
-                     ColtLeadReply reply,
-                     void *client);
-static void wait_ (struct ColtLead *lead,
-                   const ColtCallerCall *call,
-                   ColtLeadReply reply,
-                   void *client);
-static void take_call_durable_ (void *client, bool durable);
-static void give_up_calls_ (struct ColtLead *lead, int64_t now_us);
-static void give_up_ (struct ColtLeadCall *call);
-static void reply_now_ (ColtLeadReply reply,
-                        void *client,
-                        enum ColtAnswerKind answer,
-                        enum ColtJobState state,
-                        uint32_t retry_after_ms);
 static void free_link_ (gpointer data);
 
 static const struct ColtCellOps cell_ops
     = { start_op_, stop_op_, advise_op_, decided_op_ };
 
-/* The ends of one report, until they are durable. */
-struct ColtLeadEnds
-{
-  struct ColtLead *lead;
-  char *server;
-  int64_t born_ms;
-  uint64_t number;
-};
-
 struct ColtLead *
 colt_lead_create (struct event_base *base,
                   const struct ColtPorts *ports,
@@ -204,17 +116,15 @@
       = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
   lead->timer = event_new (base, -1, EV_PERSIST, on_tick_, lead);
   lead->place = event_new (base, -1, 0, on_place_, lead);
-  lead->retry = event_new (base, -1, 0, on_retry_, lead);
+  lead->retry = event_new (base, -1, 0, colt_lead_retry, lead);
   event_add (lead->timer, &period);
-  fence_ (lead);
+  colt_lead_fence (lead);
   return lead;
 }
 
 void
 colt_lead_destroy (struct ColtLead *lead)
 {
-  guint i;
-
   if (lead == NULL)
     return;
   lead->closing = true;
@@ -223,13 +133,7 @@
   event_free (lead->retry);
   colt_watch_destroy (lead->servers);
   lead->ports->log_close (lead->channel);
-  for (i = 0; i < lead->calls->len; i++)
-    {
-      struct ColtLeadCall *call = g_ptr_array_index (lead->calls, i);
-
-      if (!call->replied)
-        give_up_ (call);
-    }
+  colt_lead_end_calls (lead);
   colt_commit_destroy (lead->commit);
   g_ptr_array_unref (lead->calls);
   g_hash_table_unref (lead->links);
@@ -254,36 +158,6 @@
   lead->confirmed_until_us = until_us + LEASE_MS * COLT_US_PER_MS;
 }
 
-void
-colt_lead_call (struct ColtLead *lead,
-                ColtCallerCall *call,
-                ColtLeadReply reply,
-                void *client)
-{
-  ColtCallerReply again = COLT_CALLER_REPLY__INIT;
-  enum ColtJobState state;
-
-  if (lead->phase != PHASE_SERVING)
-    {
-      again.try_again = true;
-      reply (client, &again);
-      return;
-    }
-  if (call->kind == COLT_CALLER_SUBMIT)
-    submit_ (lead, call, reply, client);
-  else if (call->kind == COLT_CALLER_CANCEL)
-    {
-      if (colt_cell_cancel (lead->cell, call->id, colt_clock_monotonic_us ()))
-        wait_ (lead, call, reply, client);
-      else
-        reply_now_ (reply, client, COLT_ANSWER_NO_JOB, 0, 0);
-    }
-  else if (colt_cell_state (lead->cell, call->id, &state))
-    reply_now_ (reply, client, COLT_ANSWER_STATE, state, 0);
-  else
-    reply_now_ (reply, client, COLT_ANSWER_NO_JOB, 0, 0);
-}
-
 void
 colt_lead_take_advice (struct ColtLead *lead,
                        const ColtAdviceCall *call,
@@ -306,6 +180,40 @@
   return lead->phase == PHASE_SERVING;
 }
 
+void
+colt_lead_serve (struct ColtLead *lead)
+{
+  const struct ColtWatchClient watch_client
+      = { take_server_record_, take_servers_synced_, lead };
+  const struct ColtWatchTimes times = { SERVERS_WAIT_MS, SERVERS_PAUSE_MS };
+  int64_t now_us = colt_clock_monotonic_us ();
+  int64_t lease_ms = MIN (LEASE_MS, lead->settings->lease_max_ms);
+  guint i;
+
+  for (i = 0; i < lead->loading->len; i++)
+    {
+      gsize size;
+      const char *key
+          = g_bytes_get_data (g_ptr_array_index (lead->loading, i), &size);
+      size_t key_size = strlen (key) + 1;
+
+      if (!colt_cell_load (lead->cell, key, (const uint8_t *)key + key_size,
+                           size - key_size, now_us,
+                           colt_clock_wall_us () / COLT_US_PER_MS))
+        colt_log (COLT_LOG_ERROR, MODULE, NULL, "record %s can't be read", key);
+    }
+  g_ptr_array_set_size (lead->loading, 0);
+  colt_cell_loaded (lead->cell,
+                    lead->created_us
+                        + (lease_ms + lease_ms / 20 + SETTLE_SLACK_MS)
+                              * COLT_US_PER_MS);
+  lead->phase = PHASE_SERVING;
+  lead->servers = colt_watch_create (lead->base, lead->ports,
+                                     COLT_TOPIC_SERVERS, &times, &watch_client);
+  colt_log (COLT_LOG_INFO, MODULE, NULL, "serves; %llu records were loaded",
+            (unsigned long long)lead->loaded);
+}
+
 static void
 start_op_ (void *client, const struct ColtStartOrder *order)
 {
@@ -381,7 +289,7 @@
   colt_cell_tick (lead->cell, now_us, colt_clock_wall_us () / COLT_US_PER_MS);
   if (colt_cell_is_dirty (lead->cell))
     colt_commit_soon (lead->commit, TICK_MS);
-  give_up_calls_ (lead, now_us);
+  colt_lead_give_up_calls (lead, now_us);
   place_soon_ (lead);
 }
 
@@ -400,27 +308,6 @@
     colt_commit_soon (lead->commit, PLAN_LINGER_MS);
 }
 
-static void
-on_retry_ (evutil_socket_t fd, short what, void *arg)
-{
-  struct ColtLead *lead = arg;
-
-  (void)fd;
-  (void)what;
-  if (lead->phase == PHASE_FENCING)
-    fence_ (lead);
-  else
-    load_ (lead);
-}
-
-static void
-retry_later_ (struct ColtLead *lead)
-{
-  const struct timeval when = { 0, RETRY_MS * 1000 };
-
-  event_add (lead->retry, &when);
-}
-
 static void
 place_soon_ (struct ColtLead *lead)
 {
@@ -430,137 +317,6 @@
     event_add (lead->place, &when);
 }
 
-static void
-fence_ (struct ColtLead *lead)
-{
-  struct ColtLogAppend append = { 0 };
-
-  append.topic = COLT_TOPIC_JOBS;
-  append.producer = "lead";
-  append.epoch = lead->term;
-  append.timeout_ms = CALL_TIMEOUT_MS;
-  lead->ports->log_append (lead->channel, &append, take_fence_, lead);
-}
-
-static void
-take_fence_ (void *client, const struct ColtLogAnswer *answer)
-{
-  struct ColtLead *lead = client;
-
-  if (lead->closing)
-    return;
-  if (answer->outcome == COLT_LOG_DONE)
-    {
-      lead->phase = PHASE_LOADING;
-      load_ (lead);
-      return;
-    }
-  colt_log (COLT_LOG_WARNING, MODULE, NULL,
-            "earlier leads can't be shut out: %s %s",
-            colt_log_outcome_string[answer->outcome], answer->error.message);
-  if (answer->outcome == COLT_LOG_FENCED)
-    lead->client.fenced (lead->client.client);
-  else
-    retry_later_ (lead);
-}
-
-static void
-load_ (struct ColtLead *lead)
-{
-  lead->ports->log_newest (lead->channel, COLT_TOPIC_JOBS, lead->after,
-                           take_page_, lead);
-}
-
-static void
-take_page_ (void *client, const struct ColtLogAnswer *answer)
-{
-  struct ColtLead *lead = client;
-  size_t i;
-
-  if (lead->closing)
-    return;
-  if (answer->outcome != COLT_LOG_DONE)
-    {
-      colt_log (COLT_LOG_WARNING, MODULE, NULL, "jobs can't be read: %s %s",
-                colt_log_outcome_string[answer->outcome],
-                answer->error.message);
-      retry_later_ (lead);
-      return;
-    }
-  for (i = 0; i < answer->count; i++)
-    if (answer->records[i].value != NULL)
-      load_record_ (lead, answer->records[i].key, answer->records[i].value,
-                    answer->records[i].size);
-  g_clear_pointer (&lead->after, g_free);
-  if (answer->more && answer->count > 0)
-    {
-      lead->after = g_strdup (answer->records[answer->count - 1].key);
-      load_ (lead);
-      return;
-    }
-  serve_ (lead);
-}
-
-/* Progress can only be applied to jobs that are there; keys of progress come
- * before those of jobs. */
-static void
-load_record_ (struct ColtLead *lead,
-              const char *key,
-              const uint8_t *value,
-              size_t size)
-{
-  size_t key_size = strlen (key) + 1;
-  uint8_t *kept;
-
-  lead->loaded++;
-  if (key[0] != 'p')
-    {
-      if (!colt_cell_load (lead->cell, key, value, size,
-                           colt_clock_monotonic_us (),
-                           colt_clock_wall_us () / COLT_US_PER_MS))
-        colt_log (COLT_LOG_ERROR, MODULE, NULL, "record %s can't be read", key);
-      return;
-    }
-  kept = g_malloc (key_size + size);
-  memcpy (kept, key, key_size);
-  memcpy (kept + key_size, value, size);
-  g_ptr_array_add (lead->loading, g_bytes_new_take (kept, key_size + size));
-}
-
-static void
-serve_ (struct ColtLead *lead)
-{
-  const struct ColtWatchClient watch_client
-      = { take_server_record_, take_servers_synced_, lead };
-  const struct ColtWatchTimes times = { SERVERS_WAIT_MS, SERVERS_PAUSE_MS };
-  int64_t now_us = colt_clock_monotonic_us ();
-  int64_t lease_ms = MIN (LEASE_MS, lead->settings->lease_max_ms);
-  guint i;
-
-  for (i = 0; i < lead->loading->len; i++)
-    {
-      gsize size;
-      const char *key
-          = g_bytes_get_data (g_ptr_array_index (lead->loading, i), &size);
-      size_t key_size = strlen (key) + 1;
-
-      if (!colt_cell_load (lead->cell, key, (const uint8_t *)key + key_size,
-                           size - key_size, now_us,
-                           colt_clock_wall_us () / COLT_US_PER_MS))
-        colt_log (COLT_LOG_ERROR, MODULE, NULL, "record %s can't be read", key);
-    }
-  g_ptr_array_set_size (lead->loading, 0);
-  colt_cell_loaded (lead->cell,
-                    lead->created_us
-                        + (lease_ms + lease_ms / 20 + SETTLE_SLACK_MS)
-                              * COLT_US_PER_MS);
-  lead->phase = PHASE_SERVING;
-  lead->servers = colt_watch_create (lead->base, lead->ports,
-                                     COLT_TOPIC_SERVERS, &times, &watch_client);
-  colt_log (COLT_LOG_INFO, MODULE, NULL, "serves; %llu records were loaded",
-            (unsigned long long)lead->loaded);
-}
-
 static void
 take_server_record_ (void *client, const struct ColtLogRecord *record)
 {
@@ -773,152 +529,6 @@
   lead->client.fenced (lead->client.client);
 }
 
-static void
-submit_ (struct ColtLead *lead,
-         ColtCallerCall *call,
-         ColtLeadReply reply,
-         void *client)
-{
-  ColtCallerReply again = COLT_CALLER_REPLY__INIT;
-  enum ColtSubmitResult result;
-  enum ColtJobState state;
-
-  if (call->spec == NULL)
-    {
-      reply_now_ (reply, client, COLT_ANSWER_INVALID, 0, 0);
-      return;
-    }
-  if (colt_commit_age_us (lead->commit) > BATCH_STUCK_US
-      && !colt_cell_state (lead->cell, call->spec->id, &state))
-    {
-      reply_now_ (reply, client, COLT_ANSWER_NOT_TAKEN, 0, LOG_RETRY_AFTER_MS);
-      return;
-    }
-  call->spec->accepted_wall_ms = colt_clock_wall_us () / COLT_US_PER_MS;
-  result
-      = colt_cell_submit (lead->cell, call->spec, colt_clock_monotonic_us ());
-  switch (result)
-    {
-    case COLT_SUBMIT_NEW:
-      call->spec = NULL;
-      wait_ (lead, call, reply, client);
-      return;
-    case COLT_SUBMIT_PENDING:
-      wait_ (lead, call, reply, client);
-      return;
-    case COLT_SUBMIT_KNOWN:
-      reply_now_ (reply, client, COLT_ANSWER_ACCEPTED, 0, 0);
-      return;
-    case COLT_SUBMIT_INVALID:
-      reply_now_ (reply, client, COLT_ANSWER_INVALID, 0, 0);
-      return;
-    case COLT_SUBMIT_NO_QUEUE:
-      again.try_again = true;
-      reply (client, &again);
-      return;
-    case COLT_SUBMIT_TOO_LATE:
-    case COLT_SUBMIT_FULL:
-      reply_now_ (reply, client, COLT_ANSWER_LIMITED, 0, FULL_RETRY_AFTER_MS);
-    }
-}
-
-/* Replies once what the call has changed is durable. */
-static void
-wait_ (struct ColtLead *lead,
-       const ColtCallerCall *call,
-       ColtLeadReply reply,
-       void *client)
-{
-  struct ColtLeadCall *waiting = g_new0 (struct ColtLeadCall, 1);
-  uint32_t patience_ms
-      = call->patience_ms > 0 ? call->patience_ms : DEFAULT_PATIENCE_MS;
-
-  waiting->lead = lead;
-  waiting->kind = (enum ColtCallerKind)call->kind;
-  g_strlcpy (waiting->id, call->id, sizeof waiting->id);
-  waiting->reply = reply;
-  waiting->client = client;
-  waiting->deadline_us
-      = colt_clock_monotonic_us ()
-        + (int64_t)(patience_ms - MIN (ANSWER_MARGIN_MS, patience_ms))
-              * COLT_US_PER_MS;
-  g_ptr_array_add (lead->calls, waiting);
-  colt_commit_wait (lead->commit, take_call_durable_, waiting);
-  colt_commit_soon (lead->commit, CALLER_LINGER_MS);
-}
-
-static void
-take_call_durable_ (void *client, bool durable)
-{
-  struct ColtLeadCall *call = client;
-  enum ColtAnswerKind answer = COLT_ANSWER_CANCELLED;
-
-  /* The job may have been given back to another caller in the meantime. */
-  if (!durable
-      || (call->kind == COLT_CALLER_SUBMIT
-          && !colt_cell_is_durable (call->lead->cell, call->id)))
-    answer = COLT_ANSWER_UNCERTAIN;
-  else if (call->kind == COLT_CALLER_SUBMIT)
-    answer = COLT_ANSWER_ACCEPTED;
-  if (!call->replied)
-    reply_now_ (call->reply, call->client, answer, 0, 0);
-  g_ptr_array_remove_fast (call->lead->calls, call);
-  g_free (call);
-}
-
-/* A job that is in no batch can be given back at once and truly. */
-static void
-give_up_calls_ (struct ColtLead *lead, int64_t now_us)
-{
-  bool stuck = colt_commit_age_us (lead->commit) > BATCH_STUCK_US;
-  guint i;
-
-  for (i = 0; i < lead->calls->len; i++)
-    {
-      struct ColtLeadCall *call = g_ptr_array_index (lead->calls, i);
-
-      if (call->replied)
-        continue;
-      if (stuck && call->kind == COLT_CALLER_SUBMIT
-          && colt_cell_withdraw (lead->cell, call->id))
-        {
-          call->replied = true;
-          reply_now_ (call->reply, call->client, COLT_ANSWER_NOT_TAKEN, 0,
-                      LOG_RETRY_AFTER_MS);
-        }
-      else if (now_us > call->deadline_us)
-        give_up_ (call);
-    }
-}
-
-static void
-give_up_ (struct ColtLeadCall *call)
-{
-  struct ColtCell *cell = call->lead->cell;
-
-  call->replied = true;
-  if (call->kind == COLT_CALLER_SUBMIT && colt_cell_withdraw (cell, call->id))
-    reply_now_ (call->reply, call->client, COLT_ANSWER_NOT_TAKEN, 0,
-                LOG_RETRY_AFTER_MS);
-  else
-    reply_now_ (call->reply, call->client, COLT_ANSWER_UNCERTAIN, 0, 0);
-}
-
-static void
-reply_now_ (ColtLeadReply reply,
-            void *client,
-            enum ColtAnswerKind answer,
-            enum ColtJobState state,
-            uint32_t retry_after_ms)
-{
-  ColtCallerReply message = COLT_CALLER_REPLY__INIT;
-
-  message.answer = answer;
-  message.state = state;
-  message.retry_after_ms = retry_after_ms;
-  reply (client, &message);
-}
-
 static void
 free_link_ (gpointer data)
 {
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -1,31 +1,12 @@
 #include <arpa/inet.h>
-#include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
-#include "members.h"
-#include "metrics.h"
-#include "scheduler_private.h"
+#include "scheduler_state.h"
 
 /* Period of telling the lead that this instance is there. */
 #define BEAT_MS 250
 /* A beat without an answer is lost after this time. */
 #define BEAT_TIMEOUT_MS 800
-/* Pause before a caller's request is handed to the lead again. */
-#define RETRY_MS 60
-/* One try of handing a request to the lead. */
-#define CALL_TIMEOUT_MS 2000
-/* How long a request waits for a lead before it is turned away: a lead that
- * stops in good order is replaced within this. */
-#define NO_LEAD_PATIENCE_MS 350
-/* The same, when the lead's process has ended: it is replaced within this. */
-#define ENDED_LEAD_PATIENCE_MS 700
-/* When a caller is told to come back while there is no lead: one that has ended
- * is replaced within this, a silent one soon after. */
-#define NO_LEAD_RETRY_AFTER_MS 1000
-/* Time kept of a caller's patience for the answer's way. */
-#define ANSWER_MARGIN_MS 150
-#define DEFAULT_PATIENCE_MS 3000
 /* A call for advice is lost after this time; the adviser takes up to a second
  * for one call, and the calls of one instance wait for each other. */
 #define ADVICE_TIMEOUT_MS 2500
@@ -44,49 +25,6 @@
 #define YIELD_AFTER_US (2 * COLT_US_PER_S)
 #define MODULE "scheduler"
 
-struct ColtScheduler
-{
-  struct event_base *base;
-  const struct ColtPorts *ports;
-  struct ColtSchedulerSettings settings;
-  uint32_t instance; /* the internal address as a number */
-  struct ColtWire *wire;
-  struct ColtWatch *config;
-  struct ColtElection *election;
-  struct ColtLead *lead; /* while this instance leads */
-  struct ColtFleet *fleet;
-  struct ColtMembers *members;
-  struct ColtAdviserChannel *adviser;
-  struct event *beat;
-  struct event *stop;
-  struct ColtMetrics *metrics;
-  GHashTable *counts;  /* queue -> waiting jobs, as the lead told */
-  GPtrArray *requests; /* of struct ColtRequest */
-  uint32_t lead_instance;
-  int64_t elected_us;
-  bool stopping;
-  int64_t stopping_us;
-};
-
-/* A caller's request on its way. */
-struct ColtRequest
-{
-  struct ColtScheduler *scheduler;
-  struct ColtCallerHandle *handle;
-  enum ColtCallerKind kind;
-  char *host;
-  char *path;
-  char *key;
-  char *body;
-  size_t size;
-  int64_t arrived_us;
-  int64_t deadline_us;
-  uint32_t tries;
-  bool maybe_done; /* a lead may have acted on it */
-  ColtJobSpec *spec;
-  struct event *timer;
-};
-
 /* A message of another instance that waits for its answer. */
 struct ColtForeignCall
 {
@@ -96,6 +34,8 @@
   int64_t sent_us;
 };
 
+static bool start_wire_ (struct ColtScheduler *scheduler,
+                         struct ColtError *error);
 static void take_config_ (void *client, const struct ColtLogRecord *record);
 static void tell_config_ (const struct ColtScheduler *scheduler,
                           const struct ColtFleet *fleet);
@@ -104,23 +44,15 @@
 static void take_changed_ (void *client);
 static void take_lead_fenced_ (void *client);
 static bool take_advise_ (void *client, const ColtAdviceCall *call);
+static void take_own_advice_ (void *client, const ColtAdviceReply *reply);
+static void take_member_advice_ (void *client,
+                                 enum ColtWireResult result,
+                                 const uint8_t *body,
+                                 size_t size);
+static ColtAdviceCall *copy_advice_ (const ColtAdviceCall *call);
 static void on_beat_ (evutil_socket_t fd, short what, void *arg);
-static void yield_if_weak_ (struct ColtScheduler *scheduler, int64_t now_us);
 static void confirm_lead_ (struct ColtScheduler *scheduler, int64_t now_us);
-/* A change of the lead costs less than a second; a weak lead costs more the
- * whole time. */
-static void
-yield_if_weak_ (struct ColtScheduler *scheduler, int64_t now_us)
-{
-  if (!colt_lead_is_serving (scheduler->lead)
-      || !colt_cell_is_settled (colt_lead_cell (scheduler->lead))
-      || now_us - scheduler->elected_us < YIELD_AFTER_US)
-    return;
-  if (colt_members_strongest (scheduler->members, now_us)
-      >= YIELD_FACTOR * scheduler->settings.strength)
-    colt_election_yield (scheduler->election);
-}
-
+static void yield_if_weak_ (struct ColtScheduler *scheduler, int64_t now_us);
 static void take_beat_reply_ (void *client,
                               enum ColtWireResult result,
                               const uint8_t *body,
@@ -139,45 +71,10 @@
                                const uint8_t *body,
                                size_t size);
 static void take_advice_ (void *client, const ColtAdviceReply *reply);
-static void take_own_advice_ (void *client, const ColtAdviceReply *reply);
-static void take_member_advice_ (void *client,
-                                 enum ColtWireResult result,
-                                 const uint8_t *body,
-                                 size_t size);
-static ColtAdviceCall *copy_advice_ (const ColtAdviceCall *call);
-static void handle_ (void *client,
-                     const struct ColtCallerRequest *request,
-                     struct ColtCallerHandle *handle);
-static void try_ (evutil_socket_t fd, short what, void *arg);
-static bool prepare_ (struct ColtRequest *request,
-                      ColtCallerCall *call,
-                      struct ColtCallerAnswer *answer);
-static bool is_id_ (const char *text);
-static uint64_t waiting_of_ (const struct ColtScheduler *scheduler,
-                             const char *queue);
-static void hand_over_ (struct ColtRequest *request, ColtCallerCall *call);
-static void take_reply_ (void *client,
-                         enum ColtWireResult result,
-                         const uint8_t *body,
-                         size_t size);
-static void take_lead_reply_ (void *client, const ColtCallerReply *reply);
-static void try_again_ (struct ColtRequest *request);
-static void end_ (struct ColtRequest *request,
-                  const struct ColtCallerAnswer *answer);
-static void end_with_ (struct ColtRequest *request,
-                       enum ColtAnswerKind kind,
-                       uint32_t retry_after_ms);
-static void tell_answer_ (const struct ColtRequest *request,
-                          const struct ColtCallerAnswer *answer);
-static void free_request_ (struct ColtRequest *request);
 static bool is_ready_ (void *client);
 static char *describe_ (void *client, const char *path);
 static char *dump_state_ (const struct ColtScheduler *scheduler);
 static void on_stop_ (evutil_socket_t fd, short what, void *arg);
-static uint32_t instance_of_ (const char *address);
-static bool start_wire_ (struct ColtScheduler *scheduler,
-                         struct ColtError *error);
-static void add_timer_ (struct event *timer, uint32_t after_ms);
 
 struct ColtScheduler *
 colt_scheduler_create (struct event_base *base,
@@ -187,7 +84,7 @@
 {
   struct ColtScheduler *scheduler = g_new0 (struct ColtScheduler, 1);
   const struct ColtCallerServer server
-      = { handle_, is_ready_, describe_, scheduler };
+      = { colt_scheduler_handle, is_ready_, describe_, scheduler };
   const struct ColtElectionClient election
       = { take_elected_, take_deposed_, take_changed_, scheduler };
   const struct ColtWatchClient config = { take_config_, NULL, scheduler };
@@ -196,7 +93,7 @@
   scheduler->base = base;
   scheduler->ports = ports;
   scheduler->settings = *settings;
-  scheduler->instance = instance_of_ (settings->internal);
+  scheduler->instance = colt_scheduler_instance_of (settings->internal);
   scheduler->metrics = colt_metrics_create ();
   scheduler->counts
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -215,7 +112,7 @@
       = colt_watch_create (base, ports, COLT_TOPIC_OPERATOR, &times, &config);
   scheduler->election
       = colt_election_create (base, ports, &scheduler->settings, &election);
-  add_timer_ (scheduler->beat, BEAT_MS);
+  colt_scheduler_add_timer (scheduler->beat, BEAT_MS);
   colt_log (COLT_LOG_INFO, MODULE, NULL, "%s in zone %s has started",
             settings->name, settings->zone);
   return scheduler;
@@ -230,9 +127,7 @@
   scheduler->lead = NULL;
   colt_election_destroy (scheduler->election);
   colt_watch_destroy (scheduler->config);
-  while (scheduler->requests->len > 0)
-    end_with_ (g_ptr_array_remove_index_fast (scheduler->requests, 0),
-               COLT_ANSWER_UNCERTAIN, 0);
+  colt_scheduler_end_requests (scheduler);
   colt_wire_destroy (scheduler->wire);
   if (scheduler->adviser != NULL)
     scheduler->ports->adviser_close (scheduler->adviser);
@@ -256,7 +151,30 @@
   colt_log (COLT_LOG_INFO, MODULE, NULL, "stops; %u requests are open",
             scheduler->requests->len);
   colt_election_leave (scheduler->election);
-  add_timer_ (scheduler->stop, STOP_CHECK_MS);
+  colt_scheduler_add_timer (scheduler->stop, STOP_CHECK_MS);
+}
+
+uint32_t
+colt_scheduler_instance_of (const char *address)
+{
+  char ip[COLT_ERROR_PEER_SIZE];
+  char *colon;
+  struct in_addr parsed;
+
+  g_strlcpy (ip, address, sizeof ip);
+  colon = strrchr (ip, ':');
+  if (colon != NULL)
+    *colon = '\0';
+  return inet_pton (AF_INET, ip, &parsed) == 1 ? ntohl (parsed.s_addr) : 1;
+}
+
+void
+colt_scheduler_add_timer (struct event *timer, uint32_t after_ms)
+{
+  const struct timeval when
+      = { after_ms / 1000, (suseconds_t)(after_ms % 1000) * 1000 };
+
+  event_add (timer, &when);
 }
 
 static bool
@@ -465,7 +383,7 @@
     }
   if (address == NULL)
     return;
-  lead = instance_of_ (address);
+  lead = colt_scheduler_instance_of (address);
   if (lead == scheduler->instance)
     return;
   colt_wire_set_peer (scheduler->wire, lead, address);
@@ -493,6 +411,20 @@
       colt_members_count_advisers (scheduler->members, now_us));
 }
 
+/* A change of the lead costs less than a second; a weak lead costs more the
+ * whole time. */
+static void
+yield_if_weak_ (struct ColtScheduler *scheduler, int64_t now_us)
+{
+  if (!colt_lead_is_serving (scheduler->lead)
+      || !colt_cell_is_settled (colt_lead_cell (scheduler->lead))
+      || now_us - scheduler->elected_us < YIELD_AFTER_US)
+    return;
+  if (colt_members_strongest (scheduler->members, now_us)
+      >= YIELD_FACTOR * scheduler->settings.strength)
+    colt_election_yield (scheduler->election);
+}
+
 static void
 take_beat_reply_ (void *client,
                   enum ColtWireResult result,
@@ -647,312 +579,6 @@
   g_free (open);
 }
 
-static void
-handle_ (void *client,
-         const struct ColtCallerRequest *caller,
-         struct ColtCallerHandle *handle)
-{
-  struct ColtScheduler *scheduler = client;
-  struct ColtRequest *request = g_new0 (struct ColtRequest, 1);
-  uint32_t patience_ms
-      = caller->patience_ms > 0 ? caller->patience_ms : DEFAULT_PATIENCE_MS;
-
-  colt_metrics_count (scheduler->metrics, METRIC_REQUESTS);
-  request->scheduler = scheduler;
-  request->handle = handle;
-  request->kind = caller->kind;
-  request->host = g_strdup (caller->host);
-  request->path = g_strdup (caller->path);
-  request->key = g_strdup (caller->key);
-  request->body = g_memdup2 (caller->body, caller->size);
-  request->size = caller->size;
-  request->arrived_us = colt_clock_monotonic_us ();
-  request->deadline_us
-      = request->arrived_us
-        + (int64_t)(patience_ms - MIN (patience_ms, ANSWER_MARGIN_MS))
-              * COLT_US_PER_MS;
-  request->timer = event_new (scheduler->base, -1, 0, try_, request);
-  g_ptr_array_add (scheduler->requests, request);
-  try_ (-1, 0, request);
-}
-
-/* Each try looks at the newest configuration and the newest lead. */
-static void
-try_ (evutil_socket_t fd, short what, void *arg)
-{
-  struct ColtRequest *request = arg;
-  ColtCallerCall call = COLT_CALLER_CALL__INIT;
-  struct ColtCallerAnswer answer = { 0 };
-
-  (void)fd;
-  (void)what;
-  request->tries++;
-  if (prepare_ (request, &call, &answer))
-    hand_over_ (request, &call);
-  else
-    end_ (request, &answer);
-}
-
-/* Returns false if the answer is known without the lead. */
-static bool
-prepare_ (struct ColtRequest *request,
-          ColtCallerCall *call,
-          struct ColtCallerAnswer *answer)
-{
-  struct ColtScheduler *scheduler = request->scheduler;
-  const struct ColtFleet *fleet = scheduler->fleet;
-  const struct ColtQueueConfig *queue;
-  const struct ColtOrganisation *organisation;
-  const char *id;
-
-  answer->kind = COLT_ANSWER_NOT_TAKEN;
-  answer->retry_after_ms = NO_LEAD_RETRY_AFTER_MS;
-  if (fleet == NULL)
-    return false;
-  queue = colt_fleet_route (fleet, request->host, request->path);
-  answer->kind = COLT_ANSWER_NO_QUEUE;
-  answer->retry_after_ms = 0;
-  if (queue == NULL)
-    return false;
-  organisation = colt_fleet_organisation_of (fleet, request->key);
-  answer->kind = COLT_ANSWER_UNAUTHORIZED;
-  if (organisation == NULL && !queue->open)
-    return false;
-  id = request->path + strlen (queue->prefix);
-  answer->waiting = waiting_of_ (scheduler, queue->name);
-  answer->kind = COLT_ANSWER_COUNT;
-  if (id[0] == '\0' && request->kind == COLT_CALLER_STATE)
-    return false;
-  answer->kind = request->kind == COLT_CALLER_SUBMIT ? COLT_ANSWER_INVALID
-                                                     : COLT_ANSWER_NO_JOB;
-  if (!is_id_ (id))
-    return false;
-  if (request->kind == COLT_CALLER_SUBMIT && request->spec == NULL)
-    {
-      struct ColtError error;
-
-      request->spec = scheduler->ports->decode_job (
-          scheduler->ports->adapter, request->body, request->size, &error);
-      if (request->spec == NULL)
-        {
-          colt_log_error (COLT_LOG_INFO, MODULE, "a job can't be read", &error);
-          return false;
-        }
-    }
-  call->kind = request->kind;
-  call->id = (char *)id;
-  call->organisation = organisation != NULL ? organisation->name : "";
-  call->queue = queue->name;
-  call->spec = request->spec;
-  return true;
-}
-
-static bool
-is_id_ (const char *text)
-{
-  return strlen (text) == COLT_JOB_ID_LENGTH
-         && strspn (text, "0123456789abcdefABCDEF") == COLT_JOB_ID_LENGTH;
-}
-
-static uint64_t
-waiting_of_ (const struct ColtScheduler *scheduler, const char *queue)
-{
-  if (scheduler->lead != NULL)
-    return colt_cell_waiting (colt_lead_cell (scheduler->lead), queue);
-  return GPOINTER_TO_SIZE (g_hash_table_lookup (scheduler->counts, queue));
-}
-
-static void
-hand_over_ (struct ColtRequest *request, ColtCallerCall *call)
-{
-  struct ColtScheduler *scheduler = request->scheduler;
-  const char *address = colt_election_lead (scheduler->election);
-  int64_t left_us = request->deadline_us - colt_clock_monotonic_us ();
-  uint8_t *body;
-  size_t size;
-
-  if (address == NULL || left_us <= 0)
-    {
-      try_again_ (request);
-      return;
-    }
-  call->patience_ms = (uint32_t)(left_us / COLT_US_PER_MS) + 1;
-  if (call->spec != NULL)
-    {
-      /* The strings stay the caller's, but for the time of packing. */
-      call->spec->id = call->id;
-      call->spec->organisation = call->organisation;
-      call->spec->queue = call->queue;
-    }
-  size = colt_caller_call__get_packed_size (call);
-  body = g_malloc (size);
-  colt_caller_call__pack (call, body);
-  if (call->spec != NULL)
-    {
-      call->spec->id = (char *)protobuf_c_empty_string;
-      call->spec->organisation = (char *)protobuf_c_empty_string;
-      call->spec->queue = (char *)protobuf_c_empty_string;
-    }
-  if (scheduler->lead != NULL)
-    {
-      ColtCallerCall *copy = colt_caller_call__unpack (NULL, size, body);
-
-      colt_lead_call (scheduler->lead, copy, take_lead_reply_, request);
-      colt_caller_call__free_unpacked (copy, NULL);
-    }
-  else
-    {
-      uint32_t lead = instance_of_ (address);
-
-      colt_metrics_count (scheduler->metrics, METRIC_FORWARDED);
-      colt_wire_set_peer (scheduler->wire, lead, address);
-      colt_wire_call (scheduler->wire, lead, MESSAGE_CALLER, body, size,
-                      MIN (CALL_TIMEOUT_MS, call->patience_ms), take_reply_,
-                      request);
-    }
-  g_free (body);
-}
-
-static void
-take_reply_ (void *client,
-             enum ColtWireResult result,
-             const uint8_t *body,
-             size_t size)
-{
-  struct ColtRequest *request = client;
-  ColtCallerReply *reply;
-
-  if (result == COLT_WIRE_TIMED_OUT || result == COLT_WIRE_BROKEN)
-    request->maybe_done = true;
-  if (result != COLT_WIRE_REPLIED)
-    {
-      try_again_ (request);
-      return;
-    }
-  reply = colt_caller_reply__unpack (NULL, size, body);
-  if (reply == NULL)
-    {
-      request->maybe_done = true;
-      try_again_ (request);
-      return;
-    }
-  take_lead_reply_ (request, reply);
-  colt_caller_reply__free_unpacked (reply, NULL);
-}
-
-static void
-take_lead_reply_ (void *client, const ColtCallerReply *reply)
-{
-  struct ColtRequest *request = client;
-  struct ColtCallerAnswer answer = { 0 };
-
-  if (reply->try_again)
-    {
-      try_again_ (request);
-      return;
-    }
-  answer.kind = (enum ColtAnswerKind)reply->answer;
-  answer.state = (enum ColtJobState)reply->state;
-  answer.retry_after_ms = reply->retry_after_ms;
-  /* An earlier try may have been taken by another lead. */
-  if (request->maybe_done && request->kind == COLT_CALLER_SUBMIT
-      && (answer.kind == COLT_ANSWER_NOT_TAKEN
-          || answer.kind == COLT_ANSWER_LIMITED))
-    answer.kind = COLT_ANSWER_UNCERTAIN;
-  end_ (request, &answer);
-}
-
-/* A request that no lead has seen is turned away soon; one that a lead may
- * have acted on is tried while its caller waits. */
-static void
-try_again_ (struct ColtRequest *request)
-{
-  int64_t now_us = colt_clock_monotonic_us ();
-  int64_t patience_ms = colt_election_is_suspect (request->scheduler->election)
-                            ? ENDED_LEAD_PATIENCE_MS
-                            : NO_LEAD_PATIENCE_MS;
-
-  if (now_us >= request->deadline_us && request->maybe_done)
-    end_with_ (request, COLT_ANSWER_UNCERTAIN, NO_LEAD_RETRY_AFTER_MS);
-  else if (!request->maybe_done
-           && now_us - request->arrived_us > patience_ms * COLT_US_PER_MS)
-    end_with_ (request, COLT_ANSWER_NOT_TAKEN, NO_LEAD_RETRY_AFTER_MS);
-  else
-    add_timer_ (request->timer, RETRY_MS);
-}
-
-static void
-end_with_ (struct ColtRequest *request,
-           enum ColtAnswerKind kind,
-           uint32_t retry_after_ms)
-{
-  struct ColtCallerAnswer answer = { 0 };
-
-  answer.kind = kind;
-  answer.retry_after_ms = retry_after_ms;
-  end_ (request, &answer);
-}
-
-static void
-end_ (struct ColtRequest *request, const struct ColtCallerAnswer *answer)
-{
-  struct ColtScheduler *scheduler = request->scheduler;
-
-  if (answer->kind == COLT_ANSWER_NOT_TAKEN
-      || answer->kind == COLT_ANSWER_LIMITED)
-    colt_metrics_count (scheduler->metrics, METRIC_TURNED_AWAY);
-  if (answer->kind == COLT_ANSWER_UNCERTAIN)
-    colt_metrics_count (scheduler->metrics, METRIC_UNCERTAIN);
-  tell_answer_ (request, answer);
-  scheduler->ports->answer (request->handle, answer);
-  g_ptr_array_remove_fast (scheduler->requests, request);
-  free_request_ (request);
-}
-
-static void
-tell_answer_ (const struct ColtRequest *request,
-              const struct ColtCallerAnswer *answer)
-{
-  static const char *const kinds[] = { "submit", "state", "cancel" };
-  const struct ColtScheduler *scheduler = request->scheduler;
-  const char *slash = strrchr (request->path, '/');
-  const char *lead = colt_election_lead (scheduler->election);
-  int64_t took_us = colt_clock_monotonic_us () - request->arrived_us;
-  const struct ColtLogField fields[] = {
-    { "kind", kinds[request->kind], 0 },
-    { "answer", colt_answer_kind_string[answer->kind], 0 },
-    { "state",
-      answer->kind == COLT_ANSWER_STATE ? colt_job_state_string[answer->state]
-                                        : "",
-      0 },
-    { "took_ms", NULL, took_us / COLT_US_PER_MS },
-    { "tries", NULL, request->tries },
-    { "lead", lead != NULL ? lead : "", 0 },
-    { "term", NULL, (int64_t)colt_election_term (scheduler->election) },
-    { "config", NULL, scheduler->fleet != NULL ? scheduler->fleet->version : 0 }
-  };
-
-  colt_metrics_time (scheduler->metrics, TIMING_ANSWER, took_us);
-  if (request->kind == COLT_CALLER_STATE && answer->kind <= COLT_ANSWER_COUNT)
-    return;
-  colt_log_event (COLT_LOG_INFO, MODULE, "answered",
-                  slash != NULL ? slash + 1 : "", fields,
-                  G_N_ELEMENTS (fields));
-}
-
-static void
-free_request_ (struct ColtRequest *request)
-{
-  event_free (request->timer);
-  if (request->spec != NULL)
-    colt_job_spec__free_unpacked (request->spec, NULL);
-  g_free (request->host);
-  g_free (request->path);
-  g_free (request->key);
-  g_free (request->body);
-  g_free (request);
-}
-
 static bool
 is_ready_ (void *client)
 {
@@ -1021,26 +647,3 @@
       || since_ms + STOP_MARGIN_MS > scheduler->settings.grace_ms)
     event_base_loopbreak (scheduler->base);
 }
-
-static uint32_t
-instance_of_ (const char *address)
-{
-  char ip[COLT_ERROR_PEER_SIZE];
-  char *colon;
-  struct in_addr parsed;
-
-  g_strlcpy (ip, address, sizeof ip);
-  colon = strrchr (ip, ':');
-  if (colon != NULL)
-    *colon = '\0';
-  return inet_pton (AF_INET, ip, &parsed) == 1 ? ntohl (parsed.s_addr) : 1;
-}
-
-static void
-add_timer_ (struct event *timer, uint32_t after_ms)
-{
-  const struct timeval when
-      = { after_ms / 1000, (suseconds_t)(after_ms % 1000) * 1000 };
-
-  event_add (timer, &when);
-}
