--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -21,8 +21,8 @@
 static void update_queues_ (struct ColtCell *cell, struct ColtFleet *fleet);
 static void update_organisations_ (struct ColtCell *cell,
                                    const struct ColtFleet *fleet);
-static void forget_jobs_ (struct ColtCell *cell, int64_t now_us);
 static void retry_stops_ (struct ColtCell *cell, int64_t now_us);
+static void forget_jobs_ (struct ColtCell *cell, int64_t now_us);
 
 struct ColtCell *
 colt_cell_create (const struct ColtCellOps *ops,
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -25,15 +25,15 @@
 const char *const colt_cell_rank_string[]
     = { "lasting", "timely", "excess", "late", "worthless" };
 
-static bool is_for_advice_ (enum ColtCellHold held);
-static void hold_ (struct ColtCell *cell,
-                   struct ColtCellStep *step,
-                   enum ColtCellHold held);
 static void rank_steps_ (struct ColtCell *cell, int64_t now_us);
 static int compare_steps_ (gconstpointer a, gconstpointer b);
 static uint32_t priority_of_ (const struct ColtCellStep *step);
 static void
 place_step_ (struct ColtCell *cell, struct ColtCellStep *step, int64_t now_us);
+static bool is_for_advice_ (enum ColtCellHold held);
+static void hold_ (struct ColtCell *cell,
+                   struct ColtCellStep *step,
+                   enum ColtCellHold held);
 static void place_tasks_ (struct ColtCell *cell,
                           struct ColtCellStep *step,
                           struct ColtCellPool *pool,
@@ -42,6 +42,7 @@
                          struct ColtCellStep *step,
                          struct ColtCellPool *pool,
                          int64_t now_us);
+static double fullness_ (const struct ColtCellServer *server);
 static bool within_limit_ (const struct ColtCell *cell,
                            const struct ColtCellStep *step,
                            uint32_t tasks);
@@ -63,7 +64,6 @@
 static void note_plan_ (GString *plan, const struct ColtCellTask *task);
 static void
 tell_plan_ (struct ColtCell *cell, struct ColtCellStep *step, GString *plan);
-static double fullness_ (const struct ColtCellServer *server);
 static uint32_t next_run_ (const struct ColtCell *cell,
                            const struct ColtCellTask *task);
 
@@ -100,6 +100,82 @@
   g_ptr_array_set_size (cell->open, (gint)kept);
 }
 
+bool
+colt_cell_is_usable (const struct ColtCellServer *server, int64_t now_us)
+{
+  if (!server->listed || !server->ready || !server->reported || server->dark
+      || server->foreign > 0)
+    return false;
+  if (now_us < server->avoid_until_us)
+    return false;
+  return server->probations == 0 || server->runs->len < PROBATION_RUNS;
+}
+
+bool
+colt_cell_allows (const struct ColtCellStep *step,
+                  const struct ColtCellServer *server)
+{
+  const char *label = step->spec->required_label;
+
+  if (label[0] != '\0'
+      && (server->labels == NULL
+          || !g_strv_contains ((const char *const *)server->labels, label)))
+    return false;
+  return step->spec->max_per_server == 0
+         || count_of_step_ (server, step) < step->spec->max_per_server;
+}
+
+bool
+colt_cell_fits (const struct ColtCellStep *step,
+                const struct ColtCellServer *server)
+{
+  int r;
+
+  for (r = 0; r <= COLT_RESOURCE_ACCELERATORS; r++)
+    if (step->demand.amount[r] > 0
+        && server->used.amount[r] + step->demand.amount[r]
+               > server->room.amount[r])
+      return false;
+  return true;
+}
+
+void
+colt_cell_order_run (struct ColtCell *cell,
+                     struct ColtCellRun *run,
+                     int64_t now_us)
+{
+  struct ColtCellTask *task = run->task;
+  struct ColtCellStep *step = task->step;
+  const struct ColtCellAdvice *advice
+      = colt_cell_find_ticket (step, run->server, now_us);
+  char name[TASK_NAME_SIZE];
+  struct ColtStartOrder order = { 0 };
+
+  if (!run->server->reported || run->server->dark || !run->server->ready
+      || (advice == NULL && step->job->queue->config->advised))
+    {
+      colt_cell_end_run (cell, run, COLT_RUN_STOPPED, NULL, now_us);
+      return;
+    }
+  run->state = RUN_STARTING;
+  run->ordered_us = now_us;
+  colt_cell_name_task (task, name);
+  order.server = run->server->id;
+  order.task = name;
+  order.run = run->run;
+  order.payload = step->job->spec->payload;
+  order.checkpoint = task->checkpoint != NULL ? task->checkpoint : "";
+  order.ticket = advice != NULL ? advice->ticket : NULL;
+  cell->ops->start (cell->client, &order);
+}
+
+/* An earlier lead's order for it may be carried out yet. */
+bool
+colt_cell_is_held (const struct ColtCell *cell, const struct ColtCellTask *task)
+{
+  return !cell->settled && task->held_by != NULL && task->held_by->awaited;
+}
+
 static void
 rank_steps_ (struct ColtCell *cell, int64_t now_us)
 {
@@ -327,45 +403,6 @@
   return true;
 }
 
-bool
-colt_cell_is_usable (const struct ColtCellServer *server, int64_t now_us)
-{
-  if (!server->listed || !server->ready || !server->reported || server->dark
-      || server->foreign > 0)
-    return false;
-  if (now_us < server->avoid_until_us)
-    return false;
-  return server->probations == 0 || server->runs->len < PROBATION_RUNS;
-}
-
-bool
-colt_cell_allows (const struct ColtCellStep *step,
-                  const struct ColtCellServer *server)
-{
-  const char *label = step->spec->required_label;
-
-  if (label[0] != '\0'
-      && (server->labels == NULL
-          || !g_strv_contains ((const char *const *)server->labels, label)))
-    return false;
-  return step->spec->max_per_server == 0
-         || count_of_step_ (server, step) < step->spec->max_per_server;
-}
-
-bool
-colt_cell_fits (const struct ColtCellStep *step,
-                const struct ColtCellServer *server)
-{
-  int r;
-
-  for (r = 0; r <= COLT_RESOURCE_ACCELERATORS; r++)
-    if (step->demand.amount[r] > 0
-        && server->used.amount[r] + step->demand.amount[r]
-               > server->room.amount[r])
-      return false;
-  return true;
-}
-
 static uint32_t
 count_of_step_ (const struct ColtCellServer *server,
                 const struct ColtCellStep *step)
@@ -476,43 +513,6 @@
   g_string_free (plan, TRUE);
 }
 
-void
-colt_cell_order_run (struct ColtCell *cell,
-                     struct ColtCellRun *run,
-                     int64_t now_us)
-{
-  struct ColtCellTask *task = run->task;
-  struct ColtCellStep *step = task->step;
-  const struct ColtCellAdvice *advice
-      = colt_cell_find_ticket (step, run->server, now_us);
-  char name[TASK_NAME_SIZE];
-  struct ColtStartOrder order = { 0 };
-
-  if (!run->server->reported || run->server->dark || !run->server->ready
-      || (advice == NULL && step->job->queue->config->advised))
-    {
-      colt_cell_end_run (cell, run, COLT_RUN_STOPPED, NULL, now_us);
-      return;
-    }
-  run->state = RUN_STARTING;
-  run->ordered_us = now_us;
-  colt_cell_name_task (task, name);
-  order.server = run->server->id;
-  order.task = name;
-  order.run = run->run;
-  order.payload = step->job->spec->payload;
-  order.checkpoint = task->checkpoint != NULL ? task->checkpoint : "";
-  order.ticket = advice != NULL ? advice->ticket : NULL;
-  cell->ops->start (cell->client, &order);
-}
-
-/* An earlier lead's order for it may be carried out yet. */
-bool
-colt_cell_is_held (const struct ColtCell *cell, const struct ColtCellTask *task)
-{
-  return !cell->settled && task->held_by != NULL && task->held_by->awaited;
-}
-
 static uint32_t
 next_run_ (const struct ColtCell *cell, const struct ColtCellTask *task)
 {
--- a/src/cell/cell_runs.c
+++ b/src/cell/cell_runs.c
@@ -11,14 +11,14 @@
 #define PROBATION_US (2 * COLT_US_PER_S)
 #define PROBATIONS_DOUBLED_MAX 4
 
-static bool is_of_earlier_lead_ (const struct ColtCell *cell,
-                                 const struct ColtCellTask *task,
-                                 uint32_t number);
 static void tell_end_ (struct ColtCell *cell,
                        const struct ColtCellTask *task,
                        const struct ColtCellServer *server,
                        uint32_t number,
                        enum ColtRunEnd how);
+static bool is_of_earlier_lead_ (const struct ColtCell *cell,
+                                 const struct ColtCellTask *task,
+                                 uint32_t number);
 static void unlink_run_ (struct ColtCellRun *run);
 static void note_end_of_server_ (struct ColtCell *cell,
                                  struct ColtCellServer *server,
@@ -120,21 +120,6 @@
   requeue_ (cell, task, now_us);
 }
 
-static void
-tell_end_ (struct ColtCell *cell,
-           const struct ColtCellTask *task,
-           const struct ColtCellServer *server,
-           uint32_t number,
-           enum ColtRunEnd how)
-{
-  char detail[2 * TASK_NAME_SIZE];
-
-  g_snprintf (detail, sizeof detail, "%u.%u.%u: run %u on %s, %s",
-              task->step->occurrence, task->step->number, task->index, number,
-              server->id, colt_run_end_string[how]);
-  cell->ops->decided (cell->client, task->step->job->id, "run ended", detail);
-}
-
 /* A gang's failure counts once a run, for all of its tasks. */
 void
 colt_cell_count_failure (struct ColtCell *cell,
@@ -228,6 +213,21 @@
     }
 }
 
+static void
+tell_end_ (struct ColtCell *cell,
+           const struct ColtCellTask *task,
+           const struct ColtCellServer *server,
+           uint32_t number,
+           enum ColtRunEnd how)
+{
+  char detail[2 * TASK_NAME_SIZE];
+
+  g_snprintf (detail, sizeof detail, "%u.%u.%u: run %u on %s, %s",
+              task->step->occurrence, task->step->number, task->index, number,
+              server->id, colt_run_end_string[how]);
+  cell->ops->decided (cell->client, task->step->job->id, "run ended", detail);
+}
+
 static bool
 is_of_earlier_lead_ (const struct ColtCell *cell,
                      const struct ColtCellTask *task,
--- a/src/scheduler/commit.c
+++ b/src/scheduler/commit.c
@@ -40,8 +40,8 @@
   uint32_t next_ms; /* when the batch after the one on its way is wanted */
 };
 
-static void on_timer_ (evutil_socket_t fd, short what, void *arg);
 static void schedule_ (struct ColtCommit *commit, uint32_t after_ms);
+static void on_timer_ (evutil_socket_t fd, short what, void *arg);
 static void send_ (struct ColtCommit *commit);
 static void take_answer_ (void *client, const struct ColtLogAnswer *answer);
 static void end_batch_ (struct ColtCommit *commit);
--- a/src/scheduler/election.c
+++ b/src/scheduler/election.c
@@ -63,12 +63,12 @@
 static void take_record_ (void *client, const struct ColtLogRecord *record);
 static void take_synced_ (void *client);
 static void check_ (evutil_socket_t fd, short what, void *arg);
+static void take_probe_ (void *client, const struct ColtLogAnswer *answer);
 static void append_ (struct ColtElection *election,
                      uint64_t term,
                      bool vacant,
                      ColtLogCallDone done);
 static void take_renewal_ (void *client, const struct ColtLogAnswer *answer);
-static void take_probe_ (void *client, const struct ColtLogAnswer *answer);
 static void take_claim_ (void *client, const struct ColtLogAnswer *answer);
 static void take_leave_ (void *client, const struct ColtLogAnswer *answer);
 static int64_t claim_delay_us_ (const struct ColtElection *election);
--- a/src/scheduler/server_link.c
+++ b/src/scheduler/server_link.c
@@ -72,6 +72,7 @@
 static void look_failed_ (struct ColtServerLink *link,
                           const struct ColtServerAnswer *answer);
 static void take_incarnation_ (struct ColtServerLink *link, int64_t born_ms);
+static void forget_life_ (struct ColtServerLink *link);
 static void take_clock_ (struct ColtServerLink *link,
                          const struct ColtServerAnswer *answer);
 static int64_t renew_until_ms_ (struct ColtServerLink *link, int64_t now_us);
@@ -82,7 +83,6 @@
 static void take_look_aside_ (void *client,
                               const struct ColtServerAnswer *answer);
 static void free_order_ (struct ColtServerOrder *order);
-static void forget_life_ (struct ColtServerLink *link);
 
 struct ColtServerLink *
 colt_server_link_create (const struct ColtPorts *ports,
--- a/src/scheduler/watch.c
+++ b/src/scheduler/watch.c
@@ -22,8 +22,8 @@
   int64_t steady_us; /* first answer after the last failure */
 };
 
-static void read_ (evutil_socket_t fd, short what, void *arg);
 static void again_ (struct ColtWatch *watch, uint32_t after_ms);
+static void read_ (evutil_socket_t fd, short what, void *arg);
 static void take_page_ (void *client, const struct ColtLogAnswer *answer);
 static void take_records_ (void *client, const struct ColtLogAnswer *answer);
 static bool succeeded_ (struct ColtWatch *watch,
