Election: stronger instances claim first also when a leaving lead's connections break

Cause: a lead that left (vacant) and whose connections were seen to break (suspect) lowered the silence twice, so every instance claimed at once and one of 0.09 cores could win. Ruled out: the log's latency (claims took 25 ms), the load of the records. Change: a vacant lead is silent for certain, the suspicion adds nothing; the delays grow by the root of the strength, so that 0.3 and 0.09 cores differ.

--- a/src/scheduler/election.c
+++ b/src/scheduler/election.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <sodium.h>
 #include <string.h>
 
@@ -12,10 +13,11 @@
 #define SUSPECT_SILENCE_US (600 * COLT_US_PER_MS)
 /* Instances that see the silence at the same time spread their claims. */
 #define SPREAD_MS 100
-/* Stronger instances claim first: an instance with one core waits this long,
- * one with less longer. */
-#define STRENGTH_MS 30.0
-#define STRENGTH_DELAY_MAX_MS 600.0
+/* Stronger instances claim first: one of strength 1 waits this long, others
+ * by the root of theirs, so that instances that differ by four lie further
+ * apart than the spread, and the weakest don't wait long either. */
+#define STRENGTH_MS 60.0
+#define STRENGTH_DELAY_MAX_MS 800.0
 /* An answer of the log is lost after this time. */
 #define CALL_TIMEOUT_MS 500
 #define CHECK_MS 50
@@ -258,7 +260,7 @@
   struct ColtElection *election = arg;
   int64_t now_us = colt_clock_monotonic_us ();
   int64_t steady_us = colt_watch_steady_us (election->watch);
-  int64_t quiet_from_us;
+  int64_t silence_us = SILENCE_US;
 
   (void)fd;
   (void)what;
@@ -279,12 +281,14 @@
   if (election->role != ROLE_FOLLOWER || !election->synced || election->busy
       || steady_us == COLT_TIME_NEVER)
     return;
-  quiet_from_us = MAX (election->seen_us, steady_us);
+  /* A lead that has left is certain to be silent; its connections may be seen
+   * to break as well. */
   if (election->vacant || election->term == 0)
-    quiet_from_us -= SILENCE_US;
-  if (now_us - quiet_from_us
-      < (election->suspect ? SUSPECT_SILENCE_US : SILENCE_US)
-            + election->spread_us)
+    silence_us = 0;
+  else if (election->suspect)
+    silence_us = SUSPECT_SILENCE_US;
+  if (now_us - MAX (election->seen_us, steady_us)
+      < silence_us + election->spread_us)
     return;
   colt_log (COLT_LOG_INFO, MODULE, NULL,
             "term %" G_GUINT64_FORMAT " is claimed: %s", election->term + 1,
@@ -406,7 +410,8 @@
 claim_delay_us_ (const struct ColtElection *election)
 {
   double delay_ms
-      = MIN (STRENGTH_MS / election->settings->strength, STRENGTH_DELAY_MAX_MS);
+      = MIN (STRENGTH_MS / sqrt (election->settings->strength),
+             STRENGTH_DELAY_MAX_MS);
 
   return ((int64_t)delay_ms + (int64_t)randombytes_uniform (SPREAD_MS))
          * COLT_US_PER_MS;
--- a/src/test_scheduler/test_scheduler.c
+++ b/src/test_scheduler/test_scheduler.c
@@ -130,6 +130,40 @@
   colt_fake_ports_destroy (fake);
 }
 
+/* The instances whose connections to a leaving lead break as it leaves still
+ * let the stronger ones claim first. */
+static void
+test_election_leaves_suspect (void)
+{
+  struct ColtFakePorts *fake = colt_fake_ports_create ();
+  const struct ColtSchedulerSettings leaving
+      = { .name = "leaving", .internal = "127.0.0.1:1", .strength = 1 };
+  const struct ColtSchedulerSettings weak
+      = { .name = "weak", .internal = "127.0.0.2:1", .strength = 0.05 };
+  const struct ColtSchedulerSettings strong
+      = { .name = "strong", .internal = "127.0.0.3:1", .strength = 0.2 };
+  struct ColtSeen seen[3] = { { 0 }, { 0 }, { 0 } };
+  struct ColtElection *first = elect (fake, &leaving, &seen[0]);
+  struct ColtElection *second;
+  struct ColtElection *third;
+
+  colt_fake_ports_run (fake, 400);
+  g_assert_cmpuint (seen[0].elected, ==, 1);
+  second = elect (fake, &weak, &seen[1]);
+  third = elect (fake, &strong, &seen[2]);
+  colt_fake_ports_run (fake, 100);
+  colt_election_suspect (second, true);
+  colt_election_suspect (third, true);
+  colt_election_leave (first);
+  colt_fake_ports_run (fake, 900);
+  g_assert_cmpuint (seen[1].elected, ==, 0);
+  g_assert_cmpuint (seen[2].elected, ==, 1);
+  colt_election_destroy (first);
+  colt_election_destroy (second);
+  colt_election_destroy (third);
+  colt_fake_ports_destroy (fake);
+}
+
 /* Renewals whose answers are lost don't cost the lead; renewals that have no
  * effect do, as soon as another instance claims. */
 static void
@@ -628,6 +662,8 @@
   g_test_add_func ("/scheduler/watch/expired", test_watch_expired);
   g_test_add_func ("/scheduler/election/stronger-leads",
                    test_election_stronger_leads);
+  g_test_add_func ("/scheduler/election/leaves-suspect",
+                   test_election_leaves_suspect);
   g_test_add_func ("/scheduler/election/lost-answers",
                    test_election_lost_answers);
   g_test_add_func ("/scheduler/election/restarted-lead",
