Election: an old answer leads to no claim, a late suspicion keeps the order of claims

Ruled out: a vacant record; the silence of the log (its reads were answered). Change: a claim is due at the later of the silence and the suspicion, then the delay by strength; a probe's claim stands only while the term is what it was.

--- a/src/scheduler/election.c
+++ b/src/scheduler/election.c
@@ -52,11 +52,12 @@
   bool fenced;
   bool busy;
   bool vacant;
-  bool refused;    /* the log turned away the last renewal */
-  bool yields;     /* leaves the lead to a stronger instance */
-  bool suspect;    /* the lead's process seems to have ended */
-  int64_t end;     /* where the topic must end for an append */
-  int64_t seen_us; /* last sign of the lead */
+  bool refused;       /* the log turned away the last renewal */
+  bool yields;        /* leaves the lead to a stronger instance */
+  bool suspect;       /* the lead's process seems to have ended */
+  int64_t suspect_us; /* since then */
+  int64_t end;        /* where the topic must end for an append */
+  int64_t seen_us;    /* last sign of the lead */
   int64_t spread_us;
   int64_t sent_us; /* last renewal */
   int64_t confirmed_us;
@@ -73,6 +74,7 @@
 static void take_renewal_ (void *client, const struct ColtLogAnswer *answer);
 static void take_claim_ (void *client, const struct ColtLogAnswer *answer);
 static void take_leave_ (void *client, const struct ColtLogAnswer *answer);
+static int64_t claim_due_us_ (const struct ColtElection *election);
 static int64_t claim_delay_us_ (const struct ColtElection *election);
 static void become_lead_ (struct ColtElection *election, uint64_t term);
 static void step_down_ (struct ColtElection *election);
@@ -150,6 +152,8 @@
 void
 colt_election_suspect (struct ColtElection *election, bool suspect)
 {
+  if (suspect && !election->suspect)
+    election->suspect_us = colt_clock_monotonic_us ();
   election->suspect = suspect;
 }
 
@@ -259,8 +263,6 @@
 {
   struct ColtElection *election = arg;
   int64_t now_us = colt_clock_monotonic_us ();
-  int64_t steady_us = colt_watch_steady_us (election->watch);
-  int64_t silence_us = SILENCE_US;
 
   (void)fd;
   (void)what;
@@ -279,16 +281,7 @@
       append_ (election, election->term, false, take_renewal_);
     }
   if (election->role != ROLE_FOLLOWER || !election->synced || election->busy
-      || steady_us == COLT_TIME_NEVER)
-    return;
-  /* A lead that has left is certain to be silent; its connections may be seen
-   * to break as well. */
-  if (election->vacant || election->term == 0)
-    silence_us = 0;
-  else if (election->suspect)
-    silence_us = SUSPECT_SILENCE_US;
-  if (now_us - MAX (election->seen_us, steady_us)
-      < silence_us + election->spread_us)
+      || now_us < claim_due_us_ (election))
     return;
   colt_log (COLT_LOG_INFO, MODULE, NULL,
             "term %" G_GUINT64_FORMAT " is claimed: %s", election->term + 1,
@@ -298,6 +291,7 @@
   /* A claim whose answer is lost would leave no lead until it is read. */
   election->seen_us = now_us;
   election->busy = true;
+  election->claimed = election->term + 1;
   election->ports->log_read (election->channel, COLT_TOPIC_LEAD, election->end,
                              0, take_probe_, election);
 }
@@ -310,12 +304,14 @@
   election->busy = false;
   if (election->role != ROLE_FOLLOWER)
     return;
-  if (answer->outcome != COLT_LOG_DONE || answer->count > 0)
+  /* The watch may have read on since the call. */
+  if (answer->outcome != COLT_LOG_DONE || answer->count > 0
+      || election->claimed != election->term + 1)
     {
+      election->claimed = 0;
       colt_watch_hurry (election->watch);
       return;
     }
-  election->claimed = election->term + 1;
   append_ (election, election->claimed, false, take_claim_);
 }
 
@@ -406,12 +402,31 @@
   election->yields = false;
 }
 
+/* When this instance claims the next term if no record comes. */
+static int64_t
+claim_due_us_ (const struct ColtElection *election)
+{
+  int64_t steady_us = colt_watch_steady_us (election->watch);
+  int64_t quiet_from_us = MAX (election->seen_us, steady_us);
+  int64_t due_us = quiet_from_us + SILENCE_US;
+
+  if (steady_us == COLT_TIME_NEVER)
+    return COLT_TIME_NEVER;
+  /* A lead that has left is certain to be silent; its connections may be seen
+   * to break as well. */
+  if (election->vacant || election->term == 0)
+    due_us = quiet_from_us;
+  else if (election->suspect)
+    due_us = MIN (
+        due_us, MAX (quiet_from_us + SUSPECT_SILENCE_US, election->suspect_us));
+  return due_us + election->spread_us;
+}
+
 static int64_t
 claim_delay_us_ (const struct ColtElection *election)
 {
-  double delay_ms
-      = MIN (STRENGTH_MS / sqrt (election->settings->strength),
-             STRENGTH_DELAY_MAX_MS);
+  double delay_ms = MIN (STRENGTH_MS / sqrt (election->settings->strength),
+                         STRENGTH_DELAY_MAX_MS);
 
   return ((int64_t)delay_ms + (int64_t)randombytes_uniform (SPREAD_MS))
          * COLT_US_PER_MS;
--- a/src/test_scheduler/fake_ports.c
+++ b/src/test_scheduler/fake_ports.c
@@ -9,6 +9,8 @@
 #define POLL_MS 5
 /* An answer of a silent log counts as lost this long after its time. */
 #define SILENT_US (600 * COLT_US_PER_MS)
+/* Time that an old answer to a read takes. */
+#define OLD_READ_MS 200
 
 struct ColtLogChannel
 {
@@ -30,6 +32,7 @@
   struct ColtLogAnswer answer;
   enum ColtTopic topic;
   int64_t from;
+  int64_t last; /* where an old answer ends; 0: at the topic's end */
   bool reads;
   bool newest;
   int64_t until_us;
@@ -98,7 +101,8 @@
   GArray *topic = call->fake->topics[call->topic];
   int64_t i;
 
-  for (i = call->from; i < (int64_t)topic->len; i++)
+  for (i = call->from; i < (call->last > 0 ? call->last : (int64_t)topic->len);
+       i++)
     {
       const struct ColtFakeRecord *record
           = &g_array_index (topic, struct ColtFakeRecord, i);
@@ -244,7 +248,15 @@
   call->reads = true;
   call->until_us
       = colt_clock_monotonic_us () + (int64_t)wait_ms * COLT_US_PER_MS;
-  after (channel->fake, ANSWER_MS, answer, call);
+  if (wait_ms == 0)
+    channel->fake->probes++;
+  if (wait_ms == 0 && channel->fake->fault == FAULT_OLD_READS)
+    {
+      call->last = channel->fake->topics[topic]->len;
+      after (channel->fake, OLD_READ_MS, answer, call);
+    }
+  else
+    after (channel->fake, ANSWER_MS, answer, call);
 }
 
 static void
--- a/src/test_scheduler/fake_ports.h
+++ b/src/test_scheduler/fake_ports.h
@@ -15,7 +15,9 @@
   FAULT_LOST,     /* takes effect, the answer is lost */
   FAULT_VANISHED, /* has no effect, the answer is lost */
   FAULT_DOWN,     /* reads are refused as well */
-  FAULT_SILENT    /* appends as lost; reads aren't answered in time */
+  FAULT_SILENT,   /* appends as lost; reads aren't answered in time */
+  FAULT_OLD_READS /* reads that don't wait are answered late, as of their call
+                   */
 };
 
 struct ColtFakePorts
@@ -28,6 +30,7 @@
   uint64_t sequence;
   enum ColtFakeFault fault;
   uint32_t appends;
+  uint32_t probes; /* reads that don't wait */
   /* How calls to servers end, and what they carried. */
   struct ColtServerAnswer server_answer;
   struct ColtServerLook last_look;
--- a/src/test_scheduler/test_scheduler.c
+++ b/src/test_scheduler/test_scheduler.c
@@ -164,6 +164,73 @@
   colt_fake_ports_destroy (fake);
 }
 
+static void
+put_lead (struct ColtFakePorts *fake, const char *name, uint64_t term)
+{
+  ColtLeadRecord lead = COLT_LEAD_RECORD__INIT;
+  char value[64] = { 0 };
+
+  lead.instance = (char *)name;
+  lead.address = "127.0.0.9:1";
+  lead.term = term;
+  lead.incarnation = 1;
+  colt_lead_record__pack (&lead, (uint8_t *)value);
+  colt_fake_ports_put (fake, COLT_TOPIC_LEAD, "lead", value);
+}
+
+/* A claim that was due before another instance claimed isn't made after. */
+static void
+test_election_old_answer (void)
+{
+  struct ColtFakePorts *fake = colt_fake_ports_create ();
+  const struct ColtSchedulerSettings settings
+      = { .name = "one", .internal = "127.0.0.1:1", .strength = 1 };
+  struct ColtSeen seen = { 0 };
+  struct ColtElection *election;
+  int i;
+
+  put_lead (fake, "other", 3);
+  election = elect (fake, &settings, &seen);
+  fake->fault = FAULT_OLD_READS;
+  for (i = 0; i < 200 && fake->probes == 0; i++)
+    colt_fake_ports_run (fake, 20);
+  g_assert_cmpuint (fake->probes, ==, 1);
+  put_lead (fake, "third", 4);
+  colt_fake_ports_run (fake, 600);
+  g_assert_cmpuint (seen.elected, ==, 0);
+  g_assert_cmpuint (colt_election_term (election), ==, 4);
+  colt_election_destroy (election);
+  colt_fake_ports_destroy (fake);
+}
+
+/* A suspicion that comes late doesn't take away the lead that stronger
+ * instances have over weaker ones. */
+static void
+test_election_late_suspicion (void)
+{
+  struct ColtFakePorts *fake = colt_fake_ports_create ();
+  const struct ColtSchedulerSettings weak
+      = { .name = "weak", .internal = "127.0.0.2:1", .strength = 0.05 };
+  const struct ColtSchedulerSettings strong
+      = { .name = "strong", .internal = "127.0.0.3:1", .strength = 0.2 };
+  struct ColtSeen seen[2] = { { 0 }, { 0 } };
+  struct ColtElection *first;
+  struct ColtElection *second;
+
+  put_lead (fake, "other", 3);
+  first = elect (fake, &weak, &seen[0]);
+  second = elect (fake, &strong, &seen[1]);
+  colt_fake_ports_run (fake, 1200);
+  colt_election_suspect (first, true);
+  colt_election_suspect (second, true);
+  colt_fake_ports_run (fake, 500);
+  g_assert_cmpuint (seen[0].elected, ==, 0);
+  g_assert_cmpuint (seen[1].elected, ==, 1);
+  colt_election_destroy (first);
+  colt_election_destroy (second);
+  colt_fake_ports_destroy (fake);
+}
+
 /* Renewals whose answers are lost don't cost the lead; renewals that have no
  * effect do, as soon as another instance claims. */
 static void
@@ -200,17 +267,10 @@
   struct ColtFakePorts *fake = colt_fake_ports_create ();
   const struct ColtSchedulerSettings settings
       = { .name = "one", .internal = "127.0.0.1:1", .strength = 1 };
-  ColtLeadRecord lead = COLT_LEAD_RECORD__INIT;
   struct ColtSeen seen = { 0 };
   struct ColtElection *election;
-  char value[64] = { 0 };
 
-  lead.instance = "other";
-  lead.address = "127.0.0.9:1";
-  lead.term = 3;
-  lead.incarnation = 1;
-  colt_lead_record__pack (&lead, (uint8_t *)value);
-  colt_fake_ports_put (fake, COLT_TOPIC_LEAD, "lead", value);
+  put_lead (fake, "other", 3);
   election = elect (fake, &settings, &seen);
   colt_fake_ports_run (fake, 100);
   g_assert_cmpstr (colt_election_lead (election), ==, "127.0.0.9:1");
@@ -664,6 +724,9 @@
                    test_election_stronger_leads);
   g_test_add_func ("/scheduler/election/leaves-suspect",
                    test_election_leaves_suspect);
+  g_test_add_func ("/scheduler/election/old-answer", test_election_old_answer);
+  g_test_add_func ("/scheduler/election/late-suspicion",
+                   test_election_late_suspicion);
   g_test_add_func ("/scheduler/election/lost-answers",
                    test_election_lost_answers);
   g_test_add_func ("/scheduler/election/restarted-lead",
