Scheduler: a weak lead yields after a second, also before all servers have answered

Cause: the yield waited until the cell had settled, which takes a weak lead longest; one led 5.5 s beside four strong instances. A new lead settles anew in any case.

--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -20,9 +20,9 @@
  * it should have come by has gone silent. */
 #define CONFIG_WAIT_MS 600
 /* A lead yields to an instance this many times stronger, once it has led this
- * long. */
+ * long: a few beats of each instance have come by then. */
 #define YIELD_FACTOR 2.0
-#define YIELD_AFTER_US (2 * COLT_US_PER_S)
+#define YIELD_AFTER_US (1 * COLT_US_PER_S)
 #define MODULE "scheduler"
 
 /* A message of another instance that waits for its answer. */
@@ -416,9 +416,7 @@
 static void
 yield_if_weak_ (struct ColtScheduler *scheduler, int64_t now_us)
 {
-  if (!colt_lead_is_serving (scheduler->lead)
-      || !colt_cell_is_settled (colt_lead_cell (scheduler->lead))
-      || now_us - scheduler->elected_us < YIELD_AFTER_US)
+  if (now_us - scheduler->elected_us < YIELD_AFTER_US)
     return;
   if (colt_members_strongest (scheduler->members, now_us)
       >= YIELD_FACTOR * scheduler->settings.strength)
