Server link: a start without an answer is sent again at once

The same run on the same server may be sent again: it is taken once, and a late copy is refused as old. A refusal of the second says nothing of the first. Test: /scheduler/link/start-again.

--- a/src/scheduler/server_link.c
+++ b/src/scheduler/server_link.c
@@ -17,6 +17,8 @@
 #define FAILURES_TO_DARK 2
 /* An order is answered within milliseconds, or its answer is lost. */
 #define ORDER_TIMEOUT_MS 250
+/* The same for a start that is sent again if it isn't answered. */
+#define FIRST_START_TIMEOUT_MS 120
 /* A server's clock may run this much slower than ours. */
 #define CLOCK_SLOWEST 0.98
 /* Beyond a lease's computed end, for what the computation leaves out. */
@@ -31,6 +33,7 @@
   char *payload;
   char *checkpoint;
   char *ticket;
+  bool again; /* sent a second time */
 };
 
 struct ColtServerLink
@@ -79,6 +82,7 @@
 static int64_t lapse_us_ (const struct ColtServerLink *link);
 static void send_next_ (struct ColtServerLink *link);
 static void take_order_ (void *client, const struct ColtServerAnswer *answer);
+static enum ColtStartResult result_of_both_ (enum ColtStartResult again);
 static void look_aside_ (struct ColtServerLink *link);
 static void take_look_aside_ (void *client,
                               const struct ColtServerAnswer *answer);
@@ -387,16 +391,18 @@
                                 take_order_, link);
       return;
     }
-  link->order_before_ms = link->until_ms;
+  if (!order->again)
+    link->order_before_ms = link->until_ms;
   start.server = link->id;
   start.task = order->task;
   start.run = order->run;
   start.payload = order->payload;
   start.checkpoint = order->checkpoint;
   start.ticket = order->ticket;
-  link->ports->server_start (link->orders, &start, link->bounds.token,
-                             renew_until_ms_ (link, now_us), ORDER_TIMEOUT_MS,
-                             take_order_, link);
+  link->ports->server_start (
+      link->orders, &start, link->bounds.token, renew_until_ms_ (link, now_us),
+      order->again ? ORDER_TIMEOUT_MS : FIRST_START_TIMEOUT_MS, take_order_,
+      link);
 }
 
 static void
@@ -404,27 +410,37 @@
 {
   struct ColtServerLink *link = client;
   struct ColtServerOrder *order = link->open;
+  enum ColtStartResult result = answer->result;
 
   if (link->closing)
     return;
   link->open = NULL;
   take_clock_ (link, answer);
+  if (order->start && !order->again && result == COLT_START_UNKNOWN)
+    {
+      order->again = true;
+      g_queue_push_head (&link->queue, order);
+      send_next_ (link);
+      return;
+    }
+  if (order->again)
+    result = result_of_both_ (result);
   if (answer->result == COLT_START_FENCED)
     link->client.fenced (link->client.client, link);
   if (answer->result == COLT_START_GONE)
     forget_life_ (link);
   if (order->start)
     {
-      if (answer->result == COLT_START_NOT_SENT)
+      if (result == COLT_START_NOT_SENT)
         link->until_ms = link->order_before_ms;
-      if (answer->result != COLT_START_TAKEN)
+      if (result != COLT_START_TAKEN)
         colt_log (COLT_LOG_INFO, MODULE, NULL,
                   "start of %s run %u on %s: %s %s", order->task, order->run,
-                  link->id, colt_start_result_string[answer->result],
+                  link->id, colt_start_result_string[result],
                   answer->error.message);
       link->client.started (link->client.client, link, order->task, order->run,
-                            answer->result, link->asked + 1);
-      if (answer->result == COLT_START_UNKNOWN)
+                            result, link->asked + 1);
+      if (result == COLT_START_UNKNOWN)
         look_aside_ (link);
     }
   else
@@ -437,6 +453,22 @@
   send_next_ (link);
 }
 
+/* A run that is there already is taken. A refusal says nothing about the start
+ * that wasn't answered: it may have ended, or be carried out yet. */
+static enum ColtStartResult
+result_of_both_ (enum ColtStartResult again)
+{
+  switch (again)
+    {
+    case COLT_START_TAKEN:
+    case COLT_START_FENCED:
+    case COLT_START_GONE:
+      return again;
+    default:
+      return COLT_START_UNKNOWN;
+    }
+}
+
 /* Whether a start was carried out is known from the lists; the look that is
  * open may wait for a second yet. */
 static void
--- a/src/test_scheduler/fake_ports.c
+++ b/src/test_scheduler/fake_ports.c
@@ -41,6 +41,7 @@
 struct ColtFakeServerCall
 {
   struct ColtFakePorts *fake;
+  enum ColtStartResult result;
   ColtServerCallDone done;
   void *client;
 };
@@ -305,6 +306,7 @@
 
   (void)fd;
   (void)what;
+  out.result = call->result;
   out.received_us = colt_clock_monotonic_us ();
   out.clock_ms = out.received_us / COLT_US_PER_MS;
   call->done (call->client, &out);
@@ -313,12 +315,14 @@
 
 static void
 call_server (struct ColtServerChannel *channel,
+             enum ColtStartResult result,
              ColtServerCallDone done,
              void *client)
 {
   struct ColtFakeServerCall *call = g_new0 (struct ColtFakeServerCall, 1);
 
   call->fake = channel->fake;
+  call->result = result;
   call->done = done;
   call->client = client;
   after (channel->fake, ANSWER_MS, answer_server, call);
@@ -333,12 +337,17 @@
               ColtServerCallDone done,
               void *client)
 {
+  enum ColtStartResult result;
+
   (void)order;
   (void)token;
   (void)until_ms;
   (void)timeout_ms;
+  result = channel->fake->starts < channel->fake->start_result_count
+               ? channel->fake->start_results[channel->fake->starts]
+               : channel->fake->server_answer.result;
   channel->fake->starts++;
-  call_server (channel, done, client);
+  call_server (channel, result, done, client);
 }
 
 static void
@@ -354,7 +363,7 @@
   (void)run;
   (void)token;
   (void)timeout_ms;
-  call_server (channel, done, client);
+  call_server (channel, channel->fake->server_answer.result, done, client);
 }
 
 static void
@@ -365,7 +374,7 @@
 {
   channel->fake->looks++;
   channel->fake->last_look = *look;
-  call_server (channel, done, client);
+  call_server (channel, channel->fake->server_answer.result, done, client);
 }
 
 static void
--- a/src/test_scheduler/fake_ports.h
+++ b/src/test_scheduler/fake_ports.h
@@ -36,6 +36,9 @@
   struct ColtServerLook last_look;
   uint32_t looks;
   uint32_t starts;
+  /* How the starts end, in their order; after them as the other calls. */
+  const enum ColtStartResult *start_results;
+  uint32_t start_result_count;
   GHashTable *calls;     /* that wait for their answer */
   GHashTable *log_calls; /* those of them that go to the log */
 };
--- a/src/test_scheduler/test_scheduler.c
+++ b/src/test_scheduler/test_scheduler.c
@@ -658,6 +658,47 @@
   colt_fake_ports_destroy (fake);
 }
 
+/* What became of a start that isn't answered: the same start again tells,
+ * unless it is refused, as the first may be carried out yet. */
+static void
+test_link_start_again (void)
+{
+  static const struct
+  {
+    enum ColtStartResult again;
+    enum ColtStartResult told;
+  } cases[] = { { COLT_START_TAKEN, COLT_START_TAKEN },
+                { COLT_START_STALE, COLT_START_UNKNOWN },
+                { COLT_START_NO_ROOM, COLT_START_UNKNOWN },
+                { COLT_START_BUSY, COLT_START_UNKNOWN },
+                { COLT_START_NOT_SENT, COLT_START_UNKNOWN },
+                { COLT_START_UNKNOWN, COLT_START_UNKNOWN },
+                { COLT_START_FENCED, COLT_START_FENCED } };
+  const struct ColtStartOrder start = {
+    .server = "s", .task = "t", .run = 1, .payload = "", .checkpoint = ""
+  };
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const enum ColtStartResult results[]
+          = { COLT_START_UNKNOWN, cases[i].again };
+      struct ColtFakePorts *fake = colt_fake_ports_create ();
+      struct ColtSeen seen = { .started = COLT_START_INVALID };
+      struct ColtServerLink *link = open_link (fake, &seen);
+
+      tick (fake, link, 30);
+      fake->start_results = results;
+      fake->start_result_count = G_N_ELEMENTS (results);
+      colt_server_link_start (link, &start);
+      tick (fake, link, 30);
+      g_assert_cmpuint (fake->starts, ==, 2);
+      g_assert_cmpint (seen.started, ==, cases[i].told);
+      colt_server_link_destroy (link);
+      colt_fake_ports_destroy (fake);
+    }
+}
+
 static void
 test_link_fenced (void)
 {
@@ -738,6 +779,7 @@
   g_test_add_func ("/scheduler/link/unconfirmed", test_link_unconfirmed);
   g_test_add_func ("/scheduler/link/new-incarnation",
                    test_link_new_incarnation);
+  g_test_add_func ("/scheduler/link/start-again", test_link_start_again);
   g_test_add_func ("/scheduler/link/fenced", test_link_fenced);
   g_test_add_func ("/scheduler/members/log-down", test_members_log_down);
   g_test_add_func ("/scheduler/members/advisers", test_members_advisers);
