Election: two processes that start at the same moment are told apart

Cause: a record was taken for one's own by its incarnation alone, the wall clock at the process's start. It can happen wherever many instances start at once. Change: the instance's name counts as well. Test: /scheduler/election/same-moment.

--- a/src/scheduler/election.c
+++ b/src/scheduler/election.c
@@ -207,6 +207,8 @@
   struct ColtElection *election = client;
   ColtLeadRecord *lead;
   bool changed;
+  bool same_instance;
+  bool own;
 
   election->end = MAX (election->end, record->offset + 1);
   if (record->value == NULL || strcmp (record->key, LEAD_KEY) != 0)
@@ -219,9 +221,11 @@
       return;
     }
   election->seen_us = colt_clock_monotonic_us ();
+  /* Processes of two instances may start at the same moment. */
+  same_instance = strcmp (lead->instance, election->settings->name) == 0;
+  own = same_instance && lead->incarnation == election->incarnation;
   /* A process before this one led: nobody else will renew its claim. */
-  if (strcmp (lead->instance, election->settings->name) == 0
-      && lead->incarnation < election->incarnation)
+  if (same_instance && lead->incarnation < election->incarnation)
     lead->vacant = true;
   changed = lead->term != election->term || lead->vacant != election->vacant;
   if (lead->term < election->term)
@@ -237,11 +241,9 @@
       g_strlcpy (election->lead_address, lead->address,
                  sizeof election->lead_address);
     }
-  if (changed && lead->incarnation != election->incarnation
-      && colt_election_leads (election))
+  if (changed && !own && colt_election_leads (election))
     election->fenced = true;
-  if (changed && lead->incarnation == election->incarnation
-      && lead->term == election->claimed && !lead->vacant
+  if (changed && own && lead->term == election->claimed && !lead->vacant
       && election->role == ROLE_FOLLOWER)
     become_lead_ (election, lead->term);
   colt_lead_record__free_unpacked (lead, NULL);
--- a/src/test_scheduler/test_scheduler.c
+++ b/src/test_scheduler/test_scheduler.c
@@ -231,6 +231,42 @@
   colt_fake_ports_destroy (fake);
 }
 
+/* Two processes that start at the same moment aren't one. */
+static void
+test_election_same_moment (void)
+{
+  struct ColtFakePorts *fake = colt_fake_ports_create ();
+  const struct ColtSchedulerSettings settings
+      = { .name = "one", .internal = "127.0.0.1:1", .strength = 1 };
+  struct ColtSeen seen = { 0 };
+  struct ColtElection *election = elect (fake, &settings, &seen);
+  const struct ColtFakeRecord *record;
+  ColtLeadRecord *lead;
+  ColtLeadRecord other = COLT_LEAD_RECORD__INIT;
+  char value[64] = { 0 };
+  gconstpointer data;
+  gsize size;
+
+  colt_fake_ports_run (fake, 400);
+  g_assert_cmpuint (seen.elected, ==, 1);
+  record = &g_array_index (fake->topics[COLT_TOPIC_LEAD], struct ColtFakeRecord,
+                           0);
+  data = g_bytes_get_data (record->value, &size);
+  lead = colt_lead_record__unpack (NULL, size, data);
+  g_assert_nonnull (lead);
+  other.instance = "other";
+  other.address = "127.0.0.9:1";
+  other.term = 2;
+  other.incarnation = lead->incarnation;
+  colt_lead_record__pack (&other, (uint8_t *)value);
+  colt_fake_ports_put (fake, COLT_TOPIC_LEAD, "lead", value);
+  colt_fake_ports_run (fake, 200);
+  g_assert_cmpuint (seen.deposed, ==, 1);
+  colt_lead_record__free_unpacked (lead, NULL);
+  colt_election_destroy (election);
+  colt_fake_ports_destroy (fake);
+}
+
 /* Renewals whose answers are lost don't cost the lead; renewals that have no
  * effect do, as soon as another instance claims. */
 static void
@@ -768,6 +804,8 @@
   g_test_add_func ("/scheduler/election/old-answer", test_election_old_answer);
   g_test_add_func ("/scheduler/election/late-suspicion",
                    test_election_late_suspicion);
+  g_test_add_func ("/scheduler/election/same-moment",
+                   test_election_same_moment);
   g_test_add_func ("/scheduler/election/lost-answers",
                    test_election_lost_answers);
   g_test_add_func ("/scheduler/election/restarted-lead",
