Scheduler: a lead whose machine has become slow yields

Change: the lead measures how late its timer is; its strength counts by that speed when it looks for a stronger member. It holds back from claiming after. Where the lead before led for less than six seconds it takes six seconds until the next.

--- a/src/scheduler/election.c
+++ b/src/scheduler/election.c
@@ -18,6 +18,8 @@
  * apart than the spread, and the weakest don't wait long either. */
 #define STRENGTH_MS 60.0
 #define STRENGTH_DELAY_MAX_MS 800.0
+/* An instance that has left the lead to others waits this much longer. */
+#define YIELD_HOLD_US (1500 * COLT_US_PER_MS)
 /* An answer of the log is lost after this time. */
 #define CALL_TIMEOUT_MS 500
 #define CHECK_MS 50
@@ -137,8 +139,6 @@
 {
   if (election->role != ROLE_LEAD)
     return;
-  colt_log (COLT_LOG_INFO, MODULE, NULL,
-            "leaves the lead to a stronger instance");
   election->yields = true;
   colt_election_leave (election);
 }
@@ -399,7 +399,9 @@
   if (election->role != ROLE_LEAVING)
     return;
   step_down_ (election);
-  if (!election->yields)
+  if (election->yields)
+    election->spread_us += YIELD_HOLD_US;
+  else
     election->role = ROLE_GONE;
   election->yields = false;
 }
--- a/src/scheduler/lead.c
+++ b/src/scheduler/lead.c
@@ -118,6 +118,7 @@
   lead->place = event_new (base, -1, 0, on_place_, lead);
   lead->retry = event_new (base, -1, 0, colt_lead_retry, lead);
   event_add (lead->timer, &period);
+  colt_lag_init (&lead->lag, TICK_MS * COLT_US_PER_MS);
   colt_lead_fence (lead);
   return lead;
 }
@@ -180,6 +181,12 @@
   return lead->phase == PHASE_SERVING;
 }
 
+double
+colt_lead_speed (const struct ColtLead *lead)
+{
+  return colt_lag_speed (&lead->lag);
+}
+
 void
 colt_lead_serve (struct ColtLead *lead)
 {
@@ -283,6 +290,7 @@
   (void)what;
   if (lead->phase != PHASE_SERVING)
     return;
+  colt_lag_note (&lead->lag, now_us);
   g_hash_table_iter_init (&i, lead->links);
   while (g_hash_table_iter_next (&i, NULL, &value))
     colt_server_link_tick (value, now_us);
--- a/src/scheduler/private/lead_private.h
+++ b/src/scheduler/private/lead_private.h
@@ -2,6 +2,7 @@
 #ifndef COLT_LEAD_PRIVATE_H
 #define COLT_LEAD_PRIVATE_H
 
+#include "lag.h"
 #include "scheduler_private.h"
 
 enum ColtLeadPhase
@@ -25,6 +26,7 @@
   struct ColtWatch *servers;
   struct ColtLogChannel *channel; /* for loading */
   struct event *timer;
+  struct ColtLag lag; /* of the timer */
   struct event *place;
   struct event *retry;
   GHashTable *links;  /* id -> struct ColtServerLink */
--- a/src/scheduler/private/scheduler_private.h
+++ b/src/scheduler/private/scheduler_private.h
@@ -226,5 +226,7 @@
                             const ColtAdviceReply *reply);
 struct ColtCell *colt_lead_cell (struct ColtLead *lead);
 bool colt_lead_is_serving (const struct ColtLead *lead);
+/* Part of its speed at which its loop runs, above 0 to 1. */
+double colt_lead_speed (const struct ColtLead *lead);
 
 #endif
--- a/src/scheduler/private/scheduler_state.h
+++ b/src/scheduler/private/scheduler_state.h
@@ -25,6 +25,9 @@
   GPtrArray *requests; /* of struct ColtRequest */
   uint32_t lead_instance;
   int64_t elected_us;
+  uint64_t seen_term; /* the last that was seen or led */
+  int64_t changed_us; /* when it began */
+  int64_t before_us;  /* how long the lead before this one led */
   bool stopping;
   int64_t stopping_us;
 };
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -19,10 +19,16 @@
 /* A configuration is in force within two seconds, also when the connection
  * it should have come by has gone silent. */
 #define CONFIG_WAIT_MS 600
-/* A lead yields to an instance this many times stronger, once it has led this
+/* A lead yields to an instance this many times stronger, with its strength as
+ * it is set and as its machine's speed lets it be now, once it has led this
  * long: a few beats of each instance have come by then. */
 #define YIELD_FACTOR 2.0
+#define YIELD_SLOW_FACTOR 1.5
 #define YIELD_AFTER_US (1 * COLT_US_PER_S)
+/* The same for a lead that is slow now, if the lead before it led for less than
+ * this: where the load is too much for any instance, changes of the lead only
+ * add to it. */
+#define YIELD_AGAIN_AFTER_US (6 * COLT_US_PER_S)
 #define MODULE "scheduler"
 
 /* A message of another instance that waits for its answer. */
@@ -251,6 +257,9 @@
     colt_lead_set_fleet (scheduler->lead, scheduler->fleet);
   colt_metrics_count (scheduler->metrics, METRIC_ELECTED);
   scheduler->elected_us = colt_clock_monotonic_us ();
+  scheduler->before_us = scheduler->elected_us - scheduler->changed_us;
+  scheduler->changed_us = scheduler->elected_us;
+  scheduler->seen_term = term;
   confirm_lead_ (scheduler, scheduler->elected_us);
 }
 
@@ -270,6 +279,9 @@
 {
   struct ColtScheduler *scheduler = client;
 
+  if (colt_election_term (scheduler->election) != scheduler->seen_term)
+    scheduler->changed_us = colt_clock_monotonic_us ();
+  scheduler->seen_term = colt_election_term (scheduler->election);
   if (!scheduler->stopping)
     on_beat_ (-1, 0, scheduler);
 }
@@ -411,16 +423,32 @@
       colt_members_count_advisers (scheduler->members, now_us));
 }
 
-/* A change of the lead costs less than a second; a weak lead costs more the
- * whole time. */
+/* A change of the lead costs less than a second; a weak lead, or one whose
+ * machine has become slow, costs more the whole time. */
 static void
 yield_if_weak_ (struct ColtScheduler *scheduler, int64_t now_us)
 {
-  if (now_us - scheduler->elected_us < YIELD_AFTER_US)
+  double strength = scheduler->settings.strength;
+  double strongest = colt_members_strongest (scheduler->members, now_us);
+  int64_t led_us = now_us - scheduler->elected_us;
+
+  if (led_us < YIELD_AFTER_US)
     return;
-  if (colt_members_strongest (scheduler->members, now_us)
-      >= YIELD_FACTOR * scheduler->settings.strength)
-    colt_election_yield (scheduler->election);
+  if (strongest < YIELD_FACTOR * strength)
+    {
+      strength *= colt_lead_speed (scheduler->lead);
+      if (strongest < YIELD_SLOW_FACTOR * strength
+          || (scheduler->before_us < YIELD_AGAIN_AFTER_US
+              && led_us < YIELD_AGAIN_AFTER_US))
+        return;
+    }
+  colt_log (
+      COLT_LOG_INFO, MODULE, NULL,
+      "yields the lead: strength %.3f at %.2f of its speed, the strongest "
+      "member has %.3f",
+      scheduler->settings.strength, colt_lead_speed (scheduler->lead),
+      strongest);
+  colt_election_yield (scheduler->election);
 }
 
 static void
--- a/src/test_scheduler/test_scheduler.c
+++ b/src/test_scheduler/test_scheduler.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "fake_ports.h"
+#include "lag.h"
 #include "members.h"
 #include "scheduler_private.h"
 
@@ -267,6 +268,32 @@
   colt_fake_ports_destroy (fake);
 }
 
+/* An instance that yields lets an equal one claim. */
+static void
+test_election_yields (void)
+{
+  struct ColtFakePorts *fake = colt_fake_ports_create ();
+  const struct ColtSchedulerSettings settings[]
+      = { { .name = "one", .internal = "127.0.0.1:1", .strength = 1 },
+          { .name = "two", .internal = "127.0.0.2:1", .strength = 1 } };
+  struct ColtSeen seen[2] = { { 0 }, { 0 } };
+  struct ColtElection *first = elect (fake, &settings[0], &seen[0]);
+  struct ColtElection *second;
+
+  colt_fake_ports_run (fake, 400);
+  g_assert_cmpuint (seen[0].elected, ==, 1);
+  second = elect (fake, &settings[1], &seen[1]);
+  colt_fake_ports_run (fake, 100);
+  colt_election_yield (first);
+  colt_fake_ports_run (fake, 500);
+  g_assert_cmpuint (seen[0].deposed, ==, 1);
+  g_assert_cmpuint (seen[0].elected, ==, 1);
+  g_assert_cmpuint (seen[1].elected, ==, 1);
+  colt_election_destroy (first);
+  colt_election_destroy (second);
+  colt_fake_ports_destroy (fake);
+}
+
 /* Renewals whose answers are lost don't cost the lead; renewals that have no
  * effect do, as soon as another instance claims. */
 static void
@@ -750,6 +777,30 @@
 }
 
 /* Only while most members are in touch, and none reaches the log. */
+/* A loop that is late each time runs slowly; one that stood still once
+ * doesn't. */
+static void
+test_lag (void)
+{
+  struct ColtLag lag;
+  int64_t now_us = 0;
+  int i;
+
+  colt_lag_init (&lag, 25000);
+  g_assert_cmpfloat (colt_lag_speed (&lag), ==, 1);
+  for (i = 0; i < 40; i++)
+    colt_lag_note (&lag, now_us += 25100);
+  g_assert_cmpfloat (colt_lag_speed (&lag), >, 0.95);
+  colt_lag_note (&lag, now_us += 5000000);
+  g_assert_cmpfloat (colt_lag_speed (&lag), >, 0.7);
+  for (i = 0; i < 20; i++)
+    colt_lag_note (&lag, now_us += 80000);
+  g_assert_cmpfloat (colt_lag_speed (&lag), <, 0.45);
+  for (i = 0; i < 60; i++)
+    colt_lag_note (&lag, now_us += 25100);
+  g_assert_cmpfloat (colt_lag_speed (&lag), >, 0.9);
+}
+
 static void
 test_members_log_down (void)
 {
@@ -806,6 +857,7 @@
                    test_election_late_suspicion);
   g_test_add_func ("/scheduler/election/same-moment",
                    test_election_same_moment);
+  g_test_add_func ("/scheduler/election/yields", test_election_yields);
   g_test_add_func ("/scheduler/election/lost-answers",
                    test_election_lost_answers);
   g_test_add_func ("/scheduler/election/restarted-lead",
@@ -819,6 +871,7 @@
                    test_link_new_incarnation);
   g_test_add_func ("/scheduler/link/start-again", test_link_start_again);
   g_test_add_func ("/scheduler/link/fenced", test_link_fenced);
+  g_test_add_func ("/scheduler/lag", test_lag);
   g_test_add_func ("/scheduler/members/log-down", test_members_log_down);
   g_test_add_func ("/scheduler/members/advisers", test_members_advisers);
   return g_test_run ();
