Election: a lead that leaves names its successor

Ruled out: the delays by strength (claims left in their order, 45 ms apart; the vacant record reached the stronger later). Change: the record by which a lead leaves names the strongest member in touch; it claims at once, without a probe, others hold back for 600 ms. A stopping instance tells a strength of 0. Test: /scheduler/election/successor.

--- a/include/coltsfootstile/cell.pb-c.h
+++ b/include/coltsfootstile/cell.pb-c.h
@@ -176,10 +176,14 @@
    * of the instance's process
    */
   uint64_t incarnation;
+  /*
+   * instance that should lead next; 0: none is named
+   */
+  uint32_t successor;
 };
 #define COLT_LEAD_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&colt_lead_record__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
--- a/src/cell/cell.pb-c.c
+++ b/src/cell/cell.pb-c.c
@@ -1212,7 +1212,7 @@
   (ProtobufCMessageInit) colt_job_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor colt_lead_record__field_descriptors[5] =
+static const ProtobufCFieldDescriptor colt_lead_record__field_descriptors[6] =
 {
   {
     "instance",
@@ -1274,18 +1274,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "successor",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ColtLeadRecord, successor),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned colt_lead_record__field_indices_by_name[] = {
   1,   /* field[1] = address */
   4,   /* field[4] = incarnation */
   0,   /* field[0] = instance */
+  5,   /* field[5] = successor */
   2,   /* field[2] = term */
   3,   /* field[3] = vacant */
 };
 static const ProtobufCIntRange colt_lead_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor colt_lead_record__descriptor =
 {
@@ -1295,7 +1308,7 @@
   "ColtLeadRecord",
   "",
   sizeof(ColtLeadRecord),
-  5,
+  6,
   colt_lead_record__field_descriptors,
   colt_lead_record__field_indices_by_name,
   1,  colt_lead_record__number_ranges,
--- a/src/scheduler/election.c
+++ b/src/scheduler/election.c
@@ -18,6 +18,9 @@
  * apart than the spread, and the weakest don't wait long either. */
 #define STRENGTH_MS 60.0
 #define STRENGTH_DELAY_MAX_MS 800.0
+/* Others leave the instance that was named as successor this long to claim, two
+ * calls to a slow log. */
+#define SUCCESSOR_US (600 * COLT_US_PER_MS)
 /* An instance that has left the lead to others waits this much longer. */
 #define YIELD_HOLD_US (1500 * COLT_US_PER_MS)
 /* An answer of the log is lost after this time. */
@@ -46,8 +49,11 @@
   struct event *timer;
   enum ColtElectionRole role;
   uint64_t incarnation;
-  uint64_t term;    /* highest seen */
-  uint64_t claimed; /* term of the claim on its way */
+  uint32_t instance;
+  uint32_t successor; /* named by the lead that left; 0: none */
+  uint32_t names;     /* to be named by this instance as it leaves */
+  uint64_t term;      /* highest seen */
+  uint64_t claimed;   /* term of the claim on its way */
   char lead_name[COLT_ERROR_PEER_SIZE];
   char lead_address[COLT_ERROR_PEER_SIZE]; /* "" when there is none */
   bool synced;
@@ -99,6 +105,7 @@
   election->settings = settings;
   election->client = *client;
   election->incarnation = (uint64_t)colt_clock_wall_us ();
+  election->instance = colt_scheduler_instance_of (settings->internal);
   election->seen_us = colt_clock_monotonic_us ();
   election->spread_us = claim_delay_us_ (election);
   election->channel = ports->log_open (ports->adapter);
@@ -122,8 +129,9 @@
 }
 
 void
-colt_election_leave (struct ColtElection *election)
+colt_election_leave (struct ColtElection *election, uint32_t successor)
 {
+  election->names = successor;
   if (election->role == ROLE_LEAD)
     {
       election->role = ROLE_LEAVING;
@@ -135,12 +143,12 @@
 }
 
 void
-colt_election_yield (struct ColtElection *election)
+colt_election_yield (struct ColtElection *election, uint32_t successor)
 {
   if (election->role != ROLE_LEAD)
     return;
   election->yields = true;
-  colt_election_leave (election);
+  colt_election_leave (election, successor);
 }
 
 void
@@ -236,6 +244,9 @@
         election->suspect = false;
       election->term = lead->term;
       election->vacant = lead->vacant;
+      election->successor = lead->vacant ? lead->successor : 0;
+      if (election->successor == election->instance)
+        event_active (election->timer, EV_TIMEOUT, 0);
       g_strlcpy (election->lead_name, lead->instance,
                  sizeof election->lead_name);
       g_strlcpy (election->lead_address, lead->address,
@@ -294,6 +305,11 @@
   election->seen_us = now_us;
   election->busy = true;
   election->claimed = election->term + 1;
+  if (election->successor == election->instance)
+    {
+      append_ (election, election->claimed, false, take_claim_);
+      return;
+    }
   election->ports->log_read (election->channel, COLT_TOPIC_LEAD, election->end,
                              0, take_probe_, election);
 }
@@ -332,6 +348,7 @@
   lead.address = (char *)election->settings->internal;
   lead.term = term;
   lead.vacant = vacant;
+  lead.successor = vacant ? election->names : 0;
   lead.incarnation = election->incarnation;
   record.size = colt_lead_record__get_packed_size (&lead);
   value = g_malloc (record.size);
@@ -416,10 +433,12 @@
 
   if (steady_us == COLT_TIME_NEVER)
     return COLT_TIME_NEVER;
+  if (election->successor == election->instance)
+    return quiet_from_us;
   /* A lead that has left is certain to be silent; its connections may be seen
    * to break as well. */
   if (election->vacant || election->term == 0)
-    due_us = quiet_from_us;
+    due_us = quiet_from_us + (election->successor != 0 ? SUCCESSOR_US : 0);
   else if (election->suspect)
     due_us = MIN (
         due_us, MAX (quiet_from_us + SUSPECT_SILENCE_US, election->suspect_us));
--- a/src/scheduler/members.c
+++ b/src/scheduler/members.c
@@ -78,19 +78,25 @@
 }
 
 double
-colt_members_strongest (const struct ColtMembers *members, int64_t now_us)
+colt_members_strongest (const struct ColtMembers *members,
+                        int64_t now_us,
+                        uint32_t *instance)
 {
   double strongest = 0;
   guint i;
 
+  *instance = 0;
   for (i = 1; i < members->members->len; i++)
     {
       const struct ColtMember *member
           = &g_array_index (members->members, struct ColtMember, i);
 
       if (now_us - member->beat_us <= FRESH_US
-          && member->log_age_ms < LOG_DOWN_MS)
-        strongest = MAX (strongest, member->strength);
+          && member->log_age_ms < LOG_DOWN_MS && member->strength > strongest)
+        {
+          strongest = member->strength;
+          *instance = member->instance;
+        }
     }
   return strongest;
 }
--- a/src/scheduler/private/members.h
+++ b/src/scheduler/private/members.h
@@ -18,9 +18,11 @@
                         uint32_t log_age_ms,
                         double strength,
                         int64_t now_us);
-/* Strength of the strongest member in touch that reaches the log. */
+/* Strength of the strongest member in touch that reaches the log, and which it
+ * is; 0 if there is none. */
 double colt_members_strongest (const struct ColtMembers *members,
-                               int64_t now_us);
+                               int64_t now_us,
+                               uint32_t *instance);
 /* Whether most known instances are in touch and none of these reaches the
  * log. */
 bool colt_members_log_is_down (const struct ColtMembers *members,
--- a/src/scheduler/private/scheduler_private.h
+++ b/src/scheduler/private/scheduler_private.h
@@ -20,6 +20,9 @@
   MESSAGE_ADVICE
 };
 
+/* The number that stands for IP:PORT among instances. */
+uint32_t colt_scheduler_instance_of (const char *address);
+
 /* ---- watch.c: follows a topic of the log ---- */
 
 struct ColtWatch;
@@ -76,10 +79,12 @@
                       const struct ColtSchedulerSettings *settings,
                       const struct ColtElectionClient *client);
 void colt_election_destroy (struct ColtElection *election);
-/* Gives up the lead, or stops taking part. */
-void colt_election_leave (struct ColtElection *election);
-/* Gives up the lead, to be claimed by whoever is stronger. */
-void colt_election_yield (struct ColtElection *election);
+/* Gives up the lead, or stops taking part. The instance named as successor
+ * claims the lead at once, others after a while; 0: the stronger claim first.
+ */
+void colt_election_leave (struct ColtElection *election, uint32_t successor);
+/* Gives up the lead in the same way, to take part again later. */
+void colt_election_yield (struct ColtElection *election, uint32_t successor);
 /* A later term was seen somewhere. */
 void colt_election_fenced (struct ColtElection *election);
 /* Whether the lead's process seems to have ended; a claim comes sooner then. */
--- a/src/scheduler/private/scheduler_state.h
+++ b/src/scheduler/private/scheduler_state.h
@@ -37,8 +37,6 @@
                             const struct ColtCallerRequest *caller,
                             struct ColtCallerHandle *handle);
 void colt_scheduler_end_requests (struct ColtScheduler *scheduler);
-/* The number that stands for IP:PORT among instances. */
-uint32_t colt_scheduler_instance_of (const char *address);
 void colt_scheduler_add_timer (struct event *timer, uint32_t after_ms);
 
 #endif
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -150,13 +150,17 @@
 void
 colt_scheduler_stop (struct ColtScheduler *scheduler)
 {
+  uint32_t successor;
+
   if (scheduler->stopping)
     return;
   scheduler->stopping = true;
   scheduler->stopping_us = colt_clock_monotonic_us ();
   colt_log (COLT_LOG_INFO, MODULE, NULL, "stops; %u requests are open",
             scheduler->requests->len);
-  colt_election_leave (scheduler->election);
+  colt_members_strongest (scheduler->members, scheduler->stopping_us,
+                          &successor);
+  colt_election_leave (scheduler->election, successor);
   colt_scheduler_add_timer (scheduler->stop, STOP_CHECK_MS);
 }
 
@@ -401,7 +405,10 @@
   colt_wire_set_peer (scheduler->wire, lead, address);
   scheduler->lead_instance = lead;
   beat.term = colt_election_term (scheduler->election);
-  beat.strength_milli = (uint32_t)(scheduler->settings.strength * 1000);
+  /* An instance that stops isn't to lead any more. */
+  beat.strength_milli = scheduler->stopping
+                            ? 0
+                            : (uint32_t)(scheduler->settings.strength * 1000);
   beat.log_age_ms = (uint32_t)MIN (age_us / COLT_US_PER_MS, UINT32_MAX / 2);
   colt_wire_call (scheduler->wire, lead, MESSAGE_BEAT, body,
                   colt_beat__pack (&beat, body), BEAT_TIMEOUT_MS,
@@ -429,7 +436,9 @@
 yield_if_weak_ (struct ColtScheduler *scheduler, int64_t now_us)
 {
   double strength = scheduler->settings.strength;
-  double strongest = colt_members_strongest (scheduler->members, now_us);
+  uint32_t successor;
+  double strongest
+      = colt_members_strongest (scheduler->members, now_us, &successor);
   int64_t led_us = now_us - scheduler->elected_us;
 
   if (led_us < YIELD_AFTER_US)
@@ -448,7 +457,7 @@
       "member has %.3f",
       scheduler->settings.strength, colt_lead_speed (scheduler->lead),
       strongest);
-  colt_election_yield (scheduler->election);
+  colt_election_yield (scheduler->election, successor);
 }
 
 static void
--- a/src/test_scheduler/test_scheduler.c
+++ b/src/test_scheduler/test_scheduler.c
@@ -121,7 +121,7 @@
   g_assert_cmpuint (weak_seen.elected, ==, 0);
   g_assert_cmpuint (strong_seen.term, ==, 1);
   g_assert_cmpstr (colt_election_lead (first), ==, "127.0.0.2:1");
-  colt_election_leave (second);
+  colt_election_leave (second, 0);
   colt_fake_ports_run (fake, 1200);
   g_assert_cmpuint (strong_seen.deposed, ==, 1);
   g_assert_cmpuint (weak_seen.elected, ==, 1);
@@ -155,7 +155,7 @@
   colt_fake_ports_run (fake, 100);
   colt_election_suspect (second, true);
   colt_election_suspect (third, true);
-  colt_election_leave (first);
+  colt_election_leave (first, 0);
   colt_fake_ports_run (fake, 900);
   g_assert_cmpuint (seen[1].elected, ==, 0);
   g_assert_cmpuint (seen[2].elected, ==, 1);
@@ -268,6 +268,45 @@
   colt_fake_ports_destroy (fake);
 }
 
+/* The instance that a lead names leads after it, at once; others don't wait for
+ * it for long. */
+static void
+test_election_successor (void)
+{
+  const struct ColtSchedulerSettings settings[]
+      = { { .name = "one", .internal = "127.0.0.1:1", .strength = 1 },
+          { .name = "two", .internal = "127.0.0.2:1", .strength = 0.05 },
+          { .name = "three", .internal = "127.0.0.3:1", .strength = 0.5 } };
+  const uint32_t two = (127u << 24) + 2;
+  const uint32_t absent = (127u << 24) + 9;
+  int i;
+
+  for (i = 0; i < 2; i++)
+    {
+      struct ColtFakePorts *fake = colt_fake_ports_create ();
+      struct ColtSeen seen[3] = { { 0 }, { 0 }, { 0 } };
+      struct ColtElection *first = elect (fake, &settings[0], &seen[0]);
+      struct ColtElection *second;
+      struct ColtElection *third;
+
+      colt_fake_ports_run (fake, 400);
+      g_assert_cmpuint (seen[0].elected, ==, 1);
+      second = elect (fake, &settings[1], &seen[1]);
+      third = elect (fake, &settings[2], &seen[2]);
+      colt_fake_ports_run (fake, 100);
+      colt_election_leave (first, i == 0 ? two : absent);
+      colt_fake_ports_run (fake, 60);
+      g_assert_cmpuint (seen[1].elected, ==, i == 0 ? 1 : 0);
+      g_assert_cmpuint (seen[2].elected, ==, 0);
+      colt_fake_ports_run (fake, 1000);
+      g_assert_cmpuint (seen[2].elected, ==, i == 0 ? 0 : 1);
+      colt_election_destroy (first);
+      colt_election_destroy (second);
+      colt_election_destroy (third);
+      colt_fake_ports_destroy (fake);
+    }
+}
+
 /* An instance that yields lets an equal one claim. */
 static void
 test_election_yields (void)
@@ -284,7 +323,7 @@
   g_assert_cmpuint (seen[0].elected, ==, 1);
   second = elect (fake, &settings[1], &seen[1]);
   colt_fake_ports_run (fake, 100);
-  colt_election_yield (first);
+  colt_election_yield (first, 0);
   colt_fake_ports_run (fake, 500);
   g_assert_cmpuint (seen[0].deposed, ==, 1);
   g_assert_cmpuint (seen[0].elected, ==, 1);
@@ -806,6 +845,7 @@
 {
   struct ColtMembers *members = colt_members_create ();
   int64_t now_us = 100 * COLT_US_PER_S;
+  uint32_t strongest;
 
   colt_members_note (members, 1, 5000, 1, now_us);
   colt_members_note (members, 2, 5000, 1, now_us);
@@ -814,9 +854,13 @@
   colt_members_note (members, 2, 100, 1, now_us);
   g_assert_false (colt_members_log_is_down (members, now_us));
   colt_members_note (members, 2, 5000, 1, now_us);
-  g_assert_cmpfloat (colt_members_strongest (members, now_us), ==, 0);
+  g_assert_cmpfloat (colt_members_strongest (members, now_us, &strongest), ==,
+                     0);
+  g_assert_cmpuint (strongest, ==, 0);
   colt_members_note (members, 3, 100, 2, now_us);
-  g_assert_cmpfloat (colt_members_strongest (members, now_us), ==, 2);
+  g_assert_cmpfloat (colt_members_strongest (members, now_us, &strongest), ==,
+                     2);
+  g_assert_cmpuint (strongest, ==, 3);
   now_us += 5 * COLT_US_PER_S;
   colt_members_note (members, 1, 5000, 1, now_us);
   g_assert_false (colt_members_log_is_down (members, now_us));
@@ -857,6 +901,7 @@
                    test_election_late_suspicion);
   g_test_add_func ("/scheduler/election/same-moment",
                    test_election_same_moment);
+  g_test_add_func ("/scheduler/election/successor", test_election_successor);
   g_test_add_func ("/scheduler/election/yields", test_election_yields);
   g_test_add_func ("/scheduler/election/lost-answers",
                    test_election_lost_answers);
