Cell: a gang's room is kept while tickets for it are asked for

Each call took 0.8 s for 30 servers of which a third may run the step, tickets last 1.5 s, and what room had been found went to photo checks meanwhile; calls went on while no gang could fit. Ruled out: the advisers (free), the organisations' limits (a part of the waits only). Change: a gang remembers which servers are good (that never changes in a life); if a first call didn't find enough it asks about all; once good servers have room for all tasks it keeps this room for the call and asks for just these tickets. Servers are asked about fullest first, so that whole servers stay free. Test: /cell/load/gang-beside-small-work, failed before.

--- a/include/coltsfootstile/cell.h
+++ b/include/coltsfootstile/cell.h
@@ -171,9 +171,10 @@
 /** Bounds of a cell; see docs/OPERATIONS.md for where they come from. */
 struct ColtCellLimits
 {
-  int64_t status_us;      /**< how long an ended job's state is kept */
-  int64_t stop_retry_us;  /**< until an unanswered stop is sent again */
-  uint32_t servers_asked; /**< servers named in one call for advice */
+  int64_t status_us;        /**< how long an ended job's state is kept */
+  int64_t stop_retry_us;    /**< until an unanswered stop is sent again */
+  uint32_t servers_asked;   /**< servers named in one call for advice */
+  uint32_t servers_learned; /**< the same for a gang that found too few */
 };
 
 /** A record to be stored under a key. */
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -48,6 +48,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_pool_);
   cell->open = g_ptr_array_new ();
   cell->askers = g_ptr_array_new ();
+  cell->kept = g_array_new (FALSE, FALSE, sizeof (struct ColtCellKept));
   cell->asking = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   cell->advisers = 1;
   cell->dirty = g_ptr_array_new ();
@@ -72,6 +73,7 @@
   g_queue_clear (&cell->ended);
   g_ptr_array_unref (cell->open);
   g_ptr_array_unref (cell->askers);
+  g_array_unref (cell->kept);
   g_hash_table_unref (cell->asking);
   g_ptr_array_unref (cell->dirty);
   g_ptr_array_unref (cell->batch);
--- a/src/cell/cell_advice.c
+++ b/src/cell/cell_advice.c
@@ -38,6 +38,11 @@
 static void back_off_ (struct ColtCellStep *step, int64_t now_us);
 static uint32_t count_queues_ (const struct ColtCell *cell);
 static bool ask_ (struct ColtCell *cell, struct ColtCellStep *step);
+static void name_wanted_ (const struct ColtCellStep *step, GPtrArray *names);
+static void name_choices_ (const struct ColtCell *cell,
+                           const struct ColtCellStep *step,
+                           const struct ColtCellPool *pool,
+                           GPtrArray *names);
 static uint32_t most_ (const struct ColtCell *cell,
                        const struct ColtCellStep *step);
 static GArray *list_choices_ (const struct ColtCellStep *step,
@@ -98,6 +103,66 @@
   return HOLD_NO_ROOM;
 }
 
+/* A gang starts when all its servers have room and tickets at once: it asks for
+ * tickets on servers that have the room, which is kept meanwhile. */
+enum ColtCellHold
+colt_cell_want_tickets (struct ColtCell *cell,
+                        struct ColtCellStep *step,
+                        struct ColtCellServer *const *servers)
+{
+  uint32_t i;
+
+  if (step->advice_pending)
+    return HOLD_ADVICE;
+  g_clear_pointer (&step->wanted, g_ptr_array_unref);
+  step->wanted = g_ptr_array_new ();
+  for (i = 0; i < step->spec->count; i++)
+    g_ptr_array_add (step->wanted, servers[i]);
+  g_ptr_array_add (cell->askers, step);
+  return HOLD_NO_ADVISER;
+}
+
+/* Until it knows of enough servers that may run it, a gang asks about others,
+ * whether these have room now or not. */
+enum ColtCellHold
+colt_cell_want_servers (struct ColtCell *cell,
+                        struct ColtCellStep *step,
+                        const struct ColtCellPool *pool,
+                        int64_t now_us)
+{
+  guint i;
+  bool good;
+
+  if (!step->job->queue->config->advised)
+    return HOLD_NO_ROOM;
+  if (step->advice_pending)
+    return HOLD_ADVICE;
+  g_clear_pointer (&step->wanted, g_ptr_array_unref);
+  for (i = 0; i < pool->servers->len; i++)
+    {
+      struct ColtCellServer *server = g_ptr_array_index (pool->servers, i);
+
+      if (!colt_cell_is_usable (server, now_us)
+          || !colt_cell_allows (step, server)
+          || is_known_ (step, server, &good))
+        continue;
+      if (now_us < step->advice_from_us)
+        return HOLD_ADVICE;
+      g_ptr_array_add (cell->askers, step);
+      return HOLD_NO_ADVISER;
+    }
+  return HOLD_NO_ROOM;
+}
+
+bool
+colt_cell_is_known_good (const struct ColtCellStep *step,
+                         struct ColtCellServer *server)
+{
+  bool good = false;
+
+  return is_known_ (step, server, &good) && good;
+}
+
 /* Each queue gets its part of the advisers first; what is left over goes by
  * the order of the steps. */
 void
@@ -253,22 +318,17 @@
   struct ColtCellQueue *queue = step->job->queue;
   struct ColtCellPool *pool
       = g_hash_table_lookup (cell->pools, queue->config->service);
-  GArray *choices;
   GPtrArray *names;
   char name[TASK_NAME_SIZE];
   bool is_free;
-  guint count;
-  guint i;
 
   if (queue->asking >= most_ (cell, step))
     return true;
-  choices = list_choices_ (step, pool, cell->now_us);
-  count = MIN (ASKED_MINIMUM + ASKED_PER_TASK * step->waiting,
-               cell->limits.servers_asked);
   names = g_ptr_array_new ();
-  for (i = 0; i < MIN (choices->len, count); i++)
-    g_ptr_array_add (names,
-                     g_array_index (choices, struct ColtChoice, i).server->id);
+  if (step->wanted != NULL)
+    name_wanted_ (step, names);
+  else
+    name_choices_ (cell, step, pool, names);
   g_snprintf (name, sizeof name, "%s.%u.%u", step->job->id, step->occurrence,
               step->number);
   /* Starts later in the pass may have taken the last room. */
@@ -283,10 +343,43 @@
       g_hash_table_insert (cell->asking, g_strdup (name), queue);
     }
   g_ptr_array_unref (names);
-  g_array_unref (choices);
   return is_free;
 }
 
+static void
+name_wanted_ (const struct ColtCellStep *step, GPtrArray *names)
+{
+  guint i;
+
+  for (i = 0; i < step->wanted->len; i++)
+    {
+      struct ColtCellServer *server = g_ptr_array_index (step->wanted, i);
+
+      if (!g_ptr_array_find (names, server->id, NULL))
+        g_ptr_array_add (names, server->id);
+    }
+}
+
+static void
+name_choices_ (const struct ColtCell *cell,
+               const struct ColtCellStep *step,
+               const struct ColtCellPool *pool,
+               GPtrArray *names)
+{
+  GArray *choices = list_choices_ (step, pool, cell->now_us);
+  guint count = MIN (ASKED_MINIMUM + ASKED_PER_TASK * step->waiting,
+                     cell->limits.servers_asked);
+  guint i;
+
+  /* What a first call didn't find is looked for among all. */
+  if (step->spec->gang && step->advice_calls > 0)
+    count = cell->limits.servers_learned;
+  for (i = 0; i < MIN (choices->len, count); i++)
+    g_ptr_array_add (names,
+                     g_array_index (choices, struct ColtChoice, i).server->id);
+  g_array_unref (choices);
+}
+
 /* Calls that a step's queue may have open. */
 static uint32_t
 most_ (const struct ColtCell *cell, const struct ColtCellStep *step)
@@ -321,8 +414,7 @@
       if (!colt_cell_is_usable (choice.server, now_us)
           || !colt_cell_allows (step, choice.server) || (known && !good))
         continue;
-      choice.score = (double)(room->amount[COLT_RESOURCE_CORES]
-                              - used->amount[COLT_RESOURCE_CORES])
+      choice.score = (double)used->amount[COLT_RESOURCE_CORES]
                      / (double)(room->amount[COLT_RESOURCE_CORES] + 1);
       if (colt_cell_fits (step, choice.server))
         choice.score += 2;
--- a/src/cell/cell_jobs.c
+++ b/src/cell/cell_jobs.c
@@ -81,6 +81,7 @@
         }
       g_free (job->steps[i].tasks);
       g_clear_pointer (&job->steps[i].advice, g_hash_table_unref);
+      g_clear_pointer (&job->steps[i].wanted, g_ptr_array_unref);
     }
   g_clear_pointer (&job->steps, g_free);
   job->step_count = 0;
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -42,6 +42,19 @@
                          struct ColtCellStep *step,
                          struct ColtCellPool *pool,
                          int64_t now_us);
+static bool fill_gang_ (struct ColtCellStep *step,
+                        const struct ColtCellPool *pool,
+                        bool ticketed,
+                        struct ColtCellServer **servers,
+                        int64_t now_us);
+static void plan_gang_ (struct ColtCell *cell,
+                        struct ColtCellStep *step,
+                        struct ColtCellServer *const *servers,
+                        int64_t now_us);
+static void keep_ (struct ColtCell *cell,
+                   const struct ColtCellStep *step,
+                   struct ColtCellServer *const *servers);
+static void give_back_kept_ (struct ColtCell *cell);
 static double fullness_ (const struct ColtCellServer *server);
 static bool within_limit_ (const struct ColtCell *cell,
                            const struct ColtCellStep *step,
@@ -51,6 +64,7 @@
 static struct ColtCellServer *choose_ (const struct ColtCellStep *step,
                                        const struct ColtCellTask *task,
                                        const struct ColtCellPool *pool,
+                                       bool ticketed,
                                        const char *rack,
                                        int64_t now_us);
 static double score_ (const struct ColtCellStep *step,
@@ -79,6 +93,7 @@
   for (i = 0; i < cell->open->len; i++)
     place_step_ (cell, g_ptr_array_index (cell->open, i), now_us);
   colt_cell_ask_advice (cell, now_us);
+  give_back_kept_ (cell);
 }
 
 /* Removes steps that have nothing to start. */
@@ -296,7 +311,7 @@
           hold_ (cell, step, HOLD_LIMIT);
           break;
         }
-      server = choose_ (step, task, pool, NULL, now_us);
+      server = choose_ (step, task, pool, true, NULL, now_us);
       if (server == NULL)
         {
           hold_ (cell, step, colt_cell_want_advice (cell, step, pool, now_us));
@@ -318,8 +333,6 @@
 {
   uint32_t count = step->spec->count;
   struct ColtCellServer **servers;
-  uint32_t number = 0;
-  uint32_t placed;
   uint32_t i;
 
   if (step->live > 0 || step->done > 0)
@@ -340,31 +353,104 @@
       return;
     }
   servers = g_new0 (struct ColtCellServer *, count);
+  if (fill_gang_ (step, pool, true, servers, now_us))
+    plan_gang_ (cell, step, servers, now_us);
+  else if (!step->job->queue->config->advised)
+    hold_ (cell, step, HOLD_NO_ROOM);
+  else if (step->advice_pending && step->wanted != NULL)
+    {
+      keep_ (cell, step, (struct ColtCellServer *const *)step->wanted->pdata);
+      hold_ (cell, step, HOLD_ADVICE);
+    }
+  else if (fill_gang_ (step, pool, false, servers, now_us))
+    {
+      keep_ (cell, step, servers);
+      hold_ (cell, step, colt_cell_want_tickets (cell, step, servers));
+    }
+  else
+    hold_ (cell, step, colt_cell_want_servers (cell, step, pool, now_us));
+  g_free (servers);
+}
+
+/* Finds a server for each task of a gang: with a ticket, or one that is known
+ * to get one. Returns false if there aren't enough. */
+static bool
+fill_gang_ (struct ColtCellStep *step,
+            const struct ColtCellPool *pool,
+            bool ticketed,
+            struct ColtCellServer **servers,
+            int64_t now_us)
+{
+  uint32_t count = step->spec->count;
+  uint32_t placed;
+  uint32_t i;
+
   for (placed = 0; placed < count; placed++)
     {
       servers[placed]
-          = choose_ (step, &step->tasks[placed], pool, NULL, now_us);
+          = choose_ (step, &step->tasks[placed], pool, ticketed, NULL, now_us);
       if (servers[placed] == NULL)
         break;
       colt_resources_add (&servers[placed]->used, &step->demand);
-      number = MAX (number, next_run_ (cell, &step->tasks[placed]));
     }
   for (i = 0; i < placed; i++)
     colt_resources_subtract (&servers[i]->used, &step->demand);
-  if (placed == count)
+  return placed == count;
+}
+
+static void
+plan_gang_ (struct ColtCell *cell,
+            struct ColtCellStep *step,
+            struct ColtCellServer *const *servers,
+            int64_t now_us)
+{
+  GString *plan = g_string_new (NULL);
+  uint32_t number = 0;
+  uint32_t i;
+
+  g_clear_pointer (&step->wanted, g_ptr_array_unref);
+  for (i = 0; i < step->spec->count; i++)
+    number = MAX (number, next_run_ (cell, &step->tasks[i]));
+  for (i = 0; i < step->spec->count; i++)
     {
-      GString *plan = g_string_new (NULL);
+      plan_ (cell, &step->tasks[i], servers[i], number, now_us);
+      note_plan_ (plan, &step->tasks[i]);
+    }
+  tell_plan_ (cell, step, plan);
+}
 
-      for (i = 0; i < count; i++)
-        {
-          plan_ (cell, &step->tasks[i], servers[i], number, now_us);
-          note_plan_ (plan, &step->tasks[i]);
-        }
-      tell_plan_ (cell, step, plan);
+/* Keeps room for a gang from the steps after it in this pass. */
+static void
+keep_ (struct ColtCell *cell,
+       const struct ColtCellStep *step,
+       struct ColtCellServer *const *servers)
+{
+  uint32_t i;
+
+  for (i = 0; i < step->spec->count; i++)
+    {
+      const struct ColtCellKept kept = { servers[i], &step->demand };
+
+      if (!colt_cell_fits (step, servers[i]))
+        continue;
+      colt_resources_add (&servers[i]->used, &step->demand);
+      g_array_append_val (cell->kept, kept);
     }
-  else
-    hold_ (cell, step, colt_cell_want_advice (cell, step, pool, now_us));
-  g_free (servers);
+}
+
+static void
+give_back_kept_ (struct ColtCell *cell)
+{
+  guint i;
+
+  for (i = 0; i < cell->kept->len; i++)
+    {
+      const struct ColtCellKept *kept
+          = &g_array_index (cell->kept, struct ColtCellKept, i);
+
+      colt_resources_subtract (&kept->server->used, kept->demand);
+    }
+  g_array_set_size (cell->kept, 0);
 }
 
 /* Sum of the parts of a server's room that are used. */
@@ -424,6 +510,7 @@
 choose_ (const struct ColtCellStep *step,
          const struct ColtCellTask *task,
          const struct ColtCellPool *pool,
+         bool ticketed,
          const char *rack,
          int64_t now_us)
 {
@@ -440,7 +527,10 @@
           || !colt_cell_fits (step, server)
           || (rack != NULL && g_strcmp0 (rack, server->rack) != 0)
           || !colt_cell_allows (step, server)
-          || (advised && colt_cell_find_ticket (step, server, now_us) == NULL))
+          || (advised
+              && (ticketed
+                      ? colt_cell_find_ticket (step, server, now_us) == NULL
+                      : !colt_cell_is_known_good (step, server))))
         continue;
       score = score_ (step, task, server);
       if (best.server == NULL || score > best.score)
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -147,6 +147,15 @@
   uint32_t gang_run;      /* run whose failure was counted last */
   enum ColtCellHold held; /* at the last pass */
   enum ColtCellRank rank; /* in this pass */
+  GPtrArray *wanted;      /* servers that a gang's tasks are to get once their
+                             tickets      have come, one for each task; NULL: none */
+};
+
+/* Room that a pass keeps for a gang. */
+struct ColtCellKept
+{
+  struct ColtCellServer *server;
+  const struct ColtResources *demand;
 };
 
 struct ColtCellJob
@@ -226,6 +235,7 @@
   GHashTable *pools;         /* service -> struct ColtCellPool */
   GPtrArray *open;           /* of struct ColtCellStep */
   GPtrArray *askers;         /* steps that want advice in this pass */
+  GArray *kept;              /* of struct ColtCellKept, in this pass */
   GHashTable *asking;        /* name of a step -> struct ColtCellQueue */
   uint32_t advisers;
   GPtrArray *dirty;     /* of struct ColtCellJob */
@@ -331,6 +341,18 @@
                                          struct ColtCellStep *step,
                                          struct ColtCellPool *pool,
                                          int64_t now_us);
+/* The same for a gang: tickets on certain servers, or on any that it may run
+ * on yet. */
+enum ColtCellHold
+colt_cell_want_tickets (struct ColtCell *cell,
+                        struct ColtCellStep *step,
+                        struct ColtCellServer *const *servers);
+enum ColtCellHold colt_cell_want_servers (struct ColtCell *cell,
+                                          struct ColtCellStep *step,
+                                          const struct ColtCellPool *pool,
+                                          int64_t now_us);
+bool colt_cell_is_known_good (const struct ColtCellStep *step,
+                              struct ColtCellServer *server);
 void colt_cell_ask_advice (struct ColtCell *cell, int64_t now_us);
 
 /* cell_order.c */
--- a/src/scheduler/lead.c
+++ b/src/scheduler/lead.c
@@ -22,6 +22,8 @@
 #define STOP_RETRY_US (800 * COLT_US_PER_MS)
 /* Servers named in one call for advice. */
 #define SERVERS_ASKED 30
+/* The same for a gang that found too few; the platform takes no more. */
+#define SERVERS_LEARNED 100
 #define MODULE "lead"
 
 /* The ends of one report, until they are durable. */
@@ -98,6 +100,7 @@
   limits.status_us = (int64_t)settings->status_s * COLT_US_PER_S;
   limits.stop_retry_us = STOP_RETRY_US;
   limits.servers_asked = SERVERS_ASKED;
+  limits.servers_learned = SERVERS_LEARNED;
   lead->base = base;
   lead->ports = ports;
   lead->settings = settings;
--- a/src/test_cell_load/test_load.c
+++ b/src/test_cell_load/test_load.c
@@ -6,6 +6,8 @@
 #include "coltsfootstile/clock.h"
 
 #define MS COLT_US_PER_MS
+/* Size of a step's name. */
+#define TASK_SIZE 64
 
 struct ColtLoad
 {
@@ -92,7 +94,8 @@
 static struct ColtLoad *
 make_load (void)
 {
-  const struct ColtCellLimits limits = { 60 * COLT_US_PER_S, 800 * MS, 30 };
+  const struct ColtCellLimits limits
+      = { 60 * COLT_US_PER_S, 800 * MS, 30, 100 };
   struct ColtLoad *load = g_new0 (struct ColtLoad, 1);
   struct ColtFleet *fleet = colt_fleet_create ();
 
@@ -151,12 +154,11 @@
   report (load, id, 1);
 }
 
-static void
-submit (struct ColtLoad *load,
-        const char *queue,
-        const char *organisation,
-        uint32_t count,
-        bool lasting)
+static ColtJobSpec *
+make_job (struct ColtLoad *load,
+          const char *queue,
+          const char *organisation,
+          uint32_t count)
 {
   ColtJobSpec *spec = malloc (sizeof *spec);
   ColtJobStep *step = malloc (sizeof *step);
@@ -174,7 +176,30 @@
   step->count = count;
   step->cpu_milli = 1000;
   step->estimate_ms = 100;
-  step->lasting = lasting;
+  return spec;
+}
+
+static void
+submit (struct ColtLoad *load,
+        const char *queue,
+        const char *organisation,
+        uint32_t count,
+        bool lasting)
+{
+  ColtJobSpec *spec = make_job (load, queue, organisation, count);
+
+  spec->steps[0]->lasting = lasting;
+  g_assert_cmpint (colt_cell_submit (load->cell, spec, load->now_us), ==,
+                   COLT_SUBMIT_NEW);
+}
+
+static void
+submit_gang (struct ColtLoad *load, const char *queue, uint32_t count)
+{
+  ColtJobSpec *spec = make_job (load, queue, "steady", count);
+
+  spec->steps[0]->gang = true;
+  spec->steps[0]->estimate_ms = 4000;
   g_assert_cmpint (colt_cell_submit (load->cell, spec, load->now_us), ==,
                    COLT_SUBMIT_NEW);
 }
@@ -374,6 +399,65 @@
   free_load (load);
 }
 
+static void
+answer_advice (struct ColtLoad *load, uint32_t id)
+{
+  const char *servers[] = { "one", "two" };
+  char step[TASK_SIZE];
+  ColtTicket tickets[2];
+  ColtTicket *rows[2] = { &tickets[0], &tickets[1] };
+  ColtAdviceReply reply = COLT_ADVICE_REPLY__INIT;
+  int i;
+
+  for (i = 0; i < 2; i++)
+    {
+      colt_ticket__init (&tickets[i]);
+      tickets[i].server = (char *)servers[i];
+      tickets[i].ticket = "ticket";
+    }
+  reply.answered = true;
+  reply.valid_ms = 1500;
+  reply.n_tickets = 2;
+  reply.tickets = rows;
+  g_snprintf (step, sizeof step, "%016x.0.0", id);
+  g_ptr_array_set_size (load->advised, 0);
+  colt_cell_advised (load->cell, step, servers, 2, &reply, load->now_us);
+}
+
+/* A gang's tickets end before all its servers have room: once they have, the
+ * room is kept while tickets are asked for again, and small work that comes
+ * later doesn't take it. */
+static void
+test_gang_beside_small_work (void)
+{
+  struct ColtLoad *load = make_load ();
+
+  add_server (load, "one", 1000);
+  submit (load, "tight", "steady", 1, false);
+  place (load);
+  g_assert_cmpuint (load->starts->len, ==, 1);
+  add_server (load, "two", 1000);
+  submit_gang (load, "advised", 2);
+  place (load);
+  answer_advice (load, 2);
+  place (load);
+  g_assert_cmpuint (load->starts->len, ==, 1);
+  load->now_us += 2000 * MS;
+  finish (load, 0, 1, COLT_RUN_DONE);
+  submit (load, "tight", "steady", 1, false);
+  place (load);
+  g_assert_cmpuint (load->starts->len, ==, 1);
+  g_assert_cmpuint (load->advised->len, ==, 1);
+  place (load);
+  g_assert_cmpuint (load->starts->len, ==, 1);
+  answer_advice (load, 2);
+  place (load);
+  g_assert_cmpuint (load->starts->len, ==, 3);
+  g_assert_true (has_started (load, 1, 2));
+  g_assert_false (has_started (load, 1, 3));
+  free_load (load);
+}
+
 /* A start without an answer is stopped only if the server lacks it. */
 static void
 test_unanswered_start (void)
@@ -431,6 +515,8 @@
   g_test_add_func ("/cell/load/failing-server", test_failing_server);
   g_test_add_func ("/cell/load/lasting-steps-and-advisers",
                    test_lasting_steps_and_advisers);
+  g_test_add_func ("/cell/load/gang-beside-small-work",
+                   test_gang_beside_small_work);
   g_test_add_func ("/cell/load/unanswered-start", test_unanswered_start);
   g_test_add_func ("/cell/load/start-waits-for-record",
                    test_start_waits_for_record);
--- a/src/test_scheduler/test_scheduler.c
+++ b/src/test_scheduler/test_scheduler.c
@@ -453,7 +453,8 @@
 static struct ColtCell *
 make_cell (void)
 {
-  const struct ColtCellLimits limits = { COLT_US_PER_S, COLT_US_PER_S, 30 };
+  const struct ColtCellLimits limits
+      = { COLT_US_PER_S, COLT_US_PER_S, 30, 100 };
   struct ColtCell *cell = colt_cell_create (&cell_ops, NULL, &limits, 1);
   struct ColtFleet *fleet = colt_fleet_create ();
   struct ColtQueueConfig *queue = colt_fleet_add_queue (fleet);
