Cell: a server's speed is guessed from others of its kind until it is measured

Ruled out: cold servers (none is), waits for advice (first starts after 45 ms). Change: the slowness of a server is that of its kind and its own beside it; a new incarnation starts from its kind's. Test: /cell/load/unlike-kinds, failed before.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -44,6 +44,7 @@
                                                free_organisation_);
   cell->servers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                          colt_cell_free_server);
+  cell->kinds = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   cell->pools
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_pool_);
   cell->open = g_ptr_array_new ();
@@ -81,6 +82,7 @@
   g_hash_table_unref (cell->jobs);
   g_hash_table_unref (cell->servers);
   g_hash_table_unref (cell->pools);
+  g_hash_table_unref (cell->kinds);
   g_hash_table_unref (cell->organisations);
   g_hash_table_unref (cell->queues);
   colt_fleet_unref (cell->fleet);
--- a/src/cell/cell_order.c
+++ b/src/cell/cell_order.c
@@ -6,6 +6,12 @@
 #define DURATION_WEIGHT 0.02
 /* Part of a new duration in a server's running slowness: about the last ten. */
 #define SLOWNESS_WEIGHT 0.1
+/* The same for a kind of servers: about the last fifty. */
+#define KIND_WEIGHT 0.02
+/* The first measurements count more, by this against their number. */
+#define FIRST_WEIGHT 0.5
+/* Size of a kind's name: its label and room. */
+#define KIND_SIZE 128
 /* A server isn't taken for more than this many times slower or faster. */
 #define SLOWNESS_MAX 3.0
 /* Servers that one call for advice is reckoned with in an objective. */
@@ -24,6 +30,11 @@
 static int64_t longest_from_ (const struct ColtCellStep *step);
 static int64_t step_us_ (const struct ColtCellStep *step);
 static void learn_slowness_ (struct ColtCellStep *step);
+static void correct_ (double *log_slowness,
+                      uint32_t *measured,
+                      double least_weight,
+                      double error);
+static double log_slowness_ (const struct ColtCellServer *server);
 
 void
 colt_cell_note_duration (const struct ColtCellRun *run, int64_t now_us)
@@ -50,7 +61,25 @@
 double
 colt_cell_slowness (const struct ColtCellServer *server)
 {
-  return exp (server->log_slowness);
+  return exp (log_slowness_ (server));
+}
+
+void
+colt_cell_set_kind (struct ColtCell *cell, struct ColtCellServer *server)
+{
+  const int64_t *room = server->room.amount;
+  char name[KIND_SIZE];
+
+  g_snprintf (name, sizeof name, "%" G_GINT64_FORMAT "/%" G_GINT64_FORMAT "/%s",
+              room[COLT_RESOURCE_CORES], room[COLT_RESOURCE_ACCELERATORS],
+              server->labels != NULL && server->labels[0] != NULL
+                  ? server->labels[0]
+                  : "");
+  server->kind = g_hash_table_lookup (cell->kinds, name);
+  if (server->kind != NULL)
+    return;
+  server->kind = g_new0 (struct ColtCellKind, 1);
+  g_hash_table_insert (cell->kinds, g_strdup (name), server->kind);
 }
 
 /* The objective of a job from its arrival: its longest chain of work on a
@@ -185,7 +214,7 @@
     if (step->tasks[i].duration_us > 0)
       {
         sum += log ((double)step->tasks[i].duration_us)
-               - step->tasks[i].last_server->log_slowness;
+               - log_slowness_ (step->tasks[i].last_server);
         known++;
       }
   for (i = 0; i < count && known > 1; i++)
@@ -193,12 +222,29 @@
       {
         struct ColtCellServer *server = step->tasks[i].last_server;
         double error = log ((double)step->tasks[i].duration_us)
-                       - server->log_slowness - sum / known;
+                       - log_slowness_ (server) - sum / known;
 
-        server->measured++;
-        server->log_slowness = CLAMP (
-            server->log_slowness
-                + MAX (SLOWNESS_WEIGHT, 0.5 / server->measured) * error,
-            -log (SLOWNESS_MAX), log (SLOWNESS_MAX));
+        correct_ (&server->log_slowness, &server->measured, SLOWNESS_WEIGHT,
+                  error);
+        correct_ (&server->kind->log_slowness, &server->kind->measured,
+                  KIND_WEIGHT, error);
       }
 }
+
+static void
+correct_ (double *log_slowness,
+          uint32_t *measured,
+          double least_weight,
+          double error)
+{
+  (*measured)++;
+  *log_slowness = CLAMP (
+      *log_slowness + MAX (least_weight, FIRST_WEIGHT / *measured) * error,
+      -log (SLOWNESS_MAX), log (SLOWNESS_MAX));
+}
+
+static double
+log_slowness_ (const struct ColtCellServer *server)
+{
+  return server->kind->log_slowness + server->log_slowness;
+}
--- a/src/cell/cell_servers.c
+++ b/src/cell/cell_servers.c
@@ -57,6 +57,7 @@
   server->id = g_strdup (id);
   server->runs = g_ptr_array_new ();
   g_hash_table_insert (cell->servers, server->id, server);
+  colt_cell_set_kind (cell, server);
   return server;
 }
 
@@ -101,7 +102,11 @@
       && entry->born_ms > server->born_ms)
     colt_cell_emptied (cell, entry->id, now_us);
   if (entry->born_ms > server->born_ms)
-    server->born_ms = entry->born_ms;
+    {
+      server->born_ms = entry->born_ms;
+      server->log_slowness = 0;
+      server->measured = 0;
+    }
   if (server->pool != pool)
     {
       if (server->pool != NULL)
@@ -117,6 +122,7 @@
   server->ready = entry->ready;
   server->listed = true;
   set_labels_ (server, entry->labels);
+  colt_cell_set_kind (cell, server);
 }
 
 void
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -209,10 +209,19 @@
   uint32_t failures_in_row;
   uint32_t probations;
   int64_t avoid_until_us;
-  double log_slowness; /* of its duration against others' */
+  struct ColtCellKind *kind;
+  double log_slowness; /* of its duration against others of its kind */
   uint32_t measured;   /* tasks that log_slowness was learned from */
 };
 
+/* Servers with the same first label and the same room: what isn't known of one
+ * yet is guessed from the others. */
+struct ColtCellKind
+{
+  double log_slowness; /* of their durations against those of all */
+  uint32_t measured;
+};
+
 /* The servers of one service. */
 struct ColtCellPool
 {
@@ -233,6 +242,7 @@
   GHashTable *organisations; /* name -> struct ColtCellOrganisation */
   GHashTable *servers;       /* id -> struct ColtCellServer */
   GHashTable *pools;         /* service -> struct ColtCellPool */
+  GHashTable *kinds;         /* label and room -> struct ColtCellKind */
   GPtrArray *open;           /* of struct ColtCellStep */
   GPtrArray *askers;         /* steps that want advice in this pass */
   GArray *kept;              /* of struct ColtCellKept, in this pass */
@@ -358,6 +368,7 @@
 /* cell_order.c */
 void colt_cell_note_duration (const struct ColtCellRun *run, int64_t now_us);
 void colt_cell_note_step (struct ColtCellStep *step);
+void colt_cell_set_kind (struct ColtCell *cell, struct ColtCellServer *server);
 double colt_cell_slowness (const struct ColtCellServer *server);
 int64_t colt_cell_objective_us (const struct ColtCellJob *job);
 bool colt_cell_is_excess (struct ColtCellOrganisation *organisation,
--- a/src/test_cell_load/test_load.c
+++ b/src/test_cell_load/test_load.c
@@ -137,9 +137,12 @@
 }
 
 static void
-add_server (struct ColtLoad *load, const char *id, int64_t cores)
+add_server_of_kind (struct ColtLoad *load,
+                    const char *id,
+                    int64_t cores,
+                    const char *kind)
 {
-  const char *labels[] = { "a", NULL };
+  const char *labels[] = { kind, NULL };
   struct ColtServerEntry entry = { 0 };
 
   entry.id = id;
@@ -154,6 +157,12 @@
   report (load, id, 1);
 }
 
+static void
+add_server (struct ColtLoad *load, const char *id, int64_t cores)
+{
+  add_server_of_kind (load, id, cores, "a");
+}
+
 static ColtJobSpec *
 make_job (struct ColtLoad *load,
           const char *queue,
@@ -221,6 +230,16 @@
   commit (load);
 }
 
+static void
+take_start (struct ColtLoad *load, guint start)
+{
+  char **parts = g_strsplit (g_ptr_array_index (load->starts, start), "@", 2);
+
+  colt_cell_started (load->cell, parts[1], parts[0], 1, COLT_START_TAKEN, 1000,
+                     load->now_us);
+  g_strfreev (parts);
+}
+
 static void
 finish (struct ColtLoad *load, guint start, uint32_t run, enum ColtRunEnd how)
 {
@@ -228,8 +247,6 @@
   const struct ColtFinishedEntry end = { start + 1, parts[0], run, how, "" };
   struct ColtServerReport list = { 0 };
 
-  colt_cell_started (load->cell, parts[1], parts[0], run, COLT_START_TAKEN,
-                     1000, load->now_us);
   list.asked = 1;
   list.finished = &end;
   list.finished_count = 1;
@@ -317,14 +334,7 @@
       place (load);
       g_assert_cmpuint (load->starts->len, ==, first + 4);
       for (s = first; s < first + 4; s++)
-        {
-          char **parts
-              = g_strsplit (g_ptr_array_index (load->starts, s), "@", 2);
-
-          colt_cell_started (load->cell, parts[1], parts[0], 1,
-                             COLT_START_TAKEN, 1000, load->now_us);
-          g_strfreev (parts);
-        }
+        take_start (load, s);
       load->now_us += 100 * MS;
       for (s = first; s < first + 4; s++)
         if (g_str_has_suffix (g_ptr_array_index (load->starts, s), "@fast"))
@@ -344,6 +354,56 @@
   free_load (load);
 }
 
+static bool
+ran_on (const struct ColtLoad *load, guint start, const char *server)
+{
+  return g_str_has_suffix (g_ptr_array_index (load->starts, start), server);
+}
+
+/* A step of two tasks on two servers, one of which takes twice as long. */
+static void
+run_unlike_pair (struct ColtLoad *load, const char *slow)
+{
+  guint first = load->starts->len;
+  guint s;
+
+  submit (load, "tight", "steady", 2, false);
+  place (load);
+  g_assert_cmpuint (load->starts->len, ==, first + 2);
+  for (s = first; s < first + 2; s++)
+    take_start (load, s);
+  load->now_us += 100 * MS;
+  for (s = first; s < first + 2; s++)
+    if (!ran_on (load, s, slow))
+      finish (load, s, 1, COLT_RUN_DONE);
+  load->now_us += 100 * MS;
+  for (s = first; s < first + 2; s++)
+    if (ran_on (load, s, slow))
+      finish (load, s, 1, COLT_RUN_DONE);
+}
+
+/* Servers that haven't run anything yet are taken to be as fast as others of
+ * their kind: after a change of the lead, say, or new ones. */
+static void
+test_unlike_kinds (void)
+{
+  struct ColtLoad *load = make_load ();
+  int i;
+
+  add_server_of_kind (load, "quick-1", 1000, "quick");
+  add_server_of_kind (load, "lame-1", 1000, "lame");
+  for (i = 0; i < 4; i++)
+    run_unlike_pair (load, "lame-1");
+  colt_cell_unlist_server (load->cell, "quick-1");
+  colt_cell_unlist_server (load->cell, "lame-1");
+  add_server_of_kind (load, "lame-2", 1000, "lame");
+  add_server_of_kind (load, "quick-2", 1000, "quick");
+  submit (load, "tight", "steady", 1, false);
+  place (load);
+  g_assert_true (ran_on (load, load->starts->len - 1, "quick-2"));
+  free_load (load);
+}
+
 /* A server that fails all it starts loses its work after a few starts. */
 static void
 test_failing_server (void)
@@ -512,6 +572,7 @@
   g_test_add_func ("/cell/load/hot-organisation", test_hot_organisation);
   g_test_add_func ("/cell/load/overload", test_overload);
   g_test_add_func ("/cell/load/unlike-servers", test_unlike_servers);
+  g_test_add_func ("/cell/load/unlike-kinds", test_unlike_kinds);
   g_test_add_func ("/cell/load/failing-server", test_failing_server);
   g_test_add_func ("/cell/load/lasting-steps-and-advisers",
                    test_lasting_steps_and_advisers);
