Cell: runs that stand still or fall far behind start again elsewhere

Cause: a run on a server that had become slow, or on which tasks stand still, was waited for to its end; short jobs with one such task were served after three times their objective or not at all. Ruled out: probation (these servers fail nothing), learning from whole steps alone (it comes when the step has ended). A run that would take over 2.5 times what its step's others take, and longer than another start and its cost, is stopped, at most twice a task and only where another server has room; so is one that hasn't moved for 1.5 s. The server counts as slow. Gangs are moved only when standing still. Tests: /cell/load/slow-server-left, larger-task-left-alone, still-task.

--- a/include/coltsfootstile/cell.h
+++ b/include/coltsfootstile/cell.h
@@ -108,7 +108,8 @@
   const char *task;
   uint32_t run;
   const char *checkpoint; /**< "" when there is none */
-  int64_t percent;        /**< share of full speed, 0 to 100 */
+  int64_t percent; /**< of its work that is done, 0 to 100; for tasks that last
+                        100 once it is at work */
 };
 
 /** A run that a server lists as ended. */
@@ -360,6 +361,7 @@
   uint64_t started;
   uint64_t ended[COLT_RUN_ALONE + 1];
   uint64_t refused_starts;
+  uint64_t moved; /**< runs stopped to start elsewhere */
 };
 
 /** Returns servers, organisations and waiting steps as JSON, to be freed with
--- a/src/cell/cell_advice.c
+++ b/src/cell/cell_advice.c
@@ -25,7 +25,7 @@
 };
 
 static bool is_known_ (const struct ColtCellStep *step,
-                       struct ColtCellServer *server,
+                       const struct ColtCellServer *server,
                        bool *good);
 static void take_servers_ (struct ColtCell *cell,
                            struct ColtCellStep *step,
@@ -163,6 +163,15 @@
   return is_known_ (step, server, &good) && good;
 }
 
+bool
+colt_cell_is_known_bad (const struct ColtCellStep *step,
+                        const struct ColtCellServer *server)
+{
+  bool good = true;
+
+  return is_known_ (step, server, &good) && !good;
+}
+
 /* Each queue gets its part of the advisers first; what is left over goes by
  * the order of the steps. */
 void
@@ -217,7 +226,7 @@
 
 static bool
 is_known_ (const struct ColtCellStep *step,
-           struct ColtCellServer *server,
+           const struct ColtCellServer *server,
            bool *good)
 {
   const struct ColtCellAdvice *advice
--- a/src/cell/cell_order.c
+++ b/src/cell/cell_order.c
@@ -12,8 +12,6 @@
 #define FIRST_WEIGHT 0.5
 /* Size of a kind's name: its label and room. */
 #define KIND_SIZE 128
-/* A server isn't taken for more than this many times slower or faster. */
-#define SLOWNESS_MAX 3.0
 /* Servers that one call for advice is reckoned with in an objective. */
 #define ADVISED_SERVERS 30
 /* A job that ends within this many times its objective is late, but served. */
@@ -64,6 +62,14 @@
   return exp (log_slowness_ (server));
 }
 
+void
+colt_cell_note_slow (struct ColtCellServer *server, double log_slowness)
+{
+  server->log_slowness
+      = MAX (server->log_slowness, MIN (log_slowness, log (SLOWNESS_MAX))
+                                       - server->kind->log_slowness);
+}
+
 void
 colt_cell_set_kind (struct ColtCell *cell, struct ColtCellServer *server)
 {
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -87,6 +87,7 @@
   guint i;
 
   cell->wall_ms = wall_ms;
+  colt_cell_rescue (cell, now_us);
   colt_cell_sweep_open (cell);
   rank_steps_ (cell, now_us);
   g_ptr_array_sort (cell->open, compare_steps_);
--- a/src/cell/cell_servers.c
+++ b/src/cell/cell_servers.c
@@ -385,6 +385,7 @@
   g_hash_table_add (listed, run);
   if (run->confirmed_us == 0)
     run->confirmed_us = now_us;
+  colt_cell_note_progress (run, entry->percent, now_us);
   if (run->state <= RUN_STARTING)
     run->state = RUN_RUNNING;
   if (run->doubted)
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -10,6 +10,10 @@
 /* Size of a task's name: id, occurrence, step and index. */
 #define TASK_NAME_SIZE 64
 
+/* A server isn't taken for more than this many times slower or faster than
+ * others. */
+#define SLOWNESS_MAX 3.0
+
 /* Runs that one lead may number for a task; the next lead's begin above. */
 #define COLT_CELL_RUNS_PER_LEAD 1000u
 
@@ -93,6 +97,9 @@
   int64_t taken_us;     /* when its start was answered; 0: it wasn't */
   bool resumed;         /* from a checkpoint */
   int64_t confirmed_us; /* 0: not seen running */
+  int64_t percent;      /* of its work that is done */
+  int64_t moved_us;     /* when that rose; 0: it hasn't */
+  int64_t told_us;      /* when it was told last; 0: it wasn't */
   int64_t stop_sent_us; /* 0: no stop under way */
   bool stop_answered;
   struct ColtResources demand;
@@ -111,6 +118,7 @@
   struct ColtCellRun *current; /* NULL: waits, or is done */
   struct ColtCellServer *last_server;
   struct ColtCellServer *held_by; /* an earlier lead ordered it there */
+  uint32_t moves;                 /* runs that were stopped for being slow */
   int64_t waiting_since_us;
   int64_t duration_us; /* of its run that was done; 0: not known */
 };
@@ -255,8 +263,9 @@
   uint32_t planned;     /* runs whose record isn't in a batch yet */
   bool settled;
   int64_t settled_us;
-  int64_t wall_ms; /* as told last */
-  int64_t now_us;  /* of the pass */
+  int64_t wall_ms;        /* as told last */
+  int64_t now_us;         /* of the pass */
+  int64_t next_search_us; /* for runs that fall behind */
   uint64_t next_order;
   struct ColtCellStats stats;
 };
@@ -363,13 +372,24 @@
                                           int64_t now_us);
 bool colt_cell_is_known_good (const struct ColtCellStep *step,
                               struct ColtCellServer *server);
+bool colt_cell_is_known_bad (const struct ColtCellStep *step,
+                             const struct ColtCellServer *server);
 void colt_cell_ask_advice (struct ColtCell *cell, int64_t now_us);
 
+/* cell_rescue.c */
+void colt_cell_note_progress (struct ColtCellRun *run,
+                              int64_t percent,
+                              int64_t now_us);
+/* Stops runs that stand still or would end long after a new one elsewhere. */
+void colt_cell_rescue (struct ColtCell *cell, int64_t now_us);
+
 /* cell_order.c */
 void colt_cell_note_duration (const struct ColtCellRun *run, int64_t now_us);
 void colt_cell_note_step (struct ColtCellStep *step);
 void colt_cell_set_kind (struct ColtCell *cell, struct ColtCellServer *server);
 double colt_cell_slowness (const struct ColtCellServer *server);
+/* The server runs something this much slower (as a logarithm) than others. */
+void colt_cell_note_slow (struct ColtCellServer *server, double log_slowness);
 int64_t colt_cell_objective_us (const struct ColtCellJob *job);
 bool colt_cell_is_excess (struct ColtCellOrganisation *organisation,
                           int64_t now_us);
--- a/src/test_cell_load/test_load.c
+++ b/src/test_cell_load/test_load.c
@@ -404,6 +404,110 @@
   free_load (load);
 }
 
+/* A server tells how far the first run that was started on it is. */
+static void
+report_percent (struct ColtLoad *load, guint start, int64_t percent)
+{
+  char **parts = g_strsplit (g_ptr_array_index (load->starts, start), "@", 2);
+  const struct ColtRunningEntry running = { parts[0], 1, "", percent };
+  struct ColtServerReport list = { 0 };
+
+  list.asked = 1000;
+  list.running = &running;
+  list.running_count = 1;
+  colt_cell_report (load->cell, parts[1], &list, load->now_us);
+  g_strfreev (parts);
+}
+
+/* Four tasks of a step on a server each; the last one is told to be this far
+ * when the others are halfway. */
+static struct ColtLoad *
+run_uneven_step (int64_t percent)
+{
+  struct ColtLoad *load = make_load ();
+  guint i;
+
+  add_server (load, "a", 1000);
+  add_server (load, "b", 1000);
+  add_server (load, "c", 1000);
+  add_server (load, "d", 1000);
+  submit (load, "tight", "steady", 4, false);
+  place (load);
+  g_assert_cmpuint (load->starts->len, ==, 4);
+  for (i = 0; i < 4; i++)
+    take_start (load, i);
+  load->now_us += 1000 * MS;
+  for (i = 0; i < 4; i++)
+    report_percent (load, i, i < 3 ? 50 : percent);
+  return load;
+}
+
+/* On a server that has become slow: the task starts again elsewhere, once there
+ * is room, and later work keeps away from that server. */
+static void
+test_slow_server_left (void)
+{
+  struct ColtLoad *load = run_uneven_step (5);
+  const char *slow = g_ptr_array_index (load->starts, 3);
+
+  place (load);
+  g_assert_cmpuint (load->stops->len, ==, 0);
+  add_server (load, "e", 1000);
+  load->now_us += 250 * MS;
+  place (load);
+  g_assert_cmpuint (load->stops->len, ==, 1);
+  g_assert_cmpstr (g_ptr_array_index (load->stops, 0), ==, slow);
+  finish (load, 3, 1, COLT_RUN_STOPPED);
+  load->now_us += 200 * MS;
+  place (load);
+  g_assert_cmpuint (load->starts->len, ==, 5);
+  g_assert_true (ran_on (load, 4, "@e"));
+  free_load (load);
+}
+
+/* A task that is only somewhat larger than its step's others is left alone. */
+static void
+test_larger_task_left_alone (void)
+{
+  struct ColtLoad *load = run_uneven_step (25);
+
+  add_server (load, "e", 1000);
+  load->now_us += 250 * MS;
+  place (load);
+  g_assert_cmpuint (load->stops->len, ==, 0);
+  free_load (load);
+}
+
+/* A task that stands still starts again elsewhere, though its server lists it
+ * and renews its lease. */
+static void
+test_still_task (void)
+{
+  struct ColtLoad *load = make_load ();
+
+  add_server (load, "still", 1000);
+  submit (load, "tight", "steady", 1, false);
+  place (load);
+  take_start (load, 0);
+  add_server (load, "other", 1000);
+  load->now_us += 1000 * MS;
+  report_percent (load, 0, 10);
+  place (load);
+  load->now_us += 1000 * MS;
+  report_percent (load, 0, 10);
+  place (load);
+  g_assert_cmpuint (load->stops->len, ==, 0);
+  load->now_us += 1000 * MS;
+  report_percent (load, 0, 10);
+  place (load);
+  g_assert_cmpuint (load->stops->len, ==, 1);
+  finish (load, 0, 1, COLT_RUN_STOPPED);
+  load->now_us += 200 * MS;
+  place (load);
+  g_assert_true (ran_on (load, load->starts->len - 1, "@other"));
+  free_load (load);
+}
+
 /* A server that fails all it starts loses its work after a few starts. */
 static void
 test_failing_server (void)
@@ -573,6 +677,10 @@
   g_test_add_func ("/cell/load/overload", test_overload);
   g_test_add_func ("/cell/load/unlike-servers", test_unlike_servers);
   g_test_add_func ("/cell/load/unlike-kinds", test_unlike_kinds);
+  g_test_add_func ("/cell/load/slow-server-left", test_slow_server_left);
+  g_test_add_func ("/cell/load/larger-task-left-alone",
+                   test_larger_task_left_alone);
+  g_test_add_func ("/cell/load/still-task", test_still_task);
   g_test_add_func ("/cell/load/failing-server", test_failing_server);
   g_test_add_func ("/cell/load/lasting-steps-and-advisers",
                    test_lasting_steps_and_advisers);
