Server link: a look that couldn't be sent takes back no other call's lease

Cause: the latest end of a lease was put back to what it was before a look, or an order, if that call turned out not to have been sent; a start or look sent meanwhile, which may have come through, was forgotten with it. Where answers of servers are cut off one way, tasks were started again up to 1.9 s before their first runs' leases had ended. Ruled out: the repeated start (its lease counts, too, as long as one of the two may have come through). Change: the ends of ended calls, of the look and of the order on its way are kept apart; only a call's own is dropped if it was never sent.

--- a/src/scheduler/server_link.c
+++ b/src/scheduler/server_link.c
@@ -63,9 +63,11 @@
   bool has_clock;
   int64_t clock_ms;
   int64_t clock_us;
-  int64_t until_ms;        /* latest end of a lease that was sent */
-  int64_t look_before_ms;  /* until_ms before the look on its way */
-  int64_t order_before_ms; /* and before the order on its way */
+  /* Latest ends of the leases that were sent: with calls that have ended, with
+   * the look and with the order on its way; 0: none. */
+  int64_t until_ms;
+  int64_t look_until_ms;
+  int64_t order_until_ms;
 };
 
 static void look_ (struct ColtServerLink *link, size_t runs, int64_t now_us);
@@ -78,7 +80,9 @@
 static void forget_life_ (struct ColtServerLink *link);
 static void take_clock_ (struct ColtServerLink *link,
                          const struct ColtServerAnswer *answer);
-static int64_t renew_until_ms_ (struct ColtServerLink *link, int64_t now_us);
+static int64_t renewed_until_ms_ (const struct ColtServerLink *link,
+                                  int64_t now_us);
+static int64_t latest_until_ms_ (const struct ColtServerLink *link);
 static int64_t lapse_us_ (const struct ColtServerLink *link);
 static void send_next_ (struct ColtServerLink *link);
 static void take_order_ (void *client, const struct ColtServerAnswer *answer);
@@ -194,9 +198,11 @@
 {
   size_t runs = link->client.runs_on (link->client.client, link->id);
 
-  if (link->until_ms > 0 && now_us > lapse_us_ (link))
+  if (latest_until_ms_ (link) > 0 && now_us > lapse_us_ (link))
     {
       link->until_ms = 0;
+      link->look_until_ms = 0;
+      link->order_until_ms = 0;
       if (runs > 0)
         {
           link->reported = false;
@@ -220,9 +226,9 @@
 
   look.token = link->bounds.token;
   look.taken_note = link->taken_note;
-  link->look_before_ms = link->until_ms;
   if (runs > 0 && link->failures < FAILURES_TO_DARK)
-    look.until_ms = renew_until_ms_ (link, now_us);
+    look.until_ms = renewed_until_ms_ (link, now_us);
+  link->look_until_ms = look.until_ms;
   look.wait_ms
       = runs > 0 && link->reported && link->failures == 0 ? LOOK_WAIT_MS : 0;
   look.timeout_ms = look.wait_ms + LOOK_SLACK_MS;
@@ -241,6 +247,10 @@
   if (link->closing)
     return;
   link->looking = false;
+  /* What was never sent has renewed nothing. */
+  if (answer->result != COLT_START_NOT_SENT)
+    link->until_ms = MAX (link->until_ms, link->look_until_ms);
+  link->look_until_ms = 0;
   switch (answer->result)
     {
     case COLT_START_TAKEN:
@@ -287,9 +297,6 @@
 {
   int64_t pause_us = DARK_PAUSE_US << MIN (link->failures, 2);
 
-  /* What was never sent has renewed nothing. */
-  if (answer->result == COLT_START_NOT_SENT)
-    link->until_ms = link->look_before_ms;
   link->failures++;
   link->next_look_us = answer->received_us
                        + (link->failures < FAILURES_TO_DARK
@@ -328,6 +335,8 @@
   link->taken_note_open = 0;
   link->has_clock = false;
   link->until_ms = 0;
+  link->look_until_ms = 0;
+  link->order_until_ms = 0;
   link->reported = false;
 }
 
@@ -344,21 +353,24 @@
 /* Leases end no later than what an instance that doesn't know of a later lead
  * may promise. */
 static int64_t
-renew_until_ms_ (struct ColtServerLink *link, int64_t now_us)
+renewed_until_ms_ (const struct ColtServerLink *link, int64_t now_us)
 {
   int64_t renewable_us
       = link->client.renewable_until_us (link->client.client) - now_us;
   int64_t lease_ms = MIN (link->bounds.lease_ms, renewable_us / COLT_US_PER_MS);
-  int64_t until_ms;
 
   if (!link->has_clock || lease_ms <= 0)
     return 0;
-  until_ms = link->clock_ms
-             + (int64_t)((double)(now_us - link->clock_us) * CLOCK_SLOWEST
-                         / COLT_US_PER_MS)
-             + lease_ms;
-  link->until_ms = MAX (link->until_ms, until_ms);
-  return until_ms;
+  return link->clock_ms
+         + (int64_t)((double)(now_us - link->clock_us) * CLOCK_SLOWEST
+                     / COLT_US_PER_MS)
+         + lease_ms;
+}
+
+static int64_t
+latest_until_ms_ (const struct ColtServerLink *link)
+{
+  return MAX (link->until_ms, MAX (link->look_until_ms, link->order_until_ms));
 }
 
 /* The server's clock was at least clock_ms at clock_us. */
@@ -366,8 +378,8 @@
 lapse_us_ (const struct ColtServerLink *link)
 {
   return link->clock_us
-         + (int64_t)((double)(link->until_ms - link->clock_ms) * COLT_US_PER_MS
-                     / CLOCK_SLOWEST)
+         + (int64_t)((double)(latest_until_ms_ (link) - link->clock_ms)
+                     * COLT_US_PER_MS / CLOCK_SLOWEST)
          + LEASE_SLACK_US;
 }
 
@@ -377,6 +389,7 @@
   struct ColtServerOrder *order;
   struct ColtStartOrder start = { 0 };
   int64_t now_us = colt_clock_monotonic_us ();
+  int64_t until_ms;
 
   if (link->open != NULL)
     return;
@@ -391,18 +404,18 @@
                                 take_order_, link);
       return;
     }
-  if (!order->again)
-    link->order_before_ms = link->until_ms;
+  until_ms = renewed_until_ms_ (link, now_us);
+  link->order_until_ms = MAX (link->order_until_ms, until_ms);
   start.server = link->id;
   start.task = order->task;
   start.run = order->run;
   start.payload = order->payload;
   start.checkpoint = order->checkpoint;
   start.ticket = order->ticket;
-  link->ports->server_start (
-      link->orders, &start, link->bounds.token, renew_until_ms_ (link, now_us),
-      order->again ? ORDER_TIMEOUT_MS : FIRST_START_TIMEOUT_MS, take_order_,
-      link);
+  link->ports->server_start (link->orders, &start, link->bounds.token, until_ms,
+                             order->again ? ORDER_TIMEOUT_MS
+                                          : FIRST_START_TIMEOUT_MS,
+                             take_order_, link);
 }
 
 static void
@@ -431,8 +444,9 @@
     forget_life_ (link);
   if (order->start)
     {
-      if (result == COLT_START_NOT_SENT)
-        link->until_ms = link->order_before_ms;
+      if (result != COLT_START_NOT_SENT)
+        link->until_ms = MAX (link->until_ms, link->order_until_ms);
+      link->order_until_ms = 0;
       if (result != COLT_START_TAKEN)
         colt_log (COLT_LOG_INFO, MODULE, NULL,
                   "start of %s run %u on %s: %s %s", order->task, order->run,
--- a/src/test_scheduler/fake_ports.c
+++ b/src/test_scheduler/fake_ports.c
@@ -316,6 +316,7 @@
 static void
 call_server (struct ColtServerChannel *channel,
              enum ColtStartResult result,
+             uint32_t answer_ms,
              ColtServerCallDone done,
              void *client)
 {
@@ -325,7 +326,7 @@
   call->result = result;
   call->done = done;
   call->client = client;
-  after (channel->fake, ANSWER_MS, answer_server, call);
+  after (channel->fake, answer_ms, answer_server, call);
 }
 
 static void
@@ -347,7 +348,7 @@
                ? channel->fake->start_results[channel->fake->starts]
                : channel->fake->server_answer.result;
   channel->fake->starts++;
-  call_server (channel, result, done, client);
+  call_server (channel, result, ANSWER_MS, done, client);
 }
 
 static void
@@ -363,7 +364,8 @@
   (void)run;
   (void)token;
   (void)timeout_ms;
-  call_server (channel, channel->fake->server_answer.result, done, client);
+  call_server (channel, channel->fake->server_answer.result, ANSWER_MS, done,
+               client);
 }
 
 static void
@@ -374,7 +376,9 @@
 {
   channel->fake->looks++;
   channel->fake->last_look = *look;
-  call_server (channel, channel->fake->server_answer.result, done, client);
+  call_server (channel, channel->fake->server_answer.result,
+               channel->fake->look_ms > 0 ? channel->fake->look_ms : ANSWER_MS,
+               done, client);
 }
 
 static void
--- a/src/test_scheduler/fake_ports.h
+++ b/src/test_scheduler/fake_ports.h
@@ -35,6 +35,7 @@
   struct ColtServerAnswer server_answer;
   struct ColtServerLook last_look;
   uint32_t looks;
+  uint32_t look_ms; /* that an answer to a look takes; 0: the usual */
   uint32_t starts;
   /* How the starts end, in their order; after them as the other calls. */
   const enum ColtStartResult *start_results;
--- a/src/test_scheduler/test_scheduler.c
+++ b/src/test_scheduler/test_scheduler.c
@@ -720,6 +720,38 @@
   colt_fake_ports_destroy (fake);
 }
 
+/* A look that couldn't be sent takes nothing back from a start that was sent
+ * after it and may have come through. */
+static void
+test_link_start_beside_look (void)
+{
+  static const enum ColtStartResult results[]
+      = { COLT_START_UNKNOWN, COLT_START_NOT_SENT };
+  const struct ColtStartOrder start = {
+    .server = "s", .task = "t", .run = 1, .payload = "", .checkpoint = ""
+  };
+  struct ColtFakePorts *fake = colt_fake_ports_create ();
+  struct ColtSeen seen = { 0 };
+  struct ColtServerLink *link = open_link (fake, &seen);
+
+  fake->server_answer.born_ms = 1;
+  tick (fake, link, 30);
+  seen.runs = 1;
+  tick (fake, link, 200);
+  fake->server_answer.result = COLT_START_NOT_SENT;
+  fake->look_ms = 300;
+  tick (fake, link, 280);
+  fake->start_results = results;
+  fake->start_result_count = G_N_ELEMENTS (results);
+  colt_server_link_start (link, &start);
+  tick (fake, link, LEASE_MS);
+  g_assert_cmpuint (seen.emptied, ==, 0);
+  tick (fake, link, LEASE_MS);
+  g_assert_cmpuint (seen.emptied, ==, 1);
+  colt_server_link_destroy (link);
+  colt_fake_ports_destroy (fake);
+}
+
 /* An instance that isn't sure to lead any more renews nothing. */
 static void
 test_link_unconfirmed (void)
@@ -912,6 +944,8 @@
   g_test_add_func ("/scheduler/commit/lost-answer", test_commit_lost_answer);
   g_test_add_func ("/scheduler/commit/fenced", test_commit_fenced);
   g_test_add_func ("/scheduler/link/lease-ends", test_link_lease_ends);
+  g_test_add_func ("/scheduler/link/start-beside-look",
+                   test_link_start_beside_look);
   g_test_add_func ("/scheduler/link/unconfirmed", test_link_unconfirmed);
   g_test_add_func ("/scheduler/link/new-incarnation",
                    test_link_new_incarnation);
