Lead: who asks for the state of a job about to end hears of its end

Ruled out: looking at servers more often (probes are dear), answering before the end is durable (it could be taken back). Change: a state call for a job whose tasks are all done or running waits up to 80 ms, one whose end is on its way to the log up to 500 ms; at most 500 calls wait.

--- a/include/coltsfootstile/cell.h
+++ b/include/coltsfootstile/cell.h
@@ -251,6 +251,13 @@
 /** Returns whether a job is known and would survive the cell. */
 bool colt_cell_is_durable (const struct ColtCell *cell, const char *id);
 
+/**
+ * Returns whether a job may end with what runs now: all its other tasks are
+ * done, or it has ended and that isn't durable yet, as \a ended tells.
+ */
+bool
+colt_cell_is_ending (const struct ColtCell *cell, const char *id, bool *ended);
+
 /** Finds a job's state as it may be shown; false if there is no such job. */
 bool colt_cell_state (const struct ColtCell *cell,
                       const char *id,
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -192,6 +192,27 @@
   return true;
 }
 
+bool
+colt_cell_is_ending (const struct ColtCell *cell, const char *id, bool *ended)
+{
+  const struct ColtCellJob *job = colt_cell_find_job (cell, id);
+  uint32_t i;
+
+  *ended = job != NULL && colt_cell_is_ended (job);
+  if (job == NULL || job->dropped)
+    return false;
+  if (*ended)
+    return job->shown != job->state;
+  for (i = 0; i < job->step_count; i++)
+    {
+      const struct ColtCellStep *step = &job->steps[i];
+
+      if (step->spec->lasting || step->done + step->live < step->spec->count)
+        return false;
+    }
+  return true;
+}
+
 uint64_t
 colt_cell_waiting (const struct ColtCell *cell, const char *name)
 {
--- a/src/scheduler/lead.c
+++ b/src/scheduler/lead.c
@@ -115,6 +115,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_link_);
   lead->seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   lead->calls = g_ptr_array_new ();
+  lead->states = colt_lead_create_states ();
   lead->loading
       = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
   lead->timer = event_new (base, -1, EV_PERSIST, on_tick_, lead);
@@ -140,6 +141,7 @@
   colt_lead_end_calls (lead);
   colt_commit_destroy (lead->commit);
   g_ptr_array_unref (lead->calls);
+  g_array_unref (lead->states);
   g_hash_table_unref (lead->links);
   g_hash_table_unref (lead->seen);
   g_ptr_array_unref (lead->loading);
@@ -301,6 +303,7 @@
   if (colt_cell_is_dirty (lead->cell))
     colt_commit_soon (lead->commit, TICK_MS);
   colt_lead_give_up_calls (lead, now_us);
+  colt_lead_answer_states (lead, now_us);
   place_soon_ (lead);
 }
 
@@ -529,6 +532,7 @@
 static void
 take_committed_ (void *client)
 {
+  colt_lead_answer_states (client, colt_clock_monotonic_us ());
   place_soon_ (client);
 }
 
--- a/src/scheduler/lead_calls.c
+++ b/src/scheduler/lead_calls.c
@@ -12,8 +12,25 @@
 #define ANSWER_MARGIN_MS 250
 /* Patience of a caller that doesn't tell. */
 #define DEFAULT_PATIENCE_MS 3000
+/* A caller who asks for the state of a job that is about to end hears of the
+ * end if it comes within this time, so that it needn't ask again: an end is
+ * learned of some 40 ms after it. */
+#define ENDING_WAIT_US (80 * COLT_US_PER_MS)
+/* The same for an end that is on its way to the log. */
+#define DURABLE_WAIT_US (500 * COLT_US_PER_MS)
+/* Callers that may wait so at once; others are answered at once. */
+#define STATE_WAITS_MAX 500
 #define MODULE "lead"
 
+/* A caller who waits for a job's end. */
+struct ColtStateCall
+{
+  char id[COLT_JOB_ID_LENGTH + 1];
+  ColtLeadReply reply;
+  void *client;
+  int64_t asked_us;
+};
+
 /* A call that waits for a batch. */
 struct ColtLeadCall
 {
@@ -26,6 +43,15 @@
   bool replied;
 };
 
+static void ask_state_ (struct ColtLead *lead,
+                        const char *id,
+                        ColtLeadReply reply,
+                        void *client);
+static bool state_may_wait_ (const struct ColtLead *lead,
+                             const struct ColtStateCall *call,
+                             int64_t now_us);
+static void reply_state_ (struct ColtLead *lead,
+                          const struct ColtStateCall *call);
 static void submit_ (struct ColtLead *lead,
                      ColtCallerCall *call,
                      ColtLeadReply reply,
@@ -49,7 +75,6 @@
                 void *client)
 {
   ColtCallerReply again = COLT_CALLER_REPLY__INIT;
-  enum ColtJobState state;
 
   if (lead->phase != PHASE_SERVING)
     {
@@ -66,10 +91,34 @@
       else
         reply_now_ (reply, client, COLT_ANSWER_NO_JOB, 0, 0);
     }
-  else if (colt_cell_state (lead->cell, call->id, &state))
-    reply_now_ (reply, client, COLT_ANSWER_STATE, state, 0);
   else
-    reply_now_ (reply, client, COLT_ANSWER_NO_JOB, 0, 0);
+    ask_state_ (lead, call->id, reply, client);
+}
+
+GArray *
+colt_lead_create_states (void)
+{
+  return g_array_new (FALSE, FALSE, sizeof (struct ColtStateCall));
+}
+
+/* Answers those whose job has ended and is durable, or who have waited. */
+void
+colt_lead_answer_states (struct ColtLead *lead, int64_t now_us)
+{
+  guint kept = 0;
+  guint i;
+
+  for (i = 0; i < lead->states->len; i++)
+    {
+      struct ColtStateCall call
+          = g_array_index (lead->states, struct ColtStateCall, i);
+
+      if (state_may_wait_ (lead, &call, now_us))
+        g_array_index (lead->states, struct ColtStateCall, kept++) = call;
+      else
+        reply_state_ (lead, &call);
+    }
+  g_array_set_size (lead->states, kept);
 }
 
 /* A job that is in no batch can be given back at once and truly. */
@@ -102,6 +151,9 @@
 {
   guint i;
 
+  for (i = 0; i < lead->states->len; i++)
+    reply_state_ (lead, &g_array_index (lead->states, struct ColtStateCall, i));
+  g_array_set_size (lead->states, 0);
   for (i = 0; i < lead->calls->len; i++)
     {
       struct ColtLeadCall *call = g_ptr_array_index (lead->calls, i);
@@ -111,6 +163,48 @@
     }
 }
 
+static void
+ask_state_ (struct ColtLead *lead,
+            const char *id,
+            ColtLeadReply reply,
+            void *client)
+{
+  struct ColtStateCall call = { 0 };
+
+  g_strlcpy (call.id, id, sizeof call.id);
+  call.reply = reply;
+  call.client = client;
+  call.asked_us = colt_clock_monotonic_us ();
+  if (lead->states->len < STATE_WAITS_MAX
+      && state_may_wait_ (lead, &call, call.asked_us))
+    g_array_append_val (lead->states, call);
+  else
+    reply_state_ (lead, &call);
+}
+
+static bool
+state_may_wait_ (const struct ColtLead *lead,
+                 const struct ColtStateCall *call,
+                 int64_t now_us)
+{
+  bool ended;
+
+  return colt_cell_is_ending (lead->cell, call->id, &ended)
+         && now_us - call->asked_us
+                < (ended ? DURABLE_WAIT_US : ENDING_WAIT_US);
+}
+
+static void
+reply_state_ (struct ColtLead *lead, const struct ColtStateCall *call)
+{
+  enum ColtJobState state;
+
+  if (colt_cell_state (lead->cell, call->id, &state))
+    reply_now_ (call->reply, call->client, COLT_ANSWER_STATE, state, 0);
+  else
+    reply_now_ (call->reply, call->client, COLT_ANSWER_NO_JOB, 0, 0);
+}
+
 static void
 submit_ (struct ColtLead *lead,
          ColtCallerCall *call,
