Election: leaving is written until it is on record, a probe's records count

A leaving lead besides gave up after one call, whatever its answer. Change: the probe's records are taken like the watch's; a lead that leaves tries for 1.2 s. A yield is logged once. Tests: /scheduler/election/leaves-again, failed before; successor no longer depends on a renewal's being on its way.

--- a/src/scheduler/election.c
+++ b/src/scheduler/election.c
@@ -18,6 +18,9 @@
  * apart than the spread, and the weakest don't wait long either. */
 #define STRENGTH_MS 60.0
 #define STRENGTH_DELAY_MAX_MS 800.0
+/* A lead tries this long to write that it leaves; after it, others notice by
+ * its silence. */
+#define LEAVE_US (1200 * COLT_US_PER_MS)
 /* Others leave the instance that was named as successor this long to claim, two
  * calls to a slow log. */
 #define SUCCESSOR_US (600 * COLT_US_PER_MS)
@@ -68,6 +71,7 @@
   int64_t seen_us;    /* last sign of the lead */
   int64_t spread_us;
   int64_t sent_us; /* last renewal */
+  int64_t leave_until_us;
   int64_t confirmed_us;
 };
 
@@ -132,6 +136,7 @@
 colt_election_leave (struct ColtElection *election, uint32_t successor)
 {
   election->names = successor;
+  election->leave_until_us = colt_clock_monotonic_us () + LEAVE_US;
   if (election->role == ROLE_LEAD)
     {
       election->role = ROLE_LEAVING;
@@ -142,13 +147,14 @@
     election->role = ROLE_GONE;
 }
 
-void
+bool
 colt_election_yield (struct ColtElection *election, uint32_t successor)
 {
   if (election->role != ROLE_LEAD)
-    return;
+    return false;
   election->yields = true;
   colt_election_leave (election, successor);
+  return true;
 }
 
 void
@@ -318,10 +324,14 @@
 take_probe_ (void *client, const struct ColtLogAnswer *answer)
 {
   struct ColtElection *election = client;
+  size_t i;
 
   election->busy = false;
   if (election->role != ROLE_FOLLOWER)
     return;
+  /* In a slow log the watch may be behind. */
+  for (i = 0; i < answer->count; i++)
+    take_record_ (election, &answer->records[i]);
   /* The watch may have read on since the call. */
   if (answer->outcome != COLT_LOG_DONE || answer->count > 0
       || election->claimed != election->term + 1)
@@ -411,10 +421,18 @@
 {
   struct ColtElection *election = client;
 
-  (void)answer;
   election->busy = false;
   if (election->role != ROLE_LEAVING)
     return;
+  if (answer->outcome != COLT_LOG_DONE && !election->vacant
+      && colt_clock_monotonic_us () < election->leave_until_us)
+    {
+      colt_log (COLT_LOG_INFO, MODULE, NULL, "leaving isn't on record: %s %s",
+                colt_log_outcome_string[answer->outcome],
+                answer->error.message);
+      colt_watch_hurry (election->watch);
+      return;
+    }
   step_down_ (election);
   if (election->yields)
     election->spread_us += YIELD_HOLD_US;
--- a/src/scheduler/private/scheduler_private.h
+++ b/src/scheduler/private/scheduler_private.h
@@ -83,8 +83,9 @@
  * claims the lead at once, others after a while; 0: the stronger claim first.
  */
 void colt_election_leave (struct ColtElection *election, uint32_t successor);
-/* Gives up the lead in the same way, to take part again later. */
-void colt_election_yield (struct ColtElection *election, uint32_t successor);
+/* Gives up the lead in the same way, to take part again later; false if it is
+ * given up already. */
+bool colt_election_yield (struct ColtElection *election, uint32_t successor);
 /* A later term was seen somewhere. */
 void colt_election_fenced (struct ColtElection *election);
 /* Whether the lead's process seems to have ended; a claim comes sooner then. */
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -451,13 +451,14 @@
               && led_us < YIELD_AGAIN_AFTER_US))
         return;
     }
+  if (!colt_election_yield (scheduler->election, successor))
+    return;
   colt_log (
       COLT_LOG_INFO, MODULE, NULL,
       "yields the lead: strength %.3f at %.2f of its speed, the strongest "
       "member has %.3f",
       scheduler->settings.strength, colt_lead_speed (scheduler->lead),
       strongest);
-  colt_election_yield (scheduler->election, successor);
 }
 
 static void
--- a/src/test_scheduler/test_scheduler.c
+++ b/src/test_scheduler/test_scheduler.c
@@ -295,7 +295,8 @@
       third = elect (fake, &settings[2], &seen[2]);
       colt_fake_ports_run (fake, 100);
       colt_election_leave (first, i == 0 ? two : absent);
-      colt_fake_ports_run (fake, 60);
+      /* Without its name the weak one would wait for longer than this. */
+      colt_fake_ports_run (fake, 400);
       g_assert_cmpuint (seen[1].elected, ==, i == 0 ? 1 : 0);
       g_assert_cmpuint (seen[2].elected, ==, 0);
       colt_fake_ports_run (fake, 1000);
@@ -307,6 +308,36 @@
     }
 }
 
+/* A lead that can't write that it leaves tries again, so that its successor
+ * learns of it. */
+static void
+test_election_leaves_again (void)
+{
+  struct ColtFakePorts *fake = colt_fake_ports_create ();
+  const struct ColtSchedulerSettings settings[]
+      = { { .name = "one", .internal = "127.0.0.1:1", .strength = 1 },
+          { .name = "two", .internal = "127.0.0.2:1", .strength = 0.05 } };
+  struct ColtSeen seen[2] = { { 0 }, { 0 } };
+  struct ColtElection *first = elect (fake, &settings[0], &seen[0]);
+  struct ColtElection *second;
+
+  colt_fake_ports_run (fake, 400);
+  g_assert_cmpuint (seen[0].elected, ==, 1);
+  second = elect (fake, &settings[1], &seen[1]);
+  colt_fake_ports_run (fake, 100);
+  fake->fault = FAULT_REFUSED;
+  colt_election_leave (first, (127u << 24) + 2);
+  colt_fake_ports_run (fake, 150);
+  g_assert_cmpuint (seen[0].deposed, ==, 0);
+  fake->fault = FAULT_NONE;
+  colt_fake_ports_run (fake, 200);
+  g_assert_cmpuint (seen[0].deposed, ==, 1);
+  g_assert_cmpuint (seen[1].elected, ==, 1);
+  colt_election_destroy (first);
+  colt_election_destroy (second);
+  colt_fake_ports_destroy (fake);
+}
+
 /* An instance that yields lets an equal one claim. */
 static void
 test_election_yields (void)
@@ -935,6 +966,8 @@
   g_test_add_func ("/scheduler/election/same-moment",
                    test_election_same_moment);
   g_test_add_func ("/scheduler/election/successor", test_election_successor);
+  g_test_add_func ("/scheduler/election/leaves-again",
+                   test_election_leaves_again);
   g_test_add_func ("/scheduler/election/yields", test_election_yields);
   g_test_add_func ("/scheduler/election/lost-answers",
                    test_election_lost_answers);
