--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -432,7 +432,7 @@
     {
       const struct ColtCellKept kept = { servers[i], &step->demand };
 
-      if (!colt_cell_fits (step, servers[i]))
+      if (servers[i] == NULL || !colt_cell_fits (step, servers[i]))
         continue;
       colt_resources_add (&servers[i]->used, &step->demand);
       g_array_append_val (cell->kept, kept);
