--- a/src/test_cell_load/test_load.c
+++ b/src/test_cell_load/test_load.c
@@ -508,6 +508,34 @@
   free_load (load);
 }
 
+/* Callers who ask for its state may wait for a job whose last tasks run, and
+ * until its end is durable; not while a task waits for room. */
+static void
+test_ending_job (void)
+{
+  static const char id[] = "0000000000000001";
+  struct ColtLoad *load = make_load ();
+  bool ended;
+
+  add_server (load, "server", 1000);
+  submit (load, "tight", "steady", 2, false);
+  place (load);
+  g_assert_cmpuint (load->starts->len, ==, 1);
+  g_assert_false (colt_cell_is_ending (load->cell, id, &ended));
+  finish (load, 0, 1, COLT_RUN_DONE);
+  place (load);
+  g_assert_cmpuint (load->starts->len, ==, 2);
+  g_assert_true (colt_cell_is_ending (load->cell, id, &ended));
+  g_assert_false (ended);
+  finish (load, 1, 1, COLT_RUN_DONE);
+  g_assert_true (colt_cell_is_ending (load->cell, id, &ended));
+  g_assert_true (ended);
+  commit (load);
+  g_assert_false (colt_cell_is_ending (load->cell, id, &ended));
+  g_assert_false (colt_cell_is_ending (load->cell, "none", &ended));
+  free_load (load);
+}
+
 /* A server that fails all it starts loses its work after a few starts. */
 static void
 test_failing_server (void)
@@ -681,6 +709,7 @@
   g_test_add_func ("/cell/load/larger-task-left-alone",
                    test_larger_task_left_alone);
   g_test_add_func ("/cell/load/still-task", test_still_task);
+  g_test_add_func ("/cell/load/ending-job", test_ending_job);
   g_test_add_func ("/cell/load/failing-server", test_failing_server);
   g_test_add_func ("/cell/load/lasting-steps-and-advisers",
                    test_lasting_steps_and_advisers);
