Election: no sum is made with the time that stands for never

Cause: when a claim is due was added up before it was known that reads of the topic fail, in which case the start of the silence is the largest time: a signed overflow, found by the sanitizer in /scheduler/election/silent-log. The result was not used.

--- a/src/scheduler/election.c
+++ b/src/scheduler/election.c
@@ -447,7 +447,7 @@
 {
   int64_t steady_us = colt_watch_steady_us (election->watch);
   int64_t quiet_from_us = MAX (election->seen_us, steady_us);
-  int64_t due_us = quiet_from_us + SILENCE_US;
+  int64_t due_us;
 
   if (steady_us == COLT_TIME_NEVER)
     return COLT_TIME_NEVER;
@@ -455,6 +455,7 @@
     return quiet_from_us;
   /* A lead that has left is certain to be silent; its connections may be seen
    * to break as well. */
+  due_us = quiet_from_us + SILENCE_US;
   if (election->vacant || election->term == 0)
     due_us = quiet_from_us + (election->successor != 0 ? SUCCESSOR_US : 0);
   else if (election->suspect)
