Cell: a parameter that nobody gave goes, two ways to wait for advice share their end

The rack of choose_() was always NULL. The searches of steps and of gangs for a server worth asking about ended in the same lines; a gang's check for a queue without advice stood at its caller already. No behaviour changes.

--- a/src/cell/cell_advice.c
+++ b/src/cell/cell_advice.c
@@ -27,6 +27,9 @@
 static bool is_known_ (const struct ColtCellStep *step,
                        const struct ColtCellServer *server,
                        bool *good);
+static enum ColtCellHold ask_unless_paused_ (struct ColtCell *cell,
+                                             struct ColtCellStep *step,
+                                             int64_t now_us);
 static void take_servers_ (struct ColtCell *cell,
                            struct ColtCellStep *step,
                            const char *const *asked,
@@ -58,7 +61,7 @@
 
 const struct ColtCellAdvice *
 colt_cell_find_ticket (const struct ColtCellStep *step,
-                       struct ColtCellServer *server,
+                       const struct ColtCellServer *server,
                        int64_t now_us)
 {
   const struct ColtCellAdvice *advice
@@ -76,7 +79,7 @@
 enum ColtCellHold
 colt_cell_want_advice (struct ColtCell *cell,
                        struct ColtCellStep *step,
-                       struct ColtCellPool *pool,
+                       const struct ColtCellPool *pool,
                        int64_t now_us)
 {
   guint i;
@@ -87,18 +90,14 @@
     return HOLD_ADVICE;
   for (i = 0; i < pool->servers->len; i++)
     {
-      struct ColtCellServer *server = g_ptr_array_index (pool->servers, i);
-      bool good;
-
-      if (!colt_cell_is_usable (server, now_us)
-          || !colt_cell_fits (step, server) || !colt_cell_allows (step, server)
-          || (is_known_ (step, server, &good) && !good)
-          || colt_cell_find_ticket (step, server, now_us) != NULL)
-        continue;
-      if (now_us < step->advice_from_us)
-        return HOLD_ADVICE;
-      g_ptr_array_add (cell->askers, step);
-      return HOLD_NO_ADVISER;
+      const struct ColtCellServer *server
+          = g_ptr_array_index (pool->servers, i);
+
+      if (colt_cell_is_usable (server, now_us) && colt_cell_fits (step, server)
+          && colt_cell_allows (step, server)
+          && !colt_cell_is_known_bad (step, server)
+          && colt_cell_find_ticket (step, server, now_us) == NULL)
+        return ask_unless_paused_ (cell, step, now_us);
     }
   return HOLD_NO_ROOM;
 }
@@ -131,32 +130,27 @@
                         int64_t now_us)
 {
   guint i;
-  bool good;
 
-  if (!step->job->queue->config->advised)
-    return HOLD_NO_ROOM;
   if (step->advice_pending)
     return HOLD_ADVICE;
   g_clear_pointer (&step->wanted, g_ptr_array_unref);
   for (i = 0; i < pool->servers->len; i++)
     {
-      struct ColtCellServer *server = g_ptr_array_index (pool->servers, i);
+      const struct ColtCellServer *server
+          = g_ptr_array_index (pool->servers, i);
+      bool good;
 
-      if (!colt_cell_is_usable (server, now_us)
-          || !colt_cell_allows (step, server)
-          || is_known_ (step, server, &good))
-        continue;
-      if (now_us < step->advice_from_us)
-        return HOLD_ADVICE;
-      g_ptr_array_add (cell->askers, step);
-      return HOLD_NO_ADVISER;
+      if (colt_cell_is_usable (server, now_us)
+          && colt_cell_allows (step, server)
+          && !is_known_ (step, server, &good))
+        return ask_unless_paused_ (cell, step, now_us);
     }
   return HOLD_NO_ROOM;
 }
 
 bool
 colt_cell_is_known_good (const struct ColtCellStep *step,
-                         struct ColtCellServer *server)
+                         const struct ColtCellServer *server)
 {
   bool good = false;
 
@@ -238,6 +232,17 @@
   return true;
 }
 
+static enum ColtCellHold
+ask_unless_paused_ (struct ColtCell *cell,
+                    struct ColtCellStep *step,
+                    int64_t now_us)
+{
+  if (now_us < step->advice_from_us)
+    return HOLD_ADVICE;
+  g_ptr_array_add (cell->askers, step);
+  return HOLD_NO_ADVISER;
+}
+
 static void
 take_servers_ (struct ColtCell *cell,
                struct ColtCellStep *step,
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -65,7 +65,6 @@
                                        const struct ColtCellTask *task,
                                        const struct ColtCellPool *pool,
                                        bool ticketed,
-                                       const char *rack,
                                        int64_t now_us);
 static double score_ (const struct ColtCellStep *step,
                       const struct ColtCellTask *task,
@@ -312,7 +311,7 @@
           hold_ (cell, step, HOLD_LIMIT);
           break;
         }
-      server = choose_ (step, task, pool, true, NULL, now_us);
+      server = choose_ (step, task, pool, true, now_us);
       if (server == NULL)
         {
           hold_ (cell, step, colt_cell_want_advice (cell, step, pool, now_us));
@@ -389,7 +388,7 @@
   for (placed = 0; placed < count; placed++)
     {
       servers[placed]
-          = choose_ (step, &step->tasks[placed], pool, ticketed, NULL, now_us);
+          = choose_ (step, &step->tasks[placed], pool, ticketed, now_us);
       if (servers[placed] == NULL)
         break;
       colt_resources_add (&servers[placed]->used, &step->demand);
@@ -512,7 +511,6 @@
          const struct ColtCellTask *task,
          const struct ColtCellPool *pool,
          bool ticketed,
-         const char *rack,
          int64_t now_us)
 {
   struct ColtChoice best = { NULL, 0 };
@@ -525,9 +523,7 @@
       double score;
 
       if (!colt_cell_is_usable (server, now_us)
-          || !colt_cell_fits (step, server)
-          || (rack != NULL && g_strcmp0 (rack, server->rack) != 0)
-          || !colt_cell_allows (step, server)
+          || !colt_cell_fits (step, server) || !colt_cell_allows (step, server)
           || (advised
               && (ticketed
                       ? colt_cell_find_ticket (step, server, now_us) == NULL
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -354,11 +354,11 @@
 /* cell_advice.c */
 const struct ColtCellAdvice *
 colt_cell_find_ticket (const struct ColtCellStep *step,
-                       struct ColtCellServer *server,
+                       const struct ColtCellServer *server,
                        int64_t now_us);
 enum ColtCellHold colt_cell_want_advice (struct ColtCell *cell,
                                          struct ColtCellStep *step,
-                                         struct ColtCellPool *pool,
+                                         const struct ColtCellPool *pool,
                                          int64_t now_us);
 /* The same for a gang: tickets on certain servers, or on any that it may run
  * on yet. */
@@ -371,7 +371,7 @@
                                           const struct ColtCellPool *pool,
                                           int64_t now_us);
 bool colt_cell_is_known_good (const struct ColtCellStep *step,
-                              struct ColtCellServer *server);
+                              const struct ColtCellServer *server);
 bool colt_cell_is_known_bad (const struct ColtCellStep *step,
                              const struct ColtCellServer *server);
 void colt_cell_ask_advice (struct ColtCell *cell, int64_t now_us);
