Lead: one function takes records over, waiting callers are kept like other calls

Two places loaded a record and told of one that can't be read. The list of callers who wait for a job's end had its own constructor, as its elements were kept by value. A default patience in the lead was dead: instances always tell theirs. number_() stood among the prototypes of its file. No behaviour changes.

--- a/src/coltsfootstile/cell_main.c
+++ b/src/coltsfootstile/cell_main.c
@@ -72,16 +72,6 @@
 static void fill_ (const struct ColtSettings *settings,
                    struct ColtSchedulerSettings *scheduler,
                    struct ColtAdapterSettings *adapter);
-/* A number that makes no sense stands for a weak instance. */
-static double
-number_ (const struct ColtSettings *settings, const char *key)
-{
-  double value
-      = g_ascii_strtod (colt_settings_string (settings, "instance", key), NULL);
-
-  return value > 0 ? value : NUMBER_LEAST;
-}
-
 static double number_ (const struct ColtSettings *settings, const char *key);
 static void take_stop_ (evutil_socket_t number, short what, void *arg);
 static void take_reload_ (evutil_socket_t number, short what, void *arg);
@@ -189,6 +179,16 @@
   adapter->adviser = colt_settings_string (settings, "services", "adviser");
 }
 
+/* A number that makes no sense stands for a weak instance. */
+static double
+number_ (const struct ColtSettings *settings, const char *key)
+{
+  double value
+      = g_ascii_strtod (colt_settings_string (settings, "instance", key), NULL);
+
+  return value > 0 ? value : NUMBER_LEAST;
+}
+
 static void
 take_stop_ (evutil_socket_t number, short what, void *arg)
 {
--- a/src/scheduler/lead.c
+++ b/src/scheduler/lead.c
@@ -115,7 +115,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_link_);
   lead->seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   lead->calls = g_ptr_array_new ();
-  lead->states = colt_lead_create_states ();
+  lead->states = g_ptr_array_new_with_free_func (g_free);
   lead->loading
       = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
   lead->timer = event_new (base, -1, EV_PERSIST, on_tick_, lead);
@@ -141,7 +141,7 @@
   colt_lead_end_calls (lead);
   colt_commit_destroy (lead->commit);
   g_ptr_array_unref (lead->calls);
-  g_array_unref (lead->states);
+  g_ptr_array_unref (lead->states);
   g_hash_table_unref (lead->links);
   g_hash_table_unref (lead->seen);
   g_ptr_array_unref (lead->loading);
@@ -198,7 +198,6 @@
   const struct ColtWatchClient watch_client
       = { take_server_record_, take_servers_synced_, lead };
   const struct ColtWatchTimes times = { SERVERS_WAIT_MS, SERVERS_PAUSE_MS };
-  int64_t now_us = colt_clock_monotonic_us ();
   int64_t lease_ms = MIN (LEASE_MS, lead->settings->lease_max_ms);
   guint i;
 
@@ -209,10 +208,8 @@
           = g_bytes_get_data (g_ptr_array_index (lead->loading, i), &size);
       size_t key_size = strlen (key) + 1;
 
-      if (!colt_cell_load (lead->cell, key, (const uint8_t *)key + key_size,
-                           size - key_size, now_us,
-                           colt_clock_wall_us () / COLT_US_PER_MS))
-        colt_log (COLT_LOG_ERROR, MODULE, NULL, "record %s can't be read", key);
+      colt_lead_load_record (lead, key, (const uint8_t *)key + key_size,
+                             size - key_size);
     }
   g_ptr_array_set_size (lead->loading, 0);
   colt_cell_loaded (lead->cell,
--- a/src/scheduler/lead_calls.c
+++ b/src/scheduler/lead_calls.c
@@ -10,8 +10,6 @@
 #define FULL_RETRY_AFTER_MS 5000
 /* Time kept of a caller's patience for the answer's way. */
 #define ANSWER_MARGIN_MS 250
-/* Patience of a caller that doesn't tell. */
-#define DEFAULT_PATIENCE_MS 3000
 /* A caller who asks for the state of a job that is about to end hears of the
  * end if it comes within this time, so that it needn't ask again: an end is
  * learned of some 40 ms after it. */
@@ -95,30 +93,21 @@
     ask_state_ (lead, call->id, reply, client);
 }
 
-GArray *
-colt_lead_create_states (void)
-{
-  return g_array_new (FALSE, FALSE, sizeof (struct ColtStateCall));
-}
-
 /* Answers those whose job has ended and is durable, or who have waited. */
 void
 colt_lead_answer_states (struct ColtLead *lead, int64_t now_us)
 {
-  guint kept = 0;
-  guint i;
+  guint i = lead->states->len;
 
-  for (i = 0; i < lead->states->len; i++)
+  while (i-- > 0)
     {
-      struct ColtStateCall call
-          = g_array_index (lead->states, struct ColtStateCall, i);
+      const struct ColtStateCall *call = g_ptr_array_index (lead->states, i);
 
-      if (state_may_wait_ (lead, &call, now_us))
-        g_array_index (lead->states, struct ColtStateCall, kept++) = call;
-      else
-        reply_state_ (lead, &call);
+      if (state_may_wait_ (lead, call, now_us))
+        continue;
+      reply_state_ (lead, call);
+      g_ptr_array_remove_index_fast (lead->states, i);
     }
-  g_array_set_size (lead->states, kept);
 }
 
 /* A job that is in no batch can be given back at once and truly. */
@@ -152,8 +141,8 @@
   guint i;
 
   for (i = 0; i < lead->states->len; i++)
-    reply_state_ (lead, &g_array_index (lead->states, struct ColtStateCall, i));
-  g_array_set_size (lead->states, 0);
+    reply_state_ (lead, g_ptr_array_index (lead->states, i));
+  g_ptr_array_set_size (lead->states, 0);
   for (i = 0; i < lead->calls->len; i++)
     {
       struct ColtLeadCall *call = g_ptr_array_index (lead->calls, i);
@@ -177,7 +166,7 @@
   call.asked_us = colt_clock_monotonic_us ();
   if (lead->states->len < STATE_WAITS_MAX
       && state_may_wait_ (lead, &call, call.asked_us))
-    g_array_append_val (lead->states, call);
+    g_ptr_array_add (lead->states, g_memdup2 (&call, sizeof call));
   else
     reply_state_ (lead, &call);
 }
@@ -262,8 +251,6 @@
        void *client)
 {
   struct ColtLeadCall *waiting = g_new0 (struct ColtLeadCall, 1);
-  uint32_t patience_ms
-      = call->patience_ms > 0 ? call->patience_ms : DEFAULT_PATIENCE_MS;
 
   waiting->lead = lead;
   waiting->kind = (enum ColtCallerKind)call->kind;
@@ -272,7 +259,8 @@
   waiting->client = client;
   waiting->deadline_us
       = colt_clock_monotonic_us ()
-        + (int64_t)(patience_ms - MIN (ANSWER_MARGIN_MS, patience_ms))
+        + (int64_t)(call->patience_ms
+                    - MIN (ANSWER_MARGIN_MS, call->patience_ms))
               * COLT_US_PER_MS;
   g_ptr_array_add (lead->calls, waiting);
   colt_commit_wait (lead->commit, take_call_durable_, waiting);
--- a/src/scheduler/lead_load.c
+++ b/src/scheduler/lead_load.c
@@ -11,7 +11,7 @@
 static void take_fence_ (void *client, const struct ColtLogAnswer *answer);
 static void load_ (struct ColtLead *lead);
 static void take_page_ (void *client, const struct ColtLogAnswer *answer);
-static void load_record_ (struct ColtLead *lead,
+static void keep_record_ (struct ColtLead *lead,
                           const char *key,
                           const uint8_t *value,
                           size_t size);
@@ -41,6 +41,17 @@
   lead->ports->log_append (lead->channel, &append, take_fence_, lead);
 }
 
+void
+colt_lead_load_record (struct ColtLead *lead,
+                       const char *key,
+                       const uint8_t *value,
+                       size_t size)
+{
+  if (!colt_cell_load (lead->cell, key, value, size, colt_clock_monotonic_us (),
+                       colt_clock_wall_us () / COLT_US_PER_MS))
+    colt_log (COLT_LOG_ERROR, MODULE, NULL, "record %s can't be read", key);
+}
+
 static void
 retry_later_ (struct ColtLead *lead)
 {
@@ -96,7 +107,7 @@
     }
   for (i = 0; i < answer->count; i++)
     if (answer->records[i].value != NULL)
-      load_record_ (lead, answer->records[i].key, answer->records[i].value,
+      keep_record_ (lead, answer->records[i].key, answer->records[i].value,
                     answer->records[i].size);
   g_clear_pointer (&lead->after, g_free);
   if (answer->more && answer->count > 0)
@@ -111,7 +122,7 @@
 /* Progress can only be applied to jobs that are there; keys of progress come
  * before those of jobs. */
 static void
-load_record_ (struct ColtLead *lead,
+keep_record_ (struct ColtLead *lead,
               const char *key,
               const uint8_t *value,
               size_t size)
@@ -122,10 +133,7 @@
   lead->loaded++;
   if (key[0] != 'p')
     {
-      if (!colt_cell_load (lead->cell, key, value, size,
-                           colt_clock_monotonic_us (),
-                           colt_clock_wall_us () / COLT_US_PER_MS))
-        colt_log (COLT_LOG_ERROR, MODULE, NULL, "record %s can't be read", key);
+      colt_lead_load_record (lead, key, value, size);
       return;
     }
   kept = g_malloc (key_size + size);
--- a/src/scheduler/private/lead_private.h
+++ b/src/scheduler/private/lead_private.h
@@ -32,7 +32,7 @@
   GHashTable *links;  /* id -> struct ColtServerLink */
   GHashTable *seen;   /* ids listed since the servers were read anew */
   GPtrArray *calls;   /* of struct ColtLeadCall */
-  GArray *states;     /* of struct ColtStateCall */
+  GPtrArray *states;  /* of struct ColtStateCall */
   GPtrArray *loading; /* records of progress, until all jobs are loaded */
   char *after;
   int64_t confirmed_until_us;
@@ -41,13 +41,17 @@
   int64_t config_version;
 };
 
+/* Takes a record of the log over into the cell. */
+void colt_lead_load_record (struct ColtLead *lead,
+                            const char *key,
+                            const uint8_t *value,
+                            size_t size);
 /* Shuts out earlier leads and loads their records; then colt_lead_serve(). */
 void colt_lead_fence (struct ColtLead *lead);
 void colt_lead_retry (evutil_socket_t fd, short what, void *arg);
 void colt_lead_serve (struct ColtLead *lead);
 /* Gives back, or gives up, calls that have waited for too long. */
 void colt_lead_give_up_calls (struct ColtLead *lead, int64_t now_us);
-GArray *colt_lead_create_states (void);
 /* Answers callers who wait for a job's end as far as it has come. */
 void colt_lead_answer_states (struct ColtLead *lead, int64_t now_us);
 /* The same with all of them, at the lead's end. */
