--- /dev/null
+++ b/src/test_scheduler/test_commit.c
@@ -0,0 +1,182 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "fake_ports.h"
+#include "scheduler_private.h"
+#include "tests.h"
+
+struct ColtSeen
+{
+  uint32_t committed;
+  uint32_t fenced;
+  uint32_t durable;
+};
+
+static void
+op_start (void *client, const struct ColtStartOrder *order)
+{
+  (void)client;
+  (void)order;
+}
+
+static void
+op_stop (void *client, const char *server, const char *task, uint32_t run)
+{
+  (void)client;
+  (void)server;
+  (void)task;
+  (void)run;
+}
+
+static bool
+op_advise (void *client,
+           const char *step,
+           const char *const *servers,
+           size_t count)
+{
+  (void)client;
+  (void)step;
+  (void)servers;
+  (void)count;
+  return false;
+}
+
+static void
+op_decided (void *client, const char *job, const char *what, const char *detail)
+{
+  (void)client;
+  (void)job;
+  (void)what;
+  (void)detail;
+}
+
+static const struct ColtCellOps cell_ops
+    = { op_start, op_stop, op_advise, op_decided };
+
+static struct ColtCell *
+make_cell (void)
+{
+  const struct ColtCellLimits limits
+      = { COLT_US_PER_S, COLT_US_PER_S, 30, 100 };
+  struct ColtCell *cell = colt_cell_create (&cell_ops, NULL, &limits, 1);
+  struct ColtFleet *fleet = colt_fleet_create ();
+  struct ColtQueueConfig *queue = colt_fleet_add_queue (fleet);
+
+  queue->name = g_strdup ("queue");
+  queue->host = g_strdup ("");
+  queue->prefix = g_strdup ("/");
+  queue->service = g_strdup ("service");
+  queue->max_attempts = 1;
+  colt_cell_set_fleet (cell, fleet);
+  colt_fleet_unref (fleet);
+  colt_cell_loaded (cell, 0);
+  return cell;
+}
+
+static void
+submit (struct ColtCell *cell, const char *id)
+{
+  ColtJobSpec *spec = malloc (sizeof *spec);
+
+  g_assert_nonnull (spec);
+  colt_job_spec__init (spec);
+  spec->id = strdup (id);
+  spec->organisation = strdup ("organisation");
+  spec->queue = strdup ("queue");
+  spec->payload = strdup ("payload");
+  spec->steps = calloc (1, sizeof *spec->steps);
+  spec->steps[0] = malloc (sizeof *spec->steps[0]);
+  colt_job_step__init (spec->steps[0]);
+  spec->steps[0]->count = 1;
+  spec->n_steps = 1;
+  g_assert_cmpint (colt_cell_submit (cell, spec, colt_clock_monotonic_us ()),
+                   ==, COLT_SUBMIT_NEW);
+}
+
+static void
+take_committed (void *client)
+{
+  struct ColtSeen *seen = client;
+
+  seen->committed++;
+}
+
+static void
+take_fenced (void *client)
+{
+  struct ColtSeen *seen = client;
+
+  seen->fenced++;
+}
+
+static void
+take_durable (void *client, bool durable)
+{
+  struct ColtSeen *seen = client;
+
+  if (durable)
+    seen->durable++;
+}
+
+/* A batch whose answer is lost is stored once. */
+static void
+test_commit_lost_answer (void)
+{
+  struct ColtFakePorts *fake = colt_fake_ports_create ();
+  struct ColtSeen seen = { 0 };
+  const struct ColtCommitClient client = { take_committed, take_fenced, &seen };
+  struct ColtMetrics *metrics = colt_metrics_create ();
+  struct ColtCell *cell = make_cell ();
+  struct ColtCommit *commit = colt_commit_create (fake->base, &fake->ports,
+                                                  cell, 1, &client, metrics);
+
+  submit (cell, "0000000000000001");
+  fake->fault = FAULT_LOST;
+  colt_commit_wait (commit, take_durable, &seen);
+  colt_fake_ports_run (fake, 60);
+  g_assert_cmpuint (seen.durable, ==, 0);
+  g_assert_false (colt_cell_is_durable (cell, "0000000000000001"));
+  g_assert_false (colt_cell_withdraw (cell, "0000000000000001"));
+  fake->fault = FAULT_NONE;
+  colt_fake_ports_run (fake, 200);
+  g_assert_cmpuint (seen.durable, ==, 1);
+  g_assert_true (colt_cell_is_durable (cell, "0000000000000001"));
+  g_assert_cmpuint (fake->appends, >=, 2);
+  g_assert_cmpuint (fake->topics[COLT_TOPIC_JOBS]->len, ==, 1);
+  colt_commit_destroy (commit);
+  colt_cell_destroy (cell);
+  colt_metrics_destroy (metrics);
+  colt_fake_ports_destroy (fake);
+}
+
+/* A later lead has written: nothing of this one is durable any more. */
+static void
+test_commit_fenced (void)
+{
+  struct ColtFakePorts *fake = colt_fake_ports_create ();
+  struct ColtSeen seen = { 0 };
+  const struct ColtCommitClient client = { take_committed, take_fenced, &seen };
+  struct ColtMetrics *metrics = colt_metrics_create ();
+  struct ColtCell *cell = make_cell ();
+  struct ColtCommit *commit = colt_commit_create (fake->base, &fake->ports,
+                                                  cell, 1, &client, metrics);
+
+  fake->epoch = 2;
+  submit (cell, "0000000000000001");
+  colt_commit_wait (commit, take_durable, &seen);
+  colt_fake_ports_run (fake, 100);
+  g_assert_cmpuint (seen.fenced, ==, 1);
+  g_assert_cmpuint (seen.durable, ==, 0);
+  g_assert_cmpuint (fake->topics[COLT_TOPIC_JOBS]->len, ==, 0);
+  colt_commit_destroy (commit);
+  colt_cell_destroy (cell);
+  colt_metrics_destroy (metrics);
+  colt_fake_ports_destroy (fake);
+}
+
+void
+colt_test_commit_add (void)
+{
+  g_test_add_func ("/scheduler/commit/lost-answer", test_commit_lost_answer);
+  g_test_add_func ("/scheduler/commit/fenced", test_commit_fenced);
+}
--- /dev/null
+++ b/src/test_scheduler/tests.h
@@ -0,0 +1,11 @@
+/* The tests of this program, by the part that they are of. */
+#ifndef COLT_TEST_SCHEDULER_TESTS_H
+#define COLT_TEST_SCHEDULER_TESTS_H
+
+void colt_test_watch_add (void);
+void colt_test_election_add (void);
+void colt_test_commit_add (void);
+void colt_test_link_add (void);
+void colt_test_members_add (void);
+
+#endif
