Lead: a lead's claim lasts as long as the leases that servers give

Cause: a later lead waits for the leases of an earlier one as long as servers give them, five seconds at most; the earlier one renewed for five seconds after it was last sure to lead in any case. Where servers give less than that, a lead cut off with a server could keep its work running while it was started elsewhere. The users' sites give 6 and 10 seconds, so none has shown it; found by reading. Change: one function for the lease, of which three places had their own idea.

--- a/src/scheduler/lead.c
+++ b/src/scheduler/lead.c
@@ -35,6 +35,7 @@
   uint64_t number;
 };
 
+static uint32_t lease_ms_ (const struct ColtLead *lead);
 static void start_op_ (void *client, const struct ColtStartOrder *order);
 static void
 stop_op_ (void *client, const char *server, const char *task, uint32_t run);
@@ -161,7 +162,7 @@
 void
 colt_lead_set_confirmed (struct ColtLead *lead, int64_t until_us)
 {
-  lead->confirmed_until_us = until_us + LEASE_MS * COLT_US_PER_MS;
+  lead->confirmed_until_us = until_us + lease_ms_ (lead) * COLT_US_PER_MS;
 }
 
 void
@@ -198,7 +199,7 @@
   const struct ColtWatchClient watch_client
       = { take_server_record_, take_servers_synced_, lead };
   const struct ColtWatchTimes times = { SERVERS_WAIT_MS, SERVERS_PAUSE_MS };
-  int64_t lease_ms = MIN (LEASE_MS, lead->settings->lease_max_ms);
+  int64_t lease_ms = lease_ms_ (lead);
   guint i;
 
   for (i = 0; i < lead->loading->len; i++)
@@ -223,6 +224,13 @@
             (unsigned long long)lead->loaded);
 }
 
+/* A later lead waits for no longer lease than this. */
+static uint32_t
+lease_ms_ (const struct ColtLead *lead)
+{
+  return MIN (LEASE_MS, lead->settings->lease_max_ms);
+}
+
 static void
 start_op_ (void *client, const struct ColtStartOrder *order)
 {
@@ -377,8 +385,7 @@
       = { take_report_,  take_started_, take_stopped_,       take_dark_,
           take_emptied_, take_fenced_,  renewable_until_us_, runs_on_,
           is_tight_,     lead };
-  const struct ColtServerLinkBounds bounds
-      = { lead->term, MIN (LEASE_MS, lead->settings->lease_max_ms) };
+  const struct ColtServerLinkBounds bounds = { lead->term, lease_ms_ (lead) };
 
   g_hash_table_add (lead->seen, g_strdup (entry->id));
   if (link != NULL
--- a/src/test_scheduler/fake_ports.c
+++ b/src/test_scheduler/fake_ports.c
@@ -381,6 +381,27 @@
                done, client);
 }
 
+/* A server that is ready, named by the record's key. */
+static bool
+decode_server (void *adapter,
+               const struct ColtLogRecord *record,
+               ColtServerTaker take,
+               void *client,
+               struct ColtError *error)
+{
+  struct ColtServerEntry entry = { 0 };
+
+  (void)adapter;
+  (void)error;
+  entry.id = record->key;
+  entry.service = "service";
+  entry.address = "127.0.0.1:1";
+  entry.zone = "zone";
+  entry.ready = true;
+  take (client, &entry);
+  return true;
+}
+
 static void
 clear_record (gpointer data)
 {
@@ -413,6 +434,7 @@
   fake->ports.log_append = log_append;
   fake->ports.log_read = log_read;
   fake->ports.log_newest = log_newest;
+  fake->ports.decode_server = decode_server;
   fake->ports.server_open = server_open;
   fake->ports.server_close = server_close;
   fake->ports.server_start = server_start;
--- a/src/test_scheduler/test_commit.c
+++ b/src/test_scheduler/test_commit.c
@@ -1,7 +1,5 @@
-#include <stdlib.h>
-#include <string.h>
-
 #include "fake_ports.h"
+#include "jobs.h"
 #include "scheduler_private.h"
 #include "tests.h"
 
@@ -59,14 +57,8 @@
   const struct ColtCellLimits limits
       = { COLT_US_PER_S, COLT_US_PER_S, 30, 100 };
   struct ColtCell *cell = colt_cell_create (&cell_ops, NULL, &limits, 1);
-  struct ColtFleet *fleet = colt_fleet_create ();
-  struct ColtQueueConfig *queue = colt_fleet_add_queue (fleet);
-
-  queue->name = g_strdup ("queue");
-  queue->host = g_strdup ("");
-  queue->prefix = g_strdup ("/");
-  queue->service = g_strdup ("service");
-  queue->max_attempts = 1;
+  struct ColtFleet *fleet = colt_test_make_fleet ();
+
   colt_cell_set_fleet (cell, fleet);
   colt_fleet_unref (fleet);
   colt_cell_loaded (cell, 0);
@@ -76,20 +68,8 @@
 static void
 submit (struct ColtCell *cell, const char *id)
 {
-  ColtJobSpec *spec = malloc (sizeof *spec);
-
-  g_assert_nonnull (spec);
-  colt_job_spec__init (spec);
-  spec->id = strdup (id);
-  spec->organisation = strdup ("organisation");
-  spec->queue = strdup ("queue");
-  spec->payload = strdup ("payload");
-  spec->steps = calloc (1, sizeof *spec->steps);
-  spec->steps[0] = malloc (sizeof *spec->steps[0]);
-  colt_job_step__init (spec->steps[0]);
-  spec->steps[0]->count = 1;
-  spec->n_steps = 1;
-  g_assert_cmpint (colt_cell_submit (cell, spec, colt_clock_monotonic_us ()),
+  g_assert_cmpint (colt_cell_submit (cell, colt_test_make_job (id),
+                                     colt_clock_monotonic_us ()),
                    ==, COLT_SUBMIT_NEW);
 }
 
