Bundles: no freshness before the first read of the log

Cause: before the first read the time of the last fresh read is INT64_MIN; the difference to the current time overflows. With sanitizers all instances stopped in their first step; without, the log counted as fresh. Change: the log counts as not fresh until it has been read.

--- a/src/coltsfootstile/instance_bundles.c
+++ b/src/coltsfootstile/instance_bundles.c
@@ -51,6 +51,8 @@
 static uint64_t load_u64_ (const uint8_t *at);
 static void fill_input_ (const struct ColtInstanceBundles *bundles,
                          struct ColtFreshnessInput *input);
+static bool log_is_fresh_ (const struct ColtInstanceBundles *bundles,
+                           int64_t now_us);
 static void update_freshness_ (struct ColtInstanceBundles *bundles);
 static uint32_t choose_peer_ (void *client);
 static size_t list_targets_ (void *client, uint32_t *instances, size_t max);
@@ -162,10 +164,8 @@
   colt_chain_advance (bundles->chain,
                       colt_log_client_offset (bundles->instance->log));
   update_freshness_ (bundles);
-  colt_bundle_peers_step (
-      bundles->peers, now_us,
-      now_us - colt_log_client_fresh_us (bundles->instance->log)
-          < COLT_FRESHNESS_BOUND_MS * COLT_US_PER_MS);
+  colt_bundle_peers_step (bundles->peers, now_us,
+                          log_is_fresh_ (bundles, now_us));
   colt_membership_set_fast_probing (bundles->instance->membership,
                                     bundles->freshness != COLT_FRESH_READ
                                         && colt_chain_bundle (bundles->chain)
@@ -321,6 +321,16 @@
   input->report_count = bundles->reports->len;
 }
 
+static bool
+log_is_fresh_ (const struct ColtInstanceBundles *bundles, int64_t now_us)
+{
+  int64_t fresh_us = colt_log_client_fresh_us (bundles->instance->log);
+
+  /* Before the first read of the log it is INT64_MIN. */
+  return fresh_us != INT64_MIN
+         && now_us - fresh_us < COLT_FRESHNESS_BOUND_MS * COLT_US_PER_MS;
+}
+
 static void
 update_freshness_ (struct ColtInstanceBundles *bundles)
 {
