Election: leadership is confirmed from the sending of its claim

Cause: an instance that learned of its claim by reading the record, not by the claim's answer, kept the confirmation of its earlier term. An instance that had never led counted from the reading, which may be later than a successor's claim. Change: confirmed from the first claim sent for the term. Test scheduler/election/claim-without-answer (failed before), guard claim_time.

--- a/include/coltsfootstile/guard.h
+++ b/include/coltsfootstile/guard.h
@@ -26,6 +26,7 @@
   COLT_GUARD_BUNDLE_PARENT, /**< a bundle must follow the version in force */
   COLT_GUARD_RENEWAL_TOKEN, /**< a renewed lease runs from its token's issue */
   COLT_GUARD_SESSION,       /**< starts need a current session */
+  COLT_GUARD_CLAIM_TIME,    /**< leadership is confirmed from its claim */
   COLT_GUARD_COUNT          /**< number of guards, not a guard */
 };
 
--- a/src/scheduler/election.c
+++ b/src/scheduler/election.c
@@ -2,6 +2,7 @@
 #include <sodium.h>
 #include <string.h>
 
+#include "coltsfootstile/guard.h"
 #include "scheduler_private.h"
 
 /* Period of the leader's renewals. */
@@ -77,6 +78,8 @@
   int64_t renewed_us;     /* when the last renewal was sent */
   int64_t leave_deadline_us;
   int64_t confirmed_us; /* when the last successful renewal was sent */
+  uint64_t sent_term;   /* of the last claim that was sent */
+  int64_t claim_us;     /* when the first claim of sent_term was sent */
 };
 
 static void handle_record_ (void *client, const struct ColtLogRecord *record);
@@ -382,6 +385,11 @@
   append.at = election->end;
   append.timeout_ms = CALL_TIMEOUT_MS;
   election->busy = true;
+  if (!colt_election_is_leader (election) && term != election->sent_term)
+    {
+      election->sent_term = term;
+      election->claim_us = colt_clock_monotonic_us ();
+    }
   election->ports->log_append (election->channel, &append, done, election);
   g_free (value);
 }
@@ -420,7 +428,6 @@
   if (answer->outcome == COLT_LOG_DONE)
     {
       election->end = MAX (election->end, answer->end);
-      election->confirmed_us = answer->sent_us;
       if (election->role == ROLE_FOLLOWER
           && election->term < election->claimed_term)
         become_leader_ (election, election->claimed_term);
@@ -500,8 +507,11 @@
   election->vacant = false;
   election->renewal_rejected = false;
   election->renewed_us = 0;
-  if (election->confirmed_us == 0)
-    election->confirmed_us = colt_clock_monotonic_us ();
+  /* Any of the claims sent for this term may be the one that took effect. A
+   * later leader that read it counts from its own claim, which may be earlier
+   * than the reading of this one. */
+  if (colt_guard_on (COLT_GUARD_CLAIM_TIME) || election->confirmed_us == 0)
+    election->confirmed_us = election->claim_us;
   g_strlcpy (election->leader_name, election->settings->name,
              sizeof election->leader_name);
   g_strlcpy (election->leader_address, election->settings->internal,
--- a/src/test_scheduler/fake_ports.c
+++ b/src/test_scheduler/fake_ports.c
@@ -196,6 +196,7 @@
   size_t i;
 
   fake->appends++;
+  fake->last_append_us = colt_clock_monotonic_us ();
   call->fake = fake;
   call->channel = channel;
   g_hash_table_add (fake->log_calls, call);
--- a/src/test_scheduler/test_election.c
+++ b/src/test_scheduler/test_election.c
@@ -18,6 +18,9 @@
   uint32_t deposed; /* how often */
   uint64_t term;
   struct ColtElection *election;
+  int64_t confirmed_us; /* at the last election */
+  struct ColtFakePorts *fake;
+  int64_t appended_us; /* last append before the last election */
 };
 
 static void
@@ -27,6 +30,9 @@
 
   participant->elected++;
   participant->term = term;
+  participant->confirmed_us
+      = colt_election_confirmed_us (participant->election);
+  participant->appended_us = participant->fake->last_append_us;
 }
 
 static void
@@ -49,6 +55,7 @@
   const struct ColtElectionClient client
       = { on_elected, on_deposed, on_leader_change, participant };
 
+  participant->fake = fake;
   participant->election = colt_election_create (
       fake->base, &fake->ports, &participant->settings, &client);
 }
@@ -353,6 +360,28 @@
   destroy_election (fake, &second, 1);
 }
 
+/* A leader whose claim had no answer may promise leases from the sending of
+ * that claim: not from its earlier leadership, which would make its leases end
+ * too soon, nor from the reading of its record, which may be late. */
+static void
+test_claim_without_answer (void)
+{
+  struct ColtParticipant participant
+      = { { .name = "one", .internal = "127.0.0.1:1", .strength = 1 } };
+  struct ColtFakePorts *fake = start_with_leader (&participant, 1);
+
+  put_leader (fake, "other", 2, 1);
+  colt_fake_ports_run (fake, 1000);
+  g_assert_cmpuint (participant.deposed, ==, 1);
+  fake->fault = FAULT_LOST_ANSWERS;
+  colt_fake_ports_run (fake, 1200);
+  g_assert_cmpuint (participant.elected, ==, 2);
+  g_assert_cmpint (participant.confirmed_us, <=, participant.appended_us);
+  g_assert_cmpint (participant.confirmed_us, >=,
+                   participant.appended_us - COLT_US_PER_MS);
+  destroy_election (fake, &participant, 1);
+}
+
 void
 colt_test_election_add (void)
 {
@@ -367,5 +396,7 @@
   g_test_add_func ("/scheduler/election/yields", test_yield);
   g_test_add_func ("/scheduler/election/lost-answers", test_lost_answers);
   g_test_add_func ("/scheduler/election/restarted-lead", test_restarted_leader);
+  g_test_add_func ("/scheduler/election/claim-without-answer",
+                   test_claim_without_answer);
   g_test_add_func ("/scheduler/election/silent-log", test_unresponsive_log);
 }
