Server link: inherited runs end with the leases of earlier leaders too

Cause: a link took a server's leases as expired by what this leader had renewed. A server never shortens a lease, so that runs of an earlier leader may go on after that; their tasks were started again beside them. Runs on a server to which this leader could renew no lease never counted as lost. Change: nothing on a server counts as lost before the latest end that an earlier leader may have promised; after it, also where no lease was renewed and the server is unreachable. Test scheduler/link/inherited-leases (failed before), guard inherited_leases.

--- a/include/coltsfootstile/guard.h
+++ b/include/coltsfootstile/guard.h
@@ -27,7 +27,9 @@
   COLT_GUARD_RENEWAL_TOKEN, /**< a renewed lease runs from its token's issue */
   COLT_GUARD_SESSION,       /**< starts need a current session */
   COLT_GUARD_CLAIM_TIME,    /**< leadership is confirmed from its claim */
-  COLT_GUARD_COUNT          /**< number of guards, not a guard */
+  /** Runs may go on until leases of earlier leaders have ended. */
+  COLT_GUARD_INHERITED_LEASES,
+  COLT_GUARD_COUNT /**< number of guards, not a guard */
 };
 
 /** Names of enum ColtGuard, indexed by it. */
--- a/src/base/guard.c
+++ b/src/base/guard.c
@@ -8,7 +8,7 @@
 const char *const colt_guard_string[]
     = { "server_epoch",  "shard_promise", "drift_margin", "least_over_offsets",
         "compliance",    "credit_epoch",  "freshness",    "bundle_parent",
-        "renewal_token", "session",       "claim_time" };
+        "renewal_token", "session",       "claim_time",   "inherited_leases" };
 
 #ifdef COLT_GUARD_SWITCHES
 
--- a/src/scheduler/leader.c
+++ b/src/scheduler/leader.c
@@ -37,6 +37,7 @@
 };
 
 static uint32_t lease_duration_ms_ (const struct ColtLeader *leader);
+static int64_t inherited_until_us_ (const struct ColtLeader *leader);
 static void send_start_ (void *client, const struct ColtStartOrder *order);
 static void
 send_stop_ (void *client, const char *server, const char *task, uint32_t run);
@@ -203,7 +204,6 @@
   const struct ColtWatchClient watch_client
       = { handle_server_record_, unlist_missing_servers_, leader };
   const struct ColtWatchTimes times = { SERVERS_WAIT_MS, SERVERS_PAUSE_MS };
-  int64_t lease_ms = lease_duration_ms_ (leader);
   guint i;
 
   for (i = 0; i < leader->progress_records->len; i++)
@@ -217,10 +217,7 @@
                                size - key_size);
     }
   g_ptr_array_set_size (leader->progress_records, 0);
-  colt_cell_finish_loading (leader->cell,
-                            leader->created_us
-                                + (lease_ms + lease_ms / 20 + SETTLE_SLACK_MS)
-                                      * COLT_US_PER_MS);
+  colt_cell_finish_loading (leader->cell, inherited_until_us_ (leader));
   leader->phase = PHASE_SERVING;
   leader->server_watch = colt_watch_create (
       leader->base, leader->ports, COLT_TOPIC_SERVERS, &times, &watch_client);
@@ -237,6 +234,16 @@
   return MIN (LEASE_MS, leader->settings->lease_max_ms);
 }
 
+/* Returns when all leases of earlier leaders have certainly ended. */
+static int64_t
+inherited_until_us_ (const struct ColtLeader *leader)
+{
+  int64_t lease_ms = lease_duration_ms_ (leader);
+
+  return leader->created_us
+         + (lease_ms + lease_ms / 20 + SETTLE_SLACK_MS) * COLT_US_PER_MS;
+}
+
 static void
 send_start_ (void *client, const struct ColtStartOrder *order)
 {
@@ -395,7 +402,8 @@
           renewable_until_us_, count_runs_,
           has_tight_runs_,     leader };
   const struct ColtServerLinkSettings link_settings
-      = { leader->term, lease_duration_ms_ (leader) };
+      = { leader->term, lease_duration_ms_ (leader),
+          inherited_until_us_ (leader) };
 
   g_hash_table_add (leader->listed_ids, g_strdup (entry->id));
   if (link != NULL
--- a/src/scheduler/private/scheduler_private.h
+++ b/src/scheduler/private/scheduler_private.h
@@ -191,6 +191,9 @@
 {
   uint64_t token;   /* fencing token: the leader's term */
   int64_t lease_ms; /* longest duration of a lease */
+  /* When all leases of earlier leaders have certainly ended; 0: there were
+   * none. */
+  int64_t inherited_until_us;
 };
 
 struct ColtServerLink *
--- a/src/scheduler/server_link.c
+++ b/src/scheduler/server_link.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "coltsfootstile/guard.h"
 #include "scheduler_private.h"
 
 /* How long the server may wait for a run to end before it answers a renewal;
@@ -73,6 +74,8 @@
   int64_t lease_until_ms;
   int64_t renewal_until_ms;
   int64_t order_until_ms;
+  /* Latest end of leases of earlier leaders, on the local clock; 0: ended. */
+  int64_t inherited_until_us;
 };
 
 static void
@@ -92,6 +95,8 @@
                               int64_t now_us);
 static int64_t latest_lease_end_ms_ (const struct ColtServerLink *link);
 static int64_t lease_expiry_us_ (const struct ColtServerLink *link);
+static bool leases_have_expired_ (const struct ColtServerLink *link,
+                                  int64_t now_us);
 static void send_next_order_ (struct ColtServerLink *link);
 static void handle_order_answer_ (void *client,
                                   const struct ColtServerAnswer *answer);
@@ -112,6 +117,7 @@
 
   link->ports = ports;
   link->settings = *settings;
+  link->inherited_until_us = settings->inherited_until_us;
   link->client = *client;
   link->id = g_strdup (id);
   link->address = g_strdup (address);
@@ -207,8 +213,9 @@
 {
   size_t runs = link->client.count_runs (link->client.client, link->id);
 
-  if (latest_lease_end_ms_ (link) > 0 && now_us > lease_expiry_us_ (link))
+  if (leases_have_expired_ (link, now_us))
     {
+      link->inherited_until_us = 0;
       link->lease_until_ms = 0;
       link->renewal_until_ms = 0;
       link->order_until_ms = 0;
@@ -344,6 +351,7 @@
 static void
 reset_incarnation_ (struct ColtServerLink *link)
 {
+  link->inherited_until_us = 0;
   link->incarnation_ms = 0;
   link->durable_end = 0;
   link->durable_end_sent = 0;
@@ -403,6 +411,20 @@
          + LEASE_SLACK_US;
 }
 
+/* A server never shortens a lease: runs of an earlier leader may go on until
+ * the end that it promised, whatever this one has renewed. */
+static bool
+leases_have_expired_ (const struct ColtServerLink *link, int64_t now_us)
+{
+  if (colt_guard_on (COLT_GUARD_INHERITED_LEASES)
+      && now_us <= link->inherited_until_us)
+    return false;
+  if (latest_lease_end_ms_ (link) > 0)
+    return now_us > lease_expiry_us_ (link);
+  /* The reports of a reachable server show which runs have lapsed. */
+  return link->inherited_until_us > 0 && link->failures >= FAILURE_LIMIT;
+}
+
 static void
 send_next_order_ (struct ColtServerLink *link)
 {
--- a/src/test_scheduler/test_link.c
+++ b/src/test_scheduler/test_link.c
@@ -115,8 +115,12 @@
   return true;
 }
 
+/* Opens a link to a server with leases of earlier leaders until the given time.
+ */
 static struct ColtServerLink *
-open_link (struct ColtFakePorts *fake, struct ColtClientState *state)
+open_inherited_link (struct ColtFakePorts *fake,
+                     struct ColtClientState *state,
+                     int64_t inherited_until_us)
 {
   const struct ColtServerLinkClient client
       = { on_report,           on_start_result,
@@ -124,7 +128,8 @@
           on_runs_lost,        on_fenced,
           get_renewable_until, count_runs,
           has_tight_runs,      state };
-  const struct ColtServerLinkSettings settings = { 7, LEASE_MS };
+  const struct ColtServerLinkSettings settings
+      = { 7, LEASE_MS, inherited_until_us };
   struct ColtServerLink *link = colt_server_link_create (
       &fake->ports, &settings, "server", "127.0.0.1:1", &client);
 
@@ -133,6 +138,12 @@
   return link;
 }
 
+static struct ColtServerLink *
+open_link (struct ColtFakePorts *fake, struct ColtClientState *state)
+{
+  return open_inherited_link (fake, state, 0);
+}
+
 static void
 run_ticks (struct ColtFakePorts *fake, struct ColtServerLink *link, uint32_t ms)
 {
@@ -169,6 +180,42 @@
   colt_fake_ports_destroy (fake);
 }
 
+/* Runs inherited from an earlier leader don't end with the shorter leases that
+ * this leader has renewed, but when the earlier leader's have ended too; also
+ * if this one could renew none. */
+static void
+test_link_inherited_leases (void)
+{
+  static const int64_t confirmed_ms[] = { 100, -100 };
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (confirmed_ms); i++)
+    {
+      struct ColtFakePorts *fake = colt_fake_ports_create ();
+      struct ColtClientState state = { 0 };
+      int64_t now_us = colt_clock_monotonic_us ();
+      int64_t until_us = now_us + 900 * COLT_US_PER_MS;
+      struct ColtServerLink *link
+          = open_inherited_link (fake, &state, until_us);
+
+      fake->server_answer.incarnation_ms = 1;
+      run_ticks (fake, link, 30);
+      state.runs = 1;
+      state.renewable_until_us = now_us + confirmed_ms[i] * COLT_US_PER_MS;
+      run_ticks (fake, link, 60);
+      fake->server_answer.result = COLT_START_UNKNOWN;
+      while (colt_clock_monotonic_us () < until_us)
+        {
+          g_assert_cmpuint (state.runs_lost, ==, 0);
+          run_ticks (fake, link, 10);
+        }
+      run_ticks (fake, link, 50);
+      g_assert_cmpuint (state.runs_lost, ==, 1);
+      colt_server_link_destroy (link);
+      colt_fake_ports_destroy (fake);
+    }
+}
+
 /* A renewal that couldn't be sent doesn't affect the lease of a start that was
  * sent while the renewal was open and may have been executed. */
 static void
@@ -303,6 +350,8 @@
 colt_test_link_add (void)
 {
   g_test_add_func ("/scheduler/link/lease-ends", test_link_lease_ends);
+  g_test_add_func ("/scheduler/link/inherited-leases",
+                   test_link_inherited_leases);
   g_test_add_func ("/scheduler/link/start-during-renewal",
                    test_link_start_during_renewal);
   g_test_add_func ("/scheduler/link/unconfirmed", test_link_unconfirmed);
