Restarted servers: their runs end by the report of the new incarnation

Causes, each by which a task could start beside its run: - An entry that showed a restart, or the first answer after it, ended all runs of the server, also those that had started since the restart. - Starts that waited in a link's queue were sent after their runs had been given up, and an unanswered one was sent again. - A run that a report listed before its start was answered counted as unanswered for good, so that no later report could end it. Change: the first report of a new incarnation decides; a lease on its new clock may last as long as the server grants; waiting starts of lost runs are dropped. Tests: the simulation's entries lag by up to 2 s after a restart (cell/world/crashing-servers failed: two runs of one task); link/lost-orders (failed: 2 starts); link/new-incarnation now asks for the report in place of the loss. Guards restart_report, lost_orders.

--- a/include/coltsfootstile/cell.h
+++ b/include/coltsfootstile/cell.h
@@ -140,6 +140,8 @@
 /** A server's report of its runs; arrays belong to the caller. */
 struct ColtServerReport
 {
+  int64_t incarnation_ms; /**< start of the incarnation that reports, in Unix
+                               milliseconds; 0: unknown */
   uint64_t call_number; /**< number of the call that requested the report; rises
                              with each call to the server */
   const struct ColtRunningEntry *running;
--- a/include/coltsfootstile/guard.h
+++ b/include/coltsfootstile/guard.h
@@ -29,7 +29,10 @@
   COLT_GUARD_CLAIM_TIME,    /**< leadership is confirmed from its claim */
   /** Runs may go on until leases of earlier leaders have ended. */
   COLT_GUARD_INHERITED_LEASES,
-  COLT_GUARD_COUNT /**< number of guards, not a guard */
+  /** Runs of a restarted server end by the report of its new incarnation. */
+  COLT_GUARD_RESTART_REPORT,
+  COLT_GUARD_LOST_ORDERS, /**< starts of lost runs aren't sent any more */
+  COLT_GUARD_COUNT        /**< number of guards, not a guard */
 };
 
 /** Names of enum ColtGuard, indexed by it. */
--- a/scripts/mutation.sh
+++ b/scripts/mutation.sh
@@ -14,7 +14,8 @@
     shard_promise | session) echo 'shard|fuzz_shard' ;;
     drift_margin) echo 'lease|fuzz_lease|fuzz_shard' ;;
     least_over_offsets | compliance | credit_epoch) echo 'quota.*|fuzz_quota.*' ;;
-    claim_time | inherited_leases) echo 'scheduler' ;;
+    restart_report) echo 'cell' ;;
+    claim_time | inherited_leases | lost_orders) echo 'scheduler' ;;
     freshness | bundle_parent) echo 'bundle.*|fuzz_bundle.*|freshness' ;;
     *) echo "$1: no tests are listed in mutation.sh" >&2; return 1 ;;
   esac
--- a/src/cell/cell_servers.c
+++ b/src/cell/cell_servers.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "cell_private.h"
+#include "coltsfootstile/guard.h"
 
 /* Pause of a server after it rejected a start for lack of room; its next report
  * arrives meanwhile. */
@@ -16,6 +17,8 @@
 
 static void set_labels_ (struct ColtCellServer *server,
                          const char *const *labels);
+static bool update_incarnation_ (struct ColtCellServer *server,
+                                 int64_t incarnation_ms);
 static bool is_same_run_ (const struct ColtCellTask *task,
                           const struct ColtCellServer *server,
                           uint32_t run);
@@ -99,14 +102,13 @@
   struct ColtCellServer *server = colt_cell_get_server (cell, entry->id);
   struct ColtCellPool *pool = colt_cell_get_pool (cell, entry->service);
 
-  if (entry->incarnation_ms != 0 && server->incarnation_ms != 0
-      && entry->incarnation_ms > server->incarnation_ms)
-    colt_cell_end_server_runs (cell, entry->id, now_us);
-  if (entry->incarnation_ms > server->incarnation_ms)
+  /* Runs may already be on the incarnation that the entry shows, as entries
+   * lag. Its first report lists them; the others end then. */
+  if (update_incarnation_ (server, entry->incarnation_ms))
     {
-      server->incarnation_ms = entry->incarnation_ms;
-      server->log_slowness = 0;
-      server->samples = 0;
+      server->reported = false;
+      if (!colt_guard_on (COLT_GUARD_RESTART_REPORT))
+        colt_cell_end_server_runs (cell, entry->id, now_us);
     }
   if (server->pool != pool)
     {
@@ -147,6 +149,8 @@
 
   if (server == NULL)
     return false;
+  if (colt_guard_on (COLT_GUARD_RESTART_REPORT))
+    update_incarnation_ (server, report->incarnation_ms);
   listed = g_hash_table_new (g_direct_hash, g_direct_equal);
   server->foreign_runs = 0;
   for (i = 0; i < report->finished_count; i++)
@@ -185,7 +189,8 @@
     {
     case COLT_START_TAKEN:
       cell->stats.started++;
-      if (task->current->state != RUN_STARTING)
+      /* A report may have listed the run already. */
+      if (task->current->state == RUN_STOPPING)
         return;
       task->current->started_us = now_us;
       task->current->answered = true;
@@ -322,6 +327,21 @@
       server->rack = g_strdup (labels[i]);
 }
 
+/* Returns whether the server has been restarted. */
+static bool
+update_incarnation_ (struct ColtCellServer *server, int64_t incarnation_ms)
+{
+  bool restarted
+      = server->incarnation_ms != 0 && incarnation_ms > server->incarnation_ms;
+
+  if (incarnation_ms <= server->incarnation_ms)
+    return false;
+  server->incarnation_ms = incarnation_ms;
+  server->log_slowness = 0;
+  server->samples = 0;
+  return restarted;
+}
+
 static bool
 is_same_run_ (const struct ColtCellTask *task,
               const struct ColtCellServer *server,
--- a/src/scheduler/leader.c
+++ b/src/scheduler/leader.c
@@ -403,7 +403,7 @@
           has_tight_runs_,     leader };
   const struct ColtServerLinkSettings link_settings
       = { leader->term, lease_duration_ms_ (leader),
-          inherited_until_us_ (leader) };
+          leader->settings->lease_max_ms, inherited_until_us_ (leader) };
 
   g_hash_table_add (leader->listed_ids, g_strdup (entry->id));
   if (link != NULL
--- a/src/scheduler/private/scheduler_private.h
+++ b/src/scheduler/private/scheduler_private.h
@@ -189,8 +189,9 @@
 
 struct ColtServerLinkSettings
 {
-  uint64_t token;   /* fencing token: the leader's term */
-  int64_t lease_ms; /* longest duration of a lease */
+  uint64_t token;       /* fencing token: the leader's term */
+  int64_t lease_ms;     /* longest duration of a lease */
+  int64_t lease_max_ms; /* longest one that a server grants */
   /* When all leases of earlier leaders have certainly ended; 0: there were
    * none. */
   int64_t inherited_until_us;
--- a/src/scheduler/server_link.c
+++ b/src/scheduler/server_link.c
@@ -40,6 +40,7 @@
   char *checkpoint;
   char *ticket;
   bool resent; /* the start has been sent a second time */
+  bool lost;   /* its run has been reported as lost; it isn't sent again */
 };
 
 struct ColtServerLink
@@ -86,8 +87,9 @@
                                      const struct ColtServerAnswer *answer);
 static void handle_renewal_failure_ (struct ColtServerLink *link,
                                      const struct ColtServerAnswer *answer);
+static void lose_runs_ (struct ColtServerLink *link);
 static void update_incarnation_ (struct ColtServerLink *link,
-                                 int64_t incarnation_ms);
+                                 const struct ColtServerAnswer *answer);
 static void reset_incarnation_ (struct ColtServerLink *link);
 static void update_clock_ (struct ColtServerLink *link,
                            const struct ColtServerAnswer *answer);
@@ -225,7 +227,7 @@
           colt_log (COLT_LOG_WARNING, MODULE, NULL,
                     "leases on server %s have expired; %zu runs are lost",
                     link->id, runs);
-          link->client.handle_runs_lost (link->client.client, link);
+          lose_runs_ (link);
           runs = 0;
         }
     }
@@ -282,7 +284,7 @@
     case COLT_START_GONE:
       reset_incarnation_ (link);
       link->next_renewal_us = answer->received_us + UNREACHABLE_PAUSE_MAX_US;
-      link->client.handle_runs_lost (link->client.client, link);
+      lose_runs_ (link);
       break;
     default:
       handle_renewal_failure_ (link, answer);
@@ -295,7 +297,7 @@
 {
   struct ColtServerReport report = answer->report;
 
-  update_incarnation_ (link, answer->incarnation_ms);
+  update_incarnation_ (link, answer);
   update_clock_ (link, answer);
   link->durable_end_sent = MAX (link->durable_end_sent, link->durable_end_open);
   if (link->failures >= FAILURE_LIMIT)
@@ -304,6 +306,7 @@
   link->failures = 0;
   link->has_report = true;
   report.call_number = link->renewal_number;
+  report.incarnation_ms = answer->incarnation_ms;
   link->client.handle_report (link->client.client, link, &report);
   link->next_renewal_us
       = answer->received_us
@@ -332,20 +335,52 @@
   link->client.handle_unreachable (link->client.client, link);
 }
 
-/* A restarted server has no record of runs of its earlier incarnation. */
+/* Reports all runs as lost. Their tasks start elsewhere, so that starts that
+ * wait in the queue must not be sent any more. */
 static void
-update_incarnation_ (struct ColtServerLink *link, int64_t incarnation_ms)
+lose_runs_ (struct ColtServerLink *link)
 {
-  if (incarnation_ms == 0 || incarnation_ms == link->incarnation_ms)
+  GList *i = link->queue.head;
+
+  while (i != NULL)
+    {
+      struct ColtServerOrder *order = i->data;
+      GList *next = i->next;
+
+      if (order->start && colt_guard_on (COLT_GUARD_LOST_ORDERS))
+        {
+          g_queue_delete_link (&link->queue, i);
+          free_order_ (order);
+        }
+      i = next;
+    }
+  if (link->open_order != NULL)
+    link->open_order->lost = true;
+  link->client.handle_runs_lost (link->client.client, link);
+}
+
+/* A restarted server numbers its ends anew. Orders sent since its restart may
+ * have reached the new incarnation, whose reports show which runs are left. Its
+ * clock has started anew, so that a lease end sent to it may lie far ahead; it
+ * shortens such a lease to the longest one that it grants. */
+static void
+update_incarnation_ (struct ColtServerLink *link,
+                     const struct ColtServerAnswer *answer)
+{
+  if (answer->incarnation_ms == 0
+      || answer->incarnation_ms == link->incarnation_ms)
     return;
   if (link->incarnation_ms != 0)
     {
       colt_log (COLT_LOG_WARNING, MODULE, NULL,
-                "server %s has been restarted; its runs are lost", link->id);
+                "server %s has been restarted; runs that it doesn't list are "
+                "lost",
+                link->id);
       reset_incarnation_ (link);
-      link->client.handle_runs_lost (link->client.client, link);
+      if (answer->has_clock)
+        link->lease_until_ms = answer->clock_ms + link->settings.lease_max_ms;
     }
-  link->incarnation_ms = incarnation_ms;
+  link->incarnation_ms = answer->incarnation_ms;
 }
 
 static void
@@ -471,7 +506,8 @@
     return;
   link->open_order = NULL;
   update_clock_ (link, answer);
-  if (order->start && !order->resent && result == COLT_START_UNKNOWN)
+  if (order->start && !order->resent && !order->lost
+      && result == COLT_START_UNKNOWN)
     {
       order->resent = true;
       g_queue_push_head (&link->queue, order);
@@ -483,7 +519,10 @@
   if (answer->result == COLT_START_FENCED)
     link->client.handle_fenced (link->client.client, link);
   if (answer->result == COLT_START_GONE)
-    reset_incarnation_ (link);
+    {
+      reset_incarnation_ (link);
+      lose_runs_ (link);
+    }
   if (order->start)
     {
       if (result != COLT_START_NOT_SENT)
@@ -555,6 +594,7 @@
       || answer->incarnation_ms != link->incarnation_ms)
     return;
   report.call_number = link->query_number;
+  report.incarnation_ms = answer->incarnation_ms;
   link->client.handle_report (link->client.client, link, &report);
 }
 
--- a/src/test_cell/simulation_private.h
+++ b/src/test_cell/simulation_private.h
@@ -49,6 +49,10 @@
   GPtrArray *runs;      /* of struct ColtSimRun */
   GPtrArray *ends;      /* of struct ColtSimEnd */
   GHashTable *min_runs; /* task -> lowest run number that may still start */
+  /* Incarnation in the server's entry, which follows incarnation_ms at
+   * entry_due_us. */
+  int64_t entry_incarnation_ms;
+  int64_t entry_due_us;
   /* The leader's record of the server. */
   int64_t
       known_incarnation_ms; /* incarnation at the last renewal; 0: none yet */
--- a/src/test_cell/simulation_servers.c
+++ b/src/test_cell/simulation_servers.c
@@ -2,6 +2,8 @@
 
 /* Time between two renewals of a server's leases. */
 #define RENEWAL_INTERVAL_US (60 * COLT_US_PER_MS)
+/* Longest time until the entry of a restarted server shows its incarnation. */
+#define ENTRY_LAG_MAX_MS 2000
 
 static void
 free_run (gpointer data)
@@ -57,6 +59,7 @@
 
       g_snprintf (server->id, sizeof server->id, "server-%u", s);
       server->incarnation_ms = 1;
+      server->entry_incarnation_ms = 1;
       server->runs = g_ptr_array_new_with_free_func (free_run);
       server->ends = g_ptr_array_new_with_free_func (free_end);
       server->min_runs
@@ -121,6 +124,10 @@
           g_ptr_array_set_size (server->ends, 0);
           g_hash_table_remove_all (server->min_runs);
           server->incarnation_ms++;
+          server->entry_due_us
+              = sim->now_us
+                + g_rand_int_range (sim->rand, 0, ENTRY_LAG_MAX_MS)
+                      * COLT_US_PER_MS;
           server->token = 0;
           server->lease_end_us = 0;
           server->last_end = 0;
@@ -181,6 +188,7 @@
       g_array_append_val (finished, entry);
     }
   report.call_number = server->renewals;
+  report.incarnation_ms = server->incarnation_ms;
   report.running = (const struct ColtRunningEntry *)running->data;
   report.running_count = running->len;
   report.finished = (const struct ColtFinishedEntry *)finished->data;
@@ -211,7 +219,9 @@
   entry.address = "127.0.0.1:1";
   entry.zone = "zone";
   entry.ready = true;
-  entry.incarnation_ms = server->incarnation_ms;
+  if (sim->now_us >= server->entry_due_us)
+    server->entry_incarnation_ms = server->incarnation_ms;
+  entry.incarnation_ms = server->entry_incarnation_ms;
   entry.room.amount[COLT_RESOURCE_CORES] = SERVER_CAPACITY;
   entry.room.amount[COLT_RESOURCE_MEMORY] = SERVER_CAPACITY;
   entry.labels = labels;
@@ -248,11 +258,8 @@
       server->failed_renewals = 0;
       if (server->known_incarnation_ms != server->incarnation_ms)
         {
-          if (server->known_incarnation_ms != 0)
-            colt_cell_end_server_runs (sim->cell, server->id, sim->now_us);
           server->known_incarnation_ms = server->incarnation_ms;
           server->acked_end = 0;
-          server->expiry_us = 0;
         }
       g_assert_cmpuint (server->token, <=, sim->generation);
       server->token = sim->generation;
--- a/src/test_scheduler/fake_ports.c
+++ b/src/test_scheduler/fake_ports.c
@@ -354,7 +354,11 @@
                ? channel->fake->start_results[channel->fake->starts]
                : channel->fake->server_answer.result;
   channel->fake->starts++;
-  schedule_server_answer (channel, result, ANSWER_MS, done, client);
+  schedule_server_answer (channel, result,
+                          channel->fake->start_answer_ms > 0
+                              ? channel->fake->start_answer_ms
+                              : ANSWER_MS,
+                          done, client);
 }
 
 static void
--- a/src/test_scheduler/fake_ports.h
+++ b/src/test_scheduler/fake_ports.h
@@ -38,6 +38,7 @@
   struct ColtServerRenewal last_renewal; /* received by a server */
   uint32_t renewals;                     /* received so far */
   uint32_t renewal_answer_ms; /* delay of answers to renewals; 0: default */
+  uint32_t start_answer_ms;   /* delay of answers to starts; 0: default */
   uint32_t starts;            /* start orders received so far */
   /* Results of the first start orders, in their order. Later ones get the
    * result of server_answer. */
