Server links: a window for start orders

Cause: a wide step's starts were sent at once. On a link of 2 Mbit/s 75 starts take 0.5 s; all time out after 120 ms, their connections are closed and they are sent again, which fills the link until connecting fails too. Change: the bytes of open start orders are limited to what is answered within 60 ms of the shortest answer (grows while answers are fast, shrinks after a late or several lost ones); the timeout follows the smoothed time of answers. Renewals, stops and reports don't wait for the window.

--- a/src/scheduler/leader.c
+++ b/src/scheduler/leader.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "leader_private.h"
+#include "order_window.h"
 
 /* Period of checks for due work. */
 #define TICK_MS 25
@@ -114,6 +115,7 @@
   leader->commit = colt_commit_create (base, ports, leader->cell, term,
                                        &commit_client, metrics);
   leader->load_channel = ports->log_open (ports->adapter);
+  leader->window = colt_order_window_create ();
   leader->links
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_link_);
   leader->listed_ids
@@ -147,6 +149,7 @@
   g_ptr_array_unref (leader->calls);
   g_ptr_array_unref (leader->state_calls);
   g_hash_table_unref (leader->links);
+  colt_order_window_destroy (leader->window);
   g_hash_table_unref (leader->listed_ids);
   g_ptr_array_unref (leader->progress_records);
   colt_cell_destroy (leader->cell);
@@ -403,7 +406,8 @@
           has_tight_runs_,     leader };
   const struct ColtServerLinkSettings link_settings
       = { leader->term, lease_duration_ms_ (leader),
-          leader->settings->lease_max_ms, inherited_until_us_ (leader) };
+          leader->settings->lease_max_ms, inherited_until_us_ (leader),
+          leader->window };
 
   g_hash_table_add (leader->listed_ids, g_strdup (entry->id));
   if (link != NULL
--- /dev/null
+++ b/src/scheduler/order_window.c
@@ -0,0 +1,189 @@
+#include "order_window.h"
+
+#include "coltsfootstile/clock.h"
+
+/* Limits of the window and its initial size. */
+#define WINDOW_MIN_BYTES ((double)(8 * 1024))
+#define WINDOW_MAX_BYTES ((double)(4 * 1024 * 1024))
+#define WINDOW_START_BYTES ((double)(32 * 1024))
+/* Growth of the window for each window of orders that were answered in time. */
+#define GROWTH_BYTES 4096.0
+/* Factors by which the window shrinks after a late answer, and after none. */
+#define LATE_FACTOR 0.85
+#define LOST_FACTOR 0.5
+/* Part of an answer's time, beyond the shortest one, that may be spent in
+ * queues: half of the shortest timeout of an order. */
+#define QUEUEING_MAX_US (60 * COLT_US_PER_MS)
+/* Queueing at which the initial doubling of the window ends. */
+#define DOUBLING_QUEUEING_US (15 * COLT_US_PER_MS)
+/* Weight of a new answer in the smoothed time of answers. */
+#define TIME_WEIGHT 0.1
+/* An answer counts as lost after this many times the smoothed time. */
+#define TIMEOUT_FACTOR 4
+/* Lost orders in a row that reduce the window while others are answered fast:
+ * fewer may be due to single servers that are gone. */
+#define LOST_IN_ROW 4
+#define TIMEOUT_MAX_MS 1000
+
+struct ColtOrderWindow
+{
+  double limit;
+  size_t open;
+  bool doubling; /* initially */
+  uint32_t lost_in_row;
+  int64_t shortest_us;
+  double smoothed_us;
+  int64_t shrunk_us; /* when the window was last reduced */
+  GQueue waiters;    /* of struct ColtOrderWaiter */
+  bool resuming;
+};
+
+static void grow_ (struct ColtOrderWindow *window, size_t bytes);
+static void shrink_ (struct ColtOrderWindow *window,
+                     double factor,
+                     int64_t took_us,
+                     int64_t now_us);
+static void resume_waiters_ (struct ColtOrderWindow *window);
+
+struct ColtOrderWindow *
+colt_order_window_create (void)
+{
+  struct ColtOrderWindow *window = g_new0 (struct ColtOrderWindow, 1);
+
+  window->limit = WINDOW_START_BYTES;
+  window->doubling = true;
+  window->shortest_us = INT64_MAX / 2;
+  g_queue_init (&window->waiters);
+  return window;
+}
+
+void
+colt_order_window_destroy (struct ColtOrderWindow *window)
+{
+  g_free (window);
+}
+
+bool
+colt_order_window_acquire (struct ColtOrderWindow *window,
+                           size_t bytes,
+                           struct ColtOrderWaiter *waiter)
+{
+  if (window->open == 0 || (double)(window->open + bytes) <= window->limit)
+    {
+      window->open += bytes;
+      return true;
+    }
+  if (!waiter->waiting)
+    {
+      waiter->waiting = true;
+      waiter->link.data = waiter;
+      g_queue_push_tail_link (&window->waiters, &waiter->link);
+    }
+  return false;
+}
+
+void
+colt_order_window_leave (struct ColtOrderWindow *window,
+                         struct ColtOrderWaiter *waiter)
+{
+  if (!waiter->waiting)
+    return;
+  waiter->waiting = false;
+  g_queue_unlink (&window->waiters, &waiter->link);
+}
+
+void
+colt_order_window_release (struct ColtOrderWindow *window,
+                           size_t bytes,
+                           int64_t took_us,
+                           bool answered,
+                           int64_t now_us)
+{
+  bool full = (double)(window->open + bytes) > window->limit;
+
+  g_assert (window->open >= bytes);
+  window->open -= bytes;
+  if (!answered)
+    {
+      window->lost_in_row++;
+      if (window->lost_in_row >= LOST_IN_ROW
+          || window->smoothed_us
+                 > (double)(window->shortest_us + QUEUEING_MAX_US / 2))
+        shrink_ (window, LOST_FACTOR, took_us, now_us);
+    }
+  else
+    {
+      window->lost_in_row = 0;
+      window->shortest_us = MIN (window->shortest_us, took_us);
+      window->smoothed_us
+          += TIME_WEIGHT * ((double)took_us - window->smoothed_us);
+      if (took_us > window->shortest_us + DOUBLING_QUEUEING_US)
+        window->doubling = false;
+      if (took_us > window->shortest_us + QUEUEING_MAX_US)
+        shrink_ (window, LATE_FACTOR, took_us, now_us);
+      else if (full)
+        grow_ (window, bytes);
+    }
+  resume_waiters_ (window);
+}
+
+uint32_t
+colt_order_window_timeout_ms (const struct ColtOrderWindow *window,
+                              uint32_t at_least_ms)
+{
+  double ms = TIMEOUT_FACTOR * window->smoothed_us / COLT_US_PER_MS;
+
+  return (uint32_t)CLAMP (ms, at_least_ms, MAX (TIMEOUT_MAX_MS, at_least_ms));
+}
+
+size_t
+colt_order_window_limit (const struct ColtOrderWindow *window)
+{
+  return (size_t)window->limit;
+}
+
+static void
+grow_ (struct ColtOrderWindow *window, size_t bytes)
+{
+  window->limit += window->doubling
+                       ? (double)bytes
+                       : GROWTH_BYTES * (double)bytes / window->limit;
+  window->limit = MIN (window->limit, WINDOW_MAX_BYTES);
+}
+
+/* Orders that were open together end late together: only the first counts. */
+static void
+shrink_ (struct ColtOrderWindow *window,
+         double factor,
+         int64_t took_us,
+         int64_t now_us)
+{
+  window->doubling = false;
+  if (now_us - took_us < window->shrunk_us)
+    return;
+  window->shrunk_us = now_us;
+  window->limit = MAX (window->limit * factor, WINDOW_MIN_BYTES);
+}
+
+/* A resumed waiter that still finds no room goes to the end of the queue, so
+ * each is resumed at most once. */
+static void
+resume_waiters_ (struct ColtOrderWindow *window)
+{
+  guint count = window->waiters.length;
+
+  if (window->resuming)
+    return;
+  window->resuming = true;
+  while (count-- > 0 && (double)window->open < window->limit)
+    {
+      GList *link = g_queue_pop_head_link (&window->waiters);
+      struct ColtOrderWaiter *waiter = link != NULL ? link->data : NULL;
+
+      if (waiter == NULL)
+        break;
+      waiter->waiting = false;
+      waiter->resume (waiter->client);
+    }
+  window->resuming = false;
+}
--- a/src/scheduler/private/leader_private.h
+++ b/src/scheduler/private/leader_private.h
@@ -28,14 +28,15 @@
   struct event *timer;
   struct ColtLag lag; /* of timer */
   struct event *place_timer;
-  struct event *retry_timer;   /* for fencing and loading */
-  GHashTable *links;           /* server id -> struct ColtServerLink */
-  GHashTable *listed_ids;      /* servers listed since the last full read */
-  GPtrArray *calls;            /* of struct ColtLeaderCall */
-  GPtrArray *state_calls;      /* of struct ColtStateCall */
-  GPtrArray *progress_records; /* held until all jobs are loaded */
-  char *load_after;            /* last key of the previous page */
-  int64_t confirmed_until_us;  /* no lease may end later */
+  struct event *retry_timer;      /* for fencing and loading */
+  struct ColtOrderWindow *window; /* of start orders to all servers */
+  GHashTable *links;              /* server id -> struct ColtServerLink */
+  GHashTable *listed_ids;         /* servers listed since the last full read */
+  GPtrArray *calls;               /* of struct ColtLeaderCall */
+  GPtrArray *state_calls;         /* of struct ColtStateCall */
+  GPtrArray *progress_records;    /* held until all jobs are loaded */
+  char *load_after;               /* last key of the previous page */
+  int64_t confirmed_until_us;     /* no lease may end later */
   bool closing;
   uint64_t loaded_count; /* records loaded from the log */
   int64_t config_version;
--- a/src/scheduler/private/scheduler_private.h
+++ b/src/scheduler/private/scheduler_private.h
@@ -195,6 +195,8 @@
   /* When all leases of earlier leaders have certainly ended; 0: there were
    * none. */
   int64_t inherited_until_us;
+  /* Shared by all links; NULL: start orders aren't limited. */
+  struct ColtOrderWindow *window;
 };
 
 struct ColtServerLink *
--- a/src/scheduler/server_link.c
+++ b/src/scheduler/server_link.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "coltsfootstile/guard.h"
+#include "order_window.h"
 #include "scheduler_private.h"
 
 /* How long the server may wait for a run to end before it answers a renewal;
@@ -24,6 +25,8 @@
 #define ORDER_TIMEOUT_MS 250
 /* Timeout of a start's first transmission; it is resent once. */
 #define FIRST_START_TIMEOUT_MS 120
+/* Bytes of a start order besides its payload, checkpoint and ticket. */
+#define START_HEADERS_BYTES 500
 /* Lowest rate of a server's clock relative to the local one. */
 #define CLOCK_RATE_MIN 0.98
 /* Added to a lease's computed end for delays that the computation ignores. */
@@ -39,8 +42,10 @@
   char *payload;
   char *checkpoint;
   char *ticket;
-  bool resent; /* the start has been sent a second time */
-  bool lost;   /* its run has been reported as lost; it isn't sent again */
+  bool resent;     /* the start has been sent a second time */
+  size_t bytes;    /* of a start, about */
+  int64_t sent_us; /* when it was last sent */
+  bool lost;       /* its run has been reported as lost; it isn't sent again */
 };
 
 struct ColtServerLink
@@ -53,6 +58,7 @@
   struct ColtServerChannel *renewal_channel;
   struct ColtServerChannel *order_channel;
   GQueue queue;                       /* of struct ColtServerOrder */
+  struct ColtOrderWaiter waiter;      /* for room in the window */
   struct ColtServerOrder *open_order; /* the order that waits for an answer */
   bool closing;
   bool listed;             /* the server has an entry in the log */
@@ -100,6 +106,13 @@
 static bool leases_have_expired_ (const struct ColtServerLink *link,
                                   int64_t now_us);
 static void send_next_order_ (struct ColtServerLink *link);
+static struct ColtServerOrder *take_next_order_ (struct ColtServerLink *link);
+static void resume_orders_ (void *client);
+static void release_window_ (struct ColtServerLink *link,
+                             const struct ColtServerOrder *order,
+                             bool answered);
+static uint32_t start_timeout_ms_ (const struct ColtServerLink *link,
+                                   const struct ColtServerOrder *order);
 static void handle_order_answer_ (void *client,
                                   const struct ColtServerAnswer *answer);
 static enum ColtStartResult resolve_retry_result_ (enum ColtStartResult result);
@@ -126,6 +139,8 @@
   link->renewal_channel = ports->server_open (ports->adapter, address, id);
   link->order_channel = ports->server_open (ports->adapter, address, id);
   g_queue_init (&link->queue);
+  link->waiter.resume = resume_orders_;
+  link->waiter.client = link;
   return link;
 }
 
@@ -137,6 +152,12 @@
   if (link == NULL)
     return;
   link->closing = true;
+  if (link->settings.window != NULL)
+    {
+      colt_order_window_leave (link->settings.window, &link->waiter);
+      if (link->open_order != NULL && link->open_order->start)
+        release_window_ (link, link->open_order, false);
+    }
   link->ports->server_close (link->renewal_channel);
   link->ports->server_close (link->order_channel);
   if (link->open_order != NULL)
@@ -184,6 +205,9 @@
   order->payload = g_strdup (start->payload);
   order->checkpoint = g_strdup (start->checkpoint);
   order->ticket = g_strdup (start->ticket);
+  order->bytes = START_HEADERS_BYTES + strlen (start->payload)
+                 + strlen (start->checkpoint)
+                 + (start->ticket != NULL ? strlen (start->ticket) : 0);
   g_queue_push_tail (&link->queue, order);
   send_next_order_ (link);
 }
@@ -470,10 +494,11 @@
 
   if (link->open_order != NULL)
     return;
-  order = g_queue_pop_head (&link->queue);
+  order = take_next_order_ (link);
   if (order == NULL)
     return;
   link->open_order = order;
+  order->sent_us = now_us;
   if (!order->start)
     {
       link->ports->server_stop (link->order_channel, order->task, order->run,
@@ -489,10 +514,64 @@
   start.payload = order->payload;
   start.checkpoint = order->checkpoint;
   start.ticket = order->ticket;
-  link->ports->server_start (
-      link->order_channel, &start, link->settings.token, until_ms,
-      order->resent ? ORDER_TIMEOUT_MS : FIRST_START_TIMEOUT_MS,
-      handle_order_answer_, link);
+  link->ports->server_start (link->order_channel, &start, link->settings.token,
+                             until_ms, start_timeout_ms_ (link, order),
+                             handle_order_answer_, link);
+}
+
+/* Takes the next order from the queue. Stops precede a start for which the
+ * window has no room. */
+static struct ColtServerOrder *
+take_next_order_ (struct ColtServerLink *link)
+{
+  struct ColtServerOrder *first = g_queue_peek_head (&link->queue);
+  GList *i;
+
+  if (first == NULL)
+    return NULL;
+  if (!first->start || link->settings.window == NULL
+      || colt_order_window_acquire (link->settings.window, first->bytes,
+                                    &link->waiter))
+    return g_queue_pop_head (&link->queue);
+  for (i = link->queue.head; i != NULL; i = i->next)
+    {
+      struct ColtServerOrder *order = i->data;
+
+      if (order->start)
+        continue;
+      g_queue_delete_link (&link->queue, i);
+      return order;
+    }
+  return NULL;
+}
+
+static void
+resume_orders_ (void *client)
+{
+  send_next_order_ (client);
+}
+
+static void
+release_window_ (struct ColtServerLink *link,
+                 const struct ColtServerOrder *order,
+                 bool answered)
+{
+  int64_t now_us = colt_clock_monotonic_us ();
+
+  colt_order_window_release (link->settings.window, order->bytes,
+                             now_us - order->sent_us, answered, now_us);
+}
+
+static uint32_t
+start_timeout_ms_ (const struct ColtServerLink *link,
+                   const struct ColtServerOrder *order)
+{
+  uint32_t at_least_ms
+      = order->resent ? ORDER_TIMEOUT_MS : FIRST_START_TIMEOUT_MS;
+
+  return link->settings.window != NULL
+             ? colt_order_window_timeout_ms (link->settings.window, at_least_ms)
+             : at_least_ms;
 }
 
 static void
@@ -506,6 +585,8 @@
     return;
   link->open_order = NULL;
   update_clock_ (link, answer);
+  if (order->start && link->settings.window != NULL)
+    release_window_ (link, order, result != COLT_START_UNKNOWN);
   if (order->start && !order->resent && !order->lost
       && result == COLT_START_UNKNOWN)
     {
--- a/src/test_scheduler/fake_ports.c
+++ b/src/test_scheduler/fake_ports.c
@@ -374,6 +374,7 @@
   (void)run;
   (void)token;
   (void)timeout_ms;
+  channel->fake->stops++;
   schedule_server_answer (channel, channel->fake->server_answer.result,
                           ANSWER_MS, done, client);
 }
--- a/src/test_scheduler/fake_ports.h
+++ b/src/test_scheduler/fake_ports.h
@@ -40,6 +40,7 @@
   uint32_t renewal_answer_ms; /* delay of answers to renewals; 0: default */
   uint32_t start_answer_ms;   /* delay of answers to starts; 0: default */
   uint32_t starts;            /* start orders received so far */
+  uint32_t stops;             /* stop orders received so far */
   /* Results of the first start orders, in their order. Later ones get the
    * result of server_answer. */
   const enum ColtStartResult *start_results;
--- a/src/test_scheduler/test_link.c
+++ b/src/test_scheduler/test_link.c
@@ -1,4 +1,5 @@
 #include "fake_ports.h"
+#include "order_window.h"
 #include "scheduler_private.h"
 #include "tests.h"
 
@@ -17,6 +18,7 @@
   int64_t renewable_until_us;        /* latest end of a renewed lease */
   enum ColtStartResult start_result; /* last one reported */
   int64_t incarnation_ms;            /* of the last report */
+  struct ColtOrderWindow *window;    /* of the link; may be NULL */
 };
 
 static void
@@ -131,7 +133,7 @@
           get_renewable_until, count_runs,
           has_tight_runs,      state };
   const struct ColtServerLinkSettings settings
-      = { 7, LEASE_MS, LEASE_MAX_MS, inherited_until_us };
+      = { 7, LEASE_MS, LEASE_MAX_MS, inherited_until_us, state->window };
   struct ColtServerLink *link = colt_server_link_create (
       &fake->ports, &settings, "server", "127.0.0.1:1", &client);
 
@@ -366,6 +368,36 @@
   colt_fake_ports_destroy (fake);
 }
 
+/* While the window of start orders is full, renewals and stops don't wait; the
+ * start is sent once there is room. */
+static void
+test_link_full_window (void)
+{
+  const struct ColtStartOrder start = {
+    .server = "s", .task = "t", .run = 1, .payload = "", .checkpoint = ""
+  };
+  struct ColtFakePorts *fake = colt_fake_ports_create ();
+  struct ColtClientState state = { .window = colt_order_window_create () };
+  struct ColtServerLink *link = open_link (fake, &state);
+  struct ColtOrderWaiter other = { 0 };
+  size_t bytes = colt_order_window_limit (state.window);
+
+  g_assert_true (colt_order_window_acquire (state.window, bytes, &other));
+  colt_server_link_start (link, &start);
+  colt_server_link_stop (link, "t", 2);
+  run_ticks (fake, link, 50);
+  g_assert_cmpuint (fake->starts, ==, 0);
+  g_assert_cmpuint (fake->stops, ==, 1);
+  g_assert_cmpuint (state.reports, ==, 1);
+  colt_order_window_release (state.window, bytes, COLT_US_PER_MS, true,
+                             colt_clock_monotonic_us ());
+  run_ticks (fake, link, 20);
+  g_assert_cmpuint (fake->starts, ==, 1);
+  colt_server_link_destroy (link);
+  colt_order_window_destroy (state.window);
+  colt_fake_ports_destroy (fake);
+}
+
 static void
 test_link_fenced (void)
 {
@@ -393,5 +425,6 @@
                    test_link_new_incarnation);
   g_test_add_func ("/scheduler/link/start-again", test_link_start_again);
   g_test_add_func ("/scheduler/link/lost-orders", test_link_lost_orders);
+  g_test_add_func ("/scheduler/link/full-window", test_link_full_window);
   g_test_add_func ("/scheduler/link/fenced", test_link_fenced);
 }
