Cell: plans no more starts than can be sent in time

Change: before each pass the leader sets how many starts may be planned, so that those that wait stay below a window; steps beyond it are blocked by 'orders', in the order of their rank. Test cell/load/burst-beyond-link.

--- a/include/coltsfootstile/cell.h
+++ b/include/coltsfootstile/cell.h
@@ -379,6 +379,14 @@
  * cell has no record of. */
 size_t colt_cell_count_runs (const struct ColtCell *cell, const char *server);
 
+/**
+ * Sets how many starts may be planned from now on; initially UINT32_MAX. Plans
+ * that can't be sent soon would use up room and the validity of tickets, and
+ * more important tasks that arrive meanwhile would wait behind them. A gang is
+ * planned as a whole while any are left.
+ */
+void colt_cell_set_start_budget (struct ColtCell *cell, uint32_t starts);
+
 /** Sets how many advice calls may be pending concurrently. */
 void colt_cell_set_advisers (struct ColtCell *cell, uint32_t count);
 
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -33,6 +33,7 @@
 {
   struct ColtCell *cell = g_new0 (struct ColtCell, 1);
 
+  cell->start_budget = UINT32_MAX;
   cell->ops = ops;
   cell->client = client;
   cell->limits = *limits;
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -20,7 +20,7 @@
 
 const char *const colt_cell_block_string[]
     = { "none",    "no service", "paused",     "unsettled", "limit",
-        "no room", "advice",     "no adviser", "gang" };
+        "no room", "advice",     "no adviser", "gang",      "orders" };
 
 const char *const colt_cell_rank_string[]
     = { "lasting", "timely", "excess", "late", "worthless" };
@@ -96,6 +96,12 @@
   release_reservations_ (cell);
 }
 
+void
+colt_cell_set_start_budget (struct ColtCell *cell, uint32_t starts)
+{
+  cell->start_budget = starts;
+}
+
 /* Removes steps without waiting tasks from open_steps. */
 void
 colt_cell_close_steps (struct ColtCell *cell)
@@ -260,6 +266,8 @@
     set_block_ (cell, step, BLOCK_NO_SERVICE);
   else if (now_us < step->not_before_us)
     set_block_ (cell, step, BLOCK_PAUSED);
+  else if (cell->start_budget == 0)
+    set_block_ (cell, step, BLOCK_ORDERS);
   else if (step->spec->gang)
     place_gang_ (cell, step, pool, now_us);
   else
@@ -313,6 +321,11 @@
           set_block_ (cell, step, BLOCK_UNSETTLED);
           continue;
         }
+      if (cell->start_budget == 0)
+        {
+          set_block_ (cell, step, BLOCK_ORDERS);
+          break;
+        }
       if (!is_within_limit_ (cell, step, 1))
         {
           set_block_ (cell, step, BLOCK_LIMIT);
@@ -587,6 +600,7 @@
            int64_t now_us)
 {
   colt_cell_add_run (cell, task, server, number, now_us);
+  cell->start_budget -= MIN (cell->start_budget, 1);
   task->earlier_server = NULL;
   task->step->fruitless_calls = 0;
   task->step->next_advice_us = 0;
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -58,7 +58,8 @@
   BLOCK_NO_ROOM,    /* no eligible server has room */
   BLOCK_ADVICE,     /* its advice call is pending or delayed */
   BLOCK_NO_ADVISER, /* its advice call is queued until an adviser is free */
-  BLOCK_GANG        /* an earlier run of its gang has to end first */
+  BLOCK_GANG,       /* an earlier run of its gang has to end first */
+  BLOCK_ORDERS      /* as many starts as can be sent in time are planned */
 };
 
 /* Order in which steps get room. */
@@ -268,6 +269,7 @@
   GArray *reservations;      /* of struct ColtCellReservation, in this pass */
   GHashTable *open_calls;    /* step name -> struct ColtCellQueue, for each
                                 pending advice call */
+  uint32_t start_budget;     /* starts that may still be planned */
   uint32_t advisers;         /* advice calls that may be pending together */
   GPtrArray *dirty_jobs;     /* of struct ColtCellJob, for the next batch */
   GPtrArray *batch_jobs;     /* of struct ColtCellJob, in the pending batch */
--- a/src/scheduler/leader.c
+++ b/src/scheduler/leader.c
@@ -338,6 +338,8 @@
   (void)what;
   if (leader->phase != PHASE_SERVING)
     return;
+  colt_cell_set_start_budget (leader->cell,
+                              colt_order_window_budget (leader->window));
   colt_cell_place_tasks (leader->cell, colt_clock_monotonic_us (),
                          colt_clock_wall_us () / COLT_US_PER_MS);
   if (colt_cell_has_waiting_starts (leader->cell))
--- a/src/scheduler/order_window.c
+++ b/src/scheduler/order_window.c
@@ -1,11 +1,15 @@
 #include "order_window.h"
 
+#include <math.h>
+
 #include "coltsfootstile/clock.h"
 
 /* Limits of the window and its initial size. */
 #define WINDOW_MIN_BYTES ((double)(8 * 1024))
 #define WINDOW_MAX_BYTES ((double)(4 * 1024 * 1024))
 #define WINDOW_START_BYTES ((double)(32 * 1024))
+/* Assumed size of an order before the first one. */
+#define ORDER_BYTES 1000.0
 /* Growth of the window for each window of orders that were answered in time. */
 #define GROWTH_BYTES 4096.0
 /* Factors by which the window shrinks after a late answer, and after none. */
@@ -16,7 +20,8 @@
 #define QUEUEING_MAX_US (60 * COLT_US_PER_MS)
 /* Queueing at which the initial doubling of the window ends. */
 #define DOUBLING_QUEUEING_US (15 * COLT_US_PER_MS)
-/* Weight of a new answer in the smoothed time of answers. */
+/* Weight of a new answer in the smoothed time of answers and in the mean size
+ * of orders. */
 #define TIME_WEIGHT 0.1
 /* An answer counts as lost after this many times the smoothed time. */
 #define TIMEOUT_FACTOR 4
@@ -29,7 +34,9 @@
 {
   double limit;
   size_t open;
-  bool doubling; /* initially */
+  int64_t backlog;   /* bytes of orders that are queued and not yet sent */
+  double mean_bytes; /* of an order */
+  bool doubling;     /* initially */
   uint32_t lost_in_row;
   int64_t shortest_us;
   double smoothed_us;
@@ -52,6 +59,7 @@
 
   window->limit = WINDOW_START_BYTES;
   window->doubling = true;
+  window->mean_bytes = ORDER_BYTES;
   window->shortest_us = INT64_MAX / 2;
   g_queue_init (&window->waiters);
   return window;
@@ -103,6 +111,7 @@
 
   g_assert (window->open >= bytes);
   window->open -= bytes;
+  window->mean_bytes += TIME_WEIGHT * ((double)bytes - window->mean_bytes);
   if (!answered)
     {
       window->lost_in_row++;
@@ -136,6 +145,21 @@
   return (uint32_t)CLAMP (ms, at_least_ms, MAX (TIMEOUT_MAX_MS, at_least_ms));
 }
 
+void
+colt_order_window_queue (struct ColtOrderWindow *window, int64_t bytes)
+{
+  window->backlog += bytes;
+}
+
+uint32_t
+colt_order_window_budget (const struct ColtOrderWindow *window)
+{
+  double bytes
+      = 2 * window->limit - (double)window->open - (double)window->backlog;
+
+  return bytes > 0 ? (uint32_t)ceil (bytes / window->mean_bytes) : 0;
+}
+
 size_t
 colt_order_window_limit (const struct ColtOrderWindow *window)
 {
--- a/src/scheduler/private/order_window.h
+++ b/src/scheduler/private/order_window.h
@@ -41,6 +41,12 @@
  * milliseconds, at least at_least_ms. */
 uint32_t colt_order_window_timeout_ms (const struct ColtOrderWindow *window,
                                        uint32_t at_least_ms);
+/* Counts orders that were queued, or left the queue, towards the backlog. */
+void colt_order_window_queue (struct ColtOrderWindow *window, int64_t bytes);
+/* Returns how many further orders of the mean size could be sent about within
+ * the time in which the next ones are planned: the backlog then stays below a
+ * window. */
+uint32_t colt_order_window_budget (const struct ColtOrderWindow *window);
 /* Returns the limit in bytes. */
 size_t colt_order_window_limit (const struct ColtOrderWindow *window);
 
--- a/src/scheduler/server_link.c
+++ b/src/scheduler/server_link.c
@@ -108,6 +108,9 @@
 static void send_next_order_ (struct ColtServerLink *link);
 static struct ColtServerOrder *take_next_order_ (struct ColtServerLink *link);
 static void resume_orders_ (void *client);
+static void count_backlog_ (struct ColtServerLink *link,
+                            const struct ColtServerOrder *order,
+                            bool queued);
 static void release_window_ (struct ColtServerLink *link,
                              const struct ColtServerOrder *order,
                              bool answered);
@@ -163,7 +166,10 @@
   if (link->open_order != NULL)
     free_order_ (link->open_order);
   while ((order = g_queue_pop_head (&link->queue)) != NULL)
-    free_order_ (order);
+    {
+      count_backlog_ (link, order, false);
+      free_order_ (order);
+    }
   g_free (link->id);
   g_free (link->address);
   g_free (link);
@@ -208,6 +214,7 @@
   order->bytes = START_HEADERS_BYTES + strlen (start->payload)
                  + strlen (start->checkpoint)
                  + (start->ticket != NULL ? strlen (start->ticket) : 0);
+  count_backlog_ (link, order, true);
   g_queue_push_tail (&link->queue, order);
   send_next_order_ (link);
 }
@@ -374,6 +381,7 @@
       if (order->start && colt_guard_on (COLT_GUARD_LOST_ORDERS))
         {
           g_queue_delete_link (&link->queue, i);
+          count_backlog_ (link, order, false);
           free_order_ (order);
         }
       i = next;
@@ -499,6 +507,7 @@
     return;
   link->open_order = order;
   order->sent_us = now_us;
+  count_backlog_ (link, order, false);
   if (!order->start)
     {
       link->ports->server_stop (link->order_channel, order->task, order->run,
@@ -545,6 +554,18 @@
   return NULL;
 }
 
+/* Counts a start that enters or leaves the queue. */
+static void
+count_backlog_ (struct ColtServerLink *link,
+                const struct ColtServerOrder *order,
+                bool queued)
+{
+  if (order->start && link->settings.window != NULL)
+    colt_order_window_queue (link->settings.window,
+                             queued ? (int64_t)order->bytes
+                                    : -(int64_t)order->bytes);
+}
+
 static void
 resume_orders_ (void *client)
 {
@@ -591,6 +612,7 @@
       && result == COLT_START_UNKNOWN)
     {
       order->resent = true;
+      count_backlog_ (link, order, true);
       g_queue_push_head (&link->queue, order);
       send_next_order_ (link);
       return;
--- a/src/test_cell_load/test_load.c
+++ b/src/test_cell_load/test_load.c
@@ -28,6 +28,30 @@
   colt_fixture_destroy (fixture);
 }
 
+/* More starts are due than can be sent: those that are most important are
+ * planned, up to the budget; the others remain free for later ones. */
+static void
+test_burst_beyond_link (void)
+{
+  struct ColtLoadFixture *fixture = colt_fixture_create ();
+  int i;
+
+  colt_fixture_add_server (fixture, "server", 20000);
+  for (i = 0; i < 6; i++)
+    colt_fixture_submit (fixture, "tight", "hot", 1, false);
+  colt_fixture_submit (fixture, "tight", "steady", 1, false);
+  colt_cell_set_start_budget (fixture->cell, 3);
+  colt_fixture_place (fixture);
+  g_assert_cmpuint (fixture->starts->len, ==, 3);
+  g_assert_true (colt_fixture_has_started (fixture, 0, 7));
+  colt_fixture_place (fixture);
+  g_assert_cmpuint (fixture->starts->len, ==, 3);
+  colt_cell_set_start_budget (fixture->cell, UINT32_MAX);
+  colt_fixture_place (fixture);
+  g_assert_cmpuint (fixture->starts->len, ==, 7);
+  colt_fixture_destroy (fixture);
+}
+
 /* Demand exceeds the capacity for a long time: jobs that missed their objective
  * start after those that can meet it, and of these the newest start first. */
 static void
@@ -222,6 +246,7 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/cell/load/burst-beyond-link", test_burst_beyond_link);
   g_test_add_func ("/cell/load/hot-organisation", test_hot_organisation);
   g_test_add_func ("/cell/load/overload", test_overload);
   g_test_add_func ("/cell/load/ending-job", test_ending_job);
