Cell: a pass looks only at servers with advice, and passes leave room for other work

Change: an advised step looks at the servers it has advice on; once no server has room for a demand, a larger one isn't searched for in the pass; slowness is computed when it changes; the pause between passes is twice as long as the last pass, 8 to 100 ms. Equal servers are chosen by id.

--- a/src/cell/cell_advice.c
+++ b/src/cell/cell_advice.c
@@ -31,6 +31,8 @@
 static bool find_suitability_ (const struct ColtCellStep *step,
                                const struct ColtCellServer *server,
                                bool *suitable);
+static bool covers_ (const struct ColtResources *demand,
+                     const struct ColtResources *other);
 static enum ColtCellBlock queue_advice_call_ (struct ColtCell *cell,
                                               struct ColtCellStep *step,
                                               int64_t now_us);
@@ -86,29 +88,54 @@
 enum ColtCellBlock
 colt_cell_request_advice (struct ColtCell *cell,
                           struct ColtCellStep *step,
-                          const struct ColtCellPool *pool,
+                          struct ColtCellPool *pool,
                           int64_t now_us)
 {
+  bool has_room = false;
   guint i;
 
   if (!step->job->queue->config->advised)
     return BLOCK_NO_ROOM;
   if (step->advice_pending)
     return BLOCK_ADVICE;
+  if (now_us < step->next_advice_us)
+    return BLOCK_ADVICE;
+  if (pool->is_full && covers_ (&step->demand, &pool->unmet))
+    return BLOCK_NO_ROOM;
   for (i = 0; i < pool->servers->len; i++)
     {
       const struct ColtCellServer *server
           = g_ptr_array_index (pool->servers, i);
 
-      if (colt_cell_is_usable (server, now_us) && colt_cell_fits (step, server)
-          && colt_cell_meets_constraints (step, server)
+      if (!colt_cell_fits (step, server)
+          || !colt_cell_is_usable (server, now_us))
+        continue;
+      has_room = true;
+      if (colt_cell_meets_constraints (step, server)
           && !colt_cell_is_known_unsuitable (step, server)
           && colt_cell_find_ticket (step, server, now_us) == NULL)
         return queue_advice_call_ (cell, step, now_us);
     }
+  if (!has_room)
+    {
+      pool->is_full = true;
+      pool->unmet = step->demand;
+    }
   return BLOCK_NO_ROOM;
 }
 
+/* Returns whether each amount of a demand is at least that of another. */
+static bool
+covers_ (const struct ColtResources *demand, const struct ColtResources *other)
+{
+  int r;
+
+  for (r = 0; r < COLT_RESOURCE_COUNT; r++)
+    if (demand->amount[r] < other->amount[r])
+      return false;
+  return true;
+}
+
 /* Requests tickets for a gang on servers that have room, one for each task. The
  * gang can only start when all its servers have room and tickets at the same
  * time, so the caller reserves that room meanwhile. */
--- a/src/cell/cell_dump.c
+++ b/src/cell/cell_dump.c
@@ -3,7 +3,7 @@
 
 #include "cell_private.h"
 
-static json_t *dump_server_ (const struct ColtCellServer *server);
+static json_t *dump_server_ (struct ColtCellServer *server);
 static json_t *dump_step_ (const struct ColtCellStep *step);
 static json_t *dump_organisation_ (const struct ColtCellOrganisation *org);
 static json_t *dump_amounts_ (const struct ColtResources *amounts);
@@ -40,7 +40,7 @@
 }
 
 static json_t *
-dump_server_ (const struct ColtCellServer *server)
+dump_server_ (struct ColtCellServer *server)
 {
   json_t *object = json_object ();
 
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -25,6 +25,7 @@
 const char *const colt_cell_rank_string[]
     = { "lasting", "timely", "excess", "late", "worthless" };
 
+static void forget_full_pools_ (struct ColtCell *cell);
 static void rank_steps_ (struct ColtCell *cell, int64_t now_us);
 static int compare_steps_ (gconstpointer a, gconstpointer b);
 static uint32_t get_priority_ (const struct ColtCellStep *step);
@@ -66,9 +67,14 @@
                                               const struct ColtCellPool *pool,
                                               bool ticketed,
                                               int64_t now_us);
+static void consider_server_ (struct ColtCandidate *best,
+                              const struct ColtCellStep *step,
+                              const struct ColtCellTask *task,
+                              struct ColtCellServer *server,
+                              int64_t now_us);
 static double score_server_ (const struct ColtCellStep *step,
                              const struct ColtCellTask *task,
-                             const struct ColtCellServer *server);
+                             struct ColtCellServer *server);
 static void plan_run_ (struct ColtCell *cell,
                        struct ColtCellTask *task,
                        struct ColtCellServer *server,
@@ -86,6 +92,8 @@
   guint i;
 
   cell->wall_ms = wall_ms;
+  cell->now_us = now_us;
+  forget_full_pools_ (cell);
   colt_cell_move_stragglers (cell, now_us);
   colt_cell_close_steps (cell);
   rank_steps_ (cell, now_us);
@@ -200,6 +208,17 @@
          && task->earlier_server->awaited;
 }
 
+static void
+forget_full_pools_ (struct ColtCell *cell)
+{
+  GHashTableIter i;
+  gpointer value;
+
+  g_hash_table_iter_init (&i, cell->pools);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    ((struct ColtCellPool *)value)->is_full = false;
+}
+
 static void
 rank_steps_ (struct ColtCell *cell, int64_t now_us)
 {
@@ -535,6 +554,8 @@
   return count;
 }
 
+/* An advised step may only run on servers that it has advice on, which are far
+ * fewer than all servers of the pool. */
 static struct ColtCellServer *
 choose_server_ (const struct ColtCellStep *step,
                 const struct ColtCellTask *task,
@@ -543,39 +564,62 @@
                 int64_t now_us)
 {
   struct ColtCandidate best = { NULL, 0 };
-  bool advised = step->job->queue->config->advised;
+  GHashTableIter advised;
+  gpointer key;
   guint i;
 
-  for (i = 0; i < pool->servers->len; i++)
+  if (step->job->queue->config->advised)
     {
-      struct ColtCellServer *server = g_ptr_array_index (pool->servers, i);
-      double score;
+      g_hash_table_iter_init (&advised, step->advice);
+      while (g_hash_table_iter_next (&advised, &key, NULL))
+        {
+          struct ColtCellServer *server = key;
 
-      if (!colt_cell_is_usable (server, now_us)
-          || !colt_cell_fits (step, server)
-          || !colt_cell_meets_constraints (step, server)
-          || (advised
+          if (server->pool == pool
               && (ticketed
-                      ? colt_cell_find_ticket (step, server, now_us) == NULL
-                      : !colt_cell_is_known_suitable (step, server))))
-        continue;
-      score = score_server_ (step, task, server);
-      if (best.server == NULL || score > best.score)
-        {
-          best.server = server;
-          best.score = score;
+                      ? colt_cell_find_ticket (step, server, now_us) != NULL
+                      : colt_cell_is_known_suitable (step, server)))
+            consider_server_ (&best, step, task, server, now_us);
         }
+      return best.server;
     }
+  for (i = 0; i < pool->servers->len; i++)
+    consider_server_ (&best, step, task, g_ptr_array_index (pool->servers, i),
+                      now_us);
   return best.server;
 }
 
+/* Replaces the best candidate if the server is usable and better; among equal
+ * ones the lowest id wins, so that the choice doesn't depend on the order. */
+static void
+consider_server_ (struct ColtCandidate *best,
+                  const struct ColtCellStep *step,
+                  const struct ColtCellTask *task,
+                  struct ColtCellServer *server,
+                  int64_t now_us)
+{
+  double score;
+
+  if (!colt_cell_fits (step, server) || !colt_cell_is_usable (server, now_us)
+      || !colt_cell_meets_constraints (step, server))
+    return;
+  score = score_server_ (step, task, server);
+  if (best->server != NULL
+      && (score < best->score
+          || (score == best->score
+              && strcmp (server->id, best->server->id) > 0)))
+    return;
+  best->server = server;
+  best->score = score;
+}
+
 /* Prefers servers in the data's rack, servers other than the task's previous
  * one, fast servers (with a weight that rises as the objective gets tighter),
  * and full servers, so that room for large tasks remains elsewhere. */
 static double
 score_server_ (const struct ColtCellStep *step,
                const struct ColtCellTask *task,
-               const struct ColtCellServer *server)
+               struct ColtCellServer *server)
 {
   double stretch = MAX (step->job->queue->config->stretch, 1);
   double score = -SLOWNESS_PENALTY / (stretch * stretch)
--- a/src/cell/cell_rank.c
+++ b/src/cell/cell_rank.c
@@ -61,10 +61,18 @@
     update_slowness_ (step);
 }
 
+/* Returns how long tasks take on the server, relative to all servers. */
 double
-colt_cell_slowness (const struct ColtCellServer *server)
+colt_cell_slowness (struct ColtCellServer *server)
 {
-  return exp (log_slowness_ (server));
+  double log_slowness = log_slowness_ (server);
+
+  if (server->slowness <= 0 || server->slowness_log != log_slowness)
+    {
+      server->slowness_log = log_slowness;
+      server->slowness = exp (log_slowness);
+    }
+  return server->slowness;
 }
 
 /* Raises a server's slowness to at least a measured ratio of its durations to
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -232,6 +232,8 @@
   double log_slowness; /* logarithm of its task durations relative to others of
                           its kind */
   uint32_t samples;    /* tasks that log_slowness is based on */
+  double slowness;     /* for the sum of logarithms below; 0: not computed */
+  double slowness_log;
 };
 
 /* Servers with the same first label and the same room. Their common slowness
@@ -249,6 +251,10 @@
   char *name;
   bool checks_room;
   GPtrArray *servers; /* of struct ColtCellServer */
+  /* No usable server has room for this demand or more; room only shrinks during
+   * a pass. */
+  bool is_full;
+  struct ColtResources unmet;
 };
 
 struct ColtCell
@@ -373,7 +379,7 @@
                        int64_t now_us);
 enum ColtCellBlock colt_cell_request_advice (struct ColtCell *cell,
                                              struct ColtCellStep *step,
-                                             const struct ColtCellPool *pool,
+                                             struct ColtCellPool *pool,
                                              int64_t now_us);
 enum ColtCellBlock
 colt_cell_request_gang_tickets (struct ColtCell *cell,
@@ -401,7 +407,7 @@
 void colt_cell_update_slowness (struct ColtCellStep *step);
 void colt_cell_assign_kind (struct ColtCell *cell,
                             struct ColtCellServer *server);
-double colt_cell_slowness (const struct ColtCellServer *server);
+double colt_cell_slowness (struct ColtCellServer *server);
 void colt_cell_raise_slowness (struct ColtCellServer *server,
                                double log_slowness);
 int64_t colt_cell_objective_us (const struct ColtCellJob *job);
--- a/src/scheduler/leader.c
+++ b/src/scheduler/leader.c
@@ -7,6 +7,10 @@
 #define TICK_MS 25
 /* Shortest time between two placement passes. */
 #define PLACE_PAUSE_MS 8
+/* The pause is at least this many times as long as the last pass took, so that
+ * placement leaves most of the processor to answers and renewals. */
+#define PLACE_PAUSE_FACTOR 2
+#define PLACE_PAUSE_MAX_MS 100
 /* Time to gather planned starts for a batch. */
 #define PLAN_LINGER_MS 2
 /* Pause and longest wait of reads of the servers' entries, since entries change
@@ -111,6 +115,7 @@
   leader->client = *client;
   leader->term = term;
   leader->created_us = colt_clock_monotonic_us ();
+  leader->place_pause_us = PLACE_PAUSE_MS * COLT_US_PER_MS;
   leader->cell = colt_cell_create (&cell_ops, leader, &limits, (uint32_t)term);
   leader->commit = colt_commit_create (base, ports, leader->cell, term,
                                        &commit_client, metrics);
@@ -333,6 +338,8 @@
 run_placement_ (evutil_socket_t fd, short what, void *arg)
 {
   struct ColtLeader *leader = arg;
+  int64_t began_us = colt_clock_monotonic_us ();
+  int64_t took_us;
 
   (void)fd;
   (void)what;
@@ -340,8 +347,12 @@
     return;
   colt_cell_set_start_budget (leader->cell,
                               colt_order_window_budget (leader->window));
-  colt_cell_place_tasks (leader->cell, colt_clock_monotonic_us (),
+  colt_cell_place_tasks (leader->cell, began_us,
                          colt_clock_wall_us () / COLT_US_PER_MS);
+  took_us = colt_clock_monotonic_us () - began_us;
+  leader->place_pause_us
+      = CLAMP (PLACE_PAUSE_FACTOR * took_us, PLACE_PAUSE_MS * COLT_US_PER_MS,
+               PLACE_PAUSE_MAX_MS * COLT_US_PER_MS);
   if (colt_cell_has_waiting_starts (leader->cell))
     colt_commit_schedule (leader->commit, PLAN_LINGER_MS);
 }
@@ -349,7 +360,7 @@
 static void
 schedule_placement_ (struct ColtLeader *leader)
 {
-  const struct timeval when = { 0, PLACE_PAUSE_MS * 1000 };
+  const struct timeval when = { 0, (suseconds_t)leader->place_pause_us };
 
   if (!event_pending (leader->place_timer, EV_TIMEOUT, NULL))
     event_add (leader->place_timer, &when);
--- a/src/scheduler/private/leader_private.h
+++ b/src/scheduler/private/leader_private.h
@@ -28,6 +28,7 @@
   struct event *timer;
   struct ColtLag lag; /* of timer */
   struct event *place_timer;
+  int64_t place_pause_us;         /* before the next pass */
   struct event *retry_timer;      /* for fencing and loading */
   struct ColtOrderWindow *window; /* of start orders to all servers */
   GHashTable *links;              /* server id -> struct ColtServerLink */
