Scheduler: leadership changes for slowness get rarer

Change: a leader to which a slow one yielded leads twice as long as that one (6 to 30 s) before it yields for slowness itself. One elected otherwise may yield after a second, as before. Test scheduler/members/yields-get-rarer.

--- a/src/scheduler/election.c
+++ b/src/scheduler/election.c
@@ -69,6 +69,7 @@
   bool busy;                                 /* a call to the log is open */
   bool vacant;                               /* the leader has left */
   bool renewal_rejected;                     /* the last one, by the log */
+  bool named;             /* the last claim was made as the named successor */
   bool yielding;          /* leaves leadership to a stronger instance */
   bool suspect;           /* the leader's process seems to have ended */
   int64_t suspect_us;     /* when suspect was set */
@@ -198,6 +199,12 @@
   return election->role == ROLE_LEADER || election->role == ROLE_LEAVING;
 }
 
+bool
+colt_election_was_named (const struct ColtElection *election)
+{
+  return election->named;
+}
+
 uint64_t
 colt_election_term (const struct ColtElection *election)
 {
@@ -324,6 +331,7 @@
   election->leader_seen_us = now_us;
   election->busy = true;
   election->claimed_term = election->term + 1;
+  election->named = election->successor == election->instance;
   if (election->successor == election->instance)
     {
       append_record_ (election, election->claimed_term, false, handle_claim_);
--- a/src/scheduler/private/scheduler_private.h
+++ b/src/scheduler/private/scheduler_private.h
@@ -23,6 +23,9 @@
 /* Returns the number of the instance at IP:PORT: its IPv4 address in host byte
  * order, or 1 if the address contains none. */
 uint32_t colt_scheduler_instance_number (const char *address);
+/* Returns how long a leader that was named by the one before it leads before it
+ * may yield because it is slow, given how long the one before it led. */
+int64_t colt_scheduler_yield_after_us (int64_t previous_led_us);
 
 /* ---- watch.c: follows a topic of the log ---- */
 
@@ -99,6 +102,9 @@
 bool colt_election_renewal_rejected (const struct ColtElection *election);
 bool colt_election_is_leader (const struct ColtElection *election);
 /* Returns the highest term that this instance has seen. */
+/* Returns whether this instance last claimed as the successor that a leaving
+ * leader named. */
+bool colt_election_was_named (const struct ColtElection *election);
 uint64_t colt_election_term (const struct ColtElection *election);
 /* Returns ADDRESS:PORT of the leader; NULL if there is none. */
 const char *colt_election_leader (const struct ColtElection *election);
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -26,10 +26,12 @@
 #define YIELD_FACTOR 2.0
 #define YIELD_SLOW_FACTOR 1.5
 #define YIELD_AFTER_US (1 * COLT_US_PER_S)
-/* A slow leader yields only after this time if the previous leader led for less
- * than it: where the load is too high for any instance, changes of the leader
- * only add to it. */
-#define YIELD_AGAIN_AFTER_US (6 * COLT_US_PER_S)
+/* A slow leader to which the one before it yielded yields only once it has led
+ * this many times as long, within limits: a load that makes any leader slow
+ * follows the role, and changes of the leader only add to it. */
+#define YIELD_AGAIN_FACTOR 2
+#define YIELD_AGAIN_MIN_US (6 * COLT_US_PER_S)
+#define YIELD_AGAIN_MAX_US (30 * COLT_US_PER_S)
 #define MODULE "scheduler"
 
 /* A call from or to another instance that waits for its answer. */
@@ -459,8 +461,9 @@
     {
       strength *= colt_leader_speed (scheduler->leader);
       if (strongest < YIELD_SLOW_FACTOR * strength
-          || (scheduler->previous_led_us < YIELD_AGAIN_AFTER_US
-              && leader_for_us < YIELD_AGAIN_AFTER_US))
+          || (colt_election_was_named (scheduler->election)
+              && leader_for_us < colt_scheduler_yield_after_us (
+                     scheduler->previous_led_us)))
         return;
     }
   if (!colt_election_yield (scheduler->election, successor))
@@ -472,6 +475,13 @@
             strongest);
 }
 
+int64_t
+colt_scheduler_yield_after_us (int64_t previous_led_us)
+{
+  return CLAMP (YIELD_AGAIN_FACTOR * previous_led_us, YIELD_AGAIN_MIN_US,
+                YIELD_AGAIN_MAX_US);
+}
+
 static void
 handle_heartbeat_reply_ (void *client,
                          enum ColtWireResult result,
--- a/src/test_scheduler/test_members.c
+++ b/src/test_scheduler/test_members.c
@@ -1,5 +1,6 @@
 #include "lag.h"
 #include "members.h"
+#include "scheduler_private.h"
 
 #include <glib.h>
 
@@ -77,9 +78,28 @@
   colt_members_destroy (members);
 }
 
+/* Pattern: a load under which any leader is slow. Changes of the leader get
+ * rarer with each one instead of following each other. */
+static void
+test_yields_get_rarer (void)
+{
+  int64_t led_us = COLT_US_PER_S;
+  int64_t total_us = 0;
+  int changes;
+
+  for (changes = 0; total_us < 120 * COLT_US_PER_S; changes++)
+    {
+      led_us = colt_scheduler_yield_after_us (led_us);
+      total_us += led_us;
+    }
+  g_assert_cmpint (changes, <=, 6);
+}
+
 void
 colt_test_members_add (void)
 {
+  g_test_add_func ("/scheduler/members/yields-get-rarer",
+                   test_yields_get_rarer);
   g_test_add_func ("/scheduler/lag", test_lag);
   g_test_add_func ("/scheduler/members/log-down", test_members_log_down);
   g_test_add_func ("/scheduler/members/advisers", test_members_advisers);
