--- a/src/test_cell_load/fixture.c
+++ b/src/test_cell_load/fixture.c
@@ -28,12 +28,14 @@
                     size_t count)
 {
   struct ColtLoadFixture *fixture = client;
+  size_t i;
 
-  (void)servers;
-  (void)count;
   if (fixture->advice_calls->len >= fixture->max_advice_calls)
     return false;
   g_ptr_array_add (fixture->advice_calls, g_strdup (step));
+  g_ptr_array_set_size (fixture->named_servers, 0);
+  for (i = 0; i < count; i++)
+    g_ptr_array_add (fixture->named_servers, g_strdup (servers[i]));
   return true;
 }
 
@@ -89,6 +91,7 @@
   fixture->starts = g_ptr_array_new_with_free_func (g_free);
   fixture->stops = g_ptr_array_new_with_free_func (g_free);
   fixture->advice_calls = g_ptr_array_new_with_free_func (g_free);
+  fixture->named_servers = g_ptr_array_new_with_free_func (g_free);
   fixture->max_advice_calls = 8;
   fixture->cell = colt_cell_create (&ops, fixture, &limits, 1);
   fleet->version = 1;
@@ -110,6 +113,7 @@
   g_ptr_array_unref (fixture->starts);
   g_ptr_array_unref (fixture->stops);
   g_ptr_array_unref (fixture->advice_calls);
+  g_ptr_array_unref (fixture->named_servers);
   g_free (fixture);
 }
 
--- a/src/test_cell_load/fixture.h
+++ b/src/test_cell_load/fixture.h
@@ -17,6 +17,7 @@
   GPtrArray *starts;         /* ordered starts as "task@server", oldest first */
   GPtrArray *stops;          /* ordered stops as "task@server", oldest first */
   GPtrArray *advice_calls;   /* names of steps with a pending advice call */
+  GPtrArray *named_servers;  /* ids that the latest advice call named */
   uint32_t max_advice_calls; /* most pending advice calls */
   uint32_t last_id;          /* of the latest job */
 };
--- a/src/test_cell_load/test_load.c
+++ b/src/test_cell_load/test_load.c
@@ -192,6 +192,72 @@
   colt_fixture_destroy (fixture);
 }
 
+/* Grants tickets on all servers that the pending advice call names. */
+static void
+grant_named_servers (struct ColtLoadFixture *fixture)
+{
+  char *step = g_strdup (g_ptr_array_index (fixture->advice_calls, 0));
+  guint count = fixture->named_servers->len;
+  ColtTicket *tickets = g_new0 (ColtTicket, count);
+  ColtTicket **rows = g_new0 (ColtTicket *, count);
+  ColtAdviceReply reply = COLT_ADVICE_REPLY__INIT;
+  guint i;
+
+  for (i = 0; i < count; i++)
+    {
+      colt_ticket__init (&tickets[i]);
+      tickets[i].server = g_ptr_array_index (fixture->named_servers, i);
+      tickets[i].ticket = "ticket";
+      rows[i] = &tickets[i];
+    }
+  reply.answered = true;
+  reply.valid_ms = 1500;
+  reply.n_tickets = count;
+  reply.tickets = rows;
+  g_ptr_array_set_size (fixture->advice_calls, 0);
+  colt_cell_apply_advice (fixture->cell, step,
+                          (const char *const *)fixture->named_servers->pdata,
+                          count, &reply, fixture->now_us);
+  g_free (rows);
+  g_free (tickets);
+  g_free (step);
+}
+
+/* A wide lasting step has filled more servers than an advice call names. When
+ * another server gets room, the next call names that one rather than the full
+ * servers that are known to be suitable. */
+static void
+test_wide_lasting_step_in_full_fleet (void)
+{
+  struct ColtLoadFixture *fixture = colt_fixture_create ();
+  char id[16];
+  int i;
+
+  for (i = 0; i < 35; i++)
+    {
+      g_snprintf (id, sizeof id, "full-%d", i);
+      colt_fixture_add_server (fixture, id, 1000);
+    }
+  colt_fixture_submit (fixture, "advised", "steady", 36, true);
+  for (i = 0; i < 4; i++)
+    {
+      colt_fixture_place (fixture);
+      if (fixture->advice_calls->len > 0)
+        grant_named_servers (fixture);
+      fixture->now_us += 1000 * MS;
+    }
+  g_assert_cmpuint (fixture->starts->len, ==, 35);
+  fixture->now_us += 2000 * MS;
+  colt_fixture_add_server (fixture, "free", 1000);
+  colt_fixture_place (fixture);
+  g_assert_cmpuint (fixture->advice_calls->len, ==, 1);
+  grant_named_servers (fixture);
+  colt_fixture_place (fixture);
+  g_assert_cmpuint (fixture->starts->len, ==, 36);
+  g_assert_true (colt_fixture_was_sent_to (fixture, 35, "free"));
+  colt_fixture_destroy (fixture);
+}
+
 /* A run whose start had no reply is stopped only if the server doesn't list it
  * in a report that was requested after the start. */
 static void
@@ -246,6 +312,8 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/cell/load/wide-lasting-step-in-full-fleet",
+                   test_wide_lasting_step_in_full_fleet);
   g_test_add_func ("/cell/load/burst-beyond-link", test_burst_beyond_link);
   g_test_add_func ("/cell/load/hot-organisation", test_hot_organisation);
   g_test_add_func ("/cell/load/overload", test_overload);
