Cell: cheaper choice among advised servers, fewer lines for blocked steps

The entry of the advice table is used where it is read, steps without valid tickets aren't searched, and reasons that alternate from pass to pass are logged once.

--- a/src/cell/cell_advice.c
+++ b/src/cell/cell_advice.c
@@ -75,11 +75,28 @@
   const struct ColtCellAdvice *advice
       = g_hash_table_lookup (step->advice, server);
 
-  if (advice == NULL || !advice->suitable
-      || advice->incarnation_ms != server->incarnation_ms
-      || advice->valid_until_us < now_us + TICKET_MARGIN_US)
-    return NULL;
-  return advice;
+  return advice != NULL && colt_cell_is_suitable (advice, server, now_us)
+             ? advice
+             : NULL;
+}
+
+/* Returns whether the server may run the step; unless now_us is INT64_MIN, also
+ * whether it has a ticket that remains valid long enough. */
+bool
+colt_cell_is_suitable (const struct ColtCellAdvice *advice,
+                       const struct ColtCellServer *server,
+                       int64_t now_us)
+{
+  return advice->suitable && advice->incarnation_ms == server->incarnation_ms
+         && (now_us == INT64_MIN
+             || advice->valid_until_us >= now_us + TICKET_MARGIN_US);
+}
+
+/* Returns false if all tickets of the step have expired. */
+bool
+colt_cell_may_have_ticket (const struct ColtCellStep *step, int64_t now_us)
+{
+  return step->tickets_until_us >= now_us + TICKET_MARGIN_US;
 }
 
 /* Whether a server may run a step stays the same within an incarnation of the
@@ -328,6 +345,8 @@
       advice->ticket = g_strdup (reply->tickets[i]->ticket);
       advice->valid_until_us
           = now_us + (int64_t)reply->valid_ms * COLT_US_PER_MS;
+      step->tickets_until_us
+          = MAX (step->tickets_until_us, advice->valid_until_us);
     }
 }
 
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -31,7 +31,7 @@
 static uint32_t get_priority_ (const struct ColtCellStep *step);
 static void
 place_step_ (struct ColtCell *cell, struct ColtCellStep *step, int64_t now_us);
-static bool is_advice_block_ (enum ColtCellBlock block);
+static bool is_short_block_ (enum ColtCellBlock block);
 static void set_block_ (struct ColtCell *cell,
                         struct ColtCellStep *step,
                         enum ColtCellBlock block);
@@ -294,13 +294,15 @@
 }
 
 static bool
-is_advice_block_ (enum ColtCellBlock block)
+is_short_block_ (enum ColtCellBlock block)
 {
-  return block == BLOCK_ADVICE || block == BLOCK_NO_ADVISER;
+  return block == BLOCK_ADVICE || block == BLOCK_NO_ADVISER
+         || block == BLOCK_ORDERS;
 }
 
-/* Sets why a step is blocked and logs a new reason once. The two reasons that
- * concern advice alternate from pass to pass and are logged as one. */
+/* Sets why a step is blocked and logs a new reason once. The reasons that
+ * concern advice and the budget of starts alternate from pass to pass and are
+ * logged as one. */
 static void
 set_block_ (struct ColtCell *cell,
             struct ColtCellStep *step,
@@ -309,7 +311,7 @@
   char detail[TASK_NAME_SIZE];
 
   bool same = step->block == block
-              || (is_advice_block_ (step->block) && is_advice_block_ (block));
+              || (is_short_block_ (step->block) && is_short_block_ (block));
 
   step->block = block;
   if (same)
@@ -566,19 +568,21 @@
   struct ColtCandidate best = { NULL, 0 };
   GHashTableIter advised;
   gpointer key;
+  gpointer value;
   guint i;
 
   if (step->job->queue->config->advised)
     {
+      if (ticketed && !colt_cell_may_have_ticket (step, now_us))
+        return NULL;
       g_hash_table_iter_init (&advised, step->advice);
-      while (g_hash_table_iter_next (&advised, &key, NULL))
+      while (g_hash_table_iter_next (&advised, &key, &value))
         {
           struct ColtCellServer *server = key;
 
           if (server->pool == pool
-              && (ticketed
-                      ? colt_cell_find_ticket (step, server, now_us) != NULL
-                      : colt_cell_is_known_suitable (step, server)))
+              && colt_cell_is_suitable (value, server,
+                                        ticketed ? now_us : INT64_MIN))
             consider_server_ (&best, step, task, server, now_us);
         }
       return best.server;
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -157,6 +157,7 @@
   struct ColtResources demand; /* of each task */
   GHashTable *advice; /* struct ColtCellServer -> struct ColtCellAdvice */
   bool advice_pending;
+  int64_t tickets_until_us;  /* latest end of a ticket */
   int64_t next_advice_us;    /* earliest time of the next advice call */
   uint32_t fruitless_calls;  /* advice calls since a start was last planned, up
                                 to a limit; sets the pause between calls */
@@ -390,6 +391,11 @@
                                struct ColtCellStep *step,
                                const struct ColtCellPool *pool,
                                int64_t now_us);
+bool colt_cell_may_have_ticket (const struct ColtCellStep *step,
+                                int64_t now_us);
+bool colt_cell_is_suitable (const struct ColtCellAdvice *advice,
+                            const struct ColtCellServer *server,
+                            int64_t now_us);
 bool colt_cell_is_known_suitable (const struct ColtCellStep *step,
                                   const struct ColtCellServer *server);
 bool colt_cell_is_known_unsuitable (const struct ColtCellStep *step,
