Leader: a changed address alone doesn't end a server's runs

Cause: an entry with another address ended all runs of its server at once, whatever its start; they could go on at the former address. Change: the link is replaced if the entry shows a later start than any known, or if nothing may run there; otherwise it is kept and this is logged. Test scheduler/lead/changed-address, guard address.

--- a/include/coltsfootstile/cell.h
+++ b/include/coltsfootstile/cell.h
@@ -379,6 +379,15 @@
  * cell has no record of. */
 size_t colt_cell_count_runs (const struct ColtCell *cell, const char *server);
 
+/** Returns whether a server has runs, or may have some under orders of an
+ * earlier leader. */
+bool colt_cell_may_have_runs (const struct ColtCell *cell, const char *server);
+
+/** Returns the latest known start of a server's incarnation, in Unix
+ * milliseconds; 0: not known. */
+int64_t colt_cell_incarnation_ms (const struct ColtCell *cell,
+                                  const char *server);
+
 /**
  * Sets how many starts may be planned from now on; initially UINT32_MAX. Plans
  * that can't be sent soon would use up room and the validity of tickets, and
--- a/include/coltsfootstile/guard.h
+++ b/include/coltsfootstile/guard.h
@@ -32,7 +32,8 @@
   /** Runs of a restarted server end by the report of its new incarnation. */
   COLT_GUARD_RESTART_REPORT,
   COLT_GUARD_LOST_ORDERS, /**< starts of lost runs aren't sent any more */
-  COLT_GUARD_COUNT        /**< number of guards, not a guard */
+  COLT_GUARD_ADDRESS, /**< a link is kept while runs may be at its address */
+  COLT_GUARD_COUNT    /**< number of guards, not a guard */
 };
 
 /** Names of enum ColtGuard, indexed by it. */
--- a/src/cell/cell_servers.c
+++ b/src/cell/cell_servers.c
@@ -289,6 +289,24 @@
   return server != NULL ? server->runs->len + server->foreign_runs : 0;
 }
 
+bool
+colt_cell_may_have_runs (const struct ColtCell *cell, const char *id)
+{
+  const struct ColtCellServer *server = colt_cell_find_server (cell, id);
+
+  return server != NULL
+         && (server->runs->len + server->foreign_runs > 0
+             || (!cell->settled && server->awaited));
+}
+
+int64_t
+colt_cell_incarnation_ms (const struct ColtCell *cell, const char *id)
+{
+  const struct ColtCellServer *server = colt_cell_find_server (cell, id);
+
+  return server != NULL ? server->incarnation_ms : 0;
+}
+
 /* Marks the orders of earlier leaders as reconciled once each server that may
  * have got one has reported or lost its leases, at the latest at
  * settle_deadline_us, when all those leases must have expired. */
--- a/src/scheduler/leader.c
+++ b/src/scheduler/leader.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "coltsfootstile/guard.h"
 #include "leader_private.h"
 #include "order_window.h"
 
@@ -61,6 +62,9 @@
                                    const struct ColtLogRecord *record);
 static void unlist_missing_servers_ (void *client);
 static void update_server_ (void *client, const struct ColtServerEntry *entry);
+static bool may_replace_link_ (const struct ColtLeader *leader,
+                               const struct ColtServerLink *link,
+                               const struct ColtServerEntry *entry);
 static void unlist_server_ (struct ColtLeader *leader, const char *id);
 static void handle_report_ (void *client,
                             struct ColtServerLink *link,
@@ -426,6 +430,14 @@
   if (link != NULL
       && strcmp (colt_server_link_address (link), entry->address) != 0)
     {
+      if (!may_replace_link_ (leader, link, entry))
+        {
+          colt_log (COLT_LOG_WARNING, MODULE, NULL,
+                    "the entry of server %s has another address, %s, but no "
+                    "later start; keeping %s while it may have runs",
+                    entry->id, entry->address, colt_server_link_address (link));
+          return;
+        }
       colt_cell_end_server_runs (leader->cell, entry->id,
                                  colt_clock_monotonic_us ());
       g_hash_table_remove (leader->links, entry->id);
@@ -442,6 +454,19 @@
   colt_server_link_set_listed (link, true);
 }
 
+/* Only a later start is evidence that nothing runs at the former address. */
+static bool
+may_replace_link_ (const struct ColtLeader *leader,
+                   const struct ColtServerLink *link,
+                   const struct ColtServerEntry *entry)
+{
+  return !colt_guard_on (COLT_GUARD_ADDRESS)
+         || entry->incarnation_ms
+                > MAX (colt_server_link_incarnation_ms (link),
+                       colt_cell_incarnation_ms (leader->cell, entry->id))
+         || !colt_cell_may_have_runs (leader->cell, entry->id);
+}
+
 static void
 unlist_server_ (struct ColtLeader *leader, const char *id)
 {
--- a/src/test_scheduler/fake_ports.c
+++ b/src/test_scheduler/fake_ports.c
@@ -395,7 +395,7 @@
 }
 
 /* Decodes any record as the entry of a ready server whose id is the record's
- * key. */
+ * key, and whose address is its value. */
 static bool
 decode_server (void *adapter,
                const struct ColtLogRecord *record,
@@ -403,16 +403,19 @@
                void *client,
                struct ColtError *error)
 {
+  const struct ColtFakePorts *fake = adapter;
   struct ColtServerEntry entry = { 0 };
+  char *address = g_strndup ((const char *)record->value, record->size);
 
-  (void)adapter;
   (void)error;
   entry.id = record->key;
   entry.service = "service";
-  entry.address = "127.0.0.1:1";
+  entry.address = address;
   entry.zone = "zone";
   entry.ready = true;
+  entry.incarnation_ms = fake->entry_incarnation_ms;
   handler (client, &entry);
+  g_free (address);
   return true;
 }
 
--- a/src/test_scheduler/fake_ports.h
+++ b/src/test_scheduler/fake_ports.h
@@ -31,9 +31,10 @@
   uint64_t epoch;    /* of the last append with a producer */
   uint64_t sequence; /* of the last append with a producer */
   enum ColtFakeFault fault;
-  uint32_t appends;         /* calls so far */
-  int64_t last_append_us;   /* when the last one was called */
-  uint32_t immediate_reads; /* calls so far of reads without a wait */
+  uint32_t appends;             /* calls so far */
+  int64_t last_append_us;       /* when the last one was called */
+  uint32_t immediate_reads;     /* calls so far of reads without a wait */
+  int64_t entry_incarnation_ms; /* of servers' entries */
   struct ColtServerAnswer server_answer; /* to each call to a server */
   struct ColtServerRenewal last_renewal; /* received by a server */
   uint32_t renewals;                     /* received so far */
--- a/src/test_scheduler/test_leader.c
+++ b/src/test_scheduler/test_leader.c
@@ -148,6 +148,28 @@
   destroy_fixture (fixture);
 }
 
+/* An entry with another address but the same start doesn't show that runs at
+ * the former address have ended. One with a later start does. */
+static void
+test_changed_address (void)
+{
+  struct ColtLeaderFixture *fixture = create_fixture ();
+  struct ColtFakePorts *fake = fixture->fake;
+
+  fake->entry_incarnation_ms = 1;
+  colt_fake_ports_put (fake, COLT_TOPIC_SERVERS, "server", "127.0.0.2:1");
+  colt_fake_ports_run (fake, 300);
+  g_assert_cmpuint (fake->starts, ==, 1);
+  g_assert_cmpuint (fake->stops, ==, 0);
+  fake->entry_incarnation_ms = 2;
+  fake->server_answer.incarnation_ms = 2;
+  fake->server_answer.report.running_count = 0;
+  colt_fake_ports_put (fake, COLT_TOPIC_SERVERS, "server", "127.0.0.3:1");
+  colt_fake_ports_run (fake, 500);
+  g_assert_cmpuint (fake->starts, >=, 2);
+  destroy_fixture (fixture);
+}
+
 /* Waiting queries for a job's state are answered when the leader is destroyed.
  */
 static void
@@ -168,6 +190,7 @@
 colt_test_leader_add (void)
 {
   g_test_add_func ("/scheduler/lead/short-leases", test_short_leases);
+  g_test_add_func ("/scheduler/lead/changed-address", test_changed_address);
   g_test_add_func ("/scheduler/lead/state-waits", test_state_waits);
   g_test_add_func ("/scheduler/lead/state-at-end", test_state_at_end);
 }
