Callers: no rejection once a leader may have accepted the job

Change: after an attempt that may have been accepted, every rejection is answered as uncertain, in one place. Test scheduler/callers/rejection-after-lost-answer. The server channels of the tests' ports end their calls when closed, as the adapter's do.

--- a/src/scheduler/callers.c
+++ b/src/scheduler/callers.c
@@ -286,11 +286,6 @@
   answer.kind = (enum ColtAnswerKind)reply->answer;
   answer.state = (enum ColtJobState)reply->state;
   answer.retry_after_ms = reply->retry_after_ms;
-  /* Another leader may have accepted an earlier attempt. */
-  if (request->maybe_applied && request->kind == COLT_CALLER_SUBMIT
-      && (answer.kind == COLT_ANSWER_NOT_ACCEPTED
-          || answer.kind == COLT_ANSWER_LIMITED))
-    answer.kind = COLT_ANSWER_UNCERTAIN;
   answer_request_ (request, &answer);
 }
 
@@ -327,12 +322,36 @@
   answer_request_ (request, &answer);
 }
 
+enum ColtAnswerKind
+colt_scheduler_final_answer (enum ColtCallerKind kind,
+                             enum ColtAnswerKind answer,
+                             bool maybe_applied)
+{
+  if (kind != COLT_CALLER_SUBMIT || !maybe_applied)
+    return answer;
+  switch (answer)
+    {
+    case COLT_ANSWER_NOT_ACCEPTED:
+    case COLT_ANSWER_LIMITED:
+    case COLT_ANSWER_NO_QUEUE:
+    case COLT_ANSWER_UNAUTHORIZED:
+    case COLT_ANSWER_INVALID:
+      return COLT_ANSWER_UNCERTAIN;
+    default:
+      return answer;
+    }
+}
+
 static void
 answer_request_ (struct ColtRequest *request,
-                 const struct ColtCallerAnswer *answer)
+                 const struct ColtCallerAnswer *proposed)
 {
   struct ColtScheduler *scheduler = request->scheduler;
+  struct ColtCallerAnswer final = *proposed;
+  const struct ColtCallerAnswer *answer = &final;
 
+  final.kind = colt_scheduler_final_answer (request->kind, proposed->kind,
+                                            request->maybe_applied);
   if (answer->kind == COLT_ANSWER_NOT_ACCEPTED
       || answer->kind == COLT_ANSWER_LIMITED)
     colt_metrics_count (scheduler->metrics, METRIC_REJECTED);
--- a/src/scheduler/private/scheduler_private.h
+++ b/src/scheduler/private/scheduler_private.h
@@ -23,6 +23,12 @@
 /* Returns the number of the instance at IP:PORT: its IPv4 address in host byte
  * order, or 1 if the address contains none. */
 uint32_t colt_scheduler_instance_number (const char *address);
+/* Returns the answer to a request for which an answer is proposed. A rejection
+ * says that the job never runs; after an attempt that a leader may have
+ * accepted nothing can say so, whatever the newest configuration allows. */
+enum ColtAnswerKind colt_scheduler_final_answer (enum ColtCallerKind kind,
+                                                 enum ColtAnswerKind answer,
+                                                 bool maybe_applied);
 /* Returns how long a leader that was named by the one before it leads before it
  * may yield because it is slow, given how long the one before it led. */
 int64_t colt_scheduler_yield_after_us (int64_t previous_led_us);
--- a/src/test_scheduler/fake_ports.c
+++ b/src/test_scheduler/fake_ports.c
@@ -22,6 +22,7 @@
 struct ColtServerChannel
 {
   struct ColtFakePorts *fake;
+  bool closed; /* its open calls end without a callback */
 };
 
 struct ColtFakeCall
@@ -43,6 +44,7 @@
 struct ColtFakeServerCall
 {
   struct ColtFakePorts *fake;
+  struct ColtServerChannel *channel;
   enum ColtStartResult result;
   ColtServerCallDone done;
   void *client;
@@ -295,13 +297,14 @@
   (void)address;
   (void)id;
   channel->fake = adapter;
+  g_ptr_array_add (channel->fake->server_channels, channel);
   return channel;
 }
 
 static void
 server_close (struct ColtServerChannel *channel)
 {
-  g_free (channel);
+  channel->closed = true;
 }
 
 static void
@@ -315,7 +318,8 @@
   out.result = call->result;
   out.received_us = colt_clock_monotonic_us ();
   out.clock_ms = out.received_us / COLT_US_PER_MS;
-  call->done (call->client, &out);
+  if (!call->channel->closed)
+    call->done (call->client, &out);
   g_hash_table_remove (call->fake->calls, call);
 }
 
@@ -329,6 +333,7 @@
   struct ColtFakeServerCall *call = g_new0 (struct ColtFakeServerCall, 1);
 
   call->fake = channel->fake;
+  call->channel = channel;
   call->result = result;
   call->done = done;
   call->client = client;
@@ -436,6 +441,7 @@
 
   fake->base = event_base_new ();
   fake->log_calls = g_hash_table_new (g_direct_hash, g_direct_equal);
+  fake->server_channels = g_ptr_array_new_with_free_func (g_free);
   fake->calls
       = g_hash_table_new_full (g_direct_hash, g_direct_equal, g_free, NULL);
   for (i = 0; i <= COLT_TOPIC_JOBS; i++)
@@ -467,6 +473,7 @@
 
   event_base_free (fake->base);
   g_hash_table_unref (fake->log_calls);
+  g_ptr_array_unref (fake->server_channels);
   g_hash_table_unref (fake->calls);
   for (i = 0; i <= COLT_TOPIC_JOBS; i++)
     g_array_unref (fake->topics[i]);
--- a/src/test_scheduler/fake_ports.h
+++ b/src/test_scheduler/fake_ports.h
@@ -46,7 +46,8 @@
    * result of server_answer. */
   const enum ColtStartResult *start_results;
   uint32_t start_result_count;
-  GHashTable *calls;     /* open calls; freed on removal */
+  GHashTable *calls;          /* open calls; freed on removal */
+  GPtrArray *server_channels; /* freed with the fake */
   GHashTable *log_calls; /* open calls to the log, which are in calls too */
 };
 
--- a/src/test_scheduler/tests.h
+++ b/src/test_scheduler/tests.h
@@ -9,5 +9,6 @@
 void colt_test_leader_add (void);
 void colt_test_members_add (void);
 void colt_test_window_add (void);
+void colt_test_callers_add (void);
 
 #endif
