Cell: room first in advice calls for lasting steps only

Cause: with room first for all steps but gangs, calls of short tasks name unknown servers in place of suitable ones that soon have room again. The fault that room first mends was seen with lasting steps only. Change: only lasting steps name servers with room first.

--- a/src/cell/cell_advice.c
+++ b/src/cell/cell_advice.c
@@ -469,8 +469,8 @@
 }
 
 /* Lists the usable servers of a pool that aren't known to be unsuitable for a
- * step, for a gang first those that are known to be suitable, since it needs
- * many at once; otherwise first those with room. */
+ * step: first those that are known to be suitable, as even full ones soon have
+ * room again for tasks that end; for lasting tasks first those with room. */
 static GArray *
 sort_candidates_ (const struct ColtCellStep *step,
                   const struct ColtCellPool *pool,
@@ -496,9 +496,9 @@
       candidate.score = (double)used->amount[COLT_RESOURCE_CORES]
                         / (double)(room->amount[COLT_RESOURCE_CORES] + 1);
       if (colt_cell_fits (step, candidate.server))
-        candidate.score += step->spec->gang ? 2 : 4;
+        candidate.score += step->spec->lasting ? 4 : 2;
       if (known)
-        candidate.score += step->spec->gang ? 4 : 2;
+        candidate.score += step->spec->lasting ? 2 : 4;
       candidate.score -= MIN (colt_cell_slowness (candidate.server), 2);
       g_array_append_val (candidates, candidate);
     }
