--- a/src/scheduler/order_window.c
+++ b/src/scheduler/order_window.c
@@ -116,8 +116,8 @@
     {
       window->lost_in_row++;
       if (window->lost_in_row >= LOST_IN_ROW
-          || window->smoothed_us
-                 > (double)(window->shortest_us + QUEUEING_MAX_US / 2))
+          || window->smoothed_us - (double)window->shortest_us
+                 > QUEUEING_MAX_US / 2.0)
         shrink_ (window, LOST_FACTOR, took_us, now_us);
     }
   else
