Leader: log where its time goes, once a second

The event 'leader load' gives, for each second, the time spent on periodic checks, passes, reports, orders, records, advice and callers, the delay of the loop's timer, passes without a budget, tickets that expired before their start was sent, lost orders, and the order window. It is a warning while the loop is late, so that it isn't dropped with lines of the level info.

--- a/include/coltsfootstile/cell.h
+++ b/include/coltsfootstile/cell.h
@@ -482,7 +482,10 @@
   uint64_t open_steps; /**< gauge: steps with tasks that may be started */
   uint64_t runs;    /**< gauge: planned, starting, running or stopping runs */
   uint64_t servers; /**< gauge: servers, listed or not */
-  uint64_t started; /**< starts that were accepted */
+  uint64_t planned; /**< runs that were planned */
+  uint64_t expired_tickets; /**< planned runs that weren't ordered, as their
+                                 tickets had expired */
+  uint64_t started;         /**< starts that were accepted */
   uint64_t ended[COLT_RUN_ALONE + 1]; /**< ended runs, by enum ColtRunEnd */
   uint64_t refused_starts; /**< starts with another result than accepted */
   uint64_t moved;    /**< stragglers that were stopped to start elsewhere */
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -144,6 +144,8 @@
       || !has_room_for_ (step, run->server, false)
       || (advice == NULL && step->job->queue->config->advised))
     {
+      if (advice == NULL && step->job->queue->config->advised)
+        cell->stats.expired_tickets++;
       colt_cell_end_run (cell, run, COLT_RUN_STOPPED, NULL, now_us);
       return;
     }
@@ -263,6 +265,7 @@
 {
   colt_cell_add_run (cell, task, server, number, now_us);
   cell->start_budget -= MIN (cell->start_budget, 1);
+  cell->stats.planned++;
   task->step->fruitless_calls = 0;
   task->step->next_advice_us = 0;
 }
--- a/src/scheduler/commit.c
+++ b/src/scheduler/commit.c
@@ -1,3 +1,4 @@
+#include "load_meter.h"
 #include "scheduler_private.h"
 
 /* Time to gather changes for a batch, unless a caller waits for them. */
@@ -29,6 +30,7 @@
   struct event *timer;
   struct ColtCommitClient client;
   struct ColtMetrics *metrics;
+  struct ColtLoadMeter *meter; /* may be NULL */
   uint64_t term;
   uint64_t sequence;
   GArray *records;       /* of the open batch; NULL: none */
@@ -47,6 +49,7 @@
 static void handle_answer_ (void *client, const struct ColtLogAnswer *answer);
 static void complete_batch_ (struct ColtCommit *commit);
 static void notify_waiters_ (GArray *waiters, bool durable);
+static void add_time_ (struct ColtCommit *commit, int64_t began_us);
 
 struct ColtCommit *
 colt_commit_create (struct event_base *base,
@@ -54,7 +57,8 @@
                     struct ColtCell *cell,
                     uint64_t term,
                     const struct ColtCommitClient *client,
-                    struct ColtMetrics *metrics)
+                    struct ColtMetrics *metrics,
+                    struct ColtLoadMeter *meter)
 {
   struct ColtCommit *commit = g_new0 (struct ColtCommit, 1);
 
@@ -62,6 +66,7 @@
   commit->cell = cell;
   commit->term = term;
   commit->metrics = metrics;
+  commit->meter = meter;
   commit->next_linger_ms = LINGER_MS;
   commit->client = *client;
   commit->channel = ports->log_open (ports->adapter);
@@ -146,8 +151,11 @@
     return;
   if (commit->records == NULL)
     {
+      int64_t began_us = colt_clock_monotonic_us ();
+
       commit->records = colt_cell_take_records (
           commit->cell, BATCH_BYTES, colt_clock_wall_us () / COLT_US_PER_MS);
+      add_time_ (commit, began_us);
       commit->batch_sent_us = colt_clock_monotonic_us ();
       /* Changes of a waiter may be among those left over for a later batch. */
       if (!colt_cell_has_changes (commit->cell))
@@ -240,10 +248,12 @@
 complete_batch_ (struct ColtCommit *commit)
 {
   GArray *waiters = commit->batch_waiters;
+  int64_t began_us = colt_clock_monotonic_us ();
 
   colt_cell_free_records (commit->records);
   commit->records = NULL;
-  colt_cell_confirm_batch (commit->cell, colt_clock_monotonic_us ());
+  colt_cell_confirm_batch (commit->cell, began_us);
+  add_time_ (commit, began_us);
   commit->batch_waiters
       = g_array_new (FALSE, FALSE, sizeof (struct ColtWaiter));
   notify_waiters_ (waiters, true);
@@ -269,3 +279,10 @@
     }
   g_array_unref (waiters);
 }
+
+static void
+add_time_ (struct ColtCommit *commit, int64_t began_us)
+{
+  if (commit->meter != NULL)
+    colt_load_meter_add (commit->meter, LOAD_RECORDS, began_us);
+}
--- a/src/scheduler/leader.c
+++ b/src/scheduler/leader.c
@@ -56,6 +56,7 @@
                            const char *what,
                            const char *detail);
 static void tick_ (evutil_socket_t fd, short what, void *arg);
+static void log_load_ (struct ColtLeader *leader, int64_t now_us);
 static void run_placement_ (evutil_socket_t fd, short what, void *arg);
 static void schedule_placement_ (struct ColtLeader *leader);
 static void handle_server_record_ (void *client,
@@ -125,7 +126,7 @@
   leader->place_pause_us = PLACE_PAUSE_MS * COLT_US_PER_MS;
   leader->cell = colt_cell_create (&cell_ops, leader, &limits, (uint32_t)term);
   leader->commit = colt_commit_create (base, ports, leader->cell, term,
-                                       &commit_client, metrics);
+                                       &commit_client, metrics, &leader->meter);
   leader->load_channel = ports->log_open (ports->adapter);
   leader->window = colt_order_window_create ();
   leader->links
@@ -189,10 +190,13 @@
                            const ColtAdviceCall *call,
                            const ColtAdviceReply *reply)
 {
+  int64_t began_us = colt_clock_monotonic_us ();
+
   colt_cell_apply_advice (leader->cell, call->step,
                           (const char *const *)call->servers, call->n_servers,
-                          reply, colt_clock_monotonic_us ());
+                          reply, began_us);
   schedule_placement_ (leader);
+  colt_load_meter_add (&leader->meter, LOAD_ADVICE, began_us);
 }
 
 struct ColtCell *
@@ -298,7 +302,10 @@
   call.step = (char *)step;
   call.servers = (char **)servers;
   call.n_servers = count;
-  return leader->client.send_advice_call (leader->client.client, &call);
+  if (!leader->client.send_advice_call (leader->client.client, &call))
+    return false;
+  leader->advice_calls++;
+  return true;
 }
 
 static void
@@ -339,6 +346,27 @@
   colt_leader_expire_calls (leader, now_us);
   colt_leader_answer_state_calls (leader, now_us);
   schedule_placement_ (leader);
+  colt_load_meter_add (&leader->meter, LOAD_TICK, now_us);
+  log_load_ (leader, now_us);
+}
+
+static void
+log_load_ (struct ColtLeader *leader, int64_t now_us)
+{
+  struct ColtLoadState state = { 0 };
+  struct ColtCellStats stats;
+
+  colt_cell_get_stats (leader->cell, &stats);
+  state.open_steps = stats.open_steps;
+  state.runs = stats.runs;
+  state.planned = stats.planned;
+  state.started = stats.started;
+  state.expired_tickets = stats.expired_tickets;
+  state.lost_orders = colt_order_window_lost (leader->window);
+  state.advice_calls = leader->advice_calls;
+  state.window_bytes = colt_order_window_limit (leader->window);
+  colt_load_meter_tick (&leader->meter, TICK_MS * COLT_US_PER_MS, &state,
+                        now_us);
 }
 
 static void
@@ -346,17 +374,18 @@
 {
   struct ColtLeader *leader = arg;
   int64_t began_us = colt_clock_monotonic_us ();
+  uint32_t budget = colt_order_window_budget (leader->window);
   int64_t took_us;
 
   (void)fd;
   (void)what;
   if (leader->phase != PHASE_SERVING)
     return;
-  colt_cell_set_start_budget (leader->cell,
-                              colt_order_window_budget (leader->window));
+  colt_cell_set_start_budget (leader->cell, budget);
   colt_cell_place_tasks (leader->cell, began_us,
                          colt_clock_wall_us () / COLT_US_PER_MS);
-  took_us = colt_clock_monotonic_us () - began_us;
+  colt_load_meter_count_pass (&leader->meter, budget);
+  took_us = colt_load_meter_add (&leader->meter, LOAD_PLACEMENT, began_us);
   leader->place_pause_us
       = CLAMP (PLACE_PAUSE_FACTOR * took_us, PLACE_PAUSE_MS * COLT_US_PER_MS,
                PLACE_PAUSE_MAX_MS * COLT_US_PER_MS);
@@ -493,10 +522,12 @@
                 const struct ColtServerReport *report)
 {
   struct ColtLeader *leader = client;
+  int64_t began_us = colt_clock_monotonic_us ();
   struct ColtPendingEnds *ends;
 
   colt_cell_apply_report (leader->cell, colt_server_link_id (link), report,
-                          colt_clock_monotonic_us ());
+                          began_us);
+  colt_load_meter_add (&leader->meter, LOAD_REPORTS, began_us);
   schedule_placement_ (leader);
   if (report->finished_count == 0)
     return;
@@ -530,10 +561,11 @@
                       uint64_t next_call)
 {
   struct ColtLeader *leader = client;
+  int64_t began_us = colt_clock_monotonic_us ();
 
   colt_cell_apply_start_result (leader->cell, colt_server_link_id (link), task,
-                                run, result, next_call,
-                                colt_clock_monotonic_us ());
+                                run, result, next_call, began_us);
+  colt_load_meter_add (&leader->meter, LOAD_ORDERS, began_us);
   if (result != COLT_START_TAKEN)
     schedule_placement_ (leader);
 }
@@ -547,10 +579,11 @@
                      uint64_t next_call)
 {
   struct ColtLeader *leader = client;
+  int64_t began_us = colt_clock_monotonic_us ();
 
   colt_cell_apply_stop_result (leader->cell, colt_server_link_id (link), task,
-                               run, answered, next_call,
-                               colt_clock_monotonic_us ());
+                               run, answered, next_call, began_us);
+  colt_load_meter_add (&leader->meter, LOAD_ORDERS, began_us);
 }
 
 static void
--- a/src/scheduler/leader_calls.c
+++ b/src/scheduler/leader_calls.c
@@ -76,6 +76,7 @@
                          void *client)
 {
   ColtCallerReply retry_reply = COLT_CALLER_REPLY__INIT;
+  int64_t began_us = colt_clock_monotonic_us ();
 
   if (leader->phase != PHASE_SERVING)
     {
@@ -87,13 +88,14 @@
     submit_job_ (leader, call, reply, client);
   else if (call->kind == COLT_CALLER_CANCEL)
     {
-      if (colt_cell_cancel (leader->cell, call->id, colt_clock_monotonic_us ()))
+      if (colt_cell_cancel (leader->cell, call->id, began_us))
         reply_when_durable_ (leader, call, reply, client);
       else
         send_reply_ (reply, client, COLT_ANSWER_NO_JOB, 0, 0);
     }
   else
     query_state_ (leader, call->id, reply, client);
+  colt_load_meter_add (&leader->meter, LOAD_CALLERS, began_us);
 }
 
 void
--- a/src/scheduler/order_window.c
+++ b/src/scheduler/order_window.c
@@ -38,6 +38,7 @@
   double mean_bytes; /* of an order */
   bool doubling;     /* initially */
   uint32_t lost_in_row;
+  uint64_t lost; /* orders without an answer */
   int64_t shortest_us;
   double smoothed_us;
   int64_t shrunk_us; /* when the window was last reduced */
@@ -114,6 +115,7 @@
   window->mean_bytes += TIME_WEIGHT * ((double)bytes - window->mean_bytes);
   if (!answered)
     {
+      window->lost++;
       window->lost_in_row++;
       if (window->lost_in_row >= LOST_IN_ROW
           || window->smoothed_us - (double)window->shortest_us
@@ -160,6 +162,12 @@
   return bytes > 0 ? (uint32_t)ceil (bytes / window->mean_bytes) : 0;
 }
 
+uint64_t
+colt_order_window_lost (const struct ColtOrderWindow *window)
+{
+  return window->lost;
+}
+
 size_t
 colt_order_window_limit (const struct ColtOrderWindow *window)
 {
--- a/src/scheduler/private/leader_private.h
+++ b/src/scheduler/private/leader_private.h
@@ -3,6 +3,7 @@
 #define COLT_LEADER_PRIVATE_H
 
 #include "lag.h"
+#include "load_meter.h"
 #include "scheduler_private.h"
 
 enum ColtLeaderPhase
@@ -27,6 +28,8 @@
   struct ColtLogChannel *load_channel; /* for fencing and loading */
   struct event *timer;
   struct ColtLag lag; /* of timer */
+  struct ColtLoadMeter meter;
+  uint64_t advice_calls; /* made for the cell */
   struct event *place_timer;
   int64_t place_pause_us;         /* before the next pass */
   struct event *retry_timer;      /* for fencing and loading */
--- a/src/scheduler/private/order_window.h
+++ b/src/scheduler/private/order_window.h
@@ -47,6 +47,8 @@
  * the time in which the next ones are planned: the backlog then stays below a
  * window. */
 uint32_t colt_order_window_budget (const struct ColtOrderWindow *window);
+/* Returns how many orders have ended without an answer. */
+uint64_t colt_order_window_lost (const struct ColtOrderWindow *window);
 /* Returns the limit in bytes. */
 size_t colt_order_window_limit (const struct ColtOrderWindow *window);
 
--- a/src/scheduler/private/scheduler_private.h
+++ b/src/scheduler/private/scheduler_private.h
@@ -122,6 +122,7 @@
 /* ---- commit.c: makes a cell's changes durable ---- */
 
 struct ColtCommit;
+struct ColtLoadMeter;
 
 typedef void (*ColtCommitDone) (void *client, bool durable);
 
@@ -135,12 +136,14 @@
   void *client;
 };
 
+/* meter: gets the time that batches take; may be NULL. */
 struct ColtCommit *colt_commit_create (struct event_base *base,
                                        const struct ColtPorts *ports,
                                        struct ColtCell *cell,
                                        uint64_t term,
                                        const struct ColtCommitClient *client,
-                                       struct ColtMetrics *metrics);
+                                       struct ColtMetrics *metrics,
+                                       struct ColtLoadMeter *meter);
 void colt_commit_destroy (struct ColtCommit *commit);
 /* Schedules a batch with the cell's changes, to be sent in at most within_ms
  * unless another batch is open. */
--- a/src/test_scheduler/test_commit.c
+++ b/src/test_scheduler/test_commit.c
@@ -112,8 +112,8 @@
   const struct ColtCommitClient client = { on_committed, on_fenced, &counts };
   struct ColtMetrics *metrics = colt_metrics_create ();
   struct ColtCell *cell = make_cell ();
-  struct ColtCommit *commit = colt_commit_create (fake->base, &fake->ports,
-                                                  cell, 1, &client, metrics);
+  struct ColtCommit *commit = colt_commit_create (
+      fake->base, &fake->ports, cell, 1, &client, metrics, NULL);
 
   submit (cell, "0000000000000001");
   fake->fault = FAULT_LOST_ANSWERS;
@@ -144,8 +144,8 @@
   const struct ColtCommitClient client = { on_committed, on_fenced, &counts };
   struct ColtMetrics *metrics = colt_metrics_create ();
   struct ColtCell *cell = make_cell ();
-  struct ColtCommit *commit = colt_commit_create (fake->base, &fake->ports,
-                                                  cell, 1, &client, metrics);
+  struct ColtCommit *commit = colt_commit_create (
+      fake->base, &fake->ports, cell, 1, &client, metrics, NULL);
 
   fake->epoch = 2;
   submit (cell, "0000000000000001");
--- a/src/test_scheduler/test_scheduler.c
+++ b/src/test_scheduler/test_scheduler.c
@@ -11,6 +11,7 @@
   colt_test_commit_add ();
   colt_test_link_add ();
   colt_test_leader_add ();
+  colt_test_load_meter_add ();
   colt_test_members_add ();
   colt_test_window_add ();
   colt_test_callers_add ();
