Scheduler: an overloaded leader doesn't yield

With all instances at half speed the leader yielded to one of the same strength in the middle of the overload: its timer was late, which counted as a slow machine. The change of the leader left 523 steps blocked as unsettled and cost two seconds in which hardly anything started.

A late timer doesn't tell a slow machine from too much load. Each instance now measures the speed of its machine by a fixed amount of work, reports its strength at that speed, and a leader yields for slowness only if its machine is slow and its loop is late.

--- a/src/scheduler/private/scheduler_state.h
+++ b/src/scheduler/private/scheduler_state.h
@@ -4,6 +4,7 @@
 
 #include "members.h"
 #include "scheduler_private.h"
+#include "speed_probe.h"
 
 struct ColtScheduler
 {
@@ -19,6 +20,7 @@
   struct ColtMembers *members;
   struct ColtAdviserChannel *adviser;
   struct event *heartbeat_timer;
+  struct ColtSpeedProbe speed_probe;
   struct event *stop_timer;
   struct ColtMetrics *metrics;
   GHashTable *waiting_counts; /* queue -> waiting jobs, from the leader */
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -44,6 +44,7 @@
 static void send_heartbeat_ (evutil_socket_t fd, short what, void *arg);
 static void confirm_leadership_ (struct ColtScheduler *scheduler,
                                  int64_t now_us);
+static double present_strength_ (const struct ColtScheduler *scheduler);
 static void yield_if_weak_ (struct ColtScheduler *scheduler, int64_t now_us);
 static void handle_heartbeat_reply_ (void *client,
                                      enum ColtWireResult result,
@@ -291,6 +292,7 @@
 
   (void)fd;
   (void)what;
+  colt_speed_probe_measure (&scheduler->speed_probe);
   if (scheduler->leader != NULL)
     {
       confirm_leadership_ (scheduler, now_us);
@@ -308,7 +310,7 @@
   /* A stopping instance must not become the leader. */
   heartbeat.strength_milli
       = scheduler->stopping ? 0
-                            : (uint32_t)(scheduler->settings.strength * 1000);
+                            : (uint32_t)(present_strength_ (scheduler) * 1000);
   heartbeat.log_age_ms
       = (uint32_t)MIN (age_us / COLT_US_PER_MS, UINT32_MAX / 2);
   colt_wire_call (scheduler->wire, instance, MESSAGE_HEARTBEAT, body,
@@ -332,8 +334,19 @@
       colt_members_count_advisers (scheduler->members, now_us));
 }
 
+/* Returns the strength at the present speed of the machine. */
+static double
+present_strength_ (const struct ColtScheduler *scheduler)
+{
+  return scheduler->settings.strength
+         * colt_speed_probe_speed (&scheduler->speed_probe);
+}
+
 /* Yields leadership to a much stronger instance. A change of the leader takes
- * less than a second; a weak or slow leader costs more in the long run. */
+ * less than a second; a weak or slow leader costs more in the long run. A
+ * leader counts as slow if its machine is slow and its loop is late: a late
+ * loop on a fast machine has more load than any instance of its strength can
+ * handle. */
 static void
 yield_if_weak_ (struct ColtScheduler *scheduler, int64_t now_us)
 {
@@ -347,7 +360,8 @@
     return;
   if (strongest < YIELD_FACTOR * strength)
     {
-      strength *= colt_leader_speed (scheduler->leader);
+      strength *= MAX (colt_speed_probe_speed (&scheduler->speed_probe),
+                       colt_leader_speed (scheduler->leader));
       if (strongest < YIELD_SLOW_FACTOR * strength
           || (colt_election_was_named (scheduler->election)
               && leader_for_us < colt_scheduler_yield_after_us (
@@ -358,9 +372,10 @@
     return;
   colt_log (COLT_LOG_INFO, MODULE, NULL,
             "yielding leadership: own strength %.3f at relative speed %.2f, "
-            "strongest member %.3f",
-            scheduler->settings.strength, colt_leader_speed (scheduler->leader),
-            strongest);
+            "relative speed of the loop %.2f, strongest member %.3f",
+            scheduler->settings.strength,
+            colt_speed_probe_speed (&scheduler->speed_probe),
+            colt_leader_speed (scheduler->leader), strongest);
 }
 
 int64_t
--- a/src/test_scheduler/test_members.c
+++ b/src/test_scheduler/test_members.c
@@ -1,6 +1,7 @@
 #include "lag.h"
 #include "members.h"
 #include "scheduler_private.h"
+#include "speed_probe.h"
 
 #include <glib.h>
 
@@ -31,6 +32,30 @@
   g_assert_cmpfloat (colt_lag_speed (&lag), >, 0.9);
 }
 
+/* A machine that has become slow shows in most samples; a process that was
+ * suspended, or whose clock stood still, in a few. The load of the process,
+ * which makes timers late, doesn't count: an overloaded leader must not yield
+ * to an instance of the same strength. */
+static void
+test_speed (void)
+{
+  struct ColtSpeedProbe probe = { 0 };
+  int i;
+
+  g_assert_cmpfloat (colt_speed_probe_speed (&probe), ==, 1);
+  for (i = 0; i < 20; i++)
+    colt_speed_probe_add (&probe, i % 4 == 3 ? 900 : 40);
+  g_assert_cmpfloat (colt_speed_probe_speed (&probe), ==, 1);
+  for (i = 0; i < COLT_SPEED_SAMPLES; i++)
+    colt_speed_probe_add (&probe, i % 4 == 3 ? 0 : 200);
+  g_assert_cmpfloat (colt_speed_probe_speed (&probe), ==, 0.2);
+  for (i = 0; i < COLT_SPEED_SAMPLES; i++)
+    colt_speed_probe_add (&probe, 50);
+  g_assert_cmpfloat (colt_speed_probe_speed (&probe), ==, 0.8);
+  colt_speed_probe_measure (&probe);
+  g_assert_cmpfloat (colt_speed_probe_speed (&probe), ==, 0.8);
+}
+
 static void
 test_members_log_down (void)
 {
@@ -101,6 +126,7 @@
   g_test_add_func ("/scheduler/members/yields-get-rarer",
                    test_yields_get_rarer);
   g_test_add_func ("/scheduler/lag", test_lag);
+  g_test_add_func ("/scheduler/overload-is-not-slowness", test_speed);
   g_test_add_func ("/scheduler/members/log-down", test_members_log_down);
   g_test_add_func ("/scheduler/members/advisers", test_members_advisers);
 }
