Cell: list the stops that have no answer

At each tick the cell walked over all servers and all their runs to find stops to resend, although there are seldom any.

Runs whose stops have no answer are in a list now; they leave it with the answer or with the end of the run. Stops that are due at the same tick go out in the order in which they were last considered, no longer by server.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -60,6 +60,7 @@
   cell->batch_jobs = g_ptr_array_new ();
   cell->scheduled = g_ptr_array_new ();
   g_queue_init (&cell->ended);
+  g_queue_init (&cell->stops);
   return cell;
 }
 
@@ -76,6 +77,7 @@
     g_ptr_array_foreach (((struct ColtCellServer *)value)->runs,
                          (GFunc)(void (*) (void))g_free, NULL);
   g_queue_clear (&cell->ended);
+  g_queue_clear (&cell->stops);
   g_ptr_array_unref (cell->open_steps);
   g_ptr_array_unref (cell->advice_steps);
   g_array_unref (cell->reservations);
@@ -325,25 +327,20 @@
     }
 }
 
+/* Resending a stop may list and unlist other ones. */
 static void
 retry_stops_ (struct ColtCell *cell, int64_t now_us)
 {
-  GHashTableIter i;
-  gpointer value;
-  guint r;
+  guint i;
 
-  g_hash_table_iter_init (&i, cell->servers);
-  while (g_hash_table_iter_next (&i, NULL, &value))
+  for (i = cell->stops.length; i > 0 && cell->stops.length > 0; i--)
     {
-      struct ColtCellServer *server = value;
-
-      for (r = 0; !server->unreachable && r < server->runs->len; r++)
-        {
-          struct ColtCellRun *run = g_ptr_array_index (server->runs, r);
+      GList *link = g_queue_pop_head_link (&cell->stops);
+      struct ColtCellRun *run = link->data;
 
-          if (run->state == RUN_STOPPING && !run->stop_answered)
-            colt_cell_stop_run (cell, run, now_us);
-        }
+      g_queue_push_tail_link (&cell->stops, link);
+      if (!run->server->unreachable)
+        colt_cell_stop_run (cell, run, now_us);
     }
 }
 
--- a/src/cell/cell_runs.c
+++ b/src/cell/cell_runs.c
@@ -21,7 +21,7 @@
 static bool is_earlier_leader_run_ (const struct ColtCell *cell,
                                     const struct ColtCellTask *task,
                                     uint32_t number);
-static void remove_run_ (struct ColtCellRun *run);
+static void remove_run_ (struct ColtCell *cell, struct ColtCellRun *run);
 static void update_probation_ (struct ColtCell *cell,
                                struct ColtCellServer *server,
                                const struct ColtCellTask *task,
@@ -94,7 +94,7 @@
     colt_cell_add_duration (run, now_us);
   if (run->state == RUN_PLANNED && !run->recorded)
     cell->unrecorded_runs--;
-  remove_run_ (run);
+  remove_run_ (cell, run);
   cell->stats.runs--;
   cell->stats.ended[how]++;
   store_checkpoint_ (task, checkpoint);
@@ -202,6 +202,11 @@
       || (run->stop_sent_us != 0
           && now_us - run->stop_sent_us < cell->limits.stop_retry_us))
     return;
+  if (run->stop_link == NULL)
+    {
+      g_queue_push_tail (&cell->stops, run);
+      run->stop_link = cell->stops.tail;
+    }
   run->answered = false;
   run->stop_sent_us = now_us;
   colt_cell_format_task_name (run->task, name);
@@ -224,6 +229,15 @@
     }
 }
 
+void
+colt_cell_unlist_stop (struct ColtCell *cell, struct ColtCellRun *run)
+{
+  if (run->stop_link == NULL)
+    return;
+  g_queue_delete_link (&cell->stops, run->stop_link);
+  run->stop_link = NULL;
+}
+
 static void
 log_end_ (struct ColtCell *cell,
           const struct ColtCellTask *task,
@@ -250,11 +264,12 @@
 }
 
 static void
-remove_run_ (struct ColtCellRun *run)
+remove_run_ (struct ColtCell *cell, struct ColtCellRun *run)
 {
   struct ColtCellTask *task = run->task;
   struct ColtCellStep *step = task->step;
 
+  colt_cell_unlist_stop (cell, run);
   colt_cell_end_trial (run);
   g_ptr_array_remove_fast (run->server->runs, run);
   colt_resources_subtract (&run->server->used, &run->demand);
--- a/src/cell/cell_servers.c
+++ b/src/cell/cell_servers.c
@@ -251,6 +251,7 @@
       || task->current->state != RUN_STOPPING || !answered)
     return;
   task->current->stop_answered = true;
+  colt_cell_unlist_stop (cell, task->current);
   task->current->stopped_where_listed
       = task->current->confirmed_us != 0
         && task->current->incarnation_ms == server->incarnation_ms;
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -111,6 +111,7 @@
   bool quarantined;       /* counted in its server's quarantined_runs */
   int64_t stop_sent_us;   /* when a stop was last sent; 0: never */
   bool stop_answered;
+  GList *stop_link;          /* in the cell's stops; NULL: not listed */
   bool stopped_where_listed; /* by the incarnation that listed the run */
   struct ColtResources demand;
 };
@@ -300,6 +301,8 @@
   GPtrArray *batch_jobs;     /* of struct ColtCellJob, in the pending batch */
   GPtrArray *scheduled;      /* jobs with occurrences that may be due later */
   GQueue ended;              /* of struct ColtCellJob, oldest first */
+  GQueue stops;              /* of struct ColtCellRun, whose stops have no
+                                answer */
   uint32_t unrecorded_runs;  /* planned runs that no batch includes yet */
   bool settled;              /* earlier leaders' orders are reconciled */
   int64_t settle_deadline_us;
@@ -359,6 +362,8 @@
 void colt_cell_stop_step (struct ColtCell *cell,
                           struct ColtCellStep *step,
                           int64_t now_us);
+/* Stops retrying a run's stop. */
+void colt_cell_unlist_stop (struct ColtCell *cell, struct ColtCellRun *run);
 void colt_cell_count_earlier_failure (struct ColtCell *cell,
                                       struct ColtCellTask *task,
                                       uint32_t run,
--- a/src/test_cell_load/fixture.h
+++ b/src/test_cell_load/fixture.h
@@ -77,7 +77,8 @@
                                guint start,
                                const char *server);
 
-/* Registers the tests of test_load_servers.c. */
+/* Register the tests of test_load_servers.c and test_load_ticks.c. */
 void colt_load_add_server_tests (void);
+void colt_load_add_tick_tests (void);
 
 #endif
