Cell: visit ended jobs only when something of them is due

Ended jobs are kept in the order of their ends, also those loaded from records, and a tick looks at those whose time is over. Jobs whose specifications aren't dropped yet are in a list of their own. A specification stays until the next pass has closed the job's steps, so that ticks needn't close steps; if a job is dropped before that they are closed first. Between passes open_steps, also in the dump and in 'leader load', may list steps that the next pass closes.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -23,7 +23,6 @@
 static void update_organisations_ (struct ColtCell *cell,
                                    const struct ColtFleet *fleet);
 static void retry_stops_ (struct ColtCell *cell, int64_t now_us);
-static void drop_old_jobs_ (struct ColtCell *cell, int64_t now_us);
 
 struct ColtCell *
 colt_cell_create (const struct ColtCellOps *ops,
@@ -59,7 +58,8 @@
   cell->dirty_jobs = g_ptr_array_new ();
   cell->batch_jobs = g_ptr_array_new ();
   cell->scheduled = g_ptr_array_new ();
-  g_queue_init (&cell->ended);
+  cell->ended = g_sequence_new (NULL);
+  g_queue_init (&cell->ended_specs);
   g_queue_init (&cell->stops);
   return cell;
 }
@@ -76,7 +76,8 @@
   while (g_hash_table_iter_next (&i, NULL, &value))
     g_ptr_array_foreach (((struct ColtCellServer *)value)->runs,
                          (GFunc)(void (*) (void))g_free, NULL);
-  g_queue_clear (&cell->ended);
+  g_sequence_free (cell->ended);
+  g_queue_clear (&cell->ended_specs);
   g_queue_clear (&cell->stops);
   g_ptr_array_unref (cell->open_steps);
   g_ptr_array_unref (cell->advice_steps);
@@ -170,7 +171,7 @@
       g_ptr_array_remove_fast (cell->open_steps, &job->steps[i]);
   g_ptr_array_remove_fast (cell->dirty_jobs, job);
   g_ptr_array_remove_fast (cell->scheduled, job);
-  g_queue_remove (&cell->ended, job);
+  colt_cell_unlist_ended (cell, job);
   g_hash_table_remove (cell->jobs, job->id);
   return true;
 }
@@ -238,7 +239,7 @@
   for (i = 0; i < cell->scheduled->len; i++)
     colt_cell_open_steps (cell, g_ptr_array_index (cell->scheduled, i),
                           wall_ms);
-  drop_old_jobs_ (cell, now_us);
+  colt_cell_drop_ended (cell, now_us);
 }
 
 bool
@@ -343,28 +344,3 @@
         colt_cell_stop_run (cell, run, now_us);
     }
 }
-
-static void
-drop_old_jobs_ (struct ColtCell *cell, int64_t now_us)
-{
-  GList *link = cell->ended.head;
-
-  /* open_steps may still list steps of jobs that have ended. */
-  colt_cell_close_steps (cell);
-  while (link != NULL)
-    {
-      struct ColtCellJob *job = link->data;
-      GList *next = link->next;
-
-      if (job->active == 0 && !job->dirty && !job->in_batch)
-        colt_cell_drop_spec (job);
-      if (now_us - job->ended_us > cell->limits.status_us && job->active == 0
-          && !job->dropped)
-        {
-          job->dropped = true;
-          g_queue_delete_link (&cell->ended, link);
-          colt_cell_mark_dirty (cell, job);
-        }
-      link = next;
-    }
-}
--- a/src/cell/cell_jobs.c
+++ b/src/cell/cell_jobs.c
@@ -139,7 +139,7 @@
   job->ended_wall_ms = 0;
   colt_cell_update_waiting (job);
   colt_cell_mark_dirty (cell, job);
-  g_queue_push_tail (&cell->ended, job);
+  colt_cell_list_ended (cell, job);
   g_ptr_array_remove_fast (cell->scheduled, job);
   for (i = 0; i < job->step_count; i++)
     colt_cell_stop_step (cell, &job->steps[i], now_us);
--- a/src/cell/cell_records.c
+++ b/src/cell/cell_records.c
@@ -193,7 +193,7 @@
 
       job->ended_wall_ms = progress->ended_wall_ms;
       job->ended_us = now_us - CLAMP (age_us, 0, cell->limits.status_us);
-      g_queue_push_tail (&cell->ended, job);
+      colt_cell_list_ended (cell, job);
       g_ptr_array_remove_fast (cell->scheduled, job);
     }
   apply_progress_ (cell, job, progress);
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -218,8 +218,10 @@
   int64_t accepted_us;
   int64_t begun_us; /* first start under this leader; 0: none */
   int64_t ended_us;
-  int64_t ended_wall_ms; /* 0: not recorded yet */
-  uint64_t order;        /* of arrival */
+  GSequenceIter *ended_place; /* in the cell's ended; NULL: not listed */
+  GList *spec_link;           /* in the cell's ended_specs; NULL: not listed */
+  int64_t ended_wall_ms;      /* 0: not recorded yet */
+  uint64_t order;             /* of arrival */
 };
 
 struct ColtCellServer
@@ -300,7 +302,9 @@
   GPtrArray *dirty_jobs;     /* of struct ColtCellJob, for the next batch */
   GPtrArray *batch_jobs;     /* of struct ColtCellJob, in the pending batch */
   GPtrArray *scheduled;      /* jobs with occurrences that may be due later */
-  GQueue ended;              /* of struct ColtCellJob, oldest first */
+  GSequence *ended;          /* of struct ColtCellJob, by ended_us */
+  GQueue ended_specs;        /* of struct ColtCellJob, ended, whose
+                                specifications aren't dropped yet */
   GQueue stops;              /* of struct ColtCellRun, whose stops have no
                                 answer */
   uint32_t unrecorded_runs;  /* planned runs that no batch includes yet */
@@ -345,6 +349,14 @@
 struct ColtCellOrganisation *colt_cell_get_organisation (struct ColtCell *cell,
                                                          const char *name);
 
+/* cell_ended.c */
+
+/* Lists a job that has ended; it is dropped after a while. */
+void colt_cell_list_ended (struct ColtCell *cell, struct ColtCellJob *job);
+void colt_cell_unlist_ended (struct ColtCell *cell, struct ColtCellJob *job);
+/* Drops what is no longer needed of jobs that have ended. */
+void colt_cell_drop_ended (struct ColtCell *cell, int64_t now_us);
+
 /* cell_runs.c */
 struct ColtCellRun *colt_cell_add_run (struct ColtCell *cell,
                                        struct ColtCellTask *task,
--- a/src/test_cell_load/test_load_ticks.c
+++ b/src/test_cell_load/test_load_ticks.c
@@ -48,8 +48,133 @@
   colt_fixture_destroy (fixture);
 }
 
+static void
+cancel (struct ColtLoadFixture *fixture, uint32_t id)
+{
+  char name[COLT_JOB_ID_LENGTH + 1];
+
+  g_snprintf (name, sizeof name, "%016x", id);
+  g_assert_true (colt_cell_cancel (fixture->cell, name, fixture->now_us));
+}
+
+static uint64_t
+count_jobs (const struct ColtLoadFixture *fixture)
+{
+  struct ColtCellStats stats;
+
+  colt_cell_get_stats (fixture->cell, &stats);
+  return stats.jobs;
+}
+
+static void
+tick_and_commit (struct ColtLoadFixture *fixture, int64_t after_ms)
+{
+  tick (fixture, after_ms);
+  colt_fixture_commit (fixture);
+}
+
+/* Jobs that a new leader loads in any order are each dropped in their time. */
+static void
+test_loaded_jobs_dropped (void)
+{
+  struct ColtLoadFixture *fixture = colt_fixture_create ();
+  uint32_t i;
+
+  for (i = 1; i <= 16; i++)
+    {
+      colt_fixture_submit (fixture, "tight", "steady", 1, false);
+      colt_fixture_commit (fixture);
+      cancel (fixture, i);
+      colt_fixture_commit (fixture);
+      tick_and_commit (fixture, 1000);
+    }
+  colt_fixture_change_leader (fixture);
+  tick_and_commit (fixture, 44000);
+  g_assert_cmpuint (count_jobs (fixture), ==, 16);
+  for (i = 1; i <= 16; i++)
+    {
+      tick_and_commit (fixture, i == 1 ? 500 : 1000);
+      g_assert_cmpuint (count_jobs (fixture), ==, 16 - i);
+    }
+  colt_fixture_destroy (fixture);
+}
+
+/* A job whose run may still go on stays, and doesn't keep jobs that ended after
+ * it; it is dropped once its run has ended. */
+static void
+test_job_with_run_kept (void)
+{
+  struct ColtLoadFixture *fixture = colt_fixture_create ();
+  enum ColtJobState state;
+
+  colt_fixture_add_server (fixture, "server", 1000);
+  colt_fixture_submit (fixture, "tight", "steady", 1, false);
+  colt_fixture_place (fixture);
+  colt_fixture_accept_start (fixture, 0);
+  cancel (fixture, 1);
+  tick_and_commit (fixture, 1000);
+  colt_fixture_submit (fixture, "tight", "steady", 1, false);
+  colt_fixture_commit (fixture);
+  cancel (fixture, 2);
+  tick_and_commit (fixture, 61000);
+  tick_and_commit (fixture, 25);
+  g_assert_true (
+      colt_cell_get_state (fixture->cell, "0000000000000001", &state));
+  g_assert_false (
+      colt_cell_get_state (fixture->cell, "0000000000000002", &state));
+  colt_cell_end_server_runs (fixture->cell, "server", fixture->now_us);
+  tick_and_commit (fixture, 25);
+  g_assert_cmpuint (count_jobs (fixture), ==, 0);
+  colt_fixture_destroy (fixture);
+}
+
+/* A pass doesn't meet steps of a job that ended after the pass before, whether
+ * the job has lost its specification or has been freed meanwhile. */
+static void
+test_open_steps_of_ended_job (void)
+{
+  static const int64_t pauses_ms[] = { 25, 61000 };
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (pauses_ms); i++)
+    {
+      struct ColtLoadFixture *fixture = colt_fixture_create ();
+
+      colt_fixture_submit (fixture, "tight", "steady", 2, false);
+      colt_fixture_place (fixture);
+      cancel (fixture, 1);
+      colt_fixture_commit (fixture);
+      tick_and_commit (fixture, pauses_ms[i]);
+      g_assert_cmpuint (count_jobs (fixture), ==, i == 0);
+      colt_fixture_place (fixture);
+      tick_and_commit (fixture, 25);
+      colt_fixture_place (fixture);
+      colt_fixture_destroy (fixture);
+    }
+}
+
+/* A tick doesn't meet a job that was withdrawn after its end. */
+static void
+test_ended_job_withdrawn (void)
+{
+  struct ColtLoadFixture *fixture = colt_fixture_create ();
+
+  colt_fixture_submit (fixture, "tight", "steady", 1, false);
+  cancel (fixture, 1);
+  g_assert_true (colt_cell_withdraw (fixture->cell, "0000000000000001"));
+  g_assert_cmpuint (count_jobs (fixture), ==, 0);
+  tick_and_commit (fixture, 25);
+  tick_and_commit (fixture, 61000);
+  colt_fixture_destroy (fixture);
+}
+
 void
 colt_load_add_tick_tests (void)
 {
   g_test_add_func ("/cell/load/stops-resent", test_stops_resent);
+  g_test_add_func ("/cell/load/loaded-jobs-dropped", test_loaded_jobs_dropped);
+  g_test_add_func ("/cell/load/job-with-run-kept", test_job_with_run_kept);
+  g_test_add_func ("/cell/load/open-steps-of-ended-job",
+                   test_open_steps_of_ended_job);
+  g_test_add_func ("/cell/load/ended-job-withdrawn", test_ended_job_withdrawn);
 }
