Cell: a batch takes the oldest changes first

Cause: colt_cell_take_records() took changes from the end of the list. When a batch was full, those that were left over waited behind all later ones, as long as batches stayed full.

Change: changes are taken in the order in which they were made; withdrawing a job keeps that order.

Test: cell/load/oldest-changes-first, which failed before (the first batch had the record of the second job). test_cell, test_cell_load, test_cell_crashes and test_scheduler pass with the sanitizers.

--- a/include/coltsfootstile/cell.h
+++ b/include/coltsfootstile/cell.h
@@ -446,8 +446,9 @@
 void colt_cell_tick (struct ColtCell *cell, int64_t now_us, int64_t wall_ms);
 
 /**
- * Returns a batch of records of what has changed. At most one batch may be
- * pending: call colt_cell_confirm_batch() before the next one.
+ * Returns a batch of records of what has changed, the oldest changes first. At
+ * most one batch may be pending: call colt_cell_confirm_batch() before the next
+ * one.
  *
  * \param bytes_max  no job is added once the batch has this size
  * \return           array of struct ColtCellRecord, to be freed with
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -166,7 +166,7 @@
   for (i = 0; i < job->step_count; i++)
     if (job->steps[i].open)
       g_ptr_array_remove_fast (cell->open_steps, &job->steps[i]);
-  g_ptr_array_remove_fast (cell->dirty_jobs, job);
+  g_ptr_array_remove (cell->dirty_jobs, job);
   g_ptr_array_remove_fast (cell->scheduled, job);
   g_queue_remove (&cell->ended, job);
   g_hash_table_remove (cell->jobs, job->id);
--- a/src/cell/cell_records.c
+++ b/src/cell/cell_records.c
@@ -84,18 +84,20 @@
 {
   GArray *records = g_array_new (FALSE, FALSE, sizeof (struct ColtCellRecord));
   size_t bytes = 0;
+  guint taken;
 
   g_array_set_clear_func (records, free_record_);
-  while (cell->dirty_jobs->len > 0 && bytes < bytes_max)
+  for (taken = 0; taken < cell->dirty_jobs->len && bytes < bytes_max; taken++)
     {
-      struct ColtCellJob *job = g_ptr_array_remove_index (
-          cell->dirty_jobs, cell->dirty_jobs->len - 1);
+      struct ColtCellJob *job = g_ptr_array_index (cell->dirty_jobs, taken);
 
       job->dirty = false;
       job->in_batch = true;
       g_ptr_array_add (cell->batch_jobs, job);
       bytes += add_job_records_ (cell, records, job, wall_ms);
     }
+  if (taken > 0)
+    g_ptr_array_remove_range (cell->dirty_jobs, 0, taken);
   return records;
 }
 
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -296,7 +296,7 @@
                                 pending advice call */
   uint32_t start_budget;     /* starts that may still be planned */
   uint32_t advisers;         /* advice calls that may be pending together */
-  GPtrArray *dirty_jobs;     /* of struct ColtCellJob, for the next batch */
+  GPtrArray *dirty_jobs;     /* of struct ColtCellJob, oldest change first */
   GPtrArray *batch_jobs;     /* of struct ColtCellJob, in the pending batch */
   GPtrArray *scheduled;      /* jobs with occurrences that may be due later */
   GQueue ended;              /* of struct ColtCellJob, oldest first */
--- a/src/test_cell_load/test_load.c
+++ b/src/test_cell_load/test_load.c
@@ -308,6 +308,34 @@
   colt_fixture_destroy (fixture);
 }
 
+/* Changes that a full batch leaves over are in the next one, ahead of newer
+ * ones, so that their callers don't wait while others change jobs. */
+static void
+test_oldest_changes_first (void)
+{
+  struct ColtLoadFixture *fixture = colt_fixture_create ();
+  char key[COLT_JOB_ID_LENGTH + 2];
+  uint32_t id;
+
+  colt_fixture_submit (fixture, "tight", "steady", 1, false);
+  for (id = 1; id <= 4; id++)
+    {
+      const struct ColtCellRecord *record;
+      GArray *records;
+
+      colt_fixture_submit (fixture, "tight", "steady", 1, false);
+      records = colt_cell_take_records (fixture->cell, 1, fixture->now_us / MS);
+      g_assert_cmpuint (records->len, ==, 1);
+      record = &g_array_index (records, struct ColtCellRecord, 0);
+      g_snprintf (key, sizeof key, "s%016x", id);
+      g_assert_cmpstr (record->key, ==, key);
+      colt_cell_free_records (records);
+      colt_cell_confirm_batch (fixture->cell, fixture->now_us);
+    }
+  g_assert_true (colt_cell_has_changes (fixture->cell));
+  colt_fixture_destroy (fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -325,6 +353,8 @@
   g_test_add_func ("/cell/load/unanswered-start", test_unanswered_start);
   g_test_add_func ("/cell/load/start-waits-for-record",
                    test_start_waits_for_record);
+  g_test_add_func ("/cell/load/oldest-changes-first",
+                   test_oldest_changes_first);
   colt_load_add_server_tests ();
   return g_test_run ();
 }
