Cell: a job lists its planned runs

Cause: packing a job's record marked its planned runs as recorded on the way, and confirming a batch searched all tasks of its jobs for them.

Change: the planned runs of a job are listed apart; those of the batch are ordered in the order of their tasks, as before.

--- a/src/cell/cell_jobs.c
+++ b/src/cell/cell_jobs.c
@@ -84,6 +84,7 @@
       g_clear_pointer (&job->steps[i].ticket_servers, g_ptr_array_unref);
     }
   g_clear_pointer (&job->steps, g_free);
+  g_clear_pointer (&job->planned, g_ptr_array_unref);
   job->step_count = 0;
   colt_job_spec__free_unpacked (job->spec, NULL);
   job->spec = NULL;
--- a/src/cell/cell_records.c
+++ b/src/cell/cell_records.c
@@ -34,12 +34,14 @@
 static size_t add_progress_ (struct ColtCell *cell,
                              GArray *records,
                              const struct ColtCellJob *job);
-static void mark_recorded_ (struct ColtCell *cell, struct ColtCellRun *run);
+static void mark_recorded_ (struct ColtCell *cell, struct ColtCellJob *job);
 static bool has_progress_ (const struct ColtCellTask *task);
 static void
 commit_job_ (struct ColtCell *cell, struct ColtCellJob *job, int64_t now_us);
 static void
 send_starts_ (struct ColtCell *cell, struct ColtCellJob *job, int64_t now_us);
+static gint compare_runs_ (gconstpointer a, gconstpointer b);
+static struct ColtCellRun *take_recorded_run_ (struct ColtCellJob *job);
 static void free_record_ (gpointer data);
 
 bool
@@ -304,7 +306,10 @@
       job->spec_stored = true;
     }
   if (!fresh || colt_cell_is_ended (job))
-    bytes += add_progress_ (cell, records, job);
+    {
+      bytes += add_progress_ (cell, records, job);
+      mark_recorded_ (cell, job);
+    }
   return bytes;
 }
 
@@ -370,7 +375,6 @@
           {
             entry.server = task->current->server->id;
             entry.incarnation_ms = task->current->incarnation_ms;
-            mark_recorded_ (cell, task->current);
           }
         else if (colt_cell_may_already_run (cell, task))
           {
@@ -389,13 +393,24 @@
   return bytes;
 }
 
+/* Notes that a batch includes a job's planned runs. The record of an ended job
+ * has no runs; those that were planned have ended with it. */
 static void
-mark_recorded_ (struct ColtCell *cell, struct ColtCellRun *run)
+mark_recorded_ (struct ColtCell *cell, struct ColtCellJob *job)
 {
-  if (run->state != RUN_PLANNED || run->recorded)
+  guint i;
+
+  if (colt_cell_is_ended (job) || job->planned == NULL)
     return;
-  run->recorded = true;
-  cell->unrecorded_runs--;
+  for (i = 0; i < job->planned->len; i++)
+    {
+      struct ColtCellRun *run = g_ptr_array_index (job->planned, i);
+
+      if (run->state != RUN_PLANNED || run->recorded)
+        continue;
+      run->recorded = true;
+      cell->unrecorded_runs--;
+    }
 }
 
 static bool
@@ -427,17 +442,44 @@
 static void
 send_starts_ (struct ColtCell *cell, struct ColtCellJob *job, int64_t now_us)
 {
-  uint32_t s;
-  uint32_t t;
+  struct ColtCellRun *run;
 
-  for (s = 0; s < job->step_count; s++)
-    for (t = 0; t < job->steps[s].spec->count; t++)
-      {
-        struct ColtCellRun *run = job->steps[s].tasks[t].current;
+  if (job->planned == NULL)
+    return;
+  g_ptr_array_sort (job->planned, compare_runs_);
+  /* A start that can't be sent any more may end other planned runs. */
+  while ((run = take_recorded_run_ (job)) != NULL)
+    colt_cell_send_start (cell, run, now_us);
+}
 
-        if (run != NULL && run->state == RUN_PLANNED && run->recorded)
-          colt_cell_send_start (cell, run, now_us);
-      }
+/* Compares runs by the indices of their tasks in the job. */
+static gint
+compare_runs_ (gconstpointer a, gconstpointer b)
+{
+  const struct ColtCellTask *first = (*(struct ColtCellRun *const *)a)->task;
+  const struct ColtCellTask *second = (*(struct ColtCellRun *const *)b)->task;
+  uint32_t first_index = first->step->first_index + first->index;
+  uint32_t second_index = second->step->first_index + second->index;
+
+  return first_index < second_index ? -1 : first_index > second_index;
+}
+
+/* Removes the first recorded run of a job's planned ones, which are sorted. */
+static struct ColtCellRun *
+take_recorded_run_ (struct ColtCellJob *job)
+{
+  guint i;
+
+  for (i = 0; i < job->planned->len; i++)
+    {
+      struct ColtCellRun *run = g_ptr_array_index (job->planned, i);
+
+      if (run->state != RUN_PLANNED || !run->recorded)
+        continue;
+      g_ptr_array_remove_index (job->planned, i);
+      return run;
+    }
+  return NULL;
 }
 
 static void
--- a/src/cell/cell_runs.c
+++ b/src/cell/cell_runs.c
@@ -51,6 +51,9 @@
   run->server = server;
   run->run = number;
   run->state = RUN_PLANNED;
+  if (job->planned == NULL)
+    job->planned = g_ptr_array_new ();
+  g_ptr_array_add (job->planned, run);
   cell->unrecorded_runs++;
   run->ordered_us = now_us;
   run->resumed = task->checkpoint != NULL;
@@ -256,6 +259,7 @@
   struct ColtCellStep *step = task->step;
 
   colt_cell_end_trial (run);
+  g_ptr_array_remove (step->job->planned, run);
   g_ptr_array_remove_fast (run->server->runs, run);
   colt_resources_subtract (&run->server->used, &run->demand);
   colt_resources_subtract (&step->job->organisation->used, &run->demand);
--- a/src/cell/cell_servers.c
+++ b/src/cell/cell_servers.c
@@ -492,6 +492,7 @@
   struct ColtCellOrganisation *organisation = task->step->job->organisation;
 
   run->state = RUN_RUNNING;
+  g_ptr_array_remove (task->step->job->planned, run);
   cell->unrecorded_runs--;
   run->answered = true;
   run->reflected_from = 0;
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -202,6 +202,8 @@
   uint32_t task_count;
   uint32_t active; /* number of runs */
   uint32_t steps_done;
+  GPtrArray *planned; /* of struct ColtCellRun: planned, to be ordered; NULL:
+                         never any */
   enum ColtJobState state;
   enum ColtJobState durable_state; /* the last one that is durable */
   bool begun;                      /* a task has had a run */
