Cell: encode a job's progress in one pass

Cause: each change of a job packs the entries of all its tasks with the generic code of protobuf-c, which walks the descriptors of 11 fields for each entry, and does so twice: for the size, and for the bytes. Pointers to the entries, a copy of each and the key are allocated besides.

Change: src/cell/cell_progress.c writes the same wire format directly into one buffer. The format is unchanged.

--- a/src/cell/cell_records.c
+++ b/src/cell/cell_records.c
@@ -27,15 +27,16 @@
                                 GArray *records,
                                 struct ColtCellJob *job,
                                 int64_t wall_ms);
+static size_t add_spec_ (GArray *records, const struct ColtCellJob *job);
 static size_t add_record_ (GArray *records,
                            char kind,
                            const char *id,
-                           ProtobufCMessage *message);
+                           uint8_t *value,
+                           size_t size);
 static size_t add_progress_ (struct ColtCell *cell,
                              GArray *records,
                              const struct ColtCellJob *job);
 static void mark_recorded_ (struct ColtCell *cell, struct ColtCellJob *job);
-static bool has_progress_ (const struct ColtCellTask *task);
 static void
 commit_job_ (struct ColtCell *cell, struct ColtCellJob *job, int64_t now_us);
 static void
@@ -286,9 +287,9 @@
 
   if (job->dropped)
     {
-      bytes += add_record_ (records, PROGRESS_KEY, job->id, NULL);
+      bytes += add_record_ (records, PROGRESS_KEY, job->id, NULL, 0);
       if (job->spec_stored)
-        bytes += add_record_ (records, SPEC_KEY, job->id, NULL);
+        bytes += add_record_ (records, SPEC_KEY, job->id, NULL, 0);
       return bytes;
     }
   if (colt_cell_is_ended (job))
@@ -296,12 +297,12 @@
       if (job->ended_wall_ms == 0)
         job->ended_wall_ms = wall_ms;
       if (job->spec_stored)
-        bytes += add_record_ (records, SPEC_KEY, job->id, NULL);
+        bytes += add_record_ (records, SPEC_KEY, job->id, NULL, 0);
       job->spec_stored = false;
     }
   else if (job->dirty_spec)
     {
-      bytes += add_record_ (records, SPEC_KEY, job->id, &job->spec->base);
+      bytes += add_spec_ (records, job);
       job->dirty_spec = false;
       job->spec_stored = true;
     }
@@ -313,23 +314,33 @@
   return bytes;
 }
 
+static size_t
+add_spec_ (GArray *records, const struct ColtCellJob *job)
+{
+  size_t size = colt_job_spec__get_packed_size (job->spec);
+  uint8_t *value = g_malloc (size + 1);
+
+  colt_job_spec__pack (job->spec, value);
+  return add_record_ (records, SPEC_KEY, job->id, value, size);
+}
+
+/* Takes over the value; NULL removes the record. */
 static size_t
 add_record_ (GArray *records,
              char kind,
              const char *id,
-             ProtobufCMessage *message)
+             uint8_t *value,
+             size_t size)
 {
   struct ColtCellRecord record = { 0 };
 
-  record.key = g_strdup_printf ("%c%s", kind, id);
-  if (message != NULL)
-    {
-      record.size = protobuf_c_message_get_packed_size (message);
-      record.value = g_malloc (record.size + 1);
-      protobuf_c_message_pack (message, record.value);
-    }
+  record.key = g_malloc (COLT_JOB_ID_LENGTH + 2);
+  record.key[0] = kind;
+  g_strlcpy (record.key + 1, id, COLT_JOB_ID_LENGTH + 1);
+  record.value = value;
+  record.size = size;
   g_array_append_val (records, record);
-  return record.size + strlen (record.key);
+  return size + 1 + strlen (id);
 }
 
 static size_t
@@ -337,60 +348,10 @@
                GArray *records,
                const struct ColtCellJob *job)
 {
-  ColtJobProgress progress = COLT_JOB_PROGRESS__INIT;
-  GArray *tasks = g_array_new (FALSE, FALSE, sizeof (ColtTaskProgress));
-  GPtrArray *pointers = g_ptr_array_new ();
-  size_t bytes;
-  uint32_t s;
-  uint32_t t;
-  guint i;
+  size_t size;
+  uint8_t *value = colt_cell_pack_progress (cell, job, &size);
 
-  progress.id = (char *)job->id;
-  progress.organisation = job->organisation->name;
-  progress.queue = job->queue->name;
-  progress.state = job->state;
-  progress.begun = job->begun;
-  progress.ended_wall_ms = job->ended_wall_ms;
-  for (s = 0; s < job->step_count && !colt_cell_is_ended (job); s++)
-    for (t = 0; t < job->steps[s].spec->count; t++)
-      {
-        const struct ColtCellTask *task = &job->steps[s].tasks[t];
-        ColtTaskProgress entry = COLT_TASK_PROGRESS__INIT;
-
-        if (!has_progress_ (task))
-          continue;
-        entry.index = job->steps[s].first_index + t;
-        entry.done = task->done;
-        entry.failures = task->failures;
-        entry.losses = task->losses;
-        entry.ends = task->ends;
-        entry.crashes = task->crashes;
-        if (t == 0)
-          entry.failed_gang_run = job->steps[s].failed_gang_run;
-        entry.last_run
-            = task->current != NULL ? task->last_run - 1 : task->last_run;
-        if (task->checkpoint != NULL)
-          entry.checkpoint = task->checkpoint;
-        if (task->current != NULL)
-          {
-            entry.server = task->current->server->id;
-            entry.incarnation_ms = task->current->incarnation_ms;
-          }
-        else if (colt_cell_may_already_run (cell, task))
-          {
-            entry.server = task->earlier_server->id;
-            entry.incarnation_ms = task->earlier_incarnation_ms;
-          }
-        g_array_append_val (tasks, entry);
-      }
-  for (i = 0; i < tasks->len; i++)
-    g_ptr_array_add (pointers, &g_array_index (tasks, ColtTaskProgress, i));
-  progress.n_tasks = pointers->len;
-  progress.tasks = (ColtTaskProgress **)pointers->pdata;
-  bytes = add_record_ (records, PROGRESS_KEY, job->id, &progress.base);
-  g_ptr_array_unref (pointers);
-  g_array_unref (tasks);
-  return bytes;
+  return add_record_ (records, PROGRESS_KEY, job->id, value, size);
 }
 
 /* Notes that a batch includes a job's planned runs. The record of an ended job
@@ -413,14 +374,6 @@
     }
 }
 
-static bool
-has_progress_ (const struct ColtCellTask *task)
-{
-  return task->done || task->current != NULL || task->earlier_server != NULL
-         || task->failures > 0 || task->last_run > 0
-         || task->checkpoint != NULL;
-}
-
 static void
 commit_job_ (struct ColtCell *cell, struct ColtCellJob *job, int64_t now_us)
 {
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -401,6 +401,13 @@
 double colt_cell_crash_penalty (const struct ColtCellTask *task,
                                 const struct ColtCellServer *server);
 
+/* cell_progress.c */
+
+/* Returns a job's progress, as it is recorded, and its size in bytes. */
+uint8_t *colt_cell_pack_progress (struct ColtCell *cell,
+                                  const struct ColtCellJob *job,
+                                  size_t *size);
+
 /* cell_servers.c */
 struct ColtCellServer *colt_cell_find_server (const struct ColtCell *cell,
                                               const char *id);
--- a/src/test_cell_load/test_load.c
+++ b/src/test_cell_load/test_load.c
@@ -5,6 +5,8 @@
 
 /* Size of a step's name in bytes. */
 #define STEP_NAME_SIZE 64
+/* Tasks of the job in test_changed_tasks(). */
+#define TASKS 40
 
 /* One organisation submits many times its rate: jobs of others within their
  * rate start before the excess, though they were submitted later. */
@@ -336,6 +338,115 @@
   colt_fixture_destroy (fixture);
 }
 
+/* Checks the record of the job in test_changed_tasks(). */
+static void
+check_record (struct ColtLoadFixture *fixture,
+              char *const *checkpoints,
+              int64_t incarnation_ms,
+              uint32_t done)
+{
+  gsize size;
+  const uint8_t *data = g_bytes_get_data (
+      g_hash_table_lookup (fixture->records, "p0000000000000001"), &size);
+  ColtJobProgress *progress = colt_job_progress__unpack (NULL, size, data);
+  uint32_t t;
+
+  g_assert_nonnull (progress);
+  g_assert_cmpstr (progress->id, ==, "0000000000000001");
+  g_assert_cmpstr (progress->organisation, ==, "steady");
+  g_assert_cmpstr (progress->queue, ==, "tight");
+  g_assert_true (progress->begun);
+  g_assert_cmpuint (progress->n_tasks, ==, TASKS);
+  for (t = 0; t < TASKS; t++)
+    {
+      const ColtTaskProgress *task = progress->tasks[t];
+      uint32_t run = g_array_index (fixture->start_runs, uint32_t, t);
+      bool runs = t >= done;
+
+      g_assert_cmpuint (task->index, ==, t);
+      g_assert_cmpint (task->done, ==, !runs);
+      g_assert_cmpuint (task->last_run, ==, runs ? run - 1 : run);
+      g_assert_cmpstr (task->checkpoint, ==, runs ? checkpoints[t] : "");
+      g_assert_cmpstr (task->server, ==, runs ? "server" : "");
+      g_assert_cmpint (task->incarnation_ms, ==, runs ? incarnation_ms : 0);
+    }
+  colt_job_progress__free_unpacked (progress, NULL);
+}
+
+/* Reports the end of one task and the others as running, a part of them with a
+ * new checkpoint, by a new incarnation of their server. */
+static void
+report_changes (struct ColtLoadFixture *fixture,
+                GRand *rand,
+                char **checkpoints,
+                int64_t incarnation_ms,
+                uint32_t ended)
+{
+  struct ColtFinishedEntry end = { ended + 1, NULL, 0, COLT_RUN_DONE, "" };
+  struct ColtRunningEntry running[TASKS];
+  char names[TASKS][STEP_NAME_SIZE];
+  struct ColtServerReport report = { 0 };
+  uint32_t t;
+
+  for (t = ended; t < TASKS; t++)
+    {
+      struct ColtRunningEntry *entry = &running[report.running_count];
+
+      g_snprintf (names[t], sizeof names[t], "0000000000000001.0.0.%u", t);
+      if (t == ended)
+        continue;
+      if (g_rand_int_range (rand, 0, 4) == 0)
+        {
+          g_free (checkpoints[t]);
+          checkpoints[t]
+              = g_strnfill ((gsize)1 << g_rand_int_range (rand, 0, 16), 'c');
+        }
+      entry->task = names[t];
+      entry->run = g_array_index (fixture->start_runs, uint32_t, t);
+      entry->checkpoint = checkpoints[t];
+      entry->percent = 10;
+      report.running_count++;
+    }
+  end.task = names[ended];
+  end.run = g_array_index (fixture->start_runs, uint32_t, ended);
+  report.incarnation_ms = incarnation_ms;
+  report.call_number = 1000 + ended;
+  report.running = running;
+  report.finished = &end;
+  report.finished_count = 1;
+  colt_cell_apply_report (fixture->cell, "server", &report, fixture->now_us);
+}
+
+/* The record of a job has the newest state of each task, of any size, though
+ * most of its tasks haven't changed since its last record. */
+static void
+test_changed_tasks (void)
+{
+  struct ColtLoadFixture *fixture = colt_fixture_create ();
+  GRand *rand = g_rand_new_with_seed (1);
+  char *checkpoints[TASKS];
+  uint32_t t;
+
+  colt_fixture_add_server (fixture, "server", TASKS * 1000);
+  colt_fixture_submit (fixture, "tight", "steady", TASKS, false);
+  colt_fixture_place (fixture);
+  g_assert_cmpuint (fixture->starts->len, ==, TASKS);
+  for (t = 0; t < TASKS; t++)
+    checkpoints[t] = g_strdup ("");
+  for (t = 0; t + 1 < TASKS; t++)
+    {
+      int64_t incarnation_ms = INT64_C (1) << (t + 1);
+
+      report_changes (fixture, rand, checkpoints, incarnation_ms, t);
+      colt_fixture_commit (fixture);
+      check_record (fixture, checkpoints, incarnation_ms, t + 1);
+    }
+  for (t = 0; t < TASKS; t++)
+    g_free (checkpoints[t]);
+  g_rand_free (rand);
+  colt_fixture_destroy (fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -355,6 +466,7 @@
                    test_start_waits_for_record);
   g_test_add_func ("/cell/load/oldest-changes-first",
                    test_oldest_changes_first);
+  g_test_add_func ("/cell/load/changed-tasks", test_changed_tasks);
   colt_load_add_server_tests ();
   return g_test_run ();
 }
