--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -203,6 +203,8 @@
   uint32_t task_count;
   uint32_t active; /* number of runs */
   uint32_t steps_done;
+  GPtrArray *planned; /* of struct ColtCellRun: planned, to be ordered; NULL:
+                         never any */
   enum ColtJobState state;
   enum ColtJobState durable_state; /* the last one that is durable */
   bool begun;                      /* a task has had a run */
@@ -299,7 +301,7 @@
                                 pending advice call */
   uint32_t start_budget;     /* starts that may still be planned */
   uint32_t advisers;         /* advice calls that may be pending together */
-  GPtrArray *dirty_jobs;     /* of struct ColtCellJob, for the next batch */
+  GPtrArray *dirty_jobs;     /* of struct ColtCellJob, oldest change first */
   GPtrArray *batch_jobs;     /* of struct ColtCellJob, in the pending batch */
   GPtrArray *scheduled;      /* jobs with occurrences that may be due later */
   GSequence *ended;          /* of struct ColtCellJob, by ended_us */
@@ -416,6 +418,13 @@
 double colt_cell_crash_penalty (const struct ColtCellTask *task,
                                 const struct ColtCellServer *server);
 
+/* cell_progress.c */
+
+/* Returns a job's progress, as it is recorded, and its size in bytes. */
+uint8_t *colt_cell_pack_progress (struct ColtCell *cell,
+                                  const struct ColtCellJob *job,
+                                  size_t *size);
+
 /* cell_servers.c */
 struct ColtCellServer *colt_cell_find_server (const struct ColtCell *cell,
                                               const char *id);
