bench_cell: a digest of the decisions, open steps, and a limit of starts

Whether a change of the placement keeps its decisions couldn't be seen from the counts alone. Each row now ends with a digest of all starts, advice calls with the servers they name, and logged decisions; two runs with the same seed print the same one. A column shows the mean number of open steps, and a new row limits the starts of a pass as a leader without processor time does.

--- a/bench/bench_cell.c
+++ b/bench/bench_cell.c
@@ -1,6 +1,7 @@
 /* Emulates a cell of the large deployment in virtual time, without network: its
  * servers, its mix of jobs and its adviser. Prints a table of what the leader's
- * decisions cost by kind of work, for a range of sizes and loads.
+ * decisions cost by kind of work, for a range of sizes and loads. Two builds
+ * that decide the same print the same digest for the same arguments.
  *
  * Usage: bench_cell [SEED [SECONDS]] */
 #include <glib.h>
@@ -24,6 +25,9 @@
 #define ADVISERS 140
 #define ORGANISATIONS 60
 #define LASTING_MS 45000
+/* Parameters of the digest, which is an FNV-1a hash of 64 bits. */
+#define DIGEST_START 14695981039346656037u
+#define DIGEST_FACTOR 1099511628211u
 
 /* Kinds of work whose time is measured. */
 enum ColtCellWork
@@ -125,6 +129,9 @@
   uint64_t starts;
   uint64_t jobs;
   uint64_t advice_calls;
+  uint64_t open_steps; /* summed over the passes */
+  double start_budget; /* starts that may be planned now */
+  uint64_t digest;     /* of starts, advice calls and logged decisions */
 };
 
 static int64_t
@@ -148,6 +155,16 @@
   g_array_append_val (*slot, event);
 }
 
+static void
+add_to_digest (struct ColtBench *bench, const char *text)
+{
+  const char *c = text != NULL ? text : "";
+
+  do
+    bench->digest = (bench->digest ^ (unsigned char)*c) * DIGEST_FACTOR;
+  while (*c++ != '\0');
+}
+
 static const struct ColtBenchQueue *
 find_queue_of_task (const char *task)
 {
@@ -167,6 +184,8 @@
   run->run = order->run;
   g_ptr_array_add (run->server->runs, run);
   bench->starts++;
+  add_to_digest (bench, order->task);
+  add_to_digest (bench, order->server);
   add_event (bench, START_ANSWER_MS, EVENT_START_ANSWER, run);
   add_event (bench,
              START_ANSWER_MS
@@ -200,12 +219,16 @@
     return false;
   bench->open_advice++;
   bench->advice_calls++;
+  add_to_digest (bench, step);
   advice = g_new0 (struct ColtBenchAdvice, 1);
   advice->step = g_strdup (step);
   advice->good_percent = queue->good_percent;
   advice->servers = g_ptr_array_new_with_free_func (g_free);
   for (i = 0; i < count; i++)
-    g_ptr_array_add (advice->servers, g_strdup (servers[i]));
+    {
+      add_to_digest (bench, servers[i]);
+      g_ptr_array_add (advice->servers, g_strdup (servers[i]));
+    }
   add_event (bench,
              queue->advice_ms
                  + (int64_t)(queue->advice_per_server_ms * (double)count),
@@ -219,10 +242,9 @@
              const char *what,
              const char *detail)
 {
-  (void)client;
-  (void)job;
-  (void)what;
-  (void)detail;
+  add_to_digest (client, job);
+  add_to_digest (client, what);
+  add_to_digest (client, detail);
 }
 
 static const struct ColtCellOps ops
@@ -414,8 +436,33 @@
       }
 }
 
+/* Runs a pass; starts_per_s limits the starts that it plans, 0: no limit. */
 static void
-run_millisecond (struct ColtBench *bench, double load)
+run_pass (struct ColtBench *bench, double starts_per_s)
+{
+  struct ColtCellStats before;
+  struct ColtCellStats after;
+  int64_t began_us;
+  int64_t took_us;
+
+  colt_cell_get_stats (bench->cell, &before);
+  bench->start_budget += starts_per_s * PASS_INTERVAL_MS / 1000;
+  if (starts_per_s > 0)
+    colt_cell_set_start_budget (bench->cell, (uint32_t)bench->start_budget);
+  began_us = colt_clock_monotonic_us ();
+  colt_cell_place_tasks (bench->cell, now_us (bench), bench->now_ms);
+  took_us = colt_clock_monotonic_us () - began_us;
+  bench->work_us[WORK_PLACE] += took_us;
+  bench->longest_pass_us = MAX (bench->longest_pass_us, took_us);
+  bench->passes++;
+  colt_cell_get_stats (bench->cell, &after);
+  bench->open_steps += after.open_steps;
+  bench->start_budget -= (double)(after.planned - before.planned);
+  bench->start_budget = MAX (bench->start_budget, 0);
+}
+
+static void
+run_millisecond (struct ColtBench *bench, double load, double starts_per_s)
 {
   GArray *slot = bench->slots[bench->now_ms % SLOTS];
   int64_t began_us;
@@ -428,14 +475,7 @@
     g_array_unref (slot);
   submit_jobs (bench, load);
   if (bench->now_ms % PASS_INTERVAL_MS == 0)
-    {
-      began_us = colt_clock_monotonic_us ();
-      colt_cell_place_tasks (bench->cell, now_us (bench), bench->now_ms);
-      bench->passes++;
-      bench->longest_pass_us
-          = MAX (bench->longest_pass_us, colt_clock_monotonic_us () - began_us);
-      measure (bench, WORK_PLACE, began_us);
-    }
+    run_pass (bench, starts_per_s);
   if (bench->now_ms % COMMIT_INTERVAL_MS == 0)
     {
       began_us = colt_clock_monotonic_us ();
@@ -504,6 +544,7 @@
 
   bench->rand = g_rand_new_with_seed (seed);
   bench->now_ms = 1000;
+  bench->digest = DIGEST_START;
   bench->servers_by_id = g_hash_table_new (g_str_hash, g_str_equal);
   bench->cell = colt_cell_create (&ops, bench, &limits, 1);
   fleet->version = 1;
@@ -541,25 +582,29 @@
 
 /* Prints a row: costs in microseconds for each start, and of a pass. */
 static void
-print_row (const struct ColtBench *bench, double load, int64_t seconds)
+print_row (const struct ColtBench *bench,
+           double load,
+           double starts_per_s,
+           int64_t seconds)
 {
   int64_t total_us = 0;
   int work;
 
-  printf ("%u\t%.2f\t%.1f\t%.0f\t%.1f", bench->server_count, load,
-          (double)bench->jobs / (double)seconds,
+  printf ("%u\t%.2f\t%.0f\t%.1f\t%.0f\t%.1f\t%.0f", bench->server_count, load,
+          starts_per_s, (double)bench->jobs / (double)seconds,
           (double)bench->starts / (double)seconds,
-          (double)bench->advice_calls / (double)seconds);
+          (double)bench->advice_calls / (double)seconds,
+          (double)bench->open_steps / (double)MAX (bench->passes, 1));
   for (work = 0; work < WORK_COUNT; work++)
     {
       total_us += bench->work_us[work];
       printf ("\t%.2f",
               (double)bench->work_us[work] / (double)MAX (bench->starts, 1));
     }
-  printf ("\t%.2f\t%.0f\t%" G_GINT64_FORMAT "\n",
+  printf ("\t%.2f\t%.0f\t%" G_GINT64_FORMAT "\t%016" G_GINT64_MODIFIER "x\n",
           (double)total_us / (double)MAX (bench->starts, 1),
           (double)bench->work_us[WORK_PLACE] / (double)MAX (bench->passes, 1),
-          bench->longest_pass_us);
+          bench->longest_pass_us, bench->digest);
   fflush (stdout);
 }
 
@@ -570,25 +615,28 @@
   {
     uint32_t servers;
     double load;
-  } rows[] = { { 275, 0.25 }, { 550, 0.5 }, { 1100, 1 }, { 1100, 1.5 },
-               { 1100, 2 },   { 1100, 5 },  { 2200, 2 } };
+    double starts_per_s; /* limit; 0: none */
+  } rows[] = { { 275, 0.25, 0 }, { 550, 0.5, 0 },  { 1100, 1, 0 },
+               { 1100, 1.5, 0 }, { 1100, 2, 0 },   { 1100, 5, 0 },
+               { 2200, 2, 0 },   { 1100, 1, 1000 } };
   uint32_t seed = argc > 1 ? (uint32_t)strtoul (argv[1], NULL, 10) : 1;
   int64_t seconds = argc > 2 ? strtoll (argv[2], NULL, 10) : 20;
   size_t i;
   int work;
 
-  printf ("servers\tload\tjobs_per_s\tstarts_per_s\tadvice_per_s");
+  printf ("servers\tload\tstart_limit\tjobs_per_s\tstarts_per_s\tadvice_per_"
+          "s\topen_steps");
   for (work = 0; work < WORK_COUNT; work++)
     printf ("\t%s_us", work_string[work]);
-  printf ("\ttotal_us\tpass_us\tlongest_pass_us\n");
+  printf ("\ttotal_us\tpass_us\tlongest_pass_us\tdigest\n");
   for (i = 0; i < G_N_ELEMENTS (rows); i++)
     {
       struct ColtBench *bench = create_bench (rows[i].servers, seed);
       int64_t end_ms = bench->now_ms + seconds * 1000;
 
       while (bench->now_ms < end_ms)
-        run_millisecond (bench, rows[i].load);
-      print_row (bench, rows[i].load, seconds);
+        run_millisecond (bench, rows[i].load, rows[i].starts_per_s);
+      print_row (bench, rows[i].load, rows[i].starts_per_s, seconds);
     }
   return 0;
 }
