Cell: name servers in advice calls without sorting the pool

Each advice call walked over all servers of the pool with a look-up of the step's advice for each, computed a score and sorted them all, to name 8 to 30. Now the usable servers and what their scores depend on are listed once a pass, a call keeps only the best while it scans that list, and looks up advice only for servers that would be among them. Equal servers keep their order.

--- a/src/cell/cell_advice.c
+++ b/src/cell/cell_advice.c
@@ -9,11 +9,6 @@
  * to a start. */
 #define ADVICE_PAUSE_US (100 * COLT_US_PER_MS)
 #define ADVICE_PAUSES_DOUBLED_MAX 4
-/* Servers named in an advice call in addition to those for the waiting tasks,
- * since only some servers may run a step. */
-#define NAMED_SERVERS_MIN 8
-/* Servers named for each waiting task. */
-#define NAMED_SERVERS_PER_TASK 4
 /* A lasting step gets an adviser only while its queue uses less than one in
  * this many of them, as calls of lasting steps are long and are repeated
  * whenever room changes. */
@@ -22,15 +17,6 @@
  * advisers. */
 #define LONG_CALL_MS 300.0
 
-struct ColtCandidate
-{
-  struct ColtCellServer *server;
-  double score;
-};
-
-static bool find_suitability_ (const struct ColtCellStep *step,
-                               const struct ColtCellServer *server,
-                               bool *suitable);
 static bool covers_ (const struct ColtResources *demand,
                      const struct ColtResources *other);
 static enum ColtCellBlock queue_advice_call_ (struct ColtCell *cell,
@@ -50,16 +36,8 @@
                                struct ColtCellStep *step);
 static void add_ticket_servers_ (const struct ColtCellStep *step,
                                  GPtrArray *names);
-static void add_candidates_ (const struct ColtCell *cell,
-                             const struct ColtCellStep *step,
-                             const struct ColtCellPool *pool,
-                             GPtrArray *names);
 static uint32_t get_call_limit_ (const struct ColtCell *cell,
                                  const struct ColtCellStep *step);
-static GArray *sort_candidates_ (const struct ColtCellStep *step,
-                                 const struct ColtCellPool *pool,
-                                 int64_t now_us);
-static int compare_candidates_ (gconstpointer a, gconstpointer b);
 
 void
 colt_cell_set_advisers (struct ColtCell *cell, uint32_t count)
@@ -194,19 +172,35 @@
 
       if (colt_cell_is_usable (server, now_us)
           && colt_cell_meets_constraints (step, server)
-          && !find_suitability_ (step, server, &suitable))
+          && !colt_cell_find_suitability (step, server, &suitable))
         return queue_advice_call_ (cell, step, now_us);
     }
   return BLOCK_NO_ROOM;
 }
 
+/* Returns whether the step has advice on the server, and if so, whether the
+ * server may run it. */
+bool
+colt_cell_find_suitability (const struct ColtCellStep *step,
+                            const struct ColtCellServer *server,
+                            bool *suitable)
+{
+  const struct ColtCellAdvice *advice
+      = g_hash_table_lookup (step->advice, server);
+
+  if (advice == NULL || advice->incarnation_ms != server->incarnation_ms)
+    return false;
+  *suitable = advice->suitable;
+  return true;
+}
+
 bool
 colt_cell_is_known_suitable (const struct ColtCellStep *step,
                              const struct ColtCellServer *server)
 {
   bool suitable = false;
 
-  return find_suitability_ (step, server, &suitable) && suitable;
+  return colt_cell_find_suitability (step, server, &suitable) && suitable;
 }
 
 bool
@@ -215,7 +209,7 @@
 {
   bool suitable = true;
 
-  return find_suitability_ (step, server, &suitable) && !suitable;
+  return colt_cell_find_suitability (step, server, &suitable) && !suitable;
 }
 
 /* Gives each queue an equal share of the advisers first; the remaining advisers
@@ -243,6 +237,7 @@
         break;
     }
   g_ptr_array_set_size (cell->advice_steps, 0);
+  colt_cell_forget_candidates (cell);
 }
 
 void
@@ -272,20 +267,6 @@
   store_tickets_ (cell, step, reply, now_us);
 }
 
-static bool
-find_suitability_ (const struct ColtCellStep *step,
-                   const struct ColtCellServer *server,
-                   bool *suitable)
-{
-  const struct ColtCellAdvice *advice
-      = g_hash_table_lookup (step->advice, server);
-
-  if (advice == NULL || advice->incarnation_ms != server->incarnation_ms)
-    return false;
-  *suitable = advice->suitable;
-  return true;
-}
-
 static enum ColtCellBlock
 queue_advice_call_ (struct ColtCell *cell,
                     struct ColtCellStep *step,
@@ -401,7 +382,7 @@
   if (step->ticket_servers != NULL)
     add_ticket_servers_ (step, names);
   else
-    add_candidates_ (cell, step, pool, names);
+    colt_cell_name_candidates (cell, step, pool, names);
   g_snprintf (name, sizeof name, "%s.%u.%u", step->job->id, step->occurrence,
               step->number);
   /* The list may be empty: later starts of the pass may have used the last
@@ -435,26 +416,6 @@
     }
 }
 
-static void
-add_candidates_ (const struct ColtCell *cell,
-                 const struct ColtCellStep *step,
-                 const struct ColtCellPool *pool,
-                 GPtrArray *names)
-{
-  GArray *candidates = sort_candidates_ (step, pool, cell->now_us);
-  guint count = MIN (NAMED_SERVERS_MIN + NAMED_SERVERS_PER_TASK * step->waiting,
-                     cell->limits.advice_servers_max);
-  guint i;
-
-  /* A gang whose first call didn't let it start names more servers. */
-  if (step->spec->gang && step->fruitless_calls > 0)
-    count = cell->limits.gang_advice_servers_max;
-  for (i = 0; i < MIN (candidates->len, count); i++)
-    g_ptr_array_add (
-        names, g_array_index (candidates, struct ColtCandidate, i).server->id);
-  g_array_unref (candidates);
-}
-
 /* Returns how many advice calls a step's queue may have pending. */
 static uint32_t
 get_call_limit_ (const struct ColtCell *cell, const struct ColtCellStep *step)
@@ -467,52 +428,3 @@
     limit /= 2;
   return MAX (limit, 1);
 }
-
-/* Lists the usable servers of a pool that aren't known to be unsuitable for a
- * step: first those that are known to be suitable, as even full ones soon have
- * room again for tasks that end; for lasting tasks first those with room. */
-static GArray *
-sort_candidates_ (const struct ColtCellStep *step,
-                  const struct ColtCellPool *pool,
-                  int64_t now_us)
-{
-  GArray *candidates
-      = g_array_new (FALSE, FALSE, sizeof (struct ColtCandidate));
-  guint i;
-
-  for (i = 0; i < pool->servers->len; i++)
-    {
-      struct ColtCandidate candidate
-          = { g_ptr_array_index (pool->servers, i), 0 };
-      const struct ColtResources *room = &candidate.server->room;
-      const struct ColtResources *used = &candidate.server->used;
-      bool suitable = false;
-      bool known = find_suitability_ (step, candidate.server, &suitable);
-
-      if (!colt_cell_is_usable (candidate.server, now_us)
-          || !colt_cell_meets_constraints (step, candidate.server)
-          || (known && !suitable))
-        continue;
-      candidate.score = (double)used->amount[COLT_RESOURCE_CORES]
-                        / (double)(room->amount[COLT_RESOURCE_CORES] + 1);
-      if (colt_cell_fits (step, candidate.server))
-        candidate.score += step->spec->lasting ? 4 : 2;
-      if (known)
-        candidate.score += step->spec->lasting ? 2 : 4;
-      candidate.score -= MIN (colt_cell_slowness (candidate.server), 2);
-      g_array_append_val (candidates, candidate);
-    }
-  g_array_sort (candidates, compare_candidates_);
-  return candidates;
-}
-
-static int
-compare_candidates_ (gconstpointer a, gconstpointer b)
-{
-  const struct ColtCandidate *left = a;
-  const struct ColtCandidate *right = b;
-
-  if (left->score == right->score)
-    return 0;
-  return left->score > right->score ? -1 : 1;
-}
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -253,6 +253,7 @@
   uint32_t samples;    /* tasks that log_slowness is based on */
   double slowness;     /* for the sum of logarithms below; 0: not computed */
   double slowness_log;
+  guint position; /* in its pool's candidates, while it is one of them */
 };
 
 /* Servers with the same first label and the same room. Their common slowness
@@ -274,6 +275,8 @@
    * a pass. */
   bool is_full;
   struct ColtResources unmet;
+  GArray *candidates; /* of struct ColtCandidate; only kept while advice calls
+                         are sent, otherwise NULL */
 };
 
 struct ColtCell
@@ -475,12 +478,22 @@
 bool colt_cell_is_suitable (const struct ColtCellAdvice *advice,
                             const struct ColtCellServer *server,
                             int64_t now_us);
+bool colt_cell_find_suitability (const struct ColtCellStep *step,
+                                 const struct ColtCellServer *server,
+                                 bool *suitable);
 bool colt_cell_is_known_suitable (const struct ColtCellStep *step,
                                   const struct ColtCellServer *server);
 bool colt_cell_is_known_unsuitable (const struct ColtCellStep *step,
                                     const struct ColtCellServer *server);
 void colt_cell_send_advice_calls (struct ColtCell *cell, int64_t now_us);
 
+/* cell_candidates.c */
+void colt_cell_name_candidates (const struct ColtCell *cell,
+                                const struct ColtCellStep *step,
+                                struct ColtCellPool *pool,
+                                GPtrArray *names);
+void colt_cell_forget_candidates (struct ColtCell *cell);
+
 /* cell_stragglers.c */
 void colt_cell_update_progress (struct ColtCellRun *run,
                                 int64_t percent,
