Cell: look for room only on servers that may have some

Each task of a step was compared with all servers that the step has advice on, and each step without a usable ticket walked over the pool for one with room. In a full fleet nearly all of them are ruled out by their room. A pass now lists, once it's needed, the servers of a pool that are usable and have room for the least demand of its open steps; the list is dropped when a run ends during the pass. The pool of a queue is looked up once a pass.

--- a/src/cell/cell_advice.c
+++ b/src/cell/cell_advice.c
@@ -17,8 +17,6 @@
  * advisers. */
 #define LONG_CALL_MS 300.0
 
-static bool covers_ (const struct ColtResources *demand,
-                     const struct ColtResources *other);
 static enum ColtCellBlock queue_advice_call_ (struct ColtCell *cell,
                                               struct ColtCellStep *step,
                                               int64_t now_us);
@@ -86,6 +84,7 @@
                           struct ColtCellPool *pool,
                           int64_t now_us)
 {
+  const GPtrArray *roomy;
   bool has_room = false;
   guint i;
 
@@ -95,12 +94,12 @@
     return BLOCK_ADVICE;
   if (now_us < step->next_advice_us)
     return BLOCK_ADVICE;
-  if (pool->is_full && covers_ (&step->demand, &pool->unmet))
+  if (pool->is_full && colt_resources_fit (&pool->unmet, &step->demand))
     return BLOCK_NO_ROOM;
-  for (i = 0; i < pool->servers->len; i++)
+  roomy = colt_cell_list_roomy (pool, step, now_us);
+  for (i = 0; i < roomy->len; i++)
     {
-      const struct ColtCellServer *server
-          = g_ptr_array_index (pool->servers, i);
+      const struct ColtCellServer *server = g_ptr_array_index (roomy, i);
 
       if (!colt_cell_fits (step, server)
           || !colt_cell_is_usable (server, now_us))
@@ -119,18 +118,6 @@
   return BLOCK_NO_ROOM;
 }
 
-/* Returns whether each amount of a demand is at least that of another. */
-static bool
-covers_ (const struct ColtResources *demand, const struct ColtResources *other)
-{
-  int r;
-
-  for (r = 0; r < COLT_RESOURCE_COUNT; r++)
-    if (demand->amount[r] < other->amount[r])
-      return false;
-  return true;
-}
-
 /* Requests tickets for a gang on servers that have room, one for each task. The
  * gang can only start when all its servers have room and tickets at the same
  * time, so the caller reserves that room meanwhile. */
--- a/src/cell/cell_gangs.c
+++ b/src/cell/cell_gangs.c
@@ -1,7 +1,7 @@
 #include "cell_private.h"
 
 static bool choose_gang_servers_ (struct ColtCellStep *step,
-                                  const struct ColtCellPool *pool,
+                                  struct ColtCellPool *pool,
                                   bool ticketed,
                                   struct ColtCellServer **servers,
                                   int64_t now_us);
@@ -90,7 +90,7 @@
  * on its server; it is subtracted again at the end. */
 static bool
 choose_gang_servers_ (struct ColtCellStep *step,
-                      const struct ColtCellPool *pool,
+                      struct ColtCellPool *pool,
                       bool ticketed,
                       struct ColtCellServer **servers,
                       int64_t now_us)
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -28,7 +28,6 @@
 static bool has_room_for_ (const struct ColtCellStep *step,
                            const struct ColtCellServer *server,
                            bool added);
-static void forget_full_pools_ (struct ColtCell *cell);
 static void rank_steps_ (struct ColtCell *cell, int64_t now_us);
 static int compare_steps_ (gconstpointer a, gconstpointer b);
 static uint32_t get_priority_ (const struct ColtCellStep *step);
@@ -39,6 +38,11 @@
                           struct ColtCellStep *step,
                           struct ColtCellPool *pool,
                           int64_t now_us);
+static struct ColtCellServer *choose_advised_ (const struct ColtCellStep *step,
+                                               const struct ColtCellTask *task,
+                                               const struct ColtCellPool *pool,
+                                               int64_t ticket_us,
+                                               int64_t now_us);
 static double fullness_ (const struct ColtCellServer *server);
 static uint32_t count_step_runs_ (const struct ColtCellServer *server,
                                   const struct ColtCellStep *step);
@@ -58,14 +62,15 @@
 
   cell->wall_ms = wall_ms;
   cell->now_us = now_us;
-  forget_full_pools_ (cell);
   colt_cell_move_stragglers (cell, now_us);
   colt_cell_close_steps (cell);
   rank_steps_ (cell, now_us);
+  colt_cell_begin_room (cell);
   g_ptr_array_sort (cell->open_steps, compare_steps_);
   for (i = 0; i < cell->open_steps->len; i++)
     place_step_ (cell, g_ptr_array_index (cell->open_steps, i), now_us);
   colt_cell_send_advice_calls (cell, now_us);
+  colt_cell_end_room (cell);
   colt_cell_release_reservations (cell);
 }
 
@@ -217,40 +222,40 @@
 }
 
 /* An advised step may only run on servers that it has advice on, which are far
- * fewer than all servers of the pool. */
+ * fewer than all servers of the pool; fewer still may have room. */
 struct ColtCellServer *
 colt_cell_choose_server (const struct ColtCellStep *step,
                          const struct ColtCellTask *task,
-                         const struct ColtCellPool *pool,
+                         struct ColtCellPool *pool,
                          bool ticketed,
                          int64_t now_us)
 {
+  bool advised = step->job->queue->config->advised;
   struct ColtCandidate best = { NULL, 0 };
-  GHashTableIter advised;
-  gpointer key;
-  gpointer value;
+  int64_t ticket_us = ticketed ? now_us : INT64_MIN;
+  const GPtrArray *roomy;
   guint i;
 
-  if (step->job->queue->config->advised)
+  if (advised
+      && (g_hash_table_size (step->advice) == 0
+          || (ticketed && !colt_cell_may_have_ticket (step, now_us))))
+    return NULL;
+  roomy = colt_cell_list_roomy (pool, step, now_us);
+  if (advised && g_hash_table_size (step->advice) < roomy->len)
+    return choose_advised_ (step, task, pool, ticket_us, now_us);
+  for (i = 0; i < roomy->len; i++)
     {
-      if (ticketed && !colt_cell_may_have_ticket (step, now_us))
-        return NULL;
-      g_hash_table_iter_init (&advised, step->advice);
-      while (g_hash_table_iter_next (&advised, &key, &value))
-        {
-          struct ColtCellServer *server = key;
+      struct ColtCellServer *server = g_ptr_array_index (roomy, i);
+      const struct ColtCellAdvice *advice;
 
-          /* In a full fleet most servers are ruled out by their room. */
-          if (server->pool == pool && colt_cell_fits (step, server)
-              && colt_cell_is_suitable (value, server,
-                                        ticketed ? now_us : INT64_MIN))
-            consider_server_ (&best, step, task, server, now_us);
-        }
-      return best.server;
+      if (!colt_cell_fits (step, server))
+        continue;
+      advice = advised ? g_hash_table_lookup (step->advice, server) : NULL;
+      if (!advised
+          || (advice != NULL
+              && colt_cell_is_suitable (advice, server, ticket_us)))
+        consider_server_ (&best, step, task, server, now_us);
     }
-  for (i = 0; i < pool->servers->len; i++)
-    consider_server_ (&best, step, task, g_ptr_array_index (pool->servers, i),
-                      now_us);
   return best.server;
 }
 
@@ -327,17 +332,6 @@
   return true;
 }
 
-static void
-forget_full_pools_ (struct ColtCell *cell)
-{
-  GHashTableIter i;
-  gpointer value;
-
-  g_hash_table_iter_init (&i, cell->pools);
-  while (g_hash_table_iter_next (&i, NULL, &value))
-    ((struct ColtCellPool *)value)->is_full = false;
-}
-
 static void
 rank_steps_ (struct ColtCell *cell, int64_t now_us)
 {
@@ -347,7 +341,15 @@
 
   g_hash_table_iter_init (&q, cell->queues);
   while (g_hash_table_iter_next (&q, NULL, &value))
-    ((struct ColtCellQueue *)value)->late = false;
+    {
+      struct ColtCellQueue *queue = value;
+
+      queue->late = false;
+      queue->pool
+          = queue->config != NULL
+                ? g_hash_table_lookup (cell->pools, queue->config->service)
+                : NULL;
+    }
   for (i = 0; i < cell->open_steps->len; i++)
     colt_cell_rank_step (g_ptr_array_index (cell->open_steps, i), now_us);
   g_hash_table_iter_init (&q, cell->queues);
@@ -393,13 +395,10 @@
 static void
 place_step_ (struct ColtCell *cell, struct ColtCellStep *step, int64_t now_us)
 {
-  const struct ColtQueueConfig *config = step->job->queue->config;
-  struct ColtCellPool *pool = NULL;
+  struct ColtCellPool *pool = step->job->queue->pool;
 
   if (step->waiting == 0 || colt_cell_is_ended (step->job))
     return;
-  if (config != NULL)
-    pool = g_hash_table_lookup (cell->pools, config->service);
   if (pool == NULL)
     colt_cell_set_block (cell, step, BLOCK_NO_SERVICE);
   else if (now_us < step->not_before_us)
@@ -466,6 +465,31 @@
   colt_cell_log_plan (cell, step, plan);
 }
 
+/* Chooses among the servers that a step has advice on. */
+static struct ColtCellServer *
+choose_advised_ (const struct ColtCellStep *step,
+                 const struct ColtCellTask *task,
+                 const struct ColtCellPool *pool,
+                 int64_t ticket_us,
+                 int64_t now_us)
+{
+  struct ColtCandidate best = { NULL, 0 };
+  GHashTableIter advised;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&advised, step->advice);
+  while (g_hash_table_iter_next (&advised, &key, &value))
+    {
+      struct ColtCellServer *server = key;
+
+      if (server->pool == pool && colt_cell_fits (step, server)
+          && colt_cell_is_suitable (value, server, ticket_us))
+        consider_server_ (&best, step, task, server, now_us);
+    }
+  return best.server;
+}
+
 /* Returns the used fraction of a server's room, summed over its resources. */
 static double
 fullness_ (const struct ColtCellServer *server)
--- a/src/cell/cell_runs.c
+++ b/src/cell/cell_runs.c
@@ -258,6 +258,8 @@
   colt_cell_end_trial (run);
   g_ptr_array_remove_fast (run->server->runs, run);
   colt_resources_subtract (&run->server->used, &run->demand);
+  if (run->server->pool != NULL)
+    colt_cell_forget_roomy (run->server->pool);
   colt_resources_subtract (&step->job->organisation->used, &run->demand);
   task->current = NULL;
   task->last_server = run->server;
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -30,6 +30,7 @@
   bool listed;                          /* in the current configuration */
   uint64_t waiting;                     /* durable jobs without a start */
   uint32_t open_calls;                  /* pending advice calls */
+  struct ColtCellPool *pool;            /* in a pass; NULL: none */
   double task_us; /* mean duration of a task; 0: not known */
   bool late;      /* a job misses its objective in this pass */
   bool was_late;  /* a job missed its objective in the previous pass */
@@ -275,6 +276,10 @@
    * a pass. */
   bool is_full;
   struct ColtResources unmet;
+  struct ColtResources least; /* of each amount that open steps demand */
+  GPtrArray *roomy;   /* servers that may take a task with the least demand, in
+                         the order of servers; only kept during a pass until room
+                         becomes free, otherwise NULL */
   GArray *candidates; /* of struct ColtCandidate; only kept while advice calls
                          are sent, otherwise NULL */
 };
@@ -433,7 +438,7 @@
                                 uint32_t tasks);
 struct ColtCellServer *colt_cell_choose_server (const struct ColtCellStep *step,
                                                 const struct ColtCellTask *task,
-                                                const struct ColtCellPool *pool,
+                                                struct ColtCellPool *pool,
                                                 bool ticketed,
                                                 int64_t now_us);
 void colt_cell_plan_run (struct ColtCell *cell,
@@ -448,6 +453,19 @@
 uint32_t colt_cell_next_run_number (const struct ColtCell *cell,
                                     const struct ColtCellTask *task);
 
+/* cell_room.c */
+
+/* Has to be called before the first step of a pass is placed. */
+void colt_cell_begin_room (struct ColtCell *cell);
+/* Returns the servers of a pool that may be usable and have room for a task of
+ * the step, and perhaps others. */
+const GPtrArray *colt_cell_list_roomy (struct ColtCellPool *pool,
+                                       const struct ColtCellStep *step,
+                                       int64_t now_us);
+/* Has to be called when room becomes free during a pass. */
+void colt_cell_forget_roomy (struct ColtCellPool *pool);
+void colt_cell_end_room (struct ColtCell *cell);
+
 /* cell_gangs.c */
 void colt_cell_place_gang (struct ColtCell *cell,
                            struct ColtCellStep *step,
