Cell: list the servers that a step may start on once for all its tasks

For each task of a step the advice of the step was walked over again. The servers with room and a valid ticket are now listed once for a step, or once for a gang's choice, and each task is given the best one that is left.

--- a/src/cell/cell_gangs.c
+++ b/src/cell/cell_gangs.c
@@ -96,19 +96,21 @@
                       int64_t now_us)
 {
   uint32_t count = step->spec->count;
+  GPtrArray *eligible = colt_cell_list_eligible (step, pool, ticketed, now_us);
   uint32_t placed;
   uint32_t i;
 
   for (placed = 0; placed < count; placed++)
     {
-      servers[placed] = colt_cell_choose_server (step, &step->tasks[placed],
-                                                 pool, ticketed, now_us);
+      servers[placed] = colt_cell_choose_server (eligible, step,
+                                                 &step->tasks[placed], now_us);
       if (servers[placed] == NULL)
         break;
       colt_resources_add (&servers[placed]->used, &step->demand);
     }
   for (i = 0; i < placed; i++)
     colt_resources_subtract (&servers[i]->used, &step->demand);
+  g_clear_pointer (&eligible, g_ptr_array_unref);
   return placed == count;
 }
 
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -38,11 +38,14 @@
                           struct ColtCellStep *step,
                           struct ColtCellPool *pool,
                           int64_t now_us);
-static struct ColtCellServer *choose_advised_ (const struct ColtCellStep *step,
-                                               const struct ColtCellTask *task,
-                                               const struct ColtCellPool *pool,
-                                               int64_t ticket_us,
-                                               int64_t now_us);
+static GPtrArray *list_advised_ (const struct ColtCellStep *step,
+                                 const struct ColtCellPool *pool,
+                                 int64_t ticket_us,
+                                 int64_t now_us);
+static bool is_eligible_ (const struct ColtCellStep *step,
+                          const struct ColtCellServer *server,
+                          int64_t now_us);
+static void add_eligible_ (GPtrArray **eligible, struct ColtCellServer *server);
 static double fullness_ (const struct ColtCellServer *server);
 static uint32_t count_step_runs_ (const struct ColtCellServer *server,
                                   const struct ColtCellStep *step);
@@ -223,16 +226,15 @@
 
 /* An advised step may only run on servers that it has advice on, which are far
  * fewer than all servers of the pool; fewer still may have room. */
-struct ColtCellServer *
-colt_cell_choose_server (const struct ColtCellStep *step,
-                         const struct ColtCellTask *task,
+GPtrArray *
+colt_cell_list_eligible (const struct ColtCellStep *step,
                          struct ColtCellPool *pool,
                          bool ticketed,
                          int64_t now_us)
 {
   bool advised = step->job->queue->config->advised;
-  struct ColtCandidate best = { NULL, 0 };
   int64_t ticket_us = ticketed ? now_us : INT64_MIN;
+  GPtrArray *eligible = NULL;
   const GPtrArray *roomy;
   guint i;
 
@@ -242,20 +244,35 @@
     return NULL;
   roomy = colt_cell_list_roomy (pool, step, now_us);
   if (advised && g_hash_table_size (step->advice) < roomy->len)
-    return choose_advised_ (step, task, pool, ticket_us, now_us);
+    return list_advised_ (step, pool, ticket_us, now_us);
   for (i = 0; i < roomy->len; i++)
     {
       struct ColtCellServer *server = g_ptr_array_index (roomy, i);
       const struct ColtCellAdvice *advice;
 
-      if (!colt_cell_fits (step, server))
+      if (!is_eligible_ (step, server, now_us))
         continue;
       advice = advised ? g_hash_table_lookup (step->advice, server) : NULL;
       if (!advised
           || (advice != NULL
               && colt_cell_is_suitable (advice, server, ticket_us)))
-        consider_server_ (&best, step, task, server, now_us);
+        add_eligible_ (&eligible, server);
     }
+  return eligible;
+}
+
+struct ColtCellServer *
+colt_cell_choose_server (const GPtrArray *eligible,
+                         const struct ColtCellStep *step,
+                         const struct ColtCellTask *task,
+                         int64_t now_us)
+{
+  struct ColtCandidate best = { NULL, 0 };
+  guint i;
+
+  for (i = 0; eligible != NULL && i < eligible->len; i++)
+    consider_server_ (&best, step, task, g_ptr_array_index (eligible, i),
+                      now_us);
   return best.server;
 }
 
@@ -424,6 +441,7 @@
               struct ColtCellPool *pool,
               int64_t now_us)
 {
+  GPtrArray *eligible = colt_cell_list_eligible (step, pool, true, now_us);
   GString *plan = g_string_new (NULL);
   uint32_t i;
 
@@ -451,7 +469,7 @@
           colt_cell_set_block (cell, step, BLOCK_LIMIT);
           break;
         }
-      server = colt_cell_choose_server (step, task, pool, true, now_us);
+      server = colt_cell_choose_server (eligible, step, task, now_us);
       if (server == NULL)
         {
           colt_cell_set_block (
@@ -462,18 +480,18 @@
                           colt_cell_next_run_number (cell, task), now_us);
       colt_cell_append_plan (plan, task);
     }
+  g_clear_pointer (&eligible, g_ptr_array_unref);
   colt_cell_log_plan (cell, step, plan);
 }
 
-/* Chooses among the servers that a step has advice on. */
-static struct ColtCellServer *
-choose_advised_ (const struct ColtCellStep *step,
-                 const struct ColtCellTask *task,
-                 const struct ColtCellPool *pool,
-                 int64_t ticket_us,
-                 int64_t now_us)
+/* Lists the eligible servers among those that a step has advice on. */
+static GPtrArray *
+list_advised_ (const struct ColtCellStep *step,
+               const struct ColtCellPool *pool,
+               int64_t ticket_us,
+               int64_t now_us)
 {
-  struct ColtCandidate best = { NULL, 0 };
+  GPtrArray *eligible = NULL;
   GHashTableIter advised;
   gpointer key;
   gpointer value;
@@ -483,11 +501,28 @@
     {
       struct ColtCellServer *server = key;
 
-      if (server->pool == pool && colt_cell_fits (step, server)
+      if (server->pool == pool && is_eligible_ (step, server, now_us)
           && colt_cell_is_suitable (value, server, ticket_us))
-        consider_server_ (&best, step, task, server, now_us);
+        add_eligible_ (&eligible, server);
     }
-  return best.server;
+  return eligible;
+}
+
+static bool
+is_eligible_ (const struct ColtCellStep *step,
+              const struct ColtCellServer *server,
+              int64_t now_us)
+{
+  return colt_cell_fits (step, server) && colt_cell_is_usable (server, now_us)
+         && colt_cell_meets_constraints (step, server);
+}
+
+static void
+add_eligible_ (GPtrArray **eligible, struct ColtCellServer *server)
+{
+  if (*eligible == NULL)
+    *eligible = g_ptr_array_new ();
+  g_ptr_array_add (*eligible, server);
 }
 
 /* Returns the used fraction of a server's room, summed over its resources. */
@@ -531,8 +566,7 @@
 {
   double score;
 
-  if (!colt_cell_fits (step, server) || !colt_cell_is_usable (server, now_us)
-      || !colt_cell_meets_constraints (step, server))
+  if (!is_eligible_ (step, server, now_us))
     return;
   score = score_server_ (step, task, server);
   if (best->server != NULL
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -436,10 +436,17 @@
 bool colt_cell_is_within_limit (const struct ColtCell *cell,
                                 const struct ColtCellStep *step,
                                 uint32_t tasks);
-struct ColtCellServer *colt_cell_choose_server (const struct ColtCellStep *step,
+/* Lists the servers of a pool on which a task of the step may start now; NULL:
+ * none. */
+GPtrArray *colt_cell_list_eligible (const struct ColtCellStep *step,
+                                    struct ColtCellPool *pool,
+                                    bool ticketed,
+                                    int64_t now_us);
+/* Chooses the best server of a list, which may be NULL, that still is eligible.
+ */
+struct ColtCellServer *colt_cell_choose_server (const GPtrArray *eligible,
+                                                const struct ColtCellStep *step,
                                                 const struct ColtCellTask *task,
-                                                struct ColtCellPool *pool,
-                                                bool ticketed,
                                                 int64_t now_us);
 void colt_cell_plan_run (struct ColtCell *cell,
                          struct ColtCellTask *task,
