Cell: cheaper order of open steps, and no work for steps that stay blocked

Sorting the open steps followed several pointers for each comparison; what their order depends on is now gathered first. A step without new runs no longer allocates the text of its plan, and the queues that want advice are counted without a hash table, and only if there are any. The order itself is unchanged.

--- a/src/cell/cell_advice.c
+++ b/src/cell/cell_advice.c
@@ -204,10 +204,13 @@
 void
 colt_cell_send_advice_calls (struct ColtCell *cell, int64_t now_us)
 {
-  uint32_t share = cell->advisers / MAX (count_calling_queues_ (cell), 1);
+  uint32_t share;
   guint i;
 
   cell->now_us = now_us;
+  if (cell->advice_steps->len == 0)
+    return;
+  share = cell->advisers / count_calling_queues_ (cell);
   for (i = 0; i < cell->advice_steps->len; i++)
     {
       struct ColtCellStep *step = g_ptr_array_index (cell->advice_steps, i);
@@ -327,27 +330,32 @@
       = MIN (step->fruitless_calls + 1, ADVICE_PAUSES_DOUBLED_MAX);
 }
 
+/* Returns the number of queues that have pending calls or need some. */
 static uint32_t
 count_calling_queues_ (const struct ColtCell *cell)
 {
-  GHashTable *queues = g_hash_table_new (g_direct_hash, g_direct_equal);
+  uint32_t count = 0;
   GHashTableIter i;
   gpointer value;
-  uint32_t count;
   guint s;
 
+  g_hash_table_iter_init (&i, cell->queues);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    {
+      struct ColtCellQueue *queue = value;
+
+      queue->calling = queue->open_calls > 0;
+      count += queue->calling ? 1 : 0;
+    }
   for (s = 0; s < cell->advice_steps->len; s++)
     {
       const struct ColtCellStep *step
           = g_ptr_array_index (cell->advice_steps, s);
+      struct ColtCellQueue *queue = step->job->queue;
 
-      g_hash_table_add (queues, step->job->queue);
+      count += queue->calling ? 0 : 1;
+      queue->calling = true;
     }
-  g_hash_table_iter_init (&i, cell->open_calls);
-  while (g_hash_table_iter_next (&i, NULL, &value))
-    g_hash_table_add (queues, value);
-  count = g_hash_table_size (queues);
-  g_hash_table_unref (queues);
   return count;
 }
 
--- a/src/cell/cell_gangs.c
+++ b/src/cell/cell_gangs.c
@@ -120,7 +120,7 @@
             struct ColtCellServer *const *servers,
             int64_t now_us)
 {
-  GString *plan = g_string_new (NULL);
+  GString *plan = NULL;
   uint32_t number = 0;
   uint32_t i;
 
@@ -130,7 +130,7 @@
   for (i = 0; i < step->spec->count; i++)
     {
       colt_cell_plan_run (cell, &step->tasks[i], servers[i], number, now_us);
-      colt_cell_append_plan (plan, &step->tasks[i]);
+      colt_cell_append_plan (&plan, &step->tasks[i]);
     }
   colt_cell_log_plan (cell, step, plan);
 }
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -29,8 +29,6 @@
                            const struct ColtCellServer *server,
                            bool added);
 static void rank_steps_ (struct ColtCell *cell, int64_t now_us);
-static int compare_steps_ (gconstpointer a, gconstpointer b);
-static uint32_t get_priority_ (const struct ColtCellStep *step);
 static void
 place_step_ (struct ColtCell *cell, struct ColtCellStep *step, int64_t now_us);
 static bool is_short_block_ (enum ColtCellBlock block);
@@ -69,7 +67,7 @@
   colt_cell_close_steps (cell);
   rank_steps_ (cell, now_us);
   colt_cell_begin_room (cell);
-  g_ptr_array_sort (cell->open_steps, compare_steps_);
+  colt_cell_sort_steps (cell);
   for (i = 0; i < cell->open_steps->len; i++)
     place_step_ (cell, g_ptr_array_index (cell->open_steps, i), now_us);
   colt_cell_send_advice_calls (cell, now_us);
@@ -293,14 +291,17 @@
 }
 
 void
-colt_cell_append_plan (GString *plan, const struct ColtCellTask *task)
+colt_cell_append_plan (GString **plan, const struct ColtCellTask *task)
 {
-  if (plan->len < PLAN_TEXT_MAX)
-    g_string_append_printf (plan, " %u@%s/%u", task->index,
+  if (*plan == NULL)
+    *plan = g_string_new (NULL);
+  if ((*plan)->len < PLAN_TEXT_MAX)
+    g_string_append_printf (*plan, " %u@%s/%u", task->index,
                             task->current->server->id, task->current->run);
 }
 
-/* Logs one line for all tasks of a step that were placed in a pass. */
+/* Logs one line for all tasks of a step that were placed in a pass; the plan is
+ * NULL if there are none. */
 void
 colt_cell_log_plan (struct ColtCell *cell,
                     struct ColtCellStep *step,
@@ -308,16 +309,15 @@
 {
   char *detail;
 
-  if (plan->len > 0)
-    {
-      step->block = BLOCK_NONE;
-      detail = g_strdup_printf ("%u.%u, %s, %u waiting:%s", step->occurrence,
-                                step->number, colt_cell_rank_string[step->rank],
-                                step->waiting, plan->str);
-      cell->ops->log_decision (cell->client, step->job->id, "tasks planned",
-                               detail);
-      g_free (detail);
-    }
+  if (plan == NULL)
+    return;
+  step->block = BLOCK_NONE;
+  detail = g_strdup_printf ("%u.%u, %s, %u waiting:%s", step->occurrence,
+                            step->number, colt_cell_rank_string[step->rank],
+                            step->waiting, plan->str);
+  cell->ops->log_decision (cell->client, step->job->id, "tasks planned",
+                           detail);
+  g_free (detail);
   g_string_free (plan, TRUE);
 }
 
@@ -375,40 +375,6 @@
         = ((struct ColtCellQueue *)value)->late;
 }
 
-/* Sorts by rank and priority; jobs that have begun come first, then older jobs.
- * While a queue misses objectives its newest jobs come first, as they have the
- * best chance to meet theirs. */
-static int
-compare_steps_ (gconstpointer a, gconstpointer b)
-{
-  const struct ColtCellStep *left = *(struct ColtCellStep *const *)a;
-  const struct ColtCellStep *right = *(struct ColtCellStep *const *)b;
-  uint32_t left_priority = get_priority_ (left);
-  uint32_t right_priority = get_priority_ (right);
-  int order = left->job->order < right->job->order ? -1 : 1;
-
-  if (left->rank != right->rank)
-    return left->rank < right->rank ? -1 : 1;
-  if (left_priority != right_priority)
-    return left_priority < right_priority ? -1 : 1;
-  if (left->job->begun != right->job->begun)
-    return left->job->begun ? -1 : 1;
-  if (left->job == right->job)
-    return left->number < right->number ? -1 : 1;
-  if (!left->job->begun && left->job->queue == right->job->queue
-      && left->job->queue->was_late)
-    return -order;
-  return order;
-}
-
-static uint32_t
-get_priority_ (const struct ColtCellStep *step)
-{
-  const struct ColtQueueConfig *config = step->job->queue->config;
-
-  return config != NULL ? config->priority : UINT32_MAX;
-}
-
 static void
 place_step_ (struct ColtCell *cell, struct ColtCellStep *step, int64_t now_us)
 {
@@ -442,7 +408,7 @@
               int64_t now_us)
 {
   GPtrArray *eligible = colt_cell_list_eligible (step, pool, true, now_us);
-  GString *plan = g_string_new (NULL);
+  GString *plan = NULL;
   uint32_t i;
 
   for (i = 0; i < step->spec->count && step->waiting > 0; i++)
@@ -478,7 +444,7 @@
         }
       colt_cell_plan_run (cell, task, server,
                           colt_cell_next_run_number (cell, task), now_us);
-      colt_cell_append_plan (plan, task);
+      colt_cell_append_plan (&plan, task);
     }
   g_clear_pointer (&eligible, g_ptr_array_unref);
   colt_cell_log_plan (cell, step, plan);
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -30,6 +30,7 @@
   bool listed;                          /* in the current configuration */
   uint64_t waiting;                     /* durable jobs without a start */
   uint32_t open_calls;                  /* pending advice calls */
+  bool calling;                         /* has pending calls or needs some */
   struct ColtCellPool *pool;            /* in a pass; NULL: none */
   double task_us; /* mean duration of a task; 0: not known */
   bool late;      /* a job misses its objective in this pass */
@@ -453,13 +454,18 @@
                          struct ColtCellServer *server,
                          uint32_t number,
                          int64_t now_us);
-void colt_cell_append_plan (GString *plan, const struct ColtCellTask *task);
+void colt_cell_append_plan (GString **plan, const struct ColtCellTask *task);
 void colt_cell_log_plan (struct ColtCell *cell,
                          struct ColtCellStep *step,
                          GString *plan);
 uint32_t colt_cell_next_run_number (const struct ColtCell *cell,
                                     const struct ColtCellTask *task);
 
+/* cell_order.c */
+/* Sorts the open steps, once they are ranked, in the order in which they get
+ * room. */
+void colt_cell_sort_steps (struct ColtCell *cell);
+
 /* cell_room.c */
 
 /* Has to be called before the first step of a pass is placed. */
