--- a/src/cell/cell_advice.c
+++ b/src/cell/cell_advice.c
@@ -365,8 +365,6 @@
 send_advice_call_ (struct ColtCell *cell, struct ColtCellStep *step)
 {
   struct ColtCellQueue *queue = step->job->queue;
-  struct ColtCellPool *pool
-      = g_hash_table_lookup (cell->pools, queue->config->service);
   GPtrArray *names;
   char name[TASK_NAME_SIZE];
   bool has_adviser;
@@ -377,7 +375,7 @@
   if (step->ticket_servers != NULL)
     add_ticket_servers_ (step, names);
   else
-    colt_cell_name_candidates (cell, step, pool, names);
+    colt_cell_name_candidates (cell, step, queue->pool, names);
   g_snprintf (name, sizeof name, "%s.%u.%u", step->job->id, step->occurrence,
               step->number);
   /* The list may be empty: later starts of the pass may have used the last
--- a/src/cell/cell_candidates.c
+++ b/src/cell/cell_candidates.c
@@ -26,6 +26,8 @@
 };
 
 static void list_candidates_ (struct ColtCellPool *pool, int64_t now_us);
+static void describe_ (struct ColtCandidate *candidate,
+                       struct ColtCellServer *server);
 static guint count_named_ (const struct ColtCell *cell,
                            const struct ColtCellStep *step);
 static void offer_known_ (const struct ColtCellStep *step,
@@ -92,27 +94,37 @@
 static void
 list_candidates_ (struct ColtCellPool *pool, int64_t now_us)
 {
+  guint count = 0;
   guint i;
 
-  pool->candidates = g_array_sized_new (
-      FALSE, FALSE, sizeof (struct ColtCandidate), pool->servers->len);
+  pool->candidates = g_array_new (FALSE, FALSE, sizeof (struct ColtCandidate));
+  g_array_set_size (pool->candidates, pool->servers->len);
   for (i = 0; i < pool->servers->len; i++)
     {
       struct ColtCellServer *server = g_ptr_array_index (pool->servers, i);
-      struct ColtCandidate candidate = { .server = server };
 
       if (!colt_cell_is_usable (server, now_us))
         continue;
-      candidate.left = server->room;
-      colt_resources_subtract (&candidate.left, &server->used);
-      candidate.fullness
-          = (double)server->used.amount[COLT_RESOURCE_CORES]
-            / (double)(server->room.amount[COLT_RESOURCE_CORES] + 1);
-      candidate.slowness
-          = MIN (colt_cell_slowness (server), SLOWNESS_COUNTED_MAX);
-      server->position = pool->candidates->len;
-      g_array_append_val (pool->candidates, candidate);
+      server->position = count++;
+      describe_ (&g_array_index (pool->candidates, struct ColtCandidate,
+                                 server->position),
+                 server);
     }
+  g_array_set_size (pool->candidates, count);
+}
+
+static void
+describe_ (struct ColtCandidate *candidate, struct ColtCellServer *server)
+{
+  int r;
+
+  candidate->server = server;
+  for (r = 0; r < COLT_RESOURCE_COUNT; r++)
+    candidate->left.amount[r] = server->room.amount[r] - server->used.amount[r];
+  candidate->fullness
+      = (double)server->used.amount[COLT_RESOURCE_CORES]
+        / (double)(server->room.amount[COLT_RESOURCE_CORES] + 1);
+  candidate->slowness = MIN (colt_cell_slowness (server), SLOWNESS_COUNTED_MAX);
 }
 
 static guint
--- a/src/cell/cell_room.c
+++ b/src/cell/cell_room.c
@@ -33,7 +33,7 @@
     return pool->servers;
   if (pool->roomy != NULL)
     return pool->roomy;
-  pool->roomy = g_ptr_array_new ();
+  pool->roomy = g_ptr_array_sized_new (pool->servers->len);
   for (i = 0; i < pool->servers->len; i++)
     {
       struct ColtCellServer *server = g_ptr_array_index (pool->servers, i);
