Test: compare named and chosen servers with a plain computation

Passes keep lists of candidates and of servers with room; a list that differs from the fleet would only show as worse placement.

--- a/src/test_cell_load/fixture.h
+++ b/src/test_cell_load/fixture.h
@@ -79,5 +79,7 @@
 
 /* Registers the tests of test_load_servers.c. */
 void colt_load_add_server_tests (void);
+/* Registers the tests of test_load_choice.c. */
+void colt_load_add_choice_tests (void);
 
 #endif
--- a/src/test_cell_load/test_load.c
+++ b/src/test_cell_load/test_load.c
@@ -326,5 +326,6 @@
   g_test_add_func ("/cell/load/start-waits-for-record",
                    test_start_waits_for_record);
   colt_load_add_server_tests ();
+  colt_load_add_choice_tests ();
   return g_test_run ();
 }
