Cell: search for stragglers only in steps that can have one

Every 200 ms the durations of each running step were gathered and sorted. A step is now skipped if none of its runs lacks progress and the longest expected duration isn't beyond what makes a straggler of the shortest.

--- a/src/cell/cell_stragglers.c
+++ b/src/cell/cell_stragglers.c
@@ -30,11 +30,15 @@
 check_job_ (struct ColtCell *cell, struct ColtCellJob *job, int64_t now_us);
 static void
 check_step_ (struct ColtCell *cell, struct ColtCellStep *step, int64_t now_us);
+static bool has_suspect_ (const struct ColtCellStep *step, int64_t now_us);
 static double median_us_ (const struct ColtCellStep *step);
 static double expected_us_ (const struct ColtCellTask *task);
 static bool may_be_moved_ (const struct ColtCellRun *run, int64_t now_us);
 static bool
 is_stalled_ (const struct ColtCellRun *run, double median_us, int64_t now_us);
+static bool makes_no_progress_ (const struct ColtCellRun *run,
+                                double percent_us,
+                                int64_t now_us);
 static bool
 is_straggler_ (const struct ColtCellRun *run, double median_us, int64_t now_us);
 static bool has_room_elsewhere_ (const struct ColtCell *cell,
@@ -92,9 +96,12 @@
 static void
 check_step_ (struct ColtCell *cell, struct ColtCellStep *step, int64_t now_us)
 {
-  double median_us = median_us_ (step);
+  double median_us;
   uint32_t i;
 
+  if (!has_suspect_ (step, now_us))
+    return;
+  median_us = median_us_ (step);
   for (i = 0; i < step->spec->count; i++)
     {
       struct ColtCellRun *run = step->tasks[i].current;
@@ -113,6 +120,31 @@
     }
 }
 
+/* Returns false if no run of a step can be stalled or a straggler, whatever the
+ * median duration is. */
+static bool
+has_suspect_ (const struct ColtCellStep *step, int64_t now_us)
+{
+  double shortest_us = HUGE_VAL;
+  double longest_us = 0;
+  uint32_t i;
+
+  for (i = 0; i < step->spec->count; i++)
+    {
+      const struct ColtCellRun *run = step->tasks[i].current;
+      double expected_us = expected_us_ (&step->tasks[i]);
+
+      if (expected_us > 0)
+        shortest_us = MIN (shortest_us, expected_us);
+      if (run == NULL || !may_be_moved_ (run, now_us))
+        continue;
+      if (makes_no_progress_ (run, 0, now_us))
+        return true;
+      longest_us = MAX (longest_us, expected_us);
+    }
+  return longest_us > SLOW_FACTOR * shortest_us;
+}
+
 /* Returns the median duration of a step's tasks that are done or can be
  * estimated; 0 if there are too few. */
 static double
@@ -165,12 +197,21 @@
  * long task takes a while by itself. */
 static bool
 is_stalled_ (const struct ColtCellRun *run, double median_us, int64_t now_us)
+{
+  if (median_us > 0)
+    return makes_no_progress_ (run, median_us / 100, now_us);
+  return makes_no_progress_ (run, run->task->step->job->queue->task_us / 20,
+                             now_us);
+}
+
+/* Returns whether a run lacks progress if a percent takes percent_us. */
+static bool
+makes_no_progress_ (const struct ColtCellRun *run,
+                    double percent_us,
+                    int64_t now_us)
 {
   int64_t since_us = MAX (run->progress_us, run->started_us);
-  double percent_us = median_us > 0 ? median_us / 100 : 0;
 
-  if (median_us <= 0)
-    percent_us = run->task->step->job->queue->task_us / 20;
   return run->percent < 100
          && (double)(run->reported_us - since_us)
                 >= (double)STALL_US + 2 * percent_us
