--- a/src/cell/cell_advice.c
+++ b/src/cell/cell_advice.c
@@ -9,11 +9,6 @@
  * to a start. */
 #define ADVICE_PAUSE_US (100 * COLT_US_PER_MS)
 #define ADVICE_PAUSES_DOUBLED_MAX 4
-/* Servers named in an advice call in addition to those for the waiting tasks,
- * since only some servers may run a step. */
-#define NAMED_SERVERS_MIN 8
-/* Servers named for each waiting task. */
-#define NAMED_SERVERS_PER_TASK 4
 /* A lasting step gets an adviser only while its queue uses less than one in
  * this many of them, as calls of lasting steps are long and are repeated
  * whenever room changes. */
@@ -22,17 +17,6 @@
  * advisers. */
 #define LONG_CALL_MS 300.0
 
-struct ColtCandidate
-{
-  struct ColtCellServer *server;
-  double score;
-};
-
-static bool find_suitability_ (const struct ColtCellStep *step,
-                               const struct ColtCellServer *server,
-                               bool *suitable);
-static bool covers_ (const struct ColtResources *demand,
-                     const struct ColtResources *other);
 static enum ColtCellBlock queue_advice_call_ (struct ColtCell *cell,
                                               struct ColtCellStep *step,
                                               int64_t now_us);
@@ -50,16 +34,8 @@
                                struct ColtCellStep *step);
 static void add_ticket_servers_ (const struct ColtCellStep *step,
                                  GPtrArray *names);
-static void add_candidates_ (const struct ColtCell *cell,
-                             const struct ColtCellStep *step,
-                             const struct ColtCellPool *pool,
-                             GPtrArray *names);
 static uint32_t get_call_limit_ (const struct ColtCell *cell,
                                  const struct ColtCellStep *step);
-static GArray *sort_candidates_ (const struct ColtCellStep *step,
-                                 const struct ColtCellPool *pool,
-                                 int64_t now_us);
-static int compare_candidates_ (gconstpointer a, gconstpointer b);
 
 void
 colt_cell_set_advisers (struct ColtCell *cell, uint32_t count)
@@ -108,6 +84,7 @@
                           struct ColtCellPool *pool,
                           int64_t now_us)
 {
+  const GPtrArray *roomy;
   bool has_room = false;
   guint i;
 
@@ -117,12 +94,12 @@
     return BLOCK_ADVICE;
   if (now_us < step->next_advice_us)
     return BLOCK_ADVICE;
-  if (pool->is_full && covers_ (&step->demand, &pool->unmet))
+  if (pool->is_full && colt_resources_fit (&pool->unmet, &step->demand))
     return BLOCK_NO_ROOM;
-  for (i = 0; i < pool->servers->len; i++)
+  roomy = colt_cell_list_roomy (pool, step, now_us);
+  for (i = 0; i < roomy->len; i++)
     {
-      const struct ColtCellServer *server
-          = g_ptr_array_index (pool->servers, i);
+      const struct ColtCellServer *server = g_ptr_array_index (roomy, i);
 
       if (!colt_cell_fits (step, server)
           || !colt_cell_is_usable (server, now_us))
@@ -141,18 +118,6 @@
   return BLOCK_NO_ROOM;
 }
 
-/* Returns whether each amount of a demand is at least that of another. */
-static bool
-covers_ (const struct ColtResources *demand, const struct ColtResources *other)
-{
-  int r;
-
-  for (r = 0; r < COLT_RESOURCE_COUNT; r++)
-    if (demand->amount[r] < other->amount[r])
-      return false;
-  return true;
-}
-
 /* Requests tickets for a gang on servers that have room, one for each task. The
  * gang can only start when all its servers have room and tickets at the same
  * time, so the caller reserves that room meanwhile. */
@@ -194,19 +159,35 @@
 
       if (colt_cell_is_usable (server, now_us)
           && colt_cell_meets_constraints (step, server)
-          && !find_suitability_ (step, server, &suitable))
+          && !colt_cell_find_suitability (step, server, &suitable))
         return queue_advice_call_ (cell, step, now_us);
     }
   return BLOCK_NO_ROOM;
 }
 
+/* Returns whether the step has advice on the server, and if so, whether the
+ * server may run it. */
+bool
+colt_cell_find_suitability (const struct ColtCellStep *step,
+                            const struct ColtCellServer *server,
+                            bool *suitable)
+{
+  const struct ColtCellAdvice *advice
+      = g_hash_table_lookup (step->advice, server);
+
+  if (advice == NULL || advice->incarnation_ms != server->incarnation_ms)
+    return false;
+  *suitable = advice->suitable;
+  return true;
+}
+
 bool
 colt_cell_is_known_suitable (const struct ColtCellStep *step,
                              const struct ColtCellServer *server)
 {
   bool suitable = false;
 
-  return find_suitability_ (step, server, &suitable) && suitable;
+  return colt_cell_find_suitability (step, server, &suitable) && suitable;
 }
 
 bool
@@ -215,7 +196,7 @@
 {
   bool suitable = true;
 
-  return find_suitability_ (step, server, &suitable) && !suitable;
+  return colt_cell_find_suitability (step, server, &suitable) && !suitable;
 }
 
 /* Gives each queue an equal share of the advisers first; the remaining advisers
@@ -223,10 +204,13 @@
 void
 colt_cell_send_advice_calls (struct ColtCell *cell, int64_t now_us)
 {
-  uint32_t share = cell->advisers / MAX (count_calling_queues_ (cell), 1);
+  uint32_t share;
   guint i;
 
   cell->now_us = now_us;
+  if (cell->advice_steps->len == 0)
+    return;
+  share = cell->advisers / count_calling_queues_ (cell);
   for (i = 0; i < cell->advice_steps->len; i++)
     {
       struct ColtCellStep *step = g_ptr_array_index (cell->advice_steps, i);
@@ -243,6 +227,7 @@
         break;
     }
   g_ptr_array_set_size (cell->advice_steps, 0);
+  colt_cell_forget_candidates (cell);
 }
 
 void
@@ -272,20 +257,6 @@
   store_tickets_ (cell, step, reply, now_us);
 }
 
-static bool
-find_suitability_ (const struct ColtCellStep *step,
-                   const struct ColtCellServer *server,
-                   bool *suitable)
-{
-  const struct ColtCellAdvice *advice
-      = g_hash_table_lookup (step->advice, server);
-
-  if (advice == NULL || advice->incarnation_ms != server->incarnation_ms)
-    return false;
-  *suitable = advice->suitable;
-  return true;
-}
-
 static enum ColtCellBlock
 queue_advice_call_ (struct ColtCell *cell,
                     struct ColtCellStep *step,
@@ -359,27 +330,32 @@
       = MIN (step->fruitless_calls + 1, ADVICE_PAUSES_DOUBLED_MAX);
 }
 
+/* Returns the number of queues that have pending calls or need some. */
 static uint32_t
 count_calling_queues_ (const struct ColtCell *cell)
 {
-  GHashTable *queues = g_hash_table_new (g_direct_hash, g_direct_equal);
+  uint32_t count = 0;
   GHashTableIter i;
   gpointer value;
-  uint32_t count;
   guint s;
 
+  g_hash_table_iter_init (&i, cell->queues);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    {
+      struct ColtCellQueue *queue = value;
+
+      queue->calling = queue->open_calls > 0;
+      count += queue->calling ? 1 : 0;
+    }
   for (s = 0; s < cell->advice_steps->len; s++)
     {
       const struct ColtCellStep *step
           = g_ptr_array_index (cell->advice_steps, s);
+      struct ColtCellQueue *queue = step->job->queue;
 
-      g_hash_table_add (queues, step->job->queue);
+      count += queue->calling ? 0 : 1;
+      queue->calling = true;
     }
-  g_hash_table_iter_init (&i, cell->open_calls);
-  while (g_hash_table_iter_next (&i, NULL, &value))
-    g_hash_table_add (queues, value);
-  count = g_hash_table_size (queues);
-  g_hash_table_unref (queues);
   return count;
 }
 
@@ -389,8 +365,6 @@
 send_advice_call_ (struct ColtCell *cell, struct ColtCellStep *step)
 {
   struct ColtCellQueue *queue = step->job->queue;
-  struct ColtCellPool *pool
-      = g_hash_table_lookup (cell->pools, queue->config->service);
   GPtrArray *names;
   char name[TASK_NAME_SIZE];
   bool has_adviser;
@@ -401,7 +375,7 @@
   if (step->ticket_servers != NULL)
     add_ticket_servers_ (step, names);
   else
-    add_candidates_ (cell, step, pool, names);
+    colt_cell_name_candidates (cell, step, queue->pool, names);
   g_snprintf (name, sizeof name, "%s.%u.%u", step->job->id, step->occurrence,
               step->number);
   /* The list may be empty: later starts of the pass may have used the last
@@ -435,26 +409,6 @@
     }
 }
 
-static void
-add_candidates_ (const struct ColtCell *cell,
-                 const struct ColtCellStep *step,
-                 const struct ColtCellPool *pool,
-                 GPtrArray *names)
-{
-  GArray *candidates = sort_candidates_ (step, pool, cell->now_us);
-  guint count = MIN (NAMED_SERVERS_MIN + NAMED_SERVERS_PER_TASK * step->waiting,
-                     cell->limits.advice_servers_max);
-  guint i;
-
-  /* A gang whose first call didn't let it start names more servers. */
-  if (step->spec->gang && step->fruitless_calls > 0)
-    count = cell->limits.gang_advice_servers_max;
-  for (i = 0; i < MIN (candidates->len, count); i++)
-    g_ptr_array_add (
-        names, g_array_index (candidates, struct ColtCandidate, i).server->id);
-  g_array_unref (candidates);
-}
-
 /* Returns how many advice calls a step's queue may have pending. */
 static uint32_t
 get_call_limit_ (const struct ColtCell *cell, const struct ColtCellStep *step)
@@ -467,52 +421,3 @@
     limit /= 2;
   return MAX (limit, 1);
 }
-
-/* Lists the usable servers of a pool that aren't known to be unsuitable for a
- * step: first those that are known to be suitable, as even full ones soon have
- * room again for tasks that end; for lasting tasks first those with room. */
-static GArray *
-sort_candidates_ (const struct ColtCellStep *step,
-                  const struct ColtCellPool *pool,
-                  int64_t now_us)
-{
-  GArray *candidates
-      = g_array_new (FALSE, FALSE, sizeof (struct ColtCandidate));
-  guint i;
-
-  for (i = 0; i < pool->servers->len; i++)
-    {
-      struct ColtCandidate candidate
-          = { g_ptr_array_index (pool->servers, i), 0 };
-      const struct ColtResources *room = &candidate.server->room;
-      const struct ColtResources *used = &candidate.server->used;
-      bool suitable = false;
-      bool known = find_suitability_ (step, candidate.server, &suitable);
-
-      if (!colt_cell_is_usable (candidate.server, now_us)
-          || !colt_cell_meets_constraints (step, candidate.server)
-          || (known && !suitable))
-        continue;
-      candidate.score = (double)used->amount[COLT_RESOURCE_CORES]
-                        / (double)(room->amount[COLT_RESOURCE_CORES] + 1);
-      if (colt_cell_fits (step, candidate.server))
-        candidate.score += step->spec->lasting ? 4 : 2;
-      if (known)
-        candidate.score += step->spec->lasting ? 2 : 4;
-      candidate.score -= MIN (colt_cell_slowness (candidate.server), 2);
-      g_array_append_val (candidates, candidate);
-    }
-  g_array_sort (candidates, compare_candidates_);
-  return candidates;
-}
-
-static int
-compare_candidates_ (gconstpointer a, gconstpointer b)
-{
-  const struct ColtCandidate *left = a;
-  const struct ColtCandidate *right = b;
-
-  if (left->score == right->score)
-    return 0;
-  return left->score > right->score ? -1 : 1;
-}
--- a/src/cell/cell_gangs.c
+++ b/src/cell/cell_gangs.c
@@ -1,7 +1,7 @@
 #include "cell_private.h"
 
 static bool choose_gang_servers_ (struct ColtCellStep *step,
-                                  const struct ColtCellPool *pool,
+                                  struct ColtCellPool *pool,
                                   bool ticketed,
                                   struct ColtCellServer **servers,
                                   int64_t now_us);
@@ -90,25 +90,27 @@
  * on its server; it is subtracted again at the end. */
 static bool
 choose_gang_servers_ (struct ColtCellStep *step,
-                      const struct ColtCellPool *pool,
+                      struct ColtCellPool *pool,
                       bool ticketed,
                       struct ColtCellServer **servers,
                       int64_t now_us)
 {
   uint32_t count = step->spec->count;
+  GPtrArray *eligible = colt_cell_list_eligible (step, pool, ticketed, now_us);
   uint32_t placed;
   uint32_t i;
 
   for (placed = 0; placed < count; placed++)
     {
-      servers[placed] = colt_cell_choose_server (step, &step->tasks[placed],
-                                                 pool, ticketed, now_us);
+      servers[placed] = colt_cell_choose_server (eligible, step,
+                                                 &step->tasks[placed], now_us);
       if (servers[placed] == NULL)
         break;
       colt_resources_add (&servers[placed]->used, &step->demand);
     }
   for (i = 0; i < placed; i++)
     colt_resources_subtract (&servers[i]->used, &step->demand);
+  g_clear_pointer (&eligible, g_ptr_array_unref);
   return placed == count;
 }
 
@@ -118,7 +120,7 @@
             struct ColtCellServer *const *servers,
             int64_t now_us)
 {
-  GString *plan = g_string_new (NULL);
+  GString *plan = NULL;
   uint32_t number = 0;
   uint32_t i;
 
@@ -128,7 +130,7 @@
   for (i = 0; i < step->spec->count; i++)
     {
       colt_cell_plan_run (cell, &step->tasks[i], servers[i], number, now_us);
-      colt_cell_append_plan (plan, &step->tasks[i]);
+      colt_cell_append_plan (&plan, &step->tasks[i]);
     }
   colt_cell_log_plan (cell, step, plan);
 }
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -28,10 +28,7 @@
 static bool has_room_for_ (const struct ColtCellStep *step,
                            const struct ColtCellServer *server,
                            bool added);
-static void forget_full_pools_ (struct ColtCell *cell);
 static void rank_steps_ (struct ColtCell *cell, int64_t now_us);
-static int compare_steps_ (gconstpointer a, gconstpointer b);
-static uint32_t get_priority_ (const struct ColtCellStep *step);
 static void
 place_step_ (struct ColtCell *cell, struct ColtCellStep *step, int64_t now_us);
 static bool is_short_block_ (enum ColtCellBlock block);
@@ -39,6 +36,14 @@
                           struct ColtCellStep *step,
                           struct ColtCellPool *pool,
                           int64_t now_us);
+static GPtrArray *list_advised_ (const struct ColtCellStep *step,
+                                 const struct ColtCellPool *pool,
+                                 int64_t ticket_us,
+                                 int64_t now_us);
+static bool is_eligible_ (const struct ColtCellStep *step,
+                          const struct ColtCellServer *server,
+                          int64_t now_us);
+static void add_eligible_ (GPtrArray **eligible, struct ColtCellServer *server);
 static double fullness_ (const struct ColtCellServer *server);
 static uint32_t count_step_runs_ (const struct ColtCellServer *server,
                                   const struct ColtCellStep *step);
@@ -58,14 +63,15 @@
 
   cell->wall_ms = wall_ms;
   cell->now_us = now_us;
-  forget_full_pools_ (cell);
   colt_cell_move_stragglers (cell, now_us);
   colt_cell_close_steps (cell);
   rank_steps_ (cell, now_us);
-  g_ptr_array_sort (cell->open_steps, compare_steps_);
+  colt_cell_begin_room (cell);
+  colt_cell_sort_steps (cell);
   for (i = 0; i < cell->open_steps->len; i++)
     place_step_ (cell, g_ptr_array_index (cell->open_steps, i), now_us);
   colt_cell_send_advice_calls (cell, now_us);
+  colt_cell_end_room (cell);
   colt_cell_release_reservations (cell);
 }
 
@@ -217,39 +223,53 @@
 }
 
 /* An advised step may only run on servers that it has advice on, which are far
- * fewer than all servers of the pool. */
-struct ColtCellServer *
-colt_cell_choose_server (const struct ColtCellStep *step,
-                         const struct ColtCellTask *task,
-                         const struct ColtCellPool *pool,
+ * fewer than all servers of the pool; fewer still may have room. */
+GPtrArray *
+colt_cell_list_eligible (const struct ColtCellStep *step,
+                         struct ColtCellPool *pool,
                          bool ticketed,
                          int64_t now_us)
 {
-  struct ColtCandidate best = { NULL, 0 };
-  GHashTableIter advised;
-  gpointer key;
-  gpointer value;
+  bool advised = step->job->queue->config->advised;
+  int64_t ticket_us = ticketed ? now_us : INT64_MIN;
+  GPtrArray *eligible = NULL;
+  const GPtrArray *roomy;
   guint i;
 
-  if (step->job->queue->config->advised)
+  if (advised
+      && (g_hash_table_size (step->advice) == 0
+          || (ticketed && !colt_cell_may_have_ticket (step, now_us))))
+    return NULL;
+  roomy = colt_cell_list_roomy (pool, step, now_us);
+  if (advised && g_hash_table_size (step->advice) < roomy->len)
+    return list_advised_ (step, pool, ticket_us, now_us);
+  for (i = 0; i < roomy->len; i++)
     {
-      if (ticketed && !colt_cell_may_have_ticket (step, now_us))
-        return NULL;
-      g_hash_table_iter_init (&advised, step->advice);
-      while (g_hash_table_iter_next (&advised, &key, &value))
-        {
-          struct ColtCellServer *server = key;
+      struct ColtCellServer *server = g_ptr_array_index (roomy, i);
+      const struct ColtCellAdvice *advice;
 
-          /* In a full fleet most servers are ruled out by their room. */
-          if (server->pool == pool && colt_cell_fits (step, server)
-              && colt_cell_is_suitable (value, server,
-                                        ticketed ? now_us : INT64_MIN))
-            consider_server_ (&best, step, task, server, now_us);
-        }
-      return best.server;
+      if (!is_eligible_ (step, server, now_us))
+        continue;
+      advice = advised ? g_hash_table_lookup (step->advice, server) : NULL;
+      if (!advised
+          || (advice != NULL
+              && colt_cell_is_suitable (advice, server, ticket_us)))
+        add_eligible_ (&eligible, server);
     }
-  for (i = 0; i < pool->servers->len; i++)
-    consider_server_ (&best, step, task, g_ptr_array_index (pool->servers, i),
+  return eligible;
+}
+
+struct ColtCellServer *
+colt_cell_choose_server (const GPtrArray *eligible,
+                         const struct ColtCellStep *step,
+                         const struct ColtCellTask *task,
+                         int64_t now_us)
+{
+  struct ColtCandidate best = { NULL, 0 };
+  guint i;
+
+  for (i = 0; eligible != NULL && i < eligible->len; i++)
+    consider_server_ (&best, step, task, g_ptr_array_index (eligible, i),
                       now_us);
   return best.server;
 }
@@ -271,14 +291,17 @@
 }
 
 void
-colt_cell_append_plan (GString *plan, const struct ColtCellTask *task)
+colt_cell_append_plan (GString **plan, const struct ColtCellTask *task)
 {
-  if (plan->len < PLAN_TEXT_MAX)
-    g_string_append_printf (plan, " %u@%s/%u", task->index,
+  if (*plan == NULL)
+    *plan = g_string_new (NULL);
+  if ((*plan)->len < PLAN_TEXT_MAX)
+    g_string_append_printf (*plan, " %u@%s/%u", task->index,
                             task->current->server->id, task->current->run);
 }
 
-/* Logs one line for all tasks of a step that were placed in a pass. */
+/* Logs one line for all tasks of a step that were placed in a pass; the plan is
+ * NULL if there are none. */
 void
 colt_cell_log_plan (struct ColtCell *cell,
                     struct ColtCellStep *step,
@@ -286,16 +309,15 @@
 {
   char *detail;
 
-  if (plan->len > 0)
-    {
-      step->block = BLOCK_NONE;
-      detail = g_strdup_printf ("%u.%u, %s, %u waiting:%s", step->occurrence,
-                                step->number, colt_cell_rank_string[step->rank],
-                                step->waiting, plan->str);
-      cell->ops->log_decision (cell->client, step->job->id, "tasks planned",
-                               detail);
-      g_free (detail);
-    }
+  if (plan == NULL)
+    return;
+  step->block = BLOCK_NONE;
+  detail = g_strdup_printf ("%u.%u, %s, %u waiting:%s", step->occurrence,
+                            step->number, colt_cell_rank_string[step->rank],
+                            step->waiting, plan->str);
+  cell->ops->log_decision (cell->client, step->job->id, "tasks planned",
+                           detail);
+  g_free (detail);
   g_string_free (plan, TRUE);
 }
 
@@ -327,17 +349,6 @@
   return true;
 }
 
-static void
-forget_full_pools_ (struct ColtCell *cell)
-{
-  GHashTableIter i;
-  gpointer value;
-
-  g_hash_table_iter_init (&i, cell->pools);
-  while (g_hash_table_iter_next (&i, NULL, &value))
-    ((struct ColtCellPool *)value)->is_full = false;
-}
-
 static void
 rank_steps_ (struct ColtCell *cell, int64_t now_us)
 {
@@ -347,7 +358,15 @@
 
   g_hash_table_iter_init (&q, cell->queues);
   while (g_hash_table_iter_next (&q, NULL, &value))
-    ((struct ColtCellQueue *)value)->late = false;
+    {
+      struct ColtCellQueue *queue = value;
+
+      queue->late = false;
+      queue->pool
+          = queue->config != NULL
+                ? g_hash_table_lookup (cell->pools, queue->config->service)
+                : NULL;
+    }
   for (i = 0; i < cell->open_steps->len; i++)
     colt_cell_rank_step (g_ptr_array_index (cell->open_steps, i), now_us);
   g_hash_table_iter_init (&q, cell->queues);
@@ -356,50 +375,13 @@
         = ((struct ColtCellQueue *)value)->late;
 }
 
-/* Sorts by rank and priority; jobs that have begun come first, then older jobs.
- * While a queue misses objectives its newest jobs come first, as they have the
- * best chance to meet theirs. */
-static int
-compare_steps_ (gconstpointer a, gconstpointer b)
-{
-  const struct ColtCellStep *left = *(struct ColtCellStep *const *)a;
-  const struct ColtCellStep *right = *(struct ColtCellStep *const *)b;
-  uint32_t left_priority = get_priority_ (left);
-  uint32_t right_priority = get_priority_ (right);
-  int order = left->job->order < right->job->order ? -1 : 1;
-
-  if (left->rank != right->rank)
-    return left->rank < right->rank ? -1 : 1;
-  if (left_priority != right_priority)
-    return left_priority < right_priority ? -1 : 1;
-  if (left->job->begun != right->job->begun)
-    return left->job->begun ? -1 : 1;
-  if (left->job == right->job)
-    return left->number < right->number ? -1 : 1;
-  if (!left->job->begun && left->job->queue == right->job->queue
-      && left->job->queue->was_late)
-    return -order;
-  return order;
-}
-
-static uint32_t
-get_priority_ (const struct ColtCellStep *step)
-{
-  const struct ColtQueueConfig *config = step->job->queue->config;
-
-  return config != NULL ? config->priority : UINT32_MAX;
-}
-
 static void
 place_step_ (struct ColtCell *cell, struct ColtCellStep *step, int64_t now_us)
 {
-  const struct ColtQueueConfig *config = step->job->queue->config;
-  struct ColtCellPool *pool = NULL;
+  struct ColtCellPool *pool = step->job->queue->pool;
 
   if (step->waiting == 0 || colt_cell_is_ended (step->job))
     return;
-  if (config != NULL)
-    pool = g_hash_table_lookup (cell->pools, config->service);
   if (pool == NULL)
     colt_cell_set_block (cell, step, BLOCK_NO_SERVICE);
   else if (now_us < step->not_before_us)
@@ -425,7 +407,8 @@
               struct ColtCellPool *pool,
               int64_t now_us)
 {
-  GString *plan = g_string_new (NULL);
+  GPtrArray *eligible = colt_cell_list_eligible (step, pool, true, now_us);
+  GString *plan = NULL;
   uint32_t i;
 
   for (i = 0; i < step->spec->count && step->waiting > 0; i++)
@@ -452,7 +435,7 @@
           colt_cell_set_block (cell, step, BLOCK_LIMIT);
           break;
         }
-      server = colt_cell_choose_server (step, task, pool, true, now_us);
+      server = colt_cell_choose_server (eligible, step, task, now_us);
       if (server == NULL)
         {
           colt_cell_set_block (
@@ -461,11 +444,53 @@
         }
       colt_cell_plan_run (cell, task, server,
                           colt_cell_next_run_number (cell, task), now_us);
-      colt_cell_append_plan (plan, task);
+      colt_cell_append_plan (&plan, task);
     }
+  g_clear_pointer (&eligible, g_ptr_array_unref);
   colt_cell_log_plan (cell, step, plan);
 }
 
+/* Lists the eligible servers among those that a step has advice on. */
+static GPtrArray *
+list_advised_ (const struct ColtCellStep *step,
+               const struct ColtCellPool *pool,
+               int64_t ticket_us,
+               int64_t now_us)
+{
+  GPtrArray *eligible = NULL;
+  GHashTableIter advised;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&advised, step->advice);
+  while (g_hash_table_iter_next (&advised, &key, &value))
+    {
+      struct ColtCellServer *server = key;
+
+      if (server->pool == pool && is_eligible_ (step, server, now_us)
+          && colt_cell_is_suitable (value, server, ticket_us))
+        add_eligible_ (&eligible, server);
+    }
+  return eligible;
+}
+
+static bool
+is_eligible_ (const struct ColtCellStep *step,
+              const struct ColtCellServer *server,
+              int64_t now_us)
+{
+  return colt_cell_fits (step, server) && colt_cell_is_usable (server, now_us)
+         && colt_cell_meets_constraints (step, server);
+}
+
+static void
+add_eligible_ (GPtrArray **eligible, struct ColtCellServer *server)
+{
+  if (*eligible == NULL)
+    *eligible = g_ptr_array_new ();
+  g_ptr_array_add (*eligible, server);
+}
+
 /* Returns the used fraction of a server's room, summed over its resources. */
 static double
 fullness_ (const struct ColtCellServer *server)
@@ -507,8 +532,7 @@
 {
   double score;
 
-  if (!colt_cell_fits (step, server) || !colt_cell_is_usable (server, now_us)
-      || !colt_cell_meets_constraints (step, server))
+  if (!is_eligible_ (step, server, now_us))
     return;
   score = score_server_ (step, task, server);
   if (best->server != NULL
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -30,6 +30,8 @@
   bool listed;                          /* in the current configuration */
   uint64_t waiting;                     /* durable jobs without a start */
   uint32_t open_calls;                  /* pending advice calls */
+  bool calling;                         /* has pending calls or needs some */
+  struct ColtCellPool *pool;            /* in a pass; NULL: none */
   double task_us; /* mean duration of a task; 0: not known */
   bool late;      /* a job misses its objective in this pass */
   bool was_late;  /* a job missed its objective in the previous pass */
@@ -258,6 +260,7 @@
   uint32_t samples;    /* tasks that log_slowness is based on */
   double slowness;     /* for the sum of logarithms below; 0: not computed */
   double slowness_log;
+  guint position; /* in its pool's candidates, while it is one of them */
 };
 
 /* Servers with the same first label and the same room. Their common slowness
@@ -279,6 +282,12 @@
    * a pass. */
   bool is_full;
   struct ColtResources unmet;
+  struct ColtResources least; /* of each amount that open steps demand */
+  GPtrArray *roomy;   /* servers that may take a task with the least demand, in
+                         the order of servers; only kept during a pass until room
+                         becomes free, otherwise NULL */
+  GArray *candidates; /* of struct ColtCandidate; only kept while advice calls
+                         are sent, otherwise NULL */
 };
 
 struct ColtCell
@@ -454,23 +463,48 @@
 bool colt_cell_is_within_limit (const struct ColtCell *cell,
                                 const struct ColtCellStep *step,
                                 uint32_t tasks);
-struct ColtCellServer *colt_cell_choose_server (const struct ColtCellStep *step,
+/* Lists the servers of a pool on which a task of the step may start now; NULL:
+ * none. */
+GPtrArray *colt_cell_list_eligible (const struct ColtCellStep *step,
+                                    struct ColtCellPool *pool,
+                                    bool ticketed,
+                                    int64_t now_us);
+/* Chooses the best server of a list, which may be NULL, that still is eligible.
+ */
+struct ColtCellServer *colt_cell_choose_server (const GPtrArray *eligible,
+                                                const struct ColtCellStep *step,
                                                 const struct ColtCellTask *task,
-                                                const struct ColtCellPool *pool,
-                                                bool ticketed,
                                                 int64_t now_us);
 void colt_cell_plan_run (struct ColtCell *cell,
                          struct ColtCellTask *task,
                          struct ColtCellServer *server,
                          uint32_t number,
                          int64_t now_us);
-void colt_cell_append_plan (GString *plan, const struct ColtCellTask *task);
+void colt_cell_append_plan (GString **plan, const struct ColtCellTask *task);
 void colt_cell_log_plan (struct ColtCell *cell,
                          struct ColtCellStep *step,
                          GString *plan);
 uint32_t colt_cell_next_run_number (const struct ColtCell *cell,
                                     const struct ColtCellTask *task);
 
+/* cell_order.c */
+/* Sorts the open steps, once they are ranked, in the order in which they get
+ * room. */
+void colt_cell_sort_steps (struct ColtCell *cell);
+
+/* cell_room.c */
+
+/* Has to be called before the first step of a pass is placed. */
+void colt_cell_begin_room (struct ColtCell *cell);
+/* Returns the servers of a pool that may be usable and have room for a task of
+ * the step, and perhaps others. */
+const GPtrArray *colt_cell_list_roomy (struct ColtCellPool *pool,
+                                       const struct ColtCellStep *step,
+                                       int64_t now_us);
+/* Has to be called when room becomes free during a pass. */
+void colt_cell_forget_roomy (struct ColtCellPool *pool);
+void colt_cell_end_room (struct ColtCell *cell);
+
 /* cell_gangs.c */
 void colt_cell_place_gang (struct ColtCell *cell,
                            struct ColtCellStep *step,
@@ -501,12 +535,22 @@
 bool colt_cell_is_suitable (const struct ColtCellAdvice *advice,
                             const struct ColtCellServer *server,
                             int64_t now_us);
+bool colt_cell_find_suitability (const struct ColtCellStep *step,
+                                 const struct ColtCellServer *server,
+                                 bool *suitable);
 bool colt_cell_is_known_suitable (const struct ColtCellStep *step,
                                   const struct ColtCellServer *server);
 bool colt_cell_is_known_unsuitable (const struct ColtCellStep *step,
                                     const struct ColtCellServer *server);
 void colt_cell_send_advice_calls (struct ColtCell *cell, int64_t now_us);
 
+/* cell_candidates.c */
+void colt_cell_name_candidates (const struct ColtCell *cell,
+                                const struct ColtCellStep *step,
+                                struct ColtCellPool *pool,
+                                GPtrArray *names);
+void colt_cell_forget_candidates (struct ColtCell *cell);
+
 /* cell_stragglers.c */
 void colt_cell_update_progress (struct ColtCellRun *run,
                                 int64_t percent,
--- a/src/test_cell_load/fixture.h
+++ b/src/test_cell_load/fixture.h
@@ -77,8 +77,9 @@
                                guint start,
                                const char *server);
 
-/* Register the tests of test_load_servers.c and test_load_ticks.c. */
+/* Register the tests of the other files. */
 void colt_load_add_server_tests (void);
 void colt_load_add_tick_tests (void);
+void colt_load_add_choice_tests (void);
 
 #endif
--- a/src/test_cell_load/test_load.c
+++ b/src/test_cell_load/test_load.c
@@ -469,5 +469,6 @@
   g_test_add_func ("/cell/load/changed-tasks", test_changed_tasks);
   colt_load_add_server_tests ();
   colt_load_add_tick_tests ();
+  colt_load_add_choice_tests ();
   return g_test_run ();
 }
