HTTP client: build the request once, without copies of its parts

A call kept its own copies of the headers and the body until it was sent, and copied them again into evhttp's request. The request is now built when the call is made and kept while it waits.

--- a/src/platform/http_client.c
+++ b/src/platform/http_client.c
@@ -20,16 +20,13 @@
 
 struct ColtHttpCall
 {
+  struct evhttp_request *request; /* NULL once it belongs to the connection */
   enum evhttp_cmd_type method;
-  char *path;
-  GPtrArray *headers; /* name, value, name, ... */
-  char *body;
-  size_t body_size;
-  bool binary;
   uint32_t timeout_ms;
   int64_t sent_us;
   ColtHttpDone done;
   void *client;
+  char path[];
 };
 
 struct ColtHttpClient
@@ -63,7 +60,9 @@
 static const enum evhttp_cmd_type methods[]
     = { EVHTTP_REQ_GET, EVHTTP_REQ_POST, EVHTTP_REQ_DELETE };
 
-static GPtrArray *copy_headers_ (const struct ColtHttpRequest *request);
+static struct evhttp_request *
+create_request_ (struct ColtHttpClient *http,
+                 const struct ColtHttpRequest *source);
 static void free_call_ (struct ColtHttpCall *call);
 static void end_call_ (struct ColtHttpCall *call,
                        const struct ColtHttpAnswer *answer);
@@ -152,17 +151,13 @@
                        ColtHttpDone done,
                        void *client)
 {
-  struct ColtHttpCall *call = g_new0 (struct ColtHttpCall, 1);
+  size_t path_size = strlen (request->path) + 1;
+  struct ColtHttpCall *call = g_malloc (sizeof *call + path_size);
 
   assert (!http->closing && request->timeout_ms > 0);
+  memcpy (call->path, request->path, path_size);
+  call->request = create_request_ (http, request);
   call->method = methods[request->method];
-  call->path = g_strdup (request->path);
-  call->headers = copy_headers_ (request);
-  call->binary = request->body_size > 0;
-  call->body_size = request->body_size;
-  if (request->body != NULL && !call->binary)
-    call->body_size = strlen (request->body);
-  call->body = g_memdup2 (request->body, call->body_size);
   call->timeout_ms = request->timeout_ms;
   call->done = done;
   call->client = client;
@@ -223,27 +218,40 @@
   return http->connections;
 }
 
-static GPtrArray *
-copy_headers_ (const struct ColtHttpRequest *request)
+/* Returns NULL if memory is exhausted. */
+static struct evhttp_request *
+create_request_ (struct ColtHttpClient *http,
+                 const struct ColtHttpRequest *source)
 {
-  GPtrArray *headers = g_ptr_array_new_with_free_func (g_free);
+  struct evhttp_request *request = evhttp_request_new (on_answer_, http);
+  bool binary = source->body_size > 0;
+  struct evkeyvalq *headers;
   size_t i;
 
-  for (i = 0; i < request->header_count; i++)
-    if (request->headers[i].value != NULL)
-      {
-        g_ptr_array_add (headers, g_strdup (request->headers[i].name));
-        g_ptr_array_add (headers, g_strdup (request->headers[i].value));
-      }
-  return headers;
+  if (request == NULL)
+    return NULL;
+  evhttp_request_set_error_cb (request, on_request_error_);
+  headers = evhttp_request_get_output_headers (request);
+  evhttp_add_header (headers, "Host", http->address);
+  for (i = 0; i < source->header_count; i++)
+    if (source->headers[i].value != NULL)
+      evhttp_add_header (headers, source->headers[i].name,
+                         source->headers[i].value);
+  if (source->body == NULL && source->method != COLT_HTTP_POST)
+    return request;
+  evhttp_add_header (headers, "Content-Type",
+                     binary ? "application/octet-stream" : "application/json");
+  if (source->body != NULL)
+    evbuffer_add (evhttp_request_get_output_buffer (request), source->body,
+                  binary ? source->body_size : strlen (source->body));
+  return request;
 }
 
 static void
 free_call_ (struct ColtHttpCall *call)
 {
-  g_ptr_array_unref (call->headers);
-  g_free (call->path);
-  g_free (call->body);
+  if (call->request != NULL)
+    evhttp_request_free (call->request);
   g_free (call);
 }
 
@@ -336,26 +344,11 @@
 send_open_call_ (struct ColtHttpClient *http)
 {
   struct ColtHttpCall *call = http->open;
-  struct evhttp_request *request = evhttp_request_new (on_answer_, http);
-  struct evkeyvalq *headers;
-  guint i;
+  struct evhttp_request *request = call->request;
 
   if (request == NULL)
     return false;
-  evhttp_request_set_error_cb (request, on_request_error_);
-  headers = evhttp_request_get_output_headers (request);
-  evhttp_add_header (headers, "Host", http->address);
-  for (i = 0; i < call->headers->len; i += 2)
-    evhttp_add_header (headers, g_ptr_array_index (call->headers, i),
-                       g_ptr_array_index (call->headers, i + 1));
-  if (call->body != NULL || call->method == EVHTTP_REQ_POST)
-    {
-      evhttp_add_header (headers, "Content-Type",
-                         call->binary ? "application/octet-stream"
-                                      : "application/json");
-      evbuffer_add (evhttp_request_get_output_buffer (request), call->body,
-                    call->body_size);
-    }
+  call->request = NULL;
   evhttp_connection_set_timeout (
       http->connection,
       (int)(call->timeout_ms / 1000 + EVHTTP_TIMEOUT_MARGIN_S));
