HTTP client: collect the changes of awaited events of a turn

evhttp disables and enables reading and writing several times for each call, and each change was a system call: strace -c counts 6 epoll_ctl for a call in bench_calls. The tests of the client run on both kinds of loop, and a new one reuses a descriptor in the turn in which it was closed.

--- a/bench/bench_calls.c
+++ b/bench/bench_calls.c
@@ -17,6 +17,7 @@
 
 #include "coltsfootstile/adapter.h"
 #include "coltsfootstile/clock.h"
+#include "coltsfootstile/http_client.h"
 
 #define SERVERS 64u
 #define DEFAULT_CALLS 50000u
@@ -226,7 +227,7 @@
   const char *what = argc > 1 ? argv[1] : "all";
   uint64_t calls = argc > 2 ? strtoull (argv[2], NULL, 10) : DEFAULT_CALLS;
   struct ColtBenchServer server = { 0 };
-  struct ColtBench bench = { .base = event_base_new () };
+  struct ColtBench bench = { .base = colt_http_create_base () };
   const struct ColtAdapterSettings settings = { .adviser = "" };
   struct ColtAdapter *adapter
       = colt_adapter_create (bench.base, &settings, &bench.ports);
--- a/include/coltsfootstile/http_client.h
+++ b/include/coltsfootstile/http_client.h
@@ -89,6 +89,15 @@
 /** A client with at most one open connection. */
 struct ColtHttpClient;
 
+/**
+ * Creates an event loop for many clients. It collects the changes of what is
+ * awaited on a socket, of which evhttp makes several for each call, and passes
+ * the last one to the kernel. No socket of the loop may be duplicated.
+ *
+ * \return the loop, to be freed with event_base_free()
+ */
+struct event_base *colt_http_create_base (void);
+
 /**
  * Creates a client. The connection is opened by the first call.
  *
--- a/src/coltsfootstile/cell_main.c
+++ b/src/coltsfootstile/cell_main.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 
 #include "coltsfootstile/adapter.h"
+#include "coltsfootstile/http_client.h"
 #include "coltsfootstile/log.h"
 #include "coltsfootstile/scheduler.h"
 #include "coltsfootstile/settings.h"
@@ -102,7 +103,7 @@
 static int
 run_instance_ (const struct ColtSettings *settings, const char *path)
 {
-  struct ColtCellProcess process = { event_base_new (), NULL, path };
+  struct ColtCellProcess process = { colt_http_create_base (), NULL, path };
   struct ColtSchedulerSettings scheduler_settings;
   struct ColtAdapterSettings adapter_settings;
   struct ColtPorts ports = { 0 };
--- a/src/platform/http_client.c
+++ b/src/platform/http_client.c
@@ -91,6 +91,18 @@
                            struct evhttp_request *request,
                            size_t size);
 
+struct event_base *
+colt_http_create_base (void)
+{
+  struct event_config *config = event_config_new ();
+  struct event_base *base;
+
+  event_config_set_flag (config, EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
+  base = event_base_new_with_config (config);
+  event_config_free (config);
+  return base;
+}
+
 struct ColtHttpClient *
 colt_http_client_create (struct event_base *base,
                          const char *address,
--- a/src/test_platform/test_http.c
+++ b/src/test_platform/test_http.c
@@ -27,8 +27,10 @@
 static void
 set_up (struct ColtHttpFixture *fixture, gconstpointer data)
 {
-  (void)data;
-  fixture->base = event_base_new ();
+  bool collects_changes = data != NULL;
+
+  fixture->base
+      = collects_changes ? colt_http_create_base () : event_base_new ();
   fixture->fake = colt_fake_http_create (fixture->base);
   fixture->http = colt_http_client_create (
       fixture->base, colt_fake_http_address (fixture->fake), 32, 1);
@@ -309,9 +311,33 @@
   driver->destroy (driver);
 }
 
+/* Guards against a connection that hangs because it has the descriptor of one
+ * that was closed in the same turn of the loop. */
+static void
+test_descriptor_is_reused (struct ColtHttpFixture *fixture, gconstpointer data)
+{
+  guint i;
+
+  (void)data;
+  for (i = 0; i < 8; i++)
+    {
+      colt_fake_http_add_step (fixture->fake, COLT_FAKE_TRUNCATE, 200, "part");
+      colt_fake_http_add_step (fixture->fake, COLT_FAKE_ANSWER, 200, "whole");
+      colt_http_client_call (fixture->http, "/x", NULL, 10000, on_answer,
+                             &fixture->received);
+      call_and_wait (fixture, 10000);
+      while (fixture->received.count < 2 * (i + 1))
+        event_base_loop (fixture->base, EVLOOP_ONCE);
+      g_assert_cmpint (fixture->received.result, ==, COLT_HTTP_ANSWERED);
+    }
+}
+
+/* Adds a test on a loop of each kind. */
 #define ADD(path, test)                                                        \
   g_test_add ("/platform/http/" path, struct ColtHttpFixture, NULL, set_up,    \
-              test, tear_down)
+              test, tear_down);                                                \
+  g_test_add ("/platform/http/collected/" path, struct ColtHttpFixture, "",    \
+              set_up, test, tear_down)
 
 void
 add_http_tests (void)
@@ -325,4 +351,5 @@
   ADD ("queue", test_full_queue_rejects_call);
   ADD ("append", test_append_results);
   ADD ("read", test_read_results);
+  ADD ("reused", test_descriptor_is_reused);
 }
