HTTP client: write a call at once on an open connection

evhttp waits for the event loop to find the socket writable before it writes a call, which takes a turn of the loop and two changes of the awaited events. The call is now written at once; the loop writes what the socket doesn't take.

--- a/src/platform/http_client.c
+++ b/src/platform/http_client.c
@@ -74,6 +74,7 @@
 static bool open_connection_ (struct ColtHttpClient *http);
 static void close_connection_ (struct ColtHttpClient *http);
 static bool send_open_call_ (struct ColtHttpClient *http);
+static void write_output_ (struct ColtHttpClient *http);
 static void on_output_ (struct evbuffer *buffer,
                         const struct evbuffer_cb_info *info,
                         void *client);
@@ -364,9 +365,28 @@
   evhttp_connection_set_timeout (
       http->connection,
       (int)(call->timeout_ms / 1000 + EVHTTP_TIMEOUT_MARGIN_S));
-  return evhttp_make_request (http->connection, request, call->method,
-                              call->path)
-         == 0;
+  if (evhttp_make_request (http->connection, request, call->method, call->path)
+      != 0)
+    return false;
+  if (http->dispatched)
+    write_output_ (http);
+  return true;
+}
+
+/* Writes at once instead of when the event loop finds the socket writable, as
+ * it nearly always is. evhttp writes the rest, or meets the error again. */
+static void
+write_output_ (struct ColtHttpClient *http)
+{
+  struct bufferevent *bufferevent
+      = evhttp_connection_get_bufferevent (http->connection);
+  struct evbuffer *output = bufferevent_get_output (bufferevent);
+
+  evbuffer_unfreeze (output, 1);
+  evbuffer_write (output, bufferevent_getfd (bufferevent));
+  evbuffer_freeze (output, 1);
+  if (evbuffer_get_length (output) == 0)
+    bufferevent_trigger (bufferevent, EV_WRITE, 0);
 }
 
 /* evhttp writes to the output buffer only once the connection is established.
--- a/src/test_platform/test_http.c
+++ b/src/test_platform/test_http.c
@@ -311,6 +311,46 @@
   driver->destroy (driver);
 }
 
+/* Guards against the loss of the part of a call that the socket doesn't take at
+ * once. */
+static void
+test_long_call_is_complete (struct ColtHttpFixture *fixture, gconstpointer data)
+{
+  const size_t size = 8 << 20;
+  char *body = g_strnfill (size, 'x');
+  guint i;
+
+  (void)data;
+  body[size - 1] = 'y';
+  for (i = 0; i < 2; i++)
+    {
+      colt_fake_http_add_step (fixture->fake, COLT_FAKE_ANSWER, 200, "done");
+      colt_http_client_call (fixture->http, "/x", i > 0 ? body : "short", 10000,
+                             on_answer, &fixture->received);
+      while (fixture->received.count == i)
+        event_base_loop (fixture->base, EVLOOP_ONCE);
+      g_assert_cmpint (fixture->received.result, ==, COLT_HTTP_ANSWERED);
+    }
+  g_assert_true (
+      g_str_has_suffix (colt_fake_http_request (fixture->fake, 1), body));
+  g_free (body);
+}
+
+/* Guards against a written call that counts as not sent. */
+static void
+test_cancelled_call_is_unknown (struct ColtHttpFixture *fixture,
+                                gconstpointer data)
+{
+  (void)data;
+  colt_fake_http_add_step (fixture->fake, COLT_FAKE_ANSWER, 200, "one");
+  call_and_wait (fixture, 10000);
+  colt_http_client_call (fixture->http, "/x", NULL, 10000, on_answer,
+                         &fixture->received);
+  colt_http_client_cancel (fixture->http);
+  g_assert_cmpuint (fixture->received.count, ==, 2);
+  g_assert_cmpint (fixture->received.result, ==, COLT_HTTP_UNKNOWN);
+}
+
 /* Guards against a connection that hangs because it has the descriptor of one
  * that was closed in the same turn of the loop. */
 static void
@@ -351,5 +391,7 @@
   ADD ("queue", test_full_queue_rejects_call);
   ADD ("append", test_append_results);
   ADD ("read", test_read_results);
+  ADD ("long", test_long_call_is_complete);
+  ADD ("cancelled", test_cancelled_call_is_unknown);
   ADD ("reused", test_descriptor_is_reused);
 }
