Cell: list the servers with room only once that saves time

The list is now made once as many servers as it takes have been looked at without it. The two look-ups of advice for each server become one.

--- a/src/cell/cell_advice.c
+++ b/src/cell/cell_advice.c
@@ -9,6 +9,9 @@
  * to a start. */
 #define ADVICE_PAUSE_US (100 * COLT_US_PER_MS)
 #define ADVICE_PAUSES_DOUBLED_MAX 4
+/* Servers that are searched for one without advice before those with room are
+ * listed. */
+#define SERVERS_SEARCHED_FIRST 64
 /* A lasting step gets an adviser only while its queue uses less than one in
  * this many of them, as calls of lasting steps are long and are repeated
  * whenever room changes. */
@@ -17,6 +20,11 @@
  * advisers. */
 #define LONG_CALL_MS 300.0
 
+static bool needs_advice_ (const struct ColtCellStep *step,
+                           const GPtrArray *servers,
+                           guint count,
+                           int64_t now_us,
+                           bool *has_room);
 static enum ColtCellBlock queue_advice_call_ (struct ColtCell *cell,
                                               struct ColtCellStep *step,
                                               int64_t now_us);
@@ -86,7 +94,7 @@
 {
   const GPtrArray *roomy;
   bool has_room = false;
-  guint i;
+  guint count;
 
   if (!step->job->queue->config->advised)
     return BLOCK_NO_ROOM;
@@ -96,20 +104,14 @@
     return BLOCK_ADVICE;
   if (pool->is_full && colt_resources_fit (&pool->unmet, &step->demand))
     return BLOCK_NO_ROOM;
+  /* Unless the fleet is full, one of the first servers mostly suffices. */
+  count = MIN (pool->servers->len, SERVERS_SEARCHED_FIRST);
+  if (!colt_cell_needs_roomy (pool, count)
+      && needs_advice_ (step, pool->servers, count, now_us, &has_room))
+    return queue_advice_call_ (cell, step, now_us);
   roomy = colt_cell_list_roomy (pool, step, now_us);
-  for (i = 0; i < roomy->len; i++)
-    {
-      const struct ColtCellServer *server = g_ptr_array_index (roomy, i);
-
-      if (!colt_cell_fits (step, server)
-          || !colt_cell_is_usable (server, now_us))
-        continue;
-      has_room = true;
-      if (colt_cell_meets_constraints (step, server)
-          && !colt_cell_is_known_unsuitable (step, server)
-          && colt_cell_find_ticket (step, server, now_us) == NULL)
-        return queue_advice_call_ (cell, step, now_us);
-    }
+  if (needs_advice_ (step, roomy, roomy->len, now_us, &has_room))
+    return queue_advice_call_ (cell, step, now_us);
   if (!has_room)
     {
       pool->is_full = true;
@@ -210,7 +212,7 @@
   cell->now_us = now_us;
   if (cell->advice_steps->len == 0)
     return;
-  share = cell->advisers / count_calling_queues_ (cell);
+  share = cell->advisers / MAX (count_calling_queues_ (cell), 1);
   for (i = 0; i < cell->advice_steps->len; i++)
     {
       struct ColtCellStep *step = g_ptr_array_index (cell->advice_steps, i);
@@ -257,6 +259,37 @@
   store_tickets_ (cell, step, reply, now_us);
 }
 
+/* Returns whether an advice call is of use for one of the first servers of a
+ * list. Sets has_room to true if one that was looked at has room. */
+static bool
+needs_advice_ (const struct ColtCellStep *step,
+               const GPtrArray *servers,
+               guint count,
+               int64_t now_us,
+               bool *has_room)
+{
+  guint i;
+
+  for (i = 0; i < count; i++)
+    {
+      const struct ColtCellServer *server = g_ptr_array_index (servers, i);
+      const struct ColtCellAdvice *advice;
+
+      if (!colt_cell_fits (step, server)
+          || !colt_cell_is_usable (server, now_us))
+        continue;
+      *has_room = true;
+      if (!colt_cell_meets_constraints (step, server))
+        continue;
+      advice = g_hash_table_lookup (step->advice, server);
+      if (advice == NULL || advice->incarnation_ms != server->incarnation_ms
+          || (advice->suitable
+              && !colt_cell_is_suitable (advice, server, now_us)))
+        return true;
+    }
+  return false;
+}
+
 static enum ColtCellBlock
 queue_advice_call_ (struct ColtCell *cell,
                     struct ColtCellStep *step,
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -234,14 +234,17 @@
   int64_t ticket_us = ticketed ? now_us : INT64_MIN;
   GPtrArray *eligible = NULL;
   const GPtrArray *roomy;
+  guint count = g_hash_table_size (step->advice);
   guint i;
 
   if (advised
-      && (g_hash_table_size (step->advice) == 0
+      && (count == 0
           || (ticketed && !colt_cell_may_have_ticket (step, now_us))))
     return NULL;
+  if (advised && !colt_cell_needs_roomy (pool, count))
+    return list_advised_ (step, pool, ticket_us, now_us);
   roomy = colt_cell_list_roomy (pool, step, now_us);
-  if (advised && g_hash_table_size (step->advice) < roomy->len)
+  if (advised && count < roomy->len)
     return list_advised_ (step, pool, ticket_us, now_us);
   for (i = 0; i < roomy->len; i++)
     {
--- a/src/cell/cell_room.c
+++ b/src/cell/cell_room.c
@@ -45,6 +45,13 @@
   return pool->roomy;
 }
 
+bool
+colt_cell_needs_roomy (struct ColtCellPool *pool, guint looked_at)
+{
+  pool->looked_at += looked_at;
+  return pool->roomy != NULL || pool->looked_at > pool->servers->len;
+}
+
 void
 colt_cell_forget_roomy (struct ColtCellPool *pool)
 {
@@ -70,6 +77,7 @@
       struct ColtCellPool *pool = value;
 
       pool->is_full = false;
+      pool->looked_at = 0;
       for (r = 0; r < COLT_RESOURCE_COUNT; r++)
         pool->least.amount[r] = INT64_MAX;
       colt_cell_forget_roomy (pool);
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -281,6 +281,7 @@
   GPtrArray *roomy;   /* servers that may take a task with the least demand, in
                          the order of servers; only kept during a pass until room
                          becomes free, otherwise NULL */
+  guint looked_at;    /* servers looked at in this pass without that list */
   GArray *candidates; /* of struct ColtCandidate; only kept while advice calls
                          are sent, otherwise NULL */
 };
@@ -475,6 +476,9 @@
 const GPtrArray *colt_cell_list_roomy (struct ColtCellPool *pool,
                                        const struct ColtCellStep *step,
                                        int64_t now_us);
+/* Notes that servers were or will be looked at without that list. Returns
+ * whether the list exists or has become worth its cost. */
+bool colt_cell_needs_roomy (struct ColtCellPool *pool, guint looked_at);
 /* Has to be called when room becomes free during a pass. */
 void colt_cell_forget_roomy (struct ColtCellPool *pool);
 void colt_cell_end_room (struct ColtCell *cell);
