--- a/src/cell/cell_advice.c
+++ b/src/cell/cell_advice.c
@@ -206,13 +206,15 @@
 void
 colt_cell_send_advice_calls (struct ColtCell *cell, int64_t now_us)
 {
+  uint32_t queues;
   uint32_t share;
   guint i;
 
   cell->now_us = now_us;
   if (cell->advice_steps->len == 0)
     return;
-  share = cell->advisers / MAX (count_calling_queues_ (cell), 1);
+  queues = count_calling_queues_ (cell);
+  share = cell->advisers / MAX (queues, 1);
   for (i = 0; i < cell->advice_steps->len; i++)
     {
       struct ColtCellStep *step = g_ptr_array_index (cell->advice_steps, i);
