Commit: answer callers whose changes the batch has

Cause: callers and ends of runs waited until a batch left no changes over. While batches are full, that is never the case: no caller was answered, and no server could forget an end, although their changes were durable.

Change: the cell numbers its changes; a waiter notes the latest number and is notified by the batch with which all changes up to it have been taken. As batches take the oldest changes first, that is the batch with its change, or the next one if the change was in the open batch already. What is durable before an answer stays the same.

Test: scheduler/commit/full-batches, which failed before (the second job was durable, its caller not answered). test_scheduler, test_cell, test_cell_load and test_cell_crashes pass with the sanitizers.

--- a/include/coltsfootstile/cell.h
+++ b/include/coltsfootstile/cell.h
@@ -468,6 +468,13 @@
 /** Returns whether changes wait for the next batch. */
 bool colt_cell_has_changes (const struct ColtCell *cell);
 
+/** Returns the number of the latest change. Changes are numbered as they are
+ * made; several of a job before a batch takes them may share one number. */
+uint64_t colt_cell_last_change (const struct ColtCell *cell);
+
+/** Returns whether batches have taken all changes up to a number. */
+bool colt_cell_has_taken (const struct ColtCell *cell, uint64_t change);
+
 /** Returns whether planned starts wait for the next batch. */
 bool colt_cell_has_waiting_starts (const struct ColtCell *cell);
 
--- a/src/cell/cell_jobs.c
+++ b/src/cell/cell_jobs.c
@@ -106,6 +106,7 @@
   if (job->dirty)
     return;
   job->dirty = true;
+  job->change = ++cell->last_change;
   g_ptr_array_add (cell->dirty_jobs, job);
 }
 
--- a/src/cell/cell_records.c
+++ b/src/cell/cell_records.c
@@ -128,6 +128,23 @@
   return cell->dirty_jobs->len > 0;
 }
 
+uint64_t
+colt_cell_last_change (const struct ColtCell *cell)
+{
+  return cell->last_change;
+}
+
+bool
+colt_cell_has_taken (const struct ColtCell *cell, uint64_t change)
+{
+  const struct ColtCellJob *oldest;
+
+  if (cell->dirty_jobs->len == 0)
+    return true;
+  oldest = g_ptr_array_index (cell->dirty_jobs, 0);
+  return change < oldest->change;
+}
+
 bool
 colt_cell_has_waiting_starts (const struct ColtCell *cell)
 {
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -226,6 +226,7 @@
   bool dirty_spec;  /* its specification has to be recorded */
   bool dirty;       /* listed in the cell's dirty_jobs */
   bool in_batch;    /* listed in the cell's batch_jobs */
+  uint64_t change;  /* number of its entry in dirty_jobs */
   bool dropped;     /* its records are to be removed */
   int64_t accepted_us;
   int64_t begun_us; /* first start under this leader; 0: none */
@@ -313,6 +314,7 @@
   GPtrArray *batch_jobs;     /* of struct ColtCellJob, in the pending batch */
   GPtrArray *scheduled;      /* jobs with occurrences that may be due later */
   GQueue ended;              /* of struct ColtCellJob, oldest first */
+  uint64_t last_change;      /* number of the latest entry of dirty_jobs */
   uint32_t unrecorded_runs;  /* planned runs that no batch includes yet */
   bool settled;              /* earlier leaders' orders are reconciled */
   int64_t settle_deadline_us;
--- a/src/scheduler/commit.c
+++ b/src/scheduler/commit.c
@@ -20,6 +20,7 @@
 {
   ColtCommitDone done;
   void *client;
+  uint64_t change; /* number of the cell's latest change that it waits for */
 };
 
 struct ColtCommit
@@ -34,7 +35,7 @@
   uint64_t term;
   uint64_t sequence;
   GArray *records;       /* of the open batch; NULL: none */
-  GArray *waiters;       /* wait for a batch after the open one */
+  GArray *waiters;       /* wait for a batch after the open one, oldest first */
   GArray *batch_waiters; /* wait for the open batch */
   int64_t batch_sent_us; /* when the batch was first sent */
   bool in_flight;        /* an append is open */
@@ -45,6 +46,7 @@
 
 static void schedule_flush_ (struct ColtCommit *commit, uint32_t after_ms);
 static void flush_ (evutil_socket_t fd, short what, void *arg);
+static void take_waiters_ (struct ColtCommit *commit);
 static void send_batch_ (struct ColtCommit *commit);
 static void handle_answer_ (void *client, const struct ColtLogAnswer *answer);
 static void complete_batch_ (struct ColtCommit *commit);
@@ -116,7 +118,8 @@
 void
 colt_commit_wait (struct ColtCommit *commit, ColtCommitDone done, void *client)
 {
-  const struct ColtWaiter waiter = { done, client };
+  const struct ColtWaiter waiter
+      = { done, client, colt_cell_last_change (commit->cell) };
 
   g_array_append_val (commit->waiters, waiter);
   colt_commit_schedule (commit, LINGER_MS);
@@ -143,7 +146,6 @@
 flush_ (evutil_socket_t fd, short what, void *arg)
 {
   struct ColtCommit *commit = arg;
-  GArray *waiters = commit->batch_waiters;
 
   (void)fd;
   (void)what;
@@ -157,12 +159,7 @@
           commit->cell, BATCH_BYTES, colt_clock_wall_us () / COLT_US_PER_MS);
       add_time_ (commit, began_us);
       commit->batch_sent_us = colt_clock_monotonic_us ();
-      /* Changes of a waiter may be among those left over for a later batch. */
-      if (!colt_cell_has_changes (commit->cell))
-        {
-          commit->batch_waiters = commit->waiters;
-          commit->waiters = waiters;
-        }
+      take_waiters_ (commit);
       if (commit->records->len == 0)
         {
           complete_batch_ (commit);
@@ -173,6 +170,23 @@
   send_batch_ (commit);
 }
 
+/* Moves the waiters whose changes aren't left over for a later batch. */
+static void
+take_waiters_ (struct ColtCommit *commit)
+{
+  guint count = 0;
+
+  while (count < commit->waiters->len
+         && colt_cell_has_taken (
+             commit->cell,
+             g_array_index (commit->waiters, struct ColtWaiter, count).change))
+    count++;
+  if (count == 0)
+    return;
+  g_array_append_vals (commit->batch_waiters, commit->waiters->data, count);
+  g_array_remove_range (commit->waiters, 0, count);
+}
+
 static void
 send_batch_ (struct ColtCommit *commit)
 {
--- a/src/test_scheduler/test_commit.c
+++ b/src/test_scheduler/test_commit.c
@@ -1,8 +1,14 @@
+#include <stdlib.h>
+#include <string.h>
+
 #include "fake_ports.h"
 #include "jobs.h"
 #include "scheduler_private.h"
 #include "tests.h"
 
+/* Size in bytes of a payload that fills a batch by itself. */
+#define LARGE_PAYLOAD (600 * 1024)
+
 /* How often the callbacks of a test were called. */
 struct ColtCallCounts
 {
@@ -160,9 +166,70 @@
   colt_fake_ports_destroy (fake);
 }
 
+/* A cell that gets a further job whenever a batch has been committed. */
+struct ColtBusyCell
+{
+  struct ColtCell *cell;
+  uint32_t jobs;
+};
+
+static void
+submit_large_job (struct ColtBusyCell *busy)
+{
+  ColtJobSpec *spec;
+  char id[COLT_JOB_ID_LENGTH + 1];
+
+  g_snprintf (id, sizeof id, "%016x", ++busy->jobs);
+  spec = colt_test_make_job (id);
+  free (spec->payload);
+  spec->payload = malloc (LARGE_PAYLOAD + 1);
+  memset (spec->payload, 'p', LARGE_PAYLOAD);
+  spec->payload[LARGE_PAYLOAD] = '\0';
+  g_assert_cmpint (
+      colt_cell_submit (busy->cell, spec, colt_clock_monotonic_us ()), ==,
+      COLT_SUBMIT_NEW);
+}
+
+static void
+submit_next (void *client)
+{
+  submit_large_job (client);
+}
+
+/* Each batch leaves changes over, as more are made than it can take. A caller
+ * is answered when its change is durable, not when none is left. */
+static void
+test_commit_full_batches (void)
+{
+  struct ColtFakePorts *fake = colt_fake_ports_create ();
+  struct ColtCallCounts counts = { 0 };
+  struct ColtBusyCell busy = { make_cell (), 0 };
+  const struct ColtCommitClient client = { submit_next, on_fenced, &busy };
+  struct ColtMetrics *metrics = colt_metrics_create ();
+  struct ColtCommit *commit = colt_commit_create (
+      fake->base, &fake->ports, busy.cell, 1, &client, metrics, NULL);
+
+  submit_large_job (&busy);
+  submit_large_job (&busy);
+  colt_commit_wait (commit, on_durable, &counts);
+  submit_large_job (&busy);
+  while (!colt_cell_is_durable (busy.cell, "0000000000000002"))
+    {
+      g_assert_cmpuint (counts.durable, ==, 0);
+      colt_fake_ports_run (fake, 1);
+    }
+  g_assert_true (colt_cell_has_changes (busy.cell));
+  g_assert_cmpuint (counts.durable, ==, 1);
+  colt_commit_destroy (commit);
+  colt_cell_destroy (busy.cell);
+  colt_metrics_destroy (metrics);
+  colt_fake_ports_destroy (fake);
+}
+
 void
 colt_test_commit_add (void)
 {
   g_test_add_func ("/scheduler/commit/lost-answer", test_commit_lost_answer);
   g_test_add_func ("/scheduler/commit/fenced", test_commit_fenced);
+  g_test_add_func ("/scheduler/commit/full-batches", test_commit_full_batches);
 }
