Tests: a call on a connection that the server has closed is unknown

A call is written at once, before the loop has seen the end of the connection. The test guards against such a call that never ends or counts as not sent.

--- a/src/test_platform/test_http.c
+++ b/src/test_platform/test_http.c
@@ -351,6 +351,24 @@
   g_assert_cmpint (fixture->received.result, ==, COLT_HTTP_UNKNOWN);
 }
 
+/* Guards against a call that never ends, or counts as not sent, because the
+ * server closed the connection before the call was written. */
+static void
+test_closed_connection_is_unknown (struct ColtHttpFixture *fixture,
+                                   gconstpointer data)
+{
+  (void)data;
+  colt_fake_http_add_step (fixture->fake, COLT_FAKE_ANSWER, 200, "one");
+  call_and_wait (fixture, 10000);
+  colt_fake_http_destroy (fixture->fake);
+  call_and_wait (fixture, 10000);
+  g_assert_cmpint (fixture->received.result, ==, COLT_HTTP_UNKNOWN);
+  g_assert_cmpint (fixture->received.error.code, ==, COLT_ERROR_TRUNCATED);
+  call_and_wait (fixture, 10000);
+  g_assert_cmpint (fixture->received.result, ==, COLT_HTTP_NOT_SENT);
+  fixture->fake = colt_fake_http_create (fixture->base);
+}
+
 /* Guards against a connection that hangs because it has the descriptor of one
  * that was closed in the same turn of the loop. */
 static void
@@ -393,5 +411,6 @@
   ADD ("read", test_read_results);
   ADD ("long", test_long_call_is_complete);
   ADD ("cancelled", test_cancelled_call_is_unknown);
+  ADD ("closed", test_closed_connection_is_unknown);
   ADD ("reused", test_descriptor_is_reused);
 }
