Cell: end an advice call by its identity, not by its step's name

Callers see accepted jobs of a queue that never start under this leader, with room free ("no adviser"), after the log was out of reach for a while.

The cell counted the pending advice calls of each queue and kept them by the step's name. If a job is withdrawn while its call is pending and is submitted again under its id, the second call replaced the first one: two were counted, and one ended. Once as many calls had drifted as the queue may have pending, no step of it got another call. The first reply also ended the second call, so that a third was sent beside it, and a reply to a call of an earlier leadership of the same instance did the same in the new leader's cell.

Each pending call is now an object with a number that contains the leader's generation. The leader and the scheduler pass the number along and back. The call holds its queue, the servers that it named and its step, from which it is detached when the step is freed. A number that the cell doesn't know is ignored. So each call is counted once up and once down, and its reply reaches only the step that asked.

The fixtures of the other tests, the simulation and bench_cell pass the number instead of the name; what they check is unchanged.

--- a/bench/bench_cell.c
+++ b/bench/bench_cell.c
@@ -88,6 +88,7 @@
 
 struct ColtBenchAdvice
 {
+  uint64_t call; /* its number */
   char *step;
   GPtrArray *servers; /* ids */
   uint32_t good_percent;
@@ -187,6 +188,7 @@
 
 static bool
 on_advise (void *client,
+           uint64_t call,
            const char *step,
            const char *const *servers,
            size_t count)
@@ -201,6 +203,7 @@
   bench->open_advice++;
   bench->advice_calls++;
   advice = g_new0 (struct ColtBenchAdvice, 1);
+  advice->call = call;
   advice->step = g_strdup (step);
   advice->good_percent = queue->good_percent;
   advice->servers = g_ptr_array_new_with_free_func (g_free);
@@ -312,9 +315,7 @@
   reply.n_tickets = rows->len;
   reply.tickets = (ColtTicket **)rows->pdata;
   began_us = colt_clock_monotonic_us ();
-  colt_cell_apply_advice (bench->cell, advice->step,
-                          (const char *const *)advice->servers->pdata,
-                          advice->servers->len, &reply, now_us (bench));
+  colt_cell_apply_advice (bench->cell, advice->call, &reply, now_us (bench));
   measure (bench, WORK_ADVICE, began_us);
   bench->open_advice--;
   g_ptr_array_unref (rows);
--- a/include/coltsfootstile/cell.h
+++ b/include/coltsfootstile/cell.h
@@ -176,11 +176,14 @@
    * Requests advice on which of \a servers may run a step; pass the reply to
    * colt_cell_apply_advice().
    *
+   * \param call     identifies the call, also among those of the cells of other
+   *                 generations
    * \param step     name: JOB.OCCURRENCE.STEP
    * \param servers  ids of \a count servers; valid only during the callback
    * \return         false if all advisers are busy
    */
   bool (*advise) (void *client,
+                  uint64_t call,
                   const char *step,
                   const char *const *servers,
                   size_t count);
@@ -422,17 +425,16 @@
 bool colt_cell_has_tight_runs (const struct ColtCell *cell, const char *server);
 
 /**
- * Applies the reply of an advice call. If it contains advice, the servers that
- * the call named and that get no ticket count as unsuitable for the step.
+ * Ends an advice call and applies its reply. If it contains advice, the servers
+ * that the call named and that get no ticket count as unsuitable for the step.
+ * The reply is ignored if the job has been removed meanwhile, or if the call is
+ * one of an earlier leader's cell.
  *
- * \param step     name: JOB.OCCURRENCE.STEP
- * \param servers  ids of the \a server_count servers that the call named
- * \param reply    NULL if there was none; the caller keeps it
+ * \param call   as passed to advise()
+ * \param reply  NULL if there was none; the caller keeps it
  */
 void colt_cell_apply_advice (struct ColtCell *cell,
-                             const char *step,
-                             const char *const *servers,
-                             size_t server_count,
+                             uint64_t call,
                              const ColtAdviceReply *reply,
                              int64_t now_us);
 
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -53,8 +53,8 @@
   cell->advice_steps = g_ptr_array_new ();
   cell->reservations
       = g_array_new (FALSE, FALSE, sizeof (struct ColtCellReservation));
-  cell->open_calls
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  cell->open_calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
+                                            colt_cell_free_call);
   cell->advisers = 1;
   cell->dirty_jobs = g_ptr_array_new ();
   cell->batch_jobs = g_ptr_array_new ();
@@ -79,11 +79,11 @@
   g_ptr_array_unref (cell->open_steps);
   g_ptr_array_unref (cell->advice_steps);
   g_array_unref (cell->reservations);
-  g_hash_table_unref (cell->open_calls);
   g_ptr_array_unref (cell->dirty_jobs);
   g_ptr_array_unref (cell->batch_jobs);
   g_ptr_array_unref (cell->scheduled);
   g_hash_table_unref (cell->jobs);
+  g_hash_table_unref (cell->open_calls);
   g_hash_table_unref (cell->servers);
   g_hash_table_unref (cell->pools);
   g_hash_table_unref (cell->kinds);
--- a/src/cell/cell_advice.c
+++ b/src/cell/cell_advice.c
@@ -36,10 +36,7 @@
 static enum ColtCellBlock queue_advice_call_ (struct ColtCell *cell,
                                               struct ColtCellStep *step,
                                               int64_t now_us);
-static void mark_unsuitable_ (struct ColtCell *cell,
-                              struct ColtCellStep *step,
-                              const char *const *servers,
-                              size_t server_count);
+static void mark_unsuitable_ (const struct ColtCellCall *call);
 static void store_tickets_ (struct ColtCell *cell,
                             struct ColtCellStep *step,
                             const ColtAdviceReply *reply,
@@ -48,12 +45,13 @@
 static uint32_t count_calling_queues_ (const struct ColtCell *cell);
 static bool send_advice_call_ (struct ColtCell *cell,
                                struct ColtCellStep *step);
+static bool send_call_ (struct ColtCell *cell, const struct ColtCellCall *call);
 static void add_ticket_servers_ (const struct ColtCellStep *step,
-                                 GPtrArray *names);
+                                 GPtrArray *servers);
 static void add_candidates_ (const struct ColtCell *cell,
                              const struct ColtCellStep *step,
                              const struct ColtCellPool *pool,
-                             GPtrArray *names);
+                             GPtrArray *servers);
 static uint32_t get_call_limit_ (const struct ColtCell *cell,
                                  const struct ColtCellStep *step);
 static GArray *sort_candidates_ (const struct ColtCellStep *step,
@@ -113,7 +111,7 @@
 
   if (!step->job->queue->config->advised)
     return BLOCK_NO_ROOM;
-  if (step->advice_pending)
+  if (step->call != NULL)
     return BLOCK_ADVICE;
   if (now_us < step->next_advice_us)
     return BLOCK_ADVICE;
@@ -163,7 +161,7 @@
 {
   uint32_t i;
 
-  if (step->advice_pending)
+  if (step->call != NULL)
     return BLOCK_ADVICE;
   g_clear_pointer (&step->ticket_servers, g_ptr_array_unref);
   step->ticket_servers = g_ptr_array_new ();
@@ -183,7 +181,7 @@
 {
   guint i;
 
-  if (step->advice_pending)
+  if (step->call != NULL)
     return BLOCK_ADVICE;
   g_clear_pointer (&step->ticket_servers, g_ptr_array_unref);
   for (i = 0; i < pool->servers->len; i++)
@@ -239,7 +237,7 @@
     {
       struct ColtCellStep *step = g_ptr_array_index (cell->advice_steps, i);
 
-      if (!step->advice_pending && !send_advice_call_ (cell, step))
+      if (step->call == NULL && !send_advice_call_ (cell, step))
         break;
     }
   g_ptr_array_set_size (cell->advice_steps, 0);
@@ -247,29 +245,46 @@
 
 void
 colt_cell_apply_advice (struct ColtCell *cell,
-                        const char *step_name,
-                        const char *const *servers,
-                        size_t server_count,
+                        uint64_t number,
                         const ColtAdviceReply *reply,
                         int64_t now_us)
 {
-  struct ColtCellQueue *queue
-      = g_hash_table_lookup (cell->open_calls, step_name);
-  struct ColtCellStep *step = colt_cell_find_step (cell, step_name);
+  const struct ColtCellCall *call
+      = g_hash_table_lookup (cell->open_calls, &number);
+  struct ColtCellStep *step;
 
-  if (queue != NULL)
+  if (call == NULL)
+    return;
+  call->queue->open_calls--;
+  step = call->step;
+  if (step != NULL)
     {
-      queue->open_calls--;
-      g_hash_table_remove (cell->open_calls, step_name);
+      step->call = NULL;
+      pause_advice_ (step, now_us);
     }
-  if (step == NULL || step->advice == NULL)
-    return;
-  step->advice_pending = false;
-  pause_advice_ (step, now_us);
-  if (reply == NULL || !reply->answered)
-    return;
-  mark_unsuitable_ (cell, step, servers, server_count);
-  store_tickets_ (cell, step, reply, now_us);
+  if (step != NULL && reply != NULL && reply->answered)
+    {
+      mark_unsuitable_ (call);
+      store_tickets_ (cell, step, reply, now_us);
+    }
+  g_hash_table_remove (cell->open_calls, &number);
+}
+
+void
+colt_cell_abandon_call (struct ColtCellStep *step)
+{
+  if (step->call != NULL)
+    step->call->step = NULL;
+  step->call = NULL;
+}
+
+void
+colt_cell_free_call (gpointer data)
+{
+  struct ColtCellCall *call = data;
+
+  g_ptr_array_unref (call->servers);
+  g_free (call);
 }
 
 static bool
@@ -298,21 +313,17 @@
 }
 
 static void
-mark_unsuitable_ (struct ColtCell *cell,
-                  struct ColtCellStep *step,
-                  const char *const *servers,
-                  size_t server_count)
+mark_unsuitable_ (const struct ColtCellCall *call)
 {
-  size_t i;
+  const struct ColtCellStep *step = call->step;
+  guint i;
 
-  for (i = 0; i < server_count; i++)
+  for (i = 0; i < call->servers->len; i++)
     {
-      struct ColtCellServer *server = colt_cell_find_server (cell, servers[i]);
-      struct ColtCellAdvice *advice;
+      struct ColtCellServer *server = g_ptr_array_index (call->servers, i);
+      struct ColtCellAdvice *advice
+          = g_hash_table_lookup (step->advice, server);
 
-      if (server == NULL)
-        continue;
-      advice = g_hash_table_lookup (step->advice, server);
       if (advice == NULL)
         {
           advice = g_new0 (struct ColtCellAdvice, 1);
@@ -377,7 +388,7 @@
     }
   g_hash_table_iter_init (&i, cell->open_calls);
   while (g_hash_table_iter_next (&i, NULL, &value))
-    g_hash_table_add (queues, value);
+    g_hash_table_add (queues, ((struct ColtCellCall *)value)->queue);
   count = g_hash_table_size (queues);
   g_hash_table_unref (queues);
   return count;
@@ -391,37 +402,62 @@
   struct ColtCellQueue *queue = step->job->queue;
   struct ColtCellPool *pool
       = g_hash_table_lookup (cell->pools, queue->config->service);
-  GPtrArray *names;
-  char name[TASK_NAME_SIZE];
+  struct ColtCellCall *call;
   bool has_adviser;
 
   if (queue->open_calls >= get_call_limit_ (cell, step))
     return true;
-  names = g_ptr_array_new ();
+  call = g_new0 (struct ColtCellCall, 1);
+  call->number = (uint64_t)cell->generation << 32 | (cell->last_call + 1);
+  call->queue = queue;
+  call->step = step;
+  call->servers = g_ptr_array_new ();
   if (step->ticket_servers != NULL)
-    add_ticket_servers_ (step, names);
+    add_ticket_servers_ (step, call->servers);
   else
-    add_candidates_ (cell, step, pool, names);
-  g_snprintf (name, sizeof name, "%s.%u.%u", step->job->id, step->occurrence,
-              step->number);
+    add_candidates_ (cell, step, pool, call->servers);
   /* The list may be empty: later starts of the pass may have used the last
    * room. */
-  has_adviser
-      = names->len == 0
-        || cell->ops->advise (cell->client, name,
-                              (const char *const *)names->pdata, names->len);
-  step->advice_pending = has_adviser && names->len > 0;
-  if (step->advice_pending)
+  has_adviser = call->servers->len == 0 || send_call_ (cell, call);
+  if (!has_adviser || call->servers->len == 0)
     {
-      queue->open_calls++;
-      g_hash_table_insert (cell->open_calls, g_strdup (name), queue);
+      colt_cell_free_call (call);
+      return has_adviser;
     }
+  cell->last_call++;
+  queue->open_calls++;
+  step->call = call;
+  g_hash_table_insert (cell->open_calls, &call->number, call);
+  return true;
+}
+
+static bool
+send_call_ (struct ColtCell *cell, const struct ColtCellCall *call)
+{
+  const struct ColtCellStep *step = call->step;
+  GPtrArray *names = g_ptr_array_new ();
+  char name[TASK_NAME_SIZE];
+  bool has_adviser;
+  guint i;
+
+  for (i = 0; i < call->servers->len; i++)
+    {
+      const struct ColtCellServer *server
+          = g_ptr_array_index (call->servers, i);
+
+      g_ptr_array_add (names, server->id);
+    }
+  g_snprintf (name, sizeof name, "%s.%u.%u", step->job->id, step->occurrence,
+              step->number);
+  has_adviser
+      = cell->ops->advise (cell->client, call->number, name,
+                           (const char *const *)names->pdata, names->len);
   g_ptr_array_unref (names);
   return has_adviser;
 }
 
 static void
-add_ticket_servers_ (const struct ColtCellStep *step, GPtrArray *names)
+add_ticket_servers_ (const struct ColtCellStep *step, GPtrArray *servers)
 {
   guint i;
 
@@ -430,8 +466,8 @@
       struct ColtCellServer *server
           = g_ptr_array_index (step->ticket_servers, i);
 
-      if (!g_ptr_array_find (names, server->id, NULL))
-        g_ptr_array_add (names, server->id);
+      if (!g_ptr_array_find (servers, server, NULL))
+        g_ptr_array_add (servers, server);
     }
 }
 
@@ -439,7 +475,7 @@
 add_candidates_ (const struct ColtCell *cell,
                  const struct ColtCellStep *step,
                  const struct ColtCellPool *pool,
-                 GPtrArray *names)
+                 GPtrArray *servers)
 {
   GArray *candidates = sort_candidates_ (step, pool, cell->now_us);
   guint count = MIN (NAMED_SERVERS_MIN + NAMED_SERVERS_PER_TASK * step->waiting,
@@ -451,7 +487,7 @@
     count = cell->limits.gang_advice_servers_max;
   for (i = 0; i < MIN (candidates->len, count); i++)
     g_ptr_array_add (
-        names, g_array_index (candidates, struct ColtCandidate, i).server->id);
+        servers, g_array_index (candidates, struct ColtCandidate, i).server);
   g_array_unref (candidates);
 }
 
--- a/src/cell/cell_gangs.c
+++ b/src/cell/cell_gangs.c
@@ -50,7 +50,7 @@
     plan_gang_ (cell, step, servers, now_us);
   else if (!step->job->queue->config->advised)
     colt_cell_set_block (cell, step, BLOCK_NO_ROOM);
-  else if (step->advice_pending && step->ticket_servers != NULL)
+  else if (step->call != NULL && step->ticket_servers != NULL)
     {
       reserve_room_ (
           cell, step,
--- a/src/cell/cell_jobs.c
+++ b/src/cell/cell_jobs.c
@@ -79,6 +79,7 @@
           g_free (job->steps[i].tasks[t].checkpoint);
           g_clear_pointer (&job->steps[i].tasks[t].counted_runs, g_array_unref);
         }
+      colt_cell_abandon_call (&job->steps[i]);
       g_free (job->steps[i].tasks);
       g_clear_pointer (&job->steps[i].advice, g_hash_table_unref);
       g_clear_pointer (&job->steps[i].ticket_servers, g_ptr_array_unref);
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -154,6 +154,15 @@
   int64_t incarnation_ms; /* server incarnation that the reply applies to */
 };
 
+/* An advice call that has no reply yet. */
+struct ColtCellCall
+{
+  uint64_t number; /* identifies it, also among calls of other leaders */
+  struct ColtCellQueue *queue; /* that counts it */
+  struct ColtCellStep *step;   /* NULL: its job is gone */
+  GPtrArray *servers;          /* of struct ColtCellServer: those it named */
+};
+
 struct ColtCellStep
 {
   struct ColtCellJob *job;
@@ -170,7 +179,7 @@
   bool open;                   /* listed in the cell's open_steps */
   struct ColtResources demand; /* of each task */
   GHashTable *advice; /* struct ColtCellServer -> struct ColtCellAdvice */
-  bool advice_pending;
+  struct ColtCellCall *call; /* its pending advice call; NULL: none */
   int64_t tickets_until_us;  /* latest end of a ticket */
   int64_t next_advice_us;    /* earliest time of the next advice call */
   uint32_t fruitless_calls;  /* advice calls since a start was last planned, up
@@ -292,8 +301,8 @@
   GPtrArray *open_steps;     /* of struct ColtCellStep */
   GPtrArray *advice_steps;   /* steps that need advice in this pass */
   GArray *reservations;      /* of struct ColtCellReservation, in this pass */
-  GHashTable *open_calls;    /* step name -> struct ColtCellQueue, for each
-                                pending advice call */
+  GHashTable *open_calls;    /* number -> struct ColtCellCall */
+  uint32_t last_call;        /* number of calls so far */
   uint32_t start_budget;     /* starts that may still be planned */
   uint32_t advisers;         /* advice calls that may be pending together */
   GPtrArray *dirty_jobs;     /* of struct ColtCellJob, for the next batch */
@@ -480,6 +489,9 @@
 bool colt_cell_is_known_unsuitable (const struct ColtCellStep *step,
                                     const struct ColtCellServer *server);
 void colt_cell_send_advice_calls (struct ColtCell *cell, int64_t now_us);
+/* Detaches a step that is removed from its pending advice call. */
+void colt_cell_abandon_call (struct ColtCellStep *step);
+void colt_cell_free_call (gpointer data);
 
 /* cell_stragglers.c */
 void colt_cell_update_progress (struct ColtCellRun *run,
--- a/src/scheduler/leader.c
+++ b/src/scheduler/leader.c
@@ -48,6 +48,7 @@
 static void
 send_stop_ (void *client, const char *server, const char *task, uint32_t run);
 static bool request_advice_ (void *client,
+                             uint64_t number,
                              const char *step,
                              const char *const *servers,
                              size_t count);
@@ -187,14 +188,12 @@
 
 void
 colt_leader_handle_advice (struct ColtLeader *leader,
-                           const ColtAdviceCall *call,
+                           uint64_t number,
                            const ColtAdviceReply *reply)
 {
   int64_t began_us = colt_clock_monotonic_us ();
 
-  colt_cell_apply_advice (leader->cell, call->step,
-                          (const char *const *)call->servers, call->n_servers,
-                          reply, began_us);
+  colt_cell_apply_advice (leader->cell, number, reply, began_us);
   schedule_placement_ (leader);
   colt_load_meter_add (&leader->meter, LOAD_ADVICE, began_us);
 }
@@ -292,6 +291,7 @@
 
 static bool
 request_advice_ (void *client,
+                 uint64_t number,
                  const char *step,
                  const char *const *servers,
                  size_t count)
@@ -302,7 +302,7 @@
   call.step = (char *)step;
   call.servers = (char **)servers;
   call.n_servers = count;
-  if (!leader->client.send_advice_call (leader->client.client, &call))
+  if (!leader->client.send_advice_call (leader->client.client, number, &call))
     return false;
   leader->advice_calls++;
   return true;
--- a/src/scheduler/private/scheduler_private.h
+++ b/src/scheduler/private/scheduler_private.h
@@ -262,8 +262,10 @@
   /* A later leader has fenced this one. */
   void (*handle_fenced) (void *client);
   /* Sends a call for advice through an available instance; returns false if
-   * there is none. */
-  bool (*send_advice_call) (void *client, const ColtAdviceCall *call);
+   * there is none. The number identifies it among the calls of all terms. */
+  bool (*send_advice_call) (void *client,
+                            uint64_t number,
+                            const ColtAdviceCall *call);
   void *client;
 };
 
@@ -288,9 +290,10 @@
                               ColtCallerCall *call,
                               ColtLeaderReply reply,
                               void *client);
-/* Handles the reply to a call for advice; NULL if the call failed. */
+/* Handles the reply to a call for advice, given by its number; NULL if the call
+ * failed. Calls of earlier leaders are ignored. */
 void colt_leader_handle_advice (struct ColtLeader *leader,
-                                const ColtAdviceCall *call,
+                                uint64_t number,
                                 const ColtAdviceReply *reply);
 struct ColtCell *colt_leader_cell (struct ColtLeader *leader);
 bool colt_leader_is_serving (const struct ColtLeader *leader);
--- a/src/scheduler/private/scheduler_state.h
+++ b/src/scheduler/private/scheduler_state.h
@@ -43,7 +43,9 @@
 /* Sends a call for advice through the instance that has been idle for longest,
  * as one instance processes its calls in turn; client is the ColtScheduler.
  * Returns false if none is free. */
-bool colt_scheduler_send_advice_call (void *client, const ColtAdviceCall *call);
+bool colt_scheduler_send_advice_call (void *client,
+                                      uint64_t number,
+                                      const ColtAdviceCall *call);
 /* Starts a timer; an event with EV_PERSIST fires repeatedly. */
 void colt_scheduler_add_timer (struct event *timer, uint32_t after_ms);
 
--- a/src/scheduler/remote_calls.c
+++ b/src/scheduler/remote_calls.c
@@ -9,7 +9,7 @@
 {
   struct ColtScheduler *scheduler;
   struct ColtWireOrigin origin;
-  ColtAdviceCall *advice;
+  uint64_t advice_number; /* of a call for advice */
   int64_t sent_us;
 };
 
@@ -18,7 +18,6 @@
                                   enum ColtWireResult result,
                                   const uint8_t *body,
                                   size_t size);
-static ColtAdviceCall *copy_advice_call_ (const ColtAdviceCall *call);
 static void handle_forwarded_call_ (void *client,
                                     const struct ColtWireOrigin *origin,
                                     const uint8_t *body,
@@ -40,7 +39,9 @@
 }
 
 bool
-colt_scheduler_send_advice_call (void *client, const ColtAdviceCall *call)
+colt_scheduler_send_advice_call (void *client,
+                                 uint64_t number,
+                                 const ColtAdviceCall *call)
 {
   struct ColtScheduler *scheduler = client;
   int64_t now_us = colt_clock_monotonic_us ();
@@ -54,7 +55,7 @@
   colt_metrics_count (scheduler->metrics, METRIC_ADVICE_CALLS);
   remote = g_new0 (struct ColtRemoteCall, 1);
   remote->scheduler = scheduler;
-  remote->advice = copy_advice_call_ (call);
+  remote->advice_number = number;
   remote->origin.instance = member;
   remote->sent_us = now_us;
   if (member == COLT_MEMBERS_SELF)
@@ -84,8 +85,7 @@
   colt_members_release_adviser (scheduler->members, remote->origin.instance,
                                 colt_clock_monotonic_us (), reply != NULL);
   if (scheduler->leader != NULL)
-    colt_leader_handle_advice (scheduler->leader, remote->advice, reply);
-  colt_advice_call__free_unpacked (remote->advice, NULL);
+    colt_leader_handle_advice (scheduler->leader, remote->advice_number, reply);
   g_free (remote);
 }
 
@@ -104,19 +104,6 @@
     colt_advice_reply__free_unpacked (reply, NULL);
 }
 
-static ColtAdviceCall *
-copy_advice_call_ (const ColtAdviceCall *call)
-{
-  size_t size = colt_advice_call__get_packed_size (call);
-  uint8_t *body = g_malloc (size);
-  ColtAdviceCall *copy;
-
-  colt_advice_call__pack (call, body);
-  copy = colt_advice_call__unpack (NULL, size, body);
-  g_free (body);
-  return copy;
-}
-
 static void
 handle_forwarded_call_ (void *client,
                         const struct ColtWireOrigin *origin,
--- a/src/test_cell/simulation_orders.c
+++ b/src/test_cell/simulation_orders.c
@@ -111,6 +111,7 @@
 
 static bool
 request_advice (void *client,
+                uint64_t call,
                 const char *step,
                 const char *const *servers,
                 size_t count)
@@ -123,6 +124,7 @@
     return false;
   g_assert_cmpuint (count, >, 0);
   order = add_order (sim, ORDER_ADVICE, step, 0);
+  order->call = call;
   order->server_names = g_ptr_array_new_with_free_func (g_free);
   for (i = 0; i < count; i++)
     g_ptr_array_add (order->server_names, g_strdup (servers[i]));
@@ -345,9 +347,8 @@
   reply.valid_ms = 1500;
   reply.n_tickets = tickets->len;
   reply.tickets = (ColtTicket **)tickets->pdata;
-  colt_cell_apply_advice (
-      sim->cell, order->task, (const char *const *)order->server_names->pdata,
-      order->server_names->len, order->answered ? &reply : NULL, sim->now_us);
+  colt_cell_apply_advice (sim->cell, order->call,
+                          order->answered ? &reply : NULL, sim->now_us);
   g_ptr_array_unref (tickets);
 }
 
--- a/src/test_cell/simulation_private.h
+++ b/src/test_cell/simulation_private.h
@@ -117,6 +117,7 @@
   bool done;         /* executed, or lost at its arrival */
   bool gone;         /* answered by another server at the address */
   enum ColtStartResult result;
+  uint64_t call;           /* number of an advice call */
   GPtrArray *server_names; /* servers that advice is requested for */
 };
 
--- a/src/test_cell_load/fixture.c
+++ b/src/test_cell_load/fixture.c
@@ -24,6 +24,7 @@
 
 static bool
 record_advice_call (void *client,
+                    uint64_t call,
                     const char *step,
                     const char *const *servers,
                     size_t count)
@@ -34,6 +35,7 @@
   if (fixture->advice_calls->len >= fixture->max_advice_calls)
     return false;
   g_ptr_array_add (fixture->advice_calls, g_strdup (step));
+  g_array_append_val (fixture->calls, call);
   g_ptr_array_set_size (fixture->named_servers, 0);
   for (i = 0; i < count; i++)
     g_ptr_array_add (fixture->named_servers, g_strdup (servers[i]));
@@ -107,6 +109,7 @@
   fixture->stops = g_ptr_array_new_with_free_func (g_free);
   fixture->advice_calls = g_ptr_array_new_with_free_func (g_free);
   fixture->named_servers = g_ptr_array_new_with_free_func (g_free);
+  fixture->calls = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   fixture->start_runs = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   fixture->max_advice_calls = 8;
   fixture->term = 1;
@@ -126,6 +129,7 @@
   g_ptr_array_unref (fixture->stops);
   g_ptr_array_unref (fixture->advice_calls);
   g_ptr_array_unref (fixture->named_servers);
+  g_array_unref (fixture->calls);
   g_array_unref (fixture->start_runs);
   g_hash_table_unref (fixture->records);
   g_free (fixture);
@@ -337,3 +341,39 @@
 {
   return g_str_has_suffix (g_ptr_array_index (fixture->starts, start), server);
 }
+
+void
+colt_fixture_answer_advice (struct ColtLoadFixture *fixture,
+                            guint call,
+                            const ColtAdviceReply *reply)
+{
+  g_ptr_array_set_size (fixture->advice_calls, 0);
+  colt_cell_apply_advice (fixture->cell,
+                          g_array_index (fixture->calls, uint64_t, call), reply,
+                          fixture->now_us);
+}
+
+void
+colt_fixture_grant_servers (struct ColtLoadFixture *fixture, guint call)
+{
+  guint count = fixture->named_servers->len;
+  ColtTicket *tickets = g_new0 (ColtTicket, count);
+  ColtTicket **rows = g_new0 (ColtTicket *, count);
+  ColtAdviceReply reply = COLT_ADVICE_REPLY__INIT;
+  guint i;
+
+  for (i = 0; i < count; i++)
+    {
+      colt_ticket__init (&tickets[i]);
+      tickets[i].server = g_ptr_array_index (fixture->named_servers, i);
+      tickets[i].ticket = "ticket";
+      rows[i] = &tickets[i];
+    }
+  reply.answered = true;
+  reply.valid_ms = 1500;
+  reply.n_tickets = count;
+  reply.tickets = rows;
+  colt_fixture_answer_advice (fixture, call, &reply);
+  g_free (rows);
+  g_free (tickets);
+}
--- a/src/test_cell_load/fixture.h
+++ b/src/test_cell_load/fixture.h
@@ -19,6 +19,7 @@
   GPtrArray *stops;          /* ordered stops as "task@server", oldest first */
   GPtrArray *advice_calls;   /* names of steps with a pending advice call */
   GPtrArray *named_servers;  /* ids that the latest advice call named */
+  GArray *calls;             /* numbers of all advice calls, uint64_t */
   uint32_t max_advice_calls; /* most pending advice calls */
   uint32_t last_id;          /* of the latest job */
   uint32_t term;             /* of the leader */
@@ -77,7 +78,18 @@
                                guint start,
                                const char *server);
 
+/* Ends an advice call, given by its index among all calls. reply: NULL if there
+ * is none. */
+void colt_fixture_answer_advice (struct ColtLoadFixture *fixture,
+                                 guint call,
+                                 const ColtAdviceReply *reply);
+/* Ends an advice call, given by its index among all calls, with tickets for all
+ * servers that the latest call named. */
+void colt_fixture_grant_servers (struct ColtLoadFixture *fixture, guint call);
+
 /* Registers the tests of test_load_servers.c. */
 void colt_load_add_server_tests (void);
+/* Registers the tests of test_load_advice.c. */
+void colt_load_add_advice_tests (void);
 
 #endif
--- a/src/test_cell_load/test_load.c
+++ b/src/test_cell_load/test_load.c
@@ -3,9 +3,6 @@
 
 #include "fixture.h"
 
-/* Size of a step's name in bytes. */
-#define STEP_NAME_SIZE 64
-
 /* One organisation submits many times its rate: jobs of others within their
  * rate start before the excess, though they were submitted later. */
 static void
@@ -131,12 +128,11 @@
   colt_fixture_destroy (fixture);
 }
 
-/* Grants a job's first step tickets on the servers "one" and "two". */
+/* Grants the latest advice call tickets on the servers "one" and "two". */
 static void
-answer_advice (struct ColtLoadFixture *fixture, uint32_t id)
+answer_advice (struct ColtLoadFixture *fixture)
 {
   const char *servers[] = { "one", "two" };
-  char step[STEP_NAME_SIZE];
   ColtTicket tickets[2];
   ColtTicket *rows[2] = { &tickets[0], &tickets[1] };
   ColtAdviceReply reply = COLT_ADVICE_REPLY__INIT;
@@ -152,10 +148,7 @@
   reply.valid_ms = 1500;
   reply.n_tickets = 2;
   reply.tickets = rows;
-  g_snprintf (step, sizeof step, "%016x.0.0", id);
-  g_ptr_array_set_size (fixture->advice_calls, 0);
-  colt_cell_apply_advice (fixture->cell, step, servers, 2, &reply,
-                          fixture->now_us);
+  colt_fixture_answer_advice (fixture, fixture->calls->len - 1, &reply);
 }
 
 /* A gang's tickets expire before all its servers have free capacity. Once they
@@ -173,7 +166,7 @@
   colt_fixture_add_server (fixture, "two", 1000);
   colt_fixture_submit_gang (fixture, "advised", 2);
   colt_fixture_place (fixture);
-  answer_advice (fixture, 2);
+  answer_advice (fixture);
   colt_fixture_place (fixture);
   g_assert_cmpuint (fixture->starts->len, ==, 1);
   fixture->now_us += 2000 * MS;
@@ -184,7 +177,7 @@
   g_assert_cmpuint (fixture->advice_calls->len, ==, 1);
   colt_fixture_place (fixture);
   g_assert_cmpuint (fixture->starts->len, ==, 1);
-  answer_advice (fixture, 2);
+  answer_advice (fixture);
   colt_fixture_place (fixture);
   g_assert_cmpuint (fixture->starts->len, ==, 3);
   g_assert_true (colt_fixture_has_started (fixture, 1, 2));
@@ -192,37 +185,6 @@
   colt_fixture_destroy (fixture);
 }
 
-/* Grants tickets on all servers that the pending advice call names. */
-static void
-grant_named_servers (struct ColtLoadFixture *fixture)
-{
-  char *step = g_strdup (g_ptr_array_index (fixture->advice_calls, 0));
-  guint count = fixture->named_servers->len;
-  ColtTicket *tickets = g_new0 (ColtTicket, count);
-  ColtTicket **rows = g_new0 (ColtTicket *, count);
-  ColtAdviceReply reply = COLT_ADVICE_REPLY__INIT;
-  guint i;
-
-  for (i = 0; i < count; i++)
-    {
-      colt_ticket__init (&tickets[i]);
-      tickets[i].server = g_ptr_array_index (fixture->named_servers, i);
-      tickets[i].ticket = "ticket";
-      rows[i] = &tickets[i];
-    }
-  reply.answered = true;
-  reply.valid_ms = 1500;
-  reply.n_tickets = count;
-  reply.tickets = rows;
-  g_ptr_array_set_size (fixture->advice_calls, 0);
-  colt_cell_apply_advice (fixture->cell, step,
-                          (const char *const *)fixture->named_servers->pdata,
-                          count, &reply, fixture->now_us);
-  g_free (rows);
-  g_free (tickets);
-  g_free (step);
-}
-
 /* A wide lasting step has filled more servers than an advice call names. When
  * another server gets room, the next call names that one rather than the full
  * servers that are known to be suitable. */
@@ -243,7 +205,7 @@
     {
       colt_fixture_place (fixture);
       if (fixture->advice_calls->len > 0)
-        grant_named_servers (fixture);
+        colt_fixture_grant_servers (fixture, fixture->calls->len - 1);
       fixture->now_us += 1000 * MS;
     }
   g_assert_cmpuint (fixture->starts->len, ==, 35);
@@ -251,7 +213,7 @@
   colt_fixture_add_server (fixture, "free", 1000);
   colt_fixture_place (fixture);
   g_assert_cmpuint (fixture->advice_calls->len, ==, 1);
-  grant_named_servers (fixture);
+  colt_fixture_grant_servers (fixture, fixture->calls->len - 1);
   colt_fixture_place (fixture);
   g_assert_cmpuint (fixture->starts->len, ==, 36);
   g_assert_true (colt_fixture_was_sent_to (fixture, 35, "free"));
@@ -326,5 +288,6 @@
   g_test_add_func ("/cell/load/start-waits-for-record",
                    test_start_waits_for_record);
   colt_load_add_server_tests ();
+  colt_load_add_advice_tests ();
   return g_test_run ();
 }
--- a/src/test_scheduler/test_commit.c
+++ b/src/test_scheduler/test_commit.c
@@ -29,11 +29,13 @@
 
 static bool
 reject_advice_call (void *client,
+                    uint64_t call,
                     const char *step,
                     const char *const *servers,
                     size_t count)
 {
   (void)client;
+  (void)call;
   (void)step;
   (void)servers;
   (void)count;
--- a/src/test_scheduler/test_leader.c
+++ b/src/test_scheduler/test_leader.c
@@ -35,9 +35,10 @@
 }
 
 static bool
-reject_advice_call (void *client, const ColtAdviceCall *call)
+reject_advice_call (void *client, uint64_t number, const ColtAdviceCall *call)
 {
   (void)client;
+  (void)number;
   (void)call;
   return false;
 }
