Cell: let no full or too small servers crowd out an advice call

An accepted gang or step could stay without a start for good with room free.

A call for advice names a limited number of servers, first those that are known to be suitable, whether they have room or not. Once a step knew as many suitable servers as a call may name, each further call named the same ones. If these are too small for its tasks, or full of lasting work, servers with room that it has no advice on were never named: the pass asked for advice because of them, and the call left them out.

Servers that can't hold a task of the step even when they are empty are no candidates any more, also when a gang looks for servers without advice. A step whose last four calls didn't let it start names servers with room first, as lasting steps always do. So each such call names servers that may let the step start. While no server has room, the order is the same as before.

Tests: gang-beside-small-servers, gang-beside-full-servers and step-beside-full-servers in test_cell_load; on the former code the gangs and the step didn't start.

--- a/src/cell/cell_advice.c
+++ b/src/cell/cell_advice.c
@@ -33,6 +33,8 @@
                                bool *suitable);
 static bool covers_ (const struct ColtResources *demand,
                      const struct ColtResources *other);
+static bool may_hold_ (const struct ColtCellStep *step,
+                       const struct ColtCellServer *server);
 static enum ColtCellBlock queue_advice_call_ (struct ColtCell *cell,
                                               struct ColtCellStep *step,
                                               int64_t now_us);
@@ -192,6 +194,7 @@
 
       if (colt_cell_is_usable (server, now_us)
           && colt_cell_meets_constraints (step, server)
+          && may_hold_ (step, server)
           && !find_suitability_ (step, server, &suitable))
         return queue_advice_call_ (cell, step, now_us);
     }
@@ -301,6 +304,13 @@
   return true;
 }
 
+/* Returns whether a task of the step fits a server that runs nothing else. */
+static bool
+may_hold_ (const struct ColtCellStep *step, const struct ColtCellServer *server)
+{
+  return covers_ (&server->room, &step->demand);
+}
+
 static enum ColtCellBlock
 queue_advice_call_ (struct ColtCell *cell,
                     struct ColtCellStep *step,
@@ -504,9 +514,10 @@
   return MAX (limit, 1);
 }
 
-/* Lists the usable servers of a pool that aren't known to be unsuitable for a
- * step: first those that are known to be suitable, as even full ones soon have
- * room again for tasks that end; for lasting tasks first those with room. */
+/* Lists the usable servers of a pool that may hold a task of a step and aren't
+ * known to be unsuitable: first those that are known to be suitable, as even
+ * full ones soon have room again for tasks that end. For lasting tasks, and if
+ * that didn't let the step start, first those with room. */
 static GArray *
 sort_candidates_ (const struct ColtCellStep *step,
                   const struct ColtCellPool *pool,
@@ -514,6 +525,8 @@
 {
   GArray *candidates
       = g_array_new (FALSE, FALSE, sizeof (struct ColtCandidate));
+  bool room_first = step->spec->lasting
+                    || step->fruitless_calls >= ADVICE_PAUSES_DOUBLED_MAX;
   guint i;
 
   for (i = 0; i < pool->servers->len; i++)
@@ -527,14 +540,14 @@
 
       if (!colt_cell_is_usable (candidate.server, now_us)
           || !colt_cell_meets_constraints (step, candidate.server)
-          || (known && !suitable))
+          || !may_hold_ (step, candidate.server) || (known && !suitable))
         continue;
       candidate.score = (double)used->amount[COLT_RESOURCE_CORES]
                         / (double)(room->amount[COLT_RESOURCE_CORES] + 1);
       if (colt_cell_fits (step, candidate.server))
-        candidate.score += step->spec->lasting ? 4 : 2;
+        candidate.score += room_first ? 4 : 2;
       if (known)
-        candidate.score += step->spec->lasting ? 2 : 4;
+        candidate.score += room_first ? 2 : 4;
       candidate.score -= MIN (colt_cell_slowness (candidate.server), 2);
       g_array_append_val (candidates, candidate);
     }
--- a/src/test_cell_load/test_load_advice.c
+++ b/src/test_cell_load/test_load_advice.c
@@ -107,9 +107,102 @@
   colt_fixture_destroy (fixture);
 }
 
+/* Runs passes, each followed by the reply to the pending advice call, which
+ * grants all servers that it named. */
+static void
+place_and_grant (struct ColtLoadFixture *fixture, int passes)
+{
+  while (passes-- > 0)
+    {
+      colt_fixture_place (fixture);
+      if (fixture->advice_calls->len > 0)
+        colt_fixture_grant_servers (fixture, fixture->calls->len - 1);
+      colt_fixture_place (fixture);
+      fixture->now_us += 2000 * MS;
+    }
+}
+
+static void
+add_servers (struct ColtLoadFixture *fixture,
+             const char *prefix,
+             int count,
+             int64_t cores)
+{
+  char id[16];
+  int i;
+
+  for (i = 0; i < count; i++)
+    {
+      g_snprintf (id, sizeof id, "%s-%d", prefix, i);
+      colt_fixture_add_server (fixture, id, cores);
+    }
+}
+
+/* Guards against a gang that only requests advice on servers that are too small
+ * for its tasks, as it knows more suitable ones than a call may name. */
+static void
+test_gang_beside_small_servers (void)
+{
+  struct ColtLoadFixture *fixture = colt_fixture_create ();
+
+  add_servers (fixture, "small", 130, 500);
+  colt_fixture_submit_gang (fixture, "advised", 2);
+  place_and_grant (fixture, 4);
+  add_servers (fixture, "large", 2, 1000);
+  place_and_grant (fixture, 4);
+  g_assert_cmpuint (fixture->starts->len, ==, 2);
+  colt_fixture_destroy (fixture);
+}
+
+/* The same with servers that are full of lasting work. */
+static void
+test_gang_beside_full_servers (void)
+{
+  struct ColtLoadFixture *fixture = colt_fixture_create ();
+
+  add_servers (fixture, "full", 130, 1000);
+  colt_fixture_submit (fixture, "tight", "steady", 130, true);
+  colt_fixture_place (fixture);
+  g_assert_cmpuint (fixture->starts->len, ==, 130);
+  colt_fixture_submit_gang (fixture, "advised", 2);
+  place_and_grant (fixture, 4);
+  add_servers (fixture, "free", 2, 1000);
+  place_and_grant (fixture, 6);
+  g_assert_cmpuint (fixture->starts->len, ==, 132);
+  colt_fixture_destroy (fixture);
+}
+
+/* Guards against a step that only requests advice on servers that are full of
+ * lasting work, as those are known to be suitable. */
+static void
+test_step_beside_full_servers (void)
+{
+  struct ColtLoadFixture *fixture = colt_fixture_create ();
+  guint call;
+
+  add_servers (fixture, "full", 12, 1000);
+  colt_fixture_submit (fixture, "advised", "steady", 1, false);
+  colt_fixture_place (fixture);
+  call = fixture->calls->len - 1;
+  colt_fixture_submit (fixture, "tight", "steady", 12, true);
+  colt_fixture_place (fixture);
+  g_assert_cmpuint (fixture->starts->len, ==, 12);
+  colt_fixture_grant_servers (fixture, call);
+  colt_fixture_add_server (fixture, "free", 1000);
+  place_and_grant (fixture, 6);
+  g_assert_cmpuint (fixture->starts->len, ==, 13);
+  colt_fixture_destroy (fixture);
+}
+
 void
 colt_load_add_advice_tests (void)
 {
+  g_test_add_func ("/cell/load/gang-beside-small-servers",
+                   test_gang_beside_small_servers);
+  g_test_add_func ("/cell/load/gang-beside-full-servers",
+                   test_gang_beside_full_servers);
+  g_test_add_func ("/cell/load/step-beside-full-servers",
+                   test_step_beside_full_servers);
   g_test_add_func ("/cell/load/withdrawn-with-pending-call",
                    test_withdrawn_with_pending_call);
   g_test_add_func ("/cell/load/reply-for-withdrawn-job",
