Server link: lose the runs of an unreachable server without any lease

A task that was given to a server just before it left could wait for it for good: its start stays queued at the link, unsent, and counts against the starts that may be planned, so that enough of them stop all starts of this leader.

The runs at a server that can't be reached were reported as lost only when a lease that this leader had sent, or one of an earlier leader, ended. If the end of the earlier leader's leases had been noted before, and this one has sent none since, neither case occurs again. A start can be queued in that state, since the answer to a query of the server's report makes it count as reachable while its renewals fail.

Without any lease nothing can run there: this leader's leases and the earlier leaders' have ended, and a start that is sent counts with its lease from then on. The wait for leases of earlier leaders is unchanged.

Test: /scheduler/link/start-after-unreachable; on the former code the start stayed queued.

--- a/src/scheduler/server_link.c
+++ b/src/scheduler/server_link.c
@@ -375,7 +375,8 @@
 }
 
 /* A server never shortens a lease: runs of an earlier leader may go on until
- * the end that it promised, whatever this one has renewed. */
+ * the end that it promised, whatever this one has renewed. Once no lease is
+ * left, nothing runs on an unreachable server. */
 static bool
 leases_have_expired_ (const struct ColtServerLink *link, int64_t now_us)
 {
@@ -385,5 +386,5 @@
   if (latest_lease_end_ms_ (link) > 0)
     return now_us > lease_expiry_us_ (link);
   /* The reports of a reachable server show which runs have lapsed. */
-  return link->inherited_until_us > 0 && link->failures >= FAILURE_LIMIT;
+  return link->failures >= FAILURE_LIMIT;
 }
--- a/src/test_scheduler/test_link.c
+++ b/src/test_scheduler/test_link.c
@@ -484,6 +484,35 @@
   colt_fake_ports_destroy (fake);
 }
 
+/* Guards against a start that waits for good at a server that is gone: a late
+ * report made the server count as reachable again, and no lease is left whose
+ * end would end the run. */
+static void
+test_link_start_after_unreachable (void)
+{
+  const struct ColtStartOrder start = {
+    .server = "s", .task = "t", .run = 1, .payload = "", .checkpoint = ""
+  };
+  struct ColtFakePorts *fake = colt_fake_ports_create ();
+  struct ColtClientState state = { .start_result = COLT_START_INVALID };
+  struct ColtServerLink *link = open_link (fake, &state);
+
+  fake->server_answer.incarnation_ms = 1;
+  run_ticks (fake, link, SILENCE_MS);
+  fake->server_answer.result = COLT_START_UNKNOWN;
+  state.runs = 1;
+  run_ticks (fake, link, 100);
+  g_assert_cmpuint (state.unreachable, ==, 1);
+  state.runs = 1;
+  colt_server_link_start (link, &start);
+  run_ticks (fake, link, 1500);
+  g_assert_cmpuint (fake->starts, ==, 0);
+  g_assert_true (state.runs_lost > 0
+                 || state.start_result == COLT_START_NOT_SENT);
+  colt_server_link_destroy (link);
+  colt_fake_ports_destroy (fake);
+}
+
 /* While the window of start orders is full, renewals and stops don't wait; the
  * start is sent once there is room. */
 static void
@@ -545,6 +574,8 @@
   g_test_add_func ("/scheduler/link/query", test_link_query);
   g_test_add_func ("/scheduler/link/unreachable-starts",
                    test_link_unreachable_starts);
+  g_test_add_func ("/scheduler/link/start-after-unreachable",
+                   test_link_start_after_unreachable);
   g_test_add_func ("/scheduler/link/full-window", test_link_full_window);
   g_test_add_func ("/scheduler/link/fenced", test_link_fenced);
 }
