Server link: a query's answer doesn't make a server reachable

Tasks could be given to a server whose renewals fail, and wait there for seconds.

After a start without an answer the link queries the server's report over the connection for orders. If the answer came after two renewals had failed, the cell took the server as reachable, planned starts on it that the link then held back, and nothing marked it as unreachable again: the link does that only at the second failure in a row.

The report still decides on the start, but the server stays unreachable until a renewal succeeds. The link, which counts the failures, is now the only one that decides about it.

Test: /scheduler/link/query-of-unreachable; on the former code the link reported the server as unreachable once, before the answer, and not after it.

--- a/src/scheduler/private/server_link_private.h
+++ b/src/scheduler/private/server_link_private.h
@@ -62,6 +62,9 @@
 };
 
 /* server_link.c */
+/* Returns whether as many renewals in a row have failed that the server gets no
+ * work. */
+bool colt_link_is_unreachable (const struct ColtServerLink *link);
 bool colt_link_is_silent (const struct ColtServerLink *link, int64_t now_us);
 void colt_link_renew_leases (struct ColtServerLink *link,
                              size_t runs,
--- a/src/scheduler/server_link.c
+++ b/src/scheduler/server_link.c
@@ -174,6 +174,12 @@
                              handle_renewal_answer_, link);
 }
 
+bool
+colt_link_is_unreachable (const struct ColtServerLink *link)
+{
+  return link->failures >= FAILURE_LIMIT;
+}
+
 /* A server that has been restarted unnoticed must get no lease, as its new
  * clock would extend it to the longest that it grants, and no numbers of ends,
  * as it would forget its own. */
--- a/src/scheduler/server_orders.c
+++ b/src/scheduler/server_orders.c
@@ -383,6 +383,9 @@
   report.call_number = link->query_number;
   report.incarnation_ms = answer->incarnation_ms;
   link->client.handle_report (link->client.client, link, &report);
+  /* Its leases are still not renewed. */
+  if (colt_link_is_unreachable (link))
+    link->client.handle_unreachable (link->client.client, link);
 }
 
 static void
--- a/src/test_scheduler/test_link.c
+++ b/src/test_scheduler/test_link.c
@@ -484,6 +484,39 @@
   colt_fake_ports_destroy (fake);
 }
 
+/* Guards against work for an unreachable server: the answer to a query shows
+ * its runs, but only a renewal makes it reachable again. */
+static void
+test_link_query_of_unreachable (void)
+{
+  static const enum ColtStartResult results[]
+      = { COLT_START_UNKNOWN, COLT_START_UNKNOWN };
+  const struct ColtStartOrder start = {
+    .server = "s", .task = "t", .run = 1, .payload = "", .checkpoint = ""
+  };
+  struct ColtFakePorts *fake = colt_fake_ports_create ();
+  struct ColtClientState state = { 0 };
+  struct ColtServerLink *link = open_link (fake, &state);
+
+  fake->server_answer.incarnation_ms = 1;
+  run_ticks (fake, link, 60);
+  fake->server_answer.result = COLT_START_UNKNOWN;
+  fake->start_results = results;
+  fake->start_result_count = G_N_ELEMENTS (results);
+  fake->start_answer_ms = 120;
+  state.runs = 1;
+  colt_server_link_start (link, &start);
+  run_ticks (fake, link, 100);
+  g_assert_cmpuint (state.unreachable, ==, 1);
+  g_assert_cmpuint (state.reports, ==, 1);
+  fake->server_answer.result = COLT_START_TAKEN;
+  run_ticks (fake, link, 200);
+  g_assert_cmpuint (state.reports, ==, 2);
+  g_assert_cmpuint (state.unreachable, ==, 2);
+  colt_server_link_destroy (link);
+  colt_fake_ports_destroy (fake);
+}
+
 /* Guards against a start that waits for good at a server that is gone: a late
  * report made the server count as reachable again, and no lease is left whose
  * end would end the run. */
@@ -574,6 +607,8 @@
   g_test_add_func ("/scheduler/link/query", test_link_query);
   g_test_add_func ("/scheduler/link/unreachable-starts",
                    test_link_unreachable_starts);
+  g_test_add_func ("/scheduler/link/query-of-unreachable",
+                   test_link_query_of_unreachable);
   g_test_add_func ("/scheduler/link/start-after-unreachable",
                    test_link_start_after_unreachable);
   g_test_add_func ("/scheduler/link/full-window", test_link_full_window);
