Leader: say that a job is unknown only while leadership is confirmed

A caller that asked for an accepted job could be told that there is no such job.

A leader that is cut off from the log doesn't notice that another one has taken over, and serves calls of instances that still follow it. Its cell lacks the jobs that the later leader has accepted, and it answered queries and cancels for them with "no job" for as long as it led.

Others claim the next term once renewals have failed for 1.5 s. A leader whose last confirmation is older than that no longer answers that a job is unknown; the instance tries again and finds the later leader, or ends the request as not accepted. Answers about jobs that the leader knows are the same as before.

Test: /scheduler/lead/unknown-job-unconfirmed; on the former code the leader answered "no job".

--- a/src/scheduler/leader.c
+++ b/src/scheduler/leader.c
@@ -182,6 +182,7 @@
 void
 colt_leader_set_confirmed (struct ColtLeader *leader, int64_t confirmed_us)
 {
+  leader->confirmed_us = confirmed_us;
   leader->confirmed_until_us
       = confirmed_us + lease_duration_ms_ (leader) * COLT_US_PER_MS;
 }
--- a/src/scheduler/leader_calls.c
+++ b/src/scheduler/leader_calls.c
@@ -18,6 +18,9 @@
 /* How long a query for the state of a job waits for its end to become durable.
  */
 #define DURABLE_WAIT_US (500 * COLT_US_PER_MS)
+/* After this time without a confirmation a later leader may have accepted jobs;
+ * others claim once the renewals have failed for as long. */
+#define CONFIRMATION_AGE_MAX_US (1500 * COLT_US_PER_MS)
 /* Queries for states that may wait concurrently; others are answered
  * immediately. */
 #define STATE_WAITS_MAX 500
@@ -53,6 +56,9 @@
                              int64_t now_us);
 static void reply_state_ (struct ColtLeader *leader,
                           const struct ColtStateCall *call);
+static void reply_unknown_job_ (const struct ColtLeader *leader,
+                                ColtLeaderReply reply,
+                                void *client);
 static void submit_job_ (struct ColtLeader *leader,
                          ColtCallerCall *call,
                          ColtLeaderReply reply,
@@ -91,7 +97,7 @@
       if (colt_cell_cancel (leader->cell, call->id, began_us))
         reply_when_durable_ (leader, call, reply, client);
       else
-        send_reply_ (reply, client, COLT_ANSWER_NO_JOB, 0, 0);
+        reply_unknown_job_ (leader, reply, client);
     }
   else
     query_state_ (leader, call->id, reply, client);
@@ -197,7 +203,25 @@
   if (colt_cell_get_state (leader->cell, call->id, &state))
     send_reply_ (call->reply, call->client, COLT_ANSWER_STATE, state, 0);
   else
-    send_reply_ (call->reply, call->client, COLT_ANSWER_NO_JOB, 0, 0);
+    reply_unknown_job_ (leader, call->reply, call->client);
+}
+
+/* Only a leader that is known to be the latest one knows all accepted jobs. */
+static void
+reply_unknown_job_ (const struct ColtLeader *leader,
+                    ColtLeaderReply reply,
+                    void *client)
+{
+  ColtCallerReply retry_reply = COLT_CALLER_REPLY__INIT;
+
+  if (colt_clock_monotonic_us () - leader->confirmed_us
+      <= CONFIRMATION_AGE_MAX_US)
+    {
+      send_reply_ (reply, client, COLT_ANSWER_NO_JOB, 0, 0);
+      return;
+    }
+  retry_reply.try_again = true;
+  reply (client, &retry_reply);
 }
 
 static void
--- a/src/test_scheduler/test_leader.c
+++ b/src/test_scheduler/test_leader.c
@@ -135,6 +135,32 @@
   destroy_fixture (fixture);
 }
 
+/* Guards against an accepted job that is answered as unknown: a leader that
+ * hasn't been confirmed for a while may lack jobs that a later one accepted. */
+static void
+test_unknown_job_unconfirmed (void)
+{
+  static const enum ColtCallerKind kinds[]
+      = { COLT_CALLER_STATE, COLT_CALLER_CANCEL };
+  struct ColtLeaderFixture *fixture = create_fixture ();
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (kinds); i++)
+    {
+      colt_leader_set_confirmed (fixture->leader, colt_clock_monotonic_us ());
+      call_about_job (fixture, kinds[i], OTHER_JOB, NULL);
+      g_assert_cmpuint (fixture->replies, ==, 1);
+      g_assert_false (fixture->reply.try_again);
+      g_assert_cmpint (fixture->reply.answer, ==, COLT_ANSWER_NO_JOB);
+      colt_leader_set_confirmed (fixture->leader, colt_clock_monotonic_us ()
+                                                      - 2000 * COLT_US_PER_MS);
+      call_about_job (fixture, kinds[i], OTHER_JOB, NULL);
+      g_assert_cmpuint (fixture->replies, ==, 1);
+      g_assert_true (fixture->reply.try_again);
+    }
+  destroy_fixture (fixture);
+}
+
 /* A query for the state of a job whose last task is about to end waits briefly
  * for the end. It returns that the job is running if the task doesn't end. */
 static void
@@ -273,6 +299,8 @@
   g_test_add_func ("/scheduler/lead/changed-address", test_changed_address);
   g_test_add_func ("/scheduler/lead/stopped-start", test_stopped_start);
   g_test_add_func ("/scheduler/lead/idle-restart", test_idle_restart);
+  g_test_add_func ("/scheduler/lead/unknown-job-unconfirmed",
+                   test_unknown_job_unconfirmed);
   g_test_add_func ("/scheduler/lead/state-waits", test_state_waits);
   g_test_add_func ("/scheduler/lead/state-at-end", test_state_at_end);
 }
