--- a/src/cell/cell_candidates.c
+++ b/src/cell/cell_candidates.c
@@ -48,15 +48,16 @@
 is_wanted_ (const GArray *named, guint count, const struct ColtNamed *offer);
 static void insert_ (GArray *named, guint count, const struct ColtNamed *offer);
 
-/* Names the best usable servers of a pool that aren't known to be unsuitable
- * for a step: first those that are known to be suitable, as even full ones soon
- * have room again for tasks that end; for lasting tasks first those with room.
+/* Names the best usable servers of a pool that may hold a task of a step and
+ * aren't known to be unsuitable for it: first those that are known to be
+ * suitable, as even full ones soon have room again for tasks that end. For
+ * lasting tasks, and if that didn't let the step start, first those with room.
  * Among equal ones the first of the pool wins. */
 void
 colt_cell_name_candidates (const struct ColtCell *cell,
                            const struct ColtCellStep *step,
                            struct ColtCellPool *pool,
-                           GPtrArray *names)
+                           GPtrArray *servers)
 {
   guint count = count_named_ (cell, step);
   GArray *named
@@ -71,13 +72,21 @@
     {
       guint position = g_array_index (named, struct ColtNamed, i).position;
 
-      g_ptr_array_add (names, g_array_index (pool->candidates,
-                                             struct ColtCandidate, position)
-                                  .server->id);
+      g_ptr_array_add (servers, g_array_index (pool->candidates,
+                                               struct ColtCandidate, position)
+                                    .server);
     }
   g_array_unref (named);
 }
 
+/* Returns whether a task of the step fits a server that runs nothing else. */
+bool
+colt_cell_may_hold (const struct ColtCellStep *step,
+                    const struct ColtCellServer *server)
+{
+  return colt_resources_fit (&step->demand, &server->room);
+}
+
 /* Has to be called before the use of any server changes. */
 void
 colt_cell_forget_candidates (struct ColtCell *cell)
@@ -165,7 +174,8 @@
         continue;
       offer.score = score_ (step, candidate, true);
       if (is_wanted_ (named, count, &offer)
-          && colt_cell_meets_constraints (step, server))
+          && colt_cell_meets_constraints (step, server)
+          && colt_cell_may_hold (step, server))
         insert_ (named, count, &offer);
     }
 }
@@ -188,6 +198,7 @@
 
       if (is_wanted_ (named, count, &offer)
           && colt_cell_meets_constraints (step, candidate->server)
+          && colt_cell_may_hold (step, candidate->server)
           && !colt_cell_find_suitability (step, candidate->server, &suitable))
         insert_ (named, count, &offer);
     }
@@ -198,12 +209,14 @@
         const struct ColtCandidate *candidate,
         bool known)
 {
+  bool room_first = step->spec->lasting
+                    || step->fruitless_calls >= COLT_ADVICE_PAUSES_DOUBLED_MAX;
   double score = candidate->fullness;
 
   if (fits_ (step, candidate))
-    score += step->spec->lasting ? 4 : 2;
+    score += room_first ? 4 : 2;
   if (known)
-    score += step->spec->lasting ? 2 : 4;
+    score += room_first ? 2 : 4;
   return score - candidate->slowness;
 }
 
--- a/src/scheduler/server_link.c
+++ b/src/scheduler/server_link.c
@@ -174,6 +174,12 @@
                              handle_renewal_answer_, link);
 }
 
+bool
+colt_link_is_unreachable (const struct ColtServerLink *link)
+{
+  return link->failures >= FAILURE_LIMIT;
+}
+
 /* A server that has been restarted unnoticed must get no lease, as its new
  * clock would extend it to the longest that it grants, and no numbers of ends,
  * as it would forget its own. */
@@ -375,7 +381,8 @@
 }
 
 /* A server never shortens a lease: runs of an earlier leader may go on until
- * the end that it promised, whatever this one has renewed. */
+ * the end that it promised, whatever this one has renewed. Once no lease is
+ * left, nothing runs on an unreachable server. */
 static bool
 leases_have_expired_ (const struct ColtServerLink *link, int64_t now_us)
 {
@@ -385,5 +392,5 @@
   if (latest_lease_end_ms_ (link) > 0)
     return now_us > lease_expiry_us_ (link);
   /* The reports of a reachable server show which runs have lapsed. */
-  return link->inherited_until_us > 0 && link->failures >= FAILURE_LIMIT;
+  return link->failures >= FAILURE_LIMIT;
 }
--- a/src/test_cell_load/test_load_choice.c
+++ b/src/test_cell_load/test_load_choice.c
@@ -16,6 +16,9 @@
 #define ROUND_US (40 * MS)
 #define ADVISERS 200
 #define NAMED_MAX 30
+/* Advice calls in a row without a start after which servers with room come
+ * first. */
+#define FRUITLESS_CALLS_MAX 4
 #define VALID_MS 1200
 #define TICKET_MARGIN_US (150 * MS)
 #define NOWHERE SERVERS
@@ -41,6 +44,7 @@
   uint32_t count;
   uint32_t max_per_server;
   bool lasting;
+  uint32_t fruitless_calls;
   const char *label;
   const char *rack;
   int64_t not_before_us;
@@ -61,6 +65,7 @@
 
 struct ColtModelCall
 {
+  uint64_t number;
   guint step;
   GPtrArray *names;
 };
@@ -197,6 +202,8 @@
 check_names (const struct ColtModel *model, const struct ColtModelCall *call)
 {
   const struct ColtModelStep *step = &model->steps[call->step];
+  bool room_first
+      = step->lasting || step->fruitless_calls >= FRUITLESS_CALLS_MAX;
   struct ColtModelRank ranks[SERVERS];
   guint count = 0;
   guint i;
@@ -209,12 +216,13 @@
                      / (double)(server->room.amount[COLT_RESOURCE_CORES] + 1);
 
       if (!server->ready || !meets_constraints (step, server, i)
+          || !colt_resources_fit (&step->demand, &server->room)
           || (advice->known && !advice->suitable))
         continue;
       if (has_room (step, server))
-        score += step->lasting ? 4 : 2;
+        score += room_first ? 4 : 2;
       if (advice->known)
-        score += step->lasting ? 2 : 4;
+        score += room_first ? 2 : 4;
       ranks[count].score = score - 1;
       ranks[count++].server = i;
     }
@@ -251,13 +259,14 @@
 
 static bool
 note_advice_call (void *client,
+                  uint64_t number,
                   const char *step,
                   const char *const *servers,
                   size_t count)
 {
   struct ColtModel *model = client;
   const struct ColtModelCall call
-      = { parse_step (step), g_ptr_array_new_with_free_func (g_free) };
+      = { number, parse_step (step), g_ptr_array_new_with_free_func (g_free) };
   size_t i;
 
   for (i = 0; i < count; i++)
@@ -290,6 +299,7 @@
       guint server = parse_server (strchr (runs[i], '@') + 1);
 
       g_assert_cmpuint (server, ==, choose (model, step, task));
+      step->fruitless_calls = 0;
       task->server = server;
       task->run
           = (uint32_t)g_ascii_strtoull (strchr (runs[i], '/') + 1, NULL, 10);
@@ -459,10 +469,10 @@
   ColtTicket tickets[NAMED_MAX];
   ColtTicket *rows[NAMED_MAX];
   ColtAdviceReply reply = COLT_ADVICE_REPLY__INIT;
-  char *name = g_strdup_printf ("%016x.0.0", call.step + 1);
   guint i;
 
   g_array_remove_index (model->calls, index);
+  step->fruitless_calls = MIN (step->fruitless_calls + 1, FRUITLESS_CALLS_MAX);
   for (i = 0; i < call.names->len; i++)
     {
       char *id = g_ptr_array_index (call.names, i);
@@ -483,11 +493,8 @@
   reply.answered = true;
   reply.valid_ms = VALID_MS;
   reply.tickets = rows;
-  colt_cell_apply_advice (model->cell, name,
-                          (const char *const *)call.names->pdata,
-                          call.names->len, &reply, model->now_us);
+  colt_cell_apply_advice (model->cell, call.number, &reply, model->now_us);
   g_ptr_array_unref (call.names);
-  g_free (name);
 }
 
 /* Ends a run without success, so that its task waits again. */
