Shutdown: send the last answers before the event loop ends

During planned stops a request could end without an answer.

An instance that shuts down ended its event loop at the first check that found no open request. An answer that was given just before was still in the connection's buffer and was dropped with it. If the grace time ran out, the requests that were still open were answered only after the loop, when nothing could be sent any more.

Open requests are now answered as uncertain while the loop runs, and the loop ends 150 ms after the last answer, at the latest 350 ms before the grace time is over. A request whose call to the leader is still open is kept until that call ends, since the call refers to it, or until the connections to other instances are closed.

Test: /scheduler/stop/answers-before-end; on the former code the request that was open at the end of the grace time had no answer when the loop ended.

--- a/src/scheduler/callers.c
+++ b/src/scheduler/callers.c
@@ -35,6 +35,8 @@
   int64_t arrived_us;
   int64_t deadline_us;
   uint32_t tries;
+  bool calling;       /* a call to the leader is open */
+  bool answered;      /* only kept until that call ends */
   bool maybe_applied; /* a leader may have acted on an earlier attempt */
   ColtJobSpec *spec;
   struct event *timer;
@@ -61,6 +63,7 @@
                              const struct ColtCallerAnswer *answer);
 static void log_answer_ (const struct ColtRequest *request,
                          const struct ColtCallerAnswer *answer);
+static bool end_call_ (struct ColtRequest *request);
 static void free_request_ (struct ColtRequest *request);
 
 void
@@ -95,9 +98,37 @@
 void
 colt_scheduler_end_requests (struct ColtScheduler *scheduler)
 {
-  while (scheduler->requests->len > 0)
-    answer_with_kind_ (g_ptr_array_remove_index_fast (scheduler->requests, 0),
-                       COLT_ANSWER_UNCERTAIN, 0);
+  guint i = scheduler->requests->len;
+
+  while (i-- > 0)
+    {
+      struct ColtRequest *request = g_ptr_array_index (scheduler->requests, i);
+
+      if (!request->answered)
+        answer_with_kind_ (request, COLT_ANSWER_UNCERTAIN, 0);
+    }
+}
+
+bool
+colt_scheduler_has_open_requests (const struct ColtScheduler *scheduler)
+{
+  guint i;
+
+  for (i = 0; i < scheduler->requests->len; i++)
+    if (!((const struct ColtRequest *)g_ptr_array_index (scheduler->requests,
+                                                         i))
+             ->answered)
+      return true;
+  return false;
+}
+
+void
+colt_scheduler_free_requests (struct ColtScheduler *scheduler)
+{
+  guint i = scheduler->requests->len;
+
+  while (i-- > 0)
+    free_request_ (g_ptr_array_index (scheduler->requests, i));
 }
 
 /* Sends a request to the leader or answers it. Each attempt uses the newest
@@ -224,6 +255,7 @@
       call->spec->organisation = (char *)protobuf_c_empty_string;
       call->spec->queue = (char *)protobuf_c_empty_string;
     }
+  request->calling = true;
   if (scheduler->leader != NULL)
     {
       ColtCallerCall *copy = colt_caller_call__unpack (NULL, size, body);
@@ -254,6 +286,8 @@
   struct ColtRequest *request = client;
   ColtCallerReply *reply;
 
+  if (!end_call_ (request))
+    return;
   if (result == COLT_WIRE_TIMED_OUT || result == COLT_WIRE_BROKEN)
     request->maybe_applied = true;
   if (result != COLT_WIRE_REPLIED)
@@ -278,6 +312,8 @@
   struct ColtRequest *request = client;
   struct ColtCallerAnswer answer = { 0 };
 
+  if (!end_call_ (request))
+    return;
   if (reply->try_again)
     {
       retry_or_end_ (request);
@@ -359,8 +395,21 @@
     colt_metrics_count (scheduler->metrics, METRIC_UNCERTAIN);
   log_answer_ (request, answer);
   scheduler->ports->answer (request->handle, answer);
-  g_ptr_array_remove_fast (scheduler->requests, request);
+  scheduler->answered_us = colt_clock_monotonic_us ();
+  request->answered = true;
+  if (!request->calling)
+    free_request_ (request);
+}
+
+/* Returns false if the request has been answered meanwhile and is freed. */
+static bool
+end_call_ (struct ColtRequest *request)
+{
+  request->calling = false;
+  if (!request->answered)
+    return true;
   free_request_ (request);
+  return false;
 }
 
 static void
@@ -397,6 +446,7 @@
 static void
 free_request_ (struct ColtRequest *request)
 {
+  g_ptr_array_remove_fast (request->scheduler->requests, request);
   event_free (request->timer);
   if (request->spec != NULL)
     colt_job_spec__free_unpacked (request->spec, NULL);
--- a/src/scheduler/private/scheduler_state.h
+++ b/src/scheduler/private/scheduler_state.h
@@ -23,6 +23,7 @@
   struct ColtMetrics *metrics;
   GHashTable *waiting_counts; /* queue -> waiting jobs, from the leader */
   GPtrArray *requests;        /* of struct ColtRequest */
+  int64_t answered_us;        /* when a request was last answered */
   uint32_t leader_instance;
   int64_t elected_us;      /* when this instance became leader */
   uint64_t last_term;      /* latest term that this instance has seen */
@@ -38,6 +39,10 @@
                                     struct ColtCallerHandle *handle);
 /* Answers all open requests: their effect is uncertain. */
 void colt_scheduler_end_requests (struct ColtScheduler *scheduler);
+/* Returns whether a request has no answer yet. */
+bool colt_scheduler_has_open_requests (const struct ColtScheduler *scheduler);
+/* Frees all requests; no call to a leader may end any more. */
+void colt_scheduler_free_requests (struct ColtScheduler *scheduler);
 /* Accepts calls that other instances forward or send for advice. */
 void colt_scheduler_accept_remote_calls (struct ColtScheduler *scheduler);
 /* Sends a call for advice through the instance that has been idle for longest,
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -13,6 +13,8 @@
 /* Part of the grace time that is reserved for ending the process. */
 #define STOP_MARGIN_MS 700
 #define STOP_CHECK_MS 50
+/* Time in which the event loop sends the last answers before it ends. */
+#define STOP_SEND_MS 150
 /* Longest wait of a read of the configuration, so that a new one is in force
  * within two seconds even if a connection has become unresponsive. */
 #define CONFIG_WAIT_MS 600
@@ -114,6 +116,7 @@
   colt_watch_destroy (scheduler->config_watch);
   colt_scheduler_end_requests (scheduler);
   colt_wire_destroy (scheduler->wire);
+  colt_scheduler_free_requests (scheduler);
   if (scheduler->adviser != NULL)
     scheduler->ports->adviser_close (scheduler->adviser);
   event_free (scheduler->heartbeat_timer);
@@ -515,15 +518,19 @@
 check_stop_ (evutil_socket_t fd, short what, void *arg)
 {
   struct ColtScheduler *scheduler = arg;
-  int64_t since_ms
-      = (colt_clock_monotonic_us () - scheduler->stopping_us) / COLT_US_PER_MS;
+  int64_t now_us = colt_clock_monotonic_us ();
+  int64_t since_ms = (now_us - scheduler->stopping_us) / COLT_US_PER_MS;
 
   (void)fd;
   (void)what;
   if (since_ms < STOP_SERVING_MS)
     return;
   scheduler->ports->stop_listening (scheduler->ports->adapter);
-  if (scheduler->requests->len == 0
-      || since_ms + STOP_MARGIN_MS > scheduler->settings.grace_ms)
+  if (since_ms + STOP_MARGIN_MS > scheduler->settings.grace_ms)
+    colt_scheduler_end_requests (scheduler);
+  else if (colt_scheduler_has_open_requests (scheduler))
+    return;
+  if (now_us - scheduler->answered_us >= STOP_SEND_MS * COLT_US_PER_MS
+      || since_ms + STOP_MARGIN_MS / 2 > scheduler->settings.grace_ms)
     event_base_loopbreak (scheduler->base);
 }
--- a/src/test_scheduler/test_scheduler.c
+++ b/src/test_scheduler/test_scheduler.c
@@ -15,5 +15,6 @@
   colt_test_members_add ();
   colt_test_window_add ();
   colt_test_callers_add ();
+  colt_test_stop_add ();
   return g_test_run ();
 }
--- /dev/null
+++ b/src/test_scheduler/test_stop.c
@@ -0,0 +1,163 @@
+/* Answers of an instance that shuts down. */
+#include <glib.h>
+#include <unistd.h>
+
+#include "fake_ports.h"
+#include "jobs.h"
+#include "scheduler_private.h"
+#include "tests.h"
+
+/* Range of the ports that the instance may listen on. */
+#define PORT_MIN 20000
+#define PORT_COUNT 10000
+/* Time that the event loop needs at least to send an answer. */
+#define SEND_US (40 * COLT_US_PER_MS)
+/* Time after which the instance ends once no request is open. */
+#define SERVING_MS 2600
+/* Part of the grace time in which open requests are answered. */
+#define MARGIN_MS 700
+
+struct ColtStopFixture
+{
+  struct ColtFakePorts *fake;
+  struct ColtCallerServer handlers;
+  uint32_t answers;
+  int64_t answered_us; /* last answer */
+};
+
+/* The fixture of the running test, as handles of callers carry no client. */
+static struct ColtStopFixture *current;
+
+static struct ColtFleet *
+decode_fleet (void *adapter,
+              const struct ColtLogRecord *record,
+              struct ColtError *error)
+{
+  struct ColtFleet *fleet = colt_test_make_fleet ();
+  struct ColtQueueConfig *queue = g_ptr_array_index (fleet->queues, 0);
+
+  (void)adapter;
+  (void)record;
+  (void)error;
+  queue->open = true;
+  fleet->version = 1;
+  return fleet;
+}
+
+static struct ColtAdviserChannel *
+open_adviser (void *adapter)
+{
+  (void)adapter;
+  return NULL;
+}
+
+static void
+close_adviser (struct ColtAdviserChannel *channel)
+{
+  (void)channel;
+}
+
+static bool
+start_listening (void *adapter,
+                 const struct ColtCallerServer *handlers,
+                 struct ColtError *error)
+{
+  (void)adapter;
+  (void)error;
+  current->handlers = *handlers;
+  return true;
+}
+
+static void
+stop_listening (void *adapter)
+{
+  (void)adapter;
+}
+
+static void
+record_answer (struct ColtCallerHandle *handle,
+               const struct ColtCallerAnswer *answer)
+{
+  (void)handle;
+  (void)answer;
+  current->answers++;
+  current->answered_us = colt_clock_monotonic_us ();
+}
+
+static void
+send_request (evutil_socket_t fd, short what, void *arg)
+{
+  const struct ColtStopFixture *fixture = arg;
+  struct ColtCallerRequest request = { 0 };
+
+  (void)fd;
+  (void)what;
+  request.kind = COLT_CALLER_STATE;
+  request.host = "";
+  request.path = "/0000000000000001";
+  request.key = "";
+  request.body = "";
+  fixture->handlers.handle (fixture->handlers.client, &request, NULL);
+}
+
+/* Runs an instance that is told to stop, and sends it one request after some
+ * time. Returns the time from its last answer to the end of the loop. */
+static int64_t
+stop_with_request (uint32_t grace_ms, uint32_t request_ms)
+{
+  char *internal = g_strdup_printf ("127.0.0.1:%d",
+                                    PORT_MIN + (int)getpid () % PORT_COUNT);
+  const struct ColtSchedulerSettings settings
+      = { "name", "zone", internal, 1, 1000, 60, grace_ms };
+  struct ColtStopFixture fixture = { .fake = colt_fake_ports_create () };
+  struct ColtPorts *ports = &fixture.fake->ports;
+  const struct timeval when
+      = { request_ms / 1000, (suseconds_t)(request_ms % 1000) * 1000 };
+  struct ColtError error = { 0 };
+  struct ColtScheduler *scheduler;
+  struct event *timer;
+  int64_t ended_us;
+
+  current = &fixture;
+  ports->decode_fleet = decode_fleet;
+  ports->adviser_open = open_adviser;
+  ports->adviser_close = close_adviser;
+  ports->listen = start_listening;
+  ports->stop_listening = stop_listening;
+  ports->answer = record_answer;
+  colt_fake_ports_put (fixture.fake, COLT_TOPIC_OPERATOR, "config", "fleet");
+  scheduler
+      = colt_scheduler_create (fixture.fake->base, ports, &settings, &error);
+  g_assert_nonnull (scheduler);
+  colt_fake_ports_run (fixture.fake, 300);
+  timer = event_new (fixture.fake->base, -1, 0, send_request, &fixture);
+  event_add (timer, &when);
+  colt_scheduler_stop (scheduler);
+  event_base_dispatch (fixture.fake->base);
+  ended_us = colt_clock_monotonic_us ();
+  g_assert_cmpuint (fixture.answers, ==, 1);
+  event_free (timer);
+  colt_scheduler_destroy (scheduler);
+  colt_fake_ports_destroy (fixture.fake);
+  g_free (internal);
+  return ended_us - fixture.answered_us;
+}
+
+/* Guards against a request that ends without an answer: an answer that is still
+ * to be sent when the process ends is lost, also that of a request which is
+ * open until the grace time runs out. */
+static void
+test_answers_before_end (void)
+{
+  g_assert_cmpint (
+      stop_with_request (SERVING_MS + 200 + MARGIN_MS, SERVING_MS - 50), >=,
+      SEND_US);
+  g_assert_cmpint (stop_with_request (6000, SERVING_MS - 360), >=, SEND_US);
+}
+
+void
+colt_test_stop_add (void)
+{
+  g_test_add_func ("/scheduler/stop/answers-before-end",
+                   test_answers_before_end);
+}
--- a/src/test_scheduler/tests.h
+++ b/src/test_scheduler/tests.h
@@ -11,5 +11,6 @@
 void colt_test_members_add (void);
 void colt_test_window_add (void);
 void colt_test_callers_add (void);
+void colt_test_stop_add (void);
 
 #endif
