Cell: find the tasks of a report at less cost

Each row of a report was parsed with sscanf, and each report made a hash table of the runs that it lists.

Names are parsed by hand, and only a whole name finds a task; before, a name without its last number found one too. Reports are numbered, and a run notes the number of the last one that listed it.

--- a/src/cell/cell_jobs.c
+++ b/src/cell/cell_jobs.c
@@ -1,5 +1,4 @@
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include "cell_private.h"
@@ -15,6 +14,9 @@
                        const struct ColtCellStep *step,
                        int64_t wall_ms);
 static void free_advice_ (gpointer data);
+static struct ColtCellStep *
+find_step_ (const struct ColtCell *cell, const char *name, const char **rest);
+static bool parse_field_ (const char **text, uint32_t *field);
 
 bool
 colt_cell_is_spec_valid (const ColtJobSpec *spec)
@@ -217,31 +219,20 @@
 struct ColtCellStep *
 colt_cell_find_step (const struct ColtCell *cell, const char *name)
 {
-  char id[COLT_JOB_ID_LENGTH + 1];
-  struct ColtCellJob *job;
-  unsigned occurrence;
-  unsigned number;
-  uint64_t index;
+  const char *rest;
 
-  if (sscanf (name, "%16[^.].%u.%u", id, &occurrence, &number) != 3)
-    return NULL;
-  job = colt_cell_find_job (cell, id);
-  if (job == NULL || job->spec == NULL || number >= job->spec->n_steps)
-    return NULL;
-  index = (uint64_t)occurrence * job->spec->n_steps + number;
-  return index < job->step_count ? &job->steps[index] : NULL;
+  return find_step_ (cell, name, &rest);
 }
 
 struct ColtCellTask *
 colt_cell_find_task (const struct ColtCell *cell, const char *name)
 {
-  struct ColtCellStep *step = colt_cell_find_step (cell, name);
-  const char *dot = strrchr (name, '.');
-  unsigned long index;
+  const char *rest;
+  struct ColtCellStep *step = find_step_ (cell, name, &rest);
+  uint32_t index;
 
-  if (step == NULL || dot == NULL)
+  if (step == NULL || !parse_field_ (&rest, &index) || *rest != '\0')
     return NULL;
-  index = strtoul (dot + 1, NULL, 10);
   return index < step->spec->count ? &step->tasks[index] : NULL;
 }
 
@@ -392,3 +383,47 @@
   g_free (advice->ticket);
   g_free (advice);
 }
+
+/* Sets rest to what follows the step in a name. */
+static struct ColtCellStep *
+find_step_ (const struct ColtCell *cell, const char *name, const char **rest)
+{
+  char id[COLT_JOB_ID_LENGTH + 1];
+  const struct ColtCellJob *job;
+  uint32_t occurrence;
+  uint32_t number;
+  uint64_t index;
+
+  *rest = strchr (name, '.');
+  if (*rest == NULL || *rest - name != COLT_JOB_ID_LENGTH)
+    return NULL;
+  memcpy (id, name, COLT_JOB_ID_LENGTH);
+  id[COLT_JOB_ID_LENGTH] = '\0';
+  if (!parse_field_ (rest, &occurrence) || !parse_field_ (rest, &number))
+    return NULL;
+  job = colt_cell_find_job (cell, id);
+  if (job == NULL || job->spec == NULL || number >= job->spec->n_steps)
+    return NULL;
+  index = (uint64_t)occurrence * job->spec->n_steps + number;
+  return index < job->step_count ? &job->steps[index] : NULL;
+}
+
+/* Parses a dot and a number, and moves text behind them. */
+static bool
+parse_field_ (const char **text, uint32_t *field)
+{
+  const char *digit = *text + 1;
+  uint64_t value = 0;
+
+  if (**text != '.' || !g_ascii_isdigit (*digit))
+    return false;
+  for (; g_ascii_isdigit (*digit); digit++)
+    {
+      value = value * 10 + (uint64_t)(*digit - '0');
+      if (value > UINT32_MAX)
+        return false;
+    }
+  *text = digit;
+  *field = (uint32_t)value;
+  return true;
+}
--- a/src/cell/cell_servers.c
+++ b/src/cell/cell_servers.c
@@ -29,7 +29,7 @@
 static void apply_running_ (struct ColtCell *cell,
                             struct ColtCellServer *server,
                             const struct ColtRunningEntry *entry,
-                            GHashTable *listed,
+                            uint64_t number,
                             int64_t now_us);
 static struct ColtCellRun *adopt_run_ (struct ColtCell *cell,
                                        struct ColtCellServer *server,
@@ -38,7 +38,7 @@
                                        int64_t now_us);
 static void end_unlisted_runs_ (struct ColtCell *cell,
                                 struct ColtCellServer *server,
-                                GHashTable *listed,
+                                uint64_t number,
                                 uint64_t call_number,
                                 int64_t now_us);
 static void lose_server_ (struct ColtCell *cell,
@@ -150,21 +150,19 @@
                         int64_t now_us)
 {
   struct ColtCellServer *server = colt_cell_find_server (cell, id);
-  GHashTable *listed;
+  uint64_t number = ++cell->reports;
   size_t i;
 
   if (server == NULL)
     return false;
   if (colt_guard_on (COLT_GUARD_RESTART_REPORT))
     update_incarnation_ (server, report->incarnation_ms);
-  listed = g_hash_table_new (g_direct_hash, g_direct_equal);
   server->foreign_runs = 0;
   for (i = 0; i < report->finished_count; i++)
     apply_finished_ (cell, server, &report->finished[i], now_us);
   for (i = 0; i < report->running_count; i++)
-    apply_running_ (cell, server, &report->running[i], listed, now_us);
-  end_unlisted_runs_ (cell, server, listed, report->call_number, now_us);
-  g_hash_table_unref (listed);
+    apply_running_ (cell, server, &report->running[i], number, now_us);
+  end_unlisted_runs_ (cell, server, number, report->call_number, now_us);
   server->unreachable = false;
   server->reported = true;
   server->replaced = false;
@@ -447,7 +445,7 @@
 apply_running_ (struct ColtCell *cell,
                 struct ColtCellServer *server,
                 const struct ColtRunningEntry *entry,
-                GHashTable *listed,
+                uint64_t number,
                 int64_t now_us)
 {
   struct ColtCellTask *task = colt_cell_find_task (cell, entry->task);
@@ -463,7 +461,7 @@
       return;
     }
   run = task->current;
-  g_hash_table_add (listed, run);
+  run->listed_report = number;
   colt_cell_confirm_run (cell, run, entry->percent, now_us);
   if (run->state <= RUN_STARTING)
     run->state = RUN_RUNNING;
@@ -503,12 +501,12 @@
   return run;
 }
 
-/* Ends runs that a report doesn't list although the start or stop was certainly
- * applied before the report was requested. */
+/* Ends runs that neither a report nor a later one lists although the start or
+ * stop was certainly applied before the report was requested. */
 static void
 end_unlisted_runs_ (struct ColtCell *cell,
                     struct ColtCellServer *server,
-                    GHashTable *listed,
+                    uint64_t number,
                     uint64_t call_number,
                     int64_t now_us)
 {
@@ -522,7 +520,7 @@
         continue;
       run = g_ptr_array_index (server->runs, i);
       if (run->start_unknown && call_number >= run->reflected_from
-          && !g_hash_table_contains (listed, run))
+          && run->listed_report < number)
         {
           /* The start may still take effect; a stop prevents that. */
           run->start_unknown = false;
@@ -530,7 +528,7 @@
           continue;
         }
       if (!run->answered || call_number < run->reflected_from
-          || g_hash_table_contains (listed, run))
+          || run->listed_report >= number)
         continue;
       if (run->incarnation_ms != 0
           && run->incarnation_ms != server->incarnation_ms)
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -106,6 +106,8 @@
   int64_t percent;        /* of its work that is done */
   int64_t progress_us;    /* when percent last rose; 0: never */
   int64_t reported_us;    /* when percent was last reported; 0: never */
+  uint64_t listed_report; /* last report that listed it, by its number in the
+                             cell's count; 0: none */
   int64_t incarnation_ms; /* of its server when it was planned or last listed;
                              0: not known */
   bool quarantined;       /* counted in its server's quarantined_runs */
@@ -314,6 +316,7 @@
   int64_t now_us;         /* of the pass */
   int64_t next_search_us; /* next search for stragglers */
   uint64_t next_order;
+  uint64_t reports; /* applied so far */
   struct ColtCellStats stats;
 };
 
--- a/src/test_cell_load/test_load_ticks.c
+++ b/src/test_cell_load/test_load_ticks.c
@@ -168,6 +168,79 @@
   colt_fixture_destroy (fixture);
 }
 
+static void
+report_running (struct ColtLoadFixture *fixture,
+                const char *task,
+                uint64_t call_number)
+{
+  const struct ColtRunningEntry running = { task, 1, "", 50 };
+  struct ColtServerReport report = { 0 };
+
+  report.call_number = call_number;
+  report.running = &running;
+  report.running_count = 1;
+  colt_cell_apply_report (fixture->cell, "server", &report, fixture->now_us);
+}
+
+/* A run that an earlier report listed doesn't count as listed by a later one:
+ * it has ended. */
+static void
+test_run_of_earlier_report (void)
+{
+  struct ColtLoadFixture *fixture = colt_fixture_create ();
+
+  colt_fixture_add_server (fixture, "server", 2000);
+  colt_fixture_submit (fixture, "tight", "steady", 2, false);
+  colt_fixture_place (fixture);
+  colt_fixture_accept_start (fixture, 0);
+  colt_fixture_accept_start (fixture, 1);
+  report_running (fixture, "0000000000000001.0.0.0", 999);
+  g_assert_cmpuint (colt_cell_count_runs (fixture->cell, "server"), ==, 2);
+  report_running (fixture, "0000000000000001.0.0.1", 1000);
+  g_assert_cmpuint (colt_cell_count_runs (fixture->cell, "server"), ==, 1);
+  colt_fixture_report_idle (fixture, "server", 1001);
+  g_assert_cmpuint (colt_cell_count_runs (fixture->cell, "server"), ==, 0);
+  colt_fixture_destroy (fixture);
+}
+
+/* A run under a name that no task has isn't taken for the run of a task. */
+static void
+test_names_without_task (void)
+{
+  static const char *const names[]
+      = { "",
+          "0000000000000001",
+          "0000000000000001.0.0",
+          "0000000000000001.0.0.",
+          "0000000000000001.0.0.1",
+          "0000000000000001.0.1.0",
+          "0000000000000001.1.0.0",
+          "0000000000000001.0.0.0x",
+          "0000000000000001.0.0.0.0",
+          "0000000000000001.0.0.-0",
+          "0000000000000001..0.0",
+          "0000000000000001.0.0.4294967296",
+          "0000000000000001.4294967296.0.0",
+          "0000000000000001.0.18446744073709551616.0",
+          "00000000000000010.0.0.0",
+          "0000000000000002.0.0.0",
+          "1.0.0.0" };
+  struct ColtLoadFixture *fixture = colt_fixture_create ();
+  guint i;
+
+  colt_fixture_add_server (fixture, "server", 1000);
+  colt_fixture_submit (fixture, "tight", "steady", 1, false);
+  colt_fixture_place (fixture);
+  for (i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      report_running (fixture, names[i], 1);
+      g_assert_cmpuint (fixture->stops->len, ==, i + 1);
+    }
+  report_running (fixture, "0000000000000001.0.0.0", 1);
+  g_assert_cmpuint (fixture->stops->len, ==, i);
+  colt_fixture_destroy (fixture);
+}
+
 void
 colt_load_add_tick_tests (void)
 {
@@ -177,4 +250,7 @@
   g_test_add_func ("/cell/load/open-steps-of-ended-job",
                    test_open_steps_of_ended_job);
   g_test_add_func ("/cell/load/ended-job-withdrawn", test_ended_job_withdrawn);
+  g_test_add_func ("/cell/load/run-of-earlier-report",
+                   test_run_of_earlier_report);
+  g_test_add_func ("/cell/load/names-without-task", test_names_without_task);
 }
