Server link: count a server's runs only when it matters

At each tick the runs of each server were counted, after a search for the server by its id, although a tick needs their number only when leases have expired or a renewal may be sent.

Ticks check the expiry of leases first, as before, and then pass over links whose renewal is open or isn't due.

--- a/src/scheduler/server_link.c
+++ b/src/scheduler/server_link.c
@@ -41,6 +41,7 @@
 static int64_t lease_expiry_us_ (const struct ColtServerLink *link);
 static bool leases_have_expired_ (const struct ColtServerLink *link,
                                   int64_t now_us);
+static bool is_renewal_due_ (const struct ColtServerLink *link, int64_t now_us);
 
 struct ColtServerLink *
 colt_server_link_create (const struct ColtPorts *ports,
@@ -122,9 +123,13 @@
 void
 colt_server_link_tick (struct ColtServerLink *link, int64_t now_us)
 {
-  size_t runs = link->client.count_runs (link->client.client, link->id);
+  bool expired = leases_have_expired_ (link, now_us);
+  size_t runs;
 
-  if (leases_have_expired_ (link, now_us))
+  if (!expired && !is_renewal_due_ (link, now_us))
+    return;
+  runs = link->client.count_runs (link->client.client, link->id);
+  if (expired)
     {
       link->inherited_until_us = 0;
       link->lease_until_ms = 0;
@@ -140,10 +145,9 @@
           runs = 0;
         }
     }
-  if (link->renewing || now_us < link->next_renewal_us)
-    return;
-  if (runs > 0 || link->durable_end > link->durable_end_sent
-      || (!link->has_report && link->listed))
+  if (is_renewal_due_ (link, now_us)
+      && (runs > 0 || link->durable_end > link->durable_end_sent
+          || (!link->has_report && link->listed)))
     colt_link_renew_leases (link, runs, now_us);
 }
 
@@ -387,3 +391,10 @@
   /* The reports of a reachable server show which runs have lapsed. */
   return link->inherited_until_us > 0 && link->failures >= FAILURE_LIMIT;
 }
+
+/* Whether a renewal may be sent now if there is anything to renew. */
+static bool
+is_renewal_due_ (const struct ColtServerLink *link, int64_t now_us)
+{
+  return !link->renewing && now_us >= link->next_renewal_us;
+}
--- a/src/test_scheduler/test_link.c
+++ b/src/test_scheduler/test_link.c
@@ -21,6 +21,7 @@
   enum ColtStartResult start_result; /* last one reported */
   int64_t incarnation_ms;            /* of the last report */
   struct ColtOrderWindow *window;    /* of the link; may be NULL */
+  uint32_t counts;                   /* calls of count_runs */
 };
 
 static void
@@ -108,9 +109,10 @@
 static size_t
 count_runs (void *client, const char *server)
 {
-  const struct ColtClientState *state = client;
+  struct ColtClientState *state = client;
 
   (void)server;
+  state->counts++;
   return state->runs;
 }
 
@@ -528,6 +530,62 @@
   colt_fake_ports_destroy (fake);
 }
 
+/* Leases expire in time also while a renewal is open or the next one isn't due:
+ * ticks pass over such a link only while its leases last. */
+static void
+test_link_expiry_without_renewal (void)
+{
+  static const uint32_t answers_ms[] = { 0, 60000 };
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (answers_ms); i++)
+    {
+      struct ColtFakePorts *fake = colt_fake_ports_create ();
+      struct ColtClientState state = { 0 };
+      struct ColtServerLink *link = open_link (fake, &state);
+      int64_t deadline_us;
+
+      fake->server_answer.incarnation_ms = 1;
+      run_ticks (fake, link, 30);
+      state.runs = 1;
+      run_ticks (fake, link, 100);
+      fake->server_answer.result = COLT_START_UNKNOWN;
+      fake->renewal_answer_ms = answers_ms[i];
+      deadline_us = colt_clock_monotonic_us () + 1200 * COLT_US_PER_MS;
+      while (state.runs_lost == 0 && colt_clock_monotonic_us () < deadline_us)
+        run_ticks (fake, link, 10);
+      g_assert_cmpuint (state.runs_lost, ==, 1);
+      colt_server_link_destroy (link);
+      colt_fake_ports_destroy (fake);
+    }
+}
+
+/* A tick doesn't search for a server's runs while a renewal is open, nor does
+ * it miss the runs of a server that was idle before. */
+static void
+test_link_idle_then_busy (void)
+{
+  struct ColtFakePorts *fake = colt_fake_ports_create ();
+  struct ColtClientState state = { 0 };
+  struct ColtServerLink *link = open_link (fake, &state);
+  uint32_t renewals;
+  uint32_t counts;
+
+  fake->server_answer.incarnation_ms = 1;
+  run_ticks (fake, link, 500);
+  renewals = fake->renewals;
+  g_assert_cmpuint (renewals, ==, 1);
+  state.runs = 1;
+  fake->renewal_answer_ms = 60000;
+  colt_server_link_tick (link, colt_clock_monotonic_us ());
+  g_assert_cmpuint (fake->renewals, ==, renewals + 1);
+  counts = state.counts;
+  run_ticks (fake, link, 100);
+  g_assert_cmpuint (state.counts, ==, counts);
+  colt_server_link_destroy (link);
+  colt_fake_ports_destroy (fake);
+}
+
 void
 colt_test_link_add (void)
 {
@@ -546,5 +604,8 @@
   g_test_add_func ("/scheduler/link/unreachable-starts",
                    test_link_unreachable_starts);
   g_test_add_func ("/scheduler/link/full-window", test_link_full_window);
+  g_test_add_func ("/scheduler/link/expiry-without-renewal",
+                   test_link_expiry_without_renewal);
+  g_test_add_func ("/scheduler/link/idle-then-busy", test_link_idle_then_busy);
   g_test_add_func ("/scheduler/link/fenced", test_link_fenced);
 }
