Leader: count the runs of idle servers without a search

A link without runs and without an open renewal still searched for its server by id at each tick.

Links pass a client of their own to the leader's callbacks, with the cell's server. Servers stay in the cell as long as it does.

--- a/include/coltsfootstile/cell.h
+++ b/include/coltsfootstile/cell.h
@@ -213,6 +213,7 @@
 
 /** A cell; created by colt_cell_create(). */
 struct ColtCell;
+struct ColtCellServer;
 
 /**
  * Creates an empty cell.
@@ -389,6 +390,15 @@
  * cell has no record of. */
 size_t colt_cell_count_runs (const struct ColtCell *cell, const char *server);
 
+/** Returns a server's handle, which stays valid as long as the cell; NULL if
+ * the cell doesn't know the server. */
+const struct ColtCellServer *colt_cell_server (const struct ColtCell *cell,
+                                               const char *id);
+
+/** Returns the same as colt_cell_count_runs(), without a search for the server.
+ */
+size_t colt_cell_count_server_runs (const struct ColtCellServer *server);
+
 /** Returns whether a server has runs, or may have some under orders of an
  * earlier leader. */
 bool colt_cell_may_have_runs (const struct ColtCell *cell, const char *server);
--- a/src/cell/cell_servers.c
+++ b/src/cell/cell_servers.c
@@ -309,7 +309,19 @@
 {
   const struct ColtCellServer *server = colt_cell_find_server (cell, id);
 
-  return server != NULL ? server->runs->len + server->foreign_runs : 0;
+  return server != NULL ? colt_cell_count_server_runs (server) : 0;
+}
+
+const struct ColtCellServer *
+colt_cell_server (const struct ColtCell *cell, const char *id)
+{
+  return colt_cell_find_server (cell, id);
+}
+
+size_t
+colt_cell_count_server_runs (const struct ColtCellServer *server)
+{
+  return server->runs->len + server->foreign_runs;
 }
 
 bool
--- a/src/scheduler/leader.c
+++ b/src/scheduler/leader.c
@@ -63,6 +63,8 @@
                                    const struct ColtLogRecord *record);
 static void unlist_missing_servers_ (void *client);
 static void update_server_ (void *client, const struct ColtServerEntry *entry);
+static struct ColtServerLink *open_link_ (struct ColtLeader *leader,
+                                          const struct ColtServerEntry *entry);
 static bool may_replace_link_ (const struct ColtLeader *leader,
                                const struct ColtServerLink *link,
                                const struct ColtServerEntry *entry);
@@ -131,6 +133,7 @@
   leader->window = colt_order_window_create ();
   leader->links
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_link_);
+  leader->link_clients = g_ptr_array_new_with_free_func (g_free);
   leader->listed_ids
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   leader->calls = g_ptr_array_new ();
@@ -162,6 +165,7 @@
   g_ptr_array_unref (leader->calls);
   g_ptr_array_unref (leader->state_calls);
   g_hash_table_unref (leader->links);
+  g_ptr_array_unref (leader->link_clients);
   colt_order_window_destroy (leader->window);
   g_hash_table_unref (leader->listed_ids);
   g_ptr_array_unref (leader->progress_records);
@@ -447,21 +451,6 @@
 {
   struct ColtLeader *leader = client;
   struct ColtServerLink *link = g_hash_table_lookup (leader->links, entry->id);
-  const struct ColtServerLinkClient link_client = { handle_report_,
-                                                    handle_start_result_,
-                                                    handle_stop_result_,
-                                                    handle_unreachable_,
-                                                    handle_runs_lost_,
-                                                    handle_server_fenced_,
-                                                    renewable_until_us_,
-                                                    count_runs_,
-                                                    has_tight_runs_,
-                                                    may_start_,
-                                                    leader };
-  const struct ColtServerLinkSettings link_settings
-      = { leader->term, lease_duration_ms_ (leader),
-          leader->settings->lease_max_ms, inherited_until_us_ (leader),
-          leader->window };
 
   g_hash_table_add (leader->listed_ids, g_strdup (entry->id));
   if (link != NULL
@@ -482,16 +471,35 @@
     }
   colt_cell_set_server (leader->cell, entry, colt_clock_monotonic_us ());
   if (link == NULL)
-    {
-      link = colt_server_link_create (leader->ports, &link_settings, entry->id,
-                                      entry->address, &link_client);
-      g_hash_table_insert (leader->links, (gpointer)colt_server_link_id (link),
-                           link);
-    }
+    link = open_link_ (leader, entry);
   colt_server_link_set_listed (link, true);
   colt_server_link_set_entry_start (link, entry->incarnation_ms);
 }
 
+static struct ColtServerLink *
+open_link_ (struct ColtLeader *leader, const struct ColtServerEntry *entry)
+{
+  struct ColtLinkClient *link_client = g_new0 (struct ColtLinkClient, 1);
+  const struct ColtServerLinkClient client
+      = { handle_report_,      handle_start_result_, handle_stop_result_,
+          handle_unreachable_, handle_runs_lost_,    handle_server_fenced_,
+          renewable_until_us_, count_runs_,          has_tight_runs_,
+          may_start_,          link_client };
+  const struct ColtServerLinkSettings settings
+      = { leader->term, lease_duration_ms_ (leader),
+          leader->settings->lease_max_ms, inherited_until_us_ (leader),
+          leader->window };
+  struct ColtServerLink *link = colt_server_link_create (
+      leader->ports, &settings, entry->id, entry->address, &client);
+
+  link_client->leader = leader;
+  link_client->server = colt_cell_server (leader->cell, entry->id);
+  g_ptr_array_add (leader->link_clients, link_client);
+  g_hash_table_insert (leader->links, (gpointer)colt_server_link_id (link),
+                       link);
+  return link;
+}
+
 /* Only a later start is evidence that nothing runs at the former address. */
 static bool
 may_replace_link_ (const struct ColtLeader *leader,
@@ -521,7 +529,7 @@
                 struct ColtServerLink *link,
                 const struct ColtServerReport *report)
 {
-  struct ColtLeader *leader = client;
+  struct ColtLeader *leader = ((struct ColtLinkClient *)client)->leader;
   int64_t began_us = colt_clock_monotonic_us ();
   struct ColtPendingEnds *ends;
 
@@ -560,7 +568,7 @@
                       enum ColtStartResult result,
                       uint64_t next_call)
 {
-  struct ColtLeader *leader = client;
+  struct ColtLeader *leader = ((struct ColtLinkClient *)client)->leader;
   int64_t began_us = colt_clock_monotonic_us ();
 
   colt_cell_apply_start_result (leader->cell, colt_server_link_id (link), task,
@@ -578,7 +586,7 @@
                      bool answered,
                      uint64_t next_call)
 {
-  struct ColtLeader *leader = client;
+  struct ColtLeader *leader = ((struct ColtLinkClient *)client)->leader;
   int64_t began_us = colt_clock_monotonic_us ();
 
   colt_cell_apply_stop_result (leader->cell, colt_server_link_id (link), task,
@@ -589,7 +597,7 @@
 static void
 handle_unreachable_ (void *client, struct ColtServerLink *link)
 {
-  struct ColtLeader *leader = client;
+  struct ColtLeader *leader = ((struct ColtLinkClient *)client)->leader;
 
   colt_cell_set_unreachable (leader->cell, colt_server_link_id (link));
 }
@@ -597,7 +605,7 @@
 static void
 handle_runs_lost_ (void *client, struct ColtServerLink *link, bool replaced)
 {
-  struct ColtLeader *leader = client;
+  struct ColtLeader *leader = ((struct ColtLinkClient *)client)->leader;
   const char *server = colt_server_link_id (link);
 
   if (replaced)
@@ -611,7 +619,7 @@
 static void
 handle_server_fenced_ (void *client, struct ColtServerLink *link)
 {
-  struct ColtLeader *leader = client;
+  struct ColtLeader *leader = ((struct ColtLinkClient *)client)->leader;
 
   colt_log (COLT_LOG_WARNING, MODULE, NULL,
             "server %s follows a later leader; giving up leadership",
@@ -622,7 +630,7 @@
 static int64_t
 renewable_until_us_ (void *client)
 {
-  const struct ColtLeader *leader = client;
+  const struct ColtLeader *leader = ((struct ColtLinkClient *)client)->leader;
 
   return leader->confirmed_until_us;
 }
@@ -630,15 +638,16 @@
 static size_t
 count_runs_ (void *client, const char *server)
 {
-  const struct ColtLeader *leader = client;
+  const struct ColtLinkClient *link_client = client;
 
-  return colt_cell_count_runs (leader->cell, server);
+  (void)server;
+  return colt_cell_count_server_runs (link_client->server);
 }
 
 static bool
 has_tight_runs_ (void *client, const char *server)
 {
-  const struct ColtLeader *leader = client;
+  const struct ColtLeader *leader = ((struct ColtLinkClient *)client)->leader;
 
   return colt_cell_has_tight_runs (leader->cell, server);
 }
@@ -646,7 +655,7 @@
 static bool
 may_start_ (void *client, const char *server, const char *task, uint32_t run)
 {
-  const struct ColtLeader *leader = client;
+  const struct ColtLeader *leader = ((struct ColtLinkClient *)client)->leader;
 
   return colt_cell_may_start (leader->cell, server, task, run);
 }
--- a/src/scheduler/private/leader_private.h
+++ b/src/scheduler/private/leader_private.h
@@ -35,6 +35,7 @@
   struct event *retry_timer;      /* for fencing and loading */
   struct ColtOrderWindow *window; /* of start orders to all servers */
   GHashTable *links;              /* server id -> struct ColtServerLink */
+  GPtrArray *link_clients;        /* of struct ColtLinkClient, of all links */
   GHashTable *listed_ids;         /* servers listed since the last full read */
   GPtrArray *calls;               /* of struct ColtLeaderCall */
   GPtrArray *state_calls;         /* of struct ColtStateCall */
@@ -46,6 +47,13 @@
   int64_t config_version;
 };
 
+/* What a link passes to its callbacks. */
+struct ColtLinkClient
+{
+  struct ColtLeader *leader;
+  const struct ColtCellServer *server;
+};
+
 /* Loads a record of the log into the cell. */
 void colt_leader_load_record (struct ColtLeader *leader,
                               const char *key,
