Cell: close steps at ticks again, when one can be closed

Since ended jobs are visited only when due, ticks left closable steps listed until the next pass.

The cell notes that a step may have become closable, and the next tick closes such steps as it did before that change. So a specification needn't wait for a pass.

--- a/src/cell/cell_ended.c
+++ b/src/cell/cell_ended.c
@@ -2,7 +2,6 @@
 
 static int compare_ends_ (gconstpointer a, gconstpointer b, gpointer data);
 static void drop_specs_ (struct ColtCell *cell);
-static bool has_open_steps_ (const struct ColtCellJob *job);
 static void unlist_spec_ (struct ColtCell *cell, struct ColtCellJob *job);
 static void drop_job_ (struct ColtCell *cell, struct ColtCellJob *job);
 
@@ -33,6 +32,10 @@
 {
   GSequenceIter *i = g_sequence_get_begin_iter (cell->ended);
 
+  /* open_steps may still list steps of jobs that have ended. */
+  if (cell->steps_to_close)
+    colt_cell_close_steps (cell);
+  cell->steps_to_close = false;
   drop_specs_ (cell);
   while (!g_sequence_iter_is_end (i))
     {
@@ -57,8 +60,6 @@
                                           : left->ended_us > right->ended_us;
 }
 
-/* A step that open_steps still lists keeps its job's specification until the
- * next pass closes it. */
 static void
 drop_specs_ (struct ColtCell *cell)
 {
@@ -69,25 +70,13 @@
       struct ColtCellJob *job = link->data;
 
       link = link->next;
-      if (job->active > 0 || job->dirty || job->in_batch
-          || has_open_steps_ (job))
+      if (job->active > 0 || job->dirty || job->in_batch)
         continue;
       unlist_spec_ (cell, job);
       colt_cell_drop_spec (job);
     }
 }
 
-static bool
-has_open_steps_ (const struct ColtCellJob *job)
-{
-  uint32_t i;
-
-  for (i = 0; i < job->step_count; i++)
-    if (job->steps[i].open)
-      return true;
-  return false;
-}
-
 static void
 unlist_spec_ (struct ColtCell *cell, struct ColtCellJob *job)
 {
@@ -96,12 +85,9 @@
   job->spec_link = NULL;
 }
 
-/* The job is freed with its next batch, also if its steps are open. */
 static void
 drop_job_ (struct ColtCell *cell, struct ColtCellJob *job)
 {
-  if (job->spec != NULL)
-    colt_cell_close_steps (cell);
   colt_cell_unlist_ended (cell, job);
   job->dropped = true;
   colt_cell_mark_dirty (cell, job);
--- a/src/cell/cell_jobs.c
+++ b/src/cell/cell_jobs.c
@@ -142,6 +142,7 @@
   colt_cell_update_waiting (job);
   colt_cell_mark_dirty (cell, job);
   colt_cell_list_ended (cell, job);
+  cell->steps_to_close = true;
   g_ptr_array_remove_fast (cell->scheduled, job);
   for (i = 0; i < job->step_count; i++)
     colt_cell_stop_step (cell, &job->steps[i], now_us);
@@ -182,6 +183,7 @@
   task->done = true;
   if (task->current == NULL)
     step->waiting--;
+  cell->steps_to_close |= step->waiting == 0;
   step->done++;
   g_clear_pointer (&task->checkpoint, g_free);
   colt_cell_mark_dirty (cell, job);
--- a/src/cell/cell_runs.c
+++ b/src/cell/cell_runs.c
@@ -62,6 +62,7 @@
   task->current = run;
   task->last_run = number;
   step->waiting--;
+  cell->steps_to_close |= step->waiting == 0;
   step->active++;
   job->active++;
   cell->stats.runs++;
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -295,6 +295,7 @@
   GHashTable *pools;         /* service -> struct ColtCellPool */
   GHashTable *kinds;         /* label and room -> struct ColtServerKind */
   GPtrArray *open_steps;     /* of struct ColtCellStep */
+  bool steps_to_close;       /* open_steps may list some that can't start */
   GPtrArray *advice_steps;   /* steps that need advice in this pass */
   GArray *reservations;      /* of struct ColtCellReservation, in this pass */
   GHashTable *open_calls;    /* step name -> struct ColtCellQueue, for each
--- a/src/test_cell_load/test_load_ticks.c
+++ b/src/test_cell_load/test_load_ticks.c
@@ -168,6 +168,32 @@
   colt_fixture_destroy (fixture);
 }
 
+/* Steps whose tasks have all been planned, or whose job has ended, leave the
+ * open ones at the next tick: the order in which steps are placed depends on
+ * it.
+ */
+static void
+test_steps_closed_at_tick (void)
+{
+  struct ColtLoadFixture *fixture = colt_fixture_create ();
+  struct ColtCellStats stats;
+
+  colt_fixture_add_server (fixture, "server", 1000);
+  colt_fixture_submit (fixture, "tight", "steady", 1, false);
+  colt_fixture_submit (fixture, "tight", "steady", 1, false);
+  colt_fixture_place (fixture);
+  colt_cell_get_stats (fixture->cell, &stats);
+  g_assert_cmpuint (stats.open_steps, ==, 2);
+  tick (fixture, 25);
+  colt_cell_get_stats (fixture->cell, &stats);
+  g_assert_cmpuint (stats.open_steps, ==, 1);
+  cancel (fixture, 2);
+  tick (fixture, 25);
+  colt_cell_get_stats (fixture->cell, &stats);
+  g_assert_cmpuint (stats.open_steps, ==, 0);
+  colt_fixture_destroy (fixture);
+}
+
 static void
 report_running (struct ColtLoadFixture *fixture,
                 const char *task,
@@ -249,6 +275,8 @@
   g_test_add_func ("/cell/load/job-with-run-kept", test_job_with_run_kept);
   g_test_add_func ("/cell/load/open-steps-of-ended-job",
                    test_open_steps_of_ended_job);
+  g_test_add_func ("/cell/load/steps-closed-at-tick",
+                   test_steps_closed_at_tick);
   g_test_add_func ("/cell/load/ended-job-withdrawn", test_ended_job_withdrawn);
   g_test_add_func ("/cell/load/run-of-earlier-report",
                    test_run_of_earlier_report);
