--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -209,10 +209,10 @@
   bool changed;  /* to be packed anew */
 };
 
-/* Room reserved for a gang during a pass. */
+/* What is reserved for a gang during a pass. */
 struct ColtCellReservation
 {
-  struct ColtCellServer *server;
+  struct ColtResources *used; /* of a server or an organisation */
   const struct ColtResources *demand;
 };
 
