--- a/src/test_cell_load/fixture.h
+++ b/src/test_cell_load/fixture.h
@@ -98,5 +98,6 @@
 void colt_load_add_tick_tests (void);
 void colt_load_add_choice_tests (void);
 void colt_load_add_advice_tests (void);
+void colt_load_add_cost_tests (void);
 
 #endif
--- a/src/test_cell_load/test_load.c
+++ b/src/test_cell_load/test_load.c
@@ -508,5 +508,6 @@
   colt_load_add_tick_tests ();
   colt_load_add_choice_tests ();
   colt_load_add_advice_tests ();
+  colt_load_add_cost_tests ();
   return g_test_run ();
 }
--- /dev/null
+++ b/src/test_cell_load/test_load_costs.c
@@ -0,0 +1,76 @@
+#include <time.h>
+
+#include "fixture.h"
+
+/* Periodic checks in one measurement, and measurements of which the shortest
+ * counts. */
+#define TICKS 200
+#define ROUNDS 5
+#define FEW_JOBS 100
+#define MANY_JOBS 6000
+/* Largest factor between the costs of checks with few and with many jobs. */
+#define FACTOR_MAX 4
+
+static int64_t
+get_cpu_ns (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_THREAD_CPUTIME_ID, &now);
+  return now.tv_sec * COLT_US_PER_S * 1000 + now.tv_nsec;
+}
+
+static void
+add_ended_jobs (struct ColtLoadFixture *fixture, uint32_t count)
+{
+  char id[COLT_JOB_ID_LENGTH + 1];
+
+  while (fixture->last_id < count)
+    {
+      colt_fixture_submit (fixture, "tight", "steady", 1, false);
+      g_snprintf (id, sizeof id, "%016x", fixture->last_id);
+      colt_cell_cancel (fixture->cell, id, fixture->now_us);
+    }
+  colt_fixture_commit (fixture);
+}
+
+static int64_t
+measure_ticks_ns (struct ColtLoadFixture *fixture)
+{
+  int64_t shortest_ns = INT64_MAX;
+  int round;
+  int i;
+
+  for (round = 0; round < ROUNDS; round++)
+    {
+      int64_t began_ns = get_cpu_ns ();
+
+      for (i = 0; i < TICKS; i++)
+        colt_cell_tick (fixture->cell, fixture->now_us, fixture->now_us / MS);
+      shortest_ns = MIN (shortest_ns, get_cpu_ns () - began_ns);
+    }
+  return shortest_ns;
+}
+
+/* Pattern: thousands of jobs have ended and are kept for callers that ask for
+ * their states. Periodic checks that visit each of them use up the processor
+ * time that the leader needs for starts. */
+static void
+test_ended_jobs_cost_nothing (void)
+{
+  struct ColtLoadFixture *fixture = colt_fixture_create ();
+  int64_t few_ns;
+
+  add_ended_jobs (fixture, FEW_JOBS);
+  few_ns = measure_ticks_ns (fixture);
+  add_ended_jobs (fixture, MANY_JOBS);
+  g_assert_cmpint (measure_ticks_ns (fixture), <, FACTOR_MAX * few_ns);
+  colt_fixture_destroy (fixture);
+}
+
+void
+colt_load_add_cost_tests (void)
+{
+  g_test_add_func ("/cell/load/ended-jobs-cost-nothing",
+                   test_ended_jobs_cost_nothing);
+}
