Cell: keep a gang's part of its organisation's limit while it gets advice

A wide gang could stay without a start while smaller jobs of its organisation kept starting.

A gang needs its whole demand below the limit at once. It requested advice when it had that, and while the call was pending the later steps of the same passes used up the limit, so that it was blocked again when the reply arrived. Room on servers was already reserved against that.

While a gang's advice is pending or queued, its demand now counts as used by its organisation for the steps after it, as its servers' room does. Steps before it in the order aren't affected, nor are other organisations. A gang that exceeds the limit, or finds no room, reserves nothing.

Test: gang-at-limit in test_cell_load; on the former code the gang didn't start.

--- a/src/cell/cell_gangs.c
+++ b/src/cell/cell_gangs.c
@@ -9,12 +9,18 @@
                         struct ColtCellStep *step,
                         struct ColtCellServer *const *servers,
                         int64_t now_us);
+static void reserve_limit_ (struct ColtCell *cell,
+                            const struct ColtCellStep *step);
+static void reserve_ (struct ColtCell *cell,
+                      struct ColtResources *used,
+                      const struct ColtResources *demand);
 static void reserve_room_ (struct ColtCell *cell,
                            const struct ColtCellStep *step,
                            struct ColtCellServer *const *servers);
 
 /* Plans all tasks of a gang together, once each has a server with room and, if
- * required, a ticket; until then reserves the room that was found. */
+ * required, a ticket; until then reserves the room that was found and, while
+ * advice is requested, what the gang needs of its organisation's limit. */
 void
 colt_cell_place_gang (struct ColtCell *cell,
                       struct ColtCellStep *step,
@@ -66,6 +72,8 @@
   else
     colt_cell_set_block (
         cell, step, colt_cell_request_gang_advice (cell, step, pool, now_us));
+  if (step->block == BLOCK_ADVICE || step->block == BLOCK_NO_ADVISER)
+    reserve_limit_ (cell, step);
   g_free (servers);
 }
 
@@ -79,7 +87,7 @@
       const struct ColtCellReservation *reservation
           = &g_array_index (cell->reservations, struct ColtCellReservation, i);
 
-      colt_resources_subtract (&reservation->server->used, reservation->demand);
+      colt_resources_subtract (reservation->used, reservation->demand);
     }
   g_array_set_size (cell->reservations, 0);
 }
@@ -133,6 +141,28 @@
   colt_cell_log_plan (cell, step, plan);
 }
 
+/* Reserves a gang's part of its organisation's limit against later steps of
+ * this pass. */
+static void
+reserve_limit_ (struct ColtCell *cell, const struct ColtCellStep *step)
+{
+  uint32_t i;
+
+  for (i = 0; i < step->spec->count; i++)
+    reserve_ (cell, &step->job->organisation->used, &step->demand);
+}
+
+static void
+reserve_ (struct ColtCell *cell,
+          struct ColtResources *used,
+          const struct ColtResources *demand)
+{
+  const struct ColtCellReservation reservation = { used, demand };
+
+  colt_resources_add (used, demand);
+  g_array_append_val (cell->reservations, reservation);
+}
+
 /* Reserves room for a gang against later steps of this pass. */
 static void
 reserve_room_ (struct ColtCell *cell,
@@ -142,13 +172,6 @@
   uint32_t i;
 
   for (i = 0; i < step->spec->count; i++)
-    {
-      const struct ColtCellReservation reservation
-          = { servers[i], &step->demand };
-
-      if (servers[i] == NULL || !colt_cell_fits (step, servers[i]))
-        continue;
-      colt_resources_add (&servers[i]->used, &step->demand);
-      g_array_append_val (cell->reservations, reservation);
-    }
+    if (servers[i] != NULL && colt_cell_fits (step, servers[i]))
+      reserve_ (cell, &servers[i]->used, &step->demand);
 }
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -193,10 +193,10 @@
                                 for each task; NULL: none */
 };
 
-/* Room reserved for a gang during a pass. */
+/* What is reserved for a gang during a pass. */
 struct ColtCellReservation
 {
-  struct ColtCellServer *server;
+  struct ColtResources *used; /* of a server or an organisation */
   const struct ColtResources *demand;
 };
 
--- a/src/test_cell_load/fixture.c
+++ b/src/test_cell_load/fixture.c
@@ -82,19 +82,27 @@
   organisation->weight = weight;
 }
 
-static void
-create_cell (struct ColtLoadFixture *fixture)
+static struct ColtFleet *
+make_fleet (void)
 {
-  const struct ColtCellLimits limits
-      = { 60 * COLT_US_PER_S, 800 * MS, 30, 100 };
   struct ColtFleet *fleet = colt_fleet_create ();
 
-  fixture->cell = colt_cell_create (&ops, fixture, &limits, fixture->term);
   fleet->version = 1;
   add_queue (fleet, "tight", 1.5);
   add_queue (fleet, "advised", 2.0);
   add_organisation (fleet, "steady", 100);
   add_organisation (fleet, "hot", 1);
+  return fleet;
+}
+
+static void
+create_cell (struct ColtLoadFixture *fixture)
+{
+  const struct ColtCellLimits limits
+      = { 60 * COLT_US_PER_S, 800 * MS, 30, 100 };
+  struct ColtFleet *fleet = make_fleet ();
+
+  fixture->cell = colt_cell_create (&ops, fixture, &limits, fixture->term);
   colt_cell_set_fleet (fixture->cell, fleet);
   colt_fleet_unref (fleet);
 }
@@ -135,6 +143,17 @@
   g_free (fixture);
 }
 
+void
+colt_fixture_set_maximum (struct ColtLoadFixture *fixture, int64_t cores)
+{
+  struct ColtFleet *fleet = make_fleet ();
+  struct ColtOrganisation *steady = g_ptr_array_index (fleet->organisations, 0);
+
+  steady->maximum.amount[COLT_RESOURCE_CORES] = cores;
+  colt_cell_set_fleet (fixture->cell, fleet);
+  colt_fleet_unref (fleet);
+}
+
 void
 colt_fixture_report_idle (struct ColtLoadFixture *fixture,
                           const char *server,
--- a/src/test_cell_load/fixture.h
+++ b/src/test_cell_load/fixture.h
@@ -30,6 +30,8 @@
  * "steady" and "hot", and no servers. */
 struct ColtLoadFixture *colt_fixture_create (void);
 void colt_fixture_destroy (struct ColtLoadFixture *fixture);
+/* Sets what "steady" may use, in thousandths of a core. */
+void colt_fixture_set_maximum (struct ColtLoadFixture *fixture, int64_t cores);
 /* Reports that a server has no runs, in reply to the call with a number. */
 void colt_fixture_report_idle (struct ColtLoadFixture *fixture,
                                const char *server,
--- a/src/test_cell_load/test_load_advice.c
+++ b/src/test_cell_load/test_load_advice.c
@@ -172,6 +172,25 @@
   colt_fixture_destroy (fixture);
 }
 
+/* Guards against a gang that never starts, as small jobs of its organisation
+ * use up the organisation's limit while the gang waits for advice. */
+static void
+test_gang_at_limit (void)
+{
+  struct ColtLoadFixture *fixture = colt_fixture_create ();
+
+  colt_fixture_set_maximum (fixture, 4000);
+  add_servers (fixture, "server", 8, 1000);
+  colt_fixture_submit_gang (fixture, "advised", 3);
+  colt_fixture_submit (fixture, "tight", "steady", 1, false);
+  colt_fixture_submit (fixture, "tight", "steady", 1, false);
+  place_and_grant (fixture, 3);
+  g_assert_true (colt_fixture_has_started (fixture, 0, 1));
+  g_assert_true (colt_fixture_has_started (fixture, 0, 2));
+  g_assert_false (colt_fixture_has_started (fixture, 0, 3));
+  colt_fixture_destroy (fixture);
+}
+
 /* Guards against a step that only requests advice on servers that are full of
  * lasting work, as those are known to be suitable. */
 static void
@@ -201,6 +220,7 @@
                    test_gang_beside_small_servers);
   g_test_add_func ("/cell/load/gang-beside-full-servers",
                    test_gang_beside_full_servers);
+  g_test_add_func ("/cell/load/gang-at-limit", test_gang_at_limit);
   g_test_add_func ("/cell/load/step-beside-full-servers",
                    test_step_beside_full_servers);
   g_test_add_func ("/cell/load/withdrawn-with-pending-call",
