Tests: calls late in a turn, unknown jobs at a suspect leader, and a gang without advice

Each of the three fails: the timeout of a call made late in a long turn counts from the turn's start, a leader that others may already have replaced says that a job is unknown, and a gang whose calls for advice get no answer blocks its organisation's other jobs.

--- a/src/test_cell_load/test_load_advice.c
+++ b/src/test_cell_load/test_load_advice.c
@@ -191,6 +191,34 @@
   colt_fixture_destroy (fixture);
 }
 
+/* Guards against a gang that blocks the other jobs of its organisation for
+ * good, as its calls for advice get no answer while its part of the limit is
+ * kept. */
+static void
+test_gang_without_answers (void)
+{
+  struct ColtLoadFixture *fixture = colt_fixture_create ();
+  guint answered = 0;
+  int i;
+
+  colt_fixture_set_maximum (fixture, 4000);
+  add_servers (fixture, "server", 8, 1000);
+  colt_fixture_submit_gang (fixture, "advised", 3);
+  colt_fixture_submit (fixture, "tight", "steady", 1, false);
+  colt_fixture_submit (fixture, "tight", "steady", 1, false);
+  for (i = 0; i < 600; i++)
+    {
+      colt_fixture_place (fixture);
+      while (answered < fixture->calls->len)
+        colt_fixture_answer_advice (fixture, answered++, NULL);
+      fixture->now_us += 100 * MS;
+    }
+  g_assert_cmpuint (answered, >, 0);
+  g_assert_true (colt_fixture_has_started (fixture, 0, 2));
+  g_assert_true (colt_fixture_has_started (fixture, 0, 3));
+  colt_fixture_destroy (fixture);
+}
+
 /* Guards against a step that only requests advice on servers that are full of
  * lasting work, as those are known to be suitable. */
 static void
@@ -221,6 +249,8 @@
   g_test_add_func ("/cell/load/gang-beside-full-servers",
                    test_gang_beside_full_servers);
   g_test_add_func ("/cell/load/gang-at-limit", test_gang_at_limit);
+  g_test_add_func ("/cell/load/gang-without-answers",
+                   test_gang_without_answers);
   g_test_add_func ("/cell/load/step-beside-full-servers",
                    test_step_beside_full_servers);
   g_test_add_func ("/cell/load/withdrawn-with-pending-call",
--- a/src/test_platform/test_http.c
+++ b/src/test_platform/test_http.c
@@ -390,6 +390,36 @@
     }
 }
 
+static void
+call_late_in_turn (evutil_socket_t fd, short what, void *arg)
+{
+  struct ColtHttpFixture *fixture = arg;
+
+  (void)fd;
+  (void)what;
+  g_usleep (300 * G_TIME_SPAN_MILLISECOND);
+  colt_http_client_call (fixture->http, "/x", NULL, 150, on_answer,
+                         &fixture->received);
+}
+
+/* Guards against a call that times out at once because it is made late in a
+ * long turn of the loop: the time before it would count. */
+static void
+test_call_late_in_turn (struct ColtHttpFixture *fixture, gconstpointer data)
+{
+  const struct timeval now = { 0, 0 };
+
+  (void)data;
+  colt_fake_http_add_step (fixture->fake, COLT_FAKE_ANSWER, 200, "one");
+  colt_fake_http_add_step (fixture->fake, COLT_FAKE_ANSWER, 200, "two");
+  call_and_wait (fixture, 10000);
+  event_base_once (fixture->base, -1, EV_TIMEOUT, call_late_in_turn, fixture,
+                   &now);
+  while (fixture->received.count == 1)
+    event_base_loop (fixture->base, EVLOOP_ONCE);
+  g_assert_cmpint (fixture->received.result, ==, COLT_HTTP_ANSWERED);
+}
+
 /* Adds a test on a loop of each kind. */
 #define ADD(path, test)                                                        \
   g_test_add ("/platform/http/" path, struct ColtHttpFixture, NULL, set_up,    \
@@ -413,4 +443,5 @@
   ADD ("cancelled", test_cancelled_call_is_unknown);
   ADD ("closed", test_closed_connection_is_unknown);
   ADD ("reused", test_descriptor_is_reused);
+  ADD ("late-in-turn", test_call_late_in_turn);
 }
--- a/src/test_scheduler/test_leader.c
+++ b/src/test_scheduler/test_leader.c
@@ -161,6 +161,21 @@
   destroy_fixture (fixture);
 }
 
+/* Guards against an accepted job that is answered as unknown: members that
+ * suspect the leader claim 600 ms after its last renewal. */
+static void
+test_unknown_job_suspect (void)
+{
+  struct ColtLeaderFixture *fixture = create_fixture ();
+
+  colt_leader_set_confirmed (fixture->leader, colt_clock_monotonic_us ()
+                                                  - 1000 * COLT_US_PER_MS);
+  call_about_job (fixture, COLT_CALLER_STATE, OTHER_JOB, NULL);
+  g_assert_cmpuint (fixture->replies, ==, 1);
+  g_assert_true (fixture->reply.try_again);
+  destroy_fixture (fixture);
+}
+
 /* A query for the state of a job whose last task is about to end waits briefly
  * for the end. It returns that the job is running if the task doesn't end. */
 static void
@@ -301,6 +316,8 @@
   g_test_add_func ("/scheduler/lead/idle-restart", test_idle_restart);
   g_test_add_func ("/scheduler/lead/unknown-job-unconfirmed",
                    test_unknown_job_unconfirmed);
+  g_test_add_func ("/scheduler/lead/unknown-job-suspect",
+                   test_unknown_job_suspect);
   g_test_add_func ("/scheduler/lead/state-waits", test_state_waits);
   g_test_add_func ("/scheduler/lead/state-at-end", test_state_at_end);
 }
