--- a/src/test_cell_load/test_load_advice.c
+++ b/src/test_cell_load/test_load_advice.c
@@ -219,6 +219,42 @@
   colt_fixture_destroy (fixture);
 }
 
+static void
+report_incarnation (struct ColtLoadFixture *fixture, int64_t incarnation_ms)
+{
+  const struct ColtServerReport report
+      = { .call_number = 1, .incarnation_ms = incarnation_ms };
+
+  g_assert_true (colt_cell_apply_report (fixture->cell, "server", &report,
+                                         fixture->now_us));
+}
+
+/* Guards against a job that never starts on a free server, as the server was
+ * restarted while an adviser judged its earlier incarnation as unsuitable. */
+static void
+test_restart_during_call (void)
+{
+  struct ColtLoadFixture *fixture = colt_fixture_create ();
+  ColtAdviceReply no_tickets = COLT_ADVICE_REPLY__INIT;
+  int i;
+
+  no_tickets.answered = true;
+  colt_fixture_add_server (fixture, "server", 64000);
+  report_incarnation (fixture, 1);
+  colt_fixture_submit (fixture, "advised", "steady", 1, false);
+  colt_fixture_place (fixture);
+  g_assert_cmpuint (fixture->calls->len, ==, 1);
+  report_incarnation (fixture, 2);
+  colt_fixture_answer_advice (fixture, 0, &no_tickets);
+  for (i = 0; i < 600 && fixture->calls->len == 1; i++)
+    {
+      fixture->now_us += 100 * MS;
+      colt_fixture_place (fixture);
+    }
+  g_assert_cmpuint (fixture->calls->len, ==, 2);
+  colt_fixture_destroy (fixture);
+}
+
 /* Guards against a step that only requests advice on servers that are full of
  * lasting work, as those are known to be suitable. */
 static void
@@ -251,6 +287,7 @@
   g_test_add_func ("/cell/load/gang-at-limit", test_gang_at_limit);
   g_test_add_func ("/cell/load/gang-without-answers",
                    test_gang_without_answers);
+  g_test_add_func ("/cell/load/restart-during-call", test_restart_during_call);
   g_test_add_func ("/cell/load/step-beside-full-servers",
                    test_step_beside_full_servers);
   g_test_add_func ("/cell/load/withdrawn-with-pending-call",
