--- a/src/test_cell_load/test_load_costs.c
+++ b/src/test_cell_load/test_load_costs.c
@@ -8,6 +8,8 @@
 #define ROUNDS 5
 #define FEW_JOBS 100
 #define MANY_JOBS 6000
+/* Time between two searches for stragglers. */
+#define SEARCH_INTERVAL_MS 200
 /* Largest factor between the costs of checks with few and with many jobs. */
 #define FACTOR_MAX 4
 
@@ -68,9 +70,47 @@
   colt_fixture_destroy (fixture);
 }
 
+static int64_t
+measure_passes_ns (struct ColtLoadFixture *fixture)
+{
+  int64_t shortest_ns = INT64_MAX;
+  int round;
+  int i;
+
+  for (round = 0; round < ROUNDS; round++)
+    {
+      int64_t began_ns = get_cpu_ns ();
+
+      for (i = 0; i < TICKS; i++)
+        {
+          fixture->now_us += SEARCH_INTERVAL_MS * MS;
+          colt_cell_place_tasks (fixture->cell, fixture->now_us,
+                                 fixture->now_us / MS);
+        }
+      shortest_ns = MIN (shortest_ns, get_cpu_ns () - began_ns);
+    }
+  return shortest_ns;
+}
+
+/* Guards against searches for stragglers that visit each job that has ended. */
+static void
+test_ended_jobs_are_not_searched (void)
+{
+  struct ColtLoadFixture *fixture = colt_fixture_create ();
+  int64_t few_ns;
+
+  add_ended_jobs (fixture, FEW_JOBS);
+  few_ns = measure_passes_ns (fixture);
+  add_ended_jobs (fixture, MANY_JOBS);
+  g_assert_cmpint (measure_passes_ns (fixture), <, FACTOR_MAX * few_ns);
+  colt_fixture_destroy (fixture);
+}
+
 void
 colt_load_add_cost_tests (void)
 {
+  g_test_add_func ("/cell/load/ended-jobs-are-not-searched",
+                   test_ended_jobs_are_not_searched);
   g_test_add_func ("/cell/load/ended-jobs-cost-nothing",
                    test_ended_jobs_cost_nothing);
 }
