Tests: a slow instance must not count as one that has ended

The test fails: the call that times out closes the connection, and the others on it end as broken, by which members tell that a leader's process has ended.

--- a/src/test_wire/test_wire.c
+++ b/src/test_wire/test_wire.c
@@ -223,6 +223,36 @@
   g_byte_array_unref (outcome.body);
 }
 
+/* Guards against an instance that counts as ended because it is slow: a call
+ * that times out must not end a later one as broken by the remote side. */
+static void
+test_slow_remote_is_not_broken (struct ColtWireFixture *fixture,
+                                gconstpointer data)
+{
+  struct ColtOutcome first
+      = { fixture->base, 0, COLT_WIRE_REPLIED, g_byte_array_new () };
+  struct ColtOutcome second
+      = { fixture->base, 0, COLT_WIRE_REPLIED, g_byte_array_new () };
+  struct ColtOutcome echo = call_remote (fixture, ECHO_KIND, "x", 1);
+  int count = 0;
+
+  (void)data;
+  colt_wire_set_handler (fixture->remote, UNANSWERED_KIND, count_message,
+                         &count);
+  g_assert_cmpint (echo.result, ==, COLT_WIRE_REPLIED);
+  colt_wire_call (fixture->local, REMOTE, UNANSWERED_KIND, NULL, 0, 100,
+                  on_call_end, &first);
+  colt_wire_call (fixture->local, REMOTE, UNANSWERED_KIND, NULL, 0, 300,
+                  on_call_end, &second);
+  while (first.count == 0 || second.count == 0)
+    event_base_dispatch (fixture->base);
+  g_assert_cmpint (first.result, ==, COLT_WIRE_TIMED_OUT);
+  g_assert_cmpint (second.result, ==, COLT_WIRE_TIMED_OUT);
+  g_byte_array_unref (echo.body);
+  g_byte_array_unref (first.body);
+  g_byte_array_unref (second.body);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -234,6 +264,7 @@
   ADD ("unknown_peer", test_unknown_peer_is_not_sent);
   ADD ("refused", test_refused_connection_is_not_sent);
   ADD ("timeout", test_timeout_opens_new_connection);
+  ADD ("slow", test_slow_remote_is_not_broken);
   ADD ("foreign_bytes", test_invalid_frame_closes_connection);
   return g_test_run ();
 }
