Timers count from now, not from the start of the loop's turn

A busy leader's start orders timed out although their servers had answered at once, and were sent again; its passes of placement followed each other with a shorter pause than intended.

event_add() counts from the time that libevent keeps for the whole turn. In a turn of 100 ms a start of 120 ms had 20 ms left when it was sent at the end of the turn, and none at all in a longer one; the calls ended as unknown, with their connections. The order window took them as lost. The pause after a pass began before the pass.

The kept time is updated before the timers of calls and of passes are added.

Tests: /platform/http/late-in-turn and /platform/http/collected/late-in-turn failed before (unknown instead of answered).

--- a/src/platform/http_client.c
+++ b/src/platform/http_client.c
@@ -309,6 +309,8 @@
   http->open->sent_us = colt_clock_monotonic_us ();
   timeout.tv_sec = http->open->timeout_ms / 1000;
   timeout.tv_usec = http->open->timeout_ms % 1000 * 1000;
+  /* Otherwise the timeout would begin with the turn of the loop. */
+  event_base_update_cache_time (http->base);
   event_add (http->timer, &timeout);
   if ((http->connection == NULL && !open_connection_ (http))
       || !send_open_call_ (http))
--- a/src/scheduler/leader.c
+++ b/src/scheduler/leader.c
@@ -403,8 +403,12 @@
 {
   const struct timeval when = { 0, (suseconds_t)leader->place_pause_us };
 
-  if (!event_pending (leader->place_timer, EV_TIMEOUT, NULL))
-    event_add (leader->place_timer, &when);
+  if (event_pending (leader->place_timer, EV_TIMEOUT, NULL))
+    return;
+  /* Otherwise the pause would begin before the pass, with the turn of the loop.
+   */
+  event_base_update_cache_time (leader->base);
+  event_add (leader->place_timer, &when);
 }
 
 static void
--- a/src/wire/wire.c
+++ b/src/wire/wire.c
@@ -375,6 +375,8 @@
   call->done = done;
   call->client = client;
   call->timer = evtimer_new (wire->base, on_call_timer_, call);
+  /* Otherwise the timeout would begin with the turn of the loop. */
+  event_base_update_cache_time (wire->base);
   evtimer_add (call->timer, &timeout);
   return call;
 }
