Wire: calls on a link that is closed as unresponsive time out

Members took a leader that had stalled for 0.8 s as ended and claimed its term after 0.6 s instead of 1.5 s.

The first heartbeat that timed out closed the link, as nothing had arrived since it was sent; the other open heartbeats then ended as broken, which members take as the end of the leader's process. Only a connection that the peer closes, or that can't be opened, says that.

Calls on a link that this side closes as unresponsive now end as timed out. What callers are answered is unchanged: both results mean that the peer may have received the call.

Test: /wire/slow failed before (broken instead of timed out).

--- a/include/coltsfootstile/wire.h
+++ b/include/coltsfootstile/wire.h
@@ -42,7 +42,8 @@
 {
   COLT_WIRE_REPLIED,   /**< the whole reply has arrived */
   COLT_WIRE_NOT_SENT,  /**< the peer has certainly not received the call */
-  COLT_WIRE_TIMED_OUT, /**< no reply in time; the peer may have received it */
+  COLT_WIRE_TIMED_OUT, /**< no reply in time, or the connection was closed as
+                            unresponsive; the peer may have received it */
   COLT_WIRE_BROKEN     /**< connection lost; the peer may have received it */
 };
 
--- a/src/wire/wire.c
+++ b/src/wire/wire.c
@@ -79,7 +79,8 @@
 add_link_ (struct ColtWire *wire, uint32_t instance, bool dialled);
 static void unset_peer_link_ (struct ColtWire *wire,
                               const struct ColtWireLink *link);
-static void close_link_ (struct ColtWireLink *link);
+static void close_link_ (struct ColtWireLink *link,
+                         enum ColtWireResult established_result);
 static struct ColtWireLink *dial_peer_ (struct ColtWire *wire,
                                         struct ColtWirePeer *peer);
 static struct ColtWireLink *get_link_ (struct ColtWire *wire,
@@ -143,7 +144,7 @@
   while ((handle = colt_table_next (wire->calls, COLT_HANDLE_NONE)) != 0)
     end_call_ (colt_table_get (wire->calls, handle), COLT_WIRE_BROKEN, NULL, 0);
   while ((handle = colt_table_next (wire->links, COLT_HANDLE_NONE)) != 0)
-    close_link_ (colt_table_get (wire->links, handle));
+    close_link_ (colt_table_get (wire->links, handle), COLT_WIRE_BROKEN);
   colt_table_destroy (wire->calls);
   colt_table_destroy (wire->links);
   g_hash_table_unref (wire->peers);
@@ -207,7 +208,7 @@
     return;
   peer->address = parsed;
   g_strlcpy (peer->address_text, address, sizeof peer->address_text);
-  close_link_ (colt_table_get (wire->links, peer->link));
+  close_link_ (colt_table_get (wire->links, peer->link), COLT_WIRE_BROKEN);
 }
 
 void
@@ -218,7 +219,7 @@
 
   if (peer == NULL)
     return;
-  close_link_ (colt_table_get (wire->links, peer->link));
+  close_link_ (colt_table_get (wire->links, peer->link), COLT_WIRE_BROKEN);
   g_hash_table_remove (wire->peers, GUINT_TO_POINTER (instance));
 }
 
@@ -302,9 +303,10 @@
     peer->link = COLT_HANDLE_NONE;
 }
 
-/* Closes a link and ends its calls; NULL is allowed. */
+/* Closes a link and ends its calls, with established_result if it was
+ * established; NULL is allowed. */
 static void
-close_link_ (struct ColtWireLink *link)
+close_link_ (struct ColtWireLink *link, enum ColtWireResult established_result)
 {
   struct ColtWire *wire;
   enum ColtWireResult result;
@@ -315,7 +317,7 @@
   wire = link->wire;
   handle = link->handle;
   result = colt_connection_is_established (link->connection)
-               ? COLT_WIRE_BROKEN
+               ? established_result
                : COLT_WIRE_NOT_SENT;
   unset_peer_link_ (wire, link);
   colt_connection_destroy (link->connection);
@@ -466,7 +468,7 @@
     unset_peer_link_ (wire, link);
   end_call_ (call, result, NULL, 0);
   if (unresponsive)
-    close_link_ (colt_table_get (wire->links, handle));
+    close_link_ (colt_table_get (wire->links, handle), COLT_WIRE_TIMED_OUT);
 }
 
 static bool
@@ -520,7 +522,7 @@
     }
   if (link->dialled && peer != NULL)
     peer->failed_us = colt_clock_monotonic_us ();
-  close_link_ (link);
+  close_link_ (link, COLT_WIRE_BROKEN);
 }
 
 static void
