Leader: unknown jobs are a matter of the suspect timeout

A caller could still be told that an accepted job doesn't exist. A leader said so while its last confirmation was at most 1.5 s old, but instances that suspect it claim the next term after 0.6 s, and accept jobs from then on.

The limit is the election's own timeout, one constant for both.

Test: /scheduler/lead/unknown-job-suspect failed before.

--- a/src/scheduler/election.c
+++ b/src/scheduler/election.c
@@ -10,9 +10,6 @@
 /* Time without a renewal after which another instance claims the next term. Two
  * renewals may be lost in a row. */
 #define LEADER_TIMEOUT_US (1500 * COLT_US_PER_MS)
-/* Time without a renewal after which another instance claims the next term if
- * the leader's process seems to have ended. */
-#define SUSPECT_TIMEOUT_US (600 * COLT_US_PER_MS)
 /* Random part of a claim's delay, which spreads the claims of instances that
  * notice a missing leader at the same time. */
 #define CLAIM_JITTER_MS 100
@@ -491,8 +488,8 @@
     due_us
         = idle_since_us + (election->successor != 0 ? SUCCESSOR_DELAY_US : 0);
   else if (election->suspect)
-    due_us = MIN (
-        due_us, MAX (idle_since_us + SUSPECT_TIMEOUT_US, election->suspect_us));
+    due_us = MIN (due_us, MAX (idle_since_us + COLT_SUSPECT_TIMEOUT_US,
+                               election->suspect_us));
   return due_us + election->claim_delay_us;
 }
 
--- a/src/scheduler/leader_calls.c
+++ b/src/scheduler/leader_calls.c
@@ -18,9 +18,6 @@
 /* How long a query for the state of a job waits for its end to become durable.
  */
 #define DURABLE_WAIT_US (500 * COLT_US_PER_MS)
-/* After this time without a confirmation a later leader may have accepted jobs;
- * others claim once the renewals have failed for as long. */
-#define CONFIRMATION_AGE_MAX_US (1500 * COLT_US_PER_MS)
 /* Queries for states that may wait concurrently; others are answered
  * immediately. */
 #define STATE_WAITS_MAX 500
@@ -215,7 +212,7 @@
   ColtCallerReply retry_reply = COLT_CALLER_REPLY__INIT;
 
   if (colt_clock_monotonic_us () - leader->confirmed_us
-      <= CONFIRMATION_AGE_MAX_US)
+      <= COLT_SUSPECT_TIMEOUT_US)
     {
       send_reply_ (reply, client, COLT_ANSWER_NO_JOB, 0, 0);
       return;
--- a/src/scheduler/private/scheduler_private.h
+++ b/src/scheduler/private/scheduler_private.h
@@ -12,6 +12,10 @@
 #include "coltsfootstile/wire.h"
 #include "metrics.h"
 
+/* Time without a renewal after which another instance claims the next term if
+ * the leader's process seems to have ended. */
+#define COLT_SUSPECT_TIMEOUT_US (600 * COLT_US_PER_MS)
+
 /* Kinds of messages between instances. */
 enum
 {
