Cell: a gang without answers of advisers doesn't hold its limit for good

All other work of an organisation waited while a gang of it got no answer to its calls for advice.

A gang keeps its part of the organisation's limit while it waits for advice. If each call fails, the gang asks for ever, and so did the wait of the others.

Test: /cell/load/gang-without-answers failed before: a job of the organisation hadn't started after 60 s.

--- a/src/cell/cell_gangs.c
+++ b/src/cell/cell_gangs.c
@@ -72,7 +72,10 @@
   else
     colt_cell_set_block (
         cell, step, colt_cell_request_gang_advice (cell, step, pool, now_us));
-  if (step->block == BLOCK_ADVICE || step->block == BLOCK_NO_ADVISER)
+  /* Other work of the organisation mustn't wait for a gang that gets nowhere.
+   */
+  if ((step->block == BLOCK_ADVICE || step->block == BLOCK_NO_ADVISER)
+      && step->fruitless_calls < COLT_ADVICE_PAUSES_DOUBLED_MAX)
     reserve_limit_ (cell, step);
   g_free (servers);
 }
