Cell: advice counts for the incarnation that it was requested on

A server that restarted while an adviser judged it was ruled out for the step for as long as it ran, also when it stood empty.

A reply without a ticket was stored as the unsuitability of the server's present incarnation. A call now keeps the incarnations of the servers that it names, and its reply is stored for these.

Test: /cell/load/restart-during-call failed before: no second call in 60 s.

--- a/src/cell/cell_advice.c
+++ b/src/cell/cell_advice.c
@@ -36,7 +36,7 @@
 static uint32_t count_calling_queues_ (const struct ColtCell *cell);
 static bool send_advice_call_ (struct ColtCell *cell,
                                struct ColtCellStep *step);
-static bool send_call_ (struct ColtCell *cell, const struct ColtCellCall *call);
+static bool send_call_ (struct ColtCell *cell, struct ColtCellCall *call);
 static void add_ticket_servers_ (const struct ColtCellStep *step,
                                  GPtrArray *servers);
 static uint32_t get_call_limit_ (const struct ColtCell *cell,
@@ -273,6 +273,7 @@
   struct ColtCellCall *call = data;
 
   g_ptr_array_unref (call->servers);
+  g_array_unref (call->incarnations);
   g_free (call);
 }
 
@@ -336,7 +337,7 @@
           g_hash_table_insert (step->advice, server, advice);
         }
       advice->suitable = false;
-      advice->incarnation_ms = server->incarnation_ms;
+      advice->incarnation_ms = g_array_index (call->incarnations, int64_t, i);
     }
 }
 
@@ -421,6 +422,7 @@
   call->queue = queue;
   call->step = step;
   call->servers = g_ptr_array_new ();
+  call->incarnations = g_array_new (FALSE, FALSE, sizeof (int64_t));
   if (step->ticket_servers != NULL)
     add_ticket_servers_ (step, call->servers);
   else
@@ -441,7 +443,7 @@
 }
 
 static bool
-send_call_ (struct ColtCell *cell, const struct ColtCellCall *call)
+send_call_ (struct ColtCell *cell, struct ColtCellCall *call)
 {
   const struct ColtCellStep *step = call->step;
   GPtrArray *names = g_ptr_array_new ();
@@ -455,6 +457,7 @@
           = g_ptr_array_index (call->servers, i);
 
       g_ptr_array_add (names, server->id);
+      g_array_append_val (call->incarnations, server->incarnation_ms);
     }
   g_snprintf (name, sizeof name, "%s.%u.%u", step->job->id, step->occurrence,
               step->number);
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -170,6 +170,7 @@
   struct ColtCellQueue *queue; /* that counts it */
   struct ColtCellStep *step;   /* NULL: its job is gone */
   GPtrArray *servers;          /* of struct ColtCellServer: those it named */
+  GArray *incarnations;        /* of servers when the call was sent, int64_t */
 };
 
 struct ColtCellStep
