Cell: the search for stragglers visits jobs with runs only

Every 200 ms it visited all jobs, ended ones included, which are kept for two minutes.

Jobs with runs are listed. Test: /cell/load/ended-jobs-are-not-searched failed before: 200 passes took 14.6 ms with 6,000 ended jobs, more than four times as long as with 100.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -57,6 +57,7 @@
   cell->advisers = 1;
   cell->dirty_jobs = g_ptr_array_new ();
   cell->batch_jobs = g_ptr_array_new ();
+  g_queue_init (&cell->running_jobs);
   cell->scheduled = g_ptr_array_new ();
   cell->ended = g_sequence_new (NULL);
   g_queue_init (&cell->ended_specs);
@@ -84,6 +85,7 @@
   g_array_unref (cell->reservations);
   g_ptr_array_unref (cell->dirty_jobs);
   g_ptr_array_unref (cell->batch_jobs);
+  g_queue_clear (&cell->running_jobs);
   g_ptr_array_unref (cell->scheduled);
   g_hash_table_unref (cell->jobs);
   g_hash_table_unref (cell->open_calls);
--- a/src/cell/cell_runs.c
+++ b/src/cell/cell_runs.c
@@ -67,7 +67,11 @@
   step->waiting--;
   cell->steps_to_close |= step->waiting == 0;
   step->active++;
-  job->active++;
+  if (job->active++ == 0)
+    {
+      g_queue_push_tail (&cell->running_jobs, job);
+      job->running_link = cell->running_jobs.tail;
+    }
   cell->stats.runs++;
   colt_cell_mark_entry (task);
   colt_cell_mark_dirty (cell, job);
@@ -288,7 +292,11 @@
   colt_cell_mark_entry (task);
   task->last_server = run->server;
   step->active--;
-  step->job->active--;
+  if (--step->job->active == 0)
+    {
+      g_queue_delete_link (&cell->running_jobs, step->job->running_link);
+      step->job->running_link = NULL;
+    }
   if (!task->done)
     step->waiting++;
   g_free (run);
--- a/src/cell/cell_stragglers.c
+++ b/src/cell/cell_stragglers.c
@@ -67,15 +67,18 @@
 void
 colt_cell_move_stragglers (struct ColtCell *cell, int64_t now_us)
 {
-  GHashTableIter i;
-  gpointer value;
+  GList *link = cell->running_jobs.head;
 
   if (now_us < cell->next_search_us)
     return;
   cell->next_search_us = now_us + SEARCH_INTERVAL_US;
-  g_hash_table_iter_init (&i, cell->jobs);
-  while (g_hash_table_iter_next (&i, NULL, &value))
-    check_job_ (cell, value, now_us);
+  while (link != NULL)
+    {
+      struct ColtCellJob *job = link->data;
+
+      link = link->next;
+      check_job_ (cell, job, now_us);
+    }
 }
 
 static void
@@ -83,8 +86,7 @@
 {
   uint32_t i;
 
-  if (job->active == 0 || colt_cell_is_ended (job)
-      || job->queue->config == NULL)
+  if (colt_cell_is_ended (job) || job->queue->config == NULL)
     return;
   for (i = 0; i < job->step_count; i++)
     if (job->steps[i].active > 0 && !job->steps[i].spec->lasting)
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -226,7 +226,8 @@
   struct ColtCellStep *steps;
   uint32_t step_count; /* over all occurrences */
   uint32_t task_count;
-  uint32_t active; /* number of runs */
+  uint32_t active;     /* number of runs */
+  GList *running_link; /* in the cell's running_jobs; NULL: no runs */
   uint32_t steps_done;
   GPtrArray *planned; /* of struct ColtCellRun: planned, to be ordered; NULL:
                          never any */
@@ -342,6 +343,7 @@
   uint32_t advisers;         /* advice calls that may be pending together */
   GPtrArray *dirty_jobs;     /* of struct ColtCellJob, oldest change first */
   GPtrArray *batch_jobs;     /* of struct ColtCellJob, in the pending batch */
+  GQueue running_jobs;       /* of struct ColtCellJob with runs */
   GPtrArray *scheduled;      /* jobs with occurrences that may be due later */
   GSequence *ended;          /* of struct ColtCellJob, by ended_us */
   GQueue ended_specs;        /* of struct ColtCellJob, ended, whose
