--- a/src/cell/cell_advice.c
+++ b/src/cell/cell_advice.c
@@ -89,7 +89,7 @@
                           struct ColtCellPool *pool,
                           int64_t now_us)
 {
-  const GPtrArray *roomy;
+  const GPtrArray *with_room;
   bool has_room = false;
   guint count;
 
@@ -103,11 +103,11 @@
     return BLOCK_NO_ROOM;
   /* Unless the fleet is full, one of the first servers mostly suffices. */
   count = MIN (pool->servers->len, SERVERS_SEARCHED_FIRST);
-  if (!colt_cell_needs_roomy (pool, count)
+  if (!colt_cell_count_searched (pool, count)
       && needs_advice_ (step, pool->servers, count, now_us, &has_room))
     return queue_advice_call_ (cell, step, now_us);
-  roomy = colt_cell_list_roomy (pool, step, now_us);
-  if (needs_advice_ (step, roomy, roomy->len, now_us, &has_room))
+  with_room = colt_cell_list_with_room (pool, step, now_us);
+  if (needs_advice_ (step, with_room, with_room->len, now_us, &has_room))
     return queue_advice_call_ (cell, step, now_us);
   if (!has_room)
     {
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -12,7 +12,7 @@
 /* Length in bytes at which the logged list of planned runs is cut. */
 #define PLAN_TEXT_MAX 400
 
-struct ColtCandidate
+struct ColtChoice
 {
   struct ColtCellServer *server;
   double score;
@@ -47,7 +47,7 @@
 static double fullness_ (const struct ColtCellServer *server);
 static uint32_t count_step_runs_ (const struct ColtCellServer *server,
                                   const struct ColtCellStep *step);
-static void consider_server_ (struct ColtCandidate *best,
+static void consider_server_ (struct ColtChoice *best,
                               const struct ColtCellStep *step,
                               const struct ColtCellTask *task,
                               struct ColtCellServer *server,
@@ -233,7 +233,7 @@
   bool advised = step->job->queue->config->advised;
   int64_t ticket_us = ticketed ? now_us : INT64_MIN;
   GPtrArray *eligible = NULL;
-  const GPtrArray *roomy;
+  const GPtrArray *with_room;
   guint count = g_hash_table_size (step->advice);
   guint i;
 
@@ -241,14 +241,14 @@
       && (count == 0
           || (ticketed && !colt_cell_may_have_ticket (step, now_us))))
     return NULL;
-  if (advised && !colt_cell_needs_roomy (pool, count))
+  if (advised && !colt_cell_count_searched (pool, count))
     return list_advised_ (step, pool, ticket_us, now_us);
-  roomy = colt_cell_list_roomy (pool, step, now_us);
-  if (advised && count < roomy->len)
+  with_room = colt_cell_list_with_room (pool, step, now_us);
+  if (advised && count < with_room->len)
     return list_advised_ (step, pool, ticket_us, now_us);
-  for (i = 0; i < roomy->len; i++)
+  for (i = 0; i < with_room->len; i++)
     {
-      struct ColtCellServer *server = g_ptr_array_index (roomy, i);
+      struct ColtCellServer *server = g_ptr_array_index (with_room, i);
       const struct ColtCellAdvice *advice;
 
       if (!is_eligible_ (step, server, now_us))
@@ -268,7 +268,7 @@
                          const struct ColtCellTask *task,
                          int64_t now_us)
 {
-  struct ColtCandidate best = { NULL, 0 };
+  struct ColtChoice best = { NULL, 0 };
   guint i;
 
   for (i = 0; eligible != NULL && i < eligible->len; i++)
@@ -527,7 +527,7 @@
 /* Replaces the best candidate if the server is usable and better; among equal
  * ones the lowest id wins, so that the choice doesn't depend on the order. */
 static void
-consider_server_ (struct ColtCandidate *best,
+consider_server_ (struct ColtChoice *best,
                   const struct ColtCellStep *step,
                   const struct ColtCellTask *task,
                   struct ColtCellServer *server,
--- a/src/cell/cell_room.c
+++ b/src/cell/cell_room.c
@@ -22,40 +22,40 @@
 }
 
 const GPtrArray *
-colt_cell_list_roomy (struct ColtCellPool *pool,
-                      const struct ColtCellStep *step,
-                      int64_t now_us)
+colt_cell_list_with_room (struct ColtCellPool *pool,
+                          const struct ColtCellStep *step,
+                          int64_t now_us)
 {
   guint i;
 
   /* The step may have been opened during the pass. */
   if (!colt_resources_fit (&pool->least, &step->demand))
     return pool->servers;
-  if (pool->roomy != NULL)
-    return pool->roomy;
-  pool->roomy = g_ptr_array_sized_new (pool->servers->len);
+  if (pool->with_room != NULL)
+    return pool->with_room;
+  pool->with_room = g_ptr_array_sized_new (pool->servers->len);
   for (i = 0; i < pool->servers->len; i++)
     {
       struct ColtCellServer *server = g_ptr_array_index (pool->servers, i);
 
       if (has_least_room_ (pool, server)
           && colt_cell_is_usable (server, now_us))
-        g_ptr_array_add (pool->roomy, server);
+        g_ptr_array_add (pool->with_room, server);
     }
-  return pool->roomy;
+  return pool->with_room;
 }
 
 bool
-colt_cell_needs_roomy (struct ColtCellPool *pool, guint looked_at)
+colt_cell_count_searched (struct ColtCellPool *pool, guint searched)
 {
-  pool->looked_at += looked_at;
-  return pool->roomy != NULL || pool->looked_at > pool->servers->len;
+  pool->searched += searched;
+  return pool->with_room != NULL || pool->searched > pool->servers->len;
 }
 
 void
-colt_cell_forget_roomy (struct ColtCellPool *pool)
+colt_cell_forget_with_room (struct ColtCellPool *pool)
 {
-  g_clear_pointer (&pool->roomy, g_ptr_array_unref);
+  g_clear_pointer (&pool->with_room, g_ptr_array_unref);
 }
 
 void
@@ -77,10 +77,10 @@
       struct ColtCellPool *pool = value;
 
       pool->is_full = false;
-      pool->looked_at = 0;
+      pool->searched = 0;
       for (r = 0; r < COLT_RESOURCE_COUNT; r++)
         pool->least.amount[r] = INT64_MAX;
-      colt_cell_forget_roomy (pool);
+      colt_cell_forget_with_room (pool);
     }
 }
 
--- a/src/cell/cell_runs.c
+++ b/src/cell/cell_runs.c
@@ -286,7 +286,7 @@
   g_ptr_array_remove_fast (run->server->runs, run);
   colt_resources_subtract (&run->server->used, &run->demand);
   if (run->server->pool != NULL)
-    colt_cell_forget_roomy (run->server->pool);
+    colt_cell_forget_with_room (run->server->pool);
   colt_resources_subtract (&step->job->organisation->used, &run->demand);
   task->current = NULL;
   colt_cell_mark_entry (task);
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -312,12 +312,12 @@
   bool is_full;
   struct ColtResources unmet;
   struct ColtResources least; /* of each amount that open steps demand */
-  GPtrArray *roomy;   /* servers that may take a task with the least demand, in
-                         the order of servers; only kept during a pass until room
-                         becomes free, otherwise NULL */
-  guint looked_at;    /* servers looked at in this pass without that list */
-  GArray *candidates; /* of struct ColtCandidate; only kept while advice calls
-                         are sent, otherwise NULL */
+  GPtrArray *with_room; /* servers that may take a task with the least demand,
+                       in the order of servers; only kept during a pass until
+                       room becomes free, otherwise NULL */
+  guint searched;       /* servers looked at in this pass without that list */
+  GArray *candidates;   /* of struct ColtCandidate; only kept while advice calls
+                           are sent, otherwise NULL */
 };
 
 struct ColtCell
@@ -536,14 +536,14 @@
 void colt_cell_begin_room (struct ColtCell *cell);
 /* Returns the servers of a pool that may be usable and have room for a task of
  * the step, and perhaps others. */
-const GPtrArray *colt_cell_list_roomy (struct ColtCellPool *pool,
-                                       const struct ColtCellStep *step,
-                                       int64_t now_us);
+const GPtrArray *colt_cell_list_with_room (struct ColtCellPool *pool,
+                                           const struct ColtCellStep *step,
+                                           int64_t now_us);
 /* Notes that servers were or will be looked at without that list. Returns
  * whether the list exists or has become worth its cost. */
-bool colt_cell_needs_roomy (struct ColtCellPool *pool, guint looked_at);
+bool colt_cell_count_searched (struct ColtCellPool *pool, guint searched);
 /* Has to be called when room becomes free during a pass. */
-void colt_cell_forget_roomy (struct ColtCellPool *pool);
+void colt_cell_forget_with_room (struct ColtCellPool *pool);
 void colt_cell_end_room (struct ColtCell *cell);
 
 /* cell_gangs.c */
--- a/src/scheduler/leader.c
+++ b/src/scheduler/leader.c
@@ -70,6 +70,7 @@
                                const struct ColtServerLink *link,
                                const struct ColtServerEntry *entry);
 static void unlist_server_ (struct ColtLeader *leader, const char *id);
+static struct ColtLeader *get_leader_ (void *client);
 static void handle_report_ (void *client,
                             struct ColtServerLink *link,
                             const struct ColtServerReport *report);
@@ -528,13 +529,21 @@
     colt_server_link_set_listed (link, false);
 }
 
+static struct ColtLeader *
+get_leader_ (void *client)
+{
+  const struct ColtLinkClient *link_client = client;
+
+  return link_client->leader;
+}
+
 /* The server may forget ends of runs only once they are durable. */
 static void
 handle_report_ (void *client,
                 struct ColtServerLink *link,
                 const struct ColtServerReport *report)
 {
-  struct ColtLeader *leader = ((struct ColtLinkClient *)client)->leader;
+  struct ColtLeader *leader = get_leader_ (client);
   int64_t began_us = colt_clock_monotonic_us ();
   struct ColtPendingEnds *ends;
 
@@ -573,7 +582,7 @@
                       enum ColtStartResult result,
                       uint64_t next_call)
 {
-  struct ColtLeader *leader = ((struct ColtLinkClient *)client)->leader;
+  struct ColtLeader *leader = get_leader_ (client);
   int64_t began_us = colt_clock_monotonic_us ();
 
   colt_cell_apply_start_result (leader->cell, colt_server_link_id (link), task,
@@ -591,7 +600,7 @@
                      bool answered,
                      uint64_t next_call)
 {
-  struct ColtLeader *leader = ((struct ColtLinkClient *)client)->leader;
+  struct ColtLeader *leader = get_leader_ (client);
   int64_t began_us = colt_clock_monotonic_us ();
 
   colt_cell_apply_stop_result (leader->cell, colt_server_link_id (link), task,
@@ -602,7 +611,7 @@
 static void
 handle_unreachable_ (void *client, struct ColtServerLink *link)
 {
-  struct ColtLeader *leader = ((struct ColtLinkClient *)client)->leader;
+  struct ColtLeader *leader = get_leader_ (client);
 
   colt_cell_set_unreachable (leader->cell, colt_server_link_id (link));
 }
@@ -610,7 +619,7 @@
 static void
 handle_runs_lost_ (void *client, struct ColtServerLink *link, bool replaced)
 {
-  struct ColtLeader *leader = ((struct ColtLinkClient *)client)->leader;
+  struct ColtLeader *leader = get_leader_ (client);
   const char *server = colt_server_link_id (link);
 
   if (replaced)
@@ -624,7 +633,7 @@
 static void
 handle_server_fenced_ (void *client, struct ColtServerLink *link)
 {
-  struct ColtLeader *leader = ((struct ColtLinkClient *)client)->leader;
+  struct ColtLeader *leader = get_leader_ (client);
 
   colt_log (COLT_LOG_WARNING, MODULE, NULL,
             "server %s follows a later leader; giving up leadership",
@@ -635,7 +644,7 @@
 static int64_t
 renewable_until_us_ (void *client)
 {
-  const struct ColtLeader *leader = ((struct ColtLinkClient *)client)->leader;
+  const struct ColtLeader *leader = get_leader_ (client);
 
   return leader->confirmed_until_us;
 }
@@ -652,7 +661,7 @@
 static bool
 has_tight_runs_ (void *client, const char *server)
 {
-  const struct ColtLeader *leader = ((struct ColtLinkClient *)client)->leader;
+  const struct ColtLeader *leader = get_leader_ (client);
 
   return colt_cell_has_tight_runs (leader->cell, server);
 }
@@ -660,7 +669,7 @@
 static bool
 may_start_ (void *client, const char *server, const char *task, uint32_t run)
 {
-  const struct ColtLeader *leader = ((struct ColtLinkClient *)client)->leader;
+  const struct ColtLeader *leader = get_leader_ (client);
 
   return colt_cell_may_start (leader->cell, server, task, run);
 }
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -12,6 +12,8 @@
 #define STOP_SERVING_MS 2600
 /* Part of the grace time that is reserved for ending the process. */
 #define STOP_MARGIN_MS 700
+/* Part of it after which the process ends in any case. */
+#define STOP_LAST_MS 350
 #define STOP_CHECK_MS 50
 /* Time in which the event loop sends the last answers before it ends. */
 #define STOP_SEND_MS 150
@@ -546,6 +548,6 @@
   else if (colt_scheduler_has_open_requests (scheduler))
     return;
   if (now_us - scheduler->answered_us >= STOP_SEND_MS * COLT_US_PER_MS
-      || since_ms + STOP_MARGIN_MS / 2 > scheduler->settings.grace_ms)
+      || since_ms + STOP_LAST_MS > scheduler->settings.grace_ms)
     event_base_loopbreak (scheduler->base);
 }
