Cell: pack progress by protobuf-c

The entries of tasks were encoded by code of this project, although the library does the same: packed parts of a message that follow each other are the packed message. What is kept and when it is packed anew is unchanged, and so is each byte, as builds with guard switches assert.

--- a/src/cell/cell_progress.c
+++ b/src/cell/cell_progress.c
@@ -1,53 +1,12 @@
-/* Encodes the progress of jobs in the wire format of ColtJobProgress. The
- * encoded entries of tasks are kept, as a change of one task records all. */
+/* Packs the progress of jobs. The packed entries of tasks are kept, as a change
+ * of one task records all. Packed parts of a message that follow each other are
+ * the packed message: parts with one task each add up to a list of tasks. */
 #include <string.h>
 
 #include "cell_private.h"
 
-/* Largest size in bytes of a field, apart from its text: a tag, which has one
- * byte for the field numbers up to 15, and a number. */
-#define FIELD_MAX (1 + 10)
-/* Room in bytes for the fields of a job's progress without its tasks; they may
- * take more. */
+/* Room in bytes for a job's progress without its tasks; it may take more. */
 #define HEAD_SIZE 256
-/* Fields of a job's progress without its tasks, and of a task's. */
-#define JOB_FIELDS 6
-#define TASK_FIELDS 11
-/* Wire types of fields. */
-#define TYPE_NUMBER 0u
-#define TYPE_BYTES 2u
-#define TYPE_BITS 3
-/* Bits of a number in each byte; the highest bit means that more follow. */
-#define VARINT_BITS 7
-#define VARINT_MORE 0x80u
-
-/* Field numbers of ColtJobProgress. */
-enum ColtJobField
-{
-  JOB_ID = 1,
-  JOB_ORGANISATION = 2,
-  JOB_QUEUE = 3,
-  JOB_STATE = 4,
-  JOB_BEGUN = 5,
-  JOB_ENDED_WALL_MS = 6,
-  JOB_TASKS = 7
-};
-
-/* Field numbers of ColtTaskProgress. */
-enum ColtTaskField
-{
-  TASK_INDEX = 1,
-  TASK_DONE = 2,
-  TASK_FAILURES = 3,
-  TASK_LAST_RUN = 4,
-  TASK_CHECKPOINT = 5,
-  TASK_SERVER = 6,
-  TASK_LOSSES = 7,
-  TASK_CRASHES = 8,
-  TASK_INCARNATION_MS = 9,
-  TASK_ENDS = 10,
-  TASK_FAILED_GANG_RUN = 11
-};
 
 static void add_head_ (GByteArray *bytes, const struct ColtCellJob *job);
 static void update_tasks_ (const struct ColtCell *cell,
@@ -62,13 +21,8 @@
                          const struct ColtCellTask *task,
                          ColtTaskProgress *entry);
 static bool has_progress_ (const struct ColtCellTask *task);
-static void add_entry_ (GByteArray *bytes, const ColtTaskProgress *entry);
-static uint8_t *reserve_ (GByteArray *bytes, size_t size);
-static uint8_t *put_varint_ (uint8_t *at, uint64_t number);
-static uint8_t *put_number_ (uint8_t *at, uint32_t field, uint64_t number);
-static uint8_t *put_signed_ (uint8_t *at, uint32_t field, int64_t number);
-static uint8_t *
-put_text_ (uint8_t *at, uint32_t field, const char *text, size_t size);
+static void add_entry_ (GByteArray *bytes, ColtTaskProgress *entry);
+static void append_part_ (GByteArray *bytes, const ColtJobProgress *part);
 #ifdef COLT_GUARD_SWITCHES
 static void check_progress_ (const struct ColtCell *cell,
                              const struct ColtCellJob *job,
@@ -120,20 +74,15 @@
 static void
 add_head_ (GByteArray *bytes, const struct ColtCellJob *job)
 {
-  size_t id_size = strlen (job->id);
-  size_t organisation_size = strlen (job->organisation->name);
-  size_t queue_size = strlen (job->queue->name);
-  uint8_t *at = reserve_ (bytes, id_size + organisation_size + queue_size
-                                     + (size_t)JOB_FIELDS * FIELD_MAX);
-
-  at = put_text_ (at, JOB_ID, job->id, id_size);
-  at = put_text_ (at, JOB_ORGANISATION, job->organisation->name,
-                  organisation_size);
-  at = put_text_ (at, JOB_QUEUE, job->queue->name, queue_size);
-  at = put_number_ (at, JOB_STATE, job->state);
-  at = put_number_ (at, JOB_BEGUN, job->begun);
-  at = put_signed_ (at, JOB_ENDED_WALL_MS, job->ended_wall_ms);
-  g_byte_array_set_size (bytes, (guint)(at - bytes->data));
+  ColtJobProgress head = COLT_JOB_PROGRESS__INIT;
+
+  head.id = (char *)job->id;
+  head.organisation = job->organisation->name;
+  head.queue = job->queue->name;
+  head.state = job->state;
+  head.begun = job->begun;
+  head.ended_wall_ms = job->ended_wall_ms;
+  append_part_ (bytes, &head);
 }
 
 static void
@@ -251,85 +200,24 @@
          || task->checkpoint != NULL;
 }
 
-/* The entry is encoded behind the longest head that it may have, and moved up
- * once its size is known. */
 static void
-add_entry_ (GByteArray *bytes, const ColtTaskProgress *entry)
+add_entry_ (GByteArray *bytes, ColtTaskProgress *entry)
 {
-  size_t checkpoint_size = strlen (entry->checkpoint);
-  size_t server_size = strlen (entry->server);
-  uint8_t *head = reserve_ (bytes, checkpoint_size + server_size
-                                       + (size_t)(1 + TASK_FIELDS) * FIELD_MAX);
-  uint8_t *body = head + FIELD_MAX;
-  uint8_t *at = body;
+  ColtJobProgress part = COLT_JOB_PROGRESS__INIT;
 
-  at = put_number_ (at, TASK_INDEX, entry->index);
-  at = put_number_ (at, TASK_DONE, entry->done ? 1 : 0);
-  at = put_number_ (at, TASK_FAILURES, entry->failures);
-  at = put_number_ (at, TASK_LAST_RUN, entry->last_run);
-  at = put_text_ (at, TASK_CHECKPOINT, entry->checkpoint, checkpoint_size);
-  at = put_text_ (at, TASK_SERVER, entry->server, server_size);
-  at = put_number_ (at, TASK_LOSSES, entry->losses);
-  at = put_number_ (at, TASK_CRASHES, entry->crashes);
-  at = put_signed_ (at, TASK_INCARNATION_MS, entry->incarnation_ms);
-  at = put_number_ (at, TASK_ENDS, entry->ends);
-  at = put_number_ (at, TASK_FAILED_GANG_RUN, entry->failed_gang_run);
-  *head++ = JOB_TASKS << TYPE_BITS | TYPE_BYTES;
-  head = put_varint_ (head, (uint64_t)(at - body));
-  memmove (head, body, (size_t)(at - body));
-  g_byte_array_set_size (bytes, (guint)(head + (at - body) - bytes->data));
+  part.n_tasks = 1;
+  part.tasks = &entry;
+  append_part_ (bytes, &part);
 }
 
-/* Appends bytes of any content; returns the first of them. */
-static uint8_t *
-reserve_ (GByteArray *bytes, size_t size)
+static void
+append_part_ (GByteArray *bytes, const ColtJobProgress *part)
 {
   guint used = bytes->len;
 
-  g_byte_array_set_size (bytes, used + (guint)size);
-  return bytes->data + used;
-}
-
-static uint8_t *
-put_varint_ (uint8_t *at, uint64_t number)
-{
-  while (number >= VARINT_MORE)
-    {
-      *at++ = (uint8_t)(number | VARINT_MORE);
-      number >>= VARINT_BITS;
-    }
-  *at++ = (uint8_t)number;
-  return at;
-}
-
-/* Fields that are 0 or empty are left out. */
-static uint8_t *
-put_number_ (uint8_t *at, uint32_t field, uint64_t number)
-{
-  if (number == 0)
-    return at;
-  *at++ = (uint8_t)(field << TYPE_BITS | TYPE_NUMBER);
-  return put_varint_ (at, number);
-}
-
-/* Numbers of either sign are stored with the sign in the lowest bit. */
-static uint8_t *
-put_signed_ (uint8_t *at, uint32_t field, int64_t number)
-{
-  uint64_t doubled = (uint64_t)number << 1;
-
-  return put_number_ (at, field, number < 0 ? ~doubled : doubled);
-}
-
-static uint8_t *
-put_text_ (uint8_t *at, uint32_t field, const char *text, size_t size)
-{
-  if (size == 0)
-    return at;
-  *at++ = (uint8_t)(field << TYPE_BITS | TYPE_BYTES);
-  at = put_varint_ (at, size);
-  memcpy (at, text, size);
-  return at + size;
+  g_byte_array_set_size (
+      bytes, used + (guint)colt_job_progress__get_packed_size (part));
+  colt_job_progress__pack (part, bytes->data + used);
 }
 
 #ifdef COLT_GUARD_SWITCHES
