Link: the log tells how leases came to be read as expired

A server's expired leases, another server at its address and a clock that jumps were logged without what distinguishes them: the lease's end, the clock that it is compared with and its age, the age of the call, the incarnation. No decision changes.

--- a/src/scheduler/private/server_link_private.h
+++ b/src/scheduler/private/server_link_private.h
@@ -74,7 +74,8 @@
 void colt_link_update_clock (struct ColtServerLink *link,
                              const struct ColtServerAnswer *answer);
 void colt_link_lose_replaced_server (struct ColtServerLink *link,
-                                     const char *call);
+                                     const char *call,
+                                     int64_t sent_us);
 
 /* server_orders.c */
 void colt_link_init_orders (struct ColtServerLink *link);
--- a/src/scheduler/server_link.c
+++ b/src/scheduler/server_link.c
@@ -24,6 +24,9 @@
 #define SILENCE_MAX_US (2 * COLT_US_PER_S)
 /* Lowest rate of a server's clock relative to the local one. */
 #define CLOCK_RATE_MIN 0.98
+/* Least difference between a server's clock and the expected one that shows
+ * another clock, above what a slow link delays an answer by. */
+#define CLOCK_JUMP_MIN_MS 2000
 /* Added to a lease's computed end for delays that the computation ignores. */
 #define LEASE_SLACK_US (150 * COLT_US_PER_MS)
 
@@ -33,10 +36,16 @@
                                      const struct ColtServerAnswer *answer);
 static void handle_renewal_failure_ (struct ColtServerLink *link,
                                      const struct ColtServerAnswer *answer);
+static void log_expiry_ (const struct ColtServerLink *link,
+                         size_t runs,
+                         int64_t lease_end_ms,
+                         int64_t now_us);
 static void lose_runs_ (struct ColtServerLink *link, bool replaced);
 static void update_incarnation_ (struct ColtServerLink *link,
                                  const struct ColtServerAnswer *answer);
 static void reset_incarnation_ (struct ColtServerLink *link);
+static void log_clock_jump_ (const struct ColtServerLink *link,
+                             const struct ColtServerAnswer *answer);
 static int64_t latest_lease_end_ms_ (const struct ColtServerLink *link);
 static int64_t lease_expiry_us_ (const struct ColtServerLink *link);
 static bool leases_have_expired_ (const struct ColtServerLink *link,
@@ -124,6 +133,7 @@
 colt_server_link_tick (struct ColtServerLink *link, int64_t now_us)
 {
   bool expired = leases_have_expired_ (link, now_us);
+  int64_t lease_end_ms = latest_lease_end_ms_ (link);
   size_t runs;
 
   if (!expired && !is_renewal_due_ (link, now_us))
@@ -138,9 +148,7 @@
       if (runs > 0)
         {
           link->has_report = false;
-          colt_log (COLT_LOG_WARNING, MODULE, NULL,
-                    "leases on server %s have expired; %zu runs are lost",
-                    link->id, runs);
+          log_expiry_ (link, runs, lease_end_ms, now_us);
           lose_runs_ (link, false);
           runs = 0;
         }
@@ -217,7 +225,7 @@
       break;
     case COLT_START_GONE:
       link->next_renewal_us = answer->received_us + UNREACHABLE_PAUSE_MAX_US;
-      colt_link_lose_replaced_server (link, "renewal");
+      colt_link_lose_replaced_server (link, "renewal", answer->sent_us);
       break;
     default:
       handle_renewal_failure_ (link, answer);
@@ -274,19 +282,46 @@
 /* Another server answers at the address, so the process that this link was for
  * has ended and its runs with it. */
 void
-colt_link_lose_replaced_server (struct ColtServerLink *link, const char *call)
+colt_link_lose_replaced_server (struct ColtServerLink *link,
+                                const char *call,
+                                int64_t sent_us)
 {
   size_t runs = link->client.count_runs (link->client.client, link->id);
 
   if (runs > 0)
-    colt_log (COLT_LOG_WARNING, MODULE, NULL,
-              "another server answers a %s at %s, the address of server %s; "
-              "%zu runs are lost",
-              call, link->address, link->id, runs);
+    colt_log (
+        COLT_LOG_WARNING, MODULE, NULL,
+        "another server answers a %s of %lld ms ago at %s, the address of "
+        "server %s; %zu runs are lost",
+        call,
+        (long long)((colt_clock_monotonic_us () - sent_us) / COLT_US_PER_MS),
+        link->address, link->id, runs);
   reset_incarnation_ (link);
   lose_runs_ (link, true);
 }
 
+static void
+log_expiry_ (const struct ColtServerLink *link,
+             size_t runs,
+             int64_t lease_end_ms,
+             int64_t now_us)
+{
+  const struct ColtLogField fields[] = {
+    { "server", link->id, 0 },
+    { "runs", NULL, (int64_t)runs },
+    { "incarnation_ms", NULL, link->incarnation_ms },
+    { "lease_end_ms", NULL, lease_end_ms },
+    { "clock_ms", NULL, link->clock_ms },
+    { "clock_age_ms", NULL, (now_us - link->clock_us) / COLT_US_PER_MS },
+    { "report_age_ms", NULL,
+      link->heard_us == 0 ? -1 : (now_us - link->heard_us) / COLT_US_PER_MS },
+    { "failed_renewals", NULL, link->failures }
+  };
+
+  colt_log_event (COLT_LOG_WARNING, MODULE, "leases expired, runs are lost",
+                  NULL, fields, G_N_ELEMENTS (fields));
+}
+
 /* Reports all runs as lost. Their tasks start elsewhere, so that starts that
  * wait in the queue must not be sent any more. */
 static void
@@ -342,11 +377,34 @@
 {
   if (!answer->has_clock)
     return;
+  log_clock_jump_ (link, answer);
   link->has_clock = true;
   link->clock_ms = answer->clock_ms;
   link->clock_us = answer->received_us;
 }
 
+/* Only a server that has been restarted has another clock; its answers to
+ * orders don't name the incarnation. */
+static void
+log_clock_jump_ (const struct ColtServerLink *link,
+                 const struct ColtServerAnswer *answer)
+{
+  int64_t expected_ms
+      = link->clock_ms
+        + (answer->received_us - link->clock_us) / COLT_US_PER_MS;
+  const struct ColtLogField fields[]
+      = { { "server", link->id, 0 },
+          { "expected_ms", NULL, expected_ms },
+          { "clock_ms", NULL, answer->clock_ms },
+          { "incarnation_ms", NULL, answer->incarnation_ms },
+          { "known_incarnation_ms", NULL, link->incarnation_ms } };
+
+  if (link->has_clock
+      && ABS (answer->clock_ms - expected_ms) > CLOCK_JUMP_MIN_MS)
+    colt_log_event (COLT_LOG_WARNING, MODULE, "server clock jumped", NULL,
+                    fields, G_N_ELEMENTS (fields));
+}
+
 /* Returns the end of a lease that is renewed now, on the server's clock; 0 if
  * no lease may be renewed. The client limits it, because a later leader may
  * have been elected unnoticed by this instance. */
--- a/src/scheduler/server_orders.c
+++ b/src/scheduler/server_orders.c
@@ -309,7 +309,8 @@
   if (answer->result == COLT_START_FENCED)
     link->client.handle_fenced (link->client.client, link);
   if (answer->result == COLT_START_GONE)
-    colt_link_lose_replaced_server (link, order->start ? "start" : "stop");
+    colt_link_lose_replaced_server (link, order->start ? "start" : "stop",
+                                    answer->sent_us);
   if (order->start)
     {
       if (result != COLT_START_NOT_SENT)
