Tests: servers that restart under their ids, which fail

An answer to an order carries the server's clock and no incarnation. Both tests fail: the clock of the new incarnation beside a lease of the former one, and the reverse, read as expired, and all runs of the server count as lost (assertion failed (state.runs_lost == 0): (1 == 0)). The fake server's answers to orders have no incarnation any more, as real ones. The fixture of link tests is a file of its own.

--- a/src/test_scheduler/fake_ports.c
+++ b/src/test_scheduler/fake_ports.c
@@ -46,6 +46,8 @@
   struct ColtFakePorts *fake;
   struct ColtServerChannel *channel;
   enum ColtStartResult result;
+  bool is_renewal;
+  int64_t sent_us;
   ColtServerCallDone done;
   void *client;
 };
@@ -317,7 +319,10 @@
   (void)what;
   out.result = call->result;
   out.received_us = colt_clock_monotonic_us ();
-  out.clock_ms = out.received_us / COLT_US_PER_MS;
+  out.clock_ms = out.received_us / COLT_US_PER_MS + call->fake->server_clock_ms;
+  out.sent_us = call->sent_us;
+  if (!call->is_renewal)
+    out.incarnation_ms = 0;
   if (!call->channel->closed)
     call->done (call->client, &out);
   g_hash_table_remove (call->fake->calls, call);
@@ -326,6 +331,7 @@
 static void
 schedule_server_answer (struct ColtServerChannel *channel,
                         enum ColtStartResult result,
+                        bool is_renewal,
                         uint32_t answer_ms,
                         ColtServerCallDone done,
                         void *client)
@@ -335,6 +341,8 @@
   call->fake = channel->fake;
   call->channel = channel;
   call->result = result;
+  call->is_renewal = is_renewal;
+  call->sent_us = colt_clock_monotonic_us ();
   call->done = done;
   call->client = client;
   schedule (channel->fake, answer_ms, on_server_answer_due, call);
@@ -359,7 +367,7 @@
                ? channel->fake->start_results[channel->fake->starts]
                : channel->fake->server_answer.result;
   channel->fake->starts++;
-  schedule_server_answer (channel, result,
+  schedule_server_answer (channel, result, false,
                           channel->fake->start_answer_ms > 0
                               ? channel->fake->start_answer_ms
                               : ANSWER_MS,
@@ -380,7 +388,7 @@
   (void)token;
   (void)timeout_ms;
   channel->fake->stops++;
-  schedule_server_answer (channel, channel->fake->server_answer.result,
+  schedule_server_answer (channel, channel->fake->server_answer.result, false,
                           ANSWER_MS, done, client);
 }
 
@@ -392,7 +400,7 @@
 {
   channel->fake->renewals++;
   channel->fake->last_renewal = *renewal;
-  schedule_server_answer (channel, channel->fake->server_answer.result,
+  schedule_server_answer (channel, channel->fake->server_answer.result, true,
                           channel->fake->renewal_answer_ms > 0
                               ? channel->fake->renewal_answer_ms
                               : ANSWER_MS,
--- a/src/test_scheduler/fake_ports.h
+++ b/src/test_scheduler/fake_ports.h
@@ -35,7 +35,10 @@
   int64_t last_append_us;       /* when the last one was called */
   uint32_t immediate_reads;     /* calls so far of reads without a wait */
   int64_t entry_incarnation_ms; /* of servers' entries */
-  struct ColtServerAnswer server_answer; /* to each call to a server */
+  /* To each call to a server; answers to starts and stops have no incarnation.
+   */
+  struct ColtServerAnswer server_answer;
+  int64_t server_clock_ms; /* a server's clock minus the local one */
   struct ColtServerRenewal last_renewal; /* received by a server */
   uint32_t renewals;                     /* received so far */
   uint32_t renewal_answer_ms; /* delay of answers to renewals; 0: default */
--- a/src/test_scheduler/test_link.c
+++ b/src/test_scheduler/test_link.c
@@ -1,185 +1,9 @@
-#include "fake_ports.h"
-#include "order_window.h"
-#include "scheduler_private.h"
+#include "link_fixture.h"
 #include "tests.h"
 
-#define LEASE_MS 400
-#define LEASE_MAX_MS 800
 /* Longer than a server that is known to be alive stays without an answer. */
 #define SILENCE_MS 2300
 
-/* How often the callbacks of a link were called, and the values that they
- * return. */
-struct ColtClientState
-{
-  uint32_t fenced;
-  uint32_t reports;
-  uint32_t unreachable;
-  uint32_t runs_lost;
-  size_t runs;                       /* on the server */
-  int64_t renewable_until_us;        /* latest end of a renewed lease */
-  enum ColtStartResult start_result; /* last one reported */
-  int64_t incarnation_ms;            /* of the last report */
-  struct ColtOrderWindow *window;    /* of the link; may be NULL */
-  uint32_t counts;                   /* calls of count_runs */
-};
-
-static void
-on_report (void *client,
-           struct ColtServerLink *link,
-           const struct ColtServerReport *report)
-{
-  struct ColtClientState *state = client;
-
-  (void)link;
-  state->reports++;
-  state->incarnation_ms = report->incarnation_ms;
-}
-
-static void
-on_start_result (void *client,
-                 struct ColtServerLink *link,
-                 const char *task,
-                 uint32_t run,
-                 enum ColtStartResult result,
-                 uint64_t next_call)
-{
-  struct ColtClientState *state = client;
-
-  (void)link;
-  (void)task;
-  (void)run;
-  (void)next_call;
-  state->start_result = result;
-}
-
-static void
-on_stop_result (void *client,
-                struct ColtServerLink *link,
-                const char *task,
-                uint32_t run,
-                bool answered,
-                uint64_t next_call)
-{
-  (void)client;
-  (void)link;
-  (void)task;
-  (void)run;
-  (void)answered;
-  (void)next_call;
-}
-
-static void
-on_unreachable (void *client, struct ColtServerLink *link)
-{
-  struct ColtClientState *state = client;
-
-  (void)link;
-  state->unreachable++;
-}
-
-static void
-on_runs_lost (void *client, struct ColtServerLink *link, bool replaced)
-{
-  struct ColtClientState *state = client;
-
-  (void)link;
-  (void)replaced;
-  state->runs_lost++;
-  state->runs = 0;
-}
-
-static void
-on_fenced (void *client, struct ColtServerLink *link)
-{
-  struct ColtClientState *state = client;
-
-  (void)link;
-  state->fenced++;
-}
-
-static int64_t
-get_renewable_until (void *client)
-{
-  const struct ColtClientState *state = client;
-
-  return state->renewable_until_us;
-}
-
-static size_t
-count_runs (void *client, const char *server)
-{
-  struct ColtClientState *state = client;
-
-  (void)server;
-  state->counts++;
-  return state->runs;
-}
-
-static bool
-has_tight_runs (void *client, const char *server)
-{
-  (void)client;
-  (void)server;
-  return true;
-}
-
-static bool
-may_start (void *client, const char *server, const char *task, uint32_t run)
-{
-  (void)client;
-  (void)server;
-  (void)task;
-  (void)run;
-  return true;
-}
-
-/* Opens a link to a server with leases of earlier leaders until the given time.
- */
-static struct ColtServerLink *
-open_inherited_link (struct ColtFakePorts *fake,
-                     struct ColtClientState *state,
-                     int64_t inherited_until_us)
-{
-  const struct ColtServerLinkClient client = { on_report,
-                                               on_start_result,
-                                               on_stop_result,
-                                               on_unreachable,
-                                               on_runs_lost,
-                                               on_fenced,
-                                               get_renewable_until,
-                                               count_runs,
-                                               has_tight_runs,
-                                               may_start,
-                                               state };
-  const struct ColtServerLinkSettings settings
-      = { 7, LEASE_MS, LEASE_MAX_MS, inherited_until_us, state->window };
-  struct ColtServerLink *link = colt_server_link_create (
-      &fake->ports, &settings, "server", "127.0.0.1:1", &client);
-
-  state->renewable_until_us = COLT_TIME_NEVER / 2;
-  colt_server_link_set_listed (link, true);
-  return link;
-}
-
-static struct ColtServerLink *
-open_link (struct ColtFakePorts *fake, struct ColtClientState *state)
-{
-  return open_inherited_link (fake, state, 0);
-}
-
-static void
-run_ticks (struct ColtFakePorts *fake, struct ColtServerLink *link, uint32_t ms)
-{
-  uint32_t i;
-
-  for (i = 0; i < ms; i += 10)
-    {
-      colt_server_link_tick (link, colt_clock_monotonic_us ());
-      colt_fake_ports_run (fake, 10);
-    }
-}
-
 /* Renewals that can't be sent renew no lease: the leases of a server that has
  * left expire, and its runs with them. */
 static void
@@ -187,17 +11,17 @@
 {
   struct ColtFakePorts *fake = colt_fake_ports_create ();
   struct ColtClientState state = { 0 };
-  struct ColtServerLink *link = open_link (fake, &state);
+  struct ColtServerLink *link = colt_fixture_open_link (fake, &state);
 
   fake->server_answer.incarnation_ms = 1;
-  run_ticks (fake, link, 30);
+  colt_fixture_run_ticks (fake, link, 30);
   g_assert_cmpuint (state.reports, ==, 1);
   state.runs = 1;
-  run_ticks (fake, link, 200);
+  colt_fixture_run_ticks (fake, link, 200);
   g_assert_cmpint (fake->last_renewal.until_ms, >, 0);
   g_assert_cmpuint (fake->last_renewal.token, ==, 7);
   fake->server_answer.result = COLT_START_NOT_SENT;
-  run_ticks (fake, link, 2 * LEASE_MS + 400);
+  colt_fixture_run_ticks (fake, link, 2 * LEASE_MS + 400);
   g_assert_cmpuint (state.unreachable, ==, 1);
   g_assert_cmpuint (state.runs_lost, ==, 1);
   colt_server_link_destroy (link);
@@ -220,20 +44,20 @@
       int64_t now_us = colt_clock_monotonic_us ();
       int64_t until_us = now_us + 900 * COLT_US_PER_MS;
       struct ColtServerLink *link
-          = open_inherited_link (fake, &state, until_us);
+          = colt_fixture_open_inherited_link (fake, &state, until_us);
 
       fake->server_answer.incarnation_ms = 1;
-      run_ticks (fake, link, 30);
+      colt_fixture_run_ticks (fake, link, 30);
       state.runs = 1;
       state.renewable_until_us = now_us + confirmed_ms[i] * COLT_US_PER_MS;
-      run_ticks (fake, link, 60);
+      colt_fixture_run_ticks (fake, link, 60);
       fake->server_answer.result = COLT_START_UNKNOWN;
       while (colt_clock_monotonic_us () < until_us)
         {
           g_assert_cmpuint (state.runs_lost, ==, 0);
-          run_ticks (fake, link, 10);
+          colt_fixture_run_ticks (fake, link, 10);
         }
-      run_ticks (fake, link, 50);
+      colt_fixture_run_ticks (fake, link, 50);
       g_assert_cmpuint (state.runs_lost, ==, 1);
       colt_server_link_destroy (link);
       colt_fake_ports_destroy (fake);
@@ -252,21 +76,21 @@
   };
   struct ColtFakePorts *fake = colt_fake_ports_create ();
   struct ColtClientState state = { 0 };
-  struct ColtServerLink *link = open_link (fake, &state);
+  struct ColtServerLink *link = colt_fixture_open_link (fake, &state);
 
   fake->server_answer.incarnation_ms = 1;
-  run_ticks (fake, link, 30);
+  colt_fixture_run_ticks (fake, link, 30);
   state.runs = 1;
-  run_ticks (fake, link, 200);
+  colt_fixture_run_ticks (fake, link, 200);
   fake->server_answer.result = COLT_START_NOT_SENT;
   fake->renewal_answer_ms = 300;
-  run_ticks (fake, link, 280);
+  colt_fixture_run_ticks (fake, link, 280);
   fake->start_results = results;
   fake->start_result_count = G_N_ELEMENTS (results);
   colt_server_link_start (link, &start);
-  run_ticks (fake, link, LEASE_MS);
+  colt_fixture_run_ticks (fake, link, LEASE_MS);
   g_assert_cmpuint (state.runs_lost, ==, 0);
-  run_ticks (fake, link, LEASE_MS);
+  colt_fixture_run_ticks (fake, link, LEASE_MS);
   g_assert_cmpuint (state.runs_lost, ==, 1);
   colt_server_link_destroy (link);
   colt_fake_ports_destroy (fake);
@@ -278,12 +102,12 @@
 {
   struct ColtFakePorts *fake = colt_fake_ports_create ();
   struct ColtClientState state = { 0 };
-  struct ColtServerLink *link = open_link (fake, &state);
+  struct ColtServerLink *link = colt_fixture_open_link (fake, &state);
 
-  run_ticks (fake, link, 30);
+  colt_fixture_run_ticks (fake, link, 30);
   state.runs = 1;
   state.renewable_until_us = colt_clock_monotonic_us ();
-  run_ticks (fake, link, 100);
+  colt_fixture_run_ticks (fake, link, 100);
   g_assert_cmpint (fake->last_renewal.until_ms, ==, 0);
   colt_server_link_destroy (link);
   colt_fake_ports_destroy (fake);
@@ -297,19 +121,19 @@
 {
   struct ColtFakePorts *fake = colt_fake_ports_create ();
   struct ColtClientState state = { 0 };
-  struct ColtServerLink *link = open_link (fake, &state);
+  struct ColtServerLink *link = colt_fixture_open_link (fake, &state);
 
   fake->server_answer.incarnation_ms = 1;
-  run_ticks (fake, link, 30);
+  colt_fixture_run_ticks (fake, link, 30);
   colt_server_link_ack_ends (link, 1, 9);
   state.runs = 1;
-  run_ticks (fake, link, 100);
+  colt_fixture_run_ticks (fake, link, 100);
   g_assert_cmpuint (fake->last_renewal.acked_through, ==, 9);
   fake->server_answer.incarnation_ms = 2;
-  run_ticks (fake, link, 100);
+  colt_fixture_run_ticks (fake, link, 100);
   g_assert_cmpuint (state.runs_lost, ==, 0);
   g_assert_cmpint (state.incarnation_ms, ==, 2);
-  run_ticks (fake, link, 100);
+  colt_fixture_run_ticks (fake, link, 100);
   g_assert_cmpuint (fake->last_renewal.acked_through, ==, 0);
   colt_server_link_destroy (link);
   colt_fake_ports_destroy (fake);
@@ -343,13 +167,13 @@
           = { COLT_START_UNKNOWN, cases[i].second };
       struct ColtFakePorts *fake = colt_fake_ports_create ();
       struct ColtClientState state = { .start_result = COLT_START_INVALID };
-      struct ColtServerLink *link = open_link (fake, &state);
+      struct ColtServerLink *link = colt_fixture_open_link (fake, &state);
 
-      run_ticks (fake, link, 30);
+      colt_fixture_run_ticks (fake, link, 30);
       fake->start_results = results;
       fake->start_result_count = G_N_ELEMENTS (results);
       colt_server_link_start (link, &start);
-      run_ticks (fake, link, 30);
+      colt_fixture_run_ticks (fake, link, 30);
       g_assert_cmpuint (fake->starts, ==, 2);
       g_assert_cmpint (state.start_result, ==, cases[i].expected);
       colt_server_link_destroy (link);
@@ -368,10 +192,10 @@
   };
   struct ColtFakePorts *fake = colt_fake_ports_create ();
   struct ColtClientState state = { 0 };
-  struct ColtServerLink *link = open_link (fake, &state);
+  struct ColtServerLink *link = colt_fixture_open_link (fake, &state);
 
   fake->server_answer.incarnation_ms = 1;
-  run_ticks (fake, link, 30);
+  colt_fixture_run_ticks (fake, link, 30);
   state.runs = 2;
   fake->start_results = results;
   fake->start_result_count = G_N_ELEMENTS (results);
@@ -379,10 +203,10 @@
   fake->server_answer.result = COLT_START_GONE;
   colt_server_link_start (link, &start);
   colt_server_link_start (link, &start);
-  run_ticks (fake, link, 200);
+  colt_fixture_run_ticks (fake, link, 200);
   g_assert_cmpuint (state.runs_lost, ==, 1);
   fake->server_answer.result = COLT_START_TAKEN;
-  run_ticks (fake, link, 2000);
+  colt_fixture_run_ticks (fake, link, 2000);
   g_assert_cmpuint (fake->starts, ==, 1);
   colt_server_link_destroy (link);
   colt_fake_ports_destroy (fake);
@@ -401,26 +225,26 @@
   };
   struct ColtFakePorts *fake = colt_fake_ports_create ();
   struct ColtClientState state = { 0 };
-  struct ColtServerLink *link = open_link (fake, &state);
+  struct ColtServerLink *link = colt_fixture_open_link (fake, &state);
   uint32_t renewals;
 
   fake->server_answer.incarnation_ms = 1;
-  run_ticks (fake, link, 30);
+  colt_fixture_run_ticks (fake, link, 30);
   colt_server_link_ack_ends (link, 1, 9);
-  run_ticks (fake, link, 100);
+  colt_fixture_run_ticks (fake, link, 100);
   g_assert_cmpuint (fake->last_renewal.acked_through, ==, 9);
-  run_ticks (fake, link, SILENCE_MS);
+  colt_fixture_run_ticks (fake, link, SILENCE_MS);
   renewals = fake->renewals;
   fake->server_answer.incarnation_ms = 2;
   fake->renewal_answer_ms = 400;
   state.runs = 1;
   colt_server_link_start (link, &start);
-  run_ticks (fake, link, 50);
+  colt_fixture_run_ticks (fake, link, 50);
   g_assert_cmpuint (fake->starts, ==, 0);
   g_assert_cmpuint (fake->renewals, ==, renewals + 1);
   g_assert_cmpint (fake->last_renewal.until_ms, ==, 0);
   g_assert_cmpuint (fake->last_renewal.acked_through, ==, 0);
-  run_ticks (fake, link, 500);
+  colt_fixture_run_ticks (fake, link, 500);
   g_assert_cmpuint (fake->starts, ==, 1);
   g_assert_cmpint (state.incarnation_ms, ==, 2);
   colt_server_link_destroy (link);
@@ -439,22 +263,22 @@
   };
   struct ColtFakePorts *fake = colt_fake_ports_create ();
   struct ColtClientState state = { 0 };
-  struct ColtServerLink *link = open_link (fake, &state);
+  struct ColtServerLink *link = colt_fixture_open_link (fake, &state);
   uint32_t renewals;
 
   fake->server_answer.incarnation_ms = 1;
-  run_ticks (fake, link, 30);
+  colt_fixture_run_ticks (fake, link, 30);
   colt_server_link_ack_ends (link, 1, 9);
   state.runs = 1;
-  run_ticks (fake, link, 60);
+  colt_fixture_run_ticks (fake, link, 60);
   fake->renewal_answer_ms = 300;
-  run_ticks (fake, link, 60);
+  colt_fixture_run_ticks (fake, link, 60);
   g_assert_cmpuint (fake->last_renewal.acked_through, ==, 9);
   renewals = fake->renewals;
   fake->start_results = results;
   fake->start_result_count = G_N_ELEMENTS (results);
   colt_server_link_start (link, &start);
-  run_ticks (fake, link, 50);
+  colt_fixture_run_ticks (fake, link, 50);
   g_assert_cmpuint (fake->renewals, ==, renewals + 1);
   g_assert_cmpuint (fake->last_renewal.acked_through, ==, 0);
   colt_server_link_destroy (link);
@@ -471,14 +295,14 @@
   };
   struct ColtFakePorts *fake = colt_fake_ports_create ();
   struct ColtClientState state = { .start_result = COLT_START_INVALID };
-  struct ColtServerLink *link = open_link (fake, &state);
+  struct ColtServerLink *link = colt_fixture_open_link (fake, &state);
 
   fake->server_answer.incarnation_ms = 1;
-  run_ticks (fake, link, SILENCE_MS);
+  colt_fixture_run_ticks (fake, link, SILENCE_MS);
   fake->server_answer.result = COLT_START_UNKNOWN;
   state.runs = 1;
   colt_server_link_start (link, &start);
-  run_ticks (fake, link, 100);
+  colt_fixture_run_ticks (fake, link, 100);
   g_assert_cmpuint (state.unreachable, ==, 1);
   g_assert_cmpuint (fake->starts, ==, 0);
   g_assert_cmpint (state.start_result, ==, COLT_START_NOT_SENT);
@@ -498,21 +322,21 @@
   };
   struct ColtFakePorts *fake = colt_fake_ports_create ();
   struct ColtClientState state = { 0 };
-  struct ColtServerLink *link = open_link (fake, &state);
+  struct ColtServerLink *link = colt_fixture_open_link (fake, &state);
 
   fake->server_answer.incarnation_ms = 1;
-  run_ticks (fake, link, 60);
+  colt_fixture_run_ticks (fake, link, 60);
   fake->server_answer.result = COLT_START_UNKNOWN;
   fake->start_results = results;
   fake->start_result_count = G_N_ELEMENTS (results);
   fake->start_answer_ms = 120;
   state.runs = 1;
   colt_server_link_start (link, &start);
-  run_ticks (fake, link, 100);
+  colt_fixture_run_ticks (fake, link, 100);
   g_assert_cmpuint (state.unreachable, ==, 1);
   g_assert_cmpuint (state.reports, ==, 1);
   fake->server_answer.result = COLT_START_TAKEN;
-  run_ticks (fake, link, 200);
+  colt_fixture_run_ticks (fake, link, 200);
   g_assert_cmpuint (state.reports, ==, 2);
   g_assert_cmpuint (state.unreachable, ==, 2);
   colt_server_link_destroy (link);
@@ -530,17 +354,17 @@
   };
   struct ColtFakePorts *fake = colt_fake_ports_create ();
   struct ColtClientState state = { .start_result = COLT_START_INVALID };
-  struct ColtServerLink *link = open_link (fake, &state);
+  struct ColtServerLink *link = colt_fixture_open_link (fake, &state);
 
   fake->server_answer.incarnation_ms = 1;
-  run_ticks (fake, link, SILENCE_MS);
+  colt_fixture_run_ticks (fake, link, SILENCE_MS);
   fake->server_answer.result = COLT_START_UNKNOWN;
   state.runs = 1;
-  run_ticks (fake, link, 100);
+  colt_fixture_run_ticks (fake, link, 100);
   g_assert_cmpuint (state.unreachable, ==, 1);
   state.runs = 1;
   colt_server_link_start (link, &start);
-  run_ticks (fake, link, 1500);
+  colt_fixture_run_ticks (fake, link, 1500);
   g_assert_cmpuint (fake->starts, ==, 0);
   g_assert_true (state.runs_lost > 0
                  || state.start_result == COLT_START_NOT_SENT);
@@ -558,20 +382,20 @@
   };
   struct ColtFakePorts *fake = colt_fake_ports_create ();
   struct ColtClientState state = { .window = colt_order_window_create () };
-  struct ColtServerLink *link = open_link (fake, &state);
+  struct ColtServerLink *link = colt_fixture_open_link (fake, &state);
   struct ColtOrderWaiter other = { 0 };
   size_t bytes = colt_order_window_limit (state.window);
 
   g_assert_true (colt_order_window_acquire (state.window, bytes, &other));
   colt_server_link_start (link, &start);
   colt_server_link_stop (link, "t", 2);
-  run_ticks (fake, link, 50);
+  colt_fixture_run_ticks (fake, link, 50);
   g_assert_cmpuint (fake->starts, ==, 0);
   g_assert_cmpuint (fake->stops, ==, 1);
   g_assert_cmpuint (state.reports, ==, 1);
   colt_order_window_release (state.window, bytes, COLT_US_PER_MS, true,
                              colt_clock_monotonic_us ());
-  run_ticks (fake, link, 20);
+  colt_fixture_run_ticks (fake, link, 20);
   g_assert_cmpuint (fake->starts, ==, 1);
   colt_server_link_destroy (link);
   colt_order_window_destroy (state.window);
@@ -583,10 +407,10 @@
 {
   struct ColtFakePorts *fake = colt_fake_ports_create ();
   struct ColtClientState state = { 0 };
-  struct ColtServerLink *link = open_link (fake, &state);
+  struct ColtServerLink *link = colt_fixture_open_link (fake, &state);
 
   fake->server_answer.result = COLT_START_FENCED;
-  run_ticks (fake, link, 50);
+  colt_fixture_run_ticks (fake, link, 50);
   g_assert_cmpuint (state.fenced, >=, 1);
   colt_server_link_destroy (link);
   colt_fake_ports_destroy (fake);
@@ -604,18 +428,18 @@
     {
       struct ColtFakePorts *fake = colt_fake_ports_create ();
       struct ColtClientState state = { 0 };
-      struct ColtServerLink *link = open_link (fake, &state);
+      struct ColtServerLink *link = colt_fixture_open_link (fake, &state);
       int64_t deadline_us;
 
       fake->server_answer.incarnation_ms = 1;
-      run_ticks (fake, link, 30);
+      colt_fixture_run_ticks (fake, link, 30);
       state.runs = 1;
-      run_ticks (fake, link, 100);
+      colt_fixture_run_ticks (fake, link, 100);
       fake->server_answer.result = COLT_START_UNKNOWN;
       fake->renewal_answer_ms = answers_ms[i];
       deadline_us = colt_clock_monotonic_us () + 1200 * COLT_US_PER_MS;
       while (state.runs_lost == 0 && colt_clock_monotonic_us () < deadline_us)
-        run_ticks (fake, link, 10);
+        colt_fixture_run_ticks (fake, link, 10);
       g_assert_cmpuint (state.runs_lost, ==, 1);
       colt_server_link_destroy (link);
       colt_fake_ports_destroy (fake);
@@ -629,12 +453,12 @@
 {
   struct ColtFakePorts *fake = colt_fake_ports_create ();
   struct ColtClientState state = { 0 };
-  struct ColtServerLink *link = open_link (fake, &state);
+  struct ColtServerLink *link = colt_fixture_open_link (fake, &state);
   uint32_t renewals;
   uint32_t counts;
 
   fake->server_answer.incarnation_ms = 1;
-  run_ticks (fake, link, 500);
+  colt_fixture_run_ticks (fake, link, 500);
   renewals = fake->renewals;
   g_assert_cmpuint (renewals, ==, 1);
   state.runs = 1;
@@ -642,7 +466,7 @@
   colt_server_link_tick (link, colt_clock_monotonic_us ());
   g_assert_cmpuint (fake->renewals, ==, renewals + 1);
   counts = state.counts;
-  run_ticks (fake, link, 100);
+  colt_fixture_run_ticks (fake, link, 100);
   g_assert_cmpuint (state.counts, ==, counts);
   colt_server_link_destroy (link);
   colt_fake_ports_destroy (fake);
--- a/src/test_scheduler/test_scheduler.c
+++ b/src/test_scheduler/test_scheduler.c
@@ -10,6 +10,7 @@
   colt_test_election_add ();
   colt_test_commit_add ();
   colt_test_link_add ();
+  colt_test_link_restart_add ();
   colt_test_leader_add ();
   colt_test_load_meter_add ();
   colt_test_members_add ();
--- a/src/test_scheduler/tests.h
+++ b/src/test_scheduler/tests.h
@@ -6,6 +6,7 @@
 void colt_test_election_add (void);
 void colt_test_commit_add (void);
 void colt_test_link_add (void);
+void colt_test_link_restart_add (void);
 void colt_test_leader_add (void);
 void colt_test_load_meter_add (void);
 void colt_test_members_add (void);
