Link: an answer counts for the incarnation that gave it

Callers could see a task run twice when a server restarted under its id.

Cause: what shows that a server's runs have ended was taken for the server, not for the incarnation and the call that it comes from. - Answers to orders carry the server's clock and no incarnation. Each incarnation's clock begins anywhere, and the link compared any clock with the lease ends that it had promised on the clock of the one that it knew. A clock of another incarnation could read as the expiry of all leases. - An answer of another server at the address (421) ended all runs, also to a call that was sent before they started, and so did one start that was rejected so. - Expiry ended runs whose start had no answer, though a restarted server may have executed it and then grants its own longest lease.

Change, one rule for all: an answer may disprove the known incarnation only if its call was sent after that one last answered; it counts for runs whose start had a result before its call was sent. Only reports set the clock. A clock in an answer to an order that can't be the known one's leads to a report at once, on the same channel; until it arrives no start is sent and nothing expires before the longest lease that the server grants. Runs without an answer to their start outlive the known leases by as much. Starts that wait when a server is lost are withdrawn with a result.

--- a/include/coltsfootstile/cell.h
+++ b/include/coltsfootstile/cell.h
@@ -374,6 +374,26 @@
  * stops without a reply aren't retried. */
 void colt_cell_set_unreachable (struct ColtCell *cell, const char *server);
 
+/** What shows, without a report, that runs on a server have ended. */
+struct ColtServerLoss
+{
+  bool ended; /**< the server's process has ended; false: leases have expired */
+  uint64_t call_number; /**< if \a ended: number of the call that showed it; it
+                             counts for runs whose start had a result before */
+  bool all; /**< counts for all runs; otherwise, unless \a ended, for those only
+                 whose start was answered or that were listed */
+};
+
+/**
+ * Ends those runs of a server as COLT_RUN_LAPSED for which a loss counts. The
+ * server gets no starts until it reports. See colt_cell_end_server_runs() and
+ * colt_cell_replace_server() for what the two kinds of loss mean.
+ */
+void colt_cell_apply_loss (struct ColtCell *cell,
+                           const char *server,
+                           const struct ColtServerLoss *loss,
+                           int64_t now_us);
+
 /** Ends all runs of a server as COLT_RUN_LAPSED, as its leases have expired. It
  * may only have been unreachable. It gets no starts until it reports. */
 void colt_cell_end_server_runs (struct ColtCell *cell,
--- a/include/coltsfootstile/guard.h
+++ b/include/coltsfootstile/guard.h
@@ -37,6 +37,10 @@
   COLT_GUARD_SILENT_SERVER,
   /** A task under which servers crash again and again is given up. */
   COLT_GUARD_CRASH_LIMIT,
+  /** An answer counts for the incarnation that gave it. */
+  COLT_GUARD_INCARNATION,
+  /** A loss of a server counts for runs that started before it was shown. */
+  COLT_GUARD_EVIDENCE,
   COLT_GUARD_COUNT /**< number of guards, not a guard */
 };
 
--- a/scripts/mutation.sh
+++ b/scripts/mutation.sh
@@ -16,7 +16,8 @@
     least_over_offsets | compliance | credit_epoch) echo 'quota.*|fuzz_quota.*' ;;
     restart_report) echo 'cell' ;;
     crash_limit) echo 'cell_crashes' ;;
-    claim_time | inherited_leases | lost_orders | address | silent_server) echo 'scheduler' ;;
+    evidence) echo 'cell_load' ;;
+    claim_time | inherited_leases | lost_orders | address | silent_server | incarnation) echo 'scheduler' ;;
     freshness | bundle_parent) echo 'bundle.*|fuzz_bundle.*|freshness' ;;
     *) echo "$1: no tests are listed in mutation.sh" >&2; return 1 ;;
   esac
--- a/src/cell/cell_servers.c
+++ b/src/cell/cell_servers.c
@@ -36,15 +36,14 @@
                                        struct ColtCellTask *task,
                                        uint32_t number,
                                        int64_t now_us);
+static bool is_reflected_ (const struct ColtCellRun *run, uint64_t call_number);
+static bool is_lost_ (const struct ColtCellRun *run,
+                      const struct ColtServerLoss *loss);
 static void end_unlisted_runs_ (struct ColtCell *cell,
                                 struct ColtCellServer *server,
                                 uint64_t number,
                                 uint64_t call_number,
                                 int64_t now_us);
-static void lose_server_ (struct ColtCell *cell,
-                          const char *id,
-                          bool ended,
-                          int64_t now_us);
 static void expire_ticket_ (struct ColtCellStep *step,
                             struct ColtCellServer *server);
 
@@ -194,12 +193,13 @@
     {
     case COLT_START_TAKEN:
       cell->stats.started++;
+      task->current->start_resolved = true;
+      task->current->reflected_from = next_call;
       /* A report may have listed the run already. */
       if (task->current->state == RUN_STOPPING)
         return;
       task->current->started_us = now_us;
       task->current->answered = true;
-      task->current->reflected_from = next_call;
       return;
     case COLT_START_NO_ROOM:
       server->avoid_until_us
@@ -220,11 +220,11 @@
     case COLT_START_FENCED:
       break;
     case COLT_START_GONE:
-      colt_cell_replace_server (cell, server_id, now_us);
-      server->unreachable = true;
+      colt_cell_lose_run (cell, task->current, true, now_us);
       return;
     case COLT_START_UNKNOWN:
       /* The order usually took effect; the report of next_call shows it. */
+      task->current->start_resolved = true;
       task->current->start_unknown = true;
       task->current->reflected_from = next_call;
       return;
@@ -275,27 +275,38 @@
                            const char *id,
                            int64_t now_us)
 {
-  lose_server_ (cell, id, false, now_us);
+  const struct ColtServerLoss loss = { .all = true };
+
+  colt_cell_apply_loss (cell, id, &loss, now_us);
 }
 
 void
 colt_cell_replace_server (struct ColtCell *cell, const char *id, int64_t now_us)
 {
-  lose_server_ (cell, id, true, now_us);
+  const struct ColtServerLoss loss = { .ended = true, .all = true };
+
+  colt_cell_apply_loss (cell, id, &loss, now_us);
 }
 
-static void
-lose_server_ (struct ColtCell *cell, const char *id, bool ended, int64_t now_us)
+void
+colt_cell_apply_loss (struct ColtCell *cell,
+                      const char *id,
+                      const struct ColtServerLoss *loss,
+                      int64_t now_us)
 {
   struct ColtCellServer *server = colt_cell_find_server (cell, id);
+  guint i;
 
   if (server == NULL)
     return;
-  while (server->runs->len > 0)
-    colt_cell_lose_run (cell, g_ptr_array_index (server->runs, 0), ended,
-                        now_us);
+  i = server->runs->len;
+  while (i-- > 0)
+    if (i < server->runs->len
+        && is_lost_ (g_ptr_array_index (server->runs, i), loss))
+      colt_cell_lose_run (cell, g_ptr_array_index (server->runs, i),
+                          loss->ended, now_us);
   server->reported = false;
-  server->replaced = ended;
+  server->replaced = loss->ended;
   server->foreign_runs = 0;
   if (server->awaited)
     {
@@ -473,6 +484,7 @@
       return;
     }
   run = task->current;
+  run->start_resolved = true;
   run->listed_report = number;
   colt_cell_confirm_run (cell, run, entry->percent, now_us);
   if (run->state <= RUN_STARTING)
@@ -534,7 +546,7 @@
       if (i >= server->runs->len)
         continue;
       run = g_ptr_array_index (server->runs, i);
-      if (run->start_unknown && call_number >= run->reflected_from
+      if (run->start_unknown && is_reflected_ (run, call_number)
           && run->listed_report < number)
         {
           /* The start may still take effect; a stop prevents that. */
@@ -542,7 +554,7 @@
           colt_cell_stop_run (cell, run, now_us);
           continue;
         }
-      if (!run->answered || call_number < run->reflected_from
+      if (!run->answered || !is_reflected_ (run, call_number)
           || run->listed_report >= number)
         continue;
       if (run->incarnation_ms != 0
@@ -556,6 +568,28 @@
     }
 }
 
+/* Returns whether the answer to a call is evidence about a run: the call was
+ * sent after the start had a result, or the run was listed. What an earlier
+ * call shows may be older than the run. */
+static bool
+is_reflected_ (const struct ColtCellRun *run, uint64_t call_number)
+{
+  return run->start_resolved && call_number >= run->reflected_from;
+}
+
+/* Returns whether a loss of its server counts for a run. A start without an
+ * answer may have been executed by an incarnation that isn't known yet, whose
+ * leases end later. */
+static bool
+is_lost_ (const struct ColtCellRun *run, const struct ColtServerLoss *loss)
+{
+  if (loss->all || run->state == RUN_PLANNED
+      || !colt_guard_on (COLT_GUARD_EVIDENCE))
+    return true;
+  return loss->ended ? is_reflected_ (run, loss->call_number)
+                     : run->started_us != 0 || run->confirmed_us != 0;
+}
+
 static void
 expire_ticket_ (struct ColtCellStep *step, struct ColtCellServer *server)
 {
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -102,8 +102,9 @@
   bool start_unknown;      /* the start had no reply; the first report that
                               reflects it decides */
   bool answered;           /* the start, and the stop if any, had a reply */
-  uint64_t reflected_from; /* number of the first call whose report is sure to
+  uint64_t reflected_from; /* number of the first call whose answer is sure to
                               reflect the start and stop */
+  bool start_resolved;     /* the start has a result, or the run was listed */
   int64_t ordered_us;      /* when it was planned, or later ordered */
   int64_t started_us;     /* when the start was confirmed; 0: not yet, or not by
                              this leader */
--- a/src/scheduler/leader.c
+++ b/src/scheduler/leader.c
@@ -88,8 +88,9 @@
                                  bool answered,
                                  uint64_t next_call);
 static void handle_unreachable_ (void *client, struct ColtServerLink *link);
-static void
-handle_runs_lost_ (void *client, struct ColtServerLink *link, bool replaced);
+static void handle_runs_lost_ (void *client,
+                               struct ColtServerLink *link,
+                               const struct ColtServerLoss *loss);
 static void handle_server_fenced_ (void *client, struct ColtServerLink *link);
 static int64_t renewable_until_us_ (void *client);
 static size_t count_runs_ (void *client, const char *server);
@@ -617,16 +618,14 @@
 }
 
 static void
-handle_runs_lost_ (void *client, struct ColtServerLink *link, bool replaced)
+handle_runs_lost_ (void *client,
+                   struct ColtServerLink *link,
+                   const struct ColtServerLoss *loss)
 {
   struct ColtLeader *leader = get_leader_ (client);
-  const char *server = colt_server_link_id (link);
 
-  if (replaced)
-    colt_cell_replace_server (leader->cell, server, colt_clock_monotonic_us ());
-  else
-    colt_cell_end_server_runs (leader->cell, server,
-                               colt_clock_monotonic_us ());
+  colt_cell_apply_loss (leader->cell, colt_server_link_id (link), loss,
+                        colt_clock_monotonic_us ());
   schedule_placement_ (leader);
 }
 
--- a/src/scheduler/private/scheduler_private.h
+++ b/src/scheduler/private/scheduler_private.h
@@ -191,12 +191,10 @@
                               uint64_t next_call);
   /* The server can't be reached. */
   void (*handle_unreachable) (void *client, struct ColtServerLink *link);
-  /* All earlier runs on the server have ended: their leases have expired, or
-   * the server has been restarted. */
-  /* replaced: another server answers at the address. */
+  /* Runs on the server have ended. */
   void (*handle_runs_lost) (void *client,
                             struct ColtServerLink *link,
-                            bool replaced);
+                            const struct ColtServerLoss *loss);
   /* The server follows a later leader. */
   void (*handle_fenced) (void *client, struct ColtServerLink *link);
   /* Returns the latest end that a lease may get, on the monotonic clock. */
--- a/src/scheduler/private/server_link_private.h
+++ b/src/scheduler/private/server_link_private.h
@@ -17,10 +17,12 @@
   char *payload;
   char *checkpoint;
   char *ticket;
-  bool resent;     /* the start has been sent a second time */
-  size_t bytes;    /* of a start, about */
-  int64_t sent_us; /* when it was last sent */
-  bool lost;       /* its run has been reported as lost; it isn't sent again */
+  bool resent;            /* the start has been sent a second time */
+  size_t bytes;           /* of a start, about */
+  int64_t sent_us;        /* when it was last sent */
+  uint64_t number;        /* of the call by which it was last sent */
+  int64_t incarnation_ms; /* known when it was last sent */
+  bool lost;              /* its server has been lost; it isn't sent again */
 };
 
 struct ColtServerLink
@@ -40,25 +42,30 @@
   bool renewing;           /* a renewal is open */
   bool has_report;         /* the server's report has been received */
   uint32_t failures;       /* of renewals in a row */
-  uint64_t call_count;     /* renewals and report queries sent so far */
+  uint64_t call_count;     /* calls sent so far, on both channels */
   uint64_t query_number;   /* of the open report query */
   uint64_t renewal_number; /* of the open renewal */
   int64_t next_renewal_us;
   int64_t heard_us;          /* of its last report; 0: none of incarnation_ms */
+  int64_t known_us;          /* when an answer last showed which incarnation is
+                                there; earlier calls can't disprove it */
   int64_t incarnation_ms;    /* start of the server's incarnation; 0: unknown */
   uint64_t durable_end;      /* number of the last durable end */
   uint64_t durable_end_sent; /* number that the server has received */
   uint64_t durable_end_open; /* number in the open renewal */
   bool has_clock;
-  int64_t clock_ms; /* the server's clock at clock_us */
+  int64_t clock_ms; /* the clock of incarnation_ms at clock_us */
   int64_t clock_us; /* on the local clock */
-  /* Latest lease ends that were sent, on the server's clock: with finished
-   * calls, with the open renewal and with the open order; 0: none. */
+  /* Latest lease ends that were sent, on that clock: with finished calls, with
+   * the open renewal and with the open order; 0: none. */
   int64_t lease_until_ms;
   int64_t renewal_until_ms;
   int64_t order_until_ms;
-  /* Latest end of leases of earlier leaders, on the local clock; 0: ended. */
-  int64_t inherited_until_us;
+  /* Latest end, on the local clock, of leases on clocks that aren't known,
+   * which earlier leaders or another incarnation may have granted; 0: ended. */
+  int64_t unclocked_until_us;
+  /* The same for runs whose start had no answer; 0: none. */
+  int64_t unconfirmed_until_us;
 };
 
 /* server_link.c */
@@ -71,17 +78,32 @@
                              int64_t now_us);
 int64_t colt_link_lease_end_ms (const struct ColtServerLink *link,
                                 int64_t now_us);
-void colt_link_update_clock (struct ColtServerLink *link,
-                             const struct ColtServerAnswer *answer);
-void colt_link_lose_replaced_server (struct ColtServerLink *link,
+/* Returns when a lease that is granted now on an unknown clock has certainly
+ * ended, on the local clock. */
+int64_t colt_link_unclocked_lease_end_us (const struct ColtServerLink *link,
+                                          int64_t now_us);
+/* Applies a report, the answer to the call of the given number; returns false
+ * if it may be an earlier incarnation's, and shows nothing. */
+bool colt_link_apply_report (struct ColtServerLink *link,
+                             const struct ColtServerAnswer *answer,
+                             uint64_t number);
+/* Compares the clock of an answer to an order, which names no incarnation, with
+ * the known one. Returns false if another incarnation must have answered. */
+bool colt_link_check_clock (struct ColtServerLink *link,
+                            const struct ColtServerAnswer *answer);
+/* Another server answers a call at the address, so that the process that the
+ * link is for has ended and its runs with it. Returns false if that is older
+ * than the last answer of this process, and shows nothing. */
+bool colt_link_lose_replaced_server (struct ColtServerLink *link,
                                      const char *call,
-                                     int64_t sent_us);
+                                     const struct ColtServerAnswer *answer,
+                                     uint64_t number);
 
 /* server_orders.c */
 void colt_link_init_orders (struct ColtServerLink *link);
 void colt_link_leave_window (struct ColtServerLink *link);
 void colt_link_free_orders (struct ColtServerLink *link);
-/* Drops starts that wait, and prevents that the open one is sent again. */
+/* Withdraws starts that wait, and prevents that the open one is sent again. */
 void colt_link_drop_starts (struct ColtServerLink *link);
 /* Withdraws all starts that wait, so that their tasks needn't wait for a server
  * that can't be reached. */
--- a/src/scheduler/server_link.c
+++ b/src/scheduler/server_link.c
@@ -36,16 +36,22 @@
                                      const struct ColtServerAnswer *answer);
 static void handle_renewal_failure_ (struct ColtServerLink *link,
                                      const struct ColtServerAnswer *answer);
-static void log_expiry_ (const struct ColtServerLink *link,
-                         size_t runs,
-                         int64_t lease_end_ms,
-                         int64_t now_us);
-static void lose_runs_ (struct ColtServerLink *link, bool replaced);
+static void
+expire_leases_ (struct ColtServerLink *link, size_t runs, int64_t now_us);
+static void
+log_expiry_ (const struct ColtServerLink *link, size_t runs, int64_t now_us);
+static void lose_runs_ (struct ColtServerLink *link,
+                        const struct ColtServerLoss *loss);
+static bool may_contradict_ (const struct ColtServerLink *link,
+                             const struct ColtServerAnswer *answer);
 static void update_incarnation_ (struct ColtServerLink *link,
                                  const struct ColtServerAnswer *answer);
+static void update_clock_ (struct ColtServerLink *link,
+                           const struct ColtServerAnswer *answer);
 static void reset_incarnation_ (struct ColtServerLink *link);
 static void log_clock_jump_ (const struct ColtServerLink *link,
-                             const struct ColtServerAnswer *answer);
+                             const struct ColtServerAnswer *answer,
+                             int64_t expected_ms);
 static int64_t latest_lease_end_ms_ (const struct ColtServerLink *link);
 static int64_t lease_expiry_us_ (const struct ColtServerLink *link);
 static bool leases_have_expired_ (const struct ColtServerLink *link,
@@ -63,7 +69,7 @@
 
   link->ports = ports;
   link->settings = *settings;
-  link->inherited_until_us = settings->inherited_until_us;
+  link->unclocked_until_us = settings->inherited_until_us;
   link->client = *client;
   link->id = g_strdup (id);
   link->address = g_strdup (address);
@@ -133,25 +139,15 @@
 colt_server_link_tick (struct ColtServerLink *link, int64_t now_us)
 {
   bool expired = leases_have_expired_ (link, now_us);
-  int64_t lease_end_ms = latest_lease_end_ms_ (link);
   size_t runs;
 
   if (!expired && !is_renewal_due_ (link, now_us))
     return;
   runs = link->client.count_runs (link->client.client, link->id);
-  if (expired)
+  if (expired && runs > 0)
     {
-      link->inherited_until_us = 0;
-      link->lease_until_ms = 0;
-      link->renewal_until_ms = 0;
-      link->order_until_ms = 0;
-      if (runs > 0)
-        {
-          link->has_report = false;
-          log_expiry_ (link, runs, lease_end_ms, now_us);
-          lose_runs_ (link, false);
-          runs = 0;
-        }
+      expire_leases_ (link, runs, now_us);
+      runs = link->client.count_runs (link->client.client, link->id);
     }
   if (is_renewal_due_ (link, now_us)
       && (runs > 0 || link->durable_end > link->durable_end_sent
@@ -213,6 +209,10 @@
   /* A renewal that wasn't sent has renewed no lease. */
   if (answer->result != COLT_START_NOT_SENT)
     link->lease_until_ms = MAX (link->lease_until_ms, link->renewal_until_ms);
+  if (answer->result == COLT_START_UNKNOWN && link->renewal_until_ms > 0
+      && answer->received_us <= link->unconfirmed_until_us)
+    link->unconfirmed_until_us
+        = colt_link_unclocked_lease_end_us (link, answer->received_us);
   link->renewal_until_ms = 0;
   switch (answer->result)
     {
@@ -225,7 +225,9 @@
       break;
     case COLT_START_GONE:
       link->next_renewal_us = answer->received_us + UNREACHABLE_PAUSE_MAX_US;
-      colt_link_lose_replaced_server (link, "renewal", answer->sent_us);
+      if (!colt_link_lose_replaced_server (link, "renewal", answer,
+                                           link->renewal_number))
+        link->next_renewal_us = answer->received_us;
       break;
     default:
       handle_renewal_failure_ (link, answer);
@@ -236,25 +238,18 @@
 handle_renewal_success_ (struct ColtServerLink *link,
                          const struct ColtServerAnswer *answer)
 {
-  struct ColtServerReport report = answer->report;
-
-  update_incarnation_ (link, answer);
-  colt_link_update_clock (link, answer);
-  link->durable_end_sent = MAX (link->durable_end_sent, link->durable_end_open);
+  link->next_renewal_us = answer->received_us;
   if (link->failures >= FAILURE_LIMIT)
     colt_log (COLT_LOG_INFO, MODULE, NULL, "server %s is reachable again",
               link->id);
   link->failures = 0;
-  link->has_report = true;
-  link->heard_us = answer->received_us;
-  report.call_number = link->renewal_number;
-  report.incarnation_ms = answer->incarnation_ms;
-  link->client.handle_report (link->client.client, link, &report);
+  if (!colt_link_apply_report (link, answer, link->renewal_number))
+    return;
+  link->durable_end_sent = MAX (link->durable_end_sent, link->durable_end_open);
   link->next_renewal_us
-      = answer->received_us
-        + (link->client.has_tight_runs (link->client.client, link->id)
-               ? TIGHT_PAUSE_US
-               : LAX_PAUSE_US);
+      += link->client.has_tight_runs (link->client.client, link->id)
+             ? TIGHT_PAUSE_US
+             : LAX_PAUSE_US;
   colt_link_send_next_order (link);
 }
 
@@ -279,38 +274,98 @@
   colt_link_withdraw_starts (link);
 }
 
-/* Another server answers at the address, so the process that this link was for
- * has ended and its runs with it. */
-void
+bool
+colt_link_apply_report (struct ColtServerLink *link,
+                        const struct ColtServerAnswer *answer,
+                        uint64_t number)
+{
+  struct ColtServerReport report = answer->report;
+
+  if (answer->incarnation_ms != link->incarnation_ms
+      && !may_contradict_ (link, answer))
+    {
+      colt_log (COLT_LOG_INFO, MODULE, NULL,
+                "a report of server %s may be an earlier incarnation's; "
+                "requesting another",
+                link->id);
+      return false;
+    }
+  update_incarnation_ (link, answer);
+  update_clock_ (link, answer);
+  link->known_us = answer->received_us;
+  link->heard_us = answer->received_us;
+  if (!colt_link_is_unreachable (link))
+    link->has_report = true;
+  report.call_number = number;
+  report.incarnation_ms = answer->incarnation_ms;
+  link->client.handle_report (link->client.client, link, &report);
+  return true;
+}
+
+bool
 colt_link_lose_replaced_server (struct ColtServerLink *link,
                                 const char *call,
-                                int64_t sent_us)
+                                const struct ColtServerAnswer *answer,
+                                uint64_t number)
 {
+  const struct ColtServerLoss loss = { .ended = true, .call_number = number };
   size_t runs = link->client.count_runs (link->client.client, link->id);
+  bool counts = may_contradict_ (link, answer);
 
   if (runs > 0)
     colt_log (
         COLT_LOG_WARNING, MODULE, NULL,
         "another server answers a %s of %lld ms ago at %s, the address of "
-        "server %s; %zu runs are lost",
+        "server %s; %s",
         call,
-        (long long)((colt_clock_monotonic_us () - sent_us) / COLT_US_PER_MS),
-        link->address, link->id, runs);
+        (long long)((answer->received_us - answer->sent_us) / COLT_US_PER_MS),
+        link->address, link->id,
+        counts ? "its runs are lost"
+               : "it has answered since; requesting a report");
+  link->has_report = false;
+  if (!counts)
+    return false;
   reset_incarnation_ (link);
-  lose_runs_ (link, true);
+  link->known_us = answer->received_us;
+  lose_runs_ (link, &loss);
+  /* Runs that started since may hold a lease, on a clock that isn't known. */
+  if (link->client.count_runs (link->client.client, link->id) > 0)
+    link->unclocked_until_us
+        = colt_link_unclocked_lease_end_us (link, answer->received_us);
+  return true;
+}
+
+/* Ends the runs whose leases have certainly ended. A start without an answer
+ * may have been executed by an incarnation that isn't known yet, which grants
+ * longer leases by its clock. */
+static void
+expire_leases_ (struct ColtServerLink *link, size_t runs, int64_t now_us)
+{
+  const struct ColtServerLoss loss
+      = { .all = now_us > link->unconfirmed_until_us
+                 && (link->open_order == NULL || !link->open_order->start) };
+  size_t left;
+
+  link->has_report = false;
+  lose_runs_ (link, &loss);
+  left = link->client.count_runs (link->client.client, link->id);
+  if (left < runs)
+    log_expiry_ (link, runs - left, now_us);
+  if (left == 0)
+    {
+      link->unclocked_until_us = 0;
+      link->lease_until_ms = 0;
+    }
 }
 
 static void
-log_expiry_ (const struct ColtServerLink *link,
-             size_t runs,
-             int64_t lease_end_ms,
-             int64_t now_us)
+log_expiry_ (const struct ColtServerLink *link, size_t runs, int64_t now_us)
 {
   const struct ColtLogField fields[] = {
     { "server", link->id, 0 },
     { "runs", NULL, (int64_t)runs },
     { "incarnation_ms", NULL, link->incarnation_ms },
-    { "lease_end_ms", NULL, lease_end_ms },
+    { "lease_end_ms", NULL, latest_lease_end_ms_ (link) },
     { "clock_ms", NULL, link->clock_ms },
     { "clock_age_ms", NULL, (now_us - link->clock_us) / COLT_US_PER_MS },
     { "report_age_ms", NULL,
@@ -322,13 +377,24 @@
                   NULL, fields, G_N_ELEMENTS (fields));
 }
 
-/* Reports all runs as lost. Their tasks start elsewhere, so that starts that
- * wait in the queue must not be sent any more. */
+/* Reports runs as lost. Their tasks start elsewhere, so that starts that wait
+ * in the queue must not be sent any more. */
 static void
-lose_runs_ (struct ColtServerLink *link, bool replaced)
+lose_runs_ (struct ColtServerLink *link, const struct ColtServerLoss *loss)
 {
   colt_link_drop_starts (link);
-  link->client.handle_runs_lost (link->client.client, link, replaced);
+  link->client.handle_runs_lost (link->client.client, link, loss);
+}
+
+/* Returns whether an answer may show that another process has taken the place
+ * of the known incarnation. A call that was sent before that one last answered
+ * may have been answered before it. */
+static bool
+may_contradict_ (const struct ColtServerLink *link,
+                 const struct ColtServerAnswer *answer)
+{
+  return answer->sent_us >= link->known_us
+         || !colt_guard_on (COLT_GUARD_INCARNATION);
 }
 
 /* A restarted server numbers its ends anew. Orders sent since its restart may
@@ -349,8 +415,8 @@
                 "lost",
                 link->id);
       reset_incarnation_ (link);
-      if (answer->has_clock)
-        link->lease_until_ms = answer->clock_ms + link->settings.lease_max_ms;
+      link->unclocked_until_us
+          = colt_link_unclocked_lease_end_us (link, answer->received_us);
     }
   link->incarnation_ms = answer->incarnation_ms;
 }
@@ -358,7 +424,7 @@
 static void
 reset_incarnation_ (struct ColtServerLink *link)
 {
-  link->inherited_until_us = 0;
+  link->unclocked_until_us = 0;
   link->heard_us = 0;
   link->incarnation_ms = 0;
   link->durable_end = 0;
@@ -371,38 +437,70 @@
   link->has_report = false;
 }
 
-void
-colt_link_update_clock (struct ColtServerLink *link,
-                        const struct ColtServerAnswer *answer)
+static void
+update_clock_ (struct ColtServerLink *link,
+               const struct ColtServerAnswer *answer)
 {
   if (!answer->has_clock)
     return;
-  log_clock_jump_ (link, answer);
   link->has_clock = true;
   link->clock_ms = answer->clock_ms;
   link->clock_us = answer->received_us;
 }
 
-/* Only a server that has been restarted has another clock; its answers to
- * orders don't name the incarnation. */
+bool
+colt_link_check_clock (struct ColtServerLink *link,
+                       const struct ColtServerAnswer *answer)
+{
+  int64_t elapsed_ms = (answer->received_us - link->clock_us) / COLT_US_PER_MS;
+  int64_t expected_ms = link->clock_ms + elapsed_ms;
+
+  if (!answer->has_clock || !link->has_clock)
+    return true;
+  if (!colt_guard_on (COLT_GUARD_INCARNATION))
+    {
+      update_clock_ (link, answer);
+      return true;
+    }
+  if (ABS (answer->clock_ms - expected_ms)
+      <= CLOCK_JUMP_MIN_MS
+             + (int64_t)((double)elapsed_ms * (1 - CLOCK_RATE_MIN)))
+    {
+      link->known_us = answer->received_us;
+      return true;
+    }
+  log_clock_jump_ (link, answer, expected_ms);
+  link->heard_us = 0;
+  link->has_report = false;
+  link->unclocked_until_us
+      = colt_link_unclocked_lease_end_us (link, answer->received_us);
+  return false;
+}
+
 static void
 log_clock_jump_ (const struct ColtServerLink *link,
-                 const struct ColtServerAnswer *answer)
+                 const struct ColtServerAnswer *answer,
+                 int64_t expected_ms)
 {
-  int64_t expected_ms
-      = link->clock_ms
-        + (answer->received_us - link->clock_us) / COLT_US_PER_MS;
   const struct ColtLogField fields[]
       = { { "server", link->id, 0 },
           { "expected_ms", NULL, expected_ms },
           { "clock_ms", NULL, answer->clock_ms },
-          { "incarnation_ms", NULL, answer->incarnation_ms },
-          { "known_incarnation_ms", NULL, link->incarnation_ms } };
+          { "incarnation_ms", NULL, link->incarnation_ms } };
+
+  colt_log_event (COLT_LOG_WARNING, MODULE,
+                  "server clock jumped, requesting a report", NULL, fields,
+                  G_N_ELEMENTS (fields));
+}
 
-  if (link->has_clock
-      && ABS (answer->clock_ms - expected_ms) > CLOCK_JUMP_MIN_MS)
-    colt_log_event (COLT_LOG_WARNING, MODULE, "server clock jumped", NULL,
-                    fields, G_N_ELEMENTS (fields));
+int64_t
+colt_link_unclocked_lease_end_us (const struct ColtServerLink *link,
+                                  int64_t now_us)
+{
+  return now_us
+         + (int64_t)((double)link->settings.lease_max_ms * COLT_US_PER_MS
+                     / CLOCK_RATE_MIN)
+         + LEASE_SLACK_US;
 }
 
 /* Returns the end of a lease that is renewed now, on the server's clock; 0 if
@@ -442,14 +540,14 @@
          + LEASE_SLACK_US;
 }
 
-/* A server never shortens a lease: runs of an earlier leader may go on until
- * the end that it promised, whatever this one has renewed. Once no lease is
- * left, nothing runs on an unreachable server. */
+/* A server never shortens a lease: runs may go on until the end that an earlier
+ * leader promised, whatever this one has renewed. Once no lease is left,
+ * nothing runs on an unreachable server. */
 static bool
 leases_have_expired_ (const struct ColtServerLink *link, int64_t now_us)
 {
   if (colt_guard_on (COLT_GUARD_INHERITED_LEASES)
-      && now_us <= link->inherited_until_us)
+      && now_us <= link->unclocked_until_us)
     return false;
   if (latest_lease_end_ms_ (link) > 0)
     return now_us > lease_expiry_us_ (link);
--- a/src/scheduler/server_orders.c
+++ b/src/scheduler/server_orders.c
@@ -27,6 +27,9 @@
                                    const struct ColtServerOrder *order);
 static void handle_order_answer_ (void *client,
                                   const struct ColtServerAnswer *answer);
+static void close_start_lease_ (struct ColtServerLink *link,
+                                const struct ColtServerOrder *order,
+                                enum ColtStartResult result);
 static enum ColtStartResult resolve_retry_result_ (enum ColtStartResult result);
 static void query_report_ (struct ColtServerLink *link);
 static void handle_report_answer_ (void *client,
@@ -68,21 +71,8 @@
 void
 colt_link_drop_starts (struct ColtServerLink *link)
 {
-  GList *i = link->queue.head;
-
-  while (i != NULL)
-    {
-      struct ColtServerOrder *order = i->data;
-      GList *next = i->next;
-
-      if (order->start && colt_guard_on (COLT_GUARD_LOST_ORDERS))
-        {
-          g_queue_delete_link (&link->queue, i);
-          count_backlog_ (link, order, false);
-          free_order_ (order);
-        }
-      i = next;
-    }
+  if (colt_guard_on (COLT_GUARD_LOST_ORDERS))
+    colt_link_withdraw_starts (link);
   if (link->open_order != NULL)
     link->open_order->lost = true;
 }
@@ -136,6 +126,8 @@
     return;
   link->open_order = order;
   order->sent_us = now_us;
+  order->number = ++link->call_count;
+  order->incarnation_ms = link->incarnation_ms;
   count_backlog_ (link, order, false);
   if (!order->start)
     {
@@ -199,10 +191,7 @@
 {
   count_backlog_ (link, order, false);
   if (order->resent)
-    {
-      link->lease_until_ms = MAX (link->lease_until_ms, link->order_until_ms);
-      link->order_until_ms = 0;
-    }
+    close_start_lease_ (link, order, COLT_START_UNKNOWN);
   link->client.handle_start_result (
       link->client.client, link, order->task, order->run,
       order->resent ? COLT_START_UNKNOWN : COLT_START_NOT_SENT,
@@ -288,11 +277,12 @@
   struct ColtServerLink *link = client;
   struct ColtServerOrder *order = link->open_order;
   enum ColtStartResult result = answer->result;
+  bool is_known;
 
   if (link->closing)
     return;
   link->open_order = NULL;
-  colt_link_update_clock (link, answer);
+  is_known = colt_link_check_clock (link, answer);
   if (order->start && link->settings.window != NULL)
     release_window_ (link, order, result != COLT_START_UNKNOWN);
   if (order->start && !order->resent && !order->lost
@@ -304,18 +294,19 @@
       colt_link_send_next_order (link);
       return;
     }
+  if (answer->result == COLT_START_GONE
+      && !colt_link_lose_replaced_server (link, order->start ? "start" : "stop",
+                                          answer, order->number))
+    is_known = false;
   if (order->resent)
-    result = resolve_retry_result_ (result);
+    result = result == COLT_START_GONE && !is_known
+                 ? COLT_START_UNKNOWN
+                 : resolve_retry_result_ (result);
   if (answer->result == COLT_START_FENCED)
     link->client.handle_fenced (link->client.client, link);
-  if (answer->result == COLT_START_GONE)
-    colt_link_lose_replaced_server (link, order->start ? "start" : "stop",
-                                    answer->sent_us);
   if (order->start)
     {
-      if (result != COLT_START_NOT_SENT)
-        link->lease_until_ms = MAX (link->lease_until_ms, link->order_until_ms);
-      link->order_until_ms = 0;
+      close_start_lease_ (link, order, result);
       if (result != COLT_START_TAKEN)
         colt_log (COLT_LOG_INFO, MODULE, NULL,
                   "starting task %s run %u on server %s failed: %s %s",
@@ -324,20 +315,42 @@
       link->client.handle_start_result (link->client.client, link, order->task,
                                         order->run, result,
                                         link->call_count + 1);
-      if (result == COLT_START_UNKNOWN)
-        query_report_ (link);
     }
   else
     link->client.handle_stop_result (
         link->client.client, link, order->task, order->run,
-        answer->result != COLT_START_UNKNOWN
+        is_known && answer->result != COLT_START_UNKNOWN
             && answer->result != COLT_START_NOT_SENT
             && answer->result != COLT_START_BUSY,
         link->call_count + 1);
+  if (!is_known || (order->start && result == COLT_START_UNKNOWN))
+    query_report_ (link);
   free_order_ (order);
   colt_link_send_next_order (link);
 }
 
+/* Keeps the latest end of a lease that the server may have granted with a
+ * start, now that the start has a result. */
+static void
+close_start_lease_ (struct ColtServerLink *link,
+                    const struct ColtServerOrder *order,
+                    enum ColtStartResult result)
+{
+  int64_t latest_us
+      = colt_link_unclocked_lease_end_us (link, colt_clock_monotonic_us ());
+
+  if (result != COLT_START_NOT_SENT)
+    {
+      link->lease_until_ms = MAX (link->lease_until_ms, link->order_until_ms);
+      /* The end that was sent was on the clock of another incarnation. */
+      if (order->incarnation_ms != link->incarnation_ms)
+        link->unclocked_until_us = latest_us;
+    }
+  if (result == COLT_START_UNKNOWN)
+    link->unconfirmed_until_us = latest_us;
+  link->order_until_ms = 0;
+}
+
 /* Returns the result of a start that was sent twice, given the second answer. A
  * server accepts the start of a run that it already has. Its rejection says
  * nothing about the first, unanswered start: that run may have ended, or the
@@ -357,8 +370,9 @@
 }
 
 /* Queries the server's report, which shows whether a start with an unknown
- * result was executed. The open renewal may wait for another second. No ends
- * are acknowledged, since the server may have been restarted. */
+ * result was executed, and which incarnation is there. The open renewal may
+ * wait for another second. No ends are acknowledged, since the server may have
+ * been restarted. */
 static void
 query_report_ (struct ColtServerLink *link)
 {
@@ -376,17 +390,18 @@
 handle_report_answer_ (void *client, const struct ColtServerAnswer *answer)
 {
   struct ColtServerLink *link = client;
-  struct ColtServerReport report = answer->report;
 
-  if (link->closing || answer->result != COLT_START_TAKEN
-      || answer->incarnation_ms != link->incarnation_ms)
+  if (link->closing)
+    return;
+  if (answer->result == COLT_START_GONE)
+    colt_link_lose_replaced_server (link, "query", answer, link->query_number);
+  if (answer->result != COLT_START_TAKEN
+      || !colt_link_apply_report (link, answer, link->query_number))
     return;
-  report.call_number = link->query_number;
-  report.incarnation_ms = answer->incarnation_ms;
-  link->client.handle_report (link->client.client, link, &report);
   /* Its leases are still not renewed. */
   if (colt_link_is_unreachable (link))
     link->client.handle_unreachable (link->client.client, link);
+  colt_link_send_next_order (link);
 }
 
 static void
--- a/src/test_cell_load/fixture.h
+++ b/src/test_cell_load/fixture.h
@@ -96,6 +96,7 @@
 /* Register the tests of the other files. */
 void colt_load_add_server_tests (void);
 void colt_load_add_tick_tests (void);
+void colt_load_add_loss_tests (void);
 void colt_load_add_choice_tests (void);
 void colt_load_add_advice_tests (void);
 void colt_load_add_cost_tests (void);
--- a/src/test_cell_load/test_load.c
+++ b/src/test_cell_load/test_load.c
@@ -506,6 +506,7 @@
   g_test_add_func ("/cell/load/changed-gang", test_changed_gang);
   colt_load_add_server_tests ();
   colt_load_add_tick_tests ();
+  colt_load_add_loss_tests ();
   colt_load_add_choice_tests ();
   colt_load_add_advice_tests ();
   colt_load_add_cost_tests ();
--- a/src/test_scheduler/link_fixture.c
+++ b/src/test_scheduler/link_fixture.c
@@ -55,12 +55,14 @@
 }
 
 static void
-on_runs_lost (void *client, struct ColtServerLink *link, bool replaced)
+on_runs_lost (void *client,
+              struct ColtServerLink *link,
+              const struct ColtServerLoss *loss)
 {
   struct ColtClientState *state = client;
 
   (void)link;
-  (void)replaced;
+  (void)loss;
   state->runs_lost++;
   state->runs = 0;
 }
--- a/src/test_scheduler/test_link_restart.c
+++ b/src/test_scheduler/test_link_restart.c
@@ -52,6 +52,8 @@
       colt_fixture_run_ticks (fake, link, 30);
       g_assert_cmpuint (state.runs_lost, ==, 0);
     }
+  /* A report is requested at once, not when the open renewal is given up. */
+  g_assert_cmpint (state.incarnation_ms, ==, 2);
   colt_server_link_destroy (link);
   colt_fake_ports_destroy (fake);
 }
@@ -84,11 +86,39 @@
   colt_fake_ports_destroy (fake);
 }
 
+/* Guards against tasks that run twice: another server's answer at the address
+ * shows nothing if it may be older than the last answer of the server itself.
+ */
+static void
+test_replaced_before_answer (void)
+{
+  static const enum ColtStartResult results[] = { COLT_START_TAKEN };
+  struct ColtFakePorts *fake = colt_fake_ports_create ();
+  struct ColtClientState state = { 0 };
+  struct ColtServerLink *link = open_link_with_run (fake, &state);
+
+  fake->server_answer.result = COLT_START_GONE;
+  fake->renewal_answer_ms = 150;
+  fake->start_results = results;
+  fake->start_result_count = G_N_ELEMENTS (results);
+  colt_fixture_run_ticks (fake, link, 60);
+  colt_server_link_start (link, &start_order);
+  colt_fixture_run_ticks (fake, link, 50);
+  fake->renewal_answer_ms = NO_ANSWER_MS;
+  colt_fixture_run_ticks (fake, link, 100);
+  g_assert_cmpuint (state.runs_lost, ==, 0);
+  fake->renewal_answer_ms = 0;
+  colt_server_link_destroy (link);
+  colt_fake_ports_destroy (fake);
+}
+
 void
 colt_test_link_restart_add (void)
 {
-  g_test_add_func ("/scheduler/link/restart/clock-of-new-incarnation",
+  g_test_add_func ("/scheduler/restart/replaced-before-answer",
+                   test_replaced_before_answer);
+  g_test_add_func ("/scheduler/restart/clock-of-new-incarnation",
                    test_clock_of_new_incarnation);
-  g_test_add_func ("/scheduler/link/restart/late-clock-of-former-incarnation",
+  g_test_add_func ("/scheduler/restart/late-clock-of-former-incarnation",
                    test_late_clock_of_former_incarnation);
 }
