--- a/src/test_scheduler/test_leader.c
+++ b/src/test_scheduler/test_leader.c
@@ -291,6 +291,38 @@
   destroy_fixture (fixture);
 }
 
+/* Guards against tasks that run twice: a server restarts, reports, and gets a
+ * start; the entry that shows the restart arrives only then, and must not end
+ * the run. */
+static void
+test_entry_after_restart (void)
+{
+  static const struct ColtRunningEntry restarted_entry = { TASK, 2, "", 10 };
+  struct ColtLeaderFixture *fixture = create_fixture ();
+  struct ColtFakePorts *fake = fixture->fake;
+  struct ColtServerReport *report = &fake->server_answer.report;
+  int i;
+
+  fake->entry_incarnation_ms = 1;
+  colt_fake_ports_put (fake, COLT_TOPIC_SERVERS, "server", "entry");
+  colt_fake_ports_run (fake, 400);
+  fake->server_answer.incarnation_ms = 2;
+  report->running_count = 0;
+  for (i = 0; i < 200 && fake->starts == 1; i++)
+    colt_fake_ports_run (fake, 5);
+  g_assert_cmpuint (fake->starts, ==, 2);
+  report->running = &restarted_entry;
+  report->running_count = 1;
+  colt_fake_ports_run (fake, 100);
+  fake->entry_incarnation_ms = 2;
+  colt_fake_ports_put (fake, COLT_TOPIC_SERVERS, "server", "entry");
+  colt_fake_ports_run (fake, 600);
+  g_assert_cmpuint (fake->starts, ==, 2);
+  g_assert_cmpuint (colt_cell_count_runs (fixture->leader->cell, "server"), ==,
+                    1);
+  destroy_fixture (fixture);
+}
+
 /* Waiting queries for a job's state are answered when the leader is destroyed.
  */
 static void
@@ -314,6 +346,8 @@
   g_test_add_func ("/scheduler/lead/changed-address", test_changed_address);
   g_test_add_func ("/scheduler/lead/stopped-start", test_stopped_start);
   g_test_add_func ("/scheduler/lead/idle-restart", test_idle_restart);
+  g_test_add_func ("/scheduler/lead/entry-after-restart",
+                   test_entry_after_restart);
   g_test_add_func ("/scheduler/lead/unknown-job-unconfirmed",
                    test_unknown_job_unconfirmed);
   g_test_add_func ("/scheduler/lead/unknown-job-suspect",
