Link: a renewal after one without an answer acknowledges no ends

A task that was done could run again: a renewal that was open when a server crashed gets no answer, and the next one went out at once with the number of the former incarnation's last durable end. The new incarnation forgot ends up to it that it had never listed, so that its report showed the runs neither as running nor as ended. Change: ends are acknowledged only while renewals are answered. Evidence: scheduler/restart/ack-after-lost-renewal failed before (9 instead of 0).

--- a/src/scheduler/server_link.c
+++ b/src/scheduler/server_link.c
@@ -164,7 +164,7 @@
   bool silent = colt_link_is_silent (link, now_us);
 
   renewal.token = link->settings.token;
-  if (!silent)
+  if (!silent && link->failures == 0)
     renewal.acked_through = link->durable_end;
   if (runs > 0 && link->failures < FAILURE_LIMIT && !silent)
     renewal.until_ms = colt_link_lease_end_ms (link, now_us);
--- a/src/test_scheduler/test_link_restart.c
+++ b/src/test_scheduler/test_link_restart.c
@@ -112,9 +112,39 @@
   colt_fake_ports_destroy (fake);
 }
 
+/* Guards against tasks that run again though they were done: after a renewal
+ * without an answer, the next one may reach a new incarnation, which would
+ * forget ends of its own by the number of the former one's last durable end. */
+static void
+test_ack_after_lost_renewal (void)
+{
+  struct ColtFakePorts *fake = colt_fake_ports_create ();
+  struct ColtClientState state = { 0 };
+  struct ColtServerLink *link = open_link_with_run (fake, &state);
+  uint32_t renewals;
+
+  colt_server_link_ack_ends (link, 1, 9);
+  colt_fixture_run_ticks (fake, link, 60);
+  g_assert_cmpuint (fake->last_renewal.acked_through, ==, 9);
+  fake->server_answer.result = COLT_START_UNKNOWN;
+  renewals = fake->renewals;
+  while (fake->renewals == renewals)
+    colt_fixture_run_ticks (fake, link, 1);
+  fake->server_answer.result = COLT_START_TAKEN;
+  while (fake->renewals == renewals + 1)
+    colt_fixture_run_ticks (fake, link, 1);
+  g_assert_cmpuint (fake->last_renewal.acked_through, ==, 0);
+  colt_fixture_run_ticks (fake, link, 100);
+  g_assert_cmpuint (fake->last_renewal.acked_through, ==, 9);
+  colt_server_link_destroy (link);
+  colt_fake_ports_destroy (fake);
+}
+
 void
 colt_test_link_restart_add (void)
 {
+  g_test_add_func ("/scheduler/restart/ack-after-lost-renewal",
+                   test_ack_after_lost_renewal);
   g_test_add_func ("/scheduler/restart/replaced-before-answer",
                    test_replaced_before_answer);
   g_test_add_func ("/scheduler/restart/clock-of-new-incarnation",
