--- a/src/test_base/test_base.c
+++ b/src/test_base/test_base.c
@@ -7,6 +7,7 @@
 #include "coltsfootstile/id.h"
 #include "coltsfootstile/settings.h"
 #include "coltsfootstile/table.h"
+#include "tests.h"
 
 static const struct ColtSettingSpec specs[] = {
   { "instance", "zone", COLT_SETTING_INTEGER, NULL, 1, 15, false, "zone" },
@@ -160,5 +161,6 @@
   g_test_add_func ("/base/settings/values", test_settings_read_values);
   g_test_add_func ("/base/table/handles", test_table_rejects_stale_handle);
   g_test_add_func ("/base/counters/format", test_counters_format);
+  colt_test_address_add ();
   return g_test_run ();
 }
--- /dev/null
+++ b/src/test_base/tests.h
@@ -0,0 +1,7 @@
+/* Functions that register the tests of each module with GLib. */
+#ifndef COLT_TEST_BASE_TESTS_H
+#define COLT_TEST_BASE_TESTS_H
+
+void colt_test_address_add (void);
+
+#endif
