HTTP client: make no call to a malformed address

The port was converted by a cast of strtoul(), so that a call to port 70000 went to port 4464 of the host, and signs, white space and further text passed; the host could be a name, which evhttp resolves while the loop waits. Calls of a client whose address isn't IP:PORT now end as not sent.

Before, the test's calls to the port plus 65536, "+PORT", " PORT", "PORTx" and "localhost:PORT" were answered by the server at PORT (status 200), and those to port 0 and to an empty port ended in a failed connect().

--- a/include/coltsfootstile/http_client.h
+++ b/include/coltsfootstile/http_client.h
@@ -102,7 +102,9 @@
  * Creates a client. The connection is opened by the first call.
  *
  * \param base        event loop, which must outlive the client
- * \param address     server, as IP:PORT
+ * \param address     server, as IP:PORT (see coltsfootstile/address.h); with
+ *                    any other text, each call ends with COLT_HTTP_NOT_SENT and
+ *                    COLT_ERROR_INVALID
  * \param answer_max  largest body of an answer in bytes
  * \param queue_max   most calls that may wait while one is open; a call beyond
  *                    ends with COLT_HTTP_NOT_SENT and COLT_ERROR_EXHAUSTED
--- a/src/platform/http_client.c
+++ b/src/platform/http_client.c
@@ -7,10 +7,10 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <glib.h>
-#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 
+#include "coltsfootstile/address.h"
 #include "coltsfootstile/clock.h"
 
 #define HEADER_BYTES_MAX (16 * 1024)
@@ -33,12 +33,12 @@
 {
   struct event_base *base;
   char *address;
-  char *host;
-  uint16_t port;
+  enum ColtAddressStatus status; /* of address */
+  struct ColtAddress parsed;     /* set if the address is valid */
   size_t answer_max;
   uint32_t queue_max;
   GQueue waiting;  /* of struct ColtHttpCall */
-  GQueue rejected; /* calls beyond queue_max, still to be ended */
+  GQueue rejected; /* calls that can't be made, still to be ended */
   struct ColtHttpCall *open;
   struct evhttp_connection *connection;
   bool dispatched; /* bytes of the open call were written */
@@ -70,6 +70,8 @@
                               struct ColtHttpCall *call,
                               enum ColtErrorCode code,
                               const char *reason);
+static void end_rejected_call_ (struct ColtHttpClient *http,
+                                struct ColtHttpCall *call);
 static void start_next_call_ (struct ColtHttpClient *http);
 static bool open_connection_ (struct ColtHttpClient *http);
 static void close_connection_ (struct ColtHttpClient *http);
@@ -111,13 +113,10 @@
                          uint32_t queue_max)
 {
   struct ColtHttpClient *http = g_new0 (struct ColtHttpClient, 1);
-  const char *colon = strrchr (address, ':');
 
-  assert (colon != NULL);
   http->base = base;
   http->address = g_strdup (address);
-  http->host = g_strndup (address, colon - address);
-  http->port = (uint16_t)strtoul (colon + 1, NULL, 10);
+  http->status = colt_address_parse (address, &http->parsed);
   http->answer_max = answer_max;
   http->queue_max = queue_max;
   g_queue_init (&http->waiting);
@@ -137,7 +136,6 @@
   event_free (http->timer);
   event_free (http->finish_event);
   g_free (http->address);
-  g_free (http->host);
   g_free (http);
 }
 
@@ -174,7 +172,8 @@
   call->timeout_ms = request->timeout_ms;
   call->done = done;
   call->client = client;
-  if (http->open != NULL && http->waiting.length >= http->queue_max)
+  if (http->status != COLT_ADDRESS_VALID
+      || (http->open != NULL && http->waiting.length >= http->queue_max))
     {
       g_queue_push_tail (&http->rejected, call);
       event_active (http->finish_event, 0, 0);
@@ -213,8 +212,7 @@
     end_unsent_call_ (&cancelled, call, COLT_ERROR_UNREACHABLE,
                       "the call was cancelled");
   while ((call = g_queue_pop_head (&cancelled.rejected)) != NULL)
-    end_unsent_call_ (&cancelled, call, COLT_ERROR_EXHAUSTED,
-                      "too many calls are waiting");
+    end_rejected_call_ (&cancelled, call);
   g_free (cancelled.answer_body);
   g_free (cancelled.address);
 }
@@ -293,6 +291,17 @@
   end_call_ (call, &answer);
 }
 
+static void
+end_rejected_call_ (struct ColtHttpClient *http, struct ColtHttpCall *call)
+{
+  if (http->status == COLT_ADDRESS_VALID)
+    end_unsent_call_ (http, call, COLT_ERROR_EXHAUSTED,
+                      "too many calls are waiting");
+  else
+    end_unsent_call_ (http, call, COLT_ERROR_INVALID,
+                      colt_address_status_string[http->status]);
+}
+
 static void
 start_next_call_ (struct ColtHttpClient *http)
 {
@@ -322,8 +331,8 @@
 {
   struct bufferevent *bufferevent;
 
-  http->connection
-      = evhttp_connection_base_new (http->base, NULL, http->host, http->port);
+  http->connection = evhttp_connection_base_new (
+      http->base, NULL, http->parsed.host, http->parsed.port);
   if (http->connection == NULL)
     return false;
   http->connections++;
@@ -535,8 +544,7 @@
   if (call != NULL)
     {
       event_active (http->finish_event, 0, 0);
-      end_unsent_call_ (http, call, COLT_ERROR_EXHAUSTED,
-                        "too many calls are waiting");
+      end_rejected_call_ (http, call);
       return;
     }
   if (!http->completed)
--- a/src/test_platform/test_http.c
+++ b/src/test_platform/test_http.c
@@ -1,5 +1,6 @@
 #include <event2/event.h>
 #include <glib.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "coltsfootstile/http_client.h"
@@ -420,6 +421,41 @@
   g_assert_cmpint (fixture->received.result, ==, COLT_HTTP_ANSWERED);
 }
 
+/* Guards against calls to another port than the address names: the one that a
+ * port above 65535 has in its lower 16 bits, for instance. */
+static void
+test_bad_addresses (struct ColtHttpFixture *fixture, gconstpointer data)
+{
+  const char *good = colt_fake_http_address (fixture->fake);
+  const char *port = strrchr (good, ':') + 1;
+  char *addresses[] = { g_strdup_printf ("127.0.0.1:%d", atoi (port) + 65536),
+                        g_strdup_printf ("127.0.0.1:+%s", port),
+                        g_strdup_printf ("127.0.0.1: %s", port),
+                        g_strdup_printf ("127.0.0.1:%sx", port),
+                        g_strdup_printf ("localhost:%s", port),
+                        g_strdup_printf (":%s", port),
+                        g_strdup ("127.0.0.1:0"),
+                        g_strdup ("127.0.0.1:"),
+                        g_strdup ("127.0.0.1:-1") };
+  size_t i;
+
+  (void)data;
+  for (i = 0; i < G_N_ELEMENTS (addresses); i++)
+    {
+      colt_http_client_destroy (fixture->http);
+      fixture->http
+          = colt_http_client_create (fixture->base, addresses[i], 32, 1);
+      colt_fake_http_add_step (fixture->fake, COLT_FAKE_ANSWER, 200, "no");
+      call_and_wait (fixture, 1000);
+      g_assert_cmpint (fixture->received.result, ==, COLT_HTTP_NOT_SENT);
+      g_assert_cmpint (fixture->received.error.code, ==, COLT_ERROR_INVALID);
+      g_assert_cmpstr (fixture->received.error.peer, ==, addresses[i]);
+      g_assert_cmpuint (colt_http_client_connections (fixture->http), ==, 0);
+      g_free (addresses[i]);
+    }
+  g_assert_cmpuint (colt_fake_http_connections (fixture->fake), ==, 0);
+}
+
 /* Adds a test on a loop of each kind. */
 #define ADD(path, test)                                                        \
   g_test_add ("/platform/http/" path, struct ColtHttpFixture, NULL, set_up,    \
@@ -444,4 +480,5 @@
   ADD ("closed", test_closed_connection_is_unknown);
   ADD ("reused", test_descriptor_is_reused);
   ADD ("late-in-turn", test_call_late_in_turn);
+  ADD ("bad-addresses", test_bad_addresses);
 }
