Instance list: reject addresses with text after the port

evutil_parse_sockaddr_port() converts the port by atoi() and takes an IPv6 address without a port. The list is read by colt_address_parse() instead. Before, the test failed because such a list was accepted.

--- a/src/platform/list_json.c
+++ b/src/platform/list_json.c
@@ -1,11 +1,10 @@
 #include "list_json.h"
 
-#include <event2/util.h>
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 
+#include "coltsfootstile/address.h"
 #include "coltsfootstile/id.h"
 
 const char *const colt_list_state_string[] = { "live", "leaving" };
@@ -181,15 +180,12 @@
                  const json_t *object,
                  char address[COLT_ADDRESS_SIZE])
 {
-  struct sockaddr_storage parsed;
-  int size = sizeof parsed;
+  struct ColtAddress parsed;
 
   if (!colt_json_copy_string (context, object, "address", address,
                               COLT_ADDRESS_SIZE))
     return false;
-  if (strchr (address, ':') != NULL
-      && evutil_parse_sockaddr_port (address, (struct sockaddr *)&parsed, &size)
-             == 0)
+  if (colt_address_parse (address, &parsed) == COLT_ADDRESS_VALID)
     return true;
   return colt_error_set (context->error, COLT_ERROR_INVALID, COLT_STEP_DECODE,
                          context->peer, "\"%s\" is not IP:PORT", address);
--- a/src/test_platform/test_list.c
+++ b/src/test_platform/test_list.c
@@ -107,6 +107,12 @@
     LIST (ENTRY ("1", "gone")),
     LIST (ENTRY ("1", "live") "," ENTRY ("1", "live")),
     LIST (ENTRY_AT ("1", "nowhere:80", "live")),
+    LIST (ENTRY_AT ("1", "127.2.0.1", "live")),
+    LIST (ENTRY_AT ("1", "127.2.0.1:0", "live")),
+    LIST (ENTRY_AT ("1", "127.2.0.1:80x", "live")),
+    LIST (ENTRY_AT ("1", "127.2.0.1:+80", "live")),
+    LIST (ENTRY_AT ("1", "127.2.0.1:70000", "live")),
+    LIST (ENTRY_AT ("1", "::1", "live")),
   };
   struct event_base *base = event_base_new ();
   struct ColtFakeHttp *fake = colt_fake_http_create (base);
