--- a/src/admission/gate.c
+++ b/src/admission/gate.c
@@ -2,9 +2,9 @@
 
 #include <errno.h>
 #include <event2/http.h>
-#include <stdlib.h>
 #include <string.h>
 
+#include "coltsfootstile/address.h"
 #include "coltsfootstile/clock.h"
 #include "gate_private.h"
 
@@ -64,15 +64,13 @@
                   const char *address,
                   struct ColtError *error)
 {
-  const char *colon = strrchr (address, ':');
-  char host[64];
+  struct ColtAddress parsed;
 
-  if (colon == NULL || (size_t)(colon - address) >= sizeof host)
+  if (colt_address_parse_local (address, &parsed) != COLT_ADDRESS_VALID)
     return colt_error_set (error, COLT_ERROR_INVALID, COLT_STEP_LISTEN, address,
                            "not ADDRESS:PORT");
-  g_strlcpy (host, address, (gsize)(colon - address) + 1);
-  gate->socket = evhttp_bind_socket_with_handle (
-      gate->http, host, (uint16_t)strtoul (colon + 1, NULL, 10));
+  gate->socket
+      = evhttp_bind_socket_with_handle (gate->http, parsed.host, parsed.port);
   if (gate->socket == NULL)
     return colt_error_set (error, COLT_ERROR_SYSTEM, COLT_STEP_LISTEN, address,
                            "can't listen: %s", strerror (errno));
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -1,6 +1,5 @@
 #include "coltsfootstile/settings.h"
 
-#include <arpa/inet.h>
 #include <assert.h>
 #include <errno.h>
 #include <glib.h>
@@ -9,10 +8,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "coltsfootstile/address.h"
 #include "coltsfootstile/ini.h"
 
-#define PORT_MAX 65535
-
 struct ColtSettings
 {
   const struct ColtSettingSpec *specs;
@@ -280,21 +278,21 @@
 static char *
 check_address_ (const char *value)
 {
+  struct ColtAddress address;
   const char *colon = strrchr (value, ':');
-  struct in_addr address;
-  char host[64];
-  char *end;
-  long port;
-
-  if (colon == NULL || (size_t)(colon - value) >= sizeof host)
-    return g_strdup_printf ("\"%s\" is not ADDRESS:PORT", value);
-  memcpy (host, value, colon - value);
-  host[colon - value] = '\0';
-  if (inet_pton (AF_INET, host, &address) != 1)
-    return g_strdup_printf ("\"%s\" is not an IPv4 address", host);
-  port = strtol (colon + 1, &end, 10);
-  if (end == colon + 1 || *end != '\0' || port < 1 || port > PORT_MAX)
-    return g_strdup_printf ("\"%s\" is not a port number", colon + 1);
+
+  switch (colt_address_parse (value, &address))
+    {
+    case COLT_ADDRESS_NO_PORT:
+      return g_strdup_printf ("\"%s\" is not ADDRESS:PORT", value);
+    case COLT_ADDRESS_BAD_HOST:
+      return g_strdup_printf ("\"%.*s\" is not an IPv4 address",
+                              (int)(colon - value), value);
+    case COLT_ADDRESS_BAD_PORT:
+      return g_strdup_printf ("\"%s\" is not a port number", colon + 1);
+    case COLT_ADDRESS_VALID:
+      break;
+    }
   return NULL;
 }
 
--- a/src/coltsfootstile/daemon_settings.c
+++ b/src/coltsfootstile/daemon_settings.c
@@ -1,10 +1,9 @@
 #include "daemon_settings.h"
 
-#include <event2/util.h>
 #include <inttypes.h>
-#include <netinet/in.h>
 #include <stdio.h>
 
+#include "coltsfootstile/address.h"
 #include "coltsfootstile/id.h"
 
 /* Highest number of an instance. */
@@ -47,8 +46,7 @@
                         struct ColtPeerSetting *peer,
                         struct ColtError *error)
 {
-  struct sockaddr_in address;
-  int size = sizeof address;
+  struct ColtAddress address;
   char rest;
 
   if (sscanf (text, "%" SCNu32 " %" SCNu32 " %31s %c", &peer->number,
@@ -60,10 +58,7 @@
       || peer->zone > COLT_ZONE_MAX)
     return colt_error_set (error, COLT_ERROR_INVALID, COLT_STEP_SETTINGS, NULL,
                            "\"%s\" has a number or a zone out of range", text);
-  if (evutil_parse_sockaddr_port (peer->address, (struct sockaddr *)&address,
-                                  &size)
-          != 0
-      || address.sin_family != AF_INET || address.sin_port == 0)
+  if (colt_address_parse (peer->address, &address) != COLT_ADDRESS_VALID)
     return colt_error_set (error, COLT_ERROR_INVALID, COLT_STEP_SETTINGS, NULL,
                            "\"%s\" has no ADDRESS:PORT", text);
   return true;
--- a/src/coltsfootstilectl/options.c
+++ b/src/coltsfootstilectl/options.c
@@ -1,11 +1,11 @@
 #include <argtable2.h>
-#include <arpa/inet.h>
 #include <errno.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "coltsfootstile/address.h"
 #include "ctl.h"
 
 #define LIST_MAX 256
@@ -173,20 +173,13 @@
                 const struct ColtCtlOption *option,
                 const char *text)
 {
-  const char *colon = strrchr (text, ':');
-  char *host = g_strndup (text, colon != NULL ? colon - text : 0);
-  struct in_addr address;
-  const char *digits = colon != NULL ? colon + 1 : "";
-  char *end;
-  unsigned long port = strtoul (digits, &end, 10);
-  bool good = inet_pton (AF_INET, host, &address) == 1 && *end == '\0'
-              && port >= 1 && port <= UINT16_MAX;
-
-  if (!good)
-    fprintf (stderr, "%s: %s: \"%s\" is not IP:PORT\n", syntax->command,
-             option_name_ (option), text);
-  g_free (host);
-  return good;
+  struct ColtAddress address;
+
+  if (colt_address_parse (text, &address) == COLT_ADDRESS_VALID)
+    return true;
+  fprintf (stderr, "%s: %s: \"%s\" is not IP:PORT\n", syntax->command,
+           option_name_ (option), text);
+  return false;
 }
 
 static const char *
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -1,6 +1,7 @@
 #include <arpa/inet.h>
 #include <string.h>
 
+#include "coltsfootstile/address.h"
 #include "scheduler_state.h"
 
 /* Period of heartbeats to the leader. */
@@ -152,15 +153,13 @@
 uint32_t
 colt_scheduler_instance_number (const char *address)
 {
-  char ip[COLT_ERROR_PEER_SIZE];
-  char *colon;
-  struct in_addr parsed;
-
-  g_strlcpy (ip, address, sizeof ip);
-  colon = strrchr (ip, ':');
-  if (colon != NULL)
-    *colon = '\0';
-  return inet_pton (AF_INET, ip, &parsed) == 1 ? ntohl (parsed.s_addr) : 1;
+  struct ColtAddress parsed;
+  struct in_addr ip;
+
+  if (colt_address_parse (address, &parsed) != COLT_ADDRESS_VALID
+      || inet_pton (AF_INET, parsed.host, &ip) != 1)
+    return 1;
+  return ntohl (ip.s_addr);
 }
 
 void
--- a/src/wire/wire.c
+++ b/src/wire/wire.c
@@ -1,5 +1,6 @@
 #include "coltsfootstile/wire.h"
 
+#include <arpa/inet.h>
 #include <assert.h>
 #include <errno.h>
 #include <event2/event.h>
@@ -8,6 +9,7 @@
 #include <netinet/in.h>
 #include <string.h>
 
+#include "coltsfootstile/address.h"
 #include "coltsfootstile/clock.h"
 #include "coltsfootstile/log.h"
 #include "coltsfootstile/table.h"
@@ -534,10 +536,12 @@
 static bool
 parse_address_ (const char *text, struct sockaddr_in *address)
 {
-  int size = sizeof *address;
+  struct ColtAddress parsed;
 
-  memset (address, 0, sizeof *address);
-  if (evutil_parse_sockaddr_port (text, (struct sockaddr *)address, &size) != 0)
+  if (colt_address_parse_local (text, &parsed) != COLT_ADDRESS_VALID)
     return false;
-  return address->sin_family == AF_INET;
+  memset (address, 0, sizeof *address);
+  address->sin_family = AF_INET;
+  address->sin_port = htons (parsed.port);
+  return inet_pton (AF_INET, parsed.host, &address->sin_addr) == 1;
 }
--- a/standin/http.c
+++ b/standin/http.c
@@ -13,6 +13,7 @@
 #include <sys/queue.h>
 #include <sys/socket.h>
 
+#include "coltsfootstile/address.h"
 #include "coltsfootstile/clock.h"
 
 #define BODY_MAX (16 * 1024 * 1024)
@@ -148,16 +149,13 @@
                           const char *address,
                           struct ColtError *error)
 {
-  const char *colon = strrchr (address, ':');
-  char host[COLT_ERROR_PEER_SIZE];
+  struct ColtAddress parsed;
 
-  if (colon == NULL || (size_t)(colon - address) >= sizeof host)
+  if (colt_address_parse_local (address, &parsed) != COLT_ADDRESS_VALID)
     return colt_error_set (error, COLT_ERROR_INVALID, COLT_STEP_LISTEN, address,
                            "an address is written IP:PORT");
-  memcpy (host, address, (size_t)(colon - address));
-  host[colon - address] = '\0';
-  http->socket = evhttp_bind_socket_with_handle (
-      http->evhttp, host, (uint16_t)strtoul (colon + 1, NULL, 10));
+  http->socket
+      = evhttp_bind_socket_with_handle (http->evhttp, parsed.host, parsed.port);
   if (http->socket == NULL)
     return colt_error_set (error, COLT_ERROR_SYSTEM, COLT_STEP_LISTEN, address,
                            "the address can't be bound");
--- a/standin/standin_relay.c
+++ b/standin/standin_relay.c
@@ -1,12 +1,14 @@
 /* Stand-in for the network: relays connections along routes between named
  * parties, and cuts, blocks or delays them by control requests. */
 
+#include <arpa/inet.h>
 #include <errno.h>
 #include <event2/listener.h>
 #include <glib.h>
 #include <string.h>
 
 #include "app.h"
+#include "coltsfootstile/address.h"
 #include "coltsfootstile/clock.h"
 #include "http.h"
 #include "recorder.h"
@@ -403,12 +405,14 @@
                 struct sockaddr_storage *address,
                 socklen_t *size)
 {
-  int length = sizeof *address;
+  struct sockaddr_in ip = { .sin_family = AF_INET };
+  struct ColtAddress parsed;
 
-  if (text == NULL
-      || evutil_parse_sockaddr_port (text, (struct sockaddr *)address, &length)
-             != 0)
+  if (text == NULL || colt_address_parse (text, &parsed) != COLT_ADDRESS_VALID
+      || inet_pton (AF_INET, parsed.host, &ip.sin_addr) != 1)
     return false;
-  *size = (socklen_t)length;
+  ip.sin_port = htons (parsed.port);
+  memcpy (address, &ip, sizeof ip);
+  *size = sizeof ip;
   return true;
 }
