Adapter: a key that isn't text names no server

A key was read as a string, so that a record with the key "a", a zero byte and anything else changed, or removed, the server a; an empty key, one that isn't UTF-8, and one with a line break, which can't be sent as a header, became servers. The adapter reports such a key as empty, and the watch logs the record with its offset and ignores it.

--- a/include/coltsfootstile/ports.h
+++ b/include/coltsfootstile/ports.h
@@ -52,7 +52,8 @@
 /** A record of a keyed topic. */
 struct ColtLogRecord
 {
-  const char *key;
+  const char *key;      /**< "": the key that was read is empty, isn't UTF-8 or
+                             has control characters; the record names nothing */
   const uint8_t *value; /**< NULL: the key was deleted */
   size_t size;          /**< of the value, in bytes */
   int64_t offset;       /**< position in the topic; unused in an append */
--- a/src/scheduler/private/scheduler_private.h
+++ b/src/scheduler/private/scheduler_private.h
@@ -43,7 +43,8 @@
 
 struct ColtWatchClient
 {
-  /* Handles a record, the newest of its key. */
+  /* Handles a record, the newest of its key. Records with an unreadable key
+   * are left out. */
   void (*handle_record) (void *client, const struct ColtLogRecord *record);
   /* The newest records of all keys have been read. Keys without a record since
    * the previous invocation don't exist. NULL is allowed. */
--- a/src/scheduler/watch.c
+++ b/src/scheduler/watch.c
@@ -26,6 +26,8 @@
 static void read_topic_ (evutil_socket_t fd, short what, void *arg);
 static void handle_page_ (void *client, const struct ColtLogAnswer *answer);
 static void handle_records_ (void *client, const struct ColtLogAnswer *answer);
+static void handle_record_ (struct ColtWatch *watch,
+                            const struct ColtLogRecord *record);
 static bool check_answer_ (struct ColtWatch *watch,
                            const struct ColtLogAnswer *answer);
 
@@ -127,7 +129,7 @@
   if (watch->after == NULL)
     watch->sync_end = answer->end;
   for (i = 0; i < answer->count; i++)
-    watch->client.handle_record (watch->client.client, &answer->records[i]);
+    handle_record_ (watch, &answer->records[i]);
   g_clear_pointer (&watch->after, g_free);
   if (answer->more && answer->count > 0)
     {
@@ -162,11 +164,22 @@
   for (i = 0; i < answer->count; i++)
     {
       watch->end = answer->records[i].offset + 1;
-      watch->client.handle_record (watch->client.client, &answer->records[i]);
+      handle_record_ (watch, &answer->records[i]);
     }
   schedule_read_ (watch, answer->count > 0 ? watch->times.pause_ms : 0);
 }
 
+static void
+handle_record_ (struct ColtWatch *watch, const struct ColtLogRecord *record)
+{
+  if (record->key[0] != '\0')
+    watch->client.handle_record (watch->client.client, record);
+  else
+    colt_log (COLT_LOG_WARNING, MODULE, NULL,
+              "record %lld of topic %s has an unreadable key; ignoring it",
+              (long long)record->offset, colt_topic_string[watch->topic]);
+}
+
 static bool
 check_answer_ (struct ColtWatch *watch, const struct ColtLogAnswer *answer)
 {
