Adapter: one unreadable key doesn't end the reading of servers

A page of the newest records with a key that has a zero byte or isn't UTF-8 failed to parse as a whole; it was requested again every 150 ms, without effect, and no server was listed.

Before, the tests with these keys among the newest records failed, whether the store passes on their bytes, surrogates or replacement characters: servers that were listed after the record were never used. With pages of one record, an empty key and one with a line break did the same.

--- a/include/coltsfootstile/ports.h
+++ b/include/coltsfootstile/ports.h
@@ -77,10 +77,11 @@
 struct ColtLogAnswer
 {
   enum ColtLogOutcome outcome;
-  int64_t sent_us; /**< monotonic time just before the call was sent */
-  int64_t offset;  /**< of the first record appended */
-  int64_t end;     /**< offset at which the topic ends */
-  bool more;       /**< further keys follow the last one */
+  int64_t sent_us;      /**< monotonic time just before the call was sent */
+  int64_t offset;       /**< of the first record appended */
+  int64_t end;          /**< offset at which the topic ends */
+  bool more;            /**< further keys follow the last one */
+  const char *last_key; /**< of a page, in the form that log_newest accepts */
   const struct ColtLogRecord *records; /**< read from the topic */
   size_t count;                        /**< of records */
   struct ColtError error;              /**< details of a failure */
@@ -231,8 +232,8 @@
                     uint32_t wait_ms,
                     ColtLogCallDone done,
                     void *client);
-  /** Reads a page of the newest records of the keys that follow \a after
-   * (NULL: from the first key). */
+  /** Reads a page of the newest records of the keys that follow \a after, the
+   * last_key of the page before (NULL: from the first key). */
   void (*log_newest) (struct ColtLogChannel *channel,
                       enum ColtTopic topic,
                       const char *after,
--- a/src/scheduler/leader_load.c
+++ b/src/scheduler/leader_load.c
@@ -114,9 +114,9 @@
       load_or_hold_record_ (leader, answer->records[i].key,
                             answer->records[i].value, answer->records[i].size);
   g_clear_pointer (&leader->load_after, g_free);
-  if (answer->more && answer->count > 0)
+  if (answer->more)
     {
-      leader->load_after = g_strdup (answer->records[answer->count - 1].key);
+      leader->load_after = g_strdup (answer->last_key);
       load_page_ (leader);
       return;
     }
--- a/src/scheduler/watch.c
+++ b/src/scheduler/watch.c
@@ -131,9 +131,9 @@
   for (i = 0; i < answer->count; i++)
     handle_record_ (watch, &answer->records[i]);
   g_clear_pointer (&watch->after, g_free);
-  if (answer->more && answer->count > 0)
+  if (answer->more)
     {
-      watch->after = g_strdup (answer->records[answer->count - 1].key);
+      watch->after = g_strdup (answer->last_key);
       schedule_read_ (watch, 0);
       return;
     }
