Leader: log a malformed record once

A read of the newest records after a gap logged each malformed entry again. The watch knows up to which offset records have been handled before, and only later ones are logged.

--- a/src/scheduler/leader.c
+++ b/src/scheduler/leader.c
@@ -426,9 +426,10 @@
   if (!leader->ports->decode_server (leader->ports->adapter, record,
                                      update_server_, leader, &error))
     {
-      colt_log (COLT_LOG_WARNING, MODULE, NULL,
-                "the entry of server %s is malformed; unlisting it: %s",
-                record->key, error.message);
+      if (colt_watch_is_new (leader->server_watch, record))
+        colt_log (COLT_LOG_WARNING, MODULE, NULL,
+                  "the entry of server %s is malformed; unlisting it: %s",
+                  record->key, error.message);
       unlist_server_ (leader, record->key);
     }
 }
--- a/src/scheduler/private/scheduler_private.h
+++ b/src/scheduler/private/scheduler_private.h
@@ -67,6 +67,10 @@
 void colt_watch_destroy (struct ColtWatch *watch);
 /* Returns the offset up to which the topic has been read. */
 int64_t colt_watch_end (const struct ColtWatch *watch);
+/* Returns whether a record that is being handled hasn't been handled before, in
+ * an earlier read of all keys. */
+bool colt_watch_is_new (const struct ColtWatch *watch,
+                        const struct ColtLogRecord *record);
 /* Returns when the log last answered; 0: never. */
 int64_t colt_watch_reached_us (const struct ColtWatch *watch);
 /* Returns when the log answered for the first time since the last failure; 0 if
--- a/src/scheduler/watch.c
+++ b/src/scheduler/watch.c
@@ -15,9 +15,12 @@
   bool synced;
   bool busy;
   bool failing;
-  char *after;      /* last key of the previous page */
-  int64_t sync_end; /* end of the topic when the first page was read */
-  int64_t end;      /* offset up to which the topic has been read */
+  char *after;            /* last key of the previous page */
+  int64_t sync_end;       /* end of the topic when the first page was read */
+  int64_t end;            /* offset up to which the topic has been read */
+  int64_t next_end;       /* the offset after all records so far */
+  int64_t known_end;      /* next_end before the current read of the topic */
+  int64_t ignored_offset; /* of the last record with an unreadable key */
   int64_t reached_us;
   int64_t healthy_since_us; /* first answer after the last failure */
 };
@@ -43,6 +46,7 @@
   watch->ports = ports;
   watch->topic = topic;
   watch->times = *times;
+  watch->ignored_offset = -1;
   watch->client = *client;
   watch->channel = ports->log_open (ports->adapter);
   watch->timer = event_new (base, -1, 0, read_topic_, watch);
@@ -80,6 +84,13 @@
   return watch->failing ? COLT_TIME_NEVER : watch->healthy_since_us;
 }
 
+bool
+colt_watch_is_new (const struct ColtWatch *watch,
+                   const struct ColtLogRecord *record)
+{
+  return record->offset >= watch->known_end;
+}
+
 void
 colt_watch_read_now (struct ColtWatch *watch)
 {
@@ -138,6 +149,7 @@
       return;
     }
   watch->synced = true;
+  watch->known_end = watch->next_end;
   watch->end = watch->sync_end;
   if (watch->client.handle_synced != NULL)
     watch->client.handle_synced (watch->client.client);
@@ -166,18 +178,24 @@
       watch->end = answer->records[i].offset + 1;
       handle_record_ (watch, &answer->records[i]);
     }
+  watch->known_end = watch->next_end;
   schedule_read_ (watch, answer->count > 0 ? watch->times.pause_ms : 0);
 }
 
 static void
 handle_record_ (struct ColtWatch *watch, const struct ColtLogRecord *record)
 {
+  watch->next_end = MAX (watch->next_end, record->offset + 1);
   if (record->key[0] != '\0')
     watch->client.handle_record (watch->client.client, record);
-  else
-    colt_log (COLT_LOG_WARNING, MODULE, NULL,
-              "record %lld of topic %s has an unreadable key; ignoring it",
-              (long long)record->offset, colt_topic_string[watch->topic]);
+  else if (colt_watch_is_new (watch, record)
+           && record->offset != watch->ignored_offset)
+    {
+      watch->ignored_offset = record->offset;
+      colt_log (COLT_LOG_WARNING, MODULE, NULL,
+                "record %lld of topic %s has an unreadable key; ignoring it",
+                (long long)record->offset, colt_topic_string[watch->topic]);
+    }
 }
 
 static bool
