--- a/cmake/ColtPackage.cmake
+++ b/cmake/ColtPackage.cmake
@@ -76,7 +76,8 @@
 endfunction()
 
 # colt_fuzzer(NAME RUNS LIBS ...) builds fuzz/fuzz_NAME.c as a libFuzzer target
-# with a fixed seed and run count for ctest.
+# with a fixed seed and run count for ctest. It starts from the files in
+# fuzz/seeds/NAME, if there are any, of which each is run.
 function(colt_fuzzer name runs)
   cmake_parse_arguments(P "" "" "LIBS" ${ARGN})
   if(NOT COLT_FUZZ)
@@ -85,6 +86,13 @@
   add_executable(fuzz_${name} ${CMAKE_SOURCE_DIR}/fuzz/fuzz_${name}.c)
   target_link_libraries(fuzz_${name} PRIVATE colt_flags ${P_LIBS} PkgConfig::GLIB)
   target_link_options(fuzz_${name} PRIVATE -fsanitize=fuzzer)
-  add_test(NAME fuzz_${name} COMMAND fuzz_${name} -runs=${runs} -seed=1 -max_len=4096 -print_final_stats=1)
+  file(GLOB seeds CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/fuzz/seeds/${name}/*)
+  set(seed_option)
+  if(seeds)
+    list(JOIN seeds "," seed_list)
+    set(seed_option -seed_inputs=${seed_list})
+    add_test(NAME fuzz_${name}_seeds COMMAND fuzz_${name} ${seeds})
+  endif()
+  add_test(NAME fuzz_${name} COMMAND fuzz_${name} -runs=${runs} -seed=1 -max_len=4096 -print_final_stats=1 ${seed_option})
   set_tests_properties(fuzz_${name} PROPERTIES TIMEOUT 300)
 endfunction()
