Log: keep the count of dropped lines until a line reports it

The count was reset before the line with it was written, and was lost if that line was dropped, too. Before, the test that drops three lines had no line that reports three.

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -226,21 +226,22 @@
   return true;
 }
 
-/* Writes a line, with the number of lines dropped before it. Frees line. */
+/* Writes a line, with the number of lines dropped before it, which are reported
+ * once a line was written. Frees line. */
 static void
 write_line_ (enum ColtLogLevel level, json_t *line)
 {
+  uint64_t reported = dropped;
   char *text;
 
-  if (dropped > 0)
-    {
-      json_object_set_new (line, "dropped_lines",
-                           json_integer ((json_int_t)dropped));
-      dropped = 0;
-    }
+  if (reported > 0)
+    json_object_set_new (line, "dropped_lines",
+                         json_integer ((json_int_t)reported));
   text = json_dumps (line, JSON_COMPACT);
   json_decref (line);
   log4c_category_log (category, priority_of_level[level], "%s", text);
+  if (dropped == reported)
+    dropped = 0;
   free (text);
 }
 
--- /dev/null
+++ b/src/test_base/test_log.c
@@ -0,0 +1,99 @@
+#include <fcntl.h>
+#include <glib.h>
+#include <poll.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "coltsfootstile/log.h"
+#include "tests.h"
+
+/* A pipe in place of standard output, which the log is written to. */
+struct ColtLogFixture
+{
+  int stdout_copy;
+  int reader;
+};
+
+/* The log can be opened only once in a process. */
+static void
+set_up (struct ColtLogFixture *fixture, gconstpointer data)
+{
+  static bool opened;
+  int ends[2];
+
+  (void)data;
+  fflush (stdout);
+  g_assert_cmpint (pipe (ends), ==, 0);
+  fixture->reader = ends[0];
+  fcntl (fixture->reader, F_SETFL, O_NONBLOCK);
+  fixture->stdout_copy = dup (STDOUT_FILENO);
+  dup2 (ends[1], STDOUT_FILENO);
+  close (ends[1]);
+  g_assert_true (opened || colt_log_open (COLT_LOG_WARNING, NULL));
+  opened = true;
+}
+
+static void
+tear_down (struct ColtLogFixture *fixture, gconstpointer data)
+{
+  (void)data;
+  dup2 (fixture->stdout_copy, STDOUT_FILENO);
+  close (fixture->stdout_copy);
+  close (fixture->reader);
+}
+
+/* Reads all that has been written to the pipe. */
+static GString *
+read_output (struct ColtLogFixture *fixture)
+{
+  GString *text = g_string_new (NULL);
+  char buffer[4096];
+  ssize_t size;
+
+  while ((size = read (fixture->reader, buffer, sizeof buffer)) > 0)
+    g_string_append_len (text, buffer, size);
+  return text;
+}
+
+/* Writes to the pipe until it isn't writable. */
+static void
+fill_output (void)
+{
+  struct pollfd out = { STDOUT_FILENO, POLLOUT, 0 };
+  char buffer[4096];
+
+  memset (buffer, 'x', sizeof buffer);
+  while (poll (&out, 1, 0) == 1 && (out.revents & POLLOUT) != 0)
+    g_assert_cmpint (write (STDOUT_FILENO, buffer, sizeof buffer), ==,
+                     sizeof buffer);
+}
+
+/* Guards against a count of dropped lines that is lost with the line that
+ * reports it. */
+static void
+test_dropped (struct ColtLogFixture *fixture, gconstpointer data)
+{
+  GString *text;
+  int i;
+
+  (void)data;
+  fill_output ();
+  for (i = 0; i < 3; i++)
+    colt_log (COLT_LOG_WARNING, "test", NULL, "dropped %d", i);
+  g_string_free (read_output (fixture), TRUE);
+  colt_log (COLT_LOG_WARNING, "test", NULL, "first");
+  colt_log (COLT_LOG_WARNING, "test", NULL, "second");
+  text = read_output (fixture);
+  g_assert_nonnull (
+      strstr (text->str, "\"message\":\"first\",\"dropped_lines\":3}\n"));
+  g_assert_nonnull (strstr (text->str, "\"message\":\"second\"}\n"));
+  g_string_free (text, TRUE);
+}
+
+void
+colt_test_log_add (void)
+{
+  g_test_add ("/base/log/dropped", struct ColtLogFixture, NULL, set_up,
+              test_dropped, tear_down);
+}
