Log: a byte that isn't UTF-8 doesn't hide a message

The whole message was replaced by "(not UTF-8)", also if it was cut off within a character: a warning about a malformed entry could lose the entry's key. Such bytes are now replaced by U+FFFD. Before, the test got "(not UTF-8)".

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -280,11 +280,10 @@
 static void
 set_string_ (json_t *line, const char *name, const char *value)
 {
-  json_t *text = json_string (value);
+  char *valid = g_utf8_make_valid (value, -1);
 
-  if (text == NULL)
-    text = json_string ("(not UTF-8)");
-  json_object_set_new (line, name, text);
+  json_object_set_new (line, name, json_string (valid));
+  g_free (valid);
 }
 
 static void
--- a/src/test_base/test_log.c
+++ b/src/test_base/test_log.c
@@ -91,9 +91,30 @@
   g_string_free (text, TRUE);
 }
 
+/* Guards against a message that is lost because of bytes that aren't UTF-8, or
+ * because it is cut off within a character. */
+static void
+test_not_utf8 (struct ColtLogFixture *fixture, gconstpointer data)
+{
+  char *long_text = g_strnfill (1022, 'a');
+  GString *text;
+
+  (void)data;
+  colt_log (COLT_LOG_WARNING, "test", NULL, "server %s; ignoring it", "\xff");
+  colt_log (COLT_LOG_WARNING, "test", NULL, "%s\xc3\xa4", long_text);
+  text = read_output (fixture);
+  g_assert_nonnull (
+      strstr (text->str, "\"message\":\"server \xef\xbf\xbd; ignoring it\""));
+  g_assert_nonnull (strstr (text->str, "aaaa\xef\xbf\xbd\"}\n"));
+  g_string_free (text, TRUE);
+  g_free (long_text);
+}
+
 void
 colt_test_log_add (void)
 {
   g_test_add ("/base/log/dropped", struct ColtLogFixture, NULL, set_up,
               test_dropped, tear_down);
+  g_test_add ("/base/log/not-utf8", struct ColtLogFixture, NULL, set_up,
+              test_not_utf8, tear_down);
 }
