Histogram: a value on a bound counts in the bucket of that bound

A bucket includes its upper bound, as the format of the metrics requires; the bins of GSL include the lower one. Before, the test failed for 2 ms, which was counted from the bucket of 5 ms on.

--- a/src/base/histogram.c
+++ b/src/base/histogram.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 #include <gsl/gsl_histogram.h>
 #include <inttypes.h>
+#include <math.h>
 #include <string.h>
 
 #define METRIC_PREFIX "coltsfootstile_"
@@ -48,10 +49,11 @@
 colt_histogram_add (struct ColtHistogram *histogram, double value_ms)
 {
   const double least = bounds[0];
-  /* The last bin doesn't include its upper bound. */
-  const double most = bounds[G_N_ELEMENTS (bounds) - 1] - 1;
+  const double most = bounds[G_N_ELEMENTS (bounds) - 1];
+  /* A bucket includes its upper bound, a bin only its lower one. */
+  double below_ms = nextafter (MIN (value_ms, most), 0);
 
-  gsl_histogram_increment (histogram->bins, CLAMP (value_ms, least, most));
+  gsl_histogram_increment (histogram->bins, MAX (below_ms, least));
   histogram->sum += value_ms;
   histogram->count++;
 }
--- a/src/test_base/test_base.c
+++ b/src/test_base/test_base.c
@@ -162,6 +162,7 @@
   g_test_add_func ("/base/table/handles", test_table_rejects_stale_handle);
   g_test_add_func ("/base/counters/format", test_counters_format);
   colt_test_address_add ();
+  colt_test_histogram_add ();
   colt_test_log_add ();
   return g_test_run ();
 }
