Histogram: values beyond the last bound aren't counted below it

They were clamped to the last bucket. They are now in the bucket +Inf only, which has always contained all values. Before, the test failed for 60001 ms, which was counted in the bucket of 60000 ms.

--- a/src/base/histogram.c
+++ b/src/base/histogram.c
@@ -51,9 +51,10 @@
   const double least = bounds[0];
   const double most = bounds[G_N_ELEMENTS (bounds) - 1];
   /* A bucket includes its upper bound, a bin only its lower one. */
-  double below_ms = nextafter (MIN (value_ms, most), 0);
+  double below_ms = nextafter (value_ms, 0);
 
-  gsl_histogram_increment (histogram->bins, MAX (below_ms, least));
+  if (value_ms <= most)
+    gsl_histogram_increment (histogram->bins, MAX (below_ms, least));
   histogram->sum += value_ms;
   histogram->count++;
 }
--- a/src/test_base/test_histogram.c
+++ b/src/test_base/test_histogram.c
@@ -37,8 +37,17 @@
   check_value (60000, "{le=\"20000\"} 0\n", "{le=\"60000\"} 1\n");
 }
 
+/* Guards against values beyond the last bound that are counted below it. */
+static void
+test_beyond (void)
+{
+  check_value (60001, "{le=\"60000\"} 0\n", "{le=\"+Inf\"} 1\n");
+  check_value (1e9, "{le=\"60000\"} 0\n", "{le=\"+Inf\"} 1\n");
+}
+
 void
 colt_test_histogram_add (void)
 {
   g_test_add_func ("/base/histogram/bounds", test_bounds);
+  g_test_add_func ("/base/histogram/beyond", test_beyond);
 }
