Log client: a cancelled append isn't a timeout

An append whose records were read back is cancelled when its answer is overdue; the timeout of the next append was doubled, as after an append that timed out. Before, an unanswered append after a cancelled one took longer than 1.9 s in the test, instead of the timeout of 1 s.

--- a/src/platform/log_http.c
+++ b/src/platform/log_http.c
@@ -28,6 +28,7 @@
   struct ColtTimeout append_timeout;
   struct ColtTimeout read_timeout;
   uint32_t wait_ms; /* wait_ms of the open read */
+  bool cancelling;  /* the append that ends is cancelled */
   ColtLogAppendDone append_done;
   void *append_client;
   ColtLogReadDone read_done;
@@ -101,7 +102,9 @@
   enum ColtLogResult result = COLT_LOG_REFUSED;
   uint64_t offset = 0;
 
-  update_timeout_ (&log->append_timeout, answer, 0);
+  if (!log->cancelling)
+    update_timeout_ (&log->append_timeout, answer, 0);
+  log->cancelling = false;
   if (answer->result == COLT_HTTP_UNKNOWN)
     result = COLT_LOG_UNKNOWN;
   if (answer->result == COLT_HTTP_ANSWERED)
@@ -170,7 +173,10 @@
 static void
 cancel_append_ (struct ColtLogDriver *driver)
 {
-  colt_http_client_cancel (((struct ColtLogHttp *)driver)->append_http);
+  struct ColtLogHttp *log = (struct ColtLogHttp *)driver;
+
+  log->cancelling = colt_http_client_pending (log->append_http) > 0;
+  colt_http_client_cancel (log->append_http);
 }
 
 static void
--- a/src/test_platform/test_http.c
+++ b/src/test_platform/test_http.c
@@ -250,6 +250,45 @@
   driver->destroy (driver);
 }
 
+static void
+on_limit (evutil_socket_t fd, short what, void *client)
+{
+  (void)fd;
+  (void)what;
+  *(bool *)client = true;
+}
+
+/* Guards against a longer timeout of the next append after an append was
+ * cancelled: the log wasn't slow to answer. */
+static void
+test_cancelled_append (struct ColtHttpFixture *fixture, gconstpointer data)
+{
+  const struct timeval limit = { 1, 900000 };
+  struct ColtLogDriver *driver = colt_log_http_create (
+      fixture->base, colt_fake_http_address (fixture->fake));
+  struct ColtAppendReceived received = { 0 };
+  struct event *timer;
+  bool late = false;
+
+  (void)data;
+  colt_fake_http_add_step (fixture->fake, COLT_FAKE_NO_ANSWER, 0, NULL);
+  driver->append (driver, (const uint8_t *)"a", 1, on_append, &received);
+  while (colt_fake_http_request (fixture->fake, 0) == NULL)
+    event_base_loop (fixture->base, EVLOOP_ONCE);
+  driver->cancel_append (driver);
+  g_assert_cmpuint (received.count, ==, 1);
+  g_assert_cmpint (received.result, ==, COLT_LOG_UNKNOWN);
+  timer = event_new (fixture->base, -1, 0, on_limit, &late);
+  event_add (timer, &limit);
+  driver->append (driver, (const uint8_t *)"b", 1, on_append, &received);
+  while (received.count == 1 && !late)
+    event_base_loop (fixture->base, EVLOOP_ONCE);
+  g_assert_false (late);
+  g_assert_cmpint (received.result, ==, COLT_LOG_UNKNOWN);
+  event_free (timer);
+  driver->destroy (driver);
+}
+
 struct ColtReadReceived
 {
   guint count;
@@ -474,6 +513,7 @@
   ADD ("closed-port", test_closed_port_is_not_sent);
   ADD ("queue", test_full_queue_rejects_call);
   ADD ("append", test_append_results);
+  ADD ("cancelled-append", test_cancelled_append);
   ADD ("read", test_read_results);
   ADD ("long", test_long_call_is_complete);
   ADD ("cancelled", test_cancelled_call_is_unknown);
