Leader: unlist a server whose removal expired before it was read

When records of the servers' topic expire, all keys are read again, and servers without a record are unlisted. Entries that were read since the previous such read counted as part of it, so that a server stayed listed whose entry had changed and whose removal was among the expired records. Only entries of the read itself count now.

--- a/src/scheduler/leader.c
+++ b/src/scheduler/leader.c
@@ -459,7 +459,8 @@
   struct ColtLeader *leader = client;
   struct ColtServerLink *link = g_hash_table_lookup (leader->links, entry->id);
 
-  g_hash_table_add (leader->listed_ids, g_strdup (entry->id));
+  if (!colt_watch_is_synced (leader->server_watch))
+    g_hash_table_add (leader->listed_ids, g_strdup (entry->id));
   if (link != NULL
       && strcmp (colt_server_link_address (link), entry->address) != 0)
     {
--- a/src/scheduler/private/leader_private.h
+++ b/src/scheduler/private/leader_private.h
@@ -36,7 +36,7 @@
   struct ColtOrderWindow *window; /* of start orders to all servers */
   GHashTable *links;              /* server id -> struct ColtServerLink */
   GPtrArray *link_clients;        /* of struct ColtLinkClient, of all links */
-  GHashTable *listed_ids;         /* servers listed since the last full read */
+  GHashTable *listed_ids;         /* servers listed by the open full read */
   GPtrArray *calls;               /* of struct ColtLeaderCall */
   GPtrArray *state_calls;         /* of struct ColtStateCall */
   GPtrArray *progress_records;    /* held until all jobs are loaded */
--- a/src/scheduler/private/scheduler_private.h
+++ b/src/scheduler/private/scheduler_private.h
@@ -46,8 +46,8 @@
   /* Handles a record, the newest of its key. Records with an unreadable key
    * are left out. */
   void (*handle_record) (void *client, const struct ColtLogRecord *record);
-  /* The newest records of all keys have been read. Keys without a record since
-   * the previous invocation don't exist. NULL is allowed. */
+  /* The newest records of all keys have been read. Keys without a record in
+   * that read don't exist. NULL is allowed. */
   void (*handle_synced) (void *client);
   void *client;
 };
@@ -67,6 +67,9 @@
 void colt_watch_destroy (struct ColtWatch *watch);
 /* Returns the offset up to which the topic has been read. */
 int64_t colt_watch_end (const struct ColtWatch *watch);
+/* Returns false until the newest records of all keys have been read, and again
+ * while they are reread because records have expired. */
+bool colt_watch_is_synced (const struct ColtWatch *watch);
 /* Returns whether a record that is being handled hasn't been handled before, in
  * an earlier read of all keys. */
 bool colt_watch_is_new (const struct ColtWatch *watch,
--- a/src/scheduler/watch.c
+++ b/src/scheduler/watch.c
@@ -84,6 +84,12 @@
   return watch->failing ? COLT_TIME_NEVER : watch->healthy_since_us;
 }
 
+bool
+colt_watch_is_synced (const struct ColtWatch *watch)
+{
+  return watch->synced;
+}
+
 bool
 colt_watch_is_new (const struct ColtWatch *watch,
                    const struct ColtLogRecord *record)
