--- a/fuzz/fuzz_records.c
+++ b/fuzz/fuzz_records.c
@@ -79,6 +79,9 @@
       const struct ColtLogRecord *record
           = &g_array_index (records, struct ColtLogRecord, i);
 
+      /* Reading goes on at the next offset. */
+      if (record->offset < 0 || record->offset == INT64_MAX)
+        __builtin_trap ();
       if (!is_page && record->offset != 7 + (int64_t)i)
         __builtin_trap ();
       check_record_ (ports, record);
