--- a/src/scheduler/leader.c
+++ b/src/scheduler/leader.c
@@ -427,9 +427,10 @@
   if (!leader->ports->decode_server (leader->ports->adapter, record,
                                      update_server_, leader, &error))
     {
-      colt_log (COLT_LOG_WARNING, MODULE, NULL,
-                "the entry of server %s is malformed; unlisting it: %s",
-                record->key, error.message);
+      if (colt_watch_is_new (leader->server_watch, record))
+        colt_log (COLT_LOG_WARNING, MODULE, NULL,
+                  "the entry of server %s is malformed; unlisting it: %s",
+                  record->key, error.message);
       unlist_server_ (leader, record->key);
     }
 }
@@ -459,7 +460,8 @@
   struct ColtLeader *leader = client;
   struct ColtServerLink *link = g_hash_table_lookup (leader->links, entry->id);
 
-  g_hash_table_add (leader->listed_ids, g_strdup (entry->id));
+  if (!colt_watch_is_synced (leader->server_watch))
+    g_hash_table_add (leader->listed_ids, g_strdup (entry->id));
   if (link != NULL
       && strcmp (colt_server_link_address (link), entry->address) != 0)
     {
--- a/src/scheduler/watch.c
+++ b/src/scheduler/watch.c
@@ -15,9 +15,12 @@
   bool synced;
   bool busy;
   bool failing;
-  char *after;      /* last key of the previous page */
-  int64_t sync_end; /* end of the topic when the first page was read */
-  int64_t end;      /* offset up to which the topic has been read */
+  char *after;            /* last key of the previous page */
+  int64_t sync_end;       /* end of the topic when the first page was read */
+  int64_t end;            /* offset up to which the topic has been read */
+  int64_t next_end;       /* the offset after all records so far */
+  int64_t known_end;      /* next_end before the current read of the topic */
+  int64_t ignored_offset; /* of the last record with an unreadable key */
   int64_t reached_us;
   int64_t healthy_since_us; /* first answer after the last failure */
 };
@@ -26,6 +29,8 @@
 static void read_topic_ (evutil_socket_t fd, short what, void *arg);
 static void handle_page_ (void *client, const struct ColtLogAnswer *answer);
 static void handle_records_ (void *client, const struct ColtLogAnswer *answer);
+static void handle_record_ (struct ColtWatch *watch,
+                            const struct ColtLogRecord *record);
 static bool check_answer_ (struct ColtWatch *watch,
                            const struct ColtLogAnswer *answer);
 
@@ -41,6 +46,7 @@
   watch->ports = ports;
   watch->topic = topic;
   watch->times = *times;
+  watch->ignored_offset = -1;
   watch->client = *client;
   watch->channel = ports->log_open (ports->adapter);
   watch->timer = event_new (base, -1, 0, read_topic_, watch);
@@ -78,6 +84,19 @@
   return watch->failing ? COLT_TIME_NEVER : watch->healthy_since_us;
 }
 
+bool
+colt_watch_is_synced (const struct ColtWatch *watch)
+{
+  return watch->synced;
+}
+
+bool
+colt_watch_is_new (const struct ColtWatch *watch,
+                   const struct ColtLogRecord *record)
+{
+  return record->offset >= watch->known_end;
+}
+
 void
 colt_watch_read_now (struct ColtWatch *watch)
 {
@@ -127,15 +146,16 @@
   if (watch->after == NULL)
     watch->sync_end = answer->end;
   for (i = 0; i < answer->count; i++)
-    watch->client.handle_record (watch->client.client, &answer->records[i]);
+    handle_record_ (watch, &answer->records[i]);
   g_clear_pointer (&watch->after, g_free);
-  if (answer->more && answer->count > 0)
+  if (answer->more)
     {
-      watch->after = g_strdup (answer->records[answer->count - 1].key);
+      watch->after = g_strdup (answer->last_key);
       schedule_read_ (watch, 0);
       return;
     }
   watch->synced = true;
+  watch->known_end = watch->next_end;
   watch->end = watch->sync_end;
   if (watch->client.handle_synced != NULL)
     watch->client.handle_synced (watch->client.client);
@@ -162,11 +182,28 @@
   for (i = 0; i < answer->count; i++)
     {
       watch->end = answer->records[i].offset + 1;
-      watch->client.handle_record (watch->client.client, &answer->records[i]);
+      handle_record_ (watch, &answer->records[i]);
     }
+  watch->known_end = watch->next_end;
   schedule_read_ (watch, answer->count > 0 ? watch->times.pause_ms : 0);
 }
 
+static void
+handle_record_ (struct ColtWatch *watch, const struct ColtLogRecord *record)
+{
+  watch->next_end = MAX (watch->next_end, record->offset + 1);
+  if (record->key[0] != '\0')
+    watch->client.handle_record (watch->client.client, record);
+  else if (colt_watch_is_new (watch, record)
+           && record->offset != watch->ignored_offset)
+    {
+      watch->ignored_offset = record->offset;
+      colt_log (COLT_LOG_WARNING, MODULE, NULL,
+                "record %lld of topic %s has an unreadable key; ignoring it",
+                (long long)record->offset, colt_topic_string[watch->topic]);
+    }
+}
+
 static bool
 check_answer_ (struct ColtWatch *watch, const struct ColtLogAnswer *answer)
 {
--- a/src/test_platform/test_http.c
+++ b/src/test_platform/test_http.c
@@ -1,5 +1,6 @@
 #include <event2/event.h>
 #include <glib.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "coltsfootstile/http_client.h"
@@ -249,6 +250,45 @@
   driver->destroy (driver);
 }
 
+static void
+on_limit (evutil_socket_t fd, short what, void *client)
+{
+  (void)fd;
+  (void)what;
+  *(bool *)client = true;
+}
+
+/* Guards against a longer timeout of the next append after an append was
+ * cancelled: the log wasn't slow to answer. */
+static void
+test_cancelled_append (struct ColtHttpFixture *fixture, gconstpointer data)
+{
+  const struct timeval limit = { 1, 900000 };
+  struct ColtLogDriver *driver = colt_log_http_create (
+      fixture->base, colt_fake_http_address (fixture->fake));
+  struct ColtAppendReceived received = { 0 };
+  struct event *timer;
+  bool late = false;
+
+  (void)data;
+  colt_fake_http_add_step (fixture->fake, COLT_FAKE_NO_ANSWER, 0, NULL);
+  driver->append (driver, (const uint8_t *)"a", 1, on_append, &received);
+  while (colt_fake_http_request (fixture->fake, 0) == NULL)
+    event_base_loop (fixture->base, EVLOOP_ONCE);
+  driver->cancel_append (driver);
+  g_assert_cmpuint (received.count, ==, 1);
+  g_assert_cmpint (received.result, ==, COLT_LOG_UNKNOWN);
+  timer = event_new (fixture->base, -1, 0, on_limit, &late);
+  event_add (timer, &limit);
+  driver->append (driver, (const uint8_t *)"b", 1, on_append, &received);
+  while (received.count == 1 && !late)
+    event_base_loop (fixture->base, EVLOOP_ONCE);
+  g_assert_false (late);
+  g_assert_cmpint (received.result, ==, COLT_LOG_UNKNOWN);
+  event_free (timer);
+  driver->destroy (driver);
+}
+
 struct ColtReadReceived
 {
   guint count;
@@ -420,6 +460,41 @@
   g_assert_cmpint (fixture->received.result, ==, COLT_HTTP_ANSWERED);
 }
 
+/* Guards against calls to another port than the address names: the one that a
+ * port above 65535 has in its lower 16 bits, for instance. */
+static void
+test_bad_addresses (struct ColtHttpFixture *fixture, gconstpointer data)
+{
+  const char *good = colt_fake_http_address (fixture->fake);
+  const char *port = strrchr (good, ':') + 1;
+  char *addresses[] = { g_strdup_printf ("127.0.0.1:%d", atoi (port) + 65536),
+                        g_strdup_printf ("127.0.0.1:+%s", port),
+                        g_strdup_printf ("127.0.0.1: %s", port),
+                        g_strdup_printf ("127.0.0.1:%sx", port),
+                        g_strdup_printf ("localhost:%s", port),
+                        g_strdup_printf (":%s", port),
+                        g_strdup ("127.0.0.1:0"),
+                        g_strdup ("127.0.0.1:"),
+                        g_strdup ("127.0.0.1:-1") };
+  size_t i;
+
+  (void)data;
+  for (i = 0; i < G_N_ELEMENTS (addresses); i++)
+    {
+      colt_http_client_destroy (fixture->http);
+      fixture->http
+          = colt_http_client_create (fixture->base, addresses[i], 32, 1);
+      colt_fake_http_add_step (fixture->fake, COLT_FAKE_ANSWER, 200, "no");
+      call_and_wait (fixture, 1000);
+      g_assert_cmpint (fixture->received.result, ==, COLT_HTTP_NOT_SENT);
+      g_assert_cmpint (fixture->received.error.code, ==, COLT_ERROR_INVALID);
+      g_assert_cmpstr (fixture->received.error.peer, ==, addresses[i]);
+      g_assert_cmpuint (colt_http_client_connections (fixture->http), ==, 0);
+      g_free (addresses[i]);
+    }
+  g_assert_cmpuint (colt_fake_http_connections (fixture->fake), ==, 0);
+}
+
 /* Adds a test on a loop of each kind. */
 #define ADD(path, test)                                                        \
   g_test_add ("/platform/http/" path, struct ColtHttpFixture, NULL, set_up,    \
@@ -438,10 +513,12 @@
   ADD ("closed-port", test_closed_port_is_not_sent);
   ADD ("queue", test_full_queue_rejects_call);
   ADD ("append", test_append_results);
+  ADD ("cancelled-append", test_cancelled_append);
   ADD ("read", test_read_results);
   ADD ("long", test_long_call_is_complete);
   ADD ("cancelled", test_cancelled_call_is_unknown);
   ADD ("closed", test_closed_connection_is_unknown);
   ADD ("reused", test_descriptor_is_reused);
   ADD ("late-in-turn", test_call_late_in_turn);
+  ADD ("bad-addresses", test_bad_addresses);
 }
