Gate: don't use a destroyed gate at the end of an open submit call

An instance destroys its gate before its wire. The wire then ends the open calls, and on_submit_reply_() looked the request up in the freed gate. The gate now lists its open submit calls and detaches them when it is destroyed. An open attach call isn't concerned: without a reply its end doesn't read the gate.

Before: /admission/destroyed/submit ended with AddressSanitizer's heap-use-after-free in on_submit_reply_(), called by colt_wire_destroy().

--- a/src/admission/gate.c
+++ b/src/admission/gate.c
@@ -28,6 +28,7 @@
   gate->pending = g_hash_table_new_full (
       colt_id_table_hash, colt_id_table_equal, NULL, colt_pending_request_free);
   gate->minted = g_hash_table_new (colt_id_table_hash, colt_id_table_equal);
+  gate->open_submits = g_hash_table_new (g_direct_hash, g_direct_equal);
   gate->connections = g_hash_table_new (g_direct_hash, g_direct_equal);
   g_queue_init (&gate->minted_order);
   gate->http = evhttp_new (parts->base);
@@ -50,10 +51,12 @@
   if (gate == NULL)
     return;
   colt_gate_abandon (gate);
+  colt_gate_detach_calls (gate);
   event_free (gate->timer);
   evhttp_free (gate->http);
   g_hash_table_unref (gate->connections);
   g_hash_table_unref (gate->pending);
+  g_hash_table_unref (gate->open_submits);
   g_hash_table_unref (gate->minted);
   g_queue_clear_full (&gate->minted_order, g_free);
   g_free (gate);
--- a/src/admission/gate_pending.c
+++ b/src/admission/gate_pending.c
@@ -22,7 +22,7 @@
  * answered and freed before the reply. */
 struct ColtSubmitCall
 {
-  struct ColtGate *gate;
+  struct ColtGate *gate; /* NULL once the gate is destroyed */
   struct ColtId id;
 };
 
@@ -165,6 +165,17 @@
   g_hash_table_remove (gate->pending, &pending->id);
 }
 
+void
+colt_gate_detach_calls (struct ColtGate *gate)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, gate->open_submits);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    ((struct ColtSubmitCall *)key)->gate = NULL;
+}
+
 void
 colt_pending_request_free (gpointer data)
 {
@@ -234,6 +245,7 @@
   call = g_new0 (struct ColtSubmitCall, 1);
   call->gate = gate;
   call->id = pending->id;
+  g_hash_table_add (gate->open_submits, call);
   pending->in_flight = true;
   body = colt_message_pack (&submit.base, &size);
   colt_wire_call (gate->parts.wire, leader, COLT_WIRE_REQUEST_SUBMIT, body,
@@ -248,10 +260,14 @@
                   size_t size)
 {
   struct ColtSubmitCall *call = client;
-  struct ColtPendingRequest *pending
-      = g_hash_table_lookup (call->gate->pending, &call->id);
+  struct ColtPendingRequest *pending = NULL;
   ColtSubmitReply *reply = NULL;
 
+  if (call->gate != NULL)
+    {
+      pending = g_hash_table_lookup (call->gate->pending, &call->id);
+      g_hash_table_remove (call->gate->open_submits, call);
+    }
   g_free (call);
   if (pending == NULL)
     return;
--- a/src/admission/private/gate_private.h
+++ b/src/admission/private/gate_private.h
@@ -59,13 +59,14 @@
   void *client;
   struct evhttp *http;
   struct evhttp_bound_socket *socket;
-  GHashTable *pending;     /**< struct ColtPendingRequest by its id */
-  GHashTable *connections; /**< struct ColtGateConnection by its
-                                evhttp_connection */
-  GHashTable *minted;      /**< set of the struct ColtId that were minted here
-                                and not used yet; owned by minted_order */
-  GQueue minted_order;     /**< of struct ColtId, oldest first, used ones
-                                included */
+  GHashTable *pending;      /**< struct ColtPendingRequest by its id */
+  GHashTable *connections;  /**< struct ColtGateConnection by its
+                                 evhttp_connection */
+  GHashTable *minted;       /**< set of the struct ColtId that were minted here
+                                 and not used yet; owned by minted_order */
+  GQueue minted_order;      /**< of struct ColtId, oldest first, used ones
+                                 included */
+  GHashTable *open_submits; /**< set of the open submit calls */
   struct event *timer;
   int64_t next_attach_us; /**< monotonic time of the next attach calls */
   bool stopping;
@@ -176,6 +177,10 @@
                                enum ColtReason reason,
                                const ColtAnswerWord *answer);
 
+/** Detaches the open submit calls from a gate that is being destroyed: the wire
+ * ends them later. */
+void colt_gate_detach_calls (struct ColtGate *gate);
+
 /** Frees a struct ColtPendingRequest. */
 void colt_pending_request_free (gpointer data);
 
--- a/src/test_admission/gate_fixture.c
+++ b/src/test_admission/gate_fixture.c
@@ -136,10 +136,15 @@
 
   g_assert_nonnull (submit);
   fixture->submit_count++;
-  if (fixture->stop_on_submit)
+  if (fixture->stop_on_call)
     event_base_loopbreak (fixture->base);
   fixture->last_fresh = submit->fresh;
   fixture->last_tasks = submit->spec->tasks;
+  if (fixture->unresponsive)
+    {
+      colt_submit_word__free_unpacked (submit, NULL);
+      return;
+    }
   reply.status = fixture->submit_status;
   reply.reason = fixture->submit_reason;
   packed = colt_message_pack (&reply.base, &size);
@@ -162,6 +167,10 @@
   uint8_t *packed;
 
   (void)body;
+  if (fixture->stop_on_call)
+    event_base_loopbreak (fixture->base);
+  if (fixture->unresponsive)
+    return;
   packed = colt_message_pack (&reply.base, &size);
   colt_wire_reply (fixture->home, origin, packed, size);
   free (packed);
@@ -355,6 +364,14 @@
   return reply;
 }
 
+void
+gate_wait_for_call (struct ColtGateFixture *fixture)
+{
+  fixture->stop_on_call = true;
+  run_loop (fixture);
+  fixture->stop_on_call = false;
+}
+
 void
 gate_post_and_close (struct ColtGateFixture *fixture,
                      const char *headers,
@@ -367,9 +384,7 @@
   struct bufferevent *stream
       = open_caller (fixture, &caller, text, strlen (text));
 
-  fixture->stop_on_submit = true;
-  run_loop (fixture);
-  fixture->stop_on_submit = false;
+  gate_wait_for_call (fixture);
   g_assert_cmpuint (caller.text->len, ==, 0);
   bufferevent_free (stream);
   g_string_free (caller.text, TRUE);
--- a/src/test_admission/gate_fixture.h
+++ b/src/test_admission/gate_fixture.h
@@ -49,7 +49,8 @@
   unsigned submit_count;
   bool last_fresh;     /**< from the last submit call */
   uint32_t last_tasks; /**< from the last submit call */
-  bool stop_on_submit; /**< a submit call stops the event loop */
+  bool stop_on_call;   /**< a call to the home stops the event loop */
+  bool unresponsive;   /**< the home replies to no call */
 };
 
 void gate_set_up (struct ColtGateFixture *fixture, gconstpointer data);
@@ -66,6 +67,9 @@
                                 const char *headers,
                                 const char *body);
 
+/** Runs the event loop until the home receives a call. */
+void gate_wait_for_call (struct ColtGateFixture *fixture);
+
 /** Posts a task and closes the connection, without a reply, once the home has
  * received the submit call. */
 void gate_post_and_close (struct ColtGateFixture *fixture,
--- a/src/test_admission/test_admission.c
+++ b/src/test_admission/test_admission.c
@@ -311,6 +311,18 @@
   gate_reply_clear (&reply);
 }
 
+/* A gate that is destroyed before the wire, as at shutdown, must not be used by
+ * the wire's end of the calls that the gate left open. */
+static void
+test_destroyed_with_open_submit (struct ColtGateFixture *fixture,
+                                 gconstpointer data)
+{
+  (void)data;
+  fixture->unresponsive = true;
+  gate_post_and_close (fixture, KEY_HEADER, VALID_BODY);
+  g_assert_cmpuint (colt_gate_open_count (fixture->gate), ==, 1);
+}
+
 #define ADD_TEST(path, test)                                                   \
   g_test_add ("/admission/" path, struct ColtGateFixture, NULL, gate_set_up,   \
               test, gate_tear_down)
@@ -381,6 +393,7 @@
   ADD_TEST ("caller-goes-away", test_caller_disconnects);
   ADD_TEST ("no-lead", test_no_leader);
   ADD_TEST ("stop", test_stopped_gate);
+  ADD_TEST ("destroyed/submit", test_destroyed_with_open_submit);
   g_test_add ("/admission/connections", struct ColtGateFixture, NULL,
               gate_set_up, test_connection_limit, gate_tear_down);
   return g_test_run ();
