Home: check a late result's task against the request of today

The reply to a query for results may arrive after the leadership of the shard was lost and gained again. A request of the same id may then have fewer tasks, and handle_result_() read the entry of a task behind the end of the array. The index is now compared with the request's number of tasks.

--- a/src/home/home_query.c
+++ b/src/home/home_query.c
@@ -276,7 +276,7 @@
         return;
       colt_requests_handle_end (home->requests, &report, now_us);
       request = colt_requests_find (home->requests, &ref.request);
-      if (for_results && request != NULL
+      if (for_results && request != NULL && ref.index < request->spec.tasks
           && request->tasks[ref.index].result_known)
         colt_home_send_answer (home, request);
       return;
--- a/src/test_home/harness.c
+++ b/src/test_home/harness.c
@@ -83,6 +83,23 @@
   colt_shard_open_clear (&open);
 }
 
+void
+colt_home_open_elsewhere (struct ColtHomeFixture *fixture, uint32_t shard)
+{
+  const uint64_t epoch
+      = colt_requests_shard_epoch (colt_home_requests (fixture->home), shard);
+  const struct ColtShardEpoch next = { shard, epoch + 1 };
+  const struct ColtShardOpen open
+      = { OWNER_INSTANCE, INCARNATION, 1, &next, 1 };
+  struct ColtShardOpened opened;
+
+  colt_shard_owner_handle_open (fixture->shard_owner, &open, &opened,
+                                colt_clock_monotonic_us ());
+  g_assert_cmpuint (opened.epoch_count, ==, 1);
+  g_assert_cmpuint (opened.epochs[0].epoch, ==, epoch + 1);
+  colt_shard_opened_clear (&opened);
+}
+
 static void
 on_confirm_ (void *client,
              const struct ColtWireOrigin *origin,
@@ -225,40 +242,73 @@
 }
 
 static void
-on_query_ (void *client,
-           const struct ColtWireOrigin *origin,
-           const uint8_t *body,
-           size_t size)
+reply_to_query_ (struct ColtHomeFixture *fixture,
+                 const struct ColtWireOrigin *origin,
+                 const uint8_t *body,
+                 size_t size)
 {
-  struct ColtHomeFixture *fixture = client;
   ColtQueryWord *query = colt_query_word__unpack (NULL, size, body);
+  struct ColtReportBuffer *reported
+      = g_new0 (struct ColtReportBuffer, query->n_items);
+  ColtQueryResult *results = g_new0 (ColtQueryResult, query->n_items);
+  ColtQueryResult **list = g_new0 (ColtQueryResult *, query->n_items);
   ColtQueryReply reply = COLT_QUERY_REPLY__INIT;
-  ColtQueryResult result = COLT_QUERY_RESULT__INIT;
-  ColtQueryResult *results = &result;
-  struct ColtReportBuffer reported;
   struct ColtTaskReport report;
   struct ColtTaskRef ref;
   uint8_t *answer;
+  size_t i;
 
-  g_assert_nonnull (query);
-  g_assert_cmpuint (query->n_items, ==, 1);
-  fixture->queries++;
-  g_assert_true (colt_ref_read (query->items[0]->ref, &ref));
-  g_assert_nonnull (find_start_ (fixture, &ref));
-  fill_report_ (find_start_ (fixture, &ref), query->want_results, &report);
-  colt_report_fill (&reported, &report);
-  result.ref = query->items[0]->ref;
-  result.stage = fixture->query_stage;
-  if (fixture->query_stage == COLT_QUERY_ENDED)
-    result.report = &reported.msg;
-  reply.results = &results;
-  reply.n_results = 1;
+  for (i = 0; i < query->n_items; i++)
+    {
+      g_assert_true (colt_ref_read (query->items[i]->ref, &ref));
+      g_assert_nonnull (find_start_ (fixture, &ref));
+      fill_report_ (find_start_ (fixture, &ref), query->want_results, &report);
+      colt_report_fill (&reported[i], &report);
+      colt_query_result__init (&results[i]);
+      results[i].ref = query->items[i]->ref;
+      results[i].stage = fixture->query_stage;
+      if (fixture->query_stage == COLT_QUERY_ENDED)
+        results[i].report = &reported[i].msg;
+      list[i] = &results[i];
+    }
+  reply.results = list;
+  reply.n_results = query->n_items;
   answer = colt_message_pack (&reply.base, &size);
   colt_wire_reply (fixture->owner_wire, origin, answer, size);
   free (answer);
+  g_free (reported);
+  g_free (results);
+  g_free (list);
   colt_query_word__free_unpacked (query, NULL);
 }
 
+static void
+on_query_ (void *client,
+           const struct ColtWireOrigin *origin,
+           const uint8_t *body,
+           size_t size)
+{
+  struct ColtHomeFixture *fixture = client;
+
+  fixture->queries++;
+  if (!fixture->holds_queries)
+    {
+      reply_to_query_ (fixture, origin, body, size);
+      return;
+    }
+  g_free (fixture->held_query);
+  fixture->held_query = g_memdup2 (body, size);
+  fixture->held_query_size = size;
+  fixture->held_origin = *origin;
+}
+
+void
+colt_home_reply_to_held_query (struct ColtHomeFixture *fixture)
+{
+  reply_to_query_ (fixture, &fixture->held_origin, fixture->held_query,
+                   fixture->held_query_size);
+}
+
 static void
 on_stop_ (void *client,
           const struct ColtWireOrigin *origin,
@@ -553,6 +603,7 @@
   event_base_free (fixture->base);
   g_array_unref (fixture->starts);
   g_byte_array_unref (fixture->result);
+  g_free (fixture->held_query);
 }
 
 void
--- a/src/test_home/harness.h
+++ b/src/test_home/harness.h
@@ -52,6 +52,10 @@
   enum ColtQueryStage query_stage; /**< reported in replies to queries */
   bool omits_results; /**< events carry no result, replies to queries do */
   GArray *starts;     /**< of struct ColtReceivedStart */
+  bool holds_queries; /**< the owner's replies to queries are held back */
+  uint8_t *held_query;
+  size_t held_query_size;
+  struct ColtWireOrigin held_origin;
   unsigned queries;
   unsigned stops;
   /* Answers at the gate; outcome, reason and result are of the newest one. */
@@ -116,6 +120,12 @@
                            const struct ColtReceivedStart *start,
                            enum ColtTaskEventKind kind);
 
+/** Sends the reply to the query that was held back last. */
+void colt_home_reply_to_held_query (struct ColtHomeFixture *fixture);
+
+/** Opens a shard at the owner for another leader, so that the home loses it. */
+void colt_home_open_elsewhere (struct ColtHomeFixture *fixture, uint32_t shard);
+
 /** Returns the start that the owner received as number \a index, from 0. */
 const struct ColtReceivedStart *
 colt_home_get_start (const struct ColtHomeFixture *fixture, guint index);
--- a/src/test_home/test_home.c
+++ b/src/test_home/test_home.c
@@ -122,6 +122,45 @@
   g_assert_cmpuint (fixture->answers, ==, 1);
 }
 
+/* A result that arrives after the leadership was lost and gained again must not
+ * be looked up in a request that now has fewer tasks. */
+static void
+test_late_result_of_missing_task (struct ColtHomeFixture *fixture,
+                                  gconstpointer data)
+{
+  struct ColtRequestSpec spec = colt_home_make_spec ();
+  struct ColtId id = colt_home_make_id (fixture);
+  uint32_t shard = colt_id_shard (&id);
+  unsigned queries;
+
+  (void)data;
+  spec.tasks = 2;
+  fixture->mode = COLT_OWNER_ENDS_FIRST;
+  fixture->omits_results = true;
+  fixture->query_stage = COLT_QUERY_ENDED;
+  fixture->holds_queries = true;
+  g_assert_cmpint (colt_home_submit (fixture, &id, &spec).status, ==,
+                   COLT_SUBMIT_ACCEPTED);
+  RUN_UNTIL (fixture, fixture->queries > 0);
+  colt_home_open_elsewhere (fixture, shard);
+  RUN_UNTIL (fixture,
+             colt_requests_find (colt_home_requests (fixture->home), &id)
+                 == NULL);
+  RUN_UNTIL (fixture,
+             colt_shard_leader_is_active (colt_home_shards (fixture->home),
+                                          shard, colt_clock_monotonic_us ()));
+  spec.tasks = 1;
+  fixture->mode = COLT_OWNER_ACCEPTS;
+  g_assert_cmpint (colt_home_submit (fixture, &id, &spec).status, ==,
+                   COLT_SUBMIT_ACCEPTED);
+  queries = fixture->queries;
+  colt_home_reply_to_held_query (fixture);
+  fixture->holds_queries = false;
+  fixture->query_stage = COLT_QUERY_RUNNING;
+  RUN_UNTIL (fixture, fixture->queries > queries);
+  g_assert_cmpuint (fixture->answers, ==, 0);
+}
+
 /* A stop message may be lost, so it is repeated until the task has ended. */
 static void
 test_cancel_stops_running_task (struct ColtHomeFixture *fixture,
@@ -402,6 +441,7 @@
   add_test_ ("/home/answer/fetched", test_missing_result_is_fetched, 0);
   add_test_ ("/home/answer/known", test_known_request_is_not_run_twice, 0);
   add_test_ ("/home/answer/not_run", test_task_past_deadline_is_not_run, 0);
+  add_test_ ("/home/answer/late_result", test_late_result_of_missing_task, 0);
   add_test_ ("/home/place/no_room", test_refused_start_is_placed_again, 0);
   add_test_ ("/home/place/no_credit", test_refused_start_is_placed_again, 1);
   add_test_ ("/home/place/leaving", test_refused_start_is_placed_again, 2);
