Requests: a result that isn't sent has no size

A backend server may announce the size of a result without sending the result. colt_requests_store_report() and colt_report_fill() kept the size beside a NULL pointer, and making the answer or packing the report copied from it. Both now take the size only together with the data.

Before: /request/result-without-data ended with UBSan's null pointer in make_task_answer_(); with that mended, with a SIGSEGV in colt_message_pack(). After: the 44 tests of test_request pass.

--- a/src/request/request_messages.c
+++ b/src/request/request_messages.c
@@ -100,7 +100,7 @@
   buffer->msg.run_ms = report->run_ms;
   buffer->msg.exit_status = report->exit_status;
   buffer->msg.result.data = (uint8_t *)report->result;
-  buffer->msg.result.len = report->result_size;
+  buffer->msg.result.len = report->result != NULL ? report->result_size : 0;
   buffer->msg.result_known = report->result != NULL;
 }
 
--- a/src/request/request_steps.c
+++ b/src/request/request_steps.c
@@ -230,8 +230,8 @@
   task->run_ms = report->run_ms;
   task->result_known = report->result != NULL;
   task->result = g_memdup2 (report->result, report->result_size);
-  task->result_size = report->result_size;
-  requests->stats.result_bytes += report->result_size;
+  task->result_size = report->result != NULL ? report->result_size : 0;
+  requests->stats.result_bytes += task->result_size;
 }
 
 void
--- a/src/test_request/test_request.c
+++ b/src/test_request/test_request.c
@@ -1,5 +1,7 @@
+#include <stdlib.h>
 #include <string.h>
 
+#include "coltsfootstile/request_messages.h"
 #include "table_fixture.h"
 
 static void
@@ -455,6 +457,44 @@
   g_test_add ("/request/" path, struct ColtTableFixture, data, table_set_up,   \
               test, table_tear_down)
 
+/* A server may announce the size of a result that it doesn't send; the missing
+ * bytes must not be read when the report is sent or the answer is made. */
+static void
+test_result_without_data (struct ColtTableFixture *fixture, gconstpointer data)
+{
+  struct ColtRequestSpec spec = table_spec (false);
+  struct ColtId id = table_id (1);
+  struct ColtRequestStats stats;
+  struct ColtReportBuffer buffer;
+  struct ColtTaskReport report;
+  struct ColtTaskReport read;
+  struct ColtTaskRef ref;
+  ColtReportWord *message;
+  ColtAnswerWord *answer;
+  uint8_t *body;
+  size_t size;
+
+  (void)data;
+  table_submit (fixture, &id, &spec);
+  ref = table_begin_attempt (fixture, &id, 0);
+  report = table_make_report (&ref, COLT_TASK_FINISHED);
+  report.result = NULL;
+  report.result_size = 6;
+  colt_requests_handle_end (fixture->requests, &report, fixture->now_us);
+  answer = colt_answer_make (colt_requests_find (fixture->requests, &id));
+  g_assert_cmpuint (answer->tasks[0]->result.len, ==, 0);
+  colt_answer_word__free_unpacked (answer, NULL);
+  colt_requests_get_stats (fixture->requests, &stats);
+  g_assert_cmpuint (stats.result_bytes, ==, 0);
+  colt_report_fill (&buffer, &report);
+  body = colt_message_pack (&buffer.msg.base, &size);
+  message = colt_report_word__unpack (NULL, size, body);
+  g_assert_true (colt_report_read (message, &read));
+  g_assert_null (read.result);
+  colt_report_word__free_unpacked (message, NULL);
+  free (body);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -487,6 +527,7 @@
   ADD ("bounds", NULL, test_bounds);
   ADD ("dropped", NULL, test_results_and_requests_are_dropped);
   ADD ("oldest-results-dropped", NULL, test_oldest_results_are_dropped);
+  ADD ("result-without-data", NULL, test_result_without_data);
   ADD ("old-and-hashed-ids", NULL, test_old_and_hashed_ids);
   g_test_add_func ("/request/page", test_api_page_lists_reasons);
   test_add_recovery ();
