Settings: stop at an unknown setting in each accessor

colt_settings_count() and colt_settings_item() used the index of a setting that isn't in the table and read behind the array of values; only the accessors of a single value asserted it. All of them now get their values through one function with the assertion.

Before: /base/settings/unknown/count and /item failed, with AddressSanitizer's heap-buffer-overflow instead of the assertion.

--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -40,6 +40,9 @@
 static size_t find_spec_ (const struct ColtSettings *settings,
                           const char *section,
                           const char *key);
+static const GPtrArray *get_values_ (const struct ColtSettings *settings,
+                                     const char *section,
+                                     const char *key);
 static const char *get_first_value_ (const struct ColtSettings *settings,
                                      const char *section,
                                      const char *key);
@@ -156,7 +159,7 @@
                      const char *section,
                      const char *key)
 {
-  return settings->values[find_spec_ (settings, section, key)]->len;
+  return get_values_ (settings, section, key)->len;
 }
 
 const char *
@@ -165,8 +168,7 @@
                     const char *key,
                     size_t index)
 {
-  const GPtrArray *values
-      = settings->values[find_spec_ (settings, section, key)];
+  const GPtrArray *values = get_values_ (settings, section, key);
 
   assert (index < values->len);
   return g_ptr_array_index (values, index);
@@ -336,13 +338,24 @@
   return i;
 }
 
+static const GPtrArray *
+get_values_ (const struct ColtSettings *settings,
+             const char *section,
+             const char *key)
+{
+  size_t index = find_spec_ (settings, section, key);
+
+  assert (index < settings->spec_count);
+  return settings->values[index];
+}
+
 static const char *
 get_first_value_ (const struct ColtSettings *settings,
                   const char *section,
                   const char *key)
 {
-  size_t index = find_spec_ (settings, section, key);
+  const GPtrArray *values = get_values_ (settings, section, key);
 
-  assert (index < settings->spec_count && settings->values[index]->len > 0);
-  return g_ptr_array_index (settings->values[index], 0);
+  assert (values->len > 0);
+  return g_ptr_array_index (values, 0);
 }
--- a/src/test_base/test_base.c
+++ b/src/test_base/test_base.c
@@ -112,6 +112,32 @@
   colt_settings_destroy (settings);
 }
 
+/* Each accessor must stop at a setting that isn't in the table; the first two
+ * used to read behind the array of values. */
+static void
+test_settings_unknown_key (gconstpointer accessor)
+{
+  struct ColtSettings *settings
+      = colt_settings_create (specs, G_N_ELEMENTS (specs));
+
+  if (g_test_subprocess ())
+    {
+      if (g_strcmp0 (accessor, "count") == 0)
+        colt_settings_count (settings, "peers", "colour");
+      else if (g_strcmp0 (accessor, "item") == 0)
+        colt_settings_item (settings, "peers", "colour", 0);
+      else
+        colt_settings_string (settings, "peers", "colour");
+    }
+  else
+    {
+      g_test_trap_subprocess (NULL, 0, G_TEST_SUBPROCESS_DEFAULT);
+      g_test_trap_assert_failed ();
+      g_test_trap_assert_stderr ("*Assertion*index < settings->spec_count*");
+    }
+  colt_settings_destroy (settings);
+}
+
 static void
 test_table_rejects_stale_handle (void)
 {
@@ -158,6 +184,12 @@
   g_test_add_func ("/base/settings/problems",
                    test_settings_report_all_problems);
   g_test_add_func ("/base/settings/values", test_settings_read_values);
+  g_test_add_data_func ("/base/settings/unknown/count", "count",
+                        test_settings_unknown_key);
+  g_test_add_data_func ("/base/settings/unknown/item", "item",
+                        test_settings_unknown_key);
+  g_test_add_data_func ("/base/settings/unknown/string", "string",
+                        test_settings_unknown_key);
   g_test_add_func ("/base/table/handles", test_table_rejects_stale_handle);
   g_test_add_func ("/base/counters/format", test_counters_format);
   return g_test_run ();
