Stand-ins: a refused control request has no effect

standin_list scheduled the change of a known entry before it refused the request for an unknown server, and standin_relay applied the commands one by one and answered by the last of them. Both now check a whole request before they apply any of it.

Before: /standin/control/list saw the state "draining" after the 400, and in /standin/control/relay a route was cut by a request that was refused.

--- a/src/test_standin/test_standin.c
+++ b/src/test_standin/test_standin.c
@@ -12,6 +12,7 @@
   add_http_tests ();
   add_changes_tests ();
   add_relay_tests ();
+  add_control_tests ();
   add_backend_tests ();
   return g_test_run ();
 }
--- a/src/test_standin/tests.h
+++ b/src/test_standin/tests.h
@@ -7,6 +7,7 @@
 void add_http_tests (void);
 void add_changes_tests (void);
 void add_relay_tests (void);
+void add_control_tests (void);
 void add_backend_tests (void);
 
 #endif
--- a/standin/standin_list.c
+++ b/standin/standin_list.c
@@ -56,7 +56,11 @@
 validate_list_ (json_t *list, const char *path, struct ColtError *error);
 static void handle_call_ (void *client, struct ColtStandinCall *call);
 static void handle_control_ (void *client, struct ColtStandinCall *call);
-static bool schedule_change_ (struct ColtListService *service,
+static bool is_valid_change_ (const struct ColtListService *service,
+                              const json_t *body,
+                              const char *key,
+                              const char *items);
+static void schedule_change_ (struct ColtListService *service,
                               const json_t *body,
                               const char *key,
                               const char *items);
@@ -206,11 +210,13 @@
 
   if (body == NULL)
     colt_standin_call_refuse (call, STATUS_INVALID, "no JSON object");
-  else if (!schedule_change_ (service, body, "entry", "entries")
-           || !schedule_change_ (service, body, "server", "servers"))
+  else if (!is_valid_change_ (service, body, "entry", "entries")
+           || !is_valid_change_ (service, body, "server", "servers"))
     colt_standin_call_refuse (call, STATUS_INVALID, "no such instance");
   else
     {
+      schedule_change_ (service, body, "entry", "entries");
+      schedule_change_ (service, body, "server", "servers");
       colt_standin_http_set_faults (service->http, body);
       colt_standin_recorder_write (
           service->recorder, colt_clock_monotonic_us (),
@@ -219,7 +225,24 @@
     }
 }
 
+/* Returns whether a control request names no instance with a key, or a known
+ * one together with a state. */
 static bool
+is_valid_change_ (const struct ColtListService *service,
+                  const json_t *body,
+                  const char *key,
+                  const char *items)
+{
+  const json_t *id = json_object_get (body, key);
+
+  return id == NULL
+         || (json_is_string (json_object_get (body, "state"))
+             && find_item_ (json_object_get (service->list, items),
+                            json_integer_value (id))
+                    != NULL);
+}
+
+static void
 schedule_change_ (struct ColtListService *service,
                   const json_t *body,
                   const char *key,
@@ -228,20 +251,15 @@
   const json_t *id = json_object_get (body, key);
   const char *state = json_string_value (json_object_get (body, "state"));
   struct ColtListChange *change;
-  json_t *item;
 
   if (id == NULL)
-    return true;
-  item = find_item_ (json_object_get (service->list, items),
-                     json_integer_value (id));
-  if (item == NULL || state == NULL)
-    return false;
+    return;
   change = g_new0 (struct ColtListChange, 1);
   change->due_us = colt_clock_monotonic_us () + service->lag_us;
-  change->item = item;
+  change->item = find_item_ (json_object_get (service->list, items),
+                             json_integer_value (id));
   change->state = g_strdup (state);
   g_queue_push_tail (&service->changes, change);
-  return true;
 }
 
 static void
--- a/standin/standin_relay.c
+++ b/standin/standin_relay.c
@@ -81,9 +81,12 @@
 static void remove_link_ (void *client, struct ColtRelayLink *link);
 static void refuse_call_ (void *client, struct ColtStandinCall *call);
 static void handle_control_ (void *client, struct ColtStandinCall *call);
-static bool apply_command_ (struct ColtRelayService *service,
-                            const struct ColtRelayCommand *command,
-                            const json_t *body);
+static bool has_valid_commands_ (struct ColtRelayService *service,
+                                 const json_t *body);
+static bool visit_routes_ (struct ColtRelayService *service,
+                           const struct ColtRelayCommand *command,
+                           const json_t *body,
+                           bool changes);
 static void cut_route_ (struct ColtRelayRoute *route, const json_t *body);
 static void heal_route_ (struct ColtRelayRoute *route, const json_t *body);
 static void block_links_ (struct ColtRelayRoute *route, const json_t *body);
@@ -280,30 +283,49 @@
 {
   struct ColtRelayService *service = client;
   const json_t *body = colt_standin_call_body (call);
-  bool found = false;
   size_t i;
 
-  for (i = 0; i < G_N_ELEMENTS (commands); i++)
-    if (json_object_get (body, commands[i].key) != NULL)
-      found = apply_command_ (service, &commands[i], body);
-  if (!found)
+  if (!has_valid_commands_ (service, body))
     {
       colt_standin_call_refuse (call, STATUS_INVALID,
                                 "no pair of names that a route has");
       return;
     }
+  for (i = 0; i < G_N_ELEMENTS (commands); i++)
+    if (json_object_get (body, commands[i].key) != NULL)
+      visit_routes_ (service, &commands[i], body, true);
   colt_standin_recorder_write (
       service->recorder, colt_clock_monotonic_us (),
       json_pack ("{s:s,s:O}", "event", "control", "change", body));
   colt_standin_call_reply (call, STATUS_OK, json_object ());
 }
 
-/* Applies a command to the routes between two names, in both directions.
- * Returns whether there is such a route. */
+/* Returns whether a request has a command, and each of its commands a route. */
+static bool
+has_valid_commands_ (struct ColtRelayService *service, const json_t *body)
+{
+  bool found = false;
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (commands); i++)
+    {
+      if (json_object_get (body, commands[i].key) == NULL)
+        continue;
+      if (!visit_routes_ (service, &commands[i], body, false))
+        return false;
+      found = true;
+    }
+  return found;
+}
+
+/* Finds the routes between the two names of a command, in both directions, and
+ * applies the command to them if changes is true. Returns whether there is such
+ * a route. */
 static bool
-apply_command_ (struct ColtRelayService *service,
-                const struct ColtRelayCommand *command,
-                const json_t *body)
+visit_routes_ (struct ColtRelayService *service,
+               const struct ColtRelayCommand *command,
+               const json_t *body,
+               bool changes)
 {
   const json_t *pair = json_object_get (body, command->key);
   char names[2][NAME_SIZE];
@@ -322,7 +344,8 @@
           || (name_matches_ (names[1], route->from)
               && name_matches_ (names[0], route->to)))
         {
-          command->change (route, body);
+          if (changes)
+            command->change (route, body);
           found = true;
         }
     }
