Membership: report a member that restarts at another address

A member that restarts before it is suspected stays alive with a higher incarnation. merge_member_() stored its new address, but called member_changed only on a change of the state, so the wire went on dialling the old address.

Before: /membership/moved still had the old address after the merge.

--- a/include/coltsfootstile/membership.h
+++ b/include/coltsfootstile/membership.h
@@ -76,7 +76,7 @@
    * colt_membership_handle_probe_answer() or
    * colt_membership_handle_probe_failure(). */
   void (*probe) (void *client, uint32_t instance);
-  /** Called when a member was added, or its state or listed address changed. */
+  /** Called when a member was added, or its state or address changed. */
   void (*member_changed) (void *client, const struct ColtMember *member);
 };
 
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -352,6 +352,7 @@
                int64_t now_us)
 {
   struct ColtMemberEntry *entry = find_entry_ (membership, reported->instance);
+  bool moved;
 
   if (reported->instance == membership->self)
     {
@@ -370,11 +371,15 @@
   if (!overrides_ (reported, &entry->member))
     return;
   entry->member.incarnation = reported->incarnation;
-  if (!entry->listed)
+  moved = !entry->listed
+          && strcmp (entry->member.address, reported->address) != 0;
+  if (moved)
     g_strlcpy (entry->member.address, reported->address,
                sizeof entry->member.address);
   if (reported->state != COLT_MEMBER_DEAD)
     entry->failures = 0;
+  if (moved && reported->state == entry->member.state)
+    membership->callbacks->member_changed (membership->client, &entry->member);
   set_state_ (membership, entry, reported->state, now_us);
 }
 
--- a/src/test_membership/test_membership.c
+++ b/src/test_membership/test_membership.c
@@ -270,6 +270,42 @@
   destroy_fleet_ (fleet);
 }
 
+static void
+ignore_probe_ (void *client, uint32_t instance)
+{
+  (void)client;
+  (void)instance;
+}
+
+static void
+store_address_ (void *client, const struct ColtMember *member)
+{
+  g_strlcpy (client, member->address, COLT_MEMBER_ADDRESS_SIZE);
+}
+
+static const struct ColtMembershipClient address_callbacks
+    = { ignore_probe_, store_address_ };
+
+/* A member that restarts at another address before it is suspected must be
+ * reported, since the wire dials the address of the last report. */
+static void
+test_quick_restart_at_another_address (void)
+{
+  const struct ColtMember self = { 1, 1, 1, COLT_MEMBER_ALIVE, "127.0.0.1:1" };
+  struct ColtMember peer = { 2, 1, 1, COLT_MEMBER_ALIVE, "127.0.0.1:2" };
+  struct ColtMembership *membership = colt_membership_create (&self);
+  char address[COLT_MEMBER_ADDRESS_SIZE] = "";
+
+  colt_membership_set_client (membership, &address_callbacks, address);
+  colt_membership_merge (membership, &peer, 1, 0);
+  g_assert_cmpstr (address, ==, "127.0.0.1:2");
+  peer.incarnation = 2;
+  g_strlcpy (peer.address, "127.0.0.1:3", sizeof peer.address);
+  colt_membership_merge (membership, &peer, 1, 0);
+  g_assert_cmpstr (address, ==, "127.0.0.1:3");
+  colt_membership_destroy (membership);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -280,6 +316,7 @@
   g_test_add_func ("/membership/pause", test_resumed_instance_rejoins);
   g_test_add_func ("/membership/leave", test_leaving_instance_is_not_eligible);
   g_test_add_func ("/membership/cut", test_partitioned_zone_keeps_its_members);
+  g_test_add_func ("/membership/moved", test_quick_restart_at_another_address);
   g_test_add_func ("/membership/urgent",
                    test_fast_probing_reaches_all_remote_members);
   g_test_add_func ("/membership/own_stall",
