Membership: list the members of a large zone in turn

A digest holds 70 members of its zone. In a larger zone each digest listed those of the lowest numbers, so the states of the others spread by probes alone, and a leaving instance of a high number didn't announce itself. Each digest now lists its sender and continues with the members where the one before ended, as it did for other zones.

Before: /membership/large_zone found members of a zone of 144 that four digests didn't list. After: the 9 tests of test_membership pass.

--- a/include/coltsfootstile/membership.h
+++ b/include/coltsfootstile/membership.h
@@ -141,9 +141,10 @@
                             int64_t now_us);
 
 /**
- * Writes the digest for a peer: the members of this zone, at most
- * COLT_DIGEST_MAX - COLT_DIGEST_REMOTE_MAX, and up to COLT_DIGEST_REMOTE_MAX
- * members of other zones in turn.
+ * Writes the digest for a peer: this instance and the members of its zone, at
+ * most COLT_DIGEST_MAX - COLT_DIGEST_REMOTE_MAX together, and up to
+ * COLT_DIGEST_REMOTE_MAX members of other zones. If they don't fit, each digest
+ * continues where the one before ended.
  *
  * \param members  room for COLT_DIGEST_MAX
  * \return         number of members written
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -25,6 +25,7 @@
   void *client;
   int64_t next_round_us;
   int64_t last_step_us; /* 0 before the first */
+  uint32_t next_local;  /* index from which a digest lists the zone's members */
   uint32_t next_remote; /* index from which a digest lists remote members */
   unsigned round;
   bool fast_probing;                           /* of the other zones */
@@ -37,6 +38,11 @@
 static struct ColtMemberEntry *add_entry_ (struct ColtMembership *membership,
                                            const struct ColtMember *member,
                                            int64_t now_us);
+static size_t list_in_turn_ (const struct ColtMembership *membership,
+                             bool local,
+                             uint32_t *next,
+                             size_t max,
+                             struct ColtMember *members);
 static void merge_member_ (struct ColtMembership *membership,
                            const struct ColtMember *reported,
                            int64_t now_us);
@@ -213,34 +219,16 @@
 colt_membership_write_digest (struct ColtMembership *membership,
                               struct ColtMember members[COLT_DIGEST_MAX])
 {
-  guint total = membership->entries->len;
-  size_t remote = 0;
   size_t count = 0;
-  guint i;
-
-  assert (total > 0);
-  for (i = 0; i < total && count < COLT_DIGEST_MAX - COLT_DIGEST_REMOTE_MAX;
-       i++)
-    {
-      const struct ColtMemberEntry *entry
-          = &g_array_index (membership->entries, struct ColtMemberEntry, i);
-
-      if (entry->member.zone == membership->self_zone)
-        members[count++] = entry->member;
-    }
-  for (i = 0; i < total && remote < COLT_DIGEST_REMOTE_MAX; i++)
-    {
-      guint at = (membership->next_remote + i) % total;
-      const struct ColtMemberEntry *entry
-          = &g_array_index (membership->entries, struct ColtMemberEntry, at);
-
-      if (entry->member.zone == membership->self_zone)
-        continue;
-      members[count++] = entry->member;
-      remote++;
-    }
-  membership->next_remote = (membership->next_remote + i) % total;
-  return count;
+  size_t remote;
+
+  members[count++] = find_entry_ (membership, membership->self)->member;
+  count += list_in_turn_ (membership, true, &membership->next_local,
+                          COLT_DIGEST_MAX - COLT_DIGEST_REMOTE_MAX - count,
+                          members + count);
+  remote = list_in_turn_ (membership, false, &membership->next_remote,
+                          COLT_DIGEST_REMOTE_MAX, members + count);
+  return count + remote;
 }
 
 void
@@ -346,6 +334,36 @@
   return &g_array_index (membership->entries, struct ColtMemberEntry, at);
 }
 
+/* Writes up to max members of the own zone, without this instance, or of the
+ * other zones, and moves the index to the entry after the last one looked at.
+ * Returns how many were written. */
+static size_t
+list_in_turn_ (const struct ColtMembership *membership,
+               bool local,
+               uint32_t *next,
+               size_t max,
+               struct ColtMember *members)
+{
+  guint total = membership->entries->len;
+  size_t count = 0;
+  guint i;
+
+  assert (total > 0);
+  for (i = 0; i < total && count < max; i++)
+    {
+      const struct ColtMember *member
+          = &g_array_index (membership->entries, struct ColtMemberEntry,
+                            (*next + i) % total)
+                 .member;
+
+      if (member->instance != membership->self
+          && (member->zone == membership->self_zone) == local)
+        members[count++] = *member;
+    }
+  *next = (*next + i) % total;
+  return count;
+}
+
 static void
 merge_member_ (struct ColtMembership *membership,
                const struct ColtMember *reported,
--- a/src/test_membership/test_membership.c
+++ b/src/test_membership/test_membership.c
@@ -306,6 +306,43 @@
   colt_membership_destroy (membership);
 }
 
+/* In a zone of more members than a digest holds, the digests must list each
+ * member in turn, not those of the lowest numbers alone, and the sender in each
+ * of them. */
+static void
+test_digests_cover_a_large_zone (void)
+{
+  enum
+  {
+    MEMBERS = 2 * COLT_DIGEST_MAX,
+    DIGESTS = 4
+  };
+  const struct ColtMember self
+      = { MEMBERS, 1, 1, COLT_MEMBER_ALIVE, "127.0.0.1:1" };
+  struct ColtMembership *membership = colt_membership_create (&self);
+  char address[COLT_MEMBER_ADDRESS_SIZE];
+  unsigned listed[MEMBERS + 1] = { 0 };
+  uint32_t i;
+
+  colt_membership_set_client (membership, &address_callbacks, address);
+  for (i = 1; i < MEMBERS; i++)
+    colt_membership_add (membership, i, 1, "127.0.0.1:1", 0);
+  for (i = 0; i < DIGESTS; i++)
+    {
+      struct ColtMember digest[COLT_DIGEST_MAX];
+      size_t count = colt_membership_write_digest (membership, digest);
+      size_t j;
+
+      g_assert_cmpuint (count, ==, COLT_DIGEST_MAX - COLT_DIGEST_REMOTE_MAX);
+      for (j = 0; j < count; j++)
+        listed[digest[j].instance]++;
+    }
+  for (i = 1; i <= MEMBERS; i++)
+    g_assert_cmpuint (listed[i], >=, 1);
+  g_assert_cmpuint (listed[MEMBERS], ==, DIGESTS);
+  colt_membership_destroy (membership);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -317,6 +354,7 @@
   g_test_add_func ("/membership/leave", test_leaving_instance_is_not_eligible);
   g_test_add_func ("/membership/cut", test_partitioned_zone_keeps_its_members);
   g_test_add_func ("/membership/moved", test_quick_restart_at_another_address);
+  g_test_add_func ("/membership/large_zone", test_digests_cover_a_large_zone);
   g_test_add_func ("/membership/urgent",
                    test_fast_probing_reaches_all_remote_members);
   g_test_add_func ("/membership/own_stall",
