Gate: attach all open requests of a leader in each round

A round sent one attach call of at most 512 ids to each leader, and always for the same requests, in the order of the table. Later ones weren't attached again after a change of the leader until earlier ones had ended. A round now sends as many calls as the requests need.

--- a/src/admission/gate_pending.c
+++ b/src/admission/gate_pending.c
@@ -47,8 +47,10 @@
                                   int64_t now_us);
 static void expire_pending_ (struct ColtPendingRequest *pending);
 static void attach_accepted_ (struct ColtGate *gate);
-static void
-send_attach_ (struct ColtGate *gate, uint32_t instance, GArray *ids);
+static void send_attach_ (struct ColtGate *gate,
+                          uint32_t instance,
+                          const struct ColtId *ids,
+                          size_t count);
 static void on_attach_reply_ (void *client,
                               enum ColtWireResult result,
                               const uint8_t *body,
@@ -364,29 +366,39 @@
           ids = g_array_new (FALSE, FALSE, sizeof (struct ColtId));
           g_hash_table_insert (by_leader, GUINT_TO_POINTER (leader), ids);
         }
-      if (ids->len < ATTACH_IDS_MAX)
-        g_array_append_val (ids, pending->id);
+      g_array_append_val (ids, pending->id);
     }
   g_hash_table_iter_init (&iter, by_leader);
   while (g_hash_table_iter_next (&iter, &key, &value))
-    send_attach_ (gate, GPOINTER_TO_UINT (key), value);
+    {
+      const GArray *ids = value;
+      guint from;
+
+      for (from = 0; from < ids->len; from += ATTACH_IDS_MAX)
+        send_attach_ (gate, GPOINTER_TO_UINT (key),
+                      &g_array_index (ids, struct ColtId, from),
+                      MIN (ids->len - from, ATTACH_IDS_MAX));
+    }
   g_hash_table_unref (by_leader);
 }
 
 static void
-send_attach_ (struct ColtGate *gate, uint32_t instance, GArray *ids)
+send_attach_ (struct ColtGate *gate,
+              uint32_t instance,
+              const struct ColtId *ids,
+              size_t count)
 {
   ColtAttachWord attach = COLT_ATTACH_WORD__INIT;
-  ProtobufCBinaryData *list = g_new0 (ProtobufCBinaryData, ids->len);
+  ProtobufCBinaryData *list = g_new0 (ProtobufCBinaryData, count);
   struct ColtAttachCall *call = g_new0 (struct ColtAttachCall, 1);
   uint8_t *body;
   size_t size;
-  guint i;
+  size_t i;
 
-  for (i = 0; i < ids->len; i++)
-    list[i] = colt_id_fill (&g_array_index (ids, struct ColtId, i));
+  for (i = 0; i < count; i++)
+    list[i] = colt_id_fill (&ids[i]);
   attach.ids = list;
-  attach.n_ids = ids->len;
+  attach.n_ids = count;
   attach.waits = true;
   call->gate = gate;
   body = colt_message_pack (&attach.base, &size);
--- a/src/test_admission/gate_fixture.c
+++ b/src/test_admission/gate_fixture.c
@@ -164,9 +164,19 @@
 {
   struct ColtGateFixture *fixture = client;
   ColtAttachReply reply = COLT_ATTACH_REPLY__INIT;
+  ColtAttachWord *attach = colt_attach_word__unpack (NULL, size, body);
+  struct ColtId id;
   uint8_t *packed;
+  size_t i;
 
-  (void)body;
+  g_assert_nonnull (attach);
+  fixture->attach_count++;
+  for (i = 0; i < attach->n_ids; i++)
+    {
+      g_assert_true (colt_id_read (&attach->ids[i], &id));
+      g_hash_table_add (fixture->attached, g_memdup2 (&id, sizeof id));
+    }
+  colt_attach_word__free_unpacked (attach, NULL);
   if (fixture->stop_on_call)
     event_base_loopbreak (fixture->base);
   if (fixture->unresponsive)
@@ -233,13 +243,14 @@
   char home[32];
   char gate[32];
 
-  (void)data;
   fixture->has_bundle = true;
   fixture->keys_fresh = true;
   fixture->fits_any = true;
   fixture->leader = HOME;
   fixture->submit_status = COLT_SUBMIT_ACCEPTED;
   fixture->outcome = COLT_OUTCOME_DONE;
+  fixture->attached = g_hash_table_new_full (colt_id_table_hash,
+                                             colt_id_table_equal, g_free, NULL);
   fixture->base = event_base_new ();
   fixture->counters = colt_counters_create ();
   fixture->chain = create_chain ();
@@ -254,7 +265,8 @@
   parts.counters = fixture->counters;
   parts.instance = GATE;
   parts.zone = ZONE;
-  parts.connections_max = TEST_CONNECTIONS_MAX;
+  parts.connections_max
+      = data != NULL ? GPOINTER_TO_UINT (data) : TEST_CONNECTIONS_MAX;
   fixture->gate = colt_gate_create (&parts, &gate_calls, fixture);
   g_snprintf (home, sizeof home, "127.0.0.1:%u", find_free_port ());
   g_assert_true (colt_wire_listen (fixture->home, home, NULL));
@@ -277,6 +289,7 @@
   colt_chain_destroy (fixture->chain);
   colt_counters_destroy (fixture->counters);
   event_base_free (fixture->base);
+  g_hash_table_unref (fixture->attached);
 }
 
 static void
--- a/src/test_admission/gate_fixture.h
+++ b/src/test_admission/gate_fixture.h
@@ -47,12 +47,16 @@
   /** In the home's answers; COLT_OUTCOME_PENDING: the home sends no answer. */
   enum ColtOutcome outcome;
   unsigned submit_count;
+  GHashTable *attached; /**< set of the struct ColtId of attach calls */
+  unsigned attach_count;
   bool last_fresh;     /**< from the last submit call */
   uint32_t last_tasks; /**< from the last submit call */
   bool stop_on_call;   /**< a call to the home stops the event loop */
   bool unresponsive;   /**< the home replies to no call */
 };
 
+/** Sets the fixture up; \a data is the connection limit, or NULL for
+ * TEST_CONNECTIONS_MAX. */
 void gate_set_up (struct ColtGateFixture *fixture, gconstpointer data);
 void gate_tear_down (struct ColtGateFixture *fixture, gconstpointer data);
 
--- a/src/test_admission/test_admission.c
+++ b/src/test_admission/test_admission.c
@@ -10,6 +10,8 @@
 
 #define KEY_HEADER "Authorization: Bearer " TEST_SECRET "\r\n"
 #define VALID_BODY "{\"queue\":\"keyed\",\"payload\":\"aGk=\"}"
+/* More requests than an attach call holds. */
+#define MANY_REQUESTS 600u
 #define HASHED_ID_HEADERS "Idempotency-Key: order-1\r\n" KEY_HEADER
 
 static const char *const malformed_bodies[] = {
@@ -311,6 +313,27 @@
   gate_reply_clear (&reply);
 }
 
+/* With more open requests at one leader than an attach call holds, two calls
+ * must cover all of them, not the same part each time. */
+static void
+test_attach_calls_cover_all (struct ColtGateFixture *fixture,
+                             gconstpointer data)
+{
+  unsigned i;
+
+  (void)data;
+  fixture->outcome = COLT_OUTCOME_PENDING;
+  for (i = 0; i < MANY_REQUESTS; i++)
+    gate_post_and_close (
+        fixture, KEY_HEADER,
+        "{\"queue\":\"keyed\",\"payload\":\"aGk=\",\"deadline_ms\":60000}");
+  g_assert_cmpuint (colt_gate_open_count (fixture->gate), ==, MANY_REQUESTS);
+  g_hash_table_remove_all (fixture->attached);
+  for (i = 0; i < 2; i++)
+    gate_wait_for_call (fixture);
+  g_assert_cmpuint (g_hash_table_size (fixture->attached), ==, MANY_REQUESTS);
+}
+
 /* A gate that is destroyed before the wire, as at shutdown, must not be used by
  * the wire's end of the calls that the gate left open. */
 static void
@@ -393,6 +416,9 @@
   ADD_TEST ("caller-goes-away", test_caller_disconnects);
   ADD_TEST ("no-lead", test_no_leader);
   ADD_TEST ("stop", test_stopped_gate);
+  g_test_add ("/admission/attach/all", struct ColtGateFixture,
+              GUINT_TO_POINTER (MANY_REQUESTS), gate_set_up,
+              test_attach_calls_cover_all, gate_tear_down);
   ADD_TEST ("destroyed/submit", test_destroyed_with_open_submit);
   g_test_add ("/admission/connections", struct ColtGateFixture, NULL,
               gate_set_up, test_connection_limit, gate_tear_down);
