Requests: the same id with another queue or demand is another request

The gate and the leader's table compared team, kind, tasks, payload and idempotent alone. A request of the same id for another queue of the team, or with other resources, joined the first one and got its answer. Both now compare queue and demand as well. The fingerprint isn't stored or sent.

Before: /admission/id-of-another got 503 instead of 409 for another queue, as the call had joined the open request; /request/mismatch/queue and /demand returned "known".

--- a/src/admission/gate_pending.c
+++ b/src/admission/gate_pending.c
@@ -196,7 +196,9 @@
 {
   const struct ColtRequestSpec *first = &pending->spec;
 
-  return strcmp (first->team, spec->team) == 0 && first->kind == spec->kind
+  return strcmp (first->team, spec->team) == 0
+         && strcmp (first->queue, spec->queue) == 0 && first->kind == spec->kind
+         && memcmp (&first->demand, &spec->demand, sizeof spec->demand) == 0
          && first->tasks == spec->tasks && first->idempotent == spec->idempotent
          && first->payload_size == spec->payload_size
          && memcmp (first->payload, spec->payload, spec->payload_size) == 0;
--- a/src/request/request_table.c
+++ b/src/request/request_table.c
@@ -262,5 +262,7 @@
   uint64_t hash = XXH3_64bits (spec->payload, spec->payload_size);
 
   hash = XXH3_64bits_withSeed (fields, sizeof fields, hash);
+  hash = XXH3_64bits_withSeed (&spec->demand, sizeof spec->demand, hash);
+  hash = XXH3_64bits_withSeed (spec->queue, strlen (spec->queue), hash);
   return XXH3_64bits_withSeed (spec->team, strlen (spec->team), hash);
 }
--- a/src/test_admission/test_admission.c
+++ b/src/test_admission/test_admission.c
@@ -274,6 +274,13 @@
   gate_assert_reply (
       gate_post (fixture, "/v1/tasks", id, "{\"queue\":\"public\"}"), 409,
       "unknown", "mismatch");
+  gate_assert_reply (gate_post (fixture, "/v1/tasks", id,
+                                "{\"queue\":\"public\",\"payload\":\"aGk=\"}"),
+                     409, "unknown", "mismatch");
+  gate_assert_reply (
+      gate_post (fixture, "/v1/tasks", keyed,
+                 "{\"queue\":\"keyed\",\"payload\":\"aGk=\",\"memory_mb\":1}"),
+      409, "unknown", "mismatch");
   g_assert_cmpuint (fixture->submit_count, ==, 1);
   g_free (keyed);
 }
--- a/src/test_request/test_request.c
+++ b/src/test_request/test_request.c
@@ -54,8 +54,12 @@
   struct ColtId id = table_id (1);
   enum ColtReason reason;
 
-  (void)data;
-  other.payload = (const uint8_t *)"wark";
+  if (strcmp (data, "payload") == 0)
+    other.payload = (const uint8_t *)"wark";
+  else if (strcmp (data, "queue") == 0)
+    g_strlcpy (other.queue, "other", sizeof other.queue);
+  else
+    other.demand.amount[COLT_RESOURCE_MEMORY]++;
   table_submit (fixture, &id, &spec);
   g_assert_cmpint (
       table_submit_again (fixture, &id, &other, TEST_WALL_S, &reason), ==,
@@ -501,7 +505,9 @@
   g_test_init (&argc, &argv, NULL);
   ADD ("done", NULL, test_done);
   ADD ("duplicate-joins", NULL, test_duplicate_adds_waiter);
-  ADD ("mismatch", NULL, test_mismatch);
+  ADD ("mismatch/payload", "payload", test_mismatch);
+  ADD ("mismatch/queue", "queue", test_mismatch);
+  ADD ("mismatch/demand", "demand", test_mismatch);
   ADD ("not-lead", NULL, test_not_leader);
   ADD ("refused-attempt", NULL, test_refused_attempt_is_replaced);
   ADD ("one-run/failed", GINT_TO_POINTER (COLT_TASK_FAILED),
