Gate: a waiting caller gets the outcome of a request handed in without one

Callers of one id share the pending request. If the first one asked for the acceptance alone, a later one that waits got that acceptance as well. Callers now record what they wait for: the acceptance of a stored request goes to those who asked for it, and the request stays pending for the others. A caller who doesn't wait and joins a request that isn't stored gets its outcome, as before.

Before: /admission/joins/waiting got 202 instead of 200 "done".

--- a/src/admission/gate_pending.c
+++ b/src/admission/gate_pending.c
@@ -34,8 +34,17 @@
 
 static bool is_same_request_ (const struct ColtPendingRequest *pending,
                               const struct ColtRequestSpec *spec);
+static void join_pending_ (struct ColtPendingRequest *pending,
+                           const struct ColtGateRequest *request,
+                           struct evhttp_request *http);
 static void add_caller_ (struct ColtPendingRequest *pending,
-                         struct evhttp_request *http);
+                         struct evhttp_request *http,
+                         bool waits);
+static void answer_callers_ (struct ColtPendingRequest *pending,
+                             bool waiting_too,
+                             enum ColtOutcome outcome,
+                             enum ColtReason reason,
+                             const ColtAnswerWord *answer);
 static void on_caller_closed_ (void *client);
 static void send_submit_ (struct ColtPendingRequest *pending, int64_t now_us);
 static void on_submit_reply_ (void *client,
@@ -85,7 +94,7 @@
     }
   if (pending != NULL)
     {
-      add_caller_ (pending, http);
+      join_pending_ (pending, request, http);
       return;
     }
   pending = g_new0 (struct ColtPendingRequest, 1);
@@ -100,7 +109,7 @@
   if (pending->waits)
     pending->expiry_us = pending->spec.deadline_us + ANSWER_GRACE_US;
   g_hash_table_insert (gate->pending, &pending->id, pending);
-  add_caller_ (pending, http);
+  add_caller_ (pending, http, request->waits);
   send_submit_ (pending, now_us);
 }
 
@@ -146,24 +155,9 @@
                           const ColtAnswerWord *answer)
 {
   struct ColtGate *gate = pending->gate;
-  guint i;
 
   count_outcome_ (gate, outcome);
-  for (i = 0; i < pending->callers->len; i++)
-    {
-      struct ColtGateCaller *caller = g_ptr_array_index (pending->callers, i);
-      struct evhttp_request *http = caller->request;
-
-      caller->pending = NULL;
-      if (http != NULL)
-        {
-          colt_gate_clear_close_handler (gate, http);
-          colt_gate_reply_outcome (gate, http, &pending->id, outcome, reason,
-                                   answer);
-        }
-      g_free (caller);
-    }
-  g_ptr_array_set_size (pending->callers, 0);
+  answer_callers_ (pending, true, outcome, reason, answer);
   g_hash_table_remove (gate->pending, &pending->id);
 }
 
@@ -204,17 +198,69 @@
          && memcmp (first->payload, spec->payload, spec->payload_size) == 0;
 }
 
+/* The earlier caller may have asked for the acceptance alone. */
+static void
+join_pending_ (struct ColtPendingRequest *pending,
+               const struct ColtGateRequest *request,
+               struct evhttp_request *http)
+{
+  if (request->waits && !pending->waits)
+    {
+      pending->waits = true;
+      pending->expiry_us = request->spec.deadline_us + ANSWER_GRACE_US;
+    }
+  add_caller_ (pending, http, request->waits);
+  if (pending->accepted && pending->spec.durable)
+    answer_callers_ (pending, false, COLT_OUTCOME_PENDING, COLT_REASON_NONE,
+                     NULL);
+}
+
 static void
-add_caller_ (struct ColtPendingRequest *pending, struct evhttp_request *http)
+add_caller_ (struct ColtPendingRequest *pending,
+             struct evhttp_request *http,
+             bool waits)
 {
   struct ColtGateCaller *caller = g_new0 (struct ColtGateCaller, 1);
 
   caller->request = http;
   caller->pending = pending;
+  caller->waits = waits;
   g_ptr_array_add (pending->callers, caller);
   colt_gate_set_close_handler (pending->gate, http, on_caller_closed_, caller);
 }
 
+/* Replies to the callers who wait for the acceptance alone, or to all. */
+static void
+answer_callers_ (struct ColtPendingRequest *pending,
+                 bool waiting_too,
+                 enum ColtOutcome outcome,
+                 enum ColtReason reason,
+                 const ColtAnswerWord *answer)
+{
+  struct ColtGate *gate = pending->gate;
+  guint i = 0;
+
+  while (i < pending->callers->len)
+    {
+      struct ColtGateCaller *caller = g_ptr_array_index (pending->callers, i);
+      struct evhttp_request *http = caller->request;
+
+      if (caller->waits && !waiting_too)
+        {
+          i++;
+          continue;
+        }
+      g_ptr_array_remove_index (pending->callers, i);
+      if (http != NULL)
+        {
+          colt_gate_clear_close_handler (gate, http);
+          colt_gate_reply_outcome (gate, http, &pending->id, outcome, reason,
+                                   answer);
+        }
+      g_free (caller);
+    }
+}
+
 /* The request continues after its caller has disconnected; only the reply is
  * left out. */
 static void
@@ -312,6 +358,9 @@
       if (!pending->waits)
         colt_gate_answer_pending (pending, COLT_OUTCOME_PENDING,
                                   COLT_REASON_NONE, NULL);
+      else if (pending->spec.durable)
+        answer_callers_ (pending, false, COLT_OUTCOME_PENDING, COLT_REASON_NONE,
+                         NULL);
       return;
     case COLT_SUBMIT_NOT_RUN:
       colt_gate_answer_pending (pending,
--- a/src/admission/private/gate_private.h
+++ b/src/admission/private/gate_private.h
@@ -18,6 +18,7 @@
 {
   struct evhttp_request *request; /**< NULL once the connection is closed */
   struct ColtPendingRequest *pending;
+  bool waits; /**< for the outcome, not just acceptance */
 };
 
 /** A request that this gate has not answered yet. */
@@ -27,14 +28,14 @@
   struct ColtId id;
   struct ColtRequestSpec spec; /**< the payload is owned by this request */
   GPtrArray *callers;          /**< of struct ColtGateCaller */
-  bool waits;      /**< callers wait for the outcome, not just acceptance */
-  bool fresh;      /**< the id was minted here and is used for the first time */
-  bool accepted;   /**< a home has the request */
-  bool in_flight;  /**< a submit call is open */
-  bool reply_lost; /**< a submit call ended without a reply; a home may have
-                        the request */
-  bool forwarded;  /**< a home has or may have received the request */
-  bool answered;   /**< unused */
+  bool waits;     /**< some caller waits for the outcome, not just acceptance */
+  bool fresh;     /**< the id was minted here and is used for the first time */
+  bool accepted;  /**< a home has the request */
+  bool in_flight; /**< a submit call is open */
+  bool reply_lost;     /**< a submit call ended without a reply; a home may have
+                            the request */
+  bool forwarded;      /**< a home has or may have received the request */
+  bool answered;       /**< unused */
   int64_t resubmit_us; /**< monotonic time of the next submit call */
   int64_t expiry_us;   /**< monotonic time at which callers get an answer even
                             if no home has sent one */
@@ -153,8 +154,9 @@
 
 /**
  * Submits an admitted request to its home. If a request with this id is
- * pending already, the caller waits for that one; a different request with the
- * same id is refused with COLT_REASON_MISMATCH.
+ * pending already, the caller waits for that one: for its acceptance only if
+ * all its callers do. A different request with the same id is refused with
+ * COLT_REASON_MISMATCH.
  *
  * \param request  spec.payload is taken over and set to NULL if the request is
  *                 new
--- a/src/test_admission/gate_fixture.c
+++ b/src/test_admission/gate_fixture.c
@@ -108,14 +108,16 @@
 }
 
 static void
-send_answer (struct ColtGateFixture *fixture, const ColtSubmitWord *submit)
+send_answer (struct ColtGateFixture *fixture,
+             const ProtobufCBinaryData *id,
+             enum ColtOutcome outcome)
 {
   ColtAnswerWord answer = COLT_ANSWER_WORD__INIT;
   uint8_t *packed;
   size_t size;
 
-  answer.id = submit->id;
-  answer.outcome = fixture->outcome;
+  answer.id = *id;
+  answer.outcome = outcome;
   answer.waited_ms = -1;
   packed = colt_message_pack (&answer.base, &size);
   colt_wire_call (fixture->home, GATE, COLT_WIRE_REQUEST_ANSWER, packed, size,
@@ -151,11 +153,11 @@
   colt_wire_reply (fixture->home, origin, packed, size);
   free (packed);
   if (fixture->outcome != COLT_OUTCOME_PENDING)
-    send_answer (fixture, submit);
+    send_answer (fixture, &submit->id, fixture->outcome);
   colt_submit_word__free_unpacked (submit, NULL);
 }
 
-/* Replies with neither answers nor unknown ids. */
+/* Replies without answers, which are sent by calls of their own. */
 static void
 on_attach (void *client,
            const struct ColtWireOrigin *origin,
@@ -175,15 +177,23 @@
     {
       g_assert_true (colt_id_read (&attach->ids[i], &id));
       g_hash_table_add (fixture->attached, g_memdup2 (&id, sizeof id));
+      if (fixture->attach_outcome != COLT_OUTCOME_PENDING)
+        send_answer (fixture, &attach->ids[i], fixture->attach_outcome);
     }
-  colt_attach_word__free_unpacked (attach, NULL);
   if (fixture->stop_on_call)
     event_base_loopbreak (fixture->base);
-  if (fixture->unresponsive)
-    return;
-  packed = colt_message_pack (&reply.base, &size);
-  colt_wire_reply (fixture->home, origin, packed, size);
-  free (packed);
+  if (fixture->forgets)
+    {
+      reply.unknown = attach->ids;
+      reply.n_unknown = attach->n_ids;
+    }
+  if (!fixture->unresponsive)
+    {
+      packed = colt_message_pack (&reply.base, &size);
+      colt_wire_reply (fixture->home, origin, packed, size);
+      free (packed);
+    }
+  colt_attach_word__free_unpacked (attach, NULL);
 }
 
 static uint16_t
@@ -249,6 +259,7 @@
   fixture->leader = HOME;
   fixture->submit_status = COLT_SUBMIT_ACCEPTED;
   fixture->outcome = COLT_OUTCOME_DONE;
+  fixture->attach_outcome = COLT_OUTCOME_PENDING;
   fixture->attached = g_hash_table_new_full (colt_id_table_hash,
                                              colt_id_table_equal, g_free, NULL);
   fixture->base = event_base_new ();
--- a/src/test_admission/gate_fixture.h
+++ b/src/test_admission/gate_fixture.h
@@ -46,6 +46,9 @@
   enum ColtReason submit_reason;       /**< in the home's submit replies */
   /** In the home's answers; COLT_OUTCOME_PENDING: the home sends no answer. */
   enum ColtOutcome outcome;
+  /** In an answer for each id of an attach call; COLT_OUTCOME_PENDING: none. */
+  enum ColtOutcome attach_outcome;
+  bool forgets; /**< replies to attach calls return all ids as unknown */
   unsigned submit_count;
   GHashTable *attached; /**< set of the struct ColtId of attach calls */
   unsigned attach_count;
--- a/src/test_admission/test_admission.c
+++ b/src/test_admission/test_admission.c
@@ -285,6 +285,51 @@
   g_free (keyed);
 }
 
+/* A caller that waits for the outcome must not get the acceptance that an
+ * earlier caller of the same request asked for. */
+static void
+test_waiting_caller_joins (struct ColtGateFixture *fixture, gconstpointer data)
+{
+  static const char headers[] = "Request-Id: 01010000000100000000000000000001"
+                                "\r\n" KEY_HEADER;
+
+  (void)data;
+  fixture->outcome = COLT_OUTCOME_PENDING;
+  fixture->unresponsive = true;
+  gate_post_and_close (
+      fixture, headers,
+      "{\"queue\":\"keyed\",\"payload\":\"aGk=\",\"wait\":false}");
+  fixture->unresponsive = false;
+  fixture->attach_outcome = COLT_OUTCOME_DONE;
+  gate_assert_reply (gate_post (fixture, "/v1/tasks", headers,
+                                "{\"queue\":\"keyed\",\"payload\":\"aGk=\","
+                                "\"deadline_ms\":15000}"),
+                     200, "done", NULL);
+  g_assert_cmpuint (colt_gate_open_count (fixture->gate), ==, 0);
+}
+
+/* A caller that doesn't wait must not be told that a request is stored that was
+ * handed in for a caller who waits, and isn't stored. */
+static void
+test_async_caller_joins (struct ColtGateFixture *fixture, gconstpointer data)
+{
+  static const char headers[] = "Request-Id: 01010000000100000000000000000001"
+                                "\r\n" KEY_HEADER;
+
+  (void)data;
+  fixture->outcome = COLT_OUTCOME_PENDING;
+  fixture->unresponsive = true;
+  gate_post_and_close (fixture, headers,
+                       "{\"queue\":\"keyed\",\"payload\":\"aGk=\","
+                       "\"deadline_ms\":15000}");
+  fixture->unresponsive = false;
+  fixture->attach_outcome = COLT_OUTCOME_DONE;
+  gate_assert_reply (
+      gate_post (fixture, "/v1/tasks", headers,
+                 "{\"queue\":\"keyed\",\"payload\":\"aGk=\",\"wait\":false}"),
+      200, "done", NULL);
+}
+
 static void
 test_caller_disconnects (struct ColtGateFixture *fixture, gconstpointer data)
 {
@@ -420,6 +465,8 @@
   ADD_TEST ("retry-after", test_retry_after);
   ADD_TEST ("minted-id", test_minted_id_is_fresh_once);
   ADD_TEST ("id-of-another", test_id_of_another_request);
+  ADD_TEST ("joins/waiting", test_waiting_caller_joins);
+  ADD_TEST ("joins/async", test_async_caller_joins);
   ADD_TEST ("caller-goes-away", test_caller_disconnects);
   ADD_TEST ("no-lead", test_no_leader);
   ADD_TEST ("stop", test_stopped_gate);
