Placement: begin a team's back-off anew after a time without refusals

Once the team was not refused for 4 s after a back-off has ended, the next back-off is the first again.

After: the tests of test_placement pass.

--- a/src/placement/teams.c
+++ b/src/placement/teams.c
@@ -6,6 +6,9 @@
  * each further one up to the maximum. */
 #define BACKOFF_FIRST_US (50 * COLT_US_PER_MS)
 #define BACKOFF_MAX_US (2 * COLT_US_PER_S)
+/* Time without a refusal after the end of a back-off from which the next one is
+ * the first again. */
+#define BACKOFF_MEMORY_US (2 * BACKOFF_MAX_US)
 /* Interval of deficit updates. */
 #define DEFICIT_INTERVAL_US (500 * COLT_US_PER_MS)
 /* Time in which a constant lack of share adds its full size to a deficit. */
@@ -149,6 +152,8 @@
 {
   if (now_us < team->backoff_until_us)
     return;
+  if (now_us >= team->backoff_until_us + BACKOFF_MEMORY_US)
+    team->backoff_us = 0;
   team->backoff_us = team->backoff_us == 0
                          ? BACKOFF_FIRST_US
                          : MIN (2 * team->backoff_us, BACKOFF_MAX_US);
--- a/src/test_placement/test_shares.c
+++ b/src/test_placement/test_shares.c
@@ -201,9 +201,49 @@
   test_destroy_fixture (fixture);
 }
 
+/* Returns how long the team of a task backs off after a refusal of the task. */
+static int64_t
+refuse_for_credit_ (struct ColtFixture *fixture,
+                    const struct ColtPlacementTask *task)
+{
+  uint32_t server;
+
+  test_add_task (fixture, task);
+  test_place_next (fixture, &server);
+  colt_placement_report_refusal (fixture->placement, task, server,
+                                 COLT_REFUSAL_NO_CREDIT, fixture->now_us);
+  test_add_task (fixture, task);
+  g_assert_true (test_is_idle (fixture));
+  colt_placement_remove (fixture->placement, &task->request, 0);
+  return colt_placement_wake_us (fixture->placement) - fixture->now_us;
+}
+
+/* Refusals of long ago must not prolong the back-off after a single one. */
+static void
+back_off_starts_anew_ (void)
+{
+  struct ColtFixture *fixture = create_with_weights_ (2);
+  struct ColtPlacementTask task
+      = test_make_task (fixture, 1, "a", COLT_WORK_BATCH, 1, 0);
+  int64_t backoff_us = 0;
+  unsigned i;
+
+  for (i = 0; i < 8; i++)
+    {
+      backoff_us = refuse_for_credit_ (fixture, &task);
+      fixture->now_us += backoff_us;
+    }
+  g_assert_cmpint (backoff_us, >=, COLT_US_PER_S);
+  fixture->now_us += 60 * COLT_US_PER_S;
+  g_assert_cmpint (refuse_for_credit_ (fixture, &task), <,
+                   100 * COLT_US_PER_MS);
+  test_destroy_fixture (fixture);
+}
+
 void
 test_register_shares (void)
 {
+  g_test_add_func ("/placement/shares/no-credit-later", back_off_starts_anew_);
   g_test_add_func ("/placement/shares/weights", weights_divide_a_full_fleet_);
   g_test_add_func ("/placement/shares/others", usage_of_others_counts_);
   g_test_add_func ("/placement/shares/idle", returning_team_gets_its_share_);
