Placement: drop old usage of other instances without a further report

Usage that another instance reports counts for a team's share for 10 s. Its age was looked at only when the next report on the team arrived, so that it counted for ever if the reporters stopped. The update of the deficits, every 500 ms, now drops it.

Before: in /placement/shares/others-old a team of weight 3 got 18 of 40 cores beside one of weight 1, 20 s after a report of 30 cores; 28 or more are expected. After: the tests of test_placement pass.

--- a/include/coltsfootstile/placement.h
+++ b/include/coltsfootstile/placement.h
@@ -227,8 +227,8 @@
 
 /**
  * Sets the amounts that another instance of the zone runs of a team; they count
- * for the team's share of the zone. A report that is older than 10 s is dropped
- * when the next report on the team arrives.
+ * for the team's share of the zone. A report that is older than 10 s doesn't
+ * count.
  *
  * \param instance  number of the reporting instance
  * \param running   sum of the demands of the running tasks
--- a/src/placement/teams.c
+++ b/src/placement/teams.c
@@ -119,8 +119,10 @@
   g_hash_table_iter_init (&iter, placement->teams);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const struct ColtPlacementTeam *team = value;
+      struct ColtPlacementTeam *team = value;
 
+      refresh_other_usage_ (team, now_us);
+      team->share = compute_share_ (placement, team);
       if (has_waiting_ (team) || team->share > 0)
         active += (double)team->weight;
       if (!has_waiting_ (team))
--- a/src/test_placement/test_shares.c
+++ b/src/test_placement/test_shares.c
@@ -240,9 +240,31 @@
   test_destroy_fixture (fixture);
 }
 
+/* Usage that another instance reported must not count after that instance has
+ * stopped to report, even if no other report arrives. */
+static void
+old_usage_of_others_is_dropped_ (void)
+{
+  struct ColtFixture *fixture = create_with_weights_ (5);
+  struct ColtResources running = { { 30000, 30 * 1024, 0, 30, 0 } };
+  unsigned counts[2];
+
+  colt_placement_set_team_usage (fixture->placement, 2, "a", &running,
+                                 fixture->now_us);
+  fixture->now_us += 20 * COLT_US_PER_S;
+  test_add_tasks (fixture, 1, 100, "a", COLT_WORK_BATCH, 1, 0);
+  test_add_tasks (fixture, 1000, 100, "b", COLT_WORK_BATCH, 1, 0);
+  count_choices_by_team_ (fixture, counts);
+  g_assert_cmpuint (counts[0], >=, 28);
+  g_assert_cmpuint (counts[1], <=, 12);
+  test_destroy_fixture (fixture);
+}
+
 void
 test_register_shares (void)
 {
+  g_test_add_func ("/placement/shares/others-old",
+                   old_usage_of_others_is_dropped_);
   g_test_add_func ("/placement/shares/no-credit-later", back_off_starts_anew_);
   g_test_add_func ("/placement/shares/weights", weights_divide_a_full_fleet_);
   g_test_add_func ("/placement/shares/others", usage_of_others_counts_);
