Placement: avoid the failed server from the start of the wait

A task avoids the server of its last failed attempt for 2 s, which were counted from the arrival of the request. A retry after a run of more than 2 s avoided nothing. The time now counts from when the task began to wait.

Before: /placement/health/avoid-late was placed on the server it should avoid, 60 s after the arrival. After: the tests of test_placement pass.

--- a/src/placement/decide.c
+++ b/src/placement/decide.c
@@ -41,6 +41,7 @@
   search->task = &waiting->task;
   search->demand = colt_estimate_demand (search->team, search->task);
   search->run_ms = colt_estimate_run_ms (search->team, search->task);
+  search->added_us = waiting->added_us;
   search->now_us = now_us;
   if (memcmp (&search->demand, &search->task->demand, sizeof search->demand)
           != 0
--- a/src/placement/private/placement_private.h
+++ b/src/placement/private/placement_private.h
@@ -300,6 +300,7 @@
   const struct ColtPlacementTask *task;
   struct ColtResources demand; /**< expected, at least the declared one */
   double run_ms;               /**< expected at normal speed, 0 if unknown */
+  int64_t added_us;            /**< when the task began to wait */
   int64_t now_us;
 };
 /** Returns the best server that has room for the task, or NULL. */
--- a/src/placement/search.c
+++ b/src/placement/search.c
@@ -1,7 +1,7 @@
 #include "placement_private.h"
 
-/* Time from the arrival of a request during which its tasks avoid the server of
- * their last failed attempt. */
+/* Time from the start of its wait during which a task avoids the server of its
+ * last failed attempt. */
 #define AVOID_US (2 * COLT_US_PER_S)
 
 /* Longest expected run time of short work, which may take the cores and memory
@@ -158,7 +158,7 @@
   uint32_t probation = server->digest.probation_permille;
 
   if (server->digest.server == task->avoided_server
-      && search->now_us < task->arrived_us + AVOID_US)
+      && search->now_us < search->added_us + AVOID_US)
     return false;
   if (probation < 1000
       && g_rand_int (search->placement->random) % 1000 >= probation)
--- a/src/test_placement/test_health.c
+++ b/src/test_placement/test_health.c
@@ -22,6 +22,35 @@
   test_destroy_fixture (fixture);
 }
 
+/* A retry must avoid the server of the failed attempt even if the request has
+ * arrived long ago, as after a long run. */
+static void
+failed_server_is_avoided_after_a_long_run_ (void)
+{
+  struct ColtFixture *fixture = test_create_fixture ();
+  struct ColtPlacementTask task
+      = test_make_task (fixture, 1, "a", COLT_WORK_BATCH, 1, 0);
+  unsigned used[3] = { 0 };
+  uint32_t server;
+  unsigned i;
+
+  test_add_server (fixture, 8, 0);
+  test_add_server (fixture, 8, 0);
+  fixture->now_us += 60 * COLT_US_PER_S;
+  for (i = 0; i < 8; i++)
+    {
+      task.avoided_server = 1 + i % 2;
+      test_add_task (fixture, &task);
+      test_place_next (fixture, &server);
+      g_assert_cmpuint (server, !=, task.avoided_server);
+      used[server]++;
+      colt_placement_remove (fixture->placement, &task.request, 0);
+      test_send_digest (fixture, server);
+    }
+  g_assert_cmpuint (used[1], ==, used[2]);
+  test_destroy_fixture (fixture);
+}
+
 /* The server of the last failed attempt is used again after some time if it is
  * the only one. */
 static void
@@ -186,6 +215,8 @@
 test_register_health (void)
 {
   g_test_add_func ("/placement/health/avoid", failed_server_is_avoided_);
+  g_test_add_func ("/placement/health/avoid-late",
+                   failed_server_is_avoided_after_a_long_run_);
   g_test_add_func ("/placement/health/avoid-only",
                    avoided_server_is_used_later_);
   g_test_add_func ("/placement/health/probation",
