Placement: ignore late digests of a server's former owner

A digest replaced the last one whatever its epoch, so a delayed digest of a former owner set the amounts and the health of the server back. A digest of a lower epoch is now ignored for 10 s after the last one; later the server may have restarted and lost its epochs.

Before: in /placement/health/former-owner a late digest that was leaving kept a task from its server. After: the tests of test_placement pass.

--- a/include/coltsfootstile/placement.h
+++ b/include/coltsfootstile/placement.h
@@ -122,7 +122,8 @@
 
 /**
  * Sets the state of a server from a digest of its owner. Adds the server if it
- * is unknown.
+ * is unknown. Ignores a digest of a lower epoch than the last one, of a former
+ * owner, for 10 s; after that the server may have restarted with lower epochs.
  */
 void colt_placement_set_server (struct ColtPlacement *placement,
                                 const struct ColtServerDigest *digest,
--- a/src/placement/private/placement_private.h
+++ b/src/placement/private/placement_private.h
@@ -87,6 +87,7 @@
 {
   struct ColtServerDigest digest; /**< its free amounts are kept current */
   uint64_t digest_count;          /**< digests received */
+  int64_t digest_us;              /**< when the last one was received */
   struct ColtResources usable;    /**< free for ordinary work */
   bool closed;                    /**< accepts no work until its next digest */
   unsigned held_tasks;            /**< placed members of an incomplete gang */
--- a/src/placement/servers.c
+++ b/src/placement/servers.c
@@ -5,6 +5,8 @@
 
 /* One server in this many has a reserve for urgent work. */
 #define RESERVE_ONE_IN 4u
+/* Age of the last digest up to which those of lower epochs are ignored. */
+#define FORMER_OWNER_US (10 * COLT_US_PER_S)
 /* The reserve is the capacity divided by this. */
 #define RESERVE_DIVISOR 8
 
@@ -133,12 +135,16 @@
     }
   else
     {
+      if (digest->epoch < server->digest.epoch
+          && now_us - server->digest_us < FORMER_OWNER_US)
+        return;
       before = server->digest.free;
       accepted_work = colt_servers_accepts_work (server);
     }
   set_capacity_ (placement, server, &digest->capacity);
   server->digest = *digest;
   server->digest_count++;
+  server->digest_us = now_us;
   server->closed = false;
   colt_resources_subtract (&server->digest.free, &server->held);
   if (!colt_servers_accepts_work (server))
--- a/src/test_placement/test_health.c
+++ b/src/test_placement/test_health.c
@@ -51,6 +51,33 @@
   test_destroy_fixture (fixture);
 }
 
+/* A digest that a former owner sent before it lost the server must not replace
+ * the digest of the new owner. After a restart, a server may begin again with
+ * lower epochs, once the digests of its owner have ended. */
+static void
+late_digest_of_a_former_owner_ (void)
+{
+  struct ColtFixture *fixture = test_create_fixture ();
+  struct ColtServerDigest late;
+
+  test_add_server (fixture, 8, 0);
+  late = fixture->servers[1];
+  late.leaving = true;
+  fixture->servers[1].epoch = 2;
+  fixture->servers[1].owner = 2;
+  test_send_digest (fixture, 1);
+  colt_placement_set_server (fixture->placement, &late,
+                             fixture->now_us - TEST_START_US);
+  test_add_tasks (fixture, 1, 1, "a", COLT_WORK_BATCH, 1, 0);
+  g_assert_cmpuint (test_place_next (fixture, NULL), ==, 1);
+  fixture->now_us += 60 * COLT_US_PER_S;
+  colt_placement_set_server (fixture->placement, &late,
+                             fixture->now_us - TEST_START_US);
+  test_add_tasks (fixture, 2, 1, "a", COLT_WORK_BATCH, 1, 0);
+  g_assert_true (test_is_idle (fixture));
+  test_destroy_fixture (fixture);
+}
+
 /* The server of the last failed attempt is used again after some time if it is
  * the only one. */
 static void
@@ -217,6 +244,8 @@
   g_test_add_func ("/placement/health/avoid", failed_server_is_avoided_);
   g_test_add_func ("/placement/health/avoid-late",
                    failed_server_is_avoided_after_a_long_run_);
+  g_test_add_func ("/placement/health/former-owner",
+                   late_digest_of_a_former_owner_);
   g_test_add_func ("/placement/health/avoid-only",
                    avoided_server_is_used_later_);
   g_test_add_func ("/placement/health/probation",
