Daemon: say why an instance of a cell can't open its log

colt_log_open() failed without a message from the instance of a cell, with the status of a usage error, and the event base wasn't freed.

Before: with a log4crc file that isn't XML nothing but LeakSanitizer's report of the event base was printed. After: daemon_cell_log_message and daemon_cell_log_status pass.

--- a/src/coltsfootstile/cell_main.c
+++ b/src/coltsfootstile/cell_main.c
@@ -70,6 +70,7 @@
 
 static int run_instance_ (const struct ColtSettings *settings,
                           const char *path);
+static bool check_level_ (const struct ColtSettings *settings);
 static bool open_log_ (const struct ColtSettings *settings);
 static void fill_settings_ (const struct ColtSettings *settings,
                             struct ColtSchedulerSettings *scheduler,
@@ -103,7 +104,7 @@
 static int
 run_instance_ (const struct ColtSettings *settings, const char *path)
 {
-  struct ColtCellProcess process = { colt_http_create_base (), NULL, path };
+  struct ColtCellProcess process = { NULL, NULL, path };
   struct ColtSchedulerSettings scheduler_settings;
   struct ColtAdapterSettings adapter_settings;
   struct ColtPorts ports = { 0 };
@@ -114,8 +115,11 @@
   size_t i;
 
   signal (SIGPIPE, SIG_IGN);
-  if (!open_log_ (settings))
+  if (!check_level_ (settings))
     return STATUS_USAGE;
+  if (!open_log_ (settings))
+    return STATUS_FAILED;
+  process.base = colt_http_create_base ();
   fill_settings_ (settings, &scheduler_settings, &adapter_settings);
   adapter = colt_adapter_create (process.base, &adapter_settings, &ports);
   process.scheduler = colt_scheduler_create (process.base, &ports,
@@ -145,21 +149,34 @@
   return status;
 }
 
+/* Prints a problem if the settings don't name a log level. */
 static bool
-open_log_ (const struct ColtSettings *settings)
+check_level_ (const struct ColtSettings *settings)
 {
   const char *name = colt_settings_string (settings, "log", "level");
   enum ColtLogLevel level;
-  struct ColtError error;
 
-  if (!colt_log_parse_level (name, &level))
-    {
-      fprintf (stderr,
-               "coltsfootstile: [log] level: \"%s\" is not a log level\n",
-               name);
-      return false;
-    }
-  return colt_log_open (level, &error);
+  if (colt_log_parse_level (name, &level))
+    return true;
+  fprintf (stderr, "coltsfootstile: [log] level: \"%s\" is not a log level\n",
+           name);
+  return false;
+}
+
+static bool
+open_log_ (const struct ColtSettings *settings)
+{
+  enum ColtLogLevel level = COLT_LOG_INFO;
+  struct ColtError error;
+  char line[512];
+
+  colt_log_parse_level (colt_settings_string (settings, "log", "level"),
+                        &level);
+  if (colt_log_open (level, &error))
+    return true;
+  fprintf (stderr, "coltsfootstile: %s\n",
+           colt_error_format (&error, line, sizeof line));
+  return false;
 }
 
 static void
