--- a/src/coltsfootstile/cell_main.c
+++ b/src/coltsfootstile/cell_main.c
@@ -70,6 +70,7 @@
 
 static int run_instance_ (const struct ColtSettings *settings,
                           const char *path);
+static bool check_values_ (const struct ColtSettings *settings);
 static bool check_level_ (const struct ColtSettings *settings);
 static bool open_log_ (const struct ColtSettings *settings);
 static void fill_settings_ (const struct ColtSettings *settings,
@@ -93,7 +94,12 @@
   if (path == NULL)
     fprintf (stderr, "coltsfootstile: --settings FILE is required\n");
   else if (colt_settings_read (settings, path, NULL))
-    status = check_only ? STATUS_OK : run_instance_ (settings, path);
+    {
+      if (!check_only)
+        status = run_instance_ (settings, path);
+      else if (check_values_ (settings))
+        status = STATUS_OK;
+    }
   for (i = 0; i < colt_settings_problem_count (settings); i++)
     fprintf (stderr, "coltsfootstile: %s\n",
              colt_settings_problem (settings, i));
@@ -149,6 +155,31 @@
   return status;
 }
 
+/* Checks what the table of settings can't express. A running instance uses
+ * NUMBER_MIN for a number that isn't positive. */
+static bool
+check_values_ (const struct ColtSettings *settings)
+{
+  static const char *const keys[] = { "cpu_share", "cores", "link_mbps" };
+  bool good = check_level_ (settings);
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (keys); i++)
+    {
+      const char *text = colt_settings_string (settings, "instance", keys[i]);
+      char *end;
+
+      if (g_ascii_strtod (text, &end) > 0 && *end == '\0')
+        continue;
+      fprintf (stderr,
+               "coltsfootstile: [instance] %s: \"%s\" is not a positive "
+               "number\n",
+               keys[i], text);
+      good = false;
+    }
+  return good;
+}
+
 /* Prints a problem if the settings don't name a log level. */
 static bool
 check_level_ (const struct ColtSettings *settings)
