--- a/src/coltsfootstile/instance_bundles.c
+++ b/src/coltsfootstile/instance_bundles.c
@@ -476,12 +476,14 @@
     append_snapshot_ (bundles);
 }
 
+/* The next check repeats an append for which the log client has no room. */
 static void
 append_snapshot_ (struct ColtInstanceBundles *bundles)
 {
   struct ColtLogItem item = { 0 };
   size_t size;
   size_t extra_size = 0;
+  enum ColtLogAddStatus status;
   uint8_t *extra = colt_instance_limits_pack (
       bundles->instance->limits, colt_chain_next_offset (bundles->chain),
       &extra_size);
@@ -497,10 +499,15 @@
   randombytes_buf (item.id.bytes, sizeof item.id.bytes);
   item.body = body;
   item.size = size;
-  colt_log_client_add (bundles->instance->log, &item,
-                       colt_clock_monotonic_us () + SNAPSHOT_INTERVAL_US * 10,
-                       NULL, NULL);
+  status = colt_log_client_add (
+      bundles->instance->log, &item,
+      colt_clock_monotonic_us () + SNAPSHOT_INTERVAL_US * 10, NULL, NULL);
+  free (body);
+  if (status != COLT_LOG_ADD_QUEUED)
+    colt_log (COLT_LOG_WARNING, MODULE, NULL, "snapshot can't be appended: %s",
+              colt_log_add_status_string[status]);
+  if (status == COLT_LOG_ADD_FULL)
+    return;
   bundles->snapshot_due_since_us = COLT_TIME_NEVER;
   bundles->snapshot_read_us = colt_clock_monotonic_us ();
-  free (body);
 }
