Tests: count both malformed messages and the returned withdrawal

/bundle/peers/malformed ended at the first of two malformed messages, and the second one wasn't decoded, as no bundle was in force. /bundle/peers/push ended before the second instance had received the withdrawal that it ignores. Both now wait until the messages have been received.

On a trial copy in which a malformed withdrawal isn't counted, and on one in which a duplicate is reported as a change, the tests passed before and fail now.

--- a/src/test_bundle/test_peers.c
+++ b/src/test_bundle/test_peers.c
@@ -10,6 +10,13 @@
 
 #define INSTANCES 2
 
+/* Kinds of messages. */
+enum
+{
+  PULL = COLT_WIRE_BUNDLE_FIRST,
+  PUSH
+};
+
 /* An entry instance with one peer. */
 struct ColtTestPeer
 {
@@ -210,13 +217,16 @@
   /* The second instance relays the withdrawal to the first, whose chain has not
      applied it yet. The first relays it once in turn; the second then ignores
      the duplicate. */
-  while (first->change_count == 0)
+  while (first->change_count == 0
+         || colt_wire_received_count (second->wire, PUSH) < 2)
     event_base_loop (fixture->base, EVLOOP_ONCE);
   colt_bundle_peers_get_stats (first->peers, &stats);
   g_assert_cmpuint (stats.relayed, ==, 1);
   g_assert_cmpuint (stats.pushed, ==, 2);
   colt_bundle_peers_get_stats (second->peers, &stats);
   g_assert_cmpuint (stats.relayed, ==, 1);
+  g_assert_cmpuint (stats.pushed, ==, 1);
+  g_assert_cmpint (second->change_count, ==, 1);
   free (body);
 }
 
@@ -224,21 +234,23 @@
 test_malformed_messages (struct ColtPeersFixture *fixture, gconstpointer data)
 {
   static const uint8_t junk[] = { 0xff, 0xff, 0xff };
-  struct ColtBundlePeersStats stats = { 0 };
   struct ColtTestPeer *second = &fixture->peer[1];
+  struct ColtBundlePeersStats stats;
+  struct ColtChainVerdict verdict;
 
   (void)data;
-  colt_wire_send (fixture->peer[0].wire, 2, COLT_WIRE_BUNDLE_FIRST, junk,
-                  sizeof junk);
-  colt_wire_send (fixture->peer[0].wire, 2, COLT_WIRE_BUNDLE_FIRST + 1, junk,
-                  sizeof junk);
-  while (stats.bad_messages < 1)
-    {
-      event_base_loop (fixture->base, EVLOOP_ONCE);
-      colt_bundle_peers_get_stats (second->peers, &stats);
-    }
+  /* A relayed withdrawal is decoded only once a bundle is in force. */
+  apply_bundle (second->chain, 0, fixture->versions[0], NULL, &fixture->pair,
+                &verdict);
+  colt_wire_send (fixture->peer[0].wire, 2, PULL, junk, sizeof junk);
+  colt_wire_send (fixture->peer[0].wire, 2, PUSH, junk, sizeof junk);
+  while (colt_wire_received_count (second->wire, PULL) == 0
+         || colt_wire_received_count (second->wire, PUSH) == 0)
+    event_base_loop (fixture->base, EVLOOP_ONCE);
+  colt_bundle_peers_get_stats (second->peers, &stats);
+  g_assert_cmpuint (stats.bad_messages, ==, 2);
   g_assert_cmpint (second->change_count, ==, 0);
-  g_assert_cmpint (get_version (second), ==, 0);
+  g_assert_cmpint (get_version (second), ==, 1);
 }
 
 #define ADD(name, function)                                                    \
