--- a/src/test_placement/test_health.c
+++ b/src/test_placement/test_health.c
@@ -189,6 +189,42 @@
   test_destroy_fixture (fixture);
 }
 
+/* A task is rejected if the tasks before it start too slowly for its deadline,
+ * even if it would meet the deadline on an idle server. */
+static void
+work_behind_a_long_queue_is_rejected_ (void)
+{
+  struct ColtFixture *fixture = test_create_fixture ();
+  struct ColtPlacementTask task;
+  unsigned number;
+  uint32_t server;
+
+  test_add_server (fixture, 8, 0);
+  test_add_tasks (fixture, 1, 40, "a", COLT_WORK_BATCH, 8, 0);
+  for (number = 1; number <= 20; number++)
+    {
+      fixture->now_us += COLT_US_PER_S;
+      g_assert_cmpuint (test_place_next (fixture, &server), ==, number);
+      task = test_make_task (fixture, number, "a", COLT_WORK_BATCH, 8, 0);
+      test_end_task (fixture, &task, server, 1000);
+      test_send_digest (fixture, server);
+    }
+  task = test_make_task (fixture, 100, "a", COLT_WORK_BATCH, 8, 0);
+  task.deadline_us = fixture->now_us + 10 * COLT_US_PER_S;
+  g_assert_cmpint (
+      colt_placement_add (fixture->placement, &task, fixture->now_us), ==,
+      COLT_PLACEMENT_TOO_LATE);
+  task.urgent = true;
+  test_add_task (fixture, &task);
+  task = test_make_task (fixture, 101, "a", COLT_WORK_BATCH, 8, 0);
+  task.deadline_us = fixture->now_us + 60 * COLT_US_PER_S;
+  test_add_task (fixture, &task);
+  task = test_make_task (fixture, 102, "b", COLT_WORK_BATCH, 8, 0);
+  task.deadline_us = fixture->now_us + 10 * COLT_US_PER_S;
+  test_add_task (fixture, &task);
+  test_destroy_fixture (fixture);
+}
+
 /* In a full queue, a task of another team displaces one of the team that fills
  * it, whose own further tasks are rejected. */
 static void
@@ -252,6 +288,8 @@
                    leaving_and_probation_limit_work_);
   g_test_add_func ("/placement/health/refusals", refusals_reduce_free_amounts_);
   g_test_add_func ("/placement/overload/late", late_work_is_shed_);
+  g_test_add_func ("/placement/overload/long-queue",
+                   work_behind_a_long_queue_is_rejected_);
   g_test_add_func ("/placement/overload/full", full_queue_is_shared_);
   g_test_add_func ("/placement/health/removed", removed_work_is_not_counted_);
 }
