--- a/src/test_admission/test_admission.c
+++ b/src/test_admission/test_admission.c
@@ -386,6 +386,28 @@
   g_assert_cmpuint (g_hash_table_size (fixture->attached), ==, MANY_REQUESTS);
 }
 
+/* A request that the leader has no record of any more is submitted again, as
+ * one that may have run. */
+static void
+test_forgotten_request_is_submitted_again (struct ColtGateFixture *fixture,
+                                           gconstpointer data)
+{
+  (void)data;
+  fixture->outcome = COLT_OUTCOME_PENDING;
+  gate_post_and_close (
+      fixture, KEY_HEADER,
+      "{\"queue\":\"keyed\",\"payload\":\"aGk=\",\"deadline_ms\":60000}");
+  g_assert_true (fixture->last_fresh);
+  fixture->forgets = true;
+  gate_wait_for_call (fixture);
+  g_assert_cmpuint (fixture->attach_count, ==, 1);
+  gate_wait_for_call (fixture);
+  g_assert_cmpuint (fixture->attach_count, ==, 1);
+  g_assert_cmpuint (fixture->submit_count, ==, 2);
+  g_assert_false (fixture->last_fresh);
+  g_assert_cmpuint (colt_gate_open_count (fixture->gate), ==, 1);
+}
+
 /* A gate that is destroyed before the wire, as at shutdown, must not be used by
  * the wire's end of the calls that the gate left open. */
 static void
@@ -473,6 +495,7 @@
   g_test_add ("/admission/attach/all", struct ColtGateFixture,
               GUINT_TO_POINTER (MANY_REQUESTS), gate_set_up,
               test_attach_calls_cover_all, gate_tear_down);
+  ADD_TEST ("attach/forgotten", test_forgotten_request_is_submitted_again);
   ADD_TEST ("destroyed/submit", test_destroyed_with_open_submit);
   g_test_add ("/admission/connections", struct ColtGateFixture, NULL,
               gate_set_up, test_connection_limit, gate_tear_down);
