Tests: compare the folds of instances in the simulation of limits

The simulation compared sums in the fold of the whole log alone; nothing compared it with the folds of the instances, of which some are copied from peers. sim_check_folds() does, in /quota/copied-fold and in fuzz_quota.

--- a/fuzz/fuzz_quota.c
+++ b/fuzz/fuzz_quota.c
@@ -341,6 +341,7 @@
   check_all_usable_ (sim, 0);
   check_all_usable_ (sim, 1);
   sim_check_sums (sim);
+  sim_check_folds (sim);
   sim_destroy (sim);
   return 0;
 }
--- a/src/test_quota/simulation.h
+++ b/src/test_quota/simulation.h
@@ -277,4 +277,9 @@
  */
 void sim_check_sums (struct ColtQuotaSim *sim);
 
+/** Aborts unless each instance that has read the log to its head has the same
+ * limits and entitlements as a reader of the whole log, whether it has read all
+ * of it or copied an earlier state from a peer. */
+void sim_check_folds (const struct ColtQuotaSim *sim);
+
 #endif
--- a/src/test_quota/simulation_oracle.c
+++ b/src/test_quota/simulation_oracle.c
@@ -6,6 +6,9 @@
 
 static uint64_t
 lowest_offset_ (const struct ColtQuotaSim *sim, int zone, int team);
+static bool folds_agree_ (const struct ColtQuotaSim *sim,
+                          const struct ColtEntitlements *a,
+                          const struct ColtEntitlements *b);
 
 int64_t
 sim_count_running (const struct ColtQuotaSim *sim, int zone, int team)
@@ -81,6 +84,32 @@
     }
 }
 
+void
+sim_check_folds (const struct ColtQuotaSim *sim)
+{
+  int zone;
+  int i;
+
+  for (zone = 0; zone < SIM_ZONES; zone++)
+    for (i = 0; i < SIM_INSTANCES; i++)
+      {
+        const struct ColtQuotaSimInstance *instance
+            = &sim->zones[zone].instances[i];
+
+        if (instance->alive
+            && colt_entitlements_position (instance->fold)
+                   == colt_entitlements_position (sim->reference)
+            && !folds_agree_ (sim, instance->fold, sim->reference))
+          {
+            fprintf (stderr,
+                     "the fold of instance %d in zone %d differs from that of "
+                     "the whole log\n",
+                     i, zone);
+            abort ();
+          }
+      }
+}
+
 void
 sim_update_complied_ (struct ColtQuotaSim *sim)
 {
@@ -163,3 +192,30 @@
     }
   return present ? complied : UINT64_MAX;
 }
+
+static bool
+folds_agree_ (const struct ColtQuotaSim *sim,
+              const struct ColtEntitlements *a,
+              const struct ColtEntitlements *b)
+{
+  struct ColtQuotaAmount first;
+  struct ColtQuotaAmount second;
+  uint32_t zone;
+  int team;
+
+  for (team = 0; team < SIM_TEAMS; team++)
+    {
+      colt_entitlements_get_limit (a, sim->teams[team], &first);
+      colt_entitlements_get_limit (b, sim->teams[team], &second);
+      if (memcmp (&first, &second, sizeof first) != 0)
+        return false;
+      for (zone = 1; zone <= SIM_ZONES; zone++)
+        {
+          colt_entitlements_get (a, sim->teams[team], zone, &first);
+          colt_entitlements_get (b, sim->teams[team], zone, &second);
+          if (memcmp (&first, &second, sizeof first) != 0)
+            return false;
+        }
+    }
+  return colt_entitlements_last_change (a) == colt_entitlements_last_change (b);
+}
--- a/src/test_quota/test_quota.c
+++ b/src/test_quota/test_quota.c
@@ -280,6 +280,33 @@
   sim_destroy (sim);
 }
 
+/* An instance that copied the state of a peer while the log was unavailable
+ * must compute the same parts from later records as all others. */
+static void
+test_copied_fold_agrees (void)
+{
+  struct ColtQuotaSim *sim = create_settled_sim (9);
+  const struct ColtQuotaAmount two = { { 2, 0, 0 } };
+
+  g_assert_true (sim_append_transfer (sim, 0, 1, 2, &two));
+  sim_settle (sim, ROUNDS);
+  sim_set_log_up (sim, false);
+  sim_kill_instance (sim, 0, 1);
+  sim_start_instance (sim, 0, 1);
+  sim_check_folds (sim);
+  sim_set_log_up (sim, true);
+  g_assert_true (sim_append_transfer (sim, 0, 2, 3, &two));
+  sim_settle (sim, ROUNDS);
+  sim_check_folds (sim);
+  append_task_limit_ (sim, 30);
+  g_assert_true (sim_append_transfer (sim, 0, 3, 1, &two));
+  sim_settle (sim, ROUNDS);
+  g_assert_cmpuint (colt_entitlements_position (sim_fold (sim, 0, 1)), ==,
+                    sim_record_count (sim));
+  sim_check_folds (sim);
+  sim_destroy (sim);
+}
+
 static void
 test_zone_replaced (void)
 {
@@ -407,6 +434,7 @@
   g_test_add_func ("/quota/raise", test_raise);
   g_test_add_func ("/quota/raise-waits", test_raise_waits_for_all_zones);
   g_test_add_func ("/quota/lower-and-raise", test_lower_and_raise);
+  g_test_add_func ("/quota/copied-fold", test_copied_fold_agrees);
   g_test_add_func ("/quota/transfer-twice", test_transfer_twice);
   g_test_add_func ("/quota/transfer-while-used", test_transfer_while_used);
   g_test_add_func ("/quota/lower-during-cut", test_lower_during_isolation);
