Tests: other work avoids a slow server as well

/cell/load/slow-server-avoided restarted the moved task alone, which avoids its last server in any case, so it passed without the server being remembered as slow. A task of another job now has the choice between the slow server, with the lower id, and a new one.

On a trial copy that doesn't raise the slowness of the server the 38 tests of test_cell_load passed; this one fails there.

--- a/src/test_cell_load/test_load_servers.c
+++ b/src/test_cell_load/test_load_servers.c
@@ -129,7 +129,8 @@
 }
 
 /* A server has become slow: its task moves once another server has capacity,
- * and the new start avoids the slow server. */
+ * and neither the new start nor one of another job goes to the slow server,
+ * although its id is lower. */
 static void
 test_slow_server_avoided (void)
 {
@@ -148,6 +149,11 @@
   colt_fixture_place (fixture);
   g_assert_cmpuint (fixture->starts->len, ==, 5);
   g_assert_true (colt_fixture_was_sent_to (fixture, 4, "@e"));
+  colt_fixture_add_server (fixture, "f", 1000);
+  colt_fixture_submit (fixture, "tight", "steady", 1, false);
+  colt_fixture_place (fixture);
+  g_assert_cmpuint (fixture->starts->len, ==, 6);
+  g_assert_true (colt_fixture_was_sent_to (fixture, 5, "@f"));
   colt_fixture_destroy (fixture);
 }
 
