Mutation: fail if a listed test doesn't exist

The guard "freshness" listed a test of that name, which doesn't exist; a list was accepted if any of its names matched. Each name must now match a test, and the name is gone: test_bundle covers the rule.

With the check alone, scripts/mutation.sh freshness printed "no test matches freshness" and failed. After: freshness is detected by bundle, bundle_parent by bundle and fuzz_bundle_chain.

--- a/scripts/mutation.sh
+++ b/scripts/mutation.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Disables each guard of the safety arguments in turn and fails if no test or
-# fuzz target detects it. Builds once, with switches for the guards. Arguments
-# restrict the run to the named guards. COLT_JOBS limits concurrent tests.
+# fuzz target detects it, or if one of those listed for it doesn't exist. Builds
+# once, with switches for the guards. Arguments restrict the run to the named
+# guards. COLT_JOBS limits concurrent tests.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${COLT_BUILD:-build/check}
@@ -17,7 +18,7 @@
     restart_report) echo 'cell' ;;
     crash_limit) echo 'cell_crashes' ;;
     claim_time | inherited_leases | lost_orders | address | silent_server) echo 'scheduler' ;;
-    freshness | bundle_parent) echo 'bundle.*|fuzz_bundle.*|freshness' ;;
+    freshness | bundle_parent) echo 'bundle.*|fuzz_bundle.*' ;;
     *) echo "$1: no tests are listed in mutation.sh" >&2; return 1 ;;
   esac
 }
@@ -35,10 +36,16 @@
 
 undetected=()
 for guard in "${guards[@]}"; do
-  tests="^($(print_tests "$guard"))\$"
-  listed=$(ctest --test-dir "$build" -N -R "$tests")
-  if ! grep -q 'Test *#' <<<"$listed"; then
-    echo "$guard: no test matches $tests"
+  names=$(print_tests "$guard")
+  tests="^($names)\$"
+  unmatched=()
+  IFS='|' read -ra listed_names <<<"$names"
+  for name in "${listed_names[@]}"; do
+    listed=$(ctest --test-dir "$build" -N -R "^($name)\$")
+    grep -q 'Test *#' <<<"$listed" || unmatched+=("$name")
+  done
+  if [ "${#unmatched[@]}" -gt 0 ]; then
+    echo "$guard: no test matches ${unmatched[*]}"
     undetected+=("$guard")
     continue
   fi
