Remove declarations that nothing uses

struct ColtPlaceBatch: batches are arrays of starts by owner. answered and the caller's pending of the gate: never read. digest_sequence of the limits: the planner numbers its own digests. colt_history_group_all(), colt_owner_tasks_count(): never called. COLT_PIGGYBACK_DEMAND: never filled or received; demand digests have a message of their own. COLT_PIGGYBACK_PROCESS keeps its number on the wire, 4.

--- a/include/coltsfootstile/membership_link.h
+++ b/include/coltsfootstile/membership_link.h
@@ -17,8 +17,7 @@
 {
   COLT_PIGGYBACK_FRESHNESS = 1, /**< freshness of the sender's log view */
   COLT_PIGGYBACK_COMPLIANCE,    /**< log offsets that zones comply with */
-  COLT_PIGGYBACK_DEMAND,        /**< waiting and running work of teams */
-  COLT_PIGGYBACK_PROCESS,       /**< process that uses the instance number */
+  COLT_PIGGYBACK_PROCESS = 4,   /**< process that uses the instance number */
   COLT_PIGGYBACK_COUNT          /**< upper bound, not a topic */
 };
 
--- a/src/admission/gate_pending.c
+++ b/src/admission/gate_pending.c
@@ -223,7 +223,6 @@
   struct ColtGateCaller *caller = g_new0 (struct ColtGateCaller, 1);
 
   caller->request = http;
-  caller->pending = pending;
   caller->waits = waits;
   g_ptr_array_add (pending->callers, caller);
   colt_gate_set_close_handler (pending->gate, http, on_caller_closed_, caller);
--- a/src/admission/private/gate_private.h
+++ b/src/admission/private/gate_private.h
@@ -17,8 +17,7 @@
 struct ColtGateCaller
 {
   struct evhttp_request *request; /**< NULL once the connection is closed */
-  struct ColtPendingRequest *pending;
-  bool waits; /**< for the outcome, not just acceptance */
+  bool waits;                     /**< for the outcome, not just acceptance */
 };
 
 /** A request that this gate has not answered yet. */
@@ -35,7 +34,6 @@
   bool reply_lost;     /**< a submit call ended without a reply; a home may have
                             the request */
   bool forwarded;      /**< a home has or may have received the request */
-  bool answered;       /**< unused */
   int64_t resubmit_us; /**< monotonic time of the next submit call */
   int64_t expiry_us;   /**< monotonic time at which callers get an answer even
                             if no home has sent one */
--- a/src/coltsfootstile/private/instance_limits.h
+++ b/src/coltsfootstile/private/instance_limits.h
@@ -84,16 +84,15 @@
   GHashTable *processes;     /**< instance -> its process id */
   GHashTable *shard_demands; /**< shard + 1 -> struct ColtDemandDigest; used by
                                   the planner */
-  uint64_t digest_sequence;
-  uint64_t sent_version;   /**< version of the compliance of which all changes
-                                were on the probes for a whole period */
-  uint64_t period_version; /**< version of the compliance when the send period
-                                began */
-  unsigned part_turn;      /**< selects the part to send when the compliance
-                                exceeds one body */
-  int64_t period_end_us;   /**< end of the send period */
-  int64_t full_send_us;    /**< when probes carry the whole compliance next, or
-                                began to */
+  uint64_t sent_version;     /**< version of the compliance of which all changes
+                                  were on the probes for a whole period */
+  uint64_t period_version;   /**< version of the compliance when the send period
+                                  began */
+  unsigned part_turn;        /**< selects the part to send when the compliance
+                                  exceeds one body */
+  int64_t period_end_us;     /**< end of the send period */
+  int64_t full_send_us; /**< when probes carry the whole compliance next, or
+                             began to */
   int64_t next_digest_us;
   int64_t next_append_us;
 };
--- a/src/history/sweep.c
+++ b/src/history/sweep.c
@@ -14,13 +14,6 @@
   return span->team;
 }
 
-uint32_t
-colt_history_group_all (const struct ColtHistorySpan *span)
-{
-  (void)span;
-  return 0;
-}
-
 GArray *
 colt_history_sweep (const struct ColtHistorySpans *spans,
                     ColtHistoryGrouper group)
--- a/src/history/sweep.h
+++ b/src/history/sweep.h
@@ -26,9 +26,6 @@
 /** Groups spans by their team. */
 uint32_t colt_history_group_by_team (const struct ColtHistorySpan *span);
 
-/** Puts all spans into one group. */
-uint32_t colt_history_group_all (const struct ColtHistorySpan *span);
-
 /**
  * Returns the points of all pieces that last longer than 0, sorted by group and
  * time. At equal times, ends come before starts.
--- a/src/home/home_place.c
+++ b/src/home/home_place.c
@@ -9,13 +9,6 @@
 /* Timeout for an owner's reply, in milliseconds. */
 #define PLACE_TIMEOUT_MS 1000
 
-/* Starts to be sent to one owner. */
-struct ColtPlaceBatch
-{
-  uint32_t owner;
-  GPtrArray *starts; /* of struct ColtPlaceStartBuffer */
-};
-
 /* A start message and the data that it points to. */
 struct ColtPlaceStartBuffer
 {
--- a/src/owner/owner_tasks.c
+++ b/src/owner/owner_tasks.c
@@ -118,12 +118,6 @@
   g_queue_push_tail (&tasks->ends, record);
 }
 
-size_t
-colt_owner_tasks_count (const struct ColtOwnerTasks *tasks)
-{
-  return g_hash_table_size (tasks->table);
-}
-
 void
 colt_owner_task_fill_report (const struct ColtOwnerTasks *tasks,
                              const struct ColtOwnerTask *task,
--- a/src/owner/private/owner_private.h
+++ b/src/owner/private/owner_private.h
@@ -65,7 +65,6 @@
 /** Notes that a task ended at its ended_us, for colt_owner_tasks_expire(). */
 void colt_owner_tasks_record_end (struct ColtOwnerTasks *tasks,
                                   const struct ColtOwnerTask *task);
-size_t colt_owner_tasks_count (const struct ColtOwnerTasks *tasks);
 /** Fills in a report of a task, without a result. */
 void colt_owner_task_fill_report (const struct ColtOwnerTasks *tasks,
                                   const struct ColtOwnerTask *task,
