--- a/include/coltsfootstile/membership.h
+++ b/include/coltsfootstile/membership.h
@@ -76,7 +76,7 @@
    * colt_membership_handle_probe_answer() or
    * colt_membership_handle_probe_failure(). */
   void (*probe) (void *client, uint32_t instance);
-  /** Called when a member was added, or its state or listed address changed. */
+  /** Called when a member was added, or its state or address changed. */
   void (*member_changed) (void *client, const struct ColtMember *member);
 };
 
@@ -141,9 +141,10 @@
                             int64_t now_us);
 
 /**
- * Writes the digest for a peer: the members of this zone, at most
- * COLT_DIGEST_MAX - COLT_DIGEST_REMOTE_MAX, and up to COLT_DIGEST_REMOTE_MAX
- * members of other zones in turn.
+ * Writes the digest for a peer: this instance and the members of its zone, at
+ * most COLT_DIGEST_MAX - COLT_DIGEST_REMOTE_MAX together, and up to
+ * COLT_DIGEST_REMOTE_MAX members of other zones. If they don't fit, each digest
+ * continues where the one before ended.
  *
  * \param members  room for COLT_DIGEST_MAX
  * \return         number of members written
--- a/include/coltsfootstile/placement.h
+++ b/include/coltsfootstile/placement.h
@@ -122,7 +122,8 @@
 
 /**
  * Sets the state of a server from a digest of its owner. Adds the server if it
- * is unknown.
+ * is unknown. Ignores a digest of a lower epoch than the last one, of a former
+ * owner, for 10 s; after that the server may have restarted with lower epochs.
  */
 void colt_placement_set_server (struct ColtPlacement *placement,
                                 const struct ColtServerDigest *digest,
@@ -227,8 +228,8 @@
 
 /**
  * Sets the amounts that another instance of the zone runs of a team; they count
- * for the team's share of the zone. A report that is older than 10 s is dropped
- * when the next report on the team arrives.
+ * for the team's share of the zone. A report that is older than 10 s doesn't
+ * count.
  *
  * \param instance  number of the reporting instance
  * \param running   sum of the demands of the running tasks
--- a/src/admission/gate_pending.c
+++ b/src/admission/gate_pending.c
@@ -22,7 +22,7 @@
  * answered and freed before the reply. */
 struct ColtSubmitCall
 {
-  struct ColtGate *gate;
+  struct ColtGate *gate; /* NULL once the gate is destroyed */
   struct ColtId id;
 };
 
@@ -34,8 +34,17 @@
 
 static bool is_same_request_ (const struct ColtPendingRequest *pending,
                               const struct ColtRequestSpec *spec);
+static void join_pending_ (struct ColtPendingRequest *pending,
+                           const struct ColtGateRequest *request,
+                           struct evhttp_request *http);
 static void add_caller_ (struct ColtPendingRequest *pending,
-                         struct evhttp_request *http);
+                         struct evhttp_request *http,
+                         bool waits);
+static void answer_callers_ (struct ColtPendingRequest *pending,
+                             bool waiting_too,
+                             enum ColtOutcome outcome,
+                             enum ColtReason reason,
+                             const ColtAnswerWord *answer);
 static void on_caller_closed_ (void *client);
 static void send_submit_ (struct ColtPendingRequest *pending, int64_t now_us);
 static void on_submit_reply_ (void *client,
@@ -47,8 +56,10 @@
                                   int64_t now_us);
 static void expire_pending_ (struct ColtPendingRequest *pending);
 static void attach_accepted_ (struct ColtGate *gate);
-static void
-send_attach_ (struct ColtGate *gate, uint32_t instance, GArray *ids);
+static void send_attach_ (struct ColtGate *gate,
+                          uint32_t instance,
+                          const struct ColtId *ids,
+                          size_t count);
 static void on_attach_reply_ (void *client,
                               enum ColtWireResult result,
                               const uint8_t *body,
@@ -83,7 +94,7 @@
     }
   if (pending != NULL)
     {
-      add_caller_ (pending, http);
+      join_pending_ (pending, request, http);
       return;
     }
   pending = g_new0 (struct ColtPendingRequest, 1);
@@ -98,7 +109,7 @@
   if (pending->waits)
     pending->expiry_us = pending->spec.deadline_us + ANSWER_GRACE_US;
   g_hash_table_insert (gate->pending, &pending->id, pending);
-  add_caller_ (pending, http);
+  add_caller_ (pending, http, request->waits);
   send_submit_ (pending, now_us);
 }
 
@@ -144,27 +155,23 @@
                           const ColtAnswerWord *answer)
 {
   struct ColtGate *gate = pending->gate;
-  guint i;
 
   count_outcome_ (gate, outcome);
-  for (i = 0; i < pending->callers->len; i++)
-    {
-      struct ColtGateCaller *caller = g_ptr_array_index (pending->callers, i);
-      struct evhttp_request *http = caller->request;
-
-      caller->pending = NULL;
-      if (http != NULL)
-        {
-          colt_gate_clear_close_handler (gate, http);
-          colt_gate_reply_outcome (gate, http, &pending->id, outcome, reason,
-                                   answer);
-        }
-      g_free (caller);
-    }
-  g_ptr_array_set_size (pending->callers, 0);
+  answer_callers_ (pending, true, outcome, reason, answer);
   g_hash_table_remove (gate->pending, &pending->id);
 }
 
+void
+colt_gate_detach_calls (struct ColtGate *gate)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, gate->open_submits);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    ((struct ColtSubmitCall *)key)->gate = NULL;
+}
+
 void
 colt_pending_request_free (gpointer data)
 {
@@ -183,23 +190,76 @@
 {
   const struct ColtRequestSpec *first = &pending->spec;
 
-  return strcmp (first->team, spec->team) == 0 && first->kind == spec->kind
+  return strcmp (first->team, spec->team) == 0
+         && strcmp (first->queue, spec->queue) == 0 && first->kind == spec->kind
+         && memcmp (&first->demand, &spec->demand, sizeof spec->demand) == 0
          && first->tasks == spec->tasks && first->idempotent == spec->idempotent
          && first->payload_size == spec->payload_size
          && memcmp (first->payload, spec->payload, spec->payload_size) == 0;
 }
 
+/* The earlier caller may have asked for the acceptance alone. */
 static void
-add_caller_ (struct ColtPendingRequest *pending, struct evhttp_request *http)
+join_pending_ (struct ColtPendingRequest *pending,
+               const struct ColtGateRequest *request,
+               struct evhttp_request *http)
+{
+  if (request->waits && !pending->waits)
+    {
+      pending->waits = true;
+      pending->expiry_us = request->spec.deadline_us + ANSWER_GRACE_US;
+    }
+  add_caller_ (pending, http, request->waits);
+  if (pending->accepted && pending->spec.durable)
+    answer_callers_ (pending, false, COLT_OUTCOME_PENDING, COLT_REASON_NONE,
+                     NULL);
+}
+
+static void
+add_caller_ (struct ColtPendingRequest *pending,
+             struct evhttp_request *http,
+             bool waits)
 {
   struct ColtGateCaller *caller = g_new0 (struct ColtGateCaller, 1);
 
   caller->request = http;
-  caller->pending = pending;
+  caller->waits = waits;
   g_ptr_array_add (pending->callers, caller);
   colt_gate_set_close_handler (pending->gate, http, on_caller_closed_, caller);
 }
 
+/* Replies to the callers who wait for the acceptance alone, or to all. */
+static void
+answer_callers_ (struct ColtPendingRequest *pending,
+                 bool waiting_too,
+                 enum ColtOutcome outcome,
+                 enum ColtReason reason,
+                 const ColtAnswerWord *answer)
+{
+  struct ColtGate *gate = pending->gate;
+  guint i = 0;
+
+  while (i < pending->callers->len)
+    {
+      struct ColtGateCaller *caller = g_ptr_array_index (pending->callers, i);
+      struct evhttp_request *http = caller->request;
+
+      if (caller->waits && !waiting_too)
+        {
+          i++;
+          continue;
+        }
+      g_ptr_array_remove_index (pending->callers, i);
+      if (http != NULL)
+        {
+          colt_gate_clear_close_handler (gate, http);
+          colt_gate_reply_outcome (gate, http, &pending->id, outcome, reason,
+                                   answer);
+        }
+      g_free (caller);
+    }
+}
+
 /* The request continues after its caller has disconnected; only the reply is
  * left out. */
 static void
@@ -234,6 +294,7 @@
   call = g_new0 (struct ColtSubmitCall, 1);
   call->gate = gate;
   call->id = pending->id;
+  g_hash_table_add (gate->open_submits, call);
   pending->in_flight = true;
   body = colt_message_pack (&submit.base, &size);
   colt_wire_call (gate->parts.wire, leader, COLT_WIRE_REQUEST_SUBMIT, body,
@@ -248,10 +309,14 @@
                   size_t size)
 {
   struct ColtSubmitCall *call = client;
-  struct ColtPendingRequest *pending
-      = g_hash_table_lookup (call->gate->pending, &call->id);
+  struct ColtPendingRequest *pending = NULL;
   ColtSubmitReply *reply = NULL;
 
+  if (call->gate != NULL)
+    {
+      pending = g_hash_table_lookup (call->gate->pending, &call->id);
+      g_hash_table_remove (call->gate->open_submits, call);
+    }
   g_free (call);
   if (pending == NULL)
     return;
@@ -292,6 +357,9 @@
       if (!pending->waits)
         colt_gate_answer_pending (pending, COLT_OUTCOME_PENDING,
                                   COLT_REASON_NONE, NULL);
+      else if (pending->spec.durable)
+        answer_callers_ (pending, false, COLT_OUTCOME_PENDING, COLT_REASON_NONE,
+                         NULL);
       return;
     case COLT_SUBMIT_NOT_RUN:
       colt_gate_answer_pending (pending,
@@ -348,29 +416,39 @@
           ids = g_array_new (FALSE, FALSE, sizeof (struct ColtId));
           g_hash_table_insert (by_leader, GUINT_TO_POINTER (leader), ids);
         }
-      if (ids->len < ATTACH_IDS_MAX)
-        g_array_append_val (ids, pending->id);
+      g_array_append_val (ids, pending->id);
     }
   g_hash_table_iter_init (&iter, by_leader);
   while (g_hash_table_iter_next (&iter, &key, &value))
-    send_attach_ (gate, GPOINTER_TO_UINT (key), value);
+    {
+      const GArray *ids = value;
+      guint from;
+
+      for (from = 0; from < ids->len; from += ATTACH_IDS_MAX)
+        send_attach_ (gate, GPOINTER_TO_UINT (key),
+                      &g_array_index (ids, struct ColtId, from),
+                      MIN (ids->len - from, ATTACH_IDS_MAX));
+    }
   g_hash_table_unref (by_leader);
 }
 
 static void
-send_attach_ (struct ColtGate *gate, uint32_t instance, GArray *ids)
+send_attach_ (struct ColtGate *gate,
+              uint32_t instance,
+              const struct ColtId *ids,
+              size_t count)
 {
   ColtAttachWord attach = COLT_ATTACH_WORD__INIT;
-  ProtobufCBinaryData *list = g_new0 (ProtobufCBinaryData, ids->len);
+  ProtobufCBinaryData *list = g_new0 (ProtobufCBinaryData, count);
   struct ColtAttachCall *call = g_new0 (struct ColtAttachCall, 1);
   uint8_t *body;
   size_t size;
-  guint i;
+  size_t i;
 
-  for (i = 0; i < ids->len; i++)
-    list[i] = colt_id_fill (&g_array_index (ids, struct ColtId, i));
+  for (i = 0; i < count; i++)
+    list[i] = colt_id_fill (&ids[i]);
   attach.ids = list;
-  attach.n_ids = ids->len;
+  attach.n_ids = count;
   attach.waits = true;
   call->gate = gate;
   body = colt_message_pack (&attach.base, &size);
--- a/src/admission/private/gate_private.h
+++ b/src/admission/private/gate_private.h
@@ -17,7 +17,7 @@
 struct ColtGateCaller
 {
   struct evhttp_request *request; /**< NULL once the connection is closed */
-  struct ColtPendingRequest *pending;
+  bool waits;                     /**< for the outcome, not just acceptance */
 };
 
 /** A request that this gate has not answered yet. */
@@ -27,14 +27,13 @@
   struct ColtId id;
   struct ColtRequestSpec spec; /**< the payload is owned by this request */
   GPtrArray *callers;          /**< of struct ColtGateCaller */
-  bool waits;      /**< callers wait for the outcome, not just acceptance */
-  bool fresh;      /**< the id was minted here and is used for the first time */
-  bool accepted;   /**< a home has the request */
-  bool in_flight;  /**< a submit call is open */
-  bool reply_lost; /**< a submit call ended without a reply; a home may have
-                        the request */
-  bool forwarded;  /**< a home has or may have received the request */
-  bool answered;   /**< unused */
+  bool waits;     /**< some caller waits for the outcome, not just acceptance */
+  bool fresh;     /**< the id was minted here and is used for the first time */
+  bool accepted;  /**< a home has the request */
+  bool in_flight; /**< a submit call is open */
+  bool reply_lost;     /**< a submit call ended without a reply; a home may have
+                            the request */
+  bool forwarded;      /**< a home has or may have received the request */
   int64_t resubmit_us; /**< monotonic time of the next submit call */
   int64_t expiry_us;   /**< monotonic time at which callers get an answer even
                             if no home has sent one */
@@ -59,13 +58,14 @@
   void *client;
   struct evhttp *http;
   struct evhttp_bound_socket *socket;
-  GHashTable *pending;     /**< struct ColtPendingRequest by its id */
-  GHashTable *connections; /**< struct ColtGateConnection by its
-                                evhttp_connection */
-  GHashTable *minted;      /**< set of the struct ColtId that were minted here
-                                and not used yet; owned by minted_order */
-  GQueue minted_order;     /**< of struct ColtId, oldest first, used ones
-                                included */
+  GHashTable *pending;      /**< struct ColtPendingRequest by its id */
+  GHashTable *connections;  /**< struct ColtGateConnection by its
+                                 evhttp_connection */
+  GHashTable *minted;       /**< set of the struct ColtId that were minted here
+                                 and not used yet; owned by minted_order */
+  GQueue minted_order;      /**< of struct ColtId, oldest first, used ones
+                                 included */
+  GHashTable *open_submits; /**< set of the open submit calls */
   struct event *timer;
   int64_t next_attach_us; /**< monotonic time of the next attach calls */
   bool stopping;
@@ -152,8 +152,9 @@
 
 /**
  * Submits an admitted request to its home. If a request with this id is
- * pending already, the caller waits for that one; a different request with the
- * same id is refused with COLT_REASON_MISMATCH.
+ * pending already, the caller waits for that one: for its acceptance only if
+ * all its callers do. A different request with the same id is refused with
+ * COLT_REASON_MISMATCH.
  *
  * \param request  spec.payload is taken over and set to NULL if the request is
  *                 new
@@ -176,6 +177,10 @@
                                enum ColtReason reason,
                                const ColtAnswerWord *answer);
 
+/** Detaches the open submit calls from a gate that is being destroyed: the wire
+ * ends them later. */
+void colt_gate_detach_calls (struct ColtGate *gate);
+
 /** Frees a struct ColtPendingRequest. */
 void colt_pending_request_free (gpointer data);
 
--- a/src/coltsfootstile/cell_main.c
+++ b/src/coltsfootstile/cell_main.c
@@ -70,6 +70,8 @@
 
 static int run_instance_ (const struct ColtSettings *settings,
                           const char *path);
+static bool check_values_ (const struct ColtSettings *settings);
+static bool check_level_ (const struct ColtSettings *settings);
 static bool open_log_ (const struct ColtSettings *settings);
 static void fill_settings_ (const struct ColtSettings *settings,
                             struct ColtSchedulerSettings *scheduler,
@@ -92,7 +94,12 @@
   if (path == NULL)
     fprintf (stderr, "coltsfootstile: --settings FILE is required\n");
   else if (colt_settings_read (settings, path, NULL))
-    status = check_only ? STATUS_OK : run_instance_ (settings, path);
+    {
+      if (!check_only)
+        status = run_instance_ (settings, path);
+      else if (check_values_ (settings))
+        status = STATUS_OK;
+    }
   for (i = 0; i < colt_settings_problem_count (settings); i++)
     fprintf (stderr, "coltsfootstile: %s\n",
              colt_settings_problem (settings, i));
@@ -103,7 +110,7 @@
 static int
 run_instance_ (const struct ColtSettings *settings, const char *path)
 {
-  struct ColtCellProcess process = { colt_http_create_base (), NULL, path };
+  struct ColtCellProcess process = { NULL, NULL, path };
   struct ColtSchedulerSettings scheduler_settings;
   struct ColtAdapterSettings adapter_settings;
   struct ColtPorts ports = { 0 };
@@ -114,8 +121,11 @@
   size_t i;
 
   signal (SIGPIPE, SIG_IGN);
-  if (!open_log_ (settings))
+  if (!check_level_ (settings))
     return STATUS_USAGE;
+  if (!open_log_ (settings))
+    return STATUS_FAILED;
+  process.base = colt_http_create_base ();
   fill_settings_ (settings, &scheduler_settings, &adapter_settings);
   adapter = colt_adapter_create (process.base, &adapter_settings, &ports);
   process.scheduler = colt_scheduler_create (process.base, &ports,
@@ -145,21 +155,59 @@
   return status;
 }
 
+/* Checks what the table of settings can't express. A running instance uses
+ * NUMBER_MIN for a number that isn't positive. */
 static bool
-open_log_ (const struct ColtSettings *settings)
+check_values_ (const struct ColtSettings *settings)
 {
-  const char *name = colt_settings_string (settings, "log", "level");
-  enum ColtLogLevel level;
-  struct ColtError error;
+  static const char *const keys[] = { "cpu_share", "cores", "link_mbps" };
+  bool good = check_level_ (settings);
+  size_t i;
 
-  if (!colt_log_parse_level (name, &level))
+  for (i = 0; i < G_N_ELEMENTS (keys); i++)
     {
+      const char *text = colt_settings_string (settings, "instance", keys[i]);
+      char *end;
+
+      if (g_ascii_strtod (text, &end) > 0 && *end == '\0')
+        continue;
       fprintf (stderr,
-               "coltsfootstile: [log] level: \"%s\" is not a log level\n",
-               name);
-      return false;
+               "coltsfootstile: [instance] %s: \"%s\" is not a positive "
+               "number\n",
+               keys[i], text);
+      good = false;
     }
-  return colt_log_open (level, &error);
+  return good;
+}
+
+/* Prints a problem if the settings don't name a log level. */
+static bool
+check_level_ (const struct ColtSettings *settings)
+{
+  const char *name = colt_settings_string (settings, "log", "level");
+  enum ColtLogLevel level;
+
+  if (colt_log_parse_level (name, &level))
+    return true;
+  fprintf (stderr, "coltsfootstile: [log] level: \"%s\" is not a log level\n",
+           name);
+  return false;
+}
+
+static bool
+open_log_ (const struct ColtSettings *settings)
+{
+  enum ColtLogLevel level = COLT_LOG_INFO;
+  struct ColtError error;
+  char line[512];
+
+  colt_log_parse_level (colt_settings_string (settings, "log", "level"),
+                        &level);
+  if (colt_log_open (level, &error))
+    return true;
+  fprintf (stderr, "coltsfootstile: %s\n",
+           colt_error_format (&error, line, sizeof line));
+  return false;
 }
 
 static void
--- a/src/placement/private/placement_private.h
+++ b/src/placement/private/placement_private.h
@@ -87,6 +87,7 @@
 {
   struct ColtServerDigest digest; /**< its free amounts are kept current */
   uint64_t digest_count;          /**< digests received */
+  int64_t digest_us;              /**< when the last one was received */
   struct ColtResources usable;    /**< free for ordinary work */
   bool closed;                    /**< accepts no work until its next digest */
   unsigned held_tasks;            /**< placed members of an incomplete gang */
@@ -300,6 +301,7 @@
   const struct ColtPlacementTask *task;
   struct ColtResources demand; /**< expected, at least the declared one */
   double run_ms;               /**< expected at normal speed, 0 if unknown */
+  int64_t added_us;            /**< when the task began to wait */
   int64_t now_us;
 };
 /** Returns the best server that has room for the task, or NULL. */
--- a/src/test_admission/gate_fixture.c
+++ b/src/test_admission/gate_fixture.c
@@ -108,14 +108,16 @@
 }
 
 static void
-send_answer (struct ColtGateFixture *fixture, const ColtSubmitWord *submit)
+send_answer (struct ColtGateFixture *fixture,
+             const ProtobufCBinaryData *id,
+             enum ColtOutcome outcome)
 {
   ColtAnswerWord answer = COLT_ANSWER_WORD__INIT;
   uint8_t *packed;
   size_t size;
 
-  answer.id = submit->id;
-  answer.outcome = fixture->outcome;
+  answer.id = *id;
+  answer.outcome = outcome;
   answer.waited_ms = -1;
   packed = colt_message_pack (&answer.base, &size);
   colt_wire_call (fixture->home, GATE, COLT_WIRE_REQUEST_ANSWER, packed, size,
@@ -136,21 +138,26 @@
 
   g_assert_nonnull (submit);
   fixture->submit_count++;
-  if (fixture->stop_on_submit)
+  if (fixture->stop_on_call)
     event_base_loopbreak (fixture->base);
   fixture->last_fresh = submit->fresh;
   fixture->last_tasks = submit->spec->tasks;
+  if (fixture->unresponsive)
+    {
+      colt_submit_word__free_unpacked (submit, NULL);
+      return;
+    }
   reply.status = fixture->submit_status;
   reply.reason = fixture->submit_reason;
   packed = colt_message_pack (&reply.base, &size);
   colt_wire_reply (fixture->home, origin, packed, size);
   free (packed);
   if (fixture->outcome != COLT_OUTCOME_PENDING)
-    send_answer (fixture, submit);
+    send_answer (fixture, &submit->id, fixture->outcome);
   colt_submit_word__free_unpacked (submit, NULL);
 }
 
-/* Replies with neither answers nor unknown ids. */
+/* Replies without answers, which are sent by calls of their own. */
 static void
 on_attach (void *client,
            const struct ColtWireOrigin *origin,
@@ -159,12 +166,34 @@
 {
   struct ColtGateFixture *fixture = client;
   ColtAttachReply reply = COLT_ATTACH_REPLY__INIT;
+  ColtAttachWord *attach = colt_attach_word__unpack (NULL, size, body);
+  struct ColtId id;
   uint8_t *packed;
-
-  (void)body;
-  packed = colt_message_pack (&reply.base, &size);
-  colt_wire_reply (fixture->home, origin, packed, size);
-  free (packed);
+  size_t i;
+
+  g_assert_nonnull (attach);
+  fixture->attach_count++;
+  for (i = 0; i < attach->n_ids; i++)
+    {
+      g_assert_true (colt_id_read (&attach->ids[i], &id));
+      g_hash_table_add (fixture->attached, g_memdup2 (&id, sizeof id));
+      if (fixture->attach_outcome != COLT_OUTCOME_PENDING)
+        send_answer (fixture, &attach->ids[i], fixture->attach_outcome);
+    }
+  if (fixture->stop_on_call)
+    event_base_loopbreak (fixture->base);
+  if (fixture->forgets)
+    {
+      reply.unknown = attach->ids;
+      reply.n_unknown = attach->n_ids;
+    }
+  if (!fixture->unresponsive)
+    {
+      packed = colt_message_pack (&reply.base, &size);
+      colt_wire_reply (fixture->home, origin, packed, size);
+      free (packed);
+    }
+  colt_attach_word__free_unpacked (attach, NULL);
 }
 
 static uint16_t
@@ -224,13 +253,15 @@
   char home[32];
   char gate[32];
 
-  (void)data;
   fixture->has_bundle = true;
   fixture->keys_fresh = true;
   fixture->fits_any = true;
   fixture->leader = HOME;
   fixture->submit_status = COLT_SUBMIT_ACCEPTED;
   fixture->outcome = COLT_OUTCOME_DONE;
+  fixture->attach_outcome = COLT_OUTCOME_PENDING;
+  fixture->attached = g_hash_table_new_full (colt_id_table_hash,
+                                             colt_id_table_equal, g_free, NULL);
   fixture->base = event_base_new ();
   fixture->counters = colt_counters_create ();
   fixture->chain = create_chain ();
@@ -245,7 +276,8 @@
   parts.counters = fixture->counters;
   parts.instance = GATE;
   parts.zone = ZONE;
-  parts.connections_max = TEST_CONNECTIONS_MAX;
+  parts.connections_max
+      = data != NULL ? GPOINTER_TO_UINT (data) : TEST_CONNECTIONS_MAX;
   fixture->gate = colt_gate_create (&parts, &gate_calls, fixture);
   g_snprintf (home, sizeof home, "127.0.0.1:%u", find_free_port ());
   g_assert_true (colt_wire_listen (fixture->home, home, NULL));
@@ -268,6 +300,7 @@
   colt_chain_destroy (fixture->chain);
   colt_counters_destroy (fixture->counters);
   event_base_free (fixture->base);
+  g_hash_table_unref (fixture->attached);
 }
 
 static void
@@ -355,6 +388,14 @@
   return reply;
 }
 
+void
+gate_wait_for_call (struct ColtGateFixture *fixture)
+{
+  fixture->stop_on_call = true;
+  run_loop (fixture);
+  fixture->stop_on_call = false;
+}
+
 void
 gate_post_and_close (struct ColtGateFixture *fixture,
                      const char *headers,
@@ -367,9 +408,7 @@
   struct bufferevent *stream
       = open_caller (fixture, &caller, text, strlen (text));
 
-  fixture->stop_on_submit = true;
-  run_loop (fixture);
-  fixture->stop_on_submit = false;
+  gate_wait_for_call (fixture);
   g_assert_cmpuint (caller.text->len, ==, 0);
   bufferevent_free (stream);
   g_string_free (caller.text, TRUE);
--- a/src/test_admission/gate_fixture.h
+++ b/src/test_admission/gate_fixture.h
@@ -46,12 +46,20 @@
   enum ColtReason submit_reason;       /**< in the home's submit replies */
   /** In the home's answers; COLT_OUTCOME_PENDING: the home sends no answer. */
   enum ColtOutcome outcome;
+  /** In an answer for each id of an attach call; COLT_OUTCOME_PENDING: none. */
+  enum ColtOutcome attach_outcome;
+  bool forgets; /**< replies to attach calls return all ids as unknown */
   unsigned submit_count;
+  GHashTable *attached; /**< set of the struct ColtId of attach calls */
+  unsigned attach_count;
   bool last_fresh;     /**< from the last submit call */
   uint32_t last_tasks; /**< from the last submit call */
-  bool stop_on_submit; /**< a submit call stops the event loop */
+  bool stop_on_call;   /**< a call to the home stops the event loop */
+  bool unresponsive;   /**< the home replies to no call */
 };
 
+/** Sets the fixture up; \a data is the connection limit, or NULL for
+ * TEST_CONNECTIONS_MAX. */
 void gate_set_up (struct ColtGateFixture *fixture, gconstpointer data);
 void gate_tear_down (struct ColtGateFixture *fixture, gconstpointer data);
 
@@ -66,6 +74,9 @@
                                 const char *headers,
                                 const char *body);
 
+/** Runs the event loop until the home receives a call. */
+void gate_wait_for_call (struct ColtGateFixture *fixture);
+
 /** Posts a task and closes the connection, without a reply, once the home has
  * received the submit call. */
 void gate_post_and_close (struct ColtGateFixture *fixture,
--- a/src/test_admission/test_admission.c
+++ b/src/test_admission/test_admission.c
@@ -10,6 +10,8 @@
 
 #define KEY_HEADER "Authorization: Bearer " TEST_SECRET "\r\n"
 #define VALID_BODY "{\"queue\":\"keyed\",\"payload\":\"aGk=\"}"
+/* More requests than an attach call holds. */
+#define MANY_REQUESTS 600u
 #define HASHED_ID_HEADERS "Idempotency-Key: order-1\r\n" KEY_HEADER
 
 static const char *const malformed_bodies[] = {
@@ -272,10 +274,62 @@
   gate_assert_reply (
       gate_post (fixture, "/v1/tasks", id, "{\"queue\":\"public\"}"), 409,
       "unknown", "mismatch");
+  gate_assert_reply (gate_post (fixture, "/v1/tasks", id,
+                                "{\"queue\":\"public\",\"payload\":\"aGk=\"}"),
+                     409, "unknown", "mismatch");
+  gate_assert_reply (
+      gate_post (fixture, "/v1/tasks", keyed,
+                 "{\"queue\":\"keyed\",\"payload\":\"aGk=\",\"memory_mb\":1}"),
+      409, "unknown", "mismatch");
   g_assert_cmpuint (fixture->submit_count, ==, 1);
   g_free (keyed);
 }
 
+/* A caller that waits for the outcome must not get the acceptance that an
+ * earlier caller of the same request asked for. */
+static void
+test_waiting_caller_joins (struct ColtGateFixture *fixture, gconstpointer data)
+{
+  static const char headers[] = "Request-Id: 01010000000100000000000000000001"
+                                "\r\n" KEY_HEADER;
+
+  (void)data;
+  fixture->outcome = COLT_OUTCOME_PENDING;
+  fixture->unresponsive = true;
+  gate_post_and_close (
+      fixture, headers,
+      "{\"queue\":\"keyed\",\"payload\":\"aGk=\",\"wait\":false}");
+  fixture->unresponsive = false;
+  fixture->attach_outcome = COLT_OUTCOME_DONE;
+  gate_assert_reply (gate_post (fixture, "/v1/tasks", headers,
+                                "{\"queue\":\"keyed\",\"payload\":\"aGk=\","
+                                "\"deadline_ms\":15000}"),
+                     200, "done", NULL);
+  g_assert_cmpuint (colt_gate_open_count (fixture->gate), ==, 0);
+}
+
+/* A caller that doesn't wait must not be told that a request is stored that was
+ * handed in for a caller who waits, and isn't stored. */
+static void
+test_async_caller_joins (struct ColtGateFixture *fixture, gconstpointer data)
+{
+  static const char headers[] = "Request-Id: 01010000000100000000000000000001"
+                                "\r\n" KEY_HEADER;
+
+  (void)data;
+  fixture->outcome = COLT_OUTCOME_PENDING;
+  fixture->unresponsive = true;
+  gate_post_and_close (fixture, headers,
+                       "{\"queue\":\"keyed\",\"payload\":\"aGk=\","
+                       "\"deadline_ms\":15000}");
+  fixture->unresponsive = false;
+  fixture->attach_outcome = COLT_OUTCOME_DONE;
+  gate_assert_reply (
+      gate_post (fixture, "/v1/tasks", headers,
+                 "{\"queue\":\"keyed\",\"payload\":\"aGk=\",\"wait\":false}"),
+      200, "done", NULL);
+}
+
 static void
 test_caller_disconnects (struct ColtGateFixture *fixture, gconstpointer data)
 {
@@ -311,6 +365,61 @@
   gate_reply_clear (&reply);
 }
 
+/* With more open requests at one leader than an attach call holds, two calls
+ * must cover all of them, not the same part each time. */
+static void
+test_attach_calls_cover_all (struct ColtGateFixture *fixture,
+                             gconstpointer data)
+{
+  unsigned i;
+
+  (void)data;
+  fixture->outcome = COLT_OUTCOME_PENDING;
+  for (i = 0; i < MANY_REQUESTS; i++)
+    gate_post_and_close (
+        fixture, KEY_HEADER,
+        "{\"queue\":\"keyed\",\"payload\":\"aGk=\",\"deadline_ms\":60000}");
+  g_assert_cmpuint (colt_gate_open_count (fixture->gate), ==, MANY_REQUESTS);
+  g_hash_table_remove_all (fixture->attached);
+  for (i = 0; i < 2; i++)
+    gate_wait_for_call (fixture);
+  g_assert_cmpuint (g_hash_table_size (fixture->attached), ==, MANY_REQUESTS);
+}
+
+/* A request that the leader has no record of any more is submitted again, as
+ * one that may have run. */
+static void
+test_forgotten_request_is_submitted_again (struct ColtGateFixture *fixture,
+                                           gconstpointer data)
+{
+  (void)data;
+  fixture->outcome = COLT_OUTCOME_PENDING;
+  gate_post_and_close (
+      fixture, KEY_HEADER,
+      "{\"queue\":\"keyed\",\"payload\":\"aGk=\",\"deadline_ms\":60000}");
+  g_assert_true (fixture->last_fresh);
+  fixture->forgets = true;
+  gate_wait_for_call (fixture);
+  g_assert_cmpuint (fixture->attach_count, ==, 1);
+  gate_wait_for_call (fixture);
+  g_assert_cmpuint (fixture->attach_count, ==, 1);
+  g_assert_cmpuint (fixture->submit_count, ==, 2);
+  g_assert_false (fixture->last_fresh);
+  g_assert_cmpuint (colt_gate_open_count (fixture->gate), ==, 1);
+}
+
+/* A gate that is destroyed before the wire, as at shutdown, must not be used by
+ * the wire's end of the calls that the gate left open. */
+static void
+test_destroyed_with_open_submit (struct ColtGateFixture *fixture,
+                                 gconstpointer data)
+{
+  (void)data;
+  fixture->unresponsive = true;
+  gate_post_and_close (fixture, KEY_HEADER, VALID_BODY);
+  g_assert_cmpuint (colt_gate_open_count (fixture->gate), ==, 1);
+}
+
 #define ADD_TEST(path, test)                                                   \
   g_test_add ("/admission/" path, struct ColtGateFixture, NULL, gate_set_up,   \
               test, gate_tear_down)
@@ -378,9 +487,16 @@
   ADD_TEST ("retry-after", test_retry_after);
   ADD_TEST ("minted-id", test_minted_id_is_fresh_once);
   ADD_TEST ("id-of-another", test_id_of_another_request);
+  ADD_TEST ("joins/waiting", test_waiting_caller_joins);
+  ADD_TEST ("joins/async", test_async_caller_joins);
   ADD_TEST ("caller-goes-away", test_caller_disconnects);
   ADD_TEST ("no-lead", test_no_leader);
   ADD_TEST ("stop", test_stopped_gate);
+  g_test_add ("/admission/attach/all", struct ColtGateFixture,
+              GUINT_TO_POINTER (MANY_REQUESTS), gate_set_up,
+              test_attach_calls_cover_all, gate_tear_down);
+  ADD_TEST ("attach/forgotten", test_forgotten_request_is_submitted_again);
+  ADD_TEST ("destroyed/submit", test_destroyed_with_open_submit);
   g_test_add ("/admission/connections", struct ColtGateFixture, NULL,
               gate_set_up, test_connection_limit, gate_tear_down);
   return g_test_run ();
--- a/src/test_home/harness.c
+++ b/src/test_home/harness.c
@@ -10,7 +10,6 @@
 #include "coltsfootstile/clock.h"
 
 #define INCARNATION 500u
-#define CALL_TIMEOUT_MS 20000u
 #define HANG_LIMIT_US (60 * COLT_US_PER_S)
 
 static const char result_text[] = "done";
@@ -83,6 +82,23 @@
   colt_shard_open_clear (&open);
 }
 
+void
+colt_home_open_elsewhere (struct ColtHomeFixture *fixture, uint32_t shard)
+{
+  const uint64_t epoch
+      = colt_requests_shard_epoch (colt_home_requests (fixture->home), shard);
+  const struct ColtShardEpoch next = { shard, epoch + 1 };
+  const struct ColtShardOpen open
+      = { OWNER_INSTANCE, INCARNATION, 1, &next, 1 };
+  struct ColtShardOpened opened;
+
+  colt_shard_owner_handle_open (fixture->shard_owner, &open, &opened,
+                                colt_clock_monotonic_us ());
+  g_assert_cmpuint (opened.epoch_count, ==, 1);
+  g_assert_cmpuint (opened.epochs[0].epoch, ==, epoch + 1);
+  colt_shard_opened_clear (&opened);
+}
+
 static void
 on_confirm_ (void *client,
              const struct ColtWireOrigin *origin,
@@ -225,40 +241,73 @@
 }
 
 static void
-on_query_ (void *client,
-           const struct ColtWireOrigin *origin,
-           const uint8_t *body,
-           size_t size)
+reply_to_query_ (struct ColtHomeFixture *fixture,
+                 const struct ColtWireOrigin *origin,
+                 const uint8_t *body,
+                 size_t size)
 {
-  struct ColtHomeFixture *fixture = client;
   ColtQueryWord *query = colt_query_word__unpack (NULL, size, body);
+  struct ColtReportBuffer *reported
+      = g_new0 (struct ColtReportBuffer, query->n_items);
+  ColtQueryResult *results = g_new0 (ColtQueryResult, query->n_items);
+  ColtQueryResult **list = g_new0 (ColtQueryResult *, query->n_items);
   ColtQueryReply reply = COLT_QUERY_REPLY__INIT;
-  ColtQueryResult result = COLT_QUERY_RESULT__INIT;
-  ColtQueryResult *results = &result;
-  struct ColtReportBuffer reported;
   struct ColtTaskReport report;
   struct ColtTaskRef ref;
   uint8_t *answer;
+  size_t i;
 
-  g_assert_nonnull (query);
-  g_assert_cmpuint (query->n_items, ==, 1);
-  fixture->queries++;
-  g_assert_true (colt_ref_read (query->items[0]->ref, &ref));
-  g_assert_nonnull (find_start_ (fixture, &ref));
-  fill_report_ (find_start_ (fixture, &ref), query->want_results, &report);
-  colt_report_fill (&reported, &report);
-  result.ref = query->items[0]->ref;
-  result.stage = fixture->query_stage;
-  if (fixture->query_stage == COLT_QUERY_ENDED)
-    result.report = &reported.msg;
-  reply.results = &results;
-  reply.n_results = 1;
+  for (i = 0; i < query->n_items; i++)
+    {
+      g_assert_true (colt_ref_read (query->items[i]->ref, &ref));
+      g_assert_nonnull (find_start_ (fixture, &ref));
+      fill_report_ (find_start_ (fixture, &ref), query->want_results, &report);
+      colt_report_fill (&reported[i], &report);
+      colt_query_result__init (&results[i]);
+      results[i].ref = query->items[i]->ref;
+      results[i].stage = fixture->query_stage;
+      if (fixture->query_stage == COLT_QUERY_ENDED)
+        results[i].report = &reported[i].msg;
+      list[i] = &results[i];
+    }
+  reply.results = list;
+  reply.n_results = query->n_items;
   answer = colt_message_pack (&reply.base, &size);
   colt_wire_reply (fixture->owner_wire, origin, answer, size);
   free (answer);
+  g_free (reported);
+  g_free (results);
+  g_free (list);
   colt_query_word__free_unpacked (query, NULL);
 }
 
+static void
+on_query_ (void *client,
+           const struct ColtWireOrigin *origin,
+           const uint8_t *body,
+           size_t size)
+{
+  struct ColtHomeFixture *fixture = client;
+
+  fixture->queries++;
+  if (!fixture->holds_queries)
+    {
+      reply_to_query_ (fixture, origin, body, size);
+      return;
+    }
+  g_free (fixture->held_query);
+  fixture->held_query = g_memdup2 (body, size);
+  fixture->held_query_size = size;
+  fixture->held_origin = *origin;
+}
+
+void
+colt_home_reply_to_held_query (struct ColtHomeFixture *fixture)
+{
+  reply_to_query_ (fixture, &fixture->held_origin, fixture->held_query,
+                   fixture->held_query_size);
+}
+
 static void
 on_stop_ (void *client,
           const struct ColtWireOrigin *origin,
@@ -553,6 +602,7 @@
   event_base_free (fixture->base);
   g_array_unref (fixture->starts);
   g_byte_array_unref (fixture->result);
+  g_free (fixture->held_query);
 }
 
 void
@@ -562,135 +612,6 @@
   event_base_loop (fixture->base, EVLOOP_ONCE);
 }
 
-static struct ColtId
-find_id_ (struct ColtHomeFixture *fixture, uint32_t instance)
-{
-  const struct ColtShardLeader *shards = colt_home_shards (fixture->home);
-  uint32_t wall_s = (uint32_t)(colt_clock_wall_us () / COLT_US_PER_S);
-  struct ColtId id;
-
-  do
-    {
-      const uint8_t random[10] = { ++fixture->next_id };
-
-      id = colt_id_mint (1, wall_s, random);
-    }
-  while (colt_shard_leader_designated (shards, colt_id_shard (&id))
-         != instance);
-  return id;
-}
-
-struct ColtId
-colt_home_make_id (struct ColtHomeFixture *fixture)
-{
-  return find_id_ (fixture, HOME_INSTANCE);
-}
-
-struct ColtId
-colt_home_make_foreign_id (struct ColtHomeFixture *fixture)
-{
-  return find_id_ (fixture, OWNER_INSTANCE);
-}
-
-struct ColtRequestSpec
-colt_home_make_spec (void)
-{
-  struct ColtRequestSpec spec = { 0 };
-  const struct ColtResources demand = { { 500, 100, 0, 1, 1 } };
-
-  g_strlcpy (spec.team, "team", sizeof spec.team);
-  g_strlcpy (spec.queue, "queue", sizeof spec.queue);
-  spec.kind = COLT_WORK_INTERACTIVE;
-  spec.demand = demand;
-  spec.tasks = 1;
-  spec.max_attempts = 1;
-  spec.deadline_us = COLT_TIME_NEVER;
-  return spec;
-}
-
-static void
-on_submitted_ (void *client,
-               enum ColtWireResult result,
-               const uint8_t *body,
-               size_t size)
-{
-  struct ColtSubmitReceipt *receipt = client;
-  ColtSubmitReply *reply;
-
-  g_assert_cmpint (result, ==, COLT_WIRE_REPLIED);
-  reply = colt_submit_reply__unpack (NULL, size, body);
-  g_assert_nonnull (reply);
-  receipt->done = true;
-  receipt->status = (enum ColtSubmitStatus)reply->status;
-  receipt->reason = (enum ColtReason)reply->reason;
-  colt_submit_reply__free_unpacked (reply, NULL);
-}
-
-void
-colt_home_send_submit (struct ColtHomeFixture *fixture,
-                       const struct ColtId *id,
-                       const struct ColtRequestSpec *spec,
-                       struct ColtSubmitReceipt *receipt)
-{
-  ColtSubmitWord submit = COLT_SUBMIT_WORD__INIT;
-  struct ColtSpecBuffer buffer;
-  uint8_t *body;
-  size_t size;
-
-  memset (receipt, 0, sizeof *receipt);
-  colt_spec_fill (&buffer, spec, colt_clock_monotonic_us ());
-  submit.id = colt_id_fill (id);
-  submit.spec = &buffer.msg;
-  submit.waits = true;
-  submit.fresh = true;
-  body = colt_message_pack (&submit.base, &size);
-  colt_wire_call (fixture->gate_wire, HOME_INSTANCE, COLT_WIRE_REQUEST_SUBMIT,
-                  body, size, CALL_TIMEOUT_MS, on_submitted_, receipt);
-  free (body);
-}
-
-struct ColtSubmitReceipt
-colt_home_submit (struct ColtHomeFixture *fixture,
-                  const struct ColtId *id,
-                  const struct ColtRequestSpec *spec)
-{
-  struct ColtSubmitReceipt receipt;
-
-  colt_home_send_submit (fixture, id, spec, &receipt);
-  RUN_UNTIL (fixture, receipt.done);
-  return receipt;
-}
-
-static void
-on_cancelled_ (void *client,
-               enum ColtWireResult result,
-               const uint8_t *body,
-               size_t size)
-{
-  (void)body;
-  (void)size;
-  g_assert_cmpint (result, ==, COLT_WIRE_REPLIED);
-  *(bool *)client = true;
-}
-
-void
-colt_home_cancel (struct ColtHomeFixture *fixture, const struct ColtId *id)
-{
-  ColtCancelWord cancel = COLT_CANCEL_WORD__INIT;
-  ProtobufCBinaryData ids = colt_id_fill (id);
-  bool done = false;
-  uint8_t *body;
-  size_t size;
-
-  cancel.ids = &ids;
-  cancel.n_ids = 1;
-  body = colt_message_pack (&cancel.base, &size);
-  colt_wire_call (fixture->gate_wire, HOME_INSTANCE, COLT_WIRE_REQUEST_CANCEL,
-                  body, size, CALL_TIMEOUT_MS, on_cancelled_, &done);
-  free (body);
-  RUN_UNTIL (fixture, done);
-}
-
 const struct ColtReceivedStart *
 colt_home_get_start (const struct ColtHomeFixture *fixture, guint index)
 {
--- a/src/test_placement/test_health.c
+++ b/src/test_placement/test_health.c
@@ -22,6 +22,62 @@
   test_destroy_fixture (fixture);
 }
 
+/* A retry must avoid the server of the failed attempt even if the request has
+ * arrived long ago, as after a long run. */
+static void
+failed_server_is_avoided_after_a_long_run_ (void)
+{
+  struct ColtFixture *fixture = test_create_fixture ();
+  struct ColtPlacementTask task
+      = test_make_task (fixture, 1, "a", COLT_WORK_BATCH, 1, 0);
+  unsigned used[3] = { 0 };
+  uint32_t server;
+  unsigned i;
+
+  test_add_server (fixture, 8, 0);
+  test_add_server (fixture, 8, 0);
+  fixture->now_us += 60 * COLT_US_PER_S;
+  for (i = 0; i < 8; i++)
+    {
+      task.avoided_server = 1 + i % 2;
+      test_add_task (fixture, &task);
+      test_place_next (fixture, &server);
+      g_assert_cmpuint (server, !=, task.avoided_server);
+      used[server]++;
+      colt_placement_remove (fixture->placement, &task.request, 0);
+      test_send_digest (fixture, server);
+    }
+  g_assert_cmpuint (used[1], ==, used[2]);
+  test_destroy_fixture (fixture);
+}
+
+/* A digest that a former owner sent before it lost the server must not replace
+ * the digest of the new owner. After a restart, a server may begin again with
+ * lower epochs, once the digests of its owner have ended. */
+static void
+late_digest_of_a_former_owner_ (void)
+{
+  struct ColtFixture *fixture = test_create_fixture ();
+  struct ColtServerDigest late;
+
+  test_add_server (fixture, 8, 0);
+  late = fixture->servers[1];
+  late.leaving = true;
+  fixture->servers[1].epoch = 2;
+  fixture->servers[1].owner = 2;
+  test_send_digest (fixture, 1);
+  colt_placement_set_server (fixture->placement, &late,
+                             fixture->now_us - TEST_START_US);
+  test_add_tasks (fixture, 1, 1, "a", COLT_WORK_BATCH, 1, 0);
+  g_assert_cmpuint (test_place_next (fixture, NULL), ==, 1);
+  fixture->now_us += 60 * COLT_US_PER_S;
+  colt_placement_set_server (fixture->placement, &late,
+                             fixture->now_us - TEST_START_US);
+  test_add_tasks (fixture, 2, 1, "a", COLT_WORK_BATCH, 1, 0);
+  g_assert_true (test_is_idle (fixture));
+  test_destroy_fixture (fixture);
+}
+
 /* The server of the last failed attempt is used again after some time if it is
  * the only one. */
 static void
@@ -133,6 +189,42 @@
   test_destroy_fixture (fixture);
 }
 
+/* A task is rejected if the tasks before it start too slowly for its deadline,
+ * even if it would meet the deadline on an idle server. */
+static void
+work_behind_a_long_queue_is_rejected_ (void)
+{
+  struct ColtFixture *fixture = test_create_fixture ();
+  struct ColtPlacementTask task;
+  unsigned number;
+  uint32_t server;
+
+  test_add_server (fixture, 8, 0);
+  test_add_tasks (fixture, 1, 40, "a", COLT_WORK_BATCH, 8, 0);
+  for (number = 1; number <= 20; number++)
+    {
+      fixture->now_us += COLT_US_PER_S;
+      g_assert_cmpuint (test_place_next (fixture, &server), ==, number);
+      task = test_make_task (fixture, number, "a", COLT_WORK_BATCH, 8, 0);
+      test_end_task (fixture, &task, server, 1000);
+      test_send_digest (fixture, server);
+    }
+  task = test_make_task (fixture, 100, "a", COLT_WORK_BATCH, 8, 0);
+  task.deadline_us = fixture->now_us + 10 * COLT_US_PER_S;
+  g_assert_cmpint (
+      colt_placement_add (fixture->placement, &task, fixture->now_us), ==,
+      COLT_PLACEMENT_TOO_LATE);
+  task.urgent = true;
+  test_add_task (fixture, &task);
+  task = test_make_task (fixture, 101, "a", COLT_WORK_BATCH, 8, 0);
+  task.deadline_us = fixture->now_us + 60 * COLT_US_PER_S;
+  test_add_task (fixture, &task);
+  task = test_make_task (fixture, 102, "b", COLT_WORK_BATCH, 8, 0);
+  task.deadline_us = fixture->now_us + 10 * COLT_US_PER_S;
+  test_add_task (fixture, &task);
+  test_destroy_fixture (fixture);
+}
+
 /* In a full queue, a task of another team displaces one of the team that fills
  * it, whose own further tasks are rejected. */
 static void
@@ -186,12 +278,18 @@
 test_register_health (void)
 {
   g_test_add_func ("/placement/health/avoid", failed_server_is_avoided_);
+  g_test_add_func ("/placement/health/avoid-late",
+                   failed_server_is_avoided_after_a_long_run_);
+  g_test_add_func ("/placement/health/former-owner",
+                   late_digest_of_a_former_owner_);
   g_test_add_func ("/placement/health/avoid-only",
                    avoided_server_is_used_later_);
   g_test_add_func ("/placement/health/probation",
                    leaving_and_probation_limit_work_);
   g_test_add_func ("/placement/health/refusals", refusals_reduce_free_amounts_);
   g_test_add_func ("/placement/overload/late", late_work_is_shed_);
+  g_test_add_func ("/placement/overload/long-queue",
+                   work_behind_a_long_queue_is_rejected_);
   g_test_add_func ("/placement/overload/full", full_queue_is_shared_);
   g_test_add_func ("/placement/health/removed", removed_work_is_not_counted_);
 }
