Tests: evidence of another call or incarnation that still counts, which fail

Each fails on: - scheduler/restart/renewal-of-former-incarnation: runs_lost is 1 instead of 0. update_incarnation_() forgets the end that the open renewal carries; when the new incarnation answers that renewal later, its longest lease is counted from the query that showed it, not from then on. - scheduler/restart/ends-of-former-incarnation: a renewal after a refused or a lost one carries ackedThrough 57 instead of 0, as only 2 s of silence withhold it. A server that restarts within these forgets its own ends up to 57. - scheduler/restart/expiry-before-retry: the loss counts for all runs, though a start was sent without an answer and waits for the window to be sent again. expire_leases_() looks at unconfirmed_until_us before it withdraws the start. - scheduler/restart/overlapping-queries: the first report has the number of the second query. query_report_() overwrites query_number. The HTTP client makes one call at a time on a channel, so that only another adapter can show this. - cell/losses/older-list-of-inherited-run: the run ends by a list of call 6 after one of call 7 showed it. adopt_run_() sets reflected_from to 0.

--- a/src/test_cell_load/test_load_losses.c
+++ b/src/test_cell_load/test_load_losses.c
@@ -77,6 +77,33 @@
   colt_fixture_destroy (fixture);
 }
 
+/* Guards against tasks that run twice: a list that was requested before the one
+ * by which a leader found the run of an earlier leader doesn't end that run. */
+static void
+test_older_list_of_inherited_run (void)
+{
+  struct ColtLoadFixture *fixture = colt_fixture_create ();
+  const struct ColtRunningEntry entry
+      = { .task = OLDER_TASK, .run = 1, .checkpoint = "" };
+  const struct ColtServerReport report
+      = { .running = &entry, .running_count = 1, .call_number = NEWER_CALL };
+
+  colt_fixture_add_server (fixture, "server", 2000);
+  colt_fixture_submit (fixture, "tight", "steady", 1, false);
+  colt_fixture_place (fixture);
+  colt_fixture_accept_start (fixture, 0);
+  colt_fixture_change_leader (fixture);
+  colt_fixture_add_server (fixture, "server", 2000);
+  colt_cell_apply_report (fixture->cell, "server", &report, fixture->now_us);
+  g_assert_cmpuint (count_runs (fixture), ==, 1);
+  colt_fixture_report_idle (fixture, "server", NEWER_CALL - 1);
+  g_assert_cmpuint (count_runs (fixture), ==, 1);
+  g_assert_true (colt_cell_may_start (fixture->cell, "server", OLDER_TASK, 1));
+  colt_fixture_report_idle (fixture, "server", NEWER_CALL + 1);
+  g_assert_cmpuint (count_runs (fixture), ==, 0);
+  colt_fixture_destroy (fixture);
+}
+
 void
 colt_load_add_loss_tests (void)
 {
@@ -86,4 +113,6 @@
                    test_expiry_without_answer);
   g_test_add_func ("/cell/losses/rejected-by-other-server",
                    test_rejected_by_other_server);
+  g_test_add_func ("/cell/losses/older-list-of-inherited-run",
+                   test_older_list_of_inherited_run);
 }
--- a/src/test_scheduler/link_fixture.c
+++ b/src/test_scheduler/link_fixture.c
@@ -10,6 +10,7 @@
   (void)link;
   state->reports++;
   state->incarnation_ms = report->incarnation_ms;
+  state->call_number = report->call_number;
 }
 
 static void
@@ -25,8 +26,8 @@
   (void)link;
   (void)task;
   (void)run;
-  (void)next_call;
   state->start_result = result;
+  state->next_call = next_call;
 }
 
 static void
@@ -62,7 +63,7 @@
   struct ColtClientState *state = client;
 
   (void)link;
-  (void)loss;
+  state->all_lost = loss->all;
   state->runs_lost++;
   state->runs = 0;
 }
--- a/src/test_scheduler/link_fixture.h
+++ b/src/test_scheduler/link_fixture.h
@@ -17,10 +17,13 @@
   uint32_t reports;
   uint32_t unreachable;
   uint32_t runs_lost;
+  bool all_lost;                     /* the last loss counted for all runs */
   size_t runs;                       /* on the server */
   int64_t renewable_until_us;        /* latest end of a renewed lease */
   enum ColtStartResult start_result; /* last one reported */
+  uint64_t next_call;                /* of the last start result */
   int64_t incarnation_ms;            /* of the last report */
+  uint64_t call_number;              /* of the last report */
   struct ColtOrderWindow *window;    /* of the link; may be NULL */
   uint32_t counts;                   /* calls of count_runs */
 };
--- a/src/test_scheduler/test_link_restart.c
+++ b/src/test_scheduler/test_link_restart.c
@@ -11,6 +11,22 @@
 static const struct ColtStartOrder start_order
     = { .server = "s", .task = "t", .run = 1, .payload = "", .checkpoint = "" };
 
+/* Another sender, which takes all room in a window. */
+struct Sender
+{
+  struct ColtOrderWindow *window;
+  struct ColtOrderWaiter waiter;
+};
+
+static void
+fill_window (void *client)
+{
+  struct Sender *sender = client;
+
+  while (colt_order_window_acquire (sender->window, 100, &sender->waiter))
+    ;
+}
+
 /* Opens a link to a server that has one run, and reports once. */
 static struct ColtServerLink *
 open_link_with_run (struct ColtFakePorts *fake, struct ColtClientState *state)
@@ -112,6 +128,137 @@
   colt_fake_ports_destroy (fake);
 }
 
+/* Guards against tasks that run twice: a renewal with a lease end on the clock
+ * of the former incarnation is open while a query shows the new one, and
+ * reaches that one later. It then grants its longest lease from that time on,
+ * not from the query on. */
+static void
+test_renewal_of_former_incarnation (void)
+{
+  static const enum ColtStartResult results[] = { COLT_START_TAKEN };
+  struct ColtFakePorts *fake = colt_fake_ports_create ();
+  struct ColtClientState state = { 0 };
+  struct ColtServerLink *link = open_link_with_run (fake, &state);
+  uint32_t renewals;
+
+  fake->renewal_answer_ms = 600;
+  colt_fixture_run_ticks (fake, link, 60);
+  g_assert_cmpint (fake->last_renewal.until_ms, >, 0);
+  fake->server_clock_ms += CLOCK_STEP_MS;
+  fake->server_answer.incarnation_ms = 2;
+  fake->renewal_answer_ms = 0;
+  fake->start_results = results;
+  fake->start_result_count = G_N_ELEMENTS (results);
+  colt_server_link_start (link, &start_order);
+  colt_fixture_run_ticks (fake, link, 60);
+  g_assert_cmpint (state.incarnation_ms, ==, 2);
+  fake->renewal_answer_ms = NO_ANSWER_MS;
+  renewals = fake->renewals;
+  while (fake->renewals == renewals)
+    colt_fixture_run_ticks (fake, link, 10);
+  colt_fixture_run_ticks (fake, link, LEASE_MAX_MS - 80);
+  g_assert_cmpuint (state.runs_lost, ==, 0);
+  colt_server_link_destroy (link);
+  colt_fake_ports_destroy (fake);
+}
+
+/* Guards against tasks that run twice: the list that answers a query, and may
+ * be older than a start, must not count as the answer to a later query. */
+static void
+test_overlapping_queries (void)
+{
+  static const enum ColtStartResult results[]
+      = { COLT_START_UNKNOWN, COLT_START_UNKNOWN, COLT_START_TAKEN };
+  struct ColtFakePorts *fake = colt_fake_ports_create ();
+  struct ColtClientState state = { 0 };
+  struct ColtServerLink *link = open_link_with_run (fake, &state);
+  uint32_t reports;
+
+  fake->renewal_answer_ms = NO_ANSWER_MS;
+  colt_fixture_run_ticks (fake, link, 60);
+  reports = state.reports;
+  fake->renewal_answer_ms = 150;
+  fake->start_answer_ms = 30;
+  fake->start_results = results;
+  fake->start_result_count = G_N_ELEMENTS (results);
+  colt_server_link_start (link, &start_order);
+  colt_server_link_start (link, &start_order);
+  while (fake->starts < G_N_ELEMENTS (results))
+    colt_fixture_run_ticks (fake, link, 10);
+  fake->server_clock_ms += CLOCK_STEP_MS;
+  fake->server_answer.incarnation_ms = 2;
+  while (state.reports == reports)
+    colt_fixture_run_ticks (fake, link, 10);
+  g_assert_cmpint (state.start_result, ==, COLT_START_TAKEN);
+  g_assert_cmpuint (state.call_number, <, state.next_call);
+  colt_server_link_destroy (link);
+  colt_fake_ports_destroy (fake);
+}
+
+/* Guards against tasks that run twice: a start that was sent once without an
+ * answer and waits to be sent again counts as one without an answer when leases
+ * expire. */
+static void
+test_expiry_before_retry (void)
+{
+  static const enum ColtStartResult results[] = { COLT_START_UNKNOWN };
+  struct ColtFakePorts *fake = colt_fake_ports_create ();
+  struct ColtClientState state = { .window = colt_order_window_create () };
+  struct ColtServerLink *link = open_link_with_run (fake, &state);
+  struct Sender sender
+      = { state.window, { fill_window, &sender, false, { 0 } } };
+
+  fake->start_answer_ms = 50;
+  fake->start_results = results;
+  fake->start_result_count = G_N_ELEMENTS (results);
+  colt_server_link_start (link, &start_order);
+  fill_window (&sender);
+  state.renewable_until_us = 0;
+  while (state.runs_lost == 0)
+    colt_fixture_run_ticks (fake, link, 10);
+  g_assert_cmpuint (fake->starts, ==, 1);
+  g_assert_cmpint (state.start_result, ==, COLT_START_UNKNOWN);
+  g_assert_false (state.all_lost);
+  colt_server_link_destroy (link);
+  colt_order_window_leave (state.window, &sender.waiter);
+  colt_order_window_destroy (state.window);
+  colt_fake_ports_destroy (fake);
+}
+
+/* Guards against tasks that run again although they are done: after a renewal
+ * that was refused or lost, another incarnation may be there. It must not get
+ * numbers of ends of the former one, by which it would forget its own. */
+static void
+test_ends_of_former_incarnation (void)
+{
+  static const enum ColtStartResult failures[]
+      = { COLT_START_NOT_SENT, COLT_START_UNKNOWN };
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (failures); i++)
+    {
+      struct ColtFakePorts *fake = colt_fake_ports_create ();
+      struct ColtClientState state = { 0 };
+      struct ColtServerLink *link = open_link_with_run (fake, &state);
+      uint32_t renewals;
+
+      colt_server_link_ack_ends (link, 1, 57);
+      colt_fixture_run_ticks (fake, link, 100);
+      g_assert_cmpuint (fake->last_renewal.acked_through, ==, 57);
+      fake->server_answer.result = failures[i];
+      renewals = fake->renewals;
+      while (fake->renewals < renewals + 2)
+        colt_fixture_run_ticks (fake, link, 10);
+      g_assert_cmpuint (fake->last_renewal.acked_through, ==, 0);
+      fake->server_answer.result = COLT_START_TAKEN;
+      colt_server_link_ack_ends (link, 1, 58);
+      colt_fixture_run_ticks (fake, link, 1000);
+      g_assert_cmpuint (fake->last_renewal.acked_through, ==, 58);
+      colt_server_link_destroy (link);
+      colt_fake_ports_destroy (fake);
+    }
+}
+
 void
 colt_test_link_restart_add (void)
 {
@@ -121,4 +268,12 @@
                    test_clock_of_new_incarnation);
   g_test_add_func ("/scheduler/restart/late-clock-of-former-incarnation",
                    test_late_clock_of_former_incarnation);
+  g_test_add_func ("/scheduler/restart/renewal-of-former-incarnation",
+                   test_renewal_of_former_incarnation);
+  g_test_add_func ("/scheduler/restart/overlapping-queries",
+                   test_overlapping_queries);
+  g_test_add_func ("/scheduler/restart/expiry-before-retry",
+                   test_expiry_before_retry);
+  g_test_add_func ("/scheduler/restart/ends-of-former-incarnation",
+                   test_ends_of_former_incarnation);
 }
