Link: numbers of ends are withheld after a renewal that failed

A server that restarted within 2 s could get the numbers of its former incarnation's ends and forget its own, so that a task that was done ran again. A renewal that was refused or lost is reason enough to withhold them; the next one that is answered shows which incarnation is there.

--- a/src/scheduler/server_link.c
+++ b/src/scheduler/server_link.c
@@ -164,7 +164,7 @@
   bool silent = colt_link_is_silent (link, now_us);
 
   renewal.token = link->settings.token;
-  if (!silent)
+  if (!silent && link->failures == 0)
     renewal.acked_through = link->durable_end;
   if (runs > 0 && link->failures < FAILURE_LIMIT && !silent)
     renewal.until_ms = colt_link_lease_end_ms (link, now_us);
@@ -190,7 +190,8 @@
 
 /* A server that has been restarted unnoticed must get no lease, as its new
  * clock would extend it to the longest that it grants, and no numbers of ends,
- * as it would forget its own. */
+ * as it would forget its own. These are withheld from the first renewal that
+ * fails on; leases would lapse. */
 bool
 colt_link_is_silent (const struct ColtServerLink *link, int64_t now_us)
 {
