Link: a renewal with an end on a former clock counts from its answer

A renewal that was sent to one incarnation may reach the next one after a query has shown it. Its end, on the former clock, becomes the longest lease that the server grants, from then on. The link forgot that end when it learnt of the incarnation, and took runs as ended up to 1.6 s early if the server fell silent then. Starts were handled so already (close_start_lease_()).

--- a/src/scheduler/private/server_link_private.h
+++ b/src/scheduler/private/server_link_private.h
@@ -45,6 +45,8 @@
   uint64_t call_count;     /* calls sent so far, on both channels */
   uint64_t query_number;   /* of the open report query */
   uint64_t renewal_number; /* of the open renewal */
+  bool renewal_has_lease;  /* the open renewal was sent with a lease end */
+  int64_t renewal_incarnation_ms; /* known when the open renewal was sent */
   int64_t next_renewal_us;
   int64_t heard_us;          /* of its last report; 0: none of incarnation_ms */
   int64_t known_us;          /* when an answer last showed which incarnation is
--- a/src/scheduler/server_link.c
+++ b/src/scheduler/server_link.c
@@ -32,6 +32,8 @@
 
 static void handle_renewal_answer_ (void *client,
                                     const struct ColtServerAnswer *answer);
+static void close_renewal_lease_ (struct ColtServerLink *link,
+                                  const struct ColtServerAnswer *answer);
 static void handle_renewal_success_ (struct ColtServerLink *link,
                                      const struct ColtServerAnswer *answer);
 static void handle_renewal_failure_ (struct ColtServerLink *link,
@@ -169,6 +171,8 @@
   if (runs > 0 && link->failures < FAILURE_LIMIT && !silent)
     renewal.until_ms = colt_link_lease_end_ms (link, now_us);
   link->renewal_until_ms = renewal.until_ms;
+  link->renewal_has_lease = renewal.until_ms > 0;
+  link->renewal_incarnation_ms = link->incarnation_ms;
   renewal.wait_ms
       = runs > 0 && link->has_report && link->failures == 0 && !silent
             ? RENEWAL_WAIT_MS
@@ -207,14 +211,7 @@
   if (link->closing)
     return;
   link->renewing = false;
-  /* A renewal that wasn't sent has renewed no lease. */
-  if (answer->result != COLT_START_NOT_SENT)
-    link->lease_until_ms = MAX (link->lease_until_ms, link->renewal_until_ms);
-  if (answer->result == COLT_START_UNKNOWN && link->renewal_until_ms > 0
-      && answer->received_us <= link->unconfirmed_until_us)
-    link->unconfirmed_until_us
-        = colt_link_unclocked_lease_end_us (link, answer->received_us);
-  link->renewal_until_ms = 0;
+  close_renewal_lease_ (link, answer);
   switch (answer->result)
     {
     case COLT_START_TAKEN:
@@ -235,6 +232,32 @@
     }
 }
 
+/* Keeps the latest end of a lease that the server may have granted with the
+ * renewal that was open. */
+static void
+close_renewal_lease_ (struct ColtServerLink *link,
+                      const struct ColtServerAnswer *answer)
+{
+  int64_t latest_us
+      = colt_link_unclocked_lease_end_us (link, answer->received_us);
+
+  /* A renewal that wasn't sent has renewed no lease. */
+  if (answer->result != COLT_START_NOT_SENT)
+    {
+      link->lease_until_ms = MAX (link->lease_until_ms, link->renewal_until_ms);
+      /* The end that was sent was on the clock of another incarnation than the
+       * one that is known by now, or has answered an order. */
+      if (link->renewal_has_lease
+          && (link->renewal_incarnation_ms != link->incarnation_ms
+              || link->heard_us == 0))
+        link->unclocked_until_us = latest_us;
+    }
+  if (answer->result == COLT_START_UNKNOWN && link->renewal_until_ms > 0
+      && answer->received_us <= link->unconfirmed_until_us)
+    link->unconfirmed_until_us = latest_us;
+  link->renewal_until_ms = 0;
+}
+
 static void
 handle_renewal_success_ (struct ColtServerLink *link,
                          const struct ColtServerAnswer *answer)
