Link: expiry takes account of a start that waits to be sent again

Whether expired leases end runs without an answer to their start was decided before the starts in the queue were withdrawn. One of them may have been sent once, and executed by an incarnation that isn't known.

scheduler/restart/expiry-before-retry passes (the loss counted for all runs before), and scheduler/link/*.

--- a/src/scheduler/server_link.c
+++ b/src/scheduler/server_link.c
@@ -365,12 +365,14 @@
 static void
 expire_leases_ (struct ColtServerLink *link, size_t runs, int64_t now_us)
 {
-  const struct ColtServerLoss loss
-      = { .all = now_us > link->unconfirmed_until_us
-                 && (link->open_order == NULL || !link->open_order->start) };
+  struct ColtServerLoss loss = { 0 };
   size_t left;
 
   link->has_report = false;
+  /* Withdraws starts that may have been executed, and wait to be sent again. */
+  colt_link_drop_starts (link);
+  loss.all = now_us > link->unconfirmed_until_us
+             && (link->open_order == NULL || !link->open_order->start);
   lose_runs_ (link, &loss);
   left = link->client.count_runs (link->client.client, link->id);
   if (left < runs)
