Cell: an older list doesn't end a run that a later one showed

A run of an earlier leader counted as reflected by any list. One that was requested before the list by which the leader found it ended it.

cell/losses/older-list-of-inherited-run passes (0 runs instead of 1 before), and the other tests of test_cell_load and test_cell_crashes.

--- a/src/cell/cell_servers.c
+++ b/src/cell/cell_servers.c
@@ -30,6 +30,7 @@
                             struct ColtCellServer *server,
                             const struct ColtRunningEntry *entry,
                             uint64_t number,
+                            uint64_t call_number,
                             int64_t now_us);
 static struct ColtCellRun *adopt_run_ (struct ColtCell *cell,
                                        struct ColtCellServer *server,
@@ -160,7 +161,8 @@
   for (i = 0; i < report->finished_count; i++)
     apply_finished_ (cell, server, &report->finished[i], now_us);
   for (i = 0; i < report->running_count; i++)
-    apply_running_ (cell, server, &report->running[i], number, now_us);
+    apply_running_ (cell, server, &report->running[i], number,
+                    report->call_number, now_us);
   end_unlisted_runs_ (cell, server, number, report->call_number, now_us);
   server->unreachable = false;
   server->reported = true;
@@ -469,6 +471,7 @@
                 struct ColtCellServer *server,
                 const struct ColtRunningEntry *entry,
                 uint64_t number,
+                uint64_t call_number,
                 int64_t now_us)
 {
   struct ColtCellTask *task = colt_cell_find_task (cell, entry->task);
@@ -476,7 +479,10 @@
 
   if (task != NULL && task->current == NULL && !task->done
       && entry->run > task->last_run && !colt_cell_is_ended (task->step->job))
-    adopt_run_ (cell, server, task, entry->run, now_us);
+    {
+      run = adopt_run_ (cell, server, task, entry->run, now_us);
+      run->reflected_from = call_number;
+    }
   if (task == NULL || !is_same_run_ (task, server, entry->run))
     {
       server->foreign_runs++;
