Link: the list of a query counts as no later than that query

The number of an open query was overwritten by the next one, so that its list could end a run that had started since. The HTTP client makes one call at a time on a channel, so that queries don't overlap there; the ports don't promise it.

--- a/src/scheduler/private/server_link_private.h
+++ b/src/scheduler/private/server_link_private.h
@@ -43,7 +43,8 @@
   bool has_report;         /* the server's report has been received */
   uint32_t failures;       /* of renewals in a row */
   uint64_t call_count;     /* calls sent so far, on both channels */
-  uint64_t query_number;   /* of the open report query */
+  uint32_t query_count;    /* open report queries */
+  uint64_t query_number;   /* of the first of the open report queries */
   uint64_t renewal_number; /* of the open renewal */
   bool renewal_has_lease;  /* the open renewal was sent with a lease end */
   int64_t renewal_incarnation_ms; /* known when the open renewal was sent */
--- a/src/scheduler/server_orders.c
+++ b/src/scheduler/server_orders.c
@@ -381,7 +381,9 @@
   query.token = link->settings.token;
   query.timeout_ms = ORDER_TIMEOUT_MS;
   link->call_count++;
-  link->query_number = link->call_count;
+  /* Answers may overtake each other, so that each counts as the oldest. */
+  if (link->query_count++ == 0)
+    link->query_number = link->call_count;
   link->ports->server_renew (link->order_channel, &query, handle_report_answer_,
                              link);
 }
@@ -393,6 +395,7 @@
 
   if (link->closing)
     return;
+  link->query_count--;
   if (answer->result == COLT_START_GONE)
     colt_link_lose_replaced_server (link, "query", answer, link->query_number);
   if (answer->result != COLT_START_TAKEN
