Tests: a start that another server answers at the known clock, which fails

scheduler/restart/start-at-other-server fails on: runs_lost is 0 instead of 1. colt_link_check_clock() takes the other server's clock for the known incarnation's, and the answer then counts as older than itself. With another clock a start that was sent again has the result UNKNOWN instead of GONE.

--- a/src/test_scheduler/test_link_restart.c
+++ b/src/test_scheduler/test_link_restart.c
@@ -259,6 +259,40 @@
     }
 }
 
+/* Guards against runs whose end isn't seen: a start that another server answers
+ * shows that the process has ended, whatever that server's clock is, which may
+ * not be compared with the known one. */
+static void
+test_start_at_other_server (void)
+{
+  static const enum ColtStartResult results[]
+      = { COLT_START_UNKNOWN, COLT_START_GONE };
+  uint32_t i;
+
+  for (i = 0; i < 4; i++)
+    {
+      bool resent = i % 2 == 1;
+      struct ColtFakePorts *fake = colt_fake_ports_create ();
+      struct ColtClientState state = { 0 };
+      struct ColtServerLink *link = open_link_with_run (fake, &state);
+
+      fake->renewal_answer_ms = NO_ANSWER_MS;
+      colt_fixture_run_ticks (fake, link, 60);
+      fake->start_answer_ms = 30;
+      fake->start_results = results + !resent;
+      fake->start_result_count = G_N_ELEMENTS (results) - !resent;
+      colt_server_link_start (link, &start_order);
+      while (fake->starts < fake->start_result_count)
+        colt_fixture_run_ticks (fake, link, 10);
+      fake->server_clock_ms += i < 2 ? 0 : CLOCK_STEP_MS;
+      colt_fixture_run_ticks (fake, link, 60);
+      g_assert_cmpuint (state.runs_lost, ==, 1);
+      g_assert_cmpint (state.start_result, ==, COLT_START_GONE);
+      colt_server_link_destroy (link);
+      colt_fake_ports_destroy (fake);
+    }
+}
+
 void
 colt_test_link_restart_add (void)
 {
@@ -276,4 +310,6 @@
                    test_expiry_before_retry);
   g_test_add_func ("/scheduler/restart/ends-of-former-incarnation",
                    test_ends_of_former_incarnation);
+  g_test_add_func ("/scheduler/restart/start-at-other-server",
+                   test_start_at_other_server);
 }
