Link: the clock of another server isn't compared with the known one

An answer of another server at the address (421) carries that server's clock. If it was close to the known one, the loss that the answer showed counted as older than the answer itself; otherwise a report was requested, and the result of a start that was sent again was unknown although its process had ended.

--- a/src/scheduler/server_orders.c
+++ b/src/scheduler/server_orders.c
@@ -282,7 +282,8 @@
   if (link->closing)
     return;
   link->open_order = NULL;
-  is_known = colt_link_check_clock (link, answer);
+  /* The clock of another server isn't one of an incarnation of this one. */
+  is_known = result == COLT_START_GONE || colt_link_check_clock (link, answer);
   if (order->start && link->settings.window != NULL)
     release_window_ (link, order, result != COLT_START_UNKNOWN);
   if (order->start && !order->resent && !order->lost
