Tests: a start that is open when its server becomes unreachable, which fails

scheduler/restart/start-at-unreachable-server fails: the start has no result (INVALID, as the test set it) instead of UNKNOWN. handle_order_answer_() puts it back into the queue after colt_link_withdraw_starts() has emptied that; there it waits for an answer of the silent server, until its lease has expired, and only then begins the time that a run without an answer outlives the known leases.

--- a/src/test_scheduler/test_link_restart.c
+++ b/src/test_scheduler/test_link_restart.c
@@ -293,6 +293,41 @@
     }
 }
 
+/* Guards against tasks that wait too long for a lost server: a start that was
+ * open when the server became unreachable doesn't wait to be sent again. */
+static void
+test_start_at_unreachable_server (void)
+{
+  static const enum ColtStartResult results[] = { COLT_START_UNKNOWN };
+  struct ColtFakePorts *fake = colt_fake_ports_create ();
+  struct ColtClientState state = { .start_result = COLT_START_INVALID };
+  struct ColtServerLink *link = colt_fixture_open_link (fake, &state);
+  int64_t heard_us;
+
+  fake->server_answer.incarnation_ms = 1;
+  colt_fixture_run_ticks (fake, link, 30);
+  heard_us = colt_clock_monotonic_us ();
+  colt_server_link_set_entry_start (link, 2);
+  fake->server_answer.result = COLT_START_UNKNOWN;
+  fake->renewal_answer_ms = 1100;
+  fake->start_answer_ms = 900;
+  fake->start_results = results;
+  fake->start_result_count = G_N_ELEMENTS (results);
+  while (colt_clock_monotonic_us () - heard_us < 1600 * COLT_US_PER_MS)
+    colt_fixture_run_ticks (fake, link, 10);
+  colt_server_link_start (link, &start_order);
+  g_assert_cmpuint (fake->starts, ==, 1);
+  while (state.unreachable == 0)
+    colt_fixture_run_ticks (fake, link, 10);
+  g_assert_cmpint (state.start_result, ==, COLT_START_INVALID);
+  while (colt_clock_monotonic_us () - heard_us < 2800 * COLT_US_PER_MS)
+    colt_fixture_run_ticks (fake, link, 10);
+  g_assert_cmpint (state.start_result, ==, COLT_START_UNKNOWN);
+  g_assert_cmpuint (fake->starts, ==, 1);
+  colt_server_link_destroy (link);
+  colt_fake_ports_destroy (fake);
+}
+
 void
 colt_test_link_restart_add (void)
 {
@@ -312,4 +347,6 @@
                    test_ends_of_former_incarnation);
   g_test_add_func ("/scheduler/restart/start-at-other-server",
                    test_start_at_other_server);
+  g_test_add_func ("/scheduler/restart/start-at-unreachable-server",
+                   test_start_at_unreachable_server);
 }
