--- a/src/scheduler/server_orders.c
+++ b/src/scheduler/server_orders.c
@@ -25,6 +25,7 @@
                              bool answered);
 static uint32_t start_timeout_ms_ (const struct ColtServerLink *link,
                                    const struct ColtServerOrder *order);
+static bool would_wait_for_good_ (const struct ColtServerLink *link);
 static void handle_order_answer_ (void *client,
                                   const struct ColtServerAnswer *answer);
 static void close_start_lease_ (struct ColtServerLink *link,
@@ -271,6 +272,15 @@
              : at_least_ms;
 }
 
+/* Returns whether a start would stay in the queue until leases have expired.
+ * Starts that waited when the server became unreachable have been withdrawn. */
+static bool
+would_wait_for_good_ (const struct ColtServerLink *link)
+{
+  return colt_link_is_unreachable (link)
+         && colt_link_is_silent (link, colt_clock_monotonic_us ());
+}
+
 static void
 handle_order_answer_ (void *client, const struct ColtServerAnswer *answer)
 {
@@ -282,11 +292,12 @@
   if (link->closing)
     return;
   link->open_order = NULL;
-  is_known = colt_link_check_clock (link, answer);
+  /* The clock of another server isn't one of an incarnation of this one. */
+  is_known = result == COLT_START_GONE || colt_link_check_clock (link, answer);
   if (order->start && link->settings.window != NULL)
     release_window_ (link, order, result != COLT_START_UNKNOWN);
   if (order->start && !order->resent && !order->lost
-      && result == COLT_START_UNKNOWN)
+      && result == COLT_START_UNKNOWN && !would_wait_for_good_ (link))
     {
       order->resent = true;
       count_backlog_ (link, order, true);
@@ -381,7 +392,9 @@
   query.token = link->settings.token;
   query.timeout_ms = ORDER_TIMEOUT_MS;
   link->call_count++;
-  link->query_number = link->call_count;
+  /* Answers may overtake each other, so that each counts as the oldest. */
+  if (link->query_count++ == 0)
+    link->query_number = link->call_count;
   link->ports->server_renew (link->order_channel, &query, handle_report_answer_,
                              link);
 }
@@ -393,6 +406,7 @@
 
   if (link->closing)
     return;
+  link->query_count--;
   if (answer->result == COLT_START_GONE)
     colt_link_lose_replaced_server (link, "query", answer, link->query_number);
   if (answer->result != COLT_START_TAKEN
