Stand-in relay: cuts of one direction, and resets

Cause: the relay could stall both directions of a link, but not one, and could not break open connections; both are faults of real networks.

Change: "cut_one_way" stalls the bytes from one name to another, with new connections stalled too as a handshake needs both directions, and "reset" closes open connections by a TCP reset. Pauses are per direction.

Result: /relay/one-way, /relay/one-way-late and /relay/reset pass beside the four earlier tests.

--- a/src/test_standin/test_relay.c
+++ b/src/test_standin/test_relay.c
@@ -127,6 +127,77 @@
   client_close (&client);
 }
 
+/* A cut towards the target holds calls back; one towards the caller holds
+ * answers back. */
+static void
+test_cut_of_one_direction (struct ColtRelayFixture *fixture, gconstpointer data)
+{
+  struct ColtClient client;
+  struct ColtClient direct;
+  struct ColtRelayLink *link = open_link (fixture, &client);
+
+  (void)data;
+  client_post (&client, "/x", "{}");
+  g_assert_true (client_wait (&client, "{\"calls\":1}"));
+  fixture->path.cut_to_target = true;
+  colt_relay_link_update (link);
+  client_post (&client, "/x", "{}");
+  client_connect (&direct, fixture->base,
+                  colt_standin_http_port (fixture->http));
+  client_post (&direct, "/x", "{}");
+  g_assert_true (client_wait (&direct, "{\"calls\":2}"));
+  g_assert_cmpint (fixture->calls, ==, 2);
+  fixture->path.cut_to_target = false;
+  fixture->path.cut_to_caller = true;
+  colt_relay_link_update (link);
+  while (fixture->calls < 3)
+    event_base_loop (fixture->base, EVLOOP_ONCE);
+  client_post (&direct, "/x", "{}");
+  g_assert_true (client_wait (&direct, "{\"calls\":4}"));
+  g_assert_cmpuint (client.received->len, ==, 0);
+  fixture->path.cut_to_caller = false;
+  colt_relay_link_update (link);
+  g_assert_true (client_wait (&client, "{\"calls\":3}"));
+  client_close (&client);
+  client_close (&direct);
+}
+
+static void
+test_link_opened_during_cut_of_answers (struct ColtRelayFixture *fixture,
+                                        gconstpointer data)
+{
+  struct ColtRelayLink *link;
+  struct ColtClient client;
+
+  (void)data;
+  fixture->path.cut_to_caller = true;
+  link = open_link (fixture, &client);
+  client_post (&client, "/x", "{}");
+  event_base_loop (fixture->base, EVLOOP_NONBLOCK);
+  g_assert_cmpint (fixture->calls, ==, 0);
+  fixture->path.cut_to_caller = false;
+  colt_relay_link_update (link);
+  g_assert_true (client_wait (&client, "{\"calls\":1}"));
+  client_close (&client);
+}
+
+static void
+test_reset_closes_both_ends (struct ColtRelayFixture *fixture,
+                             gconstpointer data)
+{
+  struct ColtClient client;
+  struct ColtRelayLink *link = open_link (fixture, &client);
+
+  (void)data;
+  client_post (&client, "/x", "{}");
+  g_assert_true (client_wait (&client, "{\"calls\":1}"));
+  g_assert_true (g_ptr_array_remove (fixture->links, link));
+  colt_relay_link_reset (link);
+  g_assert_false (client_wait (&client, "no such text"));
+  g_assert_true (client.closed);
+  client_close (&client);
+}
+
 static void
 test_blocked_link_stays_blocked (struct ColtRelayFixture *fixture,
                                  gconstpointer data)
@@ -180,6 +251,9 @@
 {
   add_test ("/relay/cut", test_cut_pauses_link_until_healed);
   add_test ("/relay/late", test_link_opened_during_cut_works_after_heal);
+  add_test ("/relay/one-way", test_cut_of_one_direction);
+  add_test ("/relay/one-way-late", test_link_opened_during_cut_of_answers);
+  add_test ("/relay/reset", test_reset_closes_both_ends);
   add_test ("/relay/silence", test_blocked_link_stays_blocked);
   add_test ("/relay/close", test_close_follows_pending_bytes);
 }
--- a/standin/relay_link.c
+++ b/standin/relay_link.c
@@ -48,7 +48,7 @@
 
 static void open_pipe_ (struct ColtRelayLink *link, int from, int to);
 static void close_pipe_ (struct ColtRelayPipe *pipe);
-static bool is_paused_ (const struct ColtRelayLink *link);
+static bool is_paused_ (const struct ColtRelayPipe *pipe);
 static void connect_target_ (struct ColtRelayLink *link);
 static void on_bytes_read_ (struct bufferevent *end, void *data);
 static void on_output_drained_ (struct bufferevent *end, void *data);
@@ -87,26 +87,44 @@
   g_free (link);
 }
 
+void
+colt_relay_link_reset (struct ColtRelayLink *link)
+{
+  const struct linger discard = { .l_onoff = 1, .l_linger = 0 };
+  int i;
+
+  for (i = 0; i < END_COUNT; i++)
+    setsockopt (bufferevent_getfd (link->ends[i]), SOL_SOCKET, SO_LINGER,
+                &discard, sizeof discard);
+  colt_relay_link_destroy (link);
+}
+
 void
 colt_relay_link_update (struct ColtRelayLink *link)
 {
   int i;
 
-  if (is_paused_ (link))
+  for (i = 0; i < END_COUNT; i++)
     {
-      for (i = 0; i < END_COUNT; i++)
+      struct ColtRelayPipe *pipe = &link->pipes[i];
+
+      if (is_paused_ (pipe))
         {
-          bufferevent_disable (link->ends[i], EV_READ | EV_WRITE);
-          evtimer_del (link->pipes[i].timer);
+          bufferevent_disable (pipe->from, EV_READ);
+          bufferevent_disable (pipe->to, EV_WRITE);
+          evtimer_del (pipe->timer);
+          continue;
         }
-      return;
+      bufferevent_enable (pipe->from, EV_READ);
+      bufferevent_enable (pipe->to, EV_WRITE);
     }
-  for (i = 0; i < END_COUNT; i++)
-    bufferevent_enable (link->ends[i], EV_READ | EV_WRITE);
-  if (!link->connect_started)
+  /* A handshake needs both directions. */
+  if (!link->connect_started && !is_paused_ (&link->pipes[CALLER])
+      && !is_paused_ (&link->pipes[TARGET]))
     connect_target_ (link);
   for (i = 0; i < END_COUNT; i++)
-    forward_due_chunks_ (&link->pipes[i]);
+    if (!is_paused_ (&link->pipes[i]))
+      forward_due_chunks_ (&link->pipes[i]);
 }
 
 void
@@ -139,9 +157,14 @@
 }
 
 static bool
-is_paused_ (const struct ColtRelayLink *link)
+is_paused_ (const struct ColtRelayPipe *pipe)
 {
-  return link->blocked || link->path->cut;
+  const struct ColtRelayLink *link = pipe->link;
+  const struct ColtRelayPath *path = link->path;
+
+  return link->blocked || path->cut
+         || (pipe == &link->pipes[CALLER] ? path->cut_to_target
+                                          : path->cut_to_caller);
 }
 
 /* A failure to connect is reported to on_stream_event_(). */
@@ -160,7 +183,7 @@
   struct ColtRelayPipe *pipe = data;
   struct ColtRelayChunk *chunk;
 
-  if (is_paused_ (pipe->link))
+  if (is_paused_ (pipe))
     return;
   chunk = g_new0 (struct ColtRelayChunk, 1);
   chunk->due_us = colt_clock_monotonic_us () + pipe->link->path->delay_us;
@@ -238,7 +261,7 @@
   struct evbuffer *output = bufferevent_get_output (pipe->to);
   size_t bytes = pipe->queued_bytes + evbuffer_get_length (output);
 
-  if (is_paused_ (pipe->link) || pipe->ended)
+  if (is_paused_ (pipe) || pipe->ended)
     return;
   if (bytes > BUFFERED_BYTES_MAX)
     bufferevent_disable (pipe->from, EV_READ);
--- a/standin/relay_link.h
+++ b/standin/relay_link.h
@@ -26,8 +26,10 @@
   struct event_base *base;
   struct sockaddr_storage target;
   socklen_t target_size;
-  int64_t delay_us; /**< added to each direction */
-  bool cut;         /**< network partition: no bytes are forwarded */
+  int64_t delay_us;   /**< added to each direction */
+  bool cut;           /**< network partition: no bytes are forwarded */
+  bool cut_to_target; /**< no bytes are forwarded from callers to the target */
+  bool cut_to_caller; /**< no bytes are forwarded from the target to callers */
   ColtRelayLinkClosed closed;
   void *client;
 };
@@ -45,7 +47,11 @@
 /** Closes both ends without calling the path's `closed`; NULL is allowed. */
 void colt_relay_link_destroy (struct ColtRelayLink *link);
 
-/** Pauses or resumes the link after a change of `cut` in its path. */
+/** Closes both ends with a TCP reset, and destroys the link like
+ * colt_relay_link_destroy(). */
+void colt_relay_link_reset (struct ColtRelayLink *link);
+
+/** Pauses or resumes the link after a change of a `cut` in its path. */
 void colt_relay_link_update (struct ColtRelayLink *link);
 
 /** Stops forwarding permanently, with both ends left open. */
--- a/standin/standin_relay.c
+++ b/standin/standin_relay.c
@@ -50,9 +50,11 @@
   GPtrArray *routes; /* of struct ColtRelayRoute */
 };
 
-/* Applies a control request to a route. */
+/* Applies a control request to a route. FORWARD tells whether the route leads
+ * from the first of the two names to the second. */
 typedef void (*ColtRelayChange) (struct ColtRelayRoute *route,
-                                 const json_t *body);
+                                 const json_t *body,
+                                 bool forward);
 
 struct ColtRelayCommand
 {
@@ -84,10 +86,18 @@
 static bool apply_command_ (struct ColtRelayService *service,
                             const struct ColtRelayCommand *command,
                             const json_t *body);
-static void cut_route_ (struct ColtRelayRoute *route, const json_t *body);
-static void heal_route_ (struct ColtRelayRoute *route, const json_t *body);
-static void block_links_ (struct ColtRelayRoute *route, const json_t *body);
-static void set_delay_ (struct ColtRelayRoute *route, const json_t *body);
+static void
+cut_route_ (struct ColtRelayRoute *route, const json_t *body, bool forward);
+static void
+cut_direction_ (struct ColtRelayRoute *route, const json_t *body, bool forward);
+static void
+heal_route_ (struct ColtRelayRoute *route, const json_t *body, bool forward);
+static void
+block_links_ (struct ColtRelayRoute *route, const json_t *body, bool forward);
+static void
+reset_links_ (struct ColtRelayRoute *route, const json_t *body, bool forward);
+static void
+set_delay_ (struct ColtRelayRoute *route, const json_t *body, bool forward);
 static void update_links_ (struct ColtRelayRoute *route);
 static bool copy_name_ (char name[NAME_SIZE], const json_t *value);
 static bool name_matches_ (const char *pattern, const char *name);
@@ -96,10 +106,9 @@
                             socklen_t *size);
 
 static const struct ColtRelayCommand commands[] = {
-  { "cut", cut_route_ },
-  { "heal", heal_route_ },
-  { "silence", block_links_ },
-  { "pair", set_delay_ },
+  { "cut", cut_route_ },     { "cut_one_way", cut_direction_ },
+  { "heal", heal_route_ },   { "silence", block_links_ },
+  { "reset", reset_links_ }, { "pair", set_delay_ },
 };
 
 int
@@ -317,12 +326,14 @@
     {
       struct ColtRelayRoute *route = g_ptr_array_index (service->routes, i);
 
-      if ((name_matches_ (names[0], route->from)
-           && name_matches_ (names[1], route->to))
+      bool forward = name_matches_ (names[0], route->from)
+                     && name_matches_ (names[1], route->to);
+
+      if (forward
           || (name_matches_ (names[1], route->from)
               && name_matches_ (names[0], route->to)))
         {
-          command->change (route, body);
+          command->change (route, body, forward);
           found = true;
         }
     }
@@ -330,38 +341,72 @@
 }
 
 static void
-cut_route_ (struct ColtRelayRoute *route, const json_t *body)
+cut_route_ (struct ColtRelayRoute *route, const json_t *body, bool forward)
 {
   (void)body;
+  (void)forward;
   route->path.cut = true;
   update_links_ (route);
 }
 
+/* Stalls the bytes that go from the first name to the second. */
+static void
+cut_direction_ (struct ColtRelayRoute *route, const json_t *body, bool forward)
+{
+  (void)body;
+  if (forward)
+    route->path.cut_to_target = true;
+  else
+    route->path.cut_to_caller = true;
+  update_links_ (route);
+}
+
 static void
-heal_route_ (struct ColtRelayRoute *route, const json_t *body)
+heal_route_ (struct ColtRelayRoute *route, const json_t *body, bool forward)
 {
   (void)body;
+  (void)forward;
   route->path.cut = false;
+  route->path.cut_to_target = false;
+  route->path.cut_to_caller = false;
   update_links_ (route);
 }
 
 static void
-block_links_ (struct ColtRelayRoute *route, const json_t *body)
+block_links_ (struct ColtRelayRoute *route, const json_t *body, bool forward)
 {
   GHashTableIter iter;
   gpointer link;
 
   (void)body;
+  (void)forward;
   g_hash_table_iter_init (&iter, route->links);
   while (g_hash_table_iter_next (&iter, &link, NULL))
     colt_relay_link_block (link);
 }
 
 static void
-set_delay_ (struct ColtRelayRoute *route, const json_t *body)
+reset_links_ (struct ColtRelayRoute *route, const json_t *body, bool forward)
+{
+  GHashTableIter iter;
+  gpointer link;
+
+  (void)body;
+  (void)forward;
+  g_hash_table_iter_init (&iter, route->links);
+  while (g_hash_table_iter_next (&iter, &link, NULL))
+    {
+      g_hash_table_iter_remove (&iter);
+      colt_relay_link_reset (link);
+    }
+}
+
+static void
+set_delay_ (struct ColtRelayRoute *route, const json_t *body, bool forward)
 {
   const json_t *delay = json_object_get (body, "delay_ms");
 
+  (void)forward;
   route->path.delay_us
       = CLAMP (json_integer_value (delay), 0, DELAY_MAX_MS) * COLT_US_PER_MS;
 }
