coltsfootstilectl load: requests that are sent again after a refusal

Cause: a request answered with status 503 ended there, while many clients try the next instance under the same id.

Without it the random choices of a seed are as before.

Result: /coltsfootstilectl/load-retry counts 1 call without the option and 20 with it.

--- a/src/coltsfootstilectl/cmd_load.c
+++ b/src/coltsfootstilectl/cmd_load.c
@@ -51,6 +51,11 @@
     { COLT_CTL_NUMBER, "open", "N",
       "maximum number of unanswered requests (20000)", false, &given.open_max,
       1, 1000000 },
+    { COLT_CTL_NUMBER, "retry-permille", "N",
+      "of 1,000 requests N are sent again under the same id, elsewhere, after "
+      "an "
+      "answer with status 503 (0)",
+      false, &given.retry_permille, 0, 1000 },
     { COLT_CTL_NUMBER, "timeout-ms", "N", "timeout of one call in ms (10000)",
       false, &given.timeout_ms, 1, 600000 }
   };
--- a/src/coltsfootstilectl/load.c
+++ b/src/coltsfootstilectl/load.c
@@ -11,6 +11,7 @@
 #include "coltsfootstile/id.h"
 #include "coltsfootstile/json.h"
 
+#define STATUS_UNAVAILABLE 503
 #define CALLS_MAX 20 /* most calls of a request until it is accepted */
 #define RETRY_PAUSE_MS 200
 #define POLL_PAUSE_MS 500
@@ -37,6 +38,7 @@
   char *payload;
   char *body;
   bool urgent;
+  bool retries_refusals; /* repeats calls answered with status 503 */
   guint entry;
   int calls;      /* made since the last non-final outcome */
   int64_t due_us; /* planned time of arrival */
@@ -231,6 +233,10 @@
       = (guint)gsl_rng_uniform_int (load->random, load->options->entries->len);
   request->urgent = (int64_t)gsl_rng_uniform_int (load->random, 1000)
                     < request->class->urgent_permille;
+  if (load->options->retry_permille > 0)
+    request->retries_refusals
+        = (int64_t)gsl_rng_uniform_int (load->random, 1000)
+          < load->options->retry_permille;
   request->payload = make_payload_ (load, request->class);
   request->body = make_body_ (request);
   request->timer = evtimer_new (load->base, on_pause_end_, request);
@@ -444,6 +450,12 @@
       retry_later_ (request, false, POLL_PAUSE_MS);
       return;
     }
+  if (request->status == STATUS_UNAVAILABLE && request->retries_refusals
+      && request->calls < CALLS_MAX)
+    {
+      retry_later_ (request, true, RETRY_PAUSE_MS);
+      return;
+    }
   request->result_hashes = hash_results_ (json_object_get (json, "tasks"));
   end_request_ (request, request->outcome);
 }
--- a/src/coltsfootstilectl/private/load.h
+++ b/src/coltsfootstilectl/private/load.h
@@ -66,14 +66,16 @@
 {
   const GPtrArray *entries; /**< addresses of entry instances, IP:PORT */
   const struct ColtLoadPlan *plan;
-  FILE *record;        /**< gets one JSON line per request; NULL for none */
-  int64_t seed;        /**< of all random choices */
-  int64_t rate;        /**< arrivals per second */
-  int64_t seconds;     /**< length of the period of arrivals */
-  int64_t drain_s;     /**< seconds to wait for answers after the arrivals */
-  int64_t connections; /**< maximum number of connections to an instance */
-  int64_t open_max;    /**< maximum number of unanswered requests */
-  int64_t timeout_ms;  /**< of one call */
+  FILE *record;           /**< gets one JSON line per request; NULL for none */
+  int64_t seed;           /**< of all random choices */
+  int64_t rate;           /**< arrivals per second */
+  int64_t seconds;        /**< length of the period of arrivals */
+  int64_t drain_s;        /**< seconds to wait for answers after the arrivals */
+  int64_t connections;    /**< maximum number of connections to an instance */
+  int64_t open_max;       /**< maximum number of unanswered requests */
+  int64_t timeout_ms;     /**< of one call */
+  int64_t retry_permille; /**< of 1,000 requests, those that repeat a call
+                               answered with status 503 elsewhere */
 };
 
 /** Runs a load and returns its summary, a new reference to a JSON object. */
--- a/src/test_coltsfootstilectl/test_ctl.c
+++ b/src/test_coltsfootstilectl/test_ctl.c
@@ -391,6 +391,45 @@
   g_free (text);
 }
 
+/* A refusal ends a request, unless it is one of those that are sent again. */
+static void
+test_load_repeats_refused_calls (struct ColtCtlFixture *fixture,
+                                 gconstpointer data)
+{
+  const char *plan = make_path (fixture, "plan");
+  const char *record = make_path (fixture, "record");
+  const char *permille[] = { "0", "1000" };
+  const int calls[] = { 1, 20 };
+  guint i;
+
+  (void)data;
+  g_assert_true (
+      g_file_set_contents (plan, "[class a]\nqueue = q\nteam = t\n", -1, NULL));
+  colt_fake_fleet_set_answer (
+      fixture->fleet, "POST /v1/tasks", 503,
+      "{\"outcome\":\"unknown\",\"reason\":\"stopping\"}");
+  for (i = 0; i < G_N_ELEMENTS (permille); i++)
+    {
+      json_t *line;
+      char *text;
+
+      g_assert_cmpint (run_command (colt_ctl_load_commands, "load", "--entry",
+                                    fixture->address, "--plan", plan,
+                                    "--record", record, "--rate", "5",
+                                    "--seconds", "1", "--retry-permille",
+                                    permille[i], NULL),
+                       ==, COLT_CTL_OK);
+      g_assert_true (g_file_get_contents (record, &text, NULL, NULL));
+      line = json_loads (text, JSON_DISABLE_EOF_CHECK, NULL);
+      g_assert_cmpstr (json_string_value (json_object_get (line, "outcome")),
+                       ==, "unknown");
+      g_assert_cmpint (json_integer_value (json_object_get (line, "calls")), ==,
+                       calls[i]);
+      json_decref (line);
+      g_free (text);
+    }
+}
+
 static void
 test_wrong_usage (struct ColtCtlFixture *fixture, gconstpointer data)
 {
@@ -471,6 +510,7 @@
   ADD ("requests", test_request_commands);
   ADD ("state", test_state_commands);
   ADD ("load", test_load);
+  ADD ("load-retry", test_load_repeats_refused_calls);
   ADD ("usage", test_wrong_usage);
   return g_test_run ();
 }
