Placement: wait for a lost server before work counts as too large

Cause: work that fits no known server is rejected as never_fits unless a server was added in the last 5 s. If the only server that fits crashes and returns within seconds, what waits for it was dropped as soon as its lease had lapsed: accepted work ended unstarted.

Change: the 5 s run from the last server that was added or removed. colt_placement_remove_server() takes the time for it.

Result: /placement/fit/lost-server fails before (never_fits at once) and passes.

--- a/fuzz/fuzz_placement.c
+++ b/fuzz/fuzz_placement.c
@@ -323,7 +323,8 @@
 {
   struct ColtOracleServer *server = &oracle->servers[byte % SERVERS];
 
-  colt_placement_remove_server (oracle->placement, byte % SERVERS + 1);
+  colt_placement_remove_server (oracle->placement, byte % SERVERS + 1,
+                                oracle->now_us);
   server->registered = false;
   server->open = false;
 }
--- a/include/coltsfootstile/placement.h
+++ b/include/coltsfootstile/placement.h
@@ -27,8 +27,9 @@
  * in thousandths of it. */
 #define COLT_SPEED_NORMAL 1000
 
-/** Time without new servers, in microseconds, after which a task that fits no
- * known server is rejected. Until then, larger servers may still be added. */
+/** Time in microseconds after the last server was added or removed from which
+ * on a task that fits no known server is rejected. Until then, larger servers
+ * may still be added, or return after a restart. */
 #define COLT_PLACEMENT_SETTLED_US INT64_C (5000000)
 /** Maximum number of waiting tasks of a placement. */
 #define COLT_PLACEMENT_WAITING_MAX 65536u
@@ -130,7 +131,8 @@
 
 /** Removes a server; does nothing if it is unknown. */
 void colt_placement_remove_server (struct ColtPlacement *placement,
-                                   uint32_t server);
+                                   uint32_t server,
+                                   int64_t now_us);
 
 /**
  * Adds a waiting task. Replaces an earlier task with the same request and
--- a/src/home/home_place.c
+++ b/src/home/home_place.c
@@ -501,7 +501,7 @@
     colt_home_set_remote_usage (home, origin->instance, digest->teams[i],
                                 now_us);
   for (i = 0; i < digest->n_gone; i++)
-    colt_placement_remove_server (home->placement, digest->gone[i]);
+    colt_placement_remove_server (home->placement, digest->gone[i], now_us);
   colt_digest_word__free_unpacked (digest, NULL);
   if (colt_placement_waiting_count (home->placement) > 0)
     colt_home_schedule_dispatch (home);
--- a/src/home/home_shards.c
+++ b/src/home/home_shards.c
@@ -507,16 +507,16 @@
 on_written_off_ (void *client, uint32_t shard, uint32_t server)
 {
   struct ColtHome *home = client;
+  int64_t now_us = colt_clock_monotonic_us ();
 
   colt_log (COLT_LOG_WARNING, MODULE, NULL,
             "backend server %u unreachable and written off for shard %u; "
             "its tasks count as lost",
             server, shard);
-  colt_requests_handle_server_loss (home->requests, shard, server,
-                                    colt_clock_monotonic_us ());
+  colt_requests_handle_server_loss (home->requests, shard, server, now_us);
   g_hash_table_insert (
       home->server_known_since, GUINT_TO_POINTER (server),
       GUINT_TO_POINTER ((guint)(colt_clock_wall_us () / COLT_US_PER_S)));
-  colt_placement_remove_server (home->placement, server);
+  colt_placement_remove_server (home->placement, server, now_us);
   home->calls->server_written_off (home->client, server);
 }
--- a/src/placement/admission.c
+++ b/src/placement/admission.c
@@ -49,7 +49,7 @@
                            int64_t now_us)
 {
   if (g_hash_table_size (placement->servers) == 0
-      || now_us < placement->last_growth_us + COLT_PLACEMENT_SETTLED_US)
+      || now_us < placement->last_change_us + COLT_PLACEMENT_SETTLED_US)
     return false;
   if (task->kind == COLT_WORK_GANG && exceeds_total_ (placement, task))
     return true;
--- a/src/placement/private/placement_private.h
+++ b/src/placement/private/placement_private.h
@@ -240,7 +240,7 @@
   struct ColtFitTree *reserve; /**< servers with a reserve for urgent work */
   /** All servers. */
   struct ColtFitTree *capacities[COLT_SERVER_CLASS_COUNT];
-  int64_t last_growth_us;      /**< when the last new server was added */
+  int64_t last_change_us;      /**< when a server was last added or removed */
   struct ColtResources total;  /**< capacity of all servers */
   bool shares_stale;           /**< the total or a weight has changed */
   int64_t deficits_updated_us; /**< last update of the teams' deficits */
--- a/src/placement/servers.c
+++ b/src/placement/servers.c
@@ -124,7 +124,7 @@
 
   if (server == NULL)
     {
-      placement->last_growth_us = now_us;
+      placement->last_change_us = now_us;
       server = g_new0 (struct ColtPlacementServer, 1);
       for (i = 0; i < COLT_TREE_USE_COUNT; i++)
         server->positions[i] = COLT_POSITION_NONE;
@@ -151,7 +151,9 @@
 }
 
 void
-colt_placement_remove_server (struct ColtPlacement *placement, uint32_t id)
+colt_placement_remove_server (struct ColtPlacement *placement,
+                              uint32_t id,
+                              int64_t now_us)
 {
   struct ColtPlacementServer *server = colt_servers_find (placement, id);
 
@@ -162,6 +164,7 @@
     colt_gangs_release (placement, placement->holding_gang);
   g_hash_table_remove (placement->servers, GUINT_TO_POINTER (id));
   colt_servers_free (placement, server);
+  placement->last_change_us = now_us;
   placement->shares_stale = true;
 }
 
--- a/src/test_placement/test_fit.c
+++ b/src/test_placement/test_fit.c
@@ -192,6 +192,32 @@
   test_destroy_fixture (fixture);
 }
 
+/* A server that goes may return after a restart; a task that waits for it is
+ * rejected only if it stays away. */
+static void
+lost_server_is_awaited_ (void)
+{
+  struct ColtFixture *fixture = test_create_fixture ();
+  struct ColtPlacementTask large
+      = test_make_task (fixture, 1, "a", COLT_WORK_BATCH, 65, 0);
+  enum ColtPlacementStatus status;
+  uint32_t number;
+
+  test_add_server (fixture, 64, 0);
+  number = test_add_server (fixture, 128, 0);
+  colt_placement_remove_server (fixture->placement, number, fixture->now_us);
+  test_add_task (fixture, &large);
+  g_assert_true (test_is_idle (fixture));
+  fixture->now_us += COLT_PLACEMENT_SETTLED_US - 1;
+  g_assert_true (test_is_idle (fixture));
+  g_assert_cmpuint (colt_placement_waiting_count (fixture->placement), ==, 1);
+  fixture->now_us += 1;
+  large.index = 1;
+  status = colt_placement_add (fixture->placement, &large, fixture->now_us);
+  g_assert_cmpint (status, ==, COLT_PLACEMENT_NEVER_FITS);
+  test_destroy_fixture (fixture);
+}
+
 void
 test_register_fit (void)
 {
@@ -205,4 +231,5 @@
   g_test_add_func ("/placement/fit/sizes", sizes_are_learned_);
   g_test_add_func ("/placement/fit/never", oversized_work_is_rejected_);
   g_test_add_func ("/placement/fit/unsettled", growing_fleet_rejects_nothing_);
+  g_test_add_func ("/placement/fit/lost-server", lost_server_is_awaited_);
 }
