Demo: other sizes, free addresses, and a start that waits for limits

Cause: the demo had eight instances and fixed addresses, so that two runs at a time disturbed each other, and a fault's target was drawn only when it began. Its start didn't wait until the limits of teams were in force, without which no work starts.

--- a/scripts/demo/faults.py
+++ b/scripts/demo/faults.py
@@ -13,9 +13,13 @@
 class Fault:
     """One fault: `begin` and `end` are called once each."""
 
-    def __init__(self, run):
+    def __init__(self, run, rng=None):
         self.run = run
         self.fleet = run.fleet
+        self.choose(rng or run.rng)
+
+    def choose(self, rng):
+        """Draws what the fault is applied to."""
 
     def begin(self):
         raise NotImplementedError
@@ -24,20 +28,28 @@
         pass
 
 
-class KillEntry(Fault):
+class EntryFault(Fault):
+    def choose(self, rng):
+        self.number = rng.choice(topology.ENTRIES)[0]
+
+
+class ServerFault(Fault):
+    def choose(self, rng):
+        self.server = rng.choice(self.run.servers)
+
+
+class KillEntry(EntryFault):
     def begin(self):
-        self.number = self.run.rng.choice(topology.ENTRIES)[0]
         self.fleet.kill_entry(self.number)
 
     def end(self):
         self.fleet.restart_entry(self.number)
 
 
-class StopEntry(Fault):
+class StopEntry(EntryFault):
     """A planned stop under load: the instance must exit with status 0 in its grace time."""
 
     def begin(self):
-        self.number = self.run.rng.choice(topology.ENTRIES)[0]
         self.fleet.signal_entry(self.number, signal.SIGTERM)
 
     def end(self):
@@ -47,9 +59,8 @@
         self.fleet.restart_entry(self.number)
 
 
-class PauseEntry(Fault):
+class PauseEntry(EntryFault):
     def begin(self):
-        self.number = self.run.rng.choice(topology.ENTRIES)[0]
         self.fleet.signal_entry(self.number, signal.SIGSTOP)
 
     def end(self):
@@ -57,8 +68,10 @@
 
 
 class CutZone(Fault):
+    def choose(self, rng):
+        self.zone = rng.choice(topology.ZONES)
+
     def begin(self):
-        self.zone = self.run.rng.choice(topology.ZONES)
         self.change_links("cut")
         self.record = {"zone": self.zone, "from_us": now_us()}
         self.run.history["cuts"].append(self.record)
@@ -92,16 +105,18 @@
 class SilentConnections(Fault):
     """Open connections become unresponsive; new ones work."""
 
+    def choose(self, rng):
+        self.servers = rng.sample(self.run.servers, 8)
+
     def begin(self):
         self.fleet.control(topology.LOG, {"silence_connections": True})
         self.fleet.control(topology.RELAY_CONTROL, {"silence": ["*", "*"]})
-        for server in self.run.rng.sample(self.run.servers, 8):
+        for server in self.servers:
             self.fleet.control_server(server, {"silent": True})
 
 
-class KillServer(Fault):
+class KillServer(ServerFault):
     def begin(self):
-        self.server = self.run.rng.choice(self.run.servers)
         self.record = {"server": self.server["id"], "from_us": now_us()}
         self.run.history["killed"].append(self.record)
         self.fleet.control_server(self.server, {"down": True})
@@ -111,30 +126,28 @@
         self.record["to_us"] = now_us()
 
 
-class SlowServer(Fault):
+class SlowServer(ServerFault):
     def begin(self):
-        self.server = self.run.rng.choice(self.run.servers)
         self.fleet.control_server(self.server, {"speed": 0.1})
 
     def end(self):
         self.fleet.control_server(self.server, {"speed": self.server["speed"]})
 
 
-class FailingServer(Fault):
+class FailingServer(ServerFault):
     def begin(self):
-        self.server = self.run.rng.choice(self.run.servers)
         self.fleet.control_server(self.server, {"fail_all": True})
 
     def end(self):
         self.fleet.control_server(self.server, {"fail_all": False})
 
 
-class LeavingServer(Fault):
+class LeavingServer(ServerFault):
     def begin(self):
-        server = self.run.rng.choice(self.run.servers)
-        self.fleet.control_server(server, {"leaving": True})
-        self.fleet.control(topology.LIST, {"server": server["id"], "state": "leaving"})
-        self.run.history["leaving"].append({"server": server["id"], "t_us": now_us()})
+        self.fleet.control_server(self.server, {"leaving": True})
+        self.fleet.control(topology.LIST, {"server": self.server["id"], "state": "leaving"})
+        self.record = {"server": self.server["id"], "t_us": now_us()}
+        self.run.history["leaving"].append(self.record)
 
 
 class WithdrawKey(Fault):
--- a/scripts/demo/fleet.py
+++ b/scripts/demo/fleet.py
@@ -34,6 +34,8 @@
         self.max_seconds = max_seconds
         self.processes = {}
         self.commands = {}
+        self.controls = {}  # control address by server id
+        self.records = []  # files of the backend servers' records
 
     def spawn(self, name, command):
         log = open(os.path.join(self.folder, f"{name}.log"), "ab")
@@ -46,25 +48,26 @@
         return [os.path.join(self.build, "standin", program),
                 "--max-seconds", str(self.max_seconds), *arguments]
 
-    def start_platform(self, servers):
+    def start_platform(self, servers, hosts, routes):
         folder = self.folder
         listing = topology.write_json(folder, "list.json", topology.make_list(servers))
-        routes = topology.write_json(folder, "relay.json", topology.make_routes())
+        routing = topology.write_json(folder, "relay.json", routes)
         self.spawn("log", self.standin_command(
             "standin_log", "--listen", topology.LOG,
             "--record", os.path.join(folder, "log.jsonl")))
         self.spawn("list", self.standin_command(
             "standin_list", "--listen", topology.LIST, "--file", listing))
         self.spawn("relay", self.standin_command(
-            "standin_relay", "--control", topology.RELAY_CONTROL, "--file", routes))
-        for zone in topology.ZONES:
-            path = topology.write_json(
-                folder, f"servers-{zone}.json",
-                [server for server in servers if server["zone"] == zone])
-            self.spawn(f"backend-{zone}", self.standin_command(
-                "standin_backend", "--control", topology.BACKEND_CONTROL[zone],
-                "--file", path,
-                "--record", os.path.join(folder, f"backend-{zone}.jsonl")))
+            "standin_relay", "--control", topology.RELAY_CONTROL, "--file", routing))
+        for host in hosts:
+            path = topology.write_json(folder, f"{host['name']}.json", host["servers"])
+            record = os.path.join(folder, f"{host['name']}.jsonl")
+            self.records.append(record)
+            for server in host["servers"]:
+                self.controls[server["id"]] = host["control"]
+            self.spawn(host["name"], self.standin_command(
+                "standin_backend", "--control", host["control"], "--file", path,
+                "--record", record))
 
     def entry_name(self, number):
         return f"entry-{number}"
@@ -101,8 +104,7 @@
         return http("POST", address, "/control", change)
 
     def control_server(self, server, change):
-        return self.control(topology.BACKEND_CONTROL[server["zone"]],
-                            dict(change, server=server["id"]))
+        return self.control(self.controls[server["id"]], dict(change, server=server["id"]))
 
     def wait_ready(self, check, name, timeout=READY_TIMEOUT_S):
         end = time.monotonic() + timeout
--- a/scripts/demo/run.py
+++ b/scripts/demo/run.py
@@ -26,12 +26,12 @@
     def __init__(self, options):
         self.options = options
         self.rng = random.Random(options.seed)
-        self.folder = os.path.join(options.run_dir, f"demo-{os.getpid()}")
+        self.folder = os.path.join(options.run_dir, self.folder_name())
         shutil.rmtree(self.folder, ignore_errors=True)
         os.makedirs(self.folder)
         self.fleet = fleet.Fleet(options.build, self.folder,
                                  options.seconds + DRAIN_S + 120)
-        self.servers = topology.make_servers(options.deployment, self.rng)
+        self.servers = self.make_servers()
         self.history = {"servers": self.servers, "teams": [], "limits": [], "keys": [],
                         "leaving": [], "killed": [], "rolls": [], "cuts": []}
         self.keys = {}
@@ -40,6 +40,16 @@
         self.pending = []
         self.result = {}
 
+    def folder_name(self):
+        return f"demo-{os.getpid()}"
+
+    def make_servers(self):
+        return topology.make_servers(self.options.deployment, self.rng)
+
+    def start_platform(self):
+        self.fleet.start_platform(self.servers, topology.make_hosts(self.servers),
+                                  topology.make_routes())
+
     # Commands of the operator.
 
     def ctl(self, *arguments):
@@ -96,20 +106,17 @@
                      *extra, path)
         return (time.monotonic() - start) * 1000
 
-    def roll_second_bundle(self):
-        """Starts the rollout of a second version that halves the task limit of one team."""
-        path = os.path.join(self.folder, "bundle-2.ini")
-        digest = self.run_ctl("bundle", "hash", self.bundle).split()[0]
-        team = self.history["teams"][0]
-        limit = team["limit_tasks"] // 2
+    def write_bundle(self, path, parent, version, team, limit):
+        """Writes a successor of the bundle `parent` with another task limit of one team."""
+        digest = self.run_ctl("bundle", "hash", parent).split()[0]
         text = []
         inside = False
-        with open(self.bundle, encoding="utf-8") as file:
+        with open(parent, encoding="utf-8") as file:
             for line in file:
                 if line.startswith("["):
-                    inside = line.strip() == f"[team {team['name']}]"
+                    inside = line.strip() == f"[team {team}]"
                 if line.startswith("version ="):
-                    line = "version = 2\n"
+                    line = f"version = {version}\n"
                 elif line.startswith("parent ="):
                     line = f"parent = {digest}\n"
                 elif inside and line.startswith("limit_tasks"):
@@ -117,6 +124,13 @@
                 text.append(line)
         with open(path, "w", encoding="utf-8") as file:
             file.writelines(text)
+
+    def roll_second_bundle(self):
+        """Starts the rollout of a second version that halves the task limit of one team."""
+        path = os.path.join(self.folder, "bundle-2.ini")
+        team = self.history["teams"][0]
+        limit = team["limit_tasks"] // 2
+        self.write_bundle(path, self.bundle, 2, team["name"], limit)
         command = self.ctl("roll", "--log", topology.LOG, *self.entries(), "--key",
                            self.operator, "--parent", self.bundle, path, "--json")
         start = time.monotonic()
@@ -141,7 +155,7 @@
     def start(self):
         self.make_keys()
         self.read_bundle()
-        self.fleet.start_platform(self.servers)
+        self.start_platform()
         self.fleet.wait_ready(
             lambda: fleet.http("GET", topology.LIST, "/v1/instances?zone=1"), "the platform")
         for number, zone in topology.ENTRIES:
@@ -152,6 +166,7 @@
         self.result["bundle_force_ms"] = round(self.roll(self.bundle), 1)
         self.fleet.wait_ready(self.all_leases_held, "the leases")
         self.fleet.wait_ready(self.all_shards_active, "the shards")
+        self.fleet.wait_ready(self.all_limits_settled, "the limits of teams")
 
     def all_entries_up(self):
         return all(self.fleet.entry_state(number, "bundle") is not None
@@ -175,6 +190,13 @@
             active += sum(shard["state"] == "active" for shard in shards)
         return active == 64 * len(topology.ZONES)
 
+    def all_limits_settled(self):
+        for number, _ in topology.ENTRIES:
+            quota = self.fleet.entry_state(number, "quota")
+            if quota is None or not all(team["settled"] for team in quota["teams"]):
+                return False
+        return True
+
     def measure(self):
         """Returns CPU seconds and wire bytes of each live instance."""
         figures = {}
@@ -203,8 +225,8 @@
         """Runs the load, with the faults in its middle third."""
         options = self.options
         plan = workload.write_plan(self.folder, options.deployment, self.keys)
-        self.callers = os.path.join(self.folder, "callers.jsonl")
-        command = self.ctl("load", *self.entries(), "--plan", plan, "--record", self.callers,
+        self.callers = [os.path.join(self.folder, "callers.jsonl")]
+        command = self.ctl("load", *self.entries(), "--plan", plan, "--record", *self.callers,
                            "--seed", str(options.seed), "--rate", str(options.rate),
                            "--seconds", str(options.seconds), "--drain-s", str(DRAIN_S),
                            "--json")
@@ -262,12 +284,11 @@
         history = topology.write_json(self.folder, "run.json", self.history)
         program = os.path.join(self.options.build, "src", "history",
                                "coltsfootstile_history")
-        records = [os.path.join(self.folder, f"backend-{zone}.jsonl")
-                   for zone in topology.ZONES]
         completed = subprocess.run(
-            [program, "--run", history, "--callers", self.callers,
+            [program, "--run", history,
+             *[option for path in self.callers for option in ("--callers", path)],
              "--log", os.path.join(self.folder, "log.jsonl"),
-             *[option for path in records for option in ("--servers", path)]],
+             *[option for path in self.fleet.records for option in ("--servers", path)]],
             capture_output=True, text=True, timeout=300, check=False)
         if completed.returncode not in (0, 1):
             raise RuntimeError(f"the history checker failed: {completed.stderr.strip()}")
@@ -288,6 +309,8 @@
     parser = argparse.ArgumentParser(prog="scripts/demo.sh", description=__doc__)
     parser.add_argument("--deployment", choices=sorted(topology.FLEETS), default="hangwell")
     parser.add_argument("--seconds", type=int, default=20, help="length of the load")
+    parser.add_argument("--entries", type=int, default=topology.DEFAULT_ENTRIES,
+                        help="number of entry instances")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--rate", type=int, default=300, help="requests a second")
     parser.add_argument("--fault", default="", help="NAME[,NAME]: " + ", ".join(faults.FAULTS))
@@ -303,6 +326,8 @@
             parser.error(f"unknown fault {name}")
     if options.seconds < 3 or options.rate < 1:
         parser.error("--seconds must be at least 3 and --rate at least 1")
+    if not len(topology.ZONES) <= options.entries <= 250:
+        parser.error("--entries must be 3 to 250")
     return options
 
 
@@ -321,6 +346,8 @@
 
 def main(arguments):
     options = parse(arguments)
+    topology.use_entries(options.entries)
+    lock = topology.lock_slot()
     run = Run(options)
     kept = False
     try:
@@ -332,6 +359,7 @@
             max(run.fleet.rss_mb(run.fleet.entry_name(n)) for n, _ in topology.ENTRIES), 1)
     finally:
         unexpected = run.fleet.stop()
+        lock.close()
     run.result["odd_exits"] = unexpected
     kept = run.check_history() and not unexpected and not run.result.get("unplanned_ends")
     print_table(run, kept)
--- a/scripts/demo/topology.py
+++ b/scripts/demo/topology.py
@@ -2,17 +2,14 @@
 
 import json
 import os
+import socket
 
 ZONES = (1, 2, 3)
-ENTRIES = ((1, 1), (2, 1), (3, 1), (4, 2), (5, 2), (6, 2), (7, 3), (8, 3))
 WIRE_PORT = 7000
 HTTP_PORT = 8080
-# Runs with different slots use different addresses, so that they can be concurrent.
-SLOT = int(os.environ.get("COLT_DEMO_SLOT", "0"))
-LOG = f"127.100.{SLOT}.1:8500"
-LIST = f"127.100.{SLOT}.2:8500"
-BACKEND_CONTROL = {zone: f"127.100.{SLOT}.{2 + zone}:8600" for zone in ZONES}
-RELAY_CONTROL = f"127.100.{SLOT}.6:8600"
+CONTROL_PORT = 8600
+DEFAULT_ENTRIES = 8
+SLOTS = range(10)
 SERVER_SLOTS = 8
 SERVER_CONNECTIONS = 64
 
@@ -23,6 +20,47 @@
 }
 
 
+def use_slot(slot):
+    """Chooses addresses. Runs with different slots, 0 to 9, can be concurrent."""
+    global SLOT, LOG, LIST, BACKEND_CONTROL, RELAY_CONTROL, SLOT_LOCK
+    SLOT = slot
+    LOG = f"127.100.{slot}.1:8500"
+    LIST = f"127.100.{slot}.2:8500"
+    BACKEND_CONTROL = {zone: f"127.100.{slot}.{2 + zone}:{CONTROL_PORT}" for zone in ZONES}
+    RELAY_CONTROL = f"127.100.{slot}.6:{CONTROL_PORT}"
+    SLOT_LOCK = (f"127.100.{slot}.7", CONTROL_PORT)
+
+
+def use_entries(count):
+    """Chooses the entry instances, as pairs of number and zone; spread evenly over zones."""
+    global ENTRIES
+    part, rest = divmod(count, len(ZONES))
+    zones = [zone for index, zone in enumerate(ZONES) for _ in range(part + (index < rest))]
+    ENTRIES = tuple(enumerate(zones, 1))
+
+
+def lock_slot():
+    """Chooses COLT_DEMO_SLOT, or else the first slot that is free.
+
+    Returns the socket that reserves it while it is open.
+    """
+    given = os.environ.get("COLT_DEMO_SLOT")
+    for slot in SLOTS if given is None else [int(given)]:
+        use_slot(slot)
+        lock = socket.socket()
+        try:
+            lock.bind(SLOT_LOCK)
+            lock.listen(1)
+            return lock
+        except OSError:
+            lock.close()
+    raise RuntimeError("no slot is free")
+
+
+use_slot(0)
+use_entries(DEFAULT_ENTRIES)
+
+
 def entry_host(number, zone):
     return f"127.{zone + 10 * SLOT}.0.{number}"
 
@@ -31,12 +69,15 @@
     return f"{entry_host(number, dict(ENTRIES)[number])}:{HTTP_PORT}"
 
 
-def make_servers(deployment, rng):
-    """Returns the backend servers of a deployment, with random speeds."""
+def make_servers(deployment, rng, scale=1.0):
+    """Returns the backend servers of a deployment, with random speeds.
+
+    `scale` multiplies the number of servers of each shape.
+    """
     servers = []
     rack = 0
     for count, cores, memory, accelerators, per_rack in FLEETS[deployment]:
-        for index in range(count):
+        for index in range(round(count * scale)):
             if index % per_rack == 0:
                 rack += 1
             number = len(servers) + 1
@@ -58,6 +99,17 @@
     return servers
 
 
+def make_hosts(servers, separate=False):
+    """Returns the processes that simulate servers: one per zone, or one per server."""
+    if separate:
+        return [{"name": f"backend-{server['id']}", "servers": [server],
+                 "control": f"127.{server['zone'] + 10 * SLOT}.2.{server['id']}:{CONTROL_PORT}"}
+                for server in servers]
+    return [{"name": f"backend-{zone}", "control": BACKEND_CONTROL[zone],
+             "servers": [server for server in servers if server["zone"] == zone]}
+            for zone in ZONES]
+
+
 def relay_address(from_zone, number):
     """Returns the address at which a zone reaches an instance of another zone."""
     return f"127.{110 + from_zone}.{SLOT}.{number}:{WIRE_PORT}"
@@ -81,6 +133,16 @@
     return routes
 
 
+def caller_address(number):
+    """Returns the address at which callers reach an instance through the relay."""
+    return f"127.{dict(ENTRIES)[number] + 10 * SLOT}.3.{number}:{HTTP_PORT}"
+
+
+def make_caller_routes():
+    return [{"listen": caller_address(number), "target": entry_http(number),
+             "from": "callers", "to": zone} for number, zone in ENTRIES]
+
+
 def platform_address(zone, service):
     return f"127.{120 + zone}.{SLOT}.{1 if service == 'log' else 2}:8500"
 
--- a/scripts/demo/workload.py
+++ b/scripts/demo/workload.py
@@ -35,6 +35,9 @@
     ),
 }
 
+# Class of requests for which `write_plan` repeats a row with other keys.
+SPARE_CLASS = {"hangwell": "swan", "hashim": "mulu"}
+
 # Team whose key is withdrawn by the fault withdraw-key.
 WITHDRAWN_TEAM = {"hangwell": "riverside-quotes", "hashim": "mulu-plans"}
 
@@ -43,14 +46,26 @@
     return sorted({item[1] for item in CLASSES[deployment]})
 
 
-def write_plan(folder, deployment, keys):
-    """Writes the plan and returns its path; `keys` maps a team to the file of its secret."""
+def spare_team(deployment):
+    """Returns the team whose requests are repeated with spare keys."""
+    return next(item[1] for item in CLASSES[deployment] if item[0] == SPARE_CLASS[deployment])
+
+
+def write_plan(folder, deployment, keys, spares=None):
+    """Writes the plan and returns its path; `keys` maps a team to the file of its secret.
+
+    `spares` maps the names of additional classes to the files of their secrets.
+    """
+    rows = [(item[0], keys[item[1]], *item) for item in CLASSES[deployment]]
+    for name, secret in (spares or {}).items():
+        rows += [(name, secret, *item) for item in CLASSES[deployment]
+                 if item[0] == SPARE_CLASS[deployment]]
     lines = []
-    for (queue, team, kind, share, cores, memory, accelerators, tasks, low, high,
-         deadline, urgent, idempotent, wait) in CLASSES[deployment]:
+    for (name, secret, queue, team, kind, share, cores, memory, accelerators, tasks, low, high,
+         deadline, urgent, idempotent, wait) in rows:
         payload = "run_ms={run_ms};bytes=200;seed={seed}"
-        lines += [f"[class {queue}]", f"queue = {queue}", f"team = {team}",
-                  f"kind = {kind}", f"key_file = {keys[team]}", f"share = {share}",
+        lines += [f"[class {name}]", f"queue = {queue}", f"team = {team}",
+                  f"kind = {kind}", f"key_file = {secret}", f"share = {share}",
                   f"cores_milli = {cores}", f"memory_mb = {memory}",
                   f"accelerators = {accelerators}", "connections = 1",
                   f"tasks = {tasks}",
