Limits: learn process ids in zones of more than seven instances

Cause: leaders grant credits only once they know the process id of each server's owner, and an id was sent on its own probes alone. An instance probes the three members that follow it and is probed by three, so that in a zone of eight or more some ids were never learned, and no work started.

Change: probes also relay the ids of other members of the zone: those just learned on each probe for 3 s, and each id once in eight rounds.

--- a/include/coltsfootstile/membership_link.h
+++ b/include/coltsfootstile/membership_link.h
@@ -15,11 +15,12 @@
 /** Topics that may be piggybacked on probes. */
 enum ColtPiggybackTopic
 {
-  COLT_PIGGYBACK_FRESHNESS = 1, /**< freshness of the sender's log view */
-  COLT_PIGGYBACK_COMPLIANCE,    /**< log offsets that zones comply with */
-  COLT_PIGGYBACK_DEMAND,        /**< waiting and running work of teams */
-  COLT_PIGGYBACK_PROCESS,       /**< process that uses the instance number */
-  COLT_PIGGYBACK_COUNT          /**< upper bound, not a topic */
+  COLT_PIGGYBACK_FRESHNESS = 1,  /**< freshness of the sender's log view */
+  COLT_PIGGYBACK_COMPLIANCE,     /**< log offsets that zones comply with */
+  COLT_PIGGYBACK_DEMAND,         /**< waiting and running work of teams */
+  COLT_PIGGYBACK_PROCESS,        /**< process that uses the instance number */
+  COLT_PIGGYBACK_PEER_PROCESSES, /**< processes of other members of the zone */
+  COLT_PIGGYBACK_COUNT           /**< upper bound, not a topic */
 };
 
 /** Maximum size of a topic's body in bytes. */
--- a/src/coltsfootstile/limits_credits.c
+++ b/src/coltsfootstile/limits_credits.c
@@ -35,7 +35,6 @@
                           int64_t now_us);
 static bool has_no_server_ (const struct ColtLimitsShard *shard,
                             uint64_t process);
-static uint32_t get_instance_ (uint64_t process);
 static void free_owner_ (gpointer data);
 static gboolean equal_u64_ (gconstpointer a, gconstpointer b);
 static guint hash_u64_ (gconstpointer key);
@@ -148,14 +147,20 @@
 colt_limits_get_process (const struct ColtInstanceLimits *limits,
                          uint32_t instance)
 {
-  const uint64_t *process;
+  const struct ColtLimitsProcess *process;
 
   if (instance == limits->instance->number)
     return (limits->instance->incarnation + limits->credit_resets) << 16
            | instance;
   process
       = g_hash_table_lookup (limits->processes, GUINT_TO_POINTER (instance));
-  return process != NULL ? *process : 0;
+  return process != NULL ? process->id : 0;
+}
+
+uint32_t
+colt_limits_get_instance (uint64_t process)
+{
+  return (uint32_t)(process & 0xffff);
 }
 
 void
@@ -216,11 +221,12 @@
             "sending grant to instance %u: shard %u, offset %" G_GUINT64_FORMAT
             ", promise %" G_GUINT64_FORMAT
             ", %zu acks, %zu items, %zu settled servers%s",
-            get_instance_ (grant->owner), grant->shard, grant->offset,
-            grant->promise, grant->ack_count, grant->item_count,
+            colt_limits_get_instance (grant->owner), grant->shard,
+            grant->offset, grant->promise, grant->ack_count, grant->item_count,
             grant->settled_count, grant->recount ? ", reconciliation" : "");
 
-  colt_wire_send (limits->instance->wire, get_instance_ (grant->owner),
+  colt_wire_send (limits->instance->wire,
+                  colt_limits_get_instance (grant->owner),
                   COLT_WIRE_LIMITS_GRANT, body, size);
   free (body);
 }
@@ -407,7 +413,7 @@
         continue;
       colt_log (COLT_LOG_INFO, MODULE, NULL,
                 "shard %u: credits of a former process of instance %u removed",
-                shard->shard, get_instance_ (owner->process));
+                shard->shard, colt_limits_get_instance (owner->process));
       colt_credit_leader_remove_owner (shard->leader, owner->process);
       g_hash_table_iter_remove (&iter);
     }
@@ -422,7 +428,7 @@
               int64_t now_us)
 {
   struct ColtInstanceLimits *limits = shard->limits;
-  uint32_t instance = get_instance_ (owner->process);
+  uint32_t instance = colt_limits_get_instance (owner->process);
   const struct ColtMember *member
       = colt_membership_find (limits->instance->membership, instance);
   bool restarted = colt_limits_get_process (limits, instance) != owner->process;
@@ -469,12 +475,6 @@
   return true;
 }
 
-static uint32_t
-get_instance_ (uint64_t process)
-{
-  return (uint32_t)(process & 0xffff);
-}
-
 static void
 free_owner_ (gpointer data)
 {
--- a/src/coltsfootstile/limits_piggyback.c
+++ b/src/coltsfootstile/limits_piggyback.c
@@ -13,6 +13,10 @@
 #define FULL_SEND_INTERVAL_US (30 * COLT_US_PER_S)
 /* Length of a full send. */
 #define FULL_SEND_DURATION_US (600 * COLT_US_PER_MS)
+/* Time for which each probe relays a process id that was just learned. */
+#define RELAY_TIME_US (3 * COLT_US_PER_S)
+/* Rounds of probes in which every other process id is relayed once. */
+#define RELAY_ROUNDS 8
 
 static size_t fill_compliance_ (void *client, uint8_t body[COLT_PIGGYBACK_MAX]);
 static void merge_compliance_ (void *client,
@@ -26,6 +30,17 @@
                              int64_t requested_us,
                              const uint8_t *body,
                              size_t size);
+static size_t fill_peer_processes_ (void *client,
+                                    uint8_t body[COLT_PIGGYBACK_MAX]);
+static bool should_relay_ (const struct ColtInstanceLimits *limits,
+                           const struct ColtLimitsProcess *process,
+                           int64_t now_us);
+static void record_peer_processes_ (void *client,
+                                    uint32_t instance,
+                                    int64_t requested_us,
+                                    const uint8_t *body,
+                                    size_t size);
+static void record_id_ (struct ColtInstanceLimits *limits, uint64_t process);
 
 void
 colt_limits_set_piggyback_topics (struct ColtInstanceLimits *limits)
@@ -36,6 +51,9 @@
   colt_membership_link_set_topic (limits->instance->link,
                                   COLT_PIGGYBACK_PROCESS, fill_process_,
                                   record_process_, limits);
+  colt_membership_link_set_topic (
+      limits->instance->link, COLT_PIGGYBACK_PEER_PROCESSES,
+      fill_peer_processes_, record_peer_processes_, limits);
 }
 
 void
@@ -132,17 +150,92 @@
                  const uint8_t *body,
                  size_t size)
 {
-  struct ColtInstanceLimits *limits = client;
   uint64_t process;
-  uint64_t current = colt_limits_get_process (limits, instance);
 
   (void)requested_us;
   if (size != sizeof process)
     return;
   memcpy (&process, body, sizeof process);
   process = GUINT64_FROM_BE (process);
-  if ((process & 0xffff) != instance || process <= current)
+  if (colt_limits_get_instance (process) == instance)
+    record_id_ (client, process);
+}
+
+/* An instance probes only some members of its zone, but leaders need the ids of
+ * all owners. */
+static size_t
+fill_peer_processes_ (void *client, uint8_t body[COLT_PIGGYBACK_MAX])
+{
+  struct ColtInstanceLimits *limits = client;
+  int64_t now_us = colt_clock_monotonic_us ();
+  GHashTableIter iter;
+  gpointer value;
+  size_t size = 0;
+
+  g_hash_table_iter_init (&iter, limits->processes);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct ColtLimitsProcess *process = value;
+      uint64_t id = GUINT64_TO_BE (process->id);
+
+      if (!should_relay_ (limits, process, now_us)
+          || size + sizeof id > COLT_PIGGYBACK_MAX)
+        continue;
+      memcpy (body + size, &id, sizeof id);
+      size += sizeof id;
+    }
+  return size;
+}
+
+static bool
+should_relay_ (const struct ColtInstanceLimits *limits,
+               const struct ColtLimitsProcess *process,
+               int64_t now_us)
+{
+  uint32_t instance = colt_limits_get_instance (process->id);
+  const struct ColtMember *member
+      = colt_membership_find (limits->instance->membership, instance);
+
+  if (member == NULL || member->zone != limits->instance->zone
+      || member->state == COLT_MEMBER_DEAD)
+    return false;
+  return now_us < process->learned_us + RELAY_TIME_US
+         || (now_us / COLT_PROBE_INTERVAL_US + instance) % RELAY_ROUNDS == 0;
+}
+
+static void
+record_peer_processes_ (void *client,
+                        uint32_t instance,
+                        int64_t requested_us,
+                        const uint8_t *body,
+                        size_t size)
+{
+  struct ColtInstanceLimits *limits = client;
+  size_t i;
+
+  (void)instance;
+  (void)requested_us;
+  for (i = 0; i + sizeof (uint64_t) <= size; i += sizeof (uint64_t))
+    {
+      uint64_t process;
+
+      memcpy (&process, body + i, sizeof process);
+      process = GUINT64_FROM_BE (process);
+      if (colt_limits_get_instance (process) != limits->instance->number)
+        record_id_ (limits, process);
+    }
+}
+
+/* Ids of later processes of an instance are larger. */
+static void
+record_id_ (struct ColtInstanceLimits *limits, uint64_t process)
+{
+  const struct ColtLimitsProcess learned
+      = { process, colt_clock_monotonic_us () };
+  uint32_t instance = colt_limits_get_instance (process);
+
+  if (process <= colt_limits_get_process (limits, instance))
     return;
   g_hash_table_replace (limits->processes, GUINT_TO_POINTER (instance),
-                        g_memdup2 (&process, sizeof process));
+                        g_memdup2 (&learned, sizeof learned));
 }
--- a/src/coltsfootstile/private/instance_limits.h
+++ b/src/coltsfootstile/private/instance_limits.h
@@ -58,6 +58,13 @@
   uint64_t epoch;    /**< epoch of the owner's lease */
 };
 
+/** A process id of another instance. */
+struct ColtLimitsProcess
+{
+  uint64_t id;
+  int64_t learned_us;
+};
+
 /** An owner's process to which a leader grants credits. */
 struct ColtLimitsOwner
 {
@@ -81,7 +88,7 @@
   /** Per shard, the instance that sent the last grant at the epoch that this
    * owner has promised to follow; 0: none. */
   uint32_t session_leaders[COLT_SHARD_COUNT];
-  GHashTable *processes;     /**< instance -> its process id */
+  GHashTable *processes;     /**< instance -> struct ColtLimitsProcess */
   GHashTable *shard_demands; /**< shard + 1 -> struct ColtDemandDigest; used by
                                   the planner */
   uint64_t digest_sequence;
@@ -122,6 +129,8 @@
  */
 void colt_limits_create_holder (struct ColtInstanceLimits *limits,
                                 uint64_t initial_promise);
+/** Returns the instance number in a process id. */
+uint32_t colt_limits_get_instance (uint64_t process);
 /** Returns the process id of an instance; 0 if it is unknown. */
 uint64_t colt_limits_get_process (const struct ColtInstanceLimits *limits,
                                   uint32_t instance);
