coltsfootstilectl load: refusals end before lost answers do

A request refused 19 times whose last call failed was recorded as no_answer, which the history checker counts as lost.

Change: a refusal is final from the tenth call on.

--- a/src/coltsfootstilectl/load.c
+++ b/src/coltsfootstilectl/load.c
@@ -12,6 +12,9 @@
 #include "coltsfootstile/json.h"
 
 #define STATUS_UNAVAILABLE 503
+/* Calls from which on a refusal is final, so that lost answers can still be
+   asked for. */
+#define REFUSED_CALLS_MAX 10
 #define CALLS_MAX 20 /* most calls of a request until it is accepted */
 #define RETRY_PAUSE_MS 200
 #define POLL_PAUSE_MS 500
@@ -451,7 +454,7 @@
       return;
     }
   if (request->status == STATUS_UNAVAILABLE && request->retries_refusals
-      && request->calls < CALLS_MAX)
+      && request->calls < REFUSED_CALLS_MAX)
     {
       retry_later_ (request, true, RETRY_PAUSE_MS);
       return;
