Limits: no memcpy() from NULL for a shard without demand

Cause: the digest of a zone's demand copies that of each shard, and a shard without any has no array. UBSan ends the process there.

Change: such a shard is left out of the copy.

--- a/src/coltsfootstile/limits_demand.c
+++ b/src/coltsfootstile/limits_demand.c
@@ -171,6 +171,8 @@
     {
       const struct ColtDemandDigest *part = value;
 
+      if (part->demand_count == 0)
+        continue;
       memcpy (digest->demands + count, part->demands,
               part->demand_count * sizeof *part->demands);
       count += part->demand_count;
