Instance: end open calls before the gate is destroyed

Cause: a stopping instance destroyed its gate before the links. Submit, attach and status calls that were still open, for instance to a zone that is cut off, ended only with the links, and their handlers used the freed gate.

Change: colt_wire_end_calls() ends the open calls while their clients exist; an instance calls it first.

Result: /admission/destroyed-during-call fails before (heap-use-after-free in on_submit_reply_()) and passes.

--- a/include/coltsfootstile/gate.h
+++ b/include/coltsfootstile/gate.h
@@ -82,6 +82,9 @@
 /**
  * Creates a gate; colt_gate_listen() makes it accept connections.
  *
+ * The open calls of the wire in \a parts must be ended before the gate is
+ * destroyed.
+ *
  * \param parts   copied; what it points to must outlive the gate
  * \param calls   must outlive the gate
  * \param client  passed to each callback
--- a/include/coltsfootstile/wire.h
+++ b/include/coltsfootstile/wire.h
@@ -86,6 +86,10 @@
                                    uint32_t instance,
                                    uint64_t incarnation);
 
+/** Ends open calls with COLT_WIRE_BROKEN. To be called before their clients are
+ * destroyed. */
+void colt_wire_end_calls (struct ColtWire *wire);
+
 /** Ends open calls, closes all connections and frees the wire; NULL is allowed.
  */
 void colt_wire_destroy (struct ColtWire *wire);
--- a/src/coltsfootstile/instance.c
+++ b/src/coltsfootstile/instance.c
@@ -85,6 +85,8 @@
     return;
   if (instance->timer != NULL)
     event_free (instance->timer);
+  if (instance->wire != NULL)
+    colt_wire_end_calls (instance->wire);
   colt_gate_destroy (instance->gate);
   colt_list_poller_destroy (instance->list);
   colt_log_client_destroy (instance->log);
--- a/src/test_admission/gate_fixture.c
+++ b/src/test_admission/gate_fixture.c
@@ -262,6 +262,7 @@
 gate_tear_down (struct ColtGateFixture *fixture, gconstpointer data)
 {
   (void)data;
+  colt_wire_end_calls (fixture->wire);
   colt_gate_destroy (fixture->gate);
   colt_wire_destroy (fixture->wire);
   colt_wire_destroy (fixture->home);
--- a/src/test_admission/test_admission.c
+++ b/src/test_admission/test_admission.c
@@ -362,6 +362,15 @@
     close (fds[i]);
 }
 
+/* The home's reply to a submit call is still awaited when the gate goes. */
+static void
+test_destroyed_during_call (struct ColtGateFixture *fixture, gconstpointer data)
+{
+  (void)data;
+  gate_post_and_close (fixture, KEY_HEADER, VALID_BODY);
+  g_assert_cmpuint (fixture->submit_count, ==, 1);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -381,6 +390,7 @@
   ADD_TEST ("caller-goes-away", test_caller_disconnects);
   ADD_TEST ("no-lead", test_no_leader);
   ADD_TEST ("stop", test_stopped_gate);
+  ADD_TEST ("destroyed-during-call", test_destroyed_during_call);
   g_test_add ("/admission/connections", struct ColtGateFixture, NULL,
               gate_set_up, test_connection_limit, gate_tear_down);
   return g_test_run ();
--- a/src/wire/wire.c
+++ b/src/wire/wire.c
@@ -132,6 +132,15 @@
   return wire;
 }
 
+void
+colt_wire_end_calls (struct ColtWire *wire)
+{
+  uint64_t handle;
+
+  while ((handle = colt_table_next (wire->calls, COLT_HANDLE_NONE)) != 0)
+    end_call_ (colt_table_get (wire->calls, handle), COLT_WIRE_BROKEN, NULL, 0);
+}
+
 void
 colt_wire_destroy (struct ColtWire *wire)
 {
@@ -141,8 +150,7 @@
     return;
   if (wire->listener != NULL)
     evconnlistener_free (wire->listener);
-  while ((handle = colt_table_next (wire->calls, COLT_HANDLE_NONE)) != 0)
-    end_call_ (colt_table_get (wire->calls, handle), COLT_WIRE_BROKEN, NULL, 0);
+  colt_wire_end_calls (wire);
   while ((handle = colt_table_next (wire->links, COLT_HANDLE_NONE)) != 0)
     close_link_ (colt_table_get (wire->links, handle), COLT_WIRE_BROKEN);
   colt_table_destroy (wire->calls);
