--- a/scripts/demo/fleet.py
+++ b/scripts/demo/fleet.py
@@ -41,7 +41,8 @@
         log = open(os.path.join(self.folder, f"{name}.log"), "ab")
         self.commands[name] = command
         self.processes[name] = subprocess.Popen(
-            command, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+            command, stdout=log, stderr=log, stdin=subprocess.DEVNULL,
+            start_new_session=True)
         log.close()
 
     def standin_command(self, program, *arguments):
