--- a/src/test_admission/test_admission.c
+++ b/src/test_admission/test_admission.c
@@ -471,6 +471,15 @@
     close (fds[i]);
 }
 
+/* The home's reply to a submit call is still awaited when the gate goes. */
+static void
+test_destroyed_during_call (struct ColtGateFixture *fixture, gconstpointer data)
+{
+  (void)data;
+  gate_post_and_close (fixture, KEY_HEADER, VALID_BODY);
+  g_assert_cmpuint (fixture->submit_count, ==, 1);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -497,6 +506,7 @@
               test_attach_calls_cover_all, gate_tear_down);
   ADD_TEST ("attach/forgotten", test_forgotten_request_is_submitted_again);
   ADD_TEST ("destroyed/submit", test_destroyed_with_open_submit);
+  ADD_TEST ("destroyed-during-call", test_destroyed_during_call);
   g_test_add ("/admission/connections", struct ColtGateFixture, NULL,
               gate_set_up, test_connection_limit, gate_tear_down);
   return g_test_run ();
