--- a/src/scheduler/server_orders.c
+++ b/src/scheduler/server_orders.c
@@ -25,7 +25,7 @@
                              bool answered);
 static uint32_t start_timeout_ms_ (const struct ColtServerLink *link,
                                    const struct ColtServerOrder *order);
-static bool would_wait_for_good_ (const struct ColtServerLink *link);
+static bool is_resend_blocked_ (const struct ColtServerLink *link);
 static void handle_order_answer_ (void *client,
                                   const struct ColtServerAnswer *answer);
 static void close_start_lease_ (struct ColtServerLink *link,
@@ -272,10 +272,11 @@
              : at_least_ms;
 }
 
-/* Returns whether a start would stay in the queue until leases have expired.
- * Starts that waited when the server became unreachable have been withdrawn. */
+/* Returns whether a start that is sent again would wait until the leases have
+ * expired, like those that were withdrawn when the server became unreachable.
+ */
 static bool
-would_wait_for_good_ (const struct ColtServerLink *link)
+is_resend_blocked_ (const struct ColtServerLink *link)
 {
   return colt_link_is_unreachable (link)
          && colt_link_is_silent (link, colt_clock_monotonic_us ());
@@ -297,7 +298,7 @@
   if (order->start && link->settings.window != NULL)
     release_window_ (link, order, result != COLT_START_UNKNOWN);
   if (order->start && !order->resent && !order->lost
-      && result == COLT_START_UNKNOWN && !would_wait_for_good_ (link))
+      && result == COLT_START_UNKNOWN && !is_resend_blocked_ (link))
     {
       order->resent = true;
       count_backlog_ (link, order, true);
