--- a/src/scheduler/election.c
+++ b/src/scheduler/election.c
@@ -59,7 +59,6 @@
   uint32_t named_successor; /* to be recorded when this instance leaves */
   uint64_t term;            /* highest seen */
   uint64_t claimed_term;    /* of the open claim; 0: none */
-  char leader_name[COLT_ERROR_PEER_SIZE];
   char leader_address[COLT_ERROR_PEER_SIZE]; /* "" when there is none */
   bool synced;                               /* the topic has been read */
   bool fenced;                               /* a later term exists */
@@ -268,8 +267,6 @@
       election->successor = leader->vacant ? leader->successor : 0;
       if (election->successor == election->instance)
         event_active (election->timer, EV_TIMEOUT, 0);
-      g_strlcpy (election->leader_name, leader->instance,
-                 sizeof election->leader_name);
       g_strlcpy (election->leader_address, leader->address,
                  sizeof election->leader_address);
     }
@@ -517,8 +514,6 @@
    * than the reading of this one. */
   if (colt_guard_on (COLT_GUARD_CLAIM_TIME) || election->confirmed_us == 0)
     election->confirmed_us = election->claim_us;
-  g_strlcpy (election->leader_name, election->settings->name,
-             sizeof election->leader_name);
   g_strlcpy (election->leader_address, election->settings->internal,
              sizeof election->leader_address);
   colt_log (COLT_LOG_INFO, MODULE, NULL, "became the leader in term %llu",
--- a/src/scheduler/private/scheduler_state.h
+++ b/src/scheduler/private/scheduler_state.h
@@ -26,11 +26,10 @@
   GHashTable *waiting_counts; /* queue -> waiting jobs, from the leader */
   GPtrArray *requests;        /* of struct ColtRequest */
   int64_t answered_us;        /* when a request was last answered */
-  uint32_t leader_instance;
-  int64_t elected_us;      /* when this instance became leader */
-  uint64_t last_term;      /* latest term that this instance has seen */
-  int64_t last_term_us;    /* when last_term began */
-  int64_t previous_led_us; /* how long the previous leader led */
+  int64_t elected_us;         /* when this instance became leader */
+  uint64_t last_term;         /* latest term that this instance has seen */
+  int64_t last_term_us;       /* when last_term began */
+  int64_t previous_led_us;    /* how long the previous leader led */
   bool stopping;
   int64_t stopping_us;
 };
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -309,7 +309,6 @@
   if (instance == scheduler->instance)
     return;
   colt_wire_set_peer (scheduler->wire, instance, address);
-  scheduler->leader_instance = instance;
   heartbeat.term = colt_election_term (scheduler->election);
   /* A stopping instance must not become the leader. */
   heartbeat.strength_milli
