--- a/cmake/ColtPackage.cmake
+++ b/cmake/ColtPackage.cmake
@@ -76,19 +76,19 @@
 endfunction()
 
 # colt_fuzzer(NAME RUNS LIBS ...) builds fuzz/fuzz_NAME.c as a libFuzzer target
-# with a fixed seed and run count for ctest. It starts from the files in
-# fuzz/seeds/NAME, if there are any, of which each is run.
+# with a fixed seed and run count for ctest. It starts from the files in the folder
+# SEEDS, if one is given, of which each is run.
 function(colt_fuzzer name runs)
-  cmake_parse_arguments(P "" "" "LIBS" ${ARGN})
+  cmake_parse_arguments(P "" "SEEDS" "LIBS" ${ARGN})
   if(NOT COLT_FUZZ)
     return()
   endif()
   add_executable(fuzz_${name} ${CMAKE_SOURCE_DIR}/fuzz/fuzz_${name}.c)
   target_link_libraries(fuzz_${name} PRIVATE colt_flags ${P_LIBS} PkgConfig::GLIB)
   target_link_options(fuzz_${name} PRIVATE -fsanitize=fuzzer)
-  file(GLOB seeds CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/fuzz/seeds/${name}/*)
   set(seed_option)
-  if(seeds)
+  if(P_SEEDS)
+    file(GLOB seeds CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/${P_SEEDS}/*)
     list(JOIN seeds "," seed_list)
     set(seed_option -seed_inputs=${seed_list})
     add_test(NAME fuzz_${name}_seeds COMMAND fuzz_${name} ${seeds})
