--- a/review/stand/stand.py
+++ b/review/stand/stand.py
@@ -160,6 +160,7 @@
         self.servers = []
         self.calls = 0
         self.rejected = 0
+        self.largest = 0  # record, in bytes
 
     async def open_address(self):
         server = HttpServer(self.handle)
@@ -231,6 +232,7 @@
             size = struct.unpack(">I", body[at:at + 4])[0]
             records.append(body[at + 4:at + 4 + size])
             at += 4 + size
+        self.largest = max([self.largest] + [len(r) for r in records])
         too_large = len(body) > CALL_BYTES or any(len(r) > RECORD_BYTES for r in records)
         if self.down is not None:
             self.handle(connection, "GET", "/", {}, b"")
