--- a/review/stand/stand.py
+++ b/review/stand/stand.py
@@ -351,10 +351,19 @@
         self.address = ""
         self.port = 0
         self.up = False
+        self.lives = 0
         self.silent = False  # cut off: calls get no answer
 
     async def start(self):
-        self.server = HttpServer(self.handle)
+        self.lives += 1
+        life = self.lives
+
+        def handle(*call):
+            """Calls on connections of a former life reach nobody."""
+            if self.up and life == self.lives:
+                self.handle(*call)
+
+        self.server = HttpServer(handle)
         await self.server.listen(port=self.port)
         self.port = self.server.port
         self.address = "127.0.0.1:%d" % self.port
