--- a/review/stand/stand.py
+++ b/review/stand/stand.py
@@ -746,7 +746,8 @@
                              "weight": 11,
                              "maximum": {"cpu": 100000000, "memMb": 100000000, "gpus": 1000}}]}
 
-    async def open(self, workers, plan, labels=None, instances=3, **queue):
+    async def open(self, workers, plan, labels=None, instances=3, advice="127.0.0.1:1",
+                   **queue):
         if not os.access(PROGRAM[0], os.X_OK):
             raise CannotRun("the deploy file's program isn't built")
         self.store.put("keyed.op", "config", self.config(7, **queue))
@@ -762,7 +763,7 @@
             zone = self.ZONES[i % 3]
             instance = Instance(self.record, self.folder, "front-%s-%d" % (zone, i // 3 + 1), zone,
                                 "127.0.%d.%d" % (base, i + 1), await self.store.open_address(),
-                                "127.0.0.1:1")
+                                advice)
             instance.start()
             self.instances.append(instance)
         await self.wait_ready()
