--- a/review/5/case.py
+++ b/review/5/case.py
@@ -9,9 +9,9 @@
 sys.path.insert(0, os.path.join(HERE, "..", "stand"))
 import stand  # noqa: E402
 
-FIRST_S = 8.0  # work of the first step
+FIRST_S = 18.0  # work of the first step, until all are restarted
 SECOND_S = 1.0
-FAILS_AT_S = 30.0  # one task that lasts fails then
+FAILS_AT_S = 32.0  # one task that lasts fails then
 NOT_RESTARTED_S = 9.0  # 3 s, from 6 s after the last run
 FINISH_S = 14.0
 QUIET_S = 3.0
@@ -69,7 +69,7 @@
     run = next(r for r in worker.running.values() if r.spec == "lasting")
     record.say("bench", "fails", run.task, "on", worker.id)
     worker.end_run(run, "failed")
-    await asyncio.sleep(max(NOT_RESTARTED_S, FINISH_S + QUIET_S - FAILS_AT_S) + 1.0)
+    await asyncio.sleep(max(NOT_RESTARTED_S, FIRST_S + FINISH_S + QUIET_S - FAILS_AT_S) + 1.0)
     problems = []
     if not any(run.task in w.running for w in deployment.workers):
         problems.append("%s, a task that lasts, hasn't been restarted for %.1f s" % (
