--- a/review/stand/stand.py
+++ b/review/stand/stand.py
@@ -838,6 +838,8 @@
     """Runs main(deployment, trouble), which returns the problems that break the
     rule. Returns the exit status of the case."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda *_: sys.exit(2))  # ends the processes too
     deployment = Deployment(case, verbose)
 
     async def run():
@@ -851,7 +853,7 @@
         problems = asyncio.run(run())
         for problem in problems:
             deployment.record.say("check", "broken", problem)
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    except Exception as error:  # pylint: disable=broad-except
         deployment.record.say("check", "can't run", repr(error))
         print("can't run:", repr(error))
         return 2
