--- a/review/stand/stand.py
+++ b/review/stand/stand.py
@@ -8,6 +8,7 @@
 import os
 import random
 import re
+import shutil
 import signal
 import socket
 import struct
@@ -827,9 +828,7 @@
             instance.end()
         self.record.close()
         if os.environ.get("KEEP", "0") != "1":
-            for name in os.listdir(self.folder):
-                os.unlink(os.path.join(self.folder, name))
-            os.rmdir(self.folder)
+            shutil.rmtree(self.folder, ignore_errors=True)
         else:
             print("kept", self.folder, file=sys.stderr)
 
