--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,7 +11,7 @@
 
 TASKS = 700
 TASK_S = 3.0  # mean; the tasks take 0.6 to 1.4 times as long
-DOWN_S = 4.5
+DOWN_S = 4.2
 
 
 def plan(_worker, run):
@@ -35,8 +35,8 @@
         w.id: len(w.running) for w in deployment.workers})
     if trouble:
         await asyncio.sleep(1.0)
-        record.say("store", "down", "503 for", DOWN_S, "s")
-        deployment.store.down = "busy"
+        record.say("store", "down", "resets for", DOWN_S, "s")
+        deployment.store.down = "reset"
         await asyncio.sleep(DOWN_S)
         deployment.store.down = None
         record.say("store", "up", "unacked ends:", {
--- a/review/stand/stand.py
+++ b/review/stand/stand.py
@@ -156,7 +156,7 @@
     def __init__(self, record):
         self.record = record
         self.topics = {}
-        self.down = None  # None, "busy" or "silent": for all machines
+        self.down = None  # None, "busy", "reset" or "silent": for all machines
         self.free_at = 0.0  # when the last append ends
         self.servers = []
         self.calls = 0
@@ -198,6 +198,9 @@
         self.calls += 1
         if self.down == "silent":
             return
+        if self.down == "reset":
+            connection.reset()
+            return
         if self.down == "busy":
             self.later(ANSWER_MS, connection, 503, {})
             return
