Scheduler: log and count what confirms a leadership

A leader's leases last as long as its leadership is confirmed: by the log, or, if the log is taken as down, by the instances in contact with it. No log line told the two apart, so that leases that outlive a leader's term could come from either, from a server's clock, or from a wait of the next leader that is too short.

The change between the two is logged with the term and the age of the log's last confirmation, and counted (confirmed_without_log).

--- a/src/scheduler/metrics.c
+++ b/src/scheduler/metrics.c
@@ -46,6 +46,8 @@
     "Version of the configuration in force" },
   { COLT_COUNTER_GAUGE, "scheduler_log_age_ms",
     "Time since the log was last reached" },
+  { COLT_COUNTER_TOTAL, "scheduler_confirmed_without_log",
+    "Times that instances confirmed its leadership in the log's place" },
   { COLT_COUNTER_GAUGE, "cell_jobs", "Jobs known, also ended ones" },
   { COLT_COUNTER_GAUGE, "cell_open_steps", "Steps with tasks that wait" },
   { COLT_COUNTER_GAUGE, "cell_runs", "Runs that are on servers, or may be" },
--- a/src/scheduler/private/scheduler_state.h
+++ b/src/scheduler/private/scheduler_state.h
@@ -30,6 +30,7 @@
   uint64_t last_term;         /* latest term that this instance has seen */
   int64_t last_term_us;       /* when last_term began */
   int64_t previous_led_us;    /* how long the previous leader led */
+  bool confirmed_by_members;  /* its leadership, and not by the log */
   bool stopping;
   int64_t stopping_us;
 };
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -49,6 +49,9 @@
 static void send_heartbeat_ (evutil_socket_t fd, short what, void *arg);
 static void confirm_leadership_ (struct ColtScheduler *scheduler,
                                  int64_t now_us);
+static void log_confirmation_ (const struct ColtScheduler *scheduler,
+                               bool by_members,
+                               int64_t now_us);
 static double present_strength_ (const struct ColtScheduler *scheduler);
 static void yield_if_weak_ (struct ColtScheduler *scheduler, int64_t now_us);
 static void handle_heartbeat_reply_ (void *client,
@@ -247,6 +250,7 @@
   scheduler->previous_led_us = scheduler->elected_us - scheduler->last_term_us;
   scheduler->last_term_us = scheduler->elected_us;
   scheduler->last_term = term;
+  scheduler->confirmed_by_members = false;
   confirm_leadership_ (scheduler, scheduler->elected_us);
 }
 
@@ -328,8 +332,16 @@
 confirm_leadership_ (struct ColtScheduler *scheduler, int64_t now_us)
 {
   int64_t confirmed_us = colt_election_confirmed_us (scheduler->election);
+  bool by_members = colt_members_log_is_down (scheduler->members, now_us);
 
-  if (colt_members_log_is_down (scheduler->members, now_us))
+  if (by_members != scheduler->confirmed_by_members)
+    {
+      log_confirmation_ (scheduler, by_members, now_us);
+      if (by_members)
+        colt_metrics_count (scheduler->metrics, METRIC_CONFIRMED_WITHOUT_LOG);
+    }
+  scheduler->confirmed_by_members = by_members;
+  if (by_members)
     confirmed_us = now_us;
   colt_leader_set_confirmed (scheduler->leader, confirmed_us);
   colt_cell_set_advisers (
@@ -337,6 +349,26 @@
       colt_members_count_advisers (scheduler->members, now_us));
 }
 
+/* Logs what confirms the leadership from now on. */
+static void
+log_confirmation_ (const struct ColtScheduler *scheduler,
+                   bool by_members,
+                   int64_t now_us)
+{
+  int64_t log_age_us
+      = now_us - colt_election_confirmed_us (scheduler->election);
+  const struct ColtLogField fields[]
+      = { { "term", NULL, (int64_t)colt_election_term (scheduler->election) },
+          { "log_confirmed_ms_ago", NULL, log_age_us / COLT_US_PER_MS } };
+
+  colt_log_event (COLT_LOG_INFO, MODULE,
+                  by_members ? "the instances confirm the leadership in the "
+                               "log's place; leases are renewed"
+                             : "only the log confirms the leadership; leases "
+                               "end with its confirmation",
+                  NULL, fields, G_N_ELEMENTS (fields));
+}
+
 /* Returns the strength at the present speed of the machine. */
 static double
 present_strength_ (const struct ColtScheduler *scheduler)
