Scheduler: leases are renewed without the log only while all instances follow

Cause: the leader took the log as down once more than half of the instances that it knew were in contact with it and none of them reached the log, and went on renewing leases. But a claim needs the log and one instance, no majority. An instance outside led since 41.6 s, waited for leases that should have ended, and started the work again at 48.0 s, while the former leader renewed until 53 s.

Change: replies to heartbeats have a stamp of the leader's clock, which the next heartbeats return while their sender follows that leader. Without the log, leases end 5 s after the earliest of the latest stamps of all instances that may rely on their contact with the leader, which is 8 s for each, and 25 s after the log's last confirmation. An instance that claims without such contact waits 20 s longer and records it, for the leaders after it. An instance that is stopped while it yields leadership no longer takes part in elections.

--- a/include/coltsfootstile/cell.pb-c.h
+++ b/include/coltsfootstile/cell.pb-c.h
@@ -264,10 +264,14 @@
    * instance that should lead next; 0: none
    */
   uint32_t successor;
+  /*
+   * how long after this record instances may confirm earlier leaders
+   */
+  uint32_t extension_ms;
 };
 #define COLT_LEAD_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&colt_lead_record__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -358,10 +362,22 @@
    * thousandths of its strength; 0: must not lead
    */
   uint32_t strength_milli;
+  /*
+   * the instance won't claim leadership any more
+   */
+  protobuf_c_boolean leaving;
+  /*
+   * when it was sent, on the sender's clock
+   */
+  uint64_t sent_us;
+  /*
+   * latest stamp of the term's leader that arrived while the sender followed it; 0: none
+   */
+  uint64_t stamp_us;
 };
 #define COLT_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&colt_beat__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -387,10 +403,18 @@
    * the replier leads and the log accepts its renewals
    */
   protobuf_c_boolean is_lead;
+  /*
+   * when it was sent, on the leader's clock; 0: the replier doesn't lead this term
+   */
+  uint64_t stamp_us;
+  /*
+   * sent_us of the heartbeat
+   */
+  uint64_t beat_sent_us;
 };
 #define COLT_BEAT_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&colt_beat_reply__descriptor) \
-    , 0, 0, 0,NULL, 0 }
+    , 0, 0, 0,NULL, 0, 0, 0 }
 
 
 /*
--- a/include/coltsfootstile/guard.h
+++ b/include/coltsfootstile/guard.h
@@ -41,6 +41,8 @@
   COLT_GUARD_INCARNATION,
   /** A loss of a server counts for runs that started before it was shown. */
   COLT_GUARD_EVIDENCE,
+  /** Leases are renewed only while all instances follow the leader. */
+  COLT_GUARD_FOLLOWERS,
   COLT_GUARD_COUNT /**< number of guards, not a guard */
 };
 
--- a/src/cell/cell.pb-c.c
+++ b/src/cell/cell.pb-c.c
@@ -1277,7 +1277,7 @@
   (ProtobufCMessageInit) colt_job_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor colt_lead_record__field_descriptors[6] =
+static const ProtobufCFieldDescriptor colt_lead_record__field_descriptors[7] =
 {
   {
     "instance",
@@ -1351,9 +1351,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "extension_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ColtLeadRecord, extension_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned colt_lead_record__field_indices_by_name[] = {
   1,   /* field[1] = address */
+  6,   /* field[6] = extension_ms */
   4,   /* field[4] = incarnation */
   0,   /* field[0] = instance */
   5,   /* field[5] = successor */
@@ -1363,7 +1376,7 @@
 static const ProtobufCIntRange colt_lead_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor colt_lead_record__descriptor =
 {
@@ -1373,7 +1386,7 @@
   "ColtLeadRecord",
   "",
   sizeof(ColtLeadRecord),
-  6,
+  7,
   colt_lead_record__field_descriptors,
   colt_lead_record__field_indices_by_name,
   1,  colt_lead_record__number_ranges,
@@ -1611,7 +1624,7 @@
   (ProtobufCMessageInit) colt_queue_count__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor colt_beat__field_descriptors[4] =
+static const ProtobufCFieldDescriptor colt_beat__field_descriptors[7] =
 {
   {
     "term",
@@ -1661,17 +1674,56 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaving",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(ColtBeat, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ColtBeat, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stamp_us",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ColtBeat, stamp_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned colt_beat__field_indices_by_name[] = {
+  4,   /* field[4] = leaving */
   2,   /* field[2] = log_age_ms */
   1,   /* field[1] = log_reached */
+  5,   /* field[5] = sent_us */
+  6,   /* field[6] = stamp_us */
   3,   /* field[3] = strength_milli */
   0,   /* field[0] = term */
 };
 static const ProtobufCIntRange colt_beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor colt_beat__descriptor =
 {
@@ -1681,14 +1733,14 @@
   "ColtBeat",
   "",
   sizeof(ColtBeat),
-  4,
+  7,
   colt_beat__field_descriptors,
   colt_beat__field_indices_by_name,
   1,  colt_beat__number_ranges,
   (ProtobufCMessageInit) colt_beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor colt_beat_reply__field_descriptors[4] =
+static const ProtobufCFieldDescriptor colt_beat_reply__field_descriptors[6] =
 {
   {
     "term",
@@ -1738,17 +1790,43 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stamp_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ColtBeatReply, stamp_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "beat_sent_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ColtBeatReply, beat_sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned colt_beat_reply__field_indices_by_name[] = {
+  5,   /* field[5] = beat_sent_us */
   2,   /* field[2] = counts */
   3,   /* field[3] = is_lead */
   1,   /* field[1] = leads */
+  4,   /* field[4] = stamp_us */
   0,   /* field[0] = term */
 };
 static const ProtobufCIntRange colt_beat_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor colt_beat_reply__descriptor =
 {
@@ -1758,7 +1836,7 @@
   "ColtBeatReply",
   "",
   sizeof(ColtBeatReply),
-  4,
+  6,
   colt_beat_reply__field_descriptors,
   colt_beat_reply__field_indices_by_name,
   1,  colt_beat_reply__number_ranges,
--- a/src/scheduler/election.c
+++ b/src/scheduler/election.c
@@ -74,9 +74,13 @@
   int64_t claim_delay_us; /* of this instance's next claim */
   int64_t renewed_us;     /* when the last renewal was sent */
   int64_t leave_deadline_us;
-  int64_t confirmed_us; /* when the last successful renewal was sent */
-  uint64_t sent_term;   /* of the last claim that was sent */
-  int64_t claim_us;     /* when the first claim of sent_term was sent */
+  int64_t confirmed_us;       /* when the last successful renewal was sent */
+  uint64_t sent_term;         /* of the last claim that was sent */
+  int64_t claim_us;           /* when the first claim of sent_term was sent */
+  int64_t claim_extension_us; /* of claims of sent_term */
+  int64_t extended_until_us;  /* instances may confirm earlier leaders */
+  uint64_t contact_term;      /* of the leader that a heartbeat last reached */
+  int64_t contact_us;         /* when that heartbeat was sent */
 };
 
 static void handle_record_ (void *client, const struct ColtLogRecord *record);
@@ -91,6 +95,8 @@
 static void handle_renewal_ (void *client, const struct ColtLogAnswer *answer);
 static void handle_claim_ (void *client, const struct ColtLogAnswer *answer);
 static void handle_leave_ (void *client, const struct ColtLogAnswer *answer);
+static void prepare_claim_ (struct ColtElection *election, uint64_t term);
+static bool has_contact_ (const struct ColtElection *election, int64_t now_us);
 static int64_t claim_due_us_ (const struct ColtElection *election);
 static int64_t draw_claim_delay_us_ (const struct ColtElection *election);
 static void become_leader_ (struct ColtElection *election, uint64_t term);
@@ -141,6 +147,7 @@
 void
 colt_election_leave (struct ColtElection *election, uint32_t successor)
 {
+  election->yielding = false;
   election->named_successor = successor;
   election->leave_deadline_us = colt_clock_monotonic_us () + LEAVE_TIMEOUT_US;
   if (election->role == ROLE_LEADER)
@@ -158,8 +165,8 @@
 {
   if (election->role != ROLE_LEADER)
     return false;
-  election->yielding = true;
   colt_election_leave (election, successor);
+  election->yielding = true;
   return true;
 }
 
@@ -195,12 +202,37 @@
   return election->role == ROLE_LEADER || election->role == ROLE_LEAVING;
 }
 
+bool
+colt_election_is_renewing (const struct ColtElection *election)
+{
+  return election->role == ROLE_LEADER;
+}
+
 bool
 colt_election_was_named (const struct ColtElection *election)
 {
   return election->named;
 }
 
+void
+colt_election_set_contact (struct ColtElection *election,
+                           uint64_t term,
+                           int64_t sent_us)
+{
+  if (term < election->contact_term)
+    return;
+  if (term > election->contact_term)
+    election->contact_us = 0;
+  election->contact_term = term;
+  election->contact_us = MAX (election->contact_us, sent_us);
+}
+
+int64_t
+colt_election_extension_us (const struct ColtElection *election)
+{
+  return MAX (election->extended_until_us - colt_clock_monotonic_us (), 0);
+}
+
 uint64_t
 colt_election_term (const struct ColtElection *election)
 {
@@ -265,6 +297,8 @@
       election->term = leader->term;
       election->vacant = leader->vacant;
       election->successor = leader->vacant ? leader->successor : 0;
+      election->extended_until_us
+          = election->leader_seen_us + leader->extension_ms * COLT_US_PER_MS;
       if (election->successor == election->instance)
         event_active (election->timer, EV_TIMEOUT, 0);
       g_strlcpy (election->leader_address, leader->address,
@@ -376,6 +410,12 @@
   leader.vacant = vacant;
   leader.successor = vacant ? election->named_successor : 0;
   leader.incarnation = election->incarnation;
+  if (!colt_election_is_leader (election))
+    prepare_claim_ (election, term);
+  leader.extension_ms = (uint32_t)((colt_election_is_leader (election)
+                                        ? colt_election_extension_us (election)
+                                        : election->claim_extension_us)
+                                   / COLT_US_PER_MS);
   record.size = colt_lead_record__get_packed_size (&leader);
   value = g_malloc (record.size);
   colt_lead_record__pack (&leader, value);
@@ -387,13 +427,44 @@
   append.at = election->end;
   append.timeout_ms = CALL_TIMEOUT_MS;
   election->busy = true;
-  if (!colt_election_is_leader (election) && term != election->sent_term)
+  election->ports->log_append (election->channel, &append, done, election);
+  g_free (value);
+}
+
+/* Records what a claim that is about to be sent relies on. Any of the claims
+ * sent for a term may be the one that takes effect. */
+static void
+prepare_claim_ (struct ColtElection *election, uint64_t term)
+{
+  int64_t now_us = colt_clock_monotonic_us ();
+  int64_t extension_us = colt_election_extension_us (election);
+
+  if (!has_contact_ (election, now_us))
+    {
+      colt_log (COLT_LOG_INFO, MODULE, NULL,
+                "claiming without recent contact with the leader; its leases "
+                "may last %lld s longer",
+                (long long)(COLT_EXTENSION_MAX_US / COLT_US_PER_S));
+      extension_us = MAX (extension_us, COLT_EXTENSION_MAX_US);
+    }
+  if (term != election->sent_term)
     {
       election->sent_term = term;
-      election->claim_us = colt_clock_monotonic_us ();
+      election->claim_us = now_us;
+      election->claim_extension_us = 0;
     }
-  election->ports->log_append (election->channel, &append, done, election);
-  g_free (value);
+  election->claim_extension_us
+      = MAX (election->claim_extension_us, extension_us);
+}
+
+/* Returns whether the leader of the newest term is only confirmed with this
+ * instance's word, or has left, so that it can't be confirmed after a claim. */
+static bool
+has_contact_ (const struct ColtElection *election, int64_t now_us)
+{
+  return election->term == 0 || election->vacant
+         || (election->contact_term == election->term
+             && now_us - election->contact_us <= COLT_CONTACT_MAX_US);
 }
 
 static void
@@ -509,6 +580,8 @@
   election->vacant = false;
   election->renewal_rejected = false;
   election->renewed_us = 0;
+  election->extended_until_us
+      = colt_clock_monotonic_us () + election->claim_extension_us;
   /* Any of the claims sent for this term may be the one that took effect. A
    * later leader that read it counts from its own claim, which may be earlier
    * than the reading of this one. */
--- a/src/scheduler/leader.c
+++ b/src/scheduler/leader.c
@@ -185,12 +185,24 @@
   schedule_placement_ (leader);
 }
 
+void
+colt_leader_set_extension (struct ColtLeader *leader, int64_t extension_us)
+{
+  leader->extension_us = extension_us;
+}
+
 void
 colt_leader_set_confirmed (struct ColtLeader *leader, int64_t confirmed_us)
 {
   leader->confirmed_us = confirmed_us;
+  colt_leader_extend_leases (leader, confirmed_us);
+}
+
+void
+colt_leader_extend_leases (struct ColtLeader *leader, int64_t followed_us)
+{
   leader->confirmed_until_us
-      = confirmed_us + lease_duration_ms_ (leader) * COLT_US_PER_MS;
+      = followed_us + lease_duration_ms_ (leader) * COLT_US_PER_MS;
 }
 
 void
@@ -265,7 +277,7 @@
 {
   int64_t lease_ms = lease_duration_ms_ (leader);
 
-  return leader->created_us
+  return leader->created_us + leader->extension_us
          + (lease_ms + lease_ms / 20 + SETTLE_SLACK_MS) * COLT_US_PER_MS;
 }
 
--- a/src/scheduler/members.c
+++ b/src/scheduler/members.c
@@ -3,11 +3,14 @@
 #include <glib.h>
 
 #include "coltsfootstile/clock.h"
+#include "coltsfootstile/guard.h"
+#include "scheduler_private.h"
 
 /* A member counts as live this long after a heartbeat: two may be lost. */
 #define HEARTBEAT_TIMEOUT_US (1300 * COLT_US_PER_MS)
-/* A member without a heartbeat for this long no longer counts as known. */
-#define MEMBER_EXPIRY_US (60 * COLT_US_PER_S)
+/* Added to the time for which an instance relies on its contact with the
+ * leader, for clocks of different rates. */
+#define CONTACT_SLACK_US (500 * COLT_US_PER_MS)
 /* A member that reached the log this recently isn't cut off from it: reads
  * wait up to 1500 ms for a record. */
 #define LOG_AGE_MAX_MS 2500
@@ -22,6 +25,8 @@
   int64_t heartbeat_us; /* when the last heartbeat arrived */
   uint32_t log_age_ms;  /* time since it reached the log, at that heartbeat */
   double strength;
+  bool leaving;        /* it won't claim leadership any more */
+  int64_t followed_us; /* latest time at which it followed this leader */
   uint32_t open_advice_calls;
   int64_t paused_until_us;
   int64_t last_advice_us;
@@ -34,6 +39,8 @@
 
 static struct ColtMember *find_member_ (const struct ColtMembers *members,
                                         uint32_t instance);
+static bool may_rely_on_contact_ (const struct ColtMember *member,
+                                  int64_t log_confirmed_us);
 
 struct ColtMembers *
 colt_members_create (void)
@@ -58,23 +65,23 @@
 
 void
 colt_members_update (struct ColtMembers *members,
-                     uint32_t instance,
-                     uint32_t log_age_ms,
-                     double strength,
+                     const struct ColtMemberBeat *beat,
                      int64_t now_us)
 {
-  struct ColtMember *member = find_member_ (members, instance);
+  struct ColtMember *member = find_member_ (members, beat->instance);
   struct ColtMember added = { 0 };
 
   if (member == NULL)
     {
-      added.instance = instance;
+      added.instance = beat->instance;
       g_array_append_val (members->members, added);
-      member = find_member_ (members, instance);
+      member = find_member_ (members, beat->instance);
     }
   member->heartbeat_us = now_us;
-  member->log_age_ms = log_age_ms;
-  member->strength = strength;
+  member->log_age_ms = beat->log_age_ms;
+  member->strength = beat->strength;
+  member->leaving = beat->leaving;
+  member->followed_us = MAX (member->followed_us, beat->followed_us);
 }
 
 double
@@ -102,29 +109,24 @@
   return strongest;
 }
 
-bool
-colt_members_log_is_down (const struct ColtMembers *members, int64_t now_us)
+int64_t
+colt_members_followed_us (const struct ColtMembers *members,
+                          int64_t log_confirmed_us,
+                          int64_t now_us)
 {
-  guint known = 1;
-  guint down = 1;
+  int64_t followed_us = MIN (now_us, log_confirmed_us + COLT_EXTENSION_MAX_US);
   guint i;
 
   for (i = 1; i < members->members->len; i++)
     {
       const struct ColtMember *member
           = &g_array_index (members->members, struct ColtMember, i);
-      int64_t heartbeat_age_us = now_us - member->heartbeat_us;
 
-      if (heartbeat_age_us > MEMBER_EXPIRY_US)
-        continue;
-      known++;
-      if (heartbeat_age_us > HEARTBEAT_TIMEOUT_US)
-        continue;
-      if (member->log_age_ms < LOG_AGE_MAX_MS)
-        return false;
-      down++;
+      if (may_rely_on_contact_ (member, log_confirmed_us)
+          && colt_guard_on (COLT_GUARD_FOLLOWERS))
+        followed_us = MIN (followed_us, member->followed_us);
     }
-  return down * 2 > known;
+  return MAX (followed_us, log_confirmed_us);
 }
 
 uint32_t
@@ -205,3 +207,15 @@
       return &g_array_index (members->members, struct ColtMember, i);
   return NULL;
 }
+
+/* Returns whether this instance may be elected while it relies on its contact
+ * with the leader. Once that contact is older than COLT_CONTACT_MAX_US, the
+ * instance waits COLT_EXTENSION_MAX_US longer instead; an earlier claim would
+ * have made the log reject the leader's renewals since. */
+static bool
+may_rely_on_contact_ (const struct ColtMember *member, int64_t log_confirmed_us)
+{
+  return !member->leaving
+         && member->heartbeat_us + COLT_CONTACT_MAX_US + CONTACT_SLACK_US
+                >= log_confirmed_us;
+}
--- a/src/scheduler/private/leader_private.h
+++ b/src/scheduler/private/leader_private.h
@@ -41,7 +41,8 @@
   GPtrArray *state_calls;         /* of struct ColtStateCall */
   GPtrArray *progress_records;    /* held until all jobs are loaded */
   char *load_after;               /* last key of the previous page */
-  int64_t confirmed_us;           /* latest time at which no other one led */
+  int64_t extension_us;           /* of the leases of earlier leaders */
+  int64_t confirmed_us;           /* when the log last confirmed this one */
   int64_t confirmed_until_us;     /* no lease may end later */
   bool closing;
   uint64_t loaded_count; /* records loaded from the log */
--- a/src/scheduler/private/members.h
+++ b/src/scheduler/private/members.h
@@ -10,24 +10,36 @@
 
 struct ColtMembers;
 
+/* What an instance says in a heartbeat. */
+struct ColtMemberBeat
+{
+  uint32_t instance;
+  uint32_t log_age_ms; /* time since it last reached the log */
+  double strength;
+  bool leaving; /* it won't claim leadership any more */
+  /* Latest time, on the leader's clock, at which it certainly followed that
+   * leader; 0: unknown. */
+  int64_t followed_us;
+};
+
 struct ColtMembers *colt_members_create (void);
 void colt_members_destroy (struct ColtMembers *members);
-/* Records a heartbeat of an instance, which last reached the log log_age_ms
- * ago. */
+/* Records a heartbeat. */
 void colt_members_update (struct ColtMembers *members,
-                          uint32_t instance,
-                          uint32_t log_age_ms,
-                          double strength,
+                          const struct ColtMemberBeat *beat,
                           int64_t now_us);
 /* Finds the strongest live member that reaches the log and returns its
  * strength; strength and instance are 0 if there is none. */
 double colt_members_find_strongest (const struct ColtMembers *members,
                                     int64_t now_us,
                                     uint32_t *instance);
-/* Returns whether most known instances are live and no live one reaches the
- * log. */
-bool colt_members_log_is_down (const struct ColtMembers *members,
-                               int64_t now_us);
+/* Returns the latest time at which all instances that may become the next
+ * leader followed this one, given when the log last confirmed it. It is at most
+ * COLT_EXTENSION_MAX_US after that confirmation, since an instance without
+ * contact to the leader may be elected at any time. */
+int64_t colt_members_followed_us (const struct ColtMembers *members,
+                                  int64_t log_confirmed_us,
+                                  int64_t now_us);
 /* Reserves an instance without an open call for advice, and returns its number;
  * 0 if there is none. */
 uint32_t colt_members_acquire_adviser (struct ColtMembers *members,
--- a/src/scheduler/private/scheduler_private.h
+++ b/src/scheduler/private/scheduler_private.h
@@ -16,6 +16,14 @@
  * the leader's process seems to have ended. */
 #define COLT_SUSPECT_TIMEOUT_US (600 * COLT_US_PER_MS)
 
+/* How long a leader may be confirmed by instances after the log has last
+ * confirmed it: the longest outage of the log in which leases are renewed. */
+#define COLT_EXTENSION_MAX_US (20 * COLT_US_PER_S)
+/* How long an instance relies on a heartbeat that reached the leader: the
+ * leader isn't confirmed without it, so that a claim needs no longer wait for
+ * the leader's leases. */
+#define COLT_CONTACT_MAX_US (8 * COLT_US_PER_S)
+
 /* Kinds of messages between instances. */
 enum
 {
@@ -119,10 +127,19 @@
 /* Returns whether the log rejected the last renewal. */
 bool colt_election_renewal_rejected (const struct ColtElection *election);
 bool colt_election_is_leader (const struct ColtElection *election);
-/* Returns the highest term that this instance has seen. */
+/* Returns whether this instance leads and doesn't give up leadership. */
+bool colt_election_is_renewing (const struct ColtElection *election);
 /* Returns whether this instance last claimed as the successor that a leaving
  * leader named. */
 bool colt_election_was_named (const struct ColtElection *election);
+/* Records that a heartbeat, sent at sent_us, has reached the leader of a term.
+ */
+void colt_election_set_contact (struct ColtElection *election,
+                                uint64_t term,
+                                int64_t sent_us);
+/* Returns how much longer instances may confirm leaders before this one. */
+int64_t colt_election_extension_us (const struct ColtElection *election);
+/* Returns the highest term that this instance has seen. */
 uint64_t colt_election_term (const struct ColtElection *election);
 /* Returns ADDRESS:PORT of the leader; NULL if there is none. */
 const char *colt_election_leader (const struct ColtElection *election);
@@ -290,10 +307,19 @@
                     struct ColtMetrics *metrics);
 void colt_leader_destroy (struct ColtLeader *leader);
 void colt_leader_set_fleet (struct ColtLeader *leader, struct ColtFleet *fleet);
-/* Sets the time up to which the leader is known to be the only one. Leases end
- * at most one lease duration after it, as a later leader waits that long. */
+/* Sets how much longer than this leader's creation instances may confirm
+ * leaders before it, whose leases last that much longer. To be called before
+ * the event loop runs. */
+void colt_leader_set_extension (struct ColtLeader *leader,
+                                int64_t extension_us);
+/* Sets the time up to which the log has confirmed that the leader is the only
+ * one. Leases end at most one lease duration after it, as a later leader waits
+ * that long. */
 void colt_leader_set_confirmed (struct ColtLeader *leader,
                                 int64_t confirmed_us);
+/* Sets a later time up to which no later leader was elected, for the end of
+ * leases only: one may have accepted jobs since then. */
+void colt_leader_extend_leases (struct ColtLeader *leader, int64_t followed_us);
 /* Handles a caller's call; sets call->spec to NULL if it takes ownership of it.
  * Calls reply exactly once, at the latest while the leader is destroyed. */
 void colt_leader_handle_call (struct ColtLeader *leader,
--- a/src/scheduler/private/scheduler_state.h
+++ b/src/scheduler/private/scheduler_state.h
@@ -31,6 +31,9 @@
   int64_t last_term_us;       /* when last_term began */
   int64_t previous_led_us;    /* how long the previous leader led */
   bool confirmed_by_members;  /* its leadership, and not by the log */
+  uint64_t led_term;          /* last term in which this instance led */
+  uint64_t stamp_term;        /* term of the leader that sent stamp_us */
+  uint64_t stamp_us;          /* latest stamp of that leader */
   bool stopping;
   int64_t stopping_us;
 };
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -34,6 +34,9 @@
 #define YIELD_AGAIN_FACTOR 2
 #define YIELD_AGAIN_MIN_US (6 * COLT_US_PER_S)
 #define YIELD_AGAIN_MAX_US (30 * COLT_US_PER_S)
+/* Time without the log's confirmation after which it counts as missing: two
+ * renewals of the leadership may be lost. */
+#define LOG_OVERDUE_US (1500 * COLT_US_PER_MS)
 #define MODULE "scheduler"
 
 static bool start_wire_ (struct ColtScheduler *scheduler,
@@ -62,6 +65,8 @@
                                const struct ColtWireOrigin *origin,
                                const uint8_t *body,
                                size_t size);
+static void note_stamp_ (struct ColtScheduler *scheduler,
+                         const ColtBeatReply *reply);
 static bool is_ready_ (void *client);
 static char *describe_ (void *client, const char *path);
 static char *dump_state_ (const struct ColtScheduler *scheduler);
@@ -243,8 +248,11 @@
   scheduler->leader = colt_leader_create (scheduler->base, scheduler->ports,
                                           &scheduler->settings, term,
                                           &leader_client, scheduler->metrics);
+  colt_leader_set_extension (scheduler->leader,
+                             colt_election_extension_us (scheduler->election));
   if (scheduler->fleet != NULL)
     colt_leader_set_fleet (scheduler->leader, scheduler->fleet);
+  scheduler->led_term = term;
   colt_metrics_count (scheduler->metrics, METRIC_ELECTED);
   scheduler->elected_us = colt_clock_monotonic_us ();
   scheduler->previous_led_us = scheduler->elected_us - scheduler->last_term_us;
@@ -318,6 +326,10 @@
   heartbeat.strength_milli
       = scheduler->stopping ? 0
                             : (uint32_t)(present_strength_ (scheduler) * 1000);
+  heartbeat.leaving = scheduler->stopping;
+  heartbeat.sent_us = (uint64_t)now_us;
+  if (scheduler->stamp_term == heartbeat.term)
+    heartbeat.stamp_us = scheduler->stamp_us;
   heartbeat.log_age_ms
       = (uint32_t)MIN (age_us / COLT_US_PER_MS, UINT32_MAX / 2);
   colt_wire_call (scheduler->wire, instance, MESSAGE_HEARTBEAT, body,
@@ -326,13 +338,16 @@
 }
 
 /* Sets the time up to which this instance is known to be the only leader, and
- * the number of its advisers. While most instances can't reach the log, none
- * can have claimed the next term, so that no renewal is needed. */
+ * the number of its advisers. An instance that follows this leader hasn't been
+ * elected: while all do, leases are renewed without the log. */
 static void
 confirm_leadership_ (struct ColtScheduler *scheduler, int64_t now_us)
 {
   int64_t confirmed_us = colt_election_confirmed_us (scheduler->election);
-  bool by_members = colt_members_log_is_down (scheduler->members, now_us);
+  int64_t followed_us
+      = colt_members_followed_us (scheduler->members, confirmed_us, now_us);
+  bool by_members = now_us - confirmed_us > LOG_OVERDUE_US
+                    && now_us - followed_us <= LOG_OVERDUE_US;
 
   if (by_members != scheduler->confirmed_by_members)
     {
@@ -341,9 +356,9 @@
         colt_metrics_count (scheduler->metrics, METRIC_CONFIRMED_WITHOUT_LOG);
     }
   scheduler->confirmed_by_members = by_members;
-  if (by_members)
-    confirmed_us = now_us;
   colt_leader_set_confirmed (scheduler->leader, confirmed_us);
+  if (colt_election_is_renewing (scheduler->election))
+    colt_leader_extend_leases (scheduler->leader, followed_us);
   colt_cell_set_advisers (
       colt_leader_cell (scheduler->leader),
       colt_members_count_advisers (scheduler->members, now_us));
@@ -440,6 +455,7 @@
   if (reply == NULL)
     return;
   colt_election_set_suspect (scheduler->election, !reply->is_lead);
+  note_stamp_ (scheduler, reply);
   if (reply->leads)
     g_hash_table_remove_all (scheduler->waiting_counts);
   for (i = 0; reply->leads && i < reply->n_counts; i++)
@@ -449,6 +465,22 @@
   colt_beat_reply__free_unpacked (reply, NULL);
 }
 
+/* Keeps the leader's stamp, which says at least until when this instance has
+ * followed it, if no later leader is known by now. */
+static void
+note_stamp_ (struct ColtScheduler *scheduler, const ColtBeatReply *reply)
+{
+  if (reply->stamp_us == 0 || scheduler->leader != NULL
+      || reply->term != colt_election_term (scheduler->election))
+    return;
+  if (reply->term != scheduler->stamp_term)
+    scheduler->stamp_us = 0;
+  scheduler->stamp_term = reply->term;
+  scheduler->stamp_us = MAX (scheduler->stamp_us, reply->stamp_us);
+  colt_election_set_contact (scheduler->election, reply->term,
+                             (int64_t)reply->beat_sent_us);
+}
+
 static void
 handle_heartbeat_ (void *client,
                    const struct ColtWireOrigin *origin,
@@ -456,8 +488,13 @@
                    size_t size)
 {
   struct ColtScheduler *scheduler = client;
+  bool leads_term
+      = scheduler->leader != NULL
+        && colt_election_term (scheduler->election) == scheduler->led_term;
   ColtBeat *heartbeat = colt_beat__unpack (NULL, size, body);
   ColtBeatReply reply = COLT_BEAT_REPLY__INIT;
+  struct ColtMemberBeat beat = { 0 };
+  int64_t now_us = colt_clock_monotonic_us ();
   GPtrArray *counts = g_ptr_array_new_with_free_func (g_free);
   uint8_t *out;
   guint i;
@@ -470,12 +507,19 @@
 
       g_snprintf (address, sizeof address, "%s%s", inet_ntoa (ip), port);
       colt_wire_set_peer (scheduler->wire, origin->instance, address);
-      colt_members_update (
-          scheduler->members, origin->instance, heartbeat->log_age_ms,
-          heartbeat->strength_milli / 1000.0, colt_clock_monotonic_us ());
+      beat.instance = origin->instance;
+      beat.log_age_ms = heartbeat->log_age_ms;
+      beat.strength = heartbeat->strength_milli / 1000.0;
+      beat.leaving = heartbeat->leaving;
+      if (leads_term && heartbeat->term == scheduler->led_term)
+        beat.followed_us = (int64_t)heartbeat->stamp_us;
+      colt_members_update (scheduler->members, &beat, now_us);
+      reply.beat_sent_us = heartbeat->sent_us;
       colt_beat__free_unpacked (heartbeat, NULL);
     }
   reply.term = colt_election_term (scheduler->election);
+  if (leads_term)
+    reply.stamp_us = (uint64_t)now_us;
   reply.is_lead = scheduler->leader != NULL
                   && !colt_election_renewal_rejected (scheduler->election);
   reply.leads
--- a/src/test_scheduler/test_election.c
+++ b/src/test_scheduler/test_election.c
@@ -382,6 +382,108 @@
   destroy_election (fake, &participant, 1);
 }
 
+/* Returns the newest record of a leader; to be freed by the caller. */
+static ColtLeadRecord *
+newest_leader (const struct ColtFakePorts *fake)
+{
+  const GArray *topic = fake->topics[COLT_TOPIC_LEADER];
+  const struct ColtFakeRecord *record
+      = &g_array_index (topic, struct ColtFakeRecord, topic->len - 1);
+  gsize size;
+  gconstpointer data = g_bytes_get_data (record->value, &size);
+
+  return colt_lead_record__unpack (NULL, size, data);
+}
+
+/* Lets an instance claim after a leader of term 3, which a heartbeat has
+ * reached contact_age_us ago, and returns the extension of its wait in
+ * milliseconds, as recorded after a second. */
+static int64_t
+claim_after_contact (int64_t contact_age_us, int64_t *extension_us)
+{
+  struct ColtFakePorts *fake = colt_fake_ports_create ();
+  struct ColtParticipant participant
+      = { { .name = "one", .internal = "127.0.0.1:1", .strength = 1 } };
+  ColtLeadRecord *leader;
+  int64_t extension_ms;
+  int i;
+
+  put_leader (fake, "other", 3, 1);
+  join_election (fake, &participant);
+  colt_election_set_contact (participant.election, 3,
+                             colt_clock_monotonic_us () - contact_age_us);
+  for (i = 0; i < 200 && participant.elected == 0; i++)
+    colt_fake_ports_run (fake, 20);
+  g_assert_cmpuint (participant.elected, ==, 1);
+  *extension_us = colt_election_extension_us (participant.election);
+  colt_fake_ports_run (fake, 1000);
+  leader = newest_leader (fake);
+  g_assert_cmpuint (leader->term, ==, 4);
+  extension_ms = leader->extension_ms;
+  colt_lead_record__free_unpacked (leader, NULL);
+  destroy_election (fake, &participant, 1);
+  return extension_ms;
+}
+
+/* Guards against a wait that is too short for the leases of a leader whose
+ * instances don't include this one. */
+static void
+test_claim_without_contact (void)
+{
+  int64_t extension_us;
+
+  g_assert_cmpint (claim_after_contact (COLT_US_PER_S, &extension_us), ==, 0);
+  g_assert_cmpint (extension_us, ==, 0);
+  g_assert_cmpint (claim_after_contact (COLT_CONTACT_MAX_US, &extension_us), >,
+                   (COLT_EXTENSION_MAX_US - 2 * COLT_US_PER_S)
+                       / COLT_US_PER_MS);
+  g_assert_cmpint (extension_us, >, COLT_EXTENSION_MAX_US - COLT_US_PER_S);
+}
+
+/* Guards against a second change of the leader that forgets the wait of the
+ * first one. */
+static void
+test_extension_inherited (void)
+{
+  struct ColtFakePorts *fake = colt_fake_ports_create ();
+  struct ColtParticipant participant
+      = { { .name = "one", .internal = "127.0.0.1:1", .strength = 1 } };
+  ColtLeadRecord leader = COLT_LEAD_RECORD__INIT;
+  char value[64] = { 0 };
+
+  leader.instance = "other";
+  leader.address = "127.0.0.9:1";
+  leader.term = 3;
+  leader.incarnation = 1;
+  leader.vacant = true;
+  leader.extension_ms = 9000;
+  colt_lead_record__pack (&leader, (uint8_t *)value);
+  colt_fake_ports_put (fake, COLT_TOPIC_LEADER, "lead", value);
+  join_election (fake, &participant);
+  colt_fake_ports_run (fake, ELECT_MS);
+  g_assert_cmpuint (participant.elected, ==, 1);
+  g_assert_cmpint (colt_election_extension_us (participant.election), >,
+                   8000 * COLT_US_PER_MS);
+  destroy_election (fake, &participant, 1);
+}
+
+/* Guards against an instance that shuts down while it yields leadership, and
+ * takes part in elections again. */
+static void
+test_stop_while_yielding (void)
+{
+  struct ColtParticipant participant
+      = { { .name = "one", .internal = "127.0.0.1:1", .strength = 1 } };
+  struct ColtFakePorts *fake = start_with_leader (&participant, 1);
+
+  g_assert_true (colt_election_yield (participant.election, 0));
+  colt_election_leave (participant.election, 0);
+  colt_fake_ports_run (fake, 4500);
+  g_assert_cmpuint (participant.deposed, ==, 1);
+  g_assert_cmpuint (participant.elected, ==, 1);
+  destroy_election (fake, &participant, 1);
+}
+
 void
 colt_test_election_add (void)
 {
@@ -399,4 +501,10 @@
   g_test_add_func ("/scheduler/election/claim-without-answer",
                    test_claim_without_answer);
   g_test_add_func ("/scheduler/election/silent-log", test_unresponsive_log);
+  g_test_add_func ("/scheduler/election/claim-without-contact",
+                   test_claim_without_contact);
+  g_test_add_func ("/scheduler/election/extension-inherited",
+                   test_extension_inherited);
+  g_test_add_func ("/scheduler/election/stop-while-yielding",
+                   test_stop_while_yielding);
 }
--- a/src/test_scheduler/test_members.c
+++ b/src/test_scheduler/test_members.c
@@ -57,29 +57,116 @@
 }
 
 static void
-test_members_log_down (void)
+update_member (struct ColtMembers *members,
+               uint32_t instance,
+               uint32_t log_age_ms,
+               double strength,
+               int64_t followed_us,
+               int64_t now_us)
+{
+  const struct ColtMemberBeat beat = { .instance = instance,
+                                       .log_age_ms = log_age_ms,
+                                       .strength = strength,
+                                       .followed_us = followed_us };
+
+  colt_members_update (members, &beat, now_us);
+}
+
+/* Only an instance that reaches the log can take over leadership. */
+static void
+test_members_strongest (void)
 {
   struct ColtMembers *members = colt_members_create ();
   int64_t now_us = 100 * COLT_US_PER_S;
   uint32_t strongest;
 
-  colt_members_update (members, 1, 5000, 1, now_us);
-  colt_members_update (members, 2, 5000, 1, now_us);
-  colt_members_update (members, 3, 5000, 2, now_us);
-  g_assert_true (colt_members_log_is_down (members, now_us));
-  colt_members_update (members, 2, 100, 1, now_us);
-  g_assert_false (colt_members_log_is_down (members, now_us));
-  colt_members_update (members, 2, 5000, 1, now_us);
+  update_member (members, 1, 5000, 1, 0, now_us);
+  update_member (members, 2, 5000, 1, 0, now_us);
+  update_member (members, 3, 5000, 2, 0, now_us);
   g_assert_cmpfloat (colt_members_find_strongest (members, now_us, &strongest),
                      ==, 0);
   g_assert_cmpuint (strongest, ==, 0);
-  colt_members_update (members, 3, 100, 2, now_us);
+  update_member (members, 3, 100, 2, 0, now_us);
   g_assert_cmpfloat (colt_members_find_strongest (members, now_us, &strongest),
                      ==, 2);
   g_assert_cmpuint (strongest, ==, 3);
-  now_us += 5 * COLT_US_PER_S;
-  colt_members_update (members, 1, 5000, 1, now_us);
-  g_assert_false (colt_members_log_is_down (members, now_us));
+  colt_members_destroy (members);
+}
+
+/* Guards against leases that a leader renews on the word of a part of the
+ * instances: one that is silent, or doesn't reach the leader any more, may lead
+ * by now. */
+static void
+test_members_followed (void)
+{
+  struct ColtMembers *members = colt_members_create ();
+  int64_t log_us = 100 * COLT_US_PER_S;
+  int64_t now_us = log_us;
+  int i;
+
+  for (i = 1; i <= 4; i++)
+    update_member (members, (uint32_t)i, 0, 1, log_us - i, now_us);
+  g_assert_cmpint (colt_members_followed_us (members, log_us - 10, now_us), ==,
+                   log_us - 4);
+  g_assert_cmpint (colt_members_followed_us (members, log_us, now_us), ==,
+                   log_us);
+  /* All follow the leader while the log is down. */
+  now_us += 6 * COLT_US_PER_S;
+  for (i = 1; i <= 4; i++)
+    update_member (members, (uint32_t)i, 6000, 1, now_us - 300, now_us);
+  g_assert_cmpint (colt_members_followed_us (members, log_us, now_us), ==,
+                   now_us - 300);
+  /* The fourth instance is cut off, whatever the others say from then on. */
+  for (i = 0; i < 100; i++)
+    {
+      now_us += COLT_US_PER_S / 4;
+      update_member (members, 1, 9000, 1, now_us, now_us);
+      update_member (members, 2, 9000, 1, now_us, now_us);
+      update_member (members, 3, 9000, 1, now_us, now_us);
+      g_assert_cmpint (colt_members_followed_us (members, log_us, now_us), ==,
+                       log_us + 6 * COLT_US_PER_S - 300);
+    }
+  colt_members_destroy (members);
+}
+
+/* An instance that is gone is disregarded once the log has confirmed the leader
+ * after its contact, or if it has said that it leaves. */
+static void
+test_members_gone (void)
+{
+  const struct ColtMemberBeat leaving = { .instance = 2, .leaving = true };
+  struct ColtMembers *members = colt_members_create ();
+  int64_t gone_us = 100 * COLT_US_PER_S;
+  int64_t log_us = gone_us + COLT_CONTACT_MAX_US;
+  int64_t now_us = log_us + 2 * COLT_US_PER_S;
+
+  update_member (members, 1, 0, 1, gone_us, gone_us);
+  colt_members_update (members, &leaving, now_us);
+  g_assert_cmpint (colt_members_followed_us (members, log_us, now_us), ==,
+                   log_us);
+  log_us += COLT_US_PER_S;
+  g_assert_cmpint (colt_members_followed_us (members, log_us, now_us), ==,
+                   now_us);
+  update_member (members, 2, 0, 1, 0, now_us);
+  g_assert_cmpint (colt_members_followed_us (members, log_us, now_us), ==,
+                   log_us);
+  colt_members_destroy (members);
+}
+
+/* Guards against leases without end: an instance that the leader doesn't know
+ * waits this long for them. */
+static void
+test_members_extension (void)
+{
+  struct ColtMembers *members = colt_members_create ();
+  int64_t log_us = 100 * COLT_US_PER_S;
+  int64_t now_us = log_us + 3600 * COLT_US_PER_S;
+
+  g_assert_cmpint (colt_members_followed_us (members, log_us, now_us), ==,
+                   log_us + COLT_EXTENSION_MAX_US);
+  update_member (members, 1, 0, 1, now_us, now_us);
+  g_assert_cmpint (colt_members_followed_us (members, log_us, now_us), ==,
+                   log_us + COLT_EXTENSION_MAX_US);
   colt_members_destroy (members);
 }
 
@@ -90,7 +177,7 @@
   int64_t now_us = 100 * COLT_US_PER_S;
   uint32_t first;
 
-  colt_members_update (members, 1, 0, 1, now_us);
+  update_member (members, 1, 0, 1, 0, now_us);
   g_assert_cmpuint (colt_members_count_advisers (members, now_us), ==, 2);
   first = colt_members_acquire_adviser (members, now_us);
   g_assert_cmpuint (first, !=, 0);
@@ -127,6 +214,9 @@
                    test_yields_get_rarer);
   g_test_add_func ("/scheduler/lag", test_lag);
   g_test_add_func ("/scheduler/overload-is-not-slowness", test_speed);
-  g_test_add_func ("/scheduler/members/log-down", test_members_log_down);
+  g_test_add_func ("/scheduler/members/strongest", test_members_strongest);
+  g_test_add_func ("/scheduler/members/followed", test_members_followed);
+  g_test_add_func ("/scheduler/members/gone", test_members_gone);
+  g_test_add_func ("/scheduler/members/extension", test_members_extension);
   g_test_add_func ("/scheduler/members/advisers", test_members_advisers);
 }
