Cell: log runs that a report leaves out of both its lists

Runs that a server lists neither as running nor as ended count as lapsed. The log had a line for each such run, but not what the report had listed, so that a report that is cut off looked like leases that lapsed. One line a report now gives the server, the runs and the lengths of both lists.

--- a/src/cell/cell_servers.c
+++ b/src/cell/cell_servers.c
@@ -43,8 +43,12 @@
 static void end_unlisted_runs_ (struct ColtCell *cell,
                                 struct ColtCellServer *server,
                                 uint64_t number,
-                                uint64_t call_number,
+                                const struct ColtServerReport *report,
                                 int64_t now_us);
+static void log_lapsed_ (struct ColtCell *cell,
+                         const struct ColtCellServer *server,
+                         const struct ColtServerReport *report,
+                         guint lapsed);
 static void expire_ticket_ (struct ColtCellStep *step,
                             struct ColtCellServer *server);
 
@@ -163,7 +167,7 @@
   for (i = 0; i < report->running_count; i++)
     apply_running_ (cell, server, &report->running[i], number,
                     report->call_number, now_us);
-  end_unlisted_runs_ (cell, server, number, report->call_number, now_us);
+  end_unlisted_runs_ (cell, server, number, report, now_us);
   server->unreachable = false;
   server->reported = true;
   server->replaced = false;
@@ -540,10 +544,12 @@
 end_unlisted_runs_ (struct ColtCell *cell,
                     struct ColtCellServer *server,
                     uint64_t number,
-                    uint64_t call_number,
+                    const struct ColtServerReport *report,
                     int64_t now_us)
 {
+  uint64_t call_number = report->call_number;
   guint i = server->runs->len;
+  guint lapsed = 0;
 
   while (i-- > 0)
     {
@@ -566,12 +572,31 @@
       if (run->incarnation_ms != 0
           && run->incarnation_ms != server->incarnation_ms)
         colt_cell_lose_run (cell, run, true, now_us);
+      else if (run->state == RUN_STOPPING)
+        colt_cell_end_run (cell, run, COLT_RUN_STOPPED, NULL, now_us);
       else
-        colt_cell_end_run (cell, run,
-                           run->state == RUN_STOPPING ? COLT_RUN_STOPPED
-                                                      : COLT_RUN_LAPSED,
-                           NULL, now_us);
+        {
+          lapsed++;
+          colt_cell_end_run (cell, run, COLT_RUN_LAPSED, NULL, now_us);
+        }
     }
+  if (lapsed > 0)
+    log_lapsed_ (cell, server, report, lapsed);
+}
+
+static void
+log_lapsed_ (struct ColtCell *cell,
+             const struct ColtCellServer *server,
+             const struct ColtServerReport *report,
+             guint lapsed)
+{
+  char *detail = g_strdup_printf (
+      "server %s: %u runs are in neither list and start again; it lists %zu "
+      "running, %zu ended",
+      server->id, lapsed, report->running_count, report->finished_count);
+
+  cell->ops->log_decision (cell->client, NULL, "runs lapsed", detail);
+  g_free (detail);
 }
 
 /* Returns whether the answer to a call is evidence about a run: the call was
