Cell: a list of 500 ended runs may lack others

Cause: a server lists at most 500 ended runs at a time, and the next ones once these are acknowledged, which needs the log. A run in neither list was taken as lapsed, and its task started again. A new leader took a server as heard whose list was cut, and started again what the earlier leader had started there.

Evidence: "18 runs are in neither list and start again; it lists 182 running, 500 ended"; no lease had expired. cell/world/cut-lists lists two ends at a time with outages of the log and changes of the leader: before, a task starts after its end was acknowledged; with the first half of the change only, a new leader starts one as run 3001 after run 1 was done; now it holds.

--- a/include/coltsfootstile/cell.h
+++ b/include/coltsfootstile/cell.h
@@ -147,8 +147,11 @@
                              with each call to the server */
   const struct ColtRunningEntry *running;
   size_t running_count;
-  const struct ColtFinishedEntry *finished;
+  const struct ColtFinishedEntry *finished; /**< in the order of their ends */
   size_t finished_count;
+  /** There may be further ended runs, which the server lists only once it may
+   * forget these: a run that isn't listed may be one of them. */
+  bool may_have_more;
 };
 
 /** A start order; valid only during the callback. */
--- a/src/cell/cell_servers.c
+++ b/src/cell/cell_servers.c
@@ -171,7 +171,8 @@
   server->unreachable = false;
   server->reported = true;
   server->replaced = false;
-  if (server->awaited)
+  server->may_have_more = report->may_have_more;
+  if (server->awaited && !report->may_have_more)
     {
       server->awaited = false;
       colt_cell_check_settled (cell, now_us);
@@ -272,8 +273,10 @@
 {
   struct ColtCellServer *server = colt_cell_find_server (cell, id);
 
-  if (server != NULL)
-    server->unreachable = true;
+  if (server == NULL)
+    return;
+  server->unreachable = true;
+  server->may_have_more = false;
 }
 
 void
@@ -313,6 +316,7 @@
                           loss->ended, now_us);
   server->reported = false;
   server->replaced = loss->ended;
+  server->may_have_more = false;
   server->foreign_runs = 0;
   if (server->awaited)
     {
@@ -373,8 +377,9 @@
 }
 
 /* Marks the orders of earlier leaders as reconciled once each server that may
- * have got one has reported or lost its leases, at the latest at
- * settle_deadline_us, when all those leases must have expired. */
+ * have got one has reported all or lost its leases. After settle_deadline_us,
+ * when all those leases must have expired, only servers that still list ends
+ * are awaited. */
 void
 colt_cell_check_settled (struct ColtCell *cell, int64_t now_us)
 {
@@ -384,10 +389,14 @@
   if (cell->settled)
     return;
   g_hash_table_iter_init (&i, cell->servers);
-  while (now_us < cell->settle_deadline_us
-         && g_hash_table_iter_next (&i, NULL, &value))
-    if (((struct ColtCellServer *)value)->awaited)
-      return;
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    {
+      const struct ColtCellServer *server = value;
+
+      if (server->awaited
+          && (now_us < cell->settle_deadline_us || server->may_have_more))
+        return;
+    }
   cell->settled = true;
   g_hash_table_iter_init (&i, cell->organisations);
   while (g_hash_table_iter_next (&i, NULL, &value))
@@ -539,7 +548,8 @@
 }
 
 /* Ends runs that neither a report nor a later one lists although the start or
- * stop was certainly applied before the report was requested. */
+ * stop was certainly applied before the report was requested. If the report
+ * may lack ends, only runs of an earlier incarnation have certainly ended. */
 static void
 end_unlisted_runs_ (struct ColtCell *cell,
                     struct ColtCellServer *server,
@@ -559,7 +569,7 @@
         continue;
       run = g_ptr_array_index (server->runs, i);
       if (run->start_unknown && is_reflected_ (run, call_number)
-          && run->listed_report < number)
+          && run->listed_report < number && !report->may_have_more)
         {
           /* The start may still take effect; a stop prevents that. */
           run->start_unknown = false;
@@ -572,6 +582,8 @@
       if (run->incarnation_ms != 0
           && run->incarnation_ms != server->incarnation_ms)
         colt_cell_lose_run (cell, run, true, now_us);
+      else if (report->may_have_more)
+        continue;
       else if (run->state == RUN_STOPPING)
         colt_cell_end_run (cell, run, COLT_RUN_STOPPED, NULL, now_us);
       else
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -271,7 +271,10 @@
   bool reported; /* by this incarnation to this leader */
   bool unreachable;
   bool replaced; /* another server answers at its address */
-  bool awaited;  /* may run an earlier leader's work and hasn't reported yet */
+  /* May run an earlier leader's work, or have ends of it that its reports
+   * didn't list yet. */
+  bool awaited;
+  bool may_have_more; /* ends than its last report listed, and is reachable */
   int64_t
       incarnation_ms; /* wall-clock start of its incarnation; 0: not reported */
   int64_t draining_incarnation_ms; /* latest one that was draining; 0: none */
--- a/src/test_cell/simulation.c
+++ b/src/test_cell/simulation.c
@@ -8,6 +8,8 @@
 #define SETTLE_US (LEASE_US + LEASE_US / 20 + 400 * COLT_US_PER_MS)
 /* Time until a batch of records is durable. */
 #define COMMIT_DURATION_US (30 * COLT_US_PER_MS)
+/* Longest outage of the log. */
+#define LOG_OUTAGE_MAX_MS 3000
 /* Steps without faults at the end: leases expire and waiting tasks run. */
 #define RECOVERY_STEPS 8000
 #define QUEUE "queue"
@@ -69,7 +71,13 @@
 
   if (sim->batch == NULL)
     begin_batch (sim);
-  if (sim->now_us < sim->batch_durable_us)
+  if (sim->plan->log_outages > 0 && sim->now_us >= sim->log_down_until_us
+      && colt_sim_draw (sim, sim->plan->log_outages))
+    sim->log_down_until_us
+        = sim->now_us
+          + g_rand_int_range (sim->rand, 100, LOG_OUTAGE_MAX_MS)
+                * COLT_US_PER_MS;
+  if (sim->now_us < MAX (sim->batch_durable_us, sim->log_down_until_us))
     return;
   store_batch (sim);
   colt_cell_free_records (sim->batch);
@@ -390,7 +398,8 @@
           current.lost_answers = current.late_orders = current.leader_changes
               = 0;
           current.partitions = current.crashes = current.cancels
-              = current.failing_runs = current.shrinking_rooms = 0;
+              = current.failing_runs = current.shrinking_rooms
+              = current.log_outages = 0;
           current.jobs = 0;
         }
       if (colt_sim_draw (&sim, current.leader_changes))
--- a/src/test_cell/simulation_orders.c
+++ b/src/test_cell/simulation_orders.c
@@ -262,6 +262,7 @@
   g_assert_cmpuint (truth->failures_acked, <, MAX_ATTEMPTS);
   check_deadly_start (sim, order, truth);
   truth->running++;
+  truth->last_started = MAX (truth->last_started, order->run);
   run = g_new0 (struct ColtSimRun, 1);
   run->task = g_strdup (order->task);
   run->run = order->run;
--- a/src/test_cell/simulation_private.h
+++ b/src/test_cell/simulation_private.h
@@ -136,6 +136,7 @@
   uint32_t running; /* runs on all servers */
   uint32_t failures;
   uint32_t failures_acked;
+  uint32_t last_started; /* highest run that has started */
   bool done_acked;
   bool deadly;          /* crashes each server that starts it */
   uint32_t crashes;     /* of servers while it ran there, for whatever cause */
@@ -173,6 +174,7 @@
   GHashTable *jobs;      /* job id -> struct ColtSimJob */
   GArray *batch;         /* records that become durable next; NULL: none */
   int64_t batch_durable_us;
+  int64_t log_down_until_us;
   GArray *acks;        /* of struct ColtSimAck, for the next batch */
   GArray *batch_acks;  /* of struct ColtSimAck, for the current batch */
   GPtrArray *job_list; /* of struct ColtSimJob, owned by jobs */
--- a/src/test_cell/simulation_servers.c
+++ b/src/test_cell/simulation_servers.c
@@ -309,7 +309,8 @@
 }
 
 /* Drops acknowledged ends. Those of expired leases don't count: the leader may
- * have started their tasks again. */
+ * have started their tasks again. Otherwise nothing may have started since a
+ * run has ended as done. */
 static void
 drop_acked_ends (struct ColtSim *sim, struct ColtSimServer *server)
 {
@@ -321,7 +322,16 @@
       if (end->number > server->acked_end)
         return;
       if (end->how == COLT_RUN_DONE && !end->lapsed)
-        truth->done_acked = true;
+        {
+          truth->done_acked = true;
+          if (truth->last_started > end->run)
+            g_test_message ("%lld ms: %s has started as run %u after run %u "
+                            "was done on %s",
+                            (long long)(sim->now_us / COLT_US_PER_MS),
+                            end->task, truth->last_started, end->run,
+                            server->id);
+          g_assert_cmpuint (truth->last_started, <=, end->run);
+        }
       if (end->how == COLT_RUN_FAILED && !end->lapsed)
         {
           truth->failures_acked++;
@@ -343,6 +353,8 @@
   GArray *finished
       = g_array_new (FALSE, FALSE, sizeof (struct ColtFinishedEntry));
   struct ColtServerReport report = { 0 };
+  guint ends_max
+      = sim->plan->listed_ends > 0 ? sim->plan->listed_ends : G_MAXUINT;
   guint i;
 
   for (i = 0; i < server->runs->len; i++)
@@ -352,7 +364,7 @@
 
       g_array_append_val (running, entry);
     }
-  for (i = 0; i < server->ends->len; i++)
+  for (i = 0; i < MIN (server->ends->len, ends_max); i++)
     {
       const struct ColtSimEnd *end = g_ptr_array_index (server->ends, i);
       const struct ColtFinishedEntry entry
@@ -366,6 +378,9 @@
   report.running_count = running->len;
   report.finished = (const struct ColtFinishedEntry *)finished->data;
   report.finished_count = finished->len;
+  report.may_have_more = finished->len >= ends_max;
+  if (server->ends->len > ends_max)
+    sim->result->cut_lists++;
   colt_cell_apply_report (sim->cell, server->id, &report, sim->now_us);
   if (finished->len > 0)
     {
--- a/src/test_cell/test_cell.c
+++ b/src/test_cell/test_cell.c
@@ -11,6 +11,7 @@
   struct ColtSimResult result;
   uint32_t overfull_rooms = 0;
   uint32_t shrunken_starts = 0;
+  uint32_t cut_lists = 0;
   uint32_t seed;
   uint32_t seeds = plan->seed * (g_test_thorough () ? 20 : 1);
 
@@ -27,7 +28,10 @@
         g_assert_cmpuint (result.crashes, >, 0);
       overfull_rooms += result.overfull_rooms;
       shrunken_starts += result.shrunken_starts;
+      cut_lists += result.cut_lists;
     }
+  if (plan->listed_ends > 0)
+    g_assert_cmpuint (cut_lists, >, 0);
   if (plan->shrinking_rooms == 0)
     return;
   g_assert_cmpuint (overfull_rooms, >, 0);
@@ -134,6 +138,25 @@
   run_seeds (&plan);
 }
 
+/* Guards against runs that are taken as lapsed, and start again, because a
+ * report holds no more than the first ends: with the log down none is
+ * acknowledged. */
+static void
+test_cut_lists (void)
+{
+  const struct ColtSimPlan plan = { .seed = 12,
+                                    .servers = 4,
+                                    .jobs = 80,
+                                    .steps = 2000,
+                                    .leader_changes = 0.002,
+                                    .cancels = 0.002,
+                                    .failing_runs = 0.1,
+                                    .log_outages = 0.01,
+                                    .listed_ends = 2 };
+
+  run_seeds (&plan);
+}
+
 /* Guards against a task that is started without end although it crashes each
  * server that starts it, and against failed jobs whose tasks crash none. */
 static void
@@ -203,6 +226,7 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/cell/world/cut-lists", test_cut_lists);
   g_test_add_func ("/cell/world/no-faults", test_no_faults);
   g_test_add_func ("/cell/world/failing-runs", test_failing_runs);
   g_test_add_func ("/cell/world/lost-answers", test_lost_answers);
