Cell: log why a server is avoided and which servers are on probation

A step whose service has only servers on probation was logged as blocked for lack of room, as if they were full. The line of a blocked step now counts the servers on probation, and that of an avoided server gives the failures, the pause and the runs that go on there.

--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -32,6 +32,8 @@
 static void
 place_step_ (struct ColtCell *cell, struct ColtCellStep *step, int64_t now_us);
 static bool is_short_block_ (enum ColtCellBlock block);
+static uint32_t count_on_probation_ (const struct ColtCell *cell,
+                                     const struct ColtCellStep *step);
 static void place_tasks_ (struct ColtCell *cell,
                           struct ColtCellStep *step,
                           struct ColtCellPool *pool,
@@ -185,19 +187,43 @@
                      struct ColtCellStep *step,
                      enum ColtCellBlock block)
 {
-  char detail[TASK_NAME_SIZE];
-
+  char detail[2 * TASK_NAME_SIZE];
   bool same = step->block == block
               || (is_short_block_ (step->block) && is_short_block_ (block));
 
   step->block = block;
   if (same)
     return;
-  g_snprintf (detail, sizeof detail, "%u.%u: %s, %u tasks", step->occurrence,
-              step->number, colt_cell_block_string[block], step->waiting);
+  g_snprintf (detail, sizeof detail,
+              "%u.%u: %s, %u tasks, %u servers on probation", step->occurrence,
+              step->number, colt_cell_block_string[block], step->waiting,
+              count_on_probation_ (cell, step));
   cell->ops->log_decision (cell->client, step->job->id, "step blocked", detail);
 }
 
+/* Returns how many servers of the step's service get less work than fits, or
+ * none, because of failures. */
+static uint32_t
+count_on_probation_ (const struct ColtCell *cell,
+                     const struct ColtCellStep *step)
+{
+  const struct ColtQueueConfig *config = step->job->queue->config;
+  const struct ColtCellPool *pool
+      = config != NULL ? g_hash_table_lookup (cell->pools, config->service)
+                       : NULL;
+  uint32_t count = 0;
+  guint i;
+
+  for (i = 0; pool != NULL && i < pool->servers->len; i++)
+    {
+      const struct ColtCellServer *server
+          = g_ptr_array_index (pool->servers, i);
+
+      count += server->probations > 0;
+    }
+  return count;
+}
+
 /* Returns whether more tasks of a step stay within the limit of their
  * organisation; an amount of 0 means no limit. */
 bool
--- a/src/cell/cell_runs.c
+++ b/src/cell/cell_runs.c
@@ -312,6 +312,8 @@
                    enum ColtRunEnd how,
                    int64_t now_us)
 {
+  char detail[2 * TASK_NAME_SIZE];
+
   if (how == COLT_RUN_DONE)
     {
       server->failures_in_row = 0;
@@ -326,8 +328,13 @@
     return;
   server->avoid_until_us = now_us + (PROBATION_US << server->probations);
   server->probations = MIN (server->probations + 1, PROBATIONS_DOUBLED_MAX);
+  g_snprintf (detail, sizeof detail,
+              "%s: %u failures in a row, no starts for %d ms, %u runs go on",
+              server->id, server->failures_in_row,
+              (int)((server->avoid_until_us - now_us) / COLT_US_PER_MS),
+              server->runs->len);
   server->failures_in_row = PROBATION_FAILURES - 1;
-  cell->ops->log_decision (cell->client, NULL, "server avoided", server->id);
+  cell->ops->log_decision (cell->client, NULL, "server avoided", detail);
 }
 
 static void
