Cell: a server on probation always comes back

Cause: three failures in a row put a server on probation until a run was done there, which tasks that last never are. On probation it got a run only while it had none, so that one task at work closed it to all others, and each further failure doubled its pause, up to 32 s.

Change: a task that lasts proves its server after 2 s at work, and its failure doesn't count from then on. Only runs that start on probation count for the limit, which grows from 8 s without a failure on. While more than half of a service's servers are on probation a pause is 2 s, without a limit. A step that fails on more than four servers, or half of them, and is done on none doesn't count against further ones. A restart ends a probation.

Evidence: "step blocked: no room, 2 tasks, 3 servers on probation" with 0.047 of the cores in use.

--- a/src/cell/cell_crashes.c
+++ b/src/cell/cell_crashes.c
@@ -106,6 +106,7 @@
     colt_cell_mark_entry (task);
   run->incarnation_ms = run->server->incarnation_ms;
   colt_cell_update_progress (run, percent, now_us);
+  colt_cell_prove_run (run);
   if (listed_us_ (run) < LISTED_US)
     return;
   colt_cell_end_trial (run);
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -2,9 +2,6 @@
 
 #include "cell_private.h"
 
-/* Most concurrent runs of a server on probation. */
-#define PROBATION_RUNS 1
-
 /* Weight of a server's slowness against its fullness, for a job whose objective
  * equals its longest chain of steps. */
 #define SLOWNESS_PENALTY 30.0
@@ -109,9 +106,7 @@
       || server->unreachable || server->foreign_runs > 0
       || server->quarantined_runs > 0)
     return false;
-  if (now_us < server->avoid_until_us)
-    return false;
-  return server->probations == 0 || server->runs->len < PROBATION_RUNS;
+  return colt_cell_may_probe (server, now_us);
 }
 
 bool
--- a/src/cell/cell_runs.c
+++ b/src/cell/cell_runs.c
@@ -5,14 +5,6 @@
 /* Delay before a task is retried. It prevents a task that fails immediately
  * from using up its attempts on a single faulty server. */
 #define RETRY_DELAY_US (20 * COLT_US_PER_MS)
-/* Consecutive failures, mostly of different tasks, that put a server on
- * probation. */
-#define PROBATION_FAILURES 3
-/* Time without starts at a server's first probation; twice as long at each
- * further one. */
-#define PROBATION_US (2 * COLT_US_PER_S)
-#define PROBATIONS_DOUBLED_MAX 4
-
 static void log_end_ (struct ColtCell *cell,
                       const struct ColtCellTask *task,
                       const struct ColtCellServer *server,
@@ -22,11 +14,6 @@
                                     const struct ColtCellTask *task,
                                     uint32_t number);
 static void remove_run_ (struct ColtCell *cell, struct ColtCellRun *run);
-static void update_probation_ (struct ColtCell *cell,
-                               struct ColtCellServer *server,
-                               const struct ColtCellTask *task,
-                               enum ColtRunEnd how,
-                               int64_t now_us);
 static void store_checkpoint_ (struct ColtCellTask *task,
                                const char *checkpoint);
 static void requeue_task_ (struct ColtCell *cell,
@@ -59,6 +46,7 @@
   run->resumed = task->checkpoint != NULL;
   run->demand = step->demand;
   colt_cell_begin_trial (run);
+  colt_cell_begin_probe (run);
   g_ptr_array_add (server->runs, run);
   colt_resources_add (&server->used, &run->demand);
   colt_resources_add (&job->organisation->used, &run->demand);
@@ -103,13 +91,13 @@
     colt_cell_add_duration (run, now_us);
   if (run->state == RUN_PLANNED && !run->recorded)
     cell->unrecorded_runs--;
+  colt_cell_judge_server (cell, run, how, now_us);
   remove_run_ (cell, run);
   cell->stats.runs--;
   cell->stats.ended[how]++;
   store_checkpoint_ (task, checkpoint);
   if (how == COLT_RUN_FAILED)
     colt_cell_clear_losses (cell, task);
-  update_probation_ (cell, server, task, how, now_us);
   if (how == COLT_RUN_DONE && !step->spec->lasting)
     {
       if (step->spec->gang)
@@ -282,6 +270,7 @@
 
   colt_cell_unlist_stop (cell, run);
   colt_cell_end_trial (run);
+  colt_cell_end_probe (run);
   g_ptr_array_remove (step->job->planned, run);
   g_ptr_array_remove_fast (run->server->runs, run);
   colt_resources_subtract (&run->server->used, &run->demand);
@@ -302,41 +291,6 @@
   g_free (run);
 }
 
-/* Puts a server on probation after failures in a row: it gets no starts for a
- * while, longer each time, and is limited to few runs until one is done. A task
- * that has failed more than once before doesn't count against the server. */
-static void
-update_probation_ (struct ColtCell *cell,
-                   struct ColtCellServer *server,
-                   const struct ColtCellTask *task,
-                   enum ColtRunEnd how,
-                   int64_t now_us)
-{
-  char detail[2 * TASK_NAME_SIZE];
-
-  if (how == COLT_RUN_DONE)
-    {
-      server->failures_in_row = 0;
-      server->probations = 0;
-      server->avoid_until_us = 0;
-    }
-  if (how != COLT_RUN_FAILED || task->failures > 1)
-    return;
-  server->failures_in_row++;
-  if (server->failures_in_row < PROBATION_FAILURES
-      || now_us < server->avoid_until_us)
-    return;
-  server->avoid_until_us = now_us + (PROBATION_US << server->probations);
-  server->probations = MIN (server->probations + 1, PROBATIONS_DOUBLED_MAX);
-  g_snprintf (detail, sizeof detail,
-              "%s: %u failures in a row, no starts for %d ms, %u runs go on",
-              server->id, server->failures_in_row,
-              (int)((server->avoid_until_us - now_us) / COLT_US_PER_MS),
-              server->runs->len);
-  server->failures_in_row = PROBATION_FAILURES - 1;
-  cell->ops->log_decision (cell->client, NULL, "server avoided", detail);
-}
-
 static void
 store_checkpoint_ (struct ColtCellTask *task, const char *checkpoint)
 {
--- a/src/cell/cell_servers.c
+++ b/src/cell/cell_servers.c
@@ -431,6 +431,8 @@
   server->incarnation_ms = incarnation_ms;
   server->log_slowness = 0;
   server->samples = 0;
+  if (restarted)
+    colt_cell_reset_probation (server);
   return restarted;
 }
 
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -118,6 +118,8 @@
   int64_t incarnation_ms; /* of its server when it was planned or last listed;
                              0: not known */
   bool quarantined;       /* counted in its server's quarantined_runs */
+  bool in_probation;      /* counted in its server's probation_runs */
+  bool proven;            /* a lasting run that has been at work for a while */
   int64_t stop_sent_us;   /* when a stop was last sent; 0: never */
   bool stop_answered;
   GList *stop_link;          /* in the cell's stops; NULL: not listed */
@@ -198,6 +200,10 @@
   int64_t not_before_us;     /* earliest time of the next start */
   uint32_t failed_gang_run;  /* number of the gang's last run whose failure was
                                 counted */
+  const struct ColtCellServer *failed_server; /* of the latest failure; NULL:
+                                                 none since a task was done, or
+                                                 was at work for a while */
+  uint32_t failed_servers;   /* how often it changed since then */
   enum ColtCellBlock block;  /* in the last pass */
   enum ColtCellRank rank;    /* in this pass */
   GPtrArray *ticket_servers; /* servers for which a gang requests tickets, one
@@ -285,8 +291,10 @@
                                 starts until they have survived or ended */
   uint32_t foreign_runs;     /* reported runs that the cell has no record of */
   uint32_t failures_in_row;
-  uint32_t probations;    /* since its last success, up to a limit */
-  int64_t avoid_until_us; /* it gets no starts until then */
+  uint32_t probations;     /* since its last success, up to a limit */
+  bool limited;            /* it gets few runs after its pause */
+  uint32_t probation_runs; /* started since the latest probation */
+  int64_t avoid_until_us;  /* it gets no starts until then */
   struct ColtServerKind *kind;
   double log_slowness; /* logarithm of its task durations relative to others of
                           its kind */
@@ -434,6 +442,26 @@
                               uint32_t run,
                               int64_t now_us);
 
+/* cell_probation.c: servers on which runs fail */
+
+/* Returns whether a server may get another run: one on probation gets none for
+ * a while, then few, and more the longer nothing fails. */
+bool colt_cell_may_probe (const struct ColtCellServer *server, int64_t now_us);
+/* Counts a run that starts on a server on probation. */
+void colt_cell_begin_probe (struct ColtCellRun *run);
+void colt_cell_end_probe (struct ColtCellRun *run);
+/* Ends the probation of a server on which a task that lasts has been at work
+ * for a while. To be called when the run is listed. */
+void colt_cell_prove_run (struct ColtCellRun *run);
+/* Counts the end of a run for or against its server. To be called before the
+ * run is removed. */
+void colt_cell_judge_server (struct ColtCell *cell,
+                             const struct ColtCellRun *run,
+                             enum ColtRunEnd how,
+                             int64_t now_us);
+/* Forgets what was known of a server that has been restarted. */
+void colt_cell_reset_probation (struct ColtCellServer *server);
+
 /* cell_crashes.c */
 
 /* Ends a run that was lost with its server, and gives up its task if servers
--- a/src/test_cell_load/fixture.h
+++ b/src/test_cell_load/fixture.h
@@ -100,5 +100,6 @@
 void colt_load_add_choice_tests (void);
 void colt_load_add_advice_tests (void);
 void colt_load_add_cost_tests (void);
+void colt_load_add_failure_tests (void);
 
 #endif
--- a/src/test_cell_load/test_load.c
+++ b/src/test_cell_load/test_load.c
@@ -510,5 +510,6 @@
   colt_load_add_choice_tests ();
   colt_load_add_advice_tests ();
   colt_load_add_cost_tests ();
+  colt_load_add_failure_tests ();
   return g_test_run ();
 }
