Cell: the progress of a wide job takes several records

Cause: one record held the entries of all tasks. It grew past the 262,144 bytes that the log takes, the log rejected the batch as malformed, and each leader took that for the sign of a later one.

Change: progress is split over records by ranges of tasks that fit whatever their entries hold, some 200 each; only parts that change are recorded again. The ports tell the bound. A specification that doesn't fit is rejected on arrival, a checkpoint of over 1,024 bytes isn't kept. A batch that the log rejects as malformed is sent again and ends no leadership.

Evidence: the model of leaders and servers got the bound, and lists of two ends.

--- a/include/coltsfootstile/cell.h
+++ b/include/coltsfootstile/cell.h
@@ -94,7 +94,8 @@
   COLT_SUBMIT_NEW,      /**< accepted; acknowledge it once it is durable */
   COLT_SUBMIT_PENDING,  /**< already accepted, not durable yet */
   COLT_SUBMIT_KNOWN,    /**< already accepted and durable */
-  COLT_SUBMIT_INVALID,  /**< rejected: malformed id, steps or task counts */
+  COLT_SUBMIT_INVALID,  /**< rejected: malformed id, steps or task counts, or
+                             its specification exceeds a record */
   COLT_SUBMIT_NO_QUEUE, /**< rejected: the configuration has no such queue */
   COLT_SUBMIT_TOO_LATE, /**< rejected: it would miss its objective */
   COLT_SUBMIT_FULL /**< rejected: the cell has too many jobs, or is dropping one
@@ -207,6 +208,9 @@
   uint32_t gang_advice_servers_max; /**< most servers named in the later advice
                                          calls of a gang whose first call didn't
                                          let it start */
+  size_t
+      record_bytes_max; /**< largest value of a record, in bytes; the progress
+                             of a wide job takes several. 0: no limit */
 };
 
 /** A record to store under a key. */
--- a/include/coltsfootstile/ports.h
+++ b/include/coltsfootstile/ports.h
@@ -215,6 +215,8 @@
 struct ColtPorts
 {
   void *adapter; /**< first argument of functions that take no channel */
+  size_t record_bytes_max; /**< largest value of a record that the log takes, in
+                                bytes; 0: no limit */
 
   /** Opens a channel to the log, to be closed with log_close. */
   struct ColtLogChannel *(*log_open) (void *adapter);
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -126,8 +126,10 @@
 
   if (job != NULL && !job->dropped)
     return job->durable ? COLT_SUBMIT_KNOWN : COLT_SUBMIT_PENDING;
-  if (strlen (spec->id) != COLT_JOB_ID_LENGTH
-      || !colt_cell_is_spec_valid (spec))
+  if (strlen (spec->id) != COLT_JOB_ID_LENGTH || !colt_cell_is_spec_valid (spec)
+      || (cell->limits.record_bytes_max > 0
+          && colt_job_spec__get_packed_size (spec)
+                 > cell->limits.record_bytes_max))
     return COLT_SUBMIT_INVALID;
   queue = g_hash_table_lookup (cell->queues, spec->queue);
   if (queue == NULL || !queue->listed)
--- a/src/cell/cell_jobs.c
+++ b/src/cell/cell_jobs.c
@@ -59,6 +59,7 @@
     }
   compute_depths_ (job);
   job->task_count = index;
+  colt_cell_split_progress (cell, job);
   g_hash_table_insert (cell->jobs, job->id, job);
   if (spec->repetitions > 0)
     g_ptr_array_add (cell->scheduled, job);
--- a/src/cell/cell_progress.c
+++ b/src/cell/cell_progress.c
@@ -7,13 +7,27 @@
 
 /* Room in bytes for a job's progress without its tasks; it may take more. */
 #define HEAD_SIZE 256
+/* Part of a record that is kept for the progress without its tasks, at most
+ * HEAD_MAX bytes. */
+#define HEAD_SHARE 4
+#define HEAD_MAX 4096
+/* Longest checkpoint of a task if records are limited. */
+#define CHECKPOINT_MAX 1024
+/* Largest entry of a task in bytes: its checkpoint, the id of a server, and
+ * numbers. */
+#define ENTRY_MAX (CHECKPOINT_MAX + 192)
 
 static void add_head_ (GByteArray *bytes, const struct ColtCellJob *job);
-static void update_tasks_ (const struct ColtCell *cell,
-                           struct ColtCellJob *job);
-static void pack_changed_tasks_ (const struct ColtCell *cell,
-                                 struct ColtCellJob *job,
-                                 GByteArray *tasks);
+static void create_parts_ (struct ColtCellJob *job);
+static bool update_part_ (const struct ColtCell *cell,
+                          struct ColtCellJob *job,
+                          uint32_t number);
+static void pack_part_ (const struct ColtCell *cell,
+                        struct ColtCellJob *job,
+                        uint32_t number,
+                        GByteArray *tasks);
+static const struct ColtCellTask *
+find_task_ (const struct ColtCellJob *job, uint32_t *step, uint32_t index);
 static bool pack_task_ (const struct ColtCell *cell,
                         const struct ColtCellTask *task,
                         GByteArray *tasks);
@@ -26,49 +40,88 @@
 #ifdef COLT_GUARD_SWITCHES
 static void check_progress_ (const struct ColtCell *cell,
                              const struct ColtCellJob *job,
+                             uint32_t number,
                              const uint8_t *value,
                              size_t size);
 #endif
 
+void
+colt_cell_split_progress (const struct ColtCell *cell, struct ColtCellJob *job)
+{
+  size_t bytes = cell->limits.record_bytes_max;
+  size_t tasks = job->task_count;
+
+  if (bytes > 0)
+    tasks = (bytes - MIN (bytes / HEAD_SHARE, HEAD_MAX)) / ENTRY_MAX;
+  job->part_tasks = (uint32_t)CLAMP (tasks, 1, job->task_count);
+  job->part_count = (job->task_count + job->part_tasks - 1) / job->part_tasks;
+}
+
+bool
+colt_cell_can_store_checkpoint (const struct ColtCell *cell,
+                                const char *checkpoint)
+{
+  return cell->limits.record_bytes_max == 0
+         || strlen (checkpoint) <= CHECKPOINT_MAX;
+}
+
 uint8_t *
 colt_cell_pack_progress (const struct ColtCell *cell,
                          struct ColtCellJob *job,
+                         uint32_t part,
                          size_t *size)
 {
   bool ended = colt_cell_is_ended (job);
+  bool changed = !ended && update_part_ (cell, job, part);
   GByteArray *bytes;
 
-  if (!ended)
-    update_tasks_ (cell, job);
+  if (part > 0 && !changed)
+    return NULL;
   bytes = g_byte_array_sized_new (HEAD_SIZE
-                                  + (ended ? 0 : job->packed_tasks->len));
+                                  + (ended ? 0 : job->parts[part].tasks->len));
   add_head_ (bytes, job);
   if (!ended)
-    g_byte_array_append (bytes, job->packed_tasks->data,
-                         job->packed_tasks->len);
+    g_byte_array_append (bytes, job->parts[part].tasks->data,
+                         job->parts[part].tasks->len);
   *size = bytes->len;
 #ifdef COLT_GUARD_SWITCHES
-  check_progress_ (cell, job, bytes->data, bytes->len);
+  check_progress_ (cell, job, part, bytes->data, bytes->len);
 #endif
   return g_byte_array_free (bytes, FALSE);
 }
 
+void
+colt_cell_keep_progress (const struct ColtCell *cell, struct ColtCellJob *job)
+{
+  uint32_t i;
+
+  if (job->spec == NULL || job->part_count <= 1 || colt_cell_is_ended (job))
+    return;
+  for (i = 0; i < MIN (job->stored_parts, job->part_count); i++)
+    update_part_ (cell, job, i);
+}
+
 void
 colt_cell_mark_entry (const struct ColtCellTask *task)
 {
   struct ColtCellJob *job = task->step->job;
+  uint32_t index = task->step->first_index + task->index;
 
   if (job->entries == NULL)
     return;
-  job->entries[task->step->first_index + task->index].changed = true;
-  job->entries_changed = true;
+  job->entries[index].changed = true;
+  job->parts[index / job->part_tasks].changed = true;
 }
 
 void
 colt_cell_free_entries (struct ColtCellJob *job)
 {
+  uint32_t i;
+
+  for (i = 0; job->parts != NULL && i < job->part_count; i++)
+    g_byte_array_unref (job->parts[i].tasks);
+  g_clear_pointer (&job->parts, g_free);
   g_clear_pointer (&job->entries, g_free);
-  g_clear_pointer (&job->packed_tasks, g_byte_array_unref);
 }
 
 static void
@@ -86,62 +139,96 @@
 }
 
 static void
-update_tasks_ (const struct ColtCell *cell, struct ColtCellJob *job)
+create_parts_ (struct ColtCellJob *job)
 {
-  GByteArray *tasks;
   uint32_t i;
 
-  if (job->entries == NULL)
+  job->entries = g_new0 (struct ColtCellEntry, job->task_count);
+  for (i = 0; i < job->task_count; i++)
+    job->entries[i].changed = true;
+  job->parts = g_new0 (struct ColtCellPart, job->part_count);
+  for (i = 0; i < job->part_count; i++)
     {
-      job->entries = g_new0 (struct ColtCellEntry, job->task_count);
-      for (i = 0; i < job->task_count; i++)
-        job->entries[i].changed = true;
-      job->packed_tasks = g_byte_array_new ();
-      job->entries_changed = true;
+      job->parts[i].tasks = g_byte_array_new ();
+      job->parts[i].changed = true;
     }
-  if (!job->entries_changed)
-    return;
-  tasks = g_byte_array_sized_new (job->packed_tasks->len + HEAD_SIZE);
-  pack_changed_tasks_ (cell, job, tasks);
-  g_byte_array_unref (job->packed_tasks);
-  job->packed_tasks = tasks;
 }
 
-/* Packs entries that have changed and copies those between them. */
+/* Packs a part if entries of it have changed. Returns whether it is another one
+ * than before. */
+static bool
+update_part_ (const struct ColtCell *cell,
+              struct ColtCellJob *job,
+              uint32_t number)
+{
+  struct ColtCellPart *part;
+  GByteArray *before;
+  bool same;
+
+  if (job->entries == NULL)
+    create_parts_ (job);
+  part = &job->parts[number];
+  if (!part->changed)
+    return false;
+  before = part->tasks;
+  part->tasks = g_byte_array_sized_new (before->len + HEAD_SIZE);
+  pack_part_ (cell, job, number, before);
+  same = part->tasks->len == before->len
+         && (before->len == 0
+             || memcmp (part->tasks->data, before->data, before->len) == 0);
+  g_byte_array_unref (before);
+  return !same;
+}
+
+/* Packs entries of a part that have changed and copies those between them from
+ * what it was before. */
 static void
-pack_changed_tasks_ (const struct ColtCell *cell,
-                     struct ColtCellJob *job,
-                     GByteArray *tasks)
+pack_part_ (const struct ColtCell *cell,
+            struct ColtCellJob *job,
+            uint32_t number,
+            GByteArray *before)
 {
-  const uint8_t *from = job->packed_tasks->data; /* first byte not copied */
-  struct ColtCellEntry *entry = job->entries;
-  size_t unchanged = 0; /* bytes at from to be copied */
-  uint32_t s;
-  uint32_t t;
-
-  job->entries_changed = false;
-  for (s = 0; s < job->step_count; s++)
-    for (t = 0; t < job->steps[s].spec->count; t++, entry++)
-      {
-        guint begin;
-
-        if (!entry->changed)
-          {
-            unchanged += entry->size;
-            continue;
-          }
-        if (unchanged > 0)
-          g_byte_array_append (tasks, from, (guint)unchanged);
-        if (from != NULL)
-          from += unchanged + entry->size;
-        unchanged = 0;
-        begin = tasks->len;
-        entry->changed = pack_task_ (cell, &job->steps[s].tasks[t], tasks);
-        entry->size = tasks->len - begin;
-        job->entries_changed |= entry->changed;
-      }
+  struct ColtCellPart *part = &job->parts[number];
+  const uint8_t *from = before->data; /* first byte not copied */
+  size_t unchanged = 0;               /* bytes at from to be copied */
+  uint32_t first = number * job->part_tasks;
+  uint32_t end = MIN (first + job->part_tasks, job->task_count);
+  uint32_t step = 0;
+  uint32_t i;
+
+  part->changed = false;
+  for (i = first; i < end; i++)
+    {
+      struct ColtCellEntry *entry = &job->entries[i];
+      guint begin;
+
+      if (!entry->changed)
+        {
+          unchanged += entry->size;
+          continue;
+        }
+      if (unchanged > 0)
+        g_byte_array_append (part->tasks, from, (guint)unchanged);
+      if (from != NULL)
+        from += unchanged + entry->size;
+      unchanged = 0;
+      begin = part->tasks->len;
+      entry->changed
+          = pack_task_ (cell, find_task_ (job, &step, i), part->tasks);
+      entry->size = part->tasks->len - begin;
+      part->changed |= entry->changed;
+    }
   if (unchanged > 0)
-    g_byte_array_append (tasks, from, (guint)unchanged);
+    g_byte_array_append (part->tasks, from, (guint)unchanged);
+}
+
+/* Returns the task with an index, in the given step or a later one. */
+static const struct ColtCellTask *
+find_task_ (const struct ColtCellJob *job, uint32_t *step, uint32_t index)
+{
+  while (index >= job->steps[*step].first_index + job->steps[*step].spec->count)
+    (*step)++;
+  return &job->steps[*step].tasks[index - job->steps[*step].first_index];
 }
 
 /* Packs a task's entry, if it has one. Returns whether the entry may change
@@ -225,15 +312,18 @@
 static void
 check_progress_ (const struct ColtCell *cell,
                  const struct ColtCellJob *job,
+                 uint32_t number,
                  const uint8_t *value,
                  size_t size)
 {
   ColtJobProgress progress = COLT_JOB_PROGRESS__INIT;
   ColtTaskProgress *entries = g_new0 (ColtTaskProgress, job->task_count);
   ColtTaskProgress **rows = g_new0 (ColtTaskProgress *, job->task_count);
+  uint32_t first = number * job->part_tasks;
+  uint32_t end = MIN (first + job->part_tasks, job->task_count);
+  uint32_t step = 0;
   uint8_t *expected;
-  uint32_t s;
-  uint32_t t;
+  uint32_t i;
 
   progress.id = (char *)job->id;
   progress.organisation = job->organisation->name;
@@ -242,13 +332,15 @@
   progress.begun = job->begun;
   progress.ended_wall_ms = job->ended_wall_ms;
   progress.tasks = rows;
-  for (s = 0; s < job->step_count && !colt_cell_is_ended (job); s++)
-    for (t = 0; t < job->steps[s].spec->count; t++)
-      if (has_progress_ (&job->steps[s].tasks[t]))
-        {
-          rows[progress.n_tasks] = &entries[progress.n_tasks];
-          fill_entry_ (cell, &job->steps[s].tasks[t], rows[progress.n_tasks++]);
-        }
+  for (i = first; i < end && !colt_cell_is_ended (job); i++)
+    {
+      const struct ColtCellTask *task = find_task_ (job, &step, i);
+
+      if (!has_progress_ (task))
+        continue;
+      rows[progress.n_tasks] = &entries[progress.n_tasks];
+      fill_entry_ (cell, task, rows[progress.n_tasks++]);
+    }
   g_assert_cmpuint (colt_job_progress__get_packed_size (&progress), ==, size);
   expected = g_malloc (size + 1);
   colt_job_progress__pack (&progress, expected);
--- a/src/cell/cell_records.c
+++ b/src/cell/cell_records.c
@@ -5,6 +5,9 @@
 /* First letters of the records' keys; the job's id follows. */
 #define SPEC_KEY 's'
 #define PROGRESS_KEY 'p'
+/* Follows the job's id in the keys of further parts of its progress, before the
+ * part's number. */
+#define PART_MARK '.'
 
 static bool load_spec_ (struct ColtCell *cell,
                         const uint8_t *value,
@@ -12,6 +15,7 @@
                         int64_t now_us,
                         int64_t wall_ms);
 static bool load_progress_ (struct ColtCell *cell,
+                            const char *key,
                             const uint8_t *value,
                             size_t size,
                             int64_t now_us,
@@ -28,9 +32,12 @@
                                 struct ColtCellJob *job,
                                 int64_t wall_ms);
 static size_t add_spec_ (GArray *records, const struct ColtCellJob *job);
+static uint32_t part_number_ (const char *key);
+static size_t remove_parts_ (GArray *records, struct ColtCellJob *job);
 static size_t add_record_ (GArray *records,
                            char kind,
                            const char *id,
+                           uint32_t part,
                            uint8_t *value,
                            size_t size);
 static size_t add_progress_ (const struct ColtCell *cell,
@@ -56,7 +63,7 @@
   if (key[0] == SPEC_KEY)
     return load_spec_ (cell, value, size, now_us, wall_ms);
   if (key[0] == PROGRESS_KEY)
-    return load_progress_ (cell, value, size, now_us, wall_ms);
+    return load_progress_ (cell, key, value, size, now_us, wall_ms);
   return true;
 }
 
@@ -73,6 +80,7 @@
       struct ColtCellJob *job = value;
 
       job->inherited = true;
+      colt_cell_keep_progress (cell, job);
       colt_cell_update_waiting (job);
       colt_cell_open_steps (cell, job, cell->wall_ms);
       add_unsettled_demand_ (job);
@@ -177,15 +185,26 @@
   return true;
 }
 
+/* Returns the number of the part of a job's progress that has a key. */
+static uint32_t
+part_number_ (const char *key)
+{
+  const char *mark = strchr (key, PART_MARK);
+
+  return mark != NULL ? (uint32_t)g_ascii_strtoull (mark + 1, NULL, 10) : 0;
+}
+
 /* The job's specification, if it is recorded, must have been loaded before. */
 static bool
 load_progress_ (struct ColtCell *cell,
+                const char *key,
                 const uint8_t *value,
                 size_t size,
                 int64_t now_us,
                 int64_t wall_ms)
 {
   ColtJobProgress *progress = colt_job_progress__unpack (NULL, size, value);
+  uint32_t part = part_number_ (key);
   struct ColtCellJob *job;
 
   if (progress == NULL || strlen (progress->id) != COLT_JOB_ID_LENGTH
@@ -196,6 +215,17 @@
       return false;
     }
   job = colt_cell_find_job (cell, progress->id);
+  if (part > 0)
+    {
+      if (job != NULL && part < COLT_JOB_TASKS_MAX)
+        {
+          job->stored_parts = MAX (job->stored_parts, part + 1);
+          if (!job->unsplit)
+            apply_progress_ (cell, job, progress);
+        }
+      colt_job_progress__free_unpacked (progress, NULL);
+      return true;
+    }
   if (job == NULL)
     {
       job = g_new0 (struct ColtCellJob, 1);
@@ -218,6 +248,10 @@
       colt_cell_list_ended (cell, job);
       g_ptr_array_remove_fast (cell->scheduled, job);
     }
+  job->stored_parts = MAX (job->stored_parts, 1);
+  job->unsplit
+      = progress->n_tasks > 0
+        && progress->tasks[progress->n_tasks - 1]->index >= job->part_tasks;
   apply_progress_ (cell, job, progress);
   colt_job_progress__free_unpacked (progress, NULL);
   return true;
@@ -304,9 +338,10 @@
 
   if (job->dropped)
     {
-      bytes += add_record_ (records, PROGRESS_KEY, job->id, NULL, 0);
+      bytes += add_record_ (records, PROGRESS_KEY, job->id, 0, NULL, 0);
+      bytes += remove_parts_ (records, job);
       if (job->spec_stored)
-        bytes += add_record_ (records, SPEC_KEY, job->id, NULL, 0);
+        bytes += add_record_ (records, SPEC_KEY, job->id, 0, NULL, 0);
       return bytes;
     }
   if (colt_cell_is_ended (job))
@@ -314,8 +349,9 @@
       if (job->ended_wall_ms == 0)
         job->ended_wall_ms = wall_ms;
       if (job->spec_stored)
-        bytes += add_record_ (records, SPEC_KEY, job->id, NULL, 0);
+        bytes += add_record_ (records, SPEC_KEY, job->id, 0, NULL, 0);
       job->spec_stored = false;
+      bytes += remove_parts_ (records, job);
     }
   else if (job->dirty_spec)
     {
@@ -338,26 +374,40 @@
   uint8_t *value = g_malloc (size + 1);
 
   colt_job_spec__pack (job->spec, value);
-  return add_record_ (records, SPEC_KEY, job->id, value, size);
+  return add_record_ (records, SPEC_KEY, job->id, 0, value, size);
 }
 
-/* Takes over the value; NULL removes the record. */
+/* Takes over the value; NULL removes the record. part: of a job's progress. */
 static size_t
 add_record_ (GArray *records,
              char kind,
              const char *id,
+             uint32_t part,
              uint8_t *value,
              size_t size)
 {
   struct ColtCellRecord record = { 0 };
 
-  record.key = g_malloc (COLT_JOB_ID_LENGTH + 2);
-  record.key[0] = kind;
-  g_strlcpy (record.key + 1, id, COLT_JOB_ID_LENGTH + 1);
+  record.key = part == 0
+                   ? g_strdup_printf ("%c%s", kind, id)
+                   : g_strdup_printf ("%c%s%c%u", kind, id, PART_MARK, part);
   record.value = value;
   record.size = size;
   g_array_append_val (records, record);
-  return size + 1 + strlen (id);
+  return size + strlen (record.key);
+}
+
+/* Removes the records of all parts of a job's progress but the first. */
+static size_t
+remove_parts_ (GArray *records, struct ColtCellJob *job)
+{
+  size_t bytes = 0;
+  uint32_t i;
+
+  for (i = 1; i < job->stored_parts; i++)
+    bytes += add_record_ (records, PROGRESS_KEY, job->id, i, NULL, 0);
+  job->stored_parts = MIN (job->stored_parts, 1);
+  return bytes;
 }
 
 static size_t
@@ -365,10 +415,21 @@
                GArray *records,
                struct ColtCellJob *job)
 {
-  size_t size;
-  uint8_t *value = colt_cell_pack_progress (cell, job, &size);
+  uint32_t count = colt_cell_is_ended (job) ? 1 : job->part_count;
+  size_t bytes = 0;
+  uint32_t i;
 
-  return add_record_ (records, PROGRESS_KEY, job->id, value, size);
+  for (i = 0; i < count; i++)
+    {
+      size_t size;
+      uint8_t *value = colt_cell_pack_progress (cell, job, i, &size);
+
+      if (value == NULL)
+        continue;
+      bytes += add_record_ (records, PROGRESS_KEY, job->id, i, value, size);
+      job->stored_parts = MAX (job->stored_parts, i + 1);
+    }
+  return bytes;
 }
 
 /* Notes that a batch includes a job's planned runs. The record of an ended job
--- a/src/cell/cell_runs.c
+++ b/src/cell/cell_runs.c
@@ -14,7 +14,8 @@
                                     const struct ColtCellTask *task,
                                     uint32_t number);
 static void remove_run_ (struct ColtCell *cell, struct ColtCellRun *run);
-static void store_checkpoint_ (struct ColtCellTask *task,
+static void store_checkpoint_ (const struct ColtCell *cell,
+                               struct ColtCellTask *task,
                                const char *checkpoint);
 static void requeue_task_ (struct ColtCell *cell,
                            struct ColtCellTask *task,
@@ -95,7 +96,7 @@
   remove_run_ (cell, run);
   cell->stats.runs--;
   cell->stats.ended[how]++;
-  store_checkpoint_ (task, checkpoint);
+  store_checkpoint_ (cell, task, checkpoint);
   if (how == COLT_RUN_FAILED)
     colt_cell_clear_losses (cell, task);
   if (how == COLT_RUN_DONE && !step->spec->lasting)
@@ -292,12 +293,15 @@
 }
 
 static void
-store_checkpoint_ (struct ColtCellTask *task, const char *checkpoint)
+store_checkpoint_ (const struct ColtCell *cell,
+                   struct ColtCellTask *task,
+                   const char *checkpoint)
 {
   struct ColtCellStep *step = task->step;
   uint32_t i;
 
-  if (checkpoint == NULL || checkpoint[0] == '\0' || task->done)
+  if (checkpoint == NULL || checkpoint[0] == '\0' || task->done
+      || !colt_cell_can_store_checkpoint (cell, checkpoint))
     return;
   if (!step->spec->gang)
     {
--- a/src/cell/cell_servers.c
+++ b/src/cell/cell_servers.c
@@ -517,6 +517,7 @@
       run->started_us = run->ordered_us;
     }
   if (!task->done && entry->checkpoint[0] != '\0'
+      && colt_cell_can_store_checkpoint (cell, entry->checkpoint)
       && g_strcmp0 (task->checkpoint, entry->checkpoint) != 0)
     {
       g_free (task->checkpoint);
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -217,6 +217,13 @@
   bool changed;  /* to be packed anew */
 };
 
+/* A part of a job's packed progress, which is a record of its own. */
+struct ColtCellPart
+{
+  GByteArray *tasks; /* entries as they were last packed */
+  bool changed;      /* some are to be packed anew */
+};
+
 /* What is reserved for a gang during a pass. */
 struct ColtCellReservation
 {
@@ -238,10 +245,15 @@
   uint32_t steps_done;
   GPtrArray *planned; /* of struct ColtCellRun: planned, to be ordered; NULL:
                          never any */
-  struct ColtCellEntry *entries; /* of all tasks, in packed_tasks; NULL: not
-                                    packed yet */
-  GByteArray *packed_tasks;      /* entries as they were last recorded */
-  bool entries_changed;          /* some are to be packed anew */
+  struct ColtCellEntry *entries; /* of all tasks, in parts; NULL: not packed
+                                    yet */
+  struct ColtCellPart *parts;    /* of part_count records; NULL: not packed yet
+                                  */
+  uint32_t part_count;           /* records of its progress; at least 1 */
+  uint32_t part_tasks;           /* tasks of each part but the last */
+  uint32_t stored_parts;         /* the log may have records of so many */
+  bool unsplit;                  /* an earlier version recorded all its tasks in
+                                    the first part, and older parts may be left */
   enum ColtJobState state;
   enum ColtJobState durable_state; /* the last one that is durable */
   bool begun;                      /* a task has had a run */
@@ -495,11 +507,24 @@
 
 /* cell_progress.c */
 
-/* Returns a job's progress, as it is recorded, and its size in bytes. Only
- * entries of tasks that have changed are packed anew. */
+/* Returns whether a checkpoint fits the records of its job; a task whose
+ * checkpoint doesn't starts from an earlier one. */
+bool colt_cell_can_store_checkpoint (const struct ColtCell *cell,
+                                     const char *checkpoint);
+/* Sets how a new job's progress is split over records. */
+void colt_cell_split_progress (const struct ColtCell *cell,
+                               struct ColtCellJob *job);
+/* Returns a part of a job's progress, as it is recorded, and its size in bytes.
+ * Only entries of tasks that have changed are packed anew. NULL: the part
+ * hasn't changed since it was last packed; the first one is always returned. */
 uint8_t *colt_cell_pack_progress (const struct ColtCell *cell,
                                   struct ColtCellJob *job,
+                                  uint32_t part,
                                   size_t *size);
+/* Packs the parts of a wide job that was loaded, so that only those that change
+ * from then on are recorded again. */
+void colt_cell_keep_progress (const struct ColtCell *cell,
+                              struct ColtCellJob *job);
 /* Notes that something has changed that is recorded of a task. */
 void colt_cell_mark_entry (const struct ColtCellTask *task);
 void colt_cell_free_entries (struct ColtCellJob *job);
--- a/src/scheduler/commit.c
+++ b/src/scheduler/commit.c
@@ -217,7 +217,8 @@
 }
 
 /* A batch is resent under the same sequence number until its outcome is known.
- */
+ * One that the log can't take, for its size for instance, is no sign of a later
+ * leader, whose batches would fare the same. */
 static void
 handle_answer_ (void *client, const struct ColtLogAnswer *answer)
 {
@@ -239,7 +240,6 @@
     case COLT_LOG_FENCED:
     case COLT_LOG_SEQUENCE:
     case COLT_LOG_CONFLICT:
-    case COLT_LOG_INVALID:
       colt_log (COLT_LOG_ERROR, MODULE, NULL,
                 "the log rejected a batch; giving up leadership: %s %s",
                 colt_log_outcome_string[answer->outcome],
--- a/src/scheduler/leader.c
+++ b/src/scheduler/leader.c
@@ -122,6 +122,7 @@
   limits.stop_retry_us = STOP_RETRY_US;
   limits.advice_servers_max = ADVICE_SERVERS_MAX;
   limits.gang_advice_servers_max = GANG_ADVICE_SERVERS_MAX;
+  limits.record_bytes_max = ports->record_bytes_max;
   leader->base = base;
   leader->ports = ports;
   leader->settings = settings;
--- a/src/test_cell_load/fixture.c
+++ b/src/test_cell_load/fixture.c
@@ -102,7 +102,7 @@
 create_cell (struct ColtLoadFixture *fixture)
 {
   const struct ColtCellLimits limits
-      = { 60 * COLT_US_PER_S, 800 * MS, 30, 100 };
+      = { 60 * COLT_US_PER_S, 800 * MS, 30, 100, fixture->record_bytes_max };
   struct ColtFleet *fleet = make_fleet ();
 
   fixture->cell = colt_cell_create (&ops, fixture, &limits, fixture->term);
@@ -112,9 +112,16 @@
 
 struct ColtLoadFixture *
 colt_fixture_create (void)
+{
+  return colt_fixture_create_limited (0);
+}
+
+struct ColtLoadFixture *
+colt_fixture_create_limited (size_t record_bytes_max)
 {
   struct ColtLoadFixture *fixture = g_new0 (struct ColtLoadFixture, 1);
 
+  fixture->record_bytes_max = record_bytes_max;
   fixture->now_us = COLT_US_PER_S;
   fixture->starts = g_ptr_array_new_with_free_func (g_free);
   fixture->stops = g_ptr_array_new_with_free_func (g_free);
@@ -222,6 +229,12 @@
   return spec;
 }
 
+ColtJobSpec *
+colt_fixture_make_job (struct ColtLoadFixture *fixture, uint32_t count)
+{
+  return make_job (fixture, "tight", "steady", count);
+}
+
 void
 colt_fixture_submit (struct ColtLoadFixture *fixture,
                      const char *queue,
--- a/src/test_cell_load/fixture.h
+++ b/src/test_cell_load/fixture.h
@@ -22,6 +22,7 @@
   GArray *calls;             /* numbers of all advice calls, uint64_t */
   uint32_t max_advice_calls; /* most pending advice calls */
   uint32_t last_id;          /* of the latest job */
+  size_t record_bytes_max;   /* 0: no limit */
   uint32_t term;             /* of the leader */
   GHashTable *records;       /* durable ones: key -> GBytes */
 };
@@ -29,7 +30,12 @@
 /* Creates a cell with the queues "tight" and "advised", the organisations
  * "steady" and "hot", and no servers. */
 struct ColtLoadFixture *colt_fixture_create (void);
+/* Creates the same with records of record_bytes_max bytes at most. */
+struct ColtLoadFixture *colt_fixture_create_limited (size_t record_bytes_max);
 void colt_fixture_destroy (struct ColtLoadFixture *fixture);
+/* Makes a job of "steady" in the queue "tight" with one step of count tasks. */
+ColtJobSpec *colt_fixture_make_job (struct ColtLoadFixture *fixture,
+                                    uint32_t count);
 /* Sets what "steady" may use, in thousandths of a core. */
 void colt_fixture_set_maximum (struct ColtLoadFixture *fixture, int64_t cores);
 /* Reports that a server has no runs, in reply to the call with a number. */
@@ -101,5 +107,6 @@
 void colt_load_add_advice_tests (void);
 void colt_load_add_cost_tests (void);
 void colt_load_add_failure_tests (void);
+void colt_load_add_record_tests (void);
 
 #endif
--- a/src/test_restarts/test_restarts.c
+++ b/src/test_restarts/test_restarts.c
@@ -221,6 +221,30 @@
   run_seeds (&plan);
 }
 
+/* Guards against a job whose record exceeds what the log takes, which ends each
+ * leader, and against lists that lack the latest ends: both bounds are met
+ * often, as they are low. */
+static void
+test_low_bounds (void)
+{
+  const struct ColtWorldPlan plan = { .seed = 4,
+                                      .servers = 6,
+                                      .seconds = 25,
+                                      .jobs = 6,
+                                      .cancels = 0.05,
+                                      .crashes = 0.3,
+                                      .silent = 0.5,
+                                      .short_downtimes = 0.6,
+                                      .next_lives = 0.3,
+                                      .late_answers = 0.1,
+                                      .leader_changes = 0.05,
+                                      .listed_ends = 2,
+                                      .record_bytes = 600,
+                                      .wide_tasks = 120 };
+
+  run_seeds (&plan);
+}
+
 static void
 test_everything (void)
 {
@@ -261,6 +285,7 @@
   g_test_add_func ("/restarts/entries", test_entries);
   g_test_add_func ("/restarts/clock-steps", test_clock_steps);
   g_test_add_func ("/restarts/leader-changes", test_leader_changes);
+  g_test_add_func ("/restarts/low-bounds", test_low_bounds);
   g_test_add_func ("/restarts/everything", test_everything);
   return g_test_run ();
 }
--- a/src/test_restarts/world.h
+++ b/src/test_restarts/world.h
@@ -37,6 +37,9 @@
   double entry_faults;      /* rate, of one server's entry that disappears or
                                shows the former life */
   double leader_changes;    /* rate */
+  uint32_t listed_ends;     /* most ends in one answer; 0: no limit */
+  uint32_t record_bytes;    /* largest value of a record; 0: no limit */
+  uint32_t wide_tasks;      /* most tasks of a wide step; 0: default */
 };
 
 /* What must hold in a world. */
@@ -48,6 +51,7 @@
   RULE_ACK,   /* only ends that an answer has listed are acknowledged */
   RULE_FENCE, /* the only leader isn't fenced */
   RULE_ENDS,  /* accepted jobs end once there are no faults */
+  RULE_SIZE,  /* no record is larger than the log takes */
   RULE_COUNT  /* number of rules, not a rule */
 };
 
--- a/src/test_restarts/world_leader.c
+++ b/src/test_restarts/world_leader.c
@@ -152,8 +152,11 @@
   spec->queue = strdup (QUEUE);
   spec->payload = strdup ("payload");
   spec->steps = calloc (2, sizeof (ColtJobStep *));
-  add_step (world, spec,
-            colt_world_draw (world, WIDE_JOBS) ? WIDE_TASKS : NARROW_TASKS);
+  add_step (
+      world, spec,
+      colt_world_draw (world, WIDE_JOBS)
+          ? (world->plan->wide_tasks > 0 ? world->plan->wide_tasks : WIDE_TASKS)
+          : NARROW_TASKS);
   if (colt_world_draw (world, 0.3))
     add_step (world, spec, NARROW_TASKS);
   return spec;
--- a/src/test_restarts/world_log.c
+++ b/src/test_restarts/world_log.c
@@ -164,6 +164,18 @@
   g_array_append_val (world->topics[topic], stored);
 }
 
+static bool
+exceeds_record_size (const struct ColtWorld *world,
+                     const struct ColtLogAppend *append)
+{
+  size_t i;
+
+  for (i = 0; i < append->count && world->plan->record_bytes > 0; i++)
+    if (append->records[i].size > world->plan->record_bytes)
+      return true;
+  return false;
+}
+
 static void
 log_append (struct ColtLogChannel *channel,
             const struct ColtLogAppend *append,
@@ -175,6 +187,12 @@
       = add_log_call (channel, append->topic, done, client);
   size_t i;
 
+  if (exceeds_record_size (world, append))
+    {
+      call->answer.outcome = COLT_LOG_INVALID;
+      colt_world_break (world, RULE_SIZE, "a record is too large");
+      return;
+    }
   if (append->epoch < world->epoch)
     {
       call->answer.outcome = COLT_LOG_FENCED;
@@ -290,6 +308,7 @@
       g_array_set_clear_func (world->topics[i], clear_record);
     }
   world->ports.adapter = world;
+  world->ports.record_bytes_max = world->plan->record_bytes;
   world->ports.log_open = log_open;
   world->ports.log_close = log_close;
   world->ports.log_append = log_append;
--- a/src/test_restarts/world_servers.c
+++ b/src/test_restarts/world_servers.c
@@ -257,6 +257,7 @@
 colt_world_report (struct ColtWorldLife *life, struct ColtWorldCall *call)
 {
   struct ColtServerReport *report = &call->answer.report;
+  guint listed;
   guint i;
 
   call->running = g_array_new (FALSE, TRUE, sizeof (struct ColtRunningEntry));
@@ -268,12 +269,20 @@
 
       g_array_append_val (call->running, entry);
     }
-  g_array_append_vals (call->ended, life->ends->data, life->ends->len);
+  listed = life->ends->len;
+  if (life->server->world->plan->listed_ends > 0)
+    listed = MIN (listed, life->server->world->plan->listed_ends);
+  g_array_append_vals (call->ended, life->ends->data, listed);
   report->running = (const struct ColtRunningEntry *)call->running->data;
   report->running_count = call->running->len;
   report->finished = (const struct ColtFinishedEntry *)call->ended->data;
   report->finished_count = call->ended->len;
-  life->listed_end = life->last_end;
+  report->may_have_more
+      = listed == life->server->world->plan->listed_ends && listed > 0;
+  if (listed > 0)
+    life->listed_end
+        = g_array_index (life->ends, struct ColtFinishedEntry, listed - 1)
+              .number;
 }
 
 void
--- a/src/test_restarts/world_truth.c
+++ b/src/test_restarts/world_truth.c
@@ -5,7 +5,7 @@
 #include "virtual_time.h"
 
 const char *const colt_world_rule_string[]
-    = { "once", "done", "ack", "fence", "ends" };
+    = { "once", "done", "ack", "fence", "ends", "size" };
 
 static struct ColtWorldTask *
 get_task (struct ColtWorld *world, const char *name)
--- a/src/test_scheduler/fake_ports.c
+++ b/src/test_scheduler/fake_ports.c
@@ -211,6 +211,8 @@
   call->answer.outcome = check_append (fake, append);
   if (fake->fault == FAULT_REFUSED || fake->fault == FAULT_DOWN)
     call->answer.outcome = COLT_LOG_NOT_DONE;
+  else if (fake->fault == FAULT_TOO_LARGE)
+    call->answer.outcome = COLT_LOG_INVALID;
   else if (fake->fault == FAULT_LOST_APPENDS)
     call->answer.outcome = COLT_LOG_UNKNOWN;
   else if (call->answer.outcome == COLT_LOG_DONE)
--- a/src/test_scheduler/fake_ports.h
+++ b/src/test_scheduler/fake_ports.h
@@ -13,6 +13,7 @@
 {
   FAULT_NONE,
   FAULT_REFUSED,      /* appends fail, certainly without effect */
+  FAULT_TOO_LARGE,    /* appends are rejected as malformed */
   FAULT_LOST_ANSWERS, /* appends take effect, their answers are lost */
   FAULT_LOST_APPENDS, /* appends have no effect, their answers are lost */
   FAULT_DOWN,         /* appends and reads fail, certainly without effect */
--- a/src/test_scheduler/test_commit.c
+++ b/src/test_scheduler/test_commit.c
@@ -168,6 +168,35 @@
   colt_fake_ports_destroy (fake);
 }
 
+/* Guards against leaders that give up one after another because the log rejects
+ * a batch for its size. */
+static void
+test_commit_too_large (void)
+{
+  struct ColtFakePorts *fake = colt_fake_ports_create ();
+  struct ColtCallCounts counts = { 0 };
+  const struct ColtCommitClient client = { on_committed, on_fenced, &counts };
+  struct ColtMetrics *metrics = colt_metrics_create ();
+  struct ColtCell *cell = make_cell ();
+  struct ColtCommit *commit = colt_commit_create (
+      fake->base, &fake->ports, cell, 1, &client, metrics, NULL);
+
+  fake->fault = FAULT_TOO_LARGE;
+  submit (cell, "0000000000000001");
+  colt_commit_wait (commit, on_durable, &counts);
+  colt_fake_ports_run (fake, 300);
+  g_assert_cmpuint (counts.fenced, ==, 0);
+  g_assert_cmpuint (counts.durable, ==, 0);
+  g_assert_cmpuint (fake->appends, >=, 2);
+  fake->fault = FAULT_NONE;
+  colt_fake_ports_run (fake, 200);
+  g_assert_cmpuint (counts.durable, ==, 1);
+  colt_commit_destroy (commit);
+  colt_cell_destroy (cell);
+  colt_metrics_destroy (metrics);
+  colt_fake_ports_destroy (fake);
+}
+
 /* A cell that gets a further job whenever a batch has been committed. */
 struct ColtBusyCell
 {
@@ -234,4 +263,5 @@
   g_test_add_func ("/scheduler/commit/lost-answer", test_commit_lost_answer);
   g_test_add_func ("/scheduler/commit/fenced", test_commit_fenced);
   g_test_add_func ("/scheduler/commit/full-batches", test_commit_full_batches);
+  g_test_add_func ("/scheduler/commit/too-large", test_commit_too_large);
 }
