Cell: a job's record has what its queue is configured to

What callers saw: a version drops a route, the leader changes, and the jobs that were accepted on that route stop: their steps are blocked as "no service" (LOST).

Cause: the queue's configuration was in the memory of the leader alone, so that a later one had no service, attempts or objective for its jobs.

Change: the record of a specification has the queue's terms as of the acceptance, and a leader whose configurations lack the queue restores the latest of them. Queues have a file of their own.

--- a/include/coltsfootstile/cell.pb-c.h
+++ b/include/coltsfootstile/cell.pb-c.h
@@ -16,6 +16,7 @@
 
 
 typedef struct ColtJobStep ColtJobStep;
+typedef struct ColtQueueTerms ColtQueueTerms;
 typedef struct ColtJobSpec ColtJobSpec;
 typedef struct ColtTaskProgress ColtTaskProgress;
 typedef struct ColtJobProgress ColtJobProgress;
@@ -121,6 +122,56 @@
     , 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
+/*
+ * What a job's queue was configured to when the job was accepted; for a leader
+ * whose configurations lack the queue.
+ */
+struct  ColtQueueTerms
+{
+  ProtobufCMessage base;
+  int64_t config_version;
+  /*
+   * name of the service that runs its tasks
+   */
+  char *service;
+  /*
+   * 0 is the highest
+   */
+  uint32_t priority;
+  /*
+   * failures of a task after which its job fails
+   */
+  uint32_t max_attempts;
+  /*
+   * of the longest chain of steps, in a job's objective
+   */
+  double stretch;
+  /*
+   * constant part of the objective
+   */
+  uint32_t target_ms;
+  /*
+   * starts need a ticket from the adviser
+   */
+  protobuf_c_boolean advised;
+  /*
+   * fixed duration of an advice call
+   */
+  double advice_ms;
+  /*
+   * additional duration for each server that it names
+   */
+  double advice_per_server_ms;
+  /*
+   * how long a ticket is valid
+   */
+  uint32_t ticket_ms;
+};
+#define COLT_QUEUE_TERMS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&colt_queue_terms__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
 /*
  * A job as it was accepted; immutable.
  */
@@ -152,10 +203,11 @@
    * wall-clock time since 1970
    */
   int64_t accepted_wall_ms;
+  ColtQueueTerms *queue_terms;
 };
 #define COLT_JOB_SPEC__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&colt_job_spec__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, NULL }
 
 
 /*
@@ -499,6 +551,25 @@
 void   colt_job_step__free_unpacked
                      (ColtJobStep *message,
                       ProtobufCAllocator *allocator);
+/* ColtQueueTerms methods */
+void   colt_queue_terms__init
+                     (ColtQueueTerms         *message);
+size_t colt_queue_terms__get_packed_size
+                     (const ColtQueueTerms   *message);
+size_t colt_queue_terms__pack
+                     (const ColtQueueTerms   *message,
+                      uint8_t             *out);
+size_t colt_queue_terms__pack_to_buffer
+                     (const ColtQueueTerms   *message,
+                      ProtobufCBuffer     *buffer);
+ColtQueueTerms *
+       colt_queue_terms__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   colt_queue_terms__free_unpacked
+                     (ColtQueueTerms *message,
+                      ProtobufCAllocator *allocator);
 /* ColtJobSpec methods */
 void   colt_job_spec__init
                      (ColtJobSpec         *message);
@@ -732,6 +803,9 @@
 typedef void (*ColtJobStep_Closure)
                  (const ColtJobStep *message,
                   void *closure_data);
+typedef void (*ColtQueueTerms_Closure)
+                 (const ColtQueueTerms *message,
+                  void *closure_data);
 typedef void (*ColtJobSpec_Closure)
                  (const ColtJobSpec *message,
                   void *closure_data);
@@ -775,6 +849,7 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor colt_job_step__descriptor;
+extern const ProtobufCMessageDescriptor colt_queue_terms__descriptor;
 extern const ProtobufCMessageDescriptor colt_job_spec__descriptor;
 extern const ProtobufCMessageDescriptor colt_task_progress__descriptor;
 extern const ProtobufCMessageDescriptor colt_job_progress__descriptor;
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -16,10 +16,8 @@
 const char *const colt_submit_result_string[]
     = { "new", "pending", "known", "invalid", "no_queue", "too_late", "full" };
 
-static void free_queue_ (gpointer data);
 static void free_organisation_ (gpointer data);
 static void free_pool_ (gpointer data);
-static void update_queues_ (struct ColtCell *cell, struct ColtFleet *fleet);
 static void update_organisations_ (struct ColtCell *cell,
                                    const struct ColtFleet *fleet);
 static void retry_stops_ (struct ColtCell *cell, int64_t now_us);
@@ -39,8 +37,8 @@
   cell->generation = generation;
   cell->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                       colt_cell_free_job);
-  cell->queues
-      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_queue_);
+  cell->queues = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                        colt_cell_free_queue);
   cell->organisations = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                                free_organisation_);
   cell->servers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
@@ -106,7 +104,7 @@
   colt_fleet_ref (fleet);
   colt_fleet_unref (cell->fleet);
   cell->fleet = fleet;
-  update_queues_ (cell, fleet);
+  colt_cell_update_queues (cell, fleet);
   update_organisations_ (cell, fleet);
   for (i = 0; i < fleet->services->len; i++)
     {
@@ -126,16 +124,18 @@
 
   if (job != NULL && !job->dropped)
     return job->durable ? COLT_SUBMIT_KNOWN : COLT_SUBMIT_PENDING;
-  if (strlen (spec->id) != COLT_JOB_ID_LENGTH || !colt_cell_is_spec_valid (spec)
-      || (cell->limits.record_bytes_max > 0
-          && colt_job_spec__get_packed_size (spec)
-                 > cell->limits.record_bytes_max))
+  if (strlen (spec->id) != COLT_JOB_ID_LENGTH
+      || !colt_cell_is_spec_valid (spec))
     return COLT_SUBMIT_INVALID;
   queue = g_hash_table_lookup (cell->queues, spec->queue);
   if (queue == NULL || !queue->listed)
     return COLT_SUBMIT_NO_QUEUE;
   if (job != NULL || g_hash_table_size (cell->jobs) >= JOBS_MAX)
     return COLT_SUBMIT_FULL;
+  colt_cell_add_terms (cell, queue, spec);
+  if (cell->limits.record_bytes_max > 0
+      && colt_job_spec__get_packed_size (spec) > cell->limits.record_bytes_max)
+    return COLT_SUBMIT_INVALID;
   job = colt_cell_build_job (cell, spec);
   job->accepted_us = now_us;
   job->excess = colt_cell_exceeds_share (job->organisation, now_us);
@@ -261,16 +261,6 @@
   stats->servers = g_hash_table_size (cell->servers);
 }
 
-static void
-free_queue_ (gpointer data)
-{
-  struct ColtCellQueue *queue = data;
-
-  colt_fleet_unref (queue->fleet);
-  g_free (queue->name);
-  g_free (queue);
-}
-
 static void
 free_organisation_ (gpointer data)
 {
@@ -290,31 +280,6 @@
   g_free (pool);
 }
 
-/* A queue that is no longer configured rejects new jobs; its existing jobs
- * continue. */
-static void
-update_queues_ (struct ColtCell *cell, struct ColtFleet *fleet)
-{
-  GHashTableIter i;
-  gpointer value;
-  guint q;
-
-  g_hash_table_iter_init (&i, cell->queues);
-  while (g_hash_table_iter_next (&i, NULL, &value))
-    ((struct ColtCellQueue *)value)->listed = false;
-  for (q = 0; q < fleet->queues->len; q++)
-    {
-      const struct ColtQueueConfig *config
-          = g_ptr_array_index (fleet->queues, q);
-      struct ColtCellQueue *queue = colt_cell_get_queue (cell, config->name);
-
-      colt_fleet_unref (queue->fleet);
-      queue->fleet = colt_fleet_ref (fleet);
-      queue->config = config;
-      queue->listed = true;
-    }
-}
-
 static void
 update_organisations_ (struct ColtCell *cell, const struct ColtFleet *fleet)
 {
--- a/src/cell/cell.pb-c.c
+++ b/src/cell/cell.pb-c.c
@@ -52,6 +52,51 @@
   assert(message->base.descriptor == &colt_job_step__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   colt_queue_terms__init
+                     (ColtQueueTerms         *message)
+{
+  static const ColtQueueTerms init_value = COLT_QUEUE_TERMS__INIT;
+  *message = init_value;
+}
+size_t colt_queue_terms__get_packed_size
+                     (const ColtQueueTerms *message)
+{
+  assert(message->base.descriptor == &colt_queue_terms__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t colt_queue_terms__pack
+                     (const ColtQueueTerms *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &colt_queue_terms__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t colt_queue_terms__pack_to_buffer
+                     (const ColtQueueTerms *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &colt_queue_terms__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+ColtQueueTerms *
+       colt_queue_terms__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (ColtQueueTerms *)
+     protobuf_c_message_unpack (&colt_queue_terms__descriptor,
+                                allocator, len, data);
+}
+void   colt_queue_terms__free_unpacked
+                     (ColtQueueTerms *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &colt_queue_terms__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   colt_job_spec__init
                      (ColtJobSpec         *message)
 {
@@ -851,7 +896,162 @@
   (ProtobufCMessageInit) colt_job_step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor colt_job_spec__field_descriptors[9] =
+static const ProtobufCFieldDescriptor colt_queue_terms__field_descriptors[10] =
+{
+  {
+    "config_version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(ColtQueueTerms, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(ColtQueueTerms, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ColtQueueTerms, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_attempts",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ColtQueueTerms, max_attempts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stretch",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(ColtQueueTerms, stretch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ColtQueueTerms, target_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "advised",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(ColtQueueTerms, advised),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "advice_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(ColtQueueTerms, advice_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "advice_per_server_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(ColtQueueTerms, advice_per_server_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ticket_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ColtQueueTerms, ticket_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned colt_queue_terms__field_indices_by_name[] = {
+  7,   /* field[7] = advice_ms */
+  8,   /* field[8] = advice_per_server_ms */
+  6,   /* field[6] = advised */
+  0,   /* field[0] = config_version */
+  3,   /* field[3] = max_attempts */
+  2,   /* field[2] = priority */
+  1,   /* field[1] = service */
+  4,   /* field[4] = stretch */
+  5,   /* field[5] = target_ms */
+  9,   /* field[9] = ticket_ms */
+};
+static const ProtobufCIntRange colt_queue_terms__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor colt_queue_terms__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ColtQueueTerms",
+  "ColtQueueTerms",
+  "ColtQueueTerms",
+  "",
+  sizeof(ColtQueueTerms),
+  10,
+  colt_queue_terms__field_descriptors,
+  colt_queue_terms__field_indices_by_name,
+  1,  colt_queue_terms__number_ranges,
+  (ProtobufCMessageInit) colt_queue_terms__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor colt_job_spec__field_descriptors[10] =
 {
   {
     "id",
@@ -961,6 +1161,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "queue_terms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(ColtJobSpec, queue_terms),
+    &colt_queue_terms__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned colt_job_spec__field_indices_by_name[] = {
   8,   /* field[8] = accepted_wall_ms */
@@ -970,13 +1182,14 @@
   1,   /* field[1] = organisation */
   3,   /* field[3] = payload */
   2,   /* field[2] = queue */
+  9,   /* field[9] = queue_terms */
   5,   /* field[5] = repetitions */
   4,   /* field[4] = steps */
 };
 static const ProtobufCIntRange colt_job_spec__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor colt_job_spec__descriptor =
 {
@@ -986,7 +1199,7 @@
   "ColtJobSpec",
   "",
   sizeof(ColtJobSpec),
-  9,
+  10,
   colt_job_spec__field_descriptors,
   colt_job_spec__field_indices_by_name,
   1,  colt_job_spec__number_ranges,
--- a/src/cell/cell_jobs.c
+++ b/src/cell/cell_jobs.c
@@ -254,20 +254,6 @@
             step->occurrence, step->number, task->index);
 }
 
-struct ColtCellQueue *
-colt_cell_get_queue (struct ColtCell *cell, const char *name)
-{
-  struct ColtCellQueue *queue = g_hash_table_lookup (cell->queues, name);
-
-  if (queue == NULL)
-    {
-      queue = g_new0 (struct ColtCellQueue, 1);
-      queue->name = g_strdup (name);
-      g_hash_table_insert (cell->queues, queue->name, queue);
-    }
-  return queue;
-}
-
 struct ColtCellOrganisation *
 colt_cell_get_organisation (struct ColtCell *cell, const char *name)
 {
--- a/src/cell/cell_records.c
+++ b/src/cell/cell_records.c
@@ -178,6 +178,7 @@
       return false;
     }
   job = colt_cell_build_job (cell, spec);
+  colt_cell_restore_terms (job->queue, spec->queue_terms);
   job->durable = true;
   job->spec_stored = true;
   job->accepted_us
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -31,6 +31,8 @@
   char *name;
   const struct ColtQueueConfig *config; /* from the newest fleet that has it */
   struct ColtFleet *fleet;              /* reference that keeps config valid */
+  int64_t restored_version;             /* of the configuration that config was
+                                           restored from a record of; 0: none */
   bool listed;                          /* in the current configuration */
   uint64_t waiting;                     /* durable jobs without a start */
   uint32_t open_calls;                  /* pending advice calls */
@@ -413,8 +415,6 @@
                                  char name[TASK_NAME_SIZE]);
 struct ColtCellStep *colt_cell_find_step (const struct ColtCell *cell,
                                           const char *name);
-struct ColtCellQueue *colt_cell_get_queue (struct ColtCell *cell,
-                                           const char *name);
 struct ColtCellOrganisation *colt_cell_get_organisation (struct ColtCell *cell,
                                                          const char *name);
 
@@ -454,6 +454,24 @@
                               uint32_t run,
                               int64_t now_us);
 
+/* cell_queues.c */
+
+struct ColtCellQueue *colt_cell_get_queue (struct ColtCell *cell,
+                                           const char *name);
+void colt_cell_free_queue (gpointer data);
+/* Applies the queues of a configuration. One that it lacks rejects new jobs;
+ * its existing jobs continue. */
+void colt_cell_update_queues (struct ColtCell *cell, struct ColtFleet *fleet);
+/* Adds to a new job's specification what its queue is configured to. */
+void colt_cell_add_terms (const struct ColtCell *cell,
+                          const struct ColtCellQueue *queue,
+                          ColtJobSpec *spec);
+/* Restores the configuration of a queue that this leader's configurations lack
+ * from the record of a job; the latest version counts. terms: NULL is allowed.
+ */
+void colt_cell_restore_terms (struct ColtCellQueue *queue,
+                              const ColtQueueTerms *terms);
+
 /* cell_probation.c: servers on which runs fail */
 
 /* Returns whether a server may get another run: one on probation gets none for
--- a/src/test_restarts/test_restarts.c
+++ b/src/test_restarts/test_restarts.c
@@ -245,6 +245,24 @@
   run_seeds (&plan);
 }
 
+/* Guards against accepted jobs that never end because a later leader doesn't
+ * know their queue, which the configuration has dropped meanwhile. */
+static void
+test_dropped_queue (void)
+{
+  const struct ColtWorldPlan plan = { .seed = 3,
+                                      .servers = 6,
+                                      .seconds = 25,
+                                      .jobs = 6,
+                                      .cancels = 0.05,
+                                      .crashes = 0.3,
+                                      .short_downtimes = 0.6,
+                                      .leader_changes = 0.2,
+                                      .queue_dropped_s = 15 };
+
+  run_seeds (&plan);
+}
+
 static void
 test_everything (void)
 {
@@ -286,6 +304,7 @@
   g_test_add_func ("/restarts/clock-steps", test_clock_steps);
   g_test_add_func ("/restarts/leader-changes", test_leader_changes);
   g_test_add_func ("/restarts/low-bounds", test_low_bounds);
+  g_test_add_func ("/restarts/dropped-queue", test_dropped_queue);
   g_test_add_func ("/restarts/everything", test_everything);
   return g_test_run ();
 }
--- a/src/test_restarts/world.h
+++ b/src/test_restarts/world.h
@@ -37,6 +37,8 @@
   double entry_faults;      /* rate, of one server's entry that disappears or
                                shows the former life */
   double leader_changes;    /* rate */
+  uint32_t queue_dropped_s; /* when the configuration drops the queue, in
+                               seconds; 0: never */
   uint32_t listed_ends;     /* most ends in one answer; 0: no limit */
   uint32_t record_bytes;    /* largest value of a record; 0: no limit */
   uint32_t wide_tasks;      /* most tasks of a wide step; 0: default */
--- a/src/test_restarts/world_leader.c
+++ b/src/test_restarts/world_leader.c
@@ -38,11 +38,15 @@
 }
 
 static struct ColtFleet *
-make_fleet (void)
+make_fleet (const struct ColtWorld *world)
 {
   struct ColtFleet *fleet = colt_fleet_create ();
-  struct ColtQueueConfig *queue = colt_fleet_add_queue (fleet);
+  struct ColtQueueConfig *queue;
 
+  fleet->version = world->queue_dropped ? 2 : 1;
+  if (world->queue_dropped)
+    return fleet;
+  queue = colt_fleet_add_queue (fleet);
   queue->name = g_strdup (QUEUE);
   queue->host = g_strdup ("");
   queue->prefix = g_strdup ("/");
@@ -56,7 +60,7 @@
 {
   const struct ColtLeaderClient client
       = { handle_fenced, reject_advice_call, world };
-  struct ColtFleet *fleet = make_fleet ();
+  struct ColtFleet *fleet = make_fleet (world);
 
   world->leader
       = colt_leader_create (world->base, &world->ports, &world->settings,
@@ -67,6 +71,19 @@
   world->result->leaders++;
 }
 
+static void
+drop_queue (struct ColtWorld *world, void *arg)
+{
+  struct ColtFleet *fleet;
+
+  (void)arg;
+  world->queue_dropped = true;
+  fleet = make_fleet (world);
+  if (world->leader != NULL)
+    colt_leader_set_fleet (world->leader, fleet);
+  colt_fleet_unref (fleet);
+}
+
 static void
 destroy_leader (struct ColtWorld *world)
 {
@@ -259,6 +276,9 @@
   create_leader (world);
   colt_world_at (world, now_us + CONFIRM_US, confirm_leader, NULL);
   colt_world_at (world, now_us + COLT_US_PER_S, submit_job, NULL);
+  if (world->plan->queue_dropped_s > 0)
+    colt_world_at (world, now_us + world->plan->queue_dropped_s * COLT_US_PER_S,
+                   drop_queue, NULL);
   if (world->plan->leader_changes > 0)
     colt_world_at (world, now_us + 2 * COLT_US_PER_S, change_leader, NULL);
 }
--- a/src/test_restarts/world_private.h
+++ b/src/test_restarts/world_private.h
@@ -137,6 +137,7 @@
   struct ColtMetrics *metrics;
   struct ColtLeader *leader; /* NULL: there is none */
   uint64_t term;
+  bool queue_dropped;
   bool faults; /* are injected */
   bool closing;
 };
