Cell: a run counts as an earlier incarnation's only once that one has listed it

A report that may lack ends still ended runs of an earlier incarnation. But what a run carries is the incarnation known when it was planned; its start may reach the next one, run there, and end beyond the list. It was taken as lost with the former incarnation and started again after it had been done.

--- a/src/cell/cell_servers.c
+++ b/src/cell/cell_servers.c
@@ -45,6 +45,7 @@
                                 uint64_t number,
                                 const struct ColtServerReport *report,
                                 int64_t now_us);
+static bool was_on_earlier_incarnation_ (const struct ColtCellRun *run);
 static void log_lapsed_ (struct ColtCell *cell,
                          const struct ColtCellServer *server,
                          const struct ColtServerReport *report,
@@ -552,7 +553,8 @@
 
 /* Ends runs that neither a report nor a later one lists although the start or
  * stop was certainly applied before the report was requested. If the report
- * may lack ends, only runs of an earlier incarnation have certainly ended. */
+ * may lack ends, only runs that an earlier incarnation listed have certainly
+ * ended. */
 static void
 end_unlisted_runs_ (struct ColtCell *cell,
                     struct ColtCellServer *server,
@@ -571,8 +573,10 @@
       if (i >= server->runs->len)
         continue;
       run = g_ptr_array_index (server->runs, i);
+      if (report->may_have_more && !was_on_earlier_incarnation_ (run))
+        continue;
       if (run->start_unknown && is_reflected_ (run, call_number)
-          && run->listed_report < number && !report->may_have_more)
+          && run->listed_report < number)
         {
           /* The start may still take effect; a stop prevents that. */
           run->start_unknown = false;
@@ -585,8 +589,6 @@
       if (run->incarnation_ms != 0
           && run->incarnation_ms != server->incarnation_ms)
         colt_cell_lose_run (cell, run, true, now_us);
-      else if (report->may_have_more)
-        continue;
       else if (run->state == RUN_STOPPING)
         colt_cell_end_run (cell, run, COLT_RUN_STOPPED, NULL, now_us);
       else
@@ -599,6 +601,16 @@
     log_lapsed_ (cell, server, report, lapsed);
 }
 
+/* Returns whether an incarnation before the present one has listed a run. The
+ * incarnation that was known when a run was planned isn't evidence: the start
+ * may have reached a later one. */
+static bool
+was_on_earlier_incarnation_ (const struct ColtCellRun *run)
+{
+  return run->confirmed_us != 0 && run->incarnation_ms != 0
+         && run->incarnation_ms != run->server->incarnation_ms;
+}
+
 static void
 log_lapsed_ (struct ColtCell *cell,
              const struct ColtCellServer *server,
--- a/src/test_restarts/test_restarts.c
+++ b/src/test_restarts/test_restarts.c
@@ -243,6 +243,9 @@
                                       .wide_tasks = 120 };
 
   run_seeds (&plan);
+  /* A run that was planned for one incarnation, started on the next one and
+   * ended there beyond its list. */
+  run_seed (&plan, 17);
 }
 
 /* Guards against accepted jobs that never end because a later leader doesn't
