--- a/src/scheduler/leader.c
+++ b/src/scheduler/leader.c
@@ -18,12 +18,6 @@
  * about every second and draining must be noticed within two seconds. */
 #define SERVERS_PAUSE_MS 300
 #define SERVERS_WAIT_MS 1000
-/* Duration of leases unless servers limit it further. A leader that dies is
- * replaced well within it; work of a lost server starts elsewhere after it. */
-#define LEASE_MS 5000
-/* Added to the longest lease of an earlier leader, after which all its leases
- * have certainly ended. */
-#define SETTLE_SLACK_MS 400
 /* An unanswered stop is resent after this time. */
 #define STOP_RETRY_US (800 * COLT_US_PER_MS)
 /* Most servers named in one call for advice. */
@@ -42,8 +36,6 @@
   uint64_t number; /* of the last end */
 };
 
-static uint32_t lease_duration_ms_ (const struct ColtLeader *leader);
-static int64_t inherited_until_us_ (const struct ColtLeader *leader);
 static void send_start_ (void *client, const struct ColtStartOrder *order);
 static void
 send_stop_ (void *client, const char *server, const char *task, uint32_t run);
@@ -186,26 +178,6 @@
   schedule_placement_ (leader);
 }
 
-void
-colt_leader_set_extension (struct ColtLeader *leader, int64_t extension_us)
-{
-  leader->extension_us = extension_us;
-}
-
-void
-colt_leader_set_confirmed (struct ColtLeader *leader, int64_t confirmed_us)
-{
-  leader->confirmed_us = confirmed_us;
-  colt_leader_extend_leases (leader, confirmed_us);
-}
-
-void
-colt_leader_extend_leases (struct ColtLeader *leader, int64_t followed_us)
-{
-  leader->confirmed_until_us
-      = followed_us + lease_duration_ms_ (leader) * COLT_US_PER_MS;
-}
-
 void
 colt_leader_handle_advice (struct ColtLeader *leader,
                            uint64_t number,
@@ -255,7 +227,8 @@
                                size - key_size);
     }
   g_ptr_array_set_size (leader->progress_records, 0);
-  colt_cell_finish_loading (leader->cell, inherited_until_us_ (leader));
+  colt_cell_finish_loading (leader->cell,
+                            colt_leader_inherited_until_us (leader));
   leader->phase = PHASE_SERVING;
   leader->server_watch = colt_watch_create (
       leader->base, leader->ports, COLT_TOPIC_SERVERS, &times, &watch_client);
@@ -264,24 +237,6 @@
             (unsigned long long)leader->loaded_count);
 }
 
-/* Returns the longest duration of a lease. A later leader waits only this long
- * for the leases of an earlier one to end. */
-static uint32_t
-lease_duration_ms_ (const struct ColtLeader *leader)
-{
-  return MIN (LEASE_MS, leader->settings->lease_max_ms);
-}
-
-/* Returns when all leases of earlier leaders have certainly ended. */
-static int64_t
-inherited_until_us_ (const struct ColtLeader *leader)
-{
-  int64_t lease_ms = lease_duration_ms_ (leader);
-
-  return leader->created_us + leader->extension_us
-         + (lease_ms + lease_ms / 20 + SETTLE_SLACK_MS) * COLT_US_PER_MS;
-}
-
 static void
 send_start_ (void *client, const struct ColtStartOrder *order)
 {
@@ -508,9 +463,9 @@
           renewable_until_us_, count_runs_,          has_tight_runs_,
           may_start_,          link_client };
   const struct ColtServerLinkSettings settings
-      = { leader->term, lease_duration_ms_ (leader),
-          leader->settings->lease_max_ms, inherited_until_us_ (leader),
-          leader->window };
+      = { leader->term, colt_leader_lease_ms (leader),
+          leader->settings->lease_max_ms,
+          colt_leader_inherited_until_us (leader), leader->window };
   struct ColtServerLink *link = colt_server_link_create (
       leader->ports, &settings, entry->id, entry->address, &client);
 
--- a/src/scheduler/private/leader_private.h
+++ b/src/scheduler/private/leader_private.h
@@ -56,6 +56,11 @@
   const struct ColtCellServer *server;
 };
 
+/* Returns the longest duration of a lease. A later leader waits only this long
+ * for the leases of an earlier one to end. */
+uint32_t colt_leader_lease_ms (const struct ColtLeader *leader);
+/* Returns when all leases of earlier leaders have certainly ended. */
+int64_t colt_leader_inherited_until_us (const struct ColtLeader *leader);
 /* Loads a record of the log into the cell. */
 void colt_leader_load_record (struct ColtLeader *leader,
                               const char *key,
