Tests: the fake ports take callers and configurations

Two tests had the same stand-ins for the adviser, the listener for callers and the decoder of configurations. They are the fake's now; the tests check as before.

--- a/src/test_scheduler/fake_ports.c
+++ b/src/test_scheduler/fake_ports.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "coltsfootstile/clock.h"
+#include "jobs.h"
 
 /* Time that an answer takes. */
 #define ANSWER_MS 2
@@ -443,6 +444,54 @@
   g_clear_pointer (&record->value, g_bytes_unref);
 }
 
+/* Decodes any record as a configuration with one queue, which is open. */
+static struct ColtFleet *
+decode_fleet (void *adapter,
+              const struct ColtLogRecord *record,
+              struct ColtError *error)
+{
+  struct ColtFleet *fleet = colt_test_make_fleet ();
+  struct ColtQueueConfig *queue = g_ptr_array_index (fleet->queues, 0);
+
+  (void)adapter;
+  (void)record;
+  (void)error;
+  queue->open = true;
+  fleet->version = 1;
+  return fleet;
+}
+
+static struct ColtAdviserChannel *
+open_adviser (void *adapter)
+{
+  (void)adapter;
+  return NULL;
+}
+
+static void
+close_adviser (struct ColtAdviserChannel *channel)
+{
+  (void)channel;
+}
+
+static bool
+start_listening (void *adapter,
+                 const struct ColtCallerServer *handlers,
+                 struct ColtError *error)
+{
+  struct ColtFakePorts *fake = adapter;
+
+  (void)error;
+  fake->handlers = *handlers;
+  return true;
+}
+
+static void
+stop_listening (void *adapter)
+{
+  (void)adapter;
+}
+
 struct ColtFakePorts *
 colt_fake_ports_create (void)
 {
@@ -473,6 +522,11 @@
   fake->ports.server_start = server_start;
   fake->ports.server_stop = server_stop;
   fake->ports.server_renew = server_renew;
+  fake->ports.decode_fleet = decode_fleet;
+  fake->ports.adviser_open = open_adviser;
+  fake->ports.adviser_close = close_adviser;
+  fake->ports.listen = start_listening;
+  fake->ports.stop_listening = stop_listening;
   return fake;
 }
 
--- a/src/test_scheduler/fake_ports.h
+++ b/src/test_scheduler/fake_ports.h
@@ -26,6 +26,7 @@
 struct ColtFakePorts
 {
   struct ColtPorts ports;
+  struct ColtCallerServer handlers; /* once an instance listens for callers */
   struct event_base *base;
   GArray *topics[COLT_TOPIC_JOBS + 1];       /* of struct ColtFakeRecord */
   int64_t first_offset[COLT_TOPIC_JOBS + 1]; /* earlier records have expired */
--- a/src/test_scheduler/test_confirmation.c
+++ b/src/test_scheduler/test_confirmation.c
@@ -49,7 +49,6 @@
 struct ColtConfirmationFixture
 {
   struct ColtFakePorts *fake;
-  struct ColtCallerServer handlers;
   struct ColtPeer peers[PEERS];
   struct event *beat_timer;
   char *address;
@@ -60,22 +59,6 @@
 /* The fixture of the running test, as handles of callers carry no client. */
 static struct ColtConfirmationFixture *current;
 
-static struct ColtFleet *
-decode_fleet (void *adapter,
-              const struct ColtLogRecord *record,
-              struct ColtError *error)
-{
-  struct ColtFleet *fleet = colt_test_make_fleet ();
-  struct ColtQueueConfig *queue = g_ptr_array_index (fleet->queues, 0);
-
-  (void)adapter;
-  (void)record;
-  (void)error;
-  queue->open = true;
-  fleet->version = 1;
-  return fleet;
-}
-
 static ColtJobSpec *
 decode_job (void *adapter,
             const char *body,
@@ -97,36 +80,6 @@
   return spec;
 }
 
-static struct ColtAdviserChannel *
-open_adviser (void *adapter)
-{
-  (void)adapter;
-  return NULL;
-}
-
-static void
-close_adviser (struct ColtAdviserChannel *channel)
-{
-  (void)channel;
-}
-
-static bool
-start_listening (void *adapter,
-                 const struct ColtCallerServer *handlers,
-                 struct ColtError *error)
-{
-  (void)adapter;
-  (void)error;
-  current->handlers = *handlers;
-  return true;
-}
-
-static void
-stop_listening (void *adapter)
-{
-  (void)adapter;
-}
-
 static void
 record_answer (struct ColtCallerHandle *handle,
                const struct ColtCallerAnswer *answer)
@@ -180,18 +133,6 @@
     }
 }
 
-static void
-set_ports (struct ColtPorts *ports)
-{
-  ports->decode_fleet = decode_fleet;
-  ports->decode_job = decode_job;
-  ports->adviser_open = open_adviser;
-  ports->adviser_close = close_adviser;
-  ports->listen = start_listening;
-  ports->stop_listening = stop_listening;
-  ports->answer = record_answer;
-}
-
 static void
 open_peers (struct ColtConfirmationFixture *fixture,
             const enum ColtPeerState *states)
@@ -227,7 +168,8 @@
   request.key = "";
   request.body = "";
   request.patience_ms = 3000;
-  fixture->handlers.handle (fixture->handlers.client, &request, NULL);
+  fixture->fake->handlers.handle (fixture->fake->handlers.client, &request,
+                                  NULL);
   for (i = 0; i < 200 && fixture->fake->starts == 0; i++)
     colt_fake_ports_run (fixture->fake, 5);
   g_assert_cmpuint (fixture->fake->starts, ==, 1);
@@ -254,7 +196,8 @@
   int i;
 
   current = &fixture;
-  set_ports (&fixture.fake->ports);
+  fixture.fake->ports.decode_job = decode_job;
+  fixture.fake->ports.answer = record_answer;
   fixture.address = g_strdup_printf ("127.0.0.1:%d",
                                      PORT_MIN + (int)getpid () % PORT_COUNT);
   settings.internal = fixture.address;
--- a/src/test_scheduler/test_stop.c
+++ b/src/test_scheduler/test_stop.c
@@ -20,7 +20,6 @@
 struct ColtStopFixture
 {
   struct ColtFakePorts *fake;
-  struct ColtCallerServer handlers;
   uint32_t answers;
   int64_t answered_us; /* last answer */
 };
@@ -28,52 +27,6 @@
 /* The fixture of the running test, as handles of callers carry no client. */
 static struct ColtStopFixture *current;
 
-static struct ColtFleet *
-decode_fleet (void *adapter,
-              const struct ColtLogRecord *record,
-              struct ColtError *error)
-{
-  struct ColtFleet *fleet = colt_test_make_fleet ();
-  struct ColtQueueConfig *queue = g_ptr_array_index (fleet->queues, 0);
-
-  (void)adapter;
-  (void)record;
-  (void)error;
-  queue->open = true;
-  fleet->version = 1;
-  return fleet;
-}
-
-static struct ColtAdviserChannel *
-open_adviser (void *adapter)
-{
-  (void)adapter;
-  return NULL;
-}
-
-static void
-close_adviser (struct ColtAdviserChannel *channel)
-{
-  (void)channel;
-}
-
-static bool
-start_listening (void *adapter,
-                 const struct ColtCallerServer *handlers,
-                 struct ColtError *error)
-{
-  (void)adapter;
-  (void)error;
-  current->handlers = *handlers;
-  return true;
-}
-
-static void
-stop_listening (void *adapter)
-{
-  (void)adapter;
-}
-
 static void
 record_answer (struct ColtCallerHandle *handle,
                const struct ColtCallerAnswer *answer)
@@ -97,7 +50,8 @@
   request.path = "/0000000000000001";
   request.key = "";
   request.body = "";
-  fixture->handlers.handle (fixture->handlers.client, &request, NULL);
+  fixture->fake->handlers.handle (fixture->fake->handlers.client, &request,
+                                  NULL);
 }
 
 /* Stops an instance and sends it one request after some
@@ -119,11 +73,6 @@
   int64_t ended_us;
 
   current = &fixture;
-  ports->decode_fleet = decode_fleet;
-  ports->adviser_open = open_adviser;
-  ports->adviser_close = close_adviser;
-  ports->listen = start_listening;
-  ports->stop_listening = stop_listening;
   ports->answer = record_answer;
   colt_fake_ports_put (fixture.fake, COLT_TOPIC_OPERATOR, "config", "fleet");
   scheduler
