--- a/src/test_scheduler/tests.h
+++ b/src/test_scheduler/tests.h
@@ -14,5 +14,6 @@
 void colt_test_callers_add (void);
 void colt_test_stop_add (void);
 void colt_test_confirmation_add (void);
+void colt_test_followers_add (void);
 
 #endif
