--- a/src/test_scheduler/test_leader.c
+++ b/src/test_scheduler/test_leader.c
@@ -176,6 +176,23 @@
   destroy_fixture (fixture);
 }
 
+/* Guards against an accepted job that is answered as unknown: while the log is
+ * down the other instances confirm the leader for its leases, but one that has
+ * been elected since may have accepted the job. */
+static void
+test_unknown_job_without_log (void)
+{
+  struct ColtLeaderFixture *fixture = create_fixture ();
+  int64_t now_us = colt_clock_monotonic_us ();
+
+  colt_leader_set_confirmed (fixture->leader, now_us - 2000 * COLT_US_PER_MS);
+  colt_leader_extend_leases (fixture->leader, now_us);
+  call_about_job (fixture, COLT_CALLER_CANCEL, OTHER_JOB, NULL);
+  g_assert_cmpuint (fixture->replies, ==, 1);
+  g_assert_true (fixture->reply.try_again);
+  destroy_fixture (fixture);
+}
+
 /* A query for the state of a job whose last task is about to end waits briefly
  * for the end. It returns that the job is running if the task doesn't end. */
 static void
@@ -352,6 +369,8 @@
                    test_unknown_job_unconfirmed);
   g_test_add_func ("/scheduler/lead/unknown-job-suspect",
                    test_unknown_job_suspect);
+  g_test_add_func ("/scheduler/lead/unknown-job-without-log",
+                   test_unknown_job_without_log);
   g_test_add_func ("/scheduler/lead/state-waits", test_state_waits);
   g_test_add_func ("/scheduler/lead/state-at-end", test_state_at_end);
 }
