--- a/review/stand-2/harness.py
+++ b/review/stand-2/harness.py
@@ -322,6 +322,7 @@
         self.up = False
         self.ticker = None
         self.last_entry = 0
+        self.all_ends = []  # of all its lives
 
     async def start(self):
         self.born = int(time.time() * 1000)
@@ -378,6 +379,7 @@
         del self.running[run.task]
         self.over[run.task] = max(self.over.get(run.task, 0), run.run)
         self.finished.append([self.next_end, run.task, run.run, how, run.checkpoint])
+        self.all_ends.append(self.finished[-1])
         self.next_end += 1
         self.record("worker %s: %s run %d ends %s" % (self.id, run.task, run.run, how))
         self.ended.set()
