--- a/review/stand-2/harness.py
+++ b/review/stand-2/harness.py
@@ -341,13 +341,18 @@
         self.write_entry()
         self.ticker = asyncio.ensure_future(self._tick())
 
-    async def crash(self):
-        """The process ends: nothing is sent, connections break."""
+    async def crash(self, for_good=False):
+        """The process ends: nothing is sent, connections break. The platform removes the entry
+        after three heartbeat intervals of silence."""
         self.up = False
         self.record("worker %s: crashes under %s" % (self.id, sorted(self.running)))
         if self.ticker is not None:
             self.ticker.cancel()
         await self.close()
+        if for_good:
+            asyncio.get_running_loop().call_later(
+                3 * 1.5, self.deployment.store.put, "keyed.servers", self.id, None
+            )
 
     def entry(self, state="ready"):
         self.seq += 1
