Scheduler: log where the count of waiting jobs comes from

Nothing in the logs told its possible sources apart: the cell of an instance that has just been elected and still loads the jobs, the counts of a leader's heartbeats, or a process that has none yet. An instance now logs when the source of its counts changes, with the count, its age and the term.

--- a/src/scheduler/callers.c
+++ b/src/scheduler/callers.c
@@ -47,8 +47,13 @@
                            ColtCallerCall *call,
                            struct ColtCallerAnswer *answer);
 static bool is_job_id_ (const char *text);
-static uint64_t count_waiting_ (const struct ColtScheduler *scheduler,
+static uint64_t count_waiting_ (struct ColtScheduler *scheduler,
                                 const char *queue);
+static enum ColtCountSource
+find_count_source_ (const struct ColtScheduler *scheduler);
+static void log_count_source_ (const struct ColtScheduler *scheduler,
+                               const char *queue,
+                               uint64_t waiting);
 static void send_to_leader_ (struct ColtRequest *request, ColtCallerCall *call);
 static void handle_wire_reply_ (void *client,
                                 enum ColtWireResult result,
@@ -176,10 +181,12 @@
   if (organisation == NULL && !queue->open)
     return false;
   id = request->path + strlen (queue->prefix);
-  answer->waiting = count_waiting_ (scheduler, queue->name);
   answer->kind = COLT_ANSWER_COUNT;
   if (id[0] == '\0' && request->kind == COLT_CALLER_STATE)
-    return false;
+    {
+      answer->waiting = count_waiting_ (scheduler, queue->name);
+      return false;
+    }
   answer->kind = request->kind == COLT_CALLER_SUBMIT ? COLT_ANSWER_INVALID
                                                      : COLT_ANSWER_NO_JOB;
   if (!is_job_id_ (id))
@@ -214,13 +221,50 @@
 }
 
 static uint64_t
-count_waiting_ (const struct ColtScheduler *scheduler, const char *queue)
+count_waiting_ (struct ColtScheduler *scheduler, const char *queue)
+{
+  enum ColtCountSource source = find_count_source_ (scheduler);
+  uint64_t waiting = scheduler->leader != NULL
+                         ? colt_cell_count_waiting_jobs (
+                             colt_leader_cell (scheduler->leader), queue)
+                         : GPOINTER_TO_SIZE (g_hash_table_lookup (
+                             scheduler->waiting_counts, queue));
+
+  if (source != scheduler->count_source)
+    {
+      scheduler->count_source = source;
+      log_count_source_ (scheduler, queue, waiting);
+    }
+  return waiting;
+}
+
+static enum ColtCountSource
+find_count_source_ (const struct ColtScheduler *scheduler)
 {
   if (scheduler->leader != NULL)
-    return colt_cell_count_waiting_jobs (colt_leader_cell (scheduler->leader),
-                                         queue);
-  return GPOINTER_TO_SIZE (
-      g_hash_table_lookup (scheduler->waiting_counts, queue));
+    return colt_leader_is_serving (scheduler->leader) ? COUNTS_OWN_CELL
+                                                      : COUNTS_LOADING;
+  return scheduler->waiting_counts_us != 0 ? COUNTS_OF_LEADER : COUNTS_NONE;
+}
+
+static void
+log_count_source_ (const struct ColtScheduler *scheduler,
+                   const char *queue,
+                   uint64_t waiting)
+{
+  static const char *const sources[COUNT_SOURCE_COUNT]
+      = { "none", "own cell, loading", "own cell", "leader" };
+  int64_t age_us = colt_clock_monotonic_us () - scheduler->waiting_counts_us;
+  const struct ColtLogField fields[]
+      = { { "source", sources[scheduler->count_source], 0 },
+          { "queue", queue, 0 },
+          { "waiting", NULL, (int64_t)waiting },
+          { "leader_count_age_ms", NULL,
+            scheduler->waiting_counts_us != 0 ? age_us / COLT_US_PER_MS : -1 },
+          { "term", NULL, (int64_t)colt_election_term (scheduler->election) } };
+
+  colt_log_event (COLT_LOG_INFO, MODULE, "source of waiting counts changed",
+                  NULL, fields, G_N_ELEMENTS (fields));
 }
 
 static void
--- a/src/scheduler/private/scheduler_state.h
+++ b/src/scheduler/private/scheduler_state.h
@@ -6,6 +6,16 @@
 #include "scheduler_private.h"
 #include "speed_probe.h"
 
+/* Where the count of a queue's waiting jobs comes from. */
+enum ColtCountSource
+{
+  COUNTS_NONE,      /* no leader has sent counts to this process */
+  COUNTS_LOADING,   /* the own cell, while it loads the jobs */
+  COUNTS_OWN_CELL,  /* the own cell, which serves */
+  COUNTS_OF_LEADER, /* the leader's replies to heartbeats */
+  COUNT_SOURCE_COUNT
+};
+
 struct ColtScheduler
 {
   struct event_base *base;
@@ -24,16 +34,19 @@
   struct event *stop_timer;
   struct ColtMetrics *metrics;
   GHashTable *waiting_counts; /* queue -> waiting jobs, from the leader */
-  GPtrArray *requests;        /* of struct ColtRequest */
-  int64_t answered_us;        /* when a request was last answered */
-  int64_t elected_us;         /* when this instance became leader */
-  uint64_t last_term;         /* latest term that this instance has seen */
-  int64_t last_term_us;       /* when last_term began */
-  int64_t previous_led_us;    /* how long the previous leader led */
-  bool confirmed_by_members;  /* its leadership, and not by the log */
-  uint64_t led_term;          /* last term in which this instance led */
-  uint64_t stamp_term;        /* term of the leader that sent stamp_us */
-  uint64_t stamp_us;          /* latest stamp of that leader */
+  int64_t waiting_counts_us;  /* when the heartbeat was sent that they answer;
+                                 0: none was answered */
+  enum ColtCountSource count_source; /* of the last count */
+  GPtrArray *requests;               /* of struct ColtRequest */
+  int64_t answered_us;               /* when a request was last answered */
+  int64_t elected_us;                /* when this instance became leader */
+  uint64_t last_term;        /* latest term that this instance has seen */
+  int64_t last_term_us;      /* when last_term began */
+  int64_t previous_led_us;   /* how long the previous leader led */
+  bool confirmed_by_members; /* its leadership, and not by the log */
+  uint64_t led_term;         /* last term in which this instance led */
+  uint64_t stamp_term;       /* term of the leader that sent stamp_us */
+  uint64_t stamp_us;         /* latest stamp of that leader */
   bool stopping;
   int64_t stopping_us;
 };
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -457,7 +457,10 @@
   colt_election_set_suspect (scheduler->election, !reply->is_lead);
   note_stamp_ (scheduler, reply);
   if (reply->leads)
-    g_hash_table_remove_all (scheduler->waiting_counts);
+    {
+      g_hash_table_remove_all (scheduler->waiting_counts);
+      scheduler->waiting_counts_us = (int64_t)reply->beat_sent_us;
+    }
   for (i = 0; reply->leads && i < reply->n_counts; i++)
     g_hash_table_insert (scheduler->waiting_counts,
                          g_strdup (reply->counts[i]->queue),
