Counts of waiting jobs only from a cell that has all jobs

Cause: count_waiting_() counted in the cell of an instance that leads in whatever phase, so also while it fenced the log and loaded the jobs.

Change: a count is given from a cell that has all jobs and whose leader was known to be the only one within 2 s, or from a leader's heartbeat that is at most 2 s old. Without either the request waits for a leader as others do and is rejected with a time to return. A leader's replies list the queues of its cell, so that one without a configuration sends counts too. Metrics and state leave out a cell that is being loaded.

Why it works: an empty or partly loaded cell has phase FENCING or LOADING until its counts are complete, and no count outlives the age that the platform allows, whichever process or leader it comes from.

Four regression tests, scheduler/counts/*; each failed before the change: 0 in place of 3 (loading-leader, leader-without-configuration), a count in place of a rejection (new-process, old-counts).

--- a/include/coltsfootstile/cell.h
+++ b/include/coltsfootstile/cell.h
@@ -325,6 +325,16 @@
 uint64_t colt_cell_count_waiting_jobs (const struct ColtCell *cell,
                                        const char *queue);
 
+/** Receives the number of a queue's waiting jobs. */
+typedef void (*ColtCellWaiting) (void *client,
+                                 const char *queue,
+                                 uint64_t waiting);
+
+/** Passes each queue with waiting jobs to \a handle. */
+void colt_cell_list_waiting (const struct ColtCell *cell,
+                             ColtCellWaiting handle,
+                             void *client);
+
 /** Adds a server or updates its description, which is copied. A later
  * incarnation ends the runs of the one before it as COLT_RUN_LAPSED. */
 void colt_cell_set_server (struct ColtCell *cell,
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -232,6 +232,24 @@
   return queue != NULL ? queue->waiting : 0;
 }
 
+void
+colt_cell_list_waiting (const struct ColtCell *cell,
+                        ColtCellWaiting handle,
+                        void *client)
+{
+  GHashTableIter i;
+  gpointer value;
+
+  g_hash_table_iter_init (&i, cell->queues);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    {
+      const struct ColtCellQueue *queue = value;
+
+      if (queue->waiting > 0)
+        handle (client, queue->name, queue->waiting);
+    }
+}
+
 void
 colt_cell_tick (struct ColtCell *cell, int64_t now_us, int64_t wall_ms)
 {
--- a/src/scheduler/callers.c
+++ b/src/scheduler/callers.c
@@ -42,18 +42,26 @@
   struct event *timer;
 };
 
+/* What becomes of a request before it is sent to the leader. */
+enum ColtPreparation
+{
+  PREPARED_CALL,   /* the call for the leader is filled in */
+  PREPARED_ANSWER, /* the request can be answered without the leader */
+  PREPARED_NOTHING /* nothing is known yet that it could be answered with */
+};
+
 static void dispatch_ (evutil_socket_t fd, short what, void *arg);
-static bool prepare_call_ (struct ColtRequest *request,
-                           ColtCallerCall *call,
-                           struct ColtCallerAnswer *answer);
+static enum ColtPreparation prepare_call_ (struct ColtRequest *request,
+                                           ColtCallerCall *call,
+                                           struct ColtCallerAnswer *answer);
 static bool is_job_id_ (const char *text);
-static uint64_t count_waiting_ (struct ColtScheduler *scheduler,
-                                const char *queue);
+static bool count_waiting_ (struct ColtScheduler *scheduler,
+                            const char *queue,
+                            uint64_t *waiting);
 static enum ColtCountSource
-find_count_source_ (const struct ColtScheduler *scheduler);
+find_count_source_ (const struct ColtScheduler *scheduler, int64_t now_us);
 static void log_count_source_ (const struct ColtScheduler *scheduler,
-                               const char *queue,
-                               uint64_t waiting);
+                               int64_t now_us);
 static void send_to_leader_ (struct ColtRequest *request, ColtCallerCall *call);
 static void handle_wire_reply_ (void *client,
                                 enum ColtWireResult result,
@@ -148,15 +156,21 @@
   (void)fd;
   (void)what;
   request->tries++;
-  if (prepare_call_ (request, &call, &answer))
-    send_to_leader_ (request, &call);
-  else
-    answer_request_ (request, &answer);
+  switch (prepare_call_ (request, &call, &answer))
+    {
+    case PREPARED_CALL:
+      send_to_leader_ (request, &call);
+      break;
+    case PREPARED_ANSWER:
+      answer_request_ (request, &answer);
+      break;
+    case PREPARED_NOTHING:
+      retry_or_end_ (request);
+    }
 }
 
-/* Fills in the call for the leader; returns false, with the answer, if the
- * request can be answered without the leader. */
-static bool
+/* Fills in the call for the leader, or the answer. */
+static enum ColtPreparation
 prepare_call_ (struct ColtRequest *request,
                ColtCallerCall *call,
                struct ColtCallerAnswer *answer)
@@ -170,27 +184,26 @@
   answer->kind = COLT_ANSWER_NOT_ACCEPTED;
   answer->retry_after_ms = NO_LEADER_RETRY_AFTER_MS;
   if (fleet == NULL)
-    return false;
+    return PREPARED_ANSWER;
   queue = colt_fleet_route (fleet, request->host, request->path);
   answer->kind = COLT_ANSWER_NO_QUEUE;
   answer->retry_after_ms = 0;
   if (queue == NULL)
-    return false;
+    return PREPARED_ANSWER;
   organisation = colt_fleet_find_organisation (fleet, request->key);
   answer->kind = COLT_ANSWER_UNAUTHORIZED;
   if (organisation == NULL && !queue->open)
-    return false;
+    return PREPARED_ANSWER;
   id = request->path + strlen (queue->prefix);
   answer->kind = COLT_ANSWER_COUNT;
   if (id[0] == '\0' && request->kind == COLT_CALLER_STATE)
-    {
-      answer->waiting = count_waiting_ (scheduler, queue->name);
-      return false;
-    }
+    return count_waiting_ (scheduler, queue->name, &answer->waiting)
+               ? PREPARED_ANSWER
+               : PREPARED_NOTHING;
   answer->kind = request->kind == COLT_CALLER_SUBMIT ? COLT_ANSWER_INVALID
                                                      : COLT_ANSWER_NO_JOB;
   if (!is_job_id_ (id))
-    return false;
+    return PREPARED_ANSWER;
   if (request->kind == COLT_CALLER_SUBMIT && request->spec == NULL)
     {
       struct ColtError error;
@@ -202,7 +215,7 @@
           colt_log_error (
               COLT_LOG_INFO, MODULE,
               "a submitted job is malformed; the request is rejected", &error);
-          return false;
+          return PREPARED_ANSWER;
         }
     }
   call->kind = request->kind;
@@ -210,7 +223,7 @@
   call->organisation = organisation != NULL ? organisation->name : "";
   call->queue = queue->name;
   call->spec = request->spec;
-  return true;
+  return PREPARED_CALL;
 }
 
 static bool
@@ -220,47 +233,56 @@
          && strspn (text, "0123456789abcdefABCDEF") == COLT_JOB_ID_LENGTH;
 }
 
-static uint64_t
-count_waiting_ (struct ColtScheduler *scheduler, const char *queue)
+/* Counts a queue's waiting jobs; returns false if no count is recent enough. */
+static bool
+count_waiting_ (struct ColtScheduler *scheduler,
+                const char *queue,
+                uint64_t *waiting)
 {
-  enum ColtCountSource source = find_count_source_ (scheduler);
-  uint64_t waiting = scheduler->leader != NULL
-                         ? colt_cell_count_waiting_jobs (
-                             colt_leader_cell (scheduler->leader), queue)
-                         : GPOINTER_TO_SIZE (g_hash_table_lookup (
-                             scheduler->waiting_counts, queue));
+  int64_t now_us = colt_clock_monotonic_us ();
+  enum ColtCountSource source = find_count_source_ (scheduler, now_us);
 
   if (source != scheduler->count_source)
     {
       scheduler->count_source = source;
-      log_count_source_ (scheduler, queue, waiting);
+      log_count_source_ (scheduler, now_us);
     }
-  return waiting;
+  if (source == COUNTS_OWN_CELL)
+    *waiting = colt_cell_count_waiting_jobs (
+        colt_leader_cell (scheduler->leader), queue);
+  else
+    *waiting = colt_waiting_counts_get (scheduler->waiting_counts, queue);
+  return source != COUNTS_UNKNOWN;
 }
 
+/* A leader that loads the jobs, or may have been replaced, doesn't know them
+ * all. Until it does, the counts of the one before it are used. */
 static enum ColtCountSource
-find_count_source_ (const struct ColtScheduler *scheduler)
+find_count_source_ (const struct ColtScheduler *scheduler, int64_t now_us)
 {
-  if (scheduler->leader != NULL)
-    return colt_leader_is_serving (scheduler->leader) ? COUNTS_OWN_CELL
-                                                      : COUNTS_LOADING;
-  return scheduler->waiting_counts_us != 0 ? COUNTS_OF_LEADER : COUNTS_NONE;
+  if (scheduler->leader != NULL
+      && colt_leader_knows_jobs (scheduler->leader, now_us))
+    return COUNTS_OWN_CELL;
+  return colt_waiting_counts_age_us (scheduler->waiting_counts, now_us)
+                 <= COLT_COUNT_AGE_MAX_US
+             ? COUNTS_OF_LEADER
+             : COUNTS_UNKNOWN;
 }
 
 static void
-log_count_source_ (const struct ColtScheduler *scheduler,
-                   const char *queue,
-                   uint64_t waiting)
+log_count_source_ (const struct ColtScheduler *scheduler, int64_t now_us)
 {
   static const char *const sources[COUNT_SOURCE_COUNT]
-      = { "none", "own cell, loading", "own cell", "leader" };
-  int64_t age_us = colt_clock_monotonic_us () - scheduler->waiting_counts_us;
+      = { "unknown, requests are retried", "own cell", "leader" };
+  int64_t age_us
+      = colt_waiting_counts_age_us (scheduler->waiting_counts, now_us);
   const struct ColtLogField fields[]
       = { { "source", sources[scheduler->count_source], 0 },
-          { "queue", queue, 0 },
-          { "waiting", NULL, (int64_t)waiting },
+          { "loading", NULL,
+            scheduler->leader != NULL
+                && !colt_leader_is_serving (scheduler->leader) },
           { "leader_count_age_ms", NULL,
-            scheduler->waiting_counts_us != 0 ? age_us / COLT_US_PER_MS : -1 },
+            age_us != COLT_TIME_NEVER ? age_us / COLT_US_PER_MS : -1 },
           { "term", NULL, (int64_t)colt_election_term (scheduler->election) } };
 
   colt_log_event (COLT_LOG_INFO, MODULE, "source of waiting counts changed",
--- a/src/scheduler/leader_leases.c
+++ b/src/scheduler/leader_leases.c
@@ -1,5 +1,6 @@
 /* Until when a leader may renew leases, and those of earlier leaders last. */
 #include "leader_private.h"
+#include "waiting_counts.h"
 
 /* Duration of leases unless servers limit it further. A leader that dies is
  * replaced well within it; work of a lost server starts elsewhere after it. */
@@ -28,6 +29,17 @@
       = followed_us + colt_leader_lease_ms (leader) * COLT_US_PER_MS;
 }
 
+bool
+colt_leader_knows_jobs (const struct ColtLeader *leader, int64_t now_us)
+{
+  int64_t followed_us
+      = leader->confirmed_until_us
+        - (int64_t)colt_leader_lease_ms (leader) * COLT_US_PER_MS;
+
+  return leader->phase == PHASE_SERVING
+         && now_us - followed_us <= COLT_COUNT_AGE_MAX_US;
+}
+
 uint32_t
 colt_leader_lease_ms (const struct ColtLeader *leader)
 {
--- a/src/scheduler/private/scheduler_private.h
+++ b/src/scheduler/private/scheduler_private.h
@@ -333,6 +333,9 @@
                                 const ColtAdviceReply *reply);
 struct ColtCell *colt_leader_cell (struct ColtLeader *leader);
 bool colt_leader_is_serving (const struct ColtLeader *leader);
+/* Returns whether the cell has all accepted jobs: they are loaded, and no other
+ * leader can have accepted any until shortly before. */
+bool colt_leader_knows_jobs (const struct ColtLeader *leader, int64_t now_us);
 /* Returns the recent speed of the leader's event loop: greater than 0, at
  * most 1. */
 double colt_leader_speed (const struct ColtLeader *leader);
--- a/src/scheduler/private/scheduler_state.h
+++ b/src/scheduler/private/scheduler_state.h
@@ -5,13 +5,13 @@
 #include "members.h"
 #include "scheduler_private.h"
 #include "speed_probe.h"
+#include "waiting_counts.h"
 
 /* Where the count of a queue's waiting jobs comes from. */
 enum ColtCountSource
 {
-  COUNTS_NONE,      /* no leader has sent counts to this process */
-  COUNTS_LOADING,   /* the own cell, while it loads the jobs */
-  COUNTS_OWN_CELL,  /* the own cell, which serves */
+  COUNTS_UNKNOWN,   /* nowhere: no leader is known to have counted recently */
+  COUNTS_OWN_CELL,  /* the own cell, which has all jobs */
   COUNTS_OF_LEADER, /* the leader's replies to heartbeats */
   COUNT_SOURCE_COUNT
 };
@@ -33,13 +33,11 @@
   struct ColtSpeedProbe speed_probe;
   struct event *stop_timer;
   struct ColtMetrics *metrics;
-  GHashTable *waiting_counts; /* queue -> waiting jobs, from the leader */
-  int64_t waiting_counts_us;  /* when the heartbeat was sent that they answer;
-                                 0: none was answered */
-  enum ColtCountSource count_source; /* of the last count */
-  GPtrArray *requests;               /* of struct ColtRequest */
-  int64_t answered_us;               /* when a request was last answered */
-  int64_t elected_us;                /* when this instance became leader */
+  struct ColtWaitingCounts *waiting_counts; /* from the leader */
+  enum ColtCountSource count_source;        /* of the last count */
+  GPtrArray *requests;                      /* of struct ColtRequest */
+  int64_t answered_us;       /* when a request was last answered */
+  int64_t elected_us;        /* when this instance became leader */
   uint64_t last_term;        /* latest term that this instance has seen */
   int64_t last_term_us;      /* when last_term began */
   int64_t previous_led_us;   /* how long the previous leader led */
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -67,6 +67,7 @@
                                size_t size);
 static void note_stamp_ (struct ColtScheduler *scheduler,
                          const ColtBeatReply *reply);
+static void add_count_ (void *client, const char *queue, uint64_t waiting);
 static bool is_ready_ (void *client);
 static char *describe_ (void *client, const char *path);
 static char *dump_state_ (const struct ColtScheduler *scheduler);
@@ -92,8 +93,7 @@
   scheduler->settings = *settings;
   scheduler->instance = colt_scheduler_instance_number (settings->internal);
   scheduler->metrics = colt_metrics_create ();
-  scheduler->waiting_counts
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  scheduler->waiting_counts = colt_waiting_counts_create ();
   scheduler->requests = g_ptr_array_new ();
   scheduler->members = colt_members_create ();
   scheduler->heartbeat_timer
@@ -135,7 +135,7 @@
   event_free (scheduler->stop_timer);
   colt_members_destroy (scheduler->members);
   colt_metrics_destroy (scheduler->metrics);
-  g_hash_table_unref (scheduler->waiting_counts);
+  colt_waiting_counts_destroy (scheduler->waiting_counts);
   g_ptr_array_unref (scheduler->requests);
   colt_fleet_unref (scheduler->fleet);
   g_free (scheduler);
@@ -443,7 +443,6 @@
 {
   struct ColtScheduler *scheduler = client;
   ColtBeatReply *reply;
-  size_t i;
 
   /* A network cut leaves calls unanswered. A process that has ended refuses
    * connections, or has been restarted and is no longer the leader. */
@@ -457,14 +456,8 @@
   colt_election_set_suspect (scheduler->election, !reply->is_lead);
   note_stamp_ (scheduler, reply);
   if (reply->leads)
-    {
-      g_hash_table_remove_all (scheduler->waiting_counts);
-      scheduler->waiting_counts_us = (int64_t)reply->beat_sent_us;
-    }
-  for (i = 0; reply->leads && i < reply->n_counts; i++)
-    g_hash_table_insert (scheduler->waiting_counts,
-                         g_strdup (reply->counts[i]->queue),
-                         GSIZE_TO_POINTER ((gsize)reply->counts[i]->waiting));
+    colt_waiting_counts_replace (scheduler->waiting_counts, reply->counts,
+                                 reply->n_counts, (int64_t)reply->beat_sent_us);
   colt_beat_reply__free_unpacked (reply, NULL);
 }
 
@@ -500,7 +493,6 @@
   int64_t now_us = colt_clock_monotonic_us ();
   GPtrArray *counts = g_ptr_array_new_with_free_func (g_free);
   uint8_t *out;
-  guint i;
 
   if (heartbeat != NULL)
     {
@@ -525,27 +517,11 @@
     reply.stamp_us = (uint64_t)now_us;
   reply.is_lead = scheduler->leader != NULL
                   && !colt_election_renewal_rejected (scheduler->election);
-  reply.leads
-      = scheduler->leader != NULL && colt_leader_is_serving (scheduler->leader);
-  for (i = 0; reply.leads && scheduler->fleet != NULL
-              && i < scheduler->fleet->queues->len;
-       i++)
-    {
-      const struct ColtQueueConfig *queue
-          = g_ptr_array_index (scheduler->fleet->queues, i);
-      uint64_t waiting = colt_cell_count_waiting_jobs (
-          colt_leader_cell (scheduler->leader), queue->name);
-      ColtQueueCount *count;
-
-      /* Members take a queue that isn't listed as having none. */
-      if (waiting == 0)
-        continue;
-      count = g_new0 (ColtQueueCount, 1);
-      colt_queue_count__init (count);
-      count->queue = queue->name;
-      count->waiting = waiting;
-      g_ptr_array_add (counts, count);
-    }
+  reply.leads = scheduler->leader != NULL
+                && colt_leader_knows_jobs (scheduler->leader, now_us);
+  if (reply.leads)
+    colt_cell_list_waiting (colt_leader_cell (scheduler->leader), add_count_,
+                            counts);
   reply.n_counts = counts->len;
   reply.counts = (ColtQueueCount **)counts->pdata;
   out = g_malloc (colt_beat_reply__get_packed_size (&reply) + 1);
@@ -555,6 +531,19 @@
   g_ptr_array_unref (counts);
 }
 
+/* Adds the count of a queue to a heartbeat's reply. Members take a queue that
+ * isn't listed as having no waiting jobs. */
+static void
+add_count_ (void *client, const char *queue, uint64_t waiting)
+{
+  ColtQueueCount *count = g_new0 (ColtQueueCount, 1);
+
+  colt_queue_count__init (count);
+  count->queue = (char *)queue;
+  count->waiting = waiting;
+  g_ptr_array_add (client, count);
+}
+
 static bool
 is_ready_ (void *client)
 {
@@ -567,16 +556,17 @@
 describe_ (void *client, const char *path)
 {
   struct ColtScheduler *scheduler = client;
+  bool serving
+      = scheduler->leader != NULL && colt_leader_is_serving (scheduler->leader);
   struct ColtCellStats stats;
 
   if (strcmp (path, "/state") == 0)
     return dump_state_ (scheduler);
   if (strcmp (path, "/metrics") != 0)
     return NULL;
-  if (scheduler->leader != NULL)
+  if (serving)
     colt_cell_get_stats (colt_leader_cell (scheduler->leader), &stats);
-  colt_metrics_set_cell (scheduler->metrics,
-                         scheduler->leader != NULL ? &stats : NULL);
+  colt_metrics_set_cell (scheduler->metrics, serving ? &stats : NULL);
   colt_metrics_set (scheduler->metrics, METRIC_TERM,
                     (int64_t)colt_election_term (scheduler->election));
   colt_metrics_set (scheduler->metrics, METRIC_IS_LEADER,
@@ -590,7 +580,8 @@
   return colt_metrics_format (scheduler->metrics);
 }
 
-/* Returns the state of the cell, or the address of its leader, as JSON. */
+/* Returns the state of the cell as JSON; the address of its leader unless this
+ * instance leads and has loaded the jobs. */
 static char *
 dump_state_ (const struct ColtScheduler *scheduler)
 {
@@ -598,11 +589,13 @@
   char *text;
   char *copy;
 
-  if (scheduler->leader != NULL)
+  if (scheduler->leader != NULL && colt_leader_is_serving (scheduler->leader))
     return colt_cell_dump (colt_leader_cell (scheduler->leader));
   text = g_strdup_printf (
-      "{\"lead\":\"%s\",\"term\":%llu}", address != NULL ? address : "",
-      (unsigned long long)colt_election_term (scheduler->election));
+      "{\"lead\":\"%s\",\"term\":%llu,\"loading\":%s}",
+      address != NULL ? address : "",
+      (unsigned long long)colt_election_term (scheduler->election),
+      scheduler->leader != NULL ? "true" : "false");
   copy = strdup (text);
   g_free (text);
   return copy;
--- a/src/test_scheduler/fake_ports.c
+++ b/src/test_scheduler/fake_ports.c
@@ -137,6 +137,12 @@
       free_log_call (call);
       return;
     }
+  if (call->newest && (call->fake->held_topics & 1u << call->topic) != 0)
+    {
+      g_array_unref (records);
+      schedule (call->fake, POLL_MS, on_log_answer_due, call);
+      return;
+    }
   if (call->is_read && call->fake->fault == FAULT_UNRESPONSIVE)
     {
       if (colt_clock_monotonic_us ()
--- a/src/test_scheduler/fake_ports.h
+++ b/src/test_scheduler/fake_ports.h
@@ -33,6 +33,9 @@
   uint64_t epoch;    /* of the last append with a producer */
   uint64_t sequence; /* of the last append with a producer */
   enum ColtFakeFault fault;
+  /* Topics, a bit each, of which reads of the newest records get no answer
+   * until the bit is cleared. */
+  uint32_t held_topics;
   uint32_t appends;             /* calls so far */
   int64_t last_append_us;       /* when the last one was called */
   uint32_t immediate_reads;     /* calls so far of reads without a wait */
--- a/src/test_scheduler/tests.h
+++ b/src/test_scheduler/tests.h
@@ -14,6 +14,7 @@
 void colt_test_callers_add (void);
 void colt_test_stop_add (void);
 void colt_test_confirmation_add (void);
+void colt_test_counts_add (void);
 void colt_test_followers_add (void);
 
 #endif
