Scheduler: log how long runs on an unreachable server may hold a lease

The log didn't tell which bound they wait for: the leader's own leases, those of earlier leaders, or a start without an answer. The warning that a server is unreachable gives the three, and the runs that wait.

--- a/src/scheduler/server_link.c
+++ b/src/scheduler/server_link.c
@@ -38,6 +38,8 @@
                                      const struct ColtServerAnswer *answer);
 static void handle_renewal_failure_ (struct ColtServerLink *link,
                                      const struct ColtServerAnswer *answer);
+static void log_unreachable_ (const struct ColtServerLink *link,
+                              const struct ColtServerAnswer *answer);
 static void
 expire_leases_ (struct ColtServerLink *link, size_t runs, int64_t now_us);
 static void
@@ -291,13 +293,36 @@
   if (link->failures != FAILURE_LIMIT)
     return;
   link->has_report = false;
-  colt_log (COLT_LOG_WARNING, MODULE, NULL,
-            "server %s is unreachable; it gets no work: %s", link->id,
-            answer->error.message);
+  log_unreachable_ (link, answer);
   link->client.handle_unreachable (link->client.client, link);
   colt_link_withdraw_starts (link);
 }
 
+/* Logs how long runs on the server may still hold a lease: their tasks start
+ * elsewhere once the latest of these times has passed. */
+static void
+log_unreachable_ (const struct ColtServerLink *link,
+                  const struct ColtServerAnswer *answer)
+{
+  int64_t now_us = answer->received_us;
+  int64_t own_us
+      = latest_lease_end_ms_ (link) > 0 ? lease_expiry_us_ (link) - now_us : 0;
+  const struct ColtLogField fields[]
+      = { { "server", link->id, 0 },
+          { "error", answer->error.message, 0 },
+          { "runs", NULL,
+            (int64_t)link->client.count_runs (link->client.client, link->id) },
+          { "leases_end_in_ms", NULL, MAX (own_us, 0) / COLT_US_PER_MS },
+          { "unknown_leases_end_in_ms", NULL,
+            MAX (link->unclocked_until_us - now_us, 0) / COLT_US_PER_MS },
+          { "unanswered_starts_end_in_ms", NULL,
+            MAX (link->unconfirmed_until_us - now_us, 0) / COLT_US_PER_MS } };
+
+  colt_log_event (COLT_LOG_WARNING, MODULE,
+                  "server unreachable, it gets no work", NULL, fields,
+                  G_N_ELEMENTS (fields));
+}
+
 bool
 colt_link_apply_report (struct ColtServerLink *link,
                         const struct ColtServerAnswer *answer,
