A listed instance claims without waiting 20 s longer

Cause: a claimant that had no contact with the former leader within 8 s adds 20 s to the wait for its leases, as that leader may renew them without the log while all instances that it knows follow it. A process that has just started never had contact, though the leader relied on its address and could renew nothing once it was silent. Evidence: at the loss of the server the log gives leases_end_in_ms 4385 and unknown_leases_end_in_ms 22450, after "claiming without recent contact with the leader".

Change: the leader records in the log on whose word it relies. An instance that the newest record lists claims without the longer wait, and the leader relies on each that its record may list until a confirmed renewal doesn't. A claim lists whom the former leader listed, and that leader.

Why it works: a claim takes effect only behind the newest record, so that the claimant's list is the one by which the leader is bound.

scheduler/members/gone changes: an instance that leaves was disregarded at once. Another process may start at its address and find it listed, so it counts now until the log has confirmed the leader without it. The test checks the moment before and after.

--- a/include/coltsfootstile/cell.pb-c.h
+++ b/include/coltsfootstile/cell.pb-c.h
@@ -21,6 +21,7 @@
 typedef struct ColtTaskProgress ColtTaskProgress;
 typedef struct ColtJobProgress ColtJobProgress;
 typedef struct ColtLeadRecord ColtLeadRecord;
+typedef struct ColtFollowersRecord ColtFollowersRecord;
 typedef struct ColtCallerCall ColtCallerCall;
 typedef struct ColtCallerReply ColtCallerReply;
 typedef struct ColtQueueCount ColtQueueCount;
@@ -326,6 +327,25 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
+/*
+ * The instances on whose word the leader of a term relies while the log doesn't
+ * answer. One that isn't listed may be elected unnoticed by that leader.
+ */
+struct  ColtFollowersRecord
+{
+  ProtobufCMessage base;
+  uint64_t term;
+  /*
+   * IPv4 addresses in host byte order, ascending
+   */
+  size_t n_instances;
+  uint32_t *instances;
+};
+#define COLT_FOLLOWERS_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&colt_followers_record__descriptor) \
+    , 0, 0,NULL }
+
+
 /*
  * A caller's request, forwarded to the leader.
  */
@@ -646,6 +666,25 @@
 void   colt_lead_record__free_unpacked
                      (ColtLeadRecord *message,
                       ProtobufCAllocator *allocator);
+/* ColtFollowersRecord methods */
+void   colt_followers_record__init
+                     (ColtFollowersRecord         *message);
+size_t colt_followers_record__get_packed_size
+                     (const ColtFollowersRecord   *message);
+size_t colt_followers_record__pack
+                     (const ColtFollowersRecord   *message,
+                      uint8_t             *out);
+size_t colt_followers_record__pack_to_buffer
+                     (const ColtFollowersRecord   *message,
+                      ProtobufCBuffer     *buffer);
+ColtFollowersRecord *
+       colt_followers_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   colt_followers_record__free_unpacked
+                     (ColtFollowersRecord *message,
+                      ProtobufCAllocator *allocator);
 /* ColtCallerCall methods */
 void   colt_caller_call__init
                      (ColtCallerCall         *message);
@@ -818,6 +857,9 @@
 typedef void (*ColtLeadRecord_Closure)
                  (const ColtLeadRecord *message,
                   void *closure_data);
+typedef void (*ColtFollowersRecord_Closure)
+                 (const ColtFollowersRecord *message,
+                  void *closure_data);
 typedef void (*ColtCallerCall_Closure)
                  (const ColtCallerCall *message,
                   void *closure_data);
@@ -854,6 +896,7 @@
 extern const ProtobufCMessageDescriptor colt_task_progress__descriptor;
 extern const ProtobufCMessageDescriptor colt_job_progress__descriptor;
 extern const ProtobufCMessageDescriptor colt_lead_record__descriptor;
+extern const ProtobufCMessageDescriptor colt_followers_record__descriptor;
 extern const ProtobufCMessageDescriptor colt_caller_call__descriptor;
 extern const ProtobufCMessageDescriptor colt_caller_reply__descriptor;
 extern const ProtobufCMessageDescriptor colt_queue_count__descriptor;
--- a/include/coltsfootstile/guard.h
+++ b/include/coltsfootstile/guard.h
@@ -43,6 +43,8 @@
   COLT_GUARD_EVIDENCE,
   /** Leases are renewed only while all instances follow the leader. */
   COLT_GUARD_FOLLOWERS,
+  /** A leader relies on all instances that its record in the log lists. */
+  COLT_GUARD_LISTED,
   COLT_GUARD_COUNT /**< number of guards, not a guard */
 };
 
--- a/scripts/mutation.sh
+++ b/scripts/mutation.sh
@@ -18,7 +18,7 @@
     restart_report) echo 'cell' ;;
     crash_limit) echo 'cell_crashes' ;;
     evidence) echo 'cell_load' ;;
-    claim_time | inherited_leases | lost_orders | address | silent_server | incarnation | followers) echo 'scheduler' ;;
+    claim_time | inherited_leases | lost_orders | address | silent_server | incarnation | followers | listed) echo 'scheduler' ;;
     freshness | bundle_parent) echo 'bundle.*|fuzz_bundle.*' ;;
     *) echo "$1: no tests are listed in mutation.sh" >&2; return 1 ;;
   esac
--- a/src/base/guard.c
+++ b/src/base/guard.c
@@ -10,7 +10,8 @@
         "compliance",     "credit_epoch",  "freshness",    "bundle_parent",
         "renewal_token",  "session",       "claim_time",   "inherited_leases",
         "restart_report", "lost_orders",   "address",      "silent_server",
-        "crash_limit",    "incarnation",   "evidence",     "followers" };
+        "crash_limit",    "incarnation",   "evidence",     "followers",
+        "listed" };
 
 #ifdef COLT_GUARD_SWITCHES
 
--- a/src/cell/cell.pb-c.c
+++ b/src/cell/cell.pb-c.c
@@ -277,6 +277,51 @@
   assert(message->base.descriptor == &colt_lead_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   colt_followers_record__init
+                     (ColtFollowersRecord         *message)
+{
+  static const ColtFollowersRecord init_value = COLT_FOLLOWERS_RECORD__INIT;
+  *message = init_value;
+}
+size_t colt_followers_record__get_packed_size
+                     (const ColtFollowersRecord *message)
+{
+  assert(message->base.descriptor == &colt_followers_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t colt_followers_record__pack
+                     (const ColtFollowersRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &colt_followers_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t colt_followers_record__pack_to_buffer
+                     (const ColtFollowersRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &colt_followers_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+ColtFollowersRecord *
+       colt_followers_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (ColtFollowersRecord *)
+     protobuf_c_message_unpack (&colt_followers_record__descriptor,
+                                allocator, len, data);
+}
+void   colt_followers_record__free_unpacked
+                     (ColtFollowersRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &colt_followers_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   colt_caller_call__init
                      (ColtCallerCall         *message)
 {
@@ -1606,6 +1651,57 @@
   (ProtobufCMessageInit) colt_lead_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor colt_followers_record__field_descriptors[2] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ColtFollowersRecord, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "instances",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(ColtFollowersRecord, n_instances),
+    offsetof(ColtFollowersRecord, instances),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned colt_followers_record__field_indices_by_name[] = {
+  1,   /* field[1] = instances */
+  0,   /* field[0] = term */
+};
+static const ProtobufCIntRange colt_followers_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor colt_followers_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ColtFollowersRecord",
+  "ColtFollowersRecord",
+  "ColtFollowersRecord",
+  "",
+  sizeof(ColtFollowersRecord),
+  2,
+  colt_followers_record__field_descriptors,
+  colt_followers_record__field_indices_by_name,
+  1,  colt_followers_record__number_ranges,
+  (ProtobufCMessageInit) colt_followers_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor colt_caller_call__field_descriptors[6] =
 {
   {
--- a/src/scheduler/election.c
+++ b/src/scheduler/election.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "coltsfootstile/guard.h"
+#include "roster.h"
 #include "scheduler_private.h"
 
 /* Period of the leader's renewals. */
@@ -26,6 +27,9 @@
 /* Delay of claims by others than the named successor: the time of two calls to
  * a slow log. */
 #define SUCCESSOR_DELAY_US (600 * COLT_US_PER_MS)
+/* Extra delay of a claim after which the leader's leases may last longer, so
+ * that instances on whose word that leader relied claim first. */
+#define UNLISTED_DELAY_US (1000 * COLT_US_PER_MS)
 /* Extra delay of the next claim by an instance that has yielded leadership. */
 #define YIELD_DELAY_US (1500 * COLT_US_PER_MS)
 /* Time after which an answer of the log counts as lost. */
@@ -49,6 +53,7 @@
   const struct ColtPorts *ports;
   const struct ColtSchedulerSettings *settings;
   struct ColtElectionClient client;
+  struct ColtRoster *roster;
   struct ColtWatch *watch;
   struct ColtLogChannel *channel;
   struct event *timer;
@@ -63,8 +68,9 @@
   bool synced;                               /* the topic has been read */
   bool fenced;                               /* a later term exists */
   bool busy;                                 /* a call to the log is open */
-  bool vacant;                               /* the leader has left */
-  bool renewal_rejected;                     /* the last one, by the log */
+  bool has_roster;        /* the open append lists the followers */
+  bool vacant;            /* the leader has left */
+  bool renewal_rejected;  /* the last one, by the log */
   bool named;             /* the last claim was made as the named successor */
   bool yielding;          /* leaves leadership to a stronger instance */
   bool suspect;           /* the leader's process seems to have ended */
@@ -96,7 +102,10 @@
 static void handle_claim_ (void *client, const struct ColtLogAnswer *answer);
 static void handle_leave_ (void *client, const struct ColtLogAnswer *answer);
 static void prepare_claim_ (struct ColtElection *election, uint64_t term);
+static bool prepare_roster_ (struct ColtElection *election, uint64_t term);
 static bool has_contact_ (const struct ColtElection *election, int64_t now_us);
+static void read_leader_record_ (struct ColtElection *election,
+                                 const struct ColtLogRecord *record);
 static int64_t claim_due_us_ (const struct ColtElection *election);
 static int64_t draw_claim_delay_us_ (const struct ColtElection *election);
 static void become_leader_ (struct ColtElection *election, uint64_t term);
@@ -121,6 +130,7 @@
   election->client = *client;
   election->incarnation = (uint64_t)colt_clock_wall_us ();
   election->instance = colt_scheduler_instance_number (settings->internal);
+  election->roster = colt_roster_create (election->instance);
   election->leader_seen_us = colt_clock_monotonic_us ();
   election->claim_delay_us = draw_claim_delay_us_ (election);
   election->channel = ports->log_open (ports->adapter);
@@ -141,6 +151,7 @@
   colt_watch_destroy (election->watch);
   election->role = ROLE_LEFT;
   election->ports->log_close (election->channel);
+  colt_roster_destroy (election->roster);
   g_free (election);
 }
 
@@ -227,6 +238,12 @@
   election->contact_us = MAX (election->contact_us, sent_us);
 }
 
+const GArray *
+colt_election_claimed_followers (const struct ColtElection *election)
+{
+  return colt_roster_listed (election->roster);
+}
+
 int64_t
 colt_election_extension_us (const struct ColtElection *election)
 {
@@ -263,14 +280,28 @@
 handle_record_ (void *client, const struct ColtLogRecord *record)
 {
   struct ColtElection *election = client;
+
+  election->end = MAX (election->end, record->offset + 1);
+  if (record->value == NULL)
+    return;
+  if (strcmp (record->key, LEADER_KEY) == 0)
+    read_leader_record_ (election, record);
+  else if (strcmp (record->key, COLT_ROSTER_KEY) == 0
+           && !colt_roster_read_record (election->roster, record->value,
+                                        record->size))
+    colt_log (COLT_LOG_WARNING, MODULE, NULL,
+              "the record of the leader's followers is malformed and ignored");
+}
+
+static void
+read_leader_record_ (struct ColtElection *election,
+                     const struct ColtLogRecord *record)
+{
   ColtLeadRecord *leader;
   bool changed;
   bool same_instance;
   bool own;
 
-  election->end = MAX (election->end, record->offset + 1);
-  if (record->value == NULL || strcmp (record->key, LEADER_KEY) != 0)
-    return;
   leader = colt_lead_record__unpack (NULL, record->size, record->value);
   if (leader == NULL)
     {
@@ -400,8 +431,12 @@
                 ColtLogCallDone done)
 {
   ColtLeadRecord leader = COLT_LEAD_RECORD__INIT;
-  struct ColtLogRecord record = { LEADER_KEY, NULL, 0, 0 };
+  /* The followers come first, so that they are known to who reads the leader's
+   * record. */
+  struct ColtLogRecord records[2]
+      = { { COLT_ROSTER_KEY, NULL, 0, 0 }, { LEADER_KEY, NULL, 0, 0 } };
   struct ColtLogAppend append = { 0 };
+  uint8_t *followers = NULL;
   uint8_t *value;
 
   leader.instance = (char *)election->settings->name;
@@ -412,25 +447,55 @@
   leader.incarnation = election->incarnation;
   if (!colt_election_is_leader (election))
     prepare_claim_ (election, term);
+  election->has_roster = prepare_roster_ (election, term);
+  if (election->has_roster)
+    followers = colt_roster_pack (election->roster, term, &records[0].size);
   leader.extension_ms = (uint32_t)((colt_election_is_leader (election)
                                         ? colt_election_extension_us (election)
                                         : election->claim_extension_us)
                                    / COLT_US_PER_MS);
-  record.size = colt_lead_record__get_packed_size (&leader);
-  value = g_malloc (record.size);
+  records[1].size = colt_lead_record__get_packed_size (&leader);
+  value = g_malloc (records[1].size);
   colt_lead_record__pack (&leader, value);
-  record.value = value;
+  records[0].value = followers;
+  records[1].value = value;
   append.topic = COLT_TOPIC_LEADER;
-  append.records = &record;
-  append.count = 1;
+  append.records = election->has_roster ? records : &records[1];
+  append.count = election->has_roster ? 2 : 1;
   append.conditional = true;
   append.at = election->end;
   append.timeout_ms = CALL_TIMEOUT_MS;
   election->busy = true;
   election->ports->log_append (election->channel, &append, done, election);
+  g_free (followers);
   g_free (value);
 }
 
+/* Lists the followers for an append; returns whether it has to record them. */
+static bool
+prepare_roster_ (struct ColtElection *election, uint64_t term)
+{
+  GArray *followers;
+  bool changed;
+
+  if (!colt_election_is_leader (election))
+    {
+      colt_roster_prepare_claim (
+          election->roster, term,
+          election->term == 0 || election->vacant
+              ? 0
+              : colt_scheduler_instance_number (election->leader_address));
+      return true;
+    }
+  if (election->role == ROLE_LEAVING)
+    return false;
+  followers = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  election->client.list_followers (election->client.client, followers);
+  changed = colt_roster_prepare_renewal (election->roster, followers);
+  g_array_unref (followers);
+  return changed;
+}
+
 /* Records what a claim that is about to be sent relies on. Any of the claims
  * sent for a term may be the one that takes effect. */
 static void
@@ -439,7 +504,8 @@
   int64_t now_us = colt_clock_monotonic_us ();
   int64_t extension_us = colt_election_extension_us (election);
 
-  if (!has_contact_ (election, now_us))
+  if (!has_contact_ (election, now_us)
+      && !colt_roster_lists_self (election->roster, election->term))
     {
       colt_log (COLT_LOG_INFO, MODULE, NULL,
                 "claiming without recent contact with the leader; its leases "
@@ -474,6 +540,9 @@
 
   election->busy = false;
   election->renewal_rejected = answer->outcome == COLT_LOG_NOT_DONE;
+  if (election->has_roster)
+    colt_roster_handle_append (election->roster,
+                               answer->outcome == COLT_LOG_DONE);
   if (answer->outcome == COLT_LOG_DONE)
     {
       election->confirmed_us = answer->sent_us;
@@ -558,6 +627,10 @@
   else if (election->suspect)
     due_us = MIN (due_us, MAX (idle_since_us + COLT_SUSPECT_TIMEOUT_US,
                                election->suspect_us));
+  if (colt_roster_is_recorded (election->roster, election->term)
+      && !colt_roster_lists_self (election->roster, election->term)
+      && !has_contact_ (election, colt_clock_monotonic_us ()))
+    due_us += UNLISTED_DELAY_US;
   return due_us + election->claim_delay_us;
 }
 
--- a/src/scheduler/members.c
+++ b/src/scheduler/members.c
@@ -4,6 +4,7 @@
 
 #include "coltsfootstile/clock.h"
 #include "coltsfootstile/guard.h"
+#include "roster.h"
 #include "scheduler_private.h"
 
 /* A member counts as live this long after a heartbeat: two may be lost. */
@@ -25,7 +26,9 @@
   int64_t heartbeat_us; /* when the last heartbeat arrived */
   uint32_t log_age_ms;  /* time since it reached the log, at that heartbeat */
   double strength;
+  int64_t expected_us; /* when it was last listed without a heartbeat */
   bool leaving;        /* it won't claim leadership any more */
+  int64_t leaving_us;  /* when it first said so */
   int64_t followed_us; /* latest time at which it followed this leader */
   uint32_t open_advice_calls;
   int64_t paused_until_us;
@@ -39,6 +42,9 @@
 
 static struct ColtMember *find_member_ (const struct ColtMembers *members,
                                         uint32_t instance);
+static struct ColtMember *get_member_ (struct ColtMembers *members,
+                                       uint32_t instance);
+static int64_t contact_us_ (const struct ColtMember *member);
 static bool may_rely_on_contact_ (const struct ColtMember *member,
                                   int64_t log_confirmed_us);
 
@@ -68,15 +74,10 @@
                      const struct ColtMemberBeat *beat,
                      int64_t now_us)
 {
-  struct ColtMember *member = find_member_ (members, beat->instance);
-  struct ColtMember added = { 0 };
+  struct ColtMember *member = get_member_ (members, beat->instance);
 
-  if (member == NULL)
-    {
-      added.instance = beat->instance;
-      g_array_append_val (members->members, added);
-      member = find_member_ (members, beat->instance);
-    }
+  if (beat->leaving && !member->leaving)
+    member->leaving_us = now_us;
   member->heartbeat_us = now_us;
   member->log_age_ms = beat->log_age_ms;
   member->strength = beat->strength;
@@ -84,6 +85,35 @@
   member->followed_us = MAX (member->followed_us, beat->followed_us);
 }
 
+void
+colt_members_expect (struct ColtMembers *members,
+                     uint32_t instance,
+                     int64_t now_us)
+{
+  struct ColtMember *member = get_member_ (members, instance);
+
+  member->expected_us = now_us;
+  member->leaving = false;
+}
+
+void
+colt_members_list_followers (const struct ColtMembers *members,
+                             int64_t now_us,
+                             GArray *instances)
+{
+  guint i;
+
+  for (i = 1; i < members->members->len; i++)
+    {
+      const struct ColtMember *member
+          = &g_array_index (members->members, struct ColtMember, i);
+
+      if (!member->leaving
+          && contact_us_ (member) + COLT_CONTACT_MAX_US >= now_us)
+        colt_roster_add (instances, member->instance);
+    }
+}
+
 double
 colt_members_find_strongest (const struct ColtMembers *members,
                              int64_t now_us,
@@ -208,14 +238,40 @@
   return NULL;
 }
 
-/* Returns whether this instance may be elected while it relies on its contact
- * with the leader. Once that contact is older than COLT_CONTACT_MAX_US, the
- * instance waits COLT_EXTENSION_MAX_US longer instead; an earlier claim would
- * have made the log reject the leader's renewals since. */
+static struct ColtMember *
+get_member_ (struct ColtMembers *members, uint32_t instance)
+{
+  struct ColtMember *member = find_member_ (members, instance);
+  struct ColtMember added = { 0 };
+
+  if (member != NULL)
+    return member;
+  added.instance = instance;
+  g_array_append_val (members->members, added);
+  return find_member_ (members, instance);
+}
+
+static int64_t
+contact_us_ (const struct ColtMember *member)
+{
+  return colt_guard_on (COLT_GUARD_LISTED)
+             ? MAX (member->heartbeat_us, member->expected_us)
+             : member->heartbeat_us;
+}
+
+/* Returns whether an instance may be elected without waiting for the leases
+ * that the leader renews without the log: it had contact with the leader within
+ * COLT_CONTACT_MAX_US, or the newest record of the leader in the log lists it.
+ * That record is at least as new as the last confirmation, and lists none whose
+ * contact was older or that was leaving. Another process may start at the
+ * address of one that leaves. */
 static bool
 may_rely_on_contact_ (const struct ColtMember *member, int64_t log_confirmed_us)
 {
-  return !member->leaving
-         && member->heartbeat_us + COLT_CONTACT_MAX_US + CONTACT_SLACK_US
-                >= log_confirmed_us;
+  if (member->leaving
+      && (log_confirmed_us > member->leaving_us
+          || !colt_guard_on (COLT_GUARD_LISTED)))
+    return false;
+  return contact_us_ (member) + COLT_CONTACT_MAX_US + CONTACT_SLACK_US
+         >= log_confirmed_us;
 }
--- a/src/scheduler/private/members.h
+++ b/src/scheduler/private/members.h
@@ -2,6 +2,7 @@
 #ifndef COLT_SCHEDULER_MEMBERS_H
 #define COLT_SCHEDULER_MEMBERS_H
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -28,6 +29,17 @@
 void colt_members_update (struct ColtMembers *members,
                           const struct ColtMemberBeat *beat,
                           int64_t now_us);
+/* Adds an instance of which a heartbeat may still arrive: it may be elected
+ * without a longer wait, as this leader's record in the log lists it. */
+void colt_members_expect (struct ColtMembers *members,
+                          uint32_t instance,
+                          int64_t now_us);
+/* Adds the numbers of the instances on whose word the leader relies, in
+ * ascending order. A record that lists them is to be sent now: it confirms the
+ * leader only while the leader relies on all that it lists. */
+void colt_members_list_followers (const struct ColtMembers *members,
+                                  int64_t now_us,
+                                  GArray *instances);
 /* Finds the strongest live member that reaches the log and returns its
  * strength; strength and instance are 0 if there is none. */
 double colt_members_find_strongest (const struct ColtMembers *members,
--- a/src/scheduler/private/scheduler_private.h
+++ b/src/scheduler/private/scheduler_private.h
@@ -102,6 +102,9 @@
   void (*handle_deposed) (void *client);
   /* The log has a record of another term, or of a leader that has left. */
   void (*handle_leader_change) (void *client);
+  /* Adds the numbers of the instances on whose word this leader relies while
+   * the log doesn't answer, in ascending order. */
+  void (*list_followers) (void *client, GArray *instances);
   void *client;
 };
 
@@ -137,6 +140,10 @@
 void colt_election_set_contact (struct ColtElection *election,
                                 uint64_t term,
                                 int64_t sent_us);
+/* Returns the numbers (uint32_t) of the instances that this leader's claims
+ * have listed: they may claim the next term without a longer wait. */
+const GArray *
+colt_election_claimed_followers (const struct ColtElection *election);
 /* Returns how much longer instances may confirm leaders before this one. */
 int64_t colt_election_extension_us (const struct ColtElection *election);
 /* Returns the highest term that this instance has seen. */
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -48,6 +48,7 @@
 static void handle_elected_ (void *client, uint64_t term);
 static void handle_deposed_ (void *client);
 static void handle_leader_change_ (void *client);
+static void list_followers_ (void *client, GArray *instances);
 static void handle_fenced_ (void *client);
 static void send_heartbeat_ (evutil_socket_t fd, short what, void *arg);
 static void confirm_leadership_ (struct ColtScheduler *scheduler,
@@ -83,7 +84,8 @@
   const struct ColtCallerServer server
       = { colt_scheduler_handle_request, is_ready_, describe_, scheduler };
   const struct ColtElectionClient election
-      = { handle_elected_, handle_deposed_, handle_leader_change_, scheduler };
+      = { handle_elected_, handle_deposed_, handle_leader_change_,
+          list_followers_, scheduler };
   const struct ColtWatchClient config
       = { handle_config_record_, NULL, scheduler };
   const struct ColtWatchTimes times = { CONFIG_WAIT_MS, 0 };
@@ -244,6 +246,9 @@
   struct ColtScheduler *scheduler = client;
   const struct ColtLeaderClient leader_client
       = { handle_fenced_, colt_scheduler_send_advice_call, scheduler };
+  const GArray *followers
+      = colt_election_claimed_followers (scheduler->election);
+  guint i;
 
   scheduler->leader = colt_leader_create (scheduler->base, scheduler->ports,
                                           &scheduler->settings, term,
@@ -255,6 +260,10 @@
   scheduler->led_term = term;
   colt_metrics_count (scheduler->metrics, METRIC_ELECTED);
   scheduler->elected_us = colt_clock_monotonic_us ();
+  for (i = 0; i < followers->len; i++)
+    colt_members_expect (scheduler->members,
+                         g_array_index (followers, uint32_t, i),
+                         scheduler->elected_us);
   scheduler->previous_led_us = scheduler->elected_us - scheduler->last_term_us;
   scheduler->last_term_us = scheduler->elected_us;
   scheduler->last_term = term;
@@ -285,6 +294,15 @@
     send_heartbeat_ (-1, 0, scheduler);
 }
 
+static void
+list_followers_ (void *client, GArray *instances)
+{
+  const struct ColtScheduler *scheduler = client;
+
+  colt_members_list_followers (scheduler->members, colt_clock_monotonic_us (),
+                               instances);
+}
+
 static void
 handle_fenced_ (void *client)
 {
--- a/src/test_scheduler/test_election.c
+++ b/src/test_scheduler/test_election.c
@@ -8,6 +8,8 @@
 #define ELECT_MS 400
 /* Real time in which an instance that joins reads the log. */
 #define JOIN_MS 100
+/* Number of the instance at 127.0.0.0. */
+#define LOOPBACK (127u << 24)
 
 /* An instance that takes part in the election, and the results of its
  * callbacks. */
@@ -21,6 +23,7 @@
   int64_t confirmed_us; /* at the last election */
   struct ColtFakePorts *fake;
   int64_t appended_us; /* last append before the last election */
+  uint32_t follower;   /* an instance on whose word it relies; 0: none */
 };
 
 static void
@@ -49,11 +52,21 @@
   (void)client;
 }
 
+static void
+on_list_followers (void *client, GArray *instances)
+{
+  const struct ColtParticipant *participant = client;
+
+  if (participant->follower != 0)
+    g_array_append_val (instances, participant->follower);
+}
+
 static void
 join_election (struct ColtFakePorts *fake, struct ColtParticipant *participant)
 {
   const struct ColtElectionClient client
-      = { on_elected, on_deposed, on_leader_change, participant };
+      = { on_elected, on_deposed, on_leader_change, on_list_followers,
+          participant };
 
   participant->fake = fake;
   participant->election = colt_election_create (
@@ -382,17 +395,66 @@
   destroy_election (fake, &participant, 1);
 }
 
+/* Returns the value of the newest record of a key. */
+static const uint8_t *
+newest_value (const struct ColtFakePorts *fake, const char *key, gsize *size)
+{
+  const GArray *topic = fake->topics[COLT_TOPIC_LEADER];
+  guint i = topic->len;
+
+  while (i-- > 0)
+    {
+      const struct ColtFakeRecord *record
+          = &g_array_index (topic, struct ColtFakeRecord, i);
+
+      if (strcmp (record->key, key) == 0)
+        return g_bytes_get_data (record->value, size);
+    }
+  return NULL;
+}
+
 /* Returns the newest record of a leader; to be freed by the caller. */
 static ColtLeadRecord *
 newest_leader (const struct ColtFakePorts *fake)
 {
-  const GArray *topic = fake->topics[COLT_TOPIC_LEADER];
-  const struct ColtFakeRecord *record
-      = &g_array_index (topic, struct ColtFakeRecord, topic->len - 1);
-  gsize size;
-  gconstpointer data = g_bytes_get_data (record->value, &size);
+  gsize size = 0;
+  const uint8_t *value = newest_value (fake, "lead", &size);
 
-  return colt_lead_record__unpack (NULL, size, data);
+  return colt_lead_record__unpack (NULL, size, value);
+}
+
+/* Returns the newest record of a leader's followers; to be freed by the
+ * caller. */
+static ColtFollowersRecord *
+newest_followers (const struct ColtFakePorts *fake)
+{
+  gsize size = 0;
+  const uint8_t *value = newest_value (fake, "followers", &size);
+
+  return value != NULL ? colt_followers_record__unpack (NULL, size, value)
+                       : NULL;
+}
+
+/* Adds the record of a leader's followers. */
+static void
+put_followers (struct ColtFakePorts *fake,
+               uint64_t term,
+               uint32_t *instances,
+               size_t count)
+{
+  ColtFollowersRecord followers = COLT_FOLLOWERS_RECORD__INIT;
+  struct ColtFakeRecord record = { g_strdup ("followers"), NULL };
+  uint8_t *value;
+  size_t size;
+
+  followers.term = term;
+  followers.instances = instances;
+  followers.n_instances = count;
+  size = colt_followers_record__get_packed_size (&followers);
+  value = g_malloc (size);
+  colt_followers_record__pack (&followers, value);
+  record.value = g_bytes_new_take (value, size);
+  g_array_append_val (fake->topics[COLT_TOPIC_LEADER], record);
 }
 
 /* Lets an instance claim after a leader of term 3, which a heartbeat has
@@ -467,6 +529,84 @@
   destroy_election (fake, &participant, 1);
 }
 
+/* Lets an instance without contact claim after a leader of term 3 at 127.0.0.9
+ * that relied on two others, and on this one or not. */
+static void
+claim_after_leader (bool listed, struct ColtParticipant *participant)
+{
+  struct ColtFakePorts *fake = colt_fake_ports_create ();
+  uint32_t followers[] = { LOOPBACK + 1, LOOPBACK + 3, LOOPBACK + 5 };
+  ColtFollowersRecord *inherited;
+  int i;
+
+  put_followers (fake, 3, &followers[listed ? 0 : 1], listed ? 3 : 2);
+  put_leader (fake, "other", 3, 1);
+  join_election (fake, participant);
+  for (i = 0; i < 200 && participant->elected == 0; i++)
+    colt_fake_ports_run (fake, 20);
+  g_assert_cmpuint (participant->elected, ==, 1);
+  participant->appended_us = colt_election_extension_us (participant->election);
+  inherited = newest_followers (fake);
+  g_assert_cmpuint (inherited->term, ==, 4);
+  g_assert_cmpuint (inherited->n_instances, ==, 3);
+  g_assert_cmpuint (inherited->instances[0], ==, LOOPBACK + 3);
+  g_assert_cmpuint (inherited->instances[1], ==, LOOPBACK + 5);
+  g_assert_cmpuint (inherited->instances[2], ==, LOOPBACK + 9);
+  colt_followers_record__free_unpacked (inherited, NULL);
+  destroy_election (fake, participant, 1);
+}
+
+/* Guards against a wait of 20 s for leases that the former leader can't have
+ * renewed: it relied on this instance, whose process has started since. */
+static void
+test_claim_when_listed (void)
+{
+  struct ColtParticipant listed
+      = { { .name = "one", .internal = "127.0.0.1:1", .strength = 1 } };
+  struct ColtParticipant unlisted = listed;
+
+  claim_after_leader (true, &listed);
+  g_assert_cmpint (listed.appended_us, ==, 0);
+  claim_after_leader (false, &unlisted);
+  g_assert_cmpint (unlisted.appended_us, >,
+                   COLT_EXTENSION_MAX_US - COLT_US_PER_S);
+}
+
+/* A renewal records the followers when they change, and again while that may
+ * not have taken effect. */
+static void
+test_followers_recorded (void)
+{
+  struct ColtParticipant participant
+      = { { .name = "one", .internal = "127.0.0.1:1", .strength = 1 } };
+  struct ColtFakePorts *fake = start_with_leader (&participant, 1);
+  const GArray *topic = fake->topics[COLT_TOPIC_LEADER];
+  ColtFollowersRecord *followers;
+  guint records;
+
+  participant.follower = LOOPBACK + 2;
+  colt_fake_ports_run (fake, 500);
+  followers = newest_followers (fake);
+  g_assert_cmpuint (followers->n_instances, ==, 1);
+  g_assert_cmpuint (followers->instances[0], ==, LOOPBACK + 2);
+  colt_followers_record__free_unpacked (followers, NULL);
+  fake->fault = FAULT_LOST_APPENDS;
+  participant.follower = LOOPBACK + 3;
+  colt_fake_ports_run (fake, 500);
+  participant.follower = LOOPBACK + 2;
+  fake->fault = FAULT_NONE;
+  records = topic->len;
+  colt_fake_ports_run (fake, 500);
+  g_assert_cmpstr (g_array_index (topic, struct ColtFakeRecord, records).key,
+                   ==, "followers");
+  records = topic->len;
+  colt_fake_ports_run (fake, 500);
+  g_assert_cmpuint (topic->len, >, records);
+  g_assert_cmpstr (g_array_index (topic, struct ColtFakeRecord, records).key,
+                   ==, "lead");
+  destroy_election (fake, &participant, 1);
+}
+
 /* Guards against an instance that shuts down while it yields leadership, and
  * takes part in elections again. */
 static void
@@ -505,6 +645,10 @@
                    test_claim_without_contact);
   g_test_add_func ("/scheduler/election/extension-inherited",
                    test_extension_inherited);
+  g_test_add_func ("/scheduler/election/claim-when-listed",
+                   test_claim_when_listed);
+  g_test_add_func ("/scheduler/election/followers-recorded",
+                   test_followers_recorded);
   g_test_add_func ("/scheduler/election/stop-while-yielding",
                    test_stop_while_yielding);
 }
--- a/src/test_scheduler/test_followers.c
+++ b/src/test_scheduler/test_followers.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "members.h"
+#include "roster.h"
 #include "scheduler_private.h"
 #include "tests.h"
 
@@ -54,7 +55,9 @@
   int64_t next_renewal_us;
   int64_t next_read_us;
   bool busy; /* an append is open */
+  bool leaving;
   struct ColtMembers *members;
+  struct ColtRoster *roster;
 };
 
 enum ColtModelKind
@@ -78,7 +81,9 @@
   int64_t at;
   int64_t extension_us;
   bool claim;
+  bool leaving;
   bool done;
+  GBytes *followers; /* of an append that records them; owned by the model */
 };
 
 struct ColtModel
@@ -94,12 +99,15 @@
   uint32_t leader_process;
   int64_t written_us;
   int64_t extension_us; /* of the newest record */
+  GBytes *followers;    /* newest list */
+  GPtrArray *lists;     /* of GBytes, all lists */
   int64_t log_down_until_us;
   int64_t zone_cut_until_us[ZONES];
   /* Counts. */
   uint32_t leaders;
-  uint32_t extended;   /* steps in which leases went on without the log */
-  uint32_t violations; /* leases that outlive the wait of a later leader */
+  uint32_t extended;    /* steps in which leases went on without the log */
+  uint32_t contactless; /* claims without contact, or a longer wait */
+  uint32_t violations;  /* leases that outlive the wait of a later leader */
 };
 
 static bool
@@ -171,10 +179,44 @@
   fresh.promised_us = instance->promised_us;
   fresh.led_term = instance->led_term;
   colt_members_destroy (instance->members);
+  colt_roster_destroy (instance->roster);
   fresh.members = colt_members_create ();
+  fresh.roster = colt_roster_create (instance->number + 1);
   *instance = fresh;
 }
 
+/* Lists the followers for an append; returns NULL if it needn't record them. */
+static GBytes *
+list_followers (struct ColtModel *model,
+                struct ColtModelInstance *instance,
+                bool claim)
+{
+  uint64_t term = claim ? instance->term + 1 : instance->led_term;
+  GBytes *followers;
+  uint8_t *value;
+  size_t size;
+
+  if (claim)
+    colt_roster_prepare_claim (
+        instance->roster, term,
+        instance->term == 0 || instance->vacant ? 0 : instance->leader + 1);
+  else
+    {
+      GArray *listed = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+      bool changed;
+
+      colt_members_list_followers (instance->members, model->now_us, listed);
+      changed = colt_roster_prepare_renewal (instance->roster, listed);
+      g_array_unref (listed);
+      if (!changed)
+        return NULL;
+    }
+  value = colt_roster_pack (instance->roster, term, &size);
+  followers = g_bytes_new_take (value, size);
+  g_ptr_array_add (model->lists, followers);
+  return followers;
+}
+
 static void
 append_record (struct ColtModel *model,
                struct ColtModelInstance *instance,
@@ -194,7 +236,14 @@
   if (claim && instance->term != 0 && !instance->vacant
       && (instance->contact_term != instance->term
           || now_us - instance->contact_us > COLT_CONTACT_MAX_US))
-    message.extension_us = MAX (message.extension_us, COLT_EXTENSION_MAX_US);
+    {
+      if (colt_roster_lists_self (instance->roster, instance->term))
+        model->contactless++;
+      else
+        message.extension_us
+            = MAX (message.extension_us, COLT_EXTENSION_MAX_US);
+    }
+  message.followers = list_followers (model, instance, claim);
   instance->busy = true;
   if (reaches_log (model, instance))
     send_message (model, &message);
@@ -209,6 +258,12 @@
                int64_t extension_us,
                int64_t claimed_us)
 {
+  const GArray *followers = colt_roster_listed (instance->roster);
+  guint i;
+
+  for (i = 0; i < followers->len; i++)
+    colt_members_expect (instance->members,
+                         g_array_index (followers, uint32_t, i), model->now_us);
   instance->leads = true;
   instance->term = term;
   instance->led_term = term;
@@ -228,6 +283,13 @@
     return;
   instance->end = model->end;
   instance->seen_us = model->now_us;
+  if (model->followers != NULL)
+    {
+      gsize size;
+      const uint8_t *value = g_bytes_get_data (model->followers, &size);
+
+      g_assert_true (colt_roster_read_record (instance->roster, value, size));
+    }
   if (model->term == instance->term)
     {
       instance->extended_until_us = model->now_us + model->extension_us;
@@ -261,6 +323,8 @@
       model->leader_process = message->process;
       model->written_us = message->sent_us;
       model->extension_us = message->extension_us;
+      if (message->followers != NULL)
+        model->followers = message->followers;
     }
   answer.kind = MODEL_ANSWER;
   send_message (model, &answer);
@@ -274,6 +338,9 @@
   if (instance->process != message->process || !is_up (model, instance))
     return;
   instance->busy = false;
+  if (message->followers != NULL && !message->claim)
+    colt_roster_handle_append (instance->roster,
+                               message->done && reaches_log (model, instance));
   if (!message->done || !reaches_log (model, instance))
     return;
   instance->end = MAX (instance->end, message->at + 1);
@@ -296,6 +363,7 @@
     return;
   beat.instance = message->from + 1;
   beat.strength = 1;
+  beat.leaving = message->leaving;
   if (leader->leads && message->term == leader->led_term)
     beat.followed_us = message->stamp_us;
   colt_members_update (leader->members, &beat, model->now_us);
@@ -364,6 +432,7 @@
   message.process = instance->process;
   message.term = instance->term;
   message.sent_us = model->now_us;
+  message.leaving = instance->leaving;
   if (instance->stamp_term == instance->term)
     message.stamp_us = instance->stamp_us;
   if (reaches (model, message.from, message.to))
@@ -408,7 +477,8 @@
       instance->next_renewal_us = now_us + RENEW_US;
       append_record (model, instance, false);
     }
-  else if (reaches_log (model, instance) && instance->end == model->end
+  else if (!instance->leaving && reaches_log (model, instance)
+           && instance->end == model->end
            && (instance->vacant
                || now_us - instance->seen_us
                       >= TIMEOUT_US + draw_us (model, 0, 200)))
@@ -435,6 +505,13 @@
       instance->down_until_us = model->now_us + draw_us (model, 100, 20000);
       start_process (model, instance);
     }
+  if (draw (model, 0.001) && acts (model, instance) && !instance->leads)
+    instance->leaving = true;
+  if (instance->leaving && draw (model, 0.05) && is_up (model, instance))
+    {
+      instance->down_until_us = model->now_us + draw_us (model, 100, 3000);
+      start_process (model, instance);
+    }
   if (draw (model, 0.001) && acts (model, instance))
     instance->frozen_until_us = model->now_us + draw_us (model, 100, 15000);
 }
@@ -466,6 +543,7 @@
   model->now_us = COLT_US_PER_S;
   model->messages
       = g_array_new (FALSE, FALSE, sizeof (struct ColtModelMessage));
+  model->lists = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
   for (i = 0; i < INSTANCES; i++)
     {
       model->instances[i].number = i;
@@ -483,8 +561,12 @@
       model->now_us += STEP_US;
     }
   for (i = 0; i < INSTANCES; i++)
-    colt_members_destroy (model->instances[i].members);
+    {
+      colt_members_destroy (model->instances[i].members);
+      colt_roster_destroy (model->instances[i].roster);
+    }
   g_array_unref (model->messages);
+  g_ptr_array_unref (model->lists);
   g_rand_free (model->rand);
 }
 
@@ -497,6 +579,7 @@
   uint32_t seeds = SEEDS * (g_test_thorough () ? 20 : 1);
   uint32_t leaders = 0;
   uint32_t extended = 0;
+  uint32_t contactless = 0;
   uint32_t seed;
 
   for (seed = 1; seed <= seeds; seed++)
@@ -504,13 +587,17 @@
       run_model (seed, &model);
       leaders += model.leaders;
       extended += model.extended;
+      contactless += model.contactless;
       if (model.violations > 0)
         g_test_message ("seed %u: %u violations", seed, model.violations);
       g_assert_cmpuint (model.violations, ==, 0);
     }
-  g_test_message ("%u leaders, %u times without the log", leaders, extended);
+  g_test_message ("%u leaders, %u times without the log, %u claims without "
+                  "contact or a longer wait",
+                  leaders, extended, contactless);
   g_assert_cmpuint (leaders, >, seeds * 2);
   g_assert_cmpuint (extended, >, 0);
+  g_assert_cmpuint (contactless, >, seeds);
 }
 
 void
--- a/src/test_scheduler/test_members.c
+++ b/src/test_scheduler/test_members.c
@@ -130,7 +130,8 @@
 }
 
 /* An instance that is gone is disregarded once the log has confirmed the leader
- * after its contact, or if it has said that it leaves. */
+ * after its contact, or after it has said that it leaves: until then the log
+ * may list it, and another process at its address may claim. */
 static void
 test_members_gone (void)
 {
@@ -138,13 +139,18 @@
   struct ColtMembers *members = colt_members_create ();
   int64_t gone_us = 100 * COLT_US_PER_S;
   int64_t log_us = gone_us + COLT_CONTACT_MAX_US;
-  int64_t now_us = log_us + 2 * COLT_US_PER_S;
+  int64_t now_us = log_us + COLT_US_PER_S;
 
   update_member (members, 1, 0, 1, gone_us, gone_us);
   colt_members_update (members, &leaving, now_us);
   g_assert_cmpint (colt_members_followed_us (members, log_us, now_us), ==,
                    log_us);
   log_us += COLT_US_PER_S;
+  g_assert_cmpint (colt_members_followed_us (members, log_us, now_us + 1), ==,
+                   log_us);
+  colt_members_update (members, &leaving, now_us + 10);
+  log_us += 1;
+  now_us += 2 * COLT_US_PER_S;
   g_assert_cmpint (colt_members_followed_us (members, log_us, now_us), ==,
                    now_us);
   update_member (members, 2, 0, 1, 0, now_us);
@@ -153,6 +159,39 @@
   colt_members_destroy (members);
 }
 
+/* Guards against leases that a leader renews without the word of an instance
+ * that its record in the log lists: it may be elected without a longer wait. */
+static void
+test_members_listed (void)
+{
+  const struct ColtMemberBeat leaving = { .instance = 2, .leaving = true };
+  struct ColtMembers *members = colt_members_create ();
+  GArray *listed = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  int64_t log_us = 100 * COLT_US_PER_S;
+  int64_t now_us = log_us + 2 * COLT_US_PER_S;
+
+  colt_members_expect (members, 1, log_us);
+  g_assert_cmpint (colt_members_followed_us (members, log_us, now_us), ==,
+                   log_us);
+  g_assert_cmpuint (colt_members_count_advisers (members, now_us), ==, 1);
+  colt_members_list_followers (members, now_us, listed);
+  g_assert_cmpuint (listed->len, ==, 1);
+  update_member (members, 1, 0, 1, now_us - 3, now_us);
+  g_assert_cmpint (colt_members_followed_us (members, log_us, now_us), ==,
+                   now_us - 3);
+  colt_members_update (members, &leaving, now_us);
+  g_array_set_size (listed, 0);
+  colt_members_list_followers (members, now_us, listed);
+  g_assert_cmpuint (listed->len, ==, 1);
+  g_assert_cmpuint (g_array_index (listed, uint32_t, 0), ==, 1);
+  g_array_set_size (listed, 0);
+  now_us += COLT_CONTACT_MAX_US + 1;
+  colt_members_list_followers (members, now_us, listed);
+  g_assert_cmpuint (listed->len, ==, 0);
+  g_array_unref (listed);
+  colt_members_destroy (members);
+}
+
 /* Guards against leases without end: an instance that the leader doesn't know
  * waits this long for them. */
 static void
@@ -217,6 +256,7 @@
   g_test_add_func ("/scheduler/members/strongest", test_members_strongest);
   g_test_add_func ("/scheduler/members/followed", test_members_followed);
   g_test_add_func ("/scheduler/members/gone", test_members_gone);
+  g_test_add_func ("/scheduler/members/listed", test_members_listed);
   g_test_add_func ("/scheduler/members/extension", test_members_extension);
   g_test_add_func ("/scheduler/members/advisers", test_members_advisers);
 }
--- a/src/test_scheduler/test_scheduler.c
+++ b/src/test_scheduler/test_scheduler.c
@@ -17,6 +17,7 @@
   colt_test_window_add ();
   colt_test_callers_add ();
   colt_test_counts_add ();
+  colt_test_succession_add ();
   colt_test_stop_add ();
   colt_test_confirmation_add ();
   colt_test_followers_add ();
--- a/src/test_scheduler/tests.h
+++ b/src/test_scheduler/tests.h
@@ -15,6 +15,7 @@
 void colt_test_stop_add (void);
 void colt_test_confirmation_add (void);
 void colt_test_counts_add (void);
+void colt_test_succession_add (void);
 void colt_test_followers_add (void);
 
 #endif
