A server that has answered bounds the wait for earlier leaders' leases

scheduler/link/fenced-server fails before the change: runs on a silent server aren't given up within three times the longest lease.

--- a/src/scheduler/server_link.c
+++ b/src/scheduler/server_link.c
@@ -343,6 +343,11 @@
   update_clock_ (link, answer);
   link->known_us = answer->received_us;
   link->heard_us = answer->received_us;
+  /* The server has rejected earlier leaders since it executed this call, and
+   * shortens their leases to the longest one that it grants. */
+  link->unclocked_until_us
+      = MIN (link->unclocked_until_us,
+             colt_link_unclocked_lease_end_us (link, answer->received_us));
   if (!colt_link_is_unreachable (link))
     link->has_report = true;
   report.call_number = number;
--- a/src/test_scheduler/test_link.c
+++ b/src/test_scheduler/test_link.c
@@ -64,6 +64,35 @@
     }
 }
 
+/* Guards against a wait for leases that earlier leaders can't have renewed: the
+ * server has answered this leader, and rejects them since. */
+static void
+test_link_fenced_server (void)
+{
+  struct ColtFakePorts *fake = colt_fake_ports_create ();
+  struct ColtClientState state = { 0 };
+  int64_t now_us = colt_clock_monotonic_us ();
+  struct ColtServerLink *link = colt_fixture_open_inherited_link (
+      fake, &state, now_us + 20 * COLT_US_PER_S);
+  uint32_t waited_ms = 0;
+
+  fake->server_answer.incarnation_ms = 1;
+  colt_fixture_run_ticks (fake, link, 30);
+  state.runs = 1;
+  colt_fixture_run_ticks (fake, link, 60);
+  fake->server_answer.result = COLT_START_UNKNOWN;
+  while (state.runs_lost == 0 && waited_ms < 3 * LEASE_MAX_MS)
+    {
+      colt_fixture_run_ticks (fake, link, 10);
+      waited_ms += 10;
+    }
+  g_assert_cmpuint (state.runs_lost, ==, 1);
+  g_assert_cmpint (colt_clock_monotonic_us () - now_us, >,
+                   (int64_t)LEASE_MAX_MS * COLT_US_PER_MS);
+  colt_server_link_destroy (link);
+  colt_fake_ports_destroy (fake);
+}
+
 /* A renewal that couldn't be sent doesn't affect the lease of a start that was
  * sent while the renewal was open and may have been executed. */
 static void
@@ -483,6 +512,7 @@
   g_test_add_func ("/scheduler/link/lease-ends", test_link_lease_ends);
   g_test_add_func ("/scheduler/link/inherited-leases",
                    test_link_inherited_leases);
+  g_test_add_func ("/scheduler/link/fenced-server", test_link_fenced_server);
   g_test_add_func ("/scheduler/link/start-during-renewal",
                    test_link_start_during_renewal);
   g_test_add_func ("/scheduler/link/unconfirmed", test_link_unconfirmed);
