No placement before the leader has a configuration

It now waits for the configuration.

cell/records/no-configuration fails before the change: 10 tasks start under a limit of 2.

--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -62,6 +62,9 @@
 
   cell->wall_ms = wall_ms;
   cell->now_us = now_us;
+  /* The limits of organisations are in the configuration. */
+  if (cell->fleet == NULL)
+    return;
   colt_cell_move_stragglers (cell, now_us);
   colt_cell_close_steps (cell);
   rank_steps_ (cell, now_us);
--- a/src/test_cell_load/fixture.c
+++ b/src/test_cell_load/fixture.c
@@ -106,7 +106,8 @@
   struct ColtFleet *fleet = make_fleet ();
 
   fixture->cell = colt_cell_create (&ops, fixture, &limits, fixture->term);
-  colt_cell_set_fleet (fixture->cell, fleet);
+  if (!fixture->unconfigured)
+    colt_cell_set_fleet (fixture->cell, fleet);
   colt_fleet_unref (fleet);
 }
 
--- a/src/test_cell_load/fixture.h
+++ b/src/test_cell_load/fixture.h
@@ -24,6 +24,7 @@
   uint32_t last_id;          /* of the latest job */
   size_t record_bytes_max;   /* 0: no limit */
   uint32_t term;             /* of the leader */
+  bool unconfigured;         /* a new leader gets no configuration */
   GHashTable *records;       /* durable ones: key -> GBytes */
 };
 
--- a/src/test_cell_load/test_load_records.c
+++ b/src/test_cell_load/test_load_records.c
@@ -155,6 +155,26 @@
   g_free (text);
 }
 
+/* Guards against starts beyond an organisation's limit by a leader that has
+ * loaded the jobs, with the terms of their queues, but no configuration yet. */
+static void
+test_no_configuration (void)
+{
+  struct ColtLoadFixture *fixture = colt_fixture_create ();
+
+  colt_fixture_submit (fixture, "tight", "steady", 10, false);
+  colt_fixture_commit (fixture);
+  fixture->unconfigured = true;
+  colt_fixture_change_leader (fixture);
+  colt_fixture_add_server (fixture, "server-0", 400000);
+  colt_fixture_place (fixture);
+  g_assert_cmpuint (fixture->starts->len, ==, 0);
+  colt_fixture_set_maximum (fixture, 2000);
+  colt_fixture_place (fixture);
+  g_assert_cmpuint (fixture->starts->len, ==, 2);
+  colt_fixture_destroy (fixture);
+}
+
 void
 colt_load_add_record_tests (void)
 {
@@ -163,4 +183,5 @@
   g_test_add_func ("/cell/records/large-specification",
                    test_large_specification);
   g_test_add_func ("/cell/records/long-checkpoint", test_long_checkpoint);
+  g_test_add_func ("/cell/records/no-configuration", test_no_configuration);
 }
