Links: log lease ends and clocks when a server has restarted

The message that a server has been restarted told neither the lease ends that were sent nor the new clock. It is an event with both now.

--- a/src/scheduler/server_link.c
+++ b/src/scheduler/server_link.c
@@ -52,6 +52,8 @@
                                  const struct ColtServerAnswer *answer);
 static void update_clock_ (struct ColtServerLink *link,
                            const struct ColtServerAnswer *answer);
+static void log_restart_ (const struct ColtServerLink *link,
+                          const struct ColtServerAnswer *answer);
 static void reset_incarnation_ (struct ColtServerLink *link);
 static void log_clock_jump_ (const struct ColtServerLink *link,
                              const struct ColtServerAnswer *answer,
@@ -466,10 +468,7 @@
     return;
   if (link->incarnation_ms != 0)
     {
-      colt_log (COLT_LOG_WARNING, MODULE, NULL,
-                "server %s has been restarted; runs that it doesn't list are "
-                "lost",
-                link->id);
+      log_restart_ (link, answer);
       reset_incarnation_ (link);
       link->unclocked_until_us
           = colt_link_unclocked_lease_end_us (link, answer->received_us);
@@ -477,6 +476,28 @@
   link->incarnation_ms = answer->incarnation_ms;
 }
 
+/* Logs the latest lease end that was sent, which is on the former incarnation's
+ * clock, beside the clock of the new one: a call that the new one executed may
+ * have given it a lease of that length, up to the longest that it grants. */
+static void
+log_restart_ (const struct ColtServerLink *link,
+              const struct ColtServerAnswer *answer)
+{
+  const struct ColtLogField fields[]
+      = { { "server", link->id, 0 },
+          { "incarnation_ms", NULL, answer->incarnation_ms },
+          { "former_incarnation_ms", NULL, link->incarnation_ms },
+          { "lease_end_ms", NULL, latest_lease_end_ms_ (link) },
+          { "clock_ms", NULL, answer->clock_ms },
+          { "call_age_ms", NULL,
+            (answer->received_us - answer->sent_us) / COLT_US_PER_MS },
+          { "failed_renewals", NULL, link->failures } };
+
+  colt_log_event (COLT_LOG_WARNING, MODULE,
+                  "server restarted, runs that it doesn't list are lost", NULL,
+                  fields, G_N_ELEMENTS (fields));
+}
+
 static void
 reset_incarnation_ (struct ColtServerLink *link)
 {
