Labels of a server count for the life that its entry describes

A step that requires a label now waits for the entry of the incarnation that has reported.

cell/load/kind-of-new-incarnation fails before the change: a start where none may be.

--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -22,6 +22,8 @@
 const char *const colt_cell_rank_string[]
     = { "lasting", "timely", "excess", "late", "worthless" };
 
+static bool has_required_label_ (const struct ColtCellStep *step,
+                                 const struct ColtCellServer *server);
 static bool has_room_for_ (const struct ColtCellStep *step,
                            const struct ColtCellServer *server,
                            bool added);
@@ -115,15 +117,26 @@
 bool
 colt_cell_meets_constraints (const struct ColtCellStep *step,
                              const struct ColtCellServer *server)
+{
+  return has_required_label_ (step, server)
+         && (step->spec->max_per_server == 0
+             || count_step_runs_ (server, step) < step->spec->max_per_server);
+}
+
+/* A later incarnation than the one that the server's entry shows may be of
+ * another kind. */
+static bool
+has_required_label_ (const struct ColtCellStep *step,
+                     const struct ColtCellServer *server)
 {
   const char *label = step->spec->required_label;
 
-  if (label[0] != '\0'
-      && (server->labels == NULL
-          || !g_strv_contains ((const char *const *)server->labels, label)))
-    return false;
-  return step->spec->max_per_server == 0
-         || count_step_runs_ (server, step) < step->spec->max_per_server;
+  if (label[0] == '\0')
+    return true;
+  return server->labels != NULL
+         && g_strv_contains ((const char *const *)server->labels, label)
+         && (server->entry_incarnation_ms == 0
+             || server->entry_incarnation_ms >= server->incarnation_ms);
 }
 
 bool
@@ -148,6 +161,7 @@
   /* The server's room may have shrunk since the run was planned. */
   if (!run->server->reported || run->server->unreachable || !run->server->ready
       || !has_room_for_ (step, run->server, false)
+      || !has_required_label_ (step, run->server)
       || (advice == NULL && step->job->queue->config->advised))
     {
       if (advice == NULL && step->job->queue->config->advised)
--- a/src/cell/cell_servers.c
+++ b/src/cell/cell_servers.c
@@ -130,6 +130,7 @@
   server->address = g_strdup (entry->address);
   g_free (server->zone);
   server->zone = g_strdup (entry->zone);
+  server->entry_incarnation_ms = entry->incarnation_ms;
   server->room = entry->room;
   server->ready = entry->ready;
   if (!entry->ready)
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -297,6 +297,7 @@
   bool may_have_more; /* ends than its last report listed, and is reachable */
   int64_t
       incarnation_ms; /* wall-clock start of its incarnation; 0: not reported */
+  int64_t entry_incarnation_ms;    /* that its entry describes; 0: unknown */
   int64_t draining_incarnation_ms; /* latest one that was draining; 0: none */
   struct ColtResources room;       /* its capacity */
   struct ColtResources used;       /* demand of its runs, and reservations */
--- a/src/test_cell_load/test_load_servers.c
+++ b/src/test_cell_load/test_load_servers.c
@@ -1,4 +1,6 @@
 /* Decisions of the cell about servers that are slow, fail or stall. */
+#include <string.h>
+
 #include "fixture.h"
 
 /* Two servers differ in speed: after some steps, short tasks start on the fast
@@ -233,10 +235,63 @@
   colt_fixture_destroy (fixture);
 }
 
+/* Shows an idle server by its entry, or by its report alone. */
+static void
+show_server (struct ColtLoadFixture *fixture,
+             int64_t incarnation_ms,
+             const char *kind)
+{
+  const char *labels[] = { kind, NULL };
+  struct ColtServerEntry entry = { .id = "server",
+                                   .service = "service",
+                                   .address = "127.0.0.1:1",
+                                   .zone = "zone",
+                                   .ready = true,
+                                   .incarnation_ms = incarnation_ms,
+                                   .labels = labels };
+  const struct ColtServerReport report
+      = { .incarnation_ms = incarnation_ms, .call_number = 1 };
+
+  entry.room.amount[COLT_RESOURCE_CORES] = 4000;
+  if (kind != NULL)
+    colt_cell_set_server (fixture->cell, &entry, fixture->now_us);
+  colt_cell_apply_report (fixture->cell, "server", &report, fixture->now_us);
+}
+
+/* Guards against a start on a server of the wrong kind: one that is back under
+ * its id reports as another incarnation while its entry still has the labels of
+ * the former one. */
+static void
+test_kind_of_new_incarnation (void)
+{
+  struct ColtLoadFixture *fixture = colt_fixture_create ();
+  ColtJobSpec *spec = colt_fixture_make_job (fixture, 1);
+
+  spec->steps[0]->required_label = strdup ("a");
+  show_server (fixture, 1, "a");
+  show_server (fixture, 2, NULL);
+  g_assert_cmpint (colt_cell_submit (fixture->cell, spec, fixture->now_us), ==,
+                   COLT_SUBMIT_NEW);
+  colt_fixture_place (fixture);
+  g_assert_cmpuint (fixture->starts->len, ==, 0);
+  colt_fixture_submit (fixture, "tight", "steady", 1, false);
+  colt_fixture_place (fixture);
+  g_assert_cmpuint (fixture->starts->len, ==, 1);
+  show_server (fixture, 2, "b");
+  colt_fixture_place (fixture);
+  g_assert_cmpuint (fixture->starts->len, ==, 1);
+  show_server (fixture, 3, "a");
+  colt_fixture_place (fixture);
+  g_assert_cmpuint (fixture->starts->len, ==, 2);
+  colt_fixture_destroy (fixture);
+}
+
 void
 colt_load_add_server_tests (void)
 {
   g_test_add_func ("/cell/load/unequal-servers", test_unequal_servers);
+  g_test_add_func ("/cell/load/kind-of-new-incarnation",
+                   test_kind_of_new_incarnation);
   g_test_add_func ("/cell/load/new-servers-of-known-kind",
                    test_new_servers_of_known_kind);
   g_test_add_func ("/cell/load/slow-server-avoided", test_slow_server_avoided);
