--- a/src/test_scheduler/instances_fixture.c
+++ b/src/test_scheduler/instances_fixture.c
@@ -1,6 +1,5 @@
 #include "instances_fixture.h"
 
-#include <stdlib.h>
 #include <unistd.h>
 
 #include "jobs.h"
@@ -15,27 +14,6 @@
 /* The fixture of the running test, as handles of callers carry no client. */
 static struct ColtInstancesFixture *current;
 
-static ColtJobSpec *
-decode_job (void *adapter,
-            const char *body,
-            size_t size,
-            struct ColtError *error)
-{
-  ColtJobSpec *spec = colt_test_make_job ("");
-
-  (void)adapter;
-  (void)body;
-  (void)size;
-  (void)error;
-  free (spec->id);
-  free (spec->organisation);
-  free (spec->queue);
-  spec->id = (char *)protobuf_c_empty_string;
-  spec->organisation = (char *)protobuf_c_empty_string;
-  spec->queue = (char *)protobuf_c_empty_string;
-  return spec;
-}
-
 static void
 record_answer (struct ColtCallerHandle *handle,
                const struct ColtCallerAnswer *answer)
@@ -93,7 +71,7 @@
 
   current = fixture;
   fixture->fake = colt_fake_ports_create ();
-  fixture->fake->ports.decode_job = decode_job;
+  fixture->fake->ports.decode_job = colt_test_decode_job;
   fixture->fake->ports.answer = record_answer;
   for (i = 0; i < INSTANCES; i++)
     fixture->addresses[i] = g_strdup_printf ("127.0.0.%d:%d", i + 1, port);
--- a/src/test_scheduler/jobs.c
+++ b/src/test_scheduler/jobs.c
@@ -38,3 +38,24 @@
   spec->n_steps = 1;
   return spec;
 }
+
+ColtJobSpec *
+colt_test_decode_job (void *adapter,
+                      const char *body,
+                      size_t size,
+                      struct ColtError *error)
+{
+  ColtJobSpec *spec = colt_test_make_job ("");
+
+  (void)adapter;
+  (void)body;
+  (void)size;
+  (void)error;
+  free (spec->id);
+  free (spec->organisation);
+  free (spec->queue);
+  spec->id = (char *)protobuf_c_empty_string;
+  spec->organisation = (char *)protobuf_c_empty_string;
+  spec->queue = (char *)protobuf_c_empty_string;
+  return spec;
+}
--- a/src/test_scheduler/test_confirmation.c
+++ b/src/test_scheduler/test_confirmation.c
@@ -1,6 +1,5 @@
 /* Leases that a leader renews while the log doesn't answer. */
 #include <glib.h>
-#include <stdlib.h>
 #include <unistd.h>
 
 #include "fake_ports.h"
@@ -59,27 +58,6 @@
 /* The fixture of the running test, as handles of callers carry no client. */
 static struct ColtConfirmationFixture *current;
 
-static ColtJobSpec *
-decode_job (void *adapter,
-            const char *body,
-            size_t size,
-            struct ColtError *error)
-{
-  ColtJobSpec *spec = colt_test_make_job (JOB);
-
-  (void)adapter;
-  (void)body;
-  (void)size;
-  (void)error;
-  free (spec->id);
-  free (spec->organisation);
-  free (spec->queue);
-  spec->id = (char *)protobuf_c_empty_string;
-  spec->organisation = (char *)protobuf_c_empty_string;
-  spec->queue = (char *)protobuf_c_empty_string;
-  return spec;
-}
-
 static void
 record_answer (struct ColtCallerHandle *handle,
                const struct ColtCallerAnswer *answer)
@@ -196,7 +174,7 @@
   int i;
 
   current = &fixture;
-  fixture.fake->ports.decode_job = decode_job;
+  fixture.fake->ports.decode_job = colt_test_decode_job;
   fixture.fake->ports.answer = record_answer;
   fixture.address = g_strdup_printf ("127.0.0.1:%d",
                                      PORT_MIN + (int)getpid () % PORT_COUNT);
