Server links: a run planned on an idle server isn't lost with leases that ended before

Cause: a link keeps the end of the last lease that it renewed. On a server that had no runs for longer than a lease, the next run was planned, and a tick before its start was sent found that lease expired and ended the run. Change: leases that ended while a server had no runs are forgotten. Test: scheduler/link/plan-after-idle, which failed before.

--- a/src/scheduler/server_link.c
+++ b/src/scheduler/server_link.c
@@ -42,6 +42,7 @@
                               const struct ColtServerAnswer *answer);
 static void
 expire_leases_ (struct ColtServerLink *link, size_t runs, int64_t now_us);
+static void forget_leases_ (struct ColtServerLink *link);
 static void
 log_expiry_ (const struct ColtServerLink *link, size_t runs, int64_t now_us);
 static void lose_runs_ (struct ColtServerLink *link,
@@ -151,7 +152,9 @@
   if (!expired && !is_renewal_due_ (link, now_us))
     return;
   runs = link->client.count_runs (link->client.client, link->id);
-  if (expired && runs > 0)
+  if (expired && runs == 0)
+    forget_leases_ (link);
+  else if (expired)
     {
       expire_leases_ (link, runs, now_us);
       runs = link->client.count_runs (link->client.client, link->id);
@@ -426,10 +429,15 @@
   if (left < runs)
     log_expiry_ (link, runs - left, now_us);
   if (left == 0)
-    {
-      link->unclocked_until_us = 0;
-      link->lease_until_ms = 0;
-    }
+    forget_leases_ (link);
+}
+
+/* A run that is planned later holds none of the leases that have ended. */
+static void
+forget_leases_ (struct ColtServerLink *link)
+{
+  link->unclocked_until_us = 0;
+  link->lease_until_ms = 0;
 }
 
 static void
--- a/src/test_scheduler/test_link.c
+++ b/src/test_scheduler/test_link.c
@@ -506,9 +506,35 @@
   colt_fake_ports_destroy (fake);
 }
 
+/* Guards against the loss of a run that is planned on a server whose last lease
+ * ended while it had no runs. */
+static void
+test_link_plan_after_idle (void)
+{
+  struct ColtFakePorts *fake = colt_fake_ports_create ();
+  struct ColtClientState state = { 0 };
+  struct ColtServerLink *link = colt_fixture_open_link (fake, &state);
+
+  fake->server_answer.incarnation_ms = 1;
+  colt_fixture_run_ticks (fake, link, 30);
+  state.runs = 1;
+  colt_fixture_run_ticks (fake, link, 100);
+  g_assert_cmpint (fake->last_renewal.until_ms, >, 0);
+  state.runs = 0;
+  colt_fixture_run_ticks (fake, link, 2 * LEASE_MS + 400);
+  state.runs = 1;
+  colt_server_link_tick (link, colt_clock_monotonic_us ());
+  g_assert_cmpuint (state.runs_lost, ==, 0);
+  colt_server_link_destroy (link);
+  colt_fake_ports_destroy (fake);
+}
+
 void
 colt_test_link_add (void)
 {
+  g_test_add_func ("/scheduler/link/plan-after-idle",
+                   test_link_plan_after_idle);
+
   g_test_add_func ("/scheduler/link/lease-ends", test_link_lease_ends);
   g_test_add_func ("/scheduler/link/inherited-leases",
                    test_link_inherited_leases);
