The end as done of a run that was taken as lost completes its task

In the log, run 3 of 0.0.21 ended as done on a server of the zone that was cut off; at 38.428 the leader took its lease as expired and planned run 4; at 39.833 the server, reachable again, listed the end of run 3. apply_finished_() disregarded ends as done of runs that aren't the current ones, and the leader acknowledged them. The task was done and ran again.

Change: such an end completes the task, or its gang, unless the task is done or lasts or its job has ended. A run that was started since is stopped. The same after a change of the leader, for runs that the record has as ended.

--- a/src/cell/cell_runs.c
+++ b/src/cell/cell_runs.c
@@ -10,6 +10,10 @@
                       const struct ColtCellServer *server,
                       uint32_t number,
                       enum ColtRunEnd how);
+static void log_completion_ (struct ColtCell *cell,
+                             const struct ColtCellTask *task,
+                             const struct ColtCellServer *server,
+                             uint32_t number);
 static bool is_earlier_leader_run_ (const struct ColtCell *cell,
                                     const struct ColtCellTask *task,
                                     uint32_t number);
@@ -185,6 +189,34 @@
   colt_cell_count_failure (cell, task, number, now_us);
 }
 
+/* The task is completed first, so that a run that is only planned ends without
+ * the task being queued again. */
+void
+colt_cell_complete_by_earlier_run (struct ColtCell *cell,
+                                   struct ColtCellTask *task,
+                                   const struct ColtCellServer *server,
+                                   uint32_t number,
+                                   int64_t now_us)
+{
+  struct ColtCellStep *step = task->step;
+  uint32_t first = step->spec->gang ? 0 : task->index;
+  uint32_t end = step->spec->gang ? step->spec->count : task->index + 1;
+  uint32_t i;
+
+  log_completion_ (cell, task, server, number);
+  if (step->spec->gang)
+    complete_gang_ (cell, step, now_us);
+  else
+    colt_cell_complete_task (cell, task, now_us);
+  for (i = first; i < end; i++)
+    {
+      struct ColtCellRun *run = step->tasks[i].current;
+
+      if (run != NULL && run->run != number && run->state != RUN_STOPPING)
+        colt_cell_stop_run (cell, run, now_us);
+    }
+}
+
 void
 colt_cell_stop_run (struct ColtCell *cell,
                     struct ColtCellRun *run,
@@ -254,6 +286,26 @@
                            detail);
 }
 
+static void
+log_completion_ (struct ColtCell *cell,
+                 const struct ColtCellTask *task,
+                 const struct ColtCellServer *server,
+                 uint32_t number)
+{
+  const struct ColtCellStep *step = task->step;
+  char detail[3 * TASK_NAME_SIZE];
+  char current[TASK_NAME_SIZE] = "";
+
+  if (task->current != NULL)
+    g_snprintf (current, sizeof current, "; run %u is stopped",
+                task->current->run);
+  g_snprintf (detail, sizeof detail, "%u.%u.%u: run %u on %s%s",
+              step->occurrence, step->number, task->index, number, server->id,
+              current);
+  cell->ops->log_decision (cell->client, step->job->id,
+                           "task completed by earlier run", detail);
+}
+
 static bool
 is_earlier_leader_run_ (const struct ColtCell *cell,
                         const struct ColtCellTask *task,
--- a/src/cell/cell_servers.c
+++ b/src/cell/cell_servers.c
@@ -447,8 +447,10 @@
          && task->current->run == run;
 }
 
-/* Applies the reported end of a run. The end of a run that an earlier leader
- * started counts unless that leader's record includes it. */
+/* Applies the reported end of a run. As a run counts as lost once its leases
+ * have expired, the end of one that isn't the current one may be reported:
+ * done, it completes its task; failed, it counts if an earlier leader started
+ * it and the record of that leader doesn't include it. */
 static void
 apply_finished_ (struct ColtCell *cell,
                  struct ColtCellServer *server,
@@ -478,7 +480,12 @@
       return;
     }
   if (task->current != NULL || entry->run <= task->last_run)
-    return;
+    {
+      if (entry->how == COLT_RUN_DONE && !task->step->spec->lasting)
+        colt_cell_complete_by_earlier_run (cell, task, server, entry->run,
+                                           now_us);
+      return;
+    }
   run = adopt_run_ (cell, server, task, entry->run, now_us);
   colt_cell_end_run (cell, run, entry->how, entry->checkpoint, now_us);
 }
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -446,6 +446,13 @@
                           int64_t now_us);
 /* Stops retrying a run's stop. */
 void colt_cell_unlist_stop (struct ColtCell *cell, struct ColtCellRun *run);
+/* Completes a task, or its gang, by a run that was taken as lost and was done
+ * nevertheless; runs that were started since are stopped. */
+void colt_cell_complete_by_earlier_run (struct ColtCell *cell,
+                                        struct ColtCellTask *task,
+                                        const struct ColtCellServer *server,
+                                        uint32_t run,
+                                        int64_t now_us);
 void colt_cell_count_earlier_failure (struct ColtCell *cell,
                                       struct ColtCellTask *task,
                                       uint32_t run,
--- a/src/test_cell/simulation_orders.c
+++ b/src/test_cell/simulation_orders.c
@@ -259,6 +259,8 @@
                     order->run, server->id);
   g_assert_cmpuint (truth->running, ==, 0);
   g_assert_false (truth->done_acked);
+  g_assert_true (truth->late_done_acked_us == 0
+                 || order->sent_us <= truth->late_done_acked_us);
   g_assert_cmpuint (truth->failures_acked, <, MAX_ATTEMPTS);
   check_deadly_start (sim, order, truth);
   truth->running++;
--- a/src/test_cell/simulation_private.h
+++ b/src/test_cell/simulation_private.h
@@ -138,7 +138,9 @@
   uint32_t failures_acked;
   uint32_t last_started; /* highest run that has started */
   bool done_acked;
-  bool deadly;          /* crashes each server that starts it */
+  int64_t late_done_acked_us; /* when the end as done of a run whose lease had
+                                 expired was acknowledged; 0: never */
+  bool deadly;                /* crashes each server that starts it */
   uint32_t crashes;     /* of servers while it ran there, for whatever cause */
   uint32_t late_starts; /* after CRASHES_TO_LIMIT crashes */
 };
--- a/src/test_cell/simulation_servers.c
+++ b/src/test_cell/simulation_servers.c
@@ -308,9 +308,9 @@
     }
 }
 
-/* Drops acknowledged ends. Those of expired leases don't count: the leader may
- * have started their tasks again. Otherwise nothing may have started since a
- * run has ended as done. */
+/* Drops acknowledged ends. The leader may have started the tasks of those of
+ * expired leases again, but no more once an end as done is acknowledged.
+ * Otherwise nothing may have started since a run has ended as done. */
 static void
 drop_acked_ends (struct ColtSim *sim, struct ColtSimServer *server)
 {
@@ -332,6 +332,9 @@
                             server->id);
           g_assert_cmpuint (truth->last_started, <=, end->run);
         }
+      if (end->how == COLT_RUN_DONE && end->lapsed
+          && truth->late_done_acked_us == 0)
+        truth->late_done_acked_us = sim->now_us;
       if (end->how == COLT_RUN_FAILED && !end->lapsed)
         {
           truth->failures_acked++;
