Scheduler: open requests are answered before the election is freed

Cause: colt_scheduler_destroy() freed the election before it answered the requests that were still open, and the log line of an answer names the leader that the election knows. Seen once as a heap-use-after-free in scheduler/succession/all-processes-end on a busy machine. Change: open requests are answered first. Test: scheduler/stop/destroy-with-open-request, which failed before.

--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -126,9 +126,10 @@
     return;
   colt_leader_destroy (scheduler->leader);
   scheduler->leader = NULL;
+  /* Answers of open requests name the leader that the election knows. */
+  colt_scheduler_end_requests (scheduler);
   colt_election_destroy (scheduler->election);
   colt_watch_destroy (scheduler->config_watch);
-  colt_scheduler_end_requests (scheduler);
   colt_wire_destroy (scheduler->wire);
   colt_scheduler_free_requests (scheduler);
   if (scheduler->adviser != NULL)
--- a/src/test_scheduler/test_stop.c
+++ b/src/test_scheduler/test_stop.c
@@ -104,9 +104,39 @@
   g_assert_cmpint (stop_with_request (6000, SERVING_MS - 360), >=, SEND_US);
 }
 
+/* Guards against a read of the election after it was freed: a request that
+ * waits for a leader is answered when the instance is destroyed. */
+static void
+test_destroy_with_open_request (void)
+{
+  char *internal = g_strdup_printf ("127.0.0.1:%d",
+                                    PORT_MIN + (int)getpid () % PORT_COUNT);
+  const struct ColtSchedulerSettings settings
+      = { "name", "zone", internal, 1, 1000, 60, SERVING_MS };
+  struct ColtStopFixture fixture = { .fake = colt_fake_ports_create () };
+  struct ColtError error = { 0 };
+  struct ColtScheduler *scheduler;
+
+  current = &fixture;
+  fixture.fake->ports.answer = record_answer;
+  colt_fake_ports_put (fixture.fake, COLT_TOPIC_OPERATOR, "config", "fleet");
+  scheduler = colt_scheduler_create (fixture.fake->base, &fixture.fake->ports,
+                                     &settings, &error);
+  g_assert_nonnull (scheduler);
+  colt_fake_ports_run (fixture.fake, 20);
+  send_request (-1, 0, &fixture);
+  g_assert_cmpuint (fixture.answers, ==, 0);
+  colt_scheduler_destroy (scheduler);
+  g_assert_cmpuint (fixture.answers, ==, 1);
+  colt_fake_ports_destroy (fixture.fake);
+  g_free (internal);
+}
+
 void
 colt_test_stop_add (void)
 {
+  g_test_add_func ("/scheduler/stop/destroy-with-open-request",
+                   test_destroy_with_open_request);
   g_test_add_func ("/scheduler/stop/answers-before-end",
                    test_answers_before_end);
 }
