Scheduler: the order window shrinks on congestion, not on losses at a minority of servers

Four lost orders in a row halved the window. Orders that are sent together time out together, 120 ms later and after all answers to the others, so that any burst with four losses counted as congestion: with 5% of the answers lost the window fell from 36,606 to 8,192 bytes while answers took 3 to 5 ms.

Orders are now counted by the time of their sending. The window is halved if at least four of those sent within three periods of 25 ms are lost, and more than are answered; as before, on a loss while answers are slow.

--- a/src/scheduler/order_window.c
+++ b/src/scheduler/order_window.c
@@ -25,10 +25,23 @@
 #define TIME_WEIGHT 0.1
 /* An answer counts as lost after this many times the smoothed time. */
 #define TIMEOUT_FACTOR 4
-/* Lost orders in a row that reduce the window while others are answered fast:
- * fewer may be due to single servers that are gone. */
-#define LOST_IN_ROW 4
 #define TIMEOUT_MAX_MS 1000
+/* Orders are counted by the period in which they were sent. An order has ended
+ * before its period is reused. */
+#define PERIOD_US (25 * COLT_US_PER_MS)
+#define PERIODS 64
+/* Lost orders, sent within three periods, that reduce the window if they
+ * outnumber the answered ones: fewer may be due to single servers that are
+ * gone. */
+#define LOST_MIN 4
+
+/* Orders that were sent in a period and have ended. */
+struct ColtOrderPeriod
+{
+  int64_t number; /* time divided by the length of a period */
+  uint32_t answered;
+  uint32_t lost;
+};
 
 struct ColtOrderWindow
 {
@@ -37,7 +50,7 @@
   int64_t backlog;   /* bytes of orders that are queued and not yet sent */
   double mean_bytes; /* of an order */
   bool doubling;     /* initially */
-  uint32_t lost_in_row;
+  struct ColtOrderPeriod periods[PERIODS];
   uint64_t lost; /* orders without an answer */
   int64_t shortest_us;
   double smoothed_us;
@@ -46,6 +59,9 @@
   bool resuming;
 };
 
+static struct ColtOrderPeriod *find_period_ (struct ColtOrderWindow *window,
+                                             int64_t number);
+static bool are_most_lost_ (struct ColtOrderWindow *window, int64_t sent_us);
 static void grow_ (struct ColtOrderWindow *window, size_t bytes);
 static void shrink_ (struct ColtOrderWindow *window,
                      double factor,
@@ -109,6 +125,8 @@
                            int64_t now_us)
 {
   bool full = (double)(window->open + bytes) > window->limit;
+  int64_t sent_us = now_us - took_us;
+  struct ColtOrderPeriod *period = find_period_ (window, sent_us / PERIOD_US);
 
   g_assert (window->open >= bytes);
   window->open -= bytes;
@@ -116,15 +134,15 @@
   if (!answered)
     {
       window->lost++;
-      window->lost_in_row++;
-      if (window->lost_in_row >= LOST_IN_ROW
+      period->lost++;
+      if (are_most_lost_ (window, sent_us)
           || window->smoothed_us - (double)window->shortest_us
                  > QUEUEING_MAX_US / 2.0)
         shrink_ (window, LOST_FACTOR, took_us, now_us);
     }
   else
     {
-      window->lost_in_row = 0;
+      period->answered++;
       window->shortest_us = MIN (window->shortest_us, took_us);
       window->smoothed_us
           += TIME_WEIGHT * ((double)took_us - window->smoothed_us);
@@ -174,6 +192,43 @@
   return (size_t)window->limit;
 }
 
+static struct ColtOrderPeriod *
+find_period_ (struct ColtOrderWindow *window, int64_t number)
+{
+  struct ColtOrderPeriod *period = &window->periods[number % PERIODS];
+
+  if (period->number != number)
+    {
+      period->number = number;
+      period->answered = 0;
+      period->lost = 0;
+    }
+  return period;
+}
+
+/* Returns whether most of the orders that were sent at about the same time are
+ * lost. Orders that are sent together time out together, long after the answers
+ * to the others, so that their order of ending says nothing. */
+static bool
+are_most_lost_ (struct ColtOrderWindow *window, int64_t sent_us)
+{
+  int64_t number = sent_us / PERIOD_US;
+  uint32_t answered = 0;
+  uint32_t lost = 0;
+  int64_t i;
+
+  for (i = MAX (number - 1, 0); i <= number + 1; i++)
+    {
+      const struct ColtOrderPeriod *period = &window->periods[i % PERIODS];
+
+      if (period->number != i)
+        continue;
+      answered += period->answered;
+      lost += period->lost;
+    }
+  return lost >= LOST_MIN && lost > answered;
+}
+
 static void
 grow_ (struct ColtOrderWindow *window, size_t bytes)
 {
