Scheduler: servers that leave a call unanswered get no starts until they answer

While a zone was cut off, starts that waited on links to its servers used up the budget of starts until these servers counted as unreachable, after two failed renewals: for 1.9 s no start was planned for the other two thirds of the servers.

A server is now suspected once a start, a stop or a renewal has timed out, or a start has waited for its report as long as a start's timeout. The cell plans no start there, starts that were never sent are withdrawn, and what waits doesn't count for the budget. A start that was sent stays counted, and is sent again only after an answer. The report is queried at once, then at growing pauses, at most 200 times a second over all servers. Any answer clears the suspicion; it is no evidence that a run has ended.

--- a/include/coltsfootstile/cell.h
+++ b/include/coltsfootstile/cell.h
@@ -391,6 +391,13 @@
  * stops without a reply aren't retried. */
 void colt_cell_set_unreachable (struct ColtCell *cell, const char *server);
 
+/** Sets whether a server leaves calls unanswered: it gets no starts while it
+ * does, and runs that are planned on it and aren't ordered yet end. That is no
+ * evidence for the end of any other run. */
+void colt_cell_set_suspected (struct ColtCell *cell,
+                              const char *server,
+                              bool suspected);
+
 /** What shows, without a report, that runs on a server have ended. */
 struct ColtServerLoss
 {
--- a/src/cell/cell_dump.c
+++ b/src/cell/cell_dump.c
@@ -52,6 +52,7 @@
   json_object_set_new (object, "ready", json_boolean (server->ready));
   json_object_set_new (object, "reported", json_boolean (server->reported));
   json_object_set_new (object, "dark", json_boolean (server->unreachable));
+  json_object_set_new (object, "suspected", json_boolean (server->suspected));
   json_object_set_new (object, "awaited", json_boolean (server->awaited));
   json_object_set_new (object, "runs", json_integer (server->runs->len));
   json_object_set_new (object, "foreign_runs",
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -108,7 +108,7 @@
 colt_cell_is_usable (const struct ColtCellServer *server, int64_t now_us)
 {
   if (!server->listed || !server->ready || !server->reported
-      || server->unreachable || server->foreign_runs > 0
+      || server->unreachable || server->suspected || server->foreign_runs > 0
       || server->quarantined_runs > 0)
     return false;
   return colt_cell_may_probe (server, now_us);
@@ -159,7 +159,8 @@
   struct ColtStartOrder order = { 0 };
 
   /* The server's room may have shrunk since the run was planned. */
-  if (!run->server->reported || run->server->unreachable || !run->server->ready
+  if (!run->server->reported || run->server->unreachable
+      || run->server->suspected || !run->server->ready
       || !has_room_for_ (step, run->server, false)
       || !has_required_label_ (step, run->server)
       || (advice == NULL && step->job->queue->config->advised))
--- a/src/cell/cell_servers.c
+++ b/src/cell/cell_servers.c
@@ -281,6 +281,15 @@
   server->may_have_more = false;
 }
 
+void
+colt_cell_set_suspected (struct ColtCell *cell, const char *id, bool suspected)
+{
+  struct ColtCellServer *server = colt_cell_find_server (cell, id);
+
+  if (server != NULL)
+    server->suspected = suspected;
+}
+
 void
 colt_cell_end_server_runs (struct ColtCell *cell,
                            const char *id,
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -290,7 +290,8 @@
   bool ready;    /* false while it drains */
   bool reported; /* by this incarnation to this leader */
   bool unreachable;
-  bool replaced; /* another server answers at its address */
+  bool suspected; /* leaves calls unanswered */
+  bool replaced;  /* another server answers at its address */
   /* May run an earlier leader's work, or have ends of it that its reports
    * didn't list yet. */
   bool awaited;
--- a/src/scheduler/leader.c
+++ b/src/scheduler/leader.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "coltsfootstile/guard.h"
+#include "coltsfootstile/suspicion.h"
 #include "leader_private.h"
 #include "order_window.h"
 
@@ -51,7 +52,6 @@
 static void tick_ (evutil_socket_t fd, short what, void *arg);
 static void log_load_ (struct ColtLeader *leader, int64_t now_us);
 static void run_placement_ (evutil_socket_t fd, short what, void *arg);
-static void schedule_placement_ (struct ColtLeader *leader);
 static void handle_server_record_ (void *client,
                                    const struct ColtLogRecord *record);
 static void unlist_missing_servers_ (void *client);
@@ -127,6 +127,8 @@
                                        &commit_client, metrics, &leader->meter);
   leader->load_channel = ports->log_open (ports->adapter);
   leader->window = colt_order_window_create ();
+  leader->suspicion = colt_suspicion_create ();
+  leader->metrics = metrics;
   leader->links
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_link_);
   leader->link_clients = g_ptr_array_new_with_free_func (g_free);
@@ -163,6 +165,9 @@
   g_hash_table_unref (leader->links);
   g_ptr_array_unref (leader->link_clients);
   colt_order_window_destroy (leader->window);
+  colt_suspicion_destroy (leader->suspicion);
+  colt_metrics_set (leader->metrics, METRIC_SUSPECTED_SERVERS, 0);
+  g_free (leader->suspicion_changes.server);
   g_hash_table_unref (leader->listed_ids);
   g_ptr_array_unref (leader->progress_records);
   colt_cell_destroy (leader->cell);
@@ -175,7 +180,7 @@
 {
   leader->config_version = fleet->version;
   colt_cell_set_fleet (leader->cell, fleet);
-  schedule_placement_ (leader);
+  colt_leader_schedule_placement (leader);
 }
 
 void
@@ -186,7 +191,7 @@
   int64_t began_us = colt_clock_monotonic_us ();
 
   colt_cell_apply_advice (leader->cell, number, reply, began_us);
-  schedule_placement_ (leader);
+  colt_leader_schedule_placement (leader);
   colt_load_meter_add (&leader->meter, LOAD_ADVICE, began_us);
 }
 
@@ -320,9 +325,10 @@
     colt_commit_schedule (leader->commit, TICK_MS);
   colt_leader_expire_calls (leader, now_us);
   colt_leader_answer_state_calls (leader, now_us);
-  schedule_placement_ (leader);
+  colt_leader_schedule_placement (leader);
   colt_load_meter_add (&leader->meter, LOAD_TICK, now_us);
   log_load_ (leader, now_us);
+  colt_leader_log_suspicion (leader, now_us);
 }
 
 static void
@@ -339,6 +345,7 @@
   state.expired_tickets = stats.expired_tickets;
   state.lost_orders = colt_order_window_lost (leader->window);
   state.advice_calls = leader->advice_calls;
+  state.suspected_servers = colt_suspicion_count (leader->suspicion);
   state.window_bytes = colt_order_window_limit (leader->window);
   colt_load_meter_tick (&leader->meter, TICK_MS * COLT_US_PER_MS, &state,
                         now_us);
@@ -368,8 +375,8 @@
     colt_commit_schedule (leader->commit, PLAN_LINGER_MS);
 }
 
-static void
-schedule_placement_ (struct ColtLeader *leader)
+void
+colt_leader_schedule_placement (struct ColtLeader *leader)
 {
   const struct timeval when = { 0, (suseconds_t)leader->place_pause_us };
 
@@ -457,20 +464,31 @@
 open_link_ (struct ColtLeader *leader, const struct ColtServerEntry *entry)
 {
   struct ColtLinkClient *link_client = g_new0 (struct ColtLinkClient, 1);
-  const struct ColtServerLinkClient client
-      = { handle_report_,      handle_start_result_, handle_stop_result_,
-          handle_unreachable_, handle_runs_lost_,    handle_server_fenced_,
-          renewable_until_us_, count_runs_,          has_tight_runs_,
-          may_start_,          link_client };
+  const struct ColtServerLinkClient client = { handle_report_,
+                                               handle_start_result_,
+                                               handle_stop_result_,
+                                               handle_unreachable_,
+                                               handle_runs_lost_,
+                                               handle_server_fenced_,
+                                               colt_leader_handle_suspected,
+                                               renewable_until_us_,
+                                               count_runs_,
+                                               has_tight_runs_,
+                                               may_start_,
+                                               link_client };
   const struct ColtServerLinkSettings settings
-      = { leader->term, colt_leader_lease_ms (leader),
+      = { leader->term,
+          colt_leader_lease_ms (leader),
           leader->settings->lease_max_ms,
-          colt_leader_inherited_until_us (leader), leader->window };
+          colt_leader_inherited_until_us (leader),
+          leader->window,
+          leader->suspicion };
   struct ColtServerLink *link = colt_server_link_create (
       leader->ports, &settings, entry->id, entry->address, &client);
 
   link_client->leader = leader;
   link_client->server = colt_cell_server (leader->cell, entry->id);
+  colt_cell_set_suspected (leader->cell, entry->id, false);
   g_ptr_array_add (leader->link_clients, link_client);
   g_hash_table_insert (leader->links, (gpointer)colt_server_link_id (link),
                        link);
@@ -521,7 +539,7 @@
   colt_cell_apply_report (leader->cell, colt_server_link_id (link), report,
                           began_us);
   colt_load_meter_add (&leader->meter, LOAD_REPORTS, began_us);
-  schedule_placement_ (leader);
+  colt_leader_schedule_placement (leader);
   if (report->finished_count == 0)
     return;
   ends = g_new0 (struct ColtPendingEnds, 1);
@@ -560,7 +578,7 @@
                                 run, result, next_call, began_us);
   colt_load_meter_add (&leader->meter, LOAD_ORDERS, began_us);
   if (result != COLT_START_TAKEN)
-    schedule_placement_ (leader);
+    colt_leader_schedule_placement (leader);
 }
 
 static void
@@ -596,7 +614,7 @@
 
   colt_cell_apply_loss (leader->cell, colt_server_link_id (link), loss,
                         colt_clock_monotonic_us ());
-  schedule_placement_ (leader);
+  colt_leader_schedule_placement (leader);
 }
 
 static void
@@ -647,7 +665,7 @@
 handle_committed_ (void *client)
 {
   colt_leader_answer_state_calls (client, colt_clock_monotonic_us ());
-  schedule_placement_ (client);
+  colt_leader_schedule_placement (client);
 }
 
 static void
--- a/src/scheduler/load_meter.c
+++ b/src/scheduler/load_meter.c
@@ -92,7 +92,8 @@
             (int64_t)(state->expired_tickets - last->expired_tickets) },
           { "advice_calls", NULL,
             (int64_t)(state->advice_calls - last->advice_calls) },
-          { "window_bytes", NULL, (int64_t)state->window_bytes } };
+          { "window_bytes", NULL, (int64_t)state->window_bytes },
+          { "suspected_servers", NULL, (int64_t)state->suspected_servers } };
 
   colt_log_event (mean_lag_us > OVERLOAD_LAG_US ? COLT_LOG_WARNING
                                                 : COLT_LOG_INFO,
--- a/src/scheduler/private/leader_private.h
+++ b/src/scheduler/private/leader_private.h
@@ -13,6 +13,15 @@
   PHASE_SERVING
 };
 
+/* Changes of which servers are suspected since the last log line. */
+struct ColtSuspicionChanges
+{
+  char *server; /* the first that was suspected; NULL: none */
+  uint32_t added;
+  uint32_t cleared;
+  int64_t logged_us; /* time of the last line; 0: none */
+};
+
 struct ColtLeader
 {
   const struct ColtPorts *ports;
@@ -31,19 +40,22 @@
   struct ColtLoadMeter meter;
   uint64_t advice_calls; /* made for the cell */
   struct event *place_timer;
-  int64_t place_pause_us;         /* before the next pass */
-  struct event *retry_timer;      /* for fencing and loading */
-  struct ColtOrderWindow *window; /* of start orders to all servers */
-  GHashTable *links;              /* server id -> struct ColtServerLink */
-  GPtrArray *link_clients;        /* of struct ColtLinkClient, of all links */
-  GHashTable *listed_ids;         /* servers listed by the open full read */
-  GPtrArray *calls;               /* of struct ColtLeaderCall */
-  GPtrArray *state_calls;         /* of struct ColtStateCall */
-  GPtrArray *progress_records;    /* held until all jobs are loaded */
-  char *load_after;               /* last key of the previous page */
-  int64_t extension_us;           /* of the leases of earlier leaders */
-  int64_t confirmed_us;           /* when the log last confirmed this one */
-  int64_t confirmed_until_us;     /* no lease may end later */
+  int64_t place_pause_us;          /* before the next pass */
+  struct event *retry_timer;       /* for fencing and loading */
+  struct ColtOrderWindow *window;  /* of start orders to all servers */
+  struct ColtSuspicion *suspicion; /* of all servers */
+  struct ColtSuspicionChanges suspicion_changes;
+  struct ColtMetrics *metrics;
+  GHashTable *links;           /* server id -> struct ColtServerLink */
+  GPtrArray *link_clients;     /* of struct ColtLinkClient, of all links */
+  GHashTable *listed_ids;      /* servers listed by the open full read */
+  GPtrArray *calls;            /* of struct ColtLeaderCall */
+  GPtrArray *state_calls;      /* of struct ColtStateCall */
+  GPtrArray *progress_records; /* held until all jobs are loaded */
+  char *load_after;            /* last key of the previous page */
+  int64_t extension_us;        /* of the leases of earlier leaders */
+  int64_t confirmed_us;        /* when the log last confirmed this one */
+  int64_t confirmed_until_us;  /* no lease may end later */
   bool closing;
   uint64_t loaded_count; /* records loaded from the log */
   int64_t config_version;
@@ -79,6 +91,15 @@
 /* Answers calls for the state of a job that has ended durably, and those that
  * have waited too long for it. */
 void colt_leader_answer_state_calls (struct ColtLeader *leader, int64_t now_us);
+/* Handles that a server is suspected, or no longer; client is the
+ * ColtLinkClient. */
+void colt_leader_handle_suspected (void *client,
+                                   struct ColtServerLink *link,
+                                   bool suspected);
+/* Logs changes of which servers are suspected, at most once a second. */
+void colt_leader_log_suspicion (struct ColtLeader *leader, int64_t now_us);
+/* Schedules a placement pass. */
+void colt_leader_schedule_placement (struct ColtLeader *leader);
 /* Answers all open calls when the leader is destroyed. */
 void colt_leader_end_calls (struct ColtLeader *leader);
 
--- a/src/scheduler/private/load_meter.h
+++ b/src/scheduler/private/load_meter.h
@@ -32,6 +32,7 @@
                              */
   uint64_t advice_calls;    /* calls for advice in this term */
   uint64_t window_bytes;    /* limit of open start orders */
+  uint64_t suspected_servers;
 };
 
 struct ColtLoadMeter
--- a/src/scheduler/private/scheduler_private.h
+++ b/src/scheduler/private/scheduler_private.h
@@ -229,6 +229,11 @@
                             const struct ColtServerLoss *loss);
   /* The server follows a later leader. */
   void (*handle_fenced) (void *client, struct ColtServerLink *link);
+  /* The server has left a call unanswered, and is to get no more starts, or has
+   * answered again. */
+  void (*handle_suspected) (void *client,
+                            struct ColtServerLink *link,
+                            bool suspected);
   /* Returns the latest end that a lease may get, on the monotonic clock. */
   int64_t (*renewable_until_us) (void *client);
   /* Returns how many runs the server has or may have. */
@@ -245,6 +250,8 @@
   void *client;
 };
 
+struct ColtSuspicion;
+
 struct ColtServerLinkSettings
 {
   uint64_t token;       /* fencing token: the leader's term */
@@ -255,6 +262,8 @@
   int64_t inherited_until_us;
   /* Shared by all links; NULL: start orders aren't limited. */
   struct ColtOrderWindow *window;
+  /* Shared by all links; NULL: servers aren't suspected. */
+  struct ColtSuspicion *suspicion;
 };
 
 struct ColtServerLink *
--- a/src/scheduler/private/server_link_private.h
+++ b/src/scheduler/private/server_link_private.h
@@ -3,6 +3,7 @@
 #ifndef COLT_SERVER_LINK_PRIVATE_H
 #define COLT_SERVER_LINK_PRIVATE_H
 
+#include "coltsfootstile/suspicion.h"
 #include "order_window.h"
 #include "scheduler_private.h"
 
@@ -21,6 +22,7 @@
   bool bound;             /* the start may only be sent on its connection */
   bool rebound;           /* that connection ended before it was sent */
   size_t bytes;           /* of a start, about */
+  bool counted;           /* as backlog of the window */
   int64_t sent_us;        /* when it was last sent */
   uint64_t number;        /* of the call by which it was last sent */
   int64_t incarnation_ms; /* known when it was last sent */
@@ -44,6 +46,7 @@
   uint64_t renewal_connection;
   uint64_t order_connection;
   bool keeps_connections; /* the server doesn't close one after each answer */
+  struct ColtSuspect suspect;
   bool closing;
   bool listed;             /* the server has an entry in the log */
   bool renewing;           /* a renewal is open */
@@ -51,6 +54,7 @@
   uint32_t failures;       /* of renewals in a row */
   uint64_t call_count;     /* calls sent so far, on both channels */
   uint32_t query_count;    /* open report queries */
+  bool query_owed;         /* a start's result needs a query that wasn't due */
   uint64_t query_number;   /* of the first of the open report queries */
   uint64_t renewal_number; /* of the open renewal */
   bool renewal_has_lease;  /* the open renewal was sent with a lease end */
@@ -125,7 +129,31 @@
 /* Withdraws all starts that wait, so that their tasks needn't wait for a server
  * that can't be reached. */
 void colt_link_withdraw_starts (struct ColtServerLink *link);
+/* Withdraws the starts that wait and were never sent. */
+void colt_link_withdraw_unsent_starts (struct ColtServerLink *link);
+/* Returns whether a start waits in the queue. */
+bool colt_link_has_waiting_start (const struct ColtServerLink *link);
+/* Returns how long a start may have no answer. */
+int64_t colt_link_start_patience_us (const struct ColtServerLink *link);
+/* Counts a start that enters the queue, or leaves it, as backlog. */
+void colt_link_count_backlog (struct ColtServerLink *link,
+                              struct ColtServerOrder *order,
+                              bool queued);
+/* Queries the server's report on the channel of orders; returns false if it is
+ * suspected and no query is due. */
+bool colt_link_query_report (struct ColtServerLink *link);
 /* Sends the next order unless one is open. */
 void colt_link_send_next_order (struct ColtServerLink *link);
 
+/* server_suspicion.c */
+/* Handles that a call had no answer in time: the server is suspected. */
+void colt_link_note_loss (struct ColtServerLink *link, int64_t now_us);
+/* Returns whether a call had an answer at all. */
+bool colt_link_is_answer (const struct ColtServerAnswer *answer);
+/* Handles that the server has answered any call. */
+void colt_link_note_answer (struct ColtServerLink *link);
+/* Finds servers that leave starts waiting, and queries suspected ones; to be
+ * called periodically. */
+void colt_link_check_suspicion (struct ColtServerLink *link, int64_t now_us);
+
 #endif
--- a/src/scheduler/server_link.c
+++ b/src/scheduler/server_link.c
@@ -92,6 +92,8 @@
   if (link == NULL)
     return;
   link->closing = true;
+  if (link->settings.suspicion != NULL)
+    colt_suspicion_clear (link->settings.suspicion, &link->suspect);
   colt_link_leave_window (link);
   link->ports->server_close (link->renewal_channel);
   link->ports->server_close (link->order_channel);
@@ -148,6 +150,7 @@
   bool expired = leases_have_expired_ (link, now_us);
   size_t runs;
 
+  colt_link_check_suspicion (link, now_us);
   if (!expired && !is_renewal_due_ (link, now_us))
     return;
   runs = link->client.count_runs (link->client.client, link->id);
@@ -228,6 +231,8 @@
   if (answer->connection == 0)
     link->renewal_connection = 0;
   close_renewal_lease_ (link, answer);
+  if (colt_link_is_answer (answer))
+    colt_link_note_answer (link);
   switch (answer->result)
     {
     case COLT_START_TAKEN:
@@ -305,6 +310,8 @@
                           + (link->failures < FAILURE_LIMIT
                                  ? 0
                                  : MIN (pause_us, UNREACHABLE_PAUSE_MAX_US));
+  if (answer->result == COLT_START_UNKNOWN)
+    colt_link_note_loss (link, answer->received_us);
   if (link->failures != FAILURE_LIMIT)
     return;
   link->has_report = false;
--- a/src/scheduler/server_orders.c
+++ b/src/scheduler/server_orders.c
@@ -11,6 +11,7 @@
 /* Bytes of a start order besides its payload, checkpoint and ticket. */
 #define START_HEADERS_BYTES 500
 
+static void withdraw_starts_ (struct ColtServerLink *link, bool unsent_only);
 static void withdraw_ended_starts_ (struct ColtServerLink *link);
 static void withdraw_start_ (struct ColtServerLink *link,
                              struct ColtServerOrder *order);
@@ -19,9 +20,6 @@
 static void send_start_ (struct ColtServerLink *link,
                          struct ColtServerOrder *order,
                          int64_t now_us);
-static void count_backlog_ (struct ColtServerLink *link,
-                            const struct ColtServerOrder *order,
-                            bool queued);
 static void resume_orders_ (void *client);
 static void release_window_ (struct ColtServerLink *link,
                              const struct ColtServerOrder *order,
@@ -37,7 +35,6 @@
                                 const struct ColtServerOrder *order,
                                 enum ColtStartResult result);
 static enum ColtStartResult resolve_retry_result_ (enum ColtStartResult result);
-static void query_report_ (struct ColtServerLink *link);
 static void handle_report_answer_ (void *client,
                                    const struct ColtServerAnswer *answer);
 static void free_order_ (struct ColtServerOrder *order);
@@ -69,7 +66,7 @@
     free_order_ (link->open_order);
   while ((order = g_queue_pop_head (&link->queue)) != NULL)
     {
-      count_backlog_ (link, order, false);
+      colt_link_count_backlog (link, order, false);
       free_order_ (order);
     }
 }
@@ -98,7 +95,7 @@
   order->bytes = START_HEADERS_BYTES + strlen (start->payload)
                  + strlen (start->checkpoint)
                  + (start->ticket != NULL ? strlen (start->ticket) : 0);
-  count_backlog_ (link, order, true);
+  colt_link_count_backlog (link, order, true);
   g_queue_push_tail (&link->queue, order);
   colt_link_send_next_order (link);
 }
@@ -132,7 +129,7 @@
   order->sent_us = now_us;
   order->number = ++link->call_count;
   order->incarnation_ms = link->incarnation_ms;
-  count_backlog_ (link, order, false);
+  colt_link_count_backlog (link, order, false);
   if (!order->start)
     {
       link->ports->server_stop (link->order_channel, order->task, order->run,
@@ -167,18 +164,48 @@
                              link);
 }
 
-/* Withdraws all starts that wait, so that their tasks needn't wait for a server
- * that can't be reached. Results may add orders to the queue, of which only
- * stops are possible. */
 void
 colt_link_withdraw_starts (struct ColtServerLink *link)
+{
+  withdraw_starts_ (link, false);
+}
+
+void
+colt_link_withdraw_unsent_starts (struct ColtServerLink *link)
+{
+  if (colt_link_has_waiting_start (link))
+    withdraw_starts_ (link, true);
+}
+
+bool
+colt_link_has_waiting_start (const struct ColtServerLink *link)
+{
+  GList *i;
+
+  for (i = link->queue.head; i != NULL; i = i->next)
+    if (((const struct ColtServerOrder *)i->data)->start)
+      return true;
+  return false;
+}
+
+int64_t
+colt_link_start_patience_us (const struct ColtServerLink *link)
+{
+  const struct ColtServerOrder first = { 0 };
+
+  return (int64_t)start_timeout_ms_ (link, &first) * COLT_US_PER_MS;
+}
+
+/* Results may add orders to the queue, of which only stops are possible. */
+static void
+withdraw_starts_ (struct ColtServerLink *link, bool unsent_only)
 {
   GQueue waiting = link->queue;
   struct ColtServerOrder *order;
 
   g_queue_init (&link->queue);
   while ((order = g_queue_pop_head (&waiting)) != NULL)
-    if (order->start)
+    if (order->start && !(unsent_only && order->resent))
       withdraw_start_ (link, order);
     else
       g_queue_push_tail (&link->queue, order);
@@ -207,7 +234,7 @@
 static void
 withdraw_start_ (struct ColtServerLink *link, struct ColtServerOrder *order)
 {
-  count_backlog_ (link, order, false);
+  colt_link_count_backlog (link, order, false);
   if (order->resent)
     close_start_lease_ (link, order, COLT_START_UNKNOWN);
   link->client.handle_start_result (
@@ -218,8 +245,8 @@
 }
 
 /* Takes the next order from the queue. Stops precede a start for which the
- * window has no room, or that waits for an answer of a silent server, or on a
- * new connection. */
+ * window has no room, or that waits for an answer of a silent or suspected
+ * server, or on a new connection. */
 static struct ColtServerOrder *
 take_next_order_ (struct ColtServerLink *link, int64_t now_us)
 {
@@ -231,15 +258,17 @@
   if (first == NULL)
     return NULL;
   if (!first->start
-      || (!silent && bound
+      || (!silent && bound && !link->suspect.suspected
           && (link->settings.window == NULL
               || colt_order_window_acquire (link->settings.window, first->bytes,
                                             &link->waiter))))
     return g_queue_pop_head (&link->queue);
   if (silent && !link->renewing && now_us >= link->next_renewal_us)
     colt_link_renew_leases (link, 1, now_us);
-  if (!silent && !bound && link->query_count == 0)
-    query_report_ (link);
+  if (!silent && (!bound || link->suspect.suspected) && link->query_count == 0)
+    colt_link_query_report (link);
+  if (silent || !bound)
+    colt_suspicion_start_wait (&link->suspect, now_us);
   for (i = link->queue.head; i != NULL; i = i->next)
     {
       struct ColtServerOrder *order = i->data;
@@ -252,16 +281,21 @@
   return NULL;
 }
 
-/* Counts a start that enters or leaves the queue. */
-static void
-count_backlog_ (struct ColtServerLink *link,
-                const struct ColtServerOrder *order,
-                bool queued)
+/* A start for a suspected server waits for the server, not for the window. */
+void
+colt_link_count_backlog (struct ColtServerLink *link,
+                         struct ColtServerOrder *order,
+                         bool queued)
 {
-  if (order->start && link->settings.window != NULL)
-    colt_order_window_queue (link->settings.window,
-                             queued ? (int64_t)order->bytes
-                                    : -(int64_t)order->bytes);
+  bool counts = queued && !link->suspect.suspected;
+
+  if (!order->start || link->settings.window == NULL
+      || order->counted == counts)
+    return;
+  order->counted = counts;
+  colt_order_window_queue (link->settings.window, counts
+                                                      ? (int64_t)order->bytes
+                                                      : -(int64_t)order->bytes);
 }
 
 static void
@@ -326,6 +360,8 @@
   link->open_order = NULL;
   if (answer->connection == 0)
     link->order_connection = 0;
+  if (colt_link_is_answer (answer))
+    colt_link_note_answer (link);
   /* The clock of another server isn't one of an incarnation of this one. */
   is_known = result == COLT_START_GONE || colt_link_check_clock (link, answer);
   if (order->start && link->settings.window != NULL)
@@ -337,8 +373,10 @@
       order->resent |= result == COLT_START_UNKNOWN;
       if (!order->resent)
         link->order_until_ms = 0;
-      count_backlog_ (link, order, true);
+      colt_link_count_backlog (link, order, true);
       g_queue_push_head (&link->queue, order);
+      if (result == COLT_START_UNKNOWN)
+        colt_link_note_loss (link, answer->received_us);
       colt_link_send_next_order (link);
       return;
     }
@@ -371,8 +409,10 @@
             && answer->result != COLT_START_NOT_SENT
             && answer->result != COLT_START_BUSY,
         link->call_count + 1);
+  if (answer->result == COLT_START_UNKNOWN)
+    colt_link_note_loss (link, answer->received_us);
   if (!is_known || (order->start && result == COLT_START_UNKNOWN))
-    query_report_ (link);
+    link->query_owed = !colt_link_query_report (link);
   free_order_ (order);
   colt_link_send_next_order (link);
 }
@@ -421,11 +461,16 @@
  * result was executed, and which incarnation is there. The open renewal may
  * wait for another second. No ends are acknowledged, since the server may have
  * been restarted. */
-static void
-query_report_ (struct ColtServerLink *link)
+bool
+colt_link_query_report (struct ColtServerLink *link)
 {
   struct ColtServerRenewal query = { 0 };
 
+  if (link->suspect.suspected
+      && !colt_suspicion_take_query (link->settings.suspicion, &link->suspect,
+                                     colt_clock_monotonic_us ()))
+    return false;
+  link->query_owed = false;
   query.token = link->settings.token;
   query.timeout_ms = ORDER_TIMEOUT_MS;
   link->call_count++;
@@ -434,6 +479,7 @@
     link->query_number = link->call_count;
   link->ports->server_renew (link->order_channel, &query, handle_report_answer_,
                              link);
+  return true;
 }
 
 static void
@@ -446,6 +492,8 @@
   link->query_count--;
   if (answer->connection == 0)
     link->order_connection = 0;
+  if (colt_link_is_answer (answer))
+    colt_link_note_answer (link);
   if (answer->result == COLT_START_GONE)
     colt_link_lose_replaced_server (link, "query", answer, link->query_number);
   if (answer->result != COLT_START_TAKEN
--- a/src/test_cell_load/test_load_ticks.c
+++ b/src/test_cell_load/test_load_ticks.c
@@ -48,6 +48,39 @@
   colt_fixture_destroy (fixture);
 }
 
+/* Load: tasks for servers that don't answer. A suspected server gets no starts,
+ * and a run that was planned on it before is not ordered but starts elsewhere;
+ * what was ordered stays counted. */
+static void
+test_suspected_server (void)
+{
+  struct ColtLoadFixture *fixture = colt_fixture_create ();
+
+  colt_fixture_add_server (fixture, "silent", 3000);
+  colt_fixture_submit (fixture, "tight", "steady", 1, false);
+  colt_fixture_place (fixture);
+  g_assert_cmpuint (fixture->starts->len, ==, 1);
+  colt_fixture_submit (fixture, "tight", "steady", 1, false);
+  colt_cell_place_tasks (fixture->cell, fixture->now_us, fixture->now_us / MS);
+  colt_cell_set_suspected (fixture->cell, "silent", true);
+  colt_fixture_commit (fixture);
+  colt_fixture_place (fixture);
+  g_assert_cmpuint (fixture->starts->len, ==, 1);
+  g_assert_cmpuint (colt_cell_count_runs (fixture->cell, "silent"), ==, 1);
+  colt_fixture_add_server (fixture, "other", 3000);
+  tick (fixture, 25);
+  colt_fixture_place (fixture);
+  g_assert_cmpuint (fixture->starts->len, ==, 2);
+  g_assert_cmpstr (g_ptr_array_index (fixture->starts, 1), ==,
+                   "0000000000000002.0.0.0@other");
+  colt_cell_set_suspected (fixture->cell, "silent", false);
+  colt_fixture_submit (fixture, "tight", "steady", 4, false);
+  colt_fixture_place (fixture);
+  g_assert_cmpuint (fixture->starts->len, ==, 6);
+  g_assert_cmpuint (colt_cell_count_runs (fixture->cell, "silent"), ==, 3);
+  colt_fixture_destroy (fixture);
+}
+
 static void
 cancel (struct ColtLoadFixture *fixture, uint32_t id)
 {
@@ -271,6 +304,7 @@
 colt_load_add_tick_tests (void)
 {
   g_test_add_func ("/cell/load/stops-resent", test_stops_resent);
+  g_test_add_func ("/cell/load/suspected-server", test_suspected_server);
   g_test_add_func ("/cell/load/loaded-jobs-dropped", test_loaded_jobs_dropped);
   g_test_add_func ("/cell/load/job-with-run-kept", test_job_with_run_kept);
   g_test_add_func ("/cell/load/open-steps-of-ended-job",
--- a/src/test_scheduler/link_fixture.c
+++ b/src/test_scheduler/link_fixture.c
@@ -77,6 +77,16 @@
   state->fenced++;
 }
 
+static void
+on_suspected (void *client, struct ColtServerLink *link, bool suspected)
+{
+  struct ColtClientState *state = client;
+
+  (void)link;
+  state->suspected = suspected;
+  state->suspicions += suspected;
+}
+
 static int64_t
 get_renewable_until (void *client)
 {
@@ -118,19 +128,16 @@
                                   struct ColtClientState *state,
                                   int64_t inherited_until_us)
 {
-  const struct ColtServerLinkClient client = { on_report,
-                                               on_start_result,
-                                               on_stop_result,
-                                               on_unreachable,
-                                               on_runs_lost,
-                                               on_fenced,
-                                               get_renewable_until,
-                                               count_runs,
-                                               has_tight_runs,
-                                               may_start,
-                                               state };
-  const struct ColtServerLinkSettings settings
-      = { 7, LEASE_MS, LEASE_MAX_MS, inherited_until_us, state->window };
+  const struct ColtServerLinkClient client
+      = { on_report,    on_start_result, on_stop_result, on_unreachable,
+          on_runs_lost, on_fenced,       on_suspected,   get_renewable_until,
+          count_runs,   has_tight_runs,  may_start,      state };
+  const struct ColtServerLinkSettings settings = { 7,
+                                                   LEASE_MS,
+                                                   LEASE_MAX_MS,
+                                                   inherited_until_us,
+                                                   state->window,
+                                                   state->suspicion };
   struct ColtServerLink *link = colt_server_link_create (
       &fake->ports, &settings, "server", "127.0.0.1:1", &client);
 
--- a/src/test_scheduler/link_fixture.h
+++ b/src/test_scheduler/link_fixture.h
@@ -25,7 +25,10 @@
   int64_t incarnation_ms;            /* of the last report */
   uint64_t call_number;              /* of the last report */
   struct ColtOrderWindow *window;    /* of the link; may be NULL */
-  uint32_t counts;                   /* calls of count_runs */
+  struct ColtSuspicion *suspicion;   /* of the link; may be NULL */
+  bool suspected;
+  uint32_t suspicions;
+  uint32_t counts; /* calls of count_runs */
 };
 
 /* Opens a link to a server with leases of earlier leaders until the given time.
