Heartbeats that are open when the scheduler ends don't reach its election

Cause: colt_scheduler_destroy() frees the election before the wire, which then ends open calls; the handler of heartbeats read the freed election. Seen once in succession/all-processes-end on a busy machine (heap-use-after-free in colt_election_set_suspect()).

Change: the handler does nothing once the election is gone.

Result: scheduler/succession/open-heartbeat fails before with the same report, and passes; scheduler/succession/* passes three times.

--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -126,7 +126,7 @@
     return;
   colt_leader_destroy (scheduler->leader);
   scheduler->leader = NULL;
-  colt_election_destroy (scheduler->election);
+  g_clear_pointer (&scheduler->election, colt_election_destroy);
   colt_watch_destroy (scheduler->config_watch);
   colt_scheduler_end_requests (scheduler);
   colt_wire_destroy (scheduler->wire);
@@ -462,6 +462,9 @@
   struct ColtScheduler *scheduler = client;
   ColtBeatReply *reply;
 
+  /* Calls without an answer end when the scheduler is destroyed. */
+  if (scheduler->election == NULL)
+    return;
   /* A network cut leaves calls unanswered. A process that has ended refuses
    * connections, or has been restarted and is no longer the leader. */
   if (result == COLT_WIRE_NOT_SENT || result == COLT_WIRE_BROKEN)
--- a/src/test_scheduler/test_succession.c
+++ b/src/test_scheduler/test_succession.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "instances_fixture.h"
+#include "scheduler_state.h"
 #include "tests.h"
 
 /* Time in which an instance follows the leader. */
@@ -70,9 +71,26 @@
   colt_instances_tear_down (&fixture);
 }
 
+/* Guards against a process that reads freed memory when it ends while its
+ * heartbeat has no answer yet. */
+static void
+test_open_heartbeat (void)
+{
+  struct ColtInstancesFixture fixture = { 0 };
+
+  colt_instances_set_up (&fixture);
+  colt_instances_start (&fixture, 1);
+  colt_fake_ports_run (fixture.fake, FOLLOW_MS);
+  event_active (fixture.instances[1]->heartbeat_timer, EV_TIMEOUT, 0);
+  event_base_loop (fixture.fake->base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
+  colt_instances_end (&fixture, 1);
+  colt_instances_tear_down (&fixture);
+}
+
 void
 colt_test_succession_add (void)
 {
+  g_test_add_func ("/scheduler/succession/open-heartbeat", test_open_heartbeat);
   g_test_add_func ("/scheduler/succession/all-processes-end",
                    test_all_processes_end);
   g_test_add_func ("/scheduler/succession/former-leader-returns",
