An occurrence that has begun stays due when the wall clock is set back

Cause: a step of a repeated job is listed for placement while the wall clock is past its occurrence's time. A task whose run ended after the clock had been set back was thus listed again only once the clock had caught up. Found while listing what a ready task may wait for.

Change: an occurrence of which a step was listed, or that has progress in the job's record, stays due.

Result: cell/load/clock-set-back fails without the change (1 start instead of 2 after a failed run) and passes, also under the next leader.

--- a/src/cell/cell_jobs.c
+++ b/src/cell/cell_jobs.c
@@ -10,9 +10,7 @@
                          uint32_t occurrence,
                          uint32_t first_index);
 static void compute_depths_ (struct ColtCellJob *job);
-static bool may_open_ (const struct ColtCellJob *job,
-                       const struct ColtCellStep *step,
-                       int64_t wall_ms);
+static struct ColtCellStep *first_step_ (const struct ColtCellStep *step);
 static void free_advice_ (gpointer data);
 static struct ColtCellStep *
 find_step_ (const struct ColtCell *cell, const char *name, const char **rest);
@@ -168,13 +166,35 @@
     {
       struct ColtCellStep *step = &job->steps[i];
 
-      if (step->open || step->waiting == 0 || !may_open_ (job, step, wall_ms))
+      if (step->open || step->waiting == 0
+          || !colt_cell_is_step_ready (step, wall_ms))
         continue;
       step->open = true;
+      first_step_ (step)->due = true;
       g_ptr_array_add (cell->open_steps, step);
     }
 }
 
+/* The wall clock may be set back; an occurrence that was due stays so. */
+bool
+colt_cell_is_step_ready (const struct ColtCellStep *step, int64_t wall_ms)
+{
+  const ColtJobSpec *spec = step->job->spec;
+  const struct ColtCellStep *first = first_step_ (step);
+  size_t i;
+
+  for (i = 0; i < step->spec->n_after; i++)
+    {
+      const struct ColtCellStep *before = &first[step->spec->after[i]];
+
+      if (before->done < before->spec->count)
+        return false;
+    }
+  return spec->repetitions == 0 || first->due
+         || wall_ms >= spec->initial_delay_ms
+                           + (int64_t)step->occurrence * spec->interval_ms;
+}
+
 void
 colt_cell_complete_task (struct ColtCell *cell,
                          struct ColtCellTask *task,
@@ -347,26 +367,10 @@
     }
 }
 
-static bool
-may_open_ (const struct ColtCellJob *job,
-           const struct ColtCellStep *step,
-           int64_t wall_ms)
+static struct ColtCellStep *
+first_step_ (const struct ColtCellStep *step)
 {
-  const ColtJobSpec *spec = job->spec;
-  const struct ColtCellStep *first
-      = &job->steps[step->occurrence * spec->n_steps];
-  size_t i;
-
-  for (i = 0; i < step->spec->n_after; i++)
-    {
-      const struct ColtCellStep *before = &first[step->spec->after[i]];
-
-      if (before->done < before->spec->count)
-        return false;
-    }
-  return spec->repetitions == 0
-         || wall_ms >= spec->initial_delay_ms
-                           + (int64_t)step->occurrence * spec->interval_ms;
+  return &step->job->steps[step->occurrence * step->job->spec->n_steps];
 }
 
 static void
--- a/src/cell/cell_records.c
+++ b/src/cell/cell_records.c
@@ -290,6 +290,7 @@
          >= job->steps[s].first_index + job->steps[s].spec->count)
     s++;
   task = &job->steps[s].tasks[progress->index - job->steps[s].first_index];
+  job->steps[s - s % job->spec->n_steps].due = true;
   task->failures = progress->failures;
   task->last_run = progress->last_run;
   task->recorded_run = progress->last_run;
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -191,7 +191,9 @@
   uint32_t waiting; /* tasks that are neither done nor have a run */
   uint32_t active;  /* tasks with a run */
   uint32_t done;
-  bool open;                   /* listed in the cell's open_steps */
+  bool open; /* listed in the cell's open_steps */
+  bool due;  /* if it is the first of its occurrence: a step of that has been
+                listed or has begun */
   struct ColtResources demand; /* of each task */
   GHashTable *advice; /* struct ColtCellServer -> struct ColtCellAdvice */
   struct ColtCellCall *call; /* its pending advice call; NULL: none */
@@ -406,6 +408,9 @@
 void colt_cell_open_steps (struct ColtCell *cell,
                            struct ColtCellJob *job,
                            int64_t wall_ms);
+/* Returns whether waiting tasks of a step may start now: the steps before it
+ * are done, and its occurrence is due. */
+bool colt_cell_is_step_ready (const struct ColtCellStep *step, int64_t wall_ms);
 void colt_cell_complete_task (struct ColtCell *cell,
                               struct ColtCellTask *task,
                               int64_t now_us);
--- a/src/test_cell_load/test_load_ticks.c
+++ b/src/test_cell_load/test_load_ticks.c
@@ -267,6 +267,57 @@
   colt_fixture_destroy (fixture);
 }
 
+/* Submits a job whose occurrences begin at a time and a long time after it. */
+static void
+submit_repeated (struct ColtLoadFixture *fixture, int64_t begin_ms)
+{
+  ColtJobSpec *spec = colt_fixture_make_job (fixture, 1);
+
+  spec->repetitions = 2;
+  spec->initial_delay_ms = begin_ms;
+  spec->interval_ms = 1000000;
+  g_assert_cmpint (colt_cell_submit (fixture->cell, spec, fixture->now_us), ==,
+                   COLT_SUBMIT_NEW);
+}
+
+/* Runs a tick and a pass at a time of the wall clock. */
+static void
+place_at (struct ColtLoadFixture *fixture, int64_t wall_ms)
+{
+  fixture->now_us += 50 * MS;
+  colt_fixture_commit (fixture);
+  colt_cell_tick (fixture->cell, fixture->now_us, wall_ms);
+  colt_cell_place_tasks (fixture->cell, fixture->now_us, wall_ms);
+  colt_fixture_commit (fixture);
+}
+
+/* Guards against a task that waits for hours: the wall clock is set back after
+ * its occurrence has begun, and its run fails; the same under the next leader,
+ * which knows the occurrence by its progress. */
+static void
+test_clock_set_back (void)
+{
+  struct ColtLoadFixture *fixture = colt_fixture_create ();
+
+  colt_fixture_add_server (fixture, "server", 1000);
+  submit_repeated (fixture, 5000);
+  place_at (fixture, 4999);
+  g_assert_cmpuint (fixture->starts->len, ==, 0);
+  place_at (fixture, 5000);
+  g_assert_cmpuint (fixture->starts->len, ==, 1);
+  place_at (fixture, 100);
+  colt_fixture_report_end (fixture, 0, 1, COLT_RUN_FAILED);
+  place_at (fixture, 100);
+  g_assert_cmpuint (fixture->starts->len, ==, 2);
+  colt_fixture_change_leader (fixture);
+  colt_fixture_add_server (fixture, "server", 1000);
+  place_at (fixture, 100);
+  g_assert_cmpuint (fixture->starts->len, ==, 3);
+  place_at (fixture, 6000);
+  g_assert_cmpuint (fixture->starts->len, ==, 3);
+  colt_fixture_destroy (fixture);
+}
+
 void
 colt_load_add_tick_tests (void)
 {
@@ -281,4 +332,5 @@
   g_test_add_func ("/cell/load/run-of-earlier-report",
                    test_run_of_earlier_report);
   g_test_add_func ("/cell/load/names-without-task", test_names_without_task);
+  g_test_add_func ("/cell/load/clock-set-back", test_clock_set_back);
 }
