A watchdog releases ready tasks that nothing would start

Cause: a fault that takes a ready task out of what placement passes look at, or that loses the event its run waits for, showed only as a job that didn't end; the limit of the log dropped the lines that would have told where it was held.

Change: docs/design/stalled-tasks.md lists what ready tasks and runs that haven't started wait for, who guarantees the event, and its test. At each tick cell_watchdog.c makes 1,000 checks at most, from a cursor on. What waits for nothing is released: relisted, recorded, or stopped, so that no task starts without evidence. It is logged as an error (task stalled), which the log's limit doesn't drop, and counted (cell_tasks_stalled). Ten are released in a tick.

Result: cell/watchdog/* make nine kinds of fault, of which each is found and released, and check the bounds (5,000 jobs take ten ticks; 100 faults ten per tick). base/log/error-beyond-limit shows that an error passes the limit.

--- a/bench/bench_cell.c
+++ b/bench/bench_cell.c
@@ -255,7 +255,7 @@
 }
 
 static const struct ColtCellOps ops
-    = { on_start, on_stop, on_advise, on_decision };
+    = { on_start, on_stop, on_advise, on_decision, on_decision };
 
 static int64_t
 processor_us (void)
--- a/include/coltsfootstile/cell.h
+++ b/include/coltsfootstile/cell.h
@@ -197,6 +197,11 @@
                         const char *job,
                         const char *what,
                         const char *detail);
+  /** Logs a fault of the cell as an error, with the same arguments. */
+  void (*log_fault) (void *client,
+                     const char *job,
+                     const char *what,
+                     const char *detail);
 };
 
 /** Limits of a cell; docs/OPERATIONS.md gives the reasons for their values. */
@@ -211,6 +216,9 @@
   size_t
       record_bytes_max; /**< largest value of a record, in bytes; the progress
                              of a wide job takes several. 0: no limit */
+  int64_t run_wait_us;  /**< longest time from the order of a start to its
+                             result, with what an unreachable server takes to
+                             lose its leases; 0: not checked */
 };
 
 /** A record to store under a key. */
@@ -547,6 +555,8 @@
   uint64_t refused_starts; /**< starts with another result than accepted */
   uint64_t moved;    /**< stragglers that were stopped to start elsewhere */
   uint64_t given_up; /**< tasks given up after crashes of their servers */
+  uint64_t stalled;  /**< faults: steps and runs found without an event that
+                          their tasks could wait for, and released */
 };
 
 /** Returns servers, organisations and open steps, those with tasks that may be
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "cell_private.h"
+#include "cell_watchdog.h"
 
 /* Most jobs in a cell, including ended ones; each takes a few kilobytes of
  * memory. */
@@ -60,6 +61,7 @@
   cell->ended = g_sequence_new (NULL);
   g_queue_init (&cell->ended_specs);
   g_queue_init (&cell->stops);
+  g_queue_init (&cell->watched);
   return cell;
 }
 
@@ -78,6 +80,7 @@
   g_sequence_free (cell->ended);
   g_queue_clear (&cell->ended_specs);
   g_queue_clear (&cell->stops);
+  g_queue_clear (&cell->watched);
   g_ptr_array_unref (cell->open_steps);
   g_ptr_array_unref (cell->advice_steps);
   g_array_unref (cell->reservations);
@@ -175,6 +178,7 @@
       g_ptr_array_remove_fast (cell->open_steps, &job->steps[i]);
   g_ptr_array_remove (cell->dirty_jobs, job);
   g_ptr_array_remove_fast (cell->scheduled, job);
+  colt_cell_unwatch_job (cell, job);
   colt_cell_unlist_ended (cell, job);
   g_hash_table_remove (cell->jobs, job->id);
   return true;
@@ -261,6 +265,7 @@
   for (i = 0; i < cell->scheduled->len; i++)
     colt_cell_open_steps (cell, g_ptr_array_index (cell->scheduled, i),
                           wall_ms);
+  colt_cell_watch_tasks (cell, now_us);
   colt_cell_drop_ended (cell, now_us);
 }
 
--- a/src/cell/cell_advice.c
+++ b/src/cell/cell_advice.c
@@ -421,6 +421,7 @@
   call->number = (uint64_t)cell->generation << 32 | (cell->last_call + 1);
   call->queue = queue;
   call->step = step;
+  call->sent_us = cell->now_us;
   call->servers = g_ptr_array_new ();
   call->incarnations = g_array_new (FALSE, FALSE, sizeof (int64_t));
   if (step->ticket_servers != NULL)
--- a/src/cell/cell_crashes.c
+++ b/src/cell/cell_crashes.c
@@ -1,4 +1,5 @@
 #include "cell_private.h"
+#include "cell_progress.h"
 #include "coltsfootstile/guard.h"
 
 /* A task is given up after this many crashes in a row. Two don't suffice, since
--- a/src/cell/cell_jobs.c
+++ b/src/cell/cell_jobs.c
@@ -2,6 +2,8 @@
 #include <string.h>
 
 #include "cell_private.h"
+#include "cell_progress.h"
+#include "cell_watchdog.h"
 
 static bool is_step_valid_ (const ColtJobSpec *spec, size_t number);
 static void build_step_ (struct ColtCellStep *step,
@@ -59,6 +61,7 @@
   job->task_count = index;
   colt_cell_split_progress (cell, job);
   g_hash_table_insert (cell->jobs, job->id, job);
+  colt_cell_watch_job (cell, job);
   if (spec->repetitions > 0)
     g_ptr_array_add (cell->scheduled, job);
   return job;
@@ -145,6 +148,7 @@
   colt_cell_update_waiting (job);
   colt_cell_mark_dirty (cell, job);
   colt_cell_list_ended (cell, job);
+  colt_cell_unwatch_job (cell, job);
   cell->steps_to_close = true;
   g_ptr_array_remove_fast (cell->scheduled, job);
   for (i = 0; i < job->step_count; i++)
@@ -170,6 +174,7 @@
           || !colt_cell_is_step_ready (step, wall_ms))
         continue;
       step->open = true;
+      step->looked_pass = cell->passes;
       first_step_ (step)->due = true;
       g_ptr_array_add (cell->open_steps, step);
     }
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -67,6 +67,7 @@
   /* The limits of organisations are in the configuration. */
   if (cell->fleet == NULL)
     return;
+  cell->passes++;
   colt_cell_move_stragglers (cell, now_us);
   colt_cell_close_steps (cell);
   rank_steps_ (cell, now_us);
@@ -421,6 +422,7 @@
 {
   struct ColtCellPool *pool = step->job->queue->pool;
 
+  step->looked_pass = cell->passes;
   if (step->waiting == 0 || colt_cell_is_ended (step->job))
     return;
   if (pool == NULL)
--- a/src/cell/cell_progress.c
+++ b/src/cell/cell_progress.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "cell_private.h"
+#include "cell_progress.h"
 
 /* Room in bytes for a job's progress without its tasks; it may take more. */
 #define HEAD_SIZE 256
--- a/src/cell/cell_records.c
+++ b/src/cell/cell_records.c
@@ -1,6 +1,8 @@
 #include <string.h>
 
 #include "cell_private.h"
+#include "cell_progress.h"
+#include "cell_watchdog.h"
 
 /* First letters of the records' keys; the job's id follows. */
 #define SPEC_KEY 's'
@@ -247,6 +249,7 @@
       job->ended_wall_ms = progress->ended_wall_ms;
       job->ended_us = now_us - CLAMP (age_us, 0, cell->limits.status_us);
       colt_cell_list_ended (cell, job);
+      colt_cell_unwatch_job (cell, job);
       g_ptr_array_remove_fast (cell->scheduled, job);
     }
   job->stored_parts = MAX (job->stored_parts, 1);
--- a/src/cell/cell_runs.c
+++ b/src/cell/cell_runs.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "cell_private.h"
+#include "cell_progress.h"
 
 /* Delay before a task is retried. It prevents a task that fails immediately
  * from using up its attempts on a single faulty server. */
--- a/src/cell/cell_servers.c
+++ b/src/cell/cell_servers.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "cell_private.h"
+#include "cell_progress.h"
 #include "coltsfootstile/guard.h"
 
 /* Pause of a server after it rejected a start for lack of room; its next report
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -174,8 +174,9 @@
   uint64_t number; /* identifies it, also among calls of other leaders */
   struct ColtCellQueue *queue; /* that counts it */
   struct ColtCellStep *step;   /* NULL: its job is gone */
-  GPtrArray *servers;          /* of struct ColtCellServer: those it named */
-  GArray *incarnations;        /* of servers when the call was sent, int64_t */
+  int64_t sent_us;
+  GPtrArray *servers;   /* of struct ColtCellServer: those it named */
+  GArray *incarnations; /* of servers when the call was sent, int64_t */
 };
 
 struct ColtCellStep
@@ -191,9 +192,11 @@
   uint32_t waiting; /* tasks that are neither done nor have a run */
   uint32_t active;  /* tasks with a run */
   uint32_t done;
-  bool open; /* listed in the cell's open_steps */
-  bool due;  /* if it is the first of its occurrence: a step of that has been
-                listed or has begun */
+  bool open;            /* listed in the cell's open_steps */
+  bool due;             /* if it is the first of its occurrence: a step of that
+                           has been listed or has begun */
+  uint64_t looked_pass; /* latest pass that looked at it, or was over when it
+                           was listed */
   struct ColtResources demand; /* of each task */
   GHashTable *advice; /* struct ColtCellServer -> struct ColtCellAdvice */
   struct ColtCellCall *call; /* its pending advice call; NULL: none */
@@ -276,6 +279,7 @@
   int64_t ended_us;
   GSequenceIter *ended_place; /* in the cell's ended; NULL: not listed */
   GList *spec_link;           /* in the cell's ended_specs; NULL: not listed */
+  GList *watch_link;          /* in the cell's watched jobs; NULL: not listed */
   int64_t ended_wall_ms;      /* 0: not recorded yet */
   uint64_t order;             /* of arrival */
 };
@@ -379,6 +383,11 @@
                                 specifications aren't dropped yet */
   GQueue stops;              /* of struct ColtCellRun, whose stops have no
                                 answer */
+  GQueue watched;            /* of struct ColtCellJob that haven't ended; the
+                                first is being checked */
+  uint32_t watched_step;     /* of the first watched job, to be checked next */
+  uint32_t watched_task;     /* of that step */
+  uint64_t passes;           /* of placement so far */
   uint64_t last_change;      /* number of the latest entry of dirty_jobs */
   uint32_t unrecorded_runs;  /* planned runs that no batch includes yet */
   bool settled;              /* earlier leaders' orders are reconciled */
@@ -536,30 +545,6 @@
 double colt_cell_crash_penalty (const struct ColtCellTask *task,
                                 const struct ColtCellServer *server);
 
-/* cell_progress.c */
-
-/* Returns whether a checkpoint fits the records of its job; a task whose
- * checkpoint doesn't starts from an earlier one. */
-bool colt_cell_can_store_checkpoint (const struct ColtCell *cell,
-                                     const char *checkpoint);
-/* Sets how a new job's progress is split over records. */
-void colt_cell_split_progress (const struct ColtCell *cell,
-                               struct ColtCellJob *job);
-/* Returns a part of a job's progress, as it is recorded, and its size in bytes.
- * Only entries of tasks that have changed are packed anew. NULL: the part
- * hasn't changed since it was last packed; the first one is always returned. */
-uint8_t *colt_cell_pack_progress (const struct ColtCell *cell,
-                                  struct ColtCellJob *job,
-                                  uint32_t part,
-                                  size_t *size);
-/* Packs the parts of a wide job that was loaded, so that only those that change
- * from then on are recorded again. */
-void colt_cell_keep_progress (const struct ColtCell *cell,
-                              struct ColtCellJob *job);
-/* Notes that something has changed that is recorded of a task. */
-void colt_cell_mark_entry (const struct ColtCellTask *task);
-void colt_cell_free_entries (struct ColtCellJob *job);
-
 /* cell_servers.c */
 struct ColtCellServer *colt_cell_find_server (const struct ColtCell *cell,
                                               const char *id);
--- a/src/scheduler/leader.c
+++ b/src/scheduler/leader.c
@@ -20,6 +20,9 @@
 #define SERVERS_WAIT_MS 1000
 /* An unanswered stop is resent after this time. */
 #define STOP_RETRY_US (800 * COLT_US_PER_MS)
+/* Added to twice the longest lease of a server to bound the time in which a
+ * start has a result: queueing, timeouts and failed renewals. */
+#define RUN_WAIT_US (10 * COLT_US_PER_S)
 /* Most servers named in one call for advice. */
 #define ADVICE_SERVERS_MAX 30
 /* Most servers named in a call for advice on a gang whose first call found too
@@ -48,6 +51,15 @@
                            const char *job,
                            const char *what,
                            const char *detail);
+static void log_fault_ (void *client,
+                        const char *job,
+                        const char *what,
+                        const char *detail);
+static void log_event_ (const struct ColtLeader *leader,
+                        enum ColtLogLevel level,
+                        const char *job,
+                        const char *what,
+                        const char *detail);
 static void tick_ (evutil_socket_t fd, short what, void *arg);
 static void log_load_ (struct ColtLeader *leader, int64_t now_us);
 static void run_placement_ (evutil_socket_t fd, short what, void *arg);
@@ -94,7 +106,7 @@
 static void free_link_ (gpointer data);
 
 static const struct ColtCellOps cell_ops
-    = { send_start_, send_stop_, request_advice_, log_decision_ };
+    = { send_start_, send_stop_, request_advice_, log_decision_, log_fault_ };
 
 struct ColtLeader *
 colt_leader_create (struct event_base *base,
@@ -115,6 +127,8 @@
   limits.advice_servers_max = ADVICE_SERVERS_MAX;
   limits.gang_advice_servers_max = GANG_ADVICE_SERVERS_MAX;
   limits.record_bytes_max = ports->record_bytes_max;
+  limits.run_wait_us
+      = 2 * (int64_t)settings->lease_max_ms * COLT_US_PER_MS + RUN_WAIT_US;
   leader->base = base;
   leader->ports = ports;
   leader->settings = settings;
@@ -289,14 +303,28 @@
                const char *what,
                const char *detail)
 {
-  const struct ColtLeader *leader = client;
+  log_event_ (client, COLT_LOG_INFO, job, what, detail);
+}
+
+static void
+log_fault_ (void *client, const char *job, const char *what, const char *detail)
+{
+  log_event_ (client, COLT_LOG_ERROR, job, what, detail);
+}
+
+static void
+log_event_ (const struct ColtLeader *leader,
+            enum ColtLogLevel level,
+            const char *job,
+            const char *what,
+            const char *detail)
+{
   const struct ColtLogField fields[]
       = { { "detail", detail, 0 },
           { "term", NULL, (int64_t)leader->term },
           { "config", NULL, leader->config_version } };
 
-  colt_log_event (COLT_LOG_INFO, MODULE, what, job, fields,
-                  G_N_ELEMENTS (fields));
+  colt_log_event (level, MODULE, what, job, fields, G_N_ELEMENTS (fields));
 }
 
 static void
--- a/src/scheduler/metrics.c
+++ b/src/scheduler/metrics.c
@@ -59,6 +59,8 @@
     "Runs in this term that were stopped to start elsewhere" },
   { COLT_COUNTER_GAUGE, "cell_tasks_given_up",
     "Tasks in this term given up after crashes of their servers" },
+  { COLT_COUNTER_GAUGE, "cell_tasks_stalled",
+    "Faults in this term: tasks released that nothing would have started" },
   { COLT_COUNTER_GAUGE, "cell_runs_done", "Runs done in this term" },
   { COLT_COUNTER_GAUGE, "cell_runs_failed", "Runs failed in this term" },
   { COLT_COUNTER_GAUGE, "cell_runs_stopped", "Runs stopped in this term" },
@@ -132,6 +134,7 @@
                     (int64_t)stats->refused_starts);
   colt_metrics_set (metrics, METRIC_RUNS_MOVED, (int64_t)stats->moved);
   colt_metrics_set (metrics, METRIC_TASKS_GIVEN_UP, (int64_t)stats->given_up);
+  colt_metrics_set (metrics, METRIC_TASKS_STALLED, (int64_t)stats->stalled);
   colt_metrics_set (metrics, METRIC_RUNS_DONE,
                     (int64_t)stats->ended[COLT_RUN_DONE]);
   colt_metrics_set (metrics, METRIC_RUNS_FAILED,
--- a/src/test_base/test_log.c
+++ b/src/test_base/test_log.c
@@ -8,6 +8,9 @@
 #include "coltsfootstile/log.h"
 #include "tests.h"
 
+/* Lines written at once, far more than the limit lets through. */
+#define LINES (10 * COLT_LOG_LINES_PER_S)
+
 /* A pipe in place of standard output, which the log is written to. */
 struct ColtLogFixture
 {
@@ -110,6 +113,32 @@
   g_free (long_text);
 }
 
+/* Guards against an error, such as a stalled task, that is lost among more
+ * lines of decisions than are written in a second. */
+static void
+test_error_beyond_limit (struct ColtLogFixture *fixture, gconstpointer data)
+{
+  GString *text;
+  uint32_t written = 0;
+  int i;
+
+  (void)data;
+  colt_log_set_level (COLT_LOG_INFO);
+  for (i = 0; i < LINES; i++)
+    {
+      colt_log_event (COLT_LOG_INFO, "test", "decision", NULL, NULL, 0);
+      text = read_output (fixture);
+      written += text->len > 0;
+      g_string_free (text, TRUE);
+    }
+  g_assert_cmpuint (written, <, LINES);
+  colt_log_event (COLT_LOG_ERROR, "test", "task stalled", NULL, NULL, 0);
+  text = read_output (fixture);
+  g_assert_nonnull (strstr (text->str, "\"event\":\"task stalled\""));
+  g_string_free (text, TRUE);
+  colt_log_set_level (COLT_LOG_WARNING);
+}
+
 void
 colt_test_log_add (void)
 {
@@ -117,4 +146,6 @@
               test_dropped, tear_down);
   g_test_add ("/base/log/not-utf8", struct ColtLogFixture, NULL, set_up,
               test_not_utf8, tear_down);
+  g_test_add ("/base/log/error-beyond-limit", struct ColtLogFixture, NULL,
+              set_up, test_error_beyond_limit, tear_down);
 }
--- a/src/test_cell/simulation.c
+++ b/src/test_cell/simulation.c
@@ -6,6 +6,9 @@
 /* Time until the leases of earlier leaders have expired: with 1/20 for clock
  * drift and 400 ms of slack, as the scheduler waits. */
 #define SETTLE_US (LEASE_US + LEASE_US / 20 + 400 * COLT_US_PER_MS)
+/* Longest time from the order of a start to its result: partitions of 9 s, and
+ * the leases of the servers. */
+#define RUN_WAIT_US (20 * COLT_US_PER_S)
 /* Time until a batch of records is durable. */
 #define COMMIT_DURATION_US (30 * COLT_US_PER_MS)
 /* Longest outage of the log. */
@@ -121,8 +124,10 @@
 static void
 replace_leader (struct ColtSim *sim)
 {
-  const struct ColtCellLimits limits
-      = { 3600 * COLT_US_PER_S, 800 * COLT_US_PER_MS, 30 };
+  const struct ColtCellLimits limits = { .status_us = 3600 * COLT_US_PER_S,
+                                         .stop_retry_us = 800 * COLT_US_PER_MS,
+                                         .advice_servers_max = 30,
+                                         .run_wait_us = RUN_WAIT_US };
   uint32_t s;
 
   if (sim->batch != NULL)
--- a/src/test_cell/simulation_orders.c
+++ b/src/test_cell/simulation_orders.c
@@ -144,8 +144,19 @@
                   job != NULL ? job : "");
 }
 
+/* No task of a simulation may stall. */
+static void
+refuse_fault (void *client,
+              const char *job,
+              const char *what,
+              const char *detail)
+{
+  (void)client;
+  g_error ("fault of the cell: %s: %s: %s", what, job, detail);
+}
+
 const struct ColtCellOps colt_sim_cell_ops
-    = { send_start, send_stop, request_advice, log_decision };
+    = { send_start, send_stop, request_advice, log_decision, refuse_fault };
 
 /* Checks a server's capacity, and the organisation's limit with a tolerance of
  * a tenth and one server's capacity. */
--- a/src/test_cell_load/fixture.c
+++ b/src/test_cell_load/fixture.c
@@ -57,8 +57,23 @@
   (void)detail;
 }
 
+static void
+record_fault (void *client,
+              const char *job,
+              const char *what,
+              const char *detail)
+{
+  struct ColtLoadFixture *fixture = client;
+
+  g_assert_nonnull (job);
+  g_assert_cmpstr (what, ==, "task stalled");
+  g_test_message ("%s: %s", job, detail);
+  g_ptr_array_add (fixture->faults, g_strdup (detail));
+}
+
 static const struct ColtCellOps ops
-    = { record_start, record_stop, record_advice_call, ignore_decision };
+    = { record_start, record_stop, record_advice_call, ignore_decision,
+        record_fault };
 
 static void
 add_queue (struct ColtFleet *fleet, const char *name, double stretch)
@@ -102,7 +117,8 @@
 create_cell (struct ColtLoadFixture *fixture)
 {
   const struct ColtCellLimits limits
-      = { 60 * COLT_US_PER_S, 800 * MS, 30, 100, fixture->record_bytes_max };
+      = { 60 * COLT_US_PER_S,      800 * MS, 30, 100, fixture->record_bytes_max,
+          COLT_FIXTURE_RUN_WAIT_US };
   struct ColtFleet *fleet = make_fleet ();
 
   fixture->cell = colt_cell_create (&ops, fixture, &limits, fixture->term);
@@ -126,6 +142,7 @@
   fixture->now_us = COLT_US_PER_S;
   fixture->starts = g_ptr_array_new_with_free_func (g_free);
   fixture->stops = g_ptr_array_new_with_free_func (g_free);
+  fixture->faults = g_ptr_array_new_with_free_func (g_free);
   fixture->advice_calls = g_ptr_array_new_with_free_func (g_free);
   fixture->named_servers = g_ptr_array_new_with_free_func (g_free);
   fixture->calls = g_array_new (FALSE, FALSE, sizeof (uint64_t));
@@ -146,6 +163,8 @@
   colt_cell_destroy (fixture->cell);
   g_ptr_array_unref (fixture->starts);
   g_ptr_array_unref (fixture->stops);
+  g_assert_cmpuint (fixture->faults->len, ==, fixture->faults_expected);
+  g_ptr_array_unref (fixture->faults);
   g_ptr_array_unref (fixture->advice_calls);
   g_ptr_array_unref (fixture->named_servers);
   g_array_unref (fixture->calls);
--- a/src/test_cell_load/fixture.h
+++ b/src/test_cell_load/fixture.h
@@ -9,6 +9,8 @@
 #include "coltsfootstile/clock.h"
 
 #define MS COLT_US_PER_MS
+/* Longest time from the order of a start to its result. */
+#define COLT_FIXTURE_RUN_WAIT_US (3600 * COLT_US_PER_S)
 
 struct ColtLoadFixture
 {
@@ -17,6 +19,8 @@
   GPtrArray *starts;         /* ordered starts as "task@server", oldest first */
   GArray *start_runs;        /* run numbers of the starts, uint32_t */
   GPtrArray *stops;          /* ordered stops as "task@server", oldest first */
+  GPtrArray *faults;         /* details of faults that the cell logged */
+  guint faults_expected;     /* when the fixture is destroyed */
   GPtrArray *advice_calls;   /* names of steps with a pending advice call */
   GPtrArray *named_servers;  /* ids that the latest advice call named */
   GArray *calls;             /* numbers of all advice calls, uint64_t */
@@ -110,5 +114,6 @@
 void colt_load_add_failure_tests (void);
 void colt_load_add_record_tests (void);
 void colt_load_add_end_tests (void);
+void colt_load_add_watchdog_tests (void);
 
 #endif
--- a/src/test_cell_load/test_load.c
+++ b/src/test_cell_load/test_load.c
@@ -513,5 +513,6 @@
   colt_load_add_failure_tests ();
   colt_load_add_record_tests ();
   colt_load_add_end_tests ();
+  colt_load_add_watchdog_tests ();
   return g_test_run ();
 }
--- a/src/test_cell_load/test_load_choice.c
+++ b/src/test_cell_load/test_load_choice.c
@@ -309,8 +309,19 @@
   g_strfreev (runs);
 }
 
+static void
+refuse_fault (void *client,
+              const char *job,
+              const char *what,
+              const char *detail)
+{
+  (void)client;
+  g_error ("fault of the cell: %s: %s: %s", what, job, detail);
+}
+
 static const struct ColtCellOps ops
-    = { note_start, refuse_stop, note_advice_call, note_decision };
+    = { note_start, refuse_stop, note_advice_call, note_decision,
+        refuse_fault };
 
 static void
 set_server (const struct ColtModel *model, guint index)
--- a/src/test_scheduler/test_commit.c
+++ b/src/test_scheduler/test_commit.c
@@ -61,7 +61,8 @@
 }
 
 static const struct ColtCellOps cell_ops
-    = { ignore_start, ignore_stop, reject_advice_call, ignore_decision };
+    = { ignore_start, ignore_stop, reject_advice_call, ignore_decision,
+        ignore_decision };
 
 static struct ColtCell *
 make_cell (void)
