--- a/src/cell/cell_records.c
+++ b/src/cell/cell_records.c
@@ -1,6 +1,8 @@
 #include <string.h>
 
 #include "cell_private.h"
+#include "cell_progress.h"
+#include "cell_watchdog.h"
 
 /* First letters of the records' keys; the job's id follows. */
 #define SPEC_KEY 's'
@@ -247,6 +249,7 @@
       job->ended_wall_ms = progress->ended_wall_ms;
       job->ended_us = now_us - CLAMP (age_us, 0, cell->limits.status_us);
       colt_cell_list_ended (cell, job);
+      colt_cell_unwatch_job (cell, job);
       g_ptr_array_remove_fast (cell->scheduled, job);
     }
   job->stored_parts = MAX (job->stored_parts, 1);
@@ -290,6 +293,7 @@
          >= job->steps[s].first_index + job->steps[s].spec->count)
     s++;
   task = &job->steps[s].tasks[progress->index - job->steps[s].first_index];
+  job->steps[s - s % job->spec->n_steps].due = true;
   task->failures = progress->failures;
   task->last_run = progress->last_run;
   task->recorded_run = progress->last_run;
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -128,7 +128,7 @@
   scheduler->leader = NULL;
   /* Answers of open requests name the leader that the election knows. */
   colt_scheduler_end_requests (scheduler);
-  colt_election_destroy (scheduler->election);
+  g_clear_pointer (&scheduler->election, colt_election_destroy);
   colt_watch_destroy (scheduler->config_watch);
   colt_wire_destroy (scheduler->wire);
   colt_scheduler_free_requests (scheduler);
@@ -463,6 +463,9 @@
   struct ColtScheduler *scheduler = client;
   ColtBeatReply *reply;
 
+  /* Calls without an answer end when the scheduler is destroyed. */
+  if (scheduler->election == NULL)
+    return;
   /* A network cut leaves calls unanswered. A process that has ended refuses
    * connections, or has been restarted and is no longer the leader. */
   if (result == COLT_WIRE_NOT_SENT || result == COLT_WIRE_BROKEN)
