--- a/cmake/ColtPackage.cmake
+++ b/cmake/ColtPackage.cmake
@@ -76,10 +76,10 @@
 endfunction()
 
 # colt_fuzzer(NAME RUNS LIBS ...) builds fuzz/fuzz_NAME.c as a libFuzzer target
-# with a fixed seed and run count for ctest. It starts from the files in the folder
-# SEEDS, if one is given, of which each is run.
+# with a fixed seed and run count for ctest. It starts from the files in the folders
+# SEEDS, if any are given, of which each is run.
 function(colt_fuzzer name runs)
-  cmake_parse_arguments(P "" "SEEDS" "LIBS" ${ARGN})
+  cmake_parse_arguments(P "" "" "LIBS;SEEDS" ${ARGN})
   if(NOT COLT_FUZZ)
     return()
   endif()
@@ -88,7 +88,9 @@
   target_link_options(fuzz_${name} PRIVATE -fsanitize=fuzzer)
   set(seed_option)
   if(P_SEEDS)
-    file(GLOB seeds CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/${P_SEEDS}/*)
+    list(TRANSFORM P_SEEDS PREPEND ${CMAKE_SOURCE_DIR}/)
+    list(TRANSFORM P_SEEDS APPEND /*)
+    file(GLOB seeds CONFIGURE_DEPENDS ${P_SEEDS})
     list(JOIN seeds "," seed_list)
     set(seed_option -seed_inputs=${seed_list})
     add_test(NAME fuzz_${name}_seeds COMMAND fuzz_${name} ${seeds})
--- a/include/coltsfootstile/adapter.h
+++ b/include/coltsfootstile/adapter.h
@@ -13,6 +13,11 @@
 
 struct event_base;
 
+/** Largest configuration that colt_adapter_read_config() reads, in bytes. */
+#define COLT_CONFIG_BYTES_MAX (64u * 1024 * 1024)
+/** Most entries in it: queues, services, organisations and keys together. */
+#define COLT_CONFIG_ENTRIES_MAX 100000u
+
 /** Addresses that the adapter listens on and connects to, each IP:PORT. */
 struct ColtAdapterSettings
 {
@@ -48,4 +53,20 @@
  */
 void colt_adapter_destroy (struct ColtAdapter *adapter);
 
+/**
+ * Reads a configuration as an operator sends it, more strictly than
+ * ColtPorts.decode_fleet: each member that is read must have its type and
+ * range, also if scheduling doesn't use it.
+ *
+ * \param text   JSON of \a size bytes
+ * \param error  set on failure, with the place in its message: the line and
+ *               column, or the path of the member. It quotes nothing from the
+ *               text. COLT_ERROR_EXHAUSTED: the text or its number of entries
+ *               is too large; otherwise COLT_ERROR_INVALID
+ * \return       to be released with colt_fleet_unref(); NULL with an error
+ */
+struct ColtFleet *colt_adapter_read_config (const char *text,
+                                            size_t size,
+                                            struct ColtError *error);
+
 #endif
--- a/include/coltsfootstile/fleet.h
+++ b/include/coltsfootstile/fleet.h
@@ -34,6 +34,9 @@
   double advice_per_server_ms; /**< additional duration of an advice call for
                                     each server that it names */
   uint32_t ticket_ms;          /**< how long a ticket is valid */
+  uint32_t timeout_ms;         /**< as configured; scheduling does not use it */
+  char *kind;                  /**< as configured; scheduling does not use it;
+                                    may be NULL */
 };
 
 /** A service: a pool of backend servers. */
@@ -51,19 +54,23 @@
   GPtrArray *keys; /**< of strings */
   double weight;   /**< jobs per second within its share; 0 or less: no bound */
   struct ColtResources maximum; /**< for its runs together; 0: no limit */
+  uint32_t priority; /**< as configured; scheduling does not use it */
 };
 
 /** A complete configuration. */
 struct ColtFleet
 {
-  uint32_t references;      /**< managed by colt_fleet_ref() and
-                                 colt_fleet_unref(), which aren't thread-safe */
-  int64_t version;          /**< of the published configuration */
-  GPtrArray *queues;        /**< of struct ColtQueueConfig */
-  GPtrArray *services;      /**< of struct ColtServiceConfig */
-  GPtrArray *organisations; /**< of struct ColtOrganisation */
-  GHashTable *keys;         /**< key -> struct ColtOrganisation */
-  uint32_t max_body;        /**< largest request body, in bytes */
+  uint32_t references;        /**< managed by colt_fleet_ref() and
+                                   colt_fleet_unref(), which aren't thread-safe */
+  int64_t version;            /**< of the published configuration */
+  GPtrArray *queues;          /**< of struct ColtQueueConfig */
+  GPtrArray *services;        /**< of struct ColtServiceConfig */
+  GPtrArray *organisations;   /**< of struct ColtOrganisation */
+  GHashTable *keys;           /**< key -> struct ColtOrganisation */
+  uint32_t max_body;          /**< largest request body, in bytes */
+  uint32_t max_header;        /**< largest header of a request, in bytes */
+  uint32_t header_timeout_ms; /**< until a request's header must be complete */
+  uint32_t idle_timeout_ms;   /**< until an idle connection is closed */
 };
 
 /** Creates an empty configuration; the caller owns its one reference. */
--- a/src/cell/fleet.c
+++ b/src/cell/fleet.c
@@ -131,6 +131,7 @@
   g_free (queue->host);
   g_free (queue->prefix);
   g_free (queue->service);
+  g_free (queue->kind);
   g_free (queue);
 }
 
