coltsfootstilectl: config check, a check of a configuration before it is sent

Change: the command reads a configuration, prints its findings and what differs by meaning from a file or from the version in force, which it reads from the platform's log through the adapter.

--- a/src/coltsfootstilectl/files.c
+++ b/src/coltsfootstilectl/files.c
@@ -27,6 +27,15 @@
 
 char *
 colt_ctl_read_file (const char *path, size_t *size, struct ColtError *error)
+{
+  return colt_ctl_read_large_file (path, FILE_MAX, size, error);
+}
+
+char *
+colt_ctl_read_large_file (const char *path,
+                          size_t maximum,
+                          size_t *size,
+                          struct ColtError *error)
 {
   FILE *file = strcmp (path, "-") == 0 ? stdin : fopen (path, "rb");
   GString *text = g_string_new (NULL);
@@ -34,15 +43,15 @@
   size_t count = 0;
   bool good = file != NULL;
 
-  while (good && text->len <= FILE_MAX
+  while (good && text->len <= maximum
          && (count = fread (chunk, 1, CHUNK_SIZE, file)) > 0)
     g_string_append_len (text, chunk, (gssize)count);
   if (!good || ferror (file))
     good = colt_error_set (error, COLT_ERROR_SYSTEM, COLT_STEP_READ, path, "%s",
                            g_strerror (errno));
-  else if (text->len > FILE_MAX)
+  else if (text->len > maximum)
     good = colt_error_set (error, COLT_ERROR_EXHAUSTED, COLT_STEP_READ, path,
-                           "is larger than %d bytes", FILE_MAX);
+                           "is larger than %zu bytes", maximum);
   if (file != NULL && file != stdin)
     fclose (file);
   g_free (chunk);
--- a/src/coltsfootstilectl/main.c
+++ b/src/coltsfootstilectl/main.c
@@ -13,7 +13,7 @@
     = { colt_ctl_bundle_commands, colt_ctl_keygen_commands,
         colt_ctl_roll_commands,   colt_ctl_key_commands,
         colt_ctl_task_commands,   colt_ctl_state_commands,
-        colt_ctl_load_commands };
+        colt_ctl_load_commands,   colt_ctl_config_commands };
 
 static const struct ColtCtlCommand *
 find_command_ (int argc, char **argv, int *word_count);
--- a/src/coltsfootstilectl/private/ctl.h
+++ b/src/coltsfootstilectl/private/ctl.h
@@ -15,6 +15,7 @@
 
 #include "coltsfootstile/bundle.h"
 #include "coltsfootstile/bundle_sign.h"
+#include "coltsfootstile/fleet.h"
 #include "coltsfootstile/http_client.h"
 
 /** Environment variable with a caller's secret. */
@@ -52,6 +53,7 @@
 extern const struct ColtCtlCommand colt_ctl_task_commands[];
 extern const struct ColtCtlCommand colt_ctl_state_commands[];
 extern const struct ColtCtlCommand colt_ctl_load_commands[];
+extern const struct ColtCtlCommand colt_ctl_config_commands[];
 
 /** Type of an option's value, and of the variable that receives it. */
 enum ColtCtlOptionKind
@@ -114,6 +116,16 @@
 char *
 colt_ctl_read_file (const char *path, size_t *size, struct ColtError *error);
 
+/**
+ * Reads a whole file of at most \a maximum bytes; see colt_ctl_read_file().
+ *
+ * \param error  COLT_ERROR_EXHAUSTED if it is larger
+ */
+char *colt_ctl_read_large_file (const char *path,
+                                size_t maximum,
+                                size_t *size,
+                                struct ColtError *error);
+
 /**
  * Creates a file and writes \a text to it. An existing file is an error and
  * stays as it is.
@@ -265,6 +277,17 @@
 enum ColtCtlEffect colt_ctl_wait (const struct ColtCtlWait *wait,
                                   json_t *report);
 
+/**
+ * Reads the configuration that is in force from the platform's log.
+ *
+ * \param address  IP:PORT of the log
+ * \param error    set if the log can't be read, or contains no configuration or
+ *                 one that cells can't read
+ * \return to be released with colt_fleet_unref(); NULL on error
+ */
+struct ColtFleet *colt_ctl_read_config_in_force (const char *address,
+                                                 struct ColtError *error);
+
 /** Fills \a bytes with random bytes, or with the hash of \a seed if it is not
  * NULL, so that the bytes are repeatable. */
 void colt_ctl_fill_random (const char *seed, uint8_t bytes[32]);
