Evacuation of a zone: nothing is started there once its request is read

Change: each instance follows the requests (evacuate/ZONE) in the operator's topic. The leader's cell treats servers of such a zone as not usable; planned runs there end, and starts that wait in a link are withdrawn, also before they are sent again. A leader orders starts only within 4 s of the sending of the last read that reached the topic's end, so that one that was paused or cut off reads first; after a failed or late read the next one doesn't wait. Guards evacuation and operator_age. Block reason, log lines, state dump and metrics show an evacuation. The fake log now sets when a read was sent, as the port says.

Measured: test_scheduler 93 of 93, test_cell_load, test_cell_crashes, test_restarts, the adapter's record tests and fuzz_records pass. With either guard switched off tests in /scheduler/evacuation fail.

--- a/fuzz/fuzz_records.c
+++ b/fuzz/fuzz_records.c
@@ -1,6 +1,6 @@
-/* Fuzzes what the adapter reads from the topic of servers: entries, pages of
- * the newest records and frames of reads. The first byte selects one of them.
- */
+/* Fuzzes what the adapter reads from keyed topics: servers' entries, requests
+ * to evacuate a zone, pages of the newest records and frames of reads. The
+ * first byte selects one of them. */
 #include <stdint.h>
 #include <string.h>
 
@@ -31,7 +31,14 @@
                 const struct ColtLogRecord *record)
 {
   struct ColtError error = { 0 };
+  char *zone;
 
+  if (ports->decode_evacuation (ports->adapter, record, &zone)
+          != g_str_has_prefix (record->key, "evacuate/")
+      || (zone != NULL
+          && (zone[0] == '\0' || !g_str_has_suffix (record->key, zone))))
+    __builtin_trap ();
+  g_free (zone);
   if (record->value == NULL)
     return;
   if (!ports->decode_server (ports->adapter, record, check_entry_, NULL, &error)
--- a/include/coltsfootstile/cell.h
+++ b/include/coltsfootstile/cell.h
@@ -341,6 +341,28 @@
                            const struct ColtServerEntry *entry,
                            int64_t now_us);
 
+/**
+ * Sets whether an availability zone is evacuated. Nothing is planned, ordered
+ * or sent again on the servers of such a zone, also on those that are added
+ * later; planned runs there end, others continue. The zone needn't have any
+ * servers. Orders that wait to be sent have to be withdrawn by the caller; see
+ * colt_cell_may_start().
+ */
+void colt_cell_set_evacuated (struct ColtCell *cell,
+                              const char *zone,
+                              bool evacuated,
+                              int64_t now_us);
+
+/** Returns whether a server is in an evacuated zone; false if the cell doesn't
+ * know it. */
+bool colt_cell_is_server_evacuated (const struct ColtCell *cell,
+                                    const char *server);
+
+/** Sets the time after which no start is ordered any more, as requests to
+ * evacuate a zone may be unknown by then; initially there is none. Planned runs
+ * that become durable after it end, and their tasks are planned anew. */
+void colt_cell_set_order_deadline (struct ColtCell *cell, int64_t until_us);
+
 /** Stops placing tasks on a server that is no longer listed; its runs
  * continue. */
 void colt_cell_unlist_server (struct ColtCell *cell, const char *id);
@@ -444,7 +466,7 @@
 bool colt_cell_may_have_runs (const struct ColtCell *cell, const char *server);
 
 /** Returns whether the start of a run may be sent, also again: the run hasn't
- * ended, and isn't being stopped. */
+ * ended, isn't being stopped, and its server isn't in an evacuated zone. */
 bool colt_cell_may_start (const struct ColtCell *cell,
                           const char *server,
                           const char *task,
@@ -547,6 +569,10 @@
   uint64_t refused_starts; /**< starts with another result than accepted */
   uint64_t moved;    /**< stragglers that were stopped to start elsewhere */
   uint64_t given_up; /**< tasks given up after crashes of their servers */
+  uint64_t evacuated_zones;  /**< gauge: zones whose evacuation is requested */
+  uint64_t evacuated_runs;   /**< gauge: runs that are left in these zones */
+  uint64_t withdrawn_starts; /**< starts in evacuated zones that were planned
+                                  before, and not sent */
 };
 
 /** Returns servers, organisations and open steps, those with tasks that may be
--- a/include/coltsfootstile/guard.h
+++ b/include/coltsfootstile/guard.h
@@ -47,6 +47,10 @@
   COLT_GUARD_LISTED,
   /** Leases are sent on connections to the incarnation that they are for. */
   COLT_GUARD_CONNECTION,
+  /** Nothing is started in an evacuated zone. */
+  COLT_GUARD_EVACUATION,
+  /** Starts need a recent read of the operator's topic. */
+  COLT_GUARD_OPERATOR_AGE,
   COLT_GUARD_COUNT /**< number of guards, not a guard */
 };
 
--- a/include/coltsfootstile/ports.h
+++ b/include/coltsfootstile/ports.h
@@ -23,7 +23,8 @@
  * a time limit. */
 enum ColtTopic
 {
-  COLT_TOPIC_OPERATOR, /**< configurations by operators; read only */
+  COLT_TOPIC_OPERATOR, /**< configurations and requests of operators; read
+                            only */
   COLT_TOPIC_SERVERS,  /**< entries of the backend servers; read only */
   COLT_TOPIC_LEADER,   /**< the leader and its term */
   COLT_TOPIC_JOBS      /**< jobs and their progress */
@@ -269,6 +270,17 @@
   struct ColtFleet *(*decode_fleet) (void *adapter,
                                      const struct ColtLogRecord *record,
                                      struct ColtError *error);
+  /**
+   * Decodes a record of COLT_TOPIC_OPERATOR that requests the evacuation of an
+   * availability zone. An empty value ends the request, like a deleted key.
+   *
+   * \param zone  set to the zone's name, to be freed with g_free(); NULL if the
+   *              key is malformed
+   * \return      false if the record is none; \a zone is set to NULL
+   */
+  bool (*decode_evacuation) (void *adapter,
+                             const struct ColtLogRecord *record,
+                             char **zone);
   /**
    * Decodes a record of COLT_TOPIC_SERVERS and passes its entry to \a handler
    * before it returns.
--- a/src/base/guard.c
+++ b/src/base/guard.c
@@ -11,7 +11,7 @@
         "renewal_token",  "session",       "claim_time",   "inherited_leases",
         "restart_report", "lost_orders",   "address",      "silent_server",
         "crash_limit",    "incarnation",   "evidence",     "followers",
-        "listed",         "connection" };
+        "listed",         "connection",    "evacuation",   "operator_age" };
 
 #ifdef COLT_GUARD_SWITCHES
 
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -31,6 +31,7 @@
   struct ColtCell *cell = g_new0 (struct ColtCell, 1);
 
   cell->start_budget = UINT32_MAX;
+  colt_cell_init_zones (cell);
   cell->ops = ops;
   cell->client = client;
   cell->limits = *limits;
@@ -88,6 +89,7 @@
   g_hash_table_unref (cell->jobs);
   g_hash_table_unref (cell->open_calls);
   g_hash_table_unref (cell->servers);
+  g_hash_table_unref (cell->evacuated);
   g_hash_table_unref (cell->pools);
   g_hash_table_unref (cell->kinds);
   g_hash_table_unref (cell->organisations);
@@ -258,6 +260,7 @@
   cell->wall_ms = wall_ms;
   colt_cell_check_settled (cell, now_us);
   retry_stops_ (cell, now_us);
+  colt_cell_watch_zones (cell, now_us);
   for (i = 0; i < cell->scheduled->len; i++)
     colt_cell_open_steps (cell, g_ptr_array_index (cell->scheduled, i),
                           wall_ms);
@@ -277,6 +280,7 @@
   stats->jobs = g_hash_table_size (cell->jobs);
   stats->open_steps = cell->open_steps->len;
   stats->servers = g_hash_table_size (cell->servers);
+  stats->evacuated_zones = g_hash_table_size (cell->evacuated);
 }
 
 static void
--- a/src/cell/cell_dump.c
+++ b/src/cell/cell_dump.c
@@ -3,6 +3,8 @@
 
 #include "cell_private.h"
 
+static json_t *dump_zone_ (const struct ColtCell *cell,
+                           const struct ColtCellZone *zone);
 static json_t *dump_server_ (struct ColtCellServer *server);
 static json_t *dump_step_ (const struct ColtCellStep *step);
 static json_t *dump_organisation_ (const struct ColtCellOrganisation *org);
@@ -15,6 +17,7 @@
   json_t *servers = json_array ();
   json_t *steps = json_array ();
   json_t *organisations = json_array ();
+  json_t *zones = json_array ();
   GHashTableIter i;
   gpointer value;
   char *text;
@@ -32,6 +35,10 @@
   json_object_set_new (root, "generation", json_integer (cell->generation));
   json_object_set_new (root, "settled", json_boolean (cell->settled));
   json_object_set_new (root, "servers", servers);
+  g_hash_table_iter_init (&i, cell->evacuated);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    json_array_append_new (zones, dump_zone_ (cell, value));
+  json_object_set_new (root, "evacuated_zones", zones);
   json_object_set_new (root, "organisations", organisations);
   json_object_set_new (root, "open_steps", steps);
   text = json_dumps (root, JSON_COMPACT);
@@ -39,6 +46,21 @@
   return text;
 }
 
+static json_t *
+dump_zone_ (const struct ColtCell *cell, const struct ColtCellZone *zone)
+{
+  json_t *object = json_object ();
+
+  json_object_set_new (object, "zone", json_string (zone->name));
+  json_object_set_new (
+      object, "since_ms",
+      json_integer ((cell->zones_us - zone->since_us) / COLT_US_PER_MS));
+  json_object_set_new (object, "servers",
+                       json_integer ((json_int_t)zone->servers));
+  json_object_set_new (object, "runs", json_integer ((json_int_t)zone->runs));
+  return object;
+}
+
 static json_t *
 dump_server_ (struct ColtCellServer *server)
 {
@@ -48,6 +70,9 @@
   json_object_set_new (
       object, "service",
       json_string (server->pool != NULL ? server->pool->name : ""));
+  json_object_set_new (object, "zone",
+                       json_string (server->zone != NULL ? server->zone : ""));
+  json_object_set_new (object, "evacuated", json_boolean (server->evacuated));
   json_object_set_new (object, "listed", json_boolean (server->listed));
   json_object_set_new (object, "ready", json_boolean (server->ready));
   json_object_set_new (object, "reported", json_boolean (server->reported));
--- a/src/cell/cell_gangs.c
+++ b/src/cell/cell_gangs.c
@@ -55,7 +55,9 @@
   if (choose_gang_servers_ (step, pool, true, servers, now_us))
     plan_gang_ (cell, step, servers, now_us);
   else if (!step->job->queue->config->advised)
-    colt_cell_set_block (cell, step, BLOCK_NO_ROOM);
+    colt_cell_set_block (
+        cell, step,
+        colt_cell_explain_block (cell, step, pool, BLOCK_NO_ROOM, now_us));
   else if (step->call != NULL && step->ticket_servers != NULL)
     {
       reserve_room_ (
@@ -71,7 +73,10 @@
     }
   else
     colt_cell_set_block (
-        cell, step, colt_cell_request_gang_advice (cell, step, pool, now_us));
+        cell, step,
+        colt_cell_explain_block (
+            cell, step, pool,
+            colt_cell_request_gang_advice (cell, step, pool, now_us), now_us));
   /* Other work of the organisation mustn't wait for a gang that gets nowhere.
    */
   if ((step->block == BLOCK_ADVICE || step->block == BLOCK_NO_ADVISER)
@@ -177,6 +182,7 @@
   uint32_t i;
 
   for (i = 0; i < step->spec->count; i++)
-    if (servers[i] != NULL && colt_cell_fits (step, servers[i]))
+    if (servers[i] != NULL && !servers[i]->evacuated
+        && colt_cell_fits (step, servers[i]))
       reserve_ (cell, &servers[i]->used, &step->demand);
 }
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -16,8 +16,8 @@
 };
 
 const char *const colt_cell_block_string[]
-    = { "none",    "no service", "paused",     "unsettled", "limit",
-        "no room", "advice",     "no adviser", "gang",      "orders" };
+    = { "none",   "no service", "paused", "unsettled", "limit",    "no room",
+        "advice", "no adviser", "gang",   "orders",    "evacuated" };
 
 const char *const colt_cell_rank_string[]
     = { "lasting", "timely", "excess", "late", "worthless" };
@@ -65,7 +65,7 @@
   cell->wall_ms = wall_ms;
   cell->now_us = now_us;
   /* The limits of organisations are in the configuration. */
-  if (cell->fleet == NULL)
+  if (cell->fleet == NULL || now_us > cell->order_until_us)
     return;
   colt_cell_move_stragglers (cell, now_us);
   colt_cell_close_steps (cell);
@@ -109,7 +109,7 @@
 {
   if (!server->listed || !server->ready || !server->reported
       || server->unreachable || server->foreign_runs > 0
-      || server->quarantined_runs > 0)
+      || server->quarantined_runs > 0 || server->evacuated)
     return false;
   return colt_cell_may_probe (server, now_us);
 }
@@ -159,7 +159,8 @@
   struct ColtStartOrder order = { 0 };
 
   /* The server's room may have shrunk since the run was planned. */
-  if (!run->server->reported || run->server->unreachable || !run->server->ready
+  if (!colt_cell_may_order (cell, run->server, now_us) || !run->server->reported
+      || run->server->unreachable || !run->server->ready
       || !has_room_for_ (step, run->server, false)
       || !has_required_label_ (step, run->server)
       || (advice == NULL && step->job->queue->config->advised))
@@ -479,8 +480,12 @@
       server = colt_cell_choose_server (eligible, step, task, now_us);
       if (server == NULL)
         {
+          enum ColtCellBlock block
+              = colt_cell_request_advice (cell, step, pool, now_us);
+
           colt_cell_set_block (
-              cell, step, colt_cell_request_advice (cell, step, pool, now_us));
+              cell, step,
+              colt_cell_explain_block (cell, step, pool, block, now_us));
           break;
         }
       colt_cell_plan_run (cell, task, server,
--- a/src/cell/cell_servers.c
+++ b/src/cell/cell_servers.c
@@ -130,6 +130,7 @@
   server->address = g_strdup (entry->address);
   g_free (server->zone);
   server->zone = g_strdup (entry->zone);
+  server->evacuated = colt_cell_is_zone_evacuated (cell, entry->zone);
   server->entry_incarnation_ms = entry->incarnation_ms;
   server->room = entry->room;
   server->ready = entry->ready;
@@ -196,6 +197,8 @@
 
   if (result != COLT_START_TAKEN)
     cell->stats.refused_starts++;
+  if (server != NULL && server->evacuated && result == COLT_START_NOT_SENT)
+    cell->stats.withdrawn_starts++;
   if (server == NULL || task == NULL || !is_same_run_ (task, server, number))
     return;
   switch (result)
@@ -367,7 +370,7 @@
   const struct ColtCellTask *task = colt_cell_find_task (cell, task_name);
 
   return server != NULL && task != NULL && is_same_run_ (task, server, number)
-         && task->current->state != RUN_STOPPING;
+         && task->current->state != RUN_STOPPING && !server->evacuated;
 }
 
 int64_t
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -43,6 +43,16 @@
   bool was_late;  /* a job missed its objective in the previous pass */
 };
 
+/* An availability zone whose evacuation is requested. */
+struct ColtCellZone
+{
+  char *name;
+  int64_t since_us; /* when the cell got the request */
+  size_t servers;   /* as of the last count */
+  size_t runs;      /* left there, or possibly, as of the last count */
+  bool empty;       /* was logged as empty */
+};
+
 struct ColtCellOrganisation
 {
   char *name;
@@ -67,7 +77,8 @@
   BLOCK_ADVICE,     /* its advice call is pending or delayed */
   BLOCK_NO_ADVISER, /* its advice call is queued until an adviser is free */
   BLOCK_GANG,       /* an earlier run of its gang has to end first */
-  BLOCK_ORDERS      /* as many starts as can be sent in time are planned */
+  BLOCK_ORDERS,     /* as many starts as can be sent in time are planned */
+  BLOCK_EVACUATED   /* all suitable servers are in evacuated zones */
 };
 
 /* Order in which steps get room. */
@@ -205,11 +216,13 @@
   const struct ColtCellServer *failed_server; /* of the latest failure; NULL:
                                                  none since a task was done, or
                                                  was at work for a while */
-  uint32_t failed_servers;   /* how often it changed since then */
-  enum ColtCellBlock block;  /* in the last pass */
-  enum ColtCellRank rank;    /* in this pass */
-  GPtrArray *ticket_servers; /* servers for which a gang requests tickets, one
-                                for each task; NULL: none */
+  uint32_t failed_servers;    /* how often it changed since then */
+  enum ColtCellBlock block;   /* in the last pass */
+  enum ColtCellRank rank;     /* in this pass */
+  int64_t next_zone_check_us; /* when only_evacuated is determined again */
+  bool only_evacuated;        /* all suitable servers are in evacuated zones */
+  GPtrArray *ticket_servers;  /* servers for which a gang requests tickets, one
+                                 for each task; NULL: none */
 };
 
 /* A task's entry in its job's packed progress. */
@@ -286,9 +299,10 @@
   char *rack;
   char **labels;
   struct ColtCellPool *pool;
-  bool listed;   /* in the list of servers */
-  bool ready;    /* false while it drains */
-  bool reported; /* by this incarnation to this leader */
+  bool listed;    /* in the list of servers */
+  bool ready;     /* false while it drains */
+  bool evacuated; /* its zone is */
+  bool reported;  /* by this incarnation to this leader */
   bool unreachable;
   bool replaced; /* another server answers at its address */
   /* May run an earlier leader's work, or have ends of it that its reports
@@ -360,6 +374,10 @@
   GHashTable *servers;       /* id -> struct ColtCellServer */
   GHashTable *pools;         /* service -> struct ColtCellPool */
   GHashTable *kinds;         /* label and room -> struct ColtServerKind */
+  GHashTable *evacuated;     /* name -> struct ColtCellZone */
+  int64_t zones_us;          /* when the runs in these were last counted */
+  int64_t next_count_us;     /* when they are counted again */
+  int64_t order_until_us;    /* no start is ordered after it */
   GPtrArray *open_steps;     /* of struct ColtCellStep */
   bool steps_to_close;       /* open_steps may list some that can't start */
   GPtrArray *advice_steps;   /* steps that need advice in this pass */
@@ -558,6 +576,26 @@
 void colt_cell_free_server (gpointer data);
 void colt_cell_check_settled (struct ColtCell *cell, int64_t now_us);
 
+/* cell_zones.c */
+void colt_cell_init_zones (struct ColtCell *cell);
+bool colt_cell_is_zone_evacuated (const struct ColtCell *cell,
+                                  const char *zone);
+/* Counts the runs that are left in evacuated zones, at most once a second, and
+ * logs that a zone has become empty. */
+void colt_cell_watch_zones (struct ColtCell *cell, int64_t now_us);
+/* Returns whether a start may be ordered on a server at a time. */
+bool colt_cell_may_order (const struct ColtCell *cell,
+                          const struct ColtCellServer *server,
+                          int64_t now_us);
+/* Returns the reason for a step that found no server: BLOCK_EVACUATED if all
+ * servers that may hold its tasks are in evacuated zones, or else the one that
+ * is given. */
+enum ColtCellBlock colt_cell_explain_block (const struct ColtCell *cell,
+                                            struct ColtCellStep *step,
+                                            const struct ColtCellPool *pool,
+                                            enum ColtCellBlock block,
+                                            int64_t now_us);
+
 /* cell_place.c */
 void colt_cell_send_start (struct ColtCell *cell,
                            struct ColtCellRun *run,
--- a/src/scheduler/leader.c
+++ b/src/scheduler/leader.c
@@ -119,6 +119,7 @@
   leader->ports = ports;
   leader->settings = settings;
   leader->client = *client;
+  leader->metrics = metrics;
   leader->term = term;
   leader->created_us = colt_clock_monotonic_us ();
   leader->place_pause_us = PLACE_PAUSE_MS * COLT_US_PER_MS;
@@ -312,6 +313,7 @@
   if (leader->phase != PHASE_SERVING)
     return;
   colt_lag_update (&leader->lag, now_us);
+  colt_leader_check_operator (leader, now_us);
   g_hash_table_iter_init (&i, leader->links);
   while (g_hash_table_iter_next (&i, NULL, &value))
     colt_server_link_tick (value, now_us);
@@ -356,6 +358,7 @@
   (void)what;
   if (leader->phase != PHASE_SERVING)
     return;
+  colt_leader_check_operator (leader, began_us);
   colt_cell_set_start_budget (leader->cell, budget);
   colt_cell_place_tasks (leader->cell, began_us,
                          colt_clock_wall_us () / COLT_US_PER_MS);
@@ -450,6 +453,7 @@
   if (link == NULL)
     link = open_link_ (leader, entry);
   colt_server_link_set_listed (link, true);
+  colt_leader_update_evacuated (leader, link);
   colt_server_link_set_entry_start (link, entry->incarnation_ms);
 }
 
@@ -638,9 +642,11 @@
 static bool
 may_start_ (void *client, const char *server, const char *task, uint32_t run)
 {
-  const struct ColtLeader *leader = get_leader_ (client);
+  struct ColtLeader *leader = get_leader_ (client);
 
-  return colt_cell_may_start (leader->cell, server, task, run);
+  colt_leader_check_operator (leader, colt_clock_monotonic_us ());
+  return !leader->starts_held
+         && colt_cell_may_start (leader->cell, server, task, run);
 }
 
 static void
--- a/src/scheduler/metrics.c
+++ b/src/scheduler/metrics.c
@@ -48,6 +48,8 @@
     "Time since the log was last reached" },
   { COLT_COUNTER_TOTAL, "scheduler_confirmed_without_log",
     "Times that instances confirmed its leadership in the log's place" },
+  { COLT_COUNTER_TOTAL, "scheduler_starts_held",
+    "Times that starts were held back until the operator's topic was read" },
   { COLT_COUNTER_GAUGE, "cell_jobs", "Jobs known, also ended ones" },
   { COLT_COUNTER_GAUGE, "cell_open_steps", "Steps with tasks that wait" },
   { COLT_COUNTER_GAUGE, "cell_runs", "Runs that are on servers, or may be" },
@@ -59,6 +61,12 @@
     "Runs in this term that were stopped to start elsewhere" },
   { COLT_COUNTER_GAUGE, "cell_tasks_given_up",
     "Tasks in this term given up after crashes of their servers" },
+  { COLT_COUNTER_GAUGE, "cell_evacuated_zones",
+    "Availability zones whose evacuation is requested" },
+  { COLT_COUNTER_GAUGE, "cell_evacuated_runs",
+    "Runs that are left in evacuated zones, or may be" },
+  { COLT_COUNTER_GAUGE, "cell_withdrawn_starts",
+    "Starts in this term that weren't sent as their zone was evacuated" },
   { COLT_COUNTER_GAUGE, "cell_runs_done", "Runs done in this term" },
   { COLT_COUNTER_GAUGE, "cell_runs_failed", "Runs failed in this term" },
   { COLT_COUNTER_GAUGE, "cell_runs_stopped", "Runs stopped in this term" },
@@ -132,6 +140,12 @@
                     (int64_t)stats->refused_starts);
   colt_metrics_set (metrics, METRIC_RUNS_MOVED, (int64_t)stats->moved);
   colt_metrics_set (metrics, METRIC_TASKS_GIVEN_UP, (int64_t)stats->given_up);
+  colt_metrics_set (metrics, METRIC_EVACUATED_ZONES,
+                    (int64_t)stats->evacuated_zones);
+  colt_metrics_set (metrics, METRIC_EVACUATED_RUNS,
+                    (int64_t)stats->evacuated_runs);
+  colt_metrics_set (metrics, METRIC_WITHDRAWN_STARTS,
+                    (int64_t)stats->withdrawn_starts);
   colt_metrics_set (metrics, METRIC_RUNS_DONE,
                     (int64_t)stats->ended[COLT_RUN_DONE]);
   colt_metrics_set (metrics, METRIC_RUNS_FAILED,
--- a/src/scheduler/private/leader_private.h
+++ b/src/scheduler/private/leader_private.h
@@ -23,8 +23,11 @@
   enum ColtLeaderPhase phase;
   int64_t created_us;
   struct ColtCell *cell;
+  struct ColtMetrics *metrics;
   struct ColtCommit *commit;
   struct ColtWatch *server_watch;
+  const struct ColtWatch *operator_watch; /* NULL: none is followed */
+  bool starts_held; /* as the operator's topic wasn't read recently */
   struct ColtLogChannel *load_channel; /* for fencing and loading */
   struct event *timer;
   struct ColtLag lag; /* of timer */
@@ -71,6 +74,12 @@
 void colt_leader_fence_log (struct ColtLeader *leader);
 /* Timer callback: retries fencing or loading. */
 void colt_leader_retry (evutil_socket_t fd, short what, void *arg);
+/* Holds starts back while the operator's topic may list requests that aren't
+ * known. */
+void colt_leader_check_operator (struct ColtLeader *leader, int64_t now_us);
+/* Applies to a link whether its server's zone is evacuated. */
+void colt_leader_update_evacuated (struct ColtLeader *leader,
+                                   struct ColtServerLink *link);
 /* Ends loading and starts to serve calls. */
 void colt_leader_serve (struct ColtLeader *leader);
 /* Ends calls that have waited too long for a batch: jobs that can be withdrawn
--- a/src/scheduler/private/scheduler_private.h
+++ b/src/scheduler/private/scheduler_private.h
@@ -87,9 +87,48 @@
 /* Returns when the log answered for the first time since the last failure; 0 if
  * it never answered, COLT_TIME_NEVER if the last call failed. */
 int64_t colt_watch_healthy_since_us (const struct ColtWatch *watch);
+/* Returns when the read was sent that last reached the end of the topic: all
+ * records that were acknowledged before it have been handled. 0: never, or the
+ * topic is being reread for the first time. */
+int64_t colt_watch_current_us (const struct ColtWatch *watch);
 /* Reads immediately unless a read is open. */
 void colt_watch_read_now (struct ColtWatch *watch);
 
+/* ---- evacuations.c: availability zones that the operator evacuates ---- */
+
+struct ColtEvacuations;
+
+/* A record of a zone. */
+struct ColtEvacuationRecord
+{
+  const char *zone;
+  bool evacuated; /* false: the request was deleted */
+  bool full_read; /* it is read in a full read of the topic */
+  int64_t offset; /* of the record */
+};
+
+/* Receives a zone, and when its evacuation was first read; it may not change
+ * the set. */
+typedef void (*ColtEvacuationHandler) (void *client,
+                                       const char *zone,
+                                       int64_t since_us);
+
+struct ColtEvacuations *colt_evacuations_create (void);
+void colt_evacuations_destroy (struct ColtEvacuations *evacuations);
+/* Applies a record of a zone; returns whether that changed the set. */
+bool colt_evacuations_apply (struct ColtEvacuations *evacuations,
+                             const struct ColtEvacuationRecord *record,
+                             int64_t now_us);
+/* Ends a full read of the topic: passes the zones that it didn't list to handle
+ * and removes them. Until then they stay in force. */
+void colt_evacuations_finish_read (struct ColtEvacuations *evacuations,
+                                   ColtEvacuationHandler handle,
+                                   void *client);
+/* Passes each zone to handle. */
+void colt_evacuations_list (const struct ColtEvacuations *evacuations,
+                            ColtEvacuationHandler handle,
+                            void *client);
+
 /* ---- election.c: elects the leader ---- */
 
 struct ColtElection;
@@ -285,6 +324,11 @@
 /* Sets whether the server has an entry in the log. A server without one is only
  * called while it may have runs. */
 void colt_server_link_set_listed (struct ColtServerLink *link, bool listed);
+/* Sets whether the server's zone is evacuated. If it is, starts that wait are
+ * withdrawn, and a server that has reported isn't called while it has no runs.
+ */
+void colt_server_link_set_evacuated (struct ColtServerLink *link,
+                                     bool evacuated);
 /* Renews leases when they are due and detects expired ones; to be called
  * periodically. */
 void colt_server_link_tick (struct ColtServerLink *link, int64_t now_us);
@@ -314,6 +358,15 @@
                     struct ColtMetrics *metrics);
 void colt_leader_destroy (struct ColtLeader *leader);
 void colt_leader_set_fleet (struct ColtLeader *leader, struct ColtFleet *fleet);
+/* Sets the watch of the operator's topic, which has to outlive the leader:
+ * nothing is placed or started unless it was read to its end recently. Without
+ * one the leader starts tasks at any time. */
+void colt_leader_set_operator_watch (struct ColtLeader *leader,
+                                     const struct ColtWatch *watch);
+/* Sets whether an availability zone is evacuated. */
+void colt_leader_set_evacuated (struct ColtLeader *leader,
+                                const char *zone,
+                                bool evacuated);
 /* Sets how much longer than this leader's creation instances may confirm
  * leaders before it, whose leases last that much longer. To be called before
  * the event loop runs. */
--- a/src/scheduler/private/scheduler_state.h
+++ b/src/scheduler/private/scheduler_state.h
@@ -27,6 +27,7 @@
   struct ColtElection *election;
   struct ColtLeader *leader; /* NULL while another instance leads */
   struct ColtFleet *fleet;
+  struct ColtEvacuations *evacuations;
   struct ColtMembers *members;
   struct ColtAdviserChannel *adviser;
   struct event *heartbeat_timer;
@@ -53,6 +54,15 @@
 void colt_scheduler_handle_request (void *client,
                                     const struct ColtCallerRequest *caller,
                                     struct ColtCallerHandle *handle);
+/* Applies a record of the operator's topic if it concerns the evacuation of a
+ * zone; returns whether it does. */
+bool colt_scheduler_apply_evacuation (struct ColtScheduler *scheduler,
+                                      const struct ColtLogRecord *record);
+/* Ends evacuations that a full read of the operator's topic doesn't list;
+ * client is the ColtScheduler. */
+void colt_scheduler_finish_evacuations (void *client);
+/* Passes the evacuations in force to a new leader. */
+void colt_scheduler_evacuate_leader (struct ColtScheduler *scheduler);
 /* Answers all open requests: their effect is uncertain. */
 void colt_scheduler_end_requests (struct ColtScheduler *scheduler);
 /* Returns whether a request has no answer yet. */
--- a/src/scheduler/private/server_link_private.h
+++ b/src/scheduler/private/server_link_private.h
@@ -45,6 +45,7 @@
   uint64_t order_connection;
   bool keeps_connections; /* the server doesn't close one after each answer */
   bool closing;
+  bool evacuated;          /* its zone is */
   bool listed;             /* the server has an entry in the log */
   bool renewing;           /* a renewal is open */
   bool has_report;         /* the server's report has been received */
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -87,7 +87,7 @@
       = { handle_elected_, handle_deposed_, handle_leader_change_,
           list_followers_, scheduler };
   const struct ColtWatchClient config
-      = { handle_config_record_, NULL, scheduler };
+      = { handle_config_record_, colt_scheduler_finish_evacuations, scheduler };
   const struct ColtWatchTimes times = { CONFIG_WAIT_MS, 0 };
 
   scheduler->base = base;
@@ -98,6 +98,7 @@
   scheduler->waiting_counts = colt_waiting_counts_create ();
   scheduler->requests = g_ptr_array_new ();
   scheduler->members = colt_members_create ();
+  scheduler->evacuations = colt_evacuations_create ();
   scheduler->heartbeat_timer
       = event_new (base, -1, EV_PERSIST, send_heartbeat_, scheduler);
   scheduler->stop_timer
@@ -136,6 +137,7 @@
   event_free (scheduler->heartbeat_timer);
   event_free (scheduler->stop_timer);
   colt_members_destroy (scheduler->members);
+  colt_evacuations_destroy (scheduler->evacuations);
   colt_metrics_destroy (scheduler->metrics);
   colt_waiting_counts_destroy (scheduler->waiting_counts);
   g_ptr_array_unref (scheduler->requests);
@@ -201,7 +203,8 @@
   struct ColtError error = { 0 };
   struct ColtFleet *fleet;
 
-  if (record->value == NULL)
+  if (colt_scheduler_apply_evacuation (scheduler, record)
+      || record->value == NULL)
     return;
   fleet = scheduler->ports->decode_fleet (scheduler->ports->adapter, record,
                                           &error);
@@ -255,6 +258,7 @@
                                           &leader_client, scheduler->metrics);
   colt_leader_set_extension (scheduler->leader,
                              colt_election_extension_us (scheduler->election));
+  colt_scheduler_evacuate_leader (scheduler);
   if (scheduler->fleet != NULL)
     colt_leader_set_fleet (scheduler->leader, scheduler->fleet);
   scheduler->led_term = term;
--- a/src/scheduler/server_link.c
+++ b/src/scheduler/server_link.c
@@ -133,6 +133,16 @@
   link->listed = listed;
 }
 
+void
+colt_server_link_set_evacuated (struct ColtServerLink *link, bool evacuated)
+{
+  if (evacuated == link->evacuated)
+    return;
+  link->evacuated = evacuated;
+  if (evacuated)
+    colt_link_withdraw_starts (link);
+}
+
 void
 colt_server_link_ack_ends (struct ColtServerLink *link,
                            int64_t incarnation_ms,
@@ -158,7 +168,8 @@
     }
   if (is_renewal_due_ (link, now_us)
       && (runs > 0 || link->durable_end > link->durable_end_sent
-          || (!link->has_report && link->listed)))
+          || (!link->has_report && link->listed
+              && (!link->evacuated || link->known_us == 0))))
     colt_link_renew_leases (link, runs, now_us);
 }
 
--- a/src/scheduler/watch.c
+++ b/src/scheduler/watch.c
@@ -2,6 +2,9 @@
 
 /* Pause after a failed call. */
 #define RETRY_MS 150
+/* A read that takes this much longer than it waits for records was delayed, or
+ * the process was paused; the next one doesn't wait. */
+#define LATE_US (400 * COLT_US_PER_MS)
 #define MODULE "watch"
 
 struct ColtWatch
@@ -22,6 +25,9 @@
   int64_t known_end;      /* next_end before the current read of the topic */
   int64_t ignored_offset; /* of the last record with an unreadable key */
   int64_t reached_us;
+  int64_t sync_sent_us;     /* when the first page was requested */
+  int64_t current_us;       /* when the last read to the end was requested */
+  bool late;                /* the last read was */
   int64_t healthy_since_us; /* first answer after the last failure */
 };
 
@@ -84,6 +90,12 @@
   return watch->failing ? COLT_TIME_NEVER : watch->healthy_since_us;
 }
 
+int64_t
+colt_watch_current_us (const struct ColtWatch *watch)
+{
+  return watch->current_us;
+}
+
 bool
 colt_watch_is_synced (const struct ColtWatch *watch)
 {
@@ -125,8 +137,10 @@
     return;
   watch->busy = true;
   if (watch->synced)
-    watch->ports->log_read (watch->channel, watch->topic, watch->end,
-                            watch->times.wait_ms, handle_records_, watch);
+    watch->ports->log_read (
+        watch->channel, watch->topic, watch->end,
+        watch->failing || watch->late ? 0 : watch->times.wait_ms,
+        handle_records_, watch);
   else
     watch->ports->log_newest (watch->channel, watch->topic, watch->after,
                               handle_page_, watch);
@@ -144,7 +158,10 @@
   /* Reading continues at the end that the first page reported, so that changes
    * made while pages are read aren't missed. */
   if (watch->after == NULL)
-    watch->sync_end = answer->end;
+    {
+      watch->sync_end = answer->end;
+      watch->sync_sent_us = answer->sent_us;
+    }
   for (i = 0; i < answer->count; i++)
     handle_record_ (watch, &answer->records[i]);
   g_clear_pointer (&watch->after, g_free);
@@ -157,6 +174,7 @@
   watch->synced = true;
   watch->known_end = watch->next_end;
   watch->end = watch->sync_end;
+  watch->current_us = watch->sync_sent_us;
   if (watch->client.handle_synced != NULL)
     watch->client.handle_synced (watch->client.client);
   schedule_read_ (watch, 0);
@@ -185,6 +203,8 @@
       handle_record_ (watch, &answer->records[i]);
     }
   watch->known_end = watch->next_end;
+  if (watch->end >= answer->end)
+    watch->current_us = MAX (watch->current_us, answer->sent_us);
   schedule_read_ (watch, answer->count > 0 ? watch->times.pause_ms : 0);
 }
 
@@ -217,6 +237,8 @@
                   "reads of topic %s succeed again",
                   colt_topic_string[watch->topic]);
       watch->failing = false;
+      watch->late = watch->reached_us - answer->sent_us
+                    > watch->times.wait_ms * COLT_US_PER_MS + LATE_US;
       return true;
     }
   if (!watch->failing)
--- a/src/test_cell_load/fixture.h
+++ b/src/test_cell_load/fixture.h
@@ -109,5 +109,6 @@
 void colt_load_add_cost_tests (void);
 void colt_load_add_failure_tests (void);
 void colt_load_add_record_tests (void);
+void colt_load_add_evacuation_tests (void);
 
 #endif
--- a/src/test_scheduler/fake_ports.c
+++ b/src/test_scheduler/fake_ports.c
@@ -138,7 +138,10 @@
       free_log_call (call);
       return;
     }
-  if (call->newest && (call->fake->held_topics & 1u << call->topic) != 0)
+  if (call->is_read
+      && ((call->newest ? call->fake->held_topics : call->fake->held_reads)
+          & 1u << call->topic)
+             != 0)
     {
       g_array_unref (records);
       schedule (call->fake, POLL_MS, on_log_answer_due, call);
@@ -266,6 +269,7 @@
   call->topic = topic;
   call->from = from;
   call->is_read = true;
+  call->answer.sent_us = colt_clock_monotonic_us ();
   call->wait_until_us
       = colt_clock_monotonic_us () + (int64_t)wait_ms * COLT_US_PER_MS;
   if (wait_ms == 0)
@@ -297,6 +301,7 @@
   call->client = client;
   call->topic = topic;
   call->is_read = true;
+  call->answer.sent_us = colt_clock_monotonic_us ();
   call->newest = true;
   schedule (channel->fake, ANSWER_MS, on_log_answer_due, call);
 }
@@ -481,6 +486,21 @@
   g_clear_pointer (&record->value, g_bytes_unref);
 }
 
+/* Takes any key that begins with "evacuate/" as a request. */
+static bool
+decode_evacuation (void *adapter,
+                   const struct ColtLogRecord *record,
+                   char **zone)
+{
+  (void)adapter;
+  *zone = NULL;
+  if (!g_str_has_prefix (record->key, "evacuate/"))
+    return false;
+  if (strlen (record->key) > strlen ("evacuate/"))
+    *zone = g_strdup (record->key + strlen ("evacuate/"));
+  return true;
+}
+
 /* Decodes any record as a configuration with one queue, which is open. */
 static struct ColtFleet *
 decode_fleet (void *adapter,
@@ -560,6 +580,7 @@
   fake->ports.server_stop = server_stop;
   fake->ports.server_renew = server_renew;
   fake->ports.decode_fleet = decode_fleet;
+  fake->ports.decode_evacuation = decode_evacuation;
   fake->ports.adviser_open = open_adviser;
   fake->ports.adviser_close = close_adviser;
   fake->ports.listen = start_listening;
--- a/src/test_scheduler/fake_ports.h
+++ b/src/test_scheduler/fake_ports.h
@@ -36,6 +36,7 @@
   /* Topics, a bit each, of which reads of the newest records get no answer
    * until the bit is cleared. */
   uint32_t held_topics;
+  uint32_t held_reads;          /* the same for reads from an offset */
   uint32_t appends;             /* calls so far */
   int64_t last_append_us;       /* when the last one was called */
   uint32_t immediate_reads;     /* calls so far of reads without a wait */
--- a/src/test_scheduler/test_scheduler.c
+++ b/src/test_scheduler/test_scheduler.c
@@ -21,5 +21,6 @@
   colt_test_stop_add ();
   colt_test_confirmation_add ();
   colt_test_followers_add ();
+  colt_test_evacuation_add ();
   return g_test_run ();
 }
--- a/src/test_scheduler/tests.h
+++ b/src/test_scheduler/tests.h
@@ -17,5 +17,6 @@
 void colt_test_counts_add (void);
 void colt_test_succession_add (void);
 void colt_test_followers_add (void);
+void colt_test_evacuation_add (void);
 
 #endif
