Cold servers get work last; bounded search for the reason "evacuated"

Cause: after an evacuation all servers of a zone may be cold at once, and coldRemainingMs of their entries was read for its type only. The reason "evacuated" looked at all servers of a service for each blocked step.

Servers without the member are placed as before. The reason is determined once a pass for a service that is wholly evacuated, and by 32 searches a pass at most otherwise. Tests of links, late reads and starts that are sent again.

--- a/fuzz/fuzz_records.c
+++ b/fuzz/fuzz_records.c
@@ -18,7 +18,7 @@
   (void)client;
   if (colt_address_parse (entry->address, &address) != COLT_ADDRESS_VALID
       || entry->service[0] == '\0' || entry->zone[0] == '\0'
-      || entry->incarnation_ms < 0)
+      || entry->incarnation_ms < 0 || entry->cold_ms < 0)
     __builtin_trap ();
   for (r = 0; r < COLT_RESOURCE_COUNT; r++)
     if (entry->room.amount[r] < 0 || entry->room.amount[r] > INT32_MAX)
--- a/include/coltsfootstile/cell.h
+++ b/include/coltsfootstile/cell.h
@@ -116,6 +116,8 @@
   int64_t incarnation_ms;    /**< wall-clock start of this incarnation in
                            milliseconds    since 1970; 0: not reported */
   struct ColtResources room; /**< its capacity */
+  int64_t cold_ms; /**< how much longer it is slow after its start; 0: it isn't
+                    */
   const char *const *labels; /**< ended by NULL; may be NULL */
 };
 
--- a/src/cell/cell_advice.c
+++ b/src/cell/cell_advice.c
@@ -294,7 +294,8 @@
       const struct ColtCellAdvice *advice;
 
       if (!colt_cell_fits (step, server)
-          || !colt_cell_is_usable (server, now_us))
+          || !colt_cell_is_usable (server, now_us)
+          || !colt_cell_is_warm_enough (step, server, now_us))
         continue;
       *has_room = true;
       if (!colt_cell_meets_constraints (step, server))
--- a/src/cell/cell_candidates.c
+++ b/src/cell/cell_candidates.c
@@ -5,6 +5,8 @@
 #define NAMED_SERVERS_MIN 8
 /* Servers named for each waiting task. */
 #define NAMED_SERVERS_PER_TASK 4
+/* What the score of a cold server is lowered by; more than any other term. */
+#define COLD_PENALTY 100.0
 /* Slowness beyond this doesn't lower a server's score further. */
 #define SLOWNESS_COUNTED_MAX 2
 
@@ -16,6 +18,7 @@
   struct ColtResources left; /* room that isn't used */
   double fullness;
   double slowness;
+  double cold; /* what its score is lowered by */
 };
 
 /* A candidate that a step may name. */
@@ -27,7 +30,8 @@
 
 static void list_candidates_ (struct ColtCellPool *pool, int64_t now_us);
 static void describe_ (struct ColtCandidate *candidate,
-                       struct ColtCellServer *server);
+                       struct ColtCellServer *server,
+                       int64_t now_us);
 static guint count_named_ (const struct ColtCell *cell,
                            const struct ColtCellStep *step);
 static void offer_known_ (const struct ColtCellStep *step,
@@ -117,13 +121,15 @@
       server->position = count++;
       describe_ (&g_array_index (pool->candidates, struct ColtCandidate,
                                  server->position),
-                 server);
+                 server, now_us);
     }
   g_array_set_size (pool->candidates, count);
 }
 
 static void
-describe_ (struct ColtCandidate *candidate, struct ColtCellServer *server)
+describe_ (struct ColtCandidate *candidate,
+           struct ColtCellServer *server,
+           int64_t now_us)
 {
   int r;
 
@@ -134,6 +140,11 @@
       = (double)server->used.amount[COLT_RESOURCE_CORES]
         / (double)(server->room.amount[COLT_RESOURCE_CORES] + 1);
   candidate->slowness = MIN (colt_cell_slowness (server), SLOWNESS_COUNTED_MAX);
+  candidate->cold
+      = server->cold.until_us > now_us
+            ? COLD_PENALTY
+                  * (1 + colt_cold_ramp_coldness (&server->cold, now_us))
+            : 0;
 }
 
 static guint
@@ -217,7 +228,7 @@
     score += room_first ? 4 : 2;
   if (known)
     score += room_first ? 2 : 4;
-  return score - candidate->slowness;
+  return score - candidate->slowness - candidate->cold;
 }
 
 static bool
--- a/src/cell/cell_dump.c
+++ b/src/cell/cell_dump.c
@@ -5,7 +5,7 @@
 
 static json_t *dump_zone_ (const struct ColtCell *cell,
                            const struct ColtCellZone *zone);
-static json_t *dump_server_ (struct ColtCellServer *server);
+static json_t *dump_server_ (struct ColtCellServer *server, int64_t now_us);
 static json_t *dump_step_ (const struct ColtCellStep *step);
 static json_t *dump_organisation_ (const struct ColtCellOrganisation *org);
 static json_t *dump_amounts_ (const struct ColtResources *amounts);
@@ -25,7 +25,7 @@
 
   g_hash_table_iter_init (&i, cell->servers);
   while (g_hash_table_iter_next (&i, NULL, &value))
-    json_array_append_new (servers, dump_server_ (value));
+    json_array_append_new (servers, dump_server_ (value, cell->now_us));
   g_hash_table_iter_init (&i, cell->organisations);
   while (g_hash_table_iter_next (&i, NULL, &value))
     json_array_append_new (organisations, dump_organisation_ (value));
@@ -62,7 +62,7 @@
 }
 
 static json_t *
-dump_server_ (struct ColtCellServer *server)
+dump_server_ (struct ColtCellServer *server, int64_t now_us)
 {
   json_t *object = json_object ();
 
@@ -73,6 +73,9 @@
   json_object_set_new (object, "zone",
                        json_string (server->zone != NULL ? server->zone : ""));
   json_object_set_new (object, "evacuated", json_boolean (server->evacuated));
+  json_object_set_new (
+      object, "coldness",
+      json_real (colt_cold_ramp_coldness (&server->cold, now_us)));
   json_object_set_new (object, "listed", json_boolean (server->listed));
   json_object_set_new (object, "ready", json_boolean (server->ready));
   json_object_set_new (object, "reported", json_boolean (server->reported));
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -5,6 +5,9 @@
 /* Weight of a server's slowness against its fullness, for a job whose objective
  * equals its longest chain of steps. */
 #define SLOWNESS_PENALTY 30.0
+/* What the score of a cold server is lowered by; more than any other term, so
+ * that warm servers are chosen first. */
+#define COLD_PENALTY 10000.0
 
 /* Length in bytes at which the logged list of planned runs is cut. */
 #define PLAN_TEXT_MAX 400
@@ -55,7 +58,8 @@
                               int64_t now_us);
 static double score_server_ (const struct ColtCellStep *step,
                              const struct ColtCellTask *task,
-                             struct ColtCellServer *server);
+                             struct ColtCellServer *server,
+                             int64_t now_us);
 
 void
 colt_cell_place_tasks (struct ColtCell *cell, int64_t now_us, int64_t wall_ms)
@@ -146,6 +150,15 @@
   return has_room_for_ (step, server, true);
 }
 
+bool
+colt_cell_is_warm_enough (const struct ColtCellStep *step,
+                          const struct ColtCellServer *server,
+                          int64_t now_us)
+{
+  return colt_cold_ramp_allows (&server->cold, &step->demand, &server->used,
+                                &server->room, now_us);
+}
+
 void
 colt_cell_send_start (struct ColtCell *cell,
                       struct ColtCellRun *run,
@@ -526,6 +539,7 @@
               int64_t now_us)
 {
   return colt_cell_fits (step, server) && colt_cell_is_usable (server, now_us)
+         && colt_cell_is_warm_enough (step, server, now_us)
          && colt_cell_meets_constraints (step, server);
 }
 
@@ -580,7 +594,7 @@
 
   if (!is_eligible_ (step, server, now_us))
     return;
-  score = score_server_ (step, task, server);
+  score = score_server_ (step, task, server, now_us);
   if (best->server != NULL
       && (score < best->score
           || (score == best->score
@@ -590,14 +604,15 @@
   best->score = score;
 }
 
-/* Prefers servers that the task can't crash together with others' runs, servers
- * in the data's rack, servers other than the task's previous one, fast servers
- * (with a weight that rises as the objective gets tighter), and full servers,
- * so that room for large tasks remains elsewhere. */
+/* Prefers warm servers, servers that the task can't crash together with others'
+ * runs, servers in the data's rack, servers other than the task's previous one,
+ * fast servers (with a weight that rises as the objective gets tighter), and
+ * full servers, so that room for large tasks remains elsewhere. */
 static double
 score_server_ (const struct ColtCellStep *step,
                const struct ColtCellTask *task,
-               struct ColtCellServer *server)
+               struct ColtCellServer *server,
+               int64_t now_us)
 {
   double stretch = MAX (step->job->queue->config->stretch, 1);
   double score = -SLOWNESS_PENALTY / (stretch * stretch)
@@ -609,5 +624,8 @@
     score += 10;
   if (task->last_server == server)
     score -= 5;
+  if (server->cold.until_us > now_us)
+    score
+        -= COLD_PENALTY * (1 + colt_cold_ramp_coldness (&server->cold, now_us));
   return score;
 }
--- a/src/cell/cell_servers.c
+++ b/src/cell/cell_servers.c
@@ -131,6 +131,9 @@
   g_free (server->zone);
   server->zone = g_strdup (entry->zone);
   server->evacuated = colt_cell_is_zone_evacuated (cell, entry->zone);
+  colt_cold_ramp_update (&server->cold, entry->cold_ms,
+                         entry->incarnation_ms != server->entry_incarnation_ms,
+                         now_us);
   server->entry_incarnation_ms = entry->incarnation_ms;
   server->room = entry->room;
   server->ready = entry->ready;
--- a/src/cell/cell_zones.c
+++ b/src/cell/cell_zones.c
@@ -5,8 +5,10 @@
 
 /* Time between counts of what is left in evacuated zones. */
 #define COUNT_INTERVAL_US COLT_US_PER_S
-/* Time between searches for a step's servers in other zones. */
+/* Time between searches for a step's servers in other zones, and most searches
+ * in a pass: each looks at up to all servers of a service. */
 #define CHECK_INTERVAL_US (500 * COLT_US_PER_MS)
+#define CHECKS_PER_PASS 32
 #define DETAIL_SIZE 320
 
 static void free_zone_ (gpointer data);
@@ -23,6 +25,7 @@
                        const struct ColtCellZone *zone,
                        const char *what,
                        int64_t now_us);
+static bool is_outside_ (const struct ColtCellPool *pool);
 static bool has_other_zone_ (const struct ColtCellStep *step,
                              const struct ColtCellPool *pool);
 
@@ -114,7 +117,8 @@
   while (g_hash_table_iter_next (&i, NULL, &value))
     {
       struct ColtCellZone *zone = value;
-      bool empty = zone->runs == 0;
+      /* Until then runs may be there that earlier leaders started. */
+      bool empty = cell->settled && zone->servers > 0 && zone->runs == 0;
 
       if (empty && !zone->empty)
         log_zone_ (cell, zone, "evacuated zone is empty", now_us);
@@ -123,16 +127,29 @@
 }
 
 enum ColtCellBlock
-colt_cell_explain_block (const struct ColtCell *cell,
+colt_cell_explain_block (struct ColtCell *cell,
                          struct ColtCellStep *step,
-                         const struct ColtCellPool *pool,
+                         struct ColtCellPool *pool,
                          enum ColtCellBlock block,
                          int64_t now_us)
 {
   if (g_hash_table_size (cell->evacuated) == 0 || block != BLOCK_NO_ROOM)
     return block;
-  if (now_us >= step->next_zone_check_us)
+  if (pool->outside_us != now_us)
     {
+      pool->outside_us = now_us;
+      pool->outside = is_outside_ (pool);
+    }
+  if (!pool->outside)
+    return BLOCK_EVACUATED;
+  if (cell->zone_pass_us != now_us)
+    {
+      cell->zone_pass_us = now_us;
+      cell->zone_checks = 0;
+    }
+  if (now_us >= step->next_zone_check_us && cell->zone_checks < CHECKS_PER_PASS)
+    {
+      cell->zone_checks++;
       step->next_zone_check_us = now_us + CHECK_INTERVAL_US;
       step->only_evacuated = !has_other_zone_ (step, pool);
     }
@@ -268,6 +285,26 @@
   cell->ops->log_decision (cell->client, NULL, what, detail);
 }
 
+/* Returns whether a pool has servers outside the evacuated zones, or none at
+ * all. */
+static bool
+is_outside_ (const struct ColtCellPool *pool)
+{
+  bool any_evacuated = false;
+  guint i;
+
+  for (i = 0; i < pool->servers->len; i++)
+    {
+      const struct ColtCellServer *server
+          = g_ptr_array_index (pool->servers, i);
+
+      if (server->listed && !server->evacuated)
+        return true;
+      any_evacuated |= server->listed;
+    }
+  return !any_evacuated;
+}
+
 /* Returns whether a server outside the evacuated zones may hold a task of the
  * step, now or later, or whether there is none at all. */
 static bool
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -6,6 +6,7 @@
 
 #include "coltsfootstile/cell.h"
 #include "coltsfootstile/clock.h"
+#include "coltsfootstile/cold_ramp.h"
 
 /* Size in bytes of a buffer for a task's name, JOB.OCCURRENCE.STEP.INDEX. */
 #define TASK_NAME_SIZE 64
@@ -324,6 +325,7 @@
   bool limited;            /* it gets few runs after its pause */
   uint32_t probation_runs; /* started since the latest probation */
   int64_t avoid_until_us;  /* it gets no starts until then */
+  struct ColtColdRamp cold;
   struct ColtServerKind *kind;
   double log_slowness; /* logarithm of its task durations relative to others of
                           its kind */
@@ -348,6 +350,8 @@
   char *name;
   bool checks_room;
   GPtrArray *servers; /* of struct ColtCellServer */
+  bool outside;       /* has servers outside evacuated zones, or none */
+  int64_t outside_us; /* pass in which that was determined */
   /* No usable server has room for this demand or more; room only shrinks during
    * a pass. */
   bool is_full;
@@ -377,6 +381,8 @@
   GHashTable *evacuated;     /* name -> struct ColtCellZone */
   int64_t zones_us;          /* when the runs in these were last counted */
   int64_t next_count_us;     /* when they are counted again */
+  int64_t zone_pass_us;      /* pass that zone_checks counts in */
+  uint32_t zone_checks;      /* searches for a step's servers in it */
   int64_t order_until_us;    /* no start is ordered after it */
   GPtrArray *open_steps;     /* of struct ColtCellStep */
   bool steps_to_close;       /* open_steps may list some that can't start */
@@ -590,9 +596,9 @@
 /* Returns the reason for a step that found no server: BLOCK_EVACUATED if all
  * servers that may hold its tasks are in evacuated zones, or else the one that
  * is given. */
-enum ColtCellBlock colt_cell_explain_block (const struct ColtCell *cell,
+enum ColtCellBlock colt_cell_explain_block (struct ColtCell *cell,
                                             struct ColtCellStep *step,
-                                            const struct ColtCellPool *pool,
+                                            struct ColtCellPool *pool,
                                             enum ColtCellBlock block,
                                             int64_t now_us);
 
@@ -606,6 +612,10 @@
 bool colt_cell_is_usable (const struct ColtCellServer *server, int64_t now_us);
 bool colt_cell_meets_constraints (const struct ColtCellStep *step,
                                   const struct ColtCellServer *server);
+/* Returns whether a server isn't too cold for a task of the step. */
+bool colt_cell_is_warm_enough (const struct ColtCellStep *step,
+                               const struct ColtCellServer *server,
+                               int64_t now_us);
 bool colt_cell_fits (const struct ColtCellStep *step,
                      const struct ColtCellServer *server);
 
--- a/src/test_cell_load/test_load_evacuation.c
+++ b/src/test_cell_load/test_load_evacuation.c
@@ -10,7 +10,10 @@
 #define TASKS 4
 
 static void
-add_server (struct ColtLoadFixture *fixture, const char *id, const char *zone)
+set_server (struct ColtLoadFixture *fixture,
+            const char *id,
+            const char *zone,
+            int64_t cold_ms)
 {
   struct ColtServerEntry entry = { 0 };
 
@@ -20,8 +23,15 @@
   entry.zone = zone;
   entry.ready = true;
   entry.incarnation_ms = 1;
+  entry.cold_ms = cold_ms;
   entry.room.amount[COLT_RESOURCE_CORES] = TASKS * 1000;
   colt_cell_set_server (fixture->cell, &entry, fixture->now_us);
+}
+
+static void
+add_server (struct ColtLoadFixture *fixture, const char *id, const char *zone)
+{
+  set_server (fixture, id, zone, 0);
   colt_fixture_report_idle (fixture, id, 1);
 }
 
@@ -282,6 +292,48 @@
   colt_fixture_destroy (fixture);
 }
 
+/* Guards against cold servers that get work before warm ones, or all at once as
+ * an evacuation ends. */
+static void
+test_cold_servers (void)
+{
+  struct ColtLoadFixture *fixture = create_zones ();
+
+  set_evacuated (fixture, "west", true);
+  set_evacuated (fixture, "west", false);
+  set_server (fixture, "west", "west", 4000);
+  colt_fixture_submit (fixture, "tight", "steady", 2 * TASKS, false);
+  colt_fixture_place (fixture);
+  g_assert_cmpuint (count_starts (fixture, 0, "east"), ==, TASKS);
+  g_assert_cmpuint (count_starts (fixture, 0, "west"), ==, 1);
+  set_server (fixture, "west", "west", 2000);
+  colt_fixture_place (fixture);
+  g_assert_cmpuint (count_starts (fixture, 0, "west"), ==, TASKS / 2);
+  set_server (fixture, "west", "west", 0);
+  colt_fixture_place (fixture);
+  g_assert_cmpuint (count_starts (fixture, 0, "west"), ==, TASKS);
+  colt_fixture_destroy (fixture);
+}
+
+/* Guards against calls for advice that name cold servers while warm ones have
+ * room, and that repeat for one that may get no more work yet. */
+static void
+test_cold_advice (void)
+{
+  struct ColtLoadFixture *fixture = colt_fixture_create ();
+
+  add_server (fixture, "cold", "west");
+  set_server (fixture, "cold", "west", 60000);
+  add_server (fixture, "warm", "east");
+  colt_fixture_submit (fixture, "advised", "steady", 1, false);
+  colt_fixture_place (fixture);
+  g_assert_cmpstr (g_ptr_array_index (fixture->named_servers, 0), ==, "warm");
+  colt_fixture_grant_servers (fixture, 0);
+  colt_fixture_place (fixture);
+  g_assert_cmpuint (count_starts (fixture, 0, "warm"), ==, 1);
+  colt_fixture_destroy (fixture);
+}
+
 void
 colt_load_add_evacuation_tests (void)
 {
@@ -293,4 +345,6 @@
   g_test_add_func ("/cell/evacuation/gang", test_gang);
   g_test_add_func ("/cell/evacuation/order-deadline", test_order_deadline);
   g_test_add_func ("/cell/evacuation/several-zones", test_several_zones);
+  g_test_add_func ("/cell/evacuation/cold-servers", test_cold_servers);
+  g_test_add_func ("/cell/evacuation/cold-advice", test_cold_advice);
 }
--- a/src/test_scheduler/test_evacuation.c
+++ b/src/test_scheduler/test_evacuation.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "instances_fixture.h"
+#include "link_fixture.h"
 #include "tests.h"
 
 #define REQUEST "evacuate/zone"
@@ -90,6 +91,67 @@
   colt_evacuations_destroy (set);
 }
 
+/* Guards against starts that wait in a link for room in the window, and are
+ * sent after the request. */
+static void
+test_waiting_start (void)
+{
+  const struct ColtStartOrder start = {
+    .server = "s", .task = "t", .run = 1, .payload = "", .checkpoint = ""
+  };
+  struct ColtFakePorts *fake = colt_fake_ports_create ();
+  struct ColtClientState state = { .window = colt_order_window_create () };
+  struct ColtServerLink *link = colt_fixture_open_link (fake, &state);
+  struct ColtOrderWaiter other = { 0 };
+  size_t bytes = colt_order_window_limit (state.window);
+
+  g_assert_true (colt_order_window_acquire (state.window, bytes, &other));
+  colt_server_link_start (link, &start);
+  colt_fixture_run_ticks (fake, link, 50);
+  state.start_result = COLT_START_TAKEN;
+  colt_server_link_set_evacuated (link, true);
+  g_assert_cmpint (state.start_result, ==, COLT_START_NOT_SENT);
+  colt_order_window_release (state.window, bytes, COLT_US_PER_MS, true,
+                             colt_clock_monotonic_us ());
+  colt_fixture_run_ticks (fake, link, 50);
+  g_assert_cmpuint (fake->starts, ==, 0);
+  colt_server_link_destroy (link);
+  colt_order_window_destroy (state.window);
+  colt_fake_ports_destroy (fake);
+}
+
+/* Guards against calls to evacuated servers without runs, after one report that
+ * shows that they have none; and against servers with runs that are forgotten.
+ */
+static void
+test_idle_server (void)
+{
+  struct ColtFakePorts *fake = colt_fake_ports_create ();
+  struct ColtClientState state = { 0 };
+  struct ColtServerLink *link = colt_fixture_open_link (fake, &state);
+  uint32_t renewals;
+
+  fake->server_answer.incarnation_ms = 1;
+  colt_server_link_set_evacuated (link, true);
+  colt_fixture_run_ticks (fake, link, 50);
+  g_assert_cmpuint (state.reports, ==, 1);
+  colt_server_link_set_entry_start (link, 2);
+  renewals = fake->renewals;
+  colt_fixture_run_ticks (fake, link, 300);
+  g_assert_cmpuint (fake->renewals, ==, renewals);
+  state.runs = 1;
+  colt_fixture_run_ticks (fake, link, 300);
+  g_assert_cmpuint (fake->renewals, >, renewals);
+  state.runs = 0;
+  colt_server_link_set_entry_start (link, 3);
+  renewals = fake->renewals;
+  colt_server_link_set_evacuated (link, false);
+  colt_fixture_run_ticks (fake, link, 300);
+  g_assert_cmpuint (fake->renewals, >, renewals);
+  colt_server_link_destroy (link);
+  colt_fake_ports_destroy (fake);
+}
+
 static void
 set_up (struct ColtInstancesFixture *fixture)
 {
@@ -254,9 +316,73 @@
   colt_instances_tear_down (&fixture);
 }
 
+/* Guards against a start that had no answer and is sent again after the
+ * request. */
+static void
+test_resent_start (void)
+{
+  static const enum ColtStartResult results[] = { COLT_START_UNKNOWN };
+  struct ColtInstancesFixture fixture = { 0 };
+
+  set_up (&fixture);
+  fixture.fake->start_results = results;
+  fixture.fake->start_result_count = 1;
+  fixture.fake->start_answer_ms = START_MS;
+  submit (&fixture, 0);
+  assert_starts (&fixture);
+  request (&fixture, REQUEST);
+  assert_nothing_starts (&fixture, 3 * START_MS);
+  colt_instances_tear_down (&fixture);
+}
+
+static void
+count_record (void *client, const struct ColtLogRecord *record)
+{
+  uint32_t *count = client;
+
+  (void)record;
+  (*count)++;
+}
+
+/* Guards against an answer that was delayed, as by a pause of the process, and
+ * counts as what the topic has now; and against a wait for records after it. */
+static void
+test_late_read (void)
+{
+  struct ColtFakePorts *fake = colt_fake_ports_create ();
+  uint32_t records = 0;
+  const struct ColtWatchClient client = { count_record, NULL, &records };
+  const struct ColtWatchTimes times = { 20, 0 };
+  struct ColtWatch *watch = colt_watch_create (
+      fake->base, &fake->ports, COLT_TOPIC_OPERATOR, &times, &client);
+  int64_t held_us;
+
+  g_assert_cmpint (colt_watch_current_us (watch), ==, 0);
+  colt_fake_ports_run (fake, 100);
+  fake->held_reads = 1u << COLT_TOPIC_OPERATOR;
+  held_us = colt_clock_monotonic_us ();
+  g_assert_cmpint (colt_watch_current_us (watch), >, held_us - COLT_US_PER_S);
+  colt_fake_ports_run (fake, 600);
+  colt_fake_ports_put (fake, COLT_TOPIC_OPERATOR, REQUEST, "{}");
+  fake->held_reads = 0;
+  while (records == 0)
+    event_base_loop (fake->base, EVLOOP_ONCE);
+  g_assert_cmpint (colt_watch_current_us (watch), <=, held_us);
+  colt_fake_ports_run (fake, 50);
+  g_assert_cmpuint (fake->immediate_reads, >=, 1);
+  g_assert_cmpint (colt_watch_current_us (watch), >,
+                   held_us + 500 * COLT_US_PER_MS);
+  colt_watch_destroy (watch);
+  colt_fake_ports_destroy (fake);
+}
+
 void
 colt_test_evacuation_add (void)
 {
+  g_test_add_func ("/scheduler/evacuation/waiting-start", test_waiting_start);
+  g_test_add_func ("/scheduler/evacuation/idle-server", test_idle_server);
+  g_test_add_func ("/scheduler/evacuation/resent-start", test_resent_start);
+  g_test_add_func ("/scheduler/evacuation/late-read", test_late_read);
   g_test_add_func ("/scheduler/evacuation/set", test_set);
   g_test_add_func ("/scheduler/evacuation/set-full-read", test_set_full_read);
   g_test_add_func ("/scheduler/evacuation/requests", test_requests);
