coltsfootstilectl evacuations: the evacuated zones of a cell

Operators had to read the leader's whole state dump to see whether a zone is empty. The command prints servers, runs left and the time since the request; an instance that doesn't lead is an error that names the leader.

--- a/src/coltsfootstilectl/cmd_state.c
+++ b/src/coltsfootstilectl/cmd_state.c
@@ -6,6 +6,8 @@
 
 static enum ColtCtlExit run_dump_ (int argc, char **argv);
 static enum ColtCtlExit run_counters_ (int argc, char **argv);
+static enum ColtCtlExit run_evacuations_ (int argc, char **argv);
+static void print_zones_ (const json_t *zones, bool settled);
 static enum ColtCtlExit
 fetch_text_ (const char *entry, const char *path, bool json, char **text);
 static json_t *parse_counters_ (const char *text);
@@ -14,6 +16,8 @@
     = { { "", "dump", "print the state of an entry instance", run_dump_ },
         { "", "counters", "print the counters of an entry instance",
           run_counters_ },
+        { "", "evacuations", "print the evacuated zones of a cell",
+          run_evacuations_ },
         { NULL, NULL, NULL, NULL } };
 
 static enum ColtCtlExit
@@ -90,6 +94,75 @@
   return COLT_CTL_OK;
 }
 
+/* Only the leader knows what is left in a zone. */
+static enum ColtCtlExit
+run_evacuations_ (int argc, char **argv)
+{
+  const char *entry = NULL;
+  const struct ColtCtlOption options[]
+      = { { COLT_CTL_ADDRESS, "entry", "IP:PORT",
+            "the state address of the cell's leader", true, &entry } };
+  const struct ColtCtlSyntax syntax
+      = { "coltsfootstilectl evacuations",
+          "print the evacuated zones of a cell", options, 1 };
+  enum ColtCtlExit exit_code;
+  const json_t *zones;
+  json_t *state;
+  char *text;
+  bool json;
+
+  if (!colt_ctl_parse (&syntax, argc, argv, &json, &exit_code))
+    return exit_code;
+  exit_code = fetch_text_ (entry, "/state", json, &text);
+  if (exit_code != COLT_CTL_OK)
+    return exit_code;
+  state = json_loads (text, 0, NULL);
+  zones = json_object_get (state, "evacuated_zones");
+  if (!json_is_array (zones))
+    {
+      const char *leader = json_string_value (json_object_get (state, "lead"));
+
+      exit_code = colt_ctl_fail_text (json, COLT_CTL_REFUSED,
+                                      "%s doesn't lead a cell; leader: %s",
+                                      entry, leader != NULL ? leader : "");
+    }
+  else if (json)
+    {
+      json_dumpf (zones, stdout, JSON_COMPACT);
+      putchar ('\n');
+    }
+  else
+    print_zones_ (zones, json_is_true (json_object_get (state, "settled")));
+  json_decref (state);
+  g_free (text);
+  return exit_code;
+}
+
+/* Until a cell is settled, runs of earlier leaders may be in a zone. */
+static void
+print_zones_ (const json_t *zones, bool settled)
+{
+  const json_t *zone;
+  size_t i;
+
+  json_array_foreach (zones, i, zone)
+  {
+    const char *name = json_string_value (json_object_get (zone, "zone"));
+    json_int_t servers = json_integer_value (json_object_get (zone, "servers"));
+    json_int_t runs = json_integer_value (json_object_get (zone, "runs"));
+    json_int_t since_ms
+        = json_integer_value (json_object_get (zone, "since_ms"));
+    const char *end = runs > 0      ? ""
+                      : !settled    ? ", not settled yet"
+                      : servers > 0 ? ", empty"
+                                    : ", unknown zone or without servers";
+
+    printf ("%s: %lld servers, %lld runs, for %.1f s%s\n",
+            name != NULL ? name : "", (long long)servers, (long long)runs,
+            (double)since_ms / 1000, end);
+  }
+}
+
 static enum ColtCtlExit
 fetch_text_ (const char *entry, const char *path, bool json, char **text)
 {
--- a/src/test_coltsfootstilectl/test_ctl.c
+++ b/src/test_coltsfootstilectl/test_ctl.c
@@ -344,6 +344,37 @@
                    ==, COLT_CTL_UNREACHABLE);
 }
 
+/* Guards against an instance that doesn't lead and passes for a cell without
+ * evacuated zones. */
+static void
+test_evacuations (struct ColtCtlFixture *fixture, gconstpointer data)
+{
+  static const struct
+  {
+    const char *state;
+    enum ColtCtlExit exit_code;
+  } answers[]
+      = { { "{\"settled\":true,\"evacuated_zones\":[{\"zone\":\"east\","
+            "\"since_ms\":1500,\"servers\":2,\"runs\":0}]}",
+            COLT_CTL_OK },
+          { "{\"settled\":true,\"evacuated_zones\":[]}", COLT_CTL_OK },
+          { "{\"evacuated_zones\":[5,{\"zone\":7}]}", COLT_CTL_OK },
+          { "{\"lead\":\"127.0.0.1:1\",\"loading\":false}", COLT_CTL_REFUSED },
+          { "nonsense", COLT_CTL_REFUSED } };
+  size_t i;
+
+  (void)data;
+  for (i = 0; i < 2 * G_N_ELEMENTS (answers); i++)
+    {
+      colt_fake_fleet_set_answer (fixture->fleet, "GET /state", 200,
+                                  answers[i / 2].state);
+      g_assert_cmpint (run_command (colt_ctl_state_commands, "evacuations",
+                                    "--entry", fixture->address,
+                                    i % 2 == 0 ? "--json" : NULL, NULL),
+                       ==, answers[i / 2].exit_code);
+    }
+}
+
 static void
 test_load (struct ColtCtlFixture *fixture, gconstpointer data)
 {
@@ -509,6 +540,7 @@
   ADD ("submit", test_submit);
   ADD ("requests", test_request_commands);
   ADD ("state", test_state_commands);
+  ADD ("evacuations", test_evacuations);
   ADD ("load", test_load);
   ADD ("load-retry", test_load_repeats_refused_calls);
   ADD ("usage", test_wrong_usage);
