--- a/src/test_cell/simulation.c
+++ b/src/test_cell/simulation.c
@@ -116,6 +116,30 @@
     }
 }
 
+static void
+set_evacuated (struct ColtSim *sim, uint32_t zone, bool evacuated)
+{
+  char name[ZONE_SIZE];
+
+  g_snprintf (name, sizeof name, "zone-%u", zone);
+  sim->evacuated[zone] = evacuated;
+  colt_cell_set_evacuated (sim->cell, name, evacuated, sim->now_us);
+}
+
+/* Lets a request to evacuate a zone begin or end. */
+static void
+change_evacuations (struct ColtSim *sim)
+{
+  uint32_t zone;
+
+  if (sim->plan->evacuations <= 0
+      || !colt_sim_draw (sim, sim->plan->evacuations))
+    return;
+  zone = (uint32_t)g_rand_int_range (sim->rand, 0, ZONES);
+  set_evacuated (sim, zone, !sim->evacuated[zone]);
+  sim->result->evacuations += sim->evacuated[zone];
+}
+
 /* Creates the cell of the next leader from the durable records alone. The batch
  * that is being written survives by chance. */
 static void
@@ -142,6 +166,8 @@
   sim->cell
       = colt_cell_create (&colt_sim_cell_ops, sim, &limits, sim->generation);
   colt_cell_set_fleet (sim->cell, sim->fleet);
+  for (s = 0; s < ZONES; s++)
+    set_evacuated (sim, s, sim->evacuated[s]);
   colt_cell_set_advisers (sim->cell, 4);
   load_records (sim, true);
   load_records (sim, false);
@@ -372,6 +398,7 @@
   struct ColtSimPlan current = *plan;
   struct ColtSim sim = { 0 };
   uint32_t step;
+  uint32_t zone;
 
   memset (result, 0, sizeof *result);
   sim.plan = &current;
@@ -401,10 +428,14 @@
               = current.failing_runs = current.shrinking_rooms
               = current.log_outages = 0;
           current.jobs = 0;
+          current.evacuations = 0;
+          for (zone = 0; zone < ZONES; zone++)
+            set_evacuated (&sim, zone, false);
         }
       if (colt_sim_draw (&sim, current.leader_changes))
         replace_leader (&sim);
       submit_or_cancel (&sim);
+      change_evacuations (&sim);
       colt_sim_advance_servers (&sim);
       colt_sim_deliver_orders (&sim);
       colt_sim_renew_leases (&sim);
--- a/src/test_cell/simulation.h
+++ b/src/test_cell/simulation.h
@@ -30,6 +30,8 @@
   double deadly_tasks;
   double shrinking_rooms; /* per step and server, for 1.5 to 6 s */
   double log_outages;     /* per step: no batch is durable for 0.1 to 3 s */
+  /* Per step: a request to evacuate a zone begins or ends. */
+  double evacuations;
   /* Most ends in one report; 0: no limit. Also after the planned steps. */
   uint32_t listed_ends;
 };
@@ -48,7 +50,8 @@
   uint32_t shrunken_starts; /* starts ordered while the entry showed a shrunken
                                room */
   uint32_t leaders;
-  uint32_t cut_lists; /* reports without the latest ends */
+  uint32_t evacuations; /* requests to evacuate a zone */
+  uint32_t cut_lists;   /* reports without the latest ends */
 };
 
 /* Runs a simulation and asserts the cell's invariants in it. After the planned
--- a/src/test_cell/simulation_orders.c
+++ b/src/test_cell/simulation_orders.c
@@ -90,6 +90,7 @@
   struct ColtSimOrder *order
       = add_order (sim, ORDER_START, start->task, start->run);
 
+  g_assert_false (colt_sim_is_evacuated (sim, server));
   order->server = server;
   order->incarnation_ms = server->incarnation_ms;
   order->ticket = g_strdup (start->ticket);
@@ -127,7 +128,11 @@
   order->call = call;
   order->server_names = g_ptr_array_new_with_free_func (g_free);
   for (i = 0; i < count; i++)
-    g_ptr_array_add (order->server_names, g_strdup (servers[i]));
+    {
+      g_assert_false (
+          colt_sim_is_evacuated (sim, find_server (sim, servers[i])));
+      g_ptr_array_add (order->server_names, g_strdup (servers[i]));
+    }
   return true;
 }
 
--- a/src/test_cell/simulation_private.h
+++ b/src/test_cell/simulation_private.h
@@ -14,6 +14,9 @@
 /* Limit of the organisation in thousandths of a core. */
 #define ORGANISATION_CORES 9000
 #define SERVICE "service"
+/* Zones that servers are spread over. */
+#define ZONES 3
+#define ZONE_SIZE 16
 #define SERVER_ID_FORMAT "server-%u"
 #define SERVER_ID_SIZE 16
 /* Crashes under a task after which it may be given up. */
@@ -175,6 +178,7 @@
   GArray *batch;         /* records that become durable next; NULL: none */
   int64_t batch_durable_us;
   int64_t log_down_until_us;
+  bool evacuated[ZONES];
   GArray *acks;        /* of struct ColtSimAck, for the next batch */
   GArray *batch_acks;  /* of struct ColtSimAck, for the current batch */
   GPtrArray *job_list; /* of struct ColtSimJob, owned by jobs */
@@ -201,6 +205,9 @@
 void colt_sim_free_servers (struct ColtSim *sim);
 /* Returns the server that answers at a server's address. */
 struct ColtSimServer *colt_sim_get_answerer (struct ColtSimServer *server);
+/* Returns whether the zone of a server is evacuated. */
+bool colt_sim_is_evacuated (const struct ColtSim *sim,
+                            const struct ColtSimServer *server);
 /* Returns whether a server answers no calls. */
 bool colt_sim_is_silent (const struct ColtSimServer *server);
 /* Ends runs that are due, injects partitions and crashes, and restarts crashed
--- a/src/test_cell/simulation_servers.c
+++ b/src/test_cell/simulation_servers.c
@@ -123,6 +123,13 @@
   return server;
 }
 
+bool
+colt_sim_is_evacuated (const struct ColtSim *sim,
+                       const struct ColtSimServer *server)
+{
+  return sim->evacuated[server->machine % ZONES];
+}
+
 bool
 colt_sim_is_silent (const struct ColtSimServer *server)
 {
@@ -401,13 +408,15 @@
 {
   const char *labels[] = { "a", "r-1", NULL };
   char address[32];
+  char zone[ZONE_SIZE];
   struct ColtServerEntry entry = { 0 };
 
   g_snprintf (address, sizeof address, "127.0.0.1:%u", server->machine + 1);
   entry.id = server->id;
   entry.service = SERVICE;
   entry.address = address;
-  entry.zone = "zone";
+  g_snprintf (zone, sizeof zone, "zone-%u", server->machine % ZONES);
+  entry.zone = zone;
   entry.ready = true;
   if (sim->now_us >= server->entry_due_us)
     server->entry_incarnation_ms = server->incarnation_ms;
--- a/src/test_cell/test_cell.c
+++ b/src/test_cell/test_cell.c
@@ -26,6 +26,8 @@
         g_assert_cmpuint (result.deadly, >, 0);
       if (plan->deadly_tasks > 0)
         g_assert_cmpuint (result.crashes, >, 0);
+      if (plan->evacuations > 0)
+        g_assert_cmpuint (result.evacuations, >, 0);
       overfull_rooms += result.overfull_rooms;
       shrunken_starts += result.shrunken_starts;
       cut_lists += result.cut_lists;
@@ -222,6 +224,27 @@
   run_seeds (&plan);
 }
 
+/* Guards against starts and calls for advice in zones that are evacuated, at
+ * any moment between a plan and its order and under any leader, and against
+ * work that waits for good after an evacuation has ended. */
+static void
+test_evacuations (void)
+{
+  const struct ColtSimPlan plan = { .seed = 10,
+                                    .servers = 6,
+                                    .jobs = 80,
+                                    .steps = 2000,
+                                    .lost_answers = 0.05,
+                                    .late_orders = 0.02,
+                                    .failing_runs = 0.1,
+                                    .leader_changes = 0.003,
+                                    .partitions = 0.001,
+                                    .log_outages = 0.002,
+                                    .evacuations = 0.02 };
+
+  run_seeds (&plan);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -242,5 +265,6 @@
   g_test_add_func ("/cell/world/shrinking-rooms", test_shrinking_rooms);
   g_test_add_func ("/cell/world/shrinking-rooms-and-faults",
                    test_shrinking_rooms_and_faults);
+  g_test_add_func ("/cell/world/evacuations", test_evacuations);
   return g_test_run ();
 }
