Cold servers teach nothing about speed, and take no stragglers

A task that runs on a cold server is slow because of the server's start. Its duration raised the server's slowness beyond the start, and stragglers could be moved to cold servers. Durations of runs that began there no longer count, and cold servers aren't room elsewhere.

--- a/scripts/mutation.sh
+++ b/scripts/mutation.sh
@@ -17,6 +17,8 @@
     least_over_offsets | compliance | credit_epoch) echo 'quota.*|fuzz_quota.*' ;;
     restart_report) echo 'cell' ;;
     connection) echo 'restarts' ;;
+    evacuation) echo 'cell|cell_load' ;;
+    operator_age) echo 'scheduler' ;;
     crash_limit) echo 'cell_crashes' ;;
     evidence) echo 'cell_load' ;;
     claim_time | inherited_leases | lost_orders | address | silent_server | incarnation | followers | listed) echo 'scheduler' ;;
--- a/src/cell/cell_rank.c
+++ b/src/cell/cell_rank.c
@@ -46,7 +46,8 @@
   struct ColtCellQueue *queue = step->job->queue;
   double duration_us = (double)(now_us - run->started_us);
 
-  if (run->started_us == 0 || run->resumed || duration_us <= 0)
+  /* A server is slow for a while after its start, whatever it runs. */
+  if (run->started_us == 0 || run->resumed || run->cold || duration_us <= 0)
     return;
   if (queue->task_us <= 0)
     queue->task_us = duration_us;
--- a/src/cell/cell_runs.c
+++ b/src/cell/cell_runs.c
@@ -45,6 +45,7 @@
   cell->unrecorded_runs++;
   run->ordered_us = now_us;
   run->resumed = task->checkpoint != NULL;
+  run->cold = server->cold.until_us > now_us;
   run->demand = step->demand;
   colt_cell_begin_trial (run);
   colt_cell_begin_probe (run);
--- a/src/cell/cell_stragglers.c
+++ b/src/cell/cell_stragglers.c
@@ -251,7 +251,7 @@
           = g_ptr_array_index (pool->servers, i);
 
       if (server != run->server && colt_cell_is_usable (server, now_us)
-          && colt_cell_fits (step, server)
+          && server->cold.until_us <= now_us && colt_cell_fits (step, server)
           && colt_cell_meets_constraints (step, server)
           && !colt_cell_is_known_unsuitable (step, server))
         return true;
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -123,6 +123,7 @@
   int64_t started_us;     /* when the start was confirmed; 0: not yet, or not by
                              this leader */
   bool resumed;           /* from a checkpoint */
+  bool cold;              /* its server was cold when it was planned */
   int64_t confirmed_us;   /* when it was first listed as running; 0: not yet */
   int64_t percent;        /* of its work that is done */
   int64_t progress_us;    /* when percent last rose; 0: never */
--- a/src/test_cell_load/test_load_evacuation.c
+++ b/src/test_cell_load/test_load_evacuation.c
@@ -334,6 +334,44 @@
   colt_fixture_destroy (fixture);
 }
 
+/* Guards against a server that counts as slow for good as its first tasks ran
+ * while it was cold. */
+static void
+test_cold_duration (void)
+{
+  static const int64_t cold_ms[] = { 5000, 0 };
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (cold_ms); i++)
+    {
+      struct ColtLoadFixture *fixture = create_zones ();
+      char *dump;
+      guint s;
+
+      set_server (fixture, "west", "west", cold_ms[i]);
+      colt_fixture_submit (fixture, "tight", "steady", TASKS + 1, false);
+      colt_fixture_place (fixture);
+      g_assert_cmpuint (fixture->starts->len, ==, TASKS + 1);
+      for (s = 0; s <= TASKS; s++)
+        colt_fixture_accept_start (fixture, s);
+      fixture->now_us += 100 * MS;
+      for (s = 0; s <= TASKS; s++)
+        if (colt_fixture_was_sent_to (fixture, s, "east"))
+          colt_fixture_report_end (fixture, s, 1, COLT_RUN_DONE);
+      fixture->now_us += 1000 * MS;
+      for (s = 0; s <= TASKS; s++)
+        if (colt_fixture_was_sent_to (fixture, s, "west"))
+          colt_fixture_report_end (fixture, s, 1, COLT_RUN_DONE);
+      dump = colt_cell_dump (fixture->cell);
+      g_assert_true (g_str_has_prefix (strstr (strstr (dump, "\"id\":\"west\""),
+                                               "\"slowness\""),
+                                       "\"slowness\":1.0,")
+                     == (cold_ms[i] > 0));
+      free (dump);
+      colt_fixture_destroy (fixture);
+    }
+}
+
 void
 colt_load_add_evacuation_tests (void)
 {
@@ -347,4 +385,5 @@
   g_test_add_func ("/cell/evacuation/several-zones", test_several_zones);
   g_test_add_func ("/cell/evacuation/cold-servers", test_cold_servers);
   g_test_add_func ("/cell/evacuation/cold-advice", test_cold_advice);
+  g_test_add_func ("/cell/evacuation/cold-duration", test_cold_duration);
 }
