--- a/fuzz/fuzz_records.c
+++ b/fuzz/fuzz_records.c
@@ -1,6 +1,6 @@
-/* Fuzzes what the adapter reads from the topic of servers: entries, pages of
- * the newest records and frames of reads. The first byte selects one of them.
- */
+/* Fuzzes what the adapter reads from keyed topics: servers' entries, requests
+ * to evacuate a zone, pages of the newest records and frames of reads. The
+ * first byte selects one of them. */
 #include <stdint.h>
 #include <string.h>
 
@@ -18,7 +18,7 @@
   (void)client;
   if (colt_address_parse (entry->address, &address) != COLT_ADDRESS_VALID
       || entry->service[0] == '\0' || entry->zone[0] == '\0'
-      || entry->incarnation_ms < 0)
+      || entry->incarnation_ms < 0 || entry->cold_ms < 0)
     __builtin_trap ();
   for (r = 0; r < COLT_RESOURCE_COUNT; r++)
     if (entry->room.amount[r] < 0 || entry->room.amount[r] > INT32_MAX)
@@ -31,7 +31,14 @@
                 const struct ColtLogRecord *record)
 {
   struct ColtError error = { 0 };
+  char *zone;
 
+  if (ports->decode_evacuation (ports->adapter, record, &zone)
+          != g_str_has_prefix (record->key, "evacuate/")
+      || (zone != NULL
+          && (zone[0] == '\0' || !g_str_has_suffix (record->key, zone))))
+    __builtin_trap ();
+  g_free (zone);
   if (record->value == NULL)
     return;
   if (!ports->decode_server (ports->adapter, record, check_entry_, NULL, &error)
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -5,6 +5,9 @@
 /* Weight of a server's slowness against its fullness, for a job whose objective
  * equals its longest chain of steps. */
 #define SLOWNESS_PENALTY 30.0
+/* What the score of a cold server is lowered by; more than any other term, so
+ * that warm servers are chosen first. */
+#define COLD_PENALTY 10000.0
 
 /* Length in bytes at which the logged list of planned runs is cut. */
 #define PLAN_TEXT_MAX 400
@@ -16,8 +19,8 @@
 };
 
 const char *const colt_cell_block_string[]
-    = { "none",    "no service", "paused",     "unsettled", "limit",
-        "no room", "advice",     "no adviser", "gang",      "orders" };
+    = { "none",   "no service", "paused", "unsettled", "limit",    "no room",
+        "advice", "no adviser", "gang",   "orders",    "evacuated" };
 
 const char *const colt_cell_rank_string[]
     = { "lasting", "timely", "excess", "late", "worthless" };
@@ -55,7 +58,8 @@
                               int64_t now_us);
 static double score_server_ (const struct ColtCellStep *step,
                              const struct ColtCellTask *task,
-                             struct ColtCellServer *server);
+                             struct ColtCellServer *server,
+                             int64_t now_us);
 
 void
 colt_cell_place_tasks (struct ColtCell *cell, int64_t now_us, int64_t wall_ms)
@@ -65,7 +69,7 @@
   cell->wall_ms = wall_ms;
   cell->now_us = now_us;
   /* The limits of organisations are in the configuration. */
-  if (cell->fleet == NULL)
+  if (cell->fleet == NULL || now_us > cell->order_until_us)
     return;
   cell->passes++;
   colt_cell_move_stragglers (cell, now_us);
@@ -110,7 +114,7 @@
 {
   if (!server->listed || !server->ready || !server->reported
       || server->unreachable || server->suspected || server->foreign_runs > 0
-      || server->quarantined_runs > 0)
+      || server->quarantined_runs > 0 || server->evacuated)
     return false;
   return colt_cell_may_probe (server, now_us);
 }
@@ -147,6 +151,15 @@
   return has_room_for_ (step, server, true);
 }
 
+bool
+colt_cell_is_warm_enough (const struct ColtCellStep *step,
+                          const struct ColtCellServer *server,
+                          int64_t now_us)
+{
+  return colt_cold_ramp_allows (&server->cold, &step->demand, &server->used,
+                                &server->room, now_us);
+}
+
 void
 colt_cell_send_start (struct ColtCell *cell,
                       struct ColtCellRun *run,
@@ -160,9 +173,9 @@
   struct ColtStartOrder order = { 0 };
 
   /* The server's room may have shrunk since the run was planned. */
-  if (!run->server->reported || run->server->unreachable
-      || run->server->suspected || !run->server->ready
-      || !has_room_for_ (step, run->server, false)
+  if (!colt_cell_may_order (cell, run->server, now_us) || !run->server->reported
+      || run->server->unreachable || run->server->suspected
+      || !run->server->ready || !has_room_for_ (step, run->server, false)
       || !has_required_label_ (step, run->server)
       || (advice == NULL && step->job->queue->config->advised))
     {
@@ -482,8 +495,12 @@
       server = colt_cell_choose_server (eligible, step, task, now_us);
       if (server == NULL)
         {
+          enum ColtCellBlock block
+              = colt_cell_request_advice (cell, step, pool, now_us);
+
           colt_cell_set_block (
-              cell, step, colt_cell_request_advice (cell, step, pool, now_us));
+              cell, step,
+              colt_cell_explain_block (cell, step, pool, block, now_us));
           break;
         }
       colt_cell_plan_run (cell, task, server,
@@ -524,6 +541,7 @@
               int64_t now_us)
 {
   return colt_cell_fits (step, server) && colt_cell_is_usable (server, now_us)
+         && colt_cell_is_warm_enough (step, server, now_us)
          && colt_cell_meets_constraints (step, server);
 }
 
@@ -578,7 +596,7 @@
 
   if (!is_eligible_ (step, server, now_us))
     return;
-  score = score_server_ (step, task, server);
+  score = score_server_ (step, task, server, now_us);
   if (best->server != NULL
       && (score < best->score
           || (score == best->score
@@ -588,14 +606,15 @@
   best->score = score;
 }
 
-/* Prefers servers that the task can't crash together with others' runs, servers
- * in the data's rack, servers other than the task's previous one, fast servers
- * (with a weight that rises as the objective gets tighter), and full servers,
- * so that room for large tasks remains elsewhere. */
+/* Prefers warm servers, servers that the task can't crash together with others'
+ * runs, servers in the data's rack, servers other than the task's previous one,
+ * fast servers (with a weight that rises as the objective gets tighter), and
+ * full servers, so that room for large tasks remains elsewhere. */
 static double
 score_server_ (const struct ColtCellStep *step,
                const struct ColtCellTask *task,
-               struct ColtCellServer *server)
+               struct ColtCellServer *server,
+               int64_t now_us)
 {
   double stretch = MAX (step->job->queue->config->stretch, 1);
   double score = -SLOWNESS_PENALTY / (stretch * stretch)
@@ -607,5 +626,8 @@
     score += 10;
   if (task->last_server == server)
     score -= 5;
+  if (server->cold.until_us > now_us)
+    score
+        -= COLD_PENALTY * (1 + colt_cold_ramp_coldness (&server->cold, now_us));
   return score;
 }
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -6,6 +6,7 @@
 
 #include "coltsfootstile/cell.h"
 #include "coltsfootstile/clock.h"
+#include "coltsfootstile/cold_ramp.h"
 
 /* Size in bytes of a buffer for a task's name, JOB.OCCURRENCE.STEP.INDEX. */
 #define TASK_NAME_SIZE 64
@@ -43,6 +44,16 @@
   bool was_late;  /* a job missed its objective in the previous pass */
 };
 
+/* An availability zone whose evacuation is requested. */
+struct ColtCellZone
+{
+  char *name;
+  int64_t since_us; /* when the cell got the request */
+  size_t servers;   /* as of the last count */
+  size_t runs;      /* left there, or possibly, as of the last count */
+  bool empty;       /* was logged as empty */
+};
+
 struct ColtCellOrganisation
 {
   char *name;
@@ -67,7 +78,8 @@
   BLOCK_ADVICE,     /* its advice call is pending or delayed */
   BLOCK_NO_ADVISER, /* its advice call is queued until an adviser is free */
   BLOCK_GANG,       /* an earlier run of its gang has to end first */
-  BLOCK_ORDERS      /* as many starts as can be sent in time are planned */
+  BLOCK_ORDERS,     /* as many starts as can be sent in time are planned */
+  BLOCK_EVACUATED   /* all suitable servers are in evacuated zones */
 };
 
 /* Order in which steps get room. */
@@ -111,6 +123,7 @@
   int64_t started_us;     /* when the start was confirmed; 0: not yet, or not by
                              this leader */
   bool resumed;           /* from a checkpoint */
+  bool cold;              /* its server was cold when it was planned */
   int64_t confirmed_us;   /* when it was first listed as running; 0: not yet */
   int64_t percent;        /* of its work that is done */
   int64_t progress_us;    /* when percent last rose; 0: never */
@@ -210,11 +223,13 @@
   const struct ColtCellServer *failed_server; /* of the latest failure; NULL:
                                                  none since a task was done, or
                                                  was at work for a while */
-  uint32_t failed_servers;   /* how often it changed since then */
-  enum ColtCellBlock block;  /* in the last pass */
-  enum ColtCellRank rank;    /* in this pass */
-  GPtrArray *ticket_servers; /* servers for which a gang requests tickets, one
-                                for each task; NULL: none */
+  uint32_t failed_servers;    /* how often it changed since then */
+  enum ColtCellBlock block;   /* in the last pass */
+  enum ColtCellRank rank;     /* in this pass */
+  int64_t next_zone_check_us; /* when only_evacuated is determined again */
+  bool only_evacuated;        /* all suitable servers are in evacuated zones */
+  GPtrArray *ticket_servers;  /* servers for which a gang requests tickets, one
+                                 for each task; NULL: none */
 };
 
 /* A task's entry in its job's packed progress. */
@@ -292,9 +307,10 @@
   char *rack;
   char **labels;
   struct ColtCellPool *pool;
-  bool listed;   /* in the list of servers */
-  bool ready;    /* false while it drains */
-  bool reported; /* by this incarnation to this leader */
+  bool listed;    /* in the list of servers */
+  bool ready;     /* false while it drains */
+  bool evacuated; /* its zone is */
+  bool reported;  /* by this incarnation to this leader */
   bool unreachable;
   bool suspected; /* leaves calls unanswered */
   bool replaced;  /* another server answers at its address */
@@ -317,6 +333,7 @@
   bool limited;            /* it gets few runs after its pause */
   uint32_t probation_runs; /* started since the latest probation */
   int64_t avoid_until_us;  /* it gets no starts until then */
+  struct ColtColdRamp cold;
   struct ColtServerKind *kind;
   double log_slowness; /* logarithm of its task durations relative to others of
                           its kind */
@@ -341,6 +358,8 @@
   char *name;
   bool checks_room;
   GPtrArray *servers; /* of struct ColtCellServer */
+  bool outside;       /* has servers outside evacuated zones, or none */
+  int64_t outside_us; /* pass in which that was determined */
   /* No usable server has room for this demand or more; room only shrinks during
    * a pass. */
   bool is_full;
@@ -367,6 +386,12 @@
   GHashTable *servers;       /* id -> struct ColtCellServer */
   GHashTable *pools;         /* service -> struct ColtCellPool */
   GHashTable *kinds;         /* label and room -> struct ColtServerKind */
+  GHashTable *evacuated;     /* name -> struct ColtCellZone */
+  int64_t zones_us;          /* when the runs in these were last counted */
+  int64_t next_count_us;     /* when they are counted again */
+  int64_t zone_pass_us;      /* pass that zone_checks counts in */
+  uint32_t zone_checks;      /* searches for a step's servers in it */
+  int64_t order_until_us;    /* no start is ordered after it */
   GPtrArray *open_steps;     /* of struct ColtCellStep */
   bool steps_to_close;       /* open_steps may list some that can't start */
   GPtrArray *advice_steps;   /* steps that need advice in this pass */
@@ -556,6 +581,26 @@
 void colt_cell_free_server (gpointer data);
 void colt_cell_check_settled (struct ColtCell *cell, int64_t now_us);
 
+/* cell_zones.c */
+void colt_cell_init_zones (struct ColtCell *cell);
+bool colt_cell_is_zone_evacuated (const struct ColtCell *cell,
+                                  const char *zone);
+/* Counts the runs that are left in evacuated zones, at most once a second, and
+ * logs that a zone has become empty. */
+void colt_cell_watch_zones (struct ColtCell *cell, int64_t now_us);
+/* Returns whether a start may be ordered on a server at a time. */
+bool colt_cell_may_order (const struct ColtCell *cell,
+                          const struct ColtCellServer *server,
+                          int64_t now_us);
+/* Returns the reason for a step that found no server: BLOCK_EVACUATED if all
+ * servers that may hold its tasks are in evacuated zones, or else the one that
+ * is given. */
+enum ColtCellBlock colt_cell_explain_block (struct ColtCell *cell,
+                                            struct ColtCellStep *step,
+                                            struct ColtCellPool *pool,
+                                            enum ColtCellBlock block,
+                                            int64_t now_us);
+
 /* cell_place.c */
 void colt_cell_send_start (struct ColtCell *cell,
                            struct ColtCellRun *run,
@@ -566,6 +611,10 @@
 bool colt_cell_is_usable (const struct ColtCellServer *server, int64_t now_us);
 bool colt_cell_meets_constraints (const struct ColtCellStep *step,
                                   const struct ColtCellServer *server);
+/* Returns whether a server isn't too cold for a task of the step. */
+bool colt_cell_is_warm_enough (const struct ColtCellStep *step,
+                               const struct ColtCellServer *server,
+                               int64_t now_us);
 bool colt_cell_fits (const struct ColtCellStep *step,
                      const struct ColtCellServer *server);
 
--- a/src/scheduler/metrics.c
+++ b/src/scheduler/metrics.c
@@ -52,6 +52,8 @@
     "Times that a backend server left a call unanswered" },
   { COLT_COUNTER_GAUGE, "scheduler_suspected_servers",
     "Backend servers that get no starts until they answer" },
+  { COLT_COUNTER_TOTAL, "scheduler_starts_held",
+    "Times that starts were held back until the operator's topic was read" },
   { COLT_COUNTER_GAUGE, "cell_jobs", "Jobs known, also ended ones" },
   { COLT_COUNTER_GAUGE, "cell_open_steps", "Steps with tasks that wait" },
   { COLT_COUNTER_GAUGE, "cell_runs", "Runs that are on servers, or may be" },
@@ -65,6 +67,12 @@
     "Tasks in this term given up after crashes of their servers" },
   { COLT_COUNTER_GAUGE, "cell_tasks_stalled",
     "Faults in this term: tasks released that nothing would have started" },
+  { COLT_COUNTER_GAUGE, "cell_evacuated_zones",
+    "Availability zones whose evacuation is requested" },
+  { COLT_COUNTER_GAUGE, "cell_evacuated_runs",
+    "Runs that are left in evacuated zones, or may be" },
+  { COLT_COUNTER_GAUGE, "cell_withdrawn_starts",
+    "Starts in this term that weren't sent as their zone was evacuated" },
   { COLT_COUNTER_GAUGE, "cell_runs_done", "Runs done in this term" },
   { COLT_COUNTER_GAUGE, "cell_runs_failed", "Runs failed in this term" },
   { COLT_COUNTER_GAUGE, "cell_runs_stopped", "Runs stopped in this term" },
@@ -139,6 +147,12 @@
   colt_metrics_set (metrics, METRIC_RUNS_MOVED, (int64_t)stats->moved);
   colt_metrics_set (metrics, METRIC_TASKS_GIVEN_UP, (int64_t)stats->given_up);
   colt_metrics_set (metrics, METRIC_TASKS_STALLED, (int64_t)stats->stalled);
+  colt_metrics_set (metrics, METRIC_EVACUATED_ZONES,
+                    (int64_t)stats->evacuated_zones);
+  colt_metrics_set (metrics, METRIC_EVACUATED_RUNS,
+                    (int64_t)stats->evacuated_runs);
+  colt_metrics_set (metrics, METRIC_WITHDRAWN_STARTS,
+                    (int64_t)stats->withdrawn_starts);
   colt_metrics_set (metrics, METRIC_RUNS_DONE,
                     (int64_t)stats->ended[COLT_RUN_DONE]);
   colt_metrics_set (metrics, METRIC_RUNS_FAILED,
--- a/src/scheduler/private/leader_private.h
+++ b/src/scheduler/private/leader_private.h
@@ -32,8 +32,11 @@
   enum ColtLeaderPhase phase;
   int64_t created_us;
   struct ColtCell *cell;
+  struct ColtMetrics *metrics;
   struct ColtCommit *commit;
   struct ColtWatch *server_watch;
+  const struct ColtWatch *operator_watch; /* NULL: none is followed */
+  bool starts_held; /* as the operator's topic wasn't read recently */
   struct ColtLogChannel *load_channel; /* for fencing and loading */
   struct event *timer;
   struct ColtLag lag; /* of timer */
@@ -45,7 +48,6 @@
   struct ColtOrderWindow *window;  /* of start orders to all servers */
   struct ColtSuspicion *suspicion; /* of all servers */
   struct ColtSuspicionChanges suspicion_changes;
-  struct ColtMetrics *metrics;
   GHashTable *links;           /* server id -> struct ColtServerLink */
   GPtrArray *link_clients;     /* of struct ColtLinkClient, of all links */
   GHashTable *listed_ids;      /* servers listed by the open full read */
@@ -83,6 +85,12 @@
 void colt_leader_fence_log (struct ColtLeader *leader);
 /* Timer callback: retries fencing or loading. */
 void colt_leader_retry (evutil_socket_t fd, short what, void *arg);
+/* Holds starts back while the operator's topic may list requests that aren't
+ * known. */
+void colt_leader_check_operator (struct ColtLeader *leader, int64_t now_us);
+/* Applies to a link whether its server's zone is evacuated. */
+void colt_leader_update_evacuated (struct ColtLeader *leader,
+                                   struct ColtServerLink *link);
 /* Ends loading and starts to serve calls. */
 void colt_leader_serve (struct ColtLeader *leader);
 /* Ends calls that have waited too long for a batch: jobs that can be withdrawn
--- a/src/test_cell_load/fixture.h
+++ b/src/test_cell_load/fixture.h
@@ -115,5 +115,6 @@
 void colt_load_add_record_tests (void);
 void colt_load_add_end_tests (void);
 void colt_load_add_watchdog_tests (void);
+void colt_load_add_evacuation_tests (void);
 
 #endif
--- a/src/test_cell_load/test_load.c
+++ b/src/test_cell_load/test_load.c
@@ -514,5 +514,6 @@
   colt_load_add_record_tests ();
   colt_load_add_end_tests ();
   colt_load_add_watchdog_tests ();
+  colt_load_add_evacuation_tests ();
   return g_test_run ();
 }
