--- a/src/test_restarts/world_leader.c
+++ b/src/test_restarts/world_leader.c
@@ -84,11 +84,15 @@
   colt_fleet_unref (fleet);
 }
 
+/* No task of a term may have been found stalled. */
 static void
 destroy_leader (struct ColtWorld *world)
 {
   struct ColtLeader *leader = world->leader;
+  struct ColtCellStats stats;
 
+  colt_cell_get_stats (colt_leader_cell (leader), &stats);
+  g_assert_cmpuint (stats.stalled, ==, 0);
   world->leader = NULL;
   colt_leader_destroy (leader);
 }
