Scheduler: instances that reach neither the log nor a leader aren't ready

While a zone was cut off from the others and from the log, its instances stayed in the load balancer's rotation and rejected all callers for 5 to 6 s.

An instance that has reached neither the log nor a leader in contact with the log, or with at least half of the instances, for [readiness] isolation_ms now reports "not ready". It rejects callers at once, with a retry time of 2 s, and closes their connections after the answer, since the balancer chooses for new connections only. Any contact ends that.

The leader's reply to a heartbeat has a new field, connected: leads lapses in a long outage of the log, which must not take instances out of rotation.

--- a/include/coltsfootstile/cell.pb-c.h
+++ b/include/coltsfootstile/cell.pb-c.h
@@ -483,10 +483,14 @@
    * sent_us of the heartbeat
    */
   uint64_t beat_sent_us;
+  /*
+   * the replier leads, and the log or at least half of the instances are in contact with it
+   */
+  protobuf_c_boolean connected;
 };
 #define COLT_BEAT_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&colt_beat_reply__descriptor) \
-    , 0, 0, 0,NULL, 0, 0, 0 }
+    , 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 /*
--- a/include/coltsfootstile/ports.h
+++ b/include/coltsfootstile/ports.h
@@ -187,6 +187,8 @@
   enum ColtJobState state; /**< with COLT_ANSWER_STATE */
   uint64_t waiting;        /**< waiting jobs, with COLT_ANSWER_COUNT */
   uint32_t retry_after_ms; /**< time until a retry; 0: none is advised */
+  bool close_connection;   /**< the connection ends once the answer is sent, so
+                                that a load balancer chooses anew */
 };
 
 /** A connection to the log. */
--- a/include/coltsfootstile/scheduler.h
+++ b/include/coltsfootstile/scheduler.h
@@ -32,6 +32,9 @@
   uint32_t lease_max_ms; /**< longest lease that backend servers grant */
   uint32_t status_s;     /**< how long the state of an ended job is kept */
   uint32_t grace_ms;     /**< time to shut down in good order */
+  /** Time without contact to the log and to a leader after which the instance
+   * isn't ready, in ms; 0: contact has no effect on readiness. */
+  uint32_t isolation_ms;
 };
 
 /** An instance. */
--- a/src/cell/cell.pb-c.c
+++ b/src/cell/cell.pb-c.c
@@ -2049,7 +2049,7 @@
   (ProtobufCMessageInit) colt_beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor colt_beat_reply__field_descriptors[6] =
+static const ProtobufCFieldDescriptor colt_beat_reply__field_descriptors[7] =
 {
   {
     "term",
@@ -2123,9 +2123,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "connected",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(ColtBeatReply, connected),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned colt_beat_reply__field_indices_by_name[] = {
   5,   /* field[5] = beat_sent_us */
+  6,   /* field[6] = connected */
   2,   /* field[2] = counts */
   3,   /* field[3] = is_lead */
   1,   /* field[1] = leads */
@@ -2135,7 +2148,7 @@
 static const ProtobufCIntRange colt_beat_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor colt_beat_reply__descriptor =
 {
@@ -2145,7 +2158,7 @@
   "ColtBeatReply",
   "",
   sizeof(ColtBeatReply),
-  6,
+  7,
   colt_beat_reply__field_descriptors,
   colt_beat_reply__field_indices_by_name,
   1,  colt_beat_reply__number_ranges,
--- a/src/coltsfootstile/cell_main.c
+++ b/src/coltsfootstile/cell_main.c
@@ -2,6 +2,7 @@
 
 #include <event2/event.h>
 #include <glib.h>
+#include <inttypes.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -20,6 +21,9 @@
 /* Replaces a share, number of cores or bandwidth that isn't a positive number;
  * it makes the instance an unlikely leader. */
 #define NUMBER_MIN 0.01
+/* A running instance raises a lower bound to this one: a lost answer would make
+ * it isolated. */
+#define ISOLATION_MIN_MS 1000
 
 /* Exit statuses. */
 enum
@@ -55,6 +59,10 @@
           "listens here for the balancer's probes" },
         { "listen", "state", COLT_SETTING_STRING, "", 0, 0, false,
           "listens here for operators: /metrics" },
+        { "readiness", "isolation_ms", COLT_SETTING_INTEGER, "0", 0, 60000,
+          false,
+          "not ready after this time without contact to the log and a leader, "
+          "in milliseconds, at least 1000; 0: off" },
         { "services", "log", COLT_SETTING_ADDRESS, NULL, 0, 0, false,
           "address of the log service" },
         { "services", "adviser", COLT_SETTING_STRING, "", 0, 0, false,
@@ -162,6 +170,8 @@
 {
   static const char *const keys[] = { "cpu_share", "cores", "link_mbps" };
   bool good = check_level_ (settings);
+  int64_t isolation_ms
+      = colt_settings_integer (settings, "readiness", "isolation_ms");
   size_t i;
 
   for (i = 0; i < G_N_ELEMENTS (keys); i++)
@@ -177,6 +187,14 @@
                keys[i], text);
       good = false;
     }
+  if (isolation_ms > 0 && isolation_ms < ISOLATION_MIN_MS)
+    {
+      fprintf (stderr,
+               "coltsfootstile: [readiness] isolation_ms: %" PRId64
+               " is neither 0 nor at least %d\n",
+               isolation_ms, ISOLATION_MIN_MS);
+      good = false;
+    }
   return good;
 }
 
@@ -227,6 +245,8 @@
       = (uint32_t)colt_settings_integer (settings, "bounds", "status_s");
   scheduler->grace_ms
       = (uint32_t)colt_settings_integer (settings, "bounds", "grace_s") * 1000;
+  scheduler->isolation_ms
+      = (uint32_t)colt_settings_integer (settings, "readiness", "isolation_ms");
   adapter->callers = colt_settings_string (settings, "listen", "callers");
   adapter->readiness = colt_settings_string (settings, "listen", "readiness");
   adapter->state = colt_settings_string (settings, "listen", "state");
--- a/src/scheduler/callers.c
+++ b/src/scheduler/callers.c
@@ -15,6 +15,10 @@
 /* Retry time given to callers while there is no leader. A leader that has ended
  * is replaced within this time, an unresponsive one soon after. */
 #define NO_LEADER_RETRY_AFTER_MS 1000
+/* Retry time given to callers of an instance that isn't ready as it is
+ * isolated: the load balancer takes it out of rotation after two probes, one a
+ * second. */
+#define ISOLATED_RETRY_AFTER_MS 2000
 /* Part of a caller's timeout that is reserved for sending the answer. */
 #define ANSWER_MARGIN_MS 150
 /* Timeout of callers that give none. */
@@ -150,6 +154,7 @@
 dispatch_ (evutil_socket_t fd, short what, void *arg)
 {
   struct ColtRequest *request = arg;
+  const struct ColtScheduler *scheduler = request->scheduler;
   ColtCallerCall call = COLT_CALLER_CALL__INIT;
   struct ColtCallerAnswer answer = { 0 };
 
@@ -159,7 +164,10 @@
   switch (prepare_call_ (request, &call, &answer))
     {
     case PREPARED_CALL:
-      send_to_leader_ (request, &call);
+      if (scheduler->isolation.isolated && !request->maybe_applied)
+        answer_with_kind_ (request, COLT_ANSWER_NOT_ACCEPTED, 0);
+      else
+        send_to_leader_ (request, &call);
       break;
     case PREPARED_ANSWER:
       answer_request_ (request, &answer);
@@ -454,6 +462,13 @@
 
   final.kind = colt_scheduler_final_answer (request->kind, proposed->kind,
                                             request->maybe_applied);
+  if (scheduler->isolation.isolated
+      && (final.kind == COLT_ANSWER_NOT_ACCEPTED
+          || final.kind == COLT_ANSWER_UNCERTAIN))
+    {
+      final.retry_after_ms = ISOLATED_RETRY_AFTER_MS;
+      final.close_connection = true;
+    }
   if (answer->kind == COLT_ANSWER_NOT_ACCEPTED
       || answer->kind == COLT_ANSWER_LIMITED)
     colt_metrics_count (scheduler->metrics, METRIC_REJECTED);
--- a/src/scheduler/members.c
+++ b/src/scheduler/members.c
@@ -159,6 +159,29 @@
   return MAX (followed_us, log_confirmed_us);
 }
 
+bool
+colt_members_in_contact (const struct ColtMembers *members,
+                         int64_t log_confirmed_us,
+                         int64_t now_us)
+{
+  uint32_t known = 1;
+  uint32_t live = 1;
+  guint i;
+
+  for (i = 1; i < members->members->len; i++)
+    {
+      const struct ColtMember *member
+          = &g_array_index (members->members, struct ColtMember, i);
+
+      if (member->leaving
+          || contact_us_ (member) + COLT_CONTACT_MAX_US < log_confirmed_us)
+        continue;
+      known++;
+      live += now_us - member->heartbeat_us <= HEARTBEAT_TIMEOUT_US;
+    }
+  return 2 * live >= known;
+}
+
 uint32_t
 colt_members_acquire_adviser (struct ColtMembers *members, int64_t now_us)
 {
--- a/src/scheduler/private/members.h
+++ b/src/scheduler/private/members.h
@@ -52,6 +52,11 @@
 int64_t colt_members_followed_us (const struct ColtMembers *members,
                                   int64_t log_confirmed_us,
                                   int64_t now_us);
+/* Returns whether at least half of the instances that were in contact when the
+ * log last confirmed the leader are still, the own one included. */
+bool colt_members_in_contact (const struct ColtMembers *members,
+                              int64_t log_confirmed_us,
+                              int64_t now_us);
 /* Reserves an instance without an open call for advice, and returns its number;
  * 0 if there is none. */
 uint32_t colt_members_acquire_adviser (struct ColtMembers *members,
--- a/src/scheduler/private/scheduler_state.h
+++ b/src/scheduler/private/scheduler_state.h
@@ -2,6 +2,7 @@
 #ifndef COLT_SCHEDULER_STATE_H
 #define COLT_SCHEDULER_STATE_H
 
+#include "isolation.h"
 #include "members.h"
 #include "scheduler_private.h"
 #include "speed_probe.h"
@@ -45,6 +46,7 @@
   uint64_t led_term;         /* last term in which this instance led */
   uint64_t stamp_term;       /* term of the leader that sent stamp_us */
   uint64_t stamp_us;         /* latest stamp of that leader */
+  struct ColtIsolation isolation;
   bool stopping;
   int64_t stopping_us;
 };
@@ -67,6 +69,21 @@
 bool colt_scheduler_send_advice_call (void *client,
                                       uint64_t number,
                                       const ColtAdviceCall *call);
+/* ---- readiness.c ---- */
+void colt_scheduler_init_readiness (struct ColtScheduler *scheduler);
+/* Decides anew whether the instance is isolated, and logs a change. */
+void colt_scheduler_check_isolation (struct ColtScheduler *scheduler);
+/* Returns whether this instance leads and either reaches the log or is in
+ * contact with at least half of the instances. */
+bool colt_scheduler_is_connected_leader (const struct ColtScheduler *scheduler,
+                                         int64_t now_us);
+/* Returns whether callers may be sent to this instance; client is the
+ * ColtScheduler. */
+bool colt_scheduler_is_ready (void *client);
+/* Returns readiness and its inputs as members of a JSON object, to be freed
+ * with g_free(). */
+char *colt_scheduler_describe_readiness (const struct ColtScheduler *scheduler);
+
 /* Starts a timer; an event with EV_PERSIST fires repeatedly. */
 void colt_scheduler_add_timer (struct event *timer, uint32_t after_ms);
 
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -1,4 +1,5 @@
 #include <arpa/inet.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "coltsfootstile/address.h"
@@ -69,7 +70,6 @@
 static void note_stamp_ (struct ColtScheduler *scheduler,
                          const ColtBeatReply *reply);
 static void add_count_ (void *client, const char *queue, uint64_t waiting);
-static bool is_ready_ (void *client);
 static char *describe_ (void *client, const char *path);
 static char *dump_state_ (const struct ColtScheduler *scheduler);
 static void check_stop_ (evutil_socket_t fd, short what, void *arg);
@@ -82,7 +82,8 @@
 {
   struct ColtScheduler *scheduler = g_new0 (struct ColtScheduler, 1);
   const struct ColtCallerServer server
-      = { colt_scheduler_handle_request, is_ready_, describe_, scheduler };
+      = { colt_scheduler_handle_request, colt_scheduler_is_ready, describe_,
+          scheduler };
   const struct ColtElectionClient election
       = { handle_elected_, handle_deposed_, handle_leader_change_,
           list_followers_, scheduler };
@@ -113,6 +114,7 @@
       = colt_watch_create (base, ports, COLT_TOPIC_OPERATOR, &times, &config);
   scheduler->election
       = colt_election_create (base, ports, &scheduler->settings, &election);
+  colt_scheduler_init_readiness (scheduler);
   colt_scheduler_add_timer (scheduler->heartbeat_timer, HEARTBEAT_MS);
   colt_log (COLT_LOG_INFO, MODULE, NULL, "instance %s in zone %s has started",
             settings->name, settings->zone);
@@ -327,6 +329,7 @@
   (void)fd;
   (void)what;
   colt_speed_probe_measure (&scheduler->speed_probe);
+  colt_scheduler_check_isolation (scheduler);
   if (scheduler->leader != NULL)
     {
       confirm_leadership_ (scheduler, now_us);
@@ -472,6 +475,12 @@
   if (reply == NULL)
     return;
   colt_election_set_suspect (scheduler->election, !reply->is_lead);
+  if (reply->connected)
+    {
+      colt_isolation_reach_leader (&scheduler->isolation,
+                                   (int64_t)reply->beat_sent_us);
+      colt_scheduler_check_isolation (scheduler);
+    }
   note_stamp_ (scheduler, reply);
   if (reply->leads)
     colt_waiting_counts_replace (scheduler->waiting_counts, reply->counts,
@@ -535,6 +544,7 @@
     reply.stamp_us = (uint64_t)now_us;
   reply.is_lead = scheduler->leader != NULL
                   && !colt_election_renewal_rejected (scheduler->election);
+  reply.connected = colt_scheduler_is_connected_leader (scheduler, now_us);
   reply.leads = scheduler->leader != NULL
                 && colt_leader_knows_jobs (scheduler->leader, now_us);
   if (reply.leads)
@@ -562,14 +572,6 @@
   g_ptr_array_add (client, count);
 }
 
-static bool
-is_ready_ (void *client)
-{
-  const struct ColtScheduler *scheduler = client;
-
-  return scheduler->fleet != NULL && !scheduler->stopping;
-}
-
 static char *
 describe_ (void *client, const char *path)
 {
@@ -587,6 +589,8 @@
   colt_metrics_set_cell (scheduler->metrics, serving ? &stats : NULL);
   colt_metrics_set (scheduler->metrics, METRIC_TERM,
                     (int64_t)colt_election_term (scheduler->election));
+  colt_metrics_set (scheduler->metrics, METRIC_ISOLATED,
+                    scheduler->isolation.isolated);
   colt_metrics_set (scheduler->metrics, METRIC_IS_LEADER,
                     scheduler->leader != NULL);
   colt_metrics_set (scheduler->metrics, METRIC_CONFIG_VERSION,
@@ -598,24 +602,32 @@
   return colt_metrics_format (scheduler->metrics);
 }
 
-/* Returns the state of the cell as JSON; the address of its leader unless this
- * instance leads and has loaded the jobs. */
+/* Returns readiness and the state of the cell as JSON; the address of its
+ * leader unless this instance leads and has loaded the jobs. */
 static char *
 dump_state_ (const struct ColtScheduler *scheduler)
 {
   const char *address = colt_election_leader (scheduler->election);
+  char *readiness = colt_scheduler_describe_readiness (scheduler);
+  char *cell = NULL;
   char *text;
   char *copy;
 
   if (scheduler->leader != NULL && colt_leader_is_serving (scheduler->leader))
-    return colt_cell_dump (colt_leader_cell (scheduler->leader));
-  text = g_strdup_printf (
-      "{\"lead\":\"%s\",\"term\":%llu,\"loading\":%s}",
-      address != NULL ? address : "",
-      (unsigned long long)colt_election_term (scheduler->election),
-      scheduler->leader != NULL ? "true" : "false");
+    {
+      cell = colt_cell_dump (colt_leader_cell (scheduler->leader));
+      text = g_strdup_printf ("{%s,%s", readiness, cell + 1);
+    }
+  else
+    text = g_strdup_printf (
+        "{%s,\"lead\":\"%s\",\"term\":%llu,\"loading\":%s}", readiness,
+        address != NULL ? address : "",
+        (unsigned long long)colt_election_term (scheduler->election),
+        scheduler->leader != NULL ? "true" : "false");
   copy = strdup (text);
   g_free (text);
+  g_free (readiness);
+  free (cell);
   return copy;
 }
 
--- a/src/test_scheduler/instances_fixture.c
+++ b/src/test_scheduler/instances_fixture.c
@@ -33,6 +33,7 @@
 
   settings.name = i == 0 ? "first" : "second";
   settings.internal = fixture->addresses[i];
+  settings.isolation_ms = fixture->isolation_ms;
   fixture->instances[i] = colt_scheduler_create (
       fixture->fake->base, &fixture->fake->ports, &settings, &error);
   g_assert_nonnull (fixture->instances[i]);
--- a/src/test_scheduler/instances_fixture.h
+++ b/src/test_scheduler/instances_fixture.h
@@ -13,6 +13,7 @@
   struct ColtScheduler *instances[INSTANCES];
   struct ColtCallerServer handlers[INSTANCES];
   char *addresses[INSTANCES];
+  uint32_t isolation_ms; /* setting of the instances that start next */
   uint32_t accepted;
   uint32_t answers;
   struct ColtCallerAnswer answer; /* the last one */
--- a/src/test_scheduler/test_members.c
+++ b/src/test_scheduler/test_members.c
@@ -209,6 +209,31 @@
   colt_members_destroy (members);
 }
 
+/* A leader that the log no longer confirms is in contact while at least half of
+ * the instances that it knew are: all but one in an outage of the log, only
+ * those of its own zone if that is cut off. Instances that left or were gone
+ * before don't count. */
+static void
+test_members_in_contact (void)
+{
+  struct ColtMembers *members = colt_members_create ();
+  int64_t log_us = 100 * COLT_US_PER_S;
+  int64_t now_us = log_us + 30 * COLT_US_PER_S;
+  uint32_t i;
+
+  g_assert_true (colt_members_in_contact (members, log_us, now_us));
+  for (i = 10; i < 30; i++)
+    update_member (members, i, 0, 1, 0, log_us - 20 * COLT_US_PER_S);
+  for (i = 1; i <= 5; i++)
+    update_member (members, i, 0, 1, 0, log_us);
+  g_assert_false (colt_members_in_contact (members, log_us, now_us));
+  update_member (members, 1, 0, 1, 0, now_us);
+  g_assert_false (colt_members_in_contact (members, log_us, now_us));
+  update_member (members, 2, 0, 1, 0, now_us);
+  g_assert_true (colt_members_in_contact (members, log_us, now_us));
+  colt_members_destroy (members);
+}
+
 static void
 test_members_advisers (void)
 {
@@ -258,5 +283,6 @@
   g_test_add_func ("/scheduler/members/gone", test_members_gone);
   g_test_add_func ("/scheduler/members/listed", test_members_listed);
   g_test_add_func ("/scheduler/members/extension", test_members_extension);
+  g_test_add_func ("/scheduler/members/in-contact", test_members_in_contact);
   g_test_add_func ("/scheduler/members/advisers", test_members_advisers);
 }
--- a/src/test_scheduler/test_scheduler.c
+++ b/src/test_scheduler/test_scheduler.c
@@ -22,5 +22,6 @@
   colt_test_confirmation_add ();
   colt_test_followers_add ();
   colt_test_suspicion_add ();
+  colt_test_isolation_add ();
   return g_test_run ();
 }
--- a/src/test_scheduler/tests.h
+++ b/src/test_scheduler/tests.h
@@ -18,5 +18,6 @@
 void colt_test_succession_add (void);
 void colt_test_followers_add (void);
 void colt_test_suspicion_add (void);
+void colt_test_isolation_add (void);
 
 #endif
