Scheduler: no query beside the renewal that follows a lost one; a zone cut as a test

A server whose renewal was lost was queried on the channel of orders while the next renewal went out at once on the other. Links now renew before they check for a query.

restarts/zone-cut cuts a third of 600 model servers off at 900 starts a second.

--- a/src/scheduler/server_link.c
+++ b/src/scheduler/server_link.c
@@ -30,6 +30,7 @@
 /* Added to a lease's computed end for delays that the computation ignores. */
 #define LEASE_SLACK_US (150 * COLT_US_PER_MS)
 
+static void renew_if_due_ (struct ColtServerLink *link, int64_t now_us);
 static void handle_renewal_answer_ (void *client,
                                     const struct ColtServerAnswer *answer);
 static void close_renewal_lease_ (struct ColtServerLink *link,
@@ -146,11 +147,19 @@
 
 void
 colt_server_link_tick (struct ColtServerLink *link, int64_t now_us)
+{
+  /* A renewal after one that failed asks a suspected server; a query beside it,
+   * if lost, would delay the next start on its channel. */
+  renew_if_due_ (link, now_us);
+  colt_link_check_suspicion (link, now_us);
+}
+
+static void
+renew_if_due_ (struct ColtServerLink *link, int64_t now_us)
 {
   bool expired = leases_have_expired_ (link, now_us);
   size_t runs;
 
-  colt_link_check_suspicion (link, now_us);
   if (!expired && !is_renewal_due_ (link, now_us))
     return;
   runs = link->client.count_runs (link->client.client, link->id);
--- a/src/test_restarts/test_restarts.c
+++ b/src/test_restarts/test_restarts.c
@@ -284,6 +284,26 @@
   run_seeds (&plan);
 }
 
+/* Load: a third of 600 servers is cut off at 900 starts a second. The starts
+ * that waited for these servers used up the budget until they counted as
+ * unreachable: for seconds the others got hardly any. */
+static void
+test_zone_cut (void)
+{
+  const struct ColtWorldPlan plan = {
+    .seed = 1, .servers = 600, .seconds = 13, .jobs = 250, .zone_cut_s = 7
+  };
+  struct ColtWorldResult result;
+
+  colt_world_run (&plan, &result);
+  g_test_message ("%u starts in 4 s before the cut, %u in 4 s of it",
+                  result.starts_before_cut, result.starts_in_cut);
+  g_assert_false (result.broken[RULE_ONCE] || result.broken[RULE_DONE]
+                  || result.broken[RULE_ENDS]);
+  g_assert_cmpuint (result.starts_before_cut, >, 1000);
+  g_assert_cmpuint (4 * result.starts_in_cut, >, 3 * result.starts_before_cut);
+}
+
 static void
 test_everything (void)
 {
@@ -328,6 +348,7 @@
   g_test_add_func ("/restarts/dropped-queue", test_dropped_queue);
   g_test_add_func ("/restarts/cut-off-after-restart",
                    test_cut_off_after_restart);
+  g_test_add_func ("/restarts/zone-cut", test_zone_cut);
   g_test_add_func ("/restarts/everything", test_everything);
   return g_test_run ();
 }
--- a/src/test_restarts/world.h
+++ b/src/test_restarts/world.h
@@ -44,6 +44,8 @@
   uint32_t wide_tasks;      /* most tasks of a wide step; 0: default */
   uint32_t lease_max_ms;    /* longest lease that servers grant; 0: drawn */
   uint32_t work_most_ms;    /* longest task; 0: default */
+  uint32_t zone_cut_s;      /* when a third of the servers is cut off for 6 s,
+                               in seconds; 0: never */
   double recuts;            /* rate of series in which half of the servers
                                crash, start again, and are cut off for longer
                                than leases last, after the leader has ended */
@@ -70,8 +72,10 @@
 {
   bool broken[RULE_COUNT]; /* by enum ColtWorldRule; messages say where */
   uint32_t accepted;
-  uint32_t starts; /* executed by servers */
-  uint32_t done;   /* runs that ended so */
+  uint32_t starts;            /* executed by servers */
+  uint32_t starts_before_cut; /* in the 4 s before the cut of zone_cut_s */
+  uint32_t starts_in_cut;     /* in the 4 s from 1 s after its begin */
+  uint32_t done;              /* runs that ended so */
   uint32_t crashes;
   uint32_t leaders;
 };
--- a/src/test_restarts/world_faults.c
+++ b/src/test_restarts/world_faults.c
@@ -25,6 +25,7 @@
 #define RECUT_LEADER_MS 2000
 #define RECUT_CUT_MS 2600
 #define RECUT_LENGTH_MS 9000
+#define ZONE_CUT_US (6 * COLT_US_PER_S)
 /* Step of a wall clock. */
 #define WALL_STEP_MS 20000
 
@@ -249,11 +250,33 @@
                  recut_servers, NULL);
 }
 
+static void
+cut_zone (struct ColtWorld *world, void *arg)
+{
+  guint i;
+
+  (void)arg;
+  for (i = 0; i < world->servers->len / 3; i++)
+    {
+      struct ColtWorldServer *server = g_ptr_array_index (world->servers, i);
+
+      server->answers_cut_us = colt_virtual_time_us () + ZONE_CUT_US;
+      server->requests_cut_us = server->answers_cut_us;
+      colt_world_note (server, "is cut off with its zone");
+    }
+}
+
 void
 colt_world_init_faults (struct ColtWorld *world)
 {
   int64_t begin_us = colt_virtual_time_us () + CALM_US;
 
+  if (world->plan->zone_cut_s > 0)
+    {
+      world->zone_cut_us
+          = colt_virtual_time_us () + world->plan->zone_cut_s * COLT_US_PER_S;
+      colt_world_at (world, world->zone_cut_us, cut_zone, NULL);
+    }
   if (world->plan->crashes > 0)
     colt_world_at (world, begin_us, fault_servers, NULL);
   if (world->plan->cuts > 0)
--- a/src/test_restarts/world_private.h
+++ b/src/test_restarts/world_private.h
@@ -139,6 +139,7 @@
   struct ColtMetrics *metrics;
   struct ColtLeader *leader; /* NULL: there is none */
   uint64_t term;
+  int64_t zone_cut_us; /* when a third of the servers is cut off; 0: never */
   bool queue_dropped;
   bool faults; /* are injected */
   bool closing;
--- a/src/test_restarts/world_truth.c
+++ b/src/test_restarts/world_truth.c
@@ -4,6 +4,11 @@
 
 #include "virtual_time.h"
 
+/* Starts are counted for this long before a zone is cut off, and from a moment
+ * after it on. */
+#define COUNTED_US (4 * COLT_US_PER_S)
+#define CUT_BEGUN_US (1 * COLT_US_PER_S)
+
 const char *const colt_world_rule_string[]
     = { "once", "done", "ack", "fence", "ends", "size" };
 
@@ -121,12 +126,26 @@
     print_history (second->life->server);
 }
 
+static void
+count_around_cut (struct ColtWorld *world)
+{
+  int64_t since_us = colt_virtual_time_us () - world->zone_cut_us;
+  struct ColtWorldResult *result = world->result;
+
+  if (world->zone_cut_us == 0)
+    return;
+  result->starts_before_cut += since_us >= -COUNTED_US && since_us < 0;
+  result->starts_in_cut
+      += since_us >= CUT_BEGUN_US && since_us < CUT_BEGUN_US + COUNTED_US;
+}
+
 void
 colt_world_check_start (struct ColtWorld *world, struct ColtWorldRun *run)
 {
   struct ColtWorldTask *task = get_task (world, run->task);
 
   world->result->starts++;
+  count_around_cut (world);
   if (task->acked_us != 0)
     check_not_done (world, task, run);
   if (task->running->len > 0)
--- a/src/test_scheduler/test_suspicion.c
+++ b/src/test_scheduler/test_suspicion.c
@@ -190,11 +190,14 @@
 }
 
 /* A renewal without an answer makes its server suspected too, before a second
- * one makes it unreachable. */
+ * one makes it unreachable. No query goes beside the next renewal: if it was
+ * lost, the next start waited behind it on its channel, and its late answer
+ * shrank the window of all servers. */
 static void
 test_lost_renewal (void)
 {
   struct ColtSuspectedLink opened = { 0 };
+  uint32_t calls;
 
   open_link (&opened);
   opened.state.runs = 1;
@@ -202,6 +205,11 @@
   opened.fake->renewal_answer_ms = 200;
   wait_until_suspected (&opened, true);
   g_assert_cmpuint (opened.state.unreachable, ==, 0);
+  opened.fake->renewal_answer_ms = 2000;
+  calls = opened.fake->renewals;
+  colt_fixture_run_ticks (opened.fake, opened.link, 100);
+  g_assert_cmpuint (opened.fake->renewals, ==, calls + 1);
+  g_assert_true (opened.state.suspected);
   opened.fake->server_answer.result = COLT_START_TAKEN;
   opened.fake->renewal_answer_ms = 0;
   wait_until_suspected (&opened, false);
