Cell: past use delays waiting work, by a bound

An organisation that filled every quiet hour had no disadvantage when others came. Among steps of equal rank, priority and begun state, a job's place now is its arrival plus a handicap of 0 to wait_max_us, which depends on how far its organisation's decayed use exceeds its weight's part of the fleet, relative to the least such excess of those that wait. Handicaps are computed once an organisation and pass. Use is kept in records under the key u, at most every 5 s. Without a half-life, the default, neither order nor records change.

--- a/include/coltsfootstile/cell.h
+++ b/include/coltsfootstile/cell.h
@@ -211,6 +211,11 @@
   size_t
       record_bytes_max; /**< largest value of a record, in bytes; the progress
                              of a wide job takes several. 0: no limit */
+  int64_t half_life_us; /**< of organisations' past use, which delays their
+                             waiting work; 0: it doesn't count */
+  int64_t wait_max_us;  /**< longest delay for past use: a job is passed only by
+                             jobs that arrive less than this after it; 0 or more
+                         */
 };
 
 /** A record to store under a key. */
@@ -251,7 +256,8 @@
 /**
  * Loads a record of an earlier leader. Records of specifications (keys that
  * begin with 's') have to be loaded before those of progress ('p'), which apply
- * to them; records with other keys are ignored.
+ * to them; those of past use ('u') may be loaded at any time. Records with
+ * other keys are ignored.
  *
  * \param value  \a size bytes; the caller keeps them
  * \return       false if the record is malformed or repeats a specification
@@ -553,6 +559,11 @@
  * started, as JSON text, to be freed with free(). */
 char *colt_cell_dump (const struct ColtCell *cell);
 
+/** Returns each organisation's past use, its place by that and the delay of its
+ * jobs as gauges in the Prometheus exposition format, to be freed with free();
+ * empty if past use doesn't count. */
+char *colt_cell_format_usage (const struct ColtCell *cell);
+
 /** Copies the counters and gauges to \a stats. */
 void colt_cell_get_stats (const struct ColtCell *cell,
                           struct ColtCellStats *stats);
--- a/include/coltsfootstile/cell.pb-c.h
+++ b/include/coltsfootstile/cell.pb-c.h
@@ -20,6 +20,8 @@
 typedef struct ColtJobSpec ColtJobSpec;
 typedef struct ColtTaskProgress ColtTaskProgress;
 typedef struct ColtJobProgress ColtJobProgress;
+typedef struct ColtOrganisationUsage ColtOrganisationUsage;
+typedef struct ColtUsageRecord ColtUsageRecord;
 typedef struct ColtLeadRecord ColtLeadRecord;
 typedef struct ColtFollowersRecord ColtFollowersRecord;
 typedef struct ColtCallerCall ColtCallerCall;
@@ -293,6 +295,49 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL }
 
 
+/*
+ * What an organisation has used, decayed: amounts times seconds.
+ */
+struct  ColtOrganisationUsage
+{
+  ProtobufCMessage base;
+  char *organisation;
+  /*
+   * thousandths of a core times seconds
+   */
+  double core_s;
+  /*
+   * mebibytes times seconds
+   */
+  double memory_s;
+  /*
+   * accelerators times seconds
+   */
+  double accelerator_s;
+};
+#define COLT_ORGANISATION_USAGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&colt_organisation_usage__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+/*
+ * Past use of organisations, for the order of waiting work.
+ */
+struct  ColtUsageRecord
+{
+  ProtobufCMessage base;
+  /*
+   * when the sums were determined, in wall-clock time since 1970
+   */
+  int64_t wall_ms;
+  size_t n_organisations;
+  ColtOrganisationUsage **organisations;
+};
+#define COLT_USAGE_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&colt_usage_record__descriptor) \
+    , 0, 0,NULL }
+
+
 /*
  * The leader of the cell.
  */
@@ -647,6 +692,44 @@
 void   colt_job_progress__free_unpacked
                      (ColtJobProgress *message,
                       ProtobufCAllocator *allocator);
+/* ColtOrganisationUsage methods */
+void   colt_organisation_usage__init
+                     (ColtOrganisationUsage         *message);
+size_t colt_organisation_usage__get_packed_size
+                     (const ColtOrganisationUsage   *message);
+size_t colt_organisation_usage__pack
+                     (const ColtOrganisationUsage   *message,
+                      uint8_t             *out);
+size_t colt_organisation_usage__pack_to_buffer
+                     (const ColtOrganisationUsage   *message,
+                      ProtobufCBuffer     *buffer);
+ColtOrganisationUsage *
+       colt_organisation_usage__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   colt_organisation_usage__free_unpacked
+                     (ColtOrganisationUsage *message,
+                      ProtobufCAllocator *allocator);
+/* ColtUsageRecord methods */
+void   colt_usage_record__init
+                     (ColtUsageRecord         *message);
+size_t colt_usage_record__get_packed_size
+                     (const ColtUsageRecord   *message);
+size_t colt_usage_record__pack
+                     (const ColtUsageRecord   *message,
+                      uint8_t             *out);
+size_t colt_usage_record__pack_to_buffer
+                     (const ColtUsageRecord   *message,
+                      ProtobufCBuffer     *buffer);
+ColtUsageRecord *
+       colt_usage_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   colt_usage_record__free_unpacked
+                     (ColtUsageRecord *message,
+                      ProtobufCAllocator *allocator);
 /* ColtLeadRecord methods */
 void   colt_lead_record__init
                      (ColtLeadRecord         *message);
@@ -854,6 +937,12 @@
 typedef void (*ColtJobProgress_Closure)
                  (const ColtJobProgress *message,
                   void *closure_data);
+typedef void (*ColtOrganisationUsage_Closure)
+                 (const ColtOrganisationUsage *message,
+                  void *closure_data);
+typedef void (*ColtUsageRecord_Closure)
+                 (const ColtUsageRecord *message,
+                  void *closure_data);
 typedef void (*ColtLeadRecord_Closure)
                  (const ColtLeadRecord *message,
                   void *closure_data);
@@ -895,6 +984,8 @@
 extern const ProtobufCMessageDescriptor colt_job_spec__descriptor;
 extern const ProtobufCMessageDescriptor colt_task_progress__descriptor;
 extern const ProtobufCMessageDescriptor colt_job_progress__descriptor;
+extern const ProtobufCMessageDescriptor colt_organisation_usage__descriptor;
+extern const ProtobufCMessageDescriptor colt_usage_record__descriptor;
 extern const ProtobufCMessageDescriptor colt_lead_record__descriptor;
 extern const ProtobufCMessageDescriptor colt_followers_record__descriptor;
 extern const ProtobufCMessageDescriptor colt_caller_call__descriptor;
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -1,6 +1,6 @@
 #include <string.h>
 
-#include "cell_private.h"
+#include "cell_usage.h"
 
 /* Most jobs in a cell, including ended ones; each takes a few kilobytes of
  * memory. */
@@ -60,6 +60,7 @@
   cell->ended = g_sequence_new (NULL);
   g_queue_init (&cell->ended_specs);
   g_queue_init (&cell->stops);
+  cell->usage = colt_cell_create_usage (limits);
   return cell;
 }
 
@@ -92,6 +93,7 @@
   g_hash_table_unref (cell->kinds);
   g_hash_table_unref (cell->organisations);
   g_hash_table_unref (cell->queues);
+  colt_cell_destroy_usage (cell->usage);
   colt_fleet_unref (cell->fleet);
   g_free (cell);
 }
@@ -258,6 +260,7 @@
   cell->wall_ms = wall_ms;
   colt_cell_check_settled (cell, now_us);
   retry_stops_ (cell, now_us);
+  colt_cell_tick_usage (cell, now_us);
   for (i = 0; i < cell->scheduled->len; i++)
     colt_cell_open_steps (cell, g_ptr_array_index (cell->scheduled, i),
                           wall_ms);
@@ -285,6 +288,7 @@
   struct ColtCellOrganisation *organisation = data;
 
   g_free (organisation->name);
+  g_free (organisation->use);
   g_free (organisation);
 }
 
--- a/src/cell/cell.pb-c.c
+++ b/src/cell/cell.pb-c.c
@@ -232,6 +232,96 @@
   assert(message->base.descriptor == &colt_job_progress__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   colt_organisation_usage__init
+                     (ColtOrganisationUsage         *message)
+{
+  static const ColtOrganisationUsage init_value = COLT_ORGANISATION_USAGE__INIT;
+  *message = init_value;
+}
+size_t colt_organisation_usage__get_packed_size
+                     (const ColtOrganisationUsage *message)
+{
+  assert(message->base.descriptor == &colt_organisation_usage__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t colt_organisation_usage__pack
+                     (const ColtOrganisationUsage *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &colt_organisation_usage__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t colt_organisation_usage__pack_to_buffer
+                     (const ColtOrganisationUsage *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &colt_organisation_usage__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+ColtOrganisationUsage *
+       colt_organisation_usage__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (ColtOrganisationUsage *)
+     protobuf_c_message_unpack (&colt_organisation_usage__descriptor,
+                                allocator, len, data);
+}
+void   colt_organisation_usage__free_unpacked
+                     (ColtOrganisationUsage *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &colt_organisation_usage__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   colt_usage_record__init
+                     (ColtUsageRecord         *message)
+{
+  static const ColtUsageRecord init_value = COLT_USAGE_RECORD__INIT;
+  *message = init_value;
+}
+size_t colt_usage_record__get_packed_size
+                     (const ColtUsageRecord *message)
+{
+  assert(message->base.descriptor == &colt_usage_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t colt_usage_record__pack
+                     (const ColtUsageRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &colt_usage_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t colt_usage_record__pack_to_buffer
+                     (const ColtUsageRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &colt_usage_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+ColtUsageRecord *
+       colt_usage_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (ColtUsageRecord *)
+     protobuf_c_message_unpack (&colt_usage_record__descriptor,
+                                allocator, len, data);
+}
+void   colt_usage_record__free_unpacked
+                     (ColtUsageRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &colt_usage_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   colt_lead_record__init
                      (ColtLeadRecord         *message)
 {
@@ -1535,6 +1625,134 @@
   (ProtobufCMessageInit) colt_job_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor colt_organisation_usage__field_descriptors[4] =
+{
+  {
+    "organisation",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(ColtOrganisationUsage, organisation),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "core_s",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(ColtOrganisationUsage, core_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_s",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(ColtOrganisationUsage, memory_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accelerator_s",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(ColtOrganisationUsage, accelerator_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned colt_organisation_usage__field_indices_by_name[] = {
+  3,   /* field[3] = accelerator_s */
+  1,   /* field[1] = core_s */
+  2,   /* field[2] = memory_s */
+  0,   /* field[0] = organisation */
+};
+static const ProtobufCIntRange colt_organisation_usage__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor colt_organisation_usage__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ColtOrganisationUsage",
+  "ColtOrganisationUsage",
+  "ColtOrganisationUsage",
+  "",
+  sizeof(ColtOrganisationUsage),
+  4,
+  colt_organisation_usage__field_descriptors,
+  colt_organisation_usage__field_indices_by_name,
+  1,  colt_organisation_usage__number_ranges,
+  (ProtobufCMessageInit) colt_organisation_usage__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor colt_usage_record__field_descriptors[2] =
+{
+  {
+    "wall_ms",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(ColtUsageRecord, wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "organisations",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(ColtUsageRecord, n_organisations),
+    offsetof(ColtUsageRecord, organisations),
+    &colt_organisation_usage__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned colt_usage_record__field_indices_by_name[] = {
+  1,   /* field[1] = organisations */
+  0,   /* field[0] = wall_ms */
+};
+static const ProtobufCIntRange colt_usage_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor colt_usage_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ColtUsageRecord",
+  "ColtUsageRecord",
+  "ColtUsageRecord",
+  "",
+  sizeof(ColtUsageRecord),
+  2,
+  colt_usage_record__field_descriptors,
+  colt_usage_record__field_indices_by_name,
+  1,  colt_usage_record__number_ranges,
+  (ProtobufCMessageInit) colt_usage_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor colt_lead_record__field_descriptors[7] =
 {
   {
--- a/src/cell/cell_dump.c
+++ b/src/cell/cell_dump.c
@@ -1,12 +1,13 @@
 #include <jansson.h>
 #include <string.h>
 
-#include "cell_private.h"
+#include "cell_usage.h"
 
 static json_t *dump_server_ (struct ColtCellServer *server);
 static json_t *dump_step_ (const struct ColtCellStep *step);
 static json_t *dump_organisation_ (const struct ColtCellOrganisation *org);
 static json_t *dump_amounts_ (const struct ColtResources *amounts);
+static json_t *dump_standings_ (const GArray *standings);
 
 char *
 colt_cell_dump (const struct ColtCell *cell)
@@ -15,6 +16,7 @@
   json_t *servers = json_array ();
   json_t *steps = json_array ();
   json_t *organisations = json_array ();
+  GArray *standings = colt_cell_list_standings (cell);
   GHashTableIter i;
   gpointer value;
   char *text;
@@ -34,6 +36,11 @@
   json_object_set_new (root, "servers", servers);
   json_object_set_new (root, "organisations", organisations);
   json_object_set_new (root, "open_steps", steps);
+  if (standings != NULL)
+    {
+      json_object_set_new (root, "past_use", dump_standings_ (standings));
+      g_array_unref (standings);
+    }
   text = json_dumps (root, JSON_COMPACT);
   json_decref (root);
   return text;
@@ -106,3 +113,29 @@
     json_array_append_new (list, json_integer (amounts->amount[r]));
   return list;
 }
+
+static json_t *
+dump_standings_ (const GArray *standings)
+{
+  json_t *list = json_array ();
+  guint i;
+
+  for (i = 0; i < standings->len; i++)
+    {
+      const struct ColtCellStanding *standing
+          = &g_array_index (standings, struct ColtCellStanding, i);
+      json_t *object = json_object ();
+
+      json_object_set_new (object, "organisation",
+                           json_string (standing->organisation->name));
+      json_object_set_new (object, "place", json_integer (i + 1));
+      json_object_set_new (object, "share", json_real (standing->share));
+      json_object_set_new (object, "part", json_real (standing->part));
+      json_object_set_new (object, "excess", json_real (standing->excess));
+      json_object_set_new (
+          object, "handicap_ms",
+          json_integer (standing->handicap_us / COLT_US_PER_MS));
+      json_array_append_new (list, object);
+    }
+  return list;
+}
--- a/src/cell/cell_jobs.c
+++ b/src/cell/cell_jobs.c
@@ -1,7 +1,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "cell_private.h"
+#include "cell_usage.h"
 
 static bool is_step_valid_ (const ColtJobSpec *spec, size_t number);
 static void build_step_ (struct ColtCellStep *step,
@@ -266,6 +266,7 @@
       organisation->name = g_strdup (name);
       g_hash_table_insert (cell->organisations, organisation->name,
                            organisation);
+      colt_cell_open_account (cell, organisation);
     }
   return organisation;
 }
--- a/src/cell/cell_records.c
+++ b/src/cell/cell_records.c
@@ -1,6 +1,6 @@
 #include <string.h>
 
-#include "cell_private.h"
+#include "cell_usage.h"
 
 /* First letters of the records' keys; the job's id follows. */
 #define SPEC_KEY 's'
@@ -64,6 +64,8 @@
     return load_spec_ (cell, value, size, now_us, wall_ms);
   if (key[0] == PROGRESS_KEY)
     return load_progress_ (cell, key, value, size, now_us, wall_ms);
+  if (key[0] == USAGE_KEY)
+    return colt_cell_load_usage (cell, key, value, size, now_us, wall_ms);
   return true;
 }
 
@@ -85,6 +87,7 @@
       colt_cell_open_steps (cell, job, cell->wall_ms);
       add_unsettled_demand_ (job);
     }
+  colt_cell_log_loaded_usage (cell);
   colt_cell_check_settled (cell, 0);
 }
 
@@ -109,6 +112,7 @@
     }
   if (taken > 0)
     g_ptr_array_remove_range (cell->dirty_jobs, 0, taken);
+  colt_cell_add_usage_records (cell, records, wall_ms);
   return records;
 }
 
@@ -133,7 +137,7 @@
 bool
 colt_cell_has_changes (const struct ColtCell *cell)
 {
-  return cell->dirty_jobs->len > 0;
+  return cell->dirty_jobs->len > 0 || colt_cell_is_usage_due (cell);
 }
 
 uint64_t
--- a/src/cell/cell_runs.c
+++ b/src/cell/cell_runs.c
@@ -1,6 +1,6 @@
 #include <string.h>
 
-#include "cell_private.h"
+#include "cell_usage.h"
 
 /* Delay before a task is retried. It prevents a task that fails immediately
  * from using up its attempts on a single faulty server. */
@@ -51,6 +51,7 @@
   g_ptr_array_add (server->runs, run);
   colt_resources_add (&server->used, &run->demand);
   colt_resources_add (&job->organisation->used, &run->demand);
+  colt_cell_count_use (cell, run, now_us);
   task->current = run;
   task->last_run = number;
   step->waiting--;
@@ -93,6 +94,7 @@
   if (run->state == RUN_PLANNED && !run->recorded)
     cell->unrecorded_runs--;
   colt_cell_judge_server (cell, run, how, now_us);
+  colt_cell_end_use (cell, run, now_us);
   remove_run_ (cell, run);
   cell->stats.runs--;
   cell->stats.ended[how]++;
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -51,8 +51,9 @@
   struct ColtResources used;    /* demand of its runs */
   /* Demand of tasks that may run under orders of an earlier leader. */
   struct ColtResources unsettled_demand;
-  double credit;     /* jobs that it may submit now within its share */
-  int64_t credit_us; /* when credit was last updated; 0: never */
+  double credit;           /* jobs that it may submit now within its share */
+  int64_t credit_us;       /* when credit was last updated; 0: never */
+  struct ColtCellUse *use; /* its past use; NULL: doesn't count */
 };
 
 /* Why an open step can't start tasks now. */
@@ -385,7 +386,8 @@
   int64_t now_us;         /* of the pass */
   int64_t next_search_us; /* next search for stragglers */
   uint64_t next_order;
-  uint64_t reports; /* applied so far */
+  uint64_t reports;            /* applied so far */
+  struct ColtCellUsage *usage; /* past use; NULL: doesn't count */
   struct ColtCellStats stats;
 };
 
--- a/src/test_cell_load/fixture.c
+++ b/src/test_cell_load/fixture.c
@@ -101,8 +101,13 @@
 static void
 create_cell (struct ColtLoadFixture *fixture)
 {
-  const struct ColtCellLimits limits
-      = { 60 * COLT_US_PER_S, 800 * MS, 30, 100, fixture->record_bytes_max };
+  const struct ColtCellLimits limits = { 60 * COLT_US_PER_S,
+                                         800 * MS,
+                                         30,
+                                         100,
+                                         fixture->record_bytes_max,
+                                         fixture->half_life_us,
+                                         fixture->wait_max_us };
   struct ColtFleet *fleet = make_fleet ();
 
   fixture->cell = colt_cell_create (&ops, fixture, &limits, fixture->term);
@@ -111,17 +116,15 @@
   colt_fleet_unref (fleet);
 }
 
-struct ColtLoadFixture *
-colt_fixture_create (void)
-{
-  return colt_fixture_create_limited (0);
-}
-
-struct ColtLoadFixture *
-colt_fixture_create_limited (size_t record_bytes_max)
+static struct ColtLoadFixture *
+create_fixture (size_t record_bytes_max,
+                int64_t half_life_us,
+                int64_t wait_max_us)
 {
   struct ColtLoadFixture *fixture = g_new0 (struct ColtLoadFixture, 1);
 
+  fixture->half_life_us = half_life_us;
+  fixture->wait_max_us = wait_max_us;
   fixture->record_bytes_max = record_bytes_max;
   fixture->now_us = COLT_US_PER_S;
   fixture->starts = g_ptr_array_new_with_free_func (g_free);
@@ -140,6 +143,26 @@
   return fixture;
 }
 
+struct ColtLoadFixture *
+colt_fixture_create (void)
+{
+  return colt_fixture_create_limited (0);
+}
+
+struct ColtLoadFixture *
+colt_fixture_create_limited (size_t record_bytes_max)
+{
+  return create_fixture (record_bytes_max, 0, 0);
+}
+
+struct ColtLoadFixture *
+colt_fixture_create_fair (size_t record_bytes_max,
+                          int64_t half_life_us,
+                          int64_t wait_max_us)
+{
+  return create_fixture (record_bytes_max, half_life_us, wait_max_us);
+}
+
 void
 colt_fixture_destroy (struct ColtLoadFixture *fixture)
 {
@@ -326,6 +349,7 @@
   create_cell (fixture);
   load_records (fixture, 's');
   load_records (fixture, 'p');
+  load_records (fixture, 'u');
   colt_cell_finish_loading (fixture->cell, fixture->now_us + 5 * COLT_US_PER_S);
   colt_cell_set_advisers (fixture->cell, fixture->max_advice_calls);
 }
--- a/src/test_cell_load/fixture.h
+++ b/src/test_cell_load/fixture.h
@@ -23,6 +23,8 @@
   uint32_t max_advice_calls; /* most pending advice calls */
   uint32_t last_id;          /* of the latest job */
   size_t record_bytes_max;   /* 0: no limit */
+  int64_t half_life_us;      /* of past use; 0: it doesn't count */
+  int64_t wait_max_us;       /* longest delay for past use */
   uint32_t term;             /* of the leader */
   bool unconfigured;         /* a new leader gets no configuration */
   GHashTable *records;       /* durable ones: key -> GBytes */
@@ -33,6 +35,10 @@
 struct ColtLoadFixture *colt_fixture_create (void);
 /* Creates the same with records of record_bytes_max bytes at most. */
 struct ColtLoadFixture *colt_fixture_create_limited (size_t record_bytes_max);
+/* Creates the same with past use in the order of waiting work. */
+struct ColtLoadFixture *colt_fixture_create_fair (size_t record_bytes_max,
+                                                  int64_t half_life_us,
+                                                  int64_t wait_max_us);
 void colt_fixture_destroy (struct ColtLoadFixture *fixture);
 /* Makes a job of "steady" in the queue "tight" with one step of count tasks. */
 ColtJobSpec *colt_fixture_make_job (struct ColtLoadFixture *fixture,
@@ -109,5 +115,6 @@
 void colt_load_add_cost_tests (void);
 void colt_load_add_failure_tests (void);
 void colt_load_add_record_tests (void);
+void colt_load_add_usage_tests (void);
 
 #endif
--- a/src/test_usage/test_usage.c
+++ b/src/test_usage/test_usage.c
@@ -118,22 +118,23 @@
 test_handicap (void)
 {
   double part = 1.0 / 60;
-  double excess;
+  int i;
 
   g_assert_cmpfloat (colt_usage_excess (0, part), ==, 0);
   g_assert_cmpfloat (colt_usage_excess (part / 2, part), ==, 0);
   g_assert_cmpfloat (colt_usage_excess (1, 0), ==, 0);
   g_assert_cmpfloat_with_epsilon (colt_usage_excess (3 * part, part), 2,
                                   EPSILON);
-  for (excess = 0; excess < 100; excess += 0.37)
+  for (i = 0; i < 300; i++)
     {
+      double excess = i * 0.37;
       int64_t handicap_us = colt_usage_handicap_us (excess, 0, WAIT_MAX_US);
 
       g_assert_cmpint (handicap_us, >=, 0);
       g_assert_cmpint (handicap_us, <=, WAIT_MAX_US);
       g_assert_cmpint (colt_usage_handicap_us (0, excess, WAIT_MAX_US), ==, 0);
       g_assert_cmpint (
-          colt_usage_handicap_us (excess + 1e-9, excess, WAIT_MAX_US), ==, 0);
+          colt_usage_handicap_us (excess + 0.24, excess, WAIT_MAX_US), ==, 0);
       g_assert_cmpint (colt_usage_handicap_us (excess, 0, 0), ==, 0);
     }
   g_assert_cmpint (colt_usage_handicap_us (2, 0, WAIT_MAX_US), ==,
