Scheduler: settings and metrics of past use

[fairness] half_life_s (0 to 2,592,000, default 0: off) and wait_max_ms (0 to 60,000, default 2,000) reach the cell through the scheduler's settings. The leader's /metrics has each organisation's decayed use, place and handicap.

--- a/include/coltsfootstile/scheduler.h
+++ b/include/coltsfootstile/scheduler.h
@@ -32,6 +32,10 @@
   uint32_t lease_max_ms; /**< longest lease that backend servers grant */
   uint32_t status_s;     /**< how long the state of an ended job is kept */
   uint32_t grace_ms;     /**< time to shut down in good order */
+  uint32_t half_life_s;  /**< of organisations' past use in the order of waiting
+                              work; 0: it doesn't count */
+  uint32_t wait_max_ms; /**< longest delay of an organisation's waiting work for
+                             its past use */
 };
 
 /** An instance. */
--- a/src/coltsfootstile/cell_main.c
+++ b/src/coltsfootstile/cell_main.c
@@ -36,37 +36,44 @@
   const char *path;
 };
 
-static const struct ColtSettingSpec specs[]
-    = { { "instance", "name", COLT_SETTING_STRING, NULL, 0, 0, false,
-          "name of this instance" },
-        { "instance", "zone", COLT_SETTING_STRING, NULL, 0, 0, false,
-          "availability zone of this instance" },
-        { "instance", "internal", COLT_SETTING_ADDRESS, NULL, 0, 0, false,
-          "listens here for the other instances" },
-        { "instance", "cpu_share", COLT_SETTING_STRING, "1", 0, 0, false,
-          "part of a core that this instance may use, a decimal number" },
-        { "instance", "cores", COLT_SETTING_STRING, "1", 0, 0, false,
-          "cores of that share, a decimal number" },
-        { "instance", "link_mbps", COLT_SETTING_STRING, "1000", 0, 0, false,
-          "bandwidth of this instance's link in Mbit/s, a decimal number" },
-        { "listen", "callers", COLT_SETTING_ADDRESS, NULL, 0, 0, false,
-          "listens here for callers" },
-        { "listen", "readiness", COLT_SETTING_ADDRESS, NULL, 0, 0, false,
-          "listens here for the balancer's probes" },
-        { "listen", "state", COLT_SETTING_STRING, "", 0, 0, false,
-          "listens here for operators: /metrics" },
-        { "services", "log", COLT_SETTING_ADDRESS, NULL, 0, 0, false,
-          "address of the log service" },
-        { "services", "adviser", COLT_SETTING_STRING, "", 0, 0, false,
-          "address of the placement adviser; empty: none" },
-        { "bounds", "lease_max_ms", COLT_SETTING_INTEGER, NULL, 1000, 600000,
-          false, "longest lease that backend servers give, in milliseconds" },
-        { "bounds", "status_s", COLT_SETTING_INTEGER, "120", 1, 86400, false,
-          "how long an ended job's state is shown, in seconds" },
-        { "bounds", "grace_s", COLT_SETTING_INTEGER, "6", 1, 600, false,
-          "time to stop in good order, in seconds" },
-        { "log", "level", COLT_SETTING_STRING, "info", 0, 0, false,
-          "error, warning, info or debug" } };
+static const struct ColtSettingSpec specs[] = {
+  { "instance", "name", COLT_SETTING_STRING, NULL, 0, 0, false,
+    "name of this instance" },
+  { "instance", "zone", COLT_SETTING_STRING, NULL, 0, 0, false,
+    "availability zone of this instance" },
+  { "instance", "internal", COLT_SETTING_ADDRESS, NULL, 0, 0, false,
+    "listens here for the other instances" },
+  { "instance", "cpu_share", COLT_SETTING_STRING, "1", 0, 0, false,
+    "part of a core that this instance may use, a decimal number" },
+  { "instance", "cores", COLT_SETTING_STRING, "1", 0, 0, false,
+    "cores of that share, a decimal number" },
+  { "instance", "link_mbps", COLT_SETTING_STRING, "1000", 0, 0, false,
+    "bandwidth of this instance's link in Mbit/s, a decimal number" },
+  { "listen", "callers", COLT_SETTING_ADDRESS, NULL, 0, 0, false,
+    "listens here for callers" },
+  { "listen", "readiness", COLT_SETTING_ADDRESS, NULL, 0, 0, false,
+    "listens here for the balancer's probes" },
+  { "listen", "state", COLT_SETTING_STRING, "", 0, 0, false,
+    "listens here for operators: /metrics" },
+  { "services", "log", COLT_SETTING_ADDRESS, NULL, 0, 0, false,
+    "address of the log service" },
+  { "services", "adviser", COLT_SETTING_STRING, "", 0, 0, false,
+    "address of the placement adviser; empty: none" },
+  { "bounds", "lease_max_ms", COLT_SETTING_INTEGER, NULL, 1000, 600000, false,
+    "longest lease that backend servers give, in milliseconds" },
+  { "bounds", "status_s", COLT_SETTING_INTEGER, "120", 1, 86400, false,
+    "how long an ended job's state is shown, in seconds" },
+  { "bounds", "grace_s", COLT_SETTING_INTEGER, "6", 1, 600, false,
+    "time to stop in good order, in seconds" },
+  { "fairness", "half_life_s", COLT_SETTING_INTEGER, "0", 0, 2592000, false,
+    "half-life of organisations' past use in the order of waiting work, "
+    "in seconds; 0: it doesn't count" },
+  { "fairness", "wait_max_ms", COLT_SETTING_INTEGER, "2000", 0, 60000, false,
+    "longest delay of waiting work for its organisation's past use, in "
+    "milliseconds" },
+  { "log", "level", COLT_SETTING_STRING, "info", 0, 0, false,
+    "error, warning, info or debug" }
+};
 
 static int run_instance_ (const struct ColtSettings *settings,
                           const char *path);
@@ -227,6 +234,10 @@
       = (uint32_t)colt_settings_integer (settings, "bounds", "status_s");
   scheduler->grace_ms
       = (uint32_t)colt_settings_integer (settings, "bounds", "grace_s") * 1000;
+  scheduler->half_life_s
+      = (uint32_t)colt_settings_integer (settings, "fairness", "half_life_s");
+  scheduler->wait_max_ms
+      = (uint32_t)colt_settings_integer (settings, "fairness", "wait_max_ms");
   adapter->callers = colt_settings_string (settings, "listen", "callers");
   adapter->readiness = colt_settings_string (settings, "listen", "readiness");
   adapter->state = colt_settings_string (settings, "listen", "state");
--- a/src/scheduler/leader.c
+++ b/src/scheduler/leader.c
@@ -115,6 +115,8 @@
   limits.advice_servers_max = ADVICE_SERVERS_MAX;
   limits.gang_advice_servers_max = GANG_ADVICE_SERVERS_MAX;
   limits.record_bytes_max = ports->record_bytes_max;
+  limits.half_life_us = (int64_t)settings->half_life_s * COLT_US_PER_S;
+  limits.wait_max_us = (int64_t)settings->wait_max_ms * COLT_US_PER_MS;
   leader->base = base;
   leader->ports = ports;
   leader->settings = settings;
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -71,6 +71,7 @@
 static void add_count_ (void *client, const char *queue, uint64_t waiting);
 static bool is_ready_ (void *client);
 static char *describe_ (void *client, const char *path);
+static char *append_usage_ (const struct ColtScheduler *scheduler, char *text);
 static char *dump_state_ (const struct ColtScheduler *scheduler);
 static void check_stop_ (evutil_socket_t fd, short what, void *arg);
 
@@ -595,9 +596,25 @@
                     (colt_clock_monotonic_us ()
                      - colt_election_reached_us (scheduler->election))
                         / COLT_US_PER_MS);
+  if (serving)
+    return append_usage_ (scheduler, colt_metrics_format (scheduler->metrics));
   return colt_metrics_format (scheduler->metrics);
 }
 
+/* Appends the organisations' past use to a text, which it frees. */
+static char *
+append_usage_ (const struct ColtScheduler *scheduler, char *text)
+{
+  char *usage = colt_cell_format_usage (colt_leader_cell (scheduler->leader));
+  char *joined = g_strconcat (text, usage, NULL);
+  char *copy = strdup (joined);
+
+  free (text);
+  free (usage);
+  g_free (joined);
+  return copy;
+}
+
 /* Returns the state of the cell as JSON; the address of its leader unless this
  * instance leads and has loaded the jobs. */
 static char *
--- a/src/test_scheduler/test_leader.c
+++ b/src/test_scheduler/test_leader.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "fake_ports.h"
 #include "jobs.h"
 #include "leader_private.h"
@@ -76,29 +78,37 @@
   call_about_job (fixture, kind, JOB, spec);
 }
 
-static struct ColtLeaderFixture *
-create_fixture (void)
+static void
+create_leader (struct ColtLeaderFixture *fixture, uint64_t term)
 {
-  struct ColtLeaderFixture *fixture = g_new0 (struct ColtLeaderFixture, 1);
   const struct ColtLeaderClient client
       = { on_fenced, reject_advice_call, fixture };
   struct ColtFleet *fleet = colt_test_make_fleet ();
+
+  fixture->leader = colt_leader_create (
+      fixture->fake->base, &fixture->fake->ports, &fixture->settings, term,
+      &client, fixture->metrics);
+  colt_leader_set_fleet (fixture->leader, fleet);
+  colt_fleet_unref (fleet);
+  colt_leader_set_confirmed (fixture->leader, colt_clock_monotonic_us ());
+  colt_fake_ports_run (fixture->fake, 100);
+}
+
+static struct ColtLeaderFixture *
+create_fixture_with_half_life (uint32_t half_life_s)
+{
+  struct ColtLeaderFixture *fixture = g_new0 (struct ColtLeaderFixture, 1);
   struct ColtFakePorts *fake = colt_fake_ports_create ();
   int i;
 
   fixture->fake = fake;
+  fixture->settings.half_life_s = half_life_s;
   fixture->settings.lease_max_ms = LEASE_MAX_MS;
   fixture->settings.status_s = 60;
   fixture->metrics = colt_metrics_create ();
   fake->server_answer.incarnation_ms = 1;
   colt_fake_ports_put (fake, COLT_TOPIC_SERVERS, "server", "entry");
-  fixture->leader
-      = colt_leader_create (fake->base, &fake->ports, &fixture->settings, 1,
-                            &client, fixture->metrics);
-  colt_leader_set_fleet (fixture->leader, fleet);
-  colt_fleet_unref (fleet);
-  colt_leader_set_confirmed (fixture->leader, colt_clock_monotonic_us ());
-  colt_fake_ports_run (fake, 100);
+  create_leader (fixture, 1);
   call_leader (fixture, COLT_CALLER_SUBMIT, colt_test_make_job (JOB));
   for (i = 0; i < 200 && fake->starts == 0; i++)
     colt_fake_ports_run (fake, 5);
@@ -111,6 +121,12 @@
   return fixture;
 }
 
+static struct ColtLeaderFixture *
+create_fixture (void)
+{
+  return create_fixture_with_half_life (0);
+}
+
 static void
 destroy_fixture (struct ColtLeaderFixture *fixture)
 {
@@ -356,9 +372,82 @@
   destroy_fixture (fixture);
 }
 
+/* Returns the newest record of past use, to be freed; NULL: none. */
+static ColtUsageRecord *
+find_usage_record (const struct ColtLeaderFixture *fixture)
+{
+  const GArray *topic = fixture->fake->topics[COLT_TOPIC_JOBS];
+  guint i;
+
+  for (i = topic->len; i > 0; i--)
+    {
+      const struct ColtFakeRecord *record
+          = &g_array_index (topic, struct ColtFakeRecord, i - 1);
+      gsize size;
+
+      if (strcmp (record->key, "u") == 0)
+        {
+          const uint8_t *value = g_bytes_get_data (record->value, &size);
+
+          return colt_usage_record__unpack (NULL, size, value);
+        }
+    }
+  return NULL;
+}
+
+/* Records that an organisation has used 1,000 core-seconds, as of an hour after
+ * the present time of day. */
+static void
+put_usage_record (struct ColtLeaderFixture *fixture)
+{
+  ColtOrganisationUsage entry = COLT_ORGANISATION_USAGE__INIT;
+  ColtOrganisationUsage *entries[] = { &entry };
+  ColtUsageRecord usage = COLT_USAGE_RECORD__INIT;
+  struct ColtFakeRecord record = { g_strdup ("u"), NULL };
+  uint8_t value[128];
+
+  entry.organisation = "idle";
+  entry.core_s = 1000000;
+  usage.wall_ms = colt_clock_wall_us () / COLT_US_PER_MS + 3600000;
+  usage.organisations = entries;
+  usage.n_organisations = 1;
+  record.value = g_bytes_new (value, colt_usage_record__pack (&usage, value));
+  g_array_append_val (fixture->fake->topics[COLT_TOPIC_JOBS], record);
+}
+
+/* Guards against past use that isn't recorded, that the next leader doesn't
+ * load, or that is recorded without the setting, and against a time of day that
+ * has jumped. */
+static void
+test_past_use (void)
+{
+  struct ColtLeaderFixture *fixture = create_fixture ();
+  ColtUsageRecord *record = find_usage_record (fixture);
+
+  g_assert_null (record);
+  destroy_fixture (fixture);
+  fixture = create_fixture_with_half_life (600);
+  record = find_usage_record (fixture);
+  g_assert_nonnull (record);
+  colt_usage_record__free_unpacked (record, NULL);
+  put_usage_record (fixture);
+  colt_leader_destroy (fixture->leader);
+  create_leader (fixture, 2);
+  colt_fake_ports_run (fixture->fake, 200);
+  record = find_usage_record (fixture);
+  g_assert_cmpint (record->wall_ms, <=, colt_clock_wall_us () / COLT_US_PER_MS);
+  g_assert_cmpuint (record->n_organisations, ==, 1);
+  g_assert_cmpstr (record->organisations[0]->organisation, ==, "idle");
+  g_assert_cmpfloat (record->organisations[0]->core_s, >, 900000);
+  g_assert_cmpfloat (record->organisations[0]->core_s, <=, 1000000);
+  colt_usage_record__free_unpacked (record, NULL);
+  destroy_fixture (fixture);
+}
+
 void
 colt_test_leader_add (void)
 {
+  g_test_add_func ("/scheduler/lead/past-use", test_past_use);
   g_test_add_func ("/scheduler/lead/short-leases", test_short_leases);
   g_test_add_func ("/scheduler/lead/changed-address", test_changed_address);
   g_test_add_func ("/scheduler/lead/stopped-start", test_stopped_start);
