--- a/include/coltsfootstile/usage_ledger.h
+++ b/include/coltsfootstile/usage_ledger.h
@@ -60,7 +60,7 @@
 
 /** Adds use that was recorded \a age_us ago. The age counts as at least 0 and
  * at most one half-life, as it may come from a clock that jumps. Amounts that
- * aren't positive finite numbers are ignored. */
+ * aren't numbers from 0 to 1e18 are ignored. */
 void colt_usage_ledger_restore (struct ColtUsageLedger *ledger,
                                 uint32_t account,
                                 const struct ColtUsage *usage,
--- a/src/policy/usage_ledger.c
+++ b/src/policy/usage_ledger.c
@@ -11,6 +11,9 @@
  * of an account's part don't change the order. */
 #define HANDICAP_STEPS 16
 
+/* Larger recorded amounts are malformed; sums must stay finite. */
+#define AMOUNT_S_MAX 1e18
+
 struct ColtUsageAccount
 {
   double sum[COLT_USAGE_RESOURCES];   /* amount times microseconds */
@@ -99,7 +102,7 @@
 
   *item = advance_ (ledger, item, now_us);
   for (r = 0; r < COLT_USAGE_RESOURCES; r++)
-    if (isfinite (usage->amount_s[r]) && usage->amount_s[r] > 0)
+    if (usage->amount_s[r] > 0 && usage->amount_s[r] <= AMOUNT_S_MAX)
       item->sum[r] += usage->amount_s[r] * COLT_US_PER_S * exp2 (-age);
 }
 
--- a/src/test_usage/test_usage.c
+++ b/src/test_usage/test_usage.c
@@ -94,7 +94,8 @@
   static const int64_t ages_s[]
       = { INT64_MIN / S, 0, HALF_LIFE_S / 2, HALF_LIFE_S, INT64_MAX / S };
   static const double factors[] = { 1, 1, G_SQRT2 / 2, 0.5, 0.5 };
-  struct ColtUsage usage = { { 1000, -5, NAN } };
+  const struct ColtUsage usage = { { 1000, -5, NAN } };
+  const struct ColtUsage excessive = { { 1e300, INFINITY, 1e19 } };
   guint i;
 
   for (i = 0; i < G_N_ELEMENTS (ages_s); i++)
@@ -103,6 +104,7 @@
       struct ColtUsage restored;
 
       colt_usage_ledger_restore (ledger, 0, &usage, ages_s[i] * S, 50 * S);
+      colt_usage_ledger_restore (ledger, 0, &excessive, 0, 50 * S);
       restored = colt_usage_ledger_read (ledger, 0, 50 * S);
       g_assert_cmpfloat_with_epsilon (restored.amount_s[0], 1000 * factors[i],
                                       EPSILON);
