Load test: a job passes none that arrived earlier by more than the bound

The stated bound was tested for one job against a stream. This one checks each start of a random stream beyond the fleet's capacity, with use that changes fast and a change of leader.

--- a/src/test_cell_load/test_load_usage.c
+++ b/src/test_cell_load/test_load_usage.c
@@ -387,9 +387,107 @@
     }
 }
 
+/* Checks that the jobs of the starts from an index on have passed only jobs
+ * that arrived less than the bound before them. Arrivals are by the numbers of
+ * jobs; 0: the job has started. The first ones are inherited from another
+ * leader: their order is that in which they were loaded. */
+static void
+check_passed (const struct ColtLoadFixture *fixture,
+              guint from,
+              GArray *arrivals,
+              guint inherited)
+{
+  for (; from < fixture->starts->len; from++)
+    {
+      char id[COLT_JOB_ID_LENGTH + 1];
+      int64_t *arrival;
+      guint number;
+      guint i;
+
+      g_strlcpy (id, g_ptr_array_index (fixture->starts, from), sizeof id);
+      number = (guint)g_ascii_strtoull (id, NULL, 16) - 1;
+      arrival = &g_array_index (arrivals, int64_t, number);
+      g_assert_cmpint (*arrival, >, 0);
+      for (i = number < inherited ? inherited : 0; i < arrivals->len; i++)
+        if (g_array_index (arrivals, int64_t, i) != 0)
+          g_assert_cmpint (*arrival - g_array_index (arrivals, int64_t, i), <,
+                           WAIT_MAX_MS * MS);
+      *arrival = 0;
+    }
+}
+
+/* Submits up to three jobs, of which one half comes from one organisation. */
+static void
+submit_at_random (struct ColtLoadFixture *fixture,
+                  GRand *rand,
+                  int heavy,
+                  GArray *arrivals)
+{
+  int jobs = g_rand_int_range (rand, 0, 4);
+
+  for (; jobs > 0; jobs--)
+    {
+      char name[16];
+
+      g_snprintf (name, sizeof name, "o%d",
+                  g_rand_boolean (rand)
+                      ? heavy
+                      : g_rand_int_range (rand, 0, ORGANISATIONS));
+      submit (fixture, name);
+      g_array_append_val (arrivals, fixture->now_us);
+    }
+}
+
+/* Load: more than the fleet can do, for 20 s, of organisations whose use
+ * differs and changes fast; the leader changes in between. Guards against jobs
+ * that are passed by others that arrived later by more than the bound. */
+static void
+test_passed (void)
+{
+  struct ColtLoadFixture *fixture
+      = create_fixture (2 * COLT_US_PER_S, WAIT_MAX_MS);
+  GArray *arrivals = g_array_new (FALSE, FALSE, sizeof (int64_t));
+  GRand *rand = g_rand_new_with_seed (1);
+  guint inherited = 0;
+  guint ended = 0;
+  guint placed;
+  int turn;
+
+  for (turn = 0; turn < 400; turn++)
+    {
+      submit_at_random (fixture, rand, turn / 100, arrivals);
+      placed = fixture->starts->len;
+      colt_cell_set_start_budget (fixture->cell, 1);
+      colt_fixture_place (fixture);
+      check_passed (fixture, placed, arrivals, inherited);
+      pass_time (fixture, TASK_MS / 2);
+      if (fixture->starts->len - ended == CORES)
+        {
+          colt_fixture_report_end (
+              fixture, ended,
+              g_array_index (fixture->start_runs, uint32_t, ended),
+              COLT_RUN_DONE);
+          ended++;
+        }
+      if (turn != 250)
+        continue;
+      end_runs (fixture, ended);
+      ended = fixture->starts->len;
+      inherited = arrivals->len;
+      colt_fixture_commit (fixture);
+      colt_fixture_change_leader (fixture);
+      set_fleet (fixture);
+      colt_fixture_add_server (fixture, "server", CORES * 1000);
+    }
+  g_rand_free (rand);
+  g_array_unref (arrivals);
+  colt_fixture_destroy (fixture);
+}
+
 void
 colt_load_add_usage_tests (void)
 {
+  g_test_add_func ("/cell/usage/passed", test_passed);
   g_test_add_func ("/cell/usage/heavy", test_heavy);
   g_test_add_func ("/cell/usage/return-from-idling", test_return_from_idling);
   g_test_add_func ("/cell/usage/leader-change", test_leader_change);
