Cell: servers are reserved for gangs that wait beside work of lower priority

Cause: a gang whose tasks need half a server each never found room, as single tasks took each core of its servers that became free.

Tickets are requested in time for the planned start. While gangs wait, single tasks that need accelerators prefer servers with few free ones and those that no gang can use. Log lines "gang reserved" and "gang reservation ended", block reason "reserved", and the metrics reserved_gangs, reservations and reservations_ended show it. Nothing changes in services without a queue of lower priority than the gang's.

--- a/include/coltsfootstile/cell.h
+++ b/include/coltsfootstile/cell.h
@@ -545,8 +545,11 @@
   uint64_t started;         /**< starts that were accepted */
   uint64_t ended[COLT_RUN_ALONE + 1]; /**< ended runs, by enum ColtRunEnd */
   uint64_t refused_starts; /**< starts with another result than accepted */
-  uint64_t moved;    /**< stragglers that were stopped to start elsewhere */
-  uint64_t given_up; /**< tasks given up after crashes of their servers */
+  uint64_t moved;        /**< stragglers that were stopped to start elsewhere */
+  uint64_t given_up;     /**< tasks given up after crashes of their servers */
+  uint64_t reservations; /**< gangs that got servers reserved */
+  uint64_t reservations_ended; /**< reservations that ended without a start */
+  uint64_t reserved_gangs; /**< gauge: gangs that servers are reserved for */
 };
 
 /** Returns servers, organisations and open steps, those with tasks that may be
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -56,6 +56,7 @@
   cell->dirty_jobs = g_ptr_array_new ();
   cell->batch_jobs = g_ptr_array_new ();
   g_queue_init (&cell->running_jobs);
+  cell->plans = g_ptr_array_new ();
   cell->scheduled = g_ptr_array_new ();
   cell->ended = g_sequence_new (NULL);
   g_queue_init (&cell->ended_specs);
@@ -86,6 +87,7 @@
   g_queue_clear (&cell->running_jobs);
   g_ptr_array_unref (cell->scheduled);
   g_hash_table_unref (cell->jobs);
+  g_ptr_array_unref (cell->plans);
   g_hash_table_unref (cell->open_calls);
   g_hash_table_unref (cell->servers);
   g_hash_table_unref (cell->pools);
@@ -277,6 +279,7 @@
   stats->jobs = g_hash_table_size (cell->jobs);
   stats->open_steps = cell->open_steps->len;
   stats->servers = g_hash_table_size (cell->servers);
+  stats->reserved_gangs = cell->plans->len;
 }
 
 static void
--- a/src/cell/cell_advice.c
+++ b/src/cell/cell_advice.c
@@ -1,6 +1,6 @@
 #include <string.h>
 
-#include "cell_private.h"
+#include "cell_backfill.h"
 
 /* Remaining validity that a ticket needs: a start order may take this long to
  * arrive. */
@@ -297,7 +297,8 @@
           || !colt_cell_is_usable (server, now_us))
         continue;
       *has_room = true;
-      if (!colt_cell_meets_constraints (step, server))
+      if (!colt_cell_meets_constraints (step, server)
+          || !colt_cell_may_use (step, server, now_us))
         continue;
       advice = g_hash_table_lookup (step->advice, server);
       if (advice == NULL || advice->incarnation_ms != server->incarnation_ms
--- a/src/cell/cell_candidates.c
+++ b/src/cell/cell_candidates.c
@@ -1,4 +1,4 @@
-#include "cell_private.h"
+#include "cell_backfill.h"
 
 /* Servers named in an advice call in addition to those for the waiting tasks,
  * since only some servers may run a step. */
@@ -213,7 +213,9 @@
                     || step->fruitless_calls >= COLT_ADVICE_PAUSES_DOUBLED_MAX;
   double score = candidate->fullness;
 
-  if (fits_ (step, candidate))
+  if (fits_ (step, candidate)
+      && colt_cell_may_use (step, candidate->server,
+                            candidate->server->pool->now_us))
     score += room_first ? 4 : 2;
   if (known)
     score += room_first ? 2 : 4;
--- a/src/cell/cell_gangs.c
+++ b/src/cell/cell_gangs.c
@@ -1,5 +1,14 @@
-#include "cell_private.h"
+#include "cell_backfill.h"
 
+/* Time before the planned start of a gang from which its part of its
+ * organisation's limit is reserved. */
+#define LIMIT_AHEAD_US (500 * COLT_US_PER_MS)
+
+static void await_room_ (struct ColtCell *cell,
+                         struct ColtCellStep *step,
+                         struct ColtCellPool *pool,
+                         struct ColtCellServer **servers,
+                         int64_t now_us);
 static bool choose_gang_servers_ (struct ColtCellStep *step,
                                   struct ColtCellPool *pool,
                                   bool ticketed,
@@ -48,34 +57,25 @@
       return;
   if (!colt_cell_is_within_limit (cell, step, count))
     {
+      colt_cell_end_plan (cell, step, "its organisation is at its limit",
+                          now_us);
       colt_cell_set_block (cell, step, BLOCK_LIMIT);
       return;
     }
   servers = g_new0 (struct ColtCellServer *, count);
   if (choose_gang_servers_ (step, pool, true, servers, now_us))
-    plan_gang_ (cell, step, servers, now_us);
-  else if (!step->job->queue->config->advised)
-    colt_cell_set_block (cell, step, BLOCK_NO_ROOM);
-  else if (step->call != NULL && step->ticket_servers != NULL)
-    {
-      reserve_room_ (
-          cell, step,
-          (struct ColtCellServer *const *)step->ticket_servers->pdata);
-      colt_cell_set_block (cell, step, BLOCK_ADVICE);
-    }
-  else if (choose_gang_servers_ (step, pool, false, servers, now_us))
     {
-      reserve_room_ (cell, step, servers);
-      colt_cell_set_block (
-          cell, step, colt_cell_request_gang_tickets (cell, step, servers));
+      plan_gang_ (cell, step, servers, now_us);
+      colt_cell_end_plan (cell, step, NULL, now_us);
     }
   else
-    colt_cell_set_block (
-        cell, step, colt_cell_request_gang_advice (cell, step, pool, now_us));
+    await_room_ (cell, step, pool, servers, now_us);
   /* Other work of the organisation mustn't wait for a gang that gets nowhere.
    */
-  if ((step->block == BLOCK_ADVICE || step->block == BLOCK_NO_ADVISER)
-      && step->fruitless_calls < COLT_ADVICE_PAUSES_DOUBLED_MAX)
+  if (((step->block == BLOCK_ADVICE || step->block == BLOCK_NO_ADVISER)
+       && step->fruitless_calls < COLT_ADVICE_PAUSES_DOUBLED_MAX)
+      || (step->plan != NULL
+          && step->plan->start_us <= now_us + LIMIT_AHEAD_US))
     reserve_limit_ (cell, step);
   g_free (servers);
 }
@@ -95,6 +95,42 @@
   g_array_set_size (cell->reservations, 0);
 }
 
+/* Requests what a gang lacks that can't start now, and reserves room for it.
+ * servers: where the choice is put, one for each task. */
+static void
+await_room_ (struct ColtCell *cell,
+             struct ColtCellStep *step,
+             struct ColtCellPool *pool,
+             struct ColtCellServer **servers,
+             int64_t now_us)
+{
+  bool planned = colt_cell_plan_gang (cell, step, pool, now_us);
+
+  if (!step->job->queue->config->advised)
+    colt_cell_set_block (cell, step, planned ? BLOCK_RESERVED : BLOCK_NO_ROOM);
+  else if (step->call != NULL && step->ticket_servers != NULL)
+    {
+      reserve_room_ (
+          cell, step,
+          (struct ColtCellServer *const *)step->ticket_servers->pdata);
+      colt_cell_set_block (cell, step, BLOCK_ADVICE);
+    }
+  else if (choose_gang_servers_ (step, pool, false, servers, now_us))
+    {
+      reserve_room_ (cell, step, servers);
+      colt_cell_set_block (
+          cell, step, colt_cell_request_gang_tickets (cell, step, servers));
+      if (planned)
+        step->plan->stale = true;
+    }
+  else if (planned)
+    colt_cell_set_block (cell, step,
+                         colt_cell_await_start (cell, step, pool, now_us));
+  else
+    colt_cell_set_block (
+        cell, step, colt_cell_request_gang_advice (cell, step, pool, now_us));
+}
+
 /* Chooses a server with room for each task of a gang: with a ticket if ticketed
  * is true, otherwise known to be suitable. Returns false if there are too few.
  * While the next tasks are chosen for, the demand of each task counts as used
--- a/src/cell/cell_jobs.c
+++ b/src/cell/cell_jobs.c
@@ -1,7 +1,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "cell_private.h"
+#include "cell_backfill.h"
 
 static bool is_step_valid_ (const ColtJobSpec *spec, size_t number);
 static void build_step_ (struct ColtCellStep *step,
@@ -83,6 +83,7 @@
           g_clear_pointer (&job->steps[i].tasks[t].counted_runs, g_array_unref);
         }
       colt_cell_abandon_call (&job->steps[i]);
+      colt_cell_free_plan (&job->steps[i]);
       g_free (job->steps[i].tasks);
       g_clear_pointer (&job->steps[i].advice, g_hash_table_unref);
       g_clear_pointer (&job->steps[i].ticket_servers, g_ptr_array_unref);
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -1,6 +1,6 @@
 #include <string.h>
 
-#include "cell_private.h"
+#include "cell_backfill.h"
 
 /* Weight of a server's slowness against its fullness, for a job whose objective
  * equals its longest chain of steps. */
@@ -16,8 +16,8 @@
 };
 
 const char *const colt_cell_block_string[]
-    = { "none",    "no service", "paused",     "unsettled", "limit",
-        "no room", "advice",     "no adviser", "gang",      "orders" };
+    = { "none",   "no service", "paused", "unsettled", "limit",   "no room",
+        "advice", "no adviser", "gang",   "orders",    "reserved" };
 
 const char *const colt_cell_rank_string[]
     = { "lasting", "timely", "excess", "late", "worthless" };
@@ -71,6 +71,7 @@
   colt_cell_close_steps (cell);
   rank_steps_ (cell, now_us);
   colt_cell_begin_room (cell);
+  colt_cell_begin_plans (cell);
   colt_cell_sort_steps (cell);
   for (i = 0; i < cell->open_steps->len; i++)
     place_step_ (cell, g_ptr_array_index (cell->open_steps, i), now_us);
@@ -324,7 +325,8 @@
                     uint32_t number,
                     int64_t now_us)
 {
-  colt_cell_add_run (cell, task, server, number, now_us);
+  colt_cell_use_held (colt_cell_add_run (cell, task, server, number, now_us),
+                      now_us);
   cell->start_budget -= MIN (cell->start_budget, 1);
   cell->stats.planned++;
   task->step->fruitless_calls = 0;
@@ -521,7 +523,8 @@
               int64_t now_us)
 {
   return colt_cell_fits (step, server) && colt_cell_is_usable (server, now_us)
-         && colt_cell_meets_constraints (step, server);
+         && colt_cell_meets_constraints (step, server)
+         && colt_cell_may_use (step, server, now_us);
 }
 
 static void
@@ -587,8 +590,9 @@
 
 /* Prefers servers that the task can't crash together with others' runs, servers
  * in the data's rack, servers other than the task's previous one, fast servers
- * (with a weight that rises as the objective gets tighter), and full servers,
- * so that room for large tasks remains elsewhere. */
+ * (with a weight that rises as the objective gets tighter), full servers, so
+ * that room for large tasks remains elsewhere, and those that waiting gangs
+ * can't use. */
 static double
 score_server_ (const struct ColtCellStep *step,
                const struct ColtCellTask *task,
@@ -598,7 +602,8 @@
   double score = -SLOWNESS_PENALTY / (stretch * stretch)
                  * (colt_cell_slowness (server) - 1);
 
-  score += fullness_ (server) - colt_cell_crash_penalty (task, server);
+  score += fullness_ (server) - colt_cell_crash_penalty (task, server)
+           - colt_cell_gang_penalty (step, server);
   if (step->spec->data_rack[0] != '\0'
       && g_strcmp0 (step->spec->data_rack, server->rack) == 0)
     score += 10;
--- a/src/cell/cell_rank.c
+++ b/src/cell/cell_rank.c
@@ -165,6 +165,14 @@
     job->queue->late = true;
 }
 
+int64_t
+colt_cell_latest_us (const struct ColtCellStep *step)
+{
+  return step->job->accepted_us
+         + LATE_FACTOR * colt_cell_objective_us (step->job)
+         - (int64_t)(REMAINING_FACTOR * (double)longest_chain_us_ (step));
+}
+
 bool
 colt_cell_has_tight_runs (const struct ColtCell *cell, const char *id)
 {
--- a/src/cell/cell_runs.c
+++ b/src/cell/cell_runs.c
@@ -1,6 +1,6 @@
 #include <string.h>
 
-#include "cell_private.h"
+#include "cell_backfill.h"
 
 /* Delay before a task is retried. It prevents a task that fails immediately
  * from using up its attempts on a single faulty server. */
@@ -275,6 +275,7 @@
   g_ptr_array_remove (step->job->planned, run);
   g_ptr_array_remove_fast (run->server->runs, run);
   colt_resources_subtract (&run->server->used, &run->demand);
+  colt_cell_note_room (run->server);
   if (run->server->pool != NULL)
     colt_cell_forget_with_room (run->server->pool);
   colt_resources_subtract (&step->job->organisation->used, &run->demand);
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -67,7 +67,8 @@
   BLOCK_ADVICE,     /* its advice call is pending or delayed */
   BLOCK_NO_ADVISER, /* its advice call is queued until an adviser is free */
   BLOCK_GANG,       /* an earlier run of its gang has to end first */
-  BLOCK_ORDERS      /* as many starts as can be sent in time are planned */
+  BLOCK_ORDERS,     /* as many starts as can be sent in time are planned */
+  BLOCK_RESERVED    /* servers are reserved for its gang from a later time on */
 };
 
 /* Order in which steps get room. */
@@ -210,6 +211,9 @@
   enum ColtCellRank rank;    /* in this pass */
   GPtrArray *ticket_servers; /* servers for which a gang requests tickets, one
                                 for each task; NULL: none */
+  struct ColtCellPlan *plan; /* of a gang that servers are reserved for */
+  int64_t next_plan_us;      /* earliest time of its next plan */
+  guint plan_first;          /* position in the pool where that begins */
 };
 
 /* A task's entry in its job's packed progress. */
@@ -317,6 +321,8 @@
   double slowness;     /* for the sum of logarithms below; 0: not computed */
   double slowness_log;
   guint position; /* in its pool's candidates, while it is one of them */
+  struct ColtCellHold *holds; /* reservations for gangs; NULL: none */
+  int64_t wanted_until_us;    /* a waiting gang may run on it until then */
 };
 
 /* Servers with the same first label and the same room. Their common slowness
@@ -345,6 +351,11 @@
   guint searched;       /* servers looked at in this pass without that list */
   GArray *candidates;   /* of struct ColtCandidate; only kept while advice calls
                            are sent, otherwise NULL */
+  int64_t now_us;       /* of the pass */
+  uint32_t plans;       /* of gangs that had their turn in this pass */
+  uint32_t lowest_priority; /* of its queues: the largest number */
+  uint32_t gang_priority;   /* of a gang that waits or waited last */
+  int64_t gangs_until_us;   /* gangs wait, or did shortly before */
 };
 
 struct ColtCell
@@ -371,6 +382,7 @@
   GPtrArray *dirty_jobs;     /* of struct ColtCellJob, oldest change first */
   GPtrArray *batch_jobs;     /* of struct ColtCellJob, in the pending batch */
   GQueue running_jobs;       /* of struct ColtCellJob with runs */
+  GPtrArray *plans;          /* of struct ColtCellPlan */
   GPtrArray *scheduled;      /* jobs with occurrences that may be due later */
   GSequence *ended;          /* of struct ColtCellJob, by ended_us */
   GQueue ended_specs;        /* of struct ColtCellJob, ended, whose
@@ -622,13 +634,6 @@
 void colt_cell_forget_with_room (struct ColtCellPool *pool);
 void colt_cell_end_room (struct ColtCell *cell);
 
-/* cell_gangs.c */
-void colt_cell_place_gang (struct ColtCell *cell,
-                           struct ColtCellStep *step,
-                           struct ColtCellPool *pool,
-                           int64_t now_us);
-void colt_cell_release_reservations (struct ColtCell *cell);
-
 /* cell_advice.c */
 const struct ColtCellAdvice *
 colt_cell_find_ticket (const struct ColtCellStep *step,
@@ -638,15 +643,6 @@
                                              struct ColtCellStep *step,
                                              struct ColtCellPool *pool,
                                              int64_t now_us);
-enum ColtCellBlock
-colt_cell_request_gang_tickets (struct ColtCell *cell,
-                                struct ColtCellStep *step,
-                                struct ColtCellServer *const *servers);
-enum ColtCellBlock
-colt_cell_request_gang_advice (struct ColtCell *cell,
-                               struct ColtCellStep *step,
-                               const struct ColtCellPool *pool,
-                               int64_t now_us);
 bool colt_cell_may_have_ticket (const struct ColtCellStep *step,
                                 int64_t now_us);
 bool colt_cell_is_suitable (const struct ColtCellAdvice *advice,
@@ -691,5 +687,7 @@
 bool colt_cell_exceeds_share (struct ColtCellOrganisation *organisation,
                               int64_t now_us);
 void colt_cell_rank_step (struct ColtCellStep *step, int64_t now_us);
+/* Returns the latest time at which the start of a step is still of use. */
+int64_t colt_cell_latest_us (const struct ColtCellStep *step);
 
 #endif
--- a/src/scheduler/metrics.c
+++ b/src/scheduler/metrics.c
@@ -59,6 +59,12 @@
     "Runs in this term that were stopped to start elsewhere" },
   { COLT_COUNTER_GAUGE, "cell_tasks_given_up",
     "Tasks in this term given up after crashes of their servers" },
+  { COLT_COUNTER_GAUGE, "cell_reserved_gangs",
+    "Gangs that servers are reserved for" },
+  { COLT_COUNTER_GAUGE, "cell_reservations",
+    "Gangs in this term that got servers reserved" },
+  { COLT_COUNTER_GAUGE, "cell_reservations_ended",
+    "Reservations in this term that ended without a start" },
   { COLT_COUNTER_GAUGE, "cell_runs_done", "Runs done in this term" },
   { COLT_COUNTER_GAUGE, "cell_runs_failed", "Runs failed in this term" },
   { COLT_COUNTER_GAUGE, "cell_runs_stopped", "Runs stopped in this term" },
@@ -132,6 +138,11 @@
                     (int64_t)stats->refused_starts);
   colt_metrics_set (metrics, METRIC_RUNS_MOVED, (int64_t)stats->moved);
   colt_metrics_set (metrics, METRIC_TASKS_GIVEN_UP, (int64_t)stats->given_up);
+  colt_metrics_set (metrics, METRIC_RESERVED_GANGS,
+                    (int64_t)stats->reserved_gangs);
+  colt_metrics_set (metrics, METRIC_RESERVATIONS, (int64_t)stats->reservations);
+  colt_metrics_set (metrics, METRIC_RESERVATIONS_ENDED,
+                    (int64_t)stats->reservations_ended);
   colt_metrics_set (metrics, METRIC_RUNS_DONE,
                     (int64_t)stats->ended[COLT_RUN_DONE]);
   colt_metrics_set (metrics, METRIC_RUNS_FAILED,
--- a/src/test_cell_load/fixture.c
+++ b/src/test_cell_load/fixture.c
@@ -98,6 +98,20 @@
   return fleet;
 }
 
+void
+colt_fixture_add_single_queue (struct ColtLoadFixture *fixture)
+{
+  struct ColtFleet *fleet = make_fleet ();
+  struct ColtQueueConfig *queue;
+
+  add_queue (fleet, "single", 4);
+  queue = g_ptr_array_index (fleet->queues, fleet->queues->len - 1);
+  queue->priority = 2;
+  queue->target_ms = 3000;
+  colt_cell_set_fleet (fixture->cell, fleet);
+  colt_fleet_unref (fleet);
+}
+
 static void
 create_cell (struct ColtLoadFixture *fixture)
 {
--- a/src/test_cell_load/fixture.h
+++ b/src/test_cell_load/fixture.h
@@ -39,6 +39,9 @@
                                     uint32_t count);
 /* Sets what "steady" may use, in thousandths of a core. */
 void colt_fixture_set_maximum (struct ColtLoadFixture *fixture, int64_t cores);
+/* Adds the queue "single" of a lower priority, with an objective of 4 times the
+ * duration plus 3 s. */
+void colt_fixture_add_single_queue (struct ColtLoadFixture *fixture);
 /* Reports that a server has no runs, in reply to the call with a number. */
 void colt_fixture_report_idle (struct ColtLoadFixture *fixture,
                                const char *server,
@@ -109,5 +112,6 @@
 void colt_load_add_cost_tests (void);
 void colt_load_add_failure_tests (void);
 void colt_load_add_record_tests (void);
+void colt_load_add_gang_tests (void);
 
 #endif
--- /dev/null
+++ b/src/test_cell_load/test_load_gangs.c
@@ -0,0 +1,286 @@
+/* Gangs that wait for room beside single tasks of lower priority, in simulated
+ * time. Servers have 8 cores, single tasks need one, tasks of gangs four. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "fixture.h"
+
+#define STEP_MS 10
+#define SERVERS 12
+#define SERVER_CORES 8
+#define GANG_CORES 4
+#define ADVICE_MS 550
+#define ADVICE_PER_SERVER_MS 8
+
+/* A run on a server that ends later. */
+struct run
+{
+  guint start; /* index of its start */
+  int64_t end_us;
+};
+
+/* An advice call that is answered later. */
+struct call
+{
+  guint index; /* among all calls */
+  GPtrArray *servers;
+  int64_t end_us;
+};
+
+struct world
+{
+  struct ColtLoadFixture *fixture;
+  GArray *runs;      /* of struct run */
+  GArray *calls;     /* of struct call */
+  guint starts_seen; /* whose runs have begun */
+  guint calls_seen;
+  int64_t single_ms;  /* duration of a single task */
+  GPtrArray *endless; /* ids of servers whose runs don't end */
+  uint32_t done;      /* runs that ended */
+};
+
+static struct world *
+create_world (void)
+{
+  struct world *world = g_new0 (struct world, 1);
+  char id[16];
+  int i;
+
+  world->fixture = colt_fixture_create ();
+  colt_fixture_add_single_queue (world->fixture);
+  world->runs = g_array_new (FALSE, FALSE, sizeof (struct run));
+  world->calls = g_array_new (FALSE, FALSE, sizeof (struct call));
+  world->endless = g_ptr_array_new ();
+  world->single_ms = 3000;
+  for (i = 0; i < SERVERS; i++)
+    {
+      g_snprintf (id, sizeof id, "server-%02d", i);
+      colt_fixture_add_server (world->fixture, id, SERVER_CORES * 1000);
+    }
+  return world;
+}
+
+static void
+destroy_world (struct world *world)
+{
+  guint i;
+
+  for (i = 0; i < world->calls->len; i++)
+    g_ptr_array_unref (g_array_index (world->calls, struct call, i).servers);
+  colt_fixture_destroy (world->fixture);
+  g_array_unref (world->runs);
+  g_array_unref (world->calls);
+  g_ptr_array_unref (world->endless);
+  g_free (world);
+}
+
+/* Submits a job and returns its number. */
+static uint32_t
+submit (struct world *world,
+        const char *queue,
+        uint32_t count,
+        uint32_t cores,
+        uint32_t estimate_ms)
+{
+  struct ColtLoadFixture *fixture = world->fixture;
+  ColtJobSpec *spec = colt_fixture_make_job (fixture, count);
+
+  free (spec->queue);
+  spec->queue = strdup (queue);
+  spec->steps[0]->cpu_milli = cores * 1000;
+  spec->steps[0]->estimate_ms = estimate_ms;
+  spec->steps[0]->gang = cores == GANG_CORES;
+  g_assert_cmpint (colt_cell_submit (fixture->cell, spec, fixture->now_us), ==,
+                   COLT_SUBMIT_NEW);
+  return fixture->last_id;
+}
+
+static uint32_t
+submit_gang (struct world *world, uint32_t count)
+{
+  return submit (world, "advised", count, GANG_CORES, 3600);
+}
+
+/* Lets single tasks of 3 s wait on all servers, so that a core that becomes
+ * free is taken at once. */
+static void
+submit_singles (struct world *world)
+{
+  submit (world, "single", 8, 1, 3000);
+}
+
+static bool
+is_endless (const struct world *world, guint start)
+{
+  guint i;
+
+  for (i = 0; i < world->endless->len; i++)
+    if (colt_fixture_was_sent_to (world->fixture, start,
+                                  g_ptr_array_index (world->endless, i)))
+      return true;
+  return false;
+}
+
+/* Confirms new starts and lists when their runs end. Single tasks of a job end
+ * one after the other. */
+static void
+begin_runs (struct world *world)
+{
+  struct ColtLoadFixture *fixture = world->fixture;
+
+  for (; world->starts_seen < fixture->starts->len; world->starts_seen++)
+    {
+      const char *name
+          = g_ptr_array_index (fixture->starts, world->starts_seen);
+      uint32_t index = (uint32_t)name[COLT_JOB_ID_LENGTH + 5] - '0';
+      struct run run
+          = { world->starts_seen,
+              fixture->now_us + world->single_ms * (16 + index) / 20 * MS };
+
+      colt_fixture_accept_start (fixture, world->starts_seen);
+      if (is_endless (world, world->starts_seen))
+        run.end_us = INT64_MAX;
+      g_array_append_val (world->runs, run);
+    }
+}
+
+static void
+end_runs (struct world *world)
+{
+  struct ColtLoadFixture *fixture = world->fixture;
+  guint i = 0;
+
+  while (i < world->runs->len)
+    {
+      const struct run *run = &g_array_index (world->runs, struct run, i);
+
+      if (run->end_us > fixture->now_us)
+        {
+          i++;
+          continue;
+        }
+      colt_fixture_report_end (
+          fixture, run->start,
+          g_array_index (fixture->start_runs, uint32_t, run->start),
+          COLT_RUN_DONE);
+      world->done++;
+      g_array_remove_index (world->runs, i);
+    }
+}
+
+/* Notes the servers of new advice calls. */
+static void
+note_calls (struct world *world)
+{
+  struct ColtLoadFixture *fixture = world->fixture;
+
+  for (; world->calls_seen < fixture->calls->len; world->calls_seen++)
+    {
+      struct call call = { world->calls_seen, NULL, 0 };
+      guint i;
+
+      /* Only the servers of the latest call are known. */
+      g_assert_cmpuint (world->calls_seen + 1, ==, fixture->calls->len);
+      call.servers = g_ptr_array_new_with_free_func (g_free);
+      for (i = 0; i < fixture->named_servers->len; i++)
+        g_ptr_array_add (call.servers, g_strdup (g_ptr_array_index (
+                                           fixture->named_servers, i)));
+      call.end_us
+          = fixture->now_us
+            + (ADVICE_MS + ADVICE_PER_SERVER_MS * call.servers->len) * MS;
+      g_array_append_val (world->calls, call);
+    }
+}
+
+/* A third of the servers is suitable. */
+static bool
+is_suitable (const char *server)
+{
+  return atoi (server + strlen ("server-")) % 3 == 0;
+}
+
+static void
+answer_call (struct world *world, const struct call *call)
+{
+  struct ColtLoadFixture *fixture = world->fixture;
+  guint i;
+
+  g_ptr_array_set_size (fixture->named_servers, 0);
+  for (i = 0; i < call->servers->len; i++)
+    if (is_suitable (g_ptr_array_index (call->servers, i)))
+      g_ptr_array_add (fixture->named_servers,
+                       g_strdup (g_ptr_array_index (call->servers, i)));
+  colt_fixture_grant_servers (fixture, call->index);
+}
+
+static void
+answer_calls (struct world *world)
+{
+  while (world->calls->len > 0
+         && g_array_index (world->calls, struct call, 0).end_us
+                <= world->fixture->now_us)
+    {
+      struct call call = g_array_index (world->calls, struct call, 0);
+
+      g_array_remove_index (world->calls, 0);
+      answer_call (world, &call);
+      g_ptr_array_unref (call.servers);
+    }
+}
+
+/* Advances the time. */
+static void
+run_for (struct world *world, int64_t duration_ms)
+{
+  int64_t end_us = world->fixture->now_us + duration_ms * MS;
+
+  while (world->fixture->now_us < end_us)
+    {
+      world->fixture->now_us += STEP_MS * MS;
+      if (world->fixture->now_us / MS % 200 == 0)
+        submit_singles (world);
+      end_runs (world);
+      answer_calls (world);
+      colt_fixture_place (world->fixture);
+      note_calls (world);
+      begin_runs (world);
+    }
+}
+
+/* Advances the time until a job starts and returns how long that took; at most
+ * limit_ms. */
+static int64_t
+run_until_start (struct world *world, uint32_t job, int64_t limit_ms)
+{
+  int64_t began_us = world->fixture->now_us;
+  int64_t passed_ms = 0;
+
+  while (!colt_fixture_has_started (world->fixture, 0, job)
+         && passed_ms < limit_ms)
+    {
+      run_for (world, STEP_MS);
+      passed_ms = (world->fixture->now_us - began_us) / MS;
+    }
+  return passed_ms;
+}
+
+/* Guards against a gang that starts late or never, since single tasks of lower
+ * priority take every core of its servers that becomes free. */
+static void
+test_fragmentation (void)
+{
+  struct world *world = create_world ();
+  int64_t waited_ms;
+
+  run_for (world, 10000);
+  waited_ms = run_until_start (world, submit_gang (world, 6), 20000);
+  g_test_message ("waited %d ms", (int)waited_ms);
+  g_assert_cmpint (waited_ms, <, 4500);
+  destroy_world (world);
+}
+
+void
+colt_load_add_gang_tests (void)
+{
+  g_test_add_func ("/cell/load/gangs/fragmentation", test_fragmentation);
+}
