Cell: more gangs with reservations; pressed work isn't held back

Cause: with four reservations for each service, gangs that arrived meanwhile found all servers in use; with more of them, single tasks missed objectives when demand exceeded the accelerators.

Change: 16 reservations for each service. Work of lower priority that has waited three quarters of the time that its objective leaves it is no longer held back. Servers with free accelerators are left to gangs more strongly.

The tests cell, cell_load, cell_crashes and backfill pass.

--- a/src/cell/cell_backfill.c
+++ b/src/cell/cell_backfill.c
@@ -1,8 +1,9 @@
 #include "cell_backfill.h"
 
 /* Gangs of a service that have plans at the same time. Each plan costs a search
- * of the servers, and holds back other work. */
-#define PLANS_MAX 4
+ * of the servers; with too few, gangs that arrive meanwhile find all servers in
+ * use. */
+#define PLANS_MAX 16
 /* Time between two plans of a gang. */
 #define PLAN_INTERVAL_US (100 * COLT_US_PER_MS)
 /* The same, if room has become free. */
@@ -20,7 +21,7 @@
 #define GANGS_LINGER_US (2 * COLT_US_PER_S)
 /* What the score of a server is lowered by if all of its accelerators are free,
  * and if a waiting gang may run on it. A server's fullness adds 3 at most. */
-#define FREE_PENALTY 2.0
+#define FREE_PENALTY 4.0
 #define WANTED_PENALTY 2.0
 /* Length in bytes at which the logged list of servers is cut. */
 #define SERVERS_TEXT_MAX 400
@@ -617,8 +618,8 @@
 }
 
 /* Returns whether a step has to leave a server's room to the gang of a
- * reservation: it has a lower priority, or is a gang that comes later in the
- * order of this pass. */
+ * reservation: it has a lower priority and isn't pressed, or is a gang that
+ * comes later in the order of this pass. */
 static bool
 is_held_back_ (const struct ColtCellStep *step,
                const struct ColtCellHold *hold,
@@ -628,6 +629,8 @@
 
   if (gang == step || gang->job->queue->config == NULL)
     return false;
-  return step->job->queue->config->priority > gang->job->queue->config->priority
+  return (step->job->queue->config->priority
+              > gang->job->queue->config->priority
+          && !step->is_pressed)
          || (step->spec->gang && hold->plan->placed_us == now_us);
 }
--- a/src/cell/cell_rank.c
+++ b/src/cell/cell_rank.c
@@ -26,6 +26,9 @@
 /* Burst that an organisation may submit beyond its rate, in seconds of the
  * rate. */
 #define BURST_S 2.0
+/* Part of the time that a step may wait without missing its objective, after
+ * which it is pressed: not held back by reservations for gangs. */
+#define PRESSED_PART 0.75
 /* Below this stretch a job has little time beyond its longest chain. */
 #define TIGHT_STRETCH 3.0
 
@@ -163,6 +166,11 @@
     step->rank = RANK_WORTHLESS;
   if (step->rank == RANK_LATE || step->rank == RANK_WORTHLESS)
     job->queue->late = true;
+  step->is_pressed
+      = step->rank < RANK_LATE
+        && age_us
+               > (int64_t)(PRESSED_PART
+                           * (double)(objective_us - longest_chain_us_ (step)));
 }
 
 int64_t
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -209,6 +209,7 @@
   uint32_t failed_servers;   /* how often it changed since then */
   enum ColtCellBlock block;  /* in the last pass */
   enum ColtCellRank rank;    /* in this pass */
+  bool is_pressed;           /* it has to start soon to meet its objective */
   GPtrArray *ticket_servers; /* servers for which a gang requests tickets, one
                                 for each task; NULL: none */
   struct ColtCellPlan *plan; /* of a gang that servers are reserved for */
