--- a/bench/bench_cell.c
+++ b/bench/bench_cell.c
@@ -547,7 +547,7 @@
 }
 
 static struct ColtBench *
-create_bench (uint32_t servers, uint32_t seed)
+create_bench (uint32_t servers, bool gangs_first, uint32_t seed)
 {
   const struct ColtCellLimits limits
       = { 120 * COLT_US_PER_S, 800 * COLT_US_PER_MS, 30, 100 };
@@ -570,6 +570,7 @@
       queue->host = g_strdup ("");
       queue->prefix = g_strdup ("/");
       queue->service = g_strdup (services[queues[i].service]);
+      queue->priority = gangs_first && !queues[i].gang ? 2 : 1;
       queue->max_attempts = 4;
       queue->stretch = queues[i].stretch;
       queue->target_ms = 1000;
@@ -630,9 +631,14 @@
     uint32_t servers;
     double load;
     double starts_per_s; /* limit; 0: none */
-  } rows[] = { { 275, 0.25, 0 }, { 550, 0.5, 0 },  { 1100, 1, 0 },
-               { 1100, 1.5, 0 }, { 1100, 2, 0 },   { 1100, 5, 0 },
-               { 2200, 2, 0 },   { 1100, 1, 1000 } };
+    bool gangs_first;    /* other queues have a lower priority, so that servers
+                            are reserved for gangs */
+  } rows[] = { { 275, 0.25, 0, false }, { 550, 0.5, 0, false },
+               { 1100, 1, 0, false },   { 1100, 1.5, 0, false },
+               { 1100, 2, 0, false },   { 1100, 5, 0, false },
+               { 2200, 2, 0, false },   { 1100, 1, 1000, false },
+               { 5200, 4.7, 0, false }, { 5200, 4.7, 0, true },
+               { 1100, 2, 0, true } };
   uint32_t seed = argc > 1 ? (uint32_t)strtoul (argv[1], NULL, 10) : 1;
   int64_t seconds = argc > 2 ? strtoll (argv[2], NULL, 10) : 20;
   size_t row = argc > 3 ? strtoul (argv[3], NULL, 10) : 0;
@@ -651,7 +657,7 @@
 
       if (row != 0 && i != row - 1)
         continue;
-      bench = create_bench (rows[i].servers, seed);
+      bench = create_bench (rows[i].servers, rows[i].gangs_first, seed);
       end_ms = bench->now_ms + seconds * 1000;
       while (bench->now_ms < end_ms)
         run_millisecond (bench, rows[i].load, rows[i].starts_per_s);
