--- a/src/cell/cell_dump.c
+++ b/src/cell/cell_dump.c
@@ -1,10 +1,13 @@
 #include <jansson.h>
 #include <string.h>
 
-#include "cell_private.h"
+#include "cell_backfill.h"
 
 static json_t *dump_server_ (struct ColtCellServer *server);
-static json_t *dump_step_ (const struct ColtCellStep *step);
+static json_t *dump_step_ (const struct ColtCell *cell,
+                           const struct ColtCellStep *step);
+static json_t *dump_plan_ (const struct ColtCell *cell,
+                           const struct ColtCellPlan *plan);
 static json_t *dump_organisation_ (const struct ColtCellOrganisation *org);
 static json_t *dump_amounts_ (const struct ColtResources *amounts);
 
@@ -28,7 +31,7 @@
     json_array_append_new (organisations, dump_organisation_ (value));
   for (s = 0; s < cell->open_steps->len; s++)
     json_array_append_new (
-        steps, dump_step_ (g_ptr_array_index (cell->open_steps, s)));
+        steps, dump_step_ (cell, g_ptr_array_index (cell->open_steps, s)));
   json_object_set_new (root, "generation", json_integer (cell->generation));
   json_object_set_new (root, "settled", json_boolean (cell->settled));
   json_object_set_new (root, "servers", servers);
@@ -65,7 +68,7 @@
 }
 
 static json_t *
-dump_step_ (const struct ColtCellStep *step)
+dump_step_ (const struct ColtCell *cell, const struct ColtCellStep *step)
 {
   json_t *object = json_object ();
 
@@ -81,6 +84,25 @@
                        json_string (colt_cell_rank_string[step->rank]));
   json_object_set_new (object, "held",
                        json_string (colt_cell_block_string[step->block]));
+  if (step->plan != NULL)
+    json_object_set_new (object, "reserved", dump_plan_ (cell, step->plan));
+  return object;
+}
+
+static json_t *
+dump_plan_ (const struct ColtCell *cell, const struct ColtCellPlan *plan)
+{
+  json_t *object = json_object ();
+  json_t *servers = json_object ();
+  guint i;
+
+  for (i = 0; i < plan->hold_count; i++)
+    json_object_set_new (servers, plan->holds[i].server->id,
+                         json_integer (plan->holds[i].tasks));
+  json_object_set_new (
+      object, "start_in_ms",
+      json_integer ((plan->start_us - cell->now_us) / COLT_US_PER_MS));
+  json_object_set_new (object, "servers", servers);
   return object;
 }
 
--- a/src/test_cell_load/test_load_gangs.c
+++ b/src/test_cell_load/test_load_gangs.c
@@ -39,6 +39,7 @@
   GPtrArray *endless; /* ids of servers whose runs don't end */
   uint32_t done;      /* runs that ended */
   uint32_t short_job; /* number of a job whose tasks take SHORT_MS */
+  bool quiet;         /* no single tasks arrive by themselves */
 };
 
 static void
@@ -260,7 +261,7 @@
   while (world->fixture->now_us < end_us)
     {
       world->fixture->now_us += STEP_MS * MS;
-      if (world->fixture->now_us / MS % 200 == 0)
+      if (!world->quiet && world->fixture->now_us / MS % 200 == 0)
         submit_singles (world);
       end_runs (world);
       answer_calls (world);
@@ -384,12 +385,16 @@
   struct world *world = create_world ();
   uint32_t gang = reserve (world, 6);
   char id[COLT_JOB_ID_LENGTH + 1];
+  char *dump;
   guint from;
 
   run_for (world, 1500);
   from = world->fixture->starts->len;
   run_for (world, STEP_MS);
   g_assert_cmpuint (count_suitable_starts (world, from), ==, 0);
+  dump = colt_cell_dump (world->fixture->cell);
+  g_assert_nonnull (strstr (dump, "\"reserved\":{\"start_in_ms\":"));
+  free (dump);
   g_snprintf (id, sizeof id, "%016x", gang);
   g_assert_true (
       colt_cell_cancel (world->fixture->cell, id, world->fixture->now_us));
@@ -484,6 +489,38 @@
   g_assert_cmpuint (done[0], ==, done[1]);
 }
 
+/* Guards against gangs that follow each other on the same servers and hold back
+ * single tasks until these miss their objective, 15 s. */
+static void
+test_pressed_work (void)
+{
+  static const char *const unsuitable[]
+      = { "server-01", "server-02", "server-04", "server-05",
+          "server-07", "server-08", "server-10", "server-11" };
+  struct world *world = create_world ();
+  uint32_t single;
+  guint i;
+
+  world->quiet = true;
+  for (i = 0; i < G_N_ELEMENTS (unsuitable); i++)
+    g_ptr_array_add (world->endless, (char *)unsuitable[i]);
+  for (i = 0; i < SERVERS; i++)
+    submit_singles (world);
+  run_for (world, 200);
+  submit_gang (world, 8);
+  run_for (world, 1500);
+  g_assert_cmpuint (get_stats (world).reserved_gangs, ==, 1);
+  single = submit (world, "single", 1, 1, 3000);
+  for (i = 0; i < 7; i++)
+    {
+      submit_gang (world, 8);
+      run_for (world, 1000);
+    }
+  g_assert_false (colt_fixture_has_started (world->fixture, 0, single));
+  g_assert_cmpint (run_until_start (world, single, 30000), <, 4000);
+  destroy_world (world);
+}
+
 /* Guards against a gang that holds back work of its own priority. */
 static void
 test_equal_priority (void)
@@ -544,6 +581,7 @@
   g_test_add_func ("/cell/load/gangs/endless-runs", test_endless_runs);
   g_test_add_func ("/cell/load/gangs/lost-server", test_lost_server);
   g_test_add_func ("/cell/load/gangs/impossible-gang", test_impossible_gang);
+  g_test_add_func ("/cell/load/gangs/pressed-work", test_pressed_work);
   g_test_add_func ("/cell/load/gangs/equal-priority", test_equal_priority);
   g_test_add_func ("/cell/load/gangs/best-fit", test_best_fit);
 }
