Cell: a straggler isn't stopped for room that is reserved for a gang

A run was stopped to start elsewhere if any other server had room, also one whose room its task has to leave to a gang; it would have waited there for the gang's start. The search for such room now asks the same as placement does.

The tests of gangs use the fixture's servers, which have accelerators now.

--- a/src/cell/cell_stragglers.c
+++ b/src/cell/cell_stragglers.c
@@ -1,6 +1,6 @@
 #include <math.h>
 
-#include "cell_private.h"
+#include "cell_backfill.h"
 
 /* Time between searches for stragglers. */
 #define SEARCH_INTERVAL_US (200 * COLT_US_PER_MS)
@@ -253,6 +253,7 @@
       if (server != run->server && colt_cell_is_usable (server, now_us)
           && colt_cell_fits (step, server)
           && colt_cell_meets_constraints (step, server)
+          && colt_cell_may_use (step, server, now_us)
           && !colt_cell_is_known_unsuitable (step, server))
         return true;
     }
--- a/src/test_cell_load/fixture.c
+++ b/src/test_cell_load/fixture.c
@@ -214,6 +214,7 @@
   entry.ready = true;
   entry.incarnation_ms = 1;
   entry.room.amount[COLT_RESOURCE_CORES] = cores;
+  entry.room.amount[COLT_RESOURCE_ACCELERATORS] = cores / 1000;
   entry.labels = labels;
   colt_cell_set_server (fixture->cell, &entry, fixture->now_us);
   colt_fixture_report_idle (fixture, id, 1);
--- a/src/test_cell_load/fixture.h
+++ b/src/test_cell_load/fixture.h
@@ -46,7 +46,8 @@
 void colt_fixture_report_idle (struct ColtLoadFixture *fixture,
                                const char *server,
                                uint64_t call_number);
-/* Adds an idle server; cores are in thousandths, and kind is its label. */
+/* Adds an idle server with an accelerator for each whole core; cores are in
+ * thousandths, and kind is its label. */
 void colt_fixture_add_server_of_kind (struct ColtLoadFixture *fixture,
                                       const char *id,
                                       int64_t cores,
--- a/src/test_cell_load/test_load_gangs.c
+++ b/src/test_cell_load/test_load_gangs.c
@@ -1,5 +1,6 @@
 /* Gangs that wait for room beside single tasks of lower priority, in simulated
- * time. Servers have 8 cores, single tasks need one, tasks of gangs four. */
+ * time. Servers have 8 cores and accelerators; single tasks need one of each,
+ * tasks of gangs four. */
 #include <stdlib.h>
 #include <string.h>
 
@@ -35,32 +36,13 @@
   GArray *calls;     /* of struct call */
   guint starts_seen; /* whose runs have begun */
   guint calls_seen;
-  int64_t single_ms;  /* duration of a single task */
-  GPtrArray *endless; /* ids of servers whose runs don't end */
-  uint32_t done;      /* runs that ended */
-  uint32_t short_job; /* number of a job whose tasks take SHORT_MS */
-  bool quiet;         /* no single tasks arrive by themselves */
+  int64_t single_ms;          /* duration of a single task */
+  const char *const *endless; /* ids of servers whose runs don't end */
+  uint32_t done;              /* runs that ended */
+  uint32_t short_job;         /* number of a job whose tasks take SHORT_MS */
+  bool quiet;                 /* no single tasks arrive by themselves */
 };
 
-static void
-add_server (struct ColtLoadFixture *fixture, const char *id)
-{
-  const char *labels[] = { "a", NULL };
-  struct ColtServerEntry entry = { 0 };
-
-  entry.id = id;
-  entry.service = "service";
-  entry.address = "127.0.0.1:1";
-  entry.zone = "zone";
-  entry.ready = true;
-  entry.incarnation_ms = 1;
-  entry.room.amount[COLT_RESOURCE_CORES] = SERVER_CORES * 1000;
-  entry.room.amount[COLT_RESOURCE_ACCELERATORS] = SERVER_CORES;
-  entry.labels = labels;
-  colt_cell_set_server (fixture->cell, &entry, fixture->now_us);
-  colt_fixture_report_idle (fixture, id, 1);
-}
-
 static struct world *
 create_world (void)
 {
@@ -72,12 +54,11 @@
   colt_fixture_add_lower_queues (world->fixture);
   world->runs = g_array_new (FALSE, FALSE, sizeof (struct run));
   world->calls = g_array_new (FALSE, FALSE, sizeof (struct call));
-  world->endless = g_ptr_array_new ();
   world->single_ms = 3000;
   for (i = 0; i < SERVERS; i++)
     {
       g_snprintf (id, sizeof id, "server-%02d", i);
-      add_server (world->fixture, id);
+      colt_fixture_add_server (world->fixture, id, SERVER_CORES * 1000);
     }
   return world;
 }
@@ -92,7 +73,6 @@
   colt_fixture_destroy (world->fixture);
   g_array_unref (world->runs);
   g_array_unref (world->calls);
-  g_ptr_array_unref (world->endless);
   g_free (world);
 }
 
@@ -112,6 +92,7 @@
   spec->steps[0]->cpu_milli = cores * 1000;
   spec->steps[0]->estimate_ms = estimate_ms;
   spec->steps[0]->gang = cores == GANG_CORES;
+  spec->steps[0]->accelerators = cores;
   g_assert_cmpint (colt_cell_submit (fixture->cell, spec, fixture->now_us), ==,
                    COLT_SUBMIT_NEW);
   return fixture->last_id;
@@ -131,18 +112,6 @@
   submit (world, "single", 8, 1, 3000);
 }
 
-static bool
-is_endless (const struct world *world, guint start)
-{
-  guint i;
-
-  for (i = 0; i < world->endless->len; i++)
-    if (colt_fixture_was_sent_to (world->fixture, start,
-                                  g_ptr_array_index (world->endless, i)))
-      return true;
-  return false;
-}
-
 /* Confirms new starts and lists when their runs end. Single tasks of a job end
  * one after the other. */
 static void
@@ -162,7 +131,8 @@
           = { world->starts_seen, fixture->now_us + duration_ms * MS };
 
       colt_fixture_accept_start (fixture, world->starts_seen);
-      if (is_endless (world, world->starts_seen))
+      if (world->endless != NULL
+          && g_strv_contains (world->endless, strchr (name, '@') + 1))
         run.end_us = INT64_MAX;
       g_array_append_val (world->runs, run);
     }
@@ -223,6 +193,7 @@
   return atoi (server + strlen ("server-")) % 3 == 0;
 }
 
+/* Grants tickets for the suitable servers of a call. */
 static void
 answer_call (struct world *world, const struct call *call)
 {
@@ -410,13 +381,13 @@
 static void
 test_wrong_estimates (void)
 {
+  static const char *const endless[] = { "server-00", "server-03", NULL };
   struct world *world = create_world ();
   uint32_t gang;
 
   run_for (world, 8000);
   world->single_ms = 9000;
-  g_ptr_array_add (world->endless, "server-00");
-  g_ptr_array_add (world->endless, "server-03");
+  world->endless = endless;
   gang = reserve (world, 4);
   g_assert_cmpint (run_until_start (world, gang, 30000), <, 21000);
   destroy_world (world);
@@ -427,11 +398,11 @@
 static void
 test_endless_runs (void)
 {
+  static const char *const endless[] = { "server-00", "server-03", NULL };
   struct world *world = create_world ();
   uint32_t gang;
 
-  g_ptr_array_add (world->endless, "server-00");
-  g_ptr_array_add (world->endless, "server-03");
+  world->endless = endless;
   gang = reserve (world, 6);
   g_assert_cmpint (run_until_start (world, gang, 40000), ==, 40000);
   g_assert_cmpuint (get_stats (world).reserved_gangs, ==, 0);
@@ -495,15 +466,14 @@
 test_pressed_work (void)
 {
   static const char *const unsuitable[]
-      = { "server-01", "server-02", "server-04", "server-05",
-          "server-07", "server-08", "server-10", "server-11" };
+      = { "server-01", "server-02", "server-04", "server-05", "server-07",
+          "server-08", "server-10", "server-11", NULL };
   struct world *world = create_world ();
   uint32_t single;
   guint i;
 
   world->quiet = true;
-  for (i = 0; i < G_N_ELEMENTS (unsuitable); i++)
-    g_ptr_array_add (world->endless, (char *)unsuitable[i]);
+  world->endless = unsuitable;
   for (i = 0; i < SERVERS; i++)
     submit_singles (world);
   run_for (world, 200);
@@ -544,7 +514,6 @@
 {
   struct ColtLoadFixture *fixture;
   struct world *world = create_world ();
-  ColtJobSpec *spec;
   guint from;
   int i;
 
@@ -558,12 +527,7 @@
       note_calls (world);
     }
   from = fixture->starts->len;
-  spec = colt_fixture_make_job (fixture, 8);
-  free (spec->queue);
-  spec->queue = strdup ("single");
-  spec->steps[0]->accelerators = 1;
-  g_assert_cmpint (colt_cell_submit (fixture->cell, spec, fixture->now_us), ==,
-                   COLT_SUBMIT_NEW);
+  submit (world, "single", 8, 1, 3000);
   colt_fixture_place (fixture);
   g_assert_cmpuint (fixture->starts->len, ==, from + 8);
   g_assert_cmpuint (count_suitable_starts (world, from), ==, 0);
