Cell: a reservation ends if its gang has no turn for 500 ms

A gang whose runs under an earlier leader have to end first, or which waits while no starts can be sent, isn't planned again; its servers stayed reserved for a time that had passed. /cell/load/gangs/no-turn shows the end of it.

--- a/src/cell/cell_backfill.c
+++ b/src/cell/cell_backfill.c
@@ -10,6 +10,9 @@
 #define STALE_INTERVAL_US (20 * COLT_US_PER_MS)
 /* Pause of a gang whose plan ended without a start. */
 #define PLAN_PAUSE_US (500 * COLT_US_PER_MS)
+/* Time after which the plan of a gang ends that had no turn: its tasks may
+ * still run, say, or no starts can be sent. */
+#define PLAN_IDLE_US (500 * COLT_US_PER_MS)
 /* Servers that one plan considers, at least, and for each task. */
 #define SERVERS_MAX 400
 #define SERVERS_PER_TASK 4
@@ -34,6 +37,7 @@
   GArray *ends;       /* of struct ColtBackfillEnd, of all */
 };
 
+static void end_idle_plans_ (struct ColtCell *cell);
 static bool takes_effect_ (const struct ColtCellStep *step,
                            const struct ColtCellPool *pool);
 static bool is_due_ (const struct ColtCellStep *step, int64_t now_us);
@@ -86,6 +90,7 @@
   gpointer value;
   guint p;
 
+  end_idle_plans_ (cell);
   g_hash_table_iter_init (&i, cell->pools);
   while (g_hash_table_iter_next (&i, NULL, &value))
     {
@@ -115,14 +120,6 @@
           pool->gang_priority = step->job->queue->config->priority;
         }
     }
-  for (p = cell->plans->len; p > 0; p--)
-    {
-      const struct ColtCellPlan *plan = g_ptr_array_index (cell->plans, p - 1);
-
-      if (!plan->step->open || plan->step->job->queue->pool == NULL)
-        colt_cell_end_plan (cell, plan->step, "it no longer waits",
-                            cell->now_us);
-    }
 }
 
 bool
@@ -275,6 +272,27 @@
   return penalty;
 }
 
+/* Ends the plans of gangs that no longer wait, and of those that had no turn
+ * for a while, nor in the last pass. */
+static void
+end_idle_plans_ (struct ColtCell *cell)
+{
+  guint i;
+
+  for (i = cell->plans->len; i > 0; i--)
+    {
+      const struct ColtCellPlan *plan = g_ptr_array_index (cell->plans, i - 1);
+      const struct ColtCellPool *pool = plan->step->job->queue->pool;
+
+      if (!plan->step->open || pool == NULL)
+        colt_cell_end_plan (cell, plan->step, "it no longer waits",
+                            cell->now_us);
+      else if (plan->placed_us < pool->now_us
+               && plan->placed_us + PLAN_IDLE_US < cell->now_us)
+        colt_cell_end_plan (cell, plan->step, "it had no turn", cell->now_us);
+    }
+}
+
 /* Reservations only matter where other work has a lower priority. */
 static bool
 takes_effect_ (const struct ColtCellStep *step, const struct ColtCellPool *pool)
--- a/src/test_cell_load/test_load_gangs.c
+++ b/src/test_cell_load/test_load_gangs.c
@@ -437,6 +437,22 @@
   destroy_world (world);
 }
 
+/* Guards against servers that stay reserved while the gang's turn doesn't come,
+ * since no starts can be sent. */
+static void
+test_no_turn (void)
+{
+  struct world *world = create_world ();
+
+  reserve (world, 6);
+  colt_cell_set_start_budget (world->fixture->cell, 0);
+  run_for (world, 400);
+  g_assert_cmpuint (get_stats (world).reserved_gangs, ==, 1);
+  run_for (world, 200);
+  g_assert_cmpuint (get_stats (world).reserved_gangs, ==, 0);
+  destroy_world (world);
+}
+
 /* Guards against a gang that can never fit and yet delays other work. */
 static void
 test_impossible_gang (void)
@@ -544,6 +560,7 @@
   g_test_add_func ("/cell/load/gangs/wrong-estimates", test_wrong_estimates);
   g_test_add_func ("/cell/load/gangs/endless-runs", test_endless_runs);
   g_test_add_func ("/cell/load/gangs/lost-server", test_lost_server);
+  g_test_add_func ("/cell/load/gangs/no-turn", test_no_turn);
   g_test_add_func ("/cell/load/gangs/impossible-gang", test_impossible_gang);
   g_test_add_func ("/cell/load/gangs/pressed-work", test_pressed_work);
   g_test_add_func ("/cell/load/gangs/equal-priority", test_equal_priority);
