--- a/include/coltsfootstile/cell.h
+++ b/include/coltsfootstile/cell.h
@@ -598,6 +598,9 @@
   uint64_t evacuated_runs;   /**< gauge: runs that are left in these zones */
   uint64_t withdrawn_starts; /**< starts in evacuated zones that were planned
                                   before, and not sent */
+  uint64_t reservations;     /**< gangs that got servers reserved */
+  uint64_t reservations_ended; /**< reservations that ended without a start */
+  uint64_t reserved_gangs; /**< gauge: gangs that servers are reserved for */
 };
 
 /** Returns servers, organisations and open steps, those with tasks that may be
--- a/src/scheduler/metrics.c
+++ b/src/scheduler/metrics.c
@@ -77,6 +77,12 @@
     "Runs that are left in evacuated zones, or may be" },
   { COLT_COUNTER_GAUGE, "cell_withdrawn_starts",
     "Starts in this term that weren't sent as their zone was evacuated" },
+  { COLT_COUNTER_GAUGE, "cell_reserved_gangs",
+    "Gangs that servers are reserved for" },
+  { COLT_COUNTER_GAUGE, "cell_reservations",
+    "Gangs in this term that got servers reserved" },
+  { COLT_COUNTER_GAUGE, "cell_reservations_ended",
+    "Reservations in this term that ended without a start" },
   { COLT_COUNTER_GAUGE, "cell_runs_done", "Runs done in this term" },
   { COLT_COUNTER_GAUGE, "cell_runs_failed", "Runs failed in this term" },
   { COLT_COUNTER_GAUGE, "cell_runs_stopped", "Runs stopped in this term" },
@@ -157,6 +163,11 @@
                     (int64_t)stats->evacuated_runs);
   colt_metrics_set (metrics, METRIC_WITHDRAWN_STARTS,
                     (int64_t)stats->withdrawn_starts);
+  colt_metrics_set (metrics, METRIC_RESERVED_GANGS,
+                    (int64_t)stats->reserved_gangs);
+  colt_metrics_set (metrics, METRIC_RESERVATIONS, (int64_t)stats->reservations);
+  colt_metrics_set (metrics, METRIC_RESERVATIONS_ENDED,
+                    (int64_t)stats->reservations_ended);
   colt_metrics_set (metrics, METRIC_RUNS_DONE,
                     (int64_t)stats->ended[COLT_RUN_DONE]);
   colt_metrics_set (metrics, METRIC_RUNS_FAILED,
--- a/src/test_cell_load/fixture.c
+++ b/src/test_cell_load/fixture.c
@@ -113,6 +113,28 @@
   return fleet;
 }
 
+static void
+add_lower_queue (struct ColtFleet *fleet, const char *name, uint32_t priority)
+{
+  struct ColtQueueConfig *queue;
+
+  add_queue (fleet, name, 4);
+  queue = g_ptr_array_index (fleet->queues, fleet->queues->len - 1);
+  queue->priority = priority;
+  queue->target_ms = 3000;
+}
+
+void
+colt_fixture_add_lower_queues (struct ColtLoadFixture *fixture)
+{
+  struct ColtFleet *fleet = make_fleet ();
+
+  add_lower_queue (fleet, "single", 2);
+  add_lower_queue (fleet, "short", 3);
+  colt_cell_set_fleet (fixture->cell, fleet);
+  colt_fleet_unref (fleet);
+}
+
 static void
 create_cell (struct ColtLoadFixture *fixture)
 {
@@ -234,6 +256,7 @@
   entry.ready = true;
   entry.incarnation_ms = 1;
   entry.room.amount[COLT_RESOURCE_CORES] = cores;
+  entry.room.amount[COLT_RESOURCE_ACCELERATORS] = cores / 1000;
   entry.labels = labels;
   colt_cell_set_server (fixture->cell, &entry, fixture->now_us);
   colt_fixture_report_idle (fixture, id, 1);
--- a/src/test_cell_load/fixture.h
+++ b/src/test_cell_load/fixture.h
@@ -49,11 +49,15 @@
                                     uint32_t count);
 /* Sets what "steady" may use, in thousandths of a core. */
 void colt_fixture_set_maximum (struct ColtLoadFixture *fixture, int64_t cores);
+/* Adds the queues "single" and "short" of lower priorities, with objectives of
+ * 4 times the duration plus 3 s. */
+void colt_fixture_add_lower_queues (struct ColtLoadFixture *fixture);
 /* Reports that a server has no runs, in reply to the call with a number. */
 void colt_fixture_report_idle (struct ColtLoadFixture *fixture,
                                const char *server,
                                uint64_t call_number);
-/* Adds an idle server; cores are in thousandths, and kind is its label. */
+/* Adds an idle server with an accelerator for each whole core; cores are in
+ * thousandths, and kind is its label. */
 void colt_fixture_add_server_of_kind (struct ColtLoadFixture *fixture,
                                       const char *id,
                                       int64_t cores,
@@ -123,5 +127,6 @@
 void colt_load_add_watchdog_tests (void);
 void colt_load_add_evacuation_tests (void);
 void colt_load_add_usage_tests (void);
+void colt_load_add_gang_tests (void);
 
 #endif
--- a/src/test_cell_load/test_load.c
+++ b/src/test_cell_load/test_load.c
@@ -516,5 +516,6 @@
   colt_load_add_watchdog_tests ();
   colt_load_add_evacuation_tests ();
   colt_load_add_usage_tests ();
+  colt_load_add_gang_tests ();
   return g_test_run ();
 }
