Cell: admission by forecast, off by default

Accepted jobs that can't end within three times their objective cost their callers the wait. It takes effect with [admission] forecast = 1 only.

--- a/include/coltsfootstile/cell.h
+++ b/include/coltsfootstile/cell.h
@@ -97,7 +97,8 @@
   COLT_SUBMIT_INVALID,  /**< rejected: malformed id, steps or task counts, or
                              its specification exceeds a record */
   COLT_SUBMIT_NO_QUEUE, /**< rejected: the configuration has no such queue */
-  COLT_SUBMIT_TOO_LATE, /**< rejected: it would miss its objective */
+  COLT_SUBMIT_TOO_LATE, /**< rejected: it is nearly sure to end too late to be
+                             of use; see colt_cell_retry_after_ms() */
   COLT_SUBMIT_FULL /**< rejected: the cell has too many jobs, or is dropping one
                       with this id */
 };
@@ -197,6 +198,9 @@
                         const char *job,
                         const char *what,
                         const char *detail);
+  /** Receives the error of a forecast once its job starts, in microseconds;
+   * may be NULL. */
+  void (*measure_forecast) (void *client, int64_t error_us);
 };
 
 /** Limits of a cell; docs/OPERATIONS.md gives the reasons for their values. */
@@ -211,6 +215,8 @@
   size_t
       record_bytes_max; /**< largest value of a record, in bytes; the progress
                              of a wide job takes several. 0: no limit */
+  bool forecasts;     /**< rejects jobs that are nearly sure to end too late */
+  int64_t created_us; /**< time of creation; used only by the forecast */
 };
 
 /** A record to store under a key. */
@@ -281,6 +287,14 @@
 enum ColtSubmitResult
 colt_cell_submit (struct ColtCell *cell, ColtJobSpec *spec, int64_t now_us);
 
+/** Returns the retry time in milliseconds for the job for which
+ * colt_cell_submit() last returned COLT_SUBMIT_TOO_LATE. */
+uint32_t colt_cell_retry_after_ms (const struct ColtCell *cell);
+
+/** Notes that starts and ends are delayed, as while the log doesn't answer: the
+ * forecast rejects nothing for a while. */
+void colt_cell_distrust_forecast (struct ColtCell *cell, int64_t now_us);
+
 /**
  * Cancels a job and stops its runs. A job that has ended stays as it is.
  *
@@ -547,6 +561,7 @@
   uint64_t refused_starts; /**< starts with another result than accepted */
   uint64_t moved;    /**< stragglers that were stopped to start elsewhere */
   uint64_t given_up; /**< tasks given up after crashes of their servers */
+  uint64_t rejected_too_late; /**< jobs rejected by the forecast */
 };
 
 /** Returns servers, organisations and open steps, those with tasks that may be
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -60,6 +60,8 @@
   cell->ended = g_sequence_new (NULL);
   g_queue_init (&cell->ended_specs);
   g_queue_init (&cell->stops);
+  if (limits->forecasts)
+    cell->forecast = colt_forecast_create (limits->created_us);
   return cell;
 }
 
@@ -93,6 +95,7 @@
   g_hash_table_unref (cell->organisations);
   g_hash_table_unref (cell->queues);
   colt_fleet_unref (cell->fleet);
+  colt_forecast_destroy (cell->forecast);
   g_free (cell);
 }
 
@@ -139,6 +142,14 @@
   job = colt_cell_build_job (cell, spec);
   job->accepted_us = now_us;
   job->excess = colt_cell_exceeds_share (job->organisation, now_us);
+  if (!colt_cell_admit (cell, job, now_us))
+    {
+      if (!job->excess)
+        colt_cell_refund_share (job->organisation);
+      colt_cell_discard_job (cell, job);
+      return COLT_SUBMIT_TOO_LATE;
+    }
+  colt_cell_count_arrival (cell, job, now_us);
   job->dirty_spec = true;
   colt_cell_mark_dirty (cell, job);
   /* Advice can be requested while the job is made durable. */
@@ -146,6 +157,19 @@
   return COLT_SUBMIT_NEW;
 }
 
+uint32_t
+colt_cell_retry_after_ms (const struct ColtCell *cell)
+{
+  return cell->retry_after_ms;
+}
+
+void
+colt_cell_distrust_forecast (struct ColtCell *cell, int64_t now_us)
+{
+  if (cell->forecast != NULL)
+    colt_forecast_distrust (cell->forecast, now_us);
+}
+
 bool
 colt_cell_cancel (struct ColtCell *cell, const char *id, int64_t now_us)
 {
@@ -170,6 +194,7 @@
     colt_cell_stop_step (cell, &job->steps[i], job->accepted_us);
   if (job->active > 0)
     return false;
+  colt_cell_uncount_job (cell, job);
   for (i = 0; i < job->step_count; i++)
     if (job->steps[i].open)
       g_ptr_array_remove_fast (cell->open_steps, &job->steps[i]);
@@ -312,6 +337,9 @@
 
       organisation->weight = config->weight;
       organisation->maximum = config->maximum;
+      if (cell->forecast != NULL)
+        colt_forecast_set_maximum (cell->forecast, config->name,
+                                   &config->maximum);
     }
 }
 
--- a/src/cell/cell_jobs.c
+++ b/src/cell/cell_jobs.c
@@ -9,6 +9,7 @@
                          uint32_t number,
                          uint32_t occurrence,
                          uint32_t first_index);
+static void drop_steps_ (struct ColtCellJob *job);
 static void compute_depths_ (struct ColtCellJob *job);
 static bool may_open_ (const struct ColtCellJob *job,
                        const struct ColtCellStep *step,
@@ -66,31 +67,22 @@
   return job;
 }
 
+void
+colt_cell_discard_job (struct ColtCell *cell, struct ColtCellJob *job)
+{
+  drop_steps_ (job);
+  job->spec = NULL;
+  g_ptr_array_remove_fast (cell->scheduled, job);
+  g_hash_table_remove (cell->jobs, job->id);
+}
+
 /* Frees the data that is needed only while a job has tasks to run. */
 void
 colt_cell_drop_spec (struct ColtCellJob *job)
 {
-  uint32_t i;
-  uint32_t t;
-
   if (job->spec == NULL)
     return;
-  for (i = 0; i < job->step_count; i++)
-    {
-      for (t = 0; t < job->steps[i].spec->count; t++)
-        {
-          g_free (job->steps[i].tasks[t].checkpoint);
-          g_clear_pointer (&job->steps[i].tasks[t].counted_runs, g_array_unref);
-        }
-      colt_cell_abandon_call (&job->steps[i]);
-      g_free (job->steps[i].tasks);
-      g_clear_pointer (&job->steps[i].advice, g_hash_table_unref);
-      g_clear_pointer (&job->steps[i].ticket_servers, g_ptr_array_unref);
-    }
-  g_clear_pointer (&job->steps, g_free);
-  g_clear_pointer (&job->planned, g_ptr_array_unref);
-  colt_cell_free_entries (job);
-  job->step_count = 0;
+  drop_steps_ (job);
   colt_job_spec__free_unpacked (job->spec, NULL);
   job->spec = NULL;
 }
@@ -145,6 +137,7 @@
   job->ended_us = now_us;
   job->ended_wall_ms = 0;
   colt_cell_update_waiting (job);
+  colt_cell_count_job (cell, job);
   colt_cell_mark_dirty (cell, job);
   colt_cell_list_ended (cell, job);
   cell->steps_to_close = true;
@@ -172,6 +165,7 @@
         continue;
       step->open = true;
       g_ptr_array_add (cell->open_steps, step);
+      colt_cell_count_waiting (cell, step);
     }
 }
 
@@ -187,7 +181,10 @@
     return;
   task->done = true;
   if (task->current == NULL)
-    step->waiting--;
+    {
+      step->waiting--;
+      colt_cell_count_waiting (cell, step);
+    }
   cell->steps_to_close |= step->waiting == 0;
   step->done++;
   g_clear_pointer (&task->checkpoint, g_free);
@@ -313,6 +310,30 @@
                                         free_advice_);
 }
 
+static void
+drop_steps_ (struct ColtCellJob *job)
+{
+  uint32_t i;
+  uint32_t t;
+
+  for (i = 0; i < job->step_count; i++)
+    {
+      for (t = 0; t < job->steps[i].spec->count; t++)
+        {
+          g_free (job->steps[i].tasks[t].checkpoint);
+          g_clear_pointer (&job->steps[i].tasks[t].counted_runs, g_array_unref);
+        }
+      colt_cell_abandon_call (&job->steps[i]);
+      g_free (job->steps[i].tasks);
+      g_clear_pointer (&job->steps[i].advice, g_hash_table_unref);
+      g_clear_pointer (&job->steps[i].ticket_servers, g_ptr_array_unref);
+    }
+  g_clear_pointer (&job->steps, g_free);
+  g_clear_pointer (&job->planned, g_ptr_array_unref);
+  colt_cell_free_entries (job);
+  job->step_count = 0;
+}
+
 /* Computes depth and height of each step. A step only refers to steps with a
  * lower number, so that one pass in each direction suffices. */
 static void
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -77,6 +77,7 @@
   colt_cell_send_advice_calls (cell, now_us);
   colt_cell_end_room (cell);
   colt_cell_release_reservations (cell);
+  colt_cell_end_forecast_pass (cell, now_us);
 }
 
 void
@@ -204,6 +205,7 @@
               || (is_short_block_ (step->block) && is_short_block_ (block));
 
   step->block = block;
+  colt_cell_count_block (cell, step, block);
   if (same)
     return;
   g_snprintf (detail, sizeof detail,
@@ -409,7 +411,12 @@
                 : NULL;
     }
   for (i = 0; i < cell->open_steps->len; i++)
-    colt_cell_rank_step (g_ptr_array_index (cell->open_steps, i), now_us);
+    {
+      struct ColtCellStep *step = g_ptr_array_index (cell->open_steps, i);
+
+      colt_cell_rank_step (step, now_us);
+      colt_cell_count_rank (cell, step);
+    }
   g_hash_table_iter_init (&q, cell->queues);
   while (g_hash_table_iter_next (&q, NULL, &value))
     ((struct ColtCellQueue *)value)->was_late
--- a/src/cell/cell_rank.c
+++ b/src/cell/cell_rank.c
@@ -29,9 +29,7 @@
 /* Below this stretch a job has little time beyond its longest chain. */
 #define TIGHT_STRETCH 3.0
 
-static int64_t job_chain_us_ (const struct ColtCellJob *job);
 static int64_t longest_chain_us_ (const struct ColtCellStep *step);
-static int64_t step_us_ (const struct ColtCellStep *step);
 static void update_slowness_ (struct ColtCellStep *step);
 static void correct_slowness_ (double *log_slowness,
                                uint32_t *samples,
@@ -114,10 +112,53 @@
 
   if (config == NULL)
     return 0;
-  return (int64_t)(config->stretch * (double)job_chain_us_ (job))
+  return (int64_t)(config->stretch * (double)colt_cell_chain_us (job))
          + (int64_t)config->target_ms * COLT_US_PER_MS;
 }
 
+int64_t
+colt_cell_chain_us (const struct ColtCellJob *job)
+{
+  const struct ColtQueueConfig *config = job->queue->config;
+  double advice_us = config->advised
+                         ? (config->advice_ms
+                            + ADVISED_SERVERS * config->advice_per_server_ms)
+                               * COLT_US_PER_MS
+                         : 0;
+  int64_t longest_us = 0;
+  uint32_t depth = 0;
+  size_t i;
+
+  for (i = 0; i < job->spec->n_steps; i++)
+    {
+      if (job->steps[i].depth == 0)
+        longest_us = MAX (longest_us, longest_chain_us_ (&job->steps[i]));
+      depth = MAX (depth, job->steps[i].depth + 1);
+    }
+  return longest_us + (int64_t)advice_us * depth;
+}
+
+/* Returns the mean duration of a task of the queue, or the caller's estimate
+ * while the queue has no durations. */
+int64_t
+colt_cell_step_us (const struct ColtCellStep *step)
+{
+  const struct ColtCellQueue *queue = step->job->queue;
+
+  if (queue->task_us > 0)
+    return (int64_t)queue->task_us;
+  return (int64_t)step->spec->estimate_ms * COLT_US_PER_MS;
+}
+
+int64_t
+colt_cell_slack_us (const struct ColtCellJob *job, bool useful)
+{
+  int64_t slack_us = colt_cell_objective_us (job) * (useful ? LATE_FACTOR : 1);
+
+  return slack_us
+         - (int64_t)(REMAINING_FACTOR * (double)colt_cell_chain_us (job));
+}
+
 /* Charges a job to the organisation's share, which is its weight in jobs per
  * second, and returns true if the share is used up. Jobs beyond the share rank
  * after those within the shares of others. */
@@ -142,6 +183,13 @@
   return false;
 }
 
+void
+colt_cell_refund_share (struct ColtCellOrganisation *organisation)
+{
+  if (organisation->weight > 0)
+    organisation->credit += 1;
+}
+
 void
 colt_cell_rank_step (struct ColtCellStep *step, int64_t now_us)
 {
@@ -185,46 +233,12 @@
   return false;
 }
 
-static int64_t
-job_chain_us_ (const struct ColtCellJob *job)
-{
-  const struct ColtQueueConfig *config = job->queue->config;
-  double advice_us = config->advised
-                         ? (config->advice_ms
-                            + ADVISED_SERVERS * config->advice_per_server_ms)
-                               * COLT_US_PER_MS
-                         : 0;
-  int64_t longest_us = 0;
-  uint32_t depth = 0;
-  size_t i;
-
-  for (i = 0; i < job->spec->n_steps; i++)
-    {
-      if (job->steps[i].depth == 0)
-        longest_us = MAX (longest_us, longest_chain_us_ (&job->steps[i]));
-      depth = MAX (depth, job->steps[i].depth + 1);
-    }
-  return longest_us + (int64_t)advice_us * depth;
-}
-
 /* Estimates the duration of the longest chain from a step on: each step of it
  * is assumed to take as long as this one. */
 static int64_t
 longest_chain_us_ (const struct ColtCellStep *step)
 {
-  return (int64_t)(step->height + 1) * step_us_ (step);
-}
-
-/* Returns the mean duration of a task of the queue, or the caller's estimate
- * while the queue has no durations. */
-static int64_t
-step_us_ (const struct ColtCellStep *step)
-{
-  const struct ColtCellQueue *queue = step->job->queue;
-
-  if (queue->task_us > 0)
-    return (int64_t)queue->task_us;
-  return (int64_t)step->spec->estimate_ms * COLT_US_PER_MS;
+  return (int64_t)(step->height + 1) * colt_cell_step_us (step);
 }
 
 /* Tasks of a step take about the same time on equal servers, so a server is
--- a/src/cell/cell_records.c
+++ b/src/cell/cell_records.c
@@ -84,6 +84,7 @@
       colt_cell_update_waiting (job);
       colt_cell_open_steps (cell, job, cell->wall_ms);
       add_unsettled_demand_ (job);
+      colt_cell_count_job (cell, job);
     }
   colt_cell_check_settled (cell, 0);
 }
--- a/src/cell/cell_runs.c
+++ b/src/cell/cell_runs.c
@@ -13,7 +13,8 @@
 static bool is_earlier_leader_run_ (const struct ColtCell *cell,
                                     const struct ColtCellTask *task,
                                     uint32_t number);
-static void remove_run_ (struct ColtCell *cell, struct ColtCellRun *run);
+static void
+remove_run_ (struct ColtCell *cell, struct ColtCellRun *run, int64_t now_us);
 static void store_checkpoint_ (const struct ColtCell *cell,
                                struct ColtCellTask *task,
                                const char *checkpoint);
@@ -56,6 +57,8 @@
   step->waiting--;
   cell->steps_to_close |= step->waiting == 0;
   step->active++;
+  colt_cell_count_run (cell, run);
+  colt_cell_count_waiting (cell, step);
   if (job->active++ == 0)
     {
       g_queue_push_tail (&cell->running_jobs, job);
@@ -71,6 +74,8 @@
       if (!colt_cell_is_ended (job))
         job->state = COLT_JOB_RUNNING;
       colt_cell_update_waiting (job);
+      colt_cell_count_job (cell, job);
+      colt_cell_check_forecast (cell, job, now_us);
     }
   return run;
 }
@@ -93,7 +98,7 @@
   if (run->state == RUN_PLANNED && !run->recorded)
     cell->unrecorded_runs--;
   colt_cell_judge_server (cell, run, how, now_us);
-  remove_run_ (cell, run);
+  remove_run_ (cell, run, now_us);
   cell->stats.runs--;
   cell->stats.ended[how]++;
   store_checkpoint_ (cell, task, checkpoint);
@@ -264,7 +269,7 @@
 }
 
 static void
-remove_run_ (struct ColtCell *cell, struct ColtCellRun *run)
+remove_run_ (struct ColtCell *cell, struct ColtCellRun *run, int64_t now_us)
 {
   struct ColtCellTask *task = run->task;
   struct ColtCellStep *step = task->step;
@@ -289,6 +294,8 @@
     }
   if (!task->done)
     step->waiting++;
+  colt_cell_uncount_run (cell, run, now_us);
+  colt_cell_count_waiting (cell, step);
   g_free (run);
 }
 
--- a/src/cell/cell_servers.c
+++ b/src/cell/cell_servers.c
@@ -277,6 +277,8 @@
 
   if (server == NULL)
     return;
+  if (!server->unreachable)
+    colt_cell_count_lost_server (cell, server);
   server->unreachable = true;
   server->may_have_more = false;
 }
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -6,6 +6,7 @@
 
 #include "coltsfootstile/cell.h"
 #include "coltsfootstile/clock.h"
+#include "coltsfootstile/forecast.h"
 
 /* Size in bytes of a buffer for a task's name, JOB.OCCURRENCE.STEP.INDEX. */
 #define TASK_NAME_SIZE 64
@@ -210,6 +211,8 @@
   enum ColtCellRank rank;    /* in this pass */
   GPtrArray *ticket_servers; /* servers for which a gang requests tickets, one
                                 for each task; NULL: none */
+  uint32_t waiting_class;    /* of the forecast's backlog, that counts it */
+  double waiting_seconds;    /* that the forecast counts of its waiting tasks */
 };
 
 /* A task's entry in its job's packed progress. */
@@ -269,6 +272,11 @@
   bool in_batch;    /* listed in the cell's batch_jobs */
   uint64_t change;  /* number of its entry in dirty_jobs */
   bool dropped;     /* its records are to be removed */
+  bool has_account;            /* account is valid */
+  uint32_t account;            /* its organisation's in the forecast */
+  enum ColtCellRank worst_rank; /* that a step of it had */
+  int64_t forecast_start_us;   /* as forecast on arrival; 0: not known */
+  int64_t forecast_latest_us;
   int64_t accepted_us;
   int64_t begun_us; /* first start under this leader; 0: none */
   int64_t ended_us;
@@ -386,6 +394,9 @@
   int64_t next_search_us; /* next search for stragglers */
   uint64_t next_order;
   uint64_t reports; /* applied so far */
+  struct ColtForecast *forecast; /* NULL: all jobs are accepted */
+  int64_t room_summed_us;        /* when it last got the services' room */
+  uint32_t retry_after_ms;       /* for the job that was rejected last */
   struct ColtCellStats stats;
 };
 
@@ -394,6 +405,8 @@
                                         const char *id);
 struct ColtCellJob *colt_cell_build_job (struct ColtCell *cell,
                                          ColtJobSpec *spec);
+/* Removes a job that was built and isn't accepted; its specification stays. */
+void colt_cell_discard_job (struct ColtCell *cell, struct ColtCellJob *job);
 bool colt_cell_is_spec_valid (const ColtJobSpec *spec);
 void colt_cell_free_job (gpointer data);
 void colt_cell_drop_spec (struct ColtCellJob *job);
@@ -606,6 +619,39 @@
  * room. */
 void colt_cell_sort_steps (struct ColtCell *cell);
 
+/* cell_forecast.c: what the forecast of admission is told. All of them do
+ * nothing while admission by forecast is off. */
+
+/* Returns whether a new job may be accepted; logs a rejection. */
+bool colt_cell_admit (struct ColtCell *cell,
+                      struct ColtCellJob *job,
+                      int64_t now_us);
+/* Counts an accepted job. */
+void colt_cell_count_arrival (struct ColtCell *cell,
+                              struct ColtCellJob *job,
+                              int64_t now_us);
+/* Update what is counted of a step, or of all steps of a job. To be called when
+ * waiting tasks, ranks or states change. */
+void colt_cell_count_waiting (struct ColtCell *cell, struct ColtCellStep *step);
+void colt_cell_count_job (struct ColtCell *cell, struct ColtCellJob *job);
+void colt_cell_count_rank (struct ColtCell *cell, struct ColtCellStep *step);
+/* Stops counting a job that is removed. */
+void colt_cell_uncount_job (struct ColtCell *cell, struct ColtCellJob *job);
+void colt_cell_count_run (struct ColtCell *cell, const struct ColtCellRun *run);
+void colt_cell_uncount_run (struct ColtCell *cell,
+                            const struct ColtCellRun *run,
+                            int64_t now_us);
+/* Compares the first start of a job with the forecast. */
+void colt_cell_check_forecast (struct ColtCell *cell,
+                               struct ColtCellJob *job,
+                               int64_t now_us);
+void colt_cell_count_block (struct ColtCell *cell,
+                            struct ColtCellStep *step,
+                            enum ColtCellBlock block);
+void colt_cell_count_lost_server (struct ColtCell *cell,
+                                  const struct ColtCellServer *server);
+void colt_cell_end_forecast_pass (struct ColtCell *cell, int64_t now_us);
+
 /* cell_room.c */
 
 /* Has to be called before the first step of a pass is placed. */
@@ -688,6 +734,16 @@
 void colt_cell_raise_slowness (struct ColtCellServer *server,
                                double log_slowness);
 int64_t colt_cell_objective_us (const struct ColtCellJob *job);
+/* Returns the expected duration of a task of the step. */
+int64_t colt_cell_step_us (const struct ColtCellStep *step);
+/* Returns the expected duration of the longest chain of the job's steps. */
+int64_t colt_cell_chain_us (const struct ColtCellJob *job);
+/* Returns how long a new job may wait for its start and still end within its
+ * objective, times the factor beyond which it is of no use if useful is true.
+ */
+int64_t colt_cell_slack_us (const struct ColtCellJob *job, bool useful);
+/* Takes back what colt_cell_exceeds_share() charged. */
+void colt_cell_refund_share (struct ColtCellOrganisation *organisation);
 bool colt_cell_exceeds_share (struct ColtCellOrganisation *organisation,
                               int64_t now_us);
 void colt_cell_rank_step (struct ColtCellStep *step, int64_t now_us);
--- a/src/coltsfootstile/cell_main.c
+++ b/src/coltsfootstile/cell_main.c
@@ -65,6 +65,8 @@
           "how long an ended job's state is shown, in seconds" },
         { "bounds", "grace_s", COLT_SETTING_INTEGER, "6", 1, 600, false,
           "time to stop in good order, in seconds" },
+        { "admission", "forecast", COLT_SETTING_INTEGER, "0", 0, 1, false,
+          "1: reject jobs that are nearly sure to end too late to be of use" },
         { "log", "level", COLT_SETTING_STRING, "info", 0, 0, false,
           "error, warning, info or debug" } };
 
@@ -227,6 +229,8 @@
       = (uint32_t)colt_settings_integer (settings, "bounds", "status_s");
   scheduler->grace_ms
       = (uint32_t)colt_settings_integer (settings, "bounds", "grace_s") * 1000;
+  scheduler->forecasts
+      = colt_settings_integer (settings, "admission", "forecast") != 0;
   adapter->callers = colt_settings_string (settings, "listen", "callers");
   adapter->readiness = colt_settings_string (settings, "listen", "readiness");
   adapter->state = colt_settings_string (settings, "listen", "state");
--- a/src/scheduler/leader.c
+++ b/src/scheduler/leader.c
@@ -48,6 +48,7 @@
                            const char *job,
                            const char *what,
                            const char *detail);
+static void measure_forecast_ (void *client, int64_t error_us);
 static void tick_ (evutil_socket_t fd, short what, void *arg);
 static void log_load_ (struct ColtLeader *leader, int64_t now_us);
 static void run_placement_ (evutil_socket_t fd, short what, void *arg);
@@ -94,7 +95,8 @@
 static void free_link_ (gpointer data);
 
 static const struct ColtCellOps cell_ops
-    = { send_start_, send_stop_, request_advice_, log_decision_ };
+    = { send_start_, send_stop_, request_advice_, log_decision_,
+        measure_forecast_ };
 
 struct ColtLeader *
 colt_leader_create (struct event_base *base,
@@ -115,8 +117,11 @@
   limits.advice_servers_max = ADVICE_SERVERS_MAX;
   limits.gang_advice_servers_max = GANG_ADVICE_SERVERS_MAX;
   limits.record_bytes_max = ports->record_bytes_max;
+  limits.forecasts = settings->forecasts;
+  limits.created_us = colt_clock_monotonic_us ();
   leader->base = base;
   leader->ports = ports;
+  leader->metrics = metrics;
   leader->settings = settings;
   leader->client = *client;
   leader->term = term;
@@ -283,6 +288,14 @@
   return true;
 }
 
+static void
+measure_forecast_ (void *client, int64_t error_us)
+{
+  const struct ColtLeader *leader = client;
+
+  colt_metrics_time (leader->metrics, TIMING_FORECAST_ERROR, error_us);
+}
+
 static void
 log_decision_ (void *client,
                const char *job,
--- a/src/scheduler/leader_calls.c
+++ b/src/scheduler/leader_calls.c
@@ -5,6 +5,9 @@
 /* New jobs are rejected immediately while a batch is open for longer than this.
  */
 #define BATCH_STUCK_US (1200 * COLT_US_PER_MS)
+/* The forecast isn't trusted while a batch is open for longer than this, several
+ * times what one takes: starts are late for another reason than the load. */
+#define BATCH_SLOW_US (300 * COLT_US_PER_MS)
 /* Retry time given to callers while the log doesn't answer. */
 #define LOG_RETRY_AFTER_MS 1000
 /* Retry time given to callers while the cell is full. */
@@ -243,6 +246,8 @@
                    LOG_RETRY_AFTER_MS);
       return;
     }
+  if (colt_commit_batch_age_us (leader->commit) > BATCH_SLOW_US)
+    colt_cell_distrust_forecast (leader->cell, colt_clock_monotonic_us ());
   call->spec->accepted_wall_ms = colt_clock_wall_us () / COLT_US_PER_MS;
   result
       = colt_cell_submit (leader->cell, call->spec, colt_clock_monotonic_us ());
@@ -266,6 +271,9 @@
       reply (client, &retry_reply);
       return;
     case COLT_SUBMIT_TOO_LATE:
+      send_reply_ (reply, client, COLT_ANSWER_LIMITED, 0,
+                   colt_cell_retry_after_ms (leader->cell));
+      return;
     case COLT_SUBMIT_FULL:
       send_reply_ (reply, client, COLT_ANSWER_LIMITED, 0, FULL_RETRY_AFTER_MS);
     }
--- a/src/scheduler/metrics.c
+++ b/src/scheduler/metrics.c
@@ -64,13 +64,17 @@
   { COLT_COUNTER_GAUGE, "cell_runs_stopped", "Runs stopped in this term" },
   { COLT_COUNTER_GAUGE, "cell_runs_lapsed",
     "Runs in this term whose lease or server ended" },
+  { COLT_COUNTER_GAUGE, "cell_rejected_too_late",
+    "Jobs in this term rejected by the forecast" },
 };
 
 /* Indexed by enum ColtTiming. */
 static const struct ColtTimingName timing_names[TIMING_COUNT]
     = { { "scheduler_answer_ms", "Requests of callers until their answer" },
         { "scheduler_commit_ms", "Batches of records until they are durable" },
-        { "scheduler_advice_ms", "Calls for advice" } };
+        { "scheduler_advice_ms", "Calls for advice" },
+        { "cell_forecast_error_ms",
+          "Starts of accepted jobs against the forecast on arrival" } };
 
 struct ColtMetrics *
 colt_metrics_create (void)
@@ -140,6 +144,8 @@
                     (int64_t)stats->ended[COLT_RUN_STOPPED]);
   colt_metrics_set (metrics, METRIC_RUNS_LAPSED,
                     (int64_t)stats->ended[COLT_RUN_LAPSED]);
+  colt_metrics_set (metrics, METRIC_REJECTED_TOO_LATE,
+                    (int64_t)stats->rejected_too_late);
 }
 
 void
--- a/src/scheduler/private/leader_private.h
+++ b/src/scheduler/private/leader_private.h
@@ -17,6 +17,7 @@
 {
   const struct ColtPorts *ports;
   const struct ColtSchedulerSettings *settings;
+  struct ColtMetrics *metrics;
   struct ColtLeaderClient client;
   struct event_base *base;
   uint64_t term;
--- a/src/scheduler/private/metrics.h
+++ b/src/scheduler/private/metrics.h
@@ -31,6 +31,7 @@
   METRIC_RUNS_FAILED,
   METRIC_RUNS_STOPPED,
   METRIC_RUNS_LAPSED,
+  METRIC_REJECTED_TOO_LATE,
   METRIC_COUNT
 };
 
@@ -39,6 +40,7 @@
   TIMING_ANSWER, /* of a caller's request, from arrival to answer */
   TIMING_COMMIT, /* of a batch, from first sending to the log's answer */
   TIMING_ADVICE, /* of a call for advice, including the network */
+  TIMING_FORECAST_ERROR, /* of a start, against its forecast on arrival */
   TIMING_COUNT
 };
 
