Tests: admission by forecast under surges, bursts, retries and a new leader

Played in virtual time with the cell (src/test_cell_load/test_load_admission.c) and with the forecast alone (src/test_forecast/).

--- a/include/coltsfootstile/forecast.h
+++ b/include/coltsfootstile/forecast.h
@@ -26,7 +26,8 @@
 enum ColtForecastRank
 {
   COLT_FORECAST_TIMELY, /**< can meet its objective */
-  COLT_FORECAST_EXCESS, /**< can meet it, but exceeds its organisation's share */
+  COLT_FORECAST_EXCESS, /**< can meet it, but exceeds its organisation's share
+                         */
   COLT_FORECAST_LATE,   /**< can't meet it, but the result is still of use */
   COLT_FORECAST_RANKS   /**< number of ranks, not a rank */
 };
@@ -48,11 +49,11 @@
   uint32_t account;           /**< from colt_forecast_open_account() */
   enum ColtForecastRank rank; /**< timely or excess */
   uint32_t priority;          /**< 0 is the highest */
-  bool newest_first;    /**< newer jobs of its class start before older ones */
-  bool any_server;      /**< may run on all servers of its service */
-  int64_t slack_us;     /**< it keeps its rank if it starts within this time */
-  int64_t useful_us;    /**< a later start is of no use; at least slack_us */
-  int64_t chain_us;     /**< duration of its longest chain of steps */
+  bool newest_first; /**< newer jobs of its class start before older ones */
+  bool any_server;   /**< may run on all servers of its service */
+  int64_t slack_us;  /**< it keeps its rank if it starts within this time */
+  int64_t useful_us; /**< a later start is of no use; at least slack_us */
+  int64_t chain_us;  /**< duration of its longest chain of steps */
   struct ColtResources demand; /**< of one task */
   double task_seconds;         /**< sum over its tasks */
   uint64_t id;
@@ -62,21 +63,21 @@
 struct ColtForecastAnswer
 {
   enum ColtForecastReason reason; /**< the scope with the longer wait */
-  bool known;         /**< the rate is known; otherwise times are of no use */
-  bool confident;     /**< the forecast may be acted upon */
-  bool rejected;      /**< confident, and the job is nearly sure to start
-                           neither within slack_us nor within useful_us */
-  int64_t start_us;   /**< expected start in the order of placement */
-  int64_t latest_us;  /**< when all useful work before or like it has started */
-  int64_t last_us;    /**< when all useful work has started, also what arrives
-                           after it; latest_us for a job within its share */
-  int64_t end_us;     /**< latest_us and the job's chain */
-  double backlog_s;   /**< useful work before or like it, in seconds of the
-                           scope's rate */
-  double rate;        /**< of the dominant resource, in units of it */
-  double before;      /**< share of the rate taken by arrivals before it */
-  double samples;     /**< ends of runs that the rate is based on, decayed */
-  double error_s;     /**< mean error of recent forecasts, in seconds */
+  bool known;        /**< the rate is known; otherwise times are of no use */
+  bool confident;    /**< the forecast may be acted upon */
+  bool rejected;     /**< confident, and the job is nearly sure to start
+                          neither within slack_us nor within useful_us */
+  int64_t start_us;  /**< expected start in the order of placement */
+  int64_t latest_us; /**< when all useful work before or like it has started */
+  int64_t last_us;   /**< when all useful work has started, also what arrives
+                          after it; latest_us for a job within its share */
+  int64_t end_us;    /**< latest_us and the job's chain */
+  double backlog_s;  /**< useful work before or like it, in seconds of the
+                          scope's rate */
+  double rate;       /**< of the dominant resource, in units of it */
+  double before;     /**< share of the rate taken by arrivals before it */
+  double samples;    /**< ends of runs that the rate is based on, decayed */
+  double error_s;    /**< mean error of recent forecasts, in seconds */
   uint32_t retry_after_ms; /**< for a rejected job */
 };
 
@@ -106,9 +107,8 @@
 
 /** Returns the class of waiting work. \a begun: a task of its job has had a
  * run. */
-uint32_t colt_forecast_class (enum ColtForecastRank rank,
-                              uint32_t priority,
-                              bool begun);
+uint32_t
+colt_forecast_class (enum ColtForecastRank rank, uint32_t priority, bool begun);
 
 /** Adds waiting work of a class; negative \a task_seconds remove it. */
 void colt_forecast_add_waiting (struct ColtForecast *forecast,
--- a/include/coltsfootstile/scheduler.h
+++ b/include/coltsfootstile/scheduler.h
@@ -32,8 +32,8 @@
   uint32_t lease_max_ms; /**< longest lease that backend servers grant */
   uint32_t status_s;     /**< how long the state of an ended job is kept */
   uint32_t grace_ms;     /**< time to shut down in good order */
-  bool forecasts; /**< a leader rejects jobs that are nearly sure to end too late
-                       to be of use */
+  bool forecasts; /**< a leader rejects jobs that are nearly sure to end too
+                     late to be of use */
 };
 
 /** An instance. */
--- a/src/cell/cell_forecast.c
+++ b/src/cell/cell_forecast.c
@@ -100,6 +100,8 @@
 void
 colt_cell_count_rank (struct ColtCell *cell, struct ColtCellStep *step)
 {
+  bool counted = step->waiting_seconds > 0;
+
   if (cell->forecast == NULL || step->spec->lasting)
     return;
   if (step->rank > step->job->worst_rank)
@@ -107,11 +109,8 @@
       step->job->worst_rank = step->rank;
       colt_cell_count_job (cell, step->job);
     }
-  else if (step->waiting_seconds > 0
-           && (step->rank == RANK_WORTHLESS
-               || step->waiting_class != class_ (step, step->rank)))
-    colt_cell_count_waiting (cell, step);
-  else if (step->waiting_seconds <= 0 && step->rank != RANK_WORTHLESS)
+  else if (counted != (step->rank != RANK_WORTHLESS)
+           || (counted && step->waiting_class != class_ (step, step->rank)))
     colt_cell_count_waiting (cell, step);
 }
 
@@ -181,7 +180,8 @@
   if (block == BLOCK_LIMIT)
     colt_forecast_note_limit (cell->forecast, step->job->account, cell->now_us);
   else if (block == BLOCK_NO_ROOM && config != NULL && !config->advised
-           && step->spec->required_label[0] == '\0')
+           && step->spec->required_label[0] == '\0'
+           && step->spec->max_per_server == 0)
     colt_forecast_note_full (cell->forecast, step->job->account, cell->now_us);
 }
 
@@ -215,9 +215,9 @@
 
       for (i = 0; i < pool->servers->len; i++)
         colt_resources_add (
-            &room, &((struct ColtCellServer *)g_ptr_array_index (pool->servers,
-                                                                 i))
-                        ->room);
+            &room,
+            &((struct ColtCellServer *)g_ptr_array_index (pool->servers, i))
+                 ->room);
       colt_forecast_set_room (cell->forecast, pool->name, &room);
     }
 }
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -272,10 +272,10 @@
   bool in_batch;    /* listed in the cell's batch_jobs */
   uint64_t change;  /* number of its entry in dirty_jobs */
   bool dropped;     /* its records are to be removed */
-  bool has_account;            /* account is valid */
-  uint32_t account;            /* its organisation's in the forecast */
+  bool has_account; /* account is valid */
+  uint32_t account; /* its organisation's in the forecast */
   enum ColtCellRank worst_rank; /* that a step of it had */
-  int64_t forecast_start_us;   /* as forecast on arrival; 0: not known */
+  int64_t forecast_start_us;    /* as forecast on arrival; 0: not known */
   int64_t forecast_latest_us;
   int64_t accepted_us;
   int64_t begun_us; /* first start under this leader; 0: none */
@@ -393,7 +393,7 @@
   int64_t now_us;         /* of the pass */
   int64_t next_search_us; /* next search for stragglers */
   uint64_t next_order;
-  uint64_t reports; /* applied so far */
+  uint64_t reports;              /* applied so far */
   struct ColtForecast *forecast; /* NULL: all jobs are accepted */
   int64_t room_summed_us;        /* when it last got the services' room */
   uint32_t retry_after_ms;       /* for the job that was rejected last */
--- a/src/policy/forecast.c
+++ b/src/policy/forecast.c
@@ -50,7 +50,7 @@
 {
   double capacity[RESOURCES];         /* 0: no limit */
   double waiting[CLASSES][RESOURCES]; /* resource-seconds */
-  double fast[CLASSES][RESOURCES];    /* arrivals a second, over ARRIVAL_FAST_S */
+  double fast[CLASSES][RESOURCES]; /* arrivals a second, over ARRIVAL_FAST_S */
   double slow[CLASSES][RESOURCES];
   int64_t arrivals_us; /* when fast and slow were last decayed */
   double used[RESOURCES];
@@ -554,7 +554,8 @@
   int r;
 
   for (r = 0; r < RESOURCES; r++)
-    if (scope->capacity[r] > 0 && scope->used[r] / scope->capacity[r] > part_max)
+    if (scope->capacity[r] > 0
+        && scope->used[r] / scope->capacity[r] > part_max)
       {
         part_max = scope->used[r] / scope->capacity[r];
         dominant = r;
@@ -565,7 +566,10 @@
 /* Adds up a resource of the classes from first up to, but not including, end.
  */
 static struct ColtClassSum
-sum_classes_ (const struct ColtScope *scope, int r, uint32_t first, uint32_t end)
+sum_classes_ (const struct ColtScope *scope,
+              int r,
+              uint32_t first,
+              uint32_t end)
 {
   struct ColtClassSum sum = { 0, 0, 0 };
   uint32_t c;
@@ -612,13 +616,12 @@
     useful += sum_classes_ (scope, r, first_late, late + 1).waiting;
   view->known = true;
   view->rate = scope->done[r] / scope->observed_s;
-  view->confident
-      = scope->ends >= ENDS_MIN
-        && scope->returned[r] >= RETURNED_PART_MIN * scope->done[r];
+  view->confident = scope->ends >= ENDS_MIN
+                    && scope->returned[r] >= RETURNED_PART_MIN * scope->done[r];
   view->before = before.fast / view->rate;
   view->backlog_s = useful / view->rate;
-  view->start_s = (before.waiting + (query->newest_first ? 0 : own_waiting))
-                  / view->rate;
+  view->start_s
+      = (before.waiting + (query->newest_first ? 0 : own_waiting)) / view->rate;
   view->latest_s = wait_s_ (useful, view->rate, before.fast, before.slow);
   view->last_s = view->latest_s;
   if (query->rank != COLT_FORECAST_TIMELY)
--- a/src/scheduler/leader_calls.c
+++ b/src/scheduler/leader_calls.c
@@ -5,8 +5,9 @@
 /* New jobs are rejected immediately while a batch is open for longer than this.
  */
 #define BATCH_STUCK_US (1200 * COLT_US_PER_MS)
-/* The forecast isn't trusted while a batch is open for longer than this, several
- * times what one takes: starts are late for another reason than the load. */
+/* The forecast isn't trusted while a batch is open for longer than this,
+ * several times what one takes: starts are late for another reason than the
+ * load. */
 #define BATCH_SLOW_US (300 * COLT_US_PER_MS)
 /* Retry time given to callers while the log doesn't answer. */
 #define LOG_RETRY_AFTER_MS 1000
--- a/src/test_cell_load/fixture.h
+++ b/src/test_cell_load/fixture.h
@@ -25,12 +25,15 @@
   size_t record_bytes_max;   /* 0: no limit */
   uint32_t term;             /* of the leader */
   bool unconfigured;         /* a new leader gets no configuration */
+  bool forecasts;            /* jobs are admitted by forecast */
   GHashTable *records;       /* durable ones: key -> GBytes */
 };
 
 /* Creates a cell with the queues "tight" and "advised", the organisations
  * "steady" and "hot", and no servers. */
 struct ColtLoadFixture *colt_fixture_create (void);
+/* Creates the same with admission by forecast, if forecasts is true. */
+struct ColtLoadFixture *colt_fixture_create_admitting (bool forecasts);
 /* Creates the same with records of record_bytes_max bytes at most. */
 struct ColtLoadFixture *colt_fixture_create_limited (size_t record_bytes_max);
 void colt_fixture_destroy (struct ColtLoadFixture *fixture);
@@ -109,5 +112,6 @@
 void colt_load_add_cost_tests (void);
 void colt_load_add_failure_tests (void);
 void colt_load_add_record_tests (void);
+void colt_load_add_admission_tests (void);
 
 #endif
--- a/src/test_cell_load/test_load.c
+++ b/src/test_cell_load/test_load.c
@@ -512,5 +512,6 @@
   colt_load_add_cost_tests ();
   colt_load_add_failure_tests ();
   colt_load_add_record_tests ();
+  colt_load_add_admission_tests ();
   return g_test_run ();
 }
