Cell: ends of runs no longer measure the forecast's rate, and rejections log their slack

Long tasks return nothing in the first seconds of a surge, so that comparing ends with use kept the rate unknown then.

--- a/include/coltsfootstile/forecast.h
+++ b/include/coltsfootstile/forecast.h
@@ -125,15 +125,14 @@
                                 double task_seconds,
                                 int64_t now_us);
 
-/** Notes that a run takes room, or that it has returned it after \a held_s
- * seconds. Runs that don't end by themselves must not be passed. */
+/** Notes that a run takes room, or that it has returned it. Runs that don't end
+ * by themselves must not be passed. */
 void colt_forecast_add_run (struct ColtForecast *forecast,
                             uint32_t account,
                             const struct ColtResources *demand);
 void colt_forecast_end_run (struct ColtForecast *forecast,
                             uint32_t account,
                             const struct ColtResources *demand,
-                            double held_s,
                             int64_t now_us);
 
 /** Notes that waiting work found its organisation at its maximum. */
--- a/src/cell/cell_forecast.c
+++ b/src/cell/cell_forecast.c
@@ -144,9 +144,7 @@
 
   if (cell->forecast != NULL && !run->task->step->spec->lasting
       && job->has_account)
-    colt_forecast_end_run (cell->forecast, job->account, &run->demand,
-                           (double)(now_us - run->ordered_us) / COLT_US_PER_S,
-                           now_us);
+    colt_forecast_end_run (cell->forecast, job->account, &run->demand, now_us);
 }
 
 void
@@ -345,8 +343,9 @@
   g_snprintf (
       detail, sizeof detail,
       "%s of %s, %s, %s: backlog %.1f s at %.0f a second (%.0f ends), arrivals "
-      "before it %.2f of that; latest start in %lld ms, end in %lld ms, useful "
-      "start within %lld ms; error %.2f s; retry after %u ms",
+      "before it %.2f of that; latest start in %lld ms, end in %lld ms, after "
+      "all useful work in %lld ms; slack %lld ms, useful start within %lld ms; "
+      "error %.2f s; retry after %u ms",
       colt_forecast_reason_string[answer->reason],
       answer->reason == COLT_FORECAST_SERVICE ? job->queue->config->service
                                               : job->organisation->name,
@@ -354,6 +353,8 @@
       answer->rate, answer->samples, answer->before,
       (long long)((answer->latest_us - now_us) / COLT_US_PER_MS),
       (long long)((answer->end_us - now_us) / COLT_US_PER_MS),
+      (long long)((answer->last_us - now_us) / COLT_US_PER_MS),
+      (long long)(query->slack_us / COLT_US_PER_MS),
       (long long)(query->useful_us / COLT_US_PER_MS), answer->error_s,
       answer->retry_after_ms);
   cell->ops->log_decision (cell->client, job->id, "job rejected", detail);
--- a/src/policy/forecast.c
+++ b/src/policy/forecast.c
@@ -21,12 +21,11 @@
 /* A scope is the bottleneck until this long after placement last found it so.
  * Passes that plan no start for lack of a budget find nothing. */
 #define BOTTLENECK_US (500 * COLT_US_PER_MS)
-/* Least time as the bottleneck and ends of runs for a known rate. */
+/* Least time as the bottleneck and ends of runs for a known rate. Ends aren't
+ * compared with use: long runs return nothing for seconds after a surge began,
+ * and runs that hang only make the rate look higher. */
 #define OBSERVED_MIN_S 0.5
 #define ENDS_MIN 10.0
-/* Least part of the rate that has to be seen in ends of runs. Runs that began
- * before the scope was full return less. */
-#define RETURNED_PART_MIN 0.4
 /* Nothing is rejected for this long after an election or a disturbance. */
 #define DISTRUST_US (3 * COLT_US_PER_S)
 /* Part of a service's servers that are lost within LOSS_S for a disturbance. */
@@ -54,17 +53,16 @@
   double slow[CLASSES][RESOURCES];
   int64_t arrivals_us; /* when fast and slow were last decayed */
   double used[RESOURCES];
-  int64_t found_us;           /* when it last was the bottleneck; 0: never */
-  double observed_s;          /* as the bottleneck, decayed */
-  double done[RESOURCES];     /* integral of used over that time, decayed */
-  double returned[RESOURCES]; /* resource-seconds of runs that ended in it */
-  double ends;                /* runs that ended in it, decayed */
-  int64_t next_return_us;     /* next turn of a rejected job */
-  double lost;                /* part of its servers lost recently, decayed */
-  int64_t lost_us;            /* when lost was last decayed */
-  int64_t trusted_us;         /* nothing is rejected before */
-  GPtrArray *accounts;        /* of struct ColtAccount, of an organisation */
-  bool limited;               /* its work isn't counted in services */
+  int64_t found_us;       /* when it last was the bottleneck; 0: never */
+  double observed_s;      /* as the bottleneck, decayed */
+  double done[RESOURCES]; /* integral of used over that time, decayed */
+  double ends;            /* runs that ended in it, decayed */
+  int64_t next_return_us; /* next turn of a rejected job */
+  double lost;            /* part of its servers lost recently, decayed */
+  int64_t lost_us;        /* when lost was last decayed */
+  int64_t trusted_us;     /* nothing is rejected before */
+  GPtrArray *accounts;    /* of struct ColtAccount, of an organisation */
+  bool limited;           /* its work isn't counted in services */
 };
 
 /* An organisation's work in a service. */
@@ -276,7 +274,6 @@
 colt_forecast_end_run (struct ColtForecast *forecast,
                        uint32_t account,
                        const struct ColtResources *demand,
-                       double held_s,
                        int64_t now_us)
 {
   struct ColtAccount *owner = get_account_ (forecast, account);
@@ -286,10 +283,8 @@
   for (i = 0; i < G_N_ELEMENTS (scopes); i++)
     {
       add_work_ (scopes[i]->used, demand, -1);
-      if (!is_bottleneck_ (scopes[i], now_us))
-        continue;
-      add_work_ (scopes[i]->returned, demand, MAX (held_s, 0));
-      scopes[i]->ends++;
+      if (is_bottleneck_ (scopes[i], now_us))
+        scopes[i]->ends++;
     }
 }
 
@@ -488,7 +483,6 @@
   for (r = 0; r < RESOURCES; r++)
     {
       scope->done[r] *= kept;
-      scope->returned[r] *= kept;
     }
   if (!throughout)
     return;
@@ -616,8 +610,7 @@
     useful += sum_classes_ (scope, r, first_late, late + 1).waiting;
   view->known = true;
   view->rate = scope->done[r] / scope->observed_s;
-  view->confident = scope->ends >= ENDS_MIN
-                    && scope->returned[r] >= RETURNED_PART_MIN * scope->done[r];
+  view->confident = scope->ends >= ENDS_MIN;
   view->before = before.fast / view->rate;
   view->backlog_s = useful / view->rate;
   view->start_s
--- a/src/test_forecast/test_forecast.c
+++ b/src/test_forecast/test_forecast.c
@@ -41,7 +41,7 @@
       load->now_us += TICK_US;
       if (ends && load->now_us % (100 * COLT_US_PER_MS) == 0)
         {
-          colt_forecast_end_run (load->forecast, load->account, &load->core, 1,
+          colt_forecast_end_run (load->forecast, load->account, &load->core,
                                  load->now_us);
           colt_forecast_add_run (load->forecast, load->account, &load->core);
         }
