Cell: headroom for short urgent work, off by default

A burst of short work of priority 0 found the service full of work that could have waited. With [placement] headroom = 1 steps of lower priority with much slack aren't started into the room that urgent work needed at its peak of the last 16 s, less what it uses; less is kept the more other work waits.

--- a/include/coltsfootstile/cell.h
+++ b/include/coltsfootstile/cell.h
@@ -215,8 +215,9 @@
   size_t
       record_bytes_max; /**< largest value of a record, in bytes; the progress
                              of a wide job takes several. 0: no limit */
-  bool forecasts;     /**< rejects jobs that are nearly sure to end too late */
-  int64_t created_us; /**< time of creation; used only by the forecast */
+  bool forecasts;      /**< rejects jobs that are nearly sure to end too late */
+  int64_t created_us;  /**< time of creation; used only by the forecast */
+  bool keeps_headroom; /**< keeps room free for short urgent work */
 };
 
 /** A record to store under a key. */
@@ -562,6 +563,7 @@
   uint64_t moved;    /**< stragglers that were stopped to start elsewhere */
   uint64_t given_up; /**< tasks given up after crashes of their servers */
   uint64_t rejected_too_late; /**< jobs rejected by the forecast */
+  uint64_t kept_slots; /**< gauge: urgent tasks for which room is kept free */
 };
 
 /** Returns servers, organisations and open steps, those with tasks that may be
--- a/include/coltsfootstile/scheduler.h
+++ b/include/coltsfootstile/scheduler.h
@@ -34,6 +34,7 @@
   uint32_t grace_ms;     /**< time to shut down in good order */
   bool forecasts; /**< a leader rejects jobs that are nearly sure to end too
                      late to be of use */
+  bool keeps_headroom; /**< a leader keeps room free for short urgent work */
 };
 
 /** An instance. */
--- a/src/cell/cell_jobs.c
+++ b/src/cell/cell_jobs.c
@@ -166,6 +166,7 @@
       step->open = true;
       g_ptr_array_add (cell->open_steps, step);
       colt_cell_count_waiting (cell, step);
+      colt_cell_note_urgent (cell, step);
     }
 }
 
--- a/src/cell/cell_runs.c
+++ b/src/cell/cell_runs.c
@@ -51,7 +51,9 @@
   colt_cell_begin_probe (run);
   g_ptr_array_add (server->runs, run);
   colt_resources_add (&server->used, &run->demand);
+  colt_cell_update_slots (server);
   colt_resources_add (&job->organisation->used, &run->demand);
+  colt_cell_note_urgent_run (run);
   task->current = run;
   task->last_run = number;
   step->waiting--;
@@ -280,6 +282,8 @@
   g_ptr_array_remove (step->job->planned, run);
   g_ptr_array_remove_fast (run->server->runs, run);
   colt_resources_subtract (&run->server->used, &run->demand);
+  colt_cell_update_slots (run->server);
+  colt_cell_note_urgent_end (run);
   if (run->server->pool != NULL)
     colt_cell_forget_with_room (run->server->pool);
   colt_resources_subtract (&step->job->organisation->used, &run->demand);
--- /dev/null
+++ b/src/cell/private/cell_policy.h
@@ -0,0 +1,61 @@
+/* What the decisions of src/policy/ are told, and where they are asked; private
+ * to the files of this package, which include it by cell_private.h. */
+#ifndef COLT_CELL_POLICY_H
+#define COLT_CELL_POLICY_H
+
+#include "cell_private.h"
+
+/* cell_forecast.c: what the forecast of admission is told. All of them do
+ * nothing while admission by forecast is off. */
+
+/* Returns whether a new job may be accepted; logs a rejection. */
+bool colt_cell_admit (struct ColtCell *cell,
+                      struct ColtCellJob *job,
+                      int64_t now_us);
+/* Counts an accepted job. */
+void colt_cell_count_arrival (struct ColtCell *cell,
+                              struct ColtCellJob *job,
+                              int64_t now_us);
+/* Update what is counted of a step, or of all steps of a job. To be called when
+ * waiting tasks, ranks or states change. */
+void colt_cell_count_waiting (struct ColtCell *cell, struct ColtCellStep *step);
+void colt_cell_count_job (struct ColtCell *cell, struct ColtCellJob *job);
+void colt_cell_count_rank (struct ColtCell *cell, struct ColtCellStep *step);
+/* Stops counting a job that is removed. */
+void colt_cell_uncount_job (struct ColtCell *cell, struct ColtCellJob *job);
+void colt_cell_count_run (struct ColtCell *cell, const struct ColtCellRun *run);
+void colt_cell_uncount_run (struct ColtCell *cell,
+                            const struct ColtCellRun *run,
+                            int64_t now_us);
+/* Compares the first start of a job with the forecast. */
+void colt_cell_check_forecast (struct ColtCell *cell,
+                               struct ColtCellJob *job,
+                               int64_t now_us);
+void colt_cell_count_block (struct ColtCell *cell,
+                            struct ColtCellStep *step,
+                            enum ColtCellBlock block);
+void colt_cell_count_lost_server (struct ColtCell *cell,
+                                  const struct ColtCellServer *server);
+void colt_cell_end_forecast_pass (struct ColtCell *cell, int64_t now_us);
+
+/* cell_headroom.c: room that is kept free for urgent work. All of them do
+ * nothing while that is off. */
+
+/* Notes a step that has become ready, if it is urgent. */
+void colt_cell_note_urgent (struct ColtCell *cell, struct ColtCellStep *step);
+/* Has to be called before the first step of a pass is placed. */
+void colt_cell_begin_headroom (struct ColtCell *cell, int64_t now_us);
+/* Updates the slots of a server after its use has changed. */
+void colt_cell_update_slots (struct ColtCellServer *server);
+/* Note that a run of an urgent step takes room, and has returned it. */
+void colt_cell_note_urgent_run (struct ColtCellRun *run);
+void colt_cell_note_urgent_end (const struct ColtCellRun *run);
+/* Notes a step that the pass has looked at, with tasks that still wait. */
+void colt_cell_note_waiting (const struct ColtCellStep *step);
+/* Returns whether a step can wait and its next task would take room that is
+ * kept free. server: where it would start; NULL: not known yet. */
+bool colt_cell_holds_back (const struct ColtCellStep *step,
+                           const struct ColtCellServer *server,
+                           int64_t now_us);
+
+#endif
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -7,6 +7,7 @@
 #include "coltsfootstile/cell.h"
 #include "coltsfootstile/clock.h"
 #include "coltsfootstile/forecast.h"
+#include "coltsfootstile/headroom.h"
 
 /* Size in bytes of a buffer for a task's name, JOB.OCCURRENCE.STEP.INDEX. */
 #define TASK_NAME_SIZE 64
@@ -68,7 +69,9 @@
   BLOCK_ADVICE,     /* its advice call is pending or delayed */
   BLOCK_NO_ADVISER, /* its advice call is queued until an adviser is free */
   BLOCK_GANG,       /* an earlier run of its gang has to end first */
-  BLOCK_ORDERS      /* as many starts as can be sent in time are planned */
+  BLOCK_ORDERS,     /* as many starts as can be sent in time are planned */
+  BLOCK_HEADROOM    /* it can wait, and the last free room is kept for urgent
+                       work */
 };
 
 /* Order in which steps get room. */
@@ -128,6 +131,7 @@
   GList *stop_link;          /* in the cell's stops; NULL: not listed */
   bool stopped_where_listed; /* by the incarnation that listed the run */
   struct ColtResources demand;
+  struct ColtHeadroom *headroom; /* that counts it as urgent; NULL: none */
 };
 
 struct ColtCellTask
@@ -193,6 +197,7 @@
   uint32_t active;  /* tasks with a run */
   uint32_t done;
   bool open;                   /* listed in the cell's open_steps */
+  bool urgent;                 /* room is kept free for such steps */
   struct ColtResources demand; /* of each task */
   GHashTable *advice; /* struct ColtCellServer -> struct ColtCellAdvice */
   struct ColtCellCall *call; /* its pending advice call; NULL: none */
@@ -325,6 +330,8 @@
   double slowness;     /* for the sum of logarithms below; 0: not computed */
   double slowness_log;
   guint position; /* in its pool's candidates, while it is one of them */
+  bool has_slots; /* it was usable when its pool's slots were last counted */
+  uint32_t slots; /* of its pool's, that it has */
 };
 
 /* Servers with the same first label and the same room. Their common slowness
@@ -353,6 +360,12 @@
   guint searched;       /* servers looked at in this pass without that list */
   GArray *candidates;   /* of struct ColtCandidate; only kept while advice calls
                            are sent, otherwise NULL */
+  struct ColtHeadroom *headroom; /* NULL: no urgent work has arrived */
+  int64_t slots_counted_us;      /* when all slots were last counted; 0: they
+                                    have to be */
+  uint32_t total_slots; /* when all were last counted, if nothing ran */
+  int64_t slots;        /* free ones on usable servers, of urgent work's size */
+  uint32_t kept_slots;  /* of these, not for work that can wait, in this pass */
 };
 
 struct ColtCell
@@ -486,57 +499,6 @@
 void colt_cell_restore_terms (struct ColtCellQueue *queue,
                               const ColtQueueTerms *terms);
 
-/* cell_probation.c: servers on which runs fail */
-
-/* Returns whether a server may get another run: one on probation gets none for
- * a while, then few, and more the longer nothing fails. */
-bool colt_cell_may_probe (const struct ColtCellServer *server, int64_t now_us);
-/* Counts a run that starts on a server on probation. */
-void colt_cell_begin_probe (struct ColtCellRun *run);
-void colt_cell_end_probe (struct ColtCellRun *run);
-/* Ends the probation of a server on which a task that lasts has been at work
- * for a while. To be called when the run is listed. */
-void colt_cell_prove_run (struct ColtCellRun *run);
-/* Counts the end of a run for or against its server. To be called before the
- * run is removed. */
-void colt_cell_judge_server (struct ColtCell *cell,
-                             const struct ColtCellRun *run,
-                             enum ColtRunEnd how,
-                             int64_t now_us);
-/* Forgets what was known of a server that has been restarted. */
-void colt_cell_reset_probation (struct ColtCellServer *server);
-
-/* cell_crashes.c */
-
-/* Ends a run that was lost with its server, and gives up its task if servers
- * crash under it again and again. ended: the server's process has certainly
- * ended. */
-void colt_cell_lose_run (struct ColtCell *cell,
-                         struct ColtCellRun *run,
-                         bool ended,
-                         int64_t now_us);
-
-/* Decides, before a task starts again, what became of the server of its last
- * run. Returns whether the task was given up. */
-bool colt_cell_review_losses (struct ColtCell *cell,
-                              struct ColtCellTask *task,
-                              int64_t now_us);
-
-void colt_cell_begin_trial (struct ColtCellRun *run);
-void colt_cell_end_trial (struct ColtCellRun *run);
-/* Applies that a report lists a run. */
-void colt_cell_confirm_run (struct ColtCell *cell,
-                            struct ColtCellRun *run,
-                            int64_t percent,
-                            int64_t now_us);
-/* Notes that a run lasted or ended by itself: its task doesn't crash servers.
- */
-void colt_cell_clear_losses (struct ColtCell *cell, struct ColtCellTask *task);
-/* Returns what the score of a server is lowered by for a task under which
- * servers have crashed. */
-double colt_cell_crash_penalty (const struct ColtCellTask *task,
-                                const struct ColtCellServer *server);
-
 /* cell_progress.c */
 
 /* Returns whether a checkpoint fits the records of its job; a task whose
@@ -619,39 +581,6 @@
  * room. */
 void colt_cell_sort_steps (struct ColtCell *cell);
 
-/* cell_forecast.c: what the forecast of admission is told. All of them do
- * nothing while admission by forecast is off. */
-
-/* Returns whether a new job may be accepted; logs a rejection. */
-bool colt_cell_admit (struct ColtCell *cell,
-                      struct ColtCellJob *job,
-                      int64_t now_us);
-/* Counts an accepted job. */
-void colt_cell_count_arrival (struct ColtCell *cell,
-                              struct ColtCellJob *job,
-                              int64_t now_us);
-/* Update what is counted of a step, or of all steps of a job. To be called when
- * waiting tasks, ranks or states change. */
-void colt_cell_count_waiting (struct ColtCell *cell, struct ColtCellStep *step);
-void colt_cell_count_job (struct ColtCell *cell, struct ColtCellJob *job);
-void colt_cell_count_rank (struct ColtCell *cell, struct ColtCellStep *step);
-/* Stops counting a job that is removed. */
-void colt_cell_uncount_job (struct ColtCell *cell, struct ColtCellJob *job);
-void colt_cell_count_run (struct ColtCell *cell, const struct ColtCellRun *run);
-void colt_cell_uncount_run (struct ColtCell *cell,
-                            const struct ColtCellRun *run,
-                            int64_t now_us);
-/* Compares the first start of a job with the forecast. */
-void colt_cell_check_forecast (struct ColtCell *cell,
-                               struct ColtCellJob *job,
-                               int64_t now_us);
-void colt_cell_count_block (struct ColtCell *cell,
-                            struct ColtCellStep *step,
-                            enum ColtCellBlock block);
-void colt_cell_count_lost_server (struct ColtCell *cell,
-                                  const struct ColtCellServer *server);
-void colt_cell_end_forecast_pass (struct ColtCell *cell, int64_t now_us);
-
 /* cell_room.c */
 
 /* Has to be called before the first step of a pass is placed. */
@@ -725,27 +654,8 @@
                                 int64_t now_us);
 void colt_cell_move_stragglers (struct ColtCell *cell, int64_t now_us);
 
-/* cell_rank.c */
-void colt_cell_add_duration (const struct ColtCellRun *run, int64_t now_us);
-void colt_cell_update_slowness (struct ColtCellStep *step);
-void colt_cell_assign_kind (struct ColtCell *cell,
-                            struct ColtCellServer *server);
-double colt_cell_slowness (struct ColtCellServer *server);
-void colt_cell_raise_slowness (struct ColtCellServer *server,
-                               double log_slowness);
-int64_t colt_cell_objective_us (const struct ColtCellJob *job);
-/* Returns the expected duration of a task of the step. */
-int64_t colt_cell_step_us (const struct ColtCellStep *step);
-/* Returns the expected duration of the longest chain of the job's steps. */
-int64_t colt_cell_chain_us (const struct ColtCellJob *job);
-/* Returns how long a new job may wait for its start and still end within its
- * objective, times the factor beyond which it is of no use if useful is true.
- */
-int64_t colt_cell_slack_us (const struct ColtCellJob *job, bool useful);
-/* Takes back what colt_cell_exceeds_share() charged. */
-void colt_cell_refund_share (struct ColtCellOrganisation *organisation);
-bool colt_cell_exceeds_share (struct ColtCellOrganisation *organisation,
-                              int64_t now_us);
-void colt_cell_rank_step (struct ColtCellStep *step, int64_t now_us);
+#include "cell_failures.h"
+#include "cell_policy.h"
+#include "cell_rank.h"
 
 #endif
--- a/src/scheduler/leader.c
+++ b/src/scheduler/leader.c
@@ -118,6 +118,7 @@
   limits.gang_advice_servers_max = GANG_ADVICE_SERVERS_MAX;
   limits.record_bytes_max = ports->record_bytes_max;
   limits.forecasts = settings->forecasts;
+  limits.keeps_headroom = settings->keeps_headroom;
   limits.created_us = colt_clock_monotonic_us ();
   leader->base = base;
   leader->ports = ports;
--- a/src/test_cell_load/fixture.c
+++ b/src/test_cell_load/fixture.c
@@ -101,10 +101,14 @@
 static void
 create_cell (struct ColtLoadFixture *fixture)
 {
-  const struct ColtCellLimits limits = {
-    60 * COLT_US_PER_S, 800 * MS,       30, 100, fixture->record_bytes_max,
-    fixture->forecasts, fixture->now_us
-  };
+  const struct ColtCellLimits limits = { 60 * COLT_US_PER_S,
+                                         800 * MS,
+                                         30,
+                                         100,
+                                         fixture->record_bytes_max,
+                                         fixture->forecasts,
+                                         fixture->now_us,
+                                         fixture->headroom };
   struct ColtFleet *fleet = make_fleet ();
 
   fixture->cell = colt_cell_create (&ops, fixture, &limits, fixture->term);
@@ -119,28 +123,35 @@
   return colt_fixture_create_limited (0);
 }
 
-static struct ColtLoadFixture *create_fixture (size_t record_bytes_max,
-                                               bool forecasts);
+static struct ColtLoadFixture *
+create_fixture (size_t record_bytes_max, bool forecasts, bool headroom);
 
 struct ColtLoadFixture *
 colt_fixture_create_limited (size_t record_bytes_max)
 {
-  return create_fixture (record_bytes_max, false);
+  return create_fixture (record_bytes_max, false, false);
 }
 
 struct ColtLoadFixture *
 colt_fixture_create_admitting (bool forecasts)
 {
-  return create_fixture (0, forecasts);
+  return create_fixture (0, forecasts, false);
+}
+
+struct ColtLoadFixture *
+colt_fixture_create_with_headroom (bool headroom)
+{
+  return create_fixture (0, false, headroom);
 }
 
 static struct ColtLoadFixture *
-create_fixture (size_t record_bytes_max, bool forecasts)
+create_fixture (size_t record_bytes_max, bool forecasts, bool headroom)
 {
   struct ColtLoadFixture *fixture = g_new0 (struct ColtLoadFixture, 1);
 
   fixture->record_bytes_max = record_bytes_max;
   fixture->forecasts = forecasts;
+  fixture->headroom = headroom;
   fixture->now_us = COLT_US_PER_S;
   fixture->starts = g_ptr_array_new_with_free_func (g_free);
   fixture->stops = g_ptr_array_new_with_free_func (g_free);
--- a/src/test_cell_load/fixture.h
+++ b/src/test_cell_load/fixture.h
@@ -26,6 +26,7 @@
   uint32_t term;             /* of the leader */
   bool unconfigured;         /* a new leader gets no configuration */
   bool forecasts;            /* jobs are admitted by forecast */
+  bool headroom;             /* room is kept free for urgent work */
   GHashTable *records;       /* durable ones: key -> GBytes */
 };
 
@@ -34,6 +35,8 @@
 struct ColtLoadFixture *colt_fixture_create (void);
 /* Creates the same with admission by forecast, if forecasts is true. */
 struct ColtLoadFixture *colt_fixture_create_admitting (bool forecasts);
+/* Creates the same with room kept free for urgent work, if headroom is true. */
+struct ColtLoadFixture *colt_fixture_create_with_headroom (bool headroom);
 /* Creates the same with records of record_bytes_max bytes at most. */
 struct ColtLoadFixture *colt_fixture_create_limited (size_t record_bytes_max);
 void colt_fixture_destroy (struct ColtLoadFixture *fixture);
@@ -113,5 +116,6 @@
 void colt_load_add_failure_tests (void);
 void colt_load_add_record_tests (void);
 void colt_load_add_admission_tests (void);
+void colt_load_add_headroom_tests (void);
 
 #endif
--- a/src/test_cell_load/test_load.c
+++ b/src/test_cell_load/test_load.c
@@ -513,5 +513,6 @@
   colt_load_add_failure_tests ();
   colt_load_add_record_tests ();
   colt_load_add_admission_tests ();
+  colt_load_add_headroom_tests ();
   return g_test_run ();
 }
