--- a/bench/bench_cell.c
+++ b/bench/bench_cell.c
@@ -547,10 +547,14 @@
 }
 
 static struct ColtBench *
-create_bench (uint32_t servers, uint32_t seed)
+create_bench (uint32_t servers, uint32_t seed, bool policies)
 {
-  const struct ColtCellLimits limits
-      = { 120 * COLT_US_PER_S, 800 * COLT_US_PER_MS, 30, 100 };
+  const struct ColtCellLimits limits = { .status_us = 120 * COLT_US_PER_S,
+                                         .stop_retry_us = 800 * COLT_US_PER_MS,
+                                         .advice_servers_max = 30,
+                                         .gang_advice_servers_max = 100,
+                                         .forecasts = policies,
+                                         .keeps_headroom = policies };
   static const char *const services[] = { "bookings", "visuals" };
   struct ColtBench *bench = g_new0 (struct ColtBench, 1);
   struct ColtFleet *fleet = colt_fleet_create ();
@@ -636,6 +640,8 @@
   uint32_t seed = argc > 1 ? (uint32_t)strtoul (argv[1], NULL, 10) : 1;
   int64_t seconds = argc > 2 ? strtoll (argv[2], NULL, 10) : 20;
   size_t row = argc > 3 ? strtoul (argv[3], NULL, 10) : 0;
+  /* Admission by forecast, and headroom. */
+  bool policies = argc > 4 && strtoul (argv[4], NULL, 10) != 0;
   size_t i;
   int work;
 
@@ -651,7 +657,7 @@
 
       if (row != 0 && i != row - 1)
         continue;
-      bench = create_bench (rows[i].servers, seed);
+      bench = create_bench (rows[i].servers, seed, policies);
       end_ms = bench->now_ms + seconds * 1000;
       while (bench->now_ms < end_ms)
         run_millisecond (bench, rows[i].load, rows[i].starts_per_s);
--- a/src/test_cell_load/test_load_admission.c
+++ b/src/test_cell_load/test_load_admission.c
@@ -352,6 +352,22 @@
   return result;
 }
 
+/* A rejected job has no state, no record and no start. */
+static void
+assert_unknown (const struct Play *play, uint32_t id)
+{
+  char key[COLT_JOB_ID_LENGTH + 2];
+  enum ColtJobState state;
+
+  g_snprintf (key, sizeof key, "s%016x", id);
+  colt_fixture_commit (play->fixture);
+  g_assert_false (colt_cell_get_state (play->fixture->cell, key + 1, &state));
+  g_assert_false (g_hash_table_contains (play->fixture->records, key));
+  key[0] = 'p';
+  g_assert_false (g_hash_table_contains (play->fixture->records, key));
+  g_assert_false (colt_fixture_has_started (play->fixture, 0, id));
+}
+
 /* Returns the index of the last job that was rejected, or accepted. */
 static guint
 find_last (const struct Play *play, bool rejected)
@@ -379,6 +395,7 @@
   job = &g_array_index (play.jobs, struct PlayedJob, find_last (&play, true));
   rejected = job->id;
   g_assert_cmpint (resubmit (&play, rejected), ==, COLT_SUBMIT_TOO_LATE);
+  assert_unknown (&play, rejected);
   job = &g_array_index (play.jobs, struct PlayedJob, find_last (&play, false));
   g_assert_cmpint (resubmit (&play, job->id), ==, COLT_SUBMIT_KNOWN);
   while (submit (&play, true) != COLT_SUBMIT_NEW)
@@ -418,6 +435,65 @@
   play_end (&play);
 }
 
+/* An organisation is at its maximum when half of the servers stop answering,
+ * and later the log: nothing is rejected then, and again 3 s later. */
+static void
+test_disturbances (void)
+{
+  struct Play play;
+
+  play_begin (&play, true, 4, 2.4, 27000);
+  play_load (&play, 5, 2, false);
+  play_load (&play, 3, 16, true);
+  while (submit (&play, true) == COLT_SUBMIT_NEW)
+    ;
+  colt_cell_distrust_forecast (play.fixture->cell, play.fixture->now_us);
+  g_assert_cmpint (submit (&play, true), ==, COLT_SUBMIT_NEW);
+  play_load (&play, 3.1, 8, true);
+  while (submit (&play, true) == COLT_SUBMIT_NEW)
+    ;
+  colt_cell_set_unreachable (play.fixture->cell, "s2");
+  colt_cell_set_unreachable (play.fixture->cell, "s3");
+  g_assert_cmpint (submit (&play, true), ==, COLT_SUBMIT_NEW);
+  play_end (&play);
+}
+
+static enum ColtSubmitResult
+submit_kind (struct Play *play, bool lasting, bool gang, uint32_t repetitions)
+{
+  ColtJobSpec *spec = colt_fixture_make_job (play->fixture, TASKS);
+  enum ColtSubmitResult result;
+
+  spec->steps[0]->lasting = lasting;
+  spec->steps[0]->gang = gang;
+  spec->repetitions = repetitions;
+  spec->interval_ms = 1000000;
+  result = colt_cell_submit (play->fixture->cell, spec, play->fixture->now_us);
+  if (result != COLT_SUBMIT_NEW)
+    colt_job_spec__free_unpacked (spec, NULL);
+  return result;
+}
+
+/* Lasting and scheduled jobs, and gangs, are accepted while an organisation is
+ * at its maximum and its other jobs are rejected. */
+static void
+test_not_evaluated (void)
+{
+  struct Play play;
+
+  play_begin (&play, true, 4, 2.4, 27000);
+  play_load (&play, 5, 2, false);
+  play_load (&play, 3, 16, true);
+  while (submit (&play, true) == COLT_SUBMIT_NEW)
+    ;
+  g_assert_cmpint (submit_kind (&play, true, false, 0), ==, COLT_SUBMIT_NEW);
+  g_assert_cmpint (submit_kind (&play, false, true, 0), ==, COLT_SUBMIT_NEW);
+  g_assert_cmpint (submit_kind (&play, false, false, 2), ==, COLT_SUBMIT_NEW);
+  g_assert_cmpint (submit_kind (&play, false, false, 0), ==,
+                   COLT_SUBMIT_TOO_LATE);
+  play_end (&play);
+}
+
 /* Runs of a whole fleet hang: the rate at which room returns isn't known, and
  * nothing is rejected, however much waits. */
 static void
@@ -444,4 +520,6 @@
   g_test_add_func ("/cell/load/admission/returning-ids", test_returning_ids);
   g_test_add_func ("/cell/load/admission/new-leader", test_new_leader);
   g_test_add_func ("/cell/load/admission/unknown-rate", test_unknown_rate);
+  g_test_add_func ("/cell/load/admission/disturbances", test_disturbances);
+  g_test_add_func ("/cell/load/admission/not-evaluated", test_not_evaluated);
 }
