Cell: jobs without a known duration or slack aren't evaluated; a world with both policies

A trial of the simulated worlds with admission on found that jobs of a queue without objective, or whose tasks have no known duration, were rejected at the first wait. They are accepted now. The world /cell/world/policies plays faults, leaders and rejections, whose ids come again with other steps.

--- a/src/cell/cell_forecast.c
+++ b/src/cell/cell_forecast.c
@@ -220,7 +220,9 @@
     }
 }
 
-/* The start of a gang depends on how room is fragmented. */
+/* The start of a gang depends on how room is fragmented. Nothing is known of a
+ * job whose tasks have no expected duration, or whose objective is shorter than
+ * its chain by far. */
 static bool
 is_evaluated_ (const struct ColtCellJob *job)
 {
@@ -229,9 +231,10 @@
   if (job->spec->repetitions > 0)
     return false;
   for (i = 0; i < job->step_count; i++)
-    if (job->steps[i].spec->lasting || job->steps[i].spec->gang)
+    if (job->steps[i].spec->lasting || job->steps[i].spec->gang
+        || colt_cell_step_us (&job->steps[i]) <= 0)
       return false;
-  return true;
+  return colt_cell_slack_us (job, true) > 0;
 }
 
 /* The queue of an inherited job may have no configuration yet. */
--- a/src/scheduler/leader.c
+++ b/src/scheduler/leader.c
@@ -235,6 +235,7 @@
   g_ptr_array_set_size (leader->progress_records, 0);
   colt_cell_finish_loading (leader->cell,
                             colt_leader_inherited_until_us (leader));
+  colt_cell_distrust_forecast (leader->cell, colt_clock_monotonic_us ());
   leader->phase = PHASE_SERVING;
   leader->server_watch = colt_watch_create (
       leader->base, leader->ports, COLT_TOPIC_SERVERS, &times, &watch_client);
--- a/src/test_cell/simulation.c
+++ b/src/test_cell/simulation.c
@@ -5,6 +5,9 @@
 
 /* Time until the leases of earlier leaders have expired: with 1/20 for clock
  * drift and 400 ms of slack, as the scheduler waits. */
+/* Objectives and expected durations of tasks, if policies are simulated. */
+#define STRETCH 1.2
+#define ESTIMATE_MS 100
 #define SETTLE_US (LEASE_US + LEASE_US / 20 + 400 * COLT_US_PER_MS)
 /* Time until a batch of records is durable. */
 #define COMMIT_DURATION_US (30 * COLT_US_PER_MS)
@@ -122,7 +125,12 @@
 replace_leader (struct ColtSim *sim)
 {
   const struct ColtCellLimits limits
-      = { 3600 * COLT_US_PER_S, 800 * COLT_US_PER_MS, 30 };
+      = { .status_us = 3600 * COLT_US_PER_S,
+          .stop_retry_us = 800 * COLT_US_PER_MS,
+          .advice_servers_max = 30,
+          .forecasts = sim->plan->policies,
+          .created_us = sim->now_us,
+          .keeps_headroom = sim->plan->policies };
   uint32_t s;
 
   if (sim->batch != NULL)
@@ -176,6 +184,7 @@
 {
   struct ColtSimJob *job = g_new0 (struct ColtSimJob, 1);
   ColtJobSpec *spec = malloc (sizeof *spec);
+  enum ColtSubmitResult result;
   uint32_t steps = (uint32_t)g_rand_int_range (sim->rand, 1, 4);
   uint32_t cpu = (uint32_t)g_rand_int_range (sim->rand, 200, 2000);
   uint32_t i;
@@ -195,6 +204,7 @@
       step->count = (uint32_t)g_rand_int_range (sim->rand, 1, 5);
       step->cpu_milli = cpu;
       step->memory_mb = 1;
+      step->estimate_ms = sim->plan->policies ? ESTIMATE_MS : 0;
       if (i > 0)
         {
           step->after = calloc (1, sizeof *step->after);
@@ -210,8 +220,17 @@
   if (sim->plan->deadly_tasks > 0
       && colt_sim_draw (sim, sim->plan->deadly_tasks))
     make_deadly (sim, job, spec);
-  g_assert_cmpint (colt_cell_submit (sim->cell, spec, sim->now_us), ==,
-                   COLT_SUBMIT_NEW);
+  result = colt_cell_submit (sim->cell, spec, sim->now_us);
+  if (!sim->plan->policies || result == COLT_SUBMIT_NEW)
+    {
+      g_assert_cmpint (result, ==, COLT_SUBMIT_NEW);
+      return;
+    }
+  g_assert_cmpint (result, ==, COLT_SUBMIT_TOO_LATE);
+  sim->result->rejected++;
+  colt_job_spec__free_unpacked (spec, NULL);
+  g_ptr_array_remove (sim->job_list, job);
+  g_hash_table_remove (sim->jobs, job->id);
 }
 
 static void
@@ -331,7 +350,7 @@
 }
 
 static struct ColtFleet *
-make_fleet (void)
+make_fleet (bool objectives)
 {
   struct ColtFleet *fleet = colt_fleet_create ();
   struct ColtQueueConfig *queue = colt_fleet_add_queue (fleet);
@@ -343,6 +362,7 @@
   queue->service = g_strdup (SERVICE);
   queue->max_attempts = MAX_ATTEMPTS;
   queue->advised = true;
+  queue->stretch = objectives ? STRETCH : 0;
   organisation->name = g_strdup (ORGANISATION);
   organisation->maximum.amount[COLT_RESOURCE_CORES] = ORGANISATION_CORES;
   return fleet;
@@ -379,7 +399,7 @@
   sim.rand = g_rand_new_with_seed (plan->seed);
   sim.now_us = COLT_US_PER_S;
   sim.half_time_us = sim.now_us + plan->steps / 2 * STEP_US;
-  sim.fleet = make_fleet ();
+  sim.fleet = make_fleet (plan->policies);
   colt_sim_make_servers (&sim);
   sim.orders = g_ptr_array_new_with_free_func (colt_sim_free_order);
   sim.job_list = g_ptr_array_new ();
--- a/src/test_cell/simulation.h
+++ b/src/test_cell/simulation.h
@@ -32,11 +32,13 @@
   double log_outages;     /* per step: no batch is durable for 0.1 to 3 s */
   /* Most ends in one report; 0: no limit. Also after the planned steps. */
   uint32_t listed_ends;
+  bool policies; /* jobs have objectives; admission by forecast, and headroom */
 };
 
 /* Counts of a simulation. */
 struct ColtSimResult
 {
+  uint32_t rejected; /* jobs, by the forecast; the next job has the same id */
   uint32_t accepted; /* jobs that the last leader has a record of */
   uint32_t completed;
   uint32_t failed;
--- a/src/test_cell/test_cell.c
+++ b/src/test_cell/test_cell.c
@@ -12,6 +12,7 @@
   uint32_t overfull_rooms = 0;
   uint32_t shrunken_starts = 0;
   uint32_t cut_lists = 0;
+  uint32_t rejected = 0;
   uint32_t seed;
   uint32_t seeds = plan->seed * (g_test_thorough () ? 20 : 1);
 
@@ -29,9 +30,12 @@
       overfull_rooms += result.overfull_rooms;
       shrunken_starts += result.shrunken_starts;
       cut_lists += result.cut_lists;
+      rejected += result.rejected;
     }
   if (plan->listed_ends > 0)
     g_assert_cmpuint (cut_lists, >, 0);
+  if (plan->policies)
+    g_assert_cmpuint (rejected, >, 0);
   if (plan->shrinking_rooms == 0)
     return;
   g_assert_cmpuint (overfull_rooms, >, 0);
@@ -120,6 +124,27 @@
   run_seeds (&plan);
 }
 
+/* Guards against rejected jobs that leave something behind: their ids come
+ * again with other steps. */
+static void
+test_policies (void)
+{
+  const struct ColtSimPlan plan = { .seed = 30,
+                                    .servers = 6,
+                                    .jobs = 80,
+                                    .steps = 2000,
+                                    .lost_answers = 0.05,
+                                    .late_orders = 0.03,
+                                    .failing_runs = 0.2,
+                                    .leader_changes = 0.001,
+                                    .partitions = 0.0005,
+                                    .crashes = 0.0005,
+                                    .cancels = 0.005,
+                                    .policies = true };
+
+  run_seeds (&plan);
+}
+
 static void
 test_everything (void)
 {
@@ -235,6 +260,7 @@
   g_test_add_func ("/cell/world/leader-changes", test_leader_changes);
   g_test_add_func ("/cell/world/leader-changes-with-partitions",
                    test_leader_changes_with_partitions);
+  g_test_add_func ("/cell/world/policies", test_policies);
   g_test_add_func ("/cell/world/everything", test_everything);
   g_test_add_func ("/cell/world/deadly-tasks", test_deadly_tasks);
   g_test_add_func ("/cell/world/deadly-tasks-and-leader-changes",
