Cell: fewer wrong rejections

A single large job counted as a lasting rate of arrivals, steps that can't start yet counted as backlog, and short bursts of the whole service led to rejections. Recent arrivals count by their number now, steps count once they are open, a service has to be full for 5 s, and the margin is 1.5. Return times are spread over a turn instead of a second.

--- a/src/cell/cell_forecast.c
+++ b/src/cell/cell_forecast.c
@@ -8,6 +8,7 @@
 
 static bool is_evaluated_ (const struct ColtCellJob *job);
 static bool open_account_ (struct ColtCell *cell, struct ColtCellJob *job);
+static bool may_count_ (const struct ColtCellStep *step);
 static bool is_counted_ (const struct ColtCellStep *step);
 static enum ColtCellRank rank_ (const struct ColtCellStep *step);
 static uint32_t class_ (const struct ColtCellStep *step,
@@ -62,7 +63,7 @@
   if (cell->forecast == NULL || !open_account_ (cell, job))
     return;
   for (i = 0; i < job->step_count; i++)
-    if (is_counted_ (&job->steps[i]))
+    if (may_count_ (&job->steps[i]))
       colt_forecast_add_arrival (
           cell->forecast, job->account,
           class_ (&job->steps[i], job->excess ? RANK_EXCESS : RANK_TIMELY),
@@ -251,15 +252,22 @@
   return job->has_account;
 }
 
-/* Steps of occurrences that aren't due yet don't stand before others. */
 static bool
-is_counted_ (const struct ColtCellStep *step)
+may_count_ (const struct ColtCellStep *step)
 {
   return step->waiting > 0 && !step->spec->lasting && !step->spec->gang
          && !colt_cell_is_ended (step->job)
          && (step->job->spec->repetitions == 0 || step->open);
 }
 
+/* Steps whose predecessors still run, or whose occurrence isn't due, don't
+ * stand before others yet. */
+static bool
+is_counted_ (const struct ColtCellStep *step)
+{
+  return step->open && may_count_ (step);
+}
+
 static enum ColtCellRank
 rank_ (const struct ColtCellStep *step)
 {
--- a/src/policy/forecast.c
+++ b/src/policy/forecast.c
@@ -13,9 +13,15 @@
 /* Times over which arrivals are smoothed. */
 #define ARRIVAL_FAST_S 3.0
 #define ARRIVAL_SLOW_S 30.0
+/* Recent arrivals of a class above the slow average count half if there are
+ * this many, as a single large job isn't a burst. */
+#define ARRIVALS_HALF 8.0
 /* Recent arrivals are assumed to continue for this long: bursts last 4 to 6 s.
  */
 #define BURST_S 5.0
+/* Nothing is rejected for the sake of a service that has been full for a
+ * shorter time: it serves most of a short burst once that is over. */
+#define SERVICE_BURST_US (5 * COLT_US_PER_S)
 /* Largest part of the rate that arrivals are assumed to take for good. */
 #define ARRIVAL_PART_MAX 0.9
 /* A scope is the bottleneck until this long after placement last found it so.
@@ -38,7 +44,7 @@
 #define ERROR_PART_MAX 0.5
 /* A job is rejected if its latest start is beyond its slack by this factor. A
  * wrong rejection costs its caller more than a wrong acceptance. */
-#define MARGIN 1.25
+#define MARGIN 1.5
 /* Part of the rate that is left for returning jobs. */
 #define RETURN_PART 0.5
 #define RETURN_MAX_US (30 * COLT_US_PER_S)
@@ -51,12 +57,14 @@
   double waiting[CLASSES][RESOURCES]; /* resource-seconds */
   double fast[CLASSES][RESOURCES]; /* arrivals a second, over ARRIVAL_FAST_S */
   double slow[CLASSES][RESOURCES];
-  int64_t arrivals_us; /* when fast and slow were last decayed */
+  double arrivals[CLASSES]; /* recent ones, decayed over ARRIVAL_FAST_S */
+  int64_t arrivals_us;      /* when fast and slow were last decayed */
   double used[RESOURCES];
   int64_t found_us;       /* when it last was the bottleneck; 0: never */
   double observed_s;      /* as the bottleneck, decayed */
   double done[RESOURCES]; /* integral of used over that time, decayed */
   double ends;            /* runs that ended in it, decayed */
+  int64_t since_us;       /* since when it has been the bottleneck */
   int64_t next_return_us; /* next turn of a rejected job */
   double lost;            /* part of its servers lost recently, decayed */
   int64_t lost_us;        /* when lost was last decayed */
@@ -256,6 +264,7 @@
                  task_seconds / ARRIVAL_FAST_S);
       add_work_ (scopes[i]->slow[work_class], demand,
                  task_seconds / ARRIVAL_SLOW_S);
+      scopes[i]->arrivals[work_class]++;
     }
 }
 
@@ -370,7 +379,10 @@
   if (query->any_server)
     view_scope_ (account->service, query, now_us, &other);
   answer->reason = COLT_FORECAST_ORGANISATION;
-  if (other.known && (!view.known || other.surplus_s > view.surplus_s))
+  if (now_us - account->service->since_us < SERVICE_BURST_US)
+    other.confident = false;
+  if (other.known
+      && (!view.known || (other.confident && other.surplus_s > view.surplus_s)))
     {
       view = other;
       scope = account->service;
@@ -485,7 +497,10 @@
       scope->done[r] *= kept;
     }
   if (!throughout)
-    return;
+    {
+      scope->since_us = now_us;
+      return;
+    }
   scope->observed_s += passed_s;
   for (r = 0; r < RESOURCES; r++)
     scope->done[r] += scope->used[r] * passed_s;
@@ -532,11 +547,14 @@
 
   scope->arrivals_us = now_us;
   for (c = 0; c < CLASSES; c++)
-    for (r = 0; r < RESOURCES; r++)
-      {
-        scope->fast[c][r] *= fast;
-        scope->slow[c][r] *= slow;
-      }
+    {
+      scope->arrivals[c] *= fast;
+      for (r = 0; r < RESOURCES; r++)
+        {
+          scope->fast[c][r] *= fast;
+          scope->slow[c][r] *= slow;
+        }
+    }
 }
 
 /* Returns the resource of which the largest part is used. */
@@ -570,9 +588,13 @@
 
   for (c = first; c < end; c++)
     {
+      double known = scope->arrivals[c] / (scope->arrivals[c] + ARRIVALS_HALF);
+      double fast = scope->fast[c][r];
+      double slow = scope->slow[c][r];
+
       sum.waiting += scope->waiting[c][r];
-      sum.fast += scope->fast[c][r];
-      sum.slow += scope->slow[c][r];
+      sum.fast += fast > slow ? slow + known * (fast - slow) : fast;
+      sum.slow += slow;
     }
   return sum;
 }
@@ -649,16 +671,16 @@
       = now_us + (int64_t)(view->surplus_s * (double)COLT_US_PER_S);
   int64_t turn_us = MAX (earliest_us, scope->next_return_us);
   double part = (double)mix_ (query->id) / UINT32_MAX;
+  double length_us = view->work_s / RETURN_PART * (double)COLT_US_PER_S;
   double after_us;
 
   if (turn_us - now_us > RETURN_MAX_US)
     after_us = (double)RETURN_MAX_US * (1 + part) / 2;
   else
     {
-      after_us = (double)(turn_us - now_us) + part * COLT_US_PER_S;
-      scope->next_return_us
-          = turn_us
-            + (int64_t)(view->work_s / RETURN_PART * (double)COLT_US_PER_S);
+      after_us = (double)(turn_us - now_us)
+                 + part * MIN (length_us, (double)COLT_US_PER_S);
+      scope->next_return_us = turn_us + (int64_t)length_us;
     }
   return (uint32_t)(after_us / COLT_US_PER_MS) + 1;
 }
