--- a/include/coltsfootstile/scheduler.h
+++ b/include/coltsfootstile/scheduler.h
@@ -39,6 +39,9 @@
                              work; 0: it doesn't count */
   uint32_t wait_max_ms; /**< longest delay of an organisation's waiting work for
                              its past use */
+  bool forecasts; /**< a leader rejects jobs that are nearly sure to end too
+                     late to be of use */
+  bool keeps_headroom; /**< a leader keeps room free for short urgent work */
 };
 
 /** An instance. */
--- a/src/cell/cell_runs.c
+++ b/src/cell/cell_runs.c
@@ -20,7 +20,8 @@
 static bool is_earlier_leader_run_ (const struct ColtCell *cell,
                                     const struct ColtCellTask *task,
                                     uint32_t number);
-static void remove_run_ (struct ColtCell *cell, struct ColtCellRun *run);
+static void
+remove_run_ (struct ColtCell *cell, struct ColtCellRun *run, int64_t now_us);
 static void store_checkpoint_ (const struct ColtCell *cell,
                                struct ColtCellTask *task,
                                const char *checkpoint);
@@ -58,13 +59,17 @@
   colt_cell_begin_probe (run);
   g_ptr_array_add (server->runs, run);
   colt_resources_add (&server->used, &run->demand);
+  colt_cell_update_slots (server);
   colt_resources_add (&job->organisation->used, &run->demand);
   colt_cell_count_use (cell, run, now_us);
+  colt_cell_note_urgent_run (run);
   task->current = run;
   task->last_run = number;
   step->waiting--;
   cell->steps_to_close |= step->waiting == 0;
   step->active++;
+  colt_cell_count_run (cell, run);
+  colt_cell_count_waiting (cell, step);
   if (job->active++ == 0)
     {
       g_queue_push_tail (&cell->running_jobs, job);
@@ -80,6 +85,8 @@
       if (!colt_cell_is_ended (job))
         job->state = COLT_JOB_RUNNING;
       colt_cell_update_waiting (job);
+      colt_cell_count_job (cell, job);
+      colt_cell_check_forecast (cell, job, now_us);
     }
   return run;
 }
@@ -103,7 +110,7 @@
     cell->unrecorded_runs--;
   colt_cell_judge_server (cell, run, how, now_us);
   colt_cell_end_use (cell, run, now_us);
-  remove_run_ (cell, run);
+  remove_run_ (cell, run, now_us);
   cell->stats.runs--;
   cell->stats.ended[how]++;
   store_checkpoint_ (cell, task, checkpoint);
@@ -322,7 +329,7 @@
 }
 
 static void
-remove_run_ (struct ColtCell *cell, struct ColtCellRun *run)
+remove_run_ (struct ColtCell *cell, struct ColtCellRun *run, int64_t now_us)
 {
   struct ColtCellTask *task = run->task;
   struct ColtCellStep *step = task->step;
@@ -334,6 +341,8 @@
   g_ptr_array_remove_fast (run->server->runs, run);
   colt_resources_subtract (&run->server->used, &run->demand);
   colt_cell_note_room (run->server);
+  colt_cell_update_slots (run->server);
+  colt_cell_note_urgent_end (run);
   if (run->server->pool != NULL)
     colt_cell_forget_with_room (run->server->pool);
   colt_resources_subtract (&step->job->organisation->used, &run->demand);
@@ -348,6 +357,8 @@
     }
   if (!task->done)
     step->waiting++;
+  colt_cell_uncount_run (cell, run, now_us);
+  colt_cell_count_waiting (cell, step);
   g_free (run);
 }
 
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -7,6 +7,8 @@
 #include "coltsfootstile/cell.h"
 #include "coltsfootstile/clock.h"
 #include "coltsfootstile/cold_ramp.h"
+#include "coltsfootstile/forecast.h"
+#include "coltsfootstile/headroom.h"
 
 /* Size in bytes of a buffer for a task's name, JOB.OCCURRENCE.STEP.INDEX. */
 #define TASK_NAME_SIZE 64
@@ -81,7 +83,9 @@
   BLOCK_GANG,       /* an earlier run of its gang has to end first */
   BLOCK_ORDERS,     /* as many starts as can be sent in time are planned */
   BLOCK_EVACUATED,  /* all suitable servers are in evacuated zones */
-  BLOCK_RESERVED    /* servers are reserved for its gang from a later time on */
+  BLOCK_RESERVED,   /* servers are reserved for its gang from a later time on */
+  BLOCK_HEADROOM    /* it can wait, and the last free room is kept for urgent
+                       work */
 };
 
 /* Order in which steps get room. */
@@ -142,6 +146,7 @@
   GList *stop_link;          /* in the cell's stops; NULL: not listed */
   bool stopped_where_listed; /* by the incarnation that listed the run */
   struct ColtResources demand;
+  struct ColtHeadroom *headroom; /* that counts it as urgent; NULL: none */
 };
 
 struct ColtCellTask
@@ -212,6 +217,7 @@
                            has been listed or has begun */
   uint64_t looked_pass; /* latest pass that looked at it, or was over when it
                            was listed */
+  bool urgent;          /* room is kept free for such steps */
   struct ColtResources demand; /* of each task */
   GHashTable *advice; /* struct ColtCellServer -> struct ColtCellAdvice */
   struct ColtCellCall *call; /* its pending advice call; NULL: none */
@@ -236,6 +242,8 @@
   struct ColtCellPlan *plan;  /* of a gang that servers are reserved for */
   int64_t next_plan_us;       /* earliest time of its next plan */
   guint plan_first;           /* position in the pool where that begins */
+  uint32_t waiting_class;     /* of the forecast's backlog, that counts it */
+  double waiting_seconds; /* that the forecast counts of its waiting tasks */
 };
 
 /* A task's entry in its job's packed progress. */
@@ -295,6 +303,11 @@
   bool in_batch;    /* listed in the cell's batch_jobs */
   uint64_t change;  /* number of its entry in dirty_jobs */
   bool dropped;     /* its records are to be removed */
+  bool has_account; /* account is valid */
+  uint32_t account; /* its organisation's in the forecast */
+  enum ColtCellRank worst_rank; /* that a step of it had */
+  int64_t forecast_start_us;    /* as forecast on arrival; 0: not known */
+  int64_t forecast_latest_us;
   int64_t accepted_us;
   int64_t begun_us; /* first start under this leader; 0: none */
   int64_t ended_us;
@@ -349,6 +362,8 @@
   guint position; /* in its pool's candidates, while it is one of them */
   struct ColtCellHold *holds; /* reservations for gangs; NULL: none */
   int64_t wanted_until_us;    /* a waiting gang may run on it until then */
+  bool has_slots; /* it was usable when its pool's slots were last counted */
+  uint32_t slots; /* of its pool's, that it has */
 };
 
 /* Servers with the same first label and the same room. Their common slowness
@@ -381,9 +396,15 @@
                            are sent, otherwise NULL */
   int64_t now_us;       /* of the pass */
   uint32_t plans;       /* of gangs that had their turn in this pass */
-  uint32_t lowest_priority; /* of its queues: the largest number */
-  uint32_t gang_priority;   /* of a gang that waits or waited last */
-  int64_t gangs_until_us;   /* gangs wait, or did shortly before */
+  uint32_t lowest_priority;      /* of its queues: the largest number */
+  uint32_t gang_priority;        /* of a gang that waits or waited last */
+  int64_t gangs_until_us;        /* gangs wait, or did shortly before */
+  struct ColtHeadroom *headroom; /* NULL: no urgent work has arrived */
+  int64_t slots_counted_us;      /* when all slots were last counted; 0: they
+                                    have to be */
+  uint32_t total_slots; /* when all were last counted, if nothing ran */
+  int64_t slots;        /* free ones on usable servers, of urgent work's size */
+  uint32_t kept_slots;  /* of these, not for work that can wait, in this pass */
 };
 
 struct ColtCell
@@ -436,8 +457,11 @@
   int64_t now_us;         /* of the pass */
   int64_t next_search_us; /* next search for stragglers */
   uint64_t next_order;
-  uint64_t reports;            /* applied so far */
-  struct ColtCellUsage *usage; /* past use; NULL: doesn't count */
+  uint64_t reports;              /* applied so far */
+  struct ColtCellUsage *usage;   /* past use; NULL: doesn't count */
+  struct ColtForecast *forecast; /* NULL: all jobs are accepted */
+  int64_t room_summed_us;        /* when it last got the services' room */
+  uint32_t retry_after_ms;       /* for the job that was rejected last */
   struct ColtCellStats stats;
 };
 
@@ -446,6 +470,8 @@
                                         const char *id);
 struct ColtCellJob *colt_cell_build_job (struct ColtCell *cell,
                                          ColtJobSpec *spec);
+/* Removes a job that was built and isn't accepted; its specification stays. */
+void colt_cell_discard_job (struct ColtCell *cell, struct ColtCellJob *job);
 bool colt_cell_is_spec_valid (const ColtJobSpec *spec);
 void colt_cell_free_job (gpointer data);
 void colt_cell_drop_spec (struct ColtCellJob *job);
@@ -585,6 +611,29 @@
  * servers have crashed. */
 double colt_cell_crash_penalty (const struct ColtCellTask *task,
                                 const struct ColtCellServer *server);
+/* cell_progress.c */
+
+/* Returns whether a checkpoint fits the records of its job; a task whose
+ * checkpoint doesn't starts from an earlier one. */
+bool colt_cell_can_store_checkpoint (const struct ColtCell *cell,
+                                     const char *checkpoint);
+/* Sets how a new job's progress is split over records. */
+void colt_cell_split_progress (const struct ColtCell *cell,
+                               struct ColtCellJob *job);
+/* Returns a part of a job's progress, as it is recorded, and its size in bytes.
+ * Only entries of tasks that have changed are packed anew. NULL: the part
+ * hasn't changed since it was last packed; the first one is always returned. */
+uint8_t *colt_cell_pack_progress (const struct ColtCell *cell,
+                                  struct ColtCellJob *job,
+                                  uint32_t part,
+                                  size_t *size);
+/* Packs the parts of a wide job that was loaded, so that only those that change
+ * from then on are recorded again. */
+void colt_cell_keep_progress (const struct ColtCell *cell,
+                              struct ColtCellJob *job);
+/* Notes that something has changed that is recorded of a task. */
+void colt_cell_mark_entry (const struct ColtCellTask *task);
+void colt_cell_free_entries (struct ColtCellJob *job);
 
 /* cell_servers.c */
 struct ColtCellServer *colt_cell_find_server (const struct ColtCell *cell,
@@ -739,5 +788,8 @@
 void colt_cell_rank_step (struct ColtCellStep *step, int64_t now_us);
 /* Returns the latest time at which the start of a step is still of use. */
 int64_t colt_cell_latest_us (const struct ColtCellStep *step);
+#include "cell_failures.h"
+#include "cell_policy.h"
+#include "cell_rank.h"
 
 #endif
--- a/src/coltsfootstile/cell_main.c
+++ b/src/coltsfootstile/cell_main.c
@@ -77,6 +77,10 @@
           false, "half-life of organisations' past use, in seconds; 0: off" },
         { "fairness", "wait_max_ms", COLT_SETTING_INTEGER, "2000", 0, 60000,
           false, "longest delay for past use, in milliseconds" },
+        { "admission", "forecast", COLT_SETTING_INTEGER, "0", 0, 1, false,
+          "1: reject jobs that are nearly sure to end too late to be of use" },
+        { "placement", "headroom", COLT_SETTING_INTEGER, "0", 0, 1, false,
+          "1: keep room free for short urgent work" },
         { "log", "level", COLT_SETTING_STRING, "info", 0, 0, false,
           "error, warning, info or debug" } };
 
@@ -255,6 +259,10 @@
       = (uint32_t)colt_settings_integer (settings, "fairness", "half_life_s");
   scheduler->wait_max_ms
       = (uint32_t)colt_settings_integer (settings, "fairness", "wait_max_ms");
+  scheduler->forecasts
+      = colt_settings_integer (settings, "admission", "forecast") != 0;
+  scheduler->keeps_headroom
+      = colt_settings_integer (settings, "placement", "headroom") != 0;
   adapter->callers = colt_settings_string (settings, "listen", "callers");
   adapter->readiness = colt_settings_string (settings, "listen", "readiness");
   adapter->state = colt_settings_string (settings, "listen", "state");
--- a/src/scheduler/leader.c
+++ b/src/scheduler/leader.c
@@ -61,6 +61,7 @@
                         const char *job,
                         const char *what,
                         const char *detail);
+static void measure_forecast_ (void *client, int64_t error_us);
 static void tick_ (evutil_socket_t fd, short what, void *arg);
 static void log_load_ (struct ColtLeader *leader, int64_t now_us);
 static void run_placement_ (evutil_socket_t fd, short what, void *arg);
@@ -106,7 +107,8 @@
 static void free_link_ (gpointer data);
 
 static const struct ColtCellOps cell_ops
-    = { send_start_, send_stop_, request_advice_, log_decision_, log_fault_ };
+    = { send_start_,   send_stop_, request_advice_,
+        log_decision_, log_fault_, measure_forecast_ };
 
 struct ColtLeader *
 colt_leader_create (struct event_base *base,
@@ -131,11 +133,14 @@
       = 2 * (int64_t)settings->lease_max_ms * COLT_US_PER_MS + RUN_WAIT_US;
   limits.half_life_us = (int64_t)settings->half_life_s * COLT_US_PER_S;
   limits.wait_max_us = (int64_t)settings->wait_max_ms * COLT_US_PER_MS;
+  limits.forecasts = settings->forecasts;
+  limits.keeps_headroom = settings->keeps_headroom;
+  limits.created_us = colt_clock_monotonic_us ();
   leader->base = base;
   leader->ports = ports;
+  leader->metrics = metrics;
   leader->settings = settings;
   leader->client = *client;
-  leader->metrics = metrics;
   leader->term = term;
   leader->created_us = colt_clock_monotonic_us ();
   leader->place_pause_us = PLACE_PAUSE_MS * COLT_US_PER_MS;
@@ -250,6 +255,7 @@
   g_ptr_array_set_size (leader->progress_records, 0);
   colt_cell_finish_loading (leader->cell,
                             colt_leader_inherited_until_us (leader));
+  colt_cell_distrust_forecast (leader->cell, colt_clock_monotonic_us ());
   leader->phase = PHASE_SERVING;
   leader->server_watch = colt_watch_create (
       leader->base, leader->ports, COLT_TOPIC_SERVERS, &times, &watch_client);
@@ -304,6 +310,14 @@
   return true;
 }
 
+static void
+measure_forecast_ (void *client, int64_t error_us)
+{
+  const struct ColtLeader *leader = client;
+
+  colt_metrics_time (leader->metrics, TIMING_FORECAST_ERROR, error_us);
+}
+
 static void
 log_decision_ (void *client,
                const char *job,
--- a/src/scheduler/private/leader_private.h
+++ b/src/scheduler/private/leader_private.h
@@ -26,13 +26,13 @@
 {
   const struct ColtPorts *ports;
   const struct ColtSchedulerSettings *settings;
+  struct ColtMetrics *metrics;
   struct ColtLeaderClient client;
   struct event_base *base;
   uint64_t term;
   enum ColtLeaderPhase phase;
   int64_t created_us;
   struct ColtCell *cell;
-  struct ColtMetrics *metrics;
   struct ColtCommit *commit;
   struct ColtWatch *server_watch;
   const struct ColtWatch *operator_watch; /* NULL: none is followed */
--- a/src/test_cell_load/fixture.c
+++ b/src/test_cell_load/fixture.c
@@ -138,14 +138,18 @@
 static void
 create_cell (struct ColtLoadFixture *fixture)
 {
-  const struct ColtCellLimits limits = { 60 * COLT_US_PER_S,
-                                         800 * MS,
-                                         30,
-                                         100,
-                                         fixture->record_bytes_max,
-                                         COLT_FIXTURE_RUN_WAIT_US,
-                                         fixture->half_life_us,
-                                         fixture->wait_max_us };
+  const struct ColtCellLimits limits
+      = { .status_us = 60 * COLT_US_PER_S,
+          .stop_retry_us = 800 * MS,
+          .advice_servers_max = 30,
+          .gang_advice_servers_max = 100,
+          .record_bytes_max = fixture->record_bytes_max,
+          .run_wait_us = COLT_FIXTURE_RUN_WAIT_US,
+          .half_life_us = fixture->half_life_us,
+          .wait_max_us = fixture->wait_max_us,
+          .forecasts = fixture->forecasts,
+          .created_us = fixture->now_us,
+          .keeps_headroom = fixture->headroom };
   struct ColtFleet *fleet = make_fleet ();
 
   fixture->cell = colt_cell_create (&ops, fixture, &limits, fixture->term);
@@ -154,16 +158,13 @@
   colt_fleet_unref (fleet);
 }
 
+/* Creates a fixture whose cell has these limits and policies; the rest of it is
+ * set here. */
 static struct ColtLoadFixture *
-create_fixture (size_t record_bytes_max,
-                int64_t half_life_us,
-                int64_t wait_max_us)
+create_fixture (const struct ColtLoadFixture *options)
 {
-  struct ColtLoadFixture *fixture = g_new0 (struct ColtLoadFixture, 1);
+  struct ColtLoadFixture *fixture = g_memdup2 (options, sizeof *options);
 
-  fixture->half_life_us = half_life_us;
-  fixture->wait_max_us = wait_max_us;
-  fixture->record_bytes_max = record_bytes_max;
   fixture->now_us = COLT_US_PER_S;
   fixture->starts = g_ptr_array_new_with_free_func (g_free);
   fixture->stops = g_ptr_array_new_with_free_func (g_free);
@@ -191,7 +192,10 @@
 struct ColtLoadFixture *
 colt_fixture_create_limited (size_t record_bytes_max)
 {
-  return create_fixture (record_bytes_max, 0, 0);
+  const struct ColtLoadFixture options
+      = { .record_bytes_max = record_bytes_max };
+
+  return create_fixture (&options);
 }
 
 struct ColtLoadFixture *
@@ -199,7 +203,27 @@
                           int64_t half_life_us,
                           int64_t wait_max_us)
 {
-  return create_fixture (record_bytes_max, half_life_us, wait_max_us);
+  const struct ColtLoadFixture options = { .record_bytes_max = record_bytes_max,
+                                           .half_life_us = half_life_us,
+                                           .wait_max_us = wait_max_us };
+
+  return create_fixture (&options);
+}
+
+struct ColtLoadFixture *
+colt_fixture_create_admitting (bool forecasts)
+{
+  const struct ColtLoadFixture options = { .forecasts = forecasts };
+
+  return create_fixture (&options);
+}
+
+struct ColtLoadFixture *
+colt_fixture_create_with_headroom (bool headroom)
+{
+  const struct ColtLoadFixture options = { .headroom = headroom };
+
+  return create_fixture (&options);
 }
 
 void
