--- a/src/cell/cell_forecast.c
+++ b/src/cell/cell_forecast.c
@@ -96,8 +96,6 @@
     colt_cell_count_waiting (cell, &job->steps[i]);
 }
 
-/* Ranks get worse as a job ages. Steps that aren't open yet have no rank; they
- * count by the worst that their job had. */
 void
 colt_cell_count_rank (struct ColtCell *cell, struct ColtCellStep *step)
 {
@@ -105,13 +103,8 @@
 
   if (cell->forecast == NULL || step->spec->lasting)
     return;
-  if (step->rank > step->job->worst_rank)
-    {
-      step->job->worst_rank = step->rank;
-      colt_cell_count_job (cell, step->job);
-    }
-  else if (counted != (step->rank != RANK_WORTHLESS)
-           || (counted && step->waiting_class != class_ (step, step->rank)))
+  if (counted != (step->rank != RANK_WORTHLESS)
+      || (counted && step->waiting_class != class_ (step, rank_ (step))))
     colt_cell_count_waiting (cell, step);
 }
 
@@ -268,13 +261,13 @@
   return step->open && may_count_ (step);
 }
 
+/* A step that was opened since the last pass has no rank yet. */
 static enum ColtCellRank
 rank_ (const struct ColtCellStep *step)
 {
   enum ColtCellRank first = step->job->excess ? RANK_EXCESS : RANK_TIMELY;
-  enum ColtCellRank rank = step->open ? step->rank : step->job->worst_rank;
 
-  return MAX (rank, first);
+  return MAX (step->rank, first);
 }
 
 static uint32_t
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -279,8 +279,7 @@
   bool dropped;     /* its records are to be removed */
   bool has_account; /* account is valid */
   uint32_t account; /* its organisation's in the forecast */
-  enum ColtCellRank worst_rank; /* that a step of it had */
-  int64_t forecast_start_us;    /* as forecast on arrival; 0: not known */
+  int64_t forecast_start_us; /* as forecast on arrival; 0: not known */
   int64_t forecast_latest_us;
   int64_t accepted_us;
   int64_t begun_us; /* first start under this leader; 0: none */
