Cell: no reservations for gangs beside work of higher priority

Cause: on a service whose short work has a higher priority than its gangs, that work takes reserved room whenever it arrives. Change: reservations are made only for gangs of the highest priority of their service, beside work of lower priority.

--- a/src/cell/cell_backfill.c
+++ b/src/cell/cell_backfill.c
@@ -99,15 +99,19 @@
       pool->now_us = cell->now_us;
       pool->plans = 0;
       pool->lowest_priority = 0;
+      pool->highest_priority = UINT32_MAX;
     }
   g_hash_table_iter_init (&i, cell->queues);
   while (g_hash_table_iter_next (&i, NULL, &value))
     {
       const struct ColtCellQueue *queue = value;
 
-      if (queue->pool != NULL)
-        queue->pool->lowest_priority
-            = MAX (queue->pool->lowest_priority, queue->config->priority);
+      if (queue->pool == NULL)
+        continue;
+      queue->pool->lowest_priority
+          = MAX (queue->pool->lowest_priority, queue->config->priority);
+      queue->pool->highest_priority
+          = MIN (queue->pool->highest_priority, queue->config->priority);
     }
   for (p = 0; p < cell->open_steps->len; p++)
     {
@@ -293,11 +297,15 @@
     }
 }
 
-/* Reservations only matter where other work has a lower priority. */
+/* Reservations only matter where other work has a lower priority. Where other
+ * work has a higher one, it takes the reserved room whenever it arrives, so
+ * that the gang starts no earlier and the room that was held back is lost. */
 static bool
 takes_effect_ (const struct ColtCellStep *step, const struct ColtCellPool *pool)
 {
-  return step->job->queue->config->priority < pool->lowest_priority;
+  uint32_t priority = step->job->queue->config->priority;
+
+  return priority < pool->lowest_priority && priority <= pool->highest_priority;
 }
 
 static bool
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -396,6 +396,7 @@
   int64_t now_us;       /* of the pass */
   uint32_t plans;       /* of gangs that had their turn in this pass */
   uint32_t lowest_priority;      /* of its queues: the largest number */
+  uint32_t highest_priority;     /* of its queues: the smallest number */
   uint32_t gang_priority;        /* of a gang that waits or waited last */
   int64_t gangs_until_us;        /* gangs wait, or did shortly before */
   struct ColtHeadroom *headroom; /* NULL: no urgent work has arrived */
