Tests: clients that keep to no limit, against the daemon's process (known red)

The listeners read and hold what clients send without bound while answers wait to be written, and accept connections until no descriptor is left.

The tests start one process on a loopback address and check that it lives, that the growth of its memory and its descriptors stay under a bound, and that each listener still answers an ordinary request. They measure growth, as a build with sanitizers has other totals, and keep AddressSanitizer's quarantine of freed memory small.

--- /dev/null
+++ b/src/test_clients/clients.py
@@ -0,0 +1,316 @@
+#!/usr/bin/env python3
+"""Clients that keep to no limit, against one process of the daemon on loopback addresses.
+
+Guards against memory and descriptors that such clients make the daemon hold without bound, and
+against a daemon that ends, hangs or no longer answers ordinary requests because of them. A case
+checks that the process lives, that its memory and descriptors stay under a bound, and that each
+listener answers an ordinary request while the clients are still connected.
+
+Memory is checked as growth of the peak since the process was ready: the build under test may have
+sanitizers, whose shadow memory makes the total larger and different on each architecture.
+"""
+
+import argparse
+import os
+import resource
+import selectors
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+MIB = 1 << 20
+
+# Clients that pipeline requests and read no answer.
+PIPELINE_CLIENTS = 8
+PIPELINE_BYTES = 20 * MIB
+PIPELINE_RECEIVE_BUFFER = 4096
+# Connections of which none completes a request, and the descriptors the process may open.
+MANY_CLIENTS = 400
+MANY_DESCRIPTORS_LIMIT = 256
+# Requests whose body is announced and sent except for its last bytes.
+BODY_CLIENTS = 300
+BODY_BYTES = 262144
+BODY_MISSING = 16
+
+# Bounds. The pipelined requests of a path amount to 160 MiB, the bodies of a case to 75 MiB.
+GROWTH_MAX = 32 * MIB
+DESCRIPTORS_MAX = 230
+
+# The crowd has ended once its connections took no byte and the process held no more memory and
+# descriptors than before for this time.
+QUIET_S = 3.0
+# Until the daemon counts as hung; exceeds what a loaded machine with sanitizers needs.
+HANG_S = 120.0
+
+# Memory that was freed must not count: AddressSanitizer would keep up to 256 MiB of it.
+ASAN_OPTIONS = "quarantine_size_mb=1:thread_local_quarantine_size_kb=64"
+
+CELL_SETTINGS = """[instance]
+name = north-1
+zone = north
+internal = {address}:7101
+[listen]
+callers = {address}:7102
+readiness = {address}:7103
+state = {address}:7104
+[services]
+log = {address}:7105
+[bounds]
+lease_max_ms = 2000
+"""
+ENTRY_SETTINGS = """[instance]
+number = 1
+zone = 1
+wire = {address}:7101
+http = {address}:7102
+[platform]
+log = {address}:7105
+list = {address}:7106
+[trust]
+operator = 91657a5d3732d1760bb020eec4797fc1c78d29019352a665b6fb79ea2eb83d1f
+"""
+CELL_PORTS = {"callers": 7102, "readiness": 7103, "state": 7104}
+ENTRY_PORTS = {"gate": 7102}
+# Of an ordinary request to a listener.
+PATHS = {"callers": "/none", "readiness": "/ready", "state": "/metrics", "gate": "/none"}
+
+
+class Failure(Exception):
+    """A check that failed."""
+
+
+class Daemon:
+    """A process of the daemon on a loopback address of its own, derived from this process's id."""
+
+    def __init__(self, program, settings, ports, folder, descriptors=None):
+        pid = os.getpid()
+        self.address = f"127.{64 + (pid >> 16) % 64}.{(pid >> 8) % 256}.{pid % 256}"
+        self.ports = ports
+        path = os.path.join(folder, "settings.ini")
+        with open(path, "w", encoding="ascii") as file:
+            file.write(settings.format(address=self.address))
+        options = os.environ.get("ASAN_OPTIONS")
+        environment = dict(
+            os.environ, ASAN_OPTIONS=f"{options}:{ASAN_OPTIONS}" if options else ASAN_OPTIONS
+        )
+        cell = ["--cell"] if "callers" in ports else []
+        self.output = os.path.join(folder, "output.txt")
+        with open(self.output, "wb") as output:
+            self.process = subprocess.Popen(
+                [program, *cell, "--settings", path],
+                stdout=output,
+                stderr=subprocess.STDOUT,
+                env=environment,
+                preexec_fn=limit_descriptors(descriptors),
+            )
+
+    def wait_ready(self):
+        """Waits until each listener answers."""
+        for name in self.ports:
+            until = time.monotonic() + HANG_S
+            while True:
+                self.check_alive()
+                try:
+                    self.request(name)
+                    break
+                except OSError:
+                    if time.monotonic() > until:
+                        raise Failure(f"{name}: no answer after the start") from None
+                    time.sleep(0.05)
+
+    def check_alive(self):
+        if self.process.poll() is not None:
+            raise Failure(f"the process ended with status {self.process.returncode}")
+
+    def request(self, name):
+        """Sends an ordinary request; returns the status of its answer."""
+        with socket.create_connection((self.address, self.ports[name]), HANG_S) as client:
+            client.sendall(make_get(PATHS[name], "Connection: close\r\n"))
+            answer = b""
+            while b"\r\n\r\n" not in answer:
+                part = client.recv(65536)
+                if not part:
+                    raise ConnectionError("closed without an answer")
+                answer += part
+        return int(answer.split(b" ", 2)[1])
+
+    def check_answers(self):
+        """Checks that each listener answers an ordinary request."""
+        for name in self.ports:
+            try:
+                print(f"{name}: an ordinary request was answered {self.request(name)}")
+            except OSError as error:
+                raise Failure(f"{name}: an ordinary request wasn't answered: {error}") from error
+        self.check_alive()
+
+    def peak_memory(self):
+        """Returns the highest resident memory so far in bytes."""
+        with open(f"/proc/{self.process.pid}/status", encoding="ascii") as file:
+            for line in file:
+                if line.startswith("VmHWM:"):
+                    return int(line.split()[1]) * 1024
+        raise Failure("the process has no memory")
+
+    def descriptors(self):
+        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+
+    def stop(self):
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGKILL)
+        self.process.wait()
+
+
+class Crowd:
+    """Connections that send one content each and read nothing."""
+
+    def __init__(self, daemon, name):
+        self.address = (daemon.address, daemon.ports[name])
+        self.unsent = {}
+        self.closed = 0
+        self.selector = selectors.DefaultSelector()
+
+    def add(self, count, content, receive_buffer=None):
+        """Begins to connect a number of clients."""
+        for _ in range(count):
+            client = socket.socket()
+            if receive_buffer is not None:
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+            client.setblocking(False)
+            client.connect_ex(self.address)
+            self.unsent[client] = memoryview(content)
+            self.selector.register(client, selectors.EVENT_WRITE)
+
+    def run(self, observe):
+        """Sends until everything is quiet for QUIET_S; observe returns what the process holds."""
+        quiet_since = time.monotonic()
+        held = observe()
+        while time.monotonic() - quiet_since < QUIET_S:
+            taken = 0
+            for key, _ in self.selector.select(0.1):
+                taken += self.send_some(key.fileobj)
+            if taken == 0:
+                time.sleep(0.05)
+            before, held = held, observe()
+            if taken > 0 or held > before:
+                quiet_since = time.monotonic()
+
+    def send_some(self, client):
+        """Returns how many bytes the connection took."""
+        taken = 0
+        try:
+            taken = client.send(self.unsent[client][:MIB])
+            self.unsent[client] = self.unsent[client][taken:]
+        except BlockingIOError:
+            return 0
+        except OSError:
+            self.closed += 1
+            self.unsent[client] = self.unsent[client][:0]
+        if not self.unsent[client]:
+            self.selector.unregister(client)
+        return taken
+
+    def close(self):
+        for client in self.unsent:
+            client.close()
+        self.selector.close()
+
+
+def limit_descriptors(limit):
+    """Returns a function that limits the descriptors of the process that calls it, or None."""
+    if limit is None:
+        return None
+    return lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit))
+
+
+def make_get(path, headers=""):
+    return f"GET {path} HTTP/1.1\r\nHost: a\r\n{headers}\r\n".encode("ascii")
+
+
+def add_pipelines(crowd, path):
+    request = make_get(path)
+    content = request * (PIPELINE_BYTES // len(request))
+    crowd.add(PIPELINE_CLIENTS, content, PIPELINE_RECEIVE_BUFFER)
+
+
+def add_many(crowd, path):
+    crowd.add(MANY_CLIENTS, make_get(path)[:-4])
+
+
+def add_bodies(crowd, path):
+    head = f"POST {path} HTTP/1.1\r\nHost: a\r\nContent-Length: {BODY_BYTES}\r\n\r\n"
+    crowd.add(BODY_CLIENTS, head.encode("ascii") + b"x" * (BODY_BYTES - BODY_MISSING))
+
+
+# What the clients of a case do, and how many descriptors the process may open.
+CASES = {
+    "pipelines": (add_pipelines, None),
+    "many": (add_many, MANY_DESCRIPTORS_LIMIT),
+    "bodies": (add_bodies, None),
+}
+
+
+def run(options, folder):
+    add, descriptors_limit = CASES[options.case]
+    entry = options.listener in ENTRY_PORTS
+    daemon = Daemon(
+        options.daemon,
+        ENTRY_SETTINGS if entry else CELL_SETTINGS,
+        ENTRY_PORTS if entry else CELL_PORTS,
+        folder,
+        descriptors_limit,
+    )
+    crowd = Crowd(daemon, options.listener)
+    peak = (0, 0)
+
+    def observe():
+        nonlocal peak
+        daemon.check_alive()
+        peak = (daemon.peak_memory(), max(peak[1], daemon.descriptors()))
+        return peak
+
+    try:
+        daemon.wait_ready()
+        memory_before, descriptors_before = observe()
+        for path in options.path:
+            add(crowd, path)
+            crowd.run(observe)
+        growth = peak[0] - memory_before
+        print(f"memory grew by {growth / MIB:.1f} MiB from {memory_before / MIB:.1f} MiB, "
+              f"bound {GROWTH_MAX // MIB} MiB")
+        print(f"descriptors: at most {peak[1]}, {descriptors_before} before, "
+              f"bound {DESCRIPTORS_MAX} if limited to {MANY_DESCRIPTORS_LIMIT}")
+        print(f"connections that the daemon closed while they sent: {crowd.closed}")
+        if growth > GROWTH_MAX:
+            raise Failure("memory exceeds its bound")
+        if descriptors_limit is not None and peak[1] > DESCRIPTORS_MAX:
+            raise Failure("descriptors exceed their bound")
+        daemon.check_answers()
+    finally:
+        daemon.stop()
+        crowd.close()
+        if options.show_log:
+            with open(daemon.output, encoding="utf-8", errors="replace") as file:
+                sys.stdout.write(file.read())
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--daemon", required=True, help="program under test")
+    parser.add_argument("--listener", required=True, choices=[*CELL_PORTS, *ENTRY_PORTS])
+    parser.add_argument("--path", action="append", required=True,
+                        help="path of the requests; one crowd after the other")
+    parser.add_argument("--show-log", action="store_true", help="print the process's output")
+    parser.add_argument("case", choices=CASES)
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory() as folder:
+        try:
+            run(options, folder)
+        except Failure as failure:
+            sys.exit(f"{options.listener}: {failure}")
+
+
+if __name__ == "__main__":
+    main()
