HTTP: one listener for all, with bounds on connections and on memory for them

While an answer waited to be written, evhttp went on to read, and its input buffer grew without bound; connections were accepted until no descriptor was left.

The library http makes each connection's bufferevent itself (evhttp_set_bevcb): its input has a high-water mark above the longest headers, raised by the longest body only while a body is read. Connections end when their answer stays unread, their request incomplete, or they are idle. Connections are bounded for each listener and in total (half of the process's descriptors), the bytes of requests and answers in total. At a bound idle connections are closed first, then the one with the most unsent output that has stopped to take it, then the longest incomplete request. Counters are on /metrics; a log line for each reason comes at most every 10 s. The callers', readiness and state listeners and the gate use it. The test's settings lower memory_kb; its clients and bounds are unchanged.

--- a/include/coltsfootstile/adapter.h
+++ b/include/coltsfootstile/adapter.h
@@ -9,11 +9,13 @@
 #ifndef COLTSFOOTSTILE_ADAPTER_H
 #define COLTSFOOTSTILE_ADAPTER_H
 
+#include "coltsfootstile/http_listener.h"
 #include "coltsfootstile/ports.h"
 
 struct event_base;
 
-/** Addresses that the adapter listens on and connects to, each IP:PORT. */
+/** Addresses that the adapter listens on and connects to, each IP:PORT, and
+ * bounds on what it accepts. */
 struct ColtAdapterSettings
 {
   const char *callers;   /**< listens for callers */
@@ -22,6 +24,9 @@
                               metrics; "": does not listen for them */
   const char *log;       /**< the platform's log service */
   const char *adviser;   /**< the placement adviser; "": there is none */
+  struct ColtHttpLimits limits;   /**< bounds of the listeners' clients */
+  uint32_t readiness_connections; /**< most open ones; 0: 64 */
+  uint32_t state_connections;     /**< most open ones; 0: 32 */
 };
 
 /** An adapter; it implements the functions of struct ColtPorts. */
--- a/include/coltsfootstile/gate.h
+++ b/include/coltsfootstile/gate.h
@@ -17,6 +17,7 @@
 #include "coltsfootstile/bundle.h"
 #include "coltsfootstile/counters.h"
 #include "coltsfootstile/freshness.h"
+#include "coltsfootstile/http_listener.h"
 #include "coltsfootstile/keyring.h"
 #include "coltsfootstile/wire.h"
 
@@ -51,6 +52,8 @@
   uint32_t zone;     /**< zone of the ids that the gate mints */
   /** Maximum number of callers' connections; 0: COLT_GATE_CONNECTIONS_MAX. */
   uint32_t connections_max;
+  /** Bounds on connections, which are copied; NULL: defaults. */
+  const struct ColtHttpLimits *limits;
 };
 
 /** Callbacks of a gate into the rest of the instance; all are required. */
--- a/src/admission/gate.c
+++ b/src/admission/gate.c
@@ -1,10 +1,5 @@
 #include "coltsfootstile/gate.h"
 
-#include <errno.h>
-#include <event2/http.h>
-#include <string.h>
-
-#include "coltsfootstile/address.h"
 #include "coltsfootstile/clock.h"
 #include "gate_private.h"
 
@@ -21,7 +16,14 @@
 {
   struct ColtGate *gate = g_new0 (struct ColtGate, 1);
   const struct timeval tick = { 0, TICK_US };
-
+  const struct ColtHttpListenerSettings listener
+      = { .name = "http", .handle = colt_gate_route, .client = gate };
+  struct ColtHttpLimits limits = { .header_bytes = COLT_GATE_HEADERS_MAX,
+                                   .body_bytes = COLT_GATE_BODY_MAX,
+                                   .idle_ms = COLT_GATE_IDLE_S * 1000 };
+
+  if (parts->limits != NULL)
+    limits = *parts->limits;
   gate->parts = *parts;
   gate->calls = calls;
   gate->client = client;
@@ -31,13 +33,8 @@
   gate->open_submits = g_hash_table_new (g_direct_hash, g_direct_equal);
   gate->connections = g_hash_table_new (g_direct_hash, g_direct_equal);
   g_queue_init (&gate->minted_order);
-  gate->http = evhttp_new (parts->base);
-  evhttp_set_max_headers_size (gate->http, COLT_GATE_HEADERS_MAX);
-  evhttp_set_max_body_size (gate->http, COLT_GATE_BODY_MAX);
-  evhttp_set_timeout (gate->http, COLT_GATE_IDLE_S);
-  evhttp_set_allowed_methods (gate->http, EVHTTP_REQ_GET | EVHTTP_REQ_POST
-                                              | EVHTTP_REQ_DELETE);
-  evhttp_set_gencb (gate->http, colt_gate_route, gate);
+  gate->pool = colt_http_pool_create (parts->base, &limits, parts->counters);
+  gate->listener = colt_http_listener_create (gate->pool, &listener);
   add_counters_ (gate);
   colt_gate_set_wire_handlers (gate);
   gate->timer = event_new (parts->base, -1, EV_PERSIST, on_timer_, gate);
@@ -53,7 +50,8 @@
   colt_gate_abandon (gate);
   colt_gate_detach_calls (gate);
   event_free (gate->timer);
-  evhttp_free (gate->http);
+  colt_http_listener_destroy (gate->listener);
+  colt_http_pool_destroy (gate->pool);
   g_hash_table_unref (gate->connections);
   g_hash_table_unref (gate->pending);
   g_hash_table_unref (gate->open_submits);
@@ -67,26 +65,14 @@
                   const char *address,
                   struct ColtError *error)
 {
-  struct ColtAddress parsed;
-
-  if (colt_address_parse_local (address, &parsed) != COLT_ADDRESS_VALID)
-    return colt_error_set (error, COLT_ERROR_INVALID, COLT_STEP_LISTEN, address,
-                           "not ADDRESS:PORT");
-  gate->socket
-      = evhttp_bind_socket_with_handle (gate->http, parsed.host, parsed.port);
-  if (gate->socket == NULL)
-    return colt_error_set (error, COLT_ERROR_SYSTEM, COLT_STEP_LISTEN, address,
-                           "can't listen: %s", strerror (errno));
-  return true;
+  return colt_http_listener_bind (gate->listener, address, error);
 }
 
 void
 colt_gate_stop (struct ColtGate *gate)
 {
   gate->stopping = true;
-  if (gate->socket != NULL)
-    evhttp_del_accept_socket (gate->http, gate->socket);
-  gate->socket = NULL;
+  colt_http_listener_stop (gate->listener);
 }
 
 size_t
--- a/src/admission/private/gate_private.h
+++ b/src/admission/private/gate_private.h
@@ -56,8 +56,8 @@
   struct ColtGateParts parts;
   const struct ColtGateClient *calls;
   void *client;
-  struct evhttp *http;
-  struct evhttp_bound_socket *socket;
+  struct ColtHttpPool *pool;
+  struct ColtHttpListener *listener;
   GHashTable *pending;      /**< struct ColtPendingRequest by its id */
   GHashTable *connections;  /**< struct ColtGateConnection by its
                                  evhttp_connection */
--- a/src/coltsfootstile/cell_main.c
+++ b/src/coltsfootstile/cell_main.c
@@ -66,7 +66,13 @@
         { "bounds", "grace_s", COLT_SETTING_INTEGER, "6", 1, 600, false,
           "time to stop in good order, in seconds" },
         { "log", "level", COLT_SETTING_STRING, "info", 0, 0, false,
-          "error, warning, info or debug" } };
+          "error, warning, info or debug" },
+        COLT_HTTP_LIMIT_SETTINGS ("32768", "30000"),
+        { "limits", "readiness_connections", COLT_SETTING_INTEGER, "64", 1,
+          100000, false,
+          "most open connections of the load balancer's probes" },
+        { "limits", "state_connections", COLT_SETTING_INTEGER, "32", 1, 100000,
+          false, "most open connections of operators" } };
 
 static int run_instance_ (const struct ColtSettings *settings,
                           const char *path);
@@ -232,6 +238,11 @@
   adapter->state = colt_settings_string (settings, "listen", "state");
   adapter->log = colt_settings_string (settings, "services", "log");
   adapter->adviser = colt_settings_string (settings, "services", "adviser");
+  adapter->limits = colt_http_limits_read (settings);
+  adapter->readiness_connections = (uint32_t)colt_settings_integer (
+      settings, "limits", "readiness_connections");
+  adapter->state_connections = (uint32_t)colt_settings_integer (
+      settings, "limits", "state_connections");
 }
 
 static double
--- a/src/coltsfootstile/daemon_settings.c
+++ b/src/coltsfootstile/daemon_settings.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 
 #include "coltsfootstile/address.h"
+#include "coltsfootstile/http_listener.h"
 #include "coltsfootstile/id.h"
 
 /* Highest number of an instance. */
@@ -36,6 +37,7 @@
     "public key of an operator who may sign the first bundle" },
   { "log", "level", COLT_SETTING_STRING, "info", 0, 0, false,
     "error, warning, info or debug" },
+  COLT_HTTP_LIMIT_SETTINGS ("8192", "60000"),
 };
 
 const size_t colt_daemon_setting_count
--- a/src/coltsfootstile/instance.c
+++ b/src/coltsfootstile/instance.c
@@ -146,6 +146,8 @@
   struct ColtOwnerParts owner = { 0 };
   struct ColtHomeParts home = { 0 };
   struct ColtGateParts gate = { 0 };
+  const struct ColtHttpLimits limits
+      = colt_http_limits_read (instance->settings);
 
   g_strlcpy (self.address, colt_settings_string (settings, "instance", "wire"),
              sizeof self.address);
@@ -187,6 +189,7 @@
   gate.counters = instance->counters;
   gate.instance = instance->number;
   gate.zone = instance->zone;
+  gate.limits = &limits;
   instance->gate = colt_gate_create (&gate, &gate_client, instance);
   instance->log = colt_log_client_create (
       base,
--- /dev/null
+++ b/src/http/http_listener.c
@@ -0,0 +1,244 @@
+#include <errno.h>
+#include <event2/buffer.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "coltsfootstile/address.h"
+#include "coltsfootstile/clock.h"
+#include "http_private.h"
+
+/* Input beyond the headers that is buffered. A longer header block is then
+ * found too long by evhttp instead of waiting for bytes that aren't read. */
+#define INPUT_MARGIN 4096
+/* evhttp's own timeout exceeds those of the limits by this. */
+#define TIMEOUT_MARGIN_S 30
+
+static struct bufferevent *create_bufferevent_ (struct event_base *base,
+                                                void *client);
+static void handle_request_ (struct evhttp_request *request, void *client);
+static void on_input_ (struct evbuffer *buffer,
+                       const struct evbuffer_cb_info *info,
+                       void *client);
+static void on_output_ (struct evbuffer *buffer,
+                        const struct evbuffer_cb_info *info,
+                        void *client);
+static void set_input_max_ (struct ColtHttpConnection *connection,
+                            bool reads_body);
+static size_t
+get_header_input_max_ (const struct ColtHttpConnection *connection);
+static void free_connection_ (gpointer data);
+
+struct ColtHttpListener *
+colt_http_listener_create (struct ColtHttpPool *pool,
+                           const struct ColtHttpListenerSettings *settings)
+{
+  struct ColtHttpListener *listener = g_new0 (struct ColtHttpListener, 1);
+  const struct ColtHttpLimits *limits = &pool->limits;
+  uint32_t longest_ms
+      = MAX (limits->idle_ms, MAX (limits->request_ms, limits->unread_ms));
+
+  listener->pool = pool;
+  listener->settings = *settings;
+  listener->connections = g_hash_table_new_full (g_direct_hash, g_direct_equal,
+                                                 NULL, free_connection_);
+  listener->http = evhttp_new (pool->base);
+  evhttp_set_max_headers_size (listener->http, limits->header_bytes);
+  evhttp_set_max_body_size (listener->http, limits->body_bytes);
+  evhttp_set_timeout (listener->http,
+                      (int)(longest_ms / 1000) + TIMEOUT_MARGIN_S);
+  evhttp_set_allowed_methods (listener->http, EVHTTP_REQ_GET | EVHTTP_REQ_POST
+                                                  | EVHTTP_REQ_DELETE);
+  evhttp_set_bevcb (listener->http, create_bufferevent_, listener);
+  evhttp_set_gencb (listener->http, handle_request_, listener);
+  colt_http_pool_add (pool, listener);
+  return listener;
+}
+
+bool
+colt_http_listener_bind (struct ColtHttpListener *listener,
+                         const char *address,
+                         struct ColtError *error)
+{
+  struct ColtAddress parsed;
+
+  if (colt_address_parse_local (address, &parsed) != COLT_ADDRESS_VALID)
+    return colt_error_set (error, COLT_ERROR_INVALID, COLT_STEP_LISTEN, address,
+                           "not ADDRESS:PORT");
+  listener->socket = evhttp_bind_socket_with_handle (listener->http,
+                                                     parsed.host, parsed.port);
+  if (listener->socket == NULL)
+    return colt_error_set (error, COLT_ERROR_SYSTEM, COLT_STEP_LISTEN, address,
+                           "can't listen: %s", strerror (errno));
+  return true;
+}
+
+void
+colt_http_listener_stop (struct ColtHttpListener *listener)
+{
+  if (listener->socket != NULL)
+    evhttp_del_accept_socket (listener->http, listener->socket);
+  listener->socket = NULL;
+}
+
+void
+colt_http_listener_destroy (struct ColtHttpListener *listener)
+{
+  if (listener == NULL)
+    return;
+  evhttp_free (listener->http);
+  g_hash_table_unref (listener->connections);
+  g_ptr_array_remove (listener->pool->listeners, listener);
+  g_free (listener);
+}
+
+bool
+colt_http_connection_reap (struct ColtHttpConnection *connection)
+{
+  if (bufferevent_decref (connection->bufferevent) != 0)
+    {
+      connection->bufferevent = NULL;
+      return true;
+    }
+  bufferevent_incref (connection->bufferevent);
+  return false;
+}
+
+void
+colt_http_connection_close (struct ColtHttpConnection *connection, bool discard)
+{
+  const struct linger none = { 1, 0 };
+
+  if (discard)
+    setsockopt (bufferevent_getfd (connection->bufferevent), SOL_SOCKET,
+                SO_LINGER, &none, sizeof none);
+  bufferevent_trigger_event (connection->bufferevent,
+                             BEV_EVENT_READING | BEV_EVENT_TIMEOUT, 0);
+}
+
+/* evhttp calls this for each connection that it has accepted. */
+static struct bufferevent *
+create_bufferevent_ (struct event_base *base, void *client)
+{
+  struct ColtHttpListener *listener = client;
+  struct ColtHttpConnection *connection = g_new0 (struct ColtHttpConnection, 1);
+  struct bufferevent *bufferevent
+      = bufferevent_socket_new (base, -1, BEV_OPT_CLOSE_ON_FREE);
+
+  connection->refused = !colt_http_pool_make_room (listener);
+  connection->listener = listener;
+  connection->bufferevent = bufferevent;
+  connection->idle_us = colt_clock_monotonic_us ();
+  bufferevent_incref (bufferevent);
+  set_input_max_ (connection, false);
+  evbuffer_add_cb (bufferevent_get_input (bufferevent), on_input_, connection);
+  evbuffer_add_cb (bufferevent_get_output (bufferevent), on_output_,
+                   connection);
+  g_hash_table_insert (listener->connections, bufferevent, connection);
+  listener->pool->open++;
+  if (connection->refused)
+    event_active (listener->pool->enforcement, 0, 0);
+  return bufferevent;
+}
+
+static void
+handle_request_ (struct evhttp_request *request, void *client)
+{
+  struct ColtHttpListener *listener = client;
+  struct ColtHttpConnection *connection = g_hash_table_lookup (
+      listener->connections, evhttp_connection_get_bufferevent (
+                                 evhttp_request_get_connection (request)));
+
+  if (connection != NULL)
+    {
+      if (connection->reads_body)
+        set_input_max_ (connection, false);
+      connection->handled = true;
+      connection->request_us = 0;
+    }
+  listener->settings.handle (request, listener->settings.client);
+}
+
+static void
+on_input_ (struct evbuffer *buffer,
+           const struct evbuffer_cb_info *info,
+           void *client)
+{
+  struct ColtHttpConnection *connection = client;
+
+  connection->parsed += info->n_deleted;
+  if (info->n_added == 0)
+    return;
+  if (!connection->handled && connection->request_us == 0)
+    connection->request_us = colt_clock_monotonic_us ();
+  colt_http_pool_hold (connection, (int64_t)info->n_added);
+  if (!connection->handled && !connection->reads_body
+      && evbuffer_get_length (buffer) >= get_header_input_max_ (connection)
+      && evbuffer_get_length (bufferevent_get_output (connection->bufferevent))
+             == 0)
+    set_input_max_ (connection, true);
+}
+
+static void
+on_output_ (struct evbuffer *buffer,
+            const struct evbuffer_cb_info *info,
+            void *client)
+{
+  struct ColtHttpConnection *connection = client;
+  int64_t bytes = (int64_t)info->n_added - (int64_t)info->n_deleted;
+
+  if (info->n_added > 0 && connection->handled)
+    {
+      connection->handled = false;
+      bytes -= (int64_t)connection->parsed;
+      connection->parsed = 0;
+    }
+  colt_http_pool_hold (connection, bytes);
+  if (info->n_deleted == 0 && info->orig_size > 0)
+    return;
+  connection->taken_us = colt_clock_monotonic_us ();
+  if (evbuffer_get_length (buffer) > 0)
+    return;
+  connection->idle_us = connection->taken_us;
+  connection->request_us
+      = evbuffer_get_length (bufferevent_get_input (connection->bufferevent))
+                > 0
+            ? connection->taken_us
+            : 0;
+}
+
+/* evhttp takes a body from the input buffer only when it is complete. */
+static void
+set_input_max_ (struct ColtHttpConnection *connection, bool reads_body)
+{
+  size_t size = get_header_input_max_ (connection);
+
+  connection->reads_body = reads_body;
+  if (reads_body)
+    size += connection->listener->pool->limits.body_bytes;
+  bufferevent_setwatermark (connection->bufferevent, EV_READ, 0, size);
+}
+
+static size_t
+get_header_input_max_ (const struct ColtHttpConnection *connection)
+{
+  return connection->listener->pool->limits.header_bytes + INPUT_MARGIN;
+}
+
+static void
+free_connection_ (gpointer data)
+{
+  struct ColtHttpConnection *connection = data;
+  struct ColtHttpPool *pool = connection->listener->pool;
+
+  colt_http_pool_hold (connection, -(int64_t)connection->held);
+  pool->open--;
+  if (connection->bufferevent != NULL)
+    {
+      evbuffer_remove_cb (bufferevent_get_input (connection->bufferevent),
+                          on_input_, connection);
+      evbuffer_remove_cb (bufferevent_get_output (connection->bufferevent),
+                          on_output_, connection);
+      bufferevent_decref (connection->bufferevent);
+    }
+  g_free (connection);
+}
--- /dev/null
+++ b/src/http/private/http_private.h
@@ -0,0 +1,90 @@
+/* Declarations shared by the source files of the HTTP listeners. */
+#ifndef COLT_HTTP_PRIVATE_H
+#define COLT_HTTP_PRIVATE_H
+
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <glib.h>
+
+#include "coltsfootstile/http_listener.h"
+
+/* Why a connection is closed. */
+enum ColtHttpEnd
+{
+  COLT_HTTP_END_UNREAD,
+  COLT_HTTP_END_INCOMPLETE,
+  COLT_HTTP_END_IDLE,
+  COLT_HTTP_END_CONNECTIONS, /* the bound on connections was reached */
+  COLT_HTTP_END_MEMORY,      /* the bound on memory was reached */
+  COLT_HTTP_END_REFUSED, /* the bound was reached and none could be closed */
+  COLT_HTTP_END_COUNT
+};
+
+struct ColtHttpPool
+{
+  struct event_base *base;
+  struct ColtHttpLimits limits;
+  struct ColtCounters *counters;
+  GPtrArray *listeners;
+  struct event *timer;
+  struct event *enforcement; /* activated when a bound is exceeded */
+  uint64_t held;             /* bytes of requests and answers */
+  uint32_t open;             /* connections */
+  uint32_t connection_gauge;
+  uint32_t byte_gauge;
+  uint32_t ends[COLT_HTTP_END_COUNT]; /* counters */
+  /* Since the last log line of a reason, and the time of that line. */
+  uint64_t unlogged[COLT_HTTP_END_COUNT];
+  int64_t logged_us[COLT_HTTP_END_COUNT];
+};
+
+struct ColtHttpListener
+{
+  struct ColtHttpPool *pool;
+  struct ColtHttpListenerSettings settings;
+  struct evhttp *http;
+  struct evhttp_bound_socket *socket; /* owned by http */
+  GHashTable *connections; /* struct ColtHttpConnection by its bufferevent */
+};
+
+/* An accepted connection. The bufferevent is referenced, since evhttp doesn't
+ * tell when it frees one. */
+struct ColtHttpConnection
+{
+  struct ColtHttpListener *listener;
+  struct bufferevent *bufferevent;
+  int64_t request_us; /* first byte of an incomplete request; 0: none */
+  int64_t taken_us;   /* the client last took output, or output began */
+  int64_t idle_us;    /* the last answer was sent, or the connection opened */
+  uint64_t held;      /* bytes of its request and answer */
+  uint64_t parsed;    /* bytes of the request that left the input buffer */
+  bool handled;       /* its request is complete and has no answer yet */
+  bool reads_body;    /* the input buffer has room for a body */
+  bool closing;       /* evhttp has been told to free it */
+  bool refused;       /* is to be closed as soon as evhttp has it */
+};
+
+/* http_pool.c */
+
+/* Adds a listener; the first one starts the pool's timer, since a loop with a
+ * timer doesn't end by itself. */
+void colt_http_pool_add (struct ColtHttpPool *pool,
+                         struct ColtHttpListener *listener);
+/* Returns the highest number of connections of a listener. */
+uint32_t colt_http_pool_quota (const struct ColtHttpListener *listener);
+/* Makes room for a connection; returns false if none could be closed. */
+bool colt_http_pool_make_room (struct ColtHttpListener *listener);
+/* Changes the bytes held for a connection. */
+void colt_http_pool_hold (struct ColtHttpConnection *connection, int64_t bytes);
+
+/* http_listener.c */
+
+/* Frees the connection's entry if evhttp has freed the connection; returns
+ * whether it has. The entry stays in the listener's table. */
+bool colt_http_connection_reap (struct ColtHttpConnection *connection);
+/* Closes a connection outside evhttp's callbacks for it. */
+void colt_http_connection_close (struct ColtHttpConnection *connection,
+                                 bool discard);
+
+#endif
--- a/src/test_clients/clients.py
+++ b/src/test_clients/clients.py
@@ -60,6 +60,8 @@
 log = {address}:7105
 [bounds]
 lease_max_ms = 2000
+[limits]
+memory_kb = 8192
 """
 ENTRY_SETTINGS = """[instance]
 number = 1
@@ -71,6 +73,8 @@
 list = {address}:7106
 [trust]
 operator = 91657a5d3732d1760bb020eec4797fc1c78d29019352a665b6fb79ea2eb83d1f
+[limits]
+memory_kb = 8192
 """
 CELL_PORTS = {"callers": 7102, "readiness": 7103, "state": 7104}
 ENTRY_PORTS = {"gate": 7102}
