--- a/src/http/http_listener.c
+++ b/src/http/http_listener.c
@@ -4,7 +4,6 @@
 #include <sys/socket.h>
 
 #include "coltsfootstile/address.h"
-#include "coltsfootstile/clock.h"
 #include "http_private.h"
 
 /* Input beyond the headers that is buffered. A longer header block is then
@@ -127,7 +126,7 @@
   connection->refused = !colt_http_pool_make_room (listener);
   connection->listener = listener;
   connection->bufferevent = bufferevent;
-  connection->idle_us = colt_clock_monotonic_us ();
+  connection->idle_us = listener->pool->now_us;
   bufferevent_incref (bufferevent);
   set_input_max_ (connection, false);
   evbuffer_add_cb (bufferevent_get_input (bufferevent), on_input_, connection);
@@ -169,7 +168,7 @@
   if (info->n_added == 0)
     return;
   if (!connection->handled && connection->request_us == 0)
-    connection->request_us = colt_clock_monotonic_us ();
+    connection->request_us = connection->listener->pool->now_us;
   colt_http_pool_hold (connection, (int64_t)info->n_added);
   if (!connection->handled && !connection->reads_body
       && evbuffer_get_length (buffer) >= get_header_input_max_ (connection)
@@ -195,7 +194,7 @@
   colt_http_pool_hold (connection, bytes);
   if (info->n_deleted == 0 && info->orig_size > 0)
     return;
-  connection->taken_us = colt_clock_monotonic_us ();
+  connection->taken_us = connection->listener->pool->now_us;
   if (evbuffer_get_length (buffer) > 0)
     return;
   connection->idle_us = connection->taken_us;
--- a/src/http/http_pool.c
+++ b/src/http/http_pool.c
@@ -7,6 +7,9 @@
 
 #define MODULE "http"
 #define TICK_MS 100
+/* A process that is stopped or held up can't see what its clients send, so that
+ * a tick counts at most as long as this. */
+#define TICK_MAX_US (3 * TICK_MS * COLT_US_PER_MS)
 /* A client that took no output for this time isn't taking its answer. */
 #define STALL_US (1 * COLT_US_PER_S)
 /* At most one log line per reason in this time. */
@@ -117,6 +120,8 @@
   pool->base = base;
   pool->counters = counters;
   pool->listeners = g_ptr_array_new ();
+  pool->clock_us = colt_clock_monotonic_us ();
+  pool->now_us = 1;
   pool->limits.header_bytes = or_default_ (given->header_bytes, HEADER_BYTES);
   pool->limits.body_bytes = or_default_ (given->body_bytes, BODY_BYTES);
   pool->limits.request_ms = or_default_ (given->request_ms, REQUEST_MS);
@@ -186,7 +191,7 @@
 colt_http_pool_make_room (struct ColtHttpListener *listener)
 {
   uint32_t quota = colt_http_pool_quota (listener);
-  int64_t now_us = colt_clock_monotonic_us ();
+  int64_t now_us = listener->pool->now_us;
   int choice;
 
   if (g_hash_table_size (listener->connections) < quota)
@@ -238,13 +243,15 @@
 on_timer_ (evutil_socket_t fd, short what, void *client)
 {
   struct ColtHttpPool *pool = client;
-  int64_t now_us = colt_clock_monotonic_us ();
+  int64_t clock_us = colt_clock_monotonic_us ();
   size_t i;
 
   (void)fd;
   (void)what;
+  pool->now_us += MIN (clock_us - pool->clock_us, TICK_MAX_US);
+  pool->clock_us = clock_us;
   for (i = 0; i < pool->listeners->len; i++)
-    sweep_ (pool->listeners->pdata[i], now_us);
+    sweep_ (pool->listeners->pdata[i], pool->now_us);
   for (i = 0; i < COLT_HTTP_END_COUNT; i++)
     log_end_ (pool, "", (enum ColtHttpEnd)i);
   colt_counters_set (pool->counters, pool->connection_gauge, pool->open);
@@ -256,7 +263,7 @@
 on_enforcement_ (evutil_socket_t fd, short what, void *client)
 {
   struct ColtHttpPool *pool = client;
-  int64_t now_us = colt_clock_monotonic_us ();
+  int64_t now_us = pool->now_us;
   struct ColtHttpConnection *chosen;
   size_t i;
 
@@ -429,7 +436,7 @@
 static void
 log_end_ (struct ColtHttpPool *pool, const char *listener, enum ColtHttpEnd end)
 {
-  int64_t now_us = colt_clock_monotonic_us ();
+  int64_t now_us = pool->now_us;
   const struct ColtLogField fields[]
       = { { "reason", ends[end].text, 0 },
           { "listener", listener[0] != '\0' ? listener : "any", 0 },
--- a/src/http/private/http_private.h
+++ b/src/http/private/http_private.h
@@ -29,6 +29,9 @@
   GPtrArray *listeners;
   struct event *timer;
   struct event *enforcement; /* activated when a bound is exceeded */
+  int64_t now_us;            /* time that the loop has run, as of the last tick;
+                                starts at 1 */
+  int64_t clock_us;          /* monotonic time of the last tick */
   uint64_t held;             /* bytes of requests and answers */
   uint32_t open;             /* connections */
   uint32_t connection_gauge;
--- a/src/platform/http_client.c
+++ b/src/platform/http_client.c
@@ -14,6 +14,8 @@
 #include "coltsfootstile/clock.h"
 
 #define HEADER_BYTES_MAX (16 * 1024)
+/* Input that is buffered beyond the longest headers and body, in bytes. */
+#define INPUT_MARGIN 4096
 /* Margin of evhttp's timeout over the call's, so that the client's timer ends
  * the call first. */
 #define EVHTTP_TIMEOUT_MARGIN_S 10
@@ -355,6 +357,9 @@
   evhttp_connection_set_max_headers_size (http->connection, HEADER_BYTES_MAX);
   evhttp_connection_set_max_body_size (http->connection,
                                        (ev_ssize_t)http->answer_max);
+  /* evhttp keeps a body in the input buffer until it is complete. */
+  bufferevent_setwatermark (bufferevent, EV_READ, 0,
+                            HEADER_BYTES_MAX + INPUT_MARGIN + http->answer_max);
   evhttp_connection_set_retries (http->connection, 0);
   evhttp_connection_set_closecb (http->connection, on_closed_, http);
   return true;
