--- a/include/coltsfootstile/adapter.h
+++ b/include/coltsfootstile/adapter.h
@@ -9,6 +9,7 @@
 #ifndef COLTSFOOTSTILE_ADAPTER_H
 #define COLTSFOOTSTILE_ADAPTER_H
 
+#include "coltsfootstile/http_listener.h"
 #include "coltsfootstile/ports.h"
 
 struct event_base;
@@ -18,7 +19,8 @@
 /** Most entries in it: queues, services, organisations and keys together. */
 #define COLT_CONFIG_ENTRIES_MAX 100000u
 
-/** Addresses that the adapter listens on and connects to, each IP:PORT. */
+/** Addresses that the adapter listens on and connects to, each IP:PORT, and
+ * bounds on what it accepts. */
 struct ColtAdapterSettings
 {
   const char *callers;   /**< listens for callers */
@@ -27,6 +29,9 @@
                               metrics; "": does not listen for them */
   const char *log;       /**< the platform's log service */
   const char *adviser;   /**< the placement adviser; "": there is none */
+  struct ColtHttpLimits limits;   /**< bounds of the listeners' clients */
+  uint32_t readiness_connections; /**< most open ones; 0: 64 */
+  uint32_t state_connections;     /**< most open ones; 0: 32 */
 };
 
 /** An adapter; it implements the functions of struct ColtPorts. */
--- a/src/scheduler/order_window.c
+++ b/src/scheduler/order_window.c
@@ -88,6 +88,12 @@
   g_free (window);
 }
 
+void
+colt_order_window_close (struct ColtOrderWindow *window)
+{
+  window->resuming = true;
+}
+
 bool
 colt_order_window_acquire (struct ColtOrderWindow *window,
                            size_t bytes,
