Faults found by review: leaders that end, crashes under completed tasks, gangs without a plan

Each was found by a reviewer who hadn't written the part, most shown by a run: - A link that was freed with an open start resumed other links while a leader was destroyed; with starts held back that withdrew starts on freed memory (valgrind), otherwise it sent starts. Evacuated servers without runs aren't queried. - A job counted as near its end while a task was waiting and another's run was still being stopped. - The election's channel is closed before its watch is freed. - Log lines: suspected servers that answer again, a topic that was never read.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -254,7 +254,7 @@
     {
       const struct ColtCellStep *step = &job->steps[i];
 
-      if (step->spec->lasting || step->done + step->active < step->spec->count)
+      if (step->spec->lasting || step->waiting > 0)
         return false;
     }
   return true;
--- a/src/cell/cell_backfill.c
+++ b/src/cell/cell_backfill.c
@@ -98,6 +98,7 @@
 
       pool->now_us = cell->now_us;
       pool->plans = 0;
+      pool->searches = 0;
       pool->lowest_priority = 0;
       pool->highest_priority = UINT32_MAX;
     }
@@ -142,7 +143,8 @@
       colt_cell_end_plan (cell, step, "other gangs come first", now_us);
       return false;
     }
-  if (is_due_ (step, now_us))
+  if (is_due_ (step, now_us)
+      && (step->plan != NULL || pool->searches++ < PLANS_MAX))
     replan_ (cell, step, now_us);
   if (step->plan == NULL)
     return false;
@@ -160,6 +162,7 @@
   int64_t wait_us = step->plan->start_us - now_us;
   int64_t call_us = call_us_ (step, step->plan->hold_count);
   int64_t more_us = call_us_ (step, cell->limits.gang_advice_servers_max);
+  guint i;
 
   if (!step->job->queue->config->advised || step->call != NULL)
     return BLOCK_RESERVED;
@@ -170,6 +173,12 @@
 
       return block == BLOCK_NO_ADVISER ? block : BLOCK_RESERVED;
     }
+  for (i = 0; i < step->plan->hold_count; i++)
+    if (!colt_cell_is_usable (step->plan->holds[i].server, now_us))
+      {
+        step->next_plan_us = now_us;
+        return BLOCK_RESERVED;
+      }
   if (wait_us > call_us + CALL_MARGIN_US
       || !lacks_tickets_ (step, MAX (step->plan->start_us, now_us + call_us))
       || (step->fruitless_calls >= COLT_ADVICE_PAUSES_DOUBLED_MAX
--- a/src/cell/cell_crashes.c
+++ b/src/cell/cell_crashes.c
@@ -176,8 +176,8 @@
 {
   const struct ColtCellServer *server = run->server;
 
-  if (colt_cell_is_ended (run->task->step->job) || run->state == RUN_PLANNED
-      || listed_us_ (run) >= TRIAL_US)
+  if (run->task->done || colt_cell_is_ended (run->task->step->job)
+      || run->state == RUN_PLANNED || listed_us_ (run) >= TRIAL_US)
     return false;
   if (run->stopped_where_listed)
     return false;
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -394,6 +394,7 @@
   GArray *candidates;   /* of struct ColtCandidate; only kept while advice calls
                            are sent, otherwise NULL */
   int64_t now_us;       /* of the pass */
+  uint32_t searches;    /* for gangs without a plan, in this pass */
   uint32_t plans;       /* of gangs that had their turn in this pass */
   uint32_t lowest_priority;      /* of its queues: the largest number */
   uint32_t highest_priority;     /* of its queues: the smallest number */
--- a/src/policy/suspicion.c
+++ b/src/policy/suspicion.c
@@ -11,8 +11,9 @@
 /* Least mean time between two repeated queries, over all servers: 200 a second
  * are a tenth of a leader's calls at the target of 3,100 starts a second. */
 #define QUERY_GAP_US (5 * COLT_US_PER_MS)
-/* Time whose queries may be sent together: a leader's period of checks. */
-#define QUERY_BURST_US (25 * COLT_US_PER_MS)
+/* Time whose queries may be sent together: a leader's checks may come so late
+ * without servers being left out. */
+#define QUERY_BURST_US (250 * COLT_US_PER_MS)
 
 struct ColtSuspicion
 {
--- a/src/scheduler/election.c
+++ b/src/scheduler/election.c
@@ -148,9 +148,10 @@
   if (election == NULL)
     return;
   event_free (election->timer);
-  colt_watch_destroy (election->watch);
   election->role = ROLE_LEFT;
+  /* A call that ends here may still ask the watch for a read. */
   election->ports->log_close (election->channel);
+  colt_watch_destroy (election->watch);
   colt_roster_destroy (election->roster);
   g_free (election);
 }
--- a/src/scheduler/leader.c
+++ b/src/scheduler/leader.c
@@ -183,6 +183,7 @@
   colt_commit_destroy (leader->commit);
   g_ptr_array_unref (leader->calls);
   g_ptr_array_unref (leader->state_calls);
+  colt_order_window_close (leader->window);
   g_hash_table_unref (leader->links);
   g_ptr_array_unref (leader->link_clients);
   colt_order_window_destroy (leader->window);
--- a/src/scheduler/leader_evacuations.c
+++ b/src/scheduler/leader_evacuations.c
@@ -58,11 +58,15 @@
   leader->starts_held = held;
   if (held)
     colt_metrics_count (leader->metrics, METRIC_STARTS_HELD);
-  colt_log (COLT_LOG_INFO, MODULE, NULL,
-            held ? "starts are held back until the operator's topic is read; "
-                   "last read %lld ms ago"
-                 : "the operator's topic was read %lld ms ago; starts are "
-                   "ordered again",
-            (long long)(current_us > 0 ? (now_us - current_us) / COLT_US_PER_MS
-                                       : -1));
+  if (current_us == 0)
+    colt_log (
+        COLT_LOG_INFO, MODULE, NULL,
+        "starts are held back: the operator's topic hasn't been read yet");
+  else
+    colt_log (COLT_LOG_INFO, MODULE, NULL,
+              held ? "starts are held back until the operator's topic is read; "
+                     "last read %lld ms ago"
+                   : "the operator's topic was read %lld ms ago; starts are "
+                     "ordered again",
+              (long long)((now_us - current_us) / COLT_US_PER_MS));
 }
--- a/src/scheduler/leader_suspicion.c
+++ b/src/scheduler/leader_suspicion.c
@@ -43,9 +43,13 @@
   if (changes->added + changes->cleared == 0
       || now_us - changes->logged_us < LOG_PERIOD_US)
     return;
-  colt_log_event (COLT_LOG_WARNING, MODULE,
-                  "servers suspected, they get no starts until they answer",
-                  NULL, fields, G_N_ELEMENTS (fields));
+  if (changes->added > 0)
+    colt_log_event (COLT_LOG_WARNING, MODULE,
+                    "servers suspected, they get no starts until they answer",
+                    NULL, fields, G_N_ELEMENTS (fields));
+  else
+    colt_log_event (COLT_LOG_INFO, MODULE, "suspected servers answer again",
+                    NULL, fields, G_N_ELEMENTS (fields));
   g_clear_pointer (&changes->server, g_free);
   changes->added = 0;
   changes->cleared = 0;
--- a/src/scheduler/metrics.c
+++ b/src/scheduler/metrics.c
@@ -53,7 +53,7 @@
   { COLT_COUNTER_TOTAL, "scheduler_isolations",
     "Times that it reached neither log nor leader" },
   { COLT_COUNTER_TOTAL, "scheduler_suspicions",
-    "Times that a backend server left a call unanswered" },
+    "Times that a backend server was suspected" },
   { COLT_COUNTER_GAUGE, "scheduler_suspected_servers",
     "Backend servers that get no starts until they answer" },
   { COLT_COUNTER_TOTAL, "scheduler_starts_held",
--- a/src/scheduler/private/order_window.h
+++ b/src/scheduler/private/order_window.h
@@ -22,6 +22,8 @@
 
 struct ColtOrderWindow *colt_order_window_create (void);
 void colt_order_window_destroy (struct ColtOrderWindow *window);
+/* Resumes no waiter from now on: the links that wait are about to be freed. */
+void colt_order_window_close (struct ColtOrderWindow *window);
 /* Returns true if an order of this size may be sent now; pass the same size to
  * colt_order_window_release() when it ends. If it returns false, resume() is
  * called once there may be room. */
--- a/src/scheduler/server_suspicion.c
+++ b/src/scheduler/server_suspicion.c
@@ -56,7 +56,9 @@
     colt_link_note_answer (link);
   /* After a renewal that failed the next one asks without a wait. */
   else if (link->query_count == 0 && !colt_link_is_unreachable (link)
-           && (!link->renewing || link->failures == 0))
+           && (!link->renewing || link->failures == 0)
+           && (!link->evacuated || link->known_us == 0
+               || link->client.count_runs (link->client.client, link->id) > 0))
     colt_link_query_report (link);
 }
 
--- a/src/test_cell_load/test_load_ends.c
+++ b/src/test_cell_load/test_load_ends.c
@@ -1,5 +1,6 @@
 /* Ends of runs that aren't the current ones of their tasks. */
 #include <stdlib.h>
+#include <string.h>
 
 #include "fixture.h"
 
@@ -278,9 +279,53 @@
   colt_fixture_destroy (fixture);
 }
 
+/* Loses a start's server, whose process has ended. */
+static void
+crash_server_of_start (struct ColtLoadFixture *fixture, guint start)
+{
+  const char *server
+      = strchr (g_ptr_array_index (fixture->starts, start), '@') + 1;
+
+  colt_cell_replace_server (fixture->cell, server, fixture->now_us);
+  fixture->now_us += 200 * MS;
+}
+
+/* Guards against a job that fails by the crash of a server under a run whose
+ * task was completed by an earlier run. */
+static void
+test_crash_after_done (void)
+{
+  struct ColtLoadFixture *fixture = lose_first_run (1, false);
+  guint i;
+
+  for (i = 1; i <= 3; i++)
+    {
+      char *id = g_strdup_printf ("extra-%u", i);
+
+      colt_fixture_add_server (fixture, id, SERVER_CORES);
+      g_free (id);
+    }
+  for (i = 1; i <= 2; i++)
+    {
+      colt_fixture_place (fixture);
+      g_assert_cmpuint (fixture->starts->len, ==, i + 1);
+      colt_fixture_accept_start (fixture, i);
+      crash_server_of_start (fixture, i);
+    }
+  colt_fixture_place (fixture);
+  g_assert_cmpuint (fixture->starts->len, ==, 4);
+  colt_fixture_accept_start (fixture, 3);
+  report_end (fixture, "server-a", TASK, 1, COLT_RUN_DONE);
+  crash_server_of_start (fixture, 3);
+  colt_fixture_commit (fixture);
+  g_assert_cmpint (get_state (fixture), ==, COLT_JOB_RUNNING);
+  colt_fixture_destroy (fixture);
+}
+
 void
 colt_load_add_end_tests (void)
 {
+  g_test_add_func ("/cell/ends/crash-after-done", test_crash_after_done);
   g_test_add_func ("/cell/ends/done-after-loss", test_done_after_loss);
   g_test_add_func ("/cell/ends/done-after-leader-change",
                    test_done_after_leader_change);
--- a/src/test_scheduler/test_window.c
+++ b/src/test_scheduler/test_window.c
@@ -210,9 +210,38 @@
   g_assert_cmpuint (lose_part (7, 45 * COLT_US_PER_MS), ==, 8 * 1024);
 }
 
+static void
+count_resume (void *client)
+{
+  (*(uint32_t *)client)++;
+}
+
+/* Guards against starts that are sent, or withdrawn on freed memory, while a
+ * leader is destroyed: a link that is freed gives back its part of the window.
+ */
+static void
+test_closed (void)
+{
+  struct ColtOrderWindow *window = colt_order_window_create ();
+  size_t all = colt_order_window_limit (window);
+  uint32_t resumed = 0;
+  struct ColtOrderWaiter first = { 0 };
+  struct ColtOrderWaiter waiter
+      = { .resume = count_resume, .client = &resumed };
+
+  g_assert_true (colt_order_window_acquire (window, all, &first));
+  g_assert_false (colt_order_window_acquire (window, ORDER_BYTES, &waiter));
+  colt_order_window_close (window);
+  colt_order_window_release (window, all, SERVER_US, false, SERVER_US);
+  g_assert_cmpuint (resumed, ==, 0);
+  colt_order_window_leave (window, &waiter);
+  colt_order_window_destroy (window);
+}
+
 void
 colt_test_window_add (void)
 {
+  g_test_add_func ("/scheduler/window/closed", test_closed);
   g_test_add_func ("/scheduler/window/burst-on-narrow-link",
                    test_burst_on_narrow_link);
   g_test_add_func ("/scheduler/window/burst-on-fast-link",
