Cell: a rejected job is no longer watched

Cause: colt_cell_build_job() lists each job for the watchdog. A job that admission by forecast rejected was freed without being unlisted, since the two parts were merged; the next checks read freed memory. test_cell failed in /cell/world/policies with a heap-use-after-free in check_job_().

Change: colt_cell_discard_job() unlists the job. A test of the load, watched-jobs, runs the checks after rejections; without the change it fails in the same way under AddressSanitizer.

--- a/src/cell/cell_jobs.c
+++ b/src/cell/cell_jobs.c
@@ -75,6 +75,7 @@
 {
   drop_steps_ (job);
   job->spec = NULL;
+  colt_cell_unwatch_job (cell, job);
   g_ptr_array_remove_fast (cell->scheduled, job);
   g_hash_table_remove (cell->jobs, job->id);
 }
--- a/src/test_cell_load/test_load_admission.c
+++ b/src/test_cell_load/test_load_admission.c
@@ -410,6 +410,25 @@
   play_end (&play);
 }
 
+/* Checks for stalled tasks after rejections: they read rejected jobs, which are
+ * freed, if these stay among the watched ones. */
+static void
+test_watched_jobs (void)
+{
+  struct ColtLoadFixture *fixture;
+  struct Play play;
+  int i;
+
+  play_begin (&play, true, 4, 2.4, 27000);
+  play_load (&play, 5, 2, false);
+  play_load (&play, 3, 16, true);
+  (void)find_last (&play, true);
+  fixture = play.fixture;
+  for (i = 0; i < 100; i++)
+    colt_cell_tick (fixture->cell, fixture->now_us, fixture->now_us / MS);
+  play_end (&play);
+}
+
 /* The leader changes while an organisation is at its maximum: the new one knows
  * what was accepted, and rejects nothing before it has measured the load. */
 static void
@@ -519,6 +538,7 @@
   g_test_add_func ("/cell/load/admission/burst", test_burst);
   g_test_add_func ("/cell/load/admission/retries", test_retries);
   g_test_add_func ("/cell/load/admission/returning-ids", test_returning_ids);
+  g_test_add_func ("/cell/load/admission/watched-jobs", test_watched_jobs);
   g_test_add_func ("/cell/load/admission/new-leader", test_new_leader);
   g_test_add_func ("/cell/load/admission/unknown-rate", test_unknown_rate);
   g_test_add_func ("/cell/load/admission/disturbances", test_disturbances);
