Cell: headroom for short urgent work removed

It doesn't count urgent work that needs advice, which all queues there do.

A configuration with the setting is rejected as one with any unknown setting. Admission is unchanged.

--- a/include/coltsfootstile/cell.h
+++ b/include/coltsfootstile/cell.h
@@ -230,9 +230,8 @@
   int64_t wait_max_us;  /**< longest delay for past use: a job is passed only by
                              jobs that arrive less than this after it; 0 or more
                          */
-  bool forecasts;      /**< rejects jobs that are nearly sure to end too late */
-  int64_t created_us;  /**< time of creation; used only by the forecast */
-  bool keeps_headroom; /**< keeps room free for short urgent work */
+  bool forecasts;     /**< rejects jobs that are nearly sure to end too late */
+  int64_t created_us; /**< time of creation; used only by the forecast */
 };
 
 /** A record to store under a key. */
@@ -617,7 +616,6 @@
   uint64_t reservations_ended; /**< reservations that ended without a start */
   uint64_t reserved_gangs;    /**< gauge: gangs that servers are reserved for */
   uint64_t rejected_too_late; /**< jobs rejected by the forecast */
-  uint64_t kept_slots; /**< gauge: urgent tasks for which room is kept free */
 };
 
 /** Returns servers, organisations and open steps, those with tasks that may be
--- a/include/coltsfootstile/scheduler.h
+++ b/include/coltsfootstile/scheduler.h
@@ -41,7 +41,6 @@
                              its past use */
   bool forecasts; /**< a leader rejects jobs that are nearly sure to end too
                      late to be of use */
-  bool keeps_headroom; /**< a leader keeps room free for short urgent work */
 };
 
 /** An instance. */
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -336,7 +336,6 @@
   struct ColtCellPool *pool = data;
 
   g_ptr_array_unref (pool->servers);
-  colt_headroom_destroy (pool->headroom);
   g_free (pool->name);
   g_free (pool);
 }
--- a/src/cell/cell_jobs.c
+++ b/src/cell/cell_jobs.c
@@ -174,7 +174,6 @@
       first_step_ (step)->due = true;
       g_ptr_array_add (cell->open_steps, step);
       colt_cell_count_waiting (cell, step);
-      colt_cell_note_urgent (cell, step);
     }
 }
 
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -18,10 +18,10 @@
   double score;
 };
 
-const char *const colt_cell_block_string[]
-    = { "none",      "no service", "paused",     "unsettled", "limit",
-        "no room",   "advice",     "no adviser", "gang",      "orders",
-        "evacuated", "reserved",   "headroom" };
+const char *const colt_cell_block_string[] = {
+  "none",   "no service", "paused", "unsettled", "limit",     "no room",
+  "advice", "no adviser", "gang",   "orders",    "evacuated", "reserved"
+};
 
 const char *const colt_cell_rank_string[]
     = { "lasting", "timely", "excess", "late", "worthless" };
@@ -78,7 +78,6 @@
   rank_steps_ (cell, now_us);
   colt_cell_begin_room (cell);
   colt_cell_begin_plans (cell);
-  colt_cell_begin_headroom (cell, now_us);
   colt_cell_sort_steps (cell);
   for (i = 0; i < cell->open_steps->len; i++)
     place_step_ (cell, g_ptr_array_index (cell->open_steps, i), now_us);
@@ -456,14 +455,10 @@
     colt_cell_set_block (cell, step, BLOCK_PAUSED);
   else if (cell->start_budget == 0)
     colt_cell_set_block (cell, step, BLOCK_ORDERS);
-  else if (colt_cell_holds_back (step, NULL, now_us))
-    colt_cell_set_block (cell, step, BLOCK_HEADROOM);
   else if (step->spec->gang)
     colt_cell_place_gang (cell, step, pool, now_us);
   else
     place_tasks_ (cell, step, pool, now_us);
-  if (pool != NULL)
-    colt_cell_note_waiting (step);
 }
 
 static bool
@@ -518,11 +513,6 @@
               colt_cell_explain_block (cell, step, pool, block, now_us));
           break;
         }
-      if (colt_cell_holds_back (step, server, now_us))
-        {
-          colt_cell_set_block (cell, step, BLOCK_HEADROOM);
-          break;
-        }
       colt_cell_plan_run (cell, task, server,
                           colt_cell_next_run_number (cell, task), now_us);
       colt_cell_append_plan (&plan, task);
--- a/src/cell/cell_rank.c
+++ b/src/cell/cell_rank.c
@@ -187,19 +187,6 @@
   return false;
 }
 
-int64_t
-colt_cell_objective_slack_us (const struct ColtCellJob *job)
-{
-  return colt_cell_objective_us (job) - colt_cell_chain_us (job);
-}
-
-int64_t
-colt_cell_slack_left_us (const struct ColtCellStep *step, int64_t now_us)
-{
-  return colt_cell_objective_us (step->job) - (now_us - step->job->accepted_us)
-         - longest_chain_us_ (step);
-}
-
 void
 colt_cell_refund_share (struct ColtCellOrganisation *organisation)
 {
--- a/src/cell/cell_runs.c
+++ b/src/cell/cell_runs.c
@@ -59,10 +59,8 @@
   colt_cell_begin_probe (run);
   g_ptr_array_add (server->runs, run);
   colt_resources_add (&server->used, &run->demand);
-  colt_cell_update_slots (server);
   colt_resources_add (&job->organisation->used, &run->demand);
   colt_cell_count_use (cell, run, now_us);
-  colt_cell_note_urgent_run (run);
   task->current = run;
   task->last_run = number;
   step->waiting--;
@@ -341,8 +339,6 @@
   g_ptr_array_remove_fast (run->server->runs, run);
   colt_resources_subtract (&run->server->used, &run->demand);
   colt_cell_note_room (run->server);
-  colt_cell_update_slots (run->server);
-  colt_cell_note_urgent_end (run);
   if (run->server->pool != NULL)
     colt_cell_forget_with_room (run->server->pool);
   colt_resources_subtract (&step->job->organisation->used, &run->demand);
--- a/src/cell/private/cell_policy.h
+++ b/src/cell/private/cell_policy.h
@@ -38,24 +38,4 @@
                                   const struct ColtCellServer *server);
 void colt_cell_end_forecast_pass (struct ColtCell *cell, int64_t now_us);
 
-/* cell_headroom.c: room that is kept free for urgent work. All of them do
- * nothing while that is off. */
-
-/* Notes a step that has become ready, if it is urgent. */
-void colt_cell_note_urgent (struct ColtCell *cell, struct ColtCellStep *step);
-/* Has to be called before the first step of a pass is placed. */
-void colt_cell_begin_headroom (struct ColtCell *cell, int64_t now_us);
-/* Updates the slots of a server after its use has changed. */
-void colt_cell_update_slots (struct ColtCellServer *server);
-/* Note that a run of an urgent step takes room, and has returned it. */
-void colt_cell_note_urgent_run (struct ColtCellRun *run);
-void colt_cell_note_urgent_end (const struct ColtCellRun *run);
-/* Notes a step that the pass has looked at, with tasks that still wait. */
-void colt_cell_note_waiting (const struct ColtCellStep *step);
-/* Returns whether a step can wait and its next task would take room that is
- * kept free. server: where it would start; NULL: not known yet. */
-bool colt_cell_holds_back (const struct ColtCellStep *step,
-                           const struct ColtCellServer *server,
-                           int64_t now_us);
-
 #endif
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -8,7 +8,6 @@
 #include "coltsfootstile/clock.h"
 #include "coltsfootstile/cold_ramp.h"
 #include "coltsfootstile/forecast.h"
-#include "coltsfootstile/headroom.h"
 
 /* Size in bytes of a buffer for a task's name, JOB.OCCURRENCE.STEP.INDEX. */
 #define TASK_NAME_SIZE 64
@@ -83,9 +82,7 @@
   BLOCK_GANG,       /* an earlier run of its gang has to end first */
   BLOCK_ORDERS,     /* as many starts as can be sent in time are planned */
   BLOCK_EVACUATED,  /* all suitable servers are in evacuated zones */
-  BLOCK_RESERVED,   /* servers are reserved for its gang from a later time on */
-  BLOCK_HEADROOM    /* it can wait, and the last free room is kept for urgent
-                       work */
+  BLOCK_RESERVED    /* servers are reserved for its gang from a later time on */
 };
 
 /* Order in which steps get room. */
@@ -146,7 +143,6 @@
   GList *stop_link;          /* in the cell's stops; NULL: not listed */
   bool stopped_where_listed; /* by the incarnation that listed the run */
   struct ColtResources demand;
-  struct ColtHeadroom *headroom; /* that counts it as urgent; NULL: none */
 };
 
 struct ColtCellTask
@@ -217,7 +213,6 @@
                            has been listed or has begun */
   uint64_t looked_pass; /* latest pass that looked at it, or was over when it
                            was listed */
-  bool urgent;          /* room is kept free for such steps */
   struct ColtResources demand; /* of each task */
   GHashTable *advice; /* struct ColtCellServer -> struct ColtCellAdvice */
   struct ColtCellCall *call; /* its pending advice call; NULL: none */
@@ -361,8 +356,6 @@
   guint position; /* in its pool's candidates, while it is one of them */
   struct ColtCellHold *holds; /* reservations for gangs; NULL: none */
   int64_t wanted_until_us;    /* a waiting gang may run on it until then */
-  bool has_slots; /* it was usable when its pool's slots were last counted */
-  uint32_t slots; /* of its pool's, that it has */
 };
 
 /* Servers with the same first label and the same room. Their common slowness
@@ -395,15 +388,9 @@
                            are sent, otherwise NULL */
   int64_t now_us;       /* of the pass */
   uint32_t plans;       /* of gangs that had their turn in this pass */
-  uint32_t lowest_priority;      /* of its queues: the largest number */
-  uint32_t gang_priority;        /* of a gang that waits or waited last */
-  int64_t gangs_until_us;        /* gangs wait, or did shortly before */
-  struct ColtHeadroom *headroom; /* NULL: no urgent work has arrived */
-  int64_t slots_counted_us;      /* when all slots were last counted; 0: they
-                                    have to be */
-  uint32_t total_slots; /* when all were last counted, if nothing ran */
-  int64_t slots;        /* free ones on usable servers, of urgent work's size */
-  uint32_t kept_slots;  /* of these, not for work that can wait, in this pass */
+  uint32_t lowest_priority; /* of its queues: the largest number */
+  uint32_t gang_priority;   /* of a gang that waits or waited last */
+  int64_t gangs_until_us;   /* gangs wait, or did shortly before */
 };
 
 struct ColtCell
--- a/src/cell/private/cell_rank.h
+++ b/src/cell/private/cell_rank.h
@@ -22,11 +22,6 @@
  * objective, times the factor beyond which it is of no use if useful is true.
  */
 int64_t colt_cell_slack_us (const struct ColtCellJob *job, bool useful);
-/* Returns how much the objective of a job exceeds its longest chain, and how
- * much of that is left for a step that starts now. */
-int64_t colt_cell_objective_slack_us (const struct ColtCellJob *job);
-int64_t colt_cell_slack_left_us (const struct ColtCellStep *step,
-                                 int64_t now_us);
 /* Takes back what colt_cell_exceeds_share() charged. */
 void colt_cell_refund_share (struct ColtCellOrganisation *organisation);
 bool colt_cell_exceeds_share (struct ColtCellOrganisation *organisation,
--- a/src/coltsfootstile/cell_main.c
+++ b/src/coltsfootstile/cell_main.c
@@ -79,8 +79,6 @@
           false, "longest delay for past use, in milliseconds" },
         { "admission", "forecast", COLT_SETTING_INTEGER, "0", 0, 1, false,
           "1: reject jobs that are nearly sure to end too late to be of use" },
-        { "placement", "headroom", COLT_SETTING_INTEGER, "0", 0, 1, false,
-          "1: keep room free for short urgent work" },
         { "log", "level", COLT_SETTING_STRING, "info", 0, 0, false,
           "error, warning, info or debug" } };
 
@@ -261,8 +259,6 @@
       = (uint32_t)colt_settings_integer (settings, "fairness", "wait_max_ms");
   scheduler->forecasts
       = colt_settings_integer (settings, "admission", "forecast") != 0;
-  scheduler->keeps_headroom
-      = colt_settings_integer (settings, "placement", "headroom") != 0;
   adapter->callers = colt_settings_string (settings, "listen", "callers");
   adapter->readiness = colt_settings_string (settings, "listen", "readiness");
   adapter->state = colt_settings_string (settings, "listen", "state");
--- a/src/scheduler/leader.c
+++ b/src/scheduler/leader.c
@@ -134,7 +134,6 @@
   limits.half_life_us = (int64_t)settings->half_life_s * COLT_US_PER_S;
   limits.wait_max_us = (int64_t)settings->wait_max_ms * COLT_US_PER_MS;
   limits.forecasts = settings->forecasts;
-  limits.keeps_headroom = settings->keeps_headroom;
   limits.created_us = colt_clock_monotonic_us ();
   leader->base = base;
   leader->ports = ports;
--- a/src/scheduler/metrics.c
+++ b/src/scheduler/metrics.c
@@ -90,8 +90,6 @@
     "Runs in this term whose lease or server ended" },
   { COLT_COUNTER_GAUGE, "cell_rejected_too_late",
     "Jobs in this term rejected by the forecast" },
-  { COLT_COUNTER_GAUGE, "cell_kept_slots",
-    "Urgent tasks for which room is kept free" },
 };
 
 /* Indexed by enum ColtTiming. */
@@ -184,7 +182,6 @@
                     (int64_t)stats->ended[COLT_RUN_LAPSED]);
   colt_metrics_set (metrics, METRIC_REJECTED_TOO_LATE,
                     (int64_t)stats->rejected_too_late);
-  colt_metrics_set (metrics, METRIC_KEPT_SLOTS, (int64_t)stats->kept_slots);
 }
 
 void
--- a/src/test_cell/simulation.c
+++ b/src/test_cell/simulation.c
@@ -159,8 +159,7 @@
                                    .advice_servers_max = 30,
                                    .run_wait_us = RUN_WAIT_US,
                                    .forecasts = sim->plan->policies,
-                                   .created_us = sim->now_us,
-                                   .keeps_headroom = sim->plan->policies };
+                                   .created_us = sim->now_us };
   uint32_t s;
 
   /* Nothing that is checked depends on the order of waiting work. */
--- a/src/test_cell/simulation.h
+++ b/src/test_cell/simulation.h
@@ -34,7 +34,7 @@
   double evacuations;
   /* Most ends in one report; 0: no limit. Also after the planned steps. */
   uint32_t listed_ends;
-  bool policies; /* jobs have objectives; admission by forecast, and headroom */
+  bool policies; /* jobs have objectives; admission by forecast */
 };
 
 /* Counts of a simulation. */
