--- a/src/cell/cell_jobs.c
+++ b/src/cell/cell_jobs.c
@@ -75,6 +75,7 @@
 {
   drop_steps_ (job);
   job->spec = NULL;
+  colt_cell_unwatch_job (cell, job);
   g_ptr_array_remove_fast (cell->scheduled, job);
   g_hash_table_remove (cell->jobs, job->id);
 }
@@ -173,7 +174,6 @@
       first_step_ (step)->due = true;
       g_ptr_array_add (cell->open_steps, step);
       colt_cell_count_waiting (cell, step);
-      colt_cell_note_urgent (cell, step);
     }
 }
 
--- a/src/test_scheduler/test_suspicion.c
+++ b/src/test_scheduler/test_suspicion.c
@@ -50,6 +50,31 @@
   colt_suspicion_destroy (suspicion);
 }
 
+/* Guards against servers that are never queried again: links are checked in a
+ * fixed order, and each check that comes late loses queries. */
+static void
+test_queries_of_late_checks (void)
+{
+  struct ColtSuspicion *suspicion = colt_suspicion_create ();
+  struct ColtSuspect *zone = g_new0 (struct ColtSuspect, ZONE_SERVERS);
+  int64_t now_us = COLT_US_PER_S;
+  int64_t half_us = now_us + 60 * COLT_US_PER_S;
+  uint32_t queries[ZONE_SERVERS] = { 0 };
+  uint32_t i;
+
+  for (i = 0; i < ZONE_SERVERS; i++)
+    colt_suspicion_add_loss (suspicion, &zone[i], now_us);
+  for (; now_us < half_us + 60 * COLT_US_PER_S; now_us += 40 * COLT_US_PER_MS)
+    for (i = 0; i < ZONE_SERVERS; i++)
+      if (colt_suspicion_take_query (suspicion, &zone[i], now_us)
+          && now_us >= half_us)
+        queries[i]++;
+  for (i = 0; i < ZONE_SERVERS; i++)
+    g_assert_cmpuint (queries[i], >, 0);
+  g_free (zone);
+  colt_suspicion_destroy (suspicion);
+}
+
 struct ColtSuspectedLink
 {
   struct ColtFakePorts *fake;
@@ -219,6 +244,8 @@
 void
 colt_test_suspicion_add (void)
 {
+  g_test_add_func ("/scheduler/suspicion/late-checks",
+                   test_queries_of_late_checks);
   g_test_add_func ("/scheduler/suspicion/queries-of-zone",
                    test_queries_of_zone);
   g_test_add_func ("/scheduler/suspicion/lost-start", test_lost_start);
