--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -3,6 +3,7 @@
 #include "cell_private.h"
 #include "cell_usage.h"
 #include "cell_watchdog.h"
+#include "cell_zones.h"
 
 /* Most jobs in a cell, including ended ones; each takes a few kilobytes of
  * memory. */
--- a/src/cell/cell_dump.c
+++ b/src/cell/cell_dump.c
@@ -3,6 +3,7 @@
 
 #include "cell_backfill.h"
 #include "cell_usage.h"
+#include "cell_zones.h"
 
 static json_t *dump_zone_ (const struct ColtCell *cell,
                            const struct ColtCellZone *zone);
--- a/src/cell/cell_gangs.c
+++ b/src/cell/cell_gangs.c
@@ -1,4 +1,5 @@
 #include "cell_backfill.h"
+#include "cell_zones.h"
 
 /* Time before the planned start of a gang from which its part of its
  * organisation's limit is reserved. */
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "cell_backfill.h"
+#include "cell_zones.h"
 
 /* Weight of a server's slowness against its fullness, for a job whose objective
  * equals its longest chain of steps. */
--- a/src/cell/cell_servers.c
+++ b/src/cell/cell_servers.c
@@ -2,6 +2,7 @@
 
 #include "cell_private.h"
 #include "cell_progress.h"
+#include "cell_zones.h"
 #include "coltsfootstile/guard.h"
 
 /* Pause of a server after it rejected a start for lack of room; its next report
--- a/src/cell/cell_zones.c
+++ b/src/cell/cell_zones.c
@@ -1,6 +1,6 @@
 #include <string.h>
 
-#include "cell_private.h"
+#include "cell_zones.h"
 #include "coltsfootstile/guard.h"
 
 /* Time between counts of what is left in evacuated zones. */
--- a/src/cell/private/cell_private.h
+++ b/src/cell/private/cell_private.h
@@ -45,16 +45,6 @@
   bool was_late;  /* a job missed its objective in the previous pass */
 };
 
-/* An availability zone whose evacuation is requested. */
-struct ColtCellZone
-{
-  char *name;
-  int64_t since_us; /* when the cell got the request */
-  size_t servers;   /* as of the last count */
-  size_t runs;      /* left there, or possibly, as of the last count */
-  bool empty;       /* was logged as empty */
-};
-
 struct ColtCellOrganisation
 {
   char *name;
@@ -547,80 +537,6 @@
 void colt_cell_restore_terms (struct ColtCellQueue *queue,
                               const ColtQueueTerms *terms);
 
-/* cell_probation.c: servers on which runs fail */
-
-/* Returns whether a server may get another run: one on probation gets none for
- * a while, then few, and more the longer nothing fails. */
-bool colt_cell_may_probe (const struct ColtCellServer *server, int64_t now_us);
-/* Counts a run that starts on a server on probation. */
-void colt_cell_begin_probe (struct ColtCellRun *run);
-void colt_cell_end_probe (struct ColtCellRun *run);
-/* Ends the probation of a server on which a task that lasts has been at work
- * for a while. To be called when the run is listed. */
-void colt_cell_prove_run (struct ColtCellRun *run);
-/* Counts the end of a run for or against its server. To be called before the
- * run is removed. */
-void colt_cell_judge_server (struct ColtCell *cell,
-                             const struct ColtCellRun *run,
-                             enum ColtRunEnd how,
-                             int64_t now_us);
-/* Forgets what was known of a server that has been restarted. */
-void colt_cell_reset_probation (struct ColtCellServer *server);
-
-/* cell_crashes.c */
-
-/* Ends a run that was lost with its server, and gives up its task if servers
- * crash under it again and again. ended: the server's process has certainly
- * ended. */
-void colt_cell_lose_run (struct ColtCell *cell,
-                         struct ColtCellRun *run,
-                         bool ended,
-                         int64_t now_us);
-
-/* Decides, before a task starts again, what became of the server of its last
- * run. Returns whether the task was given up. */
-bool colt_cell_review_losses (struct ColtCell *cell,
-                              struct ColtCellTask *task,
-                              int64_t now_us);
-
-void colt_cell_begin_trial (struct ColtCellRun *run);
-void colt_cell_end_trial (struct ColtCellRun *run);
-/* Applies that a report lists a run. */
-void colt_cell_confirm_run (struct ColtCell *cell,
-                            struct ColtCellRun *run,
-                            int64_t percent,
-                            int64_t now_us);
-/* Notes that a run lasted or ended by itself: its task doesn't crash servers.
- */
-void colt_cell_clear_losses (struct ColtCell *cell, struct ColtCellTask *task);
-/* Returns what the score of a server is lowered by for a task under which
- * servers have crashed. */
-double colt_cell_crash_penalty (const struct ColtCellTask *task,
-                                const struct ColtCellServer *server);
-/* cell_progress.c */
-
-/* Returns whether a checkpoint fits the records of its job; a task whose
- * checkpoint doesn't starts from an earlier one. */
-bool colt_cell_can_store_checkpoint (const struct ColtCell *cell,
-                                     const char *checkpoint);
-/* Sets how a new job's progress is split over records. */
-void colt_cell_split_progress (const struct ColtCell *cell,
-                               struct ColtCellJob *job);
-/* Returns a part of a job's progress, as it is recorded, and its size in bytes.
- * Only entries of tasks that have changed are packed anew. NULL: the part
- * hasn't changed since it was last packed; the first one is always returned. */
-uint8_t *colt_cell_pack_progress (const struct ColtCell *cell,
-                                  struct ColtCellJob *job,
-                                  uint32_t part,
-                                  size_t *size);
-/* Packs the parts of a wide job that was loaded, so that only those that change
- * from then on are recorded again. */
-void colt_cell_keep_progress (const struct ColtCell *cell,
-                              struct ColtCellJob *job);
-/* Notes that something has changed that is recorded of a task. */
-void colt_cell_mark_entry (const struct ColtCellTask *task);
-void colt_cell_free_entries (struct ColtCellJob *job);
-
 /* cell_servers.c */
 struct ColtCellServer *colt_cell_find_server (const struct ColtCell *cell,
                                               const char *id);
@@ -631,26 +547,6 @@
 void colt_cell_free_server (gpointer data);
 void colt_cell_check_settled (struct ColtCell *cell, int64_t now_us);
 
-/* cell_zones.c */
-void colt_cell_init_zones (struct ColtCell *cell);
-bool colt_cell_is_zone_evacuated (const struct ColtCell *cell,
-                                  const char *zone);
-/* Counts the runs that are left in evacuated zones, at most once a second, and
- * logs that a zone has become empty. */
-void colt_cell_watch_zones (struct ColtCell *cell, int64_t now_us);
-/* Returns whether a start may be ordered on a server at a time. */
-bool colt_cell_may_order (const struct ColtCell *cell,
-                          const struct ColtCellServer *server,
-                          int64_t now_us);
-/* Returns the reason for a step that found no server: BLOCK_EVACUATED if all
- * servers that may hold its tasks are in evacuated zones, or else the one that
- * is given. */
-enum ColtCellBlock colt_cell_explain_block (struct ColtCell *cell,
-                                            struct ColtCellStep *step,
-                                            struct ColtCellPool *pool,
-                                            enum ColtCellBlock block,
-                                            int64_t now_us);
-
 /* cell_place.c */
 void colt_cell_send_start (struct ColtCell *cell,
                            struct ColtCellRun *run,
@@ -760,20 +656,6 @@
                                 int64_t now_us);
 void colt_cell_move_stragglers (struct ColtCell *cell, int64_t now_us);
 
-/* cell_rank.c */
-void colt_cell_add_duration (const struct ColtCellRun *run, int64_t now_us);
-void colt_cell_update_slowness (struct ColtCellStep *step);
-void colt_cell_assign_kind (struct ColtCell *cell,
-                            struct ColtCellServer *server);
-double colt_cell_slowness (struct ColtCellServer *server);
-void colt_cell_raise_slowness (struct ColtCellServer *server,
-                               double log_slowness);
-int64_t colt_cell_objective_us (const struct ColtCellJob *job);
-bool colt_cell_exceeds_share (struct ColtCellOrganisation *organisation,
-                              int64_t now_us);
-void colt_cell_rank_step (struct ColtCellStep *step, int64_t now_us);
-/* Returns the latest time at which the start of a step is still of use. */
-int64_t colt_cell_latest_us (const struct ColtCellStep *step);
 #include "cell_failures.h"
 #include "cell_policy.h"
 #include "cell_rank.h"
--- a/src/cell/private/cell_rank.h
+++ b/src/cell/private/cell_rank.h
@@ -27,5 +27,7 @@
 bool colt_cell_exceeds_share (struct ColtCellOrganisation *organisation,
                               int64_t now_us);
 void colt_cell_rank_step (struct ColtCellStep *step, int64_t now_us);
+/* Returns the latest time at which the start of a step is still of use. */
+int64_t colt_cell_latest_us (const struct ColtCellStep *step);
 
 #endif
--- a/src/scheduler/private/leader_private.h
+++ b/src/scheduler/private/leader_private.h
@@ -91,6 +91,8 @@
 /* Applies to a link whether its server's zone is evacuated. */
 void colt_leader_update_evacuated (struct ColtLeader *leader,
                                    struct ColtServerLink *link);
+/* Follows the list of servers, and keeps a link to each of them. */
+void colt_leader_watch_servers (struct ColtLeader *leader);
 /* Ends loading and starts to serve calls. */
 void colt_leader_serve (struct ColtLeader *leader);
 /* Ends calls that have waited too long for a batch: jobs that can be withdrawn
