--- a/src/http/http_listener.c
+++ b/src/http/http_listener.c
@@ -1,5 +1,6 @@
 #include <errno.h>
 #include <event2/buffer.h>
+#include <event2/listener.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -9,6 +10,9 @@
 /* Input beyond the headers that is buffered. A longer header block is then
  * found too long by evhttp instead of waiting for bytes that aren't read. */
 #define INPUT_MARGIN 4096
+/* Connections beyond its bound that a listener accepts before it pauses. A
+ * closed connection keeps its descriptor until it is freed, within 100 ms. */
+#define ACCEPTED_BEYOND 8
 /* evhttp's own timeout exceeds those of the limits by this. */
 #define TIMEOUT_MARGIN_S 30
 
@@ -90,6 +94,28 @@
   g_free (listener);
 }
 
+void
+colt_http_listener_pace (struct ColtHttpListener *listener)
+{
+  uint32_t quota = colt_http_pool_quota (listener);
+  guint open = g_hash_table_size (listener->connections);
+
+  if (listener->socket == NULL)
+    return;
+  if (!listener->paused && open > quota + ACCEPTED_BEYOND)
+    {
+      listener->paused = true;
+      evconnlistener_disable (
+          evhttp_bound_socket_get_listener (listener->socket));
+    }
+  else if (listener->paused && open <= quota)
+    {
+      listener->paused = false;
+      evconnlistener_enable (
+          evhttp_bound_socket_get_listener (listener->socket));
+    }
+}
+
 bool
 colt_http_connection_reap (struct ColtHttpConnection *connection)
 {
@@ -136,6 +162,7 @@
   listener->pool->open++;
   if (connection->refused)
     event_active (listener->pool->enforcement, 0, 0);
+  colt_http_listener_pace (listener);
   return bufferevent;
 }
 
--- a/src/http/http_pool.c
+++ b/src/http/http_pool.c
@@ -294,6 +294,8 @@
   for (i = 0; i < over->len; i++)
     end_ (over->pdata[i], find_end_ (over->pdata[i], now_us));
   g_ptr_array_unref (over);
+  g_hash_table_foreach_remove (listener->connections, reap_, NULL);
+  colt_http_listener_pace (listener);
 }
 
 /* Returns COLT_HTTP_END_COUNT if the connection stays open. */
--- a/src/http/private/http_private.h
+++ b/src/http/private/http_private.h
@@ -48,6 +48,7 @@
   struct ColtHttpListenerSettings settings;
   struct evhttp *http;
   struct evhttp_bound_socket *socket; /* owned by http */
+  bool paused; /* accepts nothing until closed connections are freed */
   GHashTable *connections; /* struct ColtHttpConnection by its bufferevent */
 };
 
@@ -90,4 +91,8 @@
 void colt_http_connection_close (struct ColtHttpConnection *connection,
                                  bool discard);
 
+/* Stops accepting connections while too many wait to be freed, and accepts them
+ * again once the listener is within its bound. */
+void colt_http_listener_pace (struct ColtHttpListener *listener);
+
 #endif
