--- a/include/coltsfootstile/fleet_check.h
+++ b/include/coltsfootstile/fleet_check.h
@@ -24,7 +24,7 @@
   COLT_FINDING_MISSING_SERVICE,    /**< the queue's service doesn't exist */
   COLT_FINDING_NO_ATTEMPTS,        /**< a task may not fail even once */
   COLT_FINDING_STRETCH_BELOW_ONE,  /**< the objective is below the run time */
-  COLT_FINDING_NO_KEY,             /**< nobody can submit for it */
+  COLT_FINDING_NO_KEY,             /**< no caller can submit jobs for it */
   COLT_FINDING_EMPTY_KEY,
   COLT_FINDING_REPEATED_KEY, /**< twice in one organisation */
   COLT_FINDING_SHARED_KEY,   /**< held by two organisations */
--- a/include/coltsfootstile/forecast.h
+++ b/include/coltsfootstile/forecast.h
@@ -18,7 +18,7 @@
 
 #include "coltsfootstile/resources.h"
 
-/** Priorities that are told apart; work of lower ones counts with the last. */
+/** Priorities with a class each; work of lower ones counts in the last. */
 #define COLT_FORECAST_PRIORITIES 4u
 
 /** Ranks of waiting work, in the order in which it gets room. Worthless work
--- a/src/cell/cell_forecast.c
+++ b/src/cell/cell_forecast.c
@@ -1,4 +1,4 @@
-/* What the forecast of admission is told about jobs and runs. */
+/* Feeds jobs, runs and room into the forecast of admission. */
 #include "cell_private.h"
 
 /* Period at which the forecast gets the room of services. */
--- a/src/cell/private/cell_policy.h
+++ b/src/cell/private/cell_policy.h
@@ -1,12 +1,12 @@
-/* What the decisions of src/policy/ are told, and where they are asked; private
- * to the files of this package, which include it by cell_private.h. */
+/* Inputs to the decisions of src/policy/, and calls of them; private to the
+ * files of this package, which include it by cell_private.h. */
 #ifndef COLT_CELL_POLICY_H
 #define COLT_CELL_POLICY_H
 
 #include "cell_private.h"
 
-/* cell_forecast.c: what the forecast of admission is told. All of them do
- * nothing while admission by forecast is off. */
+/* cell_forecast.c: inputs of the forecast of admission. All of these functions
+ * do nothing while admission by forecast is off. */
 
 /* Returns whether a new job may be accepted; logs a rejection. */
 bool colt_cell_admit (struct ColtCell *cell,
