Close the adviser's channel before the wire at shutdown

Closing the channel ends its open calls as failed. Some of these are calls that another instance waits for, whose failure is sent over the wire, which had been freed: the process crashed at the end of its shutdown.

The channel is closed first now. The new test shows the use after free on the sources before (AddressSanitizer, in colt_wire_reply) and passes three of three times with the change.

--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -134,10 +134,11 @@
   colt_scheduler_end_requests (scheduler);
   g_clear_pointer (&scheduler->election, colt_election_destroy);
   colt_watch_destroy (scheduler->config_watch);
-  colt_wire_destroy (scheduler->wire);
-  colt_scheduler_free_requests (scheduler);
+  /* Ends open calls, some of which other instances wait for on the wire. */
   if (scheduler->adviser != NULL)
     scheduler->ports->adviser_close (scheduler->adviser);
+  colt_wire_destroy (scheduler->wire);
+  colt_scheduler_free_requests (scheduler);
   event_free (scheduler->heartbeat_timer);
   event_free (scheduler->stop_timer);
   colt_members_destroy (scheduler->members);
--- a/src/test_scheduler/test_stop.c
+++ b/src/test_scheduler/test_stop.c
@@ -132,9 +132,105 @@
   g_free (internal);
 }
 
+/* A channel to the adviser whose only call is answered when it is closed. */
+struct ColtAdviserChannel
+{
+  ColtAdviceDone done;
+  void *client;
+};
+
+static struct ColtAdviserChannel adviser;
+
+static struct ColtAdviserChannel *
+open_adviser (void *adapter)
+{
+  (void)adapter;
+  return &adviser;
+}
+
+static void
+keep_advice_call (struct ColtAdviserChannel *channel,
+                  const char *step,
+                  const char *const *servers,
+                  size_t count,
+                  uint32_t timeout_ms,
+                  ColtAdviceDone done,
+                  void *client)
+{
+  (void)step;
+  (void)servers;
+  (void)count;
+  (void)timeout_ms;
+  channel->done = done;
+  channel->client = client;
+}
+
+static void
+fail_advice_call (struct ColtAdviserChannel *channel)
+{
+  if (channel->done != NULL)
+    channel->done (channel->client, NULL);
+  channel->done = NULL;
+}
+
+static void
+ignore_reply (void *client,
+              enum ColtWireResult result,
+              const uint8_t *body,
+              size_t size)
+{
+  (void)client;
+  (void)result;
+  (void)body;
+  (void)size;
+}
+
+/* Guards against a reply through the freed wire: closing the channel to the
+ * adviser ends a call that another instance waits for. */
+static void
+test_destroy_with_open_advice_call (void)
+{
+  char *internal = g_strdup_printf ("127.0.0.1:%d",
+                                    PORT_MIN + (int)getpid () % PORT_COUNT);
+  const struct ColtSchedulerSettings settings
+      = { "name", "zone", internal, 1, 1000, 60, 1000 };
+  struct ColtFakePorts *fake = colt_fake_ports_create ();
+  const uint32_t instance = colt_scheduler_instance_number (internal);
+  struct ColtError error = { 0 };
+  ColtAdviceCall call = COLT_ADVICE_CALL__INIT;
+  struct ColtScheduler *scheduler;
+  struct ColtWire *wire;
+  uint8_t body[64];
+  int i;
+
+  adviser.done = NULL;
+  fake->ports.adviser_open = open_adviser;
+  fake->ports.adviser_close = fail_advice_call;
+  fake->ports.advise = keep_advice_call;
+  call.step = "step";
+  scheduler
+      = colt_scheduler_create (fake->base, &fake->ports, &settings, &error);
+  g_assert_nonnull (scheduler);
+  wire = colt_wire_create (fake->base, instance + 1, 1);
+  colt_wire_set_peer (wire, instance, internal);
+  colt_wire_call (wire, instance, MESSAGE_ADVICE, body,
+                  colt_advice_call__pack (&call, body), 2000, ignore_reply,
+                  NULL);
+  for (i = 0; i < 200 && adviser.done == NULL; i++)
+    colt_fake_ports_run (fake, 10);
+  g_assert_nonnull (adviser.done);
+  colt_scheduler_destroy (scheduler);
+  g_assert_null (adviser.done);
+  colt_wire_destroy (wire);
+  colt_fake_ports_destroy (fake);
+  g_free (internal);
+}
+
 void
 colt_test_stop_add (void)
 {
+  g_test_add_func ("/scheduler/stop/destroy-with-open-advice-call",
+                   test_destroy_with_open_advice_call);
   g_test_add_func ("/scheduler/stop/destroy-with-open-request",
                    test_destroy_with_open_request);
   g_test_add_func ("/scheduler/stop/answers-before-end",
