HTTP listeners: connections closed to make room count until the next tick

Cause: when a listener is full, it closes one connection for each new one and drops its entry at once, but libevent frees the descriptor only after the accept loop. Change: the pause also counts connections closed since the last tick.

--- a/src/http/http_listener.c
+++ b/src/http/http_listener.c
@@ -98,7 +98,7 @@
 colt_http_listener_pace (struct ColtHttpListener *listener)
 {
   uint32_t quota = colt_http_pool_quota (listener);
-  guint open = g_hash_table_size (listener->connections);
+  guint open = g_hash_table_size (listener->connections) + listener->replaced;
 
   if (listener->socket == NULL)
     return;
--- a/src/http/http_pool.c
+++ b/src/http/http_pool.c
@@ -206,7 +206,10 @@
           = choose_ (listener, (enum ColtChoice)choice, now_us);
 
       if (chosen != NULL)
-        end_ (chosen, COLT_HTTP_END_CONNECTIONS);
+        {
+          end_ (chosen, COLT_HTTP_END_CONNECTIONS);
+          listener->replaced++;
+        }
     }
   return g_hash_table_size (listener->connections) < quota;
 }
@@ -251,7 +254,12 @@
   pool->now_us += MIN (clock_us - pool->clock_us, TICK_MAX_US);
   pool->clock_us = clock_us;
   for (i = 0; i < pool->listeners->len; i++)
-    sweep_ (pool->listeners->pdata[i], pool->now_us);
+    {
+      struct ColtHttpListener *listener = pool->listeners->pdata[i];
+
+      listener->replaced = 0;
+      sweep_ (listener, pool->now_us);
+    }
   for (i = 0; i < COLT_HTTP_END_COUNT; i++)
     log_end_ (pool, "", (enum ColtHttpEnd)i);
   colt_counters_set (pool->counters, pool->connection_gauge, pool->open);
--- a/src/http/private/http_private.h
+++ b/src/http/private/http_private.h
@@ -49,6 +49,9 @@
   struct evhttp *http;
   struct evhttp_bound_socket *socket; /* owned by http */
   bool paused; /* accepts nothing until closed connections are freed */
+  /* Connections closed to make room since the last tick. Their descriptors stay
+   * open until the event loop has run. */
+  guint replaced;
   GHashTable *connections; /* struct ColtHttpConnection by its bufferevent */
 };
 
