HTTP listeners: an ordinary request is answered beside a crowd that reads nothing

What callers saw: with 1,000 clients that send requests ahead to the readiness listener and read nothing, a probe beside them was closed without an answer. A balancer takes such an instance out of rotation.

Cause: a full listener closed the connection idle longest for each new one. It accepts many at once before it reads from the first of them, so that a probe's connection was the idle one and was closed before its request was read. Until the first clients had taken no byte for a second, new connections were refused.

If none can be closed yet, the listener accepts nothing and new connections wait in the kernel's queue in their order; if all requests are being handled, they are refused at once as before. With half of its connections open, a listener answers one request of a client that has sent further ones ahead and closes its connection, so that such a crowd leaves as fast as it comes. Counters http_accept_pauses_total and http_closed_ahead_total.

--- a/include/coltsfootstile/http_listener.h
+++ b/include/coltsfootstile/http_listener.h
@@ -8,7 +8,11 @@
  * its request stays incomplete or it is idle; when a bound is reached, idle
  * connections are closed first, then the one with the most unsent output, then
  * the one whose request has been incomplete longest. A connection isn't closed
- * while its request is handled or while its client takes its answer.
+ * while its request is handled or while its client takes its answer, nor before
+ * its client had time to send a request; if none can be closed, new ones wait
+ * to be accepted. A client that has sent further requests ahead to a listener
+ * with half of its connections open gets one answer, and its connection is
+ * closed.
  */
 #ifndef COLTSFOOTSTILE_HTTP_LISTENER_H
 #define COLTSFOOTSTILE_HTTP_LISTENER_H
@@ -144,6 +148,9 @@
                               const char *address,
                               struct ColtError *error);
 
+/** Lets the connection of a request end once its answer is sent. */
+void colt_http_close_after_answer (struct evhttp_request *request);
+
 /** Closes the listening socket; open connections are still served. */
 void colt_http_listener_stop (struct ColtHttpListener *listener);
 
--- a/src/admission/gate_connections.c
+++ b/src/admission/gate_connections.c
@@ -23,8 +23,7 @@
     return true;
   if (g_hash_table_size (gate->connections) >= get_connection_limit_ (gate))
     {
-      evhttp_add_header (evhttp_request_get_output_headers (http), "Connection",
-                         "close");
+      colt_http_close_after_answer (http);
       colt_gate_reply_error (http, 503, COLT_REASON_OVERLOADED,
                              "Too many connections are open here.");
       return false;
--- a/src/http/http_listener.c
+++ b/src/http/http_listener.c
@@ -25,6 +25,7 @@
 static void on_output_ (struct evbuffer *buffer,
                         const struct evbuffer_cb_info *info,
                         void *client);
+static bool is_crowded_ (const struct ColtHttpListener *listener);
 static void set_input_max_ (struct ColtHttpConnection *connection,
                             bool reads_body);
 static size_t
@@ -75,6 +76,15 @@
   return true;
 }
 
+void
+colt_http_close_after_answer (struct evhttp_request *request)
+{
+  struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
+
+  evhttp_remove_header (headers, "Connection");
+  evhttp_add_header (headers, "Connection", "close");
+}
+
 void
 colt_http_listener_stop (struct ColtHttpListener *listener)
 {
@@ -99,16 +109,20 @@
 {
   uint32_t quota = colt_http_pool_quota (listener);
   guint open = g_hash_table_size (listener->connections) + listener->replaced;
+  bool full;
 
   if (listener->socket == NULL)
     return;
-  if (!listener->paused && open > quota + ACCEPTED_BEYOND)
+  full = colt_http_pool_is_full (listener);
+  if (!listener->paused && (full || open > quota + ACCEPTED_BEYOND))
     {
       listener->paused = true;
+      colt_counters_increment (listener->pool->counters, listener->pool->pauses,
+                               1);
       evconnlistener_disable (
           evhttp_bound_socket_get_listener (listener->socket));
     }
-  else if (listener->paused && open <= quota)
+  else if (listener->paused && !full && open <= quota)
     {
       listener->paused = false;
       evconnlistener_enable (
@@ -153,6 +167,7 @@
   connection->listener = listener;
   connection->bufferevent = bufferevent;
   connection->idle_us = listener->pool->now_us;
+  connection->opened_us = connection->idle_us;
   bufferevent_incref (bufferevent);
   set_input_max_ (connection, false);
   evbuffer_add_cb (bufferevent_get_input (bufferevent), on_input_, connection);
@@ -180,6 +195,15 @@
         set_input_max_ (connection, false);
       connection->handled = true;
       connection->request_us = 0;
+      if (is_crowded_ (listener)
+          && evbuffer_get_length (
+                 bufferevent_get_input (connection->bufferevent))
+                 > 0)
+        {
+          connection->last = true;
+          colt_http_pool_count_end (listener, COLT_HTTP_END_AHEAD);
+          colt_http_close_after_answer (request);
+        }
     }
   listener->settings.handle (request, listener->settings.client);
 }
@@ -224,6 +248,8 @@
   connection->taken_us = connection->listener->pool->now_us;
   if (evbuffer_get_length (buffer) > 0)
     return;
+  if (connection->last && connection->listener->paused)
+    event_active (connection->listener->pool->enforcement, 0, 0);
   connection->idle_us = connection->taken_us;
   connection->request_us
       = evbuffer_get_length (bufferevent_get_input (connection->bufferevent))
@@ -232,6 +258,15 @@
             : 0;
 }
 
+/* Returns whether half of the connections that the listener may have are open.
+ */
+static bool
+is_crowded_ (const struct ColtHttpListener *listener)
+{
+  return g_hash_table_size (listener->connections)
+         >= (colt_http_pool_quota (listener) + 1) / 2;
+}
+
 /* evhttp takes a body from the input buffer only when it is complete. */
 static void
 set_input_max_ (struct ColtHttpConnection *connection, bool reads_body)
--- a/src/http/http_pool.c
+++ b/src/http/http_pool.c
@@ -12,6 +12,10 @@
 #define TICK_MAX_US (3 * TICK_MS * COLT_US_PER_MS)
 /* A client that took no output for this time isn't taking its answer. */
 #define STALL_US (1 * COLT_US_PER_S)
+/* A client has this time to send a request before its connection is closed to
+ * make room. Connections and first requests arrive together, but a listener
+ * that closes connections for new ones accepts many at once before it reads. */
+#define FIRST_REQUEST_US (2 * TICK_MS * COLT_US_PER_MS)
 /* At most one log line per reason in this time. */
 #define LOG_INTERVAL_US (10 * COLT_US_PER_S)
 /* Descriptors of a process whose limit is unknown or none. */
@@ -54,6 +58,9 @@
 static enum ColtHttpEnd find_end_ (const struct ColtHttpConnection *connection,
                                    int64_t now_us);
 static gboolean reap_ (gpointer key, gpointer value, gpointer client);
+static gboolean may_end_ (gpointer key, gpointer value, gpointer client);
+static struct ColtHttpConnection *
+choose_for_room_ (const struct ColtHttpListener *listener);
 static struct ColtHttpConnection *
 choose_ (const struct ColtHttpListener *listener,
          enum ColtChoice choice,
@@ -70,19 +77,24 @@
                       enum ColtHttpEnd end);
 
 /* Indexed by enum ColtHttpEnd. */
-static const struct ColtEnd ends[]
-    = { { "unread answer", "http_closed_unread_total",
-          "Connections closed as their client didn't read its answer.", true },
-        { "incomplete request", "http_closed_incomplete_total",
-          "Connections closed as their request stayed incomplete.", false },
-        { "idle", "http_closed_idle_total",
-          "Connections closed as they were idle.", false },
-        { "connections", "http_evicted_connections_total",
-          "Connections closed at the bound on open connections.", true },
-        { "memory", "http_evicted_memory_total",
-          "Connections closed at the bound on memory.", true },
-        { "refused", "http_refused_total",
-          "Connections refused at the bound on open connections.", false } };
+static const struct ColtEnd ends[] = {
+  { "unread answer", "http_closed_unread_total",
+    "Connections closed as their client didn't read its answer.", true },
+  { "incomplete request", "http_closed_incomplete_total",
+    "Connections closed as their request stayed incomplete.", false },
+  { "idle", "http_closed_idle_total", "Connections closed as they were idle.",
+    false },
+  { "connections", "http_evicted_connections_total",
+    "Connections closed at the bound on open connections.", true },
+  { "memory", "http_evicted_memory_total",
+    "Connections closed at the bound on memory.", true },
+  { "requests sent ahead", "http_closed_ahead_total",
+    "Connections closed after an answer as further requests had been sent "
+    "ahead to a crowded listener.",
+    false },
+  { "refused", "http_refused_total",
+    "Connections refused at the bound on open connections.", false }
+};
 
 struct ColtHttpLimits
 colt_http_limits_read (const struct ColtSettings *settings)
@@ -136,6 +148,9 @@
   pool->byte_gauge = colt_counters_register (
       counters, COLT_COUNTER_GAUGE, "http_held_bytes",
       "Bytes of requests and answers held for connections.");
+  pool->pauses = colt_counters_register (
+      counters, COLT_COUNTER_TOTAL, "http_accept_pauses_total",
+      "Times that a listener stopped accepting connections for want of room.");
   for (i = 0; i < G_N_ELEMENTS (ends); i++)
     {
       pool->ends[i] = colt_counters_register (counters, COLT_COUNTER_TOTAL,
@@ -187,33 +202,44 @@
   return MAX (rest, 1);
 }
 
+bool
+colt_http_pool_is_full (const struct ColtHttpListener *listener)
+{
+  return g_hash_table_size (listener->connections)
+             >= colt_http_pool_quota (listener)
+         && choose_for_room_ (listener) == NULL
+         && g_hash_table_find (listener->connections, may_end_, NULL) != NULL;
+}
+
 bool
 colt_http_pool_make_room (struct ColtHttpListener *listener)
 {
   uint32_t quota = colt_http_pool_quota (listener);
-  int64_t now_us = listener->pool->now_us;
-  int choice;
+  struct ColtHttpConnection *chosen;
 
   if (g_hash_table_size (listener->connections) < quota)
     return true;
   g_hash_table_foreach_remove (listener->connections, reap_, NULL);
-  for (choice = CHOICE_IDLE;
-       choice < CHOICE_COUNT
-       && g_hash_table_size (listener->connections) >= quota;
-       choice++)
+  if (g_hash_table_size (listener->connections) >= quota
+      && (chosen = choose_for_room_ (listener)) != NULL)
     {
-      struct ColtHttpConnection *chosen
-          = choose_ (listener, (enum ColtChoice)choice, now_us);
-
-      if (chosen != NULL)
-        {
-          end_ (chosen, COLT_HTTP_END_CONNECTIONS);
-          listener->replaced++;
-        }
+      end_ (chosen, COLT_HTTP_END_CONNECTIONS);
+      listener->replaced++;
     }
   return g_hash_table_size (listener->connections) < quota;
 }
 
+void
+colt_http_pool_count_end (struct ColtHttpListener *listener,
+                          enum ColtHttpEnd end)
+{
+  struct ColtHttpPool *pool = listener->pool;
+
+  colt_counters_increment (pool->counters, pool->ends[end], 1);
+  pool->unlogged[end]++;
+  log_end_ (pool, listener->settings.name, end);
+}
+
 void
 colt_http_pool_hold (struct ColtHttpConnection *connection, int64_t bytes)
 {
@@ -340,6 +366,30 @@
   return colt_http_connection_reap (value);
 }
 
+/* Returns whether a connection ends soon or can soon be closed. */
+static gboolean
+may_end_ (gpointer key, gpointer value, gpointer client)
+{
+  const struct ColtHttpConnection *connection = value;
+
+  (void)key;
+  (void)client;
+  return !connection->handled;
+}
+
+/* Returns the connection to close for a new one, or NULL. */
+static struct ColtHttpConnection *
+choose_for_room_ (const struct ColtHttpListener *listener)
+{
+  int64_t now_us = listener->pool->now_us;
+  struct ColtHttpConnection *chosen = NULL;
+  int choice;
+
+  for (choice = CHOICE_IDLE; choice < CHOICE_COUNT && chosen == NULL; choice++)
+    chosen = choose_ (listener, (enum ColtChoice)choice, now_us);
+  return chosen;
+}
+
 /* Returns the connection with the highest rating above 0, or NULL. */
 static struct ColtHttpConnection *
 choose_ (const struct ColtHttpListener *listener,
@@ -354,9 +404,10 @@
   g_hash_table_iter_init (&iter, listener->connections);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      int64_t rating = rate_ (value, choice, now_us);
+      const struct ColtHttpConnection *connection = value;
+      int64_t rating = rate_ (connection, choice, now_us);
 
-      if (rating > highest)
+      if (rating > highest && now_us - connection->opened_us > FIRST_REQUEST_US)
         {
           highest = rating;
           chosen = value;
@@ -431,10 +482,7 @@
   struct ColtHttpListener *listener = connection->listener;
   struct bufferevent *bufferevent = connection->bufferevent;
 
-  colt_counters_increment (listener->pool->counters, listener->pool->ends[end],
-                           1);
-  listener->pool->unlogged[end]++;
-  log_end_ (listener->pool, listener->settings.name, end);
+  colt_http_pool_count_end (listener, end);
   connection->closing = true;
   colt_http_connection_close (connection, ends[end].discard);
   if (colt_http_connection_reap (connection))
--- a/src/http/private/http_private.h
+++ b/src/http/private/http_private.h
@@ -17,6 +17,7 @@
   COLT_HTTP_END_IDLE,
   COLT_HTTP_END_CONNECTIONS, /* the bound on connections was reached */
   COLT_HTTP_END_MEMORY,      /* the bound on memory was reached */
+  COLT_HTTP_END_AHEAD,   /* requests were sent ahead to a crowded listener */
   COLT_HTTP_END_REFUSED, /* the bound was reached and none could be closed */
   COLT_HTTP_END_COUNT
 };
@@ -36,6 +37,7 @@
   uint32_t open;             /* connections */
   uint32_t connection_gauge;
   uint32_t byte_gauge;
+  uint32_t pauses;                    /* counter */
   uint32_t ends[COLT_HTTP_END_COUNT]; /* counters */
   /* Since the last log line of a reason, and the time of that line. */
   uint64_t unlogged[COLT_HTTP_END_COUNT];
@@ -48,7 +50,7 @@
   struct ColtHttpListenerSettings settings;
   struct evhttp *http;
   struct evhttp_bound_socket *socket; /* owned by http */
-  bool paused; /* accepts nothing until closed connections are freed */
+  bool paused;                        /* accepts nothing until there is room */
   /* Connections closed to make room since the last tick. Their descriptors stay
    * open until the event loop has run. */
   guint replaced;
@@ -64,12 +66,14 @@
   int64_t request_us; /* first byte of an incomplete request; 0: none */
   int64_t taken_us;   /* the client last took output, or output began */
   int64_t idle_us;    /* the last answer was sent, or the connection opened */
-  uint64_t held;      /* bytes of its request and answer */
-  uint64_t parsed;    /* bytes of the request that left the input buffer */
-  bool handled;       /* its request is complete and has no answer yet */
-  bool reads_body;    /* the input buffer has room for a body */
-  bool closing;       /* evhttp has been told to free it */
-  bool refused;       /* is to be closed as soon as evhttp has it */
+  int64_t opened_us;
+  uint64_t held;   /* bytes of its request and answer */
+  uint64_t parsed; /* bytes of the request that left the input buffer */
+  bool handled;    /* its request is complete and has no answer yet */
+  bool reads_body; /* the input buffer has room for a body */
+  bool last;       /* evhttp frees it once its answer is sent */
+  bool closing;    /* evhttp has been told to free it */
+  bool refused;    /* is to be closed as soon as evhttp has it */
 };
 
 /* http_pool.c */
@@ -80,8 +84,15 @@
                          struct ColtHttpListener *listener);
 /* Returns the highest number of connections of a listener. */
 uint32_t colt_http_pool_quota (const struct ColtHttpListener *listener);
+/* Returns whether a new connection has to wait: the listener is at its bound,
+ * and none can be closed yet. If all are at work, a new one is refused at once
+ * instead. */
+bool colt_http_pool_is_full (const struct ColtHttpListener *listener);
 /* Makes room for a connection; returns false if none could be closed. */
 bool colt_http_pool_make_room (struct ColtHttpListener *listener);
+/* Counts a connection that is closed for a reason, and logs it at times. */
+void colt_http_pool_count_end (struct ColtHttpListener *listener,
+                               enum ColtHttpEnd end);
 /* Changes the bytes held for a connection. */
 void colt_http_pool_hold (struct ColtHttpConnection *connection, int64_t bytes);
 
@@ -94,8 +105,8 @@
 void colt_http_connection_close (struct ColtHttpConnection *connection,
                                  bool discard);
 
-/* Stops accepting connections while too many wait to be freed, and accepts them
- * again once the listener is within its bound. */
+/* Stops accepting connections while too many wait to be freed or none can be
+ * closed for a new one, and accepts them again once there is room. */
 void colt_http_listener_pace (struct ColtHttpListener *listener);
 
 #endif
--- a/src/test_clients/clients.py
+++ b/src/test_clients/clients.py
@@ -34,8 +34,12 @@
 BODY_CLIENTS = 300
 BODY_BYTES = 262144
 BODY_MISSING = 16
+# Connections that are opened together, whose clients pipeline requests and read no answer.
+CROWD_CLIENTS = 1000
+CROWD_BYTES = 256 * 1024
 
-# Bounds. The pipelined requests of a path amount to 160 MiB, the bodies of a case to 75 MiB.
+# Bounds. The pipelined requests of a path amount to 160 MiB, the bodies of a case to 75 MiB, the
+# requests of a crowd to 250 MiB.
 GROWTH_MAX = 32 * MIB
 DESCRIPTORS_MAX = 230
 
@@ -142,13 +146,15 @@
         return int(answer.split(b" ", 2)[1])
 
     def check_answers(self):
-        """Checks that each listener answers an ordinary request."""
+        """Checks that each listener answers an ordinary request; returns the statuses."""
+        statuses = {}
         for name in self.ports:
             try:
-                print(f"{name}: an ordinary request was answered {self.request(name)}")
+                statuses[name] = self.request(name)
             except OSError as error:
                 raise Failure(f"{name}: an ordinary request wasn't answered: {error}") from error
         self.check_alive()
+        return statuses
 
     def peak_memory(self):
         """Returns the highest resident memory so far in bytes."""
@@ -189,17 +195,20 @@
 
     def run(self, observe):
         """Sends until everything is quiet for QUIET_S; observe returns what the process holds."""
-        quiet_since = time.monotonic()
+        quiet_s = 0.0
         held = observe()
-        while time.monotonic() - quiet_since < QUIET_S:
+        while quiet_s < QUIET_S:
+            since = time.monotonic()
             taken = 0
             for key, _ in self.selector.select(0.1):
                 taken += self.send_some(key.fileobj)
             if taken == 0:
                 time.sleep(0.05)
+            # The time that the observation takes doesn't count: the crowd doesn't send meanwhile.
+            quiet_s += time.monotonic() - since
             before, held = held, observe()
             if taken > 0 or held > before:
-                quiet_since = time.monotonic()
+                quiet_s = 0.0
 
     def send_some(self, client):
         """Returns how many bytes the connection took."""
@@ -243,16 +252,24 @@
     crowd.add(MANY_CLIENTS, make_get(path)[:-4])
 
 
+def add_crowd(crowd, path):
+    request = make_get(path)
+    content = request * (CROWD_BYTES // len(request))
+    crowd.add(CROWD_CLIENTS, content, PIPELINE_RECEIVE_BUFFER)
+
+
 def add_bodies(crowd, path):
     head = f"POST {path} HTTP/1.1\r\nHost: a\r\nContent-Length: {BODY_BYTES}\r\n\r\n"
     crowd.add(BODY_CLIENTS, head.encode("ascii") + b"x" * (BODY_BYTES - BODY_MISSING))
 
 
-# What the clients of a case do, and how many descriptors the process may open.
+# What the clients of a case do, and how many descriptors the process may open. Beside "probes",
+# ordinary requests are sent all the time, not only once the crowd is quiet.
 CASES = {
     "pipelines": (add_pipelines, None),
     "many": (add_many, MANY_DESCRIPTORS_LIMIT),
     "bodies": (add_bodies, None),
+    "probes": (add_crowd, None),
 }
 
 
@@ -273,6 +290,8 @@
         nonlocal peak
         daemon.check_alive()
         peak = (daemon.peak_memory(), max(peak[1], daemon.descriptors()))
+        if options.case == "probes" and crowd.unsent:
+            daemon.check_answers()
         return peak
 
     try:
@@ -291,7 +310,7 @@
             raise Failure("memory exceeds its bound")
         if descriptors_limit is not None and peak[1] > DESCRIPTORS_MAX:
             raise Failure("descriptors exceed their bound")
-        daemon.check_answers()
+        print(f"statuses of ordinary requests: {daemon.check_answers()}")
     finally:
         daemon.stop()
         crowd.close()
