HTTP listeners: memory bounds the number of connections, and each takes less

What callers saw: memory of the daemon grew by some 47 KB for each client that sends requests ahead and reads nothing. The bound on connections followed the descriptors alone, so that the crowd that a machine's descriptors allow exceeded its memory, and the process ended.

Cause: a connection's input was buffered up to the longest headers and 4 KiB (36,864 bytes) also while its answer waited to be read, and memory_kb counted neither the connection itself nor stopped new ones.

Change: input is buffered up to 2,000 bytes; the mark is raised only within a request that needs it, for a long line and then for a body. memory_kb counts 10 KiB for each connection, and three quarters of it bound their number, whatever `connections` says. "100 Continue" no longer counts as the answer of its request.

Why it holds: what each connection may hold unasked is in the sum that stops new ones; longer requests are evicted within the rest. clients_limits_* sends requests at the ends of a client's limits, behind short ones too: answered before and after.

--- a/include/coltsfootstile/http_listener.h
+++ b/include/coltsfootstile/http_listener.h
@@ -35,9 +35,11 @@
   uint32_t request_ms;   /**< from the first byte of a request to its last */
   uint32_t unread_ms;    /**< without the client taking a byte of its answer */
   uint32_t idle_ms;      /**< between an answer and the next request */
-  uint32_t connections;  /**< open at all listeners; default: half of the
+  uint32_t connections;  /**< open at all listeners, at most what three
+                              quarters of memory_kb allow; default: half of the
                               descriptors that the process may open */
-  uint32_t memory_kb;    /**< KiB that requests and answers may take */
+  uint32_t memory_kb;    /**< KiB that connections, their requests and answers
+                              may take */
 };
 
 /** Descriptions of the settings of the bounds, for a table of settings; both
@@ -92,10 +94,11 @@
         0,                                                                     \
         1000000,                                                               \
         false,                                                                 \
-        "most open connections; 0: half of the process's descriptors" },       \
+        "most open connections, as far as memory_kb allows; 0: half of the "   \
+        "process's descriptors" },                                             \
   {                                                                            \
     "limits", "memory_kb", COLT_SETTING_INTEGER, "32768", 1024, 16777216,      \
-        false, "memory for requests and answers of connections, in KiB"        \
+        false, "memory for connections, their requests and answers, in KiB"    \
   }
 
 /** Settings of a listener. */
--- a/src/http/http_listener.c
+++ b/src/http/http_listener.c
@@ -7,6 +7,9 @@
 #include "coltsfootstile/address.h"
 #include "http_private.h"
 
+/* Input that is buffered while no request needs more, so that a client that
+ * pipelines requests and reads no answer makes the process hold little. */
+#define INPUT_SHORT 2000
 /* Input beyond the headers that is buffered. A longer header block is then
  * found too long by evhttp instead of waiting for bytes that aren't read. */
 #define INPUT_MARGIN 4096
@@ -26,10 +29,11 @@
                         const struct evbuffer_cb_info *info,
                         void *client);
 static bool is_crowded_ (const struct ColtHttpListener *listener);
-static void set_input_max_ (struct ColtHttpConnection *connection,
-                            bool reads_body);
-static size_t
-get_header_input_max_ (const struct ColtHttpConnection *connection);
+static void set_input_ (struct ColtHttpConnection *connection,
+                        enum ColtHttpInput input);
+static bool input_is_full_ (const struct ColtHttpConnection *connection);
+static size_t get_input_max_ (const struct ColtHttpLimits *limits,
+                              enum ColtHttpInput input);
 static void free_connection_ (gpointer data);
 
 struct ColtHttpListener *
@@ -169,12 +173,13 @@
   connection->idle_us = listener->pool->now_us;
   connection->opened_us = connection->idle_us;
   bufferevent_incref (bufferevent);
-  set_input_max_ (connection, false);
+  set_input_ (connection, COLT_HTTP_INPUT_SHORT);
   evbuffer_add_cb (bufferevent_get_input (bufferevent), on_input_, connection);
   evbuffer_add_cb (bufferevent_get_output (bufferevent), on_output_,
                    connection);
   g_hash_table_insert (listener->connections, bufferevent, connection);
   listener->pool->open++;
+  colt_http_pool_hold (connection, COLT_HTTP_CONNECTION_BYTES);
   if (connection->refused)
     event_active (listener->pool->enforcement, 0, 0);
   colt_http_listener_pace (listener);
@@ -191,8 +196,8 @@
 
   if (connection != NULL)
     {
-      if (connection->reads_body)
-        set_input_max_ (connection, false);
+      if (connection->input != COLT_HTTP_INPUT_SHORT)
+        set_input_ (connection, COLT_HTTP_INPUT_SHORT);
       connection->handled = true;
       connection->request_us = 0;
       if (is_crowded_ (listener)
@@ -215,17 +220,17 @@
 {
   struct ColtHttpConnection *connection = client;
 
+  (void)buffer;
   connection->parsed += info->n_deleted;
   if (info->n_added == 0)
     return;
   if (!connection->handled && connection->request_us == 0)
     connection->request_us = connection->listener->pool->now_us;
   colt_http_pool_hold (connection, (int64_t)info->n_added);
-  if (!connection->handled && !connection->reads_body
-      && evbuffer_get_length (buffer) >= get_header_input_max_ (connection)
+  if (!connection->handled && input_is_full_ (connection)
       && evbuffer_get_length (bufferevent_get_output (connection->bufferevent))
              == 0)
-    set_input_max_ (connection, true);
+    set_input_ (connection, connection->input + 1);
 }
 
 static void
@@ -234,11 +239,13 @@
             void *client)
 {
   struct ColtHttpConnection *connection = client;
+  struct evbuffer *input = bufferevent_get_input (connection->bufferevent);
   int64_t bytes = (int64_t)info->n_added - (int64_t)info->n_deleted;
 
   if (info->n_added > 0 && connection->handled)
     {
       connection->handled = false;
+      connection->answering = true;
       bytes -= (int64_t)connection->parsed;
       connection->parsed = 0;
     }
@@ -248,14 +255,24 @@
   connection->taken_us = connection->listener->pool->now_us;
   if (evbuffer_get_length (buffer) > 0)
     return;
+  if (!connection->answering)
+    {
+      /* "100 Continue"; the request is still incomplete. */
+      if (input_is_full_ (connection))
+        set_input_ (connection, connection->input + 1);
+      return;
+    }
+  connection->answering = false;
   if (connection->last && connection->listener->paused)
     event_active (connection->listener->pool->enforcement, 0, 0);
   connection->idle_us = connection->taken_us;
   connection->request_us
-      = evbuffer_get_length (bufferevent_get_input (connection->bufferevent))
-                > 0
-            ? connection->taken_us
-            : 0;
+      = evbuffer_get_length (input) > 0 ? connection->taken_us : 0;
+  /* Nothing is taken from the input and so nothing read, if all of it is the
+   * beginning of a long line. */
+  if (input_is_full_ (connection)
+      && evbuffer_search_eol (input, NULL, NULL, EVBUFFER_EOL_LF).pos < 0)
+    set_input_ (connection, COLT_HTTP_INPUT_HEADERS);
 }
 
 /* Returns whether half of the connections that the listener may have are open.
@@ -267,22 +284,38 @@
          >= (colt_http_pool_quota (listener) + 1) / 2;
 }
 
-/* evhttp takes a body from the input buffer only when it is complete. */
 static void
-set_input_max_ (struct ColtHttpConnection *connection, bool reads_body)
+set_input_ (struct ColtHttpConnection *connection, enum ColtHttpInput input)
 {
-  size_t size = get_header_input_max_ (connection);
+  connection->input = input;
+  bufferevent_setwatermark (
+      connection->bufferevent, EV_READ, 0,
+      get_input_max_ (&connection->listener->pool->limits, input));
+}
 
-  connection->reads_body = reads_body;
-  if (reads_body)
-    size += connection->listener->pool->limits.body_bytes;
-  bufferevent_setwatermark (connection->bufferevent, EV_READ, 0, size);
+/* Returns whether the next kind of input would let the client send more. */
+static bool
+input_is_full_ (const struct ColtHttpConnection *connection)
+{
+  return connection->input < COLT_HTTP_INPUT_BODY
+         && evbuffer_get_length (
+                bufferevent_get_input (connection->bufferevent))
+                >= get_input_max_ (&connection->listener->pool->limits,
+                                   connection->input);
 }
 
 static size_t
-get_header_input_max_ (const struct ColtHttpConnection *connection)
+get_input_max_ (const struct ColtHttpLimits *limits, enum ColtHttpInput input)
 {
-  return connection->listener->pool->limits.header_bytes + INPUT_MARGIN;
+  switch (input)
+    {
+    case COLT_HTTP_INPUT_SHORT:
+      return INPUT_SHORT;
+    case COLT_HTTP_INPUT_HEADERS:
+      return limits->header_bytes + INPUT_MARGIN;
+    default:
+      return limits->header_bytes + INPUT_MARGIN + limits->body_bytes;
+    }
 }
 
 static void
--- a/src/http/http_pool.c
+++ b/src/http/http_pool.c
@@ -23,6 +23,10 @@
 /* Part of the descriptors that connections may use; the others are for servers,
  * instances and the log. */
 #define DESCRIPTOR_PART 2
+/* Parts of the memory that open connections may use; what is left is for large
+ * requests and answers. */
+#define CONNECTION_MEMORY_PARTS 3
+#define MEMORY_PARTS 4
 /* Part of the pool's connections that a listener with a bound may have. */
 #define LISTENER_PART 4
 #define HEADER_BYTES 32768u
@@ -52,6 +56,7 @@
 
 static uint32_t or_default_ (uint32_t value, uint32_t fallback);
 static uint32_t get_default_connections_ (void);
+static uint32_t get_affordable_connections_ (uint32_t memory_kb);
 static void on_timer_ (evutil_socket_t fd, short what, void *client);
 static void on_enforcement_ (evutil_socket_t fd, short what, void *client);
 static void sweep_ (struct ColtHttpListener *listener, int64_t now_us);
@@ -141,13 +146,14 @@
   pool->limits.idle_ms = or_default_ (given->idle_ms, IDLE_MS);
   pool->limits.memory_kb = or_default_ (given->memory_kb, MEMORY_KB);
   pool->limits.connections
-      = or_default_ (given->connections, get_default_connections_ ());
+      = MIN (or_default_ (given->connections, get_default_connections_ ()),
+             get_affordable_connections_ (pool->limits.memory_kb));
   pool->connection_gauge
       = colt_counters_register (counters, COLT_COUNTER_GAUGE,
                                 "http_connections", "Open HTTP connections.");
   pool->byte_gauge = colt_counters_register (
       counters, COLT_COUNTER_GAUGE, "http_held_bytes",
-      "Bytes of requests and answers held for connections.");
+      "Bytes held for connections, their requests and answers.");
   pool->pauses = colt_counters_register (
       counters, COLT_COUNTER_TOTAL, "http_accept_pauses_total",
       "Times that a listener stopped accepting connections for want of room.");
@@ -268,6 +274,16 @@
   return (uint32_t)limit.rlim_cur / DESCRIPTOR_PART;
 }
 
+/* Returns how many connections fit into the memory that they may use. */
+static uint32_t
+get_affordable_connections_ (uint32_t memory_kb)
+{
+  uint64_t bytes
+      = (uint64_t)memory_kb * KB / MEMORY_PARTS * CONNECTION_MEMORY_PARTS;
+
+  return (uint32_t)(bytes / COLT_HTTP_CONNECTION_BYTES);
+}
+
 static void
 on_timer_ (evutil_socket_t fd, short what, void *client)
 {
@@ -434,7 +450,7 @@
   return connection->request_us == 0 ? now_us - connection->idle_us + 1 : 0;
 }
 
-/* Idle connections hold no bytes, so that closing them doesn't help. Returns
+/* Idle connections hold little, so that closing them doesn't help. Returns
  * the one with the most unsent output, else the largest incomplete request. */
 static struct ColtHttpConnection *
 choose_for_memory_ (const struct ColtHttpPool *pool, int64_t now_us)
--- a/src/http/private/http_private.h
+++ b/src/http/private/http_private.h
@@ -9,6 +9,10 @@
 
 #include "coltsfootstile/http_listener.h"
 
+/* Bytes that a connection takes, besides what its request and its answer
+ * exceed: the connection of evhttp, its buffers, a request and an answer. */
+#define COLT_HTTP_CONNECTION_BYTES 10240u
+
 /* Why a connection is closed. */
 enum ColtHttpEnd
 {
@@ -22,6 +26,15 @@
   COLT_HTTP_END_COUNT
 };
 
+/* How far a connection is read before evhttp takes something from its input
+ * buffer. */
+enum ColtHttpInput
+{
+  COLT_HTTP_INPUT_SHORT,   /* a request line or header of usual length */
+  COLT_HTTP_INPUT_HEADERS, /* the longest headers */
+  COLT_HTTP_INPUT_BODY     /* the longest body, which evhttp takes at once */
+};
+
 struct ColtHttpPool
 {
   struct event_base *base;
@@ -33,7 +46,7 @@
   int64_t now_us;            /* time that the loop has run, as of the last tick;
                                 starts at 1 */
   int64_t clock_us;          /* monotonic time of the last tick */
-  uint64_t held;             /* bytes of requests and answers */
+  uint64_t held;             /* bytes of connections, requests and answers */
   uint32_t open;             /* connections */
   uint32_t connection_gauge;
   uint32_t byte_gauge;
@@ -67,13 +80,14 @@
   int64_t taken_us;   /* the client last took output, or output began */
   int64_t idle_us;    /* the last answer was sent, or the connection opened */
   int64_t opened_us;
-  uint64_t held;   /* bytes of its request and answer */
+  uint64_t held;   /* its own bytes and those of its request and answer */
   uint64_t parsed; /* bytes of the request that left the input buffer */
-  bool handled;    /* its request is complete and has no answer yet */
-  bool reads_body; /* the input buffer has room for a body */
-  bool last;       /* evhttp frees it once its answer is sent */
-  bool closing;    /* evhttp has been told to free it */
-  bool refused;    /* is to be closed as soon as evhttp has it */
+  enum ColtHttpInput input;
+  bool handled;   /* its request is complete and has no answer yet */
+  bool answering; /* unsent output is the answer of its request */
+  bool last;      /* evhttp frees it once its answer is sent */
+  bool closing;   /* evhttp has been told to free it */
+  bool refused;   /* is to be closed as soon as evhttp has it */
 };
 
 /* http_pool.c */
--- a/src/test_clients/clients.py
+++ b/src/test_clients/clients.py
@@ -38,6 +38,10 @@
 CROWD_CLIENTS = 1000
 CROWD_BYTES = 256 * 1024
 
+# The longest headers and body of a client that keeps to the limits, in bytes.
+HEADERS_WITHIN = 16384
+BODY_WITHIN = 262144
+
 # Bounds. The pipelined requests of a path amount to 160 MiB, the bodies of a case to 75 MiB, the
 # requests of a crowd to 250 MiB.
 GROWTH_MAX = 32 * MIB
@@ -135,15 +139,19 @@
 
     def request(self, name):
         """Sends an ordinary request; returns the status of its answer."""
+        return self.exchange(name, make_get(PATHS[name], "Connection: close\r\n"))[0]
+
+    def exchange(self, name, content, count=1):
+        """Sends a number of requests at once; returns the statuses of their answers."""
         with socket.create_connection((self.address, self.ports[name]), HANG_S) as client:
-            client.sendall(make_get(PATHS[name], "Connection: close\r\n"))
-            answer = b""
-            while b"\r\n\r\n" not in answer:
+            client.sendall(content)
+            answers = b""
+            while len(statuses := find_statuses(answers)) < count:
                 part = client.recv(65536)
                 if not part:
                     raise ConnectionError("closed without an answer")
-                answer += part
-        return int(answer.split(b" ", 2)[1])
+                answers += part
+        return statuses
 
     def check_answers(self):
         """Checks that each listener answers an ordinary request; returns the statuses."""
@@ -242,6 +250,41 @@
     return f"GET {path} HTTP/1.1\r\nHost: a\r\n{headers}\r\n".encode("ascii")
 
 
+def find_statuses(answers):
+    """Returns the final statuses of answers whose headers are complete."""
+    heads = [b"\r\n" + part for part in answers.split(b"\r\n\r\n")[:-1]]
+    statuses = [int(head.split(b"HTTP/1.1 ")[1][:3]) for head in heads if b"HTTP/1.1 " in head]
+    return [status for status in statuses if status >= 200]
+
+
+def check_within_limits(daemon, name):
+    """Checks that requests that exhaust the limits of an ordinary client are answered."""
+    path = PATHS[name]
+    body = b"x" * BODY_WITHIN
+    head = f"POST {path} HTTP/1.1\r\nHost: a\r\n"
+    long_field = make_get(path, "A: " + "b" * (HEADERS_WITHIN - 100) + "\r\n")
+    chunks = b"1000\r\n" + body[:0x1000] + b"\r\n"
+    forms = {
+        "one long field": (long_field, 1),
+        "many fields": (make_get(path, "A: b\r\n" * ((HEADERS_WITHIN - 100) // 6)), 1),
+        "a long field behind a short request": (make_get(path) + long_field, 2),
+        "a long body": (f"{head}Content-Length: {BODY_WITHIN}\r\n\r\n".encode() + body, 1),
+        "a long body behind a short request": (
+            make_get(path) + f"{head}Content-Length: {BODY_WITHIN}\r\n\r\n".encode() + body, 2),
+        "a body that doesn't wait for 100 Continue": (
+            f"{head}Expect: 100-continue\r\nContent-Length: {BODY_WITHIN}\r\n\r\n".encode()
+            + b"\n" * BODY_WITHIN, 1),
+        "chunks": (
+            f"{head}Transfer-Encoding: chunked\r\n\r\n".encode()
+            + chunks * (BODY_WITHIN // 0x1000) + b"0\r\n\r\n", 1),
+    }
+    for form, (content, count) in forms.items():
+        try:
+            print(f"{form}: answered {daemon.exchange(name, content, count)}")
+        except OSError as error:
+            raise Failure(f"{form}: not answered: {error}") from error
+
+
 def add_pipelines(crowd, path):
     request = make_get(path)
     content = request * (PIPELINE_BYTES // len(request))
@@ -264,12 +307,14 @@
 
 
 # What the clients of a case do, and how many descriptors the process may open. Beside "probes",
-# ordinary requests are sent all the time, not only once the crowd is quiet.
+# ordinary requests are sent all the time, not only once the crowd is quiet. "limits" has no crowd.
 CASES = {
     "pipelines": (add_pipelines, None),
     "many": (add_many, MANY_DESCRIPTORS_LIMIT),
     "bodies": (add_bodies, None),
+    "crowd": (add_crowd, None),
     "probes": (add_crowd, None),
+    "limits": (None, None),
 }
 
 
@@ -297,7 +342,9 @@
     try:
         daemon.wait_ready()
         memory_before, descriptors_before = observe()
-        for path in options.path:
+        if add is None:
+            check_within_limits(daemon, options.listener)
+        for path in options.path if add is not None else []:
             add(crowd, path)
             crowd.run(observe)
         growth = peak[0] - memory_before
