HTTP listeners: what a client sends unread is bounded by the buffers of its socket

What callers saw: beside 1,000 clients that send requests ahead and read nothing, the kernel held 100 to 124 MiB that had been received and not yet read. Such bytes count as memory of the machine, and a process that exceeds it ends.

Cause: receive buffers had the system's default and grew with what a client sends (some 116 KB a connection), whatever the process itself kept.

Change: a setting socket_bytes (2,048 to 1,048,576, default 8,192) for the receive and the send buffer of each connection, set at the listening socket, so that it holds from the first packet on and while a connection waits to be accepted. Four times that (the kernel uses twice the given size) counts for each connection in memory_kb, which bounds their number: 585 with the defaults.

Why it holds: the kernel advertises no window beyond the buffer. An ordinary request is below 5 KB; the longest body still passes (clients_limits_*).

--- a/include/coltsfootstile/http_listener.h
+++ b/include/coltsfootstile/http_listener.h
@@ -40,6 +40,8 @@
                               descriptors that the process may open */
   uint32_t memory_kb;    /**< KiB that connections, their requests and answers
                               may take */
+  uint32_t socket_bytes; /**< receive buffer and send buffer of a connection's
+                              socket, each; the kernel uses up to twice that */
 };
 
 /** Descriptions of the settings of the bounds, for a table of settings; both
@@ -96,6 +98,14 @@
         false,                                                                 \
         "most open connections, as far as memory_kb allows; 0: half of the "   \
         "process's descriptors" },                                             \
+      { "limits",                                                              \
+        "socket_bytes",                                                        \
+        COLT_SETTING_INTEGER,                                                  \
+        "8192",                                                                \
+        2048,                                                                  \
+        1048576,                                                               \
+        false,                                                                 \
+        "receive buffer and send buffer of a connection, each, in bytes" },    \
   {                                                                            \
     "limits", "memory_kb", COLT_SETTING_INTEGER, "32768", 1024, 16777216,      \
         false, "memory for connections, their requests and answers, in KiB"    \
--- a/src/http/http_listener.c
+++ b/src/http/http_listener.c
@@ -5,8 +5,10 @@
 #include <sys/socket.h>
 
 #include "coltsfootstile/address.h"
+#include "coltsfootstile/log.h"
 #include "http_private.h"
 
+#define MODULE "http"
 /* Input that is buffered while no request needs more, so that a client that
  * pipelines requests and reads no answer makes the process hold little. */
 #define INPUT_SHORT 2000
@@ -19,6 +21,7 @@
 /* evhttp's own timeout exceeds those of the limits by this. */
 #define TIMEOUT_MARGIN_S 30
 
+static void limit_socket_buffers_ (const struct ColtHttpListener *listener);
 static struct bufferevent *create_bufferevent_ (struct event_base *base,
                                                 void *client);
 static void handle_request_ (struct evhttp_request *request, void *client);
@@ -77,6 +80,7 @@
   if (listener->socket == NULL)
     return colt_error_set (error, COLT_ERROR_SYSTEM, COLT_STEP_LISTEN, address,
                            "can't listen: %s", strerror (errno));
+  limit_socket_buffers_ (listener);
   return true;
 }
 
@@ -158,6 +162,21 @@
                              BEV_EVENT_READING | BEV_EVENT_TIMEOUT, 0);
 }
 
+/* Accepted connections inherit the buffers of the listening socket, so that
+ * they are bounded from their first packet on. */
+static void
+limit_socket_buffers_ (const struct ColtHttpListener *listener)
+{
+  evutil_socket_t fd = evhttp_bound_socket_get_fd (listener->socket);
+  int bytes = (int)listener->pool->limits.socket_bytes;
+
+  if (setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes) != 0
+      || setsockopt (fd, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof bytes) != 0)
+    colt_log (COLT_LOG_WARNING, MODULE, NULL,
+              "socket buffers of listener %s keep their default size: %s",
+              listener->settings.name, strerror (errno));
+}
+
 /* evhttp calls this for each connection that it has accepted. */
 static struct bufferevent *
 create_bufferevent_ (struct event_base *base, void *client)
@@ -179,7 +198,7 @@
                    connection);
   g_hash_table_insert (listener->connections, bufferevent, connection);
   listener->pool->open++;
-  colt_http_pool_hold (connection, COLT_HTTP_CONNECTION_BYTES);
+  colt_http_pool_hold (connection, listener->pool->connection_bytes);
   if (connection->refused)
     event_active (listener->pool->enforcement, 0, 0);
   colt_http_listener_pace (listener);
--- a/src/http/http_pool.c
+++ b/src/http/http_pool.c
@@ -35,6 +35,9 @@
 #define UNREAD_MS 15000u
 #define IDLE_MS 30000u
 #define MEMORY_KB 32768u
+#define SOCKET_BYTES 8192u
+/* The kernel uses twice the bytes of SO_RCVBUF and of SO_SNDBUF. */
+#define SOCKET_BUFFERS 4
 #define KB 1024u
 
 /* What a connection is chosen for. */
@@ -56,7 +59,7 @@
 
 static uint32_t or_default_ (uint32_t value, uint32_t fallback);
 static uint32_t get_default_connections_ (void);
-static uint32_t get_affordable_connections_ (uint32_t memory_kb);
+static uint32_t get_affordable_connections_ (const struct ColtHttpPool *pool);
 static void on_timer_ (evutil_socket_t fd, short what, void *client);
 static void on_enforcement_ (evutil_socket_t fd, short what, void *client);
 static void sweep_ (struct ColtHttpListener *listener, int64_t now_us);
@@ -115,7 +118,8 @@
                { "unread_ms", &limits.unread_ms },
                { "idle_ms", &limits.idle_ms },
                { "connections", &limits.connections },
-               { "memory_kb", &limits.memory_kb } };
+               { "memory_kb", &limits.memory_kb },
+               { "socket_bytes", &limits.socket_bytes } };
   size_t i;
 
   for (i = 0; i < G_N_ELEMENTS (keys); i++)
@@ -145,9 +149,12 @@
   pool->limits.unread_ms = or_default_ (given->unread_ms, UNREAD_MS);
   pool->limits.idle_ms = or_default_ (given->idle_ms, IDLE_MS);
   pool->limits.memory_kb = or_default_ (given->memory_kb, MEMORY_KB);
+  pool->limits.socket_bytes = or_default_ (given->socket_bytes, SOCKET_BYTES);
+  pool->connection_bytes
+      = COLT_HTTP_CONNECTION_BYTES + SOCKET_BUFFERS * pool->limits.socket_bytes;
   pool->limits.connections
       = MIN (or_default_ (given->connections, get_default_connections_ ()),
-             get_affordable_connections_ (pool->limits.memory_kb));
+             get_affordable_connections_ (pool));
   pool->connection_gauge
       = colt_counters_register (counters, COLT_COUNTER_GAUGE,
                                 "http_connections", "Open HTTP connections.");
@@ -276,12 +283,12 @@
 
 /* Returns how many connections fit into the memory that they may use. */
 static uint32_t
-get_affordable_connections_ (uint32_t memory_kb)
+get_affordable_connections_ (const struct ColtHttpPool *pool)
 {
-  uint64_t bytes
-      = (uint64_t)memory_kb * KB / MEMORY_PARTS * CONNECTION_MEMORY_PARTS;
+  uint64_t bytes = (uint64_t)pool->limits.memory_kb * KB / MEMORY_PARTS
+                   * CONNECTION_MEMORY_PARTS;
 
-  return (uint32_t)(bytes / COLT_HTTP_CONNECTION_BYTES);
+  return MAX ((uint32_t)(bytes / pool->connection_bytes), 1);
 }
 
 static void
--- a/src/http/private/http_private.h
+++ b/src/http/private/http_private.h
@@ -9,8 +9,8 @@
 
 #include "coltsfootstile/http_listener.h"
 
-/* Bytes that a connection takes, besides what its request and its answer
- * exceed: the connection of evhttp, its buffers, a request and an answer. */
+/* Bytes that a connection takes in the process: the connection of evhttp, its
+ * buffers, a short request and an answer. */
 #define COLT_HTTP_CONNECTION_BYTES 10240u
 
 /* Why a connection is closed. */
@@ -39,6 +39,8 @@
 {
   struct event_base *base;
   struct ColtHttpLimits limits;
+  uint32_t connection_bytes; /* that a connection may take, its socket's buffers
+                                included, besides a long request or answer */
   struct ColtCounters *counters;
   GPtrArray *listeners;
   struct event *timer;
--- a/src/test_clients/clients.py
+++ b/src/test_clients/clients.py
@@ -43,9 +43,11 @@
 BODY_WITHIN = 262144
 
 # Bounds. The pipelined requests of a path amount to 160 MiB, the bodies of a case to 75 MiB, the
-# requests of a crowd to 250 MiB.
+# requests of a crowd to 250 MiB. What the kernel has received and nothing has read counts as memory
+# of the machine too, and stays under memory_kb of the settings.
 GROWTH_MAX = 32 * MIB
 DESCRIPTORS_MAX = 230
+QUEUED_MAX = 8 * MIB
 
 # The crowd has ended once its connections took no byte and the process held no more memory and
 # descriptors than before for this time.
@@ -175,6 +177,21 @@
     def descriptors(self):
         return len(os.listdir(f"/proc/{self.process.pid}/fd"))
 
+    def queued(self):
+        """Returns the bytes that the kernel has received for the listeners and nothing has read,
+        those of connections that wait to be accepted included.
+        """
+        host = socket.inet_aton(self.address)[::-1].hex().upper()
+        local = {f"{host}:{port:04X}" for port in self.ports.values()}
+        queued = 0
+        with open("/proc/net/tcp", encoding="ascii") as file:
+            for line in file:
+                fields = line.split()
+                # The queue of a listening socket (state 0A) counts connections.
+                if fields[1] in local and fields[3] != "0A":
+                    queued += int(fields[4].split(":")[1], 16)
+        return queued
+
     def stop(self):
         if self.process.poll() is None:
             self.process.send_signal(signal.SIGKILL)
@@ -313,6 +330,7 @@
     "many": (add_many, MANY_DESCRIPTORS_LIMIT),
     "bodies": (add_bodies, None),
     "crowd": (add_crowd, None),
+    "queued": (add_crowd, None),
     "probes": (add_crowd, None),
     "limits": (None, None),
 }
@@ -329,19 +347,23 @@
         descriptors_limit,
     )
     crowd = Crowd(daemon, options.listener)
-    peak = (0, 0)
+    peak = (0, 0, 0)
 
     def observe():
         nonlocal peak
         daemon.check_alive()
-        peak = (daemon.peak_memory(), max(peak[1], daemon.descriptors()))
+        peak = (
+            daemon.peak_memory(),
+            max(peak[1], daemon.descriptors()),
+            max(peak[2], daemon.queued()),
+        )
         if options.case == "probes" and crowd.unsent:
             daemon.check_answers()
         return peak
 
     try:
         daemon.wait_ready()
-        memory_before, descriptors_before = observe()
+        memory_before, descriptors_before, _ = observe()
         if add is None:
             check_within_limits(daemon, options.listener)
         for path in options.path if add is not None else []:
@@ -352,11 +374,15 @@
               f"bound {GROWTH_MAX // MIB} MiB")
         print(f"descriptors: at most {peak[1]}, {descriptors_before} before, "
               f"bound {DESCRIPTORS_MAX} if limited to {MANY_DESCRIPTORS_LIMIT}")
+        print(f"received and not yet read: at most {peak[2] / MIB:.1f} MiB, "
+              f"bound {QUEUED_MAX // MIB} MiB for crowds")
         print(f"connections that the daemon closed while they sent: {crowd.closed}")
         if growth > GROWTH_MAX:
             raise Failure("memory exceeds its bound")
         if descriptors_limit is not None and peak[1] > DESCRIPTORS_MAX:
             raise Failure("descriptors exceed their bound")
+        if options.case == "queued" and peak[2] > QUEUED_MAX:
+            raise Failure("received bytes exceed their bound")
         print(f"statuses of ordinary requests: {daemon.check_answers()}")
     finally:
         daemon.stop()
