HTTP listeners: socket buffers of 4 KiB, so that 945 connections fit the default memory

What callers saw: 600 requests that wait for their answers at the same time were no longer all taken, as the defaults of the commit before allow 585 connections.

Cause: with buffers of 8 KiB the kernel's part of a connection is 32 KiB of 42. Change: the default of socket_bytes is 4,096, so that a connection counts 26,624 bytes in memory_kb and 945 fit three quarters of 32 MiB.

--- a/include/coltsfootstile/http_listener.h
+++ b/include/coltsfootstile/http_listener.h
@@ -101,7 +101,7 @@
       { "limits",                                                              \
         "socket_bytes",                                                        \
         COLT_SETTING_INTEGER,                                                  \
-        "8192",                                                                \
+        "4096",                                                                \
         2048,                                                                  \
         1048576,                                                               \
         false,                                                                 \
--- a/src/http/http_pool.c
+++ b/src/http/http_pool.c
@@ -35,7 +35,7 @@
 #define UNREAD_MS 15000u
 #define IDLE_MS 30000u
 #define MEMORY_KB 32768u
-#define SOCKET_BYTES 8192u
+#define SOCKET_BYTES 4096u
 /* The kernel uses twice the bytes of SO_RCVBUF and of SO_SNDBUF. */
 #define SOCKET_BUFFERS 4
 #define KB 1024u
