HTTP listeners: header fields count with what evhttp takes for them

With the default header_bytes one connection may take 1.8 MB and more, so that some 70 of them exceed the memory of a small machine.

Cause: held bytes counted a request's bytes as they come, but evhttp keeps a field of two bytes in three blocks of memory, 112 bytes. They were also given back when the answer began, while evhttp frees a request only once its answer is sent.

Change: each line of a request counts 128 bytes until its answer is sent, as it arrives and before evhttp parses it. Beyond the bound, evhttp isn't given the input of connections that hold over 4 KiB for their request; the largest are closed as before, then the others go on. A request of usual length, a probe's for instance, never waits. The connection that holds most goes first, not the one with most unsent output alone.

--- a/src/http/http_listener.c
+++ b/src/http/http_listener.c
@@ -15,6 +15,10 @@
 /* Input beyond the headers that is buffered. A longer header block is then
  * found too long by evhttp instead of waiting for bytes that aren't read. */
 #define INPUT_MARGIN 4096
+/* Memory that evhttp takes for a header field, however short: three blocks. */
+#define FIELD_BYTES 128
+/* Parts of a buffer that are looked at together. */
+#define BUFFER_PARTS 4
 /* Connections beyond its bound that a listener accepts before it pauses. A
  * closed connection keeps its descriptor until it is freed, within 100 ms. */
 #define ACCEPTED_BEYOND 8
@@ -31,6 +35,10 @@
 static void on_output_ (struct evbuffer *buffer,
                         const struct evbuffer_cb_info *info,
                         void *client);
+static void begin_request_ (struct ColtHttpConnection *connection);
+static void
+hold_fields_ (struct ColtHttpConnection *connection, size_t first, size_t size);
+static uint32_t count_lines_ (const char *text, size_t size);
 static bool is_crowded_ (const struct ColtHttpListener *listener);
 static void set_input_ (struct ColtHttpConnection *connection,
                         enum ColtHttpInput input);
@@ -150,6 +158,16 @@
   return false;
 }
 
+void
+colt_http_connection_resume (struct ColtHttpConnection *connection)
+{
+  connection->waiting = false;
+  set_input_ (connection, connection->input);
+  if (input_is_full_ (connection))
+    set_input_ (connection, connection->input + 1);
+  bufferevent_trigger (connection->bufferevent, EV_READ, 0);
+}
+
 void
 colt_http_connection_close (struct ColtHttpConnection *connection, bool discard)
 {
@@ -246,9 +264,19 @@
   if (!connection->handled && connection->request_us == 0)
     connection->request_us = connection->listener->pool->now_us;
   colt_http_pool_hold (connection, (int64_t)info->n_added);
-  if (!connection->handled && input_is_full_ (connection)
-      && evbuffer_get_length (bufferevent_get_output (connection->bufferevent))
-             == 0)
+  if (!connection->handled && !connection->answering
+      && connection->input != COLT_HTTP_INPUT_BODY)
+    hold_fields_ (connection, info->orig_size, info->n_added);
+  if (colt_http_pool_must_wait (connection))
+    {
+      connection->waiting = true;
+      connection->listener->pool->waiting = true;
+      bufferevent_setwatermark (connection->bufferevent, EV_READ, SIZE_MAX, 1);
+    }
+  else if (!connection->handled && input_is_full_ (connection)
+           && evbuffer_get_length (
+                  bufferevent_get_output (connection->bufferevent))
+                  == 0)
     set_input_ (connection, connection->input + 1);
 }
 
@@ -258,17 +286,14 @@
             void *client)
 {
   struct ColtHttpConnection *connection = client;
-  struct evbuffer *input = bufferevent_get_input (connection->bufferevent);
-  int64_t bytes = (int64_t)info->n_added - (int64_t)info->n_deleted;
 
   if (info->n_added > 0 && connection->handled)
     {
       connection->handled = false;
       connection->answering = true;
-      bytes -= (int64_t)connection->parsed;
-      connection->parsed = 0;
     }
-  colt_http_pool_hold (connection, bytes);
+  colt_http_pool_hold (connection,
+                       (int64_t)info->n_added - (int64_t)info->n_deleted);
   if (info->n_deleted == 0 && info->orig_size > 0)
     return;
   connection->taken_us = connection->listener->pool->now_us;
@@ -284,16 +309,73 @@
   connection->answering = false;
   if (connection->last && connection->listener->paused)
     event_active (connection->listener->pool->enforcement, 0, 0);
+  begin_request_ (connection);
+}
+
+/* Accounts for the end of a request, which evhttp frees once its answer is
+ * sent, and for what is there of the next one. */
+static void
+begin_request_ (struct ColtHttpConnection *connection)
+{
+  struct evbuffer *input = bufferevent_get_input (connection->bufferevent);
+  size_t size = evbuffer_get_length (input);
+
+  colt_http_pool_hold (connection,
+                       -(int64_t)connection->parsed
+                           - (int64_t)connection->fields * FIELD_BYTES);
+  connection->parsed = 0;
+  connection->fields = 0;
   connection->idle_us = connection->taken_us;
-  connection->request_us
-      = evbuffer_get_length (input) > 0 ? connection->taken_us : 0;
+  connection->request_us = size > 0 ? connection->taken_us : 0;
+  hold_fields_ (connection, 0, size);
   /* Nothing is taken from the input and so nothing read, if all of it is the
    * beginning of a long line. */
-  if (input_is_full_ (connection)
-      && evbuffer_search_eol (input, NULL, NULL, EVBUFFER_EOL_LF).pos < 0)
+  if (connection->fields == 0 && input_is_full_ (connection))
     set_input_ (connection, COLT_HTTP_INPUT_HEADERS);
 }
 
+/* Counts the lines in a part of the input as header fields, at most as many as
+ * evhttp takes. */
+static void
+hold_fields_ (struct ColtHttpConnection *connection, size_t first, size_t size)
+{
+  struct evbuffer *input = bufferevent_get_input (connection->bufferevent);
+  uint32_t lines_max
+      = connection->listener->pool->limits.header_bytes - connection->fields;
+  struct evbuffer_iovec parts[BUFFER_PARTS];
+  struct evbuffer_ptr position;
+  uint32_t lines = 0;
+  int count, i;
+
+  while (size > 0 && lines < lines_max
+         && evbuffer_ptr_set (input, &position, first, EVBUFFER_PTR_SET) == 0
+         && (count = evbuffer_peek (input, (ssize_t)size, &position, parts,
+                                    BUFFER_PARTS))
+                > 0)
+    for (i = 0; i < MIN (count, BUFFER_PARTS) && size > 0; i++)
+      {
+        size_t bytes = MIN (parts[i].iov_len, size);
+
+        lines += count_lines_ (parts[i].iov_base, bytes);
+        first += bytes;
+        size -= bytes;
+      }
+  lines = MIN (lines, lines_max);
+  connection->fields += lines;
+  colt_http_pool_hold (connection, (int64_t)lines * FIELD_BYTES);
+}
+
+static uint32_t
+count_lines_ (const char *text, size_t size)
+{
+  const char *end = text + size;
+  uint32_t lines = 0;
+
+  for (; (text = memchr (text, '\n', (size_t)(end - text))) != NULL; text++)
+    lines++;
+  return lines;
+}
+
 /* Returns whether half of the connections that the listener may have are open.
  */
 static bool
--- a/src/http/http_pool.c
+++ b/src/http/http_pool.c
@@ -38,6 +38,8 @@
 #define SOCKET_BYTES 4096u
 /* The kernel uses twice the bytes of SO_RCVBUF and of SO_SNDBUF. */
 #define SOCKET_BUFFERS 4
+/* Bytes of a request of usual length, with those of its fields. */
+#define REQUEST_BYTES 4096u
 #define KB 1024u
 
 /* What a connection is chosen for. */
@@ -57,11 +59,13 @@
   bool discard; /* unsent bytes are of no use to the client */
 };
 
+static bool is_over_ (const struct ColtHttpPool *pool);
 static uint32_t or_default_ (uint32_t value, uint32_t fallback);
 static uint32_t get_default_connections_ (void);
 static uint32_t get_affordable_connections_ (const struct ColtHttpPool *pool);
 static void on_timer_ (evutil_socket_t fd, short what, void *client);
 static void on_enforcement_ (evutil_socket_t fd, short what, void *client);
+static void resume_ (struct ColtHttpListener *listener);
 static void sweep_ (struct ColtHttpListener *listener, int64_t now_us);
 static enum ColtHttpEnd find_end_ (const struct ColtHttpConnection *connection,
                                    int64_t now_us);
@@ -253,6 +257,15 @@
   log_end_ (pool, listener->settings.name, end);
 }
 
+bool
+colt_http_pool_must_wait (const struct ColtHttpConnection *connection)
+{
+  const struct ColtHttpPool *pool = connection->listener->pool;
+
+  return is_over_ (pool)
+         && connection->held > pool->connection_bytes + REQUEST_BYTES;
+}
+
 void
 colt_http_pool_hold (struct ColtHttpConnection *connection, int64_t bytes)
 {
@@ -260,10 +273,17 @@
 
   connection->held += (uint64_t)bytes;
   pool->held += (uint64_t)bytes;
-  if (bytes > 0 && pool->held > (uint64_t)pool->limits.memory_kb * KB)
+  if (bytes > 0 && is_over_ (pool))
     event_active (pool->enforcement, 0, 0);
 }
 
+/* Returns whether more bytes are held than allowed. */
+static bool
+is_over_ (const struct ColtHttpPool *pool)
+{
+  return pool->held > (uint64_t)pool->limits.memory_kb * KB;
+}
+
 static uint32_t
 or_default_ (uint32_t value, uint32_t fallback)
 {
@@ -309,6 +329,8 @@
       listener->replaced = 0;
       sweep_ (listener, pool->now_us);
     }
+  if (pool->waiting)
+    event_active (pool->enforcement, 0, 0);
   for (i = 0; i < COLT_HTTP_END_COUNT; i++)
     log_end_ (pool, "", (enum ColtHttpEnd)i);
   colt_counters_set (pool->counters, pool->connection_gauge, pool->open);
@@ -328,9 +350,33 @@
   (void)what;
   for (i = 0; i < pool->listeners->len; i++)
     sweep_ (pool->listeners->pdata[i], now_us);
-  while (pool->held > (uint64_t)pool->limits.memory_kb * KB
+  while (is_over_ (pool)
          && (chosen = choose_for_memory_ (pool, now_us)) != NULL)
     end_ (chosen, COLT_HTTP_END_MEMORY);
+  if (!pool->waiting || is_over_ (pool))
+    return;
+  pool->waiting = false;
+  for (i = 0; i < pool->listeners->len; i++)
+    resume_ (pool->listeners->pdata[i]);
+}
+
+/* Parses the input that was held back while the bound on memory was exceeded.
+ */
+static void
+resume_ (struct ColtHttpListener *listener)
+{
+  GPtrArray *waiting = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+  size_t i;
+
+  g_hash_table_iter_init (&iter, listener->connections);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((struct ColtHttpConnection *)value)->waiting)
+      g_ptr_array_add (waiting, value);
+  for (i = 0; i < waiting->len; i++)
+    colt_http_connection_resume (waiting->pdata[i]);
+  g_ptr_array_unref (waiting);
 }
 
 /* Removes the entries of connections that evhttp has freed and closes those
@@ -458,7 +504,8 @@
 }
 
 /* Idle connections hold little, so that closing them doesn't help. Returns
- * the one with the most unsent output, else the largest incomplete request. */
+ * the one that holds most of those with unsent output, else of those with an
+ * incomplete request. */
 static struct ColtHttpConnection *
 choose_for_memory_ (const struct ColtHttpPool *pool, int64_t now_us)
 {
@@ -476,15 +523,13 @@
       while (g_hash_table_iter_next (&iter, NULL, &value))
         {
           const struct ColtHttpConnection *connection = value;
-          int64_t unsent = rate_ (connection, CHOICE_UNSENT, now_us);
+          bool unsent = rate_ (connection, CHOICE_UNSENT, now_us) > 0;
           bool incomplete = rate_ (connection, CHOICE_INCOMPLETE, now_us) > 0;
-          uint64_t rating
-              = unsent > 0 ? (uint64_t)unsent : incomplete * connection->held;
-          size_t kind = unsent > 0 ? 0 : 1;
+          size_t kind = unsent ? 0 : 1;
 
-          if (rating > highest[kind])
+          if ((unsent || incomplete) && connection->held > highest[kind])
             {
-              highest[kind] = rating;
+              highest[kind] = connection->held;
               chosen[kind] = value;
             }
         }
--- a/src/http/private/http_private.h
+++ b/src/http/private/http_private.h
@@ -50,6 +50,7 @@
   int64_t clock_us;          /* monotonic time of the last tick */
   uint64_t held;             /* bytes of connections, requests and answers */
   uint32_t open;             /* connections */
+  bool waiting;              /* some connection waits for memory */
   uint32_t connection_gauge;
   uint32_t byte_gauge;
   uint32_t pauses;                    /* counter */
@@ -84,10 +85,12 @@
   int64_t opened_us;
   uint64_t held;   /* its own bytes and those of its request and answer */
   uint64_t parsed; /* bytes of the request that left the input buffer */
+  uint32_t fields; /* lines of the request, each of which may be a field */
   enum ColtHttpInput input;
   bool handled;   /* its request is complete and has no answer yet */
   bool answering; /* unsent output is the answer of its request */
   bool last;      /* evhttp frees it once its answer is sent */
+  bool waiting;   /* for memory; its input isn't parsed */
   bool closing;   /* evhttp has been told to free it */
   bool refused;   /* is to be closed as soon as evhttp has it */
 };
@@ -109,6 +112,9 @@
 /* Counts a connection that is closed for a reason, and logs it at times. */
 void colt_http_pool_count_end (struct ColtHttpListener *listener,
                                enum ColtHttpEnd end);
+/* Returns whether the request of a connection has to wait for memory. One of
+ * usual length never does, so that probes are answered at the bound too. */
+bool colt_http_pool_must_wait (const struct ColtHttpConnection *connection);
 /* Changes the bytes held for a connection. */
 void colt_http_pool_hold (struct ColtHttpConnection *connection, int64_t bytes);
 
@@ -117,6 +123,8 @@
 /* Frees the connection's entry if evhttp has freed the connection; returns
  * whether it has. The entry stays in the listener's table. */
 bool colt_http_connection_reap (struct ColtHttpConnection *connection);
+/* Parses the input that a connection holds back for want of memory. */
+void colt_http_connection_resume (struct ColtHttpConnection *connection);
 /* Closes a connection outside evhttp's callbacks for it. */
 void colt_http_connection_close (struct ColtHttpConnection *connection,
                                  bool discard);
--- a/src/test_clients/clients.py
+++ b/src/test_clients/clients.py
@@ -37,6 +37,9 @@
 # Connections that are opened together, whose clients pipeline requests and read no answer.
 CROWD_CLIENTS = 1000
 CROWD_BYTES = 256 * 1024
+# Requests with as many header fields as their size allows, and without an end.
+FIELD_CLIENTS = 200
+FIELD_BYTES = 30000
 
 # The longest headers and body of a client that keeps to the limits, in bytes.
 HEADERS_WITHIN = 16384
@@ -294,6 +297,9 @@
         "chunks": (
             f"{head}Transfer-Encoding: chunked\r\n\r\n".encode()
             + chunks * (BODY_WITHIN // 0x1000) + b"0\r\n\r\n", 1),
+        "chunks of a byte": (
+            f"{head}Transfer-Encoding: chunked\r\n\r\n".encode()
+            + b"1\r\nx\r\n" * BODY_WITHIN + b"0\r\n\r\n", 1),
     }
     for form, (content, count) in forms.items():
         try:
@@ -318,6 +324,10 @@
     crowd.add(CROWD_CLIENTS, content, PIPELINE_RECEIVE_BUFFER)
 
 
+def add_fields(crowd, path):
+    crowd.add(FIELD_CLIENTS, make_get(path)[:-2] + b":\n" * (FIELD_BYTES // 2))
+
+
 def add_bodies(crowd, path):
     head = f"POST {path} HTTP/1.1\r\nHost: a\r\nContent-Length: {BODY_BYTES}\r\n\r\n"
     crowd.add(BODY_CLIENTS, head.encode("ascii") + b"x" * (BODY_BYTES - BODY_MISSING))
@@ -332,6 +342,7 @@
     "crowd": (add_crowd, None),
     "queued": (add_crowd, None),
     "probes": (add_crowd, None),
+    "fields": (add_fields, None),
     "limits": (None, None),
 }
 
