HTTP listeners: input held back while an answer is unread isn't raised with others

A connection that waits for memory may also have an unread answer; when its input went on, its mark was raised to the longest headers if it was full, as for an incomplete request. Found by reading; no test shows it. One function now decides for all places when a request needs more input. clients_limits_*, clients_fields_*, clients_crowd_*, adapter and admission pass.

--- a/src/http/http_listener.c
+++ b/src/http/http_listener.c
@@ -42,6 +42,7 @@
 static bool is_crowded_ (const struct ColtHttpListener *listener);
 static void set_input_ (struct ColtHttpConnection *connection,
                         enum ColtHttpInput input);
+static void raise_input_ (struct ColtHttpConnection *connection);
 static bool input_is_full_ (const struct ColtHttpConnection *connection);
 static size_t get_input_max_ (const struct ColtHttpLimits *limits,
                               enum ColtHttpInput input);
@@ -163,8 +164,7 @@
 {
   connection->waiting = false;
   set_input_ (connection, connection->input);
-  if (input_is_full_ (connection))
-    set_input_ (connection, connection->input + 1);
+  raise_input_ (connection);
   bufferevent_trigger (connection->bufferevent, EV_READ, 0);
 }
 
@@ -273,11 +273,8 @@
       connection->listener->pool->waiting = true;
       bufferevent_setwatermark (connection->bufferevent, EV_READ, SIZE_MAX, 1);
     }
-  else if (!connection->handled && input_is_full_ (connection)
-           && evbuffer_get_length (
-                  bufferevent_get_output (connection->bufferevent))
-                  == 0)
-    set_input_ (connection, connection->input + 1);
+  else
+    raise_input_ (connection);
 }
 
 static void
@@ -302,8 +299,7 @@
   if (!connection->answering)
     {
       /* "100 Continue"; the request is still incomplete. */
-      if (input_is_full_ (connection))
-        set_input_ (connection, connection->input + 1);
+      raise_input_ (connection);
       return;
     }
   connection->answering = false;
@@ -394,6 +390,17 @@
       get_input_max_ (&connection->listener->pool->limits, input));
 }
 
+/* Lets the client send more if its request needs that. */
+static void
+raise_input_ (struct ColtHttpConnection *connection)
+{
+  if (!connection->handled && !connection->answering
+      && input_is_full_ (connection)
+      && evbuffer_get_length (bufferevent_get_output (connection->bufferevent))
+             == 0)
+    set_input_ (connection, connection->input + 1);
+}
+
 /* Returns whether the next kind of input would let the client send more. */
 static bool
 input_is_full_ (const struct ColtHttpConnection *connection)
