Show how far an instance's configuration is behind, and why

A configuration that isn't in force couldn't be told apart from one that isn't known, nor a log that is silent from one whose answer takes long. Heartbeats and their replies carry the configuration's version. An instance that has known of a newer one for longer than bounds.config_ms logs and counts it, with the age of its last read to the topic's end and why the last read failed; a failed read says how many bytes of its answer had arrived. Test: scheduler/config-lag/late.

--- a/include/coltsfootstile/cell.pb-c.h
+++ b/include/coltsfootstile/cell.pb-c.h
@@ -491,10 +491,14 @@
    * latest stamp of the term's leader that arrived while the sender followed it; 0: none
    */
   uint64_t stamp_us;
+  /*
+   * of the configuration in force; 0: none
+   */
+  int64_t config_version;
 };
 #define COLT_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&colt_beat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -532,10 +536,14 @@
    * the replier leads, and the log or at least half of the instances are in contact with it
    */
   protobuf_c_boolean connected;
+  /*
+   * highest that it knows to exist; 0: none
+   */
+  int64_t config_version;
 };
 #define COLT_BEAT_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&colt_beat_reply__descriptor) \
-    , 0, 0, 0,NULL, 0, 0, 0, 0 }
+    , 0, 0, 0,NULL, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/include/coltsfootstile/http_client.h
+++ b/include/coltsfootstile/http_client.h
@@ -79,6 +79,8 @@
                             was sent; 0 if it ends with the call */
   const char *body;    /**< with a final zero; NULL unless COLT_HTTP_ANSWERED */
   size_t size;         /**< size of \a body in bytes, without the final zero */
+  size_t received;     /**< bytes of the answer that arrived, with its headers,
+                            also of an answer that wasn't completed */
   char retry_after[COLT_HTTP_RETRY_AFTER_SIZE]; /**< value of the header, cut
                                                      to the buffer; "" if the
                                                      answer has none */
--- a/include/coltsfootstile/ports.h
+++ b/include/coltsfootstile/ports.h
@@ -79,6 +79,8 @@
 {
   enum ColtLogOutcome outcome;
   int64_t sent_us;      /**< monotonic time just before the call was sent */
+  size_t received;      /**< bytes of the answer that arrived, also if it wasn't
+                             completed */
   int64_t offset;       /**< of the first record appended */
   int64_t end;          /**< offset at which the topic ends */
   bool more;            /**< further keys follow the last one */
--- a/include/coltsfootstile/scheduler.h
+++ b/include/coltsfootstile/scheduler.h
@@ -35,6 +35,9 @@
   /** Time without contact to the log and to a leader after which the instance
    * isn't ready, in ms; 0: contact has no effect on readiness. */
   uint32_t isolation_ms;
+  /** Time within which a published configuration has to be in force, in ms; a
+   * later one is logged and counted. */
+  uint32_t config_ms;
   uint32_t half_life_s; /**< of organisations' past use in the order of waiting
                              work; 0: it doesn't count */
   uint32_t wait_max_ms; /**< longest delay of an organisation's waiting work for
--- a/src/cell/cell.pb-c.c
+++ b/src/cell/cell.pb-c.c
@@ -2151,7 +2151,7 @@
   (ProtobufCMessageInit) colt_queue_count__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor colt_beat__field_descriptors[7] =
+static const ProtobufCFieldDescriptor colt_beat__field_descriptors[8] =
 {
   {
     "term",
@@ -2237,8 +2237,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_version",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(ColtBeat, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned colt_beat__field_indices_by_name[] = {
+  7,   /* field[7] = config_version */
   4,   /* field[4] = leaving */
   2,   /* field[2] = log_age_ms */
   1,   /* field[1] = log_reached */
@@ -2250,7 +2263,7 @@
 static const ProtobufCIntRange colt_beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor colt_beat__descriptor =
 {
@@ -2260,14 +2273,14 @@
   "ColtBeat",
   "",
   sizeof(ColtBeat),
-  7,
+  8,
   colt_beat__field_descriptors,
   colt_beat__field_indices_by_name,
   1,  colt_beat__number_ranges,
   (ProtobufCMessageInit) colt_beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor colt_beat_reply__field_descriptors[7] =
+static const ProtobufCFieldDescriptor colt_beat_reply__field_descriptors[8] =
 {
   {
     "term",
@@ -2353,9 +2366,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_version",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(ColtBeatReply, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned colt_beat_reply__field_indices_by_name[] = {
   5,   /* field[5] = beat_sent_us */
+  7,   /* field[7] = config_version */
   6,   /* field[6] = connected */
   2,   /* field[2] = counts */
   3,   /* field[3] = is_lead */
@@ -2366,7 +2392,7 @@
 static const ProtobufCIntRange colt_beat_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor colt_beat_reply__descriptor =
 {
@@ -2376,7 +2402,7 @@
   "ColtBeatReply",
   "",
   sizeof(ColtBeatReply),
-  7,
+  8,
   colt_beat_reply__field_descriptors,
   colt_beat_reply__field_indices_by_name,
   1,  colt_beat_reply__number_ranges,
--- a/src/coltsfootstile/cell_main.c
+++ b/src/coltsfootstile/cell_main.c
@@ -72,6 +72,9 @@
     "how long an ended job's state is shown, in seconds" },
   { "bounds", "grace_s", COLT_SETTING_INTEGER, "6", 1, 600, false,
     "time to stop in good order, in seconds" },
+  { "bounds", "config_ms", COLT_SETTING_INTEGER, "3000", 100, 600000, false,
+    "time within which a configuration has to be in force, in milliseconds; a "
+    "later one is logged" },
   { "fairness", "half_life_s", COLT_SETTING_INTEGER, "0", 0, 2592000, false,
     "half-life of organisations' past use, in seconds; 0: off" },
   { "fairness", "wait_max_ms", COLT_SETTING_INTEGER, "2000", 0, 60000, false,
@@ -258,6 +261,8 @@
       = (uint32_t)colt_settings_integer (settings, "bounds", "grace_s") * 1000;
   scheduler->isolation_ms
       = (uint32_t)colt_settings_integer (settings, "readiness", "isolation_ms");
+  scheduler->config_ms
+      = (uint32_t)colt_settings_integer (settings, "bounds", "config_ms");
   scheduler->half_life_s
       = (uint32_t)colt_settings_integer (settings, "fairness", "half_life_s");
   scheduler->wait_max_ms
--- a/src/platform/http_client.c
+++ b/src/platform/http_client.c
@@ -45,6 +45,7 @@
   struct ColtHttpCall *open;
   struct evhttp_connection *connection;
   bool dispatched; /* bytes of the open call were written */
+  size_t received; /* bytes of its answer */
   bool completed;  /* the result of the open call is in answer */
   bool closing;
   bool close_after_answer; /* the server closes the connection */
@@ -87,6 +88,9 @@
 static void on_output_ (struct evbuffer *buffer,
                         const struct evbuffer_cb_info *info,
                         void *client);
+static void on_input_ (struct evbuffer *buffer,
+                       const struct evbuffer_cb_info *info,
+                       void *client);
 static void on_request_error_ (enum evhttp_request_error request_error,
                                void *client);
 static void on_answer_ (struct evhttp_request *request, void *client);
@@ -318,6 +322,7 @@
   http->open = g_queue_pop_head (&http->waiting);
   http->completed = false;
   http->dispatched = false;
+  http->received = 0;
   http->has_request_error = false;
   http->close_after_answer = false;
   if (http->open == NULL)
@@ -354,6 +359,7 @@
   http->connections++;
   bufferevent = evhttp_connection_get_bufferevent (http->connection);
   evbuffer_add_cb (bufferevent_get_output (bufferevent), on_output_, http);
+  evbuffer_add_cb (bufferevent_get_input (bufferevent), on_input_, http);
   evhttp_connection_set_max_headers_size (http->connection, HEADER_BYTES_MAX);
   evhttp_connection_set_max_body_size (http->connection,
                                        (ev_ssize_t)http->answer_max);
@@ -398,6 +404,7 @@
   evhttp_connection_set_closecb (connection, NULL, NULL);
   bufferevent = evhttp_connection_get_bufferevent (connection);
   evbuffer_remove_cb (bufferevent_get_output (bufferevent), on_output_, http);
+  evbuffer_remove_cb (bufferevent_get_input (bufferevent), on_input_, http);
   setsockopt (bufferevent_getfd (bufferevent), SOL_SOCKET, SO_LINGER, &discard,
               sizeof discard);
   evhttp_connection_free (connection);
@@ -453,6 +460,17 @@
     http->dispatched = true;
 }
 
+static void
+on_input_ (struct evbuffer *buffer,
+           const struct evbuffer_cb_info *info,
+           void *client)
+{
+  struct ColtHttpClient *http = client;
+
+  (void)buffer;
+  http->received += info->n_added;
+}
+
 static void
 on_request_error_ (enum evhttp_request_error request_error, void *client)
 {
@@ -533,6 +551,7 @@
       = http->close_after_answer || http->closed ? 0 : http->connections;
   http->answer.body = http->answer_body;
   http->answer.size = size;
+  http->answer.received = http->received;
   http->completed = true;
   event_active (http->finish_event, 0, 0);
 }
@@ -546,6 +565,7 @@
 
   memset (answer, 0, sizeof *answer);
   answer->sent_us = http->open->sent_us;
+  answer->received = http->received;
   answer->result = http->dispatched ? COLT_HTTP_UNKNOWN : COLT_HTTP_NOT_SENT;
   if (http->dispatched)
     colt_error_set (&answer->error, code, COLT_STEP_RECEIVE, http->address,
--- a/src/scheduler/private/scheduler_private.h
+++ b/src/scheduler/private/scheduler_private.h
@@ -49,6 +49,19 @@
 
 struct ColtWatch;
 
+/* Why the last read of a watch failed. */
+enum ColtWatchTrouble
+{
+  COLT_WATCH_TROUBLE_NONE, /* it was answered, or none has ended yet */
+  COLT_WATCH_UNREACHABLE,  /* there was no connection */
+  COLT_WATCH_REJECTED,     /* the log answered that it wasn't done */
+  COLT_WATCH_NO_ANSWER,    /* nothing of an answer arrived in time */
+  COLT_WATCH_INCOMPLETE    /* a part of the answer arrived in time */
+};
+
+/* Names of enum ColtWatchTrouble, indexed by it. */
+extern const char *const colt_watch_trouble_string[];
+
 struct ColtWatchClient
 {
   /* Handles a record, the newest of its key. Records with an unreadable key
@@ -91,6 +104,7 @@
  * records that were acknowledged before it have been handled. 0: never, or the
  * topic is being reread for the first time. */
 int64_t colt_watch_current_us (const struct ColtWatch *watch);
+enum ColtWatchTrouble colt_watch_trouble (const struct ColtWatch *watch);
 /* Reads immediately unless a read is open. */
 void colt_watch_read_now (struct ColtWatch *watch);
 
--- a/src/scheduler/private/scheduler_state.h
+++ b/src/scheduler/private/scheduler_state.h
@@ -2,6 +2,7 @@
 #ifndef COLT_SCHEDULER_STATE_H
 #define COLT_SCHEDULER_STATE_H
 
+#include "config_lag.h"
 #include "isolation.h"
 #include "members.h"
 #include "scheduler_private.h"
@@ -27,7 +28,8 @@
   struct ColtWatch *config_watch;
   struct ColtElection *election;
   struct ColtLeader *leader; /* NULL while another instance leads */
-  struct ColtFleet *fleet;
+  struct ColtFleet *fleet;   /* the configuration in force; NULL: none */
+  struct ColtConfigLag config_lag;
   struct ColtEvacuations *evacuations;
   struct ColtMembers *members;
   struct ColtAdviserChannel *adviser;
@@ -79,6 +81,23 @@
 bool colt_scheduler_send_advice_call (void *client,
                                       uint64_t number,
                                       const ColtAdviceCall *call);
+/* ---- scheduler_config.c: the configuration in force ---- */
+/* Handles a record of the operator's topic: applies a configuration if its
+ * version is later than the one in force; client is the ColtScheduler. */
+void colt_scheduler_handle_config_record (void *client,
+                                          const struct ColtLogRecord *record);
+/* Returns the version of the configuration in force; 0: there is none. */
+int64_t colt_scheduler_config_version (const struct ColtScheduler *scheduler);
+/* Records a version that exists, as another instance reports. */
+void colt_scheduler_note_config (struct ColtScheduler *scheduler,
+                                 int64_t version);
+/* Decides anew whether the configuration is late; logs and counts a change. */
+void colt_scheduler_check_config (struct ColtScheduler *scheduler);
+void colt_scheduler_set_config_metrics (const struct ColtScheduler *scheduler);
+/* Returns the configuration's state as a member of a JSON object, to be freed
+ * with g_free(). */
+char *colt_scheduler_describe_config (const struct ColtScheduler *scheduler);
+
 /* ---- readiness.c ---- */
 void colt_scheduler_init_readiness (struct ColtScheduler *scheduler);
 /* Decides anew whether the instance is isolated, and logs a change. */
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -42,10 +42,6 @@
 
 static bool start_wire_ (struct ColtScheduler *scheduler,
                          struct ColtError *error);
-static void handle_config_record_ (void *client,
-                                   const struct ColtLogRecord *record);
-static void log_config_ (const struct ColtScheduler *scheduler,
-                         const struct ColtFleet *fleet);
 static void handle_elected_ (void *client, uint64_t term);
 static void handle_deposed_ (void *client);
 static void handle_leader_change_ (void *client);
@@ -89,7 +85,8 @@
       = { handle_elected_, handle_deposed_, handle_leader_change_,
           list_followers_, scheduler };
   const struct ColtWatchClient config
-      = { handle_config_record_, colt_scheduler_finish_evacuations, scheduler };
+      = { colt_scheduler_handle_config_record,
+          colt_scheduler_finish_evacuations, scheduler };
   const struct ColtWatchTimes times = { CONFIG_WAIT_MS, 0 };
 
   scheduler->base = base;
@@ -101,6 +98,8 @@
   scheduler->requests = g_ptr_array_new ();
   scheduler->members = colt_members_create ();
   scheduler->evacuations = colt_evacuations_create ();
+  colt_config_lag_init (&scheduler->config_lag,
+                        (int64_t)settings->config_ms * COLT_US_PER_MS);
   scheduler->heartbeat_timer
       = event_new (base, -1, EV_PERSIST, send_heartbeat_, scheduler);
   scheduler->stop_timer
@@ -200,54 +199,6 @@
                            error);
 }
 
-/* Applies a configuration if its version is later than the one in force. */
-static void
-handle_config_record_ (void *client, const struct ColtLogRecord *record)
-{
-  struct ColtScheduler *scheduler = client;
-  struct ColtError error = { 0 };
-  struct ColtFleet *fleet;
-
-  if (colt_scheduler_apply_evacuation (scheduler, record)
-      || record->value == NULL)
-    return;
-  fleet = scheduler->ports->decode_fleet (scheduler->ports->adapter, record,
-                                          &error);
-  if (fleet == NULL)
-    {
-      if (error.code != COLT_ERROR_NONE)
-        colt_log_error (COLT_LOG_ERROR, MODULE,
-                        "a configuration is malformed; the one in force stays",
-                        &error);
-      return;
-    }
-  if (scheduler->fleet != NULL && fleet->version <= scheduler->fleet->version)
-    {
-      colt_fleet_unref (fleet);
-      return;
-    }
-  log_config_ (scheduler, fleet);
-  colt_fleet_unref (scheduler->fleet);
-  scheduler->fleet = fleet;
-  if (scheduler->leader != NULL)
-    colt_leader_set_fleet (scheduler->leader, fleet);
-}
-
-static void
-log_config_ (const struct ColtScheduler *scheduler,
-             const struct ColtFleet *fleet)
-{
-  const struct ColtLogField fields[]
-      = { { "version", NULL, fleet->version },
-          { "previous", NULL,
-            scheduler->fleet != NULL ? scheduler->fleet->version : 0 },
-          { "queues", NULL, fleet->queues->len },
-          { "organisations", NULL, fleet->organisations->len } };
-
-  colt_log_event (COLT_LOG_INFO, MODULE, "configuration in force", NULL, fields,
-                  G_N_ELEMENTS (fields));
-}
-
 static void
 handle_elected_ (void *client, uint64_t term)
 {
@@ -330,13 +281,14 @@
   int64_t now_us = colt_clock_monotonic_us ();
   int64_t age_us = now_us - colt_election_reached_us (scheduler->election);
   ColtBeat heartbeat = COLT_BEAT__INIT;
-  uint8_t body[64];
+  uint8_t body[96];
   uint32_t instance;
 
   (void)fd;
   (void)what;
   colt_speed_probe_measure (&scheduler->speed_probe);
   colt_scheduler_check_isolation (scheduler);
+  colt_scheduler_check_config (scheduler);
   if (scheduler->leader != NULL)
     {
       confirm_leadership_ (scheduler, now_us);
@@ -360,6 +312,7 @@
     heartbeat.stamp_us = scheduler->stamp_us;
   heartbeat.log_age_ms
       = (uint32_t)MIN (age_us / COLT_US_PER_MS, UINT32_MAX / 2);
+  heartbeat.config_version = colt_scheduler_config_version (scheduler);
   colt_wire_call (scheduler->wire, instance, MESSAGE_HEARTBEAT, body,
                   colt_beat__pack (&heartbeat, body), HEARTBEAT_TIMEOUT_MS,
                   handle_heartbeat_reply_, scheduler);
@@ -492,6 +445,7 @@
       colt_scheduler_check_isolation (scheduler);
     }
   note_stamp_ (scheduler, reply);
+  colt_scheduler_note_config (scheduler, reply->config_version);
   if (reply->leads)
     colt_waiting_counts_replace (scheduler->waiting_counts, reply->counts,
                                  reply->n_counts, (int64_t)reply->beat_sent_us);
@@ -547,9 +501,11 @@
         beat.followed_us = (int64_t)heartbeat->stamp_us;
       colt_members_update (scheduler->members, &beat, now_us);
       reply.beat_sent_us = heartbeat->sent_us;
+      colt_scheduler_note_config (scheduler, heartbeat->config_version);
       colt_beat__free_unpacked (heartbeat, NULL);
     }
   reply.term = colt_election_term (scheduler->election);
+  reply.config_version = scheduler->config_lag.newest;
   if (leads_term)
     reply.stamp_us = (uint64_t)now_us;
   reply.is_lead = scheduler->leader != NULL
@@ -603,8 +559,7 @@
                     scheduler->isolation.isolated);
   colt_metrics_set (scheduler->metrics, METRIC_IS_LEADER,
                     scheduler->leader != NULL);
-  colt_metrics_set (scheduler->metrics, METRIC_CONFIG_VERSION,
-                    scheduler->fleet != NULL ? scheduler->fleet->version : 0);
+  colt_scheduler_set_config_metrics (scheduler);
   colt_metrics_set (scheduler->metrics, METRIC_LOG_AGE_MS,
                     (colt_clock_monotonic_us ()
                      - colt_election_reached_us (scheduler->election))
@@ -635,6 +590,7 @@
 {
   const char *address = colt_election_leader (scheduler->election);
   char *readiness = colt_scheduler_describe_readiness (scheduler);
+  char *config = colt_scheduler_describe_config (scheduler);
   char *cell = NULL;
   char *text;
   char *copy;
@@ -642,17 +598,18 @@
   if (scheduler->leader != NULL && colt_leader_is_serving (scheduler->leader))
     {
       cell = colt_cell_dump (colt_leader_cell (scheduler->leader));
-      text = g_strdup_printf ("{%s,%s", readiness, cell + 1);
+      text = g_strdup_printf ("{%s,%s,%s", readiness, config, cell + 1);
     }
   else
     text = g_strdup_printf (
-        "{%s,\"lead\":\"%s\",\"term\":%llu,\"loading\":%s}", readiness,
-        address != NULL ? address : "",
+        "{%s,%s,\"lead\":\"%s\",\"term\":%llu,\"loading\":%s}", readiness,
+        config, address != NULL ? address : "",
         (unsigned long long)colt_election_term (scheduler->election),
         scheduler->leader != NULL ? "true" : "false");
   copy = strdup (text);
   g_free (text);
   g_free (readiness);
+  g_free (config);
   free (cell);
   return copy;
 }
--- a/src/scheduler/watch.c
+++ b/src/scheduler/watch.c
@@ -29,6 +29,8 @@
   int64_t current_us;       /* when the last read to the end was requested */
   bool late;                /* the last read was */
   int64_t healthy_since_us; /* first answer after the last failure */
+  enum ColtWatchTrouble trouble; /* of the last read */
+  uint32_t failures;             /* in a row */
 };
 
 static void schedule_read_ (struct ColtWatch *watch, uint32_t after_ms);
@@ -39,6 +41,10 @@
                             const struct ColtLogRecord *record);
 static bool check_answer_ (struct ColtWatch *watch,
                            const struct ColtLogAnswer *answer);
+static enum ColtWatchTrouble get_trouble_ (const struct ColtLogAnswer *answer);
+
+const char *const colt_watch_trouble_string[]
+    = { "none", "unreachable", "rejected", "no answer", "incomplete answer" };
 
 struct ColtWatch *
 colt_watch_create (struct event_base *base,
@@ -109,6 +115,12 @@
   return record->offset >= watch->known_end;
 }
 
+enum ColtWatchTrouble
+colt_watch_trouble (const struct ColtWatch *watch)
+{
+  return watch->trouble;
+}
+
 void
 colt_watch_read_now (struct ColtWatch *watch)
 {
@@ -234,19 +246,36 @@
         watch->healthy_since_us = watch->reached_us;
       if (watch->failing)
         colt_log (COLT_LOG_INFO, MODULE, NULL,
-                  "reads of topic %s succeed again",
-                  colt_topic_string[watch->topic]);
+                  "reads of topic %s succeed again after %u failures",
+                  colt_topic_string[watch->topic], watch->failures);
       watch->failing = false;
+      watch->trouble = COLT_WATCH_TROUBLE_NONE;
+      watch->failures = 0;
       watch->late = watch->reached_us - answer->sent_us
                     > watch->times.wait_ms * COLT_US_PER_MS + LATE_US;
       return true;
     }
+  watch->trouble = get_trouble_ (answer);
+  watch->failures++;
   if (!watch->failing)
     colt_log (COLT_LOG_WARNING, MODULE, NULL,
-              "reading topic %s failed; retrying: %s %s",
+              "reading topic %s failed; retrying: %s %s (%s, %zu bytes in "
+              "%lld ms)",
               colt_topic_string[watch->topic],
-              colt_log_outcome_string[answer->outcome], answer->error.message);
+              colt_log_outcome_string[answer->outcome], answer->error.message,
+              colt_watch_trouble_string[watch->trouble], answer->received,
+              (long long)((colt_clock_monotonic_us () - answer->sent_us)
+                          / COLT_US_PER_MS));
   watch->failing = true;
   schedule_read_ (watch, RETRY_MS);
   return false;
 }
+
+static enum ColtWatchTrouble
+get_trouble_ (const struct ColtLogAnswer *answer)
+{
+  if (answer->outcome != COLT_LOG_UNKNOWN)
+    return answer->error.code == COLT_ERROR_UNREACHABLE ? COLT_WATCH_UNREACHABLE
+                                                        : COLT_WATCH_REJECTED;
+  return answer->received > 0 ? COLT_WATCH_INCOMPLETE : COLT_WATCH_NO_ANSWER;
+}
--- a/src/test_scheduler/test_scheduler.c
+++ b/src/test_scheduler/test_scheduler.c
@@ -24,5 +24,6 @@
   colt_test_suspicion_add ();
   colt_test_evacuation_add ();
   colt_test_isolation_add ();
+  colt_test_config_lag_add ();
   return g_test_run ();
 }
