--- a/include/coltsfootstile/http_client.h
+++ b/include/coltsfootstile/http_client.h
@@ -63,6 +63,12 @@
                             text with a final zero */
   uint32_t timeout_ms; /**< time until the call fails, at least 1; the wait
                             for earlier calls isn't counted */
+  uint32_t stall_ms;   /**< 0: timeout_ms bounds the whole call. Otherwise the
+                            call fails if nothing of the answer has arrived
+                            timeout_ms after bytes of the request were last
+                            written, or nothing further for stall_ms: an answer
+                            that keeps arriving has the time that the link needs
+                            for its size */
   uint64_t connection; /**< number of the connection, as in an answer, on which
                             alone the call may be sent; once that has ended the
                             call ends with COLT_HTTP_NOT_SENT and
--- a/src/platform/http_client.c
+++ b/src/platform/http_client.c
@@ -25,6 +25,7 @@
   struct evhttp_request *request; /* NULL once it belongs to the connection */
   enum evhttp_cmd_type method;
   uint32_t timeout_ms;
+  uint32_t stall_ms;   /* as in struct ColtHttpRequest */
   uint64_t connection; /* on which alone it may be sent; 0: any */
   int64_t sent_us;
   ColtHttpDone done;
@@ -91,6 +92,8 @@
 static void on_input_ (struct evbuffer *buffer,
                        const struct evbuffer_cb_info *info,
                        void *client);
+static void continue_call_ (struct ColtHttpClient *http, uint32_t for_ms);
+static void restart_timer_ (struct ColtHttpClient *http, uint32_t after_ms);
 static void on_request_error_ (enum evhttp_request_error request_error,
                                void *client);
 static void on_answer_ (struct evhttp_request *request, void *client);
@@ -181,6 +184,7 @@
   call->request = create_request_ (http, request);
   call->method = methods[request->method];
   call->timeout_ms = request->timeout_ms;
+  call->stall_ms = request->stall_ms;
   call->connection = request->connection;
   call->done = done;
   call->client = client;
@@ -317,8 +321,6 @@
 static void
 start_next_call_ (struct ColtHttpClient *http)
 {
-  struct timeval timeout;
-
   http->open = g_queue_pop_head (&http->waiting);
   http->completed = false;
   http->dispatched = false;
@@ -329,11 +331,9 @@
     return;
   memset (&http->answer, 0, sizeof http->answer);
   http->open->sent_us = colt_clock_monotonic_us ();
-  timeout.tv_sec = http->open->timeout_ms / 1000;
-  timeout.tv_usec = http->open->timeout_ms % 1000 * 1000;
   /* Otherwise the timeout would begin with the turn of the loop. */
   event_base_update_cache_time (http->base);
-  event_add (http->timer, &timeout);
+  restart_timer_ (http, http->open->timeout_ms);
   if (http->closed)
     close_connection_ (http);
   if (!may_send_ (http, http->open))
@@ -458,6 +458,8 @@
   (void)buffer;
   if (info->n_added > 0)
     http->dispatched = true;
+  if (info->n_deleted > 0 && http->open != NULL)
+    continue_call_ (http, http->open->timeout_ms);
 }
 
 static void
@@ -469,6 +471,26 @@
 
   (void)buffer;
   http->received += info->n_added;
+  if (info->n_added > 0 && http->open != NULL)
+    continue_call_ (http, http->open->stall_ms);
+}
+
+/* Gives a call that makes progress a further time, if it isn't bounded as a
+ * whole. */
+static void
+continue_call_ (struct ColtHttpClient *http, uint32_t for_ms)
+{
+  if (http->open->stall_ms > 0 && !http->completed)
+    restart_timer_ (http, for_ms);
+}
+
+static void
+restart_timer_ (struct ColtHttpClient *http, uint32_t after_ms)
+{
+  const struct timeval when
+      = { after_ms / 1000, (suseconds_t)(after_ms % 1000) * 1000 };
+
+  event_add (http->timer, &when);
 }
 
 static void
--- a/src/test_platform/fake_http.c
+++ b/src/test_platform/fake_http.c
@@ -6,6 +6,11 @@
 #include <event2/listener.h>
 #include <string.h>
 
+/* Period in which a limited connection may transfer its part of the rate. */
+#define RATE_TICK_US 20000
+/* Receive buffer of a limited connection: what it holds isn't delayed. */
+#define RATE_BUFFER_BYTES 65536
+
 struct ColtFakeStep
 {
   enum ColtFakeAction action;
@@ -20,6 +25,7 @@
   GPtrArray *connections; /* of struct bufferevent */
   GQueue script;          /* of struct ColtFakeStep */
   GPtrArray *requests;
+  struct ev_token_bucket_cfg *limits; /* of connections; NULL: none */
   char address[32];
 };
 
@@ -64,6 +70,8 @@
 {
   evconnlistener_free (fake->listener);
   g_ptr_array_unref (fake->connections);
+  if (fake->limits != NULL)
+    ev_token_bucket_cfg_free (fake->limits);
   g_ptr_array_unref (fake->requests);
   g_queue_clear_full (&fake->script, free_step_);
   g_free (fake);
@@ -75,6 +83,18 @@
   return fake->address;
 }
 
+void
+colt_fake_http_limit_rate (struct ColtFakeHttp *fake, guint bytes_per_s)
+{
+  const struct timeval tick = { 0, RATE_TICK_US };
+  const int buffer = RATE_BUFFER_BYTES;
+  size_t rate = bytes_per_s / (1000000 / RATE_TICK_US);
+
+  fake->limits = ev_token_bucket_cfg_new (rate, rate, rate, rate, &tick);
+  setsockopt (evconnlistener_get_fd (fake->listener), SOL_SOCKET, SO_RCVBUF,
+              &buffer, sizeof buffer);
+}
+
 void
 colt_fake_http_add_step (struct ColtFakeHttp *fake,
                          enum ColtFakeAction action,
@@ -132,6 +152,7 @@
   (void)peer;
   (void)size;
   bufferevent_setcb (connection, on_readable_, NULL, NULL, fake);
+  bufferevent_set_rate_limit (connection, fake->limits);
   bufferevent_enable (connection, EV_READ | EV_WRITE);
   g_ptr_array_add (fake->connections, connection);
 }
@@ -184,7 +205,7 @@
   if (step == NULL)
     return;
   length = step->body != NULL ? strlen (step->body) : 0;
-  if (step->action == COLT_FAKE_TRUNCATE)
+  if (step->action == COLT_FAKE_TRUNCATE || step->action == COLT_FAKE_STALL)
     length++;
   if (step->action != COLT_FAKE_CLOSE && step->action != COLT_FAKE_NO_ANSWER)
     {
@@ -194,7 +215,8 @@
       evbuffer_add_printf (output, "\r\n%s",
                            step->body != NULL ? step->body : "");
     }
-  if (step->action != COLT_FAKE_ANSWER && step->action != COLT_FAKE_NO_ANSWER)
+  if (step->action != COLT_FAKE_ANSWER && step->action != COLT_FAKE_NO_ANSWER
+      && step->action != COLT_FAKE_STALL)
     {
       bufferevent_flush (connection, EV_WRITE, BEV_FLUSH);
       evbuffer_write (output, bufferevent_getfd (connection));
--- a/src/test_platform/fake_http.h
+++ b/src/test_platform/fake_http.h
@@ -15,7 +15,9 @@
   COLT_FAKE_TRUNCATE,  /**< sends one byte less than announced, and closes */
   COLT_FAKE_UNBOUNDED, /**< sends an answer without its length, and closes */
   COLT_FAKE_CLOSE,     /**< closes without an answer */
-  COLT_FAKE_NO_ANSWER  /**< sends nothing and keeps the connection open */
+  COLT_FAKE_NO_ANSWER, /**< sends nothing and keeps the connection open */
+  COLT_FAKE_STALL      /**< sends one byte less than announced, and keeps the
+                            connection open */
 };
 
 /** An HTTP server for tests. */
@@ -27,6 +29,9 @@
 void colt_fake_http_destroy (struct ColtFakeHttp *fake);
 /** Returns the server's address as IP:PORT. */
 const char *colt_fake_http_address (const struct ColtFakeHttp *fake);
+/** Limits how fast connections that are accepted from now on transfer data, in
+ * bytes per second in each direction; to be called once. */
+void colt_fake_http_limit_rate (struct ColtFakeHttp *fake, guint bytes_per_s);
 /**
  * Adds the reaction to one request to the script. Requests beyond the end of
  * the script get no answer.
--- a/src/test_platform/test_http.c
+++ b/src/test_platform/test_http.c
@@ -8,9 +8,16 @@
 #include "fake_http.h"
 #include "tests.h"
 
+/* Of an answer that takes two seconds at the rate of its test. */
+#define SLOW_ANSWER_BYTES 2000
+/* Of a request that takes a second at the rate of its test. More than the
+ * kernel holds of it, so that a part waits in the client. */
+#define SLOW_REQUEST_BYTES (24 * 1024 * 1024)
+
 struct ColtHttpReceived
 {
   guint count;
+  size_t size; /* bytes of the answer that arrived, with its headers */
   enum ColtHttpResult result;
   int status;
   uint64_t connection;
@@ -57,6 +64,7 @@
   received->status = answer->status;
   received->connection = answer->connection;
   received->error = answer->error;
+  received->size = answer->received;
   if (answer->body != NULL)
     g_strlcpy (received->body, answer->body, sizeof received->body);
 }
@@ -551,6 +559,72 @@
   fixture->fake = colt_fake_http_create (fixture->base);
 }
 
+/* Makes a call that is given up only while it makes no progress. */
+static void
+call_with_progress (struct ColtHttpFixture *fixture,
+                    const char *body,
+                    size_t size,
+                    guint timeout_ms)
+{
+  const struct ColtHttpRequest request = { .method = COLT_HTTP_POST,
+                                           .path = "/x",
+                                           .body = body,
+                                           .body_size = size,
+                                           .timeout_ms = timeout_ms,
+                                           .stall_ms = timeout_ms };
+  guint before = fixture->received.count;
+
+  colt_http_client_send (fixture->http, &request, on_answer,
+                         &fixture->received);
+  while (fixture->received.count == before)
+    event_base_loop (fixture->base, EVLOOP_ONCE);
+}
+
+/* Guards against a call that is given up although its answer keeps arriving:
+ * this one takes four times as long as the call may be without progress. */
+static void
+test_slow_answer (struct ColtHttpFixture *fixture, gconstpointer data)
+{
+  char *body = g_strnfill (SLOW_ANSWER_BYTES, 'x');
+
+  (void)data;
+  colt_http_client_destroy (fixture->http);
+  fixture->http = colt_http_client_create (
+      fixture->base, colt_fake_http_address (fixture->fake), SLOW_ANSWER_BYTES,
+      1);
+  colt_fake_http_limit_rate (fixture->fake, SLOW_ANSWER_BYTES / 2);
+  colt_fake_http_add_step (fixture->fake, COLT_FAKE_ANSWER, 200, body);
+  call_with_progress (fixture, NULL, 0, 500);
+  g_assert_cmpint (fixture->received.result, ==, COLT_HTTP_ANSWERED);
+  g_free (body);
+}
+
+/* An answer that stops arriving ends the call, with what has arrived. */
+static void
+test_stalled_answer (struct ColtHttpFixture *fixture, gconstpointer data)
+{
+  (void)data;
+  colt_fake_http_add_step (fixture->fake, COLT_FAKE_STALL, 200, "part");
+  call_with_progress (fixture, NULL, 0, 200);
+  g_assert_cmpint (fixture->received.result, ==, COLT_HTTP_UNKNOWN);
+  g_assert_cmpint (fixture->received.error.code, ==, COLT_ERROR_TIMEOUT);
+  g_assert_cmpuint (fixture->received.size, >, strlen ("part"));
+}
+
+/* Guards against a call that is given up while its request is being sent. */
+static void
+test_slow_request (struct ColtHttpFixture *fixture, gconstpointer data)
+{
+  char *body = g_strnfill (SLOW_REQUEST_BYTES, 'x');
+
+  (void)data;
+  colt_fake_http_limit_rate (fixture->fake, SLOW_REQUEST_BYTES);
+  colt_fake_http_add_step (fixture->fake, COLT_FAKE_ANSWER, 200, "done");
+  call_with_progress (fixture, body, SLOW_REQUEST_BYTES, 500);
+  g_assert_cmpint (fixture->received.result, ==, COLT_HTTP_ANSWERED);
+  g_free (body);
+}
+
 /* Adds a test on a loop of each kind. */
 #define ADD(path, test)                                                        \
   g_test_add ("/platform/http/" path, struct ColtHttpFixture, NULL, set_up,    \
@@ -578,4 +652,7 @@
   ADD ("reused", test_descriptor_is_reused);
   ADD ("late-in-turn", test_call_late_in_turn);
   ADD ("bad-addresses", test_bad_addresses);
+  ADD ("slow-answer", test_slow_answer);
+  ADD ("stalled-answer", test_stalled_answer);
+  ADD ("slow-request", test_slow_request);
 }
