A reader that is behind reads the newest configuration instead of all

After an outage an instance read and applied every version that it had missed, in order, each a whole configuration: after 20 s without the log and three large changes, versions 12, 16, 20 and 22 one after the other.

After a read of the operator's topic that failed or was late, the watch asks for the topic's end, a call without records. If two or more records are unread it reads the newest of each key. The new port log_end is a page of newest records after all keys, which has no item but the topic's end.

--- a/include/coltsfootstile/ports.h
+++ b/include/coltsfootstile/ports.h
@@ -263,6 +263,11 @@
                       const char *after,
                       ColtLogCallDone done,
                       void *client);
+  /** Reads the offset at which a topic ends, without records. */
+  void (*log_end) (struct ColtLogChannel *channel,
+                   enum ColtTopic topic,
+                   ColtLogCallDone done,
+                   void *client);
 
   /**
    * Decodes a record of COLT_TOPIC_OPERATOR.
--- a/src/scheduler/private/scheduler_private.h
+++ b/src/scheduler/private/scheduler_private.h
@@ -78,6 +78,9 @@
   uint32_t wait_ms;  /* longest wait of a read for a record; an unresponsive
                         connection is noticed soon after it */
   uint32_t pause_ms; /* between an answer with records and the next read */
+  /* After a read that failed or was late, the newest records of all keys are
+   * read instead if the topic has at least this many unread ones; 0: never. */
+  uint32_t skip_records;
 };
 
 struct ColtWatch *colt_watch_create (struct event_base *base,
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -22,6 +22,9 @@
 /* Longest wait of a read of the configuration, so that a new one is in force
  * within two seconds even if a connection has become unresponsive. */
 #define CONFIG_WAIT_MS 600
+/* Unread records of the operator's topic from which on the newest configuration
+ * is read instead of all: a superseded one is as large. */
+#define CONFIG_SKIP_RECORDS 2
 /* A leader yields to an instance that is YIELD_FACTOR times stronger than its
  * configured strength, or YIELD_SLOW_FACTOR times stronger than its strength at
  * the present speed of its machine. It does so after YIELD_AFTER_US, when a few
@@ -87,7 +90,8 @@
   const struct ColtWatchClient config
       = { colt_scheduler_handle_config_record,
           colt_scheduler_finish_evacuations, scheduler };
-  const struct ColtWatchTimes times = { CONFIG_WAIT_MS, 0 };
+  const struct ColtWatchTimes times
+      = { CONFIG_WAIT_MS, 0, CONFIG_SKIP_RECORDS };
 
   scheduler->base = base;
   scheduler->ports = ports;
--- a/src/scheduler/watch.c
+++ b/src/scheduler/watch.c
@@ -37,6 +37,7 @@
 static void read_topic_ (evutil_socket_t fd, short what, void *arg);
 static void handle_page_ (void *client, const struct ColtLogAnswer *answer);
 static void handle_records_ (void *client, const struct ColtLogAnswer *answer);
+static void handle_end_ (void *client, const struct ColtLogAnswer *answer);
 static void handle_record_ (struct ColtWatch *watch,
                             const struct ColtLogRecord *record);
 static bool check_answer_ (struct ColtWatch *watch,
@@ -142,17 +143,19 @@
 read_topic_ (evutil_socket_t fd, short what, void *arg)
 {
   struct ColtWatch *watch = arg;
+  bool uncertain = watch->failing || watch->late;
 
   (void)fd;
   (void)what;
   if (watch->busy)
     return;
   watch->busy = true;
-  if (watch->synced)
-    watch->ports->log_read (
-        watch->channel, watch->topic, watch->end,
-        watch->failing || watch->late ? 0 : watch->times.wait_ms,
-        handle_records_, watch);
+  if (watch->synced && uncertain && watch->times.skip_records > 0)
+    watch->ports->log_end (watch->channel, watch->topic, handle_end_, watch);
+  else if (watch->synced)
+    watch->ports->log_read (watch->channel, watch->topic, watch->end,
+                            uncertain ? 0 : watch->times.wait_ms,
+                            handle_records_, watch);
   else
     watch->ports->log_newest (watch->channel, watch->topic, watch->after,
                               handle_page_, watch);
@@ -220,6 +223,32 @@
   schedule_read_ (watch, answer->count > 0 ? watch->times.pause_ms : 0);
 }
 
+/* Decides whether to read all unread records, or only the newest of each key.
+ */
+static void
+handle_end_ (void *client, const struct ColtLogAnswer *answer)
+{
+  struct ColtWatch *watch = client;
+  int64_t unread;
+
+  watch->busy = false;
+  if (watch->timer == NULL || !check_answer_ (watch, answer))
+    return;
+  watch->late = false;
+  unread = answer->end - watch->end;
+  if (unread <= 0)
+    watch->current_us = MAX (watch->current_us, answer->sent_us);
+  if (unread >= watch->times.skip_records)
+    {
+      colt_log (COLT_LOG_INFO, MODULE, NULL,
+                "%lld records of topic %s are unread; reading the newest of "
+                "each key",
+                (long long)unread, colt_topic_string[watch->topic]);
+      watch->synced = false;
+    }
+  schedule_read_ (watch, 0);
+}
+
 static void
 handle_record_ (struct ColtWatch *watch, const struct ColtLogRecord *record)
 {
--- a/src/test_scheduler/fake_ports.c
+++ b/src/test_scheduler/fake_ports.c
@@ -283,6 +283,15 @@
     schedule (channel->fake, ANSWER_MS, on_log_answer_due, call);
 }
 
+static void
+log_end (struct ColtLogChannel *channel,
+         enum ColtTopic topic,
+         ColtLogCallDone done,
+         void *client)
+{
+  log_read (channel, topic, INT64_MAX, 0, done, client);
+}
+
 /* Returns all records of the topic, in one page. */
 static void
 log_newest (struct ColtLogChannel *channel,
@@ -573,6 +582,7 @@
   fake->ports.log_append = log_append;
   fake->ports.log_read = log_read;
   fake->ports.log_newest = log_newest;
+  fake->ports.log_end = log_end;
   fake->ports.decode_server = decode_server;
   fake->ports.server_open = server_open;
   fake->ports.server_close = server_close;
