Instances pass the configuration on to those that the log doesn't bring it

Heartbeats carry the version in force, and replies name an instance that has the newest one, the stronger ones in turn. An instance that has known of a newer version for 400 ms fetches it there, compressed with zlib, in parts of 32 KB of one call each. What has arrived is kept when a call fails, and completed from any instance with the same compressed form (checksum). A leader that is behind fetches from the instance whose heartbeat names the version; it reports its own version to instances that were known and send no heartbeats, as those that the log turns away don't learn of a new leader. A version is applied only if it is higher than the one in force; records of the log up to the one in force are skipped without being decoded.

Tests: scheduler/config/rejected-instance, rejected-leader and no-downgrade; with the fetch off each stops at version 1 in place of 2. scheduler/config/copy and parts.

--- a/cmake/ColtPackage.cmake
+++ b/cmake/ColtPackage.cmake
@@ -11,6 +11,7 @@
 pkg_check_modules(SODIUM REQUIRED IMPORTED_TARGET libsodium)
 pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
 pkg_check_modules(GSL REQUIRED IMPORTED_TARGET gsl)
+pkg_check_modules(ZLIB REQUIRED IMPORTED_TARGET zlib)
 
 add_library(colt_flags INTERFACE)
 target_include_directories(colt_flags INTERFACE
--- a/include/coltsfootstile/cell.pb-c.h
+++ b/include/coltsfootstile/cell.pb-c.h
@@ -29,6 +29,9 @@
 typedef struct ColtQueueCount ColtQueueCount;
 typedef struct ColtBeat ColtBeat;
 typedef struct ColtBeatReply ColtBeatReply;
+typedef struct ColtConfigNotice ColtConfigNotice;
+typedef struct ColtConfigCall ColtConfigCall;
+typedef struct ColtConfigPart ColtConfigPart;
 typedef struct ColtAdviceCall ColtAdviceCall;
 typedef struct ColtTicket ColtTicket;
 typedef struct ColtAdviceReply ColtAdviceReply;
@@ -540,10 +543,96 @@
    * highest that it knows to exist; 0: none
    */
   int64_t config_version;
+  /*
+   * instance that has that version in force; 0: the replier
+   */
+  uint32_t config_source;
 };
 #define COLT_BEAT_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&colt_beat_reply__descriptor) \
-    , 0, 0, 0,NULL, 0, 0, 0, 0, 0 }
+    , 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * The leader's configuration, for an instance that sends it no heartbeats: one
+ * that the log turns away doesn't learn that the leader has changed.
+ */
+struct  ColtConfigNotice
+{
+  ProtobufCMessage base;
+  int64_t version;
+};
+#define COLT_CONFIG_NOTICE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&colt_config_notice__descriptor) \
+    , 0 }
+
+
+/*
+ * Requests a part of an instance's configuration, which is passed on in
+ * compressed form.
+ */
+struct  ColtConfigCall
+{
+  ProtobufCMessage base;
+  /*
+   * lower versions, and this one, aren't wanted
+   */
+  int64_t above;
+  /*
+   * of which parts have arrived; 0: none
+   */
+  int64_t version;
+  /*
+   * of that version's compressed form
+   */
+  uint64_t checksum;
+  /*
+   * bytes that have arrived
+   */
+  uint64_t from;
+};
+#define COLT_CONFIG_CALL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&colt_config_call__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+/*
+ * A part of a configuration; without a version, there is none above the one
+ * that the call names.
+ */
+struct  ColtConfigPart
+{
+  ProtobufCMessage base;
+  int64_t version;
+  /*
+   * of the compressed form
+   */
+  uint64_t checksum;
+  /*
+   * of its record
+   */
+  char *key;
+  /*
+   * of its record in the operator's topic
+   */
+  int64_t offset;
+  /*
+   * of the record's value, in bytes
+   */
+  uint64_t size;
+  /*
+   * of the compressed form, in bytes
+   */
+  uint64_t packed_size;
+  /*
+   * place of data in the compressed form
+   */
+  uint64_t from;
+  ProtobufCBinaryData data;
+};
+#define COLT_CONFIG_PART__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&colt_config_part__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, {0,NULL} }
 
 
 /*
@@ -875,6 +964,63 @@
 void   colt_beat_reply__free_unpacked
                      (ColtBeatReply *message,
                       ProtobufCAllocator *allocator);
+/* ColtConfigNotice methods */
+void   colt_config_notice__init
+                     (ColtConfigNotice         *message);
+size_t colt_config_notice__get_packed_size
+                     (const ColtConfigNotice   *message);
+size_t colt_config_notice__pack
+                     (const ColtConfigNotice   *message,
+                      uint8_t             *out);
+size_t colt_config_notice__pack_to_buffer
+                     (const ColtConfigNotice   *message,
+                      ProtobufCBuffer     *buffer);
+ColtConfigNotice *
+       colt_config_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   colt_config_notice__free_unpacked
+                     (ColtConfigNotice *message,
+                      ProtobufCAllocator *allocator);
+/* ColtConfigCall methods */
+void   colt_config_call__init
+                     (ColtConfigCall         *message);
+size_t colt_config_call__get_packed_size
+                     (const ColtConfigCall   *message);
+size_t colt_config_call__pack
+                     (const ColtConfigCall   *message,
+                      uint8_t             *out);
+size_t colt_config_call__pack_to_buffer
+                     (const ColtConfigCall   *message,
+                      ProtobufCBuffer     *buffer);
+ColtConfigCall *
+       colt_config_call__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   colt_config_call__free_unpacked
+                     (ColtConfigCall *message,
+                      ProtobufCAllocator *allocator);
+/* ColtConfigPart methods */
+void   colt_config_part__init
+                     (ColtConfigPart         *message);
+size_t colt_config_part__get_packed_size
+                     (const ColtConfigPart   *message);
+size_t colt_config_part__pack
+                     (const ColtConfigPart   *message,
+                      uint8_t             *out);
+size_t colt_config_part__pack_to_buffer
+                     (const ColtConfigPart   *message,
+                      ProtobufCBuffer     *buffer);
+ColtConfigPart *
+       colt_config_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   colt_config_part__free_unpacked
+                     (ColtConfigPart *message,
+                      ProtobufCAllocator *allocator);
 /* ColtAdviceCall methods */
 void   colt_advice_call__init
                      (ColtAdviceCall         *message);
@@ -976,6 +1122,15 @@
 typedef void (*ColtBeatReply_Closure)
                  (const ColtBeatReply *message,
                   void *closure_data);
+typedef void (*ColtConfigNotice_Closure)
+                 (const ColtConfigNotice *message,
+                  void *closure_data);
+typedef void (*ColtConfigCall_Closure)
+                 (const ColtConfigCall *message,
+                  void *closure_data);
+typedef void (*ColtConfigPart_Closure)
+                 (const ColtConfigPart *message,
+                  void *closure_data);
 typedef void (*ColtAdviceCall_Closure)
                  (const ColtAdviceCall *message,
                   void *closure_data);
@@ -1005,6 +1160,9 @@
 extern const ProtobufCMessageDescriptor colt_queue_count__descriptor;
 extern const ProtobufCMessageDescriptor colt_beat__descriptor;
 extern const ProtobufCMessageDescriptor colt_beat_reply__descriptor;
+extern const ProtobufCMessageDescriptor colt_config_notice__descriptor;
+extern const ProtobufCMessageDescriptor colt_config_call__descriptor;
+extern const ProtobufCMessageDescriptor colt_config_part__descriptor;
 extern const ProtobufCMessageDescriptor colt_advice_call__descriptor;
 extern const ProtobufCMessageDescriptor colt_ticket__descriptor;
 extern const ProtobufCMessageDescriptor colt_advice_reply__descriptor;
--- a/scripts/deps.sh
+++ b/scripts/deps.sh
@@ -4,7 +4,7 @@
 packages=(gcc clang clang-format clang-tidy cmake ninja-build pkg-config
   libevent-dev libprotobuf-c-dev protobuf-c-compiler libargtable2-dev
   liblog4c-dev libinih-dev libjansson-dev libsodium-dev libxxhash-dev
-  libglib2.0-dev libgsl-dev libclang-rt-14-dev python3 curl)
+  libglib2.0-dev libgsl-dev zlib1g-dev libclang-rt-14-dev python3 curl)
 missing=()
 for package in "${packages[@]}"; do
   dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'ok installed' || missing+=("$package")
--- a/src/cell/cell.pb-c.c
+++ b/src/cell/cell.pb-c.c
@@ -637,6 +637,141 @@
   assert(message->base.descriptor == &colt_beat_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   colt_config_notice__init
+                     (ColtConfigNotice         *message)
+{
+  static const ColtConfigNotice init_value = COLT_CONFIG_NOTICE__INIT;
+  *message = init_value;
+}
+size_t colt_config_notice__get_packed_size
+                     (const ColtConfigNotice *message)
+{
+  assert(message->base.descriptor == &colt_config_notice__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t colt_config_notice__pack
+                     (const ColtConfigNotice *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &colt_config_notice__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t colt_config_notice__pack_to_buffer
+                     (const ColtConfigNotice *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &colt_config_notice__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+ColtConfigNotice *
+       colt_config_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (ColtConfigNotice *)
+     protobuf_c_message_unpack (&colt_config_notice__descriptor,
+                                allocator, len, data);
+}
+void   colt_config_notice__free_unpacked
+                     (ColtConfigNotice *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &colt_config_notice__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   colt_config_call__init
+                     (ColtConfigCall         *message)
+{
+  static const ColtConfigCall init_value = COLT_CONFIG_CALL__INIT;
+  *message = init_value;
+}
+size_t colt_config_call__get_packed_size
+                     (const ColtConfigCall *message)
+{
+  assert(message->base.descriptor == &colt_config_call__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t colt_config_call__pack
+                     (const ColtConfigCall *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &colt_config_call__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t colt_config_call__pack_to_buffer
+                     (const ColtConfigCall *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &colt_config_call__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+ColtConfigCall *
+       colt_config_call__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (ColtConfigCall *)
+     protobuf_c_message_unpack (&colt_config_call__descriptor,
+                                allocator, len, data);
+}
+void   colt_config_call__free_unpacked
+                     (ColtConfigCall *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &colt_config_call__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   colt_config_part__init
+                     (ColtConfigPart         *message)
+{
+  static const ColtConfigPart init_value = COLT_CONFIG_PART__INIT;
+  *message = init_value;
+}
+size_t colt_config_part__get_packed_size
+                     (const ColtConfigPart *message)
+{
+  assert(message->base.descriptor == &colt_config_part__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t colt_config_part__pack
+                     (const ColtConfigPart *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &colt_config_part__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t colt_config_part__pack_to_buffer
+                     (const ColtConfigPart *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &colt_config_part__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+ColtConfigPart *
+       colt_config_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (ColtConfigPart *)
+     protobuf_c_message_unpack (&colt_config_part__descriptor,
+                                allocator, len, data);
+}
+void   colt_config_part__free_unpacked
+                     (ColtConfigPart *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &colt_config_part__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   colt_advice_call__init
                      (ColtAdviceCall         *message)
 {
@@ -2280,7 +2415,7 @@
   (ProtobufCMessageInit) colt_beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor colt_beat_reply__field_descriptors[8] =
+static const ProtobufCFieldDescriptor colt_beat_reply__field_descriptors[9] =
 {
   {
     "term",
@@ -2378,9 +2513,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_source",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(ColtBeatReply, config_source),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned colt_beat_reply__field_indices_by_name[] = {
   5,   /* field[5] = beat_sent_us */
+  8,   /* field[8] = config_source */
   7,   /* field[7] = config_version */
   6,   /* field[6] = connected */
   2,   /* field[2] = counts */
@@ -2392,7 +2540,7 @@
 static const ProtobufCIntRange colt_beat_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor colt_beat_reply__descriptor =
 {
@@ -2402,13 +2550,257 @@
   "ColtBeatReply",
   "",
   sizeof(ColtBeatReply),
-  8,
+  9,
   colt_beat_reply__field_descriptors,
   colt_beat_reply__field_indices_by_name,
   1,  colt_beat_reply__number_ranges,
   (ProtobufCMessageInit) colt_beat_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor colt_config_notice__field_descriptors[1] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(ColtConfigNotice, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned colt_config_notice__field_indices_by_name[] = {
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange colt_config_notice__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor colt_config_notice__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ColtConfigNotice",
+  "ColtConfigNotice",
+  "ColtConfigNotice",
+  "",
+  sizeof(ColtConfigNotice),
+  1,
+  colt_config_notice__field_descriptors,
+  colt_config_notice__field_indices_by_name,
+  1,  colt_config_notice__number_ranges,
+  (ProtobufCMessageInit) colt_config_notice__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor colt_config_call__field_descriptors[4] =
+{
+  {
+    "above",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(ColtConfigCall, above),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(ColtConfigCall, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checksum",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ColtConfigCall, checksum),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ColtConfigCall, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned colt_config_call__field_indices_by_name[] = {
+  0,   /* field[0] = above */
+  2,   /* field[2] = checksum */
+  3,   /* field[3] = from */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange colt_config_call__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor colt_config_call__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ColtConfigCall",
+  "ColtConfigCall",
+  "ColtConfigCall",
+  "",
+  sizeof(ColtConfigCall),
+  4,
+  colt_config_call__field_descriptors,
+  colt_config_call__field_indices_by_name,
+  1,  colt_config_call__number_ranges,
+  (ProtobufCMessageInit) colt_config_call__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor colt_config_part__field_descriptors[8] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(ColtConfigPart, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checksum",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ColtConfigPart, checksum),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(ColtConfigPart, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "offset",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(ColtConfigPart, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "size",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ColtConfigPart, size),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "packed_size",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ColtConfigPart, packed_size),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ColtConfigPart, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(ColtConfigPart, data),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned colt_config_part__field_indices_by_name[] = {
+  1,   /* field[1] = checksum */
+  7,   /* field[7] = data */
+  6,   /* field[6] = from */
+  2,   /* field[2] = key */
+  3,   /* field[3] = offset */
+  5,   /* field[5] = packed_size */
+  4,   /* field[4] = size */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange colt_config_part__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor colt_config_part__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ColtConfigPart",
+  "ColtConfigPart",
+  "ColtConfigPart",
+  "",
+  sizeof(ColtConfigPart),
+  8,
+  colt_config_part__field_descriptors,
+  colt_config_part__field_indices_by_name,
+  1,  colt_config_part__number_ranges,
+  (ProtobufCMessageInit) colt_config_part__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor colt_advice_call__field_descriptors[2] =
 {
   {
--- a/src/scheduler/members.c
+++ b/src/scheduler/members.c
@@ -17,6 +17,11 @@
 #define LOG_AGE_MAX_MS 2500
 /* A member gets no call for advice this long after a failed one. */
 #define ADVISER_PAUSE_US (1000 * COLT_US_PER_MS)
+/* An instance without a heartbeat for this long counts as gone. */
+#define SILENT_MAX_US (30 * COLT_US_PER_S)
+/* Instances with at least this part of the strength of the strongest one that
+ * could pass on the configuration are asked in turn. */
+#define SOURCE_STRENGTH_PART 0.25
 /* Concurrent calls for advice through one member. */
 #define ADVICE_CALLS_MAX 1
 
@@ -26,10 +31,12 @@
   int64_t heartbeat_us; /* when the last heartbeat arrived */
   uint32_t log_age_ms;  /* time since it reached the log, at that heartbeat */
   double strength;
-  int64_t expected_us; /* when it was last listed without a heartbeat */
-  bool leaving;        /* it won't claim leadership any more */
-  int64_t leaving_us;  /* when it first said so */
-  int64_t followed_us; /* latest time at which it followed this leader */
+  int64_t expected_us;    /* when it was last listed without a heartbeat */
+  bool leaving;           /* it won't claim leadership any more */
+  int64_t leaving_us;     /* when it first said so */
+  int64_t followed_us;    /* latest time at which it followed this leader */
+  int64_t config_version; /* of its configuration in force; 0: none */
+  int64_t referred_us;    /* when it was last chosen to pass on its own */
   uint32_t open_advice_calls;
   int64_t paused_until_us;
   int64_t last_advice_us;
@@ -44,6 +51,8 @@
                                         uint32_t instance);
 static struct ColtMember *get_member_ (struct ColtMembers *members,
                                        uint32_t instance);
+static bool
+has_config_ (const struct ColtMember *member, int64_t version, int64_t now_us);
 static int64_t contact_us_ (const struct ColtMember *member);
 static bool may_rely_on_contact_ (const struct ColtMember *member,
                                   int64_t log_confirmed_us);
@@ -82,6 +91,7 @@
   member->log_age_ms = beat->log_age_ms;
   member->strength = beat->strength;
   member->leaving = beat->leaving;
+  member->config_version = beat->config_version;
   member->followed_us = MAX (member->followed_us, beat->followed_us);
 }
 
@@ -240,6 +250,60 @@
     member->paused_until_us = now_us + ADVISER_PAUSE_US;
 }
 
+void
+colt_members_list_silent (const struct ColtMembers *members,
+                          int64_t now_us,
+                          GArray *instances)
+{
+  guint i;
+
+  for (i = 1; i < members->members->len; i++)
+    {
+      const struct ColtMember *member
+          = &g_array_index (members->members, struct ColtMember, i);
+
+      if (!member->leaving
+          && now_us - member->heartbeat_us > HEARTBEAT_TIMEOUT_US
+          && now_us - MAX (member->heartbeat_us, member->expected_us)
+                 <= SILENT_MAX_US)
+        g_array_append_val (instances, member->instance);
+    }
+}
+
+uint32_t
+colt_members_refer_config (struct ColtMembers *members,
+                           int64_t version,
+                           uint32_t requester,
+                           int64_t now_us)
+{
+  struct ColtMember *best = NULL;
+  double strongest = 0;
+  guint i;
+
+  for (i = 0; i < members->members->len; i++)
+    {
+      const struct ColtMember *member
+          = &g_array_index (members->members, struct ColtMember, i);
+
+      if (has_config_ (member, version, now_us))
+        strongest = MAX (strongest, member->strength);
+    }
+  for (i = 0; i < members->members->len; i++)
+    {
+      struct ColtMember *member
+          = &g_array_index (members->members, struct ColtMember, i);
+
+      if (member->instance != requester && has_config_ (member, version, now_us)
+          && member->strength >= SOURCE_STRENGTH_PART * strongest
+          && (best == NULL || member->referred_us < best->referred_us))
+        best = member;
+    }
+  if (best == NULL)
+    return 0;
+  best->referred_us = now_us;
+  return best->instance;
+}
+
 void
 colt_members_reset_advisers (struct ColtMembers *members)
 {
@@ -274,6 +338,13 @@
   return find_member_ (members, instance);
 }
 
+static bool
+has_config_ (const struct ColtMember *member, int64_t version, int64_t now_us)
+{
+  return member->config_version >= version && !member->leaving
+         && now_us - member->heartbeat_us <= HEARTBEAT_TIMEOUT_US;
+}
+
 static int64_t
 contact_us_ (const struct ColtMember *member)
 {
--- a/src/scheduler/private/members.h
+++ b/src/scheduler/private/members.h
@@ -17,7 +17,8 @@
   uint32_t instance;
   uint32_t log_age_ms; /* time since it last reached the log */
   double strength;
-  bool leaving; /* it won't claim leadership any more */
+  int64_t config_version; /* of its configuration in force; 0: none */
+  bool leaving;           /* it won't claim leadership any more */
   /* Latest time, on the leader's clock, at which it certainly followed that
    * leader; 0: unknown. */
   int64_t followed_us;
@@ -70,6 +71,19 @@
                                    uint32_t instance,
                                    int64_t now_us,
                                    bool answered);
+/* Adds the numbers of the instances that may be there although no heartbeat of
+ * them arrives. */
+void colt_members_list_silent (const struct ColtMembers *members,
+                               int64_t now_us,
+                               GArray *instances);
+/* Chooses a live instance, the own one included, from which another one may
+ * fetch the configuration: among the stronger ones that have the version or a
+ * newer one, the one that was chosen least recently. Returns its number; 0 if
+ * there is none. */
+uint32_t colt_members_refer_config (struct ColtMembers *members,
+                                    int64_t version,
+                                    uint32_t requester,
+                                    int64_t now_us);
 /* Ends the pauses of instances that gave no answer. */
 void colt_members_reset_advisers (struct ColtMembers *members);
 
--- a/src/scheduler/private/scheduler_private.h
+++ b/src/scheduler/private/scheduler_private.h
@@ -29,7 +29,9 @@
 {
   MESSAGE_HEARTBEAT = COLT_WIRE_SHARD_FIRST + 50,
   MESSAGE_CALLER,
-  MESSAGE_ADVICE
+  MESSAGE_ADVICE,
+  MESSAGE_CONFIG,
+  MESSAGE_CONFIG_NOTICE
 };
 
 /* Returns the number of the instance at IP:PORT: its IPv4 address in host byte
--- a/src/scheduler/private/scheduler_state.h
+++ b/src/scheduler/private/scheduler_state.h
@@ -2,6 +2,8 @@
 #ifndef COLT_SCHEDULER_STATE_H
 #define COLT_SCHEDULER_STATE_H
 
+#include "config_copy.h"
+#include "config_fetch.h"
 #include "config_lag.h"
 #include "isolation.h"
 #include "members.h"
@@ -29,7 +31,11 @@
   struct ColtElection *election;
   struct ColtLeader *leader; /* NULL while another instance leads */
   struct ColtFleet *fleet;   /* the configuration in force; NULL: none */
+  struct ColtConfigCopy *config_copy; /* of the configuration in force */
   struct ColtConfigLag config_lag;
+  struct ColtConfigFetch *config_fetch;
+  uint32_t config_source; /* instance that has a newer version; 0: unknown */
+  bool fetch_failing;     /* the last fetch of a configuration failed */
   struct ColtEvacuations *evacuations;
   struct ColtMembers *members;
   struct ColtAdviserChannel *adviser;
@@ -88,9 +94,24 @@
                                           const struct ColtLogRecord *record);
 /* Returns the version of the configuration in force; 0: there is none. */
 int64_t colt_scheduler_config_version (const struct ColtScheduler *scheduler);
-/* Records a version that exists, as another instance reports. */
+/* Records a version that exists, and an instance that has it (0: unknown), as
+ * another instance reports. Fetches it if the log hasn't brought it for a
+ * while.
+ */
 void colt_scheduler_note_config (struct ColtScheduler *scheduler,
-                                 int64_t version);
+                                 int64_t version,
+                                 uint32_t instance);
+/* Returns an instance from which one whose configuration has the given version
+ * may fetch a newer one; 0 if there is none. */
+uint32_t colt_scheduler_refer_config (struct ColtScheduler *scheduler,
+                                      uint32_t requester,
+                                      int64_t version);
+/* As the leader, reports the own version to instances that send no heartbeats.
+ */
+void colt_scheduler_send_config_notices (struct ColtScheduler *scheduler);
+/* Passes on the configuration to instances that fetch it, and prepares to fetch
+ * one. */
+void colt_scheduler_accept_config_calls (struct ColtScheduler *scheduler);
 /* Decides anew whether the configuration is late; logs and counts a change. */
 void colt_scheduler_check_config (struct ColtScheduler *scheduler);
 void colt_scheduler_set_config_metrics (const struct ColtScheduler *scheduler);
@@ -113,6 +134,10 @@
  * with g_free(). */
 char *colt_scheduler_describe_readiness (const struct ColtScheduler *scheduler);
 
+/* Makes an instance a peer of the wire, at its address and the port that all
+ * instances use. */
+void colt_scheduler_set_peer (struct ColtScheduler *scheduler,
+                              uint32_t instance);
 /* Starts a timer; an event with EV_PERSIST fires repeatedly. */
 void colt_scheduler_add_timer (struct event *timer, uint32_t after_ms);
 
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -141,6 +141,8 @@
   if (scheduler->adviser != NULL)
     scheduler->ports->adviser_close (scheduler->adviser);
   colt_wire_destroy (scheduler->wire);
+  colt_config_fetch_destroy (scheduler->config_fetch);
+  colt_config_copy_destroy (scheduler->config_copy);
   colt_scheduler_free_requests (scheduler);
   event_free (scheduler->heartbeat_timer);
   event_free (scheduler->stop_timer);
@@ -182,6 +184,17 @@
   return ntohl (ip.s_addr);
 }
 
+void
+colt_scheduler_set_peer (struct ColtScheduler *scheduler, uint32_t instance)
+{
+  const struct in_addr ip = { htonl (instance) };
+  const char *port = strrchr (scheduler->settings.internal, ':');
+  char address[COLT_ERROR_PEER_SIZE];
+
+  g_snprintf (address, sizeof address, "%s%s", inet_ntoa (ip), port);
+  colt_wire_set_peer (scheduler->wire, instance, address);
+}
+
 void
 colt_scheduler_add_timer (struct event *timer, uint32_t after_ms)
 {
@@ -199,6 +212,7 @@
   colt_wire_set_handler (scheduler->wire, MESSAGE_HEARTBEAT, handle_heartbeat_,
                          scheduler);
   colt_scheduler_accept_remote_calls (scheduler);
+  colt_scheduler_accept_config_calls (scheduler);
   return colt_wire_listen (scheduler->wire, scheduler->settings.internal,
                            error);
 }
@@ -297,6 +311,7 @@
     {
       confirm_leadership_ (scheduler, now_us);
       yield_if_weak_ (scheduler, now_us);
+      colt_scheduler_send_config_notices (scheduler);
       return;
     }
   if (address == NULL)
@@ -449,7 +464,8 @@
       colt_scheduler_check_isolation (scheduler);
     }
   note_stamp_ (scheduler, reply);
-  colt_scheduler_note_config (scheduler, reply->config_version);
+  colt_scheduler_note_config (scheduler, reply->config_version,
+                              reply->config_source);
   if (reply->leads)
     colt_waiting_counts_replace (scheduler->waiting_counts, reply->counts,
                                  reply->n_counts, (int64_t)reply->beat_sent_us);
@@ -491,21 +507,20 @@
 
   if (heartbeat != NULL)
     {
-      const struct in_addr ip = { htonl (origin->instance) };
-      const char *port = strrchr (scheduler->settings.internal, ':');
-      char address[COLT_ERROR_PEER_SIZE];
-
-      g_snprintf (address, sizeof address, "%s%s", inet_ntoa (ip), port);
-      colt_wire_set_peer (scheduler->wire, origin->instance, address);
+      colt_scheduler_set_peer (scheduler, origin->instance);
       beat.instance = origin->instance;
       beat.log_age_ms = heartbeat->log_age_ms;
       beat.strength = heartbeat->strength_milli / 1000.0;
       beat.leaving = heartbeat->leaving;
+      beat.config_version = heartbeat->config_version;
       if (leads_term && heartbeat->term == scheduler->led_term)
         beat.followed_us = (int64_t)heartbeat->stamp_us;
       colt_members_update (scheduler->members, &beat, now_us);
       reply.beat_sent_us = heartbeat->sent_us;
-      colt_scheduler_note_config (scheduler, heartbeat->config_version);
+      colt_scheduler_note_config (scheduler, heartbeat->config_version,
+                                  origin->instance);
+      reply.config_source = colt_scheduler_refer_config (
+          scheduler, origin->instance, heartbeat->config_version);
       colt_beat__free_unpacked (heartbeat, NULL);
     }
   reply.term = colt_election_term (scheduler->election);
--- a/src/test_scheduler/fake_ports.c
+++ b/src/test_scheduler/fake_ports.c
@@ -18,6 +18,7 @@
 struct ColtLogChannel
 {
   struct ColtFakePorts *fake;
+  uint32_t group;
 };
 
 struct ColtServerChannel
@@ -73,9 +74,17 @@
   struct ColtLogChannel *channel = g_new0 (struct ColtLogChannel, 1);
 
   channel->fake = adapter;
+  channel->group = channel->fake->group;
   return channel;
 }
 
+/* Returns whether the log turns away the owner of a channel. */
+static bool
+is_rejected (const struct ColtLogChannel *channel)
+{
+  return (channel->fake->rejected_groups & 1u << channel->group) != 0;
+}
+
 /* Ends the open calls of the channel, with an unknown outcome. */
 static void
 log_close (struct ColtLogChannel *channel)
@@ -138,16 +147,18 @@
       free_log_call (call);
       return;
     }
-  if (call->is_read
-      && ((call->newest ? call->fake->held_topics : call->fake->held_reads)
-          & 1u << call->topic)
-             != 0)
+  if (call->is_read && is_rejected (call->channel))
+    call->answer.outcome = COLT_LOG_NOT_DONE;
+  else if (call->is_read
+           && ((call->newest ? call->fake->held_topics : call->fake->held_reads)
+               & 1u << call->topic)
+                  != 0)
     {
       g_array_unref (records);
       schedule (call->fake, POLL_MS, on_log_answer_due, call);
       return;
     }
-  if (call->is_read && call->fake->fault == FAULT_UNRESPONSIVE)
+  else if (call->is_read && call->fake->fault == FAULT_UNRESPONSIVE)
     {
       if (colt_clock_monotonic_us ()
           < call->wait_until_us + UNRESPONSIVE_TIMEOUT_US)
@@ -220,7 +231,8 @@
   call->topic = append->topic;
   call->answer.sent_us = colt_clock_monotonic_us ();
   call->answer.outcome = check_append (fake, append);
-  if (fake->fault == FAULT_REFUSED || fake->fault == FAULT_DOWN)
+  if (fake->fault == FAULT_REFUSED || fake->fault == FAULT_DOWN
+      || is_rejected (channel))
     call->answer.outcome = COLT_LOG_NOT_DONE;
   else if (fake->fault == FAULT_TOO_LARGE)
     call->answer.outcome = COLT_LOG_INVALID;
@@ -518,12 +530,13 @@
 {
   struct ColtFleet *fleet = colt_test_make_fleet ();
   struct ColtQueueConfig *queue = g_ptr_array_index (fleet->queues, 0);
+  char *text = g_strndup ((const char *)record->value, record->size);
 
   (void)adapter;
-  (void)record;
   (void)error;
   queue->open = true;
-  fleet->version = 1;
+  fleet->version = MAX (g_ascii_strtoll (text, NULL, 10), 1);
+  g_free (text);
   return fleet;
 }
 
--- a/src/test_scheduler/fake_ports.h
+++ b/src/test_scheduler/fake_ports.h
@@ -37,6 +37,8 @@
    * until the bit is cleared. */
   uint32_t held_topics;
   uint32_t held_reads;          /* the same for reads from an offset */
+  uint32_t group;               /* of the channels that are opened next */
+  uint32_t rejected_groups;     /* a bit each, whose calls to the log fail */
   uint32_t appends;             /* calls so far */
   int64_t last_append_us;       /* when the last one was called */
   uint32_t immediate_reads;     /* calls so far of reads without a wait */
--- a/src/test_scheduler/test_scheduler.c
+++ b/src/test_scheduler/test_scheduler.c
@@ -25,5 +25,6 @@
   colt_test_evacuation_add ();
   colt_test_isolation_add ();
   colt_test_config_lag_add ();
+  colt_test_config_add ();
   return g_test_run ();
 }
--- a/src/test_scheduler/tests.h
+++ b/src/test_scheduler/tests.h
@@ -21,5 +21,6 @@
 void colt_test_evacuation_add (void);
 void colt_test_isolation_add (void);
 void colt_test_config_lag_add (void);
+void colt_test_config_add (void);
 
 #endif
