An instance with an outdated configuration doesn't reject what it doesn't know

It now answers 503 with a time to return, as an instance without a configuration does, until it has the newest one.

Test: scheduler/config/outdated-answer, before: no queue in place of not accepted.

--- a/src/scheduler/callers.c
+++ b/src/scheduler/callers.c
@@ -194,11 +194,15 @@
   if (fleet == NULL)
     return PREPARED_ANSWER;
   queue = colt_fleet_route (fleet, request->host, request->path);
+  organisation = colt_fleet_find_organisation (fleet, request->key);
+  /* The queue or the key may be in a newer configuration. */
+  if ((queue == NULL || (organisation == NULL && !queue->open))
+      && colt_scheduler_is_config_outdated (scheduler))
+    return PREPARED_ANSWER;
   answer->kind = COLT_ANSWER_NO_QUEUE;
   answer->retry_after_ms = 0;
   if (queue == NULL)
     return PREPARED_ANSWER;
-  organisation = colt_fleet_find_organisation (fleet, request->key);
   answer->kind = COLT_ANSWER_UNAUTHORIZED;
   if (organisation == NULL && !queue->open)
     return PREPARED_ANSWER;
--- a/src/scheduler/private/scheduler_state.h
+++ b/src/scheduler/private/scheduler_state.h
@@ -94,6 +94,9 @@
                                           const struct ColtLogRecord *record);
 /* Returns the version of the configuration in force; 0: there is none. */
 int64_t colt_scheduler_config_version (const struct ColtScheduler *scheduler);
+/* Returns whether a newer configuration than the one in force exists, or may
+ * exist unnoticed. */
+bool colt_scheduler_is_config_outdated (const struct ColtScheduler *scheduler);
 /* Records a version that exists, and an instance that has it (0: unknown), as
  * another instance reports. Fetches it if the log hasn't brought it for a
  * while.
--- a/src/scheduler/scheduler_config.c
+++ b/src/scheduler/scheduler_config.c
@@ -63,6 +63,15 @@
   return scheduler->fleet != NULL ? scheduler->fleet->version : 0;
 }
 
+bool
+colt_scheduler_is_config_outdated (const struct ColtScheduler *scheduler)
+{
+  return scheduler->isolation.isolated
+         || colt_config_lag_behind_us (&scheduler->config_lag,
+                                       colt_clock_monotonic_us ())
+                > 0;
+}
+
 void
 colt_scheduler_note_config (struct ColtScheduler *scheduler,
                             int64_t version,
--- a/src/test_scheduler/test_config.c
+++ b/src/test_scheduler/test_config.c
@@ -39,6 +39,12 @@
   return get_state (fixture, i, "\"config\":{\"version\":");
 }
 
+static int64_t
+get_newest (const struct ColtInstancesFixture *fixture, int i)
+{
+  return get_state (fixture, i, "\"newest\":");
+}
+
 static void
 wait_for_version (struct ColtInstancesFixture *fixture, int i, int64_t version)
 {
@@ -110,6 +116,39 @@
   colt_instances_tear_down (&fixture);
 }
 
+/* Guards against a final answer by an outdated configuration: while an instance
+ * knows that there is a newer one, a queue that it doesn't know may be in it,
+ * and the caller is asked to come back. */
+static void
+test_outdated_answer (void)
+{
+  struct ColtInstancesFixture fixture = { 0 };
+  int version = 1;
+  uint32_t ms;
+
+  start_both (&fixture);
+  colt_instances_send (&fixture, 1, COLT_CALLER_SUBMIT, "no-queue/1");
+  g_assert_cmpint (fixture.answer.kind, ==, COLT_ANSWER_NO_QUEUE);
+  fixture.fake->rejected_groups = 1u << SECOND_GROUP;
+  /* A process that is paused may find the version known and fetched at once. */
+  for (ms = 0; ms < WAIT_MAX_MS
+               && get_newest (&fixture, 1) == get_version (&fixture, 1);
+       ms += 5)
+    {
+      if (get_version (&fixture, 1) == version)
+        publish (&fixture, ++version, 0);
+      colt_fake_ports_run (fixture.fake, 5);
+    }
+  g_assert_cmpint (get_version (&fixture, 1), <, version);
+  colt_instances_send (&fixture, 1, COLT_CALLER_SUBMIT, "no-queue/1");
+  g_assert_cmpint (fixture.answer.kind, ==, COLT_ANSWER_NOT_ACCEPTED);
+  g_assert_cmpuint (fixture.answer.retry_after_ms, >, 0);
+  wait_for_version (&fixture, 1, version);
+  colt_instances_send (&fixture, 1, COLT_CALLER_SUBMIT, "no-queue/1");
+  g_assert_cmpint (fixture.answer.kind, ==, COLT_ANSWER_NO_QUEUE);
+  colt_instances_tear_down (&fixture);
+}
+
 /* Versions never decrease, neither by a record of the log nor once the log
  * serves an instance again that has fetched a newer one. */
 static void
@@ -226,6 +265,7 @@
   g_test_add_func ("/scheduler/config/rejected-instance",
                    test_rejected_instance);
   g_test_add_func ("/scheduler/config/rejected-leader", test_rejected_leader);
+  g_test_add_func ("/scheduler/config/outdated-answer", test_outdated_answer);
   g_test_add_func ("/scheduler/config/no-downgrade", test_no_downgrade);
   g_test_add_func ("/scheduler/config/copy", test_copy);
   g_test_add_func ("/scheduler/config/parts", test_parts);
