Reads of the project's own log and list fail only without progress

The same cause as for the calls of the users' log: a list of instances was given up after 2 s and a read of records after 1 to 8 s, however much had arrived, and requested again from its start. Both now fail when nothing more arrives for 1 s.

Tests, failing before: platform/http/slow-read and platform/list/slow (no change was reported; both answers take 3 s).

--- a/src/platform/list_http.c
+++ b/src/platform/list_http.c
@@ -5,7 +5,9 @@
 #include "coltsfootstile/instance_list.h"
 #include "list_json.h"
 
+/* Time until the first byte of an answer, and between further ones. */
 #define TIMEOUT_MS 2000u
+#define STALL_MS 1000u
 /* Largest body of an answer in bytes. */
 #define ANSWER_MAX ((size_t)4 * 1024 * 1024)
 #define STATUS_OK 200
@@ -48,11 +50,15 @@
 {
   struct ColtListHttp *list = (struct ColtListHttp *)driver;
   char path[64];
+  const struct ColtHttpRequest request = { .method = COLT_HTTP_GET,
+                                           .path = path,
+                                           .timeout_ms = TIMEOUT_MS,
+                                           .stall_ms = STALL_MS };
 
   g_snprintf (path, sizeof path, "/v1/instances?zone=%u", zone);
   list->done = done;
   list->client = client;
-  colt_http_client_call (list->http, path, NULL, TIMEOUT_MS, on_answer_, list);
+  colt_http_client_send (list->http, &request, on_answer_, list);
 }
 
 static void
--- a/src/platform/log_http.c
+++ b/src/platform/log_http.c
@@ -10,9 +10,12 @@
 #include "log_json.h"
 #include "timeout.h"
 
-/* Timeout of an append, and of a read in addition to the read's wait_ms. */
+/* Timeout of an append, and of the first byte of a read's answer in addition to
+ * the read's wait_ms. */
 #define TIMEOUT_MIN_MS 1000u
 #define TIMEOUT_MAX_MS 8000u
+/* Time after which the answer to a read counts as lost if no more arrives. */
+#define STALL_MS 1000u
 /* Largest body of an answer in bytes. */
 #define ANSWER_MAX ((size_t)16 * 1024 * 1024)
 #define STATUS_OK 200
@@ -132,13 +135,16 @@
   char *path = g_strdup_printf ("/v1/records?from=%" PRIu64 "&max=%" PRIu32
                                 "&wait_ms=%" PRIu32,
                                 from, max, wait_ms);
+  const struct ColtHttpRequest request
+      = { .method = COLT_HTTP_GET,
+          .path = path,
+          .timeout_ms = wait_ms + log->read_timeout.current_ms,
+          .stall_ms = STALL_MS };
 
   log->wait_ms = wait_ms;
   log->read_done = done;
   log->read_client = client;
-  colt_http_client_call (log->read_http, path, NULL,
-                         wait_ms + log->read_timeout.current_ms,
-                         on_read_answer_, log);
+  colt_http_client_send (log->read_http, &request, on_read_answer_, log);
   g_free (path);
 }
 
--- a/src/test_platform/test_http.c
+++ b/src/test_platform/test_http.c
@@ -8,6 +8,8 @@
 #include "fake_http.h"
 #include "tests.h"
 
+/* Of records that take three seconds at the rate of their test. */
+#define SLOW_READ_BYTES 6000
 /* Of an answer that takes two seconds at the rate of its test. */
 #define SLOW_ANSWER_BYTES 2000
 /* Of a request that takes a second at the rate of its test. More than the
@@ -361,6 +363,29 @@
   driver->destroy (driver);
 }
 
+/* Guards against a read of records that is given up while they arrive. */
+static void
+test_slow_read (struct ColtHttpFixture *fixture, gconstpointer data)
+{
+  struct ColtLogDriver *driver = colt_log_http_create (
+      fixture->base, colt_fake_http_address (fixture->fake));
+  struct ColtReadReceived received = { 0 };
+  char *body = g_strdup_printf ("{\"first\":0,\"head\":2,\"records\":["
+                                "{\"offset\":1,\"body\":\"YWI=\"}]}%*s",
+                                SLOW_READ_BYTES, "");
+
+  (void)data;
+  colt_fake_http_limit_rate (fixture->fake, SLOW_READ_BYTES / 3);
+  colt_fake_http_add_step (fixture->fake, COLT_FAKE_ANSWER, 200, body);
+  driver->read (driver, 1, 9, 0, on_read, &received);
+  while (received.count == 0)
+    event_base_loop (fixture->base, EVLOOP_ONCE);
+  g_assert_true (received.valid);
+  g_assert_cmpuint (received.records, ==, 1);
+  driver->destroy (driver);
+  g_free (body);
+}
+
 /* Guards against the loss of the part of a call that the socket doesn't take at
  * once. */
 static void
@@ -655,4 +680,5 @@
   ADD ("slow-answer", test_slow_answer);
   ADD ("stalled-answer", test_stalled_answer);
   ADD ("slow-request", test_slow_request);
+  ADD ("slow-read", test_slow_read);
 }
--- a/src/test_platform/test_list.c
+++ b/src/test_platform/test_list.c
@@ -51,6 +51,30 @@
   while (stats.fetches + stats.failures < total);
 }
 
+/* Guards against a list that is given up while it arrives, each time: this one
+ * takes three seconds. */
+static void
+test_slow_list (void)
+{
+  struct event_base *base = event_base_new ();
+  struct ColtFakeHttp *fake = colt_fake_http_create (base);
+  struct ColtListReceived received = { 0 };
+  struct ColtListPoller *poller = colt_list_poller_create (
+      base, colt_list_http_create (base, colt_fake_http_address (fake)), 2, 1,
+      on_change, &received);
+  char *body = g_strdup_printf ("%s%*s", LIST (ENTRY ("1", "live")), 6000, "");
+
+  colt_fake_http_limit_rate (fake, 2000);
+  colt_fake_http_add_step (fake, COLT_FAKE_ANSWER, 200, body);
+  colt_list_poller_start (poller);
+  run_until_fetched (base, poller, 1);
+  g_assert_cmpuint (received.changes, ==, 1);
+  colt_list_poller_destroy (poller);
+  colt_fake_http_destroy (fake);
+  event_base_free (base);
+  g_free (body);
+}
+
 static void
 test_poller_keeps_the_last_valid_list (void)
 {
@@ -136,6 +160,7 @@
 void
 add_list_tests (void)
 {
+  g_test_add_func ("/platform/list/slow", test_slow_list);
   g_test_add_func ("/platform/list/poller",
                    test_poller_keeps_the_last_valid_list);
   g_test_add_func ("/platform/list/bad", test_invalid_lists_are_rejected);
