--- a/src/scheduler/config_copy.c
+++ b/src/scheduler/config_copy.c
@@ -76,6 +76,12 @@
   return copy->size;
 }
 
+size_t
+colt_config_copy_packed_size (const struct ColtConfigCopy *copy)
+{
+  return copy->packed != NULL ? g_bytes_get_size (copy->packed) : 0;
+}
+
 GBytes *
 colt_config_copy_pack (struct ColtConfigCopy *copy)
 {
--- a/src/scheduler/private/config_copy.h
+++ b/src/scheduler/private/config_copy.h
@@ -31,6 +31,9 @@
 colt_config_copy_record (const struct ColtConfigCopy *copy);
 /* Returns the size of the record's value in bytes. */
 size_t colt_config_copy_size (const struct ColtConfigCopy *copy);
+/* Returns the size of the compressed value in bytes; 0 if it hasn't been
+ * compressed. */
+size_t colt_config_copy_packed_size (const struct ColtConfigCopy *copy);
 /* Returns the compressed value, which replaces the value as published; NULL if
  * it is too large to be passed on. */
 GBytes *colt_config_copy_pack (struct ColtConfigCopy *copy);
--- a/src/scheduler/scheduler_config.c
+++ b/src/scheduler/scheduler_config.c
@@ -34,6 +34,7 @@
 static void format_instance_ (uint32_t instance, char *text, size_t size);
 static void log_config_ (const struct ColtScheduler *scheduler,
                          const struct ColtFleet *fleet,
+                         const struct ColtConfigCopy *copy,
                          const char *source,
                          int64_t behind_us);
 static void log_late_ (const struct ColtScheduler *scheduler, int64_t now_us);
@@ -231,7 +232,7 @@
   int64_t behind_us = colt_config_lag_apply (
       &scheduler->config_lag, fleet->version, colt_clock_monotonic_us ());
 
-  log_config_ (scheduler, fleet, source, behind_us);
+  log_config_ (scheduler, fleet, copy, source, behind_us);
   colt_fleet_unref (scheduler->fleet);
   scheduler->fleet = fleet;
   colt_config_copy_destroy (scheduler->config_copy);
@@ -342,6 +343,7 @@
 static void
 log_config_ (const struct ColtScheduler *scheduler,
              const struct ColtFleet *fleet,
+             const struct ColtConfigCopy *copy,
              const char *source,
              int64_t behind_us)
 {
@@ -349,6 +351,9 @@
       = { { "version", NULL, fleet->version },
           { "previous", NULL, colt_scheduler_config_version (scheduler) },
           { "source", source, 0 },
+          { "bytes", NULL, (int64_t)colt_config_copy_size (copy) },
+          { "packed_bytes", NULL,
+            (int64_t)colt_config_copy_packed_size (copy) },
           { "behind_ms", NULL, behind_us / COLT_US_PER_MS },
           { "read_age_ms", NULL,
             read_age_ms_ (scheduler, colt_clock_monotonic_us ()) },
