--- a/src/test_scheduler/test_members.c
+++ b/src/test_scheduler/test_members.c
@@ -271,6 +271,74 @@
   g_assert_cmpint (changes, <=, 6);
 }
 
+static void
+update_config (struct ColtMembers *members,
+               uint32_t instance,
+               double strength,
+               int64_t version,
+               int64_t now_us)
+{
+  const struct ColtMemberBeat beat = { .instance = instance,
+                                       .strength = strength,
+                                       .config_version = version };
+
+  colt_members_update (members, &beat, now_us);
+}
+
+/* Load: many instances are behind at once. Those that have the version and are
+ * strong pass it on in turn, the leader among them; weak ones, those that are
+ * behind themselves, the requester and those without heartbeats don't. */
+static void
+test_members_refer_config (void)
+{
+  struct ColtMembers *members = colt_members_create ();
+  int64_t now_us = 100 * COLT_US_PER_S;
+  uint32_t first;
+
+  g_assert_cmpuint (colt_members_refer_config (members, 5, 9, now_us), ==, 0);
+  update_config (members, 1, 0.5, 5, now_us);
+  update_config (members, 2, 0.5, 4, now_us);
+  update_config (members, 3, 0.05, 5, now_us);
+  update_config (members, 4, 0.3, 6, now_us - 5 * COLT_US_PER_S);
+  update_config (members, COLT_MEMBERS_SELF, 0.4, 5, now_us);
+  first = colt_members_refer_config (members, 5, 9, now_us);
+  g_assert_cmpuint (colt_members_refer_config (members, 5, 9, now_us + 1), ==,
+                    first == 1 ? COLT_MEMBERS_SELF : 1);
+  g_assert_cmpuint (colt_members_refer_config (members, 5, 9, now_us + 2), ==,
+                    first);
+  g_assert_cmpuint (colt_members_refer_config (members, 5, 1, now_us + 3), ==,
+                    COLT_MEMBERS_SELF);
+  g_assert_cmpuint (colt_members_refer_config (members, 6, 9, now_us), ==, 0);
+  colt_members_destroy (members);
+}
+
+/* An instance that the log turns away doesn't learn of a new leader, which
+ * expects it but gets no heartbeat. */
+static void
+test_members_silent (void)
+{
+  struct ColtMembers *members = colt_members_create ();
+  GArray *silent = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  int64_t now_us = 100 * COLT_US_PER_S;
+
+  colt_members_expect (members, 1, now_us);
+  update_config (members, 2, 0.5, 1, now_us);
+  colt_members_list_silent (members, now_us, silent);
+  g_assert_cmpuint (silent->len, ==, 1);
+  g_assert_cmpuint (g_array_index (silent, uint32_t, 0), ==, 1);
+  g_array_set_size (silent, 0);
+  update_config (members, 1, 0.5, 1, now_us);
+  colt_members_list_silent (members, now_us, silent);
+  g_assert_cmpuint (silent->len, ==, 0);
+  colt_members_list_silent (members, now_us + 2 * COLT_US_PER_S, silent);
+  g_assert_cmpuint (silent->len, ==, 2);
+  g_array_set_size (silent, 0);
+  colt_members_list_silent (members, now_us + 60 * COLT_US_PER_S, silent);
+  g_assert_cmpuint (silent->len, ==, 0);
+  g_array_unref (silent);
+  colt_members_destroy (members);
+}
+
 void
 colt_test_members_add (void)
 {
@@ -285,4 +353,7 @@
   g_test_add_func ("/scheduler/members/extension", test_members_extension);
   g_test_add_func ("/scheduler/members/in-contact", test_members_in_contact);
   g_test_add_func ("/scheduler/members/advisers", test_members_advisers);
+  g_test_add_func ("/scheduler/members/refer-config",
+                   test_members_refer_config);
+  g_test_add_func ("/scheduler/members/silent", test_members_silent);
 }
