--- a/src/test_scheduler/fake_ports.c
+++ b/src/test_scheduler/fake_ports.c
@@ -147,18 +147,16 @@
       free_log_call (call);
       return;
     }
-  if (call->is_read && is_rejected (call->channel))
-    call->answer.outcome = COLT_LOG_NOT_DONE;
-  else if (call->is_read
-           && ((call->newest ? call->fake->held_topics : call->fake->held_reads)
-               & 1u << call->topic)
-                  != 0)
+  if (call->is_read
+      && ((call->newest ? call->fake->held_topics : call->fake->held_reads)
+          & 1u << call->topic)
+             != 0)
     {
       g_array_unref (records);
       schedule (call->fake, POLL_MS, on_log_answer_due, call);
       return;
     }
-  else if (call->is_read && call->fake->fault == FAULT_UNRESPONSIVE)
+  if (call->is_read && call->fake->fault == FAULT_UNRESPONSIVE)
     {
       if (colt_clock_monotonic_us ()
           < call->wait_until_us + UNRESPONSIVE_TIMEOUT_US)
@@ -169,7 +167,8 @@
         }
       call->answer.outcome = COLT_LOG_UNKNOWN;
     }
-  else if (call->is_read && call->fake->fault == FAULT_DOWN)
+  else if (call->is_read
+           && (call->fake->fault == FAULT_DOWN || is_rejected (call->channel)))
     call->answer.outcome = COLT_LOG_NOT_DONE;
   else if (call->is_read && !call->newest
            && call->from < call->fake->first_offset[call->topic])
