Random faults of the log for two instances; parts count only if sent

scheduler/config/random-faults plays versions, instances that the log turns away and restarts in an order that a seed decides: versions never decrease while a process lives, and both instances reach the newest in the end.

--- a/src/scheduler/private/members.h
+++ b/src/scheduler/private/members.h
@@ -77,9 +77,8 @@
                                int64_t now_us,
                                GArray *instances);
 /* Chooses a live instance, the own one included, from which another one may
- * fetch the configuration: among the stronger ones that have the version or a
- * newer one, the one that was chosen least recently. Returns its number; 0 if
- * there is none. */
+ * fetch the configuration: the stronger ones that have the version or a newer
+ * one, in turn. Returns its number; 0 if there is none. */
 uint32_t colt_members_refer_config (struct ColtMembers *members,
                                     int64_t version,
                                     uint32_t requester,
--- a/src/scheduler/scheduler_config.c
+++ b/src/scheduler/scheduler_config.c
@@ -309,7 +309,8 @@
   if (call == NULL)
     return;
   colt_config_fetch_fill_part (scheduler->config_copy, call, &part);
-  colt_metrics_count (scheduler->metrics, METRIC_CONFIG_PARTS_SENT);
+  if (part.data.len > 0)
+    colt_metrics_count (scheduler->metrics, METRIC_CONFIG_PARTS_SENT);
   out = g_malloc (colt_config_part__get_packed_size (&part) + 1);
   colt_wire_reply (scheduler->wire, origin, out,
                    colt_config_part__pack (&part, out));
--- a/src/test_scheduler/test_config.c
+++ b/src/test_scheduler/test_config.c
@@ -11,6 +11,10 @@
 #define SECOND_GROUP 1u
 /* Longest wait for what takes a second or two on an idle machine. */
 #define WAIT_MAX_MS 15000
+/* Seeds of random faults, and what each plays. */
+#define RANDOM_SEEDS 2
+#define RANDOM_SEEDS_THOROUGH 50
+#define RANDOM_STEPS 10
 /* Bytes of a configuration that is passed on in several parts, as it can't be
  * compressed much. */
 #define LARGE_BYTES (300 * 1024)
@@ -175,6 +179,62 @@
   colt_instances_tear_down (&fixture);
 }
 
+/* Plays versions, an instance or two that the log turns away, and restarts of
+ * the second one, in an order that the seed decides. An instance's version
+ * never decreases while its process lives, and once the log serves both again
+ * they reach the newest. */
+static void
+check_random_faults (guint32 seed)
+{
+  struct ColtInstancesFixture fixture = { 0 };
+  GRand *rand = g_rand_new_with_seed (seed);
+  int64_t seen[INSTANCES] = { 0 };
+  int version = 1;
+  int step;
+  int i;
+
+  start_both (&fixture);
+  for (step = 0; step < RANDOM_STEPS; step++)
+    {
+      publish (&fixture, ++version,
+               g_rand_boolean (rand) ? 0 : (guint)LARGE_BYTES);
+      fixture.fake->rejected_groups = (uint32_t)g_rand_int_range (rand, 0, 4);
+      if (g_rand_int_range (rand, 0, 4) == 0)
+        {
+          colt_instances_end (&fixture, 1);
+          fixture.fake->group = SECOND_GROUP;
+          colt_instances_start (&fixture, 1);
+          fixture.fake->group = 0;
+          seen[1] = 0;
+        }
+      colt_fake_ports_run (fixture.fake,
+                           (uint32_t)g_rand_int_range (rand, 5, 700));
+      for (i = 0; i < INSTANCES; i++)
+        {
+          g_assert_cmpint (get_version (&fixture, i), >=, seen[i]);
+          seen[i] = get_version (&fixture, i);
+        }
+    }
+  fixture.fake->rejected_groups = 0;
+  for (i = 0; i < INSTANCES; i++)
+    wait_for_version (&fixture, i, version);
+  colt_instances_tear_down (&fixture);
+  g_rand_free (rand);
+}
+
+static void
+test_random_faults (void)
+{
+  guint32 count = g_test_thorough () ? RANDOM_SEEDS_THOROUGH : RANDOM_SEEDS;
+  guint32 seed;
+
+  for (seed = 1; seed <= count; seed++)
+    {
+      g_test_message ("seed %u", seed);
+      check_random_faults (seed);
+    }
+}
+
 static struct ColtConfigCopy *
 make_copy (int64_t version, size_t size)
 {
@@ -267,6 +327,7 @@
   g_test_add_func ("/scheduler/config/rejected-leader", test_rejected_leader);
   g_test_add_func ("/scheduler/config/outdated-answer", test_outdated_answer);
   g_test_add_func ("/scheduler/config/no-downgrade", test_no_downgrade);
+  g_test_add_func ("/scheduler/config/random-faults", test_random_faults);
   g_test_add_func ("/scheduler/config/copy", test_copy);
   g_test_add_func ("/scheduler/config/parts", test_parts);
 }
